--- /dev/null
+++ b/crates/cli/src/cmd/apply.rs
@@ -0,0 +1,139 @@
+//! `pumicevale apply`: writes declarations, each on condition.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use model::object::KINDS;
+use tokio::time::Instant;
+
+use crate::declare::{self, Declaration};
+use crate::remote::{Put, Remote};
+
+/// Wait between two looks at the status.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Looks after which a refusal counts as final.
+const REFUSED_LOOKS: u32 = 15;
+
+/// Writes declarations.
+pub struct Apply {
+    /// Folder or file.
+    pub files: PathBuf,
+    /// Address of the Object API.
+    pub store: String,
+    /// Whether to wait until all is in force.
+    pub wait: bool,
+    /// Seconds to wait at most.
+    pub timeout: u64,
+}
+
+impl Apply {
+    /// Reads the files, writes what differs and, if asked, waits.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let all = declare::load(&self.files)?;
+        let remote = Remote::new(&self.store)?;
+        let written = write_all(&remote, all).await?;
+        println!("{} objects written", written.len());
+        if self.wait {
+            let number = wait(&remote, &written, Duration::from_secs(self.timeout)).await?;
+            println!("manifest {number} is in force everywhere");
+        }
+        Ok(())
+    }
+}
+
+/// One object as written.
+#[derive(Debug, Clone)]
+pub struct Written {
+    /// `Kind/name`.
+    pub key: String,
+    /// Version.
+    pub version: u64,
+}
+
+/// Writes what differs, in the order in which objects need each other.
+pub async fn write_all(remote: &Remote, mut all: Vec<Declaration>) -> anyhow::Result<Vec<Written>> {
+    let rank = |d: &Declaration| KINDS.iter().position(|k| *k == d.spec.kind());
+    all.sort_by_key(rank);
+    let mut written = Vec::new();
+    for d in all {
+        let (kind, key) = (d.spec.kind(), d.key());
+        let (expect, old) = remote.read(kind, &d.name).await?;
+        if old.is_some_and(|e| e.spec == d.spec.to_value()) {
+            continue;
+        }
+        let put = remote.write(kind, &d.name, expect, Some(&d.spec)).await;
+        let put =
+            put.with_context(|| format!("stopped after {} objects were written", written.len()))?;
+        if let Put::Done(version) = put {
+            println!("{key} version {version}");
+            written.push(Written { key, version });
+        }
+    }
+    Ok(written)
+}
+
+/// Waits until every written version was accepted and is in force on every node
+/// that the failure domains report; returns the manifest's number.
+pub async fn wait(remote: &Remote, written: &[Written], most: Duration) -> anyhow::Result<u64> {
+    let until = Instant::now() + most;
+    let mut number = 0;
+    for w in written {
+        number = number.max(accepted(remote, w, until).await?);
+    }
+    loop {
+        let fleets = remote.fleets().await.unwrap_or_default();
+        let behind: Vec<String> = fleets
+            .iter()
+            .filter(|(_, f)| f.lowest < number || f.applied < f.nodes)
+            .map(|(d, f)| {
+                format!(
+                    "{d}: {} of {} nodes, lowest {}",
+                    f.applied, f.nodes, f.lowest
+                )
+            })
+            .collect();
+        if !fleets.is_empty() && behind.is_empty() {
+            return Ok(number);
+        }
+        anyhow::ensure!(
+            Instant::now() < until,
+            "manifest {number} is not in force everywhere: {}",
+            if fleets.is_empty() {
+                "no failure domain reports".into()
+            } else {
+                behind.join("; ")
+            }
+        );
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn accepted(remote: &Remote, w: &Written, until: Instant) -> anyhow::Result<u64> {
+    let mut refused = 0;
+    loop {
+        let status = remote.status(&w.key).await.ok().flatten();
+        if let Some(s) = status.filter(|s| s.version >= w.version) {
+            if s.accepted || s.version > w.version {
+                return Ok(s.number);
+            }
+            // What it needs may be on its way in the same apply.
+            refused += 1;
+            anyhow::ensure!(
+                refused < REFUSED_LOOKS,
+                "{} version {} was not accepted: {}",
+                w.key,
+                w.version,
+                s.reason
+            );
+        }
+        anyhow::ensure!(
+            Instant::now() < until,
+            "{} version {} has no status yet",
+            w.key,
+            w.version
+        );
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/watch.rs
@@ -0,0 +1,54 @@
+//! `pumicevale watch`: prints statuses as they change.
+
+use std::time::Duration;
+
+use model::store::kind;
+use platform::Store;
+use tokio::time::Instant;
+
+use crate::Remote;
+
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(10);
+
+/// Prints statuses.
+pub struct Watch {
+    /// Address of the Object API.
+    pub store: String,
+    /// Seconds to watch, or without end.
+    pub seconds: Option<u64>,
+}
+
+impl Watch {
+    /// Prints one line a change.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let remote = Remote::new(&self.store)?;
+        let until = self
+            .seconds
+            .map(|s| Instant::now() + Duration::from_secs(s));
+        let mut revision = 0;
+        loop {
+            let left = until.map_or(WATCH, |u| u.saturating_duration_since(Instant::now()));
+            if left.is_zero() {
+                return Ok(());
+            }
+            match remote
+                .store()
+                .watch(kind::STATUS, revision, left.min(WATCH))
+                .await
+            {
+                Ok(listing) => {
+                    revision = listing.revision;
+                    for o in listing.objects {
+                        let value = o.value.map(|v| v.to_string()).unwrap_or("deleted".into());
+                        println!("{} {value}", o.name);
+                    }
+                }
+                Err(e) => {
+                    eprintln!("{e}");
+                    tokio::time::sleep(Duration::from_secs(1)).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/declare.rs
@@ -0,0 +1,172 @@
+//! Declarations in YAML files: one or more documents a file, each with `kind`,
+//! `name` and `spec`. An error names file, line and column.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+use model::Name;
+use model::object::{self, Drain, KINDS, Model, Pipeline, Pool, Set, Spec, Workspace};
+use serde::{Deserialize, de::DeserializeOwned};
+use util::settings::form_error;
+
+/// One declared object and where it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Declaration {
+    /// File.
+    pub path: PathBuf,
+    /// Line of the document's start, from 1.
+    pub line: u64,
+    /// Name.
+    pub name: Name,
+    /// Spec.
+    pub spec: Spec,
+}
+
+impl Declaration {
+    /// `Kind/name`.
+    pub fn key(&self) -> String {
+        format!("{}/{}", self.spec.kind(), self.name)
+    }
+}
+
+#[derive(Deserialize)]
+struct Head {
+    kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document<S> {
+    #[allow(dead_code)]
+    kind: String,
+    name: Name,
+    spec: S,
+}
+
+/// Reads a file, or every `.yaml` file under a folder, and checks it all together.
+pub fn load(path: &Path) -> anyhow::Result<Vec<Declaration>> {
+    let mut files = Vec::new();
+    find(path, &mut files).with_context(|| format!("could not read {}", path.display()))?;
+    anyhow::ensure!(!files.is_empty(), "{}: no .yaml file found", path.display());
+    files.sort();
+    let mut all = Vec::new();
+    for file in files {
+        let text = std::fs::read_to_string(&file)
+            .with_context(|| format!("could not read {}", file.display()))?;
+        all.extend(parse(&file, &text)?);
+    }
+    check(&all)?;
+    Ok(all)
+}
+
+fn find(path: &Path, files: &mut Vec<PathBuf>) -> std::io::Result<()> {
+    if !path.is_dir() {
+        files.push(path.into());
+        return Ok(());
+    }
+    for entry in std::fs::read_dir(path)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            find(&path, files)?;
+        } else if path.extension().is_some_and(|e| e == "yaml" || e == "yml") {
+            files.push(path);
+        }
+    }
+    Ok(())
+}
+
+/// Parses the documents of one file.
+pub fn parse(path: &Path, text: &str) -> anyhow::Result<Vec<Declaration>> {
+    let mut out = Vec::new();
+    for (skipped, part) in documents(text) {
+        let empty = part
+            .lines()
+            .all(|l| l.trim().is_empty() || l.trim_start().starts_with('#'));
+        if empty {
+            continue;
+        }
+        let head: Head =
+            serde_saphyr::from_str(&part).map_err(|e| form_error(path, skipped, &e))?;
+        let (name, spec) = match head.kind.as_str() {
+            "Pipeline" => read(path, skipped, &part, Spec::Pipeline as fn(Pipeline) -> Spec)?,
+            "Workspace" => read(
+                path,
+                skipped,
+                &part,
+                Spec::Workspace as fn(Workspace) -> Spec,
+            )?,
+            "Pool" => read(path, skipped, &part, Spec::Pool as fn(Pool) -> Spec)?,
+            "Model" => read(path, skipped, &part, Spec::Model as fn(Model) -> Spec)?,
+            "Drain" => read(path, skipped, &part, Spec::Drain as fn(Drain) -> Spec)?,
+            other => anyhow::bail!(
+                "{}:{}: kind {other:?} is not one of {}",
+                path.display(),
+                skipped + 1,
+                KINDS.join(", ")
+            ),
+        };
+        out.push(Declaration {
+            path: path.into(),
+            line: skipped + 1,
+            name,
+            spec,
+        });
+    }
+    Ok(out)
+}
+
+fn read<S: DeserializeOwned>(
+    path: &Path,
+    skipped: u64,
+    part: &str,
+    make: fn(S) -> Spec,
+) -> anyhow::Result<(Name, Spec)> {
+    let document: Document<S> =
+        serde_saphyr::from_str(part).map_err(|e| form_error(path, skipped, &e))?;
+    Ok((document.name, make(document.spec)))
+}
+
+/// Documents of a text with the count of lines before each.
+fn documents(text: &str) -> Vec<(u64, String)> {
+    let mut out = vec![(0, String::new())];
+    for (i, line) in text.lines().enumerate() {
+        if line.trim_end() == "---" {
+            out.push((i as u64 + 1, String::new()));
+        } else if let Some((_, part)) = out.last_mut() {
+            part.push_str(line);
+            part.push('\n');
+        }
+    }
+    out
+}
+
+/// Checks declarations as a whole set.
+pub fn check(all: &[Declaration]) -> anyhow::Result<()> {
+    let mut set = Set::default();
+    let mut seen = std::collections::BTreeMap::new();
+    for d in all {
+        if let Some(first) = seen.insert(d.key(), d) {
+            anyhow::bail!(
+                "{}:{}: {} is already declared at {}:{}",
+                d.path.display(),
+                d.line,
+                d.key(),
+                first.path.display(),
+                first.line
+            );
+        }
+        set.insert(d.name.clone(), d.spec.clone());
+    }
+    let faults = object::check(&set);
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let place = |f: &object::Fault| {
+        let at = seen
+            .get(&*f.object)
+            .map(|d| format!("{}:{}: ", d.path.display(), d.line));
+        format!("{}{f}", at.unwrap_or_default())
+    };
+    let lines: Vec<String> = faults.iter().map(place).collect();
+    anyhow::bail!("{}", lines.join("\n"))
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,9 @@
+//! The operators' command line: declarations in files, the Object API beyond.
+
+pub mod args;
+pub mod cmd;
+pub mod declare;
+mod metrics;
+mod remote;
+
+pub use remote::Remote;
--- /dev/null
+++ b/crates/cli/src/remote.rs
@@ -0,0 +1,150 @@
+//! Declared objects in the Object API, written on condition.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use model::object::{Envelope, Spec};
+use model::store::kind;
+use platform::{ErrorKind, HttpStore, Store};
+use util::http::Client;
+
+/// Tries to read back a write whose answer was lost.
+const READ_BACK: u32 = 10;
+/// Wait between them.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// What became of one write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Put {
+    /// Nothing to change.
+    Same,
+    /// Written at this version.
+    Done(u64),
+}
+
+/// The Object API as operators use it.
+pub struct Remote {
+    store: HttpStore,
+    author: String,
+}
+
+impl Remote {
+    /// The API at an address, on behalf of whoever runs this.
+    pub fn new(address: &str) -> anyhow::Result<Self> {
+        address.parse::<std::net::SocketAddr>().with_context(|| {
+            format!("--store {address:?} is not an IP address and port such as 10.0.0.1:7000")
+        })?;
+        let client = Client::new(Duration::from_secs(2));
+        let author = std::env::var("USER").unwrap_or_else(|_| "unknown".into());
+        Ok(Remote {
+            store: HttpStore::new(client, address.into()),
+            author,
+        })
+    }
+
+    /// The store itself.
+    pub fn store(&self) -> &HttpStore {
+        &self.store
+    }
+
+    /// The version and envelope of a declared object.
+    pub async fn read(&self, kind: &str, name: &str) -> anyhow::Result<(u64, Option<Envelope>)> {
+        let stored = self
+            .store
+            .get(kind, name)
+            .await
+            .context("could not read an object")?;
+        let envelope = stored.value.map(serde_json::from_value).transpose();
+        Ok((
+            stored.version,
+            envelope.with_context(|| format!("{kind}/{name} cannot be read"))?,
+        ))
+    }
+
+    /// Writes a spec, or deletes with `None`, if the version is still `expect`.
+    pub async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: u64,
+        spec: Option<&Spec>,
+    ) -> anyhow::Result<Put> {
+        let nonce = rand::random::<u64>();
+        let envelope = spec.map(|s| Envelope {
+            spec: s.to_value(),
+            author: self.author.clone(),
+            nonce,
+        });
+        let value = envelope
+            .as_ref()
+            .map(|e| serde_json::to_value(e).expect("envelopes encode"));
+        match self.store.put(kind, name, expect, value).await {
+            Ok(version) => Ok(Put::Done(version)),
+            Err(e) if e.kind == ErrorKind::Conflict => self.conflict(kind, name, expect).await,
+            Err(e) if e.is_doubtful() => self.settle(kind, name, expect, nonce, e).await,
+            Err(e) => Err(e).with_context(|| format!("could not write {kind}/{name}")),
+        }
+    }
+
+    async fn conflict(&self, kind: &str, name: &str, expect: u64) -> anyhow::Result<Put> {
+        let (version, envelope) = self.read(kind, name).await?;
+        let what = match envelope {
+            Some(e) => format!("{} changed it to {}", e.author, e.spec),
+            None => "somebody deleted it".into(),
+        };
+        anyhow::bail!("{kind}/{name}: was version {expect}, is now {version}: {what}")
+    }
+
+    /// Reads back a write whose answer was lost.
+    async fn settle(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: u64,
+        nonce: u64,
+        lost: platform::StoreError,
+    ) -> anyhow::Result<Put> {
+        for _ in 0..READ_BACK {
+            tokio::time::sleep(PAUSE).await;
+            let Ok((version, envelope)) = self.read(kind, name).await else {
+                continue;
+            };
+            match envelope {
+                Some(e) if e.nonce == nonce => return Ok(Put::Done(version)),
+                _ if version != expect => return self.conflict(kind, name, expect).await,
+                _ => {}
+            }
+        }
+        Err(lost).with_context(|| format!("{kind}/{name}: it is not known whether it was written"))
+    }
+
+    /// Status object of a declared object.
+    pub async fn status(&self, key: &str) -> anyhow::Result<Option<model::status::Status>> {
+        let name = key.replace('/', ".");
+        let stored = self
+            .store
+            .get(kind::STATUS, &name)
+            .await
+            .context("could not read a status")?;
+        Ok(stored.value.and_then(|v| serde_json::from_value(v).ok()))
+    }
+
+    /// How far the manifest has spread, by failure domain.
+    pub async fn fleets(&self) -> anyhow::Result<Vec<(String, model::status::Fleet)>> {
+        let listing = self
+            .store
+            .list(kind::STATUS)
+            .await
+            .context("could not list statuses")?;
+        let mut out = Vec::new();
+        for o in listing.objects {
+            let Some(domain) = o.name.strip_prefix("fleet-") else {
+                continue;
+            };
+            if let Some(Ok(fleet)) = o.value.map(serde_json::from_value) {
+                out.push((domain.to_string(), fleet));
+            }
+        }
+        Ok(out)
+    }
+}
--- /dev/null
+++ b/crates/control/src/config.rs
@@ -0,0 +1,147 @@
+//! The configuration actor: the follower machine and its fetches.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::config::{Change, Follower, FollowerAction, FollowerEvent};
+use decide::member::Event as MemberEvent;
+use follow::Fetcher;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use model::Name;
+use model::manifest::Delta;
+use model::view::{Chunks, ChunksAsk, DeltaAsk};
+
+use crate::membership::{self, Membership};
+use crate::shared::{Accepted, Shared};
+
+/// How often fetches that went unanswered are looked over.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Wraps [`Follower`].
+pub struct Config {
+    shared: Arc<Shared>,
+    fetcher: Fetcher,
+    machine: Follower,
+    membership: Option<ActorRef<Membership>>,
+}
+
+impl Actor for Config {
+    type Args = Arc<Shared>;
+    type Error = Infallible;
+
+    async fn on_start(shared: Arc<Shared>, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let fetcher = Fetcher::new(shared.client.clone(), Some(shared.store.clone()));
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(LOOK).await;
+                if me.tell(Happened(FollowerEvent::Tick)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Config {
+            shared,
+            fetcher,
+            machine: Follower::default(),
+            membership: None,
+        })
+    }
+}
+
+/// Something for the machine.
+pub struct Happened(pub FollowerEvent);
+
+/// Names the membership actor, told of each manifest that comes into force.
+pub struct Meet(pub ActorRef<Membership>);
+
+/// Asks for what a neighbour at a manifest lacks.
+pub struct GetDelta(pub DeltaAsk);
+
+/// Asks for chunks.
+pub struct GetChunks(pub ChunksAsk);
+
+/// Delta as a reply.
+#[derive(kameo::Reply)]
+pub struct DeltaReply(pub Delta);
+
+/// Chunks as a reply.
+#[derive(kameo::Reply)]
+pub struct ChunksReply(pub Chunks);
+
+impl Message<Meet> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, m: Meet, _: &mut Context<Self, ()>) {
+        self.membership = Some(m.0);
+    }
+}
+
+impl Message<GetDelta> for Config {
+    type Reply = DeltaReply;
+
+    async fn handle(&mut self, g: GetDelta, _: &mut Context<Self, DeltaReply>) -> DeltaReply {
+        DeltaReply(self.machine.delta(g.0.have))
+    }
+}
+
+impl Message<GetChunks> for Config {
+    type Reply = ChunksReply;
+
+    async fn handle(&mut self, g: GetChunks, _: &mut Context<Self, ChunksReply>) -> ChunksReply {
+        let text = |h: &Name| self.machine.chunk(h).cloned().unwrap_or_else(|| "".into());
+        ChunksReply(Chunks {
+            texts: g.0.hashes.iter().map(text).collect(),
+        })
+    }
+}
+
+impl Message<Happened> for Config {
+    type Reply = ();
+
+    async fn handle(&mut self, h: Happened, ctx: &mut Context<Self, ()>) {
+        for action in self.machine.on(self.shared.clock.now(), h.0) {
+            match action {
+                FollowerAction::Applied(change) => self.applied(change).await,
+                fetch => {
+                    let (fetcher, me) = (self.fetcher.clone(), ctx.actor_ref().clone());
+                    tokio::spawn(async move {
+                        for event in fetcher.fetch(fetch).await {
+                            let _ = me.tell(Happened(event)).await;
+                        }
+                    });
+                }
+            }
+        }
+    }
+}
+
+impl Config {
+    async fn applied(&mut self, change: Change) {
+        let number = change.number;
+        let mut set = self.shared.accepted.load().set.clone();
+        for key in &change.removed {
+            if let Some((kind, name)) = key.split_once('/') {
+                set.remove(kind, name);
+            }
+        }
+        for (key, spec) in change.upserts {
+            if let Some((_, name)) = key.split_once('/') {
+                set.insert(name.into(), spec);
+            }
+        }
+        let targets = set.pools.values().flat_map(|p| &p.targets).map(|t| &t.name);
+        self.shared.board().set_targets(targets);
+        self.shared
+            .accepted
+            .store(Arc::new(Accepted { number, set }));
+        log::info!("config: manifest {number} is in force.");
+        if let Some(m) = &self.membership {
+            let _ = m
+                .tell(membership::Happened(MemberEvent::Applied(number)))
+                .await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lease.rs
@@ -0,0 +1,164 @@
+//! The lease actor: the machine of one lease and its calls.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::lease::{Action, Event, Holder};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use model::store::kind;
+use model::{Name, Time};
+use platform::{ErrorKind, Reason, Store};
+use tokio::sync::watch;
+
+use crate::shared::Shared;
+
+/// Wait of a node that is no relay.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// What the actor starts with.
+pub struct Args {
+    /// Shared.
+    pub shared: Arc<Shared>,
+    /// Name of the lease object.
+    pub name: Name,
+    /// This start of this node.
+    pub holder: Name,
+    /// Told of each epoch taken and lost.
+    pub epoch: watch::Sender<Option<u64>>,
+}
+
+/// Wraps [`Holder`].
+pub struct Lease {
+    shared: Arc<Shared>,
+    name: Name,
+    machine: Holder,
+    epoch: watch::Sender<Option<u64>>,
+    tick: Option<Time>,
+}
+
+impl Actor for Lease {
+    type Args = Args;
+    type Error = Infallible;
+
+    async fn on_start(args: Args, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let period = Duration::from_millis(args.shared.settings.lease_period);
+        let machine = Holder::new(args.holder, period, rand::random());
+        let mut actor = Lease {
+            shared: args.shared,
+            name: args.name,
+            machine,
+            epoch: args.epoch,
+            tick: None,
+        };
+        actor.wake(&me);
+        Ok(actor)
+    }
+}
+
+struct Happened(Event);
+
+/// Asks for the epoch, if the lease is held for this much longer.
+pub struct GetEpoch(pub Duration);
+
+impl Message<GetEpoch> for Lease {
+    type Reply = Option<u64>;
+
+    async fn handle(&mut self, g: GetEpoch, _: &mut Context<Self, Option<u64>>) -> Option<u64> {
+        self.machine.epoch(self.shared.clock.now(), g.0)
+    }
+}
+
+impl Message<Happened> for Lease {
+    type Reply = ();
+
+    async fn handle(&mut self, h: Happened, ctx: &mut Context<Self, ()>) {
+        let me = ctx.actor_ref().clone();
+        if h.0 == Event::Tick {
+            self.tick = None;
+            let held = self.epoch.borrow().is_some();
+            if !held && !self.shared.is_relay() {
+                return self.idle(&me);
+            }
+        }
+        for action in self.machine.on(self.shared.clock.now(), h.0) {
+            self.act(action, &me);
+        }
+        self.wake(&me);
+    }
+}
+
+impl Lease {
+    fn act(&mut self, action: Action, me: &ActorRef<Self>) {
+        match action {
+            Action::Taken(epoch) => {
+                log::info!("lease: {} taken with epoch {epoch}.", self.name);
+                self.epoch.send_replace(Some(epoch));
+            }
+            Action::Dropped => {
+                log::warn!("lease: {} is no longer held.", self.name);
+                self.epoch.send_replace(None);
+            }
+            call => {
+                let (shared, name, me) = (self.shared.clone(), self.name.clone(), me.clone());
+                tokio::spawn(async move {
+                    let event = perform(&shared, &name, call).await;
+                    let _ = me.tell(Happened(event)).await;
+                });
+            }
+        }
+    }
+
+    fn idle(&mut self, me: &ActorRef<Self>) {
+        let at = self.shared.clock.now() + IDLE;
+        self.wake_at(at, me);
+    }
+
+    fn wake(&mut self, me: &ActorRef<Self>) {
+        let at = self.machine.next_tick();
+        if self.tick.is_none_or(|t| t > at) {
+            self.wake_at(at, me);
+        }
+    }
+
+    fn wake_at(&mut self, at: Time, me: &ActorRef<Self>) {
+        self.tick = Some(at);
+        let (at, me) = (self.shared.clock.instant(at), me.clone());
+        tokio::spawn(async move {
+            // A call in flight leaves the machine due; never spin on it.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep_until(at).await;
+            let _ = me.tell(Happened(Event::Tick)).await;
+        });
+    }
+}
+
+async fn perform(shared: &Shared, name: &str, action: Action) -> Event {
+    let store = shared.store.with(Reason::Lease);
+    match action {
+        Action::Read => match store.get(kind::LEASE, name).await {
+            Ok(s) => {
+                let lease = s.value.and_then(|v| serde_json::from_value(v).ok());
+                Event::Read {
+                    version: s.version,
+                    lease,
+                }
+            }
+            Err(_) => Event::ReadFailed,
+        },
+        Action::Write { expect, lease } => {
+            let value = serde_json::to_value(&lease).expect("leases encode");
+            match store.put(kind::LEASE, name, expect, Some(value)).await {
+                Ok(version) => Event::Wrote(version),
+                Err(e) if e.kind == ErrorKind::Conflict => Event::Conflict,
+                Err(e) => {
+                    log::debug!("lease: {e}");
+                    Event::Lost
+                }
+            }
+        }
+        Action::Taken(_) | Action::Dropped => Event::Tick,
+    }
+}
--- /dev/null
+++ b/crates/control/src/membership.rs
@@ -0,0 +1,167 @@
+//! The membership actor: the machine, its socket and its timer.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use decide::config::{FollowerEvent, Source};
+use decide::member::{Action, Event, Member, Tuning};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use model::Time;
+use model::member::{Node, Packet};
+use tokio::net::UdpSocket;
+
+use crate::config::Config;
+use crate::shared::{Members, Shared};
+
+/// Largest datagram.
+const DATAGRAM_MAX: usize = 9000;
+
+/// What the actor starts with.
+pub struct Args {
+    /// Shared.
+    pub shared: Arc<Shared>,
+    /// This node.
+    pub me: Node,
+    /// Socket.
+    pub socket: Arc<UdpSocket>,
+    /// Configuration actor, told of higher manifests.
+    pub config: ActorRef<Config>,
+}
+
+/// Wraps [`Member`].
+pub struct Membership {
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    config: ActorRef<Config>,
+    machine: Member,
+    tick: Option<Time>,
+}
+
+impl Actor for Membership {
+    type Args = Args;
+    type Error = Infallible;
+
+    async fn on_start(args: Args, me: ActorRef<Self>) -> Result<Self, Infallible> {
+        let settings = &args.shared.settings;
+        let mut machine = Member::new(args.me, Tuning::default(), rand::random());
+        let now = args.shared.clock.now();
+        machine.on(now, Event::Seeds(settings.seeds.clone()));
+        machine.on(now, Event::Links(settings.links.clone()));
+        tokio::spawn(receive(args.socket.clone(), me.clone()));
+        let mut actor = Membership {
+            shared: args.shared,
+            socket: args.socket,
+            config: args.config,
+            machine,
+            tick: None,
+        };
+        actor.feed(Event::Tick, &me).await;
+        Ok(actor)
+    }
+}
+
+/// Something for the machine.
+pub struct Happened(pub Event);
+
+impl Message<Happened> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, h: Happened, ctx: &mut Context<Self, ()>) {
+        if h.0 == Event::Tick {
+            self.tick = None;
+        }
+        self.feed(h.0, &ctx.actor_ref().clone()).await;
+    }
+}
+
+impl Membership {
+    async fn feed(&mut self, event: Event, me: &ActorRef<Self>) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.machine.on(self.shared.clock.now(), event) {
+                if let Some(next) = self.act(action).await {
+                    events.push(next);
+                }
+            }
+        }
+        self.publish();
+        self.wake(me);
+    }
+
+    async fn act(&self, action: Action) -> Option<Event> {
+        match action {
+            Action::Send(to, packet) => {
+                let bytes = rmp_serde::to_vec(&packet).expect("packets encode");
+                // A lost datagram is no news; probes are made for it.
+                let _ = self.socket.send_to(&bytes, to).await;
+                None
+            }
+            Action::Heard(number, from) => {
+                let from = Source::Peer(from.to_string().into());
+                let heard = FollowerEvent::Heard { number, from };
+                let _ = self.config.tell(crate::config::Happened(heard)).await;
+                None
+            }
+            Action::Changed(r) => {
+                log::info!("member: {} is {:?}.", r.node.id.name, r.health);
+                None
+            }
+            Action::Load(load) => self.shared.board().heard(load).map(Event::Load),
+        }
+    }
+
+    fn publish(&self) {
+        let me = self.machine.me().clone();
+        let mut nodes: Vec<Node> = self.machine.peers().map(|p| p.node.clone()).collect();
+        nodes.push(me);
+        let number = self.shared.accepted.load().number;
+        let members = Members {
+            nodes,
+            relays: self.machine.relays(),
+            in_force: self.machine.in_force(number),
+        };
+        self.shared.members.store(Arc::new(members));
+    }
+
+    fn wake(&mut self, me: &ActorRef<Self>) {
+        let at = self.machine.next_tick();
+        if self.tick.is_some_and(|t| t <= at) {
+            return;
+        }
+        self.tick = Some(at);
+        let (at, me) = (self.shared.clock.instant(at), me.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            let _ = me.tell(Happened(Event::Tick)).await;
+        });
+    }
+}
+
+async fn receive(socket: Arc<UdpSocket>, me: ActorRef<Membership>) {
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let (n, from): (usize, SocketAddr) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(e) => {
+                // An unreachable peer's ICMP answer shows up here.
+                log::debug!("member: receive: {e}");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let Ok(packet) = rmp_serde::from_slice::<Packet>(&buffer[..n]) else {
+            log::debug!("member: {from} sent what is no packet.");
+            continue;
+        };
+        if me
+            .tell(Happened(Event::Packet { from, packet }))
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,190 @@
+//! A control node: its parts put together, started and stopped.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use decide::member::Event as MemberEvent;
+use kameo::actor::{ActorRef, Spawn};
+use model::Name;
+use model::member::{Node, NodeId};
+use platform::{Budgeted, HttpHosts, HttpStore};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use util::clock::Clock;
+use util::http::{Client, Server};
+use util::stop::{self, Stopper};
+
+use crate::args::Args;
+use crate::config::{self, Config};
+use crate::lease::{self, Lease};
+use crate::membership::{self, Membership};
+use crate::publish::Publishing;
+use crate::server::Side;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::{domain, poll, relay};
+
+/// Longest wait for a peer to take a connection.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Tries to find a port that is free for TCP and UDP.
+const PORT_TRIES: usize = 16;
+
+/// The program.
+#[derive(Debug)]
+pub struct Control;
+
+/// A running control node.
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    membership: ActorRef<Membership>,
+    stopper: Stopper,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Control {
+    /// Runs the program until a signal.
+    pub fn main(args: Args) -> anyhow::Result<()> {
+        let settings: Settings = util::settings::load(&args.settings)?;
+        if args.check {
+            println!("{}: settings are valid", args.settings.display());
+            return Ok(());
+        }
+        util::logs::start(&settings.logs)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .context("could not start the runtime")?;
+        runtime.block_on(async {
+            let running = Control::start(settings).await?;
+            log::info!("node: control at {}.", running.address);
+            stop::signal().await.context("could not wait for signals")?;
+            running.stop().await;
+            Ok(())
+        })
+    }
+
+    /// Starts a node.
+    pub async fn start(mut settings: Settings) -> anyhow::Result<Running> {
+        let (server, socket) = bind(settings.address).await?;
+        settings.address = server.address();
+        let client = Client::new(CONNECT);
+        let store: Name = settings.store.to_string().into();
+        let http = HttpStore::new(client.clone(), store.clone());
+        let shared = Arc::new(Shared {
+            clock: Clock::default(),
+            store: Arc::new(Budgeted::new(Box::new(http), settings.store_rate)),
+            hosts: Box::new(HttpHosts::new(client.clone(), store)),
+            client,
+            members: ArcSwap::default(),
+            accepted: ArcSwap::default(),
+            board: Mutex::default(),
+            leaving: ArcSwap::default(),
+            settings,
+        });
+        Ok(Running::start(shared, server, socket).await)
+    }
+}
+
+/// One port for TCP and UDP.
+async fn bind(address: SocketAddr) -> anyhow::Result<(Server, UdpSocket)> {
+    for _ in 0..PORT_TRIES {
+        let server = Server::bind(&address.to_string()).await?;
+        match UdpSocket::bind(server.address()).await {
+            Ok(socket) => return Ok((server, socket)),
+            Err(e) if address.port() != 0 => {
+                return Err(e).with_context(|| format!("could not take UDP port {address}"));
+            }
+            Err(_) => {}
+        }
+    }
+    anyhow::bail!(
+        "could not find a port that is free for TCP and UDP at {}",
+        address.ip()
+    )
+}
+
+impl Running {
+    async fn start(shared: Arc<Shared>, server: Server, socket: UdpSocket) -> Running {
+        let start = rand::random::<u64>().max(1);
+        let s = &shared.settings;
+        let me = Node {
+            id: NodeId {
+                name: s.name.clone(),
+                start,
+            },
+            address: s.address,
+            entry: s.entry,
+        };
+        let holder: Name = format!("{}-{start:x}", s.name).into();
+        let config = Config::spawn(shared.clone());
+        let membership = Membership::spawn(membership::Args {
+            shared: shared.clone(),
+            me,
+            socket: Arc::new(socket),
+            config: config.clone(),
+        });
+        let _ = config.tell(config::Meet(membership.clone())).await;
+        let (manifest_epoch, manifest_held) = watch::channel(None);
+        let (domain_epoch, _) = watch::channel(None);
+        let spawn_lease = |name: Name, epoch| {
+            let (shared, holder) = (shared.clone(), holder.clone());
+            Lease::spawn(lease::Args {
+                shared,
+                name,
+                holder,
+                epoch,
+            })
+        };
+        let _manifest = spawn_lease("manifest".into(), manifest_epoch);
+        let of_domain = spawn_lease(format!("domain-{}", s.domain).into(), domain_epoch);
+        let side = Side {
+            shared: shared.clone(),
+            config: config.clone(),
+            membership: membership.clone(),
+        };
+        let address = server.address();
+        let (stopper, stopped) = stop::pair();
+        let tasks = vec![
+            tokio::spawn(server.run(Arc::new(side), stopped)),
+            tokio::spawn(relay::watch(shared.clone(), config.clone())),
+            tokio::spawn(relay::hosts(shared.clone(), membership.clone())),
+            tokio::spawn(poll::run(shared.clone(), membership.clone())),
+            tokio::spawn(Publishing::new(shared.clone(), config).run(manifest_held)),
+            tokio::spawn(domain::run(shared.clone(), of_domain)),
+        ];
+        Running {
+            address,
+            shared,
+            membership,
+            stopper,
+            tasks,
+        }
+    }
+
+    /// Manifest in force, and names of the nodes that are up.
+    pub fn status(&self) -> (u64, Vec<Name>) {
+        let members = self.shared.members.load();
+        let names = members.nodes.iter().map(|n| n.id.name.clone()).collect();
+        (self.shared.accepted.load().number, names)
+    }
+
+    /// A planned stop: tells the peers, then ends.
+    pub async fn stop(self) {
+        let _ = self
+            .membership
+            .ask(membership::Happened(MemberEvent::Leave))
+            .await;
+        self.stopper.stop();
+        for task in self.tasks {
+            task.abort();
+        }
+        log::info!("stop: peers are told.");
+    }
+}
--- /dev/null
+++ b/crates/control/src/poll.rs
@@ -0,0 +1,69 @@
+//! Polls the load of targets. Each is polled by two nodes of its failure
+//! domain; the second at half the rate, for when the first is gone unnoticed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::load::poll_rank;
+use decide::member::Event as MemberEvent;
+use hyper::Method;
+use kameo::actor::ActorRef;
+use model::load::Report;
+use model::{Name, Time};
+
+use crate::membership::{self, Membership};
+use crate::shared::Shared;
+
+/// Longest wait for a target's report.
+const WAIT: Duration = Duration::from_millis(800);
+/// The loop looks for due polls this many times a period.
+const SLICES: u32 = 10;
+
+/// Polls until the process ends.
+pub async fn run(shared: Arc<Shared>, membership: ActorRef<Membership>) {
+    let period = Duration::from_millis(shared.settings.poll_period);
+    let mut due: std::collections::BTreeMap<Name, Time> = Default::default();
+    loop {
+        tokio::time::sleep(period / SLICES).await;
+        let now = shared.clock.now();
+        let accepted = shared.accepted.load_full();
+        let members = shared.members.load_full();
+        let names: Vec<Name> = members.nodes.iter().map(|n| n.id.name.clone()).collect();
+        let targets = accepted.set.pools.values().flat_map(|p| &p.targets);
+        for t in targets.filter(|t| t.domain == shared.settings.domain) {
+            let Some(rank) = poll_rank(&t.name, &shared.settings.name, &names) else {
+                due.remove(&t.name);
+                continue;
+            };
+            if due.get(&t.name).is_some_and(|at| now < *at) {
+                continue;
+            }
+            due.insert(t.name.clone(), now + period * (rank as u32 + 1));
+            let (shared, membership) = (shared.clone(), membership.clone());
+            tokio::spawn(poll(shared, membership, t.name.clone(), t.address.clone()));
+        }
+    }
+}
+
+async fn poll(shared: Arc<Shared>, membership: ActorRef<Membership>, target: Name, address: Name) {
+    let call = shared
+        .client
+        .json::<(), Report>(&address, Method::GET, "/load", None, WAIT);
+    let result = call.await;
+    let rumor = match result {
+        Ok(report) if report.target == target => shared.board().polled(report),
+        Ok(report) => {
+            log::warn!("poll: {address} is {}, not {target}.", report.target);
+            shared.board().unreachable(&target)
+        }
+        Err(e) => {
+            log::debug!("poll: {target}: {e}");
+            shared.board().unreachable(&target)
+        }
+    };
+    if let Some(rumor) = rumor {
+        let _ = membership
+            .tell(membership::Happened(MemberEvent::Load(rumor)))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/publish.rs
@@ -0,0 +1,364 @@
+//! The publishing task: while this node holds the manifest lease it watches
+//! what operators declare, and writes manifests, statuses and the claim floor.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::claim::{Sweep, SweepAction};
+use decide::config::{Declared, Publisher, PublisherAction, PublisherEvent, PutEnd};
+use follow::{read_chunk, read_manifest};
+use kameo::actor::ActorRef;
+use model::Name;
+use model::claim::Floor;
+use model::manifest::NAME;
+use model::object::{Envelope, KINDS, Spec};
+use model::status::Status;
+use model::store::{Listing, Stored, kind};
+use model::view::ChunksAsk;
+use platform::{ErrorKind, Reason, Store, StoreError};
+use tokio::sync::{mpsc, watch};
+
+use crate::config::{Config, GetChunks};
+use crate::shared::Shared;
+
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(30);
+/// Wait after a failed list.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How often unfinished writes are looked over, and the sweep runs.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time in which changes of several objects come together in one manifest.
+const GATHER: Duration = Duration::from_millis(40);
+/// Statuses written in one turn.
+const STATUS_MOST: usize = 32;
+/// Name of the claim floor.
+const FLOOR: &str = "floor";
+/// Claim objects deleted in one turn.
+const SWEEP_MOST: usize = 64;
+
+/// Publishes manifests while the lease is held.
+pub struct Publishing {
+    shared: Arc<Shared>,
+    config: ActorRef<Config>,
+    machine: Publisher,
+    sweep: Sweep,
+    /// Statuses not yet written; the newest of an object is enough.
+    statuses: BTreeMap<Name, Status>,
+}
+
+impl Publishing {
+    /// Publishes nothing yet.
+    pub fn new(shared: Arc<Shared>, config: ActorRef<Config>) -> Self {
+        Publishing {
+            shared,
+            config,
+            machine: Publisher::new(rand::random()),
+            sweep: Sweep::default(),
+            statuses: BTreeMap::new(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self, mut epoch: watch::Receiver<Option<u64>>) {
+        loop {
+            let held = *epoch.borrow_and_update();
+            if held.is_some() {
+                self.hold(held, &mut epoch).await;
+                continue;
+            }
+            self.step(PublisherEvent::Lease(None)).await;
+            if epoch.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Publishes until the epoch changes.
+    async fn hold(&mut self, held: Option<u64>, epoch: &mut watch::Receiver<Option<u64>>) {
+        let (tx, mut rx) = mpsc::channel(16);
+        let watches: Vec<_> = KINDS
+            .iter()
+            .map(|k| tokio::spawn(follow_kind(self.shared.clone(), k, tx.clone())))
+            .collect();
+        // A manifest is first thought of once every kind was listed.
+        let mut listed = 0;
+        loop {
+            tokio::select! {
+                _ = epoch.changed() => break,
+                Some(objects) = rx.recv() => {
+                    listed += 1;
+                    let all = gather(objects, &mut rx, &mut listed).await;
+                    self.step(PublisherEvent::Objects(all)).await;
+                    if listed >= KINDS.len() {
+                        self.step(PublisherEvent::Lease(held)).await;
+                    }
+                }
+                () = tokio::time::sleep(LOOK) => self.step(PublisherEvent::Tick).await,
+            }
+            self.put_statuses().await;
+            self.sweep_step().await;
+        }
+        for w in watches {
+            w.abort();
+        }
+    }
+}
+
+/// What comes within a short while, together.
+async fn gather(
+    first: Vec<Declared>,
+    rx: &mut mpsc::Receiver<Vec<Declared>>,
+    count: &mut usize,
+) -> Vec<Declared> {
+    let mut all = first;
+    let until = tokio::time::Instant::now() + GATHER;
+    while let Ok(Some(more)) = tokio::time::timeout_at(until, rx.recv()).await {
+        *count += 1;
+        all.extend(more);
+    }
+    all
+}
+
+/// Lists, then watches one kind of declared objects.
+async fn follow_kind(shared: Arc<Shared>, kind: &'static str, out: mpsc::Sender<Vec<Declared>>) {
+    let mut revision = None;
+    loop {
+        let store = shared.store.with(Reason::Config);
+        let listing = match revision {
+            None => store.list(kind).await,
+            Some(r) => store.watch(kind, r, WATCH).await,
+        };
+        match listing {
+            Ok(listing) => {
+                let whole = revision.is_none();
+                revision = Some(listing.revision);
+                let mut objects = declared(kind, &listing);
+                if whole {
+                    objects.extend(deleted(&shared, kind, &listing).await);
+                }
+                if (whole || !objects.is_empty()) && out.send(objects).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            Err(e) => {
+                log::debug!("publish: {e}");
+                revision = None;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn declared(kind: &str, listing: &Listing) -> Vec<Declared> {
+    let spec = |v: serde_json::Value| {
+        let envelope: Envelope = serde_json::from_value(v)?;
+        Spec::from_value(kind, envelope.spec)
+    };
+    let one = |o: &Stored| Declared {
+        key: format!("{kind}/{}", o.name).into(),
+        version: o.version,
+        spec: o.value.clone().map(|v| spec(v).map_err(|e| e.to_string())),
+    };
+    listing.objects.iter().map(one).collect()
+}
+
+/// Objects in force that a list lacks: each is read by itself, since a list may
+/// be stale, and only a deletion with its own version counts.
+async fn deleted(shared: &Shared, kind: &str, listing: &Listing) -> Vec<Declared> {
+    let accepted = shared.accepted.load_full();
+    let set = &accepted.set;
+    let names: Vec<&Name> = match kind {
+        "Pipeline" => set.pipelines.keys().collect(),
+        "Workspace" => set.workspaces.keys().collect(),
+        "Pool" => set.pools.keys().collect(),
+        "Model" => set.models.keys().collect(),
+        _ => set.drains.keys().collect(),
+    };
+    let listed: std::collections::BTreeSet<_> = listing.objects.iter().map(|o| &o.name).collect();
+    let mut out = Vec::new();
+    for name in names.into_iter().filter(|n| !listed.contains(n)) {
+        let stored = shared.store.with(Reason::Config).get(kind, name).await;
+        let Some(gone) = stored.ok().filter(|s| s.value.is_none()) else {
+            continue;
+        };
+        let key = format!("{kind}/{name}").into();
+        out.push(Declared {
+            key,
+            version: gone.version,
+            spec: None,
+        });
+    }
+    out
+}
+
+impl Publishing {
+    async fn step(&mut self, event: PublisherEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.machine.on(event) {
+                events.extend(self.perform(action).await);
+            }
+        }
+    }
+
+    async fn perform(&mut self, action: PublisherAction) -> Option<PublisherEvent> {
+        match action {
+            PublisherAction::ReadBase => Some(self.read_base().await),
+            PublisherAction::PutChunk(hash, text) => {
+                let end = put_chunk(&self.shared, &hash, &text).await;
+                Some(PublisherEvent::Chunk(hash, end))
+            }
+            PublisherAction::PutManifest { expect, manifest } => {
+                let value = serde_json::to_value(&manifest).expect("manifests encode");
+                let store = self.shared.store.with(Reason::Config);
+                let end = put_end(store.put(kind::MANIFEST, NAME, expect, Some(value)).await);
+                log::info!("publish: manifest {}: {end:?}.", manifest.number);
+                Some(PublisherEvent::Manifest(end))
+            }
+            PublisherAction::PutStatus(list) => {
+                self.statuses
+                    .extend(list.into_iter().map(|s| (s.object.clone(), s)));
+                None
+            }
+        }
+    }
+
+    async fn read_base(&self) -> PublisherEvent {
+        let Some((version, manifest)) = read_manifest(&self.shared.store).await else {
+            return PublisherEvent::BaseFailed;
+        };
+        let ask = GetChunks(ChunksAsk {
+            hashes: manifest.slots.clone(),
+        });
+        let known = self
+            .config
+            .ask(ask)
+            .await
+            .map(|r| r.0.texts)
+            .unwrap_or_default();
+        let mut chunks = Vec::new();
+        for (i, hash) in manifest.slots.iter().enumerate() {
+            // Chunks in force here need no call.
+            let own = known.get(i).filter(|t| !t.is_empty()).cloned();
+            let text = match own {
+                Some(text) => Some(text),
+                None => read_chunk(&self.shared.store, hash).await,
+            };
+            match text {
+                Some(text) => chunks.push(text),
+                None => return PublisherEvent::BaseFailed,
+            }
+        }
+        PublisherEvent::Base {
+            version,
+            manifest,
+            chunks,
+        }
+    }
+
+    /// Writes statuses that are due; what fails stays due.
+    async fn put_statuses(&mut self) {
+        let due: Vec<Status> = self.statuses.values().take(STATUS_MOST).cloned().collect();
+        for status in due {
+            if put_status(&self.shared, &status).await.is_none() {
+                return;
+            }
+            self.statuses.remove(&status.object);
+        }
+    }
+
+    async fn sweep_step(&mut self) {
+        let now = self.shared.clock.now();
+        match self.sweep.tick(now, util::clock::unix_ms()) {
+            Some(SweepAction::Raise(floor)) => {
+                let raised = raise(&self.shared, &floor).await;
+                let now = self.shared.clock.now();
+                raised
+                    .into_iter()
+                    .for_each(|()| self.sweep.raised(now, floor.bucket));
+            }
+            Some(SweepAction::DeleteBelow(bucket)) => delete_below(&self.shared, bucket).await,
+            None => {}
+        }
+    }
+}
+
+fn put_end(result: Result<u64, StoreError>) -> PutEnd {
+    match result {
+        Ok(_) => PutEnd::Done,
+        Err(e) if e.kind == ErrorKind::Conflict => PutEnd::Conflict,
+        Err(_) => PutEnd::Lost,
+    }
+}
+
+/// Writes a content-addressed chunk; one that is already there is as good.
+async fn put_chunk(shared: &Shared, hash: &str, text: &str) -> PutEnd {
+    let store = shared.store.with(Reason::Config);
+    let Ok(old) = store.get(kind::CHUNK, hash).await else {
+        return PutEnd::Lost;
+    };
+    if old.value.is_some() {
+        return PutEnd::Done;
+    }
+    put_end(
+        store
+            .put(kind::CHUNK, hash, old.version, Some(text.into()))
+            .await,
+    )
+}
+
+async fn put_status(shared: &Shared, status: &Status) -> Option<()> {
+    let name = status.object.replace('/', ".");
+    let value = serde_json::to_value(status).expect("statuses encode");
+    let store = shared.store.with(Reason::Status);
+    let old = store.get(kind::STATUS, &name).await.ok()?;
+    if old.value.as_ref() == Some(&value) {
+        return Some(());
+    }
+    store
+        .put(kind::STATUS, &name, old.version, Some(value))
+        .await
+        .ok()?;
+    Some(())
+}
+
+/// Raises the floor; a higher one stays.
+async fn raise(shared: &Shared, floor: &Floor) -> Option<()> {
+    let store = shared.store.with(Reason::Sweep);
+    let old = store.get(kind::CLAIM, FLOOR).await.ok()?;
+    let known = old
+        .value
+        .and_then(|v| serde_json::from_value::<Floor>(v).ok())
+        .unwrap_or_default();
+    if known.bucket >= floor.bucket {
+        return None;
+    }
+    let value = serde_json::to_value(floor).expect("floors encode");
+    store
+        .put(kind::CLAIM, FLOOR, old.version, Some(value))
+        .await
+        .ok()?;
+    Some(())
+}
+
+async fn delete_below(shared: &Shared, bucket: u64) {
+    let store = shared.store.with(Reason::Sweep);
+    let Ok(listing) = store.list(kind::CLAIM).await else {
+        return;
+    };
+    let old = |o: &&Stored| {
+        let number = o.name.split('-').next().and_then(|n| n.parse::<u64>().ok());
+        number.is_some_and(|n| n < bucket)
+    };
+    for o in listing.objects.iter().filter(old).take(SWEEP_MOST) {
+        if store
+            .put(kind::CLAIM, &o.name, o.version, None)
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/relay.rs
@@ -0,0 +1,127 @@
+//! Relays hold the watch of the manifest, and read the host list and the first
+//! peers of other failure domains. Two or three nodes of a failure domain are
+//! relays, so watches grow with failure domains, not with nodes.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::config::FollowerEvent;
+use decide::member::Event as MemberEvent;
+use decide::rng::Rng;
+use kameo::actor::ActorRef;
+use model::Name;
+use model::load::Report;
+use model::manifest::Manifest;
+use model::store::{Listing, kind};
+use platform::{Reason, Store};
+
+use crate::config::{self, Config};
+use crate::membership::{self, Membership};
+use crate::shared::Shared;
+
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(30);
+/// Longest jitter before reconnecting after an outage.
+const RECONNECT: Duration = Duration::from_millis(1500);
+/// How often a node looks whether it is a relay, and relays read the host list.
+const LOOK: Duration = Duration::from_millis(1000);
+
+/// Watches the manifest while this node is a relay.
+pub async fn watch(shared: Arc<Shared>, config: ActorRef<Config>) {
+    let mut rng = Rng::new(rand::random());
+    let mut revision = None;
+    loop {
+        if !shared.is_relay() {
+            revision = None;
+            tokio::time::sleep(LOOK / 4).await;
+            continue;
+        }
+        let store = shared.store.with(Reason::Config);
+        let listing = match revision {
+            None => store.list(kind::MANIFEST).await,
+            Some(r) => store.watch(kind::MANIFEST, r, WATCH).await,
+        };
+        match listing {
+            Ok(listing) => {
+                revision = Some(listing.revision);
+                tell(&config, listing).await;
+                // A watch that ends at once must not become a busy loop.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            Err(e) => {
+                log::debug!("relay: {e}");
+                // What changed meanwhile may be missing from a watch: list anew.
+                revision = None;
+                tokio::time::sleep(rng.jitter(RECONNECT) + Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn tell(config: &ActorRef<Config>, listing: Listing) {
+    let values = listing.objects.into_iter().filter_map(|o| o.value);
+    for value in values {
+        match serde_json::from_value::<Manifest>(value) {
+            Ok(m) => {
+                let _ = config
+                    .tell(config::Happened(FollowerEvent::Manifest(m)))
+                    .await;
+            }
+            Err(e) => log::error!("relay: the manifest cannot be read: {e}"),
+        }
+    }
+}
+
+/// Reads the host list while this node is a relay, and makes `leaving` news.
+pub async fn hosts(shared: Arc<Shared>, membership: ActorRef<Membership>) {
+    let mut told: BTreeSet<Name> = BTreeSet::new();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if !shared.is_relay() {
+            continue;
+        }
+        let Ok(list) = shared.hosts.hosts().await else {
+            continue;
+        };
+        let leaving: BTreeSet<Name> = list
+            .into_iter()
+            .filter(|h| h.leaving)
+            .map(|h| h.host)
+            .collect();
+        shared.leaving.store(Arc::new(leaving.clone()));
+        let accepted = shared.accepted.load_full();
+        let targets = accepted.set.pools.values().flat_map(|p| &p.targets);
+        for t in targets.filter(|t| leaving.contains(&t.host)) {
+            if told.insert(t.name.clone()) {
+                log::info!("relay: host {} is leaving, with target {}.", t.host, t.name);
+                leave(&shared, &membership, &t.name).await;
+            }
+        }
+    }
+}
+
+/// Notes that a target is leaving and tells the failure domain.
+pub async fn leave(shared: &Shared, membership: &ActorRef<Membership>, target: &Name) {
+    let rumor = {
+        let mut board = shared.board();
+        let old = board.get(target).cloned();
+        let seq = old.as_ref().map_or(1, |n| n.seq + 1);
+        let mut report = old.map(|n| n.report).unwrap_or_default();
+        if report.leaving {
+            return;
+        }
+        report = Report {
+            target: target.clone(),
+            leaving: true,
+            seq,
+            ..report
+        };
+        board.polled(report)
+    };
+    if let Some(rumor) = rumor {
+        let _ = membership
+            .tell(membership::Happened(MemberEvent::Load(rumor)))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/shared.rs
@@ -0,0 +1,69 @@
+//! What the parts of a control node share.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use decide::load::Board;
+use model::Name;
+use model::member::Node;
+use model::object::Set;
+use platform::{Budgeted, HostList};
+use util::clock::Clock;
+use util::http::Client;
+
+use crate::settings::Settings;
+
+/// Accepted configuration on this node.
+#[derive(Debug, Default)]
+pub struct Accepted {
+    /// Manifest in force.
+    pub number: u64,
+    /// Objects.
+    pub set: Set,
+}
+
+/// What membership last said.
+#[derive(Debug, Default)]
+pub struct Members {
+    /// Nodes that are up, this one included.
+    pub nodes: Vec<Node>,
+    /// Names of the nodes that hold watches and may take leases.
+    pub relays: Vec<Name>,
+    /// Nodes up, those with this node's manifest in force, and the lowest manifest.
+    pub in_force: (usize, usize, u64),
+}
+
+/// Shared by all parts.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Clock,
+    /// HTTP client.
+    pub client: Client,
+    /// Object API.
+    pub store: Arc<Budgeted>,
+    /// Host list.
+    pub hosts: Box<dyn HostList>,
+    /// Membership.
+    pub members: ArcSwap<Members>,
+    /// Configuration.
+    pub accepted: ArcSwap<Accepted>,
+    /// Loads.
+    pub board: Mutex<Board>,
+    /// Hosts that are leaving, as this node knows.
+    pub leaving: ArcSwap<BTreeSet<Name>>,
+}
+
+impl Shared {
+    /// Whether this node holds watches and may take leases.
+    pub fn is_relay(&self) -> bool {
+        self.members.load().relays.contains(&self.settings.name)
+    }
+
+    /// Locks the loads.
+    pub fn board(&self) -> std::sync::MutexGuard<'_, Board> {
+        self.board.lock().expect("no panic while held")
+    }
+}
--- /dev/null
+++ b/crates/decide/src/config/follower.rs
@@ -0,0 +1,343 @@
+//! One node's copy of the accepted configuration.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::manifest::{Chunk, Delta, Manifest, SlotRef};
+use model::object::{Set, Spec};
+use model::{Name, Time, hash};
+
+/// Manifests whose slots are remembered, to answer neighbours with a delta.
+const HISTORY: usize = 32;
+/// A fetch that was not answered by then is given up.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Where to fetch from.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Source {
+    /// The Object API.
+    Store,
+    /// A node, by control address.
+    Peer(Name),
+}
+
+/// What the machine hears.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FollowerEvent {
+    /// Somebody has this manifest in force.
+    Heard {
+        /// Number.
+        number: u64,
+        /// Who.
+        from: Source,
+    },
+    /// The manifest was read from the store.
+    Manifest(Manifest),
+    /// A neighbour's delta arrived.
+    Delta {
+        /// The delta.
+        delta: Delta,
+        /// Who sent it.
+        from: Source,
+    },
+    /// A chunk arrived.
+    Chunk {
+        /// Content address asked for.
+        hash: Name,
+        /// Content.
+        text: Arc<str>,
+    },
+    /// A fetch failed.
+    Failed(Source),
+    /// Time passed.
+    Tick,
+}
+
+/// What the machine wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FollowerAction {
+    /// Ask for what is new since `have`.
+    FetchDelta {
+        /// From here.
+        from: Source,
+        /// Manifest in force.
+        have: u64,
+    },
+    /// Fetch chunks.
+    FetchChunks {
+        /// From here.
+        from: Source,
+        /// Content addresses.
+        hashes: Vec<Name>,
+    },
+    /// A higher manifest is in force, whole.
+    Applied(Change),
+}
+
+/// What a new manifest changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    /// Manifest now in force.
+    pub number: u64,
+    /// Objects added or replaced.
+    pub upserts: Vec<(Name, Spec)>,
+    /// `Kind/name` of objects removed.
+    pub removed: Vec<Name>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    number: u64,
+    slots: Vec<Name>,
+    missing: Vec<Name>,
+    from: Source,
+    since: Time,
+}
+
+/// One node's copy of the accepted configuration.
+#[derive(Debug, Default)]
+pub struct Follower {
+    number: u64,
+    slots: Vec<Name>,
+    chunks: BTreeMap<Name, Arc<str>>,
+    history: VecDeque<(u64, Vec<Name>)>,
+    pending: Option<Pending>,
+    asked: Option<(Source, Time)>,
+    best: Option<(u64, Source)>,
+    items: BTreeMap<Name, Spec>,
+}
+
+impl Follower {
+    /// Manifest in force.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Content addresses of the manifest in force.
+    pub fn slots(&self) -> &[Name] {
+        &self.slots
+    }
+
+    /// A chunk in force.
+    pub fn chunk(&self, hash: &str) -> Option<&Arc<str>> {
+        self.chunks.get(hash)
+    }
+
+    /// Everything in force.
+    pub fn set(&self) -> Set {
+        let mut set = Set::default();
+        for (key, spec) in &self.items {
+            if let Some((_, name)) = key.split_once('/') {
+                set.insert(name.into(), spec.clone());
+            }
+        }
+        set
+    }
+
+    /// Bytes of the chunks held.
+    pub fn bytes(&self) -> usize {
+        self.chunks.values().map(|t| t.len()).sum()
+    }
+
+    /// What a neighbour at `have` lacks.
+    pub fn delta(&self, have: u64) -> Delta {
+        let old = self
+            .history
+            .iter()
+            .find(|(n, s)| *n == have && s.len() == self.slots.len());
+        let base = old.map_or(0, |(n, _)| *n);
+        let differs = |i: usize| old.is_none_or(|(_, s)| s[i] != self.slots[i]);
+        let slots = self.slots.iter().enumerate().filter(|(i, _)| differs(*i));
+        Delta {
+            base,
+            number: self.number,
+            count: self.slots.len() as u32,
+            slots: slots
+                .map(|(i, h)| SlotRef {
+                    slot: i as u32,
+                    hash: h.clone(),
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes one event; returns what is to be done.
+    pub fn on(&mut self, now: Time, event: FollowerEvent) -> Vec<FollowerAction> {
+        let mut out = Vec::new();
+        match event {
+            FollowerEvent::Heard { number, from } => self.heard(number, from),
+            FollowerEvent::Manifest(m) => {
+                self.aim(now, m.number, m.slots, Source::Store, &mut out);
+            }
+            FollowerEvent::Delta { delta, from } => self.delta_came(now, delta, from, &mut out),
+            FollowerEvent::Chunk { hash, text } => self.chunk_came(&hash, text),
+            FollowerEvent::Failed(from) => self.failed(&from),
+            FollowerEvent::Tick => {}
+        }
+        self.advance(now, &mut out);
+        out
+    }
+
+    fn heard(&mut self, number: u64, from: Source) {
+        if number > self.number && self.best.as_ref().is_none_or(|(n, _)| number >= *n) {
+            self.best = Some((number, from));
+        }
+    }
+
+    fn failed(&mut self, from: &Source) {
+        self.asked.take_if(|(s, _)| s == from);
+        self.pending.take_if(|p| p.from == *from);
+        self.best.take_if(|(_, s)| s == from);
+    }
+
+    fn delta_came(&mut self, now: Time, d: Delta, from: Source, out: &mut Vec<FollowerAction>) {
+        self.asked.take_if(|(s, _)| *s == from);
+        if d.number <= self.number {
+            // The neighbour has nothing newer after all.
+            self.best.take_if(|(_, s)| *s == from);
+            return;
+        }
+        let mut slots = match d.base {
+            0 => vec![Name::default(); d.count as usize],
+            b if b == self.number && self.slots.len() == d.count as usize => self.slots.clone(),
+            // Meant for an older state of this node; ask again.
+            _ => return,
+        };
+        for s in d.slots {
+            match slots.get_mut(s.slot as usize) {
+                Some(slot) => *slot = s.hash,
+                None => return,
+            }
+        }
+        if slots.iter().any(|s| s.is_empty()) {
+            return;
+        }
+        self.aim(now, d.number, slots, from, out);
+    }
+
+    /// Sets out for a manifest, if it is higher than any before.
+    fn aim(
+        &mut self,
+        now: Time,
+        number: u64,
+        slots: Vec<Name>,
+        from: Source,
+        out: &mut Vec<FollowerAction>,
+    ) {
+        if number <= self.number || self.pending.as_ref().is_some_and(|p| p.number >= number) {
+            return;
+        }
+        let mut missing: Vec<Name> = slots
+            .iter()
+            .filter(|h| !self.chunks.contains_key(*h))
+            .cloned()
+            .collect();
+        missing.sort_unstable();
+        missing.dedup();
+        if !missing.is_empty() {
+            out.push(FollowerAction::FetchChunks {
+                from: from.clone(),
+                hashes: missing.clone(),
+            });
+        }
+        self.pending = Some(Pending {
+            number,
+            slots,
+            missing,
+            from,
+            since: now,
+        });
+    }
+
+    fn chunk_came(&mut self, hash: &Name, text: Arc<str>) {
+        let Some(p) = &mut self.pending else {
+            return;
+        };
+        let Ok(at) = p.missing.binary_search(hash) else {
+            return;
+        };
+        let parses = serde_json::from_str::<Chunk>(&text).is_ok();
+        if hash::address(text.as_bytes()) != **hash || !parses {
+            let from = p.from.clone();
+            return self.failed(&from);
+        }
+        p.missing.remove(at);
+        self.chunks.insert(hash.clone(), text);
+    }
+
+    fn advance(&mut self, now: Time, out: &mut Vec<FollowerAction>) {
+        if self.pending.as_ref().is_some_and(|p| p.missing.is_empty())
+            && let Some(p) = self.pending.take()
+        {
+            out.push(FollowerAction::Applied(self.apply(p)));
+        }
+        self.pending.take_if(|p| now.since(p.since) >= PATIENCE);
+        self.asked.take_if(|(_, at)| now.since(*at) >= PATIENCE);
+        self.best.take_if(|(n, _)| *n <= self.number);
+        let aimed = self.pending.as_ref().map_or(0, |p| p.number);
+        if let Some((n, from)) = &self.best
+            && *n > aimed
+            && self.asked.is_none()
+        {
+            self.asked = Some((from.clone(), now));
+            out.push(FollowerAction::FetchDelta {
+                from: from.clone(),
+                have: self.number,
+            });
+        }
+    }
+
+    fn apply(&mut self, p: Pending) -> Change {
+        let old_items = self.items_of(&p.slots, false);
+        let new_items = self.items_of(&p.slots, true);
+        let mut change = Change {
+            number: p.number,
+            upserts: Vec::new(),
+            removed: Vec::new(),
+        };
+        for key in old_items.keys() {
+            if !new_items.contains_key(key) && self.items.remove(key).is_some() {
+                change.removed.push(key.clone());
+            }
+        }
+        for (key, spec) in new_items {
+            if self.items.get(&key) != Some(&spec) {
+                self.items.insert(key.clone(), spec.clone());
+                change.upserts.push((key, spec));
+            }
+        }
+        self.number = p.number;
+        self.slots = p.slots;
+        self.history.push_back((self.number, self.slots.clone()));
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+        let live: std::collections::BTreeSet<_> = self.slots.iter().cloned().collect();
+        self.chunks.retain(|h, _| live.contains(h));
+        change
+    }
+
+    /// Items of the slots that differ between the manifest in force and `slots`:
+    /// the new ones, or the old ones.
+    fn items_of(&self, slots: &[Name], new: bool) -> BTreeMap<Name, Spec> {
+        let (take, other) = if new {
+            (slots, &self.slots[..])
+        } else {
+            (&self.slots[..], slots)
+        };
+        let same_shape = take.len() == other.len();
+        let mut items = BTreeMap::new();
+        for (i, hash) in take.iter().enumerate() {
+            if same_shape && other[i] == *hash {
+                continue;
+            }
+            let Some(text) = self.chunks.get(hash) else {
+                continue;
+            };
+            let chunk: Chunk = serde_json::from_str(text).unwrap_or_default();
+            items.extend(chunk.into_iter().filter_map(|i| i.spec.map(|s| (i.key, s))));
+        }
+        items
+    }
+}
--- /dev/null
+++ b/crates/decide/src/config/publisher.rs
@@ -0,0 +1,470 @@
+//! The lease holder's part: from what operators declared to a numbered manifest.
+//!
+//! Each item in a chunk carries the version that its object had in the Object
+//! API, and a deleted object leaves its version behind. A list read stale after
+//! an outage therefore never brings an older spec, or a deleted object, back.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use model::manifest::{CHUNK_BYTES, Chunk, Item, Manifest, slot};
+use model::object::{self, Set, Spec};
+use model::status::Status;
+use model::{Name, hash};
+
+use crate::rng::Rng;
+
+/// A declared object as read from the Object API.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Declared {
+    /// `Kind/name`.
+    pub key: Name,
+    /// Version.
+    pub version: u64,
+    /// What was declared; `None` if deleted, `Err` if it is not of its kind.
+    pub spec: Option<Result<Spec, String>>,
+}
+
+/// How a write ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PutEnd {
+    /// Accepted.
+    Done,
+    /// The version did not match.
+    Conflict,
+    /// Failed, or the answer was lost.
+    Lost,
+}
+
+/// What the machine hears.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublisherEvent {
+    /// The lease was taken or lost.
+    Lease(Option<u64>),
+    /// Objects as listed or watched.
+    Objects(Vec<Declared>),
+    /// The manifest was read, with its version and its chunks' texts.
+    Base {
+        /// Version of the manifest object, 0 if never written.
+        version: u64,
+        /// The manifest; the default one if never written.
+        manifest: Manifest,
+        /// Text of each chunk it names.
+        chunks: Vec<Arc<str>>,
+    },
+    /// Reading the manifest failed.
+    BaseFailed,
+    /// A chunk was written, or not.
+    Chunk(Name, PutEnd),
+    /// The manifest was written, or not.
+    Manifest(PutEnd),
+    /// Time passed.
+    Tick,
+}
+
+/// What the machine wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublisherAction {
+    /// Read the manifest and its chunks.
+    ReadBase,
+    /// Write a chunk.
+    PutChunk(Name, Arc<str>),
+    /// Write the manifest if its version is `expect`.
+    PutManifest {
+        /// Version expected.
+        expect: u64,
+        /// New content.
+        manifest: Manifest,
+    },
+    /// Tell operators what became of their objects.
+    PutStatus(Vec<Status>),
+}
+
+#[derive(Debug)]
+struct Draft {
+    manifest: Manifest,
+    missing: BTreeSet<Name>,
+    chunks: BTreeMap<Name, Arc<str>>,
+    status: Vec<Status>,
+    items: BTreeMap<Name, Item>,
+    writing: bool,
+}
+
+#[derive(Debug)]
+struct Base {
+    version: u64,
+    manifest: Manifest,
+    items: BTreeMap<Name, Item>,
+}
+
+/// Publishes manifests while it holds the lease.
+#[derive(Debug)]
+pub struct Publisher {
+    epoch: Option<u64>,
+    declared: BTreeMap<Name, Declared>,
+    base: Option<Base>,
+    reading: bool,
+    draft: Option<Draft>,
+    /// A read failed; the next waits for a tick.
+    paused: bool,
+    /// Statuses of manifest writes whose answers were lost, until a read settles them.
+    doubt: Vec<Status>,
+    refused: BTreeMap<Name, (u64, String)>,
+    rng: Rng,
+}
+
+impl Publisher {
+    /// A publisher; `seed` draws nonces.
+    pub fn new(seed: u64) -> Self {
+        Publisher {
+            epoch: None,
+            declared: BTreeMap::new(),
+            base: None,
+            reading: false,
+            draft: None,
+            paused: false,
+            doubt: Vec::new(),
+            refused: BTreeMap::new(),
+            rng: Rng::new(seed),
+        }
+    }
+
+    /// Number of the manifest last known.
+    pub fn number(&self) -> u64 {
+        self.base.as_ref().map_or(0, |b| b.manifest.number)
+    }
+
+    /// Takes one event; returns what is to be done.
+    pub fn on(&mut self, event: PublisherEvent) -> Vec<PublisherAction> {
+        let mut out = Vec::new();
+        match event {
+            PublisherEvent::Lease(epoch) => self.lease(epoch),
+            PublisherEvent::Objects(objects) => self.objects(objects),
+            PublisherEvent::Base {
+                version,
+                manifest,
+                chunks,
+            } => {
+                self.based(version, manifest, &chunks, &mut out);
+            }
+            PublisherEvent::BaseFailed => {
+                self.reading = false;
+                self.paused = true;
+            }
+            PublisherEvent::Chunk(hash, end) => self.chunk(&hash, end),
+            PublisherEvent::Manifest(end) => self.wrote(end, &mut out),
+            PublisherEvent::Tick => {
+                self.paused = false;
+                // Chunks whose write failed are written again.
+                if let Some(d) = &self.draft {
+                    out.extend(d.put_missing());
+                }
+            }
+        }
+        self.advance(&mut out);
+        out
+    }
+
+    fn lease(&mut self, epoch: Option<u64>) {
+        if self.epoch == epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.base = None;
+        self.draft = None;
+        self.reading = false;
+    }
+
+    fn objects(&mut self, objects: Vec<Declared>) {
+        for d in objects {
+            let newer = self
+                .declared
+                .get(&d.key)
+                .is_none_or(|old| d.version > old.version);
+            if newer {
+                self.declared.insert(d.key.clone(), d);
+                // What was refused for want of another object gets a new turn.
+                self.refused.clear();
+                self.drop_draft();
+            }
+        }
+    }
+
+    /// A draft whose manifest is not on its way yet can be made anew.
+    fn drop_draft(&mut self) {
+        self.draft.take_if(|d| !d.writing);
+    }
+
+    fn based(
+        &mut self,
+        version: u64,
+        manifest: Manifest,
+        chunks: &[Arc<str>],
+        out: &mut Vec<PublisherAction>,
+    ) {
+        self.reading = false;
+        if self.base.as_ref().is_some_and(|b| version < b.version) {
+            return;
+        }
+        let mut items: BTreeMap<Name, Item> = BTreeMap::new();
+        for text in chunks {
+            let Ok(chunk) = serde_json::from_str::<Chunk>(text) else {
+                return;
+            };
+            items.extend(chunk.into_iter().map(|i| (i.key.clone(), i)));
+        }
+        self.settle(&items, out);
+        self.base = Some(Base {
+            version,
+            manifest,
+            items,
+        });
+        self.draft = None;
+    }
+
+    /// Tells what became of objects whose manifest write was in doubt.
+    fn settle(&mut self, items: &BTreeMap<Name, Item>, out: &mut Vec<PublisherAction>) {
+        let published = |s: &Status| items.get(&s.object).map_or(0, |i| i.version);
+        let (known, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.doubt)
+            .into_iter()
+            .partition(|s| !s.accepted || published(s) >= s.version);
+        self.doubt = open;
+        if !known.is_empty() {
+            out.push(PublisherAction::PutStatus(known));
+        }
+    }
+
+    fn chunk(&mut self, hash: &Name, end: PutEnd) {
+        if let Some(d) = &mut self.draft
+            && end == PutEnd::Done
+        {
+            d.missing.remove(hash);
+        }
+    }
+
+    fn wrote(&mut self, end: PutEnd, out: &mut Vec<PublisherAction>) {
+        let Some(d) = self.draft.take() else {
+            return;
+        };
+        match end {
+            PutEnd::Done => {
+                // The version is not assumed; the next draft reads it.
+                out.push(PublisherAction::PutStatus(d.status));
+            }
+            PutEnd::Conflict => {}
+            PutEnd::Lost => self.doubt.extend(d.status),
+        }
+        self.base = None;
+    }
+
+    fn advance(&mut self, out: &mut Vec<PublisherAction>) {
+        let Some(epoch) = self.epoch else {
+            return;
+        };
+        if self.base.is_none() {
+            if !self.reading && !self.paused {
+                self.reading = true;
+                out.push(PublisherAction::ReadBase);
+            }
+            return;
+        }
+        if self.draft.is_none() {
+            self.draft = self.make(epoch, out);
+            if let Some(d) = &self.draft {
+                out.extend(d.put_missing());
+            }
+        }
+        let (Some(d), Some(b)) = (&mut self.draft, &self.base) else {
+            return;
+        };
+        if d.missing.is_empty() && !d.writing {
+            d.writing = true;
+            let manifest = d.manifest.clone();
+            out.push(PublisherAction::PutManifest {
+                expect: b.version,
+                manifest,
+            });
+        }
+    }
+
+    /// The next manifest, if anything newer was declared.
+    fn make(&mut self, epoch: u64, out: &mut Vec<PublisherAction>) -> Option<Draft> {
+        let base = self.base.as_ref()?;
+        let newer: Vec<&Declared> = self
+            .declared
+            .values()
+            .filter(|d| self.is_newer(base, d))
+            .collect();
+        if newer.is_empty() {
+            return None;
+        }
+        let number = base.manifest.number + 1;
+        let (items, refused) = accept(&base.items, &newer);
+        let mut status = Vec::new();
+        for d in &newer {
+            let reason = refused.get(&d.key).cloned().unwrap_or_default();
+            let accepted = reason.is_empty();
+            let (object, version) = (d.key.clone(), d.version);
+            status.push(Status {
+                object,
+                version,
+                accepted,
+                reason,
+                number,
+            });
+        }
+        for s in status.iter().filter(|s| !s.accepted) {
+            self.refused
+                .insert(s.object.clone(), (s.version, s.reason.clone()));
+        }
+        if items == base.items {
+            let refusals = status
+                .into_iter()
+                .filter(|s| !s.accepted)
+                .collect::<Vec<_>>();
+            if !refusals.is_empty() {
+                out.push(PublisherAction::PutStatus(refusals));
+            }
+            return None;
+        }
+        let (slots, texts) = cut(&items, base.manifest.slots.len());
+        let old: BTreeSet<&Name> = base.manifest.slots.iter().collect();
+        let chunks: BTreeMap<_, _> = texts
+            .into_iter()
+            .filter(|(h, _)| !old.contains(h))
+            .collect();
+        let nonce = self.rng.draw();
+        let manifest = Manifest {
+            number,
+            epoch,
+            nonce,
+            slots,
+        };
+        let missing = chunks.keys().cloned().collect();
+        Some(Draft {
+            manifest,
+            missing,
+            chunks,
+            status,
+            items,
+            writing: false,
+        })
+    }
+
+    /// Newer than what is published, and not refused before at this version.
+    fn is_newer(&self, base: &Base, d: &Declared) -> bool {
+        let published = base.items.get(&d.key).map_or(0, |i| i.version);
+        let refused = self.refused.get(&d.key).map_or(0, |(v, _)| *v);
+        d.version > published.max(refused)
+    }
+
+    /// Objects in the manifest being written, for tests and logs.
+    pub fn drafted(&self) -> usize {
+        self.draft.as_ref().map_or(0, |d| d.items.len())
+    }
+}
+
+impl Draft {
+    fn put_missing(&self) -> impl Iterator<Item = PublisherAction> + '_ {
+        let texts = self
+            .missing
+            .iter()
+            .filter_map(|h| Some((h, self.chunks.get(h)?)));
+        texts.map(|(h, t)| PublisherAction::PutChunk(h.clone(), t.clone()))
+    }
+}
+
+/// Takes every newer object that leaves the whole set without a fault.
+///
+/// Objects at fault are left out and the rest is checked again; what is at
+/// fault only because another was left out goes in the next turn.
+fn accept(
+    base: &BTreeMap<Name, Item>,
+    newer: &[&Declared],
+) -> (BTreeMap<Name, Item>, BTreeMap<Name, String>) {
+    let mut refused: BTreeMap<Name, String> = BTreeMap::new();
+    for d in newer {
+        if let Some(Err(why)) = &d.spec {
+            refused.insert(d.key.clone(), why.clone());
+        }
+    }
+    loop {
+        let mut items = base.clone();
+        for d in newer.iter().filter(|d| !refused.contains_key(&d.key)) {
+            let spec = d.spec.clone().and_then(Result::ok);
+            items.insert(
+                d.key.clone(),
+                Item {
+                    key: d.key.clone(),
+                    version: d.version,
+                    spec,
+                },
+            );
+        }
+        let faults = object::check(&set_of(&items));
+        if faults.is_empty() {
+            return (items, refused);
+        }
+        let before = refused.len();
+        let changed = |k: &Name| newer.iter().any(|d| d.key == *k);
+        for f in faults.iter().filter(|f| changed(&f.object)) {
+            let why = format!("{}: {}", f.field, f.reason);
+            refused.entry(f.object.clone()).or_insert(why);
+        }
+        if refused.len() > before {
+            continue;
+        }
+        // An object that did not change is at fault, so one that it needs did.
+        let why = format!("would break {}", faults[0]);
+        let open = newer.iter().filter(|d| !refused.contains_key(&d.key));
+        let guilty: Vec<Name> = match open.clone().find(|d| d.spec.is_none()) {
+            Some(_) => open
+                .filter(|d| d.spec.is_none())
+                .map(|d| d.key.clone())
+                .collect(),
+            None => open.map(|d| d.key.clone()).collect(),
+        };
+        refused.extend(guilty.into_iter().map(|k| (k, why.clone())));
+        if refused.len() == before {
+            // The published set itself is at fault; leave it as it is.
+            return (base.clone(), refused);
+        }
+    }
+}
+
+fn set_of(items: &BTreeMap<Name, Item>) -> Set {
+    let mut set = Set::default();
+    for item in items.values() {
+        if let (Some((_, name)), Some(spec)) = (item.key.split_once('/'), &item.spec) {
+            set.insert(name.into(), spec.clone());
+        }
+    }
+    set
+}
+
+/// Cuts items into slots of a few KB; `had` keeps the count while it still fits,
+/// so that one change moves one chunk.
+fn cut(items: &BTreeMap<Name, Item>, had: usize) -> (Vec<Name>, BTreeMap<Name, Arc<str>>) {
+    let bytes: usize = items
+        .values()
+        .map(|i| serde_json::to_vec(i).map_or(0, |v| v.len() + 1))
+        .sum();
+    let wanted = bytes.div_ceil(CHUNK_BYTES).next_power_of_two();
+    let count = if wanted > had * 2 || wanted * 8 < had || had == 0 {
+        wanted
+    } else {
+        had
+    };
+    let mut chunks: Vec<Vec<&Item>> = vec![Vec::new(); count];
+    for item in items.values() {
+        chunks[slot(&item.key, count)].push(item);
+    }
+    let mut texts = BTreeMap::new();
+    let slots = chunks.iter().map(|c| {
+        let text = serde_json::to_string(c).expect("items have string keys");
+        let hash: Name = hash::address(text.as_bytes()).into();
+        texts.insert(hash.clone(), text.into());
+        hash
+    });
+    (slots.collect(), texts)
+}
--- /dev/null
+++ b/crates/decide/src/deadline/mod.rs
@@ -0,0 +1,93 @@
+//! Budgets of steps from observed times, and the admission that follows.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use model::Time;
+
+/// Longest step that is told apart, 10 minutes in microseconds.
+const MOST_US: u64 = 600_000_000;
+/// Samples before a quantile is trusted.
+const ENOUGH: u64 = 20;
+/// Samples after which a histogram's older half fades.
+const FADE: u64 = 2_000;
+/// Timeout before there are enough samples.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Shortest timeout.
+const TIMEOUT_LEAST: Duration = Duration::from_millis(50);
+/// A timeout is this many times the 99th percentile.
+const TIMEOUT_FACTOR: f64 = 3.0;
+
+/// Times of one step: whole, and the longest silence between frames.
+#[derive(Debug, Clone)]
+pub struct StepTimes {
+    whole: Histogram<u32>,
+    older: Histogram<u32>,
+}
+
+impl Default for StepTimes {
+    fn default() -> Self {
+        let new = || Histogram::new_with_bounds(1, MOST_US, 2).expect("bounds are valid");
+        StepTimes {
+            whole: new(),
+            older: new(),
+        }
+    }
+}
+
+impl StepTimes {
+    /// A step took this long.
+    pub fn record(&mut self, took: Duration) {
+        if self.whole.len() >= FADE {
+            std::mem::swap(&mut self.whole, &mut self.older);
+            self.whole.reset();
+        }
+        self.whole
+            .saturating_record((took.as_micros() as u64).max(1));
+    }
+
+    /// A quantile, if there are enough samples; from the fuller of the two windows.
+    pub fn quantile(&self, q: f64) -> Option<Duration> {
+        let h = if self.whole.len() >= ENOUGH {
+            &self.whole
+        } else {
+            &self.older
+        };
+        (h.len() >= ENOUGH).then(|| Duration::from_micros(h.value_at_quantile(q)))
+    }
+
+    /// How long to wait for an answer before a repeatable step is tried elsewhere.
+    pub fn timeout(&self) -> Duration {
+        let Some(p99) = self.quantile(0.99) else {
+            return TIMEOUT;
+        };
+        p99.mul_f64(TIMEOUT_FACTOR).max(TIMEOUT_LEAST)
+    }
+
+    /// When to send a hedge beside a short step: its 95th percentile.
+    pub fn hedge(&self) -> Option<Duration> {
+        self.quantile(0.95).map(|p| p.max(TIMEOUT_LEAST / 10))
+    }
+}
+
+/// Time that the steps behind `step` will need, by their medians.
+pub fn later(times: &[&StepTimes], step: usize) -> Duration {
+    times
+        .iter()
+        .skip(step + 1)
+        .filter_map(|t| t.quantile(0.5))
+        .sum()
+}
+
+/// Budget of a step: what remains, less what later steps need.
+pub fn budget(now: Time, deadline: Time, later: Duration) -> Duration {
+    deadline.since(now).saturating_sub(later)
+}
+
+/// Whether a request can still finish: the fast decile of every step, plus the
+/// least expected wait, must fit. Refusing on the median would refuse half of
+/// what is just feasible.
+pub fn feasible(left: Duration, times: &[&StepTimes], wait: Duration) -> bool {
+    let least: Duration = times.iter().filter_map(|t| t.quantile(0.1)).sum();
+    least + wait <= left
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,18 @@
+//! Every decision of pumicevale as a state machine without I/O: typed events
+//! and the current time go in, typed actions come out. No runtime, no clock
+//! and no global randomness, so the same code runs in a process, in a property
+//! test with reordered, lost and doubled events, and under a stepped clock.
+
+pub mod admit;
+pub mod claim;
+pub mod config;
+pub mod deadline;
+pub mod lease;
+pub mod limit;
+pub mod load;
+pub mod member;
+pub mod place;
+pub mod request;
+pub mod retry;
+pub mod rng;
+pub mod route;
--- /dev/null
+++ b/crates/decide/src/member/rumors.rs
@@ -0,0 +1,79 @@
+//! News waiting to ride on packets: the least repeated goes first, and each is
+//! dropped after a logarithm of the domain's size.
+
+use std::collections::BTreeMap;
+
+use model::member::{LoadRumor, NodeId, Rumor};
+
+/// Times a rumor is sent, per logarithm of the count of nodes.
+const REPEAT: u32 = 3;
+/// Times a load is sent; the next change follows soon.
+const LOAD_REPEAT: u32 = 2;
+/// Bit of [`LoadRumor::flags`] that lets `leaving` jump the queue.
+const LEAVING: u8 = 2;
+
+/// Queues of rumors and loads.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    rumors: BTreeMap<NodeId, (u32, Rumor)>,
+    loads: BTreeMap<u32, (u32, LoadRumor)>,
+}
+
+impl Outbox {
+    /// Queues news about a node in place of older news.
+    pub fn push(&mut self, rumor: Rumor) {
+        self.rumors.insert(rumor.node.id.clone(), (0, rumor));
+    }
+
+    /// Queues a changed load in place of an older one.
+    pub fn push_load(&mut self, load: LoadRumor) {
+        self.loads.insert(load.target, (0, load));
+    }
+
+    /// Takes up to `n` rumors for one packet.
+    pub fn take(&mut self, n: usize, nodes: usize) -> Vec<Rumor> {
+        let most = REPEAT * (usize::BITS - nodes.leading_zeros()).max(1);
+        let mut order: Vec<(u32, NodeId)> = self
+            .rumors
+            .iter()
+            .map(|(id, (sent, _))| (*sent, id.clone()))
+            .collect();
+        order.sort_unstable();
+        let mut out = Vec::new();
+        for (_, id) in order.into_iter().take(n) {
+            if let Some((sent, rumor)) = self.rumors.get_mut(&id) {
+                *sent += 1;
+                out.push(rumor.clone());
+            }
+        }
+        self.rumors.retain(|_, (sent, _)| *sent < most);
+        out
+    }
+
+    /// Takes up to `n` loads for one packet, leaving targets first.
+    pub fn take_loads(&mut self, n: usize, nodes: usize) -> Vec<LoadRumor> {
+        let log = (usize::BITS - nodes.leading_zeros()).max(1);
+        let most = |l: &LoadRumor| {
+            if l.flags & LEAVING != 0 {
+                REPEAT * log
+            } else {
+                LOAD_REPEAT
+            }
+        };
+        let mut order: Vec<(bool, u32, u32)> = self
+            .loads
+            .iter()
+            .map(|(t, (sent, l))| (l.flags & LEAVING == 0, *sent, *t))
+            .collect();
+        order.sort_unstable();
+        let mut out = Vec::new();
+        for (_, _, target) in order.into_iter().take(n) {
+            if let Some((sent, load)) = self.loads.get_mut(&target) {
+                *sent += 1;
+                out.push(*load);
+            }
+        }
+        self.loads.retain(|_, (sent, l)| *sent < most(l));
+        out
+    }
+}
--- /dev/null
+++ b/crates/decide/src/request/mod.rs
@@ -0,0 +1,11 @@
+//! One request on its way through the steps of its pipeline.
+//!
+//! [`Run`] claims the key where a step may not be repeated, sends attempts,
+//! puts late, doubled and reordered frames right, retries where that is safe,
+//! resumes or continues a broken stream, and ends with one typed outcome.
+
+mod assembly;
+mod run;
+
+pub use assembly::{Assembly, Taken};
+pub use run::{Action, Event, Permit, Plan, Run, StepPlan};
--- /dev/null
+++ b/crates/decide/src/route/health.rs
@@ -0,0 +1,48 @@
+//! Ejection of a target that fails again and again.
+
+use std::time::Duration;
+
+use model::Time;
+
+/// Failures in a row that eject a target.
+const FAILURES: u32 = 5;
+/// First ejection; doubles with each further one.
+const FIRST: Duration = Duration::from_millis(500);
+/// Longest ejection.
+const LONGEST: Duration = Duration::from_secs(30);
+
+/// Whether one target has earned trust lately.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    failures: u32,
+    ejections: u32,
+    until: Time,
+}
+
+impl Health {
+    /// The target answered.
+    pub fn success(&mut self, now: Time) {
+        self.failures = 0;
+        if now >= self.until {
+            self.ejections = 0;
+        }
+    }
+
+    /// The target failed; returns true if this ejects it.
+    pub fn failure(&mut self, now: Time) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES || now < self.until {
+            return false;
+        }
+        self.failures = 0;
+        let length = FIRST * 2u32.pow(self.ejections.min(8));
+        self.until = now + length.min(LONGEST);
+        self.ejections += 1;
+        true
+    }
+
+    /// Whether the target is ejected.
+    pub fn ejected(&self, now: Time) -> bool {
+        now < self.until
+    }
+}
--- /dev/null
+++ b/crates/decide/src/route/policy.rs
@@ -0,0 +1,293 @@
+//! The routing policies: ours and the baselines it is measured against.
+
+use std::fmt;
+
+use model::hash::mix;
+use model::{Name, Time};
+use serde::{Deserialize, Serialize};
+
+use super::table::{PoolTable, Slot};
+use crate::rng::Rng;
+
+/// Targets looked at along the rendezvous order of a prefix.
+const ORDER: usize = 4;
+/// Distance classes: own failure domain, own region, beyond.
+const DISTANCES: u8 = 3;
+
+/// What is asked of a policy.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Now.
+    pub now: Time,
+    /// Hash of the prompt's leading block, or of the session.
+    pub prefix: u64,
+    /// `model@version`, for engines.
+    pub model: Option<&'a str>,
+    /// Targets that failed this step before.
+    pub tried: &'a [Name],
+}
+
+impl Ask<'_> {
+    fn fits(&self, s: &Slot) -> bool {
+        PoolTable::fits(s, self.now, self.model) && !self.tried.contains(&s.info.name)
+    }
+}
+
+/// Chooses a target.
+pub trait Policy: Send + fmt::Debug {
+    /// Index of the chosen slot, or `None` if no candidate fits.
+    fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize>;
+}
+
+/// The policies by name, as settings and plans give them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyKind {
+    /// Each target in turn.
+    RoundRobin,
+    /// Fewest attempts in flight from this node.
+    LeastOutstanding,
+    /// Rendezvous of the session, whatever the load.
+    SessionHash,
+    /// Rendezvous of the session with a load bound on counts.
+    SessionHashBound,
+    /// Rendezvous of the prefix with a bound on expected waiting time.
+    #[default]
+    Home,
+    /// [`PolicyKind::Home`] without its load bound.
+    HomeUnbound,
+    /// [`PolicyKind::Home`] that spills to the next in order, without two choices.
+    HomeNext,
+}
+
+/// Makes a policy.
+pub fn make(kind: PolicyKind, seed: u64) -> Box<dyn Policy> {
+    let tuning = HomeTuning::default();
+    match kind {
+        PolicyKind::RoundRobin => Box::new(RoundRobin::default()),
+        PolicyKind::LeastOutstanding => Box::new(LeastOutstanding(Rng::new(seed))),
+        PolicyKind::SessionHash => Box::new(SessionHash { bound: None }),
+        PolicyKind::SessionHashBound => Box::new(SessionHash { bound: Some(1.25) }),
+        PolicyKind::Home => Box::new(Home::new(tuning, seed)),
+        PolicyKind::HomeUnbound => Box::new(Home::new(
+            HomeTuning {
+                floor: f64::INFINITY,
+                ..tuning
+            },
+            seed,
+        )),
+        PolicyKind::HomeNext => Box::new(Home::new(
+            HomeTuning {
+                choices: 1,
+                ..tuning
+            },
+            seed,
+        )),
+    }
+}
+
+/// Each target in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
+        let n = table.slots().len();
+        for _ in 0..n {
+            let i = self.next % n;
+            self.next = i + 1;
+            if ask.fits(&table.slots()[i]) {
+                return Some(i);
+            }
+        }
+        None
+    }
+}
+
+/// Fewest attempts in flight from this node; ties at random.
+#[derive(Debug)]
+pub struct LeastOutstanding(Rng);
+
+impl Policy for LeastOutstanding {
+    fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
+        let fitting = table
+            .slots()
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| ask.fits(s));
+        fitting
+            .min_by_key(|(_, s)| (s.flying, self.0.draw()))
+            .map(|(i, _)| i)
+    }
+}
+
+/// Rendezvous of the session. With a bound, a target with more than `bound`
+/// times the mean in flight is passed over (Mirrokni, Thorup, Zadimoghaddam,
+/// "Consistent hashing with bounded loads", 2016): the baseline that kvroute
+/// leaves out.
+#[derive(Debug)]
+pub struct SessionHash {
+    bound: Option<f64>,
+}
+
+impl Policy for SessionHash {
+    fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
+        let most = self.bound.map(|b| {
+            let (mut n, mut flying) = (0.0, 1.0);
+            for s in table.slots().iter().filter(|s| ask.fits(s)) {
+                n += 1.0;
+                flying += f64::from(s.flying);
+            }
+            (b * flying / n).ceil()
+        });
+        let fitting = table
+            .slots()
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| ask.fits(s));
+        let open = fitting.filter(|(_, s)| most.is_none_or(|m| f64::from(s.flying) < m));
+        open.max_by_key(|(_, s)| mix(ask.prefix, s.hash))
+            .map(|(i, _)| i)
+    }
+}
+
+/// Tuning of [`Home`].
+#[derive(Debug, Clone, Copy)]
+pub struct HomeTuning {
+    /// The home is declined when its expected wait passes this many times the mean.
+    pub factor: f64,
+    /// ... and this many milliseconds; small waits are not worth a cold cache.
+    pub floor: f64,
+    /// Targets compared once the home is declined.
+    pub choices: usize,
+}
+
+impl Default for HomeTuning {
+    fn default() -> Self {
+        HomeTuning {
+            factor: 1.5,
+            floor: 25.0,
+            choices: 2,
+        }
+    }
+}
+
+/// Rendezvous of the prompt's prefix: every node finds the same home without a
+/// shared index. A home whose expected wait passes a bound is declined for the
+/// better of the next two in the same order, so that the spill is warm for all
+/// nodes too, and no node herds to the one least loaded by a stale report.
+#[derive(Debug)]
+pub struct Home {
+    tuning: HomeTuning,
+    rng: Rng,
+}
+
+/// The best slots along the order, in a fixed array: no allocation.
+#[derive(Debug, Clone, Copy)]
+struct Top {
+    len: usize,
+    score: [u64; ORDER],
+    index: [usize; ORDER],
+}
+
+impl Top {
+    fn new() -> Self {
+        Top {
+            len: 0,
+            score: [0; ORDER],
+            index: [0; ORDER],
+        }
+    }
+
+    #[inline]
+    fn offer(&mut self, score: u64, index: usize) {
+        if self.len == ORDER && score <= self.score[ORDER - 1] {
+            return;
+        }
+        let mut at = self.len.min(ORDER - 1);
+        while at > 0 && self.score[at - 1] < score {
+            self.score[at] = self.score[at - 1];
+            self.index[at] = self.index[at - 1];
+            at -= 1;
+        }
+        self.score[at] = score;
+        self.index[at] = index;
+        self.len = (self.len + 1).min(ORDER);
+    }
+}
+
+impl Home {
+    /// A policy with this tuning.
+    pub fn new(tuning: HomeTuning, seed: u64) -> Self {
+        Home {
+            tuning,
+            rng: Rng::new(seed),
+        }
+    }
+
+    /// Candidates of one distance class: their order and mean wait.
+    fn scan(ask: &Ask, table: &PoolTable, distance: u8) -> (Top, f64) {
+        let mut top = Top::new();
+        let (mut n, mut sum) = (0u32, 0.0);
+        for (i, s) in table.slots().iter().enumerate() {
+            if s.info.distance != distance || !ask.fits(s) {
+                continue;
+            }
+            top.offer(mix(ask.prefix, s.hash), i);
+            n += 1;
+            sum += s.wait(ask.now);
+        }
+        (top, sum / f64::from(n.max(1)))
+    }
+
+    fn choose(&mut self, ask: &Ask, table: &PoolTable, top: &Top, bound: f64) -> usize {
+        let wait = |i: usize| table.slots()[i].wait(ask.now);
+        let home = top.index[0];
+        let open = |i: usize| {
+            let s = &table.slots()[i];
+            wait(i) <= bound && s.flying < s.limit.width()
+        };
+        if open(home) || top.len == 1 {
+            return home;
+        }
+        let others = top.len - 1;
+        let first = top.index[1];
+        if self.tuning.choices < 2 || others < 2 {
+            return if wait(first) < wait(home) {
+                first
+            } else {
+                home
+            };
+        }
+        let second = top.index[2 + self.rng.below(others - 1)];
+        let best = if wait(second) < wait(first) {
+            second
+        } else {
+            first
+        };
+        if wait(best) < wait(home) { best } else { home }
+    }
+}
+
+impl Policy for Home {
+    fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
+        let mut fallback = None;
+        for distance in 0..DISTANCES {
+            let (top, mean) = Self::scan(ask, table, distance);
+            if top.len == 0 {
+                continue;
+            }
+            let bound = (mean * self.tuning.factor).max(self.tuning.floor);
+            let i = self.choose(ask, table, &top, bound);
+            let s = &table.slots()[i];
+            if s.flying < s.limit.width() {
+                return Some(i);
+            }
+            // Everything near is at its limit: look further out, but keep this one.
+            fallback = fallback.or(Some(i));
+        }
+        fallback
+    }
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,81 @@
+//! One attempt at one target: the call and the frames that come back.
+
+use decide::request::Event;
+use model::attempt::{Attempt, Call, Cancel, Frame};
+use model::outcome::Reason;
+use tokio::sync::mpsc::UnboundedSender;
+use util::http::{CallError, CallKind, Client, Lines};
+
+/// Media type of a call.
+const JSON: &str = "application/json";
+/// Body of the refusal that says a target is leaving.
+const LEAVING: &str = "leaving";
+
+/// What an attempt tells the request.
+#[derive(Debug)]
+pub enum Told {
+    /// An event for the machine.
+    Event(Event),
+    /// The target refused because it is leaving.
+    Leaving(Attempt),
+}
+
+/// Sends a call and passes on what comes, until the stream ends.
+pub async fn run(client: Client, peer: String, call: Call, out: UnboundedSender<Told>) {
+    let attempt = call.attempt.clone();
+    let body = serde_json::to_vec(&call).expect("calls encode");
+    let response = match client.post(&peer, "/run", JSON, body).await {
+        Ok(response) => response,
+        Err(e) => {
+            if e.status() == Some(503) && e.to_string().ends_with(LEAVING) {
+                let _ = out.send(Told::Leaving(attempt.clone()));
+            }
+            let _ = out.send(Told::Event(refused(attempt, e)));
+            return;
+        }
+    };
+    let mut lines = Lines::new(&peer, response);
+    let reason = loop {
+        match lines.next().await {
+            Ok(Some(line)) => match serde_json::from_slice::<Frame>(&line) {
+                Ok(frame) => {
+                    if out.send(Told::Event(Event::Frame(frame))).is_err() {
+                        return;
+                    }
+                }
+                Err(e) => break Reason::Broken(format!("not a frame: {e}")),
+            },
+            Ok(None) => break Reason::Broken("ended early".into()),
+            Err(e) => break Reason::Broken(e.kind.to_string()),
+        }
+    };
+    let _ = out.send(Told::Event(Event::Closed { attempt, reason }));
+}
+
+/// Whether the target certainly did not run the call: it was never sent, or the
+/// target said so with 503 or a 4xx; a 500 says nothing.
+fn refused(attempt: Attempt, e: CallError) -> Event {
+    match e.kind {
+        CallKind::NotSent(why) => Event::NotSent {
+            attempt,
+            reason: Reason::Unreachable(why),
+        },
+        CallKind::Status(503 | 400..=499, why) => Event::NotSent {
+            attempt,
+            reason: Reason::Refused(why),
+        },
+        other => Event::Closed {
+            attempt,
+            reason: Reason::Broken(other.to_string()),
+        },
+    }
+}
+
+/// Tells a target to stop an attempt; nobody waits for the answer.
+pub fn cancel(client: Client, peer: String, attempt: Attempt) {
+    tokio::spawn(async move {
+        let body = serde_json::to_vec(&Cancel { attempt }).expect("cancels encode");
+        let call = client.post(&peer, "/cancel", JSON, body);
+        let _ = tokio::time::timeout(std::time::Duration::from_secs(1), call).await;
+    });
+}
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,230 @@
+//! Claims of keys: forwarded to the shard's home node, which commits many at
+//! once; committed here when the home does not answer. Both are safe, because
+//! the same request wins whoever writes its claim.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::claim::{Action, Committer, Event, ReadBack, WriteEnd};
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::message::{Context, Message};
+use model::claim::{ClaimAsk, ClaimEnd, Claims, Floor};
+use model::store::kind;
+use model::view::path;
+use model::{Name, Time, hash};
+use platform::{Budgeted, ErrorKind, Reason, Store};
+use tokio::sync::oneshot;
+use util::clock::{Clock, unix_ms};
+
+use crate::node::Core;
+
+/// Longest wait for the home node before this node commits by itself.
+const HOME_WAIT: Duration = Duration::from_millis(400);
+/// Name of the floor object.
+pub const FLOOR: &str = "floor";
+
+/// Front of the claims.
+#[derive(Debug, Clone)]
+pub struct ClaimDesk {
+    keeper: Option<ActorRef<Keeper>>,
+}
+
+impl ClaimDesk {
+    /// A desk over a store; without one every claim fails.
+    pub fn new(store: Option<Arc<Budgeted>>, clock: Clock) -> Self {
+        let keeper = store.map(|store| Keeper::spawn(KeeperArgs { store, clock }));
+        ClaimDesk { keeper }
+    }
+
+    /// Claims at the shard's home node, else here.
+    pub async fn claim(&self, core: &Core, ask: ClaimAsk, until: Time) -> ClaimEnd {
+        let object = ask.key.object();
+        let members = core.members.load();
+        let home = hash::rendezvous(&object, members.iter().map(|m| &m.id.name), 1);
+        let home = home.first().filter(|h| **h != core.settings.name);
+        if let Some(node) = home.and_then(|h| members.iter().find(|m| m.id.name == *h)) {
+            let peer = node.entry.to_string();
+            let call = core
+                .client
+                .rmp::<_, ClaimEnd>(&peer, path::CLAIM, &ask, HOME_WAIT);
+            match call.await {
+                Ok(end) if end != ClaimEnd::Failed => return end,
+                Ok(_) => {}
+                Err(e) => log::debug!("claim: home did not answer: {e}"),
+            }
+        }
+        self.commit(ask, until).await
+    }
+
+    /// Claims by this node's own write.
+    pub async fn commit(&self, ask: ClaimAsk, until: Time) -> ClaimEnd {
+        let Some(keeper) = &self.keeper else {
+            return ClaimEnd::Failed;
+        };
+        let (answer, end) = oneshot::channel();
+        if keeper.tell(Want { ask, until, answer }).await.is_err() {
+            return ClaimEnd::Failed;
+        }
+        end.await.unwrap_or(ClaimEnd::Doubt)
+    }
+}
+
+/// What the keeper starts with.
+pub struct KeeperArgs {
+    store: Arc<Budgeted>,
+    clock: Clock,
+}
+
+struct Want {
+    ask: ClaimAsk,
+    until: Time,
+    answer: oneshot::Sender<ClaimEnd>,
+}
+
+struct Happened(Event);
+
+/// Wraps the [`Committer`].
+pub struct Keeper {
+    store: Arc<Budgeted>,
+    clock: Clock,
+    committer: Committer,
+    answers: HashMap<u64, oneshot::Sender<ClaimEnd>>,
+    ticket: u64,
+    tick: Option<Time>,
+}
+
+impl Actor for Keeper {
+    type Args = KeeperArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: KeeperArgs, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Keeper {
+            store: args.store,
+            clock: args.clock,
+            committer: Committer::default(),
+            answers: HashMap::new(),
+            ticket: 0,
+            tick: None,
+        })
+    }
+}
+
+impl Message<Want> for Keeper {
+    type Reply = ();
+
+    async fn handle(&mut self, w: Want, ctx: &mut Context<Self, ()>) {
+        self.ticket += 1;
+        self.answers.insert(self.ticket, w.answer);
+        let event = Event::Ask {
+            ask: w.ask,
+            ticket: self.ticket,
+            unix_ms: unix_ms(),
+            until: w.until,
+        };
+        self.feed(event, ctx.actor_ref());
+    }
+}
+
+impl Message<Happened> for Keeper {
+    type Reply = ();
+
+    async fn handle(&mut self, h: Happened, ctx: &mut Context<Self, ()>) {
+        if h.0 == Event::Tick {
+            self.tick = None;
+        }
+        self.feed(h.0, ctx.actor_ref());
+    }
+}
+
+impl Keeper {
+    fn feed(&mut self, event: Event, me: &ActorRef<Self>) {
+        for action in self.committer.on(self.clock.now(), event) {
+            if let Action::Answer { ticket, end } = action {
+                if let Some(answer) = self.answers.remove(&ticket) {
+                    let _ = answer.send(end);
+                }
+                continue;
+            }
+            let (store, me) = (self.store.clone(), me.clone());
+            tokio::spawn(async move {
+                let event = perform(&store, action).await;
+                let _ = me.tell(Happened(event)).await;
+            });
+        }
+        self.wake(me);
+    }
+
+    fn wake(&mut self, me: &ActorRef<Self>) {
+        let Some(at) = self.committer.next_tick() else {
+            return;
+        };
+        if self.tick.is_some_and(|t| t <= at) {
+            return;
+        }
+        self.tick = Some(at);
+        let (at, me) = (self.clock.instant(at), me.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            let _ = me.tell(Happened(Event::Tick)).await;
+        });
+    }
+}
+
+async fn perform(store: &Budgeted, action: Action) -> Event {
+    let store = store.with(Reason::Claim);
+    match action {
+        Action::Read(object) => {
+            let found = read(&store, &object).await;
+            Event::Read { object, found }
+        }
+        Action::ReadFloor => {
+            let stored = store.get(kind::CLAIM, FLOOR).await.ok();
+            Event::Floor(stored.map(|s| {
+                let floor = s
+                    .value
+                    .and_then(|v| serde_json::from_value::<Floor>(v).ok());
+                floor.unwrap_or_default().bucket
+            }))
+        }
+        Action::Write {
+            object,
+            expect,
+            claims,
+        } => {
+            let value = serde_json::to_value(&claims).expect("claims encode");
+            let end = match store.put(kind::CLAIM, &object, expect, Some(value)).await {
+                Ok(version) => WriteEnd::Done(version),
+                Err(e) => match e.kind {
+                    ErrorKind::Conflict => WriteEnd::Conflict,
+                    ErrorKind::Lost(_) => WriteEnd::Lost,
+                    _ => WriteEnd::NotSent,
+                },
+            };
+            Event::Wrote { object, end }
+        }
+        Action::Answer { .. } => Event::Tick,
+    }
+}
+
+async fn read(store: &impl Store, object: &Name) -> ReadBack {
+    match store.get(kind::CLAIM, object).await {
+        Err(_) => ReadBack::Failed,
+        Ok(s) => match s.value {
+            Some(v) => match serde_json::from_value::<Claims>(v) {
+                Ok(claims) => ReadBack::Found {
+                    version: s.version,
+                    claims,
+                },
+                Err(e) => {
+                    log::error!("claim: object {object} cannot be read: {e}");
+                    ReadBack::Failed
+                }
+            },
+            None if s.version == 0 => ReadBack::Never,
+            None => ReadBack::Deleted,
+        },
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive.rs
@@ -0,0 +1,435 @@
+//! Drives one request: feeds [`decide::request::Run`] with what happens and
+//! carries out what it wants.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::request::{Action, Event, Permit, Plan, Run};
+use decide::route::{Ask, prefix};
+use model::answer::Piece;
+use model::attempt::{Attempt, Call, Frame};
+use model::claim::{ClaimAsk, ClaimEnd};
+use model::key::Key;
+use model::object::{Pipeline, Priority};
+use model::outcome::Final;
+use model::{Name, Time};
+use serde_json::{Map, Value, json};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::attempt::{self, Told};
+use crate::fleet::{Config, Pool};
+use crate::node::Core;
+
+/// Longest wait for the answer to a claim.
+const CLAIM_WAIT: Duration = Duration::from_millis(1500);
+
+/// One admitted request.
+#[derive(Debug)]
+pub struct Job {
+    /// Request id.
+    pub request: Name,
+    /// Pipeline's name.
+    pub pipeline: Name,
+    /// Workspace's name.
+    pub workspace: Name,
+    /// Priority.
+    pub priority: Priority,
+    /// Input.
+    pub input: Value,
+    /// Session, if the caller names one: its steps share a home.
+    pub session: Option<String>,
+    /// Key.
+    pub key: Option<Key>,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When the answer is due.
+    pub deadline: Time,
+    /// When nobody waits any longer.
+    pub until: Time,
+    /// Whether pieces go out as they come.
+    pub streamed: bool,
+}
+
+/// What the caller's side hears.
+#[derive(Debug)]
+pub enum Out {
+    /// A piece of the last step's text.
+    Piece(Piece),
+    /// The end, with the whole text where it is complete.
+    End(Box<Final>, String),
+}
+
+struct Flight {
+    pool: Arc<Pool>,
+    target: Name,
+    sent: Time,
+    first: bool,
+    task: AbortHandle,
+}
+
+struct Driver {
+    core: Arc<Core>,
+    config: Arc<Config>,
+    job: Job,
+    pipeline: Pipeline,
+    run: Run,
+    flights: HashMap<Attempt, Flight>,
+    picked: Option<Name>,
+    told: mpsc::UnboundedSender<Told>,
+    out: mpsc::Sender<Out>,
+    wakes: Vec<Time>,
+    step_begun: Time,
+    timely: bool,
+    prefix: u64,
+}
+
+struct Budgets<'a> {
+    core: &'a Core,
+    pipeline: &'a Pipeline,
+}
+
+impl Permit for Budgets<'_> {
+    fn retry(&mut self, step: usize) -> bool {
+        let stage = &self.pipeline.stages[step];
+        let taken = self
+            .core
+            .fleet
+            .pool(&stage.pool)
+            .is_some_and(|p| p.lock().budget.take());
+        self.core.metrics.retry(&stage.name, taken);
+        taken
+    }
+}
+
+/// Runs a request to its end; returns whether its answer came in time.
+pub async fn run(core: Arc<Core>, config: Arc<Config>, job: Job, out: mpsc::Sender<Out>) -> bool {
+    let Some(pipeline) = config.set.pipelines.get(&job.pipeline).cloned() else {
+        return false;
+    };
+    let plan = Plan {
+        request: job.request.clone(),
+        steps: core
+            .fleet
+            .step_plans(&job.pipeline, &pipeline, core.settings.hedging),
+        deadline: job.deadline,
+        until: job.until,
+        key: job.key,
+        streamed: job.streamed,
+        seed: model::hash::of(job.request.as_bytes()),
+    };
+    let now = core.clock.now();
+    let (told, mut hear) = mpsc::unbounded_channel();
+    let head = match &job.session {
+        Some(s) => s.clone(),
+        None => prompt_head(&job.input),
+    };
+    let mut d = Driver {
+        run: Run::new(plan, job.arrived),
+        flights: HashMap::new(),
+        picked: None,
+        told,
+        out,
+        wakes: Vec::new(),
+        step_begun: now,
+        timely: false,
+        prefix: prefix(&head),
+        core,
+        config,
+        job,
+        pipeline,
+    };
+    d.feed(Event::Start).await;
+    while !d.run.ended() {
+        let wake = d.wakes.iter().min().copied().unwrap_or(Time::NEVER);
+        let at = d.core.clock.instant(wake);
+        tokio::select! {
+            biased;
+            Some(told) = hear.recv() => d.hear(told).await,
+            () = d.out.closed() => d.feed(Event::Gone).await,
+            () = tokio::time::sleep_until(at) => {
+                let now = d.core.clock.now();
+                d.wakes.retain(|w| *w > now);
+                d.feed(Event::Tick).await;
+            }
+        }
+    }
+    d.core.metrics.strays(d.run.strays());
+    d.timely
+}
+
+fn prompt_head(input: &Value) -> String {
+    let text = |f: &str| input[f].as_str().unwrap_or_default();
+    let own = text("prompt");
+    if own.is_empty() {
+        format!("{}\n{}", text("instruction"), text("text"))
+    } else {
+        own.into()
+    }
+}
+
+impl Driver {
+    async fn hear(&mut self, told: Told) {
+        match told {
+            Told::Leaving(attempt) => {
+                if let Some(f) = self.flights.get(&attempt) {
+                    f.pool.lock().table.leave(&f.target);
+                    self.core.report_refusal(f.target.clone());
+                }
+            }
+            Told::Event(event) => {
+                self.note(&event);
+                self.feed(event).await;
+            }
+        }
+    }
+
+    /// Keeps the target tables up with what came back.
+    fn note(&mut self, event: &Event) {
+        let now = self.core.clock.now();
+        match event {
+            Event::Frame(frame) => {
+                let Some(f) = self.flights.get_mut(frame.attempt()) else {
+                    return;
+                };
+                if !f.first {
+                    f.first = true;
+                    f.pool
+                        .lock()
+                        .table
+                        .answering(now, &f.target, now.since(f.sent));
+                }
+                if let Frame::End { wait, .. } = frame {
+                    f.pool.lock().table.waits(now, &f.target, *wait);
+                }
+            }
+            Event::NotSent { attempt, .. } | Event::Closed { attempt, .. } => {
+                if let Some(f) = self.flights.remove(attempt)
+                    && f.pool.lock().table.failed(now, &f.target)
+                {
+                    log::warn!("route: {} failed again and again, ejected.", f.target);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    async fn feed(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let now = self.core.clock.now();
+            let done = self.run.results().len();
+            let mut permit = Budgets {
+                core: &self.core,
+                pipeline: &self.pipeline,
+            };
+            let actions = self.run.on(now, event, &mut permit);
+            if self.run.results().len() > done {
+                self.step_done(now, done);
+            }
+            for action in actions {
+                if let Some(next) = self.act(now, action).await {
+                    events.push(next);
+                }
+            }
+        }
+    }
+
+    /// Every attempt still in the air at a step's end has answered or lost.
+    fn step_done(&mut self, now: Time, step: usize) {
+        self.core
+            .fleet
+            .step_took(&self.job.pipeline, step, now.since(self.step_begun));
+        for (_, f) in self.flights.drain() {
+            let mut pool = f.pool.lock();
+            pool.table.done(now, &f.target);
+            pool.budget.success();
+        }
+        self.step_begun = now;
+    }
+
+    async fn act(&mut self, now: Time, action: Action) -> Option<Event> {
+        match action {
+            Action::Claim(key) => Some(Event::Claim(self.claim(key).await)),
+            Action::Pick { step, tried } => Some(self.pick(now, step, &tried)),
+            Action::Send {
+                attempt,
+                target,
+                from,
+                resume,
+                ..
+            } => {
+                self.send(now, attempt, target, from, resume);
+                None
+            }
+            Action::Cancel { attempt, target } => {
+                self.cancel(attempt, &target);
+                None
+            }
+            Action::Emit(piece) => {
+                // A caller that reads slowly holds its own request back, nobody else's.
+                let _ = self.out.send(Out::Piece(piece)).await;
+                None
+            }
+            Action::Wake(at) => {
+                self.wakes.push(at);
+                None
+            }
+            Action::Finish(end) => {
+                self.finish(end).await;
+                None
+            }
+        }
+    }
+
+    async fn claim(&mut self, key: Key) -> ClaimEnd {
+        let now = self.core.clock.now();
+        let until = self.job.until.min(now + CLAIM_WAIT);
+        let ask = ClaimAsk {
+            key,
+            request: self.job.request.clone(),
+        };
+        self.core.claims.claim(&self.core, ask, until).await
+    }
+
+    fn pick(&mut self, now: Time, step: usize, tried: &[Name]) -> Event {
+        let stage = &self.pipeline.stages[step];
+        let none = Event::NoTarget(decide::retry::COME_BACK);
+        let Some(pool) = self.core.fleet.pool(&stage.pool) else {
+            return none;
+        };
+        let model = stage.model.as_ref().and_then(|m| self.config.set.wanted(m));
+        let ask = Ask {
+            now,
+            prefix: self.prefix,
+            model: model.as_deref(),
+            tried,
+        };
+        let again = Ask { tried: &[], ..ask };
+        let fleet = &self.core.fleet;
+        // A target that failed this step before is better than none.
+        match fleet
+            .pick(&pool, &ask)
+            .or_else(|| fleet.pick(&pool, &again))
+        {
+            Some(target) => {
+                self.picked = Some(target.clone());
+                Event::Picked(target)
+            }
+            None => none,
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        target: Name,
+        from: u64,
+        resume: Option<Attempt>,
+    ) {
+        let step = usize::from(attempt.step);
+        let stage = &self.pipeline.stages[step];
+        let Some(pool) = self.core.fleet.pool(&stage.pool) else {
+            return self.unsendable(attempt);
+        };
+        let Some(address) = pool.addresses.get(&target).cloned() else {
+            return self.unsendable(attempt);
+        };
+        if self.picked.take().as_ref() != Some(&target) {
+            // A resume goes to a target that the router did not count.
+            pool.lock().table.sent(&target);
+        }
+        let version = stage
+            .model
+            .as_ref()
+            .and_then(|m| self.config.set.models.get(m));
+        let budget = self
+            .core
+            .fleet
+            .step_budget(&self.job.pipeline, step, now, self.job.deadline);
+        let call = Call {
+            attempt: attempt.clone(),
+            step: stage.name.clone(),
+            workspace: self.job.workspace.clone(),
+            model: stage.model.clone(),
+            version: version.map(|m| m.version.clone()),
+            priority: self.job.priority as u8,
+            budget: budget.as_millis() as u64,
+            input: self.step_input(step),
+            prior: self.run.prior().to_string(),
+            from,
+            resume,
+        };
+        let client = self.core.client.clone();
+        let peer = address.to_string();
+        let task = tokio::spawn(attempt::run(client, peer, call, self.told.clone()));
+        let flight = Flight {
+            pool,
+            target,
+            sent: now,
+            first: false,
+            task: task.abort_handle(),
+        };
+        self.flights.insert(attempt, flight);
+    }
+
+    /// The configuration moved on between the choice and the send.
+    fn unsendable(&self, attempt: Attempt) {
+        let reason = model::outcome::Reason::NoTarget;
+        let _ = self
+            .told
+            .send(Told::Event(Event::NotSent { attempt, reason }));
+    }
+
+    fn step_input(&self, step: usize) -> Value {
+        let results: Map<String, Value> = self
+            .pipeline
+            .stages
+            .iter()
+            .zip(self.run.results())
+            .take(step)
+            .map(|(s, r)| (s.name.to_string(), Value::from(r.as_str())))
+            .collect();
+        json!({ "request": self.job.input, "results": results })
+    }
+
+    fn cancel(&mut self, attempt: Attempt, target: &Name) {
+        let Some(f) = self.flights.remove(&attempt) else {
+            return;
+        };
+        f.task.abort();
+        f.pool.lock().table.cancelled(target);
+        if let Some(address) = f.pool.addresses.get(target) {
+            attempt::cancel(self.core.client.clone(), address.to_string(), attempt);
+        }
+    }
+
+    async fn finish(&mut self, end: Final) {
+        for (_, f) in self.flights.drain() {
+            f.pool.lock().table.cancelled(&f.target);
+        }
+        self.timely = end.timely;
+        self.core
+            .metrics
+            .ended(&self.job.pipeline, &self.job.workspace, &end);
+        if let Some(e) = &end.error {
+            log::info!(
+                "request: {} {}: {e}",
+                self.job.request,
+                end.outcome.as_str()
+            );
+        } else {
+            log::debug!("request: {} {}.", self.job.request, end.outcome.as_str());
+        }
+        let text = match end.outcome {
+            model::outcome::Outcome::Complete => self.run.results().last().cloned(),
+            _ => None,
+        };
+        let _ = self
+            .out
+            .send(Out::End(Box::new(end), text.unwrap_or_default()))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/mod.rs
@@ -0,0 +1,153 @@
+//! The callers' interface: paths, admission, whole and streamed answers.
+
+mod ask;
+mod gate;
+mod reply;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use model::answer::Answer;
+use model::outcome::{Final, Outcome, Reason, StepError};
+use tokio::sync::mpsc;
+use util::http::{Body, Handler, full, stream, text};
+
+pub use gate::GateKeeper;
+
+use crate::drive::{self, Job, Out};
+use crate::node::Core;
+
+/// Pieces on their way to one caller.
+const DEPTH: usize = 64;
+/// Prefix of the pipelines' paths.
+const PIPELINES: &str = "/v1/pipelines/";
+/// Media type of the metrics.
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers callers.
+pub struct Front(pub Arc<Core>);
+
+impl Handler for Front {
+    async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let core = self.0.clone();
+        let path = request.uri().path().to_string();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => ready(&core),
+            (&Method::GET, "/metrics") => full(StatusCode::OK, OPENMETRICS, core.metrics.text()),
+            (&Method::POST, p) if p.starts_with(PIPELINES) => {
+                let pipeline = p[PIPELINES.len()..].to_string();
+                serve(core, &pipeline, request).await
+            }
+            (_, p) if p.starts_with(PIPELINES) => reply::problem(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "send a pipeline's input with POST",
+            ),
+            _ => reply::problem(
+                StatusCode::NOT_FOUND,
+                "paths are POST /v1/pipelines/{pipeline}, GET /healthz, /readyz and /metrics",
+            ),
+        }
+    }
+}
+
+fn ready(core: &Core) -> Response<Body> {
+    if core.stopping.load(Ordering::Relaxed) {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    }
+    if core.fleet.config().number == 0 {
+        return text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration in force yet\n",
+        );
+    }
+    text(StatusCode::OK, "ready\n")
+}
+
+async fn serve(core: Arc<Core>, pipeline: &str, request: Request<Incoming>) -> Response<Body> {
+    let config = core.fleet.config();
+    let job = match ask::read(&core, &config, pipeline, request).await {
+        Ok(job) => job,
+        Err(bad) => return reply::problem(bad.status, &bad.why),
+    };
+    let (name, workspace) = (job.pipeline.clone(), job.workspace.clone());
+    if let Err(end) = admit(&core, &job).await {
+        core.metrics.ended(&name, &workspace, &end);
+        return reply::ended(&end);
+    }
+    let streamed = job.streamed;
+    let (tx, rx) = mpsc::channel(DEPTH);
+    let id = job.request.clone();
+    tokio::spawn(async move {
+        let timely = drive::run(core.clone(), config, job, tx).await;
+        core.gate.finished(core.clock.now(), &id, timely);
+    });
+    if streamed {
+        send_stream(rx).await
+    } else {
+        send_whole(rx).await
+    }
+}
+
+/// Rate, then a turn; the error is the request's final word.
+async fn admit(core: &Core, job: &Job) -> Result<(), Final> {
+    let now = core.clock.now();
+    let refuse = |reason: Reason, retry_after: Option<u64>| Final {
+        request: job.request.clone(),
+        outcome: Outcome::NotRun,
+        error: Some(StepError {
+            step: "admission".into(),
+            peer: None,
+            reason,
+        }),
+        steps: Vec::new(),
+        retry_after,
+        timely: false,
+    };
+    let config = core.fleet.config();
+    let limits = config.set.workspaces.get(&job.workspace).map(|w| &w.limits);
+    if let Some(l) = limits.and_then(|l| l.iter().find(|l| l.pipeline == job.pipeline)) {
+        let nodes = core.members.load().len();
+        let taken = core
+            .rates
+            .take(now, &job.workspace, &job.pipeline, l.rate, nodes);
+        taken.map_err(|wait| refuse(Reason::Limit, Some(wait.as_millis() as u64 + 1)))?;
+    }
+    let verdict = core.gate.enter(core, job).await;
+    verdict.map_err(|r| refuse(r.reason, Some(r.wait.as_millis() as u64 + 1)))
+}
+
+async fn send_whole(mut rx: mpsc::Receiver<Out>) -> Response<Body> {
+    while let Some(out) = rx.recv().await {
+        if let Out::End(end, text) = out {
+            return reply::whole(&Answer { text, end: *end });
+        }
+    }
+    reply::problem(StatusCode::INTERNAL_SERVER_ERROR, "the request was dropped")
+}
+
+async fn send_stream(mut rx: mpsc::Receiver<Out>) -> Response<Body> {
+    // The head waits for the first piece, so that a refusal keeps its own status.
+    let first = match rx.recv().await {
+        Some(Out::End(end, _)) if end.outcome != Outcome::Complete => return reply::ended(&end),
+        Some(out) => out,
+        None => {
+            return reply::problem(StatusCode::INTERNAL_SERVER_ERROR, "the request was dropped");
+        }
+    };
+    let (mut sender, response) = stream(reply::EVENTS, DEPTH);
+    tokio::spawn(async move {
+        let mut next = Some(first);
+        while let Some(out) = next {
+            let event = reply::event(&out);
+            if sender.send_data(Bytes::from(event)).await.is_err() {
+                return;
+            }
+            next = rx.recv().await;
+        }
+    });
+    response
+}
--- /dev/null
+++ b/crates/entry/src/front/reply.rs
@@ -0,0 +1,70 @@
+//! Answers to callers: statuses, headers, events.
+
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode, header};
+use model::answer::Answer;
+use model::outcome::{Final, OUTCOME_HEADER, Outcome, Reason};
+use serde_json::json;
+use util::http::{Body, json as json_body};
+
+use crate::drive::Out;
+
+/// Media type of streamed answers.
+pub const EVENTS: &str = "text/event-stream";
+
+/// A request that is wrong in itself; it was not run.
+pub fn problem(status: StatusCode, why: &str) -> Response<Body> {
+    let body = json!({ "outcome": Outcome::NotRun, "problem": why });
+    mark(json_body(status, &body), Outcome::NotRun, None)
+}
+
+/// A whole answer, or how the request ended.
+pub fn whole(answer: &Answer) -> Response<Body> {
+    if answer.end.outcome != Outcome::Complete {
+        return ended(&answer.end);
+    }
+    mark(json_body(StatusCode::OK, answer), Outcome::Complete, None)
+}
+
+/// How a request ended that is not complete.
+pub fn ended(end: &Final) -> Response<Body> {
+    mark(json_body(status(end), end), end.outcome, end.retry_after)
+}
+
+fn mark(
+    mut response: Response<Body>,
+    outcome: Outcome,
+    retry_after: Option<u64>,
+) -> Response<Body> {
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.as_str()));
+    if let Some(ms) = retry_after {
+        // The header has whole seconds; the body has the milliseconds.
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
+    }
+    response
+}
+
+fn status(end: &Final) -> StatusCode {
+    let reason = end.error.as_ref().map(|e| &e.reason);
+    match (end.outcome, reason) {
+        (Outcome::Complete, _) => StatusCode::OK,
+        (Outcome::NotRun, Some(Reason::Limit | Reason::Overload)) => StatusCode::TOO_MANY_REQUESTS,
+        (Outcome::NotRun, Some(Reason::OldKey | Reason::FutureKey)) => StatusCode::BAD_REQUEST,
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::Failed, Some(Reason::Deadline)) => StatusCode::GATEWAY_TIMEOUT,
+        (Outcome::Failed, _) => StatusCode::BAD_GATEWAY,
+        (Outcome::Unknown, Some(Reason::Claimed)) => StatusCode::CONFLICT,
+        (Outcome::Unknown, _) => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
+
+/// One server-sent event.
+pub fn event(out: &Out) -> String {
+    let (name, data) = match out {
+        Out::Piece(piece) => ("chunk", serde_json::to_string(piece)),
+        Out::End(end, _) if end.outcome == Outcome::Complete => ("end", serde_json::to_string(end)),
+        Out::End(end, _) => ("error", serde_json::to_string(end)),
+    };
+    format!("event: {name}\ndata: {}\n\n", data.expect("answers encode"))
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,21 @@
+//! The data path: takes callers' requests and sends their steps to targets.
+//!
+//! A fault of the control process never stops an entry node: it goes on with
+//! the configuration and the news that it has.
+
+pub mod args;
+mod attempt;
+mod claims;
+mod drive;
+mod fleet;
+mod front;
+mod metrics;
+mod node;
+mod peer;
+mod rates;
+pub mod settings;
+mod sync;
+
+pub use fleet::Fleet;
+pub use node::{Entry, Running};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,228 @@
+//! An entry node: its parts put together, started and stopped.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use decide::admit::Gate;
+use decide::config::Change;
+use model::Name;
+use model::member::Node;
+use model::view::{Refusal, path};
+use platform::{Budgeted, HttpStore};
+use tokio::task::JoinHandle;
+use util::clock::Clock;
+use util::http::{Client, Server};
+use util::stop::{self, Stopper};
+
+use crate::args::Args;
+use crate::claims::ClaimDesk;
+use crate::fleet::Fleet;
+use crate::front::Front;
+use crate::metrics::Metrics;
+use crate::peer::PeerSide;
+use crate::rates::{self, Rates};
+use crate::settings::Settings;
+use crate::sync;
+
+/// Longest wait for a target to take a connection.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// What every request shares.
+pub struct Core {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Clock,
+    /// Configuration, pools, times.
+    pub fleet: Fleet,
+    /// HTTP client.
+    pub client: Client,
+    /// Claims.
+    pub claims: ClaimDesk,
+    /// Workspace rates.
+    pub rates: Rates,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Entry nodes that are up.
+    pub members: ArcSwap<Vec<Node>>,
+    /// Admission.
+    pub gate: crate::front::GateKeeper,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    start: u64,
+    count: AtomicU64,
+}
+
+impl Core {
+    /// A new request id, unique over nodes and their starts.
+    pub fn request_id(&self) -> Name {
+        let n = self.count.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:08x}-{n}", self.settings.name, self.start as u32).into()
+    }
+
+    /// Tells the control node that a target refused because it is leaving.
+    pub fn report_refusal(&self, target: Name) {
+        let Some(control) = self.settings.control.clone() else {
+            return;
+        };
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            let timeout = Duration::from_secs(1);
+            let refusal = Refusal { target };
+            let _ = client
+                .rmp::<_, ()>(&control, path::REFUSED, &refusal, timeout)
+                .await;
+        });
+    }
+}
+
+/// The program.
+#[derive(Debug)]
+pub struct Entry;
+
+/// A running entry node.
+pub struct Running {
+    /// Where callers come in.
+    pub callers: SocketAddr,
+    /// Where other entry nodes come in.
+    pub peers: SocketAddr,
+    core: Arc<Core>,
+    front: Stopper,
+    side: Stopper,
+    servers: Vec<JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    /// Runs the program until a signal.
+    pub fn main(args: Args) -> anyhow::Result<()> {
+        let settings: Settings = util::settings::load(&args.settings)?;
+        if args.check {
+            println!("{}: settings are valid", args.settings.display());
+            return Ok(());
+        }
+        util::logs::start(&settings.logs)?;
+        let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+        runtime.block_on(async {
+            let running = Entry::start(settings).await?;
+            log::info!(
+                "node: callers at {}, peers at {}.",
+                running.callers,
+                running.peers
+            );
+            stop::signal().await.context("could not wait for signals")?;
+            running.stop().await;
+            Ok(())
+        })
+    }
+
+    /// Starts a node.
+    pub async fn start(settings: Settings) -> anyhow::Result<Running> {
+        let clock = Clock::default();
+        let client = Client::new(CONNECT);
+        let start = rand::random::<u64>();
+        let store = settings.store.as_ref().map(|address| {
+            let http = HttpStore::new(client.clone(), address.as_str().into());
+            Arc::new(Budgeted::new(Box::new(http), settings.store_rate))
+        });
+        let fleet = Fleet::new(
+            settings.domain.clone(),
+            &settings.near,
+            settings.policy,
+            start,
+        );
+        let core = Arc::new(Core {
+            clock,
+            fleet,
+            client,
+            claims: ClaimDesk::new(store, clock),
+            rates: Rates::default(),
+            metrics: Metrics::new(),
+            members: ArcSwap::default(),
+            gate: crate::front::GateKeeper::new(Gate::new(settings.width, settings.depth)),
+            stopping: AtomicBool::new(false),
+            start,
+            count: AtomicU64::new(0),
+            settings,
+        });
+        Running::start(core).await
+    }
+}
+
+impl Running {
+    async fn start(core: Arc<Core>) -> anyhow::Result<Running> {
+        let front_server = Server::bind(&core.settings.callers).await?;
+        let peer_server = Server::bind(&core.settings.peers).await?;
+        let (callers, peers) = (front_server.address(), peer_server.address());
+        let (front, front_stop) = stop::pair();
+        let (side, side_stop) = stop::pair();
+        let servers = vec![
+            tokio::spawn(front_server.run(Arc::new(Front(core.clone())), front_stop)),
+            tokio::spawn(peer_server.run(Arc::new(PeerSide(core.clone())), side_stop)),
+        ];
+        let mut tasks = vec![
+            tokio::spawn(rates::renew(core.clone())),
+            tokio::spawn(crate::front::GateKeeper::watch(core.clone())),
+        ];
+        if let Some(control) = &core.settings.control {
+            tasks.push(tokio::spawn(sync::run(
+                core.clone(),
+                control.as_str().into(),
+            )));
+        }
+        Ok(Running {
+            callers,
+            peers,
+            core,
+            front,
+            side,
+            servers,
+            tasks,
+        })
+    }
+
+    /// The fleet as this node sees it, for tests and experiments without a control node.
+    pub fn fleet(&self) -> &Fleet {
+        &self.core.fleet
+    }
+
+    /// Time by the node's clock.
+    pub fn now(&self) -> model::Time {
+        self.core.clock.now()
+    }
+
+    /// Puts a configuration in force directly.
+    pub fn apply(&self, change: Change) {
+        self.core.fleet.apply(change);
+    }
+
+    /// Names the entry nodes that are up.
+    pub fn set_members(&self, members: Vec<Node>) {
+        self.core.members.store(Arc::new(members));
+    }
+
+    /// A planned stop: not ready at once, then no new connections, then the end
+    /// once every answer is out.
+    pub async fn stop(self) {
+        self.core.stopping.store(true, Ordering::Relaxed);
+        log::info!("stop: not ready, waiting for the balancer.");
+        tokio::time::sleep(Duration::from_millis(self.core.settings.balancer_lag)).await;
+        self.front.stop();
+        let mut servers = self.servers.into_iter();
+        if let Some(front) = servers.next() {
+            let _ = front.await;
+        }
+        self.side.stop();
+        for server in servers {
+            let _ = server.await;
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        log::info!("stop: every answer is out.");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,57 @@
+//! The interface for other entry nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use model::claim::ClaimAsk;
+use model::view::{LendAsk, path};
+use serde::de::DeserializeOwned;
+use util::http::{Body, Handler, rmp, text};
+
+use crate::node::Core;
+use crate::rates;
+
+/// Largest message.
+const MESSAGE_MAX: usize = 64 << 10;
+/// How long a forwarded claim is worked on; the sender then commits by itself.
+const CLAIM_WAIT: Duration = Duration::from_millis(1000);
+
+/// Answers other entry nodes.
+pub struct PeerSide(pub Arc<Core>);
+
+async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let whole = Limited::new(request.into_body(), MESSAGE_MAX)
+        .collect()
+        .await
+        .ok()?;
+    rmp_serde::from_slice(&whole.to_bytes()).ok()
+}
+
+impl Handler for PeerSide {
+    async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let core = &self.0;
+        let now = core.clock.now();
+        match request.uri().path() {
+            path::CLAIM => {
+                let Some(ask) = message::<ClaimAsk>(request).await else {
+                    return text(StatusCode::BAD_REQUEST, "not a claim");
+                };
+                rmp(&core.claims.commit(ask, now + CLAIM_WAIT).await)
+            }
+            path::LEND => {
+                let Some(ask) = message::<LendAsk>(request).await else {
+                    return text(StatusCode::BAD_REQUEST, "not a lend request");
+                };
+                let nodes = core.members.load().len();
+                match rates::limit_of(core, &ask.workspace, &ask.pipeline) {
+                    Some(rate) => rmp(&core.rates.lend(now, &ask, rate, nodes)),
+                    None => text(StatusCode::NOT_FOUND, "no such limit"),
+                }
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of an entry node.
+
+use std::net::SocketAddr;
+
+use decide::route::PolicyKind;
+use model::Name;
+use serde::Deserialize;
+use util::settings::{BadValue, Check, Logs};
+
+/// Settings file of `pumicevale-entry`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the node; the same as its control node's.
+    pub name: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Other failure domains of the same region.
+    #[serde(default)]
+    pub near: Vec<Name>,
+    /// Where callers come in.
+    pub callers: String,
+    /// Where other entry nodes come in.
+    pub peers: String,
+    /// The control node of the same host.
+    #[serde(default)]
+    pub control: Option<String>,
+    /// The Object API.
+    #[serde(default)]
+    pub store: Option<String>,
+    /// Calls of the Object API a second that this node may make.
+    #[serde(default = "store_rate")]
+    pub store_rate: f64,
+    /// Requests that run at once.
+    #[serde(default = "width")]
+    pub width: usize,
+    /// Requests that wait for their turn.
+    #[serde(default = "depth")]
+    pub depth: usize,
+    /// Largest request body, bytes.
+    #[serde(default = "body_max")]
+    pub body_max: usize,
+    /// Milliseconds in which a body must have arrived.
+    #[serde(default = "body_time")]
+    pub body_time: u64,
+    /// Milliseconds that the balancer needs to see that the node is not ready.
+    #[serde(default = "balancer_lag")]
+    pub balancer_lag: u64,
+    /// Routing policy of engines; other pools go by load alone.
+    #[serde(default)]
+    pub policy: PolicyKind,
+    /// Whether requests that cannot finish in time are refused at the door.
+    #[serde(default = "yes")]
+    pub admission: bool,
+    /// Whether short repeatable steps get a second attempt when they are late.
+    #[serde(default = "yes")]
+    pub hedging: bool,
+    /// Logging.
+    #[serde(default)]
+    pub logs: Logs,
+}
+
+fn store_rate() -> f64 {
+    50.0
+}
+
+fn width() -> usize {
+    512
+}
+
+fn depth() -> usize {
+    1024
+}
+
+fn body_max() -> usize {
+    1 << 20
+}
+
+fn body_time() -> u64 {
+    5000
+}
+
+fn balancer_lag() -> u64 {
+    2000
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), BadValue> {
+        check_name("name", &self.name)?;
+        check_name("domain", &self.domain)?;
+        check_address("callers", Some(&self.callers))?;
+        check_address("peers", Some(&self.peers))?;
+        check_address("control", self.control.as_ref())?;
+        check_address("store", self.store.as_ref())?;
+        if self.width == 0 {
+            return Err(BadValue::new("width", "must be 1 or more"));
+        }
+        if !(self.store_rate > 0.0 && self.store_rate.is_finite()) {
+            return Err(BadValue::new(
+                "store_rate",
+                "must be more than 0 calls a second",
+            ));
+        }
+        Ok(())
+    }
+}
+
+fn check_name(field: &str, name: &str) -> Result<(), BadValue> {
+    model::name::check(name).map_err(|e| BadValue::new(field, e.to_string()))
+}
+
+fn check_address(field: &str, address: Option<&String>) -> Result<(), BadValue> {
+    let Some(a) = address else {
+        return Ok(());
+    };
+    if a.parse::<SocketAddr>().is_err() {
+        let why = format!("{a:?} is not an IP address and port such as 127.0.0.1:7000");
+        return Err(BadValue::new(field, why));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,132 @@
+//! Carries out what [`decide::config::Follower`] wants: fetches deltas and
+//! chunks from the store or from a neighbour. Used by entry and control alike.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::config::{FollowerAction, FollowerEvent, Source};
+use model::Name;
+use model::manifest::{Delta, Manifest, NAME};
+use model::store::kind;
+use model::view::{Chunks, ChunksAsk, DeltaAsk, path};
+use platform::{Budgeted, Reason, Store};
+use util::http::Client;
+
+/// Longest wait for a neighbour.
+const TIMEOUT: Duration = Duration::from_millis(700);
+/// Chunks asked for in one call.
+const CHUNKS: usize = 64;
+
+/// Fetches for one follower.
+#[derive(Clone)]
+pub struct Fetcher {
+    client: Client,
+    store: Option<Arc<Budgeted>>,
+}
+
+impl Fetcher {
+    /// A fetcher that reaches neighbours, and the store if there is one.
+    pub fn new(client: Client, store: Option<Arc<Budgeted>>) -> Self {
+        Fetcher { client, store }
+    }
+
+    /// Carries out a fetch and returns what it brought.
+    pub async fn fetch(&self, action: FollowerAction) -> Vec<FollowerEvent> {
+        match action {
+            FollowerAction::FetchDelta {
+                from: Source::Store,
+                ..
+            } => self.manifest().await,
+            FollowerAction::FetchDelta {
+                from: Source::Peer(peer),
+                have,
+            } => self.delta(peer, have).await,
+            FollowerAction::FetchChunks { from, hashes } => self.chunks(from, hashes).await,
+            FollowerAction::Applied(_) => Vec::new(),
+        }
+    }
+
+    async fn manifest(&self) -> Vec<FollowerEvent> {
+        let Some(store) = &self.store else {
+            return vec![FollowerEvent::Failed(Source::Store)];
+        };
+        match read_manifest(store).await {
+            Some((_, manifest)) => vec![FollowerEvent::Manifest(manifest)],
+            None => vec![FollowerEvent::Failed(Source::Store)],
+        }
+    }
+
+    async fn delta(&self, peer: Name, have: u64) -> Vec<FollowerEvent> {
+        let ask = DeltaAsk { have };
+        let result = self
+            .client
+            .rmp::<_, Delta>(&peer, path::DELTA, &ask, TIMEOUT)
+            .await;
+        let from = Source::Peer(peer);
+        match result {
+            Ok(delta) => vec![FollowerEvent::Delta { delta, from }],
+            Err(e) => {
+                log::debug!("config: no delta: {e}");
+                vec![FollowerEvent::Failed(from)]
+            }
+        }
+    }
+
+    async fn chunks(&self, from: Source, hashes: Vec<Name>) -> Vec<FollowerEvent> {
+        let mut events = Vec::new();
+        for part in hashes.chunks(CHUNKS) {
+            let texts = match &from {
+                Source::Store => self.store_chunks(part).await,
+                Source::Peer(peer) => {
+                    let ask = ChunksAsk {
+                        hashes: part.to_vec(),
+                    };
+                    let call = self
+                        .client
+                        .rmp::<_, Chunks>(peer, path::CHUNKS, &ask, TIMEOUT);
+                    call.await.ok().map(|c| c.texts)
+                }
+            };
+            let Some(texts) = texts.filter(|t| t.len() == part.len()) else {
+                events.push(FollowerEvent::Failed(from));
+                return events;
+            };
+            for (hash, text) in part.iter().zip(texts) {
+                events.push(FollowerEvent::Chunk {
+                    hash: hash.clone(),
+                    text,
+                });
+            }
+        }
+        events
+    }
+
+    async fn store_chunks(&self, hashes: &[Name]) -> Option<Vec<Arc<str>>> {
+        let store = self.store.as_ref()?;
+        let mut texts = Vec::new();
+        for hash in hashes {
+            texts.push(read_chunk(store, hash).await?);
+        }
+        Some(texts)
+    }
+}
+
+/// The manifest and the version of its object; `None` if the store did not answer.
+pub async fn read_manifest(store: &Budgeted) -> Option<(u64, Manifest)> {
+    let stored = store.with(Reason::Config).get(kind::MANIFEST, NAME).await;
+    let stored = stored.map_err(|e| log::debug!("config: {e}")).ok()?;
+    match stored.value {
+        Some(v) => Some((stored.version, serde_json::from_value(v).ok()?)),
+        None => Some((stored.version, Manifest::default())),
+    }
+}
+
+/// A chunk's text; stored as one JSON string, so that its address holds.
+pub async fn read_chunk(store: &Budgeted, hash: &str) -> Option<Arc<str>> {
+    let stored = store
+        .with(Reason::Config)
+        .get(kind::CHUNK, hash)
+        .await
+        .ok()?;
+    stored.value?.as_str().map(Arc::from)
+}
--- /dev/null
+++ b/crates/model/src/hash.rs
@@ -0,0 +1,57 @@
+//! The hashes used for placement, digests and content addresses (XXH3).
+
+use xxhash_rust::xxh3;
+
+/// Hash of some bytes, 64 bits.
+pub fn of(bytes: &[u8]) -> u64 {
+    xxh3::xxh3_64(bytes)
+}
+
+/// Content address of some bytes, 128 bits as 32 hex digits.
+pub fn address(bytes: &[u8]) -> String {
+    format!("{:032x}", xxh3::xxh3_128(bytes))
+}
+
+/// Mixes two hashes into a rendezvous score; cheap enough for 1,300 targets a decision.
+#[inline]
+pub fn mix(a: u64, b: u64) -> u64 {
+    // The finalizer of splitmix64 (Steele, Lea, Flood 2014).
+    let mut z = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Orders `names` by rendezvous score for `key`, highest first, and keeps `n`.
+pub fn rendezvous<'a>(
+    key: &str,
+    names: impl Iterator<Item = &'a crate::Name>,
+    n: usize,
+) -> Vec<crate::Name> {
+    let key = of(key.as_bytes());
+    let mut scored: Vec<_> = names.map(|m| (mix(key, of(m.as_bytes())), m)).collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.into_iter().take(n).map(|(_, m)| m.clone()).collect()
+}
+
+/// Running digest over an answer's text, independent of how it was cut into chunks.
+#[derive(Default)]
+pub struct Digest(xxh3::Xxh3Default);
+
+impl Digest {
+    /// Adds text.
+    pub fn push(&mut self, text: &str) {
+        self.0.update(text.as_bytes());
+    }
+
+    /// The digest so far.
+    pub fn value(&self) -> u64 {
+        self.0.digest()
+    }
+}
+
+impl std::fmt::Debug for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Digest({:016x})", self.value())
+    }
+}
--- /dev/null
+++ b/crates/model/src/load.rs
@@ -0,0 +1,37 @@
+//! Load as a target reports it and as nodes pass it on.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// A target's own report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Target that reports.
+    pub target: Name,
+    /// Calls running.
+    pub running: u32,
+    /// Calls waiting.
+    pub queued: u32,
+    /// Expected wait of a new call, in milliseconds.
+    pub wait: u32,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+    /// Model versions held, as `model@version`.
+    pub models: Vec<Name>,
+    /// Highest order epoch obeyed.
+    pub epoch: u64,
+    /// Grows with each report, restarts included: the target's clock in 100 ms.
+    pub seq: u64,
+}
+
+/// One target's state in a view of the fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetNews {
+    /// The report.
+    pub report: Report,
+    /// Sequence of the report; higher is newer.
+    pub seq: u64,
+    /// Whether the last poll found the target answering.
+    pub ready: bool,
+}
--- /dev/null
+++ b/crates/model/src/name.rs
@@ -0,0 +1,39 @@
+//! Names of objects, nodes, targets and steps.
+
+use std::sync::Arc;
+
+/// An immutable shared name.
+pub type Name = Arc<str>;
+
+/// Longest accepted name, in bytes; a DNS label's bound.
+pub const NAME_MAX: usize = 63;
+
+/// Why a name was refused.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum NameError {
+    /// a name must not be empty
+    Empty,
+    /// a name has at most 63 bytes, this one has {0}
+    Long(usize),
+    /// a name uses a-z, 0-9, '-' and '.', and starts and ends with a letter or digit; found {0:?}
+    Char(char),
+}
+
+/// Checks a name's length and alphabet.
+pub fn check(name: &str) -> Result<(), NameError> {
+    if name.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if name.len() > NAME_MAX {
+        return Err(NameError::Long(name.len()));
+    }
+    let inner = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+    if let Some(c) = name.chars().find(|c| !inner(*c)) {
+        return Err(NameError::Char(c));
+    }
+    let edge = |c: Option<char>| c.filter(|c| !c.is_ascii_alphanumeric());
+    match edge(name.chars().next()).or(edge(name.chars().next_back())) {
+        Some(c) => Err(NameError::Char(c)),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/model/src/object/set.rs
@@ -0,0 +1,52 @@
+//! A whole set of declared objects, looked up by kind and name.
+
+use std::collections::BTreeMap;
+
+use super::{Drain, Model, Pipeline, Pool, Spec, Workspace};
+use crate::Name;
+
+/// Declared objects by kind and name.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Set {
+    /// Pipelines.
+    pub pipelines: BTreeMap<Name, Pipeline>,
+    /// Workspaces.
+    pub workspaces: BTreeMap<Name, Workspace>,
+    /// Pools.
+    pub pools: BTreeMap<Name, Pool>,
+    /// Models.
+    pub models: BTreeMap<Name, Model>,
+    /// Drains.
+    pub drains: BTreeMap<Name, Drain>,
+}
+
+impl Set {
+    /// Adds or replaces one object.
+    pub fn insert(&mut self, name: Name, spec: Spec) {
+        match spec {
+            Spec::Pipeline(s) => drop(self.pipelines.insert(name, s)),
+            Spec::Workspace(s) => drop(self.workspaces.insert(name, s)),
+            Spec::Pool(s) => drop(self.pools.insert(name, s)),
+            Spec::Model(s) => drop(self.models.insert(name, s)),
+            Spec::Drain(s) => drop(self.drains.insert(name, s)),
+        }
+    }
+
+    /// Removes one object.
+    pub fn remove(&mut self, kind: &str, name: &str) {
+        match kind {
+            "Pipeline" => drop(self.pipelines.remove(name)),
+            "Workspace" => drop(self.workspaces.remove(name)),
+            "Pool" => drop(self.pools.remove(name)),
+            "Model" => drop(self.models.remove(name)),
+            "Drain" => drop(self.drains.remove(name)),
+            _ => {}
+        }
+    }
+
+    /// The version wanted of a model, as `model@version`.
+    pub fn wanted(&self, model: &str) -> Option<Name> {
+        let m = self.models.get(model)?;
+        Some(format!("{model}@{}", m.version).into())
+    }
+}
--- /dev/null
+++ b/crates/model/src/time.rs
@@ -0,0 +1,45 @@
+//! Monotonic time as the decision machines see it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since an origin that the process chose.
+///
+/// Two processes never compare their `Time`s.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Time = Time(0);
+    /// Later than any instant a process reaches.
+    pub const NEVER: Time = Time(u64::MAX);
+
+    /// An instant this many milliseconds after the origin.
+    pub const fn from_millis(ms: u64) -> Self {
+        Time(ms * 1000)
+    }
+
+    /// Time passed since `earlier`, zero if that lies ahead.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+    fn add(self, d: Duration) -> Time {
+        Time(self.0.saturating_add(d.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+    fn sub(self, d: Duration) -> Time {
+        Time(self.0.saturating_sub(d.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! The platform as the system sees it: the Object API and the host list, each a
+//! trait object at this border, with hyper clients and a budget of calls.
+
+mod budget;
+mod error;
+mod hosts;
+mod http;
+mod store;
+
+pub use budget::{Budgeted, Counts, Reason};
+pub use error::{ErrorKind, StoreError};
+pub use hosts::{HostList, HostState, HttpHosts};
+pub use http::HttpStore;
+pub use store::{Future, Store};
--- /dev/null
+++ b/crates/standin/src/run.rs
@@ -0,0 +1,68 @@
+//! Starts stand-ins, in a program of their own or inside another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use tokio::task::JoinHandle;
+use util::http::Server;
+use util::stop::{self, Stop};
+
+use crate::api::Api;
+use crate::args::Args;
+use crate::settings::Settings;
+use crate::target::{TargetServer, TargetSpec};
+
+/// Runs the program until a signal.
+pub fn main(args: Args) -> anyhow::Result<()> {
+    let settings: Settings = util::settings::load(&args.settings)?;
+    if args.check {
+        println!("{}: settings are valid", args.settings.display());
+        return Ok(());
+    }
+    util::logs::start(&settings.logs)?;
+    let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+    runtime.block_on(async {
+        let (stopper, stop) = stop::pair();
+        let mut tasks = Vec::new();
+        if let Some(address) = &settings.api {
+            let (at, _, task) = start_api(address, stop.clone()).await?;
+            log::info!("standin: Object API at {at}.");
+            tasks.push(task);
+        }
+        for spec in settings.targets {
+            let name = spec.name.clone();
+            let (at, _, task) = start_target(spec, stop.clone()).await?;
+            log::info!("standin: target {name} at {at}.");
+            tasks.push(task);
+        }
+        stop::signal().await.context("could not wait for signals")?;
+        stopper.stop();
+        for t in tasks {
+            t.abort();
+        }
+        Ok(())
+    })
+}
+
+/// Starts the Object API.
+pub async fn start_api(
+    address: &str,
+    stop: Stop,
+) -> anyhow::Result<(SocketAddr, Arc<Api>, JoinHandle<()>)> {
+    let server = Server::bind(address).await?;
+    let (at, api) = (server.address(), Api::new());
+    let task = tokio::spawn(server.run(api.clone(), stop));
+    Ok((at, api, task))
+}
+
+/// Starts a target.
+pub async fn start_target(
+    spec: TargetSpec,
+    stop: Stop,
+) -> anyhow::Result<(SocketAddr, Arc<TargetServer>, JoinHandle<()>)> {
+    let server = Server::bind(&spec.address).await?;
+    let (at, target) = (server.address(), TargetServer::new(spec));
+    let task = tokio::spawn(server.run(target.clone(), stop));
+    Ok((at, target, task))
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,411 @@
+//! One target over HTTP: runs calls, cancels, reports load, obeys orders.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use kameo::actor::{ActorRef, Spawn};
+use model::Name;
+use model::attempt::{Call, Cancel, Frame};
+use model::hash::Digest;
+use model::load::Report;
+use model::object::Role;
+use model::order::{Order, Reply, Task};
+use serde::Deserialize;
+use tokio::sync::{Semaphore, mpsc};
+use util::http::{Body, Handler, json, stream, text};
+
+use crate::engine::{CancelCall, Engine, EngineSpec, State, Submit};
+use crate::faults::TargetFaults;
+use crate::journal::{Journal, Ran};
+
+/// Largest call taken.
+const CALL_MAX: usize = 8 << 20;
+/// Frames on their way to one reader.
+const DEPTH: usize = 4096;
+
+/// What a target is.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSpec {
+    /// Name.
+    pub name: Name,
+    /// Where it listens; port 0 picks one.
+    pub address: String,
+    /// What it does.
+    pub role: Role,
+    /// Calls that run at once, engines aside.
+    #[serde(default = "width")]
+    pub width: usize,
+    /// Milliseconds of one call, engines aside.
+    #[serde(default = "service")]
+    pub service: f64,
+    /// Engine's rates.
+    #[serde(default)]
+    pub engine: EngineSpec,
+    /// Model versions held at the start.
+    #[serde(default)]
+    pub models: Vec<Name>,
+    /// Whether orders with a lower epoch are refused.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Faults at the start.
+    #[serde(default)]
+    pub faults: TargetFaults,
+}
+
+fn width() -> usize {
+    8
+}
+
+fn service() -> f64 {
+    4.0
+}
+
+#[derive(Debug)]
+struct Held {
+    models: Vec<Name>,
+    epoch: u64,
+    leaving: bool,
+    orders: Vec<Order>,
+}
+
+/// A target.
+#[derive(Debug)]
+pub struct TargetServer {
+    spec: TargetSpec,
+    engine: Option<ActorRef<Engine>>,
+    slots: Arc<Semaphore>,
+    waiting: std::sync::atomic::AtomicU32,
+    faults: Mutex<TargetFaults>,
+    journal: Mutex<Journal>,
+    held: Mutex<Held>,
+}
+
+impl TargetServer {
+    /// A target that is ready.
+    pub fn new(spec: TargetSpec) -> Arc<Self> {
+        let engine = (spec.role == Role::Engine).then(|| Engine::spawn(spec.engine));
+        let held = Held {
+            models: spec.models.clone(),
+            epoch: 0,
+            leaving: false,
+            orders: Vec::new(),
+        };
+        Arc::new(TargetServer {
+            engine,
+            slots: Arc::new(Semaphore::new(spec.width)),
+            waiting: 0.into(),
+            faults: Mutex::new(spec.faults.clone()),
+            journal: Mutex::new(Journal::default()),
+            held: Mutex::new(held),
+            spec,
+        })
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        *self.faults.lock().expect("no panic while held") = faults;
+    }
+
+    /// Says that the target is leaving, as its host would.
+    pub fn leave(&self) {
+        self.held.lock().expect("no panic while held").leaving = true;
+    }
+
+    /// Runs so far.
+    pub fn runs(&self) -> Vec<Ran> {
+        self.journal
+            .lock()
+            .expect("no panic while held")
+            .runs()
+            .to_vec()
+    }
+
+    /// Orders obeyed so far.
+    pub fn orders(&self) -> Vec<Order> {
+        self.held
+            .lock()
+            .expect("no panic while held")
+            .orders
+            .clone()
+    }
+
+    /// Prompt tokens asked for and found cached; engines only.
+    pub async fn cache(&self) -> (u64, u64) {
+        match &self.engine {
+            Some(e) => e.ask(State).await.map_or((0, 0), |s| (s.prompt, s.cached)),
+            None => (0, 0),
+        }
+    }
+
+    fn faults(&self) -> TargetFaults {
+        self.faults.lock().expect("no panic while held").clone()
+    }
+
+    async fn report(&self) -> Report {
+        let (running, queued, wait) = match &self.engine {
+            Some(e) => e
+                .ask(State)
+                .await
+                .map_or((0, 0, 0), |s| (s.running, s.queued, s.wait)),
+            None => {
+                let running = (self.spec.width - self.slots.available_permits()) as u32;
+                let queued = self.waiting.load(std::sync::atomic::Ordering::Relaxed);
+                let turns = f64::from(queued) / self.spec.width as f64;
+                let wait = (turns * self.spec.service * self.faults().factor()) as u32;
+                (running, queued, wait)
+            }
+        };
+        let held = self.held.lock().expect("no panic while held");
+        Report {
+            target: self.spec.name.clone(),
+            running,
+            queued,
+            wait,
+            leaving: held.leaving || self.faults().refuse,
+            models: held.models.clone(),
+            epoch: held.epoch,
+            seq: util::clock::unix_ms() / 100,
+        }
+    }
+
+    fn refusal(&self, call: &Call) -> Option<&'static str> {
+        let held = self.held.lock().expect("no panic while held");
+        if call.resume.is_some() {
+            return None;
+        }
+        if held.leaving || self.faults().refuse {
+            return Some("leaving");
+        }
+        let version = call.version.as_ref()?;
+        let wanted = format!("{}@{version}", call.model.as_deref().unwrap_or_default());
+        let holds = held.models.iter().any(|m| **m == *wanted);
+        (!holds).then_some("model version not held")
+    }
+
+    async fn run(self: Arc<Self>, call: Call) -> Response<Body> {
+        let faults = self.faults();
+        if faults.fail {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        }
+        if let Some(why) = self.refusal(&call) {
+            return text(StatusCode::SERVICE_UNAVAILABLE, why);
+        }
+        if faults.stall {
+            std::future::pending::<()>().await;
+        }
+        let index = self
+            .journal
+            .lock()
+            .expect("no panic while held")
+            .begin(Ran {
+                target: self.spec.name.clone(),
+                attempt: call.attempt.clone(),
+                step: call.step.clone(),
+                workspace: call.workspace.clone(),
+                resumed: call.resume.is_some(),
+                done: false,
+            });
+        let (tx, rx) = mpsc::channel(DEPTH);
+        let taken = match &self.engine {
+            Some(engine) => {
+                let tag = faults.tag.then(|| self.spec.name.to_string());
+                let slow = faults.factor();
+                let submit = Submit {
+                    call,
+                    tag,
+                    slow,
+                    frames: tx,
+                };
+                engine.ask(submit).await.unwrap_or(false)
+            }
+            None if call.resume.is_some() => false,
+            None => {
+                tokio::spawn(self.clone().serve(call, faults.clone(), tx));
+                true
+            }
+        };
+        if !taken {
+            return text(StatusCode::NOT_FOUND, "nothing to resume");
+        }
+        let (sender, response) = stream("application/x-ndjson", 64);
+        let me = self.clone();
+        tokio::spawn(async move { me.deliver(index, rx, faults, sender).await });
+        response
+    }
+
+    /// A call of a pool or plain service: waits for a slot, works, answers in a few chunks.
+    async fn serve(self: Arc<Self>, call: Call, faults: TargetFaults, tx: mpsc::Sender<Frame>) {
+        use std::sync::atomic::Ordering::Relaxed;
+        self.waiting.fetch_add(1, Relaxed);
+        let slot = self.slots.clone().acquire_owned().await;
+        self.waiting.fetch_sub(1, Relaxed);
+        let ms = self.spec.service * faults.factor();
+        tokio::time::sleep(Duration::from_secs_f64(ms / 1e3)).await;
+        drop(slot);
+        let answer = match self.spec.role {
+            Role::Encoder => crate::text::encode(&call.input),
+            Role::Retriever => crate::text::retrieve(&call.input),
+            Role::Reranker => crate::text::rerank(&call.input),
+            Role::Engine | Role::Plain => crate::text::plain(&call.step, &call.input),
+        };
+        let mut digest = Digest::default();
+        digest.push(&answer);
+        let mut count = 0;
+        for piece in pieces(&answer) {
+            let frame = Frame::Chunk {
+                attempt: call.attempt.clone(),
+                seq: count,
+                text: piece.into(),
+            };
+            count += 1;
+            let _ = tx.send(frame).await;
+        }
+        let attempt = call.attempt;
+        let busy = (ms * 1e3) as u64;
+        let wait = self.report().await.wait;
+        let _ = tx
+            .send(Frame::End {
+                attempt,
+                count,
+                digest: digest.value(),
+                busy,
+                wait,
+            })
+            .await;
+    }
+
+    /// Passes frames on as lines, with the faults that are switched on.
+    async fn deliver(
+        self: Arc<Self>,
+        index: usize,
+        mut rx: mpsc::Receiver<Frame>,
+        faults: TargetFaults,
+        mut sender: util::http::Sender,
+    ) {
+        let mut held = Vec::new();
+        let mut sent = 0;
+        while let Some(frame) = rx.recv().await {
+            let end = matches!(frame, Frame::End { .. });
+            if end {
+                self.journal.lock().expect("no panic while held").end(index);
+            }
+            if faults.drop {
+                return;
+            }
+            held.push(frame);
+            if faults.mangles() && !end {
+                continue;
+            }
+            let ready = std::mem::take(&mut held);
+            let ready = if faults.mangles() {
+                faults.mangle(ready)
+            } else {
+                ready
+            };
+            for f in ready {
+                if faults.cut.is_some_and(|n| sent >= n) {
+                    return;
+                }
+                sent += 1;
+                let mut line = serde_json::to_vec(&f).expect("frames encode");
+                line.push(b'\n');
+                if sender.send_data(Bytes::from(line)).await.is_err() {
+                    // Nobody reads; the work goes on, and a resume can have it.
+                    while let Some(f) = rx.recv().await {
+                        if matches!(f, Frame::End { .. }) {
+                            self.journal.lock().expect("no panic while held").end(index);
+                        }
+                    }
+                    return;
+                }
+            }
+            if end {
+                return;
+            }
+        }
+    }
+
+    fn obey(&self, order: Order) -> Reply {
+        let mut held = self.held.lock().expect("no panic while held");
+        if self.spec.fenced && order.epoch < held.epoch {
+            return Reply::Fenced { epoch: held.epoch };
+        }
+        held.epoch = held.epoch.max(order.epoch);
+        match &order.task {
+            Task::Load(v) if !held.models.contains(v) => held.models.push(v.clone()),
+            Task::Load(_) => {}
+            Task::Unload(v) => held.models.retain(|m| m != v),
+            Task::Drain => held.leaving = true,
+        }
+        held.orders.push(order);
+        Reply::Done
+    }
+}
+
+/// Cuts a text into about three pieces at character boundaries.
+fn pieces(text: &str) -> Vec<&str> {
+    let size = text.len().div_ceil(3).max(1);
+    let mut out = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut at = size.min(rest.len());
+        while !rest.is_char_boundary(at) {
+            at += 1;
+        }
+        let (head, tail) = rest.split_at(at);
+        out.push(head);
+        rest = tail;
+    }
+    out
+}
+
+async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
+    let limited = Limited::new(request.into_body(), CALL_MAX);
+    let bytes = limited
+        .collect()
+        .await
+        .map_err(|e| e.to_string())?
+        .to_bytes();
+    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
+}
+
+impl Handler for TargetServer {
+    async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_string();
+        let bad = |e: String| text(StatusCode::BAD_REQUEST, e);
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/run") => match body(request).await {
+                Ok(call) => self.run(call).await,
+                Err(e) => bad(e),
+            },
+            (&Method::POST, "/cancel") => match body::<Cancel>(request).await {
+                Ok(c) => {
+                    if let Some(e) = &self.engine {
+                        let _ = e.tell(CancelCall(c.attempt)).await;
+                    }
+                    json(StatusCode::OK, &())
+                }
+                Err(e) => bad(e),
+            },
+            (&Method::GET, "/load") => json(StatusCode::OK, &self.report().await),
+            (&Method::POST, "/order") => match body(request).await {
+                Ok(order) => json(StatusCode::OK, &self.obey(order)),
+                Err(e) => bad(e),
+            },
+            (&Method::POST, "/faults") => match body(request).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    json(StatusCode::OK, &())
+                }
+                Err(e) => bad(e),
+            },
+            (&Method::GET, "/journal") => json(StatusCode::OK, &self.runs()),
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/text.rs
@@ -0,0 +1,158 @@
+//! The stand-ins' work on text: small, real and the same on every target, in
+//! any script. Encoding splits sentences and hashes their words to vectors;
+//! retrieval and reranking score them; generation writes the best ones out.
+
+use std::collections::BTreeSet;
+
+use model::hash;
+use serde_json::{Value, json};
+
+/// Dimensions of a vector.
+const DIMS: usize = 16;
+/// Passages that retrieval keeps.
+const RETRIEVED: usize = 12;
+/// Sentences that generation writes.
+const WRITTEN: usize = 5;
+
+/// Words of a text, in any script.
+pub fn words(text: &str) -> impl Iterator<Item = String> + '_ {
+    let split = |c: char| c.is_whitespace() || c.is_ascii_punctuation() || c == '।';
+    text.split(split)
+        .filter(|w| !w.is_empty())
+        .map(str::to_lowercase)
+}
+
+/// Sentences of a text; ends at a full stop, a danda or a line's end.
+pub fn sentences(text: &str) -> Vec<&str> {
+    let parts = text.split(['.', '।', '!', '?', '\n']);
+    parts.map(str::trim).filter(|s| !s.is_empty()).collect()
+}
+
+fn vector(text: &str) -> [i32; DIMS] {
+    let mut v = [0; DIMS];
+    for w in words(text) {
+        let h = hash::of(w.as_bytes());
+        v[(h as usize) % DIMS] += if h >> 63 == 0 { 1 } else { -1 };
+    }
+    v
+}
+
+fn dot(a: &[i32; DIMS], b: &[i32; DIMS]) -> i32 {
+    a.iter().zip(b).map(|(x, y)| x * y).sum()
+}
+
+fn request_text(input: &Value) -> &str {
+    input["request"]["text"].as_str().unwrap_or_default()
+}
+
+fn instruction(input: &Value) -> &str {
+    input["request"]["instruction"].as_str().unwrap_or_default()
+}
+
+fn list(input: &Value, field: &str) -> Vec<String> {
+    let results = input["results"].as_object().cloned().unwrap_or_default();
+    let found = results
+        .values()
+        .rev()
+        .filter_map(Value::as_str)
+        .find_map(|t| {
+            let v: Value = serde_json::from_str(t).ok()?;
+            v[field].as_array().cloned()
+        });
+    found
+        .unwrap_or_default()
+        .iter()
+        .filter_map(|s| s.as_str().map(String::from))
+        .collect()
+}
+
+/// Sentences with their vectors.
+pub fn encode(input: &Value) -> String {
+    let sentences = sentences(request_text(input));
+    let vectors: Vec<_> = sentences.iter().map(|s| vector(s)).collect();
+    json!({ "sentences": sentences, "vectors": vectors }).to_string()
+}
+
+/// The sentences nearest to the instruction, and the longest.
+pub fn retrieve(input: &Value) -> String {
+    let query = vector(instruction(input));
+    let mut scored: Vec<_> = list(input, "sentences")
+        .into_iter()
+        .map(|s| (dot(&vector(&s), &query), s.len(), s))
+        .collect();
+    scored.sort_by(|a, b| b.cmp(a));
+    let passages: Vec<_> = scored
+        .into_iter()
+        .take(RETRIEVED)
+        .map(|(_, _, s)| s)
+        .collect();
+    json!({ "passages": passages }).to_string()
+}
+
+/// The passages by the words that they share with the instruction, then by length.
+pub fn rerank(input: &Value) -> String {
+    let wanted: BTreeSet<_> = words(instruction(input)).collect();
+    let mut scored: Vec<_> = list(input, "passages")
+        .into_iter()
+        .map(|p| {
+            (
+                words(&p).filter(|w| wanted.contains(w)).count(),
+                p.chars().count(),
+                p,
+            )
+        })
+        .collect();
+    scored.sort_by(|a, b| b.cmp(a));
+    let ranked: Vec<_> = scored.into_iter().map(|(_, _, p)| p).collect();
+    json!({ "ranked": ranked }).to_string()
+}
+
+/// Words of a generated answer, each with the space before it.
+pub fn generate(input: &Value) -> Vec<String> {
+    let mut chosen = list(input, "ranked");
+    if chosen.is_empty() {
+        chosen = sentences(request_text(input))
+            .into_iter()
+            .map(String::from)
+            .collect();
+    }
+    let whole = request_text(input);
+    chosen.truncate(WRITTEN);
+    chosen.sort_by_key(|s| whole.find(s.as_str()).unwrap_or(usize::MAX));
+    let most = input["request"]["tokens"]
+        .as_u64()
+        .map_or(usize::MAX, |n| n as usize);
+    let mut text: Vec<String> = Vec::new();
+    for s in chosen {
+        let lead = if text.is_empty() { "- " } else { "\n- " };
+        for (i, w) in s.split_whitespace().enumerate() {
+            text.push(if i == 0 {
+                format!("{lead}{w}")
+            } else {
+                format!(" {w}")
+            });
+        }
+    }
+    // A request may ask for a length, as load tools do.
+    if most != usize::MAX {
+        let n = text.len().max(1);
+        let filler = |i: usize| text.get(i % n).cloned().unwrap_or_else(|| " -".into());
+        return (0..most).map(filler).collect();
+    }
+    text
+}
+
+/// What a plain service answers: its input's digest, so that a mix-up shows.
+pub fn plain(step: &str, input: &Value) -> String {
+    let digest = hash::of(input.to_string().as_bytes());
+    json!({ "step": step, "receipt": format!("{digest:016x}") }).to_string()
+}
+
+/// The prompt whose prefix engines cache: the request's own, or its text.
+pub fn prompt(input: &Value) -> String {
+    let own = input["request"]["prompt"].as_str();
+    own.map_or_else(
+        || format!("{}\n{}", instruction(input), request_text(input)),
+        String::from,
+    )
+}
--- /dev/null
+++ b/crates/util/src/http/client.rs
@@ -0,0 +1,275 @@
+//! The client. An error tells whether the call was certainly not sent, which
+//! is what the retry rules turn on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Largest body that a client takes in whole.
+const BODY_MAX: usize = 64 << 20;
+/// Longest line of a streamed answer.
+const LINE_MAX: usize = 4 << 20;
+
+/// What went wrong in a call.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum CallKind {
+    /// not sent: {0}
+    NotSent(String),
+    /// sent, answer lost: {0}
+    Lost(String),
+    /// status {0}: {1}
+    Status(u16, String),
+    /// no answer in time
+    Timeout,
+    /// answer not understood: {0}
+    Decode(String),
+}
+
+/// A failed call and its peer.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+/// {peer}: {kind}
+pub struct CallError {
+    /// Address called.
+    pub peer: String,
+    /// What went wrong.
+    pub kind: CallKind,
+}
+
+impl CallError {
+    /// Whether the peer certainly never saw the call.
+    pub fn not_sent(&self) -> bool {
+        matches!(self.kind, CallKind::NotSent(_))
+    }
+
+    /// The status that the peer answered with.
+    pub fn status(&self) -> Option<u16> {
+        match self.kind {
+            CallKind::Status(s, _) => Some(s),
+            _ => None,
+        }
+    }
+}
+
+/// A pooled client; clones share the pool.
+#[derive(Debug, Clone)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// A client that gives up connecting after `connect`.
+    pub fn new(connect: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(20))
+            .build(connector);
+        Client { inner }
+    }
+
+    /// Sends a request and returns the answer's head, whatever its status.
+    pub async fn send(
+        &self,
+        peer: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.inner.request(request).await.map_err(|e| {
+            let why = chain(&e);
+            let kind = if e.is_connect() {
+                CallKind::NotSent(why)
+            } else {
+                CallKind::Lost(why)
+            };
+            fail(peer, kind)
+        })
+    }
+
+    /// Posts a body; an answer outside 2xx is an error.
+    pub async fn post(
+        &self,
+        peer: &str,
+        path: &str,
+        media: &str,
+        body: Vec<u8>,
+    ) -> Result<Response<Incoming>, CallError> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{peer}{path}"))
+            .header(header::CONTENT_TYPE, media)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
+        success(peer, self.send(peer, request).await?).await
+    }
+
+    /// Sends JSON, if any, and reads JSON.
+    pub async fn json<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: &str,
+        method: Method,
+        path: &str,
+        body: Option<&Q>,
+        timeout: Duration,
+    ) -> Result<A, CallError> {
+        let bytes = match body {
+            Some(b) => serde_json::to_vec(b).expect("messages have string keys"),
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{peer}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
+        let call = async {
+            let response = success(peer, self.send(peer, request).await?).await?;
+            let bytes = collect(peer, response).await?;
+            serde_json::from_slice(&bytes).map_err(|e| fail(peer, CallKind::Decode(e.to_string())))
+        };
+        within(peer, timeout, call).await
+    }
+
+    /// Posts rmp-serde and reads rmp-serde, as our own processes do.
+    pub async fn rmp<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: &str,
+        path: &str,
+        body: &Q,
+        timeout: Duration,
+    ) -> Result<A, CallError> {
+        let bytes = rmp_serde::to_vec(body).expect("messages encode");
+        let call = async {
+            let response = self.post(peer, path, super::RMP, bytes).await?;
+            let bytes = collect(peer, response).await?;
+            rmp_serde::from_slice(&bytes).map_err(|e| fail(peer, CallKind::Decode(e.to_string())))
+        };
+        within(peer, timeout, call).await
+    }
+
+    /// Reads a text body.
+    pub async fn text(
+        &self,
+        peer: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<String, CallError> {
+        let request = Request::get(format!("http://{peer}{path}"))
+            .body(Full::default())
+            .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
+        let call = async {
+            let response = success(peer, self.send(peer, request).await?).await?;
+            let bytes = collect(peer, response).await?;
+            Ok(String::from_utf8_lossy(&bytes).into_owned())
+        };
+        within(peer, timeout, call).await
+    }
+}
+
+/// Lines of a streamed body.
+#[derive(Debug)]
+pub struct Lines {
+    peer: String,
+    body: Incoming,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Lines {
+    /// Reads `response` line by line.
+    pub fn new(peer: &str, response: Response<Incoming>) -> Self {
+        Lines {
+            peer: peer.into(),
+            body: response.into_body(),
+            buffer: Vec::new(),
+            start: 0,
+        }
+    }
+
+    /// The next line without its end; `None` once the body has ended.
+    pub async fn next(&mut self) -> Result<Option<Vec<u8>>, CallError> {
+        loop {
+            if let Some(n) = self.buffer[self.start..].iter().position(|b| *b == b'\n') {
+                let line = self.buffer[self.start..self.start + n].to_vec();
+                self.start += n + 1;
+                return Ok(Some(line));
+            }
+            self.buffer.drain(..self.start);
+            self.start = 0;
+            if self.buffer.len() > LINE_MAX {
+                return Err(fail(&self.peer, CallKind::Decode("line too long".into())));
+            }
+            match self.body.frame().await {
+                None if self.buffer.is_empty() => return Ok(None),
+                None => return Ok(Some(std::mem::take(&mut self.buffer))),
+                Some(Err(e)) => return Err(fail(&self.peer, CallKind::Lost(chain(&e)))),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn fail(peer: &str, kind: CallKind) -> CallError {
+    CallError {
+        peer: peer.into(),
+        kind,
+    }
+}
+
+/// The causes of an error on one line.
+fn chain(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut next = e.source();
+    while let Some(cause) = next {
+        text = format!("{text}: {cause}");
+        next = cause.source();
+    }
+    text
+}
+
+async fn within<T>(
+    peer: &str,
+    timeout: Duration,
+    call: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    match tokio::time::timeout(timeout, call).await {
+        Ok(result) => result,
+        Err(_) => Err(fail(peer, CallKind::Timeout)),
+    }
+}
+
+async fn success(
+    peer: &str,
+    response: Response<Incoming>,
+) -> Result<Response<Incoming>, CallError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let body = collect(peer, response).await.unwrap_or_default();
+    let why = String::from_utf8_lossy(&body).into_owned();
+    if status == StatusCode::GATEWAY_TIMEOUT {
+        return Err(fail(peer, CallKind::Lost(why)));
+    }
+    Err(fail(peer, CallKind::Status(status.as_u16(), why)))
+}
+
+async fn collect(peer: &str, response: Response<Incoming>) -> Result<Bytes, CallError> {
+    let body = Limited::new(response.into_body(), BODY_MAX);
+    let whole = body
+        .collect()
+        .await
+        .map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
+    Ok(whole.to_bytes())
+}
--- /dev/null
+++ b/crates/util/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 by hyper on both sides.
+
+mod client;
+mod server;
+
+pub use client::{CallError, CallKind, Client, Lines};
+pub use server::{Body, Handler, Limits, Sender, Server, full, json, rmp, stream, text};
+
+/// Media type of rmp-serde bodies between our own processes.
+pub const RMP: &str = "application/msgpack";
--- /dev/null
+++ b/crates/util/src/logs.rs
@@ -0,0 +1,30 @@
+//! Logs on standard error by log4rs. Each message starts with the fixed prefix
+//! of its part, such as `claim:` or `lease:`; docs/OPERATING.md lists them.
+
+use anyhow::Context;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::{Encode, json::JsonEncoder, pattern::PatternEncoder};
+
+use crate::settings::Logs;
+
+/// Installs the logger; call once.
+pub fn start(logs: &Logs) -> anyhow::Result<()> {
+    let encoder: Box<dyn Encode> = if logs.json {
+        Box::new(JsonEncoder::new())
+    } else {
+        Box::new(PatternEncoder::new(
+            "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:<5} {m}{n}",
+        ))
+    };
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(Root::builder().appender("console").build(logs.level))
+        .context("could not build the log configuration")?;
+    log4rs::init_config(config).context("could not start the logs")?;
+    Ok(())
+}
