--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -82,7 +82,7 @@
             .map(|k| tokio::spawn(follow_kind(self.shared.clone(), k, tx.clone())))
             .collect();
         // A manifest is first thought of once every kind was listed.
-        let mut listed = 0;
+        let (mut listed, mut leading) = (0, false);
         loop {
             tokio::select! {
                 _ = epoch.changed() => break,
@@ -90,7 +90,9 @@
                     listed += 1;
                     let all = gather(objects, &mut rx, &mut listed).await;
                     self.step(PublisherEvent::Objects(all)).await;
-                    if listed >= KINDS.len() {
+                    if listed >= KINDS.len() && !leading {
+                        leading = true;
+                        self.read_statuses().await;
                         self.step(PublisherEvent::Lease(held)).await;
                     }
                 }
@@ -211,11 +213,12 @@
                 Some(PublisherEvent::Chunk(hash, end))
             }
             PublisherAction::PutManifest { expect, manifest } => {
+                let nonce = manifest.nonce;
                 let value = serde_json::to_value(&manifest).expect("manifests encode");
                 let store = self.shared.store.with(Reason::Config);
                 let end = put_end(store.put(kind::MANIFEST, NAME, expect, Some(value)).await);
                 log::info!("publish: manifest {}: {end:?}.", manifest.number);
-                Some(PublisherEvent::Manifest(end))
+                Some(PublisherEvent::Manifest(nonce, end))
             }
             PublisherAction::PutStatus(list) => {
                 self.statuses
@@ -258,6 +261,22 @@
         }
     }
 
+    async fn read_statuses(&mut self) {
+        if let Ok(listing) = self
+            .shared
+            .store
+            .with(Reason::Status)
+            .list(kind::STATUS)
+            .await
+        {
+            let values = listing.objects.into_iter().filter_map(|o| o.value);
+            let list = values
+                .filter_map(|v| serde_json::from_value(v).ok())
+                .collect();
+            self.step(PublisherEvent::Statuses(list)).await;
+        }
+    }
+
     /// Writes statuses that are due; what fails stays due.
     async fn put_statuses(&mut self) {
         let due: Vec<Status> = self.statuses.values().take(STATUS_MOST).cloned().collect();
@@ -314,7 +333,12 @@
     let value = serde_json::to_value(status).expect("statuses encode");
     let store = shared.store.with(Reason::Status);
     let old = store.get(kind::STATUS, &name).await.ok()?;
-    if old.value.as_ref() == Some(&value) {
+    let known = old
+        .value
+        .as_ref()
+        .and_then(|v| serde_json::from_value::<Status>(v.clone()).ok());
+    // A former holder may have told of a newer version already.
+    if old.value.as_ref() == Some(&value) || known.is_some_and(|k| k.version > status.version) {
         return Some(());
     }
     store
--- a/crates/decide/src/config/publisher.rs
+++ b/crates/decide/src/config/publisher.rs
@@ -43,6 +43,8 @@
     Lease(Option<u64>),
     /// Objects as listed or watched.
     Objects(Vec<Declared>),
+    /// Statuses as listed; best before [`PublisherEvent::Lease`].
+    Statuses(Vec<Status>),
     /// The manifest was read, with its version and its chunks' texts.
     Base {
         /// Version of the manifest object, 0 if never written.
@@ -56,8 +58,8 @@
     BaseFailed,
     /// A chunk was written, or not.
     Chunk(Name, PutEnd),
-    /// The manifest was written, or not.
-    Manifest(PutEnd),
+    /// The manifest with this nonce was written, or not.
+    Manifest(u64, PutEnd),
     /// Time passed.
     Tick,
 }
@@ -107,6 +109,10 @@
     draft: Option<Draft>,
     /// A read failed; the next waits for a tick.
     paused: bool,
+    /// Versions whose status is written, as far as is known.
+    told: BTreeMap<Name, u64>,
+    /// The former holder may have stopped between a manifest and its statuses.
+    retell: bool,
     /// Statuses of manifest writes whose answers were lost, until a read settles them.
     doubt: Vec<Status>,
     refused: BTreeMap<Name, (u64, String)>,
@@ -123,6 +129,8 @@
             reading: false,
             draft: None,
             paused: false,
+            told: BTreeMap::new(),
+            retell: false,
             doubt: Vec::new(),
             refused: BTreeMap::new(),
             rng: Rng::new(seed),
@@ -140,6 +148,9 @@
         match event {
             PublisherEvent::Lease(epoch) => self.lease(epoch),
             PublisherEvent::Objects(objects) => self.objects(objects),
+            PublisherEvent::Statuses(list) => {
+                self.told = list.into_iter().map(|s| (s.object, s.version)).collect();
+            }
             PublisherEvent::Base {
                 version,
                 manifest,
@@ -152,7 +163,7 @@
                 self.paused = true;
             }
             PublisherEvent::Chunk(hash, end) => self.chunk(&hash, end),
-            PublisherEvent::Manifest(end) => self.wrote(end, &mut out),
+            PublisherEvent::Manifest(nonce, end) => self.wrote(nonce, end, &mut out),
             PublisherEvent::Tick => {
                 self.paused = false;
                 // Chunks whose write failed are written again.
@@ -171,8 +182,13 @@
         }
         self.epoch = epoch;
         self.base = None;
+        if let Some(d) = self.draft.take_if(|d| d.writing) {
+            self.doubt.extend(d.status);
+        }
         self.draft = None;
         self.reading = false;
+        self.refused.clear();
+        self.retell = epoch.is_some();
     }
 
     fn objects(&mut self, objects: Vec<Declared>) {
@@ -214,6 +230,9 @@
             items.extend(chunk.into_iter().map(|i| (i.key.clone(), i)));
         }
         self.settle(&items, out);
+        if std::mem::take(&mut self.retell) {
+            self.retell(manifest.number, &items, out);
+        }
         self.base = Some(Base {
             version,
             manifest,
@@ -229,11 +248,38 @@
             .into_iter()
             .partition(|s| !s.accepted || published(s) >= s.version);
         self.doubt = open;
-        if !known.is_empty() {
-            out.push(PublisherAction::PutStatus(known));
+        self.tell(known, out);
+    }
+
+    /// Writes statuses, but none of an older version after a newer one.
+    fn tell(&mut self, mut list: Vec<Status>, out: &mut Vec<PublisherAction>) {
+        list.retain(|s| self.told.get(&s.object).is_none_or(|v| *v <= s.version));
+        self.told
+            .extend(list.iter().map(|s| (s.object.clone(), s.version)));
+        if !list.is_empty() {
+            out.push(PublisherAction::PutStatus(list));
         }
     }
 
+    /// Writes the statuses of objects in force that the former holder did not.
+    fn retell(
+        &mut self,
+        number: u64,
+        items: &BTreeMap<Name, Item>,
+        out: &mut Vec<PublisherAction>,
+    ) {
+        let untold = |i: &&Item| self.told.get(&i.key).is_none_or(|v| *v < i.version);
+        let status = |i: &Item| Status {
+            object: i.key.clone(),
+            version: i.version,
+            accepted: true,
+            reason: String::new(),
+            number,
+        };
+        let list: Vec<Status> = items.values().filter(untold).map(status).collect();
+        self.tell(list, out);
+    }
+
     fn chunk(&mut self, hash: &Name, end: PutEnd) {
         if let Some(d) = &mut self.draft
             && end == PutEnd::Done
@@ -242,16 +288,21 @@
         }
     }
 
-    fn wrote(&mut self, end: PutEnd, out: &mut Vec<PublisherAction>) {
-        let Some(d) = self.draft.take() else {
+    fn wrote(&mut self, nonce: u64, end: PutEnd, out: &mut Vec<PublisherAction>) {
+        // An answer to a write before the lease changed hands says nothing of this draft.
+        let Some(d) = self
+            .draft
+            .take_if(|d| d.writing && d.manifest.nonce == nonce)
+        else {
             return;
         };
         match end {
             PutEnd::Done => {
                 // The version is not assumed; the next draft reads it.
-                out.push(PublisherAction::PutStatus(d.status));
+                self.tell(d.status, out);
             }
-            PutEnd::Conflict => {}
+            // Whoever wrote tells of what it took; refusals are weighed anew.
+            PutEnd::Conflict => self.refused.clear(),
             PutEnd::Lost => self.doubt.extend(d.status),
         }
         self.base = None;
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -6,7 +6,7 @@
 use model::Time;
 use model::member::{Health, LoadRumor, Node, NodeId, Packet, Purpose, Rumor};
 
-use super::peers::{Peer, Peers};
+use super::peers::{Peer, Peers, digest_of};
 use super::rumors::Outbox;
 use crate::rng::Rng;
 
@@ -20,6 +20,10 @@
 const PUSH: usize = 3;
 /// One period in this many tries a lost seed.
 const SEED_EVERY: usize = 5;
+/// Least time between two exchanges of whole member lists.
+const SYNC_EVERY: Duration = Duration::from_secs(2);
+/// Times that the reporters are told again of a manifest; datagrams get lost.
+const RETELL: u8 = 2;
 /// Most that a node blames itself.
 const SELF_MAX: u32 = 4;
 
@@ -125,6 +129,8 @@
     seeds: Vec<SocketAddr>,
     links: Vec<SocketAddr>,
     blame: u32,
+    synced: Time,
+    retell: u8,
     seq: u32,
     next: Time,
     left: bool,
@@ -154,6 +160,8 @@
             seeds: Vec::new(),
             links: Vec::new(),
             blame: 0,
+            synced: Time::ZERO,
+            retell: 0,
             seq: 0,
             next: Time::ZERO,
             left: false,
@@ -171,6 +179,11 @@
         self.peers.iter_up()
     }
 
+    /// Manifest in force on this node.
+    pub fn applied(&self) -> u64 {
+        self.number
+    }
+
     /// Nodes that are up, this one included.
     pub fn count(&self) -> usize {
         self.peers.up() + usize::from(!self.left)
@@ -209,7 +222,7 @@
                 self.seeds = seeds;
             }
             Event::Links(links) => self.links = links,
-            Event::Applied(number) => self.applied(number, &mut out),
+            Event::Applied(number) => self.put_in_force(number, &mut out),
             Event::Load(load) => self.outbox.push_load(load),
             Event::Leave => self.leave(&mut out),
         }
@@ -237,9 +250,21 @@
         self.next = now + self.tuning.period;
         self.start_probe(now, out);
         self.tell_link(out);
+        self.tell_reporters(out);
         self.try_seed(out);
     }
 
+    fn tell_reporters(&mut self, out: &mut Vec<Action>) {
+        if self.retell == 0 {
+            return;
+        }
+        self.retell -= 1;
+        for to in self.reporters() {
+            let packet = self.bare(Purpose::News);
+            out.push(Action::Send(to, packet));
+        }
+    }
+
     /// Now and then probes a seed that is not known to be up, so that the two
     /// sides of a healed partition find each other.
     fn try_seed(&mut self, out: &mut Vec<Action>) {
@@ -394,13 +419,16 @@
         for rumor in &p.rumors {
             self.hear(now, rumor, out);
         }
-        for load in p.loads {
-            out.push(Action::Load(load));
+        for load in &p.loads {
+            out.push(Action::Load(*load));
         }
         self.peers.note_number(&p.from, p.number);
         if p.number > self.number {
             out.push(Action::Heard(p.number, from));
         }
+        if matches!(p.purpose, Purpose::Ping { .. } | Purpose::Ack) {
+            self.compare(now, from, &p, out);
+        }
         match p.purpose {
             Purpose::Ping { start } => self.ping(from, start, p.seq, &p.from, out),
             Purpose::Ack => self.ack(now, &p.from, p.seq, out),
@@ -410,6 +438,18 @@
         }
     }
 
+    /// Anti-entropy: rumors die out before they reach everybody, so two nodes
+    /// that hold different lists now and then exchange them whole.
+    fn compare(&mut self, now: Time, from: SocketAddr, p: &Packet, out: &mut Vec<Action>) {
+        let own = self.peers.digest() ^ digest_of(&self.me.id);
+        let due = self.synced == Time::ZERO || now.since(self.synced) >= SYNC_EVERY;
+        if p.digest == own || !due || self.peers.get(&p.from).is_none() {
+            return;
+        }
+        self.synced = now;
+        self.welcome(from, out);
+    }
+
     fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
         if rumor.node.id != self.me.id {
             return self.learn(now, rumor, out);
@@ -455,7 +495,8 @@
 
     /// Tells a newcomer about everybody, a few in each datagram.
     fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        let all: Vec<Rumor> = self.peers.iter_up().map(Peer::rumor).collect();
+        let others = self.peers.iter_up().map(Peer::rumor);
+        let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
         for rumors in all.chunks(WELCOME) {
             let mut packet = self.packet_of(Purpose::News, 0);
             packet.rumors = rumors.to_vec();
@@ -527,11 +568,12 @@
         }
     }
 
-    fn applied(&mut self, number: u64, out: &mut Vec<Action>) {
+    fn put_in_force(&mut self, number: u64, out: &mut Vec<Action>) {
         if number <= self.number {
             return;
         }
         self.number = number;
+        self.retell = RETELL;
         let id = self.me.id.clone();
         let mut told = self.sample(PUSH, &id);
         told.extend(self.reporters());
@@ -601,6 +643,7 @@
             seq: 0,
             purpose,
             number: self.number,
+            digest: self.peers.digest() ^ digest_of(&self.me.id),
             rumors: Vec::new(),
             loads: Vec::new(),
         }
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::Time;
 use model::member::{Health, Node, NodeId, Rumor};
+use model::{Time, hash};
 
 /// How long the dead are remembered, so that old news cannot bring them back.
 const BURIED: Duration = Duration::from_secs(120);
@@ -49,6 +49,12 @@
 pub struct Peers {
     map: BTreeMap<NodeId, Peer>,
     up: usize,
+    digest: u32,
+}
+
+/// One node's part in a digest of nodes.
+pub fn digest_of(id: &NodeId) -> u32 {
+    hash::mix(hash::of(id.name.as_bytes()), id.start) as u32
 }
 
 impl Peers {
@@ -57,6 +63,11 @@
         self.up
     }
 
+    /// Digest of the peers that are up; the same for all that agree.
+    pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
     /// One peer.
     pub fn get(&self, id: &NodeId) -> Option<&Peer> {
         self.map.get(id)
@@ -101,7 +112,10 @@
             p.incarnation = r.incarnation.max(p.incarnation);
             p.since = now;
             p.confirms = 0;
-            self.up -= usize::from(was && !p.is_up());
+            if was && !p.is_up() {
+                self.up -= 1;
+                self.digest ^= digest_of(&r.node.id);
+            }
             return true;
         }
         if r.health >= Health::Dead {
@@ -117,6 +131,7 @@
         };
         self.map.insert(r.node.id.clone(), peer);
         self.up += 1;
+        self.digest ^= digest_of(&r.node.id);
         true
     }
 
--- /dev/null
+++ b/crates/decide/tests/claim.rs
@@ -0,0 +1,480 @@
+//! Claims over several nodes and one store that loses answers, delays writes,
+//! reads stale and conflicts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use decide::claim::{Action, Committer, Event, ReadBack, WriteEnd};
+use decide::rng::Rng;
+use model::claim::{ClaimAsk, ClaimEnd, Claims};
+use model::key::{BUCKET_MS, Key};
+use model::{Name, Time};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The same cases on every run.
+const SEED: u64 = 1;
+
+/// Versions and content of claim objects, with the history for stale reads.
+#[derive(Default)]
+struct Store {
+    objects: BTreeMap<Name, Vec<(u64, Option<Claims>)>>,
+    floor: u64,
+    writes: u64,
+}
+
+impl Store {
+    fn now(&self, object: &Name) -> (u64, Option<Claims>) {
+        self.objects
+            .get(object)
+            .and_then(|h| h.last().cloned())
+            .unwrap_or((0, None))
+    }
+
+    fn read(&self, object: &Name, back: usize) -> ReadBack {
+        let history = self.objects.get(object).cloned().unwrap_or_default();
+        let at = history.len().saturating_sub(back + 1);
+        if history.is_empty() || back >= history.len() {
+            return ReadBack::Never;
+        }
+        match history[at].clone() {
+            (version, Some(claims)) => ReadBack::Found { version, claims },
+            (_, None) => ReadBack::Deleted,
+        }
+    }
+
+    fn write(&mut self, object: &Name, expect: u64, claims: Option<Claims>) -> Option<u64> {
+        self.writes += 1;
+        let (version, _) = self.now(object);
+        if version != expect {
+            return None;
+        }
+        self.objects
+            .entry(object.clone())
+            .or_default()
+            .push((version + 1, claims));
+        Some(version + 1)
+    }
+}
+
+struct Late {
+    object: Name,
+    expect: u64,
+    claims: Claims,
+}
+
+struct World {
+    rng: Rng,
+    store: Store,
+    nodes: Vec<Committer>,
+    inbox: Vec<(usize, Event)>,
+    late: Vec<Late>,
+    answers: BTreeMap<u64, ClaimEnd>,
+    asks: BTreeMap<u64, ClaimAsk>,
+    now: Time,
+    trouble: usize,
+}
+
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+impl World {
+    fn new(seed: u64, nodes: usize, trouble: usize) -> Self {
+        World {
+            rng: Rng::new(seed),
+            store: Store::default(),
+            nodes: (0..nodes).map(|_| Committer::default()).collect(),
+            inbox: Vec::new(),
+            late: Vec::new(),
+            answers: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            now: Time::ZERO,
+            trouble,
+        }
+    }
+
+    fn ask(&mut self, node: usize, key: Key) -> u64 {
+        let ticket = self.asks.len() as u64 + 1;
+        let ask = ClaimAsk {
+            key,
+            request: format!("r{ticket}").into(),
+        };
+        self.asks.insert(ticket, ask.clone());
+        let until = self.now + Duration::from_millis(1500);
+        self.inbox.push((
+            node,
+            Event::Ask {
+                ask,
+                ticket,
+                unix_ms: UNIX_MS,
+                until,
+            },
+        ));
+        ticket
+    }
+
+    fn unlucky(&mut self) -> bool {
+        self.trouble > 0 && self.rng.below(100) < self.trouble
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let event = match action {
+            Action::Answer { ticket, end } => {
+                assert!(
+                    self.answers.insert(ticket, end).is_none(),
+                    "one answer a claim"
+                );
+                return;
+            }
+            Action::ReadFloor if self.unlucky() => Event::Floor(None),
+            Action::ReadFloor => Event::Floor(Some(self.store.floor)),
+            Action::Read(object) if self.unlucky() => Event::Read {
+                object,
+                found: ReadBack::Failed,
+            },
+            Action::Read(object) => {
+                let back = if self.unlucky() {
+                    1 + self.rng.below(2)
+                } else {
+                    0
+                };
+                let found = self.store.read(&object, back);
+                Event::Read { object, found }
+            }
+            Action::Write {
+                object,
+                expect,
+                claims,
+            } => {
+                let end = self.write(&object, expect, claims);
+                Event::Wrote { object, end }
+            }
+        };
+        self.inbox.push((node, event));
+    }
+
+    fn write(&mut self, object: &Name, expect: u64, claims: Claims) -> WriteEnd {
+        if self.unlucky() {
+            // Lost: landed, never landed, or lands later.
+            match self.rng.below(3) {
+                0 => drop(self.store.write(object, expect, Some(claims))),
+                1 => self.late.push(Late {
+                    object: object.clone(),
+                    expect,
+                    claims,
+                }),
+                _ => {}
+            }
+            return WriteEnd::Lost;
+        }
+        match self.store.write(object, expect, Some(claims)) {
+            Some(version) => WriteEnd::Done(version),
+            None => WriteEnd::Conflict,
+        }
+    }
+
+    fn step(&mut self) {
+        if !self.late.is_empty() && self.rng.below(10) == 0 {
+            let i = self.rng.below(self.late.len());
+            let l = self.late.remove(i);
+            self.store.write(&l.object, l.expect, Some(l.claims));
+        }
+        self.now = self.now + Duration::from_millis(1 + self.rng.below(5) as u64);
+        let (node, event) = if self.inbox.is_empty() || self.rng.below(4) == 0 {
+            (self.rng.below(self.nodes.len()), Event::Tick)
+        } else {
+            let i = self.rng.below(self.inbox.len());
+            self.inbox.remove(i)
+        };
+        for action in self.nodes[node].on(self.now, event) {
+            self.act(node, action);
+        }
+    }
+
+    fn run(&mut self) {
+        for _ in 0..20_000 {
+            if self.answers.len() == self.asks.len() && self.late.is_empty() {
+                return;
+            }
+            self.step();
+        }
+    }
+
+    fn check(&self) {
+        assert_eq!(
+            self.answers.len(),
+            self.asks.len(),
+            "every claim is answered"
+        );
+        let mut winners: BTreeMap<Key, Name> = BTreeMap::new();
+        for (ticket, end) in &self.answers {
+            let ask = &self.asks[ticket];
+            if *end != ClaimEnd::Won {
+                continue;
+            }
+            let other = winners.insert(ask.key, ask.request.clone());
+            assert!(other.is_none(), "{} won twice: {other:?}", ask.key);
+            let (_, claims) = self.store.now(&ask.key.object());
+            let held = claims.and_then(|c| c.keys.get(&ask.key).cloned());
+            assert_eq!(
+                held.as_ref(),
+                Some(&ask.request),
+                "a winner stands in the store"
+            );
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: RngSeed::Fixed(SEED), ..Default::default() })]
+
+    #[test]
+    fn a_key_is_won_at_most_once_whatever_the_store_does(seed in any::<u64>(), trouble in 0usize..50) {
+        let mut world = World::new(seed, 3, trouble);
+        for i in 0..12u64 {
+            let key = Key::new(UNIX_MS - 40, u128::from(i % 4) << 40);
+            let node = world.rng.below(3);
+            world.ask(node, key);
+        }
+        world.run();
+        world.check();
+    }
+}
+
+#[test]
+fn without_trouble_every_key_is_won() {
+    let mut world = World::new(1, 2, 0);
+    for i in 0..50u64 {
+        world.ask((i % 2) as usize, Key::new(UNIX_MS, u128::from(i) << 30));
+    }
+    world.run();
+    world.check();
+    assert!(world.answers.values().all(|e| *e == ClaimEnd::Won));
+}
+
+#[test]
+fn a_lost_answer_is_settled_for_each_key_of_the_batch() {
+    let key = |i: u64| Key::new(UNIX_MS, u128::from(i) << 40);
+    let mut c = Committer::default();
+    let object = key(0).object();
+    let same: Vec<Key> = (0..200)
+        .map(key)
+        .filter(|k| k.object() == object)
+        .take(3)
+        .collect();
+    for (i, k) in same.iter().enumerate() {
+        let ask = ClaimAsk {
+            key: *k,
+            request: format!("r{i}").into(),
+        };
+        let until = Time::from_millis(1000);
+        c.on(
+            Time::ZERO,
+            Event::Ask {
+                ask,
+                ticket: i as u64,
+                unix_ms: UNIX_MS,
+                until,
+            },
+        );
+    }
+    c.on(
+        Time::ZERO,
+        Event::Read {
+            object: object.clone(),
+            found: ReadBack::Never,
+        },
+    );
+    let t = Time::from_millis(30);
+    let out = c.on(t, Event::Floor(Some(0)));
+    let claims = out.into_iter().find_map(|a| match a {
+        Action::Write { claims, .. } => Some(claims),
+        _ => None,
+    });
+    let claims = claims.expect("one write carries all three");
+    assert_eq!(claims.keys.len(), 3);
+    c.on(
+        t,
+        Event::Wrote {
+            object: object.clone(),
+            end: WriteEnd::Lost,
+        },
+    );
+    let t = Time::from_millis(60);
+    c.on(t, Event::Tick);
+    let found = ReadBack::Found { version: 1, claims };
+    let out = c.on(t, Event::Read { object, found });
+    let won = out.iter().filter(|a| {
+        matches!(
+            a,
+            Action::Answer {
+                end: ClaimEnd::Won,
+                ..
+            }
+        )
+    });
+    assert_eq!(won.count(), 3);
+}
+
+#[test]
+fn a_deleted_object_is_never_made_again_by_a_node_with_a_slow_clock() {
+    // The key's bucket is over, swept and deleted; this node's clock is hours slow.
+    let key = Key::new(UNIX_MS, 5);
+    let slow_clock = UNIX_MS + 1000;
+    for stale in [false, true] {
+        let mut store = Store {
+            floor: UNIX_MS / BUCKET_MS + 10,
+            ..Store::default()
+        };
+        store.write(&key.object(), 0, Some(Claims::default()));
+        store.write(&key.object(), 1, None);
+        let mut c = Committer::default();
+        let ask = ClaimAsk {
+            key,
+            request: "r".into(),
+        };
+        let until = Time::from_millis(5000);
+        let mut inbox = vec![Event::Ask {
+            ask,
+            ticket: 1,
+            unix_ms: slow_clock,
+            until,
+        }];
+        let mut answer = None;
+        let mut now = Time::ZERO;
+        for _ in 0..100 {
+            now = now + Duration::from_millis(20);
+            let event = inbox.pop().unwrap_or(Event::Tick);
+            for action in c.on(now, event) {
+                match action {
+                    Action::Answer { end, .. } => answer = Some(end),
+                    Action::ReadFloor => inbox.push(Event::Floor(Some(store.floor))),
+                    Action::Read(object) => {
+                        let found = store.read(&object, if stale { 2 } else { 0 });
+                        inbox.push(Event::Read { object, found });
+                    }
+                    Action::Write {
+                        object,
+                        expect,
+                        claims,
+                    } => {
+                        let end = match store.write(&object, expect, Some(claims)) {
+                            Some(v) => WriteEnd::Done(v),
+                            None => WriteEnd::Conflict,
+                        };
+                        inbox.push(Event::Wrote { object, end });
+                    }
+                }
+            }
+        }
+        assert_eq!(answer, Some(ClaimEnd::Old), "stale read: {stale}");
+        assert_eq!(store.now(&key.object()).1, None, "it stays deleted");
+    }
+}
+
+#[test]
+fn keys_outside_the_window_are_refused_without_a_call() {
+    let cases = [
+        (UNIX_MS - decide::claim::WINDOW_MS - 1, ClaimEnd::Old),
+        (
+            UNIX_MS + decide::claim::CLOCK_ERROR_MS + 1,
+            ClaimEnd::Future,
+        ),
+    ];
+    for (at, want) in cases {
+        let mut c = Committer::default();
+        let ask = ClaimAsk {
+            key: Key::new(at, 1),
+            request: "r".into(),
+        };
+        let until = Time::from_millis(100);
+        let out = c.on(
+            Time::ZERO,
+            Event::Ask {
+                ask,
+                ticket: 9,
+                unix_ms: UNIX_MS,
+                until,
+            },
+        );
+        assert_eq!(
+            out,
+            vec![Action::Answer {
+                ticket: 9,
+                end: want
+            }]
+        );
+    }
+}
+
+#[test]
+fn store_writes_per_claim_fall_with_the_rate() {
+    // Counted, not timed: a second of claims at each rate, 5 ms a store call.
+    let bounds = [(1u64, 1.0), (100, 0.75), (1000, 0.1)];
+    for (rate, most) in bounds {
+        let mut c = Committer::default();
+        let mut store = Store::default();
+        let mut inbox: BTreeMap<(Time, u64), Event> = BTreeMap::new();
+        let mut seq = 0;
+        for i in 0..rate {
+            let at = Time(i * 1_000_000 / rate);
+            let ms = UNIX_MS + at.0 / 1000;
+            let ask = ClaimAsk {
+                key: Key::new(ms, u128::from(i) * 0x9e37_79b9_7f4a_7c15),
+                request: format!("r{i}").into(),
+            };
+            let until = at + Duration::from_secs(2);
+            seq += 1;
+            inbox.insert(
+                (at, seq),
+                Event::Ask {
+                    ask,
+                    ticket: i,
+                    unix_ms: ms,
+                    until,
+                },
+            );
+        }
+        let mut won = 0;
+        while let Some(((at, _), event)) = inbox.pop_first() {
+            for action in c.on(at, event) {
+                let event = match action {
+                    Action::Answer { end, .. } => {
+                        won += u64::from(end == ClaimEnd::Won);
+                        continue;
+                    }
+                    Action::ReadFloor => Event::Floor(Some(0)),
+                    Action::Read(object) => {
+                        let found = store.read(&object, 0);
+                        Event::Read { object, found }
+                    }
+                    Action::Write {
+                        object,
+                        expect,
+                        claims,
+                    } => {
+                        let end = match store.write(&object, expect, Some(claims)) {
+                            Some(v) => WriteEnd::Done(v),
+                            None => WriteEnd::Conflict,
+                        };
+                        Event::Wrote { object, end }
+                    }
+                };
+                seq += 1;
+                inbox.insert((at + Duration::from_millis(5), seq), event);
+            }
+            if let Some(tick) = c.next_tick()
+                && inbox.keys().next().is_none_or(|(t, _)| *t > tick)
+            {
+                seq += 1;
+                inbox.insert((tick.max(at), seq), Event::Tick);
+            }
+        }
+        assert_eq!(won, rate);
+        let per_claim = store.writes as f64 / rate as f64;
+        println!("{rate} claims a second: {per_claim:.3} writes a claim");
+        assert!(
+            per_claim <= most,
+            "{rate}/s: {per_claim} writes a claim, {most} allowed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/limits.rs
@@ -0,0 +1,302 @@
+//! Admission, budgets of time and retries, concurrency and rates.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use decide::admit::{Gate, Verdict, Waiter};
+use decide::deadline::{self, StepTimes};
+use decide::limit::{Bucket, Concurrency, RateHome, Slice};
+use decide::load::{Board, poll_rank};
+use decide::retry::{Budget, backoff};
+use decide::rng::Rng;
+use model::load::Report;
+use model::object::Priority;
+use model::outcome::Reason;
+use model::{Name, Time};
+
+fn waiter(name: &str, priority: Priority, deadline: u64) -> Waiter {
+    Waiter {
+        request: name.into(),
+        priority,
+        deadline: Time::from_millis(deadline),
+        need: Duration::from_millis(100),
+    }
+}
+
+#[test]
+fn urgent_goes_before_normal_before_patient_and_then_the_earliest_deadline() {
+    let mut g = Gate::new(1, 10);
+    g.arrive(Time::ZERO, waiter("first", Priority::Normal, 5000));
+    g.arrive(Time::ZERO, waiter("patient", Priority::Patient, 1000));
+    g.arrive(Time::ZERO, waiter("late", Priority::Urgent, 9000));
+    g.arrive(Time::ZERO, waiter("early", Priority::Urgent, 2000));
+    let mut order = Vec::new();
+    let mut last: Name = "first".into();
+    for _ in 0..3 {
+        let out = g.finished(Time::ZERO, &last, true);
+        let [Verdict::Run(next)] = &out[..] else {
+            panic!("{out:?}")
+        };
+        last = next.clone();
+        order.push(last.to_string());
+    }
+    assert_eq!(order, ["early", "late", "patient"]);
+}
+
+#[test]
+fn a_full_queue_sheds_the_last_in_order() {
+    let mut g = Gate::new(1, 1);
+    g.arrive(Time::ZERO, waiter("runs", Priority::Normal, 5000));
+    g.arrive(Time::ZERO, waiter("patient", Priority::Patient, 5000));
+    let out = g.arrive(Time::ZERO, waiter("urgent", Priority::Urgent, 5000));
+    assert_eq!(
+        out,
+        vec![Verdict::Refuse("patient".into(), Reason::Overload)]
+    );
+}
+
+#[test]
+fn what_cannot_finish_is_refused_at_once() {
+    let mut g = Gate::new(1, 10);
+    g.arrive(Time::ZERO, waiter("runs", Priority::Normal, 5000));
+    let out = g.arrive(Time::ZERO, waiter("hopeless", Priority::Urgent, 50));
+    assert_eq!(
+        out,
+        vec![Verdict::Refuse("hopeless".into(), Reason::Hopeless)]
+    );
+    g.arrive(Time::ZERO, waiter("waits", Priority::Urgent, 300));
+    assert!(g.tick(Time::from_millis(150)).is_empty());
+    let out = g.tick(Time::from_millis(201));
+    assert_eq!(out, vec![Verdict::Refuse("waits".into(), Reason::Hopeless)]);
+}
+
+#[test]
+fn an_idle_node_takes_even_what_looks_hopeless() {
+    // Times seen under load must not shut a node that has nothing to do.
+    let mut g = Gate::new(4, 10);
+    let out = g.arrive(Time::ZERO, waiter("only", Priority::Normal, 50));
+    assert_eq!(out, vec![Verdict::Run("only".into())]);
+}
+
+#[test]
+fn late_answers_narrow_the_gate_and_timely_ones_widen_it_again() {
+    let mut g = Gate::new(64, 10);
+    let mut now = Time::ZERO;
+    for i in 0..100 {
+        now = now + Duration::from_millis(150);
+        let name: Name = format!("r{i}").into();
+        g.arrive(now, waiter(&name, Priority::Normal, u64::MAX / 2000));
+        g.finished(now, &name, false);
+    }
+    let narrow = g.width();
+    assert!(narrow <= 8, "{narrow}");
+    let mut names = std::collections::VecDeque::new();
+    for i in 0..4000 {
+        let name: Name = format!("s{i}").into();
+        g.arrive(now, waiter(&name, Priority::Normal, u64::MAX / 2000));
+        names.push_back(name);
+        if names.len() > g.width() {
+            let old = names.pop_front().expect("one runs");
+            g.finished(now, &old, true);
+        }
+    }
+    assert!(g.width() > narrow * 3, "{}", g.width());
+}
+
+#[test]
+fn patient_work_leaves_room_for_urgent() {
+    let mut g = Gate::new(10, 100);
+    for i in 0..20 {
+        g.arrive(
+            Time::ZERO,
+            waiter(&format!("p{i}"), Priority::Patient, 50_000),
+        );
+    }
+    assert_eq!(g.running(), 7, "seven tenths");
+    let out = g.arrive(Time::ZERO, waiter("stock", Priority::Urgent, 800));
+    assert_eq!(out, vec![Verdict::Run("stock".into())]);
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut b = Budget::new(0.1, 10.0);
+    let (mut sent, mut retried) = (0, 0);
+    // A stage that fails outright: after the reserve no retry is left.
+    for _ in 0..1000 {
+        sent += 1;
+        retried += u32::from(b.take());
+    }
+    assert_eq!(retried, 10);
+    assert!(f64::from(sent + retried) / f64::from(sent) <= 1.2);
+    for _ in 0..50 {
+        b.success();
+    }
+    assert!(b.take());
+}
+
+#[test]
+fn backoff_is_jittered_under_a_growing_bound() {
+    let mut rng = Rng::new(1);
+    for attempts in 1..10 {
+        for _ in 0..100 {
+            assert!(backoff(attempts, &mut rng) <= Duration::from_millis(200));
+        }
+    }
+    let first: Vec<_> = (0..20).map(|_| backoff(1, &mut rng)).collect();
+    assert!(first.iter().any(|d| *d != first[0]), "not all the same");
+}
+
+#[test]
+fn a_step_budget_leaves_time_for_the_later_steps() {
+    let mut slow = StepTimes::default();
+    for _ in 0..100 {
+        slow.record(Duration::from_millis(200));
+    }
+    let quick = StepTimes::default();
+    let times = [&quick, &slow, &slow];
+    let later = deadline::later(&times, 0);
+    assert!((395..=410).contains(&later.as_millis()), "{later:?}");
+    let budget = deadline::budget(Time::ZERO, Time::from_millis(1000), later);
+    assert!((590..=605).contains(&budget.as_millis()), "{budget:?}");
+    assert!(!deadline::feasible(
+        Duration::from_millis(300),
+        &times,
+        Duration::ZERO
+    ));
+    assert!(deadline::feasible(
+        Duration::from_millis(500),
+        &times,
+        Duration::ZERO
+    ));
+}
+
+#[test]
+fn timeouts_follow_the_observed_times() {
+    let mut t = StepTimes::default();
+    assert_eq!(t.hedge(), None, "no hedge before there are samples");
+    for i in 0..1000 {
+        t.record(Duration::from_millis(20 + i % 10));
+    }
+    let timeout = t.timeout().as_millis();
+    assert!((80..100).contains(&timeout), "{timeout}");
+    assert!(t.hedge().is_some_and(|h| h >= Duration::from_millis(28)));
+}
+
+#[test]
+fn concurrency_narrows_under_queueing_and_never_closes() {
+    let mut c = Concurrency::default();
+    let start = c.width();
+    let mut now = Time::from_millis(1);
+    for i in 0..200 {
+        now = now + Duration::from_millis(250);
+        c.sample(now, if i == 0 { 10.0 } else { 500.0 }, 32);
+    }
+    assert!(c.width() < start && c.width() >= 4, "{}", c.width());
+    for _ in 0..5000 {
+        c.sample(now, 10.0, c.width());
+    }
+    assert!(c.width() > 16, "{}", c.width());
+}
+
+#[test]
+fn a_bucket_says_when_to_come_back() {
+    let mut b = Bucket::new(2.0, Time::ZERO);
+    assert!(b.take(Time::ZERO).is_ok());
+    let wait = b.take(Time::ZERO).expect_err("empty");
+    assert!((490..=510).contains(&wait.as_millis()), "{wait:?}");
+    assert!(b.take(Time::ZERO + wait).is_ok());
+}
+
+/// Nodes that ask a home for slices; returns requests taken in ten seconds.
+fn limited(nodes: usize, home_up: impl Fn(u64) -> bool, demand: impl Fn(usize) -> u64) -> u64 {
+    const RATE: f64 = 100.0;
+    let mut home = RateHome::new(RATE);
+    let mut slices: Vec<Slice> = (0..nodes)
+        .map(|_| Slice::new(RATE, nodes, Time::ZERO))
+        .collect();
+    let mut taken = 0;
+    for ms in 0..12_000u64 {
+        let now = Time::from_millis(ms);
+        for (i, s) in slices.iter_mut().enumerate() {
+            if ms % 500 == i as u64 && home_up(ms) {
+                let d = s.demand(now);
+                let lend = home.lend(now, &format!("n{i}").into(), d, nodes);
+                s.lent(now, now, lend);
+            }
+            let per_second = demand(i);
+            if per_second > 0 && ms % (1000 / per_second) == 0 && s.take(now, nodes).is_ok() {
+                taken += u64::from(ms >= 2000);
+            }
+        }
+    }
+    taken
+}
+
+#[test]
+fn a_workspace_rate_holds_over_all_nodes() {
+    // Even, uneven and cut off: never over the rate by more than the stated error.
+    let cases: [(&str, u64); 3] = [
+        ("even", limited(8, |_| true, |_| 50)),
+        (
+            "one node has it all",
+            limited(8, |_| true, |i| if i == 0 { 200 } else { 0 }),
+        ),
+        ("home gone", limited(8, |ms| ms < 3000, |_| 50)),
+    ];
+    for (name, taken) in cases {
+        assert!(
+            taken <= 1100,
+            "{name}: {taken} in ten seconds at 100 a second"
+        );
+    }
+    let (even, uneven) = (cases[0].1, cases[1].1);
+    assert!(even >= 850, "even demand gets nearly all of it: {even}");
+    assert!(uneven >= 700, "one busy node gets most of it: {uneven}");
+}
+
+#[test]
+fn each_target_has_two_pollers_and_they_move_little() {
+    let nodes: Vec<Name> = (0..57).map(|i| format!("n{i}").into()).collect();
+    let mut load: BTreeMap<&Name, usize> = BTreeMap::new();
+    for t in 0..217 {
+        let target = format!("t{t}");
+        let pollers: Vec<_> = nodes
+            .iter()
+            .filter(|n| poll_rank(&target, n, &nodes).is_some())
+            .collect();
+        assert_eq!(pollers.len(), 2);
+        for p in pollers {
+            *load.entry(p).or_default() += 1;
+        }
+    }
+    assert!(load.values().all(|n| *n <= 20), "{load:?}");
+}
+
+#[test]
+fn only_changes_worth_telling_go_round_and_old_gossip_is_dropped() {
+    let name: Name = "t1".into();
+    let report = |wait: u32, seq: u64, leaving: bool| Report {
+        target: name.clone(),
+        wait,
+        seq,
+        leaving,
+        ..Report::default()
+    };
+    let mut a = Board::default();
+    let mut b = Board::default();
+    a.set_targets([&name].into_iter());
+    b.set_targets([&name].into_iter());
+    let first = a.polled(report(100, 10, false)).expect("new");
+    assert!(
+        a.polled(report(101, 11, false)).is_none(),
+        "a small change stays at home"
+    );
+    let leaving = a.polled(report(101, 12, true)).expect("leaving is news");
+    assert!(b.heard(leaving).is_some());
+    assert!(b.heard(first).is_none(), "older gossip is dropped");
+    assert!(
+        b.heard(leaving).is_none(),
+        "and what is known is not passed on"
+    );
+    assert!(b.get("t1").is_some_and(|n| n.report.leaving));
+}
--- /dev/null
+++ b/crates/decide/tests/member.rs
@@ -0,0 +1,274 @@
+//! Membership over a network that loses and delays datagrams: joins, deaths,
+//! pauses, restarts, partitions, and how fast news of a manifest spreads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use decide::member::{Action, Event, Member, Tuning};
+use decide::rng::Rng;
+use model::Time;
+use model::member::{LoadRumor, Node, NodeId, Packet};
+
+fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, i as u8], 7000))
+}
+
+fn node(i: usize, start: u64) -> Node {
+    let id = NodeId {
+        name: format!("n{i}").into(),
+        start,
+    };
+    Node {
+        id,
+        address: address(i),
+        entry: address(i),
+    }
+}
+
+struct Net {
+    rng: Rng,
+    nodes: BTreeMap<usize, Member>,
+    paused: BTreeMap<usize, Time>,
+    wire: BTreeMap<(Time, u64), (SocketAddr, usize, Packet)>,
+    seq: u64,
+    now: Time,
+    loss: usize,
+    cut: Option<usize>,
+    heard: BTreeMap<usize, (u64, Time)>,
+    loads: BTreeMap<usize, LoadRumor>,
+}
+
+impl Net {
+    fn new(n: usize, loss: usize, seed: u64) -> Self {
+        let mut net = Net {
+            rng: Rng::new(seed),
+            nodes: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            wire: BTreeMap::new(),
+            seq: 0,
+            now: Time::ZERO,
+            loss,
+            cut: None,
+            heard: BTreeMap::new(),
+            loads: BTreeMap::new(),
+        };
+        for i in 0..n {
+            net.start(i);
+        }
+        net
+    }
+
+    fn start(&mut self, i: usize) {
+        let start = self.rng.draw().max(1);
+        let mut m = Member::new(node(i, start), Tuning::default(), self.rng.draw());
+        m.on(
+            self.now,
+            Event::Seeds(vec![address(0), address(1), address(2)]),
+        );
+        self.nodes.insert(i, m);
+    }
+
+    fn feed(&mut self, i: usize, event: Event) {
+        let Some(m) = self.nodes.get_mut(&i) else {
+            return;
+        };
+        for action in m.on(self.now, event) {
+            match action {
+                Action::Send(to, packet) => self.send(i, to, packet),
+                Action::Heard(number, _) => {
+                    // The fetch takes a little while; then it is in force here.
+                    self.heard
+                        .insert(i, (number, self.now + Duration::from_millis(10)));
+                }
+                Action::Load(load) => {
+                    if self.loads.insert(i, load) != Some(load) {
+                        self.feed(i, Event::Load(load));
+                    }
+                }
+                Action::Changed(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
+        let Some(to) = (0..256).find(|i| address(*i) == to) else {
+            return;
+        };
+        let parted = self.cut.is_some_and(|c| (from < c) != (to < c));
+        if parted || self.rng.below(100) < self.loss {
+            return;
+        }
+        self.seq += 1;
+        let at = self.now + Duration::from_micros(300 + self.rng.below(2000) as u64);
+        self.wire
+            .insert((at, self.seq), (address(from), to, packet));
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + Duration::from_millis(ms);
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(1);
+            let later = self.wire.split_off(&(self.now, u64::MAX));
+            for (_, (from, to, packet)) in std::mem::replace(&mut self.wire, later) {
+                if self.paused.get(&to).is_none_or(|until| *until <= self.now) {
+                    self.feed(to, Event::Packet { from, packet });
+                }
+            }
+            for (i, (number, at)) in self.heard.clone() {
+                if at <= self.now {
+                    self.heard.remove(&i);
+                    self.feed(i, Event::Applied(number));
+                }
+            }
+            let due: Vec<usize> = self
+                .nodes
+                .iter()
+                .filter(|(i, m)| {
+                    m.next_tick() <= self.now
+                        && self.paused.get(i).is_none_or(|until| *until <= self.now)
+                })
+                .map(|(i, _)| *i)
+                .collect();
+            for i in due {
+                self.feed(i, Event::Tick);
+            }
+        }
+    }
+
+    /// How many nodes see how many up.
+    fn views(&self) -> Vec<usize> {
+        self.nodes.values().map(Member::count).collect()
+    }
+
+    fn sees(&self, i: usize, other: usize) -> bool {
+        self.nodes[&i]
+            .peers()
+            .any(|p| p.node.address == address(other))
+    }
+}
+
+#[test]
+fn all_find_each_other_from_seeds() {
+    for loss in [0, 5] {
+        let mut net = Net::new(20, loss, 1);
+        net.run(8_000);
+        assert!(
+            net.views().iter().all(|n| *n == 20),
+            "loss {loss}: {:?}",
+            net.views()
+        );
+    }
+}
+
+#[test]
+fn a_dead_node_is_found_by_all_within_bound() {
+    let mut net = Net::new(20, 1, 2);
+    net.run(10_000);
+    net.nodes.remove(&7);
+    let killed = net.now;
+    while net.nodes.keys().any(|i| net.sees(*i, 7)) {
+        net.run(100);
+        let took = net.now.since(killed);
+        assert!(took < Duration::from_secs(8), "still seen after {took:?}");
+    }
+}
+
+#[test]
+fn nobody_is_taken_for_dead_without_cause() {
+    let mut net = Net::new(20, 2, 3);
+    net.run(10_000);
+    for _ in 0..60 {
+        net.run(1_000);
+        assert!(net.views().iter().all(|n| *n == 20), "{:?}", net.views());
+    }
+}
+
+#[test]
+fn a_paused_node_comes_back_as_a_new_member() {
+    let mut net = Net::new(12, 0, 4);
+    net.run(8_000);
+    net.paused.insert(5, net.now + Duration::from_secs(20));
+    net.run(15_000);
+    assert!(
+        net.nodes
+            .keys()
+            .filter(|i| **i != 5)
+            .all(|i| !net.sees(*i, 5))
+    );
+    net.run(20_000);
+    assert!(net.views().iter().all(|n| *n == 12), "{:?}", net.views());
+}
+
+#[test]
+fn a_restart_at_the_same_address_buries_the_former_self() {
+    let mut net = Net::new(12, 0, 5);
+    net.run(8_000);
+    let former = net.nodes[&4].me().id.clone();
+    net.start(4);
+    net.run(12_000);
+    assert!(net.views().iter().all(|n| *n == 12), "{:?}", net.views());
+    let still = net
+        .nodes
+        .values()
+        .any(|m| m.peers().any(|p| p.node.id == former));
+    assert!(!still, "the former self is gone");
+}
+
+#[test]
+fn a_partition_heals() {
+    let mut net = Net::new(12, 0, 6);
+    net.run(8_000);
+    net.cut = Some(6);
+    net.run(30_000);
+    assert!(net.views().iter().all(|n| *n == 6), "{:?}", net.views());
+    net.cut = None;
+    net.run(60_000);
+    assert!(net.views().iter().all(|n| *n == 12), "{:?}", net.views());
+}
+
+#[test]
+fn a_node_that_leaves_is_known_at_once() {
+    let mut net = Net::new(12, 0, 7);
+    net.run(8_000);
+    net.feed(3, Event::Leave);
+    net.nodes.remove(&3);
+    net.run(50);
+    assert!(net.nodes.keys().all(|i| !net.sees(*i, 3)));
+}
+
+#[test]
+fn a_manifest_is_known_to_all_within_a_second() {
+    let mut net = Net::new(57, 1, 8);
+    net.run(12_000);
+    net.feed(11, Event::Applied(42));
+    net.run(1_000);
+    let have = net.nodes.values().filter(|m| m.applied() == 42).count();
+    assert_eq!(have, 57);
+    // And soon everybody that may report on the domain knows it of everybody.
+    net.run(5_000);
+    let relays = net.nodes[&0].relays();
+    for m in net
+        .nodes
+        .values()
+        .filter(|m| relays.contains(&m.me().id.name))
+    {
+        assert_eq!(m.in_force(42), (57, 57, 42), "{}", m.me().id.name);
+    }
+}
+
+#[test]
+fn leaving_reaches_all_within_a_few_periods() {
+    let mut net = Net::new(57, 1, 9);
+    net.run(12_000);
+    let load = LoadRumor {
+        target: 77,
+        wait: 0,
+        seq: 1,
+        flags: 3,
+    };
+    net.loads.insert(2, load);
+    net.feed(2, Event::Load(load));
+    net.run(7_000);
+    assert_eq!(net.loads.len(), 57);
+}
--- /dev/null
+++ b/crates/decide/tests/route.rs
@@ -0,0 +1,232 @@
+//! Routing: homes, spills, failure domains, versions, leaving and ejection.
+
+use std::time::Duration;
+
+use decide::rng::Rng;
+use decide::route::{Ask, PolicyKind, PoolTable, TargetInfo, make_policy};
+use model::load::{Report, TargetNews};
+use model::{Name, Time};
+
+const NOW: Time = Time::from_millis(10_000);
+
+fn table(n: usize, distance: impl Fn(usize) -> u8) -> PoolTable {
+    let mut t = PoolTable::default();
+    t.set_targets(
+        (0..n)
+            .map(|i| TargetInfo {
+                name: format!("t{i}").into(),
+                address: format!("10.0.0.{i}:1").into(),
+                domain: "a".into(),
+                distance: distance(i),
+            })
+            .collect(),
+    );
+    t
+}
+
+fn ask(prefix: u64) -> Ask<'static> {
+    Ask {
+        now: NOW,
+        prefix,
+        model: None,
+        tried: &[],
+    }
+}
+
+fn pick(kind: PolicyKind, t: &PoolTable, prefix: u64) -> Option<Name> {
+    let i = make_policy(kind, 1).pick(&ask(prefix), t)?;
+    Some(t.slots()[i].info.name.clone())
+}
+
+fn news(name: &str, seq: u64) -> TargetNews {
+    let report = Report {
+        target: name.into(),
+        seq,
+        ..Report::default()
+    };
+    TargetNews {
+        report,
+        seq,
+        ready: true,
+    }
+}
+
+const ALL: [PolicyKind; 7] = [
+    PolicyKind::RoundRobin,
+    PolicyKind::LeastOutstanding,
+    PolicyKind::SessionHash,
+    PolicyKind::SessionHashBound,
+    PolicyKind::Home,
+    PolicyKind::HomeUnbound,
+    PolicyKind::HomeNext,
+];
+
+#[test]
+fn every_node_finds_the_same_home() {
+    let t = table(20, |_| 0);
+    let mut reversed = PoolTable::default();
+    reversed.set_targets(t.slots().iter().rev().map(|s| s.info.clone()).collect());
+    for prefix in 0..200 {
+        assert_eq!(
+            pick(PolicyKind::Home, &t, prefix),
+            pick(PolicyKind::Home, &reversed, prefix)
+        );
+    }
+}
+
+#[test]
+fn a_target_that_goes_moves_only_its_own_prefixes() {
+    let t = table(20, |_| 0);
+    let mut smaller = PoolTable::default();
+    let rest = t.slots().iter().filter(|s| &*s.info.name != "t3");
+    smaller.set_targets(rest.map(|s| s.info.clone()).collect());
+    for prefix in 0..500 {
+        let before = pick(PolicyKind::Home, &t, prefix).expect("a home");
+        let after = pick(PolicyKind::Home, &smaller, prefix).expect("a home");
+        assert!(before == after || &*before == "t3");
+    }
+}
+
+#[test]
+fn no_policy_takes_a_target_that_is_leaving_unready_or_holds_another_version() {
+    for kind in ALL {
+        let mut t = table(4, |_| 0);
+        t.leave("t0");
+        let down = TargetNews {
+            ready: false,
+            ..news("t1", 1)
+        };
+        t.hear(NOW, &down);
+        for (name, model) in [("t2", "m@v1"), ("t3", "m@v2")] {
+            let mut n = news(name, 1);
+            n.report.models = vec![model.into()];
+            t.hear(NOW, &n);
+        }
+        let mut policy = make_policy(kind, 1);
+        for prefix in 0..100 {
+            let ask = Ask {
+                model: Some("m@v2"),
+                ..ask(prefix)
+            };
+            let i = policy.pick(&ask, &t).expect("t3 fits");
+            assert_eq!(&*t.slots()[i].info.name, "t3", "{kind:?}");
+        }
+    }
+}
+
+#[test]
+fn older_news_never_replaces_newer() {
+    let mut t = table(1, |_| 0);
+    let mut leaving = news("t0", 5);
+    leaving.report.leaving = true;
+    t.hear(NOW, &leaving);
+    t.hear(NOW, &news("t0", 4));
+    assert!(t.slots()[0].leaving);
+}
+
+#[test]
+fn the_own_failure_domain_comes_first_and_the_next_when_it_is_full() {
+    let mut t = table(6, |i| u8::from(i >= 3));
+    for prefix in 0..100 {
+        let name = pick(PolicyKind::Home, &t, prefix).expect("a target");
+        assert!(["t0", "t1", "t2"].contains(&&*name), "{name}");
+    }
+    for name in ["t0", "t1", "t2"] {
+        for _ in 0..64 {
+            t.sent(name);
+        }
+    }
+    for prefix in 0..100 {
+        let name = pick(PolicyKind::Home, &t, prefix).expect("a target");
+        assert!(["t3", "t4", "t5"].contains(&&*name), "{name}");
+    }
+}
+
+#[test]
+fn a_hot_prefix_spills_along_its_own_order() {
+    let mut t = table(20, |_| 0);
+    let home = pick(PolicyKind::Home, &t, 9).expect("a home");
+    let mut policy = make_policy(PolicyKind::Home, 3);
+    let mut taken = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        let i = policy.pick(&ask(9), &t).expect("a target");
+        let name = t.slots()[i].info.name.clone();
+        t.sent(&name);
+        taken.insert(name);
+    }
+    assert!(taken.contains(&home));
+    assert!(
+        (2..=4).contains(&taken.len()),
+        "spill stays on the next few: {taken:?}"
+    );
+}
+
+#[test]
+fn a_target_that_fails_is_ejected_but_never_most_of_the_pool() {
+    let mut t = table(6, |_| 0);
+    let mut ejected = 0;
+    for i in 0..6 {
+        for _ in 0..10 {
+            t.sent(&format!("t{i}"));
+            ejected += usize::from(t.failed(NOW, &format!("t{i}")));
+        }
+    }
+    assert_eq!(ejected, 2, "a third of six");
+    let fit = t
+        .slots()
+        .iter()
+        .filter(|s| PoolTable::fits(s, NOW, None))
+        .count();
+    assert_eq!(fit, 4);
+    let later = NOW + Duration::from_secs(31);
+    let fit = t
+        .slots()
+        .iter()
+        .filter(|s| PoolTable::fits(s, later, None))
+        .count();
+    assert_eq!(fit, 6, "ejection ends");
+}
+
+#[test]
+fn a_slow_target_gets_less_once_its_answers_show_it() {
+    let mut t = table(4, |_| 0);
+    let mut rng = Rng::new(4);
+    let mut policy = make_policy(PolicyKind::Home, 5);
+    let mut counts = [0u32; 4];
+    for n in 0..2000u64 {
+        let now = NOW + Duration::from_millis(n);
+        let i = policy
+            .pick(
+                &Ask {
+                    now,
+                    ..ask(rng.draw())
+                },
+                &t,
+            )
+            .expect("a target");
+        let name = t.slots()[i].info.name.clone();
+        t.sent(&name);
+        counts[i] += 1;
+        let ms = if i == 0 { 500 } else { 10 };
+        t.answering(now, &name, Duration::from_millis(ms));
+        // The slow one holds its calls; the others are done at once.
+        if i != 0 || n % 20 == 0 {
+            t.done(now, &name);
+        }
+    }
+    assert!(counts[0] * 4 < counts[1], "{counts:?}");
+}
+
+#[test]
+fn a_changed_pool_keeps_what_is_known_of_those_that_stay() {
+    let mut t = table(3, |_| 0);
+    t.sent("t1");
+    t.leave("t2");
+    let mut infos: Vec<TargetInfo> = t.slots().iter().map(|s| s.info.clone()).collect();
+    infos.remove(0);
+    infos.reverse();
+    t.set_targets(infos);
+    assert_eq!(t.slot("t1").map(|s| s.flying), Some(1));
+    assert!(t.slot("t2").is_some_and(|s| s.leaving));
+    assert!(t.slot("t0").is_none());
+}
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -97,6 +97,8 @@
     pub purpose: Purpose,
     /// Manifest in force on the sender.
     pub number: u64,
+    /// Digest of the nodes that the sender takes to be up.
+    pub digest: u32,
     /// Rumors, most urgent first.
     pub rumors: Vec<Rumor>,
     /// Changed loads.
