--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -95,11 +95,7 @@
         for s in &self.seen {
             check_words(s, &mut out);
             let empty = Vec::new();
-            let own = s
-                .request
-                .as_ref()
-                .and_then(|id| runs.get(id))
-                .unwrap_or(&empty);
+            let own = s.request.as_ref().and_then(|id| runs.get(id)).unwrap_or(&empty);
             self.check_runs(s, own, &mut out);
         }
         self.check_once(&runs, &mut out);
@@ -112,9 +108,8 @@
         };
         match s.ends.first() {
             Some(Outcome::NotRun) => {
-                let steps = own
-                    .iter()
-                    .map(|r| Finding::UntrulyNotRun(request.clone(), r.step.clone()));
+                let steps =
+                    own.iter().map(|r| Finding::UntrulyNotRun(request.clone(), r.step.clone()));
                 out.extend(steps);
             }
             Some(Outcome::Complete) => {
@@ -137,10 +132,7 @@
         let mut counts: BTreeMap<(Key, Name), usize> = BTreeMap::new();
         let owners: BTreeMap<&Name, Key> = holder.iter().map(|(k, r)| (*r, **k)).collect();
         for (request, list) in runs {
-            for r in list
-                .iter()
-                .filter(|r| !r.resumed && self.rules.once.contains(&r.step))
-            {
+            for r in list.iter().filter(|r| !r.resumed && self.rules.once.contains(&r.step)) {
                 match owners.get(request) {
                     Some(key) => *counts.entry((*key, r.step.clone())).or_default() += 1,
                     None => out.push(Finding::Unclaimed((*request).clone(), r.step.clone())),
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -22,12 +22,7 @@
 }
 
 fn ran(request: &str, step: &str) -> Ran {
-    Ran {
-        request: request.into(),
-        step: step.into(),
-        resumed: false,
-        done: true,
-    }
+    Ran { request: request.into(), step: step.into(), resumed: false, done: true }
 }
 
 /// Two complete requests, one refused, one failed half way.
@@ -51,10 +46,7 @@
             ran("r4", "look"),
         ],
         claims: vec![claims],
-        rules: Rules {
-            steps: vec!["look".into(), "pay".into()],
-            once: ["pay".into()].into(),
-        },
+        rules: Rules { steps: vec!["look".into(), "pay".into()], once: ["pay".into()].into() },
     }
 }
 
@@ -68,32 +60,13 @@
     type Plant = fn(&mut Record);
     let cases: [(&str, Plant, Finding); 9] = [
         ("lost", |r| r.seen[0].ends.clear(), Finding::Lost(1)),
-        (
-            "doubled",
-            |r| r.seen[0].ends.push(Outcome::Complete),
-            Finding::Doubled(1, 2),
-        ),
-        (
-            "misdelivered",
-            |r| r.seen[1].text = "another answer".into(),
-            Finding::WrongText(2),
-        ),
-        (
-            "cut short",
-            |r| r.seen[1].text = "the an".into(),
-            Finding::WrongText(2),
-        ),
-        (
-            "spliced",
-            |r| r.seen[3].text = "the xx".into(),
-            Finding::ForeignText(4),
-        ),
+        ("doubled", |r| r.seen[0].ends.push(Outcome::Complete), Finding::Doubled(1, 2)),
+        ("misdelivered", |r| r.seen[1].text = "another answer".into(), Finding::WrongText(2)),
+        ("cut short", |r| r.seen[1].text = "the an".into(), Finding::WrongText(2)),
+        ("spliced", |r| r.seen[3].text = "the xx".into(), Finding::ForeignText(4)),
         (
             "unfounded",
-            |r| {
-                r.ran
-                    .retain(|x| !(&*x.request == "r1" && &*x.step == "look"))
-            },
+            |r| r.ran.retain(|x| !(&*x.request == "r1" && &*x.step == "look")),
             Finding::Unfounded("r1".into(), "look".into()),
         ),
         (
@@ -101,11 +74,7 @@
             |r| r.ran.push(ran("r3", "look")),
             Finding::UntrulyNotRun("r3".into(), "look".into()),
         ),
-        (
-            "run twice",
-            |r| r.ran.push(ran("r2", "pay")),
-            Finding::RanTwice(key(2), "pay".into(), 2),
-        ),
+        ("run twice", |r| r.ran.push(ran("r2", "pay")), Finding::RanTwice(key(2), "pay".into(), 2)),
         (
             "run without the claim",
             |r| r.ran.push(ran("r9", "pay")),
@@ -122,10 +91,7 @@
 #[test]
 fn reading_the_rest_of_a_stream_is_no_second_run() {
     let mut record = clean();
-    record.ran.push(Ran {
-        resumed: true,
-        ..ran("r2", "pay")
-    });
+    record.ran.push(Ran { resumed: true, ..ran("r2", "pay") });
     assert_eq!(record.audit(), vec![]);
 }
 
--- /dev/null
+++ b/crates/bench/benches/decide.rs
@@ -0,0 +1,55 @@
+//! Times of single decisions: criterion, for people; CI holds counted figures only.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use decide::rng::Rng;
+use decide::route::{Ask, PolicyKind, PoolTable, TargetInfo, make_policy};
+use model::Time;
+use model::attempt::{Attempt, Frame};
+
+fn table(n: usize) -> PoolTable {
+    let mut t = PoolTable::default();
+    let info = |i: usize| TargetInfo {
+        name: format!("engine-{i}").into(),
+        address: "10.0.0.1:9000".into(),
+        domain: "a".into(),
+        distance: 0,
+    };
+    t.set_targets((0..n).map(info).collect());
+    t
+}
+
+fn route(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route");
+    for kind in [PolicyKind::Home, PolicyKind::SessionHashBound, PolicyKind::LeastOutstanding] {
+        for n in [20, 217, 1300] {
+            let t = table(n);
+            let mut policy = make_policy(kind, 1);
+            let mut rng = Rng::new(1);
+            group.bench_function(BenchmarkId::new(format!("{kind:?}"), n), |b| {
+                b.iter(|| {
+                    let now = Time::from_millis(5);
+                    let ask =
+                        Ask { now, prefix: rng.draw(), model: None, budget: 500.0, tried: &[] };
+                    policy.pick(&ask, &t)
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+fn assemble(c: &mut Criterion) {
+    let attempt = Attempt { request: "r".into(), step: 0, number: 0 };
+    c.bench_function("assemble 100 frames", |b| {
+        b.iter(|| {
+            let mut a = decide::request::Assembly::new(attempt.clone(), 0);
+            for seq in 0..100 {
+                a.take(Frame::Chunk { attempt: attempt.clone(), seq, text: "word ".into() });
+            }
+            a.next()
+        });
+    });
+}
+
+criterion_group!(benches, route, assemble);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/bench/src/cmd/compare.rs
@@ -0,0 +1,39 @@
+//! `pumicevale-bench compare`: two runs of one plan side by side.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+
+use crate::experiment::{Row, summary};
+
+/// Compares two runs.
+pub struct Compare {
+    /// One.
+    pub a: PathBuf,
+    /// The other.
+    pub b: PathBuf,
+}
+
+impl Compare {
+    /// Refuses rows of different plans.
+    pub fn run(self) -> anyhow::Result<()> {
+        let (a, b) = (read(&self.a)?, read(&self.b)?);
+        let plans: std::collections::BTreeSet<&str> =
+            a.iter().chain(&b).map(|r| r.plan.as_str()).collect();
+        anyhow::ensure!(plans.len() <= 1, "the rows are of different plans: {plans:?}");
+        println!(
+            "{}\n\n{}\n\n{}\n\n{}",
+            self.a.display(),
+            summary(&a),
+            self.b.display(),
+            summary(&b)
+        );
+        Ok(())
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<Vec<Row>> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("could not read {}", path.display()))?;
+    Ok(util::settings::parse(path, &text)?)
+}
--- /dev/null
+++ b/crates/bench/src/cmd/mod.rs
@@ -0,0 +1,29 @@
+//! One file a subcommand.
+
+mod check;
+mod compare;
+mod in_force;
+mod overhead;
+mod run;
+mod slopes;
+
+use anyhow::Context;
+
+use crate::args::Args;
+
+pub use check::{Bound, check};
+
+/// Runs a subcommand.
+pub fn run(args: Args) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+    match args {
+        Args::Run { out, plan } => runtime.block_on(run::Run { out, plan }.run()),
+        Args::Compare { a, b } => compare::Compare { a, b }.run(),
+        Args::Slopes { counted } => slopes::Slopes { counted }.run(),
+        Args::Overhead { requests } => runtime.block_on(overhead::Overhead { requests }.run()),
+        Args::InForce { store, changes } => {
+            runtime.block_on(in_force::InForce { store, changes }.run())
+        }
+        Args::Check { bounds } => check::Check { bounds }.run(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/cmd/overhead.rs
@@ -0,0 +1,158 @@
+//! `pumicevale-bench overhead`: an entry node's own time per request, against a
+//! bare client that calls the same stand-ins directly, in one run.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use model::attempt::{Attempt, Call, Frame};
+use model::object::{Pipeline, Pool, Role, Spec, Stage, Target, Workspace};
+use serde_json::json;
+use standin::faults::TargetFaults;
+use standin::target::TargetSpec;
+use util::http::{Client, Lines};
+use util::stop;
+
+/// Steps of the pipeline.
+const STEPS: usize = 4;
+/// Any free port.
+const ANY: &str = "127.0.0.1:0";
+/// Requests before counting.
+const WARMUP: u32 = 200;
+
+/// Measures overhead.
+pub struct Overhead {
+    /// Requests.
+    pub requests: u32,
+}
+
+impl Overhead {
+    /// Bare and through the entry node in turn, so that both see the same machine.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let (_stopper, stop) = stop::pair();
+        let mut targets = Vec::new();
+        for i in 0..STEPS {
+            let spec = TargetSpec {
+                name: format!("t{i}").into(),
+                address: ANY.into(),
+                role: Role::Plain,
+                width: 64,
+                service: 0.0,
+                engine: Default::default(),
+                models: Vec::new(),
+                fenced: false,
+                faults: TargetFaults::default(),
+            };
+            let (at, _, _) = standin::run::start_target(spec, stop.clone()).await?;
+            targets.push(at.to_string());
+        }
+        let node = start_entry(&targets).await?;
+        let client = Client::new(Duration::from_secs(1));
+        let caller = node.callers.to_string();
+        let new = || Histogram::<u64>::new(3).context("a histogram");
+        let (mut bare, mut through) = (new()?, new()?);
+        for i in 0..WARMUP + self.requests {
+            let begun = Instant::now();
+            for (step, t) in targets.iter().enumerate() {
+                call(&client, t, i, step as u16).await?;
+            }
+            let direct = begun.elapsed();
+            let begun = Instant::now();
+            ask(&client, &caller).await?;
+            let entry = begun.elapsed();
+            if i >= WARMUP {
+                bare.record(direct.as_micros() as u64)?;
+                through.record(entry.as_micros() as u64)?;
+            }
+        }
+        println!("| µs for {STEPS} steps | p50 | p99 |\n|---|---|---|");
+        for (name, h) in [("bare client", &bare), ("through the entry node", &through)] {
+            println!("| {name} | {} | {} |", h.value_at_quantile(0.5), h.value_at_quantile(0.99));
+        }
+        let added = |q: f64| through.value_at_quantile(q) as f64 - bare.value_at_quantile(q) as f64;
+        let ratio = |q: f64| through.value_at_quantile(q) as f64 / bare.value_at_quantile(q) as f64;
+        println!("| added | {:.0} | {:.0} |", added(0.5), added(0.99));
+        println!("| ratio | {:.2} | {:.2} |", ratio(0.5), ratio(0.99));
+        node.abort();
+        Ok(())
+    }
+}
+
+async fn start_entry(targets: &[String]) -> anyhow::Result<entry::Running> {
+    let mut upserts = Vec::new();
+    let mut stages = Vec::new();
+    for (i, address) in targets.iter().enumerate() {
+        let target = Target {
+            name: format!("t{i}").into(),
+            address: address.as_str().into(),
+            domain: "a".into(),
+            host: format!("h{i}").into(),
+        };
+        let pool = Pool { role: Role::Plain, cost: 1.0, fenced: false, targets: vec![target] };
+        upserts.push((format!("Pool/p{i}").into(), Spec::Pool(pool)));
+        let (name, pool) = (format!("s{i}").into(), format!("p{i}").into());
+        stages.push(Stage { name, pool, model: None, repeatable: true });
+    }
+    let workspace =
+        Workspace { deadline: 10_000, grace: 0, priority: Default::default(), limits: Vec::new() };
+    upserts.push(("Pipeline/line".into(), Spec::Pipeline(Pipeline { stages })));
+    upserts.push(("Workspace/w".into(), Spec::Workspace(workspace)));
+    let node = entry::Entry::start(entry::Settings {
+        name: "n".into(),
+        domain: "a".into(),
+        near: Vec::new(),
+        callers: ANY.into(),
+        peers: ANY.into(),
+        control: None,
+        store: None,
+        store_rate: 1.0,
+        width: 256,
+        depth: 256,
+        body_max: 1 << 20,
+        body_time: 5000,
+        balancer_lag: 0,
+        policy: Default::default(),
+        admission: true,
+        hedging: false,
+        logs: Default::default(),
+    })
+    .await?;
+    node.apply(decide::config::Change { number: 1, upserts, removed: Vec::new() });
+    Ok(node)
+}
+
+async fn call(client: &Client, target: &str, i: u32, step: u16) -> anyhow::Result<()> {
+    let call = Call {
+        attempt: Attempt { request: format!("bare-{i}").into(), step, number: 0 },
+        step: "s".into(),
+        workspace: "w".into(),
+        model: None,
+        version: None,
+        priority: 1,
+        budget: 1000,
+        input: json!({ "request": { "text": "hello" }, "results": {} }),
+        prior: String::new(),
+        from: 0,
+        resume: None,
+    };
+    let body = serde_json::to_vec(&call)?;
+    let response = client.post(target, "/run", "application/json", body).await?;
+    let mut lines = Lines::new(target, response);
+    while let Some(line) = lines.next().await? {
+        let _: Frame = serde_json::from_slice(&line)?;
+    }
+    Ok(())
+}
+
+async fn ask(client: &Client, caller: &str) -> anyhow::Result<()> {
+    let request = Request::post(format!("http://{caller}/v1/pipelines/line"))
+        .header("pumicevale-workspace", "w")
+        .body(Full::new(Bytes::from_static(b"{\"text\":\"hello\"}")))?;
+    let response = client.send(caller, request).await?;
+    anyhow::ensure!(response.status().is_success(), "the request got {}", response.status());
+    response.into_body().collect().await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/cmd/slopes.rs
@@ -0,0 +1,51 @@
+//! `pumicevale-bench slopes`: the figures behind docs/CAPACITY.md.
+
+use crate::slopes::{Figure, deaths, measure};
+
+/// Nodes of a failure domain, and the hours and kills of the long run.
+const DOMAIN: usize = 57;
+const LOSS: f64 = 0.01;
+const HOURS: f64 = 8.0;
+const KILLS: usize = 20;
+
+/// Prints the figures as a table.
+pub struct Slopes {
+    /// Only the counted ones.
+    pub counted: bool,
+}
+
+impl Slopes {
+    /// Measures and prints.
+    pub fn run(self) -> anyhow::Result<()> {
+        let figures = measure(self.counted);
+        let mut names: Vec<&str> = Vec::new();
+        for f in &figures {
+            if !names.contains(&f.name.as_str()) {
+                names.push(&f.name);
+            }
+        }
+        for name in names {
+            println!("{}", line(name, &figures));
+        }
+        if !self.counted {
+            let d = deaths(DOMAIN, LOSS, HOURS, KILLS);
+            println!(
+                "| {DOMAIN} nodes, {:.0} % loss, {} h: false deaths | {} |",
+                LOSS * 100.0,
+                d.hours,
+                d.false_deaths
+            );
+            println!(
+                "| {} kills: seconds until the first, the median, the last node knew | {:.1}, {:.1}, {:.1} |",
+                d.killed, d.first, d.median, d.worst
+            );
+        }
+        Ok(())
+    }
+}
+
+fn line(name: &str, figures: &[Figure]) -> String {
+    let own = figures.iter().filter(|f| f.name == name);
+    let values: Vec<String> = own.map(|f| format!("{}: {:.4}", f.size, f.value)).collect();
+    format!("| {name} | {} |", values.join(" · "))
+}
--- /dev/null
+++ b/crates/bench/src/experiment/mod.rs
@@ -0,0 +1,14 @@
+//! Experiments: the same seeded arrivals for every policy, over real entry nodes
+//! and stand-in targets on loopback.
+
+mod cell;
+mod fleet;
+mod plan;
+mod plots;
+mod rows;
+mod work;
+
+pub use cell::{calibrate, run_cell};
+pub use plan::{Cell, Fault, Mix, Plan, PolicyPlan};
+pub use plots::plot;
+pub use rows::{Row, summary};
--- /dev/null
+++ b/crates/bench/src/experiment/rows.rs
@@ -0,0 +1,120 @@
+//! Result rows, and their summary: median of the repetitions with its range.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// One run of one cell under one policy.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Row {
+    /// Plan and its hash.
+    pub plan: String,
+    /// Cell.
+    pub cell: String,
+    /// Policy.
+    pub policy: String,
+    /// Repetition.
+    pub repetition: usize,
+    /// Arrivals a second, stock checks aside.
+    pub rate: f64,
+    /// Requests that count.
+    pub offered: usize,
+    /// Complete.
+    pub complete: usize,
+    /// Complete within the deadline.
+    pub timely: usize,
+    /// Truly not run.
+    pub not_run: usize,
+    /// Timely a second.
+    pub goodput: f64,
+    /// Timely of all offered.
+    pub share: f64,
+    /// Prompt tokens found cached.
+    pub cached: f64,
+    /// Cost of one complete request.
+    pub cost: f64,
+    /// Cost of each step, all requests together.
+    pub steps: BTreeMap<String, f64>,
+    /// Runs at targets for each step offered.
+    pub attempts: f64,
+    /// Median time of complete requests, milliseconds.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99th percentile of stock checks.
+    pub stock99: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Range {
+    low: f64,
+    median: f64,
+    high: f64,
+}
+
+fn range(mut values: Vec<f64>) -> Range {
+    values.sort_by(f64::total_cmp);
+    let at = |i: usize| values.get(i).copied().unwrap_or(0.0);
+    Range { low: at(0), median: at(values.len() / 2), high: at(values.len().max(1) - 1) }
+}
+
+/// A table for each cell; the best goodput is marked, and what lies within its
+/// range is marked as tied.
+pub fn summary(rows: &[Row]) -> String {
+    let mut cells: Vec<&str> = Vec::new();
+    for r in rows {
+        if !cells.contains(&r.cell.as_str()) {
+            cells.push(&r.cell);
+        }
+    }
+    let mut out = String::new();
+    for cell in cells {
+        out.push_str(&table(cell, rows));
+    }
+    out
+}
+
+fn table(cell: &str, rows: &[Row]) -> String {
+    let own: Vec<&Row> = rows.iter().filter(|r| r.cell == cell).collect();
+    let mut names: Vec<&str> = Vec::new();
+    for r in &own {
+        if !names.contains(&r.policy.as_str()) {
+            names.push(&r.policy);
+        }
+    }
+    let of = |name: &str, f: fn(&Row) -> f64| {
+        range(own.iter().filter(|r| r.policy == name).map(|r| f(r)).collect())
+    };
+    let best =
+        names.iter().map(|n| of(n, |r| r.goodput)).max_by(|a, b| a.median.total_cmp(&b.median));
+    let rate = own.first().map_or(0.0, |r| r.rate);
+    let mut out = format!(
+        "### {cell} ({rate:.0} requests/s offered)\n\n\
+         | policy | goodput /s (range) | | in time | cached | cost | attempts | p50 ms | p99 ms | stock p99 |\n\
+         |---|---|---|---|---|---|---|---|---|---|\n"
+    );
+    for n in names {
+        let g = of(n, |r| r.goodput);
+        let mark = match best {
+            Some(b) if g.median == b.median => "best",
+            Some(b) if g.high >= b.low => "tied",
+            _ => "",
+        };
+        let m = |f: fn(&Row) -> f64| of(n, f).median;
+        out.push_str(&format!(
+            "| {n} | {:.1} ({:.1}–{:.1}) | {mark} | {:.1} % | {:.1} % | {:.4} | {:.2} | {:.0} | {:.0} | {:.1} |\n",
+            g.median,
+            g.low,
+            g.high,
+            m(|r| r.share) * 100.0,
+            m(|r| r.cached) * 100.0,
+            m(|r| r.cost),
+            m(|r| r.attempts),
+            m(|r| r.p50),
+            m(|r| r.p99),
+            m(|r| r.stock99),
+        ));
+    }
+    out.push('\n');
+    out
+}
--- /dev/null
+++ b/crates/bench/src/experiment/work.rs
@@ -0,0 +1,143 @@
+//! Seeded arrivals: conversations with long prefixes under a Zipf skew, patient
+//! catalogue rewrites, stock checks.
+
+use std::time::Duration;
+
+use decide::rng::Rng;
+use serde_json::{Value, json};
+
+use super::plan::{Cell, Fault, Mix, Plan};
+
+/// Words of a turn behind its prefix.
+const TURN: usize = 12;
+/// Share of arrivals that are long minutes during a burst.
+const BURST_SHARE: f64 = 0.25;
+/// Length of long minutes against an ordinary answer.
+const BURST_LENGTH: usize = 4;
+/// Stock checks a second.
+const STOCK_RATE: f64 = 40.0;
+/// Length of a catalogue rewrite against an ordinary answer.
+const CATALOGUE_LENGTH: usize = 3;
+
+/// One request to send.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When, from the start.
+    pub at: Duration,
+    /// Pipeline.
+    pub pipeline: &'static str,
+    /// Workspace.
+    pub workspace: &'static str,
+    /// Conversation.
+    pub session: String,
+    /// Body.
+    pub body: Value,
+}
+
+/// Conversations and their popularity.
+pub struct Sessions {
+    cumulative: Vec<f64>,
+    prefix: usize,
+    seed: u64,
+}
+
+impl Sessions {
+    /// As many conversations as fill `working_set` of all caches.
+    pub fn new(plan: &Plan, cell: &Cell) -> Self {
+        let tokens = (plan.engines * plan.engine.cache) as f64 * cell.working_set;
+        let count = ((tokens / (plan.prefix + TURN) as f64) as usize).max(1);
+        let mut sum = 0.0;
+        let weight = |i: usize| 1.0 / ((i + 1) as f64).powf(cell.skew);
+        let cumulative = (0..count)
+            .map(|i| {
+                sum += weight(i);
+                sum
+            })
+            .collect();
+        Sessions { cumulative, prefix: plan.prefix, seed: plan.seed }
+    }
+
+    fn draw(&self, rng: &mut Rng) -> usize {
+        let total = self.cumulative.last().copied().unwrap_or(1.0);
+        let x = rng.unit() * total;
+        self.cumulative.partition_point(|c| *c < x).min(self.cumulative.len() - 1)
+    }
+
+    /// The prompt of a conversation's turn: its prefix, then new words.
+    fn prompt(&self, session: usize, rng: &mut Rng) -> String {
+        let mut own = Rng::new(self.seed ^ (session as u64) << 20);
+        let mut text = String::with_capacity((self.prefix + TURN) * 7);
+        for _ in 0..self.prefix {
+            text.push_str(&format!("{:05x} ", own.draw() & 0xf_ffff));
+        }
+        for _ in 0..TURN {
+            text.push_str(&format!("{:05x} ", rng.draw() & 0xf_ffff));
+        }
+        text
+    }
+
+    /// One turn of a conversation.
+    pub fn turn(&self, rng: &mut Rng, words: usize) -> (String, Value) {
+        let session = self.draw(rng);
+        let prompt = self.prompt(session, rng);
+        (format!("s{session}"), json!({ "prompt": prompt, "text": "a b c", "tokens": words }))
+    }
+}
+
+/// Every arrival of a run, in order; the same for each policy.
+pub fn arrivals(plan: &Plan, cell: &Cell, repetition: usize, rate: f64) -> Vec<Arrival> {
+    let mut rng = Rng::new(plan.seed ^ (repetition as u64 + 1) << 40);
+    let sessions = Sessions::new(plan, cell);
+    let end = plan.warmup + plan.seconds;
+    let mut out = Vec::new();
+    if cell.mix != Mix::Stock {
+        poisson(&mut rng, rate, end, |rng, at| {
+            let (words, workspace) = match cell.mix {
+                Mix::Catalogue => (plan.words * CATALOGUE_LENGTH, "patient"),
+                _ => (burst(plan, cell, rng, at), "turns"),
+            };
+            let (session, body) = sessions.turn(rng, words);
+            out.push(arrival(at, "chat", workspace, session, body));
+        });
+    }
+    if cell.mix != Mix::Turns {
+        poisson(&mut rng, STOCK_RATE, end, |rng, at| {
+            let body = json!({ "text": format!("item {}", rng.below(1000)) });
+            let session = format!("stock{}", rng.below(1000));
+            out.push(arrival(at, "stock-check", "stock", session, body));
+        });
+    }
+    out.sort_by_key(|a| a.at);
+    out
+}
+
+fn burst(plan: &Plan, cell: &Cell, rng: &mut Rng, at: f64) -> usize {
+    let third = plan.seconds / 3.0;
+    let within = at >= plan.warmup + third && at < plan.warmup + 2.0 * third;
+    let long = cell.fault == Fault::Burst && within && rng.unit() < BURST_SHARE;
+    if long { plan.words * BURST_LENGTH } else { plan.words }
+}
+
+fn arrival(
+    at: f64,
+    pipeline: &'static str,
+    workspace: &'static str,
+    session: String,
+    body: Value,
+) -> Arrival {
+    Arrival { at: Duration::from_secs_f64(at), pipeline, workspace, session, body }
+}
+
+fn poisson(rng: &mut Rng, rate: f64, end: f64, mut each: impl FnMut(&mut Rng, f64)) {
+    if rate <= 0.0 {
+        return;
+    }
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - rng.unit()).ln() / rate;
+        if at >= end {
+            return;
+        }
+        each(rng, at);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/claims.rs
@@ -0,0 +1,96 @@
+//! Store writes and bytes per claim, by claims a second.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use decide::claim::{Action, Committer, Event, ReadBack, WriteEnd};
+use model::claim::{ClaimAsk, Claims};
+use model::key::Key;
+use model::{Name, Time};
+
+use super::{Figure, counted};
+
+/// Claims a second at one home node.
+const RATES: [u64; 4] = [1, 10, 100, 1000];
+/// Seconds measured.
+const SECONDS: u64 = 10;
+/// Milliseconds of one store call.
+const CALL: Duration = Duration::from_millis(5);
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+#[derive(Default)]
+struct Store {
+    objects: BTreeMap<Name, (u64, Claims)>,
+    reads: u64,
+    writes: u64,
+    bytes: u64,
+}
+
+impl Store {
+    fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Answer { .. } => None,
+            Action::ReadFloor => {
+                self.reads += 1;
+                Some(Event::Floor(Some(0)))
+            }
+            Action::Read(object) => {
+                self.reads += 1;
+                let found = match self.objects.get(&object).cloned() {
+                    Some((version, claims)) => ReadBack::Found { version, claims },
+                    None => ReadBack::Never,
+                };
+                Some(Event::Read { object, found })
+            }
+            Action::Write { object, expect, claims } => {
+                self.writes += 1;
+                self.bytes += serde_json::to_vec(&claims).map_or(0, |b| b.len() as u64);
+                self.objects.insert(object.clone(), (expect + 1, claims));
+                Some(Event::Wrote { object, end: WriteEnd::Done(expect + 1) })
+            }
+        }
+    }
+}
+
+fn at(rate: u64) -> Vec<Figure> {
+    let mut committer = Committer::default();
+    let mut store = Store::default();
+    let mut todo: BTreeMap<(Time, u64), Event> = BTreeMap::new();
+    let total = rate * SECONDS;
+    for i in 0..total {
+        let at = Time(i * 1_000_000 / rate);
+        let unix_ms = UNIX_MS + at.0 / 1000;
+        let key = Key::new(unix_ms, u128::from(i) * 0x9e37_79b9_7f4a_7c15);
+        let ask = ClaimAsk { key, request: format!("hall-a-1-0a1b2c3d-{i}").into() };
+        let until = at + Duration::from_secs(2);
+        todo.insert((at, i), Event::Ask { ask, ticket: i, unix_ms, until });
+    }
+    let mut seq = total;
+    while let Some(((at, _), event)) = todo.pop_first() {
+        for action in committer.on(at, event) {
+            if let Some(event) = store.act(action) {
+                seq += 1;
+                todo.insert((at + CALL, seq), event);
+            }
+        }
+        let tick = committer.next_tick();
+        if let Some(tick) = tick
+            && todo.keys().next().is_none_or(|(t, _)| *t > tick)
+        {
+            seq += 1;
+            todo.insert((tick.max(at), seq), Event::Tick);
+        }
+    }
+    let rate_size = rate as usize;
+    let per = |x: u64| x as f64 / total as f64;
+    vec![
+        counted("store writes per claim, by claims a second", rate_size, per(store.writes)),
+        counted("store reads per claim, by claims a second", rate_size, per(store.reads)),
+        counted("store bytes written per claim, by claims a second", rate_size, per(store.bytes)),
+    ]
+}
+
+/// Writes, reads and bytes per claim.
+pub fn measure() -> Vec<Figure> {
+    RATES.iter().flat_map(|r| at(*r)).collect()
+}
--- /dev/null
+++ b/crates/bench/src/slopes/leases.rs
@@ -0,0 +1,75 @@
+//! Store calls of the leases, by failure domains: three candidates a domain
+//! watch the manifest's lease and their own domain's.
+
+use std::time::Duration;
+
+use decide::lease::{Action, Event, Holder, PERIOD};
+use model::Time;
+use model::lease::Lease;
+
+use super::{Figure, counted};
+
+/// Failure domains.
+const DOMAINS: [usize; 4] = [1, 2, 3, 6];
+/// Candidates of one failure domain.
+const CANDIDATES: usize = 3;
+/// Seconds measured.
+const SECONDS: u64 = 600;
+/// Milliseconds of one step.
+const STEP: u64 = 10;
+
+/// Reads and writes a second of `n` candidates for one lease.
+fn calls(n: usize) -> (f64, f64) {
+    let mut holders: Vec<Holder> =
+        (0..n).map(|i| Holder::new(format!("n{i}").into(), PERIOD, i as u64)).collect();
+    let mut stored: Option<(u64, Lease)> = None;
+    let (mut reads, mut writes) = (0u64, 0u64);
+    for ms in (0..SECONDS * 1000).step_by(STEP as usize) {
+        let now = Time::from_millis(ms);
+        for h in &mut holders {
+            if h.next_tick() > now {
+                continue;
+            }
+            let mut events = vec![Event::Tick];
+            while let Some(event) = events.pop() {
+                for action in h.on(now, event) {
+                    match action {
+                        Action::Read => {
+                            reads += 1;
+                            let version = stored.as_ref().map_or(0, |(v, _)| *v);
+                            let lease = stored.as_ref().map(|(_, l)| l.clone());
+                            events.push(Event::Read { version, lease });
+                        }
+                        Action::Write { expect, lease } => {
+                            writes += 1;
+                            let version = stored.as_ref().map_or(0, |(v, _)| *v);
+                            if version == expect {
+                                stored = Some((version + 1, lease));
+                                events.push(Event::Wrote(version + 1));
+                            } else {
+                                events.push(Event::Conflict);
+                            }
+                        }
+                        Action::Taken(_) | Action::Dropped => {}
+                    }
+                }
+            }
+        }
+    }
+    let _ = Duration::from_secs(SECONDS);
+    (reads as f64 / SECONDS as f64, writes as f64 / SECONDS as f64)
+}
+
+/// Calls of all leases together.
+pub fn measure() -> Vec<Figure> {
+    let (own_reads, own_writes) = calls(CANDIDATES);
+    let all = DOMAINS.iter().flat_map(|d| {
+        let (reads, writes) = calls(CANDIDATES * d);
+        let total = |one: f64, shared: f64| one * *d as f64 + shared;
+        [
+            counted("lease reads a second, by failure domains", *d, total(own_reads, reads)),
+            counted("lease writes a second, by failure domains", *d, total(own_writes, writes)),
+        ]
+    });
+    all.collect()
+}
--- /dev/null
+++ b/crates/bench/src/slopes/mod.rs
@@ -0,0 +1,54 @@
+//! What each role costs as the system grows: the real machines and encodings,
+//! driven with 10, 30, 100 and 340 nodes' worth of events.
+
+mod claims;
+mod config;
+mod leases;
+mod members;
+mod routes;
+
+use serde::{Deserialize, Serialize};
+
+pub use members::{Deaths, deaths};
+
+/// Sizes at which slopes are measured.
+pub const SIZES: [usize; 4] = [10, 30, 100, 340];
+
+/// One figure at one size.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Figure {
+    /// What was measured.
+    pub name: String,
+    /// At which size, in the unit that the name gives.
+    pub size: usize,
+    /// Value.
+    pub value: f64,
+    /// Whether it repeats exactly on every run and machine.
+    pub counted: bool,
+}
+
+/// A figure that repeats exactly.
+pub(crate) fn counted(name: &str, size: usize, value: f64) -> Figure {
+    Figure { name: name.into(), size, value, counted: true }
+}
+
+/// A figure that depends on the machine.
+pub(crate) fn timed(name: &str, size: usize, value: f64) -> Figure {
+    Figure { name: name.into(), size, value, counted: false }
+}
+
+/// Every figure, or only the counted ones that are quick to get.
+pub fn measure(only_counted: bool) -> Vec<Figure> {
+    let mut all = Vec::new();
+    for n in SIZES {
+        all.extend(members::measure(n));
+    }
+    all.extend(config::measure(only_counted));
+    all.extend(claims::measure());
+    all.extend(leases::measure());
+    if !only_counted {
+        all.extend(routes::measure());
+    }
+    all.retain(|f| !only_counted || f.counted);
+    all
+}
--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -87,12 +87,7 @@
         let behind: Vec<String> = fleets
             .iter()
             .filter(|(_, f)| f.lowest < number || f.applied < f.nodes)
-            .map(|(d, f)| {
-                format!(
-                    "{d}: {} of {} nodes, lowest {}",
-                    f.applied, f.nodes, f.lowest
-                )
-            })
+            .map(|(d, f)| format!("{d}: {} of {} nodes, lowest {}", f.applied, f.nodes, f.lowest))
             .collect();
         if !fleets.is_empty() && behind.is_empty() {
             return Ok(number);
@@ -100,11 +95,7 @@
         anyhow::ensure!(
             Instant::now() < until,
             "manifest {number} is not in force everywhere: {}",
-            if fleets.is_empty() {
-                "no failure domain reports".into()
-            } else {
-                behind.join("; ")
-            }
+            if fleets.is_empty() { "no failure domain reports".into() } else { behind.join("; ") }
         );
         tokio::time::sleep(LOOK).await;
     }
--- a/crates/cli/src/cmd/burn.rs
+++ b/crates/cli/src/cmd/burn.rs
@@ -85,10 +85,7 @@
         let last = self.sample(&client).await?;
         let document = self.document(&first, &middle, &last);
         if self.yaml {
-            print!(
-                "{}",
-                serde_saphyr::to_string(&document).context("could not print")?
-            );
+            print!("{}", serde_saphyr::to_string(&document).context("could not print")?);
         } else {
             print_table(&document);
         }
@@ -120,12 +117,7 @@
             .map(|(key, (cost, attempts))| {
                 let (c0, a0) = before.get(&key).copied().unwrap_or_default();
                 let (pipeline, step) = key;
-                Cost {
-                    pipeline,
-                    step,
-                    cost: cost - c0,
-                    attempts: attempts - a0,
-                }
+                Cost { pipeline, step, cost: cost - c0, attempts: attempts - a0 }
             })
             .collect();
         Document {
@@ -144,11 +136,7 @@
             return Window::default();
         }
         let timely = (end.timely - begin.timely) / requests;
-        Window {
-            requests,
-            timely,
-            burn: (1.0 - timely) / (1.0 - self.objective),
-        }
+        Window { requests, timely, burn: (1.0 - timely) / (1.0 - self.objective) }
     }
 }
 
@@ -158,13 +146,8 @@
 
 fn counts(samples: &[Sample]) -> Counts {
     let mut out = Counts::new();
-    for s in samples
-        .iter()
-        .filter(|s| s.metric == "pumicevale_requests_total")
-    {
-        let count = out
-            .entry((label(s, "pipeline"), label(s, "workspace")))
-            .or_default();
+    for s in samples.iter().filter(|s| s.metric == "pumicevale_requests_total") {
+        let count = out.entry((label(s, "pipeline"), label(s, "workspace"))).or_default();
         count.all += s.value;
         if label(s, "timely") == "true" {
             count.timely += s.value;
@@ -205,14 +188,8 @@
             r.long.burn
         );
     }
-    println!(
-        "{:<18} {:<18} {:>12} {:>10}",
-        "pipeline", "step", "cost", "attempts"
-    );
+    println!("{:<18} {:<18} {:>12} {:>10}", "pipeline", "step", "cost", "attempts");
     for c in &d.cost {
-        println!(
-            "{:<18} {:<18} {:>12.6} {:>10}",
-            c.pipeline, c.step, c.cost, c.attempts
-        );
+        println!("{:<18} {:<18} {:>12.6} {:>10}", c.pipeline, c.step, c.cost, c.attempts);
     }
 }
--- a/crates/cli/src/cmd/drain.rs
+++ b/crates/cli/src/cmd/drain.rs
@@ -25,17 +25,10 @@
         if old.is_none() && self.undo {
             anyhow::bail!("host {} is not being drained", self.host);
         }
-        let spec = Spec::Drain(Drain {
-            host: self.host.as_str().into(),
-            reason: self.reason,
-        });
+        let spec = Spec::Drain(Drain { host: self.host.as_str().into(), reason: self.reason });
         let spec = (!self.undo).then_some(&spec);
         remote.write("Drain", &self.host, expect, spec).await?;
-        println!(
-            "Drain/{} {}",
-            self.host,
-            if self.undo { "deleted" } else { "written" }
-        );
+        println!("Drain/{} {}", self.host, if self.undo { "deleted" } else { "written" });
         Ok(())
     }
 }
--- a/crates/cli/src/cmd/get.rs
+++ b/crates/cli/src/cmd/get.rs
@@ -52,11 +52,6 @@
         "author": e.author,
         "status": status,
     });
-    println!(
-        "---\n{}",
-        serde_saphyr::to_string(&document)
-            .context("could not print")?
-            .trim_end()
-    );
+    println!("---\n{}", serde_saphyr::to_string(&document).context("could not print")?.trim_end());
     Ok(())
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -24,55 +24,17 @@
     runtime.block_on(async {
         match args {
             Args::Validate { files } => validate::Validate { files }.run(),
-            Args::Apply {
-                files,
-                store,
-                wait,
-                timeout,
-            } => {
-                Apply {
-                    files,
-                    store,
-                    wait,
-                    timeout,
-                }
-                .run()
-                .await
+            Args::Apply { files, store, wait, timeout } => {
+                Apply { files, store, wait, timeout }.run().await
             }
             Args::Diff { files, store } => diff::Diff { files, store }.run().await,
             Args::Get { store, kind, name } => get::Get { store, kind, name }.run().await,
             Args::Watch { store, seconds } => watch::Watch { store, seconds }.run().await,
-            Args::Drain {
-                store,
-                undo,
-                reason,
-                host,
-            } => {
-                drain::DrainHost {
-                    store,
-                    undo,
-                    reason,
-                    host,
-                }
-                .run()
-                .await
+            Args::Drain { store, undo, reason, host } => {
+                drain::DrainHost { store, undo, reason, host }.run().await
             }
-            Args::Report(Report::Burn {
-                entries,
-                objective,
-                short,
-                long,
-                yaml,
-            }) => {
-                Burn {
-                    entries,
-                    objective,
-                    short,
-                    long,
-                    yaml,
-                }
-                .run()
-                .await
+            Args::Report(Report::Burn { entries, objective, short, long, yaml }) => {
+                Burn { entries, objective, short, long, yaml }.run().await
             }
         }
     })
--- a/crates/cli/src/cmd/watch.rs
+++ b/crates/cli/src/cmd/watch.rs
@@ -23,20 +23,14 @@
     /// Prints one line a change.
     pub async fn run(self) -> anyhow::Result<()> {
         let remote = Remote::new(&self.store)?;
-        let until = self
-            .seconds
-            .map(|s| Instant::now() + Duration::from_secs(s));
+        let until = self.seconds.map(|s| Instant::now() + Duration::from_secs(s));
         let mut revision = 0;
         loop {
             let left = until.map_or(WATCH, |u| u.saturating_duration_since(Instant::now()));
             if left.is_zero() {
                 return Ok(());
             }
-            match remote
-                .store()
-                .watch(kind::STATUS, revision, left.min(WATCH))
-                .await
-            {
+            match remote.store().watch(kind::STATUS, revision, left.min(WATCH)).await {
                 Ok(listing) => {
                     revision = listing.revision;
                     for o in listing.objects {
--- a/crates/cli/src/declare.rs
+++ b/crates/cli/src/declare.rs
@@ -79,9 +79,7 @@
 pub fn parse(path: &Path, text: &str) -> anyhow::Result<Vec<Declaration>> {
     let mut out = Vec::new();
     for (skipped, part) in documents(text) {
-        let empty = part
-            .lines()
-            .all(|l| l.trim().is_empty() || l.trim_start().starts_with('#'));
+        let empty = part.lines().all(|l| l.trim().is_empty() || l.trim_start().starts_with('#'));
         if empty {
             continue;
         }
@@ -89,12 +87,7 @@
             serde_saphyr::from_str(&part).map_err(|e| form_error(path, skipped, &e))?;
         let (name, spec) = match head.kind.as_str() {
             "Pipeline" => read(path, skipped, &part, Spec::Pipeline as fn(Pipeline) -> Spec)?,
-            "Workspace" => read(
-                path,
-                skipped,
-                &part,
-                Spec::Workspace as fn(Workspace) -> Spec,
-            )?,
+            "Workspace" => read(path, skipped, &part, Spec::Workspace as fn(Workspace) -> Spec)?,
             "Pool" => read(path, skipped, &part, Spec::Pool as fn(Pool) -> Spec)?,
             "Model" => read(path, skipped, &part, Spec::Model as fn(Model) -> Spec)?,
             "Drain" => read(path, skipped, &part, Spec::Drain as fn(Drain) -> Spec)?,
@@ -105,12 +98,7 @@
                 KINDS.join(", ")
             ),
         };
-        out.push(Declaration {
-            path: path.into(),
-            line: skipped + 1,
-            name,
-            spec,
-        });
+        out.push(Declaration { path: path.into(), line: skipped + 1, name, spec });
     }
     Ok(out)
 }
@@ -162,9 +150,7 @@
         return Ok(());
     }
     let place = |f: &object::Fault| {
-        let at = seen
-            .get(&*f.object)
-            .map(|d| format!("{}:{}: ", d.path.display(), d.line));
+        let at = seen.get(&*f.object).map(|d| format!("{}:{}: ", d.path.display(), d.line));
         format!("{}{f}", at.unwrap_or_default())
     };
     let lines: Vec<String> = faults.iter().map(place).collect();
--- a/crates/cli/src/metrics.rs
+++ b/crates/cli/src/metrics.rs
@@ -38,17 +38,11 @@
         Some((m, rest)) => (m, parse_labels(rest.strip_suffix('}')?)),
         None => (head, Labels::new()),
     };
-    Some(Sample {
-        metric: metric.into(),
-        labels,
-        value: value.parse().ok()?,
-    })
+    Some(Sample { metric: metric.into(), labels, value: value.parse().ok()? })
 }
 
 /// Labels of our own metrics hold names only, so there is nothing to unescape.
 fn parse_labels(text: &str) -> Labels {
     let pairs = text.split(',').filter_map(|p| p.split_once('='));
-    pairs
-        .map(|(k, v)| (k.into(), v.trim_matches('"').into()))
-        .collect()
+    pairs.map(|(k, v)| (k.into(), v.trim_matches('"').into())).collect()
 }
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -36,10 +36,7 @@
         })?;
         let client = Client::new(Duration::from_secs(2));
         let author = std::env::var("USER").unwrap_or_else(|_| "unknown".into());
-        Ok(Remote {
-            store: HttpStore::new(client, address.into()),
-            author,
-        })
+        Ok(Remote { store: HttpStore::new(client, address.into()), author })
     }
 
     /// The store itself.
@@ -49,16 +46,9 @@
 
     /// The version and envelope of a declared object.
     pub async fn read(&self, kind: &str, name: &str) -> anyhow::Result<(u64, Option<Envelope>)> {
-        let stored = self
-            .store
-            .get(kind, name)
-            .await
-            .context("could not read an object")?;
+        let stored = self.store.get(kind, name).await.context("could not read an object")?;
         let envelope = stored.value.map(serde_json::from_value).transpose();
-        Ok((
-            stored.version,
-            envelope.with_context(|| format!("{kind}/{name} cannot be read"))?,
-        ))
+        Ok((stored.version, envelope.with_context(|| format!("{kind}/{name} cannot be read"))?))
     }
 
     /// Writes a spec, or deletes with `None`, if the version is still `expect`.
@@ -70,14 +60,9 @@
         spec: Option<&Spec>,
     ) -> anyhow::Result<Put> {
         let nonce = rand::random::<u64>();
-        let envelope = spec.map(|s| Envelope {
-            spec: s.to_value(),
-            author: self.author.clone(),
-            nonce,
-        });
-        let value = envelope
-            .as_ref()
-            .map(|e| serde_json::to_value(e).expect("envelopes encode"));
+        let envelope =
+            spec.map(|s| Envelope { spec: s.to_value(), author: self.author.clone(), nonce });
+        let value = envelope.as_ref().map(|e| serde_json::to_value(e).expect("envelopes encode"));
         match self.store.put(kind, name, expect, value).await {
             Ok(version) => Ok(Put::Done(version)),
             Err(e) if e.kind == ErrorKind::Conflict => self.conflict(kind, name, expect).await,
@@ -121,21 +106,14 @@
     /// Status object of a declared object.
     pub async fn status(&self, key: &str) -> anyhow::Result<Option<model::status::Status>> {
         let name = key.replace('/', ".");
-        let stored = self
-            .store
-            .get(kind::STATUS, &name)
-            .await
-            .context("could not read a status")?;
+        let stored =
+            self.store.get(kind::STATUS, &name).await.context("could not read a status")?;
         Ok(stored.value.and_then(|v| serde_json::from_value(v).ok()))
     }
 
     /// How far the manifest has spread, by failure domain.
     pub async fn fleets(&self) -> anyhow::Result<Vec<(String, model::status::Fleet)>> {
-        let listing = self
-            .store
-            .list(kind::STATUS)
-            .await
-            .context("could not list statuses")?;
+        let listing = self.store.list(kind::STATUS).await.context("could not list statuses")?;
         let mut out = Vec::new();
         for o in listing.objects {
             let Some(domain) = o.name.strip_prefix("fleet-") else {
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -42,12 +42,7 @@
                 }
             }
         });
-        Ok(Config {
-            shared,
-            fetcher,
-            machine: Follower::default(),
-            membership: None,
-        })
+        Ok(Config { shared, fetcher, machine: Follower::default(), membership: None })
     }
 }
 
@@ -92,9 +87,7 @@
 
     async fn handle(&mut self, g: GetChunks, _: &mut Context<Self, ChunksReply>) -> ChunksReply {
         let text = |h: &Name| self.machine.chunk(h).cloned().unwrap_or_else(|| "".into());
-        ChunksReply(Chunks {
-            texts: g.0.hashes.iter().map(text).collect(),
-        })
+        ChunksReply(Chunks { texts: g.0.hashes.iter().map(text).collect() })
     }
 }
 
@@ -134,14 +127,10 @@
         }
         let targets = set.pools.values().flat_map(|p| &p.targets).map(|t| &t.name);
         self.shared.board().set_targets(targets);
-        self.shared
-            .accepted
-            .store(Arc::new(Accepted { number, set }));
+        self.shared.accepted.store(Arc::new(Accepted { number, set }));
         log::info!("config: manifest {number} is in force.");
         if let Some(m) = &self.membership {
-            let _ = m
-                .tell(membership::Happened(MemberEvent::Applied(number)))
-                .await;
+            let _ = m.tell(membership::Happened(MemberEvent::Applied(number))).await;
         }
     }
 }
--- a/crates/control/src/domain.rs
+++ b/crates/control/src/domain.rs
@@ -43,10 +43,7 @@
     let accepted = shared.accepted.load_full();
     let news: BTreeMap<Name, TargetNews> = {
         let board = shared.board();
-        board
-            .news()
-            .map(|n| (n.report.target.clone(), n.clone()))
-            .collect()
+        board.news().map(|n| (n.report.target.clone(), n.clone())).collect()
     };
     let leaving = shared.leaving.load_full();
     let view = View {
@@ -68,17 +65,11 @@
 
 async fn send(shared: &Shared, set: &model::object::Set, order: Order) {
     let targets = set.pools.values().flat_map(|p| &p.targets);
-    let Some(address) = targets
-        .clone()
-        .find(|t| t.name == order.target)
-        .map(|t| &t.address)
-    else {
+    let Some(address) = targets.clone().find(|t| t.name == order.target).map(|t| &t.address) else {
         return;
     };
     let call =
-        shared
-            .client
-            .json::<_, Reply>(address, Method::POST, "/order", Some(&order), SEND_MAX);
+        shared.client.json::<_, Reply>(address, Method::POST, "/order", Some(&order), SEND_MAX);
     match call.await {
         Ok(reply) => {
             log::info!("order: {:?} to {}: {reply:?}.", order.task, order.target);
@@ -106,11 +97,7 @@
         return;
     };
     let value = serde_json::to_value(&fleet).expect("statuses encode");
-    if store
-        .put(kind::STATUS, &name, old.version, Some(value))
-        .await
-        .is_ok()
-    {
+    if store.put(kind::STATUS, &name, old.version, Some(value)).await.is_ok() {
         *written = fleet;
     }
 }
@@ -119,11 +106,7 @@
     /// Addresses listed; a newcomer needs one that answers.
     const LISTED: usize = 8;
     let members = shared.members.load_full();
-    let mut addresses: Vec<String> = members
-        .nodes
-        .iter()
-        .map(|n| n.address.to_string())
-        .collect();
+    let mut addresses: Vec<String> = members.nodes.iter().map(|n| n.address.to_string()).collect();
     addresses.sort_unstable();
     addresses.truncate(LISTED);
     let now = shared.clock.now();
@@ -135,16 +118,7 @@
         return;
     };
     let value = serde_json::to_value(&addresses).expect("strings encode");
-    if store
-        .put(
-            kind::REGISTRY,
-            &shared.settings.domain,
-            old.version,
-            Some(value),
-        )
-        .await
-        .is_ok()
-    {
+    if store.put(kind::REGISTRY, &shared.settings.domain, old.version, Some(value)).await.is_ok() {
         *registry = (addresses, now);
     }
 }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -46,13 +46,8 @@
     async fn on_start(args: Args, me: ActorRef<Self>) -> Result<Self, Infallible> {
         let period = Duration::from_millis(args.shared.settings.lease_period);
         let machine = Holder::new(args.holder, period, rand::random());
-        let mut actor = Lease {
-            shared: args.shared,
-            name: args.name,
-            machine,
-            epoch: args.epoch,
-            tick: None,
-        };
+        let mut actor =
+            Lease { shared: args.shared, name: args.name, machine, epoch: args.epoch, tick: None };
         actor.wake(&me);
         Ok(actor)
     }
@@ -141,10 +136,7 @@
         Action::Read => match store.get(kind::LEASE, name).await {
             Ok(s) => {
                 let lease = s.value.and_then(|v| serde_json::from_value(v).ok());
-                Event::Read {
-                    version: s.version,
-                    lease,
-                }
+                Event::Read { version: s.version, lease }
             }
             Err(_) => Event::ReadFailed,
         },
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -156,11 +156,7 @@
             log::debug!("member: {from} sent what is no packet.");
             continue;
         };
-        if me
-            .tell(Happened(Event::Packet { from, packet }))
-            .await
-            .is_err()
-        {
+        if me.tell(Happened(Event::Packet { from, packet })).await.is_err() {
             return;
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -104,24 +104,15 @@
             Err(_) => {}
         }
     }
-    anyhow::bail!(
-        "could not find a port that is free for TCP and UDP at {}",
-        address.ip()
-    )
+    anyhow::bail!("could not find a port that is free for TCP and UDP at {}", address.ip())
 }
 
 impl Running {
     async fn start(shared: Arc<Shared>, server: Server, socket: UdpSocket) -> Running {
         let start = rand::random::<u64>().max(1);
         let s = &shared.settings;
-        let me = Node {
-            id: NodeId {
-                name: s.name.clone(),
-                start,
-            },
-            address: s.address,
-            entry: s.entry,
-        };
+        let me =
+            Node { id: NodeId { name: s.name.clone(), start }, address: s.address, entry: s.entry };
         let holder: Name = format!("{}-{start:x}", s.name).into();
         let config = Config::spawn(shared.clone());
         let membership = Membership::spawn(membership::Args {
@@ -135,20 +126,12 @@
         let (domain_epoch, _) = watch::channel(None);
         let spawn_lease = |name: Name, epoch| {
             let (shared, holder) = (shared.clone(), holder.clone());
-            Lease::spawn(lease::Args {
-                shared,
-                name,
-                holder,
-                epoch,
-            })
+            Lease::spawn(lease::Args { shared, name, holder, epoch })
         };
         let _manifest = spawn_lease("manifest".into(), manifest_epoch);
         let of_domain = spawn_lease(format!("domain-{}", s.domain).into(), domain_epoch);
-        let side = Side {
-            shared: shared.clone(),
-            config: config.clone(),
-            membership: membership.clone(),
-        };
+        let side =
+            Side { shared: shared.clone(), config: config.clone(), membership: membership.clone() };
         let address = server.address();
         let (stopper, stopped) = stop::pair();
         let tasks = vec![
@@ -159,13 +142,7 @@
             tokio::spawn(Publishing::new(shared.clone(), config).run(manifest_held)),
             tokio::spawn(domain::run(shared.clone(), of_domain)),
         ];
-        Running {
-            address,
-            shared,
-            membership,
-            stopper,
-            tasks,
-        }
+        Running { address, shared, membership, stopper, tasks }
     }
 
     /// Manifest in force, and names of the nodes that are up.
@@ -177,10 +154,7 @@
 
     /// A planned stop: tells the peers, then ends.
     pub async fn stop(self) {
-        let _ = self
-            .membership
-            .ask(membership::Happened(MemberEvent::Leave))
-            .await;
+        let _ = self.membership.ask(membership::Happened(MemberEvent::Leave)).await;
         self.stopper.stop();
         for task in self.tasks {
             task.abort();
--- a/crates/control/src/poll.rs
+++ b/crates/control/src/poll.rs
@@ -46,9 +46,7 @@
 }
 
 async fn poll(shared: Arc<Shared>, membership: ActorRef<Membership>, target: Name, address: Name) {
-    let call = shared
-        .client
-        .json::<(), Report>(&address, Method::GET, "/load", None, WAIT);
+    let call = shared.client.json::<(), Report>(&address, Method::GET, "/load", None, WAIT);
     let result = call.await;
     let rumor = match result {
         Ok(report) if report.target == target => shared.board().polled(report),
@@ -62,8 +60,6 @@
         }
     };
     if let Some(rumor) = rumor {
-        let _ = membership
-            .tell(membership::Happened(MemberEvent::Load(rumor)))
-            .await;
+        let _ = membership.tell(membership::Happened(MemberEvent::Load(rumor))).await;
     }
 }
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -186,11 +186,7 @@
             continue;
         };
         let key = format!("{kind}/{name}").into();
-        out.push(Declared {
-            key,
-            version: gone.version,
-            spec: None,
-        });
+        out.push(Declared { key, version: gone.version, spec: None });
     }
     out
 }
@@ -221,8 +217,7 @@
                 Some(PublisherEvent::Manifest(nonce, end))
             }
             PublisherAction::PutStatus(list) => {
-                self.statuses
-                    .extend(list.into_iter().map(|s| (s.object.clone(), s)));
+                self.statuses.extend(list.into_iter().map(|s| (s.object.clone(), s)));
                 None
             }
         }
@@ -232,15 +227,8 @@
         let Some((version, manifest)) = read_manifest(&self.shared.store).await else {
             return PublisherEvent::BaseFailed;
         };
-        let ask = GetChunks(ChunksAsk {
-            hashes: manifest.slots.clone(),
-        });
-        let known = self
-            .config
-            .ask(ask)
-            .await
-            .map(|r| r.0.texts)
-            .unwrap_or_default();
+        let ask = GetChunks(ChunksAsk { hashes: manifest.slots.clone() });
+        let known = self.config.ask(ask).await.map(|r| r.0.texts).unwrap_or_default();
         let mut chunks = Vec::new();
         for (i, hash) in manifest.slots.iter().enumerate() {
             // Chunks in force here need no call.
@@ -254,25 +242,13 @@
                 None => return PublisherEvent::BaseFailed,
             }
         }
-        PublisherEvent::Base {
-            version,
-            manifest,
-            chunks,
-        }
+        PublisherEvent::Base { version, manifest, chunks }
     }
 
     async fn read_statuses(&mut self) {
-        if let Ok(listing) = self
-            .shared
-            .store
-            .with(Reason::Status)
-            .list(kind::STATUS)
-            .await
-        {
+        if let Ok(listing) = self.shared.store.with(Reason::Status).list(kind::STATUS).await {
             let values = listing.objects.into_iter().filter_map(|o| o.value);
-            let list = values
-                .filter_map(|v| serde_json::from_value(v).ok())
-                .collect();
+            let list = values.filter_map(|v| serde_json::from_value(v).ok()).collect();
             self.step(PublisherEvent::Statuses(list)).await;
         }
     }
@@ -294,9 +270,7 @@
             Some(SweepAction::Raise(floor)) => {
                 let raised = raise(&self.shared, &floor).await;
                 let now = self.shared.clock.now();
-                raised
-                    .into_iter()
-                    .for_each(|()| self.sweep.raised(now, floor.bucket));
+                raised.into_iter().for_each(|()| self.sweep.raised(now, floor.bucket));
             }
             Some(SweepAction::DeleteBelow(bucket)) => delete_below(&self.shared, bucket).await,
             None => {}
@@ -321,11 +295,7 @@
     if old.value.is_some() {
         return PutEnd::Done;
     }
-    put_end(
-        store
-            .put(kind::CHUNK, hash, old.version, Some(text.into()))
-            .await,
-    )
+    put_end(store.put(kind::CHUNK, hash, old.version, Some(text.into())).await)
 }
 
 async fn put_status(shared: &Shared, status: &Status) -> Option<()> {
@@ -333,18 +303,12 @@
     let value = serde_json::to_value(status).expect("statuses encode");
     let store = shared.store.with(Reason::Status);
     let old = store.get(kind::STATUS, &name).await.ok()?;
-    let known = old
-        .value
-        .as_ref()
-        .and_then(|v| serde_json::from_value::<Status>(v.clone()).ok());
+    let known = old.value.as_ref().and_then(|v| serde_json::from_value::<Status>(v.clone()).ok());
     // A former holder may have told of a newer version already.
     if old.value.as_ref() == Some(&value) || known.is_some_and(|k| k.version > status.version) {
         return Some(());
     }
-    store
-        .put(kind::STATUS, &name, old.version, Some(value))
-        .await
-        .ok()?;
+    store.put(kind::STATUS, &name, old.version, Some(value)).await.ok()?;
     Some(())
 }
 
@@ -352,18 +316,12 @@
 async fn raise(shared: &Shared, floor: &Floor) -> Option<()> {
     let store = shared.store.with(Reason::Sweep);
     let old = store.get(kind::CLAIM, FLOOR).await.ok()?;
-    let known = old
-        .value
-        .and_then(|v| serde_json::from_value::<Floor>(v).ok())
-        .unwrap_or_default();
+    let known = old.value.and_then(|v| serde_json::from_value::<Floor>(v).ok()).unwrap_or_default();
     if known.bucket >= floor.bucket {
         return None;
     }
     let value = serde_json::to_value(floor).expect("floors encode");
-    store
-        .put(kind::CLAIM, FLOOR, old.version, Some(value))
-        .await
-        .ok()?;
+    store.put(kind::CLAIM, FLOOR, old.version, Some(value)).await.ok()?;
     Some(())
 }
 
@@ -377,11 +335,7 @@
         number.is_some_and(|n| n < bucket)
     };
     for o in listing.objects.iter().filter(old).take(SWEEP_MOST) {
-        if store
-            .put(kind::CLAIM, &o.name, o.version, None)
-            .await
-            .is_err()
-        {
+        if store.put(kind::CLAIM, &o.name, o.version, None).await.is_err() {
             return;
         }
     }
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -64,9 +64,7 @@
     for value in values {
         match serde_json::from_value::<Manifest>(value) {
             Ok(m) => {
-                let _ = config
-                    .tell(config::Happened(FollowerEvent::Manifest(m)))
-                    .await;
+                let _ = config.tell(config::Happened(FollowerEvent::Manifest(m))).await;
             }
             Err(e) => log::error!("relay: the manifest cannot be read: {e}"),
         }
@@ -84,11 +82,8 @@
         let Ok(list) = shared.hosts.hosts().await else {
             continue;
         };
-        let leaving: BTreeSet<Name> = list
-            .into_iter()
-            .filter(|h| h.leaving)
-            .map(|h| h.host)
-            .collect();
+        let leaving: BTreeSet<Name> =
+            list.into_iter().filter(|h| h.leaving).map(|h| h.host).collect();
         shared.leaving.store(Arc::new(leaving.clone()));
         let accepted = shared.accepted.load_full();
         let targets = accepted.set.pools.values().flat_map(|p| &p.targets);
@@ -111,17 +106,10 @@
         if report.leaving {
             return;
         }
-        report = Report {
-            target: target.clone(),
-            leaving: true,
-            seq,
-            ..report
-        };
+        report = Report { target: target.clone(), leaving: true, seq, ..report };
         board.polled(report)
     };
     if let Some(rumor) = rumor {
-        let _ = membership
-            .tell(membership::Happened(MemberEvent::Load(rumor)))
-            .await;
+        let _ = membership.tell(membership::Happened(MemberEvent::Load(rumor))).await;
     }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -31,10 +31,7 @@
 }
 
 async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let whole = Limited::new(request.into_body(), MESSAGE_MAX)
-        .collect()
-        .await
-        .ok()?;
+    let whole = Limited::new(request.into_body(), MESSAGE_MAX).collect().await.ok()?;
     rmp_serde::from_slice(&whole.to_bytes()).ok()
 }
 
@@ -77,10 +74,7 @@
             "/healthz" => text(StatusCode::OK, "ok\n"),
             "/status" => self.status(),
             "/metrics" => text(StatusCode::OK, self.metrics()),
-            _ => text(
-                StatusCode::NOT_FOUND,
-                "paths are /healthz, /status and /metrics",
-            ),
+            _ => text(StatusCode::NOT_FOUND, "paths are /healthz, /status and /metrics"),
         }
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -67,10 +67,7 @@
             return Err(BadValue::new("address", why));
         }
         if !(self.store_rate > 0.0 && self.store_rate.is_finite()) {
-            return Err(BadValue::new(
-                "store_rate",
-                "must be more than 0 calls a second",
-            ));
+            return Err(BadValue::new("store_rate", "must be more than 0 calls a second"));
         }
         if self.lease_period < LEASE_LEAST {
             let why = format!("must be {LEASE_LEAST} milliseconds or more");
--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -90,18 +90,8 @@
 impl Gate {
     /// At most `width` requests run and `depth` wait.
     pub fn new(width: usize, depth: usize) -> Self {
-        let width = Width {
-            most: width as f64,
-            now: width as f64,
-            cut: Time::ZERO,
-        };
-        Gate {
-            width,
-            depth,
-            running: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            seq: 0,
-        }
+        let width = Width { most: width as f64, now: width as f64, cut: Time::ZERO };
+        Gate { width, depth, running: BTreeMap::new(), waiting: BTreeMap::new(), seq: 0 }
     }
 
     /// Requests running.
@@ -122,11 +112,7 @@
             return vec![Verdict::Refuse(w.request, Reason::Hopeless)];
         }
         self.seq += 1;
-        let order = Order {
-            priority: w.priority,
-            deadline: w.deadline,
-            seq: self.seq,
-        };
+        let order = Order { priority: w.priority, deadline: w.deadline, seq: self.seq };
         self.waiting.insert(order, w);
         let mut out = self.advance(now);
         if self.waiting.len() > self.depth
@@ -192,11 +178,7 @@
     fn next(&self) -> Option<(Order, Waiter)> {
         let (order, w) = self.waiting.first_key_value()?;
         if w.priority == Priority::Patient {
-            let patient = self
-                .running
-                .values()
-                .filter(|p| **p == Priority::Patient)
-                .count();
+            let patient = self.running.values().filter(|p| **p == Priority::Patient).count();
             let share = ((self.width.get() as f64 * PATIENT_SHARE) as usize).max(1);
             if patient >= share {
                 return None;
--- a/crates/decide/src/claim/committer.rs
+++ b/crates/decide/src/claim/committer.rs
@@ -148,12 +148,7 @@
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         match event {
-            Event::Ask {
-                ask,
-                ticket,
-                unix_ms,
-                until,
-            } => {
+            Event::Ask { ask, ticket, unix_ms, until } => {
                 self.ask(now, ask, ticket, unix_ms, until, &mut out);
             }
             Event::Read { object, found } => self.read(now, &object, found, &mut out),
@@ -189,36 +184,22 @@
     ) {
         let at = ask.key.unix_ms();
         if at + WINDOW_MS < unix_ms {
-            return out.push(Action::Answer {
-                ticket,
-                end: ClaimEnd::Old,
-            });
+            return out.push(Action::Answer { ticket, end: ClaimEnd::Old });
         }
         if at > unix_ms + CLOCK_ERROR_MS {
-            return out.push(Action::Answer {
-                ticket,
-                end: ClaimEnd::Future,
-            });
+            return out.push(Action::Answer { ticket, end: ClaimEnd::Future });
         }
-        let shard = self
-            .shards
-            .entry(ask.key.object())
-            .or_insert_with(|| Shard {
-                bucket: ask.key.bucket(),
-                known: None,
-                waiting: Vec::new(),
-                flying: Vec::new(),
-                busy: Busy::No,
-                next: now,
-                used: now,
-            });
-        shard.used = now;
-        shard.waiting.push(Waiting {
-            ask,
-            ticket,
-            until,
-            doubt: false,
+        let shard = self.shards.entry(ask.key.object()).or_insert_with(|| Shard {
+            bucket: ask.key.bucket(),
+            known: None,
+            waiting: Vec::new(),
+            flying: Vec::new(),
+            busy: Busy::No,
+            next: now,
+            used: now,
         });
+        shard.used = now;
+        shard.waiting.push(Waiting { ask, ticket, until, doubt: false });
     }
 
     fn read(&mut self, now: Time, object: &Name, found: ReadBack, out: &mut Vec<Action>) {
@@ -248,10 +229,7 @@
                 if let Some((v, claims)) = &mut s.known {
                     *v = version;
                     for w in s.waiting.iter().filter(|w| flying.contains(&w.ask.key)) {
-                        claims
-                            .keys
-                            .entry(w.ask.key)
-                            .or_insert_with(|| w.ask.request.clone());
+                        claims.keys.entry(w.ask.key).or_insert_with(|| w.ask.request.clone());
                     }
                 }
                 s.settle(out);
@@ -302,20 +280,13 @@
             }
             let mut claims = claims.clone();
             for w in s.waiting.iter().take(BATCH_MAX) {
-                claims
-                    .keys
-                    .entry(w.ask.key)
-                    .or_insert_with(|| w.ask.request.clone());
+                claims.keys.entry(w.ask.key).or_insert_with(|| w.ask.request.clone());
                 s.flying.push(w.ask.key);
             }
             s.busy = Busy::Writing;
             s.next = now + SPACING;
             s.used = now;
-            out.push(Action::Write {
-                object: object.clone(),
-                expect: *version,
-                claims,
-            });
+            out.push(Action::Write { object: object.clone(), expect: *version, claims });
         }
         if need_floor && !self.floor_asked {
             self.floor_asked = true;
@@ -340,25 +311,15 @@
                 return true;
             };
             let won = *holder == w.ask.request;
-            let end = if won {
-                ClaimEnd::Won
-            } else {
-                ClaimEnd::Lost(holder.clone())
-            };
-            out.push(Action::Answer {
-                ticket: w.ticket,
-                end,
-            });
+            let end = if won { ClaimEnd::Won } else { ClaimEnd::Lost(holder.clone()) };
+            out.push(Action::Answer { ticket: w.ticket, end });
             false
         });
     }
 
     fn answer_all(&mut self, end: &ClaimEnd, out: &mut Vec<Action>) {
         for w in self.waiting.drain(..) {
-            out.push(Action::Answer {
-                ticket: w.ticket,
-                end: end.clone(),
-            });
+            out.push(Action::Answer { ticket: w.ticket, end: end.clone() });
         }
     }
 
@@ -370,15 +331,8 @@
                 return true;
             }
             let doubt = w.doubt || flying.contains(&w.ask.key);
-            let end = if doubt {
-                ClaimEnd::Doubt
-            } else {
-                ClaimEnd::Failed
-            };
-            out.push(Action::Answer {
-                ticket: w.ticket,
-                end,
-            });
+            let end = if doubt { ClaimEnd::Doubt } else { ClaimEnd::Failed };
+            out.push(Action::Answer { ticket: w.ticket, end });
             false
         });
     }
--- a/crates/decide/src/claim/sweep.rs
+++ b/crates/decide/src/claim/sweep.rs
@@ -41,9 +41,7 @@
             return None;
         }
         self.next = now + EVERY;
-        Some(SweepAction::Raise(Floor {
-            bucket: Committer::oldest_bucket(unix_ms),
-        }))
+        Some(SweepAction::Raise(Floor { bucket: Committer::oldest_bucket(unix_ms) }))
     }
 
     /// The store took the floor.
--- a/crates/decide/src/config/follower.rs
+++ b/crates/decide/src/config/follower.rs
@@ -142,10 +142,7 @@
 
     /// What a neighbour at `have` lacks.
     pub fn delta(&self, have: u64) -> Delta {
-        let old = self
-            .history
-            .iter()
-            .find(|(n, s)| *n == have && s.len() == self.slots.len());
+        let old = self.history.iter().find(|(n, s)| *n == have && s.len() == self.slots.len());
         let base = old.map_or(0, |(n, _)| *n);
         let differs = |i: usize| old.is_none_or(|(_, s)| s[i] != self.slots[i]);
         let slots = self.slots.iter().enumerate().filter(|(i, _)| differs(*i));
@@ -153,12 +150,7 @@
             base,
             number: self.number,
             count: self.slots.len() as u32,
-            slots: slots
-                .map(|(i, h)| SlotRef {
-                    slot: i as u32,
-                    hash: h.clone(),
-                })
-                .collect(),
+            slots: slots.map(|(i, h)| SlotRef { slot: i as u32, hash: h.clone() }).collect(),
         }
     }
 
@@ -228,26 +220,14 @@
         if number <= self.number || self.pending.as_ref().is_some_and(|p| p.number >= number) {
             return;
         }
-        let mut missing: Vec<Name> = slots
-            .iter()
-            .filter(|h| !self.chunks.contains_key(*h))
-            .cloned()
-            .collect();
+        let mut missing: Vec<Name> =
+            slots.iter().filter(|h| !self.chunks.contains_key(*h)).cloned().collect();
         missing.sort_unstable();
         missing.dedup();
         if !missing.is_empty() {
-            out.push(FollowerAction::FetchChunks {
-                from: from.clone(),
-                hashes: missing.clone(),
-            });
+            out.push(FollowerAction::FetchChunks { from: from.clone(), hashes: missing.clone() });
         }
-        self.pending = Some(Pending {
-            number,
-            slots,
-            missing,
-            from,
-            since: now,
-        });
+        self.pending = Some(Pending { number, slots, missing, from, since: now });
     }
 
     fn chunk_came(&mut self, hash: &Name, text: Arc<str>) {
@@ -281,21 +261,14 @@
             && self.asked.is_none()
         {
             self.asked = Some((from.clone(), now));
-            out.push(FollowerAction::FetchDelta {
-                from: from.clone(),
-                have: self.number,
-            });
+            out.push(FollowerAction::FetchDelta { from: from.clone(), have: self.number });
         }
     }
 
     fn apply(&mut self, p: Pending) -> Change {
         let old_items = self.items_of(&p.slots, false);
         let new_items = self.items_of(&p.slots, true);
-        let mut change = Change {
-            number: p.number,
-            upserts: Vec::new(),
-            removed: Vec::new(),
-        };
+        let mut change = Change { number: p.number, upserts: Vec::new(), removed: Vec::new() };
         for key in old_items.keys() {
             if !new_items.contains_key(key) && self.items.remove(key).is_some() {
                 change.removed.push(key.clone());
@@ -321,11 +294,7 @@
     /// Items of the slots that differ between the manifest in force and `slots`:
     /// the new ones, or the old ones.
     fn items_of(&self, slots: &[Name], new: bool) -> BTreeMap<Name, Spec> {
-        let (take, other) = if new {
-            (slots, &self.slots[..])
-        } else {
-            (&self.slots[..], slots)
-        };
+        let (take, other) = if new { (slots, &self.slots[..]) } else { (&self.slots[..], slots) };
         let same_shape = take.len() == other.len();
         let mut items = BTreeMap::new();
         for (i, hash) in take.iter().enumerate() {
--- a/crates/decide/src/config/publisher.rs
+++ b/crates/decide/src/config/publisher.rs
@@ -151,11 +151,7 @@
             PublisherEvent::Statuses(list) => {
                 self.told = list.into_iter().map(|s| (s.object, s.version)).collect();
             }
-            PublisherEvent::Base {
-                version,
-                manifest,
-                chunks,
-            } => {
+            PublisherEvent::Base { version, manifest, chunks } => {
                 self.based(version, manifest, &chunks, &mut out);
             }
             PublisherEvent::BaseFailed => {
@@ -193,10 +189,7 @@
 
     fn objects(&mut self, objects: Vec<Declared>) {
         for d in objects {
-            let newer = self
-                .declared
-                .get(&d.key)
-                .is_none_or(|old| d.version > old.version);
+            let newer = self.declared.get(&d.key).is_none_or(|old| d.version > old.version);
             if newer {
                 self.declared.insert(d.key.clone(), d);
                 // What was refused for want of another object gets a new turn.
@@ -233,11 +226,7 @@
         if std::mem::take(&mut self.retell) {
             self.retell(manifest.number, &items, out);
         }
-        self.base = Some(Base {
-            version,
-            manifest,
-            items,
-        });
+        self.base = Some(Base { version, manifest, items });
         self.draft = None;
     }
 
@@ -254,8 +243,7 @@
     /// Writes statuses, but none of an older version after a newer one.
     fn tell(&mut self, mut list: Vec<Status>, out: &mut Vec<PublisherAction>) {
         list.retain(|s| self.told.get(&s.object).is_none_or(|v| *v <= s.version));
-        self.told
-            .extend(list.iter().map(|s| (s.object.clone(), s.version)));
+        self.told.extend(list.iter().map(|s| (s.object.clone(), s.version)));
         if !list.is_empty() {
             out.push(PublisherAction::PutStatus(list));
         }
@@ -290,10 +278,7 @@
 
     fn wrote(&mut self, nonce: u64, end: PutEnd, out: &mut Vec<PublisherAction>) {
         // An answer to a write before the lease changed hands says nothing of this draft.
-        let Some(d) = self
-            .draft
-            .take_if(|d| d.writing && d.manifest.nonce == nonce)
-        else {
+        let Some(d) = self.draft.take_if(|d| d.writing && d.manifest.nonce == nonce) else {
             return;
         };
         match end {
@@ -331,21 +316,15 @@
         if d.missing.is_empty() && !d.writing {
             d.writing = true;
             let manifest = d.manifest.clone();
-            out.push(PublisherAction::PutManifest {
-                expect: b.version,
-                manifest,
-            });
+            out.push(PublisherAction::PutManifest { expect: b.version, manifest });
         }
     }
 
     /// The next manifest, if anything newer was declared.
     fn make(&mut self, epoch: u64, out: &mut Vec<PublisherAction>) -> Option<Draft> {
         let base = self.base.as_ref()?;
-        let newer: Vec<&Declared> = self
-            .declared
-            .values()
-            .filter(|d| self.is_newer(base, d))
-            .collect();
+        let newer: Vec<&Declared> =
+            self.declared.values().filter(|d| self.is_newer(base, d)).collect();
         if newer.is_empty() {
             return None;
         }
@@ -356,23 +335,13 @@
             let reason = refused.get(&d.key).cloned().unwrap_or_default();
             let accepted = reason.is_empty();
             let (object, version) = (d.key.clone(), d.version);
-            status.push(Status {
-                object,
-                version,
-                accepted,
-                reason,
-                number,
-            });
+            status.push(Status { object, version, accepted, reason, number });
         }
         for s in status.iter().filter(|s| !s.accepted) {
-            self.refused
-                .insert(s.object.clone(), (s.version, s.reason.clone()));
+            self.refused.insert(s.object.clone(), (s.version, s.reason.clone()));
         }
         if items == base.items {
-            let refusals = status
-                .into_iter()
-                .filter(|s| !s.accepted)
-                .collect::<Vec<_>>();
+            let refusals = status.into_iter().filter(|s| !s.accepted).collect::<Vec<_>>();
             if !refusals.is_empty() {
                 out.push(PublisherAction::PutStatus(refusals));
             }
@@ -380,26 +349,11 @@
         }
         let (slots, texts) = cut(&items, base.manifest.slots.len());
         let old: BTreeSet<&Name> = base.manifest.slots.iter().collect();
-        let chunks: BTreeMap<_, _> = texts
-            .into_iter()
-            .filter(|(h, _)| !old.contains(h))
-            .collect();
+        let chunks: BTreeMap<_, _> = texts.into_iter().filter(|(h, _)| !old.contains(h)).collect();
         let nonce = self.rng.draw();
-        let manifest = Manifest {
-            number,
-            epoch,
-            nonce,
-            slots,
-        };
+        let manifest = Manifest { number, epoch, nonce, slots };
         let missing = chunks.keys().cloned().collect();
-        Some(Draft {
-            manifest,
-            missing,
-            chunks,
-            status,
-            items,
-            writing: false,
-        })
+        Some(Draft { manifest, missing, chunks, status, items, writing: false })
     }
 
     /// Newer than what is published, and not refused before at this version.
@@ -417,10 +371,7 @@
 
 impl Draft {
     fn put_missing(&self) -> impl Iterator<Item = PublisherAction> + '_ {
-        let texts = self
-            .missing
-            .iter()
-            .filter_map(|h| Some((h, self.chunks.get(h)?)));
+        let texts = self.missing.iter().filter_map(|h| Some((h, self.chunks.get(h)?)));
         texts.map(|(h, t)| PublisherAction::PutChunk(h.clone(), t.clone()))
     }
 }
@@ -443,14 +394,7 @@
         let mut items = base.clone();
         for d in newer.iter().filter(|d| !refused.contains_key(&d.key)) {
             let spec = d.spec.clone().and_then(Result::ok);
-            items.insert(
-                d.key.clone(),
-                Item {
-                    key: d.key.clone(),
-                    version: d.version,
-                    spec,
-                },
-            );
+            items.insert(d.key.clone(), Item { key: d.key.clone(), version: d.version, spec });
         }
         let faults = object::check(&set_of(&items));
         if faults.is_empty() {
@@ -469,10 +413,7 @@
         let why = format!("would break {}", faults[0]);
         let open = newer.iter().filter(|d| !refused.contains_key(&d.key));
         let guilty: Vec<Name> = match open.clone().find(|d| d.spec.is_none()) {
-            Some(_) => open
-                .filter(|d| d.spec.is_none())
-                .map(|d| d.key.clone())
-                .collect(),
+            Some(_) => open.filter(|d| d.spec.is_none()).map(|d| d.key.clone()).collect(),
             None => open.map(|d| d.key.clone()).collect(),
         };
         refused.extend(guilty.into_iter().map(|k| (k, why.clone())));
@@ -496,16 +437,10 @@
 /// Cuts items into slots of a few KB; `had` keeps the count while it still fits,
 /// so that one change moves one chunk.
 fn cut(items: &BTreeMap<Name, Item>, had: usize) -> (Vec<Name>, BTreeMap<Name, Arc<str>>) {
-    let bytes: usize = items
-        .values()
-        .map(|i| serde_json::to_vec(i).map_or(0, |v| v.len() + 1))
-        .sum();
+    let bytes: usize =
+        items.values().map(|i| serde_json::to_vec(i).map_or(0, |v| v.len() + 1)).sum();
     let wanted = bytes.div_ceil(CHUNK_BYTES).next_power_of_two();
-    let count = if wanted > had * 2 || wanted * 8 < had || had == 0 {
-        wanted
-    } else {
-        had
-    };
+    let count = if wanted > had * 2 || wanted * 8 < had || had == 0 { wanted } else { had };
     let mut chunks: Vec<Vec<&Item>> = vec![Vec::new(); count];
     for item in items.values() {
         chunks[slot(&item.key, count)].push(item);
--- a/crates/decide/src/deadline/mod.rs
+++ b/crates/decide/src/deadline/mod.rs
@@ -28,10 +28,7 @@
 impl Default for StepTimes {
     fn default() -> Self {
         let new = || Histogram::new_with_bounds(1, MOST_US, 2).expect("bounds are valid");
-        StepTimes {
-            whole: new(),
-            older: new(),
-        }
+        StepTimes { whole: new(), older: new() }
     }
 }
 
@@ -42,17 +39,12 @@
             std::mem::swap(&mut self.whole, &mut self.older);
             self.whole.reset();
         }
-        self.whole
-            .saturating_record((took.as_micros() as u64).max(1));
+        self.whole.saturating_record((took.as_micros() as u64).max(1));
     }
 
     /// A quantile, if there are enough samples; from the fuller of the two windows.
     pub fn quantile(&self, q: f64) -> Option<Duration> {
-        let h = if self.whole.len() >= ENOUGH {
-            &self.whole
-        } else {
-            &self.older
-        };
+        let h = if self.whole.len() >= ENOUGH { &self.whole } else { &self.older };
         (h.len() >= ENOUGH).then(|| Duration::from_micros(h.value_at_quantile(q)))
     }
 
@@ -72,11 +64,7 @@
 
 /// Time that the steps behind `step` will need, by their medians.
 pub fn later(times: &[&StepTimes], step: usize) -> Duration {
-    times
-        .iter()
-        .skip(step + 1)
-        .filter_map(|t| t.quantile(0.5))
-        .sum()
+    times.iter().skip(step + 1).filter_map(|t| t.quantile(0.5)).sum()
 }
 
 /// Budget of a step: what remains, less what later steps need.
--- a/crates/decide/src/lease/mod.rs
+++ b/crates/decide/src/lease/mod.rs
@@ -121,11 +121,7 @@
 
     /// The highest epoch seen, held by anybody.
     pub fn highest(&self) -> u64 {
-        let seen = self
-            .seen
-            .as_ref()
-            .and_then(|s| s.lease.as_ref())
-            .map_or(0, |l| l.epoch);
+        let seen = self.seen.as_ref().and_then(|s| s.lease.as_ref()).map_or(0, |l| l.epoch);
         seen.max(self.held.as_ref().map_or(0, |h| h.epoch))
     }
 
@@ -182,15 +178,10 @@
         }
         let same = self.seen.as_ref().is_some_and(|s| s.version == version);
         if !same {
-            self.seen = Some(Seen {
-                version,
-                lease: lease.clone(),
-                since: now,
-            });
+            self.seen = Some(Seen { version, lease: lease.clone(), since: now });
         }
-        let theirs = lease
-            .as_ref()
-            .is_some_and(|l| self.held.as_ref().is_some_and(|h| l.epoch > h.epoch));
+        let theirs =
+            lease.as_ref().is_some_and(|l| self.held.as_ref().is_some_and(|h| l.epoch > h.epoch));
         if theirs {
             self.held = None;
             out.push(Action::Dropped);
@@ -211,11 +202,7 @@
         let Some(p) = self.pending.take() else {
             return;
         };
-        self.seen = Some(Seen {
-            version,
-            lease: Some(p.lease.clone()),
-            since: now,
-        });
+        self.seen = Some(Seen { version, lease: Some(p.lease.clone()), since: now });
         self.hold(now, p, out);
     }
 
@@ -226,10 +213,7 @@
             return;
         }
         let new = self.held.as_ref().is_none_or(|h| h.epoch != p.lease.epoch);
-        self.held = Some(Held {
-            epoch: p.lease.epoch,
-            until,
-        });
+        self.held = Some(Held { epoch: p.lease.epoch, until });
         if new {
             out.push(Action::Taken(p.lease.epoch));
         }
@@ -272,11 +256,7 @@
             period: self.period.as_millis() as u64,
         };
         self.next = now + PAUSE;
-        self.pending = Some(Pending {
-            sent: now,
-            lease: lease.clone(),
-            lost: false,
-        });
+        self.pending = Some(Pending { sent: now, lease: lease.clone(), lost: false });
         out.push(Action::Write { expect, lease });
     }
 }
--- a/crates/decide/src/limit/concurrency.rs
+++ b/crates/decide/src/limit/concurrency.rs
@@ -11,30 +11,26 @@
 const LEAST: f64 = 4.0;
 /// Most width.
 const MOST: f64 = 1024.0;
-/// Latency over this many times the floor means a queue at the target.
+/// Latency over this many times the usual means a queue at the target.
 const QUEUEING: f64 = 4.0;
+/// Weight of a new sample in the usual latency; slow, so that a sudden queue shows.
+const USUAL: f64 = 0.02;
 /// Factor of a decrease.
 const DECREASE: f64 = 0.85;
 /// Least time between two decreases.
 const PAUSE: Duration = Duration::from_millis(200);
-/// The latency floor is forgotten by this share a sample, so that it can rise.
-const FORGET: f64 = 0.002;
 
 /// Width for attempts in flight at one target.
 #[derive(Debug, Clone)]
 pub struct Concurrency {
     width: f64,
-    floor: f64,
+    usual: Option<f64>,
     cut: Time,
 }
 
 impl Default for Concurrency {
     fn default() -> Self {
-        Concurrency {
-            width: START,
-            floor: f64::INFINITY,
-            cut: Time::ZERO,
-        }
+        Concurrency { width: START, usual: None, cut: Time::ZERO }
     }
 }
 
@@ -47,12 +43,9 @@
 
     /// An attempt took `ms` milliseconds while `flying` others ran.
     pub fn sample(&mut self, now: Time, ms: f64, flying: u32) {
-        self.floor = if ms < self.floor {
-            ms
-        } else {
-            self.floor + FORGET * (ms - self.floor)
-        };
-        if ms > self.floor * QUEUEING {
+        let usual = self.usual.unwrap_or(ms);
+        self.usual = Some(usual + USUAL * (ms - usual));
+        if ms > usual * QUEUEING {
             return self.drop_back(now);
         }
         // Only a width that is in use may grow.
--- a/crates/decide/src/limit/rate.rs
+++ b/crates/decide/src/limit/rate.rs
@@ -30,11 +30,7 @@
 impl Bucket {
     /// A full bucket of `rate` a second.
     pub fn new(rate: f64, now: Time) -> Self {
-        Bucket {
-            rate,
-            tokens: (rate * BURST).max(1.0),
-            filled: now,
-        }
+        Bucket { rate, tokens: (rate * BURST).max(1.0), filled: now }
     }
 
     /// Changes the rate, keeping what is in the bucket.
@@ -91,10 +87,7 @@
 impl Home {
     /// A lender of `rate` a second.
     pub fn new(rate: f64) -> Self {
-        Home {
-            rate,
-            wants: BTreeMap::new(),
-        }
+        Home { rate, wants: BTreeMap::new() }
     }
 
     /// Changes the rate.
@@ -105,31 +98,15 @@
     /// Lends to `node`, which sees `demand` requests a second.
     pub fn lend(&mut self, now: Time, node: &Name, demand: f64, nodes: usize) -> Lend {
         self.wants.retain(|_, w| w.until > now);
-        let others: f64 = self
-            .wants
-            .iter()
-            .filter(|(n, _)| *n != node)
-            .map(|(_, w)| w.lent)
-            .sum();
-        let demands: f64 = self
-            .wants
-            .iter()
-            .filter(|(n, _)| *n != node)
-            .map(|(_, w)| w.demand)
-            .sum();
+        let others: f64 = self.wants.iter().filter(|(n, _)| *n != node).map(|(_, w)| w.lent).sum();
+        let demands: f64 =
+            self.wants.iter().filter(|(n, _)| *n != node).map(|(_, w)| w.demand).sum();
         let even = self.rate * EVEN / nodes.max(1) as f64;
         let total = (demands + demand).max(1e-9);
         let fair = even + self.rate * (1.0 - EVEN) * demand / total;
         // What others still hold is not lent twice; shares settle within a lease.
         let lent = fair.min((self.rate - others).max(0.0));
-        self.wants.insert(
-            node.clone(),
-            Want {
-                demand,
-                lent,
-                until: now + LEASE,
-            },
-        );
+        self.wants.insert(node.clone(), Want { demand, lent, until: now + LEASE });
         Lend { rate: lent }
     }
 }
@@ -148,13 +125,7 @@
     /// A share of `rate` before the home was heard: an even part.
     pub fn new(rate: f64, nodes: usize, now: Time) -> Self {
         let bucket = Bucket::new(rate / nodes.max(1) as f64, now);
-        Slice {
-            rate,
-            bucket,
-            until: now,
-            asked: 0,
-            since: now,
-        }
+        Slice { rate, bucket, until: now, asked: 0, since: now }
     }
 
     /// Takes one request's token.
--- a/crates/decide/src/load/mod.rs
+++ b/crates/decide/src/load/mod.rs
@@ -20,9 +20,7 @@
 /// Whether `me` polls `target`, given the names of the domain's nodes; the rank
 /// tells first from second.
 pub fn poll_rank(target: &str, me: &Name, nodes: &[Name]) -> Option<usize> {
-    hash::rendezvous(target, nodes.iter(), POLLERS)
-        .iter()
-        .position(|n| n == me)
+    hash::rendezvous(target, nodes.iter(), POLLERS).iter().position(|n| n == me)
 }
 
 /// Packs a target's state for gossip.
@@ -86,32 +84,19 @@
 
     /// What changed after the change numbered `since`.
     pub fn since(&self, since: u64) -> impl Iterator<Item = &TargetNews> {
-        self.news
-            .values()
-            .filter(move |e| e.change > since)
-            .map(|e| &e.news)
+        self.news.values().filter(move |e| e.change > since).map(|e| &e.news)
     }
 
     fn put(&mut self, name: Name, news: TargetNews) {
         self.changes += 1;
-        self.news.insert(
-            name,
-            Entry {
-                news,
-                change: self.changes,
-            },
-        );
+        self.news.insert(name, Entry { news, change: self.changes });
     }
 
     /// Takes this node's own poll; returns news worth passing on.
     pub fn polled(&mut self, report: Report) -> Option<LoadRumor> {
         let seq = report.seq;
         let name = report.target.clone();
-        let news = TargetNews {
-            report,
-            seq,
-            ready: true,
-        };
+        let news = TargetNews { report, seq, ready: true };
         let rumor = pack(&news);
         let old = self.news.get(&name).map(|e| pack(&e.news));
         self.put(name, news);
@@ -124,10 +109,7 @@
         let old = self.news.get(target).map(|e| e.news.clone());
         let was_ready = old.as_ref().is_none_or(|n| n.ready);
         let mut news = old.unwrap_or_else(|| TargetNews {
-            report: Report {
-                target: target.clone(),
-                ..Report::default()
-            },
+            report: Report { target: target.clone(), ..Report::default() },
             seq: 0,
             ready: true,
         });
@@ -154,14 +136,7 @@
         report.wait = u32::from(rumor.wait);
         report.leaving = rumor.flags & LEAVING != 0;
         let ready = rumor.flags & READY != 0;
-        self.put(
-            name,
-            TargetNews {
-                report,
-                seq: base,
-                ready,
-            },
-        );
+        self.put(name, TargetNews { report, seq: base, ready });
         Some(rumor)
     }
 }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -141,12 +141,7 @@
     /// A node that knows nobody.
     pub fn new(me: Node, tuning: Tuning, seed: u64) -> Self {
         let mut outbox = Outbox::default();
-        outbox.push(Rumor {
-            node: me.clone(),
-            health: Health::Alive,
-            incarnation: 0,
-            number: 0,
-        });
+        outbox.push(Rumor { node: me.clone(), health: Health::Alive, incarnation: 0, number: 0 });
         Member {
             me,
             tuning,
@@ -271,12 +266,8 @@
         if self.rng.below(SEED_EVERY) != 0 {
             return;
         }
-        let lost: Vec<SocketAddr> = self
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| self.peers.at(*s).is_none())
-            .collect();
+        let lost: Vec<SocketAddr> =
+            self.seeds.iter().copied().filter(|s| self.peers.at(*s).is_none()).collect();
         if lost.is_empty() {
             return;
         }
@@ -305,12 +296,7 @@
         let address = p.node.address;
         let start = target.start;
         self.seq = self.seq.wrapping_add(1);
-        self.probe = Some(Probe {
-            seq: self.seq,
-            target,
-            sent: now,
-            asked: false,
-        });
+        self.probe = Some(Probe { seq: self.seq, target, sent: now, asked: false });
         let packet = self.packet_of(Purpose::Ping { start }, self.seq);
         out.push(Action::Send(address, packet));
     }
@@ -361,10 +347,7 @@
         };
         match peer.health {
             Health::Alive => {
-                let rumor = Rumor {
-                    health: Health::Suspect,
-                    ..peer.rumor()
-                };
+                let rumor = Rumor { health: Health::Suspect, ..peer.rumor() };
                 self.learn(now, &rumor, out);
             }
             Health::Suspect => {
@@ -382,10 +365,7 @@
         let stretch = f64::from(self.blame + 1);
         let wait = |p: &Peer| {
             let share = f64::from(p.confirms + 1).ln() / f64::from(t.confirms + 1).ln();
-            let span = t
-                .suspect_most
-                .saturating_sub(t.suspect)
-                .mul_f64(share.min(1.0));
+            let span = t.suspect_most.saturating_sub(t.suspect).mul_f64(share.min(1.0));
             (t.suspect_most - span).mul_f64(stretch.sqrt())
         };
         for id in self.peers.expired(now, wait) {
@@ -395,10 +375,7 @@
 
     fn declare(&mut self, now: Time, id: &NodeId, health: Health, out: &mut Vec<Action>) {
         if let Some(peer) = self.peers.get(id) {
-            let rumor = Rumor {
-                health,
-                ..peer.rumor()
-            };
+            let rumor = Rumor { health, ..peer.rumor() };
             self.learn(now, &rumor, out);
         }
     }
@@ -481,11 +458,7 @@
             packet.rumors.insert(0, self.own_rumor());
         }
         // A node that was buried learns it from whom it probes.
-        let buried = self
-            .peers
-            .get(sender)
-            .filter(|p| !p.is_up())
-            .map(Peer::rumor);
+        let buried = self.peers.get(sender).filter(|p| !p.is_up()).map(Peer::rumor);
         packet.rumors.extend(buried);
         out.push(Action::Send(from, packet));
         if newcomer {
@@ -505,20 +478,12 @@
     }
 
     fn ack(&mut self, now: Time, from: &NodeId, seq: u32, out: &mut Vec<Action>) {
-        if let Some(i) = self
-            .errands
-            .iter()
-            .position(|e| e.seq == seq && e.target == *from)
-        {
+        if let Some(i) = self.errands.iter().position(|e| e.seq == seq && e.target == *from) {
             let e = self.errands.swap_remove(i);
             let packet = self.packet_of(Purpose::Answered(e.target), e.origin_seq);
             out.push(Action::Send(e.origin, packet));
         }
-        let Some(target) = self
-            .probe
-            .as_ref()
-            .filter(|p| p.seq == seq)
-            .map(|p| p.target.clone())
+        let Some(target) = self.probe.as_ref().filter(|p| p.seq == seq).map(|p| p.target.clone())
         else {
             return;
         };
@@ -549,13 +514,7 @@
         self.seq = self.seq.wrapping_add(1);
         let (seq, start) = (self.seq, node.id.start);
         let until = now + self.tuning.period;
-        self.errands.push(Errand {
-            seq,
-            origin: from,
-            origin_seq,
-            target: node.id,
-            until,
-        });
+        self.errands.push(Errand { seq, origin: from, origin_seq, target: node.id, until });
         let packet = self.packet_of(Purpose::Ping { start }, seq);
         out.push(Action::Send(node.address, packet));
     }
@@ -588,10 +547,7 @@
     /// Nodes that may hold the failure domain's lease and so report on it.
     pub fn reporters(&self) -> Vec<SocketAddr> {
         let ids = self.relays();
-        self.peers()
-            .filter(|p| ids.contains(&p.node.id.name))
-            .map(|p| p.node.address)
-            .collect()
+        self.peers().filter(|p| ids.contains(&p.node.id.name)).map(|p| p.node.address).collect()
     }
 
     /// Names of the nodes that hold watches and may take leases, this one included.
@@ -615,10 +571,7 @@
 
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.incarnation += 1;
-        let rumor = Rumor {
-            health: Health::Left,
-            ..self.own_rumor()
-        };
+        let rumor = Rumor { health: Health::Left, ..self.own_rumor() };
         let all: Vec<_> = self.peers().map(|p| p.node.address).collect();
         for to in all {
             let mut packet = self.bare(Purpose::News);
@@ -663,12 +616,7 @@
             }
         }
         let loads = self.outbox.take_loads(LOADS, nodes);
-        Packet {
-            seq,
-            rumors,
-            loads,
-            ..self.bare(purpose)
-        }
+        Packet { seq, rumors, loads, ..self.bare(purpose) }
     }
 
     fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -137,17 +137,12 @@
 
     /// Forgets those buried long ago.
     pub fn forget(&mut self, now: Time) {
-        self.map
-            .retain(|_, p| p.is_up() || now.since(p.since) < BURIED);
+        self.map.retain(|_, p| p.is_up() || now.since(p.since) < BURIED);
     }
 
     /// Suspects whose time to refute is over.
     pub fn expired(&self, now: Time, wait: impl Fn(&Peer) -> Duration) -> Vec<NodeId> {
         let over = |p: &&Peer| p.health == Health::Suspect && now.since(p.since) >= wait(p);
-        self.map
-            .values()
-            .filter(over)
-            .map(|p| p.node.id.clone())
-            .collect()
+        self.map.values().filter(over).map(|p| p.node.id.clone()).collect()
     }
 }
--- a/crates/decide/src/member/rumors.rs
+++ b/crates/decide/src/member/rumors.rs
@@ -33,11 +33,8 @@
     /// Takes up to `n` rumors for one packet.
     pub fn take(&mut self, n: usize, nodes: usize) -> Vec<Rumor> {
         let most = REPEAT * (usize::BITS - nodes.leading_zeros()).max(1);
-        let mut order: Vec<(u32, NodeId)> = self
-            .rumors
-            .iter()
-            .map(|(id, (sent, _))| (*sent, id.clone()))
-            .collect();
+        let mut order: Vec<(u32, NodeId)> =
+            self.rumors.iter().map(|(id, (sent, _))| (*sent, id.clone())).collect();
         order.sort_unstable();
         let mut out = Vec::new();
         for (_, id) in order.into_iter().take(n) {
@@ -54,17 +51,10 @@
     pub fn take_loads(&mut self, n: usize, nodes: usize) -> Vec<LoadRumor> {
         let log = (usize::BITS - nodes.leading_zeros()).max(1);
         let most = |l: &LoadRumor| {
-            if l.flags & LEAVING != 0 {
-                REPEAT * log
-            } else {
-                LOAD_REPEAT
-            }
+            if l.flags & LEAVING != 0 { REPEAT * log } else { LOAD_REPEAT }
         };
-        let mut order: Vec<(bool, u32, u32)> = self
-            .loads
-            .iter()
-            .map(|(t, (sent, l))| (l.flags & LEAVING == 0, *sent, *t))
-            .collect();
+        let mut order: Vec<(bool, u32, u32)> =
+            self.loads.iter().map(|(t, (sent, l))| (l.flags & LEAVING == 0, *sent, *t)).collect();
         order.sort_unstable();
         let mut out = Vec::new();
         for (_, _, target) in order.into_iter().take(n) {
--- a/crates/decide/src/place/mod.rs
+++ b/crates/decide/src/place/mod.rs
@@ -46,9 +46,7 @@
 
 impl View<'_> {
     fn holds(&self, target: &Name, version: &Name) -> bool {
-        self.news
-            .get(target)
-            .is_some_and(|n| n.ready && n.report.models.contains(version))
+        self.news.get(target).is_some_and(|n| n.ready && n.report.models.contains(version))
     }
 
     fn leaves(&self, t: &model::object::Target) -> bool {
@@ -91,10 +89,8 @@
         out: &mut Vec<Order>,
     ) {
         let here = pool.targets.iter().filter(|t| t.domain == *view.domain);
-        let staying: Vec<&Name> = here
-            .filter(|t| !view.leaves(t) && view.ready(&t.name))
-            .map(|t| &t.name)
-            .collect();
+        let staying: Vec<&Name> =
+            here.filter(|t| !view.leaves(t) && view.ready(&t.name)).map(|t| &t.name).collect();
         let chosen = hash::rendezvous(model, staying.iter().copied(), replicas);
         for t in chosen.iter().filter(|t| !view.holds(t, want)) {
             if self.loading() >= LOADS_MAX {
@@ -127,9 +123,7 @@
                     continue;
                 };
                 let elsewhere = |m: &Name| {
-                    pool.targets
-                        .iter()
-                        .any(|o| !view.leaves(o) && view.holds(&o.name, m))
+                    pool.targets.iter().any(|o| !view.leaves(o) && view.holds(&o.name, m))
                 };
                 let replaced = news.report.models.iter().all(elsewhere);
                 if replaced && !news.report.leaving {
@@ -140,10 +134,7 @@
     }
 
     fn loading(&self) -> usize {
-        self.sent
-            .keys()
-            .filter(|(_, what)| what.starts_with("load "))
-            .count()
+        self.sent.keys().filter(|(_, what)| what.starts_with("load ")).count()
     }
 
     fn send(
@@ -165,12 +156,7 @@
             return;
         }
         self.sent.insert(key, now);
-        out.push(Order {
-            target: target.clone(),
-            epoch,
-            number,
-            task,
-        });
+        out.push(Order { target: target.clone(), epoch, number, task });
     }
 }
 
@@ -178,7 +164,5 @@
 /// least one where it has a target.
 fn domain_share(pool: &Pool, domain: &Name, replicas: u32) -> usize {
     let here = pool.targets.iter().filter(|t| t.domain == *domain).count();
-    (replicas as usize * here)
-        .div_ceil(pool.targets.len().max(1))
-        .min(here)
+    (replicas as usize * here).div_ceil(pool.targets.len().max(1)).min(here)
 }
--- a/crates/decide/src/request/assembly.rs
+++ b/crates/decide/src/request/assembly.rs
@@ -73,16 +73,7 @@
         }
         match frame {
             Frame::Chunk { seq, text, .. } => self.chunk(seq, text),
-            Frame::End {
-                count,
-                digest,
-                busy,
-                ..
-            } => self.finish(End {
-                count,
-                digest,
-                busy,
-            }),
+            Frame::End { count, digest, busy, .. } => self.finish(End { count, digest, busy }),
         }
     }
 
--- a/crates/decide/src/request/run.rs
+++ b/crates/decide/src/request/run.rs
@@ -276,20 +276,13 @@
             // Nothing was sent, so "not run" is true; only the key is used up.
             ClaimEnd::Doubt => (Outcome::NotRun, None, Reason::ClaimDoubt),
         };
-        let error = StepError {
-            step: "claim".into(),
-            peer,
-            reason,
-        };
+        let error = StepError { step: "claim".into(), peer, reason };
         self.finish(now, outcome, Some(error), None, out);
     }
 
     fn pick(&mut self, hedge: bool, out: &mut Vec<Action>) {
         self.state = State::Picking { hedge };
-        out.push(Action::Pick {
-            step: self.step,
-            tried: self.tried.clone(),
-        });
+        out.push(Action::Pick { step: self.step, tried: self.tried.clone() });
     }
 
     fn picked(&mut self, now: Time, target: Name, out: &mut Vec<Action>) {
@@ -313,19 +306,9 @@
         let step = &self.plan.steps[self.step];
         let from = self.pieces;
         let answer = Assembly::new(attempt.clone(), from);
-        self.flights.push(Flight {
-            target: target.clone(),
-            answer,
-            heard: now,
-        });
+        self.flights.push(Flight { target: target.clone(), answer, heard: now });
         let budget = self.plan.until.since(now);
-        out.push(Action::Send {
-            attempt,
-            target,
-            from,
-            resume,
-            budget,
-        });
+        out.push(Action::Send { attempt, target, from, resume, budget });
         if step.repeatable {
             out.push(Action::Wake(now + step.timeout));
         }
@@ -374,11 +357,7 @@
         permit: &mut dyn Permit,
         out: &mut Vec<Action>,
     ) {
-        let Some(i) = self
-            .flights
-            .iter()
-            .position(|f| f.answer.attempt() == attempt)
-        else {
+        let Some(i) = self.flights.iter().position(|f| f.answer.attempt() == attempt) else {
             return;
         };
         let flight = self.flights.remove(i);
@@ -394,10 +373,7 @@
         // Reading the rest of a stream is no second run, so it is safe for any step.
         if sent && continues && !started && self.pieces > 0 && self.number < ATTEMPTS_MAX {
             let target = flight.target.clone();
-            let next = Attempt {
-                number: self.number,
-                ..attempt.clone()
-            };
+            let next = Attempt { number: self.number, ..attempt.clone() };
             self.resume = Some((target.clone(), next));
             self.tried.push(target.clone());
             return self.send(now, target, Some(attempt.clone()), out);
@@ -423,11 +399,7 @@
     fn retry(&mut self, now: Time, permit: &mut dyn Permit, out: &mut Vec<Action>) {
         if self.number >= ATTEMPTS_MAX || !permit.retry(self.step) {
             let error = self.last.clone();
-            let outcome = if self.sent {
-                Outcome::Failed
-            } else {
-                Outcome::NotRun
-            };
+            let outcome = if self.sent { Outcome::Failed } else { Outcome::NotRun };
             return self.finish(now, outcome, error, None, out);
         }
         let until = now + backoff(self.number, &mut self.rng);
@@ -437,11 +409,7 @@
 
     fn frame(&mut self, now: Time, frame: Frame, permit: &mut dyn Permit, out: &mut Vec<Action>) {
         let attempt = frame.attempt().clone();
-        let Some(i) = self
-            .flights
-            .iter()
-            .position(|f| *f.answer.attempt() == attempt)
-        else {
+        let Some(i) = self.flights.iter().position(|f| *f.answer.attempt() == attempt) else {
             self.strays += 1;
             return;
         };
@@ -471,10 +439,7 @@
         }
         let winner = self.flights.swap_remove(i);
         for f in self.flights.drain(..) {
-            out.push(Action::Cancel {
-                attempt: f.answer.attempt().clone(),
-                target: f.target,
-            });
+            out.push(Action::Cancel { attempt: f.answer.attempt().clone(), target: f.target });
         }
         self.flights.push(winner);
     }
@@ -501,10 +466,7 @@
     ) {
         let given = self.plan.streamed && self.is_last() && self.pieces > 0;
         if let Some(f) = self.flights.iter().find(|f| f.answer.attempt() == attempt) {
-            out.push(Action::Cancel {
-                attempt: attempt.clone(),
-                target: f.target.clone(),
-            });
+            out.push(Action::Cancel { attempt: attempt.clone(), target: f.target.clone() });
         }
         if given {
             let peer = self.flights.first().map(|f| f.target.clone());
@@ -584,10 +546,7 @@
             return;
         };
         let attempt = f.answer.attempt().clone();
-        out.push(Action::Cancel {
-            attempt: attempt.clone(),
-            target: f.target.clone(),
-        });
+        out.push(Action::Cancel { attempt: attempt.clone(), target: f.target.clone() });
         let reason = Reason::Broken("silent".into());
         // A silent target is not asked to resume.
         self.resume = Some((f.target.clone(), attempt.clone()));
@@ -608,11 +567,7 @@
 
     /// The outcome with an attempt in flight: unknown if it may not be repeated.
     fn doubt(&self, otherwise: Outcome) -> Outcome {
-        if self.plan.steps[self.step].repeatable {
-            otherwise
-        } else {
-            Outcome::Unknown
-        }
+        if self.plan.steps[self.step].repeatable { otherwise } else { Outcome::Unknown }
     }
 
     fn finish(
@@ -629,10 +584,7 @@
         for f in flights.iter().filter(|_| cancels) {
             self.spend(now, f);
             let attempt = f.answer.attempt().clone();
-            let cancel = Action::Cancel {
-                attempt,
-                target: f.target.clone(),
-            };
+            let cancel = Action::Cancel { attempt, target: f.target.clone() };
             if !out.contains(&cancel) {
                 out.push(cancel);
             }
@@ -666,11 +618,7 @@
     }
 
     fn error(&self, peer: Option<Name>, reason: Reason) -> StepError {
-        StepError {
-            step: self.plan.steps[self.step].name.clone(),
-            peer,
-            reason,
-        }
+        StepError { step: self.plan.steps[self.step].name.clone(), peer, reason }
     }
 
     /// When the request arrived.
--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -37,11 +37,7 @@
 impl Budget {
     /// Each success adds `share`; at most `most` are kept, which is also the start.
     pub fn new(share: f64, most: f64) -> Self {
-        Budget {
-            tokens: most,
-            share,
-            most,
-        }
+        Budget { tokens: most, share, most }
     }
 
     /// A step answered.
--- a/crates/decide/src/route/policy.rs
+++ b/crates/decide/src/route/policy.rs
@@ -23,6 +23,8 @@
     pub prefix: u64,
     /// `model@version`, for engines.
     pub model: Option<&'a str>,
+    /// Milliseconds that the step has.
+    pub budget: f64,
     /// Targets that failed this step before.
     pub tried: &'a [Name],
 }
@@ -69,20 +71,10 @@
         PolicyKind::SessionHash => Box::new(SessionHash { bound: None }),
         PolicyKind::SessionHashBound => Box::new(SessionHash { bound: Some(1.25) }),
         PolicyKind::Home => Box::new(Home::new(tuning, seed)),
-        PolicyKind::HomeUnbound => Box::new(Home::new(
-            HomeTuning {
-                floor: f64::INFINITY,
-                ..tuning
-            },
-            seed,
-        )),
-        PolicyKind::HomeNext => Box::new(Home::new(
-            HomeTuning {
-                choices: 1,
-                ..tuning
-            },
-            seed,
-        )),
+        PolicyKind::HomeUnbound => {
+            Box::new(Home::new(HomeTuning { share: f64::INFINITY, ..tuning }, seed))
+        }
+        PolicyKind::HomeNext => Box::new(Home::new(HomeTuning { choices: 1, ..tuning }, seed)),
     }
 }
 
@@ -112,14 +104,8 @@
 
 impl Policy for LeastOutstanding {
     fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
-        let fitting = table
-            .slots()
-            .iter()
-            .enumerate()
-            .filter(|(_, s)| ask.fits(s));
-        fitting
-            .min_by_key(|(_, s)| (s.flying, self.0.draw()))
-            .map(|(i, _)| i)
+        let fitting = table.slots().iter().enumerate().filter(|(_, s)| ask.fits(s));
+        fitting.min_by_key(|(_, s)| (s.flying, self.0.draw())).map(|(i, _)| i)
     }
 }
 
@@ -142,42 +128,36 @@
             }
             (b * flying / n).ceil()
         });
-        let fitting = table
-            .slots()
-            .iter()
-            .enumerate()
-            .filter(|(_, s)| ask.fits(s));
+        let fitting = table.slots().iter().enumerate().filter(|(_, s)| ask.fits(s));
         let open = fitting.filter(|(_, s)| most.is_none_or(|m| f64::from(s.flying) < m));
-        open.max_by_key(|(_, s)| mix(ask.prefix, s.hash))
-            .map(|(i, _)| i)
+        open.max_by_key(|(_, s)| mix(ask.prefix, s.hash)).map(|(i, _)| i)
     }
 }
 
 /// Tuning of [`Home`].
 #[derive(Debug, Clone, Copy)]
 pub struct HomeTuning {
-    /// The home is declined when its expected wait passes this many times the mean.
-    pub factor: f64,
-    /// ... and this many milliseconds; small waits are not worth a cold cache.
-    pub floor: f64,
+    /// The home is declined only when its expected wait takes more than this
+    /// share of the step's budget; below that a spill buys nothing.
+    pub share: f64,
+    /// ... and only for a target whose expected wait is shorter by this factor.
+    pub gain: f64,
     /// Targets compared once the home is declined.
     pub choices: usize,
 }
 
 impl Default for HomeTuning {
     fn default() -> Self {
-        HomeTuning {
-            factor: 1.5,
-            floor: 25.0,
-            choices: 2,
-        }
+        HomeTuning { share: 0.2, gain: 2.0, choices: 2 }
     }
 }
 
 /// Rendezvous of the prompt's prefix: every node finds the same home without a
-/// shared index. A home whose expected wait passes a bound is declined for the
-/// better of the next two in the same order, so that the spill is warm for all
-/// nodes too, and no node herds to the one least loaded by a stale report.
+/// shared index. A cold start costs the whole fleet prefill that it may not have
+/// to spare, so the home is declined only when staying would put the deadline at
+/// risk; then for the better of the next two in the same order, so that the spill
+/// is warm for all nodes too, and no node herds to the one least loaded by a
+/// stale report.
 #[derive(Debug)]
 pub struct Home {
     tuning: HomeTuning,
@@ -194,11 +174,7 @@
 
 impl Top {
     fn new() -> Self {
-        Top {
-            len: 0,
-            score: [0; ORDER],
-            index: [0; ORDER],
-        }
+        Top { len: 0, score: [0; ORDER], index: [0; ORDER] }
     }
 
     #[inline]
@@ -221,53 +197,41 @@
 impl Home {
     /// A policy with this tuning.
     pub fn new(tuning: HomeTuning, seed: u64) -> Self {
-        Home {
-            tuning,
-            rng: Rng::new(seed),
-        }
+        Home { tuning, rng: Rng::new(seed) }
     }
 
-    /// Candidates of one distance class: their order and mean wait.
-    fn scan(ask: &Ask, table: &PoolTable, distance: u8) -> (Top, f64) {
+    /// The order of one distance class's candidates.
+    fn scan(ask: &Ask, table: &PoolTable, distance: u8) -> Top {
         let mut top = Top::new();
-        let (mut n, mut sum) = (0u32, 0.0);
         for (i, s) in table.slots().iter().enumerate() {
-            if s.info.distance != distance || !ask.fits(s) {
-                continue;
+            if s.info.distance == distance && ask.fits(s) {
+                top.offer(mix(ask.prefix, s.hash), i);
             }
-            top.offer(mix(ask.prefix, s.hash), i);
-            n += 1;
-            sum += s.wait(ask.now);
         }
-        (top, sum / f64::from(n.max(1)))
+        top
     }
 
-    fn choose(&mut self, ask: &Ask, table: &PoolTable, top: &Top, bound: f64) -> usize {
+    fn choose(&mut self, ask: &Ask, table: &PoolTable, top: &Top) -> usize {
         let wait = |i: usize| table.slots()[i].wait(ask.now);
+        let open = |i: usize| table.slots()[i].flying < table.slots()[i].limit.width();
         let home = top.index[0];
-        let open = |i: usize| {
-            let s = &table.slots()[i];
-            wait(i) <= bound && s.flying < s.limit.width()
-        };
-        if open(home) || top.len == 1 {
+        if top.len == 1 {
+            return home;
+        }
+        let at_home = wait(home);
+        if open(home) && at_home <= self.tuning.share * ask.budget {
             return home;
         }
         let others = top.len - 1;
-        let first = top.index[1];
-        if self.tuning.choices < 2 || others < 2 {
-            return if wait(first) < wait(home) {
-                first
-            } else {
-                home
-            };
+        let mut other = top.index[1];
+        if self.tuning.choices > 1 && others > 1 {
+            let second = top.index[2 + self.rng.below(others - 1)];
+            if wait(second) < wait(other) {
+                other = second;
+            }
         }
-        let second = top.index[2 + self.rng.below(others - 1)];
-        let best = if wait(second) < wait(first) {
-            second
-        } else {
-            first
-        };
-        if wait(best) < wait(home) { best } else { home }
+        let full = !open(home) && open(other);
+        if full || wait(other) * self.tuning.gain < at_home { other } else { home }
     }
 }
 
@@ -275,12 +239,11 @@
     fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
         let mut fallback = None;
         for distance in 0..DISTANCES {
-            let (top, mean) = Self::scan(ask, table, distance);
+            let top = Self::scan(ask, table, distance);
             if top.len == 0 {
                 continue;
             }
-            let bound = (mean * self.tuning.factor).max(self.tuning.floor);
-            let i = self.choose(ask, table, &top, bound);
+            let i = self.choose(ask, table, &top);
             let s = &table.slots()[i];
             if s.flying < s.limit.width() {
                 return Some(i);
--- a/crates/decide/src/route/table.rs
+++ b/crates/decide/src/route/table.rs
@@ -12,6 +12,8 @@
 const SMOOTH: f64 = 0.2;
 /// Service time assumed before the first answer, milliseconds.
 const SERVICE_MS: f64 = 20.0;
+/// Least work of a call, milliseconds.
+const WORK_LEAST: f64 = 0.5;
 /// A reported wait loses half its weight in this time.
 const HALF_LIFE: Duration = Duration::from_millis(500);
 /// Largest share of a pool that may be ejected at once.
@@ -76,20 +78,14 @@
     }
 
     /// Expected wait of a new call, milliseconds: the last report fading out,
-    /// and what this node sent since.
+    /// and the work of what this node sent since.
     pub fn wait(&self, now: Time) -> f64 {
         let age = now.since(self.heard).as_secs_f64() / HALF_LIFE.as_secs_f64();
         // Cheap stand-in for 2^-age, within 7 % of it over the first half-life.
         let faded = self.wait / (1.0 + age);
-        let own =
-            f64::from(self.flying.max(self.since)) * self.service / f64::from(self.limit.width());
+        let own = f64::from(self.since) * self.service;
         faded + own
     }
-
-    /// Smoothed service time, milliseconds.
-    pub fn service(&self) -> f64 {
-        self.service
-    }
 }
 
 /// What one entry node believes about one pool.
@@ -159,21 +155,26 @@
         }
     }
 
-    /// An attempt was sent.
-    pub fn sent(&mut self, name: &str) {
-        if let Some(s) = self.slot_mut(name) {
-            s.flying += 1;
-            s.since += 1;
-        }
+    /// An attempt was sent; returns the wait expected at that moment, milliseconds.
+    pub fn sent(&mut self, now: Time, name: &str) -> f64 {
+        let Some(s) = self.slot_mut(name) else {
+            return 0.0;
+        };
+        let wait = s.wait(now);
+        s.flying += 1;
+        s.since += 1;
+        wait
     }
 
-    /// The first frame of an attempt came after `took`.
-    pub fn answering(&mut self, now: Time, name: &str, took: Duration) {
+    /// The first frame of an attempt came after `took`, where `wait` milliseconds were expected.
+    pub fn answering(&mut self, now: Time, name: &str, wait: f64, took: Duration) {
         let Some(s) = self.slot_mut(name) else {
             return;
         };
         let ms = took.as_secs_f64() * 1e3;
-        s.service += SMOOTH * (ms - s.service);
+        // What is left of the time once the wait is taken off is the call's own work.
+        let work = (ms - wait).max(WORK_LEAST);
+        s.service += SMOOTH * (work - s.service);
         let flying = s.flying;
         s.limit.sample(now, ms, flying);
     }
--- a/crates/decide/tests/claim.rs
+++ b/crates/decide/tests/claim.rs
@@ -25,10 +25,7 @@
 
 impl Store {
     fn now(&self, object: &Name) -> (u64, Option<Claims>) {
-        self.objects
-            .get(object)
-            .and_then(|h| h.last().cloned())
-            .unwrap_or((0, None))
+        self.objects.get(object).and_then(|h| h.last().cloned()).unwrap_or((0, None))
     }
 
     fn read(&self, object: &Name, back: usize) -> ReadBack {
@@ -49,10 +46,7 @@
         if version != expect {
             return None;
         }
-        self.objects
-            .entry(object.clone())
-            .or_default()
-            .push((version + 1, claims));
+        self.objects.entry(object.clone()).or_default().push((version + 1, claims));
         Some(version + 1)
     }
 }
@@ -94,21 +88,10 @@
 
     fn ask(&mut self, node: usize, key: Key) -> u64 {
         let ticket = self.asks.len() as u64 + 1;
-        let ask = ClaimAsk {
-            key,
-            request: format!("r{ticket}").into(),
-        };
+        let ask = ClaimAsk { key, request: format!("r{ticket}").into() };
         self.asks.insert(ticket, ask.clone());
         let until = self.now + Duration::from_millis(1500);
-        self.inbox.push((
-            node,
-            Event::Ask {
-                ask,
-                ticket,
-                unix_ms: UNIX_MS,
-                until,
-            },
-        ));
+        self.inbox.push((node, Event::Ask { ask, ticket, unix_ms: UNIX_MS, until }));
         ticket
     }
 
@@ -119,32 +102,20 @@
     fn act(&mut self, node: usize, action: Action) {
         let event = match action {
             Action::Answer { ticket, end } => {
-                assert!(
-                    self.answers.insert(ticket, end).is_none(),
-                    "one answer a claim"
-                );
+                assert!(self.answers.insert(ticket, end).is_none(), "one answer a claim");
                 return;
             }
             Action::ReadFloor if self.unlucky() => Event::Floor(None),
             Action::ReadFloor => Event::Floor(Some(self.store.floor)),
-            Action::Read(object) if self.unlucky() => Event::Read {
-                object,
-                found: ReadBack::Failed,
-            },
+            Action::Read(object) if self.unlucky() => {
+                Event::Read { object, found: ReadBack::Failed }
+            }
             Action::Read(object) => {
-                let back = if self.unlucky() {
-                    1 + self.rng.below(2)
-                } else {
-                    0
-                };
+                let back = if self.unlucky() { 1 + self.rng.below(2) } else { 0 };
                 let found = self.store.read(&object, back);
                 Event::Read { object, found }
             }
-            Action::Write {
-                object,
-                expect,
-                claims,
-            } => {
+            Action::Write { object, expect, claims } => {
                 let end = self.write(&object, expect, claims);
                 Event::Wrote { object, end }
             }
@@ -157,11 +128,7 @@
             // Lost: landed, never landed, or lands later.
             match self.rng.below(3) {
                 0 => drop(self.store.write(object, expect, Some(claims))),
-                1 => self.late.push(Late {
-                    object: object.clone(),
-                    expect,
-                    claims,
-                }),
+                1 => self.late.push(Late { object: object.clone(), expect, claims }),
                 _ => {}
             }
             return WriteEnd::Lost;
@@ -200,11 +167,7 @@
     }
 
     fn check(&self) {
-        assert_eq!(
-            self.answers.len(),
-            self.asks.len(),
-            "every claim is answered"
-        );
+        assert_eq!(self.answers.len(), self.asks.len(), "every claim is answered");
         let mut winners: BTreeMap<Key, Name> = BTreeMap::new();
         for (ticket, end) in &self.answers {
             let ask = &self.asks[ticket];
@@ -215,11 +178,7 @@
             assert!(other.is_none(), "{} won twice: {other:?}", ask.key);
             let (_, claims) = self.store.now(&ask.key.object());
             let held = claims.and_then(|c| c.keys.get(&ask.key).cloned());
-            assert_eq!(
-                held.as_ref(),
-                Some(&ask.request),
-                "a winner stands in the store"
-            );
+            assert_eq!(held.as_ref(), Some(&ask.request), "a winner stands in the store");
         }
     }
 }
@@ -256,34 +215,13 @@
     let key = |i: u64| Key::new(UNIX_MS, u128::from(i) << 40);
     let mut c = Committer::default();
     let object = key(0).object();
-    let same: Vec<Key> = (0..200)
-        .map(key)
-        .filter(|k| k.object() == object)
-        .take(3)
-        .collect();
+    let same: Vec<Key> = (0..200).map(key).filter(|k| k.object() == object).take(3).collect();
     for (i, k) in same.iter().enumerate() {
-        let ask = ClaimAsk {
-            key: *k,
-            request: format!("r{i}").into(),
-        };
+        let ask = ClaimAsk { key: *k, request: format!("r{i}").into() };
         let until = Time::from_millis(1000);
-        c.on(
-            Time::ZERO,
-            Event::Ask {
-                ask,
-                ticket: i as u64,
-                unix_ms: UNIX_MS,
-                until,
-            },
-        );
+        c.on(Time::ZERO, Event::Ask { ask, ticket: i as u64, unix_ms: UNIX_MS, until });
     }
-    c.on(
-        Time::ZERO,
-        Event::Read {
-            object: object.clone(),
-            found: ReadBack::Never,
-        },
-    );
+    c.on(Time::ZERO, Event::Read { object: object.clone(), found: ReadBack::Never });
     let t = Time::from_millis(30);
     let out = c.on(t, Event::Floor(Some(0)));
     let claims = out.into_iter().find_map(|a| match a {
@@ -292,26 +230,12 @@
     });
     let claims = claims.expect("one write carries all three");
     assert_eq!(claims.keys.len(), 3);
-    c.on(
-        t,
-        Event::Wrote {
-            object: object.clone(),
-            end: WriteEnd::Lost,
-        },
-    );
+    c.on(t, Event::Wrote { object: object.clone(), end: WriteEnd::Lost });
     let t = Time::from_millis(60);
     c.on(t, Event::Tick);
     let found = ReadBack::Found { version: 1, claims };
     let out = c.on(t, Event::Read { object, found });
-    let won = out.iter().filter(|a| {
-        matches!(
-            a,
-            Action::Answer {
-                end: ClaimEnd::Won,
-                ..
-            }
-        )
-    });
+    let won = out.iter().filter(|a| matches!(a, Action::Answer { end: ClaimEnd::Won, .. }));
     assert_eq!(won.count(), 3);
 }
 
@@ -321,24 +245,13 @@
     let key = Key::new(UNIX_MS, 5);
     let slow_clock = UNIX_MS + 1000;
     for stale in [false, true] {
-        let mut store = Store {
-            floor: UNIX_MS / BUCKET_MS + 10,
-            ..Store::default()
-        };
+        let mut store = Store { floor: UNIX_MS / BUCKET_MS + 10, ..Store::default() };
         store.write(&key.object(), 0, Some(Claims::default()));
         store.write(&key.object(), 1, None);
         let mut c = Committer::default();
-        let ask = ClaimAsk {
-            key,
-            request: "r".into(),
-        };
+        let ask = ClaimAsk { key, request: "r".into() };
         let until = Time::from_millis(5000);
-        let mut inbox = vec![Event::Ask {
-            ask,
-            ticket: 1,
-            unix_ms: slow_clock,
-            until,
-        }];
+        let mut inbox = vec![Event::Ask { ask, ticket: 1, unix_ms: slow_clock, until }];
         let mut answer = None;
         let mut now = Time::ZERO;
         for _ in 0..100 {
@@ -352,11 +265,7 @@
                         let found = store.read(&object, if stale { 2 } else { 0 });
                         inbox.push(Event::Read { object, found });
                     }
-                    Action::Write {
-                        object,
-                        expect,
-                        claims,
-                    } => {
+                    Action::Write { object, expect, claims } => {
                         let end = match store.write(&object, expect, Some(claims)) {
                             Some(v) => WriteEnd::Done(v),
                             None => WriteEnd::Conflict,
@@ -375,34 +284,14 @@
 fn keys_outside_the_window_are_refused_without_a_call() {
     let cases = [
         (UNIX_MS - decide::claim::WINDOW_MS - 1, ClaimEnd::Old),
-        (
-            UNIX_MS + decide::claim::CLOCK_ERROR_MS + 1,
-            ClaimEnd::Future,
-        ),
+        (UNIX_MS + decide::claim::CLOCK_ERROR_MS + 1, ClaimEnd::Future),
     ];
     for (at, want) in cases {
         let mut c = Committer::default();
-        let ask = ClaimAsk {
-            key: Key::new(at, 1),
-            request: "r".into(),
-        };
+        let ask = ClaimAsk { key: Key::new(at, 1), request: "r".into() };
         let until = Time::from_millis(100);
-        let out = c.on(
-            Time::ZERO,
-            Event::Ask {
-                ask,
-                ticket: 9,
-                unix_ms: UNIX_MS,
-                until,
-            },
-        );
-        assert_eq!(
-            out,
-            vec![Action::Answer {
-                ticket: 9,
-                end: want
-            }]
-        );
+        let out = c.on(Time::ZERO, Event::Ask { ask, ticket: 9, unix_ms: UNIX_MS, until });
+        assert_eq!(out, vec![Action::Answer { ticket: 9, end: want }]);
     }
 }
 
@@ -424,15 +313,7 @@
             };
             let until = at + Duration::from_secs(2);
             seq += 1;
-            inbox.insert(
-                (at, seq),
-                Event::Ask {
-                    ask,
-                    ticket: i,
-                    unix_ms: ms,
-                    until,
-                },
-            );
+            inbox.insert((at, seq), Event::Ask { ask, ticket: i, unix_ms: ms, until });
         }
         let mut won = 0;
         while let Some(((at, _), event)) = inbox.pop_first() {
@@ -447,11 +328,7 @@
                         let found = store.read(&object, 0);
                         Event::Read { object, found }
                     }
-                    Action::Write {
-                        object,
-                        expect,
-                        claims,
-                    } => {
+                    Action::Write { object, expect, claims } => {
                         let end = match store.write(&object, expect, Some(claims)) {
                             Some(v) => WriteEnd::Done(v),
                             None => WriteEnd::Conflict,
@@ -472,9 +349,6 @@
         assert_eq!(won, rate);
         let per_claim = store.writes as f64 / rate as f64;
         println!("{rate} claims a second: {per_claim:.3} writes a claim");
-        assert!(
-            per_claim <= most,
-            "{rate}/s: {per_claim} writes a claim, {most} allowed"
-        );
+        assert!(per_claim <= most, "{rate}/s: {per_claim} writes a claim, {most} allowed");
     }
 }
--- a/crates/decide/tests/config.rs
+++ b/crates/decide/tests/config.rs
@@ -31,24 +31,12 @@
 }
 
 fn pool() -> Spec {
-    Spec::Pool(Pool {
-        role: Role::Encoder,
-        cost: 1.0,
-        fenced: false,
-        targets: Vec::new(),
-    })
+    Spec::Pool(Pool { role: Role::Encoder, cost: 1.0, fenced: false, targets: Vec::new() })
 }
 
 fn pipeline(pool: &str) -> Spec {
-    let stage = Stage {
-        name: "a".into(),
-        pool: pool.into(),
-        model: None,
-        repeatable: true,
-    };
-    Spec::Pipeline(Pipeline {
-        stages: vec![stage],
-    })
+    let stage = Stage { name: "a".into(), pool: pool.into(), model: None, repeatable: true };
+    Spec::Pipeline(Pipeline { stages: vec![stage] })
 }
 
 /// The platform's store, as far as configuration goes.
@@ -78,20 +66,9 @@
 
     fn base(&self, back: usize) -> PublisherEvent {
         let n = self.manifests.len().saturating_sub(back);
-        let manifest = n
-            .checked_sub(1)
-            .map(|i| self.manifests[i].clone())
-            .unwrap_or_default();
-        let chunks = manifest
-            .slots
-            .iter()
-            .map(|h| self.chunks[h].clone())
-            .collect();
-        PublisherEvent::Base {
-            version: n as u64,
-            manifest,
-            chunks,
-        }
+        let manifest = n.checked_sub(1).map(|i| self.manifests[i].clone()).unwrap_or_default();
+        let chunks = manifest.slots.iter().map(|h| self.chunks[h].clone()).collect();
+        PublisherEvent::Base { version: n as u64, manifest, chunks }
     }
 
     fn put(&mut self, expect: u64, manifest: Manifest) -> bool {
@@ -99,10 +76,7 @@
             return false;
         }
         for hash in &manifest.slots {
-            assert!(
-                self.chunks.contains_key(hash),
-                "a manifest names only chunks that are there"
-            );
+            assert!(self.chunks.contains_key(hash), "a manifest names only chunks that are there");
         }
         self.manifests.push(manifest);
         true
@@ -228,18 +202,11 @@
         if !self.store.put(expect, manifest) {
             return false;
         }
-        assert_eq!(
-            number,
-            self.store.manifests.len() as u64,
-            "numbers have no gaps"
-        );
+        assert_eq!(number, self.store.manifests.len() as u64, "numbers have no gaps");
         let after = self.store.items(number);
         for (key, (version, _)) in &before {
             let now = after.get(key).map(|(v, _)| *v);
-            assert!(
-                now >= Some(*version),
-                "{key} reverted from {version} to {now:?}"
-            );
+            assert!(now >= Some(*version), "{key} reverted from {version} to {now:?}");
         }
         let faults = model::object::check(&self.store.set(number));
         assert!(faults.is_empty(), "a manifest with faults: {faults:?}");
@@ -274,10 +241,7 @@
                         },
                         Source::Peer(p) => {
                             let peer: usize = p.parse().expect("an index");
-                            FollowerEvent::Delta {
-                                delta: self.followers[peer].delta(have),
-                                from,
-                            }
+                            FollowerEvent::Delta { delta: self.followers[peer].delta(have), from }
                         }
                     };
                     self.messages.push((i, event));
@@ -364,16 +328,10 @@
         let (from, to) = (self.rng.below(4), self.rng.below(4));
         let heard = if from == 0 {
             let number = self.store.manifests.len() as u64;
-            FollowerEvent::Heard {
-                number,
-                from: Source::Store,
-            }
+            FollowerEvent::Heard { number, from: Source::Store }
         } else {
             let number = self.numbers[from];
-            FollowerEvent::Heard {
-                number,
-                from: Source::Peer(from.to_string().into()),
-            }
+            FollowerEvent::Heard { number, from: Source::Peer(from.to_string().into()) }
         };
         self.messages.push((to, heard));
     }
@@ -459,40 +417,20 @@
     let set = world.store.set(1);
     assert!(set.workspaces.contains_key("good"));
     assert!(set.pipelines.is_empty());
-    let bad = world
-        .statuses
-        .iter()
-        .find(|s| &*s.object == "Pipeline/bad")
-        .expect("a status");
+    let bad = world.statuses.iter().find(|s| &*s.object == "Pipeline/bad").expect("a status");
     assert!(!bad.accepted);
-    assert!(
-        bad.reason.contains("no Pool is named \"nowhere\""),
-        "{}",
-        bad.reason
-    );
+    assert!(bad.reason.contains("no Pool is named \"nowhere\""), "{}", bad.reason);
 }
 
 #[test]
 fn a_deletion_that_would_break_another_object_is_refused() {
-    let mut world = publish(&[
-        ("Pool/p", Some(pool())),
-        ("Pipeline/q", Some(pipeline("p"))),
-    ]);
+    let mut world = publish(&[("Pool/p", Some(pool())), ("Pipeline/q", Some(pipeline("p")))]);
     world.store.declare("Pool/p", None);
     world.settle();
     let number = world.store.manifests.len() as u64;
     assert!(world.store.set(number).pools.contains_key("p"));
-    let last = world
-        .statuses
-        .iter()
-        .rev()
-        .find(|s| &*s.object == "Pool/p")
-        .expect("a status");
-    assert!(
-        !last.accepted && last.reason.contains("would break"),
-        "{}",
-        last.reason
-    );
+    let last = world.statuses.iter().rev().find(|s| &*s.object == "Pool/p").expect("a status");
+    assert!(!last.accepted && last.reason.contains("would break"), "{}", last.reason);
 }
 
 #[test]
@@ -503,12 +441,7 @@
     world.settle();
     let number = world.store.manifests.len() as u64;
     assert!(world.store.set(number).pipelines.contains_key("q"));
-    let last = world
-        .statuses
-        .iter()
-        .rev()
-        .find(|s| &*s.object == "Pipeline/q")
-        .expect("a status");
+    let last = world.statuses.iter().rev().find(|s| &*s.object == "Pipeline/q").expect("a status");
     assert!(last.accepted, "{}", last.reason);
 }
 
@@ -523,10 +456,7 @@
     for _ in 0..100 {
         world.deliver();
     }
-    let told = world
-        .statuses
-        .iter()
-        .any(|s| &*s.object == "Workspace/w" && s.accepted);
+    let told = world.statuses.iter().any(|s| &*s.object == "Workspace/w" && s.accepted);
     assert!(told, "{:?}", world.statuses);
 }
 
@@ -534,9 +464,7 @@
 fn one_change_among_thousands_moves_one_chunk() {
     let mut world = World::new(2, 0);
     for i in 0..3000 {
-        world
-            .store
-            .declare(&format!("Workspace/w{i}"), Some(workspace(100 + i)));
+        world.store.declare(&format!("Workspace/w{i}"), Some(workspace(100 + i)));
     }
     world.settle();
     let before = world.store.manifests.last().cloned().expect("published");
@@ -544,12 +472,7 @@
     world.settle();
     let after = world.store.manifests.last().cloned().expect("published");
     assert_eq!(after.slots.len(), before.slots.len());
-    let moved = before
-        .slots
-        .iter()
-        .zip(&after.slots)
-        .filter(|(a, b)| a != b)
-        .count();
+    let moved = before.slots.iter().zip(&after.slots).filter(|(a, b)| a != b).count();
     assert_eq!(moved, 1);
 }
 
@@ -559,20 +482,8 @@
     let mut fresh = Follower::default();
     let from = Source::Peer("1".into());
     let number = world.numbers[1];
-    let out = fresh.on(
-        world.now,
-        FollowerEvent::Heard {
-            number,
-            from: from.clone(),
-        },
-    );
-    assert_eq!(
-        out,
-        vec![FollowerAction::FetchDelta {
-            from: from.clone(),
-            have: 0
-        }]
-    );
+    let out = fresh.on(world.now, FollowerEvent::Heard { number, from: from.clone() });
+    assert_eq!(out, vec![FollowerAction::FetchDelta { from: from.clone(), have: 0 }]);
     let delta = world.followers[1].delta(0);
     let out = fresh.on(world.now, FollowerEvent::Delta { delta, from });
     let Some(FollowerAction::FetchChunks { hashes, .. }) = out.first() else {
@@ -580,13 +491,7 @@
     };
     for hash in hashes {
         let text = world.followers[1].chunk(hash).cloned().expect("held");
-        fresh.on(
-            world.now,
-            FollowerEvent::Chunk {
-                hash: hash.clone(),
-                text,
-            },
-        );
+        fresh.on(world.now, FollowerEvent::Chunk { hash: hash.clone(), text });
     }
     assert_eq!(fresh.number(), number);
     assert_eq!(fresh.set(), world.followers[1].set());
@@ -599,12 +504,6 @@
     let manifest = world.store.manifests[0].clone();
     let hash = manifest.slots[0].clone();
     fresh.on(world.now, FollowerEvent::Manifest(manifest));
-    fresh.on(
-        world.now,
-        FollowerEvent::Chunk {
-            hash,
-            text: "[]".into(),
-        },
-    );
+    fresh.on(world.now, FollowerEvent::Chunk { hash, text: "[]".into() });
     assert_eq!(fresh.number(), 0);
 }
--- a/crates/decide/tests/lease.rs
+++ b/crates/decide/tests/lease.rs
@@ -88,10 +88,7 @@
         let event = match action {
             Action::Taken(epoch) => {
                 let other = self.epochs.insert(epoch, i);
-                assert!(
-                    other.is_none_or(|o| o == i),
-                    "epoch {epoch} held by two nodes"
-                );
+                assert!(other.is_none_or(|o| o == i), "epoch {epoch} held by two nodes");
                 self.taken += 1;
                 return;
             }
@@ -102,14 +99,8 @@
                 let at = self.history.len().checked_sub(1 + back);
                 let found = at.map(|at| self.history[at].clone());
                 match found {
-                    Some((version, lease)) => Event::Read {
-                        version,
-                        lease: Some(lease),
-                    },
-                    None => Event::Read {
-                        version: 0,
-                        lease: None,
-                    },
+                    Some((version, lease)) => Event::Read { version, lease: Some(lease) },
+                    None => Event::Read { version: 0, lease: None },
                 }
             }
             Action::Write { expect, lease } => self.write(expect, lease),
@@ -136,9 +127,8 @@
     fn step(&mut self) {
         self.now = self.now + Duration::from_millis(10);
         let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late)
-            .into_iter()
-            .partition(|l| l.at <= now);
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.late).into_iter().partition(|l| l.at <= now);
         self.late = later;
         for l in due {
             self.store(l.expect, l.lease);
@@ -152,9 +142,8 @@
                 self.nodes[i].paused = now + length;
                 continue;
             }
-            let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.nodes[i].inbox)
-                .into_iter()
-                .partition(|(t, _)| *t <= now);
+            let (ready, waiting): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.nodes[i].inbox).into_iter().partition(|(t, _)| *t <= now);
             self.nodes[i].inbox = waiting;
             let local = self.local(i);
             let mut events: Vec<Event> = ready.into_iter().map(|(_, e)| e).collect();
@@ -167,17 +156,10 @@
                 }
             }
         }
-        let holds = |i: &usize| {
-            self.nodes[*i]
-                .holder
-                .epoch(self.local(*i), Duration::ZERO)
-                .is_some()
-        };
+        let holds =
+            |i: &usize| self.nodes[*i].holder.epoch(self.local(*i), Duration::ZERO).is_some();
         let holders: Vec<usize> = (0..self.nodes.len()).filter(holds).collect();
-        assert!(
-            holders.len() <= 1,
-            "at {now:?} nodes {holders:?} both hold the lease"
-        );
+        assert!(holders.len() <= 1, "at {now:?} nodes {holders:?} both hold the lease");
     }
 
     fn run(&mut self, ms: u64) {
@@ -187,12 +169,8 @@
     }
 
     fn holder(&self) -> Option<usize> {
-        let holds = |i: &usize| {
-            self.nodes[*i]
-                .holder
-                .epoch(self.local(*i), Duration::ZERO)
-                .is_some()
-        };
+        let holds =
+            |i: &usize| self.nodes[*i].holder.epoch(self.local(*i), Duration::ZERO).is_some();
         (0..self.nodes.len()).find(holds)
     }
 }
@@ -222,9 +200,7 @@
     let first = world.holder().expect("held");
     world.nodes[first].paused = world.now + Duration::from_secs(30);
     world.run(20_000);
-    let second = world
-        .holder()
-        .expect("taken over within two periods and a half");
+    let second = world.holder().expect("taken over within two periods and a half");
     assert_ne!(first, second);
     world.run(15_000);
     let local = world.local(first);
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -34,9 +34,7 @@
     let mut last: Name = "first".into();
     for _ in 0..3 {
         let out = g.finished(Time::ZERO, &last, true);
-        let [Verdict::Run(next)] = &out[..] else {
-            panic!("{out:?}")
-        };
+        let [Verdict::Run(next)] = &out[..] else { panic!("{out:?}") };
         last = next.clone();
         order.push(last.to_string());
     }
@@ -49,10 +47,7 @@
     g.arrive(Time::ZERO, waiter("runs", Priority::Normal, 5000));
     g.arrive(Time::ZERO, waiter("patient", Priority::Patient, 5000));
     let out = g.arrive(Time::ZERO, waiter("urgent", Priority::Urgent, 5000));
-    assert_eq!(
-        out,
-        vec![Verdict::Refuse("patient".into(), Reason::Overload)]
-    );
+    assert_eq!(out, vec![Verdict::Refuse("patient".into(), Reason::Overload)]);
 }
 
 #[test]
@@ -60,10 +55,7 @@
     let mut g = Gate::new(1, 10);
     g.arrive(Time::ZERO, waiter("runs", Priority::Normal, 5000));
     let out = g.arrive(Time::ZERO, waiter("hopeless", Priority::Urgent, 50));
-    assert_eq!(
-        out,
-        vec![Verdict::Refuse("hopeless".into(), Reason::Hopeless)]
-    );
+    assert_eq!(out, vec![Verdict::Refuse("hopeless".into(), Reason::Hopeless)]);
     g.arrive(Time::ZERO, waiter("waits", Priority::Urgent, 300));
     assert!(g.tick(Time::from_millis(150)).is_empty());
     let out = g.tick(Time::from_millis(201));
@@ -107,10 +99,7 @@
 fn patient_work_leaves_room_for_urgent() {
     let mut g = Gate::new(10, 100);
     for i in 0..20 {
-        g.arrive(
-            Time::ZERO,
-            waiter(&format!("p{i}"), Priority::Patient, 50_000),
-        );
+        g.arrive(Time::ZERO, waiter(&format!("p{i}"), Priority::Patient, 50_000));
     }
     assert_eq!(g.running(), 7, "seven tenths");
     let out = g.arrive(Time::ZERO, waiter("stock", Priority::Urgent, 800));
@@ -158,16 +147,8 @@
     assert!((395..=410).contains(&later.as_millis()), "{later:?}");
     let budget = deadline::budget(Time::ZERO, Time::from_millis(1000), later);
     assert!((590..=605).contains(&budget.as_millis()), "{budget:?}");
-    assert!(!deadline::feasible(
-        Duration::from_millis(300),
-        &times,
-        Duration::ZERO
-    ));
-    assert!(deadline::feasible(
-        Duration::from_millis(500),
-        &times,
-        Duration::ZERO
-    ));
+    assert!(!deadline::feasible(Duration::from_millis(300), &times, Duration::ZERO));
+    assert!(deadline::feasible(Duration::from_millis(500), &times, Duration::ZERO));
 }
 
 #[test]
@@ -211,9 +192,7 @@
 fn limited(nodes: usize, home_up: impl Fn(u64) -> bool, demand: impl Fn(usize) -> u64) -> u64 {
     const RATE: f64 = 100.0;
     let mut home = RateHome::new(RATE);
-    let mut slices: Vec<Slice> = (0..nodes)
-        .map(|_| Slice::new(RATE, nodes, Time::ZERO))
-        .collect();
+    let mut slices: Vec<Slice> = (0..nodes).map(|_| Slice::new(RATE, nodes, Time::ZERO)).collect();
     let mut taken = 0;
     for ms in 0..12_000u64 {
         let now = Time::from_millis(ms);
@@ -237,17 +216,11 @@
     // Even, uneven and cut off: never over the rate by more than the stated error.
     let cases: [(&str, u64); 3] = [
         ("even", limited(8, |_| true, |_| 50)),
-        (
-            "one node has it all",
-            limited(8, |_| true, |i| if i == 0 { 200 } else { 0 }),
-        ),
+        ("one node has it all", limited(8, |_| true, |i| if i == 0 { 200 } else { 0 })),
         ("home gone", limited(8, |ms| ms < 3000, |_| 50)),
     ];
     for (name, taken) in cases {
-        assert!(
-            taken <= 1100,
-            "{name}: {taken} in ten seconds at 100 a second"
-        );
+        assert!(taken <= 1100, "{name}: {taken} in ten seconds at 100 a second");
     }
     let (even, uneven) = (cases[0].1, cases[1].1);
     assert!(even >= 850, "even demand gets nearly all of it: {even}");
@@ -260,10 +233,8 @@
     let mut load: BTreeMap<&Name, usize> = BTreeMap::new();
     for t in 0..217 {
         let target = format!("t{t}");
-        let pollers: Vec<_> = nodes
-            .iter()
-            .filter(|n| poll_rank(&target, n, &nodes).is_some())
-            .collect();
+        let pollers: Vec<_> =
+            nodes.iter().filter(|n| poll_rank(&target, n, &nodes).is_some()).collect();
         assert_eq!(pollers.len(), 2);
         for p in pollers {
             *load.entry(p).or_default() += 1;
@@ -287,16 +258,10 @@
     a.set_targets([&name].into_iter());
     b.set_targets([&name].into_iter());
     let first = a.polled(report(100, 10, false)).expect("new");
-    assert!(
-        a.polled(report(101, 11, false)).is_none(),
-        "a small change stays at home"
-    );
+    assert!(a.polled(report(101, 11, false)).is_none(), "a small change stays at home");
     let leaving = a.polled(report(101, 12, true)).expect("leaving is news");
     assert!(b.heard(leaving).is_some());
     assert!(b.heard(first).is_none(), "older gossip is dropped");
-    assert!(
-        b.heard(leaving).is_none(),
-        "and what is known is not passed on"
-    );
+    assert!(b.heard(leaving).is_none(), "and what is known is not passed on");
     assert!(b.get("t1").is_some_and(|n| n.report.leaving));
 }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -15,15 +15,8 @@
 }
 
 fn node(i: usize, start: u64) -> Node {
-    let id = NodeId {
-        name: format!("n{i}").into(),
-        start,
-    };
-    Node {
-        id,
-        address: address(i),
-        entry: address(i),
-    }
+    let id = NodeId { name: format!("n{i}").into(), start };
+    Node { id, address: address(i), entry: address(i) }
 }
 
 struct Net {
@@ -62,10 +55,7 @@
     fn start(&mut self, i: usize) {
         let start = self.rng.draw().max(1);
         let mut m = Member::new(node(i, start), Tuning::default(), self.rng.draw());
-        m.on(
-            self.now,
-            Event::Seeds(vec![address(0), address(1), address(2)]),
-        );
+        m.on(self.now, Event::Seeds(vec![address(0), address(1), address(2)]));
         self.nodes.insert(i, m);
     }
 
@@ -78,8 +68,7 @@
                 Action::Send(to, packet) => self.send(i, to, packet),
                 Action::Heard(number, _) => {
                     // The fetch takes a little while; then it is in force here.
-                    self.heard
-                        .insert(i, (number, self.now + Duration::from_millis(10)));
+                    self.heard.insert(i, (number, self.now + Duration::from_millis(10)));
                 }
                 Action::Load(load) => {
                     if self.loads.insert(i, load) != Some(load) {
@@ -101,8 +90,7 @@
         }
         self.seq += 1;
         let at = self.now + Duration::from_micros(300 + self.rng.below(2000) as u64);
-        self.wire
-            .insert((at, self.seq), (address(from), to, packet));
+        self.wire.insert((at, self.seq), (address(from), to, packet));
     }
 
     fn run(&mut self, ms: u64) {
@@ -142,9 +130,7 @@
     }
 
     fn sees(&self, i: usize, other: usize) -> bool {
-        self.nodes[&i]
-            .peers()
-            .any(|p| p.node.address == address(other))
+        self.nodes[&i].peers().any(|p| p.node.address == address(other))
     }
 }
 
@@ -153,11 +139,7 @@
     for loss in [0, 5] {
         let mut net = Net::new(20, loss, 1);
         net.run(8_000);
-        assert!(
-            net.views().iter().all(|n| *n == 20),
-            "loss {loss}: {:?}",
-            net.views()
-        );
+        assert!(net.views().iter().all(|n| *n == 20), "loss {loss}: {:?}", net.views());
     }
 }
 
@@ -190,12 +172,7 @@
     net.run(8_000);
     net.paused.insert(5, net.now + Duration::from_secs(20));
     net.run(15_000);
-    assert!(
-        net.nodes
-            .keys()
-            .filter(|i| **i != 5)
-            .all(|i| !net.sees(*i, 5))
-    );
+    assert!(net.nodes.keys().filter(|i| **i != 5).all(|i| !net.sees(*i, 5)));
     net.run(20_000);
     assert!(net.views().iter().all(|n| *n == 12), "{:?}", net.views());
 }
@@ -208,10 +185,7 @@
     net.start(4);
     net.run(12_000);
     assert!(net.views().iter().all(|n| *n == 12), "{:?}", net.views());
-    let still = net
-        .nodes
-        .values()
-        .any(|m| m.peers().any(|p| p.node.id == former));
+    let still = net.nodes.values().any(|m| m.peers().any(|p| p.node.id == former));
     assert!(!still, "the former self is gone");
 }
 
@@ -248,11 +222,7 @@
     // And soon everybody that may report on the domain knows it of everybody.
     net.run(5_000);
     let relays = net.nodes[&0].relays();
-    for m in net
-        .nodes
-        .values()
-        .filter(|m| relays.contains(&m.me().id.name))
-    {
+    for m in net.nodes.values().filter(|m| relays.contains(&m.me().id.name)) {
         assert_eq!(m.in_force(42), (57, 57, 42), "{}", m.me().id.name);
     }
 }
@@ -261,12 +231,7 @@
 fn leaving_reaches_all_within_a_few_periods() {
     let mut net = Net::new(57, 1, 9);
     net.run(12_000);
-    let load = LoadRumor {
-        target: 77,
-        wait: 0,
-        seq: 1,
-        flags: 3,
-    };
+    let load = LoadRumor { target: 77, wait: 0, seq: 1, flags: 3 };
     net.loads.insert(2, load);
     net.feed(2, Event::Load(load));
     net.run(7_000);
--- a/crates/decide/tests/place.rs
+++ b/crates/decide/tests/place.rs
@@ -35,33 +35,14 @@
             targets: (0..targets).map(target).collect(),
         };
         let mut set = Set::default();
-        let model = Model {
-            pool: "engines".into(),
-            version: "v1".into(),
-            replicas,
-        };
+        let model = Model { pool: "engines".into(), version: "v1".into(), replicas };
         set.pools.insert("engines".into(), pool);
         set.models.insert("m".into(), model);
         let news = |i: usize| {
             let target: Name = format!("e{i}").into();
-            let models = if held.is_empty() {
-                Vec::new()
-            } else {
-                vec![held.into()]
-            };
-            let report = Report {
-                target: target.clone(),
-                models,
-                ..Report::default()
-            };
-            (
-                target,
-                TargetNews {
-                    report,
-                    seq: 1,
-                    ready: true,
-                },
-            )
+            let models = if held.is_empty() { Vec::new() } else { vec![held.into()] };
+            let report = Report { target: target.clone(), models, ..Report::default() };
+            (target, TargetNews { report, seq: 1, ready: true })
         };
         World {
             set,
@@ -117,10 +98,7 @@
     let mut w = World::new(6, "", 4);
     let first = w.plan();
     assert_eq!(first.len(), 2, "two loads at a time: {first:?}");
-    assert!(
-        w.plan().is_empty(),
-        "nothing is sent twice while it is under way"
-    );
+    assert!(w.plan().is_empty(), "nothing is sent twice while it is under way");
     first.iter().for_each(|o| w.obey(o));
     w.settle(|_| {});
     assert_eq!(w.serving(&["m@v1"]), 4);
@@ -142,10 +120,7 @@
     for _ in 0..20 {
         // Orders are lost: nothing is obeyed.
         let orders = w.plan();
-        assert!(
-            orders.iter().all(|o| !matches!(o.task, Task::Unload(_))),
-            "{orders:?}"
-        );
+        assert!(orders.iter().all(|o| !matches!(o.task, Task::Unload(_))), "{orders:?}");
         w.now = w.now + Duration::from_secs(6);
     }
     assert_eq!(w.serving(&["m@v1"]), 3);
@@ -155,19 +130,9 @@
 fn a_drained_host_gets_its_replacement_first() {
     let mut w = World::new(3, "", 1);
     w.settle(|_| {});
-    let holder = w
-        .news
-        .values()
-        .find(|n| !n.report.models.is_empty())
-        .expect("one holds it");
+    let holder = w.news.values().find(|n| !n.report.models.is_empty()).expect("one holds it");
     let host: Name = holder.report.target.replace('e', "h").into();
-    w.set.drains.insert(
-        host.clone(),
-        Drain {
-            host,
-            reason: String::new(),
-        },
-    );
+    w.set.drains.insert(host.clone(), Drain { host, reason: String::new() });
     w.settle(|w| assert!(w.serving(&["m@v1"]) >= 1));
     assert_eq!(w.serving(&["m@v1"]), 1);
     assert_eq!(w.news.values().filter(|n| n.report.leaving).count(), 1);
@@ -180,11 +145,7 @@
     let gone: Name = "e0".into();
     w.news.get_mut(&gone).expect("a target").ready = false;
     w.settle(|_| {});
-    let ready = w
-        .news
-        .values()
-        .filter(|n| n.ready && !n.report.models.is_empty())
-        .count();
+    let ready = w.news.values().filter(|n| n.ready && !n.report.models.is_empty()).count();
     assert!(ready >= 2, "{ready}");
 }
 
--- a/crates/decide/tests/request.rs
+++ b/crates/decide/tests/request.rs
@@ -50,11 +50,7 @@
 }
 
 fn attempt(step: u16, number: u16) -> Attempt {
-    Attempt {
-        request: "r1".into(),
-        step,
-        number,
-    }
+    Attempt { request: "r1".into(), step, number }
 }
 
 /// Frames of a whole answer from `from` on.
@@ -63,20 +59,10 @@
     let mut out = Vec::new();
     for (i, w) in words.iter().enumerate().skip(from as usize) {
         digest.push(w);
-        out.push(Frame::Chunk {
-            attempt: a.clone(),
-            seq: i as u64,
-            text: w.clone(),
-        });
+        out.push(Frame::Chunk { attempt: a.clone(), seq: i as u64, text: w.clone() });
     }
     let count = words.len() as u64;
-    out.push(Frame::End {
-        attempt: a.clone(),
-        count,
-        digest: digest.value(),
-        busy: 1000,
-        wait: 0,
-    });
+    out.push(Frame::End { attempt: a.clone(), count, digest: digest.value(), busy: 1000, wait: 0 });
     out
 }
 
@@ -95,12 +81,7 @@
 impl Hand {
     fn new(plan: Plan) -> Self {
         let run = Run::new(plan, Time::ZERO);
-        Hand {
-            run,
-            now: Time::ZERO,
-            actions: Vec::new(),
-            permit: Always(true),
-        }
+        Hand { run, now: Time::ZERO, actions: Vec::new(), permit: Always(true) }
     }
 
     fn on(&mut self, event: Event) -> Vec<Action> {
@@ -136,10 +117,7 @@
     }
 
     fn sends(&self) -> usize {
-        self.actions
-            .iter()
-            .filter(|a| matches!(a, Action::Send { .. }))
-            .count()
+        self.actions.iter().filter(|a| matches!(a, Action::Send { .. })).count()
     }
 }
 
@@ -162,11 +140,7 @@
     let mut h = Hand::new(plan(vec![step("generate", true, true)], true));
     h.on(Event::Start);
     h.on(Event::Picked("e1".into()));
-    let other = Attempt {
-        request: "r2".into(),
-        step: 0,
-        number: 0,
-    };
+    let other = Attempt { request: "r2".into(), step: 0, number: 0 };
     h.frames(frames(&other, &words(3), 0));
     assert_eq!(h.text(), "");
     assert_eq!(h.run.strays(), 4);
@@ -187,11 +161,7 @@
             *count = 4;
         }
         h.frames(all);
-        assert_eq!(
-            h.end().map(|e| e.outcome),
-            Some(Outcome::Failed),
-            "streamed {streamed}"
-        );
+        assert_eq!(h.end().map(|e| e.outcome), Some(Outcome::Failed), "streamed {streamed}");
     }
 }
 
@@ -203,30 +173,17 @@
     let all = frames(&attempt(0, 0), &words(6), 0);
     h.frames(all[..2].to_vec());
     let reason = Reason::Broken("cut".into());
-    let out = h.on(Event::Closed {
-        attempt: attempt(0, 0),
-        reason: reason.clone(),
-    });
+    let out = h.on(Event::Closed { attempt: attempt(0, 0), reason: reason.clone() });
     let resumes = out.iter().any(|a| {
         matches!(a, Action::Send { target, from: 2, resume: Some(r), .. }
             if &**target == "e1" && *r == attempt(0, 0))
     });
     assert!(resumes, "{out:?}");
     // The engine forgot the stream: another one goes on behind the two words.
-    h.on(Event::NotSent {
-        attempt: attempt(0, 1),
-        reason,
-    });
+    h.on(Event::NotSent { attempt: attempt(0, 1), reason });
     h.wait(300);
     let out = h.on(Event::Picked("e2".into()));
-    assert!(out.iter().any(|a| matches!(
-        a,
-        Action::Send {
-            from: 2,
-            resume: None,
-            ..
-        }
-    )));
+    assert!(out.iter().any(|a| matches!(a, Action::Send { from: 2, resume: None, .. })));
     assert_eq!(h.run.prior(), words(2).concat());
     h.frames(frames(&attempt(0, 2), &words(6), 2));
     assert_eq!(h.text(), words(6).concat());
@@ -237,13 +194,7 @@
 fn a_step_that_may_not_be_repeated_is_never_resent_once_it_may_have_run() {
     let lost = Reason::Broken("cut".into());
     let cases = [
-        (
-            "lost before any frame",
-            Event::Closed {
-                attempt: attempt(0, 0),
-                reason: lost.clone(),
-            },
-        ),
+        ("lost before any frame", Event::Closed { attempt: attempt(0, 0), reason: lost.clone() }),
         ("caller gone", Event::Gone),
     ];
     for (name, event) in cases {
@@ -262,10 +213,7 @@
     h.on(Event::Claim(ClaimEnd::Won));
     h.on(Event::Picked("p1".into()));
     let reason = Reason::Unreachable("refused".into());
-    h.on(Event::NotSent {
-        attempt: attempt(0, 0),
-        reason,
-    });
+    h.on(Event::NotSent { attempt: attempt(0, 0), reason });
     h.wait(1000);
     h.on(Event::Picked("p2".into()));
     assert_eq!(h.sends(), 2);
@@ -297,10 +245,7 @@
     h.on(Event::Start);
     h.on(Event::Picked("t1".into()));
     let reason = Reason::Unreachable("refused".into());
-    h.on(Event::NotSent {
-        attempt: attempt(0, 0),
-        reason,
-    });
+    h.on(Event::NotSent { attempt: attempt(0, 0), reason });
     let end = h.end().cloned().expect("it ended");
     assert_eq!(end.outcome, Outcome::NotRun);
     assert_eq!(end.error.and_then(|e| e.peer), Some("t1".into()));
@@ -323,10 +268,7 @@
     let error = end.error.expect("an error");
     assert_eq!((&*error.step, error.reason), ("encode", Reason::Deadline));
     assert_eq!(error.peer, Some("t1".into()));
-    assert!(h.actions.contains(&Action::Cancel {
-        attempt: attempt(0, 0),
-        target: "t1".into()
-    }));
+    assert!(h.actions.contains(&Action::Cancel { attempt: attempt(0, 0), target: "t1".into() }));
 }
 
 #[test]
@@ -339,10 +281,7 @@
     h.wait(21);
     h.on(Event::Picked("t2".into()));
     h.frames(frames(&attempt(0, 1), &words(2), 0));
-    assert!(h.actions.contains(&Action::Cancel {
-        attempt: attempt(0, 0),
-        target: "t1".into()
-    }));
+    assert!(h.actions.contains(&Action::Cancel { attempt: attempt(0, 0), target: "t1".into() }));
     assert_eq!(h.end().map(|e| e.outcome), Some(Outcome::Complete));
     h.frames(frames(&attempt(0, 0), &words(2), 0));
     assert_eq!(h.run.strays(), 3);
@@ -433,11 +372,7 @@
             Action::Claim(_) => {
                 let ends = [ClaimEnd::Won, ClaimEnd::Lost("x".into()), ClaimEnd::Doubt];
                 let end = ends[self.rng.below(30).min(2)].clone();
-                let end = if self.rng.below(4) > 0 {
-                    ClaimEnd::Won
-                } else {
-                    end
-                };
+                let end = if self.rng.below(4) > 0 { ClaimEnd::Won } else { end };
                 self.claimed = end == ClaimEnd::Won;
                 return Some(Event::Claim(end));
             }
@@ -447,12 +382,7 @@
                 }
                 return Some(Event::Picked(format!("t{}", self.rng.below(4)).into()));
             }
-            Action::Send {
-                attempt,
-                from,
-                resume,
-                ..
-            } => self.send(attempt, from, resume),
+            Action::Send { attempt, from, resume, .. } => self.send(attempt, from, resume),
             Action::Emit(p) => {
                 assert_eq!(p.seq as usize, self.emitted.len(), "pieces have no gaps");
                 self.emitted.push(p.text);
@@ -465,19 +395,12 @@
 
     fn send(&mut self, attempt: Attempt, from: u64, resume: Option<Attempt>) {
         let step = usize::from(attempt.step);
-        assert!(
-            self.known.insert(attempt.clone()),
-            "an attempt is sent once"
-        );
+        assert!(self.known.insert(attempt.clone()), "an attempt is sent once");
         if self.steps.iter().any(|s| !s.repeatable) {
             assert!(self.claimed, "nothing is sent without the claim");
         }
         let troubled = self.rng.unit() < self.trouble;
-        let fate = if troubled {
-            FATES[self.rng.below(FATES.len())]
-        } else {
-            Fate::Whole
-        };
+        let fate = if troubled { FATES[self.rng.below(FATES.len())] } else { Fate::Whole };
         let reason = Reason::Broken("test".into());
         let runs = !matches!(fate, Fate::Unreachable | Fate::Refuse | Fate::LoseUnrun);
         if runs && resume.is_none() {
@@ -506,16 +429,9 @@
             }
             if self.rng.below(6) == 0 {
                 let request: Name = "somebody-else".into();
-                let stray = Attempt {
-                    request,
-                    ..attempt.clone()
-                };
+                let stray = Attempt { request, ..attempt.clone() };
                 let text = "not yours".into();
-                self.pending.push(Event::Frame(Frame::Chunk {
-                    attempt: stray,
-                    seq: 0,
-                    text,
-                }));
+                self.pending.push(Event::Frame(Frame::Chunk { attempt: stray, seq: 0, text }));
             }
         }
         self.pending.push(Event::Closed { attempt, reason });
@@ -527,11 +443,7 @@
             return None;
         }
         let far = self.rng.below(3) == 0;
-        let i = if far {
-            self.rng.below(self.pending.len())
-        } else {
-            0
-        };
+        let i = if far { self.rng.below(self.pending.len()) } else { 0 };
         Some(self.pending.remove(i))
     }
 
@@ -567,34 +479,19 @@
             }
         }
         if end.outcome == Outcome::NotRun {
-            assert!(
-                self.begun.iter().all(|n| *n == 0),
-                "not run, but {:?}",
-                self.begun
-            );
+            assert!(self.begun.iter().all(|n| *n == 0), "not run, but {:?}", self.begun);
         }
         let last = self.steps.len() - 1;
         let whole = World::text(last);
-        assert!(
-            whole.concat().starts_with(&self.emitted.concat()),
-            "{:?}",
-            self.emitted
-        );
+        assert!(whole.concat().starts_with(&self.emitted.concat()), "{:?}", self.emitted);
         if end.outcome == Outcome::Complete {
             assert_eq!(self.run.results().last(), Some(&whole.concat()));
             assert_eq!(end.steps.len(), self.steps.len());
         }
-        let doubt = self
-            .steps
-            .iter()
-            .zip(&self.begun)
-            .any(|(s, n)| !s.repeatable && *n > 0);
+        let doubt = self.steps.iter().zip(&self.begun).any(|(s, n)| !s.repeatable && *n > 0);
         if end.outcome == Outcome::Failed && doubt {
             let once = self.steps.iter().position(|s| !s.repeatable);
-            assert!(
-                end.steps.len() > once.unwrap_or(0),
-                "a step in doubt must be unknown"
-            );
+            assert!(end.steps.len() > once.unwrap_or(0), "a step in doubt must be unknown");
         }
     }
 }
--- a/crates/decide/tests/route.rs
+++ b/crates/decide/tests/route.rs
@@ -25,12 +25,7 @@
 }
 
 fn ask(prefix: u64) -> Ask<'static> {
-    Ask {
-        now: NOW,
-        prefix,
-        model: None,
-        tried: &[],
-    }
+    Ask { now: NOW, prefix, model: None, budget: 500.0, tried: &[] }
 }
 
 fn pick(kind: PolicyKind, t: &PoolTable, prefix: u64) -> Option<Name> {
@@ -39,16 +34,8 @@
 }
 
 fn news(name: &str, seq: u64) -> TargetNews {
-    let report = Report {
-        target: name.into(),
-        seq,
-        ..Report::default()
-    };
-    TargetNews {
-        report,
-        seq,
-        ready: true,
-    }
+    let report = Report { target: name.into(), seq, ..Report::default() };
+    TargetNews { report, seq, ready: true }
 }
 
 const ALL: [PolicyKind; 7] = [
@@ -67,10 +54,7 @@
     let mut reversed = PoolTable::default();
     reversed.set_targets(t.slots().iter().rev().map(|s| s.info.clone()).collect());
     for prefix in 0..200 {
-        assert_eq!(
-            pick(PolicyKind::Home, &t, prefix),
-            pick(PolicyKind::Home, &reversed, prefix)
-        );
+        assert_eq!(pick(PolicyKind::Home, &t, prefix), pick(PolicyKind::Home, &reversed, prefix));
     }
 }
 
@@ -92,10 +76,7 @@
     for kind in ALL {
         let mut t = table(4, |_| 0);
         t.leave("t0");
-        let down = TargetNews {
-            ready: false,
-            ..news("t1", 1)
-        };
+        let down = TargetNews { ready: false, ..news("t1", 1) };
         t.hear(NOW, &down);
         for (name, model) in [("t2", "m@v1"), ("t3", "m@v2")] {
             let mut n = news(name, 1);
@@ -104,10 +85,7 @@
         }
         let mut policy = make_policy(kind, 1);
         for prefix in 0..100 {
-            let ask = Ask {
-                model: Some("m@v2"),
-                ..ask(prefix)
-            };
+            let ask = Ask { model: Some("m@v2"), ..ask(prefix) };
             let i = policy.pick(&ask, &t).expect("t3 fits");
             assert_eq!(&*t.slots()[i].info.name, "t3", "{kind:?}");
         }
@@ -133,7 +111,7 @@
     }
     for name in ["t0", "t1", "t2"] {
         for _ in 0..64 {
-            t.sent(name);
+            t.sent(NOW, name);
         }
     }
     for prefix in 0..100 {
@@ -151,14 +129,11 @@
     for _ in 0..60 {
         let i = policy.pick(&ask(9), &t).expect("a target");
         let name = t.slots()[i].info.name.clone();
-        t.sent(&name);
+        t.sent(NOW, &name);
         taken.insert(name);
     }
     assert!(taken.contains(&home));
-    assert!(
-        (2..=4).contains(&taken.len()),
-        "spill stays on the next few: {taken:?}"
-    );
+    assert!((2..=4).contains(&taken.len()), "spill stays on the next few: {taken:?}");
 }
 
 #[test]
@@ -167,23 +142,15 @@
     let mut ejected = 0;
     for i in 0..6 {
         for _ in 0..10 {
-            t.sent(&format!("t{i}"));
+            t.sent(NOW, &format!("t{i}"));
             ejected += usize::from(t.failed(NOW, &format!("t{i}")));
         }
     }
     assert_eq!(ejected, 2, "a third of six");
-    let fit = t
-        .slots()
-        .iter()
-        .filter(|s| PoolTable::fits(s, NOW, None))
-        .count();
+    let fit = t.slots().iter().filter(|s| PoolTable::fits(s, NOW, None)).count();
     assert_eq!(fit, 4);
     let later = NOW + Duration::from_secs(31);
-    let fit = t
-        .slots()
-        .iter()
-        .filter(|s| PoolTable::fits(s, later, None))
-        .count();
+    let fit = t.slots().iter().filter(|s| PoolTable::fits(s, later, None)).count();
     assert_eq!(fit, 6, "ejection ends");
 }
 
@@ -195,20 +162,12 @@
     let mut counts = [0u32; 4];
     for n in 0..2000u64 {
         let now = NOW + Duration::from_millis(n);
-        let i = policy
-            .pick(
-                &Ask {
-                    now,
-                    ..ask(rng.draw())
-                },
-                &t,
-            )
-            .expect("a target");
+        let i = policy.pick(&Ask { now, ..ask(rng.draw()) }, &t).expect("a target");
         let name = t.slots()[i].info.name.clone();
-        t.sent(&name);
+        let sent = t.sent(now, &name);
         counts[i] += 1;
         let ms = if i == 0 { 500 } else { 10 };
-        t.answering(now, &name, Duration::from_millis(ms));
+        t.answering(now, &name, sent, Duration::from_millis(ms));
         // The slow one holds its calls; the others are done at once.
         if i != 0 || n % 20 == 0 {
             t.done(now, &name);
@@ -220,7 +179,7 @@
 #[test]
 fn a_changed_pool_keeps_what_is_known_of_those_that_stay() {
     let mut t = table(3, |_| 0);
-    t.sent("t1");
+    t.sent(NOW, "t1");
     t.leave("t2");
     let mut infos: Vec<TargetInfo> = t.slots().iter().map(|s| s.info.clone()).collect();
     infos.remove(0);
--- a/crates/dev/src/ask.rs
+++ b/crates/dev/src/ask.rs
@@ -38,11 +38,7 @@
         .context("could not build the request")?;
     let client = Client::new(Duration::from_secs(1));
     let response = client.send(&peer, request).await?;
-    anyhow::ensure!(
-        response.status().is_success(),
-        "the request got {}",
-        response.status()
-    );
+    anyhow::ensure!(response.status().is_success(), "the request got {}", response.status());
     println!("\nsummary of the committee's minutes:\n");
     let mut lines = Lines::new(&peer, response);
     let mut event = String::new();
@@ -66,10 +62,7 @@
 }
 
 fn report(end: Final) -> anyhow::Result<()> {
-    println!(
-        "\n\n{:<10} {:<14} {:>9} {:>9} {:>12}",
-        "step", "target", "attempts", "ms", "cost"
-    );
+    println!("\n\n{:<10} {:<14} {:>9} {:>9} {:>12}", "step", "target", "attempts", "ms", "cost");
     for s in &end.steps {
         println!(
             "{:<10} {:<14} {:>9} {:>9.1} {:>12.7}",
@@ -78,18 +71,8 @@
     }
     let millis: f64 = end.steps.iter().map(|s| s.millis).sum();
     let cost: f64 = end.steps.iter().map(|s| s.cost).sum();
-    println!(
-        "{:<10} {:<14} {:>9} {millis:>9.1} {cost:>12.7}",
-        "all", "", ""
-    );
-    println!(
-        "deadline {DEADLINE_MS} ms: {}",
-        if end.timely { "met" } else { "missed" }
-    );
-    anyhow::ensure!(
-        end.outcome == Outcome::Complete,
-        "the request ended {}",
-        end.outcome.as_str()
-    );
+    println!("{:<10} {:<14} {:>9} {millis:>9.1} {cost:>12.7}", "all", "", "");
+    println!("deadline {DEADLINE_MS} ms: {}", if end.timely { "met" } else { "missed" });
+    anyhow::ensure!(end.outcome == Outcome::Complete, "the request ended {}", end.outcome.as_str());
     Ok(())
 }
--- a/crates/dev/src/examples.rs
+++ b/crates/dev/src/examples.rs
@@ -8,22 +8,10 @@
 pub const REQUEST: &str = include_str!("../../../examples/parabaas/requests/minutes.json");
 
 const FILES: [(&str, &str); 4] = [
-    (
-        "pools.yaml",
-        include_str!("../../../examples/parabaas/pools.yaml"),
-    ),
-    (
-        "models.yaml",
-        include_str!("../../../examples/parabaas/models.yaml"),
-    ),
-    (
-        "pipelines.yaml",
-        include_str!("../../../examples/parabaas/pipelines.yaml"),
-    ),
-    (
-        "workspaces.yaml",
-        include_str!("../../../examples/parabaas/workspaces.yaml"),
-    ),
+    ("pools.yaml", include_str!("../../../examples/parabaas/pools.yaml")),
+    ("models.yaml", include_str!("../../../examples/parabaas/models.yaml")),
+    ("pipelines.yaml", include_str!("../../../examples/parabaas/pipelines.yaml")),
+    ("workspaces.yaml", include_str!("../../../examples/parabaas/workspaces.yaml")),
 ];
 
 /// Everything that Parabaas declares.
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -28,22 +28,14 @@
         println!("examples/parabaas applied; manifest {number} is in force everywhere");
         let callers = stack.callers();
         println!("entry nodes at {callers:?}");
-        let entry = callers
-            .first()
-            .copied()
-            .context("no entry node was started")?;
+        let entry = callers.first().copied().context("no entry node was started")?;
         ask::send(&entry).await?;
         if args.once {
             stack.stop().await;
             return Ok(());
         }
-        println!(
-            "\nIt stays up until Ctrl-C. Ask again with:\n\n{}\n",
-            ask::curl(&entry)
-        );
-        util::stop::signal()
-            .await
-            .context("could not wait for signals")?;
+        println!("\nIt stays up until Ctrl-C. Ask again with:\n\n{}\n", ask::curl(&entry));
+        util::stop::signal().await.context("could not wait for signals")?;
         stack.stop().await;
         Ok(())
     })
--- a/crates/dev/src/stack.rs
+++ b/crates/dev/src/stack.rs
@@ -50,10 +50,7 @@
         Options {
             declarations,
             domains: domains.iter().map(|d| Name::from(*d)).collect(),
-            engine: EngineSpec {
-                step: 5.0,
-                ..EngineSpec::default()
-            },
+            engine: EngineSpec { step: 5.0, ..EngineSpec::default() },
             models: Vec::new(),
             service: 4.0,
             balancer_lag: 0,
@@ -132,11 +129,7 @@
                 width: 8,
                 service: options.service,
                 engine: options.engine,
-                models: if pool.role == Role::Engine {
-                    options.models.clone()
-                } else {
-                    Vec::new()
-                },
+                models: if pool.role == Role::Engine { options.models.clone() } else { Vec::new() },
                 fenced: pool.fenced,
                 faults: TargetFaults::default(),
             };
@@ -186,8 +179,7 @@
             logs: Default::default(),
         };
         let control = control::Control::start(settings).await?;
-        self.entries
-            .push(bound.with_control(control.address).start());
+        self.entries.push(bound.with_control(control.address).start());
         self.controls.push(control);
         Ok(())
     }
@@ -207,11 +199,7 @@
         for address in self.callers() {
             let address = address.to_string();
             let mut looks = 0;
-            while client
-                .text(&address, "/readyz", Duration::from_secs(1))
-                .await
-                .is_err()
-            {
+            while client.text(&address, "/readyz", Duration::from_secs(1)).await.is_err() {
                 looks += 1;
                 anyhow::ensure!(looks < LOOKS, "entry node {address} did not become ready");
                 tokio::time::sleep(LOOK).await;
--- a/crates/dev/tests/bad_input.rs
+++ b/crates/dev/tests/bad_input.rs
@@ -43,93 +43,30 @@
 fn cases() -> Vec<Case> {
     let old = model::key::Key::new(1_000, 1).to_string();
     let future = model::key::Key::new(util::clock::unix_ms() + 3_600_000, 1).to_string();
-    let order = |c: Case| Case {
-        path: "/v1/pipelines/order",
-        ..c
-    };
+    let order = |c: Case| Case { path: "/v1/pipelines/order", ..c };
     vec![
-        Case {
-            body: b"{\"text\":".to_vec(),
-            ..case("broken JSON", 400, "not JSON")
-        },
-        Case {
-            body: b"[1]".to_vec(),
-            ..case("no object", 400, "must be a JSON object")
-        },
-        Case {
-            body: b"\xff\xfe".to_vec(),
-            ..case("no UTF-8", 400, "not JSON")
-        },
-        Case {
-            body: b"{\"text\":7}".to_vec(),
-            ..case("wrong type", 400, "body.text")
-        },
-        Case {
-            body: b"{\"tokens\":-1}".to_vec(),
-            ..case("negative", 400, "body.tokens")
-        },
-        Case {
-            body: vec![b' '; (1 << 20) + 1],
-            ..case("too large", 413, "1048576 bytes")
-        },
-        Case {
-            path: "/v1/pipelines/nope",
-            ..case("unknown pipeline", 404, "no pipeline")
-        },
-        Case {
-            path: "/v1/pipelines/A%20B",
-            ..case("bad name", 400, "pipeline: a name uses")
-        },
-        Case {
-            path: "/v1/pipelines/",
-            ..case("no name", 400, "must not be empty")
-        },
-        Case {
-            path: "/v2",
-            ..case("unknown path", 404, "paths are")
-        },
-        Case {
-            method: Method::GET,
-            ..case("wrong method", 405, "POST")
-        },
-        Case {
-            headers: vec![],
-            ..case("no workspace", 400, "pumicevale-workspace is missing")
-        },
+        Case { body: b"{\"text\":".to_vec(), ..case("broken JSON", 400, "not JSON") },
+        Case { body: b"[1]".to_vec(), ..case("no object", 400, "must be a JSON object") },
+        Case { body: b"\xff\xfe".to_vec(), ..case("no UTF-8", 400, "not JSON") },
+        Case { body: b"{\"text\":7}".to_vec(), ..case("wrong type", 400, "body.text") },
+        Case { body: b"{\"tokens\":-1}".to_vec(), ..case("negative", 400, "body.tokens") },
+        Case { body: vec![b' '; (1 << 20) + 1], ..case("too large", 413, "1048576 bytes") },
+        Case { path: "/v1/pipelines/nope", ..case("unknown pipeline", 404, "no pipeline") },
+        Case { path: "/v1/pipelines/A%20B", ..case("bad name", 400, "pipeline: a name uses") },
+        Case { path: "/v1/pipelines/", ..case("no name", 400, "must not be empty") },
+        Case { path: "/v2", ..case("unknown path", 404, "paths are") },
+        Case { method: Method::GET, ..case("wrong method", 405, "POST") },
+        Case { headers: vec![], ..case("no workspace", 400, "pumicevale-workspace is missing") },
         Case {
             headers: vec![("pumicevale-workspace", "other".into())],
             ..case("unknown workspace", 404, "no workspace")
         },
-        with(
-            case("two workspaces", 400, "more than once"),
-            "pumicevale-workspace",
-            "w",
-        ),
-        with(
-            case("negative deadline", 400, "above 0"),
-            "pumicevale-deadline-ms",
-            "-5",
-        ),
-        with(
-            case("zero deadline", 400, "above 0"),
-            "pumicevale-deadline-ms",
-            "0",
-        ),
-        with(
-            case("no deadline", 400, "above 0"),
-            "pumicevale-deadline-ms",
-            "soon",
-        ),
-        with(
-            case("priority", 400, "urgent, normal or patient"),
-            "pumicevale-priority",
-            "now",
-        ),
-        with(
-            case("session", 400, "1 to 256"),
-            "pumicevale-session",
-            &"s".repeat(300),
-        ),
+        with(case("two workspaces", 400, "more than once"), "pumicevale-workspace", "w"),
+        with(case("negative deadline", 400, "above 0"), "pumicevale-deadline-ms", "-5"),
+        with(case("zero deadline", 400, "above 0"), "pumicevale-deadline-ms", "0"),
+        with(case("no deadline", 400, "above 0"), "pumicevale-deadline-ms", "soon"),
+        with(case("priority", 400, "urgent, normal or patient"), "pumicevale-priority", "now"),
+        with(case("session", 400, "1 to 256"), "pumicevale-session", &"s".repeat(300)),
         with(case("key form", 400, "version 7"), "idempotency-key", "17"),
         with(
             case("key version", 400, "version 7"),
@@ -137,16 +74,8 @@
             "f47ac10b-58cc-4372-a567-0e02b2c3d479",
         ),
         order(case("no key", 400, "needs an Idempotency-Key")),
-        order(with(
-            case("old key", 400, "old-key"),
-            "idempotency-key",
-            &old,
-        )),
-        order(with(
-            case("key ahead", 400, "future-key"),
-            "idempotency-key",
-            &future,
-        )),
+        order(with(case("old key", 400, "old-key"), "idempotency-key", &old)),
+        order(with(case("key ahead", 400, "future-key"), "idempotency-key", &future)),
     ]
 }
 
@@ -161,36 +90,22 @@
     let good = good.await.expect("sent");
     let ran: usize = stack.targets.values().map(|t| t.runs().len()).sum();
     for c in cases() {
-        let mut b = Request::builder()
-            .method(c.method)
-            .uri(format!("http://{to}{}", c.path));
+        let mut b = Request::builder().method(c.method).uri(format!("http://{to}{}", c.path));
         for (name, value) in &c.headers {
             b = b.header(*name, value);
         }
         let request = b.body(Full::new(Bytes::from(c.body))).expect("a request");
         let response = client().send(&to, request).await.expect("an answer");
         assert_eq!(response.status().as_u16(), c.status, "{}", c.name);
-        assert_eq!(
-            response.headers()["pumicevale-outcome"],
-            "not-run",
-            "{}",
-            c.name
-        );
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .expect("a body")
-            .to_bytes();
+        assert_eq!(response.headers()["pumicevale-outcome"], "not-run", "{}", c.name);
+        let body = response.into_body().collect().await.expect("a body").to_bytes();
         let text = String::from_utf8_lossy(&body);
         assert!(text.contains(c.says), "{}: {text}", c.name);
     }
     let after: usize = stack.targets.values().map(|t| t.runs().len()).sum();
     assert_eq!(ran, after, "bad input reached a target");
     assert_eq!(good.ends, vec![Outcome::Complete]);
-    let next = Ask::order(2, key())
-        .send(&client(), stack.callers()[0])
-        .await;
+    let next = Ask::order(2, key()).send(&client(), stack.callers()[0]).await;
     assert_eq!(next.ends, vec![Outcome::Complete]);
     stack.stop().await;
 }
@@ -219,14 +134,8 @@
         ("many headers", head(&many)),
         ("long header", head(&long)),
         ("no HTTP", "\u{0}\u{1}\r\n\r\n".to_string()),
-        (
-            "two lengths",
-            head("content-length: 1\r\ncontent-length: 2\r\n"),
-        ),
-        (
-            "slow head",
-            "POST /v1/pipelines/minutes HTTP/1.1\r\nhost: x\r\n".to_string(),
-        ),
+        ("two lengths", head("content-length: 1\r\ncontent-length: 2\r\n")),
+        ("slow head", "POST /v1/pipelines/minutes HTTP/1.1\r\nhost: x\r\n".to_string()),
     ] {
         let answer = raw(to, bytes.as_bytes()).await;
         assert!(!answer.contains(" 200 "), "{name}: {answer}");
--- a/crates/dev/tests/common/mod.rs
+++ b/crates/dev/tests/common/mod.rs
@@ -101,9 +101,7 @@
 
 /// The same with engines of `step` milliseconds a token.
 pub async fn stack_with(step: f64) -> Stack {
-    let options = Options::new(declarations(), &["a", "b"])
-        .with_models(&["m@v1"])
-        .with_step(step);
+    let options = Options::new(declarations(), &["a", "b"]).with_models(&["m@v1"]).with_step(step);
     let stack = Stack::start(options).await.expect("started");
     stack.apply().await.expect("applied");
     stack
@@ -128,32 +126,16 @@
 impl Ask {
     /// A streamed or whole request for a summary.
     pub fn minutes(call: u64, streamed: bool) -> Self {
-        Ask {
-            pipeline: "minutes",
-            workspace: "w",
-            key: None,
-            streamed,
-            call,
-            words: 12,
-        }
+        Ask { pipeline: "minutes", workspace: "w", key: None, streamed, call, words: 12 }
     }
 
     /// An order, paid once.
     pub fn order(call: u64, key: Key) -> Self {
-        Ask {
-            pipeline: "order",
-            workspace: "w",
-            key: Some(key),
-            streamed: false,
-            call,
-            words: 6,
-        }
+        Ask { pipeline: "order", workspace: "w", key: Some(key), streamed: false, call, words: 6 }
     }
 
     fn input(&self) -> Value {
-        let words: Vec<String> = (0..self.words)
-            .map(|i| format!("c{}w{i}", self.call))
-            .collect();
+        let words: Vec<String> = (0..self.words).map(|i| format!("c{}w{i}", self.call)).collect();
         json!({ "instruction": "sum up", "text": words.join(" ") })
     }
 
@@ -179,8 +161,7 @@
         if self.streamed {
             b = b.header("accept", "text/event-stream");
         }
-        b.body(Full::new(Bytes::from(self.input().to_string())))
-            .expect("a request")
+        b.body(Full::new(Bytes::from(self.input().to_string()))).expect("a request")
     }
 
     /// Sends it and keeps what came back.
@@ -275,22 +256,14 @@
         "minutes" => &["encode", "retrieve", "generate"],
         _ => &["look", "pay"],
     };
-    Rules {
-        steps: steps.iter().map(|s| (*s).into()).collect(),
-        once: ["pay".into()].into(),
-    }
+    Rules { steps: steps.iter().map(|s| (*s).into()).collect(), once: ["pay".into()].into() }
 }
 
 /// The auditor's record of one pipeline's requests on an in-process stack.
 pub fn record(stack: &Stack, pipeline: &str, seen: Vec<Seen>) -> Record {
     let runs = stack.targets.values().flat_map(|t| t.runs());
     let ran = runs
-        .map(|r| Ran {
-            request: r.attempt.request,
-            step: r.step,
-            resumed: r.resumed,
-            done: r.done,
-        })
+        .map(|r| Ran { request: r.attempt.request, step: r.step, resumed: r.resumed, done: r.done })
         .collect();
     let claims = stack
         .api
@@ -298,12 +271,7 @@
         .into_iter()
         .filter_map(|v| serde_json::from_value::<Claims>(v).ok())
         .collect();
-    Record {
-        seen,
-        ran,
-        claims,
-        rules: rules(pipeline),
-    }
+    Record { seen, ran, claims, rules: rules(pipeline) }
 }
 
 /// A client for callers.
