--- a/crates/dev/tests/faults.rs
+++ b/crates/dev/tests/faults.rs
@@ -45,44 +45,12 @@
         ("slow", TargetFaults { slow: 5.0, ..f() }),
         ("fail", TargetFaults { fail: true, ..f() }),
         ("drop", TargetFaults { drop: true, ..f() }),
-        (
-            "cut at once",
-            TargetFaults {
-                cut: Some(0),
-                ..f()
-            },
-        ),
-        (
-            "cut",
-            TargetFaults {
-                cut: Some(2),
-                ..f()
-            },
-        ),
-        (
-            "reorder",
-            TargetFaults {
-                reorder: true,
-                ..f()
-            },
-        ),
-        (
-            "double",
-            TargetFaults {
-                double: true,
-                ..f()
-            },
-        ),
+        ("cut at once", TargetFaults { cut: Some(0), ..f() }),
+        ("cut", TargetFaults { cut: Some(2), ..f() }),
+        ("reorder", TargetFaults { reorder: true, ..f() }),
+        ("double", TargetFaults { double: true, ..f() }),
         ("stray", TargetFaults { stray: true, ..f() }),
-        (
-            "all of order",
-            TargetFaults {
-                reorder: true,
-                double: true,
-                stray: true,
-                ..f()
-            },
-        ),
+        ("all of order", TargetFaults { reorder: true, double: true, stray: true, ..f() }),
     ];
     for (name, faults) in cases {
         // A stack for each, since every fault draws on the same budget of retries.
@@ -94,17 +62,9 @@
             call += 6;
             let seen = send_many(&stack, asks).await;
             for s in &seen {
-                assert_eq!(
-                    outcome(s),
-                    Some(Outcome::Complete),
-                    "{name} at {target}: {s:?}"
-                );
+                assert_eq!(outcome(s), Some(Outcome::Complete), "{name} at {target}: {s:?}");
             }
-            assert_eq!(
-                record(&stack, "minutes", seen).audit(),
-                vec![],
-                "{name} at {target}"
-            );
+            assert_eq!(record(&stack, "minutes", seen).audit(), vec![], "{name} at {target}");
             stack.targets[target].set_faults(f());
         }
         stack.stop().await;
@@ -115,14 +75,8 @@
 async fn a_false_end_never_counts_as_whole() {
     let stack = stack().await;
     for faults in [
-        TargetFaults {
-            short: true,
-            ..TargetFaults::default()
-        },
-        TargetFaults {
-            digest: true,
-            ..TargetFaults::default()
-        },
+        TargetFaults { short: true, ..TargetFaults::default() },
+        TargetFaults { digest: true, ..TargetFaults::default() },
     ] {
         for t in ["eng-1", "eng-2"] {
             stack.targets[t].set_faults(faults.clone());
@@ -142,11 +96,7 @@
     for t in ["eng-1", "eng-2"] {
         // Each engine marks its words; the cut one forgets the stream as well.
         let cut = (t == "eng-1").then_some(5);
-        stack.targets[t].set_faults(TargetFaults {
-            tag: true,
-            cut,
-            ..TargetFaults::default()
-        });
+        stack.targets[t].set_faults(TargetFaults { tag: true, cut, ..TargetFaults::default() });
     }
     let seen = send_many(&stack, minutes(8)).await;
     for s in seen {
@@ -154,11 +104,7 @@
         let marks: Vec<&str> = s.text.split('~').skip(1).map(|w| &w[..5]).collect();
         let mut runs = marks.clone();
         runs.dedup();
-        assert!(
-            runs.len() <= 2,
-            "spliced from several generations: {}",
-            s.text
-        );
+        assert!(runs.len() <= 2, "spliced from several generations: {}", s.text);
         let plain: String = s.text.replace("~eng-1", "").replace("~eng-2", "");
         assert_eq!(plain, s.want);
     }
@@ -169,21 +115,15 @@
 async fn a_payment_whose_answer_is_lost_is_unknown_and_never_made_again() {
     let stack = stack().await;
     for t in ["pay-1", "pay-2"] {
-        stack.targets[t].set_faults(TargetFaults {
-            drop: true,
-            ..TargetFaults::default()
-        });
+        stack.targets[t].set_faults(TargetFaults { drop: true, ..TargetFaults::default() });
     }
     let keys: Vec<_> = (0..4).map(|_| key()).collect();
     let ask = |(i, k): (usize, &model::key::Key)| Ask::order(i as u64, *k);
     let mut seen = send_many(&stack, keys.iter().enumerate().map(ask).collect()).await;
     // The caller asks again with the same key, at the other node too.
     for round in 1..4 {
-        let rotated: Vec<Ask> = keys
-            .iter()
-            .enumerate()
-            .map(|(i, k)| Ask::order((round * 10 + i) as u64, *k))
-            .collect();
+        let rotated: Vec<Ask> =
+            keys.iter().enumerate().map(|(i, k)| Ask::order((round * 10 + i) as u64, *k)).collect();
         let mut rotated = rotated;
         rotated.rotate_left(round % 2);
         seen.extend(send_many(&stack, rotated).await);
@@ -203,10 +143,7 @@
     let keys: Vec<_> = (0..20).map(|_| key()).collect();
     let asks: Vec<Ask> = (0..40).map(|i| Ask::order(i as u64, keys[i / 2])).collect();
     let seen = send_many(&stack, asks).await;
-    let complete = seen
-        .iter()
-        .filter(|s| outcome(s) == Some(Outcome::Complete))
-        .count();
+    let complete = seen.iter().filter(|s| outcome(s) == Some(Outcome::Complete)).count();
     assert_eq!(complete, 20, "{seen:?}");
     assert_eq!(record(&stack, "order", seen).audit(), vec![]);
     stack.stop().await;
@@ -228,21 +165,14 @@
     for (name, faults) in cases {
         stack.api.set_faults(faults);
         let keys: Vec<_> = (0..4).map(|_| key()).collect();
-        let asks: Vec<Ask> = (0..8)
-            .map(|i| Ask::order(call + i, keys[i as usize / 2]))
-            .collect();
+        let asks: Vec<Ask> = (0..8).map(|i| Ask::order(call + i, keys[i as usize / 2])).collect();
         call += 8;
         let part = send_many(&stack, asks).await;
         if name == "down" {
-            assert!(
-                part.iter().all(|s| outcome(s) == Some(Outcome::NotRun)),
-                "{part:?}"
-            );
+            assert!(part.iter().all(|s| outcome(s) == Some(Outcome::NotRun)), "{part:?}");
         }
         if name == "back" {
-            let complete = part
-                .iter()
-                .filter(|s| outcome(s) == Some(Outcome::Complete));
+            let complete = part.iter().filter(|s| outcome(s) == Some(Outcome::Complete));
             assert_eq!(complete.count(), 4, "{part:?}");
         }
         seen.extend(part);
@@ -261,21 +191,13 @@
     let callers = stack.callers();
     let tasks: Vec<_> = (0..12)
         .map(|i| {
-            let ask = Ask {
-                words: 40,
-                ..Ask::minutes(i, true)
-            };
+            let ask = Ask { words: 40, ..Ask::minutes(i, true) };
             let (to, client) = (callers[0], client());
             tokio::spawn(async move { ask.send(&client, to).await })
         })
         .collect();
     until("the streams begin", || {
-        stack
-            .targets
-            .values()
-            .map(|t| t.runs().len())
-            .sum::<usize>()
-            >= 30
+        stack.targets.values().map(|t| t.runs().len()).sum::<usize>() >= 30
     })
     .await;
     stack.stop_entry().await;
@@ -303,15 +225,10 @@
     let mut quiet = 0;
     for round in 1..200 {
         let before = runs();
-        let asks = (0..10)
-            .map(|i| Ask::minutes(round * 10 + i, false))
-            .collect();
+        let asks = (0..10).map(|i| Ask::minutes(round * 10 + i, false)).collect();
         let seen = send_many(&stack, asks).await;
         assert!(seen.iter().all(|s| outcome(s) == Some(Outcome::Complete)));
-        assert!(
-            quiet == 0 || runs() == before,
-            "new work after it had ceased"
-        );
+        assert!(quiet == 0 || runs() == before, "new work after it had ceased");
         quiet += usize::from(runs() == before);
         if quiet > QUIET {
             break;
@@ -327,10 +244,7 @@
     let stack = stack().await;
     stack.targets["enc-1"].leave();
     let seen = send_many(&stack, minutes(10)).await;
-    assert!(
-        seen.iter().all(|s| outcome(s) == Some(Outcome::Complete)),
-        "{seen:?}"
-    );
+    assert!(seen.iter().all(|s| outcome(s) == Some(Outcome::Complete)), "{seen:?}");
     assert_eq!(stack.targets["enc-1"].runs().len(), 0);
     stack.stop().await;
 }
@@ -339,16 +253,10 @@
 async fn with_every_target_gone_the_answer_is_not_run_and_says_when_to_come_back() {
     let stack = stack().await;
     for t in ["enc-1", "enc-2"] {
-        stack.targets[t].set_faults(TargetFaults {
-            refuse: true,
-            ..TargetFaults::default()
-        });
+        stack.targets[t].set_faults(TargetFaults { refuse: true, ..TargetFaults::default() });
     }
     let seen = send_many(&stack, minutes(4)).await;
-    assert!(
-        seen.iter().all(|s| outcome(s) == Some(Outcome::NotRun)),
-        "{seen:?}"
-    );
+    assert!(seen.iter().all(|s| outcome(s) == Some(Outcome::NotRun)), "{seen:?}");
     assert_eq!(record(&stack, "minutes", seen).audit(), vec![]);
     stack.stop().await;
 }
@@ -358,18 +266,11 @@
     let stack = stack_with(20.0).await;
     let to = stack.callers()[0];
     let task = tokio::spawn(async move {
-        Ask {
-            words: 5000,
-            ..Ask::minutes(1, true)
-        }
-        .send(&client(), to)
-        .await
+        Ask { words: 5000, ..Ask::minutes(1, true) }.send(&client(), to).await
     });
     let engines = ["eng-1", "eng-2"];
-    until("the stream begins", || {
-        engines.iter().any(|e| !stack.targets[*e].runs().is_empty())
-    })
-    .await;
+    until("the stream begins", || engines.iter().any(|e| !stack.targets[*e].runs().is_empty()))
+        .await;
     task.abort();
     for _ in 0..400 {
         let mut running = 0;
@@ -388,17 +289,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_workspace_over_its_rate_is_not_run() {
     let stack = stack().await;
-    let asks = (0..6)
-        .map(|i| Ask {
-            workspace: "limited",
-            ..Ask::minutes(i, false)
-        })
-        .collect();
+    let asks = (0..6).map(|i| Ask { workspace: "limited", ..Ask::minutes(i, false) }).collect();
     let seen = send_many(&stack, asks).await;
-    let refused = seen
-        .iter()
-        .filter(|s| outcome(s) == Some(Outcome::NotRun))
-        .count();
+    let refused = seen.iter().filter(|s| outcome(s) == Some(Outcome::NotRun)).count();
     assert!(refused >= 4, "at most one token a node: {seen:?}");
     assert_eq!(record(&stack, "minutes", seen).audit(), vec![]);
     stack.stop().await;
@@ -407,10 +300,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn configuration_in_force_stays_while_the_store_is_down() {
     let stack = stack().await;
-    stack.api.set_faults(ApiFaults {
-        down: true,
-        ..ApiFaults::default()
-    });
+    stack.api.set_faults(ApiFaults { down: true, ..ApiFaults::default() });
     tokio::time::sleep(Duration::from_millis(500)).await;
     let seen = send_many(&stack, minutes(4)).await;
     assert!(seen.iter().all(|s| outcome(s) == Some(Outcome::Complete)));
@@ -423,11 +313,7 @@
             w.deadline += 1;
         }
     }
-    let written = cli::cmd::write_all(&remote, changed)
-        .await
-        .expect("written");
-    cli::cmd::wait(&remote, &written, Duration::from_secs(60))
-        .await
-        .expect("in force");
+    let written = cli::cmd::write_all(&remote, changed).await.expect("written");
+    cli::cmd::wait(&remote, &written, Duration::from_secs(60)).await.expect("in force");
     stack.stop().await;
 }
--- a/crates/dev/tests/processes.rs
+++ b/crates/dev/tests/processes.rs
@@ -34,18 +34,9 @@
     };
     let settings = PathBuf::from(file);
     let result = match role.as_str() {
-        "entry" => entry::Entry::main(entry::args::Args {
-            settings,
-            check: false,
-        }),
-        "control" => control::Control::main(control::args::Args {
-            settings,
-            check: false,
-        }),
-        _ => standin::run::main(standin::args::Args {
-            settings,
-            check: false,
-        }),
+        "entry" => entry::Entry::main(entry::args::Args { settings, check: false }),
+        "control" => control::Control::main(control::args::Args { settings, check: false }),
+        _ => standin::run::main(standin::args::Args { settings, check: false }),
     };
     std::process::exit(i32::from(result.is_err()));
 }
@@ -115,9 +106,7 @@
     }
 
     fn callers(&self, node: usize) -> SocketAddr {
-        format!("{}:7000", self.at(10 + node))
-            .parse()
-            .expect("an address")
+        format!("{}:7000", self.at(10 + node)).parse().expect("an address")
     }
 
     fn store_address(&self) -> SocketAddr {
@@ -195,19 +184,14 @@
                 );
                 let file = self.write(&format!("{}.yaml", t.name), text);
                 let process = Process::start("standin", file);
-                self.targets
-                    .push((address.parse().expect("an address"), process));
+                self.targets.push((address.parse().expect("an address"), process));
                 t.address = address.into();
             }
         }
         self.until_answering(self.store_address(), "/calls").await;
         let remote = cli::Remote::new(&self.store_address().to_string()).expect("an address");
-        let written = cli::cmd::write_all(&remote, declarations)
-            .await
-            .expect("written");
-        cli::cmd::wait(&remote, &written, Duration::from_secs(60))
-            .await
-            .expect("in force");
+        let written = cli::cmd::write_all(&remote, declarations).await.expect("written");
+        cli::cmd::wait(&remote, &written, Duration::from_secs(60)).await.expect("in force");
         for node in 0..NODES {
             self.until_answering(self.callers(node), "/readyz").await;
         }
@@ -264,25 +248,15 @@
         }
         let listing: Listing = read(&self.store_address(), "/v1/claim").await;
         let values = listing.objects.into_iter().filter_map(|o| o.value);
-        let claims = values
-            .filter_map(|v| serde_json::from_value::<Claims>(v).ok())
-            .collect();
-        Record {
-            seen,
-            ran,
-            claims,
-            rules: rules(pipeline),
-        }
+        let claims = values.filter_map(|v| serde_json::from_value::<Claims>(v).ok()).collect();
+        Record { seen, ran, claims, rules: rules(pipeline) }
     }
 }
 
 async fn read<T: serde::de::DeserializeOwned>(at: &SocketAddr, path: &str) -> T {
     let (client, at) = (client(), at.to_string());
     let wait = Duration::from_secs(10);
-    client
-        .json::<(), T>(&at, Method::GET, path, None, wait)
-        .await
-        .expect("an answer")
+    client.json::<(), T>(&at, Method::GET, path, None, wait).await.expect("an answer")
 }
 
 impl Drop for Fleet {
@@ -292,9 +266,7 @@
 }
 
 fn outcomes(seen: &[Seen], want: Outcome) -> usize {
-    seen.iter()
-        .filter(|s| s.ends.first() == Some(&want))
-        .count()
+    seen.iter().filter(|s| s.ends.first() == Some(&want)).count()
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -305,11 +277,7 @@
     let mut fleet = Fleet::start();
     fleet.apply().await;
     let (mut orders, mut minutes) = fleet.load(0, 20).await;
-    assert_eq!(
-        outcomes(&minutes, Outcome::Complete),
-        20,
-        "before any fault"
-    );
+    assert_eq!(outcomes(&minutes, Outcome::Complete), 20, "before any fault");
 
     // An entry process is killed in mid-request and started again.
     let part = {
@@ -334,11 +302,7 @@
     }
     tokio::time::sleep(Duration::from_millis(2500)).await;
     let part = fleet.load(2000, 10).await;
-    assert_eq!(
-        outcomes(&part.1, Outcome::Complete),
-        10,
-        "the data path needs no control"
-    );
+    assert_eq!(outcomes(&part.1, Outcome::Complete), 10, "the data path needs no control");
     orders.extend(part.0);
     minutes.extend(part.1);
     for node in [0, 3, 6] {
@@ -348,16 +312,8 @@
     // The store is frozen: repeatable work goes on, orders are truly not run.
     fleet.store.signal(Signal::SIGSTOP);
     let part = fleet.load(3000, 6).await;
-    assert_eq!(
-        outcomes(&part.1, Outcome::Complete),
-        6,
-        "repeatable work needs no store"
-    );
-    assert_eq!(
-        outcomes(&part.0, Outcome::Complete),
-        0,
-        "no order without a claim"
-    );
+    assert_eq!(outcomes(&part.1, Outcome::Complete), 6, "repeatable work needs no store");
+    assert_eq!(outcomes(&part.0, Outcome::Complete), 0, "no order without a claim");
     orders.extend(part.0);
     minutes.extend(part.1);
     fleet.store.signal(Signal::SIGCONT);
@@ -367,9 +323,7 @@
         c.restart();
     }
     let remote = cli::Remote::new(&fleet.store_address().to_string()).expect("an address");
-    let change = common::declarations()
-        .into_iter()
-        .filter(|d| &*d.name == "limited");
+    let change = common::declarations().into_iter().filter(|d| &*d.name == "limited");
     let changed: Vec<_> = change
         .map(|mut d| {
             if let Spec::Workspace(w) = &mut d.spec {
@@ -378,12 +332,8 @@
             d
         })
         .collect();
-    let written = cli::cmd::write_all(&remote, changed)
-        .await
-        .expect("written");
-    cli::cmd::wait(&remote, &written, Duration::from_secs(60))
-        .await
-        .expect("in force");
+    let written = cli::cmd::write_all(&remote, changed).await.expect("written");
+    cli::cmd::wait(&remote, &written, Duration::from_secs(60)).await.expect("in force");
 
     // A planned stop with requests on their way.
     let part = {
@@ -397,20 +347,13 @@
         kill(pid, Signal::SIGTERM).expect("our own child");
         load.await
     };
-    let cut = part
-        .1
-        .iter()
-        .filter(|s| s.broken && !s.text.is_empty())
-        .count();
+    let cut = part.1.iter().filter(|s| s.broken && !s.text.is_empty()).count();
     assert_eq!(cut, 0, "a planned stop cuts off no stream");
     orders.extend(part.0);
     minutes.extend(part.1);
 
     let once = outcomes(&orders, Outcome::Complete);
-    assert!(
-        once >= 30,
-        "most orders outside the faults go through: {once}"
-    );
+    assert!(once >= 30, "most orders outside the faults go through: {once}");
     assert_eq!(fleet.record("order", orders).await.audit(), vec![]);
     assert_eq!(fleet.record("minutes", minutes).await.audit(), vec![]);
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -56,18 +56,11 @@
 /// target said so with 503 or a 4xx; a 500 says nothing.
 fn refused(attempt: Attempt, e: CallError) -> Event {
     match e.kind {
-        CallKind::NotSent(why) => Event::NotSent {
-            attempt,
-            reason: Reason::Unreachable(why),
-        },
-        CallKind::Status(503 | 400..=499, why) => Event::NotSent {
-            attempt,
-            reason: Reason::Refused(why),
-        },
-        other => Event::Closed {
-            attempt,
-            reason: Reason::Broken(other.to_string()),
-        },
+        CallKind::NotSent(why) => Event::NotSent { attempt, reason: Reason::Unreachable(why) },
+        CallKind::Status(503 | 400..=499, why) => {
+            Event::NotSent { attempt, reason: Reason::Refused(why) }
+        }
+        other => Event::Closed { attempt, reason: Reason::Broken(other.to_string()) },
     }
 }
 
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -47,9 +47,7 @@
         let home = home.first().filter(|h| **h != core.settings.name);
         if let Some(node) = home.and_then(|h| members.iter().find(|m| m.id.name == *h)) {
             let peer = node.entry.to_string();
-            let call = core
-                .client
-                .rmp::<_, ClaimEnd>(&peer, path::CLAIM, &ask, HOME_WAIT);
+            let call = core.client.rmp::<_, ClaimEnd>(&peer, path::CLAIM, &ask, HOME_WAIT);
             match call.await {
                 Ok(end) if end != ClaimEnd::Failed => return end,
                 Ok(_) => {}
@@ -118,12 +116,8 @@
     async fn handle(&mut self, w: Want, ctx: &mut Context<Self, ()>) {
         self.ticket += 1;
         self.answers.insert(self.ticket, w.answer);
-        let event = Event::Ask {
-            ask: w.ask,
-            ticket: self.ticket,
-            unix_ms: unix_ms(),
-            until: w.until,
-        };
+        let event =
+            Event::Ask { ask: w.ask, ticket: self.ticket, unix_ms: unix_ms(), until: w.until };
         self.feed(event, ctx.actor_ref());
     }
 }
@@ -183,17 +177,11 @@
         Action::ReadFloor => {
             let stored = store.get(kind::CLAIM, FLOOR).await.ok();
             Event::Floor(stored.map(|s| {
-                let floor = s
-                    .value
-                    .and_then(|v| serde_json::from_value::<Floor>(v).ok());
+                let floor = s.value.and_then(|v| serde_json::from_value::<Floor>(v).ok());
                 floor.unwrap_or_default().bucket
             }))
         }
-        Action::Write {
-            object,
-            expect,
-            claims,
-        } => {
+        Action::Write { object, expect, claims } => {
             let value = serde_json::to_value(&claims).expect("claims encode");
             let end = match store.put(kind::CLAIM, &object, expect, Some(value)).await {
                 Ok(version) => WriteEnd::Done(version),
@@ -214,10 +202,7 @@
         Err(_) => ReadBack::Failed,
         Ok(s) => match s.value {
             Some(v) => match serde_json::from_value::<Claims>(v) {
-                Ok(claims) => ReadBack::Found {
-                    version: s.version,
-                    claims,
-                },
+                Ok(claims) => ReadBack::Found { version: s.version, claims },
                 Err(e) => {
                     log::error!("claim: object {object} cannot be read: {e}");
                     ReadBack::Failed
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -65,6 +65,7 @@
     pool: Arc<Pool>,
     target: Name,
     sent: Time,
+    expected: f64,
     first: bool,
     task: AbortHandle,
 }
@@ -76,7 +77,7 @@
     pipeline: Pipeline,
     run: Run,
     flights: HashMap<Attempt, Flight>,
-    picked: Option<Name>,
+    picked: Option<(Name, f64)>,
     told: mpsc::UnboundedSender<Told>,
     out: mpsc::Sender<Out>,
     wakes: Vec<Time>,
@@ -93,11 +94,7 @@
 impl Permit for Budgets<'_> {
     fn retry(&mut self, step: usize) -> bool {
         let stage = &self.pipeline.stages[step];
-        let taken = self
-            .core
-            .fleet
-            .pool(&stage.pool)
-            .is_some_and(|p| p.lock().budget.take());
+        let taken = self.core.fleet.pool(&stage.pool).is_some_and(|p| p.lock().budget.take());
         self.core.metrics.retry(&stage.name, taken);
         taken
     }
@@ -110,9 +107,7 @@
     };
     let plan = Plan {
         request: job.request.clone(),
-        steps: core
-            .fleet
-            .step_plans(&job.pipeline, &pipeline, core.settings.hedging),
+        steps: core.fleet.step_plans(&job.pipeline, &pipeline, core.settings.hedging),
         deadline: job.deadline,
         until: job.until,
         key: job.key,
@@ -162,11 +157,7 @@
 fn prompt_head(input: &Value) -> String {
     let text = |f: &str| input[f].as_str().unwrap_or_default();
     let own = text("prompt");
-    if own.is_empty() {
-        format!("{}\n{}", text("instruction"), text("text"))
-    } else {
-        own.into()
-    }
+    if own.is_empty() { format!("{}\n{}", text("instruction"), text("text")) } else { own.into() }
 }
 
 impl Driver {
@@ -195,10 +186,8 @@
                 };
                 if !f.first {
                     f.first = true;
-                    f.pool
-                        .lock()
-                        .table
-                        .answering(now, &f.target, now.since(f.sent));
+                    let took = now.since(f.sent);
+                    f.pool.lock().table.answering(now, &f.target, f.expected, took);
                 }
                 if let Frame::End { wait, .. } = frame {
                     f.pool.lock().table.waits(now, &f.target, *wait);
@@ -220,10 +209,7 @@
         while let Some(event) = events.pop() {
             let now = self.core.clock.now();
             let done = self.run.results().len();
-            let mut permit = Budgets {
-                core: &self.core,
-                pipeline: &self.pipeline,
-            };
+            let mut permit = Budgets { core: &self.core, pipeline: &self.pipeline };
             let actions = self.run.on(now, event, &mut permit);
             if self.run.results().len() > done {
                 self.step_done(now, done);
@@ -238,9 +224,7 @@
 
     /// Every attempt still in the air at a step's end has answered or lost.
     fn step_done(&mut self, now: Time, step: usize) {
-        self.core
-            .fleet
-            .step_took(&self.job.pipeline, step, now.since(self.step_begun));
+        self.core.fleet.step_took(&self.job.pipeline, step, now.since(self.step_begun));
         for (_, f) in self.flights.drain() {
             let mut pool = f.pool.lock();
             pool.table.done(now, &f.target);
@@ -253,13 +237,7 @@
         match action {
             Action::Claim(key) => Some(Event::Claim(self.claim(key).await)),
             Action::Pick { step, tried } => Some(self.pick(now, step, &tried)),
-            Action::Send {
-                attempt,
-                target,
-                from,
-                resume,
-                ..
-            } => {
+            Action::Send { attempt, target, from, resume, .. } => {
                 self.send(now, attempt, target, from, resume);
                 None
             }
@@ -286,10 +264,7 @@
     async fn claim(&mut self, key: Key) -> ClaimEnd {
         let now = self.core.clock.now();
         let until = self.job.until.min(now + CLAIM_WAIT);
-        let ask = ClaimAsk {
-            key,
-            request: self.job.request.clone(),
-        };
+        let ask = ClaimAsk { key, request: self.job.request.clone() };
         self.core.claims.claim(&self.core, ask, until).await
     }
 
@@ -300,21 +275,16 @@
             return none;
         };
         let model = stage.model.as_ref().and_then(|m| self.config.set.wanted(m));
-        let ask = Ask {
-            now,
-            prefix: self.prefix,
-            model: model.as_deref(),
-            tried,
-        };
+        let left = self.core.fleet.step_budget(&self.job.pipeline, step, now, self.job.deadline);
+        let budget = left.as_secs_f64() * 1e3;
+        let model = model.as_deref();
+        let ask = Ask { now, prefix: self.prefix, model, budget, tried };
         let again = Ask { tried: &[], ..ask };
         let fleet = &self.core.fleet;
         // A target that failed this step before is better than none.
-        match fleet
-            .pick(&pool, &ask)
-            .or_else(|| fleet.pick(&pool, &again))
-        {
-            Some(target) => {
-                self.picked = Some(target.clone());
+        match fleet.pick(&pool, &ask).or_else(|| fleet.pick(&pool, &again)) {
+            Some((target, wait)) => {
+                self.picked = Some((target.clone(), wait));
                 Event::Picked(target)
             }
             None => none,
@@ -337,18 +307,13 @@
         let Some(address) = pool.addresses.get(&target).cloned() else {
             return self.unsendable(attempt);
         };
-        if self.picked.take().as_ref() != Some(&target) {
+        let expected = match self.picked.take() {
+            Some((picked, wait)) if picked == target => wait,
             // A resume goes to a target that the router did not count.
-            pool.lock().table.sent(&target);
-        }
-        let version = stage
-            .model
-            .as_ref()
-            .and_then(|m| self.config.set.models.get(m));
-        let budget = self
-            .core
-            .fleet
-            .step_budget(&self.job.pipeline, step, now, self.job.deadline);
+            _ => pool.lock().table.sent(now, &target),
+        };
+        let version = stage.model.as_ref().and_then(|m| self.config.set.models.get(m));
+        let budget = self.core.fleet.step_budget(&self.job.pipeline, step, now, self.job.deadline);
         let call = Call {
             attempt: attempt.clone(),
             step: stage.name.clone(),
@@ -365,22 +330,15 @@
         let client = self.core.client.clone();
         let peer = address.to_string();
         let task = tokio::spawn(attempt::run(client, peer, call, self.told.clone()));
-        let flight = Flight {
-            pool,
-            target,
-            sent: now,
-            first: false,
-            task: task.abort_handle(),
-        };
+        let task = task.abort_handle();
+        let flight = Flight { pool, target, sent: now, expected, first: false, task };
         self.flights.insert(attempt, flight);
     }
 
     /// The configuration moved on between the choice and the send.
     fn unsendable(&self, attempt: Attempt) {
         let reason = model::outcome::Reason::NoTarget;
-        let _ = self
-            .told
-            .send(Told::Event(Event::NotSent { attempt, reason }));
+        let _ = self.told.send(Told::Event(Event::NotSent { attempt, reason }));
     }
 
     fn step_input(&self, step: usize) -> Value {
@@ -411,15 +369,9 @@
             f.pool.lock().table.cancelled(&f.target);
         }
         self.timely = end.timely;
-        self.core
-            .metrics
-            .ended(&self.job.pipeline, &self.job.workspace, &end);
+        self.core.metrics.ended(&self.job.pipeline, &self.job.workspace, &end);
         if let Some(e) = &end.error {
-            log::info!(
-                "request: {} {}: {e}",
-                self.job.request,
-                end.outcome.as_str()
-            );
+            log::info!("request: {} {}: {e}", self.job.request, end.outcome.as_str());
         } else {
             log::debug!("request: {} {}.", self.job.request, end.outcome.as_str());
         }
@@ -427,9 +379,6 @@
             model::outcome::Outcome::Complete => self.run.results().last().cloned(),
             _ => None,
         };
-        let _ = self
-            .out
-            .send(Out::End(Box::new(end), text.unwrap_or_default()))
-            .await;
+        let _ = self.out.send(Out::End(Box::new(end), text.unwrap_or_default())).await;
     }
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -93,11 +93,7 @@
 
     /// A pool.
     pub fn pool(&self, name: &str) -> Option<Arc<Pool>> {
-        self.pools
-            .read()
-            .expect("no panic while held")
-            .get(name)
-            .cloned()
+        self.pools.read().expect("no panic while held").get(name).cloned()
     }
 
     /// All pools.
@@ -128,10 +124,7 @@
         if pools_changed {
             self.rebuild(&set);
         }
-        self.config.store(Arc::new(Config {
-            number: change.number,
-            set,
-        }));
+        self.config.store(Arc::new(Config { number: change.number, set }));
         let leaving = self.leaving.lock().expect("no panic while held").clone();
         self.mark_leaving(leaving);
     }
@@ -155,22 +148,11 @@
                     budget: Budget::default(),
                 })),
             };
-            inner
-                .lock()
-                .expect("no panic while held")
-                .table
-                .set_targets(infos.collect());
+            inner.lock().expect("no panic while held").table.set_targets(infos.collect());
             owners.extend(spec.targets.iter().map(|t| (t.name.clone(), name.clone())));
-            let addresses = spec
-                .targets
-                .iter()
-                .map(|t| (t.name.clone(), t.address.clone()));
-            let pool = Pool {
-                cost: spec.cost,
-                role: spec.role,
-                addresses: addresses.collect(),
-                inner,
-            };
+            let addresses = spec.targets.iter().map(|t| (t.name.clone(), t.address.clone()));
+            let pool =
+                Pool { cost: spec.cost, role: spec.role, addresses: addresses.collect(), inner };
             next.insert(name.clone(), Arc::new(pool));
         }
         *pools = next;
@@ -189,12 +171,8 @@
 
     /// Takes news of a target.
     pub fn hear(&self, now: Time, news: &TargetNews) {
-        let owner = self
-            .owners
-            .read()
-            .expect("no panic while held")
-            .get(&news.report.target)
-            .cloned();
+        let owner =
+            self.owners.read().expect("no panic while held").get(&news.report.target).cloned();
         if let Some(pool) = owner.and_then(|o| self.pool(&o)) {
             pool.lock().table.hear(now, news);
         }
@@ -219,14 +197,14 @@
         }
     }
 
-    /// Chooses a target and counts the attempt as sent; else says whether any is ready at all.
-    pub fn pick(&self, pool: &Pool, ask: &Ask) -> Option<Name> {
+    /// Chooses a target and counts the attempt as sent; with the wait expected there.
+    pub fn pick(&self, pool: &Pool, ask: &Ask) -> Option<(Name, f64)> {
         let mut inner = pool.lock();
         let inner = &mut *inner;
         let i = inner.policy.pick(ask, &inner.table)?;
         let name = inner.table.slots()[i].info.name.clone();
-        inner.table.sent(&name);
-        Some(name)
+        let wait = inner.table.sent(ask.now, &name);
+        Some((name, wait))
     }
 
     /// Plans of a pipeline's steps, from the times seen so far.
@@ -241,9 +219,7 @@
                 repeatable: s.repeatable,
                 continues: engine,
                 timeout: seen.map_or_else(|| StepTimes::default().timeout(), StepTimes::timeout),
-                hedge: seen
-                    .filter(|_| hedging && !engine)
-                    .and_then(StepTimes::hedge),
+                hedge: seen.filter(|_| hedging && !engine).and_then(StepTimes::hedge),
                 cost: pool.map_or(0.0, |p| p.cost),
             }
         };
@@ -253,18 +229,14 @@
     /// Notes how long a step took.
     pub fn step_took(&self, pipeline: &Name, step: usize, took: Duration) {
         let mut times = self.times.lock().expect("no panic while held");
-        times
-            .entry((pipeline.clone(), step))
-            .or_default()
-            .record(took);
+        times.entry((pipeline.clone(), step)).or_default().record(took);
     }
 
     /// Whether a request of `pipeline` can still finish in `left`, and the least it needs.
     pub fn feasible(&self, pipeline: &Name, steps: usize, left: Duration) -> (bool, Duration) {
         let times = self.times.lock().expect("no panic while held");
-        let seen: Vec<&StepTimes> = (0..steps)
-            .filter_map(|i| times.get(&(pipeline.clone(), i)))
-            .collect();
+        let seen: Vec<&StepTimes> =
+            (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i))).collect();
         let need = seen.iter().filter_map(|t| t.quantile(0.1)).sum();
         (deadline::feasible(left, &seen, Duration::ZERO), need)
     }
@@ -272,9 +244,8 @@
     /// Budget of a step: what is left, less what later steps need.
     pub fn step_budget(&self, pipeline: &Name, step: usize, now: Time, due: Time) -> Duration {
         let times = self.times.lock().expect("no panic while held");
-        let later: Duration = (step + 1..16)
-            .filter_map(|i| times.get(&(pipeline.clone(), i))?.quantile(0.5))
-            .sum();
+        let later: Duration =
+            (step + 1..16).filter_map(|i| times.get(&(pipeline.clone(), i))?.quantile(0.5)).sum();
         deadline::budget(now, due, later)
     }
 }
--- a/crates/entry/src/front/ask.rs
+++ b/crates/entry/src/front/ask.rs
@@ -37,17 +37,11 @@
 }
 
 fn bad(why: impl Into<String>) -> Bad {
-    Bad {
-        status: StatusCode::BAD_REQUEST,
-        why: why.into(),
-    }
+    Bad { status: StatusCode::BAD_REQUEST, why: why.into() }
 }
 
 fn missing(why: impl Into<String>) -> Bad {
-    Bad {
-        status: StatusCode::NOT_FOUND,
-        why: why.into(),
-    }
+    Bad { status: StatusCode::NOT_FOUND, why: why.into() }
 }
 
 /// Reads and checks a request.
@@ -60,10 +54,7 @@
     let arrived = core.clock.now();
     if config.number == 0 {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Bad {
-            status,
-            why: "no configuration is in force yet; come back soon".into(),
-        });
+        return Err(Bad { status, why: "no configuration is in force yet; come back soon".into() });
     }
     name::check(pipeline).map_err(|e| bad(format!("pipeline: {e}")))?;
     let Some(spec) = config.set.pipelines.get(pipeline) else {
@@ -113,9 +104,7 @@
     if all.next().is_some() {
         return Err(bad(format!("the header {name} stands more than once")));
     }
-    let text = value
-        .to_str()
-        .map_err(|_| bad(format!("the header {name} is not plain text")))?;
+    let text = value.to_str().map_err(|_| bad(format!("the header {name} is not plain text")))?;
     Ok(Some(text))
 }
 
@@ -125,9 +114,9 @@
     };
     match text.parse::<u64>() {
         Ok(ms) if ms > 0 => Ok(ms.min(most)),
-        _ => Err(bad(format!(
-            "{DEADLINE}: {text:?} is not a whole number of milliseconds above 0"
-        ))),
+        _ => {
+            Err(bad(format!("{DEADLINE}: {text:?} is not a whole number of milliseconds above 0")))
+        }
     }
 }
 
@@ -138,9 +127,7 @@
         Some("normal") => Priority::Normal,
         Some("patient") => Priority::Patient,
         Some(other) => {
-            return Err(bad(format!(
-                "{PRIORITY}: {other:?} is not urgent, normal or patient"
-            )));
+            return Err(bad(format!("{PRIORITY}: {other:?} is not urgent, normal or patient")));
         }
     };
     // A caller may yield, but not push ahead of its workspace.
@@ -149,9 +136,9 @@
 
 fn session(headers: &HeaderMap) -> Result<Option<String>, Bad> {
     match header(headers, SESSION)? {
-        Some(s) if s.is_empty() || s.len() > SESSION_MAX => Err(bad(format!(
-            "{SESSION}: must have 1 to {SESSION_MAX} characters"
-        ))),
+        Some(s) if s.is_empty() || s.len() > SESSION_MAX => {
+            Err(bad(format!("{SESSION}: must have 1 to {SESSION_MAX} characters")))
+        }
         found => Ok(found.map(String::from)),
     }
 }
@@ -160,16 +147,11 @@
     let Some(text) = header(headers, KEY)? else {
         return Ok(None);
     };
-    text.parse()
-        .map(Some)
-        .map_err(|e| bad(format!("Idempotency-Key: {e}")))
+    text.parse().map(Some).map_err(|e| bad(format!("Idempotency-Key: {e}")))
 }
 
 fn wants_stream(headers: &HeaderMap) -> bool {
-    let accept = headers
-        .get(header::ACCEPT)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
+    let accept = headers.get(header::ACCEPT).and_then(|v| v.to_str().ok()).unwrap_or_default();
     accept.contains(super::reply::EVENTS)
 }
 
@@ -181,10 +163,7 @@
         Ok(Ok(whole)) => whole.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(Bad {
-                status,
-                why: format!("the body may have {most} bytes at most"),
-            });
+            return Err(Bad { status, why: format!("the body may have {most} bytes at most") });
         }
         Ok(Err(e)) => return Err(bad(format!("the body could not be read: {e}"))),
         Err(_) => {
@@ -196,9 +175,7 @@
     let value: Value =
         serde_json::from_slice(&whole).map_err(|e| bad(format!("the body is not JSON: {e}")))?;
     if !value.is_object() {
-        return Err(bad(
-            "the body must be a JSON object, such as {\"text\": \"…\"}",
-        ));
+        return Err(bad("the body must be a JSON object, such as {\"text\": \"…\"}"));
     }
     check_types(&value)?;
     Ok(value)
--- a/crates/entry/src/front/gate.rs
+++ b/crates/entry/src/front/gate.rs
@@ -39,40 +39,20 @@
 impl GateKeeper {
     /// Wraps a gate.
     pub fn new(gate: Gate) -> Self {
-        GateKeeper {
-            inner: Mutex::new(Inner {
-                gate,
-                waiting: HashMap::new(),
-            }),
-        }
+        GateKeeper { inner: Mutex::new(Inner { gate, waiting: HashMap::new() }) }
     }
 
     /// Waits for a turn. A caller that goes away meanwhile gives up its place.
     pub async fn enter(&self, core: &Core, job: &Job) -> Result<(), Refused> {
         let now = core.clock.now();
         let config = core.fleet.config();
-        let steps = config
-            .set
-            .pipelines
-            .get(&job.pipeline)
-            .map_or(0, |p| p.stages.len());
-        let (_, mut need) = core
-            .fleet
-            .feasible(&job.pipeline, steps, job.deadline.since(now));
+        let steps = config.set.pipelines.get(&job.pipeline).map_or(0, |p| p.stages.len());
+        let (_, mut need) = core.fleet.feasible(&job.pipeline, steps, job.deadline.since(now));
         if !core.settings.admission {
             need = Duration::ZERO;
         }
-        let deadline = if core.settings.admission {
-            job.deadline
-        } else {
-            job.until
-        };
-        let w = Waiter {
-            request: job.request.clone(),
-            priority: job.priority,
-            deadline,
-            need,
-        };
+        let deadline = if core.settings.admission { job.deadline } else { job.until };
+        let w = Waiter { request: job.request.clone(), priority: job.priority, deadline, need };
         let (tx, rx) = oneshot::channel();
         {
             let mut inner = self.inner.lock().expect("no panic while held");
@@ -80,22 +60,14 @@
             let verdicts = inner.gate.arrive(now, w);
             inner.tell(verdicts);
         }
-        let mut place = Place {
-            keeper: self,
-            core,
-            request: &job.request,
-            kept: true,
-        };
+        let mut place = Place { keeper: self, core, request: &job.request, kept: true };
         let verdict = rx.await.unwrap_or(Err(Reason::Overload));
         place.kept = false;
         let wait = || {
             let inner = self.inner.lock().expect("no panic while held");
             inner.gate.come_back(need.max(LOOK))
         };
-        verdict.map_err(|reason| Refused {
-            reason,
-            wait: wait(),
-        })
+        verdict.map_err(|reason| Refused { reason, wait: wait() })
     }
 
     /// Refuses those that wait and can no longer finish, until the process ends.
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -42,10 +42,9 @@
                 let pipeline = p[PIPELINES.len()..].to_string();
                 serve(core, &pipeline, request).await
             }
-            (_, p) if p.starts_with(PIPELINES) => reply::problem(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "send a pipeline's input with POST",
-            ),
+            (_, p) if p.starts_with(PIPELINES) => {
+                reply::problem(StatusCode::METHOD_NOT_ALLOWED, "send a pipeline's input with POST")
+            }
             _ => reply::problem(
                 StatusCode::NOT_FOUND,
                 "paths are POST /v1/pipelines/{pipeline}, GET /healthz, /readyz and /metrics",
@@ -59,10 +58,7 @@
         return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
     }
     if core.fleet.config().number == 0 {
-        return text(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration in force yet\n",
-        );
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration in force yet\n");
     }
     text(StatusCode::OK, "ready\n")
 }
@@ -85,11 +81,7 @@
         let timely = drive::run(core.clone(), config, job, tx).await;
         core.gate.finished(core.clock.now(), &id, timely);
     });
-    if streamed {
-        send_stream(rx).await
-    } else {
-        send_whole(rx).await
-    }
+    if streamed { send_stream(rx).await } else { send_whole(rx).await }
 }
 
 /// Rate, then a turn; the error is the request's final word.
@@ -98,11 +90,7 @@
     let refuse = |reason: Reason, retry_after: Option<u64>| Final {
         request: job.request.clone(),
         outcome: Outcome::NotRun,
-        error: Some(StepError {
-            step: "admission".into(),
-            peer: None,
-            reason,
-        }),
+        error: Some(StepError { step: "admission".into(), peer: None, reason }),
         steps: Vec::new(),
         retry_after,
         timely: false,
@@ -111,9 +99,7 @@
     let limits = config.set.workspaces.get(&job.workspace).map(|w| &w.limits);
     if let Some(l) = limits.and_then(|l| l.iter().find(|l| l.pipeline == job.pipeline)) {
         let nodes = core.members.load().len();
-        let taken = core
-            .rates
-            .take(now, &job.workspace, &job.pipeline, l.rate, nodes);
+        let taken = core.rates.take(now, &job.workspace, &job.pipeline, l.rate, nodes);
         taken.map_err(|wait| refuse(Reason::Limit, Some(wait.as_millis() as u64 + 1)))?;
     }
     let verdict = core.gate.enter(core, job).await;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,9 +10,7 @@
 use prometheus_client::registry::Registry;
 
 /// Buckets of request times, seconds.
-const BUCKETS: [f64; 12] = [
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0,
-];
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0];
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
@@ -62,28 +60,12 @@
         let strays = Counter::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("step_cost", "Cost of completed steps", costs.clone());
-        registry.register(
-            "step_attempts",
-            "Attempts of completed steps",
-            attempts.clone(),
-        );
-        registry.register(
-            "retries",
-            "Retries asked for, and whether granted",
-            retries.clone(),
-        );
+        registry.register("step_attempts", "Attempts of completed steps", attempts.clone());
+        registry.register("retries", "Retries asked for, and whether granted", retries.clone());
         registry.register("step_seconds", "Time of completed steps", seconds.clone());
         registry.register("stray_frames", "Frames of no live attempt", strays.clone());
         let registry = Mutex::new(registry);
-        Metrics {
-            registry,
-            requests,
-            costs,
-            attempts,
-            retries,
-            seconds,
-            strays,
-        }
+        Metrics { registry, requests, costs, attempts, retries, seconds, strays }
     }
 
     /// A request ended, perhaps before it ran.
@@ -96,14 +78,9 @@
         };
         self.requests.get_or_create(&labels).inc();
         for s in &end.steps {
-            let labels = StepLabels {
-                pipeline: pipeline.into(),
-                step: s.step.to_string(),
-            };
+            let labels = StepLabels { pipeline: pipeline.into(), step: s.step.to_string() };
             self.costs.get_or_create(&labels).inc_by(s.cost);
-            self.attempts
-                .get_or_create(&labels)
-                .inc_by(u64::from(s.attempts));
+            self.attempts.get_or_create(&labels).inc_by(u64::from(s.attempts));
             self.seconds.get_or_create(&labels).observe(s.millis / 1e3);
         }
     }
@@ -111,12 +88,7 @@
     /// A retry was asked for.
     pub fn retry(&self, step: &str, granted: bool) {
         let granted = if granted { "true" } else { "false" };
-        self.retries
-            .get_or_create(&RetryLabels {
-                step: step.into(),
-                granted,
-            })
-            .inc();
+        self.retries.get_or_create(&RetryLabels { step: step.into(), granted }).inc();
     }
 
     /// Frames that belonged to no live attempt.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -73,9 +73,7 @@
         tokio::spawn(async move {
             let timeout = Duration::from_secs(1);
             let refusal = Refusal { target };
-            let _ = client
-                .rmp::<_, ()>(&control, path::REFUSED, &refusal, timeout)
-                .await;
+            let _ = client.rmp::<_, ()>(&control, path::REFUSED, &refusal, timeout).await;
         });
     }
 }
@@ -109,11 +107,7 @@
         let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
         runtime.block_on(async {
             let running = Entry::start(settings).await?;
-            log::info!(
-                "node: callers at {}, peers at {}.",
-                running.callers,
-                running.peers
-            );
+            log::info!("node: callers at {}, peers at {}.", running.callers, running.peers);
             stop::signal().await.context("could not wait for signals")?;
             running.stop().await;
             Ok(())
@@ -139,11 +133,7 @@
     pub async fn new(settings: Settings) -> anyhow::Result<Bound> {
         let front = Server::bind(&settings.callers).await?;
         let side = Server::bind(&settings.peers).await?;
-        Ok(Bound {
-            settings,
-            front,
-            side,
-        })
+        Ok(Bound { settings, front, side })
     }
 
     /// Where other entry nodes come in.
@@ -159,11 +149,7 @@
 
     /// Starts the node.
     pub fn start(self) -> Running {
-        let Bound {
-            settings,
-            front,
-            side,
-        } = self;
+        let Bound { settings, front, side } = self;
         let clock = Clock::default();
         let client = Client::new(CONNECT);
         let start = rand::random::<u64>();
@@ -171,12 +157,7 @@
             let http = HttpStore::new(client.clone(), address.as_str().into());
             Arc::new(Budgeted::new(Box::new(http), settings.store_rate))
         });
-        let fleet = Fleet::new(
-            settings.domain.clone(),
-            &settings.near,
-            settings.policy,
-            start,
-        );
+        let fleet = Fleet::new(settings.domain.clone(), &settings.near, settings.policy, start);
         let core = Arc::new(Core {
             clock,
             fleet,
@@ -209,20 +190,9 @@
             tokio::spawn(crate::front::GateKeeper::watch(core.clone())),
         ];
         if let Some(control) = &core.settings.control {
-            tasks.push(tokio::spawn(sync::run(
-                core.clone(),
-                control.as_str().into(),
-            )));
-        }
-        Running {
-            callers,
-            peers,
-            core,
-            front,
-            side,
-            servers,
-            tasks,
+            tasks.push(tokio::spawn(sync::run(core.clone(), control.as_str().into())));
         }
+        Running { callers, peers, core, front, side, servers, tasks }
     }
 
     /// The fleet as this node sees it, for tests and experiments without a control node.
@@ -245,6 +215,13 @@
         self.core.members.store(Arc::new(members));
     }
 
+    /// Ends at once, answers cut off: for experiments only.
+    pub fn abort(self) {
+        for task in self.servers.into_iter().chain(self.tasks) {
+            task.abort();
+        }
+    }
+
     /// A planned stop: not ready at once, then no new connections, then the end
     /// once every answer is out.
     pub async fn stop(self) {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -23,10 +23,7 @@
 pub struct PeerSide(pub Arc<Core>);
 
 async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let whole = Limited::new(request.into_body(), MESSAGE_MAX)
-        .collect()
-        .await
-        .ok()?;
+    let whole = Limited::new(request.into_body(), MESSAGE_MAX).collect().await.ok()?;
     rmp_serde::from_slice(&whole.to_bytes()).ok()
 }
 
--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -36,9 +36,7 @@
     ) -> Result<(), Duration> {
         let mut slices = self.slices.lock().expect("no panic while held");
         let key = (workspace.clone(), pipeline.clone());
-        let slice = slices
-            .entry(key)
-            .or_insert_with(|| Slice::new(rate, nodes, now));
+        let slice = slices.entry(key).or_insert_with(|| Slice::new(rate, nodes, now));
         slice.take(now, nodes)
     }
 
@@ -48,9 +46,7 @@
         let key = (ask.workspace.clone(), ask.pipeline.clone());
         let home = homes.entry(key).or_insert_with(|| RateHome::new(rate));
         home.set_rate(rate);
-        Lent {
-            rate: home.lend(now, &ask.node, ask.demand, nodes).rate,
-        }
+        Lent { rate: home.lend(now, &ask.node, ask.demand, nodes).rate }
     }
 
     fn asks(&self, now: Time, node: &Name) -> Vec<LendAsk> {
@@ -77,10 +73,7 @@
 pub fn limit_of(core: &Core, workspace: &str, pipeline: &str) -> Option<f64> {
     let config = core.fleet.config();
     let w = config.set.workspaces.get(workspace)?;
-    w.limits
-        .iter()
-        .find(|l| *l.pipeline == *pipeline)
-        .map(|l| l.rate)
+    w.limits.iter().find(|l| *l.pipeline == *pipeline).map(|l| l.rate)
 }
 
 /// Renews slices until the process ends.
@@ -105,10 +98,6 @@
         let rate = limit_of(core, &ask.workspace, &ask.pipeline)?;
         return Some(core.rates.lend(core.clock.now(), ask, rate, members.len()));
     }
-    let peer = members
-        .iter()
-        .find(|m| m.id.name == *home)?
-        .entry
-        .to_string();
+    let peer = members.iter().find(|m| m.id.name == *home)?.entry.to_string();
     core.client.rmp(&peer, path::LEND, ask, WAIT).await.ok()
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -100,10 +100,7 @@
             return Err(BadValue::new("width", "must be 1 or more"));
         }
         if !(self.store_rate > 0.0 && self.store_rate.is_finite()) {
-            return Err(BadValue::new(
-                "store_rate",
-                "must be more than 0 calls a second",
-            ));
+            return Err(BadValue::new("store_rate", "must be more than 0 calls a second"));
         }
         Ok(())
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -24,10 +24,7 @@
     let mut up = true;
     loop {
         let ask = ViewAsk { changes };
-        let view = core
-            .client
-            .rmp::<_, View>(&control, path::VIEW, &ask, WAIT)
-            .await;
+        let view = core.client.rmp::<_, View>(&control, path::VIEW, &ask, WAIT).await;
         match view {
             Ok(view) => {
                 if !up {
@@ -35,11 +32,7 @@
                 }
                 up = true;
                 // A control node that was started anew counts from the beginning.
-                changes = if view.changes < changes {
-                    0
-                } else {
-                    view.changes
-                };
+                changes = if view.changes < changes { 0 } else { view.changes };
                 let number = view.number;
                 take(&core, view);
                 let from = Source::Peer(control.clone());
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -33,14 +33,10 @@
     /// Carries out a fetch and returns what it brought.
     pub async fn fetch(&self, action: FollowerAction) -> Vec<FollowerEvent> {
         match action {
-            FollowerAction::FetchDelta {
-                from: Source::Store,
-                ..
-            } => self.manifest().await,
-            FollowerAction::FetchDelta {
-                from: Source::Peer(peer),
-                have,
-            } => self.delta(peer, have).await,
+            FollowerAction::FetchDelta { from: Source::Store, .. } => self.manifest().await,
+            FollowerAction::FetchDelta { from: Source::Peer(peer), have } => {
+                self.delta(peer, have).await
+            }
             FollowerAction::FetchChunks { from, hashes } => self.chunks(from, hashes).await,
             FollowerAction::Applied(_) => Vec::new(),
         }
@@ -58,10 +54,7 @@
 
     async fn delta(&self, peer: Name, have: u64) -> Vec<FollowerEvent> {
         let ask = DeltaAsk { have };
-        let result = self
-            .client
-            .rmp::<_, Delta>(&peer, path::DELTA, &ask, TIMEOUT)
-            .await;
+        let result = self.client.rmp::<_, Delta>(&peer, path::DELTA, &ask, TIMEOUT).await;
         let from = Source::Peer(peer);
         match result {
             Ok(delta) => vec![FollowerEvent::Delta { delta, from }],
@@ -78,12 +71,8 @@
             let texts = match &from {
                 Source::Store => self.store_chunks(part).await,
                 Source::Peer(peer) => {
-                    let ask = ChunksAsk {
-                        hashes: part.to_vec(),
-                    };
-                    let call = self
-                        .client
-                        .rmp::<_, Chunks>(peer, path::CHUNKS, &ask, TIMEOUT);
+                    let ask = ChunksAsk { hashes: part.to_vec() };
+                    let call = self.client.rmp::<_, Chunks>(peer, path::CHUNKS, &ask, TIMEOUT);
                     call.await.ok().map(|c| c.texts)
                 }
             };
@@ -92,10 +81,7 @@
                 return events;
             };
             for (hash, text) in part.iter().zip(texts) {
-                events.push(FollowerEvent::Chunk {
-                    hash: hash.clone(),
-                    text,
-                });
+                events.push(FollowerEvent::Chunk { hash: hash.clone(), text });
             }
         }
         events
@@ -123,10 +109,6 @@
 
 /// A chunk's text; stored as one JSON string, so that its address holds.
 pub async fn read_chunk(store: &Budgeted, hash: &str) -> Option<Arc<str>> {
-    let stored = store
-        .with(Reason::Config)
-        .get(kind::CHUNK, hash)
-        .await
-        .ok()?;
+    let stored = store.with(Reason::Config).get(kind::CHUNK, hash).await.ok()?;
     stored.value?.as_str().map(Arc::from)
 }
--- a/crates/model/src/object/check.rs
+++ b/crates/model/src/object/check.rs
@@ -32,11 +32,7 @@
 impl Faults {
     fn push(&mut self, field: impl Into<String>, reason: impl Into<String>) {
         let object = self.object.clone();
-        self.list.push(Fault {
-            object,
-            field: field.into(),
-            reason: reason.into(),
-        });
+        self.list.push(Fault { object, field: field.into(), reason: reason.into() });
     }
 
     fn name(&mut self, field: impl Into<String>, value: &str) {
@@ -48,10 +44,7 @@
 
 /// Checks a whole set; an empty list means that it can be accepted.
 pub fn check(set: &Set) -> Vec<Fault> {
-    let mut f = Faults {
-        list: Vec::new(),
-        object: "".into(),
-    };
+    let mut f = Faults { list: Vec::new(), object: "".into() };
     let mut owners = BTreeMap::new();
     for (n, p) in &set.pools {
         f.object = format!("Pool/{n}").into();
@@ -65,10 +58,7 @@
         match set.pools.get(&m.pool) {
             None => f.push("spec.pool", format!("no Pool is named {:?}", m.pool)),
             Some(p) if p.role != Role::Engine => {
-                f.push(
-                    "spec.pool",
-                    format!("pool {:?} must have the role engine", m.pool),
-                );
+                f.push("spec.pool", format!("pool {:?} must have the role engine", m.pool));
             }
             Some(p) if m.replicas as usize > p.targets.len() => f.push(
                 "spec.replicas",
@@ -108,17 +98,12 @@
         f.name(at("domain"), &t.domain);
         f.name(at("host"), &t.host);
         if t.address.parse::<SocketAddr>().is_err() {
-            let reason = format!(
-                "{:?} is not an IP address and port such as 10.0.0.1:9000",
-                t.address
-            );
+            let reason =
+                format!("{:?} is not an IP address and port such as 10.0.0.1:9000", t.address);
             f.push(at("address"), reason);
         }
         if let Some(other) = owners.insert(t.name.clone(), f.object.clone()) {
-            f.push(
-                at("name"),
-                format!("{:?} is already a target of {other}", t.name),
-            );
+            f.push(at("name"), format!("{:?} is already a target of {other}", t.name));
         }
     }
 }
@@ -131,10 +116,7 @@
         let at = |field: &str| format!("spec.stages[{i}].{field}");
         f.name(at("name"), &s.name);
         if p.stages[..i].iter().any(|o| o.name == s.name) {
-            f.push(
-                at("name"),
-                format!("{:?} stands twice in this pipeline", s.name),
-            );
+            f.push(at("name"), format!("{:?} stands twice in this pipeline", s.name));
         }
         let Some(pool) = set.pools.get(&s.pool) else {
             f.push(at("pool"), format!("no Pool is named {:?}", s.pool));
@@ -145,10 +127,7 @@
             (Some(m), Role::Engine) => match set.models.get(m) {
                 None => f.push(at("model"), format!("no Model is named {m:?}")),
                 Some(model) if model.pool != s.pool => {
-                    f.push(
-                        at("model"),
-                        format!("model {m:?} is served by pool {:?}", model.pool),
-                    );
+                    f.push(at("model"), format!("model {m:?} is served by pool {:?}", model.pool));
                 }
                 Some(_) => {}
             },
@@ -160,24 +139,15 @@
 
 fn check_workspace(w: &Workspace, set: &Set, f: &mut Faults) {
     if w.deadline == 0 || w.deadline > DEADLINE_MAX {
-        f.push(
-            "spec.deadline",
-            format!("must be 1 to {DEADLINE_MAX} milliseconds"),
-        );
+        f.push("spec.deadline", format!("must be 1 to {DEADLINE_MAX} milliseconds"));
     }
     if w.grace > DEADLINE_MAX {
-        f.push(
-            "spec.grace",
-            format!("must be 0 to {DEADLINE_MAX} milliseconds"),
-        );
+        f.push("spec.grace", format!("must be 0 to {DEADLINE_MAX} milliseconds"));
     }
     for (i, l) in w.limits.iter().enumerate() {
         let at = |field: &str| format!("spec.limits[{i}].{field}");
         if !set.pipelines.contains_key(&l.pipeline) {
-            f.push(
-                at("pipeline"),
-                format!("no Pipeline is named {:?}", l.pipeline),
-            );
+            f.push(at("pipeline"), format!("no Pipeline is named {:?}", l.pipeline));
         }
         if !l.rate.is_finite() || l.rate <= 0.0 {
             f.push(at("rate"), "must be more than 0 requests per second");
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -32,13 +32,8 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; REASONS] = [
-        Reason::Claim,
-        Reason::Lease,
-        Reason::Config,
-        Reason::Status,
-        Reason::Sweep,
-    ];
+    pub const ALL: [Reason; REASONS] =
+        [Reason::Claim, Reason::Lease, Reason::Config, Reason::Status, Reason::Sweep];
 
     /// Name in metrics.
     pub fn as_str(self) -> &'static str {
@@ -93,16 +88,8 @@
 impl Budgeted {
     /// At most `rate` calls a second over time, in bursts of four seconds' worth.
     pub fn new(inner: Box<dyn Store>, rate: f64) -> Self {
-        let tokens = Mutex::new(Tokens {
-            left: rate * BURST,
-            at: Instant::now(),
-        });
-        Budgeted {
-            inner,
-            rate,
-            tokens,
-            counts: Counts::default(),
-        }
+        let tokens = Mutex::new(Tokens { left: rate * BURST, at: Instant::now() });
+        Budgeted { inner, rate, tokens, counts: Counts::default() }
     }
 
     /// Calls so far.
@@ -112,10 +99,7 @@
 
     /// The store for one reason.
     pub fn with(&self, reason: Reason) -> For<'_> {
-        For {
-            budget: self,
-            reason,
-        }
+        For { budget: self, reason }
     }
 
     fn take(&self, reason: Reason, step: impl Fn() -> String) -> Result<(), StoreError> {
@@ -151,8 +135,7 @@
 impl Store for For<'_> {
     fn get<'a>(&'a self, kind: &'a str, name: &'a str) -> Future<'a, Result<Stored, StoreError>> {
         Box::pin(async move {
-            self.budget
-                .take(self.reason, || format!("get {kind}/{name}"))?;
+            self.budget.take(self.reason, || format!("get {kind}/{name}"))?;
             self.budget.inner.get(kind, name).await
         })
     }
@@ -165,8 +148,7 @@
         value: Option<Value>,
     ) -> Future<'a, Result<u64, StoreError>> {
         Box::pin(async move {
-            self.budget
-                .take(self.reason, || format!("put {kind}/{name}"))?;
+            self.budget.take(self.reason, || format!("put {kind}/{name}"))?;
             self.budget.inner.put(kind, name, expect, value).await
         })
     }
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -41,9 +41,6 @@
 impl HostList for HttpHosts {
     fn hosts(&self) -> Future<'_, Result<Vec<HostState>, CallError>> {
         let timeout = Duration::from_millis(1500);
-        Box::pin(
-            self.client
-                .json(&self.address, Method::GET, "/hosts", None::<&()>, timeout),
-        )
+        Box::pin(self.client.json(&self.address, Method::GET, "/hosts", None::<&()>, timeout))
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -36,9 +36,7 @@
         body: Option<&Q>,
         timeout: Duration,
     ) -> Result<A, StoreError> {
-        let call = self
-            .client
-            .json(&self.address, method, &path, body, timeout);
+        let call = self.client.json(&self.address, method, &path, body, timeout);
         call.await.map_err(|e| error(step, e))
     }
 }
@@ -51,11 +49,7 @@
         CallKind::Status(code, why) => ErrorKind::Lost(format!("{code}: {why}")),
         other => ErrorKind::Lost(other.to_string()),
     };
-    StoreError {
-        step,
-        peer: e.peer,
-        kind,
-    }
+    StoreError { step, peer: e.peer, kind }
 }
 
 impl Store for HttpStore {
@@ -75,27 +69,15 @@
         Box::pin(async move {
             let step = format!("put {kind}/{name}");
             let path = format!("/v1/{kind}/{name}?expect={expect}");
-            let method = if value.is_some() {
-                Method::PUT
-            } else {
-                Method::DELETE
-            };
-            let written: Written = self
-                .call(step, method, path, value.as_ref(), TIMEOUT)
-                .await?;
+            let method = if value.is_some() { Method::PUT } else { Method::DELETE };
+            let written: Written = self.call(step, method, path, value.as_ref(), TIMEOUT).await?;
             Ok(written.version)
         })
     }
 
     fn list<'a>(&'a self, kind: &'a str) -> Future<'a, Result<Listing, StoreError>> {
         let path = format!("/v1/{kind}");
-        Box::pin(self.call(
-            format!("list {kind}"),
-            Method::GET,
-            path,
-            None::<&()>,
-            TIMEOUT,
-        ))
+        Box::pin(self.call(format!("list {kind}"), Method::GET, path, None::<&()>, TIMEOUT))
     }
 
     fn watch<'a>(
--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -71,11 +71,7 @@
     /// Values of every object of a kind, for audits.
     pub fn dump(&self, kind: &str) -> Vec<Value> {
         let listing = self.lock().objects.list(kind);
-        listing
-            .objects
-            .into_iter()
-            .filter_map(|o| o.value)
-            .collect()
+        listing.objects.into_iter().filter_map(|o| o.value).collect()
     }
 
     /// Names a host and whether it is leaving.
@@ -133,10 +129,9 @@
         Answer::Now(match result {
             Ok(version) => json(StatusCode::OK, &Written { version }),
             Err(Refusal::Version(v)) => text(StatusCode::CONFLICT, format!("version is {v}")),
-            Err(Refusal::Size(n)) => text(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                format!("{n} bytes, {VALUE_MAX} at most"),
-            ),
+            Err(Refusal::Size(n)) => {
+                text(StatusCode::PAYLOAD_TOO_LARGE, format!("{n} bytes, {VALUE_MAX} at most"))
+            }
         })
     }
 
@@ -162,37 +157,20 @@
 
     fn hosts(&self) -> Response<Body> {
         let s = self.lock();
-        let hosts: Vec<HostState> = s
-            .hosts
-            .iter()
-            .map(|(h, l)| HostState {
-                host: h.clone(),
-                leaving: *l,
-            })
-            .collect();
+        let hosts: Vec<HostState> =
+            s.hosts.iter().map(|(h, l)| HostState { host: h.clone(), leaving: *l }).collect();
         json(StatusCode::OK, &hosts)
     }
 }
 
 fn query(request: &Request<Incoming>, key: &str) -> Option<String> {
-    let pairs = request
-        .uri()
-        .query()?
-        .split('&')
-        .filter_map(|p| p.split_once('='));
-    pairs
-        .filter(|(k, _)| *k == key)
-        .map(|(_, v)| v.to_string())
-        .next()
+    let pairs = request.uri().query()?.split('&').filter_map(|p| p.split_once('='));
+    pairs.filter(|(k, _)| *k == key).map(|(_, v)| v.to_string()).next()
 }
 
 async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
     let limited = Limited::new(request.into_body(), VALUE_MAX * 2);
-    let bytes = limited
-        .collect()
-        .await
-        .map_err(|e| e.to_string())?
-        .to_bytes();
+    let bytes = limited.collect().await.map_err(|e| e.to_string())?.to_bytes();
     serde_json::from_slice(&bytes).map_err(|e| e.to_string())
 }
 
@@ -227,9 +205,7 @@
             (&Method::GET, ["hosts"]) => self.hosts(),
             (&Method::GET, ["v1", kind]) => {
                 let revision = query(&request, "watch").and_then(|v| v.parse().ok());
-                let wait = query(&request, "wait")
-                    .and_then(|v| v.parse().ok())
-                    .unwrap_or(0);
+                let wait = query(&request, "wait").and_then(|v| v.parse().ok()).unwrap_or(0);
                 match revision {
                     Some(r) => self.watch(kind, r, Duration::from_millis(wait)).await,
                     None => self.read(kind, None),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -24,7 +24,7 @@
 const KEPT: usize = 512;
 
 /// Rates and sizes of an engine.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EngineSpec {
     /// Milliseconds of one step of the batch.
@@ -39,12 +39,7 @@
 
 impl Default for EngineSpec {
     fn default() -> Self {
-        EngineSpec {
-            step: 2.0,
-            prefill: 256,
-            batch: 16,
-            cache: 20_000,
-        }
+        EngineSpec { step: 2.0, prefill: 256, batch: 16, cache: 20_000 }
     }
 }
 
@@ -140,12 +135,7 @@
     }
 
     fn state(&self) -> EngineState {
-        let prompts: usize = self
-            .running
-            .iter()
-            .chain(self.queue.values())
-            .map(|s| s.prompt)
-            .sum();
+        let prompts: usize = self.running.iter().chain(self.queue.values()).map(|s| s.prompt).sum();
         let prefill = prompts as f64 / self.spec.prefill as f64;
         // A queued sequence waits for a running one to end, half way on average.
         let left: usize = self.running.iter().map(|s| s.words.len()).sum();
@@ -173,11 +163,7 @@
         self.cached += hit as u64;
         let mark = s.tag.map(|t| format!("~{t}")).unwrap_or_default();
         let all = text::generate(&s.call.input);
-        let words = all
-            .into_iter()
-            .skip(s.call.from as usize)
-            .map(|w| w + &mark)
-            .collect();
+        let words = all.into_iter().skip(s.call.from as usize).map(|w| w + &mark).collect();
         self.seq += 1;
         let place = (s.call.priority, s.call.budget, self.seq);
         let seq = Seq {
@@ -205,12 +191,8 @@
             seq.attempt = s.call.attempt;
             seq.frames = s.frames;
             seq.digest = Digest::default();
-            let again: Vec<String> = seq
-                .said
-                .iter()
-                .skip((at - seq.from) as usize)
-                .cloned()
-                .collect();
+            let again: Vec<String> =
+                seq.said.iter().skip((at - seq.from) as usize).cloned().collect();
             for (i, w) in again.into_iter().enumerate() {
                 seq.digest.push(&w);
                 seq.give(at + i as u64, w);
@@ -220,12 +202,8 @@
         let Some(kept) = self.kept.get(&old).filter(|k| at >= k.from) else {
             return false;
         };
-        let words: VecDeque<_> = kept
-            .said
-            .iter()
-            .skip((at - kept.from) as usize)
-            .cloned()
-            .collect();
+        let words: VecDeque<_> =
+            kept.said.iter().skip((at - kept.from) as usize).cloned().collect();
         let mut seq = Seq {
             attempt: s.call.attempt,
             words: VecDeque::new(),
@@ -276,13 +254,7 @@
 
     fn keep(&mut self, seq: Seq) {
         self.order.push_back(seq.attempt.clone());
-        self.kept.insert(
-            seq.attempt,
-            Kept {
-                said: seq.said,
-                from: seq.from,
-            },
-        );
+        self.kept.insert(seq.attempt, Kept { said: seq.said, from: seq.from });
         if self.order.len() > KEPT
             && let Some(old) = self.order.pop_front()
         {
@@ -315,11 +287,7 @@
 
     /// A reader that is slow or gone loses frames; it resumes.
     fn give(&self, seq: u64, text: String) {
-        let _ = self.frames.try_send(Frame::Chunk {
-            attempt: self.attempt.clone(),
-            seq,
-            text,
-        });
+        let _ = self.frames.try_send(Frame::Chunk { attempt: self.attempt.clone(), seq, text });
     }
 
     fn end(&self, wait: u32) {
@@ -390,21 +358,14 @@
 
 impl PrefixCache {
     fn new(most: usize) -> Self {
-        PrefixCache {
-            blocks: HashMap::new(),
-            order: BTreeMap::new(),
-            clock: 0,
-            most,
-        }
+        PrefixCache { blocks: HashMap::new(), order: BTreeMap::new(), clock: 0, most }
     }
 
     /// Tokens of the prompt's head that were cached; caches the whole prompt.
     fn touch(&mut self, prompt: &[String]) -> usize {
         let (mut chain, mut hit, mut unbroken) = (0, 0, true);
         for block in prompt.chunks_exact(BLOCK) {
-            chain = block
-                .iter()
-                .fold(chain, |c, w| hash::mix(c, hash::of(w.as_bytes())));
+            chain = block.iter().fold(chain, |c, w| hash::mix(c, hash::of(w.as_bytes())));
             self.clock += 1;
             match self.blocks.insert(chain, self.clock) {
                 Some(old) => {
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -76,19 +76,12 @@
 
 /// A frame with the same place in another request's answer.
 fn stranger(frame: &Frame) -> Frame {
-    let attempt = Attempt {
-        request: "somebody-else".into(),
-        ..frame.attempt().clone()
-    };
+    let attempt = Attempt { request: "somebody-else".into(), ..frame.attempt().clone() };
     let seq = match frame {
         Frame::Chunk { seq, .. } => *seq,
         Frame::End { count, .. } => *count,
     };
-    Frame::Chunk {
-        attempt,
-        seq,
-        text: "not yours".into(),
-    }
+    Frame::Chunk { attempt, seq, text: "not yours".into() }
 }
 
 /// Faults of the Object API; all off by default.
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -36,11 +36,7 @@
     pub fn get(&self, kind: &str, name: &str) -> Stored {
         let found = self.kinds.get(kind).and_then(|k| k.get(name));
         found.map_or_else(
-            || Stored {
-                name: name.into(),
-                version: 0,
-                value: None,
-            },
+            || Stored { name: name.into(), version: 0, value: None },
             |e| e.stored.clone(),
         )
     }
@@ -62,43 +58,23 @@
             return Err(Refusal::Version(version));
         }
         self.revision += 1;
-        let stored = Stored {
-            name: name.into(),
-            version: version + 1,
-            value,
-        };
-        let entry = Entry {
-            stored,
-            revision: self.revision,
-        };
-        self.kinds
-            .entry(kind.into())
-            .or_default()
-            .insert(name.into(), entry);
+        let stored = Stored { name: name.into(), version: version + 1, value };
+        let entry = Entry { stored, revision: self.revision };
+        self.kinds.entry(kind.into()).or_default().insert(name.into(), entry);
         Ok(version + 1)
     }
 
     /// Every object of a kind that is not deleted.
     pub fn list(&self, kind: &str) -> Listing {
         let all = self.kinds.get(kind).into_iter().flat_map(|k| k.values());
-        let live = all
-            .filter(|e| e.stored.value.is_some())
-            .map(|e| e.stored.clone());
-        Listing {
-            revision: self.revision,
-            objects: live.collect(),
-        }
+        let live = all.filter(|e| e.stored.value.is_some()).map(|e| e.stored.clone());
+        Listing { revision: self.revision, objects: live.collect() }
     }
 
     /// Objects of a kind changed after `revision`, deletions included.
     pub fn since(&self, kind: &str, revision: u64) -> Listing {
         let all = self.kinds.get(kind).into_iter().flat_map(|k| k.values());
-        let new = all
-            .filter(|e| e.revision > revision)
-            .map(|e| e.stored.clone());
-        Listing {
-            revision: self.revision,
-            objects: new.collect(),
-        }
+        let new = all.filter(|e| e.revision > revision).map(|e| e.stored.clone());
+        Listing { revision: self.revision, objects: new.collect() }
     }
 }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -89,12 +89,8 @@
     /// A target that is ready.
     pub fn new(spec: TargetSpec) -> Arc<Self> {
         let engine = (spec.role == Role::Engine).then(|| Engine::spawn(spec.engine));
-        let held = Held {
-            models: spec.models.clone(),
-            epoch: 0,
-            leaving: false,
-            orders: Vec::new(),
-        };
+        let held =
+            Held { models: spec.models.clone(), epoch: 0, leaving: false, orders: Vec::new() };
         Arc::new(TargetServer {
             engine,
             slots: Arc::new(Semaphore::new(spec.width)),
@@ -118,20 +114,17 @@
 
     /// Runs so far.
     pub fn runs(&self) -> Vec<Ran> {
-        self.journal
-            .lock()
-            .expect("no panic while held")
-            .runs()
-            .to_vec()
+        self.journal.lock().expect("no panic while held").runs().to_vec()
+    }
+
+    /// Count of runs so far.
+    pub fn run_count(&self) -> usize {
+        self.journal.lock().expect("no panic while held").runs().len()
     }
 
     /// Orders obeyed so far.
     pub fn orders(&self) -> Vec<Order> {
-        self.held
-            .lock()
-            .expect("no panic while held")
-            .orders
-            .clone()
+        self.held.lock().expect("no panic while held").orders.clone()
     }
 
     /// Prompt tokens asked for and found cached; engines only.
@@ -152,12 +145,10 @@
         self.faults.lock().expect("no panic while held").clone()
     }
 
-    async fn report(&self) -> Report {
+    /// The target's load report.
+    pub async fn report(&self) -> Report {
         let (running, queued, wait) = match &self.engine {
-            Some(e) => e
-                .ask(State)
-                .await
-                .map_or((0, 0, 0), |s| (s.running, s.queued, s.wait)),
+            Some(e) => e.ask(State).await.map_or((0, 0, 0), |s| (s.running, s.queued, s.wait)),
             None => {
                 let running = (self.spec.width - self.slots.available_permits()) as u32;
                 let queued = self.waiting.load(std::sync::atomic::Ordering::Relaxed);
@@ -204,29 +195,20 @@
         if faults.stall {
             std::future::pending::<()>().await;
         }
-        let index = self
-            .journal
-            .lock()
-            .expect("no panic while held")
-            .begin(Ran {
-                target: self.spec.name.clone(),
-                attempt: call.attempt.clone(),
-                step: call.step.clone(),
-                workspace: call.workspace.clone(),
-                resumed: call.resume.is_some(),
-                done: false,
-            });
+        let index = self.journal.lock().expect("no panic while held").begin(Ran {
+            target: self.spec.name.clone(),
+            attempt: call.attempt.clone(),
+            step: call.step.clone(),
+            workspace: call.workspace.clone(),
+            resumed: call.resume.is_some(),
+            done: false,
+        });
         let (tx, rx) = mpsc::channel(DEPTH);
         let taken = match &self.engine {
             Some(engine) => {
                 let tag = faults.tag.then(|| self.spec.name.to_string());
                 let slow = faults.factor();
-                let submit = Submit {
-                    call,
-                    tag,
-                    slow,
-                    frames: tx,
-                };
+                let submit = Submit { call, tag, slow, frames: tx };
                 engine.ask(submit).await.unwrap_or(false)
             }
             None if call.resume.is_some() => false,
@@ -263,26 +245,15 @@
         digest.push(&answer);
         let mut count = 0;
         for piece in pieces(&answer) {
-            let frame = Frame::Chunk {
-                attempt: call.attempt.clone(),
-                seq: count,
-                text: piece.into(),
-            };
+            let frame =
+                Frame::Chunk { attempt: call.attempt.clone(), seq: count, text: piece.into() };
             count += 1;
             let _ = tx.send(frame).await;
         }
         let attempt = call.attempt;
         let busy = (ms * 1e3) as u64;
         let wait = self.report().await.wait;
-        let _ = tx
-            .send(Frame::End {
-                attempt,
-                count,
-                digest: digest.value(),
-                busy,
-                wait,
-            })
-            .await;
+        let _ = tx.send(Frame::End { attempt, count, digest: digest.value(), busy, wait }).await;
     }
 
     /// Passes frames on as lines, with the faults that are switched on.
@@ -308,11 +279,7 @@
                 continue;
             }
             let ready = std::mem::take(&mut held);
-            let ready = if faults.mangles() {
-                faults.mangle(ready)
-            } else {
-                ready
-            };
+            let ready = if faults.mangles() { faults.mangle(ready) } else { ready };
             for f in ready {
                 if faults.cut.is_some_and(|n| sent >= n) {
                     return;
@@ -372,11 +339,7 @@
 
 async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
     let limited = Limited::new(request.into_body(), CALL_MAX);
-    let bytes = limited
-        .collect()
-        .await
-        .map_err(|e| e.to_string())?
-        .to_bytes();
+    let bytes = limited.collect().await.map_err(|e| e.to_string())?.to_bytes();
     serde_json::from_slice(&bytes).map_err(|e| e.to_string())
 }
 
--- a/crates/standin/src/text.rs
+++ b/crates/standin/src/text.rs
@@ -17,9 +17,7 @@
 /// Words of a text, in any script.
 pub fn words(text: &str) -> impl Iterator<Item = String> + '_ {
     let split = |c: char| c.is_whitespace() || c.is_ascii_punctuation() || c == '।';
-    text.split(split)
-        .filter(|w| !w.is_empty())
-        .map(str::to_lowercase)
+    text.split(split).filter(|w| !w.is_empty()).map(str::to_lowercase)
 }
 
 /// Sentences of a text; ends at a full stop, a danda or a line's end.
@@ -51,19 +49,11 @@
 
 fn list(input: &Value, field: &str) -> Vec<String> {
     let results = input["results"].as_object().cloned().unwrap_or_default();
-    let found = results
-        .values()
-        .rev()
-        .filter_map(Value::as_str)
-        .find_map(|t| {
-            let v: Value = serde_json::from_str(t).ok()?;
-            v[field].as_array().cloned()
-        });
-    found
-        .unwrap_or_default()
-        .iter()
-        .filter_map(|s| s.as_str().map(String::from))
-        .collect()
+    let found = results.values().rev().filter_map(Value::as_str).find_map(|t| {
+        let v: Value = serde_json::from_str(t).ok()?;
+        v[field].as_array().cloned()
+    });
+    found.unwrap_or_default().iter().filter_map(|s| s.as_str().map(String::from)).collect()
 }
 
 /// Sentences with their vectors.
@@ -81,11 +71,7 @@
         .map(|s| (dot(&vector(&s), &query), s.len(), s))
         .collect();
     scored.sort_by(|a, b| b.cmp(a));
-    let passages: Vec<_> = scored
-        .into_iter()
-        .take(RETRIEVED)
-        .map(|(_, _, s)| s)
-        .collect();
+    let passages: Vec<_> = scored.into_iter().take(RETRIEVED).map(|(_, _, s)| s).collect();
     json!({ "passages": passages }).to_string()
 }
 
@@ -94,13 +80,7 @@
     let wanted: BTreeSet<_> = words(instruction(input)).collect();
     let mut scored: Vec<_> = list(input, "passages")
         .into_iter()
-        .map(|p| {
-            (
-                words(&p).filter(|w| wanted.contains(w)).count(),
-                p.chars().count(),
-                p,
-            )
-        })
+        .map(|p| (words(&p).filter(|w| wanted.contains(w)).count(), p.chars().count(), p))
         .collect();
     scored.sort_by(|a, b| b.cmp(a));
     let ranked: Vec<_> = scored.into_iter().map(|(_, _, p)| p).collect();
@@ -111,26 +91,17 @@
 pub fn generate(input: &Value) -> Vec<String> {
     let mut chosen = list(input, "ranked");
     if chosen.is_empty() {
-        chosen = sentences(request_text(input))
-            .into_iter()
-            .map(String::from)
-            .collect();
+        chosen = sentences(request_text(input)).into_iter().map(String::from).collect();
     }
     let whole = request_text(input);
     chosen.truncate(WRITTEN);
     chosen.sort_by_key(|s| whole.find(s.as_str()).unwrap_or(usize::MAX));
-    let most = input["request"]["tokens"]
-        .as_u64()
-        .map_or(usize::MAX, |n| n as usize);
+    let most = input["request"]["tokens"].as_u64().map_or(usize::MAX, |n| n as usize);
     let mut text: Vec<String> = Vec::new();
     for s in chosen {
         let lead = if text.is_empty() { "- " } else { "\n- " };
         for (i, w) in s.split_whitespace().enumerate() {
-            text.push(if i == 0 {
-                format!("{lead}{w}")
-            } else {
-                format!(" {w}")
-            });
+            text.push(if i == 0 { format!("{lead}{w}") } else { format!(" {w}") });
         }
     }
     // A request may ask for a length, as load tools do.
@@ -151,8 +122,5 @@
 /// The prompt whose prefix engines cache: the request's own, or its text.
 pub fn prompt(input: &Value) -> String {
     let own = input["request"]["prompt"].as_str();
-    own.map_or_else(
-        || format!("{}\n{}", instruction(input), request_text(input)),
-        String::from,
-    )
+    own.map_or_else(|| format!("{}\n{}", instruction(input), request_text(input)), String::from)
 }
--- a/crates/util/src/clock.rs
+++ b/crates/util/src/clock.rs
@@ -31,8 +31,6 @@
 
 /// Wall-clock milliseconds since 1970, for keys only.
 pub fn unix_ms() -> u64 {
-    let d = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let d = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     d.as_millis() as u64
 }
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -84,11 +84,7 @@
     ) -> Result<Response<Incoming>, CallError> {
         self.inner.request(request).await.map_err(|e| {
             let why = chain(&e);
-            let kind = if e.is_connect() {
-                CallKind::NotSent(why)
-            } else {
-                CallKind::Lost(why)
-            };
+            let kind = if e.is_connect() { CallKind::NotSent(why) } else { CallKind::Lost(why) };
             fail(peer, kind)
         })
     }
@@ -185,12 +181,7 @@
 impl Lines {
     /// Reads `response` line by line.
     pub fn new(peer: &str, response: Response<Incoming>) -> Self {
-        Lines {
-            peer: peer.into(),
-            body: response.into_body(),
-            buffer: Vec::new(),
-            start: 0,
-        }
+        Lines { peer: peer.into(), body: response.into_body(), buffer: Vec::new(), start: 0 }
     }
 
     /// The next line without its end; `None` once the body has ended.
@@ -221,10 +212,7 @@
 }
 
 fn fail(peer: &str, kind: CallKind) -> CallError {
-    CallError {
-        peer: peer.into(),
-        kind,
-    }
+    CallError { peer: peer.into(), kind }
 }
 
 /// The causes of an error on one line.
@@ -267,9 +255,6 @@
 
 async fn collect(peer: &str, response: Response<Incoming>) -> Result<Bytes, CallError> {
     let body = Limited::new(response.into_body(), BODY_MAX);
-    let whole = body
-        .collect()
-        .await
-        .map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
+    let whole = body.collect().await.map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
     Ok(whole.to_bytes())
 }
--- a/crates/util/src/http/server.rs
+++ b/crates/util/src/http/server.rs
@@ -48,11 +48,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits {
-            headers: 64,
-            head: 16 << 10,
-            slow: Duration::from_secs(5),
-        }
+        Limits { headers: 64, head: 16 << 10, slow: Duration::from_secs(5) }
     }
 }
 
@@ -69,17 +65,12 @@
         let listener = TcpListener::bind(address)
             .await
             .with_context(|| format!("could not listen at {address}"))?;
-        Ok(Server {
-            listener,
-            limits: Limits::default(),
-        })
+        Ok(Server { listener, limits: Limits::default() })
     }
 
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.listener
-            .local_addr()
-            .expect("a bound listener has an address")
+        self.listener.local_addr().expect("a bound listener has an address")
     }
 
     /// Serves until `stop`, then lets open answers finish.
@@ -97,12 +88,7 @@
                 continue;
             };
             let _ = socket.set_nodelay(true);
-            tasks.spawn(connection(
-                socket,
-                handler.clone(),
-                self.limits,
-                stop.clone(),
-            ));
+            tasks.spawn(connection(socket, handler.clone(), self.limits, stop.clone()));
         }
         drop(self.listener);
         while tasks.join_next().await.is_some() {}
--- a/crates/util/src/logs.rs
+++ b/crates/util/src/logs.rs
@@ -13,14 +13,9 @@
     let encoder: Box<dyn Encode> = if logs.json {
         Box::new(JsonEncoder::new())
     } else {
-        Box::new(PatternEncoder::new(
-            "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:<5} {m}{n}",
-        ))
+        Box::new(PatternEncoder::new("{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:<5} {m}{n}"))
     };
-    let console = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(encoder)
-        .build();
+    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
         .build(Root::builder().appender("console").build(logs.level))
--- a/crates/util/src/settings.rs
+++ b/crates/util/src/settings.rs
@@ -48,10 +48,7 @@
 impl BadValue {
     /// Names a field and what is wrong with it.
     pub fn new(field: impl Into<String>, error: impl Into<String>) -> Self {
-        BadValue {
-            field: field.into(),
-            error: error.into(),
-        }
+        BadValue { field: field.into(), error: error.into() }
     }
 }
 
@@ -73,10 +70,7 @@
 
 impl Default for Logs {
     fn default() -> Self {
-        Logs {
-            level: log::LevelFilter::Info,
-            json: false,
-        }
+        Logs { level: log::LevelFilter::Info, json: false }
     }
 }
 
@@ -100,17 +94,13 @@
 
 /// Reads and checks a settings file.
 pub fn load<T: DeserializeOwned + Check>(path: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Read {
-        path: path.into(),
-        error,
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsError::Read { path: path.into(), error })?;
     let settings: T = parse(path, &text)?;
     match settings.check() {
         Ok(()) => Ok(settings),
-        Err(BadValue { field, error }) => Err(SettingsError::Value {
-            path: path.into(),
-            field,
-            error,
-        }),
+        Err(BadValue { field, error }) => {
+            Err(SettingsError::Value { path: path.into(), field, error })
+        }
     }
 }
