--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -15,6 +15,8 @@
 /// Share of the width that patient work may take while others run.
 const PATIENT_SHARE: f64 = 0.7;
 
+/// Weight of a new sample in the pace.
+const PACE: f64 = 0.05;
 /// Factor of a decrease.
 const CUT: f64 = 0.9;
 /// Least time between two decreases.
@@ -51,9 +53,9 @@
     seq: u64,
 }
 
-/// How many requests run at once: additive increase while answers come in
-/// time, multiplicative decrease when they are late, so that the wait stays at
-/// the door, where the hopeless can be refused before they cost anything.
+/// How many requests run at once: additive increase while running takes little
+/// of the deadline, multiplicative decrease when it takes most, so that the wait
+/// stays at the door, where the hopeless can be refused before they cost anything.
 #[derive(Debug)]
 struct Width {
     most: f64,
@@ -66,8 +68,8 @@
         (self.now as usize).max(1)
     }
 
-    fn learn(&mut self, now: Time, timely: bool, busy: bool) {
-        if timely {
+    fn learn(&mut self, now: Time, congested: bool, busy: bool) {
+        if !congested {
             let step = if busy { 1.0 / self.now } else { 0.0 };
             self.now = (self.now + step).min(self.most);
         } else if self.cut == Time::ZERO || now.since(self.cut) >= CUT_PAUSE {
@@ -77,6 +79,27 @@
     }
 }
 
+/// Smoothed time between two requests' ends while the gate is full.
+#[derive(Debug, Default)]
+struct Pace {
+    last: Option<Time>,
+    gap: Duration,
+}
+
+impl Pace {
+    fn finished(&mut self, now: Time, busy: bool) {
+        let last = self.last.replace(now).filter(|_| busy);
+        let Some(last) = last else {
+            return;
+        };
+        let sample = now.since(last);
+        self.gap = match self.gap {
+            Duration::ZERO => sample,
+            gap => gap.mul_f64(1.0 - PACE) + sample.mul_f64(PACE),
+        };
+    }
+}
+
 /// Admission of one node.
 #[derive(Debug)]
 pub struct Gate {
@@ -85,13 +108,21 @@
     running: BTreeMap<Name, Priority>,
     waiting: BTreeMap<Order, Waiter>,
     seq: u64,
+    pace: Pace,
 }
 
 impl Gate {
     /// At most `width` requests run and `depth` wait.
     pub fn new(width: usize, depth: usize) -> Self {
         let width = Width { most: width as f64, now: width as f64, cut: Time::ZERO };
-        Gate { width, depth, running: BTreeMap::new(), waiting: BTreeMap::new(), seq: 0 }
+        Gate {
+            width,
+            depth,
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            seq: 0,
+            pace: Pace::default(),
+        }
     }
 
     /// Requests running.
@@ -113,6 +144,10 @@
         }
         self.seq += 1;
         let order = Order { priority: w.priority, deadline: w.deadline, seq: self.seq };
+        let full = self.running.len() >= self.width.get();
+        if full && now + self.expected_wait(&order) + w.need > w.deadline {
+            return vec![Verdict::Refuse(w.request, Reason::Hopeless)];
+        }
         self.waiting.insert(order, w);
         let mut out = self.advance(now);
         if self.waiting.len() > self.depth
@@ -128,10 +163,11 @@
         self.width.get()
     }
 
-    /// A running request ended, in time or not.
-    pub fn finished(&mut self, now: Time, request: &Name, timely: bool) -> Vec<Verdict> {
+    /// A running request ended; `congested` if running took most of its deadline.
+    pub fn finished(&mut self, now: Time, request: &Name, congested: bool) -> Vec<Verdict> {
         let busy = self.running.len() * 5 >= self.width.get() * 4;
-        self.width.learn(now, timely, busy);
+        self.width.learn(now, congested, busy);
+        self.pace.finished(now, busy);
         self.leave(now, request)
     }
 
@@ -153,6 +189,12 @@
         mean.mul_f64((self.waiting.len() + 1) as f64 / self.width.get() as f64)
     }
 
+    /// Wait of a newcomer, by those before it and the pace at which turns come free.
+    fn expected_wait(&self, order: &Order) -> Duration {
+        let ahead = self.waiting.range(..*order).count() as u32;
+        self.pace.gap * (ahead + 1)
+    }
+
     fn advance(&mut self, now: Time) -> Vec<Verdict> {
         let mut out = Vec::new();
         let idle = self.running.is_empty();
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -33,7 +33,7 @@
     let mut order = Vec::new();
     let mut last: Name = "first".into();
     for _ in 0..3 {
-        let out = g.finished(Time::ZERO, &last, true);
+        let out = g.finished(Time::ZERO, &last, false);
         let [Verdict::Run(next)] = &out[..] else { panic!("{out:?}") };
         last = next.clone();
         order.push(last.to_string());
@@ -71,14 +71,14 @@
 }
 
 #[test]
-fn late_answers_narrow_the_gate_and_timely_ones_widen_it_again() {
+fn congestion_narrows_the_gate_and_its_end_widens_it_again() {
     let mut g = Gate::new(64, 10);
     let mut now = Time::ZERO;
     for i in 0..100 {
         now = now + Duration::from_millis(150);
         let name: Name = format!("r{i}").into();
         g.arrive(now, waiter(&name, Priority::Normal, u64::MAX / 2000));
-        g.finished(now, &name, false);
+        g.finished(now, &name, true);
     }
     let narrow = g.width();
     assert!(narrow <= 8, "{narrow}");
@@ -89,12 +89,33 @@
         names.push_back(name);
         if names.len() > g.width() {
             let old = names.pop_front().expect("one runs");
-            g.finished(now, &old, true);
+            g.finished(now, &old, false);
         }
     }
     assert!(g.width() > narrow * 3, "{}", g.width());
 }
 
+#[test]
+fn a_newcomer_behind_too_many_is_refused_at_the_door_not_at_its_deadline() {
+    let mut g = Gate::new(1, 100);
+    let mut now = Time::ZERO;
+    // A turn comes free every 100 ms.
+    for i in 0..30 {
+        let name: Name = format!("r{i}").into();
+        g.arrive(now, waiter(&name, Priority::Normal, 1_000_000));
+        now = now + Duration::from_millis(100);
+        g.finished(now, &name, false);
+    }
+    let at = |ms: u64| now.0 / 1000 + ms;
+    g.arrive(now, waiter("runs", Priority::Normal, at(10_000)));
+    let mut taken = 0;
+    for i in 0..50 {
+        let out = g.arrive(now, waiter(&format!("w{i}"), Priority::Normal, at(1000)));
+        taken += usize::from(out.is_empty());
+    }
+    assert!((7..=10).contains(&taken), "ten turns fit before the deadline: {taken} wait");
+}
+
 #[test]
 fn patient_work_leaves_room_for_urgent() {
     let mut g = Gate::new(10, 100);
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -82,7 +82,6 @@
     out: mpsc::Sender<Out>,
     wakes: Vec<Time>,
     step_begun: Time,
-    timely: bool,
     prefix: u64,
 }
 
@@ -100,10 +99,10 @@
     }
 }
 
-/// Runs a request to its end; returns whether its answer came in time.
-pub async fn run(core: Arc<Core>, config: Arc<Config>, job: Job, out: mpsc::Sender<Out>) -> bool {
+/// Runs a request to its end.
+pub async fn run(core: Arc<Core>, config: Arc<Config>, job: Job, out: mpsc::Sender<Out>) {
     let Some(pipeline) = config.set.pipelines.get(&job.pipeline).cloned() else {
-        return false;
+        return;
     };
     let plan = Plan {
         request: job.request.clone(),
@@ -128,7 +127,6 @@
         out,
         wakes: Vec::new(),
         step_begun: now,
-        timely: false,
         prefix: prefix(&head),
         core,
         config,
@@ -151,7 +149,6 @@
         }
     }
     d.core.metrics.strays(d.run.strays());
-    d.timely
 }
 
 fn prompt_head(input: &Value) -> String {
@@ -368,7 +365,6 @@
         for (_, f) in self.flights.drain() {
             f.pool.lock().table.cancelled(&f.target);
         }
-        self.timely = end.timely;
         self.core.metrics.ended(&self.job.pipeline, &self.job.workspace, &end);
         if let Some(e) = &end.error {
             log::info!("request: {} {}: {e}", self.job.request, end.outcome.as_str());
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -15,6 +15,10 @@
 use model::object::{Pipeline, Role, Set};
 use model::{Name, Time};
 
+/// Quantile of each step's time that a request must still have; most that are let
+/// in with so much left finish in time.
+const NEED: f64 = 0.75;
+
 /// Configuration in force.
 #[derive(Debug, Default)]
 pub struct Config {
@@ -237,7 +241,7 @@
         let times = self.times.lock().expect("no panic while held");
         let seen: Vec<&StepTimes> =
             (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i))).collect();
-        let need = seen.iter().filter_map(|t| t.quantile(0.1)).sum();
+        let need = seen.iter().filter_map(|t| t.quantile(NEED)).sum();
         (deadline::feasible(left, &seen, Duration::ZERO), need)
     }
 
--- a/crates/entry/src/front/gate.rs
+++ b/crates/entry/src/front/gate.rs
@@ -79,9 +79,9 @@
         }
     }
 
-    /// A request ended, in time or not.
-    pub fn finished(&self, now: Time, request: &Name, timely: bool) {
-        self.change(|gate| gate.finished(now, request, timely));
+    /// A request ended; `congested` if running took most of its deadline.
+    pub fn finished(&self, now: Time, request: &Name, congested: bool) {
+        self.change(|gate| gate.finished(now, request, congested));
     }
 
     fn leave(&self, now: Time, request: &Name) {
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -22,6 +22,8 @@
 
 /// Pieces on their way to one caller.
 const DEPTH: usize = 64;
+/// Running that takes more than this share of the deadline means congestion.
+const CONGESTED: f64 = 0.6;
 /// Prefix of the pipelines' paths.
 const PIPELINES: &str = "/v1/pipelines/";
 /// Media type of the metrics.
@@ -77,9 +79,13 @@
     let streamed = job.streamed;
     let (tx, rx) = mpsc::channel(DEPTH);
     let id = job.request.clone();
+    let (arrived, due) = (job.arrived, job.deadline);
     tokio::spawn(async move {
-        let timely = drive::run(core.clone(), config, job, tx).await;
-        core.gate.finished(core.clock.now(), &id, timely);
+        let begun = core.clock.now();
+        let most = due.since(arrived).mul_f64(CONGESTED);
+        drive::run(core.clone(), config, job, tx).await;
+        let now = core.clock.now();
+        core.gate.finished(now, &id, now.since(begun) > most);
     });
     if streamed { send_stream(rx).await } else { send_whole(rx).await }
 }
