--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -1,9 +1,8 @@
 //! `pumicevale-bench slopes`: the figures behind docs/CAPACITY.md.
 
-use crate::slopes::{Figure, deaths, measure};
+use crate::slopes::{DOMAIN, Figure, deaths, measure};
 
-/// Nodes of a failure domain, and the hours and kills of the long run.
-const DOMAIN: usize = 57;
+/// Loss, hours and kills of the long run.
 const LOSS: f64 = 0.01;
 const HOURS: f64 = 8.0;
 const KILLS: usize = 20;
--- a/crates/bench/src/experiment/fleet.rs
+++ b/crates/bench/src/experiment/fleet.rs
@@ -141,9 +141,9 @@
         sum
     }
 
-    /// Runs at all targets.
+    /// Calls at engines and encoders, refused and failed ones included.
     pub fn runs(&self) -> usize {
-        self.engines.iter().chain(&self.encoders).map(|t| t.run_count()).sum()
+        self.engines.iter().chain(&self.encoders).map(|t| t.call_count()).sum()
     }
 
     /// Stops everything.
--- a/crates/bench/src/slopes/members.rs
+++ b/crates/bench/src/slopes/members.rs
@@ -21,7 +21,7 @@
 /// Seconds measured.
 const SECONDS: u64 = 60;
 /// Seconds until a domain has found itself.
-const SETTLE: u64 = 40;
+const SETTLE: u64 = 150;
 
 fn address(i: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 7000))
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -13,6 +13,8 @@
 
 /// Sizes at which slopes are measured.
 pub const SIZES: [usize; 4] = [10, 30, 100, 340];
+/// Nodes of one failure domain at the size to design for: 340 in 6.
+pub const DOMAIN: usize = 57;
 
 /// One figure at one size.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,7 +42,7 @@
 /// Every figure, or only the counted ones that are quick to get.
 pub fn measure(only_counted: bool) -> Vec<Figure> {
     let mut all = Vec::new();
-    for n in SIZES {
+    for n in SIZES.into_iter().chain([DOMAIN]) {
         all.extend(members::measure(n));
     }
     all.extend(config::measure(only_counted));
--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -21,6 +21,8 @@
 const CUT: f64 = 0.9;
 /// Least time between two decreases.
 const CUT_PAUSE: Duration = Duration::from_millis(100);
+/// Width at the start; an overload must not flood the targets before it is noticed.
+const WIDTH_START: f64 = 64.0;
 /// Least width.
 const WIDTH_LEAST: f64 = 4.0;
 
@@ -61,6 +63,7 @@
     most: f64,
     now: f64,
     cut: Time,
+    fixed: bool,
 }
 
 impl Width {
@@ -69,6 +72,9 @@
     }
 
     fn learn(&mut self, now: Time, congested: bool, busy: bool) {
+        if self.fixed {
+            return;
+        }
         if !congested {
             let step = if busy { 1.0 / self.now } else { 0.0 };
             self.now = (self.now + step).min(self.most);
@@ -114,7 +120,8 @@
 impl Gate {
     /// At most `width` requests run and `depth` wait.
     pub fn new(width: usize, depth: usize) -> Self {
-        let width = Width { most: width as f64, now: width as f64, cut: Time::ZERO };
+        let now = (width as f64).min(WIDTH_START);
+        let width = Width { most: width as f64, now, cut: Time::ZERO, fixed: false };
         Gate {
             width,
             depth,
@@ -125,6 +132,13 @@
         }
     }
 
+    /// Keeps the width as it was given.
+    pub fn with_fixed_width(mut self) -> Self {
+        self.width.now = self.width.most;
+        self.width.fixed = true;
+        self
+    }
+
     /// Requests running.
     pub fn running(&self) -> usize {
         self.running.len()
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -24,6 +24,9 @@
 const SYNC_EVERY: Duration = Duration::from_secs(2);
 /// Times that the reporters are told again of a manifest; datagrams get lost.
 const RETELL: u8 = 2;
+/// Times the patience after which a probe has failed: the direct one, and the
+/// two hops of the helpers' one.
+const ROUNDS: u32 = 3;
 /// Most that a node blames itself.
 const SELF_MAX: u32 = 4;
 
@@ -49,11 +52,11 @@
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
-            period: Duration::from_millis(1000),
-            timeout: Duration::from_millis(250),
+            period: Duration::from_millis(700),
+            timeout: Duration::from_millis(200),
             helpers: 3,
-            suspect: Duration::from_millis(1500),
-            suspect_most: Duration::from_millis(3000),
+            suspect: Duration::from_millis(800),
+            suspect_most: Duration::from_millis(1600),
             confirms: 2,
             seek: Duration::from_millis(500),
         }
@@ -129,6 +132,7 @@
     seeds: Vec<SocketAddr>,
     links: Vec<SocketAddr>,
     blame: u32,
+    failed: bool,
     synced: Time,
     retell: u8,
     seq: u32,
@@ -155,6 +159,7 @@
             seeds: Vec::new(),
             links: Vec::new(),
             blame: 0,
+            failed: false,
             synced: Time::ZERO,
             retell: 0,
             seq: 0,
@@ -201,7 +206,8 @@
     pub fn next_tick(&self) -> Time {
         let probe = match &self.probe {
             Some(p) if !p.asked => p.sent + self.patience(),
-            _ => Time::NEVER,
+            Some(p) => p.sent + self.patience() * ROUNDS,
+            None => Time::NEVER,
         };
         self.next.min(probe)
     }
@@ -233,6 +239,12 @@
             return;
         }
         self.ask_helpers(now, out);
+        let patience = self.patience();
+        let over = self.probe.as_ref().is_some_and(|p| now >= p.sent + patience * ROUNDS);
+        if over {
+            self.end_probe(now, out);
+            self.bury(now, out);
+        }
         if now < self.next {
             return;
         }
@@ -340,8 +352,10 @@
         let Some(p) = self.probe.take() else {
             return;
         };
-        // No answer, and nobody else's word for it: perhaps it is this node.
-        self.blame = (self.blame + 1).min(SELF_MAX);
+        // One probe without an answer speaks against its target, several in a row
+        // against this node.
+        self.blame = (self.blame + u32::from(self.failed)).min(SELF_MAX);
+        self.failed = true;
         let Some(peer) = self.peers.get(&p.target) else {
             return;
         };
@@ -387,6 +401,18 @@
         }
         self.outbox.push(rumor.clone());
         out.push(Action::Changed(rumor.clone()));
+        if rumor.health == Health::Suspect {
+            self.warn(rumor, out);
+        }
+    }
+
+    /// Tells a suspect directly, so that it can refute to whoever suspects it in
+    /// one round trip, long before rumors would have gone to it and back.
+    fn warn(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
+        let start = rumor.node.id.start;
+        let mut packet = self.bare(Purpose::Ping { start });
+        packet.rumors.push(rumor.clone());
+        out.push(Action::Send(rumor.node.address, packet));
     }
 
     fn packet(&mut self, now: Time, from: SocketAddr, p: Packet, out: &mut Vec<Action>) {
@@ -500,6 +526,7 @@
         let answered = self.probe.take_if(|p| p.seq == seq && p.target == *id);
         if answered.is_some() {
             self.blame = self.blame.saturating_sub(1);
+            self.failed = false;
         }
     }
 
--- a/crates/decide/src/route/mod.rs
+++ b/crates/decide/src/route/mod.rs
@@ -6,6 +6,7 @@
 
 mod health;
 mod policy;
+mod share;
 mod table;
 
 pub use health::Health;
@@ -13,6 +14,7 @@
     Ask, Home, HomeTuning, LeastOutstanding, Policy, PolicyKind, RoundRobin, SessionHash,
     make as make_policy,
 };
+pub use share::Shares;
 pub use table::{PoolTable, Slot, TargetInfo};
 
 /// Bytes of a prompt that make its prefix; about the first 64 tokens.
--- a/crates/decide/src/route/policy.rs
+++ b/crates/decide/src/route/policy.rs
@@ -6,11 +6,14 @@
 use model::{Name, Time};
 use serde::{Deserialize, Serialize};
 
+use super::share::Shares;
 use super::table::{PoolTable, Slot};
 use crate::rng::Rng;
 
 /// Targets looked at along the rendezvous order of a prefix.
-const ORDER: usize = 4;
+const ORDER: usize = 8;
+/// Targets behind the homes among which a spill goes.
+const SPILL: usize = 3;
 /// Distance classes: own failure domain, own region, beyond.
 const DISTANCES: u8 = 3;
 
@@ -60,6 +63,8 @@
     HomeUnbound,
     /// [`PolicyKind::Home`] that spills to the next in order, without two choices.
     HomeNext,
+    /// [`PolicyKind::Home`] with one home for every prefix, however hot.
+    HomeSingle,
 }
 
 /// Makes a policy.
@@ -74,6 +79,7 @@
         PolicyKind::HomeUnbound => {
             Box::new(Home::new(HomeTuning { share: f64::INFINITY, ..tuning }, seed))
         }
+        PolicyKind::HomeSingle => Box::new(Home::new(HomeTuning { spread: 0.0, ..tuning }, seed)),
         PolicyKind::HomeNext => Box::new(Home::new(HomeTuning { choices: 1, ..tuning }, seed)),
     }
 }
@@ -142,18 +148,25 @@
     pub share: f64,
     /// ... and only for a target whose expected wait is shorter by this factor.
     pub gain: f64,
+    /// ... that has a wait of no more than this share itself: where all are loaded
+    /// a spill only adds cold starts.
+    pub idle: f64,
+    /// Homes of a prefix for each target's fair share of the traffic that it has;
+    /// 0 keeps one home.
+    pub spread: f64,
     /// Targets compared once the home is declined.
     pub choices: usize,
 }
 
 impl Default for HomeTuning {
     fn default() -> Self {
-        HomeTuning { share: 0.2, gain: 2.0, choices: 2 }
+        HomeTuning { share: 0.2, gain: 2.0, idle: 0.05, spread: 1.5, choices: 2 }
     }
 }
 
 /// Rendezvous of the prompt's prefix: every node finds the same home without a
-/// shared index. A cold start costs the whole fleet prefill that it may not have
+/// shared index. A hot prefix has as many homes as its share of the traffic asks
+/// for; every node sees about the same share in its own slice. A cold start costs the whole fleet prefill that it may not have
 /// to spare, so the home is declined only when staying would put the deadline at
 /// risk; then for the better of the next two in the same order, so that the spill
 /// is warm for all nodes too, and no node herds to the one least loaded by a
@@ -161,6 +174,7 @@
 #[derive(Debug)]
 pub struct Home {
     tuning: HomeTuning,
+    shares: Shares,
     rng: Rng,
 }
 
@@ -197,53 +211,71 @@
 impl Home {
     /// A policy with this tuning.
     pub fn new(tuning: HomeTuning, seed: u64) -> Self {
-        Home { tuning, rng: Rng::new(seed) }
+        Home { tuning, shares: Shares::default(), rng: Rng::new(seed) }
     }
 
-    /// The order of one distance class's candidates.
-    fn scan(ask: &Ask, table: &PoolTable, distance: u8) -> Top {
+    /// The order of one distance class's candidates, and their count.
+    fn scan(ask: &Ask, table: &PoolTable, distance: u8) -> (Top, usize) {
         let mut top = Top::new();
+        let mut count = 0;
         for (i, s) in table.slots().iter().enumerate() {
             if s.info.distance == distance && ask.fits(s) {
                 top.offer(mix(ask.prefix, s.hash), i);
+                count += 1;
             }
         }
-        top
+        (top, count)
     }
 
-    fn choose(&mut self, ask: &Ask, table: &PoolTable, top: &Top) -> usize {
+    fn choose(&mut self, ask: &Ask, table: &PoolTable, top: &Top, homes: usize) -> usize {
         let wait = |i: usize| table.slots()[i].wait(ask.now);
         let open = |i: usize| table.slots()[i].flying < table.slots()[i].limit.width();
-        let home = top.index[0];
-        if top.len == 1 {
+        let home = self.best_home(ask, table, top, homes);
+        if top.len <= homes {
             return home;
         }
         let at_home = wait(home);
         if open(home) && at_home <= self.tuning.share * ask.budget {
             return home;
         }
-        let others = top.len - 1;
-        let mut other = top.index[1];
-        if self.tuning.choices > 1 && others > 1 {
-            let second = top.index[2 + self.rng.below(others - 1)];
+        let rest = &top.index[homes..top.len.min(homes + SPILL)];
+        let mut other = rest[0];
+        if self.tuning.choices > 1 && rest.len() > 1 {
+            let second = rest[1 + self.rng.below(rest.len() - 1)];
             if wait(second) < wait(other) {
                 other = second;
             }
         }
         let full = !open(home) && open(other);
-        if full || wait(other) * self.tuning.gain < at_home { other } else { home }
+        let idle = wait(other) <= self.tuning.idle * ask.budget;
+        if full || (idle && wait(other) * self.tuning.gain < at_home) { other } else { home }
+    }
+
+    /// The better of two homes drawn from those that a hot prefix has; all are warm.
+    fn best_home(&mut self, ask: &Ask, table: &PoolTable, top: &Top, homes: usize) -> usize {
+        let wait = |i: usize| table.slots()[i].wait(ask.now);
+        if homes < 2 {
+            return top.index[0];
+        }
+        let first = self.rng.below(homes);
+        let second = (first + 1 + self.rng.below(homes - 1)) % homes;
+        let (a, b) = (top.index[first], top.index[second]);
+        if wait(b) < wait(a) { b } else { a }
     }
 }
 
 impl Policy for Home {
     fn pick(&mut self, ask: &Ask, table: &PoolTable) -> Option<usize> {
+        let share = self.shares.count(ask.prefix);
         let mut fallback = None;
         for distance in 0..DISTANCES {
-            let top = Self::scan(ask, table, distance);
+            let (top, count) = Self::scan(ask, table, distance);
             if top.len == 0 {
                 continue;
             }
-            let i = self.choose(ask, table, &top);
+            let fair = (share * count as f64 * self.tuning.spread).ceil() as usize;
+            let homes = fair.clamp(1, top.len);
+            let i = self.choose(ask, table, &top, homes);
             let s = &table.slots()[i];
             if s.flying < s.limit.width() {
                 return Some(i);
--- /dev/null
+++ b/crates/decide/src/route/share.rs
@@ -0,0 +1,45 @@
+//! How much of a pool's traffic each prefix has, as one node sees it: a sketch
+//! of fixed size that fades, so it needs no allocation and no key is kept.
+
+use model::hash::mix;
+
+/// Counters in one row.
+const WIDTH: usize = 1024;
+/// Rows; the least counter of a prefix is nearest to the truth (count-min,
+/// Cormode and Muthukrishnan 2005).
+const ROWS: usize = 2;
+/// Requests after which all counters are halved.
+const FADE: u32 = 2048;
+/// Requests before a share means anything.
+const ENOUGH: u32 = 64;
+
+/// Shares of prefixes.
+#[derive(Debug, Clone)]
+pub struct Shares {
+    counts: Box<[[u32; WIDTH]; ROWS]>,
+    total: u32,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        Shares { counts: Box::new([[0; WIDTH]; ROWS]), total: 0 }
+    }
+}
+
+impl Shares {
+    /// Counts one request and returns its prefix's share of all, 0 while too few were seen.
+    pub fn count(&mut self, prefix: u64) -> f64 {
+        self.total += 1;
+        let mut least = u32::MAX;
+        for (row, counts) in self.counts.iter_mut().enumerate() {
+            let slot = mix(prefix, row as u64 + 1) as usize % WIDTH;
+            counts[slot] += 1;
+            least = least.min(counts[slot]);
+        }
+        if self.total >= FADE {
+            self.total /= 2;
+            self.counts.iter_mut().flatten().for_each(|c| *c /= 2);
+        }
+        if self.total < ENOUGH { 0.0 } else { f64::from(least) / f64::from(self.total) }
+    }
+}
--- a/crates/entry/src/front/gate.rs
+++ b/crates/entry/src/front/gate.rs
@@ -12,6 +12,8 @@
 use crate::drive::Job;
 use crate::node::Core;
 
+/// Most of its deadline that a request is taken to need.
+const NEED_MOST: f64 = 0.5;
 /// How often waiting requests are looked over for those that cannot finish.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -48,6 +50,8 @@
         let config = core.fleet.config();
         let steps = config.set.pipelines.get(&job.pipeline).map_or(0, |p| p.stages.len());
         let (_, mut need) = core.fleet.feasible(&job.pipeline, steps, job.deadline.since(now));
+        // Times seen under overload must not shut the door for good.
+        need = need.min(job.deadline.since(now).mul_f64(NEED_MOST));
         if !core.settings.admission {
             need = Duration::ZERO;
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -158,6 +158,8 @@
             Arc::new(Budgeted::new(Box::new(http), settings.store_rate))
         });
         let fleet = Fleet::new(settings.domain.clone(), &settings.near, settings.policy, start);
+        let gate = Gate::new(settings.width, settings.depth);
+        let gate = if settings.admission { gate } else { gate.with_fixed_width() };
         let core = Arc::new(Core {
             clock,
             fleet,
@@ -166,7 +168,7 @@
             rates: Rates::default(),
             metrics: Metrics::new(),
             members: ArcSwap::default(),
-            gate: crate::front::GateKeeper::new(Gate::new(settings.width, settings.depth)),
+            gate: crate::front::GateKeeper::new(gate),
             stopping: AtomicBool::new(false),
             start,
             count: AtomicU64::new(0),
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -80,6 +80,7 @@
     engine: Option<ActorRef<Engine>>,
     slots: Arc<Semaphore>,
     waiting: std::sync::atomic::AtomicU32,
+    asked: std::sync::atomic::AtomicUsize,
     faults: Mutex<TargetFaults>,
     journal: Mutex<Journal>,
     held: Mutex<Held>,
@@ -95,6 +96,7 @@
             engine,
             slots: Arc::new(Semaphore::new(spec.width)),
             waiting: 0.into(),
+            asked: 0.into(),
             faults: Mutex::new(spec.faults.clone()),
             journal: Mutex::new(Journal::default()),
             held: Mutex::new(held),
@@ -117,9 +119,9 @@
         self.journal.lock().expect("no panic while held").runs().to_vec()
     }
 
-    /// Count of runs so far.
-    pub fn run_count(&self) -> usize {
-        self.journal.lock().expect("no panic while held").runs().len()
+    /// Calls that arrived so far, refused and failed ones included.
+    pub fn call_count(&self) -> usize {
+        self.asked.load(std::sync::atomic::Ordering::Relaxed)
     }
 
     /// Orders obeyed so far.
@@ -185,6 +187,7 @@
     }
 
     async fn run(self: Arc<Self>, call: Call) -> Response<Body> {
+        self.asked.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let faults = self.faults();
         if faults.fail {
             return text(StatusCode::INTERNAL_SERVER_ERROR, "failed");
