--- a/crates/decide/tests/lease.rs
+++ b/crates/decide/tests/lease.rs
@@ -219,3 +219,27 @@
     world.run(20_000);
     assert!(world.holder().is_some());
 }
+
+#[test]
+fn validity_counts_from_before_the_write_was_sent() {
+    // The answer is read only after a long pause: by then the lease has lapsed.
+    let mut h = Holder::new("n".into(), PERIOD, 1);
+    h.on(Time::ZERO, Event::Tick);
+    let out = h.on(Time::ZERO, Event::Read { version: 0, lease: None });
+    let writes = |out: &[Action]| out.iter().any(|a| matches!(a, Action::Write { .. }));
+    let now = Time::ZERO + PERIOD.mul_f64(0.6);
+    let out = if writes(&out) { out } else { h.on(now, Event::Tick) };
+    assert!(writes(&out), "{out:?}");
+    let late = now + PERIOD + Duration::from_secs(1);
+    h.on(late, Event::Wrote(1));
+    assert_eq!(h.epoch(late, Duration::ZERO), None);
+    // Read in time, it lasts until a period after the send.
+    let mut h = Holder::new("n".into(), PERIOD, 1);
+    h.on(Time::ZERO, Event::Tick);
+    h.on(Time::ZERO, Event::Read { version: 0, lease: None });
+    h.on(now, Event::Tick);
+    let soon = now + PERIOD / 2;
+    h.on(soon, Event::Wrote(1));
+    assert_eq!(h.epoch(soon, Duration::ZERO), Some(1));
+    assert_eq!(h.epoch(now + PERIOD, Duration::ZERO), None);
+}
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -237,3 +237,16 @@
     net.run(7_000);
     assert_eq!(net.loads.len(), 57);
 }
+
+#[test]
+fn a_node_that_pauses_for_a_moment_is_suspected_and_refutes() {
+    let mut net = Net::new(20, 0, 10);
+    net.run(10_000);
+    for i in 3..9 {
+        let start = net.nodes[&i].me().id.start;
+        net.paused.insert(i, net.now + Duration::from_millis(1300));
+        net.run(8_000);
+        assert_eq!(net.nodes[&i].me().id.start, start, "node {i} was buried");
+        assert!(net.views().iter().all(|n| *n == 20), "{:?}", net.views());
+    }
+}
