Membership: a suspect hears of it in any answer, and its refutation goes round at once

Ruled out: a longer suspicion (detection would pass 5 s). Change: an answer to a suspect carries the suspicion; a refutation is pushed to five peers by each who learns it.

--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -33,6 +33,9 @@
     Slopes {
         /// Only the counted figures, which repeat exactly
         counted: bool,
+        /// Hours of the long run without a death
+        #[bpaf(argument("HOURS"), fallback(8.0))]
+        hours: f64,
     },
     /// Measure an entry node's own time per request against a bare client
     #[bpaf(command)]
--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -19,7 +19,7 @@
     match args {
         Args::Run { out, plan } => runtime.block_on(run::Run { out, plan }.run()),
         Args::Compare { a, b } => compare::Compare { a, b }.run(),
-        Args::Slopes { counted } => slopes::Slopes { counted }.run(),
+        Args::Slopes { counted, hours } => slopes::Slopes { counted, hours }.run(),
         Args::Overhead { requests } => runtime.block_on(overhead::Overhead { requests }.run()),
         Args::InForce { store, changes } => {
             runtime.block_on(in_force::InForce { store, changes }.run())
--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -2,15 +2,16 @@
 
 use crate::slopes::{DOMAIN, Figure, deaths, measure};
 
-/// Loss, hours and kills of the long run.
+/// Loss and kills of the long run.
 const LOSS: f64 = 0.01;
-const HOURS: f64 = 8.0;
 const KILLS: usize = 20;
 
 /// Prints the figures as a table.
 pub struct Slopes {
     /// Only the counted ones.
     pub counted: bool,
+    /// Hours of the long run without a death.
+    pub hours: f64,
 }
 
 impl Slopes {
@@ -27,7 +28,7 @@
             println!("{}", line(name, &figures));
         }
         if !self.counted {
-            let d = deaths(DOMAIN, LOSS, HOURS, KILLS);
+            let d = deaths(DOMAIN, LOSS, self.hours, KILLS);
             println!(
                 "| {DOMAIN} nodes, {:.0} % loss, {} h: false deaths | {} |",
                 LOSS * 100.0,
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -27,6 +27,8 @@
 /// Times the patience after which a probe has failed: the direct one, and the
 /// two hops of the helpers' one.
 const ROUNDS: u32 = 3;
+/// Peers told at once of a refutation.
+const ACQUIT: usize = 5;
 /// Most that a node blames itself.
 const SELF_MAX: u32 = 4;
 
@@ -396,9 +398,13 @@
 
     /// Takes news about another node and passes it on if it is new.
     fn learn(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
+        let was = self.peers.get(&rumor.node.id).map(|p| p.health);
         if !self.peers.take(now, rumor) {
             return;
         }
+        if was == Some(Health::Suspect) && rumor.health == Health::Alive {
+            self.acquit(rumor, out);
+        }
         self.outbox.push(rumor.clone());
         out.push(Action::Changed(rumor.clone()));
         if rumor.health == Health::Suspect {
@@ -467,6 +473,17 @@
             self.incarnation = rumor.incarnation + 1;
             self.blame = (self.blame + 1).min(SELF_MAX);
             self.outbox.push(self.own_rumor());
+            let rumor = self.own_rumor();
+            self.acquit(&rumor, out);
+        }
+    }
+
+    /// Passes a refutation on at once: it races with the suspicion's end.
+    fn acquit(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
+        for to in self.sample(ACQUIT, &rumor.node.id) {
+            let mut packet = self.bare(Purpose::News);
+            packet.rumors.push(rumor.clone());
+            out.push(Action::Send(to, packet));
         }
     }
 
@@ -483,9 +500,9 @@
         if start != self.me.id.start {
             packet.rumors.insert(0, self.own_rumor());
         }
-        // A node that was buried learns it from whom it probes.
-        let buried = self.peers.get(sender).filter(|p| !p.is_up()).map(Peer::rumor);
-        packet.rumors.extend(buried);
+        // A node that is suspected or was buried learns it from whom it probes.
+        let doubted = self.peers.get(sender).filter(|p| p.health != Health::Alive);
+        packet.rumors.extend(doubted.map(Peer::rumor));
         out.push(Action::Send(from, packet));
         if newcomer {
             self.welcome(from, out);
