--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,84 @@
+//! The command line against the Object API's stand-in, and its exit codes.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use standin::faults::ApiFaults;
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pumicevale")).args(args).output().expect("it ran")
+}
+
+fn text(out: &Output) -> String {
+    format!("{}{}", String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr))
+}
+
+fn file(name: &str, content: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("pumicevale-cli-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("d.yaml");
+    std::fs::write(&file, content).expect("written");
+    file
+}
+
+#[test]
+fn a_bad_file_exits_2_and_names_the_place() {
+    let file = file("bad", "kind: Workspace\nname: w\nspec:\n  deadlin: 5\n");
+    let out = run(&["validate", "-f", file.to_str().expect("a path")]);
+    assert_eq!(out.status.code(), Some(2), "{}", text(&out));
+    assert!(text(&out).contains("d.yaml:4:3"), "{}", text(&out));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn apply_diff_get_and_drain_work_and_a_lost_answer_is_read_back() {
+    let (_stopper, stop) = util::stop::pair();
+    let (at, api, _) = standin::run::start_api("127.0.0.1:0", stop).await.expect("started");
+    let store = at.to_string();
+    let f = file("good", "kind: Workspace\nname: w\nspec: {deadline: 100}\n");
+    let f = f.to_str().expect("a path").to_string();
+    let call = move |args: Vec<String>| async move {
+        tokio::task::spawn_blocking(move || {
+            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            run(&args)
+        })
+        .await
+        .expect("it ran")
+    };
+    let args = |list: &[&str]| -> Vec<String> {
+        list.iter().map(|a| (*a).to_string()).chain(["--store".into(), store.clone()]).collect()
+    };
+    let out = call(args(&["diff", "-f", &f])).await;
+    assert!(text(&out).contains("+ Workspace/w"), "{}", text(&out));
+    api.set_faults(ApiFaults { lose: 1, ..ApiFaults::default() });
+    let out = call(args(&["apply", "-f", &f])).await;
+    assert!(out.status.success() && text(&out).contains("1 objects written"), "{}", text(&out));
+    let out = call(args(&["apply", "-f", &f])).await;
+    assert!(text(&out).contains("0 objects written"), "{}", text(&out));
+    let out = call(args(&["get", "workspace", "w"])).await;
+    assert!(text(&out).contains("deadline: 100"), "{}", text(&out));
+    let out = call(args(&["get", "gadget"])).await;
+    assert!(!out.status.success() && text(&out).contains("is not one of"), "{}", text(&out));
+    let out = call(args(&["drain", "h1", "--reason", "taken back"])).await;
+    assert!(out.status.success(), "{}", text(&out));
+    let out = call(args(&["drain", "h1", "--undo"])).await;
+    assert!(text(&out).contains("deleted"), "{}", text(&out));
+    let out = call(args(&["drain", "h1", "--undo"])).await;
+    assert!(!out.status.success() && text(&out).contains("not being drained"), "{}", text(&out));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_write_after_somebody_elses_says_who_changed_what() {
+    let (_stopper, stop) = util::stop::pair();
+    let (at, _, _) = standin::run::start_api("127.0.0.1:0", stop).await.expect("started");
+    let remote = cli::Remote::new(&at.to_string()).expect("an address");
+    let spec = |host: &str| {
+        model::object::Spec::Drain(model::object::Drain {
+            host: host.into(),
+            reason: String::new(),
+        })
+    };
+    remote.write("Drain", "d", 0, Some(&spec("theirs"))).await.expect("written");
+    let error = remote.write("Drain", "d", 0, Some(&spec("ours"))).await.expect_err("raced");
+    let error = format!("{error:#}");
+    assert!(error.contains("was version 0, is now 1") && error.contains("theirs"), "{error}");
+}
--- a/crates/model/src/object/check.rs
+++ b/crates/model/src/object/check.rs
@@ -14,7 +14,7 @@
 
 /// One thing that is wrong.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, displaydoc::Display, thiserror::Error)]
-/// {object}: {field}: {reason}
+#[displaydoc("{object}: {field}: {reason}")]
 pub struct Fault {
     /// `Kind/name` of the object.
     pub object: Name,
--- /dev/null
+++ b/crates/model/tests/keys.rs
@@ -0,0 +1,27 @@
+//! Idempotency keys and their claim objects.
+
+use model::key::{BUCKET_MS, Key};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Default::default() })]
+
+    #[test]
+    fn a_key_carries_its_time_and_names_one_object(ms in 0u64..(1 << 48), random in any::<u128>()) {
+        let key = Key::new(ms, random);
+        prop_assert_eq!(key.unix_ms(), ms);
+        let read: Key = key.to_string().parse().expect("its own form");
+        prop_assert_eq!(read, key);
+        prop_assert_eq!(read.object(), key.object());
+        let bucket = format!("{}-", ms / BUCKET_MS);
+        prop_assert!(key.object().starts_with(&bucket));
+    }
+}
+
+#[test]
+fn other_forms_are_refused() {
+    for bad in ["", "x", "f47ac10b-58cc-4372-a567-0e02b2c3d479", "0192f0c1-2b3d-7abc-8def"] {
+        assert!(bad.parse::<Key>().is_err(), "{bad:?}");
+    }
+}
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -17,7 +17,7 @@
 
 /// A failed call of the Object API.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
-/// {step} at {peer}: {kind}
+#[displaydoc("{step} at {peer}: {kind}")]
 pub struct StoreError {
     /// Call and object, such as `put manifest/current`.
     pub step: String,
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -34,7 +34,7 @@
 
 /// A failed call and its peer.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
-/// {peer}: {kind}
+#[displaydoc("{peer}: {kind}")]
 pub struct CallError {
     /// Address called.
     pub peer: String,
