Admission settles where a fifth of the ends are congested

Change: each congested end takes 0.4 % of the width, each other one gives 0.1 % while the gate is busy.

--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -17,10 +17,11 @@
 
 /// Weight of a new sample in the pace.
 const PACE: f64 = 0.05;
-/// Factor of a decrease.
-const CUT: f64 = 0.9;
-/// Least time between two decreases.
-const CUT_PAUSE: Duration = Duration::from_millis(100);
+/// Growth of the width with each uncongested end, and its loss with each
+/// congested one: it settles where a fifth of the ends are congested. Cutting on
+/// single late ones kept it far too narrow.
+const GROW: f64 = 0.001;
+const SHRINK: f64 = 0.004;
 /// Width at the start; an overload must not flood the targets before it is noticed.
 const WIDTH_START: f64 = 64.0;
 /// Least width.
@@ -55,14 +56,13 @@
     seq: u64,
 }
 
-/// How many requests run at once: additive increase while running takes little
-/// of the deadline, multiplicative decrease when it takes most, so that the wait
-/// stays at the door, where the hopeless can be refused before they cost anything.
+/// How many requests run at once: wider while running takes little of the
+/// deadline, narrower when it takes most, so that the wait stays at the door, where
+/// the hopeless can be refused before they cost anything.
 #[derive(Debug)]
 struct Width {
     most: f64,
     now: f64,
-    cut: Time,
     fixed: bool,
 }
 
@@ -71,17 +71,16 @@
         (self.now as usize).max(1)
     }
 
-    fn learn(&mut self, now: Time, congested: bool, busy: bool) {
+    fn learn(&mut self, congested: bool, busy: bool) {
         if self.fixed {
             return;
         }
-        if !congested {
-            let step = if busy { 1.0 / self.now } else { 0.0 };
-            self.now = (self.now + step).min(self.most);
-        } else if self.cut == Time::ZERO || now.since(self.cut) >= CUT_PAUSE {
-            self.cut = now;
-            self.now = (self.now * CUT).max(WIDTH_LEAST.min(self.most));
-        }
+        let step = match (congested, busy) {
+            (true, _) => -SHRINK,
+            (false, true) => GROW,
+            (false, false) => 0.0,
+        };
+        self.now = (self.now * (1.0 + step)).clamp(WIDTH_LEAST.min(self.most), self.most);
     }
 }
 
@@ -121,7 +120,7 @@
     /// At most `width` requests run and `depth` wait.
     pub fn new(width: usize, depth: usize) -> Self {
         let now = (width as f64).min(WIDTH_START);
-        let width = Width { most: width as f64, now, cut: Time::ZERO, fixed: false };
+        let width = Width { most: width as f64, now, fixed: false };
         Gate {
             width,
             depth,
@@ -180,7 +179,7 @@
     /// A running request ended; `congested` if running took most of its deadline.
     pub fn finished(&mut self, now: Time, request: &Name, congested: bool) -> Vec<Verdict> {
         let busy = self.running.len() * 5 >= self.width.get() * 4;
-        self.width.learn(now, congested, busy);
+        self.width.learn(congested, busy);
         self.pace.finished(now, busy);
         self.leave(now, request)
     }
