--- a/crates/bench/benches/decide.rs
+++ b/crates/bench/benches/decide.rs
@@ -1,23 +1,12 @@
 //! Times of single decisions: criterion, for people; CI holds counted figures only.
 
+use bench::slopes::table;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use decide::rng::Rng;
-use decide::route::{Ask, PolicyKind, PoolTable, TargetInfo, make_policy};
+use decide::route::{Ask, PolicyKind, make_policy};
 use model::Time;
 use model::attempt::{Attempt, Frame};
 
-fn table(n: usize) -> PoolTable {
-    let mut t = PoolTable::default();
-    let info = |i: usize| TargetInfo {
-        name: format!("engine-{i}").into(),
-        address: "10.0.0.1:9000".into(),
-        domain: "a".into(),
-        distance: 0,
-    };
-    t.set_targets((0..n).map(info).collect());
-    t
-}
-
 fn route(c: &mut Criterion) {
     let mut group = c.benchmark_group("route");
     for kind in [PolicyKind::Home, PolicyKind::SessionHashBound, PolicyKind::LeastOutstanding] {
--- a/crates/bench/src/slopes/leases.rs
+++ b/crates/bench/src/slopes/leases.rs
@@ -1,8 +1,6 @@
 //! Store calls of the leases, by failure domains: three candidates a domain
 //! watch the manifest's lease and their own domain's.
 
-use std::time::Duration;
-
 use decide::lease::{Action, Event, Holder, PERIOD};
 use model::Time;
 use model::lease::Lease;
@@ -56,7 +54,6 @@
             }
         }
     }
-    let _ = Duration::from_secs(SECONDS);
     (reads as f64 / SECONDS as f64, writes as f64 / SECONDS as f64)
 }
 
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use members::{Deaths, deaths};
+pub use routes::table;
 
 /// Sizes at which slopes are measured.
 pub const SIZES: [usize; 4] = [10, 30, 100, 340];
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -115,16 +115,7 @@
     async fn applied(&mut self, change: Change) {
         let number = change.number;
         let mut set = self.shared.accepted.load().set.clone();
-        for key in &change.removed {
-            if let Some((kind, name)) = key.split_once('/') {
-                set.remove(kind, name);
-            }
-        }
-        for (key, spec) in change.upserts {
-            if let Some((_, name)) = key.split_once('/') {
-                set.insert(name.into(), spec);
-            }
-        }
+        change.apply_to(&mut set);
         let targets = set.pools.values().flat_map(|p| &p.targets).map(|t| &t.name);
         self.shared.board().set_targets(targets);
         self.shared.accepted.store(Arc::new(Accepted { number, set }));
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -48,26 +48,21 @@
 }
 
 impl Control {
-    /// Runs the program until a signal.
+    /// Runs the program until a signal. Two threads are plenty for control.
     pub fn main(args: Args) -> anyhow::Result<()> {
-        let settings: Settings = util::settings::load(&args.settings)?;
-        if args.check {
-            println!("{}: settings are valid", args.settings.display());
-            return Ok(());
-        }
-        util::logs::start(&settings.logs)?;
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()
-            .context("could not start the runtime")?;
-        runtime.block_on(async {
-            let running = Control::start(settings).await?;
-            log::info!("node: control at {}.", running.address);
-            stop::signal().await.context("could not wait for signals")?;
-            running.stop().await;
-            Ok(())
-        })
+        util::cli::serve(
+            &args.settings,
+            args.check,
+            2,
+            |s: &Settings| &s.logs,
+            |settings| async {
+                let running = Control::start(settings).await?;
+                log::info!("node: control at {}.", running.address);
+                stop::signal().await.context("could not wait for signals")?;
+                running.stop().await;
+                Ok(())
+            },
+        )
     }
 
     /// Starts a node.
--- /dev/null
+++ b/crates/decide/src/config/accept.rs
@@ -0,0 +1,67 @@
+//! Which of the newer declarations can be accepted together.
+
+use std::collections::BTreeMap;
+
+use model::Name;
+use model::manifest::Item;
+use model::object::{self, Set};
+
+use super::publisher::Declared;
+
+/// Takes every newer object that leaves the whole set without a fault.
+///
+/// Objects at fault are left out and the rest is checked again; what is at
+/// fault only because another was left out goes in the next turn.
+pub(super) fn accept(
+    base: &BTreeMap<Name, Item>,
+    newer: &[&Declared],
+) -> (BTreeMap<Name, Item>, BTreeMap<Name, String>) {
+    let mut refused: BTreeMap<Name, String> = BTreeMap::new();
+    for d in newer {
+        if let Some(Err(why)) = &d.spec {
+            refused.insert(d.key.clone(), why.clone());
+        }
+    }
+    loop {
+        let mut items = base.clone();
+        for d in newer.iter().filter(|d| !refused.contains_key(&d.key)) {
+            let spec = d.spec.clone().and_then(Result::ok);
+            items.insert(d.key.clone(), Item { key: d.key.clone(), version: d.version, spec });
+        }
+        let faults = object::check(&set_of(&items));
+        if faults.is_empty() {
+            return (items, refused);
+        }
+        let before = refused.len();
+        let changed = |k: &Name| newer.iter().any(|d| d.key == *k);
+        for f in faults.iter().filter(|f| changed(&f.object)) {
+            let why = format!("{}: {}", f.field, f.reason);
+            refused.entry(f.object.clone()).or_insert(why);
+        }
+        if refused.len() > before {
+            continue;
+        }
+        // An object that did not change is at fault, so one that it needs did.
+        let why = format!("would break {}", faults[0]);
+        let open = newer.iter().filter(|d| !refused.contains_key(&d.key));
+        let guilty: Vec<Name> = match open.clone().find(|d| d.spec.is_none()) {
+            Some(_) => open.filter(|d| d.spec.is_none()).map(|d| d.key.clone()).collect(),
+            None => open.map(|d| d.key.clone()).collect(),
+        };
+        refused.extend(guilty.into_iter().map(|k| (k, why.clone())));
+        if refused.len() == before {
+            // The published set itself is at fault; leave it as it is.
+            return (base.clone(), refused);
+        }
+    }
+}
+
+fn set_of(items: &BTreeMap<Name, Item>) -> Set {
+    let mut set = Set::default();
+    for item in items.values() {
+        if let (Some((_, name)), Some(spec)) = (item.key.split_once('/'), &item.spec) {
+            set.insert(name.into(), spec.clone());
+        }
+    }
+    set
+}
--- a/crates/decide/src/config/follower.rs
+++ b/crates/decide/src/config/follower.rs
@@ -86,6 +86,22 @@
     pub removed: Vec<Name>,
 }
 
+impl Change {
+    /// Brings a set from the manifest before to this one.
+    pub fn apply_to(self, set: &mut Set) {
+        for key in &self.removed {
+            if let Some((kind, name)) = key.split_once('/') {
+                set.remove(kind, name);
+            }
+        }
+        for (key, spec) in self.upserts {
+            if let Some((_, name)) = key.split_once('/') {
+                set.insert(name.into(), spec);
+            }
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Pending {
     number: u64,
--- a/crates/decide/src/config/mod.rs
+++ b/crates/decide/src/config/mod.rs
@@ -5,6 +5,8 @@
 //! every node: it applies only higher numbers, and each one whole, whether it
 //! came from the store, from a neighbour, or both, in any order.
 
+mod accept;
+mod cut;
 mod follower;
 mod publisher;
 
--- a/crates/decide/src/config/publisher.rs
+++ b/crates/decide/src/config/publisher.rs
@@ -7,11 +7,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use model::manifest::{CHUNK_BYTES, Chunk, Item, Manifest, slot};
-use model::object::{self, Set, Spec};
+use model::Name;
+use model::manifest::{Chunk, Item, Manifest};
+use model::object::Spec;
 use model::status::Status;
-use model::{Name, hash};
 
+use super::accept::accept;
+use super::cut::cut;
 use crate::rng::Rng;
 
 /// A declared object as read from the Object API.
@@ -375,82 +377,3 @@
         texts.map(|(h, t)| PublisherAction::PutChunk(h.clone(), t.clone()))
     }
 }
-
-/// Takes every newer object that leaves the whole set without a fault.
-///
-/// Objects at fault are left out and the rest is checked again; what is at
-/// fault only because another was left out goes in the next turn.
-fn accept(
-    base: &BTreeMap<Name, Item>,
-    newer: &[&Declared],
-) -> (BTreeMap<Name, Item>, BTreeMap<Name, String>) {
-    let mut refused: BTreeMap<Name, String> = BTreeMap::new();
-    for d in newer {
-        if let Some(Err(why)) = &d.spec {
-            refused.insert(d.key.clone(), why.clone());
-        }
-    }
-    loop {
-        let mut items = base.clone();
-        for d in newer.iter().filter(|d| !refused.contains_key(&d.key)) {
-            let spec = d.spec.clone().and_then(Result::ok);
-            items.insert(d.key.clone(), Item { key: d.key.clone(), version: d.version, spec });
-        }
-        let faults = object::check(&set_of(&items));
-        if faults.is_empty() {
-            return (items, refused);
-        }
-        let before = refused.len();
-        let changed = |k: &Name| newer.iter().any(|d| d.key == *k);
-        for f in faults.iter().filter(|f| changed(&f.object)) {
-            let why = format!("{}: {}", f.field, f.reason);
-            refused.entry(f.object.clone()).or_insert(why);
-        }
-        if refused.len() > before {
-            continue;
-        }
-        // An object that did not change is at fault, so one that it needs did.
-        let why = format!("would break {}", faults[0]);
-        let open = newer.iter().filter(|d| !refused.contains_key(&d.key));
-        let guilty: Vec<Name> = match open.clone().find(|d| d.spec.is_none()) {
-            Some(_) => open.filter(|d| d.spec.is_none()).map(|d| d.key.clone()).collect(),
-            None => open.map(|d| d.key.clone()).collect(),
-        };
-        refused.extend(guilty.into_iter().map(|k| (k, why.clone())));
-        if refused.len() == before {
-            // The published set itself is at fault; leave it as it is.
-            return (base.clone(), refused);
-        }
-    }
-}
-
-fn set_of(items: &BTreeMap<Name, Item>) -> Set {
-    let mut set = Set::default();
-    for item in items.values() {
-        if let (Some((_, name)), Some(spec)) = (item.key.split_once('/'), &item.spec) {
-            set.insert(name.into(), spec.clone());
-        }
-    }
-    set
-}
-
-/// Cuts items into slots of a few KB; `had` keeps the count while it still fits,
-/// so that one change moves one chunk.
-fn cut(items: &BTreeMap<Name, Item>, had: usize) -> (Vec<Name>, BTreeMap<Name, Arc<str>>) {
-    let bytes: usize =
-        items.values().map(|i| serde_json::to_vec(i).map_or(0, |v| v.len() + 1)).sum();
-    let wanted = bytes.div_ceil(CHUNK_BYTES).next_power_of_two();
-    let count = if wanted > had * 2 || wanted * 8 < had || had == 0 { wanted } else { had };
-    let mut chunks: Vec<Vec<&Item>> = vec![Vec::new(); count];
-    for item in items.values() {
-        chunks[slot(&item.key, count)].push(item);
-    }
-    let mut texts = BTreeMap::new();
-    let slots = chunks.iter().map(|c| {
-        let text = serde_json::to_string(c).expect("items have string keys");
-        let hash: Name = hash::address(text.as_bytes()).into();
-        texts.insert(hash.clone(), text.into());
-        hash
-    });
-    (slots.collect(), texts)
-}
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use model::Time;
-use model::member::{Health, LoadRumor, Node, NodeId, Packet, Purpose, Rumor};
+use model::member::{Health, Node, NodeId, Packet, Purpose, Rumor};
 
 use super::peers::{Peer, Peers, digest_of};
 use super::rumors::Outbox;
+use super::types::{Action, Event, Tuning};
 use crate::rng::Rng;
 
 /// Most rumors in one packet; keeps it under one Ethernet frame.
@@ -15,7 +16,7 @@
 /// Most loads in one packet.
 const LOADS: usize = 20;
 /// Rumors in one packet that answers a newcomer.
-const WELCOME: usize = 16;
+pub(super) const WELCOME: usize = 16;
 /// Peers told at once about a new manifest.
 const PUSH: usize = 3;
 /// One period in this many tries a lost seed.
@@ -30,117 +31,47 @@
 /// Peers told at once of a refutation.
 const ACQUIT: usize = 5;
 /// Most that a node blames itself.
-const SELF_MAX: u32 = 4;
-
-/// Periods and patience.
-#[derive(Debug, Clone, Copy)]
-pub struct Tuning {
-    /// One probe a period.
-    pub period: Duration,
-    /// Wait for a direct answer before others are asked.
-    pub timeout: Duration,
-    /// Peers asked to probe for us.
-    pub helpers: usize,
-    /// Shortest time to refute, once others confirm.
-    pub suspect: Duration,
-    /// Longest time to refute.
-    pub suspect_most: Duration,
-    /// Confirmations that bring the shortest time.
-    pub confirms: u32,
-    /// How often seeds are tried while no peer is known.
-    pub seek: Duration,
-}
-
-impl Default for Tuning {
-    fn default() -> Self {
-        Tuning {
-            period: Duration::from_millis(700),
-            timeout: Duration::from_millis(200),
-            helpers: 3,
-            suspect: Duration::from_millis(800),
-            suspect_most: Duration::from_millis(1600),
-            confirms: 2,
-            seek: Duration::from_millis(500),
-        }
-    }
-}
-
-/// What the machine hears.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// A packet arrived.
-    Packet {
-        /// Address it came from.
-        from: SocketAddr,
-        /// Content.
-        packet: Packet,
-    },
-    /// Addresses at which peers may be found.
-    Seeds(Vec<SocketAddr>),
-    /// Addresses in other failure domains to tell the manifest number.
-    Links(Vec<SocketAddr>),
-    /// A manifest is in force on this node.
-    Applied(u64),
-    /// A load changed, or was heard.
-    Load(LoadRumor),
-    /// This node stops as planned.
-    Leave,
-}
-
-/// What the machine wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a datagram.
-    Send(SocketAddr, Packet),
-    /// A peer has this manifest in force, and this node has not.
-    Heard(u64, SocketAddr),
-    /// A peer came up, or its health changed.
-    Changed(Rumor),
-    /// A load was heard.
-    Load(LoadRumor),
-}
+pub(super) const SELF_MAX: u32 = 4;
 
 #[derive(Debug)]
-struct Probe {
-    seq: u32,
-    target: NodeId,
-    sent: Time,
-    asked: bool,
+pub(super) struct Probe {
+    pub(super) seq: u32,
+    pub(super) target: NodeId,
+    pub(super) sent: Time,
+    pub(super) asked: bool,
 }
 
 #[derive(Debug)]
-struct Errand {
-    seq: u32,
-    origin: SocketAddr,
-    origin_seq: u32,
-    target: NodeId,
-    until: Time,
+pub(super) struct Errand {
+    pub(super) seq: u32,
+    pub(super) origin: SocketAddr,
+    pub(super) origin_seq: u32,
+    pub(super) target: NodeId,
+    pub(super) until: Time,
 }
 
 /// Membership as one node sees it.
 #[derive(Debug)]
 pub struct Member {
-    me: Node,
-    tuning: Tuning,
-    incarnation: u32,
-    number: u64,
-    peers: Peers,
-    order: Vec<NodeId>,
-    probe: Option<Probe>,
-    errands: Vec<Errand>,
-    outbox: Outbox,
-    seeds: Vec<SocketAddr>,
-    links: Vec<SocketAddr>,
-    blame: u32,
-    failed: bool,
-    synced: Time,
-    retell: u8,
-    seq: u32,
-    next: Time,
-    left: bool,
-    rng: Rng,
+    pub(super) me: Node,
+    pub(super) tuning: Tuning,
+    pub(super) incarnation: u32,
+    pub(super) number: u64,
+    pub(super) peers: Peers,
+    pub(super) order: Vec<NodeId>,
+    pub(super) probe: Option<Probe>,
+    pub(super) errands: Vec<Errand>,
+    pub(super) outbox: Outbox,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) links: Vec<SocketAddr>,
+    pub(super) blame: u32,
+    pub(super) failed: bool,
+    pub(super) synced: Time,
+    pub(super) retell: u8,
+    pub(super) seq: u32,
+    pub(super) next: Time,
+    pub(super) left: bool,
+    pub(super) rng: Rng,
 }
 
 impl Member {
@@ -232,7 +163,7 @@
         out
     }
 
-    fn patience(&self) -> Duration {
+    pub(super) fn patience(&self) -> Duration {
         self.tuning.timeout * (self.blame + 1)
     }
 
@@ -300,96 +231,13 @@
         self.tell_link(out);
     }
 
-    fn start_probe(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some(target) = self.next_target(now) else {
-            return;
-        };
-        let Some(p) = self.peers.get(&target) else {
-            return;
-        };
-        let address = p.node.address;
-        let start = target.start;
-        self.seq = self.seq.wrapping_add(1);
-        self.probe = Some(Probe { seq: self.seq, target, sent: now, asked: false });
-        let packet = self.packet_of(Purpose::Ping { start }, self.seq);
-        out.push(Action::Send(address, packet));
-    }
-
-    /// Round robin over a shuffled list, so that every peer is probed within
-    /// a bounded time (SWIM, section 4.3).
-    fn next_target(&mut self, now: Time) -> Option<NodeId> {
-        loop {
-            if self.order.is_empty() {
-                self.peers.forget(now);
-                self.order = self.peers.iter_up().map(|p| p.node.id.clone()).collect();
-                self.rng.shuffle(&mut self.order);
-            }
-            let id = self.order.pop()?;
-            if self.peers.get(&id).is_some_and(Peer::is_up) {
-                return Some(id);
-            }
-        }
-    }
-
-    fn ask_helpers(&mut self, now: Time, out: &mut Vec<Action>) {
-        let patience = self.patience();
-        let Some(p) = &mut self.probe else {
-            return;
-        };
-        if p.asked || now < p.sent + patience {
-            return;
-        }
-        p.asked = true;
-        let (seq, target) = (p.seq, p.target.clone());
-        let Some(node) = self.peers.get(&target).map(|p| p.node.clone()) else {
-            return;
-        };
-        for helper in self.sample(self.tuning.helpers, &target) {
-            let packet = self.packet_of(Purpose::Ask(node.clone()), seq);
-            out.push(Action::Send(helper, packet));
-        }
-    }
-
-    fn end_probe(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some(p) = self.probe.take() else {
-            return;
-        };
-        // One probe without an answer speaks against its target, several in a row
-        // against this node.
-        self.blame = (self.blame + u32::from(self.failed)).min(SELF_MAX);
-        self.failed = true;
-        let Some(peer) = self.peers.get(&p.target) else {
-            return;
-        };
-        match peer.health {
-            Health::Alive => {
-                let rumor = Rumor { health: Health::Suspect, ..peer.rumor() };
-                self.learn(now, &rumor, out);
-            }
-            Health::Suspect => {
-                self.peers.confirm(&p.target);
-                if let Some(peer) = self.peers.get(&p.target) {
-                    self.outbox.push(peer.rumor());
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn bury(&mut self, now: Time, out: &mut Vec<Action>) {
-        let t = self.tuning;
-        let stretch = f64::from(self.blame + 1);
-        let wait = |p: &Peer| {
-            let share = f64::from(p.confirms + 1).ln() / f64::from(t.confirms + 1).ln();
-            let span = t.suspect_most.saturating_sub(t.suspect).mul_f64(share.min(1.0));
-            (t.suspect_most - span).mul_f64(stretch.sqrt())
-        };
-        for id in self.peers.expired(now, wait) {
-            self.declare(now, &id, Health::Dead, out);
-        }
-    }
-
-    fn declare(&mut self, now: Time, id: &NodeId, health: Health, out: &mut Vec<Action>) {
+    pub(super) fn declare(
+        &mut self,
+        now: Time,
+        id: &NodeId,
+        health: Health,
+        out: &mut Vec<Action>,
+    ) {
         if let Some(peer) = self.peers.get(id) {
             let rumor = Rumor { health, ..peer.rumor() };
             self.learn(now, &rumor, out);
@@ -397,7 +245,7 @@
     }
 
     /// Takes news about another node and passes it on if it is new.
-    fn learn(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
+    pub(super) fn learn(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
         let was = self.peers.get(&rumor.node.id).map(|p| p.health);
         if !self.peers.take(now, rumor) {
             return;
@@ -487,82 +335,6 @@
         }
     }
 
-    fn ping(
-        &mut self,
-        from: SocketAddr,
-        start: u64,
-        seq: u32,
-        sender: &NodeId,
-        out: &mut Vec<Action>,
-    ) {
-        let newcomer = start == 0 || self.peers.get(sender).is_none();
-        let mut packet = self.packet_of(Purpose::Ack, seq);
-        if start != self.me.id.start {
-            packet.rumors.insert(0, self.own_rumor());
-        }
-        // A node that is suspected or was buried learns it from whom it probes.
-        let doubted = self.peers.get(sender).filter(|p| p.health != Health::Alive);
-        packet.rumors.extend(doubted.map(Peer::rumor));
-        out.push(Action::Send(from, packet));
-        if newcomer {
-            self.welcome(from, out);
-        }
-    }
-
-    /// Tells a newcomer about everybody, a few in each datagram.
-    fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        let others = self.peers.iter_up().map(Peer::rumor);
-        let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
-        for rumors in all.chunks(WELCOME) {
-            let mut packet = self.packet_of(Purpose::News, 0);
-            packet.rumors = rumors.to_vec();
-            out.push(Action::Send(to, packet));
-        }
-    }
-
-    fn ack(&mut self, now: Time, from: &NodeId, seq: u32, out: &mut Vec<Action>) {
-        if let Some(i) = self.errands.iter().position(|e| e.seq == seq && e.target == *from) {
-            let e = self.errands.swap_remove(i);
-            let packet = self.packet_of(Purpose::Answered(e.target), e.origin_seq);
-            out.push(Action::Send(e.origin, packet));
-        }
-        let Some(target) = self.probe.as_ref().filter(|p| p.seq == seq).map(|p| p.target.clone())
-        else {
-            return;
-        };
-        if target == *from {
-            self.settle(from, seq);
-        } else if target.name == from.name {
-            // The name was started anew: its former self is gone.
-            self.probe = None;
-            self.declare(now, &target, Health::Dead, out);
-        }
-    }
-
-    fn settle(&mut self, id: &NodeId, seq: u32) {
-        let answered = self.probe.take_if(|p| p.seq == seq && p.target == *id);
-        if answered.is_some() {
-            self.blame = self.blame.saturating_sub(1);
-            self.failed = false;
-        }
-    }
-
-    fn errand(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        origin_seq: u32,
-        node: Node,
-        out: &mut Vec<Action>,
-    ) {
-        self.seq = self.seq.wrapping_add(1);
-        let (seq, start) = (self.seq, node.id.start);
-        let until = now + self.tuning.period;
-        self.errands.push(Errand { seq, origin: from, origin_seq, target: node.id, until });
-        let packet = self.packet_of(Purpose::Ping { start }, seq);
-        out.push(Action::Send(node.address, packet));
-    }
-
     fn news(&mut self, from: SocketAddr, sender: &NodeId, number: u64, out: &mut Vec<Action>) {
         let stranger = self.peers.get(sender).is_none();
         if stranger && number < self.number {
@@ -625,7 +397,7 @@
         self.left = true;
     }
 
-    fn own_rumor(&self) -> Rumor {
+    pub(super) fn own_rumor(&self) -> Rumor {
         Rumor {
             node: self.me.clone(),
             health: Health::Alive,
@@ -634,7 +406,7 @@
         }
     }
 
-    fn bare(&self, purpose: Purpose) -> Packet {
+    pub(super) fn bare(&self, purpose: Purpose) -> Packet {
         Packet {
             from: self.me.id.clone(),
             seq: 0,
@@ -646,7 +418,7 @@
         }
     }
 
-    fn packet_of(&mut self, purpose: Purpose, seq: u32) -> Packet {
+    pub(super) fn packet_of(&mut self, purpose: Purpose, seq: u32) -> Packet {
         let nodes = self.peers.up() + 1;
         let mut rumors = self.outbox.take(RUMORS, nodes);
         // The suspected hear of it first of all from whoever probes them.
@@ -663,7 +435,7 @@
         Packet { seq, rumors, loads, ..self.bare(purpose) }
     }
 
-    fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
+    pub(super) fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
         let others = self.peers.iter_up().filter(|p| p.node.id != *but);
         let mut all: Vec<SocketAddr> = others.map(|p| p.node.address).collect();
         self.rng.shuffle(&mut all);
--- a/crates/decide/src/member/mod.rs
+++ b/crates/decide/src/member/mod.rs
@@ -13,7 +13,10 @@
 
 mod machine;
 mod peers;
+mod probes;
 mod rumors;
+mod types;
 
-pub use machine::{Action, Event, Member, Tuning};
+pub use machine::Member;
 pub use peers::Peer;
+pub use types::{Action, Event, Tuning};
--- /dev/null
+++ b/crates/decide/src/member/probes.rs
@@ -0,0 +1,177 @@
+//! Probes: direct, by helpers, and what a probe without an answer leads to.
+
+use std::net::SocketAddr;
+
+use model::Time;
+use model::member::{Health, Node, NodeId, Purpose, Rumor};
+
+use super::machine::{Errand, Member, Probe, SELF_MAX, WELCOME};
+use super::peers::Peer;
+use super::types::Action;
+
+impl Member {
+    pub(super) fn start_probe(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(target) = self.next_target(now) else {
+            return;
+        };
+        let Some(p) = self.peers.get(&target) else {
+            return;
+        };
+        let address = p.node.address;
+        let start = target.start;
+        self.seq = self.seq.wrapping_add(1);
+        self.probe = Some(Probe { seq: self.seq, target, sent: now, asked: false });
+        let packet = self.packet_of(Purpose::Ping { start }, self.seq);
+        out.push(Action::Send(address, packet));
+    }
+
+    /// Round robin over a shuffled list, so that every peer is probed within
+    /// a bounded time (SWIM, section 4.3).
+    fn next_target(&mut self, now: Time) -> Option<NodeId> {
+        loop {
+            if self.order.is_empty() {
+                self.peers.forget(now);
+                self.order = self.peers.iter_up().map(|p| p.node.id.clone()).collect();
+                self.rng.shuffle(&mut self.order);
+            }
+            let id = self.order.pop()?;
+            if self.peers.get(&id).is_some_and(Peer::is_up) {
+                return Some(id);
+            }
+        }
+    }
+
+    pub(super) fn ask_helpers(&mut self, now: Time, out: &mut Vec<Action>) {
+        let patience = self.patience();
+        let Some(p) = &mut self.probe else {
+            return;
+        };
+        if p.asked || now < p.sent + patience {
+            return;
+        }
+        p.asked = true;
+        let (seq, target) = (p.seq, p.target.clone());
+        let Some(node) = self.peers.get(&target).map(|p| p.node.clone()) else {
+            return;
+        };
+        for helper in self.sample(self.tuning.helpers, &target) {
+            let packet = self.packet_of(Purpose::Ask(node.clone()), seq);
+            out.push(Action::Send(helper, packet));
+        }
+    }
+
+    pub(super) fn end_probe(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(p) = self.probe.take() else {
+            return;
+        };
+        // One probe without an answer speaks against its target, several in a row
+        // against this node.
+        self.blame = (self.blame + u32::from(self.failed)).min(SELF_MAX);
+        self.failed = true;
+        let Some(peer) = self.peers.get(&p.target) else {
+            return;
+        };
+        match peer.health {
+            Health::Alive => {
+                let rumor = Rumor { health: Health::Suspect, ..peer.rumor() };
+                self.learn(now, &rumor, out);
+            }
+            Health::Suspect => {
+                self.peers.confirm(&p.target);
+                if let Some(peer) = self.peers.get(&p.target) {
+                    self.outbox.push(peer.rumor());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn bury(&mut self, now: Time, out: &mut Vec<Action>) {
+        let t = self.tuning;
+        let stretch = f64::from(self.blame + 1);
+        let wait = |p: &Peer| {
+            let share = f64::from(p.confirms + 1).ln() / f64::from(t.confirms + 1).ln();
+            let span = t.suspect_most.saturating_sub(t.suspect).mul_f64(share.min(1.0));
+            (t.suspect_most - span).mul_f64(stretch.sqrt())
+        };
+        for id in self.peers.expired(now, wait) {
+            self.declare(now, &id, Health::Dead, out);
+        }
+    }
+
+    pub(super) fn ping(
+        &mut self,
+        from: SocketAddr,
+        start: u64,
+        seq: u32,
+        sender: &NodeId,
+        out: &mut Vec<Action>,
+    ) {
+        let newcomer = start == 0 || self.peers.get(sender).is_none();
+        let mut packet = self.packet_of(Purpose::Ack, seq);
+        if start != self.me.id.start {
+            packet.rumors.insert(0, self.own_rumor());
+        }
+        // A node that is suspected or was buried learns it from whom it probes.
+        let doubted = self.peers.get(sender).filter(|p| p.health != Health::Alive);
+        packet.rumors.extend(doubted.map(Peer::rumor));
+        out.push(Action::Send(from, packet));
+        if newcomer {
+            self.welcome(from, out);
+        }
+    }
+
+    /// Tells a newcomer about everybody, a few in each datagram.
+    pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+        let others = self.peers.iter_up().map(Peer::rumor);
+        let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
+        for rumors in all.chunks(WELCOME) {
+            let mut packet = self.packet_of(Purpose::News, 0);
+            packet.rumors = rumors.to_vec();
+            out.push(Action::Send(to, packet));
+        }
+    }
+
+    pub(super) fn ack(&mut self, now: Time, from: &NodeId, seq: u32, out: &mut Vec<Action>) {
+        if let Some(i) = self.errands.iter().position(|e| e.seq == seq && e.target == *from) {
+            let e = self.errands.swap_remove(i);
+            let packet = self.packet_of(Purpose::Answered(e.target), e.origin_seq);
+            out.push(Action::Send(e.origin, packet));
+        }
+        let Some(target) = self.probe.as_ref().filter(|p| p.seq == seq).map(|p| p.target.clone())
+        else {
+            return;
+        };
+        if target == *from {
+            self.settle(from, seq);
+        } else if target.name == from.name {
+            // The name was started anew: its former self is gone.
+            self.probe = None;
+            self.declare(now, &target, Health::Dead, out);
+        }
+    }
+
+    pub(super) fn settle(&mut self, id: &NodeId, seq: u32) {
+        let answered = self.probe.take_if(|p| p.seq == seq && p.target == *id);
+        if answered.is_some() {
+            self.blame = self.blame.saturating_sub(1);
+            self.failed = false;
+        }
+    }
+
+    pub(super) fn errand(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        origin_seq: u32,
+        node: Node,
+        out: &mut Vec<Action>,
+    ) {
+        self.seq = self.seq.wrapping_add(1);
+        let (seq, start) = (self.seq, node.id.start);
+        let until = now + self.tuning.period;
+        self.errands.push(Errand { seq, origin: from, origin_seq, target: node.id, until });
+        let packet = self.packet_of(Purpose::Ping { start }, seq);
+        out.push(Action::Send(node.address, packet));
+    }
+}
--- a/crates/decide/src/request/mod.rs
+++ b/crates/decide/src/request/mod.rs
@@ -5,7 +5,10 @@
 //! resumes or continues a broken stream, and ends with one typed outcome.
 
 mod assembly;
+mod failures;
 mod run;
+mod types;
 
 pub use assembly::{Assembly, Taken};
-pub use run::{Action, Event, Permit, Plan, Run, StepPlan};
+pub use run::Run;
+pub use types::{Action, Event, Permit, Plan, StepPlan};
--- a/crates/decide/src/request/run.rs
+++ b/crates/decide/src/request/run.rs
@@ -5,143 +5,27 @@
 use model::answer::Piece;
 use model::attempt::{Attempt, Frame};
 use model::claim::ClaimEnd;
-use model::key::Key;
 use model::outcome::{Final, Outcome, Reason, StepError, StepReport};
 use model::{Name, Time};
 
 use super::assembly::{Assembly, Taken};
-use crate::retry::backoff;
+use super::types::{Action, Event, Permit, Plan};
 use crate::rng::Rng;
 
 /// Most attempts at one step, resumed streams included.
-const ATTEMPTS_MAX: u16 = 4;
+pub(super) const ATTEMPTS_MAX: u16 = 4;
 /// Attempts at one step that run at the same time: one and its hedge.
-const FLIGHTS_MAX: usize = 2;
-
-/// One step as the machine needs it.
-#[derive(Debug, Clone)]
-pub struct StepPlan {
-    /// Name of the step.
-    pub name: Name,
-    /// Whether it may run twice.
-    pub repeatable: bool,
-    /// Whether another target can go on from text already delivered.
-    pub continues: bool,
-    /// Longest silence of an attempt before it is given up.
-    pub timeout: Duration,
-    /// When to send a second attempt beside the first, if ever.
-    pub hedge: Option<Duration>,
-    /// Cost of a second of a target.
-    pub cost: f64,
-}
-
-/// One request as the machine needs it.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// Request id.
-    pub request: Name,
-    /// Steps in order; at least one.
-    pub steps: Vec<StepPlan>,
-    /// When the answer is due.
-    pub deadline: Time,
-    /// When nobody waits any longer; not before the deadline.
-    pub until: Time,
-    /// The caller's key, needed if a step is not repeatable.
-    pub key: Option<Key>,
-    /// Whether pieces go to the caller as they come.
-    pub streamed: bool,
-    /// Seed for jitter.
-    pub seed: u64,
-}
-
-/// What the machine hears.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// The request was admitted.
-    Start,
-    /// The claim ended.
-    Claim(ClaimEnd),
-    /// The router chose a target.
-    Picked(Name),
-    /// The router has none; asking again makes sense after this time.
-    NoTarget(Duration),
-    /// This attempt certainly did not reach its target, or was refused unrun.
-    NotSent {
-        /// Attempt.
-        attempt: Attempt,
-        /// Why.
-        reason: Reason,
-    },
-    /// A frame arrived.
-    Frame(Frame),
-    /// The stream of this attempt ended or broke.
-    Closed {
-        /// Attempt.
-        attempt: Attempt,
-        /// Why.
-        reason: Reason,
-    },
-    /// Time passed.
-    Tick,
-    /// The caller went away.
-    Gone,
-}
-
-/// What the machine wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Claim the key.
-    Claim(Key),
-    /// Choose a target for a step, none of `tried` if it can be helped.
-    Pick {
-        /// Step.
-        step: usize,
-        /// Targets that failed this step.
-        tried: Vec<Name>,
-    },
-    /// Send an attempt.
-    Send {
-        /// Attempt.
-        attempt: Attempt,
-        /// Target.
-        target: Name,
-        /// First frame wanted.
-        from: u64,
-        /// Attempt at the same target to resume.
-        resume: Option<Attempt>,
-        /// Time left.
-        budget: Duration,
-    },
-    /// Stop an attempt that nobody waits for.
-    Cancel {
-        /// Attempt.
-        attempt: Attempt,
-        /// Target.
-        target: Name,
-    },
-    /// Give the caller a piece.
-    Emit(Piece),
-    /// Send [`Event::Tick`] at this time.
-    Wake(Time),
-    /// The request has ended.
-    Finish(Final),
-}
-
-/// Says whether a step's budget has a retry left, and takes it.
-pub trait Permit {
-    /// Takes one retry of `step`.
-    fn retry(&mut self, step: usize) -> bool;
-}
+pub(super) const FLIGHTS_MAX: usize = 2;
 
 #[derive(Debug)]
-struct Flight {
-    target: Name,
-    answer: Assembly,
-    heard: Time,
+pub(super) struct Flight {
+    pub(super) target: Name,
+    pub(super) answer: Assembly,
+    pub(super) heard: Time,
 }
 
 #[derive(Debug, PartialEq)]
-enum State {
+pub(super) enum State {
     New,
     Claiming,
     Picking { hedge: bool },
@@ -153,25 +37,25 @@
 /// One request.
 #[derive(Debug)]
 pub struct Run {
-    plan: Plan,
-    state: State,
-    step: usize,
-    number: u16,
-    flights: Vec<Flight>,
-    tried: Vec<Name>,
-    hedged: bool,
-    resume: Option<(Name, Attempt)>,
-    started: Time,
-    begun: Time,
-    text: String,
-    pieces: u64,
-    results: Vec<String>,
-    steps: Vec<StepReport>,
-    spent: f64,
-    sent: bool,
-    last: Option<StepError>,
-    strays: u64,
-    rng: Rng,
+    pub(super) plan: Plan,
+    pub(super) state: State,
+    pub(super) step: usize,
+    pub(super) number: u16,
+    pub(super) flights: Vec<Flight>,
+    pub(super) tried: Vec<Name>,
+    pub(super) hedged: bool,
+    pub(super) resume: Option<(Name, Attempt)>,
+    pub(super) started: Time,
+    pub(super) begun: Time,
+    pub(super) text: String,
+    pub(super) pieces: u64,
+    pub(super) results: Vec<String>,
+    pub(super) steps: Vec<StepReport>,
+    pub(super) spent: f64,
+    pub(super) sent: bool,
+    pub(super) last: Option<StepError>,
+    pub(super) strays: u64,
+    pub(super) rng: Rng,
 }
 
 impl Run {
@@ -280,7 +164,7 @@
         self.finish(now, outcome, Some(error), None, out);
     }
 
-    fn pick(&mut self, hedge: bool, out: &mut Vec<Action>) {
+    pub(super) fn pick(&mut self, hedge: bool, out: &mut Vec<Action>) {
         self.state = State::Picking { hedge };
         out.push(Action::Pick { step: self.step, tried: self.tried.clone() });
     }
@@ -292,7 +176,13 @@
         self.send(now, target, None, out);
     }
 
-    fn send(&mut self, now: Time, target: Name, resume: Option<Attempt>, out: &mut Vec<Action>) {
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        target: Name,
+        resume: Option<Attempt>,
+        out: &mut Vec<Action>,
+    ) {
         let attempt = Attempt {
             request: self.plan.request.clone(),
             step: self.step as u16,
@@ -318,7 +208,7 @@
     }
 
     /// When the flying attempt gets a second one beside it.
-    fn hedge_at(&self) -> Option<Time> {
+    pub(super) fn hedge_at(&self) -> Option<Time> {
         let step = &self.plan.steps[self.step];
         let hedge = step.hedge?;
         let may = step.repeatable && !self.hedged && self.pieces == 0 && self.flights.len() == 1;
@@ -347,66 +237,6 @@
         self.retry(now, permit, out);
     }
 
-    /// An attempt ended without its whole answer.
-    fn broken(
-        &mut self,
-        now: Time,
-        attempt: &Attempt,
-        reason: Reason,
-        sent: bool,
-        permit: &mut dyn Permit,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(i) = self.flights.iter().position(|f| f.answer.attempt() == attempt) else {
-            return;
-        };
-        let flight = self.flights.remove(i);
-        if sent {
-            self.sent = true;
-            self.spend(now, &flight);
-        }
-        let error = self.error(Some(flight.target.clone()), reason);
-        self.last = Some(error.clone());
-        let step = &self.plan.steps[self.step];
-        let (repeatable, continues) = (step.repeatable, step.continues);
-        let started = self.resume.take_if(|(_, a)| a == attempt).is_some();
-        // Reading the rest of a stream is no second run, so it is safe for any step.
-        if sent && continues && !started && self.pieces > 0 && self.number < ATTEMPTS_MAX {
-            let target = flight.target.clone();
-            let next = Attempt { number: self.number, ..attempt.clone() };
-            self.resume = Some((target.clone(), next));
-            self.tried.push(target.clone());
-            return self.send(now, target, Some(attempt.clone()), out);
-        }
-        self.tried.push(flight.target);
-        if !self.flights.is_empty() {
-            return;
-        }
-        if !repeatable && (sent || started) {
-            return self.finish(now, Outcome::Unknown, Some(error), None, out);
-        }
-        let stuck = self.pieces > 0 && !continues && self.plan.streamed && self.is_last();
-        if stuck {
-            return self.finish(now, Outcome::Failed, Some(error), None, out);
-        }
-        if !continues {
-            self.text.clear();
-            self.pieces = 0;
-        }
-        self.retry(now, permit, out);
-    }
-
-    fn retry(&mut self, now: Time, permit: &mut dyn Permit, out: &mut Vec<Action>) {
-        if self.number >= ATTEMPTS_MAX || !permit.retry(self.step) {
-            let error = self.last.clone();
-            let outcome = if self.sent { Outcome::Failed } else { Outcome::NotRun };
-            return self.finish(now, outcome, error, None, out);
-        }
-        let until = now + backoff(self.number, &mut self.rng);
-        self.state = State::Waiting { until };
-        out.push(Action::Wake(until));
-    }
-
     fn frame(&mut self, now: Time, frame: Frame, permit: &mut dyn Permit, out: &mut Vec<Action>) {
         let attempt = frame.attempt().clone();
         let Some(i) = self.flights.iter().position(|f| *f.answer.attempt() == attempt) else {
@@ -455,30 +285,6 @@
         }
     }
 
-    /// What arrived cannot be trusted: start again if nothing was given out, else end.
-    fn corrupt(
-        &mut self,
-        now: Time,
-        attempt: &Attempt,
-        reason: Reason,
-        permit: &mut dyn Permit,
-        out: &mut Vec<Action>,
-    ) {
-        let given = self.plan.streamed && self.is_last() && self.pieces > 0;
-        if let Some(f) = self.flights.iter().find(|f| f.answer.attempt() == attempt) {
-            out.push(Action::Cancel { attempt: attempt.clone(), target: f.target.clone() });
-        }
-        if given {
-            let peer = self.flights.first().map(|f| f.target.clone());
-            let error = self.error(peer, reason);
-            let outcome = self.doubt(Outcome::Failed);
-            return self.finish(now, outcome, Some(error), None, out);
-        }
-        self.text.clear();
-        self.pieces = 0;
-        self.broken(now, attempt, reason, true, permit, out);
-    }
-
     fn step_done(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.pop() else {
             return;
@@ -506,71 +312,7 @@
         self.pick(false, out);
     }
 
-    fn tick(&mut self, now: Time, permit: &mut dyn Permit, out: &mut Vec<Action>) {
-        if now >= self.plan.until {
-            return self.give_up(now, Reason::Deadline, out);
-        }
-        if let State::Waiting { until } = self.state {
-            if now >= until {
-                self.pick(false, out);
-            }
-            return;
-        }
-        if self.state != State::Flying {
-            return;
-        }
-        self.time_out(now, permit, out);
-        if self.state == State::Flying
-            && self.flights.len() < FLIGHTS_MAX
-            && self.hedge_at().is_some_and(|at| now >= at)
-        {
-            self.hedged = true;
-            if permit.retry(self.step) {
-                self.tried = self.flights.iter().map(|f| f.target.clone()).collect();
-                self.pick(true, out);
-            }
-        }
-    }
-
-    fn time_out(&mut self, now: Time, permit: &mut dyn Permit, out: &mut Vec<Action>) {
-        let step = &self.plan.steps[self.step];
-        if !step.repeatable {
-            return;
-        }
-        let timeout = step.timeout;
-        let silent = |f: &&Flight| now >= f.heard + timeout;
-        let Some(f) = self.flights.iter().find(silent) else {
-            if let Some(at) = self.flights.iter().map(|f| f.heard + timeout).min() {
-                out.push(Action::Wake(at));
-            }
-            return;
-        };
-        let attempt = f.answer.attempt().clone();
-        out.push(Action::Cancel { attempt: attempt.clone(), target: f.target.clone() });
-        let reason = Reason::Broken("silent".into());
-        // A silent target is not asked to resume.
-        self.resume = Some((f.target.clone(), attempt.clone()));
-        self.broken(now, &attempt, reason, true, permit, out);
-    }
-
-    fn give_up(&mut self, now: Time, reason: Reason, out: &mut Vec<Action>) {
-        let peer = self.flights.first().map(|f| f.target.clone());
-        let error = self.error(peer, reason);
-        let outcome = match (self.flights.is_empty(), self.sent) {
-            // A claim may still be on its way, but no step was sent.
-            (true, false) => Outcome::NotRun,
-            (true, true) => Outcome::Failed,
-            (false, _) => self.doubt(Outcome::Failed),
-        };
-        self.finish(now, outcome, Some(error), None, out);
-    }
-
-    /// The outcome with an attempt in flight: unknown if it may not be repeated.
-    fn doubt(&self, otherwise: Outcome) -> Outcome {
-        if self.plan.steps[self.step].repeatable { otherwise } else { Outcome::Unknown }
-    }
-
-    fn finish(
+    pub(super) fn finish(
         &mut self,
         now: Time,
         outcome: Outcome,
@@ -605,7 +347,7 @@
         }));
     }
 
-    fn spend(&mut self, now: Time, flight: &Flight) {
+    pub(super) fn spend(&mut self, now: Time, flight: &Flight) {
         let seconds = match flight.answer.busy() {
             Some(us) => us as f64 / 1e6,
             None => now.since(self.begun).as_secs_f64(),
@@ -613,11 +355,11 @@
         self.spent += seconds * self.plan.steps[self.step].cost;
     }
 
-    fn is_last(&self) -> bool {
+    pub(super) fn is_last(&self) -> bool {
         self.step + 1 == self.plan.steps.len()
     }
 
-    fn error(&self, peer: Option<Name>, reason: Reason) -> StepError {
+    pub(super) fn error(&self, peer: Option<Name>, reason: Reason) -> StepError {
         StepError { step: self.plan.steps[self.step].name.clone(), peer, reason }
     }
 
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -109,26 +109,18 @@
     /// Takes a new manifest; a lower number is ignored.
     pub fn apply(&self, change: Change) {
         let old = self.config.load();
-        if change.number <= old.number {
+        let number = change.number;
+        if number <= old.number {
             return;
         }
         let mut set = old.set.clone();
         let pools_changed = change.upserts.iter().any(|(k, _)| k.starts_with("Pool/"))
             || change.removed.iter().any(|k| k.starts_with("Pool/"));
-        for key in &change.removed {
-            if let Some((kind, name)) = key.split_once('/') {
-                set.remove(kind, name);
-            }
-        }
-        for (key, spec) in change.upserts {
-            if let Some((_, name)) = key.split_once('/') {
-                set.insert(name.into(), spec);
-            }
-        }
+        change.apply_to(&mut set);
         if pools_changed {
             self.rebuild(&set);
         }
-        self.config.store(Arc::new(Config { number: change.number, set }));
+        self.config.store(Arc::new(Config { number, set }));
         let leaving = self.leaving.lock().expect("no panic while held").clone();
         self.mark_leaving(leaving);
     }
@@ -236,13 +228,11 @@
         times.entry((pipeline.clone(), step)).or_default().record(took);
     }
 
-    /// Whether a request of `pipeline` can still finish in `left`, and the least it needs.
-    pub fn feasible(&self, pipeline: &Name, steps: usize, left: Duration) -> (bool, Duration) {
+    /// Time that a request of `pipeline` needs at least, by what was seen lately.
+    pub fn need(&self, pipeline: &Name, steps: usize) -> Duration {
         let times = self.times.lock().expect("no panic while held");
-        let seen: Vec<&StepTimes> =
-            (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i))).collect();
-        let need = seen.iter().filter_map(|t| t.quantile(NEED)).sum();
-        (deadline::feasible(left, &seen, Duration::ZERO), need)
+        let seen = (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i)));
+        seen.filter_map(|t| t.quantile(NEED)).sum()
     }
 
     /// Budget of a step: what is left, less what later steps need.
--- a/crates/entry/src/front/gate.rs
+++ b/crates/entry/src/front/gate.rs
@@ -49,7 +49,7 @@
         let now = core.clock.now();
         let config = core.fleet.config();
         let steps = config.set.pipelines.get(&job.pipeline).map_or(0, |p| p.stages.len());
-        let (_, mut need) = core.fleet.feasible(&job.pipeline, steps, job.deadline.since(now));
+        let mut need = core.fleet.need(&job.pipeline, steps);
         // Times seen under overload must not shut the door for good.
         need = need.min(job.deadline.since(now).mul_f64(NEED_MOST));
         if !core.settings.admission {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -98,20 +98,19 @@
 impl Entry {
     /// Runs the program until a signal.
     pub fn main(args: Args) -> anyhow::Result<()> {
-        let settings: Settings = util::settings::load(&args.settings)?;
-        if args.check {
-            println!("{}: settings are valid", args.settings.display());
-            return Ok(());
-        }
-        util::logs::start(&settings.logs)?;
-        let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
-        runtime.block_on(async {
-            let running = Entry::start(settings).await?;
-            log::info!("node: callers at {}, peers at {}.", running.callers, running.peers);
-            stop::signal().await.context("could not wait for signals")?;
-            running.stop().await;
-            Ok(())
-        })
+        util::cli::serve(
+            &args.settings,
+            args.check,
+            0,
+            |s: &Settings| &s.logs,
+            |settings| async {
+                let running = Entry::start(settings).await?;
+                log::info!("node: callers at {}, peers at {}.", running.callers, running.peers);
+                stop::signal().await.context("could not wait for signals")?;
+                running.stop().await;
+                Ok(())
+            },
+        )
     }
 
     /// Binds, then starts a node.
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,50 +1,37 @@
 //! Settings files: refused with file, line, column and the remedy, exit code 2.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+#[path = "../../util/tests/support/settings.rs"]
+mod support;
 
-fn check(file: &Path) -> Output {
-    let program = env!("CARGO_BIN_EXE_pumicevale-entry");
-    let args = ["--check", "--settings"];
-    Command::new(program).args(args).arg(file).output().expect("it ran")
-}
-
-fn example(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/processes").join(name)
-}
-
-fn refused(name: &str, text: &str) -> String {
-    let folder = std::env::temp_dir().join(format!("pumicevale-entry-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let file = folder.join(format!("{name}.yaml"));
-    std::fs::write(&file, text).expect("written");
-    let out = check(&file);
-    assert_eq!(out.status.code(), Some(2), "{name}");
-    String::from_utf8_lossy(&out.stderr).into_owned()
-}
+use support::{Case, examples_pass_and_bad_files_are_refused};
 
 #[test]
 fn the_examples_pass_and_bad_files_are_refused_with_their_place() {
-    for name in ["entry-hall-a.yaml", "entry-hall-b.yaml"] {
-        let out = check(&example(name));
-        assert!(out.status.success(), "{name}: {}", String::from_utf8_lossy(&out.stderr));
-    }
-    let good = std::fs::read_to_string(example("entry-hall-a.yaml")).expect("an example");
+    let program = env!("CARGO_BIN_EXE_pumicevale-entry");
     let cases = [
-        ("unknown", "near:", "nearby:", "unknown.yaml:3:1"),
-        ("type", "callers: 127.0.0.1:7200", "callers: [1]", "type.yaml:4:"),
-        (
-            "address",
-            "callers: 127.0.0.1:7200",
-            "callers: localhost:80",
-            "not an IP address and port",
-        ),
-        ("name", "name: hall-a-1", "name: Hall A", "name: a name uses"),
+        Case { name: "unknown", from: "near:", to: "nearby:", says: "unknown.yaml:3:1" },
+        Case {
+            name: "type",
+            from: "callers: 127.0.0.1:7200",
+            to: "callers: [1]",
+            says: "type.yaml:4:",
+        },
+        Case {
+            name: "address",
+            from: "callers: 127.0.0.1:7200",
+            to: "callers: localhost:80",
+            says: "not an IP address and port",
+        },
+        Case {
+            name: "name",
+            from: "name: hall-a-1",
+            to: "name: Hall A",
+            says: "name: a name uses",
+        },
     ];
-    for (name, from, to, says) in cases {
-        let text = good.replacen(from, to, 1);
-        assert_ne!(text, good, "{name}");
-        let error = refused(name, &text);
-        assert!(error.contains(says), "{name}: {error}");
-    }
+    examples_pass_and_bad_files_are_refused(
+        program,
+        &["entry-hall-a.yaml", "entry-hall-b.yaml"],
+        &cases,
+    );
 }
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -15,34 +15,29 @@
 
 /// Runs the program until a signal.
 pub fn main(args: Args) -> anyhow::Result<()> {
-    let settings: Settings = util::settings::load(&args.settings)?;
-    if args.check {
-        println!("{}: settings are valid", args.settings.display());
-        return Ok(());
+    util::cli::serve(&args.settings, args.check, 0, |s: &Settings| &s.logs, serve)
+}
+
+async fn serve(settings: Settings) -> anyhow::Result<()> {
+    let (stopper, stop) = stop::pair();
+    let mut tasks = Vec::new();
+    if let Some(address) = &settings.api {
+        let (at, _, task) = start_api(address, stop.clone()).await?;
+        log::info!("standin: Object API at {at}.");
+        tasks.push(task);
+    }
+    for spec in settings.targets {
+        let name = spec.name.clone();
+        let (at, _, task) = start_target(spec, stop.clone()).await?;
+        log::info!("standin: target {name} at {at}.");
+        tasks.push(task);
+    }
+    stop::signal().await.context("could not wait for signals")?;
+    stopper.stop();
+    for t in tasks {
+        t.abort();
     }
-    util::logs::start(&settings.logs)?;
-    let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
-    runtime.block_on(async {
-        let (stopper, stop) = stop::pair();
-        let mut tasks = Vec::new();
-        if let Some(address) = &settings.api {
-            let (at, _, task) = start_api(address, stop.clone()).await?;
-            log::info!("standin: Object API at {at}.");
-            tasks.push(task);
-        }
-        for spec in settings.targets {
-            let name = spec.name.clone();
-            let (at, _, task) = start_target(spec, stop.clone()).await?;
-            log::info!("standin: target {name} at {at}.");
-            tasks.push(task);
-        }
-        stop::signal().await.context("could not wait for signals")?;
-        stopper.stop();
-        for t in tasks {
-            t.abort();
-        }
-        Ok(())
-    })
+    Ok(())
 }
 
 /// Starts the Object API.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -236,7 +236,9 @@
         let slot = self.slots.clone().acquire_owned().await;
         self.waiting.fetch_sub(1, Relaxed);
         let ms = self.spec.service * faults.factor();
-        tokio::time::sleep(Duration::from_secs_f64(ms / 1e3)).await;
+        if ms > 0.0 {
+            tokio::time::sleep(Duration::from_secs_f64(ms / 1e3)).await;
+        }
         drop(slot);
         let answer = match self.spec.role {
             Role::Encoder => crate::text::encode(&call.input),
