--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -54,6 +54,25 @@
         #[bpaf(argument("N"), fallback(100))]
         changes: u32,
     },
+    /// Memory of a running entry node for each open stream
+    #[bpaf(command)]
+    Streams {
+        /// Entry node's caller address
+        #[bpaf(argument("ADDRESS"))]
+        entry: String,
+        /// Its process
+        #[bpaf(argument("PID"))]
+        pid: u32,
+        /// Streams
+        #[bpaf(argument("N"), fallback(1000))]
+        count: usize,
+        /// Pipeline
+        #[bpaf(argument("NAME"), fallback("minutes".into()))]
+        pipeline: String,
+        /// Workspace
+        #[bpaf(argument("NAME"), fallback("ward-councillors".into()))]
+        workspace: String,
+    },
     /// Compare the counted figures with committed bounds
     #[bpaf(command)]
     Check {
--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod overhead;
 mod run;
 mod slopes;
+mod streams;
 
 use anyhow::Context;
 
@@ -24,6 +25,9 @@
         Args::InForce { store, changes } => {
             runtime.block_on(in_force::InForce { store, changes }.run())
         }
+        Args::Streams { entry, pid, count, pipeline, workspace } => {
+            runtime.block_on(streams::Streams { entry, pid, count, pipeline, workspace }.run())
+        }
         Args::Check { bounds } => check::Check { bounds }.run(),
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -54,7 +54,7 @@
 }
 
 fn poll_period() -> u64 {
-    2000
+    4000
 }
 
 impl Check for Settings {
