--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -17,6 +17,8 @@
 
 /// Weight of a new sample in the pace.
 const PACE: f64 = 0.05;
+/// Running that takes more than this share of the deadline means congestion.
+const CONGESTED: f64 = 0.6;
 /// Growth of the width with each uncongested end, and its loss with each
 /// congested one: it settles where a fifth of the ends are congested. Cutting on
 /// single late ones kept it far too narrow.
@@ -176,8 +178,15 @@
         self.width.get()
     }
 
-    /// A running request ended; `congested` if running took most of its deadline.
-    pub fn finished(&mut self, now: Time, request: &Name, congested: bool) -> Vec<Verdict> {
+    /// A request ended after running for `ran` under a deadline of `most`.
+    pub fn finished(
+        &mut self,
+        now: Time,
+        request: &Name,
+        ran: Duration,
+        most: Duration,
+    ) -> Vec<Verdict> {
+        let congested = ran > most.mul_f64(CONGESTED);
         let busy = self.running.len() * 5 >= self.width.get() * 4;
         self.width.learn(congested, busy);
         self.pace.finished(now, busy);
--- a/crates/decide/src/deadline/mod.rs
+++ b/crates/decide/src/deadline/mod.rs
@@ -62,9 +62,16 @@
     }
 }
 
-/// Time that the steps behind `step` will need, by their medians.
-pub fn later(times: &[&StepTimes], step: usize) -> Duration {
-    times.iter().skip(step + 1).filter_map(|t| t.quantile(0.5)).sum()
+/// Quantile of each step's time that a request must still have; most that are let
+/// in with so much left finish in time.
+const NEED: f64 = 0.75;
+/// Most of what is left that a request is taken to need: times seen under
+/// overload must not shut the door for good.
+const NEED_MOST: f64 = 0.5;
+
+/// Time that steps will need, by their medians.
+pub fn later(times: &[&StepTimes]) -> Duration {
+    times.iter().filter_map(|t| t.quantile(0.5)).sum()
 }
 
 /// Budget of a step: what remains, less what later steps need.
@@ -72,10 +79,9 @@
     deadline.since(now).saturating_sub(later)
 }
 
-/// Whether a request can still finish: the fast decile of every step, plus the
-/// least expected wait, must fit. Refusing on the median would refuse half of
-/// what is just feasible.
-pub fn feasible(left: Duration, times: &[&StepTimes], wait: Duration) -> bool {
-    let least: Duration = times.iter().filter_map(|t| t.quantile(0.1)).sum();
-    least + wait <= left
+/// Time that a request with these steps, and `left` until its deadline, must have
+/// when its turn comes.
+pub fn need(times: &[&StepTimes], left: Duration) -> Duration {
+    let whole: Duration = times.iter().filter_map(|t| t.quantile(NEED)).sum();
+    whole.min(left.mul_f64(NEED_MOST))
 }
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -14,6 +14,10 @@
 use model::outcome::Reason;
 use model::{Name, Time};
 
+/// A run well within its deadline, and the deadline.
+const QUICK: Duration = Duration::from_millis(100);
+const DUE: Duration = Duration::from_millis(1000);
+
 fn waiter(name: &str, priority: Priority, deadline: u64) -> Waiter {
     Waiter {
         request: name.into(),
@@ -33,7 +37,7 @@
     let mut order = Vec::new();
     let mut last: Name = "first".into();
     for _ in 0..3 {
-        let out = g.finished(Time::ZERO, &last, false);
+        let out = g.finished(Time::ZERO, &last, QUICK, DUE);
         let [Verdict::Run(next)] = &out[..] else { panic!("{out:?}") };
         last = next.clone();
         order.push(last.to_string());
@@ -78,7 +82,7 @@
         now = now + Duration::from_millis(5);
         let name: Name = format!("r{i}").into();
         g.arrive(now, waiter(&name, Priority::Normal, u64::MAX / 2000));
-        g.finished(now, &name, true);
+        g.finished(now, &name, DUE, DUE);
     }
     let narrow = g.width();
     assert!(narrow <= 8, "{narrow}");
@@ -89,7 +93,7 @@
         names.push_back(name);
         if names.len() > g.width() {
             let old = names.pop_front().expect("one runs");
-            g.finished(now, &old, false);
+            g.finished(now, &old, QUICK, DUE);
         }
     }
     assert!(g.width() > narrow * 3, "{}", g.width());
@@ -104,7 +108,7 @@
         let name: Name = format!("r{i}").into();
         g.arrive(now, waiter(&name, Priority::Normal, 1_000_000));
         now = now + Duration::from_millis(100);
-        g.finished(now, &name, false);
+        g.finished(now, &name, QUICK, DUE);
     }
     let at = |ms: u64| now.0 / 1000 + ms;
     g.arrive(now, waiter("runs", Priority::Normal, at(10_000)));
@@ -164,12 +168,14 @@
     }
     let quick = StepTimes::default();
     let times = [&quick, &slow, &slow];
-    let later = deadline::later(&times, 0);
+    let later = deadline::later(&times[1..]);
     assert!((395..=410).contains(&later.as_millis()), "{later:?}");
     let budget = deadline::budget(Time::ZERO, Time::from_millis(1000), later);
     assert!((590..=605).contains(&budget.as_millis()), "{budget:?}");
-    assert!(!deadline::feasible(Duration::from_millis(300), &times, Duration::ZERO));
-    assert!(deadline::feasible(Duration::from_millis(500), &times, Duration::ZERO));
+    // The need is what most take, and never more than half of what is left.
+    let need = deadline::need(&times, Duration::from_secs(10));
+    assert!((395..=410).contains(&need.as_millis()), "{need:?}");
+    assert_eq!(deadline::need(&times, Duration::from_millis(300)), Duration::from_millis(150));
 }
 
 #[test]
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -15,9 +15,8 @@
 use model::object::{Pipeline, Role, Set};
 use model::{Name, Time};
 
-/// Quantile of each step's time that a request must still have; most that are let
-/// in with so much left finish in time.
-const NEED: f64 = 0.75;
+/// Most steps of a pipeline.
+const STEPS_MAX: usize = 16;
 
 /// Configuration in force.
 #[derive(Debug, Default)]
@@ -228,18 +227,20 @@
         times.entry((pipeline.clone(), step)).or_default().record(took);
     }
 
-    /// Time that a request of `pipeline` needs at least, by what was seen lately.
-    pub fn need(&self, pipeline: &Name, steps: usize) -> Duration {
+    /// Time that a request of `pipeline` must have when its turn comes.
+    pub fn need(&self, pipeline: &Name, steps: usize, left: Duration) -> Duration {
         let times = self.times.lock().expect("no panic while held");
-        let seen = (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i)));
-        seen.filter_map(|t| t.quantile(NEED)).sum()
+        let seen: Vec<&StepTimes> =
+            (0..steps).filter_map(|i| times.get(&(pipeline.clone(), i))).collect();
+        deadline::need(&seen, left)
     }
 
     /// Budget of a step: what is left, less what later steps need.
     pub fn step_budget(&self, pipeline: &Name, step: usize, now: Time, due: Time) -> Duration {
         let times = self.times.lock().expect("no panic while held");
-        let later: Duration =
-            (step + 1..16).filter_map(|i| times.get(&(pipeline.clone(), i))?.quantile(0.5)).sum();
+        let behind: Vec<&StepTimes> =
+            (step + 1..STEPS_MAX).filter_map(|i| times.get(&(pipeline.clone(), i))).collect();
+        let later = deadline::later(&behind);
         deadline::budget(now, due, later)
     }
 }
--- a/crates/entry/src/front/gate.rs
+++ b/crates/entry/src/front/gate.rs
@@ -12,8 +12,6 @@
 use crate::drive::Job;
 use crate::node::Core;
 
-/// Most of its deadline that a request is taken to need.
-const NEED_MOST: f64 = 0.5;
 /// How often waiting requests are looked over for those that cannot finish.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -49,9 +47,7 @@
         let now = core.clock.now();
         let config = core.fleet.config();
         let steps = config.set.pipelines.get(&job.pipeline).map_or(0, |p| p.stages.len());
-        let mut need = core.fleet.need(&job.pipeline, steps);
-        // Times seen under overload must not shut the door for good.
-        need = need.min(job.deadline.since(now).mul_f64(NEED_MOST));
+        let mut need = core.fleet.need(&job.pipeline, steps, job.deadline.since(now));
         if !core.settings.admission {
             need = Duration::ZERO;
         }
@@ -83,9 +79,9 @@
         }
     }
 
-    /// A request ended; `congested` if running took most of its deadline.
-    pub fn finished(&self, now: Time, request: &Name, congested: bool) {
-        self.change(|gate| gate.finished(now, request, congested));
+    /// A request ended after running for `ran` under a deadline of `most`.
+    pub fn finished(&self, now: Time, request: &Name, ran: Duration, most: Duration) {
+        self.change(|gate| gate.finished(now, request, ran, most));
     }
 
     fn leave(&self, now: Time, request: &Name) {
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -22,8 +22,6 @@
 
 /// Pieces on their way to one caller.
 const DEPTH: usize = 64;
-/// Running that takes more than this share of the deadline means congestion.
-const CONGESTED: f64 = 0.6;
 /// Prefix of the pipelines' paths.
 const PIPELINES: &str = "/v1/pipelines/";
 /// Media type of the metrics.
@@ -82,10 +80,9 @@
     let (arrived, due) = (job.arrived, job.deadline);
     tokio::spawn(async move {
         let begun = core.clock.now();
-        let most = due.since(arrived).mul_f64(CONGESTED);
         drive::run(core.clone(), config, job, tx).await;
         let now = core.clock.now();
-        core.gate.finished(now, &id, now.since(begun) > most);
+        core.gate.finished(now, &id, now.since(begun), due.since(arrived));
     });
     if streamed { send_stream(rx).await } else { send_whole(rx).await }
 }
