--- a/crates/bench/src/cmd/streams.rs
+++ b/crates/bench/src/cmd/streams.rs
@@ -9,7 +9,7 @@
 use util::http::{Client, Lines};
 
 /// Requests sent at a time while streams are opened.
-const AT_ONCE: usize = 100;
+const AT_ONCE: usize = 500;
 /// Time for the node to settle before its memory is read.
 const SETTLE: Duration = Duration::from_secs(3);
 
--- a/crates/dev/tests/processes.rs
+++ b/crates/dev/tests/processes.rs
@@ -19,6 +19,7 @@
 use model::store::Listing;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use serde_json::json;
 use standin::journal::Ran as Journal;
 
 /// Names the role and the settings file in a child process.
@@ -208,6 +209,20 @@
         panic!("{at}{path} does not answer");
     }
 
+    /// Switches a target's faults.
+    async fn fault(&self, target: &str, faults: &serde_json::Value) {
+        let file = format!("{target}.yaml");
+        let (at, _) = self
+            .targets
+            .iter()
+            .find(|(_, p)| p.file.ends_with(&file))
+            .expect("a target of that name");
+        let (client, wait) = (client(), Duration::from_secs(10));
+        let at = at.to_string();
+        let call = client.json::<_, ()>(&at, Method::POST, "/faults", Some(faults), wait);
+        call.await.expect("switched");
+    }
+
     /// Sends pairs of orders with one key to two nodes each, and summaries.
     async fn load(&self, call: u64, n: u64) -> (Vec<Seen>, Vec<Seen>) {
         let mut orders = Vec::new();
@@ -279,6 +294,19 @@
     let (mut orders, mut minutes) = fleet.load(0, 20).await;
     assert_eq!(outcomes(&minutes, Outcome::Complete), 20, "before any fault");
 
+    // Connections are cut: an engine's in mid-stream, a payment's once it was made.
+    for (target, faults) in [("eng-1", json!({ "cut": 3 })), ("pay-1", json!({ "drop": true }))] {
+        fleet.fault(target, &faults).await;
+    }
+    let part = fleet.load(500, 10).await;
+    assert_eq!(outcomes(&part.1, Outcome::Complete), 10, "cut streams are resumed");
+    assert!(outcomes(&part.0, Outcome::Unknown) > 10, "lost payments are in doubt");
+    orders.extend(part.0);
+    minutes.extend(part.1);
+    for target in ["eng-1", "pay-1"] {
+        fleet.fault(target, &json!({})).await;
+    }
+
     // An entry process is killed in mid-request and started again.
     let part = {
         let load = fleet.load(1000, 20);
