One piece of code where the reading found two

Cause: bodies were read by four copies of one function, entry settings spelled out in full in three places, a key such as Pool/engines taken apart in three, the floor's name and the member digest written twice. Change: util::http reads JSON and rmp bodies; entry::Settings::local; Set::insert_key and remove_key; model::claim::FLOOR; one digest in the membership machine.

--- a/crates/bench/src/cmd/overhead.rs
+++ b/crates/bench/src/cmd/overhead.rs
@@ -101,23 +101,10 @@
     upserts.push(("Pipeline/line".into(), Spec::Pipeline(Pipeline { stages })));
     upserts.push(("Workspace/w".into(), Spec::Workspace(workspace)));
     let node = entry::Entry::start(entry::Settings {
-        name: "n".into(),
-        domain: "a".into(),
-        near: Vec::new(),
-        callers: ANY.into(),
-        peers: ANY.into(),
-        control: None,
-        store: None,
-        store_rate: 1.0,
         width: 256,
         depth: 256,
-        body_max: 1 << 20,
-        body_time: 5000,
-        balancer_lag: 0,
-        policy: Default::default(),
-        admission: true,
         hedging: false,
-        logs: Default::default(),
+        ..entry::Settings::local("n".into(), "a".into())
     })
     .await?;
     node.apply(decide::config::Change { number: 1, upserts, removed: Vec::new() });
--- a/crates/bench/src/experiment/fleet.rs
+++ b/crates/bench/src/experiment/fleet.rs
@@ -212,22 +212,11 @@
 
 fn settings(i: usize, policy: &PolicyPlan) -> entry::Settings {
     entry::Settings {
-        name: format!("n{i}").into(),
-        domain: "a".into(),
-        near: Vec::new(),
-        callers: ANY.into(),
-        peers: ANY.into(),
-        control: None,
-        store: None,
-        store_rate: 1.0,
         width: if policy.admission { 256 } else { 100_000 },
         depth: if policy.admission { 512 } else { 100_000 },
-        body_max: 1 << 20,
-        body_time: 5000,
-        balancer_lag: 0,
         policy: policy.routing,
         admission: policy.admission,
         hedging: policy.hedging,
-        logs: Default::default(),
+        ..entry::Settings::local(format!("n{i}").into(), "a".into())
     }
 }
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -10,7 +10,7 @@
 use follow::{read_chunk, read_manifest};
 use kameo::actor::ActorRef;
 use model::Name;
-use model::claim::Floor;
+use model::claim::{FLOOR, Floor};
 use model::manifest::NAME;
 use model::object::{Envelope, KINDS, Spec};
 use model::status::Status;
@@ -32,8 +32,6 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// Statuses written in one turn.
 const STATUS_MOST: usize = 32;
-/// Name of the claim floor.
-const FLOOR: &str = "floor";
 /// Claim objects deleted in one turn.
 const SWEEP_MOST: usize = 64;
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -2,15 +2,13 @@
 
 use std::sync::Arc;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use kameo::actor::ActorRef;
 use model::view::{ChunksAsk, DeltaAsk, Refusal, View, ViewAsk, path};
 use platform::Reason;
-use serde::de::DeserializeOwned;
 use serde_json::json;
-use util::http::{Body, Handler, json as json_body, rmp, text};
+use util::http::{Body, Handler, json as json_body, read_rmp, rmp, text};
 
 use crate::config::{Config, GetChunks, GetDelta};
 use crate::membership::Membership;
@@ -30,11 +28,6 @@
     pub membership: ActorRef<Membership>,
 }
 
-async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let whole = Limited::new(request.into_body(), MESSAGE_MAX).collect().await.ok()?;
-    rmp_serde::from_slice(&whole.to_bytes()).ok()
-}
-
 fn not_understood() -> Response<Body> {
     text(StatusCode::BAD_REQUEST, "not understood")
 }
@@ -46,25 +39,25 @@
 impl Handler for Side {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         match request.uri().path() {
-            path::VIEW => match message::<ViewAsk>(request).await {
+            path::VIEW => match read_rmp::<ViewAsk>(request, MESSAGE_MAX).await {
                 Some(ask) => rmp(&self.view(ask)),
                 None => not_understood(),
             },
-            path::DELTA => match message::<DeltaAsk>(request).await {
+            path::DELTA => match read_rmp::<DeltaAsk>(request, MESSAGE_MAX).await {
                 Some(ask) => match self.config.ask(GetDelta(ask)).await {
                     Ok(reply) => rmp(&reply.0),
                     Err(_) => busy(),
                 },
                 None => not_understood(),
             },
-            path::CHUNKS => match message::<ChunksAsk>(request).await {
+            path::CHUNKS => match read_rmp::<ChunksAsk>(request, MESSAGE_MAX).await {
                 Some(ask) => match self.config.ask(GetChunks(ask)).await {
                     Ok(reply) => rmp(&reply.0),
                     Err(_) => busy(),
                 },
                 None => not_understood(),
             },
-            path::REFUSED => match message::<Refusal>(request).await {
+            path::REFUSED => match read_rmp::<Refusal>(request, MESSAGE_MAX).await {
                 Some(r) => {
                     relay::leave(&self.shared, &self.membership, &r.target).await;
                     rmp(&())
--- a/crates/decide/src/config/accept.rs
+++ b/crates/decide/src/config/accept.rs
@@ -59,8 +59,8 @@
 fn set_of(items: &BTreeMap<Name, Item>) -> Set {
     let mut set = Set::default();
     for item in items.values() {
-        if let (Some((_, name)), Some(spec)) = (item.key.split_once('/'), &item.spec) {
-            set.insert(name.into(), spec.clone());
+        if let Some(spec) = &item.spec {
+            set.insert_key(&item.key, spec.clone());
         }
     }
     set
--- a/crates/decide/src/config/follower.rs
+++ b/crates/decide/src/config/follower.rs
@@ -90,14 +90,10 @@
     /// Brings a set from the manifest before to this one.
     pub fn apply_to(self, set: &mut Set) {
         for key in &self.removed {
-            if let Some((kind, name)) = key.split_once('/') {
-                set.remove(kind, name);
-            }
+            set.remove_key(key);
         }
         for (key, spec) in self.upserts {
-            if let Some((_, name)) = key.split_once('/') {
-                set.insert(name.into(), spec);
-            }
+            set.insert_key(&key, spec);
         }
     }
 }
@@ -144,9 +140,7 @@
     pub fn set(&self) -> Set {
         let mut set = Set::default();
         for (key, spec) in &self.items {
-            if let Some((_, name)) = key.split_once('/') {
-                set.insert(name.into(), spec.clone());
-            }
+            set.insert_key(key, spec.clone());
         }
         set
     }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -295,12 +295,16 @@
         }
     }
 
+    /// Digest of the nodes that are up, this one included.
+    fn digest(&self) -> u32 {
+        self.peers.digest() ^ digest_of(&self.me.id)
+    }
+
     /// Anti-entropy: rumors die out before they reach everybody, so two nodes
     /// that hold different lists now and then exchange them whole.
     fn compare(&mut self, now: Time, from: SocketAddr, p: &Packet, out: &mut Vec<Action>) {
-        let own = self.peers.digest() ^ digest_of(&self.me.id);
         let due = self.synced == Time::ZERO || now.since(self.synced) >= SYNC_EVERY;
-        if p.digest == own || !due || self.peers.get(&p.from).is_none() {
+        if p.digest == self.digest() || !due || self.peers.get(&p.from).is_none() {
             return;
         }
         self.synced = now;
@@ -412,7 +416,7 @@
             seq: 0,
             purpose,
             number: self.number,
-            digest: self.peers.digest() ^ digest_of(&self.me.id),
+            digest: self.digest(),
             rumors: Vec::new(),
             loads: Vec::new(),
         }
--- a/crates/dev/src/stack.rs
+++ b/crates/dev/src/stack.rs
@@ -146,23 +146,13 @@
         let count = self.entries.len() + 1;
         let name: Name = format!("{domain}-{count}").into();
         let settings = entry::Settings {
-            name: name.clone(),
-            domain: domain.clone(),
             near: near.collect(),
-            callers: ANY.into(),
-            peers: ANY.into(),
-            control: None,
             store: Some(self.store.to_string()),
             store_rate: 100.0,
             width: 256,
             depth: 512,
-            body_max: 1 << 20,
-            body_time: 5000,
             balancer_lag: options.balancer_lag,
-            policy: Default::default(),
-            admission: true,
-            hedging: true,
-            logs: Default::default(),
+            ..entry::Settings::local(name.clone(), domain.clone())
         };
         let bound = entry::Bound::new(settings).await?;
         let settings = control::Settings {
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -11,7 +11,7 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::message::{Context, Message};
-use model::claim::{ClaimAsk, ClaimEnd, Claims, Floor};
+use model::claim::{ClaimAsk, ClaimEnd, Claims, FLOOR, Floor};
 use model::store::kind;
 use model::view::path;
 use model::{Name, Time, hash};
@@ -23,8 +23,6 @@
 
 /// Longest wait for the home node before this node commits by itself.
 const HOME_WAIT: Duration = Duration::from_millis(400);
-/// Name of the floor object.
-pub const FLOOR: &str = "floor";
 
 /// Front of the claims.
 #[derive(Debug, Clone)]
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -3,13 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use model::claim::ClaimAsk;
 use model::view::{LendAsk, path};
-use serde::de::DeserializeOwned;
-use util::http::{Body, Handler, rmp, text};
+use util::http::{Body, Handler, read_rmp, rmp, text};
 
 use crate::node::Core;
 use crate::rates;
@@ -22,24 +20,19 @@
 /// Answers other entry nodes.
 pub struct PeerSide(pub Arc<Core>);
 
-async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let whole = Limited::new(request.into_body(), MESSAGE_MAX).collect().await.ok()?;
-    rmp_serde::from_slice(&whole.to_bytes()).ok()
-}
-
 impl Handler for PeerSide {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let core = &self.0;
         let now = core.clock.now();
         match request.uri().path() {
             path::CLAIM => {
-                let Some(ask) = message::<ClaimAsk>(request).await else {
+                let Some(ask) = read_rmp::<ClaimAsk>(request, MESSAGE_MAX).await else {
                     return text(StatusCode::BAD_REQUEST, "not a claim");
                 };
                 rmp(&core.claims.commit(ask, now + CLAIM_WAIT).await)
             }
             path::LEND => {
-                let Some(ask) = message::<LendAsk>(request).await else {
+                let Some(ask) = read_rmp::<LendAsk>(request, MESSAGE_MAX).await else {
                     return text(StatusCode::BAD_REQUEST, "not a lend request");
                 };
                 let nodes = core.members.load().len();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -60,6 +60,34 @@
     pub logs: Logs,
 }
 
+impl Settings {
+    /// A node on free loopback ports with every default and neither control
+    /// node nor store: for tests, experiments and the quick start.
+    pub fn local(name: Name, domain: Name) -> Self {
+        /// Any free port.
+        const ANY: &str = "127.0.0.1:0";
+        Settings {
+            name,
+            domain,
+            near: Vec::new(),
+            callers: ANY.into(),
+            peers: ANY.into(),
+            control: None,
+            store: None,
+            store_rate: store_rate(),
+            width: width(),
+            depth: depth(),
+            body_max: body_max(),
+            body_time: body_time(),
+            balancer_lag: 0,
+            policy: PolicyKind::default(),
+            admission: true,
+            hedging: true,
+            logs: Logs::default(),
+        }
+    }
+}
+
 fn store_rate() -> f64 {
     50.0
 }
--- a/crates/model/src/claim.rs
+++ b/crates/model/src/claim.rs
@@ -14,6 +14,9 @@
     pub keys: BTreeMap<Key, Name>,
 }
 
+/// Name of the floor object.
+pub const FLOOR: &str = "floor";
+
 /// The floor: buckets below it are deleted and never written again.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Floor {
--- a/crates/model/src/object/set.rs
+++ b/crates/model/src/object/set.rs
@@ -33,7 +33,7 @@
     }
 
     /// Removes one object.
-    pub fn remove(&mut self, kind: &str, name: &str) {
+    fn remove(&mut self, kind: &str, name: &str) {
         match kind {
             "Pipeline" => drop(self.pipelines.remove(name)),
             "Workspace" => drop(self.workspaces.remove(name)),
@@ -44,6 +44,20 @@
         }
     }
 
+    /// Adds or replaces the object of a key such as `Pool/engines`.
+    pub fn insert_key(&mut self, key: &str, spec: Spec) {
+        if let Some((_, name)) = key.split_once('/') {
+            self.insert(name.into(), spec);
+        }
+    }
+
+    /// Removes the object of a key.
+    pub fn remove_key(&mut self, key: &str) {
+        if let Some((kind, name)) = key.split_once('/') {
+            self.remove(kind, name);
+        }
+    }
+
     /// The version wanted of a model, as `model@version`.
     pub fn wanted(&self, model: &str) -> Option<Name> {
         let m = self.models.get(model)?;
--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use model::Name;
@@ -13,11 +12,14 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::sync::Notify;
-use util::http::{Body, Handler, json, text};
+use util::http::{Body, Handler, json, read_json, text};
 
 use crate::faults::ApiFaults;
 use crate::objects::{Objects, Refusal, VALUE_MAX};
 
+/// Largest body taken; larger values than allowed are told by their size.
+const BODY_MAX: usize = VALUE_MAX * 2;
+
 /// Calls taken so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Calls {
@@ -139,7 +141,7 @@
         let method = request.method().clone();
         let expect = query(&request, "expect").and_then(|v| v.parse().ok());
         let value = match method {
-            Method::PUT => match body(request).await {
+            Method::PUT => match read_json(request, BODY_MAX).await {
                 Ok(v) => Some(v),
                 Err(e) => return text(StatusCode::BAD_REQUEST, e),
             },
@@ -168,18 +170,12 @@
     pairs.filter(|(k, _)| *k == key).map(|(_, v)| v.to_string()).next()
 }
 
-async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
-    let limited = Limited::new(request.into_body(), VALUE_MAX * 2);
-    let bytes = limited.collect().await.map_err(|e| e.to_string())?.to_bytes();
-    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
-}
-
 impl Handler for Api {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_string();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (request.method(), parts.as_slice()) {
-            (&Method::POST, ["faults"]) => match body(request).await {
+            (&Method::POST, ["faults"]) => match read_json(request, BODY_MAX).await {
                 Ok(faults) => {
                     self.set_faults(faults);
                     return json(StatusCode::OK, &());
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use kameo::actor::{ActorRef, Spawn};
@@ -16,7 +15,7 @@
 use model::order::{Order, Reply, Task};
 use serde::Deserialize;
 use tokio::sync::{Semaphore, mpsc};
-use util::http::{Body, Handler, json, stream, text};
+use util::http::{Body, Handler, json, read_json, stream, text};
 
 use crate::engine::{CancelCall, Engine, EngineSpec, State, Submit};
 use crate::faults::TargetFaults;
@@ -342,22 +341,16 @@
     out
 }
 
-async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
-    let limited = Limited::new(request.into_body(), CALL_MAX);
-    let bytes = limited.collect().await.map_err(|e| e.to_string())?.to_bytes();
-    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
-}
-
 impl Handler for TargetServer {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_string();
         let bad = |e: String| text(StatusCode::BAD_REQUEST, e);
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/run") => match body(request).await {
+            (&Method::POST, "/run") => match read_json(request, CALL_MAX).await {
                 Ok(call) => self.run(call).await,
                 Err(e) => bad(e),
             },
-            (&Method::POST, "/cancel") => match body::<Cancel>(request).await {
+            (&Method::POST, "/cancel") => match read_json::<Cancel>(request, CALL_MAX).await {
                 Ok(c) => {
                     if let Some(e) = &self.engine {
                         let _ = e.tell(CancelCall(c.attempt)).await;
@@ -367,11 +360,11 @@
                 Err(e) => bad(e),
             },
             (&Method::GET, "/load") => json(StatusCode::OK, &self.report().await),
-            (&Method::POST, "/order") => match body(request).await {
+            (&Method::POST, "/order") => match read_json(request, CALL_MAX).await {
                 Ok(order) => json(StatusCode::OK, &self.obey(order)),
                 Err(e) => bad(e),
             },
-            (&Method::POST, "/faults") => match body(request).await {
+            (&Method::POST, "/faults") => match read_json(request, CALL_MAX).await {
                 Ok(faults) => {
                     self.set_faults(faults);
                     json(StatusCode::OK, &())
--- a/crates/util/src/http/mod.rs
+++ b/crates/util/src/http/mod.rs
@@ -4,7 +4,9 @@
 mod server;
 
 pub use client::{CallError, CallKind, Client, Lines};
-pub use server::{Body, Handler, Limits, Sender, Server, full, json, rmp, stream, text};
+pub use server::{
+    Body, Handler, Limits, Sender, Server, full, json, read_json, read_rmp, rmp, stream, text,
+};
 
 /// Media type of rmp-serde bodies between our own processes.
 pub const RMP: &str = "application/msgpack";
--- a/crates/util/src/http/server.rs
+++ b/crates/util/src/http/server.rs
@@ -9,13 +9,13 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, channel::Channel};
+use http_body_util::{BodyExt, Full, Limited, channel::Channel};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -122,6 +122,25 @@
     }
 }
 
+/// Reads a whole body of at most `most` bytes.
+async fn read(request: Request<Incoming>, most: usize) -> Result<Bytes, String> {
+    let whole = Limited::new(request.into_body(), most).collect().await;
+    Ok(whole.map_err(|e| e.to_string())?.to_bytes())
+}
+
+/// Reads a JSON body; the error says what is wrong with it.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    most: usize,
+) -> Result<T, String> {
+    serde_json::from_slice(&read(request, most).await?).map_err(|e| e.to_string())
+}
+
+/// Reads an rmp-serde body, if it is one.
+pub async fn read_rmp<T: DeserializeOwned>(request: Request<Incoming>, most: usize) -> Option<T> {
+    rmp_serde::from_slice(&read(request, most).await.ok()?).ok()
+}
+
 /// An answer with a body in one piece.
 pub fn full(status: StatusCode, media: &str, body: impl Into<Bytes>) -> Response<Body> {
     Response::builder()
