--- a/crates/cli/src/cmd/get.rs
+++ b/crates/cli/src/cmd/get.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use model::object::KINDS;
-use platform::Store;
+use store::Store;
 
 use crate::Remote;
 
--- a/crates/cli/src/cmd/watch.rs
+++ b/crates/cli/src/cmd/watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::store::kind;
-use platform::Store;
+use store::Store;
 use tokio::time::Instant;
 
 use crate::Remote;
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use model::object::{Envelope, Spec};
 use model::store::kind;
-use platform::{ErrorKind, HttpStore, Store};
+use store::{ErrorKind, HttpStore, Store};
 use util::http::Client;
 
 /// Tries to read back a write whose answer was lost.
@@ -87,7 +87,7 @@
         name: &str,
         expect: u64,
         nonce: u64,
-        lost: platform::StoreError,
+        lost: store::StoreError,
     ) -> anyhow::Result<Put> {
         for _ in 0..READ_BACK {
             tokio::time::sleep(PAUSE).await;
--- a/crates/control/src/domain.rs
+++ b/crates/control/src/domain.rs
@@ -13,7 +13,7 @@
 use model::order::{Order, Reply};
 use model::status::Fleet;
 use model::store::kind;
-use platform::{Reason, Store};
+use store::{Reason, Store};
 
 use crate::lease::{GetEpoch, Lease};
 use crate::shared::Shared;
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -10,7 +10,7 @@
 use kameo::message::{Context, Message};
 use model::store::kind;
 use model::{Name, Time};
-use platform::{ErrorKind, Reason, Store};
+use store::{ErrorKind, Reason, Store};
 use tokio::sync::watch;
 
 use crate::shared::Shared;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -10,7 +10,7 @@
 use kameo::actor::{ActorRef, Spawn};
 use model::Name;
 use model::member::{Node, NodeId};
-use platform::{Budgeted, HttpHosts, HttpStore};
+use store::{Budgeted, HttpHosts, HttpStore};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -106,8 +106,12 @@
     async fn start(shared: Arc<Shared>, server: Server, socket: UdpSocket) -> Running {
         let start = rand::random::<u64>().max(1);
         let s = &shared.settings;
-        let me =
-            Node { id: NodeId { name: s.name.clone(), start }, address: s.address, entry: s.entry };
+        let me = Node {
+            id: NodeId { name: s.name.clone(), start },
+            address: s.address,
+            entry: s.entry,
+            domain: s.domain.clone(),
+        };
         let holder: Name = format!("{}-{start:x}", s.name).into();
         let config = Config::spawn(shared.clone());
         let membership = Membership::spawn(membership::Args {
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -16,7 +16,7 @@
 use model::status::Status;
 use model::store::{Listing, Stored, kind};
 use model::view::ChunksAsk;
-use platform::{ErrorKind, Reason, Store, StoreError};
+use store::{ErrorKind, Reason, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
 use crate::config::{Config, GetChunks};
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -14,7 +14,7 @@
 use model::load::Report;
 use model::manifest::Manifest;
 use model::store::{Listing, kind};
-use platform::{Reason, Store};
+use store::{Reason, Store};
 
 use crate::config::{self, Config};
 use crate::membership::{self, Membership};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -6,8 +6,8 @@
 use hyper::{Request, Response, StatusCode};
 use kameo::actor::ActorRef;
 use model::view::{ChunksAsk, DeltaAsk, Refusal, View, ViewAsk, path};
-use platform::Reason;
 use serde_json::json;
+use store::Reason;
 use util::http::{Body, Handler, json as json_body, read_rmp, rmp, text};
 
 use crate::config::{Config, GetChunks, GetDelta};
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -8,7 +8,7 @@
 use model::Name;
 use model::member::Node;
 use model::object::Set;
-use platform::{Budgeted, HostList};
+use store::{Budgeted, HostList};
 use util::clock::Clock;
 use util::http::Client;
 
--- /dev/null
+++ b/crates/decide/src/batch/mod.rs
@@ -0,0 +1,11 @@
+//! The batch coordinator of one stage service.
+//!
+//! A call costs the same whatever it carries, so pieces of many requests share
+//! calls. The coordinator knows every call that it has in flight; when a maker is
+//! free it fills a call with what waits, most urgent first. Nothing depends on
+//! there being only one coordinator: pieces may be made twice, and a maker turns
+//! away what it cannot take.
+
+mod coordinator;
+
+pub use coordinator::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
--- /dev/null
+++ b/crates/decide/src/fleet/belief.rs
@@ -0,0 +1,225 @@
+//! Beliefs about targets and what changes them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::forward::{Target, TargetId};
+use model::{Name, Time};
+
+/// How long a target is kept whose entry vanished around an outage of the store.
+const MISSING_KEPT: Duration = Duration::from_millis(1200);
+/// First time for which a failing target is left out.
+const EJECT_FIRST: Duration = Duration::from_millis(400);
+/// Longest time for which a failing target is left out.
+const EJECT_LONGEST: Duration = Duration::from_millis(3200);
+/// Weight of the newest observation in running means.
+const NEWEST: f64 = 0.15;
+/// Share of failures from which on a target is left out now and then.
+const FAILING: f64 = 0.5;
+
+/// What one send to a target brought.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Observation {
+    /// An answer after this time.
+    Answered(Duration),
+    /// The target turned the request away as full.
+    Rejected,
+    /// The target failed the request.
+    Failed,
+    /// The target could not be reached, or its connection broke.
+    Unreachable,
+    /// Another target has the address.
+    Replaced,
+}
+
+/// What is believed of one target.
+#[derive(Debug, Clone)]
+pub struct Belief {
+    /// As discovery reports it.
+    pub target: Target,
+    /// When its entry vanished, if it did.
+    pub missing: Option<Time>,
+    /// Requests of this node at the target now.
+    pub outstanding: u32,
+    /// Prompt tokens of those that wait for their first event.
+    pub prefill: u64,
+    /// Running mean of answer times, in milliseconds.
+    pub mean_ms: f64,
+    /// Running share of failures.
+    pub failing: f64,
+    /// Left out until then.
+    pub ejected: Time,
+    strikes: u32,
+}
+
+impl Belief {
+    fn new(target: Target) -> Self {
+        Belief {
+            target,
+            missing: None,
+            outstanding: 0,
+            prefill: 0,
+            mean_ms: 0.0,
+            failing: 0.0,
+            ejected: Time::ZERO,
+            strikes: 0,
+        }
+    }
+
+    /// Whether new work may go there.
+    pub fn usable(&self, now: Time) -> bool {
+        let kept = self.missing.is_none_or(|since| now.since(since) < MISSING_KEPT);
+        !self.target.draining && kept
+    }
+
+    /// Whether it is left out for its failures.
+    pub fn is_ejected(&self, now: Time) -> bool {
+        now < self.ejected
+    }
+
+    fn eject(&mut self, now: Time) {
+        let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
+        self.ejected = now + time.min(EJECT_LONGEST);
+        self.strikes += 1;
+    }
+}
+
+/// All targets that a node knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    beliefs: BTreeMap<TargetId, Belief>,
+    services: BTreeMap<Name, Vec<TargetId>>,
+}
+
+impl Fleet {
+    /// Belief about one target.
+    pub fn get(&self, id: &TargetId) -> Option<&Belief> {
+        self.beliefs.get(id)
+    }
+
+    /// Targets of a service that may get new work, those left out included.
+    pub fn usable<'a>(&'a self, service: &str, now: Time) -> impl Iterator<Item = &'a Belief> {
+        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().filter_map(|id| self.beliefs.get(id)).filter(move |b| b.usable(now))
+    }
+
+    /// All targets with an entry, for another node that starts.
+    pub fn targets(&self) -> Vec<Target> {
+        let present = self.beliefs.values().filter(|b| b.missing.is_none());
+        present.map(|b| b.target.clone()).collect()
+    }
+
+    /// Count of targets known.
+    pub fn len(&self) -> usize {
+        self.beliefs.len()
+    }
+
+    /// Whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.beliefs.is_empty()
+    }
+
+    /// Takes an entry as it is now; returns whether what is believed changed.
+    pub fn upsert(&mut self, target: Target) -> bool {
+        if let Some(b) = self.beliefs.get_mut(&target.id) {
+            let changed = b.target != target || b.missing.is_some();
+            b.target = target;
+            b.missing = None;
+            return changed;
+        }
+        let ids = self.services.entry(target.service.clone()).or_default();
+        ids.push(target.id.clone());
+        self.beliefs.insert(target.id.clone(), Belief::new(target));
+        true
+    }
+
+    /// An entry is gone. If the store was in doubt the target is kept a while.
+    pub fn vanish(&mut self, id: &TargetId, now: Time, in_doubt: bool) {
+        let Some(b) = self.beliefs.get_mut(id) else {
+            return;
+        };
+        if in_doubt && !b.target.draining {
+            b.missing.get_or_insert(now);
+        } else {
+            self.forget(id);
+        }
+    }
+
+    /// Takes a whole list: what it lacks has vanished.
+    pub fn replace(&mut self, targets: Vec<Target>, now: Time, in_doubt: bool) {
+        let listed: std::collections::BTreeSet<TargetId> =
+            targets.iter().map(|t| t.id.clone()).collect();
+        let lacking: Vec<TargetId> =
+            self.beliefs.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in lacking {
+            self.vanish(&id, now, in_doubt);
+        }
+        for target in targets {
+            self.upsert(target);
+        }
+    }
+
+    /// Forgets targets whose entry vanished long enough ago.
+    pub fn expire(&mut self, now: Time) {
+        let over = |b: &Belief| b.missing.is_some_and(|since| now.since(since) >= MISSING_KEPT);
+        let ids: Vec<TargetId> =
+            self.beliefs.values().filter(|b| over(b)).map(|b| b.target.id.clone()).collect();
+        for id in ids {
+            self.forget(&id);
+        }
+    }
+
+    fn forget(&mut self, id: &TargetId) {
+        let Some(b) = self.beliefs.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.services.get_mut(&b.target.service) {
+            ids.retain(|i| i != id);
+        }
+    }
+
+    /// A request goes to the target, with this many prompt tokens to read.
+    pub fn sent(&mut self, id: &TargetId, tokens: u64) {
+        if let Some(b) = self.beliefs.get_mut(id) {
+            b.outstanding += 1;
+            b.prefill += tokens;
+        }
+    }
+
+    /// The prompt of a request has been read there.
+    pub fn read(&mut self, id: &TargetId, tokens: u64) {
+        if let Some(b) = self.beliefs.get_mut(id) {
+            b.prefill = b.prefill.saturating_sub(tokens);
+        }
+    }
+
+    /// A request is no longer at the target.
+    pub fn done(&mut self, id: &TargetId) {
+        if let Some(b) = self.beliefs.get_mut(id) {
+            b.outstanding = b.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// Takes what a send brought; returns whether the target is now left out.
+    pub fn observe(&mut self, id: &TargetId, what: Observation, now: Time) -> bool {
+        let Some(b) = self.beliefs.get_mut(id) else {
+            return false;
+        };
+        let failed = !matches!(what, Observation::Answered(_) | Observation::Rejected);
+        let share = if failed { 1.0 } else { 0.0 };
+        b.failing += NEWEST * (share - b.failing);
+        match what {
+            Observation::Answered(took) => {
+                let ms = took.as_secs_f64() * 1000.0;
+                b.mean_ms =
+                    if b.mean_ms == 0.0 { ms } else { b.mean_ms + NEWEST * (ms - b.mean_ms) };
+                b.strikes = 0;
+            }
+            Observation::Rejected => {}
+            Observation::Unreachable | Observation::Replaced => b.eject(now),
+            Observation::Failed if b.failing > FAILING => b.eject(now),
+            Observation::Failed => {}
+        }
+        b.is_ejected(now)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/fleet/pick.rs
@@ -0,0 +1,91 @@
+//! Which target gets a request.
+
+use model::forward::{PromptPart, Target, TargetId};
+use model::{Name, Time, hash};
+
+use super::{Belief, Fleet};
+use crate::rng::Rng;
+
+/// What a choice is made for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Failure domain of this node.
+    pub domain: &'a str,
+    /// Targets that the request was sent to before.
+    pub but: &'a [TargetId],
+}
+
+/// The home of a prompt: where its shared parts are most likely kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Home {
+    /// Hash by which targets are ordered.
+    pub key: u64,
+    /// Tokens that are read again elsewhere.
+    pub shared: u64,
+}
+
+/// Tokens in flight above which the next target in the home's order is looked at.
+const SPILL_TOKENS: u64 = 40_000;
+/// Extra milliseconds that a request to another failure domain costs.
+const CROSSING_MS: f64 = 2.0;
+/// Milliseconds assumed of a target that has answered nothing yet.
+const UNKNOWN_MS: f64 = 20.0;
+
+impl Home {
+    /// Home of a prompt: its largest part that other requests share, which is any
+    /// but the last. A prompt of one part has itself as home.
+    pub fn of(prompt: &[PromptPart]) -> Option<Home> {
+        let shared = match prompt {
+            [] => return None,
+            [only] => std::slice::from_ref(only),
+            [shared @ .., _] => shared,
+        };
+        let largest = shared.iter().max_by_key(|p| p.tokens)?;
+        Some(Home { key: largest.id, shared: shared.iter().map(|p| p.tokens).sum() })
+    }
+}
+
+impl Fleet {
+    /// The target with the least expected wait, for services without a cache.
+    pub fn pick_plain(&self, wanted: Wanted<'_>, now: Time, rng: &mut Rng) -> Option<Target> {
+        let mut best: Option<(f64, &Belief)> = None;
+        for b in self.candidates(wanted, now) {
+            let mean = if b.mean_ms > 0.0 { b.mean_ms } else { UNKNOWN_MS };
+            let load = f64::from(b.outstanding) / f64::from(b.target.slots.max(1));
+            let crossing = if *b.target.domain == *wanted.domain { 0.0 } else { CROSSING_MS };
+            let jitter = rng.below(100) as f64 / 100.0;
+            let cost = mean * (1.0 + load) / (1.0 - b.failing).max(0.05) + crossing + jitter;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, b));
+            }
+        }
+        best.map(|(_, b)| b.target.clone())
+    }
+
+    /// The first target in the home's order that is not overloaded, so that all
+    /// nodes find the same one without a message.
+    pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
+        let mut order: Vec<(u64, &Belief)> = self
+            .candidates(wanted, now)
+            .map(|b| (hash::mix(home.key, hash::of(b.target.id.as_bytes())), b))
+            .collect();
+        order.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+        let free = |b: &Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
+        let chosen = order.iter().find(|(_, b)| free(b)).or(order.first());
+        chosen.map(|(_, b)| b.target.clone())
+    }
+
+    /// Usable targets not tried yet; those left out for failures only if no other is.
+    fn candidates<'a>(&'a self, wanted: Wanted<'a>, now: Time) -> impl Iterator<Item = &'a Belief> {
+        let fresh = move |b: &&Belief| !wanted.but.contains(&b.target.id);
+        let sound = self.usable(wanted.service, now).filter(fresh).any(|b| !b.is_ejected(now));
+        self.usable(wanted.service, now).filter(fresh).filter(move |b| !sound || !b.is_ejected(now))
+    }
+
+    /// Failure domain of a target.
+    pub fn domain_of(&self, id: &TargetId) -> Option<&Name> {
+        self.get(id).map(|b| &b.target.domain)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,15 +4,18 @@
 //! test with reordered, lost and doubled events, and under a stepped clock.
 
 pub mod admit;
+pub mod batch;
 pub mod claim;
 pub mod config;
 pub mod deadline;
+pub mod fleet;
 pub mod lease;
 pub mod limit;
 pub mod load;
 pub mod member;
 pub mod place;
 pub mod request;
+pub mod resend;
 pub mod retry;
 pub mod rng;
 pub mod route;
--- /dev/null
+++ b/crates/decide/src/resend/budget.rs
@@ -0,0 +1,77 @@
+//! The budget for repeats of one service, shared by all nodes without a message:
+//! each node keeps to its part of the allowance.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use model::Time;
+
+/// What the budget is drawn from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetTuning {
+    /// Repeats allowed for each request of the window.
+    pub ratio: f64,
+    /// Window.
+    pub window: Duration,
+    /// Repeats that all nodes together may add to that.
+    pub slack: f64,
+}
+
+/// Part of the allowance that is drawn; the rest covers windows that different
+/// nodes see shifted, and repeats that callers of a broken node bring along.
+const DRAWN: f64 = 0.7;
+/// Buckets in one window.
+const BUCKETS: u32 = 20;
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    start: Time,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Repeats of one service at one node.
+#[derive(Debug, Clone)]
+pub struct RepeatBudget {
+    tuning: BudgetTuning,
+    buckets: VecDeque<Bucket>,
+}
+
+impl RepeatBudget {
+    /// An unused budget.
+    pub fn new(tuning: BudgetTuning) -> Self {
+        RepeatBudget { tuning, buckets: VecDeque::new() }
+    }
+
+    /// Counts a request that is sent for the first time.
+    pub fn request(&mut self, now: Time) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one repeat if this node's part, one of `nodes`, still holds one.
+    pub fn take(&mut self, now: Time, nodes: usize) -> bool {
+        self.bucket(now);
+        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
+        let slack = self.tuning.slack / nodes.max(1) as f64;
+        let allowed = (f64::from(requests) * self.tuning.ratio + slack) * DRAWN;
+        if f64::from(repeats + 1) > allowed {
+            return false;
+        }
+        self.bucket(now).repeats += 1;
+        true
+    }
+
+    fn bucket(&mut self, now: Time) -> &mut Bucket {
+        let window = self.tuning.window;
+        while self.buckets.front().is_some_and(|b| now.since(b.start) > window) {
+            self.buckets.pop_front();
+        }
+        let width = window / BUCKETS;
+        let fresh = self.buckets.back().is_none_or(|b| now.since(b.start) >= width);
+        if fresh {
+            self.buckets.push_back(Bucket { start: now, requests: 0, repeats: 0 });
+        }
+        self.buckets.back_mut().expect("a bucket was just pushed if there was none")
+    }
+}
--- /dev/null
+++ b/crates/decide/src/resend/mod.rs
@@ -0,0 +1,11 @@
+//! Whether a forwarded request may be sent to another target, and what its
+//! caller is told if not.
+//!
+//! A request that may run only once is sent again only while it is certain that
+//! no target began to run it; "may have run" is treated as "has run".
+
+mod budget;
+mod verdict;
+
+pub use budget::{BudgetTuning, RepeatBudget};
+pub use verdict::{Ending, Next, Ran, Tries};
--- /dev/null
+++ b/crates/decide/src/resend/verdict.rs
@@ -0,0 +1,99 @@
+//! The verdict after a send that brought no answer to pass on.
+
+use std::time::Duration;
+
+use model::forward::Repeat;
+
+/// Least time that a further send is worth starting with.
+const LEAST_LEFT: Duration = Duration::from_millis(30);
+
+/// What is known of a request's run at the target that it was sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ran {
+    /// No byte was sent, or the target said that it did not run it.
+    No,
+    /// Bytes were sent and nothing certain came back.
+    Maybe,
+}
+
+/// The tries that one request has behind it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tries {
+    /// Whether the request may be run again.
+    pub repeat: Repeat,
+    /// Most targets that may run it.
+    pub most: u32,
+    /// Targets that it reached, those that said they did not run it included.
+    pub reached: u32,
+    /// The surest that is known of all its runs together.
+    pub ran: Ran,
+    /// Whether part of the answer is with the caller already.
+    pub begun: bool,
+}
+
+/// How a request ends that is not sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// It has not run and never will; the caller may come back.
+    NotRun,
+    /// It may have run; nothing is promised.
+    Unknown,
+    /// Its answer has begun and cannot be completed: the connection is broken off.
+    BreakOff,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to another target, from the beginning or from the last event on.
+    Resend,
+    /// End it.
+    End(Ending),
+}
+
+impl Tries {
+    /// Tries of a request that was not sent yet.
+    pub fn new(repeat: Repeat, most: u32) -> Self {
+        Tries { repeat, most: most.max(1), reached: 0, ran: Ran::No, begun: false }
+    }
+
+    /// Notes that a target was reached, and whether it may have run the request.
+    pub fn note(&mut self, ran: Ran) {
+        self.reached += 1;
+        self.ran = self.ran.max(ran);
+    }
+
+    /// How the request ends if it ends now.
+    pub fn ending(&self) -> Ending {
+        match (self.begun, self.ran) {
+            (true, _) => Ending::BreakOff,
+            (false, Ran::No) => Ending::NotRun,
+            (false, Ran::Maybe) => Ending::Unknown,
+        }
+    }
+
+    /// Whether the rules of repetition allow a further send with this time left;
+    /// the budget is asked only then.
+    pub fn may_resend(&self, left: Duration) -> bool {
+        if left < LEAST_LEFT {
+            return false;
+        }
+        if self.ran == Ran::No {
+            return self.reached < self.most.max(REJECTIONS);
+        }
+        let resumable = !self.begun || self.repeat == Repeat::StreamResumable;
+        self.repeat.may_repeat() && resumable && self.reached < self.most
+    }
+
+    /// The verdict, given the time left and whether the budget grants a repeat.
+    pub fn next(&self, left: Duration, granted: impl FnOnce() -> bool) -> Next {
+        let first = self.reached == 0 && left >= LEAST_LEFT;
+        if first || (self.may_resend(left) && granted()) {
+            return Next::Resend;
+        }
+        Next::End(self.ending())
+    }
+}
+
+/// Targets that may reject a request one after the other before it is given up.
+const REJECTIONS: u32 = 2;
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -15,7 +15,7 @@
 use model::store::kind;
 use model::view::path;
 use model::{Name, Time, hash};
-use platform::{Budgeted, ErrorKind, Reason, Store};
+use store::{Budgeted, ErrorKind, Reason, Store};
 use tokio::sync::oneshot;
 use util::clock::{Clock, unix_ms};
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,7 +12,7 @@
 use model::Name;
 use model::member::Node;
 use model::view::{Refusal, path};
-use platform::{Budgeted, HttpStore};
+use store::{Budgeted, HttpStore};
 use tokio::task::JoinHandle;
 use util::clock::Clock;
 use util::http::{Client, Server};
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -9,7 +9,7 @@
 use model::manifest::{Delta, Manifest, NAME};
 use model::store::kind;
 use model::view::{Chunks, ChunksAsk, DeltaAsk, path};
-use platform::{Budgeted, Reason, Store};
+use store::{Budgeted, Reason, Store};
 use util::http::Client;
 
 /// Longest wait for a neighbour.
--- /dev/null
+++ b/crates/forward/src/border.rs
@@ -0,0 +1,139 @@
+//! The border to the system that the node runs in.
+//!
+//! A [`Dialect`] only translates messages: it reads heads and bodies of that
+//! system into this product's types, and writes them. It does no I/O, decides
+//! nothing and remembers nothing.
+
+use hyper::HeaderMap;
+use hyper::http::{request, response};
+use model::Name;
+use model::forward::{CallerHead, Handle, PieceOrder, PieceResult, Rules, Target, TargetId};
+
+/// A message that could not be understood.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+#[displaydoc("{place}: {why}")]
+pub struct Malformed {
+    /// Header, field or message.
+    pub place: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl Malformed {
+    /// Names a place and what is wrong there.
+    pub fn new(place: impl Into<String>, why: impl Into<String>) -> Self {
+        Malformed { place: place.into(), why: why.into() }
+    }
+}
+
+/// What a request is sent on with.
+#[derive(Debug, Clone)]
+pub struct Onward<'a> {
+    /// Milliseconds that the target has.
+    pub left_ms: u64,
+    /// The only start of a target that may run it.
+    pub target: &'a TargetId,
+    /// Workspace of the caller's key.
+    pub workspace: Option<&'a Name>,
+    /// Rank among the target's requests; 0 is the most urgent.
+    pub rank: Option<u8>,
+    /// Handles of the stages' results.
+    pub inputs: &'a [String],
+    /// Event after which a stream is to go on.
+    pub resume_after: Option<u64>,
+}
+
+/// What a target's answer head says.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct AnswerHead {
+    /// Attempt that it answers.
+    pub id: Option<String>,
+    /// The target states that it did not run the request.
+    pub not_run: bool,
+    /// The target is another one than was meant.
+    pub misdirected: bool,
+    /// An input of the request is gone.
+    pub input_gone: bool,
+    /// It carries the target's signature.
+    pub signed: bool,
+    /// The body is a stream of events.
+    pub events: bool,
+}
+
+/// A call with a body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Post {
+    /// Path.
+    pub path: String,
+    /// Media type of the body.
+    pub media: &'static str,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Kind of object that the node follows in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The rules.
+    Rules,
+    /// The targets.
+    Targets,
+}
+
+/// One object of the store, read.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// Rules as they are now.
+    Rules(Box<Rules>),
+    /// A target as it is now.
+    Target(Target),
+    /// The entry of this name is gone.
+    Gone(Name),
+}
+
+/// Part of a list, or the events since a revision.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Page {
+    /// Objects and what became of them, oldest first.
+    pub changes: Vec<Change>,
+    /// Objects that could not be understood.
+    pub malformed: Vec<Malformed>,
+    /// Name to continue a list after, if it is not whole.
+    pub more: Option<Name>,
+    /// Revision to watch from.
+    pub at: u64,
+}
+
+/// Translates between this product and the system that it runs in.
+pub trait Dialect {
+    /// Reads a caller's request head.
+    fn caller(&self, head: &request::Parts) -> Result<CallerHead, Malformed>;
+    /// Headers with which a request goes on to a target.
+    fn onward(&self, head: &HeaderMap, onward: &Onward<'_>) -> HeaderMap;
+    /// Reads a target's answer head.
+    fn answer(&self, head: &response::Parts) -> AnswerHead;
+    /// Headers with which a target's answer goes on to the caller.
+    fn back(&self, head: &HeaderMap) -> HeaderMap;
+    /// Headers of an answer of this node's own; `come_back_ms` tells when to try again.
+    fn own(&self, id: Option<&str>, come_back_ms: Option<u64>) -> HeaderMap;
+    /// Number of a stream's event, if it has one.
+    fn event_number(&self, event: &[u8]) -> Option<u64>;
+    /// A call that makes pieces.
+    fn stage_call(&self, pieces: &[PieceOrder]) -> Post;
+    /// Headers of a call that only one start of a target may take.
+    fn meant_for(&self, target: &TargetId) -> HeaderMap;
+    /// Reads the answer to a call that makes pieces.
+    fn stage_answer(&self, maker: &TargetId, body: &[u8]) -> Result<Vec<PieceResult>, Malformed>;
+    /// A call that frees results at their maker.
+    fn stage_free(&self, handles: &[Handle]) -> Post;
+    /// Path of a list of objects.
+    fn list(&self, kind: Kind, after: Option<&Name>) -> String;
+    /// Path of a watch from a revision on.
+    fn watch(&self, kind: Kind, at: u64, wait_ms: u64) -> String;
+    /// Reads a list.
+    fn page(&self, kind: Kind, body: &[u8]) -> Result<Page, Malformed>;
+    /// Reads the answer to a watch.
+    fn changes(&self, kind: Kind, body: &[u8]) -> Result<Page, Malformed>;
+    /// Path that a balancer asks for readiness at.
+    fn ready_path(&self) -> &str;
+}
--- /dev/null
+++ b/crates/forward/src/ingress/callers.rs
@@ -0,0 +1,75 @@
+//! Accepts callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::node::Node;
+use crate::serve;
+use crate::upstream::guard_socket;
+
+/// Part of the descriptors that callers' connections may take.
+const CALLERS_SHARE: f64 = 0.5;
+/// Least room for a request's head.
+const HEAD_LEAST: usize = 16 << 10;
+/// Time after the start of a stop during which connections are still kept open.
+const KEPT_AT_STOP: Duration = Duration::from_millis(2500);
+
+/// Serves until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let most = (node.settings.descriptors as f64 * CALLERS_SHARE) as usize;
+    let room = std::sync::Arc::new(Semaphore::new(most.max(1)));
+    loop {
+        // Beyond the most, callers wait to be accepted.
+        let permit = room.clone().acquire_owned().await;
+        let Ok((socket, _)) = listener.accept().await else {
+            // Out of descriptors, most likely; let some close.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        guard_socket(&socket);
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            connection(node, socket).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn connection(node: Rc<Node>, socket: TcpStream) {
+    let limits = node.table().rules.limits.clone();
+    // The timer for a head also runs while a kept connection rests.
+    let rest = Duration::from_millis(limits.idle_ms.max(limits.head_ms));
+    let handler = node.clone();
+    let service = service_fn(move |request| {
+        let node = handler.clone();
+        async move { Ok::<_, Infallible>(serve::answer(node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(rest)
+        .max_buf_size(HEAD_LEAST.max(limits.head_bytes) * 2)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    let stopped = tokio::select! {
+        _ = connection.as_mut() => false,
+        () = long_stopped(&node) => true,
+    };
+    if stopped {
+        connection.as_mut().graceful_shutdown();
+        // A caller that breaks off ends its request; there is nobody to tell.
+        let _ = connection.await;
+    }
+}
+
+async fn long_stopped(node: &Node) {
+    node.stopping().await;
+    tokio::time::sleep(KEPT_AT_STOP).await;
+}
--- /dev/null
+++ b/crates/forward/src/node.rs
@@ -0,0 +1,245 @@
+//! The node: its shared state, its start and its planned stop.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use decide::fleet::{Fleet, Observation};
+use decide::resend::RepeatBudget;
+use decide::rng::Rng;
+use model::forward::{Rules, Snapshot, TargetId};
+use model::{Name, Time};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use util::clock::Clock;
+use util::http::Client;
+
+use crate::border::Dialect;
+use crate::events::Event;
+use crate::ingress;
+use crate::peers::{self, Peers};
+use crate::rules::Table;
+use crate::settings::Settings;
+use crate::stages::Pools;
+use crate::watch as store_watch;
+
+/// Time to connect to a peer or the store.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Time during which the balancer may still bring callers to a stopping node.
+const BALANCER_LAG: Duration = Duration::from_millis(2500);
+/// Part of the stop's time kept for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// State that the tasks of a node share.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Translator at the border.
+    pub dialect: Box<dyn Dialect>,
+    /// Steady clock.
+    pub clock: Clock,
+    /// Client for peers and the store.
+    pub client: Client,
+    /// Peers and the coordinators among them.
+    pub peers: Peers,
+    /// Coordinators of stage services at this node.
+    pub pools: Pools,
+    table: RefCell<Rc<Table>>,
+    fleet: RefCell<Fleet>,
+    budgets: RefCell<HashMap<Name, RepeatBudget>>,
+    rng: RefCell<Rng>,
+    store_seen: Cell<Option<Time>>,
+    store_lost: Cell<Option<Time>>,
+    targets_known: Cell<bool>,
+    version: watch::Sender<u64>,
+    stopping: watch::Sender<bool>,
+    open: Cell<usize>,
+}
+
+impl Node {
+    fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
+        Node {
+            settings,
+            dialect,
+            clock: Clock::default(),
+            client: Client::new(CONNECT),
+            peers: Peers::default(),
+            pools: Pools::default(),
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            budgets: RefCell::default(),
+            rng: RefCell::new(Rng::new(rand::random())),
+            store_seen: Cell::new(None),
+            store_lost: Cell::new(None),
+            targets_known: Cell::new(false),
+            version: watch::Sender::new(0),
+            stopping: watch::Sender::new(false),
+            open: Cell::new(0),
+        }
+    }
+
+    /// Time on the steady clock.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The rules in force.
+    pub fn table(&self) -> Rc<Table> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts rules in force if they are newer; returns whether they were.
+    pub fn adopt(&self, rules: Rules, from: &str) -> bool {
+        if rules.version <= self.table.borrow().rules.version {
+            return false;
+        }
+        let (version, routes) = (rules.version, rules.routes.len());
+        *self.table.borrow_mut() = Rc::new(Table::new(rules));
+        Event::Rules { version, from, routes }.emit();
+        self.version.send_replace(version);
+        true
+    }
+
+    /// Tells the version of the rules whenever it rises.
+    pub fn versions(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Uses the fleet for a moment.
+    pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
+        f(&mut self.fleet.borrow_mut())
+    }
+
+    /// Uses the random generator for a moment.
+    pub fn rng<T>(&self, f: impl FnOnce(&mut Rng) -> T) -> T {
+        f(&mut self.rng.borrow_mut())
+    }
+
+    /// Tells the fleet what a send brought.
+    pub fn observe(&self, target: &TargetId, what: Observation, why: &str) {
+        let now = self.now();
+        if self.fleet(|f| f.observe(target, what, now)) {
+            Event::Ejected { target, why }.emit();
+        }
+    }
+
+    /// Counts a first send to a service.
+    pub fn count_request(&self, service: &Name) {
+        let now = self.now();
+        self.budget(service, |b| b.request(now));
+    }
+
+    /// Takes a repeat for a service out of this node's part of the budget.
+    pub fn take_repeat(&self, service: &Name) -> bool {
+        let (now, nodes) = (self.now(), self.peers.most_seen());
+        self.budget(service, |b| b.take(now, nodes))
+    }
+
+    fn budget<T>(&self, service: &Name, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let fresh = || RepeatBudget::new(self.settings.repeats.tuning());
+        f(budgets.entry(service.clone()).or_insert_with(fresh))
+    }
+
+    /// The store answered, or did not.
+    pub fn store_answered(&self, ok: bool) {
+        let now = Some(self.now());
+        let cell = if ok { &self.store_seen } else { &self.store_lost };
+        cell.set(now);
+    }
+
+    /// Whether the store failed to answer within this time.
+    pub fn store_in_doubt(&self, within: Duration) -> bool {
+        self.store_lost.get().is_some_and(|at| self.now().since(at) < within)
+    }
+
+    /// Whether the rules may be older than the store's: nothing was heard of it for long.
+    pub fn rules_may_be_old(&self, within: Duration) -> bool {
+        self.store_seen.get().is_none_or(|at| self.now().since(at) > within)
+    }
+
+    /// The targets have been read once.
+    pub fn know_targets(&self) {
+        self.targets_known.set(true);
+    }
+
+    /// Rules and targets, for a peer that starts.
+    pub fn snapshot(&self) -> Snapshot {
+        let targets = self.fleet(|f| f.targets());
+        Snapshot { rules: self.table().rules.clone(), targets }
+    }
+
+    /// Whether this node wants callers.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().known() && self.targets_known.get() && !self.is_stopping()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Returns once a planned stop has begun.
+    pub async fn stopping(&self) {
+        let mut stopping = self.stopping.subscribe();
+        let _ = stopping.wait_for(|s| *s).await;
+    }
+
+    /// Counts a request as open until the guard goes.
+    pub fn opened(self: &Rc<Self>) -> OpenGuard {
+        self.open.set(self.open.get() + 1);
+        OpenGuard(self.clone())
+    }
+}
+
+/// Counts one open request.
+pub struct OpenGuard(Rc<Node>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Runs a node on this thread until SIGTERM.
+pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("could not start the runtime")?;
+    let node = Rc::new(Node::new(settings, dialect));
+    LocalSet::new().block_on(&runtime, serve(node))
+}
+
+async fn serve(node: Rc<Node>) -> anyhow::Result<()> {
+    let s = &node.settings;
+    Event::Start { node: &s.name, domain: &s.domain }.emit();
+    peers::start(&node).await?;
+    store_watch::start(&node);
+    let callers = ingress::listen(s.callers)?;
+    let readiness = ingress::listen(s.readiness)?;
+    tokio::task::spawn_local(ingress::serve_readiness(node.clone(), readiness));
+    tokio::task::spawn_local(ingress::serve_callers(node.clone(), callers));
+    util::stop::signal().await.context("could not wait for signals")?;
+    stop(&node).await;
+    Ok(())
+}
+
+/// Unready at once; goes on serving what still comes; ends when all is answered.
+async fn stop(node: &Rc<Node>) {
+    let begun = node.now();
+    Event::Stop { open: node.open.get() }.emit();
+    node.stopping.send_replace(true);
+    node.peers.leave();
+    let most = Duration::from_millis(node.settings.stop_ms).saturating_sub(STOP_MARGIN);
+    loop {
+        let passed = node.now().since(begun);
+        let answered = node.open.get() == 0 && node.pools.is_idle();
+        if passed >= most || (passed >= BALANCER_LAG && answered) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/forward/src/peers.rs
@@ -0,0 +1,255 @@
+//! Peers: membership over UDP, and a small HTTP server for the other nodes.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use decide::member::{Action, Event as MemberEvent, Member, Tuning};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use model::forward::{BatchAnswer, BatchOrder, Snapshot};
+use model::member::{Health, Node as PeerNode, NodeId, Packet};
+use model::{Name, hash};
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+use util::http::{Body, read_rmp, rmp, text};
+
+use crate::events::Event;
+use crate::node::Node;
+
+/// Path of batch orders.
+pub const BATCH: &str = "/v1/batch";
+/// Path of rules and targets.
+const SNAPSHOT: &str = "/v1/snapshot";
+/// Largest message of a peer.
+const MESSAGE_MAX: usize = 8 << 20;
+/// Largest datagram.
+const DATAGRAM_MAX: usize = 9000;
+/// Time for a peer to hand over its snapshot.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// An order of pieces, as it goes to a peer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RemoteOrder {
+    /// Pieces.
+    pub order: BatchOrder,
+    /// About the size of one result, in bytes.
+    pub bytes: u64,
+}
+
+/// A peer as the node sees it.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Identity and addresses.
+    pub node: PeerNode,
+    /// A probe of it failed.
+    pub suspect: bool,
+}
+
+/// Peers that are up.
+#[derive(Default)]
+pub struct Peers {
+    up: RefCell<Vec<Peer>>,
+    most: Cell<usize>,
+    commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
+}
+
+impl Peers {
+    /// Most nodes seen up together, this one included.
+    pub fn most_seen(&self) -> usize {
+        self.most.get().max(1)
+    }
+
+    /// Whether this start of a peer is up and not suspected.
+    pub fn is_sound(&self, id: &NodeId) -> bool {
+        self.up.borrow().iter().any(|p| p.node.id == *id && !p.suspect)
+    }
+
+    /// Nodes in the order in which they coordinate `service`; `None` is this node.
+    /// All nodes that agree on the members find the same order.
+    pub fn coordinators(&self, me: &Name, service: &str) -> Vec<Option<PeerNode>> {
+        let key = hash::of(service.as_bytes());
+        let score = |name: &Name| hash::mix(key, hash::of(name.as_bytes()));
+        let up = self.up.borrow();
+        let sound = up.iter().filter(|p| !p.suspect);
+        let mut order: Vec<(u64, Option<PeerNode>)> =
+            sound.map(|p| (score(&p.node.id.name), Some(p.node.clone()))).collect();
+        order.push((score(me), None));
+        order.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        order.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// Tells the peers that this node stops.
+    pub fn leave(&self) {
+        self.command(MemberEvent::Leave);
+    }
+
+    fn command(&self, event: MemberEvent) {
+        if let Some(commands) = &*self.commands.borrow() {
+            let _ = commands.send(event);
+        }
+    }
+
+    fn publish(&self, machine: &Member) {
+        let view = |p: &decide::member::Peer| Peer {
+            node: p.node.clone(),
+            suspect: p.health == Health::Suspect,
+        };
+        let up: Vec<Peer> = machine.peers().map(view).collect();
+        self.most.set(self.most.get().max(up.len() + 1));
+        *self.up.borrow_mut() = up;
+    }
+}
+
+/// Starts membership and the server for peers.
+pub async fn start(node: &Rc<Node>) -> anyhow::Result<()> {
+    let address = node.settings.peer_address();
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("could not take UDP port {address}"))?;
+    let listener = crate::ingress::listen(address)?;
+    let (commands, events) = mpsc::unbounded_channel();
+    *node.peers.commands.borrow_mut() = Some(commands);
+    tokio::task::spawn_local(membership(node.clone(), socket, events));
+    tokio::task::spawn_local(serve(node.clone(), listener));
+    tokio::task::spawn_local(tell_versions(node.clone()));
+    Ok(())
+}
+
+fn tuning() -> Tuning {
+    Tuning {
+        period: Duration::from_millis(400),
+        timeout: Duration::from_millis(120),
+        suspect: Duration::from_millis(600),
+        suspect_most: Duration::from_millis(1200),
+        seek: Duration::from_millis(250),
+        ..Tuning::default()
+    }
+}
+
+async fn tell_versions(node: Rc<Node>) {
+    let mut versions = node.versions();
+    while versions.changed().await.is_ok() {
+        let version = *versions.borrow_and_update();
+        node.peers.command(MemberEvent::Applied(version));
+    }
+}
+
+async fn membership(
+    node: Rc<Node>,
+    socket: UdpSocket,
+    mut commands: mpsc::UnboundedReceiver<MemberEvent>,
+) {
+    let s = &node.settings;
+    let id = NodeId { name: s.name.clone(), start: rand::random::<u64>().max(1) };
+    let address = s.peer_address();
+    let me = PeerNode { id, address, entry: address, domain: s.domain.clone() };
+    let mut machine = Member::new(me, tuning(), rand::random());
+    machine.on(node.now(), MemberEvent::Seeds(s.seed_addresses()));
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let wake = node.clock.instant(machine.next_tick());
+        let event = tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((n, from)) => read_packet(from, &buffer[..n]),
+                // An unreachable peer's ICMP answer shows up here.
+                Err(_) => None,
+            },
+            () = tokio::time::sleep_until(wake) => Some(MemberEvent::Tick),
+            command = commands.recv() => command,
+        };
+        if let Some(event) = event {
+            for action in machine.on(node.now(), event) {
+                act(&node, &socket, action).await;
+            }
+            node.peers.publish(&machine);
+        }
+    }
+}
+
+fn read_packet(from: SocketAddr, bytes: &[u8]) -> Option<MemberEvent> {
+    let packet = rmp_serde::from_slice::<Packet>(bytes).ok()?;
+    Some(MemberEvent::Packet { from, packet })
+}
+
+async fn act(node: &Rc<Node>, socket: &UdpSocket, action: Action) {
+    match action {
+        Action::Send(to, packet) => {
+            let bytes = rmp_serde::to_vec(&packet).expect("packets encode");
+            // A lost datagram is no news; probes are made for it.
+            let _ = socket.send_to(&bytes, to).await;
+        }
+        Action::Heard(number, from) => {
+            tokio::task::spawn_local(fetch(node.clone(), number, from));
+        }
+        Action::Changed(rumor) => {
+            let health = format!("{:?}", rumor.health);
+            Event::Peer { name: &rumor.node.id.name, health: &health }.emit();
+        }
+        Action::Load(_) => {}
+    }
+}
+
+/// Takes newer rules from a peer, and the targets too if none are known yet.
+async fn fetch(node: Rc<Node>, number: u64, from: SocketAddr) {
+    if node.table().rules.version >= number {
+        return;
+    }
+    let peer = from.to_string();
+    let answer: Result<Snapshot, _> = node.client.rmp(&peer, SNAPSHOT, &(), SNAPSHOT_TIMEOUT).await;
+    let Ok(snapshot) = answer else {
+        return;
+    };
+    node.adopt(snapshot.rules, &peer);
+    if !snapshot.targets.is_empty() && node.fleet(|f| f.is_empty()) {
+        let now = node.now();
+        node.fleet(|f| f.replace(snapshot.targets, now, true));
+        node.know_targets();
+    }
+}
+
+async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        crate::upstream::guard_socket(&socket);
+        let node = node.clone();
+        let service = service_fn(move |request| {
+            let node = node.clone();
+            async move { Ok::<_, Infallible>(answer(node, request).await) }
+        });
+        tokio::task::spawn_local(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(None)
+                .serve_connection(TokioIo::new(socket), service);
+            // A peer that goes away is no news here; membership notices.
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        SNAPSHOT => rmp(&node.snapshot()),
+        BATCH => {
+            let Some(RemoteOrder { order, bytes }) = read_rmp(request, MESSAGE_MAX).await else {
+                return text(StatusCode::BAD_REQUEST, "not a batch order");
+            };
+            match node.pools.order(&node, order, bytes).await {
+                Some(results) => rmp(&BatchAnswer { results }),
+                None => text(StatusCode::NOT_FOUND, "no such stage service"),
+            }
+        }
+        _ => text(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/rules.rs
@@ -0,0 +1,74 @@
+//! The rules in force, indexed for look-ups.
+
+use std::collections::HashMap;
+
+use model::forward::{Route, Rules, Service, Workspace};
+use model::{Name, hash};
+
+/// A set of rules and the indexes over it.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// The rules.
+    pub rules: Rules,
+    hosts: HashMap<String, Vec<usize>>,
+    keys: HashMap<String, usize>,
+    services: HashMap<Name, usize>,
+}
+
+impl Table {
+    /// Indexes `rules`.
+    pub fn new(rules: Rules) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (i, route) in rules.routes.iter().enumerate() {
+            hosts.entry(route.host.clone()).or_default().push(i);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|i| std::cmp::Reverse(rules.routes[*i].path_prefix.len()));
+        }
+        let owned = |(i, w): (usize, &Workspace)| {
+            w.keys.iter().map(move |k| (k.clone(), i)).collect::<Vec<_>>()
+        };
+        let keys = rules.workspaces.iter().enumerate().flat_map(owned).collect();
+        let services = rules.services.iter().enumerate();
+        let services = services.map(|(i, s)| (s.name.clone(), i)).collect();
+        Table { rules, hosts, keys, services }
+    }
+
+    /// Whether any rules are known.
+    pub fn known(&self) -> bool {
+        self.rules.version > 0
+    }
+
+    /// The route of a host with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.hosts.get(host)?.iter().map(|i| &self.rules.routes[*i]);
+        routes.into_iter().find(|r| path.starts_with(&r.path_prefix))
+    }
+
+    /// The workspace that holds a key.
+    pub fn workspace(&self, key: &str) -> Option<&Workspace> {
+        self.keys.get(key).map(|i| &self.rules.workspaces[*i])
+    }
+
+    /// A service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name).map(|i| &self.rules.services[*i])
+    }
+}
+
+/// The service that a request goes to: by weight, and always the same for one attempt.
+pub fn choose_service<'a>(route: &'a Route, attempt: &str) -> Option<&'a Name> {
+    let total: u64 = route.split.iter().map(|s| u64::from(s.weight)).sum();
+    if total == 0 {
+        return route.split.first().map(|s| &s.service);
+    }
+    let mut point = hash::of(attempt.as_bytes()) % total;
+    for share in &route.split {
+        let weight = u64::from(share.weight);
+        if point < weight {
+            return Some(&share.service);
+        }
+        point -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/forward/src/serve/admit.rs
@@ -0,0 +1,159 @@
+//! Takes a request in: reads its head and body, finds its route and workspace,
+//! and refuses at once what cannot be served.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decide::retry::COME_BACK;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use model::forward::{CallerHead, Route};
+
+use super::exchange::{Exchange, Request as Taken};
+use super::reply::{self, Body};
+use crate::events::Event;
+use crate::node::Node;
+use crate::rules::{Table, choose_service};
+
+/// Silence of the store after which an unknown route or key may simply be new.
+const RULES_FRESH: Duration = Duration::from_secs(8);
+/// Wait of a caller that names none, in milliseconds, if its route has none either.
+const WAIT_MS: u64 = 30_000;
+
+/// Why a request is refused at once.
+struct Refusal {
+    status: StatusCode,
+    why: &'static str,
+    come_back: Option<Duration>,
+    close: bool,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, why: &'static str) -> Self {
+        Refusal { status, why, come_back: None, close: false }
+    }
+
+    fn come_back(self, after: Duration) -> Self {
+        Refusal { come_back: Some(after), ..self }
+    }
+
+    fn close(self) -> Self {
+        Refusal { close: true, ..self }
+    }
+
+    /// An unknown route or key: refused for good only if the rules are surely fresh.
+    fn unknown(node: &Node, status: StatusCode, why: &'static str) -> Self {
+        if node.rules_may_be_old(RULES_FRESH) {
+            let why = "rules may be out of date";
+            return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, why).come_back(COME_BACK);
+        }
+        Refusal::new(status, why)
+    }
+
+    fn into_response(self, node: &Node, head: &CallerHead) -> Response<Body> {
+        Event::Request {
+            id: &head.id,
+            route: "",
+            version: node.table().rules.version,
+            status: self.status.as_u16(),
+            outcome: "refused",
+            why: self.why,
+            target: "",
+            attempts: 0,
+            stages_ms: 0,
+            took_ms: 0,
+        }
+        .emit();
+        let id = Some(head.id.as_str()).filter(|id| !id.is_empty());
+        let mut response = reply::own(node, self.status, id, self.come_back, self.why);
+        if self.close {
+            reply::close_after(&mut response);
+        }
+        response
+    }
+}
+
+/// Takes a request in, or refuses it.
+pub async fn admit(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Rc<Exchange>, Response<Body>> {
+    let arrived = node.now();
+    let (parts, body) = request.into_parts();
+    let head = node.dialect.caller(&parts).map_err(|e| {
+        let refusal = Refusal::new(StatusCode::BAD_REQUEST, "malformed request").close();
+        log::info!("malformed request: {e}");
+        refusal.into_response(node, &CallerHead::default())
+    })?;
+    let table = node.table();
+    let found = find(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
+    let wait_ms = head.wait_ms.unwrap_or(WAIT_MS).min(found.route.timeout_ms.max(1));
+    let deadline = arrived + Duration::from_millis(wait_ms);
+    let limit = table.rules.limits.body_bytes;
+    let reading = tokio::time::timeout_at(node.clock.instant(deadline), read(body, limit));
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close()),
+    };
+    let body = body.map_err(|r| r.into_response(node, &head))?;
+    let Found { route, service, workspace, rank } = found;
+    let taken = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let version = table.rules.version;
+    Ok(Rc::new(Exchange::new(
+        node.clone(),
+        taken,
+        head,
+        route,
+        service,
+        workspace,
+        rank,
+        version,
+        arrived,
+        deadline,
+    )))
+}
+
+struct Found {
+    route: Route,
+    service: model::Name,
+    workspace: Option<model::Name>,
+    rank: u8,
+}
+
+fn find(node: &Node, table: &Table, head: &CallerHead) -> Result<Found, Refusal> {
+    if !table.known() {
+        let why = "no rules are known yet";
+        return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, why).come_back(COME_BACK));
+    }
+    let route = table
+        .route(&head.host, &head.path)
+        .ok_or_else(|| Refusal::unknown(node, StatusCode::NOT_FOUND, "no such route"))?;
+    let workspace = if table.rules.workspaces.is_empty() || route.open {
+        None
+    } else {
+        let known = head.key.as_deref().and_then(|k| table.workspace(k));
+        let unknown = || Refusal::unknown(node, StatusCode::UNAUTHORIZED, "unknown key");
+        Some(known.ok_or_else(unknown)?)
+    };
+    let service = choose_service(route, &head.id)
+        .ok_or_else(|| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service"))?;
+    let rank = workspace.and_then(|w| w.rank).unwrap_or(route.rank);
+    Ok(Found {
+        route: route.clone(),
+        service: service.clone(),
+        workspace: workspace.map(|w| w.name.clone()),
+        rank,
+    })
+}
+
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => {
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close())
+        }
+        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body is malformed").close()),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/serve/exchange.rs
@@ -0,0 +1,276 @@
+//! The exchange of one request: its stages, its sends, and its final answer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decide::fleet::{Home, Wanted};
+use decide::resend::{Ending, Next, Tries};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use model::forward::{CallerHead, Route, Target, TargetId};
+use model::{Name, Time};
+
+use super::reply::{self, Body};
+use super::send::{Outcome, send};
+use super::stream;
+use crate::events::Event;
+use crate::node::{Node, OpenGuard};
+use crate::stages::{self, Job, Made};
+
+/// Part of a deadline kept for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// When a caller is told to come back to a service that has no free target.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// A request as it was taken in.
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What is known so far of a request's way.
+pub struct Progress {
+    /// Tries.
+    pub tries: Tries,
+    /// Targets not to be chosen again.
+    pub but: Vec<TargetId>,
+    /// The last target.
+    pub target: Option<TargetId>,
+    /// Time that stages took.
+    pub stages: Duration,
+    /// Why the last try brought nothing.
+    pub why: String,
+    ended: bool,
+}
+
+/// One request and what it is served by.
+pub struct Exchange {
+    /// Node.
+    pub node: Rc<Node>,
+    /// The request.
+    pub request: Request,
+    /// What its head says.
+    pub head: CallerHead,
+    /// Route.
+    pub route: Route,
+    /// Service.
+    pub service: Name,
+    /// Workspace of its key.
+    pub workspace: Option<Name>,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When it is given up.
+    pub deadline: Time,
+    version: u64,
+    progress: RefCell<Progress>,
+    _open: OpenGuard,
+}
+
+impl Exchange {
+    /// A request that was taken in.
+    #[expect(clippy::too_many_arguments, reason = "one call site, each named there")]
+    pub fn new(
+        node: Rc<Node>,
+        request: Request,
+        head: CallerHead,
+        route: Route,
+        service: Name,
+        workspace: Option<Name>,
+        rank: u8,
+        version: u64,
+        arrived: Time,
+        deadline: Time,
+    ) -> Self {
+        let tries = Tries::new(route.repeat, route.max_attempts);
+        let progress = Progress {
+            tries,
+            but: Vec::new(),
+            target: None,
+            stages: Duration::ZERO,
+            why: String::new(),
+            ended: false,
+        };
+        let _open = node.opened();
+        Exchange {
+            node,
+            request,
+            head,
+            route,
+            service,
+            workspace,
+            rank,
+            arrived,
+            deadline: deadline - ANSWER_MARGIN,
+            version,
+            progress: RefCell::new(progress),
+            _open,
+        }
+    }
+
+    /// Uses what is known for a moment.
+    pub fn progress<T>(&self, f: impl FnOnce(&mut Progress) -> T) -> T {
+        f(&mut self.progress.borrow_mut())
+    }
+
+    /// Time left until the request is given up.
+    pub fn left(&self) -> Duration {
+        self.deadline.since(self.node.now())
+    }
+
+    /// Time left until the answer's value falls.
+    fn slack(&self) -> Duration {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        (self.arrived + objective).since(self.node.now())
+    }
+
+    /// Serves the request to its end.
+    pub async fn run(self: Rc<Self>) -> Response<Body> {
+        let limit = self.node.clock.instant(self.deadline);
+        match tokio::time::timeout_at(limit, self.clone().serve()).await {
+            Ok(response) => response,
+            Err(_) => {
+                self.progress(|p| p.why = format!("time was over; before: {}", p.why));
+                self.own_ending()
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>) -> Response<Body> {
+        self.node.count_request(&self.service);
+        let mut chosen = self.choose();
+        let mut made = None;
+        if !self.route.stages.is_empty() {
+            match self.make_stages(chosen.as_ref()).await {
+                Ok(m) => made = Some(m),
+                Err(response) => return response,
+            }
+        }
+        loop {
+            let Some(target) = self.next_target(chosen.take()) else {
+                return self.own_ending();
+            };
+            match send(&self, &target, made.as_ref(), None).await {
+                Outcome::Whole { status, headers, body } => {
+                    self.log_end(status.as_u16(), "answered");
+                    return reply::whole(status, headers, body);
+                }
+                Outcome::Stream(begun) => {
+                    // By its first event the target has taken its inputs; only a
+                    // second target would want them again.
+                    let kept = made.filter(|_| self.route.repeat.may_repeat());
+                    return stream::answer(self, *begun, kept);
+                }
+                Outcome::InputGone => match self.make_stages(Some(&target)).await {
+                    Ok(m) => {
+                        made = Some(m);
+                        self.progress(|p| p.but.clear());
+                    }
+                    Err(response) => return response,
+                },
+                Outcome::Nothing => {}
+            }
+        }
+    }
+
+    /// The target that a request is best sent to now.
+    fn choose(&self) -> Option<Target> {
+        let now = self.node.now();
+        let but = self.progress(|p| p.but.clone());
+        let wanted =
+            Wanted { service: &self.service, domain: &self.node.settings.domain, but: &but };
+        match Home::of(&self.head.prompt) {
+            Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
+            None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
+        }
+    }
+
+    /// Whether a target chosen a while ago may still get the request.
+    fn still_usable(&self, target: &Target) -> bool {
+        let now = self.node.now();
+        self.node.fleet(|f| f.get(&target.id).is_some_and(|b| b.usable(now) && !b.is_ejected(now)))
+    }
+
+    /// The next target; `None` if the request is not to be sent again.
+    pub fn next_target(&self, chosen: Option<Target>) -> Option<Target> {
+        let (left, tries) = (self.left(), self.progress(|p| p.tries));
+        let next = tries.next(left, || self.node.take_repeat(&self.service));
+        if next != Next::Resend {
+            return None;
+        }
+        let chosen = chosen.filter(|t| self.still_usable(t)).or_else(|| self.choose());
+        if chosen.is_none() {
+            self.progress(|p| p.why = format!("no target; before: {}", p.why));
+        }
+        chosen
+    }
+
+    async fn make_stages(&self, chosen: Option<&Target>) -> Result<Made, Response<Body>> {
+        let begun = self.node.now();
+        let job = Job {
+            route: &self.route,
+            head: &self.head,
+            near: chosen.map(|t| t.domain.clone()),
+            slack_ms: self.slack().as_millis() as u64,
+            left_ms: self.left().as_millis() as u64,
+            rank: self.rank,
+        };
+        let made = stages::make(&self.node, job).await;
+        let took = self.node.now().since(begun);
+        self.progress(|p| p.stages += took);
+        made.map_err(|e| {
+            self.progress(|p| p.why = e.to_string());
+            self.own_ending()
+        })
+    }
+
+    /// The final answer of a request that no target answered.
+    fn own_ending(&self) -> Response<Body> {
+        let (ending, why) = self.progress(|p| (p.tries.ending(), p.why.clone()));
+        let late = self.left().is_zero();
+        let (status, come_back, outcome) = match ending {
+            Ending::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK), "not_run"),
+            Ending::Unknown | Ending::BreakOff if late => {
+                (StatusCode::GATEWAY_TIMEOUT, None, "unknown")
+            }
+            Ending::Unknown | Ending::BreakOff => (StatusCode::BAD_GATEWAY, None, "unknown"),
+        };
+        self.log_end(status.as_u16(), outcome);
+        reply::own(&self.node, status, Some(&self.head.id), come_back, &why)
+    }
+
+    /// Writes the line of the final answer, once.
+    pub fn log_end(&self, status: u16, outcome: &str) {
+        let mut p = self.progress.borrow_mut();
+        if std::mem::replace(&mut p.ended, true) {
+            return;
+        }
+        Event::Request {
+            id: &self.head.id,
+            route: &self.route.name,
+            version: self.version,
+            status,
+            outcome,
+            why: &p.why,
+            target: p.target.as_deref().unwrap_or_default(),
+            attempts: p.tries.reached,
+            stages_ms: p.stages.as_millis() as u64,
+            took_ms: self.node.now().since(self.arrived).as_millis() as u64,
+        }
+        .emit();
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.log_end(0, "caller_left");
+    }
+}
--- /dev/null
+++ b/crates/forward/src/serve/mod.rs
@@ -0,0 +1,29 @@
+//! One caller's request, from its head to its final answer.
+
+mod admit;
+mod exchange;
+mod reply;
+mod send;
+mod stream;
+
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use crate::node::Node;
+
+pub use reply::Body;
+
+/// Answers one request.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let stopping = node.clone();
+    let mut response = match admit::admit(&node, request).await {
+        Ok(exchange) => exchange.run().await,
+        Err(refusal) => refusal,
+    };
+    if stopping.is_stopping() {
+        reply::close_after(&mut response);
+    }
+    response
+}
--- /dev/null
+++ b/crates/forward/src/serve/send.rs
@@ -0,0 +1,209 @@
+//! One send of a request to one target, and what came of it.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use decide::fleet::Observation;
+use decide::resend::Ran;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{HeaderMap, StatusCode};
+use model::Time;
+use model::forward::{Target, TargetId};
+
+use super::exchange::Exchange;
+use super::stream::{Begun, EventReader, StreamError};
+use crate::border::Onward;
+use crate::events::Event;
+use crate::node::Node;
+use crate::stages::Made;
+use crate::upstream::{self, Answer};
+
+/// Largest answer that is taken in whole.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// What came of a send.
+pub enum Outcome {
+    /// A whole answer to pass on.
+    Whole {
+        /// Status.
+        status: StatusCode,
+        /// Headers.
+        headers: HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+    /// A stream whose first event is there.
+    Stream(Box<Begun>),
+    /// The target did not run it, since an input is gone.
+    InputGone,
+    /// Nothing to pass on; the exchange's progress says what is known.
+    Nothing,
+}
+
+/// Counts a request at a target until it goes.
+pub struct AtTarget {
+    node: Rc<Node>,
+    id: TargetId,
+    unread: u64,
+}
+
+impl AtTarget {
+    fn new(node: &Rc<Node>, id: &TargetId, tokens: u64) -> Self {
+        node.fleet(|f| f.sent(id, tokens));
+        AtTarget { node: node.clone(), id: id.clone(), unread: tokens }
+    }
+
+    /// The prompt has been read.
+    fn read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread);
+        self.node.fleet(|f| f.read(&self.id, tokens));
+    }
+}
+
+impl Drop for AtTarget {
+    fn drop(&mut self) {
+        self.read();
+        self.node.fleet(|f| f.done(&self.id));
+    }
+}
+
+/// Sends the request; `resume_after` is the last event that the caller has.
+pub async fn send(
+    exchange: &Rc<Exchange>,
+    target: &Target,
+    made: Option<&Made>,
+    resume_after: Option<u64>,
+) -> Outcome {
+    let begun = exchange.node.now();
+    exchange.progress(|p| {
+        p.but.push(target.id.clone());
+        p.target = Some(target.id.clone());
+    });
+    let at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in);
+    let request = request_for(exchange, target, made, resume_after);
+    match upstream::send(target.address, request).await {
+        Ok(answer) => take(exchange, target, answer, at_target, begun).await,
+        Err(e) => {
+            let not_sent = e.not_sent();
+            let observed = if not_sent { Observation::Unreachable } else { Observation::Failed };
+            if !not_sent {
+                exchange.progress(|p| p.tries.note(Ran::Maybe));
+            }
+            nothing(exchange, target, observed, begun, e.to_string())
+        }
+    }
+}
+
+fn request_for(
+    exchange: &Exchange,
+    target: &Target,
+    made: Option<&Made>,
+    resume_after: Option<u64>,
+) -> hyper::Request<Full<Bytes>> {
+    let onward = Onward {
+        left_ms: exchange.left().as_millis() as u64,
+        target: &target.id,
+        workspace: exchange.workspace.as_ref(),
+        rank: (!exchange.head.prompt.is_empty()).then_some(exchange.rank),
+        inputs: made.map_or(&[], Made::inputs),
+        resume_after: resume_after.or(exchange.head.last_event),
+    };
+    let taken = &exchange.request;
+    let mut request = hyper::Request::new(Full::new(taken.body.clone()));
+    *request.method_mut() = taken.method.clone();
+    *request.uri_mut() = taken.uri.clone();
+    *request.headers_mut() = exchange.node.dialect.onward(&taken.headers, &onward);
+    request
+}
+
+async fn take(
+    exchange: &Rc<Exchange>,
+    target: &Target,
+    answer: Answer,
+    mut at_target: AtTarget,
+    begun: Time,
+) -> Outcome {
+    let node = &exchange.node;
+    let Answer { response, connection } = answer;
+    let (head, body) = response.into_parts();
+    let said = node.dialect.answer(&head);
+    let failed = |ran, observed, why: String| {
+        exchange.progress(|p| p.tries.note(ran));
+        nothing(exchange, target, observed, begun, why)
+    };
+    if said.id.as_deref() != Some(exchange.head.id.as_str()) && !said.not_run && !said.misdirected {
+        return failed(Ran::Maybe, Observation::Failed, "answer to another request".into());
+    }
+    if said.misdirected {
+        return failed(Ran::No, Observation::Replaced, "another target has the address".into());
+    }
+    if said.not_run && said.input_gone {
+        exchange.progress(|p| p.tries.note(Ran::No));
+        return Outcome::InputGone;
+    }
+    if said.not_run {
+        let why = format!("turned away with {}", head.status);
+        return failed(Ran::No, Observation::Rejected, why);
+    }
+    if head.status.is_success() && !said.signed {
+        return failed(Ran::Maybe, Observation::Failed, "answer without signature".into());
+    }
+    if head.status.is_success() && said.events {
+        let mut reader = EventReader::new(body, connection);
+        let first = match reader.next().await {
+            Ok(Some(first)) => first,
+            Ok(None) => {
+                let why = StreamError::Empty.to_string();
+                return failed(Ran::Maybe, Observation::Failed, why);
+            }
+            Err(e) => return failed(Ran::Maybe, Observation::Failed, e.to_string()),
+        };
+        exchange.progress(|p| p.tries.note(Ran::Maybe));
+        node.observe(&target.id, Observation::Answered(node.now().since(begun)), "");
+        at_target.read();
+        let headers = node.dialect.back(&head.headers);
+        let begun = Begun { status: head.status, headers, reader, first, at_target };
+        return Outcome::Stream(Box::new(begun));
+    }
+    let body = match Limited::new(body, ANSWER_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            let why = format!("answer broke off: {e}");
+            return failed(Ran::Maybe, Observation::Failed, why);
+        }
+    };
+    drop(connection);
+    exchange.progress(|p| p.tries.note(Ran::Maybe));
+    let took = node.now().since(begun);
+    let headers = node.dialect.back(&head.headers);
+    let status = head.status;
+    if status.is_server_error() {
+        let why = format!("status {status}");
+        let outcome = nothing(exchange, target, Observation::Failed, begun, why);
+        let tries = exchange.progress(|p| p.tries);
+        let again = tries.may_resend(exchange.left());
+        // The answer is passed on where a further send would end in nothing better.
+        return if again { outcome } else { Outcome::Whole { status, headers, body } };
+    }
+    node.observe(&target.id, Observation::Answered(took), "");
+    Outcome::Whole { status, headers, body }
+}
+
+fn nothing(
+    exchange: &Exchange,
+    target: &Target,
+    observed: Observation,
+    begun: Time,
+    why: String,
+) -> Outcome {
+    let node = &exchange.node;
+    let after_ms = node.now().since(begun).as_millis() as u64;
+    let ran = match exchange.progress(|p| p.tries.ran) {
+        Ran::No => "no",
+        Ran::Maybe => "maybe",
+    };
+    Event::Attempt { id: &exchange.head.id, target: &target.id, ran, why: &why, after_ms }.emit();
+    node.observe(&target.id, observed, &why);
+    exchange.progress(|p| p.why = why);
+    Outcome::Nothing
+}
--- /dev/null
+++ b/crates/forward/src/serve/stream.rs
@@ -0,0 +1,186 @@
+//! Streams of events: passed on one whole event at a time, taken up at another
+//! target where the route allows it, broken off visibly otherwise.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::exchange::Exchange;
+use super::reply::Body;
+use super::send::{AtTarget, Outcome, send};
+use crate::stages::Made;
+use crate::upstream::Connection;
+
+/// Largest event.
+const EVENT_MAX: usize = 1 << 20;
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Why a stream did not go on.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum StreamError {
+    /// stream broke: {0}
+    Broke(hyper::Error),
+    /// stream ended within an event
+    Torn,
+    /// stream ended before its first event
+    Empty,
+    /// an event is too large
+    TooLarge,
+    /// no event came in time
+    Late,
+}
+
+/// Reads whole events.
+pub struct EventReader {
+    body: Incoming,
+    buffer: BytesMut,
+    _connection: Connection,
+}
+
+impl EventReader {
+    /// Reads a target's answer.
+    pub fn new(body: Incoming, connection: Connection) -> Self {
+        EventReader { body, buffer: BytesMut::new(), _connection: connection }
+    }
+
+    /// The next event with its end; `None` once the stream has ended as it should.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
+        loop {
+            if let Some(n) = find_end(&self.buffer) {
+                return Ok(Some(self.buffer.split_to(n).freeze()));
+            }
+            if self.buffer.len() > EVENT_MAX {
+                return Err(StreamError::TooLarge);
+            }
+            match self.body.frame().await {
+                None if self.buffer.is_empty() => return Ok(None),
+                None => return Err(StreamError::Torn),
+                Some(Err(e)) => return Err(StreamError::Broke(e)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Length of the first whole event, its end included.
+fn find_end(buffer: &[u8]) -> Option<usize> {
+    let at = buffer.windows(EVENT_END.len()).position(|w| w == EVENT_END)?;
+    Some(at + EVENT_END.len())
+}
+
+/// A stream whose head and first event are there.
+pub struct Begun {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Reader of the rest.
+    pub reader: EventReader,
+    /// First event.
+    pub first: Bytes,
+    /// Counts the request at its target.
+    pub at_target: AtTarget,
+}
+
+struct Relay {
+    exchange: Rc<Exchange>,
+    reader: EventReader,
+    first: Option<Bytes>,
+    last_event: Option<u64>,
+    made: Option<Made>,
+    at_target: AtTarget,
+    over: bool,
+}
+
+/// The answer that passes a begun stream on.
+pub fn answer(exchange: Rc<Exchange>, begun: Begun, made: Option<Made>) -> Response<Body> {
+    let Begun { status, headers, reader, first, at_target } = begun;
+    exchange.progress(|p| p.tries.begun = true);
+    let last_event = exchange.head.last_event;
+    let relay =
+        Relay { exchange, reader, first: Some(first), last_event, made, at_target, over: false };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let item = relay.step().await?;
+        Some((item.map(Frame::data), relay))
+    });
+    let body: Body = Box::pin(StreamBody::new(frames));
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+impl Relay {
+    /// The next event for the caller; an error breaks the connection off.
+    async fn step(&mut self) -> Option<io::Result<Bytes>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            match self.next().await {
+                Ok(Some(event)) => {
+                    let number = self.exchange.node.dialect.event_number(&event);
+                    self.last_event = number.or(self.last_event);
+                    return Some(Ok(event));
+                }
+                Ok(None) => {
+                    self.over = true;
+                    self.exchange.log_end(200, "streamed");
+                    return None;
+                }
+                Err(e) => {
+                    let why = e.to_string();
+                    self.exchange.progress(|p| p.why = why);
+                    if !self.resume().await {
+                        self.over = true;
+                        self.exchange.log_end(200, "broken_off");
+                        return Some(Err(io::Error::other(e)));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        let limit = self.exchange.node.clock.instant(self.exchange.deadline);
+        match tokio::time::timeout_at(limit, self.reader.next()).await {
+            Ok(read) => read,
+            Err(_) => Err(StreamError::Late),
+        }
+    }
+
+    /// Takes the stream up at another target after the last event; returns whether it goes on.
+    async fn resume(&mut self) -> bool {
+        let limit = self.exchange.node.clock.instant(self.exchange.deadline);
+        loop {
+            let Some(target) = self.exchange.next_target(None) else {
+                return false;
+            };
+            let sending = send(&self.exchange, &target, self.made.as_ref(), self.last_event);
+            match tokio::time::timeout_at(limit, sending).await {
+                Ok(Outcome::Stream(begun)) => {
+                    let Begun { reader, first, at_target, .. } = *begun;
+                    self.reader = reader;
+                    self.first = Some(first);
+                    self.at_target = at_target;
+                    return true;
+                }
+                Ok(Outcome::Nothing) => {}
+                Ok(_) | Err(_) => return false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of a forwarding node.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use decide::resend::BudgetTuning;
+use model::Name;
+use serde::Deserialize;
+use util::settings::{BadValue, Check, Logs};
+
+/// Settings file of `pumicevale-node`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the node.
+    pub name: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Address of the host.
+    pub address: IpAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Port, TCP and UDP, that every node keeps for its peers.
+    pub peer_port: u16,
+    /// Addresses of some nodes; only the hosts are used.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The store that holds rules and targets.
+    pub store: SocketAddr,
+    /// Milliseconds within which a stop must be over.
+    pub stop_ms: u64,
+    /// Repeats of requests.
+    pub repeats: Repeats,
+    /// Connections held by one process, callers' and targets' together.
+    #[serde(default = "descriptors")]
+    pub descriptors: usize,
+    /// Logging.
+    #[serde(default)]
+    pub logs: Logs,
+}
+
+/// The budget that all nodes share for repeats of one service.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Repeats {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Window, in seconds.
+    pub window_s: f64,
+    /// Repeats that all nodes together may add.
+    pub slack: f64,
+}
+
+fn descriptors() -> usize {
+    4096
+}
+
+impl Repeats {
+    /// As the budget machine takes it.
+    pub fn tuning(&self) -> BudgetTuning {
+        BudgetTuning {
+            ratio: self.ratio,
+            window: Duration::from_secs_f64(self.window_s),
+            slack: self.slack,
+        }
+    }
+}
+
+impl Settings {
+    /// Where peers reach this node, UDP and TCP.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.peer_port)
+    }
+
+    /// Where the seeds are reached.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let hosts = self.seeds.iter().map(|s| SocketAddr::new(s.ip(), self.peer_port));
+        hosts.filter(|s| s.ip() != self.address).collect()
+    }
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), BadValue> {
+        if self.name.is_empty() {
+            return Err(BadValue::new("name", "is empty; give the node's name"));
+        }
+        if self.domain.is_empty() {
+            return Err(BadValue::new("domain", "is empty; give the failure domain's name"));
+        }
+        if self.peer_port == 0 {
+            return Err(BadValue::new("peer_port", "is 0; give the port that all nodes share"));
+        }
+        if !(0.0..=1.0).contains(&self.repeats.ratio) {
+            return Err(BadValue::new("repeats.ratio", "is not within 0 to 1"));
+        }
+        if !self.repeats.window_s.is_finite() || self.repeats.window_s <= 0.0 {
+            return Err(BadValue::new("repeats.window_s", "is not a time above 0"));
+        }
+        if !self.repeats.slack.is_finite() || self.repeats.slack < 0.0 {
+            return Err(BadValue::new("repeats.slack", "is below 0"));
+        }
+        if self.stop_ms < 1000 {
+            return Err(BadValue::new("stop_ms", "is below 1000; streams need time to end"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/forward/src/stages/mod.rs
@@ -0,0 +1,10 @@
+//! Batched stages: the coordinators that run at this node, the orders of this
+//! node's requests, and the freeing of results.
+
+mod free;
+mod order;
+mod plan;
+mod runner;
+
+pub use plan::{Job, Made, make};
+pub use runner::Pools;
--- /dev/null
+++ b/crates/forward/src/stages/runner.rs
@@ -0,0 +1,243 @@
+//! Drives the coordinator machines of this node: makes their calls, keeps their
+//! time and answers their orders.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
+use decide::fleet::Observation;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, header};
+use model::Name;
+use model::forward::{BatchOrder, PieceResult, StagePool, Target};
+use tokio::sync::oneshot;
+
+use super::free::Freer;
+use crate::node::Node;
+use crate::upstream::{self, Answer};
+
+/// Time between looks at late orders and makers that are back.
+const TICK: Duration = Duration::from_millis(40);
+/// Time beyond a call's expected one before it is given up.
+const CALL_SLACK: Duration = Duration::from_millis(1500);
+/// Largest answer to a call.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// The coordinators at this node.
+#[derive(Default)]
+pub struct Pools {
+    runners: RefCell<HashMap<Name, Rc<Runner>>>,
+    /// Frees results.
+    pub freer: Freer,
+}
+
+impl Pools {
+    /// Makes the pieces of an order; `None` if its service makes no pieces.
+    pub async fn order(
+        &self,
+        node: &Rc<Node>,
+        order: BatchOrder,
+        bytes: u64,
+    ) -> Option<Vec<PieceResult>> {
+        let runner = self.runner(node, &order.service)?;
+        Some(runner.order(node, order, bytes).await)
+    }
+
+    /// Whether no order is open.
+    pub fn is_idle(&self) -> bool {
+        self.runners.borrow().values().all(|r| r.machine.borrow().open() == 0)
+    }
+
+    fn runner(&self, node: &Node, service: &Name) -> Option<Rc<Runner>> {
+        let table = node.table();
+        let pool = table.service(service)?.pool.clone()?;
+        let mut runners = self.runners.borrow_mut();
+        let fresh = || Rc::new(Runner::new(service.clone(), pool.clone()));
+        let runner = runners.entry(service.clone()).or_insert_with(fresh).clone();
+        runner.machine.borrow_mut().set_pool(pool);
+        Some(runner)
+    }
+}
+
+struct Runner {
+    service: Name,
+    machine: RefCell<Coordinator>,
+    waiting: RefCell<HashMap<OrderId, oneshot::Sender<Vec<PieceResult>>>>,
+    next: Cell<OrderId>,
+    ticking: Cell<bool>,
+}
+
+/// Cancels an order that nobody waits for any more.
+struct OrderGuard {
+    runner: Rc<Runner>,
+    node: Rc<Node>,
+    id: OrderId,
+}
+
+impl Drop for OrderGuard {
+    fn drop(&mut self) {
+        if self.runner.waiting.borrow_mut().remove(&self.id).is_some() {
+            self.runner.feed(&self.node, Event::Cancel(self.id));
+        }
+    }
+}
+
+impl Runner {
+    fn new(service: Name, pool: StagePool) -> Self {
+        Runner {
+            service,
+            machine: RefCell::new(Coordinator::new(pool)),
+            waiting: RefCell::default(),
+            next: Cell::new(1),
+            ticking: Cell::new(false),
+        }
+    }
+
+    async fn order(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        order: BatchOrder,
+        bytes: u64,
+    ) -> Vec<PieceResult> {
+        let id = self.next.replace(self.next.get() + 1);
+        let n = order.pieces.len();
+        let (tell, told) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, tell);
+        let _guard = OrderGuard { runner: self.clone(), node: node.clone(), id };
+        self.feed(node, Event::Order(id, order, bytes));
+        self.start_ticking(node);
+        told.await.unwrap_or_else(|_| vec![PieceResult::Failed; n])
+    }
+
+    /// Lets the machine take an event, with the makers as they are right now.
+    fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
+        let now = node.now();
+        let mut machine = self.machine.borrow_mut();
+        let mut actions = machine.on(now, Event::Makers(self.makers(node)));
+        actions.extend(machine.on(now, event));
+        drop(machine);
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn makers(&self, node: &Node) -> Vec<MakerInfo> {
+        let now = node.now();
+        let info = |t: &Target| MakerInfo { id: t.id.clone(), domain: t.domain.clone() };
+        node.fleet(|f| f.usable(&self.service, now).map(|b| info(&b.target)).collect())
+    }
+
+    fn act(self: &Rc<Self>, node: &Rc<Node>, action: Action) {
+        match action {
+            Action::Start(call) => {
+                tokio::task::spawn_local(run_call(self.clone(), node.clone(), call));
+            }
+            Action::Answer(id, results) => {
+                if let Some(tell) = self.waiting.borrow_mut().remove(&id)
+                    && let Err(unheard) = tell.send(results)
+                {
+                    node.pools.freer.push(node, made(unheard));
+                }
+            }
+            Action::Free(handles) => node.pools.freer.push(node, handles),
+        }
+    }
+
+    fn start_ticking(self: &Rc<Self>, node: &Rc<Node>) {
+        if self.ticking.replace(true) {
+            return;
+        }
+        let (runner, node) = (self.clone(), node.clone());
+        tokio::task::spawn_local(async move {
+            while runner.machine.borrow().open() > 0 {
+                tokio::time::sleep(TICK).await;
+                runner.feed(&node, Event::Tick);
+            }
+            runner.ticking.set(false);
+        });
+    }
+}
+
+fn made(results: Vec<PieceResult>) -> Vec<model::forward::Handle> {
+    let handle = |r| match r {
+        PieceResult::Made(h) => Some(h),
+        _ => None,
+    };
+    results.into_iter().filter_map(handle).collect()
+}
+
+async fn run_call(runner: Rc<Runner>, node: Rc<Node>, call: Call) {
+    let number = call.number;
+    let end = make_call(&runner, &node, call).await;
+    runner.feed(&node, Event::Ended(number, end));
+}
+
+async fn make_call(runner: &Runner, node: &Rc<Node>, call: Call) -> CallEnd {
+    let Some(address) = node.fleet(|f| f.get(&call.maker).map(|b| b.target.address)) else {
+        return CallEnd::Failed;
+    };
+    let post = node.dialect.stage_call(&call.pieces);
+    let mut request = Request::post(post.path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, post.media)
+        .body(Full::new(Bytes::from(post.body)))
+        .expect("path and media type are valid");
+    request.headers_mut().extend(node.dialect.meant_for(&call.maker));
+    let begun = node.now();
+    let timeout = runner.patience(node, call.pieces.len());
+    let sent = tokio::time::timeout(timeout, upstream::send(address, request)).await;
+    let (end, observed, why) = match sent {
+        Err(_) => (CallEnd::Failed, Observation::Failed, "call took too long".to_string()),
+        Ok(Err(e)) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
+        Ok(Err(e)) => (CallEnd::Failed, Observation::Failed, e.to_string()),
+        Ok(Ok(answer)) => {
+            let took = node.now().since(begun);
+            read_answer(node, &call, answer, took).await
+        }
+    };
+    if !why.is_empty() {
+        log::info!("batch: call {} at {}: {why}", call.number, call.maker);
+    }
+    node.observe(&call.maker, observed, &why);
+    end
+}
+
+async fn read_answer(
+    node: &Rc<Node>,
+    call: &Call,
+    answer: Answer,
+    took: Duration,
+) -> (CallEnd, Observation, String) {
+    let (head, body) = answer.response.into_parts();
+    let said = node.dialect.answer(&head);
+    if said.misdirected {
+        return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
+    }
+    if said.not_run {
+        return (CallEnd::Full, Observation::Rejected, String::new());
+    }
+    if !head.status.is_success() {
+        return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
+    }
+    let body = match Limited::new(body, ANSWER_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return (CallEnd::Failed, Observation::Failed, e.to_string()),
+    };
+    match node.dialect.stage_answer(&call.maker, &body) {
+        Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
+        Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
+    }
+}
+
+impl Runner {
+    /// Time after which a call is given up.
+    fn patience(&self, node: &Node, pieces: usize) -> Duration {
+        let table = node.table();
+        let pool = table.service(&self.service).and_then(|s| s.pool.as_ref());
+        let ms = pool.map_or(0.0, |p| p.call_ms + p.item_ms * pieces as f64);
+        Duration::from_secs_f64(2.0 * ms / 1000.0) + CALL_SLACK
+    }
+}
--- /dev/null
+++ b/crates/forward/src/upstream.rs
@@ -0,0 +1,98 @@
+//! One request to one target over a connection of its own.
+//!
+//! A fresh connection makes two things certain: a failure before it is up means
+//! that nothing was sent, and no byte of an earlier answer can be taken for this one.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Time to connect; a target that is up answers within a round trip.
+const CONNECT: Duration = Duration::from_millis(150);
+/// Time after which unanswered bytes or probes end a connection.
+const SILENCE: Duration = Duration::from_millis(2000);
+/// Rest after which a waiting connection is probed, and time between probes.
+const PROBE: Duration = Duration::from_secs(1);
+/// Largest head of a target's answer.
+const HEAD_MAX: usize = 64 << 10;
+
+/// Why no answer head came.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum SendError {
+    /// could not connect to {0}: {1}
+    Connect(SocketAddr, io::Error),
+    /// {0} took no connection in time
+    ConnectTimeout(SocketAddr),
+    /// connection to {0} broke: {1}
+    Broke(SocketAddr, hyper::Error),
+}
+
+impl SendError {
+    /// Whether it is certain that no byte was sent.
+    pub fn not_sent(&self) -> bool {
+        !matches!(self, SendError::Broke(..))
+    }
+}
+
+/// Ends the connection when it goes.
+pub struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A target's answer; its connection lives as long as this does.
+pub struct Answer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// The connection.
+    pub connection: Connection,
+}
+
+/// Sets what makes a dead or cut-off peer show within seconds.
+pub fn guard_socket(socket: &TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let socket = SockRef::from(socket);
+    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(SILENCE));
+}
+
+/// Connects to a target.
+async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
+    match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(socket)) => Ok(socket),
+        Ok(Err(e)) => Err(SendError::Connect(address, e)),
+        Err(_) => Err(SendError::ConnectTimeout(address)),
+    }
+}
+
+/// Sends a request and waits for the answer's head. Dropping the future ends the connection.
+pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+    let socket = connect(address).await?;
+    guard_socket(&socket);
+    let broke = |e| SendError::Broke(address, e);
+    let handshake = http1::Builder::new()
+        .max_buf_size(HEAD_MAX)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(socket));
+    let (mut sender, connection) = handshake.await.map_err(broke)?;
+    let task = tokio::task::spawn_local(async move {
+        // Its errors reach the sender or the body.
+        let _ = connection.await;
+    });
+    let connection = Connection(task.abort_handle());
+    let response = sender.send_request(request).await.map_err(broke)?;
+    Ok(Answer { response, connection })
+}
--- /dev/null
+++ b/crates/model/src/forward/batch.rs
@@ -0,0 +1,79 @@
+//! Orders of pieces between forwarding nodes.
+//!
+//! A node sends the pieces of one request's stage to the batch coordinator of the
+//! stage's service, which fills calls with pieces of many requests.
+
+use serde::{Deserialize, Serialize};
+
+use super::TargetId;
+use crate::Name;
+
+/// A result that rests at its maker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handle {
+    /// Target that made and keeps it.
+    pub maker: TargetId,
+    /// What the maker calls it.
+    pub text: String,
+}
+
+/// What a piece is made from.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StageInput {
+    /// A key; for stages that come after no other.
+    Key(String),
+    /// Handles of earlier results.
+    Handles(Vec<String>),
+}
+
+/// One piece to be made.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceOrder {
+    /// Attempt that the piece belongs to.
+    pub attempt: String,
+    /// Position of the stage in its route.
+    pub stage: usize,
+    /// Position of the piece in its stage.
+    pub piece: u32,
+    /// Milliseconds left, if the maker is to know.
+    pub left_ms: Option<u64>,
+    /// What it is made from.
+    pub input: StageInput,
+}
+
+/// All pieces of one request's stage, ordered together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchOrder {
+    /// Service that makes them.
+    pub service: Name,
+    /// Pieces.
+    pub pieces: Vec<PieceOrder>,
+    /// Milliseconds until the first event is due.
+    pub slack_ms: u64,
+    /// Milliseconds until the request ends unanswered.
+    pub left_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Failure domain near which results are wanted, if large.
+    pub near: Option<Name>,
+}
+
+/// What became of one piece.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PieceResult {
+    /// Made.
+    Made(Handle),
+    /// An input is gone; the stage before must be made again.
+    InputGone,
+    /// Its time was over.
+    Late,
+    /// No maker could make it.
+    Failed,
+}
+
+/// Answer to a [`BatchOrder`], in its order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchAnswer {
+    /// Results.
+    pub results: Vec<PieceResult>,
+}
--- /dev/null
+++ b/crates/model/src/forward/mod.rs
@@ -0,0 +1,17 @@
+//! What the forwarding node works by: the rules in force, the targets that
+//! exist, and the messages between forwarding nodes.
+//!
+//! A forwarded request passes through a pipeline unaltered: its optional batched
+//! stages run first, then one target answers and its bytes go to the caller.
+
+mod batch;
+mod caller;
+mod rules;
+mod target;
+
+pub use batch::{BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput};
+pub use caller::{CallerHead, PromptPart};
+pub use rules::{
+    Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
+};
+pub use target::{Snapshot, Target, TargetId};
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod claim;
+pub mod forward;
 pub mod hash;
 pub mod key;
 pub mod lease;
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -27,6 +27,8 @@
     pub address: SocketAddr,
     /// Where its entry node takes messages of other entry nodes.
     pub entry: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
 }
 
 /// What is believed of a node; later variants win at the same incarnation.
--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -8,9 +8,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use model::Name;
 use model::store::Written;
-use platform::HostState;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use store::HostState;
 use tokio::sync::Notify;
 use util::http::{Body, Handler, json, read_json, text};
 
