An answer of 503 promises what is certain; late in a stop no new connections

LOST: a node that was stopping still accepted connections 6.6 s after SIGTERM (the balancer falls back to all nodes of a zone). Change: a send counts from the moment its connection is up; the listener closes 2.5 s into a stop. Tests: decide/tests/resend.rs, the first failed to compile before.

--- a/crates/decide/src/resend/verdict.rs
+++ b/crates/decide/src/resend/verdict.rs
@@ -27,6 +27,8 @@
     pub reached: u32,
     /// The surest that is known of all its runs together.
     pub ran: Ran,
+    /// Whether a send is under way, so that bytes may be at a target.
+    pub under_way: bool,
     /// Whether part of the answer is with the caller already.
     pub begun: bool,
 }
@@ -54,21 +56,34 @@
 impl Tries {
     /// Tries of a request that was not sent yet.
     pub fn new(repeat: Repeat, most: u32) -> Self {
-        Tries { repeat, most: most.max(1), reached: 0, ran: Ran::No, begun: false }
+        Tries {
+            repeat,
+            most: most.max(1),
+            reached: 0,
+            ran: Ran::No,
+            under_way: false,
+            begun: false,
+        }
     }
 
-    /// Notes that a target was reached, and whether it may have run the request.
-    pub fn note(&mut self, ran: Ran) {
+    /// A connection to a target is up, and bytes go to it from now on.
+    pub fn connected(&mut self) {
         self.reached += 1;
+        self.under_way = true;
+    }
+
+    /// Notes whether the target that was reached may have run the request.
+    pub fn note(&mut self, ran: Ran) {
+        self.under_way = false;
         self.ran = self.ran.max(ran);
     }
 
     /// How the request ends if it ends now.
     pub fn ending(&self) -> Ending {
-        match (self.begun, self.ran) {
-            (true, _) => Ending::BreakOff,
-            (false, Ran::No) => Ending::NotRun,
-            (false, Ran::Maybe) => Ending::Unknown,
+        match (self.begun, self.ran, self.under_way) {
+            (true, _, _) => Ending::BreakOff,
+            (false, Ran::No, false) => Ending::NotRun,
+            (false, _, _) => Ending::Unknown,
         }
     }
 
--- /dev/null
+++ b/crates/decide/tests/resend.rs
@@ -0,0 +1,99 @@
+//! When a forwarded request may be sent again, and what its end promises.
+
+use std::time::Duration;
+
+use decide::resend::{BudgetTuning, Ending, Next, Ran, RepeatBudget, Tries};
+use model::Time;
+use model::forward::Repeat;
+
+const LEFT: Duration = Duration::from_millis(500);
+
+fn tries(repeat: Repeat, most: u32, seen: &[Ran]) -> Tries {
+    let mut tries = Tries::new(repeat, most);
+    for ran in seen {
+        tries.connected();
+        tries.note(*ran);
+    }
+    tries
+}
+
+#[test]
+fn a_request_that_may_run_once_is_resent_only_if_it_certainly_did_not_run() {
+    use Ran::{Maybe, No};
+    let cases: &[(Repeat, u32, &[Ran], Next)] = &[
+        (Repeat::Once, 1, &[], Next::Resend),
+        (Repeat::Once, 1, &[No], Next::Resend),
+        (Repeat::Once, 3, &[Maybe], Next::End(Ending::Unknown)),
+        (Repeat::Once, 3, &[No, Maybe], Next::End(Ending::Unknown)),
+        (Repeat::StreamOnce, 3, &[Maybe], Next::End(Ending::Unknown)),
+        (Repeat::Idempotent, 2, &[Maybe], Next::Resend),
+        (Repeat::Idempotent, 1, &[Maybe], Next::End(Ending::Unknown)),
+        (Repeat::Idempotent, 2, &[Maybe, Maybe], Next::End(Ending::Unknown)),
+        (Repeat::StreamResumable, 2, &[Maybe], Next::Resend),
+        (Repeat::Once, 1, &[No, No], Next::End(Ending::NotRun)),
+        (Repeat::Idempotent, 2, &[No, No], Next::End(Ending::NotRun)),
+    ];
+    for (repeat, most, seen, wanted) in cases {
+        let next = tries(*repeat, *most, seen).next(LEFT, || true);
+        assert_eq!(next, *wanted, "{repeat:?}, at most {most}, after {seen:?}");
+    }
+}
+
+#[test]
+fn a_send_under_way_may_have_run() {
+    let mut tries = Tries::new(Repeat::Once, 1);
+    assert_eq!(tries.ending(), Ending::NotRun);
+    tries.connected();
+    assert_eq!(tries.ending(), Ending::Unknown, "bytes may be at the target");
+    tries.note(Ran::No);
+    assert_eq!(tries.ending(), Ending::NotRun, "the target said that it did not run it");
+}
+
+#[test]
+fn a_begun_answer_is_broken_off_or_resumed() {
+    let mut once = tries(Repeat::StreamOnce, 3, &[Ran::Maybe]);
+    once.begun = true;
+    assert_eq!(once.next(LEFT, || true), Next::End(Ending::BreakOff));
+    let mut resumable = tries(Repeat::StreamResumable, 3, &[Ran::Maybe]);
+    resumable.begun = true;
+    assert_eq!(resumable.next(LEFT, || true), Next::Resend);
+}
+
+#[test]
+fn no_repeat_without_budget_or_time() {
+    let tried = tries(Repeat::Idempotent, 2, &[Ran::Maybe]);
+    assert_eq!(tried.next(LEFT, || false), Next::End(Ending::Unknown));
+    assert_eq!(tried.next(Duration::ZERO, || true), Next::End(Ending::Unknown));
+    let first = Tries::new(Repeat::Once, 1);
+    assert_eq!(first.next(LEFT, || false), Next::Resend, "a first send needs no budget");
+}
+
+/// Nine nodes whose every request fails and is repeated while the budget allows.
+#[test]
+fn summed_repeats_of_all_nodes_stay_within_the_shared_budget() {
+    let (ratio, slack, nodes) = (0.2, 58.0, 9);
+    let window = Duration::from_secs(10);
+    let tuning = BudgetTuning { ratio, window, slack };
+    let mut budgets = vec![RepeatBudget::new(tuning); nodes];
+    let mut sent: Vec<(Time, bool)> = Vec::new();
+    for ms in (0..40_000).step_by(20) {
+        let now = Time::from_millis(ms);
+        let node = (ms / 20) as usize % nodes;
+        budgets[node].request(now);
+        sent.push((now, false));
+        for _ in 0..2 {
+            if budgets[node].take(now, nodes) {
+                sent.push((now, true));
+            }
+        }
+    }
+    for end in (10_000..40_000).step_by(500) {
+        let end = Time::from_millis(end);
+        let within: Vec<_> =
+            sent.iter().filter(|(t, _)| *t <= end && end.since(*t) < window).collect();
+        let repeats = within.iter().filter(|(_, r)| *r).count() as f64;
+        let requests = within.len() as f64 - repeats;
+        assert!(repeats <= requests * ratio + slack, "{repeats} repeats of {requests} requests");
+        assert!(repeats > 0.0, "the budget is there to be used");
+    }
+}
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -21,14 +21,18 @@
 /// Time after the start of a stop during which connections are still kept open.
 const KEPT_AT_STOP: Duration = Duration::from_millis(2500);
 
-/// Serves until the process ends.
+/// Serves until a stop is well under way; from then on new connections are refused.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let most = (node.settings.descriptors as f64 * CALLERS_SHARE) as usize;
     let room = std::sync::Arc::new(Semaphore::new(most.max(1)));
     loop {
         // Beyond the most, callers wait to be accepted.
         let permit = room.clone().acquire_owned().await;
-        let Ok((socket, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = long_stopped(&node) => return,
+        };
+        let Ok((socket, _)) = accepted else {
             // Out of descriptors, most likely; let some close.
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -80,16 +80,19 @@
         p.target = Some(target.id.clone());
     });
     let at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in);
+    let socket = match upstream::connect(target.address).await {
+        Ok(socket) => socket,
+        Err(e) => {
+            return nothing(exchange, target, Observation::Unreachable, begun, e.to_string());
+        }
+    };
+    exchange.progress(|p| p.tries.connected());
     let request = request_for(exchange, target, made, resume_after);
-    match upstream::send(target.address, request).await {
+    match upstream::send_over(socket, target.address, request).await {
         Ok(answer) => take(exchange, target, answer, at_target, begun).await,
         Err(e) => {
-            let not_sent = e.not_sent();
-            let observed = if not_sent { Observation::Unreachable } else { Observation::Failed };
-            if !not_sent {
-                exchange.progress(|p| p.tries.note(Ran::Maybe));
-            }
-            nothing(exchange, target, observed, begun, e.to_string())
+            exchange.progress(|p| p.tries.note(Ran::Maybe));
+            nothing(exchange, target, Observation::Failed, begun, e.to_string())
         }
     }
 }
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -71,7 +71,7 @@
 }
 
 /// Connects to a target.
-async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
+pub async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
     match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
         Ok(Ok(socket)) => Ok(socket),
         Ok(Err(e)) => Err(SendError::Connect(address, e)),
@@ -79,9 +79,19 @@
     }
 }
 
-/// Sends a request and waits for the answer's head. Dropping the future ends the connection.
+/// Connects, sends a request and waits for the answer's head.
 pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
     let socket = connect(address).await?;
+    send_over(socket, address, request).await
+}
+
+/// Sends a request over a new connection and waits for the answer's head.
+/// Dropping the future ends the connection.
+pub async fn send_over(
+    socket: TcpStream,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, SendError> {
     guard_socket(&socket);
     let broke = |e| SendError::Broke(address, e);
     let handshake = http1::Builder::new()
