Batches split orders, keep them to a failure domain, and respect makers' room

Ruled out: wrong choice of domain for the 3 MB results (the log shows them near). Change: orders are split over calls, begun ones first; an order belongs to the domain where its inputs lie or its first call went; room is tracked by frees that go through the coordinator; rank goes before slack, hopeless orders last.

--- /dev/null
+++ b/crates/decide/src/batch/makers.rs
@@ -0,0 +1,154 @@
+//! Makers: their calls, their failures and their room for results.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::forward::{Handle, StagePool, TargetId};
+use model::{Name, Time};
+
+use super::types::{CallEnd, MakerInfo};
+
+/// First time for which a failing maker is left out.
+const EJECT_FIRST: Duration = Duration::from_millis(300);
+/// Longest time for which a failing maker is left out.
+const EJECT_LONGEST: Duration = Duration::from_millis(2400);
+/// Time for which a maker that was full is left out.
+const FULL: Duration = Duration::from_millis(60);
+/// Part of a maker's room that is used; sizes are known only roughly.
+const ROOM_USED: f64 = 0.9;
+
+#[derive(Debug)]
+struct Kept {
+    bytes: u64,
+    made: Time,
+}
+
+#[derive(Debug)]
+struct Maker {
+    domain: Name,
+    calls: u32,
+    present: bool,
+    ejected: Time,
+    strikes: u32,
+    in_flight: u64,
+    kept: BTreeMap<String, Kept>,
+}
+
+impl Maker {
+    fn new(domain: Name) -> Self {
+        Maker {
+            domain,
+            calls: 0,
+            present: true,
+            ejected: Time::ZERO,
+            strikes: 0,
+            in_flight: 0,
+            kept: BTreeMap::new(),
+        }
+    }
+
+    fn works(&self, now: Time) -> bool {
+        self.present && self.ejected <= now
+    }
+
+    fn kept_bytes(&self) -> u64 {
+        self.kept.values().map(|k| k.bytes).sum()
+    }
+}
+
+/// A maker that can take a call now.
+#[derive(Debug, Clone)]
+pub(super) struct Free {
+    pub(super) id: TargetId,
+    pub(super) domain: Name,
+    /// Bytes of results for which there is room.
+    pub(super) room: u64,
+}
+
+/// All makers that the coordinator was told of.
+#[derive(Debug, Default)]
+pub(super) struct Makers(BTreeMap<TargetId, Maker>);
+
+impl Makers {
+    /// Takes the makers as they are; those gone stay while they have calls.
+    pub(super) fn set(&mut self, makers: Vec<MakerInfo>) {
+        for m in self.0.values_mut() {
+            m.present = false;
+        }
+        for MakerInfo { id, domain } in makers {
+            self.0.entry(id).or_insert_with(|| Maker::new(domain)).present = true;
+        }
+        self.forget_idle();
+    }
+
+    fn forget_idle(&mut self) {
+        self.0.retain(|_, m| m.present || m.calls > 0);
+    }
+
+    /// Failure domains that have a working maker.
+    pub(super) fn domains(&self, now: Time) -> Vec<Name> {
+        let working = self.0.values().filter(|m| m.works(now));
+        let mut domains: Vec<Name> = working.map(|m| m.domain.clone()).collect();
+        domains.dedup();
+        domains
+    }
+
+    /// Makers that can take a call now, those with most room first.
+    pub(super) fn free(&mut self, pool: &StagePool, now: Time) -> Vec<Free> {
+        let whole = (pool.room_mb * 1e6 * ROOM_USED) as u64;
+        let keep = Duration::from_millis(pool.keep_ms);
+        let mut free = Vec::new();
+        for (id, m) in &mut self.0 {
+            if !m.works(now) || m.calls >= pool.slots.max(1) {
+                continue;
+            }
+            m.kept.retain(|_, k| now.since(k.made) < keep);
+            let room = whole.saturating_sub(m.kept_bytes() + m.in_flight);
+            free.push(Free { id: id.clone(), domain: m.domain.clone(), room });
+        }
+        free.sort_by_key(|f| std::cmp::Reverse(f.room));
+        free
+    }
+
+    /// A call starts at a maker, whose results will take this many bytes.
+    pub(super) fn started(&mut self, id: &TargetId, bytes: u64) {
+        if let Some(m) = self.0.get_mut(id) {
+            m.calls += 1;
+            m.in_flight += bytes;
+        }
+    }
+
+    /// A call ended at a maker.
+    pub(super) fn ended(&mut self, id: &TargetId, bytes: u64, end: &CallEnd, now: Time) {
+        if let Some(m) = self.0.get_mut(id) {
+            m.calls = m.calls.saturating_sub(1);
+            m.in_flight = m.in_flight.saturating_sub(bytes);
+            match end {
+                CallEnd::Answered(_) => m.strikes = 0,
+                CallEnd::Full => m.ejected = now + FULL,
+                CallEnd::Failed => {
+                    let time = EJECT_FIRST * 2u32.pow(m.strikes.min(3));
+                    m.ejected = now + time.min(EJECT_LONGEST);
+                    m.strikes += 1;
+                }
+            }
+        }
+        self.forget_idle();
+    }
+
+    /// A result rests at its maker from now on.
+    pub(super) fn kept(&mut self, handle: &Handle, bytes: u64, now: Time) {
+        if let Some(m) = self.0.get_mut(&handle.maker) {
+            m.kept.insert(handle.text.clone(), Kept { bytes, made: now });
+        }
+    }
+
+    /// Results no longer take room.
+    pub(super) fn freed(&mut self, handles: &[Handle]) {
+        for handle in handles {
+            if let Some(m) = self.0.get_mut(&handle.maker) {
+                m.kept.remove(&handle.text);
+            }
+        }
+    }
+}
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -1,11 +1,15 @@
 //! The batch coordinator of one stage service.
 //!
 //! A call costs the same whatever it carries, so pieces of many requests share
-//! calls. The coordinator knows every call that it has in flight; when a maker is
-//! free it fills a call with what waits, most urgent first. Nothing depends on
-//! there being only one coordinator: pieces may be made twice, and a maker turns
-//! away what it cannot take.
+//! calls. The coordinator knows every call that it has in flight and what room
+//! each maker has left; when a maker is free it fills a call with what waits, most
+//! urgent first. Nothing depends on there being only one coordinator: pieces may
+//! be made twice, and a maker turns away what it cannot take.
 
 mod coordinator;
+mod makers;
+mod orders;
+mod types;
 
-pub use coordinator::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
+pub use coordinator::Coordinator;
+pub use types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
--- /dev/null
+++ b/crates/decide/src/batch/orders.rs
@@ -0,0 +1,100 @@
+//! Orders: what of them waits, how urgent they are, and where they may be made.
+
+use std::time::Duration;
+
+use model::forward::{BatchOrder, PieceResult, StagePool};
+use model::{Name, Time};
+
+/// Bytes above which an order stays in the failure domain that it belongs to.
+const LARGE: u64 = 1 << 20;
+/// Slack below which an urgent order may be made elsewhere after all.
+const SPILL_SLACK: Duration = Duration::from_millis(150);
+/// Ranks up to this one may be made elsewhere for want of time.
+const SPILL_RANK: u8 = 1;
+
+/// Key by which orders are taken; the least goes first.
+pub(super) type Urgency = (bool, bool, bool, u8, Duration);
+
+/// One order that is not answered yet.
+#[derive(Debug)]
+pub(super) struct Order {
+    pub(super) order: BatchOrder,
+    pub(super) waiting: Vec<usize>,
+    pub(super) results: Vec<Option<PieceResult>>,
+    pub(super) failures: u32,
+    arrived: Time,
+    home: Option<Name>,
+}
+
+impl Order {
+    pub(super) fn new(order: BatchOrder, now: Time) -> Self {
+        let n = order.pieces.len();
+        Order {
+            order,
+            waiting: (0..n).collect(),
+            results: vec![None; n],
+            failures: 0,
+            arrived: now,
+            home: None,
+        }
+    }
+
+    /// Time until the stage must be over for the request to be in time.
+    fn slack(&self, now: Time) -> Duration {
+        Duration::from_millis(self.order.slack_ms).saturating_sub(now.since(self.arrived))
+    }
+
+    /// Whether the request is given up by now.
+    pub(super) fn is_over(&self, now: Time) -> bool {
+        now.since(self.arrived) >= Duration::from_millis(self.order.left_ms)
+    }
+
+    fn least_time(&self, pool: &StagePool) -> Duration {
+        let ms = pool.call_ms + pool.item_ms * self.waiting.len() as f64;
+        Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    }
+
+    /// Begun orders first, then those that this failure domain is meant for, those
+    /// that can still be in time, the higher ranks, the least slack.
+    pub(super) fn urgency(&self, domain: &str, pool: &StagePool, now: Time) -> Urgency {
+        let begun = self.waiting.len() < self.results.len();
+        let slack = self.slack(now);
+        let hopeless = slack < self.least_time(pool);
+        (!begun, hopeless, !self.is_meant_for(domain), self.order.rank, slack)
+    }
+
+    fn is_meant_for(&self, domain: &str) -> bool {
+        self.home.as_ref().or(self.order.near.as_ref()).is_some_and(|d| **d == *domain)
+    }
+
+    /// Whether a call at a maker in `domain` suits this order.
+    pub(super) fn suits(
+        &self,
+        domain: &str,
+        working: &[Name],
+        pool: &StagePool,
+        now: Time,
+    ) -> bool {
+        let (bound, bytes) = match &self.home {
+            Some(home) => (Some(home), self.order.spread_bytes),
+            None => (self.order.near.as_ref(), self.order.moved_bytes),
+        };
+        let Some(bound) = bound else {
+            return true;
+        };
+        let pressed = self.slack(now) < self.least_time(pool) + SPILL_SLACK;
+        **bound == *domain
+            || bytes < LARGE
+            || !working.contains(bound)
+            || (pressed && self.order.rank <= SPILL_RANK)
+    }
+
+    /// Takes up to `most` waiting pieces for a call in `domain`.
+    pub(super) fn take(&mut self, most: usize, domain: &Name) -> Vec<usize> {
+        let some = self.waiting.len().min(most);
+        if some > 0 {
+            self.home.get_or_insert_with(|| domain.clone());
+        }
+        self.waiting.drain(..some).collect()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/batch/types.rs
@@ -0,0 +1,66 @@
+//! What a batch coordinator hears and wants done.
+
+use model::Name;
+use model::forward::{BatchOrder, Handle, PieceOrder, PieceResult, TargetId};
+
+/// Number of an order at this coordinator.
+pub type OrderId = u64;
+
+/// A maker as the coordinator is told of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MakerInfo {
+    /// Target.
+    pub id: TargetId,
+    /// Failure domain.
+    pub domain: Name,
+}
+
+/// What the coordinator hears.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Pieces are ordered.
+    Order(OrderId, BatchOrder),
+    /// Nobody waits for an order any more.
+    Cancel(OrderId),
+    /// A call came to an end.
+    Ended(u64, CallEnd),
+    /// Makers that may get calls.
+    Makers(Vec<MakerInfo>),
+    /// Results are no longer wanted and are being freed.
+    Freed(Vec<Handle>),
+    /// Time passed.
+    Tick,
+}
+
+/// How a call came to an end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The maker answered for each piece.
+    Answered(Vec<PieceResult>),
+    /// The maker was full and did nothing.
+    Full,
+    /// The maker could not be reached, or gave no usable answer.
+    Failed,
+}
+
+/// A call to be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Number.
+    pub number: u64,
+    /// Maker.
+    pub maker: TargetId,
+    /// Pieces.
+    pub pieces: Vec<PieceOrder>,
+}
+
+/// What the coordinator wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Make a call.
+    Start(Call),
+    /// Answer an order.
+    Answer(OrderId, Vec<PieceResult>),
+    /// Results that nobody waits for: free them.
+    Free(Vec<Handle>),
+}
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -24,7 +24,16 @@
     /// A request was sent to a target and brought no answer to pass on.
     Attempt { id: &'a str, target: &'a str, ran: &'a str, why: &'a str, after_ms: u64 },
     /// A stage of a request ended.
-    Stage { id: &'a str, stage: usize, service: &'a str, pieces: usize, made: bool, took_ms: u64 },
+    Stage {
+        id: &'a str,
+        stage: usize,
+        service: &'a str,
+        pieces: usize,
+        near: &'a str,
+        elsewhere: usize,
+        made: bool,
+        took_ms: u64,
+    },
     /// A request got its final answer.
     Request {
         id: &'a str,
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use model::forward::{BatchAnswer, BatchOrder, Snapshot};
+use model::forward::{BatchAnswer, BatchOrder, Handle, Snapshot};
 use model::member::{Health, Node as PeerNode, NodeId, Packet};
 use model::{Name, hash};
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,8 @@
 
 /// Path of batch orders.
 pub const BATCH: &str = "/v1/batch";
+/// Path of results to be freed.
+pub const FREE: &str = "/v1/free";
 /// Path of rules and targets.
 const SNAPSHOT: &str = "/v1/snapshot";
 /// Largest message of a peer.
@@ -35,13 +37,13 @@
 /// Time for a peer to hand over its snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// An order of pieces, as it goes to a peer.
+/// Results that a peer's coordinator made and that are no longer wanted.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct RemoteOrder {
-    /// Pieces.
-    pub order: BatchOrder,
-    /// About the size of one result, in bytes.
-    pub bytes: u64,
+pub struct RemoteFree {
+    /// Service.
+    pub service: Name,
+    /// Results.
+    pub handles: Vec<Handle>,
 }
 
 /// A peer as the node sees it.
@@ -242,14 +244,21 @@
     match request.uri().path() {
         SNAPSHOT => rmp(&node.snapshot()),
         BATCH => {
-            let Some(RemoteOrder { order, bytes }) = read_rmp(request, MESSAGE_MAX).await else {
+            let Some(order) = read_rmp::<BatchOrder>(request, MESSAGE_MAX).await else {
                 return text(StatusCode::BAD_REQUEST, "not a batch order");
             };
-            match node.pools.order(&node, order, bytes).await {
+            match node.pools.order(&node, order).await {
                 Some(results) => rmp(&BatchAnswer { results }),
                 None => text(StatusCode::NOT_FOUND, "no such stage service"),
             }
         }
+        FREE => {
+            let Some(RemoteFree { service, handles }) = read_rmp(request, MESSAGE_MAX).await else {
+                return text(StatusCode::BAD_REQUEST, "not results to free");
+            };
+            node.pools.free(&node, &service, handles);
+            rmp(&())
+        }
         _ => text(StatusCode::NOT_FOUND, "no such path"),
     }
 }
--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -1,59 +1,90 @@
-//! Frees results at their makers, a few at a time.
+//! Frees results: through the coordinator that made them, which so knows what
+//! room its makers have, or straight at their makers if it is gone.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, header};
+use model::Name;
 use model::forward::{Handle, TargetId};
 
 use crate::node::Node;
+use crate::peers::{FREE, RemoteFree};
 use crate::upstream;
 
-/// Time during which results of one maker are gathered into one call.
-const GATHER: Duration = Duration::from_millis(40);
+/// Time during which results of one maker or coordinator are gathered into one call.
+const GATHER: Duration = Duration::from_millis(30);
 /// Time for the call; a result that is not freed runs out by itself.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Results to be freed, by maker.
+/// Where results are freed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Place {
+    Maker(TargetId),
+    Coordinator(SocketAddr, Name),
+}
+
+/// Results to be freed.
 #[derive(Default)]
-pub struct Freer(RefCell<BTreeMap<TargetId, Vec<Handle>>>);
+pub struct Freer(RefCell<HashMap<Place, Vec<Handle>>>);
 
 impl Freer {
-    /// Frees results soon.
-    pub fn push(&self, node: &Rc<Node>, handles: Vec<Handle>) {
+    /// Frees results at their makers soon.
+    pub fn at_makers(&self, node: &Rc<Node>, handles: Vec<Handle>) {
         for handle in handles {
-            let maker = handle.maker.clone();
-            let mut waiting = self.0.borrow_mut();
-            let first = !waiting.contains_key(&maker);
-            waiting.entry(maker.clone()).or_default().push(handle);
-            if first {
-                tokio::task::spawn_local(flush(node.clone(), maker));
-            }
+            self.push(node, Place::Maker(handle.maker.clone()), vec![handle]);
         }
     }
 
-    fn take(&self, maker: &TargetId) -> Vec<Handle> {
-        self.0.borrow_mut().remove(maker).unwrap_or_default()
+    /// Frees results through the coordinator of `service` at a peer soon.
+    pub fn at_peer(&self, node: &Rc<Node>, peer: SocketAddr, service: &Name, h: Vec<Handle>) {
+        self.push(node, Place::Coordinator(peer, service.clone()), h);
+    }
+
+    fn push(&self, node: &Rc<Node>, place: Place, handles: Vec<Handle>) {
+        let mut waiting = self.0.borrow_mut();
+        if !waiting.contains_key(&place) {
+            tokio::task::spawn_local(flush(node.clone(), place.clone()));
+        }
+        waiting.entry(place).or_default().extend(handles);
+    }
+
+    fn take(&self, place: &Place) -> Vec<Handle> {
+        self.0.borrow_mut().remove(place).unwrap_or_default()
     }
 }
 
-async fn flush(node: Rc<Node>, maker: TargetId) {
+async fn flush(node: Rc<Node>, place: Place) {
     tokio::time::sleep(GATHER).await;
-    let handles = node.pools.freer.take(&maker);
-    let Some(address) = node.fleet(|f| f.get(&maker).map(|b| b.target.address)) else {
+    let handles = node.pools.freer.take(&place);
+    match place {
+        Place::Maker(maker) => free_at_maker(&node, &maker, &handles).await,
+        Place::Coordinator(peer, service) => {
+            let peer = peer.to_string();
+            let message = RemoteFree { service, handles };
+            if node.client.rmp::<_, ()>(&peer, FREE, &message, TIMEOUT).await.is_err() {
+                node.pools.freer.at_makers(&node, message.handles);
+            }
+        }
+    }
+}
+
+async fn free_at_maker(node: &Rc<Node>, maker: &TargetId, handles: &[Handle]) {
+    let Some(address) = node.fleet(|f| f.get(maker).map(|b| b.target.address)) else {
         return;
     };
-    let post = node.dialect.stage_free(&handles);
+    let post = node.dialect.stage_free(handles);
     let mut request = Request::post(post.path)
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, post.media)
         .body(Full::new(Bytes::from(post.body)))
         .expect("path and media type are valid");
-    request.headers_mut().extend(node.dialect.meant_for(&maker));
+    request.headers_mut().extend(node.dialect.meant_for(maker));
     // What is not freed runs out at its maker by itself.
     let _ = tokio::time::timeout(TIMEOUT, upstream::send(address, request)).await;
 }
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -1,5 +1,6 @@
 //! Makes all stages of one request, each as soon as those before it are made.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_util::StreamExt;
@@ -9,10 +10,13 @@
     BatchOrder, CallerHead, Handle, PieceOrder, PieceResult, Route, Stage, StageInput,
 };
 
-use super::order;
+use super::order::{self, Placed};
 use crate::events::Event;
 use crate::node::Node;
 
+/// Time, in milliseconds, that an engine is expected to take to its first event.
+const FIRST_EVENT_MS: u64 = 100;
+
 /// Why stages could not be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum StageError {
@@ -29,10 +33,18 @@
 /// Results that a request's target takes as inputs; freed when this goes.
 pub struct Made {
     node: Rc<Node>,
-    kept: Vec<Vec<Handle>>,
+    kept: Vec<Kept>,
     inputs: Vec<String>,
 }
 
+/// Results of one stage that still rest at their makers.
+#[derive(Default)]
+struct Kept {
+    handles: Vec<Handle>,
+    service: Name,
+    peer: Option<SocketAddr>,
+}
+
 impl Made {
     /// Handles of the stages that no other stage comes after.
     pub fn inputs(&self) -> &[String] {
@@ -40,9 +52,14 @@
     }
 
     fn release(&mut self, stage: usize) {
-        let handles = std::mem::take(&mut self.kept[stage]);
-        if !handles.is_empty() {
-            self.node.pools.freer.push(&self.node, handles);
+        let Kept { handles, service, peer } = std::mem::take(&mut self.kept[stage]);
+        if handles.is_empty() {
+            return;
+        }
+        let pools = &self.node.pools;
+        match peer {
+            Some(peer) => pools.freer.at_peer(&self.node, peer, &service, handles),
+            None => pools.free(&self.node, &service, handles),
         }
     }
 }
@@ -75,7 +92,8 @@
 pub async fn make(node: &Rc<Node>, job: Job<'_>) -> Result<Made, StageError> {
     let stages = &job.route.stages;
     let n = stages.len();
-    let mut made = Made { node: node.clone(), kept: vec![Vec::new(); n], inputs: Vec::new() };
+    let kept = (0..n).map(|_| Kept::default()).collect();
+    let mut made = Made { node: node.clone(), kept, inputs: Vec::new() };
     let mut done = vec![false; n];
     let mut started = vec![false; n];
     let mut running = FuturesUnordered::new();
@@ -88,20 +106,20 @@
             started[i] = true;
             let passed = node.now().since(begun).as_millis() as u64;
             match order_of(&job, i, &made.kept, passed, node)? {
-                Some(order) => running.push(make_stage(node, i, order, stages[i].bytes)),
+                Some(order) => running.push(make_stage(node, i, order)),
                 None => done[i] = true,
             }
         }
         if done.iter().all(|d| *d) {
             break;
         }
-        let Some((i, results)) = running.next().await else {
+        let Some((i, placed)) = running.next().await else {
             if started.iter().all(|s| *s) {
                 break;
             }
             continue;
         };
-        keep(&mut made, i, results)?;
+        keep(&mut made.kept[i], &stages[i].service, placed)?;
         done[i] = true;
         for before in &stages[i].after {
             if dependents(stages, *before).all(|d| done[d]) {
@@ -110,7 +128,7 @@
         }
     }
     let last = (0..n).filter(|i| dependents(stages, *i).next().is_none());
-    made.inputs = last.flat_map(|i| made.kept[i].iter().map(|h| h.text.clone())).collect();
+    made.inputs = last.flat_map(|i| made.kept[i].handles.iter().map(|h| h.text.clone())).collect();
     Ok(made)
 }
 
@@ -120,11 +138,13 @@
     stages.iter().enumerate().filter(after).map(|(i, _)| i)
 }
 
-fn keep(made: &mut Made, stage: usize, results: Vec<PieceResult>) -> Result<(), StageError> {
+fn keep(kept: &mut Kept, service: &Name, placed: Placed) -> Result<(), StageError> {
+    kept.service = service.clone();
+    kept.peer = placed.peer;
     let mut failed = None;
-    for result in results {
+    for result in placed.results {
         match result {
-            PieceResult::Made(handle) => made.kept[stage].push(handle),
+            PieceResult::Made(handle) => kept.handles.push(handle),
             PieceResult::Late => failed = Some(StageError::Late),
             PieceResult::InputGone => failed = Some(StageError::InputGone),
             PieceResult::Failed => failed = Some(StageError::Failed),
@@ -137,21 +157,22 @@
 fn order_of(
     job: &Job<'_>,
     stage: usize,
-    kept: &[Vec<Handle>],
+    kept: &[Kept],
     passed_ms: u64,
     node: &Node,
 ) -> Result<Option<BatchOrder>, StageError> {
-    let pieces = job.head.pieces.get(stage).copied().unwrap_or(0);
+    let pieces = job.pieces_of(stage);
     if pieces == 0 {
         return Ok(None);
     }
-    let what = &job.route.stages[stage];
-    let before = || what.after.iter().flat_map(|j| &kept[*j]);
+    let stages = &job.route.stages;
+    let what = &stages[stage];
+    let inputs: Vec<&Handle> = what.after.iter().flat_map(|j| &kept[*j].handles).collect();
     let input = if what.after.is_empty() {
         let key = job.head.piece_key.clone().ok_or(StageError::NoKey)?;
         StageInput::Key(key)
     } else {
-        StageInput::Handles(before().map(|h| h.text.clone()).collect())
+        StageInput::Handles(inputs.iter().map(|h| h.text.clone()).collect())
     };
     let left_ms = job.left_ms.saturating_sub(passed_ms);
     let piece = |piece| PieceOrder {
@@ -161,35 +182,75 @@
         left_ms: Some(left_ms),
         input: input.clone(),
     };
-    let is_last = dependents(&job.route.stages, stage).next().is_none();
-    let near = if is_last && what.after.is_empty() {
-        job.near.clone()
-    } else {
-        let maker = before().next().map(|h| h.maker.clone());
+    let out_bytes = u64::from(pieces) * what.bytes;
+    // Each piece fetches all of its inputs.
+    let in_bytes: u64 =
+        what.after.iter().map(|j| kept[*j].handles.len() as u64 * stages[*j].bytes).sum();
+    let in_bytes = in_bytes * u64::from(pieces);
+    let later: u64 = dependents(stages, stage).map(|d| u64::from(job.pieces_of(d))).sum();
+    let is_last = dependents(stages, stage).next().is_none();
+    let wanted_bytes = if is_last { out_bytes } else { 0 };
+    let near = if in_bytes > wanted_bytes {
+        let maker = inputs.first().map(|h| h.maker.clone());
         maker.and_then(|m| node.fleet(|f| f.domain_of(&m).cloned()))
+    } else {
+        job.near.clone().filter(|_| is_last)
     };
+    let ahead_ms = job.least_ms_after(node, stage);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         pieces: (0..pieces).map(piece).collect(),
-        slack_ms: job.slack_ms.saturating_sub(passed_ms),
+        slack_ms: job.slack_ms.saturating_sub(passed_ms + ahead_ms),
         left_ms,
         rank: job.rank,
         near,
+        moved_bytes: in_bytes.max(wanted_bytes),
+        spread_bytes: (out_bytes * later).max(in_bytes).max(wanted_bytes),
+        result_bytes: what.bytes,
     }))
 }
 
-async fn make_stage(
-    node: &Rc<Node>,
-    stage: usize,
-    order: BatchOrder,
-    bytes: u64,
-) -> (usize, Vec<PieceResult>) {
+impl Job<'_> {
+    fn pieces_of(&self, stage: usize) -> u32 {
+        self.head.pieces.get(stage).copied().unwrap_or(0)
+    }
+
+    /// Least time, in milliseconds, from the end of a stage to the first event.
+    fn least_ms_after(&self, node: &Node, stage: usize) -> u64 {
+        let stages = &self.route.stages;
+        let table = node.table();
+        let later = dependents(stages, stage).filter(|d| self.pieces_of(*d) > 0);
+        let longest = later.map(|d| {
+            let pool = table.service(&stages[d].service).and_then(|s| s.pool.as_ref());
+            let pieces = f64::from(self.pieces_of(d));
+            let ms = pool.map_or(0.0, |p| p.call_ms + p.item_ms * pieces);
+            ms as u64 + self.least_ms_after(node, d)
+        });
+        longest.max().unwrap_or(FIRST_EVENT_MS)
+    }
+}
+
+async fn make_stage(node: &Rc<Node>, stage: usize, order: BatchOrder) -> (usize, Placed) {
     let begun = node.now();
     let (id, service) = (order.pieces[0].attempt.clone(), order.service.clone());
-    let results = order::place(node, order, bytes).await;
+    let near = order.near.clone();
+    let placed = order::place(node, order).await;
+    let results = &placed.results;
     let made = results.iter().all(|r| matches!(r, PieceResult::Made(_)));
     let took_ms = node.now().since(begun).as_millis() as u64;
     let pieces = results.len();
-    Event::Stage { id: &id, stage, service: &service, pieces, made, took_ms }.emit();
-    (stage, results)
+    let near = near.as_deref().unwrap_or_default();
+    let elsewhere = results.iter().filter(|r| !near.is_empty() && !is_made_in(node, r, near));
+    let elsewhere = elsewhere.count();
+    Event::Stage { id: &id, stage, service: &service, pieces, near, elsewhere, made, took_ms }
+        .emit();
+    (stage, placed)
+}
+
+/// Whether a result lies in a failure domain.
+fn is_made_in(node: &Node, result: &PieceResult, domain: &str) -> bool {
+    let PieceResult::Made(handle) = result else {
+        return false;
+    };
+    node.fleet(|f| f.domain_of(&handle.maker).is_some_and(|d| **d == *domain))
 }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header};
 use model::Name;
-use model::forward::{BatchOrder, PieceResult, StagePool, Target};
+use model::forward::{BatchOrder, Handle, PieceResult, StagePool, Target};
 use tokio::sync::oneshot;
 
 use super::free::Freer;
@@ -36,14 +36,18 @@
 
 impl Pools {
     /// Makes the pieces of an order; `None` if its service makes no pieces.
-    pub async fn order(
-        &self,
-        node: &Rc<Node>,
-        order: BatchOrder,
-        bytes: u64,
-    ) -> Option<Vec<PieceResult>> {
+    pub async fn order(&self, node: &Rc<Node>, order: BatchOrder) -> Option<Vec<PieceResult>> {
         let runner = self.runner(node, &order.service)?;
-        Some(runner.order(node, order, bytes).await)
+        Some(runner.order(node, order).await)
+    }
+
+    /// Results that this node's coordinator made are no longer wanted.
+    pub fn free(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
+        let runner = self.runners.borrow().get(service).cloned();
+        if let Some(runner) = runner {
+            runner.feed(node, Event::Freed(handles.clone()));
+        }
+        self.freer.at_makers(node, handles);
     }
 
     /// Whether no order is open.
@@ -96,18 +100,13 @@
         }
     }
 
-    async fn order(
-        self: &Rc<Self>,
-        node: &Rc<Node>,
-        order: BatchOrder,
-        bytes: u64,
-    ) -> Vec<PieceResult> {
+    async fn order(self: &Rc<Self>, node: &Rc<Node>, order: BatchOrder) -> Vec<PieceResult> {
         let id = self.next.replace(self.next.get() + 1);
         let n = order.pieces.len();
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, tell);
         let _guard = OrderGuard { runner: self.clone(), node: node.clone(), id };
-        self.feed(node, Event::Order(id, order, bytes));
+        self.feed(node, Event::Order(id, order));
         self.start_ticking(node);
         told.await.unwrap_or_else(|_| vec![PieceResult::Failed; n])
     }
@@ -139,10 +138,10 @@
                 if let Some(tell) = self.waiting.borrow_mut().remove(&id)
                     && let Err(unheard) = tell.send(results)
                 {
-                    node.pools.freer.push(node, made(unheard));
+                    node.pools.free(node, &self.service, made(unheard));
                 }
             }
-            Action::Free(handles) => node.pools.freer.push(node, handles),
+            Action::Free(handles) => node.pools.free(node, &self.service, handles),
         }
     }
 
@@ -161,7 +160,7 @@
     }
 }
 
-fn made(results: Vec<PieceResult>) -> Vec<model::forward::Handle> {
+fn made(results: Vec<PieceResult>) -> Vec<Handle> {
     let handle = |r| match r {
         PieceResult::Made(h) => Some(h),
         _ => None,
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -54,8 +54,14 @@
     pub left_ms: u64,
     /// Rank; 0 is the most urgent.
     pub rank: u8,
-    /// Failure domain near which results are wanted, if large.
+    /// Failure domain where the inputs lie or the results are wanted.
     pub near: Option<Name>,
+    /// Bytes that cross failure domains if the pieces are made elsewhere.
+    pub moved_bytes: u64,
+    /// Bytes that cross later if the results lie in several failure domains.
+    pub spread_bytes: u64,
+    /// About the size of one result, in bytes.
+    pub result_bytes: u64,
 }
 
 /// What became of one piece.
