--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -18,9 +18,6 @@
 const CALLERS_SHARE: f64 = 0.5;
 /// Least room for a request's head.
 const HEAD_LEAST: usize = 16 << 10;
-/// Time after the start of a stop during which connections are still kept open.
-const KEPT_AT_STOP: Duration = Duration::from_millis(2500);
-
 /// Serves until a stop is well under way; from then on new connections are refused.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let most = (node.settings.descriptors as f64 * CALLERS_SHARE) as usize;
@@ -30,7 +27,7 @@
         let permit = room.clone().acquire_owned().await;
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = long_stopped(&node) => return,
+            () = node.closing() => return,
         };
         let Ok((socket, _)) = accepted else {
             // Out of descriptors, most likely; let some close.
@@ -64,7 +61,7 @@
     let mut connection = std::pin::pin!(connection);
     let stopped = tokio::select! {
         _ = connection.as_mut() => false,
-        () = long_stopped(&node) => true,
+        () = node.closing() => true,
     };
     if stopped {
         connection.as_mut().graceful_shutdown();
@@ -72,8 +69,3 @@
         let _ = connection.await;
     }
 }
-
-async fn long_stopped(node: &Node) {
-    node.stopping().await;
-    tokio::time::sleep(KEPT_AT_STOP).await;
-}
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -55,6 +55,7 @@
     targets_known: Cell<bool>,
     version: watch::Sender<u64>,
     stopping: watch::Sender<bool>,
+    closing: watch::Sender<bool>,
     open: Cell<usize>,
 }
 
@@ -76,6 +77,7 @@
             targets_known: Cell::new(false),
             version: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
             open: Cell::new(0),
         }
     }
@@ -181,10 +183,11 @@
         *self.stopping.borrow()
     }
 
-    /// Returns once a planned stop has begun.
-    pub async fn stopping(&self) {
-        let mut stopping = self.stopping.subscribe();
-        let _ = stopping.wait_for(|s| *s).await;
+    /// Returns once a planned stop is so far on that the balancer brings no caller
+    /// any more: connections are closed from then on.
+    pub async fn closing(&self) {
+        let mut closing = self.closing.subscribe();
+        let _ = closing.wait_for(|c| *c).await;
     }
 
     /// Counts a request as open until the guard goes.
@@ -236,6 +239,9 @@
     let most = Duration::from_millis(node.settings.stop_ms).saturating_sub(STOP_MARGIN);
     loop {
         let passed = node.now().since(begun);
+        if passed >= BALANCER_LAG {
+            node.closing.send_replace(true);
+        }
         let answered = node.open.get() == 0 && node.pools.is_idle();
         if passed >= most || (passed >= BALANCER_LAG && answered) {
             return;
