Room is counted free only once it is; planned stops keep their orders

Ruled out: calls without room wasting makers' time (the log shows 1 to 3 ms each). Change: a peer that left as planned is waited for; a stopping node puts itself last in the order of coordinators; frees are counted when done; a maker without room is left out for 120 ms and the piece waits; one line a call.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -92,6 +92,9 @@
             return;
         };
         self.makers.ended(&flight.maker, flight.bytes, &end, now);
+        if matches!(&end, CallEnd::Answered(results) if results.contains(&PieceResult::NoRoom)) {
+            self.makers.had_no_room(&flight.maker, now);
+        }
         match end {
             CallEnd::Answered(results) if results.len() == flight.pieces.len() => {
                 for ((id, piece), result) in flight.pieces.into_iter().zip(results) {
@@ -114,6 +117,10 @@
         let Some(order) = self.orders.get_mut(&id) else {
             return free(vec![Some(result)], out);
         };
+        if result == PieceResult::NoRoom {
+            order.waiting.push(piece);
+            return;
+        }
         if result == PieceResult::Failed && order.failures < FAILURES {
             order.failures += 1;
             order.waiting.push(piece);
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -14,6 +14,8 @@
 const EJECT_LONGEST: Duration = Duration::from_millis(2400);
 /// Time for which a maker that was full is left out.
 const FULL: Duration = Duration::from_millis(60);
+/// Time for which a maker without room is left out.
+const NO_ROOM: Duration = Duration::from_millis(120);
 /// Part of a maker's room that is used; sizes are known only roughly.
 const ROOM_USED: f64 = 0.9;
 
@@ -136,6 +138,13 @@
         self.forget_idle();
     }
 
+    /// A maker had less room than was reckoned: it is left out until some is freed.
+    pub(super) fn had_no_room(&mut self, id: &TargetId, now: Time) {
+        if let Some(m) = self.0.get_mut(id) {
+            m.ejected = m.ejected.max(now + NO_ROOM);
+        }
+    }
+
     /// A result rests at its maker from now on.
     pub(super) fn kept(&mut self, handle: &Handle, bytes: u64, now: Time) {
         if let Some(m) = self.0.get_mut(&handle.maker) {
--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -23,6 +23,17 @@
     Ejected { target: &'a str, why: &'a str },
     /// A request was sent to a target and brought no answer to pass on.
     Attempt { id: &'a str, target: &'a str, ran: &'a str, why: &'a str, after_ms: u64 },
+    /// A batch call ended at its maker.
+    Call {
+        service: &'a str,
+        number: u64,
+        maker: &'a str,
+        pieces: usize,
+        made: usize,
+        no_room: usize,
+        took_ms: u64,
+        why: &'a str,
+    },
     /// A stage of a request ended.
     Stage {
         id: &'a str,
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,6 +1,7 @@
 //! Peers: membership over UDP, and a small HTTP server for the other nodes.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +60,7 @@
 #[derive(Default)]
 pub struct Peers {
     up: RefCell<Vec<Peer>>,
+    left: RefCell<HashSet<NodeId>>,
     most: Cell<usize>,
     commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
 }
@@ -69,21 +71,25 @@
         self.most.get().max(1)
     }
 
-    /// Whether this start of a peer is up and not suspected.
+    /// Whether this start of a peer can be waited for: it is up and not suspected,
+    /// or stops as planned and ends what it has begun.
     pub fn is_sound(&self, id: &NodeId) -> bool {
-        self.up.borrow().iter().any(|p| p.node.id == *id && !p.suspect)
+        let sound = self.up.borrow().iter().any(|p| p.node.id == *id && !p.suspect);
+        sound || self.left.borrow().contains(id)
     }
 
     /// Nodes in the order in which they coordinate `service`; `None` is this node.
     /// All nodes that agree on the members find the same order.
-    pub fn coordinators(&self, me: &Name, service: &str) -> Vec<Option<PeerNode>> {
+    ///
+    /// A node that stops puts itself last, since the others no longer count on it.
+    pub fn coordinators(&self, me: &Name, stops: bool, service: &str) -> Vec<Option<PeerNode>> {
         let key = hash::of(service.as_bytes());
         let score = |name: &Name| hash::mix(key, hash::of(name.as_bytes()));
         let up = self.up.borrow();
         let sound = up.iter().filter(|p| !p.suspect);
         let mut order: Vec<(u64, Option<PeerNode>)> =
             sound.map(|p| (score(&p.node.id.name), Some(p.node.clone()))).collect();
-        order.push((score(me), None));
+        order.push((if stops { 0 } else { score(me) }, None));
         order.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
         order.into_iter().map(|(_, node)| node).collect()
     }
@@ -194,6 +200,9 @@
         Action::Changed(rumor) => {
             let health = format!("{:?}", rumor.health);
             Event::Peer { name: &rumor.node.id.name, health: &health }.emit();
+            if rumor.health == Health::Left {
+                node.peers.left.borrow_mut().insert(rumor.node.id);
+            }
         }
         Action::Load(_) => {}
     }
--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -18,14 +18,14 @@
 use crate::upstream;
 
 /// Time during which results of one maker or coordinator are gathered into one call.
-const GATHER: Duration = Duration::from_millis(30);
+const GATHER: Duration = Duration::from_millis(10);
 /// Time for the call; a result that is not freed runs out by itself.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Where results are freed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Place {
-    Maker(TargetId),
+    Maker(TargetId, Name),
     Coordinator(SocketAddr, Name),
 }
 
@@ -34,10 +34,11 @@
 pub struct Freer(RefCell<HashMap<Place, Vec<Handle>>>);
 
 impl Freer {
-    /// Frees results at their makers soon.
-    pub fn at_makers(&self, node: &Rc<Node>, handles: Vec<Handle>) {
+    /// Frees results of `service` at their makers soon.
+    pub fn at_makers(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
         for handle in handles {
-            self.push(node, Place::Maker(handle.maker.clone()), vec![handle]);
+            let place = Place::Maker(handle.maker.clone(), service.clone());
+            self.push(node, place, vec![handle]);
         }
     }
 
@@ -63,12 +64,15 @@
     tokio::time::sleep(GATHER).await;
     let handles = node.pools.freer.take(&place);
     match place {
-        Place::Maker(maker) => free_at_maker(&node, &maker, &handles).await,
+        Place::Maker(maker, service) => {
+            free_at_maker(&node, &maker, &handles).await;
+            node.pools.freed(&node, &service, handles);
+        }
         Place::Coordinator(peer, service) => {
             let peer = peer.to_string();
             let message = RemoteFree { service, handles };
             if node.client.rmp::<_, ()>(&peer, FREE, &message, TIMEOUT).await.is_err() {
-                node.pools.freer.at_makers(&node, message.handles);
+                node.pools.freer.at_makers(&node, &message.service, message.handles);
             }
         }
     }
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -26,7 +26,8 @@
 /// Places the order; after its coordinators fail, this node makes the calls itself.
 pub async fn place(node: &Rc<Node>, order: BatchOrder) -> Placed {
     let n = order.pieces.len();
-    let order_of = node.peers.coordinators(&node.settings.name, &order.service);
+    let (me, stops) = (&node.settings.name, node.is_stopping());
+    let order_of = node.peers.coordinators(me, stops, &order.service);
     for coordinator in order_of.into_iter().take(ASKED) {
         let Some(peer) = coordinator else {
             break;
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -147,7 +147,7 @@
             PieceResult::Made(handle) => kept.handles.push(handle),
             PieceResult::Late => failed = Some(StageError::Late),
             PieceResult::InputGone => failed = Some(StageError::InputGone),
-            PieceResult::Failed => failed = Some(StageError::Failed),
+            PieceResult::Failed | PieceResult::NoRoom => failed = Some(StageError::Failed),
         }
     }
     failed.map_or(Ok(()), Err)
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 
 use super::free::Freer;
+use crate::events::Event as LogEvent;
 use crate::node::Node;
 use crate::upstream::{self, Answer};
 
@@ -43,11 +44,15 @@
 
     /// Results that this node's coordinator made are no longer wanted.
     pub fn free(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
+        self.freer.at_makers(node, service, handles);
+    }
+
+    /// Results were freed at their makers.
+    pub fn freed(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
         let runner = self.runners.borrow().get(service).cloned();
         if let Some(runner) = runner {
-            runner.feed(node, Event::Freed(handles.clone()));
+            runner.feed(node, Event::Freed(handles));
         }
-        self.freer.at_makers(node, handles);
     }
 
     /// Whether no order is open.
@@ -197,9 +202,22 @@
             read_answer(node, &call, answer, took).await
         }
     };
-    if !why.is_empty() {
-        log::info!("batch: call {} at {}: {why}", call.number, call.maker);
+    let results = match &end {
+        CallEnd::Answered(results) => results.as_slice(),
+        CallEnd::Full | CallEnd::Failed => &[],
+    };
+    let count = |wanted: fn(&PieceResult) -> bool| results.iter().filter(|r| wanted(r)).count();
+    LogEvent::Call {
+        service: &runner.service,
+        number: call.number,
+        maker: &call.maker,
+        pieces: call.pieces.len(),
+        made: count(|r| matches!(r, PieceResult::Made(_))),
+        no_room: count(|r| *r == PieceResult::NoRoom),
+        took_ms: node.now().since(begun).as_millis() as u64,
+        why: &why,
     }
+    .emit();
     node.observe(&call.maker, observed, &why);
     end
 }
@@ -216,7 +234,7 @@
         return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
     }
     if said.not_run {
-        return (CallEnd::Full, Observation::Rejected, String::new());
+        return (CallEnd::Full, Observation::Rejected, "full".into());
     }
     if !head.status.is_success() {
         return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -71,6 +71,8 @@
     Made(Handle),
     /// An input is gone; the stage before must be made again.
     InputGone,
+    /// The maker had no room for it.
+    NoRoom,
     /// Its time was over.
     Late,
     /// No maker could make it.
