Requests that would miss their objective are refused at the door

Change: coordinators tell in each answer what an order would wait, by rank; a node adds that up over the stages and refuses above 0.85 of the objective, Retry-After by excess.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::Time;
-use model::forward::{BatchOrder, PieceResult, StagePool, TargetId};
+use model::forward::{BatchOrder, PieceResult, StagePool, TargetId, WAIT_RANKS, Waits};
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency};
@@ -51,6 +51,24 @@
         self.orders.values().map(|o| o.waiting.len()).sum()
     }
 
+    /// What an order would wait now before a call takes it, by its rank.
+    pub fn waits(&self, now: Time) -> Waits {
+        let slots = self.makers.working(now) * self.pool.slots.max(1) as usize;
+        if slots == 0 {
+            return Waits([u32::MAX; WAIT_RANKS]);
+        }
+        let piece_ms = self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms;
+        let busy = self.flights.len() >= slots;
+        let next_ms = if busy { self.pool.call_ms / slots as f64 } else { 0.0 };
+        let mut waits = [0; WAIT_RANKS];
+        for (rank, wait) in waits.iter_mut().enumerate() {
+            let ahead = |o: &&Order| usize::from(o.order.rank) <= rank;
+            let pieces: usize = self.orders.values().filter(ahead).map(|o| o.waiting.len()).sum();
+            *wait = (next_ms + pieces as f64 * piece_ms / slots as f64) as u32;
+        }
+        Waits(waits)
+    }
+
     /// Sets what one maker bears, when rules change.
     pub fn set_pool(&mut self, pool: StagePool) {
         self.pool = pool;
@@ -65,6 +83,7 @@
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
             Event::Makers(makers) => self.makers.set(makers),
             Event::Freed(handles) => self.makers.freed(&handles),
+            Event::HandOver => self.hand_over(&mut out),
             Event::Tick => {}
         }
         self.give_up_late(now, &mut out);
@@ -87,6 +106,19 @@
         }
     }
 
+    fn hand_over(&mut self, out: &mut Vec<Action>) {
+        let untouched: Vec<OrderId> = self
+            .orders
+            .iter()
+            .filter(|(_, o)| o.waiting.len() == o.results.len())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in untouched {
+            self.orders.remove(&id);
+            out.push(Action::Moved(id));
+        }
+    }
+
     fn ended(&mut self, now: Time, call: u64, end: CallEnd, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&call) else {
             return;
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -87,6 +87,11 @@
         self.0.retain(|_, m| m.present || m.calls > 0);
     }
 
+    /// Count of makers that work.
+    pub(super) fn working(&self, now: Time) -> usize {
+        self.0.values().filter(|m| m.works(now)).count()
+    }
+
     /// Failure domains that have a working maker.
     pub(super) fn domains(&self, now: Time) -> Vec<Name> {
         let working = self.0.values().filter(|m| m.works(now));
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -49,6 +49,11 @@
         now.since(self.arrived) >= Duration::from_millis(self.order.left_ms)
     }
 
+    /// Whether the request will be late even if a call takes the order now.
+    pub(super) fn is_hopeless(&self, pool: &StagePool, now: Time) -> bool {
+        self.slack(now) < self.least_time(pool)
+    }
+
     fn least_time(&self, pool: &StagePool) -> Duration {
         let ms = pool.call_ms + pool.item_ms * self.waiting.len() as f64;
         Duration::from_secs_f64(ms.max(0.0) / 1000.0)
@@ -59,7 +64,7 @@
     pub(super) fn urgency(&self, domain: &str, pool: &StagePool, now: Time) -> Urgency {
         let begun = self.waiting.len() < self.results.len();
         let slack = self.slack(now);
-        let hopeless = slack < self.least_time(pool);
+        let hopeless = self.is_hopeless(pool, now);
         (!begun, hopeless, !self.is_meant_for(domain), self.order.rank, slack)
     }
 
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -28,6 +28,8 @@
     Makers(Vec<MakerInfo>),
     /// Results are no longer wanted and are being freed.
     Freed(Vec<Handle>),
+    /// This node stops: orders that no call has taken yet go to another coordinator.
+    HandOver,
     /// Time passed.
     Tick,
 }
@@ -61,6 +63,8 @@
     Start(Call),
     /// Answer an order.
     Answer(OrderId, Vec<PieceResult>),
+    /// An order is to be placed with another coordinator.
+    Moved(OrderId),
     /// Results that nobody waits for: free them.
     Free(Vec<Handle>),
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod deadline;
 pub mod fleet;
+pub mod forecast;
 pub mod lease;
 pub mod limit;
 pub mod load;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,9 +7,10 @@
 
 use anyhow::Context;
 use decide::fleet::{Fleet, Observation};
+use decide::forecast::Forecast;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Rules, Snapshot, TargetId};
+use model::forward::{Rules, Snapshot, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -29,6 +30,8 @@
 const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
+/// Time for the peers to be told of the end.
+const FAREWELL: Duration = Duration::from_millis(20);
 /// Part of the stop's time kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
@@ -49,6 +52,7 @@
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
     budgets: RefCell<HashMap<Name, RepeatBudget>>,
+    forecast: RefCell<Forecast>,
     rng: RefCell<Rng>,
     store_seen: Cell<Option<Time>>,
     store_lost: Cell<Option<Time>>,
@@ -71,6 +75,7 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             budgets: RefCell::default(),
+            forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
             store_seen: Cell::new(None),
             store_lost: Cell::new(None),
@@ -114,6 +119,17 @@
         f(&mut self.fleet.borrow_mut())
     }
 
+    /// A coordinator told what an order of its service would wait.
+    pub fn heard_waits(&self, service: &Name, waits: Waits) {
+        let now = self.now();
+        self.forecast.borrow_mut().hear(service, waits, now);
+    }
+
+    /// Uses the forecast for a moment.
+    pub fn forecast<T>(&self, f: impl FnOnce(&Forecast) -> T) -> T {
+        f(&self.forecast.borrow())
+    }
+
     /// Uses the random generator for a moment.
     pub fn rng<T>(&self, f: impl FnOnce(&mut Rng) -> T) -> T {
         f(&mut self.rng.borrow_mut())
@@ -235,7 +251,7 @@
     let begun = node.now();
     Event::Stop { open: node.open.get() }.emit();
     node.stopping.send_replace(true);
-    node.peers.leave();
+    node.pools.hand_over(node);
     let most = Duration::from_millis(node.settings.stop_ms).saturating_sub(STOP_MARGIN);
     loop {
         let passed = node.now().since(begun);
@@ -244,8 +260,11 @@
         }
         let answered = node.open.get() == 0 && node.pools.is_idle();
         if passed >= most || (passed >= BALANCER_LAG && answered) {
-            return;
+            break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    node.peers.leave();
+    // The news goes out as datagrams, by the membership's own task.
+    tokio::time::sleep(FAREWELL).await;
 }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,7 +1,7 @@
 //! Peers: membership over UDP, and a small HTTP server for the other nodes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,9 +14,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use model::forward::{BatchAnswer, BatchOrder, Handle, Snapshot};
+use model::forward::{BatchOrder, Handle, Snapshot};
 use model::member::{Health, Node as PeerNode, NodeId, Packet};
-use model::{Name, hash};
+use model::{Name, Time, hash};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -24,7 +24,10 @@
 
 use crate::events::Event;
 use crate::node::Node;
+use crate::stages::NotMade;
 
+/// Time after which a node that came counts as settled.
+const SETTLED: Duration = Duration::from_secs(3);
 /// Path of batch orders.
 pub const BATCH: &str = "/v1/batch";
 /// Path of results to be freed.
@@ -60,7 +63,8 @@
 #[derive(Default)]
 pub struct Peers {
     up: RefCell<Vec<Peer>>,
-    left: RefCell<HashSet<NodeId>>,
+    stopping: RefCell<HashSet<NodeId>>,
+    seen: RefCell<HashMap<NodeId, Time>>,
     most: Cell<usize>,
     commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
 }
@@ -75,23 +79,41 @@
     /// or stops as planned and ends what it has begun.
     pub fn is_sound(&self, id: &NodeId) -> bool {
         let sound = self.up.borrow().iter().any(|p| p.node.id == *id && !p.suspect);
-        sound || self.left.borrow().contains(id)
+        sound || self.stopping.borrow().contains(id)
+    }
+
+    /// A peer told that it stops and coordinates no more.
+    pub fn note_stopping(&self, id: &NodeId) {
+        self.stopping.borrow_mut().insert(id.clone());
     }
 
     /// Nodes in the order in which they coordinate `service`; `None` is this node.
     /// All nodes that agree on the members find the same order.
     ///
-    /// A node that stops puts itself last, since the others no longer count on it.
-    pub fn coordinators(&self, me: &Name, stops: bool, service: &str) -> Vec<Option<PeerNode>> {
+    /// A node that has just come goes last, so that a restart moves the work once and
+    /// not twice; and so does one that stops. `now` counts from this node's own start.
+    pub fn coordinators(
+        &self,
+        me: &Name,
+        stops: bool,
+        service: &str,
+        now: Time,
+    ) -> Vec<Option<PeerNode>> {
         let key = hash::of(service.as_bytes());
         let score = |name: &Name| hash::mix(key, hash::of(name.as_bytes()));
+        let is_new = now.since(Time::ZERO) < SETTLED;
         let up = self.up.borrow();
-        let sound = up.iter().filter(|p| !p.suspect);
-        let mut order: Vec<(u64, Option<PeerNode>)> =
-            sound.map(|p| (score(&p.node.id.name), Some(p.node.clone()))).collect();
-        order.push((if stops { 0 } else { score(me) }, None));
-        order.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-        order.into_iter().map(|(_, node)| node).collect()
+        let seen = self.seen.borrow();
+        // To a node that has just come all others look new; it takes them as they are.
+        let settled =
+            |p: &Peer| is_new || seen.get(&p.node.id).is_some_and(|at| now.since(*at) >= SETTLED);
+        let stopping = self.stopping.borrow();
+        let sound = up.iter().filter(|p| !p.suspect && !stopping.contains(&p.node.id));
+        let mut order: Vec<(bool, u64, Option<PeerNode>)> =
+            sound.map(|p| (settled(p), score(&p.node.id.name), Some(p.node.clone()))).collect();
+        order.push((!stops && !is_new, score(me), None));
+        order.sort_by_key(|(settled, score, _)| std::cmp::Reverse((*settled, *score)));
+        order.into_iter().map(|(_, _, node)| node).collect()
     }
 
     /// Tells the peers that this node stops.
@@ -105,12 +127,17 @@
         }
     }
 
-    fn publish(&self, machine: &Member) {
+    fn publish(&self, machine: &Member, now: Time) {
         let view = |p: &decide::member::Peer| Peer {
             node: p.node.clone(),
             suspect: p.health == Health::Suspect,
         };
         let up: Vec<Peer> = machine.peers().map(view).collect();
+        let mut seen = self.seen.borrow_mut();
+        seen.retain(|id, _| up.iter().any(|p| p.node.id == *id));
+        for peer in &up {
+            seen.entry(peer.node.id.clone()).or_insert(now);
+        }
         self.most.set(self.most.get().max(up.len() + 1));
         *self.up.borrow_mut() = up;
     }
@@ -177,7 +204,7 @@
             for action in machine.on(node.now(), event) {
                 act(&node, &socket, action).await;
             }
-            node.peers.publish(&machine);
+            node.peers.publish(&machine, node.now());
         }
     }
 }
@@ -201,7 +228,7 @@
             let health = format!("{:?}", rumor.health);
             Event::Peer { name: &rumor.node.id.name, health: &health }.emit();
             if rumor.health == Health::Left {
-                node.peers.left.borrow_mut().insert(rumor.node.id);
+                node.peers.note_stopping(&rumor.node.id);
             }
         }
         Action::Load(_) => {}
@@ -256,9 +283,13 @@
             let Some(order) = read_rmp::<BatchOrder>(request, MESSAGE_MAX).await else {
                 return text(StatusCode::BAD_REQUEST, "not a batch order");
             };
+            if node.is_stopping() {
+                return text(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+            }
             match node.pools.order(&node, order).await {
-                Some(results) => rmp(&BatchAnswer { results }),
-                None => text(StatusCode::NOT_FOUND, "no such stage service"),
+                Ok(answer) => rmp(&answer),
+                Err(NotMade::Moved) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+                Err(NotMade::NoService) => text(StatusCode::NOT_FOUND, "no such stage service"),
             }
         }
         FREE => {
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use decide::forecast::{self, Door};
 use decide::retry::COME_BACK;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -89,6 +90,7 @@
     })?;
     let table = node.table();
     let found = find(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
+    at_the_door(node, &table, &found, &head).map_err(|r| r.into_response(node, &head))?;
     let wait_ms = head.wait_ms.unwrap_or(WAIT_MS).min(found.route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
@@ -148,6 +150,31 @@
     })
 }
 
+/// Refuses a request that would miss its objective by far.
+fn at_the_door(
+    node: &Node,
+    table: &Table,
+    found: &Found,
+    head: &CallerHead,
+) -> Result<(), Refusal> {
+    let route = &found.route;
+    if route.stages.is_empty() {
+        return Ok(());
+    }
+    let service = |name: &model::Name| table.service(name);
+    let expected =
+        node.forecast(|f| f.expected(route, &head.pieces, found.rank, node.now(), service));
+    let objective = Duration::from_millis(route.objective_ms);
+    let patience = Duration::from_millis(head.wait_ms.unwrap_or(route.timeout_ms));
+    match forecast::at_the_door(expected, objective, patience) {
+        Door::Enter => Ok(()),
+        Door::Refuse(after) => {
+            let why = "stages are overloaded";
+            Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, why).come_back(after))
+        }
+    }
+}
+
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
--- a/crates/forward/src/stages/mod.rs
+++ b/crates/forward/src/stages/mod.rs
@@ -7,4 +7,4 @@
 mod runner;
 
 pub use plan::{Job, Made, make};
-pub use runner::Pools;
+pub use runner::{NotMade, Pools};
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -11,7 +11,9 @@
 use crate::peers::BATCH;
 
 /// Coordinators asked before the node batches by itself.
-const ASKED: usize = 2;
+const ASKED: usize = 3;
+/// Status by which a peer says that it stops and coordinates no more.
+const STOPPING: u16 = 503;
 /// Time between looks at whether the coordinator is still up.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -27,29 +29,41 @@
 pub async fn place(node: &Rc<Node>, order: BatchOrder) -> Placed {
     let n = order.pieces.len();
     let (me, stops) = (&node.settings.name, node.is_stopping());
-    let order_of = node.peers.coordinators(me, stops, &order.service);
+    let order_of = node.peers.coordinators(me, stops, &order.service, node.now());
     for coordinator in order_of.into_iter().take(ASKED) {
         let Some(peer) = coordinator else {
             break;
         };
         match ask(node, &peer, &order).await {
-            Some(results) if results.len() == n => {
+            Some(BatchAnswer { results, waits }) if results.len() == n => {
+                node.heard_waits(&order.service, waits);
                 return Placed { results, peer: Some(peer.entry) };
             }
             _ => log::info!("batch: coordinator {} of {} lost", peer.id.name, order.service),
         }
     }
-    let results = node.pools.order(node, order).await;
-    let results = results.unwrap_or_else(|| vec![PieceResult::Failed; n]);
+    let service = order.service.clone();
+    let results = match node.pools.order(node, order).await {
+        Ok(BatchAnswer { results, waits }) => {
+            node.heard_waits(&service, waits);
+            results
+        }
+        Err(_) => vec![PieceResult::Failed; n],
+    };
     Placed { results, peer: None }
 }
 
-async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Option<Vec<PieceResult>> {
+async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Option<BatchAnswer> {
     let address = peer.entry.to_string();
     let timeout = Duration::from_millis(order.left_ms);
     let call = node.client.rmp::<_, BatchAnswer>(&address, BATCH, order, timeout);
     tokio::select! {
-        answer = call => answer.ok().map(|a| a.results),
+        answer = call => {
+            if answer.as_ref().is_err_and(|e| e.status() == Some(STOPPING)) {
+                node.peers.note_stopping(&peer.id);
+            }
+            answer.ok()
+        }
         () = lost(node, peer) => None,
     }
 }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header};
 use model::Name;
-use model::forward::{BatchOrder, Handle, PieceResult, StagePool, Target};
+use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, StagePool, Target};
 use tokio::sync::oneshot;
 
 use super::free::Freer;
@@ -27,6 +27,15 @@
 /// Largest answer to a call.
 const ANSWER_MAX: usize = 1 << 20;
 
+/// Why this node's coordinator did not answer an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotMade {
+    /// The service makes no pieces.
+    NoService,
+    /// The order is to be placed with another coordinator, since this node stops.
+    Moved,
+}
+
 /// The coordinators at this node.
 #[derive(Default)]
 pub struct Pools {
@@ -37,9 +46,19 @@
 
 impl Pools {
     /// Makes the pieces of an order; `None` if its service makes no pieces.
-    pub async fn order(&self, node: &Rc<Node>, order: BatchOrder) -> Option<Vec<PieceResult>> {
-        let runner = self.runner(node, &order.service)?;
-        Some(runner.order(node, order).await)
+    pub async fn order(&self, node: &Rc<Node>, order: BatchOrder) -> Result<BatchAnswer, NotMade> {
+        let runner = self.runner(node, &order.service).ok_or(NotMade::NoService)?;
+        let results = runner.order(node, order).await.ok_or(NotMade::Moved)?;
+        let waits = runner.machine.borrow().waits(node.now());
+        Ok(BatchAnswer { results, waits })
+    }
+
+    /// This node stops: orders not begun yet go to another coordinator.
+    pub fn hand_over(&self, node: &Rc<Node>) {
+        let runners: Vec<_> = self.runners.borrow().values().cloned().collect();
+        for runner in runners {
+            runner.feed(node, Event::HandOver);
+        }
     }
 
     /// Results that this node's coordinator made are no longer wanted.
@@ -105,15 +124,18 @@
         }
     }
 
-    async fn order(self: &Rc<Self>, node: &Rc<Node>, order: BatchOrder) -> Vec<PieceResult> {
+    async fn order(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        order: BatchOrder,
+    ) -> Option<Vec<PieceResult>> {
         let id = self.next.replace(self.next.get() + 1);
-        let n = order.pieces.len();
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, tell);
         let _guard = OrderGuard { runner: self.clone(), node: node.clone(), id };
         self.feed(node, Event::Order(id, order));
         self.start_ticking(node);
-        told.await.unwrap_or_else(|_| vec![PieceResult::Failed; n])
+        told.await.ok()
     }
 
     /// Lets the machine take an event, with the makers as they are right now.
@@ -146,6 +168,9 @@
                     node.pools.free(node, &self.service, made(unheard));
                 }
             }
+            Action::Moved(id) => {
+                self.waiting.borrow_mut().remove(&id);
+            }
             Action::Free(handles) => node.pools.free(node, &self.service, handles),
         }
     }
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -84,4 +84,20 @@
 pub struct BatchAnswer {
     /// Results.
     pub results: Vec<PieceResult>,
+    /// What an order would wait now before a call takes it.
+    pub waits: Waits,
+}
+
+/// Ranks told apart in [`Waits`]; lower ones count as the last.
+pub const WAIT_RANKS: usize = 3;
+
+/// Expected wait of a new order at a coordinator by its rank, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waits(pub [u32; WAIT_RANKS]);
+
+impl Waits {
+    /// Wait of an order of this rank.
+    pub fn of(&self, rank: u8) -> u32 {
+        self.0[usize::from(rank).min(WAIT_RANKS - 1)]
+    }
 }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -9,7 +9,9 @@
 mod rules;
 mod target;
 
-pub use batch::{BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput};
+pub use batch::{
+    BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput, WAIT_RANKS, Waits,
+};
 pub use caller::{CallerHead, PromptPart};
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
