--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -89,7 +89,7 @@
     if expected <= objective.mul_f64(REFUSED_ABOVE) {
         return Door::Enter;
     }
-    let excess = expected - objective;
+    let excess = expected.saturating_sub(objective);
     let most = (patience / COME_BACK_PART).max(COME_BACK_LEAST);
     Door::Refuse(excess.clamp(COME_BACK_LEAST, most))
 }
