Settings are read again at SIGHUP and when their file changes

Change: reload takes budget, seeds, store and stop time; a wrong file, or one that would make this another node, changes nothing and is logged.

--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -43,6 +43,11 @@
         RepeatBudget { tuning, buckets: VecDeque::new() }
     }
 
+    /// Changes what the budget is drawn from.
+    pub fn set_tuning(&mut self, tuning: BudgetTuning) {
+        self.tuning = tuning;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn request(&mut self, now: Time) {
         self.bucket(now).requests += 1;
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -20,7 +20,7 @@
 const HEAD_LEAST: usize = 16 << 10;
 /// Serves until a stop is well under way; from then on new connections are refused.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    let most = (node.settings.descriptors as f64 * CALLERS_SHARE) as usize;
+    let most = (node.settings().descriptors as f64 * CALLERS_SHARE) as usize;
     let room = std::sync::Arc::new(Semaphore::new(most.max(1)));
     loop {
         // Beyond the most, callers wait to be accepted.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod ingress;
 mod node;
 mod peers;
+mod reload;
 mod rules;
 mod serve;
 pub mod settings;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use crate::events::Event;
 use crate::ingress;
 use crate::peers::{self, Peers};
+use crate::reload;
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
@@ -37,8 +39,6 @@
 
 /// State that the tasks of a node share.
 pub struct Node {
-    /// Settings.
-    pub settings: Settings,
     /// Translator at the border.
     pub dialect: Box<dyn Dialect>,
     /// Steady clock.
@@ -49,6 +49,7 @@
     pub peers: Peers,
     /// Coordinators of stage services at this node.
     pub pools: Pools,
+    settings: RefCell<Rc<Settings>>,
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
     budgets: RefCell<HashMap<Name, RepeatBudget>>,
@@ -66,12 +67,12 @@
 impl Node {
     fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
         Node {
-            settings,
             dialect,
             clock: Clock::default(),
             client: Client::new(CONNECT),
             peers: Peers::default(),
             pools: Pools::default(),
+            settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
             fleet: RefCell::default(),
             budgets: RefCell::default(),
@@ -92,6 +93,19 @@
         self.clock.now()
     }
 
+    /// The settings as they are now.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Takes settings that were read again.
+    pub fn set_settings(&self, settings: Settings) {
+        let tuning = settings.repeats.tuning();
+        self.budgets.borrow_mut().values_mut().for_each(|b| b.set_tuning(tuning));
+        self.peers.set_seeds(settings.seed_addresses());
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// The rules in force.
     pub fn table(&self) -> Rc<Table> {
         self.table.borrow().clone()
@@ -157,7 +171,7 @@
 
     fn budget<T>(&self, service: &Name, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let fresh = || RepeatBudget::new(self.settings.repeats.tuning());
+        let fresh = || RepeatBudget::new(self.settings().repeats.tuning());
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
 
@@ -222,19 +236,20 @@
     }
 }
 
-/// Runs a node on this thread until SIGTERM.
-pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> anyhow::Result<()> {
+/// Runs a node on this thread until SIGTERM; `path` is where its settings were read.
+pub fn run(settings: Settings, path: PathBuf, dialect: Box<dyn Dialect>) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("could not start the runtime")?;
     let node = Rc::new(Node::new(settings, dialect));
-    LocalSet::new().block_on(&runtime, serve(node))
+    LocalSet::new().block_on(&runtime, serve(node, path))
 }
 
-async fn serve(node: Rc<Node>) -> anyhow::Result<()> {
-    let s = &node.settings;
+async fn serve(node: Rc<Node>, path: PathBuf) -> anyhow::Result<()> {
+    let s = node.settings();
     Event::Start { node: &s.name, domain: &s.domain }.emit();
+    reload::start(&node, path)?;
     peers::start(&node).await?;
     store_watch::start(&node);
     let callers = ingress::listen(s.callers)?;
@@ -252,7 +267,7 @@
     Event::Stop { open: node.open.get() }.emit();
     node.stopping.send_replace(true);
     node.pools.hand_over(node);
-    let most = Duration::from_millis(node.settings.stop_ms).saturating_sub(STOP_MARGIN);
+    let most = Duration::from_millis(node.settings().stop_ms).saturating_sub(STOP_MARGIN);
     loop {
         let passed = node.now().since(begun);
         if passed >= BALANCER_LAG {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -121,6 +121,11 @@
         self.command(MemberEvent::Leave);
     }
 
+    /// Addresses at which peers may be found have changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.command(MemberEvent::Seeds(seeds));
+    }
+
     fn command(&self, event: MemberEvent) {
         if let Some(commands) = &*self.commands.borrow() {
             let _ = commands.send(event);
@@ -145,7 +150,7 @@
 
 /// Starts membership and the server for peers.
 pub async fn start(node: &Rc<Node>) -> anyhow::Result<()> {
-    let address = node.settings.peer_address();
+    let address = node.settings().peer_address();
     let socket = UdpSocket::bind(address)
         .await
         .with_context(|| format!("could not take UDP port {address}"))?;
@@ -182,7 +187,7 @@
     socket: UdpSocket,
     mut commands: mpsc::UnboundedReceiver<MemberEvent>,
 ) {
-    let s = &node.settings;
+    let s = node.settings();
     let id = NodeId { name: s.name.clone(), start: rand::random::<u64>().max(1) };
     let address = s.peer_address();
     let me = PeerNode { id, address, entry: address, domain: s.domain.clone() };
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -185,8 +185,8 @@
     fn choose(&self) -> Option<Target> {
         let now = self.node.now();
         let but = self.progress(|p| p.but.clone());
-        let wanted =
-            Wanted { service: &self.service, domain: &self.node.settings.domain, but: &but };
+        let settings = self.node.settings();
+        let wanted = Wanted { service: &self.service, domain: &settings.domain, but: &but };
         match Home::of(&self.head.prompt) {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
             None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -74,6 +74,19 @@
         SocketAddr::new(self.address, self.peer_port)
     }
 
+    /// The first field that cannot change while a node runs, and does.
+    pub fn differs_for_good(&self, running: &Settings) -> Option<&'static str> {
+        let fields = [
+            ("name", self.name == running.name),
+            ("domain", self.domain == running.domain),
+            ("address", self.address == running.address),
+            ("callers", self.callers == running.callers),
+            ("readiness", self.readiness == running.readiness),
+            ("peer_port", self.peer_port == running.peer_port),
+        ];
+        fields.into_iter().find(|(_, same)| !same).map(|(field, _)| field)
+    }
+
     /// Where the seeds are reached.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         let hosts = self.seeds.iter().map(|s| SocketAddr::new(s.ip(), self.peer_port));
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -28,7 +28,8 @@
 /// Places the order; after its coordinators fail, this node makes the calls itself.
 pub async fn place(node: &Rc<Node>, order: BatchOrder) -> Placed {
     let n = order.pieces.len();
-    let (me, stops) = (&node.settings.name, node.is_stopping());
+    let (settings, stops) = (node.settings(), node.is_stopping());
+    let me = &settings.name;
     let order_of = node.peers.coordinators(me, stops, &order.service, node.now());
     for coordinator in order_of.into_iter().take(ASKED) {
         let Some(peer) = coordinator else {
--- a/crates/forward/src/watch.rs
+++ b/crates/forward/src/watch.rs
@@ -102,7 +102,7 @@
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<String, CallError> {
-        let store = self.node.settings.store.to_string();
+        let store = self.node.settings().store.to_string();
         self.client.text(&store, path, timeout).await
     }
 
