--- /dev/null
+++ b/crates/decide/tests/batch.rs
@@ -0,0 +1,384 @@
+//! The batch coordinator: what goes into a call, where, and what is answered.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
+use model::Time;
+use model::forward::{BatchOrder, Handle, PieceOrder, PieceResult, StageInput, StagePool};
+use proptest::prelude::*;
+
+fn pool() -> StagePool {
+    StagePool { slots: 1, batch: 10, call_ms: 100.0, item_ms: 10.0, room_mb: 100.0, keep_ms: 4000 }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn makers(of: &[(&str, &str)]) -> Event {
+    let info =
+        |(id, domain): &(&str, &str)| MakerInfo { id: (*id).into(), domain: (*domain).into() };
+    Event::Makers(of.iter().map(info).collect())
+}
+
+fn order(attempt: &str, pieces: u32) -> BatchOrder {
+    let piece = |piece| PieceOrder {
+        attempt: attempt.into(),
+        stage: 0,
+        piece,
+        left_ms: None,
+        input: StageInput::Key("key".into()),
+    };
+    BatchOrder {
+        service: "encode".into(),
+        pieces: (0..pieces).map(piece).collect(),
+        slack_ms: 2000,
+        left_ms: 8000,
+        rank: 1,
+        near: None,
+        moved_bytes: 0,
+        spread_bytes: 0,
+        result_bytes: 1000,
+    }
+}
+
+fn coordinator(of: &[(&str, &str)]) -> Coordinator {
+    let mut c = Coordinator::new(pool());
+    c.on(at(0), makers(of));
+    c
+}
+
+fn calls(actions: &[Action]) -> Vec<Call> {
+    let call = |a: &Action| match a {
+        Action::Start(call) => Some(call.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(call).collect()
+}
+
+fn made(call: &Call) -> CallEnd {
+    let result = |p: &PieceOrder| {
+        let text = format!("{}/{}/{}", p.attempt, p.piece, call.number);
+        PieceResult::Made(Handle { maker: call.maker.clone(), text })
+    };
+    CallEnd::Answered(call.pieces.iter().map(result).collect())
+}
+
+fn answers(actions: &[Action]) -> Vec<(OrderId, Vec<PieceResult>)> {
+    let answer = |a: &Action| match a {
+        Action::Answer(id, results) => Some((*id, results.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn what_waits_while_makers_are_busy_shares_the_next_call() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), Event::Order(1, order("r1", 2))));
+    assert_eq!(first.len(), 1, "a free maker does not wait for more");
+    for id in 2..=4 {
+        let more = c.on(at(10), Event::Order(id, order(&format!("r{id}"), 3)));
+        assert!(calls(&more).is_empty(), "one call at a time at a maker with one slot");
+    }
+    let next = c.on(at(120), Event::Ended(first[0].number, made(&first[0])));
+    assert_eq!(answers(&next).len(), 1);
+    assert_eq!(calls(&next)[0].pieces.len(), 9, "three requests ride together");
+}
+
+#[test]
+fn an_order_larger_than_a_call_is_split_and_answered_once_in_its_order() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
+    let started = calls(&c.on(at(0), Event::Order(1, order("r1", 14))));
+    let sizes: Vec<usize> = started.iter().map(|c| c.pieces.len()).collect();
+    assert_eq!(sizes, [10, 4]);
+    assert!(answers(&c.on(at(200), Event::Ended(started[1].number, made(&started[1])))).is_empty());
+    let done = answers(&c.on(at(210), Event::Ended(started[0].number, made(&started[0]))));
+    let pieces: Vec<String> = done[0].1.iter().map(piece_of).collect();
+    let wanted: Vec<String> = (0..14).map(|n| format!("r1/{n}")).collect();
+    assert_eq!(pieces, wanted);
+}
+
+fn piece_of(result: &PieceResult) -> String {
+    let PieceResult::Made(handle) = result else {
+        panic!("{result:?} was not made");
+    };
+    handle.text.rsplit_once('/').expect("a call's number ends it").0.to_string()
+}
+
+#[test]
+fn the_urgent_go_first_and_the_hopeless_last() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), Event::Order(1, order("busy", 1))));
+    let urgent = BatchOrder { rank: 0, ..order("urgent", 6) };
+    let patient = BatchOrder { rank: 2, slack_ms: 900, ..order("patient", 6) };
+    let hopeless = BatchOrder { rank: 0, slack_ms: 20, ..order("hopeless", 6) };
+    for (id, order) in [(2, hopeless), (3, patient), (4, urgent)] {
+        c.on(at(1), Event::Order(id, order));
+    }
+    let next = calls(&c.on(at(110), Event::Ended(first[0].number, made(&first[0]))));
+    let in_order: Vec<&str> = next[0].pieces.iter().map(|p| p.attempt.as_str()).collect();
+    assert_eq!(in_order[..6], ["urgent"; 6]);
+    assert_eq!(in_order[6..], ["patient"; 4], "the call is filled with part of the next order");
+    let then = calls(&c.on(at(300), Event::Ended(next[0].number, made(&next[0]))));
+    assert_eq!(then[0].pieces[0].attempt, "patient", "a begun order is ended first");
+    assert_eq!(then[0].pieces[2].attempt, "hopeless");
+}
+
+#[test]
+fn what_is_large_stays_in_its_failure_domain() {
+    let large = |rank, slack_ms| BatchOrder {
+        near: Some("b".into()),
+        moved_bytes: 9 << 20,
+        spread_bytes: 9 << 20,
+        rank,
+        slack_ms,
+        ..order("large", 2)
+    };
+    let cases = [
+        ("waits for a maker at home", large(2, 2000), &[("m1", "a"), ("m2", "b")][..], "m2"),
+        ("goes elsewhere if home has no maker", large(2, 2000), &[("m1", "a")][..], "m1"),
+    ];
+    for (what, order, present, maker) in cases {
+        let mut c = coordinator(present);
+        let started = calls(&c.on(at(0), Event::Order(1, order)));
+        assert_eq!(&*started[0].maker, maker, "{what}");
+    }
+    let mut c = coordinator(&[("m1", "a"), ("m2", "b")]);
+    let busy = BatchOrder { near: Some("b".into()), ..large(2, 2000) };
+    c.on(at(0), Event::Order(1, busy));
+    let patient = c.on(at(1), Event::Order(2, large(2, 200)));
+    assert!(calls(&patient).is_empty(), "a patient one waits for its busy home");
+    let pressed = calls(&c.on(at(2), Event::Order(3, large(1, 200))));
+    assert_eq!(&*pressed[0].maker, "m1", "an urgent one that is pressed for time does not");
+}
+
+#[test]
+fn a_makers_room_is_not_overdrawn_and_comes_back_when_results_are_freed() {
+    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
+    c.on(at(0), makers(&[("m1", "a")]));
+    let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..order(name, 4) };
+    let first = calls(&c.on(at(0), Event::Order(1, heavy("r1"))));
+    assert_eq!(first[0].pieces.len(), 4);
+    let ended = c.on(at(150), Event::Ended(first[0].number, made(&first[0])));
+    let kept = answers(&ended)[0].1.clone();
+    assert!(calls(&c.on(at(160), Event::Order(2, heavy("r2")))).is_empty(), "4 of 4.5 MB kept");
+    let handles = kept
+        .into_iter()
+        .filter_map(|r| match r {
+            PieceResult::Made(h) => Some(h),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls(&c.on(at(200), Event::Freed(handles)))[0].pieces.len(), 4);
+}
+
+#[test]
+fn results_that_nobody_frees_run_out() {
+    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
+    c.on(at(0), makers(&[("m1", "a")]));
+    let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..order(name, 4) };
+    let first = calls(&c.on(at(0), Event::Order(1, heavy("r1"))));
+    c.on(at(150), Event::Ended(first[0].number, made(&first[0])));
+    assert!(calls(&c.on(at(160), Event::Order(2, heavy("r2")))).is_empty());
+    assert_eq!(calls(&c.on(at(4200), Event::Tick)).len(), 1);
+}
+
+#[test]
+fn a_failed_call_is_made_again_elsewhere_and_given_up_after_some() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
+    let mut call = calls(&c.on(at(0), Event::Order(1, order("r1", 2)))).remove(0);
+    let mut seen = vec![call.maker.clone()];
+    let mut now = 0;
+    let results = loop {
+        now += 50;
+        let out = c.on(at(now), Event::Ended(call.number, CallEnd::Failed));
+        if let Some((_, results)) = answers(&out).pop() {
+            break results;
+        }
+        call = loop {
+            now += 50;
+            if let Some(call) = calls(&c.on(at(now), Event::Tick)).pop().or(calls(&out).pop()) {
+                break call;
+            }
+        };
+        seen.push(call.maker.clone());
+    };
+    assert_eq!(results, [PieceResult::Failed, PieceResult::Failed]);
+    assert_ne!(seen[0], seen[1], "the maker that failed is left out for a while");
+    assert_eq!(seen.len(), 4);
+}
+
+#[test]
+fn a_late_order_is_answered_at_once_and_its_results_are_freed() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), Event::Order(1, order("busy", 1))));
+    c.on(at(1), Event::Order(2, BatchOrder { left_ms: 40, ..order("late", 2) }));
+    let out = c.on(at(60), Event::Tick);
+    assert_eq!(answers(&out), [(2, vec![PieceResult::Late, PieceResult::Late])]);
+    c.on(at(61), Event::Cancel(1));
+    let ended = c.on(at(120), Event::Ended(first[0].number, made(&first[0])));
+    assert!(matches!(&ended[..], [Action::Free(handles)] if handles.len() == 1));
+}
+
+#[test]
+fn a_stop_hands_over_what_no_call_has_taken() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), Event::Order(1, order("begun", 1))));
+    c.on(at(1), Event::Order(2, order("waiting", 1)));
+    assert_eq!(c.on(at(2), Event::HandOver), [Action::Moved(2)]);
+    let ended = c.on(at(120), Event::Ended(first[0].number, made(&first[0])));
+    assert_eq!(answers(&ended).len(), 1, "what was begun is ended here");
+}
+
+#[test]
+fn waits_grow_with_what_is_ahead_of_a_rank() {
+    let mut c = coordinator(&[("m1", "a")]);
+    c.on(at(0), Event::Order(1, order("busy", 1)));
+    let empty = c.waits(at(0));
+    c.on(at(1), Event::Order(2, BatchOrder { rank: 1, ..order("r", 8) }));
+    let full = c.waits(at(1));
+    assert_eq!(full.of(0), empty.of(0), "rank 1 is not ahead of rank 0");
+    assert!(full.of(1) >= empty.of(1) + 8 * 20, "{full:?} after {empty:?}");
+    let mut none = Coordinator::new(pool());
+    none.on(at(0), Event::Order(1, order("r", 1)));
+    assert_eq!(none.waits(at(0)).of(0), u32::MAX, "nobody makes anything");
+}
+
+/// Steps of a world in which calls end in any order and way.
+#[derive(Debug, Clone)]
+enum Step {
+    Order { pieces: u32, rank: u8, near: u8 },
+    End { which: usize, how: u8 },
+    Twice { which: usize },
+    Cancel { which: u64 },
+    Makers { mask: u8 },
+    Pass { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u32..25, 0u8..3, 0u8..3).prop_map(|(pieces, rank, near)| Step::Order { pieces, rank, near }),
+        6 => (0usize..8, 0u8..10).prop_map(|(which, how)| Step::End { which, how }),
+        1 => (0usize..8).prop_map(|which| Step::Twice { which }),
+        1 => (0u64..40).prop_map(|which| Step::Cancel { which }),
+        1 => (0u8..16).prop_map(|mask| Step::Makers { mask }),
+        3 => (1u64..400).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    now: u64,
+    orders: BTreeMap<OrderId, u32>,
+    answered: BTreeSet<OrderId>,
+    cancelled: BTreeSet<OrderId>,
+    flying: Vec<Call>,
+    ended: Vec<Call>,
+}
+
+impl World {
+    fn take(&mut self, actions: Vec<Action>) -> Result<(), TestCaseError> {
+        for action in actions {
+            match action {
+                Action::Start(call) => {
+                    prop_assert!(call.pieces.len() <= pool().batch);
+                    let same = self.flying.iter().filter(|f| f.maker == call.maker).count();
+                    prop_assert!(same < 1, "two calls at once at {}", call.maker);
+                    self.flying.push(call);
+                }
+                Action::Answer(id, results) => {
+                    prop_assert!(self.answered.insert(id), "order {id} answered twice");
+                    prop_assert!(!self.cancelled.contains(&id));
+                    prop_assert_eq!(results.len() as u32, self.orders[&id]);
+                    for (n, result) in results.iter().enumerate() {
+                        if let PieceResult::Made(_) = result {
+                            prop_assert_eq!(piece_of(result), format!("r{id}/{n}"));
+                        }
+                    }
+                }
+                Action::Moved(_) | Action::Free(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, which: usize, how: u8) -> Option<Event> {
+        if self.flying.is_empty() {
+            return None;
+        }
+        let call = self.flying.remove(which % self.flying.len());
+        let end = match how {
+            0 => CallEnd::Failed,
+            1 => CallEnd::Full,
+            2 => CallEnd::Answered(vec![PieceResult::NoRoom; call.pieces.len()]),
+            3 => CallEnd::Answered(Vec::new()),
+            _ => made(&call),
+        };
+        let event = Event::Ended(call.number, end);
+        self.ended.push(call);
+        Some(event)
+    }
+}
+
+proptest! {
+    /// Whatever calls do, each order is answered once, whole and with its own pieces,
+    /// and no maker gets more calls at once than it has slots.
+    #[test]
+    fn each_order_is_answered_once_with_its_own_pieces(steps in prop::collection::vec(step(), 1..120)) {
+        let all = [("m1", "a"), ("m2", "a"), ("m3", "b"), ("m4", "c")];
+        let domains = ["a", "b", "c"];
+        let mut c = coordinator(&all);
+        let mut world = World::default();
+        for step in steps {
+            let event = match step {
+                Step::Order { pieces, rank, near } => {
+                    let id = world.orders.len() as u64 + 1;
+                    world.orders.insert(id, pieces);
+                    let near = Some(domains[usize::from(near)].into());
+                    let order = order(&format!("r{id}"), pieces);
+                    Some(Event::Order(id, BatchOrder { rank, near, moved_bytes: 2 << 20, ..order }))
+                }
+                Step::End { which, how } => world.end(which, how),
+                Step::Twice { which } if !world.ended.is_empty() => {
+                    let call = &world.ended[which % world.ended.len()];
+                    Some(Event::Ended(call.number, made(call)))
+                }
+                Step::Twice { .. } => None,
+                Step::Cancel { which } => {
+                    let open = world.orders.contains_key(&which) && !world.answered.contains(&which);
+                    open.then(|| {
+                        world.cancelled.insert(which);
+                        Event::Cancel(which)
+                    })
+                }
+                Step::Makers { mask } => {
+                    let present: Vec<_> =
+                        all.iter().enumerate().filter(|(i, _)| mask & (1 << i) != 0).map(|(_, m)| *m).collect();
+                    Some(makers(&present))
+                }
+                Step::Pass { ms } => {
+                    world.now += ms;
+                    Some(Event::Tick)
+                }
+            };
+            if let Some(event) = event {
+                let actions = c.on(at(world.now), event);
+                world.take(actions)?;
+            }
+        }
+        // In the end every maker is back and every call ends well.
+        let actions = c.on(at(world.now), makers(&all));
+        world.take(actions)?;
+        for _ in 0..2000 {
+            world.now += 20;
+            let event = world.end(0, 9).unwrap_or(Event::Tick);
+            let actions = c.on(at(world.now), event);
+            world.take(actions)?;
+        }
+        for id in world.orders.keys() {
+            prop_assert!(world.answered.contains(id) || world.cancelled.contains(id), "order {id}");
+        }
+        prop_assert_eq!(c.open(), 0);
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/fleet.rs
@@ -0,0 +1,164 @@
+//! Beliefs about targets and the choice among them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use decide::fleet::{Fleet, Home, Observation, Wanted};
+use decide::rng::Rng;
+use model::Time;
+use model::forward::{PromptPart, Target, TargetId};
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn target(id: &str, domain: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "engine".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.into(),
+        slots: 4,
+        draining: false,
+    }
+}
+
+fn fleet(n: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for i in 0..n {
+        fleet.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]));
+    }
+    fleet
+}
+
+fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
+    Wanted { service: "engine", domain: "a", but }
+}
+
+fn home(key: u64) -> Home {
+    Home { key, shared: 100 }
+}
+
+#[test]
+fn a_prompts_home_is_its_largest_shared_part() {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let cases: &[(&[PromptPart], Option<(u64, u64)>)] = &[
+        (&[], None),
+        (&[part(7, 50)], Some((7, 50))),
+        (&[part(7, 50), part(8, 900)], Some((7, 50))),
+        (&[part(7, 50), part(8, 900), part(9, 5000)], Some((8, 950))),
+    ];
+    for (prompt, wanted) in cases {
+        let home = Home::of(prompt).map(|h| (h.key, h.shared));
+        assert_eq!(home, *wanted, "{prompt:?}");
+    }
+}
+
+#[test]
+fn nodes_that_know_the_same_targets_find_the_same_homes() {
+    let (one, mut other) = (fleet(12), Fleet::default());
+    for i in (0..12).rev() {
+        other.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]));
+    }
+    let mut homes = BTreeSet::new();
+    for key in 0..200 {
+        let pick = |f: &Fleet| f.pick_home(wanted(&[]), home(key), at(0)).map(|t| t.id);
+        assert_eq!(pick(&one), pick(&other));
+        homes.extend(pick(&one));
+    }
+    assert_eq!(homes.len(), 12, "every target is somebody's home");
+}
+
+#[test]
+fn a_lost_home_moves_only_its_own_prompts() {
+    let mut fleet = fleet(12);
+    let before: Vec<_> = (0..200).map(|k| fleet.pick_home(wanted(&[]), home(k), at(0))).collect();
+    fleet.vanish(&"t3".into(), at(0), false);
+    for (key, was) in before.into_iter().enumerate() {
+        let is = fleet.pick_home(wanted(&[]), home(key as u64), at(0));
+        let moved = was != is;
+        assert_eq!(moved, was.is_some_and(|t| &*t.id == "t3"));
+    }
+}
+
+#[test]
+fn what_drains_is_gone_or_was_tried_gets_nothing_new() {
+    let mut fleet = fleet(3);
+    fleet.upsert(Target { draining: true, ..target("t0", "a") });
+    fleet.vanish(&"t1".into(), at(0), false);
+    let mut rng = Rng::new(1);
+    for _ in 0..50 {
+        let plain = fleet.pick_plain(wanted(&[]), at(0), &mut rng).map(|t| t.id);
+        assert_eq!(plain.as_deref(), Some("t2"));
+    }
+    let tried = ["t2".into()];
+    assert_eq!(fleet.pick_plain(wanted(&tried), at(0), &mut rng), None);
+    assert_eq!(fleet.pick_home(wanted(&tried), home(1), at(0)), None);
+}
+
+#[test]
+fn an_entry_that_vanished_around_an_outage_is_kept_for_a_while() {
+    let mut fleet = fleet(2);
+    fleet.replace(vec![target("t0", "a")], at(1000), true);
+    assert_eq!(fleet.usable("engine", at(1500)).count(), 2, "most likely it lives");
+    assert_eq!(fleet.targets().len(), 1, "but other nodes are not told of it");
+    assert_eq!(fleet.usable("engine", at(2300)).count(), 1, "not for long enough to break a drain");
+    fleet.expire(at(2300));
+    assert_eq!(fleet.len(), 1);
+    fleet.replace(vec![target("t0", "a"), target("t1", "b")], at(2400), true);
+    assert_eq!(fleet.usable("engine", at(9000)).count(), 2, "it wrote again");
+}
+
+#[test]
+fn a_draining_entry_that_vanishes_is_gone_even_around_an_outage() {
+    let mut fleet = fleet(2);
+    fleet.upsert(Target { draining: true, ..target("t1", "b") });
+    fleet.replace(vec![target("t0", "a")], at(0), true);
+    assert_eq!(fleet.len(), 1);
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_left_out_and_tried_again() {
+    let mut fleet = fleet(2);
+    let mut rng = Rng::new(1);
+    fleet.observe(&"t0".into(), Observation::Unreachable, at(0));
+    let pick = |f: &Fleet, rng: &mut Rng, ms| f.pick_plain(wanted(&[]), at(ms), rng).map(|t| t.id);
+    assert_eq!(pick(&fleet, &mut rng, 10).as_deref(), Some("t1"));
+    fleet.observe(&"t1".into(), Observation::Unreachable, at(20));
+    assert!(pick(&fleet, &mut rng, 30).is_some(), "with none sound, one is tried all the same");
+    let tried: BTreeSet<_> = (0..50).filter_map(|_| pick(&fleet, &mut rng, 5000)).collect();
+    assert!(tried.iter().any(|t| &**t == "t0"), "{tried:?}");
+}
+
+#[test]
+fn failing_targets_get_less_and_busy_ones_too() {
+    let mut fleet = fleet(2);
+    let mut rng = Rng::new(1);
+    for id in ["t0", "t1"] {
+        fleet.observe(&id.into(), Observation::Answered(Duration::from_millis(50)), at(0));
+    }
+    let local = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
+    assert_eq!(&*local.id, "t0", "its own failure domain first");
+    for _ in 0..3 {
+        fleet.sent(&"t0".into(), 0);
+    }
+    let spread = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
+    assert_eq!(&*spread.id, "t1");
+    for _ in 0..3 {
+        fleet.done(&"t0".into());
+        fleet.observe(&"t0".into(), Observation::Failed, at(0));
+    }
+    let sound = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
+    assert_eq!(&*sound.id, "t1");
+}
+
+#[test]
+fn a_home_with_too_much_to_read_hands_on_in_the_same_order() {
+    let mut fleet = fleet(6);
+    let first = fleet.pick_home(wanted(&[]), home(5), at(0)).expect("six are up");
+    fleet.sent(&first.id, 1_000_000);
+    let second = fleet.pick_home(wanted(&[]), home(5), at(0)).expect("six are up");
+    assert_ne!(first.id, second.id);
+    fleet.read(&first.id, 1_000_000);
+    assert_eq!(fleet.pick_home(wanted(&[]), home(5), at(0)).map(|t| t.id), Some(first.id));
+}
