--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -35,6 +35,16 @@
     pub body: Bytes,
 }
 
+/// A target's answer that is no success.
+pub struct Failure {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// What is known so far of a request's way.
 pub struct Progress {
     /// Tries.
@@ -45,6 +55,8 @@
     pub target: Option<TargetId>,
     /// Time that stages took.
     pub stages: Duration,
+    /// A target's own failure, passed on if no other target does better.
+    pub failure: Option<Failure>,
     /// Why the last try brought nothing.
     pub why: String,
     ended: bool,
@@ -96,6 +108,7 @@
             but: Vec::new(),
             target: None,
             stages: Duration::ZERO,
+            failure: None,
             why: String::new(),
             ended: false,
         };
@@ -235,6 +248,12 @@
     /// The final answer of a request that no target answered.
     fn own_ending(&self) -> Response<Body> {
         let (ending, why) = self.progress(|p| (p.tries.ending(), p.why.clone()));
+        if ending == Ending::Unknown
+            && let Some(Failure { status, headers, body }) = self.progress(|p| p.failure.take())
+        {
+            self.log_end(status.as_u16(), "failed");
+            return reply::whole(status, headers, body);
+        }
         let late = self.left().is_zero();
         let (status, come_back, outcome) = match ending {
             Ending::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK), "not_run"),
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -10,7 +10,7 @@
 use model::Time;
 use model::forward::{Target, TargetId};
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Failure};
 use super::stream::{Begun, EventReader, StreamError};
 use crate::border::Onward;
 use crate::events::Event;
@@ -182,11 +182,8 @@
     let status = head.status;
     if status.is_server_error() {
         let why = format!("status {status}");
-        let outcome = nothing(exchange, target, Observation::Failed, begun, why);
-        let tries = exchange.progress(|p| p.tries);
-        let again = tries.may_resend(exchange.left());
-        // The answer is passed on where a further send would end in nothing better.
-        return if again { outcome } else { Outcome::Whole { status, headers, body } };
+        exchange.progress(|p| p.failure = Some(Failure { status, headers, body }));
+        return nothing(exchange, target, Observation::Failed, begun, why);
     }
     node.observe(&target.id, Observation::Answered(took), "");
     Outcome::Whole { status, headers, body }
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -130,6 +130,10 @@
             match self.next().await {
                 Ok(Some(event)) => {
                     let number = self.exchange.node.dialect.event_number(&event);
+                    if number.is_some() && number <= self.last_event {
+                        // A second target began before the place it was told.
+                        continue;
+                    }
                     self.last_event = number.or(self.last_event);
                     return Some(Ok(event));
                 }
