Nodes agree on who is new by uptime, and are ready once they know their peers

Cause: incident inc-4b1d, 42 to 48 s, after all nodes lost power: up to eight coordinators of one service at once for four seconds, since each node held all others for settled and itself for new, and served before it knew any peer (173 calls found a maker full). Change: rumors carry the uptime of their node; new nodes go behind settled ones only by that; a node is ready when it knows a peer, or after 0.7 s alone.

--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -70,6 +70,7 @@
     pub(super) retell: u8,
     pub(super) seq: u32,
     pub(super) next: Time,
+    pub(super) now: Time,
     pub(super) left: bool,
     pub(super) rng: Rng,
 }
@@ -78,7 +79,13 @@
     /// A node that knows nobody.
     pub fn new(me: Node, tuning: Tuning, seed: u64) -> Self {
         let mut outbox = Outbox::default();
-        outbox.push(Rumor { node: me.clone(), health: Health::Alive, incarnation: 0, number: 0 });
+        outbox.push(Rumor {
+            node: me.clone(),
+            health: Health::Alive,
+            incarnation: 0,
+            number: 0,
+            up_ms: 0,
+        });
         Member {
             me,
             tuning,
@@ -97,6 +104,7 @@
             retell: 0,
             seq: 0,
             next: Time::ZERO,
+            now: Time::ZERO,
             left: false,
             rng: Rng::new(seed),
         }
@@ -148,6 +156,7 @@
     /// Takes one event; returns what is to be done.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
+        self.now = now;
         match event {
             Event::Tick => self.tick(now, &mut out),
             Event::Packet { from, packet } => self.packet(now, from, packet, &mut out),
@@ -239,7 +248,7 @@
         out: &mut Vec<Action>,
     ) {
         if let Some(peer) = self.peers.get(id) {
-            let rumor = Rumor { health, ..peer.rumor() };
+            let rumor = Rumor { health, ..peer.rumor(now) };
             self.learn(now, &rumor, out);
         }
     }
@@ -407,6 +416,7 @@
             health: Health::Alive,
             incarnation: self.incarnation,
             number: self.number,
+            up_ms: self.now.since(Time::ZERO).as_millis() as u64,
         }
     }
 
@@ -432,7 +442,7 @@
             } else if let Some(p) = self.probe.as_ref().and_then(|p| self.peers.get(&p.target))
                 && p.health == Health::Suspect
             {
-                rumors.push(p.rumor());
+                rumors.push(p.rumor(self.now));
             }
         }
         let loads = self.outbox.take_loads(LOADS, nodes);
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -21,6 +21,9 @@
     pub incarnation: u32,
     /// Highest manifest known to be in force there.
     pub number: u64,
+    /// Time that its process had run at `heard`.
+    up: Duration,
+    heard: Time,
     /// When this health began.
     pub since: Time,
     /// Independent suspicions heard.
@@ -33,13 +36,19 @@
         self.health <= Health::Suspect
     }
 
+    /// How long its process has run, as far as is known.
+    pub fn uptime(&self, now: Time) -> Duration {
+        self.up + now.since(self.heard)
+    }
+
     /// News of this peer.
-    pub fn rumor(&self) -> Rumor {
+    pub fn rumor(&self, now: Time) -> Rumor {
         Rumor {
             node: self.node.clone(),
             health: self.health,
             incarnation: self.incarnation,
             number: self.number,
+            up_ms: self.uptime(now).as_millis() as u64,
         }
     }
 }
@@ -101,6 +110,10 @@
     pub fn take(&mut self, now: Time, r: &Rumor) -> bool {
         if let Some(p) = self.map.get_mut(&r.node.id) {
             p.number = p.number.max(r.number);
+            let up = Duration::from_millis(r.up_ms);
+            if up > p.uptime(now) {
+                (p.up, p.heard) = (up, now);
+            }
             let final_state = p.health >= Health::Dead;
             let newer = (r.incarnation, r.health) > (p.incarnation, p.health);
             let buries = r.health >= Health::Dead && !final_state;
@@ -126,6 +139,8 @@
             health: r.health,
             incarnation: r.incarnation,
             number: r.number,
+            up: Duration::from_millis(r.up_ms),
+            heard: now,
             since: now,
             confirms: 0,
         };
--- a/crates/decide/src/member/probes.rs
+++ b/crates/decide/src/member/probes.rs
@@ -73,13 +73,13 @@
         };
         match peer.health {
             Health::Alive => {
-                let rumor = Rumor { health: Health::Suspect, ..peer.rumor() };
+                let rumor = Rumor { health: Health::Suspect, ..peer.rumor(now) };
                 self.learn(now, &rumor, out);
             }
             Health::Suspect => {
                 self.peers.confirm(&p.target);
                 if let Some(peer) = self.peers.get(&p.target) {
-                    self.outbox.push(peer.rumor());
+                    self.outbox.push(peer.rumor(now));
                 }
             }
             _ => {}
@@ -114,7 +114,7 @@
         }
         // A node that is suspected or was buried learns it from whom it probes.
         let doubted = self.peers.get(sender).filter(|p| p.health != Health::Alive);
-        packet.rumors.extend(doubted.map(Peer::rumor));
+        packet.rumors.extend(doubted.map(|p| p.rumor(self.now)));
         out.push(Action::Send(from, packet));
         if newcomer {
             self.welcome(from, out);
@@ -123,7 +123,7 @@
 
     /// Tells a newcomer about everybody, a few in each datagram.
     pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        let others = self.peers.iter_up().map(Peer::rumor);
+        let others = self.peers.iter_up().map(|p| p.rumor(self.now));
         let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
         for rumors in all.chunks(WELCOME) {
             let mut packet = self.packet_of(Purpose::News, 0);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -29,6 +29,8 @@
 use crate::stages::Pools;
 use crate::watch as store_watch;
 
+/// Time after which a node that heard of no peer takes it that it is alone.
+const ALONE: Duration = Duration::from_millis(700);
 /// Time to connect to a peer or the store.
 const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
@@ -230,7 +232,9 @@
 
     /// Whether this node wants callers.
     pub fn is_ready(&self) -> bool {
-        self.table.borrow().known() && self.targets_known.get() && !self.is_stopping()
+        let knows_peers = self.peers.count() > 1 || self.now().since(Time::ZERO) >= ALONE;
+        let knows = self.table.borrow().known() && self.targets_known.get() && knows_peers;
+        knows && !self.is_stopping()
     }
 
     /// Whether a planned stop has begun.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,7 +1,7 @@
 //! Peers: membership over UDP, and a small HTTP server for the other nodes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +57,10 @@
     pub node: PeerNode,
     /// A probe of it failed.
     pub suspect: bool,
+    /// How long its process had run at `at`.
+    pub up: Duration,
+    /// When this view was taken.
+    pub at: Time,
 }
 
 /// Peers that are up.
@@ -64,7 +68,6 @@
 pub struct Peers {
     up: RefCell<Vec<Peer>>,
     stopping: RefCell<HashSet<NodeId>>,
-    seen: RefCell<HashMap<NodeId, Time>>,
     most: Cell<usize>,
     commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
 }
@@ -95,8 +98,8 @@
     /// Nodes in the order in which they coordinate `service`; `None` is this node.
     /// All nodes that agree on the members find the same order.
     ///
-    /// A node that has just come goes last, so that a restart moves the work once and
-    /// not twice; and so does one that stops. `now` counts from this node's own start.
+    /// Nodes that have just come go behind those that have not, so that a restart moves
+    /// the work once and not twice; and one that stops goes last. `now` counts from this node's own start.
     pub fn coordinators(
         &self,
         me: &Name,
@@ -106,17 +109,18 @@
     ) -> Vec<Option<PeerNode>> {
         let key = hash::of(service.as_bytes());
         let score = |name: &Name| hash::mix(key, hash::of(name.as_bytes()));
-        let is_new = now.since(Time::ZERO) < SETTLED;
         let up = self.up.borrow();
-        let seen = self.seen.borrow();
-        // To a node that has just come all others look new; it takes them as they are.
-        let settled =
-            |p: &Peer| is_new || seen.get(&p.node.id).is_some_and(|at| now.since(*at) >= SETTLED);
         let stopping = self.stopping.borrow();
         let sound = up.iter().filter(|p| !p.suspect && !stopping.contains(&p.node.id));
-        let mut order: Vec<(bool, u64, Option<PeerNode>)> =
-            sound.map(|p| (settled(p), score(&p.node.id.name), Some(p.node.clone()))).collect();
-        order.push((!stops && !is_new, score(me), None));
+        let settled = |since: Time, up: Duration| up + now.since(since) >= SETTLED;
+        let mut order: Vec<(bool, u64, Option<PeerNode>)> = sound
+            .map(|p| (settled(p.at, p.up), score(&p.node.id.name), Some(p.node.clone())))
+            .collect();
+        order.push((!stops && settled(Time::ZERO, Duration::ZERO), score(me), None));
+        if stops {
+            // Last of all, also where all are new.
+            order.last_mut().expect("just pushed").1 = 0;
+        }
         order.sort_by_key(|(settled, score, _)| std::cmp::Reverse((*settled, *score)));
         order.into_iter().map(|(_, _, node)| node).collect()
     }
@@ -141,13 +145,10 @@
         let view = |p: &decide::member::Peer| Peer {
             node: p.node.clone(),
             suspect: p.health == Health::Suspect,
+            up: p.uptime(now),
+            at: now,
         };
         let up: Vec<Peer> = machine.peers().map(view).collect();
-        let mut seen = self.seen.borrow_mut();
-        seen.retain(|id, _| up.iter().any(|p| p.node.id == *id));
-        for peer in &up {
-            seen.entry(peer.node.id.clone()).or_insert(now);
-        }
         self.most.set(self.most.get().max(up.len() + 1));
         *self.up.borrow_mut() = up;
     }
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -55,6 +55,8 @@
     pub incarnation: u32,
     /// Manifest in force on the node when the rumor began.
     pub number: u64,
+    /// Milliseconds that the node's process had run when the rumor was sent or began.
+    pub up_ms: u64,
 }
 
 /// A changed load, packed for gossip.
