--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -25,7 +25,7 @@
     /// The budget for repeats of a service granted none.
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
-    Coordinator { service: &'a str, node: &'a str },
+    Coordinator { service: &'a str, coordinator: &'a str, why: &'a str },
     /// Lines that were not written since the last such line.
     Dropped { lines: u64 },
     /// A request was refused at the door, since its first event was expected too late.
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -30,8 +30,7 @@
 }
 
 /// Places the order; after its coordinators fail, this node makes the calls itself.
-pub async fn place(node: &Rc<Node>, order: BatchOrder) -> Placed {
-    let n = order.pieces.len();
+pub async fn place(node: &Rc<Node>, mut order: BatchOrder) -> Placed {
     let (settings, stops) = (node.settings(), node.is_stopping());
     let me = &settings.name;
     let order_of = node.peers.coordinators(me, stops, &order.service, node.now());
@@ -39,16 +38,23 @@
         let Some(peer) = coordinator else {
             break;
         };
+        let begun = node.now();
         match ask(node, &peer, &order).await {
-            Some(BatchAnswer { results, waits }) if results.len() == n => {
+            Ok(BatchAnswer { results, waits }) => {
                 node.heard_waits(&order.service, waits);
                 let coordinator = Some(peer.id.name);
                 return Placed { results, peer: Some(peer.entry), coordinator };
             }
-            _ => Event::Coordinator { service: &order.service, node: &peer.id.name }.emit(),
+            Err(why) => {
+                let coordinator = &peer.id.name;
+                Event::Coordinator { service: &order.service, coordinator, why: &why }.emit();
+            }
         }
+        let passed = node.now().since(begun).as_millis() as u64;
+        order.left_ms = order.left_ms.saturating_sub(passed);
+        order.slack_ms = order.slack_ms.saturating_sub(passed);
     }
-    let service = order.service.clone();
+    let (service, n) = (order.service.clone(), order.pieces.len());
     let results = match node.pools.order(node, order).await {
         Ok(BatchAnswer { results, waits }) => {
             node.heard_waits(&service, waits);
@@ -59,18 +65,23 @@
     Placed { results, peer: None, coordinator: None }
 }
 
-async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Option<BatchAnswer> {
+async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Result<BatchAnswer, String> {
     let address = peer.entry.to_string();
     let timeout = Duration::from_millis(order.left_ms);
     let call = node.client.rmp::<_, BatchAnswer>(&address, BATCH, order, timeout);
-    tokio::select! {
-        answer = call => {
-            if answer.as_ref().is_err_and(|e| e.status() == Some(STOPPING)) {
+    let answer = tokio::select! {
+        answer = call => answer,
+        () = lost(node, peer) => return Err("it is suspected or gone".into()),
+    };
+    match answer {
+        Ok(answer) if answer.results.len() == order.pieces.len() => Ok(answer),
+        Ok(_) => Err("it answered for other pieces".into()),
+        Err(e) => {
+            if e.status() == Some(STOPPING) {
                 node.peers.note_stopping(&peer.id);
             }
-            answer.ok()
+            Err(e.to_string())
         }
-        () = lost(node, peer) => None,
     }
 }
 
