--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -13,7 +13,7 @@
 const SPILL_RANK: u8 = 1;
 
 /// Key by which orders are taken; the least goes first.
-pub(super) type Urgency = (bool, bool, bool, u8, Duration);
+pub(super) type Urgency = (bool, bool, u8, bool, Duration);
 
 /// One order that is not answered yet.
 #[derive(Debug)]
@@ -59,13 +59,13 @@
         Duration::from_secs_f64(ms.max(0.0) / 1000.0)
     }
 
-    /// Begun orders first, then those that this failure domain is meant for, those
-    /// that can still be in time, the higher ranks, the least slack.
+    /// Begun orders first, then those that can still be in time, the higher ranks,
+    /// those that this failure domain is meant for, the least slack.
     pub(super) fn urgency(&self, domain: &str, pool: &StagePool, now: Time) -> Urgency {
         let begun = self.waiting.len() < self.results.len();
         let slack = self.slack(now);
         let hopeless = self.is_hopeless(pool, now);
-        (!begun, hopeless, !self.is_meant_for(domain), self.order.rank, slack)
+        (!begun, hopeless, self.order.rank, !self.is_meant_for(domain), slack)
     }
 
     fn is_meant_for(&self, domain: &str) -> bool {
