--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -78,6 +78,16 @@
         #[bpaf(positional("HOST"))]
         host: String,
     },
+    /// Show the way of one request through the logs of the nodes
+    #[bpaf(command)]
+    Explain {
+        /// Request id
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files of the nodes
+        #[bpaf(positional("FILE"), some("name at least one log file"))]
+        files: Vec<PathBuf>,
+    },
     /// Reports from live nodes
     #[bpaf(command)]
     Report(#[bpaf(external(report))] Report),
--- /dev/null
+++ b/crates/cli/src/cmd/explain.rs
@@ -0,0 +1,35 @@
+//! `pumicevale explain`: the way of one request through the nodes' logs.
+
+use std::path::PathBuf;
+
+use crate::trace::{Line, Trace};
+
+/// Explains a request.
+pub struct Explain {
+    /// Request id.
+    pub id: String,
+    /// Log files of the nodes.
+    pub files: Vec<PathBuf>,
+}
+
+impl Explain {
+    /// Prints the request's lines in order of time, and what ended it.
+    pub fn run(self) -> anyhow::Result<()> {
+        let trace = Trace::read(&self.id, &self.files)?;
+        if trace.malformed > 0 {
+            eprintln!("{} lines could not be read", trace.malformed);
+        }
+        if trace.lines.is_empty() {
+            anyhow::bail!("no line of request {:?} in these files", self.id);
+        }
+        for line in &trace.lines {
+            println!("{}", show(line));
+        }
+        println!("\n{}", trace.cause());
+        Ok(())
+    }
+}
+
+fn show(line: &Line) -> String {
+    format!("{}  {:<20} {:<8} {}", line.time, line.node, line.event, line.details())
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod diff;
 mod drain;
+mod explain;
 mod get;
 mod validate;
 mod watch;
@@ -33,6 +34,7 @@
             Args::Drain { store, undo, reason, host } => {
                 drain::DrainHost { store, undo, reason, host }.run().await
             }
+            Args::Explain { id, files } => explain::Explain { id, files }.run(),
             Args::Report(Report::Burn { entries, objective, short, long, yaml }) => {
                 Burn { entries, objective, short, long, yaml }.run().await
             }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod declare;
 mod metrics;
 mod remote;
+pub mod trace;
 
 pub use remote::Remote;
--- /dev/null
+++ b/crates/cli/src/trace.rs
@@ -0,0 +1,187 @@
+//! Reads the log lines of several nodes and joins those of one request.
+
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::io::{BufRead, BufReader, IsTerminal};
+use std::path::Path;
+
+use anyhow::Context;
+use serde_json::{Map, Value};
+
+/// Bytes of a file between two reports of progress.
+const PROGRESS_EVERY: u64 = 64 << 20;
+/// Fields that every line has, shown apart from the others.
+const COMMON: [&str; 4] = ["at_ms", "node", "event", "id"];
+
+/// One log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// Wall-clock time as the line has it; lines of nodes are ordered by it.
+    pub time: String,
+    /// Node that wrote it.
+    pub node: String,
+    /// Milliseconds since that node's start.
+    pub at_ms: u64,
+    /// What happened.
+    pub event: String,
+    /// All fields.
+    pub fields: Map<String, Value>,
+}
+
+/// Lines of one request, and what concerns its targets meanwhile.
+#[derive(Debug, Default)]
+pub struct Trace {
+    /// Lines in order of time.
+    pub lines: Vec<Line>,
+    /// Lines that could not be read.
+    pub malformed: u64,
+}
+
+impl Line {
+    /// Reads a line; `None` if it is no event, an error if it looks like one and is not.
+    pub fn read(text: &str) -> Option<Result<Line, serde_json::Error>> {
+        let start = text.find('{')?;
+        let fields = match serde_json::from_str::<Map<String, Value>>(&text[start..]) {
+            Ok(fields) => fields,
+            Err(e) => return Some(Err(e)),
+        };
+        let word = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_string);
+        let (node, event) = (word("node")?, word("event")?);
+        let at_ms = fields.get("at_ms").and_then(Value::as_u64)?;
+        let time = text[..start].split_whitespace().find(|w| w.contains('T'));
+        let time = time.unwrap_or_default().to_string();
+        Some(Ok(Line { time, node, at_ms, event, fields }))
+    }
+
+    fn word(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    /// The fields that are this event's own, as `name=value`.
+    pub fn details(&self) -> String {
+        let own = self.fields.iter().filter(|(name, _)| !COMMON.contains(&name.as_str()));
+        let text = own.map(|(name, value)| match value {
+            Value::String(s) if s.is_empty() => format!("{name}=-"),
+            Value::String(s) => format!("{name}={s}"),
+            other => format!("{name}={other}"),
+        });
+        text.collect::<Vec<_>>().join(" ")
+    }
+}
+
+impl Trace {
+    /// Joins the lines of request `id` in `files`, and those that tell of the targets
+    /// it was sent to while it was open.
+    pub fn read(id: &str, files: &[impl AsRef<Path>]) -> anyhow::Result<Trace> {
+        let mut trace = Trace::default();
+        let mut beliefs = Vec::new();
+        for file in files {
+            trace.read_file(id, file.as_ref(), &mut beliefs)?;
+        }
+        let targets: BTreeSet<String> =
+            trace.lines.iter().map(|l| l.word("target").to_string()).collect();
+        let (first, last) = trace.span();
+        let concerns = |l: &Line| {
+            let target = l.word("target");
+            !target.is_empty() && targets.contains(target) && l.time >= first && l.time <= last
+        };
+        trace.lines.extend(beliefs.into_iter().filter(concerns));
+        trace.lines.sort_by(|a, b| (&a.time, a.at_ms).cmp(&(&b.time, b.at_ms)));
+        Ok(trace)
+    }
+
+    fn span(&self) -> (String, String) {
+        let times = || self.lines.iter().map(|l| l.time.clone());
+        (times().min().unwrap_or_default(), times().max().unwrap_or_default())
+    }
+
+    fn read_file(&mut self, id: &str, file: &Path, beliefs: &mut Vec<Line>) -> anyhow::Result<()> {
+        let open =
+            File::open(file).with_context(|| format!("could not open {}", file.display()))?;
+        let size = open.metadata().map(|m| m.len()).unwrap_or_default();
+        let mut progress = Progress::new(file, size);
+        let mut reader = BufReader::new(open);
+        let mut bytes = Vec::new();
+        loop {
+            bytes.clear();
+            let n = reader
+                .read_until(b'\n', &mut bytes)
+                .with_context(|| format!("could not read {}", file.display()))?;
+            if n == 0 {
+                return Ok(());
+            }
+            progress.add(n as u64);
+            let text = String::from_utf8_lossy(&bytes);
+            match Line::read(text.trim_end()) {
+                None => {}
+                Some(Err(_)) => self.malformed += 1,
+                Some(Ok(line)) if line.word("id") == id => self.lines.push(line),
+                Some(Ok(line)) if matches!(line.event.as_str(), "ejected" | "target") => {
+                    beliefs.push(line);
+                }
+                Some(Ok(_)) => {}
+            }
+        }
+    }
+
+    /// What ended the request, in a sentence, from its last line.
+    pub fn cause(&self) -> String {
+        let Some(end) = self.lines.iter().rev().find(|l| l.event == "request") else {
+            return "no final answer in these files: the node ended, or its log is missing".into();
+        };
+        let (took, stages) = (end.number("took_ms"), end.number("stages_ms"));
+        let first = end.number("first_ms");
+        let why = end.word("why");
+        let slowest =
+            self.lines.iter().filter(|l| l.event == "stage").max_by_key(|l| l.number("took_ms"));
+        let stage = slowest.map_or(String::new(), |l| {
+            format!(
+                "; its slowest stage was {} at {} with {} ms",
+                l.number("stage"),
+                l.word("service"),
+                l.number("took_ms")
+            )
+        });
+        let times =
+            format!("{took} ms in all, {stages} ms in stages, first event after {first} ms{stage}");
+        match end.word("outcome") {
+            "answered" | "streamed" => format!("answered with {}: {times}", end.number("status")),
+            "refused" => format!("refused with {} before it ran: {why}", end.number("status")),
+            "not_run" => format!("given up before it ran: {why}; {times}"),
+            "caller_left" => format!("its caller left: {times}"),
+            "broken_off" => format!("broken off after part of its answer: {why}; {times}"),
+            "failed" => {
+                format!("its target answered with {}: {why}; {times}", end.number("status"))
+            }
+            _ => format!("may have run, and brought no answer: {why}; {times}"),
+        }
+    }
+}
+
+/// Reports on a terminal how much of a large file has been read.
+struct Progress<'a> {
+    file: &'a Path,
+    size: u64,
+    read: u64,
+    told: u64,
+    shown: bool,
+}
+
+impl<'a> Progress<'a> {
+    fn new(file: &'a Path, size: u64) -> Self {
+        Progress { file, size, read: 0, told: 0, shown: std::io::stderr().is_terminal() }
+    }
+
+    fn add(&mut self, bytes: u64) {
+        self.read += bytes;
+        if self.shown && self.read - self.told >= PROGRESS_EVERY {
+            self.told = self.read;
+            let percent = self.read * 100 / self.size.max(1);
+            eprintln!("{}: {percent} %", self.file.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,77 @@
+//! From a request's id to its cause, by the logs alone.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn log(name: &str, lines: &[&str]) -> PathBuf {
+    let file = std::env::temp_dir().join(format!("pumicevale-{}-{name}.log", std::process::id()));
+    std::fs::write(&file, lines.join("\n")).expect("the temporary folder is writable");
+    file
+}
+
+fn explain(id: &str, files: &[PathBuf]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pumicevale"));
+    command.arg("explain").arg(id).args(files).output().expect("the program was built")
+}
+
+const ONE: &[&str] = &[
+    r#"2026-12-02T10:00:00.100 INFO  {"at_ms":90,"node":"a","event":"target","target":"i-1","service":"s","state":"ready"}"#,
+    r#"2026-12-02T10:00:01.000 INFO  {"at_ms":990,"node":"a","event":"stage","id":"r1","stage":0,"service":"encode","pieces":2,"made":true,"took_ms":700}"#,
+    r#"2026-12-02T10:00:01.001 INFO  {"at_ms":991,"node":"a","event":"chosen","id":"r1","target":"i-1","by":"home","left_ms":400,"targets_age_ms":1200}"#,
+    r#"2026-12-02T10:00:01.300 INFO  {"at_ms":1290,"node":"a","event":"ejected","target":"i-1","why":"no connection"}"#,
+    r#"2026-12-02T10:00:01.301 INFO  {"at_ms":1291,"node":"a","event":"attempt","id":"r1","target":"i-1","ran":"no","why":"no connection","after_ms":300}"#,
+    r#"2026-12-02T10:00:01.302 INFO  {"at_ms":1292,"node":"a","event":"request","id":"r1","status":503,"outcome":"not_run","why":"no target","target":"i-1","stages_ms":700,"first_ms":0,"took_ms":1002}"#,
+    r#"2026-12-02T10:00:01.400 INFO  {"at_ms":1390,"node":"a","event":"request","id":"r2","status":200,"outcome":"streamed","why":"","target":"i-2","stages_ms":20,"first_ms":50,"took_ms":90}"#,
+];
+
+#[test]
+fn the_lines_of_several_nodes_are_joined_in_order_and_end_in_a_cause() {
+    let other = [
+        r#"2026-12-02T10:00:00.900 INFO  {"at_ms":5,"node":"b","event":"stage","id":"r1","stage":1,"service":"rank","pieces":1,"made":true,"took_ms":100}"#,
+        r#"2026-12-02T10:00:00.901 INFO  {"at_ms":6,"node":"b","event":"#,
+        "a line that is no event",
+    ];
+    let out = explain("r1", &[log("one", ONE), log("two", &other)]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(out.status.success());
+    let events: Vec<&str> = text.lines().filter_map(|l| l.split_whitespace().nth(2)).collect();
+    assert_eq!(
+        events[..6],
+        ["stage", "stage", "chosen", "ejected", "attempt", "request"],
+        "{text}"
+    );
+    assert!(text.contains("targets_age_ms=1200"), "the age of what was known: {text}");
+    assert!(text.contains("given up before it ran: no target"), "{text}");
+    assert!(text.contains("slowest stage was 0 at encode with 700 ms"), "{text}");
+    assert!(!text.contains("r2"), "only this request: {text}");
+    assert!(String::from_utf8_lossy(&out.stderr).contains("1 lines could not be read"));
+}
+
+#[test]
+fn each_outcome_is_told_in_words() {
+    let cases = [
+        ("streamed", "answered with 200"),
+        ("refused", "refused with 200 before it ran: W"),
+        ("caller_left", "its caller left"),
+        ("broken_off", "broken off after part of its answer: W"),
+        ("failed", "its target answered with 200: W"),
+        ("unknown", "may have run, and brought no answer: W"),
+    ];
+    for (outcome, words) in cases {
+        let line = format!(
+            r#"2026-12-02T10:00:01.302 INFO  {{"at_ms":1,"node":"a","event":"request","id":"r","status":200,"outcome":"{outcome}","why":"W","target":"","stages_ms":1,"first_ms":1,"took_ms":1}}"#
+        );
+        let out = explain("r", &[log(outcome, &[&line])]);
+        let text = String::from_utf8_lossy(&out.stdout);
+        assert!(text.contains(words), "{outcome}: {text}");
+    }
+}
+
+#[test]
+fn an_id_that_is_nowhere_and_a_file_that_is_missing_are_errors() {
+    let out = explain("r9", &[log("none", ONE)]);
+    assert!(!out.status.success());
+    assert!(String::from_utf8_lossy(&out.stderr).contains("no line of request \"r9\""));
+    let out = explain("r1", &[PathBuf::from("missing.log")]);
+    assert!(String::from_utf8_lossy(&out.stderr).contains("could not open missing.log"));
+}
