A silent target is left for another where a second run is allowed

Change: patience of the objective (five pauses once begun), only while the budget has a repeat; the earlier connection is closed first.

--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -53,18 +53,23 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one repeat if this node's part, one of `nodes`, still holds one.
-    pub fn take(&mut self, now: Time, nodes: usize) -> bool {
+    /// Whether a repeat would be granted now.
+    pub fn has(&mut self, now: Time, nodes: usize) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
         let slack = self.tuning.slack / nodes.max(1) as f64;
         let allowed = (f64::from(requests) * self.tuning.ratio + slack) * DRAWN;
-        if f64::from(repeats + 1) > allowed {
-            return false;
+        f64::from(repeats + 1) <= allowed
+    }
+
+    /// Takes one repeat if this node's part, one of `nodes`, still holds one.
+    pub fn take(&mut self, now: Time, nodes: usize) -> bool {
+        let granted = self.has(now, nodes);
+        if granted {
+            self.bucket(now).repeats += 1;
         }
-        self.bucket(now).repeats += 1;
-        true
+        granted
     }
 
     fn bucket(&mut self, now: Time) -> &mut Bucket {
--- a/crates/decide/src/resend/verdict.rs
+++ b/crates/decide/src/resend/verdict.rs
@@ -7,6 +7,11 @@
 /// Least time that a further send is worth starting with.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 
+/// Pauses between events that a silent stream is waited for.
+const PAUSES: u32 = 5;
+/// Least time for which a begun stream may be silent.
+const PATIENCE_LEAST: Duration = Duration::from_millis(1000);
+
 /// What is known of a request's run at the target that it was sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ran {
@@ -100,6 +105,16 @@
         self.repeat.may_repeat() && resumable && self.reached < self.most
     }
 
+    /// How long a target may be silent before another one is asked in its place;
+    /// `None` if it is waited for to the end. `pause` is the longest between events.
+    pub fn patience(&self, objective: Duration, pause: Option<Duration>) -> Option<Duration> {
+        if !self.repeat.may_repeat() || self.reached >= self.most {
+            return None;
+        }
+        let pauses = pause.unwrap_or_default() * PAUSES;
+        Some(if self.begun { pauses.max(PATIENCE_LEAST) } else { objective.max(pauses) })
+    }
+
     /// The verdict, given the time left and whether the budget grants a repeat.
     pub fn next(&self, left: Duration, granted: impl FnOnce() -> bool) -> Next {
         let first = self.reached == 0 && left >= LEAST_LEFT;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -169,6 +169,12 @@
         self.budget(service, |b| b.request(now));
     }
 
+    /// Whether a repeat for a service would be granted now.
+    pub fn has_repeat(&self, service: &Name) -> bool {
+        let (now, nodes) = (self.now(), self.peers.most_seen());
+        self.budget(service, |b| b.has(now, nodes))
+    }
+
     /// Takes a repeat for a service out of this node's part of the budget.
     pub fn take_repeat(&self, service: &Name) -> bool {
         let (now, nodes) = (self.now(), self.peers.most_seen());
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -148,6 +148,23 @@
         (self.arrived + objective).since(self.node.now())
     }
 
+    /// Runs `work` until the target has been silent for too long, if another one can
+    /// be asked in its place; `None` then.
+    pub async fn patiently<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let pause = self.route.pause_ms.map(Duration::from_millis);
+        let mut work = std::pin::pin!(work);
+        if let Some(patience) = self.progress(|p| p.tries.patience(objective, pause)) {
+            if let Ok(done) = tokio::time::timeout(patience, work.as_mut()).await {
+                return Some(done);
+            }
+            if self.node.has_repeat(&self.service) {
+                return None;
+            }
+        }
+        Some(work.await)
+    }
+
     /// Serves the request to its end.
     pub async fn run(self: Rc<Self>) -> Response<Body> {
         let limit = self.node.clock.instant(self.deadline);
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -88,11 +88,20 @@
     };
     exchange.progress(|p| p.tries.connected());
     let request = request_for(exchange, target, made, resume_after);
-    match upstream::send_over(socket, target.address, request).await {
-        Ok(answer) => take(exchange, target, answer, at_target, begun).await,
-        Err(e) => {
+    let work = async {
+        match upstream::send_over(socket, target.address, request).await {
+            Ok(answer) => take(exchange, target, answer, at_target, begun).await,
+            Err(e) => {
+                exchange.progress(|p| p.tries.note(Ran::Maybe));
+                nothing(exchange, target, Observation::Failed, begun, e.to_string())
+            }
+        }
+    };
+    match exchange.patiently(work).await {
+        Some(outcome) => outcome,
+        None => {
             exchange.progress(|p| p.tries.note(Ran::Maybe));
-            nothing(exchange, target, Observation::Failed, begun, e.to_string())
+            nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
         }
     }
 }
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -32,6 +32,8 @@
     Empty,
     /// an event is too large
     TooLarge,
+    /// target was silent for too long
+    Silent,
     /// no event came in time
     Late,
 }
@@ -94,7 +96,8 @@
 
 struct Relay {
     exchange: Rc<Exchange>,
-    reader: EventReader,
+    /// None while no target runs the request.
+    reader: Option<EventReader>,
     first: Option<Bytes>,
     last_event: Option<u64>,
     made: Option<Made>,
@@ -111,8 +114,15 @@
         p.first = Some(now);
     });
     let last_event = exchange.head.last_event;
-    let relay =
-        Relay { exchange, reader, first: Some(first), last_event, made, at_target, over: false };
+    let relay = Relay {
+        exchange,
+        reader: Some(reader),
+        first: Some(first),
+        last_event,
+        made,
+        at_target,
+        over: false,
+    };
     let frames = stream::unfold(relay, |mut relay| async move {
         let item = relay.step().await?;
         Some((item.map(Frame::data), relay))
@@ -163,15 +173,22 @@
         if let Some(first) = self.first.take() {
             return Ok(Some(first));
         }
+        let Some(reader) = &mut self.reader else {
+            return Err(StreamError::Empty);
+        };
         let limit = self.exchange.node.clock.instant(self.exchange.deadline);
-        match tokio::time::timeout_at(limit, self.reader.next()).await {
-            Ok(read) => read,
+        let reading = self.exchange.patiently(reader.next());
+        match tokio::time::timeout_at(limit, reading).await {
+            Ok(Some(read)) => read,
+            Ok(None) => Err(StreamError::Silent),
             Err(_) => Err(StreamError::Late),
         }
     }
 
     /// Takes the stream up at another target after the last event; returns whether it goes on.
     async fn resume(&mut self) -> bool {
+        // The earlier run ends before another one goes on in its place.
+        self.reader = None;
         let limit = self.exchange.node.clock.instant(self.exchange.deadline);
         loop {
             let Some(target) = self.exchange.next_target(None) else {
@@ -181,7 +198,7 @@
             match tokio::time::timeout_at(limit, sending).await {
                 Ok(Outcome::Stream(begun)) => {
                     let Begun { reader, first, at_target, .. } = *begun;
-                    self.reader = reader;
+                    self.reader = Some(reader);
                     self.first = Some(first);
                     self.at_target = at_target;
                     return true;
