Homes of prompts in proportion to the makers of their large inputs

Cause: an engine in hall-c is a third of all homes, but one of five makers of the 3 MB results stands there: minutes waited up to 500 ms for it. Change: weighted rendezvous by makers over targets of each failure domain; equal where a route has no large results. Test of the shares in decide/tests/fleet.rs.

--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -8,4 +8,4 @@
 mod pick;
 
 pub use belief::{Belief, Fleet, Observation};
-pub use pick::{Home, Wanted};
+pub use pick::{Home, Wanted, shares};
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -1,5 +1,7 @@
 //! Which target gets a request.
 
+use std::collections::BTreeMap;
+
 use model::forward::{PromptPart, Target, TargetId};
 use model::{Name, Time, hash};
 
@@ -15,6 +17,15 @@
     pub domain: &'a str,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
+    /// Share of homes by failure domain, relative to each other; equal if empty.
+    pub shares: &'a [(Name, f64)],
+}
+
+impl Wanted<'_> {
+    fn share_of(&self, domain: &str) -> f64 {
+        let share = self.shares.iter().find(|(d, _)| **d == *domain);
+        share.map_or(1.0, |(_, share)| *share)
+    }
 }
 
 /// The home of a prompt: where its shared parts are most likely kept.
@@ -28,6 +39,8 @@
 
 /// Tokens in flight above which the next target in the home's order is looked at.
 const SPILL_TOKENS: u64 = 40_000;
+/// Makers that a failure domain without any is counted with.
+const NO_MAKER: f64 = 0.2;
 /// Extra milliseconds that a request to another failure domain costs.
 const CROSSING_MS: f64 = 2.0;
 /// Milliseconds assumed of a target that has answered nothing yet.
@@ -47,6 +60,37 @@
     }
 }
 
+/// Weighted rendezvous: the least distance wins, in proportion to the shares
+/// (Schindelhauer, Schomaker 2005: the logarithmic method).
+fn distance(hash: u64, share: f64) -> f64 {
+    /// Bits of a hash that a float tells apart.
+    const BITS: u32 = 53;
+    let unit = ((hash >> (u64::BITS - BITS)) + 1) as f64 / (1u64 << BITS) as f64;
+    -unit.ln() / share.max(f64::MIN_POSITIVE)
+}
+
+/// Share of homes by failure domain for requests whose inputs are made near their
+/// target: as many as the makers there can make, over the targets that are there.
+pub fn shares(fleet: &Fleet, makers: &str, targets: &str, now: Time) -> Vec<(Name, f64)> {
+    let count = |service: &str| {
+        let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
+        for b in fleet.usable(service, now) {
+            *by_domain.entry(b.target.domain.clone()).or_default() += 1;
+        }
+        by_domain
+    };
+    let makers = count(makers);
+    if makers.is_empty() {
+        return Vec::new();
+    }
+    let share = |(domain, targets): (Name, u32)| {
+        let made = makers.get(&domain).map_or(NO_MAKER, |n| f64::from(*n));
+        let share = made / f64::from(targets);
+        (domain, share)
+    };
+    count(targets).into_iter().map(share).collect()
+}
+
 impl Fleet {
     /// The target with the least expected wait, for services without a cache.
     pub fn pick_plain(&self, wanted: Wanted<'_>, now: Time, rng: &mut Rng) -> Option<Target> {
@@ -67,11 +111,14 @@
     /// The first target in the home's order that is not overloaded, so that all
     /// nodes find the same one without a message.
     pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
-        let mut order: Vec<(u64, &Belief)> = self
+        let mut order: Vec<(f64, &Belief)> = self
             .candidates(wanted, now)
-            .map(|b| (hash::mix(home.key, hash::of(b.target.id.as_bytes())), b))
+            .map(|b| {
+                let hash = hash::mix(home.key, hash::of(b.target.id.as_bytes()));
+                (distance(hash, wanted.share_of(&b.target.domain)), b)
+            })
             .collect();
-        order.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+        order.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
         let free = |b: &Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
         let chosen = order.iter().find(|(_, b)| free(b)).or(order.first());
         chosen.map(|(_, b)| b.target.clone())
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use decide::fleet::{Fleet, Home, Observation, Wanted};
+use decide::fleet::{Fleet, Home, Observation, Wanted, shares};
 use decide::rng::Rng;
 use model::Time;
 use model::forward::{PromptPart, Target, TargetId};
@@ -32,7 +32,7 @@
 }
 
 fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
-    Wanted { service: "engine", domain: "a", but }
+    Wanted { service: "engine", domain: "a", but, shares: &[] }
 }
 
 fn home(key: u64) -> Home {
@@ -160,3 +160,25 @@
     fleet.read(&first.id, 1_000_000);
     assert_eq!(fleet.pick_home(wanted(&[]), home(5), at(0)).map(|t| t.id), Some(first.id));
 }
+
+#[test]
+fn homes_follow_the_makers_of_their_inputs() {
+    let mut fleet = fleet(18);
+    let makers = [("m1", "a"), ("m2", "a"), ("m3", "b"), ("m4", "b"), ("m5", "c")];
+    for (id, domain) in makers {
+        fleet.upsert(Target { service: "encode".into(), ..target(id, domain) });
+    }
+    let by_domain = shares(&fleet, "encode", "engine", at(0));
+    let mut homes = [0.0; 3];
+    let keys = 3000;
+    for key in 0..keys {
+        let wanted = Wanted { shares: &by_domain, ..wanted(&[]) };
+        let home = fleet.pick_home(wanted, home(key), at(0)).expect("18 are up");
+        homes[["a", "b", "c"].iter().position(|d| *d == &*home.domain).expect("a domain")] += 1.0;
+    }
+    for (got, makers) in homes.into_iter().zip([2.0, 2.0, 1.0]) {
+        let wanted = keys as f64 * makers / 5.0;
+        assert!((got - wanted).abs() < wanted * 0.15, "{homes:?}");
+    }
+    assert!(shares(&fleet, "unknown", "engine", at(0)).is_empty(), "no makers, no shares");
+}
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::fleet::{Home, Wanted};
+use decide::fleet::{Home, Wanted, shares};
 use decide::resend::{Ending, Next, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use model::forward::{CallerHead, Route, Target, TargetId};
@@ -20,6 +20,8 @@
 
 /// Part of a deadline kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// Bytes of one result above which it is to be made near its target.
+const LARGE_RESULT: u64 = 1 << 20;
 /// When a caller is told to come back to a service that has no free target.
 const COME_BACK: Duration = Duration::from_millis(300);
 
@@ -219,13 +221,23 @@
         let now = self.node.now();
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
-        let wanted = Wanted { service: &self.service, domain: &settings.domain, but: &but };
+        let shares = self.home_shares(now);
+        let wanted =
+            Wanted { service: &self.service, domain: &settings.domain, but: &but, shares: &shares };
         match Home::of(&self.head.prompt) {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
             None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
         }
     }
 
+    /// Shares of homes by failure domain, where the route has large results that are
+    /// made near their target.
+    fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
+        let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
+        let makers = large.map(|s| &s.service);
+        makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
+    }
+
     /// Whether a target chosen a while ago may still get the request.
     fn still_usable(&self, target: &Target) -> bool {
         let now = self.node.now();
