--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,7 +1,7 @@
 //! Peers: membership over UDP, and a small HTTP server for the other nodes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,6 +32,14 @@
 pub const BATCH: &str = "/v1/batch";
 /// Path of results to be freed.
 pub const FREE: &str = "/v1/free";
+/// Path of a ping.
+const PING: &str = "/v1/ping";
+/// Time for a ping's answer.
+const PING_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between pings of one peer while orders wait for it.
+const PING_EVERY: Duration = Duration::from_millis(250);
+/// Time for which a peer that did not answer is passed over.
+const SILENT_KEPT: Duration = Duration::from_millis(1000);
 /// Path of rules and targets.
 const SNAPSHOT: &str = "/v1/snapshot";
 /// Largest message of a peer.
@@ -63,11 +71,20 @@
     pub at: Time,
 }
 
+/// When this node last had an answer of a peer, or none.
+#[derive(Debug, Clone, Copy, Default)]
+struct Contact {
+    answered: Time,
+    silent: Option<Time>,
+    asking: bool,
+}
+
 /// Peers that are up.
 #[derive(Default)]
 pub struct Peers {
     up: RefCell<Vec<Peer>>,
     stopping: RefCell<HashSet<NodeId>>,
+    contacts: RefCell<HashMap<NodeId, Contact>>,
     most: Cell<usize>,
     commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
 }
@@ -90,6 +107,42 @@
         sound || self.stopping.borrow().contains(id)
     }
 
+    /// A peer answered.
+    pub fn heard(&self, id: &NodeId, now: Time) {
+        let contact = Contact { answered: now, silent: None, asking: false };
+        self.contacts.borrow_mut().insert(id.clone(), contact);
+    }
+
+    /// Whether a peer was silent a moment ago.
+    pub fn is_silent(&self, id: &NodeId, now: Time) -> bool {
+        let contacts = self.contacts.borrow();
+        let silent = contacts.get(id).and_then(|c| c.silent);
+        silent.is_some_and(|at| now.since(at) < SILENT_KEPT)
+    }
+
+    /// A peer did not answer.
+    pub fn unheard(&self, id: &NodeId, now: Time) {
+        let mut contacts = self.contacts.borrow_mut();
+        let contact = contacts.entry(id.clone()).or_default();
+        contact.silent = Some(now);
+        contact.asking = false;
+    }
+
+    /// What is known of a peer's answers; marks it as being asked if it is to be.
+    fn contact(&self, id: &NodeId, now: Time) -> Known {
+        let mut contacts = self.contacts.borrow_mut();
+        let contact =
+            contacts.entry(id.clone()).or_insert(Contact { answered: now, ..Contact::default() });
+        if contact.silent.is_some_and(|at| now.since(at) < SILENT_KEPT) {
+            return Known::Silent;
+        }
+        if contact.asking || now.since(contact.answered) < PING_EVERY {
+            return Known::Answers;
+        }
+        contact.asking = true;
+        Known::Nothing
+    }
+
     /// A peer told that it stops and coordinates no more.
     pub fn note_stopping(&self, id: &NodeId) {
         self.stopping.borrow_mut().insert(id.clone());
@@ -154,6 +207,32 @@
     }
 }
 
+/// What is known of a peer's answers.
+enum Known {
+    Answers,
+    Silent,
+    Nothing,
+}
+
+/// Whether a peer answers, by what is known or else by a ping that all of this node's
+/// orders share.
+pub async fn answers(node: &Rc<Node>, peer: &PeerNode) -> bool {
+    match node.peers.contact(&peer.id, node.now()) {
+        Known::Answers => true,
+        Known::Silent => false,
+        Known::Nothing => {
+            let address = peer.entry.to_string();
+            let pong = node.client.rmp::<_, ()>(&address, PING, &(), PING_TIMEOUT).await;
+            if pong.is_ok() {
+                node.peers.heard(&peer.id, node.now());
+            } else {
+                node.peers.unheard(&peer.id, node.now());
+            }
+            pong.is_ok()
+        }
+    }
+}
+
 /// Starts membership and the server for peers.
 pub async fn start(node: &Rc<Node>) -> anyhow::Result<()> {
     let address = node.settings().peer_address();
@@ -290,6 +369,7 @@
 async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         SNAPSHOT => rmp(&node.snapshot()),
+        PING => rmp(&()),
         BATCH => {
             let Some(order) = read_rmp::<BatchOrder>(request, MESSAGE_MAX).await else {
                 return text(StatusCode::BAD_REQUEST, "not a batch order");
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -10,7 +10,7 @@
 
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::BATCH;
+use crate::peers::{self, BATCH};
 
 /// Coordinators asked before the node batches by itself.
 const ASKED: usize = 3;
@@ -34,13 +34,17 @@
     let (settings, stops) = (node.settings(), node.is_stopping());
     let me = &settings.name;
     let order_of = node.peers.coordinators(me, stops, &order.service, node.now());
-    for coordinator in order_of.into_iter().take(ASKED) {
+    let answering = |c: &Option<PeerNode>| {
+        c.as_ref().is_none_or(|peer| !node.peers.is_silent(&peer.id, node.now()))
+    };
+    for coordinator in order_of.into_iter().filter(answering).take(ASKED) {
         let Some(peer) = coordinator else {
             break;
         };
         let begun = node.now();
         match ask(node, &peer, &order).await {
             Ok(BatchAnswer { results, waits }) => {
+                node.peers.heard(&peer.id, node.now());
                 node.heard_waits(&order.service, waits);
                 let coordinator = Some(peer.id.name);
                 return Placed { results, peer: Some(peer.entry), coordinator };
@@ -79,15 +83,21 @@
         Err(e) => {
             if e.status() == Some(STOPPING) {
                 node.peers.note_stopping(&peer.id);
+            } else if e.not_sent() {
+                node.peers.unheard(&peer.id, node.now());
             }
             Err(e.to_string())
         }
     }
 }
 
-/// Returns once the peer is suspected or gone.
+/// Returns once the peer is suspected or gone, or does not answer a ping. Membership
+/// takes a second or two to find out; an order that waits asks by itself.
 async fn lost(node: &Rc<Node>, peer: &PeerNode) {
-    while node.peers.is_sound(&peer.id) {
+    loop {
         tokio::time::sleep(LOOK).await;
+        if !node.peers.is_sound(&peer.id) || !peers::answers(node, peer).await {
+            return;
+        }
     }
 }
