--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -82,6 +82,7 @@
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
             Event::Makers(makers) => self.makers.set(makers),
+            Event::Probed(maker, alive) => self.makers.probed(&maker, alive, now),
             Event::Freed(handles) => self.makers.freed(&handles),
             Event::HandOver => self.hand_over(&mut out),
             Event::Tick => {}
@@ -208,6 +209,7 @@
         if self.waiting() == 0 {
             return;
         }
+        out.extend(self.makers.to_probe(now).into_iter().map(Action::Probe));
         let working = self.makers.domains(now);
         for maker in self.makers.free(&self.pool, now) {
             let mut fits: Vec<(Urgency, OrderId)> = self
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -25,6 +25,14 @@
     made: Time,
 }
 
+/// Whether a maker that failed has been asked for a sign of life since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    None,
+    Unasked,
+    Asked,
+}
+
 #[derive(Debug)]
 struct Maker {
     domain: Name,
@@ -32,6 +40,7 @@
     present: bool,
     ejected: Time,
     strikes: u32,
+    doubt: Doubt,
     in_flight: u64,
     kept: BTreeMap<String, Kept>,
 }
@@ -44,13 +53,21 @@
             present: true,
             ejected: Time::ZERO,
             strikes: 0,
+            doubt: Doubt::None,
             in_flight: 0,
             kept: BTreeMap::new(),
         }
     }
 
     fn works(&self, now: Time) -> bool {
-        self.present && self.ejected <= now
+        self.present && self.ejected <= now && self.doubt == Doubt::None
+    }
+
+    fn eject(&mut self, now: Time) {
+        let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
+        self.ejected = now + time.min(EJECT_LONGEST);
+        self.strikes += 1;
+        self.doubt = Doubt::Unasked;
     }
 
     fn kept_bytes(&self) -> u64 {
@@ -133,16 +150,35 @@
             match end {
                 CallEnd::Answered(_) => m.strikes = 0,
                 CallEnd::Full => m.ejected = now + FULL,
-                CallEnd::Failed => {
-                    let time = EJECT_FIRST * 2u32.pow(m.strikes.min(3));
-                    m.ejected = now + time.min(EJECT_LONGEST);
-                    m.strikes += 1;
-                }
+                CallEnd::Failed => m.eject(now),
             }
         }
         self.forget_idle();
     }
 
+    /// Makers that failed and are to be asked for a sign of life now.
+    pub(super) fn to_probe(&mut self, now: Time) -> Vec<TargetId> {
+        let due = |m: &Maker| m.present && m.doubt == Doubt::Unasked && m.ejected <= now;
+        let mut due_now = Vec::new();
+        for (id, m) in self.0.iter_mut().filter(|(_, m)| due(m)) {
+            m.doubt = Doubt::Asked;
+            due_now.push(id.clone());
+        }
+        due_now
+    }
+
+    /// A maker gave a sign of life, or none.
+    pub(super) fn probed(&mut self, id: &TargetId, alive: bool, now: Time) {
+        let Some(m) = self.0.get_mut(id).filter(|m| m.doubt == Doubt::Asked) else {
+            return;
+        };
+        if alive {
+            m.doubt = Doubt::None;
+        } else {
+            m.eject(now);
+        }
+    }
+
     /// A maker had less room than was reckoned: it is left out until some is freed.
     pub(super) fn had_no_room(&mut self, id: &TargetId, now: Time) {
         if let Some(m) = self.0.get_mut(id) {
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -26,6 +26,8 @@
     Ended(u64, CallEnd),
     /// Makers that may get calls.
     Makers(Vec<MakerInfo>),
+    /// A maker gave a sign of life, or none.
+    Probed(TargetId, bool),
     /// Results are no longer wanted and are being freed.
     Freed(Vec<Handle>),
     /// This node stops: orders that no call has taken yet go to another coordinator.
@@ -61,6 +63,8 @@
 pub enum Action {
     /// Make a call.
     Start(Call),
+    /// Ask a maker that failed for a sign of life.
+    Probe(TargetId),
     /// Answer an order.
     Answer(OrderId, Vec<PieceResult>),
     /// An order is to be placed with another coordinator.
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -4,7 +4,9 @@
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use model::Time;
-use model::forward::{BatchOrder, Handle, PieceOrder, PieceResult, StageInput, StagePool};
+use model::forward::{
+    BatchOrder, Handle, PieceOrder, PieceResult, StageInput, StagePool, TargetId,
+};
 use proptest::prelude::*;
 
 fn pool() -> StagePool {
@@ -64,6 +66,14 @@
     CallEnd::Answered(call.pieces.iter().map(result).collect())
 }
 
+fn probes(actions: &[Action]) -> Vec<TargetId> {
+    let probe = |a: &Action| match a {
+        Action::Probe(maker) => Some(maker.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
 fn answers(actions: &[Action]) -> Vec<(OrderId, Vec<PieceResult>)> {
     let answer = |a: &Action| match a {
         Action::Answer(id, results) => Some((*id, results.clone())),
@@ -196,12 +206,16 @@
         if let Some((_, results)) = answers(&out).pop() {
             break results;
         }
-        call = loop {
+        let mut next = calls(&out).pop();
+        while next.is_none() {
             now += 50;
-            if let Some(call) = calls(&c.on(at(now), Event::Tick)).pop().or(calls(&out).pop()) {
-                break call;
+            let mut out = c.on(at(now), Event::Tick);
+            for maker in probes(&out) {
+                out.extend(c.on(at(now), Event::Probed(maker, true)));
             }
-        };
+            next = calls(&out).pop();
+        }
+        call = next.expect("the loop ends with a call");
         seen.push(call.maker.clone());
     };
     assert_eq!(results, [PieceResult::Failed, PieceResult::Failed]);
@@ -209,6 +223,29 @@
     assert_eq!(seen.len(), 4);
 }
 
+#[test]
+fn a_maker_that_failed_gives_a_sign_of_life_before_it_gets_work() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
+    let first = calls(&c.on(at(0), Event::Order(1, order("r1", 2)))).remove(0);
+    c.on(at(50), Event::Ended(first.number, CallEnd::Failed));
+    let mut failed = first.maker.clone();
+    for ms in (100..900).step_by(50) {
+        let out = c.on(at(ms), Event::Tick);
+        assert!(calls(&out).is_empty(), "the other maker is at work, this one is in doubt");
+        for maker in probes(&out) {
+            assert_eq!(maker, first.maker);
+            failed = maker;
+        }
+    }
+    c.on(at(900), Event::Order(2, order("r2", 2)));
+    c.on(at(910), Event::Probed(failed.clone(), false));
+    assert!(calls(&c.on(at(920), Event::Tick)).is_empty(), "it gave none");
+    let again = probes(&c.on(at(5000), Event::Tick));
+    assert_eq!(again, [failed.clone()], "and is asked again later");
+    let back = calls(&c.on(at(5001), Event::Probed(failed.clone(), true)));
+    assert_eq!(back[0].maker, failed);
+}
+
 #[test]
 fn a_late_order_is_answered_at_once_and_its_results_are_freed() {
     let mut c = coordinator(&[("m1", "a")]);
@@ -251,6 +288,7 @@
     Order { pieces: u32, rank: u8, near: u8 },
     End { which: usize, how: u8 },
     Twice { which: usize },
+    Probed { ok: bool },
     Cancel { which: u64 },
     Makers { mask: u8 },
     Pass { ms: u64 },
@@ -261,6 +299,7 @@
         4 => (0u32..25, 0u8..3, 0u8..3).prop_map(|(pieces, rank, near)| Step::Order { pieces, rank, near }),
         6 => (0usize..8, 0u8..10).prop_map(|(which, how)| Step::End { which, how }),
         1 => (0usize..8).prop_map(|which| Step::Twice { which }),
+        1 => any::<bool>().prop_map(|ok| Step::Probed { ok }),
         1 => (0u64..40).prop_map(|which| Step::Cancel { which }),
         1 => (0u8..16).prop_map(|mask| Step::Makers { mask }),
         3 => (1u64..400).prop_map(|ms| Step::Pass { ms }),
@@ -274,6 +313,7 @@
     answered: BTreeSet<OrderId>,
     cancelled: BTreeSet<OrderId>,
     flying: Vec<Call>,
+    probed: Vec<TargetId>,
     ended: Vec<Call>,
 }
 
@@ -297,6 +337,7 @@
                         }
                     }
                 }
+                Action::Probe(maker) => self.probed.push(maker),
                 Action::Moved(_) | Action::Free(_) => {}
             }
         }
@@ -345,6 +386,7 @@
                     Some(Event::Ended(call.number, made(call)))
                 }
                 Step::Twice { .. } => None,
+                Step::Probed { ok } => world.probed.pop().map(|maker| Event::Probed(maker, ok)),
                 Step::Cancel { which } => {
                     let open = world.orders.contains_key(&which) && !world.answered.contains(&which);
                     open.then(|| {
@@ -372,7 +414,8 @@
         world.take(actions)?;
         for _ in 0..2000 {
             world.now += 20;
-            let event = world.end(0, 9).unwrap_or(Event::Tick);
+            let probed = world.probed.pop().map(|maker| Event::Probed(maker, true));
+            let event = probed.or_else(|| world.end(0, 9)).unwrap_or(Event::Tick);
             let actions = c.on(at(world.now), event);
             world.take(actions)?;
         }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header};
 use model::Name;
-use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, StagePool, Target};
+use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, StagePool, Target, TargetId};
 use tokio::sync::oneshot;
 
 use super::free::Freer;
@@ -161,6 +161,9 @@
             Action::Start(call) => {
                 tokio::task::spawn_local(run_call(self.clone(), node.clone(), call));
             }
+            Action::Probe(maker) => {
+                tokio::task::spawn_local(probe(self.clone(), node.clone(), maker));
+            }
             Action::Answer(id, results) => {
                 if let Some(tell) = self.waiting.borrow_mut().remove(&id)
                     && let Err(unheard) = tell.send(results)
@@ -198,6 +201,16 @@
     results.into_iter().filter_map(handle).collect()
 }
 
+/// Asks a maker for a sign of life: whether it takes a connection.
+async fn probe(runner: Rc<Runner>, node: Rc<Node>, maker: TargetId) {
+    let address = node.fleet(|f| f.get(&maker).map(|b| b.target.address));
+    let alive = match address {
+        Some(address) => upstream::connect(address).await.is_ok(),
+        None => false,
+    };
+    runner.feed(&node, Event::Probed(maker, alive));
+}
+
 async fn run_call(runner: Rc<Runner>, node: Rc<Node>, call: Call) {
     let number = call.number;
     let end = make_call(&runner, &node, call).await;
