After a restart of all nodes orders wait until the nodes know each other

Change: an order waits up to 0.8 s while only new nodes are known; a coordinator that no longer comes first hands over what no call has taken; want of room counts by size. Tests: a_stop_hands_over_..., where_a_large_result_has_no_room...

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::Time;
-use model::forward::{BatchOrder, PieceResult, StagePool, TargetId, WAIT_RANKS, Waits};
+use model::forward::{PieceResult, StagePool, TargetId, WAIT_RANKS, Waits};
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency};
@@ -78,7 +78,9 @@
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         match event {
-            Event::Order(id, order) => self.order(now, id, order, &mut out),
+            Event::Order { id, order, pinned } => {
+                self.order(id, Order::new(order, pinned, now), &mut out);
+            }
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
             Event::Makers(makers) => self.makers.set(makers),
@@ -92,12 +94,12 @@
         out
     }
 
-    fn order(&mut self, now: Time, id: OrderId, order: BatchOrder, out: &mut Vec<Action>) {
-        if order.pieces.is_empty() {
+    fn order(&mut self, id: OrderId, order: Order, out: &mut Vec<Action>) {
+        if order.results.is_empty() {
             out.push(Action::Answer(id, Vec::new()));
             return;
         }
-        self.orders.insert(id, Order::new(order, now));
+        self.orders.insert(id, order);
     }
 
     /// A call at work is not stopped by its caller; its results are freed at its end.
@@ -111,7 +113,7 @@
         let untouched: Vec<OrderId> = self
             .orders
             .iter()
-            .filter(|(_, o)| o.waiting.len() == o.results.len())
+            .filter(|(_, o)| !o.pinned && o.waiting.len() == o.results.len())
             .map(|(id, _)| *id)
             .collect();
         for id in untouched {
@@ -125,8 +127,8 @@
             return;
         };
         self.makers.ended(&flight.maker, flight.bytes, &end, now);
-        if matches!(&end, CallEnd::Answered(results) if results.contains(&PieceResult::NoRoom)) {
-            self.makers.had_no_room(&flight.maker, now);
+        if let Some(size) = self.least_without_room(&flight, &end) {
+            self.makers.had_no_room(&flight.maker, size, now);
         }
         match end {
             CallEnd::Answered(results) if results.len() == flight.pieces.len() => {
@@ -139,6 +141,16 @@
         }
     }
 
+    /// Size of the smallest result that the maker had no room for.
+    fn least_without_room(&self, flight: &Flight, end: &CallEnd) -> Option<u64> {
+        let CallEnd::Answered(results) = end else {
+            return None;
+        };
+        let pairs = flight.pieces.iter().zip(results);
+        let lacking = pairs.filter(|(_, r)| **r == PieceResult::NoRoom).map(|((id, _), _)| id);
+        lacking.filter_map(|id| self.orders.get(id)).map(|o| o.order.result_bytes).min()
+    }
+
     fn settle(
         &mut self,
         now: Time,
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -14,7 +14,7 @@
 const EJECT_LONGEST: Duration = Duration::from_millis(2400);
 /// Time for which a maker that was full is left out.
 const FULL: Duration = Duration::from_millis(60);
-/// Time for which a maker without room is left out.
+/// Time for which a maker's want of room is held for true.
 const NO_ROOM: Duration = Duration::from_millis(120);
 /// Part of a maker's room that is used; sizes are known only roughly.
 const ROOM_USED: f64 = 0.9;
@@ -41,6 +41,8 @@
     ejected: Time,
     strikes: u32,
     doubt: Doubt,
+    /// Size of a result that had no room, and until when that is held for true.
+    tight: Option<(u64, Time)>,
     in_flight: u64,
     kept: BTreeMap<String, Kept>,
 }
@@ -54,6 +56,7 @@
             ejected: Time::ZERO,
             strikes: 0,
             doubt: Doubt::None,
+            tight: None,
             in_flight: 0,
             kept: BTreeMap::new(),
         }
@@ -127,7 +130,9 @@
                 continue;
             }
             m.kept.retain(|_, k| now.since(k.made) < keep);
-            let room = whole.saturating_sub(m.kept_bytes() + m.in_flight);
+            let reckoned = whole.saturating_sub(m.kept_bytes() + m.in_flight);
+            let seen = m.tight.filter(|(_, until)| now < *until);
+            let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
             free.push(Free { id: id.clone(), domain: m.domain.clone(), room });
         }
         free.sort_by_key(|f| std::cmp::Reverse(f.room));
@@ -179,10 +184,11 @@
         }
     }
 
-    /// A maker had less room than was reckoned: it is left out until some is freed.
-    pub(super) fn had_no_room(&mut self, id: &TargetId, now: Time) {
+    /// A maker had less room than was reckoned: results of this size or more are not
+    /// made there for a while, smaller ones are.
+    pub(super) fn had_no_room(&mut self, id: &TargetId, size: u64, now: Time) {
         if let Some(m) = self.0.get_mut(id) {
-            m.ejected = m.ejected.max(now + NO_ROOM);
+            m.tight = Some((size, now + NO_ROOM));
         }
     }
 
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -22,18 +22,20 @@
     pub(super) waiting: Vec<usize>,
     pub(super) results: Vec<Option<PieceResult>>,
     pub(super) failures: u32,
+    pub(super) pinned: bool,
     arrived: Time,
     home: Option<Name>,
 }
 
 impl Order {
-    pub(super) fn new(order: BatchOrder, now: Time) -> Self {
+    pub(super) fn new(order: BatchOrder, pinned: bool, now: Time) -> Self {
         let n = order.pieces.len();
         Order {
             order,
             waiting: (0..n).collect(),
             results: vec![None; n],
             failures: 0,
+            pinned,
             arrived: now,
             home: None,
         }
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -18,8 +18,15 @@
 /// What the coordinator hears.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// Pieces are ordered.
-    Order(OrderId, BatchOrder),
+    /// Pieces are ordered. A `pinned` order is not handed over.
+    Order {
+        /// Number of the order.
+        id: OrderId,
+        /// The order.
+        order: BatchOrder,
+        /// Whether it stays here whatever happens.
+        pinned: bool,
+    },
     /// Nobody waits for an order any more.
     Cancel(OrderId),
     /// A call came to an end.
@@ -30,7 +37,8 @@
     Probed(TargetId, bool),
     /// Results are no longer wanted and are being freed.
     Freed(Vec<Handle>),
-    /// This node stops: orders that no call has taken yet go to another coordinator.
+    /// Time passed, and this node stops or does not come first any more: orders that no
+    /// call has taken yet go to another coordinator.
     HandOver,
     /// Time passed.
     Tick,
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -17,6 +17,10 @@
     Time::from_millis(ms)
 }
 
+fn placed(id: OrderId, order: BatchOrder) -> Event {
+    Event::Order { id, order, pinned: false }
+}
+
 fn makers(of: &[(&str, &str)]) -> Event {
     let info =
         |(id, domain): &(&str, &str)| MakerInfo { id: (*id).into(), domain: (*domain).into() };
@@ -85,10 +89,10 @@
 #[test]
 fn what_waits_while_makers_are_busy_shares_the_next_call() {
     let mut c = coordinator(&[("m1", "a")]);
-    let first = calls(&c.on(at(0), Event::Order(1, order("r1", 2))));
+    let first = calls(&c.on(at(0), placed(1, order("r1", 2))));
     assert_eq!(first.len(), 1, "a free maker does not wait for more");
     for id in 2..=4 {
-        let more = c.on(at(10), Event::Order(id, order(&format!("r{id}"), 3)));
+        let more = c.on(at(10), placed(id, order(&format!("r{id}"), 3)));
         assert!(calls(&more).is_empty(), "one call at a time at a maker with one slot");
     }
     let next = c.on(at(120), Event::Ended(first[0].number, made(&first[0])));
@@ -99,7 +103,7 @@
 #[test]
 fn an_order_larger_than_a_call_is_split_and_answered_once_in_its_order() {
     let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
-    let started = calls(&c.on(at(0), Event::Order(1, order("r1", 14))));
+    let started = calls(&c.on(at(0), placed(1, order("r1", 14))));
     let sizes: Vec<usize> = started.iter().map(|c| c.pieces.len()).collect();
     assert_eq!(sizes, [10, 4]);
     assert!(answers(&c.on(at(200), Event::Ended(started[1].number, made(&started[1])))).is_empty());
@@ -119,12 +123,12 @@
 #[test]
 fn the_urgent_go_first_and_the_hopeless_last() {
     let mut c = coordinator(&[("m1", "a")]);
-    let first = calls(&c.on(at(0), Event::Order(1, order("busy", 1))));
+    let first = calls(&c.on(at(0), placed(1, order("busy", 1))));
     let urgent = BatchOrder { rank: 0, ..order("urgent", 6) };
     let patient = BatchOrder { rank: 2, slack_ms: 900, ..order("patient", 6) };
     let hopeless = BatchOrder { rank: 0, slack_ms: 20, ..order("hopeless", 6) };
     for (id, order) in [(2, hopeless), (3, patient), (4, urgent)] {
-        c.on(at(1), Event::Order(id, order));
+        c.on(at(1), placed(id, order));
     }
     let next = calls(&c.on(at(110), Event::Ended(first[0].number, made(&first[0]))));
     let in_order: Vec<&str> = next[0].pieces.iter().map(|p| p.attempt.as_str()).collect();
@@ -151,15 +155,15 @@
     ];
     for (what, order, present, maker) in cases {
         let mut c = coordinator(present);
-        let started = calls(&c.on(at(0), Event::Order(1, order)));
+        let started = calls(&c.on(at(0), placed(1, order)));
         assert_eq!(&*started[0].maker, maker, "{what}");
     }
     let mut c = coordinator(&[("m1", "a"), ("m2", "b")]);
     let busy = BatchOrder { near: Some("b".into()), ..large(2, 2000) };
-    c.on(at(0), Event::Order(1, busy));
-    let patient = c.on(at(1), Event::Order(2, large(2, 200)));
+    c.on(at(0), placed(1, busy));
+    let patient = c.on(at(1), placed(2, large(2, 200)));
     assert!(calls(&patient).is_empty(), "a patient one waits for its busy home");
-    let pressed = calls(&c.on(at(2), Event::Order(3, large(1, 200))));
+    let pressed = calls(&c.on(at(2), placed(3, large(1, 200))));
     assert_eq!(&*pressed[0].maker, "m1", "an urgent one that is pressed for time does not");
 }
 
@@ -168,11 +172,11 @@
     let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
     c.on(at(0), makers(&[("m1", "a")]));
     let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..order(name, 4) };
-    let first = calls(&c.on(at(0), Event::Order(1, heavy("r1"))));
+    let first = calls(&c.on(at(0), placed(1, heavy("r1"))));
     assert_eq!(first[0].pieces.len(), 4);
     let ended = c.on(at(150), Event::Ended(first[0].number, made(&first[0])));
     let kept = answers(&ended)[0].1.clone();
-    assert!(calls(&c.on(at(160), Event::Order(2, heavy("r2")))).is_empty(), "4 of 4.5 MB kept");
+    assert!(calls(&c.on(at(160), placed(2, heavy("r2")))).is_empty(), "4 of 4.5 MB kept");
     let handles = kept
         .into_iter()
         .filter_map(|r| match r {
@@ -183,21 +187,36 @@
     assert_eq!(calls(&c.on(at(200), Event::Freed(handles)))[0].pieces.len(), 4);
 }
 
+#[test]
+fn where_a_large_result_has_no_room_a_small_one_is_still_made() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let heavy = BatchOrder { result_bytes: 3_000_000, ..order("heavy", 2) };
+    let first = calls(&c.on(at(0), placed(1, heavy))).remove(0);
+    let full = CallEnd::Answered(vec![PieceResult::NoRoom; 2]);
+    assert!(calls(&c.on(at(2), Event::Ended(first.number, full))).is_empty());
+    let light = calls(&c.on(at(3), placed(2, order("light", 2)))).remove(0);
+    assert!(light.pieces.iter().all(|p| p.attempt == "light"));
+    let ended = c.on(at(100), Event::Ended(light.number, made(&light)));
+    assert!(calls(&ended).is_empty(), "there was no room a moment ago");
+    let again = calls(&c.on(at(200), Event::Tick)).pop();
+    assert!(again.is_some_and(|call| call.pieces[0].attempt == "heavy"), "it is tried again");
+}
+
 #[test]
 fn results_that_nobody_frees_run_out() {
     let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
     c.on(at(0), makers(&[("m1", "a")]));
     let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..order(name, 4) };
-    let first = calls(&c.on(at(0), Event::Order(1, heavy("r1"))));
+    let first = calls(&c.on(at(0), placed(1, heavy("r1"))));
     c.on(at(150), Event::Ended(first[0].number, made(&first[0])));
-    assert!(calls(&c.on(at(160), Event::Order(2, heavy("r2")))).is_empty());
+    assert!(calls(&c.on(at(160), placed(2, heavy("r2")))).is_empty());
     assert_eq!(calls(&c.on(at(4200), Event::Tick)).len(), 1);
 }
 
 #[test]
 fn a_failed_call_is_made_again_elsewhere_and_given_up_after_some() {
     let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
-    let mut call = calls(&c.on(at(0), Event::Order(1, order("r1", 2)))).remove(0);
+    let mut call = calls(&c.on(at(0), placed(1, order("r1", 2)))).remove(0);
     let mut seen = vec![call.maker.clone()];
     let mut now = 0;
     let results = loop {
@@ -226,7 +245,7 @@
 #[test]
 fn a_maker_that_failed_gives_a_sign_of_life_before_it_gets_work() {
     let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
-    let first = calls(&c.on(at(0), Event::Order(1, order("r1", 2)))).remove(0);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 2)))).remove(0);
     c.on(at(50), Event::Ended(first.number, CallEnd::Failed));
     let mut failed = first.maker.clone();
     for ms in (100..900).step_by(50) {
@@ -237,7 +256,7 @@
             failed = maker;
         }
     }
-    c.on(at(900), Event::Order(2, order("r2", 2)));
+    c.on(at(900), placed(2, order("r2", 2)));
     c.on(at(910), Event::Probed(failed.clone(), false));
     assert!(calls(&c.on(at(920), Event::Tick)).is_empty(), "it gave none");
     let again = probes(&c.on(at(5000), Event::Tick));
@@ -249,8 +268,8 @@
 #[test]
 fn a_late_order_is_answered_at_once_and_its_results_are_freed() {
     let mut c = coordinator(&[("m1", "a")]);
-    let first = calls(&c.on(at(0), Event::Order(1, order("busy", 1))));
-    c.on(at(1), Event::Order(2, BatchOrder { left_ms: 40, ..order("late", 2) }));
+    let first = calls(&c.on(at(0), placed(1, order("busy", 1))));
+    c.on(at(1), placed(2, BatchOrder { left_ms: 40, ..order("late", 2) }));
     let out = c.on(at(60), Event::Tick);
     assert_eq!(answers(&out), [(2, vec![PieceResult::Late, PieceResult::Late])]);
     c.on(at(61), Event::Cancel(1));
@@ -261,9 +280,12 @@
 #[test]
 fn a_stop_hands_over_what_no_call_has_taken() {
     let mut c = coordinator(&[("m1", "a")]);
-    let first = calls(&c.on(at(0), Event::Order(1, order("begun", 1))));
-    c.on(at(1), Event::Order(2, order("waiting", 1)));
+    let first = calls(&c.on(at(0), placed(1, order("begun", 1))));
+    c.on(at(1), placed(2, order("waiting", 1)));
     assert_eq!(c.on(at(2), Event::HandOver), [Action::Moved(2)]);
+    let kept = Event::Order { id: 3, order: order("kept", 1), pinned: true };
+    c.on(at(3), kept);
+    assert!(c.on(at(4), Event::HandOver).is_empty(), "nobody else is to make a pinned one");
     let ended = c.on(at(120), Event::Ended(first[0].number, made(&first[0])));
     assert_eq!(answers(&ended).len(), 1, "what was begun is ended here");
 }
@@ -271,14 +293,14 @@
 #[test]
 fn waits_grow_with_what_is_ahead_of_a_rank() {
     let mut c = coordinator(&[("m1", "a")]);
-    c.on(at(0), Event::Order(1, order("busy", 1)));
+    c.on(at(0), placed(1, order("busy", 1)));
     let empty = c.waits(at(0));
-    c.on(at(1), Event::Order(2, BatchOrder { rank: 1, ..order("r", 8) }));
+    c.on(at(1), placed(2, BatchOrder { rank: 1, ..order("r", 8) }));
     let full = c.waits(at(1));
     assert_eq!(full.of(0), empty.of(0), "rank 1 is not ahead of rank 0");
     assert!(full.of(1) >= empty.of(1) + 8 * 20, "{full:?} after {empty:?}");
     let mut none = Coordinator::new(pool());
-    none.on(at(0), Event::Order(1, order("r", 1)));
+    none.on(at(0), placed(1, order("r", 1)));
     assert_eq!(none.waits(at(0)).of(0), u32::MAX, "nobody makes anything");
 }
 
@@ -378,7 +400,7 @@
                     world.orders.insert(id, pieces);
                     let near = Some(domains[usize::from(near)].into());
                     let order = order(&format!("r{id}"), pieces);
-                    Some(Event::Order(id, BatchOrder { rank, near, moved_bytes: 2 << 20, ..order }))
+                    Some(placed(id, BatchOrder { rank, near, moved_bytes: 2 << 20, ..order }))
                 }
                 Step::End { which, how } => world.end(which, how),
                 Step::Twice { which } if !world.ended.is_empty() => {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -26,6 +26,8 @@
 use crate::node::Node;
 use crate::stages::NotMade;
 
+/// Time in which nodes that started together find each other.
+const GATHERING: Duration = Duration::from_millis(800);
 /// Time after which a node that came counts as settled.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Path of batch orders.
@@ -178,6 +180,20 @@
         order.into_iter().map(|(_, _, node)| node).collect()
     }
 
+    /// Whether the nodes that are up may still be finding each other: this one has just
+    /// started, and knows none that has been up for longer.
+    pub fn are_gathering(&self, now: Time) -> bool {
+        let settled = |p: &Peer| p.up + now.since(p.at) >= SETTLED;
+        now.since(Time::ZERO) < GATHERING && !self.up.borrow().iter().any(settled)
+    }
+
+    /// Whether this node comes first among the coordinators of `service`.
+    pub fn coordinates(&self, me: &Name, stops: bool, service: &str, now: Time) -> bool {
+        let order = self.coordinators(me, stops, service, now);
+        let answers = |c: &Option<PeerNode>| c.as_ref().is_none_or(|p| !self.is_silent(&p.id, now));
+        order.into_iter().find(answers).is_none_or(|first| first.is_none())
+    }
+
     /// Tells the peers that this node stops.
     pub fn leave(&self) {
         self.command(MemberEvent::Leave);
@@ -377,9 +393,12 @@
             if node.is_stopping() {
                 return text(StatusCode::SERVICE_UNAVAILABLE, "stopping");
             }
-            match node.pools.order(&node, order).await {
+            match node.pools.order(&node, order, false).await {
                 Ok(answer) => rmp(&answer),
-                Err(NotMade::Moved) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+                Err(NotMade::Moved) if node.is_stopping() => {
+                    text(StatusCode::SERVICE_UNAVAILABLE, "stopping")
+                }
+                Err(NotMade::Moved) => text(StatusCode::CONFLICT, "another node comes first"),
                 Err(NotMade::NoService) => text(StatusCode::NOT_FOUND, "no such stage service"),
             }
         }
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -11,9 +11,12 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::peers::{self, BATCH};
+use crate::stages::NotMade;
 
 /// Coordinators asked before the node batches by itself.
 const ASKED: usize = 3;
+/// Times that an order goes round before this node keeps it whatever happens.
+const ROUNDS: usize = 2;
 /// Status by which a peer says that it stops and coordinates no more.
 const STOPPING: u16 = 503;
 /// Time between looks at whether the coordinator is still up.
@@ -31,40 +34,73 @@
 
 /// Places the order; after its coordinators fail, this node makes the calls itself.
 pub async fn place(node: &Rc<Node>, mut order: BatchOrder) -> Placed {
+    gather(node, &mut order).await;
+    for _ in 0..ROUNDS {
+        if let Some(placed) = at_peers(node, &mut order).await {
+            return placed;
+        }
+        // A coordinator that no longer comes first hands over, this one too.
+        match node.pools.order(node, order.clone(), false).await {
+            Err(NotMade::Moved) => {}
+            end => return here(node, &order, end),
+        }
+    }
+    let end = node.pools.order(node, order.clone(), true).await;
+    here(node, &order, end)
+}
+
+/// Waits until nodes that have started together know each other; if each made calls of
+/// its own, they would take each other's makers for seconds.
+async fn gather(node: &Rc<Node>, order: &mut BatchOrder) {
+    let begun = node.now();
+    while node.peers.are_gathering(node.now()) {
+        tokio::time::sleep(LOOK / 2).await;
+    }
+    spend(order, node.now().since(begun));
+}
+
+/// Takes time that has passed off an order's.
+fn spend(order: &mut BatchOrder, time: Duration) {
+    let passed = time.as_millis() as u64;
+    order.left_ms = order.left_ms.saturating_sub(passed);
+    order.slack_ms = order.slack_ms.saturating_sub(passed);
+}
+
+/// Places the order with the peers that come before this node.
+async fn at_peers(node: &Rc<Node>, order: &mut BatchOrder) -> Option<Placed> {
     let (settings, stops) = (node.settings(), node.is_stopping());
-    let me = &settings.name;
-    let order_of = node.peers.coordinators(me, stops, &order.service, node.now());
+    let order_of = node.peers.coordinators(&settings.name, stops, &order.service, node.now());
     let answering = |c: &Option<PeerNode>| {
         c.as_ref().is_none_or(|peer| !node.peers.is_silent(&peer.id, node.now()))
     };
     for coordinator in order_of.into_iter().filter(answering).take(ASKED) {
-        let Some(peer) = coordinator else {
-            break;
-        };
+        let peer = coordinator?;
         let begun = node.now();
-        match ask(node, &peer, &order).await {
+        match ask(node, &peer, order).await {
             Ok(BatchAnswer { results, waits }) => {
                 node.peers.heard(&peer.id, node.now());
                 node.heard_waits(&order.service, waits);
                 let coordinator = Some(peer.id.name);
-                return Placed { results, peer: Some(peer.entry), coordinator };
+                return Some(Placed { results, peer: Some(peer.entry), coordinator });
             }
             Err(why) => {
                 let coordinator = &peer.id.name;
                 Event::Coordinator { service: &order.service, coordinator, why: &why }.emit();
             }
         }
-        let passed = node.now().since(begun).as_millis() as u64;
-        order.left_ms = order.left_ms.saturating_sub(passed);
-        order.slack_ms = order.slack_ms.saturating_sub(passed);
+        spend(order, node.now().since(begun));
     }
-    let (service, n) = (order.service.clone(), order.pieces.len());
-    let results = match node.pools.order(node, order).await {
+    None
+}
+
+/// What this node's own coordinator made.
+fn here(node: &Rc<Node>, order: &BatchOrder, end: Result<BatchAnswer, NotMade>) -> Placed {
+    let results = match end {
         Ok(BatchAnswer { results, waits }) => {
-            node.heard_waits(&service, waits);
+            node.heard_waits(&order.service, waits);
             results
         }
-        Err(_) => vec![PieceResult::Failed; n],
+        Err(_) => vec![PieceResult::Failed; order.pieces.len()],
     };
     Placed { results, peer: None, coordinator: None }
 }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -32,7 +32,8 @@
 pub enum NotMade {
     /// The service makes no pieces.
     NoService,
-    /// The order is to be placed with another coordinator, since this node stops.
+    /// The order is to be placed with another coordinator: this node stops, or does
+    /// not come first any more.
     Moved,
 }
 
@@ -45,10 +46,15 @@
 }
 
 impl Pools {
-    /// Makes the pieces of an order; `None` if its service makes no pieces.
-    pub async fn order(&self, node: &Rc<Node>, order: BatchOrder) -> Result<BatchAnswer, NotMade> {
+    /// Makes the pieces of an order; a `pinned` one is not handed over.
+    pub async fn order(
+        &self,
+        node: &Rc<Node>,
+        order: BatchOrder,
+        pinned: bool,
+    ) -> Result<BatchAnswer, NotMade> {
         let runner = self.runner(node, &order.service).ok_or(NotMade::NoService)?;
-        let results = runner.order(node, order).await.ok_or(NotMade::Moved)?;
+        let results = runner.order(node, order, pinned).await.ok_or(NotMade::Moved)?;
         let waits = runner.machine.borrow().waits(node.now());
         Ok(BatchAnswer { results, waits })
     }
@@ -128,12 +134,13 @@
         self: &Rc<Self>,
         node: &Rc<Node>,
         order: BatchOrder,
+        pinned: bool,
     ) -> Option<Vec<PieceResult>> {
         let id = self.next.replace(self.next.get() + 1);
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, tell);
         let _guard = OrderGuard { runner: self.clone(), node: node.clone(), id };
-        self.feed(node, Event::Order(id, order));
+        self.feed(node, Event::Order { id, order, pinned });
         self.start_ticking(node);
         told.await.ok()
     }
@@ -186,7 +193,10 @@
         tokio::task::spawn_local(async move {
             while runner.machine.borrow().open() > 0 {
                 tokio::time::sleep(TICK).await;
-                runner.feed(&node, Event::Tick);
+                let (settings, now) = (node.settings(), node.now());
+                let (me, stops) = (&settings.name, node.is_stopping());
+                let first = node.peers.coordinates(me, stops, &runner.service, now);
+                runner.feed(&node, if first { Event::Tick } else { Event::HandOver });
             }
             runner.ticking.set(false);
         });
