What is believed of peers is a machine: decide::roster

Cause: the order of coordinators, silence and gathering were decided in the node's own code, with state that grew with every restart of a peer, and no tests of their own.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod resend;
 pub mod retry;
 pub mod rng;
+pub mod roster;
 pub mod route;
--- /dev/null
+++ b/crates/decide/tests/roster.rs
@@ -0,0 +1,146 @@
+//! Who coordinates what, as nodes come, go, stop and fall silent.
+
+use std::time::Duration;
+
+use decide::roster::{Contact, PeerView, Roster};
+use model::Time;
+use model::member::{Node, NodeId};
+
+const SERVICES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn name(i: usize) -> String {
+    format!("node-{i}")
+}
+
+fn view(i: usize, up_ms: u64, now: u64) -> PeerView {
+    let id = NodeId { name: name(i).into(), start: i as u64 + 1 };
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let node = Node { id, address, entry: address, domain: "d".into() };
+    PeerView { node, suspect: false, up: Duration::from_millis(up_ms), at: at(now) }
+}
+
+/// The roster of node `me` among nodes with these uptimes, `now` after its own start.
+fn roster(me: usize, up_ms: &[u64], now: u64) -> Roster {
+    let mut roster = Roster::new(name(me).into());
+    let others = (0..up_ms.len()).filter(|i| *i != me);
+    roster.update(others.map(|i| view(i, up_ms[i], now)).collect(), at(now));
+    roster
+}
+
+fn first(roster: &Roster, me: usize, service: &str, now: u64) -> String {
+    let first = roster.coordinators(service, at(now)).into_iter().next().flatten();
+    first.map_or_else(|| name(me), |n| n.id.name.to_string())
+}
+
+#[test]
+fn all_nodes_find_the_same_coordinator_whatever_their_ages() {
+    let cases: [&[u64]; 4] = [
+        &[60_000, 60_000, 60_000, 60_000, 60_000],
+        &[200, 300, 250, 500, 400],
+        &[60_000, 500, 60_000, 1_000, 60_000],
+        &[500, 500, 60_000, 500, 500],
+    ];
+    for up in cases {
+        for service in SERVICES {
+            let found: Vec<String> = (0..up.len())
+                .map(|me| first(&roster(me, up, up[me]), me, service, up[me]))
+                .collect();
+            assert!(found.iter().all(|f| *f == found[0]), "{service} at {up:?}: {found:?}");
+        }
+    }
+}
+
+#[test]
+fn a_node_that_just_came_takes_nothing_from_those_that_were_there() {
+    let up = [60_000, 60_000, 60_000, 1_000];
+    for service in SERVICES {
+        assert_ne!(first(&roster(0, &up, 60_000), 0, service, 60_000), name(3));
+    }
+    let later = [60_000; 4];
+    let homes = SERVICES.map(|s| first(&roster(0, &later, 60_000), 0, s, 60_000));
+    assert!(homes.contains(&name(3)), "but has its share later: {homes:?}");
+}
+
+#[test]
+fn suspects_and_silent_and_stopping_nodes_do_not_coordinate() {
+    let up = [60_000; 5];
+    for service in SERVICES {
+        let all = roster(0, &up, 60_000);
+        let was = first(&all, 0, service, 60_000);
+        let Some(i) = (1..5).find(|i| name(*i) == was) else {
+            continue;
+        };
+        let id = view(i, 0, 0).node.id;
+        let mut silent = roster(0, &up, 60_000);
+        silent.silent(&id, at(60_000));
+        assert_ne!(first(&silent, 0, service, 60_100), was);
+        assert_eq!(first(&silent, 0, service, 61_100), was, "silence is forgotten");
+        silent.answered(&id, at(60_200));
+        assert_eq!(first(&silent, 0, service, 60_300), was, "an answer ends it");
+        let mut stopping = roster(0, &up, 60_000);
+        stopping.note_stopping(&id, at(60_000));
+        assert_ne!(first(&stopping, 0, service, 60_100), was);
+        assert!(stopping.is_sound(&id), "but what it has begun is waited for");
+        let mut suspected = roster(0, &up, 60_000);
+        let mut views: Vec<PeerView> = (1..5).map(|i| view(i, 60_000, 60_000)).collect();
+        views[i - 1].suspect = true;
+        suspected.update(views, at(60_000));
+        assert_ne!(first(&suspected, 0, service, 60_000), was);
+        assert!(!suspected.is_sound(&id));
+    }
+}
+
+#[test]
+fn a_node_that_stops_coordinates_only_if_nobody_else_can() {
+    let mut alone = Roster::new(name(0).into());
+    alone.stop();
+    assert!(alone.coordinates("a", at(9_000)));
+    for up in [[60_000; 4], [100; 4]] {
+        let mut stopping = roster(0, &up, up[0]);
+        stopping.stop();
+        for service in SERVICES {
+            let order = stopping.coordinators(service, at(up[0]));
+            assert_eq!(order.last(), Some(&None), "it goes last");
+            assert!(!stopping.coordinates(service, at(up[0])));
+        }
+    }
+}
+
+#[test]
+fn a_peer_is_asked_once_and_no_more_often_than_its_answer_holds() {
+    let mut roster = roster(0, &[60_000; 2], 60_000);
+    let id = view(1, 0, 0).node.id;
+    let ask = |r: &mut Roster, ms| r.contact(&id, at(ms));
+    assert_eq!(ask(&mut roster, 60_000), Contact::Answers, "an order has only just begun to wait");
+    assert_eq!(ask(&mut roster, 60_300), Contact::Unknown);
+    assert_eq!(ask(&mut roster, 60_310), Contact::Answers, "it is being asked");
+    roster.silent(&id, at(60_550));
+    assert_eq!(ask(&mut roster, 60_560), Contact::Silent);
+    assert_eq!(ask(&mut roster, 61_560), Contact::Unknown, "and asked again");
+    roster.answered(&id, at(61_570));
+    assert_eq!(ask(&mut roster, 61_600), Contact::Answers);
+}
+
+#[test]
+fn nodes_that_started_together_gather_and_a_restarted_one_does_not() {
+    assert!(Roster::new(name(0).into()).is_gathering(at(100)));
+    assert!(roster(0, &[300, 300], 300).is_gathering(at(300)));
+    assert!(!roster(0, &[300, 300], 900).is_gathering(at(900)));
+    assert!(!roster(0, &[300, 60_000], 300).is_gathering(at(300)));
+}
+
+#[test]
+fn what_is_known_of_peers_that_are_gone_is_forgotten() {
+    let mut roster = roster(0, &[60_000; 2], 60_000);
+    let id = view(1, 0, 0).node.id;
+    roster.note_stopping(&id, at(60_000));
+    roster.update(Vec::new(), at(61_000));
+    assert!(roster.is_sound(&id));
+    roster.update(Vec::new(), at(130_000));
+    assert!(!roster.is_sound(&id));
+    assert_eq!(roster.most_seen(), 2, "the budget stays shared by as many as there were");
+}
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod readiness;
+pub mod small;
 
 use std::net::SocketAddr;
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -76,7 +76,7 @@
             clock: Clock::default(),
             client: Client::new(CONNECT),
             metrics: Metrics::default(),
-            peers: Peers::default(),
+            peers: Peers::new(settings.name.clone()),
             pools: Pools::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
@@ -171,13 +171,13 @@
 
     /// Whether a repeat for a service would be granted now.
     pub fn has_repeat(&self, service: &Name) -> bool {
-        let (now, nodes) = (self.now(), self.peers.most_seen());
+        let (now, nodes) = (self.now(), self.peers.roster(|r| r.most_seen()));
         self.budget(service, |b| b.has(now, nodes))
     }
 
     /// Takes a repeat for a service out of this node's part of the budget.
     pub fn take_repeat(&self, service: &Name) -> bool {
-        let (now, nodes) = (self.now(), self.peers.most_seen());
+        let (now, nodes) = (self.now(), self.peers.roster(|r| r.most_seen()));
         let granted = self.budget(service, |b| b.take(now, nodes));
         if granted {
             self.metrics.repeat(service);
@@ -215,7 +215,7 @@
         self.metrics.text(Now {
             open: self.open.get(),
             rules: self.table.borrow().rules.version,
-            peers: self.peers.count(),
+            peers: self.peers.roster(|r| r.count()),
             targets: self.fleet.borrow().len(),
         })
     }
@@ -238,7 +238,8 @@
 
     /// Whether this node wants callers.
     pub fn is_ready(&self) -> bool {
-        let knows_peers = self.peers.count() > 1 || self.now().since(Time::ZERO) >= ALONE;
+        let knows_peers =
+            self.peers.roster(|r| r.count()) > 1 || self.now().since(Time::ZERO) >= ALONE;
         let knows = self.table.borrow().known() && self.targets_known.get() && knows_peers;
         knows && !self.is_stopping()
     }
@@ -306,6 +307,7 @@
     let begun = node.now();
     Event::Stop { open: node.open.get() }.emit();
     node.stopping.send_replace(true);
+    node.peers.roster(|r| r.stop());
     node.pools.hand_over(node);
     let most = Duration::from_millis(node.settings().stop_ms).saturating_sub(STOP_MARGIN);
     loop {
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use model::forward::{CallerHead, Route};
 
-use super::exchange::{Exchange, Request as Taken};
+use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
 use crate::events::Event;
 use crate::node::Node;
@@ -103,20 +103,11 @@
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Found { route, service, workspace, rank } = found;
-    let taken = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let request = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
-    Ok(Rc::new(Exchange::new(
-        node.clone(),
-        taken,
-        head,
-        route,
-        service,
-        workspace,
-        rank,
-        version,
-        arrived,
-        deadline,
-    )))
+    let admitted =
+        Admitted { request, head, route, service, workspace, rank, version, arrived, deadline };
+    Ok(Rc::new(Exchange::new(node.clone(), admitted)))
 }
 
 struct Found {
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -1,6 +1,7 @@
 //! The exchange of one request: its stages, its sends, and its final answer.
 
 use std::cell::RefCell;
+use std::ops::Deref;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
 const COME_BACK: Duration = Duration::from_millis(300);
 
 /// A request as it was taken in.
-pub struct Request {
+pub struct Taken {
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -66,12 +67,10 @@
     ended: bool,
 }
 
-/// One request and what it is served by.
-pub struct Exchange {
-    /// Node.
-    pub node: Rc<Node>,
+/// A request that was taken in, and what was found for it.
+pub struct Admitted {
     /// The request.
-    pub request: Request,
+    pub request: Taken,
     /// What its head says.
     pub head: CallerHead,
     /// Route.
@@ -82,33 +81,37 @@
     pub workspace: Option<Name>,
     /// Rank; 0 is the most urgent.
     pub rank: u8,
+    /// Version of the rules that it was taken in by.
+    pub version: u64,
     /// When it arrived.
     pub arrived: Time,
     /// When it is given up.
     pub deadline: Time,
-    version: u64,
+}
+
+/// One request on its way.
+pub struct Exchange {
+    /// Node.
+    pub node: Rc<Node>,
+    admitted: Admitted,
     progress: RefCell<Progress>,
     _open: OpenGuard,
 }
 
+impl Deref for Exchange {
+    type Target = Admitted;
+
+    fn deref(&self) -> &Admitted {
+        &self.admitted
+    }
+}
+
 impl Exchange {
-    /// A request that was taken in.
-    #[expect(clippy::too_many_arguments, reason = "one call site, each named there")]
-    pub fn new(
-        node: Rc<Node>,
-        request: Request,
-        head: CallerHead,
-        route: Route,
-        service: Name,
-        workspace: Option<Name>,
-        rank: u8,
-        version: u64,
-        arrived: Time,
-        deadline: Time,
-    ) -> Self {
-        let tries = Tries::new(route.repeat, route.max_attempts);
+    /// Begins to serve a request.
+    pub fn new(node: Rc<Node>, admitted: Admitted) -> Self {
+        let route = &admitted.route;
         let progress = Progress {
-            tries,
+            tries: Tries::new(route.repeat, route.max_attempts),
             but: Vec::new(),
             target: None,
             first: None,
@@ -118,20 +121,9 @@
             ended: false,
         };
         let _open = node.opened();
-        Exchange {
-            node,
-            request,
-            head,
-            route,
-            service,
-            workspace,
-            rank,
-            arrived,
-            deadline: deadline - ANSWER_MARGIN,
-            version,
-            progress: RefCell::new(progress),
-            _open,
-        }
+        let deadline = admitted.deadline - ANSWER_MARGIN;
+        let admitted = Admitted { deadline, ..admitted };
+        Exchange { node, admitted, progress: RefCell::new(progress), _open }
     }
 
     /// Uses what is known for a moment.
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -53,7 +53,7 @@
 /// its own, they would take each other's makers for seconds.
 async fn gather(node: &Rc<Node>, order: &mut BatchOrder) {
     let begun = node.now();
-    while node.peers.are_gathering(node.now()) {
+    while node.peers.roster(|r| r.is_gathering(node.now())) {
         tokio::time::sleep(LOOK / 2).await;
     }
     spend(order, node.now().since(begun));
@@ -68,17 +68,13 @@
 
 /// Places the order with the peers that come before this node.
 async fn at_peers(node: &Rc<Node>, order: &mut BatchOrder) -> Option<Placed> {
-    let (settings, stops) = (node.settings(), node.is_stopping());
-    let order_of = node.peers.coordinators(&settings.name, stops, &order.service, node.now());
-    let answering = |c: &Option<PeerNode>| {
-        c.as_ref().is_none_or(|peer| !node.peers.is_silent(&peer.id, node.now()))
-    };
-    for coordinator in order_of.into_iter().filter(answering).take(ASKED) {
+    let order_of = node.peers.roster(|r| r.coordinators(&order.service, node.now()));
+    for coordinator in order_of.into_iter().take(ASKED) {
         let peer = coordinator?;
         let begun = node.now();
         match ask(node, &peer, order).await {
             Ok(BatchAnswer { results, waits }) => {
-                node.peers.heard(&peer.id, node.now());
+                node.peers.roster(|r| r.answered(&peer.id, node.now()));
                 node.heard_waits(&order.service, waits);
                 let coordinator = Some(peer.id.name);
                 return Some(Placed { results, peer: Some(peer.entry), coordinator });
@@ -118,9 +114,9 @@
         Ok(_) => Err("it answered for other pieces".into()),
         Err(e) => {
             if e.status() == Some(STOPPING) {
-                node.peers.note_stopping(&peer.id);
+                node.peers.roster(|r| r.note_stopping(&peer.id, node.now()));
             } else if e.not_sent() {
-                node.peers.unheard(&peer.id, node.now());
+                node.peers.roster(|r| r.silent(&peer.id, node.now()));
             }
             Err(e.to_string())
         }
@@ -132,7 +128,8 @@
 async fn lost(node: &Rc<Node>, peer: &PeerNode) {
     loop {
         tokio::time::sleep(LOOK).await;
-        if !node.peers.is_sound(&peer.id) || !peers::answers(node, peer).await {
+        let sound = node.peers.roster(|r| r.is_sound(&peer.id));
+        if !sound || !peers::answers(node, peer).await {
             return;
         }
     }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -193,9 +193,8 @@
         tokio::task::spawn_local(async move {
             while runner.machine.borrow().open() > 0 {
                 tokio::time::sleep(TICK).await;
-                let (settings, now) = (node.settings(), node.now());
-                let (me, stops) = (&settings.name, node.is_stopping());
-                let first = node.peers.coordinates(me, stops, &runner.service, now);
+                let now = node.now();
+                let first = node.peers.roster(|r| r.coordinates(&runner.service, now));
                 runner.feed(&node, if first { Event::Tick } else { Event::HandOver });
             }
             runner.ticking.set(false);
