Pages of a list are asked for again one by one while the store is busy

Each node's list of 3,000 servers takes six calls; beyond the store's rate they got 429 and began anew. Ruled out: reading the configuration (193 ms to all 300 nodes). Change: a busy page is asked for again after a jittered pause.

--- a/crates/forward/src/watch.rs
+++ b/crates/forward/src/watch.rs
@@ -22,6 +22,12 @@
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time after an outage during which vanished entries are doubted.
 const DOUBT: Duration = Duration::from_secs(6);
+/// Times that a page is asked for again while the store is busy.
+const PAGE_TRIES: u32 = 12;
+/// Longest wait before a page is asked for again.
+const PAGE_PAUSE: Duration = Duration::from_millis(600);
+/// Status of a call beyond the store's rate.
+const BUSY: u16 = 429;
 /// Status of a watch whose history is gone.
 const GONE: u16 = 410;
 
@@ -107,6 +113,21 @@
         self.client.text(&store, path, timeout).await
     }
 
+    /// Reads a page, again while the store is busy: after a restart of all nodes their
+    /// lists come together, and a list begun anew would only add to them.
+    async fn get_page(&self, path: &str) -> Result<String, CallError> {
+        for _ in 0..PAGE_TRIES {
+            match self.get(path, LIST_TIMEOUT).await {
+                Err(e) if e.status() == Some(BUSY) => {
+                    let pause = self.node.rng(|r| r.jitter(PAGE_PAUSE));
+                    tokio::time::sleep(pause).await;
+                }
+                end => return end,
+            }
+        }
+        self.get(path, LIST_TIMEOUT).await
+    }
+
     /// Reads the whole list; returns the revision to watch from.
     async fn list(&mut self) -> Result<u64, FollowError> {
         let node = self.node.clone();
@@ -115,7 +136,7 @@
         let mut at = None;
         loop {
             let path = node.dialect.list(self.kind, after.as_ref());
-            let body = self.get(&path, LIST_TIMEOUT).await?;
+            let body = self.get_page(&path).await?;
             let page = node.dialect.page(self.kind, body.as_bytes())?;
             warn(&page);
             // Changes between two pages are seen again from the first revision on.
