--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -11,14 +11,11 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use super::server::SNAPSHOT;
 use crate::events::Event;
 use crate::node::Node;
 
 /// Largest datagram.
 const DATAGRAM_MAX: usize = 9000;
-/// Time for a peer to hand over its snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 fn tuning() -> Tuning {
     Tuning {
@@ -109,10 +106,9 @@
 /// Takes newer rules from a peer, and the targets too if none are known yet.
 async fn fetch(node: Rc<Node>, number: u64, from: SocketAddr) {
     if node.table().rules.version < number {
-        let peer = from.to_string();
-        let answer = node.client.rmp::<_, Snapshot>(&peer, SNAPSHOT, &(), SNAPSHOT_TIMEOUT).await;
-        if let Ok(snapshot) = answer {
-            take(&node, snapshot, &peer);
+        let answer = super::snapshot(&node, from).await;
+        if let Some(snapshot) = answer {
+            take(&node, snapshot, &from.to_string());
         }
     }
     // Whoever next tells of a number that is still missing is asked again.
@@ -121,7 +117,7 @@
 
 fn take(node: &Node, snapshot: Snapshot, peer: &str) {
     node.adopt(snapshot.rules, peer);
-    if !snapshot.targets.is_empty() && node.fleet(|f| f.is_empty()) {
+    if !snapshot.targets.is_empty() && !node.knows_targets() {
         let now = node.now();
         node.fleet(|f| f.replace(snapshot.targets, now, true));
         node.know_targets();
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
 use model::Name;
+use model::forward::Snapshot;
 use model::member::Node as PeerNode;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -21,6 +22,8 @@
 
 pub use server::{BATCH, FREE, RemoteFree};
 
+/// Time for a peer to hand over its snapshot.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for a ping's answer.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -63,6 +66,12 @@
     }
 }
 
+/// Rules and targets as a peer has them.
+pub async fn snapshot(node: &Node, peer: SocketAddr) -> Option<Snapshot> {
+    let peer = peer.to_string();
+    node.client.rmp(&peer, server::SNAPSHOT, &(), SNAPSHOT_TIMEOUT).await.ok()
+}
+
 /// Whether a peer answers, by what is known or else by a ping that all of this node's
 /// orders share.
 pub async fn answers(node: &Rc<Node>, peer: &PeerNode) -> bool {
--- a/crates/forward/src/watch.rs
+++ b/crates/forward/src/watch.rs
@@ -9,6 +9,7 @@
 use crate::border::{Change, Kind, Page};
 use crate::events::Event;
 use crate::node::Node;
+use crate::peers;
 
 /// Time that a watch waits at the store.
 const WATCH_MS: u64 = 5_000;
@@ -22,6 +23,10 @@
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time after an outage during which vanished entries are doubted.
 const DOUBT: Duration = Duration::from_secs(6);
+/// Time between questions to peers that list targets.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which a node lists by itself what its peers do not give it.
+const PEERS_ASKED: Duration = Duration::from_secs(3);
 /// Times that a page is asked for again while the store is busy.
 const PAGE_TRIES: u32 = 12;
 /// Longest wait before a page is asked for again.
@@ -78,12 +83,65 @@
     }
 
     async fn run(mut self) {
+        if let Some(at) = self.from_peers().await {
+            self.watch(at).await;
+        }
         loop {
             match self.list().await {
                 Ok(at) => self.watch(at).await,
-                Err(e) => self.failed(&e.to_string()).await,
+                Err(e) => {
+                    self.failed(&e.to_string()).await;
+                    self.borrow().await;
+                }
+            }
+        }
+    }
+
+    /// A node that starts while it cannot reach the store takes its peers' targets.
+    async fn borrow(&self) {
+        let node = &self.node;
+        if self.kind == Kind::Rules || node.knows_targets() {
+            return;
+        }
+        let peers = node.peers.roster(|r| r.sound());
+        let chosen = node.rng(|r| r.below(peers.len()));
+        let Some(peer) = peers.get(chosen) else {
+            return;
+        };
+        let snapshot = peers::snapshot(node, peer.entry).await;
+        if let Some(snapshot) = snapshot.filter(|s| !s.targets.is_empty()) {
+            let now = node.now();
+            node.fleet(|f| f.replace(snapshot.targets, now, true));
+            node.know_targets();
+        }
+    }
+
+    /// Takes the targets from a peer that lists them for others, and returns the revision
+    /// to watch from; `None` if this node is to list them itself.
+    async fn from_peers(&self) -> Option<u64> {
+        if self.kind == Kind::Rules {
+            return None;
+        }
+        let node = &self.node;
+        while node.peers.roster(|r| r.is_gathering(node.now())) {
+            tokio::time::sleep(PEER_PAUSE).await;
+        }
+        let domain = node.settings().domain.clone();
+        let until = node.now() + PEERS_ASKED;
+        while node.now() < until {
+            let listers = node.peers.roster(|r| r.listers(&domain))?;
+            let chosen = node.rng(|r| r.below(listers.len()));
+            let snapshot = peers::snapshot(node, listers.get(chosen)?.entry).await;
+            if let Some(snapshot) = snapshot.filter(|s| s.targets_at > 0) {
+                let now = node.now();
+                node.fleet(|f| f.replace(snapshot.targets, now, false));
+                node.targets_as_of(snapshot.targets_at);
+                return Some(snapshot.targets_at);
             }
+            let pause = node.rng(|r| r.jitter(PEER_PAUSE));
+            tokio::time::sleep(PEER_PAUSE + pause).await;
         }
+        None
     }
 
     fn answered(&mut self) {
@@ -155,7 +213,7 @@
                 let targets: Vec<Target> = changes.into_iter().filter_map(target_of).collect();
                 let now = node.now();
                 node.fleet(|f| f.replace(targets, now, in_doubt));
-                node.know_targets();
+                node.targets_as_of(at.unwrap_or_default());
             }
         }
         Ok(at.unwrap_or_default())
@@ -177,6 +235,9 @@
                     self.answered();
                     at = page.at.max(at);
                     self.apply(page.changes);
+                    if self.kind == Kind::Targets {
+                        self.node.targets_as_of(at);
+                    }
                 }
                 Err(e) => return self.failed(&e.to_string()).await,
             }
