--- a/crates/forward/src/watch.rs
+++ b/crates/forward/src/watch.rs
@@ -45,6 +45,13 @@
     Malformed(#[from] crate::border::Malformed),
 }
 
+impl FollowError {
+    /// Whether the store had no call left for this node.
+    fn is_busy(&self) -> bool {
+        matches!(self, FollowError::Call(e) if e.status() == Some(BUSY))
+    }
+}
+
 /// Starts following both kinds.
 pub fn start(node: &Rc<Node>) {
     for kind in [Kind::Rules, Kind::Targets] {
@@ -83,12 +90,14 @@
     }
 
     async fn run(mut self) {
-        if let Some(at) = self.from_peers().await {
-            self.watch(at).await;
-        }
         loop {
             match self.list().await {
                 Ok(at) => self.watch(at).await,
+                Err(e) if self.kind == Kind::Targets && e.is_busy() => {
+                    if let Some(at) = self.from_peers().await {
+                        self.watch(at).await;
+                    }
+                }
                 Err(e) => {
                     self.failed(&e.to_string()).await;
                     self.borrow().await;
@@ -116,16 +125,10 @@
         }
     }
 
-    /// Takes the targets from a peer that lists them for others, and returns the revision
-    /// to watch from; `None` if this node is to list them itself.
+    /// Takes the targets from a peer that lists them for others while the store is busy,
+    /// and returns the revision to watch from; `None` if this node is to list them itself.
     async fn from_peers(&self) -> Option<u64> {
-        if self.kind == Kind::Rules {
-            return None;
-        }
         let node = &self.node;
-        while node.peers.roster(|r| r.is_gathering(node.now())) {
-            tokio::time::sleep(PEER_PAUSE).await;
-        }
         let domain = node.settings().domain.clone();
         let until = node.now() + PEERS_ASKED;
         while node.now() < until {
@@ -172,11 +175,12 @@
     }
 
     /// Reads a page, again while the store is busy: after a restart of all nodes their
-    /// lists come together, and a list begun anew would only add to them.
+    /// lists come together, and a list begun anew would only add to them. Nodes whose
+    /// peers list the targets leave it to these.
     async fn get_page(&self, path: &str) -> Result<String, CallError> {
         for _ in 0..PAGE_TRIES {
             match self.get(path, LIST_TIMEOUT).await {
-                Err(e) if e.status() == Some(BUSY) => {
+                Err(e) if e.status() == Some(BUSY) && !self.has_listers() => {
                     let pause = self.node.rng(|r| r.jitter(PAGE_PAUSE));
                     tokio::time::sleep(pause).await;
                 }
@@ -186,6 +190,11 @@
         self.get(path, LIST_TIMEOUT).await
     }
 
+    fn has_listers(&self) -> bool {
+        let domain = self.node.settings().domain.clone();
+        self.kind == Kind::Targets && self.node.peers.roster(|r| r.listers(&domain).is_some())
+    }
+
     /// Reads the whole list; returns the revision to watch from.
     async fn list(&mut self) -> Result<u64, FollowError> {
         let node = self.node.clone();
