--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -18,8 +18,6 @@
 const ANSWER_KEPT: Duration = Duration::from_millis(250);
 /// Time for which a peer that did not answer is passed over.
 const SILENCE_KEPT: Duration = Duration::from_millis(1000);
-/// Nodes of a failure domain that list the store's targets at a start.
-const LISTERS: usize = 4;
 /// Time for which a peer that stopped is remembered.
 const STOPPED_KEPT: Duration = Duration::from_secs(60);
 
@@ -186,19 +184,6 @@
         self.up.iter().filter(|p| !p.suspect).map(|p| p.node.clone()).collect()
     }
 
-    /// Peers of a failure domain that list the store's targets for the others at a start;
-    /// `None` if this node is one of them. Few nodes are enough, and the store's rate is
-    /// shared by all.
-    pub fn listers(&self, domain: &str) -> Option<Vec<Node>> {
-        let score = |name: &Name| hash::mix(hash::of(b"list"), hash::of(name.as_bytes()));
-        let near = self.up.iter().filter(|p| !p.suspect && *p.node.domain == *domain);
-        let mut order: Vec<(u64, Option<Node>)> =
-            near.map(|p| (score(&p.node.id.name), Some(p.node.clone()))).collect();
-        order.push((score(&self.me), None));
-        order.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-        order.into_iter().take(LISTERS).map(|(_, node)| node).collect()
-    }
-
     /// Whether the nodes that are up may still be finding each other: this one has just
     /// started, and knows none that has been up for longer.
     pub fn is_gathering(&self, now: Time) -> bool {
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -144,23 +144,3 @@
     assert!(!roster.is_sound(&id));
     assert_eq!(roster.most_seen(), 2, "the budget stays shared by as many as there were");
 }
-
-#[test]
-fn four_nodes_of_a_failure_domain_list_and_the_others_agree_on_them() {
-    for n in [1, 4, 30] {
-        let up = vec![100; n];
-        let mut listers = 0;
-        let mut told = None;
-        for me in 0..n {
-            match roster(me, &up, 100).listers("d") {
-                None => listers += 1,
-                Some(peers) => {
-                    let names: Vec<_> = peers.into_iter().map(|p| p.id.name).collect();
-                    assert_eq!(*told.get_or_insert(names.clone()), names);
-                }
-            }
-        }
-        assert_eq!(listers, n.min(4), "of {n}");
-    }
-    assert_eq!(roster(0, &[100; 30], 100).listers("elsewhere"), None, "nobody else is there");
-}
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -63,7 +63,6 @@
     store_seen: Cell<Option<Time>>,
     store_lost: Cell<Option<Time>>,
     targets_known: Cell<bool>,
-    targets_at: Cell<u64>,
     version: watch::Sender<u64>,
     stopping: watch::Sender<bool>,
     closing: watch::Sender<bool>,
@@ -88,7 +87,6 @@
             store_seen: Cell::new(None),
             store_lost: Cell::new(None),
             targets_known: Cell::new(false),
-            targets_at: Cell::new(0),
             version: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
@@ -237,17 +235,10 @@
         self.targets_known.get()
     }
 
-    /// The targets are whole as of this revision of the store.
-    pub fn targets_as_of(&self, revision: u64) {
-        self.targets_known.set(true);
-        self.targets_at.set(revision);
-    }
-
     /// Rules and targets, for a peer that starts.
     pub fn snapshot(&self) -> Snapshot {
         let targets = self.fleet(|f| f.targets());
-        let targets_at = self.targets_at.get();
-        Snapshot { rules: self.table().rules.clone(), targets, targets_at }
+        Snapshot { rules: self.table().rules.clone(), targets }
     }
 
     /// Whether this node wants callers.
--- a/crates/forward/src/watch.rs
+++ b/crates/forward/src/watch.rs
@@ -23,10 +23,6 @@
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time after an outage during which vanished entries are doubted.
 const DOUBT: Duration = Duration::from_secs(6);
-/// Time between questions to peers that list targets.
-const PEER_PAUSE: Duration = Duration::from_millis(100);
-/// Time after which a node lists by itself what its peers do not give it.
-const PEERS_ASKED: Duration = Duration::from_secs(3);
 /// Times that a page is asked for again while the store is busy.
 const PAGE_TRIES: u32 = 12;
 /// Longest wait before a page is asked for again.
@@ -45,13 +41,6 @@
     Malformed(#[from] crate::border::Malformed),
 }
 
-impl FollowError {
-    /// Whether the store had no call left for this node.
-    fn is_busy(&self) -> bool {
-        matches!(self, FollowError::Call(e) if e.status() == Some(BUSY))
-    }
-}
-
 /// Starts following both kinds.
 pub fn start(node: &Rc<Node>) {
     for kind in [Kind::Rules, Kind::Targets] {
@@ -93,11 +82,6 @@
         loop {
             match self.list().await {
                 Ok(at) => self.watch(at).await,
-                Err(e) if self.kind == Kind::Targets && e.is_busy() => {
-                    if let Some(at) = self.from_peers().await {
-                        self.watch(at).await;
-                    }
-                }
                 Err(e) => {
                     self.failed(&e.to_string()).await;
                     self.borrow().await;
@@ -125,28 +109,6 @@
         }
     }
 
-    /// Takes the targets from a peer that lists them for others while the store is busy,
-    /// and returns the revision to watch from; `None` if this node is to list them itself.
-    async fn from_peers(&self) -> Option<u64> {
-        let node = &self.node;
-        let domain = node.settings().domain.clone();
-        let until = node.now() + PEERS_ASKED;
-        while node.now() < until {
-            let listers = node.peers.roster(|r| r.listers(&domain))?;
-            let chosen = node.rng(|r| r.below(listers.len()));
-            let snapshot = peers::snapshot(node, listers.get(chosen)?.entry).await;
-            if let Some(snapshot) = snapshot.filter(|s| s.targets_at > 0) {
-                let now = node.now();
-                node.fleet(|f| f.replace(snapshot.targets, now, false));
-                node.targets_as_of(snapshot.targets_at);
-                return Some(snapshot.targets_at);
-            }
-            let pause = node.rng(|r| r.jitter(PEER_PAUSE));
-            tokio::time::sleep(PEER_PAUSE + pause).await;
-        }
-        None
-    }
-
     fn answered(&mut self) {
         if self.failures > 0 {
             Event::Store { kind: self.name(), reachable: true, why: "" }.emit();
@@ -175,12 +137,11 @@
     }
 
     /// Reads a page, again while the store is busy: after a restart of all nodes their
-    /// lists come together, and a list begun anew would only add to them. Nodes whose
-    /// peers list the targets leave it to these.
+    /// lists come together, and a list begun anew would only add to them.
     async fn get_page(&self, path: &str) -> Result<String, CallError> {
         for _ in 0..PAGE_TRIES {
             match self.get(path, LIST_TIMEOUT).await {
-                Err(e) if e.status() == Some(BUSY) && !self.has_listers() => {
+                Err(e) if e.status() == Some(BUSY) => {
                     let pause = self.node.rng(|r| r.jitter(PAGE_PAUSE));
                     tokio::time::sleep(pause).await;
                 }
@@ -190,11 +151,6 @@
         self.get(path, LIST_TIMEOUT).await
     }
 
-    fn has_listers(&self) -> bool {
-        let domain = self.node.settings().domain.clone();
-        self.kind == Kind::Targets && self.node.peers.roster(|r| r.listers(&domain).is_some())
-    }
-
     /// Reads the whole list; returns the revision to watch from.
     async fn list(&mut self) -> Result<u64, FollowError> {
         let node = self.node.clone();
@@ -222,7 +178,7 @@
                 let targets: Vec<Target> = changes.into_iter().filter_map(target_of).collect();
                 let now = node.now();
                 node.fleet(|f| f.replace(targets, now, in_doubt));
-                node.targets_as_of(at.unwrap_or_default());
+                node.know_targets();
             }
         }
         Ok(at.unwrap_or_default())
@@ -244,9 +200,6 @@
                     self.answered();
                     at = page.at.max(at);
                     self.apply(page.changes);
-                    if self.kind == Kind::Targets {
-                        self.node.targets_as_of(at);
-                    }
                 }
                 Err(e) => return self.failed(&e.to_string()).await,
             }
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -34,6 +34,4 @@
     pub rules: Rules,
     /// Targets known.
     pub targets: Vec<Target>,
-    /// Revision of the store as of which they are whole; 0 if they may not be.
-    pub targets_at: u64,
 }
