--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -221,7 +221,7 @@
         if self.waiting() == 0 {
             return;
         }
-        out.extend(self.makers.to_probe(now).into_iter().map(Action::Probe));
+        out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
         let working = self.makers.domains(now);
         for maker in self.makers.free(&self.pool, now) {
             let mut fits: Vec<(Urgency, OrderId)> = self
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -162,7 +162,7 @@
     }
 
     /// Makers that failed and are to be asked for a sign of life now.
-    pub(super) fn to_probe(&mut self, now: Time) -> Vec<TargetId> {
+    pub(super) fn take_probes_due(&mut self, now: Time) -> Vec<TargetId> {
         let due = |m: &Maker| m.present && m.doubt == Doubt::Unasked && m.ejected <= now;
         let mut due_now = Vec::new();
         for (id, m) in self.0.iter_mut().filter(|(_, m)| due(m)) {
