Connections to a target are shared by all nodes

Cause: the configuration's bound on a target's connections, for all callers together, was read and not kept. Change: a node has at most its equal part, over the most nodes it has seen, at one target; beyond that the next target, or 503 with the time to come back. Test in decide/tests/fleet.rs.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -17,6 +17,9 @@
     pub domain: &'a str,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
+    /// Requests that this node may have at one target: its part of the connections that
+    /// a target takes from all nodes together.
+    pub most_each: u32,
     /// Share of homes by failure domain, relative to each other; equal if empty.
     pub shares: &'a [(Name, f64)],
 }
@@ -124,9 +127,11 @@
         chosen.map(|(_, b)| b.target.clone())
     }
 
-    /// Usable targets not tried yet; those left out for failures only if no other is.
+    /// Usable targets not tried yet that take another connection; those left out for failures only if no other is.
     fn candidates<'a>(&'a self, wanted: Wanted<'a>, now: Time) -> impl Iterator<Item = &'a Belief> {
-        let fresh = move |b: &&Belief| !wanted.but.contains(&b.target.id);
+        let fresh = move |b: &&Belief| {
+            !wanted.but.contains(&b.target.id) && b.outstanding < wanted.most_each
+        };
         let sound = self.usable(wanted.service, now).filter(fresh).any(|b| !b.is_ejected(now));
         self.usable(wanted.service, now).filter(fresh).filter(move |b| !sound || !b.is_ejected(now))
     }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -32,7 +32,7 @@
 }
 
 fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
-    Wanted { service: "engine", domain: "a", but, shares: &[] }
+    Wanted { service: "engine", domain: "a", but, most_each: 100, shares: &[] }
 }
 
 fn home(key: u64) -> Home {
@@ -150,6 +150,24 @@
     assert_eq!(&*sound.id, "t1");
 }
 
+#[test]
+fn a_target_gets_no_more_than_this_nodes_part_of_its_connections() {
+    let mut fleet = fleet(2);
+    let mut rng = Rng::new(1);
+    let wanted = Wanted { most_each: 2, ..wanted(&[]) };
+    let mut taken = BTreeSet::new();
+    for _ in 0..4 {
+        let target = fleet.pick_plain(wanted, at(0), &mut rng).expect("there is room");
+        fleet.sent(&target.id, 0);
+        taken.insert(target.id);
+    }
+    assert_eq!(taken.len(), 2);
+    assert_eq!(fleet.pick_plain(wanted, at(0), &mut rng), None);
+    assert_eq!(fleet.pick_home(wanted, home(1), at(0)), None);
+    fleet.done(&"t1".into());
+    assert_eq!(fleet.pick_home(wanted, home(1), at(0)).map(|t| t.id).as_deref(), Some("t1"));
+}
+
 #[test]
 fn a_home_with_too_much_to_read_hands_on_in_the_same_order() {
     let mut fleet = fleet(6);
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -214,14 +214,28 @@
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
         let shares = self.home_shares(now);
-        let wanted =
-            Wanted { service: &self.service, domain: &settings.domain, but: &but, shares: &shares };
+        let wanted = Wanted {
+            service: &self.service,
+            domain: &settings.domain,
+            but: &but,
+            most_each: self.connections_each(),
+            shares: &shares,
+        };
         match Home::of(&self.head.prompt) {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
             None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
         }
     }
 
+    /// Connections that this node may have to one target: an equal part of what a target
+    /// takes from all nodes.
+    fn connections_each(&self) -> u32 {
+        let nodes = self.node.peers.roster(|r| r.most_seen()) as u32;
+        let table = self.node.table();
+        let all = table.service(&self.service).map_or(u32::MAX, |s| s.connections);
+        (all / nodes.max(1)).max(1)
+    }
+
     /// Shares of homes by failure domain, where the route has large results that are
     /// made near their target.
     fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
