A frozen process is waited for until all of its threads have stopped

SIGSTOP is asynchronous; a thread of the store on another core still took the claim. Change: signal(SIGSTOP) returns once every thread's state is T; the assertion is as it was.

--- a/crates/dev/tests/processes.rs
+++ b/crates/dev/tests/processes.rs
@@ -64,6 +64,26 @@
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         kill(pid, signal).expect("our own child");
+        if signal == Signal::SIGSTOP {
+            self.await_stopped();
+        }
+    }
+
+    /// A stop is asynchronous: a thread on another core goes on until it is interrupted.
+    fn await_stopped(&self) {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped =
+            |stat: String| stat.rsplit(") ").next().is_some_and(|s| s.starts_with('T'));
+        loop {
+            let threads = std::fs::read_dir(&tasks).expect("our own child");
+            let mut stats = threads.filter_map(|t| {
+                std::fs::read_to_string(t.expect("a readable folder").path().join("stat")).ok()
+            });
+            if stats.all(is_stopped) {
+                return;
+            }
+            std::thread::yield_now();
+        }
     }
 
     /// SIGKILL, and a new start under the same settings.
