Three nodes of each failure domain follow the store, the others follow these

Change: decide::relay (who is asked, how far back) and Roster::relays: three nodes of a failure domain by rendezvous watch the targets, the others ask one of them by long poll, with the store's own revisions, so that any source goes on where another ended. An answer tells how old it is; too old, or no answer within 1.05 s, and the next relay is asked, at last the store. A relay whose store turns it away follows its peers too (before, only at its start). In domains of three nodes or fewer all are relays, as before. Rules stay a watch of each node (they are large, relays' links narrow), with a longer wait where others watch as well.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -6,8 +6,6 @@
 use model::forward::{Target, TargetId};
 use model::{Name, Time};
 
-/// How long a target is kept whose entry vanished around an outage of the store.
-const MISSING_KEPT: Duration = Duration::from_millis(1200);
 /// First time for which a failing target is left out.
 const EJECT_FIRST: Duration = Duration::from_millis(400);
 /// Longest time for which a failing target is left out.
@@ -37,7 +35,7 @@
 pub struct Belief {
     /// As discovery reports it.
     pub target: Target,
-    /// When its entry vanished, if it did.
+    /// Its entry vanished around an outage of the store; until then it is kept.
     pub missing: Option<Time>,
     /// Requests of this node at the target now.
     pub outstanding: u32,
@@ -68,7 +66,7 @@
 
     /// Whether new work may go there.
     pub fn usable(&self, now: Time) -> bool {
-        let kept = self.missing.is_none_or(|since| now.since(since) < MISSING_KEPT);
+        let kept = self.missing.is_none_or(|until| now < until);
         !self.target.draining && kept
     }
 
@@ -133,35 +131,35 @@
         true
     }
 
-    /// An entry is gone. If the store was in doubt the target is kept a while.
-    pub fn vanish(&mut self, id: &TargetId, now: Time, in_doubt: bool) {
+    /// An entry is gone. After an outage of the store it may have lapsed although its
+    /// target lives: until `doubt` the target is kept then.
+    pub fn vanish(&mut self, id: &TargetId, doubt: Option<Time>) {
         let Some(b) = self.beliefs.get_mut(id) else {
             return;
         };
-        if in_doubt && !b.target.draining {
-            b.missing.get_or_insert(now);
-        } else {
-            self.forget(id);
+        match doubt {
+            Some(until) if !b.target.draining => b.missing = Some(until),
+            _ => self.forget(id),
         }
     }
 
     /// Takes a whole list: what it lacks has vanished.
-    pub fn replace(&mut self, targets: Vec<Target>, now: Time, in_doubt: bool) {
+    pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>) {
         let listed: std::collections::BTreeSet<TargetId> =
             targets.iter().map(|t| t.id.clone()).collect();
         let lacking: Vec<TargetId> =
             self.beliefs.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in lacking {
-            self.vanish(&id, now, in_doubt);
+            self.vanish(&id, doubt);
         }
         for target in targets {
             self.upsert(target);
         }
     }
 
-    /// Forgets targets whose entry vanished long enough ago.
+    /// Forgets targets whose vanished entry did not come back in time.
     pub fn expire(&mut self, now: Time) {
-        let over = |b: &Belief| b.missing.is_some_and(|since| now.since(since) >= MISSING_KEPT);
+        let over = |b: &Belief| b.missing.is_some_and(|until| now >= until);
         let ids: Vec<TargetId> =
             self.beliefs.values().filter(|b| over(b)).map(|b| b.target.id.clone()).collect();
         for id in ids {
--- /dev/null
+++ b/crates/decide/src/relay/mod.rs
@@ -0,0 +1,13 @@
+//! How a node follows the store without calling it.
+//!
+//! Calls of the store are dear and its rates grow more slowly than the fleet, so a few
+//! nodes of each failure domain, its relays, watch the store and the others follow one of
+//! them. All use the store's own revisions, so a node moves from one source to another
+//! without beginning anew. A relay tells with each answer how long ago the store last
+//! confirmed what it knows; whoever hears of too great an age moves on, at last to the store.
+
+mod history;
+mod source;
+
+pub use history::History;
+pub use source::{Chosen, Relays, Source, Sources};
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -10,6 +10,12 @@
 use model::member::{Node, NodeId};
 use model::{Name, Time, hash};
 
+use crate::relay::Relays;
+
+/// Relays of the store's state in each failure domain; three, so that two may fail at once.
+const RELAYS: usize = 3;
+/// What relays are ordered by.
+const RELAY_KEY: &str = "relay of the store";
 /// Time in which nodes that started together find each other.
 const GATHERING: Duration = Duration::from_millis(800);
 /// Time after which a node that came counts as settled.
@@ -179,6 +185,25 @@
         self.coordinators(service, now).first().is_none_or(Option::is_none)
     }
 
+    /// Who relays the store's state to a node of this failure domain: the first few of
+    /// it, and one of each other domain in case those fail.
+    pub fn relays(&self, domain: &str, now: Time) -> Relays {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .coordinators(RELAY_KEY, now)
+            .into_iter()
+            .partition(|n| n.as_ref().is_none_or(|n| *n.domain == *domain));
+        let first = &near[..near.len().min(RELAYS)];
+        let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
+        if !peers.is_empty() {
+            // Followers share the relays out among themselves.
+            let turn = hash::of(self.me.as_bytes()) as usize % peers.len();
+            peers.rotate_left(turn);
+        }
+        let mut domains = BTreeSet::new();
+        peers.extend(far.into_iter().flatten().filter(|n| domains.insert(n.domain.clone())));
+        Relays { own: first.contains(&None), followed: near.len() > RELAYS, peers }
+    }
+
     /// Peers that are up and not suspected.
     pub fn sound(&self) -> Vec<Node> {
         self.up.iter().filter(|p| !p.suspect).map(|p| p.node.clone()).collect()
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -144,3 +144,67 @@
     assert!(!roster.is_sound(&id));
     assert_eq!(roster.most_seen(), 2, "the budget stays shared by as many as there were");
 }
+
+/// The roster of node `me` among `n` nodes of which every third is in the same domain.
+fn spread(me: usize, n: usize, silent: &[usize]) -> Roster {
+    let mut roster = Roster::new(name(me).into());
+    let others = (0..n).filter(|i| *i != me).map(|i| {
+        let mut view = view(i, 60_000, 60_000);
+        view.node.domain = domain(i).into();
+        view
+    });
+    roster.update(others.collect(), at(60_000));
+    for i in silent.iter().filter(|i| **i != me) {
+        roster.silent(&view(*i, 0, 0).node.id, at(60_000));
+    }
+    roster
+}
+
+fn domain(i: usize) -> String {
+    format!("d{}", i % 3)
+}
+
+/// Nodes that take themselves for relays.
+fn own_relays(n: usize, silent: &[usize]) -> Vec<usize> {
+    let up = (0..n).filter(|i| !silent.contains(i));
+    up.filter(|i| spread(*i, n, silent).relays(&domain(*i), at(60_001)).own).collect()
+}
+
+#[test]
+fn three_nodes_of_each_domain_relay_and_the_others_ask_these() {
+    let n = 60;
+    let relays = own_relays(n, &[]);
+    assert_eq!(relays.len(), 9, "{relays:?}");
+    let mut asked = std::collections::BTreeMap::new();
+    for me in (0..n).filter(|i| !relays.contains(i)) {
+        let found = spread(me, n, &[]).relays(&domain(me), at(60_001));
+        assert!(found.followed);
+        let near: Vec<_> = found.peers.iter().take(3).collect();
+        for p in &near {
+            assert_eq!(*p.domain, *domain(me));
+            assert!(relays.iter().any(|r| name(*r) == *p.id.name), "all agree on the relays");
+        }
+        assert_eq!(found.peers.len(), 5, "and one of each other domain");
+        *asked.entry(near[0].id.name.clone()).or_insert(0) += 1;
+    }
+    assert_eq!(asked.len(), 9, "followers share the relays out: {asked:?}");
+}
+
+#[test]
+fn where_relays_fall_silent_others_take_their_place() {
+    let n = 60;
+    let before = own_relays(n, &[]);
+    let after = own_relays(n, &before[..4]);
+    assert_eq!(after.len(), 9);
+    assert!(before[..4].iter().all(|gone| !after.contains(gone)));
+    assert!(before[4..].iter().all(|kept| after.contains(kept)), "the others stay");
+}
+
+#[test]
+fn in_a_small_domain_all_are_relays_and_nobody_follows() {
+    for me in 0..9 {
+        let found = spread(me, 9, &[]).relays(&domain(me), at(60_001));
+        assert!(found.own && !found.followed, "{me}");
+        assert_eq!(found.peers.len(), 4, "whom it asks while the store turns it away");
+    }
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -16,6 +16,8 @@
     Rules { version: u64, from: &'a str, routes: usize },
     /// The store was lost or regained.
     Store { kind: &'a str, reachable: bool, why: &'a str },
+    /// The targets are followed through another source from now on.
+    Source { from: &'a str, age_ms: u64 },
     /// A peer's health changed.
     Peer { name: &'a str, health: &'a str },
     /// A target came, changed or went.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -27,7 +27,7 @@
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
-use crate::watch as store_watch;
+use crate::watch::{self as follow, Feed};
 
 /// Time after which a node that heard of no peer takes it that it is alone.
 const ALONE: Duration = Duration::from_millis(700);
@@ -35,6 +35,8 @@
 const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
+/// Time in which entries that lapsed during an outage of the store are back after it.
+const LAPSED_BACK: Duration = Duration::from_secs(2);
 /// Time for the peers to be told of the end.
 const FAREWELL: Duration = Duration::from_millis(20);
 /// Part of the stop's time kept for the end of the process itself.
@@ -54,6 +56,8 @@
     pub peers: Peers,
     /// Coordinators of stage services at this node.
     pub pools: Pools,
+    /// The targets' state, for peers that follow it.
+    pub feed: Feed,
     settings: RefCell<Rc<Settings>>,
     table: RefCell<Rc<Table>>,
     fleet: RefCell<Fleet>,
@@ -61,7 +65,8 @@
     forecast: RefCell<Forecast>,
     rng: RefCell<Rng>,
     store_seen: Cell<Option<Time>>,
-    store_lost: Cell<Option<Time>>,
+    store_lost: Cell<bool>,
+    store_back: Cell<Option<Time>>,
     targets_known: Cell<bool>,
     version: watch::Sender<u64>,
     stopping: watch::Sender<bool>,
@@ -78,6 +83,7 @@
             metrics: Metrics::default(),
             peers: Peers::new(settings.name.clone()),
             pools: Pools::default(),
+            feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
             fleet: RefCell::default(),
@@ -85,7 +91,8 @@
             forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
             store_seen: Cell::new(None),
-            store_lost: Cell::new(None),
+            store_lost: Cell::new(false),
+            store_back: Cell::new(None),
             targets_known: Cell::new(false),
             version: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
@@ -126,6 +133,7 @@
         *self.table.borrow_mut() = Rc::new(Table::new(rules));
         Event::Rules { version, from, routes }.emit();
         self.version.send_replace(version);
+        self.feed.wake();
         true
     }
 
@@ -193,16 +201,30 @@
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
 
-    /// The store answered, or did not.
-    pub fn store_answered(&self, ok: bool) {
-        let now = Some(self.now());
-        let cell = if ok { &self.store_seen } else { &self.store_lost };
-        cell.set(now);
+    /// The store answered.
+    pub fn store_answered(&self) {
+        let now = self.now();
+        if self.store_lost.replace(false) {
+            self.store_back.set(Some(now));
+        }
+        self.store_confirmed(now);
+    }
+
+    /// The store did not answer.
+    pub fn store_lost(&self) {
+        self.store_lost.set(true);
     }
 
-    /// Whether the store failed to answer within this time.
-    pub fn store_in_doubt(&self, within: Duration) -> bool {
-        self.store_lost.get().is_some_and(|at| self.now().since(at) < within)
+    /// The store answered this node, or a peer that told of it, at this time.
+    pub fn store_confirmed(&self, at: Time) {
+        self.store_seen.set(self.store_seen.get().max(Some(at)));
+    }
+
+    /// Until when entries that vanish may have lapsed during an outage of the store.
+    pub fn doubt(&self) -> Option<Time> {
+        let now = self.now();
+        let back = if self.store_lost.get() { Some(now) } else { self.store_back.get() };
+        back.map(|at| at + LAPSED_BACK).filter(|until| now < *until)
     }
 
     /// Time since the store last answered, as far as it ever did.
@@ -293,7 +315,7 @@
     Event::Start { domain: &s.domain, callers: &s.callers.to_string() }.emit();
     reload::start(&node, path)?;
     peers::start(&node).await?;
-    store_watch::start(&node);
+    follow::start(&node);
     let callers = ingress::listen(s.callers)?;
     let readiness = ingress::listen(s.readiness)?;
     tokio::task::spawn_local(ingress::serve_readiness(node.clone(), readiness));
@@ -313,6 +335,7 @@
     Event::Stop { open: node.open.get() }.emit();
     node.stopping.send_replace(true);
     node.peers.roster(|r| r.stop());
+    node.feed.wake();
     node.pools.hand_over(node);
     let most = Duration::from_millis(node.settings().stop_ms).saturating_sub(STOP_MARGIN);
     loop {
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -86,12 +86,7 @@
             // A lost datagram is no news; probes are made for it.
             let _ = socket.send_to(&bytes, to).await;
         }
-        Action::Heard(number, from) => {
-            if number > node.peers.fetching.get() {
-                node.peers.fetching.set(number);
-                tokio::task::spawn_local(fetch(node.clone(), number, from));
-            }
-        }
+        Action::Heard(number, from) => hear(node, number, from),
         Action::Changed(rumor) => {
             let health = format!("{:?}", rumor.health);
             Event::Peer { name: &rumor.node.id.name, health: &health }.emit();
@@ -103,6 +98,15 @@
     }
 }
 
+/// A peer has this version of the rules; it is fetched if it is newer and nobody else is
+/// asked for it yet.
+pub fn hear(node: &Rc<Node>, number: u64, from: SocketAddr) {
+    if number > node.peers.fetching.get() {
+        node.peers.fetching.set(number);
+        tokio::task::spawn_local(fetch(node.clone(), number, from));
+    }
+}
+
 /// Takes newer rules from a peer, and the targets too if none are known yet.
 async fn fetch(node: Rc<Node>, number: u64, from: SocketAddr) {
     if node.table().rules.version < number {
@@ -118,8 +122,7 @@
 fn take(node: &Node, snapshot: Snapshot, peer: &str) {
     node.adopt(snapshot.rules, peer);
     if !snapshot.targets.is_empty() && !node.knows_targets() {
-        let now = node.now();
-        node.fleet(|f| f.replace(snapshot.targets, now, true));
+        node.fleet(|f| f.replace(snapshot.targets, None));
         node.know_targets();
     }
 }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -13,13 +13,14 @@
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
 use model::Name;
-use model::forward::Snapshot;
+use model::forward::{FollowAnswer, FollowAsk, Snapshot};
 use model::member::Node as PeerNode;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::node::Node;
 
+pub use membership::hear;
 pub use server::{BATCH, FREE, RemoteFree};
 
 /// Time for a peer to hand over its snapshot.
@@ -72,6 +73,17 @@
     node.client.rmp(&peer, server::SNAPSHOT, &(), SNAPSHOT_TIMEOUT).await.ok()
 }
 
+/// What a peer knows of the targets; `None` if it does not answer in time.
+pub async fn follow(
+    node: &Node,
+    peer: SocketAddr,
+    ask: &FollowAsk,
+    timeout: Duration,
+) -> Option<FollowAnswer> {
+    let peer = peer.to_string();
+    node.client.rmp(&peer, server::FOLLOW, ask, timeout).await.ok()
+}
+
 /// Whether a peer answers, by what is known or else by a ping that all of this node's
 /// orders share.
 pub async fn answers(node: &Rc<Node>, peer: &PeerNode) -> bool {
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use model::Name;
-use model::forward::{BatchOrder, Handle};
+use model::forward::{BatchOrder, FollowAsk, Handle};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use util::http::{Body, read_rmp, rmp, text};
@@ -13,6 +13,7 @@
 use crate::ingress::small;
 use crate::node::Node;
 use crate::stages::NotMade;
+use crate::watch;
 
 /// Path of batch orders.
 pub const BATCH: &str = "/v1/batch";
@@ -20,6 +21,8 @@
 pub const FREE: &str = "/v1/free";
 /// Path of a ping.
 pub const PING: &str = "/v1/ping";
+/// Path of news of the targets.
+pub const FOLLOW: &str = "/v1/follow";
 /// Path of rules and targets.
 pub const SNAPSHOT: &str = "/v1/snapshot";
 /// Largest message of a peer.
@@ -43,6 +46,7 @@
     match request.uri().path() {
         SNAPSHOT => rmp(&node.snapshot()),
         PING => rmp(&()),
+        FOLLOW => follow(&node, request).await,
         BATCH => batch(&node, request).await,
         FREE => {
             let Some(RemoteFree { service, handles }) = read_rmp(request, MESSAGE_MAX).await else {
@@ -55,6 +59,16 @@
     }
 }
 
+async fn follow(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let Some(ask) = read_rmp::<FollowAsk>(request, MESSAGE_MAX).await else {
+        return text(StatusCode::BAD_REQUEST, "not a question for news");
+    };
+    match watch::answer(node, ask).await {
+        Some(answer) => rmp(&answer),
+        None => text(StatusCode::SERVICE_UNAVAILABLE, "no targets are known here"),
+    }
+}
+
 async fn batch(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let Some(order) = read_rmp::<BatchOrder>(request, MESSAGE_MAX).await else {
         return text(StatusCode::BAD_REQUEST, "not a batch order");
--- /dev/null
+++ b/crates/forward/src/watch/feed.rs
@@ -0,0 +1,82 @@
+//! The targets' state as this node has it, and what its peers can follow of it.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use decide::relay::History;
+use model::Time;
+use model::forward::TargetChange;
+use tokio::sync::watch;
+
+/// Age from which on the state is no use to a peer, which then asks another one.
+const STALE: Duration = Duration::from_millis(1_600);
+
+/// Revision, history and age of the targets' state.
+#[derive(Debug)]
+pub struct Feed {
+    history: RefCell<History<TargetChange>>,
+    confirmed: Cell<Option<Time>>,
+    news: watch::Sender<()>,
+}
+
+impl Default for Feed {
+    fn default() -> Self {
+        Feed {
+            history: RefCell::default(),
+            confirmed: Cell::new(None),
+            news: watch::Sender::new(()),
+        }
+    }
+}
+
+impl Feed {
+    /// Revision that the state is at; `None` if none was ever read.
+    pub fn at(&self) -> Option<u64> {
+        Some(self.history.borrow().at()).filter(|at| *at > 0)
+    }
+
+    /// Age of the state: time since the store confirmed it.
+    pub fn age(&self, now: Time) -> Duration {
+        self.confirmed.get().map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Whether an answer of this age is worth following.
+    pub fn is_stale(age: Duration) -> bool {
+        age > STALE
+    }
+
+    /// The store confirmed the state at this time.
+    pub fn confirm(&self, at: Time) {
+        self.confirmed.set(self.confirmed.get().max(Some(at)));
+    }
+
+    /// The whole state was read at a revision.
+    pub fn restart(&self, at: u64) {
+        self.history.borrow_mut().restart(at);
+        self.wake();
+    }
+
+    /// Changes up to a revision were taken.
+    pub fn append(&self, at: u64, changes: Vec<TargetChange>) {
+        let news = !changes.is_empty();
+        self.history.borrow_mut().append(at, changes);
+        if news {
+            self.wake();
+        }
+    }
+
+    /// Changes after a revision; `None` if the whole state is needed.
+    pub fn since(&self, at: u64) -> Option<Vec<TargetChange>> {
+        self.history.borrow().since(at)
+    }
+
+    /// Tells those that wait that there is news.
+    pub fn wake(&self) {
+        self.news.send_replace(());
+    }
+
+    /// Tells whenever there is news.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/forward/src/watch/mod.rs
@@ -0,0 +1,41 @@
+//! Follows rules and targets: in the store, or through peers that do.
+
+mod feed;
+mod rules;
+mod store;
+mod targets;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::relay::Relays;
+
+use crate::node::Node;
+
+pub use feed::Feed;
+pub use targets::answer;
+
+/// Time between looks at targets whose entries vanished.
+const EXPIRE: Duration = Duration::from_millis(200);
+
+/// Starts following both kinds.
+pub fn start(node: &Rc<Node>) {
+    tokio::task::spawn_local(rules::follow(node.clone()));
+    tokio::task::spawn_local(targets::follow(node.clone()));
+    tokio::task::spawn_local(expire(node.clone()));
+}
+
+/// Forgets, in time, targets whose entries vanished.
+async fn expire(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(EXPIRE).await;
+        let now = node.now();
+        node.fleet(|f| f.expire(now));
+    }
+}
+
+/// Who relays the store's state to this node.
+fn relays(node: &Node) -> Relays {
+    let settings = node.settings();
+    node.peers.roster(|r| r.relays(&settings.domain, node.now()))
+}
--- /dev/null
+++ b/crates/forward/src/watch/rules.rs
@@ -0,0 +1,57 @@
+//! Follows the rules. Every node watches them in the store: they are large, and its link
+//! carries them faster than a peer's. News of a newer version also comes from peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::relays;
+use super::store::{Reader, Step};
+use crate::border::{Change, Kind};
+use crate::node::Node;
+
+/// Time that a relay's watch waits at the store.
+const WATCH: Duration = Duration::from_secs(5);
+/// Time that any other node's watch waits there.
+const WATCH_FOLLOWER: Duration = Duration::from_secs(20);
+/// First wait after a failed call.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest wait of a relay after a failed call.
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Longest wait of any other node.
+const RETRY_LONGEST_FOLLOWER: Duration = Duration::from_secs(3);
+
+/// Follows until the process ends.
+pub async fn follow(node: Rc<Node>) {
+    let mut reader = Reader::new(node.clone(), Kind::Rules);
+    let mut at = None;
+    let mut failures = 0;
+    loop {
+        let own = relays(&node).own;
+        let wait = if own { WATCH } else { WATCH_FOLLOWER };
+        match reader.read(at, wait).await {
+            Ok(step) => {
+                failures = 0;
+                at = Some(step.at);
+                adopt(&node, step);
+            }
+            Err(e) if e.is_history_gone() => at = None,
+            Err(_) => {
+                at = None;
+                let longest = if own { RETRY_LONGEST } else { RETRY_LONGEST_FOLLOWER };
+                let bound = RETRY_FIRST * 2u32.pow(failures.min(5));
+                failures += 1;
+                let pause = node.rng(|r| r.jitter(bound.min(longest)));
+                tokio::time::sleep(RETRY_FIRST / 2 + pause).await;
+            }
+        }
+    }
+}
+
+fn adopt(node: &Node, step: Step) {
+    for change in step.changes {
+        // Rules are never taken back, only replaced.
+        if let Change::Rules(rules) = change {
+            node.adopt(*rules, "store");
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/watch/store.rs
@@ -0,0 +1,163 @@
+//! Reads lists and watches of the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use util::http::{CallError, Client};
+
+use crate::border::{Change, Kind, Malformed, Page};
+use crate::events::Event;
+use crate::node::Node;
+
+/// Time to connect to the store.
+const CONNECT: Duration = Duration::from_millis(800);
+/// Time for a list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Part of a watch's wait that is added to it before the watch is given up.
+const WATCH_SLACK_PART: f64 = 0.3;
+/// Least such time.
+const WATCH_SLACK_LEAST: Duration = Duration::from_millis(400);
+/// Times that a page is asked for again while the store is busy.
+const PAGE_TRIES: u32 = 12;
+/// Longest wait before a page is asked for again.
+const PAGE_PAUSE: Duration = Duration::from_millis(600);
+/// Status of a call beyond the store's rate.
+const BUSY: u16 = 429;
+/// Status of a watch whose history is gone.
+const GONE: u16 = 410;
+
+/// Why the store could not be read.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum ReadError {
+    /// {0}
+    Call(#[from] CallError),
+    /// {0}
+    Malformed(#[from] Malformed),
+}
+
+impl ReadError {
+    /// Whether the watch's history is gone, so that the list is to be read anew.
+    pub fn is_history_gone(&self) -> bool {
+        matches!(self, ReadError::Call(e) if e.status() == Some(GONE))
+    }
+}
+
+/// What one call brought.
+#[derive(Debug, Default)]
+pub struct Step {
+    /// Revision that the state is at now.
+    pub at: u64,
+    /// The changes are the whole state.
+    pub whole: bool,
+    /// Changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// Reads one kind of object.
+pub struct Reader {
+    node: Rc<Node>,
+    client: Client,
+    kind: Kind,
+    failed: bool,
+}
+
+impl Reader {
+    /// A reader that has read nothing yet.
+    pub fn new(node: Rc<Node>, kind: Kind) -> Self {
+        Reader { node, client: Client::new(CONNECT), kind, failed: false }
+    }
+
+    fn name(&self) -> &'static str {
+        match self.kind {
+            Kind::Rules => "rules",
+            Kind::Targets => "targets",
+        }
+    }
+
+    /// Reads the whole state, or waits for changes since a revision.
+    pub async fn read(&mut self, at: Option<u64>, wait: Duration) -> Result<Step, ReadError> {
+        let read = match at {
+            None => self.list().await,
+            Some(at) => self.watch(at, wait).await,
+        };
+        match &read {
+            Ok(_) => self.answered(),
+            Err(e) if e.is_history_gone() => self.answered(),
+            Err(e) => self.lost(&e.to_string()),
+        }
+        read
+    }
+
+    fn answered(&mut self) {
+        if std::mem::take(&mut self.failed) {
+            Event::Store { kind: self.name(), reachable: true, why: "" }.emit();
+        }
+        self.node.store_answered();
+    }
+
+    fn lost(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.failed, true) {
+            Event::Store { kind: self.name(), reachable: false, why }.emit();
+        }
+        self.node.store_lost();
+        // A new client drops connections that hang behind a cut.
+        self.client = Client::new(CONNECT);
+    }
+
+    async fn get(&self, path: &str, timeout: Duration) -> Result<String, CallError> {
+        self.node.metrics.store_call(self.name());
+        let store = self.node.settings().store.to_string();
+        self.client.text(&store, path, timeout).await
+    }
+
+    /// Reads a page, again while the store is busy: after a restart of all nodes their
+    /// lists come together, and a list begun anew would only add to them.
+    async fn get_page(&self, path: &str) -> Result<String, CallError> {
+        for _ in 0..PAGE_TRIES {
+            match self.get(path, LIST_TIMEOUT).await {
+                Err(e) if e.status() == Some(BUSY) => {
+                    let pause = self.node.rng(|r| r.jitter(PAGE_PAUSE));
+                    tokio::time::sleep(pause).await;
+                }
+                end => return end,
+            }
+        }
+        self.get(path, LIST_TIMEOUT).await
+    }
+
+    async fn list(&self) -> Result<Step, ReadError> {
+        let dialect = &self.node.dialect;
+        let mut step = Step { whole: true, ..Step::default() };
+        let mut after = None;
+        loop {
+            let path = dialect.list(self.kind, after.as_ref());
+            let body = self.get_page(&path).await?;
+            let page = dialect.page(self.kind, body.as_bytes())?;
+            warn(&page);
+            if after.is_none() {
+                // Changes between two pages are seen again from the first revision on.
+                step.at = page.at;
+            }
+            step.changes.extend(page.changes);
+            match page.more {
+                Some(name) => after = Some(name),
+                None => return Ok(step),
+            }
+        }
+    }
+
+    async fn watch(&self, at: u64, wait: Duration) -> Result<Step, ReadError> {
+        let path = self.node.dialect.watch(self.kind, at, wait.as_millis() as u64);
+        let slack = wait.mul_f64(WATCH_SLACK_PART).max(WATCH_SLACK_LEAST);
+        let body = self.get(&path, wait + slack).await?;
+        let page = self.node.dialect.changes(self.kind, body.as_bytes())?;
+        warn(&page);
+        Ok(Step { at: page.at.max(at), whole: false, changes: page.changes })
+    }
+}
+
+fn warn(page: &Page) {
+    for m in &page.malformed {
+        log::warn!("store: {m}");
+    }
+}
--- /dev/null
+++ b/crates/forward/src/watch/targets.rs
@@ -0,0 +1,227 @@
+//! Follows the targets: a few nodes of each failure domain in the store, the others
+//! through these.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::relay::{Relays, Source, Sources};
+use model::Time;
+use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
+use model::member::Node as PeerNode;
+
+use super::feed::Feed;
+use super::relays;
+use super::store::{Reader, Step};
+use crate::border::{Change, Kind};
+use crate::events::Event;
+use crate::node::Node;
+use crate::peers;
+
+/// Time that a watch waits at the store where no other node follows this one.
+const WATCH: Duration = Duration::from_secs(5);
+/// Time that a relay's watch waits there: its followers rely on its age.
+const WATCH_RELAY: Duration = Duration::from_secs(1);
+/// Time that a peer holds an answer back until there is news.
+const PEER_WAIT: Duration = Duration::from_millis(700);
+/// Time beyond that before a peer is given up.
+const PEER_SLACK: Duration = Duration::from_millis(350);
+/// Time for news to gather between two questions.
+const GATHER: Duration = Duration::from_millis(40);
+
+/// Follows until the process ends.
+pub async fn follow(node: Rc<Node>) {
+    let mut follower = Follower::new(node);
+    loop {
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    node: Rc<Node>,
+    reader: Reader,
+    sources: Sources,
+    /// The store's history does not reach back to this node's revision.
+    is_history_gone: bool,
+    source: Option<Source>,
+}
+
+impl Follower {
+    fn new(node: Rc<Node>) -> Self {
+        let reader = Reader::new(node.clone(), Kind::Targets);
+        let sources = Sources::default();
+        Follower { node, reader, sources, is_history_gone: false, source: None }
+    }
+
+    async fn step(&mut self) {
+        let relays = relays(&self.node);
+        let chosen = self.sources.choose(&relays, self.node.now());
+        if self.source.as_ref() != Some(&chosen.source) {
+            self.tell(&chosen.source);
+            self.source = Some(chosen.source.clone());
+        }
+        tokio::time::sleep(chosen.pause).await;
+        match chosen.source {
+            Source::Store => self.ask_store(&relays).await,
+            Source::Peer(peer) => self.ask_peer(&peer).await,
+        }
+        tokio::time::sleep(GATHER).await;
+    }
+
+    fn tell(&self, source: &Source) {
+        let from = match source {
+            Source::Store => "store",
+            Source::Peer(peer) => &peer.id.name,
+        };
+        let age_ms = millis(self.node.feed.age(self.node.now()));
+        Event::Source { from, age_ms }.emit();
+    }
+
+    async fn ask_store(&mut self, relays: &Relays) {
+        let node = self.node.clone();
+        let wait = if relays.own && !relays.followed { WATCH } else { WATCH_RELAY };
+        let at = node.feed.at().filter(|_| !self.is_history_gone);
+        match self.reader.read(at, wait).await {
+            Ok(step) => {
+                self.is_history_gone = false;
+                self.sources.store_answered();
+                take_step(&node, step);
+            }
+            Err(e) if e.is_history_gone() => self.is_history_gone = true,
+            Err(_) => {
+                let now = node.now();
+                let jitter = |most| node.rng(|r| r.jitter(most));
+                self.sources.store_failed(relays.own, now, jitter);
+                // Whoever follows this node is better off elsewhere.
+                node.feed.wake();
+            }
+        }
+    }
+
+    async fn ask_peer(&mut self, peer: &PeerNode) {
+        let node = self.node.clone();
+        let ask = FollowAsk {
+            at: node.feed.at().unwrap_or(0),
+            rules: node.table().rules.version,
+            wait_ms: PEER_WAIT.as_millis() as u64,
+        };
+        let answer = peers::follow(&node, peer.entry, &ask, PEER_WAIT + PEER_SLACK).await;
+        let now = node.now();
+        let Some(answer) = answer else {
+            self.sources.relay_failed(&peer.id, now);
+            return;
+        };
+        let age = Duration::from_millis(answer.age_ms);
+        if Feed::is_stale(age) {
+            self.sources.relay_failed(&peer.id, now);
+        }
+        if answer.rules > ask.rules {
+            peers::hear(&node, answer.rules, peer.entry);
+        }
+        take_answer(&node, answer, now - age);
+    }
+}
+
+/// Takes what the store told.
+fn take_step(node: &Node, step: Step) {
+    let now = node.now();
+    let Step { at, whole, changes } = step;
+    let changes: Vec<TargetChange> = changes.into_iter().filter_map(target_change).collect();
+    let doubt = node.doubt();
+    if whole {
+        let targets = changes.into_iter().filter_map(present).collect();
+        take_whole(node, at, targets, doubt);
+    } else {
+        take_changes(node, at, changes, doubt);
+    }
+    node.feed.confirm(now);
+}
+
+/// Takes what a peer told.
+fn take_answer(node: &Node, answer: FollowAnswer, confirmed: Time) {
+    let FollowAnswer { at, doubt_ms, rules, news, .. } = answer;
+    let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
+    match news {
+        TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
+        TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
+    }
+    node.feed.confirm(confirmed);
+    if rules <= node.table().rules.version {
+        node.store_confirmed(confirmed);
+    }
+}
+
+fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
+    node.fleet(|f| f.replace(targets, doubt));
+    node.feed.restart(at);
+    node.know_targets();
+}
+
+fn take_changes(node: &Node, at: u64, changes: Vec<TargetChange>, doubt: Option<Time>) {
+    for change in &changes {
+        match change {
+            TargetChange::Now(target) => {
+                let state = if target.draining { "draining" } else { "ready" };
+                if node.fleet(|f| f.upsert(target.clone())) {
+                    Event::Target { target: &target.id, service: &target.service, state }.emit();
+                }
+            }
+            TargetChange::Gone(id) => {
+                node.fleet(|f| f.vanish(id, doubt));
+                Event::Target { target: id, service: "", state: "gone" }.emit();
+            }
+        }
+    }
+    node.feed.append(at, changes);
+}
+
+fn target_change(change: Change) -> Option<TargetChange> {
+    match change {
+        Change::Target(target) => Some(TargetChange::Now(target)),
+        Change::Gone(id) => Some(TargetChange::Gone(id)),
+        Change::Rules(_) => None,
+    }
+}
+
+fn present(change: TargetChange) -> Option<Target> {
+    match change {
+        TargetChange::Now(target) => Some(target),
+        TargetChange::Gone(_) => None,
+    }
+}
+
+/// Answers a peer that follows this node, as soon as there is news; `None` if this node
+/// is of no use as a source.
+pub async fn answer(node: &Node, ask: FollowAsk) -> Option<FollowAnswer> {
+    let limit = node.clock.instant(node.now() + Duration::from_millis(ask.wait_ms));
+    let mut news = node.feed.news();
+    while has_no_news(node, &ask) {
+        let heard = tokio::time::timeout_at(limit, news.changed()).await;
+        if heard.is_err() {
+            break;
+        }
+    }
+    let at = node.feed.at().filter(|_| !node.is_stopping())?;
+    let now = node.now();
+    let news = match node.feed.since(ask.at) {
+        Some(changes) => TargetNews::Changes(changes),
+        None => TargetNews::Whole(node.fleet(|f| f.targets())),
+    };
+    Some(FollowAnswer {
+        at,
+        age_ms: millis(node.feed.age(now)),
+        doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
+        rules: node.table().rules.version,
+        news,
+    })
+}
+
+fn millis(age: Duration) -> u64 {
+    age.as_millis().min(u128::from(u32::MAX)) as u64
+}
+
+fn has_no_news(node: &Node, ask: &FollowAsk) -> bool {
+    let known = node.feed.at().unwrap_or(0);
+    let lacks = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
+    let fresh = !Feed::is_stale(node.feed.age(node.now()));
+    !lacks && fresh && node.table().rules.version <= ask.rules && !node.is_stopping()
+}
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -16,4 +16,4 @@
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
-pub use target::{Snapshot, Target, TargetId};
+pub use target::{FollowAnswer, FollowAsk, Snapshot, Target, TargetChange, TargetId, TargetNews};
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -35,3 +35,48 @@
     /// Targets known.
     pub targets: Vec<Target>,
 }
+
+/// What became of one target's entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum TargetChange {
+    /// It is like this now.
+    Now(Target),
+    /// It is gone.
+    Gone(TargetId),
+}
+
+/// Asks a peer for the targets as the store has them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowAsk {
+    /// Revision of the store that the asking node is at; 0 if it knows none.
+    pub at: u64,
+    /// Version of its rules.
+    pub rules: u64,
+    /// Milliseconds for which the answer may be held back until there is news.
+    pub wait_ms: u64,
+}
+
+/// What a peer knows of the targets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FollowAnswer {
+    /// Revision that it is at.
+    pub at: u64,
+    /// Milliseconds since the store last confirmed that.
+    pub age_ms: u64,
+    /// Milliseconds for which entries that vanished are still doubted, since the store was
+    /// out of reach a while ago.
+    pub doubt_ms: u64,
+    /// Version of the peer's rules.
+    pub rules: u64,
+    /// What the asking node lacks.
+    pub news: TargetNews,
+}
+
+/// What a node that follows a peer lacks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum TargetNews {
+    /// All targets, in place of those known.
+    Whole(Vec<Target>),
+    /// Changes, oldest first.
+    Changes(Vec<TargetChange>),
+}
