Nodes agree on a coordinator while they know different things

In the logs: 99 orders turned away with 'another node comes first' by the very node that the loss of the first had brought to the front, since that one had not heard of the loss yet; behind a cut each order tried three nodes that could not be reached and then made its own calls. Ruled out: membership's timing alone (it needs 2 to 4 s for 14 dead of 86, as designed). Change: an order names whom its sender skipped; whoever gets it asks these itself, coordinates if they are silent and passes the order on to them if not (once). Silence lasts until a sign of life, which is asked for in the background; after the first silence some of each failure domain are asked together; two silent peers of another domain, and no answer since, pass for a cut of it. A planned stop is told to the peers when it begins, not when it ends.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -4,6 +4,8 @@
 //! The order is a rendezvous order, so that all nodes that agree on the members agree
 //! on the coordinator without a message. Being wrong about it only costs batches.
 
+mod contact;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -12,6 +14,9 @@
 
 use crate::relay::Relays;
 
+pub use contact::Contact;
+use contact::Contacts;
+
 /// Relays of the store's state in each failure domain; three, so that two may fail at once.
 const RELAYS: usize = 3;
 /// What relays are ordered by.
@@ -20,13 +25,21 @@
 const GATHERING: Duration = Duration::from_millis(800);
 /// Time after which a node that came counts as settled.
 const SETTLED: Duration = Duration::from_secs(3);
-/// Time for which an answer of a peer is taken to hold.
-const ANSWER_KEPT: Duration = Duration::from_millis(250);
-/// Time for which a peer that did not answer is passed over.
-const SILENCE_KEPT: Duration = Duration::from_millis(1000);
+/// Silent peers asked for a sign of life together.
+const CHECKED: usize = 3;
+/// Peers asked together whether they are there once one has fallen silent: this many in
+/// the order, and this many of each failure domain.
+const SURVEYED: usize = 3;
+/// Skipped peers that an order names at most.
+const SKIPPED: usize = 8;
 /// Time for which a peer that stopped is remembered.
 const STOPPED_KEPT: Duration = Duration::from_secs(60);
 
+/// Place of a node in the rendezvous order of a service; the highest comes first.
+fn score(service: &str, name: &Name) -> u64 {
+    hash::mix(hash::of(service.as_bytes()), hash::of(name.as_bytes()))
+}
+
 /// A peer that is up.
 #[derive(Debug, Clone)]
 pub struct PeerView {
@@ -46,43 +59,27 @@
     }
 }
 
-/// What is known of a peer's answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Contact {
-    /// It answered a moment ago, or is being asked.
-    Answers,
-    /// It did not answer a moment ago.
-    Silent,
-    /// Nothing is known: it is to be asked.
-    Unknown,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Heard {
-    answered: Time,
-    silent: Option<Time>,
-    asking: bool,
-}
-
 /// Peers as one node sees them. Times count from the node's own start.
 #[derive(Debug)]
 pub struct Roster {
     me: Name,
+    domain: Name,
     stops: bool,
     up: Vec<PeerView>,
-    heard: BTreeMap<NodeId, Heard>,
+    contacts: Contacts,
     stopping: BTreeMap<NodeId, Time>,
     most: usize,
 }
 
 impl Roster {
-    /// A node that knows nobody.
-    pub fn new(me: Name) -> Self {
+    /// The node `me` of a failure domain, which knows nobody yet.
+    pub fn new(me: Name, domain: Name) -> Self {
         Roster {
             me,
+            domain,
             stops: false,
             up: Vec::new(),
-            heard: BTreeMap::new(),
+            contacts: Contacts::default(),
             stopping: BTreeMap::new(),
             most: 1,
         }
@@ -92,7 +89,7 @@
     pub fn update(&mut self, up: Vec<PeerView>, now: Time) {
         self.most = self.most.max(up.len() + 1);
         let ids: BTreeSet<&NodeId> = up.iter().map(|p| &p.node.id).collect();
-        self.heard.retain(|id, _| ids.contains(id));
+        self.contacts.retain(&ids);
         self.stopping.retain(|_, since| now.since(*since) < STOPPED_KEPT);
         self.up = up;
     }
@@ -124,60 +121,113 @@
         sound || self.stopping.contains_key(id)
     }
 
+    fn domain_of(&self, id: &NodeId) -> Option<Name> {
+        self.up.iter().find(|p| p.node.id == *id).map(|p| p.node.domain.clone())
+    }
+
     /// A peer answered.
     pub fn answered(&mut self, id: &NodeId, now: Time) {
-        self.heard.insert(id.clone(), Heard { answered: now, silent: None, asking: false });
+        let domain = self.domain_of(id);
+        self.contacts.answered(id, domain.as_ref(), now);
     }
 
-    /// A peer did not answer.
+    /// A peer did not answer. It counts as silent until it does.
     pub fn silent(&mut self, id: &NodeId, now: Time) {
-        let heard = Heard { answered: Time::ZERO, silent: Some(now), asking: false };
-        self.heard.insert(id.clone(), heard);
+        let domain = self.domain_of(id);
+        self.contacts.silent(id, domain.as_ref(), now);
     }
 
-    fn is_silent(&self, id: &NodeId, now: Time) -> bool {
-        let silent = self.heard.get(id).and_then(|h| h.silent);
-        silent.is_some_and(|at| now.since(at) < SILENCE_KEPT)
+    /// An order begins to wait at a peer of which nothing may be known yet.
+    pub fn begin_wait(&mut self, id: &NodeId, now: Time) {
+        self.contacts.begin_wait(id, now);
     }
 
     /// What is known of a peer's answers; if nothing is, the peer counts as being asked
-    /// from now on. A first question waits for as long as an answer holds.
+    /// from now on.
     pub fn contact(&mut self, id: &NodeId, now: Time) -> Contact {
-        if self.is_silent(id, now) {
-            return Contact::Silent;
-        }
-        let fresh = Heard { answered: now, silent: None, asking: false };
-        let heard = self.heard.entry(id.clone()).or_insert(fresh);
-        if heard.asking || now.since(heard.answered) < ANSWER_KEPT {
-            return Contact::Answers;
+        self.contacts.contact(id, now)
+    }
+
+    /// Whether a peer counts as silent.
+    pub fn is_silent(&self, id: &NodeId) -> bool {
+        self.contacts.is_silent(id)
+    }
+
+    /// Whether a peer may coordinate, as far as this node knows.
+    fn is_wanted(&self, p: &PeerView) -> bool {
+        let id = &p.node.id;
+        let domain = &p.node.domain;
+        let is_cut = *domain != self.domain && self.contacts.is_cut(domain);
+        let reachable = !self.contacts.is_silent(id) && !is_cut;
+        !p.suspect && !self.stopping.contains_key(id) && reachable
+    }
+
+    /// All peers that come before this node for `service`, the unwanted included.
+    fn before_me(&self, service: &str, now: Time) -> Vec<&PeerView> {
+        let own = self.own_place(service, now);
+        let place = |p: &PeerView| (p.is_settled(now), score(service, &p.node.id.name));
+        let mut before: Vec<_> =
+            self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
+        before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
+        before.into_iter().map(|(_, p)| p).collect()
+    }
+
+    /// Peers that would come first for `service` but are passed over; whoever is asked
+    /// in their place learns from these why.
+    pub fn skipped(&self, service: &str, now: Time) -> Vec<NodeId> {
+        let before = self.before_me(service, now).into_iter();
+        let skipped = before.take_while(|p| !self.is_wanted(p));
+        skipped.take(SKIPPED).map(|p| p.node.id.clone()).collect()
+    }
+
+    /// Peers with these identities that this node would still ask itself.
+    pub fn doubted(&self, ids: &[NodeId]) -> Vec<Node> {
+        let named = self.up.iter().filter(|p| ids.contains(&p.node.id) && self.is_wanted(p));
+        named.map(|p| p.node.clone()).collect()
+    }
+
+    /// Silent peers that would come first for `service`, and are to be asked for a sign of
+    /// life by now.
+    pub fn checks_due(&self, service: &str, now: Time) -> Vec<Node> {
+        let before = self.before_me(service, now).into_iter();
+        let skipped = before.take_while(|p| !self.is_wanted(p));
+        let due = skipped.filter(|p| self.contacts.is_check_due(&p.node.id, now));
+        due.take(CHECKED).map(|p| p.node.clone()).collect()
+    }
+
+    /// Peers to ask whether they are there after one has fallen silent: those next in the
+    /// order, and some of each failure domain, so that a cut shows at once.
+    pub fn survey(&self, service: &str, now: Time) -> Vec<Node> {
+        let mut of_domain: BTreeMap<&Name, usize> = BTreeMap::new();
+        let mut chosen = Vec::new();
+        for (i, p) in self.before_me(service, now).into_iter().enumerate() {
+            let count = of_domain.entry(&p.node.domain).or_default();
+            if self.is_wanted(p) && (i < SURVEYED || *count < SURVEYED) {
+                *count += 1;
+                chosen.push(p.node.clone());
+            }
         }
-        heard.asking = true;
-        Contact::Unknown
+        chosen
+    }
+
+    fn own_place(&self, service: &str, now: Time) -> (bool, u64) {
+        let own_score = if self.stops { 0 } else { score(service, &self.me) };
+        (!self.stops && now.since(Time::ZERO) >= SETTLED, own_score)
     }
 
     /// Nodes in the order in which they coordinate `service`; `None` is this node.
     ///
     /// Nodes that have just come go behind those that have not, so that a restart moves
-    /// the work once and not twice; one that stops goes last; one that did not answer a
-    /// moment ago is left out.
+    /// the work once and not twice; one that stops goes last; silent ones, and those of a
+    /// failure domain that seems cut off, are left out.
     pub fn coordinators(&self, service: &str, now: Time) -> Vec<Option<Node>> {
-        let key = hash::of(service.as_bytes());
-        let score = |name: &Name| hash::mix(key, hash::of(name.as_bytes()));
-        let wanted = |p: &&PeerView| {
-            let id = &p.node.id;
-            !p.suspect && !self.stopping.contains_key(id) && !self.is_silent(id, now)
-        };
-        let mut order: Vec<(bool, u64, Option<Node>)> = self
-            .up
-            .iter()
-            .filter(wanted)
-            .map(|p| (p.is_settled(now), score(&p.node.id.name), Some(p.node.clone())))
-            .collect();
-        let own_score = if self.stops { 0 } else { score(&self.me) };
-        let is_settled = !self.stops && now.since(Time::ZERO) >= SETTLED;
-        order.push((is_settled, own_score, None));
-        order.sort_by_key(|(settled, score, _)| std::cmp::Reverse((*settled, *score)));
-        order.into_iter().map(|(_, _, node)| node).collect()
+        let wanted = self.up.iter().filter(|p| self.is_wanted(p));
+        let place = |p: &PeerView| (p.is_settled(now), score(service, &p.node.id.name));
+        let mut order: Vec<((bool, u64), Option<Node>)> =
+            wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
+        order.push((self.own_place(service, now), None));
+        order.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
+        order.into_iter().map(|(_, node)| node).collect()
     }
 
     /// Whether this node comes first among the coordinators of `service`.
@@ -185,13 +235,13 @@
         self.coordinators(service, now).first().is_none_or(Option::is_none)
     }
 
-    /// Who relays the store's state to a node of this failure domain: the first few of
-    /// it, and one of each other domain in case those fail.
-    pub fn relays(&self, domain: &str, now: Time) -> Relays {
+    /// Who relays the store's state to this node: the first few of its failure domain, and
+    /// one of each other domain in case those fail.
+    pub fn relays(&self, now: Time) -> Relays {
         let (near, far): (Vec<_>, Vec<_>) = self
             .coordinators(RELAY_KEY, now)
             .into_iter()
-            .partition(|n| n.as_ref().is_none_or(|n| *n.domain == *domain));
+            .partition(|n| n.as_ref().is_none_or(|n| n.domain == self.domain));
         let first = &near[..near.len().min(RELAYS)];
         let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
         if !peers.is_empty() {
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -45,6 +45,8 @@
         moved_bytes: 0,
         spread_bytes: 0,
         result_bytes: 1000,
+        skipped: Vec::new(),
+        passed_on: false,
     }
 }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -37,8 +37,6 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 /// Time in which entries that lapsed during an outage of the store are back after it.
 const LAPSED_BACK: Duration = Duration::from_secs(2);
-/// Time for the peers to be told of the end.
-const FAREWELL: Duration = Duration::from_millis(20);
 /// Part of the stop's time kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
@@ -81,7 +79,7 @@
             clock: Clock::default(),
             client: Client::new(CONNECT),
             metrics: Metrics::default(),
-            peers: Peers::new(settings.name.clone()),
+            peers: Peers::new(settings.name.clone(), settings.domain.clone()),
             pools: Pools::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -335,6 +333,8 @@
     Event::Stop { open: node.open.get() }.emit();
     node.stopping.send_replace(true);
     node.peers.roster(|r| r.stop());
+    // Peers turn to others at once; what they have placed here is still made.
+    node.peers.leave();
     node.feed.wake();
     node.pools.hand_over(node);
     let most = Duration::from_millis(node.settings().stop_ms).saturating_sub(STOP_MARGIN);
@@ -349,7 +349,4 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    node.peers.leave();
-    // The news goes out as datagrams, by the membership's own task.
-    tokio::time::sleep(FAREWELL).await;
 }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -12,6 +12,7 @@
 use anyhow::Context;
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
+use futures_util::future::join_all;
 use model::Name;
 use model::forward::{FollowAnswer, FollowAsk, Snapshot};
 use model::member::Node as PeerNode;
@@ -37,9 +38,9 @@
 
 impl Peers {
     /// Nobody is known yet.
-    pub fn new(me: Name) -> Self {
+    pub fn new(me: Name, domain: Name) -> Self {
         Peers {
-            roster: RefCell::new(Roster::new(me)),
+            roster: RefCell::new(Roster::new(me, domain)),
             fetching: Cell::new(0),
             commands: RefCell::new(None),
         }
@@ -103,6 +104,11 @@
     }
 }
 
+/// Asks peers at once whether they are there, and waits for their answers.
+pub async fn ask_all(node: &Rc<Node>, peers: &[PeerNode]) {
+    join_all(peers.iter().map(|p| answers(node, p))).await;
+}
+
 /// Starts membership and the server for peers.
 pub async fn start(node: &Rc<Node>) -> anyhow::Result<()> {
     let address = node.settings().peer_address();
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -12,7 +12,7 @@
 
 use crate::ingress::small;
 use crate::node::Node;
-use crate::stages::NotMade;
+use crate::stages::{self, NotMade};
 use crate::watch;
 
 /// Path of batch orders.
@@ -77,7 +77,7 @@
     if node.is_stopping() {
         return stopping();
     }
-    match node.pools.order(node, order, false).await {
+    match stages::take(node, order).await {
         Ok(answer) => rmp(&answer),
         Err(NotMade::Moved) if node.is_stopping() => stopping(),
         Err(NotMade::Moved) => text(StatusCode::CONFLICT, "another node comes first"),
--- a/crates/forward/src/stages/mod.rs
+++ b/crates/forward/src/stages/mod.rs
@@ -7,5 +7,6 @@
 mod plan;
 mod runner;
 
+pub use order::take;
 pub use plan::{Job, Made, make};
 pub use runner::{NotMade, Pools};
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -6,7 +6,7 @@
 
 use model::Name;
 use model::forward::{BatchAnswer, BatchOrder, PieceResult};
-use model::member::Node as PeerNode;
+use model::member::{Node as PeerNode, NodeId};
 
 use crate::events::Event;
 use crate::node::Node;
@@ -66,33 +66,87 @@
     order.slack_ms = order.slack_ms.saturating_sub(passed);
 }
 
-/// Places the order with the peers that come before this node.
+/// Places the order with the peers that come before this node. An order that was passed
+/// on stays here.
 async fn at_peers(node: &Rc<Node>, order: &mut BatchOrder) -> Option<Placed> {
-    let order_of = node.peers.roster(|r| r.coordinators(&order.service, node.now()));
-    for coordinator in order_of.into_iter().take(ASKED) {
-        let peer = coordinator?;
-        let begun = node.now();
+    if order.passed_on {
+        return None;
+    }
+    let service = order.service.clone();
+    check_silent(node, &service);
+    let mut asked: Vec<NodeId> = Vec::new();
+    while asked.len() < ASKED {
+        let now = node.now();
+        let order_of = node.peers.roster(|r| r.coordinators(&service, now));
+        let fresh = |c: &Option<PeerNode>| c.as_ref().is_none_or(|p| !asked.contains(&p.id));
+        let peer = order_of.into_iter().find(fresh)??;
+        order.skipped = node.peers.roster(|r| r.skipped(&service, now));
         match ask(node, &peer, order).await {
-            Ok(BatchAnswer { results, waits }) => {
+            Ok(BatchAnswer { results, waits, coordinator }) => {
                 node.peers.roster(|r| r.answered(&peer.id, node.now()));
-                node.heard_waits(&order.service, waits);
-                let coordinator = Some(peer.id.name);
-                return Some(Placed { results, peer: Some(peer.entry), coordinator });
+                node.heard_waits(&service, waits);
+                let entry = coordinator.unwrap_or(peer.entry);
+                return Some(Placed {
+                    results,
+                    peer: Some(entry),
+                    coordinator: Some(peer.id.name),
+                });
             }
             Err(why) => {
                 let coordinator = &peer.id.name;
-                Event::Coordinator { service: &order.service, coordinator, why: &why }.emit();
+                Event::Coordinator { service: &service, coordinator, why: &why }.emit();
             }
         }
-        spend(order, node.now().since(begun));
+        asked.push(peer.id);
+        let silent = node.peers.roster(|r| r.is_silent(&asked[asked.len() - 1]));
+        if silent {
+            let others = node.peers.roster(|r| r.survey(&service, node.now()));
+            peers::ask_all(node, &others).await;
+        }
+        spend(order, node.now().since(now));
     }
     None
 }
 
+/// Asks silent peers that would come first for a sign of life, in the background.
+fn check_silent(node: &Rc<Node>, service: &Name) {
+    let due = node.peers.roster(|r| r.checks_due(service, node.now()));
+    if !due.is_empty() {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { peers::ask_all(&node, &due).await });
+    }
+}
+
+/// Takes an order of a peer: as its coordinator, or by passing it on to the node that
+/// comes first, so that all nodes agree on one even while they know different things.
+pub async fn take(node: &Rc<Node>, mut order: BatchOrder) -> Result<BatchAnswer, NotMade> {
+    if order.passed_on {
+        return node.pools.order(node, order, false).await;
+    }
+    let begun = node.now();
+    let doubted = node.peers.roster(|r| r.doubted(&order.skipped));
+    peers::ask_all(node, &doubted).await;
+    spend(&mut order, node.now().since(begun));
+    let first = node.peers.roster(|r| r.coordinators(&order.service, node.now()));
+    let Some(Some(peer)) = first.into_iter().next() else {
+        return node.pools.order(node, order, false).await;
+    };
+    order.passed_on = true;
+    match ask(node, &peer, &order).await {
+        Ok(answer) => Ok(BatchAnswer { coordinator: Some(peer.entry), ..answer }),
+        Err(why) => {
+            let coordinator = &peer.id.name;
+            Event::Coordinator { service: &order.service, coordinator, why: &why }.emit();
+            spend(&mut order, node.now().since(begun));
+            node.pools.order(node, order, true).await
+        }
+    }
+}
+
 /// What this node's own coordinator made.
 fn here(node: &Rc<Node>, order: &BatchOrder, end: Result<BatchAnswer, NotMade>) -> Placed {
     let results = match end {
-        Ok(BatchAnswer { results, waits }) => {
+        Ok(BatchAnswer { results, waits, .. }) => {
             node.heard_waits(&order.service, waits);
             results
         }
@@ -102,6 +156,7 @@
 }
 
 async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Result<BatchAnswer, String> {
+    node.peers.roster(|r| r.begin_wait(&peer.id, node.now()));
     let address = peer.entry.to_string();
     let timeout = Duration::from_millis(order.left_ms);
     let call = node.client.rmp::<_, BatchAnswer>(&address, BATCH, order, timeout);
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -207,6 +207,8 @@
         moved_bytes: in_bytes.max(wanted_bytes),
         spread_bytes: (out_bytes * later).max(in_bytes).max(wanted_bytes),
         result_bytes: what.bytes,
+        skipped: Vec::new(),
+        passed_on: false,
     }))
 }
 
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -55,7 +55,7 @@
         let runner = self.runner(node, &order.service).ok_or(NotMade::NoService)?;
         let results = runner.order(node, order, pinned).await.ok_or(NotMade::Moved)?;
         let waits = runner.machine.borrow().waits(node.now());
-        Ok(BatchAnswer { results, waits })
+        Ok(BatchAnswer { results, waits, coordinator: None })
     }
 
     /// This node stops: orders not begun yet go to another coordinator.
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -36,6 +36,5 @@
 
 /// Who relays the store's state to this node.
 fn relays(node: &Node) -> Relays {
-    let settings = node.settings();
-    node.peers.roster(|r| r.relays(&settings.domain, node.now()))
+    node.peers.roster(|r| r.relays(node.now()))
 }
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -3,10 +3,13 @@
 //! A node sends the pieces of one request's stage to the batch coordinator of the
 //! stage's service, which fills calls with pieces of many requests.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::TargetId;
 use crate::Name;
+use crate::member::NodeId;
 
 /// A result that rests at its maker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +65,10 @@
     pub spread_bytes: u64,
     /// About the size of one result, in bytes.
     pub result_bytes: u64,
+    /// Nodes that would have been asked first but did not answer, or stop.
+    pub skipped: Vec<NodeId>,
+    /// Whether a node has passed the order on, since it did not come first itself.
+    pub passed_on: bool,
 }
 
 /// What became of one piece.
@@ -86,6 +93,8 @@
     pub results: Vec<PieceResult>,
     /// What an order would wait now before a call takes it.
     pub waits: Waits,
+    /// Where the results are to be freed, if not at the node that answers.
+    pub coordinator: Option<SocketAddr>,
 }
 
 /// Ranks told apart in [`Waits`]; lower ones count as the last.
