The home of a prompt is its last shared part of some size

Ruled out: stage times (0.93 s, as the model has it), slow engines (their other classes waited too). Change: the last shared part decides unless it is below a fifth of the largest: later parts are shared by fewer requests, so homes spread, and the first part is read once at each engine. Test: a_prompts_home_is_its_last_shared_part_of_some_size (two cases fail without the change).

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -42,6 +42,8 @@
 
 /// Tokens in flight above which the next target in the home's order is looked at.
 const SPILL_TOKENS: u64 = 40_000;
+/// Size of a part beside the largest below which it does not decide about the home.
+const SMALL_PART: f64 = 0.2;
 /// Makers that a failure domain without any is counted with.
 const NO_MAKER: f64 = 0.2;
 /// Extra milliseconds that a request to another failure domain costs.
@@ -50,16 +52,21 @@
 const UNKNOWN_MS: f64 = 20.0;
 
 impl Home {
-    /// Home of a prompt: its largest part that other requests share, which is any
-    /// but the last. A prompt of one part has itself as home.
+    /// Home of a prompt: the last of its shared parts, which are all but the very last,
+    /// that is not small beside the largest. A prompt of one part has itself as home.
+    ///
+    /// A part is shared by more requests the earlier it stands; the first may be shared by
+    /// all, and a home for all of them would be overrun while the other targets idle.
     pub fn of(prompt: &[PromptPart]) -> Option<Home> {
         let shared = match prompt {
             [] => return None,
             [only] => std::slice::from_ref(only),
             [shared @ .., _] => shared,
         };
-        let largest = shared.iter().max_by_key(|p| p.tokens)?;
-        Some(Home { key: largest.id, shared: shared.iter().map(|p| p.tokens).sum() })
+        let largest = shared.iter().map(|p| p.tokens).max()?;
+        let is_large = |p: &&PromptPart| p.tokens as f64 >= largest as f64 * SMALL_PART;
+        let part = shared.iter().rev().find(is_large)?;
+        Some(Home { key: part.id, shared: shared.iter().map(|p| p.tokens).sum() })
     }
 }
 
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_prompts_home_is_its_largest_shared_part() {
+fn a_prompts_home_is_its_last_shared_part_of_some_size() {
     let home = |parts: &[(u64, u64)]| {
         let prompt: Vec<PromptPart> =
             parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect();
@@ -50,6 +50,9 @@
     assert_eq!(home(&[(7, 50)]), Some((7, 50)));
     assert_eq!(home(&[(7, 50), (8, 900)]), Some((7, 50)), "the last part is the request's own");
     assert_eq!(home(&[(7, 50), (8, 900), (9, 5000)]), Some((8, 950)));
+    assert_eq!(home(&[(7, 900), (8, 300), (9, 50)]), Some((8, 1200)), "many share the first");
+    assert_eq!(home(&[(7, 900), (8, 100), (9, 50)]), Some((7, 1000)), "too small to decide");
+    assert_eq!(home(&[(7, 900), (8, 400), (6, 20), (9, 50)]), Some((8, 1320)));
 }
 
 #[test]
