The route's rank orders the requests of workspaces of one rank

So no class went before another: in bursts the coordinators took the least slack first, chat and lost-and-found before paperwork and translations of nine times their worth. Ruled out: the failure domain's part in the order (it comes after the rank), room at the makers. Change: model::forward::Rank, the workspace's rank first, then the route's. Coordinators order by it and tell waits for each rank that waits; targets get it as one of their ten levels.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::Time;
-use model::forward::{PieceResult, StagePool, TargetId, WAIT_RANKS, Waits};
+use model::forward::{PieceResult, Rank, StagePool, TargetId, Waits};
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency};
@@ -55,18 +55,21 @@
     pub fn waits(&self, now: Time) -> Waits {
         let slots = self.makers.working(now) * self.pool.slots.max(1) as usize;
         if slots == 0 {
-            return Waits([u32::MAX; WAIT_RANKS]);
+            return Waits(vec![(Rank::default(), u32::MAX)]);
         }
         let piece_ms = self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms;
         let busy = self.flights.len() >= slots;
         let next_ms = if busy { self.pool.call_ms / slots as f64 } else { 0.0 };
-        let mut waits = [0; WAIT_RANKS];
-        for (rank, wait) in waits.iter_mut().enumerate() {
-            let ahead = |o: &&Order| usize::from(o.order.rank) <= rank;
-            let pieces: usize = self.orders.values().filter(ahead).map(|o| o.waiting.len()).sum();
-            *wait = (next_ms + pieces as f64 * piece_ms / slots as f64) as u32;
+        let mut pieces: BTreeMap<Rank, usize> = BTreeMap::from([(Rank::default(), 0)]);
+        for order in self.orders.values() {
+            *pieces.entry(order.order.rank).or_default() += order.waiting.len();
         }
-        Waits(waits)
+        let mut ahead = 0;
+        let waits = pieces.into_iter().map(|(rank, waiting)| {
+            ahead += waiting;
+            (rank, (next_ms + ahead as f64 * piece_ms / slots as f64) as u32)
+        });
+        Waits(waits.collect())
     }
 
     /// Sets what one maker bears, when rules change.
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
-use model::forward::{BatchOrder, PieceResult, StagePool};
+use model::forward::{BatchOrder, PieceResult, Rank, StagePool};
 use model::{Name, Time};
 
 /// Bytes above which an order stays in the failure domain that it belongs to.
 const LARGE: u64 = 1 << 20;
 /// Slack below which an urgent order may be made elsewhere after all.
 const SPILL_SLACK: Duration = Duration::from_millis(150);
-/// Ranks up to this one may be made elsewhere for want of time.
+/// Workspaces of ranks up to this one may be made elsewhere for want of time.
 const SPILL_RANK: u8 = 1;
 
 /// Key by which orders are taken; the least goes first.
-pub(super) type Urgency = (bool, bool, u8, bool, Duration);
+pub(super) type Urgency = (bool, bool, Rank, bool, Duration);
 
 /// One order that is not answered yet.
 #[derive(Debug)]
@@ -93,7 +93,7 @@
         **bound == *domain
             || bytes < LARGE
             || !working.contains(bound)
-            || (pressed && self.order.rank <= SPILL_RANK)
+            || (pressed && self.order.rank.workspace <= SPILL_RANK)
     }
 
     /// Takes up to `most` waiting pieces for a call in `domain`.
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::forward::{Route, Service, Waits};
+use model::forward::{Rank, Route, Service, Waits};
 use model::{Name, Time};
 
 /// Time over which what was heard of a wait fades to nothing.
@@ -32,7 +32,7 @@
     Refuse(Duration),
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Heard {
     waits: Waits,
     at: Time,
@@ -49,7 +49,7 @@
     }
 
     /// Wait of a new order, as far as it is still known.
-    fn wait(&self, service: &Name, rank: u8, now: Time) -> Duration {
+    fn wait(&self, service: &Name, rank: Rank, now: Time) -> Duration {
         let Some(heard) = self.0.get(service) else {
             return Duration::ZERO;
         };
@@ -63,7 +63,7 @@
         &self,
         route: &Route,
         pieces: &[u32],
-        rank: u8,
+        rank: Rank,
         now: Time,
         service: impl Fn(&Name) -> Option<&'a Service>,
     ) -> Duration {
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -5,7 +5,7 @@
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use model::Time;
 use model::forward::{
-    BatchOrder, Handle, PieceOrder, PieceResult, StageInput, StagePool, TargetId,
+    BatchOrder, Handle, PieceOrder, PieceResult, Rank, StageInput, StagePool, TargetId,
 };
 use proptest::prelude::*;
 
@@ -40,7 +40,7 @@
         pieces: (0..pieces).map(piece).collect(),
         slack_ms: 2000,
         left_ms: 8000,
-        rank: 1,
+        rank: Rank::of(None, 1),
         near: None,
         moved_bytes: 0,
         spread_bytes: 0,
@@ -126,9 +126,9 @@
 fn the_urgent_go_first_and_the_hopeless_last() {
     let mut c = coordinator(&[("m1", "a")]);
     let first = calls(&c.on(at(0), placed(1, order("busy", 1))));
-    let urgent = BatchOrder { rank: 0, ..order("urgent", 6) };
-    let patient = BatchOrder { rank: 2, slack_ms: 900, ..order("patient", 6) };
-    let hopeless = BatchOrder { rank: 0, slack_ms: 20, ..order("hopeless", 6) };
+    let urgent = BatchOrder { rank: Rank::of(None, 0), ..order("urgent", 6) };
+    let patient = BatchOrder { rank: Rank::of(None, 2), slack_ms: 900, ..order("patient", 6) };
+    let hopeless = BatchOrder { rank: Rank::of(None, 0), slack_ms: 20, ..order("hopeless", 6) };
     for (id, order) in [(2, hopeless), (3, patient), (4, urgent)] {
         c.on(at(1), placed(id, order));
     }
@@ -143,11 +143,11 @@
 
 #[test]
 fn what_is_large_stays_in_its_failure_domain() {
-    let large = |rank, slack_ms| BatchOrder {
+    let large = |rank: u8, slack_ms| BatchOrder {
         near: Some("b".into()),
         moved_bytes: 9 << 20,
         spread_bytes: 9 << 20,
-        rank,
+        rank: Rank::of(None, rank),
         slack_ms,
         ..order("large", 2)
     };
@@ -297,13 +297,20 @@
     let mut c = coordinator(&[("m1", "a")]);
     c.on(at(0), placed(1, order("busy", 1)));
     let empty = c.waits(at(0));
-    c.on(at(1), placed(2, BatchOrder { rank: 1, ..order("r", 8) }));
+    c.on(at(1), placed(2, BatchOrder { rank: Rank::of(None, 1), ..order("r", 8) }));
     let full = c.waits(at(1));
-    assert_eq!(full.of(0), empty.of(0), "rank 1 is not ahead of rank 0");
-    assert!(full.of(1) >= empty.of(1) + 8 * 20, "{full:?} after {empty:?}");
+    assert_eq!(
+        full.of(Rank::of(None, 0)),
+        empty.of(Rank::of(None, 0)),
+        "rank 1 is not ahead of rank 0"
+    );
+    assert!(
+        full.of(Rank::of(None, 1)) >= empty.of(Rank::of(None, 1)) + 8 * 20,
+        "{full:?} after {empty:?}"
+    );
     let mut none = Coordinator::new(pool());
     none.on(at(0), placed(1, order("r", 1)));
-    assert_eq!(none.waits(at(0)).of(0), u32::MAX, "nobody makes anything");
+    assert_eq!(none.waits(at(0)).of(Rank::of(None, 0)), u32::MAX, "nobody makes anything");
 }
 
 /// Steps of a world in which calls end in any order and way.
@@ -402,7 +409,7 @@
                     world.orders.insert(id, pieces);
                     let near = Some(domains[usize::from(near)].into());
                     let order = order(&format!("r{id}"), pieces);
-                    Some(placed(id, BatchOrder { rank, near, moved_bytes: 2 << 20, ..order }))
+                    Some(placed(id, BatchOrder { rank: Rank::of(None, rank), near, moved_bytes: 2 << 20, ..order }))
                 }
                 Step::End { which, how } => world.end(which, how),
                 Step::Twice { which } if !world.ended.is_empty() => {
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use decide::forecast::{Door, Forecast, at_the_door};
-use model::forward::{Repeat, Route, Service, Stage, StagePool, Waits};
+use model::forward::{Rank, Repeat, Route, Service, Stage, StagePool, Waits};
 use model::{Name, Time};
 use proptest::prelude::*;
 
@@ -54,7 +54,7 @@
 fn expected(forecast: &Forecast, pieces: &[u32], rank: u8, at: u64) -> Duration {
     let services = services();
     let find = |name: &Name| services.iter().find(|s| s.name == *name);
-    forecast.expected(&route(), pieces, rank, Time::from_millis(at), find)
+    forecast.expected(&route(), pieces, Rank::of(None, rank), Time::from_millis(at), find)
 }
 
 #[test]
@@ -71,7 +71,11 @@
 fn a_wait_counts_by_rank_and_fades() {
     let mut forecast = Forecast::default();
     let before = expected(&forecast, &[0, 0, 1], 1, 0);
-    forecast.hear(&"second".into(), Waits([100, 200, 400]), Time::ZERO);
+    forecast.hear(
+        &"second".into(),
+        Waits(vec![(Rank::of(None, 0), 100), (Rank::of(None, 1), 200), (Rank::of(None, 2), 400)]),
+        Time::ZERO,
+    );
     for (rank, wait) in [(0, 100), (1, 200), (2, 400), (9, 400)] {
         assert_eq!(expected(&forecast, &[0, 0, 1], rank, 0) - before, ms(wait), "rank {rank}");
     }
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -246,7 +246,7 @@
             continue;
         };
         let skipped = asker.skipped(service, now);
-        assert_eq!(skipped, [lost.id.clone()]);
+        assert_eq!(skipped, std::slice::from_ref(&lost.id));
         let i = (0..n).find(|i| name(*i) == *next.id.name).expect("one of the nodes");
         let mut asked = spread(i, n, &[]);
         assert!(!asked.coordinates(service, now), "it knows of no loss");
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{CallerHead, Route};
+use model::forward::{CallerHead, Rank, Route};
 
 use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
@@ -114,7 +114,7 @@
     route: Route,
     service: model::Name,
     workspace: Option<model::Name>,
-    rank: u8,
+    rank: Rank,
 }
 
 fn find(node: &Node, table: &Table, head: &CallerHead) -> Result<Found, Refusal> {
@@ -134,7 +134,7 @@
     };
     let service = choose_service(route, &head.id)
         .ok_or_else(|| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service"))?;
-    let rank = workspace.and_then(|w| w.rank).unwrap_or(route.rank);
+    let rank = Rank::of(workspace.and_then(|w| w.rank), route.rank);
     Ok(Found {
         route: route.clone(),
         service: service.clone(),
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -9,7 +9,7 @@
 use decide::fleet::{Home, Wanted, shares};
 use decide::resend::{Ending, Next, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{CallerHead, Route, Target, TargetId};
+use model::forward::{CallerHead, Rank, Route, Target, TargetId};
 use model::{Name, Time};
 
 use super::reply::{self, Body};
@@ -79,8 +79,8 @@
     pub service: Name,
     /// Workspace of its key.
     pub workspace: Option<Name>,
-    /// Rank; 0 is the most urgent.
-    pub rank: u8,
+    /// Rank.
+    pub rank: Rank,
     /// Version of the rules that it was taken in by.
     pub version: u64,
     /// When it arrived.
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -116,7 +116,7 @@
         left_ms: exchange.left().as_millis() as u64,
         target: &target.id,
         workspace: exchange.workspace.as_ref(),
-        rank: (!exchange.head.prompt.is_empty()).then_some(exchange.rank),
+        rank: (!exchange.head.prompt.is_empty()).then_some(exchange.rank.level()),
         inputs: made.map_or(&[], Made::inputs),
         resume_after: resume_after.or(exchange.head.last_event),
     };
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::FuturesUnordered;
 use model::Name;
 use model::forward::{
-    BatchOrder, CallerHead, Handle, PieceOrder, PieceResult, Route, Stage, StageInput,
+    BatchOrder, CallerHead, Handle, PieceOrder, PieceResult, Rank, Route, Stage, StageInput,
 };
 
 use super::order::{self, Placed};
@@ -84,8 +84,8 @@
     pub slack_ms: u64,
     /// Milliseconds until the request ends.
     pub left_ms: u64,
-    /// Rank; 0 is the most urgent.
-    pub rank: u8,
+    /// Rank.
+    pub rank: Rank,
 }
 
 /// Makes all stages of a request that has any.
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::TargetId;
+use super::{Rank, TargetId};
 use crate::Name;
 use crate::member::NodeId;
 
@@ -55,8 +55,8 @@
     pub slack_ms: u64,
     /// Milliseconds until the request ends unanswered.
     pub left_ms: u64,
-    /// Rank; 0 is the most urgent.
-    pub rank: u8,
+    /// Rank.
+    pub rank: Rank,
     /// Failure domain where the inputs lie or the results are wanted.
     pub near: Option<Name>,
     /// Bytes that cross failure domains if the pieces are made elsewhere.
@@ -97,16 +97,15 @@
     pub coordinator: Option<SocketAddr>,
 }
 
-/// Ranks told apart in [`Waits`]; lower ones count as the last.
-pub const WAIT_RANKS: usize = 3;
-
-/// Expected wait of a new order at a coordinator by its rank, in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Waits(pub [u32; WAIT_RANKS]);
+/// Expected waits of new orders at a coordinator, in milliseconds, by rank. A rank waits
+/// as long as the next more urgent one that is named.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waits(pub Vec<(Rank, u32)>);
 
 impl Waits {
     /// Wait of an order of this rank.
-    pub fn of(&self, rank: u8) -> u32 {
-        self.0[usize::from(rank).min(WAIT_RANKS - 1)]
+    pub fn of(&self, rank: Rank) -> u32 {
+        let named = self.0.iter().filter(|(r, _)| *r <= rank);
+        named.max_by_key(|(r, _)| *r).map_or(0, |(_, wait)| *wait)
     }
 }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -6,13 +6,13 @@
 
 mod batch;
 mod caller;
+mod rank;
 mod rules;
 mod target;
 
-pub use batch::{
-    BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput, WAIT_RANKS, Waits,
-};
+pub use batch::{BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput, Waits};
 pub use caller::{CallerHead, PromptPart};
+pub use rank::Rank;
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
