Hosts that bear more coordinate and relay first

Cause: in bursts the calls of the third stage took 387 ms (p50; 264 by the sheet) while its makers had one call each. Its coordinator ran on a host with a link of 10 Mbit/s; a call of 52 pieces with eight inputs each is 17 KB, and 46 of them a second and the orders fill that link. Other hosts of the site have 200 Mbit/s and four times the processor. Change: settings host.cpu_share and host.link_mbps; members tell their capacity, a power of two of both; the order of coordinators is settled, capacity, rendezvous. Hosts of one size: no change. Test: hosts_that_bear_more_come_first_and_all_agree_on_them.

--- a/crates/bench/src/slopes/members.rs
+++ b/crates/bench/src/slopes/members.rs
@@ -66,7 +66,13 @@
         for i in 0..n {
             let start = d.rng.draw().max(1);
             let id = NodeId { name: format!("hall-a-{i}").into(), start };
-            let node = Node { id, address: address(i), entry: address(i), domain: "a".into() };
+            let node = Node {
+                id,
+                address: address(i),
+                entry: address(i),
+                domain: "a".into(),
+                capacity: 0,
+            };
             let mut m = Member::new(node, Tuning::default(), d.rng.draw());
             m.on(Time::ZERO, Event::Seeds((0..3.min(n)).map(address).collect()));
             d.nodes.push(Some(m));
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -111,6 +111,7 @@
             address: s.address,
             entry: s.entry,
             domain: s.domain.clone(),
+            capacity: 0,
         };
         let holder: Name = format!("{}-{start:x}", s.name).into();
         let config = Config::spawn(shared.clone());
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -35,11 +35,19 @@
 /// Time for which a peer that stopped is remembered.
 const STOPPED_KEPT: Duration = Duration::from_secs(60);
 
-/// Place of a node in the rendezvous order of a service; the highest comes first.
+/// Rendezvous score of a node for a service.
 fn score(service: &str, name: &Name) -> u64 {
     hash::mix(hash::of(service.as_bytes()), hash::of(name.as_bytes()))
 }
 
+/// Place of a node in the order of a service; the highest comes first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    is_settled: bool,
+    capacity: u8,
+    score: u64,
+}
+
 /// A peer that is up.
 #[derive(Debug, Clone)]
 pub struct PeerView {
@@ -57,6 +65,14 @@
     fn is_settled(&self, now: Time) -> bool {
         self.up + now.since(self.at) >= SETTLED
     }
+
+    fn place(&self, service: &str, now: Time) -> Place {
+        Place {
+            is_settled: self.is_settled(now),
+            capacity: self.node.capacity,
+            score: score(service, &self.node.id.name),
+        }
+    }
 }
 
 /// Peers as one node sees them. Times count from the node's own start.
@@ -64,6 +80,7 @@
 pub struct Roster {
     me: Name,
     domain: Name,
+    capacity: u8,
     stops: bool,
     up: Vec<PeerView>,
     contacts: Contacts,
@@ -73,10 +90,11 @@
 
 impl Roster {
     /// The node `me` of a failure domain, which knows nobody yet.
-    pub fn new(me: Name, domain: Name) -> Self {
+    pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
         Roster {
             me,
             domain,
+            capacity,
             stops: false,
             up: Vec::new(),
             contacts: Contacts::default(),
@@ -165,7 +183,7 @@
     /// All peers that come before this node for `service`, the unwanted included.
     fn before_me(&self, service: &str, now: Time) -> Vec<&PeerView> {
         let own = self.own_place(service, now);
-        let place = |p: &PeerView| (p.is_settled(now), score(service, &p.node.id.name));
+        let place = |p: &PeerView| p.place(service, now);
         let mut before: Vec<_> =
             self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
         before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
@@ -210,20 +228,27 @@
         chosen
     }
 
-    fn own_place(&self, service: &str, now: Time) -> (bool, u64) {
-        let own_score = if self.stops { 0 } else { score(service, &self.me) };
-        (!self.stops && now.since(Time::ZERO) >= SETTLED, own_score)
+    fn own_place(&self, service: &str, now: Time) -> Place {
+        if self.stops {
+            return Place::default();
+        }
+        Place {
+            is_settled: now.since(Time::ZERO) >= SETTLED,
+            capacity: self.capacity,
+            score: score(service, &self.me),
+        }
     }
 
     /// Nodes in the order in which they coordinate `service`; `None` is this node.
     ///
-    /// Nodes that have just come go behind those that have not, so that a restart moves
+    /// Hosts that bear more go first: a coordinator's link and processor carry the work of
+    /// all. Nodes that have just come go behind those that have not, so that a restart moves
     /// the work once and not twice; one that stops goes last; silent ones, and those of a
     /// failure domain that seems cut off, are left out.
     pub fn coordinators(&self, service: &str, now: Time) -> Vec<Option<Node>> {
         let wanted = self.up.iter().filter(|p| self.is_wanted(p));
-        let place = |p: &PeerView| (p.is_settled(now), score(service, &p.node.id.name));
-        let mut order: Vec<((bool, u64), Option<Node>)> =
+        let place = |p: &PeerView| p.place(service, now);
+        let mut order: Vec<(Place, Option<Node>)> =
             wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
         order.push((self.own_place(service, now), None));
         order.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -16,7 +16,7 @@
 
 fn node(i: usize, start: u64) -> Node {
     let id = NodeId { name: format!("n{i}").into(), start };
-    Node { id, address: address(i), entry: address(i), domain: "a".into() }
+    Node { id, address: address(i), entry: address(i), domain: "a".into(), capacity: 0 }
 }
 
 struct Net {
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -14,7 +14,7 @@
 fn node(name: &str) -> Node {
     let address = "127.0.0.1:1".parse().expect("an address");
     let id = NodeId { name: name.into(), start: 1 };
-    Node { id, address, entry: address, domain: "d".into() }
+    Node { id, address, entry: address, domain: "d".into(), capacity: 0 }
 }
 
 fn relays(own: bool) -> Relays {
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -19,13 +19,13 @@
 fn view(i: usize, up_ms: u64, now: u64) -> PeerView {
     let id = NodeId { name: name(i).into(), start: i as u64 + 1 };
     let address = "127.0.0.1:1".parse().expect("an address");
-    let node = Node { id, address, entry: address, domain: "d".into() };
+    let node = Node { id, address, entry: address, domain: "d".into(), capacity: 0 };
     PeerView { node, suspect: false, up: Duration::from_millis(up_ms), at: at(now) }
 }
 
 /// The roster of node `me` among nodes with these uptimes, `now` after its own start.
 fn roster(me: usize, up_ms: &[u64], now: u64) -> Roster {
-    let mut roster = Roster::new(name(me).into(), "d".into());
+    let mut roster = Roster::new(name(me).into(), "d".into(), 0);
     let others = (0..up_ms.len()).filter(|i| *i != me);
     roster.update(others.map(|i| view(i, up_ms[i], now)).collect(), at(now));
     roster
@@ -98,7 +98,7 @@
 
 #[test]
 fn a_node_that_stops_coordinates_only_if_nobody_else_can() {
-    let mut alone = Roster::new(name(0).into(), "d".into());
+    let mut alone = Roster::new(name(0).into(), "d".into(), 0);
     alone.stop();
     assert!(alone.coordinates("a", at(9_000)));
     for up in [[60_000; 4], [100; 4]] {
@@ -132,7 +132,7 @@
 
 #[test]
 fn nodes_that_started_together_gather_and_a_restarted_one_does_not() {
-    assert!(Roster::new(name(0).into(), "d".into()).is_gathering(at(100)));
+    assert!(Roster::new(name(0).into(), "d".into(), 0).is_gathering(at(100)));
     assert!(roster(0, &[300, 300], 300).is_gathering(at(300)));
     assert!(!roster(0, &[300, 300], 900).is_gathering(at(900)));
     assert!(!roster(0, &[300, 60_000], 300).is_gathering(at(300)));
@@ -152,7 +152,7 @@
 
 /// The roster of node `me` among `n` nodes of which every third is in the same domain.
 fn spread(me: usize, n: usize, silent: &[usize]) -> Roster {
-    let mut roster = Roster::new(name(me).into(), domain(me).into());
+    let mut roster = Roster::new(name(me).into(), domain(me).into(), 0);
     let others = (0..n).filter(|i| *i != me).map(|i| {
         let mut view = view(i, 60_000, 60_000);
         view.node.domain = domain(i).into();
@@ -250,7 +250,7 @@
         let i = (0..n).find(|i| name(*i) == *next.id.name).expect("one of the nodes");
         let mut asked = spread(i, n, &[]);
         assert!(!asked.coordinates(service, now), "it knows of no loss");
-        assert_eq!(asked.doubted(&skipped), [lost.clone()], "so it asks the one that was skipped");
+        assert_eq!(asked.doubted(&skipped), std::slice::from_ref(lost), "so it asks that one");
         asked.silent(&lost.id, now);
         assert!(asked.coordinates(service, now));
         assert!(asked.doubted(&skipped).is_empty(), "and asks no more");
@@ -267,3 +267,25 @@
     }
     assert!(seen.values().all(|n| (1..=6).contains(n)), "{seen:?}");
 }
+
+#[test]
+fn hosts_that_bear_more_come_first_and_all_agree_on_them() {
+    let n = 30;
+    let is_large = |i: usize| i >= 27;
+    for service in SERVICES {
+        let mut firsts = std::collections::BTreeSet::new();
+        for me in 0..n {
+            let capacity = |i| if is_large(i) { 2 } else { 0 };
+            let mut roster = Roster::new(name(me).into(), domain(me).into(), capacity(me));
+            let others = (0..n).filter(|i| *i != me).map(|i| {
+                let mut view = view(i, 60_000, 60_000);
+                view.node.capacity = capacity(i);
+                view
+            });
+            roster.update(others.collect(), at(60_000));
+            firsts.insert(first(&roster, me, service, 60_000));
+        }
+        let large: Vec<String> = (27..30).map(name).collect();
+        assert!(firsts.len() == 1 && firsts.iter().all(|f| large.contains(f)), "{firsts:?}");
+    }
+}
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -79,7 +79,11 @@
             clock: Clock::default(),
             client: Client::new(CONNECT),
             metrics: Metrics::default(),
-            peers: Peers::new(settings.name.clone(), settings.domain.clone()),
+            peers: Peers::new(
+                settings.name.clone(),
+                settings.domain.clone(),
+                settings.host.capacity(),
+            ),
             pools: Pools::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -37,7 +37,8 @@
     let s = node.settings();
     let id = NodeId { name: s.name.clone(), start: rand::random::<u64>().max(1) };
     let address = s.peer_address();
-    let me = PeerNode { id, address, entry: address, domain: s.domain.clone() };
+    let capacity = s.host.capacity();
+    let me = PeerNode { id, address, entry: address, domain: s.domain.clone(), capacity };
     let mut machine = Member::new(me, tuning(), rand::random());
     machine.on(node.now(), MemberEvent::Seeds(s.seed_addresses()));
     let mut buffer = vec![0; DATAGRAM_MAX];
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -38,9 +38,9 @@
 
 impl Peers {
     /// Nobody is known yet.
-    pub fn new(me: Name, domain: Name) -> Self {
+    pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
         Peers {
-            roster: RefCell::new(Roster::new(me, domain)),
+            roster: RefCell::new(Roster::new(me, domain, capacity)),
             fetching: Cell::new(0),
             commands: RefCell::new(None),
         }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -8,6 +8,11 @@
 use serde::Deserialize;
 use util::settings::{BadValue, Check, Logs};
 
+/// Share of a core of a host that bears no work for others first.
+const LEAST_SHARE: f64 = 0.125;
+/// Bandwidth of such a host, in Mbit/s.
+const LEAST_LINK: f64 = 10.0;
+
 /// Settings file of `pumicevale-node`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -36,6 +41,9 @@
     pub stop_ms: u64,
     /// Repeats of requests.
     pub repeats: Repeats,
+    /// What the host gives the process.
+    #[serde(default)]
+    pub host: Host,
     /// Connections held by one process, callers' and targets' together.
     #[serde(default = "descriptors")]
     pub descriptors: usize,
@@ -44,6 +52,31 @@
     pub logs: Logs,
 }
 
+/// What the host gives the process.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Share of a core.
+    pub cpu_share: f64,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for Host {
+    fn default() -> Self {
+        Host { cpu_share: LEAST_SHARE, link_mbps: LEAST_LINK }
+    }
+}
+
+impl Host {
+    /// How much work for other nodes it can bear, as powers of two of the smallest hosts.
+    pub fn capacity(&self) -> u8 {
+        let processor = self.cpu_share / LEAST_SHARE;
+        let link = self.link_mbps / LEAST_LINK;
+        processor.min(link).max(1.0).log2() as u8
+    }
+}
+
 /// The budget that all nodes share for repeats of one service.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -117,6 +150,12 @@
         if !self.repeats.slack.is_finite() || self.repeats.slack < 0.0 {
             return Err(BadValue::new("repeats.slack", "is below 0"));
         }
+        if !self.host.cpu_share.is_finite() || self.host.cpu_share <= 0.0 {
+            return Err(BadValue::new("host.cpu_share", "is not above 0"));
+        }
+        if !self.host.link_mbps.is_finite() || self.host.link_mbps <= 0.0 {
+            return Err(BadValue::new("host.link_mbps", "is not above 0"));
+        }
         if self.stop_ms < 1000 {
             return Err(BadValue::new("stop_ms", "is below 1000; streams need time to end"));
         }
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -29,6 +29,9 @@
     pub entry: SocketAddr,
     /// Failure domain.
     pub domain: Name,
+    /// How much work for others it can bear: the logarithm of its processor and link beside
+    /// those of the smallest hosts.
+    pub capacity: u8,
 }
 
 /// What is believed of a node; later variants win at the same incarnation.
