An order tells once what its pieces share

Cause: an order of 16 pieces with eight inputs each carried the inputs 16 times, 5 KB, over links of 10 Mbit/s, and each piece's time left was that of the order's start, not of its call. Change: BatchOrder has attempt, stage, count and input; the coordinator makes the pieces when a call takes them, with the time then left. Test: a_piece_goes_on_with_the_time_that_its_wait_has_left (fails without); batch tests by the new type.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -235,12 +235,18 @@
                 .map(|(n, o)| (o.urgency(&maker.domain, &self.pool, now), *n))
                 .collect();
             fits.sort_unstable();
-            self.start(maker, fits.into_iter().map(|(_, n)| n), out);
+            self.start(now, maker, fits.into_iter().map(|(_, n)| n), out);
         }
     }
 
     /// Starts one call with pieces of these orders, in this order.
-    fn start(&mut self, maker: Free, orders: impl Iterator<Item = OrderId>, out: &mut Vec<Action>) {
+    fn start(
+        &mut self,
+        now: Time,
+        maker: Free,
+        orders: impl Iterator<Item = OrderId>,
+        out: &mut Vec<Action>,
+    ) {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
@@ -259,7 +265,11 @@
         let number = self.next_call;
         self.next_call += 1;
         let orders = &self.orders;
-        let ordered = pieces.iter().map(|(n, p)| orders[n].order.pieces[*p].clone()).collect();
+        let piece = |(n, p): &(OrderId, usize)| {
+            let order = &orders[n];
+            order.order.piece(*p as u32, order.left_ms(now))
+        };
+        let ordered = pieces.iter().map(piece).collect();
         self.makers.started(&maker.id, bytes);
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
         self.flights.insert(number, Flight { maker: maker.id, bytes, pieces });
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -29,7 +29,7 @@
 
 impl Order {
     pub(super) fn new(order: BatchOrder, pinned: bool, now: Time) -> Self {
-        let n = order.pieces.len();
+        let n = order.pieces as usize;
         Order {
             order,
             waiting: (0..n).collect(),
@@ -46,6 +46,12 @@
         Duration::from_millis(self.order.slack_ms).saturating_sub(now.since(self.arrived))
     }
 
+    /// Milliseconds until the request is given up.
+    pub(super) fn left_ms(&self, now: Time) -> u64 {
+        let waited = now.since(self.arrived).as_millis() as u64;
+        self.order.left_ms.saturating_sub(waited)
+    }
+
     /// Whether the request is given up by now.
     pub(super) fn is_over(&self, now: Time) -> bool {
         now.since(self.arrived) >= Duration::from_millis(self.order.left_ms)
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -28,16 +28,12 @@
 }
 
 fn order(attempt: &str, pieces: u32) -> BatchOrder {
-    let piece = |piece| PieceOrder {
+    BatchOrder {
+        service: "encode".into(),
         attempt: attempt.into(),
         stage: 0,
-        piece,
-        left_ms: None,
+        pieces,
         input: StageInput::Key("key".into()),
-    };
-    BatchOrder {
-        service: "encode".into(),
-        pieces: (0..pieces).map(piece).collect(),
         slack_ms: 2000,
         left_ms: 8000,
         rank: Rank::of(None, 1),
@@ -133,12 +129,12 @@
         c.on(at(1), placed(id, order));
     }
     let next = calls(&c.on(at(110), Event::Ended(first[0].number, made(&first[0]))));
-    let in_order: Vec<&str> = next[0].pieces.iter().map(|p| p.attempt.as_str()).collect();
+    let in_order: Vec<&str> = next[0].pieces.iter().map(|p| &*p.attempt).collect();
     assert_eq!(in_order[..6], ["urgent"; 6]);
     assert_eq!(in_order[6..], ["patient"; 4], "the call is filled with part of the next order");
     let then = calls(&c.on(at(300), Event::Ended(next[0].number, made(&next[0]))));
-    assert_eq!(then[0].pieces[0].attempt, "patient", "a begun order is ended first");
-    assert_eq!(then[0].pieces[2].attempt, "hopeless");
+    assert_eq!(&*then[0].pieces[0].attempt, "patient", "a begun order is ended first");
+    assert_eq!(&*then[0].pieces[2].attempt, "hopeless");
 }
 
 #[test]
@@ -197,11 +193,11 @@
     let full = CallEnd::Answered(vec![PieceResult::NoRoom; 2]);
     assert!(calls(&c.on(at(2), Event::Ended(first.number, full))).is_empty());
     let light = calls(&c.on(at(3), placed(2, order("light", 2)))).remove(0);
-    assert!(light.pieces.iter().all(|p| p.attempt == "light"));
+    assert!(light.pieces.iter().all(|p| &*p.attempt == "light"));
     let ended = c.on(at(100), Event::Ended(light.number, made(&light)));
     assert!(calls(&ended).is_empty(), "there was no room a moment ago");
     let again = calls(&c.on(at(200), Event::Tick)).pop();
-    assert!(again.is_some_and(|call| call.pieces[0].attempt == "heavy"), "it is tried again");
+    assert!(again.is_some_and(|call| &*call.pieces[0].attempt == "heavy"), "it is tried again");
 }
 
 #[test]
@@ -456,3 +452,13 @@
         prop_assert_eq!(c.open(), 0);
     }
 }
+
+#[test]
+fn a_piece_goes_on_with_the_time_that_its_wait_has_left() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("busy", 1))));
+    assert_eq!(first[0].pieces[0].left_ms, Some(8000));
+    c.on(at(0), placed(2, order("waits", 1)));
+    let next = calls(&c.on(at(250), Event::Ended(first[0].number, made(&first[0]))));
+    assert_eq!(next[0].pieces[0].left_ms, Some(7750));
+}
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -150,7 +150,7 @@
             node.heard_waits(&order.service, waits);
             results
         }
-        Err(_) => vec![PieceResult::Failed; order.pieces.len()],
+        Err(_) => vec![PieceResult::Failed; order.pieces as usize],
     };
     Placed { results, peer: None, coordinator: None }
 }
@@ -165,7 +165,7 @@
         () = lost(node, peer) => return Err("it is suspected or gone".into()),
     };
     match answer {
-        Ok(answer) if answer.results.len() == order.pieces.len() => Ok(answer),
+        Ok(answer) if answer.results.len() == order.pieces as usize => Ok(answer),
         Ok(_) => Err("it answered for other pieces".into()),
         Err(e) => {
             if e.status() == Some(STOPPING) {
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -6,9 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use model::Name;
-use model::forward::{
-    BatchOrder, CallerHead, Handle, PieceOrder, PieceResult, Rank, Route, Stage, StageInput,
-};
+use model::forward::{BatchOrder, CallerHead, Handle, PieceResult, Rank, Route, Stage, StageInput};
 
 use super::order::{self, Placed};
 use crate::events::Event;
@@ -170,18 +168,11 @@
     let inputs: Vec<&Handle> = what.after.iter().flat_map(|j| &kept[*j].handles).collect();
     let input = if what.after.is_empty() {
         let key = job.head.piece_key.clone().ok_or(StageError::NoKey)?;
-        StageInput::Key(key)
+        StageInput::Key(key.into())
     } else {
         StageInput::Handles(inputs.iter().map(|h| h.text.clone()).collect())
     };
     let left_ms = job.left_ms.saturating_sub(passed_ms);
-    let piece = |piece| PieceOrder {
-        attempt: job.head.id.clone(),
-        stage,
-        piece,
-        left_ms: Some(left_ms),
-        input: input.clone(),
-    };
     let out_bytes = u64::from(pieces) * what.bytes;
     // Each piece fetches all of its inputs.
     let in_bytes: u64 =
@@ -199,7 +190,10 @@
     let ahead_ms = job.least_ms_after(node, stage);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
-        pieces: (0..pieces).map(piece).collect(),
+        attempt: job.head.id.as_str().into(),
+        stage,
+        pieces,
+        input,
         slack_ms: job.slack_ms.saturating_sub(passed_ms + ahead_ms),
         left_ms,
         rank: job.rank,
@@ -234,7 +228,7 @@
 
 async fn make_stage(node: &Rc<Node>, stage: usize, order: BatchOrder) -> (usize, Placed) {
     let begun = node.now();
-    let (id, service) = (order.pieces[0].attempt.clone(), order.service.clone());
+    let (id, service) = (order.attempt.clone(), order.service.clone());
     let (near, slack_ms) = (order.near.clone(), order.slack_ms);
     let placed = order::place(node, order).await;
     let results = &placed.results;
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -4,6 +4,7 @@
 //! stage's service, which fills calls with pieces of many requests.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -24,16 +25,16 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StageInput {
     /// A key; for stages that come after no other.
-    Key(String),
+    Key(Name),
     /// Handles of earlier results.
-    Handles(Vec<String>),
+    Handles(Arc<[String]>),
 }
 
 /// One piece to be made.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceOrder {
     /// Attempt that the piece belongs to.
-    pub attempt: String,
+    pub attempt: Name,
     /// Position of the stage in its route.
     pub stage: usize,
     /// Position of the piece in its stage.
@@ -44,13 +45,20 @@
     pub input: StageInput,
 }
 
-/// All pieces of one request's stage, ordered together.
+/// All pieces of one request's stage, ordered together. What they share is told once:
+/// orders cross the narrow link of a coordinator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchOrder {
     /// Service that makes them.
     pub service: Name,
-    /// Pieces.
-    pub pieces: Vec<PieceOrder>,
+    /// Attempt that they belong to.
+    pub attempt: Name,
+    /// Position of the stage in its route.
+    pub stage: usize,
+    /// Count of pieces.
+    pub pieces: u32,
+    /// What each is made from.
+    pub input: StageInput,
     /// Milliseconds until the first event is due.
     pub slack_ms: u64,
     /// Milliseconds until the request ends unanswered.
@@ -71,6 +79,19 @@
     pub passed_on: bool,
 }
 
+impl BatchOrder {
+    /// One piece of the order, with this time left.
+    pub fn piece(&self, piece: u32, left_ms: u64) -> PieceOrder {
+        PieceOrder {
+            attempt: self.attempt.clone(),
+            stage: self.stage,
+            piece,
+            left_ms: Some(left_ms),
+            input: self.input.clone(),
+        }
+    }
+}
+
 /// What became of one piece.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PieceResult {
