Stages whose results are gone are made again within the request

Change: decide::stages::Progress says what may start, what may be freed, and what is made again when an input is gone, with what that needs, twice a request at most.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod rng;
 pub mod roster;
 pub mod route;
+pub mod stages;
--- a/crates/decide/src/member/types.rs
+++ b/crates/decide/src/member/types.rs
@@ -40,6 +40,7 @@
 
 /// What the machine hears.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "taken one by one, never held in numbers")]
 pub enum Event {
     /// Time passed.
     Tick,
--- /dev/null
+++ b/crates/decide/tests/stages.rs
@@ -0,0 +1,113 @@
+//! Progress of a request's stages, with results that are gone.
+
+use decide::stages::Progress;
+use proptest::prelude::*;
+
+fn started(p: &mut Progress) -> Vec<usize> {
+    std::iter::from_fn(|| p.start()).collect()
+}
+
+/// Three in a row, and one beside them.
+fn chain() -> Progress {
+    Progress::new(vec![vec![], vec![0], vec![1], vec![]])
+}
+
+#[test]
+fn stages_start_once_those_before_are_made_and_free_what_is_used_up() {
+    let mut p = chain();
+    assert_eq!(started(&mut p), [0, 3]);
+    assert!(p.made(0).is_empty(), "stage 1 still wants it");
+    assert_eq!(started(&mut p), [1]);
+    assert_eq!(p.made(1), [0]);
+    assert_eq!(started(&mut p), [2]);
+    assert_eq!(p.made(2), [1]);
+    assert!(!p.is_done());
+    assert!(p.made(3).is_empty(), "the request itself wants the last ones");
+    assert!(p.is_done());
+    assert_eq!(p.last(), [2, 3]);
+}
+
+#[test]
+fn a_result_that_two_stages_want_is_freed_after_both() {
+    let mut p = Progress::new(vec![vec![], vec![0], vec![0]]);
+    started(&mut p);
+    p.made(0);
+    assert_eq!(started(&mut p), [1, 2]);
+    assert!(p.made(1).is_empty());
+    assert_eq!(p.made(2), [0]);
+}
+
+#[test]
+fn what_is_gone_is_made_again_with_all_that_it_needs() {
+    let mut p = chain();
+    started(&mut p);
+    p.made(0);
+    started(&mut p);
+    p.made(1);
+    assert_eq!(started(&mut p), [2]);
+    assert_eq!(p.input_gone(2), Some(vec![1, 0]), "what stage 1 is made from was freed");
+    assert_eq!(started(&mut p), [0]);
+    p.made(0);
+    assert_eq!(started(&mut p), [1]);
+    p.made(1);
+    assert_eq!(started(&mut p), [2]);
+    assert!(p.input_gone(2).is_some());
+    started(&mut p);
+    p.made(0);
+    started(&mut p);
+    p.made(1);
+    started(&mut p);
+    assert_eq!(p.input_gone(2), None, "not for ever");
+}
+
+#[test]
+fn a_stage_whose_inputs_are_being_made_again_waits_for_them() {
+    let mut p = Progress::new(vec![vec![], vec![0], vec![0]]);
+    started(&mut p);
+    p.made(0);
+    assert_eq!(started(&mut p), [1, 2]);
+    assert_eq!(p.input_gone(1), Some(vec![0]));
+    assert_eq!(p.input_gone(2), Some(vec![]), "it is made again already");
+    assert_eq!(started(&mut p), [0]);
+    p.made(0);
+    assert_eq!(started(&mut p), [1, 2]);
+}
+
+proptest! {
+    /// Whatever is gone, all is made in the end or the request is given up, and nothing
+    /// runs without its inputs.
+    #[test]
+    fn each_request_comes_to_an_end(
+        edges in proptest::collection::vec(any::<u8>(), 1..6),
+        ends in proptest::collection::vec((any::<u8>(), any::<bool>()), 200),
+    ) {
+        let after: Vec<Vec<usize>> = edges
+            .iter()
+            .enumerate()
+            .map(|(i, e)| (0..i).filter(|j| e & (1 << j) != 0).collect())
+            .collect();
+        let mut p = Progress::new(after.clone());
+        let (mut running, mut held) = (Vec::new(), vec![false; after.len()]);
+        for (which, gone) in ends {
+            for stage in started(&mut p) {
+                prop_assert!(after[stage].iter().all(|j| held[*j]), "{stage} has its inputs");
+                running.push(stage);
+            }
+            if running.is_empty() {
+                break;
+            }
+            let stage = running.swap_remove(usize::from(which) % running.len());
+            if gone && !after[stage].is_empty() {
+                let Some(again) = p.input_gone(stage) else {
+                    return Ok(());
+                };
+                again.iter().for_each(|j| held[*j] = false);
+            } else {
+                held[stage] = true;
+                p.made(stage).iter().for_each(|j| held[*j] = false);
+            }
+        }
+        prop_assert!(p.is_done());
+        prop_assert!(p.last().iter().all(|i| held[*i]));
+    }
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -47,6 +47,8 @@
         took_ms: u64,
         why: &'a str,
     },
+    /// An input of a stage was gone; the stages that it came from are made again.
+    Remade { id: &'a str, stage: usize, again: usize },
     /// A stage of a request ended.
     Stage {
         id: &'a str,
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use decide::stages::Progress;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use model::Name;
@@ -49,6 +50,12 @@
         &self.inputs
     }
 
+    fn release_all(&mut self, stages: &[usize]) {
+        for stage in stages {
+            self.release(*stage);
+        }
+    }
+
     fn release(&mut self, stage: usize) {
         let Kept { handles, service, peer } = std::mem::take(&mut self.kept[stage]);
         if handles.is_empty() {
@@ -89,44 +96,35 @@
 /// Makes all stages of a request that has any.
 pub async fn make(node: &Rc<Node>, job: Job<'_>) -> Result<Made, StageError> {
     let stages = &job.route.stages;
-    let n = stages.len();
-    let kept = (0..n).map(|_| Kept::default()).collect();
+    let kept = stages.iter().map(|_| Kept::default()).collect();
     let mut made = Made { node: node.clone(), kept, inputs: Vec::new() };
-    let mut done = vec![false; n];
-    let mut started = vec![false; n];
+    let mut progress = Progress::new(stages.iter().map(|s| s.after.clone()).collect());
     let mut running = FuturesUnordered::new();
     let begun = node.now();
     loop {
-        for i in 0..n {
-            if started[i] || !stages[i].after.iter().all(|j| done[*j]) {
-                continue;
-            }
-            started[i] = true;
+        while let Some(i) = progress.start() {
             let passed = node.now().since(begun).as_millis() as u64;
             match order_of(&job, i, &made.kept, passed, node)? {
                 Some(order) => running.push(make_stage(node, i, order)),
-                None => done[i] = true,
+                None => made.release_all(&progress.made(i)),
             }
         }
-        if done.iter().all(|d| *d) {
-            break;
-        }
         let Some((i, placed)) = running.next().await else {
-            if started.iter().all(|s| *s) {
-                break;
-            }
-            continue;
+            break;
         };
-        keep(&mut made.kept[i], &stages[i].service, placed)?;
-        done[i] = true;
-        for before in &stages[i].after {
-            if dependents(stages, *before).all(|d| done[d]) {
-                made.release(*before);
+        match keep(&mut made.kept[i], &stages[i].service, placed) {
+            Ok(()) => made.release_all(&progress.made(i)),
+            Err(StageError::InputGone) => {
+                let again = progress.input_gone(i).ok_or(StageError::InputGone)?;
+                Event::Remade { id: &job.head.id, stage: i, again: again.len() }.emit();
+                made.release(i);
+                made.release_all(&again);
             }
+            Err(e) => return Err(e),
         }
     }
-    let last = (0..n).filter(|i| dependents(stages, *i).next().is_none());
-    made.inputs = last.flat_map(|i| made.kept[i].handles.iter().map(|h| h.text.clone())).collect();
+    let handles = progress.last().into_iter().flat_map(|i| &made.kept[i].handles);
+    made.inputs = handles.map(|h| h.text.clone()).collect();
     Ok(made)
 }
 
