Results are freed over kept connections

Ruled out for everything else: a kept connection may bring a late second answer that would be taken for the next one's. Of a free nobody looks at the answer. Change: the freer uses the pooled client. Test: stages_are_made_in_batches_and_their_results_freed covers the path (behaviour is unchanged).

--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -7,19 +7,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http_body_util::{BodyExt, Limited};
 use model::Name;
 use model::forward::{Handle, TargetId};
 
 use super::call;
 use crate::node::Node;
 use crate::peers::{FREE, RemoteFree};
-use crate::upstream;
 
 /// Time during which results of one maker or coordinator are gathered into one call.
 const GATHER: Duration = Duration::from_millis(10);
 /// Time for the call; a result that is not freed runs out by itself.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest answer that is read.
+const ANSWER_MAX: usize = 64 << 10;
+
 /// Where results are freed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Place {
@@ -81,7 +84,20 @@
         return;
     };
     let post = node.dialect.stage_free(handles);
-    let request = call::request(node, maker, address, post);
+    let mut request = call::request(node, maker, address, post);
+    let peer = address.to_string();
+    let Ok(uri) = format!("http://{peer}{}", request.uri()).parse() else {
+        return;
+    };
+    *request.uri_mut() = uri;
+    // On a kept connection, unlike all else that goes to a target: nobody looks at the
+    // answer, so a late one can do no harm, and a new connection would take a maker's time.
+    let freed = async {
+        if let Ok(answer) = node.client.send(&peer, request).await {
+            // Read to its end, so that the connection can be used again.
+            let _ = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        }
+    };
     // What is not freed runs out at its maker by itself.
-    let _ = tokio::time::timeout(TIMEOUT, upstream::send(address, request)).await;
+    let _ = tokio::time::timeout(TIMEOUT, freed).await;
 }
