Two relays a failure domain, none in small ones; news gather for 100 ms

Change: two relays a failure domain in place of three (if both fail the next take their place, and a follower asks another domain's or the store meanwhile); where a domain has four nodes or fewer each follows the store; 100 ms between two questions in place of 40, within a drain's 2 s.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -17,8 +17,10 @@
 pub use contact::Contact;
 use contact::Contacts;
 
-/// Relays of the store's state in each failure domain; three, so that two may fail at once.
-const RELAYS: usize = 3;
+/// Relays of the store's state in each failure domain; if both fail others take their place.
+const RELAYS: usize = 2;
+/// Nodes of a failure domain up to which each follows the store itself.
+const SMALL_DOMAIN: usize = 4;
 /// What relays are ordered by.
 const RELAY_KEY: &str = "relay of the store";
 /// Time in which nodes that started together find each other.
@@ -267,7 +269,8 @@
             .coordinators(RELAY_KEY, now)
             .into_iter()
             .partition(|n| n.as_ref().is_none_or(|n| n.domain == self.domain));
-        let first = &near[..near.len().min(RELAYS)];
+        let is_small = near.len() <= SMALL_DOMAIN;
+        let first = &near[..if is_small { near.len() } else { RELAYS }];
         let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
         if !peers.is_empty() {
             // Followers share the relays out among themselves.
@@ -276,7 +279,7 @@
         }
         let mut domains = BTreeSet::new();
         peers.extend(far.into_iter().flatten().filter(|n| domains.insert(n.domain.clone())));
-        Relays { own: first.contains(&None), followed: near.len() > RELAYS, peers }
+        Relays { own: first.contains(&None), followed: !is_small, peers }
     }
 
     /// Peers that are up and not suspected.
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -25,8 +25,8 @@
 const PEER_WAIT: Duration = Duration::from_millis(700);
 /// Time beyond that before a peer is given up.
 const PEER_SLACK: Duration = Duration::from_millis(350);
-/// Time for news to gather between two questions.
-const GATHER: Duration = Duration::from_millis(40);
+/// Time for news to gather between two questions, which each cost a call.
+const GATHER: Duration = Duration::from_millis(100);
 
 /// Follows until the process ends.
 pub async fn follow(node: Rc<Node>) {
