--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -233,16 +233,17 @@
     let request = call::request(node, &call.maker, address, post);
     let begun = node.now();
     let timeout = runner.patience(node, call.pieces.len());
-    let sent = tokio::time::timeout(timeout, upstream::send(address, request)).await;
-    let (end, observed, why) = match sent {
-        Err(_) => (CallEnd::Failed, Observation::Failed, "call took too long".to_string()),
-        Ok(Err(e)) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
-        Ok(Err(e)) => (CallEnd::Failed, Observation::Failed, e.to_string()),
-        Ok(Ok(answer)) => {
-            let took = node.now().since(begun);
-            read_answer(node, &call, answer, took).await
+    let work = async {
+        match upstream::send(address, request).await {
+            Ok(answer) => read_answer(node, &call, answer, node.now().since(begun)).await,
+            Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
+            Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
         }
     };
+    // The time holds for the whole answer: a maker may stall within it.
+    let too_long = || (CallEnd::Failed, Observation::Failed, "call took too long".to_string());
+    let ended = tokio::time::timeout(timeout, work).await;
+    let (end, observed, why) = ended.unwrap_or_else(|_| too_long());
     let results = match &end {
         CallEnd::Answered(results) => results.as_slice(),
         CallEnd::Full | CallEnd::Failed => &[],
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -41,7 +41,7 @@
     reader: Reader,
     sources: Sources,
     /// The store's history does not reach back to this node's revision.
-    is_history_gone: bool,
+    history_gone: bool,
     source: Option<Source>,
 }
 
@@ -49,7 +49,7 @@
     fn new(node: Rc<Node>) -> Self {
         let reader = Reader::new(node.clone(), Kind::Targets);
         let sources = Sources::default();
-        Follower { node, reader, sources, is_history_gone: false, source: None }
+        Follower { node, reader, sources, history_gone: false, source: None }
     }
 
     async fn step(&mut self) {
@@ -79,14 +79,14 @@
     async fn ask_store(&mut self, relays: &Relays) {
         let node = self.node.clone();
         let wait = if relays.own && !relays.followed { WATCH } else { WATCH_RELAY };
-        let at = node.feed.at().filter(|_| !self.is_history_gone);
+        let at = node.feed.at().filter(|_| !self.history_gone);
         match self.reader.read(at, wait).await {
             Ok(step) => {
-                self.is_history_gone = false;
+                self.history_gone = false;
                 self.sources.store_answered();
                 take_step(&node, step);
             }
-            Err(e) if e.is_history_gone() => self.is_history_gone = true,
+            Err(e) if e.is_history_gone() => self.history_gone = true,
             Err(_) => {
                 let now = node.now();
                 let jitter = |most| node.rng(|r| r.jitter(most));
