An order that is passed on leaves a line; one dead check less

Found while reading the change: passing an order on touches a request and had no line in the log; a check for it in at_peers could not be reached.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -28,6 +28,8 @@
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
     Coordinator { service: &'a str, coordinator: &'a str, why: &'a str },
+    /// A peer's order went on to the node that comes first.
+    PassedOn { id: &'a str, service: &'a str, to: &'a str },
     /// Lines that were not written since the last such line.
     Dropped { lines: u64 },
     /// A request was refused at the door, since its first event was expected too late.
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -66,12 +66,8 @@
     order.slack_ms = order.slack_ms.saturating_sub(passed);
 }
 
-/// Places the order with the peers that come before this node. An order that was passed
-/// on stays here.
+/// Places the order with the peers that come before this node.
 async fn at_peers(node: &Rc<Node>, order: &mut BatchOrder) -> Option<Placed> {
-    if order.passed_on {
-        return None;
-    }
     let service = order.service.clone();
     check_silent(node, &service);
     let mut asked: Vec<NodeId> = Vec::new();
@@ -97,12 +93,12 @@
                 Event::Coordinator { service: &service, coordinator, why: &why }.emit();
             }
         }
-        asked.push(peer.id);
-        let silent = node.peers.roster(|r| r.is_silent(&asked[asked.len() - 1]));
-        if silent {
+        if node.peers.roster(|r| r.is_silent(&peer.id)) {
+            // Whoever else is gone with it is found out at once, not one order after another.
             let others = node.peers.roster(|r| r.survey(&service, node.now()));
             peers::ask_all(node, &others).await;
         }
+        asked.push(peer.id);
         spend(order, node.now().since(now));
     }
     None
@@ -132,6 +128,7 @@
         return node.pools.order(node, order, false).await;
     };
     order.passed_on = true;
+    Event::PassedOn { id: &order.attempt, service: &order.service, to: &peer.id.name }.emit();
     match ask(node, &peer, &order).await {
         Ok(answer) => Ok(BatchAnswer { coordinator: Some(peer.entry), ..answer }),
         Err(why) => {
