Read once more: a wait counted twice, a dead function, two copies

Roster::sound had lost its last caller. Checks: clippy on the workspace, tests of decide, forward and platform.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -282,11 +282,6 @@
         Relays { own: first.contains(&None), followed: !is_small, peers }
     }
 
-    /// Peers that are up and not suspected.
-    pub fn sound(&self) -> Vec<Node> {
-        self.up.iter().filter(|p| !p.suspect).map(|p| p.node.clone()).collect()
-    }
-
     /// Whether the nodes that are up may still be finding each other: this one has just
     /// started, and knows none that has been up for longer.
     pub fn is_gathering(&self, now: Time) -> bool {
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -88,10 +88,7 @@
                     coordinator: Some(peer.id.name),
                 });
             }
-            Err(why) => {
-                let coordinator = &peer.id.name;
-                Event::Coordinator { service: &service, coordinator, why: &why }.emit();
-            }
+            Err(why) => tell_lost(&service, &peer, &why),
         }
         if node.peers.roster(|r| r.is_silent(&peer.id)) {
             // Whoever else is gone with it is found out at once, not one order after another.
@@ -104,6 +101,10 @@
     None
 }
 
+fn tell_lost(service: &Name, peer: &PeerNode, why: &str) {
+    Event::Coordinator { service, coordinator: &peer.id.name, why }.emit();
+}
+
 /// Asks silent peers that would come first for a sign of life, in the background.
 fn check_silent(node: &Rc<Node>, service: &Name) {
     let due = node.peers.roster(|r| r.checks_due(service, node.now()));
@@ -127,13 +128,13 @@
     let Some(Some(peer)) = first.into_iter().next() else {
         return node.pools.order(node, order, false).await;
     };
+    let begun = node.now();
     order.passed_on = true;
     Event::PassedOn { id: &order.attempt, service: &order.service, to: &peer.id.name }.emit();
     match ask(node, &peer, &order).await {
         Ok(answer) => Ok(BatchAnswer { coordinator: Some(peer.entry), ..answer }),
         Err(why) => {
-            let coordinator = &peer.id.name;
-            Event::Coordinator { service: &order.service, coordinator, why: &why }.emit();
+            tell_lost(&order.service, &peer, &why);
             spend(&mut order, node.now().since(begun));
             node.pools.order(node, order, true).await
         }
