Results of stages are freed at the first event, and made again for a resume

Ruled out: keeping the small ones only (the last stage's results of patient streams alone fill half of their makers); dropping them without more (a resumed run without inputs is turned away with 400). Change: results go with the first event on every route. A stream that is taken up elsewhere has its stages made again first, once a resume, near the target that is asked first, with a slack of one objective; if that fails the stream is broken off. A log line tells of it.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -51,6 +51,8 @@
     },
     /// An input of a stage was gone; the stages that it came from are made again.
     Remade { id: &'a str, stage: usize, again: usize },
+    /// A stream broke off and is taken up at another target; its stages were made again.
+    Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
     /// A stage of a request ended.
     Stage {
         id: &'a str,
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -17,7 +17,7 @@
 use super::stream;
 use crate::events::Event;
 use crate::node::{Node, OpenGuard};
-use crate::stages::{self, Job, Made};
+use crate::stages::{self, Job, Made, StageError};
 
 /// Part of a deadline kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
@@ -190,12 +190,9 @@
                     self.log_end(status.as_u16(), "answered");
                     return reply::whole(status, headers, body);
                 }
-                Outcome::Stream(begun) => {
-                    // By its first event the target has taken its inputs; only a
-                    // second target would want them again.
-                    let kept = made.filter(|_| self.route.repeat.may_repeat());
-                    return stream::answer(self, *begun, kept);
-                }
+                // By its first event the target has taken its inputs, so they go. A second
+                // target's are made anew: resumes are rare, and room at makers is short.
+                Outcome::Stream(begun) => return stream::answer(self, *begun),
                 Outcome::InputGone => match self.make_stages(Some(&target)).await {
                     Ok(m) => {
                         made = Some(m);
@@ -274,22 +271,38 @@
     }
 
     async fn make_stages(&self, chosen: Option<&Target>) -> Result<Made, Response<Body>> {
+        self.make_within(self.slack(), chosen).await.map_err(|_| self.own_ending())
+    }
+
+    /// Makes the stages of a stream anew that goes on at `target`. Its first event is
+    /// long out; what counts is the pause that its caller bears, about one objective.
+    pub async fn make_stages_again(&self, target: &Target) -> Result<Made, StageError> {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let made = self.make_within(objective, Some(target)).await;
+        let left_ms = self.left().as_millis() as u64;
+        let stages = self.route.stages.len();
+        Event::Resuming { id: &self.head.id, stages, made: made.is_ok(), left_ms }.emit();
+        made
+    }
+
+    async fn make_within(
+        &self,
+        slack: Duration,
+        target: Option<&Target>,
+    ) -> Result<Made, StageError> {
         let begun = self.node.now();
         let job = Job {
             route: &self.route,
             head: &self.head,
-            near: chosen.map(|t| t.domain.clone()),
-            slack_ms: self.slack().as_millis() as u64,
+            near: target.map(|t| t.domain.clone()),
+            slack_ms: slack.as_millis() as u64,
             left_ms: self.left().as_millis() as u64,
             rank: self.rank,
         };
         let made = stages::make(&self.node, job).await;
         let took = self.node.now().since(begun);
         self.progress(|p| p.stages += took);
-        made.map_err(|e| {
-            self.progress(|p| p.why = e.to_string());
-            self.own_ending()
-        })
+        made.inspect_err(|e| self.progress(|p| p.why = e.to_string()))
     }
 
     /// The final answer of a request that no target answered.
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -13,7 +13,7 @@
 use super::exchange::Exchange;
 use super::reply::Body;
 use super::send::{AtTarget, Outcome, send};
-use crate::stages::Made;
+use crate::stages::StageError;
 use crate::upstream::Connection;
 
 /// Largest event.
@@ -100,13 +100,12 @@
     reader: Option<EventReader>,
     first: Option<Bytes>,
     last_event: Option<u64>,
-    made: Option<Made>,
     at_target: AtTarget,
     over: bool,
 }
 
 /// The answer that passes a begun stream on.
-pub fn answer(exchange: Rc<Exchange>, begun: Begun, made: Option<Made>) -> Response<Body> {
+pub fn answer(exchange: Rc<Exchange>, begun: Begun) -> Response<Body> {
     let Begun { status, headers, reader, first, at_target } = begun;
     let now = exchange.node.now();
     exchange.progress(|p| {
@@ -119,7 +118,6 @@
         reader: Some(reader),
         first: Some(first),
         last_event,
-        made,
         at_target,
         over: false,
     };
@@ -190,22 +188,46 @@
         // The earlier run ends before another one goes on in its place.
         self.reader = None;
         let limit = self.exchange.node.clock.instant(self.exchange.deadline);
-        loop {
-            let Some(target) = self.exchange.next_target(None) else {
-                return false;
-            };
-            let sending = send(&self.exchange, &target, self.made.as_ref(), self.last_event);
-            match tokio::time::timeout_at(limit, sending).await {
-                Ok(Outcome::Stream(begun)) => {
-                    let Begun { reader, first, at_target, .. } = *begun;
-                    self.reader = Some(reader);
-                    self.first = Some(first);
-                    self.at_target = at_target;
-                    return true;
-                }
-                Ok(Outcome::Nothing) => {}
-                Ok(_) | Err(_) => return false,
+        match tokio::time::timeout_at(limit, self.taken_up()).await {
+            Ok(Ok(begun)) => {
+                let Begun { reader, first, at_target, .. } = *begun;
+                self.reader = Some(reader);
+                self.first = Some(first);
+                self.at_target = at_target;
+                true
+            }
+            Ok(Err(NotResumed::Stages(e))) => {
+                self.exchange.progress(|p| p.why = format!("stages were not made again: {e}"));
+                false
+            }
+            Ok(Err(NotResumed::Refused)) | Err(_) => false,
+        }
+    }
+
+    /// The stream from the last event on, at another target. Its stages are made again once,
+    /// near the first target that is asked: their results went with the first event.
+    async fn taken_up(&self) -> Result<Box<Begun>, NotResumed> {
+        let exchange = &self.exchange;
+        let mut made = None;
+        while let Some(target) = exchange.next_target(None) {
+            if made.is_none() && !exchange.route.stages.is_empty() {
+                let again = exchange.make_stages_again(&target).await;
+                made = Some(again.map_err(NotResumed::Stages)?);
+            }
+            match send(exchange, &target, made.as_ref(), self.last_event).await {
+                Outcome::Stream(begun) => return Ok(begun),
+                Outcome::Nothing => {}
+                Outcome::Whole { .. } | Outcome::InputGone => return Err(NotResumed::Refused),
             }
         }
+        Err(NotResumed::Refused)
     }
 }
+
+/// Why a stream was not taken up at another target.
+enum NotResumed {
+    /// Its stages could not be made again.
+    Stages(StageError),
+    /// No target took it.
+    Refused,
+}
--- a/crates/forward/src/stages/mod.rs
+++ b/crates/forward/src/stages/mod.rs
@@ -8,5 +8,5 @@
 mod runner;
 
 pub use order::take;
-pub use plan::{Job, Made, make};
+pub use plan::{Job, Made, StageError, make};
 pub use runner::{NotMade, Pools};
