Large results are made as late as the longest path allows; slack counts full calls

Cause: (a) spec-chat's image of 1.5 MB a piece was made at once although three more stages must run first, and took room at depot-ledger for 0.5 s and more. Change: decide::stages::schedule works out longest paths; a root stage whose results are above 1 MiB is postponed to its latest start by the expected times, waits included, or until nothing else goes on. Orders count as too late by a call that is three quarters full, and leave 200 ms to the engine.

--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -9,6 +9,8 @@
 const LARGE: u64 = 1 << 20;
 /// Slack below which an urgent order may be made elsewhere after all.
 const SPILL_SLACK: Duration = Duration::from_millis(150);
+/// Part of a call that is filled while orders wait; more than half on the users' bench.
+const USUAL_FILL: f64 = 0.75;
 /// Workspaces of ranks up to this one may be made elsewhere for want of time.
 const SPILL_RANK: u8 = 1;
 
@@ -59,12 +61,14 @@
 
     /// Whether the request will be late even if a call takes the order now.
     pub(super) fn is_hopeless(&self, pool: &StagePool, now: Time) -> bool {
-        self.slack(now) < self.least_time(pool)
+        self.slack(now) < self.usual_time(pool)
     }
 
-    fn least_time(&self, pool: &StagePool) -> Duration {
-        let ms = pool.call_ms + pool.item_ms * self.waiting.len() as f64;
-        Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    /// Time of a call with the order's pieces, filled up by others' as it usually is when
+    /// orders wait.
+    fn usual_time(&self, pool: &StagePool) -> Duration {
+        let usual = (pool.batch as f64 * USUAL_FILL) as u32;
+        pool.call_time(usual.max(self.waiting.len() as u32))
     }
 
     /// Begun orders first, then those that can still be in time, the higher ranks,
@@ -95,7 +99,7 @@
         let Some(bound) = bound else {
             return true;
         };
-        let pressed = self.slack(now) < self.least_time(pool) + SPILL_SLACK;
+        let pressed = self.slack(now) < self.usual_time(pool) + SPILL_SLACK;
         **bound == *domain
             || bytes < LARGE
             || !working.contains(bound)
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -9,9 +9,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::forward::{Rank, Route, Service, Waits};
+use model::forward::{Rank, Route, Service, Stage, Waits};
 use model::{Name, Time};
 
+use crate::stages;
+
 /// Time over which what was heard of a wait fades to nothing.
 const FADES: Duration = Duration::from_millis(1500);
 /// Time that an engine is expected to take to its first event.
@@ -58,6 +60,24 @@
         wait.mul_f64((1.0 - age).clamp(0.0, 1.0))
     }
 
+    /// Expected time of each stage of a request with these pieces, waits included.
+    pub fn stage_times<'a>(
+        &self,
+        route: &Route,
+        pieces: &[u32],
+        rank: Rank,
+        now: Time,
+        service: impl Fn(&Name) -> Option<&'a Service>,
+    ) -> Vec<Duration> {
+        let time = |(i, stage): (usize, &Stage)| {
+            let n = pieces.get(i).copied().unwrap_or(0);
+            let pool = service(&stage.service).and_then(|s| s.pool.as_ref());
+            let pool = pool.filter(|_| n > 0);
+            pool.map_or(Duration::ZERO, |p| self.wait(&stage.service, rank, now) + p.call_time(n))
+        };
+        route.stages.iter().enumerate().map(time).collect()
+    }
+
     /// Expected time to the first event of a request with these pieces.
     pub fn expected<'a>(
         &self,
@@ -67,20 +87,8 @@
         now: Time,
         service: impl Fn(&Name) -> Option<&'a Service>,
     ) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(route.stages.len());
-        for (i, stage) in route.stages.iter().enumerate() {
-            let start = stage.after.iter().filter_map(|j| ends.get(*j)).max().copied();
-            let mut end = start.unwrap_or_default();
-            let n = pieces.get(i).copied().unwrap_or(0);
-            let pool = service(&stage.service).and_then(|s| s.pool.as_ref());
-            if let Some(pool) = pool.filter(|_| n > 0) {
-                let ms = pool.call_ms + pool.item_ms * f64::from(n);
-                end += self.wait(&stage.service, rank, now);
-                end += Duration::from_secs_f64(ms.max(0.0) / 1000.0);
-            }
-            ends.push(end);
-        }
-        ends.into_iter().max().unwrap_or_default() + FIRST_EVENT
+        let times = self.stage_times(route, pieces, rank, now, service);
+        stages::longest(&route.order(), &times) + FIRST_EVENT
     }
 }
 
--- a/crates/decide/src/stages/mod.rs
+++ b/crates/decide/src/stages/mod.rs
@@ -5,6 +5,10 @@
 //! not the request's end: nothing has run that may not run again, so the stages before
 //! it are made anew as long as there is time.
 
+mod schedule;
+
+pub use schedule::{latest_starts, longest, tails};
+
 /// Times that stages of one request are made again after a result was gone.
 const REMAKES: u32 = 2;
 
@@ -29,6 +33,7 @@
 pub struct Progress {
     after: Vec<Vec<usize>>,
     states: Vec<State>,
+    postponed: Vec<bool>,
     remakes: u32,
 }
 
@@ -36,7 +41,18 @@
     /// Stages that each come after the named ones.
     pub fn new(after: Vec<Vec<usize>>) -> Self {
         let states = vec![State::Waiting; after.len()];
-        Progress { after, states, remakes: REMAKES }
+        let postponed = vec![false; after.len()];
+        Progress { after, states, postponed, remakes: REMAKES }
+    }
+
+    /// A stage does not start before it is released.
+    pub fn postpone(&mut self, stage: usize) {
+        self.postponed[stage] = true;
+    }
+
+    /// A postponed stage may start.
+    pub fn release(&mut self, stage: usize) {
+        self.postponed[stage] = false;
     }
 
     /// Whether all stages are made.
@@ -58,7 +74,7 @@
     pub fn start(&mut self) -> Option<usize> {
         let may_start = |i: &usize| {
             let inputs_held = self.after[*i].iter().all(|j| self.states[*j] == State::Held);
-            self.states[*i] == State::Waiting && inputs_held
+            self.states[*i] == State::Waiting && !self.postponed[*i] && inputs_held
         };
         let stage = (0..self.after.len()).find(may_start)?;
         self.states[stage] = State::Running;
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -98,6 +98,20 @@
     assert_eq!(calls(&next)[0].pieces.len(), 9, "three requests ride together");
 }
 
+#[test]
+fn who_is_late_in_a_call_that_is_filled_as_usual_goes_last() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("busy", 1))));
+    // One piece takes 110 ms, a call as full as usual 170 ms.
+    let late = BatchOrder { slack_ms: 300, ..order("late", 1) };
+    let in_time = BatchOrder { slack_ms: 330, ..order("in-time", 5) };
+    for (id, order) in [(2, late), (3, in_time)] {
+        c.on(at(1), placed(id, order));
+    }
+    let next = calls(&c.on(at(150), Event::Ended(first[0].number, made(&first[0]))));
+    assert_eq!(&*next[0].pieces[0].attempt, "in-time");
+}
+
 #[test]
 fn an_order_larger_than_a_call_is_split_and_answered_once_in_its_order() {
     let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
--- a/crates/decide/tests/stages.rs
+++ b/crates/decide/tests/stages.rs
@@ -1,6 +1,8 @@
 //! Progress of a request's stages, with results that are gone.
 
-use decide::stages::Progress;
+use std::time::Duration;
+
+use decide::stages::{Progress, latest_starts, longest};
 use proptest::prelude::*;
 
 fn started(p: &mut Progress) -> Vec<usize> {
@@ -111,3 +113,52 @@
         prop_assert!(p.last().iter().all(|i| held[*i]));
     }
 }
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn a_branch_may_start_so_late_that_it_ends_with_the_longest_path() {
+    let chain_and_one = vec![vec![], vec![0], vec![1], vec![]];
+    let cases = [
+        ([300, 300, 300, 250], [0, 300, 600, 650]),
+        ([300, 300, 300, 0], [0, 300, 600, 900]),
+        ([100, 0, 0, 250], [150, 250, 250, 0]),
+        ([0, 0, 0, 0], [0, 0, 0, 0]),
+    ];
+    for (takes, wanted) in cases {
+        let starts = latest_starts(&chain_and_one, &takes.map(ms));
+        assert_eq!(starts, wanted.map(ms), "{takes:?}");
+    }
+}
+
+#[test]
+fn a_postponed_stage_starts_once_it_is_released() {
+    let mut p = chain();
+    p.postpone(3);
+    assert_eq!(started(&mut p), [0]);
+    p.release(3);
+    assert_eq!(started(&mut p), [3]);
+}
+
+proptest! {
+    /// Starting each stage as late as allowed keeps to the order and makes nothing longer.
+    #[test]
+    fn latest_starts_keep_the_order_and_the_whole_time(
+        stages in proptest::collection::vec((0u64..500, proptest::collection::vec(any::<bool>(), 6)), 1..6),
+    ) {
+        let after: Vec<Vec<usize>> = stages.iter().enumerate()
+            .map(|(i, (_, on))| (0..i).filter(|j| on[*j]).collect()).collect();
+        let takes: Vec<Duration> = stages.iter().map(|(t, _)| ms(*t)).collect();
+        let starts = latest_starts(&after, &takes);
+        let whole = longest(&after, &takes);
+        for (i, before) in after.iter().enumerate() {
+            prop_assert!(starts[i] + takes[i] <= whole);
+            for j in before {
+                prop_assert!(starts[*j] + takes[*j] <= starts[i]);
+            }
+        }
+        prop_assert!(starts.iter().zip(&takes).any(|(s, t)| *s + *t == whole));
+    }
+}
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -1,20 +1,25 @@
 //! Makes all stages of one request, each as soon as those before it are made.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use decide::stages::Progress;
+use decide::stages::{self, Progress};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use model::Name;
 use model::forward::{BatchOrder, CallerHead, Handle, PieceResult, Rank, Route, Stage, StageInput};
+use model::{Name, Time};
 
 use super::order::{self, Placed};
 use crate::events::Event;
 use crate::node::Node;
 
-/// Time, in milliseconds, that an engine is expected to take to its first event.
-const FIRST_EVENT_MS: u64 = 100;
+/// Time that an engine is expected to take to its first event: between the median and the
+/// 90th percentile (139 and 404 ms) of long prompts on the users' bench.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Bytes of one result above which its stage is made as late as the others allow.
+const LARGE_RESULT: u64 = 1 << 20;
 
 /// Why stages could not be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -98,19 +103,35 @@
     let stages = &job.route.stages;
     let kept = stages.iter().map(|_| Kept::default()).collect();
     let mut made = Made { node: node.clone(), kept, inputs: Vec::new() };
-    let mut progress = Progress::new(stages.iter().map(|s| s.after.clone()).collect());
+    let mut progress = Progress::new(job.route.order());
     let mut running = FuturesUnordered::new();
     let begun = node.now();
+    let least_after = job.least_after(node);
+    let mut postponed = job.postponed(node, begun);
+    postponed.iter().for_each(|(_, i)| progress.postpone(*i));
     loop {
         while let Some(i) = progress.start() {
             let passed = node.now().since(begun).as_millis() as u64;
-            match order_of(&job, i, &made.kept, passed, node)? {
+            let spent = Spent { passed_ms: passed, after_ms: least_after[i].as_millis() as u64 };
+            match order_of(&job, i, &made.kept, spent, node)? {
                 Some(order) => running.push(make_stage(node, i, order)),
                 None => made.release_all(&progress.made(i)),
             }
         }
-        let Some((i, placed)) = running.next().await else {
-            break;
+        let ended = match postponed.front() {
+            Some((due, _)) => {
+                let due = node.clock.instant(*due);
+                tokio::time::timeout_at(due, running.next()).await.ok().flatten()
+            }
+            None => running.next().await,
+        };
+        let Some((i, placed)) = ended else {
+            // The next postponed stage is due, or nothing else goes on.
+            let Some((_, due)) = postponed.pop_front() else {
+                break;
+            };
+            progress.release(due);
+            continue;
         };
         match keep(&mut made.kept[i], &stages[i].service, placed) {
             Ok(()) => made.release_all(&progress.made(i)),
@@ -149,12 +170,20 @@
     failed.map_or(Ok(()), Err)
 }
 
+/// What of a request's time is not left for a stage.
+struct Spent {
+    /// Milliseconds passed since the first stage could start.
+    passed_ms: u64,
+    /// Least milliseconds from the end of the stage to the first event.
+    after_ms: u64,
+}
+
 /// The order for one stage; `None` if the request leaves the stage out.
 fn order_of(
     job: &Job<'_>,
     stage: usize,
     kept: &[Kept],
-    passed_ms: u64,
+    spent: Spent,
     node: &Node,
 ) -> Result<Option<BatchOrder>, StageError> {
     let pieces = job.pieces_of(stage);
@@ -170,7 +199,7 @@
     } else {
         StageInput::Handles(inputs.iter().map(|h| h.text.clone()).collect())
     };
-    let left_ms = job.left_ms.saturating_sub(passed_ms);
+    let left_ms = job.left_ms.saturating_sub(spent.passed_ms);
     let out_bytes = u64::from(pieces) * what.bytes;
     // Each piece fetches all of its inputs.
     let in_bytes: u64 =
@@ -185,14 +214,13 @@
     } else {
         job.near.clone().filter(|_| is_last)
     };
-    let ahead_ms = job.least_ms_after(node, stage);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         attempt: job.head.id.as_str().into(),
         stage,
         pieces,
         input,
-        slack_ms: job.slack_ms.saturating_sub(passed_ms + ahead_ms),
+        slack_ms: job.slack_ms.saturating_sub(spent.passed_ms + spent.after_ms),
         left_ms,
         rank: job.rank,
         near,
@@ -209,18 +237,34 @@
         self.head.pieces.get(stage).copied().unwrap_or(0)
     }
 
-    /// Least time, in milliseconds, from the end of a stage to the first event.
-    fn least_ms_after(&self, node: &Node, stage: usize) -> u64 {
-        let stages = &self.route.stages;
+    /// Least time from the end of each stage to the first event.
+    fn least_after(&self, node: &Node) -> Vec<Duration> {
+        let table = node.table();
+        let least = |(i, stage): (usize, &Stage)| {
+            let pool = table.service(&stage.service).and_then(|s| s.pool.as_ref());
+            let n = self.pieces_of(i);
+            pool.filter(|_| n > 0).map_or(Duration::ZERO, |p| p.call_time(n))
+        };
+        let least: Vec<Duration> = self.route.stages.iter().enumerate().map(least).collect();
+        let tails = stages::tails(&self.route.order(), &least);
+        tails.into_iter().map(|tail| tail + FIRST_EVENT).collect()
+    }
+
+    /// Stages whose results are large, and when they are due, the first due first: they
+    /// start so late that they end with the longest path, since room at makers is short.
+    fn postponed(&self, node: &Node, now: Time) -> VecDeque<(Time, usize)> {
         let table = node.table();
-        let later = dependents(stages, stage).filter(|d| self.pieces_of(*d) > 0);
-        let longest = later.map(|d| {
-            let pool = table.service(&stages[d].service).and_then(|s| s.pool.as_ref());
-            let pieces = f64::from(self.pieces_of(d));
-            let ms = pool.map_or(0.0, |p| p.call_ms + p.item_ms * pieces);
-            ms as u64 + self.least_ms_after(node, d)
+        let service = |name: &Name| table.service(name);
+        let pieces = &self.head.pieces;
+        let times = node.forecast(|f| f.stage_times(self.route, pieces, self.rank, now, service));
+        let latest = stages::latest_starts(&self.route.order(), &times);
+        let large = self.route.stages.iter().enumerate().filter(|(i, s)| {
+            s.bytes >= LARGE_RESULT && s.after.is_empty() && self.pieces_of(*i) > 0
         });
-        longest.max().unwrap_or(FIRST_EVENT_MS)
+        let mut postponed: Vec<_> = large.map(|(i, _)| (now + latest[i], i)).collect();
+        postponed.retain(|(due, _)| *due > now);
+        postponed.sort_unstable();
+        postponed.into()
     }
 }
 
--- a/crates/model/src/forward/rules.rs
+++ b/crates/model/src/forward/rules.rs
@@ -1,5 +1,7 @@
 //! The rules in force: one whole, numbered set of routes, services and workspaces.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -48,7 +50,14 @@
     pub stages: Vec<Stage>,
 }
 
-/// Whether a request may be run again.
+impl Route {
+    /// For each stage, the positions of those that come before it.
+    pub fn order(&self) -> Vec<Vec<usize>> {
+        self.stages.iter().map(|s| s.after.clone()).collect()
+    }
+}
+
+/// Whether and how a request may be run again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// May run more than once.
@@ -132,6 +141,14 @@
     pub keep_ms: u64,
 }
 
+impl StagePool {
+    /// Time of a call with this many pieces.
+    pub fn call_time(&self, pieces: u32) -> Duration {
+        let ms = self.call_ms + self.item_ms * f64::from(pieces);
+        Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    }
+}
+
 /// A workspace and the keys that its callers present.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
