Nodes that started together keep their coordinators as they grow older

Cause: a node counts as settled 3 s after its start, and settled ones come first. Change: a node that started within 1.5 s of the oldest that is up is settled from its start. Test: nodes_that_started_together_keep_their_coordinator_as_they_grow_older, fails without it.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -27,6 +27,9 @@
 const GATHERING: Duration = Duration::from_millis(800);
 /// Time after which a node that came counts as settled.
 const SETTLED: Duration = Duration::from_secs(3);
+/// Nodes that started within this time of the oldest one came together with it: there is
+/// no work yet that could move to them. Restarts after a loss of power lie 0.5 s apart.
+const TOGETHER: Duration = Duration::from_millis(1500);
 /// Silent peers asked for a sign of life together.
 const CHECKED: usize = 3;
 /// Peers asked together whether they are there once one has fallen silent: this many in
@@ -64,16 +67,8 @@
 }
 
 impl PeerView {
-    fn is_settled(&self, now: Time) -> bool {
-        self.up + now.since(self.at) >= SETTLED
-    }
-
-    fn place(&self, service: &str, now: Time) -> Place {
-        Place {
-            is_settled: self.is_settled(now),
-            capacity: self.node.capacity,
-            score: score(service, &self.node.id.name),
-        }
+    fn uptime(&self, now: Time) -> Duration {
+        self.up + now.since(self.at)
     }
 }
 
@@ -185,7 +180,7 @@
     /// All peers that come before this node for `service`, the unwanted included.
     fn before_me(&self, service: &str, now: Time) -> Vec<&PeerView> {
         let own = self.own_place(service, now);
-        let place = |p: &PeerView| p.place(service, now);
+        let place = |p: &PeerView| self.place(p, service, now);
         let mut before: Vec<_> =
             self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
         before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
@@ -230,12 +225,27 @@
         chosen
     }
 
+    /// Whether a node that has been up for this long would take no work from others.
+    fn is_settled(&self, uptime: Duration, now: Time) -> bool {
+        let own = now.since(Time::ZERO);
+        let oldest = self.up.iter().map(|p| p.uptime(now)).max().unwrap_or_default().max(own);
+        uptime >= SETTLED || uptime + TOGETHER >= oldest
+    }
+
+    fn place(&self, p: &PeerView, service: &str, now: Time) -> Place {
+        Place {
+            is_settled: self.is_settled(p.uptime(now), now),
+            capacity: p.node.capacity,
+            score: score(service, &p.node.id.name),
+        }
+    }
+
     fn own_place(&self, service: &str, now: Time) -> Place {
         if self.stops {
             return Place::default();
         }
         Place {
-            is_settled: now.since(Time::ZERO) >= SETTLED,
+            is_settled: self.is_settled(now.since(Time::ZERO), now),
             capacity: self.capacity,
             score: score(service, &self.me),
         }
@@ -249,7 +259,7 @@
     /// failure domain that seems cut off, are left out.
     pub fn coordinators(&self, service: &str, now: Time) -> Vec<Option<Node>> {
         let wanted = self.up.iter().filter(|p| self.is_wanted(p));
-        let place = |p: &PeerView| p.place(service, now);
+        let place = |p: &PeerView| self.place(p, service, now);
         let mut order: Vec<(Place, Option<Node>)> =
             wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
         order.push((self.own_place(service, now), None));
@@ -285,6 +295,6 @@
     /// Whether the nodes that are up may still be finding each other: this one has just
     /// started, and knows none that has been up for longer.
     pub fn is_gathering(&self, now: Time) -> bool {
-        now.since(Time::ZERO) < GATHERING && !self.up.iter().any(|p| p.is_settled(now))
+        now.since(Time::ZERO) < GATHERING && !self.up.iter().any(|p| p.uptime(now) >= SETTLED)
     }
 }
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -65,6 +65,21 @@
     assert!(homes.contains(&name(3)), "but has its share later: {homes:?}");
 }
 
+#[test]
+fn nodes_that_started_together_keep_their_coordinator_as_they_grow_older() {
+    let started = [0, 90, 340, 430, 460];
+    for service in SERVICES {
+        let firsts = |at_ms: u64| {
+            let up: Vec<u64> = started.iter().map(|s| at_ms - s).collect();
+            (0..up.len()).map(|me| first(&roster(me, &up, up[me]), me, service, up[me])).collect()
+        };
+        let young: Vec<String> = firsts(900);
+        for at_ms in (1_000..6_000).step_by(100) {
+            assert_eq!(firsts(at_ms), young, "{service} after {at_ms} ms");
+        }
+    }
+}
+
 #[test]
 fn suspects_and_silent_and_stopping_nodes_do_not_coordinate() {
     let up = [60_000; 5];
