Waits above a third of the spare time turn a request away; starved orders end

(b) The door looked at the expected time against 0.85 of the objective; what it hears of waits is old by the time the request is at the coordinator, and the order is then late by little. Change: (a) an order that could have been in time when it came, and that no call has taken any of by then, ends at once as not made; its caller gets 503 with Retry-After. (b) The door turns away by waits alone: above 0.35 of the objective less the time without any wait, and never below 150 ms, so that tight objectives are not refused for their tightness.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -208,9 +208,13 @@
         }
     }
 
+    /// Ends orders whose time is over. Those that no call has taken by the time at which
+    /// they were wanted end too: behind all that can still be in time they would wait to
+    /// the end, while their callers could come back.
     fn give_up_late(&mut self, now: Time, out: &mut Vec<Action>) {
+        let is_late = |o: &Order| o.is_over(now) || o.is_starved(&self.pool, now);
         let late: Vec<OrderId> =
-            self.orders.iter().filter(|(_, o)| o.is_over(now)).map(|(id, _)| *id).collect();
+            self.orders.iter().filter(|(_, o)| is_late(o)).map(|(id, _)| *id).collect();
         for id in late {
             if let Some(order) = self.orders.remove(&id) {
                 let n = order.results.len();
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -59,6 +59,15 @@
         now.since(self.arrived) >= Duration::from_millis(self.order.left_ms)
     }
 
+    /// Whether the order could have been in time when it came, and no call has taken any
+    /// of it by the time at which it should have been made.
+    pub(super) fn is_starved(&self, pool: &StagePool, now: Time) -> bool {
+        let untouched = self.waiting.len() == self.results.len();
+        let could_be_in_time =
+            Duration::from_millis(self.order.slack_ms) >= pool.call_time(self.order.pieces);
+        untouched && could_be_in_time && self.slack(now).is_zero()
+    }
+
     /// Whether the request will be late even if a call takes the order now.
     pub(super) fn is_hopeless(&self, pool: &StagePool, now: Time) -> bool {
         self.slack(now) < self.usual_time(pool)
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -18,8 +18,13 @@
 const FADES: Duration = Duration::from_millis(1500);
 /// Time that an engine is expected to take to its first event.
 const FIRST_EVENT: Duration = Duration::from_millis(150);
-/// Expected time, relative to the objective, from which on a request is refused.
-const REFUSED_ABOVE: f64 = 0.85;
+/// Part of a request's spare time, the objective less the time that it takes without any
+/// wait, from which on waits turn it away: what is expected of a wait is half a second old,
+/// and in a burst the true one is longer by the time that the request gets there.
+const WAIT_PART: f64 = 0.35;
+/// Waits that never turn a request away, however tight its objective is: less than the
+/// time of one call, which any order may find under way.
+const WAIT_FREE: Duration = Duration::from_millis(150);
 /// Shortest wait before a refused caller comes back.
 const COME_BACK_LEAST: Duration = Duration::from_millis(300);
 /// Part of a caller's time after which it does not come back any more.
@@ -69,13 +74,12 @@
         now: Time,
         service: impl Fn(&Name) -> Option<&'a Service>,
     ) -> Vec<Duration> {
-        let time = |(i, stage): (usize, &Stage)| {
-            let n = pieces.get(i).copied().unwrap_or(0);
-            let pool = service(&stage.service).and_then(|s| s.pool.as_ref());
-            let pool = pool.filter(|_| n > 0);
-            pool.map_or(Duration::ZERO, |p| self.wait(&stage.service, rank, now) + p.call_time(n))
+        let least = least_times(route, pieces, service);
+        let time = |(stage, least): (&Stage, Duration)| match least {
+            Duration::ZERO => Duration::ZERO,
+            least => least + self.wait(&stage.service, rank, now),
         };
-        route.stages.iter().enumerate().map(time).collect()
+        route.stages.iter().zip(least).map(time).collect()
     }
 
     /// Expected time to the first event of a request with these pieces.
@@ -86,18 +90,51 @@
         rank: Rank,
         now: Time,
         service: impl Fn(&Name) -> Option<&'a Service>,
-    ) -> Duration {
-        let times = self.stage_times(route, pieces, rank, now, service);
-        stages::longest(&route.order(), &times) + FIRST_EVENT
+    ) -> Expected {
+        let least = stages::longest(&route.order(), &least_times(route, pieces, &service));
+        let times = self.stage_times(route, pieces, rank, now, &service);
+        let whole = stages::longest(&route.order(), &times);
+        Expected { least: least + FIRST_EVENT, waits: whole.saturating_sub(least) }
     }
 }
 
+/// What a request's time to its first event is made of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expected {
+    /// Time that it takes without any wait.
+    pub least: Duration,
+    /// Time that waits add.
+    pub waits: Duration,
+}
+
+impl Expected {
+    /// All of it.
+    pub fn whole(&self) -> Duration {
+        self.least + self.waits
+    }
+}
+
+/// Time of each stage's call without any wait; none for a stage that is left out.
+pub fn least_times<'a>(
+    route: &Route,
+    pieces: &[u32],
+    service: impl Fn(&Name) -> Option<&'a Service>,
+) -> Vec<Duration> {
+    let time = |(i, stage): (usize, &Stage)| {
+        let n = pieces.get(i).copied().unwrap_or(0);
+        let pool = service(&stage.service).and_then(|s| s.pool.as_ref());
+        pool.filter(|_| n > 0).map_or(Duration::ZERO, |p| p.call_time(n))
+    };
+    route.stages.iter().enumerate().map(time).collect()
+}
+
 /// Decides about a request whose first event is expected after this time.
-pub fn at_the_door(expected: Duration, objective: Duration, patience: Duration) -> Door {
-    if expected <= objective.mul_f64(REFUSED_ABOVE) {
+pub fn at_the_door(expected: Expected, objective: Duration, patience: Duration) -> Door {
+    let spare = objective.saturating_sub(expected.least);
+    if expected.waits <= spare.mul_f64(WAIT_PART).max(WAIT_FREE) {
         return Door::Enter;
     }
-    let excess = expected.saturating_sub(objective);
+    let excess = expected.whole().saturating_sub(objective);
     let most = (patience / COME_BACK_PART).max(COME_BACK_LEAST);
     Door::Refuse(excess.clamp(COME_BACK_LEAST, most))
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -33,7 +33,14 @@
     /// Lines that were not written since the last such line.
     Dropped { lines: u64 },
     /// A request was refused at the door, since its first event was expected too late.
-    Door { id: &'a str, route: &'a str, expected_ms: u64, objective_ms: u64, come_back_ms: u64 },
+    Door {
+        id: &'a str,
+        route: &'a str,
+        least_ms: u64,
+        waits_ms: u64,
+        objective_ms: u64,
+        come_back_ms: u64,
+    },
     /// A target was chosen for a request.
     Chosen { id: &'a str, target: &'a str, by: &'a str, left_ms: u64, targets_age_ms: u64 },
     /// A send brought no answer to pass on.
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -165,7 +165,8 @@
             Event::Door {
                 id: &head.id,
                 route: &route.name,
-                expected_ms: expected.as_millis() as u64,
+                least_ms: expected.least.as_millis() as u64,
+                waits_ms: expected.waits.as_millis() as u64,
                 objective_ms: route.objective_ms,
                 come_back_ms: after.as_millis() as u64,
             }
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use decide::forecast;
 use decide::stages::{self, Progress};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -240,12 +241,8 @@
     /// Least time from the end of each stage to the first event.
     fn least_after(&self, node: &Node) -> Vec<Duration> {
         let table = node.table();
-        let least = |(i, stage): (usize, &Stage)| {
-            let pool = table.service(&stage.service).and_then(|s| s.pool.as_ref());
-            let n = self.pieces_of(i);
-            pool.filter(|_| n > 0).map_or(Duration::ZERO, |p| p.call_time(n))
-        };
-        let least: Vec<Duration> = self.route.stages.iter().enumerate().map(least).collect();
+        let service = |name: &Name| table.service(name);
+        let least = forecast::least_times(self.route, &self.head.pieces, service);
         let tails = stages::tails(&self.route.order(), &least);
         tails.into_iter().map(|tail| tail + FIRST_EVENT).collect()
     }
