Mechanisms can be switched off by settings, one by one

Change: `policy` in a node's settings names twelve mechanisms, all on by default; they cannot change while the node runs. The budget for repeats has no switch: it keeps a rule.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::Time;
-use model::forward::{PieceResult, Rank, StagePool, TargetId, Waits};
+use model::forward::{PieceResult, Policy, Rank, StagePool, TargetId, Waits};
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency};
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub struct Coordinator {
     pool: StagePool,
+    policy: Policy,
     makers: Makers,
     orders: BTreeMap<OrderId, Order>,
     flights: BTreeMap<u64, Flight>,
@@ -31,9 +32,10 @@
 
 impl Coordinator {
     /// A coordinator with no makers yet.
-    pub fn new(pool: StagePool) -> Self {
+    pub fn new(pool: StagePool, policy: Policy) -> Self {
         Coordinator {
             pool,
+            policy,
             makers: Makers::default(),
             orders: BTreeMap::new(),
             flights: BTreeMap::new(),
@@ -212,7 +214,8 @@
     /// they were wanted end too: behind all that can still be in time they would wait to
     /// the end, while their callers could come back.
     fn give_up_late(&mut self, now: Time, out: &mut Vec<Action>) {
-        let is_late = |o: &Order| o.is_over(now) || o.is_starved(&self.pool, now);
+        let sheds = self.policy.shedding;
+        let is_late = |o: &Order| o.is_over(now) || (sheds && o.is_starved(&self.pool, now));
         let late: Vec<OrderId> =
             self.orders.iter().filter(|(_, o)| is_late(o)).map(|(id, _)| *id).collect();
         for id in late {
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -5,7 +5,7 @@
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use model::Time;
 use model::forward::{
-    BatchOrder, Handle, PieceOrder, PieceResult, Rank, StageInput, StagePool, TargetId,
+    BatchOrder, Handle, PieceOrder, PieceResult, Policy, Rank, StageInput, StagePool, TargetId,
 };
 use proptest::prelude::*;
 
@@ -47,7 +47,7 @@
 }
 
 fn coordinator(of: &[(&str, &str)]) -> Coordinator {
-    let mut c = Coordinator::new(pool());
+    let mut c = Coordinator::new(pool(), Policy::default());
     c.on(at(0), makers(of));
     c
 }
@@ -181,7 +181,7 @@
 
 #[test]
 fn a_makers_room_is_not_overdrawn_and_comes_back_when_results_are_freed() {
-    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
+    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() }, Policy::default());
     c.on(at(0), makers(&[("m1", "a")]));
     let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..order(name, 4) };
     let first = calls(&c.on(at(0), placed(1, heavy("r1"))));
@@ -216,7 +216,7 @@
 
 #[test]
 fn results_that_nobody_frees_run_out() {
-    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() });
+    let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() }, Policy::default());
     c.on(at(0), makers(&[("m1", "a")]));
     let patient = |name: &str| BatchOrder { slack_ms: 6000, ..order(name, 4) };
     let heavy = |name: &str| BatchOrder { result_bytes: 1_000_000, ..patient(name) };
@@ -293,6 +293,16 @@
     assert_eq!(next[0].pieces.len(), 2, "who came too late is made when nobody else waits");
 }
 
+#[test]
+fn where_shedding_is_off_an_order_waits_for_its_caller_to_leave() {
+    let mut c = Coordinator::new(pool(), Policy { shedding: false, ..Policy::default() });
+    c.on(at(0), makers(&[("m1", "a")]));
+    c.on(at(0), placed(1, order("busy", 10)));
+    c.on(at(0), placed(2, BatchOrder { slack_ms: 300, ..order("starved", 2) }));
+    assert!(answers(&c.on(at(2000), Event::Tick)).is_empty());
+    assert_eq!(answers(&c.on(at(8000), Event::Tick)).len(), 2, "its time is over");
+}
+
 #[test]
 fn an_order_that_a_call_has_taken_part_of_is_made_to_its_end() {
     let mut c = coordinator(&[("m1", "a")]);
@@ -344,7 +354,7 @@
         full.of(Rank::of(None, 1)) >= empty.of(Rank::of(None, 1)) + 8 * 20,
         "{full:?} after {empty:?}"
     );
-    let mut none = Coordinator::new(pool());
+    let mut none = Coordinator::new(pool(), Policy::default());
     none.on(at(0), placed(1, order("r", 1)));
     assert_eq!(none.waits(at(0)).of(Rank::of(None, 0)), u32::MAX, "nobody makes anything");
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -168,6 +168,10 @@
     /// Tells the fleet what a send brought.
     pub fn observe(&self, target: &TargetId, what: Observation, why: &str) {
         let now = self.now();
+        let answered = matches!(what, Observation::Answered(_));
+        if !answered && !self.settings().policy.ejection {
+            return;
+        }
         if self.fleet(|f| f.observe(target, what, now)) {
             Event::Ejected { target, why }.emit();
         }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -151,7 +151,7 @@
     head: &CallerHead,
 ) -> Result<(), Refusal> {
     let route = &found.route;
-    if route.stages.is_empty() {
+    if route.stages.is_empty() || !node.settings().policy.admission {
         return Ok(());
     }
     let service = |name: &model::Name| table.service(name);
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -148,7 +148,8 @@
         let objective = Duration::from_millis(self.route.objective_ms);
         let pause = self.route.pause_ms.map(Duration::from_millis);
         let mut work = std::pin::pin!(work);
-        if let Some(patience) = self.progress(|p| p.tries.patience(objective, pause)) {
+        let patience = self.progress(|p| p.tries.patience(objective, pause));
+        if let Some(patience) = patience.filter(|_| self.node.settings().policy.patience) {
             if let Ok(done) = tokio::time::timeout(patience, work.as_mut()).await {
                 return Some(done);
             }
@@ -192,7 +193,13 @@
                 }
                 // By its first event the target has taken its inputs, so they go. A second
                 // target's are made anew: resumes are rare, and room at makers is short.
-                Outcome::Stream(begun) => return stream::answer(self, *begun),
+                Outcome::Stream(begun) => {
+                    let kept = made.filter(|_| !self.node.settings().policy.early_free);
+                    return stream::answer(self, *begun, kept);
+                }
+                Outcome::InputGone if !self.node.settings().policy.recompute => {
+                    return self.own_ending();
+                }
                 Outcome::InputGone => match self.make_stages(Some(&target)).await {
                     Ok(m) => {
                         made = Some(m);
@@ -218,7 +225,7 @@
             most_each: self.connections_each(),
             shares: &shares,
         };
-        match Home::of(&self.head.prompt) {
+        match Home::of(&self.head.prompt).filter(|_| settings.policy.homes) {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
             None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
         }
@@ -237,6 +244,7 @@
     /// made near their target.
     fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
         let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
+        let large = large.filter(|_| self.node.settings().policy.weighted_homes);
         let makers = large.map(|s| &s.service);
         makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
     }
@@ -297,7 +305,7 @@
             near: target.map(|t| t.domain.clone()),
             slack_ms: slack.as_millis() as u64,
             left_ms: self.left().as_millis() as u64,
-            rank: self.rank,
+            rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
         };
         let made = stages::make(&self.node, job).await;
         let took = self.node.now().since(begun);
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -13,7 +13,7 @@
 use super::exchange::Exchange;
 use super::reply::Body;
 use super::send::{AtTarget, Outcome, send};
-use crate::stages::StageError;
+use crate::stages::{Made, StageError};
 use crate::upstream::Connection;
 
 /// Largest event.
@@ -100,12 +100,14 @@
     reader: Option<EventReader>,
     first: Option<Bytes>,
     last_event: Option<u64>,
+    /// Results that are held although nobody wants them, where they are not freed early.
+    _kept: Option<Made>,
     at_target: AtTarget,
     over: bool,
 }
 
 /// The answer that passes a begun stream on.
-pub fn answer(exchange: Rc<Exchange>, begun: Begun) -> Response<Body> {
+pub fn answer(exchange: Rc<Exchange>, begun: Begun, kept: Option<Made>) -> Response<Body> {
     let Begun { status, headers, reader, first, at_target } = begun;
     let now = exchange.node.now();
     exchange.progress(|p| {
@@ -118,6 +120,7 @@
         reader: Some(reader),
         first: Some(first),
         last_event,
+        _kept: kept,
         at_target,
         over: false,
     };
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -5,6 +5,7 @@
 
 use decide::resend::BudgetTuning;
 use model::Name;
+use model::forward::Policy;
 use serde::Deserialize;
 use util::settings::{BadValue, Check, Logs};
 
@@ -47,6 +48,9 @@
     /// Connections held by one process, callers' and targets' together.
     #[serde(default = "descriptors")]
     pub descriptors: usize,
+    /// Mechanisms that are on.
+    #[serde(default)]
+    pub policy: Policy,
     /// Logging.
     #[serde(default)]
     pub logs: Logs,
@@ -119,6 +123,7 @@
             ("callers", self.callers == running.callers),
             ("readiness", self.readiness == running.readiness),
             ("peer_port", self.peer_port == running.peer_port),
+            ("policy", self.policy == running.policy),
         ];
         fields.into_iter().find(|(_, same)| !same).map(|(field, _)| field)
     }
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -35,7 +35,8 @@
 /// Places the order; after its coordinators fail, this node makes the calls itself.
 pub async fn place(node: &Rc<Node>, mut order: BatchOrder) -> Placed {
     gather(node, &mut order).await;
-    for _ in 0..ROUNDS {
+    let rounds = if node.settings().policy.pooling { ROUNDS } else { 0 };
+    for _ in 0..rounds {
         if let Some(placed) = at_peers(node, &mut order).await {
             return placed;
         }
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -136,7 +136,7 @@
         };
         match keep(&mut made.kept[i], &stages[i].service, placed) {
             Ok(()) => made.release_all(&progress.made(i)),
-            Err(StageError::InputGone) => {
+            Err(StageError::InputGone) if node.settings().policy.recompute => {
                 let again = progress.input_gone(i).ok_or(StageError::InputGone)?;
                 Event::Remade { id: &job.head.id, stage: i, again: again.len() }.emit();
                 made.release(i);
@@ -209,12 +209,16 @@
     let later: u64 = dependents(stages, stage).map(|d| u64::from(job.pieces_of(d))).sum();
     let is_last = dependents(stages, stage).next().is_none();
     let wanted_bytes = if is_last { out_bytes } else { 0 };
-    let near = if in_bytes > wanted_bytes {
+    let near = if !node.settings().policy.affinity {
+        None
+    } else if in_bytes > wanted_bytes {
         let maker = inputs.first().map(|h| h.maker.clone());
         maker.and_then(|m| node.fleet(|f| f.domain_of(&m).cloned()))
     } else {
         job.near.clone().filter(|_| is_last)
     };
+    let spread_bytes = (out_bytes * later).max(in_bytes).max(wanted_bytes);
+    let spread_bytes = if node.settings().policy.affinity { spread_bytes } else { 0 };
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         attempt: job.head.id.as_str().into(),
@@ -226,7 +230,7 @@
         rank: job.rank,
         near,
         moved_bytes: in_bytes.max(wanted_bytes),
-        spread_bytes: (out_bytes * later).max(in_bytes).max(wanted_bytes),
+        spread_bytes,
         result_bytes: what.bytes,
         skipped: Vec::new(),
         passed_on: false,
@@ -250,6 +254,9 @@
     /// Stages whose results are large, and when they are due, the first due first: they
     /// start so late that they end with the longest path, since room at makers is short.
     fn postponed(&self, node: &Node, now: Time) -> VecDeque<(Time, usize)> {
+        if !node.settings().policy.late_starts {
+            return VecDeque::new();
+        }
         let table = node.table();
         let service = |name: &Name| table.service(name);
         let pieces = &self.head.pieces;
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -10,7 +10,9 @@
 use decide::fleet::Observation;
 use http_body_util::{BodyExt, Limited};
 use model::Name;
-use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, StagePool, Target, TargetId};
+use model::forward::{
+    BatchAnswer, BatchOrder, Handle, PieceResult, Policy, StagePool, Target, TargetId,
+};
 use tokio::sync::oneshot;
 
 use super::call;
@@ -88,7 +90,8 @@
         let table = node.table();
         let pool = table.service(service)?.pool.clone()?;
         let mut runners = self.runners.borrow_mut();
-        let fresh = || Rc::new(Runner::new(service.clone(), pool.clone()));
+        let policy = node.settings().policy;
+        let fresh = || Rc::new(Runner::new(service.clone(), pool.clone(), policy));
         let runner = runners.entry(service.clone()).or_insert_with(fresh).clone();
         runner.machine.borrow_mut().set_pool(pool);
         Some(runner)
@@ -119,10 +122,10 @@
 }
 
 impl Runner {
-    fn new(service: Name, pool: StagePool) -> Self {
+    fn new(service: Name, pool: StagePool, policy: Policy) -> Self {
         Runner {
             service,
-            machine: RefCell::new(Coordinator::new(pool)),
+            machine: RefCell::new(Coordinator::new(pool, policy)),
             waiting: RefCell::default(),
             next: Cell::new(1),
             ticking: Cell::new(false),
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -6,12 +6,14 @@
 
 mod batch;
 mod caller;
+mod policy;
 mod rank;
 mod rules;
 mod target;
 
 pub use batch::{BatchAnswer, BatchOrder, Handle, PieceOrder, PieceResult, StageInput, Waits};
 pub use caller::{CallerHead, PromptPart};
+pub use policy::Policy;
 pub use rank::Rank;
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
