What is open when a planned stop's time is over gets an answer

Ruled out: staying longer (the process is killed at the end of its grace). Change: 200 ms before the end of a stop each request that has no answer yet gets this node's own: 503 with Retry-After if it has not run, else 502.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -39,6 +39,9 @@
 const LAPSED_BACK: Duration = Duration::from_secs(2);
 /// Part of the stop's time kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Part of the stop's time before that in which requests that are still open are answered
+/// by this node, so that none of them ends without an answer.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
 /// State that the tasks of a node share.
 pub struct Node {
@@ -69,6 +72,7 @@
     version: watch::Sender<u64>,
     stopping: watch::Sender<bool>,
     closing: watch::Sender<bool>,
+    ending: watch::Sender<bool>,
     open: Cell<usize>,
 }
 
@@ -99,6 +103,7 @@
             version: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             open: Cell::new(0),
         }
     }
@@ -289,6 +294,13 @@
         let _ = closing.wait_for(|c| *c).await;
     }
 
+    /// Returns once a planned stop is nearly over: what is not answered by then gets this
+    /// node's own answer.
+    pub async fn ending(&self) {
+        let mut ending = self.ending.subscribe();
+        let _ = ending.wait_for(|e| *e).await;
+    }
+
     /// Counts a request as open until the guard goes.
     pub fn opened(self: &Rc<Self>) -> OpenGuard {
         self.open.set(self.open.get() + 1);
@@ -351,6 +363,9 @@
         if passed >= BALANCER_LAG {
             node.closing.send_replace(true);
         }
+        if passed + LAST_ANSWERS >= most {
+            node.ending.send_replace(true);
+        }
         let answered = node.open.get() == 0 && node.pools.is_idle();
         if passed >= most || (passed >= BALANCER_LAG && answered) {
             break;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -161,13 +161,13 @@
     /// Serves the request to its end.
     pub async fn run(self: Rc<Self>) -> Response<Body> {
         let limit = self.node.clock.instant(self.deadline);
-        match tokio::time::timeout_at(limit, self.clone().serve()).await {
-            Ok(response) => response,
-            Err(_) => {
-                self.progress(|p| p.why = format!("time was over; before: {}", p.why));
-                self.own_ending()
-            }
-        }
+        let end = tokio::select! {
+            response = self.clone().serve() => return response,
+            () = tokio::time::sleep_until(limit) => "time was over",
+            () = self.node.ending() => "this node stops",
+        };
+        self.progress(|p| p.why = format!("{end}; before: {}", p.why));
+        self.own_ending()
     }
 
     async fn serve(self: Rc<Self>) -> Response<Body> {
