--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -65,36 +65,28 @@
         wait.mul_f64((1.0 - age).clamp(0.0, 1.0))
     }
 
-    /// Expected time of each stage of a request with these pieces, waits included.
-    pub fn stage_times<'a>(
+    /// Expected time of each stage of a request, given its time without any wait.
+    pub fn stage_times(
         &self,
         route: &Route,
-        pieces: &[u32],
+        least: &[Duration],
         rank: Rank,
         now: Time,
-        service: impl Fn(&Name) -> Option<&'a Service>,
     ) -> Vec<Duration> {
-        let least = least_times(route, pieces, service);
-        let time = |(stage, least): (&Stage, Duration)| match least {
+        let time = |(stage, least): (&Stage, &Duration)| match *least {
             Duration::ZERO => Duration::ZERO,
             least => least + self.wait(&stage.service, rank, now),
         };
         route.stages.iter().zip(least).map(time).collect()
     }
 
-    /// Expected time to the first event of a request with these pieces.
-    pub fn expected<'a>(
-        &self,
-        route: &Route,
-        pieces: &[u32],
-        rank: Rank,
-        now: Time,
-        service: impl Fn(&Name) -> Option<&'a Service>,
-    ) -> Expected {
-        let least = stages::longest(&route.order(), &least_times(route, pieces, &service));
-        let times = self.stage_times(route, pieces, rank, now, &service);
-        let whole = stages::longest(&route.order(), &times);
-        Expected { least: least + FIRST_EVENT, waits: whole.saturating_sub(least) }
+    /// Expected time to the first event of a request whose stages take `least` without
+    /// any wait.
+    pub fn expected(&self, route: &Route, least: &[Duration], rank: Rank, now: Time) -> Expected {
+        let order = route.order();
+        let without = stages::longest(&order, least);
+        let whole = stages::longest(&order, &self.stage_times(route, least, rank, now));
+        Expected { least: without + FIRST_EVENT, waits: whole.saturating_sub(without) }
     }
 }
 
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -70,6 +70,15 @@
     fn uptime(&self, now: Time) -> Duration {
         self.up + now.since(self.at)
     }
+
+    /// Place among nodes of which those up for `settled` count as settled.
+    fn place(&self, service: &str, settled: Duration, now: Time) -> Place {
+        Place {
+            is_settled: self.uptime(now) >= settled,
+            capacity: self.node.capacity,
+            score: score(service, &self.node.id.name),
+        }
+    }
 }
 
 /// Peers as one node sees them. Times count from the node's own start.
@@ -180,7 +189,8 @@
     /// All peers that come before this node for `service`, the unwanted included.
     fn before_me(&self, service: &str, now: Time) -> Vec<&PeerView> {
         let own = self.own_place(service, now);
-        let place = |p: &PeerView| self.place(p, service, now);
+        let settled = self.settled_from(now);
+        let place = |p: &PeerView| p.place(service, settled, now);
         let mut before: Vec<_> =
             self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
         before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
@@ -225,19 +235,11 @@
         chosen
     }
 
-    /// Whether a node that has been up for this long would take no work from others.
-    fn is_settled(&self, uptime: Duration, now: Time) -> bool {
-        let own = now.since(Time::ZERO);
-        let oldest = self.up.iter().map(|p| p.uptime(now)).max().unwrap_or_default().max(own);
-        uptime >= SETTLED || uptime + TOGETHER >= oldest
-    }
-
-    fn place(&self, p: &PeerView, service: &str, now: Time) -> Place {
-        Place {
-            is_settled: self.is_settled(p.uptime(now), now),
-            capacity: p.node.capacity,
-            score: score(service, &p.node.id.name),
-        }
+    /// Uptime from which on a node counts as settled: it would take no work from others.
+    fn settled_from(&self, now: Time) -> Duration {
+        let peers = self.up.iter().map(|p| p.uptime(now));
+        let oldest = peers.max().unwrap_or_default().max(now.since(Time::ZERO));
+        SETTLED.min(oldest.saturating_sub(TOGETHER))
     }
 
     fn own_place(&self, service: &str, now: Time) -> Place {
@@ -245,7 +247,7 @@
             return Place::default();
         }
         Place {
-            is_settled: self.is_settled(now.since(Time::ZERO), now),
+            is_settled: now.since(Time::ZERO) >= self.settled_from(now),
             capacity: self.capacity,
             score: score(service, &self.me),
         }
@@ -259,7 +261,8 @@
     /// failure domain that seems cut off, are left out.
     pub fn coordinators(&self, service: &str, now: Time) -> Vec<Option<Node>> {
         let wanted = self.up.iter().filter(|p| self.is_wanted(p));
-        let place = |p: &PeerView| self.place(p, service, now);
+        let settled = self.settled_from(now);
+        let place = |p: &PeerView| p.place(service, settled, now);
         let mut order: Vec<(Place, Option<Node>)> =
             wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
         order.push((self.own_place(service, now), None));
--- a/crates/decide/src/stages/mod.rs
+++ b/crates/decide/src/stages/mod.rs
@@ -14,6 +14,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
+    /// Does not start before it is released.
+    Postponed,
     Waiting,
     Running,
     /// Made, and its results rest at their makers.
@@ -33,7 +35,6 @@
 pub struct Progress {
     after: Vec<Vec<usize>>,
     states: Vec<State>,
-    postponed: Vec<bool>,
     remakes: u32,
 }
 
@@ -41,18 +42,17 @@
     /// Stages that each come after the named ones.
     pub fn new(after: Vec<Vec<usize>>) -> Self {
         let states = vec![State::Waiting; after.len()];
-        let postponed = vec![false; after.len()];
-        Progress { after, states, postponed, remakes: REMAKES }
+        Progress { after, states, remakes: REMAKES }
     }
 
-    /// A stage does not start before it is released.
+    /// A stage that has not started does not start before it is released.
     pub fn postpone(&mut self, stage: usize) {
-        self.postponed[stage] = true;
+        self.states[stage] = State::Postponed;
     }
 
     /// A postponed stage may start.
     pub fn release(&mut self, stage: usize) {
-        self.postponed[stage] = false;
+        self.states[stage] = State::Waiting;
     }
 
     /// Whether all stages are made.
@@ -74,7 +74,7 @@
     pub fn start(&mut self) -> Option<usize> {
         let may_start = |i: &usize| {
             let inputs_held = self.after[*i].iter().all(|j| self.states[*j] == State::Held);
-            self.states[*i] == State::Waiting && !self.postponed[*i] && inputs_held
+            self.states[*i] == State::Waiting && inputs_held
         };
         let stage = (0..self.after.len()).find(may_start)?;
         self.states[stage] = State::Running;
--- a/crates/decide/src/stages/schedule.rs
+++ b/crates/decide/src/stages/schedule.rs
@@ -20,14 +20,18 @@
 
 /// The time of the longest path.
 pub fn longest(after: &[Vec<usize>], takes: &[Duration]) -> Duration {
-    let tails = tails(after, takes);
-    takes.iter().zip(tails).map(|(own, tail)| *own + tail).max().unwrap_or_default()
+    paths(after, takes).into_iter().max().unwrap_or_default()
+}
+
+/// For each stage, the time of the longest path from its start.
+fn paths(after: &[Vec<usize>], takes: &[Duration]) -> Vec<Duration> {
+    takes.iter().zip(tails(after, takes)).map(|(own, tail)| *own + tail).collect()
 }
 
 /// For each stage, how long after the first one it may start without making the whole
 /// longer.
 pub fn latest_starts(after: &[Vec<usize>], takes: &[Duration]) -> Vec<Duration> {
-    let longest = longest(after, takes);
-    let tails = tails(after, takes);
-    takes.iter().zip(tails).map(|(own, tail)| longest.saturating_sub(*own + tail)).collect()
+    let paths = paths(after, takes);
+    let longest = paths.iter().max().copied().unwrap_or_default();
+    paths.into_iter().map(|path| longest - path).collect()
 }
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::forecast::{Door, Expected, Forecast, at_the_door};
+use decide::forecast::{Door, Expected, Forecast, at_the_door, least_times};
 use model::forward::{Rank, Repeat, Route, Service, Stage, StagePool, Waits};
 use model::{Name, Time};
 use proptest::prelude::*;
@@ -55,7 +55,8 @@
     let services = services();
     let find = |name: &Name| services.iter().find(|s| s.name == *name);
     let rank = Rank::of(None, rank);
-    forecast.expected(&route(), pieces, rank, Time::from_millis(at), find).whole()
+    let least = least_times(&route(), pieces, find);
+    forecast.expected(&route(), &least, rank, Time::from_millis(at)).whole()
 }
 
 #[test]
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -154,9 +154,8 @@
     if route.stages.is_empty() || !node.settings().policy.admission {
         return Ok(());
     }
-    let service = |name: &model::Name| table.service(name);
-    let expected =
-        node.forecast(|f| f.expected(route, &head.pieces, found.rank, node.now(), service));
+    let least = forecast::least_times(route, &head.pieces, |name| table.service(name));
+    let expected = node.forecast(|f| f.expected(route, &least, found.rank, node.now()));
     let objective = Duration::from_millis(route.objective_ms);
     let patience = Duration::from_millis(head.wait_ms.unwrap_or(route.timeout_ms));
     match forecast::at_the_door(expected, objective, patience) {
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -37,25 +37,30 @@
         self.head.pieces.get(stage).copied().unwrap_or(0)
     }
 
-    /// Least time from the end of each stage to the first event.
-    pub(super) fn least_after(&self, node: &Node) -> Vec<Duration> {
+    /// Time of each stage without any wait.
+    pub(super) fn least_times(&self, node: &Node) -> Vec<Duration> {
         let table = node.table();
-        let service = |name: &Name| table.service(name);
-        let least = forecast::least_times(self.route, &self.head.pieces, service);
-        let tails = stages::tails(&self.route.order(), &least);
+        forecast::least_times(self.route, &self.head.pieces, |name| table.service(name))
+    }
+
+    /// Least time from the end of each stage to the first event, given that of the stages.
+    pub(super) fn least_after(&self, least: &[Duration]) -> Vec<Duration> {
+        let tails = stages::tails(&self.route.order(), least);
         tails.into_iter().map(|tail| tail + FIRST_EVENT).collect()
     }
 
     /// Stages whose results are large, and when they are due, the first due first: they
     /// start so late that they end with the longest path, since room at makers is short.
-    pub(super) fn postponed(&self, node: &Node, now: Time) -> VecDeque<(Time, usize)> {
+    pub(super) fn postponed(
+        &self,
+        node: &Node,
+        least: &[Duration],
+        now: Time,
+    ) -> VecDeque<(Time, usize)> {
         if !node.settings().policy.late_starts {
             return VecDeque::new();
         }
-        let table = node.table();
-        let service = |name: &Name| table.service(name);
-        let pieces = &self.head.pieces;
-        let times = node.forecast(|f| f.stage_times(self.route, pieces, self.rank, now, service));
+        let times = node.forecast(|f| f.stage_times(self.route, least, self.rank, now));
         let latest = stages::latest_starts(&self.route.order(), &times);
         let large = self.route.stages.iter().enumerate().filter(|(i, s)| {
             s.bytes >= LARGE_RESULT && s.after.is_empty() && self.pieces_of(*i) > 0
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -33,8 +33,9 @@
     let mut progress = Progress::new(job.route.order());
     let mut running = FuturesUnordered::new();
     let begun = node.now();
-    let least_after = job.least_after(node);
-    let mut postponed = job.postponed(node, begun);
+    let least = job.least_times(node);
+    let least_after = job.least_after(&least);
+    let mut postponed = job.postponed(node, &least, begun);
     postponed.iter().for_each(|(_, i)| progress.postpone(*i));
     loop {
         while let Some(i) = progress.start() {
