One relay a failure domain reads the store; nodes that start wait for it

A node that had just started knew few peers, took its failure domain for a small one and itself for a relay. With all relays out of touch each of 285 followers asked the store again about every second. Change: `Roster` knows when membership is whole (no peer came for 100 ms, 0.8 s at most, and nodes gather no longer than that); until then hosts that bear more than the least read the store and the others ask these; one relay a domain reads targets and rules, its standby follows it with a shorter hold, so that its age stays fit for use, and the others follow both; followers of relays out of touch wait with one and ask the store at a drawn moment. Rules are encoded once and taken from the source; gossip comes second, after 150 ms. One `view` line a quarter of a second in place of one `peer` line a peer.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -5,9 +5,13 @@
 //! them. All use the store's own revisions, so a node moves from one source to another
 //! without beginning anew. A relay tells with each answer how long ago the store last
 //! confirmed what it knows; whoever hears of too great an age moves on, at last to the store.
+//!
+//! Where all relays are out of touch the store is most likely lost to everybody: followers
+//! then wait with a relay until it is in touch again, and ask the store themselves only now
+//! and then, the more seldom the more of them there are.
 
 mod history;
 mod source;
 
 pub use history::History;
-pub use source::{Chosen, Relays, Source, Sources};
+pub use source::{Chosen, Relays, Role, Source, Sources};
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -4,6 +4,7 @@
 //! The order is a rendezvous order, so that all nodes that agree on the members agree
 //! on the coordinator without a message. Being wrong about it only costs batches.
 
+mod changes;
 mod contact;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,19 +13,29 @@
 use model::member::{Node, NodeId};
 use model::{Name, Time, hash};
 
-use crate::relay::Relays;
+use crate::relay::{Relays, Role};
 
+pub use changes::{Changes, ViewChange};
 pub use contact::Contact;
 use contact::Contacts;
 
-/// Relays of the store's state in each failure domain; if both fail others take their place.
+/// Nodes of each failure domain that its followers ask: the relay, which reads the store,
+/// and its standby. If both fail others take their place.
 const RELAYS: usize = 2;
 /// Nodes of a failure domain up to which each follows the store itself.
 const SMALL_DOMAIN: usize = 4;
 /// What relays are ordered by.
 const RELAY_KEY: &str = "relay of the store";
-/// Time in which nodes that started together find each other.
+/// Of the hosts that bear least, one in this many reads the store before it knows its peers:
+/// a failure domain of such hosts alone has a source then as soon as its members meet.
+const EARLY_ONE_IN: u64 = 16;
+/// Time for which it waits for word of a host that bears more and has read the store.
+const EARLY_WAIT: Duration = Duration::from_millis(300);
+/// Longest time in which nodes that started together find each other.
 const GATHERING: Duration = Duration::from_millis(800);
+/// Time without a new peer after which they have found each other. News of a peer goes
+/// from node to node within some tens of milliseconds.
+const STILL: Duration = Duration::from_millis(100);
 /// Time after which a node that came counts as settled.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Nodes that started within this time of the oldest one came together with it: there is
@@ -92,6 +103,8 @@
     contacts: Contacts,
     stopping: BTreeMap<NodeId, Time>,
     most: usize,
+    /// When the count of peers last rose.
+    grown: Time,
 }
 
 impl Roster {
@@ -106,12 +119,16 @@
             contacts: Contacts::default(),
             stopping: BTreeMap::new(),
             most: 1,
+            grown: Time::ZERO,
         }
     }
 
     /// Takes the peers that are up, and forgets what concerns others.
     pub fn update(&mut self, up: Vec<PeerView>, now: Time) {
         self.most = self.most.max(up.len() + 1);
+        if up.len() > self.up.len() {
+            self.grown = now;
+        }
         let ids: BTreeSet<&NodeId> = up.iter().map(|p| &p.node.id).collect();
         self.contacts.retain(&ids);
         self.stopping.retain(|_, since| now.since(*since) < STOPPED_KEPT);
@@ -275,29 +292,69 @@
         self.coordinators(service, now).first().is_none_or(Option::is_none)
     }
 
-    /// Who relays the store's state to this node: the first few of its failure domain, and
-    /// one of each other domain in case those fail.
+    /// Who relays the store's state to this node: the first of its failure domain, the second
+    /// as its standby, and the first of each other domain in case those fail.
+    ///
+    /// A node that has just started knows only some of its peers, and may take itself for a
+    /// relay that it is not. Until it knows them all it asks those that read the store from
+    /// their start on, as their names and hosts tell.
     pub fn relays(&self, now: Time) -> Relays {
         let (near, far): (Vec<_>, Vec<_>) = self
             .coordinators(RELAY_KEY, now)
             .into_iter()
             .partition(|n| n.as_ref().is_none_or(|n| n.domain == self.domain));
+        if self.is_forming(now) {
+            return self.early_relays(&near, now);
+        }
         let is_small = near.len() <= SMALL_DOMAIN;
         let first = &near[..if is_small { near.len() } else { RELAYS }];
         let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
-        if !peers.is_empty() {
-            // Followers share the relays out among themselves.
-            let turn = hash::of(self.me.as_bytes()) as usize % peers.len();
-            peers.rotate_left(turn);
-        }
         let mut domains = BTreeSet::new();
         peers.extend(far.into_iter().flatten().filter(|n| domains.insert(n.domain.clone())));
-        Relays { own: first.contains(&None), followed: !is_small, peers }
+        let role = match first.iter().position(Option::is_none) {
+            Some(0) => Role::Relay,
+            Some(_) if is_small => Role::Relay,
+            Some(_) => Role::Standby,
+            None => Role::Follower,
+        };
+        Relays { role, followed: !is_small, followers: near.len().saturating_sub(1), peers }
+    }
+
+    /// Sources while this node does not know yet who the relays are.
+    fn early_relays(&self, near: &[Option<Node>], now: Time) -> Relays {
+        let early = near.iter().flatten().filter(|n| reads_early(&n.id.name, n.capacity));
+        let peers = self.in_turn(early.take(RELAYS).cloned().collect());
+        let has_better = peers.first().is_some_and(|n| n.capacity > self.capacity);
+        let waits = self.capacity == 0 && (has_better || now.since(Time::ZERO) < EARLY_WAIT);
+        let reads = reads_early(&self.me, self.capacity) && !waits;
+        let role = if reads { Role::Relay } else { Role::Unknown };
+        Relays { role, followed: true, followers: near.len(), peers }
+    }
+
+    /// Followers share the relays out among themselves.
+    fn in_turn(&self, mut relays: Vec<Node>) -> Vec<Node> {
+        if !relays.is_empty() {
+            let turn = hash::of(self.me.as_bytes()) as usize % relays.len();
+            relays.rotate_left(turn);
+        }
+        relays
+    }
+
+    /// Whether this node has just started and does not know all of its peers yet.
+    fn is_forming(&self, now: Time) -> bool {
+        let is_still = !self.up.is_empty() && now.since(self.grown) >= STILL;
+        now.since(Time::ZERO) < GATHERING && !is_still
     }
 
     /// Whether the nodes that are up may still be finding each other: this one has just
     /// started, and knows none that has been up for longer.
     pub fn is_gathering(&self, now: Time) -> bool {
-        now.since(Time::ZERO) < GATHERING && !self.up.iter().any(|p| p.uptime(now) >= SETTLED)
+        self.is_forming(now) && !self.up.iter().any(|p| p.uptime(now) >= SETTLED)
     }
 }
+
+/// Whether a node reads the store before it knows its peers: hosts that bear more, and a few of
+/// the others.
+fn reads_early(name: &Name, capacity: u8) -> bool {
+    capacity > 0 || hash::of(name.as_bytes()).is_multiple_of(EARLY_ONE_IN)
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -1,5 +1,6 @@
 //! The kinds of lines and their fields.
 
+use model::Name;
 use serde::Serialize;
 
 /// What happened. Times are in milliseconds, ages too.
@@ -18,8 +19,8 @@
     Store { kind: &'a str, reachable: bool, why: &'a str },
     /// The targets are followed through another source from now on.
     Source { from: &'a str, age_ms: u64 },
-    /// A peer's health changed.
-    Peer { name: &'a str, health: &'a str },
+    /// Which peers are up changed: how many are now, and what became of others.
+    View { up: usize, alive: usize, suspected: usize, dead: usize, left: usize, names: &'a [Name] },
     /// A target came, changed or went.
     Target { target: &'a str, service: &'a str, state: &'a str },
     /// A target is left out for its failures.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -11,7 +11,7 @@
 use decide::forecast::Forecast;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Rules, Snapshot, TargetId, Waits};
+use model::forward::{Rules, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -263,17 +263,6 @@
         self.targets_known.set(true);
     }
 
-    /// Whether the targets have been read once, from the store or a peer.
-    pub fn knows_targets(&self) -> bool {
-        self.targets_known.get()
-    }
-
-    /// Rules and targets, for a peer that starts.
-    pub fn snapshot(&self) -> Snapshot {
-        let targets = self.fleet(|f| f.targets());
-        Snapshot { rules: self.table().rules.clone(), targets }
-    }
-
     /// Whether this node wants callers.
     pub fn is_ready(&self) -> bool {
         let knows_peers =
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -1,12 +1,11 @@
-//! Drives the membership machine over UDP, and fetches newer rules from peers.
+//! Drives the membership machine over UDP, and takes newer rules that it hears of.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use decide::member::{Action, Event as MemberEvent, Member, Tuning};
-use decide::roster::PeerView;
-use model::forward::Snapshot;
+use decide::roster::{Changes, PeerView, ViewChange};
 use model::member::{Health, Node as PeerNode, NodeId, Packet};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,6 +15,9 @@
 
 /// Largest datagram.
 const DATAGRAM_MAX: usize = 9000;
+/// Time that a node's own source has to bring rules of which a peer told: a relay's link
+/// bears more than that of any peer, and a follower asks it each 100 ms.
+const SOURCE_FIRST: Duration = Duration::from_millis(150);
 
 fn tuning() -> Tuning {
     Tuning {
@@ -41,6 +43,7 @@
     let me = PeerNode { id, address, entry: address, domain: s.domain.clone(), capacity };
     let mut machine = Member::new(me, tuning(), rand::random());
     machine.on(node.now(), MemberEvent::Seeds(s.seed_addresses()));
+    let mut changes = Changes::default();
     let mut buffer = vec![0; DATAGRAM_MAX];
     loop {
         let wake = node.clock.instant(machine.next_tick());
@@ -56,10 +59,18 @@
         let Some(event) = event else {
             continue;
         };
+        let is_tick = event == MemberEvent::Tick;
+        let mut has_changed = false;
         for action in machine.on(node.now(), event) {
-            act(&node, &socket, action).await;
+            has_changed |= matches!(action, Action::Changed(_));
+            act(&node, &socket, &mut changes, action).await;
+        }
+        if is_tick || has_changed {
+            publish(&node, &machine);
+        }
+        if let Some(change) = changes.take_due(node.now()) {
+            tell(machine.count(), &change);
         }
-        publish(&node, &machine);
     }
 }
 
@@ -80,7 +91,13 @@
     node.peers.roster(|r| r.update(up, now));
 }
 
-async fn act(node: &Rc<Node>, socket: &UdpSocket, action: Action) {
+fn tell(up: usize, change: &ViewChange) {
+    let ViewChange { alive, suspected, dead, left, names } = change;
+    let (alive, suspected, dead, left) = (*alive, *suspected, *dead, *left);
+    Event::View { up, alive, suspected, dead, left, names }.emit();
+}
+
+async fn act(node: &Rc<Node>, socket: &UdpSocket, changes: &mut Changes, action: Action) {
     match action {
         Action::Send(to, packet) => {
             let bytes = rmp_serde::to_vec(&packet).expect("packets encode");
@@ -89,8 +106,7 @@
         }
         Action::Heard(number, from) => hear(node, number, from),
         Action::Changed(rumor) => {
-            let health = format!("{:?}", rumor.health);
-            Event::Peer { name: &rumor.node.id.name, health: &health }.emit();
+            changes.note(&rumor.node.id.name, rumor.health, node.now());
             if rumor.health == Health::Left {
                 node.peers.roster(|r| r.note_stopping(&rumor.node.id, node.now()));
             }
@@ -99,31 +115,20 @@
     }
 }
 
-/// A peer has this version of the rules; it is fetched if it is newer and nobody else is
-/// asked for it yet.
-pub fn hear(node: &Rc<Node>, number: u64, from: SocketAddr) {
+/// A peer has this version of the rules. It is asked for them if they do not come from
+/// where this node reads them, and nobody else is asked yet.
+fn hear(node: &Rc<Node>, number: u64, from: SocketAddr) {
     if number > node.peers.fetching.get() {
         node.peers.fetching.set(number);
         tokio::task::spawn_local(fetch(node.clone(), number, from));
     }
 }
 
-/// Takes newer rules from a peer, and the targets too if none are known yet.
 async fn fetch(node: Rc<Node>, number: u64, from: SocketAddr) {
+    tokio::time::sleep(SOURCE_FIRST).await;
     if node.table().rules.version < number {
-        let answer = super::snapshot(&node, from).await;
-        if let Some(snapshot) = answer {
-            take(&node, snapshot, &from.to_string());
-        }
+        super::take_rules(&node, from).await;
     }
     // Whoever next tells of a number that is still missing is asked again.
     node.peers.fetching.set(node.table().rules.version);
 }
-
-fn take(node: &Node, snapshot: Snapshot, peer: &str) {
-    node.adopt(snapshot.rules, peer);
-    if !snapshot.targets.is_empty() && !node.knows_targets() {
-        node.fleet(|f| f.replace(snapshot.targets, None));
-        node.know_targets();
-    }
-}
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -14,18 +14,17 @@
 use decide::roster::{Contact, Roster};
 use futures_util::future::join_all;
 use model::Name;
-use model::forward::{FollowAnswer, FollowAsk, Snapshot};
+use model::forward::{FollowAnswer, FollowAsk, Rules};
 use model::member::Node as PeerNode;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::node::Node;
 
-pub use membership::hear;
 pub use server::{BATCH, FREE, RemoteFree};
 
-/// Time for a peer to hand over its snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for a peer to hand over its rules: the largest take a small host's link a second.
+const RULES_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for a ping's answer.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -68,10 +67,13 @@
     }
 }
 
-/// Rules and targets as a peer has them.
-pub async fn snapshot(node: &Node, peer: SocketAddr) -> Option<Snapshot> {
-    let peer = peer.to_string();
-    node.client.rmp(&peer, server::SNAPSHOT, &(), SNAPSHOT_TIMEOUT).await.ok()
+/// Takes a peer's rules if they are newer than this node's.
+pub async fn take_rules(node: &Node, peer: SocketAddr) {
+    let from = peer.to_string();
+    match node.client.rmp::<_, Rules>(&from, server::RULES, &(), RULES_TIMEOUT).await {
+        Ok(rules) => _ = node.adopt(rules, &from),
+        Err(e) => log::debug!("rules: {e}"),
+    }
 }
 
 /// What a peer knows of the targets; `None` if it does not answer in time.
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -8,7 +8,7 @@
 use model::forward::{BatchOrder, FollowAsk, Handle};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use util::http::{Body, read_rmp, rmp, text};
+use util::http::{Body, RMP, full, read_rmp, rmp, text};
 
 use crate::ingress::small;
 use crate::node::Node;
@@ -23,8 +23,8 @@
 pub const PING: &str = "/v1/ping";
 /// Path of news of the targets.
 pub const FOLLOW: &str = "/v1/follow";
-/// Path of rules and targets.
-pub const SNAPSHOT: &str = "/v1/snapshot";
+/// Path of the rules.
+pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
 const MESSAGE_MAX: usize = 8 << 20;
 
@@ -44,7 +44,7 @@
 
 async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
-        SNAPSHOT => rmp(&node.snapshot()),
+        RULES => full(StatusCode::OK, RMP, node.table().encoded()),
         PING => rmp(&()),
         FOLLOW => follow(&node, request).await,
         BATCH => batch(&node, request).await,
@@ -65,7 +65,7 @@
     };
     match watch::answer(node, ask).await {
         Some(answer) => rmp(&answer),
-        None => text(StatusCode::SERVICE_UNAVAILABLE, "no targets are known here"),
+        None => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
 }
 
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -1,7 +1,9 @@
 //! The rules in force, indexed for look-ups.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 
+use bytes::Bytes;
 use model::forward::{Route, Rules, Service, Workspace};
 use model::{Name, hash};
 
@@ -13,6 +15,7 @@
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<String, usize>,
     services: HashMap<Name, usize>,
+    encoded: OnceCell<Bytes>,
 }
 
 impl Table {
@@ -31,7 +34,13 @@
         let keys = rules.workspaces.iter().enumerate().flat_map(owned).collect();
         let services = rules.services.iter().enumerate();
         let services = services.map(|(i, s)| (s.name.clone(), i)).collect();
-        Table { rules, hosts, keys, services }
+        Table { rules, hosts, keys, services, encoded: OnceCell::new() }
+    }
+
+    /// The rules as peers take them, encoded once for all that ask.
+    pub fn encoded(&self) -> Bytes {
+        let encode = || rmp_serde::to_vec(&self.rules).expect("rules encode").into();
+        self.encoded.get_or_init(encode).clone()
     }
 
     /// Whether any rules are known.
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -17,6 +17,7 @@
     history: RefCell<History<TargetChange>>,
     confirmed: Cell<Option<Time>>,
     news: watch::Sender<()>,
+    reads_store: watch::Sender<bool>,
 }
 
 impl Default for Feed {
@@ -25,6 +26,7 @@
             history: RefCell::default(),
             confirmed: Cell::new(None),
             news: watch::Sender::new(()),
+            reads_store: watch::Sender::new(false),
         }
     }
 }
@@ -46,8 +48,23 @@
     }
 
     /// The store confirmed the state at this time.
-    pub fn confirm(&self, at: Time) {
+    pub fn confirm(&self, at: Time, now: Time) {
+        let was_stale = Feed::is_stale(self.age(now));
         self.confirmed.set(self.confirmed.get().max(Some(at)));
+        if was_stale && !Feed::is_stale(self.age(now)) {
+            self.wake();
+        }
+    }
+
+    /// Whether this node reads the store from now on: as a relay, or for want of one.
+    pub fn set_reads_store(&self, reads: bool) {
+        self.reads_store.send_if_modified(|was| std::mem::replace(was, reads) != reads);
+    }
+
+    /// Returns once this node reads the store.
+    pub async fn reads_store(&self) {
+        let mut reads = self.reads_store.subscribe();
+        let _ = reads.wait_for(|reads| *reads).await;
     }
 
     /// The whole state was read at a revision.
--- a/crates/forward/src/watch/rules.rs
+++ b/crates/forward/src/watch/rules.rs
@@ -1,9 +1,12 @@
-//! Follows the rules. Every node watches them in the store: they are large, and its link
-//! carries them faster than a peer's. News of a newer version also comes from peers.
+//! Follows the rules in the store, for as long as this node reads it: as a relay, or for
+//! want of one. The others take the rules from where they follow the targets; news of a
+//! newer version also comes with membership, whoever told of it first.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use decide::relay::Role;
+
 use super::relays;
 use super::store::{Reader, Step};
 use crate::border::{Change, Kind};
@@ -26,7 +29,8 @@
     let mut at = None;
     let mut failures = 0;
     loop {
-        let own = relays(&node).own;
+        node.feed.reads_store().await;
+        let own = relays(&node).role == Role::Relay;
         let wait = if own { WATCH } else { WATCH_FOLLOWER };
         match reader.read(at, wait).await {
             Ok(step) => {
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::relay::{Relays, Source, Sources};
+use decide::relay::{Relays, Role, Source, Sources};
 use model::Time;
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
 use model::member::Node as PeerNode;
@@ -23,6 +23,9 @@
 const WATCH_RELAY: Duration = Duration::from_secs(1);
 /// Time that a peer holds an answer back until there is news.
 const PEER_WAIT: Duration = Duration::from_millis(700);
+/// The same for a relay's standby: it passes on what it has, whose age is to stay fit for
+/// use at those that follow it.
+const PEER_WAIT_STANDBY: Duration = Duration::from_millis(250);
 /// Time beyond that before a peer is given up.
 const PEER_SLACK: Duration = Duration::from_millis(350);
 /// Time for news to gather between two questions, which each cost a call.
@@ -54,7 +57,11 @@
 
     async fn step(&mut self) {
         let relays = relays(&self.node);
-        let chosen = self.sources.choose(&relays, self.node.now());
+        let now = self.node.now();
+        let jitter = |most| self.node.rng(|r| r.jitter(most));
+        let chosen = self.sources.choose(&relays, now, jitter);
+        let reads_store = relays.role == Role::Relay || chosen.source == Source::Store;
+        self.node.feed.set_reads_store(reads_store);
         if self.source.as_ref() != Some(&chosen.source) {
             self.tell(&chosen.source);
             self.source = Some(chosen.source.clone());
@@ -62,7 +69,8 @@
         tokio::time::sleep(chosen.pause).await;
         match chosen.source {
             Source::Store => self.ask_store(&relays).await,
-            Source::Peer(peer) => self.ask_peer(&peer).await,
+            Source::Peer { node, patient } => self.ask_peer(&node, patient, relays.role).await,
+            Source::Nobody => return,
         }
         tokio::time::sleep(GATHER).await;
     }
@@ -70,7 +78,8 @@
     fn tell(&self, source: &Source) {
         let from = match source {
             Source::Store => "store",
-            Source::Peer(peer) => &peer.id.name,
+            Source::Peer { node, .. } => &node.id.name,
+            Source::Nobody => "nobody",
         };
         let age_ms = millis(self.node.feed.age(self.node.now()));
         Event::Source { from, age_ms }.emit();
@@ -78,7 +87,7 @@
 
     async fn ask_store(&mut self, relays: &Relays) {
         let node = self.node.clone();
-        let wait = if relays.own && !relays.followed { WATCH } else { WATCH_RELAY };
+        let wait = if relays.role == Role::Relay && !relays.followed { WATCH } else { WATCH_RELAY };
         let at = node.feed.at().filter(|_| !self.history_gone);
         match self.reader.read(at, wait).await {
             Ok(step) => {
@@ -90,34 +99,42 @@
             Err(_) => {
                 let now = node.now();
                 let jitter = |most| node.rng(|r| r.jitter(most));
-                self.sources.store_failed(relays.own, now, jitter);
+                self.sources.store_failed(relays.role, now, jitter);
                 // Whoever follows this node is better off elsewhere.
                 node.feed.wake();
             }
         }
     }
 
-    async fn ask_peer(&mut self, peer: &PeerNode) {
+    async fn ask_peer(&mut self, peer: &PeerNode, patient: bool, role: Role) {
         let node = self.node.clone();
+        let wait = if role == Role::Standby { PEER_WAIT_STANDBY } else { PEER_WAIT };
         let ask = FollowAsk {
             at: node.feed.at().unwrap_or(0),
             rules: node.table().rules.version,
-            wait_ms: PEER_WAIT.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
+            patient,
         };
-        let answer = peers::follow(&node, peer.entry, &ask, PEER_WAIT + PEER_SLACK).await;
+        let answer = peers::follow(&node, peer.entry, &ask, wait + PEER_SLACK).await;
         let now = node.now();
         let Some(answer) = answer else {
-            self.sources.relay_failed(&peer.id, now);
+            self.sources.relay_silent(&peer.id, now);
             return;
         };
         let age = Duration::from_millis(answer.age_ms);
         if Feed::is_stale(age) {
-            self.sources.relay_failed(&peer.id, now);
+            self.sources.relay_stale(&peer.id, now);
+        } else {
+            self.sources.relay_fresh(&peer.id);
         }
-        if answer.rules > ask.rules {
-            peers::hear(&node, answer.rules, peer.entry);
+        let (rules, confirmed) = (answer.rules, now - age);
+        take_answer(&node, answer, confirmed);
+        if rules > node.table().rules.version {
+            peers::take_rules(&node, peer.entry).await;
+        }
+        if rules <= node.table().rules.version {
+            node.store_confirmed(confirmed);
         }
-        take_answer(&node, answer, now - age);
     }
 }
 
@@ -133,21 +150,19 @@
     } else {
         take_changes(node, at, changes, doubt);
     }
-    node.feed.confirm(now);
+    node.feed.confirm(now, now);
 }
 
 /// Takes what a peer told.
 fn take_answer(node: &Node, answer: FollowAnswer, confirmed: Time) {
-    let FollowAnswer { at, doubt_ms, rules, news, .. } = answer;
+    let FollowAnswer { at, doubt_ms, news, .. } = answer;
     let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
     match news {
+        TargetNews::Unknown => return,
         TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
-    node.feed.confirm(confirmed);
-    if rules <= node.table().rules.version {
-        node.store_confirmed(confirmed);
-    }
+    node.feed.confirm(confirmed, node.now());
 }
 
 fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
@@ -190,7 +205,7 @@
 }
 
 /// Answers a peer that follows this node, as soon as there is news; `None` if this node
-/// is of no use as a source.
+/// stops.
 pub async fn answer(node: &Node, ask: FollowAsk) -> Option<FollowAnswer> {
     let limit = node.clock.instant(node.now() + Duration::from_millis(ask.wait_ms));
     let mut news = node.feed.news();
@@ -200,14 +215,18 @@
             break;
         }
     }
-    let at = node.feed.at().filter(|_| !node.is_stopping())?;
+    if node.is_stopping() {
+        return None;
+    }
     let now = node.now();
+    let at = node.feed.at();
     let news = match node.feed.since(ask.at) {
+        _ if at.is_none() => TargetNews::Unknown,
         Some(changes) => TargetNews::Changes(changes),
         None => TargetNews::Whole(node.fleet(|f| f.targets())),
     };
     Some(FollowAnswer {
-        at,
+        at: at.unwrap_or(0),
         age_ms: millis(node.feed.age(now)),
         doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
         rules: node.table().rules.version,
@@ -222,6 +241,9 @@
 fn has_no_news(node: &Node, ask: &FollowAsk) -> bool {
     let known = node.feed.at().unwrap_or(0);
     let lacks = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
-    let fresh = !Feed::is_stale(node.feed.age(node.now()));
-    !lacks && fresh && node.table().rules.version <= ask.rules && !node.is_stopping()
+    let is_fresh = !Feed::is_stale(node.feed.age(node.now()));
+    !lacks
+        && (is_fresh || ask.patient)
+        && node.table().rules.version <= ask.rules
+        && !node.is_stopping()
 }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -20,4 +20,4 @@
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
-pub use target::{FollowAnswer, FollowAsk, Snapshot, Target, TargetChange, TargetId, TargetNews};
+pub use target::{FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetNews};
