Nodes that start together find each other through the hosts that bear most

Cause: after a loss of power of all nodes peers were known 0.4 to 0.5 s after the start. Pings to seeds that were not up yet were repeated after 250 ms; a seed, which may be the smallest host of all, told each newcomer of everybody it knew (19 datagrams for 295 nodes), and who came later was known by rumors and by an exchange of lists each 2 s. Ruled out: more rumors a packet (each is told by whoever heard it, at any size); a faster exchange of lists between all (grows with the square of the fleet). Change: `decide::member::join`. One seed a try, 60 ms apart at first; seeds that are no hub name the hubs; a newcomer greets the hubs and asks one of them each 100 ms for what it lacks, for 3 s at most; a ping for the list is answered by the ping's answer alone where both know the same.

--- /dev/null
+++ b/crates/decide/src/member/join.rs
@@ -0,0 +1,131 @@
+//! How a node that has just started finds its peers.
+//!
+//! Hundreds start together after a loss of power, and the seeds may be the smallest of all
+//! hosts: they tell a newcomer of the hosts that bear most, the hubs, and no more. To these
+//! it makes itself known, and asks one of them after the other, which tells it the whole list
+//! if it does not know the same. Where no host bears more than the others all are hubs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::Time;
+use model::member::{Packet, Purpose, Rumor};
+
+use super::machine::Member;
+use super::peers::Peer;
+use super::types::Action;
+
+/// Rumors in one packet that answers a newcomer.
+const WELCOME: usize = 16;
+/// Time for which a node counts as new.
+const NEW: Duration = Duration::from_secs(3);
+/// Time between two questions for the whole list, in the time in which most others start
+/// and after it.
+const PULL_EVERY: Duration = Duration::from_millis(100);
+const PULL_LATER: Duration = Duration::from_millis(300);
+/// Time in which most others start, if all do.
+const HERD: Duration = Duration::from_millis(500);
+/// First time between two tries of a seed; it doubles up to the tuned one. Datagrams go
+/// from one host to another and back in a few milliseconds.
+const SEEK_FIRST: Duration = Duration::from_millis(60);
+
+/// What a node has done to find its peers.
+#[derive(Debug, Default)]
+pub(super) struct Joining {
+    began: Option<Time>,
+    seeks: u32,
+    next_pull: Time,
+}
+
+impl Joining {
+    fn is_new(&self, now: Time) -> bool {
+        self.began.is_some_and(|began| now.since(began) < NEW)
+    }
+
+    fn pause(&self, now: Time) -> Duration {
+        let is_herd = self.began.is_some_and(|began| now.since(began) < HERD);
+        if is_herd { PULL_EVERY } else { PULL_LATER }
+    }
+
+    /// When the whole list is asked for next.
+    pub(super) fn next(&self, now: Time) -> Time {
+        if self.is_new(now) { self.next_pull } else { Time::NEVER }
+    }
+}
+
+impl Member {
+    /// Notes that the node runs.
+    pub(super) fn begin(&mut self, now: Time) {
+        self.joining.began.get_or_insert(now);
+    }
+
+    /// Tries a seed: another one each time, since some may be down or not up yet.
+    pub(super) fn seek(&mut self, now: Time, out: &mut Vec<Action>) {
+        let tries = self.joining.seeks;
+        self.joining.seeks += 1;
+        let pause = SEEK_FIRST * 2u32.saturating_pow(tries / self.seeds.len().max(1) as u32);
+        self.next = now + pause.min(self.tuning.seek);
+        if !self.seeds.is_empty() {
+            let first = self.me.id.start as usize;
+            let seed = self.seeds[first.wrapping_add(tries as usize) % self.seeds.len()];
+            let packet = self.packet_of(Purpose::Ping { start: 0 }, 0);
+            out.push(Action::Send(seed, packet));
+        }
+        self.tell_link(out);
+    }
+
+    /// Makes a new node known to a hub that it has just heard of.
+    pub(super) fn greet(&self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
+        if self.joining.is_new(now) && rumor.node.capacity > self.me.capacity {
+            let mut packet = self.bare(Purpose::News);
+            packet.rumors.push(self.own_rumor());
+            out.push(Action::Send(rumor.node.address, packet));
+        }
+    }
+
+    /// Asks a hub for the whole list.
+    pub(super) fn pull(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.joining.is_new(now) || now < self.joining.next_pull {
+            return;
+        }
+        self.joining.next_pull = now + self.joining.pause(now);
+        let hubs: Vec<SocketAddr> = self.hubs().map(|p| p.node.address).collect();
+        if !hubs.is_empty() {
+            let hub = hubs[self.rng.below(hubs.len())];
+            let packet = self.packet_of(Purpose::Ping { start: 0 }, 0);
+            out.push(Action::Send(hub, packet));
+        }
+    }
+
+    /// Peers whose hosts bear most.
+    fn hubs(&self) -> impl Iterator<Item = &Peer> {
+        let most = self.peers.iter_up().map(|p| p.node.capacity).max().unwrap_or(0);
+        self.peers.iter_up().filter(move |p| p.node.capacity == most)
+    }
+
+    /// Answers a newcomer: a hub with all that it knows, the others with the hubs.
+    pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+        let most = self.hubs().map(|p| p.node.capacity).max().unwrap_or(0);
+        if most <= self.me.capacity {
+            return self.tell_all(to, out);
+        }
+        let mut hubs: Vec<Rumor> = self.hubs().map(|p| p.rumor(self.now)).collect();
+        self.rng.shuffle(&mut hubs);
+        hubs.truncate(WELCOME - 1);
+        hubs.push(self.own_rumor());
+        self.tell(to, hubs, out);
+    }
+
+    /// Tells a peer about everybody, a few in each datagram.
+    pub(super) fn tell_all(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+        let others = self.peers.iter_up().map(|p| p.rumor(self.now));
+        let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
+        for rumors in all.chunks(WELCOME) {
+            self.tell(to, rumors.to_vec(), out);
+        }
+    }
+
+    fn tell(&self, to: SocketAddr, rumors: Vec<Rumor>, out: &mut Vec<Action>) {
+        out.push(Action::Send(to, Packet { rumors, ..self.bare(Purpose::News) }));
+    }
+}
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -6,6 +6,7 @@
 use model::Time;
 use model::member::{Health, Node, NodeId, Packet, Purpose, Rumor};
 
+use super::join::Joining;
 use super::peers::{Peer, Peers, digest_of};
 use super::rumors::Outbox;
 use super::types::{Action, Event, Tuning};
@@ -15,8 +16,6 @@
 const RUMORS: usize = 6;
 /// Most loads in one packet.
 const LOADS: usize = 20;
-/// Rumors in one packet that answers a newcomer.
-pub(super) const WELCOME: usize = 16;
 /// Peers told at once about a new manifest.
 const PUSH: usize = 3;
 /// One period in this many tries a seed that nobody is known to be at.
@@ -79,6 +78,7 @@
     pub(super) next: Time,
     pub(super) now: Time,
     pub(super) left: bool,
+    pub(super) joining: Joining,
     pub(super) rng: Rng,
 }
 
@@ -114,6 +114,7 @@
             next: Time::ZERO,
             now: Time::ZERO,
             left: false,
+            joining: Joining::default(),
             rng: Rng::new(seed),
         }
     }
@@ -158,13 +159,14 @@
             Some(p) => p.sent + self.patience() * ROUNDS,
             None => Time::NEVER,
         };
-        self.next.min(probe)
+        self.next.min(probe).min(self.joining.next(self.now))
     }
 
     /// Takes one event; returns what is to be done.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.now = now;
+        self.begin(now);
         match event {
             Event::Tick => self.tick(now, &mut out),
             Event::Packet { from, packet } => self.packet(now, from, packet, &mut out),
@@ -195,6 +197,7 @@
             self.end_probe(now, out);
             self.bury(now, out);
         }
+        self.pull(now, out);
         if now < self.next {
             return;
         }
@@ -244,16 +247,6 @@
         self.turn = self.turn.wrapping_add(GONE_EACH);
     }
 
-    fn seek(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.next = now + self.tuning.seek;
-        let seeds = self.seeds.clone();
-        for s in seeds {
-            let packet = self.packet_of(Purpose::Ping { start: 0 }, 0);
-            out.push(Action::Send(s, packet));
-        }
-        self.tell_link(out);
-    }
-
     pub(super) fn declare(
         &mut self,
         now: Time,
@@ -278,8 +271,10 @@
         }
         self.outbox.push(rumor.clone());
         out.push(Action::Changed(rumor.clone()));
-        if rumor.health == Health::Suspect {
-            self.warn(rumor, out);
+        match rumor.health {
+            Health::Suspect => self.warn(rumor, out),
+            Health::Alive => self.greet(now, rumor, out),
+            Health::Dead | Health::Left => {}
         }
     }
 
@@ -310,7 +305,7 @@
             self.compare(now, from, &p, out);
         }
         match p.purpose {
-            Purpose::Ping { start } => self.ping(from, start, p.seq, &p.from, out),
+            Purpose::Ping { start } => self.ping(from, start, &p, out),
             Purpose::Ack => self.ack(now, &p.from, p.seq, out),
             Purpose::Ask(node) => self.errand(now, from, p.seq, node, out),
             Purpose::Answered(id) => self.settle(&id, p.seq),
@@ -319,7 +314,7 @@
     }
 
     /// Digest of the nodes that are up, this one included.
-    fn digest(&self) -> u32 {
+    pub(super) fn digest(&self) -> u32 {
         self.peers.digest() ^ digest_of(&self.me.id)
     }
 
@@ -331,7 +326,7 @@
             return;
         }
         self.synced = now;
-        self.welcome(from, out);
+        self.tell_all(from, out);
     }
 
     fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
@@ -403,7 +398,7 @@
         model::hash::rendezvous("relay", names.into_iter(), RELAYS)
     }
 
-    fn tell_link(&mut self, out: &mut Vec<Action>) {
+    pub(super) fn tell_link(&mut self, out: &mut Vec<Action>) {
         if self.links.is_empty() || !self.relays().contains(&self.me.id.name) {
             return;
         }
--- a/crates/decide/src/member/probes.rs
+++ b/crates/decide/src/member/probes.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use model::Time;
-use model::member::{Health, Node, NodeId, Purpose, Rumor};
+use model::member::{Health, Node, NodeId, Packet, Purpose, Rumor};
 
-use super::machine::{Errand, Member, Probe, SELF_MAX, WELCOME};
+use super::machine::{Errand, Member, Probe, SELF_MAX};
 use super::peers::Peer;
 use super::types::Action;
 
@@ -103,12 +103,13 @@
         &mut self,
         from: SocketAddr,
         start: u64,
-        seq: u32,
-        sender: &NodeId,
+        ping: &Packet,
         out: &mut Vec<Action>,
     ) {
-        let newcomer = start == 0 || self.peers.get(sender).is_none();
-        let mut packet = self.packet_of(Purpose::Ack, seq);
+        let sender = &ping.from;
+        let asks = start == 0 && ping.digest != self.digest();
+        let newcomer = asks || self.peers.get(sender).is_none();
+        let mut packet = self.packet_of(Purpose::Ack, ping.seq);
         if start != self.me.id.start {
             packet.rumors.insert(0, self.own_rumor());
         }
@@ -121,17 +122,6 @@
         }
     }
 
-    /// Tells a newcomer about everybody, a few in each datagram.
-    pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        let others = self.peers.iter_up().map(|p| p.rumor(self.now));
-        let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
-        for rumors in all.chunks(WELCOME) {
-            let mut packet = self.packet_of(Purpose::News, 0);
-            packet.rumors = rumors.to_vec();
-            out.push(Action::Send(to, packet));
-        }
-    }
-
     pub(super) fn ack(&mut self, now: Time, from: &NodeId, seq: u32, out: &mut Vec<Action>) {
         if let Some(i) = self.errands.iter().position(|e| e.seq == seq && e.target == *from) {
             let e = self.errands.swap_remove(i);
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -11,7 +11,8 @@
 use model::member::{LoadRumor, Node, NodeId, Packet};
 
 fn address(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, i as u8], 7000))
+    let [.., high, low] = (i as u32).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7000))
 }
 
 fn node(i: usize, start: u64) -> Node {
@@ -30,6 +31,8 @@
     cut: Option<usize>,
     heard: BTreeMap<usize, (u64, Time)>,
     loads: BTreeMap<usize, LoadRumor>,
+    /// Datagrams sent by each node.
+    sent: BTreeMap<usize, usize>,
 }
 
 impl Net {
@@ -45,6 +48,7 @@
             cut: None,
             heard: BTreeMap::new(),
             loads: BTreeMap::new(),
+            sent: BTreeMap::new(),
         };
         for i in 0..n {
             net.start(i);
@@ -53,8 +57,14 @@
     }
 
     fn start(&mut self, i: usize) {
+        self.start_on(i, 0);
+    }
+
+    /// Starts a node on a host that bears this much.
+    fn start_on(&mut self, i: usize, capacity: u8) {
         let start = self.rng.draw().max(1);
-        let mut m = Member::new(node(i, start), Tuning::default(), self.rng.draw());
+        let me = Node { capacity, ..node(i, start) };
+        let mut m = Member::new(me, Tuning::default(), self.rng.draw());
         m.on(self.now, Event::Seeds(vec![address(0), address(1), address(2)]));
         self.nodes.insert(i, m);
     }
@@ -81,9 +91,12 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
-        let Some(to) = (0..256).find(|i| address(*i) == to) else {
+        let std::net::IpAddr::V4(ip) = to.ip() else {
             return;
         };
+        let [.., high, low] = ip.octets();
+        let to = usize::from(u16::from_be_bytes([high, low]));
+        *self.sent.entry(from).or_default() += 1;
         let parted = self.cut.is_some_and(|c| (from < c) != (to < c));
         if parted || self.rng.below(100) < self.loss {
             return;
@@ -143,6 +156,49 @@
     }
 }
 
+/// Starts nodes in any order within 300 ms; every twentieth is on a host that bears this
+/// much, the seeds are not.
+fn herd(n: usize, capacity: u8) -> Net {
+    let mut net = Net::new(0, 1, 6);
+    let mut order: Vec<usize> = (0..n).collect();
+    net.rng.shuffle(&mut order);
+    for started in order.chunks(n.div_ceil(100)) {
+        for i in started {
+            net.start_on(*i, if i % 20 == 7 { capacity } else { 0 });
+        }
+        net.run(3);
+    }
+    net
+}
+
+/// Share of their peers that nodes know, in the mean.
+fn known(net: &Net) -> f64 {
+    let views = net.views();
+    views.iter().sum::<usize>() as f64 / (views.len() * views.len()) as f64
+}
+
+#[test]
+fn hundreds_that_start_together_soon_know_each_other_and_small_seeds_bear_little_of_it() {
+    let mut net = herd(295, 2);
+    net.run(300);
+    assert!(known(&net) > 0.99, "{:.3} after 300 ms", known(&net));
+    net.run(1_000);
+    assert!(net.views().iter().all(|n| *n == 295), "{:?}", net.views());
+    let by_seeds = (0..3).map(|i| net.sent[&i]).max().unwrap_or(0);
+    assert!(by_seeds <= 600, "{by_seeds} datagrams from one small seed");
+    let most = net.sent.values().max().copied().unwrap_or(0);
+    assert!(most <= 3_000, "{most} datagrams from one host");
+}
+
+#[test]
+fn hundreds_of_like_hosts_that_start_together_know_each_other_within_two_seconds() {
+    let mut net = herd(295, 0);
+    net.run(500);
+    assert!(known(&net) > 0.9, "{:.3} after 500 ms", known(&net));
+    net.run(1_500);
+    assert!(net.views().iter().all(|n| *n == 295), "{:?}", net.views());
+}
+
 #[test]
 fn a_dead_node_is_found_by_all_within_bound() {
     let mut net = Net::new(20, 1, 2);
