One node a failure domain schedules prompts on its engines by what they have still to read

Cause: homes by rendezvous know no load. No node sees more than a 295th of an engine's work. Ruled out: load tables that relays pass on (half a second old, a prompt is read in 0.3); a choice of two by a node's own sends (it has none at either). Change: `decide::prefill::Scheduler`: before a send of 500 prompt tokens or more the node asks the scheduler of the service in the home's failure domain, and tells it of the first event or the end. Least work among the first four of the home's order; a prompt stays where its shared parts are if it is in time there by the pace that ends have shown, else reading again counts half as much more. `first_start` in the settings: at the first start of all nothing is kept anywhere. Switch `policy.scheduling`. Without an answer in 60 ms the home is taken.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -101,6 +101,20 @@
     count(targets).into_iter().map(share).collect()
 }
 
+fn home_order<'a>(
+    targets: impl Iterator<Item = &'a Belief>,
+    wanted: Wanted<'_>,
+    home: Home,
+) -> Vec<&'a Belief> {
+    let place = |b: &'a Belief| {
+        let hash = hash::mix(home.key, hash::of(b.target.id.as_bytes()));
+        (distance(hash, wanted.share_of(&b.target.domain)), b)
+    };
+    let mut order: Vec<(f64, &Belief)> = targets.map(place).collect();
+    order.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+    order.into_iter().map(|(_, b)| b).collect()
+}
+
 impl Fleet {
     /// The target with the least expected wait, for services without a cache.
     pub fn pick_plain(&self, wanted: Wanted<'_>, now: Time, rng: &mut Rng) -> Option<Target> {
@@ -121,17 +135,16 @@
     /// The first target in the home's order that is not overloaded, so that all
     /// nodes find the same one without a message.
     pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
-        let mut order: Vec<(f64, &Belief)> = self
-            .candidates(wanted, now)
-            .map(|b| {
-                let hash = hash::mix(home.key, hash::of(b.target.id.as_bytes()));
-                (distance(hash, wanted.share_of(&b.target.domain)), b)
-            })
-            .collect();
-        order.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
-        let free = |b: &Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
-        let chosen = order.iter().find(|(_, b)| free(b)).or(order.first());
-        chosen.map(|(_, b)| b.target.clone())
+        let order = home_order(self.candidates(wanted, now), wanted, home);
+        let free = |b: &&&Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
+        let chosen = order.iter().find(free).or(order.first());
+        chosen.map(|b| b.target.clone())
+    }
+
+    /// Targets of the wanted failure domain in the home's order.
+    pub fn near_homes(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Vec<TargetId> {
+        let near = self.candidates(wanted, now).filter(|b| *b.target.domain == *wanted.domain);
+        home_order(near, wanted, home).into_iter().map(|b| b.target.id.clone()).collect()
     }
 
     /// Usable targets not tried yet that take another connection; those left out for failures only if no other is.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod member;
 pub mod place;
+pub mod prefill;
 pub mod relay;
 pub mod request;
 pub mod resend;
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -287,6 +287,15 @@
         order.into_iter().map(|(_, node)| node).collect()
     }
 
+    /// Who schedules the prompts of a service in a failure domain: a node there, so that
+    /// both go on together when it is cut off. `Some(None)` is this node; `None` if no node
+    /// there is known to answer.
+    pub fn scheduler(&self, service: &str, domain: &str, now: Time) -> Option<Option<Node>> {
+        let order = self.coordinators(service, now).into_iter();
+        let own = *self.domain == *domain;
+        order.into_iter().find(|n| n.as_ref().map_or(own, |n| *n.domain == *domain))
+    }
+
     /// Whether this node comes first among the coordinators of `service`.
     pub fn coordinates(&self, service: &str, now: Time) -> bool {
         self.coordinators(service, now).first().is_none_or(Option::is_none)
--- /dev/null
+++ b/crates/decide/tests/prefill.rs
@@ -0,0 +1,221 @@
+//! Which engine reads a long prompt.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use decide::prefill::{Placed, Scheduler};
+use decide::rng::Rng;
+use model::forward::{PrefillAsk, TargetId};
+use model::{Name, Time, hash};
+
+/// Tokens of a long prompt, and of its shared parts.
+const TOKENS: u64 = 17_000;
+const SHARED: u64 = 13_000;
+/// Age from which on a scheduler knows what engines keep.
+const OLD_MS: u64 = 10_000;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn engine(i: usize) -> TargetId {
+    format!("engine-{i}").into()
+}
+
+fn attempt(i: usize) -> Name {
+    format!("attempt-{i}").into()
+}
+
+fn ask(i: usize, home: u64) -> PrefillAsk {
+    PrefillAsk {
+        service: "pool".into(),
+        domain: "d".into(),
+        attempt: attempt(i),
+        home,
+        shared: SHARED,
+        tokens: TOKENS,
+        slack_ms: 0,
+        but: Vec::new(),
+    }
+}
+
+fn order(engines: usize, home: u64) -> Vec<TargetId> {
+    let mut order: Vec<TargetId> = (0..engines).map(engine).collect();
+    order.sort_by_key(|e| hash::mix(home, hash::of(e.as_bytes())));
+    order
+}
+
+fn place(b: &mut Scheduler, i: usize, home: u64, now_ms: u64) -> Placed {
+    b.place(&ask(i, home), &order(8, home), at(now_ms)).expect("there are engines")
+}
+
+#[test]
+fn prompts_without_work_ahead_go_to_their_homes() {
+    let mut scheduler = Scheduler::new(at(0));
+    for home in 0..50 {
+        let now = OLD_MS + home * 5_000;
+        let placed = place(&mut scheduler, home as usize, home, now);
+        assert_eq!((&placed.engine, placed.ahead), (&order(8, home)[0], 0));
+    }
+}
+
+#[test]
+fn a_new_prompt_goes_where_least_is_to_be_read_among_the_first_homes() {
+    let mut scheduler = Scheduler::new(at(0));
+    let homes = order(8, 1);
+    let found: Vec<TargetId> =
+        (0..5).map(|i| place(&mut scheduler, i, 1 << 40, OLD_MS).engine).collect();
+    let distinct: BTreeSet<&TargetId> = found.iter().collect();
+    assert!(distinct.len() >= 2, "one home takes some, others the rest: {found:?}");
+    let mut scheduler = Scheduler::new(at(0));
+    for (i, busy) in homes.iter().take(2).enumerate() {
+        let only = [busy.clone()];
+        scheduler.place(&ask(i, 90 + i as u64), &only, at(OLD_MS)).expect("an engine");
+    }
+    let placed = place(&mut scheduler, 7, 1, OLD_MS + 1);
+    assert_eq!(placed.engine, homes[2], "the first that has nothing to read");
+    assert!(!placed.kept);
+}
+
+#[test]
+fn a_prompt_stays_where_its_shared_parts_are_until_the_wait_outweighs_them() {
+    let mut scheduler = Scheduler::new(at(0));
+    let first = place(&mut scheduler, 0, 1, OLD_MS);
+    scheduler.read(&first.engine, &attempt(0), at(OLD_MS + 300));
+    let second = place(&mut scheduler, 1, 1, OLD_MS + 500);
+    assert_eq!((&second.engine, second.kept), (&first.engine, true));
+    assert_eq!(scheduler.waiting(&first.engine), TOKENS - SHARED, "only its own part is read");
+    let only = [first.engine.clone()];
+    for i in 10..12 {
+        scheduler.place(&ask(i, 100 + i as u64), &only, at(OLD_MS + 600)).expect("an engine");
+    }
+    let third = place(&mut scheduler, 2, 1, OLD_MS + 700);
+    assert_ne!(third.engine, first.engine, "two whole prompts wait there");
+    assert_eq!((third.ahead, third.kept), (0, false));
+}
+
+#[test]
+fn a_prompt_that_is_in_time_where_its_shared_parts_are_stays_there() {
+    let mut scheduler = Scheduler::new(at(0));
+    let first = place(&mut scheduler, 0, 1, OLD_MS);
+    scheduler.read(&first.engine, &attempt(0), at(OLD_MS + 340));
+    // 50 tokens a millisecond were seen. Two whole prompts wait there now: 760 ms with its own part.
+    let only = [first.engine.clone()];
+    for i in 10..12 {
+        scheduler.place(&ask(i, 100 + i as u64), &only, at(OLD_MS + 400)).expect("an engine");
+    }
+    for (i, (slack_ms, stays)) in [(1_300, true), (1_000, false)].into_iter().enumerate() {
+        let ask = PrefillAsk { slack_ms, ..ask(i, 1) };
+        let placed = scheduler.place(&ask, &order(8, 1), at(OLD_MS + 410)).expect("an engine");
+        assert_eq!(placed.kept, stays, "{slack_ms} ms left");
+        scheduler.given_up(&placed.engine, &attempt(i));
+    }
+}
+
+#[test]
+fn what_was_read_or_never_told_of_no_longer_counts() {
+    let mut scheduler = Scheduler::new(at(0));
+    let placed = place(&mut scheduler, 0, 1, OLD_MS);
+    assert_eq!(scheduler.waiting(&placed.engine), TOKENS);
+    scheduler.read(&placed.engine, &attempt(9), at(OLD_MS + 50));
+    assert_eq!(scheduler.waiting(&placed.engine), TOKENS, "another attempt's end");
+    scheduler.read(&placed.engine, &attempt(0), at(OLD_MS + 60));
+    assert_eq!(scheduler.waiting(&placed.engine), 0);
+    let lost = place(&mut scheduler, 1, 1, OLD_MS + 100);
+    place(&mut scheduler, 2, 55, OLD_MS + 100 + 4_000);
+    assert!(scheduler.waiting(&lost.engine) < TOKENS, "its end will not come any more");
+}
+
+#[test]
+fn a_new_scheduler_takes_the_first_home_for_the_one_that_keeps_the_prompt() {
+    let mut scheduler = Scheduler::new(at(60_000));
+    let homes = order(8, 1);
+    scheduler.place(&ask(0, 99), &homes[..1], at(60_001)).expect("an engine");
+    let placed = place(&mut scheduler, 1, 1, 60_002);
+    assert_eq!((&placed.engine, placed.kept), (&homes[0], true), "another prompt waits there");
+}
+
+#[test]
+fn without_engines_there_is_no_choice_and_with_all_at_work_the_least_one_counts() {
+    let mut scheduler = Scheduler::new(at(0));
+    assert_eq!(scheduler.place(&ask(0, 1), &[], at(OLD_MS)), None);
+    for i in 0..100 {
+        place(&mut scheduler, i, i as u64, OLD_MS + 1);
+    }
+    let waiting: Vec<u64> = (0..8).map(|i| scheduler.waiting(&engine(i))).collect();
+    let (least, most) = (waiting.iter().min(), waiting.iter().max());
+    assert!(most.unwrap() - least.unwrap() <= 2 * TOKENS, "{waiting:?}");
+}
+
+/// Engines that read one prompt after the other, each at the same speed.
+struct Engines {
+    free_at: Vec<f64>,
+    kept: BTreeSet<(usize, u64)>,
+    read: u64,
+}
+
+/// Speed of an engine, tokens a millisecond.
+const SPEED: f64 = 61.2;
+
+impl Engines {
+    fn new(n: usize) -> Self {
+        Engines { free_at: vec![0.0; n], kept: BTreeSet::new(), read: 0 }
+    }
+
+    /// When a prompt that comes now has been read.
+    fn take(&mut self, i: usize, home: u64, now: f64) -> f64 {
+        let is_kept = !self.kept.insert((i, home));
+        let tokens = if is_kept { TOKENS - SHARED } else { TOKENS };
+        self.read += tokens;
+        self.free_at[i] = self.free_at[i].max(now) + tokens as f64 / SPEED;
+        self.free_at[i]
+    }
+}
+
+/// 90th percentile of the times to read in a burst, and tokens read, with the engine of
+/// each prompt found by `choose` from its number, its home and the time; `tell` hears of
+/// each prompt that has been read.
+fn burst(choose: impl Fn(&mut Scheduler, usize, u64, u64) -> usize) -> (f64, u64) {
+    const ENGINES: usize = 32;
+    const PROMPTS: usize = 1_500;
+    /// A burst of the users' bench: 64 prompts a second for 32 engines.
+    const GAP_MS: f64 = 15.6;
+    /// So many that most are read for the first time, as in the first burst of a day.
+    const HOMES: usize = 3_000;
+    let mut rng = Rng::new(11);
+    let mut engines = Engines::new(ENGINES);
+    let mut scheduler = Scheduler::new(at(0));
+    let mut ends: BTreeMap<(u64, usize), usize> = BTreeMap::new();
+    let (mut now, mut took) = (OLD_MS as f64, Vec::new());
+    for i in 0..PROMPTS {
+        now += GAP_MS * 2.0 * rng.below(1000) as f64 / 1000.0;
+        while let Some((&(end, j), &at_engine)) = ends.first_key_value() {
+            if end as f64 > now {
+                break;
+            }
+            scheduler.read(&engine(at_engine), &attempt(j), at(end));
+            ends.pop_first();
+        }
+        let home = rng.below(HOMES) as u64;
+        let chosen = choose(&mut scheduler, i, home, now as u64);
+        let end = engines.take(chosen, home, now);
+        ends.insert((end as u64, i), chosen);
+        took.push(end - now);
+    }
+    took.sort_by(f64::total_cmp);
+    (took[PROMPTS * 9 / 10], engines.read)
+}
+
+fn number(id: &TargetId) -> usize {
+    id.trim_start_matches("engine-").parse().expect("a number")
+}
+
+#[test]
+fn in_a_burst_prompts_are_read_sooner_than_at_their_homes_and_hardly_more_is_read() {
+    let (home, read_at_home) = burst(|_, _, home, _| number(&order(32, home)[0]));
+    let (scheduled, read) = burst(|scheduler, i, home, now| {
+        let placed = scheduler.place(&ask(i, home), &order(32, home), at(now));
+        number(&placed.expect("there are engines").engine)
+    });
+    assert!(scheduled < home * 0.7, "{scheduled:.0} ms and not {home:.0} ms for 9 in 10");
+    assert!(read as f64 <= read_at_home as f64 * 1.05, "{read} tokens, {read_at_home} at home");
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -29,6 +29,8 @@
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
     Coordinator { service: &'a str, coordinator: &'a str, why: &'a str },
+    /// A scheduler of prompts did not answer; it is done without for a moment.
+    Scheduler { service: &'a str, domain: &'a str, scheduler: &'a str, why: &'a str },
     /// A peer's order went on to the node that comes first.
     PassedOn { id: &'a str, service: &'a str, to: &'a str },
     /// Lines that were not written since the last such line.
@@ -42,8 +44,15 @@
         objective_ms: u64,
         come_back_ms: u64,
     },
-    /// A target was chosen for a request.
-    Chosen { id: &'a str, target: &'a str, by: &'a str, left_ms: u64, targets_age_ms: u64 },
+    /// A target was chosen for a request; it has `ahead` prompt tokens to read before.
+    Chosen {
+        id: &'a str,
+        target: &'a str,
+        by: &'a str,
+        ahead: u64,
+        left_ms: u64,
+        targets_age_ms: u64,
+    },
     /// A send brought no answer to pass on.
     Attempt { id: &'a str, target: &'a str, ran: &'a str, why: &'a str, after_ms: u64 },
     /// A batch call ended at its maker.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod prefill;
 mod reload;
 mod rules;
 mod serve;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -23,6 +23,7 @@
 use crate::ingress;
 use crate::metrics::{Metrics, Now};
 use crate::peers::{self, Peers};
+use crate::prefill::Schedulers;
 use crate::reload;
 use crate::rules::Table;
 use crate::settings::Settings;
@@ -57,6 +58,8 @@
     pub peers: Peers,
     /// Coordinators of stage services at this node.
     pub pools: Pools,
+    /// Schedulers of engines at this node.
+    pub schedulers: Schedulers,
     /// The targets' state, for peers that follow it.
     pub feed: Feed,
     settings: RefCell<Rc<Settings>>,
@@ -89,6 +92,7 @@
                 settings.host.capacity(),
             ),
             pools: Pools::default(),
+            schedulers: Schedulers::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::node::Node;
 
-pub use server::{BATCH, FREE, RemoteFree};
+pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
 
 /// Time for a peer to hand over its rules: the largest take a small host's link a second.
 const RULES_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -23,6 +23,10 @@
 pub const PING: &str = "/v1/ping";
 /// Path of news of the targets.
 pub const FOLLOW: &str = "/v1/follow";
+/// Path of the question which engine reads a prompt.
+pub const PREFILL: &str = "/v1/prefill";
+/// Path of prompts that have been read.
+pub const PREFILL_END: &str = "/v1/prefill-end";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -48,6 +52,19 @@
         PING => rmp(&()),
         FOLLOW => follow(&node, request).await,
         BATCH => batch(&node, request).await,
+        PREFILL => {
+            let Some(ask) = read_rmp(request, MESSAGE_MAX).await else {
+                return text(StatusCode::BAD_REQUEST, "not a prompt to be placed");
+            };
+            rmp(&node.schedulers.place(&node, &ask))
+        }
+        PREFILL_END => {
+            let Some(end) = read_rmp(request, MESSAGE_MAX).await else {
+                return text(StatusCode::BAD_REQUEST, "not the end of a prompt");
+            };
+            node.schedulers.end(end, node.now());
+            rmp(&())
+        }
         FREE => {
             let Some(RemoteFree { service, handles }) = read_rmp(request, MESSAGE_MAX).await else {
                 return text(StatusCode::BAD_REQUEST, "not results to free");
--- /dev/null
+++ b/crates/forward/src/prefill/mod.rs
@@ -0,0 +1,186 @@
+//! Which engine reads a long prompt: asks the scheduler of the engine's failure domain, and
+//! schedules those services of which this node is the scheduler.
+//!
+//! Without an answer in time a prompt goes to its home, as if there were no scheduler.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::fleet::{Home, Wanted};
+use decide::prefill::Scheduler;
+use model::forward::{PrefillAnswer, PrefillAsk, PrefillEnd, Target, TargetId};
+use model::member::{Node as PeerNode, NodeId};
+use model::{Name, Time};
+
+use crate::node::Node;
+use crate::peers::{PREFILL, PREFILL_END};
+
+/// Prompt tokens from which on the scheduler is asked. Fewer are read in some milliseconds,
+/// but may wait hundreds of them behind others.
+const LONG: u64 = 500;
+/// Time for the scheduler's answer: a few times what it takes between failure domains.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for the news of an end; what is not told of is forgotten there.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a scheduler that did not answer is done without.
+const REST: Duration = Duration::from_millis(500);
+
+/// A service and a failure domain of its engines.
+type Group = (Name, Name);
+
+/// Schedulers at this node, and those elsewhere that did not answer.
+#[derive(Default)]
+pub struct Schedulers {
+    own: RefCell<HashMap<Group, Scheduler>>,
+    resting: RefCell<HashMap<NodeId, Time>>,
+}
+
+impl Schedulers {
+    /// Chooses an engine as the scheduler.
+    pub fn place(&self, node: &Node, ask: &PrefillAsk) -> PrefillAnswer {
+        let now = node.now();
+        let wanted = Wanted {
+            service: &ask.service,
+            domain: &ask.domain,
+            but: &ask.but,
+            most_each: u32::MAX,
+            shares: &[],
+        };
+        let home = Home { key: ask.home, shared: ask.shared };
+        let order = node.fleet(|f| f.near_homes(wanted, home, now));
+        let group = (ask.service.clone(), ask.domain.clone());
+        let mut own = self.own.borrow_mut();
+        // At the first start of all no engine keeps anything that was not placed since.
+        let began = if node.settings().first_start { Time::ZERO } else { now };
+        let scheduler = own.entry(group).or_insert_with(|| Scheduler::new(began));
+        let placed = scheduler.place(ask, &order, now);
+        let ahead = placed.as_ref().map_or(0, |p| p.ahead);
+        PrefillAnswer { engine: placed.map(|p| p.engine), ahead }
+    }
+
+    /// A prompt that this node placed has been read, or will not be.
+    pub fn end(&self, end: PrefillEnd, now: Time) {
+        let group = (end.service, end.domain);
+        if let Some(scheduler) = self.own.borrow_mut().get_mut(&group) {
+            match end.was_read {
+                true => scheduler.read(&end.engine, &end.attempt, now),
+                false => scheduler.given_up(&end.engine, &end.attempt),
+            }
+        }
+    }
+
+    fn rests(&self, id: &NodeId, now: Time) -> bool {
+        self.resting.borrow_mut().retain(|_, until| now < *until);
+        self.resting.borrow().contains_key(id)
+    }
+
+    fn did_not_answer(&self, id: &NodeId, now: Time) {
+        self.resting.borrow_mut().insert(id.clone(), now + REST);
+    }
+}
+
+/// Tells the scheduler, once it goes, that the prompt has been read or will not be.
+pub struct Ticket {
+    node: Rc<Node>,
+    /// Where the scheduler is; `None` is this node.
+    at: Option<SocketAddr>,
+    end: Option<PrefillEnd>,
+}
+
+impl Ticket {
+    /// The prompt has been read.
+    pub fn read(mut self) {
+        if let Some(end) = &mut self.end {
+            end.was_read = true;
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let Some(end) = self.end.take() else {
+            return;
+        };
+        match self.at {
+            None => self.node.schedulers.end(end, self.node.now()),
+            Some(at) => _ = tokio::task::spawn_local(tell(self.node.clone(), at, end)),
+        }
+    }
+}
+
+async fn tell(node: Rc<Node>, at: SocketAddr, end: PrefillEnd) {
+    let told = node.client.rmp::<_, ()>(&at.to_string(), PREFILL_END, &end, END_TIMEOUT).await;
+    if let Err(e) = told {
+        log::debug!("scheduler: {e}");
+    }
+}
+
+/// What the scheduler chose.
+pub struct Scheduled {
+    /// Engine.
+    pub engine: TargetId,
+    /// Prompt tokens that it has to read before.
+    pub ahead: u64,
+    /// Held until the prompt has been read.
+    pub ticket: Ticket,
+}
+
+/// A prompt to be read.
+pub struct Prompt {
+    /// Attempt that it belongs to.
+    pub attempt: Name,
+    /// Its home.
+    pub home: Home,
+    /// Tokens of all of it.
+    pub tokens: u64,
+    /// Milliseconds until its first event is due.
+    pub slack_ms: u64,
+    /// Engines that it was sent to before.
+    pub but: Vec<TargetId>,
+}
+
+/// Asks which engine near `first`, the prompt's home, is to read it. `None` if the prompt is
+/// short or no scheduler answers.
+pub async fn schedule(node: &Rc<Node>, first: &Target, prompt: Prompt) -> Option<Scheduled> {
+    let Prompt { attempt, home: Home { key: home, shared }, tokens, slack_ms, but } = prompt;
+    if tokens < LONG {
+        return None;
+    }
+    let (service, domain) = (first.service.clone(), first.domain.clone());
+    let scheduler = node.peers.roster(|r| r.scheduler(&service, &domain, node.now()))?;
+    let ask = PrefillAsk { service, domain, attempt, home, shared, tokens, slack_ms, but };
+    let answer = match &scheduler {
+        None => node.schedulers.place(node, &ask),
+        Some(peer) => ask_peer(node, peer, &ask).await?,
+    };
+    let PrefillAsk { service, domain, attempt, .. } = ask;
+    let engine = answer.engine?;
+    let end = PrefillEnd { service, domain, attempt, engine: engine.clone(), was_read: false };
+    let at = scheduler.map(|peer| peer.entry);
+    let ticket = Ticket { node: node.clone(), at, end: Some(end) };
+    Some(Scheduled { engine, ahead: answer.ahead, ticket })
+}
+
+async fn ask_peer(node: &Rc<Node>, peer: &PeerNode, ask: &PrefillAsk) -> Option<PrefillAnswer> {
+    if node.schedulers.rests(&peer.id, node.now()) {
+        return None;
+    }
+    let address = peer.entry.to_string();
+    match node.client.rmp(&address, PREFILL, ask, ASK_TIMEOUT).await {
+        Ok(answer) => Some(answer),
+        Err(e) => {
+            node.schedulers.did_not_answer(&peer.id, node.now());
+            crate::events::Event::Scheduler {
+                service: &ask.service,
+                domain: &ask.domain,
+                scheduler: &peer.id.name,
+                why: &e.to_string(),
+            }
+            .emit();
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/serve/choice.rs
@@ -0,0 +1,122 @@
+//! Which target a request goes to.
+
+use decide::fleet::{Home, Wanted, shares};
+use decide::resend::Next;
+use model::forward::{LARGE_RESULT, Target};
+use model::{Name, Time};
+
+use super::exchange::Exchange;
+use crate::events::Event;
+use crate::prefill::{self, Prompt, Ticket};
+
+/// The target of one send.
+pub struct Choice {
+    /// Target.
+    pub target: Target,
+    /// Held until the target has read the prompt, if a scheduler chose it.
+    pub ticket: Option<Ticket>,
+}
+
+impl Exchange {
+    /// The target that a request is best sent to now.
+    pub(super) fn choose(&self) -> Option<Target> {
+        let now = self.node.now();
+        let but = self.progress(|p| p.but.clone());
+        let settings = self.node.settings();
+        let shares = self.home_shares(now);
+        let wanted = Wanted {
+            service: &self.service,
+            domain: &settings.domain,
+            but: &but,
+            most_each: self.connections_each(),
+            shares: &shares,
+        };
+        match self.home() {
+            Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
+            None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
+        }
+    }
+
+    fn home(&self) -> Option<Home> {
+        Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
+    }
+
+    /// Connections that this node may have to one target: an equal part of what a target
+    /// takes from all nodes.
+    fn connections_each(&self) -> u32 {
+        let nodes = self.node.peers.roster(|r| r.most_seen()) as u32;
+        let table = self.node.table();
+        let all = table.service(&self.service).map_or(u32::MAX, |s| s.connections);
+        (all / nodes.max(1)).max(1)
+    }
+
+    /// Shares of homes by failure domain, where the route has large results that are
+    /// made near their target.
+    fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
+        let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
+        let large = large.filter(|_| self.node.settings().policy.weighted_homes);
+        let makers = large.map(|s| &s.service);
+        makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
+    }
+
+    /// Whether a target chosen a while ago, or by another node, may get the request.
+    fn is_usable(&self, target: &Target) -> bool {
+        let now = self.node.now();
+        let most = self.connections_each();
+        self.node.fleet(|f| {
+            let belief = f.get(&target.id);
+            belief.is_some_and(|b| b.usable(now) && !b.is_ejected(now) && b.outstanding < most)
+        })
+    }
+
+    /// The next target; `None` if the request is not to be sent again.
+    pub(super) async fn next_target(&self, chosen: Option<Target>) -> Option<Choice> {
+        let tries = self.progress(|p| p.tries);
+        let next = tries.next(self.left(), || self.node.take_repeat(&self.service));
+        if next != Next::Resend {
+            return None;
+        }
+        let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
+            self.progress(|p| p.why = format!("no target; before: {}", p.why));
+            return None;
+        };
+        if let Some((choice, ahead)) = self.scheduled(&first).await {
+            self.tell(&choice.target, "scheduler", ahead);
+            return Some(choice);
+        }
+        let by = if self.head.prompt.is_empty() { "least_wait" } else { "home" };
+        self.tell(&first, by, 0);
+        Some(Choice { target: first, ticket: None })
+    }
+
+    /// The engine that a scheduler chooses near the prompt's home.
+    async fn scheduled(&self, first: &Target) -> Option<(Choice, u64)> {
+        let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
+        let prompt = Prompt {
+            attempt: self.head.id.as_str().into(),
+            home,
+            tokens: self.head.tokens_in,
+            slack_ms: self.slack().as_millis() as u64,
+            but: self.progress(|p| p.but.clone()),
+        };
+        let scheduled = prefill::schedule(&self.node, first, prompt).await?;
+        let target = self.node.fleet(|f| f.get(&scheduled.engine).map(|b| b.target.clone()))?;
+        if !self.is_usable(&target) {
+            return None;
+        }
+        let choice = Choice { target, ticket: Some(scheduled.ticket) };
+        Some((choice, scheduled.ahead))
+    }
+
+    fn tell(&self, target: &Target, by: &str, ahead: u64) {
+        Event::Chosen {
+            id: &self.head.id,
+            target: &target.id,
+            by,
+            ahead,
+            left_ms: self.left().as_millis() as u64,
+            targets_age_ms: self.node.store_age().as_millis() as u64,
+        }
+        .emit();
+    }
+}
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::fleet::{Home, Wanted, shares};
-use decide::resend::{Ending, Next, Tries};
+use decide::resend::{Ending, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{CallerHead, LARGE_RESULT, Rank, Route, Target, TargetId};
+use model::forward::{CallerHead, Rank, Route, Target, TargetId};
 use model::{Name, Time};
 
 use super::reply::{self, Body};
@@ -135,7 +134,7 @@
     }
 
     /// Time left until the answer's value falls.
-    fn slack(&self) -> Duration {
+    pub(super) fn slack(&self) -> Duration {
         let objective = Duration::from_millis(self.route.objective_ms);
         (self.arrived + objective).since(self.node.now())
     }
@@ -181,10 +180,11 @@
             }
         }
         loop {
-            let Some(target) = self.next_target(chosen.take()) else {
+            let Some(choice) = self.next_target(chosen.take()).await else {
                 return self.own_ending();
             };
-            match send(&self, &target, made.as_ref(), None).await {
+            let target = choice.target.clone();
+            match send(&self, choice, made.as_ref(), None).await {
                 Outcome::Whole { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
                     return reply::whole(status, headers, body);
@@ -210,72 +210,6 @@
         }
     }
 
-    /// The target that a request is best sent to now.
-    fn choose(&self) -> Option<Target> {
-        let now = self.node.now();
-        let but = self.progress(|p| p.but.clone());
-        let settings = self.node.settings();
-        let shares = self.home_shares(now);
-        let wanted = Wanted {
-            service: &self.service,
-            domain: &settings.domain,
-            but: &but,
-            most_each: self.connections_each(),
-            shares: &shares,
-        };
-        match Home::of(&self.head.prompt).filter(|_| settings.policy.homes) {
-            Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
-            None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
-        }
-    }
-
-    /// Connections that this node may have to one target: an equal part of what a target
-    /// takes from all nodes.
-    fn connections_each(&self) -> u32 {
-        let nodes = self.node.peers.roster(|r| r.most_seen()) as u32;
-        let table = self.node.table();
-        let all = table.service(&self.service).map_or(u32::MAX, |s| s.connections);
-        (all / nodes.max(1)).max(1)
-    }
-
-    /// Shares of homes by failure domain, where the route has large results that are
-    /// made near their target.
-    fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
-        let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
-        let large = large.filter(|_| self.node.settings().policy.weighted_homes);
-        let makers = large.map(|s| &s.service);
-        makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
-    }
-
-    /// Whether a target chosen a while ago may still get the request.
-    fn still_usable(&self, target: &Target) -> bool {
-        let now = self.node.now();
-        self.node.fleet(|f| f.get(&target.id).is_some_and(|b| b.usable(now) && !b.is_ejected(now)))
-    }
-
-    /// The next target; `None` if the request is not to be sent again.
-    pub fn next_target(&self, chosen: Option<Target>) -> Option<Target> {
-        let (left, tries) = (self.left(), self.progress(|p| p.tries));
-        let next = tries.next(left, || self.node.take_repeat(&self.service));
-        if next != Next::Resend {
-            return None;
-        }
-        let chosen = chosen.filter(|t| self.still_usable(t)).or_else(|| self.choose());
-        if let Some(target) = &chosen {
-            Event::Chosen {
-                id: &self.head.id,
-                target: &target.id,
-                by: if self.head.prompt.is_empty() { "least_wait" } else { "home" },
-                left_ms: left.as_millis() as u64,
-                targets_age_ms: self.node.store_age().as_millis() as u64,
-            }
-            .emit();
-        } else {
-            self.progress(|p| p.why = format!("no target; before: {}", p.why));
-        }
-        chosen
-    }
-
     async fn make_stages(&self, chosen: Option<&Target>) -> Result<Made, Response<Body>> {
         self.make_within(self.slack(), chosen).await.map_err(|_| self.own_ending())
     }
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! One caller's request, from its head to its final answer.
 
 mod admit;
+mod choice;
 mod exchange;
 mod reply;
 mod send;
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -10,11 +10,13 @@
 use model::Time;
 use model::forward::{Target, TargetId};
 
+use super::choice::Choice;
 use super::exchange::{Exchange, Failure};
 use super::stream::{Begun, EventReader, StreamError};
 use crate::border::Onward;
 use crate::events::Event;
 use crate::node::Node;
+use crate::prefill::Ticket;
 use crate::stages::Made;
 use crate::upstream::{self, Answer};
 
@@ -45,16 +47,24 @@
     node: Rc<Node>,
     id: TargetId,
     unread: u64,
+    ticket: Option<Ticket>,
 }
 
 impl AtTarget {
-    fn new(node: &Rc<Node>, id: &TargetId, tokens: u64) -> Self {
+    fn new(node: &Rc<Node>, id: &TargetId, tokens: u64, ticket: Option<Ticket>) -> Self {
         node.fleet(|f| f.sent(id, tokens));
-        AtTarget { node: node.clone(), id: id.clone(), unread: tokens }
+        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket }
     }
 
     /// The prompt has been read.
     fn read(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            ticket.read();
+        }
+        self.forget_prompt();
+    }
+
+    fn forget_prompt(&mut self) {
         let tokens = std::mem::take(&mut self.unread);
         self.node.fleet(|f| f.read(&self.id, tokens));
     }
@@ -62,7 +72,7 @@
 
 impl Drop for AtTarget {
     fn drop(&mut self) {
-        self.read();
+        self.forget_prompt();
         self.node.fleet(|f| f.done(&self.id));
     }
 }
@@ -70,16 +80,18 @@
 /// Sends the request; `resume_after` is the last event that the caller has.
 pub async fn send(
     exchange: &Rc<Exchange>,
-    target: &Target,
+    choice: Choice,
     made: Option<&Made>,
     resume_after: Option<u64>,
 ) -> Outcome {
     let begun = exchange.node.now();
+    let Choice { target, ticket } = choice;
+    let target = &target;
     exchange.progress(|p| {
         p.but.push(target.id.clone());
         p.target = Some(target.id.clone());
     });
-    let at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in);
+    let at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
         Err(e) => {
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -212,12 +212,12 @@
     async fn taken_up(&self) -> Result<Box<Begun>, NotResumed> {
         let exchange = &self.exchange;
         let mut made = None;
-        while let Some(target) = exchange.next_target(None) {
+        while let Some(choice) = exchange.next_target(None).await {
             if made.is_none() && !exchange.route.stages.is_empty() {
-                let again = exchange.make_stages_again(&target).await;
+                let again = exchange.make_stages_again(&choice.target).await;
                 made = Some(again.map_err(NotResumed::Stages)?);
             }
-            match send(exchange, &target, made.as_ref(), self.last_event).await {
+            match send(exchange, choice, made.as_ref(), self.last_event).await {
                 Outcome::Stream(begun) => return Ok(begun),
                 Outcome::Nothing => {}
                 Outcome::Whole { .. } | Outcome::InputGone => return Err(NotResumed::Refused),
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -45,6 +45,9 @@
     /// What the host gives the process.
     #[serde(default)]
     pub host: Host,
+    /// Whether all nodes start for the first time, together.
+    #[serde(default)]
+    pub first_start: bool,
     /// Connections held by one process, callers' and targets' together.
     #[serde(default = "descriptors")]
     pub descriptors: usize,
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -181,7 +181,7 @@
 /// takes a second or two to find out; an order that waits asks by itself.
 async fn lost(node: &Rc<Node>, peer: &PeerNode) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(LOOK / 2).await;
         let sound = node.peers.roster(|r| r.is_sound(&peer.id));
         if !sound || !peers::answers(node, peer).await {
             return;
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod caller;
 mod policy;
+mod prefill;
 mod rank;
 mod rules;
 mod target;
@@ -16,6 +17,7 @@
 };
 pub use caller::{CallerHead, PromptPart};
 pub use policy::Policy;
+pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use rank::Rank;
 pub use rules::{
     Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
