After a loss of power callers wait for rules, and stages only for hosts that coordinate

Cause: all nodes are down for 1.2 s; their seeds may come 0.3 s after the others. Stages waited until nobody at all came for 100 ms: 0.5 s longer than for the hosts that coordinate. Change: a caller of a node that has run for less than 0.8 s and knows no rules or targets yet waits for them, after that it is refused at once as before; the membership is whole once no host came for 100 ms that bears as much as any; seeds are tried each 60 ms in the first 0.8 s, not ever more seldom.

--- a/crates/decide/src/member/join.rs
+++ b/crates/decide/src/member/join.rs
@@ -24,10 +24,10 @@
 const PULL_EVERY: Duration = Duration::from_millis(100);
 const PULL_LATER: Duration = Duration::from_millis(300);
 /// Time in which most others start, if all do.
-const HERD: Duration = Duration::from_millis(500);
-/// First time between two tries of a seed; it doubles up to the tuned one. Datagrams go
-/// from one host to another and back in a few milliseconds.
-const SEEK_FIRST: Duration = Duration::from_millis(60);
+const HERD: Duration = Duration::from_millis(800);
+/// Time between two tries of a seed in the time in which most others start: the seeds may be
+/// the last to come, and a datagram comes back in a few milliseconds.
+const SEEK_HERD: Duration = Duration::from_millis(60);
 
 /// What a node has done to find its peers.
 #[derive(Debug, Default)]
@@ -42,9 +42,9 @@
         self.began.is_some_and(|began| now.since(began) < NEW)
     }
 
-    fn pause(&self, now: Time) -> Duration {
-        let is_herd = self.began.is_some_and(|began| now.since(began) < HERD);
-        if is_herd { PULL_EVERY } else { PULL_LATER }
+    /// Whether others most likely start too.
+    fn is_herd(&self, now: Time) -> bool {
+        self.began.is_some_and(|began| now.since(began) < HERD)
     }
 
     /// When the whole list is asked for next.
@@ -69,8 +69,8 @@
     pub(super) fn seek(&mut self, now: Time, out: &mut Vec<Action>) {
         let tries = self.joining.seeks;
         self.joining.seeks += 1;
-        let pause = SEEK_FIRST * 2u32.saturating_pow(tries / self.seeds.len().max(1) as u32);
-        self.next = now + pause.min(self.tuning.seek);
+        let seek = self.tuning.seek;
+        self.next = now + if self.joining.is_herd(now) { seek.min(SEEK_HERD) } else { seek };
         if !self.seeds.is_empty() {
             let first = self.me.id.start as usize;
             let seed = self.seeds[first.wrapping_add(tries as usize) % self.seeds.len()];
@@ -94,7 +94,8 @@
         if !self.joining.is_new(now) || now < self.joining.next_pull {
             return;
         }
-        self.joining.next_pull = now + self.joining.pause(now);
+        let pause = if self.joining.is_herd(now) { PULL_EVERY } else { PULL_LATER };
+        self.joining.next_pull = now + pause;
         let hubs: Vec<SocketAddr> = self.hubs().map(|p| p.node.address).collect();
         if !hubs.is_empty() {
             let hub = hubs[self.rng.below(hubs.len())];
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -12,6 +12,8 @@
 
 mod history;
 mod source;
+mod start;
 
 pub use history::History;
 pub use source::{Chosen, Relays, Role, Source, Sources};
+pub use start::wait_for_state;
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -33,8 +33,8 @@
 const EARLY_WAIT: Duration = Duration::from_millis(300);
 /// Longest time in which nodes that started together find each other.
 const GATHERING: Duration = Duration::from_millis(800);
-/// Time without a new peer after which they have found each other. News of a peer goes
-/// from node to node within some tens of milliseconds.
+/// Time without a new peer on a host that bears as much as any, after which they have found
+/// each other. News of a peer goes from node to node within some tens of milliseconds.
 const STILL: Duration = Duration::from_millis(100);
 /// Time after which a node that came counts as settled.
 const SETTLED: Duration = Duration::from_secs(3);
@@ -103,7 +103,7 @@
     contacts: Contacts,
     stopping: BTreeMap<NodeId, Time>,
     most: usize,
-    /// When the count of peers last rose.
+    /// When the hosts that bear most last became more: others coordinate and relay nothing.
     grown: Time,
 }
 
@@ -126,7 +126,7 @@
     /// Takes the peers that are up, and forgets what concerns others.
     pub fn update(&mut self, up: Vec<PeerView>, now: Time) {
         self.most = self.most.max(up.len() + 1);
-        if up.len() > self.up.len() {
+        if self.hubs(&up) > self.hubs(&self.up) {
             self.grown = now;
         }
         let ids: BTreeSet<&NodeId> = up.iter().map(|p| &p.node.id).collect();
@@ -135,6 +135,13 @@
         self.up = up;
     }
 
+    /// The most that a host bears, and how many hosts bear that.
+    fn hubs(&self, up: &[PeerView]) -> (u8, usize) {
+        let all = || up.iter().map(|p| p.node.capacity).chain([self.capacity]);
+        let most = all().max().unwrap_or_default();
+        (most, all().filter(|c| *c == most).count())
+    }
+
     /// This node stops.
     pub fn stop(&mut self) {
         self.stops = true;
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::relay::{Chosen, History, Relays, Role, Source, Sources};
+use decide::relay::{Chosen, History, Relays, Role, Source, Sources, wait_for_state};
 use decide::rng::Rng;
 use model::Time;
 use model::member::{Node, NodeId};
@@ -150,6 +150,14 @@
     assert!(chosen.pause > Duration::ZERO);
 }
 
+#[test]
+fn callers_wait_for_a_node_that_has_just_started_and_for_no_other() {
+    for (uptime_ms, wait_ms) in [(0, 800), (300, 500), (799, 1), (800, 0), (60_000, 0)] {
+        let wait = wait_for_state(Duration::from_millis(uptime_ms));
+        assert_eq!(wait, Duration::from_millis(wait_ms), "after {uptime_ms} ms");
+    }
+}
+
 #[test]
 fn a_history_reaches_back_to_where_it_began_and_no_further() {
     let mut history = History::default();
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -167,6 +167,24 @@
     assert!(!roster.is_gathering(at(900)), "but not for ever");
 }
 
+#[test]
+fn nodes_do_not_wait_for_hosts_that_bear_less_than_others() {
+    let mut roster = Roster::new(name(0).into(), "d".into(), 0);
+    let peers = |small: usize, ms| {
+        let mut views: Vec<PeerView> = (1..=small + 2).map(|i| view(i, ms, ms)).collect();
+        views[..2].iter_mut().for_each(|v| v.node.capacity = 2);
+        views
+    };
+    for (ms, small) in [(50, 0), (90, 40), (140, 80)] {
+        roster.update(peers(small, ms), at(ms));
+    }
+    assert!(roster.is_gathering(at(140)));
+    assert!(
+        !roster.is_gathering(at(150)),
+        "both hosts that coordinate have been known for a while"
+    );
+}
+
 /// What a small host that has just started knows of its relays, among peers that bear this
 /// much, all of its failure domain.
 fn forming(peers: &[u8]) -> decide::relay::Relays {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use decide::fleet::{Fleet, Observation};
 use decide::forecast::Forecast;
+use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
 use model::forward::{Rules, TargetId, Waits};
@@ -32,6 +33,8 @@
 
 /// Time after which a node that heard of no peer takes it that it is alone.
 const ALONE: Duration = Duration::from_millis(700);
+/// Time between looks at whether rules and targets are known.
+const STATE_LOOK: Duration = Duration::from_millis(10);
 /// Time to connect to a peer or the store.
 const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
@@ -267,12 +270,24 @@
         self.targets_known.set(true);
     }
 
+    /// Whether rules and targets are known.
+    fn knows_state(&self) -> bool {
+        self.table.borrow().known() && self.targets_known.get()
+    }
+
+    /// Returns once rules and targets are known, or are not to be waited for.
+    pub async fn state_known(&self) {
+        let limit = self.now() + relay::wait_for_state(self.now().since(Time::ZERO));
+        while !self.knows_state() && self.now() < limit {
+            tokio::time::sleep(STATE_LOOK).await;
+        }
+    }
+
     /// Whether this node wants callers.
     pub fn is_ready(&self) -> bool {
         let knows_peers =
             self.peers.roster(|r| r.count()) > 1 || self.now().since(Time::ZERO) >= ALONE;
-        let knows = self.table.borrow().known() && self.targets_known.get() && knows_peers;
-        knows && !self.is_stopping()
+        self.knows_state() && knows_peers && !self.is_stopping()
     }
 
     /// Whether a planned stop has begun.
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -15,6 +15,7 @@
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
 
+use crate::events::Event;
 use crate::node::Node;
 use crate::peers::{PREFILL, PREFILL_END};
 
@@ -173,7 +174,7 @@
         Ok(answer) => Some(answer),
         Err(e) => {
             node.schedulers.did_not_answer(&peer.id, node.now());
-            crate::events::Event::Scheduler {
+            Event::Scheduler {
                 service: &ask.service,
                 domain: &ask.domain,
                 scheduler: &peer.id.name,
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -90,6 +90,7 @@
         log::info!("malformed request: {e}");
         refusal.into_response(node, &CallerHead::default())
     })?;
+    node.state_known().await;
     let table = node.table();
     let found = find(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
     at_the_door(node, &table, &found, &head).map_err(|r| r.into_response(node, &head))?;
