--- a/crates/decide/src/roster/contact.rs
+++ b/crates/decide/src/roster/contact.rs
@@ -6,8 +6,9 @@
 use model::member::NodeId;
 use model::{Name, Time};
 
-/// Time for which an answer of a peer is taken to hold.
-const ANSWER_KEPT: Duration = Duration::from_millis(250);
+/// Time for which an answer of a peer is taken to hold. Orders that wait at a peer behind a
+/// cut are late by this, a look, and the time for a ping and for a survey.
+const ANSWER_KEPT: Duration = Duration::from_millis(120);
 /// Time after which a silent peer is asked for a sign of life again.
 const RECHECK: Duration = Duration::from_millis(500);
 /// Silent peers of one failure domain, none of which answered since, that speak for a cut.
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -135,6 +135,9 @@
     let ask = |r: &mut Roster, ms| r.contact(&id, at(ms));
     roster.begin_wait(&id, at(60_000));
     assert_eq!(ask(&mut roster, 60_000), Contact::Answers, "an order has only just begun to wait");
+    assert_eq!(ask(&mut roster, 60_100), Contact::Answers);
+    assert_eq!(ask(&mut roster, 60_120), Contact::Unknown, "a cut is to show soon");
+    roster.answered(&id, at(60_125));
     assert_eq!(ask(&mut roster, 60_300), Contact::Unknown);
     assert_eq!(ask(&mut roster, 60_310), Contact::Answers, "it is being asked");
     roster.silent(&id, at(60_550));
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -25,8 +25,9 @@
 
 /// Time for a peer to hand over its rules: the largest take a small host's link a second.
 const RULES_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time for a ping's answer.
-const PING_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a ping's answer: a host whose share of its core is used up gets nothing for up
+/// to 100 ms.
+const PING_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Peers of a node.
 pub struct Peers {
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -20,7 +20,7 @@
 /// Status by which a peer says that it stops and coordinates no more.
 const STOPPING: u16 = 503;
 /// Time between looks at whether the coordinator is still up.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Results, and the peer whose coordinator made them; `None` if it was this node's.
 pub struct Placed {
@@ -55,7 +55,7 @@
 async fn gather(node: &Rc<Node>, order: &mut BatchOrder) {
     let begun = node.now();
     while node.peers.roster(|r| r.is_gathering(node.now())) {
-        tokio::time::sleep(LOOK / 2).await;
+        tokio::time::sleep(LOOK).await;
     }
     spend(order, node.now().since(begun));
 }
@@ -181,7 +181,7 @@
 /// takes a second or two to find out; an order that waits asks by itself.
 async fn lost(node: &Rc<Node>, peer: &PeerNode) {
     loop {
-        tokio::time::sleep(LOOK / 2).await;
+        tokio::time::sleep(LOOK).await;
         let sound = node.peers.roster(|r| r.is_sound(&peer.id));
         if !sound || !peers::answers(node, peer).await {
             return;
