A standby takes a relay's place also when that is out of touch

Cause: where the store turned all relays away and served the others, each follower found that out for itself, at a moment drawn from up to 8 s in a domain of 57: nobody whom they follow asked the store. Ruled out: followers that pass on what they read (any of 57 would be a source, and none is known as one). Change: a standby of relays out of touch asks the store as a relay does, within 0.8 s; its followers find it in touch. A switch `policy.relays`, as the other mechanisms have. Tests: `decide/follow.rs`, a fleet of 60 nodes in three domains over the machines that decide, with relays turned away, silent, the store away, a domain cut off: how old what a node knows may get and what the store bears.

--- a/crates/decide/src/relay/source.rs
+++ b/crates/decide/src/relay/source.rs
@@ -126,7 +126,11 @@
         let Some(stale) = stale.cloned() else {
             return self.without_peers(relays, now);
         };
-        let rest = last_resort(relays.followers);
+        let rest = match relays.role {
+            // Its followers are better off with it than each with the store.
+            Role::Standby => STORE_REST_LONGEST,
+            _ => last_resort(relays.followers),
+        };
         let store_at = *self.last_resort.get_or_insert_with(|| now + jitter(rest));
         let may_ask_store = matches!(relays.role, Role::Follower | Role::Standby);
         if may_ask_store && now >= store_at && !store_rests {
@@ -176,8 +180,8 @@
         let bound = STORE_REST_FIRST * 2u32.pow(self.failures.min(4));
         self.failures += 1;
         let rest = match role {
-            Role::Relay => bound.min(STORE_REST_LONGEST),
-            Role::Standby | Role::Follower | Role::Unknown => STORE_REST_FOLLOWER,
+            Role::Relay | Role::Standby => bound.min(STORE_REST_LONGEST),
+            Role::Follower | Role::Unknown => STORE_REST_FOLLOWER,
         };
         self.store = Some(now + STORE_REST_FIRST / 2 + jitter(rest));
     }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::relay::Relays;
+use decide::relay::{Relays, Role};
 
 use crate::node::Node;
 
@@ -36,5 +36,9 @@
 
 /// Who relays the store's state to this node.
 fn relays(node: &Node) -> Relays {
-    node.peers.roster(|r| r.relays(node.now()))
+    let relays = node.peers.roster(|r| r.relays(node.now()));
+    if node.settings().policy.relays {
+        return relays;
+    }
+    Relays { role: Role::Relay, followed: false, ..relays }
 }
--- a/crates/model/src/forward/policy.rs
+++ b/crates/model/src/forward/policy.rs
@@ -25,6 +25,8 @@
     pub recompute: bool,
     /// Prompts go to the engine that most likely keeps their shared parts.
     pub homes: bool,
+    /// In large failure domains one node reads the store for all; off: each node does.
+    pub relays: bool,
     /// Long prompts go to the engine among the first homes that has least to read.
     pub scheduling: bool,
     /// Homes are dealt out in proportion to the makers of each failure domain.
@@ -47,6 +49,7 @@
             early_free: true,
             recompute: true,
             homes: true,
+            relays: true,
             scheduling: true,
             weighted_homes: true,
             ejection: true,
