--- a/crates/decide/src/prefill/mod.rs
+++ b/crates/decide/src/prefill/mod.rs
@@ -3,8 +3,8 @@
 //! A prompt goes to its home, the engine that most likely keeps its shared parts. Homes are
 //! dealt out by a hash that knows no load, so some engine always has twice the usual work,
 //! and no node alone sees it: each sends an engine a few prompts a minute. So the nodes ask
-//! one of them, the scheduler of the service in the engine's failure domain, which knows what
-//! every engine there has still to read.
+//! one of them, the scheduler, which knows what each engine of one service in one failure
+//! domain has still to read.
 //!
 //! It is asked and told without a lease: two schedulers each see a part of the work, a lost
 //! one is done without, and a prompt whose end is not told of is forgotten in time. Work is
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -61,7 +61,7 @@
     pub peers: Peers,
     /// Coordinators of stage services at this node.
     pub pools: Pools,
-    /// Schedulers of engines at this node.
+    /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
     /// The targets' state, for peers that follow it.
     pub feed: Feed,
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -1,5 +1,5 @@
-//! Follows the targets: a few nodes of each failure domain in the store, the others
-//! through these.
+//! Follows the targets: the relay of each failure domain in the store, the others through
+//! it. News of newer rules comes the same way, and they are fetched from there.
 
 use std::rc::Rc;
 use std::time::Duration;
