--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -13,6 +13,9 @@
 /// Fields that every line has, shown apart from the others.
 const COMMON: [&str; 4] = ["at_ms", "node", "event", "id"];
 
+/// Event that tells of a failure domain whose targets get nothing new, or may again.
+const EVACUATION: &str = "evacuation";
+
 /// One log line.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Line {
@@ -87,7 +90,9 @@
         let (first, last) = trace.span();
         let concerns = |l: &Line| {
             let target = l.word("target");
-            !target.is_empty() && targets.contains(target) && l.time >= first && l.time <= last
+            let is_known = !target.is_empty() && targets.contains(target);
+            let is_open = l.time >= first && l.time <= last;
+            is_open && (is_known || l.event == EVACUATION)
         };
         trace.lines.extend(beliefs.into_iter().filter(concerns));
         trace.lines.sort_by(|a, b| (&a.time, a.at_ms).cmp(&(&b.time, b.at_ms)));
@@ -120,7 +125,9 @@
                 None => {}
                 Some(Err(_)) => self.malformed += 1,
                 Some(Ok(line)) if line.word("id") == id => self.lines.push(line),
-                Some(Ok(line)) if matches!(line.event.as_str(), "ejected" | "target") => {
+                Some(Ok(line))
+                    if matches!(line.event.as_str(), "ejected" | "target" | EVACUATION) =>
+                {
                     beliefs.push(line);
                 }
                 Some(Ok(_)) => {}
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -19,6 +19,7 @@
     r#"2026-12-02T10:00:01.000 INFO  {"at_ms":990,"node":"a","event":"stage","id":"r1","stage":0,"service":"encode","pieces":2,"made":true,"took_ms":700}"#,
     r#"2026-12-02T10:00:01.001 INFO  {"at_ms":991,"node":"a","event":"chosen","id":"r1","target":"i-1","by":"home","left_ms":400,"targets_age_ms":1200}"#,
     r#"2026-12-02T10:00:01.300 INFO  {"at_ms":1290,"node":"a","event":"ejected","target":"i-1","why":"no connection"}"#,
+    r#"2026-12-02T10:00:01.300 INFO  {"at_ms":1290,"node":"a","event":"evacuation","domain":"hall-a","state":"began","revision":9,"from":"store","age_ms":12}"#,
     r#"2026-12-02T10:00:01.301 INFO  {"at_ms":1291,"node":"a","event":"attempt","id":"r1","target":"i-1","ran":"no","why":"no connection","after_ms":300}"#,
     r#"2026-12-02T10:00:01.302 INFO  {"at_ms":1292,"node":"a","event":"request","id":"r1","status":503,"outcome":"not_run","why":"no target","target":"i-1","stages_ms":700,"first_ms":0,"took_ms":1002}"#,
     r#"2026-12-02T10:00:01.400 INFO  {"at_ms":1390,"node":"a","event":"request","id":"r2","status":200,"outcome":"streamed","why":"","target":"i-2","stages_ms":20,"first_ms":50,"took_ms":90}"#,
@@ -36,8 +37,8 @@
     assert!(out.status.success());
     let events: Vec<&str> = text.lines().filter_map(|l| l.split_whitespace().nth(2)).collect();
     assert_eq!(
-        events[..6],
-        ["stage", "stage", "chosen", "ejected", "attempt", "request"],
+        events[..7],
+        ["stage", "stage", "chosen", "ejected", "evacuation", "attempt", "request"],
         "{text}"
     );
     assert!(text.contains("targets_age_ms=1200"), "the age of what was known: {text}");
--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -277,7 +277,7 @@
             order.order.piece(*p as u32, order.left_ms(now))
         };
         let ordered = pieces.iter().map(piece).collect();
-        self.makers.started(&maker.id, bytes);
+        self.makers.started(&maker.id, bytes, now);
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
         self.flights.insert(number, Flight { maker: maker.id, bytes, pieces });
     }
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -38,6 +38,8 @@
     domain: Name,
     calls: u32,
     present: bool,
+    cold_gap: Option<Duration>,
+    last_call: Time,
     ejected: Time,
     strikes: u32,
     doubt: Doubt,
@@ -53,6 +55,8 @@
             domain,
             calls: 0,
             present: true,
+            cold_gap: None,
+            last_call: Time::ZERO,
             ejected: Time::ZERO,
             strikes: 0,
             doubt: Doubt::None,
@@ -63,7 +67,14 @@
     }
 
     fn works(&self, now: Time) -> bool {
-        self.present && self.ejected <= now && self.doubt == Doubt::None
+        let is_left_alone = self.cold_gap == Some(Duration::MAX);
+        self.present && self.ejected <= now && self.doubt == Doubt::None && !is_left_alone
+    }
+
+    /// Whether it is cold and had a call too short a time ago.
+    fn is_held_back(&self, now: Time) -> bool {
+        let had_one = self.last_call > Time::ZERO;
+        had_one && self.cold_gap.is_some_and(|gap| now.since(self.last_call) < gap)
     }
 
     fn eject(&mut self, now: Time) {
@@ -97,8 +108,10 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain } in makers {
-            self.0.entry(id).or_insert_with(|| Maker::new(domain)).present = true;
+        for MakerInfo { id, domain, cold_gap } in makers {
+            let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
+            maker.present = true;
+            maker.cold_gap = cold_gap;
         }
         self.forget_idle();
     }
@@ -126,7 +139,7 @@
         let keep = Duration::from_millis(pool.keep_ms);
         let mut free = Vec::new();
         for (id, m) in &mut self.0 {
-            if !m.works(now) || m.calls >= pool.slots.max(1) {
+            if !m.works(now) || m.calls >= pool.slots.max(1) || m.is_held_back(now) {
                 continue;
             }
             m.kept.retain(|_, k| now.since(k.made) < keep);
@@ -140,9 +153,10 @@
     }
 
     /// A call starts at a maker, whose results will take this many bytes.
-    pub(super) fn started(&mut self, id: &TargetId, bytes: u64) {
+    pub(super) fn started(&mut self, id: &TargetId, bytes: u64, now: Time) {
         if let Some(m) = self.0.get_mut(id) {
             m.calls += 1;
+            m.last_call = now;
             m.in_flight += bytes;
         }
     }
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -1,5 +1,7 @@
 //! What a batch coordinator hears and wants done.
 
+use std::time::Duration;
+
 use model::Name;
 use model::forward::{BatchOrder, Handle, PieceOrder, PieceResult, TargetId};
 
@@ -13,6 +15,8 @@
     pub id: TargetId,
     /// Failure domain.
     pub domain: Name,
+    /// Least time between two calls, if it is cold; [`Duration::MAX`] if it gets none.
+    pub cold_gap: Option<Duration>,
 }
 
 /// What the coordinator hears.
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::forward::{Target, TargetId};
+use model::forward::{Evacuations, Target, TargetId};
 use model::{Name, Time};
 
+use super::{ColdLimit, Evacuated, EvacuationChange};
+
 /// First time for which a failing target is left out.
 const EJECT_FIRST: Duration = Duration::from_millis(400);
 /// Longest time for which a failing target is left out.
@@ -33,8 +35,12 @@
 /// What is believed of one target.
 #[derive(Debug, Clone)]
 pub struct Belief {
-    /// As discovery reports it.
+    /// As discovery reports it, but for how long it is cold.
     pub target: Target,
+    /// Until when discovery reports it as cold.
+    pub cold: Time,
+    /// When this node may next start a request there while it is cold.
+    pub next_start: Time,
     /// Its entry vanished around an outage of the store; until then it is kept.
     pub missing: Option<Time>,
     /// Requests of this node at the target now.
@@ -54,6 +60,8 @@
     fn new(target: Target) -> Self {
         Belief {
             target,
+            cold: Time::ZERO,
+            next_start: Time::ZERO,
             missing: None,
             outstanding: 0,
             prefill: 0,
@@ -64,8 +72,8 @@
         }
     }
 
-    /// Whether new work may go there.
-    pub fn usable(&self, now: Time) -> bool {
+    /// Whether new work may go there as far as its entry says.
+    fn usable(&self, now: Time) -> bool {
         let kept = self.missing.is_none_or(|until| now < until);
         !self.target.draining && kept
     }
@@ -75,6 +83,18 @@
         now < self.ejected
     }
 
+    /// Takes its entry, which counts how long it is cold from now on.
+    fn set_target(&mut self, target: Target, now: Time) {
+        self.cold = now + Duration::from_millis(target.cold_ms);
+        self.target = Target { cold_ms: 0, ..target };
+    }
+
+    /// Its entry as another node is to have it now.
+    fn entry(&self, now: Time) -> Target {
+        let cold_ms = self.cold.since(now).as_millis() as u64;
+        Target { cold_ms, ..self.target.clone() }
+    }
+
     fn eject(&mut self, now: Time) {
         let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
         self.ejected = now + time.min(EJECT_LONGEST);
@@ -87,6 +107,7 @@
 pub struct Fleet {
     beliefs: BTreeMap<TargetId, Belief>,
     services: BTreeMap<Name, Vec<TargetId>>,
+    evacuated: Evacuated,
 }
 
 impl Fleet {
@@ -98,13 +119,57 @@
     /// Targets of a service that may get new work, those left out included.
     pub fn usable<'a>(&'a self, service: &str, now: Time) -> impl Iterator<Item = &'a Belief> {
         let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter_map(|id| self.beliefs.get(id)).filter(move |b| b.usable(now))
+        ids.iter().filter_map(|id| self.beliefs.get(id)).filter(move |b| self.takes_work(b, now))
+    }
+
+    /// Whether a target may get new work.
+    pub fn is_usable(&self, id: &TargetId, now: Time) -> bool {
+        self.get(id).is_some_and(|b| self.takes_work(b, now))
+    }
+
+    fn takes_work(&self, b: &Belief, now: Time) -> bool {
+        b.usable(now) && !self.evacuated.contains(&b.target.domain)
+    }
+
+    /// What is known of evacuations.
+    pub fn evacuated(&self) -> &Evacuated {
+        &self.evacuated
+    }
+
+    /// Evacuations are followed: nothing is usable before they are known.
+    pub fn follow_evacuations(&mut self) {
+        self.evacuated.follow();
+    }
+
+    /// Takes a list of evacuations unless a newer one is known; returns what it changes.
+    pub fn evacuate(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
+        self.evacuated.take(list, now)
+    }
+
+    /// Whether a target is cold: its entry says so, or the evacuation of its failure domain
+    /// has just been taken back, which its entry tells a moment later.
+    pub fn is_cold(&self, b: &Belief, limit: ColdLimit, now: Time) -> bool {
+        let ended = self.evacuated.ended(&b.target.domain);
+        now < b.cold || ended.is_some_and(|at| now < at + limit.lasts)
+    }
+
+    /// This node starts a request at a target; if that is cold, the next one waits.
+    pub fn start(&mut self, id: &TargetId, limit: ColdLimit, now: Time) {
+        let is_cold = self.get(id).is_some_and(|b| self.is_cold(b, limit, now));
+        if let Some(b) = self.beliefs.get_mut(id).filter(|_| is_cold) {
+            b.next_start = limit.gap.map_or(Time::NEVER, |gap| now + gap);
+        }
     }
 
     /// All targets with an entry, for another node that starts.
-    pub fn targets(&self) -> Vec<Target> {
+    pub fn targets(&self, now: Time) -> Vec<Target> {
         let present = self.beliefs.values().filter(|b| b.missing.is_none());
-        present.map(|b| b.target.clone()).collect()
+        present.map(|b| b.entry(now)).collect()
+    }
+
+    /// Count of targets whose entries say that they are cold.
+    pub fn count_cold(&self, now: Time) -> usize {
+        self.beliefs.values().filter(|b| now < b.cold).count()
     }
 
     /// Count of targets known.
@@ -118,16 +183,18 @@
     }
 
     /// Takes an entry as it is now; returns whether what is believed changed.
-    pub fn upsert(&mut self, target: Target) -> bool {
+    pub fn upsert(&mut self, target: Target, now: Time) -> bool {
         if let Some(b) = self.beliefs.get_mut(&target.id) {
-            let changed = b.target != target || b.missing.is_some();
-            b.target = target;
-            b.missing = None;
-            return changed;
+            let before = (b.target.clone(), now < b.cold);
+            b.set_target(target, now);
+            let was_missing = b.missing.take().is_some();
+            return was_missing || before != (b.target.clone(), now < b.cold);
         }
         let ids = self.services.entry(target.service.clone()).or_default();
         ids.push(target.id.clone());
-        self.beliefs.insert(target.id.clone(), Belief::new(target));
+        let mut belief = Belief::new(target.clone());
+        belief.set_target(target, now);
+        self.beliefs.insert(belief.target.id.clone(), belief);
         true
     }
 
@@ -144,7 +211,7 @@
     }
 
     /// Takes a whole list: what it lacks has vanished.
-    pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>) {
+    pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>, now: Time) {
         let listed: std::collections::BTreeSet<TargetId> =
             targets.iter().map(|t| t.id.clone()).collect();
         let lacking: Vec<TargetId> =
@@ -153,7 +220,7 @@
             self.vanish(&id, doubt);
         }
         for target in targets {
-            self.upsert(target);
+            self.upsert(target, now);
         }
     }
 
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -2,10 +2,15 @@
 //!
 //! Discovery says which targets exist and which are draining; the node's own
 //! requests say which of them answer. A target whose entry vanished while the
-//! store was out of reach is kept for a short while, since it most likely lives.
+//! store was out of reach is kept for a short while, since it most likely lives. Targets of
+//! an evacuated failure domain get nothing new, cold ones little.
 
 mod belief;
+mod cold;
+mod evacuation;
 mod pick;
 
 pub use belief::{Belief, Fleet, Observation};
-pub use pick::{Home, Wanted, shares};
+pub use cold::{ColdBounds, ColdLimit};
+pub use evacuation::{Evacuated, EvacuationChange, EvacuationList};
+pub use pick::{ColdStarts, Home, Wanted, shares};
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -5,9 +5,30 @@
 use model::forward::{PromptPart, Target, TargetId};
 use model::{Name, Time, hash};
 
-use super::{Belief, Fleet};
+use super::{Belief, ColdLimit, Fleet};
 use crate::rng::Rng;
 
+/// Which cold targets a choice may fall on.
+#[derive(Clone, Copy)]
+pub enum ColdStarts<'a> {
+    /// All: whoever starts the request there sees to its pace.
+    Any,
+    /// None.
+    Avoid,
+    /// Those that this node owns, at its pace.
+    InTurn(&'a dyn Fn(&TargetId) -> bool),
+}
+
+impl std::fmt::Debug for ColdStarts<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            ColdStarts::Any => "Any",
+            ColdStarts::Avoid => "Avoid",
+            ColdStarts::InTurn(_) => "InTurn",
+        })
+    }
+}
+
 /// What a choice is made for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -22,6 +43,10 @@
     pub most_each: u32,
     /// Share of homes by failure domain, relative to each other; equal if empty.
     pub shares: &'a [(Name, f64)],
+    /// What the service's cold targets bear; `None` if as much as others.
+    pub limit: Option<ColdLimit>,
+    /// Which of them may be chosen.
+    pub cold: ColdStarts<'a>,
 }
 
 impl Wanted<'_> {
@@ -151,12 +176,28 @@
     /// Usable targets not tried yet that take another connection; those left out for failures only if no other is.
     fn candidates<'a>(&'a self, wanted: Wanted<'a>, now: Time) -> impl Iterator<Item = &'a Belief> {
         let fresh = move |b: &&Belief| {
-            !wanted.but.contains(&b.target.id) && b.outstanding < wanted.most_each
+            !wanted.but.contains(&b.target.id)
+                && b.outstanding < wanted.most_each
+                && self.may_start(b, wanted, now)
         };
         let sound = self.usable(wanted.service, now).filter(fresh).any(|b| !b.is_ejected(now));
         self.usable(wanted.service, now).filter(fresh).filter(move |b| !sound || !b.is_ejected(now))
     }
 
+    /// Whether a request may start at a target, if that is cold.
+    fn may_start(&self, b: &Belief, wanted: Wanted<'_>, now: Time) -> bool {
+        let Some(limit) = wanted.limit.filter(|l| self.is_cold(b, *l, now)) else {
+            return true;
+        };
+        match wanted.cold {
+            ColdStarts::Any => true,
+            ColdStarts::Avoid => false,
+            ColdStarts::InTurn(is_own) => {
+                limit.gap.is_some() && b.next_start <= now && is_own(&b.target.id)
+            }
+        }
+    }
+
     /// Failure domain of a target.
     pub fn domain_of(&self, id: &TargetId) -> Option<&Name> {
         self.get(id).map(|b| &b.target.domain)
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -303,6 +303,18 @@
         order.into_iter().find(|n| n.as_ref().map_or(own, |n| *n.domain == *domain))
     }
 
+    /// Whether this node is the one that starts requests at a target that bears few: the
+    /// first by rendezvous among the nodes that are up, so that targets are shared out. Nodes
+    /// that are still finding each other own none: each would take itself for the first.
+    pub fn owns(&self, target: &str, now: Time) -> bool {
+        if self.is_forming(now) {
+            return false;
+        }
+        let wanted = self.up.iter().filter(|p| self.is_wanted(p));
+        let own = score(target, &self.me);
+        !self.stops && wanted.into_iter().all(|p| score(target, &p.node.id.name) < own)
+    }
+
     /// Whether this node comes first among the coordinators of `service`.
     pub fn coordinates(&self, service: &str, now: Time) -> bool {
         self.coordinators(service, now).first().is_none_or(Option::is_none)
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -1,6 +1,7 @@
 //! The batch coordinator: what goes into a call, where, and what is answered.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use model::Time;
@@ -22,8 +23,11 @@
 }
 
 fn makers(of: &[(&str, &str)]) -> Event {
-    let info =
-        |(id, domain): &(&str, &str)| MakerInfo { id: (*id).into(), domain: (*domain).into() };
+    let info = |(id, domain): &(&str, &str)| MakerInfo {
+        id: (*id).into(),
+        domain: (*domain).into(),
+        cold_gap: None,
+    };
     Event::Makers(of.iter().map(info).collect())
 }
 
@@ -523,3 +527,24 @@
     let next = calls(&c.on(at(250), Event::Ended(first[0].number, made(&first[0]))));
     assert_eq!(next[0].pieces[0].left_ms, Some(7750));
 }
+
+#[test]
+fn a_cold_maker_gets_one_call_at_a_time_and_none_too_soon() {
+    let cold = |gap: Option<Duration>| {
+        Event::Makers(vec![MakerInfo { id: "m1".into(), domain: "a".into(), cold_gap: gap }])
+    };
+    let mut c = Coordinator::new(pool(), Policy::default());
+    let gap = Duration::from_millis(800);
+    c.on(at(1), cold(Some(gap)));
+    let first = calls(&c.on(at(1), placed(1, order("r1", 10))));
+    assert_eq!(first.len(), 1, "the first call goes out at once");
+    c.on(at(1), placed(2, order("r2", 10)));
+    let after = c.on(at(201), Event::Ended(first[0].number, made(&first[0])));
+    assert_eq!(calls(&after), [], "the next one waits although the maker is free");
+    assert_eq!(calls(&c.on(at(800), Event::Tick)), []);
+    assert_eq!(calls(&c.on(at(801), Event::Tick)).len(), 1);
+    let mut c = Coordinator::new(pool(), Policy::default());
+    c.on(at(1), cold(Some(Duration::MAX)));
+    assert_eq!(calls(&c.on(at(1), placed(1, order("r1", 10)))), [], "it is left alone");
+    assert_eq!(calls(&c.on(at(900), cold(None))).len(), 1, "it is warm");
+}
--- /dev/null
+++ b/crates/decide/tests/cold.rs
@@ -0,0 +1,155 @@
+//! Cold targets: who may start requests there, and at which pace.
+
+use std::time::Duration;
+
+use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Wanted};
+use decide::rng::Rng;
+use model::Time;
+use model::forward::{ColdTargets, Evacuations, Target, TargetId};
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn target(id: &str, domain: &str, cold_ms: u64) -> Target {
+    Target {
+        id: id.into(),
+        service: "plain".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.into(),
+        slots: 4,
+        draining: false,
+        cold_ms,
+    }
+}
+
+const BOUNDS: ColdBounds = ColdBounds { overrun: 1.5, slack: 5.0 };
+
+fn limit(per_s: f64) -> ColdLimit {
+    let cold = ColdTargets { lasts_ms: 3000, per_s };
+    ColdLimit::of(&cold, BOUNDS).expect("it bears fewer")
+}
+
+fn pick(fleet: &Fleet, per_s: f64, cold: ColdStarts<'_>, now: Time) -> Option<TargetId> {
+    let wanted = Wanted {
+        service: "plain",
+        domain: "a",
+        but: &[],
+        most_each: 100,
+        shares: &[],
+        limit: Some(limit(per_s)),
+        cold,
+    };
+    fleet.pick_plain(wanted, now, &mut Rng::new(1)).map(|t| t.id)
+}
+
+#[test]
+fn an_owner_starts_requests_evenly_and_well_below_what_is_allowed() {
+    let ms = |ms| Some(Duration::from_millis(ms));
+    // Requests a second, factor, requests on top, and the time between two starts.
+    let cases = [
+        (9.1, 1.5, 5.0, ms(250)),
+        (1.0, 1.5, 5.0, ms(1250)),
+        (1.0, 1.5, 3.0, ms(2500)),
+        (1.0, 1.0, 0.0, None),
+        (100.0, 1.0, 0.0, Some(Duration::from_millis(1250) / 32)),
+    ];
+    for (per_s, overrun, slack, gap) in cases {
+        let cold = ColdTargets { lasts_ms: 3000, per_s };
+        let limit = ColdLimit::of(&cold, ColdBounds { overrun, slack });
+        assert_eq!(limit.map(|l| l.gap), Some(gap), "{per_s} x {overrun} + {slack}");
+    }
+    let unlimited = ColdTargets { lasts_ms: 3000, per_s: 0.0 };
+    assert_eq!(ColdLimit::of(&unlimited, BOUNDS), None);
+}
+
+#[test]
+fn a_cold_target_is_left_to_its_owner_and_gets_one_request_at_a_time() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(target("t0", "a", 3000), at(0));
+    let own = |id: &TargetId| **id == *"t0";
+    let owned = ColdStarts::InTurn(&own);
+    assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(10)), None);
+    assert_eq!(pick(&fleet, 9.1, ColdStarts::InTurn(&|_| false), at(10)), None);
+    assert_eq!(pick(&fleet, 9.1, owned, at(10)).as_deref(), Some("t0"));
+    fleet.start(&"t0".into(), limit(9.1), at(10));
+    assert_eq!(pick(&fleet, 9.1, owned, at(200)), None, "the next one waits");
+    assert_eq!(pick(&fleet, 9.1, owned, at(260)).as_deref(), Some("t0"));
+    assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).as_deref(), Some("t0"), "it is warm");
+    fleet.start(&"t0".into(), limit(9.1), at(3000));
+    assert!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).is_some(), "warm ones never wait");
+    fleet.upsert(target("t0", "a", 500), at(4000));
+    assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(4400)), None, "cold again");
+    assert!(pick(&fleet, 9.1, ColdStarts::Avoid, at(4500)).is_some());
+}
+
+#[test]
+fn targets_are_cold_when_the_evacuation_of_their_domain_ends() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(target("t0", "a", 0), at(0));
+    let list = |at, domains: &[&str]| Evacuations {
+        at,
+        domains: domains.iter().map(|d| (*d).into()).collect(),
+    };
+    fleet.evacuate(list(5, &["a"]), at(0));
+    fleet.evacuate(list(6, &[]), at(8000));
+    let pick = |fleet: &Fleet, ms| pick(fleet, 9.1, ColdStarts::Avoid, at(ms));
+    assert_eq!(pick(&fleet, 8001), None, "its entry tells so only a moment later");
+    fleet.upsert(target("t0", "a", 0), at(8500));
+    assert_eq!(pick(&fleet, 10_999), None, "an entry that is not warm yet may be old");
+    assert!(pick(&fleet, 11_000).is_some());
+}
+
+#[test]
+fn other_nodes_are_told_how_long_a_target_is_still_cold() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.upsert(target("t0", "a", 3000), at(1000)));
+    assert!(!fleet.upsert(target("t0", "a", 1800), at(2200)), "as cold as it was known to be");
+    assert_eq!(fleet.targets(at(2500))[0].cold_ms, 1500);
+    assert_eq!(fleet.targets(at(9000))[0].cold_ms, 0);
+    assert!(fleet.upsert(target("t0", "a", 0), at(3000)), "it is warm sooner");
+}
+
+proptest! {
+    /// Owners that do not know of each other, each with all the work that there is, and
+    /// requests of which each arrives up to 250 ms late: no second sees more than is allowed.
+    #[test]
+    fn no_second_sees_more_than_is_allowed(
+        per_s in 0.5f64..60.0,
+        overrun in 1.0f64..2.0,
+        slack in 0.0f64..10.0,
+        starts in proptest::array::uniform3(0u64..400),
+        seed in any::<u64>(),
+    ) {
+        let cold = ColdTargets { lasts_ms: 6000, per_s };
+        let limit = ColdLimit::of(&cold, ColdBounds { overrun, slack }).expect("it bears fewer");
+        let mut rng = Rng::new(seed);
+        let mut arrivals = Vec::new();
+        for start in starts {
+            let mut fleet = Fleet::default();
+            fleet.upsert(target("t0", "a", 6000), at(0));
+            for ms in start..6000 {
+                let wanted = Wanted {
+                    service: "plain",
+                    domain: "a",
+                    but: &[],
+                    most_each: u32::MAX,
+                    shares: &[],
+                    limit: Some(limit),
+                    cold: ColdStarts::InTurn(&|_| true),
+                };
+                if fleet.pick_plain(wanted, at(ms), &mut rng).is_some() {
+                    fleet.start(&"t0".into(), limit, at(ms));
+                    arrivals.push(ms + rng.below(250) as u64);
+                }
+            }
+        }
+        arrivals.sort_unstable();
+        let allowed = per_s * overrun + slack;
+        for first in &arrivals {
+            let seen = arrivals.iter().filter(|a| (*first..first + 1000).contains(*a)).count();
+            prop_assert!(seen as f64 <= allowed, "{} of {}", seen, allowed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/evacuation.rs
@@ -0,0 +1,164 @@
+//! What nodes know of evacuated failure domains, whoever tells them.
+
+use std::collections::BTreeSet;
+
+use decide::fleet::{ColdStarts, Evacuated, EvacuationChange, EvacuationList, Fleet, Home, Wanted};
+use decide::rng::Rng;
+use model::forward::{Evacuations, Target};
+use model::{Name, Time};
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn list(revision: u64, domains: &[&str]) -> Evacuations {
+    Evacuations { at: revision, domains: domains.iter().map(|d| (*d).into()).collect() }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    for (id, domain) in [("t0", "a"), ("t1", "b"), ("t2", "c")] {
+        let target = Target {
+            id: id.into(),
+            service: "engine".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: domain.into(),
+            slots: 4,
+            draining: false,
+            cold_ms: 0,
+        };
+        fleet.upsert(target, at(0));
+    }
+    fleet
+}
+
+fn wanted() -> Wanted<'static> {
+    Wanted {
+        service: "engine",
+        domain: "a",
+        but: &[],
+        most_each: 100,
+        shares: &[],
+        limit: None,
+        cold: ColdStarts::Avoid,
+    }
+}
+
+/// Targets that a hundred requests with and without a prompt go to.
+fn chosen(fleet: &Fleet) -> BTreeSet<String> {
+    let mut rng = Rng::new(1);
+    let plain = (0..100).filter_map(|_| fleet.pick_plain(wanted(), at(0), &mut rng));
+    let plain: Vec<Target> = plain.collect();
+    let home = |key| fleet.pick_home(wanted(), Home { key, shared: 10 }, at(0));
+    plain.into_iter().chain((0..100).filter_map(home)).map(|t| t.id.to_string()).collect()
+}
+
+#[test]
+fn nothing_is_sent_before_the_evacuations_are_known() {
+    let mut fleet = fleet();
+    fleet.follow_evacuations();
+    assert!(!fleet.evacuated().is_known());
+    assert_eq!(chosen(&fleet), BTreeSet::new());
+    fleet.evacuate(list(5, &["b"]), at(10));
+    assert!(fleet.evacuated().is_known());
+    assert!(!chosen(&fleet).contains("t1"));
+    assert!(!fleet.is_usable(&"t1".into(), at(10)));
+    assert!(fleet.is_usable(&"t0".into(), at(10)));
+}
+
+#[test]
+fn where_none_are_followed_nothing_is_waited_for() {
+    assert!(fleet().evacuated().is_known());
+    assert!(!chosen(&fleet()).is_empty());
+}
+
+#[test]
+fn the_targets_of_an_evacuated_domain_get_nothing_new_until_it_is_taken_back() {
+    let mut fleet = fleet();
+    fleet.follow_evacuations();
+    fleet.evacuate(list(5, &[]), at(0));
+    fleet.evacuate(list(6, &["a", "b"]), at(10));
+    assert_eq!(chosen(&fleet), BTreeSet::from(["t2".to_string()]));
+    assert_eq!(fleet.usable("engine", at(10)).count(), 1);
+    fleet.evacuate(list(7, &["a"]), at(20));
+    assert!(chosen(&fleet).contains("t1"));
+    assert!(!chosen(&fleet).contains("t0"));
+    assert_eq!(fleet.evacuated().ended("b"), Some(at(20)));
+    fleet.evacuate(list(8, &["a", "b", "c"]), at(30));
+    assert_eq!(chosen(&fleet), BTreeSet::new(), "all are evacuated: nobody is sent anywhere");
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let began = |d: &str| EvacuationChange::Began(d.into());
+    let ended = |d: &str| EvacuationChange::Ended(d.into());
+    let mut known = Evacuated::default();
+    known.follow();
+    // The list that comes, and what it changes.
+    let cases = [
+        (list(5, &[]), vec![]),
+        (list(8, &["a"]), vec![began("a")]),
+        (list(7, &[]), vec![]),
+        (list(8, &["a"]), vec![]),
+        (list(9, &["a"]), vec![]),
+        (list(8, &[]), vec![]),
+        (list(10, &["b"]), vec![ended("a"), began("b")]),
+        (list(9, &["a"]), vec![]),
+        (list(11, &[]), vec![ended("b")]),
+    ];
+    for (n, (list, changes)) in cases.into_iter().enumerate() {
+        assert_eq!(known.take(list.clone(), at(n as u64)), changes, "{n}: {list:?}");
+    }
+}
+
+#[test]
+fn a_peer_lacks_what_changed_after_the_list_that_it_knows() {
+    let mut known = Evacuated::default();
+    known.follow();
+    assert!(!known.is_news_since(None), "nobody can be told what is not known");
+    known.take(list(5, &["a"]), at(0));
+    known.take(list(9, &["a"]), at(1));
+    let cases = [(None, true), (Some(4), true), (Some(5), false), (Some(9), false)];
+    for (at, is_news) in cases {
+        assert_eq!(known.is_news_since(at), is_news, "{at:?}");
+    }
+    assert_eq!(known.list(), Some(list(9, &["a"])));
+}
+
+#[test]
+fn a_reader_follows_the_list_and_reads_it_anew_when_its_history_is_gone() {
+    let mut reader = EvacuationList::default();
+    assert_eq!((reader.at(), reader.list()), (None, None));
+    reader.whole(5, [Name::from("a")]);
+    reader.change(8, [("b".into(), true), ("a".into(), false), ("c".into(), true)]);
+    assert_eq!(reader.list(), Some(list(8, &["b", "c"])));
+    reader.restart();
+    assert_eq!((reader.at(), reader.list()), (None, None));
+    reader.whole(12, [Name::from("c")]);
+    assert_eq!(reader.list(), Some(list(12, &["c"])));
+}
+
+proptest! {
+    /// Lists reach a node in any order, some twice and some never: once it has heard of the
+    /// newest one it knows just that, and before that never an older one than it knew.
+    #[test]
+    fn whatever_the_order_the_newest_list_heard_of_is_in_force(
+        sets in proptest::collection::vec(proptest::collection::btree_set(0u8..3, 0..3), 1..12),
+        order in proptest::collection::vec(0usize..12, 1..40),
+    ) {
+        let mut known = Evacuated::default();
+        known.follow();
+        let mut newest = None;
+        for (n, i) in order.into_iter().map(|i| i % sets.len()).enumerate() {
+            let domains: Vec<String> = sets[i].iter().map(|d| format!("d{d}")).collect();
+            let names: Vec<&str> = domains.iter().map(String::as_str).collect();
+            known.take(list(i as u64 + 1, &names), at(n as u64));
+            newest = newest.max(Some(i));
+            let wanted: BTreeSet<String> =
+                sets[newest.expect("one came")].iter().map(|d| format!("d{d}")).collect();
+            let is: BTreeSet<String> = known.domains().map(|d| d.to_string()).collect();
+            prop_assert_eq!(is, wanted);
+        }
+    }
+}
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use decide::fleet::{Fleet, Home, Observation, Wanted, shares};
+use decide::fleet::{ColdStarts, Fleet, Home, Observation, Wanted, shares};
 use decide::rng::Rng;
 use model::Time;
 use model::forward::{PromptPart, Target, TargetId};
@@ -20,19 +20,28 @@
         domain: domain.into(),
         slots: 4,
         draining: false,
+        cold_ms: 0,
     }
 }
 
 fn fleet(n: usize) -> Fleet {
     let mut fleet = Fleet::default();
     for i in 0..n {
-        fleet.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]));
+        fleet.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]), at(0));
     }
     fleet
 }
 
 fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
-    Wanted { service: "engine", domain: "a", but, most_each: 100, shares: &[] }
+    Wanted {
+        service: "engine",
+        domain: "a",
+        but,
+        most_each: 100,
+        shares: &[],
+        limit: None,
+        cold: ColdStarts::Avoid,
+    }
 }
 
 fn home(key: u64) -> Home {
@@ -59,7 +68,7 @@
 fn nodes_that_know_the_same_targets_find_the_same_homes() {
     let (one, mut other) = (fleet(12), Fleet::default());
     for i in (0..12).rev() {
-        other.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]));
+        other.upsert(target(&format!("t{i}"), ["a", "b", "c"][i % 3]), at(0));
     }
     let mut homes = BTreeSet::new();
     for key in 0..200 {
@@ -85,7 +94,7 @@
 #[test]
 fn what_drains_is_gone_or_was_tried_gets_nothing_new() {
     let mut fleet = fleet(3);
-    fleet.upsert(Target { draining: true, ..target("t0", "a") });
+    fleet.upsert(Target { draining: true, ..target("t0", "a") }, at(0));
     fleet.vanish(&"t1".into(), None);
     let mut rng = Rng::new(1);
     for _ in 0..50 {
@@ -101,30 +110,30 @@
 fn an_entry_that_vanished_around_an_outage_is_kept_until_it_should_be_back() {
     let mut fleet = fleet(2);
     let doubt = Some(at(3000));
-    fleet.replace(vec![target("t0", "a")], doubt);
+    fleet.replace(vec![target("t0", "a")], doubt, at(0));
     assert_eq!(fleet.usable("engine", at(2900)).count(), 2, "most likely it lives");
-    assert_eq!(fleet.targets().len(), 1, "but other nodes are not told of it");
+    assert_eq!(fleet.targets(at(0)).len(), 1, "but other nodes are not told of it");
     assert_eq!(fleet.usable("engine", at(3000)).count(), 1, "not for long enough to break a drain");
     fleet.expire(at(2900));
     assert_eq!(fleet.len(), 2);
     fleet.expire(at(3000));
     assert_eq!(fleet.len(), 1);
-    fleet.replace(vec![target("t0", "a"), target("t1", "b")], doubt);
+    fleet.replace(vec![target("t0", "a"), target("t1", "b")], doubt, at(0));
     assert_eq!(fleet.usable("engine", at(9000)).count(), 2, "it wrote again");
 }
 
 #[test]
 fn an_entry_that_vanishes_when_the_outage_is_long_over_is_gone() {
     let mut fleet = fleet(2);
-    fleet.replace(vec![target("t0", "a")], None);
+    fleet.replace(vec![target("t0", "a")], None, at(0));
     assert_eq!(fleet.len(), 1);
 }
 
 #[test]
 fn a_draining_entry_that_vanishes_is_gone_even_around_an_outage() {
     let mut fleet = fleet(2);
-    fleet.upsert(Target { draining: true, ..target("t1", "b") });
-    fleet.replace(vec![target("t0", "a")], Some(at(2000)));
+    fleet.upsert(Target { draining: true, ..target("t1", "b") }, at(0));
+    fleet.replace(vec![target("t0", "a")], Some(at(2000)), at(0));
     assert_eq!(fleet.len(), 1);
 }
 
@@ -197,7 +206,7 @@
     let mut fleet = fleet(18);
     let makers = [("m1", "a"), ("m2", "a"), ("m3", "b"), ("m4", "b"), ("m5", "c")];
     for (id, domain) in makers {
-        fleet.upsert(Target { service: "encode".into(), ..target(id, domain) });
+        fleet.upsert(Target { service: "encode".into(), ..target(id, domain) }, at(0));
     }
     let by_domain = shares(&fleet, "encode", "engine", at(0));
     let mut homes = [0.0; 3];
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -46,6 +46,7 @@
         name: name.into(),
         connections: 10,
         engine: None,
+        cold: None,
         pool: Some(pool.clone()),
     };
     vec![service("first"), service("second")]
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -408,3 +408,26 @@
     assert_eq!(*names[0], *name(7), "those that failed first");
     assert_eq!(changes.take_due(at(2_000)), None, "each once");
 }
+
+#[test]
+fn each_target_is_owned_by_one_node_and_they_share_them_out() {
+    let up = [60_000; 6];
+    let rosters: Vec<Roster> = (0..up.len()).map(|me| roster(me, &up, 60_000)).collect();
+    let mut owned = [0; 6];
+    for target in (0..120).map(|i| format!("i-{i}")) {
+        let owners: Vec<usize> =
+            (0..6).filter(|me| rosters[*me].owns(&target, at(60_000))).collect();
+        assert_eq!(owners.len(), 1, "{target}: {owners:?}");
+        owned[owners[0]] += 1;
+    }
+    assert!(owned.iter().all(|n| *n > 5), "{owned:?}");
+    let mut stopping = roster(0, &up, 60_000);
+    stopping.stop();
+    assert!(
+        (0..120).all(|i| !stopping.owns(&format!("i-{i}"), at(60_000))),
+        "one that stops owns none"
+    );
+    let alone = Roster::new("node-0".into(), "d".into(), 0);
+    assert!(!alone.owns("i-1", at(100)), "its peers are not known yet");
+    assert!(alone.owns("i-1", at(900)), "there are none");
+}
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -78,6 +78,8 @@
     Rules,
     /// The targets.
     Targets,
+    /// Failure domains whose targets are to get nothing new.
+    Evacuations,
 }
 
 /// One object of the store, read.
@@ -87,6 +89,8 @@
     Rules(Box<Rules>),
     /// A target as it is now.
     Target(Target),
+    /// A failure domain is evacuated.
+    Evacuated(Name),
     /// The entry of this name is gone.
     Gone(Name),
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -23,6 +23,9 @@
     View { up: usize, alive: usize, suspected: usize, dead: usize, left: usize, names: &'a [Name] },
     /// A target came, changed or went.
     Target { target: &'a str, service: &'a str, state: &'a str },
+    /// The operator evacuates a failure domain, or has taken that back: `revision` of the list
+    /// that told of it, and the age of what is known.
+    Evacuation { domain: &'a str, state: &'a str, revision: u64, from: &'a str, age_ms: u64 },
     /// A target is left out for its failures.
     Ejected { target: &'a str, why: &'a str },
     /// The budget for repeats of a service granted none.
@@ -44,12 +47,15 @@
         objective_ms: u64,
         come_back_ms: u64,
     },
-    /// A target was chosen for a request; it has `ahead` prompt tokens to read before.
+    /// A target was chosen for a request; it has `ahead` prompt tokens to read before. Those of
+    /// the `evacuated` failure domains were left out.
     Chosen {
         id: &'a str,
         target: &'a str,
         by: &'a str,
         ahead: u64,
+        cold: bool,
+        evacuated: &'a [Name],
         left_ms: u64,
         targets_age_ms: u64,
     },
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -56,6 +56,8 @@
     rules: Gauge,
     peers: Gauge,
     targets: Gauge,
+    evacuated: Gauge,
+    cold: Gauge,
     times: Times,
     names: RefCell<std::collections::BTreeSet<String>>,
 }
@@ -71,6 +73,10 @@
     pub peers: usize,
     /// Targets known.
     pub targets: usize,
+    /// Failure domains that are evacuated.
+    pub evacuated: usize,
+    /// Targets whose entries say that they are cold.
+    pub cold: usize,
 }
 
 impl Default for Metrics {
@@ -88,6 +94,8 @@
             rules: Gauge::default(),
             peers: Gauge::default(),
             targets: Gauge::default(),
+            evacuated: Gauge::default(),
+            cold: Gauge::default(),
             times: Times::default(),
             names: RefCell::default(),
         };
@@ -101,6 +109,8 @@
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
         registry.register("nodes_up", "Nodes that are up", m.peers.clone());
         registry.register("targets", "Targets known", m.targets.clone());
+        registry.register("domains_evacuated", "Failure domains evacuated", m.evacuated.clone());
+        registry.register("targets_cold", "Targets known as cold", m.cold.clone());
         Metrics { registry, ..m }
     }
 }
@@ -155,6 +165,8 @@
         self.rules.set(now.rules as i64);
         self.peers.set(now.peers as i64);
         self.targets.set(now.targets as i64);
+        self.evacuated.set(now.evacuated as i64);
+        self.cold.set(now.cold as i64);
         for ((kind, name), times) in &*self.times.borrow() {
             for quantile in QUANTILES {
                 let labels =
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use decide::fleet::{Fleet, Observation};
+use decide::fleet::{ColdLimit, Fleet, Observation};
 use decide::forecast::Forecast;
 use decide::relay;
 use decide::resend::RepeatBudget;
@@ -156,6 +156,12 @@
         self.version.subscribe()
     }
 
+    /// What cold targets of a service bear, if less than others.
+    pub fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+        let cold = self.table.borrow().service(service)?.cold?;
+        ColdLimit::of(&cold, self.settings.borrow().cold.bounds())
+    }
+
     /// Uses the fleet for a moment.
     pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(&mut self.fleet.borrow_mut())
@@ -257,6 +263,8 @@
             rules: self.table.borrow().rules.version,
             peers: self.peers.roster(|r| r.count()),
             targets: self.fleet.borrow().len(),
+            evacuated: self.fleet.borrow().evacuated().domains().count(),
+            cold: self.fleet.borrow().count_cold(self.now()),
         })
     }
 
@@ -270,9 +278,10 @@
         self.targets_known.set(true);
     }
 
-    /// Whether rules and targets are known.
+    /// Whether rules, targets and evacuations are known.
     fn knows_state(&self) -> bool {
-        self.table.borrow().known() && self.targets_known.get()
+        let knows_evacuations = self.fleet.borrow().evacuated().is_known();
+        self.table.borrow().known() && self.targets_known.get() && knows_evacuations
     }
 
     /// Returns once rules and targets are known, or are not to be waited for.
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,8 +1,8 @@
 //! Which target a request goes to.
 
-use decide::fleet::{Home, Wanted, shares};
+use decide::fleet::{ColdStarts, Home, Wanted, shares};
 use decide::resend::Next;
-use model::forward::{LARGE_RESULT, Target};
+use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
 
 use super::exchange::Exchange;
@@ -18,8 +18,25 @@
 }
 
 impl Exchange {
-    /// The target that a request is best sent to now.
+    /// The target that a request is best sent to now. A scheduler sees to the pace at which
+    /// cold ones are started; without one their owners do.
     pub(super) fn choose(&self) -> Option<Target> {
+        if self.is_scheduled() && self.node.settings().policy.cold_dealing {
+            return self.choose_among(ColdStarts::Any);
+        }
+        self.choose_owned()
+    }
+
+    /// The same where no scheduler answered.
+    fn choose_owned(&self) -> Option<Target> {
+        let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(id, self.node.now()));
+        if self.home().is_some() && self.node.settings().policy.cold_dealing {
+            return self.choose_among(ColdStarts::Avoid);
+        }
+        self.choose_among(ColdStarts::InTurn(&owns))
+    }
+
+    fn choose_among(&self, cold: ColdStarts<'_>) -> Option<Target> {
         let now = self.node.now();
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
@@ -30,6 +47,8 @@
             but: &but,
             most_each: self.connections_each(),
             shares: &shares,
+            limit: self.node.cold_limit(&self.service),
+            cold,
         };
         match self.home() {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
@@ -64,11 +83,34 @@
         let now = self.node.now();
         let most = self.connections_each();
         self.node.fleet(|f| {
-            let belief = f.get(&target.id);
-            belief.is_some_and(|b| b.usable(now) && !b.is_ejected(now) && b.outstanding < most)
+            let is_free = f.get(&target.id).is_some_and(|b| {
+                let connects = b.outstanding < most;
+                connects && !b.is_ejected(now)
+            });
+            is_free && f.is_usable(&target.id, now)
         })
     }
 
+    /// Whether a target is cold.
+    fn is_cold(&self, target: &Target) -> bool {
+        let Some(limit) = self.node.cold_limit(&self.service) else {
+            return false;
+        };
+        let now = self.node.now();
+        self.node.fleet(|f| f.get(&target.id).is_some_and(|b| f.is_cold(b, limit, now)))
+    }
+
+    /// Whether a scheduler chooses among the engines of a failure domain: for long prompts,
+    /// and for others while all engines are cold.
+    fn is_scheduled(&self) -> bool {
+        if !self.node.settings().policy.scheduling || self.home().is_none() {
+            return false;
+        }
+        let is_cold = || self.node.cold_limit(&self.service).is_some();
+        prefill::is_long(self.head.tokens_in)
+            || (is_cold() && self.choose_among(ColdStarts::Avoid).is_none())
+    }
+
     /// The next target; `None` if the request is not to be sent again.
     pub(super) async fn next_target(&self, chosen: Option<Target>) -> Option<Choice> {
         let tries = self.progress(|p| p.tries);
@@ -76,22 +118,38 @@
         if next != Next::Resend {
             return None;
         }
-        let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
-            self.progress(|p| p.why = format!("no target; before: {}", p.why));
-            return None;
-        };
-        if let Some((choice, ahead)) = self.scheduled(&first).await {
+        if self.is_scheduled()
+            && let Some(first) =
+                chosen.clone().filter(|t| self.is_usable(t)).or_else(|| self.choose())
+            && let Some((choice, ahead)) = self.scheduled(&first).await
+        {
             self.tell(&choice.target, "scheduler", ahead);
             return Some(choice);
         }
+        let usual = |t: &Target| self.is_usable(t) && !self.is_cold(t);
+        let Some(target) = chosen.filter(usual).or_else(|| self.choose_owned()) else {
+            let why = self.no_target();
+            self.progress(|p| p.why = format!("{why}; before: {}", p.why));
+            return None;
+        };
+        self.start(&target);
         let by = if self.head.prompt.is_empty() { "least_wait" } else { "home" };
-        self.tell(&first, by, 0);
-        Some(Choice { target: first, ticket: None })
+        self.tell(&target, by, 0);
+        Some(Choice { target, ticket: None })
+    }
+
+    /// A request starts at a target that no scheduler chose; if that is cold, the next one
+    /// of this node has to wait.
+    fn start(&self, target: &Target) {
+        if let Some(limit) = self.node.cold_limit(&self.service) {
+            let now = self.node.now();
+            self.node.fleet(|f| f.start(&target.id, limit, now));
+        }
     }
 
     /// The engine that a scheduler chooses near the prompt's home.
     async fn scheduled(&self, first: &Target) -> Option<(Choice, u64)> {
-        let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
+        let home = self.home()?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
             home,
@@ -108,12 +166,26 @@
         Some((choice, scheduled.ahead))
     }
 
+    /// Why no target is left.
+    pub(super) fn no_target(&self) -> String {
+        match self.evacuated().as_slice() {
+            [] => "no target".into(),
+            domains => format!("no target outside of evacuated {}", domains.join(", ")),
+        }
+    }
+
+    fn evacuated(&self) -> Vec<Name> {
+        self.node.fleet(|f| f.evacuated().domains().cloned().collect())
+    }
+
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
         Event::Chosen {
             id: &self.head.id,
             target: &target.id,
             by,
             ahead,
+            cold: self.is_cold(target),
+            evacuated: &self.evacuated(),
             left_ms: self.left().as_millis() as u64,
             targets_age_ms: self.node.store_age().as_millis() as u64,
         }
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -173,6 +173,12 @@
         self.node.count_request(&self.service);
         let mut chosen = self.choose();
         let mut made = None;
+        if chosen.is_none() {
+            // Nothing is made for a request that nobody could take.
+            let why = self.no_target();
+            self.progress(|p| p.why = why);
+            return self.own_ending();
+        }
         if !self.route.stages.is_empty() {
             match self.make_stages(chosen.as_ref()).await {
                 Ok(m) => made = Some(m),
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use decide::fleet::ColdBounds;
 use decide::resend::BudgetTuning;
 use model::Name;
 use model::forward::Policy;
@@ -42,6 +43,13 @@
     pub stop_ms: u64,
     /// Repeats of requests.
     pub repeats: Repeats,
+    /// Whether operators evacuate failure domains through the store. Then nothing is sent
+    /// before the node knows which.
+    #[serde(default)]
+    pub evacuations: bool,
+    /// What cold targets may get beyond what they bear.
+    #[serde(default)]
+    pub cold: Cold,
     /// What the host gives the process.
     #[serde(default)]
     pub host: Host,
@@ -96,6 +104,31 @@
     pub slack: f64,
 }
 
+/// What cold targets of a service may get, all nodes together, beyond the requests a second
+/// that its rules say they bear.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Factor.
+    pub overrun: f64,
+    /// Requests in a second on top.
+    pub slack: f64,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        let ColdBounds { overrun, slack } = ColdBounds::default();
+        Cold { overrun, slack }
+    }
+}
+
+impl Cold {
+    /// As the limits of services take it.
+    pub fn bounds(&self) -> ColdBounds {
+        ColdBounds { overrun: self.overrun, slack: self.slack }
+    }
+}
+
 fn descriptors() -> usize {
     4096
 }
@@ -126,6 +159,7 @@
             ("callers", self.callers == running.callers),
             ("readiness", self.readiness == running.readiness),
             ("peer_port", self.peer_port == running.peer_port),
+            ("evacuations", self.evacuations == running.evacuations),
             ("policy", self.policy == running.policy),
         ];
         fields.into_iter().find(|(_, same)| !same).map(|(field, _)| field)
@@ -158,6 +192,12 @@
         if !self.repeats.slack.is_finite() || self.repeats.slack < 0.0 {
             return Err(BadValue::new("repeats.slack", "is below 0"));
         }
+        if !self.cold.overrun.is_finite() || self.cold.overrun < 0.0 {
+            return Err(BadValue::new("cold.overrun", "is below 0"));
+        }
+        if !self.cold.slack.is_finite() || self.cold.slack < 0.0 {
+            return Err(BadValue::new("cold.slack", "is below 0"));
+        }
         if !self.host.cpu_share.is_finite() || self.host.cpu_share <= 0.0 {
             return Err(BadValue::new("host.cpu_share", "is not above 0"));
         }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -7,12 +7,10 @@
 use std::time::Duration;
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
-use decide::fleet::Observation;
+use decide::fleet::{Belief, Observation};
 use http_body_util::{BodyExt, Limited};
 use model::Name;
-use model::forward::{
-    BatchAnswer, BatchOrder, Handle, PieceResult, Policy, StagePool, Target, TargetId,
-};
+use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, Policy, StagePool, TargetId};
 use tokio::sync::oneshot;
 
 use super::call;
@@ -161,8 +159,19 @@
 
     fn makers(&self, node: &Node) -> Vec<MakerInfo> {
         let now = node.now();
-        let info = |t: &Target| MakerInfo { id: t.id.clone(), domain: t.domain.clone() };
-        node.fleet(|f| f.usable(&self.service, now).map(|b| info(&b.target)).collect())
+        let limit = node.cold_limit(&self.service);
+        node.fleet(|f| {
+            let gap_of = |b: &Belief| {
+                let limit = limit.filter(|l| f.is_cold(b, *l, now))?;
+                Some(limit.gap.unwrap_or(Duration::MAX))
+            };
+            let info = |b: &Belief| MakerInfo {
+                id: b.target.id.clone(),
+                domain: b.target.domain.clone(),
+                cold_gap: gap_of(b),
+            };
+            f.usable(&self.service, now).map(info).collect()
+        })
     }
 
     fn act(self: &Rc<Self>, node: &Rc<Node>, action: Action) {
--- /dev/null
+++ b/crates/forward/src/watch/evacuations.rs
@@ -0,0 +1,97 @@
+//! Follows the evacuations in the store, for as long as this node reads it: as a relay, or
+//! for want of one. The others hear of them from where they follow the targets.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::fleet::{EvacuationChange, EvacuationList};
+use decide::relay::Role;
+use model::Name;
+use model::forward::Evacuations;
+
+use super::store::{Reader, Step};
+use super::{Part, relays};
+use crate::border::{Change, Kind};
+use crate::events::Event;
+use crate::node::Node;
+
+/// Time that a watch waits at the store where no other node follows this one: a connection
+/// that has fallen silent is found out well within the time in which an evacuation is to be
+/// in force.
+const WATCH: Duration = Duration::from_secs(2);
+/// Time that a relay's watch waits there: its followers rely on its age.
+const WATCH_RELAY: Duration = Duration::from_secs(1);
+/// First wait after a failed call.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest wait after a failed call.
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+
+/// Follows until the process ends.
+pub async fn follow(node: Rc<Node>) {
+    let mut reader = Reader::new(node.clone(), Kind::Evacuations);
+    let mut list = EvacuationList::default();
+    let mut failures = 0;
+    loop {
+        node.feed.reads_store().await;
+        let relays = relays(&node);
+        let alone = relays.role == Role::Relay && !relays.followed;
+        let wait = if alone { WATCH } else { WATCH_RELAY };
+        match reader.read(list.at(), wait).await {
+            Ok(step) => {
+                failures = 0;
+                take_step(&node, &mut list, step);
+            }
+            Err(e) if e.is_history_gone() => list.restart(),
+            Err(_) => {
+                let bound = RETRY_FIRST * 2u32.pow(failures.min(5));
+                failures += 1;
+                let pause = node.rng(|r| r.jitter(bound.min(RETRY_LONGEST)));
+                tokio::time::sleep(RETRY_FIRST / 2 + pause).await;
+            }
+        }
+    }
+}
+
+fn take_step(node: &Node, list: &mut EvacuationList, step: Step) {
+    let Step { at, whole, changes } = step;
+    let changes = changes.into_iter().filter_map(change);
+    if whole {
+        let evacuated = changes.filter(|(_, is_evacuated)| *is_evacuated);
+        list.whole(at, evacuated.map(|(domain, _)| domain));
+    } else {
+        list.change(at, changes);
+    }
+    if let Some(list) = list.list() {
+        take(node, list, "store");
+    }
+    let now = node.now();
+    node.feed.confirm(Part::Evacuations, now, now);
+}
+
+/// A failure domain, and whether it is evacuated now.
+fn change(change: Change) -> Option<(Name, bool)> {
+    match change {
+        Change::Evacuated(domain) => Some((domain, true)),
+        Change::Gone(domain) => Some((domain, false)),
+        Change::Rules(_) | Change::Target(_) => None,
+    }
+}
+
+/// Puts a list in force unless a newer one is, and tells the peers that follow this node.
+pub(super) fn take(node: &Node, list: Evacuations, from: &str) {
+    let now = node.now();
+    let revision = list.at;
+    let was_known = node.fleet(|f| f.evacuated().is_known());
+    let changes = node.fleet(|f| f.evacuate(list, now));
+    for change in &changes {
+        let (domain, state) = match change {
+            EvacuationChange::Began(domain) => (domain, "began"),
+            EvacuationChange::Ended(domain) => (domain, "ended"),
+        };
+        let age_ms = super::millis(node.feed.age(now));
+        Event::Evacuation { domain, state, revision, from, age_ms }.emit();
+    }
+    if !changes.is_empty() || !was_known {
+        node.feed.wake();
+    }
+}
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -1,4 +1,7 @@
 //! The targets' state as this node has it, and what its peers can follow of it.
+//!
+//! Evacuations are part of that state where they are followed: it is as old as the older of
+//! the two.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -11,11 +14,23 @@
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
 
+/// Which part of the state the store confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The targets.
+    Targets,
+    /// The evacuations.
+    Evacuations,
+    /// Both.
+    Whole,
+}
+
 /// Revision, history and age of the targets' state.
 #[derive(Debug)]
 pub struct Feed {
     history: RefCell<History<TargetChange>>,
-    confirmed: Cell<Option<Time>>,
+    targets_at: Cell<Option<Time>>,
+    evacuations_at: Cell<Option<Time>>,
     news: watch::Sender<()>,
     reads_store: watch::Sender<bool>,
 }
@@ -24,7 +39,8 @@
     fn default() -> Self {
         Feed {
             history: RefCell::default(),
-            confirmed: Cell::new(None),
+            targets_at: Cell::new(None),
+            evacuations_at: Cell::new(Some(Time::NEVER)),
             news: watch::Sender::new(()),
             reads_store: watch::Sender::new(false),
         }
@@ -32,6 +48,11 @@
 }
 
 impl Feed {
+    /// Evacuations are part of the state from now on.
+    pub fn follow_evacuations(&self) {
+        self.evacuations_at.set(None);
+    }
+
     /// Revision that the state is at; `None` if none was ever read.
     pub fn at(&self) -> Option<u64> {
         Some(self.history.borrow().at()).filter(|at| *at > 0)
@@ -39,7 +60,8 @@
 
     /// Age of the state: time since the store confirmed it.
     pub fn age(&self, now: Time) -> Duration {
-        self.confirmed.get().map_or(Duration::MAX, |at| now.since(at))
+        let older = self.targets_at.get().min(self.evacuations_at.get());
+        older.map_or(Duration::MAX, |at| now.since(at))
     }
 
     /// Whether an answer of this age is worth following.
@@ -47,10 +69,16 @@
         age > STALE
     }
 
-    /// The store confirmed the state at this time.
-    pub fn confirm(&self, at: Time, now: Time) {
+    /// The store confirmed a part of the state at this time.
+    pub fn confirm(&self, part: Part, at: Time, now: Time) {
         let was_stale = Feed::is_stale(self.age(now));
-        self.confirmed.set(self.confirmed.get().max(Some(at)));
+        let confirm = |cell: &Cell<Option<Time>>| cell.set(cell.get().max(Some(at)));
+        if part != Part::Evacuations {
+            confirm(&self.targets_at);
+        }
+        if part != Part::Targets {
+            confirm(&self.evacuations_at);
+        }
         if was_stale && !Feed::is_stale(self.age(now)) {
             self.wake();
         }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -1,5 +1,6 @@
-//! Follows rules and targets: in the store, or through peers that do.
+//! Follows rules, targets and evacuations: in the store, or through peers that do.
 
+mod evacuations;
 mod feed;
 mod rules;
 mod store;
@@ -13,13 +14,19 @@
 use crate::node::Node;
 
 pub use feed::Feed;
+use feed::Part;
 pub use targets::answer;
 
 /// Time between looks at targets whose entries vanished.
 const EXPIRE: Duration = Duration::from_millis(200);
 
-/// Starts following both kinds.
+/// Starts following all kinds.
 pub fn start(node: &Rc<Node>) {
+    if node.settings().evacuations {
+        node.feed.follow_evacuations();
+        node.fleet(|f| f.follow_evacuations());
+        tokio::task::spawn_local(evacuations::follow(node.clone()));
+    }
     tokio::task::spawn_local(rules::follow(node.clone()));
     tokio::task::spawn_local(targets::follow(node.clone()));
     tokio::task::spawn_local(expire(node.clone()));
@@ -34,6 +41,10 @@
     }
 }
 
+fn millis(age: Duration) -> u64 {
+    age.as_millis().min(u128::from(u32::MAX)) as u64
+}
+
 /// Who relays the store's state to this node.
 fn relays(node: &Node) -> Relays {
     let relays = node.peers.roster(|r| r.relays(node.now()));
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -71,6 +71,7 @@
         match self.kind {
             Kind::Rules => "rules",
             Kind::Targets => "targets",
+            Kind::Evacuations => "evacuations",
         }
     }
 
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -9,9 +9,9 @@
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
 use model::member::Node as PeerNode;
 
-use super::feed::Feed;
-use super::relays;
+use super::feed::{Feed, Part};
 use super::store::{Reader, Step};
+use super::{evacuations, millis, relays};
 use crate::border::{Change, Kind};
 use crate::events::Event;
 use crate::node::Node;
@@ -112,6 +112,7 @@
         let ask = FollowAsk {
             at: node.feed.at().unwrap_or(0),
             rules: node.table().rules.version,
+            evacuations: node.fleet(|f| f.evacuated().at()),
             wait_ms: wait.as_millis() as u64,
             patient,
         };
@@ -128,7 +129,7 @@
             self.sources.relay_fresh(&peer.id);
         }
         let (rules, confirmed) = (answer.rules, now - age);
-        take_answer(&node, answer, confirmed);
+        take_answer(&node, &peer.id.name, answer, confirmed);
         if rules > node.table().rules.version {
             peers::take_rules(&node, peer.entry).await;
         }
@@ -150,33 +151,43 @@
     } else {
         take_changes(node, at, changes, doubt);
     }
-    node.feed.confirm(now, now);
+    node.feed.confirm(Part::Targets, now, now);
 }
 
 /// Takes what a peer told.
-fn take_answer(node: &Node, answer: FollowAnswer, confirmed: Time) {
-    let FollowAnswer { at, doubt_ms, news, .. } = answer;
+fn take_answer(node: &Node, from: &str, answer: FollowAnswer, confirmed: Time) {
+    let FollowAnswer { at, doubt_ms, news, evacuations, .. } = answer;
+    // Before the targets, so that no new one is used that is to get nothing.
+    if let Some(list) = evacuations {
+        evacuations::take(node, list, from);
+    }
     let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
     match news {
         TargetNews::Unknown => return,
         TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
-    node.feed.confirm(confirmed, node.now());
+    node.feed.confirm(Part::Whole, confirmed, node.now());
 }
 
 fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
-    node.fleet(|f| f.replace(targets, doubt));
+    let now = node.now();
+    node.fleet(|f| f.replace(targets, doubt, now));
     node.feed.restart(at);
     node.know_targets();
 }
 
 fn take_changes(node: &Node, at: u64, changes: Vec<TargetChange>, doubt: Option<Time>) {
+    let now = node.now();
     for change in &changes {
         match change {
             TargetChange::Now(target) => {
-                let state = if target.draining { "draining" } else { "ready" };
-                if node.fleet(|f| f.upsert(target.clone())) {
+                let state = match target {
+                    Target { draining: true, .. } => "draining",
+                    Target { cold_ms: 1.., .. } => "cold",
+                    _ => "ready",
+                };
+                if node.fleet(|f| f.upsert(target.clone(), now)) {
                     Event::Target { target: &target.id, service: &target.service, state }.emit();
                 }
             }
@@ -193,7 +204,7 @@
     match change {
         Change::Target(target) => Some(TargetChange::Now(target)),
         Change::Gone(id) => Some(TargetChange::Gone(id)),
-        Change::Rules(_) => None,
+        Change::Rules(_) | Change::Evacuated(_) => None,
     }
 }
 
@@ -223,24 +234,22 @@
     let news = match node.feed.since(ask.at) {
         _ if at.is_none() => TargetNews::Unknown,
         Some(changes) => TargetNews::Changes(changes),
-        None => TargetNews::Whole(node.fleet(|f| f.targets())),
+        None => TargetNews::Whole(node.fleet(|f| f.targets(now))),
     };
     Some(FollowAnswer {
         at: at.unwrap_or(0),
         age_ms: millis(node.feed.age(now)),
         doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
         rules: node.table().rules.version,
+        evacuations: node.fleet(|f| f.evacuated().list()),
         news,
     })
 }
 
-fn millis(age: Duration) -> u64 {
-    age.as_millis().min(u128::from(u32::MAX)) as u64
-}
-
 fn has_no_news(node: &Node, ask: &FollowAsk) -> bool {
     let known = node.feed.at().unwrap_or(0);
-    let lacks = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
+    let lacks_targets = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
+    let lacks = lacks_targets || node.fleet(|f| f.evacuated().is_news_since(ask.evacuations));
     let is_fresh = !Feed::is_stale(node.feed.age(node.now()));
     !lacks
         && (is_fresh || ask.patient)
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -20,6 +20,8 @@
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use rank::Rank;
 pub use rules::{
-    Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
+    ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
+};
+pub use target::{
+    Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetNews,
 };
-pub use target::{FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetNews};
--- a/crates/model/src/forward/rules.rs
+++ b/crates/model/src/forward/rules.rs
@@ -113,6 +113,17 @@
     pub engine: Option<Engine>,
     /// Set for services that make pieces of stages.
     pub pool: Option<StagePool>,
+    /// Set where targets are cold after a start.
+    pub cold: Option<ColdTargets>,
+}
+
+/// What the cold targets of a service bear.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdTargets {
+    /// Milliseconds for which a target is cold.
+    pub lasts_ms: u64,
+    /// Requests a second that one of them bears.
+    pub per_s: f64,
 }
 
 /// What an engine bears.
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -24,6 +24,18 @@
     pub slots: u32,
     /// Whether it is to get no new work.
     pub draining: bool,
+    /// Milliseconds for which it is still cold: it bears few requests a second until then.
+    #[serde(default)]
+    pub cold_ms: u64,
+}
+
+/// The failure domains whose targets are to get nothing new, as the store had them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// Revision of the store at which this was so.
+    pub at: u64,
+    /// The failure domains, in order.
+    pub domains: Vec<Name>,
 }
 
 /// What became of one target's entry.
@@ -42,6 +54,8 @@
     pub at: u64,
     /// Version of its rules.
     pub rules: u64,
+    /// Revision of the store at which it knows the evacuations; `None` if it knows none.
+    pub evacuations: Option<u64>,
     /// Milliseconds for which the answer may be held back until there is news.
     pub wait_ms: u64,
     /// Whether it may be held back too until the peer is in touch with the store: the
@@ -61,6 +75,8 @@
     pub doubt_ms: u64,
     /// Version of the peer's rules.
     pub rules: u64,
+    /// Evacuations as the peer knows them; `None` if it has not read them yet.
+    pub evacuations: Option<Evacuations>,
     /// What the asking node lacks.
     pub news: TargetNews,
 }
