Cold targets: the way by schedulers is taken out

Cause: two ways to choose who starts requests at a cold target were in for a comparison.

It would need a scheduler's answer and another way beside it for short prompts, plain services and stage targets.

Change: `policy.cold_dealing`, `ColdStarts::Any` and the second choice are gone.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -11,8 +11,6 @@
 /// Which cold targets a choice may fall on.
 #[derive(Clone, Copy)]
 pub enum ColdStarts<'a> {
-    /// All: whoever starts the request there sees to its pace.
-    Any,
     /// None.
     Avoid,
     /// Those that this node owns, at its pace.
@@ -22,7 +20,6 @@
 impl std::fmt::Debug for ColdStarts<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
-            ColdStarts::Any => "Any",
             ColdStarts::Avoid => "Avoid",
             ColdStarts::InTurn(_) => "InTurn",
         })
@@ -190,7 +187,6 @@
             return true;
         };
         match wanted.cold {
-            ColdStarts::Any => true,
             ColdStarts::Avoid => false,
             ColdStarts::InTurn(is_own) => {
                 limit.gap.is_some() && b.next_start <= now && is_own(&b.target.id)
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -43,17 +43,15 @@
     /// Chooses an engine as the scheduler.
     pub fn place(&self, node: &Node, ask: &PrefillAsk) -> PrefillAnswer {
         let now = node.now();
-        let limit = node.cold_limit(&ask.service);
-        let deals = node.settings().policy.cold_dealing;
         let wanted = Wanted {
             service: &ask.service,
             domain: &ask.domain,
             but: &ask.but,
             most_each: u32::MAX,
             shares: &[],
-            limit,
-            // The scheduler of a failure domain is the one that starts prompts at its cold engines.
-            cold: if deals { ColdStarts::InTurn(&|_| true) } else { ColdStarts::Avoid },
+            limit: node.cold_limit(&ask.service),
+            // Cold engines are left to the nodes that own them.
+            cold: ColdStarts::Avoid,
         };
         let home = Home { key: ask.home, shared: ask.shared };
         let order = node.fleet(|f| f.near_homes(wanted, home, now));
@@ -63,9 +61,6 @@
         let began = if node.settings().first_start { Time::ZERO } else { now };
         let scheduler = own.entry(group).or_insert_with(|| Scheduler::new(began));
         let placed = scheduler.place(ask, &order, now);
-        if let (Some(placed), Some(limit)) = (&placed, limit) {
-            node.fleet(|f| f.start(&placed.engine, limit, now));
-        }
         let ahead = placed.as_ref().map_or(0, |p| p.ahead);
         PrefillAnswer { engine: placed.map(|p| p.engine), ahead }
     }
@@ -147,15 +142,13 @@
     pub but: Vec<TargetId>,
 }
 
-/// Whether a scheduler is asked about a prompt of so many tokens.
-pub fn is_long(tokens: u64) -> bool {
-    tokens >= LONG
-}
-
-/// Asks which engine near `first`, the prompt's home, is to read it. `None` if no scheduler
-/// answers, or it knows none that may.
+/// Asks which engine near `first`, the prompt's home, is to read it. `None` if the prompt is
+/// short, no scheduler answers, or it knows no engine that may.
 pub async fn schedule(node: &Rc<Node>, first: &Target, prompt: Prompt) -> Option<Scheduled> {
     let Prompt { attempt, home: Home { key: home, shared }, tokens, slack_ms, but } = prompt;
+    if tokens < LONG {
+        return None;
+    }
     let (service, domain) = (first.service.clone(), first.domain.clone());
     let scheduler = node.peers.roster(|r| r.scheduler(&service, &domain, node.now()))?;
     let ask = PrefillAsk { service, domain, attempt, home, shared, tokens, slack_ms, but };
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -18,26 +18,11 @@
 }
 
 impl Exchange {
-    /// The target that a request is best sent to now. A scheduler sees to the pace at which
-    /// cold ones are started; without one their owners do.
+    /// The target that a request is best sent to now; a cold one only if it is this node's
+    /// turn to start a request there.
     pub(super) fn choose(&self) -> Option<Target> {
-        if self.is_scheduled() && self.node.settings().policy.cold_dealing {
-            return self.choose_among(ColdStarts::Any);
-        }
-        self.choose_owned()
-    }
-
-    /// The same where no scheduler answered.
-    fn choose_owned(&self) -> Option<Target> {
-        let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(id, self.node.now()));
-        if self.home().is_some() && self.node.settings().policy.cold_dealing {
-            return self.choose_among(ColdStarts::Avoid);
-        }
-        self.choose_among(ColdStarts::InTurn(&owns))
-    }
-
-    fn choose_among(&self, cold: ColdStarts<'_>) -> Option<Target> {
         let now = self.node.now();
+        let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(id, now));
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
         let shares = self.home_shares(now);
@@ -48,7 +33,7 @@
             most_each: self.connections_each(),
             shares: &shares,
             limit: self.node.cold_limit(&self.service),
-            cold,
+            cold: ColdStarts::InTurn(&owns),
         };
         match self.home() {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
@@ -100,17 +85,6 @@
         self.node.fleet(|f| f.get(&target.id).is_some_and(|b| f.is_cold(b, limit, now)))
     }
 
-    /// Whether a scheduler chooses among the engines of a failure domain: for long prompts,
-    /// and for others while all engines are cold.
-    fn is_scheduled(&self) -> bool {
-        if !self.node.settings().policy.scheduling || self.home().is_none() {
-            return false;
-        }
-        let is_cold = || self.node.cold_limit(&self.service).is_some();
-        prefill::is_long(self.head.tokens_in)
-            || (is_cold() && self.choose_among(ColdStarts::Avoid).is_none())
-    }
-
     /// The next target; `None` if the request is not to be sent again.
     pub(super) async fn next_target(&self, chosen: Option<Target>) -> Option<Choice> {
         let tries = self.progress(|p| p.tries);
@@ -118,18 +92,17 @@
         if next != Next::Resend {
             return None;
         }
-        if self.is_scheduled()
-            && let Some(first) =
-                chosen.clone().filter(|t| self.is_usable(t)).or_else(|| self.choose())
-            && let Some((choice, ahead)) = self.scheduled(&first).await
-        {
+        let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
+            let why = self.no_target();
+            self.progress(|p| p.why = format!("{why}; before: {}", p.why));
+            return None;
+        };
+        if let Some((choice, ahead)) = self.scheduled(&first).await {
             self.tell(&choice.target, "scheduler", ahead);
             return Some(choice);
         }
-        let usual = |t: &Target| self.is_usable(t) && !self.is_cold(t);
-        let Some(target) = chosen.filter(usual).or_else(|| self.choose_owned()) else {
-            let why = self.no_target();
-            self.progress(|p| p.why = format!("{why}; before: {}", p.why));
+        let Some(target) = self.in_turn(first) else {
+            self.progress(|p| p.why = "all targets are cold".into());
             return None;
         };
         self.start(&target);
@@ -138,6 +111,12 @@
         Some(Choice { target, ticket: None })
     }
 
+    /// The target itself, or another one if it is cold and not this node's to start a request
+    /// at now: that may have changed since it was chosen.
+    fn in_turn(&self, target: Target) -> Option<Target> {
+        if self.is_cold(&target) { self.choose() } else { Some(target) }
+    }
+
     /// A request starts at a target that no scheduler chose; if that is cold, the next one
     /// of this node has to wait.
     fn start(&self, target: &Target) {
@@ -149,7 +128,7 @@
 
     /// The engine that a scheduler chooses near the prompt's home.
     async fn scheduled(&self, first: &Target) -> Option<(Choice, u64)> {
-        let home = self.home()?;
+        let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
             home,
--- a/crates/model/src/forward/policy.rs
+++ b/crates/model/src/forward/policy.rs
@@ -29,8 +29,6 @@
     pub relays: bool,
     /// Long prompts go to the engine among the first homes that has least to read.
     pub scheduling: bool,
-    /// Schedulers deal out requests to cold engines; off: each is one node's to start.
-    pub cold_dealing: bool,
     /// Homes are dealt out in proportion to the makers of each failure domain.
     pub weighted_homes: bool,
     /// Targets that fail are left out for a while.
@@ -53,7 +51,6 @@
             homes: true,
             relays: true,
             scheduling: true,
-            cold_dealing: true,
             weighted_homes: true,
             ejection: true,
             patience: true,
