Evacuations are asked for less often, and not while the store is away

Ruled out: one watch for both kinds: the platform's store watches one kind a call.

Change: the watch lasts 3 s, so that a silent connection shows within 4 s; evacuations may be 2.5 s older than targets before a source counts as stale; after a failed call the next one waits until another call shows that the store answers, 2 s at most.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -35,6 +35,8 @@
 const ALONE: Duration = Duration::from_millis(700);
 /// Time between looks at whether rules and targets are known.
 const STATE_LOOK: Duration = Duration::from_millis(10);
+/// Time between looks at whether the store answers again.
+const STORE_LOOK: Duration = Duration::from_millis(50);
 /// Time to connect to a peer or the store.
 const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
@@ -234,6 +236,13 @@
         self.store_confirmed(now);
     }
 
+    /// Returns once the store answers this node, as far as the last call of any kind tells.
+    pub async fn store_reached(&self) {
+        while self.store_lost.get() {
+            tokio::time::sleep(STORE_LOOK).await;
+        }
+    }
+
     /// The store did not answer.
     pub fn store_lost(&self) {
         self.store_lost.set(true);
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -5,26 +5,23 @@
 use std::time::Duration;
 
 use decide::fleet::{EvacuationChange, EvacuationList};
-use decide::relay::Role;
 use model::Name;
 use model::forward::Evacuations;
 
 use super::store::{Reader, Step};
-use super::{Part, relays};
 use crate::border::{Change, Kind};
 use crate::events::Event;
 use crate::node::Node;
 
-/// Time that a watch waits at the store where no other node follows this one: a connection
-/// that has fallen silent is found out well within the time in which an evacuation is to be
-/// in force.
-const WATCH: Duration = Duration::from_secs(2);
-/// Time that a relay's watch waits there: its followers rely on its age.
-const WATCH_RELAY: Duration = Duration::from_secs(1);
+/// Time that a watch waits at the store: with its slack, a connection that has fallen silent is
+/// found out within 4 s, before the time in which an evacuation is to be in force.
+const WATCH: Duration = Duration::from_secs(3);
 /// First wait after a failed call.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait after a failed call.
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Time for which a failed call waits for another one to show that the store answers again.
+const AWAY: Duration = Duration::from_secs(2);
 
 /// Follows until the process ends.
 pub async fn follow(node: Rc<Node>) {
@@ -33,10 +30,7 @@
     let mut failures = 0;
     loop {
         node.feed.reads_store().await;
-        let relays = relays(&node);
-        let alone = relays.role == Role::Relay && !relays.followed;
-        let wait = if alone { WATCH } else { WATCH_RELAY };
-        match reader.read(list.at(), wait).await {
+        match reader.read(list.at(), WATCH).await {
             Ok(step) => {
                 failures = 0;
                 take_step(&node, &mut list, step);
@@ -47,6 +41,7 @@
                 failures += 1;
                 let pause = node.rng(|r| r.jitter(bound.min(RETRY_LONGEST)));
                 tokio::time::sleep(RETRY_FIRST / 2 + pause).await;
+                let _ = tokio::time::timeout(AWAY, node.store_reached()).await;
             }
         }
     }
@@ -65,7 +60,7 @@
         take(node, list, "store");
     }
     let now = node.now();
-    node.feed.confirm(Part::Evacuations, now, now);
+    node.feed.confirm_evacuations(now, now);
 }
 
 /// A failure domain, and whether it is evacuated now.
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -1,7 +1,7 @@
 //! The targets' state as this node has it, and what its peers can follow of it.
 //!
-//! Evacuations are part of that state where they are followed: it is as old as the older of
-//! the two.
+//! Evacuations are part of that state where they are followed. The store is asked for them
+//! less often than for targets, so they may be older before the state is no use.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -13,17 +13,9 @@
 
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
-
-/// Which part of the state the store confirmed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Part {
-    /// The targets.
-    Targets,
-    /// The evacuations.
-    Evacuations,
-    /// Both.
-    Whole,
-}
+/// Time by which evacuations may be older than targets: two watches at the store last so much
+/// longer than theirs.
+const EVACUATIONS_OLDER: Duration = Duration::from_millis(2_500);
 
 /// Revision, history and age of the targets' state.
 #[derive(Debug)]
@@ -58,9 +50,11 @@
         Some(self.history.borrow().at()).filter(|at| *at > 0)
     }
 
-    /// Age of the state: time since the store confirmed it.
+    /// Age of the state: time since the store confirmed it, that of the evacuations less what
+    /// they may be older.
     pub fn age(&self, now: Time) -> Duration {
-        let older = self.targets_at.get().min(self.evacuations_at.get());
+        let evacuations_at = self.evacuations_at.get().map(|at| at + EVACUATIONS_OLDER);
+        let older = self.targets_at.get().min(evacuations_at);
         older.map_or(Duration::MAX, |at| now.since(at))
     }
 
@@ -69,16 +63,25 @@
         age > STALE
     }
 
-    /// The store confirmed a part of the state at this time.
-    pub fn confirm(&self, part: Part, at: Time, now: Time) {
+    /// The store confirmed the targets at this time.
+    pub fn confirm_targets(&self, at: Time, now: Time) {
+        self.confirm(&self.targets_at, at, now);
+    }
+
+    /// The store confirmed the evacuations at this time.
+    pub fn confirm_evacuations(&self, at: Time, now: Time) {
+        self.confirm(&self.evacuations_at, at, now);
+    }
+
+    /// A peer told of a state of this age, from which what evacuations may be older is off.
+    pub fn confirm_both(&self, at: Time, now: Time) {
+        self.confirm(&self.targets_at, at, now);
+        self.confirm(&self.evacuations_at, at - EVACUATIONS_OLDER, now);
+    }
+
+    fn confirm(&self, part: &Cell<Option<Time>>, at: Time, now: Time) {
         let was_stale = Feed::is_stale(self.age(now));
-        let confirm = |cell: &Cell<Option<Time>>| cell.set(cell.get().max(Some(at)));
-        if part != Part::Evacuations {
-            confirm(&self.targets_at);
-        }
-        if part != Part::Targets {
-            confirm(&self.evacuations_at);
-        }
+        part.set(part.get().max(Some(at)));
         if was_stale && !Feed::is_stale(self.age(now)) {
             self.wake();
         }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -14,7 +14,6 @@
 use crate::node::Node;
 
 pub use feed::Feed;
-use feed::Part;
 pub use targets::answer;
 
 /// Time between looks at targets whose entries vanished.
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -9,7 +9,7 @@
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
 use model::member::Node as PeerNode;
 
-use super::feed::{Feed, Part};
+use super::feed::Feed;
 use super::store::{Reader, Step};
 use super::{evacuations, millis, relays};
 use crate::border::{Change, Kind};
@@ -151,7 +151,7 @@
     } else {
         take_changes(node, at, changes, doubt);
     }
-    node.feed.confirm(Part::Targets, now, now);
+    node.feed.confirm_targets(now, now);
 }
 
 /// Takes what a peer told.
@@ -167,7 +167,7 @@
         TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
-    node.feed.confirm(Part::Whole, confirmed, node.now());
+    node.feed.confirm_both(confirmed, node.now());
 }
 
 fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
