Pieces of an overdue batch call are asked for once more

Change: the ratio of true to expected time of a service's calls is followed as mean and deviation (as TCP does); beyond four deviations what is still wanted is asked for once more, the second result is freed, repeats are bounded by a tenth of all pieces and half of what all targets work on. A maker that took twice the limit is left out like one that failed. `policy.overdue_calls`, log line `overdue`. The readers of rules and evacuations share one back-off.

Tests: seven in decide/batch.rs, the property test now also that no result is handed out or freed twice.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -1,22 +1,31 @@
 //! The coordinator machine.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use model::Time;
 use model::forward::{PieceResult, Policy, Rank, StagePool, TargetId, Waits};
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency};
+use super::pace::Pace;
+use super::repeats::Repeats;
 use super::types::{Action, Call, CallEnd, Event, OrderId};
 
 /// Calls that may fail under one order before it is given up.
 const FAILURES: u32 = 3;
-
+/// Times the time from which on it is overdue that a call may take before its maker counts as
+/// slow: one that was late by little, behind a link that has just healed, is as good as others.
+const SLOW: u32 = 2;
 #[derive(Debug)]
 struct Flight {
     maker: TargetId,
     bytes: u64,
     pieces: Vec<(OrderId, usize)>,
+    started: Time,
+    expected: Duration,
+    /// When it counted as overdue, if it did.
+    overdue_after: Option<Duration>,
 }
 
 /// Batches the pieces of one service.
@@ -28,6 +37,8 @@
     orders: BTreeMap<OrderId, Order>,
     flights: BTreeMap<u64, Flight>,
     next_call: u64,
+    pace: Pace,
+    repeats: Repeats,
 }
 
 impl Coordinator {
@@ -40,6 +51,8 @@
             orders: BTreeMap::new(),
             flights: BTreeMap::new(),
             next_call: 1,
+            pace: Pace::default(),
+            repeats: Repeats::default(),
         }
     }
 
@@ -95,6 +108,7 @@
             Event::Tick => {}
         }
         self.give_up_late(now, &mut out);
+        self.repeat_overdue(now, &mut out);
         self.fill(now, &mut out);
         out
     }
@@ -131,7 +145,17 @@
         let Some(flight) = self.flights.remove(&call) else {
             return;
         };
-        self.makers.ended(&flight.maker, flight.bytes, &end, now);
+        let took = now.since(flight.started);
+        let was_slow = flight.overdue_after.is_some_and(|limit| took >= limit * SLOW);
+        self.makers.ended(&flight.maker, flight.bytes, &end, was_slow, now);
+        if matches!(end, CallEnd::Answered(_)) {
+            self.pace.note(flight.expected, took);
+        }
+        for (id, piece) in &flight.pieces {
+            if let Some(order) = self.orders.get_mut(id) {
+                order.call_ended(*piece);
+            }
+        }
         if let Some(size) = self.least_without_room(&flight, &end) {
             self.makers.had_no_room(&flight.maker, size, now);
         }
@@ -167,19 +191,23 @@
         let Some(order) = self.orders.get_mut(&id) else {
             return free(vec![Some(result)], out);
         };
+        if order.results[piece].is_some() {
+            // Another call made it first.
+            return free(vec![Some(result)], out);
+        }
         if result == PieceResult::NoRoom {
-            order.waiting.push(piece);
+            order.requeue(piece);
             return;
         }
         if result == PieceResult::Failed && order.failures < FAILURES {
             order.failures += 1;
-            order.waiting.push(piece);
+            order.requeue(piece);
             return;
         }
         if let PieceResult::Made(handle) = &result {
             self.makers.kept(handle, order.order.result_bytes, now);
         }
-        order.results[piece] = Some(result);
+        order.set_result(piece, result);
         self.answer_if_whole(id, out);
     }
 
@@ -201,11 +229,11 @@
                 order.failures += 1;
                 counted = Some(id);
             }
-            if order.failures > FAILURES {
-                order.results[piece] = Some(PieceResult::Failed);
+            if order.failures > FAILURES && order.results[piece].is_none() {
+                order.set_result(piece, PieceResult::Failed);
                 self.answer_if_whole(id, out);
             } else {
-                order.waiting.push(piece);
+                order.requeue(piece);
             }
         }
     }
@@ -227,6 +255,28 @@
         }
     }
 
+    /// Asks once more for what is wanted of calls that are later than nearly all: their makers
+    /// may have lost them, be slow, or be out of reach. What comes second is freed.
+    fn repeat_overdue(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.policy.overdue_calls {
+            return;
+        }
+        let all = self.makers.count() * self.pool.slots.max(1) as usize * self.pool.batch;
+        self.repeats.bound(all, self.pool.batch);
+        let Coordinator { flights, orders, pace, repeats, .. } = self;
+        for (number, flight) in flights.iter_mut().filter(|(_, f)| f.overdue_after.is_none()) {
+            let age = now.since(flight.started);
+            let limit = pace.overdue_after(flight.expected);
+            if age < limit {
+                continue;
+            }
+            flight.overdue_after = Some(limit);
+            let again = ask_again(&flight.pieces, orders, repeats);
+            let maker = flight.maker.clone();
+            out.push(Action::Overdue { number: *number, maker, again, age, limit });
+        }
+    }
+
     fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.waiting() == 0 {
             return;
@@ -278,9 +328,33 @@
         };
         let ordered = pieces.iter().map(piece).collect();
         self.makers.started(&maker.id, bytes, now);
+        self.repeats.asked(pieces.len());
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
-        self.flights.insert(number, Flight { maker: maker.id, bytes, pieces });
+        let expected = self.pool.call_time(pieces.len() as u32);
+        let flight =
+            Flight { maker: maker.id, bytes, pieces, started: now, expected, overdue_after: None };
+        self.flights.insert(number, flight);
+    }
+}
+
+/// Asks once more for those of a call's pieces that are still wanted and may be; returns how
+/// many they are.
+fn ask_again(
+    pieces: &[(OrderId, usize)],
+    orders: &mut BTreeMap<OrderId, Order>,
+    repeats: &mut Repeats,
+) -> usize {
+    let mut again = 0;
+    for (id, piece) in pieces {
+        let Some(order) = orders.get_mut(id).filter(|o| o.may_repeat(*piece)) else {
+            continue;
+        };
+        if repeats.take() {
+            order.repeat(*piece);
+            again += 1;
+        }
     }
+    again
 }
 
 fn free(results: Vec<Option<PieceResult>>, out: &mut Vec<Action>) {
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -162,11 +162,19 @@
     }
 
     /// A call ended at a maker.
-    pub(super) fn ended(&mut self, id: &TargetId, bytes: u64, end: &CallEnd, now: Time) {
+    pub(super) fn ended(
+        &mut self,
+        id: &TargetId,
+        bytes: u64,
+        end: &CallEnd,
+        was_slow: bool,
+        now: Time,
+    ) {
         if let Some(m) = self.0.get_mut(id) {
             m.calls = m.calls.saturating_sub(1);
             m.in_flight = m.in_flight.saturating_sub(bytes);
             match end {
+                CallEnd::Answered(_) if was_slow => m.eject(now),
                 CallEnd::Answered(_) => m.strikes = 0,
                 CallEnd::Full => m.ejected = now + FULL,
                 CallEnd::Failed => m.eject(now),
@@ -175,6 +183,11 @@
         self.forget_idle();
     }
 
+    /// Count of makers that are known.
+    pub(super) fn count(&self) -> usize {
+        self.0.len()
+    }
+
     /// Makers that failed and are to be asked for a sign of life now.
     pub(super) fn take_probes_due(&mut self, now: Time) -> Vec<TargetId> {
         let due = |m: &Maker| m.present && m.doubt == Doubt::Unasked && m.ejected <= now;
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -9,6 +9,8 @@
 mod coordinator;
 mod makers;
 mod orders;
+mod pace;
+mod repeats;
 mod types;
 
 pub use coordinator::Coordinator;
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -21,8 +21,12 @@
     pub(super) order: BatchOrder,
     pub(super) waiting: Vec<usize>,
     pub(super) results: Vec<Option<PieceResult>>,
+    /// Calls under way for each piece.
+    calls: Vec<u8>,
     pub(super) failures: u32,
     pub(super) pinned: bool,
+    /// A call was overdue and its pieces were asked for again.
+    was_repeated: bool,
     arrived: Time,
     home: Option<Name>,
 }
@@ -34,8 +38,10 @@
             order,
             waiting: (0..n).collect(),
             results: vec![None; n],
+            calls: vec![0; n],
             failures: 0,
             pinned,
+            was_repeated: false,
             arrived: now,
             home: None,
         }
@@ -61,7 +67,8 @@
     /// of it by the time at which it should have been made. One whose call failed is made
     /// again, late: it did not wait behind others.
     pub(super) fn is_starved(&self, pool: &StagePool, now: Time) -> bool {
-        let untouched = self.waiting.len() == self.results.len() && self.failures == 0;
+        let had_call = self.failures > 0 || self.was_repeated;
+        let untouched = self.waiting.len() == self.results.len() && !had_call;
         let could_be_in_time =
             Duration::from_millis(self.order.slack_ms) >= pool.call_time(self.order.pieces);
         untouched && could_be_in_time && self.slack(now).is_zero()
@@ -120,6 +127,45 @@
         if some > 0 {
             self.home.get_or_insert_with(|| domain.clone());
         }
-        self.waiting.drain(..some).collect()
+        let taken: Vec<usize> = self.waiting.drain(..some).collect();
+        for piece in &taken {
+            self.calls[*piece] += 1;
+        }
+        taken
+    }
+
+    /// A call for a piece ended.
+    pub(super) fn call_ended(&mut self, piece: usize) {
+        self.calls[piece] = self.calls[piece].saturating_sub(1);
+    }
+
+    /// The piece waits for a call again, unless it is made or another call is under way.
+    pub(super) fn requeue(&mut self, piece: usize) {
+        if self.calls[piece] == 0 {
+            self.wait_again(piece);
+        }
+    }
+
+    /// Whether only one call, which is overdue, is under way for a piece that is not made yet.
+    pub(super) fn may_repeat(&self, piece: usize) -> bool {
+        self.calls[piece] == 1 && self.results[piece].is_none()
+    }
+
+    /// The piece waits for a second call although the first one is still under way.
+    pub(super) fn repeat(&mut self, piece: usize) {
+        self.was_repeated = true;
+        self.wait_again(piece);
+    }
+
+    fn wait_again(&mut self, piece: usize) {
+        if self.results[piece].is_none() && !self.waiting.contains(&piece) {
+            self.waiting.push(piece);
+        }
+    }
+
+    /// A piece is made, or will not be.
+    pub(super) fn set_result(&mut self, piece: usize, result: PieceResult) {
+        self.waiting.retain(|p| *p != piece);
+        self.results[piece] = Some(result);
     }
 }
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -75,6 +75,19 @@
 pub enum Action {
     /// Make a call.
     Start(Call),
+    /// A call is later than nearly all: what is still wanted of it is asked for once more.
+    Overdue {
+        /// Call.
+        number: u64,
+        /// Its maker.
+        maker: TargetId,
+        /// Pieces that are asked for again.
+        again: usize,
+        /// How long it has been under way.
+        age: Duration,
+        /// When it counted as overdue.
+        limit: Duration,
+    },
     /// Ask a maker that failed for a sign of life.
     Probe(TargetId),
     /// Answer an order.
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -407,6 +407,8 @@
     flying: Vec<Call>,
     probed: Vec<TargetId>,
     ended: Vec<Call>,
+    /// Results that were handed out or freed, by their handles.
+    settled: BTreeSet<String>,
 }
 
 impl World {
@@ -424,13 +426,22 @@
                     prop_assert!(!self.cancelled.contains(&id));
                     prop_assert_eq!(results.len() as u32, self.orders[&id]);
                     for (n, result) in results.iter().enumerate() {
-                        if let PieceResult::Made(_) = result {
+                        if let PieceResult::Made(handle) = result {
                             prop_assert_eq!(piece_of(result), format!("r{id}/{n}"));
+                            prop_assert!(self.settled.insert(handle.text.clone()));
                         }
                     }
                 }
                 Action::Probe(maker) => self.probed.push(maker),
-                Action::Moved(_) | Action::Free(_) => {}
+                Action::Free(handles) => {
+                    for handle in handles {
+                        prop_assert!(
+                            self.settled.insert(handle.text),
+                            "handed out or freed before"
+                        );
+                    }
+                }
+                Action::Moved(_) | Action::Overdue { .. } => {}
             }
         }
         Ok(())
@@ -548,3 +559,121 @@
     assert_eq!(calls(&c.on(at(1), placed(1, order("r1", 10)))), [], "it is left alone");
     assert_eq!(calls(&c.on(at(900), cold(None))).len(), 1, "it is warm");
 }
+
+/// Pieces that the actions ask for once more.
+fn again(actions: &[Action]) -> usize {
+    let again = |a: &Action| match a {
+        Action::Overdue { again, .. } => *again,
+        _ => 0,
+    };
+    actions.iter().map(again).sum()
+}
+
+#[test]
+fn what_an_overdue_call_was_to_make_is_made_elsewhere_and_the_second_result_freed() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "b")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    assert_eq!(again(&c.on(at(250), Event::Tick)), 0, "200 ms were expected");
+    let overdue = c.on(at(450), Event::Tick);
+    assert_eq!(again(&overdue), 10);
+    let second = calls(&overdue).remove(0);
+    assert_ne!(first.maker, second.maker);
+    assert_eq!(again(&c.on(at(460), Event::Tick)), 0, "once");
+    let answered = c.on(at(650), Event::Ended(second.number, made(&second)));
+    assert_eq!(answers(&answered).len(), 1);
+    let late = c.on(at(1900), Event::Ended(first.number, made(&first)));
+    let freed = late.iter().map(|a| match a {
+        Action::Free(handles) => handles.len(),
+        _ => 0,
+    });
+    assert_eq!(freed.sum::<usize>(), 10, "{late:?}");
+}
+
+#[test]
+fn an_overdue_call_that_ends_first_after_all_takes_back_what_was_not_asked_for_yet() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    assert_eq!(again(&c.on(at(450), Event::Tick)), 10, "they wait: no other maker is there");
+    let ended = c.on(at(600), Event::Ended(first.number, made(&first)));
+    assert_eq!(answers(&ended).len(), 1);
+    assert_eq!(calls(&ended), []);
+    assert_eq!(c.open(), 0);
+}
+
+#[test]
+fn an_order_whose_call_is_overdue_is_not_ended_for_waiting() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let soon = BatchOrder { slack_ms: 400, ..order("r1", 10) };
+    let first = calls(&c.on(at(0), placed(1, soon))).remove(0);
+    let overdue = c.on(at(450), Event::Tick);
+    assert_eq!((again(&overdue), answers(&overdue).len()), (10, 0));
+    let ended = c.on(at(500), Event::Ended(first.number, made(&first)));
+    assert_eq!(answers(&ended).len(), 1, "late, but made");
+}
+
+#[test]
+fn a_maker_that_is_slow_is_left_out_for_longer_each_time() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let mut call = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    let (mut now, mut rests) = (0, Vec::new());
+    for n in 2..=4 {
+        now += 4_000;
+        c.on(at(now), Event::Tick);
+        let patient = BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
+        c.on(at(now), placed(n, patient));
+        c.on(at(now), Event::Ended(call.number, made(&call)));
+        let ended = now;
+        let due = (0..5_000).find(|_| {
+            now += 10;
+            !probes(&c.on(at(now), Event::Tick)).is_empty()
+        });
+        assert!(due.is_some(), "it is asked for a sign of life");
+        rests.push(now - ended);
+        call = calls(&c.on(at(now), Event::Probed("m1".into(), true))).remove(0);
+    }
+    assert_eq!(rests, [300, 600, 1200]);
+}
+
+#[test]
+fn repeats_are_bounded_when_all_calls_hang() {
+    let all: Vec<String> = (0..10).map(|n| format!("m{n}")).collect();
+    let named: Vec<(&str, &str)> = all.iter().map(|m| (m.as_str(), "a")).collect();
+    let mut c = coordinator(&named);
+    for n in 0..60 {
+        let patient = BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
+        c.on(at(0), placed(n, patient));
+    }
+    let mut repeated = 0;
+    for ms in (40..4000).step_by(40) {
+        repeated += again(&c.on(at(ms), Event::Tick));
+    }
+    assert_eq!(repeated, 50, "half of what ten makers work on at once");
+}
+
+#[test]
+fn a_maker_that_was_late_by_little_gets_the_next_call() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    c.on(at(450), Event::Tick);
+    c.on(at(460), placed(2, order("r2", 10)));
+    let ended = c.on(at(480), Event::Ended(first.number, made(&first)));
+    assert_eq!(calls(&ended).len(), 1);
+}
+
+#[test]
+fn of_two_results_for_a_piece_of_an_open_order_one_is_freed() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "b"), ("m3", "c")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 12))));
+    assert_eq!(first.len(), 2, "twelve pieces take two calls");
+    let large = &first[0];
+    let again = calls(&c.on(at(450), Event::Tick)).remove(0);
+    let kept = c.on(at(460), Event::Ended(large.number, made(large)));
+    assert_eq!(answers(&kept).len(), 0, "two pieces are missing");
+    let second = c.on(at(640), Event::Ended(again.number, made(&again)));
+    let freed = second.iter().map(|a| match a {
+        Action::Free(handles) => handles.len(),
+        _ => 0,
+    });
+    let twice = again.pieces.iter().filter(|p| large.pieces.iter().any(|l| l.piece == p.piece));
+    assert_eq!(freed.sum::<usize>(), twice.count(), "{second:?}");
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -72,6 +72,15 @@
         took_ms: u64,
         why: &'a str,
     },
+    /// A batch call is later than nearly all: `again` of its pieces are asked for once more.
+    Overdue {
+        service: &'a str,
+        number: u64,
+        maker: &'a str,
+        again: usize,
+        age_ms: u64,
+        limit_ms: u64,
+    },
     /// An input of a stage was gone; the stages that it came from are made again.
     Remade { id: &'a str, stage: usize, again: usize },
     /// A stream broke off and is taken up at another target; its stages were made again.
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -68,11 +68,9 @@
         let now = self.node.now();
         let most = self.connections_each();
         self.node.fleet(|f| {
-            let is_free = f.get(&target.id).is_some_and(|b| {
-                let connects = b.outstanding < most;
-                connects && !b.is_ejected(now)
-            });
-            is_free && f.is_usable(&target.id, now)
+            let belief = f.get(&target.id);
+            let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
+            is_sound && f.is_usable(&target.id, now)
         })
     }
 
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -179,6 +179,15 @@
             Action::Start(call) => {
                 tokio::task::spawn_local(run_call(self.clone(), node.clone(), call));
             }
+            Action::Overdue { number, maker, again, age, limit } => LogEvent::Overdue {
+                service: &self.service,
+                number,
+                maker: &maker,
+                again,
+                age_ms: age.as_millis() as u64,
+                limit_ms: limit.as_millis() as u64,
+            }
+            .emit(),
             Action::Probe(maker) => {
                 tokio::task::spawn_local(probe(self.clone(), node.clone(), maker));
             }
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -8,6 +8,7 @@
 use model::Name;
 use model::forward::Evacuations;
 
+use super::backoff::Backoff;
 use super::store::{Reader, Step};
 use crate::border::{Change, Kind};
 use crate::events::Event;
@@ -16,8 +17,8 @@
 /// Time that a watch waits at the store: with its slack, a connection that has fallen silent is
 /// found out within 4 s, before the time in which an evacuation is to be in force.
 const WATCH: Duration = Duration::from_secs(3);
-/// First wait after a failed call.
-const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Time for news to gather between two calls.
+const GATHER: Duration = Duration::from_millis(100);
 /// Longest wait after a failed call.
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time for which a failed call waits for another one to show that the store answers again.
@@ -27,20 +28,18 @@
 pub async fn follow(node: Rc<Node>) {
     let mut reader = Reader::new(node.clone(), Kind::Evacuations);
     let mut list = EvacuationList::default();
-    let mut failures = 0;
+    let mut backoff = Backoff::default();
     loop {
+        tokio::time::sleep(GATHER).await;
         node.feed.reads_store().await;
         match reader.read(list.at(), WATCH).await {
             Ok(step) => {
-                failures = 0;
+                backoff.answered();
                 take_step(&node, &mut list, step);
             }
             Err(e) if e.is_history_gone() => list.restart(),
             Err(_) => {
-                let bound = RETRY_FIRST * 2u32.pow(failures.min(5));
-                failures += 1;
-                let pause = node.rng(|r| r.jitter(bound.min(RETRY_LONGEST)));
-                tokio::time::sleep(RETRY_FIRST / 2 + pause).await;
+                backoff.failed(&node, RETRY_LONGEST).await;
                 let _ = tokio::time::timeout(AWAY, node.store_reached()).await;
             }
         }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -1,5 +1,6 @@
 //! Follows rules, targets and evacuations: in the store, or through peers that do.
 
+mod backoff;
 mod evacuations;
 mod feed;
 mod rules;
--- a/crates/forward/src/watch/rules.rs
+++ b/crates/forward/src/watch/rules.rs
@@ -7,6 +7,7 @@
 
 use decide::relay::Role;
 
+use super::backoff::Backoff;
 use super::relays;
 use super::store::{Reader, Step};
 use crate::border::{Change, Kind};
@@ -16,8 +17,6 @@
 const WATCH: Duration = Duration::from_secs(5);
 /// Time that any other node's watch waits there.
 const WATCH_FOLLOWER: Duration = Duration::from_secs(20);
-/// First wait after a failed call.
-const RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait of a relay after a failed call.
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Longest wait of any other node.
@@ -27,14 +26,14 @@
 pub async fn follow(node: Rc<Node>) {
     let mut reader = Reader::new(node.clone(), Kind::Rules);
     let mut at = None;
-    let mut failures = 0;
+    let mut backoff = Backoff::default();
     loop {
         node.feed.reads_store().await;
         let own = relays(&node).role == Role::Relay;
         let wait = if own { WATCH } else { WATCH_FOLLOWER };
         match reader.read(at, wait).await {
             Ok(step) => {
-                failures = 0;
+                backoff.answered();
                 at = Some(step.at);
                 adopt(&node, step);
             }
@@ -42,10 +41,7 @@
             Err(_) => {
                 at = None;
                 let longest = if own { RETRY_LONGEST } else { RETRY_LONGEST_FOLLOWER };
-                let bound = RETRY_FIRST * 2u32.pow(failures.min(5));
-                failures += 1;
-                let pause = node.rng(|r| r.jitter(bound.min(longest)));
-                tokio::time::sleep(RETRY_FIRST / 2 + pause).await;
+                backoff.failed(&node, longest).await;
             }
         }
     }
--- a/crates/model/src/forward/policy.rs
+++ b/crates/model/src/forward/policy.rs
@@ -13,6 +13,8 @@
     pub admission: bool,
     /// Orders that no call took in time are ended; off: they wait until their caller leaves.
     pub shedding: bool,
+    /// What is wanted of an overdue call is asked for once more.
+    pub overdue_calls: bool,
     /// Batches take the higher ranks first; off: the least slack alone decides.
     pub ranks: bool,
     /// Large results are made in the failure domain that wants them.
@@ -43,6 +45,7 @@
             pooling: true,
             admission: true,
             shedding: true,
+            overdue_calls: true,
             ranks: true,
             affinity: true,
             late_starts: true,
