Calls that are a quarter slower for a moment are not asked for again

Ruled out: a larger factor on the deviation, which would let lost calls wait longer where times do vary.

Change: a deviation of 0.15 at least, so 1.6 times the usual time.

Test: decide/batch.rs, failed before.

--- a/crates/decide/src/batch/pace.rs
+++ b/crates/decide/src/batch/pace.rs
@@ -15,6 +15,9 @@
 const DEVIATIONS: f64 = 4.0;
 /// Deviation assumed before any call has ended.
 const DEVIATION_FIRST: f64 = 0.25;
+/// Least deviation reckoned with: in calm all calls take the same time, and those that are a
+/// quarter slower for a moment, as when a cut heals, are not lost.
+const DEVIATION_LEAST: f64 = 0.15;
 /// Largest ratio that is learned from: a target that is slow says nothing of the others.
 const RATIO_MOST: f64 = 3.0;
 /// Least time beyond the mean: a host whose share of its core is used up for the moment hears
@@ -49,7 +52,8 @@
     /// Time from which on a call is overdue.
     pub(super) fn overdue_after(&self, expected: Duration) -> Duration {
         let usual = expected.mul_f64(self.mean);
-        let late = expected.mul_f64(self.mean + DEVIATIONS * self.deviation);
+        let deviation = self.deviation.max(DEVIATION_LEAST);
+        let late = expected.mul_f64(self.mean + DEVIATIONS * deviation);
         late.max(usual + MARGIN)
     }
 }
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -677,3 +677,17 @@
     let twice = again.pieces.iter().filter(|p| large.pieces.iter().any(|l| l.piece == p.piece));
     assert_eq!(freed.sum::<usize>(), twice.count(), "{second:?}");
 }
+
+#[test]
+fn a_call_that_is_slower_by_a_quarter_after_many_of_the_same_time_is_not_overdue() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let mut now = 0;
+    for n in 0..40 {
+        let call = calls(&c.on(at(now), placed(n, order("r", 10)))).remove(0);
+        now += 200;
+        c.on(at(now), Event::Ended(call.number, made(&call)));
+    }
+    c.on(at(now), placed(100, order("r", 10)));
+    assert_eq!(again(&c.on(at(now + 310), Event::Tick)), 0, "its time may be 1.6 as long");
+    assert_eq!(again(&c.on(at(now + 330), Event::Tick)), 10);
+}
