--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -679,15 +679,18 @@
 }
 
 #[test]
-fn a_call_that_is_slower_by_a_quarter_after_many_of_the_same_time_is_not_overdue() {
-    let mut c = coordinator(&[("m1", "a")]);
+fn a_call_that_is_slower_by_a_third_after_many_of_the_same_time_is_not_overdue() {
+    let slow = StagePool { call_ms: 900.0, ..pool() };
+    let mut c = Coordinator::new(slow, Policy::default());
+    c.on(at(0), makers(&[("m1", "a")]));
+    let patient = || BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
     let mut now = 0;
     for n in 0..40 {
-        let call = calls(&c.on(at(now), placed(n, order("r", 10)))).remove(0);
-        now += 200;
+        let call = calls(&c.on(at(now), placed(n, patient()))).remove(0);
+        now += 1000;
         c.on(at(now), Event::Ended(call.number, made(&call)));
     }
-    c.on(at(now), placed(100, order("r", 10)));
-    assert_eq!(again(&c.on(at(now + 310), Event::Tick)), 0, "its time may be 1.6 as long");
-    assert_eq!(again(&c.on(at(now + 330), Event::Tick)), 10);
+    c.on(at(now), placed(100, patient()));
+    assert_eq!(again(&c.on(at(now + 1350), Event::Tick)), 0, "it may take 1.6 of the usual time");
+    assert_eq!(again(&c.on(at(now + 1650), Event::Tick)), 10);
 }
