--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -17,6 +17,7 @@
 /// Times the time from which on it is overdue that a call may take before its maker counts as
 /// slow: one that was late by little, behind a link that has just healed, is as good as others.
 const SLOW: u32 = 2;
+
 #[derive(Debug)]
 struct Flight {
     maker: TargetId,
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -57,10 +57,10 @@
 }
 
 impl Belief {
-    fn new(target: Target) -> Self {
+    fn new(target: Target, now: Time) -> Self {
         Belief {
-            target,
-            cold: Time::ZERO,
+            cold: now + Duration::from_millis(target.cold_ms),
+            target: Target { cold_ms: 0, ..target },
             next_start: Time::ZERO,
             missing: None,
             outstanding: 0,
@@ -84,9 +84,14 @@
     }
 
     /// Takes its entry, which counts how long it is cold from now on.
-    fn set_target(&mut self, target: Target, now: Time) {
+    /// Returns whether what it says has changed.
+    fn set_target(&mut self, target: Target, now: Time) -> bool {
+        let was_cold = now < self.cold;
         self.cold = now + Duration::from_millis(target.cold_ms);
-        self.target = Target { cold_ms: 0, ..target };
+        let target = Target { cold_ms: 0, ..target };
+        let changed = target != self.target || was_cold != (now < self.cold);
+        self.target = target;
+        changed
     }
 
     /// Its entry as another node is to have it now.
@@ -185,16 +190,12 @@
     /// Takes an entry as it is now; returns whether what is believed changed.
     pub fn upsert(&mut self, target: Target, now: Time) -> bool {
         if let Some(b) = self.beliefs.get_mut(&target.id) {
-            let before = (b.target.clone(), now < b.cold);
-            b.set_target(target, now);
             let was_missing = b.missing.take().is_some();
-            return was_missing || before != (b.target.clone(), now < b.cold);
+            return b.set_target(target, now) || was_missing;
         }
         let ids = self.services.entry(target.service.clone()).or_default();
         ids.push(target.id.clone());
-        let mut belief = Belief::new(target.clone());
-        belief.set_target(target, now);
-        self.beliefs.insert(belief.target.id.clone(), belief);
+        self.beliefs.insert(target.id.clone(), Belief::new(target, now));
         true
     }
 
