Tests of the coordinator by subject, one fixture for the fleet's targets

Change: batch_overdue.rs takes the tests of calls that are late, slow or lost; the orders, makers, calls and targets that tests share stand in tests/support. The program is unchanged.

--- /dev/null
+++ b/crates/decide/tests/batch_overdue.rs
@@ -0,0 +1,144 @@
+//! The batch coordinator: calls that are late, slow or lost.
+
+#[path = "support/batch.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod support;
+
+use decide::batch::{Action, Coordinator, Event};
+use model::forward::{BatchOrder, Policy, StagePool};
+use support::{answers, at, calls, coordinator, made, makers, order, placed, pool, probes};
+
+/// Pieces that the actions ask for once more.
+fn again(actions: &[Action]) -> usize {
+    let again = |a: &Action| match a {
+        Action::Overdue { again, .. } => *again,
+        _ => 0,
+    };
+    actions.iter().map(again).sum()
+}
+
+#[test]
+fn what_an_overdue_call_was_to_make_is_made_elsewhere_and_the_second_result_freed() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "b")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    assert_eq!(again(&c.on(at(250), Event::Tick)), 0, "200 ms were expected");
+    let overdue = c.on(at(450), Event::Tick);
+    assert_eq!(again(&overdue), 10);
+    let second = calls(&overdue).remove(0);
+    assert_ne!(first.maker, second.maker);
+    assert_eq!(again(&c.on(at(460), Event::Tick)), 0, "once");
+    let answered = c.on(at(650), Event::Ended(second.number, made(&second)));
+    assert_eq!(answers(&answered).len(), 1);
+    let late = c.on(at(1900), Event::Ended(first.number, made(&first)));
+    let freed = late.iter().map(|a| match a {
+        Action::Free(handles) => handles.len(),
+        _ => 0,
+    });
+    assert_eq!(freed.sum::<usize>(), 10, "{late:?}");
+}
+
+#[test]
+fn an_overdue_call_that_ends_first_after_all_takes_back_what_was_not_asked_for_yet() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    assert_eq!(again(&c.on(at(450), Event::Tick)), 10, "they wait: no other maker is there");
+    let ended = c.on(at(600), Event::Ended(first.number, made(&first)));
+    assert_eq!(answers(&ended).len(), 1);
+    assert_eq!(calls(&ended), []);
+    assert_eq!(c.open(), 0);
+}
+
+#[test]
+fn an_order_whose_call_is_overdue_is_not_ended_for_waiting() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let soon = BatchOrder { slack_ms: 400, ..order("r1", 10) };
+    let first = calls(&c.on(at(0), placed(1, soon))).remove(0);
+    let overdue = c.on(at(450), Event::Tick);
+    assert_eq!((again(&overdue), answers(&overdue).len()), (10, 0));
+    let ended = c.on(at(500), Event::Ended(first.number, made(&first)));
+    assert_eq!(answers(&ended).len(), 1, "late, but made");
+}
+
+#[test]
+fn a_maker_that_is_slow_is_left_out_for_longer_each_time() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let mut call = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    let (mut now, mut rests) = (0, Vec::new());
+    for n in 2..=4 {
+        now += 4_000;
+        c.on(at(now), Event::Tick);
+        let patient = BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
+        c.on(at(now), placed(n, patient));
+        c.on(at(now), Event::Ended(call.number, made(&call)));
+        let ended = now;
+        let due = (0..5_000).find(|_| {
+            now += 10;
+            !probes(&c.on(at(now), Event::Tick)).is_empty()
+        });
+        assert!(due.is_some(), "it is asked for a sign of life");
+        rests.push(now - ended);
+        call = calls(&c.on(at(now), Event::Probed("m1".into(), true))).remove(0);
+    }
+    assert_eq!(rests, [300, 600, 1200]);
+}
+
+#[test]
+fn repeats_are_bounded_when_all_calls_hang() {
+    let all: Vec<String> = (0..10).map(|n| format!("m{n}")).collect();
+    let named: Vec<(&str, &str)> = all.iter().map(|m| (m.as_str(), "a")).collect();
+    let mut c = coordinator(&named);
+    for n in 0..60 {
+        let patient = BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
+        c.on(at(0), placed(n, patient));
+    }
+    let mut repeated = 0;
+    for ms in (40..4000).step_by(40) {
+        repeated += again(&c.on(at(ms), Event::Tick));
+    }
+    assert_eq!(repeated, 50, "half of what ten makers work on at once");
+}
+
+#[test]
+fn a_maker_that_was_late_by_little_gets_the_next_call() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
+    c.on(at(450), Event::Tick);
+    c.on(at(460), placed(2, order("r2", 10)));
+    let ended = c.on(at(480), Event::Ended(first.number, made(&first)));
+    assert_eq!(calls(&ended).len(), 1);
+}
+
+#[test]
+fn of_two_results_for_a_piece_of_an_open_order_one_is_freed() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "b"), ("m3", "c")]);
+    let first = calls(&c.on(at(0), placed(1, order("r1", 12))));
+    assert_eq!(first.len(), 2, "twelve pieces take two calls");
+    let large = &first[0];
+    let again = calls(&c.on(at(450), Event::Tick)).remove(0);
+    let kept = c.on(at(460), Event::Ended(large.number, made(large)));
+    assert_eq!(answers(&kept).len(), 0, "two pieces are missing");
+    let second = c.on(at(640), Event::Ended(again.number, made(&again)));
+    let freed = second.iter().map(|a| match a {
+        Action::Free(handles) => handles.len(),
+        _ => 0,
+    });
+    let twice = again.pieces.iter().filter(|p| large.pieces.iter().any(|l| l.piece == p.piece));
+    assert_eq!(freed.sum::<usize>(), twice.count(), "{second:?}");
+}
+
+#[test]
+fn a_call_that_is_slower_by_a_third_after_many_of_the_same_time_is_not_overdue() {
+    let slow = StagePool { call_ms: 900.0, ..pool() };
+    let mut c = Coordinator::new(slow, Policy::default());
+    c.on(at(0), makers(&[("m1", "a")]));
+    let patient = || BatchOrder { slack_ms: 60_000, left_ms: 60_000, ..order("r", 10) };
+    let mut now = 0;
+    for n in 0..40 {
+        let call = calls(&c.on(at(now), placed(n, patient()))).remove(0);
+        now += 1000;
+        c.on(at(now), Event::Ended(call.number, made(&call)));
+    }
+    c.on(at(now), placed(100, patient()));
+    assert_eq!(again(&c.on(at(now + 1350), Event::Tick)), 0, "it may take 1.6 of the usual time");
+    assert_eq!(again(&c.on(at(now + 1650), Event::Tick)), 10);
+}
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -1,5 +1,8 @@
 //! Cold targets: who may start requests there, and at which pace.
 
+#[path = "support/fleet.rs"]
+mod support;
+
 use std::time::Duration;
 
 use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Wanted};
@@ -7,21 +10,10 @@
 use model::Time;
 use model::forward::{ColdTargets, Evacuations, Target, TargetId};
 use proptest::prelude::*;
+use support::{at, target};
 
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
-
-fn target(id: &str, domain: &str, cold_ms: u64) -> Target {
-    Target {
-        id: id.into(),
-        service: "plain".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: domain.into(),
-        slots: 4,
-        draining: false,
-        cold_ms,
-    }
+fn cold_target(cold_ms: u64) -> Target {
+    Target { cold_ms, ..target("t0", "a") }
 }
 
 const BOUNDS: ColdBounds = ColdBounds { overrun: 1.5, slack: 5.0 };
@@ -33,7 +25,7 @@
 
 fn pick(fleet: &Fleet, per_s: f64, cold: ColdStarts<'_>, now: Time) -> Option<TargetId> {
     let wanted = Wanted {
-        service: "plain",
+        service: "engine",
         domain: "a",
         but: &[],
         most_each: 100,
@@ -67,7 +59,7 @@
 #[test]
 fn a_cold_target_is_left_to_its_owner_and_gets_one_request_at_a_time() {
     let mut fleet = Fleet::default();
-    fleet.upsert(target("t0", "a", 3000), at(0));
+    fleet.upsert(cold_target(3000), at(0));
     let own = |id: &TargetId| **id == *"t0";
     let owned = ColdStarts::InTurn(&own);
     assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(10)), None);
@@ -79,7 +71,7 @@
     assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).as_deref(), Some("t0"), "it is warm");
     fleet.start(&"t0".into(), limit(9.1), at(3000));
     assert!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).is_some(), "warm ones never wait");
-    fleet.upsert(target("t0", "a", 500), at(4000));
+    fleet.upsert(cold_target(500), at(4000));
     assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(4400)), None, "cold again");
     assert!(pick(&fleet, 9.1, ColdStarts::Avoid, at(4500)).is_some());
 }
@@ -87,7 +79,7 @@
 #[test]
 fn targets_are_cold_when_the_evacuation_of_their_domain_ends() {
     let mut fleet = Fleet::default();
-    fleet.upsert(target("t0", "a", 0), at(0));
+    fleet.upsert(cold_target(0), at(0));
     let list = |at, domains: &[&str]| Evacuations {
         at,
         domains: domains.iter().map(|d| (*d).into()).collect(),
@@ -96,7 +88,7 @@
     fleet.evacuate(list(6, &[]), at(8000));
     let pick = |fleet: &Fleet, ms| pick(fleet, 9.1, ColdStarts::Avoid, at(ms));
     assert_eq!(pick(&fleet, 8001), None, "its entry tells so only a moment later");
-    fleet.upsert(target("t0", "a", 0), at(8500));
+    fleet.upsert(cold_target(0), at(8500));
     assert_eq!(pick(&fleet, 10_999), None, "an entry that is not warm yet may be old");
     assert!(pick(&fleet, 11_000).is_some());
 }
@@ -104,11 +96,11 @@
 #[test]
 fn other_nodes_are_told_how_long_a_target_is_still_cold() {
     let mut fleet = Fleet::default();
-    assert!(fleet.upsert(target("t0", "a", 3000), at(1000)));
-    assert!(!fleet.upsert(target("t0", "a", 1800), at(2200)), "as cold as it was known to be");
+    assert!(fleet.upsert(cold_target(3000), at(1000)));
+    assert!(!fleet.upsert(cold_target(1800), at(2200)), "as cold as it was known to be");
     assert_eq!(fleet.targets(at(2500))[0].cold_ms, 1500);
     assert_eq!(fleet.targets(at(9000))[0].cold_ms, 0);
-    assert!(fleet.upsert(target("t0", "a", 0), at(3000)), "it is warm sooner");
+    assert!(fleet.upsert(cold_target(0), at(3000)), "it is warm sooner");
 }
 
 proptest! {
@@ -128,10 +120,10 @@
         let mut arrivals = Vec::new();
         for start in starts {
             let mut fleet = Fleet::default();
-            fleet.upsert(target("t0", "a", 6000), at(0));
+            fleet.upsert(cold_target(6000), at(0));
             for ms in start..6000 {
                 let wanted = Wanted {
-                    service: "plain",
+                    service: "engine",
                     domain: "a",
                     but: &[],
                     most_each: u32::MAX,
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -1,16 +1,16 @@
 //! What nodes know of evacuated failure domains, whoever tells them.
 
+#[path = "support/fleet.rs"]
+mod support;
+
 use std::collections::BTreeSet;
 
 use decide::fleet::{ColdStarts, Evacuated, EvacuationChange, EvacuationList, Fleet, Home, Wanted};
 use decide::rng::Rng;
+use model::Name;
 use model::forward::{Evacuations, Target};
-use model::{Name, Time};
 use proptest::prelude::*;
-
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
+use support::{at, target};
 
 fn list(revision: u64, domains: &[&str]) -> Evacuations {
     Evacuations { at: revision, domains: domains.iter().map(|d| (*d).into()).collect() }
@@ -19,16 +19,7 @@
 fn fleet() -> Fleet {
     let mut fleet = Fleet::default();
     for (id, domain) in [("t0", "a"), ("t1", "b"), ("t2", "c")] {
-        let target = Target {
-            id: id.into(),
-            service: "engine".into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            domain: domain.into(),
-            slots: 4,
-            draining: false,
-            cold_ms: 0,
-        };
-        fleet.upsert(target, at(0));
+        fleet.upsert(target(id, domain), at(0));
     }
     fleet
 }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -1,28 +1,15 @@
 //! Beliefs about targets and the choice among them.
 
+#[path = "support/fleet.rs"]
+mod support;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use decide::fleet::{ColdStarts, Fleet, Home, Observation, Wanted, shares};
 use decide::rng::Rng;
-use model::Time;
 use model::forward::{PromptPart, Target, TargetId};
-
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
-
-fn target(id: &str, domain: &str) -> Target {
-    Target {
-        id: id.into(),
-        service: "engine".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: domain.into(),
-        slots: 4,
-        draining: false,
-        cold_ms: 0,
-    }
-}
+use support::{at, target};
 
 fn fleet(n: usize) -> Fleet {
     let mut fleet = Fleet::default();
--- /dev/null
+++ b/crates/decide/tests/support/batch.rs
@@ -0,0 +1,95 @@
+//! Orders, makers and calls for the tests of the batch coordinator.
+
+use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
+use model::Time;
+use model::forward::{
+    BatchOrder, Handle, PieceOrder, PieceResult, Policy, Rank, StageInput, StagePool, TargetId,
+};
+
+/// What one maker bears.
+pub fn pool() -> StagePool {
+    StagePool { slots: 1, batch: 10, call_ms: 100.0, item_ms: 10.0, room_mb: 100.0, keep_ms: 4000 }
+}
+
+/// A time after the start.
+pub fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// An order that may be handed over.
+pub fn placed(id: OrderId, order: BatchOrder) -> Event {
+    Event::Order { id, order, pinned: false }
+}
+
+/// Makers and their failure domains, none of them cold.
+pub fn makers(of: &[(&str, &str)]) -> Event {
+    let info = |(id, domain): &(&str, &str)| MakerInfo {
+        id: (*id).into(),
+        domain: (*domain).into(),
+        cold_gap: None,
+    };
+    Event::Makers(of.iter().map(info).collect())
+}
+
+/// An order of small pieces that may be made anywhere.
+pub fn order(attempt: &str, pieces: u32) -> BatchOrder {
+    BatchOrder {
+        service: "encode".into(),
+        attempt: attempt.into(),
+        stage: 0,
+        pieces,
+        input: StageInput::Key("key".into()),
+        slack_ms: 2000,
+        left_ms: 8000,
+        rank: Rank::of(None, 1),
+        near: None,
+        moved_bytes: 0,
+        spread_bytes: 0,
+        result_bytes: 1000,
+        skipped: Vec::new(),
+        passed_on: false,
+    }
+}
+
+/// A coordinator of these makers.
+pub fn coordinator(of: &[(&str, &str)]) -> Coordinator {
+    let mut c = Coordinator::new(pool(), Policy::default());
+    c.on(at(0), makers(of));
+    c
+}
+
+/// Calls that are started.
+pub fn calls(actions: &[Action]) -> Vec<Call> {
+    let call = |a: &Action| match a {
+        Action::Start(call) => Some(call.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(call).collect()
+}
+
+/// An end at which all pieces were made.
+pub fn made(call: &Call) -> CallEnd {
+    let result = |p: &PieceOrder| {
+        let text = format!("{}/{}/{}", p.attempt, p.piece, call.number);
+        PieceResult::Made(Handle { maker: call.maker.clone(), text })
+    };
+    CallEnd::Answered(call.pieces.iter().map(result).collect())
+}
+
+/// Makers that are asked for a sign of life.
+pub fn probes(actions: &[Action]) -> Vec<TargetId> {
+    let probe = |a: &Action| match a {
+        Action::Probe(maker) => Some(maker.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
+/// Orders that are answered.
+pub fn answers(actions: &[Action]) -> Vec<(OrderId, Vec<PieceResult>)> {
+    let answer = |a: &Action| match a {
+        Action::Answer(id, results) => Some((*id, results.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
