Sight: the age of what is known, by kind, in lines and metrics

`chosen` gave the time since the store's last word on anything as the age of the targets, so a node whose targets' watch hung looked well informed while its rules were confirmed; `call` gave no age at all, and no metric did.

Change: the time since the store last confirmed rules, targets and evacuations is kept for each kind, told by the node itself or by the peer that it follows. `chosen` and `call` tell that of the targets when the request was sent, /metrics all three and the greatest since the start. No decision is changed.

--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -82,6 +82,20 @@
     Evacuations,
 }
 
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Kind; 3] = [Kind::Rules, Kind::Targets, Kind::Evacuations];
+
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Rules => "rules",
+            Kind::Targets => "targets",
+            Kind::Evacuations => "evacuations",
+        }
+    }
+}
+
 /// One object of the store, read.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -61,7 +61,7 @@
     },
     /// A send brought no answer to pass on.
     Attempt { id: &'a str, target: &'a str, ran: &'a str, why: &'a str, after_ms: u64 },
-    /// A batch call ended at its maker.
+    /// A batch call ended at its maker; the age is that of the targets when it was sent.
     Call {
         service: &'a str,
         number: u64,
@@ -70,6 +70,7 @@
         made: usize,
         no_room: usize,
         took_ms: u64,
+        targets_age_ms: u64,
         why: &'a str,
     },
     /// A batch call is later than nearly all: `again` of its pieces are asked for once more.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -11,6 +11,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::border::Kind;
+use crate::watch::Age;
+
 /// Most series of one kind; further names are counted as one.
 const SERIES_MOST: usize = 64;
 /// Name of what is beyond that.
@@ -58,6 +61,8 @@
     targets: Gauge,
     evacuated: Gauge,
     cold: Gauge,
+    ages: Family<Named, Gauge>,
+    longest_ages: Family<Named, Gauge>,
     times: Times,
     names: RefCell<std::collections::BTreeSet<String>>,
 }
@@ -77,6 +82,8 @@
     pub evacuated: usize,
     /// Targets whose entries say that they are cold.
     pub cold: usize,
+    /// Ages of what is known, by kind; `None` if nothing is.
+    pub ages: [(Kind, Option<Age>); Kind::ALL.len()],
 }
 
 impl Default for Metrics {
@@ -96,6 +103,8 @@
             targets: Gauge::default(),
             evacuated: Gauge::default(),
             cold: Gauge::default(),
+            ages: Family::default(),
+            longest_ages: Family::default(),
             times: Times::default(),
             names: RefCell::default(),
         };
@@ -111,6 +120,10 @@
         registry.register("targets", "Targets known", m.targets.clone());
         registry.register("domains_evacuated", "Failure domains evacuated", m.evacuated.clone());
         registry.register("targets_cold", "Targets known as cold", m.cold.clone());
+        let help = "Time since the store last confirmed what is known, in milliseconds";
+        registry.register("known_age", help, m.ages.clone());
+        let help = "Greatest such time since the start, in milliseconds";
+        registry.register("known_age_longest", help, m.longest_ages.clone());
         Metrics { registry, ..m }
     }
 }
@@ -150,6 +163,15 @@
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
     }
 
+    fn age(&self, kind: Kind, age: Option<Age>) {
+        let Some(age) = age else {
+            return;
+        };
+        let labels = Named { name: kind.as_str().to_string() };
+        self.ages.get_or_create(&labels).set(age.now.as_millis() as i64);
+        self.longest_ages.get_or_create(&labels).set(age.longest.as_millis() as i64);
+    }
+
     fn bounded(&self, name: &str) -> String {
         let mut names = self.names.borrow_mut();
         if names.len() >= SERIES_MOST && !names.contains(name) {
@@ -167,6 +189,9 @@
         self.targets.set(now.targets as i64);
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
+        for (kind, age) in now.ages {
+            self.age(kind, age);
+        }
         for ((kind, name), times) in &*self.times.borrow() {
             for quantile in QUANTILES {
                 let labels =
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,7 @@
 use util::clock::Clock;
 use util::http::Client;
 
-use crate::border::Dialect;
+use crate::border::{Dialect, Kind};
 use crate::events::Event;
 use crate::ingress;
 use crate::metrics::{Metrics, Now};
@@ -260,9 +260,11 @@
         back.map(|at| at + LAPSED_BACK).filter(|until| now < *until)
     }
 
-    /// Time since the store last answered, as far as it ever did.
-    pub fn store_age(&self) -> Duration {
-        self.now().since(self.store_seen.get().unwrap_or(Time::ZERO))
+    /// Milliseconds since the store last confirmed the targets; since the start if it never did.
+    pub fn targets_age_ms(&self) -> u64 {
+        let now = self.now();
+        let age = self.feed.age_of(Kind::Targets, now).map(|age| age.now);
+        age.unwrap_or(now.since(Time::ZERO)).as_millis() as u64
     }
 
     /// The node's figures as text.
@@ -274,6 +276,7 @@
             targets: self.fleet.borrow().len(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
+            ages: Kind::ALL.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
     }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -164,7 +164,7 @@
             cold: self.is_cold(target),
             evacuated: &self.evacuated(),
             left_ms: self.left().as_millis() as u64,
-            targets_age_ms: self.node.store_age().as_millis() as u64,
+            targets_age_ms: self.node.targets_age_ms(),
         }
         .emit();
     }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -253,6 +253,7 @@
     let post = node.dialect.stage_call(&call.pieces);
     let request = call::request(node, &call.maker, address, post);
     let begun = node.now();
+    let targets_age_ms = node.targets_age_ms();
     let timeout = runner.patience(node, call.pieces.len());
     let work = async {
         match upstream::send(address, request).await {
@@ -279,6 +280,7 @@
         made: count(|r| matches!(r, PieceResult::Made(_))),
         no_room: count(|r| *r == PieceResult::NoRoom),
         took_ms: node.now().since(begun).as_millis() as u64,
+        targets_age_ms,
         why: &why,
     }
     .emit();
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -59,7 +59,7 @@
         take(node, list, "store");
     }
     let now = node.now();
-    node.feed.confirm_evacuations(now, now);
+    node.feed.confirm(Kind::Evacuations, now, now);
 }
 
 /// A failure domain, and whether it is evacuated now.
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -3,7 +3,7 @@
 //! Evacuations are part of that state where they are followed. The store is asked for them
 //! less often than for targets, so they may be older before the state is no use.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::time::Duration;
 
 use decide::relay::History;
@@ -11,6 +11,9 @@
 use model::forward::TargetChange;
 use tokio::sync::watch;
 
+use super::ages::{Age, Ages};
+use crate::border::Kind;
+
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
 /// Time by which evacuations may be older than targets: two watches at the store last so much
@@ -21,18 +24,19 @@
 #[derive(Debug)]
 pub struct Feed {
     history: RefCell<History<TargetChange>>,
-    targets_at: Cell<Option<Time>>,
-    evacuations_at: Cell<Option<Time>>,
+    ages: Ages,
     news: watch::Sender<()>,
     reads_store: watch::Sender<bool>,
 }
 
 impl Default for Feed {
     fn default() -> Self {
+        let ages = Ages::default();
+        // Not followed, so never too old.
+        ages.confirm(Kind::Evacuations, Time::NEVER, Time::ZERO);
         Feed {
             history: RefCell::default(),
-            targets_at: Cell::new(None),
-            evacuations_at: Cell::new(Some(Time::NEVER)),
+            ages,
             news: watch::Sender::new(()),
             reads_store: watch::Sender::new(false),
         }
@@ -42,7 +46,7 @@
 impl Feed {
     /// Evacuations are part of the state from now on.
     pub fn follow_evacuations(&self) {
-        self.evacuations_at.set(None);
+        self.ages.forget(Kind::Evacuations);
     }
 
     /// Revision that the state is at; `None` if none was ever read.
@@ -53,35 +57,33 @@
     /// Age of the state: time since the store confirmed it, that of the evacuations less what
     /// they may be older.
     pub fn age(&self, now: Time) -> Duration {
-        let evacuations_at = self.evacuations_at.get().map(|at| at + EVACUATIONS_OLDER);
-        let older = self.targets_at.get().min(evacuations_at);
+        let evacuations_at =
+            self.ages.confirmed(Kind::Evacuations).map(|at| at + EVACUATIONS_OLDER);
+        let older = self.ages.confirmed(Kind::Targets).min(evacuations_at);
         older.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Age of one kind; `None` if it is not known, or not followed.
+    pub fn age_of(&self, kind: Kind, now: Time) -> Option<Age> {
+        let is_followed = self.ages.confirmed(kind) != Some(Time::NEVER);
+        self.ages.age(kind, now).filter(|_| is_followed)
+    }
+
     /// Whether an answer of this age is worth following.
     pub fn is_stale(age: Duration) -> bool {
         age > STALE
     }
 
-    /// The store confirmed the targets at this time.
-    pub fn confirm_targets(&self, at: Time, now: Time) {
-        self.confirm(&self.targets_at, at, now);
-    }
-
-    /// The store confirmed the evacuations at this time.
-    pub fn confirm_evacuations(&self, at: Time, now: Time) {
-        self.confirm(&self.evacuations_at, at, now);
-    }
-
     /// A peer told of a state of this age, from which what evacuations may be older is off.
     pub fn confirm_both(&self, at: Time, now: Time) {
-        self.confirm(&self.targets_at, at, now);
-        self.confirm(&self.evacuations_at, at - EVACUATIONS_OLDER, now);
+        self.confirm(Kind::Targets, at, now);
+        self.confirm(Kind::Evacuations, at - EVACUATIONS_OLDER, now);
     }
 
-    fn confirm(&self, part: &Cell<Option<Time>>, at: Time, now: Time) {
+    /// The store confirmed a kind at this time.
+    pub fn confirm(&self, kind: Kind, at: Time, now: Time) {
         let was_stale = Feed::is_stale(self.age(now));
-        part.set(part.get().max(Some(at)));
+        self.ages.confirm(kind, at, now);
         if was_stale && !Feed::is_stale(self.age(now)) {
             self.wake();
         }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -1,5 +1,6 @@
 //! Follows rules, targets and evacuations: in the store, or through peers that do.
 
+mod ages;
 mod backoff;
 mod evacuations;
 mod feed;
@@ -14,6 +15,7 @@
 
 use crate::node::Node;
 
+pub use ages::Age;
 pub use feed::Feed;
 pub use targets::answer;
 
--- a/crates/forward/src/watch/rules.rs
+++ b/crates/forward/src/watch/rules.rs
@@ -54,4 +54,6 @@
             node.adopt(*rules, "store");
         }
     }
+    let now = node.now();
+    node.feed.confirm(Kind::Rules, now, now);
 }
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -67,14 +67,6 @@
         Reader { node, client: Client::new(CONNECT), kind, failed: false }
     }
 
-    fn name(&self) -> &'static str {
-        match self.kind {
-            Kind::Rules => "rules",
-            Kind::Targets => "targets",
-            Kind::Evacuations => "evacuations",
-        }
-    }
-
     /// Reads the whole state, or waits for changes since a revision.
     pub async fn read(&mut self, at: Option<u64>, wait: Duration) -> Result<Step, ReadError> {
         let read = match at {
@@ -91,14 +83,14 @@
 
     fn answered(&mut self) {
         if std::mem::take(&mut self.failed) {
-            Event::Store { kind: self.name(), reachable: true, why: "" }.emit();
+            Event::Store { kind: self.kind.as_str(), reachable: true, why: "" }.emit();
         }
         self.node.store_answered();
     }
 
     fn lost(&mut self, why: &str) {
         if !std::mem::replace(&mut self.failed, true) {
-            Event::Store { kind: self.name(), reachable: false, why }.emit();
+            Event::Store { kind: self.kind.as_str(), reachable: false, why }.emit();
         }
         self.node.store_lost();
         // A new client drops connections that hang behind a cut.
@@ -106,7 +98,7 @@
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<String, CallError> {
-        self.node.metrics.store_call(self.name());
+        self.node.metrics.store_call(self.kind.as_str());
         let store = self.node.settings().store.to_string();
         self.client.text(&store, path, timeout).await
     }
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -135,6 +135,7 @@
         }
         if rules <= node.table().rules.version {
             node.store_confirmed(confirmed);
+            node.feed.confirm(Kind::Rules, confirmed, now);
         }
     }
 }
@@ -151,7 +152,7 @@
     } else {
         take_changes(node, at, changes, doubt);
     }
-    node.feed.confirm_targets(now, now);
+    node.feed.confirm(Kind::Targets, now, now);
 }
 
 /// Takes what a peer told.
