Kept connections are probed: what fell silent is gone after two seconds

Cause: connections to the store and to peers had no keep-alive. One that fell silent held its call until that call's own time-out, and one at rest in the pool took the next call with it.

Ruled out: short waits alone.

Change: the one client has the operating system probe its connections at rest every second and end them after two; the constants are shared with connections to targets. A keep-alive does not show a peer whose host answers and whose process does not: the tests that are known red, whose proxy is such a peer, stay red and are next.

--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -16,13 +16,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use util::http::{PROBE, PROBES, SILENCE};
 
 /// Time to connect; a target that is up answers within a round trip.
 const CONNECT: Duration = Duration::from_millis(150);
-/// Time after which unanswered bytes or probes end a connection.
-const SILENCE: Duration = Duration::from_millis(2000);
-/// Rest after which a waiting connection is probed, and time between probes.
-const PROBE: Duration = Duration::from_secs(1);
 /// Largest head of a target's answer.
 const HEAD_MAX: usize = 64 << 10;
 
@@ -65,7 +62,7 @@
 pub fn guard_socket(socket: &TcpStream) {
     let _ = socket.set_nodelay(true);
     let socket = SockRef::from(socket);
-    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2);
+    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
     let _ = socket.set_tcp_keepalive(&keepalive);
     let _ = socket.set_tcp_user_timeout(Some(SILENCE));
 }
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -14,6 +14,14 @@
 
 /// Largest body that a client takes in whole.
 const BODY_MAX: usize = 64 << 20;
+/// Rest after which a connection is probed, and time between probes: the least that the
+/// operating system takes.
+pub const PROBE: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a connection where [`SILENCE`] cannot be set.
+pub const PROBES: u32 = 1;
+/// Time after which unanswered bytes or probes end a connection. Nodes are held to what changed
+/// from 3 s after a disturbance of their connections on; this leaves one for the next question.
+pub const SILENCE: Duration = Duration::from_secs(2);
 /// Longest line of a streamed answer.
 const LINE_MAX: usize = 4 << 20;
 
@@ -57,7 +65,10 @@
     }
 }
 
-/// A pooled client; clones share the pool.
+/// A pooled client; clones share the pool. The operating system probes its connections, so that
+/// those that fall silent without an end are gone from the pool, and with them the calls that
+/// wait there, after [`SILENCE`]. It does not show a peer whose host answers and whose process
+/// does not: calls have time-outs of their own.
 #[derive(Debug, Clone)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
@@ -69,6 +80,10 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE));
+        connector.set_keepalive_interval(Some(PROBE));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(SILENCE));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(20))
