Waits for news add up to what is promised; every domain has a relay

Cause: the wait of each watch was chosen for the cost of a call, 5 s for targets and rules, 3 s for evacuations, 20 s for rules elsewhere, and each was given up 30 % later. In domains of up to four nodes each node read the store, so that shorter waits were dear. A relay whose watch hung then asked a standby that knew no more, and lost up to a second. The age of rules stood for that of anything the store had answered, so a node whose rules hung gave 401 and 404 as if they were fresh.

Ruled out: keep-alive alone, which does not show a store or proxy whose host answers and whose process does not; all watches at 1 s without relays (three times the calls).

(2) The node that reads the store and a standby are chosen in small domains too. (3) After a time-out the same question is asked at once over a new connection, of the store as of a relay, before either counts as lost.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod history;
 mod source;
 mod start;
+pub mod waits;
 
 pub use history::History;
 pub use source::{Chosen, Relays, Role, Source, Sources};
--- a/crates/decide/src/relay/source.rs
+++ b/crates/decide/src/relay/source.rs
@@ -46,8 +46,6 @@
 pub struct Relays {
     /// What this node is.
     pub role: Role,
-    /// Whether others of its failure domain are none.
-    pub followed: bool,
     /// Nodes of its failure domain that do not read the store.
     pub followers: usize,
     /// The relays but this node, in the order in which it asks them.
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -22,8 +22,6 @@
 /// Nodes of each failure domain that its followers ask: the relay, which reads the store,
 /// and its standby. If both fail others take their place.
 const RELAYS: usize = 2;
-/// Nodes of a failure domain up to which each follows the store itself.
-const SMALL_DOMAIN: usize = 4;
 /// What relays are ordered by.
 const RELAY_KEY: &str = "relay of the store";
 /// Of the hosts that bear least, one in this many reads the store before it knows its peers:
@@ -334,18 +332,16 @@
         if self.is_forming(now) {
             return self.early_relays(&near, now);
         }
-        let is_small = near.len() <= SMALL_DOMAIN;
-        let first = &near[..if is_small { near.len() } else { RELAYS }];
+        let first = &near[..near.len().min(RELAYS)];
         let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
         let mut domains = BTreeSet::new();
         peers.extend(far.into_iter().flatten().filter(|n| domains.insert(n.domain.clone())));
         let role = match first.iter().position(Option::is_none) {
             Some(0) => Role::Relay,
-            Some(_) if is_small => Role::Relay,
             Some(_) => Role::Standby,
             None => Role::Follower,
         };
-        Relays { role, followed: !is_small, followers: near.len().saturating_sub(1), peers }
+        Relays { role, followers: near.len().saturating_sub(1), peers }
     }
 
     /// Sources while this node does not know yet who the relays are.
@@ -356,7 +352,7 @@
         let waits = self.capacity == 0 && (has_better || now.since(Time::ZERO) < EARLY_WAIT);
         let reads = reads_early(&self.me, self.capacity) && !waits;
         let role = if reads { Role::Relay } else { Role::Unknown };
-        Relays { role, followed: true, followers: near.len(), peers }
+        Relays { role, followers: near.len(), peers }
     }
 
     /// Followers share the relays out among themselves.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -73,7 +73,6 @@
     budgets: RefCell<HashMap<Name, RepeatBudget>>,
     forecast: RefCell<Forecast>,
     rng: RefCell<Rng>,
-    store_seen: Cell<Option<Time>>,
     store_lost: Cell<bool>,
     store_back: Cell<Option<Time>>,
     targets_known: Cell<bool>,
@@ -105,7 +104,6 @@
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
-            store_seen: Cell::new(None),
             store_lost: Cell::new(false),
             store_back: Cell::new(None),
             targets_known: Cell::new(false),
@@ -229,11 +227,9 @@
 
     /// The store answered.
     pub fn store_answered(&self) {
-        let now = self.now();
         if self.store_lost.replace(false) {
-            self.store_back.set(Some(now));
+            self.store_back.set(Some(self.now()));
         }
-        self.store_confirmed(now);
     }
 
     /// Returns once the store answers this node, as far as the last call of any kind tells.
@@ -248,11 +244,6 @@
         self.store_lost.set(true);
     }
 
-    /// The store answered this node, or a peer that told of it, at this time.
-    pub fn store_confirmed(&self, at: Time) {
-        self.store_seen.set(self.store_seen.get().max(Some(at)));
-    }
-
     /// Until when entries that vanish may have lapsed during an outage of the store.
     pub fn doubt(&self) -> Option<Time> {
         let now = self.now();
@@ -280,9 +271,9 @@
         })
     }
 
-    /// Whether the rules may be older than the store's: nothing was heard of it for long.
+    /// Whether the rules may be older than the store's: it did not confirm them for long.
     pub fn rules_may_be_old(&self, within: Duration) -> bool {
-        self.store_seen.get().is_none_or(|at| self.now().since(at) > within)
+        self.feed.age_of(Kind::Rules, self.now()).is_none_or(|age| age.now > within)
     }
 
     /// The targets have been read once.
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -127,7 +127,7 @@
 async fn fetch(node: Rc<Node>, number: u64, from: SocketAddr) {
     tokio::time::sleep(SOURCE_FIRST).await;
     if node.table().rules.version < number {
-        super::take_rules(&node, from).await;
+        super::take_rules(&node, &node.client, from).await;
     }
     // Whoever next tells of a number that is still missing is asked again.
     node.peers.fetching.set(node.table().rules.version);
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -18,6 +18,7 @@
 use model::member::Node as PeerNode;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use util::http::{CallError, Client};
 
 use crate::node::Node;
 
@@ -69,23 +70,22 @@
 }
 
 /// Takes a peer's rules if they are newer than this node's.
-pub async fn take_rules(node: &Node, peer: SocketAddr) {
+pub async fn take_rules(node: &Node, client: &Client, peer: SocketAddr) {
     let from = peer.to_string();
-    match node.client.rmp::<_, Rules>(&from, server::RULES, &(), RULES_TIMEOUT).await {
+    match client.rmp::<_, Rules>(&from, server::RULES, &(), RULES_TIMEOUT).await {
         Ok(rules) => _ = node.adopt(rules, &from),
         Err(e) => log::debug!("rules: {e}"),
     }
 }
 
-/// What a peer knows of the targets; `None` if it does not answer in time.
+/// What a peer knows of the targets.
 pub async fn follow(
-    node: &Node,
+    client: &Client,
     peer: SocketAddr,
     ask: &FollowAsk,
     timeout: Duration,
-) -> Option<FollowAnswer> {
-    let peer = peer.to_string();
-    node.client.rmp(&peer, server::FOLLOW, ask, timeout).await.ok()
+) -> Result<FollowAnswer, CallError> {
+    client.rmp(&peer.to_string(), server::FOLLOW, ask, timeout).await
 }
 
 /// Whether a peer answers, by what is known or else by a ping that all of this node's
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use decide::fleet::{EvacuationChange, EvacuationList};
+use decide::relay::waits;
 use model::Name;
 use model::forward::Evacuations;
 
@@ -14,11 +15,6 @@
 use crate::events::Event;
 use crate::node::Node;
 
-/// Time that a watch waits at the store: with its slack, a connection that has fallen silent is
-/// found out within 4 s, before the time in which an evacuation is to be in force.
-const WATCH: Duration = Duration::from_secs(3);
-/// Time for news to gather between two calls.
-const GATHER: Duration = Duration::from_millis(100);
 /// Longest wait after a failed call.
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time for which a failed call waits for another one to show that the store answers again.
@@ -30,9 +26,9 @@
     let mut list = EvacuationList::default();
     let mut backoff = Backoff::default();
     loop {
-        tokio::time::sleep(GATHER).await;
+        tokio::time::sleep(waits::GATHER).await;
         node.feed.reads_store().await;
-        match reader.read(list.at(), WATCH).await {
+        match reader.read(list.at(), waits::SLOW_WATCH).await {
             Ok(step) => {
                 backoff.answered();
                 take_step(&node, &mut list, step);
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -16,9 +16,8 @@
 
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
-/// Time by which evacuations may be older than targets: two watches at the store last so much
-/// longer than theirs.
-const EVACUATIONS_OLDER: Duration = Duration::from_millis(2_500);
+/// Time by which evacuations may be older than targets: a watch of theirs lasts so much longer.
+const EVACUATIONS_OLDER: Duration = Duration::from_millis(500);
 
 /// Revision, history and age of the targets' state.
 #[derive(Debug)]
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -53,5 +53,5 @@
     if node.settings().policy.relays {
         return relays;
     }
-    Relays { role: Role::Relay, followed: false, ..relays }
+    Relays { role: Role::Relay, ..relays }
 }
--- a/crates/forward/src/watch/rules.rs
+++ b/crates/forward/src/watch/rules.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::relay::Role;
+use decide::relay::{Role, waits};
 
 use super::backoff::Backoff;
 use super::relays;
@@ -13,10 +13,6 @@
 use crate::border::{Change, Kind};
 use crate::node::Node;
 
-/// Time that a relay's watch waits at the store.
-const WATCH: Duration = Duration::from_secs(5);
-/// Time that any other node's watch waits there.
-const WATCH_FOLLOWER: Duration = Duration::from_secs(20);
 /// Longest wait of a relay after a failed call.
 const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Longest wait of any other node.
@@ -30,8 +26,7 @@
     loop {
         node.feed.reads_store().await;
         let own = relays(&node).role == Role::Relay;
-        let wait = if own { WATCH } else { WATCH_FOLLOWER };
-        match reader.read(at, wait).await {
+        match reader.read(at, waits::SLOW_WATCH).await {
             Ok(step) => {
                 backoff.answered();
                 at = Some(step.at);
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use util::http::{CallError, Client};
+use decide::relay::waits;
+use util::http::{CallError, CallKind, Client};
 
 use crate::border::{Change, Kind, Malformed, Page};
 use crate::events::Event;
@@ -13,14 +14,12 @@
 const CONNECT: Duration = Duration::from_millis(800);
 /// Time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Part of a watch's wait that is added to it before the watch is given up.
-const WATCH_SLACK_PART: f64 = 0.3;
-/// Least such time.
-const WATCH_SLACK_LEAST: Duration = Duration::from_millis(400);
 /// Times that a page is asked for again while the store is busy.
 const PAGE_TRIES: u32 = 12;
 /// Longest wait before a page is asked for again.
 const PAGE_PAUSE: Duration = Duration::from_millis(600);
+/// Wait of a watch that is to be answered at once.
+const AT_ONCE: Duration = Duration::from_millis(1);
 /// Status of a call beyond the store's rate.
 const BUSY: u16 = 429;
 /// Status of a watch whose history is gone.
@@ -40,6 +39,11 @@
     pub fn is_history_gone(&self) -> bool {
         matches!(self, ReadError::Call(e) if e.status() == Some(GONE))
     }
+
+    /// Whether no answer came in time, which says more of the connection than of the store.
+    fn is_timeout(&self) -> bool {
+        matches!(self, ReadError::Call(e) if e.kind == CallKind::Timeout)
+    }
 }
 
 /// What one call brought.
@@ -71,7 +75,7 @@
     pub async fn read(&mut self, at: Option<u64>, wait: Duration) -> Result<Step, ReadError> {
         let read = match at {
             None => self.list().await,
-            Some(at) => self.watch(at, wait).await,
+            Some(at) => self.watch_surely(at, wait).await,
         };
         match &read {
             Ok(_) => self.answered(),
@@ -139,10 +143,21 @@
         }
     }
 
-    async fn watch(&self, at: u64, wait: Duration) -> Result<Step, ReadError> {
+    /// Watches, and where no answer comes in time asks at once over a new connection what
+    /// changed meanwhile: the old one may have fallen silent.
+    async fn watch_surely(&mut self, at: u64, wait: Duration) -> Result<Step, ReadError> {
+        match self.watch(at, wait, wait + waits::WATCH_SLACK).await {
+            Err(e) if e.is_timeout() => {
+                self.client = Client::new(CONNECT);
+                self.watch(at, AT_ONCE, waits::ASK_AGAIN).await
+            }
+            end => end,
+        }
+    }
+
+    async fn watch(&self, at: u64, wait: Duration, timeout: Duration) -> Result<Step, ReadError> {
         let path = self.node.dialect.watch(self.kind, at, wait.as_millis() as u64);
-        let slack = wait.mul_f64(WATCH_SLACK_PART).max(WATCH_SLACK_LEAST);
-        let body = self.get(&path, wait + slack).await?;
+        let body = self.get(&path, timeout).await?;
         let page = self.node.dialect.changes(self.kind, body.as_bytes())?;
         warn(&page);
         Ok(Step { at: page.at.max(at), whole: false, changes: page.changes })
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::relay::{Relays, Role, Source, Sources};
+use decide::relay::{Relays, Role, Source, Sources, waits};
 use model::Time;
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
 use model::member::Node as PeerNode;
+use util::http::{CallKind, Client};
 
 use super::feed::Feed;
 use super::store::{Reader, Step};
@@ -17,19 +18,8 @@
 use crate::node::Node;
 use crate::peers;
 
-/// Time that a watch waits at the store where no other node follows this one.
-const WATCH: Duration = Duration::from_secs(5);
-/// Time that a relay's watch waits there: its followers rely on its age.
-const WATCH_RELAY: Duration = Duration::from_secs(1);
-/// Time that a peer holds an answer back until there is news.
-const PEER_WAIT: Duration = Duration::from_millis(700);
-/// The same for a relay's standby: it passes on what it has, whose age is to stay fit for
-/// use at those that follow it.
-const PEER_WAIT_STANDBY: Duration = Duration::from_millis(250);
-/// Time beyond that before a peer is given up.
-const PEER_SLACK: Duration = Duration::from_millis(350);
-/// Time for news to gather between two questions, which each cost a call.
-const GATHER: Duration = Duration::from_millis(100);
+/// Time to connect to a peer.
+const CONNECT: Duration = Duration::from_millis(250);
 
 /// Follows until the process ends.
 pub async fn follow(node: Rc<Node>) {
@@ -42,6 +32,8 @@
 struct Follower {
     node: Rc<Node>,
     reader: Reader,
+    /// For relays only, so that it can be replaced once a connection has fallen silent.
+    client: Client,
     sources: Sources,
     /// The store's history does not reach back to this node's revision.
     history_gone: bool,
@@ -52,7 +44,8 @@
     fn new(node: Rc<Node>) -> Self {
         let reader = Reader::new(node.clone(), Kind::Targets);
         let sources = Sources::default();
-        Follower { node, reader, sources, history_gone: false, source: None }
+        let client = Client::new(CONNECT);
+        Follower { node, reader, client, sources, history_gone: false, source: None }
     }
 
     async fn step(&mut self) {
@@ -72,7 +65,7 @@
             Source::Peer { node, patient } => self.ask_peer(&node, patient, relays.role).await,
             Source::Nobody => return,
         }
-        tokio::time::sleep(GATHER).await;
+        tokio::time::sleep(waits::GATHER).await;
     }
 
     fn tell(&self, source: &Source) {
@@ -87,9 +80,8 @@
 
     async fn ask_store(&mut self, relays: &Relays) {
         let node = self.node.clone();
-        let wait = if relays.role == Role::Relay && !relays.followed { WATCH } else { WATCH_RELAY };
         let at = node.feed.at().filter(|_| !self.history_gone);
-        match self.reader.read(at, wait).await {
+        match self.reader.read(at, waits::TARGETS_WATCH).await {
             Ok(step) => {
                 self.history_gone = false;
                 self.sources.store_answered();
@@ -108,7 +100,7 @@
 
     async fn ask_peer(&mut self, peer: &PeerNode, patient: bool, role: Role) {
         let node = self.node.clone();
-        let wait = if role == Role::Standby { PEER_WAIT_STANDBY } else { PEER_WAIT };
+        let wait = if role == Role::Standby { waits::STANDBY_WAIT } else { waits::PEER_WAIT };
         let ask = FollowAsk {
             at: node.feed.at().unwrap_or(0),
             rules: node.table().rules.version,
@@ -116,13 +108,14 @@
             wait_ms: wait.as_millis() as u64,
             patient,
         };
-        let answer = peers::follow(&node, peer.entry, &ask, wait + PEER_SLACK).await;
+        let answer = self.follow(peer, ask, wait).await;
         let now = node.now();
         let Some(answer) = answer else {
             self.sources.relay_silent(&peer.id, now);
             return;
         };
         let age = Duration::from_millis(answer.age_ms);
+        let rules_age = Duration::from_millis(answer.rules_age_ms);
         if Feed::is_stale(age) {
             self.sources.relay_stale(&peer.id, now);
         } else {
@@ -131,11 +124,28 @@
         let (rules, confirmed) = (answer.rules, now - age);
         take_answer(&node, &peer.id.name, answer, confirmed);
         if rules > node.table().rules.version {
-            peers::take_rules(&node, peer.entry).await;
+            peers::take_rules(&node, &self.client, peer.entry).await;
         }
         if rules <= node.table().rules.version {
-            node.store_confirmed(confirmed);
-            node.feed.confirm(Kind::Rules, confirmed, now);
+            node.feed.confirm(Kind::Rules, now - rules_age, now);
+        }
+    }
+
+    /// Asks a peer, and where no answer comes in time once more over a new connection: the old
+    /// one may have fallen silent, and whoever takes the peer for lost leaves it for seconds.
+    async fn follow(
+        &mut self,
+        peer: &PeerNode,
+        ask: FollowAsk,
+        wait: Duration,
+    ) -> Option<FollowAnswer> {
+        match peers::follow(&self.client, peer.entry, &ask, wait + waits::PEER_SLACK).await {
+            Err(e) if e.kind == CallKind::Timeout => {
+                self.client = Client::new(CONNECT);
+                let ask = FollowAsk { wait_ms: 0, patient: false, ..ask };
+                peers::follow(&self.client, peer.entry, &ask, waits::ASK_AGAIN).await.ok()
+            }
+            answer => answer.ok(),
         }
     }
 }
@@ -242,6 +252,10 @@
         age_ms: millis(node.feed.age(now)),
         doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
         rules: node.table().rules.version,
+        rules_age_ms: node
+            .feed
+            .age_of(Kind::Rules, now)
+            .map_or(u64::from(u32::MAX), |a| millis(a.now)),
         evacuations: node.fleet(|f| f.evacuated().list()),
         news,
     })
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -75,6 +75,8 @@
     pub doubt_ms: u64,
     /// Version of the peer's rules.
     pub rules: u64,
+    /// Milliseconds since the store last confirmed them.
+    pub rules_age_ms: u64,
     /// Evacuations as the peer knows them; `None` if it has not read them yet.
     pub evacuations: Option<Evacuations>,
     /// What the asking node lacks.
