Orders leave a connection to their coordinator that fell silent

Cause: an order to a coordinator has no time-out of its own but its caller's, since how long a stage takes is not known; its life sign is a ping. A ping went over one kept connection: if that was silent the peer passed for lost, two such peers for a cut domain, and if it was not, the order hung on its own silent connection until the operating system ended it.

Ruled out: a ping over new connections only (it would show neither). Longer patience with the ping: a cut is to be found out within a third of a second.

Change: a ping that has no answer after 40 ms is sent over a new connection as well, within the same 150 ms. A peer that answers there only is alive and its kept connections have fallen silent: a `hung` line, and orders that have waited there since before are sent to it again, once. Left: a ping that finds no kept connection at rest opens a new one and learns nothing of the order's; then the keep-alive ends it after 2 s.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -32,6 +32,8 @@
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
     Coordinator { service: &'a str, coordinator: &'a str, why: &'a str },
+    /// Connections to a peer have fallen silent: it answered over a new one only.
+    Hung { peer: &'a str },
     /// A scheduler of prompts did not answer; it is done without for a moment.
     Scheduler { service: &'a str, domain: &'a str, scheduler: &'a str, why: &'a str },
     /// A peer's order went on to the node that comes first.
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod server;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,13 +14,14 @@
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
 use futures_util::future::join_all;
-use model::Name;
 use model::forward::{FollowAnswer, FollowAsk, Rules};
-use model::member::Node as PeerNode;
+use model::member::{Node as PeerNode, NodeId};
+use model::{Name, Time};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use util::http::{CallError, Client};
+use util::http::{CallError, CallKind, Client};
 
+use crate::events::Event;
 use crate::node::Node;
 
 pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
@@ -29,10 +31,17 @@
 /// Time for a ping's answer: a host whose share of its core is used up gets nothing for up
 /// to 100 ms.
 const PING_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which a ping without an answer is sent over a new connection too: most answers
+/// between failure domains take a few milliseconds, and a new connection needs a moment.
+const PING_AGAIN: Duration = Duration::from_millis(40);
+/// Time for which it is remembered that a peer's connections fell silent. Orders that wait
+/// on them hear of it within some tens of milliseconds.
+const HUNG_KEPT: Duration = Duration::from_secs(10);
 
 /// Peers of a node.
 pub struct Peers {
     roster: RefCell<Roster>,
+    hung: RefCell<HashMap<NodeId, Time>>,
     fetching: Cell<u64>,
     commands: RefCell<Option<mpsc::UnboundedSender<MemberEvent>>>,
 }
@@ -42,6 +51,7 @@
     pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
         Peers {
             roster: RefCell::new(Roster::new(me, domain, capacity)),
+            hung: RefCell::default(),
             fetching: Cell::new(0),
             commands: RefCell::new(None),
         }
@@ -52,6 +62,18 @@
         f(&mut self.roster.borrow_mut())
     }
 
+    /// A peer answers over new connections only.
+    fn note_hung(&self, id: &NodeId, now: Time) {
+        let mut hung = self.hung.borrow_mut();
+        hung.retain(|_, at| now.since(*at) < HUNG_KEPT);
+        hung.insert(id.clone(), now);
+    }
+
+    /// Whether connections to a peer that were open at `since` have fallen silent.
+    pub fn is_hung(&self, id: &NodeId, since: Time) -> bool {
+        self.hung.borrow().get(id).is_some_and(|at| *at >= since)
+    }
+
     /// Tells the peers that this node is gone.
     pub fn leave(&self) {
         self.command(MemberEvent::Leave);
@@ -95,18 +117,54 @@
         Contact::Answers => true,
         Contact::Silent => false,
         Contact::Unknown => {
-            let address = peer.entry.to_string();
-            let pong = node.client.rmp::<_, ()>(&address, server::PING, &(), PING_TIMEOUT).await;
+            let pong = ping(node, peer).await;
             let now = node.now();
-            match &pong {
-                Ok(()) => node.peers.roster(|r| r.answered(&peer.id, now)),
-                Err(_) => node.peers.roster(|r| r.silent(&peer.id, now)),
+            if pong == Pong::New {
+                node.peers.note_hung(&peer.id, now);
+                Event::Hung { peer: &peer.id.name }.emit();
             }
-            pong.is_ok()
+            match pong {
+                Pong::None => node.peers.roster(|r| r.silent(&peer.id, now)),
+                Pong::Kept | Pong::New => node.peers.roster(|r| r.answered(&peer.id, now)),
+            }
+            pong != Pong::None
         }
     }
 }
 
+/// Over which connection a peer answered a ping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pong {
+    /// A kept one.
+    Kept,
+    /// Only a new one: kept ones have fallen silent.
+    New,
+    /// None.
+    None,
+}
+
+/// Pings a peer over a kept connection, and soon over a new one as well.
+async fn ping(node: &Node, peer: &PeerNode) -> Pong {
+    let address = peer.entry.to_string();
+    let new = tokio::task::spawn_local(ping_again(address.clone()));
+    let kept = node.client.rmp::<_, ()>(&address, server::PING, &(), PING_TIMEOUT).await;
+    match kept {
+        Ok(()) => {
+            new.abort();
+            Pong::Kept
+        }
+        Err(e) if e.kind == CallKind::Timeout && new.await.unwrap_or(false) => Pong::New,
+        Err(_) => Pong::None,
+    }
+}
+
+async fn ping_again(address: String) -> bool {
+    tokio::time::sleep(PING_AGAIN).await;
+    let left = PING_TIMEOUT - PING_AGAIN;
+    let client = Client::new(left);
+    client.rmp::<_, ()>(&address, server::PING, &(), left).await.is_ok()
+}
+
 /// Asks peers at once whether they are there, and waits for their answers.
 pub async fn ask_all(node: &Rc<Node>, peers: &[PeerNode]) {
     join_all(peers.iter().map(|p| answers(node, p))).await;
@@ -114,7 +172,7 @@
 
 /// Starts membership and the server for peers.
 pub async fn start(node: &Rc<Node>) -> anyhow::Result<()> {
-    let address = node.settings().peer_address();
+    let address = node.settings().bind_address();
     let socket = UdpSocket::bind(address)
         .await
         .with_context(|| format!("could not take UDP port {address}"))?;
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -23,8 +23,12 @@
     pub name: Name,
     /// Failure domain.
     pub domain: Name,
-    /// Address of the host.
+    /// Address at which peers reach the host.
     pub address: IpAddr,
+    /// Address at which the node listens for peers, where a forwarder stands before it;
+    /// otherwise `address`.
+    #[serde(default)]
+    pub bind: Option<IpAddr>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks for readiness.
@@ -150,12 +154,18 @@
         SocketAddr::new(self.address, self.peer_port)
     }
 
+    /// Where this node listens for peers, UDP and TCP.
+    pub fn bind_address(&self) -> SocketAddr {
+        SocketAddr::new(self.bind.unwrap_or(self.address), self.peer_port)
+    }
+
     /// The first field that cannot change while a node runs, and does.
     pub fn differs_for_good(&self, running: &Settings) -> Option<&'static str> {
         let fields = [
             ("name", self.name == running.name),
             ("domain", self.domain == running.domain),
             ("address", self.address == running.address),
+            ("bind", self.bind == running.bind),
             ("callers", self.callers == running.callers),
             ("readiness", self.readiness == running.readiness),
             ("peer_port", self.peer_port == running.peer_port),
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use model::Name;
 use model::forward::{BatchAnswer, BatchOrder, PieceResult};
 use model::member::{Node as PeerNode, NodeId};
+use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
@@ -72,6 +72,7 @@
     let service = order.service.clone();
     check_silent(node, &service);
     let mut asked: Vec<NodeId> = Vec::new();
+    let mut hung: Vec<NodeId> = Vec::new();
     while asked.len() < ASKED {
         let now = node.now();
         let order_of = node.peers.roster(|r| r.coordinators(&service, now));
@@ -91,6 +92,12 @@
             }
             Err(why) => tell_lost(&service, &peer, &why),
         }
+        if node.peers.is_hung(&peer.id, now) && !hung.contains(&peer.id) {
+            // It is there; only the connection is not.
+            hung.push(peer.id);
+            spend(order, node.now().since(now));
+            continue;
+        }
         if node.peers.roster(|r| r.is_silent(&peer.id)) {
             // Whoever else is gone with it is found out at once, not one order after another.
             let others = node.peers.roster(|r| r.survey(&service, node.now()));
@@ -155,13 +162,14 @@
 }
 
 async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Result<BatchAnswer, String> {
-    node.peers.roster(|r| r.begin_wait(&peer.id, node.now()));
+    let begun = node.now();
+    node.peers.roster(|r| r.begin_wait(&peer.id, begun));
     let address = peer.entry.to_string();
     let timeout = Duration::from_millis(order.left_ms);
     let call = node.client.rmp::<_, BatchAnswer>(&address, BATCH, order, timeout);
     let answer = tokio::select! {
         answer = call => answer,
-        () = lost(node, peer) => return Err("it is suspected or gone".into()),
+        why = lost(node, peer, begun) => return Err(why.into()),
     };
     match answer {
         Ok(answer) if answer.results.len() == order.pieces as usize => Ok(answer),
@@ -177,14 +185,19 @@
     }
 }
 
-/// Returns once the peer is suspected or gone, or does not answer a ping. Membership
-/// takes a second or two to find out; an order that waits asks by itself.
-async fn lost(node: &Rc<Node>, peer: &PeerNode) {
+/// Returns, with the reason, once the peer is suspected or gone, does not answer a ping, or
+/// does so over a new connection only. Membership takes a second or two to find out that it
+/// is gone, and the operating system as long for a connection; an order that waits asks by
+/// itself.
+async fn lost(node: &Rc<Node>, peer: &PeerNode, begun: Time) -> &'static str {
     loop {
         tokio::time::sleep(LOOK).await;
         let sound = node.peers.roster(|r| r.is_sound(&peer.id));
         if !sound || !peers::answers(node, peer).await {
-            return;
+            return "it is suspected or gone";
+        }
+        if node.peers.is_hung(&peer.id, begun) {
+            return "its connection fell silent";
         }
     }
 }
