--- a/crates/decide/src/relay/waits.rs
+++ b/crates/decide/src/relay/waits.rs
@@ -11,6 +11,9 @@
 /// Time after which a node knows what changed, however its connections were disturbed. It is
 /// held to that from 3 s after the disturbance on.
 pub const KNOWN_WITHIN: Duration = Duration::from_millis(2500);
+/// Age from which on what a node knows counts as old, and its log says so: what it waits for has
+/// failed by then. It serves on, as a failure domain that is cut off does.
+pub const OLD_FROM: Duration = Duration::from_secs(3);
 /// Time that a watch of the targets waits at the store. Followers judge a relay by their age.
 pub const TARGETS_WATCH: Duration = Duration::from_secs(1);
 /// Time that a watch of the rules or the evacuations waits there.
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -215,4 +215,6 @@
         assert!(worst <= waits::KNOWN_WITHIN, "{what}: {worst:?}");
     }
     assert!(waits::PEER_WAIT + waits::PEER_SLACK < waits::worst_relay(), "followers notice first");
+    let in_calm = waits::SLOW_WATCH + waits::PEER_WAIT + waits::GATHER;
+    assert!(in_calm < waits::OLD_FROM, "nothing is called old in calm");
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -17,6 +17,8 @@
     Rules { version: u64, from: &'a str, routes: usize },
     /// The store was lost or regained.
     Store { kind: &'a str, reachable: bool, why: &'a str },
+    /// What is known of a kind has become old, or is no longer: the store's last word on it.
+    Known { kind: &'a str, old: bool, age_ms: u64, longest_ms: u64 },
     /// The targets are followed through another source from now on.
     Source { from: &'a str, age_ms: u64 },
     /// Which peers are up changed: how many are now, and what became of others.
--- a/crates/forward/src/watch/ages.rs
+++ b/crates/forward/src/watch/ages.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use decide::relay::waits;
 use model::Time;
 
 use crate::border::Kind;
@@ -21,6 +22,7 @@
 struct Known {
     confirmed: Cell<Option<Time>>,
     longest: Cell<Duration>,
+    is_old: Cell<bool>,
 }
 
 /// Ages of all kinds.
@@ -43,6 +45,14 @@
         known.confirmed.set(Some(before.max(at)));
     }
 
+    /// Age of a kind if it has become old, or has been confirmed after that, since the last look.
+    pub fn turn(&self, kind: Kind, now: Time) -> Option<(bool, Age)> {
+        let age = self.age(kind, now)?;
+        let is_old = age.now >= waits::OLD_FROM;
+        let was_old = self.of(kind).is_old.replace(is_old);
+        (is_old != was_old).then_some((is_old, age))
+    }
+
     /// Nothing is known of a kind yet.
     pub fn forget(&self, kind: Kind) {
         self.of(kind).confirmed.set(None);
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -12,7 +12,9 @@
 use tokio::sync::watch;
 
 use super::ages::{Age, Ages};
+use super::millis;
 use crate::border::Kind;
+use crate::events::Event;
 
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
@@ -68,6 +70,16 @@
         self.ages.age(kind, now).filter(|_| is_followed)
     }
 
+    /// Tells of kinds that have become old, or are no longer.
+    pub fn tell_old(&self, now: Time) {
+        for kind in Kind::ALL {
+            if let Some((old, age)) = self.ages.turn(kind, now) {
+                let (age_ms, longest_ms) = (millis(age.now), millis(age.longest));
+                Event::Known { kind: kind.as_str(), old, age_ms, longest_ms }.emit();
+            }
+        }
+    }
+
     /// Whether an answer of this age is worth following.
     pub fn is_stale(age: Duration) -> bool {
         age > STALE
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -19,7 +19,7 @@
 pub use feed::Feed;
 pub use targets::answer;
 
-/// Time between looks at targets whose entries vanished.
+/// Time between looks at targets whose entries vanished, and at the age of what is known.
 const EXPIRE: Duration = Duration::from_millis(200);
 
 /// Starts following all kinds.
@@ -34,12 +34,13 @@
     tokio::task::spawn_local(expire(node.clone()));
 }
 
-/// Forgets, in time, targets whose entries vanished.
+/// Forgets, in time, targets whose entries vanished, and tells what has become old.
 async fn expire(node: Rc<Node>) {
     loop {
         tokio::time::sleep(EXPIRE).await;
         let now = node.now();
         node.fleet(|f| f.expire(now));
+        node.feed.tell_old(now);
     }
 }
 
