A relay that is out of touch says so at once, and its standby reads the store

The store turned away just the three nodes that read it. Larger domains had the same wait before; with relays in small domains it concerned these too.

Ruled out: silence (the relays knew of it within 30 ms: `store` lines); a slow way from the standby (rules were everywhere 80 ms after it had read).

Change: an answer to a follower says whether the peer's own source failed it the last time, and is given at once when that turns. A standby whose relay is out of touch reads the store itself; if that fails too it leaves the store alone for 0.8 s, as its relay asks sooner.

--- a/crates/decide/src/relay/source.rs
+++ b/crates/decide/src/relay/source.rs
@@ -109,6 +109,12 @@
         if relays.role == Role::Relay && !store_rests {
             return Chosen::now(Source::Store);
         }
+        // A standby takes the place of a relay that is out of touch: the store may turn away the
+        // relays of all domains and serve everybody else.
+        let relay_is_stale = relays.peers.first().is_some_and(|n| self.stale.contains_key(&n.id));
+        if relays.role == Role::Standby && relay_is_stale && !store_rests {
+            return Chosen::now(Source::Store);
+        }
         let answers = |n: &&Node| !self.silent.contains_key(&n.id);
         let is_fresh = |n: &&Node| !self.stale.contains_key(&n.id);
         if let Some(peer) = relays.peers.iter().filter(answers).find(is_fresh) {
@@ -178,7 +184,9 @@
         let bound = STORE_REST_FIRST * 2u32.pow(self.failures.min(4));
         self.failures += 1;
         let rest = match role {
-            Role::Relay | Role::Standby => bound.min(STORE_REST_LONGEST),
+            Role::Relay => bound.min(STORE_REST_LONGEST),
+            // Its relay asks sooner; if neither is answered, most likely nobody is.
+            Role::Standby => STORE_REST_LONGEST,
             Role::Follower | Role::Unknown => STORE_REST_FOLLOWER,
         };
         self.store = Some(now + STORE_REST_FIRST / 2 + jitter(rest));
--- a/crates/decide/tests/follow.rs
+++ b/crates/decide/tests/follow.rs
@@ -57,6 +57,8 @@
     next: u64,
     /// When the store last confirmed what the node knows.
     confirmed: u64,
+    /// Its own source failed it the last time.
+    lost: bool,
 }
 
 struct Fleet {
@@ -74,7 +76,13 @@
             let this = view(me).node;
             let mut roster = Roster::new(this.id.name, this.domain, 0);
             roster.update((0..NODES).filter(|i| *i != me).map(view).collect(), at(0));
-            Follower { roster, sources: Sources::default(), next: me as u64 * 13, confirmed: 0 }
+            Follower {
+                roster,
+                sources: Sources::default(),
+                next: me as u64 * 13,
+                confirmed: 0,
+                lost: false,
+            }
         };
         let nodes: Vec<Follower> = (0..NODES).map(follower).collect();
         let mut fleet = Fleet { nodes, rng: Rng::new(seed), calls: Vec::new(), relays: Vec::new() };
@@ -103,11 +111,13 @@
                 if (faults.store)(self, i, ms) {
                     self.nodes[i].sources.store_answered();
                     self.nodes[i].confirmed = ms;
+                    self.nodes[i].lost = false;
                     WATCH_MS
                 } else {
                     let rng = &mut self.rng;
                     let failed = |most| rng.jitter(most);
                     self.nodes[i].sources.store_failed(relays.role, now, failed);
+                    self.nodes[i].lost = true;
                     REFUSED_MS
                 }
             }
@@ -128,10 +138,12 @@
         let (now, j) = (at(60_000 + ms), number(peer));
         if !(faults.peers)(self, i, j, ms) {
             self.nodes[i].sources.relay_silent(&peer.id, now);
+            self.nodes[i].lost = true;
             return HANGS_MS;
         }
         let confirmed = self.nodes[j].confirmed;
-        let is_stale = Duration::from_millis(ms - confirmed) > STALE;
+        let is_stale = self.nodes[j].lost || Duration::from_millis(ms - confirmed) > STALE;
+        self.nodes[i].lost = is_stale;
         self.nodes[i].confirmed = self.nodes[i].confirmed.max(confirmed);
         let sources = &mut self.nodes[i].sources;
         match (is_stale, role) {
@@ -213,7 +225,7 @@
     };
     let cases = [
         ("one relay turned away", one_turned_away, 2_400),
-        ("all relays turned away", all_turned_away, 2_800),
+        ("all relays turned away", all_turned_away, 2_400),
         ("one relay silent", one_silent, 3_400),
         ("relay and standby silent", pair_silent, 4_200),
     ];
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -218,3 +218,18 @@
     let in_calm = waits::SLOW_WATCH + waits::PEER_WAIT + waits::GATHER;
     assert!(in_calm < waits::OLD_FROM, "nothing is called old in calm");
 }
+
+#[test]
+fn a_standby_takes_the_place_of_a_relay_that_is_out_of_touch() {
+    let mut sources = Sources::default();
+    let relays = relays(Role::Standby);
+    let choose = |s: &mut Sources, ms| name_of(&s.choose(&relays, at(ms), whole)).to_string();
+    assert_eq!(choose(&mut sources, 0), "a");
+    sources.relay_stale(&node("a").id, at(0));
+    assert_eq!(choose(&mut sources, 10), "store", "at once");
+    sources.store_failed(Role::Standby, at(20), whole);
+    assert_eq!(choose(&mut sources, 30), "b", "the relay of another domain");
+    assert_eq!(choose(&mut sources, 880), "store", "tried again");
+    sources.relay_fresh(&node("a").id);
+    assert_eq!(choose(&mut sources, 900), "a");
+}
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -3,7 +3,7 @@
 //! Evacuations are part of that state where they are followed. The store is asked for them
 //! less often than for targets, so they may be older before the state is no use.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use decide::relay::History;
@@ -26,6 +26,7 @@
 pub struct Feed {
     history: RefCell<History<TargetChange>>,
     ages: Ages,
+    out_of_touch: Cell<bool>,
     news: watch::Sender<()>,
     reads_store: watch::Sender<bool>,
 }
@@ -38,6 +39,7 @@
         Feed {
             history: RefCell::default(),
             ages,
+            out_of_touch: Cell::new(false),
             news: watch::Sender::new(()),
             reads_store: watch::Sender::new(false),
         }
@@ -80,6 +82,19 @@
         }
     }
 
+    /// The source that this node read last failed it, or did not. Those that follow this node
+    /// are told at once, for better or worse.
+    pub fn set_out_of_touch(&self, is_out: bool) {
+        if self.out_of_touch.replace(is_out) != is_out {
+            self.wake();
+        }
+    }
+
+    /// Whether the source that this node read last failed it.
+    pub fn is_out_of_touch(&self) -> bool {
+        self.out_of_touch.get()
+    }
+
     /// Whether an answer of this age is worth following.
     pub fn is_stale(age: Duration) -> bool {
         age > STALE
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -84,6 +84,7 @@
         match self.reader.read(at, waits::TARGETS_WATCH).await {
             Ok(step) => {
                 self.history_gone = false;
+                node.feed.set_out_of_touch(false);
                 self.sources.store_answered();
                 take_step(&node, step);
             }
@@ -93,7 +94,7 @@
                 let jitter = |most| node.rng(|r| r.jitter(most));
                 self.sources.store_failed(relays.role, now, jitter);
                 // Whoever follows this node is better off elsewhere.
-                node.feed.wake();
+                node.feed.set_out_of_touch(true);
             }
         }
     }
@@ -112,17 +113,20 @@
         let now = node.now();
         let Some(answer) = answer else {
             self.sources.relay_silent(&peer.id, now);
+            node.feed.set_out_of_touch(true);
             return;
         };
         let age = Duration::from_millis(answer.age_ms);
         let rules_age = Duration::from_millis(answer.rules_age_ms);
-        if Feed::is_stale(age) {
+        let is_stale = answer.out_of_touch || Feed::is_stale(age);
+        if is_stale {
             self.sources.relay_stale(&peer.id, now);
         } else {
             self.sources.relay_fresh(&peer.id);
         }
         let (rules, confirmed) = (answer.rules, now - age);
         take_answer(&node, &peer.id.name, answer, confirmed);
+        node.feed.set_out_of_touch(is_stale);
         if rules > node.table().rules.version {
             peers::take_rules(&node, &self.client, peer.entry).await;
         }
@@ -250,6 +254,7 @@
     Some(FollowAnswer {
         at: at.unwrap_or(0),
         age_ms: millis(node.feed.age(now)),
+        out_of_touch: node.feed.is_out_of_touch(),
         doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
         rules: node.table().rules.version,
         rules_age_ms: node
@@ -265,7 +270,7 @@
     let known = node.feed.at().unwrap_or(0);
     let lacks_targets = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
     let lacks = lacks_targets || node.fleet(|f| f.evacuated().is_news_since(ask.evacuations));
-    let is_fresh = !Feed::is_stale(node.feed.age(node.now()));
+    let is_fresh = !node.feed.is_out_of_touch() && !Feed::is_stale(node.feed.age(node.now()));
     !lacks
         && (is_fresh || ask.patient)
         && node.table().rules.version <= ask.rules
