A standby whose store call failed leaves the store alone as others do

Deterministic, not flaky.

Ruled out: the bound.

Change: after a failed call a standby waits out of 2 s, as any node that is no relay, in place of 0.8 s; its relay goes on asking sooner.

--- a/crates/decide/src/relay/source.rs
+++ b/crates/decide/src/relay/source.rs
@@ -14,7 +14,7 @@
 const STORE_REST_FIRST: Duration = Duration::from_millis(100);
 /// Longest such time.
 const STORE_REST_LONGEST: Duration = Duration::from_millis(800);
-/// Such time of a node that is no relay, and whose relays do not answer.
+/// Such time of a node that is no relay, and whose relays do not answer or are out of touch.
 const STORE_REST_FOLLOWER: Duration = Duration::from_secs(2);
 /// Such time of a node whose relays answer but are out of touch, for each follower in its
 /// failure domain: most likely nobody reaches the store, and all of them together ask it
@@ -185,9 +185,8 @@
         self.failures += 1;
         let rest = match role {
             Role::Relay => bound.min(STORE_REST_LONGEST),
-            // Its relay asks sooner; if neither is answered, most likely nobody is.
-            Role::Standby => STORE_REST_LONGEST,
-            Role::Follower | Role::Unknown => STORE_REST_FOLLOWER,
+            // A standby's relay asks sooner; if neither is answered, most likely nobody is.
+            Role::Standby | Role::Follower | Role::Unknown => STORE_REST_FOLLOWER,
         };
         self.store = Some(now + STORE_REST_FIRST / 2 + jitter(rest));
     }
