--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -37,8 +37,6 @@
 const STATE_LOOK: Duration = Duration::from_millis(10);
 /// Time between looks at whether the store answers again.
 const STORE_LOOK: Duration = Duration::from_millis(50);
-/// Time to connect to a peer or the store.
-const CONNECT: Duration = Duration::from_millis(250);
 /// Time during which the balancer may still bring callers to a stopping node.
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 /// Time in which entries that lapsed during an outage of the store are back after it.
@@ -88,7 +86,7 @@
         Node {
             dialect,
             clock: Clock::default(),
-            client: Client::new(CONNECT),
+            client: Client::new(peers::CONNECT),
             metrics: Metrics::default(),
             peers: Peers::new(
                 settings.name.clone(),
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -26,6 +26,8 @@
 
 pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
 
+/// Time to connect to a peer.
+pub const CONNECT: Duration = Duration::from_millis(250);
 /// Time for a peer to hand over its rules: the largest take a small host's link a second.
 const RULES_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for a ping's answer: a host whose share of its core is used up gets nothing for up
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Whether this node's own source fails it, which for a relay is the store alone. Those that follow this node
-    /// are told at once, for better or worse.
+    /// Whether this node's own source fails it, which for a relay is the store alone. Those that
+    /// follow this node are told at once, for better or worse.
     pub fn set_out_of_touch(&self, is_out: bool) {
         if self.out_of_touch.replace(is_out) != is_out {
             self.wake();
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -18,9 +18,6 @@
 use crate::node::Node;
 use crate::peers;
 
-/// Time to connect to a peer.
-const CONNECT: Duration = Duration::from_millis(250);
-
 /// Follows until the process ends.
 pub async fn follow(node: Rc<Node>) {
     let mut follower = Follower::new(node);
@@ -44,7 +41,7 @@
     fn new(node: Rc<Node>) -> Self {
         let reader = Reader::new(node.clone(), Kind::Targets);
         let sources = Sources::default();
-        let client = Client::new(CONNECT);
+        let client = Client::new(peers::CONNECT);
         Follower { node, reader, client, sources, history_gone: false, source: None }
     }
 
@@ -147,7 +144,7 @@
     ) -> Option<FollowAnswer> {
         match peers::follow(&self.client, peer.entry, &ask, wait + waits::PEER_SLACK).await {
             Err(e) if e.kind == CallKind::Timeout => {
-                self.client = Client::new(CONNECT);
+                self.client = Client::new(peers::CONNECT);
                 let ask = FollowAsk { wait_ms: 0, patient: false, ..ask };
                 peers::follow(&self.client, peer.entry, &ask, waits::ASK_AGAIN).await.ok()
             }
