--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -108,7 +108,7 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, cold_gap } in makers {
+        for MakerInfo { id, domain, region: _, cold_gap } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
             maker.cold_gap = cold_gap;
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -15,6 +15,8 @@
     pub id: TargetId,
     /// Failure domain.
     pub domain: Name,
+    /// Region of that, if it is known.
+    pub region: Option<Name>,
     /// Least time between two calls, if it is cold; [`Duration::MAX`] if it gets none.
     pub cold_gap: Option<Duration>,
 }
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -6,7 +6,8 @@
 use model::forward::{Evacuations, Target, TargetId};
 use model::{Name, Time};
 
-use super::{ColdLimit, Evacuated, EvacuationChange};
+use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
+use crate::rollout::Versions;
 
 /// First time for which a failing target is left out.
 const EJECT_FIRST: Duration = Duration::from_millis(400);
@@ -43,6 +44,8 @@
     pub next_start: Time,
     /// Its entry vanished around an outage of the store; until then it is kept.
     pub missing: Option<Time>,
+    /// Its entry cannot be read.
+    pub unreadable: bool,
     /// Requests of this node at the target now.
     pub outstanding: u32,
     /// Prompt tokens of those that wait for their first event.
@@ -63,6 +66,7 @@
             target: Target { cold_ms: 0, ..target },
             next_start: Time::ZERO,
             missing: None,
+            unreadable: false,
             outstanding: 0,
             prefill: 0,
             mean_ms: 0.0,
@@ -72,12 +76,6 @@
         }
     }
 
-    /// Whether new work may go there as far as its entry says.
-    fn usable(&self, now: Time) -> bool {
-        let kept = self.missing.is_none_or(|until| now < until);
-        !self.target.draining && kept
-    }
-
     /// Whether it is left out for its failures.
     pub fn is_ejected(&self, now: Time) -> bool {
         now < self.ejected
@@ -107,33 +105,90 @@
     }
 }
 
-/// All targets that a node knows.
+/// All targets that a node knows; of each name only the latest start.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    beliefs: BTreeMap<TargetId, Belief>,
-    services: BTreeMap<Name, Vec<TargetId>>,
+    beliefs: BTreeMap<Name, Belief>,
+    services: BTreeMap<Name, Vec<Name>>,
     evacuated: Evacuated,
+    versions: Versions,
+    regions: Regions,
 }
 
 impl Fleet {
-    /// Belief about one target.
+    /// Belief about one start of a target; `None` if another one has its name by now.
     pub fn get(&self, id: &TargetId) -> Option<&Belief> {
-        self.beliefs.get(id)
+        self.beliefs.get(&id.name).filter(|b| b.target.id == *id)
+    }
+
+    fn get_mut(&mut self, id: &TargetId) -> Option<&mut Belief> {
+        self.beliefs.get_mut(&id.name).filter(|b| b.target.id == *id)
+    }
+
+    /// Targets of a service, whatever they may get.
+    pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Belief> {
+        let names = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        names.iter().filter_map(|name| self.beliefs.get(name))
+    }
+
+    /// Targets of a service that may get new work on these terms, those left out included.
+    pub fn usable<'a>(
+        &'a self,
+        service: &str,
+        terms: Terms<'a>,
+        now: Time,
+    ) -> impl Iterator<Item = &'a Belief> {
+        self.of_service(service).filter(move |b| self.bars(b, terms, now).is_none())
+    }
+
+    /// Whether a target may get new work on these terms.
+    pub fn is_usable(&self, id: &TargetId, terms: Terms<'_>, now: Time) -> bool {
+        self.get(id).is_some_and(|b| self.bars(b, terms, now).is_none())
+    }
+
+    /// Why a target may not get new work on these terms now; `None` if it may. Whoever
+    /// chooses a target asks this and nothing else.
+    pub fn bars(&self, b: &Belief, terms: Terms<'_>, now: Time) -> Option<Barred> {
+        let target = &b.target;
+        if b.unreadable {
+            return Some(Barred::Unreadable);
+        }
+        if target.draining {
+            return Some(Barred::Leaving);
+        }
+        if b.missing.is_some_and(|until| now >= until) {
+            return Some(Barred::Missing);
+        }
+        if self.evacuated.contains(&target.domain) {
+            return Some(Barred::Evacuated);
+        }
+        if !terms.allowed.permits(self.regions.of(&target.domain).map(|r| &**r)) {
+            return Some(Barred::Region);
+        }
+        if self.versions.side(&target.service, &target.version) != Some(terms.side) {
+            return Some(Barred::Version);
+        }
+        None
     }
 
-    /// Targets of a service that may get new work, those left out included.
-    pub fn usable<'a>(&'a self, service: &str, now: Time) -> impl Iterator<Item = &'a Belief> {
-        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter_map(|id| self.beliefs.get(id)).filter(move |b| self.takes_work(b, now))
+    /// Where failure domains lie.
+    pub fn regions(&self) -> &Regions {
+        &self.regions
     }
 
-    /// Whether a target may get new work.
-    pub fn is_usable(&self, id: &TargetId, now: Time) -> bool {
-        self.get(id).is_some_and(|b| self.takes_work(b, now))
+    /// Takes where failure domains lie.
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.regions = regions;
     }
 
-    fn takes_work(&self, b: &Belief, now: Time) -> bool {
-        b.usable(now) && !self.evacuated.contains(&b.target.domain)
+    /// Versions of services, and the roll-outs that concern them.
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
+    /// The same, to be changed.
+    pub fn versions_mut(&mut self) -> &mut Versions {
+        &mut self.versions
     }
 
     /// What is known of evacuations.
@@ -161,14 +216,14 @@
     /// This node starts a request at a target; if that is cold, the next one waits.
     pub fn start(&mut self, id: &TargetId, limit: ColdLimit, now: Time) {
         let is_cold = self.get(id).is_some_and(|b| self.is_cold(b, limit, now));
-        if let Some(b) = self.beliefs.get_mut(id).filter(|_| is_cold) {
+        if let Some(b) = self.get_mut(id).filter(|_| is_cold) {
             b.next_start = limit.gap.map_or(Time::NEVER, |gap| now + gap);
         }
     }
 
     /// All targets with an entry, for another node that starts.
     pub fn targets(&self, now: Time) -> Vec<Target> {
-        let present = self.beliefs.values().filter(|b| b.missing.is_none());
+        let present = self.beliefs.values().filter(|b| b.missing.is_none() && !b.unreadable);
         present.map(|b| b.entry(now)).collect()
     }
 
@@ -187,38 +242,55 @@
         self.beliefs.is_empty()
     }
 
-    /// Takes an entry as it is now; returns whether what is believed changed.
+    /// Takes an entry as it is now; returns whether what is believed changed. Nothing that
+    /// was believed of an earlier start, or of one in another service or place, holds on.
     pub fn upsert(&mut self, target: Target, now: Time) -> bool {
-        if let Some(b) = self.beliefs.get_mut(&target.id) {
+        let name = target.id.name.clone();
+        let is_same = |b: &Belief| {
+            let known = &b.target;
+            known.id == target.id
+                && known.service == target.service
+                && known.domain == target.domain
+                && known.address == target.address
+        };
+        if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            return b.set_target(target, now) || was_missing;
+            let was_unreadable = std::mem::take(&mut b.unreadable);
+            return b.set_target(target, now) || was_missing || was_unreadable;
         }
-        let ids = self.services.entry(target.service.clone()).or_default();
-        ids.push(target.id.clone());
-        self.beliefs.insert(target.id.clone(), Belief::new(target, now));
+        self.forget(&name);
+        self.services.entry(target.service.clone()).or_default().push(name.clone());
+        self.beliefs.insert(name, Belief::new(target, now));
         true
     }
 
+    /// An entry cannot be read: its target gets nothing new, and what it has goes on.
+    pub fn unreadable(&mut self, name: &Name) {
+        if let Some(b) = self.beliefs.get_mut(name) {
+            b.unreadable = true;
+        }
+    }
+
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
-    pub fn vanish(&mut self, id: &TargetId, doubt: Option<Time>) {
-        let Some(b) = self.beliefs.get_mut(id) else {
+    pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
+        let Some(b) = self.beliefs.get_mut(name) else {
             return;
         };
         match doubt {
-            Some(until) if !b.target.draining => b.missing = Some(until),
-            _ => self.forget(id),
+            Some(until) if !b.target.draining && !b.unreadable => b.missing = Some(until),
+            _ => self.forget(name),
         }
     }
 
     /// Takes a whole list: what it lacks has vanished.
     pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>, now: Time) {
-        let listed: std::collections::BTreeSet<TargetId> =
-            targets.iter().map(|t| t.id.clone()).collect();
-        let lacking: Vec<TargetId> =
-            self.beliefs.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-        for id in lacking {
-            self.vanish(&id, doubt);
+        let listed: std::collections::BTreeSet<Name> =
+            targets.iter().map(|t| t.id.name.clone()).collect();
+        let lacking: Vec<Name> =
+            self.beliefs.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        for name in lacking {
+            self.vanish(&name, doubt);
         }
         for target in targets {
             self.upsert(target, now);
@@ -228,25 +300,25 @@
     /// Forgets targets whose vanished entry did not come back in time.
     pub fn expire(&mut self, now: Time) {
         let over = |b: &Belief| b.missing.is_some_and(|until| now >= until);
-        let ids: Vec<TargetId> =
-            self.beliefs.values().filter(|b| over(b)).map(|b| b.target.id.clone()).collect();
-        for id in ids {
-            self.forget(&id);
+        let names: Vec<Name> =
+            self.beliefs.values().filter(|b| over(b)).map(|b| b.target.id.name.clone()).collect();
+        for name in names {
+            self.forget(&name);
         }
     }
 
-    fn forget(&mut self, id: &TargetId) {
-        let Some(b) = self.beliefs.remove(id) else {
+    fn forget(&mut self, name: &Name) {
+        let Some(b) = self.beliefs.remove(name) else {
             return;
         };
-        if let Some(ids) = self.services.get_mut(&b.target.service) {
-            ids.retain(|i| i != id);
+        if let Some(names) = self.services.get_mut(&b.target.service) {
+            names.retain(|n| n != name);
         }
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
     pub fn sent(&mut self, id: &TargetId, tokens: u64) {
-        if let Some(b) = self.beliefs.get_mut(id) {
+        if let Some(b) = self.get_mut(id) {
             b.outstanding += 1;
             b.prefill += tokens;
         }
@@ -254,21 +326,21 @@
 
     /// The prompt of a request has been read there.
     pub fn read(&mut self, id: &TargetId, tokens: u64) {
-        if let Some(b) = self.beliefs.get_mut(id) {
+        if let Some(b) = self.get_mut(id) {
             b.prefill = b.prefill.saturating_sub(tokens);
         }
     }
 
     /// A request is no longer at the target.
     pub fn done(&mut self, id: &TargetId) {
-        if let Some(b) = self.beliefs.get_mut(id) {
+        if let Some(b) = self.get_mut(id) {
             b.outstanding = b.outstanding.saturating_sub(1);
         }
     }
 
     /// Takes what a send brought; returns whether the target is now left out.
     pub fn observe(&mut self, id: &TargetId, what: Observation, now: Time) -> bool {
-        let Some(b) = self.beliefs.get_mut(id) else {
+        let Some(b) = self.get_mut(id) else {
             return false;
         };
         let failed = !matches!(what, Observation::Answered(_) | Observation::Rejected);
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -9,8 +9,10 @@
 mod cold;
 mod evacuation;
 mod pick;
+mod terms;
 
 pub use belief::{Belief, Fleet, Observation};
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange, EvacuationList};
 pub use pick::{ColdStarts, Home, Wanted, shares};
+pub use terms::{Barred, Regions, Terms};
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -5,7 +5,7 @@
 use model::forward::{PromptPart, Target, TargetId};
 use model::{Name, Time, hash};
 
-use super::{Belief, ColdLimit, Fleet};
+use super::{Belief, ColdLimit, Fleet, Terms};
 use crate::rng::Rng;
 
 /// Which cold targets a choice may fall on.
@@ -33,6 +33,8 @@
     pub service: &'a str,
     /// Failure domain of this node.
     pub domain: &'a str,
+    /// What the request asks of its target.
+    pub terms: Terms<'a>,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
     /// Requests that this node may have at one target: its part of the connections that
@@ -106,7 +108,7 @@
 pub fn shares(fleet: &Fleet, makers: &str, targets: &str, now: Time) -> Vec<(Name, f64)> {
     let count = |service: &str| {
         let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
-        for b in fleet.usable(service, now) {
+        for b in fleet.usable(service, Terms::ANY, now) {
             *by_domain.entry(b.target.domain.clone()).or_default() += 1;
         }
         by_domain
@@ -130,7 +132,7 @@
     home: Home,
 ) -> Vec<&'a Belief> {
     let place = |b: &'a Belief| {
-        let hash = hash::mix(home.key, hash::of(b.target.id.as_bytes()));
+        let hash = hash::mix(home.key, hash::of(b.target.id.name.as_bytes()));
         (distance(hash, wanted.share_of(&b.target.domain)), b)
     };
     let mut order: Vec<(f64, &Belief)> = targets.map(place).collect();
@@ -177,8 +179,13 @@
                 && b.outstanding < wanted.most_each
                 && self.may_start(b, wanted, now)
         };
-        let sound = self.usable(wanted.service, now).filter(fresh).any(|b| !b.is_ejected(now));
-        self.usable(wanted.service, now).filter(fresh).filter(move |b| !sound || !b.is_ejected(now))
+        let sound = self
+            .usable(wanted.service, wanted.terms, now)
+            .filter(fresh)
+            .any(|b| !b.is_ejected(now));
+        self.usable(wanted.service, wanted.terms, now)
+            .filter(fresh)
+            .filter(move |b| !sound || !b.is_ejected(now))
     }
 
     /// Whether a request may start at a target, if that is cold.
--- /dev/null
+++ b/crates/decide/src/fleet/terms.rs
@@ -0,0 +1,67 @@
+//! On which terms a target may get a request.
+
+use std::collections::BTreeMap;
+
+use model::Name;
+use model::forward::{Allowed, Side};
+
+/// What a request asks of any target that gets it, or a part of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms<'a> {
+    /// Regions in which it may be served.
+    pub allowed: &'a Allowed,
+    /// Version that it goes to.
+    pub side: Side,
+}
+
+impl Terms<'static> {
+    /// Served anywhere, by the version that serves.
+    pub const ANY: Terms<'static> = Terms { allowed: &Allowed::ANY, side: Side::Serving };
+}
+
+/// Why a target may not get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Barred {
+    /// Its entry cannot be read.
+    Unreadable,
+    /// It is draining.
+    Leaving,
+    /// Its entry vanished, and did not come back in time.
+    Missing,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// Its failure domain lies in no region that is allowed, or in none that is known.
+    Region,
+    /// The request does not go to its version.
+    Version,
+}
+
+impl Barred {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Barred::Unreadable => "unreadable",
+            Barred::Leaving => "leaving",
+            Barred::Missing => "missing",
+            Barred::Evacuated => "evacuated",
+            Barred::Region => "region",
+            Barred::Version => "version",
+        }
+    }
+}
+
+/// Regions in which failure domains lie, as settings tell.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Regions(BTreeMap<Name, Name>);
+
+impl Regions {
+    /// The region of each failure domain.
+    pub fn new(of_domain: BTreeMap<Name, Name>) -> Self {
+        Regions(of_domain)
+    }
+
+    /// Region of a failure domain, if it is known.
+    pub fn of(&self, domain: &str) -> Option<&Name> {
+        self.0.get(domain)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod resend;
 pub mod retry;
 pub mod rng;
+pub mod rollout;
 pub mod roster;
 pub mod route;
 pub mod stages;
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -96,7 +96,7 @@
     for (what, order, present, maker) in cases {
         let mut c = coordinator(present);
         let started = calls(&c.on(at(0), placed(1, order)));
-        assert_eq!(&*started[0].maker, maker, "{what}");
+        assert_eq!(&*started[0].maker.name, maker, "{what}");
     }
     let mut c = coordinator(&[("m1", "a"), ("m2", "b")]);
     let busy = BatchOrder { near: Some("b".into()), ..large(2, 2000) };
@@ -104,7 +104,7 @@
     let patient = c.on(at(1), placed(2, large(2, 200)));
     assert!(calls(&patient).is_empty(), "a patient one waits for its busy home");
     let pressed = calls(&c.on(at(2), placed(3, large(1, 200))));
-    assert_eq!(&*pressed[0].maker, "m1", "an urgent one that is pressed for time does not");
+    assert_eq!(&*pressed[0].maker.name, "m1", "an urgent one that is pressed for time does not");
 }
 
 #[test]
@@ -466,7 +466,12 @@
 #[test]
 fn a_cold_maker_gets_one_call_at_a_time_and_none_too_soon() {
     let cold = |gap: Option<Duration>| {
-        Event::Makers(vec![MakerInfo { id: "m1".into(), domain: "a".into(), cold_gap: gap }])
+        Event::Makers(vec![MakerInfo {
+            id: "m1".into(),
+            domain: "a".into(),
+            region: None,
+            cold_gap: gap,
+        }])
     };
     let mut c = Coordinator::new(pool(), Policy::default());
     let gap = Duration::from_millis(800);
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Wanted};
+use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Terms, Wanted};
 use decide::rng::Rng;
 use model::Time;
 use model::forward::{ColdTargets, Evacuations, Target, TargetId};
@@ -25,6 +25,7 @@
 
 fn pick(fleet: &Fleet, per_s: f64, cold: ColdStarts<'_>, now: Time) -> Option<TargetId> {
     let wanted = Wanted {
+        terms: Terms::ANY,
         service: "engine",
         domain: "a",
         but: &[],
@@ -60,15 +61,19 @@
 fn a_cold_target_is_left_to_its_owner_and_gets_one_request_at_a_time() {
     let mut fleet = Fleet::default();
     fleet.upsert(cold_target(3000), at(0));
-    let own = |id: &TargetId| **id == *"t0";
+    let own = |id: &TargetId| &*id.name == "t0";
     let owned = ColdStarts::InTurn(&own);
     assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(10)), None);
     assert_eq!(pick(&fleet, 9.1, ColdStarts::InTurn(&|_| false), at(10)), None);
-    assert_eq!(pick(&fleet, 9.1, owned, at(10)).as_deref(), Some("t0"));
+    assert_eq!(pick(&fleet, 9.1, owned, at(10)).map(|t| t.name).as_deref(), Some("t0"));
     fleet.start(&"t0".into(), limit(9.1), at(10));
     assert_eq!(pick(&fleet, 9.1, owned, at(200)), None, "the next one waits");
-    assert_eq!(pick(&fleet, 9.1, owned, at(260)).as_deref(), Some("t0"));
-    assert_eq!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).as_deref(), Some("t0"), "it is warm");
+    assert_eq!(pick(&fleet, 9.1, owned, at(260)).map(|t| t.name).as_deref(), Some("t0"));
+    assert_eq!(
+        pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).map(|t| t.name).as_deref(),
+        Some("t0"),
+        "it is warm"
+    );
     fleet.start(&"t0".into(), limit(9.1), at(3000));
     assert!(pick(&fleet, 9.1, ColdStarts::Avoid, at(3000)).is_some(), "warm ones never wait");
     fleet.upsert(cold_target(500), at(4000));
@@ -123,6 +128,7 @@
             fleet.upsert(cold_target(6000), at(0));
             for ms in start..6000 {
                 let wanted = Wanted {
+                    terms: Terms::ANY,
                     service: "engine",
                     domain: "a",
                     but: &[],
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeSet;
 
-use decide::fleet::{ColdStarts, Evacuated, EvacuationChange, EvacuationList, Fleet, Home, Wanted};
+use decide::fleet::{
+    ColdStarts, Evacuated, EvacuationChange, EvacuationList, Fleet, Home, Terms, Wanted,
+};
 use decide::rng::Rng;
 use model::Name;
 use model::forward::{Evacuations, Target};
@@ -26,6 +28,7 @@
 
 fn wanted() -> Wanted<'static> {
     Wanted {
+        terms: Terms::ANY,
         service: "engine",
         domain: "a",
         but: &[],
@@ -54,8 +57,8 @@
     fleet.evacuate(list(5, &["b"]), at(10));
     assert!(fleet.evacuated().is_known());
     assert!(!chosen(&fleet).contains("t1"));
-    assert!(!fleet.is_usable(&"t1".into(), at(10)));
-    assert!(fleet.is_usable(&"t0".into(), at(10)));
+    assert!(!fleet.is_usable(&"t1".into(), Terms::ANY, at(10)));
+    assert!(fleet.is_usable(&"t0".into(), Terms::ANY, at(10)));
 }
 
 #[test]
@@ -71,7 +74,7 @@
     fleet.evacuate(list(5, &[]), at(0));
     fleet.evacuate(list(6, &["a", "b"]), at(10));
     assert_eq!(chosen(&fleet), BTreeSet::from(["t2".to_string()]));
-    assert_eq!(fleet.usable("engine", at(10)).count(), 1);
+    assert_eq!(fleet.usable("engine", Terms::ANY, at(10)).count(), 1);
     fleet.evacuate(list(7, &["a"]), at(20));
     assert!(chosen(&fleet).contains("t1"));
     assert!(!chosen(&fleet).contains("t0"));
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use decide::fleet::{ColdStarts, Fleet, Home, Observation, Wanted, shares};
+use decide::fleet::{ColdStarts, Fleet, Home, Observation, Terms, Wanted, shares};
 use decide::rng::Rng;
 use model::forward::{PromptPart, Target, TargetId};
 use support::{at, target};
@@ -22,6 +22,7 @@
 fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
     Wanted {
         service: "engine",
+        terms: Terms::ANY,
         domain: "a",
         but,
         most_each: 100,
@@ -74,7 +75,7 @@
     for (key, was) in before.into_iter().enumerate() {
         let is = fleet.pick_home(wanted(&[]), home(key as u64), at(0));
         let moved = was != is;
-        assert_eq!(moved, was.is_some_and(|t| &*t.id == "t3"));
+        assert_eq!(moved, was.is_some_and(|t| &*t.id.name == "t3"));
     }
 }
 
@@ -86,7 +87,7 @@
     let mut rng = Rng::new(1);
     for _ in 0..50 {
         let plain = fleet.pick_plain(wanted(&[]), at(0), &mut rng).map(|t| t.id);
-        assert_eq!(plain.as_deref(), Some("t2"));
+        assert_eq!(plain.map(|t| t.name).as_deref(), Some("t2"));
     }
     let tried = ["t2".into()];
     assert_eq!(fleet.pick_plain(wanted(&tried), at(0), &mut rng), None);
@@ -98,15 +99,19 @@
     let mut fleet = fleet(2);
     let doubt = Some(at(3000));
     fleet.replace(vec![target("t0", "a")], doubt, at(0));
-    assert_eq!(fleet.usable("engine", at(2900)).count(), 2, "most likely it lives");
+    assert_eq!(fleet.usable("engine", Terms::ANY, at(2900)).count(), 2, "most likely it lives");
     assert_eq!(fleet.targets(at(0)).len(), 1, "but other nodes are not told of it");
-    assert_eq!(fleet.usable("engine", at(3000)).count(), 1, "not for long enough to break a drain");
+    assert_eq!(
+        fleet.usable("engine", Terms::ANY, at(3000)).count(),
+        1,
+        "not for long enough to break a drain"
+    );
     fleet.expire(at(2900));
     assert_eq!(fleet.len(), 2);
     fleet.expire(at(3000));
     assert_eq!(fleet.len(), 1);
     fleet.replace(vec![target("t0", "a"), target("t1", "b")], doubt, at(0));
-    assert_eq!(fleet.usable("engine", at(9000)).count(), 2, "it wrote again");
+    assert_eq!(fleet.usable("engine", Terms::ANY, at(9000)).count(), 2, "it wrote again");
 }
 
 #[test]
@@ -130,11 +135,11 @@
     let mut rng = Rng::new(1);
     fleet.observe(&"t0".into(), Observation::Unreachable, at(0));
     let pick = |f: &Fleet, rng: &mut Rng, ms| f.pick_plain(wanted(&[]), at(ms), rng).map(|t| t.id);
-    assert_eq!(pick(&fleet, &mut rng, 10).as_deref(), Some("t1"));
+    assert_eq!(pick(&fleet, &mut rng, 10).map(|t| t.name).as_deref(), Some("t1"));
     fleet.observe(&"t1".into(), Observation::Unreachable, at(20));
     assert!(pick(&fleet, &mut rng, 30).is_some(), "with none sound, one is tried all the same");
     let tried: BTreeSet<_> = (0..50).filter_map(|_| pick(&fleet, &mut rng, 5000)).collect();
-    assert!(tried.iter().any(|t| &**t == "t0"), "{tried:?}");
+    assert!(tried.iter().any(|t| &*t.name == "t0"), "{tried:?}");
 }
 
 #[test]
@@ -145,18 +150,18 @@
         fleet.observe(&id.into(), Observation::Answered(Duration::from_millis(50)), at(0));
     }
     let local = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
-    assert_eq!(&*local.id, "t0", "its own failure domain first");
+    assert_eq!(&*local.id.name, "t0", "its own failure domain first");
     for _ in 0..3 {
         fleet.sent(&"t0".into(), 0);
     }
     let spread = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
-    assert_eq!(&*spread.id, "t1");
+    assert_eq!(&*spread.id.name, "t1");
     for _ in 0..3 {
         fleet.done(&"t0".into());
         fleet.observe(&"t0".into(), Observation::Failed, at(0));
     }
     let sound = fleet.pick_plain(wanted(&[]), at(0), &mut rng).expect("two are up");
-    assert_eq!(&*sound.id, "t1");
+    assert_eq!(&*sound.id.name, "t1");
 }
 
 #[test]
@@ -174,7 +179,7 @@
     assert_eq!(fleet.pick_plain(wanted, at(0), &mut rng), None);
     assert_eq!(fleet.pick_home(wanted, home(1), at(0)), None);
     fleet.done(&"t1".into());
-    assert_eq!(fleet.pick_home(wanted, home(1), at(0)).map(|t| t.id).as_deref(), Some("t1"));
+    assert_eq!(fleet.pick_home(wanted, home(1), at(0)).map(|t| t.id.name).as_deref(), Some("t1"));
 }
 
 #[test]
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use decide::forecast::{Door, Expected, Forecast, at_the_door, least_times};
-use model::forward::{Rank, Repeat, Route, Service, Stage, StagePool, Waits};
+use model::forward::{Allowed, Rank, Repeat, Route, Service, Stage, StagePool, Waits};
 use model::{Name, Time};
 use proptest::prelude::*;
 
@@ -30,6 +30,7 @@
         open: true,
         split: Vec::new(),
         stages: vec![stage("first", &[]), stage("first", &[]), stage("second", &[1])],
+        allowed: Allowed::ANY,
     }
 }
 
--- a/crates/decide/tests/prefill.rs
+++ b/crates/decide/tests/prefill.rs
@@ -4,7 +4,7 @@
 
 use decide::prefill::{Placed, Scheduler};
 use decide::rng::Rng;
-use model::forward::{PrefillAsk, TargetId};
+use model::forward::{Allowed, PrefillAsk, Side, TargetId};
 use model::{Name, Time, hash};
 
 /// Tokens of a long prompt, and of its shared parts.
@@ -18,7 +18,7 @@
 }
 
 fn engine(i: usize) -> TargetId {
-    format!("engine-{i}").into()
+    TargetId::new(format!("engine-{i}"), 0)
 }
 
 fn attempt(i: usize) -> Name {
@@ -29,6 +29,8 @@
     PrefillAsk {
         service: "pool".into(),
         domain: "d".into(),
+        allowed: Allowed::ANY,
+        side: Side::Serving,
         attempt: attempt(i),
         home,
         shared: SHARED,
@@ -40,7 +42,7 @@
 
 fn order(engines: usize, home: u64) -> Vec<TargetId> {
     let mut order: Vec<TargetId> = (0..engines).map(engine).collect();
-    order.sort_by_key(|e| hash::mix(home, hash::of(e.as_bytes())));
+    order.sort_by_key(|e| hash::mix(home, hash::of(e.name.as_bytes())));
     order
 }
 
@@ -206,7 +208,7 @@
 }
 
 fn number(id: &TargetId) -> usize {
-    id.trim_start_matches("engine-").parse().expect("a number")
+    id.name.trim_start_matches("engine-").parse().expect("a number")
 }
 
 #[test]
--- a/crates/decide/tests/support/batch.rs
+++ b/crates/decide/tests/support/batch.rs
@@ -3,7 +3,8 @@
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use model::Time;
 use model::forward::{
-    BatchOrder, Handle, PieceOrder, PieceResult, Policy, Rank, StageInput, StagePool, TargetId,
+    Allowed, BatchOrder, Handle, PieceOrder, PieceResult, Policy, Rank, StageInput, StagePool,
+    TargetId,
 };
 
 /// What one maker bears.
@@ -26,6 +27,7 @@
     let info = |(id, domain): &(&str, &str)| MakerInfo {
         id: (*id).into(),
         domain: (*domain).into(),
+        region: None,
         cold_gap: None,
     };
     Event::Makers(of.iter().map(info).collect())
@@ -42,6 +44,7 @@
         slack_ms: 2000,
         left_ms: 8000,
         rank: Rank::of(None, 1),
+        allowed: Allowed::ANY,
         near: None,
         moved_bytes: 0,
         spread_bytes: 0,
--- a/crates/decide/tests/support/fleet.rs
+++ b/crates/decide/tests/support/fleet.rs
@@ -15,8 +15,10 @@
         service: "engine".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: domain.into(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
         cold_ms: 0,
+        revision: 0,
     }
 }
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -7,7 +7,9 @@
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 use model::Name;
-use model::forward::{CallerHead, Handle, PieceOrder, PieceResult, Rules, Target, TargetId};
+use model::forward::{
+    CallerHead, Handle, PieceOrder, PieceResult, Rollout, RolloutState, Rules, Target, TargetId,
+};
 
 /// A message that could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -71,6 +73,17 @@
     pub body: Vec<u8>,
 }
 
+/// A replacement of an object, or of its state, that only a given revision allows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Put {
+    /// Path.
+    pub path: String,
+    /// Media type of the body.
+    pub media: &'static str,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
 /// Kind of object that the node follows in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -80,11 +93,13 @@
     Targets,
     /// Failure domains whose targets are to get nothing new.
     Evacuations,
+    /// Roll-outs that the operator ordered.
+    Rollouts,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 3] = [Kind::Rules, Kind::Targets, Kind::Evacuations];
+    pub const ALL: [Kind; 4] = [Kind::Rules, Kind::Targets, Kind::Evacuations, Kind::Rollouts];
 
     /// Name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
@@ -92,6 +107,7 @@
             Kind::Rules => "rules",
             Kind::Targets => "targets",
             Kind::Evacuations => "evacuations",
+            Kind::Rollouts => "rollouts",
         }
     }
 }
@@ -105,6 +121,10 @@
     Target(Target),
     /// A failure domain is evacuated.
     Evacuated(Name),
+    /// A roll-out as it is now.
+    Rollout(Rollout),
+    /// The entry of this name is there but cannot be read.
+    Unreadable(Name),
     /// The entry of this name is gone.
     Gone(Name),
 }
@@ -152,6 +172,8 @@
     fn page(&self, kind: Kind, body: &[u8]) -> Result<Page, Malformed>;
     /// Reads the answer to a watch.
     fn changes(&self, kind: Kind, body: &[u8]) -> Result<Page, Malformed>;
+    /// Sets the state of a roll-out in the store, unless the order has changed since `order`.
+    fn set_rollout(&self, order: &Rollout, state: RolloutState) -> Put;
     /// Path that a balancer asks for readiness at.
     fn ready_path(&self) -> &str;
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -189,7 +189,7 @@
             return;
         }
         if self.fleet(|f| f.observe(target, what, now)) {
-            Event::Ejected { target, why }.emit();
+            Event::Ejected { target: &target.name, why }.emit();
         }
     }
 
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::fleet::{ColdStarts, Home, Wanted};
+use decide::fleet::{ColdStarts, Home, Terms, Wanted};
 use decide::prefill::Scheduler;
-use model::forward::{PrefillAnswer, PrefillAsk, PrefillEnd, Target, TargetId};
+use model::forward::{Allowed, PrefillAnswer, PrefillAsk, PrefillEnd, Side, Target, TargetId};
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
 
@@ -46,6 +46,7 @@
         let wanted = Wanted {
             service: &ask.service,
             domain: &ask.domain,
+            terms: Terms { allowed: &ask.allowed, side: ask.side },
             but: &ask.but,
             most_each: u32::MAX,
             shares: &[],
@@ -132,6 +133,10 @@
 pub struct Prompt {
     /// Attempt that it belongs to.
     pub attempt: Name,
+    /// Regions in which it may be read.
+    pub allowed: Allowed,
+    /// Version that it goes to.
+    pub side: Side,
     /// Its home.
     pub home: Home,
     /// Tokens of all of it.
@@ -145,13 +150,15 @@
 /// Asks which engine near `first`, the prompt's home, is to read it. `None` if the prompt is
 /// short, no scheduler answers, or it knows no engine that may.
 pub async fn schedule(node: &Rc<Node>, first: &Target, prompt: Prompt) -> Option<Scheduled> {
-    let Prompt { attempt, home: Home { key: home, shared }, tokens, slack_ms, but } = prompt;
+    let Prompt { attempt, allowed, side, home, tokens, slack_ms, but } = prompt;
+    let Home { key: home, shared } = home;
     if tokens < LONG {
         return None;
     }
     let (service, domain) = (first.service.clone(), first.domain.clone());
     let scheduler = node.peers.roster(|r| r.scheduler(&service, &domain, node.now()))?;
-    let ask = PrefillAsk { service, domain, attempt, home, shared, tokens, slack_ms, but };
+    let ask =
+        PrefillAsk { service, domain, attempt, allowed, side, home, shared, tokens, slack_ms, but };
     let answer = match &scheduler {
         None => node.schedulers.place(node, &ask),
         Some(peer) => ask_peer(node, peer, &ask).await?,
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{CallerHead, Rank, Route};
+use model::forward::{Allowed, CallerHead, Rank, Route};
 
 use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
@@ -103,11 +103,23 @@
         Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close()),
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
-    let Found { route, service, workspace, rank } = found;
+    let Found { route, service, workspace, rank, allowed } = found;
     let request = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
-    let admitted =
-        Admitted { request, head, route, service, workspace, rank, version, arrived, deadline };
+    let side = node.fleet(|f| f.versions().turn(&service, &head.id));
+    let admitted = Admitted {
+        request,
+        head,
+        route,
+        service,
+        workspace,
+        rank,
+        allowed,
+        side,
+        version,
+        arrived,
+        deadline,
+    };
     Ok(Rc::new(Exchange::new(node.clone(), admitted)))
 }
 
@@ -116,6 +128,7 @@
     service: model::Name,
     workspace: Option<model::Name>,
     rank: Rank,
+    allowed: Allowed,
 }
 
 fn find(node: &Node, table: &Table, head: &CallerHead) -> Result<Found, Refusal> {
@@ -141,6 +154,7 @@
         service: service.clone(),
         workspace: workspace.map(|w| w.name.clone()),
         rank,
+        allowed: workspace.map_or(Allowed::ANY, |w| w.allowed.clone()).and(&route.allowed),
     })
 }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use decide::fleet::{ColdStarts, Home, Wanted, shares};
+use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
 use decide::resend::Next;
 use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
@@ -22,13 +22,14 @@
     /// turn to start a request there.
     pub(super) fn choose(&self) -> Option<Target> {
         let now = self.node.now();
-        let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(id, now));
+        let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
         let shares = self.home_shares(now);
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
+            terms: self.terms(),
             but: &but,
             most_each: self.connections_each(),
             shares: &shares,
@@ -41,6 +42,11 @@
         }
     }
 
+    /// What the request asks of any target.
+    fn terms(&self) -> Terms<'_> {
+        Terms { allowed: &self.allowed, side: self.side }
+    }
+
     fn home(&self) -> Option<Home> {
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
@@ -70,7 +76,7 @@
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, now)
+            is_sound && f.is_usable(&target.id, self.terms(), now)
         })
     }
 
@@ -129,6 +135,8 @@
         let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
+            allowed: self.allowed.clone(),
+            side: self.side,
             home,
             tokens: self.head.tokens_in,
             slack_ms: self.slack().as_millis() as u64,
@@ -158,7 +166,7 @@
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
         Event::Chosen {
             id: &self.head.id,
-            target: &target.id,
+            target: &target.id.name,
             by,
             ahead,
             cold: self.is_cold(target),
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use decide::resend::{Ending, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{CallerHead, Rank, Route, Target, TargetId};
+use model::forward::{Allowed, CallerHead, Rank, Route, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::reply::{self, Body};
@@ -78,6 +78,10 @@
     pub workspace: Option<Name>,
     /// Rank.
     pub rank: Rank,
+    /// Regions in which it may be served.
+    pub allowed: Allowed,
+    /// Version of its service that it goes to.
+    pub side: Side,
     /// Version of the rules that it was taken in by.
     pub version: u64,
     /// When it arrived.
@@ -243,6 +247,7 @@
             near: target.map(|t| t.domain.clone()),
             slack_ms: slack.as_millis() as u64,
             left_ms: self.left().as_millis() as u64,
+            allowed: &self.allowed,
             rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
         };
         let made = stages::make(&self.node, job).await;
@@ -290,7 +295,7 @@
             status,
             outcome,
             why: &p.why,
-            target: p.target.as_deref().unwrap_or_default(),
+            target: p.target.as_ref().map_or("", |t| &t.name),
             attempts: p.tries.reached,
             stages_ms: p.stages.as_millis() as u64,
             first_ms,
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -223,7 +223,8 @@
         Ran::No => "no",
         Ran::Maybe => "maybe",
     };
-    Event::Attempt { id: &exchange.head.id, target: &target.id, ran, why: &why, after_ms }.emit();
+    Event::Attempt { id: &exchange.head.id, target: &target.id.name, ran, why: &why, after_ms }
+        .emit();
     node.observe(&target.id, observed, &why);
     exchange.progress(|p| p.why = why);
     Outcome::Nothing
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a forwarding node.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -54,6 +55,14 @@
     /// What cold targets may get beyond what they bear.
     #[serde(default)]
     pub cold: Cold,
+    /// Region of each failure domain. Where none is named all lie in one, and requests that
+    /// name regions are served nowhere.
+    #[serde(default)]
+    pub regions: BTreeMap<Name, Name>,
+    /// Whether operators roll versions of services out through the store, and within which
+    /// bounds. Then nothing is sent before the node knows of all orders.
+    #[serde(default)]
+    pub rollouts: Option<Rollouts>,
     /// What the host gives the process.
     #[serde(default)]
     pub host: Host,
@@ -133,6 +142,18 @@
     }
 }
 
+/// Bounds on what a version on trial gets before it is known to be good.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rollouts {
+    /// Share of the requests to its service, over all nodes and the order's whole time.
+    pub share: f64,
+    /// Requests on top.
+    pub slack: f64,
+    /// Milliseconds after which a version that proved bad gets nothing more.
+    pub back_ms: u64,
+}
+
 fn descriptors() -> usize {
     4096
 }
@@ -170,6 +191,8 @@
             ("readiness", self.readiness == running.readiness),
             ("peer_port", self.peer_port == running.peer_port),
             ("evacuations", self.evacuations == running.evacuations),
+            ("regions", self.regions == running.regions),
+            ("rollouts", self.rollouts == running.rollouts),
             ("policy", self.policy == running.policy),
         ];
         fields.into_iter().find(|(_, same)| !same).map(|(field, _)| field)
@@ -214,6 +237,14 @@
         if !self.host.link_mbps.is_finite() || self.host.link_mbps <= 0.0 {
             return Err(BadValue::new("host.link_mbps", "is not above 0"));
         }
+        if let Some(rollouts) = &self.rollouts {
+            if !(0.0..=1.0).contains(&rollouts.share) {
+                return Err(BadValue::new("rollouts.share", "is not within 0 to 1"));
+            }
+            if !rollouts.slack.is_finite() || rollouts.slack < 0.0 {
+                return Err(BadValue::new("rollouts.slack", "is below 0"));
+            }
+        }
         if self.stop_ms < 1000 {
             return Err(BadValue::new("stop_ms", "is below 1000; streams need time to end"));
         }
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use decide::{forecast, stages};
-use model::forward::{BatchOrder, CallerHead, LARGE_RESULT, Rank, Route, Stage, StageInput};
+use model::forward::{
+    Allowed, BatchOrder, CallerHead, LARGE_RESULT, Rank, Route, Stage, StageInput,
+};
 use model::{Name, Time};
 
 use super::made::Kept;
@@ -21,6 +23,8 @@
     pub route: &'a Route,
     /// Request.
     pub head: &'a CallerHead,
+    /// Regions in which its pieces may be made.
+    pub allowed: &'a Allowed,
     /// Failure domain of the target that takes the results.
     pub near: Option<Name>,
     /// Milliseconds until the first event is due.
@@ -152,6 +156,7 @@
         slack_ms: job.slack_ms.saturating_sub(spent.passed_ms + spent.after_ms),
         left_ms: job.left_ms.saturating_sub(spent.passed_ms),
         rank: job.rank,
+        allowed: job.allowed.clone(),
         near: place.near,
         moved_bytes: place.moved_bytes,
         spread_bytes: place.spread_bytes,
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
-use decide::fleet::{Belief, Observation};
+use decide::fleet::{Belief, Observation, Terms};
 use http_body_util::{BodyExt, Limited};
 use model::Name;
 use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, Policy, StagePool, TargetId};
@@ -168,9 +168,10 @@
             let info = |b: &Belief| MakerInfo {
                 id: b.target.id.clone(),
                 domain: b.target.domain.clone(),
+                region: f.regions().of(&b.target.domain).cloned(),
                 cold_gap: gap_of(b),
             };
-            f.usable(&self.service, now).map(info).collect()
+            f.usable(&self.service, Terms::ANY, now).map(info).collect()
         })
     }
 
@@ -182,7 +183,7 @@
             Action::Overdue { number, maker, again, age, limit } => LogEvent::Overdue {
                 service: &self.service,
                 number,
-                maker: &maker,
+                maker: &maker.name,
                 again,
                 age_ms: age.as_millis() as u64,
                 limit_ms: limit.as_millis() as u64,
@@ -275,7 +276,7 @@
     LogEvent::Call {
         service: &runner.service,
         number: call.number,
-        maker: &call.maker,
+        maker: &call.maker.name,
         pieces: call.pieces.len(),
         made: count(|r| matches!(r, PieceResult::Made(_))),
         no_room: count(|r| *r == PieceResult::NoRoom),
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -63,7 +63,7 @@
     match change {
         Change::Evacuated(domain) => Some((domain, true)),
         Change::Gone(domain) => Some((domain, false)),
-        Change::Rules(_) | Change::Target(_) => None,
+        Change::Rules(_) | Change::Target(_) | Change::Rollout(_) | Change::Unreadable(_) => None,
     }
 }
 
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -36,6 +36,7 @@
         let ages = Ages::default();
         // Not followed, so never too old.
         ages.confirm(Kind::Evacuations, Time::NEVER, Time::ZERO);
+        ages.confirm(Kind::Rollouts, Time::NEVER, Time::ZERO);
         Feed {
             history: RefCell::default(),
             ages,
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -103,6 +103,7 @@
             at: node.feed.at().unwrap_or(0),
             rules: node.table().rules.version,
             evacuations: node.fleet(|f| f.evacuated().at()),
+            rollouts: None,
             wait_ms: wait.as_millis() as u64,
             patient,
         };
@@ -202,12 +203,17 @@
                     _ => "ready",
                 };
                 if node.fleet(|f| f.upsert(target.clone(), now)) {
-                    Event::Target { target: &target.id, service: &target.service, state }.emit();
+                    Event::Target { target: &target.id.name, service: &target.service, state }
+                        .emit();
                 }
             }
-            TargetChange::Gone(id) => {
-                node.fleet(|f| f.vanish(id, doubt));
-                Event::Target { target: id, service: "", state: "gone" }.emit();
+            TargetChange::Unreadable(name) => {
+                node.fleet(|f| f.unreadable(name));
+                Event::Target { target: name, service: "", state: "unreadable" }.emit();
+            }
+            TargetChange::Gone(name) => {
+                node.fleet(|f| f.vanish(name, doubt));
+                Event::Target { target: name, service: "", state: "gone" }.emit();
             }
         }
     }
@@ -218,14 +224,15 @@
     match change {
         Change::Target(target) => Some(TargetChange::Now(target)),
         Change::Gone(id) => Some(TargetChange::Gone(id)),
-        Change::Rules(_) | Change::Evacuated(_) => None,
+        Change::Unreadable(name) => Some(TargetChange::Unreadable(name)),
+        Change::Rules(_) | Change::Evacuated(_) | Change::Rollout(_) => None,
     }
 }
 
 fn present(change: TargetChange) -> Option<Target> {
     match change {
         TargetChange::Now(target) => Some(target),
-        TargetChange::Gone(_) => None,
+        TargetChange::Unreadable(_) | TargetChange::Gone(_) => None,
     }
 }
 
@@ -259,6 +266,7 @@
         rules: node.table().rules.version,
         rules_age_ms: millis(rules_age.map_or(Duration::MAX, |age| age.now)),
         evacuations: node.fleet(|f| f.evacuated().list()),
+        rollouts: None,
         news,
     })
 }
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Rank, TargetId};
+use super::{Allowed, Rank, TargetId};
 use crate::Name;
 use crate::member::NodeId;
 
@@ -69,6 +69,8 @@
     pub left_ms: u64,
     /// Rank.
     pub rank: Rank,
+    /// Regions in which the pieces may be made.
+    pub allowed: Allowed,
     /// Failure domain where the inputs lie or the results are wanted.
     pub near: Option<Name>,
     /// Bytes that cross failure domains if the pieces are made elsewhere.
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -9,6 +9,8 @@
 mod policy;
 mod prefill;
 mod rank;
+mod region;
+mod rollout;
 mod rules;
 mod target;
 
@@ -19,6 +21,11 @@
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use rank::Rank;
+pub use region::Allowed;
+pub use rollout::{
+    Answers, Phase, Rollout, RolloutAnswer, RolloutReport, RolloutState, Rollouts, RouteEvidence,
+    Side,
+};
 pub use rules::{
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
--- a/crates/model/src/forward/prefill.rs
+++ b/crates/model/src/forward/prefill.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::TargetId;
+use super::{Allowed, Side, TargetId};
 use crate::Name;
 
 /// Asks which engine of a failure domain is to read a prompt.
@@ -14,6 +14,10 @@
     pub domain: Name,
     /// Attempt that the prompt belongs to.
     pub attempt: Name,
+    /// Regions in which it may be read.
+    pub allowed: Allowed,
+    /// Version that it goes to.
+    pub side: Side,
     /// Key of the prompt's home.
     pub home: u64,
     /// Tokens of its shared parts.
--- /dev/null
+++ b/crates/model/src/forward/rollout.rs
@@ -0,0 +1,136 @@
+//! Roll-outs of a service's version: what the operator ordered and what became of it, and what
+//! nodes tell each other while one is under way.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+use crate::member::NodeId;
+
+/// Where an order stands, as the store has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutState {
+    /// The operator ordered it; nobody has taken it up in the store yet.
+    Ordered,
+    /// It is under way.
+    Active,
+    /// All requests go to the new version; the old targets have been stopped.
+    Completed,
+    /// The new version gets nothing any more.
+    RolledBack,
+}
+
+impl RolloutState {
+    /// Whether nothing follows this state.
+    pub fn is_final(self) -> bool {
+        matches!(self, RolloutState::Completed | RolloutState::RolledBack)
+    }
+
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RolloutState::Ordered => "ordered",
+            RolloutState::Active => "active",
+            RolloutState::Completed => "completed",
+            RolloutState::RolledBack => "rolled_back",
+        }
+    }
+}
+
+/// An order to move a service to another version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// Service.
+    pub service: Name,
+    /// Version that it is to move to.
+    pub version: Name,
+    /// Milliseconds that the move may take, counted from the order.
+    pub lasts_ms: u64,
+    /// Where it stands.
+    pub state: RolloutState,
+    /// Revision of the store at which the order or its state last changed.
+    pub revision: u64,
+}
+
+/// All orders, as the store had them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollouts {
+    /// Revision of the store at which this was so.
+    pub at: u64,
+    /// One order a service.
+    pub orders: Vec<Rollout>,
+}
+
+/// Which of a service's versions a request goes to while one is on trial.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub enum Side {
+    /// The one that serves.
+    #[default]
+    Serving,
+    /// The one that is on trial.
+    Trial,
+}
+
+/// How much of the requests the new version gets.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Each request by itself goes there with this chance.
+    Share(f64),
+    /// All of them do, and the old version gets nothing new.
+    All,
+    /// None does any more.
+    Back,
+}
+
+/// What was seen of one version's answers on one route; times fall into buckets, each ending at
+/// twice the square root of the one before.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answers {
+    /// Requests sent there.
+    pub sent: u32,
+    /// Answers that were failures of the version.
+    pub bad: u32,
+    /// Good answers by time.
+    pub times: Vec<u32>,
+}
+
+/// What one node saw on one route since the order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteEvidence {
+    /// Route, or stage service.
+    pub route: Name,
+    /// Of the version that serves.
+    pub serving: Answers,
+    /// Of the version on trial.
+    pub trial: Answers,
+}
+
+/// Tells the node that decides what another one saw, all counted from the order on, so that a
+/// lost report costs nothing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// Start of the node that reports.
+    pub node: NodeId,
+    /// Service.
+    pub service: Name,
+    /// Version on trial.
+    pub version: Name,
+    /// Milliseconds since it first heard of the order.
+    pub age_ms: u64,
+    /// Phase that it works by.
+    pub phase: Phase,
+    /// Requests of its own that are still open at targets of the version that serves.
+    pub open: u32,
+    /// By route.
+    pub evidence: Vec<RouteEvidence>,
+}
+
+/// What the node that decides answers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RolloutAnswer {
+    /// Phase to work by from now on.
+    pub phase: Phase,
+    /// Milliseconds since any node first heard of the order.
+    pub age_ms: u64,
+}
--- a/crates/model/src/forward/rules.rs
+++ b/crates/model/src/forward/rules.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Allowed;
 use crate::Name;
 
 /// One whole set of rules. A higher `version` replaces a lower one, never the reverse.
@@ -48,6 +49,9 @@
     pub split: Vec<Share>,
     /// Batched stages to run before the request itself.
     pub stages: Vec<Stage>,
+    /// Regions in which requests may be served.
+    #[serde(default)]
+    pub allowed: Allowed,
 }
 
 impl Route {
@@ -169,6 +173,9 @@
     pub keys: Vec<String>,
     /// Rank in place of the route's.
     pub rank: Option<u8>,
+    /// Regions in which its requests may be served.
+    #[serde(default)]
+    pub allowed: Allowed,
 }
 
 /// Limits on what callers send.
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -1,18 +1,49 @@
-//! Targets as discovery reports them.
+//! Targets as discovery reports them, and what nodes tell each other of them.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use super::Rollouts;
 use crate::Name;
 
-/// Identity of one start of a target; a restart has another.
-pub type TargetId = Name;
+/// Identity of one start of a target. A target that starts again may keep its name; it then
+/// holds and knows nothing of before, so nothing that is believed of an earlier start holds.
+///
+/// Starts are compared for equality alone: the clock that they are told by may step.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetId {
+    /// Name, found nowhere else at one time.
+    pub name: Name,
+    /// Unix time of the start in milliseconds, as the target tells it; 0 if it does not.
+    pub start: u64,
+}
+
+impl TargetId {
+    /// The start of a target at this Unix time in milliseconds.
+    pub fn new(name: impl Into<Name>, start: u64) -> Self {
+        TargetId { name: name.into(), start }
+    }
+}
+
+/// A target that does not tell when it started.
+impl From<&str> for TargetId {
+    fn from(name: &str) -> Self {
+        TargetId::new(name, 0)
+    }
+}
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.name)
+    }
+}
 
 /// One start of a target.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
-    /// Identity, found nowhere else.
+    /// Identity.
     pub id: TargetId,
     /// Service that it belongs to.
     pub service: Name,
@@ -20,6 +51,9 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Name,
+    /// Version of its software.
+    #[serde(default)]
+    pub version: Name,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is to get no new work.
@@ -27,6 +61,9 @@
     /// Milliseconds for which it is still cold: it bears few requests a second until then.
     #[serde(default)]
     pub cold_ms: u64,
+    /// Revision of the store at which its entry last changed.
+    #[serde(default)]
+    pub revision: u64,
 }
 
 /// The failure domains whose targets are to get nothing new, as the store had them.
@@ -43,8 +80,10 @@
 pub enum TargetChange {
     /// It is like this now.
     Now(Target),
+    /// It is there but cannot be read: the target gets nothing new, what it has goes on.
+    Unreadable(Name),
     /// It is gone.
-    Gone(TargetId),
+    Gone(Name),
 }
 
 /// Asks a peer for the targets as the store has them.
@@ -56,6 +95,8 @@
     pub rules: u64,
     /// Revision of the store at which it knows the evacuations; `None` if it knows none.
     pub evacuations: Option<u64>,
+    /// Revision of the store at which it knows the roll-outs; `None` if it knows none.
+    pub rollouts: Option<u64>,
     /// Milliseconds for which the answer may be held back until there is news.
     pub wait_ms: u64,
     /// Whether it may be held back too until the peer is in touch with the store: the
@@ -81,6 +122,8 @@
     pub rules_age_ms: u64,
     /// Evacuations as the peer knows them; `None` if it has not read them yet.
     pub evacuations: Option<Evacuations>,
+    /// Roll-outs as the peer knows them; `None` if it has not read them yet.
+    pub rollouts: Option<Rollouts>,
     /// What the asking node lacks.
     pub news: TargetNews,
 }
