--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -1,9 +1,9 @@
 //! Beliefs about targets and what changes them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Evacuations, Target, TargetId};
+use model::forward::{Evacuations, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
@@ -44,8 +44,6 @@
     pub next_start: Time,
     /// Its entry vanished around an outage of the store; until then it is kept.
     pub missing: Option<Time>,
-    /// Its entry cannot be read.
-    pub unreadable: bool,
     /// Requests of this node at the target now.
     pub outstanding: u32,
     /// Prompt tokens of those that wait for their first event.
@@ -66,7 +64,6 @@
             target: Target { cold_ms: 0, ..target },
             next_start: Time::ZERO,
             missing: None,
-            unreadable: false,
             outstanding: 0,
             prefill: 0,
             mean_ms: 0.0,
@@ -110,6 +107,8 @@
 pub struct Fleet {
     beliefs: BTreeMap<Name, Belief>,
     services: BTreeMap<Name, Vec<Name>>,
+    /// Names whose entries cannot be read; not all belong to a target that was ever known.
+    unreadable: BTreeSet<Name>,
     evacuated: Evacuated,
     versions: Versions,
     regions: Regions,
@@ -150,7 +149,7 @@
     /// chooses a target asks this and nothing else.
     pub fn bars(&self, b: &Belief, terms: Terms<'_>, now: Time) -> Option<Barred> {
         let target = &b.target;
-        if b.unreadable {
+        if self.unreadable.contains(&target.id.name) {
             return Some(Barred::Unreadable);
         }
         if target.draining {
@@ -221,10 +220,22 @@
         }
     }
 
-    /// All targets with an entry, for another node that starts.
+    /// All targets with an entry that can be read.
     pub fn targets(&self, now: Time) -> Vec<Target> {
-        let present = self.beliefs.values().filter(|b| b.missing.is_none() && !b.unreadable);
-        present.map(|b| b.entry(now)).collect()
+        let is_read =
+            |b: &&Belief| b.missing.is_none() && !self.unreadable.contains(&b.target.id.name);
+        self.beliefs.values().filter(is_read).map(|b| b.entry(now)).collect()
+    }
+
+    /// All entries, for another node that starts.
+    pub fn list(&self, now: Time) -> TargetList {
+        let unreadable = self.unreadable.iter().cloned().collect();
+        TargetList { targets: self.targets(now), unreadable }
+    }
+
+    /// Count of entries that cannot be read.
+    pub fn count_unreadable(&self) -> usize {
+        self.unreadable.len()
     }
 
     /// Count of targets whose entries say that they are cold.
@@ -244,8 +255,18 @@
 
     /// Takes an entry as it is now; returns whether what is believed changed. Nothing that
     /// was believed of an earlier start, or of one in another service or place, holds on.
+    ///
+    /// An entry that is older than the one known changes nothing: a source that is behind
+    /// would bring an earlier start back.
     pub fn upsert(&mut self, target: Target, now: Time) -> bool {
+        let known = self.beliefs.get(&target.id.name).map_or(0, |b| b.target.revision);
+        let is_older = target.revision > 0 && target.revision < known;
+        !is_older && self.put(target, now)
+    }
+
+    fn put(&mut self, target: Target, now: Time) -> bool {
         let name = target.id.name.clone();
+        let was_unreadable = self.unreadable.remove(&name);
         let is_same = |b: &Belief| {
             let known = &b.target;
             known.id == target.id
@@ -255,7 +276,6 @@
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            let was_unreadable = std::mem::take(&mut b.unreadable);
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
@@ -264,36 +284,44 @@
         true
     }
 
-    /// An entry cannot be read: its target gets nothing new, and what it has goes on.
-    pub fn unreadable(&mut self, name: &Name) {
+    /// An entry cannot be read: its target gets nothing new, and what it has goes on. Returns
+    /// whether that is new.
+    pub fn unreadable(&mut self, name: &Name) -> bool {
         if let Some(b) = self.beliefs.get_mut(name) {
-            b.unreadable = true;
+            b.missing = None;
         }
+        self.unreadable.insert(name.clone())
     }
 
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
     pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
+        let was_unreadable = self.unreadable.remove(name);
         let Some(b) = self.beliefs.get_mut(name) else {
             return;
         };
         match doubt {
-            Some(until) if !b.target.draining && !b.unreadable => b.missing = Some(until),
+            Some(until) if !b.target.draining && !was_unreadable => b.missing = Some(until),
             _ => self.forget(name),
         }
     }
 
-    /// Takes a whole list: what it lacks has vanished.
-    pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>, now: Time) {
-        let listed: std::collections::BTreeSet<Name> =
-            targets.iter().map(|t| t.id.name.clone()).collect();
-        let lacking: Vec<Name> =
-            self.beliefs.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+    /// Takes a whole list: what it lacks has vanished. Of the entries that it has it is the
+    /// last word, whatever their revisions.
+    pub fn replace(&mut self, list: impl Into<TargetList>, doubt: Option<Time>, now: Time) {
+        let TargetList { targets, unreadable } = list.into();
+        let read = targets.iter().map(|t| &t.id.name);
+        let listed: BTreeSet<&Name> = read.chain(&unreadable).collect();
+        let known = self.beliefs.keys().chain(&self.unreadable);
+        let lacking: Vec<Name> = known.filter(|name| !listed.contains(name)).cloned().collect();
         for name in lacking {
             self.vanish(&name, doubt);
         }
         for target in targets {
-            self.upsert(target, now);
+            self.put(target, now);
+        }
+        for name in &unreadable {
+            self.unreadable(name);
         }
     }
 
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -8,11 +8,13 @@
 mod belief;
 mod cold;
 mod evacuation;
+mod news;
 mod pick;
 mod terms;
 
 pub use belief::{Belief, Fleet, Observation};
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange, EvacuationList};
+pub use news::still_true;
 pub use pick::{ColdStarts, Home, Wanted, shares};
 pub use terms::{Barred, Regions, Terms};
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -14,8 +14,10 @@
 mod history;
 mod source;
 mod start;
+mod unreadable;
 pub mod waits;
 
 pub use history::History;
 pub use source::{Chosen, Relays, Role, Source, Sources};
 pub use start::wait_for_state;
+pub use unreadable::{Place, Unreadable};
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -129,19 +129,62 @@
     Gone(Name),
 }
 
+impl Change {
+    /// Name of the entry, unless that cannot be read.
+    pub fn read_name(&self) -> Option<&Name> {
+        match self {
+            Change::Target(target) => Some(&target.id.name),
+            Change::Evacuated(name) | Change::Gone(name) => Some(name),
+            Change::Rollout(rollout) => Some(&rollout.service),
+            Change::Rules(_) | Change::Unreadable(_) => None,
+        }
+    }
+}
+
+/// An entry of the store that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadEntry {
+    /// Its name, if that can be read.
+    pub name: Option<Name>,
+    /// Its name, else its position in the answer, and what of it cannot be read.
+    pub place: String,
+    /// What is wrong there.
+    pub why: String,
+}
+
+/// Most characters that are told of a place or of what is wrong there: other writers put
+/// what they like into their entries.
+const TOLD_MOST: usize = 160;
+
+impl BadEntry {
+    /// An entry that cannot be read at a place.
+    pub fn new(name: Option<Name>, place: impl Into<String>, why: impl Into<String>) -> Self {
+        let told = |text: String| text.chars().take(TOLD_MOST).collect();
+        BadEntry { name, place: told(place.into()), why: told(why.into()) }
+    }
+}
+
 /// Part of a list, or the events since a revision.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Page {
     /// Objects and what became of them, oldest first.
     pub changes: Vec<Change>,
-    /// Objects that could not be understood.
-    pub malformed: Vec<Malformed>,
+    /// Objects that could not be understood; those with a name are among the changes too.
+    pub malformed: Vec<BadEntry>,
     /// Name to continue a list after, if it is not whole.
     pub more: Option<Name>,
     /// Revision to watch from.
     pub at: u64,
 }
 
+impl Page {
+    /// Adds an entry that cannot be read.
+    pub fn add_bad(&mut self, entry: BadEntry) {
+        self.changes.extend(entry.name.clone().map(Change::Unreadable));
+        self.malformed.push(entry);
+    }
+}
+
 /// Translates between this product and the system that it runs in.
 pub trait Dialect {
     /// Reads a caller's request head.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -17,6 +17,9 @@
     Rules { version: u64, from: &'a str, routes: usize },
     /// The store was lost or regained.
     Store { kind: &'a str, reachable: bool, why: &'a str },
+    /// An entry of the store cannot be read, or for another reason than before; `untold` further
+    /// such lines were not written.
+    Unreadable { kind: &'a str, place: &'a str, why: &'a str, untold: u64 },
     /// What is known of a kind has become old, or is no longer: the store's last word on it.
     Known { kind: &'a str, old: bool, age_ms: u64, longest_ms: u64 },
     /// The targets are followed through another source from now on.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -54,6 +54,7 @@
     batch_calls: Family<Named, Counter>,
     batch_pieces: Family<Named, Counter>,
     store_calls: Family<Named, Counter>,
+    unreadable: Family<Named, Gauge>,
     repeats: Family<Named, Counter>,
     open: Gauge,
     rules: Gauge,
@@ -96,6 +97,7 @@
             batch_calls: Family::default(),
             batch_pieces: Family::default(),
             store_calls: Family::default(),
+            unreadable: Family::default(),
             repeats: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
@@ -113,6 +115,8 @@
         registry.register("batch_calls", "Calls that made pieces", m.batch_calls.clone());
         registry.register("batch_pieces", "Pieces in those calls", m.batch_pieces.clone());
         registry.register("store_calls", "Calls of the store", m.store_calls.clone());
+        let help = "Entries of the store that cannot be read";
+        registry.register("unreadable_entries", help, m.unreadable.clone());
         registry.register("repeats", "Sends to a further target", m.repeats.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
@@ -158,6 +162,11 @@
         self.store_calls.get_or_create(&Named { name: what.to_string() }).inc();
     }
 
+    /// So many entries of a kind cannot be read now.
+    pub fn unreadable(&self, kind: &str, count: usize) {
+        self.unreadable.get_or_create(&Named { name: kind.to_string() }).set(count as i64);
+    }
+
     /// A request was sent to a further target.
     pub fn repeat(&self, service: &Name) {
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -43,12 +43,12 @@
 }
 
 fn take_step(node: &Node, list: &mut EvacuationList, step: Step) {
-    let Step { at, whole, changes } = step;
-    let changes = changes.into_iter().filter_map(change);
+    let Step { at, whole, changes, .. } = step;
     if whole {
-        let evacuated = changes.filter(|(_, is_evacuated)| *is_evacuated);
-        list.whole(at, evacuated.map(|(domain, _)| domain));
+        let is_known = |domain: &Name| node.fleet(|f| f.evacuated().domains().any(|d| d == domain));
+        list.whole(at, changes.into_iter().filter_map(|c| listed(c, is_known)));
     } else {
+        let changes = changes.into_iter().filter_map(change);
         list.change(at, changes);
     }
     if let Some(list) = list.list() {
@@ -58,7 +58,18 @@
     node.feed.confirm(Kind::Evacuations, now, now);
 }
 
-/// A failure domain, and whether it is evacuated now.
+/// A failure domain that a whole list shows as evacuated. One whose entry cannot be read stays
+/// as it is.
+fn listed(change: Change, is_known: impl Fn(&Name) -> bool) -> Option<Name> {
+    match change {
+        Change::Evacuated(domain) => Some(domain),
+        Change::Unreadable(domain) => Some(domain).filter(is_known),
+        Change::Rules(_) | Change::Target(_) | Change::Rollout(_) | Change::Gone(_) => None,
+    }
+}
+
+/// A failure domain, and whether it is evacuated now; nothing is known of it if its entry
+/// cannot be read.
 fn change(change: Change) -> Option<(Name, bool)> {
     match change {
         Change::Evacuated(domain) => Some((domain, true)),
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::relay::waits;
+use bytes::Bytes;
+use decide::relay::{Place, Unreadable, waits};
 use util::http::{CallError, CallKind, Client};
 
-use crate::border::{Change, Kind, Malformed, Page};
+use crate::border::{BadEntry, Change, Kind, Malformed, Page};
 use crate::events::Event;
 use crate::node::Node;
 
@@ -55,6 +56,8 @@
     pub whole: bool,
     /// Changes, oldest first.
     pub changes: Vec<Change>,
+    /// Entries that cannot be read.
+    bad: Vec<BadEntry>,
 }
 
 /// Reads one kind of object.
@@ -63,12 +66,14 @@
     client: Client,
     kind: Kind,
     failed: bool,
+    unreadable: Unreadable,
 }
 
 impl Reader {
     /// A reader that has read nothing yet.
     pub fn new(node: Rc<Node>, kind: Kind) -> Self {
-        Reader { node, client: Client::new(CONNECT), kind, failed: false }
+        let unreadable = Unreadable::default();
+        Reader { node, client: Client::new(CONNECT), kind, failed: false, unreadable }
     }
 
     /// Reads the whole state, or waits for changes since a revision.
@@ -78,7 +83,10 @@
             Some(at) => self.watch_surely(at, wait).await,
         };
         match &read {
-            Ok(_) => self.answered(),
+            Ok(step) => {
+                self.answered();
+                self.note(step);
+            }
             Err(e) if e.is_history_gone() => self.answered(),
             Err(e) => self.lost(&e.to_string()),
         }
@@ -101,15 +109,37 @@
         self.client = Client::new(CONNECT);
     }
 
-    async fn get(&self, path: &str, timeout: Duration) -> Result<String, CallError> {
+    /// Tells of entries that cannot be read, or for another reason than before.
+    fn note(&mut self, step: &Step) {
+        if step.whole {
+            self.unreadable.restart();
+        }
+        for name in step.changes.iter().filter_map(Change::read_name) {
+            self.unreadable.heal(name);
+        }
+        let now = self.node.now();
+        for entry in &step.bad {
+            let place = match &entry.name {
+                Some(name) => Place::Name(name.clone()),
+                None => Place::Position(entry.place.as_str().into()),
+            };
+            if let Some(untold) = self.unreadable.note(place, &entry.why.as_str().into(), now) {
+                let (kind, place, why) = (self.kind.as_str(), &entry.place, &entry.why);
+                Event::Unreadable { kind, place, why, untold }.emit();
+            }
+        }
+        self.node.metrics.unreadable(self.kind.as_str(), self.unreadable.count());
+    }
+
+    async fn get(&self, path: &str, timeout: Duration) -> Result<Bytes, CallError> {
         self.node.metrics.store_call(self.kind.as_str());
         let store = self.node.settings().store.to_string();
-        self.client.text(&store, path, timeout).await
+        self.client.bytes(&store, path, timeout).await
     }
 
     /// Reads a page, again while the store is busy: after a restart of all nodes their
     /// lists come together, and a list begun anew would only add to them.
-    async fn get_page(&self, path: &str) -> Result<String, CallError> {
+    async fn get_page(&self, path: &str) -> Result<Bytes, CallError> {
         for _ in 0..PAGE_TRIES {
             match self.get(path, LIST_TIMEOUT).await {
                 Err(e) if e.status() == Some(BUSY) => {
@@ -129,14 +159,18 @@
         loop {
             let path = dialect.list(self.kind, after.as_ref());
             let body = self.get_page(&path).await?;
-            let page = dialect.page(self.kind, body.as_bytes())?;
-            warn(&page);
+            let page = dialect.page(self.kind, &body)?;
             if after.is_none() {
                 // Changes between two pages are seen again from the first revision on.
                 step.at = page.at;
             }
             step.changes.extend(page.changes);
+            step.bad.extend(page.malformed);
             match page.more {
+                // Where a page brings no name that can be read, the next would be the same.
+                more @ Some(_) if more == after => {
+                    return Err(Malformed::new("list", "no name to continue after").into());
+                }
                 Some(name) => after = Some(name),
                 None => return Ok(step),
             }
@@ -158,14 +192,8 @@
     async fn watch(&self, at: u64, wait: Duration, timeout: Duration) -> Result<Step, ReadError> {
         let path = self.node.dialect.watch(self.kind, at, wait.as_millis() as u64);
         let body = self.get(&path, timeout).await?;
-        let page = self.node.dialect.changes(self.kind, body.as_bytes())?;
-        warn(&page);
-        Ok(Step { at: page.at.max(at), whole: false, changes: page.changes })
-    }
-}
-
-fn warn(page: &Page) {
-    for m in &page.malformed {
-        log::warn!("store: {m}");
+        let page = self.node.dialect.changes(self.kind, &body)?;
+        let Page { changes, malformed: bad, .. } = page;
+        Ok(Step { at: page.at.max(at), whole: false, changes, bad })
     }
 }
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use decide::fleet::still_true;
 use decide::relay::{Relays, Role, Source, Sources, waits};
 use model::Time;
-use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetNews};
+use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetList, TargetNews};
 use model::member::Node as PeerNode;
 use util::http::{CallKind, Client};
 
@@ -157,12 +158,11 @@
 /// Takes what the store told.
 fn take_step(node: &Node, step: Step) {
     let now = node.now();
-    let Step { at, whole, changes } = step;
+    let Step { at, whole, changes, .. } = step;
     let changes: Vec<TargetChange> = changes.into_iter().filter_map(target_change).collect();
     let doubt = node.doubt();
     if whole {
-        let targets = changes.into_iter().filter_map(present).collect();
-        take_whole(node, at, targets, doubt);
+        take_whole(node, at, list_of(changes), doubt);
     } else {
         take_changes(node, at, changes, doubt);
     }
@@ -179,21 +179,24 @@
     let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
     match news {
         TargetNews::Unknown => return,
-        TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
+        TargetNews::Whole(list) => take_whole(node, at, list, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
+    let unreadable = node.fleet(|f| f.count_unreadable());
+    node.metrics.unreadable(Kind::Targets.as_str(), unreadable);
     node.feed.confirm_both(confirmed, node.now());
 }
 
-fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
+fn take_whole(node: &Node, at: u64, list: TargetList, doubt: Option<Time>) {
     let now = node.now();
-    node.fleet(|f| f.replace(targets, doubt, now));
+    node.fleet(|f| f.replace(list, doubt, now));
     node.feed.restart(at);
     node.know_targets();
 }
 
 fn take_changes(node: &Node, at: u64, changes: Vec<TargetChange>, doubt: Option<Time>) {
     let now = node.now();
+    let changes = still_true(changes);
     for change in &changes {
         match change {
             TargetChange::Now(target) => {
@@ -208,8 +211,9 @@
                 }
             }
             TargetChange::Unreadable(name) => {
-                node.fleet(|f| f.unreadable(name));
-                Event::Target { target: name, service: "", state: "unreadable" }.emit();
+                if node.fleet(|f| f.unreadable(name)) {
+                    Event::Target { target: name, service: "", state: "unreadable" }.emit();
+                }
             }
             TargetChange::Gone(name) => {
                 node.fleet(|f| f.vanish(name, doubt));
@@ -229,11 +233,16 @@
     }
 }
 
-fn present(change: TargetChange) -> Option<Target> {
-    match change {
-        TargetChange::Now(target) => Some(target),
-        TargetChange::Unreadable(_) | TargetChange::Gone(_) => None,
+fn list_of(changes: Vec<TargetChange>) -> TargetList {
+    let mut list = TargetList::default();
+    for change in changes {
+        match change {
+            TargetChange::Now(target) => list.targets.push(target),
+            TargetChange::Unreadable(name) => list.unreadable.push(name),
+            TargetChange::Gone(_) => {}
+        }
     }
+    list
 }
 
 /// Answers a peer that follows this node, as soon as there is news; `None` if this node
@@ -255,7 +264,7 @@
     let news = match node.feed.since(ask.at) {
         _ if at.is_none() => TargetNews::Unknown,
         Some(changes) => TargetNews::Changes(changes),
-        None => TargetNews::Whole(node.fleet(|f| f.targets(now))),
+        None => TargetNews::Whole(node.fleet(|f| f.list(now))),
     };
     let rules_age = node.feed.age_of(Kind::Rules, now);
     Some(FollowAnswer {
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -30,5 +30,5 @@
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
 pub use target::{
-    Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetNews,
+    Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetList, TargetNews,
 };
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -75,6 +75,22 @@
     pub domains: Vec<Name>,
 }
 
+/// All targets' entries, as the store had them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetList {
+    /// Those that can be read.
+    pub targets: Vec<Target>,
+    /// Names of those that are there but cannot be read.
+    pub unreadable: Vec<Name>,
+}
+
+/// A list whose entries can all be read.
+impl From<Vec<Target>> for TargetList {
+    fn from(targets: Vec<Target>) -> Self {
+        TargetList { targets, unreadable: Vec::new() }
+    }
+}
+
 /// What became of one target's entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum TargetChange {
@@ -128,13 +144,23 @@
     pub news: TargetNews,
 }
 
+impl TargetChange {
+    /// Name of the target.
+    pub fn name(&self) -> &Name {
+        match self {
+            TargetChange::Now(target) => &target.id.name,
+            TargetChange::Unreadable(name) | TargetChange::Gone(name) => name,
+        }
+    }
+}
+
 /// What a node that follows a peer lacks.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum TargetNews {
     /// The peer has not read the targets yet.
     Unknown,
     /// All targets, in place of those known.
-    Whole(Vec<Target>),
+    Whole(TargetList),
     /// Changes, oldest first.
     Changes(Vec<TargetChange>),
 }
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -165,20 +165,30 @@
         within(peer, timeout, call).await
     }
 
-    /// Reads a text body.
+    /// Reads a text body; what is not UTF-8 in it is replaced.
     pub async fn text(
         &self,
         peer: &str,
         path: &str,
         timeout: Duration,
     ) -> Result<String, CallError> {
+        let bytes = self.bytes(peer, path, timeout).await?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// Reads a body as it is.
+    pub async fn bytes(
+        &self,
+        peer: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Bytes, CallError> {
         let request = Request::get(format!("http://{peer}{path}"))
             .body(Full::default())
             .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
         let call = async {
             let response = success(peer, self.send(peer, request).await?).await?;
-            let bytes = collect(peer, response).await?;
-            Ok(String::from_utf8_lossy(&bytes).into_owned())
+            collect(peer, response).await
         };
         within(peer, timeout, call).await
     }
