Restarts proved in the machines and over processes; unreadable entries told once

Cause: nothing proved that what is kept by a target's id is anew after a restart; a node that tells no revision took the known one back, and made a line of it; entries without a readable name were counted again in each watch. Ruled out: ends of entries by revision (the message holds a name; ends that a later entry of the same news takes back are left out instead).

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -83,7 +83,11 @@
     fn set_target(&mut self, target: Target, now: Time) -> bool {
         let was_cold = now < self.cold;
         self.cold = now + Duration::from_millis(target.cold_ms);
-        let target = Target { cold_ms: 0, ..target };
+        // A node that tells no revision takes none back.
+        let known = self.target.revision;
+        let revision = if target.revision > 0 { target.revision } else { known };
+        let target = Target { cold_ms: 0, revision, ..target };
+        self.target.revision = revision;
         let changed = target != self.target || was_cold != (now < self.cold);
         self.target = target;
         changed
--- a/crates/decide/src/relay/unreadable.rs
+++ b/crates/decide/src/relay/unreadable.rs
@@ -12,13 +12,16 @@
 /// entry in place of a bad one all the time fills no log.
 const LINE_EVERY: Duration = Duration::from_secs(1);
 
-/// Where an entry is: its name, or its position if that cannot be read.
+/// Where an entry is: its name, or its position in an answer if that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Place {
     /// Entry of this name.
     Name(Name),
-    /// Entry at this position of an answer.
-    Position(Name),
+    /// Entry at this position of the whole list.
+    Listed(Name),
+    /// Entry at this position among changes. It cannot be told from others, nor be seen to
+    /// heal, so it is not counted.
+    Passing(Name),
 }
 
 /// Entries of one kind that cannot be read now, and why.
@@ -84,8 +87,8 @@
         }
     }
 
-    /// Count of entries that cannot be read.
+    /// Count of entries that cannot be read, as far as they can be told apart.
     pub fn count(&self) -> usize {
-        self.now.len()
+        self.now.keys().filter(|place| !matches!(place, Place::Passing(_))).count()
     }
 }
--- /dev/null
+++ b/crates/decide/tests/restarts.rs
@@ -0,0 +1,335 @@
+//! Targets that start again under their names, and news of both starts in any order.
+
+#[path = "support/batch.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod batch;
+#[path = "support/fleet.rs"]
+mod support;
+
+use std::time::Duration;
+
+use decide::batch::{Call, CallEnd, Coordinator, Event, MakerInfo};
+use decide::fleet::{ColdLimit, ColdStarts, Fleet, Observation, Terms, Wanted, still_true};
+use decide::prefill::Scheduler;
+use decide::rng::Rng;
+use model::Name;
+use model::forward::{
+    Allowed, BatchOrder, PieceResult, Policy, PrefillAsk, Side, Target, TargetChange, TargetId,
+};
+use proptest::prelude::*;
+use support::{at, target};
+
+/// An entry of `t` as it was at a revision.
+fn entry(start: u64, revision: u64) -> Target {
+    Target { id: TargetId::new("t", start), revision, ..target("t", "a") }
+}
+
+fn id(start: u64) -> TargetId {
+    TargetId::new("t", start)
+}
+
+fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
+    Wanted {
+        service: "engine",
+        terms: Terms::ANY,
+        domain: "a",
+        but,
+        most_each: 100,
+        shares: &[],
+        limit: None,
+        cold: ColdStarts::Avoid,
+    }
+}
+
+fn fleet(targets: Vec<Target>) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.replace(targets, None, at(0));
+    fleet
+}
+
+/// Starts of a target, the later with a greater, a lesser and no time of its start.
+const STARTS: [(u64, u64); 4] = [(17, 18), (18, 17), (0, 17), (17, 0)];
+
+#[test]
+fn nothing_that_was_believed_of_the_start_before_holds_for_the_next() {
+    for (before, after) in STARTS {
+        let mut fleet = fleet(vec![Target { cold_ms: 9000, ..entry(before, 5) }]);
+        let limit = ColdLimit { lasts: Duration::from_secs(9), gap: Some(Duration::from_secs(1)) };
+        let old = id(before);
+        fleet.start(&old, limit, at(10));
+        fleet.sent(&old, 700);
+        fleet.observe(&old, Observation::Answered(Duration::from_millis(80)), at(20));
+        assert!(fleet.observe(&old, Observation::Unreachable, at(30)), "left out");
+
+        assert!(fleet.upsert(entry(after, 6), at(40)));
+        let new = id(after);
+        let b = fleet.get(&new).expect("the later start is known");
+        assert!(!b.is_ejected(at(40)) && !fleet.is_cold(b, limit, at(40)));
+        let pace = (b.next_start, b.cold);
+        assert_eq!(pace, (at(0), at(40)));
+        assert_eq!((b.outstanding, b.prefill, b.mean_ms, b.failing), (0, 0, 0.0, 0.0));
+        assert!(fleet.get(&old).is_none(), "the start before is nobody's");
+        assert!(!fleet.is_usable(&old, Terms::ANY, at(40)));
+    }
+}
+
+#[test]
+fn what_still_comes_of_the_start_before_changes_nothing_of_the_next() {
+    for (before, after) in STARTS {
+        let mut fleet = fleet(vec![entry(before, 5)]);
+        fleet.sent(&id(before), 700);
+        fleet.upsert(entry(after, 6), at(40));
+        fleet.sent(&id(after), 300);
+        let limit = ColdLimit { lasts: Duration::from_secs(9), gap: Some(Duration::from_secs(1)) };
+        fleet.read(&id(before), 700);
+        fleet.done(&id(before));
+        fleet.start(&id(before), limit, at(50));
+        let ends = [Observation::Failed, Observation::Unreachable, Observation::Replaced];
+        for end in ends {
+            assert!(!fleet.observe(&id(before), end, at(50)), "{end:?}");
+        }
+        let b = fleet.get(&id(after)).expect("known");
+        assert_eq!((b.outstanding, b.prefill, b.failing), (1, 300, 0.0));
+        assert!(!b.is_ejected(at(50)) && b.next_start == at(0));
+    }
+}
+
+#[test]
+fn the_same_entry_seen_again_is_no_restart() {
+    let mut fleet = fleet(vec![entry(17, 5)]);
+    fleet.sent(&id(17), 700);
+    assert!(!fleet.upsert(entry(17, 5), at(10)));
+    assert!(!fleet.upsert(entry(17, 0), at(10)), "from a node that tells no revision");
+    fleet.replace(vec![entry(17, 5)], None, at(20));
+    let news = vec![TargetChange::Gone("t".into()), TargetChange::Now(entry(17, 5))];
+    take(&mut fleet, news);
+    fleet.upsert(Target { version: "v2".into(), slots: 9, ..entry(17, 6) }, at(30));
+    let b = fleet.get(&id(17)).expect("known");
+    assert_eq!((b.outstanding, b.prefill, b.target.slots), (1, 700, 9));
+}
+
+#[test]
+fn a_start_in_another_service_and_place_is_found_there_alone() {
+    let mut fleet = fleet(vec![entry(17, 5), target("u", "a")]);
+    let moved = Target {
+        service: "encode".into(),
+        domain: "b".into(),
+        address: "127.0.0.1:2".parse().expect("an address"),
+        ..entry(18, 6)
+    };
+    fleet.upsert(moved, at(10));
+    let names = |service: &str| -> Vec<(Name, Name)> {
+        let of = fleet.usable(service, Terms::ANY, at(10));
+        of.map(|b| (b.target.id.name.clone(), b.target.domain.clone())).collect()
+    };
+    assert_eq!(names("engine"), [("u".into(), "a".into())]);
+    assert_eq!(names("encode"), [("t".into(), "b".into())]);
+    assert_eq!(fleet.domain_of(&id(18)).map(|d| &**d), Some("b"));
+    assert_eq!(fleet.domain_of(&id(17)), None);
+}
+
+#[test]
+fn a_request_that_failed_at_the_start_before_may_try_the_next() {
+    let mut fleet = fleet(vec![entry(17, 5)]);
+    let tried = [id(17)];
+    let mut rng = Rng::new(1);
+    assert_eq!(fleet.pick_plain(wanted(&tried), at(0), &mut rng), None);
+    fleet.upsert(entry(18, 6), at(10));
+    let chosen = fleet.pick_plain(wanted(&tried), at(10), &mut rng).map(|t| t.id);
+    assert_eq!(chosen, Some(id(18)));
+}
+
+/// Takes news as a node does.
+fn take(fleet: &mut Fleet, news: Vec<TargetChange>) {
+    for change in still_true(news) {
+        match change {
+            TargetChange::Now(target) => {
+                fleet.upsert(target, at(0));
+            }
+            TargetChange::Unreadable(name) => {
+                fleet.unreadable(&name);
+            }
+            TargetChange::Gone(name) => fleet.vanish(&name, None),
+        }
+    }
+}
+
+#[test]
+fn a_source_that_is_behind_brings_no_earlier_start_back() {
+    let mut fleet = fleet(vec![entry(18, 7)]);
+    fleet.sent(&id(18), 700);
+    assert!(!fleet.upsert(entry(17, 5), at(10)), "older, also where its start is later");
+    assert!(!fleet.upsert(entry(19, 6), at(10)));
+    // A source that is further on tells of changes that are known, an end among them.
+    let earlier = [TargetChange::Now(entry(17, 4)), TargetChange::Gone("t".into())];
+    let news = [&earlier[..], &[TargetChange::Now(entry(18, 7))]].concat();
+    take(&mut fleet, news);
+    assert_eq!(fleet.get(&id(18)).expect("known").outstanding, 1);
+    fleet.replace(vec![entry(17, 3)], None, at(20));
+    assert!(fleet.get(&id(17)).is_some(), "a whole list is the last word");
+}
+
+#[test]
+fn an_entry_that_drained_before_its_end_is_not_kept_in_doubt() {
+    let drains = TargetChange::Now(Target { draining: true, ..entry(17, 6) });
+    let news = vec![drains, TargetChange::Gone("t".into())];
+    assert_eq!(still_true(news.clone()), news);
+}
+
+proptest! {
+    /// The starts before the latest come again from sources that are behind, in any order.
+    #[test]
+    fn whatever_the_order_of_the_news_the_latest_entry_stands(
+        starts in prop::collection::vec(0..4_u64, 1..6),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 1..30),
+    ) {
+        let entries: Vec<Target> =
+            starts.iter().zip(1..).map(|(start, revision)| entry(*start, revision)).collect();
+        let mut fleet = Fleet::default();
+        let mut newest: Option<Target> = None;
+        let mut sent = 0;
+        for index in order {
+            let next = index.get(&entries).clone();
+            let is_news = newest.as_ref().is_none_or(|n| next.revision > n.revision);
+            let is_restart = newest.as_ref().is_none_or(|n| next.id != n.id);
+            fleet.upsert(next.clone(), at(0));
+            if is_news {
+                sent = if is_restart { 0 } else { sent };
+                newest = Some(next);
+            }
+            let known = newest.as_ref().expect("one came");
+            let b = fleet.get(&known.id).expect("the newest is known");
+            prop_assert_eq!(&b.target, known);
+            prop_assert_eq!(b.outstanding, sent);
+            fleet.sent(&known.id, 1);
+            sent += 1;
+        }
+    }
+}
+
+#[test]
+fn a_target_whose_entry_becomes_unreadable_gets_nothing_new_and_keeps_what_it_has() {
+    let name: Name = "t".into();
+    let doubt = Some(at(9000));
+    let mut fleet = fleet(vec![entry(17, 5)]);
+    fleet.sent(&id(17), 700);
+    assert!(fleet.unreadable(&name));
+    assert!(!fleet.unreadable(&name), "told once");
+    assert!(!fleet.is_usable(&id(17), Terms::ANY, at(10)));
+    assert_eq!(fleet.get(&id(17)).expect("it goes on").outstanding, 1);
+    let list = fleet.list(at(10));
+    assert_eq!((list.targets.len(), &list.unreadable[..]), (0, &["t".into()][..]));
+
+    // Another node takes that list just after an outage.
+    let mut other = Fleet::default();
+    other.upsert(entry(17, 5), at(0));
+    other.replace(list, doubt, at(10));
+    assert!(!other.is_usable(&id(17), Terms::ANY, at(10)), "not kept as one that vanished");
+    assert!(other.get(&id(17)).is_some_and(|b| b.missing.is_none()), "and not gone");
+    other.expire(at(20_000));
+    assert!(other.get(&id(17)).is_some());
+
+    assert!(!fleet.upsert(entry(17, 4), at(20)), "older news do not heal it");
+    assert!(!fleet.is_usable(&id(17), Terms::ANY, at(20)));
+    assert!(fleet.upsert(entry(17, 6), at(20)));
+    assert!(fleet.is_usable(&id(17), Terms::ANY, at(20)));
+    assert_eq!(fleet.count_unreadable(), 0);
+
+    other.vanish(&name, doubt);
+    assert!(other.get(&id(17)).is_none(), "its end is no doubt's matter");
+    assert_eq!(other.count_unreadable(), 0);
+}
+
+#[test]
+fn a_missing_target_whose_entry_comes_back_unreadable_gets_nothing_new() {
+    let mut fleet = fleet(vec![entry(17, 5)]);
+    fleet.vanish(&"t".into(), Some(at(9000)));
+    assert!(fleet.is_usable(&id(17), Terms::ANY, at(10)), "most likely it lives");
+    fleet.unreadable(&"t".into());
+    assert!(!fleet.is_usable(&id(17), Terms::ANY, at(10)));
+}
+
+/// Makers of one name and these starts.
+fn makers(starts: &[u64], domain: &str) -> Event {
+    let info = |start: &u64| MakerInfo {
+        id: id(*start),
+        domain: domain.into(),
+        region: None,
+        cold_gap: None,
+    };
+    Event::Makers(starts.iter().map(info).collect())
+}
+
+/// A coordinator with a call at the start 17 of its only maker, which then starts as 18.
+fn restarted() -> (Coordinator, Call) {
+    let mut c = Coordinator::new(batch::pool(), Policy::default());
+    c.on(at(0), makers(&[17], "a"));
+    let large = BatchOrder { result_bytes: 80_000_000, ..batch::order("r1", 1) };
+    let first = batch::calls(&c.on(at(0), batch::placed(1, large)));
+    assert_eq!(first[0].maker, id(17));
+    c.on(at(10), makers(&[18], "a"));
+    (c, first[0].clone())
+}
+
+#[test]
+fn a_maker_that_starts_again_has_its_slots_and_its_room() {
+    let (mut c, old) = restarted();
+    let large = BatchOrder { result_bytes: 80_000_000, ..batch::order("r2", 1) };
+    let next = batch::calls(&c.on(at(20), batch::placed(2, large.clone())));
+    assert_eq!(next.len(), 1, "the slot of the start before is not its own");
+    assert_eq!(next[0].maker, id(18));
+    // What the start before made takes no room at the next one.
+    c.on(at(30), Event::Ended(old.number, batch::made(&old)));
+    let end = batch::made(&next[0]);
+    c.on(at(40), Event::Ended(next[0].number, end));
+    let small = BatchOrder { result_bytes: 1_000_000, ..batch::order("r3", 1) };
+    let third = batch::calls(&c.on(at(50), batch::placed(3, small)));
+    assert_eq!(third[0].maker, id(18));
+}
+
+#[test]
+fn an_end_of_the_start_before_neither_leaves_the_next_out_nor_narrows_its_room() {
+    let no_room = |call: &Call| CallEnd::Answered(vec![PieceResult::NoRoom; call.pieces.len()]);
+    for end in [None, Some(CallEnd::Failed), Some(CallEnd::Full)] {
+        let (mut c, old) = restarted();
+        let end = end.unwrap_or_else(|| no_room(&old));
+        let mut actions = c.on(at(20), Event::Ended(old.number, end.clone()));
+        actions.extend(c.on(at(21), Event::Probed(id(17), false)));
+        let large = BatchOrder { result_bytes: 80_000_000, ..batch::order("r2", 1) };
+        actions.extend(c.on(at(22), batch::placed(2, large)));
+        actions.extend(c.on(at(22), Event::Tick));
+        // Left out or short of room, it would have no call yet.
+        let started = batch::calls(&actions);
+        assert_eq!(started.len(), 1, "{end:?}: one slot, one call at once");
+        assert_eq!(started[0].maker, id(18), "{end:?}");
+    }
+}
+
+fn ask(attempt: &str) -> PrefillAsk {
+    PrefillAsk {
+        service: "pool".into(),
+        domain: "d".into(),
+        allowed: Allowed::ANY,
+        side: Side::Serving,
+        attempt: attempt.into(),
+        home: 1,
+        shared: 13_000,
+        tokens: 17_000,
+        slack_ms: 0,
+        but: Vec::new(),
+    }
+}
+
+#[test]
+fn an_engine_that_starts_again_has_nothing_to_read_and_keeps_nothing() {
+    let mut scheduler = Scheduler::new(at(0));
+    scheduler.place(&ask("p1"), &[id(17)], at(20_000)).expect("an engine");
+    let placed = scheduler.place(&ask("p2"), &[id(18)], at(20_100)).expect("an engine");
+    assert_eq!((placed.engine, placed.ahead, placed.kept), (id(18), 0, false));
+    assert_eq!(scheduler.waiting(&id(18)), 17_000);
+    scheduler.read(&id(17), &"p2".into(), at(20_200));
+    scheduler.given_up(&id(17), &"p2".into());
+    assert_eq!(scheduler.waiting(&id(18)), 17_000, "the start before tells nothing of it");
+    scheduler.read(&id(18), &"p2".into(), at(20_200));
+    assert_eq!(scheduler.waiting(&id(18)), 0);
+}
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -121,7 +121,8 @@
         for entry in &step.bad {
             let place = match &entry.name {
                 Some(name) => Place::Name(name.clone()),
-                None => Place::Position(entry.place.as_str().into()),
+                None if step.whole => Place::Listed(entry.place.as_str().into()),
+                None => Place::Passing(entry.place.as_str().into()),
             };
             if let Some(untold) = self.unreadable.note(place, &entry.why.as_str().into(), now) {
                 let (kind, place, why) = (self.kind.as_str(), &entry.place, &entry.why);
