--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -220,9 +220,15 @@
     let list = fleet.list(at(10));
     assert_eq!((list.targets.len(), &list.unreadable[..]), (0, &["t".into()][..]));
 
-    // Another node takes that list just after an outage.
+    // Another node takes that list just after an outage, a third one at any other time.
     let mut other = Fleet::default();
     other.upsert(entry(17, 5), at(0));
+    let mut third = Fleet::default();
+    third.upsert(entry(17, 5), at(0));
+    third.sent(&id(17), 700);
+    third.replace(list.clone(), None, at(10));
+    assert_eq!(third.get(&id(17)).expect("it goes on").outstanding, 1);
+    assert!(!third.is_usable(&id(17), Terms::ANY, at(10)));
     other.replace(list, doubt, at(10));
     assert!(!other.is_usable(&id(17), Terms::ANY, at(10)), "not kept as one that vanished");
     assert!(other.get(&id(17)).is_some_and(|b| b.missing.is_none()), "and not gone");
