Requests stay in the regions that their route and workspace allow

Ruled out: coordinators that look up the route themselves (they do not know the caller's key, and a node whose rules are older would decide for another one); a check at admission alone (rules tighten while requests wait at coordinators).

Coordinators check each order's regions against a maker's, and end orders at once for which no maker is there. Refusals name the regions and come before any stage. Rules that no failure domain can serve are told once a version, and counted.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -109,6 +109,7 @@
             Event::Tick => {}
         }
         self.give_up_late(now, &mut out);
+        self.give_up_barred(&mut out);
         self.repeat_overdue(now, &mut out);
         self.fill(now, &mut out);
         out
@@ -248,11 +249,31 @@
         let late: Vec<OrderId> =
             self.orders.iter().filter(|(_, o)| is_late(o)).map(|(id, _)| *id).collect();
         for id in late {
-            if let Some(order) = self.orders.remove(&id) {
-                let n = order.results.len();
-                free(order.results, out);
-                out.push(Action::Answer(id, vec![PieceResult::Late; n]));
-            }
+            self.give_up(id, &PieceResult::Late, out);
+        }
+    }
+
+    /// Ends orders that no maker may take: all makers lie outside of the regions that are
+    /// allowed, and none inside is even busy. To wait for one would only make the refusal late.
+    fn give_up_barred(&mut self, out: &mut Vec<Action>) {
+        let makers = &self.makers;
+        let is_barred = |o: &Order| {
+            let allowed = &o.order.allowed;
+            !o.waiting.is_empty() && !allowed.is_any() && !makers.has_any_in(allowed)
+        };
+        let barred: Vec<OrderId> =
+            self.orders.iter().filter(|(_, o)| is_barred(o)).map(|(id, _)| *id).collect();
+        for id in barred {
+            self.give_up(id, &PieceResult::Failed, out);
+        }
+    }
+
+    /// Answers an order with this for each piece, and frees what was made of it.
+    fn give_up(&mut self, id: OrderId, result: &PieceResult, out: &mut Vec<Action>) {
+        if let Some(order) = self.orders.remove(&id) {
+            let n = order.results.len();
+            free(order.results, out);
+            out.push(Action::Answer(id, vec![result.clone(); n]));
         }
     }
 
@@ -289,8 +310,8 @@
                 .orders
                 .iter()
                 .filter(|(_, o)| !o.waiting.is_empty())
-                .filter(|(_, o)| o.suits(&maker.domain, &working, &self.pool, now))
-                .map(|(n, o)| (o.urgency(&maker.domain, &self.pool, now), *n))
+                .filter(|(_, o)| o.suits(&maker.place, &working, &self.pool, now))
+                .map(|(n, o)| (o.urgency(&maker.place.domain, &self.pool, now), *n))
                 .collect();
             fits.sort_unstable();
             self.start(now, maker, fits.into_iter().map(|(_, n)| n), out);
@@ -313,7 +334,7 @@
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
             let most = (self.pool.batch.max(1) - pieces.len()).min(room as usize);
-            let taken = order.take(most, &maker.domain);
+            let taken = order.take(most, &maker.place.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
         }
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::forward::{Handle, StagePool, TargetId};
+use model::forward::{Allowed, Handle, StagePool, TargetId};
 use model::{Name, Time};
 
 use super::types::{CallEnd, MakerInfo};
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 struct Maker {
     domain: Name,
+    region: Option<Name>,
     calls: u32,
     present: bool,
     cold_gap: Option<Duration>,
@@ -53,6 +54,7 @@
     fn new(domain: Name) -> Self {
         Maker {
             domain,
+            region: None,
             calls: 0,
             present: true,
             cold_gap: None,
@@ -89,11 +91,19 @@
     }
 }
 
+/// Where a maker is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) domain: Name,
+    /// Region of that, if it is known.
+    pub(super) region: Option<Name>,
+}
+
 /// A maker that can take a call now.
 #[derive(Debug, Clone)]
 pub(super) struct Free {
     pub(super) id: TargetId,
-    pub(super) domain: Name,
+    pub(super) place: Place,
     /// Bytes of results for which there is room.
     pub(super) room: u64,
 }
@@ -108,9 +118,10 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, region: _, cold_gap } in makers {
+        for MakerInfo { id, domain, region, cold_gap } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
+            maker.region = region;
             maker.cold_gap = cold_gap;
         }
         self.forget_idle();
@@ -126,11 +137,19 @@
     }
 
     /// Failure domains that have a working maker.
-    pub(super) fn domains(&self, now: Time) -> Vec<Name> {
+    pub(super) fn domains(&self, now: Time) -> Vec<Place> {
         let working = self.0.values().filter(|m| m.works(now));
-        let mut domains: Vec<Name> = working.map(|m| m.domain.clone()).collect();
-        domains.dedup();
-        domains
+        let place = |m: &Maker| Place { domain: m.domain.clone(), region: m.region.clone() };
+        let mut places: Vec<Place> = working.map(place).collect();
+        places.dedup();
+        places
+    }
+
+    /// Whether a maker is there in a region that is allowed, one that is busy or has just
+    /// failed included: those come back.
+    pub(super) fn has_any_in(&self, allowed: &Allowed) -> bool {
+        let is_inside = |m: &Maker| m.present && allowed.permits(m.region.as_deref());
+        self.0.values().any(is_inside)
     }
 
     /// Makers that can take a call now, those with most room first.
@@ -146,7 +165,8 @@
             let reckoned = whole.saturating_sub(m.kept_bytes() + m.in_flight);
             let seen = m.tight.filter(|(_, until)| now < *until);
             let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
-            free.push(Free { id: id.clone(), domain: m.domain.clone(), room });
+            let place = Place { domain: m.domain.clone(), region: m.region.clone() };
+            free.push(Free { id: id.clone(), place, room });
         }
         free.sort_by_key(|f| std::cmp::Reverse(f.room));
         free
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -5,6 +5,8 @@
 use model::forward::{BatchOrder, LARGE_RESULT, PieceResult, Rank, StagePool};
 use model::{Name, Time};
 
+use super::makers::Place;
+
 /// Slack below which an urgent order may be made elsewhere after all.
 const SPILL_SLACK: Duration = Duration::from_millis(150);
 /// Part of a call that is filled while orders wait; more than half on the users' bench.
@@ -99,14 +101,23 @@
         self.home.as_ref().or(self.order.near.as_ref()).is_some_and(|d| **d == *domain)
     }
 
-    /// Whether a call at a maker in `domain` suits this order.
+    /// Whether the request may be served at a place.
+    fn permits(&self, place: &Place) -> bool {
+        self.order.allowed.permits(place.region.as_deref())
+    }
+
+    /// Whether a call at a maker at `place` suits this order. A call that orders share is
+    /// made only where each of them permits it.
     pub(super) fn suits(
         &self,
-        domain: &str,
-        working: &[Name],
+        place: &Place,
+        working: &[Place],
         pool: &StagePool,
         now: Time,
     ) -> bool {
+        if !self.permits(place) {
+            return false;
+        }
         let (bound, bytes) = match &self.home {
             Some(home) => (Some(home), self.order.spread_bytes),
             None => (self.order.near.as_ref(), self.order.moved_bytes),
@@ -115,9 +126,9 @@
             return true;
         };
         let pressed = self.slack(now) < self.usual_time(pool) + SPILL_SLACK;
-        **bound == *domain
+        *bound == place.domain
             || bytes < LARGE_RESULT
-            || !working.contains(bound)
+            || !working.iter().any(|w| w.domain == *bound && self.permits(w))
             || (pressed && self.order.rank.workspace <= SPILL_RANK)
     }
 
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::forward::{PromptPart, Target, TargetId};
+use model::forward::{Allowed, PromptPart, Side, Target, TargetId};
 use model::{Name, Time, hash};
 
 use super::{Belief, ColdLimit, Fleet, Terms};
@@ -104,11 +104,19 @@
 }
 
 /// Share of homes by failure domain for requests whose inputs are made near their
-/// target: as many as the makers there can make, over the targets that are there.
-pub fn shares(fleet: &Fleet, makers: &str, targets: &str, now: Time) -> Vec<(Name, f64)> {
+/// target: as many as the makers there can make, over the targets that are there, those
+/// outside of the regions that are allowed left out.
+pub fn shares(
+    fleet: &Fleet,
+    makers: &str,
+    targets: &str,
+    allowed: &Allowed,
+    now: Time,
+) -> Vec<(Name, f64)> {
+    let terms = Terms { allowed, side: Side::Serving };
     let count = |service: &str| {
         let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
-        for b in fleet.usable(service, Terms::ANY, now) {
+        for b in fleet.usable(service, terms, now) {
             *by_domain.entry(b.target.domain.clone()).or_default() += 1;
         }
         by_domain
@@ -201,6 +209,12 @@
         }
     }
 
+    /// Whether a target lies in a region that is allowed; one that is not known lies in none.
+    pub fn is_allowed_at(&self, id: &TargetId, allowed: &Allowed) -> bool {
+        let region = self.domain_of(id).and_then(|domain| self.regions().of(domain));
+        allowed.permits(region.map(|r| &**r))
+    }
+
     /// Failure domain of a target.
     pub fn domain_of(&self, id: &TargetId) -> Option<&Name> {
         self.get(id).map(|b| &b.target.domain)
--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -64,4 +64,14 @@
     pub fn of(&self, domain: &str) -> Option<&Name> {
         self.0.get(domain)
     }
+
+    /// Whether any failure domain lies where something may be served.
+    pub fn reach(&self, allowed: &Allowed) -> bool {
+        allowed.is_any() || self.0.values().any(|region| allowed.permits(Some(region)))
+    }
+
+    /// Regions among these that no failure domain lies in.
+    pub fn unknown<'a>(&self, allowed: &'a Allowed) -> impl Iterator<Item = &'a Name> {
+        allowed.names().filter(|name| !self.0.values().any(|region| region == *name))
+    }
 }
--- /dev/null
+++ b/crates/decide/tests/allowed.rs
@@ -0,0 +1,392 @@
+//! Allowed regions: nothing is chosen, made or asked for again outside of them.
+
+#[path = "support/batch.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod batch;
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod fleet;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use batch::{answers, at, calls, coordinator, made, order, placed};
+use decide::batch::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
+use decide::fleet::{Barred, ColdStarts, Fleet, Home, Observation, Regions, Terms, Wanted, shares};
+use decide::rng::Rng;
+use model::Name;
+use model::forward::{Allowed, BatchOrder, Evacuations, PieceResult, Side, Target, TargetId};
+use proptest::prelude::*;
+
+const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
+/// Regions that domains may lie in, and one that none does.
+const REGIONS: [&str; 3] = ["north", "south", "nowhere"];
+
+/// The rule in words of its own: what names no regions goes anywhere, all else only to a known
+/// region that it names.
+fn is_inside(named: &Option<BTreeSet<&str>>, region: Option<&str>) -> bool {
+    match (named, region) {
+        (None, _) => true,
+        (Some(named), Some(region)) => named.contains(region),
+        (Some(_), None) => false,
+    }
+}
+
+fn allowed(named: &Option<BTreeSet<&str>>) -> Allowed {
+    let only = |names: &BTreeSet<&str>| Allowed::only(names.iter().map(|n| Name::from(*n)));
+    named.as_ref().map_or(Allowed::ANY, only)
+}
+
+/// Names of regions, or none: some that are unknown, and lists that are empty.
+fn rule() -> impl Strategy<Value = Option<BTreeSet<&'static str>>> {
+    prop::option::of(prop::collection::btree_set(prop::sample::select(&REGIONS[..]), 0..3))
+}
+
+/// The region of each failure domain, where it is known.
+fn regions() -> impl Strategy<Value = BTreeMap<&'static str, &'static str>> {
+    let region = prop::option::of(prop::sample::select(&REGIONS[..2]));
+    prop::collection::vec(region, DOMAINS.len()).prop_map(|of| {
+        DOMAINS.into_iter().zip(of).filter_map(|(domain, region)| Some((domain, region?))).collect()
+    })
+}
+
+fn known(regions: &BTreeMap<&str, &str>) -> Regions {
+    Regions::new(regions.iter().map(|(d, r)| (Name::from(*d), Name::from(*r))).collect())
+}
+
+#[test]
+fn what_a_list_means() {
+    let north = allowed(&Some(["north"].into()));
+    let south = allowed(&Some(["south"].into()));
+    let none = allowed(&Some(BTreeSet::new()));
+    let both = north.and(&south);
+    for (rule, region, permits) in [
+        (&Allowed::ANY, Some("north"), true),
+        (&Allowed::ANY, None, true),
+        (&north, Some("north"), true),
+        (&north, Some("south"), false),
+        (&north, None, false),
+        (&none, Some("north"), false),
+        (&none, None, false),
+        (&both, Some("north"), false),
+        (&both, Some("south"), false),
+    ] {
+        assert_eq!(rule.permits(region), permits, "{rule:?} in {region:?}");
+    }
+    assert_eq!(north.and(&Allowed::ANY), north);
+    assert_eq!(Allowed::ANY.and(&north), north);
+    assert!(!both.is_any() && !none.is_any());
+}
+
+#[test]
+fn where_settings_name_no_regions_a_rule_that_names_some_allows_no_target() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(fleet::target("t0", "a"), at(0));
+    let north = allowed(&Some(["north"].into()));
+    let terms = Terms { allowed: &north, side: Side::Serving };
+    let belief = fleet.get(&"t0".into()).expect("it was told");
+    assert_eq!(fleet.bars(belief, terms, at(0)), Some(Barred::Region));
+    assert_eq!(fleet.bars(belief, Terms::ANY, at(0)), None);
+    assert!(!fleet.regions().reach(&north));
+    assert!(!fleet.is_allowed_at(&"t0".into(), &north));
+    assert!(!fleet.is_allowed_at(&"gone".into(), &north), "nobody knows where it was");
+    assert!(shares(&fleet, "engine", "engine", &north, at(0)).is_empty());
+}
+
+#[test]
+fn regions_that_no_failure_domain_lies_in_are_told() {
+    let regions = known(&[("a", "north")].into());
+    let rule = allowed(&Some(["north", "nowhere"].into()));
+    assert!(regions.reach(&rule));
+    assert_eq!(regions.unknown(&rule).map(|n| &**n).collect::<Vec<_>>(), ["nowhere"]);
+    assert!(!regions.reach(&allowed(&Some(["nowhere"].into()))));
+    assert!(Regions::default().reach(&Allowed::ANY));
+}
+
+/// What happened to one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Sound,
+    Failing,
+    Draining,
+    Missing,
+    Unreadable,
+    Cold,
+    Busy,
+    Evacuated,
+}
+
+const STATES: [State; 8] = [
+    State::Sound,
+    State::Failing,
+    State::Draining,
+    State::Missing,
+    State::Unreadable,
+    State::Cold,
+    State::Busy,
+    State::Evacuated,
+];
+
+fn add(fleet: &mut Fleet, name: &str, domain: &str, state: State) {
+    let id = TargetId::from(name);
+    let target = fleet::target(name, domain);
+    let cold_ms = if state == State::Cold { 5000 } else { 0 };
+    fleet.upsert(Target { draining: state == State::Draining, cold_ms, ..target }, at(0));
+    match state {
+        State::Failing => _ = fleet.observe(&id, Observation::Unreachable, at(0)),
+        State::Missing => fleet.vanish(&id.name, Some(at(2000))),
+        State::Unreadable => fleet.unreadable(&id.name),
+        State::Busy => (0..50).for_each(|_| fleet.sent(&id, 50_000)),
+        State::Sound | State::Draining | State::Cold | State::Evacuated => {}
+    }
+}
+
+proptest! {
+    /// Whatever rules, places and failures: no choice falls outside, and one inside is found
+    /// if it is sound.
+    #[test]
+    fn no_choice_falls_outside(
+        regions in regions(),
+        targets in prop::collection::vec(
+            (prop::sample::select(&DOMAINS[..]), prop::sample::select(&STATES[..])), 0..16),
+        named in rule(),
+        domain in prop::sample::select(&DOMAINS[..]),
+        but in prop::collection::btree_set(0usize..16, 0..4),
+        key: u64,
+        seed: u64,
+    ) {
+        let mut fleet = Fleet::default();
+        fleet.set_regions(known(&regions));
+        for (i, (domain, state)) in targets.iter().enumerate() {
+            add(&mut fleet, &format!("t{i}"), domain, *state);
+        }
+        let is_evacuated =
+            |d: &str| targets.iter().any(|(domain, s)| *domain == d && *s == State::Evacuated);
+        let away = DOMAINS.iter().filter(|d| is_evacuated(d)).map(|d| Name::from(*d));
+        fleet.evacuate(Evacuations { at: 1, domains: away.collect() }, at(0));
+        let allowed = allowed(&named);
+        let but: Vec<TargetId> = but.iter().map(|i| format!("t{i}").as_str().into()).collect();
+        let shares = shares(&fleet, "engine", "engine", &allowed, at(10));
+        let wanted = Wanted {
+            service: "engine",
+            domain,
+            terms: Terms { allowed: &allowed, side: Side::Serving },
+            but: &but,
+            most_each: 40,
+            shares: &shares,
+            limit: None,
+            cold: ColdStarts::Avoid,
+        };
+        let home = Home { key, shared: 100 };
+        let plain = fleet.pick_plain(wanted, at(10), &mut Rng::new(seed));
+        let homed = fleet.pick_home(wanted, home, at(10));
+        let near = fleet.near_homes(wanted, home, at(10));
+        let place = |id: &TargetId| {
+            let i: usize = id.name[1..].parse().expect("a number");
+            targets[i].0
+        };
+        let inside = |d: &str| is_inside(&named, regions.get(d).copied());
+        let chosen = plain.iter().chain(&homed).map(|t| &t.id).chain(&near);
+        for id in chosen {
+            prop_assert!(inside(place(id)), "{} in {}", id.name, place(id));
+            prop_assert!(fleet.is_allowed_at(id, &allowed));
+        }
+        for (domain, _) in &shares {
+            prop_assert!(inside(domain), "a share of {}", domain);
+        }
+        let is_free = |(i, (d, s)): (usize, &(&str, State))| {
+            let id = TargetId::from(format!("t{i}").as_str());
+            let is_up = matches!(s, State::Sound | State::Failing | State::Cold);
+            is_up && inside(d) && !is_evacuated(d) && !but.contains(&id)
+        };
+        let any = targets.iter().enumerate().any(is_free);
+        prop_assert!(!any || (plain.is_some() && homed.is_some()), "one inside is free");
+    }
+}
+
+/// Calls with a piece of an order that does not permit the maker's region.
+fn outside<'a>(
+    calls: &'a [Call],
+    rules: &BTreeMap<Name, Option<BTreeSet<&str>>>,
+    makers: &BTreeMap<TargetId, Option<&str>>,
+) -> Vec<&'a Call> {
+    let is_outside = |call: &&Call| {
+        let region = makers.get(&call.maker).copied().flatten();
+        call.pieces.iter().any(|p| !is_inside(&rules[&p.attempt], region))
+    };
+    calls.iter().filter(is_outside).collect()
+}
+
+#[test]
+fn the_judge_of_calls_bites() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let started = calls(&c.on(at(0), placed(1, order("r1", 2))));
+    let rules = [(Name::from("r1"), Some(BTreeSet::from(["north"])))].into();
+    let at_region = |region| BTreeMap::from([(TargetId::from("m1"), region)]);
+    assert_eq!(outside(&started, &rules, &at_region(Some("north"))).len(), 0);
+    assert_eq!(outside(&started, &rules, &at_region(Some("south"))).len(), 1);
+    assert_eq!(outside(&started, &rules, &at_region(None)).len(), 1);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Order { pieces: u32, rule: Option<BTreeSet<&'static str>>, near: usize, bytes: u64 },
+    Makers(BTreeSet<usize>),
+    End { call: usize, how: usize },
+    Cancel(usize),
+    HandOver,
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let bytes = prop::sample::select(vec![1000u64, 3_000_000]);
+    prop_oneof![
+        4 => (1u32..12, rule(), 0..DOMAINS.len(), bytes)
+            .prop_map(|(pieces, rule, near, bytes)| Step::Order { pieces, rule, near, bytes }),
+        1 => prop::collection::btree_set(0usize..8, 0..8).prop_map(Step::Makers),
+        4 => (0usize..8, 0usize..6).prop_map(|(call, how)| Step::End { call, how }),
+        1 => (0usize..20).prop_map(Step::Cancel),
+        1 => Just(Step::HandOver),
+        3 => (1u64..900).prop_map(Step::Pass),
+    ]
+}
+
+/// A coordinator's makers, two in each failure domain, of which some are there.
+fn told(present: &BTreeSet<usize>, regions: &BTreeMap<&str, &str>) -> Vec<MakerInfo> {
+    let info = |i: &usize| {
+        let domain = DOMAINS[i % DOMAINS.len()];
+        MakerInfo {
+            id: format!("m{i}").as_str().into(),
+            domain: domain.into(),
+            region: regions.get(domain).map(|r| Name::from(*r)),
+            cold_gap: None,
+        }
+    };
+    present.iter().map(info).collect()
+}
+
+fn end(call: &Call, how: usize) -> CallEnd {
+    match how {
+        0 => CallEnd::Failed,
+        1 => CallEnd::Full,
+        2 => CallEnd::Answered(vec![PieceResult::NoRoom; call.pieces.len()]),
+        _ => made(call),
+    }
+}
+
+proptest! {
+    /// Whatever happens to makers and calls, each piece of a shared call, a second call's too,
+    /// is asked for where its own order permits, and an order for which no maker inside is
+    /// there is answered at once.
+    #[test]
+    fn no_piece_is_asked_for_outside(
+        regions in regions(),
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let place: BTreeMap<TargetId, Option<&str>> = (0..8usize)
+            .map(|i| (format!("m{i}").as_str().into(), regions.get(DOMAINS[i % 4]).copied()))
+            .collect();
+        let mut present: BTreeSet<usize> = (0..8).collect();
+        let mut c = coordinator(&[]);
+        c.on(at(0), Event::Makers(told(&present, &regions)));
+        let mut rules: BTreeMap<Name, Option<BTreeSet<&str>>> = BTreeMap::new();
+        let mut open: BTreeMap<OrderId, Name> = BTreeMap::new();
+        let mut flights: Vec<Call> = Vec::new();
+        let (mut now, mut next) = (0, 1);
+        for step in steps {
+            let event = match step {
+                Step::Order { pieces, rule, near, bytes } => {
+                    let attempt = format!("r{next}");
+                    let order = BatchOrder {
+                        allowed: allowed(&rule),
+                        near: Some(DOMAINS[near].into()),
+                        moved_bytes: bytes,
+                        spread_bytes: bytes,
+                        ..order(&attempt, pieces)
+                    };
+                    rules.insert(attempt.as_str().into(), rule);
+                    open.insert(next, attempt.as_str().into());
+                    next += 1;
+                    placed(next - 1, order)
+                }
+                Step::Makers(now_present) => {
+                    present = now_present;
+                    Event::Makers(told(&present, &regions))
+                }
+                Step::End { call, how } if call < flights.len() => {
+                    let call = flights.remove(call);
+                    Event::Ended(call.number, end(&call, how))
+                }
+                Step::Cancel(n) if open.remove(&(n as OrderId)).is_some() => {
+                    Event::Cancel(n as OrderId)
+                }
+                Step::HandOver => Event::HandOver,
+                Step::Pass(ms) => {
+                    now += ms;
+                    Event::Tick
+                }
+                Step::End { .. } | Step::Cancel(_) => continue,
+            };
+            let actions = c.on(at(now), event);
+            let started = calls(&actions);
+            let found = outside(&started, &rules, &place);
+            prop_assert!(found.is_empty(), "{:?}", found);
+            flights.extend(started);
+            for (id, _) in answers(&actions) {
+                open.remove(&id);
+            }
+            for action in &actions {
+                if let Action::Moved(id) = action {
+                    open.remove(id);
+                }
+            }
+            let has_maker = |rule: &Option<BTreeSet<&str>>| {
+                let mut there = present.iter().map(|i| regions.get(DOMAINS[i % 4]).copied());
+                rule.is_none() || there.any(|region| is_inside(rule, region))
+            };
+            for attempt in open.values().filter(|a| !has_maker(&rules[*a])) {
+                let is_asked =
+                    flights.iter().any(|f| f.pieces.iter().any(|p| p.attempt == *attempt));
+                prop_assert!(is_asked, "{} waits in vain", attempt);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_order_near_a_failure_domain_outside_is_made_inside() {
+    let mut c = coordinator(&[]);
+    let regions = BTreeMap::from([("a", "north"), ("b", "south")]);
+    c.on(at(0), Event::Makers(told(&[0, 1].into(), &regions)));
+    let bytes = 3_000_000;
+    let order = BatchOrder {
+        allowed: allowed(&Some(["south"].into())),
+        near: Some("a".into()),
+        moved_bytes: bytes,
+        ..order("r1", 2)
+    };
+    let started = calls(&c.on(at(0), placed(1, order)));
+    assert_eq!(started.iter().map(|c| &*c.maker.name).collect::<Vec<_>>(), ["m1"]);
+}
+
+#[test]
+fn an_order_that_no_maker_inside_is_there_for_is_answered_at_once_and_its_results_freed() {
+    let mut c = coordinator(&[]);
+    let regions = BTreeMap::from([("a", "north"), ("b", "south")]);
+    c.on(at(0), Event::Makers(told(&[0, 1].into(), &regions)));
+    let south = || allowed(&Some(["south"].into()));
+    let large = BatchOrder { allowed: south(), ..order("r1", 15) };
+    let started = calls(&c.on(at(0), placed(1, large))).remove(0);
+    c.on(at(200), Event::Makers(told(&[0].into(), &regions)));
+    let actions = c.on(at(210), Event::Ended(started.number, made(&started)));
+    assert_eq!(answers(&actions).len(), 0, "answered when its maker went");
+    let freed = actions.iter().map(|a| match a {
+        Action::Free(handles) => handles.len(),
+        _ => 0,
+    });
+    assert_eq!(freed.sum::<usize>(), 10, "{actions:?}");
+    let waits_for_nobody = BatchOrder { allowed: south(), ..order("r2", 1) };
+    let refused = answers(&c.on(at(220), placed(2, waits_for_nobody)));
+    assert_eq!(refused, [(2, vec![PieceResult::Failed])]);
+    let anywhere = calls(&c.on(at(230), placed(3, order("r3", 1))));
+    assert_eq!(&*anywhere[0].maker.name, "m0");
+}
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -8,7 +8,7 @@
 
 use decide::fleet::{ColdStarts, Fleet, Home, Observation, Terms, Wanted, shares};
 use decide::rng::Rng;
-use model::forward::{PromptPart, Target, TargetId};
+use model::forward::{Allowed, PromptPart, Target, TargetId};
 use support::{at, target};
 
 fn fleet(n: usize) -> Fleet {
@@ -200,7 +200,7 @@
     for (id, domain) in makers {
         fleet.upsert(Target { service: "encode".into(), ..target(id, domain) }, at(0));
     }
-    let by_domain = shares(&fleet, "encode", "engine", at(0));
+    let by_domain = shares(&fleet, "encode", "engine", &Allowed::ANY, at(0));
     let mut homes = [0.0; 3];
     let keys = 3000;
     for key in 0..keys {
@@ -212,5 +212,8 @@
         let wanted = keys as f64 * makers / 5.0;
         assert!((got - wanted).abs() < wanted * 0.15, "{homes:?}");
     }
-    assert!(shares(&fleet, "unknown", "engine", at(0)).is_empty(), "no makers, no shares");
+    assert!(
+        shares(&fleet, "unknown", "engine", &Allowed::ANY, at(0)).is_empty(),
+        "no makers, no shares"
+    );
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -15,6 +15,9 @@
     Reload { accepted: bool, why: &'a str },
     /// A set of rules came into force.
     Rules { version: u64, from: &'a str, routes: usize },
+    /// Rules name regions that no failure domain lies in: `count` routes and workspaces
+    /// are served nowhere for it, `names` are the first of them.
+    Unserved { version: u64, count: usize, names: &'a [Name], unknown: &'a [Name] },
     /// The store was lost or regained.
     Store { kind: &'a str, reachable: bool, why: &'a str },
     /// What is known of a kind has become old, or is no longer: the store's last word on it.
@@ -52,10 +55,13 @@
         come_back_ms: u64,
     },
     /// A target was chosen for a request; it has `ahead` prompt tokens to read before. Those of
-    /// the `evacuated` failure domains were left out.
+    /// the `evacuated` failure domains were left out, and those outside of the regions that
+    /// are `allowed`, if any are named.
     Chosen {
         id: &'a str,
         target: &'a str,
+        region: &'a str,
+        allowed: &'a [Name],
         by: &'a str,
         ahead: u64,
         cold: bool,
@@ -88,6 +94,8 @@
     },
     /// An input of a stage was gone; the stages that it came from are made again.
     Remade { id: &'a str, stage: usize, again: usize },
+    /// Stages are made once more, since other regions are allowed by now.
+    Moved { id: &'a str, version: u64 },
     /// A stream broke off and is taken up at another target; its stages were made again.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
     /// A stage of a request ended.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -55,8 +55,10 @@
     batch_pieces: Family<Named, Counter>,
     store_calls: Family<Named, Counter>,
     repeats: Family<Named, Counter>,
+    barred: Family<Named, Counter>,
     open: Gauge,
     rules: Gauge,
+    unserved: Gauge,
     peers: Gauge,
     targets: Gauge,
     evacuated: Gauge,
@@ -74,6 +76,8 @@
     pub open: usize,
     /// Version of the rules in force.
     pub rules: u64,
+    /// Routes and workspaces that allow no region in which a failure domain lies.
+    pub unserved: usize,
     /// Nodes up, this one included.
     pub peers: usize,
     /// Targets known.
@@ -97,8 +101,10 @@
             batch_pieces: Family::default(),
             store_calls: Family::default(),
             repeats: Family::default(),
+            barred: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
+            unserved: Gauge::default(),
             peers: Gauge::default(),
             targets: Gauge::default(),
             evacuated: Gauge::default(),
@@ -116,6 +122,10 @@
         registry.register("repeats", "Sends to a further target", m.repeats.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
+        let help = "Refusals for want of a target in an allowed region";
+        registry.register("refused_for_region", help, m.barred.clone());
+        let help = "Routes and workspaces that no region with a failure domain is allowed to";
+        registry.register("rules_unserved", help, m.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", m.peers.clone());
         registry.register("targets", "Targets known", m.targets.clone());
         registry.register("domains_evacuated", "Failure domains evacuated", m.evacuated.clone());
@@ -163,6 +173,11 @@
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
     }
 
+    /// A request was refused since no target is in a region that is allowed.
+    pub fn barred(&self, route: &str) {
+        self.barred.get_or_create(&Named { name: self.bounded(route) }).inc();
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
@@ -185,6 +200,7 @@
     pub fn text(&self, now: Now) -> String {
         self.open.set(now.open as i64);
         self.rules.set(now.rules as i64);
+        self.unserved.set(now.unserved as i64);
         self.peers.set(now.peers as i64);
         self.targets.set(now.targets as i64);
         self.evacuated.set(now.evacuated as i64);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -1,7 +1,7 @@
 //! The node: its shared state, its start and its planned stop.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +31,8 @@
 use crate::stages::Pools;
 use crate::watch::{self as follow, Feed};
 
+/// Names of routes, workspaces or regions in one log line, at most.
+const TOLD_MOST: usize = 16;
 /// Time after which a node that heard of no peer takes it that it is alone.
 const ALONE: Duration = Duration::from_millis(700);
 /// Time between looks at whether rules and targets are known.
@@ -144,11 +146,38 @@
         let (version, routes) = (rules.version, rules.routes.len());
         *self.table.borrow_mut() = Rc::new(Table::new(rules));
         Event::Rules { version, from, routes }.emit();
+        self.tell_unserved();
         self.version.send_replace(version);
         self.feed.wake();
         true
     }
 
+    /// Routes and workspaces that are served nowhere: no failure domain lies in a region that
+    /// they allow.
+    fn unserved(&self) -> Vec<Name> {
+        let fleet = self.fleet.borrow();
+        let table = self.table.borrow();
+        let lost = table.regional().filter(|(_, allowed)| !fleet.regions().reach(allowed));
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Tells, once for a set of rules, which regions that they name are not known.
+    fn tell_unserved(&self) {
+        let names = self.unserved();
+        let unknown: BTreeSet<Name> = {
+            let (fleet, table) = (self.fleet.borrow(), self.table.borrow());
+            let named = table.regional().flat_map(|(_, allowed)| fleet.regions().unknown(allowed));
+            named.cloned().collect()
+        };
+        if names.is_empty() && unknown.is_empty() {
+            return;
+        }
+        let version = self.table.borrow().rules.version;
+        let unknown: Vec<Name> = unknown.into_iter().take(TOLD_MOST).collect();
+        let first = &names[..names.len().min(TOLD_MOST)];
+        Event::Unserved { version, count: names.len(), names: first, unknown: &unknown }.emit();
+    }
+
     /// Tells the version of the rules whenever it rises.
     pub fn versions(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
@@ -261,6 +290,7 @@
         self.metrics.text(Now {
             open: self.open.get(),
             rules: self.table.borrow().rules.version,
+            unserved: self.unserved().len(),
             peers: self.peers.roster(|r| r.count()),
             targets: self.fleet.borrow().len(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use model::forward::{Route, Rules, Service, Workspace};
+use model::forward::{Allowed, CallerHead, Route, Rules, Service, Workspace};
 use model::{Name, hash};
 
 /// A set of rules and the indexes over it.
@@ -59,6 +59,23 @@
         self.keys.get(key).map(|i| &self.rules.workspaces[*i])
     }
 
+    /// Regions in which a request may be served: what its route allows and the workspace of
+    /// its key does, on an open route too. Without a route nothing is ruled out.
+    pub fn allowed(&self, head: &CallerHead) -> Allowed {
+        let route = self.route(&head.host, &head.path);
+        let workspace = head.key.as_deref().and_then(|key| self.workspace(key));
+        let of_route = route.map_or(&Allowed::ANY, |r| &r.allowed);
+        let of_workspace = workspace.map_or(&Allowed::ANY, |w| &w.allowed);
+        of_route.and(of_workspace)
+    }
+
+    /// Names of routes and workspaces that name regions, and what they allow.
+    pub fn regional(&self) -> impl Iterator<Item = (&Name, &Allowed)> {
+        let routes = self.rules.routes.iter().map(|r| (&r.name, &r.allowed));
+        let workspaces = self.rules.workspaces.iter().map(|w| (&w.name, &w.allowed));
+        routes.chain(workspaces).filter(|(_, allowed)| !allowed.is_any())
+    }
+
     /// A service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name).map(|i| &self.rules.services[*i])
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -154,7 +154,7 @@
         service: service.clone(),
         workspace: workspace.map(|w| w.name.clone()),
         rank,
-        allowed: workspace.map_or(Allowed::ANY, |w| w.allowed.clone()).and(&route.allowed),
+        allowed: table.allowed(head),
     })
 }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -2,12 +2,13 @@
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
 use decide::resend::Next;
-use model::forward::{LARGE_RESULT, Target, TargetId};
+use model::forward::{Allowed, LARGE_RESULT, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::exchange::Exchange;
 use crate::events::Event;
 use crate::prefill::{self, Prompt, Ticket};
+use crate::stages::Made;
 
 /// The target of one send.
 pub struct Choice {
@@ -25,11 +26,12 @@
         let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
-        let shares = self.home_shares(now);
+        let allowed = self.allowed_now();
+        let shares = self.home_shares(&allowed, now);
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
-            terms: self.terms(),
+            terms: self.terms(&allowed),
             but: &but,
             most_each: self.connections_each(),
             shares: &shares,
@@ -42,9 +44,67 @@
         }
     }
 
+    /// Regions in which what has not begun yet may be served: those allowed when the request
+    /// was taken in, as far as the rules in force still allow them.
+    pub(super) fn allowed_now(&self) -> Allowed {
+        let table = self.node.table();
+        if table.rules.version == self.version {
+            return self.allowed.clone();
+        }
+        self.allowed.and(&table.allowed(&self.head))
+    }
+
+    /// Returns once other regions than these are allowed.
+    pub(super) async fn allowed_changes(&self, from: &Allowed) {
+        let mut versions = self.node.versions();
+        while self.allowed_now() == *from {
+            if versions.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// What the request asks of any target.
-    fn terms(&self) -> Terms<'_> {
-        Terms { allowed: &self.allowed, side: self.side }
+    fn terms<'a>(&self, allowed: &'a Allowed) -> Terms<'a> {
+        Terms { allowed, side: self.side }
+    }
+
+    /// Whether the rules in force allow the request where a target is.
+    pub(super) fn is_allowed_at(&self, target: &TargetId) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| f.is_allowed_at(target, &allowed))
+    }
+
+    /// Whether all results rest where the rules in force allow them.
+    pub(super) fn is_inside(&self, made: &Made) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| made.makers().all(|maker| f.is_allowed_at(maker, &allowed)))
+    }
+
+    /// The first service, of those that the request needs, without any target in the regions
+    /// that are allowed; `None` if the request names no regions.
+    pub(super) fn unserved(&self) -> Option<&Name> {
+        let allowed = self.allowed_now();
+        if allowed.is_any() {
+            return None;
+        }
+        let now = self.node.now();
+        let has_none = |service: &Name, side| {
+            let terms = Terms { allowed: &allowed, side };
+            self.node.fleet(|f| f.usable(service, terms, now).next().is_none())
+        };
+        let pieces_of = |i: usize| self.head.pieces.get(i).copied().unwrap_or(0);
+        let stages = self.route.stages.iter().enumerate().filter(|(i, _)| pieces_of(*i) > 0);
+        let mut needed = stages.map(|(_, s)| (&s.service, Side::Serving));
+        let lacking = needed.find(|(service, side)| has_none(service, *side)).map(|(s, _)| s);
+        lacking.or(Some(&self.service).filter(|s| has_none(s, self.side)))
+    }
+
+    /// Whether a failure domain lies in a region that is allowed, so that it may help to
+    /// come back.
+    pub(super) fn is_reachable(&self) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| f.regions().reach(&allowed))
     }
 
     fn home(&self) -> Option<Home> {
@@ -62,21 +122,24 @@
 
     /// Shares of homes by failure domain, where the route has large results that are
     /// made near their target.
-    fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
+    fn home_shares(&self, allowed: &Allowed, now: Time) -> Vec<(Name, f64)> {
         let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
         let large = large.filter(|_| self.node.settings().policy.weighted_homes);
-        let makers = large.map(|s| &s.service);
-        makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
+        let Some(makers) = large.map(|s| &s.service) else {
+            return Vec::new();
+        };
+        self.node.fleet(|f| shares(f, makers, &self.service, allowed, now))
     }
 
     /// Whether a target chosen a while ago, or by another node, may get the request.
     fn is_usable(&self, target: &Target) -> bool {
         let now = self.node.now();
         let most = self.connections_each();
+        let allowed = self.allowed_now();
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, self.terms(), now)
+            is_sound && f.is_usable(&target.id, self.terms(&allowed), now)
         })
     }
 
@@ -135,7 +198,7 @@
         let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
-            allowed: self.allowed.clone(),
+            allowed: self.allowed_now(),
             side: self.side,
             home,
             tokens: self.head.tokens_in,
@@ -153,9 +216,13 @@
 
     /// Why no target is left.
     pub(super) fn no_target(&self) -> String {
+        let lacking = self.unserved().map_or(String::new(), |s| format!(" of {s}"));
+        let inside = inside(&self.allowed_now());
         match self.evacuated().as_slice() {
-            [] => "no target".into(),
-            domains => format!("no target outside of evacuated {}", domains.join(", ")),
+            [] => format!("no target{lacking}{inside}"),
+            domains => {
+                format!("no target{lacking}{inside} outside of evacuated {}", domains.join(", "))
+            }
         }
     }
 
@@ -164,9 +231,13 @@
     }
 
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
+        let region = self.node.fleet(|f| f.regions().of(&target.domain).cloned());
+        let allowed: Vec<Name> = self.allowed_now().names().cloned().collect();
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
+            region: region.as_deref().unwrap_or_default(),
+            allowed: &allowed,
             by,
             ahead,
             cold: self.is_cold(target),
@@ -177,3 +248,13 @@
         .emit();
     }
 }
+
+/// The regions that are allowed, as part of a reason; nothing if all are.
+fn inside(allowed: &Allowed) -> String {
+    let names: Vec<&str> = allowed.names().map(|name| &**name).collect();
+    match names.as_slice() {
+        _ if allowed.is_any() => String::new(),
+        [] => ": no region is allowed".into(),
+        names => format!(" in allowed {}", names.join(", ")),
+    }
+}
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -22,6 +22,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// When a caller is told to come back to a service that has no free target.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// Times that stages are made for results that turn out to rest where they may not: a
+/// coordinator may know another place of a target than this node, but for a moment only.
+const ROUNDS: usize = 2;
 
 /// A request as it was taken in.
 pub struct Taken {
@@ -177,7 +180,7 @@
         self.node.count_request(&self.service);
         let mut chosen = self.choose();
         let mut made = None;
-        if chosen.is_none() {
+        if chosen.is_none() || self.unserved().is_some() {
             // Nothing is made for a request that nobody could take.
             let why = self.no_target();
             self.progress(|p| p.why = why);
@@ -194,6 +197,12 @@
                 return self.own_ending();
             };
             let target = choice.target.clone();
+            if made.take_if(|m| !self.is_inside(m)).is_some() {
+                match self.make_stages(Some(&target)).await {
+                    Ok(m) => made = Some(m),
+                    Err(response) => return response,
+                }
+            }
             match send(&self, choice, made.as_ref(), None).await {
                 Outcome::Whole { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
@@ -241,19 +250,47 @@
         target: Option<&Target>,
     ) -> Result<Made, StageError> {
         let begun = self.node.now();
-        let job = Job {
-            route: &self.route,
-            head: &self.head,
-            near: target.map(|t| t.domain.clone()),
-            slack_ms: slack.as_millis() as u64,
-            left_ms: self.left().as_millis() as u64,
-            allowed: &self.allowed,
-            rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
-        };
-        let made = stages::make(&self.node, job).await;
+        let made = self.make_inside(begun + slack, target).await;
         let took = self.node.now().since(begun);
         self.progress(|p| p.stages += took);
-        made.inspect_err(|e| self.progress(|p| p.why = e.to_string()))
+        made.inspect_err(|e| {
+            let why = match e {
+                StageError::Barred => self.no_target(),
+                _ => e.to_string(),
+            };
+            self.progress(|p| p.why = why);
+        })
+    }
+
+    /// Makes the stages in the regions that are allowed, and once more if those change
+    /// meanwhile: orders are taken back then, and what was made is freed.
+    async fn make_inside(&self, due: Time, target: Option<&Target>) -> Result<Made, StageError> {
+        let mut rounds = ROUNDS;
+        while rounds > 0 {
+            if self.unserved().is_some() {
+                return Err(StageError::Barred);
+            }
+            let allowed = self.allowed_now();
+            let near = target.filter(|t| self.is_allowed_at(&t.id)).map(|t| t.domain.clone());
+            let job = Job {
+                route: &self.route,
+                head: &self.head,
+                near,
+                slack_ms: due.since(self.node.now()).as_millis() as u64,
+                left_ms: self.left().as_millis() as u64,
+                allowed: &allowed,
+                rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
+            };
+            tokio::select! {
+                made = stages::make(&self.node, job) => match made {
+                    Err(StageError::Outside) => rounds -= 1,
+                    end => return end,
+                },
+                () = self.allowed_changes(&allowed) => {}
+            }
+            Event::Moved { id: &self.head.id, version: self.node.table().rules.version }.emit();
+        }
+        Err(StageError::Barred)
     }
 
     /// The final answer of a request that no target answered.
@@ -267,7 +304,13 @@
         }
         let late = self.left().is_zero();
         let (status, come_back, outcome) = match ending {
-            Ending::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK), "not_run"),
+            Ending::NotRun => {
+                if self.unserved().is_some() {
+                    self.node.metrics.barred(&self.route.name);
+                }
+                let come_back = Some(COME_BACK).filter(|_| self.is_reachable());
+                (StatusCode::SERVICE_UNAVAILABLE, come_back, "not_run")
+            }
             Ending::Unknown | Ending::BreakOff if late => {
                 (StatusCode::GATEWAY_TIMEOUT, None, "unknown")
             }
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -98,6 +98,11 @@
             return nothing(exchange, target, Observation::Unreachable, begun, e.to_string());
         }
     };
+    if !exchange.is_allowed_at(&target.id) {
+        // Rules came meanwhile; nothing of the request has gone there yet.
+        exchange.progress(|p| p.why = "its target is not in an allowed region any more".into());
+        return Outcome::Nothing;
+    }
     exchange.progress(|p| p.tries.connected());
     let request = request_for(exchange, target, made, resume_after);
     let work = async {
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -213,6 +213,7 @@
         let exchange = &self.exchange;
         let mut made = None;
         while let Some(choice) = exchange.next_target(None).await {
+            made.take_if(|m| !exchange.is_inside(m));
             if made.is_none() && !exchange.route.stages.is_empty() {
                 let again = exchange.make_stages_again(&choice.target).await;
                 made = Some(again.map_err(NotResumed::Stages)?);
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use model::Name;
-use model::forward::{Handle, PieceResult};
+use model::forward::{Allowed, Handle, PieceResult, TargetId};
 
 use super::order::Placed;
 use super::plan::StageError;
@@ -63,6 +63,18 @@
         self.inputs = handles.map(|h| h.text.clone()).collect();
     }
 
+    /// Whether the results of a stage rest where they may. Its coordinator sees to that, by
+    /// what it knows.
+    pub(super) fn is_inside(&self, stage: usize, allowed: &Allowed) -> bool {
+        let mut makers = self.kept[stage].handles.iter().map(|h| &h.maker);
+        self.node.fleet(|f| makers.all(|maker| f.is_allowed_at(maker, allowed)))
+    }
+
+    /// Targets at which results rest.
+    pub fn makers(&self) -> impl Iterator<Item = &TargetId> {
+        self.kept.iter().flat_map(|k| &k.handles).map(|h| &h.maker)
+    }
+
     /// Handles of the stages that no other stage comes after.
     pub fn inputs(&self) -> &[String] {
         &self.inputs
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -24,6 +24,10 @@
     InputGone,
     /// the request names pieces without a key
     NoKey,
+    /// a result was made outside of the allowed regions
+    Outside,
+    /// no target of a stage is in an allowed region
+    Barred,
 }
 
 /// Makes all stages of a request that has any.
@@ -62,6 +66,7 @@
             continue;
         };
         match made.keep(i, &stages[i].service, placed) {
+            Ok(()) if !made.is_inside(i, job.allowed) => return Err(StageError::Outside),
             Ok(()) => made.release_all(&progress.made(i)),
             Err(StageError::InputGone) if node.settings().policy.recompute => {
                 let again = progress.input_gone(i).ok_or(StageError::InputGone)?;
