What an operator sees of allowed regions, and what a node outside holds

Ruled out: a line for each barred target (one a target and request); the region on the final line (the `chosen` line has it for each send).

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -135,6 +135,23 @@
         }
     }
 
+    /// The region of the last target that was chosen, and the regions that were allowed if the
+    /// rules named any; nothing if no region is known.
+    fn place(&self) -> String {
+        let Some(chosen) = self.lines.iter().rev().find(|l| l.event == "chosen") else {
+            return String::new();
+        };
+        let names = chosen.fields.get("allowed").and_then(Value::as_array);
+        let allowed: Vec<&str> = names.into_iter().flatten().filter_map(Value::as_str).collect();
+        match (chosen.word("region"), allowed.as_slice()) {
+            ("", _) => String::new(),
+            (region, []) => format!("; sent to region {region}, any was allowed"),
+            (region, allowed) => {
+                format!("; sent to region {region}, allowed in {}", allowed.join(", "))
+            }
+        }
+    }
+
     /// What ended the request, in a sentence, from its last line.
     pub fn cause(&self) -> String {
         let Some(end) = self.lines.iter().rev().find(|l| l.event == "request") else {
@@ -153,8 +170,10 @@
                 l.number("took_ms")
             )
         });
-        let times =
-            format!("{took} ms in all, {stages} ms in stages, first event after {first} ms{stage}");
+        let place = self.place();
+        let times = format!(
+            "{took} ms in all, {stages} ms in stages, first event after {first} ms{stage}{place}"
+        );
         match end.word("outcome") {
             "answered" | "streamed" => format!("answered with {}: {times}", end.number("status")),
             "refused" => format!("refused with {} before it ran: {why}", end.number("status")),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -68,6 +68,28 @@
     }
 }
 
+#[test]
+fn the_region_of_the_last_target_is_told_and_what_was_allowed() {
+    let cases = [
+        (
+            r#","region":"south","allowed":["south","west"]"#,
+            "; sent to region south, allowed in south, west",
+        ),
+        (r#","region":"south","allowed":[]"#, "; sent to region south, any was allowed"),
+        (r#","region":"","allowed":[]"#, "first event after 1 ms\n"),
+        ("", "first event after 1 ms\n"),
+    ];
+    for (n, (fields, words)) in cases.into_iter().enumerate() {
+        let chosen = format!(
+            r#"2026-12-02T10:00:01.301 INFO  {{"at_ms":1,"node":"a","event":"chosen","id":"r","target":"i-1"{fields}}}"#
+        );
+        let end = r#"2026-12-02T10:00:01.302 INFO  {"at_ms":2,"node":"a","event":"request","id":"r","status":200,"outcome":"answered","why":"","target":"i-1","stages_ms":1,"first_ms":1,"took_ms":1}"#;
+        let out = explain("r", &[log(&format!("region-{n}"), &[&chosen, end])]);
+        let text = String::from_utf8_lossy(&out.stdout);
+        assert!(text.contains(words), "{fields}: {text}");
+    }
+}
+
 #[test]
 fn an_id_that_is_nowhere_and_a_file_that_is_missing_are_errors() {
     let out = explain("r9", &[log("none", ONE)]);
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -87,7 +87,8 @@
     let (parts, body) = request.into_parts();
     let head = node.dialect.caller(&parts).map_err(|e| {
         let refusal = Refusal::new(StatusCode::BAD_REQUEST, "malformed request").close();
-        log::info!("malformed request: {e}");
+        // By its header alone: what stands in it is the caller's, and may not rest here.
+        log::info!("malformed request: {}", e.place);
         refusal.into_response(node, &CallerHead::default())
     })?;
     node.state_known().await;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -254,10 +254,8 @@
         let took = self.node.now().since(begun);
         self.progress(|p| p.stages += took);
         made.inspect_err(|e| {
-            let why = match e {
-                StageError::Barred => self.no_target(),
-                _ => e.to_string(),
-            };
+            let is_unserved = self.unserved().is_some();
+            let why = if is_unserved { self.no_target() } else { e.to_string() };
             self.progress(|p| p.why = why);
         })
     }
