--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -250,6 +250,7 @@
             let known = &b.target;
             known.id == target.id
                 && known.service == target.service
+                && known.version == target.version
                 && known.domain == target.domain
                 && known.address == target.address
         };
@@ -260,6 +261,7 @@
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
+        self.versions.saw(&target.service, &target.version, target.revision);
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -314,6 +316,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
+        self.versions.gone(&b.target.service, &b.target.version);
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -1,19 +1,355 @@
 //! Which version of a service gets a request.
+//!
+//! Targets and orders reach a node by different watches, in any order; the store's revisions
+//! tell whether the orders are known up to where a version was first seen. Until they are, a
+//! version that came beside another one gets nothing.
 
-use model::forward::Side;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side};
+use model::{Name, Time, hash};
+
+/// What a newer list of orders tells of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutChange {
+    /// A roll-out was ordered, or is under way and this node heard of it now.
+    Began(Rollout),
+    /// The same order has another state.
+    State(Rollout),
+    /// Another order took the place of one.
+    Replaced {
+        /// The one before.
+        before: Rollout,
+        /// The one in force.
+        order: Rollout,
+    },
+    /// The operator withdrew the order.
+    Withdrawn(Rollout),
+}
+
+/// Targets of one version.
+#[derive(Debug)]
+struct Seen {
+    count: usize,
+    /// Lowest revision at which an entry told of it, since it had none.
+    first: u64,
+}
+
+#[derive(Debug)]
+struct Known {
+    /// Revision of the newest list that was heard of.
+    at: u64,
+    /// Revision of the first list with these orders.
+    since: u64,
+    orders: BTreeMap<Name, Rollout>,
+}
+
+/// How a running order is worked by.
+#[derive(Debug)]
+struct Trial {
+    phase: Phase,
+    /// How old the order was at that time.
+    age: (Duration, Time),
+}
 
 /// Versions of services as one node knows them.
 #[derive(Debug, Default)]
-pub struct Versions {}
+pub struct Versions {
+    /// Whether the store is to tell of orders: nothing is sent before it has.
+    followed: bool,
+    known: Option<Known>,
+    seen: BTreeMap<Name, BTreeMap<Name, Seen>>,
+    trials: BTreeMap<Name, Trial>,
+    /// Versions whose order was withdrawn or replaced before it was completed.
+    dropped: BTreeMap<Name, BTreeSet<Name>>,
+}
 
 impl Versions {
+    /// Orders are followed from now on: no version is used before they are known.
+    pub fn follow(&mut self) {
+        self.followed = true;
+    }
+
+    /// Whether orders are known, or none are followed.
+    pub fn is_known(&self) -> bool {
+        !self.followed || self.known.is_some()
+    }
+
+    /// Revision of the newest list; `None` if none is known.
+    pub fn at(&self) -> Option<u64> {
+        self.known.as_ref().map(|k| k.at)
+    }
+
+    /// The list, for another node.
+    pub fn list(&self) -> Option<Rollouts> {
+        let known = self.known.as_ref()?;
+        Some(Rollouts { at: known.at, orders: known.orders.values().cloned().collect() })
+    }
+
+    /// Whether a node that knows the list of a revision, if any, lacks a change.
+    pub fn is_news_since(&self, at: Option<u64>) -> bool {
+        self.known.as_ref().is_some_and(|k| at.is_none_or(|at| at < k.since))
+    }
+
+    /// Takes a list unless a newer one is known; returns what it changes.
+    pub fn take(&mut self, list: Rollouts, now: Time) -> Vec<RolloutChange> {
+        if self.known.as_ref().is_some_and(|known| list.at < known.at) {
+            return Vec::new();
+        }
+        let orders: BTreeMap<Name, Rollout> =
+            list.orders.into_iter().map(|order| (order.service.clone(), order)).collect();
+        let before = match self.known.take() {
+            Some(known) => {
+                let since = if known.orders == orders { known.since } else { list.at };
+                self.known = Some(Known { at: list.at, since, orders: orders.clone() });
+                known.orders
+            }
+            None => {
+                self.known = Some(Known { at: list.at, since: list.at, orders: orders.clone() });
+                BTreeMap::new()
+            }
+        };
+        let mut changes = Vec::new();
+        for (service, order) in &before {
+            if !orders.contains_key(service) {
+                self.withdraw(order);
+                changes.push(RolloutChange::Withdrawn(order.clone()));
+            }
+        }
+        for order in orders.into_values() {
+            let was = before.get(&order.service);
+            changes.extend(self.change(was, order, now));
+        }
+        changes
+    }
+
+    fn change(
+        &mut self,
+        was: Option<&Rollout>,
+        order: Rollout,
+        now: Time,
+    ) -> Option<RolloutChange> {
+        let is_running = !order.state.is_final();
+        if let Some(dropped) = self.dropped.get_mut(&order.service) {
+            dropped.remove(&order.version);
+        }
+        match was {
+            None if is_running => {
+                self.begin(&order, now);
+                Some(RolloutChange::Began(order))
+            }
+            None => Some(RolloutChange::State(order)),
+            Some(was) if was.version != order.version => {
+                self.withdraw(was);
+                if is_running {
+                    self.begin(&order, now);
+                }
+                Some(RolloutChange::Replaced { before: was.clone(), order })
+            }
+            Some(was) if was.state.is_final() && is_running => {
+                self.begin(&order, now);
+                Some(RolloutChange::Began(order))
+            }
+            Some(was) if was.state != order.state => {
+                if order.state.is_final() {
+                    self.trials.remove(&order.service);
+                }
+                Some(RolloutChange::State(order))
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn begin(&mut self, order: &Rollout, now: Time) {
+        // Nothing goes there before the judge has told a share: what a node that is out of
+        // touch sends would not be counted against the cap.
+        let trial = Trial { phase: Phase::Share(0.0), age: (Duration::ZERO, now) };
+        self.trials.insert(order.service.clone(), trial);
+    }
+
+    fn withdraw(&mut self, order: &Rollout) {
+        self.trials.remove(&order.service);
+        if order.state != RolloutState::Completed {
+            let dropped = self.dropped.entry(order.service.clone()).or_default();
+            dropped.insert(order.version.clone());
+        }
+    }
+
+    /// A target of a version came, by an entry of this revision.
+    pub fn saw(&mut self, service: &Name, version: &Name, revision: u64) {
+        let versions = self.seen.entry(service.clone()).or_default();
+        let seen = versions.entry(version.clone()).or_insert(Seen { count: 0, first: revision });
+        seen.count += 1;
+        seen.first = seen.first.min(revision);
+    }
+
+    /// A target of a version is gone.
+    pub fn gone(&mut self, service: &Name, version: &Name) {
+        let Some(versions) = self.seen.get_mut(service) else {
+            return;
+        };
+        if let Some(seen) = versions.get_mut(version) {
+            seen.count = seen.count.saturating_sub(1);
+        }
+        versions.retain(|_, seen| seen.count > 0);
+        if versions.is_empty() {
+            self.seen.remove(service);
+        }
+    }
+
+    /// Revision up to which orders have to be known before every version is settled; `None`
+    /// if all are.
+    pub fn unsettled(&self) -> Option<u64> {
+        if !self.followed {
+            return None;
+        }
+        let at = self.at().unwrap_or(0);
+        let newest = |versions: &BTreeMap<Name, Seen>| {
+            let oldest = versions.values().map(|seen| seen.first).min()?;
+            let newer = versions.values().map(|seen| seen.first).filter(|first| *first > oldest);
+            newer.max()
+        };
+        self.seen.values().filter_map(newest).max().filter(|newest| *newest > at)
+    }
+
+    /// Whether orders are known up to where the version was first seen, or none was seen
+    /// before it.
+    fn is_settled(&self, service: &str, version: &str, at: u64) -> bool {
+        let Some(versions) = self.seen.get(service) else {
+            return true;
+        };
+        let Some(seen) = versions.get(version) else {
+            return true;
+        };
+        seen.first <= at || versions.values().all(|other| seen.first <= other.first)
+    }
+
+    fn order(&self, service: &str) -> Option<&Rollout> {
+        self.known.as_ref()?.orders.get(service)
+    }
+
+    fn count(&self, service: &str, version: &str) -> usize {
+        self.seen.get(service).and_then(|v| v.get(version)).map_or(0, |seen| seen.count)
+    }
+
     /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
-    pub fn side(&self, _service: &str, _version: &str) -> Option<Side> {
-        Some(Side::Serving)
+    pub fn side(&self, service: &str, version: &str) -> Option<Side> {
+        if !self.followed {
+            return Some(Side::Serving);
+        }
+        let known = self.known.as_ref()?;
+        if !self.is_settled(service, version, known.at) || self.is_dropped(service, version) {
+            return None;
+        }
+        let Some(order) = known.orders.get(service) else {
+            return Some(Side::Serving);
+        };
+        let is_named = *order.version == *version;
+        match order.state {
+            RolloutState::RolledBack if is_named => None,
+            RolloutState::RolledBack => Some(Side::Serving),
+            RolloutState::Completed if is_named => Some(Side::Serving),
+            RolloutState::Completed => {
+                let first = self.seen.get(service)?.get(version)?.first;
+                (first > order.revision).then_some(Side::Serving)
+            }
+            RolloutState::Ordered | RolloutState::Active => {
+                self.side_of_running(service, is_named, order)
+            }
+        }
+    }
+
+    fn side_of_running(&self, service: &str, is_named: bool, order: &Rollout) -> Option<Side> {
+        let phase = self.trials.get(service).map(|trial| trial.phase);
+        match phase {
+            Some(Phase::Back) if is_named => None,
+            _ if is_named => Some(Side::Trial),
+            // As long as the new version can take all of them.
+            Some(Phase::All) if self.count(service, &order.version) > 0 => None,
+            _ => Some(Side::Serving),
+        }
+    }
+
+    /// Whether its order was withdrawn, and another version can serve.
+    fn is_dropped(&self, service: &str, version: &str) -> bool {
+        let is_listed = self.dropped.get(service).is_some_and(|d| d.contains(version));
+        let others = || self.seen.get(service).into_iter().flat_map(|versions| versions.keys());
+        is_listed && others().any(|other| **other != *version)
     }
 
     /// The side that a request goes to; always the same for one attempt while the phase holds.
-    pub fn turn(&self, _service: &str, _attempt: &str) -> Side {
-        Side::Serving
+    pub fn turn(&self, service: &str, attempt: &str) -> Side {
+        let Some(trial) = self.trials.get(service) else {
+            return Side::Serving;
+        };
+        let chance = match trial.phase {
+            Phase::Share(chance) => chance,
+            Phase::All => 1.0,
+            Phase::Back => 0.0,
+        };
+        let Some(order) = self.order(service).filter(|_| draw(service, attempt) < chance) else {
+            return Side::Serving;
+        };
+        let is_there = self.count(service, &order.version) > 0;
+        match self.side(service, &order.version) {
+            Some(Side::Trial) if is_there => Side::Trial,
+            _ => Side::Serving,
+        }
+    }
+
+    /// Orders that are under way.
+    pub fn running(&self) -> impl Iterator<Item = &Rollout> {
+        let orders = self.known.iter().flat_map(|known| known.orders.values());
+        orders.filter(|order| !order.state.is_final())
+    }
+
+    /// Phase of a service's running order.
+    pub fn phase(&self, service: &str) -> Option<Phase> {
+        self.trials.get(service).map(|trial| trial.phase)
+    }
+
+    /// Works by another phase of an order from now on; returns whether that is a change. What
+    /// was taken back stays so, and what all requests were sent to does not go back to a share.
+    pub fn set_phase(&mut self, service: &str, version: &str, phase: Phase, now: Time) -> bool {
+        if self.order(service).is_none_or(|order| *order.version != *version) {
+            return false;
+        }
+        let Some(trial) = self.trials.get_mut(service) else {
+            return false;
+        };
+        let stays = match (trial.phase, phase) {
+            (Phase::Back, _) | (Phase::All, Phase::Share(_)) => true,
+            (was, is) => was == is,
+        };
+        if stays {
+            return false;
+        }
+        trial.phase = phase;
+        trial.age = (trial.age.0 + now.since(trial.age.1), now);
+        true
+    }
+
+    /// Time since any node first heard of a service's running order, as far as is known here.
+    pub fn age(&self, service: &str, now: Time) -> Option<Duration> {
+        let (age, at) = self.trials.get(service)?.age;
+        Some(age + now.since(at))
     }
+
+    /// The order is at least so old: another node heard of it before.
+    pub fn set_age(&mut self, service: &str, at_least: Duration, now: Time) {
+        let Some(age) = self.age(service, now) else {
+            return;
+        };
+        if let Some(trial) = self.trials.get_mut(service) {
+            trial.age = (age.max(at_least), now);
+        }
+    }
+}
+
+/// A number in 0..1 that belongs to an attempt; by hash, so that nodes need no counts, a
+/// restarted node forgets nothing, and repeats of an attempt count once.
+fn draw(service: &str, attempt: &str) -> f64 {
+    let drawn = hash::mix(hash::of(attempt.as_bytes()), hash::of(service.as_bytes()));
+    (drawn >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/model/src/forward/rollout.rs
+++ b/crates/model/src/forward/rollout.rs
@@ -83,8 +83,8 @@
     Back,
 }
 
-/// What was seen of one version's answers on one route; times fall into buckets, each ending at
-/// twice the square root of the one before.
+/// What was seen of one version's answers on one route; times fall into buckets, the first one
+/// ending at a millisecond, each other at √2 times the one before.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answers {
     /// Requests sent there.
