--- /dev/null
+++ b/crates/decide/src/rollout/baseline.rs
@@ -0,0 +1,74 @@
+//! What is usual on a route: counted of the version that serves, over the whole time and of
+//! late, since an overload or a fault that hits both versions tells nothing of the new one.
+
+use super::sequential::Usual;
+use super::times;
+
+/// Good answers from which on their times tell what is slow.
+const TIMES_NEEDED: u64 = 10;
+/// Buckets by which an answer lies above the slowest tenth if it is slow: 1.4 to 2 times.
+const ABOVE_MOST: usize = 1;
+/// … and above the middle: 2 to 2.8 times, which a version three times slower passes.
+const ABOVE_MIDDLE: usize = 2;
+
+/// Answers of the version that serves on one route.
+#[derive(Debug, Default)]
+pub struct Baseline {
+    failed: u64,
+    times: Vec<u32>,
+    failed_late: f64,
+    times_late: Vec<f64>,
+}
+
+impl Baseline {
+    /// Takes answers.
+    pub fn take(&mut self, failed: u32, good: &[u32]) {
+        self.failed += u64::from(failed);
+        self.failed_late += f64::from(failed);
+        times::add(&mut self.times, good);
+        if self.times_late.len() < good.len() {
+            self.times_late.resize(good.len(), 0.0);
+        }
+        for (sum, n) in self.times_late.iter_mut().zip(good) {
+            *sum += f64::from(*n);
+        }
+    }
+
+    /// Keeps this part of the weight of late answers.
+    pub fn fade(&mut self, keep: f64) {
+        self.failed_late *= keep;
+        self.times_late.iter_mut().for_each(|n| *n *= keep);
+    }
+
+    /// Failures so far.
+    pub fn failed(&self) -> u64 {
+        self.failed
+    }
+
+    /// How often an answer is a failure.
+    pub fn failures(&self, before: Usual) -> Usual {
+        let good = times::total(&self.times);
+        let whole = Usual::seen(self.failed as f64, (self.failed + good) as f64, before);
+        let good_late: f64 = self.times_late.iter().sum();
+        Usual::seen(self.failed_late, self.failed_late + good_late, whole)
+    }
+
+    /// Bucket from which on a time is slow; `None` if too few are known.
+    pub fn slow_from(&self) -> Option<usize> {
+        if times::total(&self.times) < TIMES_NEEDED {
+            return None;
+        }
+        let middle = times::quantile(&self.times, 0.5)?;
+        let most = times::quantile(&self.times, 0.9)?;
+        Some((most + ABOVE_MOST).max(middle + ABOVE_MIDDLE) + 1)
+    }
+
+    /// How often a time lies in a bucket from this one on.
+    pub fn slow(&self, from: usize) -> Usual {
+        let slow = times::count_from(&self.times, from);
+        let good = times::total(&self.times);
+        let whole = Usual::seen(slow as f64, good as f64, Usual::UNKNOWN);
+        let slow_late: f64 = self.times_late.iter().skip(from).sum();
+        Usual::seen(slow_late, self.times_late.iter().sum(), whole)
+    }
+}
--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -6,48 +6,126 @@
 use model::Name;
 use model::forward::{Answers, RouteEvidence, Side};
 
-use super::Verdict;
-use super::times;
+use super::baseline::Baseline;
+use super::sequential::{Test, Usual};
+use super::{Cause, Tally, Verdict, times};
+
+/// Part of the weight of late answers that each new one leaves: the last fifty count.
+const KEEP: f64 = 0.98;
+/// Nodes that judge by themselves beside each other; each has its chance of a false alarm.
+const NODES: usize = 100;
+
+/// One route.
+#[derive(Debug)]
+struct Seen {
+    counts: RouteEvidence,
+    baseline: Baseline,
+    slow: u64,
+    failures_test: Test,
+    slow_test: Test,
+}
+
+impl Seen {
+    fn new(route: Name) -> Self {
+        let counts =
+            RouteEvidence { route, serving: Answers::default(), trial: Answers::default() };
+        Seen {
+            counts,
+            baseline: Baseline::default(),
+            slow: 0,
+            failures_test: Test::default(),
+            slow_test: Test::default(),
+        }
+    }
+
+    fn side(&mut self, side: Side) -> &mut Answers {
+        match side {
+            Side::Serving => &mut self.counts.serving,
+            Side::Trial => &mut self.counts.trial,
+        }
+    }
+
+    fn serves(&mut self, failed: u32, good: &[u32]) {
+        self.baseline.fade(KEEP);
+        self.baseline.take(failed, good);
+    }
+
+    fn tries_well(&mut self, bucket: usize) {
+        self.failures_test.take(0.0, 1.0, self.baseline.failures(Usual::UNKNOWN));
+        let Some(from) = self.baseline.slow_from() else {
+            return;
+        };
+        let slow = if bucket >= from { 1.0 } else { 0.0 };
+        self.slow += u64::from(bucket >= from);
+        self.slow_test.take(slow, 1.0 - slow, self.baseline.slow(from));
+    }
+
+    fn verdict(&self, cause: Cause) -> Verdict {
+        let Answers { sent, bad, .. } = self.counts.trial;
+        let trial = Tally { sent: u64::from(sent), bad: u64::from(bad) + self.slow };
+        let Answers { sent, bad, .. } = self.counts.serving;
+        let serving = Tally { sent: u64::from(sent), bad: u64::from(bad) };
+        Verdict { cause, route: Some(self.counts.route.clone()), trial, serving }
+    }
+
+    fn proves_bad(&self, tests: usize) -> Option<Verdict> {
+        if self.failures_test.proof(tests) >= 1.0 {
+            return Some(self.verdict(Cause::Failures));
+        }
+        (self.slow_test.proof(tests) >= 1.0).then(|| self.verdict(Cause::Slow))
+    }
+}
 
 /// By service and route, both sides, since the order.
 #[derive(Debug, Default)]
 pub struct Evidence {
-    services: BTreeMap<Name, BTreeMap<Name, RouteEvidence>>,
+    services: BTreeMap<Name, BTreeMap<Name, Seen>>,
 }
 
 impl Evidence {
-    fn answers(&mut self, service: &Name, route: &Name, side: Side) -> &mut Answers {
+    fn seen(&mut self, service: &Name, route: &Name) -> &mut Seen {
         let routes = self.services.entry(service.clone()).or_default();
-        let seen = routes.entry(route.clone()).or_insert_with(|| RouteEvidence {
-            route: route.clone(),
-            serving: Answers::default(),
-            trial: Answers::default(),
-        });
-        match side {
-            Side::Serving => &mut seen.serving,
-            Side::Trial => &mut seen.trial,
-        }
+        routes.entry(route.clone()).or_insert_with(|| Seen::new(route.clone()))
     }
 
     /// A request went out, repeats included.
     pub fn sent(&mut self, service: &Name, route: &Name, side: Side) {
-        self.answers(service, route, side).sent += 1;
+        self.seen(service, route).side(side).sent += 1;
     }
 
     /// A good answer came after this time; from a target that was not cold.
     pub fn good(&mut self, service: &Name, route: &Name, side: Side, took: Duration) {
-        times::count(&mut self.answers(service, route, side).times, took);
+        let seen = self.seen(service, route);
+        times::count(&mut seen.side(side).times, took);
+        let bucket = times::bucket(took);
+        match side {
+            Side::Serving => {
+                let mut good = Vec::new();
+                times::count(&mut good, took);
+                seen.serves(0, &good);
+            }
+            Side::Trial => seen.tries_well(bucket),
+        }
     }
 
     /// An answer was a failure of the version: not a connection that was refused or broke,
     /// which tells of a target, nor a refusal because it was full.
     pub fn bad(&mut self, service: &Name, route: &Name, side: Side) {
-        self.answers(service, route, side).bad += 1;
+        let seen = self.seen(service, route);
+        seen.side(side).bad += 1;
+        match side {
+            Side::Serving => seen.serves(1, &[]),
+            Side::Trial => {
+                let usual = seen.baseline.failures(Usual::UNKNOWN);
+                seen.failures_test.take(1.0, 0.0, usual);
+            }
+        }
     }
 
     /// All of a service, for the judge.
     pub fn report(&self, service: &str) -> Vec<RouteEvidence> {
-        self.services.get(service).into_iter().flat_map(|routes| routes.values()).cloned().collect()
+        let routes = self.services.get(service).into_iter().flat_map(|routes| routes.values());
+        routes.map(|seen| seen.counts.clone()).collect()
     }
 
     /// The order is over, or another one began.
@@ -56,7 +134,9 @@
     }
 
     /// Whether this node's own requests alone prove the version on trial bad.
-    pub fn proves_bad(&self, _service: &str) -> Option<Verdict> {
-        None
+    pub fn proves_bad(&self, service: &str) -> Option<Verdict> {
+        let routes = self.services.get(service)?;
+        let tests = 2 * routes.len() * NODES;
+        routes.values().find_map(|seen| seen.proves_bad(tests))
     }
 }
--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -1,4 +1,11 @@
 //! Decides one order, at the node that comes first.
+//!
+//! Two judges at a time are harmless: each tells the nodes that report to it, a state is written
+//! under the order's revision, and one that the store has as final ends the judge whatever it
+//! decided. A judge keeps nothing that reports do not bring again.
+
+mod nodes;
+mod writes;
 
 use std::time::Duration;
 
@@ -6,7 +13,20 @@
 use model::forward::{Phase, Rollout, RolloutAnswer, RolloutReport, RolloutState};
 use model::member::NodeId;
 
-use super::Verdict;
+use super::plan::{Known, Plan};
+use super::pool::Pool;
+use super::{Cause, Verdict};
+use nodes::Nodes;
+use writes::Writes;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Part of the proof that a version is bad from which on it gets no more than it has.
+const DOUBT: f64 = 0.7;
+/// Targets on trial that bear all requests, for each that serves.
+const BEARS: f64 = 0.8;
+/// Part of a change of the share below which the nodes are not told of it.
+const SHARE_STEP: f64 = 0.25;
 
 /// What an operator allows of a version that may be bad.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,8 +55,8 @@
         /// Of the version on trial.
         trial: usize,
     },
-    /// A write of a state ended; whether it stands. `false` if it was refused or its answer
-    /// was lost: the order as the store has it then has to follow.
+    /// A write of a state ended; whether it stands. After `false` (refused, or its answer
+    /// lost) the order has to be read in the store and told.
     WriteEnded(bool),
     /// Time passed.
     Tick,
@@ -61,27 +81,74 @@
 /// Decides one order.
 #[derive(Debug)]
 pub struct Judge {
-    _bounds: Bounds,
-    _order: Rollout,
-    phase: Phase,
+    bounds: Bounds,
+    plan: Plan,
+    order: Rollout,
     age: (Duration, Time),
+    phase: Phase,
+    /// Since when the greater share is in force.
+    step: Option<Time>,
+    /// Since when all requests go to the version.
+    all: Option<Time>,
+    targets: (usize, usize),
+    pool: Pool,
+    nodes: Nodes,
+    writes: Writes,
+    /// Since when `Completed` may stand in the store.
+    completing: Option<Time>,
+    ended: bool,
 }
 
 impl Judge {
     /// Takes up an order of this age.
     pub fn new(bounds: Bounds, order: Rollout, age: Duration, now: Time) -> Self {
-        Judge { _bounds: bounds, _order: order, phase: Phase::Share(0.0), age: (age, now) }
+        let mut judge = Judge {
+            bounds,
+            plan: Plan::new(bounds, Duration::from_millis(order.lasts_ms)),
+            order,
+            age: (age, now),
+            phase: Phase::Share(0.0),
+            step: None,
+            all: None,
+            targets: (0, 0),
+            pool: Pool::new(now),
+            nodes: Nodes::new(now),
+            writes: Writes::default(),
+            completing: None,
+            ended: false,
+        };
+        judge.end_if_final();
+        judge
     }
 
     /// Takes what happened; returns what is to be done.
-    pub fn on(&mut self, _now: Time, _event: JudgeEvent) -> Vec<JudgeAction> {
-        Vec::new()
+    pub fn on(&mut self, now: Time, event: JudgeEvent) -> Vec<JudgeAction> {
+        if self.ended {
+            return Vec::new();
+        }
+        let before = self.phase;
+        let mut actions = Vec::new();
+        self.nodes.awake(now);
+        match event {
+            JudgeEvent::Report(report) => self.report(report, now, &mut actions),
+            JudgeEvent::Nodes(up) => self.nodes.set_up(up),
+            JudgeEvent::Order(order) => self.take_order(order),
+            JudgeEvent::Targets { serving, trial } => self.targets = (serving, trial),
+            JudgeEvent::WriteEnded(stands) => self.write_ended(stands),
+            JudgeEvent::Tick => {}
+        }
+        if !self.ended {
+            self.decide(now, &mut actions);
+        }
+        if self.phase != before {
+            actions.push(JudgeAction::Phase(self.phase));
+        }
+        actions
     }
 
     /// What every report is answered with.
     pub fn answer(&self, now: Time) -> RolloutAnswer {
-        let age = self.age.0 + now.since(self.age.1);
-        RolloutAnswer { phase: self.phase, age_ms: age.as_millis() as u64 }
+        RolloutAnswer { phase: self.phase, age_ms: self.age(now).as_millis() as u64 }
     }
 
     /// The phase in force.
@@ -91,6 +158,194 @@
 
     /// When `Tick` is due next.
     pub fn next_tick(&self, now: Time) -> Time {
-        now + Duration::from_millis(100)
+        if self.ended { Time::NEVER } else { now + TICK }
+    }
+
+    fn age(&self, now: Time) -> Duration {
+        self.age.0 + now.since(self.age.1)
+    }
+
+    fn report(&mut self, report: RolloutReport, now: Time, actions: &mut Vec<JudgeAction>) {
+        if report.service != self.order.service || report.version != self.order.version {
+            return;
+        }
+        let age = Duration::from_millis(report.age_ms).max(self.age(now));
+        self.age = (age, now);
+        self.nodes.reported(&report, now);
+        self.pool.take(&report.node, report.evidence, now);
+        match report.phase {
+            Phase::Back => self.take_back(Cause::Reported, now, actions),
+            Phase::All => self.all_from(now),
+            Phase::Share(_) => {}
+        }
+    }
+
+    fn take_order(&mut self, order: Rollout) {
+        if order.version != self.order.version || order.service != self.order.service {
+            self.ended = true;
+            return;
+        }
+        if order.revision < self.order.revision {
+            return;
+        }
+        self.plan = Plan::new(self.bounds, Duration::from_millis(order.lasts_ms));
+        self.order = order;
+        self.writes.order_seen();
+        if self.writes.is_idle() {
+            self.completing = None;
+        }
+        self.end_if_final();
+    }
+
+    fn end_if_final(&mut self) {
+        match self.order.state {
+            RolloutState::Completed => self.phase = Phase::All,
+            RolloutState::RolledBack => self.phase = Phase::Back,
+            RolloutState::Ordered | RolloutState::Active => return,
+        }
+        self.ended = true;
+    }
+
+    fn write_ended(&mut self, stands: bool) {
+        let Some(state) = self.writes.ended(stands, self.order.state) else {
+            return;
+        };
+        if state.is_final() {
+            self.order.state = state;
+            self.end_if_final();
+        }
+    }
+
+    fn decide(&mut self, now: Time, actions: &mut Vec<JudgeAction>) {
+        let (proof, verdict) = self.pool.strongest();
+        if proof >= 1.0 {
+            self.judge_bad(verdict, now, actions);
+        }
+        match self.phase {
+            Phase::Back => {}
+            Phase::Share(_) => self.go_on(proof, now, actions),
+            Phase::All => self.finish(proof, now, actions),
+        }
+        let state = match self.phase {
+            Phase::Back => RolloutState::RolledBack,
+            Phase::All if self.completing.is_some() => RolloutState::Completed,
+            Phase::All | Phase::Share(_) => RolloutState::Active,
+        };
+        actions.extend(self.writes.want(state, self.order.state).map(JudgeAction::Write));
+    }
+
+    fn take_back(&mut self, cause: Cause, now: Time, actions: &mut Vec<JudgeAction>) {
+        self.judge_bad(self.pool.verdict(cause, None), now, actions);
+    }
+
+    fn judge_bad(&mut self, verdict: Verdict, now: Time, actions: &mut Vec<JudgeAction>) {
+        if self.phase == Phase::Back {
+            return;
+        }
+        // The old targets may have been stopped by now: going back would cut everybody off
+        // for as long as the store does not tell, which is worse than some bad answers.
+        if self.completing.is_some_and(|since| now < since + self.bounds.back / 2) {
+            return;
+        }
+        self.phase = Phase::Back;
+        actions.push(JudgeAction::Judged { verdict, age: self.age(now) });
+    }
+
+    fn all_from(&mut self, now: Time) {
+        if self.phase != Phase::Back {
+            self.phase = Phase::All;
+            self.all.get_or_insert(now);
+        }
+    }
+
+    fn known(&self, now: Time) -> Known {
+        let (serving, trial) = self.targets;
+        let seconds = |share| self.pool.time(share).unwrap_or_default().as_secs_f64();
+        Known {
+            age: self.age(now).as_secs_f64(),
+            sent: self.pool.sent() as f64,
+            tried: self.pool.tried() as f64,
+            rate: self.pool.rate(now),
+            chance: if let Phase::Share(chance) = self.phase { chance } else { 0.0 },
+            longest: seconds(0.99),
+            middle: seconds(0.5),
+            targets: trial as f64 / (serving + trial).max(1) as f64,
+        }
+    }
+
+    fn bears_all(&self) -> bool {
+        let (serving, trial) = self.targets;
+        trial > 0 && trial as f64 >= BEARS * serving as f64
+    }
+
+    /// Chooses the share, and whether all requests may go to the version.
+    fn go_on(&mut self, proof: f64, now: Time, actions: &mut Vec<JudgeAction>) {
+        let known = self.known(now);
+        let is_late = known.age >= self.plan.write_by();
+        if is_late && !self.bears_all() {
+            return self.take_back(Cause::Targets, now, actions);
+        }
+        if is_late && proof >= DOUBT {
+            return self.take_back(Cause::Doubtful, now, actions);
+        }
+        let Some(step) = self.step else {
+            let is_due = known.age >= self.plan.step_at(&known);
+            if is_due && proof < DOUBT && self.bears_all() {
+                self.step = Some(now);
+                let chance = self.plan.greater(&known).max(known.chance);
+                self.phase = Phase::Share(chance);
+            } else {
+                self.set_share(self.plan.share(&known));
+            }
+            return;
+        };
+        let is_shown = now.since(step).as_secs_f64() >= self.plan.step(&known);
+        if proof >= DOUBT || !is_shown || known.age < self.plan.all_at(&known) {
+            return;
+        }
+        if self.bears_all() && self.plan.fits_all(&known) {
+            self.all_from(now);
+        } else {
+            // What is left of the cap is kept for the step to all.
+            self.set_share(0.0);
+        }
+    }
+
+    fn set_share(&mut self, chance: f64) {
+        let Phase::Share(is) = self.phase else {
+            return;
+        };
+        let changed = (chance - is).abs() > SHARE_STEP * is || (chance == 0.0) != (is == 0.0);
+        if changed {
+            self.phase = Phase::Share(chance);
+        }
+    }
+
+    /// Completes the order once no node uses the old version.
+    fn finish(&mut self, proof: f64, now: Time, actions: &mut Vec<JudgeAction>) {
+        let known = self.known(now);
+        let is_late = known.age >= self.plan.write_by();
+        if self.completing.is_some() {
+            return;
+        }
+        if is_late && proof >= DOUBT {
+            return self.take_back(Cause::Doubtful, now, actions);
+        }
+        let (_, trial) = self.targets;
+        if trial == 0 {
+            if is_late {
+                self.take_back(Cause::Targets, now, actions);
+            }
+            return;
+        }
+        let Some(since) = self.all else {
+            return;
+        };
+        // Completing sooner gains nothing: the version gets all requests either way, and can
+        // be taken back until then.
+        let is_shown = now.since(since).as_secs_f64() >= self.plan.seen_after(&known);
+        if is_late && is_shown && proof < DOUBT && self.nodes.are_done(since, now) {
+            self.completing = Some(now);
+        }
     }
 }
--- a/crates/decide/src/rollout/mod.rs
+++ b/crates/decide/src/rollout/mod.rs
@@ -5,8 +5,12 @@
 //! adds up the evidence of all and decides the phase and the state. Design and ways weighed:
 //! docs/design/rollouts.md.
 
+mod baseline;
 mod evidence;
 mod judge;
+mod plan;
+mod pool;
+mod sequential;
 mod times;
 mod verdict;
 mod versions;
--- /dev/null
+++ b/crates/decide/src/rollout/pool.rs
@@ -0,0 +1,201 @@
+//! The evidence of all nodes, added up.
+//!
+//! Each report carries a node's counts since the order; what they grew by since its last one is
+//! added, so that a lost report costs nothing and one that comes twice or late adds nothing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::forward::{Answers, RouteEvidence};
+use model::member::NodeId;
+use model::{Name, Time};
+
+use super::baseline::Baseline;
+use super::sequential::{Test, Usual};
+use super::{Cause, Tally, Verdict, times};
+
+/// Time in which what counts as late loses two thirds of its weight.
+const LATE: Duration = Duration::from_secs(2);
+/// Least time between two losses of weight.
+const FADE_STEP: Duration = Duration::from_millis(50);
+
+/// One route, over all nodes.
+#[derive(Debug, Default)]
+struct Route {
+    baseline: Baseline,
+    serving: Tally,
+    trial: Tally,
+    failures: Test,
+    slow: Test,
+}
+
+/// All that is known of both versions.
+#[derive(Debug)]
+pub struct Pool {
+    last: BTreeMap<NodeId, BTreeMap<Name, RouteEvidence>>,
+    routes: BTreeMap<Name, Route>,
+    failures: Test,
+    slow: Test,
+    /// Good answers of the version that serves, all routes.
+    times: Vec<u32>,
+    serving: Tally,
+    trial: Tally,
+    sent_late: f64,
+    faded: Time,
+    since: Time,
+}
+
+impl Pool {
+    /// Nothing is known yet.
+    pub fn new(now: Time) -> Self {
+        Pool {
+            last: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            failures: Test::default(),
+            slow: Test::default(),
+            times: Vec::new(),
+            serving: Tally::default(),
+            trial: Tally::default(),
+            sent_late: 0.0,
+            faded: now,
+            since: now,
+        }
+    }
+
+    /// Takes what a node saw.
+    pub fn take(&mut self, node: &NodeId, evidence: Vec<RouteEvidence>, now: Time) {
+        self.fade(now);
+        let is_first = !self.last.contains_key(node);
+        let mut last = self.last.remove(node).unwrap_or_default();
+        for seen in evidence {
+            let before = last.get(&seen.route);
+            let serving = grown(&seen.serving, before.map(|b| &b.serving));
+            let trial = grown(&seen.trial, before.map(|b| &b.trial));
+            let (Some(serving), Some(trial)) = (serving, trial) else {
+                continue;
+            };
+            if !is_first {
+                self.sent_late += f64::from(serving.sent) + f64::from(trial.sent);
+            }
+            self.add(&seen.route, &serving, &trial);
+            last.insert(seen.route.clone(), seen);
+        }
+        self.last.insert(node.clone(), last);
+    }
+
+    fn add(&mut self, route: &Name, serving: &Answers, trial: &Answers) {
+        let elsewhere = self.usual_elsewhere();
+        let route = self.routes.entry(route.clone()).or_default();
+        route.baseline.take(serving.bad, &serving.times);
+        times::add(&mut self.times, &serving.times);
+        let usual = route.baseline.failures(elsewhere);
+        let good = times::total(&trial.times) as f64;
+        let bad = f64::from(trial.bad);
+        let evidence = Test::weigh(bad, good, usual);
+        route.failures.add(evidence, bad + good);
+        self.failures.add(evidence, bad + good);
+        let from = route.baseline.slow_from();
+        let count_slow = |counts: &[u32]| from.map_or(0, |from| times::count_from(counts, from));
+        let slow = count_slow(&trial.times);
+        if let Some(from) = from {
+            let usual = route.baseline.slow(from);
+            let evidence = Test::weigh(slow as f64, good - slow as f64, usual);
+            route.slow.add(evidence, good);
+            self.slow.add(evidence, good);
+        }
+        let serving_bad = u64::from(serving.bad) + count_slow(&serving.times);
+        for tally in [&mut route.serving, &mut self.serving] {
+            tally.sent += u64::from(serving.sent);
+            tally.bad += serving_bad;
+        }
+        for tally in [&mut route.trial, &mut self.trial] {
+            tally.sent += u64::from(trial.sent);
+            tally.bad += u64::from(trial.bad) + slow;
+        }
+    }
+
+    /// How often the version that serves fails over all routes: believed of a route on which
+    /// it was not seen.
+    fn usual_elsewhere(&self) -> Usual {
+        let failed: u64 = self.routes.values().map(|route| route.baseline.failed()).sum();
+        let good = times::total(&self.times);
+        Usual::seen(failed as f64, (failed + good) as f64, Usual::UNKNOWN)
+    }
+
+    fn fade(&mut self, now: Time) {
+        let passed = now.since(self.faded);
+        if passed < FADE_STEP {
+            return;
+        }
+        self.faded = now;
+        let keep = (-passed.as_secs_f64() / LATE.as_secs_f64()).exp();
+        self.sent_late *= keep;
+        self.routes.values_mut().for_each(|route| route.baseline.fade(keep));
+    }
+
+    /// The strongest evidence against the version on trial, as part of what proves it bad.
+    pub fn strongest(&self) -> (f64, Verdict) {
+        let tests = 2 * (self.routes.len() + 1);
+        let of_all = |cause, test: &Test| (test.proof(tests), self.verdict(cause, None));
+        let mut strongest = of_all(Cause::Failures, &self.failures);
+        let slow = of_all(Cause::Slow, &self.slow);
+        if slow.0 > strongest.0 {
+            strongest = slow;
+        }
+        for (name, route) in &self.routes {
+            for (cause, test) in [(Cause::Failures, route.failures), (Cause::Slow, route.slow)] {
+                let proof = test.proof(tests);
+                if proof > strongest.0 {
+                    strongest = (proof, self.verdict(cause, Some(name)));
+                }
+            }
+        }
+        strongest
+    }
+
+    /// A verdict with all that was counted.
+    pub fn verdict(&self, cause: Cause, route: Option<&Name>) -> Verdict {
+        let of_route = route.and_then(|name| self.routes.get(name));
+        let (trial, serving) =
+            of_route.map_or((self.trial, self.serving), |route| (route.trial, route.serving));
+        Verdict { cause, route: route.cloned(), trial, serving }
+    }
+
+    /// Requests to either version.
+    pub fn sent(&self) -> u64 {
+        self.serving.sent + self.trial.sent
+    }
+
+    /// Requests to the version on trial.
+    pub fn tried(&self) -> u64 {
+        self.trial.sent
+    }
+
+    /// Requests a second of late.
+    pub fn rate(&self, now: Time) -> f64 {
+        let seen = now.since(self.since).as_secs_f64();
+        let weight = LATE.as_secs_f64() * (1.0 - (-seen / LATE.as_secs_f64()).exp());
+        let kept = (-now.since(self.faded).as_secs_f64() / LATE.as_secs_f64()).exp();
+        self.sent_late * kept / weight.max(0.1)
+    }
+
+    /// Time within which this share of the good answers of the version that serves came.
+    pub fn time(&self, share: f64) -> Option<Duration> {
+        times::quantile(&self.times, share).map(times::end)
+    }
+}
+
+/// By how much counts grew; `None` if they are older than those known.
+fn grown(is: &Answers, was: Option<&Answers>) -> Option<Answers> {
+    let Some(was) = was else {
+        return Some(is.clone());
+    };
+    let mut times = Vec::with_capacity(is.times.len());
+    for (bucket, n) in is.times.iter().enumerate() {
+        times.push(n.checked_sub(was.times.get(bucket).copied().unwrap_or(0))?);
+    }
+    if was.times.len() > is.times.len() {
+        return None;
+    }
+    Some(Answers { sent: is.sent.checked_sub(was.sent)?, bad: is.bad.checked_sub(was.bad)?, times })
+}
--- /dev/null
+++ b/crates/decide/src/rollout/sequential.rs
@@ -0,0 +1,67 @@
+//! A sequential probability ratio test (Wald 1945) that starts anew whenever the evidence
+//! speaks for the version (Page's cumulative sum 1954), so that one which turns bad after
+//! minutes is seen as soon as one that is bad at once.
+
+/// Chance of a false roll-back that one test may add in a whole roll-out. A false one costs
+/// the operator a new order; a missed one is caught by the tests that follow each other until
+/// the version is completed, and its harm is bounded by the share. So the first is held low
+/// and no bound is put on the second but the time that the test takes.
+const FALSE_ALARM: f64 = 1e-3;
+/// Answers after which a sum may have started anew; that many more chances for a false alarm.
+const FRESH_START: f64 = 25.0;
+/// Part of the answers that a bad version spoils at least; smaller ones need more answers.
+const SPOILT: f64 = 0.15;
+/// Lowest rate that is believed of the version that serves; a good one fails now and then too.
+const LOWEST: f64 = 0.01;
+/// Weight of what was believed before, in answers.
+const PRIOR_WEIGHT: f64 = 20.0;
+
+/// How often answers are bad while a version is good.
+#[derive(Debug, Clone, Copy)]
+pub struct Usual(f64);
+
+impl Usual {
+    /// Believed where nothing is known.
+    pub const UNKNOWN: Usual = Usual(0.02);
+
+    /// As `bad` of `count` answers and what was believed before tell.
+    pub fn seen(bad: f64, count: f64, before: Usual) -> Usual {
+        let rate = (bad + PRIOR_WEIGHT * before.0) / (count + PRIOR_WEIGHT);
+        Usual(rate.clamp(LOWEST, 0.9))
+    }
+}
+
+/// Evidence against a version, as a logarithm of odds that starts anew at 0.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Test {
+    sum: f64,
+    count: f64,
+}
+
+impl Test {
+    /// Evidence that these answers add.
+    pub fn weigh(bad: f64, good: f64, usual: Usual) -> f64 {
+        let if_good = usual.0;
+        let if_bad = if_good + SPOILT * (1.0 - if_good);
+        bad * (if_bad / if_good).ln() + good * ((1.0 - if_bad) / (1.0 - if_good)).ln()
+    }
+
+    /// Takes answers and the evidence that they add.
+    pub fn add(&mut self, evidence: f64, count: f64) {
+        self.sum = (self.sum + evidence).max(0.0);
+        self.count += count;
+    }
+
+    /// Takes answers.
+    pub fn take(&mut self, bad: f64, good: f64, usual: Usual) {
+        self.add(Test::weigh(bad, good, usual), bad + good);
+    }
+
+    /// Evidence as part of what proves the version bad, where `tests` are made side by side.
+    pub fn proof(&self, tests: usize) -> f64 {
+        let needed = (1.0 / FALSE_ALARM).ln()
+            + (tests.max(1) as f64).ln()
+            + (1.0 + self.count / FRESH_START).ln();
+        self.sum / needed
+    }
+}
--- a/crates/decide/src/rollout/times.rs
+++ b/crates/decide/src/rollout/times.rs
@@ -13,6 +13,11 @@
     (place as usize).min(BUCKETS - 1)
 }
 
+/// Where a bucket ends.
+pub fn end(bucket: usize) -> Duration {
+    Duration::from_secs_f64(2f64.powf(bucket as f64 / 2.0) / 1000.0)
+}
+
 /// Counts a time.
 pub fn count(times: &mut Vec<u32>, took: Duration) {
     let bucket = bucket(took);
@@ -21,3 +26,35 @@
     }
     times[bucket] = times[bucket].saturating_add(1);
 }
+
+/// Adds counts bucket by bucket.
+pub fn add(to: &mut Vec<u32>, counts: &[u32]) {
+    if to.len() < counts.len() {
+        to.resize(counts.len(), 0);
+    }
+    for (sum, n) in to.iter_mut().zip(counts) {
+        *sum = sum.saturating_add(*n);
+    }
+}
+
+/// How many there are.
+pub fn total(times: &[u32]) -> u64 {
+    times.iter().map(|n| u64::from(*n)).sum()
+}
+
+/// How many lie in buckets from this one on.
+pub fn count_from(times: &[u32], bucket: usize) -> u64 {
+    total(times.get(bucket..).unwrap_or_default())
+}
+
+/// The bucket up to whose end this share of them lies.
+pub fn quantile(times: &[u32], share: f64) -> Option<usize> {
+    let total = total(times);
+    let wanted = ((share * total as f64).ceil() as u64).max(1);
+    let mut sum = 0;
+    let reaches = |n: &u32| {
+        sum += u64::from(*n);
+        sum >= wanted
+    };
+    times.iter().position(reaches)
+}
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -217,10 +217,10 @@
     /// before it.
     fn is_settled(&self, service: &str, version: &str, at: u64) -> bool {
         let Some(versions) = self.seen.get(service) else {
-            return true;
+            return false;
         };
         let Some(seen) = versions.get(version) else {
-            return true;
+            return false;
         };
         seen.first <= at || versions.values().all(|other| seen.first <= other.first)
     }
--- /dev/null
+++ b/crates/decide/tests/rollout_judge.rs
@@ -0,0 +1,337 @@
+//! Roll-outs from order to end: what a judge decides, and what a bad version gets.
+
+#[path = "support/rollout.rs"]
+mod support;
+
+use std::time::Duration;
+
+use decide::rollout::{Judge, JudgeAction, JudgeEvent};
+use model::Time;
+use model::forward::{Answers, Phase, Rollout, RolloutReport, RolloutState, RouteEvidence};
+use model::member::NodeId;
+use proptest::prelude::*;
+use support::{BOUNDS, Case, Fault, Outcome, Run, When};
+
+const FAULTS: [Fault; 4] =
+    [Fault::Fails(0.2), Fault::Fails(0.4), Fault::Slow(3.0), Fault::Slow(8.0)];
+const TIMES: [When; 4] = [When::AtOnce, When::From(0.5), When::Above(0.3), When::OneRoute];
+const NODES: [usize; 3] = [4, 82, 300];
+
+fn order(state: RolloutState, revision: u64) -> Rollout {
+    Rollout { service: "s".into(), version: "v2".into(), lasts_ms: 10_000, state, revision }
+}
+
+fn node(name: &str) -> NodeId {
+    NodeId { name: name.into(), start: 1 }
+}
+
+fn report(name: &str, phase: Phase, open: u32) -> JudgeEvent {
+    let answers =
+        |sent, good| Answers { sent, bad: 0, times: vec![0, 0, 0, 0, 0, 0, 0, 0, 0, good] };
+    JudgeEvent::Report(RolloutReport {
+        node: node(name),
+        service: "s".into(),
+        version: "v2".into(),
+        age_ms: 0,
+        phase,
+        open,
+        evidence: vec![RouteEvidence {
+            route: "r".into(),
+            serving: answers(100, 100),
+            trial: answers(5, 5),
+        }],
+    })
+}
+
+/// A judge and what it asked for, fed some times a second.
+struct Bench {
+    judge: Judge,
+    now: u64,
+    done: Vec<(u64, JudgeAction)>,
+}
+
+impl Bench {
+    fn new(state: RolloutState) -> Self {
+        let judge = Judge::new(BOUNDS, order(state, 10), Duration::ZERO, Time::ZERO);
+        let mut bench = Bench { judge, now: 0, done: Vec::new() };
+        bench.on(JudgeEvent::Targets { serving: 4, trial: 4 });
+        bench.on(JudgeEvent::Nodes(vec![node("a"), node("b")]));
+        bench
+    }
+
+    fn on(&mut self, event: JudgeEvent) {
+        let actions = self.judge.on(Time::from_millis(self.now), event);
+        self.done.extend(actions.into_iter().map(|action| (self.now, action)));
+    }
+
+    /// Until then these nodes report, with as many requests open at the old version.
+    fn run(&mut self, until: u64, nodes: &[(&str, u32)]) {
+        while self.now < until {
+            self.now += 100;
+            let phase = self.judge.phase();
+            for (name, open) in nodes {
+                self.on(report(name, phase, *open));
+            }
+            self.on(JudgeEvent::Tick);
+        }
+    }
+
+    /// Writes stand as soon as they are asked for.
+    fn writes(&self) -> Vec<RolloutState> {
+        let write = |(_, action): &(u64, JudgeAction)| match action {
+            JudgeAction::Write(state) => Some(*state),
+            JudgeAction::Judged { .. } | JudgeAction::Phase(_) => None,
+        };
+        self.done.iter().filter_map(write).collect()
+    }
+
+    fn stands(&mut self, state: RolloutState, revision: u64) {
+        self.on(JudgeEvent::WriteEnded(true));
+        self.on(JudgeEvent::Order(order(state, revision)));
+    }
+}
+
+use RolloutState::{Active, Completed, Ordered, RolledBack};
+
+#[test]
+fn an_order_is_taken_up_and_completed_once_nobody_uses_the_old_version() {
+    let mut bench = Bench::new(Ordered);
+    bench.run(100, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Active]);
+    bench.stands(Active, 12);
+    bench.run(9_900, &[("a", 0), ("b", 1)]);
+    assert_eq!(bench.judge.phase(), Phase::All);
+    assert_eq!(bench.writes(), [Active], "a request is open at the old version");
+    bench.run(11_000, &[("a", 0), ("b", 1)]);
+    assert_eq!(bench.writes(), [Active], "nobody is cut off for the deadline's sake");
+    bench.run(11_200, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Active, Completed]);
+    bench.stands(Completed, 13);
+    assert_eq!(bench.judge.next_tick(Time::from_millis(bench.now)), Time::NEVER);
+}
+
+#[test]
+fn nodes_that_do_not_answer_are_waited_for_until_shortly_before_the_deadline() {
+    let mut bench = Bench::new(Active);
+    bench.run(2_000, &[("a", 0), ("b", 3)]);
+    bench.run(9_100, &[("a", 0)]);
+    assert_eq!((bench.judge.phase(), bench.writes()), (Phase::All, vec![]));
+    bench.run(9_900, &[("a", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
+#[test]
+fn a_judge_that_was_paused_does_not_take_the_others_for_silent() {
+    let mut bench = Bench::new(Active);
+    bench.run(8_900, &[("a", 0), ("b", 3)]);
+    assert_eq!(bench.judge.phase(), Phase::All);
+    bench.now = 11_000;
+    bench.on(JudgeEvent::Tick);
+    bench.run(11_900, &[("a", 0)]);
+    assert_eq!(bench.writes(), [], "b had no time to answer");
+    bench.run(12_500, &[("a", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
+#[test]
+fn without_targets_that_bear_the_load_it_is_taken_back_and_never_completed() {
+    for (serving, trial) in [(4, 0), (4, 2), (0, 0)] {
+        let mut bench = Bench::new(Active);
+        bench.on(JudgeEvent::Targets { serving, trial });
+        bench.run(20_000, &[("a", 0), ("b", 0)]);
+        assert_eq!(bench.writes(), [RolledBack], "{serving} and {trial} targets");
+        assert!(!bench.done.iter().any(|(_, a)| *a == JudgeAction::Phase(Phase::All)));
+    }
+    let mut bench = Bench::new(Active);
+    bench.run(8_900, &[("a", 1), ("b", 0)]);
+    assert_eq!(bench.judge.phase(), Phase::All);
+    bench.on(JudgeEvent::Targets { serving: 4, trial: 0 });
+    bench.run(20_000, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [RolledBack], "they were lost in the last step");
+}
+
+#[test]
+fn a_state_is_written_again_only_after_the_store_showed_that_it_is_lacking() {
+    let mut bench = Bench::new(Active);
+    bench.on(report("a", Phase::Back, 0));
+    assert_eq!((bench.judge.phase(), bench.writes()), (Phase::Back, vec![RolledBack]));
+    bench.run(500, &[("a", 0)]);
+    bench.on(JudgeEvent::WriteEnded(false));
+    bench.run(1_000, &[("a", 0)]);
+    assert_eq!(bench.writes(), [RolledBack], "it may still land");
+    bench.on(JudgeEvent::Order(order(Active, 10)));
+    assert_eq!(bench.writes(), [RolledBack, RolledBack]);
+    bench.on(JudgeEvent::Order(order(RolledBack, 14)));
+    bench.on(JudgeEvent::WriteEnded(false));
+    bench.run(2_000, &[("a", 0)]);
+    assert_eq!(bench.writes().len(), 2);
+}
+
+#[test]
+fn what_the_store_has_as_final_ends_a_judge_whatever_it_decided() {
+    for (decided, stands, phase) in
+        [(Phase::Back, Completed, Phase::All), (Phase::All, RolledBack, Phase::Back)]
+    {
+        let mut bench = Bench::new(Active);
+        bench.on(report("a", decided, 0));
+        bench.on(JudgeEvent::Order(order(stands, 20)));
+        bench.done.clear();
+        bench.run(20_000, &[("a", 0), ("b", 0)]);
+        assert_eq!((bench.judge.phase(), bench.done.len()), (phase, 0), "{decided:?}");
+    }
+}
+
+#[test]
+fn an_order_that_was_replaced_ends_its_judge() {
+    let mut bench = Bench::new(Active);
+    bench.on(JudgeEvent::Order(Rollout { version: "v3".into(), ..order(Ordered, 20) }));
+    bench.run(20_000, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), []);
+}
+
+#[test]
+fn a_new_judge_takes_the_furthest_phase_that_a_node_works_by() {
+    for (reported, wanted) in [
+        (vec![Phase::Share(0.1)], None),
+        (vec![Phase::Share(0.1), Phase::All], Some(Phase::All)),
+        (vec![Phase::All, Phase::Back], Some(Phase::Back)),
+        (vec![Phase::Back, Phase::All], Some(Phase::Back)),
+    ] {
+        let mut bench = Bench::new(Active);
+        for phase in &reported {
+            bench.on(report("a", *phase, 0));
+        }
+        let phase = Some(bench.judge.phase()).filter(|p| !matches!(p, Phase::Share(_)));
+        assert_eq!(phase, wanted, "{reported:?}");
+    }
+}
+
+#[test]
+fn reports_that_come_twice_late_or_from_another_start_add_up() {
+    let bad = |start: u64, bad: u32| {
+        JudgeEvent::Report(RolloutReport {
+            node: NodeId { name: "a".into(), start },
+            service: "s".into(),
+            version: "v2".into(),
+            age_ms: 0,
+            phase: Phase::Share(0.1),
+            open: 0,
+            evidence: vec![RouteEvidence {
+                route: "r".into(),
+                serving: Answers { sent: 100, bad: 0, times: vec![100] },
+                trial: Answers { sent: bad, bad, times: vec![] },
+            }],
+        })
+    };
+    let mut bench = Bench::new(Active);
+    for _ in 0..50 {
+        bench.on(bad(1, 2));
+        bench.on(bad(1, 1));
+    }
+    assert_ne!(bench.judge.phase(), Phase::Back, "two bad answers, told a hundred times");
+    bench.on(bad(2, 2));
+    bench.on(bad(3, 2));
+    assert_eq!(bench.judge.phase(), Phase::Back, "six, of three starts");
+}
+
+fn check(case: Case) -> Outcome {
+    let outcome = Run::new(case).play();
+    let is_bad = case.when != When::Never;
+    if is_bad {
+        // Of a time so short that not even the last step fits into the cap, that step is
+        // planned to be seen through at once; what delays that comes on top.
+        let slow_to_see = if case.lasts_ms < 30_000 { case.rate } else { 0.0 };
+        let most = outcome.cap() + slow_to_see;
+        assert!(outcome.tried as f64 <= most, "{case:?}: {outcome:?}");
+        if outcome.state() != Some(Completed) {
+            assert_eq!(outcome.late, 0, "{case:?}: {outcome:?}");
+        }
+    }
+    assert!(outcome.ends.len() <= 1, "{case:?}: {outcome:?}");
+    outcome
+}
+
+#[test]
+fn a_bad_version_is_taken_back_having_got_little() {
+    // Rate, time of the order, and the most requests that each kind may get; the cap of the
+    // last kinds is that of the order.
+    for (rate, lasts_ms, at_once, half) in
+        [(100.0, 60_000, 120, 300), (1000.0, 60_000, 200, 1500), (1000.0, 8_000, 150, 850)]
+    {
+        for fault in FAULTS {
+            for when in TIMES {
+                for nodes in NODES {
+                    let case = Case { lasts_ms, ..Case::plain(1, rate, nodes, when, fault) };
+                    let outcome = check(case);
+                    assert_eq!(outcome.state(), Some(RolledBack), "{case:?}: {outcome:?}");
+                    let most = match when {
+                        When::AtOnce => at_once,
+                        When::From(_) => half,
+                        _ => u64::MAX,
+                    };
+                    assert!(outcome.tried <= most, "{case:?}: {outcome:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_before_the_deadline_and_nobody_is_cut() {
+    for (rate, lasts_ms) in [(10.0, 60_000), (100.0, 8_000), (1000.0, 8_000), (100.0, 600_000)] {
+        for noise in [0.0, 0.002, 0.05] {
+            for seed in 0..4 {
+                let fault = Fault::Fails(0.0);
+                let case =
+                    Case { lasts_ms, noise, ..Case::plain(seed, rate, 82, When::Never, fault) };
+                let outcome = check(case);
+                let [(Completed, ended, 0)] = outcome.ends[..] else {
+                    panic!("{case:?}: {outcome:?}");
+                };
+                assert!(ended < lasts_ms, "{case:?}: {outcome:?}");
+            }
+        }
+    }
+}
+
+fn any_case() -> impl Strategy<Value = Case> {
+    let when = prop_oneof![
+        Just(When::Never),
+        Just(When::AtOnce),
+        (0.1..0.9f64).prop_map(When::From),
+        (0.05..0.5f64).prop_map(When::Above),
+        Just(When::OneRoute),
+    ];
+    let fault =
+        prop_oneof![(0.2..0.5f64).prop_map(Fault::Fails), (3.0..8.0f64).prop_map(Fault::Slow)];
+    let faults = (0.0..0.3f64, 0.0..0.5f64, prop_oneof![Just(0.0), 0.0..2.0f64]);
+    let cut = proptest::option::of((0u64..20_000, 500u64..20_000));
+    let size = (prop_oneof![Just(8_000u64), Just(30_000)], 20.0..400.0f64, 2usize..60);
+    (any::<u32>(), when, fault, faults, cut, size).prop_map(
+        |(seed, when, fault, faults, cut, size)| {
+            let (lost, lost_writes, restarts) = faults;
+            let (lasts_ms, rate, nodes) = size;
+            let cut_ms = cut.map(|(from, lasts)| (from, from + lasts));
+            let plain = Case::plain(u64::from(seed), rate, nodes, when, fault);
+            Case { lasts_ms, lost, lost_writes, restarts, cut_ms, ..plain }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(150))]
+
+    /// Reports and writes are lost or land late, nodes and the judge restart, and half of the
+    /// nodes are cut off with a judge of their own: a bad version stays within the cap and gets
+    /// nothing once it is seen to be bad, the state ends once, and with `Completed` no node in
+    /// touch with the writer is cut off.
+    #[test]
+    fn whatever_fails_a_bad_version_stays_within_the_cap(case in any_case()) {
+        let outcome = check(case);
+        if let [(Completed, _, open)] = outcome.ends[..] {
+            prop_assert_eq!(open, 0, "{:?}", outcome);
+            let is_plain_bad = case.when == When::AtOnce && case.rate >= 100.0;
+            prop_assert!(!is_plain_bad, "{:?}", outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/rollout_versions.rs
@@ -0,0 +1,281 @@
+//! Which version of a service gets a request, in whatever order targets and orders are heard of.
+
+#[path = "support/fleet.rs"]
+mod support;
+
+use std::time::Duration;
+
+use decide::fleet::{Fleet, Terms};
+use decide::rng::Rng;
+use decide::rollout::{RolloutChange, Versions};
+use model::Name;
+use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side, Target};
+use proptest::prelude::*;
+use support::at;
+
+const SERVING: Option<Side> = Some(Side::Serving);
+const TRIAL: Option<Side> = Some(Side::Trial);
+
+fn order(version: &str, state: RolloutState, revision: u64) -> Rollout {
+    let (service, version) = ("engine".into(), version.into());
+    Rollout { service, version, lasts_ms: 60_000, state, revision }
+}
+
+fn list(at: u64, orders: &[Rollout]) -> Rollouts {
+    Rollouts { at, orders: orders.to_vec() }
+}
+
+/// Versions that were seen, each with one target and the revision of its entry.
+fn versions(seen: &[(&str, u64)]) -> Versions {
+    let mut versions = Versions::default();
+    versions.follow();
+    for (version, revision) in seen {
+        versions.saw(&"engine".into(), &(*version).into(), *revision);
+    }
+    versions
+}
+
+fn sides(versions: &Versions) -> (Option<Side>, Option<Side>) {
+    (versions.side("engine", "v1"), versions.side("engine", "v2"))
+}
+
+/// Part of many attempts that go to the version on trial.
+fn part(versions: &Versions) -> f64 {
+    let is_trial = |n: &u32| versions.turn("engine", &format!("a{n}")) == Side::Trial;
+    f64::from((0..10_000).filter(is_trial).count() as u32) / 10_000.0
+}
+
+#[test]
+fn where_no_orders_are_followed_every_version_serves() {
+    let mut versions = Versions::default();
+    versions.saw(&"engine".into(), &"v1".into(), 5);
+    versions.saw(&"engine".into(), &"v2".into(), 9);
+    assert!(versions.is_known());
+    assert_eq!(sides(&versions), (SERVING, SERVING));
+    assert_eq!((versions.unsettled(), part(&versions)), (None, 0.0));
+}
+
+#[test]
+fn nothing_is_used_before_orders_are_known() {
+    let mut versions = versions(&[("v1", 5)]);
+    assert!(!versions.is_known());
+    assert_eq!(sides(&versions), (None, None));
+    versions.take(list(3, &[]), at(0));
+    assert!(versions.is_known());
+    assert_eq!(versions.side("engine", "v1"), SERVING, "the only one, though it is news");
+}
+
+#[test]
+fn a_version_beside_another_one_gets_nothing_until_it_is_settled() {
+    use RolloutState::{Active, Completed, Ordered, RolledBack};
+    let named = |state, revision| vec![order("v2", state, revision)];
+    // Revision up to which orders are known, the orders, and the sides of v1 (first seen at 5)
+    // and v2 (first seen at 11).
+    let cases = [
+        (3, vec![], (SERVING, None)),
+        (10, vec![], (SERVING, None)),
+        (10, named(Ordered, 10), (SERVING, None)),
+        (11, vec![], (SERVING, SERVING)),
+        (11, named(Ordered, 10), (SERVING, TRIAL)),
+        (12, named(Active, 12), (SERVING, TRIAL)),
+        (20, named(RolledBack, 20), (SERVING, None)),
+        (20, named(Completed, 20), (None, SERVING)),
+    ];
+    for (known, orders, wanted) in cases {
+        let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+        versions.take(list(known, &orders), at(0));
+        assert_eq!(sides(&versions), wanted, "at {known}: {orders:?}");
+        let unsettled = (known < 11).then_some(11);
+        assert_eq!(versions.unsettled(), unsettled, "at {known}");
+    }
+}
+
+#[test]
+fn a_release_without_an_order_goes_on_after_one_was_completed() {
+    let completed = order("v2", RolloutState::Completed, 20);
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(40, &[completed]), at(0));
+    versions.saw(&"engine".into(), &"v3".into(), 30);
+    assert_eq!(versions.side("engine", "v3"), SERVING);
+    assert_eq!(sides(&versions), (None, SERVING));
+    versions.gone(&"engine".into(), &"v1".into());
+    versions.saw(&"engine".into(), &"v1".into(), 35);
+    assert_eq!(versions.side("engine", "v1"), SERVING, "it was started anew");
+}
+
+#[test]
+fn a_version_whose_order_is_withdrawn_gets_nothing_while_another_one_can_serve() {
+    let active = order("v2", RolloutState::Active, 12);
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(12, std::slice::from_ref(&active)), at(0));
+    let changes = versions.take(list(15, &[]), at(1));
+    assert_eq!(changes, [RolloutChange::Withdrawn(active)]);
+    assert_eq!(sides(&versions), (SERVING, None));
+    assert_eq!(versions.phase("engine"), None);
+    versions.gone(&"engine".into(), &"v1".into());
+    assert_eq!(versions.side("engine", "v2"), SERVING, "nothing else is left");
+    versions.saw(&"engine".into(), &"v1".into(), 16);
+    versions.take(list(18, &[order("v2", RolloutState::Ordered, 18)]), at(2));
+    assert_eq!(versions.side("engine", "v2"), TRIAL, "a new order names it");
+}
+
+#[test]
+fn lists_tell_what_changed_and_older_ones_change_nothing() {
+    use RolloutState::{Active, Ordered, RolledBack};
+    let mut versions = versions(&[("v1", 5), ("v2", 11), ("v3", 21)]);
+    let ordered = order("v2", Ordered, 10);
+    let active = order("v2", Active, 12);
+    let other = order("v3", Ordered, 20);
+    let back = order("v3", RolledBack, 30);
+    let again = order("v3", Ordered, 40);
+    let replaced = RolloutChange::Replaced { before: active.clone(), order: other.clone() };
+    let cases = [
+        (list(11, std::slice::from_ref(&ordered)), vec![RolloutChange::Began(ordered.clone())]),
+        (list(12, std::slice::from_ref(&active)), vec![RolloutChange::State(active.clone())]),
+        (list(11, &[ordered]), vec![]),
+        (list(14, &[active]), vec![]),
+        (list(21, std::slice::from_ref(&other)), vec![replaced]),
+        (list(30, std::slice::from_ref(&back)), vec![RolloutChange::State(back.clone())]),
+        (list(40, std::slice::from_ref(&again)), vec![RolloutChange::Began(again.clone())]),
+        (list(50, &[]), vec![RolloutChange::Withdrawn(again)]),
+        (list(40, &[back]), vec![]),
+    ];
+    for (n, (list, changes)) in cases.into_iter().enumerate() {
+        assert_eq!(versions.take(list, at(n as u64)), changes, "{n}");
+    }
+    assert_eq!((versions.at(), versions.running().count()), (Some(50), 0));
+}
+
+#[test]
+fn a_peer_lacks_what_changed_after_the_list_that_it_knows() {
+    let mut versions = versions(&[]);
+    assert!(!versions.is_news_since(None), "nobody can be told what is not known");
+    let orders = [order("v2", RolloutState::Active, 5)];
+    versions.take(list(5, &orders), at(0));
+    versions.take(list(9, &orders), at(1));
+    for (at, is_news) in [(None, true), (Some(4), true), (Some(5), false), (Some(9), false)] {
+        assert_eq!(versions.is_news_since(at), is_news, "{at:?}");
+    }
+    assert_eq!(versions.list(), Some(list(9, &orders)));
+}
+
+#[test]
+fn a_request_goes_by_the_phase_and_always_the_same_way() {
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(0));
+    assert_eq!(part(&versions), 0.0, "no judge has told a share yet");
+    // Each phase that is told, whether it changes anything, and the part that goes to v2.
+    let cases = [
+        (Phase::Share(0.1), true, 0.1),
+        (Phase::Share(0.1), false, 0.1),
+        (Phase::Share(0.5), true, 0.5),
+        (Phase::All, true, 1.0),
+        (Phase::Share(0.1), false, 1.0),
+        (Phase::Back, true, 0.0),
+        (Phase::All, false, 0.0),
+        (Phase::Share(0.5), false, 0.0),
+    ];
+    for (phase, changes, wanted) in cases {
+        assert_eq!(versions.set_phase("engine", "v2", phase, at(5)), changes, "{phase:?}");
+        assert!((part(&versions) - wanted).abs() < 0.02, "{phase:?}: {}", part(&versions));
+    }
+    assert_eq!(sides(&versions), (SERVING, None));
+    assert!(!versions.set_phase("engine", "v3", Phase::All, at(6)), "of another order");
+}
+
+#[test]
+fn the_old_version_serves_again_when_the_new_one_loses_all_targets() {
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(0));
+    versions.set_phase("engine", "v2", Phase::All, at(1));
+    assert_eq!((sides(&versions), part(&versions)), ((None, TRIAL), 1.0));
+    versions.gone(&"engine".into(), &"v2".into());
+    assert_eq!((versions.side("engine", "v1"), part(&versions)), (SERVING, 0.0));
+}
+
+#[test]
+fn an_order_is_as_old_as_the_node_that_heard_of_it_first_says() {
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    assert_eq!(versions.age("engine", at(0)), None);
+    versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(1000));
+    let ms = Duration::from_millis;
+    assert_eq!(versions.age("engine", at(1500)), Some(ms(500)));
+    versions.set_age("engine", ms(300), at(1500));
+    assert_eq!(versions.age("engine", at(1600)), Some(ms(600)), "it is older than that");
+    versions.set_age("engine", ms(5000), at(1600));
+    versions.set_phase("engine", "v2", Phase::Share(0.1), at(1700));
+    assert_eq!(versions.age("engine", at(1800)), Some(ms(5200)));
+}
+
+#[test]
+fn a_fleet_counts_the_targets_of_each_version() {
+    let target = |id: &str, version: &str, revision| Target {
+        version: version.into(),
+        revision,
+        ..support::target(id, "a")
+    };
+    let mut fleet = Fleet::default();
+    fleet.versions_mut().follow();
+    fleet.upsert(target("t1", "v1", 5), at(0));
+    fleet.upsert(target("t2", "v2", 11), at(0));
+    fleet.versions_mut().take(list(10, &[]), at(0));
+    let usable = |fleet: &Fleet| -> Vec<Name> {
+        fleet.usable("engine", Terms::ANY, at(0)).map(|b| b.target.id.name.clone()).collect()
+    };
+    assert_eq!(usable(&fleet), ["t1".into()]);
+    fleet.vanish(&"t1".into(), None);
+    assert_eq!(usable(&fleet), ["t2".into()], "the only one left");
+    fleet.upsert(target("t1", "v1", 20), at(0));
+    assert_eq!(usable(&fleet), ["t2".into()], "the other one is news now");
+    fleet.upsert(target("t2", "v1", 21), at(0));
+    assert_eq!(usable(&fleet).len(), 2, "both are of one version");
+}
+
+#[derive(Debug, Clone, Copy)]
+enum News {
+    Target(&'static str, u64),
+    Orders(u64),
+}
+
+/// Orders as the store had them at a revision: v2 is ordered at 10 and taken back at 30.
+fn orders_at(revision: u64) -> Rollouts {
+    let orders = match revision {
+        ..10 => vec![],
+        10..30 => vec![order("v2", RolloutState::Ordered, 10)],
+        _ => vec![order("v2", RolloutState::RolledBack, 30)],
+    };
+    list(revision, &orders)
+}
+
+proptest! {
+    /// In whatever order a node hears of targets and orders, the version that was ordered never
+    /// serves and the old one always does once anything is known.
+    #[test]
+    fn an_ordered_version_never_serves_whatever_is_heard_of_first(
+        seed in any::<u64>(),
+        known in proptest::collection::vec(1u64..50, 1..6),
+    ) {
+        let mut rng = Rng::new(seed);
+        let mut news: Vec<News> = known.into_iter().map(News::Orders).collect();
+        news.extend([News::Target("v1", 5), News::Target("v1", 6), News::Target("v2", 11)]);
+        rng.shuffle(&mut news);
+        let mut versions = versions(&[]);
+        let mut has_old = false;
+        for item in news {
+            match item {
+                News::Target(version, revision) => {
+                    has_old |= version == "v1";
+                    versions.saw(&"engine".into(), &version.into(), revision);
+                }
+                News::Orders(revision) => {
+                    versions.take(orders_at(revision), at(0));
+                }
+            }
+            let (old, new) = sides(&versions);
+            if has_old {
+                prop_assert_ne!(new, SERVING, "{:?}", item);
+                prop_assert_eq!(old, versions.at().and(SERVING), "{:?}", item);
+            }
+        }
+    }
+}
