A node that has just started is not taken for silent by the judge

Ruled out: nodes that the driver itself cannot have told of (started under 0.5 s before). Change: a node's silence counts from when it was first told to be up. The test of the cap also allows half a second of requests, for a second before, in a time under 30 s.

--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -131,7 +131,7 @@
         self.nodes.awake(now);
         match event {
             JudgeEvent::Report(report) => self.report(report, now, &mut actions),
-            JudgeEvent::Nodes(up) => self.nodes.set_up(up),
+            JudgeEvent::Nodes(up) => self.nodes.set_up(up, now),
             JudgeEvent::Order(order) => self.take_order(order),
             JudgeEvent::Targets { serving, trial } => self.targets = (serving, trial),
             JudgeEvent::WriteEnded(stands) => self.write_ended(stands),
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -120,6 +120,18 @@
     assert_eq!(bench.writes(), [Completed]);
 }
 
+#[test]
+fn a_node_that_has_just_started_is_waited_for() {
+    let mut bench = Bench::new(Active);
+    bench.run(9_100, &[("a", 0), ("b", 0)]);
+    let started = NodeId { start: 2, ..node("b") };
+    bench.on(JudgeEvent::Nodes(vec![node("a"), started]));
+    bench.run(10_000, &[("a", 0)]);
+    assert_eq!(bench.writes(), [], "it may use the old version until it is told");
+    bench.run(10_400, &[("a", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
 #[test]
 fn a_judge_that_was_paused_does_not_take_the_others_for_silent() {
     let mut bench = Bench::new(Active);
@@ -240,7 +252,7 @@
     if is_bad {
         // Of a time so short that not even the last step fits into the cap, that step is
         // planned to be seen through at once; what delays that comes on top.
-        let slow_to_see = if case.lasts_ms < 30_000 { case.rate } else { 0.0 };
+        let slow_to_see = if case.lasts_ms < 30_000 { 0.5 * case.rate } else { 0.0 };
         let most = outcome.cap() + slow_to_see;
         assert!(outcome.tried as f64 <= most, "{case:?}: {outcome:?}");
         if outcome.state() != Some(Completed) {
--- a/crates/decide/tests/support/rollout.rs
+++ b/crates/decide/tests/support/rollout.rs
@@ -21,6 +21,9 @@
 /// Time after which the judge knows of a node that started.
 const START_KNOWN_MS: u64 = 500;
 
+/// Time without a report after which a node counts as out of touch.
+const SILENT_MS: u64 = 1000;
+
 /// When a version is bad.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum When {
@@ -161,6 +164,8 @@
     evidence: Evidence,
     open: u32,
     since_ms: u64,
+    /// When its last report reached the judge.
+    told_ms: u64,
 }
 
 struct Write {
@@ -227,7 +232,7 @@
     versions.take(Rollouts { at: 12.max(order.revision), orders: vec![order.clone()] }, now);
     let id = NodeId { name: format!("n{name}").into(), start };
     let since_ms = now.0 / 1000;
-    Node { id, versions, evidence: Evidence::default(), open: 0, since_ms }
+    Node { id, versions, evidence: Evidence::default(), open: 0, since_ms, told_ms: since_ms }
 }
 
 impl Run {
@@ -396,8 +401,11 @@
     fn ended(&mut self, judge: usize, sent_ms: u64) {
         if self.order.state.is_final() {
             let nodes = self.nodes.iter().enumerate();
-            // The judge cannot know of a node that started just before it wrote, or later.
-            let known = |node: &Node| node.since_ms + START_KNOWN_MS <= sent_ms;
+            // The judge cannot know of a node that started just before it wrote, or later, and
+            // does not wait for one that it has not heard for long.
+            let known = |node: &Node| {
+                node.since_ms + START_KNOWN_MS <= sent_ms && node.told_ms + SILENT_MS >= sent_ms
+            };
             let reached = nodes.filter(|(n, node)| self.judge_of(*n) == judge && known(node));
             let open = reached.map(|(_, node)| node.open).sum();
             self.outcome.ends.push((self.order.state, self.now, open));
@@ -466,6 +474,7 @@
         if self.rng.unit() < self.case.lost {
             return;
         }
+        self.nodes[n].told_ms = self.now;
         self.on(judge, JudgeEvent::Report(report));
         if self.rng.unit() < self.case.lost {
             return;
