--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -7,7 +7,8 @@
 
 use decide::rollout::{Judge, JudgeAction, JudgeEvent};
 use model::Time;
-use model::forward::{Answers, Phase, Rollout, RolloutReport, RolloutState, RouteEvidence};
+use model::forward::RolloutState::{self, Active, Completed, Ordered, RolledBack};
+use model::forward::{Answers, Phase, Rollout, RolloutReport, RouteEvidence};
 use model::member::NodeId;
 use proptest::prelude::*;
 use support::{BOUNDS, Case, Fault, Outcome, Run, When};
@@ -76,7 +77,7 @@
         }
     }
 
-    /// Writes stand as soon as they are asked for.
+    /// States that were to be written.
     fn writes(&self) -> Vec<RolloutState> {
         let write = |(_, action): &(u64, JudgeAction)| match action {
             JudgeAction::Write(state) => Some(*state),
@@ -91,8 +92,6 @@
     }
 }
 
-use RolloutState::{Active, Completed, Ordered, RolledBack};
-
 #[test]
 fn an_order_is_taken_up_and_completed_once_nobody_uses_the_old_version() {
     let mut bench = Bench::new(Ordered);
@@ -288,6 +287,17 @@
     }
 }
 
+#[test]
+fn a_version_whose_badness_never_shows_stays_within_the_cap_of_a_longer_order() {
+    for lasts_ms in [30_000, 60_000, 300_000] {
+        for rate in [10.0, 100.0, 400.0] {
+            let unseen = Fault::Fails(0.0);
+            let case = Case { lasts_ms, ..Case::plain(3, rate, 20, When::AtOnce, unseen) };
+            assert_eq!(check(case).state(), Some(Completed), "{case:?}");
+        }
+    }
+}
+
 #[test]
 fn a_good_version_is_completed_before_the_deadline_and_nobody_is_cut() {
     for (rate, lasts_ms) in [(10.0, 60_000), (100.0, 8_000), (1000.0, 8_000), (100.0, 600_000)] {
