Tests of what a node judges alone

Cause: a node's own evidence had no test of its own. Ruled out: none. Change: decide/rollout_evidence.rs, a table of eight cases and what a report holds.

--- /dev/null
+++ b/crates/decide/tests/rollout_evidence.rs
@@ -0,0 +1,63 @@
+//! What one node's own requests show of a version on trial.
+
+use std::time::Duration;
+
+use decide::rollout::{Cause, Evidence};
+use model::Name;
+use model::forward::Side;
+
+/// Answers of one side: failures, and good ones with their time.
+fn take(evidence: &mut Evidence, side: Side, bad: u32, good: u32, ms: u64) {
+    let (service, route): (Name, Name) = ("s".into(), "r".into());
+    for _ in 0..bad {
+        evidence.sent(&service, &route, side);
+        evidence.bad(&service, &route, side);
+    }
+    for _ in 0..good {
+        evidence.sent(&service, &route, side);
+        evidence.good(&service, &route, side, Duration::from_millis(ms));
+    }
+}
+
+#[test]
+fn a_node_judges_alone_only_by_what_the_serving_version_does_not_do_too() {
+    // Failures, good answers and their time: of the version that serves and of the one on
+    // trial; and what that proves.
+    let cases = [
+        ((0, 50, 40), (0, 50, 40), None),
+        ((0, 50, 40), (2, 20, 40), None),
+        ((0, 50, 40), (8, 0, 40), Some(Cause::Failures)),
+        ((25, 25, 40), (8, 8, 40), None),
+        ((0, 50, 40), (0, 50, 70), None),
+        ((0, 50, 40), (0, 20, 150), Some(Cause::Slow)),
+        ((0, 0, 40), (0, 50, 150), None),
+        ((0, 0, 40), (20, 0, 40), Some(Cause::Failures)),
+    ];
+    for (serving, trial, wanted) in cases {
+        let mut evidence = Evidence::default();
+        take(&mut evidence, Side::Serving, serving.0, serving.1, serving.2);
+        take(&mut evidence, Side::Trial, trial.0, trial.1, trial.2);
+        let verdict = evidence.proves_bad("s");
+        assert_eq!(verdict.as_ref().map(|v| v.cause), wanted, "{serving:?} {trial:?}");
+        let Some(verdict) = verdict else {
+            continue;
+        };
+        assert_eq!(verdict.trial.sent, u64::from(trial.0 + trial.1));
+        assert_eq!(verdict.serving.sent, u64::from(serving.0 + serving.1));
+    }
+}
+
+#[test]
+fn a_report_holds_all_counts_until_the_order_is_over() {
+    let mut evidence = Evidence::default();
+    take(&mut evidence, Side::Serving, 1, 9, 1);
+    take(&mut evidence, Side::Trial, 2, 3, 2);
+    let [seen] = &evidence.report("s")[..] else {
+        panic!("one route");
+    };
+    assert_eq!((seen.serving.sent, seen.serving.bad, &seen.serving.times[..]), (10, 1, &[9][..]));
+    assert_eq!((seen.trial.sent, seen.trial.bad, &seen.trial.times[..]), (5, 2, &[0, 0, 3][..]));
+    assert_eq!(evidence.report("other"), []);
+    evidence.forget("s");
+    assert_eq!(evidence.report("s"), []);
+}
