--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -10,7 +10,8 @@
 use super::orders::{Order, Urgency};
 use super::pace::Pace;
 use super::repeats::Repeats;
-use super::types::{Action, Call, CallEnd, Event, OrderId};
+use super::trial::Trial;
+use super::types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
 
 /// Calls that may fail under one order before it is given up.
 const FAILURES: u32 = 3;
@@ -40,6 +41,7 @@
     next_call: u64,
     pace: Pace,
     repeats: Repeats,
+    trial: Trial,
 }
 
 impl Coordinator {
@@ -54,6 +56,7 @@
             next_call: 1,
             pace: Pace::default(),
             repeats: Repeats::default(),
+            trial: Trial::default(),
         }
     }
 
@@ -102,7 +105,7 @@
             }
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
-            Event::Makers(makers) => self.makers.set(makers),
+            Event::Makers(makers) => self.set_makers(makers),
             Event::Probed(maker, alive) => self.makers.probed(&maker, alive, now),
             Event::Freed(handles) => self.makers.freed(&handles),
             Event::HandOver => self.hand_over(&mut out),
@@ -114,6 +117,13 @@
         out
     }
 
+    fn set_makers(&mut self, makers: Vec<MakerInfo>) {
+        self.makers.set(makers);
+        if !self.makers.has_trial() {
+            self.trial.ended();
+        }
+    }
+
     fn order(&mut self, id: OrderId, order: Order, out: &mut Vec<Action>) {
         if order.results.is_empty() {
             out.push(Action::Answer(id, Vec::new()));
@@ -306,13 +316,15 @@
         out: &mut Vec<Action>,
     ) {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
+        let allowed = maker.share.map_or(usize::MAX, |share| self.trial.most(share));
+        let batch = self.pool.batch.max(1).min(allowed);
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
                 continue;
             };
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
-            let most = (self.pool.batch.max(1) - pieces.len()).min(room as usize);
+            let most = (batch - pieces.len()).min(room as usize);
             let taken = order.take(most, &maker.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
@@ -330,6 +342,7 @@
         let ordered = pieces.iter().map(piece).collect();
         self.makers.started(&maker.id, bytes, now);
         self.repeats.asked(pieces.len());
+        self.trial.asked(pieces.len(), maker.share.is_some());
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
         let expected = self.pool.call_time(pieces.len() as u32);
         let flight =
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -39,6 +39,7 @@
     calls: u32,
     present: bool,
     cold_gap: Option<Duration>,
+    share: Option<f64>,
     last_call: Time,
     ejected: Time,
     strikes: u32,
@@ -56,6 +57,7 @@
             calls: 0,
             present: true,
             cold_gap: None,
+            share: None,
             last_call: Time::ZERO,
             ejected: Time::ZERO,
             strikes: 0,
@@ -96,6 +98,8 @@
     pub(super) domain: Name,
     /// Bytes of results for which there is room.
     pub(super) room: u64,
+    /// Part of all pieces that makers of its version may get, if that is on trial.
+    pub(super) share: Option<f64>,
 }
 
 /// All makers that the coordinator was told of.
@@ -108,10 +112,11 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, region: _, cold_gap } in makers {
+        for MakerInfo { id, domain, region: _, cold_gap, share } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
             maker.cold_gap = cold_gap;
+            maker.share = share;
         }
         self.forget_idle();
     }
@@ -120,9 +125,14 @@
         self.0.retain(|_, m| m.present || m.calls > 0);
     }
 
-    /// Count of makers that work.
+    /// Count of makers that work, but for those of a version on trial, which get few calls.
     pub(super) fn working(&self, now: Time) -> usize {
-        self.0.values().filter(|m| m.works(now)).count()
+        self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
+    }
+
+    /// Whether a version is on trial.
+    pub(super) fn has_trial(&self) -> bool {
+        self.0.values().any(|m| m.present && m.share.is_some())
     }
 
     /// Failure domains that have a working maker.
@@ -133,7 +143,8 @@
         domains
     }
 
-    /// Makers that can take a call now, those with most room first.
+    /// Makers that can take a call now, those with most room first; before them those of a
+    /// version on trial, which get few pieces and are to be judged by them soon.
     pub(super) fn free(&mut self, pool: &StagePool, now: Time) -> Vec<Free> {
         let whole = (pool.room_mb * 1e6 * ROOM_USED) as u64;
         let keep = Duration::from_millis(pool.keep_ms);
@@ -146,9 +157,10 @@
             let reckoned = whole.saturating_sub(m.kept_bytes() + m.in_flight);
             let seen = m.tight.filter(|(_, until)| now < *until);
             let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
-            free.push(Free { id: id.clone(), domain: m.domain.clone(), room });
+            let (id, domain) = (id.clone(), m.domain.clone());
+            free.push(Free { id, domain, room, share: m.share });
         }
-        free.sort_by_key(|f| std::cmp::Reverse(f.room));
+        free.sort_by_key(|f| (f.share.is_none(), std::cmp::Reverse(f.room)));
         free
     }
 
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod pace;
 mod repeats;
+mod trial;
 mod types;
 
 pub use coordinator::Coordinator;
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -9,7 +9,7 @@
 pub type OrderId = u64;
 
 /// A maker as the coordinator is told of it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct MakerInfo {
     /// Target.
     pub id: TargetId,
@@ -19,6 +19,9 @@
     pub region: Option<Name>,
     /// Least time between two calls, if it is cold; [`Duration::MAX`] if it gets none.
     pub cold_gap: Option<Duration>,
+    /// Part of all pieces that makers of its version may get, if that is on trial beside another
+    /// one.
+    pub share: Option<f64>,
 }
 
 /// What the coordinator hears.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -13,6 +13,6 @@
 
 pub use belief::{Belief, Fleet, Observation};
 pub use cold::{ColdBounds, ColdLimit};
-pub use evacuation::{Evacuated, EvacuationChange, EvacuationList};
+pub use evacuation::{Evacuated, EvacuationChange};
 pub use pick::{ColdStarts, Home, Wanted, shares};
 pub use terms::{Barred, Regions, Terms};
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -12,10 +12,12 @@
 //! and then, the more seldom the more of them there are.
 
 mod history;
+mod list;
 mod source;
 mod start;
 pub mod waits;
 
 pub use history::History;
+pub use list::{Entry, List};
 pub use source::{Chosen, Relays, Role, Source, Sources};
 pub use start::wait_for_state;
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -313,6 +313,11 @@
         !self.stops && wanted.into_iter().all(|p| score(target, &p.node.id.name) < own)
     }
 
+    /// Nodes that are up as far as is known, but for this one: suspected and stopping ones too.
+    pub fn ids(&self) -> Vec<NodeId> {
+        self.up.iter().map(|p| p.node.id.clone()).collect()
+    }
+
     /// Whether this node comes first among the coordinators of `service`.
     pub fn coordinates(&self, service: &str, now: Time) -> bool {
         self.coordinators(service, now).first().is_none_or(Option::is_none)
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -471,6 +471,7 @@
             domain: "a".into(),
             region: None,
             cold_gap: gap,
+            share: None,
         }])
     };
     let mut c = Coordinator::new(pool(), Policy::default());
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -5,11 +5,8 @@
 
 use std::collections::BTreeSet;
 
-use decide::fleet::{
-    ColdStarts, Evacuated, EvacuationChange, EvacuationList, Fleet, Home, Terms, Wanted,
-};
+use decide::fleet::{ColdStarts, Evacuated, EvacuationChange, Fleet, Home, Terms, Wanted};
 use decide::rng::Rng;
-use model::Name;
 use model::forward::{Evacuations, Target};
 use proptest::prelude::*;
 use support::{at, target};
@@ -120,19 +117,6 @@
     assert_eq!(known.list(), Some(list(9, &["a"])));
 }
 
-#[test]
-fn a_reader_follows_the_list_and_reads_it_anew_when_its_history_is_gone() {
-    let mut reader = EvacuationList::default();
-    assert_eq!((reader.at(), reader.list()), (None, None));
-    reader.whole(5, [Name::from("a")]);
-    reader.change(8, [("b".into(), true), ("a".into(), false), ("c".into(), true)]);
-    assert_eq!(reader.list(), Some(list(8, &["b", "c"])));
-    reader.restart();
-    assert_eq!((reader.at(), reader.list()), (None, None));
-    reader.whole(12, [Name::from("c")]);
-    assert_eq!(reader.list(), Some(list(12, &["c"])));
-}
-
 proptest! {
     /// Lists reach a node in any order, some twice and some never: once it has heard of the
     /// newest one it knows just that, and before that never an older one than it knew.
--- /dev/null
+++ b/crates/decide/tests/list.rs
@@ -0,0 +1,41 @@
+//! Lists of objects as a reader of the store follows them.
+
+use decide::relay::{Entry, List};
+use model::Name;
+
+fn entries<const N: usize>(named: [(&str, Entry<u32>); N]) -> Vec<(Name, Entry<u32>)> {
+    named.into_iter().map(|(name, entry)| (name.into(), entry)).collect()
+}
+
+fn known(list: &List<u32>) -> Option<(u64, Vec<(&str, u32)>)> {
+    let (at, objects) = list.known()?;
+    Some((at, objects.iter().map(|(name, object)| (&**name, *object)).collect()))
+}
+
+#[test]
+fn a_reader_follows_the_list_and_reads_it_anew_when_its_history_is_gone() {
+    let mut list = List::default();
+    assert_eq!((list.at(), known(&list)), (None, None));
+    list.whole(5, entries([("a", Entry::Now(1))]));
+    let changes = [("b", Entry::Now(2)), ("a", Entry::Gone), ("c", Entry::Now(3))];
+    list.change(8, entries(changes));
+    assert_eq!(known(&list), Some((8, vec![("b", 2), ("c", 3)])));
+    list.restart();
+    assert_eq!((list.at(), known(&list)), (None, None));
+    list.whole(12, entries([("c", Entry::Now(4))]));
+    assert_eq!(known(&list), Some((12, vec![("c", 4)])));
+}
+
+#[test]
+fn what_is_known_of_an_object_holds_on_while_it_cannot_be_read() {
+    let mut list = List::default();
+    list.whole(5, entries([("a", Entry::Now(1)), ("b", Entry::Unreadable)]));
+    assert_eq!(known(&list), Some((5, vec![("a", 1)])));
+    list.change(6, entries([("a", Entry::Unreadable)]));
+    assert_eq!(known(&list), Some((6, vec![("a", 1)])));
+    list.restart();
+    list.whole(9, entries([("a", Entry::Unreadable)]));
+    assert_eq!(known(&list), Some((9, vec![("a", 1)])));
+    list.change(10, entries([("a", Entry::Gone), ("a", Entry::Unreadable)]));
+    assert_eq!(known(&list), Some((10, vec![])));
+}
--- a/crates/decide/tests/support/batch.rs
+++ b/crates/decide/tests/support/batch.rs
@@ -29,6 +29,7 @@
         domain: (*domain).into(),
         region: None,
         cold_gap: None,
+        share: None,
     };
     Event::Makers(of.iter().map(info).collect())
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -1,5 +1,8 @@
 //! The kinds of lines and their fields.
 
+use std::time::Duration;
+
+use decide::rollout::Verdict;
 use model::Name;
 use serde::Serialize;
 
@@ -28,6 +31,51 @@
     /// The operator evacuates a failure domain, or has taken that back: `revision` of the list
     /// that told of it, and the age of what is known.
     Evacuation { domain: &'a str, state: &'a str, revision: u64, from: &'a str, age_ms: u64 },
+    /// An operator's order to move a service to a version came, changed or went: `what` it was,
+    /// where it stands at a revision, and the age of what is known.
+    Rollout {
+        service: &'a str,
+        version: &'a str,
+        what: &'a str,
+        state: &'a str,
+        lasts_ms: u64,
+        revision: u64,
+        from: &'a str,
+        age_ms: u64,
+    },
+    /// The version on trial gets this share of the requests from now on; the age is the order's.
+    RolloutPhase {
+        service: &'a str,
+        version: &'a str,
+        phase: &'a str,
+        share: f64,
+        why: &'a str,
+        age_ms: u64,
+    },
+    /// The version on trial was judged bad, by the requests of `whom`: requests and bad ones
+    /// of the route that told, of both versions; the age is the order's.
+    RolloutJudged {
+        service: &'a str,
+        version: &'a str,
+        whom: &'a str,
+        cause: &'a str,
+        route: &'a str,
+        trial_sent: u64,
+        trial_bad: u64,
+        serving_sent: u64,
+        serving_bad: u64,
+        age_ms: u64,
+    },
+    /// A write of an order's state ended.
+    RolloutWrite {
+        service: &'a str,
+        version: &'a str,
+        state: &'a str,
+        revision: u64,
+        outcome: &'a str,
+        why: &'a str,
+        took_ms: u64,
+    },
     /// A target is left out for its failures.
     Ejected { target: &'a str, why: &'a str },
     /// The budget for repeats of a service granted none.
@@ -52,10 +100,14 @@
         come_back_ms: u64,
     },
     /// A target was chosen for a request; it has `ahead` prompt tokens to read before. Those of
-    /// the `evacuated` failure domains were left out.
+    /// the `evacuated` failure domains were left out. While its service moves to another version
+    /// `side` tells which one it is for.
     Chosen {
         id: &'a str,
         target: &'a str,
+        version: &'a str,
+        #[serde(skip_serializing_if = "str::is_empty")]
+        side: &'a str,
         by: &'a str,
         ahead: u64,
         cold: bool,
@@ -122,6 +174,31 @@
 /// Outcomes of requests that ended as their callers wished.
 const WELL: [&str; 2] = ["answered", "streamed"];
 
+impl<'a> Event<'a> {
+    /// The line of a judgement.
+    pub fn judged(
+        service: &'a str,
+        version: &'a str,
+        whom: &'a str,
+        verdict: &'a Verdict,
+        age: Duration,
+    ) -> Self {
+        let Verdict { cause, route, trial, serving } = verdict;
+        Event::RolloutJudged {
+            service,
+            version,
+            whom,
+            cause: cause.as_str(),
+            route: route.as_deref().unwrap_or_default(),
+            trial_sent: trial.sent,
+            trial_bad: trial.bad,
+            serving_sent: serving.sent,
+            serving_bad: serving.bad,
+            age_ms: age.as_millis() as u64,
+        }
+    }
+}
+
 impl Event<'_> {
     /// Whether the line tells of a failure or a change of belief, which are kept first.
     pub fn is_weighty(&self) -> bool {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod prefill;
 mod reload;
+mod rollout;
 mod rules;
 mod serve;
 pub mod settings;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -39,6 +39,12 @@
     quantile: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Version {
+    service: String,
+    version: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Named {
     name: String,
@@ -55,6 +61,9 @@
     batch_pieces: Family<Named, Counter>,
     store_calls: Family<Named, Counter>,
     repeats: Family<Named, Counter>,
+    rollout_requests: Family<Version, Counter>,
+    rollout_bad: Family<Version, Counter>,
+    rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
     open: Gauge,
     rules: Gauge,
     peers: Gauge,
@@ -69,7 +78,7 @@
 
 /// Gauges that are read when the figures are asked for.
 #[derive(Debug, Clone, Copy)]
-pub struct Now {
+pub struct Now<'a> {
     /// Requests that are open.
     pub open: usize,
     /// Version of the rules in force.
@@ -82,6 +91,8 @@
     pub evacuated: usize,
     /// Targets whose entries say that they are cold.
     pub cold: usize,
+    /// Services that move to another version, that version, and its share of the requests.
+    pub rollouts: &'a [(Name, Name, f64)],
     /// Ages of what is known, by kind; `None` if nothing is.
     pub ages: [(Kind, Option<Age>); Kind::ALL.len()],
 }
@@ -97,6 +108,9 @@
             batch_pieces: Family::default(),
             store_calls: Family::default(),
             repeats: Family::default(),
+            rollout_requests: Family::default(),
+            rollout_bad: Family::default(),
+            rollout_share: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
             peers: Gauge::default(),
@@ -114,6 +128,12 @@
         registry.register("batch_pieces", "Pieces in those calls", m.batch_pieces.clone());
         registry.register("store_calls", "Calls of the store", m.store_calls.clone());
         registry.register("repeats", "Sends to a further target", m.repeats.clone());
+        let help = "Requests to services that move to another version";
+        registry.register("rollout_requests", help, m.rollout_requests.clone());
+        let help = "Failures of a version in such a move";
+        registry.register("rollout_bad", help, m.rollout_bad.clone());
+        let help = "Share of requests that the version on trial gets";
+        registry.register("rollout_share", help, m.rollout_share.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
         registry.register("nodes_up", "Nodes that are up", m.peers.clone());
@@ -163,6 +183,22 @@
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
     }
 
+    /// Requests, or pieces of a call, went to a version of a service that moves to another one.
+    pub fn rollout_sent(&self, service: &Name, version: &Name, count: usize) {
+        let labels = self.version(service, version);
+        self.rollout_requests.get_or_create(&labels).inc_by(count as u64);
+    }
+
+    /// They were failures of the version.
+    pub fn rollout_bad(&self, service: &Name, version: &Name, count: usize) {
+        let labels = self.version(service, version);
+        self.rollout_bad.get_or_create(&labels).inc_by(count as u64);
+    }
+
+    fn version(&self, service: &Name, version: &Name) -> Version {
+        Version { service: self.bounded(service), version: self.bounded(version) }
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
@@ -182,13 +218,18 @@
     }
 
     /// The figures as text.
-    pub fn text(&self, now: Now) -> String {
+    pub fn text(&self, now: Now<'_>) -> String {
         self.open.set(now.open as i64);
         self.rules.set(now.rules as i64);
         self.peers.set(now.peers as i64);
         self.targets.set(now.targets as i64);
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
+        self.rollout_share.clear();
+        for (service, version, share) in now.rollouts {
+            let labels = self.version(service, version);
+            self.rollout_share.get_or_create(&labels).set(*share);
+        }
         for (kind, age) in now.ages {
             self.age(kind, age);
         }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -12,7 +12,7 @@
 use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Rules, TargetId, Waits};
+use model::forward::{Rollout, Rules, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -26,6 +26,7 @@
 use crate::peers::{self, Peers};
 use crate::prefill::Schedulers;
 use crate::reload;
+use crate::rollout::{self, Trials};
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
@@ -63,6 +64,8 @@
     pub pools: Pools,
     /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
+    /// Versions on trial: what was seen of them, and their judging.
+    pub rollouts: Trials,
     /// The targets' state, for peers that follow it.
     pub feed: Feed,
     settings: RefCell<Rc<Settings>>,
@@ -95,6 +98,7 @@
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
+            rollouts: Trials::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
@@ -265,10 +269,20 @@
             targets: self.fleet.borrow().len(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
+            rollouts: &self.running_rollouts(),
             ages: Kind::ALL.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
     }
 
+    /// Orders that run, and the share of requests that each version on trial gets.
+    fn running_rollouts(&self) -> Vec<(Name, Name, f64)> {
+        let fleet = self.fleet.borrow();
+        let versions = fleet.versions();
+        let share_of = |service: &Name| versions.phase(service).map_or(0.0, |p| rollout::told(p).1);
+        let line = |o: &Rollout| (o.service.clone(), o.version.clone(), share_of(&o.service));
+        versions.running().map(line).collect()
+    }
+
     /// Whether the rules may be older than the store's: it did not confirm them for long.
     pub fn rules_may_be_old(&self, within: Duration) -> bool {
         self.feed.age_of(Kind::Rules, self.now()).is_none_or(|age| age.now > within)
@@ -279,10 +293,11 @@
         self.targets_known.set(true);
     }
 
-    /// Whether rules, targets and evacuations are known.
+    /// Whether rules, targets, evacuations and orders of roll-outs are known.
     fn knows_state(&self) -> bool {
-        let knows_evacuations = self.fleet.borrow().evacuated().is_known();
-        self.table.borrow().known() && self.targets_known.get() && knows_evacuations
+        let fleet = self.fleet.borrow();
+        let knows_lists = fleet.evacuated().is_known() && fleet.versions().is_known();
+        self.table.borrow().known() && self.targets_known.get() && knows_lists
     }
 
     /// Returns once rules and targets are known, or are not to be waited for.
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -6,7 +6,7 @@
 
 use decide::member::{Action, Event as MemberEvent, Member, Tuning};
 use decide::roster::{Changes, PeerView, ViewChange};
-use model::member::{Health, Node as PeerNode, NodeId, Packet};
+use model::member::{Health, Node as PeerNode, Packet};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -37,7 +37,7 @@
     mut commands: mpsc::UnboundedReceiver<MemberEvent>,
 ) {
     let s = node.settings();
-    let id = NodeId { name: s.name.clone(), start: rand::random::<u64>().max(1) };
+    let id = node.peers.id.clone();
     let address = s.peer_address();
     let capacity = s.host.capacity();
     let me = PeerNode { id, address, entry: address, domain: s.domain.clone(), capacity };
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -24,7 +24,7 @@
 use crate::events::Event;
 use crate::node::Node;
 
-pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
+pub use server::{BATCH, FREE, PREFILL, PREFILL_END, ROLLOUT, RemoteFree};
 
 /// Time to connect to a peer.
 pub const CONNECT: Duration = Duration::from_millis(250);
@@ -42,6 +42,8 @@
 
 /// Peers of a node.
 pub struct Peers {
+    /// This start of the node.
+    pub id: NodeId,
     roster: RefCell<Roster>,
     hung: RefCell<HashMap<NodeId, Time>>,
     fetching: Cell<u64>,
@@ -51,7 +53,9 @@
 impl Peers {
     /// Nobody is known yet.
     pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
+        let id = NodeId { name: me.clone(), start: rand::random::<u64>().max(1) };
         Peers {
+            id,
             roster: RefCell::new(Roster::new(me, domain, capacity)),
             hung: RefCell::default(),
             fetching: Cell::new(0),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -13,6 +13,7 @@
 
 use crate::ingress::small;
 use crate::node::Node;
+use crate::rollout;
 use crate::stages::{self, NotMade};
 use crate::watch;
 
@@ -28,6 +29,8 @@
 pub const PREFILL: &str = "/v1/prefill";
 /// Path of prompts that have been read.
 pub const PREFILL_END: &str = "/v1/prefill-end";
+/// Path of what a node saw of a version on trial.
+pub const ROLLOUT: &str = "/v1/rollout";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -56,6 +59,7 @@
         PREFILL => prefill(&node, request).await,
         PREFILL_END => prefill_end(&node, request).await,
         FREE => free(&node, request).await,
+        ROLLOUT => rollout(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     answered.unwrap_or_else(|refusal| refusal)
@@ -85,6 +89,13 @@
     Ok(rmp(&node.schedulers.place(node, &ask)))
 }
 
+async fn rollout(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let report = message(request, "not a report").await?;
+    let answer = rollout::judge(node, report);
+    let answer = answer.ok_or_else(|| text(StatusCode::NOT_FOUND, "no such order"))?;
+    Ok(rmp(&answer))
+}
+
 async fn prefill_end(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let end = message(request, "not the end of a prompt").await?;
     node.schedulers.end(end, node.now());
--- /dev/null
+++ b/crates/forward/src/rollout/judge.rs
@@ -0,0 +1,172 @@
+//! Drives the machines that judge orders, at the node that comes first.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::fleet::{Belief, Terms};
+use decide::rollout::{Bounds, Judge, JudgeAction, JudgeEvent};
+use model::Time;
+use model::forward::{Allowed, Rollout, RolloutAnswer, RolloutReport, RolloutState, Side};
+
+use super::{report, running, take_phase, write};
+use crate::border::Kind;
+use crate::events::Event;
+use crate::node::Node;
+use crate::watch::Backoff;
+
+/// Time without a report after which a node that does not come first judges no longer.
+const REST: Duration = Duration::from_secs(2);
+/// Longest wait after a write that failed.
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Time between looks at whether the store has confirmed the orders since a write.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// An order that this node judges.
+pub struct Judging {
+    machine: RefCell<Judge>,
+    /// The order as the machine last heard of it.
+    order: RefCell<Rollout>,
+    /// When a node last reported.
+    heard: Cell<Time>,
+}
+
+/// Takes what a node saw; `None` if no such order runs as far as this one knows.
+pub fn judge(node: &Rc<Node>, report: RolloutReport) -> Option<RolloutAnswer> {
+    let order = running(node, &report.service, &report.version)?;
+    let judging = judging(node, order)?;
+    if report.node != node.peers.id {
+        judging.heard.set(node.now());
+    }
+    feed(node, &judging, JudgeEvent::Report(report));
+    let answer = judging.machine.borrow().answer(node.now());
+    Some(answer)
+}
+
+/// The judging of an order, begun if there is none.
+fn judging(node: &Rc<Node>, order: Rollout) -> Option<Rc<Judging>> {
+    let held = node.rollouts.judging.borrow().get(&order.service).cloned();
+    if let Some(judging) = held.filter(|j| j.order.borrow().version == order.version) {
+        return Some(judging);
+    }
+    let settings = node.settings().rollouts?;
+    let bounds = Bounds {
+        share: settings.share,
+        slack: settings.slack as u32,
+        back: Duration::from_millis(settings.back_ms),
+    };
+    let now = node.now();
+    let age = node.fleet(|f| f.versions().age(&order.service, now)).unwrap_or_default();
+    let judging = Rc::new(Judging {
+        machine: RefCell::new(Judge::new(bounds, order.clone(), age, now)),
+        order: RefCell::new(order.clone()),
+        heard: Cell::new(now),
+    });
+    node.rollouts.judging.borrow_mut().insert(order.service, judging.clone());
+    tell_state(node, &judging);
+    tokio::task::spawn_local(tick(node.clone(), judging.clone()));
+    Some(judging)
+}
+
+/// Keeps the machine's time until the order is over, or others judge it.
+async fn tick(node: Rc<Node>, judging: Rc<Judging>) {
+    loop {
+        let at = judging.machine.borrow().next_tick(node.now());
+        tokio::time::sleep_until(node.clock.instant(at)).await;
+        if !goes_on(&node, &judging) {
+            break;
+        }
+        tell_order(&node, &judging);
+        tell_state(&node, &judging);
+        feed(&node, &judging, JudgeEvent::Tick);
+    }
+    let mut all = node.rollouts.judging.borrow_mut();
+    all.retain(|_, j| !Rc::ptr_eq(j, &judging));
+}
+
+fn goes_on(node: &Node, judging: &Judging) -> bool {
+    let now = node.now();
+    let order = judging.order.borrow();
+    let key = report::key(&order.service);
+    let is_wanted =
+        node.peers.roster(|r| r.coordinates(&key, now)) || now.since(judging.heard.get()) < REST;
+    is_wanted && running(node, &order.service, &order.version).is_some()
+}
+
+/// Tells the machine of the order if it has changed in the store.
+fn tell_order(node: &Rc<Node>, judging: &Rc<Judging>) {
+    let known = {
+        let order = judging.order.borrow();
+        running(node, &order.service, &order.version).filter(|known| *known != *order)
+    };
+    if let Some(order) = known {
+        judging.order.replace(order.clone());
+        feed(node, judging, JudgeEvent::Order(order));
+    }
+}
+
+/// Tells the machine who may have requests at either version, and what each can bear.
+fn tell_state(node: &Rc<Node>, judging: &Rc<Judging>) {
+    let mut nodes = node.peers.roster(|r| r.ids());
+    nodes.push(node.peers.id.clone());
+    feed(node, judging, JudgeEvent::Nodes(nodes));
+    let service = judging.order.borrow().service.clone();
+    let limit = node.cold_limit(&service);
+    let now = node.now();
+    let count = |side| {
+        node.fleet(|f| {
+            let is_warm = |b: &&Belief| limit.is_none_or(|l| !f.is_cold(b, l, now));
+            let terms = Terms { allowed: &Allowed::ANY, side };
+            let sound = f.usable(&service, terms, now).filter(|b| !b.is_ejected(now));
+            sound.filter(is_warm).count()
+        })
+    };
+    let (serving, trial) = (count(Side::Serving), count(Side::Trial));
+    feed(node, judging, JudgeEvent::Targets { serving, trial });
+}
+
+fn feed(node: &Rc<Node>, judging: &Rc<Judging>, event: JudgeEvent) {
+    let actions = judging.machine.borrow_mut().on(node.now(), event);
+    for action in actions {
+        act(node, judging, action);
+    }
+}
+
+fn act(node: &Rc<Node>, judging: &Rc<Judging>, action: JudgeAction) {
+    let order = judging.order.borrow().clone();
+    match action {
+        JudgeAction::Write(state) => {
+            tokio::task::spawn_local(set_state(node.clone(), judging.clone(), order, state));
+        }
+        JudgeAction::Judged { verdict, age } => {
+            Event::judged(&order.service, &order.version, "all nodes", &verdict, age).emit();
+        }
+        JudgeAction::Phase(phase) => take_phase(node, &order, phase, "judging"),
+    }
+}
+
+/// Writes a state. Where that fails, the machine goes on by the order as the store has it
+/// since: the write may have been done all the same, or be done yet, but never after another
+/// one, since all are for the same revision.
+async fn set_state(node: Rc<Node>, judging: Rc<Judging>, order: Rollout, state: RolloutState) {
+    let stands = write::set(&node, &order, state).await;
+    if stands {
+        return feed(&node, &judging, JudgeEvent::WriteEnded(true));
+    }
+    let ended = node.now();
+    Backoff::default().failed(&node, RETRY_LONGEST).await;
+    while !is_confirmed_since(&node, ended) {
+        tokio::time::sleep(LOOK).await;
+    }
+    feed(&node, &judging, JudgeEvent::WriteEnded(false));
+    if let Some(order) = running(&node, &order.service, &order.version) {
+        judging.order.replace(order.clone());
+        feed(&node, &judging, JudgeEvent::Order(order));
+    }
+}
+
+/// Whether the store has confirmed the orders known here since a time.
+fn is_confirmed_since(node: &Node, since: Time) -> bool {
+    let now = node.now();
+    node.feed.age_of(Kind::Rollouts, now).is_some_and(|age| now - age.now > since)
+}
--- /dev/null
+++ b/crates/forward/src/rollout/mod.rs
@@ -0,0 +1,89 @@
+//! Roll-outs at this node: what its requests show of a version on trial, its reports to the
+//! node that judges, and the judging where that is this node.
+
+mod held;
+mod judge;
+mod report;
+mod seen;
+mod write;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use decide::rollout::{Evidence, RolloutChange};
+use model::Name;
+use model::forward::{Phase, Rollout};
+use tokio::sync::Notify;
+
+use crate::events::Event;
+use crate::node::Node;
+use judge::Judging;
+
+pub use held::Held;
+pub use judge::judge;
+pub use report::run;
+pub use seen::{Seen, maker_sides, sent};
+
+/// What this node holds of roll-outs besides the orders.
+#[derive(Default)]
+pub struct Trials {
+    evidence: RefCell<Evidence>,
+    judging: RefCell<BTreeMap<Name, Rc<Judging>>>,
+    /// Results at their makers that requests of this node still need.
+    pub held: Held,
+    changed: Notify,
+}
+
+impl Trials {
+    /// An order came, changed or went.
+    pub fn changed(&self, change: &RolloutChange) {
+        let is_anew = match change {
+            RolloutChange::State(order) => order.state.is_final(),
+            RolloutChange::Began(_)
+            | RolloutChange::Replaced { .. }
+            | RolloutChange::Withdrawn(_) => true,
+        };
+        if is_anew {
+            self.evidence.borrow_mut().forget(service_of(change));
+        }
+        self.changed.notify_one();
+    }
+}
+
+fn service_of(change: &RolloutChange) -> &Name {
+    match change {
+        RolloutChange::Began(order)
+        | RolloutChange::State(order)
+        | RolloutChange::Replaced { order, .. }
+        | RolloutChange::Withdrawn(order) => &order.service,
+    }
+}
+
+/// The running order of a service to move to this version.
+fn running(node: &Node, service: &str, version: &str) -> Option<Rollout> {
+    let is_meant = |o: &&Rollout| *o.service == *service && *o.version == *version;
+    node.fleet(|f| f.versions().running().find(is_meant).cloned())
+}
+
+/// Works by a phase from now on, unless that is taken back or would undo a later one.
+fn take_phase(node: &Node, order: &Rollout, phase: Phase, why: &str) {
+    let now = node.now();
+    let Rollout { service, version, .. } = order;
+    if !node.fleet(|f| f.versions_mut().set_phase(service, version, phase, now)) {
+        return;
+    }
+    let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
+    let (phase, share) = told(phase);
+    let age_ms = age.as_millis() as u64;
+    Event::RolloutPhase { service, version, phase, share, why, age_ms }.emit();
+}
+
+/// Name of a phase and the share of requests that the version on trial gets in it.
+pub fn told(phase: Phase) -> (&'static str, f64) {
+    match phase {
+        Phase::Share(share) => ("share", share),
+        Phase::All => ("all", 1.0),
+        Phase::Back => ("back", 0.0),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/rollout/report.rs
@@ -0,0 +1,118 @@
+//! Tells the node that judges an order what this one saw, and works by its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use model::Name;
+use model::forward::{Rollout, RolloutAnswer, RolloutReport};
+use model::member::Node as PeerNode;
+
+use super::{judge, seen, take_phase};
+use crate::node::Node;
+use crate::peers::ROLLOUT;
+
+/// Time between two reports. A version that proves bad is to get nothing after some seconds,
+/// and a report and its answer each wait for the next one.
+const EVERY: Duration = Duration::from_millis(250);
+/// Time for an answer: the largest report fits into a packet or two.
+const TIMEOUT: Duration = Duration::from_millis(200);
+/// Nodes asked, one after the other, for want of an answer.
+const ASKED: usize = 3;
+/// Age of an order from which on every node in touch knows it: one that does not is passed over.
+const KNOWN_BY_ALL: Duration = Duration::from_secs(3);
+
+/// Reports until the process ends.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        let orders: Vec<Rollout> = node.fleet(|f| f.versions().running().cloned().collect());
+        if orders.is_empty() {
+            node.rollouts.changed.notified().await;
+            continue;
+        }
+        join_all(orders.iter().map(|order| report(&node, order))).await;
+        tokio::time::sleep(EVERY).await;
+    }
+}
+
+/// Name by which nodes are ordered for judging a service's orders.
+pub(super) fn key(service: &Name) -> String {
+    format!("rollout of {service}")
+}
+
+async fn report(node: &Rc<Node>, order: &Rollout) {
+    seen::prove(node, order);
+    let now = node.now();
+    let first = node.peers.roster(|r| r.coordinators(&key(&order.service), now));
+    for peer in first.into_iter().take(ASKED) {
+        let Some(report) = report_of(node, order) else {
+            return;
+        };
+        let answer = match &peer {
+            None => judge(node, report).ok_or(Silence::Unheard),
+            Some(peer) => ask(node, peer, &report).await,
+        };
+        let age = node.fleet(|f| f.versions().age(&order.service, now)).unwrap_or_default();
+        match answer {
+            Ok(answer) => return take_answer(node, order, answer),
+            // It hears of the order soon, and whoever comes next would judge beside it.
+            Err(Silence::Unheard) if age < KNOWN_BY_ALL => return,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Why a node did not answer a report.
+enum Silence {
+    /// It knows of no such order that runs.
+    Unheard,
+    /// It could not be reached, or not in time.
+    Lost,
+}
+
+async fn ask(
+    node: &Rc<Node>,
+    peer: &PeerNode,
+    report: &RolloutReport,
+) -> Result<RolloutAnswer, Silence> {
+    let address = peer.entry.to_string();
+    node.client.rmp(&address, ROLLOUT, report, TIMEOUT).await.map_err(|e| {
+        log::debug!("rollout: {e}");
+        if e.status().is_some() { Silence::Unheard } else { Silence::Lost }
+    })
+}
+
+fn take_answer(node: &Node, order: &Rollout, answer: RolloutAnswer) {
+    let now = node.now();
+    let age = Duration::from_millis(answer.age_ms);
+    node.fleet(|f| f.versions_mut().set_age(&order.service, age, now));
+    take_phase(node, order, answer.phase, "judge");
+}
+
+/// What this node saw; `None` if the order is over meanwhile.
+fn report_of(node: &Node, order: &Rollout) -> Option<RolloutReport> {
+    let Rollout { service, version, .. } = order;
+    let now = node.now();
+    let (phase, age) = node.fleet(|f| {
+        let versions = f.versions();
+        Some((versions.phase(service)?, versions.age(service, now)?))
+    })?;
+    Some(RolloutReport {
+        node: node.peers.id.clone(),
+        service: service.clone(),
+        version: version.clone(),
+        age_ms: age.as_millis() as u64,
+        phase,
+        open: open_at_old(node, order),
+        evidence: node.rollouts.evidence.borrow().report(service),
+    })
+}
+
+/// Requests and calls of this node at targets of other versions, and results there that its
+/// requests still need.
+fn open_at_old(node: &Node, order: &Rollout) -> u32 {
+    node.fleet(|f| {
+        let old = f.of_service(&order.service).filter(|b| b.target.version != order.version);
+        old.map(|b| b.outstanding + node.rollouts.held.at(&b.target.id)).sum()
+    })
+}
--- /dev/null
+++ b/crates/forward/src/rollout/seen.rs
@@ -0,0 +1,143 @@
+//! What the requests of this node show of the two versions of a service.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::fleet::Fleet;
+use model::forward::{Phase, Rollout, Side, Target};
+use model::{Name, Time};
+
+use super::{running, take_phase};
+use crate::events::Event;
+use crate::node::Node;
+
+/// A request, or the pieces of a call, at a target whose service moves to another version.
+#[derive(Clone)]
+pub struct Seen(Rc<Inner>);
+
+struct Inner {
+    node: Rc<Node>,
+    order: Rollout,
+    route: Name,
+    version: Name,
+    side: Side,
+    pieces: usize,
+    /// The target is cold: what it answers tells nothing of its version.
+    is_cold: bool,
+    /// When its caller, or this node, gives it up.
+    deadline: Time,
+    is_judged: Cell<bool>,
+}
+
+/// Notes that a target gets a request, or a call of so many pieces, if its service moves to
+/// another version.
+pub fn sent(
+    node: &Rc<Node>,
+    target: &Target,
+    route: &Name,
+    pieces: usize,
+    deadline: Time,
+) -> Option<Seen> {
+    node.settings().rollouts?;
+    let Target { service, version, .. } = target;
+    let is_meant = |o: &&Rollout| o.service == *service;
+    let order = node.fleet(|f| f.versions().running().find(is_meant).cloned())?;
+    let side = if order.version == *version { Side::Trial } else { Side::Serving };
+    let limit = node.cold_limit(service);
+    let now = node.now();
+    let is_cold = node.fleet(|f| {
+        let belief = f.get(&target.id);
+        belief.zip(limit).is_some_and(|(b, limit)| f.is_cold(b, limit, now))
+    });
+    for _ in 0..pieces {
+        node.rollouts.evidence.borrow_mut().sent(service, route, side);
+    }
+    node.metrics.rollout_sent(service, version, pieces);
+    Some(Seen(Rc::new(Inner {
+        node: node.clone(),
+        order,
+        route: route.clone(),
+        version: version.clone(),
+        side,
+        pieces,
+        is_cold,
+        deadline,
+        is_judged: Cell::new(false),
+    })))
+}
+
+impl Seen {
+    /// It was answered well after this time.
+    pub fn good(&self, took: Duration) {
+        let Inner { node, order, route, side, pieces, is_cold, is_judged, .. } = &*self.0;
+        is_judged.set(true);
+        if *is_cold || !self.0.counts() {
+            return;
+        }
+        for _ in 0..*pieces {
+            node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
+        }
+    }
+
+    /// Its answer was a failure of the version, or came too late to be of use.
+    pub fn bad(&self) {
+        self.0.bad();
+    }
+}
+
+impl Inner {
+    /// Whether the order that it was sent under still runs.
+    fn counts(&self) -> bool {
+        running(&self.node, &self.order.service, &self.order.version).is_some()
+    }
+
+    fn bad(&self) {
+        let Inner { node, order, route, version, side, pieces, is_cold, is_judged, .. } = self;
+        is_judged.set(true);
+        if *is_cold || !self.counts() {
+            return;
+        }
+        for _ in 0..*pieces {
+            node.rollouts.evidence.borrow_mut().bad(&order.service, route, *side);
+        }
+        node.metrics.rollout_bad(&order.service, version, *pieces);
+        if *side == Side::Trial {
+            prove(node, order);
+        }
+    }
+}
+
+impl Drop for Inner {
+    /// Who gives up at the deadline has waited in vain; who leaves before tells nothing.
+    fn drop(&mut self) {
+        if !self.is_judged.get() && self.node.now() >= self.deadline {
+            self.bad();
+        }
+    }
+}
+
+/// Takes the version back at this node if its own requests prove that it is bad.
+pub(super) fn prove(node: &Node, order: &Rollout) {
+    let Rollout { service, version, .. } = order;
+    if node.fleet(|f| f.versions().phase(service)) == Some(Phase::Back) {
+        return;
+    }
+    let Some(verdict) = node.rollouts.evidence.borrow().proves_bad(service) else {
+        return;
+    };
+    let now = node.now();
+    let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
+    Event::judged(service, version, "this node", &verdict, age).emit();
+    take_phase(node, order, Phase::Back, "own requests");
+}
+
+/// Versions to which calls of a stage service may go, each with the part of all pieces that it
+/// may get if it is on trial.
+pub fn maker_sides(fleet: &Fleet, service: &str) -> Vec<(Side, Option<f64>)> {
+    match fleet.versions().phase(service) {
+        Some(Phase::Share(share)) => vec![(Side::Serving, None), (Side::Trial, Some(share))],
+        Some(Phase::All) => vec![(Side::Serving, None), (Side::Trial, None)],
+        Some(Phase::Back) | None => vec![(Side::Serving, None)],
+    }
+}
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -2,7 +2,7 @@
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
 use decide::resend::Next;
-use model::forward::{LARGE_RESULT, Target, TargetId};
+use model::forward::{LARGE_RESULT, Phase, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::exchange::Exchange;
@@ -21,6 +21,14 @@
     /// The target that a request is best sent to now; a cold one only if it is this node's
     /// turn to start a request there.
     pub(super) fn choose(&self) -> Option<Target> {
+        let chosen = self.choose_now();
+        if chosen.is_none() && self.leave_trial() {
+            return self.choose_now();
+        }
+        chosen
+    }
+
+    fn choose_now(&self) -> Option<Target> {
         let now = self.node.now();
         let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
         let but = self.progress(|p| p.but.clone());
@@ -44,7 +52,28 @@
 
     /// What the request asks of any target.
     fn terms(&self) -> Terms<'_> {
-        Terms { allowed: &self.allowed, side: self.side }
+        Terms { allowed: &self.allowed, side: self.version_now() }
+    }
+
+    /// The version that the request goes to now. While one is on trial a request goes to it once
+    /// at most; where all go to one version, those that are under way do so too.
+    fn version_now(&self) -> Side {
+        let is_trial = self.side == Side::Trial && !self.progress(|p| p.left_trial);
+        self.node.fleet(|f| match f.versions().phase(&self.service) {
+            Some(Phase::Share(_)) if is_trial => Side::Trial,
+            Some(Phase::Share(_)) => Side::Serving,
+            Some(Phase::All | Phase::Back) | None => {
+                f.versions().turn(&self.service, &self.head.id)
+            }
+        })
+    }
+
+    /// The request goes to the version that serves from now on; whether it would have gone to
+    /// the one on trial.
+    fn leave_trial(&self) -> bool {
+        let was_trial = self.version_now() == Side::Trial;
+        self.progress(|p| p.left_trial = true);
+        was_trial && self.version_now() == Side::Serving
     }
 
     fn home(&self) -> Option<Home> {
@@ -72,11 +101,11 @@
     /// Whether a target chosen a while ago, or by another node, may get the request.
     fn is_usable(&self, target: &Target) -> bool {
         let now = self.node.now();
-        let most = self.connections_each();
+        let (most, terms) = (self.connections_each(), self.terms());
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, self.terms(), now)
+            is_sound && f.is_usable(&target.id, terms, now)
         })
     }
 
@@ -96,6 +125,9 @@
         if next != Next::Resend {
             return None;
         }
+        if self.progress(|p| !p.but.is_empty()) {
+            self.leave_trial();
+        }
         let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
             let why = self.no_target();
             self.progress(|p| p.why = format!("{why}; before: {}", p.why));
@@ -136,7 +168,7 @@
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
             allowed: self.allowed.clone(),
-            side: self.side,
+            side: self.version_now(),
             home,
             tokens: self.head.tokens_in,
             slack_ms: self.slack().as_millis() as u64,
@@ -164,9 +196,17 @@
     }
 
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
+        let is_on_trial = self.node.fleet(|f| f.versions().phase(&self.service).is_some());
+        let side = match self.version_now() {
+            Side::Serving if is_on_trial => "serving",
+            Side::Trial => "trial",
+            Side::Serving => "",
+        };
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
+            version: &target.version,
+            side,
             by,
             ahead,
             cold: self.is_cold(target),
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -61,6 +61,8 @@
     pub failure: Option<Failure>,
     /// Why the last try brought nothing.
     pub why: String,
+    /// It goes to the version that serves, although its turn was another one.
+    pub left_trial: bool,
     ended: bool,
 }
 
@@ -80,7 +82,7 @@
     pub rank: Rank,
     /// Regions in which it may be served.
     pub allowed: Allowed,
-    /// Version of its service that it goes to.
+    /// Version of its service that it was to go to when it was taken in.
     pub side: Side,
     /// Version of the rules that it was taken in by.
     pub version: u64,
@@ -119,6 +121,7 @@
             stages: Duration::ZERO,
             failure: None,
             why: String::new(),
+            left_trial: false,
             ended: false,
         };
         let _open = node.opened();
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one target, and what came of it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use decide::fleet::Observation;
@@ -17,6 +18,7 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::prefill::Ticket;
+use crate::rollout::{self, Seen};
 use crate::stages::Made;
 use crate::upstream::{self, Answer};
 
@@ -48,12 +50,27 @@
     id: TargetId,
     unread: u64,
     ticket: Option<Ticket>,
+    seen: Option<Seen>,
 }
 
 impl AtTarget {
     fn new(node: &Rc<Node>, id: &TargetId, tokens: u64, ticket: Option<Ticket>) -> Self {
         node.fleet(|f| f.sent(id, tokens));
-        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket }
+        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket, seen: None }
+    }
+
+    /// The target answered well after this time.
+    fn good(&self, took: Duration) {
+        if let Some(seen) = &self.seen {
+            seen.good(took);
+        }
+    }
+
+    /// What it answered was a failure of its version, or late.
+    pub(super) fn bad(&self) {
+        if let Some(seen) = &self.seen {
+            seen.bad();
+        }
     }
 
     /// The prompt has been read.
@@ -91,7 +108,7 @@
         p.but.push(target.id.clone());
         p.target = Some(target.id.clone());
     });
-    let at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
+    let mut at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
         Err(e) => {
@@ -99,6 +116,8 @@
         }
     };
     exchange.progress(|p| p.tries.connected());
+    let seen = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
+    at_target.seen.clone_from(&seen);
     let request = request_for(exchange, target, made, resume_after);
     let work = async {
         match upstream::send_over(socket, target.address, request).await {
@@ -113,6 +132,9 @@
         Some(outcome) => outcome,
         None => {
             exchange.progress(|p| p.tries.note(Ran::Maybe));
+            if let Some(seen) = seen {
+                seen.bad();
+            }
             nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
         }
     }
@@ -170,6 +192,7 @@
         return failed(Ran::No, Observation::Rejected, why);
     }
     if head.status.is_success() && !said.signed {
+        at_target.bad();
         return failed(Ran::Maybe, Observation::Failed, "answer without signature".into());
     }
     if head.status.is_success() && said.events {
@@ -177,13 +200,21 @@
         let first = match reader.next().await {
             Ok(Some(first)) => first,
             Ok(None) => {
+                at_target.bad();
                 let why = StreamError::Empty.to_string();
                 return failed(Ran::Maybe, Observation::Failed, why);
             }
-            Err(e) => return failed(Ran::Maybe, Observation::Failed, e.to_string()),
+            Err(e) => {
+                if e.is_of_target() {
+                    at_target.bad();
+                }
+                return failed(Ran::Maybe, Observation::Failed, e.to_string());
+            }
         };
         exchange.progress(|p| p.tries.note(Ran::Maybe));
-        node.observe(&target.id, Observation::Answered(node.now().since(begun)), "");
+        let took = node.now().since(begun);
+        node.observe(&target.id, Observation::Answered(took), "");
+        at_target.good(took);
         at_target.read();
         let headers = node.dialect.back(&head.headers);
         let begun = Begun { status: head.status, headers, reader, first, at_target };
@@ -203,10 +234,12 @@
     let status = head.status;
     if status.is_server_error() {
         let why = format!("status {status}");
+        at_target.bad();
         exchange.progress(|p| p.failure = Some(Failure { status, headers, body }));
         return nothing(exchange, target, Observation::Failed, begun, why);
     }
     node.observe(&target.id, Observation::Answered(took), "");
+    at_target.good(took);
     Outcome::Whole { status, headers, body }
 }
 
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -38,6 +38,14 @@
     Late,
 }
 
+impl StreamError {
+    /// Whether the target's software failed, or took too long: a connection that broke tells of
+    /// the target alone.
+    pub fn is_of_target(&self) -> bool {
+        !matches!(self, StreamError::Broke(_))
+    }
+}
+
 /// Reads whole events.
 pub struct EventReader {
     body: Incoming,
@@ -159,6 +167,9 @@
                 }
                 Err(e) => {
                     let why = e.to_string();
+                    if e.is_of_target() {
+                        self.at_target.bad();
+                    }
                     self.exchange.progress(|p| p.why = why);
                     if !self.resume().await {
                         self.over = true;
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -42,13 +42,19 @@
         service: &Name,
         placed: Placed,
     ) -> Result<(), StageError> {
+        let follows_rollouts = self.node.settings().rollouts.is_some();
         let kept = &mut self.kept[stage];
         kept.service = service.clone();
         kept.peer = placed.peer;
         let mut failed = None;
         for result in placed.results {
             match result {
-                PieceResult::Made(handle) => kept.handles.push(handle),
+                PieceResult::Made(handle) => {
+                    if follows_rollouts {
+                        self.node.rollouts.held.keep(&handle);
+                    }
+                    kept.handles.push(handle);
+                }
                 PieceResult::Late => failed = Some(StageError::Late),
                 PieceResult::InputGone => failed = Some(StageError::InputGone),
                 PieceResult::Failed | PieceResult::NoRoom => failed = Some(StageError::Failed),
@@ -81,6 +87,7 @@
         if handles.is_empty() {
             return;
         }
+        handles.iter().for_each(|handle| self.node.rollouts.held.release(handle));
         let pools = &self.node.pools;
         match peer {
             Some(peer) => pools.freer.at_peer(&self.node, peer, &service, handles),
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -17,12 +17,15 @@
 use super::free::Freer;
 use crate::events::Event as LogEvent;
 use crate::node::Node;
+use crate::rollout::{self, Seen};
 use crate::upstream::{self, Answer};
 
 /// Time between looks at late orders and makers that are back.
 const TICK: Duration = Duration::from_millis(40);
 /// Time beyond a call's expected one before it is given up.
 const CALL_SLACK: Duration = Duration::from_millis(1500);
+/// Most times what is expected that the time of a call counts as.
+const PART_MOST: f64 = 1000.0;
 /// Largest answer to a call.
 const ANSWER_MAX: usize = 1 << 20;
 
@@ -170,8 +173,14 @@
                 domain: b.target.domain.clone(),
                 region: f.regions().of(&b.target.domain).cloned(),
                 cold_gap: gap_of(b),
+                share: None,
             };
-            f.usable(&self.service, Terms::ANY, now).map(info).collect()
+            let mut makers = Vec::new();
+            for (side, share) in rollout::maker_sides(f, &self.service) {
+                let usable = f.usable(&self.service, Terms { side, ..Terms::ANY }, now).map(info);
+                makers.extend(usable.map(|m| MakerInfo { share, ..m }));
+            }
+            makers
         })
     }
 
@@ -248,17 +257,23 @@
 }
 
 async fn make_call(runner: &Runner, node: &Rc<Node>, call: Call) -> CallEnd {
-    let Some(address) = node.fleet(|f| f.get(&call.maker).map(|b| b.target.address)) else {
+    let Some(target) = node.fleet(|f| f.get(&call.maker).map(|b| b.target.clone())) else {
         return CallEnd::Failed;
     };
+    let address = target.address;
+    let _at_maker = AtMaker::new(node, &call.maker);
     let post = node.dialect.stage_call(&call.pieces);
     let request = call::request(node, &call.maker, address, post);
     let begun = node.now();
     let targets_age_ms = node.targets_age_ms();
-    let timeout = runner.patience(node, call.pieces.len());
+    let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
+    let seen = rollout::sent(node, &target, &runner.service, pieces, begun + timeout);
     let work = async {
         match upstream::send(address, request).await {
-            Ok(answer) => read_answer(node, &call, answer, node.now().since(begun)).await,
+            Ok(answer) => {
+                let took = node.now().since(begun);
+                read_answer(node, &call, answer, took, seen.as_ref()).await
+            }
             Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
             Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
         }
@@ -285,15 +300,48 @@
         why: &why,
     }
     .emit();
+    if let (Some(seen), Observation::Answered(took)) = (&seen, observed) {
+        note_answer(seen, results, took, runner.expected(node, pieces));
+    }
     node.observe(&call.maker, observed, &why);
     end
 }
 
+/// Counts a call at its maker until it goes.
+struct AtMaker {
+    node: Rc<Node>,
+    id: TargetId,
+}
+
+impl AtMaker {
+    fn new(node: &Rc<Node>, id: &TargetId) -> Self {
+        node.fleet(|f| f.sent(id, 0));
+        AtMaker { node: node.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for AtMaker {
+    fn drop(&mut self) {
+        self.node.fleet(|f| f.done(&self.id));
+    }
+}
+
+/// What a maker's answer shows of its version. Calls take time by what they carry, so their
+/// times are told as parts of what is expected, which counts as a second.
+fn note_answer(seen: &Seen, results: &[PieceResult], took: Duration, expected: Duration) {
+    if results.contains(&PieceResult::Failed) {
+        return seen.bad();
+    }
+    let part = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
+    seen.good(Duration::from_secs_f64(part.min(PART_MOST)));
+}
+
 async fn read_answer(
     node: &Rc<Node>,
     call: &Call,
     answer: Answer,
     took: Duration,
+    seen: Option<&Seen>,
 ) -> (CallEnd, Observation, String) {
     let (head, body) = answer.response.into_parts();
     let said = node.dialect.answer(&head);
@@ -304,6 +352,7 @@
         return (CallEnd::Full, Observation::Rejected, "full".into());
     }
     if !head.status.is_success() {
+        seen.inspect(|seen| seen.bad());
         return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
     }
     let body = match Limited::new(body, ANSWER_MAX).collect().await {
@@ -312,16 +361,24 @@
     };
     match node.dialect.stage_answer(&call.maker, &body) {
         Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
-        Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
+        Err(e) => {
+            seen.inspect(|seen| seen.bad());
+            (CallEnd::Failed, Observation::Failed, e.to_string())
+        }
     }
 }
 
 impl Runner {
     /// Time after which a call is given up.
     fn patience(&self, node: &Node, pieces: usize) -> Duration {
+        2 * self.expected(node, pieces) + CALL_SLACK
+    }
+
+    /// Time that a call takes by the rules.
+    fn expected(&self, node: &Node, pieces: usize) -> Duration {
         let table = node.table();
         let pool = table.service(&self.service).and_then(|s| s.pool.as_ref());
         let ms = pool.map_or(0.0, |p| p.call_ms + p.item_ms * pieces as f64);
-        Duration::from_secs_f64(2.0 * ms / 1000.0) + CALL_SLACK
+        Duration::from_secs_f64(ms / 1000.0)
     }
 }
--- a/crates/forward/src/watch/backoff.rs
+++ b/crates/forward/src/watch/backoff.rs
@@ -11,16 +11,16 @@
 
 /// Calls that failed one after the other.
 #[derive(Debug, Default)]
-pub(super) struct Backoff(u32);
+pub struct Backoff(u32);
 
 impl Backoff {
     /// A call was answered.
-    pub(super) fn answered(&mut self) {
+    pub fn answered(&mut self) {
         self.0 = 0;
     }
 
     /// A call failed: waits, for `longest` at most.
-    pub(super) async fn failed(&mut self, node: &Node, longest: Duration) {
+    pub async fn failed(&mut self, node: &Node, longest: Duration) {
         let bound = FIRST * 2u32.pow(self.0.min(DOUBLINGS));
         self.0 += 1;
         let pause = node.rng(|r| r.jitter(bound.min(longest)));
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -1,69 +1,36 @@
-//! Follows the evacuations in the store, for as long as this node reads it: as a relay, or
-//! for want of one. The others hear of them from where they follow the targets.
+//! Evacuations: what a list of them changes.
 
-use std::rc::Rc;
-use std::time::Duration;
+use std::collections::BTreeMap;
 
-use decide::fleet::{EvacuationChange, EvacuationList};
-use decide::relay::waits;
+use decide::fleet::EvacuationChange;
+use decide::relay::Entry;
 use model::Name;
 use model::forward::Evacuations;
 
-use super::backoff::Backoff;
-use super::store::{Reader, Step};
+use super::lists::Listed;
 use crate::border::{Change, Kind};
 use crate::events::Event;
 use crate::node::Node;
 
-/// Longest wait after a failed call.
-const RETRY_LONGEST: Duration = Duration::from_millis(800);
-/// Time for which a failed call waits for another one to show that the store answers again.
-const AWAY: Duration = Duration::from_secs(2);
+impl Listed for Evacuations {
+    const KIND: Kind = Kind::Evacuations;
+    type Object = ();
 
-/// Follows until the process ends.
-pub async fn follow(node: Rc<Node>) {
-    let mut reader = Reader::new(node.clone(), Kind::Evacuations);
-    let mut list = EvacuationList::default();
-    let mut backoff = Backoff::default();
-    loop {
-        tokio::time::sleep(waits::GATHER).await;
-        node.feed.reads_store().await;
-        match reader.read(list.at(), waits::SLOW_WATCH).await {
-            Ok(step) => {
-                backoff.answered();
-                take_step(&node, &mut list, step);
-            }
-            Err(e) if e.is_history_gone() => list.restart(),
-            Err(_) => {
-                backoff.failed(&node, RETRY_LONGEST).await;
-                let _ = tokio::time::timeout(AWAY, node.store_reached()).await;
-            }
+    fn entry(change: Change) -> Option<(Name, Entry<()>)> {
+        match change {
+            Change::Evacuated(domain) => Some((domain, Entry::Now(()))),
+            Change::Unreadable(domain) => Some((domain, Entry::Unreadable)),
+            Change::Gone(domain) => Some((domain, Entry::Gone)),
+            Change::Rules(_) | Change::Target(_) | Change::Rollout(_) => None,
         }
     }
-}
 
-fn take_step(node: &Node, list: &mut EvacuationList, step: Step) {
-    let Step { at, whole, changes } = step;
-    let changes = changes.into_iter().filter_map(change);
-    if whole {
-        let evacuated = changes.filter(|(_, is_evacuated)| *is_evacuated);
-        list.whole(at, evacuated.map(|(domain, _)| domain));
-    } else {
-        list.change(at, changes);
-    }
-    if let Some(list) = list.list() {
-        take(node, list, "store");
+    fn take(node: &Node, at: u64, objects: &BTreeMap<Name, ()>) {
+        take(node, Evacuations { at, domains: objects.keys().cloned().collect() }, "store");
     }
-    let now = node.now();
-    node.feed.confirm(Kind::Evacuations, now, now);
-}
 
-/// A failure domain, and whether it is evacuated now.
-fn change(change: Change) -> Option<(Name, bool)> {
-    match change {
-        Change::Evacuated(domain) => Some((domain, true)),
-        Change::Gone(domain) => Some((domain, false)),
-        Change::Rules(_) | Change::Target(_) | Change::Rollout(_) | Change::Unreadable(_) => None,
+    fn needed(_node: &Node) -> Option<u64> {
+        None
     }
 }
 
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -1,7 +1,7 @@
 //! The targets' state as this node has it, and what its peers can follow of it.
 //!
-//! Evacuations are part of that state where they are followed. The store is asked for them
-//! less often than for targets, so they may be older before the state is no use.
+//! Evacuations and roll-outs are part of that state where they are followed. The store is asked
+//! for them less often than for targets, so they may be older before the state is no use.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -18,8 +18,10 @@
 
 /// Age from which on the state is no use to a peer, which then asks another one.
 const STALE: Duration = Duration::from_millis(1_600);
-/// Time by which evacuations may be older than targets: a watch of theirs lasts so much longer.
-const EVACUATIONS_OLDER: Duration = Duration::from_millis(500);
+/// Time by which lists may be older than targets: a watch of theirs lasts so much longer.
+const LISTS_OLDER: Duration = Duration::from_millis(500);
+/// Kinds that operators keep as lists.
+const LISTS: [Kind; 2] = [Kind::Evacuations, Kind::Rollouts];
 
 /// Revision, history and age of the targets' state.
 #[derive(Debug)]
@@ -34,9 +36,10 @@
 impl Default for Feed {
     fn default() -> Self {
         let ages = Ages::default();
-        // Not followed, so never too old.
-        ages.confirm(Kind::Evacuations, Time::NEVER, Time::ZERO);
-        ages.confirm(Kind::Rollouts, Time::NEVER, Time::ZERO);
+        for kind in LISTS {
+            // Not followed, so never too old.
+            ages.confirm(kind, Time::NEVER, Time::ZERO);
+        }
         Feed {
             history: RefCell::default(),
             ages,
@@ -48,9 +51,9 @@
 }
 
 impl Feed {
-    /// Evacuations are part of the state from now on.
-    pub fn follow_evacuations(&self) {
-        self.ages.forget(Kind::Evacuations);
+    /// A list is part of the state from now on.
+    pub fn follow(&self, kind: Kind) {
+        self.ages.forget(kind);
     }
 
     /// Revision that the state is at; `None` if none was ever read.
@@ -58,13 +61,12 @@
         Some(self.history.borrow().at()).filter(|at| *at > 0)
     }
 
-    /// Age of the state: time since the store confirmed it, that of the evacuations less what
-    /// they may be older.
+    /// Age of the state: time since the store confirmed it, that of lists less what they may
+    /// be older.
     pub fn age(&self, now: Time) -> Duration {
-        let evacuations_at =
-            self.ages.confirmed(Kind::Evacuations).map(|at| at + EVACUATIONS_OLDER);
-        let older = self.ages.confirmed(Kind::Targets).min(evacuations_at);
-        older.map_or(Duration::MAX, |at| now.since(at))
+        let lists_at = LISTS.map(|kind| self.ages.confirmed(kind).map(|at| at + LISTS_OLDER));
+        let oldest = lists_at.into_iter().fold(self.ages.confirmed(Kind::Targets), Option::min);
+        oldest.map_or(Duration::MAX, |at| now.since(at))
     }
 
     /// Age of one kind; `None` if it is not known, or not followed.
@@ -101,10 +103,12 @@
         age > STALE
     }
 
-    /// A peer told of a state of this age, from which what evacuations may be older is off.
-    pub fn confirm_both(&self, at: Time, now: Time) {
+    /// A peer told of a state of this age, from which what lists may be older is off.
+    pub fn confirm_all(&self, at: Time, now: Time) {
         self.confirm(Kind::Targets, at, now);
-        self.confirm(Kind::Evacuations, at - EVACUATIONS_OLDER, now);
+        for kind in LISTS {
+            self.confirm(kind, at - LISTS_OLDER, now);
+        }
     }
 
     /// The store confirmed a kind at this time.
--- /dev/null
+++ b/crates/forward/src/watch/lists.rs
@@ -0,0 +1,100 @@
+//! Follows a list of objects that operators keep in the store, for as long as this node reads
+//! it: as a relay, or for want of one. The others hear of it from where they follow the targets.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::relay::{Entry, List, waits};
+use model::Name;
+
+use super::backoff::Backoff;
+use super::store::{AT_ONCE, ReadError, Reader, Step};
+use crate::border::{Change, Kind};
+use crate::node::Node;
+
+/// Longest wait after a failed call.
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Time for which a failed call waits for another one to show that the store answers again.
+const AWAY: Duration = Duration::from_secs(2);
+
+/// A kind of object that is followed as a list.
+pub(super) trait Listed {
+    /// The kind.
+    const KIND: Kind;
+    /// What is kept of an object.
+    type Object;
+
+    /// What a change says of an object of the kind; `None` if it is of another one.
+    fn entry(change: Change) -> Option<(Name, Entry<Self::Object>)>;
+
+    /// Puts the list as it is at a revision in force.
+    fn take(node: &Node, at: u64, objects: &BTreeMap<Name, Self::Object>);
+
+    /// Revision up to which the list is to be known at once, if it is not to wait for news.
+    fn needed(node: &Node) -> Option<u64>;
+}
+
+/// Follows until the process ends.
+pub(super) async fn follow<L: Listed>(node: Rc<Node>) {
+    let mut reader = Reader::new(node.clone(), L::KIND);
+    let mut list = List::default();
+    let mut backoff = Backoff::default();
+    loop {
+        tokio::time::sleep(waits::GATHER).await;
+        node.feed.reads_store().await;
+        match read::<L>(&node, &mut reader, list.at()).await {
+            Ok(step) => {
+                backoff.answered();
+                take_step::<L>(&node, &mut list, step);
+            }
+            Err(e) if e.is_history_gone() => list.restart(),
+            Err(_) => {
+                backoff.failed(&node, RETRY_LONGEST).await;
+                let _ = tokio::time::timeout(AWAY, node.store_reached()).await;
+            }
+        }
+    }
+}
+
+/// Reads the list, or waits for changes until it is needed at once.
+async fn read<L: Listed>(
+    node: &Node,
+    reader: &mut Reader,
+    at: Option<u64>,
+) -> Result<Step, ReadError> {
+    tokio::select! {
+        read = reader.read(at, waits::SLOW_WATCH) => return read,
+        () = is_needed::<L>(node, at) => {}
+    }
+    reader.read(at, AT_ONCE).await
+}
+
+/// Returns once the list is needed at a later revision than this.
+async fn is_needed<L: Listed>(node: &Node, at: Option<u64>) {
+    let Some(at) = at else {
+        // The whole list is being read, which does not wait.
+        return std::future::pending().await;
+    };
+    let mut news = node.feed.news();
+    while L::needed(node).is_none_or(|needed| needed <= at) {
+        if news.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+fn take_step<L: Listed>(node: &Node, list: &mut List<L::Object>, step: Step) {
+    let Step { at, whole, changes } = step;
+    let entries = changes.into_iter().filter_map(L::entry);
+    if whole {
+        list.whole(at, entries);
+    } else {
+        list.change(at, entries);
+    }
+    if let Some((at, objects)) = list.known() {
+        L::take(node, at, objects);
+    }
+    let now = node.now();
+    node.feed.confirm(L::KIND, now, now);
+}
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -1,9 +1,11 @@
-//! Follows rules, targets and evacuations: in the store, or through peers that do.
+//! Follows rules, targets, evacuations and roll-outs: in the store, or through peers that do.
 
 mod ages;
 mod backoff;
 mod evacuations;
 mod feed;
+mod lists;
+mod rollouts;
 mod rules;
 mod store;
 mod targets;
@@ -13,11 +15,16 @@
 
 use decide::fleet::Regions;
 use decide::relay::{Relays, Role};
+use model::forward::{Evacuations, Rollouts};
 
+use crate::border::Kind;
 use crate::node::Node;
+use crate::rollout;
 
 pub use ages::Age;
+pub use backoff::Backoff;
 pub use feed::Feed;
+pub use store::CONNECT as STORE_CONNECT;
 pub use targets::answer;
 
 /// Time between looks at targets whose entries vanished, and at the age of what is known.
@@ -28,9 +35,15 @@
     let regions = Regions::new(node.settings().regions.clone());
     node.fleet(|f| f.set_regions(regions));
     if node.settings().evacuations {
-        node.feed.follow_evacuations();
+        node.feed.follow(Kind::Evacuations);
         node.fleet(|f| f.follow_evacuations());
-        tokio::task::spawn_local(evacuations::follow(node.clone()));
+        tokio::task::spawn_local(lists::follow::<Evacuations>(node.clone()));
+    }
+    if node.settings().rollouts.is_some() {
+        node.feed.follow(Kind::Rollouts);
+        node.fleet(|f| f.versions_mut().follow());
+        tokio::task::spawn_local(lists::follow::<Rollouts>(node.clone()));
+        tokio::task::spawn_local(rollout::run(node.clone()));
     }
     tokio::task::spawn_local(rules::follow(node.clone()));
     tokio::task::spawn_local(targets::follow(node.clone()));
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 
 /// Time to connect to the store.
-const CONNECT: Duration = Duration::from_millis(800);
+pub const CONNECT: Duration = Duration::from_millis(800);
 /// Time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Times that a page is asked for again while the store is busy.
@@ -19,7 +19,7 @@
 /// Longest wait before a page is asked for again.
 const PAGE_PAUSE: Duration = Duration::from_millis(600);
 /// Wait of a watch that is to be answered at once.
-const AT_ONCE: Duration = Duration::from_millis(1);
+pub(super) const AT_ONCE: Duration = Duration::from_millis(1);
 /// Status of a call beyond the store's rate.
 const BUSY: u16 = 429;
 /// Status of a watch whose history is gone.
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -12,7 +12,7 @@
 
 use super::feed::Feed;
 use super::store::{Reader, Step};
-use super::{evacuations, millis, relays};
+use super::{evacuations, millis, relays, rollouts};
 use crate::border::{Change, Kind};
 use crate::events::Event;
 use crate::node::Node;
@@ -98,12 +98,18 @@
 
     async fn ask_peer(&mut self, peer: &PeerNode, patient: bool, role: Role) {
         let node = self.node.clone();
-        let wait = if role == Role::Standby { waits::STANDBY_WAIT } else { waits::PEER_WAIT };
+        let is_unsettled = node.fleet(|f| f.versions().unsettled().is_some());
+        let wait = match role {
+            // The peer, which reads the orders, soon knows them up to the newest version.
+            _ if is_unsettled => waits::GATHER,
+            Role::Standby => waits::STANDBY_WAIT,
+            _ => waits::PEER_WAIT,
+        };
         let ask = FollowAsk {
             at: node.feed.at().unwrap_or(0),
             rules: node.table().rules.version,
             evacuations: node.fleet(|f| f.evacuated().at()),
-            rollouts: None,
+            rollouts: node.fleet(|f| f.versions().at()),
             wait_ms: wait.as_millis() as u64,
             patient,
         };
@@ -171,18 +177,21 @@
 
 /// Takes what a peer told.
 fn take_answer(node: &Node, from: &str, answer: FollowAnswer, confirmed: Time) {
-    let FollowAnswer { at, doubt_ms, news, evacuations, .. } = answer;
+    let FollowAnswer { at, doubt_ms, news, evacuations, rollouts, .. } = answer;
     // Before the targets, so that no new one is used that is to get nothing.
     if let Some(list) = evacuations {
         evacuations::take(node, list, from);
     }
+    if let Some(list) = rollouts {
+        rollouts::take(node, list, from);
+    }
     let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
     match news {
         TargetNews::Unknown => return,
         TargetNews::Whole(targets) => take_whole(node, at, targets, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
-    node.feed.confirm_both(confirmed, node.now());
+    node.feed.confirm_all(confirmed, node.now());
 }
 
 fn take_whole(node: &Node, at: u64, targets: Vec<Target>, doubt: Option<Time>) {
@@ -258,6 +267,7 @@
         None => TargetNews::Whole(node.fleet(|f| f.targets(now))),
     };
     let rules_age = node.feed.age_of(Kind::Rules, now);
+    let rollouts = node.fleet(|f| f.versions().list());
     Some(FollowAnswer {
         at: at.unwrap_or(0),
         age_ms: millis(node.feed.age(now)),
@@ -266,7 +276,7 @@
         rules: node.table().rules.version,
         rules_age_ms: millis(rules_age.map_or(Duration::MAX, |age| age.now)),
         evacuations: node.fleet(|f| f.evacuated().list()),
-        rollouts: None,
+        rollouts: rollouts.filter(|list| ask.rollouts.is_none_or(|at| at < list.at)),
         news,
     })
 }
@@ -274,7 +284,10 @@
 fn has_no_news(node: &Node, ask: &FollowAsk) -> bool {
     let known = node.feed.at().unwrap_or(0);
     let lacks_targets = known > ask.at && node.feed.since(ask.at).is_none_or(|c| !c.is_empty());
-    let lacks = lacks_targets || node.fleet(|f| f.evacuated().is_news_since(ask.evacuations));
+    let lacks_lists = node.fleet(|f| {
+        f.evacuated().is_news_since(ask.evacuations) || f.versions().is_news_since(ask.rollouts)
+    });
+    let lacks = lacks_targets || lacks_lists;
     let is_fresh = !node.feed.is_out_of_touch() && !Feed::is_stale(node.feed.age(node.now()));
     !lacks
         && (is_fresh || ask.patient)
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -165,6 +165,26 @@
         within(peer, timeout, call).await
     }
 
+    /// Puts a body; an answer outside 2xx is an error.
+    pub async fn put(
+        &self,
+        peer: &str,
+        path: &str,
+        media: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<(), CallError> {
+        let request = Request::put(format!("http://{peer}{path}"))
+            .header(header::CONTENT_TYPE, media)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
+        let call = async {
+            let response = success(peer, self.send(peer, request).await?).await?;
+            collect(peer, response).await.map(drop)
+        };
+        within(peer, timeout, call).await
+    }
+
     /// Reads a text body.
     pub async fn text(
         &self,
