--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -15,6 +15,8 @@
 
 /// Event that tells of a failure domain whose targets get nothing new, or may again.
 const EVACUATION: &str = "evacuation";
+/// Beginning of the events that tell of a service's move to another version.
+const ROLLOUT: &str = "rollout";
 
 /// One log line.
 #[derive(Debug, Clone, PartialEq)]
@@ -92,7 +94,7 @@
             let target = l.word("target");
             let is_known = !target.is_empty() && targets.contains(target);
             let is_open = l.time >= first && l.time <= last;
-            is_open && (is_known || l.event == EVACUATION)
+            is_open && (is_known || l.event == EVACUATION || l.event.starts_with(ROLLOUT))
         };
         trace.lines.extend(beliefs.into_iter().filter(concerns));
         trace.lines.sort_by(|a, b| (&a.time, a.at_ms).cmp(&(&b.time, b.at_ms)));
@@ -126,7 +128,8 @@
                 Some(Err(_)) => self.malformed += 1,
                 Some(Ok(line)) if line.word("id") == id => self.lines.push(line),
                 Some(Ok(line))
-                    if matches!(line.event.as_str(), "ejected" | "target" | EVACUATION) =>
+                    if matches!(line.event.as_str(), "ejected" | "target" | EVACUATION)
+                        || line.event.starts_with(ROLLOUT) =>
                 {
                     beliefs.push(line);
                 }
@@ -153,8 +156,10 @@
                 l.number("took_ms")
             )
         });
-        let times =
-            format!("{took} ms in all, {stages} ms in stages, first event after {first} ms{stage}");
+        let version = self.version();
+        let times = format!(
+            "{took} ms in all, {stages} ms in stages, first event after {first} ms{stage}{version}"
+        );
         match end.word("outcome") {
             "answered" | "streamed" => format!("answered with {}: {times}", end.number("status")),
             "refused" => format!("refused with {} before it ran: {why}", end.number("status")),
@@ -167,6 +172,23 @@
             _ => format!("may have run, and brought no answer: {why}; {times}"),
         }
     }
+
+    /// Which version the request was last sent to and why, if its target tells one.
+    fn version(&self) -> String {
+        let chosen = self.lines.iter().rev().find(|l| l.event == "chosen");
+        let Some(chosen) = chosen.filter(|l| !l.word("version").is_empty()) else {
+            return String::new();
+        };
+        let percent =
+            chosen.fields.get("share").and_then(Value::as_f64).unwrap_or_default() * 100.0;
+        let why = match chosen.word("side") {
+            "trial" => format!(", on trial with {percent:.1} % of the requests"),
+            "serving" => format!(", while another one is on trial with {percent:.1} % of them"),
+            "left_trial" => ", since the one on trial failed it or had no target".to_string(),
+            _ => String::new(),
+        };
+        format!("; at version {}{why}", chosen.word("version"))
+    }
 }
 
 /// Reports on a terminal how much of a large file has been read.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -68,6 +68,30 @@
     }
 }
 
+#[test]
+fn the_version_that_served_a_request_is_told_and_why() {
+    let cases = [
+        (r#""side":"trial","share":0.02,"#, "at version v2, on trial with 2.0 % of the requests"),
+        (
+            r#""side":"serving","share":0.5,"#,
+            "at version v2, while another one is on trial with 50.0 %",
+        ),
+        (r#""side":"left_trial","share":0.02,"#, "at version v2, since the one on trial failed it"),
+        ("", "at version v2\n"),
+    ];
+    for (n, (side, words)) in cases.into_iter().enumerate() {
+        let chosen = format!(
+            r#"2026-12-02T10:00:01.001 INFO  {{"at_ms":1,"node":"a","event":"chosen","id":"r","target":"i-1","version":"v2",{side}"by":"home"}}"#
+        );
+        let phase = r#"2026-12-02T10:00:01.200 INFO  {"at_ms":2,"node":"b","event":"rollout_phase","service":"s","version":"v2","phase":"share","share":0.5,"why":"judge","age_ms":900}"#;
+        let end = r#"2026-12-02T10:00:01.302 INFO  {"at_ms":3,"node":"a","event":"request","id":"r","status":200,"outcome":"answered","why":"","target":"i-1","stages_ms":1,"first_ms":1,"took_ms":1}"#;
+        let out = explain("r", &[log(&format!("version-{n}"), &[&chosen, phase, end])]);
+        let text = String::from_utf8_lossy(&out.stdout);
+        assert!(text.contains(words), "{side}: {text}");
+        assert!(text.contains("rollout_phase"), "what changed meanwhile: {text}");
+    }
+}
+
 #[test]
 fn an_id_that_is_nowhere_and_a_file_that_is_missing_are_errors() {
     let out = explain("r9", &[log("none", ONE)]);
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -101,13 +101,16 @@
     },
     /// A target was chosen for a request; it has `ahead` prompt tokens to read before. Those of
     /// the `evacuated` failure domains were left out. While its service moves to another version
-    /// `side` tells which one it is for.
+    /// `side` tells which one it is for, or that it has left the one on trial, and `share` the
+    /// part of requests that goes to that.
     Chosen {
         id: &'a str,
         target: &'a str,
         version: &'a str,
         #[serde(skip_serializing_if = "str::is_empty")]
         side: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        share: Option<f64>,
         by: &'a str,
         ahead: u64,
         cold: bool,
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -31,6 +31,13 @@
     heard: Cell<Time>,
 }
 
+impl Judging {
+    /// Whether the order has come to its end.
+    fn is_over(&self) -> bool {
+        self.machine.borrow().next_tick(Time::ZERO) == Time::NEVER
+    }
+}
+
 /// Takes what a node saw; `None` if no such order runs as far as this one knows.
 pub fn judge(node: &Rc<Node>, report: RolloutReport) -> Option<RolloutAnswer> {
     let order = running(node, &report.service, &report.version)?;
@@ -46,7 +53,8 @@
 /// The judging of an order, begun if there is none.
 fn judging(node: &Rc<Node>, order: Rollout) -> Option<Rc<Judging>> {
     let held = node.rollouts.judging.borrow().get(&order.service).cloned();
-    if let Some(judging) = held.filter(|j| j.order.borrow().version == order.version) {
+    let judges_it = |j: &Rc<Judging>| j.order.borrow().version == order.version && !j.is_over();
+    if let Some(judging) = held.filter(judges_it) {
         return Some(judging);
     }
     let settings = node.settings().rollouts?;
@@ -71,6 +79,9 @@
 /// Keeps the machine's time until the order is over, or others judge it.
 async fn tick(node: Rc<Node>, judging: Rc<Judging>) {
     loop {
+        if judging.is_over() {
+            break;
+        }
         let at = judging.machine.borrow().next_tick(node.now());
         tokio::time::sleep_until(node.clock.instant(at)).await;
         if !goes_on(&node, &judging) {
@@ -156,6 +167,9 @@
     let ended = node.now();
     Backoff::default().failed(&node, RETRY_LONGEST).await;
     while !is_confirmed_since(&node, ended) {
+        if !goes_on(&node, &judging) {
+            return;
+        }
         tokio::time::sleep(LOOK).await;
     }
     feed(&node, &judging, JudgeEvent::WriteEnded(false));
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -8,6 +8,7 @@
 use super::exchange::Exchange;
 use crate::events::Event;
 use crate::prefill::{self, Prompt, Ticket};
+use crate::rollout;
 
 /// The target of one send.
 pub struct Choice {
@@ -196,17 +197,19 @@
     }
 
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
-        let is_on_trial = self.node.fleet(|f| f.versions().phase(&self.service).is_some());
+        let phase = self.node.fleet(|f| f.versions().phase(&self.service));
         let side = match self.version_now() {
-            Side::Serving if is_on_trial => "serving",
+            _ if phase.is_none() => "",
             Side::Trial => "trial",
-            Side::Serving => "",
+            Side::Serving if self.side == Side::Trial => "left_trial",
+            Side::Serving => "serving",
         };
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
             version: &target.version,
             side,
+            share: phase.map(|phase| rollout::told(phase).1),
             by,
             ahead,
             cold: self.is_cold(target),
