A peer writes a roll-out's state for a judge whom the store turns away

Cause: the judge alone wrote; a store that serves all others but not that node would have had an order stand without its end. Ruled out: a judge that rests and leaves the order to the next one (where the store is down for all, none would judge, and a bad version would go on).

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -24,7 +24,9 @@
 use crate::events::Event;
 use crate::node::Node;
 
-pub use server::{BATCH, FREE, PREFILL, PREFILL_END, ROLLOUT, RemoteFree};
+pub use server::{
+    BATCH, FREE, PREFILL, PREFILL_END, ROLLOUT, ROLLOUT_STATE, RemoteFree, RemoteState,
+};
 
 /// Time to connect to a peer.
 pub const CONNECT: Duration = Duration::from_millis(250);
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use model::Name;
-use model::forward::{BatchOrder, FollowAsk, Handle};
+use model::forward::{BatchOrder, FollowAsk, Handle, Rollout, RolloutState};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -13,7 +13,7 @@
 
 use crate::ingress::small;
 use crate::node::Node;
-use crate::rollout;
+use crate::rollout::{self, Written};
 use crate::stages::{self, NotMade};
 use crate::watch;
 
@@ -31,6 +31,8 @@
 pub const PREFILL_END: &str = "/v1/prefill-end";
 /// Path of what a node saw of a version on trial.
 pub const ROLLOUT: &str = "/v1/rollout";
+/// Path of an order's state that is to be written.
+pub const ROLLOUT_STATE: &str = "/v1/rollout-state";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -45,6 +47,16 @@
     pub handles: Vec<Handle>,
 }
 
+/// A state of an order that a peer whom the store turns away has written by this node. The
+/// answer is whether it stands; `None` if the store turned this node away too.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RemoteState {
+    /// The order as it is to be unchanged.
+    pub order: Rollout,
+    /// State to be written.
+    pub state: RolloutState,
+}
+
 /// Serves until the process ends.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
     small::serve(listener, move |request| answer(node.clone(), request)).await;
@@ -60,6 +72,7 @@
         PREFILL_END => prefill_end(&node, request).await,
         FREE => free(&node, request).await,
         ROLLOUT => rollout(&node, request).await,
+        ROLLOUT_STATE => rollout_state(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     answered.unwrap_or_else(|refusal| refusal)
@@ -96,6 +109,16 @@
     Ok(rmp(&answer))
 }
 
+async fn rollout_state(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let RemoteState { order, state } = message(request, "not an order's state").await?;
+    let stands = match rollout::at_store(node, &order, state).await {
+        Written::Stands => Some(true),
+        Written::Not => Some(false),
+        Written::Unknown => None,
+    };
+    Ok(rmp(&stands))
+}
+
 async fn prefill_end(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let end = message(request, "not the end of a prompt").await?;
     node.schedulers.end(end, node.now());
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -32,10 +32,18 @@
 }
 
 impl Judging {
-    /// Whether the order has come to its end.
+    /// Whether the order has come to its end, as the machine knows.
     fn is_over(&self) -> bool {
         self.machine.borrow().next_tick(Time::ZERO) == Time::NEVER
     }
+
+    /// Whether this is the judging of an order. One that has come to its end stays that until
+    /// this node hears of another order: the store may tell it of the end seconds later, and a
+    /// judge that began anew would know nothing.
+    fn judges(&self, order: &Rollout) -> bool {
+        let own = self.order.borrow();
+        own.version == order.version && (!self.is_over() || order.revision <= own.revision)
+    }
 }
 
 /// Takes what a node saw; `None` if no such order runs as far as this one knows.
@@ -53,7 +61,7 @@
 /// The judging of an order, begun if there is none.
 fn judging(node: &Rc<Node>, order: Rollout) -> Option<Rc<Judging>> {
     let held = node.rollouts.judging.borrow().get(&order.service).cloned();
-    let judges_it = |j: &Rc<Judging>| j.order.borrow().version == order.version && !j.is_over();
+    let judges_it = |j: &Rc<Judging>| j.judges(&order);
     if let Some(judging) = held.filter(judges_it) {
         return Some(judging);
     }
@@ -79,14 +87,14 @@
 /// Keeps the machine's time until the order is over, or others judge it.
 async fn tick(node: Rc<Node>, judging: Rc<Judging>) {
     loop {
-        if judging.is_over() {
-            break;
-        }
-        let at = judging.machine.borrow().next_tick(node.now());
+        let at = judging.machine.borrow().next_tick(node.now()).min(node.now() + REST);
         tokio::time::sleep_until(node.clock.instant(at)).await;
         if !goes_on(&node, &judging) {
             break;
         }
+        if judging.is_over() {
+            continue;
+        }
         tell_order(&node, &judging);
         tell_state(&node, &judging);
         feed(&node, &judging, JudgeEvent::Tick);
@@ -118,9 +126,6 @@
 
 /// Tells the machine who may have requests at either version, and what each can bear.
 fn tell_state(node: &Rc<Node>, judging: &Rc<Judging>) {
-    let mut nodes = node.peers.roster(|r| r.ids());
-    nodes.push(node.peers.id.clone());
-    feed(node, judging, JudgeEvent::Nodes(nodes));
     let service = judging.order.borrow().service.clone();
     let limit = node.cold_limit(&service);
     let now = node.now();
@@ -133,7 +138,11 @@
         })
     };
     let (serving, trial) = (count(Side::Serving), count(Side::Trial));
+    // Before all else: a judge that takes an order over late decides by them at once.
     feed(node, judging, JudgeEvent::Targets { serving, trial });
+    let mut nodes = node.peers.roster(|r| r.ids());
+    nodes.push(node.peers.id.clone());
+    feed(node, judging, JudgeEvent::Nodes(nodes));
 }
 
 fn feed(node: &Rc<Node>, judging: &Rc<Judging>, event: JudgeEvent) {
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -24,6 +24,7 @@
 pub use judge::judge;
 pub use report::run;
 pub use seen::{Seen, maker_sides, sent};
+pub use write::{Written, at_store};
 
 /// What this node holds of roll-outs besides the orders.
 #[derive(Default)]
--- a/crates/forward/src/watch/lists.rs
+++ b/crates/forward/src/watch/lists.rs
@@ -57,14 +57,17 @@
     }
 }
 
-/// Reads the list, or waits for changes until it is needed at once.
+/// Reads the list, or waits for changes until it is needed at once. Where it has not been
+/// confirmed for long it is asked for at once too: whoever follows this node goes by its age.
 async fn read<L: Listed>(
     node: &Node,
     reader: &mut Reader,
     at: Option<u64>,
 ) -> Result<Step, ReadError> {
+    let is_old = node.feed.age_of(L::KIND, node.now()).is_some_and(|a| a.now > waits::SLOW_WATCH);
+    let wait = if is_old { AT_ONCE } else { waits::SLOW_WATCH };
     tokio::select! {
-        read = reader.read(at, waits::SLOW_WATCH) => return read,
+        read = reader.read(at, wait) => return read,
         () = is_needed::<L>(node, at) => {}
     }
     reader.read(at, AT_ONCE).await
