A completion that was missed costs nobody; what a standing process sees is no evidence

A node that had not heard of a completion before the next order took the version that served for withdrawn and sent nothing to it; another one, out of touch after the deadline, took it back by its own evidence, of which a frozen process had made a slow version. Ruled out: telling nodes of each past order (the list would grow); no evidence after any disturbance (a node does not know of those elsewhere). Change: a version whose end was not heard of serves where no other can; own evidence takes nothing back once all requests go there and the order's time is over; what was open while the process stood still is left out.

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -184,7 +184,9 @@
         let why = match chosen.word("side") {
             "trial" => format!(", on trial with {percent:.1} % of the requests"),
             "serving" => format!(", while another one is on trial with {percent:.1} % of them"),
-            "left_trial" => ", since the one on trial failed it or had no target".to_string(),
+            "left_trial" => {
+                ", since the one on trial failed it, had no target or was taken back".to_string()
+            }
             _ => String::new(),
         };
         format!("; at version {}{why}", chosen.word("version"))
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -4,7 +4,7 @@
 //! tell whether the orders are known up to where a version was first seen. Until they are, a
 //! version that came beside another one gets nothing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side};
@@ -53,6 +53,15 @@
     age: (Duration, Time),
 }
 
+/// How the order of a version ended that was withdrawn or replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Dropped {
+    /// It was taken back.
+    Bad,
+    /// Its end was not heard of: it may have been completed, and serve alone since.
+    Unended,
+}
+
 /// Versions of services as one node knows them.
 #[derive(Debug, Default)]
 pub struct Versions {
@@ -62,7 +71,7 @@
     seen: BTreeMap<Name, BTreeMap<Name, Seen>>,
     trials: BTreeMap<Name, Trial>,
     /// Versions whose order was withdrawn or replaced before it was completed.
-    dropped: BTreeMap<Name, BTreeSet<Name>>,
+    dropped: BTreeMap<Name, BTreeMap<Name, Dropped>>,
 }
 
 impl Versions {
@@ -170,10 +179,13 @@
 
     fn withdraw(&mut self, order: &Rollout) {
         self.trials.remove(&order.service);
-        if order.state != RolloutState::Completed {
-            let dropped = self.dropped.entry(order.service.clone()).or_default();
-            dropped.insert(order.version.clone());
-        }
+        let why = match order.state {
+            RolloutState::Completed => return,
+            RolloutState::RolledBack => Dropped::Bad,
+            RolloutState::Ordered | RolloutState::Active => Dropped::Unended,
+        };
+        let dropped = self.dropped.entry(order.service.clone()).or_default();
+        dropped.insert(order.version.clone(), why);
     }
 
     /// A target of a version came, by an entry of this revision.
@@ -271,11 +283,26 @@
         }
     }
 
-    /// Whether its order was withdrawn, and another version can serve.
+    /// Whether its order was withdrawn or replaced, and another version can serve.
     fn is_dropped(&self, service: &str, version: &str) -> bool {
-        let is_listed = self.dropped.get(service).is_some_and(|d| d.contains(version));
-        let others = || self.seen.get(service).into_iter().flat_map(|versions| versions.keys());
-        is_listed && others().any(|other| **other != *version)
+        let Some(dropped) = self.dropped.get(service) else {
+            return false;
+        };
+        let (Some(why), Some(versions)) = (dropped.get(version), self.seen.get(service)) else {
+            return false;
+        };
+        let mut others = versions.iter().filter(|(other, _)| ***other != *version);
+        if *why == Dropped::Bad {
+            return others.next().is_some();
+        }
+        let own = versions.get(version).map_or(u64::MAX, |seen| seen.first);
+        let tried = self.order(service).filter(|o| o.state != RolloutState::Completed);
+        others.any(|(other, seen)| match dropped.get(other) {
+            _ if tried.is_some_and(|order| order.version == *other) => false,
+            Some(Dropped::Bad) => false,
+            Some(Dropped::Unended) => seen.first < own,
+            None => true,
+        })
     }
 
     /// The side that a request goes to; always the same for one attempt while the phase holds.
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -103,6 +103,32 @@
     assert_eq!(versions.side("engine", "v1"), SERVING, "it was started anew");
 }
 
+#[test]
+fn a_version_that_was_completed_unheard_of_serves_while_a_later_one_is_tried() {
+    use RolloutState::{Active, RolledBack};
+    // The completion of v2, after which v1 stopped, is missed between two lists.
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(20, &[order("v2", Active, 15)]), at(0));
+    versions.saw(&"engine".into(), &"v3".into(), 30);
+    versions.take(list(40, &[order("v3", Active, 31)]), at(10));
+    assert_eq!(sides(&versions), (SERVING, None), "as long as the one before is there");
+    versions.gone(&"engine".into(), &"v1".into());
+    assert_eq!(versions.side("engine", "v2"), SERVING);
+    assert_eq!(versions.side("engine", "v3"), TRIAL);
+    versions.take(list(50, &[order("v3", RolledBack, 45)]), at(20));
+    assert_eq!(versions.side("engine", "v2"), SERVING);
+    assert_eq!(versions.side("engine", "v3"), None);
+    // Nor when the end of that one is missed too, beside one that is tried after it.
+    let mut versions = self::versions(&[("v2", 11), ("v3", 30)]);
+    versions.take(list(35, &[order("v2", Active, 15)]), at(0));
+    versions.take(list(40, &[order("v3", Active, 31)]), at(10));
+    versions.saw(&"engine".into(), &"v4".into(), 50);
+    versions.take(list(60, &[order("v4", Active, 51)]), at(20));
+    assert_eq!(versions.side("engine", "v2"), SERVING);
+    assert_eq!(versions.side("engine", "v3"), None, "the one before it can serve");
+    assert_eq!(versions.side("engine", "v4"), TRIAL);
+}
+
 #[test]
 fn a_version_whose_order_is_withdrawn_gets_nothing_while_another_one_can_serve() {
     let active = order("v2", RolloutState::Active, 12);
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 mod judge;
 mod report;
 mod seen;
+mod stalls;
 mod write;
 
 use std::cell::RefCell;
@@ -12,18 +13,20 @@
 use std::rc::Rc;
 
 use decide::rollout::{Evidence, RolloutChange};
-use model::Name;
 use model::forward::{Phase, Rollout};
+use model::{Name, Time};
 use tokio::sync::Notify;
 
 use crate::events::Event;
 use crate::node::Node;
 use judge::Judging;
+use stalls::Stalls;
 
 pub use held::Held;
 pub use judge::judge;
 pub use report::run;
 pub use seen::{Seen, maker_sides, sent};
+pub use stalls::watch as watch_stalls;
 pub use write::{Written, at_store};
 
 /// What this node holds of roll-outs besides the orders.
@@ -33,12 +36,13 @@
     judging: RefCell<BTreeMap<Name, Rc<Judging>>>,
     /// Results at their makers that requests of this node still need.
     pub held: Held,
+    stalls: Stalls,
     changed: Notify,
 }
 
 impl Trials {
     /// An order came, changed or went.
-    pub fn changed(&self, change: &RolloutChange) {
+    pub fn changed(&self, change: &RolloutChange, now: Time) {
         let is_anew = match change {
             RolloutChange::State(order) => order.state.is_final(),
             RolloutChange::Began(_)
@@ -48,7 +52,8 @@
         if is_anew {
             self.evidence.borrow_mut().forget(service_of(change));
         }
-        self.changed.notify_one();
+        self.stalls.begin(now);
+        self.changed.notify_waiters();
     }
 }
 
--- a/crates/forward/src/rollout/seen.rs
+++ b/crates/forward/src/rollout/seen.rs
@@ -23,6 +23,7 @@
     version: Name,
     side: Side,
     pieces: usize,
+    begun: Time,
     /// The target is cold: what it answers tells nothing of its version.
     is_cold: bool,
     /// When its caller, or this node, gives it up.
@@ -61,6 +62,7 @@
         version: version.clone(),
         side,
         pieces,
+        begun: now,
         is_cold,
         deadline,
         is_judged: Cell::new(false),
@@ -70,9 +72,9 @@
 impl Seen {
     /// It was answered well after this time.
     pub fn good(&self, took: Duration) {
-        let Inner { node, order, route, side, pieces, is_cold, is_judged, .. } = &*self.0;
+        let Inner { node, order, route, side, pieces, is_judged, .. } = &*self.0;
         is_judged.set(true);
-        if *is_cold || !self.0.counts() {
+        if !self.0.counts() {
             return;
         }
         for _ in 0..*pieces {
@@ -87,15 +89,18 @@
 }
 
 impl Inner {
-    /// Whether the order that it was sent under still runs.
+    /// Whether its end tells of the target's version, and the order that it was sent under
+    /// still runs.
     fn counts(&self) -> bool {
-        running(&self.node, &self.order.service, &self.order.version).is_some()
+        let Inner { node, order, begun, is_cold, .. } = self;
+        let tells = !is_cold && !node.rollouts.stalls.since(*begun, node.now());
+        tells && running(node, &order.service, &order.version).is_some()
     }
 
     fn bad(&self) {
-        let Inner { node, order, route, version, side, pieces, is_cold, is_judged, .. } = self;
+        let Inner { node, order, route, version, side, pieces, is_judged, .. } = self;
         is_judged.set(true);
-        if *is_cold || !self.counts() {
+        if !self.counts() {
             return;
         }
         for _ in 0..*pieces {
@@ -119,15 +124,20 @@
 
 /// Takes the version back at this node if its own requests prove that it is bad.
 pub(super) fn prove(node: &Node, order: &Rollout) {
-    let Rollout { service, version, .. } = order;
-    if node.fleet(|f| f.versions().phase(service)) == Some(Phase::Back) {
-        return;
+    let Rollout { service, version, lasts_ms, .. } = order;
+    let now = node.now();
+    let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
+    let is_over = age >= Duration::from_millis(*lasts_ms);
+    match node.fleet(|f| f.versions().phase(service)) {
+        // It may have been completed, which a node out of touch has not heard: the old targets
+        // are most likely gone.
+        Some(Phase::All) if is_over => return,
+        Some(Phase::Back) => return,
+        _ => {}
     }
     let Some(verdict) = node.rollouts.evidence.borrow().proves_bad(service) else {
         return;
     };
-    let now = node.now();
-    let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
     Event::judged(service, version, "this node", &verdict, age).emit();
     take_phase(node, order, Phase::Back, "own requests");
 }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -44,6 +44,7 @@
         node.fleet(|f| f.versions_mut().follow());
         tokio::task::spawn_local(lists::follow::<Rollouts>(node.clone()));
         tokio::task::spawn_local(rollout::run(node.clone()));
+        tokio::task::spawn_local(rollout::watch_stalls(node.clone()));
     }
     tokio::task::spawn_local(rules::follow(node.clone()));
     tokio::task::spawn_local(targets::follow(node.clone()));
