--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use model::Time;
-use model::forward::{PieceResult, Policy, Rank, StagePool, TargetId, Waits};
+use model::forward::{BatchOrder, PieceResult, Policy, Rank, StagePool, TargetId, Waits};
 
 use super::makers::{Free, Makers};
-use super::orders::{Order, Urgency};
+use super::orders::{Order, Urgency, usual_call};
 use super::pace::Pace;
 use super::repeats::Repeats;
 use super::types::{Action, Call, CallEnd, Event, OrderId};
+use crate::region::Own;
 
 /// Calls that may fail under one order before it is given up.
 const FAILURES: u32 = 3;
@@ -73,7 +74,7 @@
         if slots == 0 {
             return Waits(vec![(Rank::default(), u32::MAX)]);
         }
-        let piece_ms = self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms;
+        let piece_ms = self.piece_ms();
         let busy = self.flights.len() >= slots;
         let next_ms = if busy { self.pool.call_ms / slots as f64 } else { 0.0 };
         let mut pieces: BTreeMap<Rank, usize> = BTreeMap::from([(Rank::default(), 0)]);
@@ -88,6 +89,21 @@
         Waits(waits.collect())
     }
 
+    /// What an order would find at the makers now.
+    pub fn own(&self, order: &BatchOrder, now: Time) -> Own {
+        let slots = self.makers.working(now) * self.pool.slots.max(1) as usize;
+        Own {
+            wait: self.waits(now).of(order.rank),
+            call: usual_call(&self.pool, order.pieces),
+            piece_ms: self.piece_ms() / slots.max(1) as f64,
+        }
+    }
+
+    /// Time of a maker that a piece takes in a full call.
+    fn piece_ms(&self) -> f64 {
+        self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms
+    }
+
     /// Sets what one maker bears, when rules change.
     pub fn set_pool(&mut self, pool: StagePool) {
         self.pool = pool;
@@ -279,7 +295,9 @@
     }
 
     fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.waiting() == 0 {
+        // Without this, makers all of whose work went elsewhere would never come back.
+        let is_dead = self.makers.working(now) == 0;
+        if self.waiting() == 0 && !is_dead {
             return;
         }
         out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -15,6 +15,12 @@
 /// Key by which orders are taken; the least goes first.
 pub(super) type Urgency = (bool, bool, Rank, bool, Duration);
 
+/// Time of a call with these pieces, filled up by others as it usually is when orders wait.
+pub(super) fn usual_call(pool: &StagePool, pieces: u32) -> Duration {
+    let usual = (pool.batch as f64 * USUAL_FILL) as u32;
+    pool.call_time(usual.max(pieces))
+}
+
 /// One order that is not answered yet.
 #[derive(Debug)]
 pub(super) struct Order {
@@ -82,8 +88,7 @@
     /// Time of a call with the order's pieces, filled up by others' as it usually is when
     /// orders wait.
     fn usual_time(&self, pool: &StagePool) -> Duration {
-        let usual = (pool.batch as f64 * USUAL_FILL) as u32;
-        pool.call_time(usual.max(self.waiting.len() as u32))
+        usual_call(pool, self.waiting.len() as u32)
     }
 
     /// Begun orders first, then those that can still be in time, the higher ranks,
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -6,6 +6,7 @@
 use model::{Name, Time, hash};
 
 use super::{Belief, ColdLimit, Fleet, Terms};
+use crate::region::Map;
 use crate::rng::Rng;
 
 /// Which cold targets a choice may fall on.
@@ -33,8 +34,13 @@
     pub service: &'a str,
     /// Failure domain of this node.
     pub domain: &'a str,
+    /// How far the others lie.
+    pub map: &'a Map,
     /// What the request asks of its target.
     pub terms: Terms<'a>,
+    /// Whether a home may be in any region: reading what is shared in each would be dearer than
+    /// to cross.
+    pub roams: bool,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
     /// Requests that this node may have at one target: its part of the connections that
@@ -70,7 +76,7 @@
 const SMALL_PART: f64 = 0.2;
 /// Makers that a failure domain without any is counted with.
 const NO_MAKER: f64 = 0.2;
-/// Extra milliseconds that a request to another failure domain costs.
+/// Extra milliseconds that a request to another failure domain of the region costs.
 const CROSSING_MS: f64 = 2.0;
 /// Milliseconds assumed of a target that has answered nothing yet.
 const UNKNOWN_MS: f64 = 20.0;
@@ -94,6 +100,17 @@
     }
 }
 
+/// Extra milliseconds that a request to a failure domain costs.
+fn crossing_ms(wanted: Wanted<'_>, domain: &Name) -> f64 {
+    if **domain == *wanted.domain {
+        return 0.0;
+    }
+    if wanted.map.is_near(domain) {
+        return CROSSING_MS;
+    }
+    wanted.map.round_trip(domain).as_secs_f64() * 1000.0
+}
+
 /// Weighted rendezvous: the least distance wins, in proportion to the shares
 /// (Schindelhauer, Schomaker 2005: the logarithmic method).
 fn distance(hash: u64, share: f64) -> f64 {
@@ -147,7 +164,7 @@
         for b in self.candidates(wanted, now) {
             let mean = if b.mean_ms > 0.0 { b.mean_ms } else { UNKNOWN_MS };
             let load = f64::from(b.outstanding) / f64::from(b.target.slots.max(1));
-            let crossing = if *b.target.domain == *wanted.domain { 0.0 } else { CROSSING_MS };
+            let crossing = crossing_ms(wanted, &b.target.domain);
             let jitter = rng.below(100) as f64 / 100.0;
             let cost = mean * (1.0 + load) / (1.0 - b.failing).max(0.05) + crossing + jitter;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -158,9 +175,13 @@
     }
 
     /// The first target in the home's order that is not overloaded, so that all
-    /// nodes find the same one without a message.
+    /// nodes of a region find the same one without a message. Unless the home may be anywhere,
+    /// one of the region if any is.
     pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
-        let order = home_order(self.candidates(wanted, now), wanted, home);
+        let mut order = home_order(self.candidates(wanted, now), wanted, home);
+        if !wanted.roams {
+            order.sort_by_key(|b| !wanted.map.is_near(&b.target.domain));
+        }
         let free = |b: &&&Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
         let chosen = order.iter().find(free).or(order.first());
         chosen.map(|b| b.target.clone())
--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -64,4 +64,9 @@
     pub fn of(&self, domain: &str) -> Option<&Name> {
         self.0.get(domain)
     }
+
+    /// Failure domains whose region is known.
+    pub fn domains(&self) -> impl Iterator<Item = &Name> {
+        self.0.keys()
+    }
 }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::Time;
 use model::member::{Health, Node, NodeId, Packet, Purpose, Rumor};
+use model::{Name, Time};
 
 use super::join::Joining;
 use super::peers::{Peer, Peers, digest_of};
@@ -79,6 +79,7 @@
     pub(super) now: Time,
     pub(super) left: bool,
     pub(super) joining: Joining,
+    pub(super) round_trips: Vec<(Name, Duration)>,
     pub(super) rng: Rng,
 }
 
@@ -115,6 +116,7 @@
             now: Time::ZERO,
             left: false,
             joining: Joining::default(),
+            round_trips: Vec::new(),
             rng: Rng::new(seed),
         }
     }
@@ -129,6 +131,12 @@
         self.peers.iter_up()
     }
 
+    /// Time that direct probes took to nodes of these failure domains and back, since the
+    /// last call.
+    pub fn take_round_trips(&mut self) -> Vec<(Name, Duration)> {
+        std::mem::take(&mut self.round_trips)
+    }
+
     /// Manifest in force on this node.
     pub fn applied(&self) -> u64 {
         self.number
--- a/crates/decide/src/member/probes.rs
+++ b/crates/decide/src/member/probes.rs
@@ -136,6 +136,7 @@
             return;
         };
         if target == *from {
+            self.note_round_trip(now);
             self.settle(from, seq);
         } else if target.name == from.name {
             // The name was started anew: its former self is gone.
@@ -144,6 +145,16 @@
         }
     }
 
+    /// The probe was answered by its target itself.
+    fn note_round_trip(&mut self, now: Time) {
+        let Some(probe) = &self.probe else {
+            return;
+        };
+        if let Some(peer) = self.peers.get(&probe.target) {
+            self.round_trips.push((peer.node.domain.clone(), now.since(probe.sent)));
+        }
+    }
+
     pub(super) fn settle(&mut self, id: &NodeId, seq: u32) {
         let answered = self.probe.take_if(|p| p.seq == seq && p.target == *id);
         if answered.is_some() {
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -8,11 +8,15 @@
 mod contact;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
+use model::forward::PoolId;
 use model::member::{Node, NodeId};
 use model::{Name, Time, hash};
 
+use crate::fleet::Regions;
+use crate::region::Map;
 use crate::relay::{Relays, Role};
 
 pub use changes::{Changes, ViewChange};
@@ -54,9 +58,31 @@
     hash::mix(hash::of(service.as_bytes()), hash::of(name.as_bytes()))
 }
 
+/// What nodes take their order for: a service, or its makers in one region.
+#[derive(Debug, Clone, Copy)]
+pub struct Duty<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Region whose nodes come first.
+    pub region: Option<&'a str>,
+}
+
+impl<'a> From<&'a str> for Duty<'a> {
+    fn from(service: &'a str) -> Self {
+        Duty { service, region: None }
+    }
+}
+
+impl<'a> From<&'a PoolId> for Duty<'a> {
+    fn from(pool: &'a PoolId) -> Self {
+        Duty { service: &pool.service, region: pool.region.as_deref() }
+    }
+}
+
 /// Place of a node in the order of a service; the highest comes first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
+    is_there: bool,
     is_settled: bool,
     capacity: u8,
     score: u64,
@@ -79,15 +105,6 @@
     fn uptime(&self, now: Time) -> Duration {
         self.up + now.since(self.at)
     }
-
-    /// Place among nodes of which those up for `settled` count as settled.
-    fn place(&self, service: &str, settled: Duration, now: Time) -> Place {
-        Place {
-            is_settled: self.uptime(now) >= settled,
-            capacity: self.node.capacity,
-            score: score(service, &self.node.id.name),
-        }
-    }
 }
 
 /// Peers as one node sees them. Times count from the node's own start.
@@ -95,6 +112,7 @@
 pub struct Roster {
     me: Name,
     domain: Name,
+    map: Arc<Map>,
     capacity: u8,
     stops: bool,
     up: Vec<PeerView>,
@@ -110,6 +128,7 @@
     pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
         Roster {
             me,
+            map: Arc::new(Map::new(domain.clone(), Regions::default())),
             domain,
             capacity,
             stops: false,
@@ -121,6 +140,21 @@
         }
     }
 
+    /// Takes where failure domains lie.
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.map = Arc::new(Map::new(self.domain.clone(), regions));
+    }
+
+    /// How far regions lie apart.
+    pub fn map(&self) -> Arc<Map> {
+        self.map.clone()
+    }
+
+    /// A probe of a node in a failure domain was answered after this time.
+    pub fn measured(&mut self, domain: &Name, took: Duration) {
+        Arc::make_mut(&mut self.map).measured(domain, took);
+    }
+
     /// Takes the peers that are up, and forgets what concerns others.
     pub fn update(&mut self, up: Vec<PeerView>, now: Time) {
         self.most = self.most.max(up.len() + 1);
@@ -208,21 +242,36 @@
         !p.suspect && !self.stopping.contains_key(id) && reachable
     }
 
-    /// All peers that come before this node for `service`, the unwanted included.
-    fn before_me(&self, service: &str, now: Time) -> Vec<&PeerView> {
-        let own = self.own_place(service, now);
+    /// Whether a failure domain lies in the region that a duty names.
+    fn is_there(&self, domain: &Name, duty: Duty<'_>) -> bool {
+        duty.region.is_none_or(|r| *self.map.region_of(domain) == *r)
+    }
+
+    /// Place of a peer among nodes of which those up for `settled` count as settled.
+    fn place_of(&self, p: &PeerView, duty: Duty<'_>, settled: Duration, now: Time) -> Place {
+        Place {
+            is_there: self.is_there(&p.node.domain, duty),
+            is_settled: p.uptime(now) >= settled,
+            capacity: p.node.capacity,
+            score: score(duty.service, &p.node.id.name),
+        }
+    }
+
+    /// All peers that come before this node for a duty, the unwanted included.
+    fn before_me(&self, duty: Duty<'_>, now: Time) -> Vec<&PeerView> {
+        let own = self.own_place(duty, now);
         let settled = self.settled_from(now);
-        let place = |p: &PeerView| p.place(service, settled, now);
+        let place = |p: &PeerView| self.place_of(p, duty, settled, now);
         let mut before: Vec<_> =
             self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
         before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
         before.into_iter().map(|(_, p)| p).collect()
     }
 
-    /// Peers that would come first for `service` but are passed over; whoever is asked
+    /// Peers that would come first for a duty but are passed over; whoever is asked
     /// in their place learns from these why.
-    pub fn skipped(&self, service: &str, now: Time) -> Vec<NodeId> {
-        let before = self.before_me(service, now).into_iter();
+    pub fn skipped<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<NodeId> {
+        let before = self.before_me(duty.into(), now).into_iter();
         let skipped = before.take_while(|p| !self.is_wanted(p));
         skipped.take(SKIPPED).map(|p| p.node.id.clone()).collect()
     }
@@ -233,10 +282,10 @@
         named.map(|p| p.node.clone()).collect()
     }
 
-    /// Silent peers that would come first for `service`, and are to be asked for a sign of
+    /// Silent peers that would come first for a duty, and are to be asked for a sign of
     /// life by now.
-    pub fn checks_due(&self, service: &str, now: Time) -> Vec<Node> {
-        let before = self.before_me(service, now).into_iter();
+    pub fn checks_due<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Node> {
+        let before = self.before_me(duty.into(), now).into_iter();
         let skipped = before.take_while(|p| !self.is_wanted(p));
         let due = skipped.filter(|p| self.contacts.is_check_due(&p.node.id, now));
         due.take(CHECKED).map(|p| p.node.clone()).collect()
@@ -244,10 +293,10 @@
 
     /// Peers to ask whether they are there after one has fallen silent: those next in the
     /// order, and some of each failure domain, so that a cut shows at once.
-    pub fn survey(&self, service: &str, now: Time) -> Vec<Node> {
+    pub fn survey<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Node> {
         let mut of_domain: BTreeMap<&Name, usize> = BTreeMap::new();
         let mut chosen = Vec::new();
-        for (i, p) in self.before_me(service, now).into_iter().enumerate() {
+        for (i, p) in self.before_me(duty.into(), now).into_iter().enumerate() {
             let count = of_domain.entry(&p.node.domain).or_default();
             if self.is_wanted(p) && (i < SURVEYED || *count < SURVEYED) {
                 *count += 1;
@@ -264,30 +313,35 @@
         SETTLED.min(oldest.saturating_sub(TOGETHER))
     }
 
-    fn own_place(&self, service: &str, now: Time) -> Place {
+    fn own_place(&self, duty: Duty<'_>, now: Time) -> Place {
         if self.stops {
             return Place::default();
         }
         Place {
+            is_there: self.is_there(&self.domain, duty),
             is_settled: now.since(Time::ZERO) >= self.settled_from(now),
             capacity: self.capacity,
-            score: score(service, &self.me),
+            score: score(duty.service, &self.me),
         }
     }
 
-    /// Nodes in the order in which they coordinate `service`; `None` is this node.
+    /// Nodes in the order in which they coordinate a service, or its makers in one region;
+    /// `None` is this node.
     ///
+    /// Nodes of the region go first: their way to its makers is short, and both go on together
+    /// when the region is cut off.
     /// Hosts that bear more go first: a coordinator's link and processor carry the work of
     /// all. Nodes that have just come go behind those that have not, so that a restart moves
     /// the work once and not twice; one that stops goes last; silent ones, and those of a
     /// failure domain that seems cut off, are left out.
-    pub fn coordinators(&self, service: &str, now: Time) -> Vec<Option<Node>> {
+    pub fn coordinators<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Option<Node>> {
+        let duty = duty.into();
         let wanted = self.up.iter().filter(|p| self.is_wanted(p));
         let settled = self.settled_from(now);
-        let place = |p: &PeerView| p.place(service, settled, now);
+        let place = |p: &PeerView| self.place_of(p, duty, settled, now);
         let mut order: Vec<(Place, Option<Node>)> =
             wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
-        order.push((self.own_place(service, now), None));
+        order.push((self.own_place(duty, now), None));
         order.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
         order.into_iter().map(|(_, node)| node).collect()
     }
@@ -313,9 +367,9 @@
         !self.stops && wanted.into_iter().all(|p| score(target, &p.node.id.name) < own)
     }
 
-    /// Whether this node comes first among the coordinators of `service`.
-    pub fn coordinates(&self, service: &str, now: Time) -> bool {
-        self.coordinators(service, now).first().is_none_or(Option::is_none)
+    /// Whether this node comes first among the coordinators of a duty.
+    pub fn coordinates<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> bool {
+        self.coordinators(duty, now).first().is_none_or(Option::is_none)
     }
 
     /// Who relays the store's state to this node: the first of its failure domain, the second
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -10,7 +10,7 @@
 use model::Time;
 use model::forward::{ColdTargets, Evacuations, Target, TargetId};
 use proptest::prelude::*;
-use support::{at, target};
+use support::{at, one_region, target};
 
 fn cold_target(cold_ms: u64) -> Target {
     Target { cold_ms, ..target("t0", "a") }
@@ -28,6 +28,8 @@
         terms: Terms::ANY,
         service: "engine",
         domain: "a",
+        map: one_region(),
+        roams: false,
         but: &[],
         most_each: 100,
         shares: &[],
@@ -131,6 +133,8 @@
                     terms: Terms::ANY,
                     service: "engine",
                     domain: "a",
+                    map: one_region(),
+                    roams: false,
                     but: &[],
                     most_each: u32::MAX,
                     shares: &[],
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -12,7 +12,7 @@
 use model::Name;
 use model::forward::{Evacuations, Target};
 use proptest::prelude::*;
-use support::{at, target};
+use support::{at, one_region, target};
 
 fn list(revision: u64, domains: &[&str]) -> Evacuations {
     Evacuations { at: revision, domains: domains.iter().map(|d| (*d).into()).collect() }
@@ -31,6 +31,8 @@
         terms: Terms::ANY,
         service: "engine",
         domain: "a",
+        map: one_region(),
+        roams: false,
         but: &[],
         most_each: 100,
         shares: &[],
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -9,7 +9,7 @@
 use decide::fleet::{ColdStarts, Fleet, Home, Observation, Terms, Wanted, shares};
 use decide::rng::Rng;
 use model::forward::{PromptPart, Target, TargetId};
-use support::{at, target};
+use support::{at, one_region, target};
 
 fn fleet(n: usize) -> Fleet {
     let mut fleet = Fleet::default();
@@ -24,6 +24,8 @@
         service: "engine",
         terms: Terms::ANY,
         domain: "a",
+        map: one_region(),
+        roams: false,
         but,
         most_each: 100,
         shares: &[],
--- a/crates/decide/tests/support/batch.rs
+++ b/crates/decide/tests/support/batch.rs
@@ -45,6 +45,8 @@
         left_ms: 8000,
         rank: Rank::of(None, 1),
         allowed: Allowed::ANY,
+        region: None,
+        spilled: false,
         near: None,
         moved_bytes: 0,
         spread_bytes: 0,
--- a/crates/decide/tests/support/fleet.rs
+++ b/crates/decide/tests/support/fleet.rs
@@ -1,5 +1,9 @@
 //! Targets for the tests of the fleet.
 
+use std::sync::LazyLock;
+
+use decide::fleet::Regions;
+use decide::region::Map;
 use model::Time;
 use model::forward::Target;
 
@@ -22,3 +26,9 @@
         revision: 0,
     }
 }
+
+/// Failure domains of one region, seen from one of them.
+pub fn one_region() -> &'static Map {
+    static MAP: LazyLock<Map> = LazyLock::new(|| Map::new("a".into(), Regions::default()));
+    &MAP
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -40,6 +40,8 @@
     Scheduler { service: &'a str, domain: &'a str, scheduler: &'a str, why: &'a str },
     /// A peer's order went on to the node that comes first.
     PassedOn { id: &'a str, service: &'a str, to: &'a str },
+    /// An order that another region was to make is made here after all.
+    NotSpilled { id: &'a str, service: &'a str, region: &'a str, why: &'a str },
     /// Lines that were not written since the last such line.
     Dropped { lines: u64 },
     /// A request was refused at the door, since its first event was expected too late.
@@ -90,12 +92,15 @@
     Remade { id: &'a str, stage: usize, again: usize },
     /// A stream broke off and is taken up at another target; its stages were made again.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
-    /// A stage of a request ended.
+    /// A stage of a request ended: made in `region`, or in any where that is empty; `spilled` if
+    /// it was ordered in another one.
     Stage {
         id: &'a str,
         stage: usize,
         service: &'a str,
         coordinator: &'a str,
+        region: &'a str,
+        spilled: bool,
         pieces: usize,
         near: &'a str,
         elsewhere: usize,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -44,6 +44,12 @@
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Regions {
+    from: String,
+    to: String,
+}
+
 type Times = RefCell<BTreeMap<(&'static str, Name), Histogram<u32>>>;
 
 /// Counters and times of one node.
@@ -55,6 +61,7 @@
     batch_pieces: Family<Named, Counter>,
     store_calls: Family<Named, Counter>,
     repeats: Family<Named, Counter>,
+    spilled: Family<Regions, Counter>,
     open: Gauge,
     rules: Gauge,
     peers: Gauge,
@@ -97,6 +104,7 @@
             batch_pieces: Family::default(),
             store_calls: Family::default(),
             repeats: Family::default(),
+            spilled: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
             peers: Gauge::default(),
@@ -114,6 +122,8 @@
         registry.register("batch_pieces", "Pieces in those calls", m.batch_pieces.clone());
         registry.register("store_calls", "Calls of the store", m.store_calls.clone());
         registry.register("repeats", "Sends to a further target", m.repeats.clone());
+        let help = "Stage orders passed on to another region";
+        registry.register("spilled_orders", help, m.spilled.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
         registry.register("nodes_up", "Nodes that are up", m.peers.clone());
@@ -163,6 +173,12 @@
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
     }
 
+    /// A stage order was passed on to another region.
+    pub fn spilled(&self, from: &str, to: &str) {
+        let labels = Regions { from: self.bounded(from), to: self.bounded(to) };
+        self.spilled.get_or_create(&labels).inc();
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use decide::fleet::{ColdLimit, Fleet, Observation};
+use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions, Terms};
 use decide::forecast::Forecast;
 use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Rules, TargetId, Waits};
+use model::forward::{Allowed, PoolId, Rules, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -92,6 +92,7 @@
                 settings.name.clone(),
                 settings.domain.clone(),
                 settings.host.capacity(),
+                Regions::new(settings.regions.clone()),
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
@@ -165,10 +166,31 @@
         f(&mut self.fleet.borrow_mut())
     }
 
-    /// A coordinator told what an order of its service would wait.
-    pub fn heard_waits(&self, service: &Name, waits: Waits) {
+    /// A coordinator told what an order of its makers would wait. What holds for the makers of
+    /// other regions says nothing of this node's next orders.
+    pub fn heard_waits(&self, pool: &PoolId, waits: Waits) {
         let now = self.now();
-        self.forecast.borrow_mut().hear(service, waits, now);
+        let own = self.peers.roster(|r| r.map().own());
+        if pool.region.as_ref().is_none_or(|r| *r == own) {
+            self.forecast.borrow_mut().hear(&pool.service, waits, now);
+        }
+    }
+
+    /// The region whose makers are to make an order, of those that have any.
+    pub fn region_for(
+        &self,
+        service: &str,
+        allowed: &Allowed,
+        wanted: Option<&Name>,
+    ) -> Option<Name> {
+        let now = self.now();
+        self.peers.roster(|r| {
+            let map = r.map();
+            let terms = Terms { allowed, ..Terms::ANY };
+            let region = |b: &Belief| map.region_of(&b.target.domain);
+            let able = self.fleet(|f| f.usable(service, terms, now).map(region).collect());
+            map.place(wanted.map(|d| map.region_of(d)), &able)
+        })
     }
 
     /// Uses the forecast for a moment.
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -65,6 +65,9 @@
             has_changed |= matches!(action, Action::Changed(_));
             act(&node, &socket, &mut changes, action).await;
         }
+        for (domain, took) in machine.take_round_trips() {
+            node.peers.roster(|r| r.measured(&domain, took));
+        }
         if is_tick || has_changed {
             publish(&node, &machine);
         }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use decide::fleet::Regions;
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
 use futures_util::future::join_all;
@@ -24,7 +25,7 @@
 use crate::events::Event;
 use crate::node::Node;
 
-pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
+pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree, WAITS};
 
 /// Time to connect to a peer.
 pub const CONNECT: Duration = Duration::from_millis(250);
@@ -50,9 +51,11 @@
 
 impl Peers {
     /// Nobody is known yet.
-    pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
+    pub fn new(me: Name, domain: Name, capacity: u8, regions: Regions) -> Self {
+        let mut roster = Roster::new(me, domain, capacity);
+        roster.set_regions(regions);
         Peers {
-            roster: RefCell::new(Roster::new(me, domain, capacity)),
+            roster: RefCell::new(roster),
             hung: RefCell::default(),
             fetching: Cell::new(0),
             commands: RefCell::new(None),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -4,8 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::Name;
-use model::forward::{BatchOrder, FollowAsk, Handle};
+use model::forward::{BatchOrder, FollowAsk, Handle, PoolId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -18,6 +17,8 @@
 
 /// Path of batch orders.
 pub const BATCH: &str = "/v1/batch";
+/// Path of the waits of a coordinator's orders.
+pub const WAITS: &str = "/v1/waits";
 /// Path of results to be freed.
 pub const FREE: &str = "/v1/free";
 /// Path of a ping.
@@ -36,8 +37,8 @@
 /// Results that a peer's coordinator made and that are no longer wanted.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RemoteFree {
-    /// Service.
-    pub service: Name,
+    /// Makers that made them.
+    pub pool: PoolId,
     /// Results.
     pub handles: Vec<Handle>,
 }
@@ -53,6 +54,7 @@
         PING => Ok(rmp(&())),
         FOLLOW => follow(&node, request).await,
         BATCH => batch(&node, request).await,
+        WAITS => waits(&node, request).await,
         PREFILL => prefill(&node, request).await,
         PREFILL_END => prefill_end(&node, request).await,
         FREE => free(&node, request).await,
@@ -92,11 +94,21 @@
 }
 
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
-    let RemoteFree { service, handles } = message(request, "not results to free").await?;
-    node.pools.free(node, &service, handles);
+    let RemoteFree { pool, handles } = message(request, "not results to free").await?;
+    node.pools.free(node, &pool, handles);
     Ok(rmp(&()))
 }
 
+async fn waits(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let pool: PoolId = message(request, "not a pool of makers").await?;
+    if node.is_stopping() || !node.peers.roster(|r| r.coordinates(&pool, node.now())) {
+        return Err(text(StatusCode::CONFLICT, "another node comes first"));
+    }
+    let waits = node.pools.waits(node, &pool);
+    let waits = waits.ok_or_else(|| text(StatusCode::NOT_FOUND, "no such stage service"))?;
+    Ok(rmp(&waits))
+}
+
 async fn batch(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let order: BatchOrder = message(request, "not a batch order").await?;
     let stopping = || text(StatusCode::SERVICE_UNAVAILABLE, "stopping");
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -43,9 +43,12 @@
     /// Chooses an engine as the scheduler.
     pub fn place(&self, node: &Node, ask: &PrefillAsk) -> PrefillAnswer {
         let now = node.now();
+        let map = node.peers.roster(|r| r.map());
         let wanted = Wanted {
             service: &ask.service,
             domain: &ask.domain,
+            map: &map,
+            roams: false,
             terms: Terms { allowed: &ask.allowed, side: ask.side },
             but: &ask.but,
             most_each: u32::MAX,
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,6 +1,7 @@
 //! Which target a request goes to.
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
+use decide::region::roams;
 use decide::resend::Next;
 use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
@@ -26,9 +27,12 @@
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
         let shares = self.home_shares(now);
+        let map = self.node.peers.roster(|r| r.map());
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
+            map: &map,
+            roams: self.roams(),
             terms: self.terms(),
             but: &but,
             most_each: self.connections_each(),
@@ -51,6 +55,19 @@
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
 
+    /// Whether the home is sought in all regions. Last stages that have inputs lie with these, in
+    /// this region, and their results cross; others are made where the home is.
+    fn roams(&self) -> bool {
+        let shared = self.home().map_or(0, |h| h.shared);
+        let stages = &self.route.stages;
+        let is_last = |i: usize| !stages.iter().any(|s| s.after.contains(&i));
+        let crossing =
+            stages.iter().enumerate().filter(|(i, s)| is_last(*i) && !s.after.is_empty());
+        let pieces = |i: usize| u64::from(self.head.pieces.get(i).copied().unwrap_or(0));
+        let inputs: u64 = crossing.map(|(i, s)| pieces(i) * s.bytes).sum();
+        roams(shared, self.request.body.len() as u64 + inputs)
+    }
+
     /// Connections that this node may have to one target: an equal part of what a target
     /// takes from all nodes.
     fn connections_each(&self) -> u32 {
--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
-use model::Name;
-use model::forward::{Handle, TargetId};
+use model::forward::{Handle, PoolId, TargetId};
 
 use super::call;
 use crate::node::Node;
@@ -26,8 +25,8 @@
 /// Where results are freed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Place {
-    Maker(TargetId, Name),
-    Coordinator(SocketAddr, Name),
+    Maker(TargetId, PoolId),
+    Coordinator(SocketAddr, PoolId),
 }
 
 /// Results to be freed.
@@ -35,17 +34,17 @@
 pub struct Freer(RefCell<HashMap<Place, Vec<Handle>>>);
 
 impl Freer {
-    /// Frees results of `service` at their makers soon.
-    pub fn at_makers(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
+    /// Frees results of a pool at their makers soon.
+    pub fn at_makers(&self, node: &Rc<Node>, pool: &PoolId, handles: Vec<Handle>) {
         for handle in handles {
-            let place = Place::Maker(handle.maker.clone(), service.clone());
+            let place = Place::Maker(handle.maker.clone(), pool.clone());
             self.push(node, place, vec![handle]);
         }
     }
 
-    /// Frees results through the coordinator of `service` at a peer soon.
-    pub fn at_peer(&self, node: &Rc<Node>, peer: SocketAddr, service: &Name, h: Vec<Handle>) {
-        self.push(node, Place::Coordinator(peer, service.clone()), h);
+    /// Frees results through the coordinator of a pool at a peer soon.
+    pub fn at_peer(&self, node: &Rc<Node>, peer: SocketAddr, pool: &PoolId, h: Vec<Handle>) {
+        self.push(node, Place::Coordinator(peer, pool.clone()), h);
     }
 
     fn push(&self, node: &Rc<Node>, place: Place, handles: Vec<Handle>) {
@@ -65,15 +64,15 @@
     tokio::time::sleep(GATHER).await;
     let handles = node.pools.freer.take(&place);
     match place {
-        Place::Maker(maker, service) => {
+        Place::Maker(maker, pool) => {
             free_at_maker(&node, &maker, &handles).await;
-            node.pools.freed(&node, &service, handles);
+            node.pools.freed(&node, &pool, handles);
         }
-        Place::Coordinator(peer, service) => {
+        Place::Coordinator(peer, pool) => {
             let peer = peer.to_string();
-            let message = RemoteFree { service, handles };
+            let message = RemoteFree { pool, handles };
             if node.client.rmp::<_, ()>(&peer, FREE, &message, TIMEOUT).await.is_err() {
-                node.pools.freer.at_makers(&node, &message.service, message.handles);
+                node.pools.freer.at_makers(&node, &message.pool, message.handles);
             }
         }
     }
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use model::Name;
-use model::forward::{Handle, PieceResult};
+use model::forward::{Handle, PieceResult, PoolId};
 
 use super::order::Placed;
 use super::plan::StageError;
@@ -23,7 +22,7 @@
 pub(super) struct Kept {
     /// Where the results rest.
     pub(super) handles: Vec<Handle>,
-    service: Name,
+    pool: Option<PoolId>,
     peer: Option<SocketAddr>,
 }
 
@@ -36,14 +35,9 @@
 
     /// Takes what came of a stage. If a piece of it was not made, what was made of the
     /// others is held all the same, to be freed.
-    pub(super) fn keep(
-        &mut self,
-        stage: usize,
-        service: &Name,
-        placed: Placed,
-    ) -> Result<(), StageError> {
+    pub(super) fn keep(&mut self, stage: usize, placed: Placed) -> Result<(), StageError> {
         let kept = &mut self.kept[stage];
-        kept.service = service.clone();
+        kept.pool = Some(placed.pool);
         kept.peer = placed.peer;
         let mut failed = None;
         for result in placed.results {
@@ -77,14 +71,14 @@
 
     /// Frees the results of a stage.
     pub(super) fn release(&mut self, stage: usize) {
-        let Kept { handles, service, peer } = std::mem::take(&mut self.kept[stage]);
-        if handles.is_empty() {
+        let Kept { handles, pool, peer } = std::mem::take(&mut self.kept[stage]);
+        let Some(pool) = pool.filter(|_| !handles.is_empty()) else {
             return;
-        }
+        };
         let pools = &self.node.pools;
         match peer {
-            Some(peer) => pools.freer.at_peer(&self.node, peer, &service, handles),
-            None => pools.free(&self.node, &service, handles),
+            Some(peer) => pools.freer.at_peer(&self.node, peer, &pool, handles),
+            None => pools.free(&self.node, &pool, handles),
         }
     }
 }
--- a/crates/forward/src/stages/mod.rs
+++ b/crates/forward/src/stages/mod.rs
@@ -8,6 +8,7 @@
 mod order;
 mod plan;
 mod runner;
+mod spill;
 
 pub use job::Job;
 pub use made::Made;
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use model::forward::{BatchAnswer, BatchOrder, PieceResult};
+use model::forward::{BatchAnswer, BatchOrder, PieceResult, PoolId};
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
 
@@ -30,6 +30,8 @@
     pub peer: Option<SocketAddr>,
     /// Name of the node that it runs on; `None` is this one.
     pub coordinator: Option<Name>,
+    /// Makers that made them.
+    pub pool: PoolId,
 }
 
 /// Places the order; after its coordinators fail, this node makes the calls itself.
@@ -69,28 +71,30 @@
 
 /// Places the order with the peers that come before this node.
 async fn at_peers(node: &Rc<Node>, order: &mut BatchOrder) -> Option<Placed> {
-    let service = order.service.clone();
-    check_silent(node, &service);
+    let pool = order.pool();
+    check_silent(node, &pool);
     let mut asked: Vec<NodeId> = Vec::new();
     let mut hung: Vec<NodeId> = Vec::new();
     while asked.len() < ASKED {
         let now = node.now();
-        let order_of = node.peers.roster(|r| r.coordinators(&service, now));
+        let order_of = node.peers.roster(|r| r.coordinators(&pool, now));
         let fresh = |c: &Option<PeerNode>| c.as_ref().is_none_or(|p| !asked.contains(&p.id));
         let peer = order_of.into_iter().find(fresh)??;
-        order.skipped = node.peers.roster(|r| r.skipped(&service, now));
+        order.skipped = node.peers.roster(|r| r.skipped(&pool, now));
         match ask(node, &peer, order).await {
-            Ok(BatchAnswer { results, waits, coordinator }) => {
+            Ok(BatchAnswer { results, waits, coordinator, region }) => {
                 node.peers.roster(|r| r.answered(&peer.id, node.now()));
-                node.heard_waits(&service, waits);
+                node.heard_waits(&pool, waits);
                 let entry = coordinator.unwrap_or(peer.entry);
+                let pool = PoolId { region, ..pool };
                 return Some(Placed {
                     results,
                     peer: Some(entry),
                     coordinator: Some(peer.id.name),
+                    pool,
                 });
             }
-            Err(why) => tell_lost(&service, &peer, &why),
+            Err(why) => tell_lost(&pool.service, &peer, &why),
         }
         if node.peers.is_hung(&peer.id, now) && !hung.contains(&peer.id) {
             // It is there; only the connection is not.
@@ -100,7 +104,7 @@
         }
         if node.peers.roster(|r| r.is_silent(&peer.id)) {
             // Whoever else is gone with it is found out at once, not one order after another.
-            let others = node.peers.roster(|r| r.survey(&service, node.now()));
+            let others = node.peers.roster(|r| r.survey(&pool, node.now()));
             peers::ask_all(node, &others).await;
         }
         asked.push(peer.id);
@@ -114,8 +118,8 @@
 }
 
 /// Asks silent peers that would come first for a sign of life, in the background.
-fn check_silent(node: &Rc<Node>, service: &Name) {
-    let due = node.peers.roster(|r| r.checks_due(service, node.now()));
+fn check_silent(node: &Rc<Node>, pool: &PoolId) {
+    let due = node.peers.roster(|r| r.checks_due(pool, node.now()));
     if !due.is_empty() {
         let node = node.clone();
         tokio::task::spawn_local(async move { peers::ask_all(&node, &due).await });
@@ -132,7 +136,7 @@
     let doubted = node.peers.roster(|r| r.doubted(&order.skipped));
     peers::ask_all(node, &doubted).await;
     spend(&mut order, node.now().since(begun));
-    let first = node.peers.roster(|r| r.coordinators(&order.service, node.now()));
+    let first = node.peers.roster(|r| r.coordinators(&order.pool(), node.now()));
     let Some(Some(peer)) = first.into_iter().next() else {
         return node.pools.order(node, order, false).await;
     };
@@ -151,14 +155,37 @@
 
 /// What this node's own coordinator made.
 fn here(node: &Rc<Node>, order: &BatchOrder, end: Result<BatchAnswer, NotMade>) -> Placed {
-    let results = match end {
-        Ok(BatchAnswer { results, waits, .. }) => {
-            node.heard_waits(&order.service, waits);
-            results
+    let BatchAnswer { results, waits, coordinator, region } = match end {
+        Ok(answer) => answer,
+        Err(_) => {
+            let results = vec![PieceResult::Failed; order.pieces as usize];
+            return Placed { results, peer: None, coordinator: None, pool: order.pool() };
         }
-        Err(_) => vec![PieceResult::Failed; order.pieces as usize],
     };
-    Placed { results, peer: None, coordinator: None }
+    node.heard_waits(&order.pool(), waits);
+    let pool = PoolId { region, ..order.pool() };
+    Placed { results, peer: coordinator, coordinator: None, pool }
+}
+
+/// The coordinator of a region's makers, if it is a peer there.
+pub(super) fn coordinator_in(node: &Node, pool: &PoolId) -> Option<PeerNode> {
+    let first = node.peers.roster(|r| r.coordinators(pool, node.now())).into_iter().next()??;
+    let map = node.peers.roster(|r| r.map());
+    Some(first).filter(|p| pool.region.as_ref().is_some_and(|r| map.region_of(&p.domain) == *r))
+}
+
+/// Places an order with the coordinator of the region that it names.
+pub(super) async fn at_region(
+    node: &Rc<Node>,
+    mut order: BatchOrder,
+) -> Result<BatchAnswer, String> {
+    let pool = order.pool();
+    let peer = coordinator_in(node, &pool).ok_or("nobody there answers")?;
+    order.passed_on = false;
+    order.skipped = node.peers.roster(|r| r.skipped(&pool, node.now()));
+    let answer = ask(node, &peer, &order).await?;
+    node.peers.roster(|r| r.answered(&peer.id, node.now()));
+    Ok(BatchAnswer { coordinator: Some(answer.coordinator.unwrap_or(peer.entry)), ..answer })
 }
 
 async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Result<BatchAnswer, String> {
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -61,7 +61,7 @@
             progress.release(due);
             continue;
         };
-        match made.keep(i, &stages[i].service, placed) {
+        match made.keep(i, placed) {
             Ok(()) => made.release_all(&progress.made(i)),
             Err(StageError::InputGone) if node.settings().policy.recompute => {
                 let again = progress.input_gone(i).ok_or(StageError::InputGone)?;
@@ -80,7 +80,9 @@
     let begun = node.now();
     let (id, service) = (order.attempt.clone(), order.service.clone());
     let (near, slack_ms) = (order.near.clone(), order.slack_ms);
+    let ordered = order.region.clone();
     let placed = order::place(node, order).await;
+    let region = &placed.pool.region;
     let results = &placed.results;
     let made = results.iter().all(|r| matches!(r, PieceResult::Made(_)));
     let took_ms = node.now().since(begun).as_millis() as u64;
@@ -95,6 +97,8 @@
         stage,
         service: &service,
         coordinator,
+        region: region.as_deref().unwrap_or_default(),
+        spilled: *region != ordered,
         pieces,
         near,
         elsewhere,
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -8,9 +8,12 @@
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use decide::fleet::{Belief, Observation, Terms};
+use decide::region::Spill;
 use http_body_util::{BodyExt, Limited};
 use model::Name;
-use model::forward::{BatchAnswer, BatchOrder, Handle, PieceResult, Policy, StagePool, TargetId};
+use model::forward::{
+    BatchAnswer, BatchOrder, Handle, PieceResult, Policy, PoolId, StagePool, TargetId, Waits,
+};
 use tokio::sync::oneshot;
 
 use super::call;
@@ -39,7 +42,7 @@
 /// The coordinators at this node.
 #[derive(Default)]
 pub struct Pools {
-    runners: RefCell<HashMap<Name, Rc<Runner>>>,
+    runners: RefCell<HashMap<PoolId, Rc<Runner>>>,
     /// Frees results.
     pub freer: Freer,
 }
@@ -52,10 +55,30 @@
         order: BatchOrder,
         pinned: bool,
     ) -> Result<BatchAnswer, NotMade> {
-        let runner = self.runner(node, &order.service).ok_or(NotMade::NoService)?;
-        let results = runner.order(node, order, pinned).await.ok_or(NotMade::Moved)?;
+        let runner = self.runner(node, &order.pool()).ok_or(NotMade::NoService)?;
+        let (order, spilled) = runner.spill(node, order).await;
+        if let Some(answer) = spilled {
+            return Ok(answer);
+        }
+        let begun = node.now();
+        let results = match runner.order(node, order.clone(), pinned).await {
+            Some(results) => results,
+            // Its makers went while it waited, or it goes to another coordinator.
+            None => {
+                let (_, spilled) = runner.spill(node, order.later(node.now().since(begun))).await;
+                return spilled.ok_or(NotMade::Moved);
+            }
+        };
+        let waits = runner.waits(node);
+        Ok(BatchAnswer { results, waits, coordinator: None, region: runner.pool.region.clone() })
+    }
+
+    /// What an order would wait for makers of which this node is the coordinator.
+    pub fn waits(&self, node: &Rc<Node>, pool: &PoolId) -> Option<Waits> {
+        let runner = self.runner(node, pool)?;
+        runner.feed(node, Event::Tick);
         let waits = runner.machine.borrow().waits(node.now());
-        Ok(BatchAnswer { results, waits, coordinator: None })
+        Some(waits)
     }
 
     /// This node stops: orders not begun yet go to another coordinator.
@@ -67,13 +90,13 @@
     }
 
     /// Results that this node's coordinator made are no longer wanted.
-    pub fn free(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
-        self.freer.at_makers(node, service, handles);
+    pub fn free(&self, node: &Rc<Node>, pool: &PoolId, handles: Vec<Handle>) {
+        self.freer.at_makers(node, pool, handles);
     }
 
     /// Results were freed at their makers.
-    pub fn freed(&self, node: &Rc<Node>, service: &Name, handles: Vec<Handle>) {
-        let runner = self.runners.borrow().get(service).cloned();
+    pub fn freed(&self, node: &Rc<Node>, pool: &PoolId, handles: Vec<Handle>) {
+        let runner = self.runners.borrow().get(pool).cloned();
         if let Some(runner) = runner {
             runner.feed(node, Event::Freed(handles));
         }
@@ -84,21 +107,23 @@
         self.runners.borrow().values().all(|r| r.machine.borrow().open() == 0)
     }
 
-    fn runner(&self, node: &Node, service: &Name) -> Option<Rc<Runner>> {
+    fn runner(&self, node: &Node, id: &PoolId) -> Option<Rc<Runner>> {
         let table = node.table();
-        let pool = table.service(service)?.pool.clone()?;
+        let pool = table.service(&id.service)?.pool.clone()?;
         let mut runners = self.runners.borrow_mut();
         let policy = node.settings().policy;
-        let fresh = || Rc::new(Runner::new(service.clone(), pool.clone(), policy));
-        let runner = runners.entry(service.clone()).or_insert_with(fresh).clone();
+        let fresh = || Rc::new(Runner::new(id.clone(), pool.clone(), policy));
+        let runner = runners.entry(id.clone()).or_insert_with(fresh).clone();
         runner.machine.borrow_mut().set_pool(pool);
         Some(runner)
     }
 }
 
-struct Runner {
-    service: Name,
-    machine: RefCell<Coordinator>,
+pub(super) struct Runner {
+    pub(super) pool: PoolId,
+    pub(super) machine: RefCell<Coordinator>,
+    /// What is known of the makers of other regions.
+    pub(super) spill: RefCell<Spill>,
     waiting: RefCell<HashMap<OrderId, oneshot::Sender<Vec<PieceResult>>>>,
     next: Cell<OrderId>,
     ticking: Cell<bool>,
@@ -120,10 +145,11 @@
 }
 
 impl Runner {
-    fn new(service: Name, pool: StagePool, policy: Policy) -> Self {
+    fn new(id: PoolId, pool: StagePool, policy: Policy) -> Self {
         Runner {
-            service,
+            pool: id,
             machine: RefCell::new(Coordinator::new(pool, policy)),
+            spill: RefCell::default(),
             waiting: RefCell::default(),
             next: Cell::new(1),
             ticking: Cell::new(false),
@@ -146,7 +172,7 @@
     }
 
     /// Lets the machine take an event, with the makers as they are right now.
-    fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
+    pub(super) fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
         let now = node.now();
         let mut machine = self.machine.borrow_mut();
         let mut actions = machine.on(now, Event::Makers(self.makers(node)));
@@ -159,7 +185,8 @@
 
     fn makers(&self, node: &Node) -> Vec<MakerInfo> {
         let now = node.now();
-        let limit = node.cold_limit(&self.service);
+        let limit = node.cold_limit(&self.pool.service);
+        let is_here = |b: &&Belief| self.is_here(node, &b.target.domain);
         node.fleet(|f| {
             let gap_of = |b: &Belief| {
                 let limit = limit.filter(|l| f.is_cold(b, *l, now))?;
@@ -171,17 +198,23 @@
                 region: f.regions().of(&b.target.domain).cloned(),
                 cold_gap: gap_of(b),
             };
-            f.usable(&self.service, Terms::ANY, now).map(info).collect()
+            f.usable(&self.pool.service, Terms::ANY, now).filter(is_here).map(info).collect()
         })
     }
 
+    /// Whether the makers in a failure domain belong to the pool.
+    fn is_here(&self, node: &Node, domain: &Name) -> bool {
+        let region = self.pool.region.as_ref();
+        region.is_none_or(|r| node.peers.roster(|known| known.map().region_of(domain) == *r))
+    }
+
     fn act(self: &Rc<Self>, node: &Rc<Node>, action: Action) {
         match action {
             Action::Start(call) => {
                 tokio::task::spawn_local(run_call(self.clone(), node.clone(), call));
             }
             Action::Overdue { number, maker, again, age, limit } => LogEvent::Overdue {
-                service: &self.service,
+                service: &self.pool.service,
                 number,
                 maker: &maker.name,
                 again,
@@ -196,13 +229,13 @@
                 if let Some(tell) = self.waiting.borrow_mut().remove(&id)
                     && let Err(unheard) = tell.send(results)
                 {
-                    node.pools.free(node, &self.service, made(unheard));
+                    node.pools.free(node, &self.pool, made(unheard));
                 }
             }
             Action::Moved(id) => {
                 self.waiting.borrow_mut().remove(&id);
             }
-            Action::Free(handles) => node.pools.free(node, &self.service, handles),
+            Action::Free(handles) => node.pools.free(node, &self.pool, handles),
         }
     }
 
@@ -215,8 +248,9 @@
             while runner.machine.borrow().open() > 0 {
                 tokio::time::sleep(TICK).await;
                 let now = node.now();
-                let first = node.peers.roster(|r| r.coordinates(&runner.service, now));
-                runner.feed(&node, if first { Event::Tick } else { Event::HandOver });
+                let first = node.peers.roster(|r| r.coordinates(&runner.pool, now));
+                let moves = !first || runner.is_abandoned(&node);
+                runner.feed(&node, if moves { Event::HandOver } else { Event::Tick });
             }
             runner.ticking.set(false);
         });
@@ -272,9 +306,9 @@
         CallEnd::Full | CallEnd::Failed => &[],
     };
     let count = |wanted: fn(&PieceResult) -> bool| results.iter().filter(|r| wanted(r)).count();
-    node.metrics.batch(&runner.service, call.pieces.len());
+    node.metrics.batch(&runner.pool.service, call.pieces.len());
     LogEvent::Call {
-        service: &runner.service,
+        service: &runner.pool.service,
         number: call.number,
         maker: &call.maker.name,
         pieces: call.pieces.len(),
@@ -320,7 +354,7 @@
     /// Time after which a call is given up.
     fn patience(&self, node: &Node, pieces: usize) -> Duration {
         let table = node.table();
-        let pool = table.service(&self.service).and_then(|s| s.pool.as_ref());
+        let pool = table.service(&self.pool.service).and_then(|s| s.pool.as_ref());
         let ms = pool.map_or(0.0, |p| p.call_ms + p.item_ms * pieces as f64);
         Duration::from_secs_f64(2.0 * ms / 1000.0) + CALL_SLACK
     }
--- /dev/null
+++ b/crates/forward/src/stages/spill.rs
@@ -0,0 +1,116 @@
+//! Passes orders on to the coordinators of other regions, and asks them for their waits.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::batch::Event;
+use decide::fleet::{Belief, Terms};
+use model::Name;
+use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Rank, Waits};
+
+use super::order;
+use super::runner::Runner;
+use crate::events::Event as LogEvent;
+use crate::node::Node;
+use crate::peers::WAITS;
+
+/// Time for another coordinator to tell its waits: some crossings.
+const WAITS_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Runner {
+    /// Passes an order on if another region makes it in time and this one would not; returns
+    /// it, and its answer if it was.
+    pub(super) async fn spill(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        order: BatchOrder,
+    ) -> (BatchOrder, Option<BatchAnswer>) {
+        let Some(region) = self.choose(node, &order) else {
+            return (order, None);
+        };
+        let begun = node.now();
+        let passed = BatchOrder { region: Some(region.clone()), spilled: true, ..order.clone() };
+        match order::at_region(node, passed).await {
+            Ok(answer) => {
+                self.spill.borrow_mut().hear(region.clone(), answer.waits, node.now());
+                let from = self.pool.region.as_deref().unwrap_or_default();
+                node.metrics.spilled(from, &region);
+                (order, Some(BatchAnswer { waits: self.waits(node), ..answer }))
+            }
+            Err(why) => {
+                self.spill.borrow_mut().lost(&region);
+                LogEvent::NotSpilled {
+                    id: &order.attempt,
+                    service: &self.pool.service,
+                    region: &region,
+                    why: &why,
+                }
+                .emit();
+                let order = order.later(node.now().since(begun));
+                (BatchOrder { spilled: true, ..order }, None)
+            }
+        }
+    }
+
+    /// The region that an order goes to in place of this one; asks others for their waits
+    /// once there is a wait here.
+    fn choose(self: &Rc<Self>, node: &Rc<Node>, order: &BatchOrder) -> Option<Name> {
+        let own_region = self.pool.region.as_ref()?;
+        self.feed(node, Event::Tick);
+        let now = node.now();
+        let own = self.machine.borrow().own(order, now);
+        let others = others(node, &self.pool.service, own_region, &order.allowed);
+        let names: Vec<Name> = others.iter().map(|(r, _)| r.clone()).collect();
+        for region in self.spill.borrow_mut().take_due(&names, own.wait, now) {
+            tokio::task::spawn_local(ask(self.clone(), node.clone(), region));
+        }
+        self.spill.borrow_mut().choose(&others, order, own, now)
+    }
+
+    /// Whether no maker works here, while another region's can take what waits.
+    pub(super) fn is_abandoned(&self, node: &Node) -> bool {
+        let now = node.now();
+        let is_dead = self.machine.borrow().waits(now).of(Rank::default()) == u32::MAX;
+        is_dead && self.spill.borrow().knows_any(now)
+    }
+
+    /// What an order would wait now, here or where it would be passed on to.
+    pub(super) fn waits(&self, node: &Node) -> Waits {
+        let now = node.now();
+        let waits = self.machine.borrow().waits(now);
+        let Some(own) = &self.pool.region else {
+            return waits;
+        };
+        let others = others(node, &self.pool.service, own, &Allowed::ANY);
+        self.spill.borrow().bound(waits, &others, now)
+    }
+}
+
+/// Regions with usable makers but one, and the time there and back.
+fn others(node: &Node, service: &str, but: &Name, allowed: &Allowed) -> Vec<(Name, Duration)> {
+    let map = node.peers.roster(|r| r.map());
+    if !map.is_split() {
+        return Vec::new();
+    }
+    let region = |b: &Belief| map.region_of(&b.target.domain);
+    let terms = Terms { allowed, ..Terms::ANY };
+    let mut able: Vec<Name> =
+        node.fleet(|f| f.usable(service, terms, node.now()).map(region).collect());
+    able.sort_unstable();
+    able.dedup();
+    able.retain(|r| r != but);
+    able.into_iter().map(|r| (r.clone(), map.to_region(&r))).collect()
+}
+
+/// Asks another region's coordinator for its waits.
+async fn ask(runner: Rc<Runner>, node: Rc<Node>, region: Name) {
+    let pool = PoolId { region: Some(region.clone()), ..runner.pool.clone() };
+    let Some(peer) = order::coordinator_in(&node, &pool) else {
+        return;
+    };
+    let address = peer.entry.to_string();
+    match node.client.rmp::<_, Waits>(&address, WAITS, &pool, WAITS_TIMEOUT).await {
+        Ok(waits) => runner.spill.borrow_mut().hear(region, waits, node.now()),
+        Err(e) => log::debug!("waits of {region}: {e}"),
+    }
+}
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +50,15 @@
     pub input: StageInput,
 }
 
+/// The makers of a service that are coordinated together.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PoolId {
+    /// Service.
+    pub service: Name,
+    /// Region in which they are; `None` if those of all regions are one pool.
+    pub region: Option<Name>,
+}
+
 /// All pieces of one request's stage, ordered together. What they share is told once:
 /// orders cross the narrow link of a coordinator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +81,10 @@
     pub rank: Rank,
     /// Regions in which the pieces may be made.
     pub allowed: Allowed,
+    /// Region whose makers are to make them; `None` if those of any.
+    pub region: Option<Name>,
+    /// Whether another region passed the order on to this one; it is not passed on again.
+    pub spilled: bool,
     /// Failure domain where the inputs lie or the results are wanted.
     pub near: Option<Name>,
     /// Bytes that cross failure domains if the pieces are made elsewhere.
@@ -86,6 +100,21 @@
 }
 
 impl BatchOrder {
+    /// Makers that are to make the pieces.
+    pub fn pool(&self) -> PoolId {
+        PoolId { service: self.service.clone(), region: self.region.clone() }
+    }
+
+    /// The order once this time has passed.
+    pub fn later(self, passed: Duration) -> Self {
+        let passed_ms = passed.as_millis() as u64;
+        BatchOrder {
+            left_ms: self.left_ms.saturating_sub(passed_ms),
+            slack_ms: self.slack_ms.saturating_sub(passed_ms),
+            ..self
+        }
+    }
+
     /// One piece of the order, with this time left.
     pub fn piece(&self, piece: u32, left_ms: u64) -> PieceOrder {
         PieceOrder {
@@ -122,6 +151,8 @@
     pub waits: Waits,
     /// Where the results are to be freed, if not at the node that answers.
     pub coordinator: Option<SocketAddr>,
+    /// Region whose makers made them, if they are coordinated by region.
+    pub region: Option<Name>,
 }
 
 /// Expected waits of new orders at a coordinator, in milliseconds, by rank. A rank waits
