--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use decide::fleet::{ColdStarts, Fleet, Home, Observation, Terms, Wanted, shares};
+use decide::fleet::{ColdStarts, Fleet, Home, Observation, Regions, Terms, Wanted, shares};
+use decide::region::Map;
 use decide::rng::Rng;
 use model::forward::{PromptPart, Target, TargetId};
 use support::{at, one_region, target};
@@ -25,7 +26,7 @@
         terms: Terms::ANY,
         domain: "a",
         map: one_region(),
-        roams: false,
+        region: None,
         but,
         most_each: 100,
         shares: &[],
@@ -216,3 +217,26 @@
     }
     assert!(shares(&fleet, "unknown", "engine", at(0)).is_empty(), "no makers, no shares");
 }
+
+#[test]
+fn targets_of_the_own_region_come_first_until_others_are_sooner() {
+    let regions = [("a", "north"), ("b", "south"), ("c", "south")];
+    let regions = regions.map(|(d, r)| (d.into(), r.into())).into_iter().collect();
+    let map = Map::new("a".into(), Regions::new(regions));
+    let own = "north".into();
+    let wanted = Wanted { map: &map, region: Some(&own), ..wanted(&[]) };
+    let mut fleet = fleet(12);
+    let mut rng = Rng::new(1);
+    let mut chosen = |fleet: &Fleet| {
+        let plain = (0..50).filter_map(|_| fleet.pick_plain(wanted, at(0), &mut rng));
+        let mut domains: BTreeSet<String> = plain.map(|t| t.domain.to_string()).collect();
+        let homes = (0..50).filter_map(|key| fleet.pick_home(wanted, home(key), at(0)));
+        domains.extend(homes.map(|t| t.domain.to_string()));
+        domains.into_iter().collect::<String>()
+    };
+    assert_eq!(chosen(&fleet), "a", "40 ms are more than any wait there");
+    for _ in 0..12 {
+        (0..12).step_by(3).for_each(|i| fleet.sent(&format!("t{i}").as_str().into(), 0));
+    }
+    assert_eq!(chosen(&fleet), "bc", "those of the own region are overrun");
+}
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -181,7 +181,7 @@
         &self,
         service: &str,
         allowed: &Allowed,
-        wanted: Option<&Name>,
+        wanted: Option<Name>,
     ) -> Option<Name> {
         let now = self.now();
         self.peers.roster(|r| {
@@ -189,7 +189,7 @@
             let terms = Terms { allowed, ..Terms::ANY };
             let region = |b: &Belief| map.region_of(&b.target.domain);
             let able = self.fleet(|f| f.usable(service, terms, now).map(region).collect());
-            map.place(wanted.map(|d| map.region_of(d)), &able)
+            map.place(wanted, &able)
         })
     }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,7 +1,7 @@
 //! Which target a request goes to.
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
-use decide::region::roams;
+use decide::region::Map;
 use decide::resend::Next;
 use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
@@ -28,11 +28,12 @@
         let settings = self.node.settings();
         let shares = self.home_shares(now);
         let map = self.node.peers.roster(|r| r.map());
+        let region = self.home_region(&map);
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
             map: &map,
-            roams: self.roams(),
+            region: region.as_ref(),
             terms: self.terms(),
             but: &but,
             most_each: self.connections_each(),
@@ -55,17 +56,23 @@
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
 
-    /// Whether the home is sought in all regions. Last stages that have inputs lie with these, in
-    /// this region, and their results cross; others are made where the home is.
-    fn roams(&self) -> bool {
-        let shared = self.home().map_or(0, |h| h.shared);
-        let stages = &self.route.stages;
-        let is_last = |i: usize| !stages.iter().any(|s| s.after.contains(&i));
-        let crossing =
-            stages.iter().enumerate().filter(|(i, s)| is_last(*i) && !s.after.is_empty());
-        let pieces = |i: usize| u64::from(self.head.pieces.get(i).copied().unwrap_or(0));
-        let inputs: u64 = crossing.map(|(i, s)| pieces(i) * s.bytes).sum();
-        roams(shared, self.request.body.len() as u64 + inputs)
+    /// Region in which the home is sought first: where the inputs lie, or this one. None if
+    /// regions are as good as one. Shared parts are read in each region: sending prompts across
+    /// saves half of that, and costs more in bytes and in time than it saves.
+    fn home_region(&self, map: &Map) -> Option<Name> {
+        if !map.is_split() {
+            return None;
+        }
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        lies_at.or_else(|| Some(map.own()))
+    }
+
+    /// Whether a target is in the region where the inputs lie, if there are any. Inputs that
+    /// another region made are larger than what the request sends there.
+    pub(super) fn is_by_inputs(&self, target: &Target) -> bool {
+        let map = self.node.peers.roster(|r| r.map());
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        !map.is_split() || lies_at.is_none_or(|r| map.region_of(&target.domain) == r)
     }
 
     /// Connections that this node may have to one target: an equal part of what a target
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -75,14 +75,15 @@
         postponed.into()
     }
 
-    /// Failure domain that a stage's region is chosen for: where its inputs lie, or, for the
-    /// last one, where its results are wanted. A chain so changes its region once at most.
-    fn lies_at(&self, stage: usize, kept: &[Kept], node: &Node) -> Option<Name> {
+    /// Region that a stage is wanted in: where its inputs lie, or, for the last one, where its
+    /// results are wanted. A chain so changes its region once at most.
+    fn region_of(&self, stage: usize, kept: &[Kept], node: &Node) -> Option<Name> {
         let inputs = self.route.stages[stage].after.iter();
         let first = inputs.flat_map(|j| &kept[*j].handles).next();
         let at = first.and_then(|h| node.fleet(|f| f.domain_of(&h.maker).cloned()));
         let is_last = dependents(&self.route.stages, stage).next().is_none();
-        at.or_else(|| self.near.clone().filter(|_| is_last))
+        let at = at.or_else(|| self.near.clone().filter(|_| is_last))?;
+        Some(node.peers.roster(|r| r.map().region_of(&at)))
     }
 
     /// Where a stage is best made: where its inputs lie, or, for the last one, where its
@@ -157,7 +158,7 @@
         StageInput::Handles(inputs.map(|h| h.text.clone()).collect())
     };
     let place = job.place_of(stage, kept, node);
-    let at = job.lies_at(stage, kept, node);
+    let wanted = job.region_of(stage, kept, node);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         attempt: job.head.id.as_str().into(),
@@ -168,7 +169,7 @@
         left_ms: job.left_ms.saturating_sub(spent.passed_ms),
         rank: job.rank,
         allowed: job.allowed.clone(),
-        region: node.region_for(&what.service, job.allowed, at.as_ref()),
+        region: node.region_for(&what.service, job.allowed, wanted),
         spilled: false,
         near: place.near,
         moved_bytes: place.moved_bytes,
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -69,8 +69,8 @@
                 return spilled.ok_or(NotMade::Moved);
             }
         };
-        let waits = runner.waits(node);
-        Ok(BatchAnswer { results, waits, coordinator: None, region: runner.pool.region.clone() })
+        let (waits, region) = (runner.waits(node), runner.pool.region.clone());
+        Ok(BatchAnswer { results, waits, coordinator: None, region })
     }
 
     /// What an order would wait for makers of which this node is the coordinator.
