--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use model::Time;
-use model::forward::{PieceResult, Policy, Rank, StagePool, TargetId, Waits};
+use model::forward::{BatchOrder, PieceResult, Policy, Rank, StagePool, TargetId, Waits};
 
 use super::makers::{Free, Makers};
-use super::orders::{Order, Urgency};
+use super::orders::{Order, Urgency, usual_call};
 use super::pace::Pace;
 use super::repeats::Repeats;
-use super::types::{Action, Call, CallEnd, Event, OrderId};
+use super::trial::Trial;
+use super::types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
+use crate::region::Own;
 
 /// Calls that may fail under one order before it is given up.
 const FAILURES: u32 = 3;
@@ -40,6 +42,7 @@
     next_call: u64,
     pace: Pace,
     repeats: Repeats,
+    trial: Trial,
 }
 
 impl Coordinator {
@@ -54,6 +57,7 @@
             next_call: 1,
             pace: Pace::default(),
             repeats: Repeats::default(),
+            trial: Trial::default(),
         }
     }
 
@@ -73,7 +77,7 @@
         if slots == 0 {
             return Waits(vec![(Rank::default(), u32::MAX)]);
         }
-        let piece_ms = self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms;
+        let piece_ms = self.piece_ms();
         let busy = self.flights.len() >= slots;
         let next_ms = if busy { self.pool.call_ms / slots as f64 } else { 0.0 };
         let mut pieces: BTreeMap<Rank, usize> = BTreeMap::from([(Rank::default(), 0)]);
@@ -88,6 +92,21 @@
         Waits(waits.collect())
     }
 
+    /// What an order would find at the makers now.
+    pub fn own(&self, order: &BatchOrder, now: Time) -> Own {
+        let slots = self.makers.working(now) * self.pool.slots.max(1) as usize;
+        Own {
+            wait: self.waits(now).of(order.rank),
+            call: usual_call(&self.pool, order.pieces),
+            piece_ms: self.piece_ms() / slots.max(1) as f64,
+        }
+    }
+
+    /// Time of a maker that a piece takes in a full call.
+    fn piece_ms(&self) -> f64 {
+        self.pool.call_ms / self.pool.batch.max(1) as f64 + self.pool.item_ms
+    }
+
     /// Sets what one maker bears, when rules change.
     pub fn set_pool(&mut self, pool: StagePool) {
         self.pool = pool;
@@ -102,18 +121,26 @@
             }
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
-            Event::Makers(makers) => self.makers.set(makers),
+            Event::Makers(makers) => self.set_makers(makers),
             Event::Probed(maker, alive) => self.makers.probed(&maker, alive, now),
             Event::Freed(handles) => self.makers.freed(&handles),
             Event::HandOver => self.hand_over(&mut out),
             Event::Tick => {}
         }
         self.give_up_late(now, &mut out);
+        self.give_up_barred(&mut out);
         self.repeat_overdue(now, &mut out);
         self.fill(now, &mut out);
         out
     }
 
+    fn set_makers(&mut self, makers: Vec<MakerInfo>) {
+        self.makers.set(makers);
+        if !self.makers.has_trial() {
+            self.trial.ended();
+        }
+    }
+
     fn order(&mut self, id: OrderId, order: Order, out: &mut Vec<Action>) {
         if order.results.is_empty() {
             out.push(Action::Answer(id, Vec::new()));
@@ -248,11 +275,31 @@
         let late: Vec<OrderId> =
             self.orders.iter().filter(|(_, o)| is_late(o)).map(|(id, _)| *id).collect();
         for id in late {
-            if let Some(order) = self.orders.remove(&id) {
-                let n = order.results.len();
-                free(order.results, out);
-                out.push(Action::Answer(id, vec![PieceResult::Late; n]));
-            }
+            self.give_up(id, &PieceResult::Late, out);
+        }
+    }
+
+    /// Ends orders that no maker may take: all makers lie outside of the regions that are
+    /// allowed, and none inside is even busy. To wait for one would only make the refusal late.
+    fn give_up_barred(&mut self, out: &mut Vec<Action>) {
+        let makers = &self.makers;
+        let is_barred = |o: &Order| {
+            let allowed = &o.order.allowed;
+            !o.waiting.is_empty() && !allowed.is_any() && !makers.has_any_in(allowed)
+        };
+        let barred: Vec<OrderId> =
+            self.orders.iter().filter(|(_, o)| is_barred(o)).map(|(id, _)| *id).collect();
+        for id in barred {
+            self.give_up(id, &PieceResult::Failed, out);
+        }
+    }
+
+    /// Answers an order with this for each piece, and frees what was made of it.
+    fn give_up(&mut self, id: OrderId, result: &PieceResult, out: &mut Vec<Action>) {
+        if let Some(order) = self.orders.remove(&id) {
+            let n = order.results.len();
+            free(order.results, out);
+            out.push(Action::Answer(id, vec![result.clone(); n]));
         }
     }
 
@@ -279,7 +326,9 @@
     }
 
     fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.waiting() == 0 {
+        // Without this, makers all of whose work went elsewhere would never come back.
+        let is_dead = self.makers.working(now) == 0;
+        if self.waiting() == 0 && !is_dead {
             return;
         }
         out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
@@ -289,8 +338,8 @@
                 .orders
                 .iter()
                 .filter(|(_, o)| !o.waiting.is_empty())
-                .filter(|(_, o)| o.suits(&maker.domain, &working, &self.pool, now))
-                .map(|(n, o)| (o.urgency(&maker.domain, &self.pool, now), *n))
+                .filter(|(_, o)| o.suits(&maker.place, &working, &self.pool, now))
+                .map(|(n, o)| (o.urgency(&maker.place.domain, &self.pool, now), *n))
                 .collect();
             fits.sort_unstable();
             self.start(now, maker, fits.into_iter().map(|(_, n)| n), out);
@@ -306,14 +355,16 @@
         out: &mut Vec<Action>,
     ) {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
+        let allowed = maker.share.map_or(usize::MAX, |share| self.trial.most(share));
+        let batch = self.pool.batch.max(1).min(allowed);
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
                 continue;
             };
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
-            let most = (self.pool.batch.max(1) - pieces.len()).min(room as usize);
-            let taken = order.take(most, &maker.domain);
+            let most = (batch - pieces.len()).min(room as usize);
+            let taken = order.take(most, &maker.place.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
         }
@@ -330,6 +381,7 @@
         let ordered = pieces.iter().map(piece).collect();
         self.makers.started(&maker.id, bytes, now);
         self.repeats.asked(pieces.len());
+        self.trial.asked(pieces.len(), maker.share.is_some());
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
         let expected = self.pool.call_time(pieces.len() as u32);
         let flight =
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::forward::{Handle, StagePool, TargetId};
+use model::forward::{Allowed, Handle, StagePool, TargetId};
 use model::{Name, Time};
 
 use super::types::{CallEnd, MakerInfo};
@@ -36,9 +36,11 @@
 #[derive(Debug)]
 struct Maker {
     domain: Name,
+    region: Option<Name>,
     calls: u32,
     present: bool,
     cold_gap: Option<Duration>,
+    share: Option<f64>,
     last_call: Time,
     ejected: Time,
     strikes: u32,
@@ -53,9 +55,11 @@
     fn new(domain: Name) -> Self {
         Maker {
             domain,
+            region: None,
             calls: 0,
             present: true,
             cold_gap: None,
+            share: None,
             last_call: Time::ZERO,
             ejected: Time::ZERO,
             strikes: 0,
@@ -89,13 +93,23 @@
     }
 }
 
+/// Where a maker is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) domain: Name,
+    /// Region of that, if it is known.
+    pub(super) region: Option<Name>,
+}
+
 /// A maker that can take a call now.
 #[derive(Debug, Clone)]
 pub(super) struct Free {
     pub(super) id: TargetId,
-    pub(super) domain: Name,
+    pub(super) place: Place,
     /// Bytes of results for which there is room.
     pub(super) room: u64,
+    /// Part of all pieces that makers of its version may get, if that is on trial.
+    pub(super) share: Option<f64>,
 }
 
 /// All makers that the coordinator was told of.
@@ -108,10 +122,12 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, region: _, cold_gap } in makers {
+        for MakerInfo { id, domain, region, cold_gap, share } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
+            maker.region = region;
             maker.cold_gap = cold_gap;
+            maker.share = share;
         }
         self.forget_idle();
     }
@@ -120,20 +136,34 @@
         self.0.retain(|_, m| m.present || m.calls > 0);
     }
 
-    /// Count of makers that work.
+    /// Count of makers that work, but for those of a version on trial, which get few calls.
     pub(super) fn working(&self, now: Time) -> usize {
-        self.0.values().filter(|m| m.works(now)).count()
+        self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
+    }
+
+    /// Whether a version is on trial.
+    pub(super) fn has_trial(&self) -> bool {
+        self.0.values().any(|m| m.present && m.share.is_some())
     }
 
     /// Failure domains that have a working maker.
-    pub(super) fn domains(&self, now: Time) -> Vec<Name> {
+    pub(super) fn domains(&self, now: Time) -> Vec<Place> {
         let working = self.0.values().filter(|m| m.works(now));
-        let mut domains: Vec<Name> = working.map(|m| m.domain.clone()).collect();
-        domains.dedup();
-        domains
+        let place = |m: &Maker| Place { domain: m.domain.clone(), region: m.region.clone() };
+        let mut places: Vec<Place> = working.map(place).collect();
+        places.dedup();
+        places
+    }
+
+    /// Whether a maker is there in a region that is allowed, one that is busy or has just
+    /// failed included: those come back.
+    pub(super) fn has_any_in(&self, allowed: &Allowed) -> bool {
+        let is_inside = |m: &Maker| m.present && allowed.permits(m.region.as_deref());
+        self.0.values().any(is_inside)
     }
 
-    /// Makers that can take a call now, those with most room first.
+    /// Makers that can take a call now, those with most room first; before them those of a
+    /// version on trial, which get few pieces and are to be judged by them soon.
     pub(super) fn free(&mut self, pool: &StagePool, now: Time) -> Vec<Free> {
         let whole = (pool.room_mb * 1e6 * ROOM_USED) as u64;
         let keep = Duration::from_millis(pool.keep_ms);
@@ -146,9 +176,10 @@
             let reckoned = whole.saturating_sub(m.kept_bytes() + m.in_flight);
             let seen = m.tight.filter(|(_, until)| now < *until);
             let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
-            free.push(Free { id: id.clone(), domain: m.domain.clone(), room });
+            let place = Place { domain: m.domain.clone(), region: m.region.clone() };
+            free.push(Free { id: id.clone(), place, room, share: m.share });
         }
-        free.sort_by_key(|f| std::cmp::Reverse(f.room));
+        free.sort_by_key(|f| (f.share.is_none(), std::cmp::Reverse(f.room)));
         free
     }
 
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -1,9 +1,9 @@
 //! Beliefs about targets and what changes them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Evacuations, Target, TargetId};
+use model::forward::{Allowed, Evacuations, Side, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
@@ -44,8 +44,6 @@
     pub next_start: Time,
     /// Its entry vanished around an outage of the store; until then it is kept.
     pub missing: Option<Time>,
-    /// Its entry cannot be read.
-    pub unreadable: bool,
     /// Requests of this node at the target now.
     pub outstanding: u32,
     /// Prompt tokens of those that wait for their first event.
@@ -66,7 +64,6 @@
             target: Target { cold_ms: 0, ..target },
             next_start: Time::ZERO,
             missing: None,
-            unreadable: false,
             outstanding: 0,
             prefill: 0,
             mean_ms: 0.0,
@@ -86,7 +83,11 @@
     fn set_target(&mut self, target: Target, now: Time) -> bool {
         let was_cold = now < self.cold;
         self.cold = now + Duration::from_millis(target.cold_ms);
-        let target = Target { cold_ms: 0, ..target };
+        // A node that tells no revision takes none back.
+        let known = self.target.revision;
+        let revision = if target.revision > 0 { target.revision } else { known };
+        let target = Target { cold_ms: 0, revision, ..target };
+        self.target.revision = revision;
         let changed = target != self.target || was_cold != (now < self.cold);
         self.target = target;
         changed
@@ -110,6 +111,8 @@
 pub struct Fleet {
     beliefs: BTreeMap<Name, Belief>,
     services: BTreeMap<Name, Vec<Name>>,
+    /// Names whose entries cannot be read; not all belong to a target that was ever known.
+    unreadable: BTreeSet<Name>,
     evacuated: Evacuated,
     versions: Versions,
     regions: Regions,
@@ -141,6 +144,18 @@
         self.of_service(service).filter(move |b| self.bars(b, terms, now).is_none())
     }
 
+    /// Targets of a service that may get new work in these regions, whatever their version.
+    pub fn usable_in<'a>(
+        &'a self,
+        service: &str,
+        allowed: &'a Allowed,
+        now: Time,
+    ) -> impl Iterator<Item = &'a Belief> {
+        let on = move |side| Terms { allowed, side };
+        let may = move |b: &&Belief, side| self.bars(b, on(side), now).is_none();
+        self.of_service(service).filter(move |b| may(b, Side::Serving) || may(b, Side::Trial))
+    }
+
     /// Whether a target may get new work on these terms.
     pub fn is_usable(&self, id: &TargetId, terms: Terms<'_>, now: Time) -> bool {
         self.get(id).is_some_and(|b| self.bars(b, terms, now).is_none())
@@ -150,7 +165,7 @@
     /// chooses a target asks this and nothing else.
     pub fn bars(&self, b: &Belief, terms: Terms<'_>, now: Time) -> Option<Barred> {
         let target = &b.target;
-        if b.unreadable {
+        if self.unreadable.contains(&target.id.name) {
             return Some(Barred::Unreadable);
         }
         if target.draining {
@@ -221,10 +236,22 @@
         }
     }
 
-    /// All targets with an entry, for another node that starts.
+    /// All targets with an entry that can be read.
     pub fn targets(&self, now: Time) -> Vec<Target> {
-        let present = self.beliefs.values().filter(|b| b.missing.is_none() && !b.unreadable);
-        present.map(|b| b.entry(now)).collect()
+        let is_read =
+            |b: &&Belief| b.missing.is_none() && !self.unreadable.contains(&b.target.id.name);
+        self.beliefs.values().filter(is_read).map(|b| b.entry(now)).collect()
+    }
+
+    /// All entries, for another node that starts.
+    pub fn list(&self, now: Time) -> TargetList {
+        let unreadable = self.unreadable.iter().cloned().collect();
+        TargetList { targets: self.targets(now), unreadable }
+    }
+
+    /// Count of entries that cannot be read.
+    pub fn count_unreadable(&self) -> usize {
+        self.unreadable.len()
     }
 
     /// Count of targets whose entries say that they are cold.
@@ -244,8 +271,18 @@
 
     /// Takes an entry as it is now; returns whether what is believed changed. Nothing that
     /// was believed of an earlier start, or of one in another service or place, holds on.
+    ///
+    /// An entry that is older than the one known changes nothing: a source that is behind
+    /// would bring an earlier start back.
     pub fn upsert(&mut self, target: Target, now: Time) -> bool {
+        let known = self.beliefs.get(&target.id.name).map_or(0, |b| b.target.revision);
+        let is_older = target.revision > 0 && target.revision < known;
+        !is_older && self.put(target, now)
+    }
+
+    fn put(&mut self, target: Target, now: Time) -> bool {
         let name = target.id.name.clone();
+        let was_unreadable = self.unreadable.remove(&name);
         let is_same = |b: &Belief| {
             let known = &b.target;
             known.id == target.id
@@ -255,45 +292,56 @@
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            let was_unreadable = std::mem::take(&mut b.unreadable);
+            // In first: a version's only target does not make it a new one.
+            count_in(&mut self.versions, &target);
+            count_out(&mut self.versions, &b.target);
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
+        count_in(&mut self.versions, &target);
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
 
-    /// An entry cannot be read: its target gets nothing new, and what it has goes on.
-    pub fn unreadable(&mut self, name: &Name) {
+    /// An entry cannot be read: its target gets nothing new, and what it has goes on. Returns
+    /// whether that is new.
+    pub fn unreadable(&mut self, name: &Name) -> bool {
         if let Some(b) = self.beliefs.get_mut(name) {
-            b.unreadable = true;
+            b.missing = None;
         }
+        self.unreadable.insert(name.clone())
     }
 
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
     pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
+        let was_unreadable = self.unreadable.remove(name);
         let Some(b) = self.beliefs.get_mut(name) else {
             return;
         };
         match doubt {
-            Some(until) if !b.target.draining && !b.unreadable => b.missing = Some(until),
+            Some(until) if !b.target.draining && !was_unreadable => b.missing = Some(until),
             _ => self.forget(name),
         }
     }
 
-    /// Takes a whole list: what it lacks has vanished.
-    pub fn replace(&mut self, targets: Vec<Target>, doubt: Option<Time>, now: Time) {
-        let listed: std::collections::BTreeSet<Name> =
-            targets.iter().map(|t| t.id.name.clone()).collect();
-        let lacking: Vec<Name> =
-            self.beliefs.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+    /// Takes a whole list: what it lacks has vanished. Of the entries that it has it is the
+    /// last word, whatever their revisions.
+    pub fn replace(&mut self, list: impl Into<TargetList>, doubt: Option<Time>, now: Time) {
+        let TargetList { targets, unreadable } = list.into();
+        let read = targets.iter().map(|t| &t.id.name);
+        let listed: BTreeSet<&Name> = read.chain(&unreadable).collect();
+        let known = self.beliefs.keys().chain(&self.unreadable);
+        let lacking: Vec<Name> = known.filter(|name| !listed.contains(name)).cloned().collect();
         for name in lacking {
             self.vanish(&name, doubt);
         }
         for target in targets {
-            self.upsert(target, now);
+            self.put(target, now);
+        }
+        for name in &unreadable {
+            self.unreadable(name);
         }
     }
 
@@ -314,6 +362,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
+        count_out(&mut self.versions, &b.target);
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
@@ -361,3 +410,18 @@
         b.is_ejected(now)
     }
 }
+
+/// Counts a target of a version, unless it leaves: such a one is no other that its service
+/// could go on with.
+fn count_in(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.saw(&target.service, &target.version, target.revision);
+    }
+}
+
+/// Counts a target of a version no longer.
+fn count_out(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.gone(&target.service, &target.version);
+    }
+}
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use model::forward::{PromptPart, Target, TargetId};
+use model::forward::{Allowed, PromptPart, Side, Target, TargetId};
 use model::{Name, Time, hash};
 
 use super::{Belief, ColdLimit, Fleet, Terms};
+use crate::region::Map;
 use crate::rng::Rng;
 
 /// Which cold targets a choice may fall on.
@@ -33,8 +34,12 @@
     pub service: &'a str,
     /// Failure domain of this node.
     pub domain: &'a str,
+    /// How far the others lie.
+    pub map: &'a Map,
     /// What the request asks of its target.
     pub terms: Terms<'a>,
+    /// Region whose targets are homes before others; `None` if those of any region are.
+    pub region: Option<&'a Name>,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
     /// Requests that this node may have at one target: its part of the connections that
@@ -70,7 +75,7 @@
 const SMALL_PART: f64 = 0.2;
 /// Makers that a failure domain without any is counted with.
 const NO_MAKER: f64 = 0.2;
-/// Extra milliseconds that a request to another failure domain costs.
+/// Extra milliseconds that a request to another failure domain of the region costs.
 const CROSSING_MS: f64 = 2.0;
 /// Milliseconds assumed of a target that has answered nothing yet.
 const UNKNOWN_MS: f64 = 20.0;
@@ -94,6 +99,17 @@
     }
 }
 
+/// Extra milliseconds that a request to a failure domain costs.
+fn crossing_ms(wanted: Wanted<'_>, domain: &Name) -> f64 {
+    if **domain == *wanted.domain {
+        return 0.0;
+    }
+    if wanted.map.is_near(domain) {
+        return CROSSING_MS;
+    }
+    wanted.map.round_trip(domain).as_secs_f64() * 1000.0
+}
+
 /// Weighted rendezvous: the least distance wins, in proportion to the shares
 /// (Schindelhauer, Schomaker 2005: the logarithmic method).
 fn distance(hash: u64, share: f64) -> f64 {
@@ -104,11 +120,19 @@
 }
 
 /// Share of homes by failure domain for requests whose inputs are made near their
-/// target: as many as the makers there can make, over the targets that are there.
-pub fn shares(fleet: &Fleet, makers: &str, targets: &str, now: Time) -> Vec<(Name, f64)> {
+/// target: as many as the makers there can make, over the targets that are there, those
+/// outside of the regions that are allowed left out.
+pub fn shares(
+    fleet: &Fleet,
+    makers: &str,
+    targets: &str,
+    allowed: &Allowed,
+    now: Time,
+) -> Vec<(Name, f64)> {
+    let terms = Terms { allowed, side: Side::Serving };
     let count = |service: &str| {
         let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
-        for b in fleet.usable(service, Terms::ANY, now) {
+        for b in fleet.usable(service, terms, now) {
             *by_domain.entry(b.target.domain.clone()).or_default() += 1;
         }
         by_domain
@@ -147,7 +171,7 @@
         for b in self.candidates(wanted, now) {
             let mean = if b.mean_ms > 0.0 { b.mean_ms } else { UNKNOWN_MS };
             let load = f64::from(b.outstanding) / f64::from(b.target.slots.max(1));
-            let crossing = if *b.target.domain == *wanted.domain { 0.0 } else { CROSSING_MS };
+            let crossing = crossing_ms(wanted, &b.target.domain);
             let jitter = rng.below(100) as f64 / 100.0;
             let cost = mean * (1.0 + load) / (1.0 - b.failing).max(0.05) + crossing + jitter;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -158,9 +182,13 @@
     }
 
     /// The first target in the home's order that is not overloaded, so that all
-    /// nodes find the same one without a message.
+    /// nodes of a region find the same one without a message. One of the wanted region if any
+    /// is.
     pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
-        let order = home_order(self.candidates(wanted, now), wanted, home);
+        let mut order = home_order(self.candidates(wanted, now), wanted, home);
+        if let Some(region) = wanted.region {
+            order.sort_by_key(|b| wanted.map.region_of(&b.target.domain) != *region);
+        }
         let free = |b: &&&Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
         let chosen = order.iter().find(free).or(order.first());
         chosen.map(|b| b.target.clone())
@@ -201,6 +229,12 @@
         }
     }
 
+    /// Whether a target lies in a region that is allowed; one that is not known lies in none.
+    pub fn is_allowed_at(&self, id: &TargetId, allowed: &Allowed) -> bool {
+        let region = self.domain_of(id).and_then(|domain| self.regions().of(domain));
+        allowed.permits(region.map(|r| &**r))
+    }
+
     /// Failure domain of a target.
     pub fn domain_of(&self, id: &TargetId) -> Option<&Name> {
         self.get(id).map(|b| &b.target.domain)
--- a/crates/decide/tests/support/batch.rs
+++ b/crates/decide/tests/support/batch.rs
@@ -29,6 +29,7 @@
         domain: (*domain).into(),
         region: None,
         cold_gap: None,
+        share: None,
     };
     Event::Makers(of.iter().map(info).collect())
 }
@@ -45,6 +46,8 @@
         left_ms: 8000,
         rank: Rank::of(None, 1),
         allowed: Allowed::ANY,
+        region: None,
+        spilled: false,
         near: None,
         moved_bytes: 0,
         spread_bytes: 0,
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -1,5 +1,8 @@
 //! The kinds of lines and their fields.
 
+use std::time::Duration;
+
+use decide::rollout::Verdict;
 use model::Name;
 use serde::Serialize;
 
@@ -15,8 +18,14 @@
     Reload { accepted: bool, why: &'a str },
     /// A set of rules came into force.
     Rules { version: u64, from: &'a str, routes: usize },
+    /// Rules name regions that no failure domain lies in: `count` routes and workspaces
+    /// are served nowhere for it, `names` are the first of them.
+    Unserved { version: u64, count: usize, names: &'a [Name], unknown: &'a [Name] },
     /// The store was lost or regained.
     Store { kind: &'a str, reachable: bool, why: &'a str },
+    /// An entry of the store cannot be read, or for another reason than before; `untold` further
+    /// such lines were not written.
+    Unreadable { kind: &'a str, place: &'a str, why: &'a str, untold: u64 },
     /// What is known of a kind has become old, or is no longer: the store's last word on it.
     Known { kind: &'a str, old: bool, age_ms: u64, longest_ms: u64 },
     /// The targets are followed through another source from now on.
@@ -28,6 +37,51 @@
     /// The operator evacuates a failure domain, or has taken that back: `revision` of the list
     /// that told of it, and the age of what is known.
     Evacuation { domain: &'a str, state: &'a str, revision: u64, from: &'a str, age_ms: u64 },
+    /// An operator's order to move a service to a version came, changed or went: `what` it was,
+    /// where it stands at a revision, and the age of what is known.
+    Rollout {
+        service: &'a str,
+        version: &'a str,
+        what: &'a str,
+        state: &'a str,
+        lasts_ms: u64,
+        revision: u64,
+        from: &'a str,
+        age_ms: u64,
+    },
+    /// The version on trial gets this share of the requests from now on; the age is the order's.
+    RolloutPhase {
+        service: &'a str,
+        version: &'a str,
+        phase: &'a str,
+        share: f64,
+        why: &'a str,
+        age_ms: u64,
+    },
+    /// The version on trial was judged bad, by the requests of `whom`: requests and bad ones
+    /// of the route that told, of both versions; the age is the order's.
+    RolloutJudged {
+        service: &'a str,
+        version: &'a str,
+        whom: &'a str,
+        cause: &'a str,
+        route: &'a str,
+        trial_sent: u64,
+        trial_bad: u64,
+        serving_sent: u64,
+        serving_bad: u64,
+        age_ms: u64,
+    },
+    /// A write of an order's state ended.
+    RolloutWrite {
+        service: &'a str,
+        version: &'a str,
+        state: &'a str,
+        revision: u64,
+        outcome: &'a str,
+        why: &'a str,
+        took_ms: u64,
+    },
     /// A target is left out for its failures.
     Ejected { target: &'a str, why: &'a str },
     /// The budget for repeats of a service granted none.
@@ -40,6 +94,8 @@
     Scheduler { service: &'a str, domain: &'a str, scheduler: &'a str, why: &'a str },
     /// A peer's order went on to the node that comes first.
     PassedOn { id: &'a str, service: &'a str, to: &'a str },
+    /// An order that another region was to make is made here after all.
+    NotSpilled { id: &'a str, service: &'a str, region: &'a str, why: &'a str },
     /// Lines that were not written since the last such line.
     Dropped { lines: u64 },
     /// A request was refused at the door, since its first event was expected too late.
@@ -52,10 +108,20 @@
         come_back_ms: u64,
     },
     /// A target was chosen for a request; it has `ahead` prompt tokens to read before. Those of
-    /// the `evacuated` failure domains were left out.
+    /// the `evacuated` failure domains were left out, and those outside of the regions that
+    /// are `allowed`, if any are named. While its service moves to another version `side` tells
+    /// which one it is for, or that it has left the one on trial, and `share` the part of
+    /// requests that goes to that.
     Chosen {
         id: &'a str,
         target: &'a str,
+        region: &'a str,
+        allowed: &'a [Name],
+        version: &'a str,
+        #[serde(skip_serializing_if = "str::is_empty")]
+        side: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        share: Option<f64>,
         by: &'a str,
         ahead: u64,
         cold: bool,
@@ -88,14 +154,19 @@
     },
     /// An input of a stage was gone; the stages that it came from are made again.
     Remade { id: &'a str, stage: usize, again: usize },
+    /// Stages are made once more, since other regions are allowed by now.
+    Moved { id: &'a str, version: u64 },
     /// A stream broke off and is taken up at another target; its stages were made again.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
-    /// A stage of a request ended.
+    /// A stage of a request ended: made in `region`, or in any where that is empty; `spilled` if
+    /// it was ordered in another one.
     Stage {
         id: &'a str,
         stage: usize,
         service: &'a str,
         coordinator: &'a str,
+        region: &'a str,
+        spilled: bool,
         pieces: usize,
         near: &'a str,
         elsewhere: usize,
@@ -122,6 +193,31 @@
 /// Outcomes of requests that ended as their callers wished.
 const WELL: [&str; 2] = ["answered", "streamed"];
 
+impl<'a> Event<'a> {
+    /// The line of a judgement.
+    pub fn judged(
+        service: &'a str,
+        version: &'a str,
+        whom: &'a str,
+        verdict: &'a Verdict,
+        age: Duration,
+    ) -> Self {
+        let Verdict { cause, route, trial, serving } = verdict;
+        Event::RolloutJudged {
+            service,
+            version,
+            whom,
+            cause: cause.as_str(),
+            route: route.as_deref().unwrap_or_default(),
+            trial_sent: trial.sent,
+            trial_bad: trial.bad,
+            serving_sent: serving.sent,
+            serving_bad: serving.bad,
+            age_ms: age.as_millis() as u64,
+        }
+    }
+}
+
 impl Event<'_> {
     /// Whether the line tells of a failure or a change of belief, which are kept first.
     pub fn is_weighty(&self) -> bool {
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -39,11 +39,23 @@
     quantile: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Version {
+    service: String,
+    version: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Named {
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Regions {
+    from: String,
+    to: String,
+}
+
 type Times = RefCell<BTreeMap<(&'static str, Name), Histogram<u32>>>;
 
 /// Counters and times of one node.
@@ -54,9 +66,16 @@
     batch_calls: Family<Named, Counter>,
     batch_pieces: Family<Named, Counter>,
     store_calls: Family<Named, Counter>,
+    unreadable: Family<Named, Gauge>,
     repeats: Family<Named, Counter>,
+    barred: Family<Named, Counter>,
+    rollout_requests: Family<Version, Counter>,
+    rollout_bad: Family<Version, Counter>,
+    rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    spilled: Family<Regions, Counter>,
     open: Gauge,
     rules: Gauge,
+    unserved: Gauge,
     peers: Gauge,
     targets: Gauge,
     evacuated: Gauge,
@@ -69,11 +88,13 @@
 
 /// Gauges that are read when the figures are asked for.
 #[derive(Debug, Clone, Copy)]
-pub struct Now {
+pub struct Now<'a> {
     /// Requests that are open.
     pub open: usize,
     /// Version of the rules in force.
     pub rules: u64,
+    /// Routes and workspaces that allow no region in which a failure domain lies.
+    pub unserved: usize,
     /// Nodes up, this one included.
     pub peers: usize,
     /// Targets known.
@@ -82,6 +103,8 @@
     pub evacuated: usize,
     /// Targets whose entries say that they are cold.
     pub cold: usize,
+    /// Services that move to another version, that version, and its share of the requests.
+    pub rollouts: &'a [(Name, Name, f64)],
     /// Ages of what is known, by kind; `None` if nothing is.
     pub ages: [(Kind, Option<Age>); Kind::ALL.len()],
 }
@@ -96,9 +119,16 @@
             batch_calls: Family::default(),
             batch_pieces: Family::default(),
             store_calls: Family::default(),
+            unreadable: Family::default(),
             repeats: Family::default(),
+            barred: Family::default(),
+            rollout_requests: Family::default(),
+            rollout_bad: Family::default(),
+            rollout_share: Family::default(),
+            spilled: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
+            unserved: Gauge::default(),
             peers: Gauge::default(),
             targets: Gauge::default(),
             evacuated: Gauge::default(),
@@ -113,9 +143,23 @@
         registry.register("batch_calls", "Calls that made pieces", m.batch_calls.clone());
         registry.register("batch_pieces", "Pieces in those calls", m.batch_pieces.clone());
         registry.register("store_calls", "Calls of the store", m.store_calls.clone());
+        let help = "Entries of the store that cannot be read";
+        registry.register("unreadable_entries", help, m.unreadable.clone());
         registry.register("repeats", "Sends to a further target", m.repeats.clone());
+        let help = "Requests to services that move to another version";
+        registry.register("rollout_requests", help, m.rollout_requests.clone());
+        let help = "Failures of a version in such a move";
+        registry.register("rollout_bad", help, m.rollout_bad.clone());
+        let help = "Share of requests that the version on trial gets";
+        registry.register("rollout_share", help, m.rollout_share.clone());
+        let help = "Stage orders passed on to another region";
+        registry.register("spilled_orders", help, m.spilled.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
+        let help = "Refusals for want of a target in an allowed region";
+        registry.register("refused_for_region", help, m.barred.clone());
+        let help = "Routes and workspaces that no region with a failure domain is allowed to";
+        registry.register("rules_unserved", help, m.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", m.peers.clone());
         registry.register("targets", "Targets known", m.targets.clone());
         registry.register("domains_evacuated", "Failure domains evacuated", m.evacuated.clone());
@@ -158,11 +202,43 @@
         self.store_calls.get_or_create(&Named { name: what.to_string() }).inc();
     }
 
+    /// So many entries of a kind cannot be read now.
+    pub fn unreadable(&self, kind: &str, count: usize) {
+        self.unreadable.get_or_create(&Named { name: kind.to_string() }).set(count as i64);
+    }
+
     /// A request was sent to a further target.
     pub fn repeat(&self, service: &Name) {
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
     }
 
+    /// A request was refused since no target is in a region that is allowed.
+    pub fn barred(&self, route: &str) {
+        self.barred.get_or_create(&Named { name: self.bounded(route) }).inc();
+    }
+
+    /// Requests, or pieces of a call, went to a version of a service that moves to another one.
+    pub fn rollout_sent(&self, service: &Name, version: &Name, count: usize) {
+        let labels = self.version(service, version);
+        self.rollout_requests.get_or_create(&labels).inc_by(count as u64);
+    }
+
+    /// They were failures of the version.
+    pub fn rollout_bad(&self, service: &Name, version: &Name, count: usize) {
+        let labels = self.version(service, version);
+        self.rollout_bad.get_or_create(&labels).inc_by(count as u64);
+    }
+
+    fn version(&self, service: &Name, version: &Name) -> Version {
+        Version { service: self.bounded(service), version: self.bounded(version) }
+    }
+
+    /// A stage order was passed on to another region.
+    pub fn spilled(&self, from: &str, to: &str) {
+        let labels = Regions { from: self.bounded(from), to: self.bounded(to) };
+        self.spilled.get_or_create(&labels).inc();
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
@@ -182,13 +258,19 @@
     }
 
     /// The figures as text.
-    pub fn text(&self, now: Now) -> String {
+    pub fn text(&self, now: Now<'_>) -> String {
         self.open.set(now.open as i64);
         self.rules.set(now.rules as i64);
+        self.unserved.set(now.unserved as i64);
         self.peers.set(now.peers as i64);
         self.targets.set(now.targets as i64);
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
+        self.rollout_share.clear();
+        for (service, version, share) in now.rollouts {
+            let labels = self.version(service, version);
+            self.rollout_share.get_or_create(&labels).set(*share);
+        }
         for (kind, age) in now.ages {
             self.age(kind, age);
         }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -1,18 +1,18 @@
 //! The node: its shared state, its start and its planned stop.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context;
-use decide::fleet::{ColdLimit, Fleet, Observation};
+use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
 use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Rules, TargetId, Waits};
+use model::forward::{Allowed, PoolId, Rollout, Rules, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -26,11 +26,14 @@
 use crate::peers::{self, Peers};
 use crate::prefill::Schedulers;
 use crate::reload;
+use crate::rollout::{self, Trials};
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
 use crate::watch::{self as follow, Feed};
 
+/// Names of routes, workspaces or regions in one log line, at most.
+const TOLD_MOST: usize = 16;
 /// Time after which a node that heard of no peer takes it that it is alone.
 const ALONE: Duration = Duration::from_millis(700);
 /// Time between looks at whether rules and targets are known.
@@ -63,6 +66,8 @@
     pub pools: Pools,
     /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
+    /// Versions on trial: what was seen of them, and their judging.
+    pub rollouts: Trials,
     /// The targets' state, for peers that follow it.
     pub feed: Feed,
     settings: RefCell<Rc<Settings>>,
@@ -92,9 +97,11 @@
                 settings.name.clone(),
                 settings.domain.clone(),
                 settings.host.capacity(),
+                Regions::new(settings.regions.clone()),
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
+            rollouts: Trials::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
@@ -144,11 +151,38 @@
         let (version, routes) = (rules.version, rules.routes.len());
         *self.table.borrow_mut() = Rc::new(Table::new(rules));
         Event::Rules { version, from, routes }.emit();
+        self.tell_unserved();
         self.version.send_replace(version);
         self.feed.wake();
         true
     }
 
+    /// Routes and workspaces that are served nowhere: no failure domain lies in a region that
+    /// they allow.
+    fn unserved(&self) -> Vec<Name> {
+        let fleet = self.fleet.borrow();
+        let table = self.table.borrow();
+        let lost = table.regional().filter(|(_, allowed)| !fleet.regions().reach(allowed));
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Tells, once for a set of rules, which regions that they name are not known.
+    fn tell_unserved(&self) {
+        let names = self.unserved();
+        let unknown: BTreeSet<Name> = {
+            let (fleet, table) = (self.fleet.borrow(), self.table.borrow());
+            let named = table.regional().flat_map(|(_, allowed)| fleet.regions().unknown(allowed));
+            named.cloned().collect()
+        };
+        if names.is_empty() && unknown.is_empty() {
+            return;
+        }
+        let version = self.table.borrow().rules.version;
+        let unknown: Vec<Name> = unknown.into_iter().take(TOLD_MOST).collect();
+        let first = &names[..names.len().min(TOLD_MOST)];
+        Event::Unserved { version, count: names.len(), names: first, unknown: &unknown }.emit();
+    }
+
     /// Tells the version of the rules whenever it rises.
     pub fn versions(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
@@ -165,10 +199,30 @@
         f(&mut self.fleet.borrow_mut())
     }
 
-    /// A coordinator told what an order of its service would wait.
-    pub fn heard_waits(&self, service: &Name, waits: Waits) {
+    /// A coordinator told what an order of its makers would wait. What holds for the makers of
+    /// other regions says nothing of this node's next orders.
+    pub fn heard_waits(&self, pool: &PoolId, waits: Waits) {
         let now = self.now();
-        self.forecast.borrow_mut().hear(service, waits, now);
+        let own = self.peers.roster(|r| r.map().own());
+        if pool.region.as_ref().is_none_or(|r| *r == own) {
+            self.forecast.borrow_mut().hear(&pool.service, waits, now);
+        }
+    }
+
+    /// The region whose makers are to make an order, of those that have any.
+    pub fn region_for(
+        &self,
+        service: &str,
+        allowed: &Allowed,
+        wanted: Option<Name>,
+    ) -> Option<Name> {
+        let now = self.now();
+        self.peers.roster(|r| {
+            let map = r.map();
+            let region = |b: &Belief| map.region_of(&b.target.domain);
+            let able = self.fleet(|f| f.usable_in(service, allowed, now).map(region).collect());
+            map.place(wanted, &able)
+        })
     }
 
     /// Uses the forecast for a moment.
@@ -261,14 +315,25 @@
         self.metrics.text(Now {
             open: self.open.get(),
             rules: self.table.borrow().rules.version,
+            unserved: self.unserved().len(),
             peers: self.peers.roster(|r| r.count()),
             targets: self.fleet.borrow().len(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
+            rollouts: &self.running_rollouts(),
             ages: Kind::ALL.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
     }
 
+    /// Orders that run, and the share of requests that each version on trial gets.
+    fn running_rollouts(&self) -> Vec<(Name, Name, f64)> {
+        let fleet = self.fleet.borrow();
+        let versions = fleet.versions();
+        let share_of = |service: &Name| versions.phase(service).map_or(0.0, |p| rollout::told(p).1);
+        let line = |o: &Rollout| (o.service.clone(), o.version.clone(), share_of(&o.service));
+        versions.running().map(line).collect()
+    }
+
     /// Whether the rules may be older than the store's: it did not confirm them for long.
     pub fn rules_may_be_old(&self, within: Duration) -> bool {
         self.feed.age_of(Kind::Rules, self.now()).is_none_or(|age| age.now > within)
@@ -279,10 +344,11 @@
         self.targets_known.set(true);
     }
 
-    /// Whether rules, targets and evacuations are known.
+    /// Whether rules, targets, evacuations and orders of roll-outs are known.
     fn knows_state(&self) -> bool {
-        let knows_evacuations = self.fleet.borrow().evacuated().is_known();
-        self.table.borrow().known() && self.targets_known.get() && knows_evacuations
+        let fleet = self.fleet.borrow();
+        let knows_lists = fleet.evacuated().is_known() && fleet.versions().is_known();
+        self.table.borrow().known() && self.targets_known.get() && knows_lists
     }
 
     /// Returns once rules and targets are known, or are not to be waited for.
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use decide::fleet::Regions;
 use decide::member::Event as MemberEvent;
 use decide::roster::{Contact, Roster};
 use futures_util::future::join_all;
@@ -24,7 +25,9 @@
 use crate::events::Event;
 use crate::node::Node;
 
-pub use server::{BATCH, FREE, PREFILL, PREFILL_END, RemoteFree};
+pub use server::{
+    BATCH, FREE, PREFILL, PREFILL_END, ROLLOUT, ROLLOUT_STATE, RemoteFree, RemoteState, WAITS,
+};
 
 /// Time to connect to a peer.
 pub const CONNECT: Duration = Duration::from_millis(250);
@@ -42,6 +45,8 @@
 
 /// Peers of a node.
 pub struct Peers {
+    /// This start of the node.
+    pub id: NodeId,
     roster: RefCell<Roster>,
     hung: RefCell<HashMap<NodeId, Time>>,
     fetching: Cell<u64>,
@@ -50,9 +55,13 @@
 
 impl Peers {
     /// Nobody is known yet.
-    pub fn new(me: Name, domain: Name, capacity: u8) -> Self {
+    pub fn new(me: Name, domain: Name, capacity: u8, regions: Regions) -> Self {
+        let id = NodeId { name: me.clone(), start: rand::random::<u64>().max(1) };
+        let mut roster = Roster::new(me, domain, capacity);
+        roster.set_regions(regions);
         Peers {
-            roster: RefCell::new(Roster::new(me, domain, capacity)),
+            id,
+            roster: RefCell::new(roster),
             hung: RefCell::default(),
             fetching: Cell::new(0),
             commands: RefCell::new(None),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -4,8 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::Name;
-use model::forward::{BatchOrder, FollowAsk, Handle};
+use model::forward::{BatchOrder, FollowAsk, Handle, PoolId, Rollout, RolloutState};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -13,11 +12,14 @@
 
 use crate::ingress::small;
 use crate::node::Node;
+use crate::rollout::{self, Written};
 use crate::stages::{self, NotMade};
 use crate::watch;
 
 /// Path of batch orders.
 pub const BATCH: &str = "/v1/batch";
+/// Path of the waits of a coordinator's orders.
+pub const WAITS: &str = "/v1/waits";
 /// Path of results to be freed.
 pub const FREE: &str = "/v1/free";
 /// Path of a ping.
@@ -28,6 +30,10 @@
 pub const PREFILL: &str = "/v1/prefill";
 /// Path of prompts that have been read.
 pub const PREFILL_END: &str = "/v1/prefill-end";
+/// Path of what a node saw of a version on trial.
+pub const ROLLOUT: &str = "/v1/rollout";
+/// Path of an order's state that is to be written.
+pub const ROLLOUT_STATE: &str = "/v1/rollout-state";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -36,12 +42,22 @@
 /// Results that a peer's coordinator made and that are no longer wanted.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RemoteFree {
-    /// Service.
-    pub service: Name,
+    /// Makers that made them.
+    pub pool: PoolId,
     /// Results.
     pub handles: Vec<Handle>,
 }
 
+/// A state of an order that a peer whom the store turns away has written by this node. The
+/// answer is whether it stands; `None` if the store turned this node away too.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RemoteState {
+    /// The order as it is to be unchanged.
+    pub order: Rollout,
+    /// State to be written.
+    pub state: RolloutState,
+}
+
 /// Serves until the process ends.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
     small::serve(listener, move |request| answer(node.clone(), request)).await;
@@ -53,9 +69,12 @@
         PING => Ok(rmp(&())),
         FOLLOW => follow(&node, request).await,
         BATCH => batch(&node, request).await,
+        WAITS => waits(&node, request).await,
         PREFILL => prefill(&node, request).await,
         PREFILL_END => prefill_end(&node, request).await,
         FREE => free(&node, request).await,
+        ROLLOUT => rollout(&node, request).await,
+        ROLLOUT_STATE => rollout_state(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     answered.unwrap_or_else(|refusal| refusal)
@@ -85,6 +104,23 @@
     Ok(rmp(&node.schedulers.place(node, &ask)))
 }
 
+async fn rollout(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let report = message(request, "not a report").await?;
+    let answer = rollout::judge(node, report);
+    let answer = answer.ok_or_else(|| text(StatusCode::NOT_FOUND, "no such order"))?;
+    Ok(rmp(&answer))
+}
+
+async fn rollout_state(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let RemoteState { order, state } = message(request, "not an order's state").await?;
+    let stands = match rollout::at_store(node, &order, state).await {
+        Written::Stands => Some(true),
+        Written::Not => Some(false),
+        Written::Unknown => None,
+    };
+    Ok(rmp(&stands))
+}
+
 async fn prefill_end(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let end = message(request, "not the end of a prompt").await?;
     node.schedulers.end(end, node.now());
@@ -92,11 +128,21 @@
 }
 
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
-    let RemoteFree { service, handles } = message(request, "not results to free").await?;
-    node.pools.free(node, &service, handles);
+    let RemoteFree { pool, handles } = message(request, "not results to free").await?;
+    node.pools.free(node, &pool, handles);
     Ok(rmp(&()))
 }
 
+async fn waits(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let pool: PoolId = message(request, "not a pool of makers").await?;
+    if node.is_stopping() || !node.peers.roster(|r| r.coordinates(&pool, node.now())) {
+        return Err(text(StatusCode::CONFLICT, "another node comes first"));
+    }
+    let waits = node.pools.waits(node, &pool);
+    let waits = waits.ok_or_else(|| text(StatusCode::NOT_FOUND, "no such stage service"))?;
+    Ok(rmp(&waits))
+}
+
 async fn batch(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let order: BatchOrder = message(request, "not a batch order").await?;
     let stopping = || text(StatusCode::SERVICE_UNAVAILABLE, "stopping");
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -87,7 +87,8 @@
     let (parts, body) = request.into_parts();
     let head = node.dialect.caller(&parts).map_err(|e| {
         let refusal = Refusal::new(StatusCode::BAD_REQUEST, "malformed request").close();
-        log::info!("malformed request: {e}");
+        // By its header alone: what stands in it is the caller's, and may not rest here.
+        log::info!("malformed request: {}", e.place);
         refusal.into_response(node, &CallerHead::default())
     })?;
     node.state_known().await;
@@ -154,7 +155,7 @@
         service: service.clone(),
         workspace: workspace.map(|w| w.name.clone()),
         rank,
-        allowed: workspace.map_or(Allowed::ANY, |w| w.allowed.clone()).and(&route.allowed),
+        allowed: table.allowed(head),
     })
 }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,13 +1,16 @@
 //! Which target a request goes to.
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
+use decide::region::Map;
 use decide::resend::Next;
-use model::forward::{LARGE_RESULT, Target, TargetId};
+use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::exchange::Exchange;
 use crate::events::Event;
 use crate::prefill::{self, Prompt, Ticket};
+use crate::rollout;
+use crate::stages::Made;
 
 /// The target of one send.
 pub struct Choice {
@@ -21,15 +24,28 @@
     /// The target that a request is best sent to now; a cold one only if it is this node's
     /// turn to start a request there.
     pub(super) fn choose(&self) -> Option<Target> {
+        let chosen = self.choose_now();
+        if chosen.is_none() && self.leave_trial() {
+            return self.choose_now();
+        }
+        chosen
+    }
+
+    fn choose_now(&self) -> Option<Target> {
         let now = self.node.now();
         let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
         let but = self.progress(|p| p.but.clone());
         let settings = self.node.settings();
-        let shares = self.home_shares(now);
+        let allowed = self.allowed_now();
+        let shares = self.home_shares(&allowed, now);
+        let map = self.node.peers.roster(|r| r.map());
+        let region = self.home_region(&map);
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
-            terms: self.terms(),
+            map: &map,
+            region: region.as_ref(),
+            terms: self.terms(&allowed),
             but: &but,
             most_each: self.connections_each(),
             shares: &shares,
@@ -42,15 +58,111 @@
         }
     }
 
+    /// Regions in which what has not begun yet may be served: those allowed when the request
+    /// was taken in, as far as the rules in force still allow them.
+    pub(super) fn allowed_now(&self) -> Allowed {
+        let table = self.node.table();
+        if table.rules.version == self.version {
+            return self.allowed.clone();
+        }
+        self.allowed.and(&table.allowed(&self.head))
+    }
+
+    /// Returns once other regions than these are allowed.
+    pub(super) async fn allowed_changes(&self, from: &Allowed) {
+        let mut versions = self.node.versions();
+        while self.allowed_now() == *from {
+            if versions.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// What the request asks of any target.
-    fn terms(&self) -> Terms<'_> {
-        Terms { allowed: &self.allowed, side: self.side }
+    fn terms<'a>(&self, allowed: &'a Allowed) -> Terms<'a> {
+        Terms { allowed, side: self.version_now() }
+    }
+
+    /// Whether the rules in force allow the request where a target is.
+    pub(super) fn is_allowed_at(&self, target: &TargetId) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| f.is_allowed_at(target, &allowed))
+    }
+
+    /// Whether all results rest where the rules in force allow them.
+    pub(super) fn is_inside(&self, made: &Made) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| made.makers().all(|maker| f.is_allowed_at(maker, &allowed)))
+    }
+
+    /// The first service, of those that the request needs, without any target in the regions
+    /// that are allowed; `None` if the request names no regions.
+    pub(super) fn unserved(&self) -> Option<&Name> {
+        let allowed = self.allowed_now();
+        if allowed.is_any() {
+            return None;
+        }
+        let now = self.node.now();
+        let has_none = |service: &Name| {
+            self.node.fleet(|f| f.usable_in(service, &allowed, now).next().is_none())
+        };
+        let pieces_of = |i: usize| self.head.pieces.get(i).copied().unwrap_or(0);
+        let stages = self.route.stages.iter().enumerate().filter(|(i, _)| pieces_of(*i) > 0);
+        let mut needed = stages.map(|(_, s)| &s.service).chain([&self.service]);
+        needed.find(|service| has_none(service))
+    }
+
+    /// Whether a failure domain lies in a region that is allowed, so that it may help to
+    /// come back.
+    pub(super) fn is_reachable(&self) -> bool {
+        let allowed = self.allowed_now();
+        self.node.fleet(|f| f.regions().reach(&allowed))
+    }
+
+    /// The version that the request goes to now. While one is on trial a request goes to it once
+    /// at most; where all go to one version, those that are under way do so too.
+    fn version_now(&self) -> Side {
+        let is_trial = self.side == Side::Trial && !self.progress(|p| p.left_trial);
+        self.node.fleet(|f| match f.versions().phase(&self.service) {
+            Some(Phase::Share(_)) if is_trial => Side::Trial,
+            Some(Phase::Share(_)) => Side::Serving,
+            Some(Phase::All | Phase::Back) | None => {
+                f.versions().turn(&self.service, &self.head.id)
+            }
+        })
+    }
+
+    /// The request goes to the version that serves from now on; whether it would have gone to
+    /// the one on trial.
+    fn leave_trial(&self) -> bool {
+        let was_trial = self.version_now() == Side::Trial;
+        self.progress(|p| p.left_trial = true);
+        was_trial && self.version_now() == Side::Serving
     }
 
     fn home(&self) -> Option<Home> {
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
 
+    /// Region in which the home is sought first: where the inputs lie, or this one. None if
+    /// regions are as good as one. Shared parts are read in each region: sending prompts across
+    /// saves half of that, and costs more in bytes and in time than it saves.
+    fn home_region(&self, map: &Map) -> Option<Name> {
+        if !map.is_split() {
+            return None;
+        }
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        lies_at.or_else(|| Some(map.own()))
+    }
+
+    /// Whether a target is in the region where the inputs lie, if there are any. Inputs that
+    /// another region made are larger than what the request sends there.
+    pub(super) fn is_by_inputs(&self, target: &Target) -> bool {
+        let map = self.node.peers.roster(|r| r.map());
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        !map.is_split() || lies_at.is_none_or(|r| map.region_of(&target.domain) == r)
+    }
+
     /// Connections that this node may have to one target: an equal part of what a target
     /// takes from all nodes.
     fn connections_each(&self) -> u32 {
@@ -62,21 +174,25 @@
 
     /// Shares of homes by failure domain, where the route has large results that are
     /// made near their target.
-    fn home_shares(&self, now: Time) -> Vec<(Name, f64)> {
+    fn home_shares(&self, allowed: &Allowed, now: Time) -> Vec<(Name, f64)> {
         let large = self.route.stages.iter().find(|s| s.bytes >= LARGE_RESULT);
         let large = large.filter(|_| self.node.settings().policy.weighted_homes);
-        let makers = large.map(|s| &s.service);
-        makers.map_or_else(Vec::new, |m| self.node.fleet(|f| shares(f, m, &self.service, now)))
+        let Some(makers) = large.map(|s| &s.service) else {
+            return Vec::new();
+        };
+        self.node.fleet(|f| shares(f, makers, &self.service, allowed, now))
     }
 
     /// Whether a target chosen a while ago, or by another node, may get the request.
     fn is_usable(&self, target: &Target) -> bool {
         let now = self.node.now();
         let most = self.connections_each();
+        let allowed = self.allowed_now();
+        let terms = self.terms(&allowed);
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, self.terms(), now)
+            is_sound && f.is_usable(&target.id, terms, now)
         })
     }
 
@@ -96,6 +212,9 @@
         if next != Next::Resend {
             return None;
         }
+        if self.progress(|p| !p.but.is_empty()) {
+            self.leave_trial();
+        }
         let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
             let why = self.no_target();
             self.progress(|p| p.why = format!("{why}; before: {}", p.why));
@@ -135,8 +254,8 @@
         let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
-            allowed: self.allowed.clone(),
-            side: self.side,
+            allowed: self.allowed_now(),
+            side: self.version_now(),
             home,
             tokens: self.head.tokens_in,
             slack_ms: self.slack().as_millis() as u64,
@@ -153,9 +272,13 @@
 
     /// Why no target is left.
     pub(super) fn no_target(&self) -> String {
+        let lacking = self.unserved().map_or(String::new(), |s| format!(" of {s}"));
+        let inside = inside(&self.allowed_now());
         match self.evacuated().as_slice() {
-            [] => "no target".into(),
-            domains => format!("no target outside of evacuated {}", domains.join(", ")),
+            [] => format!("no target{lacking}{inside}"),
+            domains => {
+                format!("no target{lacking}{inside} outside of evacuated {}", domains.join(", "))
+            }
         }
     }
 
@@ -164,9 +287,23 @@
     }
 
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
+        let region = self.node.fleet(|f| f.regions().of(&target.domain).cloned());
+        let allowed: Vec<Name> = self.allowed_now().names().cloned().collect();
+        let phase = self.node.fleet(|f| f.versions().phase(&self.service));
+        let side = match self.version_now() {
+            _ if phase.is_none() => "",
+            Side::Trial => "trial",
+            Side::Serving if self.side == Side::Trial => "left_trial",
+            Side::Serving => "serving",
+        };
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
+            region: region.as_deref().unwrap_or_default(),
+            allowed: &allowed,
+            version: &target.version,
+            side,
+            share: phase.map(|phase| rollout::told(phase).1),
             by,
             ahead,
             cold: self.is_cold(target),
@@ -177,3 +314,13 @@
         .emit();
     }
 }
+
+/// The regions that are allowed, as part of a reason; nothing if all are.
+fn inside(allowed: &Allowed) -> String {
+    let names: Vec<&str> = allowed.names().map(|name| &**name).collect();
+    match names.as_slice() {
+        _ if allowed.is_any() => String::new(),
+        [] => ": no region is allowed".into(),
+        names => format!(" in allowed {}", names.join(", ")),
+    }
+}
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -22,6 +22,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// When a caller is told to come back to a service that has no free target.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// Times that stages are made for results that turn out to rest where they may not: a
+/// coordinator may know another place of a target than this node, but for a moment only.
+const ROUNDS: usize = 2;
 
 /// A request as it was taken in.
 pub struct Taken {
@@ -57,10 +60,14 @@
     pub first: Option<Time>,
     /// Time that stages took.
     pub stages: Duration,
+    /// Region where the target's inputs lie, if there are any.
+    pub lies_at: Option<Name>,
     /// A target's own failure, passed on if no other target does better.
     pub failure: Option<Failure>,
     /// Why the last try brought nothing.
     pub why: String,
+    /// It goes to the version that serves, although its turn was another one.
+    pub left_trial: bool,
     ended: bool,
 }
 
@@ -80,7 +87,7 @@
     pub rank: Rank,
     /// Regions in which it may be served.
     pub allowed: Allowed,
-    /// Version of its service that it goes to.
+    /// Version of its service that it was to go to when it was taken in.
     pub side: Side,
     /// Version of the rules that it was taken in by.
     pub version: u64,
@@ -117,8 +124,10 @@
             target: None,
             first: None,
             stages: Duration::ZERO,
+            lies_at: None,
             failure: None,
             why: String::new(),
+            left_trial: false,
             ended: false,
         };
         let _open = node.opened();
@@ -177,7 +186,7 @@
         self.node.count_request(&self.service);
         let mut chosen = self.choose();
         let mut made = None;
-        if chosen.is_none() {
+        if chosen.is_none() || self.unserved().is_some() {
             // Nothing is made for a request that nobody could take.
             let why = self.no_target();
             self.progress(|p| p.why = why);
@@ -190,10 +199,17 @@
             }
         }
         loop {
-            let Some(choice) = self.next_target(chosen.take()).await else {
+            let first = chosen.take().filter(|t| self.is_by_inputs(t));
+            let Some(choice) = self.next_target(first).await else {
                 return self.own_ending();
             };
             let target = choice.target.clone();
+            if made.take_if(|m| !self.is_inside(m)).is_some() {
+                match self.make_stages(Some(&target)).await {
+                    Ok(m) => made = Some(m),
+                    Err(response) => return response,
+                }
+            }
             match send(&self, choice, made.as_ref(), None).await {
                 Outcome::Whole { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
@@ -241,19 +257,48 @@
         target: Option<&Target>,
     ) -> Result<Made, StageError> {
         let begun = self.node.now();
-        let job = Job {
-            route: &self.route,
-            head: &self.head,
-            near: target.map(|t| t.domain.clone()),
-            slack_ms: slack.as_millis() as u64,
-            left_ms: self.left().as_millis() as u64,
-            allowed: &self.allowed,
-            rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
-        };
-        let made = stages::make(&self.node, job).await;
+        let made = self.make_inside(begun + slack, target).await;
         let took = self.node.now().since(begun);
         self.progress(|p| p.stages += took);
-        made.inspect_err(|e| self.progress(|p| p.why = e.to_string()))
+        let map = self.node.peers.roster(|r| r.map());
+        let lies_at = made.as_ref().ok().and_then(Made::lies_at).map(|d| map.region_of(d));
+        self.progress(|p| p.lies_at = lies_at);
+        made.inspect_err(|e| {
+            let is_unserved = self.unserved().is_some();
+            let why = if is_unserved { self.no_target() } else { e.to_string() };
+            self.progress(|p| p.why = why);
+        })
+    }
+
+    /// Makes the stages in the regions that are allowed, and once more if those change
+    /// meanwhile: orders are taken back then, and what was made is freed.
+    async fn make_inside(&self, due: Time, target: Option<&Target>) -> Result<Made, StageError> {
+        let mut rounds = ROUNDS;
+        while rounds > 0 {
+            if self.unserved().is_some() {
+                return Err(StageError::Barred);
+            }
+            let allowed = self.allowed_now();
+            let near = target.filter(|t| self.is_allowed_at(&t.id)).map(|t| t.domain.clone());
+            let job = Job {
+                route: &self.route,
+                head: &self.head,
+                near,
+                slack_ms: due.since(self.node.now()).as_millis() as u64,
+                left_ms: self.left().as_millis() as u64,
+                allowed: &allowed,
+                rank: if self.node.settings().policy.ranks { self.rank } else { Rank::default() },
+            };
+            tokio::select! {
+                made = stages::make(&self.node, job) => match made {
+                    Err(StageError::Outside) => rounds -= 1,
+                    end => return end,
+                },
+                () = self.allowed_changes(&allowed) => {}
+            }
+            Event::Moved { id: &self.head.id, version: self.node.table().rules.version }.emit();
+        }
+        Err(StageError::Barred)
     }
 
     /// The final answer of a request that no target answered.
@@ -267,7 +312,13 @@
         }
         let late = self.left().is_zero();
         let (status, come_back, outcome) = match ending {
-            Ending::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK), "not_run"),
+            Ending::NotRun => {
+                if self.unserved().is_some() {
+                    self.node.metrics.barred(&self.route.name);
+                }
+                let come_back = Some(COME_BACK).filter(|_| self.is_reachable());
+                (StatusCode::SERVICE_UNAVAILABLE, come_back, "not_run")
+            }
             Ending::Unknown | Ending::BreakOff if late => {
                 (StatusCode::GATEWAY_TIMEOUT, None, "unknown")
             }
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -75,6 +75,17 @@
         postponed.into()
     }
 
+    /// Region that a stage is wanted in: where its inputs lie, or, for the last one, where its
+    /// results are wanted. A chain so changes its region once at most.
+    fn region_of(&self, stage: usize, kept: &[Kept], node: &Node) -> Option<Name> {
+        let inputs = self.route.stages[stage].after.iter();
+        let first = inputs.flat_map(|j| &kept[*j].handles).next();
+        let at = first.and_then(|h| node.fleet(|f| f.domain_of(&h.maker).cloned()));
+        let is_last = dependents(&self.route.stages, stage).next().is_none();
+        let at = at.or_else(|| self.near.clone().filter(|_| is_last))?;
+        Some(node.peers.roster(|r| r.map().region_of(&at)))
+    }
+
     /// Where a stage is best made: where its inputs lie, or, for the last one, where its
     /// results are wanted, whichever moves more bytes.
     fn place_of(&self, stage: usize, kept: &[Kept], node: &Node) -> Place {
@@ -147,6 +158,7 @@
         StageInput::Handles(inputs.map(|h| h.text.clone()).collect())
     };
     let place = job.place_of(stage, kept, node);
+    let wanted = job.region_of(stage, kept, node);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         attempt: job.head.id.as_str().into(),
@@ -157,6 +169,8 @@
         left_ms: job.left_ms.saturating_sub(spent.passed_ms),
         rank: job.rank,
         allowed: job.allowed.clone(),
+        region: node.region_for(&what.service, job.allowed, wanted),
+        spilled: false,
         near: place.near,
         moved_bytes: place.moved_bytes,
         spread_bytes: place.spread_bytes,
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -15,7 +15,8 @@
 mod target;
 
 pub use batch::{
-    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, StageInput, Waits,
+    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, PoolId, StageInput,
+    Waits,
 };
 pub use caller::{CallerHead, PromptPart};
 pub use policy::Policy;
@@ -30,5 +31,5 @@
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
 pub use target::{
-    Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetNews,
+    Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetList, TargetNews,
 };
