--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -271,6 +271,7 @@
             let known = &b.target;
             known.id == target.id
                 && known.service == target.service
+                && known.version == target.version
                 && known.domain == target.domain
                 && known.address == target.address
         };
@@ -280,6 +281,7 @@
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
+        self.versions.saw(&target.service, &target.version, target.revision);
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -342,6 +344,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
+        self.versions.gone(&b.target.service, &b.target.version);
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
