Join roll-outs in the node with entries, restarts and allowed regions

Cause: parts built side by side meet in the choice of a target, coordinators and followed lists. Ruled out: two followers of lists; the list of evacuations takes the generic one, which keeps what cannot be read, also where only peers told of it before.

--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -40,6 +40,7 @@
     calls: u32,
     present: bool,
     cold_gap: Option<Duration>,
+    share: Option<f64>,
     last_call: Time,
     ejected: Time,
     strikes: u32,
@@ -58,6 +59,7 @@
             calls: 0,
             present: true,
             cold_gap: None,
+            share: None,
             last_call: Time::ZERO,
             ejected: Time::ZERO,
             strikes: 0,
@@ -106,6 +108,8 @@
     pub(super) place: Place,
     /// Bytes of results for which there is room.
     pub(super) room: u64,
+    /// Part of all pieces that makers of its version may get, if that is on trial.
+    pub(super) share: Option<f64>,
 }
 
 /// All makers that the coordinator was told of.
@@ -118,11 +122,12 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, region, cold_gap } in makers {
+        for MakerInfo { id, domain, region, cold_gap, share } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
             maker.region = region;
             maker.cold_gap = cold_gap;
+            maker.share = share;
         }
         self.forget_idle();
     }
@@ -131,9 +136,14 @@
         self.0.retain(|_, m| m.present || m.calls > 0);
     }
 
-    /// Count of makers that work.
+    /// Count of makers that work, but for those of a version on trial, which get few calls.
     pub(super) fn working(&self, now: Time) -> usize {
-        self.0.values().filter(|m| m.works(now)).count()
+        self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
+    }
+
+    /// Whether a version is on trial.
+    pub(super) fn has_trial(&self) -> bool {
+        self.0.values().any(|m| m.present && m.share.is_some())
     }
 
     /// Failure domains that have a working maker.
@@ -152,7 +162,8 @@
         self.0.values().any(is_inside)
     }
 
-    /// Makers that can take a call now, those with most room first.
+    /// Makers that can take a call now, those with most room first; before them those of a
+    /// version on trial, which get few pieces and are to be judged by them soon.
     pub(super) fn free(&mut self, pool: &StagePool, now: Time) -> Vec<Free> {
         let whole = (pool.room_mb * 1e6 * ROOM_USED) as u64;
         let keep = Duration::from_millis(pool.keep_ms);
@@ -166,9 +177,9 @@
             let seen = m.tight.filter(|(_, until)| now < *until);
             let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
             let place = Place { domain: m.domain.clone(), region: m.region.clone() };
-            free.push(Free { id: id.clone(), place, room });
+            free.push(Free { id: id.clone(), place, room, share: m.share });
         }
-        free.sort_by_key(|f| std::cmp::Reverse(f.room));
+        free.sort_by_key(|f| (f.share.is_none(), std::cmp::Reverse(f.room)));
         free
     }
 
--- a/crates/decide/tests/allowed.rs
+++ b/crates/decide/tests/allowed.rs
@@ -134,7 +134,7 @@
     match state {
         State::Failing => _ = fleet.observe(&id, Observation::Unreachable, at(0)),
         State::Missing => fleet.vanish(&id.name, Some(at(2000))),
-        State::Unreadable => fleet.unreadable(&id.name),
+        State::Unreadable => _ = fleet.unreadable(&id.name),
         State::Busy => (0..50).for_each(|_| fleet.sent(&id, 50_000)),
         State::Sound | State::Draining | State::Cold | State::Evacuated => {}
     }
@@ -258,6 +258,7 @@
             id: format!("m{i}").as_str().into(),
             domain: domain.into(),
             region: regions.get(domain).map(|r| Name::from(*r)),
+            share: None,
             cold_gap: None,
         }
     };
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,8 +1,8 @@
 //! Which target a request goes to.
 
-use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
+use decide::fleet::{ColdStarts, Fleet, Home, Terms, Wanted, shares};
 use decide::resend::Next;
-use model::forward::{Allowed, LARGE_RESULT, Side, Target, TargetId};
+use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::exchange::Exchange;
@@ -22,6 +22,14 @@
     /// The target that a request is best sent to now; a cold one only if it is this node's
     /// turn to start a request there.
     pub(super) fn choose(&self) -> Option<Target> {
+        let chosen = self.choose_now();
+        if chosen.is_none() && self.leave_trial() {
+            return self.choose_now();
+        }
+        chosen
+    }
+
+    fn choose_now(&self) -> Option<Target> {
         let now = self.node.now();
         let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
         let but = self.progress(|p| p.but.clone());
@@ -66,7 +74,7 @@
 
     /// What the request asks of any target.
     fn terms<'a>(&self, allowed: &'a Allowed) -> Terms<'a> {
-        Terms { allowed, side: self.side }
+        Terms { allowed, side: self.version_now() }
     }
 
     /// Whether the rules in force allow the request where a target is.
@@ -89,15 +97,15 @@
             return None;
         }
         let now = self.node.now();
-        let has_none = |service: &Name, side| {
-            let terms = Terms { allowed: &allowed, side };
-            self.node.fleet(|f| f.usable(service, terms, now).next().is_none())
+        let has_none = |service: &Name| {
+            let on = |side| Terms { allowed: &allowed, side };
+            let is_usable = |f: &Fleet, side| f.usable(service, on(side), now).next().is_some();
+            self.node.fleet(|f| !is_usable(f, Side::Serving) && !is_usable(f, Side::Trial))
         };
         let pieces_of = |i: usize| self.head.pieces.get(i).copied().unwrap_or(0);
         let stages = self.route.stages.iter().enumerate().filter(|(i, _)| pieces_of(*i) > 0);
-        let mut needed = stages.map(|(_, s)| (&s.service, Side::Serving));
-        let lacking = needed.find(|(service, side)| has_none(service, *side)).map(|(s, _)| s);
-        lacking.or(Some(&self.service).filter(|s| has_none(s, self.side)))
+        let mut needed = stages.map(|(_, s)| &s.service).chain([&self.service]);
+        needed.find(|service| has_none(service))
     }
 
     /// Whether a failure domain lies in a region that is allowed, so that it may help to
@@ -107,6 +115,27 @@
         self.node.fleet(|f| f.regions().reach(&allowed))
     }
 
+    /// The version that the request goes to now. While one is on trial a request goes to it once
+    /// at most; where all go to one version, those that are under way do so too.
+    fn version_now(&self) -> Side {
+        let is_trial = self.side == Side::Trial && !self.progress(|p| p.left_trial);
+        self.node.fleet(|f| match f.versions().phase(&self.service) {
+            Some(Phase::Share(_)) if is_trial => Side::Trial,
+            Some(Phase::Share(_)) => Side::Serving,
+            Some(Phase::All | Phase::Back) | None => {
+                f.versions().turn(&self.service, &self.head.id)
+            }
+        })
+    }
+
+    /// The request goes to the version that serves from now on; whether it would have gone to
+    /// the one on trial.
+    fn leave_trial(&self) -> bool {
+        let was_trial = self.version_now() == Side::Trial;
+        self.progress(|p| p.left_trial = true);
+        was_trial && self.version_now() == Side::Serving
+    }
+
     fn home(&self) -> Option<Home> {
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
@@ -136,10 +165,11 @@
         let now = self.node.now();
         let most = self.connections_each();
         let allowed = self.allowed_now();
+        let terms = self.terms(&allowed);
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, self.terms(&allowed), now)
+            is_sound && f.is_usable(&target.id, terms, now)
         })
     }
 
@@ -159,6 +189,9 @@
         if next != Next::Resend {
             return None;
         }
+        if self.progress(|p| !p.but.is_empty()) {
+            self.leave_trial();
+        }
         let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
             let why = self.no_target();
             self.progress(|p| p.why = format!("{why}; before: {}", p.why));
@@ -199,7 +232,7 @@
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
             allowed: self.allowed_now(),
-            side: self.side,
+            side: self.version_now(),
             home,
             tokens: self.head.tokens_in,
             slack_ms: self.slack().as_millis() as u64,
@@ -233,11 +266,19 @@
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
         let region = self.node.fleet(|f| f.regions().of(&target.domain).cloned());
         let allowed: Vec<Name> = self.allowed_now().names().cloned().collect();
+        let is_on_trial = self.node.fleet(|f| f.versions().phase(&self.service).is_some());
+        let side = match self.version_now() {
+            Side::Serving if is_on_trial => "serving",
+            Side::Trial => "trial",
+            Side::Serving => "",
+        };
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
             region: region.as_deref().unwrap_or_default(),
             allowed: &allowed,
+            version: &target.version,
+            side,
             by,
             ahead,
             cold: self.is_cold(target),
