Trial: homes in all regions for large shared parts, engines by their inputs

Cause: shared parts are read once a region. Change: homes over all regions where shared parts are large, the engine of a request in the region of its inputs.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -38,9 +38,8 @@
     pub map: &'a Map,
     /// What the request asks of its target.
     pub terms: Terms<'a>,
-    /// Whether a home may be in any region: reading what is shared in each would be dearer than
-    /// to cross.
-    pub roams: bool,
+    /// Region whose targets are homes before others; `None` if those of any region are.
+    pub region: Option<&'a Name>,
     /// Targets that the request was sent to before.
     pub but: &'a [TargetId],
     /// Requests that this node may have at one target: its part of the connections that
@@ -175,12 +174,12 @@
     }
 
     /// The first target in the home's order that is not overloaded, so that all
-    /// nodes of a region find the same one without a message. Unless the home may be anywhere,
-    /// one of the region if any is.
+    /// nodes of a region find the same one without a message. One of the wanted region if any
+    /// is.
     pub fn pick_home(&self, wanted: Wanted<'_>, home: Home, now: Time) -> Option<Target> {
         let mut order = home_order(self.candidates(wanted, now), wanted, home);
-        if !wanted.roams {
-            order.sort_by_key(|b| !wanted.map.is_near(&b.target.domain));
+        if let Some(region) = wanted.region {
+            order.sort_by_key(|b| wanted.map.region_of(&b.target.domain) != *region);
         }
         let free = |b: &&&Belief| b.prefill < SPILL_TOKENS && b.outstanding < b.target.slots;
         let chosen = order.iter().find(free).or(order.first());
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -32,7 +32,7 @@
         service: "engine",
         domain: "a",
         map: one_region(),
-        roams: false,
+        region: None,
         but: &[],
         most_each: 100,
         shares: &[],
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -25,7 +25,7 @@
         terms: Terms::ANY,
         domain: "a",
         map: one_region(),
-        roams: false,
+        region: None,
         but,
         most_each: 100,
         shares: &[],
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -48,7 +48,7 @@
             service: &ask.service,
             domain: &ask.domain,
             map: &map,
-            roams: false,
+            region: None,
             terms: Terms { allowed: &ask.allowed, side: ask.side },
             but: &ask.but,
             most_each: u32::MAX,
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,7 +1,7 @@
 //! Which target a request goes to.
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
-use decide::region::roams;
+use decide::region::{Map, roams};
 use decide::resend::Next;
 use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
@@ -28,11 +28,12 @@
         let settings = self.node.settings();
         let shares = self.home_shares(now);
         let map = self.node.peers.roster(|r| r.map());
+        let region = self.home_region(&map);
         let wanted = Wanted {
             service: &self.service,
             domain: &settings.domain,
             map: &map,
-            roams: self.roams(),
+            region: region.as_ref(),
             terms: self.terms(),
             but: &but,
             most_each: self.connections_each(),
@@ -55,6 +56,24 @@
         Home::of(&self.head.prompt).filter(|_| self.node.settings().policy.homes)
     }
 
+    /// Region in which the home is sought first: where the inputs lie, or this one. None if
+    /// regions are as good as one, or it is dearer to read the shared parts in each.
+    fn home_region(&self, map: &Map) -> Option<Name> {
+        if !map.is_split() {
+            return None;
+        }
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        lies_at.or_else(|| Some(map.own()).filter(|_| !self.roams()))
+    }
+
+    /// Whether a target is in the region where the inputs lie, if there are any. Inputs that
+    /// another region made are larger than what the request sends there.
+    pub(super) fn is_by_inputs(&self, target: &Target) -> bool {
+        let map = self.node.peers.roster(|r| r.map());
+        let lies_at = self.progress(|p| p.lies_at.clone());
+        !map.is_split() || lies_at.is_none_or(|r| map.region_of(&target.domain) == r)
+    }
+
     /// Whether the home is sought in all regions. Last stages that have inputs lie with these, in
     /// this region, and their results cross; others are made where the home is.
     fn roams(&self) -> bool {
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -57,6 +57,8 @@
     pub first: Option<Time>,
     /// Time that stages took.
     pub stages: Duration,
+    /// Region where the target's inputs lie, if there are any.
+    pub lies_at: Option<Name>,
     /// A target's own failure, passed on if no other target does better.
     pub failure: Option<Failure>,
     /// Why the last try brought nothing.
@@ -117,6 +119,7 @@
             target: None,
             first: None,
             stages: Duration::ZERO,
+            lies_at: None,
             failure: None,
             why: String::new(),
             ended: false,
@@ -190,7 +193,8 @@
             }
         }
         loop {
-            let Some(choice) = self.next_target(chosen.take()).await else {
+            let first = chosen.take().filter(|t| self.is_by_inputs(t));
+            let Some(choice) = self.next_target(first).await else {
                 return self.own_ending();
             };
             let target = choice.target.clone();
@@ -253,6 +257,9 @@
         let made = stages::make(&self.node, job).await;
         let took = self.node.now().since(begun);
         self.progress(|p| p.stages += took);
+        let map = self.node.peers.roster(|r| r.map());
+        let lies_at = made.as_ref().ok().and_then(Made::lies_at).map(|d| map.region_of(d));
+        self.progress(|p| p.lies_at = lies_at);
         made.inspect_err(|e| self.progress(|p| p.why = e.to_string()))
     }
 
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use model::forward::{Handle, PieceResult, PoolId};
+use model::Name;
+use model::forward::{Handle, PieceResult, PoolId, Stage};
 
 use super::order::Placed;
 use super::plan::StageError;
@@ -15,6 +16,7 @@
     /// Results by stage.
     pub(super) kept: Vec<Kept>,
     inputs: Vec<String>,
+    lies_at: Option<Name>,
 }
 
 /// Results of one stage that still rest at their makers.
@@ -30,7 +32,7 @@
     /// Nothing made yet, of this many stages.
     pub(super) fn new(node: &Rc<Node>, stages: usize) -> Self {
         let kept = (0..stages).map(|_| Kept::default()).collect();
-        Made { node: node.clone(), kept, inputs: Vec::new() }
+        Made { node: node.clone(), kept, inputs: Vec::new(), lies_at: None }
     }
 
     /// Takes what came of a stage. If a piece of it was not made, what was made of the
@@ -52,8 +54,12 @@
     }
 
     /// The request's target will take the results of these stages.
-    pub(super) fn set_inputs(&mut self, stages: &[usize]) {
-        let handles = stages.iter().flat_map(|i| &self.kept[*i].handles);
+    pub(super) fn set_inputs(&mut self, last: &[usize], stages: &[Stage]) {
+        let bytes = |i: &&usize| self.kept[**i].handles.len() as u64 * stages[**i].bytes;
+        let largest = last.iter().max_by_key(bytes);
+        let maker = largest.and_then(|i| self.kept[*i].handles.first()).map(|h| &h.maker);
+        self.lies_at = maker.and_then(|m| self.node.fleet(|f| f.domain_of(m).cloned()));
+        let handles = last.iter().flat_map(|i| &self.kept[*i].handles);
         self.inputs = handles.map(|h| h.text.clone()).collect();
     }
 
@@ -62,6 +68,11 @@
         &self.inputs
     }
 
+    /// Failure domain where most bytes of the inputs lie, as far as is known.
+    pub fn lies_at(&self) -> Option<&Name> {
+        self.lies_at.as_ref()
+    }
+
     /// Frees the results of these stages.
     pub(super) fn release_all(&mut self, stages: &[usize]) {
         for stage in stages {
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -72,7 +72,7 @@
             Err(e) => return Err(e),
         }
     }
-    made.set_inputs(&progress.last());
+    made.set_inputs(&progress.last(), stages);
     Ok(made)
 }
 
