Join regions as a distance with roll-outs, entries and allowed regions

Cause: parts built side by side meet in the choice of a target, coordinators by pool and the tests' nodes. Ruled out: a second setting of regions for the tests; their nodes lie in one of two named regions.

--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -74,4 +74,9 @@
     pub fn unknown<'a>(&self, allowed: &'a Allowed) -> impl Iterator<Item = &'a Name> {
         allowed.names().filter(|name| !self.0.values().any(|region| region == *name))
     }
+
+    /// Failure domains whose region is known.
+    pub fn domains(&self) -> impl Iterator<Item = &Name> {
+        self.0.keys()
+    }
 }
--- a/crates/decide/tests/allowed.rs
+++ b/crates/decide/tests/allowed.rs
@@ -169,6 +169,8 @@
         let wanted = Wanted {
             service: "engine",
             domain,
+            map: fleet::one_region(),
+            region: None,
             terms: Terms { allowed: &allowed, side: Side::Serving },
             but: &but,
             most_each: 40,
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -9,7 +9,7 @@
 use decide::rng::Rng;
 use model::forward::{Evacuations, Target};
 use proptest::prelude::*;
-use support::{at, target};
+use support::{at, one_region, target};
 
 fn list(revision: u64, domains: &[&str]) -> Evacuations {
     Evacuations { at: revision, domains: domains.iter().map(|d| (*d).into()).collect() }
@@ -28,6 +28,8 @@
         terms: Terms::ANY,
         service: "engine",
         domain: "a",
+        map: one_region(),
+        region: None,
         but: &[],
         most_each: 100,
         shares: &[],
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -1,6 +1,7 @@
 //! Which version of a service gets a request, in whatever order targets and orders are heard of.
 
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
 use std::time::Duration;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -50,6 +50,12 @@
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Regions {
+    from: String,
+    to: String,
+}
+
 type Times = RefCell<BTreeMap<(&'static str, Name), Histogram<u32>>>;
 
 /// Counters and times of one node.
@@ -66,6 +72,7 @@
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    spilled: Family<Regions, Counter>,
     open: Gauge,
     rules: Gauge,
     unserved: Gauge,
@@ -118,6 +125,7 @@
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_share: Family::default(),
+            spilled: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
             unserved: Gauge::default(),
@@ -144,6 +152,8 @@
         registry.register("rollout_bad", help, m.rollout_bad.clone());
         let help = "Share of requests that the version on trial gets";
         registry.register("rollout_share", help, m.rollout_share.clone());
+        let help = "Stage orders passed on to another region";
+        registry.register("spilled_orders", help, m.spilled.clone());
         registry.register("open_requests", "Requests without a final answer", m.open.clone());
         registry.register("rules_version", "Version of the rules in force", m.rules.clone());
         let help = "Refusals for want of a target in an allowed region";
@@ -223,6 +233,12 @@
         Version { service: self.bounded(service), version: self.bounded(version) }
     }
 
+    /// A stage order was passed on to another region.
+    pub fn spilled(&self, from: &str, to: &str) {
+        let labels = Regions { from: self.bounded(from), to: self.bounded(to) };
+        self.spilled.get_or_create(&labels).inc();
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -88,8 +88,8 @@
     let now = node.now();
     let order = judging.order.borrow();
     let key = report::key(&order.service);
-    let is_wanted =
-        node.peers.roster(|r| r.coordinates(&key, now)) || now.since(judging.heard.get()) < REST;
+    let is_wanted = node.peers.roster(|r| r.coordinates(key.as_str(), now))
+        || now.since(judging.heard.get()) < REST;
     is_wanted && running(node, &order.service, &order.version).is_some()
 }
 
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -43,7 +43,7 @@
 async fn report(node: &Rc<Node>, order: &Rollout) {
     seen::prove(node, order);
     let now = node.now();
-    let first = node.peers.roster(|r| r.coordinators(&key(&order.service), now));
+    let first = node.peers.roster(|r| r.coordinators(key(&order.service).as_str(), now));
     for peer in first.into_iter().take(ASKED) {
         let Some(report) = report_of(node, order) else {
             return;
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use model::Name;
-use model::forward::{Allowed, Handle, PieceResult, TargetId};
+use model::forward::{Allowed, Handle, PieceResult, PoolId, Stage, TargetId};
 
 use super::order::Placed;
 use super::plan::StageError;
@@ -16,6 +16,7 @@
     /// Results by stage.
     pub(super) kept: Vec<Kept>,
     inputs: Vec<String>,
+    lies_at: Option<Name>,
 }
 
 /// Results of one stage that still rest at their makers.
@@ -23,7 +24,7 @@
 pub(super) struct Kept {
     /// Where the results rest.
     pub(super) handles: Vec<Handle>,
-    service: Name,
+    pool: Option<PoolId>,
     peer: Option<SocketAddr>,
 }
 
@@ -31,20 +32,15 @@
     /// Nothing made yet, of this many stages.
     pub(super) fn new(node: &Rc<Node>, stages: usize) -> Self {
         let kept = (0..stages).map(|_| Kept::default()).collect();
-        Made { node: node.clone(), kept, inputs: Vec::new() }
+        Made { node: node.clone(), kept, inputs: Vec::new(), lies_at: None }
     }
 
     /// Takes what came of a stage. If a piece of it was not made, what was made of the
     /// others is held all the same, to be freed.
-    pub(super) fn keep(
-        &mut self,
-        stage: usize,
-        service: &Name,
-        placed: Placed,
-    ) -> Result<(), StageError> {
+    pub(super) fn keep(&mut self, stage: usize, placed: Placed) -> Result<(), StageError> {
         let follows_rollouts = self.node.settings().rollouts.is_some();
         let kept = &mut self.kept[stage];
-        kept.service = service.clone();
+        kept.pool = Some(placed.pool);
         kept.peer = placed.peer;
         let mut failed = None;
         for result in placed.results {
@@ -64,8 +60,12 @@
     }
 
     /// The request's target will take the results of these stages.
-    pub(super) fn set_inputs(&mut self, stages: &[usize]) {
-        let handles = stages.iter().flat_map(|i| &self.kept[*i].handles);
+    pub(super) fn set_inputs(&mut self, last: &[usize], stages: &[Stage]) {
+        let bytes = |i: &&usize| self.kept[**i].handles.len() as u64 * stages[**i].bytes;
+        let largest = last.iter().max_by_key(bytes);
+        let maker = largest.and_then(|i| self.kept[*i].handles.first()).map(|h| &h.maker);
+        self.lies_at = maker.and_then(|m| self.node.fleet(|f| f.domain_of(m).cloned()));
+        let handles = last.iter().flat_map(|i| &self.kept[*i].handles);
         self.inputs = handles.map(|h| h.text.clone()).collect();
     }
 
@@ -86,6 +86,11 @@
         &self.inputs
     }
 
+    /// Failure domain where most bytes of the inputs lie, as far as is known.
+    pub fn lies_at(&self) -> Option<&Name> {
+        self.lies_at.as_ref()
+    }
+
     /// Frees the results of these stages.
     pub(super) fn release_all(&mut self, stages: &[usize]) {
         for stage in stages {
@@ -95,15 +100,15 @@
 
     /// Frees the results of a stage.
     pub(super) fn release(&mut self, stage: usize) {
-        let Kept { handles, service, peer } = std::mem::take(&mut self.kept[stage]);
-        if handles.is_empty() {
+        let Kept { handles, pool, peer } = std::mem::take(&mut self.kept[stage]);
+        let Some(pool) = pool.filter(|_| !handles.is_empty()) else {
             return;
-        }
+        };
         handles.iter().for_each(|handle| self.node.rollouts.held.release(handle));
         let pools = &self.node.pools;
         match peer {
-            Some(peer) => pools.freer.at_peer(&self.node, peer, &service, handles),
-            None => pools.free(&self.node, &service, handles),
+            Some(peer) => pools.freer.at_peer(&self.node, peer, &pool, handles),
+            None => pools.free(&self.node, &pool, handles),
         }
     }
 }
