Judge late, orders given anew and nodes just started, as they are

Cause: (1) A judge that began after the last write was due took a good version back at once: it had heard of no targets yet, and of no phase. (2) A node that had just come up and not reported counted as silent since ever, so that an order could be completed while it still went by the old version. (3) A judge whose final write stood slept for ever, stayed in the map, and answered a later order of the same version with the phase of the old one; an order given anew between two lists went on as the old one. (4) A judge that others had followed went on writing, by its old reports, once the store came back. Ruled out: to drop an ended judge at once, since one begun anew while the store has not told the end yet would start from a share; to take targets as a condition alone, since a late judge without the others' phase is as wrong. Change: a judge listens for two reports before lateness counts; a node is silent from when it was first seen; the driver wakes for ended judges, tells an order given anew by its state that went back, and ends what it holds no more.

--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -21,6 +21,9 @@
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
+/// Time for which a judge only listens: one that begins late learns from two reports of each node
+/// whether all requests go to the version already, and does not take it back for want of that.
+const LISTENS: Duration = Duration::from_millis(500);
 /// Part of the proof that a version is bad from which on it gets no more than it has.
 const DOUBT: f64 = 0.7;
 /// Targets on trial that bear all requests, for each that serves.
@@ -83,6 +86,7 @@
 pub struct Judge {
     bounds: Bounds,
     plan: Plan,
+    begun: Time,
     order: Rollout,
     age: (Duration, Time),
     phase: Phase,
@@ -105,6 +109,7 @@
         let mut judge = Judge {
             bounds,
             plan: Plan::new(bounds, Duration::from_millis(order.lasts_ms)),
+            begun: now,
             order,
             age: (age, now),
             phase: Phase::Share(0.0),
@@ -131,7 +136,7 @@
         self.nodes.awake(now);
         match event {
             JudgeEvent::Report(report) => self.report(report, now, &mut actions),
-            JudgeEvent::Nodes(up) => self.nodes.set_up(up),
+            JudgeEvent::Nodes(up) => self.nodes.set_up(up, now),
             JudgeEvent::Order(order) => self.take_order(order),
             JudgeEvent::Targets { serving, trial } => self.targets = (serving, trial),
             JudgeEvent::WriteEnded(stands) => self.write_ended(stands),
@@ -161,6 +166,11 @@
         if self.ended { Time::NEVER } else { now + TICK }
     }
 
+    /// Whether the order is over: it has a final state, or another one took its place.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
     fn age(&self, now: Time) -> Duration {
         self.age.0 + now.since(self.age.1)
     }
@@ -273,6 +283,11 @@
         }
     }
 
+    /// Whether the last write is due.
+    fn is_late(&self, known: &Known, now: Time) -> bool {
+        known.age >= self.plan.write_by() && now.since(self.begun) >= LISTENS
+    }
+
     fn bears_all(&self) -> bool {
         let (serving, trial) = self.targets;
         trial > 0 && trial as f64 >= BEARS * serving as f64
@@ -281,7 +296,7 @@
     /// Chooses the share, and whether all requests may go to the version.
     fn go_on(&mut self, proof: f64, now: Time, actions: &mut Vec<JudgeAction>) {
         let known = self.known(now);
-        let is_late = known.age >= self.plan.write_by();
+        let is_late = self.is_late(&known, now);
         if is_late && !self.bears_all() {
             return self.take_back(Cause::Targets, now, actions);
         }
@@ -324,7 +339,7 @@
     /// Completes the order once no node uses the old version.
     fn finish(&mut self, proof: f64, now: Time, actions: &mut Vec<JudgeAction>) {
         let known = self.known(now);
-        let is_late = known.age >= self.plan.write_by();
+        let is_late = self.is_late(&known, now);
         if self.completing.is_some() {
             return;
         }
--- a/crates/decide/src/rollout/judge/nodes.rs
+++ b/crates/decide/src/rollout/judge/nodes.rs
@@ -1,6 +1,6 @@
 //! Which nodes still use the version that serves.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::Time;
@@ -21,7 +21,8 @@
 /// Nodes as the judge knows them.
 #[derive(Debug)]
 pub struct Nodes {
-    up: BTreeSet<NodeId>,
+    /// Since when each is up, as far as the judge knows.
+    up: BTreeMap<NodeId, Time>,
     last: BTreeMap<NodeId, Last>,
     /// When the judge last heard anything, and since when it did so without a pause: what did
     /// not reach a judge that was paused does not make a node silent.
@@ -32,7 +33,7 @@
 impl Nodes {
     /// None is known.
     pub fn new(now: Time) -> Self {
-        Nodes { up: BTreeSet::new(), last: BTreeMap::new(), heard: now, awake: now }
+        Nodes { up: BTreeMap::new(), last: BTreeMap::new(), heard: now, awake: now }
     }
 
     /// The judge runs.
@@ -45,9 +46,14 @@
 
     /// These are up. One that is not goes on counting until it is known to have started anew:
     /// it may be cut off and still use the old version.
-    pub fn set_up(&mut self, up: Vec<NodeId>) {
-        self.up = up.into_iter().collect();
-        let starts: BTreeMap<_, _> = self.up.iter().map(|id| (&id.name, id.start)).collect();
+    pub fn set_up(&mut self, up: Vec<NodeId>, now: Time) {
+        let mut known = std::mem::take(&mut self.up);
+        let since = |id: NodeId| {
+            let since = known.remove(&id).unwrap_or(now);
+            (id, since)
+        };
+        self.up = up.into_iter().map(since).collect();
+        let starts: BTreeMap<_, _> = self.up.keys().map(|id| (&id.name, id.start)).collect();
         self.last.retain(|id, _| starts.get(&id.name).is_none_or(|start| *start == id.start));
     }
 
@@ -62,10 +68,10 @@
     pub fn are_done(&self, since: Time, now: Time) -> bool {
         let from = since.max(self.awake);
         let is_silent = |at: Time| now.since(at.max(from)) > SILENT;
-        let is_done = |id: &NodeId| match self.last.get(id) {
-            Some(last) => last.is_done || is_silent(last.at),
-            None => is_silent(Time::ZERO),
-        };
-        !self.up.is_empty() && self.up.iter().chain(self.last.keys()).all(is_done)
+        let is_done = |last: &Last| last.is_done || is_silent(last.at);
+        // One that has just started goes by the old version until its first answer.
+        let is_unheard =
+            |(id, since): (&NodeId, &Time)| self.last.contains_key(id) || is_silent(*since);
+        !self.up.is_empty() && self.last.values().all(is_done) && self.up.iter().all(is_unheard)
     }
 }
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -147,7 +147,7 @@
                 }
                 Some(RolloutChange::Replaced { before: was.clone(), order })
             }
-            Some(was) if was.state.is_final() && is_running => {
+            Some(was) if order.is_anew(was) => {
                 self.begin(&order, now);
                 Some(RolloutChange::Began(order))
             }
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -133,6 +133,32 @@
     assert_eq!(bench.writes(), [Completed]);
 }
 
+#[test]
+fn a_node_that_has_just_started_is_waited_for() {
+    let mut bench = Bench::new(Active);
+    bench.run(9_100, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.judge.phase(), Phase::All);
+    bench.on(JudgeEvent::Nodes(vec![node("a"), node("b"), node("c")]));
+    bench.run(9_900, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [], "c may still go by the old version");
+    bench.run(10_300, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Completed], "it does not answer");
+}
+
+#[test]
+fn a_judge_that_begins_late_takes_no_good_version_back() {
+    let judge = Judge::new(BOUNDS, order(Active, 10), Duration::from_millis(9_900), Time::ZERO);
+    let mut bench = Bench { judge, now: 0, done: Vec::new() };
+    bench.on(JudgeEvent::Nodes(vec![node("a"), node("b")]));
+    bench.on(JudgeEvent::Targets { serving: 4, trial: 2 });
+    bench.on(report("a", Phase::Share(0.0), 0));
+    bench.now = 300;
+    bench.on(report("b", Phase::All, 0));
+    assert_eq!(bench.judge.phase(), Phase::All, "b went by it");
+    bench.run(2_000, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
 #[test]
 fn without_targets_that_bear_the_load_it_is_taken_back_and_never_completed() {
     for (serving, trial) in [(4, 0), (4, 2), (0, 0)] {
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -129,6 +129,8 @@
     let other = order("v3", Ordered, 20);
     let back = order("v3", RolledBack, 30);
     let again = order("v3", Ordered, 40);
+    let taken_up = order("v3", Active, 42);
+    let anew = order("v3", Ordered, 45);
     let replaced = RolloutChange::Replaced { before: active.clone(), order: other.clone() };
     let cases = [
         (list(11, std::slice::from_ref(&ordered)), vec![RolloutChange::Began(ordered.clone())]),
@@ -138,7 +140,9 @@
         (list(21, std::slice::from_ref(&other)), vec![replaced]),
         (list(30, std::slice::from_ref(&back)), vec![RolloutChange::State(back.clone())]),
         (list(40, std::slice::from_ref(&again)), vec![RolloutChange::Began(again.clone())]),
-        (list(50, &[]), vec![RolloutChange::Withdrawn(again)]),
+        (list(42, std::slice::from_ref(&taken_up)), vec![RolloutChange::State(taken_up.clone())]),
+        (list(45, std::slice::from_ref(&anew)), vec![RolloutChange::Began(anew.clone())]),
+        (list(50, &[]), vec![RolloutChange::Withdrawn(anew)]),
         (list(40, &[back]), vec![]),
     ];
     for (n, (list, changes)) in cases.into_iter().enumerate() {
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -31,6 +31,15 @@
     heard: Cell<Time>,
 }
 
+impl Judging {
+    /// Whether an order is the one judged here, and not one that was given anew since.
+    fn judges(&self, order: &Rollout) -> bool {
+        let known = self.order.borrow();
+        let is_over = self.machine.borrow().has_ended() && order.revision > known.revision;
+        known.version == order.version && !order.is_anew(&known) && !is_over
+    }
+}
+
 /// Takes what a node saw; `None` if no such order runs as far as this one knows.
 pub fn judge(node: &Rc<Node>, report: RolloutReport) -> Option<RolloutAnswer> {
     let order = running(node, &report.service, &report.version)?;
@@ -46,7 +55,7 @@
 /// The judging of an order, begun if there is none.
 fn judging(node: &Rc<Node>, order: Rollout) -> Option<Rc<Judging>> {
     let held = node.rollouts.judging.borrow().get(&order.service).cloned();
-    if let Some(judging) = held.filter(|j| j.order.borrow().version == order.version) {
+    if let Some(judging) = held.filter(|j| j.judges(&order)) {
         return Some(judging);
     }
     let settings = node.settings().rollouts?;
@@ -71,7 +80,10 @@
 /// Keeps the machine's time until the order is over, or others judge it.
 async fn tick(node: Rc<Node>, judging: Rc<Judging>) {
     loop {
-        let at = judging.machine.borrow().next_tick(node.now());
+        // An order that is over is kept until it is known so here: a judge begun anew would not
+        // know what became of it.
+        let now = node.now();
+        let at = judging.machine.borrow().next_tick(now).min(now + REST);
         tokio::time::sleep_until(node.clock.instant(at)).await;
         if !goes_on(&node, &judging) {
             break;
@@ -90,7 +102,14 @@
     let key = report::key(&order.service);
     let is_wanted = node.peers.roster(|r| r.coordinates(key.as_str(), now))
         || now.since(judging.heard.get()) < REST;
-    is_wanted && running(node, &order.service, &order.version).is_some()
+    let runs = || running(node, &order.service, &order.version).is_some_and(|o| judging.judges(&o));
+    is_wanted && is_held(node, judging) && runs()
+}
+
+/// Whether reports of the order still go to this judging.
+fn is_held(node: &Node, judging: &Judging) -> bool {
+    let all = node.rollouts.judging.borrow();
+    all.values().any(|held| std::ptr::eq(&**held, judging))
 }
 
 /// Tells the machine of the order if it has changed in the store.
@@ -150,16 +169,23 @@
 /// one, since all are for the same revision.
 async fn set_state(node: Rc<Node>, judging: Rc<Judging>, order: Rollout, state: RolloutState) {
     let stands = write::set(&node, &order, state).await;
-    if stands {
-        return feed(&node, &judging, JudgeEvent::WriteEnded(true));
+    if !stands {
+        let ended = node.now();
+        Backoff::default().failed(&node, RETRY_LONGEST).await;
+        while is_held(&node, &judging) && !is_confirmed_since(&node, ended) {
+            tokio::time::sleep(LOOK).await;
+        }
     }
-    let ended = node.now();
-    Backoff::default().failed(&node, RETRY_LONGEST).await;
-    while !is_confirmed_since(&node, ended) {
-        tokio::time::sleep(LOOK).await;
+    // Who judges no longer gets no reports, and must not write by old ones.
+    if !is_held(&node, &judging) {
+        return;
+    }
+    feed(&node, &judging, JudgeEvent::WriteEnded(stands));
+    if stands {
+        return;
     }
-    feed(&node, &judging, JudgeEvent::WriteEnded(false));
-    if let Some(order) = running(&node, &order.service, &order.version) {
+    let known = running(&node, &order.service, &order.version);
+    if let Some(order) = known.filter(|known| judging.judges(known)) {
         judging.order.replace(order.clone());
         feed(&node, &judging, JudgeEvent::Order(order));
     }
--- a/crates/model/src/forward/rollout.rs
+++ b/crates/model/src/forward/rollout.rs
@@ -51,6 +51,18 @@
     pub revision: u64,
 }
 
+impl Rollout {
+    /// Whether it was ordered anew since it was known like this: no state goes back.
+    pub fn is_anew(&self, was: &Rollout) -> bool {
+        let goes_back = match was.state {
+            RolloutState::Ordered => false,
+            RolloutState::Active => self.state == RolloutState::Ordered,
+            RolloutState::Completed | RolloutState::RolledBack => !self.state.is_final(),
+        };
+        goes_back && self.revision > was.revision
+    }
+}
+
 /// All orders, as the store had them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rollouts {
