Roll-outs: a call that requests share is one answer

Cause: each piece of a stage call counted as an answer of its own. Pieces of a call share its fate, and the test takes answers as independent: one call of five pieces or more that failed or was late took a good version back. Ruled out: a verdict by piece for pieces that failed alone, which needs counts and times apart from each other in the reports. Change: a call is one answer, good or bad, on both sides; what is sent, and so the cap, counts by piece as before, and so do the metrics. Not measured: the time to see a bad stage version whose calls are full; by the test's odds about five failed calls in place of one.

--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -88,9 +88,9 @@
         routes.entry(route.clone()).or_insert_with(|| Seen::new(route.clone()))
     }
 
-    /// A request went out, repeats included.
-    pub fn sent(&mut self, service: &Name, route: &Name, side: Side) {
-        self.seen(service, route).side(side).sent += 1;
+    /// Requests went out, repeats included; those that share a call will have one answer.
+    pub fn sent(&mut self, service: &Name, route: &Name, side: Side, count: u32) {
+        self.seen(service, route).side(side).sent += count;
     }
 
     /// A good answer came after this time; from a target that was not cold.
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use decide::rollout::{Judge, JudgeAction, JudgeEvent};
-use model::Time;
-use model::forward::{Answers, Phase, Rollout, RolloutReport, RolloutState, RouteEvidence};
+use decide::rollout::{Evidence, Judge, JudgeAction, JudgeEvent};
+use model::forward::{Answers, Phase, Rollout, RolloutReport, RolloutState, RouteEvidence, Side};
 use model::member::NodeId;
+use model::{Name, Time};
 use proptest::prelude::*;
 use support::{BOUNDS, Case, Fault, Outcome, Run, When};
 
@@ -207,6 +207,24 @@
     }
 }
 
+#[test]
+fn a_call_that_requests_share_is_one_answer() {
+    let (service, route) = (Name::from("s"), Name::from("r"));
+    let took = Duration::from_millis(5);
+    let mut evidence = Evidence::default();
+    for _ in 0..100 {
+        evidence.sent(&service, &route, Side::Serving, 16);
+        evidence.good(&service, &route, Side::Serving, took);
+    }
+    for bad in 1..=16 {
+        evidence.sent(&service, &route, Side::Trial, 16);
+        evidence.bad(&service, &route, Side::Trial);
+        assert!(bad > 2 || evidence.proves_bad("s").is_none(), "{bad} calls prove nothing");
+    }
+    let verdict = evidence.proves_bad("s").expect("16 calls do");
+    assert_eq!((verdict.trial.sent, verdict.trial.bad), (256, 16));
+}
+
 #[test]
 fn an_order_that_was_replaced_ends_its_judge() {
     let mut bench = Bench::new(Active);
--- a/crates/forward/src/rollout/seen.rs
+++ b/crates/forward/src/rollout/seen.rs
@@ -50,9 +50,7 @@
         let belief = f.get(&target.id);
         belief.zip(limit).is_some_and(|(b, limit)| f.is_cold(b, limit, now))
     });
-    for _ in 0..pieces {
-        node.rollouts.evidence.borrow_mut().sent(service, route, side);
-    }
+    node.rollouts.evidence.borrow_mut().sent(service, route, side, pieces as u32);
     node.metrics.rollout_sent(service, version, pieces);
     Some(Seen(Rc::new(Inner {
         node: node.clone(),
@@ -70,14 +68,12 @@
 impl Seen {
     /// It was answered well after this time.
     pub fn good(&self, took: Duration) {
-        let Inner { node, order, route, side, pieces, is_cold, is_judged, .. } = &*self.0;
+        let Inner { node, order, route, side, is_cold, is_judged, .. } = &*self.0;
         is_judged.set(true);
         if *is_cold || !self.0.counts() {
             return;
         }
-        for _ in 0..*pieces {
-            node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
-        }
+        node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
     }
 
     /// Its answer was a failure of the version, or came too late to be of use.
@@ -98,9 +94,9 @@
         if *is_cold || !self.counts() {
             return;
         }
-        for _ in 0..*pieces {
-            node.rollouts.evidence.borrow_mut().bad(&order.service, route, *side);
-        }
+        // Once for all pieces of a call, as for good ones: they share one fate, so that each
+        // counted by itself would let a single late call take a good version back.
+        node.rollouts.evidence.borrow_mut().bad(&order.service, route, *side);
         node.metrics.rollout_bad(&order.service, version, *pieces);
         if *side == Side::Trial {
             prove(node, order);
