A target that left while inputs were made gets nothing

Cause: a target is chosen before its inputs are made and its connection stands; only its region was looked at again after that. A stream whose stages were made again for up to an objective was resumed at a target that drained meanwhile. Ruled out: to choose anew after the stages, since they are made near the target. Change: all that bars a target is asked once the connection stands, before the first byte; the request goes on to another target, as not run there.

--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use decide::fleet::{ColdStarts, Fleet, Home, Terms, Wanted, shares};
+use decide::fleet::{Barred, ColdStarts, Fleet, Home, Terms, Wanted, shares};
 use decide::region::{Map, roams};
 use decide::resend::Next;
 use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
@@ -88,6 +88,18 @@
         self.node.fleet(|f| f.is_allowed_at(target, &allowed))
     }
 
+    /// Why the request may not go to a target any more that was chosen before its inputs were
+    /// made or its connection stood; `None` if it may.
+    pub(super) fn barred(&self, target: &TargetId) -> Option<&'static str> {
+        let now = self.node.now();
+        let allowed = self.allowed_now();
+        let terms = self.terms(&allowed);
+        self.node.fleet(|f| match f.get(target) {
+            Some(belief) => f.bars(belief, terms, now).map(Barred::as_str),
+            None => Some("gone"),
+        })
+    }
+
     /// Whether all results rest where the rules in force allow them.
     pub(super) fn is_inside(&self, made: &Made) -> bool {
         let allowed = self.allowed_now();
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -115,9 +115,9 @@
             return nothing(exchange, target, Observation::Unreachable, begun, e.to_string());
         }
     };
-    if !exchange.is_allowed_at(&target.id) {
-        // Rules came meanwhile; nothing of the request has gone there yet.
-        exchange.progress(|p| p.why = "its target is not in an allowed region any more".into());
+    if let Some(why) = exchange.barred(&target.id) {
+        // Nothing of the request has gone there yet.
+        exchange.progress(|p| p.why = format!("its target is barred by now: {why}"));
         return Outcome::Nothing;
     }
     exchange.progress(|p| p.tries.connected());
