--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -264,10 +264,8 @@
         let lies_at = made.as_ref().ok().and_then(Made::lies_at).map(|d| map.region_of(d));
         self.progress(|p| p.lies_at = lies_at);
         made.inspect_err(|e| {
-            let why = match e {
-                StageError::Barred => self.no_target(),
-                _ => e.to_string(),
-            };
+            let is_unserved = self.unserved().is_some();
+            let why = if is_unserved { self.no_target() } else { e.to_string() };
             self.progress(|p| p.why = why);
         })
     }
