--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -17,7 +17,7 @@
     Allowed, BatchOrder, PieceResult, Policy, PrefillAsk, Side, Target, TargetChange, TargetId,
 };
 use proptest::prelude::*;
-use support::{at, target};
+use support::{at, one_region, target};
 
 /// An entry of `t` as it was at a revision.
 fn entry(start: u64, revision: u64) -> Target {
@@ -33,6 +33,8 @@
         service: "engine",
         terms: Terms::ANY,
         domain: "a",
+        map: one_region(),
+        region: None,
         but,
         most_each: 100,
         shares: &[],
@@ -262,6 +264,7 @@
         domain: domain.into(),
         region: None,
         cold_gap: None,
+        share: None,
     };
     Event::Makers(starts.iter().map(info).collect())
 }
