Trial: nodes begin chains where all stages wait less

Cause: coordinators that pass orders on move little; nodes might see more. Change: homes in the own region again; nodes choose a chain's region by the waits told to them, in proportion to the gain.

--- a/crates/decide/src/region/map.rs
+++ b/crates/decide/src/region/map.rs
@@ -89,11 +89,15 @@
         of_region.map(|d| self.round_trip(d)).min().unwrap_or(UNKNOWN_FAR)
     }
 
+    /// Regions but this node's.
+    pub fn others(&self) -> BTreeSet<Name> {
+        let regions = self.regions.domains().map(|d| self.region_of(d));
+        regions.filter(|r| *r != self.own()).collect()
+    }
+
     /// Round trip to the farthest region.
     fn farthest(&self) -> Duration {
-        let regions: BTreeSet<Name> = self.regions.domains().map(|d| self.region_of(d)).collect();
-        let others = regions.iter().filter(|r| **r != self.own());
-        others.map(|r| self.to_region(r)).max().unwrap_or_default()
+        self.others().iter().map(|r| self.to_region(r)).max().unwrap_or_default()
     }
 
     /// The region whose makers are to make an order, of those that have any: the wanted one,
--- a/crates/decide/src/region/mod.rs
+++ b/crates/decide/src/region/mod.rs
@@ -1,9 +1,9 @@
 //! Regions as distances: how far they lie, and when work goes to another one.
 
-mod home;
+mod balance;
 mod map;
 mod spill;
 
-pub use home::roams;
+pub use balance::balance;
 pub use map::Map;
 pub use spill::{Own, Spill};
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -176,12 +176,21 @@
         }
     }
 
+    /// A coordinator told what an order of a service would wait in each region.
+    pub fn heard_regions(&self, service: &Name, by_region: Vec<(Name, Waits)>) {
+        let now = self.now();
+        let mut forecast = self.forecast.borrow_mut();
+        for (region, waits) in by_region {
+            forecast.hear_in(service, region, waits, now);
+        }
+    }
+
     /// The region whose makers are to make an order, of those that have any.
     pub fn region_for(
         &self,
         service: &str,
         allowed: &Allowed,
-        wanted: Option<&Name>,
+        wanted: Option<Name>,
     ) -> Option<Name> {
         let now = self.now();
         self.peers.roster(|r| {
@@ -189,7 +198,7 @@
             let terms = Terms { allowed, ..Terms::ANY };
             let region = |b: &Belief| map.region_of(&b.target.domain);
             let able = self.fleet(|f| f.usable(service, terms, now).map(region).collect());
-            map.place(wanted.map(|d| map.region_of(d)), &able)
+            map.place(wanted, &able)
         })
     }
 
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,7 +1,7 @@
 //! Which target a request goes to.
 
 use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
-use decide::region::{Map, roams};
+use decide::region::Map;
 use decide::resend::Next;
 use model::forward::{LARGE_RESULT, Target, TargetId};
 use model::{Name, Time};
@@ -57,13 +57,14 @@
     }
 
     /// Region in which the home is sought first: where the inputs lie, or this one. None if
-    /// regions are as good as one, or it is dearer to read the shared parts in each.
+    /// regions are as good as one. Shared parts are read in each region: sending prompts across
+    /// saves half of that, and costs more in bytes and in time than it saves.
     fn home_region(&self, map: &Map) -> Option<Name> {
         if !map.is_split() {
             return None;
         }
         let lies_at = self.progress(|p| p.lies_at.clone());
-        lies_at.or_else(|| Some(map.own()).filter(|_| !self.roams()))
+        lies_at.or_else(|| Some(map.own()))
     }
 
     /// Whether a target is in the region where the inputs lie, if there are any. Inputs that
@@ -74,19 +75,6 @@
         !map.is_split() || lies_at.is_none_or(|r| map.region_of(&target.domain) == r)
     }
 
-    /// Whether the home is sought in all regions. Last stages that have inputs lie with these, in
-    /// this region, and their results cross; others are made where the home is.
-    fn roams(&self) -> bool {
-        let shared = self.home().map_or(0, |h| h.shared);
-        let stages = &self.route.stages;
-        let is_last = |i: usize| !stages.iter().any(|s| s.after.contains(&i));
-        let crossing =
-            stages.iter().enumerate().filter(|(i, s)| is_last(*i) && !s.after.is_empty());
-        let pieces = |i: usize| u64::from(self.head.pieces.get(i).copied().unwrap_or(0));
-        let inputs: u64 = crossing.map(|(i, s)| pieces(i) * s.bytes).sum();
-        roams(shared, self.request.body.len() as u64 + inputs)
-    }
-
     /// Connections that this node may have to one target: an equal part of what a target
     /// takes from all nodes.
     fn connections_each(&self) -> u32 {
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -69,8 +69,9 @@
                 return spilled.ok_or(NotMade::Moved);
             }
         };
-        let waits = runner.waits(node);
-        Ok(BatchAnswer { results, waits, coordinator: None, region: runner.pool.region.clone() })
+        let region = runner.pool.region.clone();
+        let (waits, by_region) = (runner.waits(node), runner.by_region(node));
+        Ok(BatchAnswer { results, waits, by_region, coordinator: None, region })
     }
 
     /// What an order would wait for makers of which this node is the coordinator.
