Cuts between regions: orders come home when nobody there answers

Cause: an order placed in a region that is cut off had no way back. Ruled out: to wait for the suspicion of membership. Change: it is made in the own region then; plays and a process test of regions that are cut off.

--- a/crates/decide/tests/regions.rs
+++ b/crates/decide/tests/regions.rs
@@ -187,6 +187,9 @@
     }
 }
 
+/// Ways from one region to another.
+type Ways<'a> = &'a [(usize, usize)];
+
 /// Wire time between two regions, in milliseconds.
 const CROSSING: u64 = 20;
 /// Step of a play, in milliseconds.
@@ -218,6 +221,8 @@
     spills: bool,
     places: Vec<Place>,
     messages: Vec<(u64, usize, Message)>,
+    /// Ways from one region to another that nothing passes.
+    cuts: Vec<(usize, usize)>,
 }
 
 impl Play {
@@ -233,7 +238,7 @@
             passed_on: Vec::new(),
         };
         let places = ["a", "b", "c"].iter().map(place).collect();
-        Play { now: 0, next: 1, spills, places, messages: Vec::new() }
+        Play { now: 0, next: 1, spills, places, messages: Vec::new(), cuts: Vec::new() }
     }
 
     /// Plays until a time, with this many orders a second in each region.
@@ -270,7 +275,15 @@
 
     /// An order of region `from` reaches the coordinator of region `i`.
     fn take(&mut self, i: usize, from: usize, due: u64, order: BatchOrder) {
-        if let Some(to) = self.choose(i, &order) {
+        let chosen = self.choose(i, &order);
+        if let Some(to) = chosen.filter(|to| self.is_cut(i, *to)) {
+            // The question for a sign of life brings none.
+            let region = self.places[to].name.clone();
+            self.places[i].spill.lost(&region);
+            let order = BatchOrder { spilled: true, ..order.later(ms(2 * CROSSING)) };
+            return self.take(i, from, due, order);
+        }
+        if let Some(to) = chosen {
             self.places[i].passed_on.push(self.now);
             let order = BatchOrder { spilled: true, ..order.later(ms(CROSSING)) };
             self.messages.push((self.now + CROSSING, to, Message::Order { from, due, order }));
@@ -294,7 +307,11 @@
             .collect();
         let names: Vec<Name> = others.iter().map(|(r, _)| r.clone()).collect();
         for region in self.places[i].spill.take_due(&names, own.wait, now) {
-            let waits = self.place(&region).1.c.waits(now);
+            let (to, place) = self.place(&region);
+            let waits = place.c.waits(now);
+            if self.is_cut(i, to) {
+                continue;
+            }
             let told = Message::Waits { region, waits };
             self.messages.push((self.now + 2 * CROSSING, i, told));
         }
@@ -302,6 +319,11 @@
         Some(self.place(&region).0)
     }
 
+    /// Whether a question to a region, or its answer, is lost.
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from))
+    }
+
     fn place(&self, region: &str) -> (usize, &Place) {
         let found = self.places.iter().enumerate().find(|(_, p)| *p.name == *region);
         found.expect("one of the regions")
@@ -463,3 +485,51 @@
     assert_eq!(sooner.as_deref(), Some("c"), "to the region where least waits");
     assert_eq!(balance(ms(900), &[], 0.0), None, "there is no other");
 }
+
+#[test]
+fn an_overrun_region_is_helped_by_those_that_it_reaches() {
+    let cases: [(Ways<'_>, bool, &str); 4] = [
+        (&[(0, 1), (1, 0)], true, "cut off from one, the other helps"),
+        (&[(1, 0)], true, "one way only is as good as none"),
+        (&[(1, 2), (2, 1)], true, "those that help need not see each other"),
+        (&[(0, 1), (0, 2)], false, "by itself it makes what it can"),
+    ];
+    for (cuts, is_helped, why) in cases {
+        let mut play = Play::new(true);
+        play.cuts = cuts.to_vec();
+        play.run(8000, [55, 15, 15]);
+        let shares = [0, 1, 2].map(|i| play.share(i, 2000, 6000));
+        assert_eq!(shares[0] > 0.9, is_helped, "{why}: {shares:?}");
+        assert!(shares[1] > 0.97 && shares[2] > 0.97, "{why}: {shares:?}");
+        play.cuts.clear();
+        play.run(14_000, [55, 15, 15]);
+        let healed = play.share(0, 9500, 12_500);
+        assert!(healed > 0.9, "{why}: {healed} once it is healed");
+    }
+}
+
+#[test]
+fn two_regions_that_see_each_other_and_not_the_third_agree_on_all_of_theirs() {
+    let now = at(60_000);
+    let first = |r: &Roster, me: &str, region: &str| {
+        let order = r.coordinators(&pool_of(region), now).into_iter().next();
+        order.flatten().map_or(me.to_string(), |n| n.id.name.to_string())
+    };
+    let lost = |me: &str, regions: &[&str]| {
+        let mut roster = roster(me, 3);
+        for region in regions {
+            for (domain, i) in [(1, 0), (1, 1), (2, 0), (2, 1)] {
+                let id = NodeId { name: format!("{region}{domain}-{i}").into(), start: 1 };
+                roster.silent(&id, now);
+            }
+        }
+        roster
+    };
+    let (a, b, c) = (lost("a1-0", &["c"]), lost("b1-0", &["c"]), lost("c1-0", &["a", "b"]));
+    for region in ["a", "b"] {
+        let (of_a, of_b) = (first(&a, "a1-0", region), first(&b, "b1-0", region));
+        assert!(of_a == of_b && of_a.starts_with(region), "{region}: {of_a}, {of_b}");
+    }
+    assert!(first(&c, "c1-0", "c").starts_with('c'), "the third goes on by itself");
+    assert!(first(&c, "c1-0", "a").starts_with('c'), "and decides for none that it cannot reach");
+}
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -42,6 +42,9 @@
         if let Some(placed) = at_peers(node, &mut order).await {
             return placed;
         }
+        if comes_home(node, &mut order) {
+            continue;
+        }
         // A coordinator that no longer comes first hands over, this one too.
         match node.pools.order(node, order.clone(), false).await {
             Err(NotMade::Moved) => {}
@@ -80,6 +83,9 @@
         let order_of = node.peers.roster(|r| r.coordinators(&pool, now));
         let fresh = |c: &Option<PeerNode>| c.as_ref().is_none_or(|p| !asked.contains(&p.id));
         let peer = order_of.into_iter().find(fresh)??;
+        if is_elsewhere(node, &pool) && !is_there(node, &pool, &peer) {
+            return None;
+        }
         order.skipped = node.peers.roster(|r| r.skipped(&pool, now));
         match ask(node, &peer, order).await {
             Ok(BatchAnswer { results, waits, by_region, coordinator, region }) => {
@@ -114,6 +120,33 @@
     None
 }
 
+/// Whether a pool is that of another region.
+fn is_elsewhere(node: &Node, pool: &PoolId) -> bool {
+    let own = node.peers.roster(|r| r.map().own());
+    pool.region.as_ref().is_some_and(|r| *r != own)
+}
+
+/// Whether a peer is in the pool's region.
+fn is_there(node: &Node, pool: &PoolId, peer: &PeerNode) -> bool {
+    let region = node.peers.roster(|r| r.map().region_of(&peer.domain));
+    pool.region.as_ref().is_some_and(|r| *r == region)
+}
+
+/// Lets this region make an order if nobody in the one that it names answers: no node decides
+/// for makers that it may not reach.
+fn comes_home(node: &Node, order: &mut BatchOrder) -> bool {
+    let pool = order.pool();
+    if !is_elsewhere(node, &pool) || coordinator_in(node, &pool).is_some() {
+        return false;
+    }
+    let own = Some(node.peers.roster(|r| r.map().own()));
+    if node.region_for(&order.service, &order.allowed, own.clone()) != own {
+        return false;
+    }
+    order.region = own;
+    true
+}
+
 fn tell_lost(service: &Name, peer: &PeerNode, why: &str) {
     Event::Coordinator { service, coordinator: &peer.id.name, why }.emit();
 }
@@ -172,8 +205,7 @@
 /// The coordinator of a region's makers, if it is a peer there.
 pub(super) fn coordinator_in(node: &Node, pool: &PoolId) -> Option<PeerNode> {
     let first = node.peers.roster(|r| r.coordinators(pool, node.now())).into_iter().next()??;
-    let map = node.peers.roster(|r| r.map());
-    Some(first).filter(|p| pool.region.as_ref().is_some_and(|r| map.region_of(&p.domain) == *r))
+    Some(first).filter(|p| is_there(node, pool, p))
 }
 
 /// Places an order with the coordinator of the region that it names.
