Nodes' choice of a chain's region is taken out

Cause: it brought nothing beside coordinators that pass on. Ruled out: keeping both. Change: its code goes.

--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -18,8 +18,6 @@
 const FADES: Duration = Duration::from_millis(1500);
 /// Time that an engine is expected to take to its first event.
 const FIRST_EVENT: Duration = Duration::from_millis(150);
-/// Time for which it holds what a region's wait was.
-const TOLD_KEPT: Duration = Duration::from_millis(600);
 /// Part of a request's spare time, the objective less the time that it takes without any
 /// wait, from which on waits turn it away: what is expected of a wait is half a second old,
 /// and in a burst the true one is longer by the time that the request gets there.
@@ -49,51 +47,17 @@
 
 /// What this node heard of the stages' waits.
 #[derive(Debug, Default)]
-pub struct Forecast {
-    /// Of where its orders go, by service.
-    heard: HashMap<Name, Heard>,
-    /// Of each region, by service and region.
-    by_region: HashMap<(Name, Name), Heard>,
-}
+pub struct Forecast(HashMap<Name, Heard>);
 
 impl Forecast {
     /// A coordinator told the waits of its service.
     pub fn hear(&mut self, service: &Name, waits: Waits, now: Time) {
-        self.heard.insert(service.clone(), Heard { waits, at: now });
-    }
-
-    /// A coordinator told the waits of its service in a region.
-    pub fn hear_in(&mut self, service: &Name, region: Name, waits: Waits, now: Time) {
-        self.by_region.insert((service.clone(), region), Heard { waits, at: now });
-    }
-
-    /// Wait of a new order in a region, if that was told lately.
-    fn wait_in(&self, service: &Name, region: &Name, rank: Rank, now: Time) -> Option<Duration> {
-        let heard = self.by_region.get(&(service.clone(), region.clone()))?;
-        let wait = Duration::from_millis(u64::from(heard.waits.of(rank)));
-        Some(wait).filter(|_| now.since(heard.at) < TOLD_KEPT)
-    }
-
-    /// Time that waits add to a request's stages if they are made in `region`, of which those
-    /// of stages that are not known there count as in `own`.
-    pub fn waits_in(&self, what: Chain<'_>, region: &Name, own: &Name, now: Time) -> Duration {
-        let Chain { route, least, rank } = what;
-        let wait = |service: &Name| {
-            let there = self.wait_in(service, region, rank, now);
-            there.or_else(|| self.wait_in(service, own, rank, now)).unwrap_or_default()
-        };
-        let time = |(stage, least): (&Stage, &Duration)| match *least {
-            Duration::ZERO => Duration::ZERO,
-            least => least + wait(&stage.service),
-        };
-        let times: Vec<Duration> = route.stages.iter().zip(least).map(time).collect();
-        let order = route.order();
-        stages::longest(&order, &times).saturating_sub(stages::longest(&order, least))
+        self.0.insert(service.clone(), Heard { waits, at: now });
     }
 
     /// Wait of a new order, as far as it is still known.
     fn wait(&self, service: &Name, rank: Rank, now: Time) -> Duration {
-        let Some(heard) = self.heard.get(service) else {
+        let Some(heard) = self.0.get(service) else {
             return Duration::ZERO;
         };
         let age = now.since(heard.at).as_secs_f64() / FADES.as_secs_f64();
@@ -126,17 +90,6 @@
     }
 }
 
-/// The stages of one request.
-#[derive(Debug, Clone, Copy)]
-pub struct Chain<'a> {
-    /// Route.
-    pub route: &'a Route,
-    /// Time of each stage without any wait.
-    pub least: &'a [Duration],
-    /// Rank.
-    pub rank: Rank,
-}
-
 /// What a request's time to its first event is made of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Expected {
--- a/crates/decide/src/region/mod.rs
+++ b/crates/decide/src/region/mod.rs
@@ -1,9 +1,7 @@
 //! Regions as distances: how far they lie, and when work goes to another one.
 
-mod balance;
 mod map;
 mod spill;
 
-pub use balance::balance;
 pub use map::Map;
 pub use spill::{Own, Spill};
--- a/crates/decide/src/region/spill.rs
+++ b/crates/decide/src/region/spill.rs
@@ -75,12 +75,6 @@
         due
     }
 
-    /// What others told lately.
-    pub fn told(&self, now: Time) -> impl Iterator<Item = (Name, Waits)> {
-        let recent = self.told.iter().filter(move |(_, t)| now.since(t.at) < TOLD_KEPT);
-        recent.map(|(region, t)| (region.clone(), t.waits.clone()))
-    }
-
     /// Whether any other region told of its waits lately.
     pub fn knows_any(&self, now: Time) -> bool {
         self.told.values().any(|t| now.since(t.at) < TOLD_KEPT)
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -176,15 +176,6 @@
         }
     }
 
-    /// A coordinator told what an order of a service would wait in each region.
-    pub fn heard_regions(&self, service: &Name, by_region: Vec<(Name, Waits)>) {
-        let now = self.now();
-        let mut forecast = self.forecast.borrow_mut();
-        for (region, waits) in by_region {
-            forecast.hear_in(service, region, waits, now);
-        }
-    }
-
     /// The region whose makers are to make an order, of those that have any.
     pub fn region_for(
         &self,
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -3,8 +3,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use decide::forecast::Chain;
-use decide::region::balance;
 use decide::{forecast, stages};
 use model::forward::{
     Allowed, BatchOrder, CallerHead, LARGE_RESULT, Rank, Route, Stage, StageInput,
@@ -19,10 +17,6 @@
 /// 90th percentile (139 and 404 ms) of long prompts on the users' bench.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 
-/// Round trips that a request whose stages are made in another region takes: the first order,
-/// a connection to an engine there, and the request itself.
-const CROSSINGS: u32 = 3;
-
 /// What the stages of one request are made for.
 pub struct Job<'a> {
     /// Route.
@@ -82,42 +76,14 @@
     }
 
     /// Region that a stage is wanted in: where its inputs lie, or, for the last one, where its
-    /// results are wanted, or where the first are made. A chain so changes region once at most.
-    fn region_of(
-        &self,
-        stage: usize,
-        kept: &[Kept],
-        begins: Option<&Name>,
-        node: &Node,
-    ) -> Option<Name> {
-        let map = node.peers.roster(|r| r.map());
+    /// results are wanted. A chain so changes its region once at most.
+    fn region_of(&self, stage: usize, kept: &[Kept], node: &Node) -> Option<Name> {
         let inputs = self.route.stages[stage].after.iter();
         let first = inputs.flat_map(|j| &kept[*j].handles).next();
         let at = first.and_then(|h| node.fleet(|f| f.domain_of(&h.maker).cloned()));
         let is_last = dependents(&self.route.stages, stage).next().is_none();
-        if at.is_none() && begins.is_some() {
-            return begins.cloned();
-        }
-        at.or_else(|| self.near.clone().filter(|_| is_last)).map(|d| map.region_of(&d))
-    }
-
-    /// Region in place of this one where the first stages are made, since all of them wait
-    /// less there. Requests with large results stay: these lie where their engine is.
-    pub(super) fn begins_in(&self, node: &Node, least: &[Duration]) -> Option<Name> {
-        let map = node.peers.roster(|r| r.map());
-        let mut stages = self.route.stages.iter().enumerate();
-        let is_large = stages.any(|(i, s)| s.bytes >= LARGE_RESULT && self.pieces_of(i) > 0);
-        if !map.is_split() || is_large {
-            return None;
-        }
-        let now = node.now();
-        let (own, chain) = (map.own(), Chain { route: self.route, least, rank: self.rank });
-        let waits = |r: &Name| node.forecast(|f| f.waits_in(chain, r, &own, now));
-        let is_allowed = |r: &Name| self.allowed.permits(Some(r));
-        let others = map.others().into_iter().filter(is_allowed);
-        let there = |r: Name| (r.clone(), waits(&r) + map.to_region(&r) * CROSSINGS);
-        let others: Vec<(Name, Duration)> = others.map(there).collect();
-        balance(waits(&own), &others, node.rng(|r| r.unit()))
+        let at = at.or_else(|| self.near.clone().filter(|_| is_last))?;
+        Some(node.peers.roster(|r| r.map().region_of(&at)))
     }
 
     /// Where a stage is best made: where its inputs lie, or, for the last one, where its
@@ -176,7 +142,6 @@
     job: &Job<'_>,
     stage: usize,
     kept: &[Kept],
-    begins: Option<&Name>,
     spent: Spent,
     node: &Node,
 ) -> Result<Option<BatchOrder>, StageError> {
@@ -193,7 +158,7 @@
         StageInput::Handles(inputs.map(|h| h.text.clone()).collect())
     };
     let place = job.place_of(stage, kept, node);
-    let wanted = job.region_of(stage, kept, begins, node);
+    let wanted = job.region_of(stage, kept, node);
     Ok(Some(BatchOrder {
         service: what.service.clone(),
         attempt: job.head.id.as_str().into(),
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -88,10 +88,9 @@
         }
         order.skipped = node.peers.roster(|r| r.skipped(&pool, now));
         match ask(node, &peer, order).await {
-            Ok(BatchAnswer { results, waits, by_region, coordinator, region }) => {
+            Ok(BatchAnswer { results, waits, coordinator, region }) => {
                 node.peers.roster(|r| r.answered(&peer.id, node.now()));
                 node.heard_waits(&pool, waits);
-                node.heard_regions(&pool.service, by_region);
                 let entry = coordinator.unwrap_or(peer.entry);
                 let pool = PoolId { region, ..pool };
                 return Some(Placed {
@@ -189,7 +188,7 @@
 
 /// What this node's own coordinator made.
 fn here(node: &Rc<Node>, order: &BatchOrder, end: Result<BatchAnswer, NotMade>) -> Placed {
-    let BatchAnswer { results, waits, by_region, coordinator, region } = match end {
+    let BatchAnswer { results, waits, coordinator, region } = match end {
         Ok(answer) => answer,
         Err(_) => {
             let results = vec![PieceResult::Failed; order.pieces as usize];
@@ -197,7 +196,6 @@
         }
     };
     node.heard_waits(&order.pool(), waits);
-    node.heard_regions(&order.service, by_region);
     let pool = PoolId { region, ..order.pool() };
     Placed { results, peer: coordinator, coordinator: None, pool }
 }
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -35,14 +35,13 @@
     let begun = node.now();
     let least = job.least_times(node);
     let least_after = job.least_after(&least);
-    let begins = job.begins_in(node, &least);
     let mut postponed = job.postponed(node, &least, begun);
     postponed.iter().for_each(|(_, i)| progress.postpone(*i));
     loop {
         while let Some(i) = progress.start() {
             let passed = node.now().since(begun).as_millis() as u64;
             let spent = Spent { passed_ms: passed, after_ms: least_after[i].as_millis() as u64 };
-            match order_of(&job, i, &made.kept, begins.as_ref(), spent, node)? {
+            match order_of(&job, i, &made.kept, spent, node)? {
                 Some(order) => running.push(make_stage(node, i, order)),
                 None => made.release_all(&progress.made(i)),
             }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -69,9 +69,8 @@
                 return spilled.ok_or(NotMade::Moved);
             }
         };
-        let region = runner.pool.region.clone();
-        let (waits, by_region) = (runner.waits(node), runner.by_region(node));
-        Ok(BatchAnswer { results, waits, by_region, coordinator: None, region })
+        let (waits, region) = (runner.waits(node), runner.pool.region.clone());
+        Ok(BatchAnswer { results, waits, coordinator: None, region })
     }
 
     /// What an order would wait for makers of which this node is the coordinator.
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -35,8 +35,7 @@
                 self.spill.borrow_mut().hear(region.clone(), answer.waits, node.now());
                 let from = self.pool.region.as_deref().unwrap_or_default();
                 node.metrics.spilled(from, &region);
-                let (waits, by_region) = (self.waits(node), self.by_region(node));
-                (order, Some(BatchAnswer { waits, by_region, ..answer }))
+                (order, Some(BatchAnswer { waits: self.waits(node), ..answer }))
             }
             Err(why) => {
                 self.spill.borrow_mut().lost(&region);
@@ -75,17 +74,6 @@
         is_dead && self.spill.borrow().knows_any(now)
     }
 
-    /// What an order would wait now in each region of which that is known.
-    pub(super) fn by_region(&self, node: &Node) -> Vec<(Name, Waits)> {
-        let now = node.now();
-        let Some(own) = &self.pool.region else {
-            return Vec::new();
-        };
-        let mut known: Vec<(Name, Waits)> = self.spill.borrow().told(now).collect();
-        known.push((own.clone(), self.machine.borrow().waits(now)));
-        known
-    }
-
     /// What an order would wait now, here or where it would be passed on to.
     pub(super) fn waits(&self, node: &Node) -> Waits {
         let now = node.now();
