Makers of either version count for a region; a corrected version is no restart

Cause: joined, a region whose makers are all of the version that requests move to would have had none; the same start with another version lost what is believed of it, and two tests of parts disagreed with each other. Ruled out: asking each side at each place. Change: `Fleet::usable_in`; the versions' counts follow an entry whose version changes.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Evacuations, Target, TargetId, TargetList};
+use model::forward::{Allowed, Evacuations, Side, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
@@ -144,6 +144,18 @@
         self.of_service(service).filter(move |b| self.bars(b, terms, now).is_none())
     }
 
+    /// Targets of a service that may get new work in these regions, whatever their version.
+    pub fn usable_in<'a>(
+        &'a self,
+        service: &str,
+        allowed: &'a Allowed,
+        now: Time,
+    ) -> impl Iterator<Item = &'a Belief> {
+        let on = move |side| Terms { allowed, side };
+        let may = move |b: &&Belief, side| self.bars(b, on(side), now).is_none();
+        self.of_service(service).filter(move |b| may(b, Side::Serving) || may(b, Side::Trial))
+    }
+
     /// Whether a target may get new work on these terms.
     pub fn is_usable(&self, id: &TargetId, terms: Terms<'_>, now: Time) -> bool {
         self.get(id).is_some_and(|b| self.bars(b, terms, now).is_none())
@@ -275,12 +287,16 @@
             let known = &b.target;
             known.id == target.id
                 && known.service == target.service
-                && known.version == target.version
                 && known.domain == target.domain
                 && known.address == target.address
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
+            let known = &b.target;
+            if known.version != target.version {
+                self.versions.gone(&known.service, &known.version);
+                self.versions.saw(&target.service, &target.version, target.revision);
+            }
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -219,9 +219,8 @@
         let now = self.now();
         self.peers.roster(|r| {
             let map = r.map();
-            let terms = Terms { allowed, ..Terms::ANY };
             let region = |b: &Belief| map.region_of(&b.target.domain);
-            let able = self.fleet(|f| f.usable(service, terms, now).map(region).collect());
+            let able = self.fleet(|f| f.usable_in(service, allowed, now).map(region).collect());
             map.place(wanted, &able)
         })
     }
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use decide::fleet::{ColdStarts, Fleet, Home, Terms, Wanted, shares};
+use decide::fleet::{ColdStarts, Home, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::resend::Next;
 use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
@@ -104,9 +104,7 @@
         }
         let now = self.node.now();
         let has_none = |service: &Name| {
-            let on = |side| Terms { allowed: &allowed, side };
-            let is_usable = |f: &Fleet, side| f.usable(service, on(side), now).next().is_some();
-            self.node.fleet(|f| !is_usable(f, Side::Serving) && !is_usable(f, Side::Trial))
+            self.node.fleet(|f| f.usable_in(service, &allowed, now).next().is_none())
         };
         let pieces_of = |i: usize| self.head.pieces.get(i).copied().unwrap_or(0);
         let stages = self.route.stages.iter().enumerate().filter(|(i, _)| pieces_of(*i) > 0);
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use decide::batch::Event;
-use decide::fleet::{Belief, Terms};
+use decide::fleet::Belief;
 use model::Name;
 use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Rank, Waits};
 
@@ -93,9 +93,8 @@
         return Vec::new();
     }
     let region = |b: &Belief| map.region_of(&b.target.domain);
-    let terms = Terms { allowed, ..Terms::ANY };
     let mut able: Vec<Name> =
-        node.fleet(|f| f.usable(service, terms, node.now()).map(region).collect());
+        node.fleet(|f| f.usable_in(service, allowed, node.now()).map(region).collect());
     able.sort_unstable();
     able.dedup();
     able.retain(|r| r != but);
