--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions, Terms};
+use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
 use decide::relay;
 use decide::resend::RepeatBudget;
