Targets that leave count for no version

Ruled out: the store's list of past orders, which holds one a service. Change: targets that drain are no version's.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -257,11 +257,21 @@
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
             let was_unreadable = std::mem::take(&mut b.unreadable);
+            // One that leaves is no other that its service could go on with.
+            match (b.target.draining, target.draining) {
+                (false, true) => self.versions.gone(&target.service, &target.version),
+                (true, false) => {
+                    self.versions.saw(&target.service, &target.version, target.revision);
+                }
+                _ => {}
+            }
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
-        self.versions.saw(&target.service, &target.version, target.revision);
+        if !target.draining {
+            self.versions.saw(&target.service, &target.version, target.revision);
+        }
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -316,7 +326,9 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
-        self.versions.gone(&b.target.service, &b.target.version);
+        if !b.target.draining {
+            self.versions.gone(&b.target.service, &b.target.version);
+        }
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -129,6 +129,31 @@
     assert_eq!(versions.side("engine", "v4"), TRIAL);
 }
 
+#[test]
+fn targets_that_leave_are_no_version_that_could_serve() {
+    use RolloutState::{Active, RolledBack};
+    let target = |name: &str, version: &str, revision, draining| Target {
+        version: version.into(),
+        revision,
+        draining,
+        ..support::target(name, "a")
+    };
+    let mut fleet = Fleet::default();
+    fleet.versions_mut().follow();
+    // v1 was taken back before this node started, the completion of v2 is missed.
+    fleet.upsert(target("t1", "v1", 5, true), at(0));
+    fleet.upsert(target("t2", "v2", 11, false), at(0));
+    fleet.versions_mut().take(list(20, &[order("v2", Active, 15)]), at(0));
+    fleet.upsert(target("t3", "v3", 30, false), at(1));
+    fleet.versions_mut().take(list(40, &[order("v3", RolledBack, 31)]), at(1));
+    let usable = |fleet: &Fleet| fleet.usable("engine", Terms::ANY, at(2)).count();
+    assert_eq!(usable(&fleet), 1, "v2 alone can serve");
+    fleet.upsert(target("t1", "v1", 50, false), at(2));
+    assert_eq!(usable(&fleet), 0, "orders are not known up to where v1 came back");
+    fleet.versions_mut().take(list(60, &[order("v3", RolledBack, 31)]), at(2));
+    assert_eq!(usable(&fleet), 1, "v1 serves, and no version whose end is not known");
+}
+
 #[test]
 fn a_version_whose_order_is_withdrawn_gets_nothing_while_another_one_can_serve() {
     let active = order("v2", RolloutState::Active, 12);
