--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -292,16 +292,14 @@
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            let known = &b.target;
-            if known.version != target.version {
-                self.versions.gone(&known.service, &known.version);
-                self.versions.saw(&target.service, &target.version, target.revision);
-            }
+            // In first: a version's only target does not make it a new one.
+            count_in(&mut self.versions, &target);
+            count_out(&mut self.versions, &b.target);
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
-        self.versions.saw(&target.service, &target.version, target.revision);
+        count_in(&mut self.versions, &target);
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -364,7 +362,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
-        self.versions.gone(&b.target.service, &b.target.version);
+        count_out(&mut self.versions, &b.target);
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
@@ -412,3 +410,18 @@
         b.is_ejected(now)
     }
 }
+
+/// Counts a target of a version, unless it leaves: such a one is no other that its service
+/// could go on with.
+fn count_in(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.saw(&target.service, &target.version, target.revision);
+    }
+}
+
+/// Counts a target of a version no longer.
+fn count_out(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.gone(&target.service, &target.version);
+    }
+}
