--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Evacuations, Target, TargetId, TargetList};
+use model::forward::{Allowed, Evacuations, Side, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
@@ -83,7 +83,11 @@
     fn set_target(&mut self, target: Target, now: Time) -> bool {
         let was_cold = now < self.cold;
         self.cold = now + Duration::from_millis(target.cold_ms);
-        let target = Target { cold_ms: 0, ..target };
+        // A node that tells no revision takes none back.
+        let known = self.target.revision;
+        let revision = if target.revision > 0 { target.revision } else { known };
+        let target = Target { cold_ms: 0, revision, ..target };
+        self.target.revision = revision;
         let changed = target != self.target || was_cold != (now < self.cold);
         self.target = target;
         changed
@@ -140,6 +144,18 @@
         self.of_service(service).filter(move |b| self.bars(b, terms, now).is_none())
     }
 
+    /// Targets of a service that may get new work in these regions, whatever their version.
+    pub fn usable_in<'a>(
+        &'a self,
+        service: &str,
+        allowed: &'a Allowed,
+        now: Time,
+    ) -> impl Iterator<Item = &'a Belief> {
+        let on = move |side| Terms { allowed, side };
+        let may = move |b: &&Belief, side| self.bars(b, on(side), now).is_none();
+        self.of_service(service).filter(move |b| may(b, Side::Serving) || may(b, Side::Trial))
+    }
+
     /// Whether a target may get new work on these terms.
     pub fn is_usable(&self, id: &TargetId, terms: Terms<'_>, now: Time) -> bool {
         self.get(id).is_some_and(|b| self.bars(b, terms, now).is_none())
@@ -271,17 +287,19 @@
             let known = &b.target;
             known.id == target.id
                 && known.service == target.service
-                && known.version == target.version
                 && known.domain == target.domain
                 && known.address == target.address
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
+            // In first: a version's only target does not make it a new one.
+            count_in(&mut self.versions, &target);
+            count_out(&mut self.versions, &b.target);
             return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
-        self.versions.saw(&target.service, &target.version, target.revision);
+        count_in(&mut self.versions, &target);
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -344,7 +362,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
-        self.versions.gone(&b.target.service, &b.target.version);
+        count_out(&mut self.versions, &b.target);
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
@@ -392,3 +410,18 @@
         b.is_ejected(now)
     }
 }
+
+/// Counts a target of a version, unless it leaves: such a one is no other that its service
+/// could go on with.
+fn count_in(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.saw(&target.service, &target.version, target.revision);
+    }
+}
+
+/// Counts a target of a version no longer.
+fn count_out(versions: &mut Versions, target: &Target) {
+    if !target.draining {
+        versions.gone(&target.service, &target.version);
+    }
+}
--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -166,11 +166,6 @@
         if self.ended { Time::NEVER } else { now + TICK }
     }
 
-    /// Whether the order is over: it has a final state, or another one took its place.
-    pub fn has_ended(&self) -> bool {
-        self.ended
-    }
-
     fn age(&self, now: Time) -> Duration {
         self.age.0 + now.since(self.age.1)
     }
@@ -285,7 +280,7 @@
 
     /// Whether the last write is due.
     fn is_late(&self, known: &Known, now: Time) -> bool {
-        known.age >= self.plan.write_by() && now.since(self.begun) >= LISTENS
+        known.age >= self.plan.write_by(known) && now.since(self.begun) >= LISTENS
     }
 
     fn bears_all(&self) -> bool {
--- a/crates/decide/src/rollout/judge/nodes.rs
+++ b/crates/decide/src/rollout/judge/nodes.rs
@@ -21,7 +21,8 @@
 /// Nodes as the judge knows them.
 #[derive(Debug)]
 pub struct Nodes {
-    /// Since when each is up, as far as the judge knows.
+    /// Those that are up, and since when that is known: one that has just started is not
+    /// silent because nothing was heard of it yet.
     up: BTreeMap<NodeId, Time>,
     last: BTreeMap<NodeId, Last>,
     /// When the judge last heard anything, and since when it did so without a pause: what did
@@ -47,12 +48,9 @@
     /// These are up. One that is not goes on counting until it is known to have started anew:
     /// it may be cut off and still use the old version.
     pub fn set_up(&mut self, up: Vec<NodeId>, now: Time) {
-        let mut known = std::mem::take(&mut self.up);
-        let since = |id: NodeId| {
-            let since = known.remove(&id).unwrap_or(now);
-            (id, since)
-        };
-        self.up = up.into_iter().map(since).collect();
+        let before = std::mem::take(&mut self.up);
+        let since = |id: &NodeId| before.get(id).copied().unwrap_or(now);
+        self.up = up.into_iter().map(|id| (id.clone(), since(&id))).collect();
         let starts: BTreeMap<_, _> = self.up.keys().map(|id| (&id.name, id.start)).collect();
         self.last.retain(|id, _| starts.get(&id.name).is_none_or(|start| *start == id.start));
     }
@@ -68,10 +66,10 @@
     pub fn are_done(&self, since: Time, now: Time) -> bool {
         let from = since.max(self.awake);
         let is_silent = |at: Time| now.since(at.max(from)) > SILENT;
-        let is_done = |last: &Last| last.is_done || is_silent(last.at);
-        // One that has just started goes by the old version until its first answer.
-        let is_unheard =
-            |(id, since): (&NodeId, &Time)| self.last.contains_key(id) || is_silent(*since);
-        !self.up.is_empty() && self.last.values().all(is_done) && self.up.iter().all(is_unheard)
+        let is_done = |id: &NodeId| match self.last.get(id) {
+            Some(last) => last.is_done || is_silent(last.at),
+            None => self.up.get(id).is_none_or(|since| is_silent(*since)),
+        };
+        !self.up.is_empty() && self.up.keys().chain(self.last.keys()).all(is_done)
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions, Terms};
+use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
 use decide::relay;
 use decide::resend::RepeatBudget;
@@ -214,15 +214,14 @@
         &self,
         service: &str,
         allowed: &Allowed,
-        wanted: Option<&Name>,
+        wanted: Option<Name>,
     ) -> Option<Name> {
         let now = self.now();
         self.peers.roster(|r| {
             let map = r.map();
-            let terms = Terms { allowed, ..Terms::ANY };
             let region = |b: &Belief| map.region_of(&b.target.domain);
-            let able = self.fleet(|f| f.usable(service, terms, now).map(region).collect());
-            map.place(wanted.map(|d| map.region_of(d)), &able)
+            let able = self.fleet(|f| f.usable_in(service, allowed, now).map(region).collect());
+            map.place(wanted, &able)
         })
     }
 
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -32,11 +32,18 @@
 }
 
 impl Judging {
-    /// Whether an order is the one judged here, and not one that was given anew since.
+    /// Whether the order has come to its end, as the machine knows.
+    fn is_over(&self) -> bool {
+        self.machine.borrow().next_tick(Time::ZERO) == Time::NEVER
+    }
+
+    /// Whether this is the judging of an order. One that has come to its end stays that until
+    /// this node hears of another order: the store may tell it of the end seconds later, and a
+    /// judge that began anew would know nothing.
     fn judges(&self, order: &Rollout) -> bool {
-        let known = self.order.borrow();
-        let is_over = self.machine.borrow().has_ended() && order.revision > known.revision;
-        known.version == order.version && !order.is_anew(&known) && !is_over
+        let own = self.order.borrow();
+        let is_same = own.version == order.version && !order.is_anew(&own);
+        is_same && (!self.is_over() || order.revision <= own.revision)
     }
 }
 
@@ -88,6 +95,9 @@
         if !goes_on(&node, &judging) {
             break;
         }
+        if judging.is_over() {
+            continue;
+        }
         tell_order(&node, &judging);
         tell_state(&node, &judging);
         feed(&node, &judging, JudgeEvent::Tick);
@@ -126,9 +136,6 @@
 
 /// Tells the machine who may have requests at either version, and what each can bear.
 fn tell_state(node: &Rc<Node>, judging: &Rc<Judging>) {
-    let mut nodes = node.peers.roster(|r| r.ids());
-    nodes.push(node.peers.id.clone());
-    feed(node, judging, JudgeEvent::Nodes(nodes));
     let service = judging.order.borrow().service.clone();
     let limit = node.cold_limit(&service);
     let now = node.now();
@@ -141,7 +148,11 @@
         })
     };
     let (serving, trial) = (count(Side::Serving), count(Side::Trial));
+    // Before all else: a judge that takes an order over late decides by them at once.
     feed(node, judging, JudgeEvent::Targets { serving, trial });
+    let mut nodes = node.peers.roster(|r| r.ids());
+    nodes.push(node.peers.id.clone());
+    feed(node, judging, JudgeEvent::Nodes(nodes));
 }
 
 fn feed(node: &Rc<Node>, judging: &Rc<Judging>, event: JudgeEvent) {
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,7 +1,7 @@
 //! Which target a request goes to.
 
-use decide::fleet::{Barred, ColdStarts, Fleet, Home, Terms, Wanted, shares};
-use decide::region::{Map, roams};
+use decide::fleet::{Barred, ColdStarts, Home, Terms, Wanted, shares};
+use decide::region::Map;
 use decide::resend::Next;
 use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
 use model::{Name, Time};
@@ -9,6 +9,7 @@
 use super::exchange::Exchange;
 use crate::events::Event;
 use crate::prefill::{self, Prompt, Ticket};
+use crate::rollout;
 use crate::stages::Made;
 
 /// The target of one send.
@@ -115,9 +116,7 @@
         }
         let now = self.node.now();
         let has_none = |service: &Name| {
-            let on = |side| Terms { allowed: &allowed, side };
-            let is_usable = |f: &Fleet, side| f.usable(service, on(side), now).next().is_some();
-            self.node.fleet(|f| !is_usable(f, Side::Serving) && !is_usable(f, Side::Trial))
+            self.node.fleet(|f| f.usable_in(service, &allowed, now).next().is_none())
         };
         let pieces_of = |i: usize| self.head.pieces.get(i).copied().unwrap_or(0);
         let stages = self.route.stages.iter().enumerate().filter(|(i, _)| pieces_of(*i) > 0);
@@ -158,13 +157,14 @@
     }
 
     /// Region in which the home is sought first: where the inputs lie, or this one. None if
-    /// regions are as good as one, or it is dearer to read the shared parts in each.
+    /// regions are as good as one. Shared parts are read in each region: sending prompts across
+    /// saves half of that, and costs more in bytes and in time than it saves.
     fn home_region(&self, map: &Map) -> Option<Name> {
         if !map.is_split() {
             return None;
         }
         let lies_at = self.progress(|p| p.lies_at.clone());
-        lies_at.or_else(|| Some(map.own()).filter(|_| !self.roams()))
+        lies_at.or_else(|| Some(map.own()))
     }
 
     /// Whether a target is in the region where the inputs lie, if there are any. Inputs that
@@ -175,19 +175,6 @@
         !map.is_split() || lies_at.is_none_or(|r| map.region_of(&target.domain) == r)
     }
 
-    /// Whether the home is sought in all regions. Last stages that have inputs lie with these, in
-    /// this region, and their results cross; others are made where the home is.
-    fn roams(&self) -> bool {
-        let shared = self.home().map_or(0, |h| h.shared);
-        let stages = &self.route.stages;
-        let is_last = |i: usize| !stages.iter().any(|s| s.after.contains(&i));
-        let crossing =
-            stages.iter().enumerate().filter(|(i, s)| is_last(*i) && !s.after.is_empty());
-        let pieces = |i: usize| u64::from(self.head.pieces.get(i).copied().unwrap_or(0));
-        let inputs: u64 = crossing.map(|(i, s)| pieces(i) * s.bytes).sum();
-        roams(shared, self.request.body.len() as u64 + inputs)
-    }
-
     /// Connections that this node may have to one target: an equal part of what a target
     /// takes from all nodes.
     fn connections_each(&self) -> u32 {
@@ -314,11 +301,12 @@
     fn tell(&self, target: &Target, by: &str, ahead: u64) {
         let region = self.node.fleet(|f| f.regions().of(&target.domain).cloned());
         let allowed: Vec<Name> = self.allowed_now().names().cloned().collect();
-        let is_on_trial = self.node.fleet(|f| f.versions().phase(&self.service).is_some());
+        let phase = self.node.fleet(|f| f.versions().phase(&self.service));
         let side = match self.version_now() {
-            Side::Serving if is_on_trial => "serving",
+            _ if phase.is_none() => "",
             Side::Trial => "trial",
-            Side::Serving => "",
+            Side::Serving if self.side == Side::Trial => "left_trial",
+            Side::Serving => "serving",
         };
         Event::Chosen {
             id: &self.head.id,
@@ -327,6 +315,7 @@
             allowed: &allowed,
             version: &target.version,
             side,
+            share: phase.map(|phase| rollout::told(phase).1),
             by,
             ahead,
             cold: self.is_cold(target),
