--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
-use decide::rollout::{Judge, JudgeAction, JudgeEvent};
-use model::Time;
+use decide::rollout::{Evidence, Judge, JudgeAction, JudgeEvent};
 use model::forward::RolloutState::{self, Active, Completed, Ordered, RolledBack};
-use model::forward::{Answers, Phase, Rollout, RolloutReport, RouteEvidence};
+use model::forward::{Answers, Phase, Rollout, RolloutReport, RouteEvidence, Side};
 use model::member::NodeId;
+use model::{Name, Time};
 use proptest::prelude::*;
 use support::{BOUNDS, Case, Fault, Outcome, Run, When};
 
@@ -144,6 +144,20 @@
     assert_eq!(bench.writes(), [Completed]);
 }
 
+#[test]
+fn a_judge_that_begins_late_takes_no_good_version_back() {
+    let judge = Judge::new(BOUNDS, order(Active, 10), Duration::from_millis(9_900), Time::ZERO);
+    let mut bench = Bench { judge, now: 0, done: Vec::new() };
+    bench.on(JudgeEvent::Nodes(vec![node("a"), node("b")]));
+    bench.on(JudgeEvent::Targets { serving: 4, trial: 2 });
+    bench.on(report("a", Phase::Share(0.0), 0));
+    bench.now = 300;
+    bench.on(report("b", Phase::All, 0));
+    assert_eq!(bench.judge.phase(), Phase::All, "b went by it");
+    bench.run(2_000, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
 #[test]
 fn without_targets_that_bear_the_load_it_is_taken_back_and_never_completed() {
     for (serving, trial) in [(4, 0), (4, 2), (0, 0)] {
@@ -192,6 +206,24 @@
     }
 }
 
+#[test]
+fn a_call_that_requests_share_is_one_answer() {
+    let (service, route) = (Name::from("s"), Name::from("r"));
+    let took = Duration::from_millis(5);
+    let mut evidence = Evidence::default();
+    for _ in 0..100 {
+        evidence.sent(&service, &route, Side::Serving, 16);
+        evidence.good(&service, &route, Side::Serving, took);
+    }
+    for bad in 1..=16 {
+        evidence.sent(&service, &route, Side::Trial, 16);
+        evidence.bad(&service, &route, Side::Trial);
+        assert!(bad > 2 || evidence.proves_bad("s").is_none(), "{bad} calls prove nothing");
+    }
+    let verdict = evidence.proves_bad("s").expect("16 calls do");
+    assert_eq!((verdict.trial.sent, verdict.trial.bad), (256, 16));
+}
+
 #[test]
 fn an_order_that_was_replaced_ends_its_judge() {
     let mut bench = Bench::new(Active);
