Names in roll-outs and batches that say what they hold

Cause: `Seen` named the targets of a version in versions.rs and the tests of a route in evidence.rs; `Makers::domains` returned places; `Trial` was a count of pieces in batches and the phase of an order in roll-outs. Ruled out: one shared type; the two hold different things. Change: `Present`, `RouteTests`, `working_places`, `TrialQuota`; `Trial` is left to roll-outs alone. Renames only.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -9,8 +9,8 @@
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency, usual_call};
 use super::pace::Pace;
+use super::quota::TrialQuota;
 use super::repeats::Repeats;
-use super::trial::Trial;
 use super::types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
 use crate::region::Own;
 
@@ -42,7 +42,7 @@
     next_call: u64,
     pace: Pace,
     repeats: Repeats,
-    trial: Trial,
+    quota: TrialQuota,
 }
 
 impl Coordinator {
@@ -57,7 +57,7 @@
             next_call: 1,
             pace: Pace::default(),
             repeats: Repeats::default(),
-            trial: Trial::default(),
+            quota: TrialQuota::default(),
         }
     }
 
@@ -137,7 +137,7 @@
     fn set_makers(&mut self, makers: Vec<MakerInfo>) {
         self.makers.set(makers);
         if !self.makers.has_trial() {
-            self.trial.ended();
+            self.quota.ended();
         }
     }
 
@@ -332,7 +332,7 @@
             return;
         }
         out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
-        let working = self.makers.domains(now);
+        let working = self.makers.working_places(now);
         for maker in self.makers.free(&self.pool, now) {
             let mut fits: Vec<(Urgency, OrderId)> = self
                 .orders
@@ -355,7 +355,7 @@
         out: &mut Vec<Action>,
     ) {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
-        let allowed = maker.share.map_or(usize::MAX, |share| self.trial.most(share));
+        let allowed = maker.share.map_or(usize::MAX, |share| self.quota.most(share));
         let batch = self.pool.batch.max(1).min(allowed);
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
@@ -381,7 +381,7 @@
         let ordered = pieces.iter().map(piece).collect();
         self.makers.started(&maker.id, bytes, now);
         self.repeats.asked(pieces.len());
-        self.trial.asked(pieces.len(), maker.share.is_some());
+        self.quota.asked(pieces.len(), maker.share.is_some());
         out.push(Action::Start(Call { number, maker: maker.id.clone(), pieces: ordered }));
         let expected = self.pool.call_time(pieces.len() as u32);
         let flight =
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -146,8 +146,8 @@
         self.0.values().any(|m| m.present && m.share.is_some())
     }
 
-    /// Failure domains that have a working maker.
-    pub(super) fn domains(&self, now: Time) -> Vec<Place> {
+    /// Where working makers are, each place once if its makers stand side by side.
+    pub(super) fn working_places(&self, now: Time) -> Vec<Place> {
         let working = self.0.values().filter(|m| m.works(now));
         let place = |m: &Maker| Place { domain: m.domain.clone(), region: m.region.clone() };
         let mut places: Vec<Place> = working.map(place).collect();
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -10,8 +10,8 @@
 mod makers;
 mod orders;
 mod pace;
+mod quota;
 mod repeats;
-mod trial;
 mod types;
 
 pub use coordinator::Coordinator;
--- a/crates/decide/src/batch/trial.rs
+++ b/crates/decide/src/batch/quota.rs
@@ -3,12 +3,13 @@
 
 /// Pieces asked for since a version is on trial.
 #[derive(Debug, Default)]
-pub(super) struct Trial {
+pub(super) struct TrialQuota {
     all: u64,
+    /// Of these, by makers of the version.
     of_trial: u64,
 }
 
-impl Trial {
+impl TrialQuota {
     /// Pieces that the version may get now, if it may have this part of all.
     pub(super) fn most(&self, share: f64) -> usize {
         let may_have = (self.all as f64 * share) as u64;
@@ -25,6 +26,6 @@
 
     /// No version is on trial.
     pub(super) fn ended(&mut self) {
-        *self = Trial::default();
+        *self = TrialQuota::default();
     }
 }
--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -15,21 +15,22 @@
 /// Nodes that judge by themselves beside each other; each has its chance of a false alarm.
 const NODES: usize = 100;
 
-/// One route.
+/// Answers on one route, and the tests of them against its baseline.
 #[derive(Debug)]
-struct Seen {
+struct RouteTests {
     counts: RouteEvidence,
     baseline: Baseline,
+    /// Good answers of the version on trial that took too long.
     slow: u64,
     failures_test: Test,
     slow_test: Test,
 }
 
-impl Seen {
+impl RouteTests {
     fn new(route: Name) -> Self {
         let counts =
             RouteEvidence { route, serving: Answers::default(), trial: Answers::default() };
-        Seen {
+        RouteTests {
             counts,
             baseline: Baseline::default(),
             slow: 0,
@@ -45,12 +46,12 @@
         }
     }
 
-    fn serves(&mut self, failed: u32, good: &[u32]) {
+    fn add_serving(&mut self, failed: u32, good: &[u32]) {
         self.baseline.fade(KEEP);
         self.baseline.take(failed, good);
     }
 
-    fn tries_well(&mut self, bucket: usize) {
+    fn add_good_trial(&mut self, bucket: usize) {
         self.failures_test.take(0.0, 1.0, self.baseline.failures(Usual::UNKNOWN));
         let Some(from) = self.baseline.slow_from() else {
             return;
@@ -79,45 +80,45 @@
 /// By service and route, both sides, since the order.
 #[derive(Debug, Default)]
 pub struct Evidence {
-    services: BTreeMap<Name, BTreeMap<Name, Seen>>,
+    services: BTreeMap<Name, BTreeMap<Name, RouteTests>>,
 }
 
 impl Evidence {
-    fn seen(&mut self, service: &Name, route: &Name) -> &mut Seen {
+    fn route(&mut self, service: &Name, route: &Name) -> &mut RouteTests {
         let routes = self.services.entry(service.clone()).or_default();
-        routes.entry(route.clone()).or_insert_with(|| Seen::new(route.clone()))
+        routes.entry(route.clone()).or_insert_with(|| RouteTests::new(route.clone()))
     }
 
     /// Requests went out, repeats included; those that share a call will have one answer.
     pub fn sent(&mut self, service: &Name, route: &Name, side: Side, count: u32) {
-        self.seen(service, route).side(side).sent += count;
+        self.route(service, route).side(side).sent += count;
     }
 
     /// A good answer came after this time; from a target that was not cold.
     pub fn good(&mut self, service: &Name, route: &Name, side: Side, took: Duration) {
-        let seen = self.seen(service, route);
-        times::count(&mut seen.side(side).times, took);
+        let tests = self.route(service, route);
+        times::count(&mut tests.side(side).times, took);
         let bucket = times::bucket(took);
         match side {
             Side::Serving => {
                 let mut good = Vec::new();
                 times::count(&mut good, took);
-                seen.serves(0, &good);
+                tests.add_serving(0, &good);
             }
-            Side::Trial => seen.tries_well(bucket),
+            Side::Trial => tests.add_good_trial(bucket),
         }
     }
 
     /// An answer was a failure of the version: not a connection that was refused or broke,
     /// which tells of a target, nor a refusal because it was full.
     pub fn bad(&mut self, service: &Name, route: &Name, side: Side) {
-        let seen = self.seen(service, route);
-        seen.side(side).bad += 1;
+        let tests = self.route(service, route);
+        tests.side(side).bad += 1;
         match side {
-            Side::Serving => seen.serves(1, &[]),
+            Side::Serving => tests.add_serving(1, &[]),
             Side::Trial => {
-                let usual = seen.baseline.failures(Usual::UNKNOWN);
-                seen.failures_test.take(1.0, 0.0, usual);
+                let usual = tests.baseline.failures(Usual::UNKNOWN);
+                tests.failures_test.take(1.0, 0.0, usual);
             }
         }
     }
@@ -125,7 +126,7 @@
     /// All of a service, for the judge.
     pub fn report(&self, service: &str) -> Vec<RouteEvidence> {
         let routes = self.services.get(service).into_iter().flat_map(|routes| routes.values());
-        routes.map(|seen| seen.counts.clone()).collect()
+        routes.map(|route| route.counts.clone()).collect()
     }
 
     /// The order is over, or another one began.
@@ -137,6 +138,6 @@
     pub fn proves_bad(&self, service: &str) -> Option<Verdict> {
         let routes = self.services.get(service)?;
         let tests = 2 * routes.len() * NODES;
-        routes.values().find_map(|seen| seen.proves_bad(tests))
+        routes.values().find_map(|route| route.proves_bad(tests))
     }
 }
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -28,11 +28,11 @@
     Withdrawn(Rollout),
 }
 
-/// Targets of one version.
+/// Targets of one version that are there now.
 #[derive(Debug)]
-struct Seen {
+struct Present {
     count: usize,
-    /// Lowest revision at which an entry told of it, since it had none.
+    /// Lowest revision of an entry that told of one since there were none before.
     first: u64,
 }
 
@@ -45,11 +45,11 @@
     orders: BTreeMap<Name, Rollout>,
 }
 
-/// How a running order is worked by.
+/// What this node does for a running order.
 #[derive(Debug)]
 struct Trial {
     phase: Phase,
-    /// How old the order was at that time.
+    /// How old the order was, and when it was so old.
     age: (Duration, Time),
 }
 
@@ -68,7 +68,7 @@
     /// Whether the store is to tell of orders: nothing is sent before it has.
     followed: bool,
     known: Option<Known>,
-    seen: BTreeMap<Name, BTreeMap<Name, Seen>>,
+    present: BTreeMap<Name, BTreeMap<Name, Present>>,
     trials: BTreeMap<Name, Trial>,
     /// Versions whose order was withdrawn or replaced before it was completed.
     dropped: BTreeMap<Name, BTreeMap<Name, Dropped>>,
@@ -190,23 +190,24 @@
 
     /// A target of a version came, by an entry of this revision.
     pub fn saw(&mut self, service: &Name, version: &Name, revision: u64) {
-        let versions = self.seen.entry(service.clone()).or_default();
-        let seen = versions.entry(version.clone()).or_insert(Seen { count: 0, first: revision });
-        seen.count += 1;
-        seen.first = seen.first.min(revision);
+        let versions = self.present.entry(service.clone()).or_default();
+        let targets =
+            versions.entry(version.clone()).or_insert(Present { count: 0, first: revision });
+        targets.count += 1;
+        targets.first = targets.first.min(revision);
     }
 
     /// A target of a version is gone.
     pub fn gone(&mut self, service: &Name, version: &Name) {
-        let Some(versions) = self.seen.get_mut(service) else {
+        let Some(versions) = self.present.get_mut(service) else {
             return;
         };
-        if let Some(seen) = versions.get_mut(version) {
-            seen.count = seen.count.saturating_sub(1);
+        if let Some(targets) = versions.get_mut(version) {
+            targets.count = targets.count.saturating_sub(1);
         }
-        versions.retain(|_, seen| seen.count > 0);
+        versions.retain(|_, targets| targets.count > 0);
         if versions.is_empty() {
-            self.seen.remove(service);
+            self.present.remove(service);
         }
     }
 
@@ -217,24 +218,25 @@
             return None;
         }
         let at = self.at().unwrap_or(0);
-        let newest = |versions: &BTreeMap<Name, Seen>| {
-            let oldest = versions.values().map(|seen| seen.first).min()?;
-            let newer = versions.values().map(|seen| seen.first).filter(|first| *first > oldest);
+        let newest = |versions: &BTreeMap<Name, Present>| {
+            let oldest = versions.values().map(|targets| targets.first).min()?;
+            let newer =
+                versions.values().map(|targets| targets.first).filter(|first| *first > oldest);
             newer.max()
         };
-        self.seen.values().filter_map(newest).max().filter(|newest| *newest > at)
+        self.present.values().filter_map(newest).max().filter(|newest| *newest > at)
     }
 
     /// Whether orders are known up to where the version was first seen, or none was seen
     /// before it.
     fn is_settled(&self, service: &str, version: &str, at: u64) -> bool {
-        let Some(versions) = self.seen.get(service) else {
+        let Some(versions) = self.present.get(service) else {
             return false;
         };
-        let Some(seen) = versions.get(version) else {
+        let Some(targets) = versions.get(version) else {
             return false;
         };
-        seen.first <= at || versions.values().all(|other| seen.first <= other.first)
+        targets.first <= at || versions.values().all(|other| targets.first <= other.first)
     }
 
     fn order(&self, service: &str) -> Option<&Rollout> {
@@ -242,7 +244,7 @@
     }
 
     fn count(&self, service: &str, version: &str) -> usize {
-        self.seen.get(service).and_then(|v| v.get(version)).map_or(0, |seen| seen.count)
+        self.present.get(service).and_then(|v| v.get(version)).map_or(0, |targets| targets.count)
     }
 
     /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
@@ -263,7 +265,7 @@
             RolloutState::RolledBack => Some(Side::Serving),
             RolloutState::Completed if is_named => Some(Side::Serving),
             RolloutState::Completed => {
-                let first = self.seen.get(service)?.get(version)?.first;
+                let first = self.present.get(service)?.get(version)?.first;
                 (first > order.revision).then_some(Side::Serving)
             }
             RolloutState::Ordered | RolloutState::Active => {
@@ -288,19 +290,19 @@
         let Some(dropped) = self.dropped.get(service) else {
             return false;
         };
-        let (Some(why), Some(versions)) = (dropped.get(version), self.seen.get(service)) else {
+        let (Some(why), Some(versions)) = (dropped.get(version), self.present.get(service)) else {
             return false;
         };
         let mut others = versions.iter().filter(|(other, _)| ***other != *version);
         if *why == Dropped::Bad {
             return others.next().is_some();
         }
-        let own = versions.get(version).map_or(u64::MAX, |seen| seen.first);
+        let own = versions.get(version).map_or(u64::MAX, |targets| targets.first);
         let tried = self.order(service).filter(|o| o.state != RolloutState::Completed);
-        others.any(|(other, seen)| match dropped.get(other) {
+        others.any(|(other, targets)| match dropped.get(other) {
             _ if tried.is_some_and(|order| order.version == *other) => false,
             Some(Dropped::Bad) => false,
-            Some(Dropped::Unended) => seen.first < own,
+            Some(Dropped::Unended) => targets.first < own,
             None => true,
         })
     }
