Names of what a node notes of its requests under an order

Cause: `Seen` was a request that was sent, to be judged by its answer, and `Trials` what a node holds of roll-outs, trials or not. Ruled out: `Rollouts`, which is the list of orders in the model. Change: `Sent` in rollout/sent.rs, `LocalRollouts`. Renames only.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -26,7 +26,7 @@
 use crate::peers::{self, Peers};
 use crate::prefill::Schedulers;
 use crate::reload;
-use crate::rollout::{self, Trials};
+use crate::rollout::{self, LocalRollouts};
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
@@ -67,7 +67,7 @@
     /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
     /// Versions on trial: what was seen of them, and their judging.
-    pub rollouts: Trials,
+    pub rollouts: LocalRollouts,
     /// The targets' state, for peers that follow it.
     pub feed: Feed,
     settings: RefCell<Rc<Settings>>,
@@ -101,7 +101,7 @@
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
-            rollouts: Trials::default(),
+            rollouts: LocalRollouts::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -4,7 +4,7 @@
 mod held;
 mod judge;
 mod report;
-mod seen;
+mod sent;
 mod stalls;
 mod write;
 
@@ -25,13 +25,13 @@
 pub use held::Held;
 pub use judge::judge;
 pub use report::run;
-pub use seen::{Seen, maker_sides, sent};
+pub use sent::{Sent, maker_sides, sent};
 pub use stalls::watch as watch_stalls;
 pub use write::{Written, at_store};
 
 /// What this node holds of roll-outs besides the orders.
 #[derive(Default)]
-pub struct Trials {
+pub struct LocalRollouts {
     evidence: RefCell<Evidence>,
     judging: RefCell<BTreeMap<Name, Rc<Judging>>>,
     /// Results at their makers that requests of this node still need.
@@ -40,7 +40,7 @@
     changed: Notify,
 }
 
-impl Trials {
+impl LocalRollouts {
     /// An order came, changed or went.
     pub fn changed(&self, change: &RolloutChange, now: Time) {
         let is_anew = match change {
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -8,7 +8,7 @@
 use model::forward::{Rollout, RolloutAnswer, RolloutReport};
 use model::member::Node as PeerNode;
 
-use super::{judge, seen, take_phase};
+use super::{judge, sent, take_phase};
 use crate::node::Node;
 use crate::peers::ROLLOUT;
 
@@ -41,7 +41,7 @@
 }
 
 async fn report(node: &Rc<Node>, order: &Rollout) {
-    seen::prove(node, order);
+    sent::prove(node, order);
     let now = node.now();
     let first = node.peers.roster(|r| r.coordinators(key(&order.service).as_str(), now));
     for peer in first.into_iter().take(ASKED) {
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -14,7 +14,7 @@
 
 /// A request, or the pieces of a call, at a target whose service moves to another version.
 #[derive(Clone)]
-pub struct Seen(Rc<Inner>);
+pub struct Sent(Rc<Inner>);
 
 struct Inner {
     node: Rc<Node>,
@@ -39,7 +39,7 @@
     route: &Name,
     pieces: usize,
     deadline: Time,
-) -> Option<Seen> {
+) -> Option<Sent> {
     node.settings().rollouts?;
     let Target { service, version, .. } = target;
     let is_meant = |o: &&Rollout| o.service == *service;
@@ -53,7 +53,7 @@
     });
     node.rollouts.evidence.borrow_mut().sent(service, route, side, pieces as u32);
     node.metrics.rollout_sent(service, version, pieces);
-    Some(Seen(Rc::new(Inner {
+    Some(Sent(Rc::new(Inner {
         node: node.clone(),
         order,
         route: route.clone(),
@@ -67,7 +67,7 @@
     })))
 }
 
-impl Seen {
+impl Sent {
     /// It was answered well after this time.
     pub fn good(&self, took: Duration) {
         let Inner { node, order, route, side, is_judged, .. } = &*self.0;
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -18,7 +18,7 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::prefill::Ticket;
-use crate::rollout::{self, Seen};
+use crate::rollout::{self, Sent};
 use crate::stages::Made;
 use crate::upstream::{self, Answer};
 
@@ -50,26 +50,26 @@
     id: TargetId,
     unread: u64,
     ticket: Option<Ticket>,
-    seen: Option<Seen>,
+    sent: Option<Sent>,
 }
 
 impl AtTarget {
     fn new(node: &Rc<Node>, id: &TargetId, tokens: u64, ticket: Option<Ticket>) -> Self {
         node.fleet(|f| f.sent(id, tokens));
-        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket, seen: None }
+        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket, sent: None }
     }
 
     /// The target answered well after this time.
     fn good(&self, took: Duration) {
-        if let Some(seen) = &self.seen {
-            seen.good(took);
+        if let Some(sent) = &self.sent {
+            sent.good(took);
         }
     }
 
     /// What it answered was a failure of its version, or late.
     pub(super) fn bad(&self) {
-        if let Some(seen) = &self.seen {
-            seen.bad();
+        if let Some(sent) = &self.sent {
+            sent.bad();
         }
     }
 
@@ -121,8 +121,8 @@
         return Outcome::Nothing;
     }
     exchange.progress(|p| p.tries.connected());
-    let seen = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
-    at_target.seen.clone_from(&seen);
+    let sent = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
+    at_target.sent.clone_from(&sent);
     let request = request_for(exchange, target, made, resume_after);
     let work = async {
         match upstream::send_over(socket, target.address, request).await {
@@ -137,8 +137,8 @@
         Some(outcome) => outcome,
         None => {
             exchange.progress(|p| p.tries.note(Ran::Maybe));
-            if let Some(seen) = seen {
-                seen.bad();
+            if let Some(sent) = sent {
+                sent.bad();
             }
             nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
         }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -20,7 +20,7 @@
 use super::free::Freer;
 use crate::events::Event as LogEvent;
 use crate::node::Node;
-use crate::rollout::{self, Seen};
+use crate::rollout::{self, Sent};
 use crate::upstream::{self, Answer};
 
 /// Time between looks at late orders and makers that are back.
@@ -302,12 +302,12 @@
     let begun = node.now();
     let targets_age_ms = node.targets_age_ms();
     let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
-    let seen = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
+    let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
     let work = async {
         match upstream::send(address, request).await {
             Ok(answer) => {
                 let took = node.now().since(begun);
-                read_answer(node, &call, answer, took, seen.as_ref()).await
+                read_answer(node, &call, answer, took, sent.as_ref()).await
             }
             Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
             Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
@@ -335,8 +335,8 @@
         why: &why,
     }
     .emit();
-    if let (Some(seen), Observation::Answered(took)) = (&seen, observed) {
-        note_answer(seen, results, took, runner.expected(node, pieces));
+    if let (Some(sent), Observation::Answered(took)) = (&sent, observed) {
+        note_answer(sent, results, took, runner.expected(node, pieces));
     }
     node.observe(&call.maker, observed, &why);
     end
@@ -363,12 +363,12 @@
 
 /// What a maker's answer shows of its version. Calls take time by what they carry, so their
 /// times are told as parts of what is expected, which counts as a second.
-fn note_answer(seen: &Seen, results: &[PieceResult], took: Duration, expected: Duration) {
+fn note_answer(sent: &Sent, results: &[PieceResult], took: Duration, expected: Duration) {
     if results.contains(&PieceResult::Failed) {
-        return seen.bad();
+        return sent.bad();
     }
     let part = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
-    seen.good(Duration::from_secs_f64(part.min(PART_MOST)));
+    sent.good(Duration::from_secs_f64(part.min(PART_MOST)));
 }
 
 async fn read_answer(
@@ -376,7 +376,7 @@
     call: &Call,
     answer: Answer,
     took: Duration,
-    seen: Option<&Seen>,
+    sent: Option<&Sent>,
 ) -> (CallEnd, Observation, String) {
     let (head, body) = answer.response.into_parts();
     let said = node.dialect.answer(&head);
@@ -387,7 +387,7 @@
         return (CallEnd::Full, Observation::Rejected, "full".into());
     }
     if !head.status.is_success() {
-        seen.inspect(|seen| seen.bad());
+        sent.inspect(|sent| sent.bad());
         return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
     }
     let body = match Limited::new(body, ANSWER_MAX).collect().await {
@@ -397,7 +397,7 @@
     match node.dialect.stage_answer(&call.maker, &body) {
         Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
         Err(e) => {
-            seen.inspect(|seen| seen.bad());
+            sent.inspect(|sent| sent.bad());
             (CallEnd::Failed, Observation::Failed, e.to_string())
         }
     }
