Functions of one step each in serve, stages and metrics

Ruled out: a type for errors of `serve`, whose failed paths have their answer. Change: `serve` returns a result and leaves the sends to `ask_targets`; streams and whole answers are taken by a function each; a call's line, the next stage that ends, a send's target and the registry's names have their own. Same steps in the same order.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -138,41 +138,45 @@
             times: Times::default(),
             names: RefCell::default(),
         };
-        registry.register("requests", "Final answers", m.requests.clone());
-        registry.register("milliseconds", "Times by quantile", m.quantiles.clone());
-        registry.register("batch_calls", "Calls that made pieces", m.batch_calls.clone());
-        registry.register("batch_pieces", "Pieces in those calls", m.batch_pieces.clone());
-        registry.register("store_calls", "Calls of the store", m.store_calls.clone());
+        m.register(&mut registry);
+        Metrics { registry, ..m }
+    }
+}
+
+impl Metrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("requests", "Final answers", self.requests.clone());
+        registry.register("milliseconds", "Times by quantile", self.quantiles.clone());
+        registry.register("batch_calls", "Calls that made pieces", self.batch_calls.clone());
+        registry.register("batch_pieces", "Pieces in those calls", self.batch_pieces.clone());
+        registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         let help = "Entries of the store that cannot be read";
-        registry.register("unreadable_entries", help, m.unreadable.clone());
-        registry.register("repeats", "Sends to a further target", m.repeats.clone());
+        registry.register("unreadable_entries", help, self.unreadable.clone());
+        registry.register("repeats", "Sends to a further target", self.repeats.clone());
         let help = "Requests to services that move to another version";
-        registry.register("rollout_requests", help, m.rollout_requests.clone());
+        registry.register("rollout_requests", help, self.rollout_requests.clone());
         let help = "Failures of a version in such a move";
-        registry.register("rollout_bad", help, m.rollout_bad.clone());
+        registry.register("rollout_bad", help, self.rollout_bad.clone());
         let help = "Share of requests that the version on trial gets";
-        registry.register("rollout_share", help, m.rollout_share.clone());
+        registry.register("rollout_share", help, self.rollout_share.clone());
         let help = "Stage orders passed on to another region";
-        registry.register("spilled_orders", help, m.spilled.clone());
-        registry.register("open_requests", "Requests without a final answer", m.open.clone());
-        registry.register("rules_version", "Version of the rules in force", m.rules.clone());
+        registry.register("spilled_orders", help, self.spilled.clone());
+        registry.register("open_requests", "Requests without a final answer", self.open.clone());
+        registry.register("rules_version", "Version of the rules in force", self.rules.clone());
         let help = "Refusals for want of a target in an allowed region";
-        registry.register("refused_for_region", help, m.barred.clone());
+        registry.register("refused_for_region", help, self.barred.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
-        registry.register("rules_unserved", help, m.unserved.clone());
-        registry.register("nodes_up", "Nodes that are up", m.peers.clone());
-        registry.register("targets", "Targets known", m.targets.clone());
-        registry.register("domains_evacuated", "Failure domains evacuated", m.evacuated.clone());
-        registry.register("targets_cold", "Targets known as cold", m.cold.clone());
+        registry.register("rules_unserved", help, self.unserved.clone());
+        registry.register("nodes_up", "Nodes that are up", self.peers.clone());
+        registry.register("targets", "Targets known", self.targets.clone());
+        registry.register("domains_evacuated", "Failure domains evacuated", self.evacuated.clone());
+        registry.register("targets_cold", "Targets known as cold", self.cold.clone());
         let help = "Time since the store last confirmed what is known, in milliseconds";
-        registry.register("known_age", help, m.ages.clone());
+        registry.register("known_age", help, self.ages.clone());
         let help = "Greatest such time since the start, in milliseconds";
-        registry.register("known_age_longest", help, m.longest_ages.clone());
-        Metrics { registry, ..m }
+        registry.register("known_age_longest", help, self.longest_ages.clone());
     }
-}
 
-impl Metrics {
     /// A request got its final answer.
     pub fn request(&self, route: &str, outcome: &str, status: u16) {
         let labels = Outcome { route: self.bounded(route), outcome: outcome.to_string(), status };
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -71,6 +71,14 @@
     ended: bool,
 }
 
+impl Progress {
+    /// The request goes to this target now, and to it but once.
+    pub(super) fn goes_to(&mut self, target: &TargetId) {
+        self.but.push(target.clone());
+        self.target = Some(target.clone());
+    }
+}
+
 /// A request that was taken in, and what was found for it.
 pub struct Admitted {
     /// The request.
@@ -174,7 +182,7 @@
     pub async fn run(self: Rc<Self>) -> Response<Body> {
         let limit = self.node.clock.instant(self.deadline);
         let end = tokio::select! {
-            response = self.clone().serve() => return response,
+            served = self.clone().serve() => return served.unwrap_or_else(|own| own),
             () = tokio::time::sleep_until(limit) => "time was over",
             () = self.node.ending() => "this node stops",
         };
@@ -182,55 +190,56 @@
         self.own_ending()
     }
 
-    async fn serve(self: Rc<Self>) -> Response<Body> {
+    /// A target's answer; `Err` holds one of this node's own.
+    async fn serve(self: Rc<Self>) -> Result<Response<Body>, Response<Body>> {
         self.node.count_request(&self.service);
-        let mut chosen = self.choose();
-        let mut made = None;
+        let chosen = self.choose();
         if chosen.is_none() || self.unserved().is_some() {
             // Nothing is made for a request that nobody could take.
             let why = self.no_target();
             self.progress(|p| p.why = why);
-            return self.own_ending();
+            return Err(self.own_ending());
         }
+        let mut made = None;
         if !self.route.stages.is_empty() {
-            match self.make_stages(chosen.as_ref()).await {
-                Ok(m) => made = Some(m),
-                Err(response) => return response,
-            }
+            made = Some(self.make_stages(chosen.as_ref()).await?);
         }
+        self.ask_targets(chosen, made).await
+    }
+
+    /// Sends the request to one target after another until one answers or none is left.
+    async fn ask_targets(
+        self: Rc<Self>,
+        mut chosen: Option<Target>,
+        mut made: Option<Made>,
+    ) -> Result<Response<Body>, Response<Body>> {
         loop {
             let first = chosen.take().filter(|t| self.is_by_inputs(t));
             let Some(choice) = self.next_target(first).await else {
-                return self.own_ending();
+                return Err(self.own_ending());
             };
             let target = choice.target.clone();
             if made.take_if(|m| !self.is_inside(m)).is_some() {
-                match self.make_stages(Some(&target)).await {
-                    Ok(m) => made = Some(m),
-                    Err(response) => return response,
-                }
+                made = Some(self.make_stages(Some(&target)).await?);
             }
             match send(&self, choice, made.as_ref(), None).await {
                 Outcome::Whole { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
-                    return reply::whole(status, headers, body);
+                    return Ok(reply::whole(status, headers, body));
                 }
                 // By its first event the target has taken its inputs, so they go. A second
                 // target's are made anew: resumes are rare, and room at makers is short.
                 Outcome::Stream(begun) => {
                     let kept = made.filter(|_| !self.node.settings().policy.early_free);
-                    return stream::answer(self, *begun, kept);
+                    return Ok(stream::answer(self, *begun, kept));
                 }
                 Outcome::InputGone if !self.node.settings().policy.recompute => {
-                    return self.own_ending();
+                    return Err(self.own_ending());
+                }
+                Outcome::InputGone => {
+                    made = Some(self.make_stages(Some(&target)).await?);
+                    self.progress(|p| p.but.clear());
                 }
-                Outcome::InputGone => match self.make_stages(Some(&target)).await {
-                    Ok(m) => {
-                        made = Some(m);
-                        self.progress(|p| p.but.clear());
-                    }
-                    Err(response) => return response,
-                },
                 Outcome::Nothing => {}
             }
         }
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -7,7 +7,7 @@
 use decide::fleet::Observation;
 use decide::resend::Ran;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use model::Time;
 use model::forward::{Target, TargetId};
 
@@ -104,10 +104,7 @@
     let begun = exchange.node.now();
     let Choice { target, ticket } = choice;
     let target = &target;
-    exchange.progress(|p| {
-        p.but.push(target.id.clone());
-        p.target = Some(target.id.clone());
-    });
+    exchange.progress(|p| p.goes_to(&target.id));
     let mut at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
@@ -133,16 +130,14 @@
             }
         }
     };
-    match exchange.patiently(work).await {
-        Some(outcome) => outcome,
-        None => {
-            exchange.progress(|p| p.tries.note(Ran::Maybe));
-            if let Some(sent) = sent {
-                sent.bad();
-            }
-            nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
-        }
+    if let Some(outcome) = exchange.patiently(work).await {
+        return outcome;
     }
+    exchange.progress(|p| p.tries.note(Ran::Maybe));
+    if let Some(sent) = sent {
+        sent.bad();
+    }
+    nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
 }
 
 fn request_for(
@@ -167,11 +162,12 @@
     request
 }
 
+/// Takes an answer, unless it is not the target's to this request.
 async fn take(
     exchange: &Rc<Exchange>,
     target: &Target,
     answer: Answer,
-    mut at_target: AtTarget,
+    at_target: AtTarget,
     begun: Time,
 ) -> Outcome {
     let node = &exchange.node;
@@ -200,36 +196,68 @@
         at_target.bad();
         return failed(Ran::Maybe, Observation::Failed, "answer without signature".into());
     }
-    if head.status.is_success() && said.events {
-        let mut reader = EventReader::new(body, connection);
-        let first = match reader.next().await {
-            Ok(Some(first)) => first,
-            Ok(None) => {
+    let answer = Answer { response: Response::from_parts(head, body), connection };
+    if answer.response.status().is_success() && said.events {
+        return take_stream(exchange, target, answer, at_target, begun).await;
+    }
+    take_whole(exchange, target, answer, at_target, begun).await
+}
+
+/// Takes the first event of a stream.
+async fn take_stream(
+    exchange: &Rc<Exchange>,
+    target: &Target,
+    answer: Answer,
+    mut at_target: AtTarget,
+    begun: Time,
+) -> Outcome {
+    let node = &exchange.node;
+    let Answer { response, connection } = answer;
+    let (head, body) = response.into_parts();
+    let failed = |why: String| {
+        exchange.progress(|p| p.tries.note(Ran::Maybe));
+        nothing(exchange, target, Observation::Failed, begun, why)
+    };
+    let mut reader = EventReader::new(body, connection);
+    let first = match reader.next().await {
+        Ok(Some(first)) => first,
+        Ok(None) => {
+            at_target.bad();
+            return failed(StreamError::Empty.to_string());
+        }
+        Err(e) => {
+            if e.is_of_target() {
                 at_target.bad();
-                let why = StreamError::Empty.to_string();
-                return failed(Ran::Maybe, Observation::Failed, why);
             }
-            Err(e) => {
-                if e.is_of_target() {
-                    at_target.bad();
-                }
-                return failed(Ran::Maybe, Observation::Failed, e.to_string());
-            }
-        };
-        exchange.progress(|p| p.tries.note(Ran::Maybe));
-        let took = node.now().since(begun);
-        node.observe(&target.id, Observation::Answered(took), "");
-        at_target.good(took);
-        at_target.read();
-        let headers = node.dialect.back(&head.headers);
-        let begun = Begun { status: head.status, headers, reader, first, at_target };
-        return Outcome::Stream(Box::new(begun));
-    }
+            return failed(e.to_string());
+        }
+    };
+    exchange.progress(|p| p.tries.note(Ran::Maybe));
+    let took = node.now().since(begun);
+    node.observe(&target.id, Observation::Answered(took), "");
+    at_target.good(took);
+    at_target.read();
+    let headers = node.dialect.back(&head.headers);
+    Outcome::Stream(Box::new(Begun { status: head.status, headers, reader, first, at_target }))
+}
+
+/// Takes an answer that is no stream, a failure of the target's own too.
+async fn take_whole(
+    exchange: &Rc<Exchange>,
+    target: &Target,
+    answer: Answer,
+    at_target: AtTarget,
+    begun: Time,
+) -> Outcome {
+    let node = &exchange.node;
+    let Answer { response, connection } = answer;
+    let (head, body) = response.into_parts();
     let body = match Limited::new(body, ANSWER_MAX).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
             let why = format!("answer broke off: {e}");
-            return failed(Ran::Maybe, Observation::Failed, why);
+            exchange.progress(|p| p.tries.note(Ran::Maybe));
+            return nothing(exchange, target, Observation::Failed, begun, why);
         }
     };
     drop(connection);
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -5,6 +5,7 @@
 use decide::stages::Progress;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use model::Time;
 use model::forward::{BatchOrder, PieceResult};
 
 use super::job::{Job, Spent, order_of};
@@ -50,13 +51,7 @@
                 None => made.release_all(&progress.made(i)),
             }
         }
-        let ended = match postponed.front() {
-            Some((due, _)) => {
-                let due = node.clock.instant(*due);
-                tokio::time::timeout_at(due, running.next()).await.ok().flatten()
-            }
-            None => running.next().await,
-        };
+        let ended = next_ended(node, &mut running, postponed.front().map(|(due, _)| *due)).await;
         let Some((i, placed)) = ended else {
             // The next postponed stage is due, or nothing else goes on.
             let Some((_, due)) = postponed.pop_front() else {
@@ -81,6 +76,19 @@
     Ok(made)
 }
 
+/// The next stage that ends, unless none does before this time or none goes on.
+async fn next_ended<T>(
+    node: &Node,
+    running: &mut FuturesUnordered<impl Future<Output = T>>,
+    due: Option<Time>,
+) -> Option<T> {
+    let Some(due) = due else {
+        return running.next().await;
+    };
+    let due = node.clock.instant(due);
+    tokio::time::timeout_at(due, running.next()).await.ok().flatten()
+}
+
 async fn make_stage(node: &Rc<Node>, stage: usize, order: BatchOrder) -> (usize, Placed) {
     let begun = node.now();
     let (id, service) = (order.attempt.clone(), order.service.clone());
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -321,8 +321,25 @@
         CallEnd::Answered(results) => results.as_slice(),
         CallEnd::Full | CallEnd::Failed => &[],
     };
+    node.metrics.batch(&runner.pool.service, pieces);
+    let took_ms = node.now().since(begun).as_millis() as u64;
+    log_call(runner, &call, results, took_ms, targets_age_ms, &why);
+    if let (Some(sent), Observation::Answered(took)) = (&sent, observed) {
+        note_answer(sent, results, took, runner.expected(node, pieces));
+    }
+    node.observe(&call.maker, observed, &why);
+    end
+}
+
+fn log_call(
+    runner: &Runner,
+    call: &Call,
+    results: &[PieceResult],
+    took_ms: u64,
+    targets_age_ms: u64,
+    why: &str,
+) {
     let count = |wanted: fn(&PieceResult) -> bool| results.iter().filter(|r| wanted(r)).count();
-    node.metrics.batch(&runner.pool.service, call.pieces.len());
     LogEvent::Call {
         service: &runner.pool.service,
         number: call.number,
@@ -330,16 +347,11 @@
         pieces: call.pieces.len(),
         made: count(|r| matches!(r, PieceResult::Made(_))),
         no_room: count(|r| *r == PieceResult::NoRoom),
-        took_ms: node.now().since(begun).as_millis() as u64,
+        took_ms,
         targets_age_ms,
-        why: &why,
+        why,
     }
     .emit();
-    if let (Some(sent), Observation::Answered(took)) = (&sent, observed) {
-        note_answer(sent, results, took, runner.expected(node, pieces));
-    }
-    node.observe(&call.maker, observed, &why);
-    end
 }
 
 /// Counts a call at its maker until it goes.
