--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -9,7 +9,8 @@
 
 /// Slack below which an urgent order may be made elsewhere after all.
 const SPILL_SLACK: Duration = Duration::from_millis(150);
-/// Part of a call that is filled while orders wait; more than half on the users' bench.
+/// Part of a call that is filled while orders wait. More, and an order that can still be in
+/// time goes behind others as a late one; less, and a late one takes the place of one in time.
 const USUAL_FILL: f64 = 0.75;
 /// Workspaces of ranks up to this one may be made elsewhere for want of time.
 const SPILL_RANK: u8 = 1;
--- a/crates/decide/src/rollout/baseline.rs
+++ b/crates/decide/src/rollout/baseline.rs
@@ -8,7 +8,8 @@
 const TIMES_NEEDED: u64 = 10;
 /// Buckets by which an answer lies above the slowest tenth if it is slow: 1.4 to 2 times.
 const ABOVE_MOST: usize = 1;
-/// … and above the middle: 2 to 2.8 times, which a version three times slower passes.
+/// Buckets by which it also lies above the middle: 2 to 2.8 times, which a version three times
+/// slower passes.
 const ABOVE_MIDDLE: usize = 2;
 
 /// Answers of the version that serves on one route.
--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -26,9 +26,10 @@
 const LISTENS: Duration = Duration::from_millis(500);
 /// Part of the proof that a version is bad from which on it gets no more than it has.
 const DOUBT: f64 = 0.7;
-/// Targets on trial that bear all requests, for each that serves.
+/// Targets on trial for each that serves, from which on they can bear all requests.
 const BEARS: f64 = 0.8;
-/// Part of a change of the share below which the nodes are not told of it.
+/// Change of the share, as part of it, up to which the nodes are not told: each that they are
+/// told of is a log line at every node.
 const SHARE_STEP: f64 = 0.25;
 
 /// What an operator allows of a version that may be bad.
--- a/crates/decide/src/rollout/plan.rs
+++ b/crates/decide/src/rollout/plan.rs
@@ -13,11 +13,11 @@
 
 /// Part of the cap that is planned with; the rest is for bursts and for lost reports.
 const PLANNED: f64 = 0.9;
-/// Part of the traffic to come that is counted on.
+/// Part of the traffic to come that is counted on: less of it makes the cap smaller.
 const COUNTED_ON: f64 = 0.9;
 /// Part of what the cap leaves beside the step to all that the small share may use.
 const SHARE_PART: f64 = 0.5;
-/// Part of the cap below which a rest shows nothing.
+/// Part of the cap below which what is left of it is too few requests to show anything.
 const ROOM_LEAST: f64 = 0.05;
 /// Part of what is left then that the step may use; the rest is for what is under way and for
 /// chance, so that the step to all is not kept waiting.
@@ -34,14 +34,14 @@
 const TOLD: f64 = 0.5;
 /// Longest time that is waited for the answers which show that a version is bad.
 const SHOWN_MOST: f64 = 2.0;
-/// … and as part of the order's time, since the cap grows with that.
+/// Longest such time as part of the order's time, since the cap grows with that.
 const SHOWN_PART: f64 = 1.0 / 80.0;
 /// Kept at the end for a write: one that is answered at once; at most, for a repeat of it and
 /// for the time that the order took to be heard of as well.
 const WRITE: (f64, f64) = (0.15, 1.5);
-/// … as part of the order's time.
+/// Time kept for a write as part of the order's time.
 const WRITE_PART: f64 = 1.0 / 30.0;
-/// … but in a short time, if the cap allows.
+/// Time wanted for a write at least, where the order's time is short and the cap allows it.
 const WRITE_SHORT: f64 = 0.8;
 /// Kept between the end of the old version's requests and that, for reports of it; at most,
 /// for some that are lost as well.
@@ -53,6 +53,8 @@
 const STEP: (f64, f64) = (1.0, 5.0);
 /// Shortest time allowed for the old version's requests to end.
 const DRAIN_LEAST: f64 = 0.2;
+/// Rate that is divided by at least, in requests a second: a service may have no traffic.
+const RATE_LEAST: f64 = 0.1;
 
 /// What is known when a share is chosen.
 #[derive(Debug, Clone, Copy)]
@@ -98,7 +100,7 @@
     /// Time kept for the write: less where all requests of that time would not fit the cap.
     fn write(&self, known: &Known) -> f64 {
         let wanted = (self.lasts * WRITE_PART).clamp(WRITE_SHORT, WRITE.1);
-        let allowed = (1.0 - TRIAL_LEAST) * self.cap(known) / Plan::most(known).max(0.1);
+        let allowed = (1.0 - TRIAL_LEAST) * self.cap(known) / Plan::most(known).max(RATE_LEAST);
         (allowed - self.drain(known)).clamp(WRITE.0, wanted).min(self.lasts / 5.0)
     }
 
@@ -178,14 +180,14 @@
         }
         let part = SHARE_PART * self.room(known) - known.tried;
         let left = (self.step_at(known) - known.age).max(1.0);
-        let chance = part / (Plan::most(known).max(0.1) * left);
+        let chance = part / (Plan::most(known).max(RATE_LEAST) * left);
         chance.clamp(0.0, SHARE_MOST.min(known.targets))
     }
 
     /// The greater share, as the cap leaves beside the step to all.
     pub fn greater(&self, known: &Known) -> f64 {
         let part = STEP_PART * (self.room(known) - self.spent(known));
-        let chance = part / (Plan::most(known).max(0.1) * (self.step(known) + TOLD));
+        let chance = part / (Plan::most(known).max(RATE_LEAST) * (self.step(known) + TOLD));
         chance.clamp(0.0, STEP_MOST.min(known.targets))
     }
 }
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -14,7 +14,8 @@
 use crate::node::Node;
 
 /// Time that an engine is expected to take to its first event: between the median and the
-/// 90th percentile (139 and 404 ms) of long prompts on the users' bench.
+/// 90th percentile (139 and 404 ms) of long prompts. Less would leave half of them late, more
+/// would have stages hurry for the sake of a few.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 
 /// What the stages of one request are made for.
