Names and comments in the judging of roll-outs

Cause: `late` meant both recent and overdue, `Known` and `Route` named two types each, `told` and `prove` did not say what they return or do, and two tuples of the judge had no word on their order. Ruled out: structs for the tuples, which would touch each of their uses. Change: `RECENT` and `_recent`, `KnownOrders`, `RouteTally`, `name_and_share`, `take_back_if_bad`; `HIGHEST` for a bare 0.9.

--- a/crates/decide/src/rollout/baseline.rs
+++ b/crates/decide/src/rollout/baseline.rs
@@ -17,28 +17,28 @@
 pub struct Baseline {
     failed: u64,
     times: Vec<u32>,
-    failed_late: f64,
-    times_late: Vec<f64>,
+    failed_recent: f64,
+    times_recent: Vec<f64>,
 }
 
 impl Baseline {
     /// Takes answers.
     pub fn take(&mut self, failed: u32, good: &[u32]) {
         self.failed += u64::from(failed);
-        self.failed_late += f64::from(failed);
+        self.failed_recent += f64::from(failed);
         times::add(&mut self.times, good);
-        if self.times_late.len() < good.len() {
-            self.times_late.resize(good.len(), 0.0);
+        if self.times_recent.len() < good.len() {
+            self.times_recent.resize(good.len(), 0.0);
         }
-        for (sum, n) in self.times_late.iter_mut().zip(good) {
+        for (sum, n) in self.times_recent.iter_mut().zip(good) {
             *sum += f64::from(*n);
         }
     }
 
-    /// Keeps this part of the weight of late answers.
+    /// Keeps this part of the weight of recent answers.
     pub fn fade(&mut self, keep: f64) {
-        self.failed_late *= keep;
-        self.times_late.iter_mut().for_each(|n| *n *= keep);
+        self.failed_recent *= keep;
+        self.times_recent.iter_mut().for_each(|n| *n *= keep);
     }
 
     /// Failures so far.
@@ -50,8 +50,8 @@
     pub fn failures(&self, before: Usual) -> Usual {
         let good = times::total(&self.times);
         let whole = Usual::seen(self.failed as f64, (self.failed + good) as f64, before);
-        let good_late: f64 = self.times_late.iter().sum();
-        Usual::seen(self.failed_late, self.failed_late + good_late, whole)
+        let good_recent: f64 = self.times_recent.iter().sum();
+        Usual::seen(self.failed_recent, self.failed_recent + good_recent, whole)
     }
 
     /// Bucket from which on a time is slow; `None` if too few are known.
@@ -69,7 +69,7 @@
         let slow = times::count_from(&self.times, from);
         let good = times::total(&self.times);
         let whole = Usual::seen(slow as f64, good as f64, Usual::UNKNOWN);
-        let slow_late: f64 = self.times_late.iter().skip(from).sum();
-        Usual::seen(slow_late, self.times_late.iter().sum(), whole)
+        let slow_recent: f64 = self.times_recent.iter().skip(from).sum();
+        Usual::seen(slow_recent, self.times_recent.iter().sum(), whole)
     }
 }
--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -10,7 +10,7 @@
 use super::sequential::{Test, Usual};
 use super::{Cause, Tally, Verdict, times};
 
-/// Part of the weight of late answers that each new one leaves: the last fifty count.
+/// Part of the weight of recent answers that each new one leaves: the last fifty count.
 const KEEP: f64 = 0.98;
 /// Nodes that judge by themselves beside each other; each has its chance of a false alarm.
 const NODES: usize = 100;
--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -89,12 +89,14 @@
     plan: Plan,
     begun: Time,
     order: Rollout,
+    /// How old the order was, and when it was so old.
     age: (Duration, Time),
     phase: Phase,
     /// Since when the greater share is in force.
     step: Option<Time>,
     /// Since when all requests go to the version.
     all: Option<Time>,
+    /// Usable warm targets: of the version that serves, of the one on trial.
     targets: (usize, usize),
     pool: Pool,
     nodes: Nodes,
--- a/crates/decide/src/rollout/plan.rs
+++ b/crates/decide/src/rollout/plan.rs
@@ -65,7 +65,7 @@
     pub sent: f64,
     /// Requests to the version on trial.
     pub tried: f64,
-    /// Requests a second of late.
+    /// Requests a second, recently.
     pub rate: f64,
     /// Chance by which the nodes send there now.
     pub chance: f64,
--- a/crates/decide/src/rollout/pool.rs
+++ b/crates/decide/src/rollout/pool.rs
@@ -14,14 +14,14 @@
 use super::sequential::{Test, Usual};
 use super::{Cause, Tally, Verdict, times};
 
-/// Time in which what counts as late loses two thirds of its weight.
-const LATE: Duration = Duration::from_secs(4);
+/// Time in which what counts as recent loses two thirds of its weight.
+const RECENT: Duration = Duration::from_secs(4);
 /// Least time between two losses of weight.
 const FADE_STEP: Duration = Duration::from_millis(50);
 
 /// One route, over all nodes.
 #[derive(Debug, Default)]
-struct Route {
+struct RouteTally {
     baseline: Baseline,
     serving: Tally,
     trial: Tally,
@@ -33,14 +33,14 @@
 #[derive(Debug)]
 pub struct Pool {
     last: BTreeMap<NodeId, BTreeMap<Name, RouteEvidence>>,
-    routes: BTreeMap<Name, Route>,
+    routes: BTreeMap<Name, RouteTally>,
     failures: Test,
     slow: Test,
     /// Good answers of the version that serves, all routes.
     times: Vec<u32>,
     serving: Tally,
     trial: Tally,
-    sent_late: f64,
+    sent_recent: f64,
     faded: Time,
     since: Time,
 }
@@ -56,7 +56,7 @@
             times: Vec::new(),
             serving: Tally::default(),
             trial: Tally::default(),
-            sent_late: 0.0,
+            sent_recent: 0.0,
             faded: now,
             since: now,
         }
@@ -75,7 +75,7 @@
                 continue;
             };
             if !is_first {
-                self.sent_late += f64::from(serving.sent) + f64::from(trial.sent);
+                self.sent_recent += f64::from(serving.sent) + f64::from(trial.sent);
             }
             self.add(&seen.route, &serving, &trial);
             last.insert(seen.route.clone(), seen);
@@ -128,8 +128,8 @@
             return;
         }
         self.faded = now;
-        let keep = (-passed.as_secs_f64() / LATE.as_secs_f64()).exp();
-        self.sent_late *= keep;
+        let keep = (-passed.as_secs_f64() / RECENT.as_secs_f64()).exp();
+        self.sent_recent *= keep;
         self.routes.values_mut().for_each(|route| route.baseline.fade(keep));
     }
 
@@ -171,12 +171,12 @@
         self.trial.sent
     }
 
-    /// Requests a second of late.
+    /// Requests a second, recently.
     pub fn rate(&self, now: Time) -> f64 {
         let seen = now.since(self.since).as_secs_f64();
-        let weight = LATE.as_secs_f64() * (1.0 - (-seen / LATE.as_secs_f64()).exp());
-        let kept = (-now.since(self.faded).as_secs_f64() / LATE.as_secs_f64()).exp();
-        self.sent_late * kept / weight.max(0.1)
+        let weight = RECENT.as_secs_f64() * (1.0 - (-seen / RECENT.as_secs_f64()).exp());
+        let kept = (-now.since(self.faded).as_secs_f64() / RECENT.as_secs_f64()).exp();
+        self.sent_recent * kept / weight.max(0.1)
     }
 
     /// Time within which this share of the good answers of the version that serves came.
--- a/crates/decide/src/rollout/sequential.rs
+++ b/crates/decide/src/rollout/sequential.rs
@@ -13,6 +13,8 @@
 const SPOILT: f64 = 0.15;
 /// Lowest rate that is believed of the version that serves; a good one fails now and then too.
 const LOWEST: f64 = 0.01;
+/// Highest one: at 1, a bad answer would tell nothing and a good one would have no odds.
+const HIGHEST: f64 = 0.9;
 /// Weight of what was believed before, in answers.
 const PRIOR_WEIGHT: f64 = 20.0;
 
@@ -27,7 +29,7 @@
     /// As `bad` of `count` answers and what was believed before tell.
     pub fn seen(bad: f64, count: f64, before: Usual) -> Usual {
         let rate = (bad + PRIOR_WEIGHT * before.0) / (count + PRIOR_WEIGHT);
-        Usual(rate.clamp(LOWEST, 0.9))
+        Usual(rate.clamp(LOWEST, HIGHEST))
     }
 }
 
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -36,8 +36,9 @@
     first: u64,
 }
 
+/// The newest list of orders.
 #[derive(Debug)]
-struct Known {
+struct KnownOrders {
     /// Revision of the newest list that was heard of.
     at: u64,
     /// Revision of the first list with these orders.
@@ -67,7 +68,7 @@
 pub struct Versions {
     /// Whether the store is to tell of orders: nothing is sent before it has.
     followed: bool,
-    known: Option<Known>,
+    known: Option<KnownOrders>,
     present: BTreeMap<Name, BTreeMap<Name, Present>>,
     trials: BTreeMap<Name, Trial>,
     /// Versions whose order was withdrawn or replaced before it was completed.
@@ -111,11 +112,12 @@
         let before = match self.known.take() {
             Some(known) => {
                 let since = if known.orders == orders { known.since } else { list.at };
-                self.known = Some(Known { at: list.at, since, orders: orders.clone() });
+                self.known = Some(KnownOrders { at: list.at, since, orders: orders.clone() });
                 known.orders
             }
             None => {
-                self.known = Some(Known { at: list.at, since: list.at, orders: orders.clone() });
+                self.known =
+                    Some(KnownOrders { at: list.at, since: list.at, orders: orders.clone() });
                 BTreeMap::new()
             }
         };
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -329,7 +329,8 @@
     fn running_rollouts(&self) -> Vec<(Name, Name, f64)> {
         let fleet = self.fleet.borrow();
         let versions = fleet.versions();
-        let share_of = |service: &Name| versions.phase(service).map_or(0.0, |p| rollout::told(p).1);
+        let share_of =
+            |service: &Name| versions.phase(service).map_or(0.0, |p| rollout::name_and_share(p).1);
         let line = |o: &Rollout| (o.service.clone(), o.version.clone(), share_of(&o.service));
         versions.running().map(line).collect()
     }
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -80,13 +80,13 @@
         return;
     }
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
-    let (phase, share) = told(phase);
+    let (phase, share) = name_and_share(phase);
     let age_ms = age.as_millis() as u64;
     Event::RolloutPhase { service, version, phase, share, why, age_ms }.emit();
 }
 
 /// Name of a phase and the share of requests that the version on trial gets in it.
-pub fn told(phase: Phase) -> (&'static str, f64) {
+pub fn name_and_share(phase: Phase) -> (&'static str, f64) {
     match phase {
         Phase::Share(share) => ("share", share),
         Phase::All => ("all", 1.0),
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -41,7 +41,7 @@
 }
 
 async fn report(node: &Rc<Node>, order: &Rollout) {
-    sent::prove(node, order);
+    sent::take_back_if_bad(node, order);
     let now = node.now();
     let first = node.peers.roster(|r| r.coordinators(key(&order.service).as_str(), now));
     for peer in first.into_iter().take(ASKED) {
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -104,7 +104,7 @@
         node.rollouts.evidence.borrow_mut().bad(&order.service, route, *side);
         node.metrics.rollout_bad(&order.service, version, *pieces);
         if *side == Side::Trial {
-            prove(node, order);
+            take_back_if_bad(node, order);
         }
     }
 }
@@ -119,7 +119,7 @@
 }
 
 /// Takes the version back at this node if its own requests prove that it is bad.
-pub(super) fn prove(node: &Node, order: &Rollout) {
+pub(super) fn take_back_if_bad(node: &Node, order: &Rollout) {
     let Rollout { service, version, lasts_ms, .. } = order;
     let now = node.now();
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -315,7 +315,7 @@
             allowed: &allowed,
             version: &target.version,
             side,
-            share: phase.map(|phase| rollout::told(phase).1),
+            share: phase.map(|phase| rollout::name_and_share(phase).1),
             by,
             ahead,
             cold: self.is_cold(target),
