--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -4,7 +4,7 @@
 mod held;
 mod judge;
 mod report;
-mod seen;
+mod sent;
 mod stalls;
 mod write;
 
@@ -25,13 +25,13 @@
 pub use held::Held;
 pub use judge::judge;
 pub use report::run;
-pub use seen::{Seen, maker_sides, sent};
+pub use sent::{Sent, maker_sides, sent};
 pub use stalls::watch as watch_stalls;
 pub use write::{Written, at_store};
 
 /// What this node holds of roll-outs besides the orders.
 #[derive(Default)]
-pub struct Trials {
+pub struct LocalRollouts {
     evidence: RefCell<Evidence>,
     judging: RefCell<BTreeMap<Name, Rc<Judging>>>,
     /// Results at their makers that requests of this node still need.
@@ -40,7 +40,7 @@
     changed: Notify,
 }
 
-impl Trials {
+impl LocalRollouts {
     /// An order came, changed or went.
     pub fn changed(&self, change: &RolloutChange, now: Time) {
         let is_anew = match change {
@@ -80,13 +80,13 @@
         return;
     }
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
-    let (phase, share) = told(phase);
+    let (phase, share) = name_and_share(phase);
     let age_ms = age.as_millis() as u64;
     Event::RolloutPhase { service, version, phase, share, why, age_ms }.emit();
 }
 
 /// Name of a phase and the share of requests that the version on trial gets in it.
-pub fn told(phase: Phase) -> (&'static str, f64) {
+pub fn name_and_share(phase: Phase) -> (&'static str, f64) {
     match phase {
         Phase::Share(share) => ("share", share),
         Phase::All => ("all", 1.0),
--- a/crates/forward/src/rollout/seen.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -14,7 +14,7 @@
 
 /// A request, or the pieces of a call, at a target whose service moves to another version.
 #[derive(Clone)]
-pub struct Seen(Rc<Inner>);
+pub struct Sent(Rc<Inner>);
 
 struct Inner {
     node: Rc<Node>,
@@ -39,7 +39,7 @@
     route: &Name,
     pieces: usize,
     deadline: Time,
-) -> Option<Seen> {
+) -> Option<Sent> {
     node.settings().rollouts?;
     let Target { service, version, .. } = target;
     let is_meant = |o: &&Rollout| o.service == *service;
@@ -53,7 +53,7 @@
     });
     node.rollouts.evidence.borrow_mut().sent(service, route, side, pieces as u32);
     node.metrics.rollout_sent(service, version, pieces);
-    Some(Seen(Rc::new(Inner {
+    Some(Sent(Rc::new(Inner {
         node: node.clone(),
         order,
         route: route.clone(),
@@ -67,7 +67,7 @@
     })))
 }
 
-impl Seen {
+impl Sent {
     /// It was answered well after this time.
     pub fn good(&self, took: Duration) {
         let Inner { node, order, route, side, is_judged, .. } = &*self.0;
@@ -104,7 +104,7 @@
         node.rollouts.evidence.borrow_mut().bad(&order.service, route, *side);
         node.metrics.rollout_bad(&order.service, version, *pieces);
         if *side == Side::Trial {
-            prove(node, order);
+            take_back_if_bad(node, order);
         }
     }
 }
@@ -119,7 +119,7 @@
 }
 
 /// Takes the version back at this node if its own requests prove that it is bad.
-pub(super) fn prove(node: &Node, order: &Rollout) {
+pub(super) fn take_back_if_bad(node: &Node, order: &Rollout) {
     let Rollout { service, version, lasts_ms, .. } = order;
     let now = node.now();
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
