A target's bars are looked up once for both versions; one `wanted` for the tests of choices

Cause: read again, `Fleet::usable_in` asked all bars of a target twice, once a version, on the path of each order and request; four test files held the same `Wanted`. Ruled out: a second question beside `bars`, which stays the one that choices ask. Change: what bars a target whatever the version is one function that `bars` and `usable_in` call; `wanted` stands in tests/support/fleet.rs. Assertions are unchanged.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Allowed, Evacuations, Side, Target, TargetId, TargetList};
+use model::forward::{Allowed, Evacuations, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
@@ -151,9 +151,10 @@
         allowed: &'a Allowed,
         now: Time,
     ) -> impl Iterator<Item = &'a Belief> {
-        let on = move |side| Terms { allowed, side };
-        let may = move |b: &&Belief, side| self.bars(b, on(side), now).is_none();
-        self.of_service(service).filter(move |b| may(b, Side::Serving) || may(b, Side::Trial))
+        let has_side =
+            move |b: &&Belief| self.versions.side(&b.target.service, &b.target.version).is_some();
+        let may = move |b: &&Belief| self.bars_any_version(b, allowed, now).is_none();
+        self.of_service(service).filter(may).filter(has_side)
     }
 
     /// Whether a target may get new work on these terms.
@@ -164,6 +165,15 @@
     /// Why a target may not get new work on these terms now; `None` if it may. Whoever
     /// chooses a target asks this and nothing else.
     pub fn bars(&self, b: &Belief, terms: Terms<'_>, now: Time) -> Option<Barred> {
+        if let Some(barred) = self.bars_any_version(b, terms.allowed, now) {
+            return Some(barred);
+        }
+        let side = self.versions.side(&b.target.service, &b.target.version);
+        (side != Some(terms.side)).then_some(Barred::Version)
+    }
+
+    /// The same whichever version the work is for.
+    fn bars_any_version(&self, b: &Belief, allowed: &Allowed, now: Time) -> Option<Barred> {
         let target = &b.target;
         if self.unreadable.contains(&target.id.name) {
             return Some(Barred::Unreadable);
@@ -177,13 +187,8 @@
         if self.evacuated.contains(&target.domain) {
             return Some(Barred::Evacuated);
         }
-        if !terms.allowed.permits(self.regions.of(&target.domain).map(|r| &**r)) {
-            return Some(Barred::Region);
-        }
-        if self.versions.side(&target.service, &target.version) != Some(terms.side) {
-            return Some(Barred::Version);
-        }
-        None
+        let region = self.regions.of(&target.domain).map(|r| &**r);
+        (!allowed.permits(region)).then_some(Barred::Region)
     }
 
     /// Where failure domains lie.
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -1,16 +1,17 @@
 //! Cold targets: who may start requests there, and at which pace.
 
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
 use std::time::Duration;
 
-use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Terms, Wanted};
+use decide::fleet::{ColdBounds, ColdLimit, ColdStarts, Fleet, Wanted};
 use decide::rng::Rng;
 use model::Time;
 use model::forward::{ColdTargets, Evacuations, Target, TargetId};
 use proptest::prelude::*;
-use support::{at, one_region, target};
+use support::{at, target, wanted};
 
 fn cold_target(cold_ms: u64) -> Target {
     Target { cold_ms, ..target("t0", "a") }
@@ -24,18 +25,7 @@
 }
 
 fn pick(fleet: &Fleet, per_s: f64, cold: ColdStarts<'_>, now: Time) -> Option<TargetId> {
-    let wanted = Wanted {
-        terms: Terms::ANY,
-        service: "engine",
-        domain: "a",
-        map: one_region(),
-        region: None,
-        but: &[],
-        most_each: 100,
-        shares: &[],
-        limit: Some(limit(per_s)),
-        cold,
-    };
+    let wanted = Wanted { limit: Some(limit(per_s)), cold, ..wanted(&[]) };
     fleet.pick_plain(wanted, now, &mut Rng::new(1)).map(|t| t.id)
 }
 
@@ -130,16 +120,10 @@
             fleet.upsert(cold_target(6000), at(0));
             for ms in start..6000 {
                 let wanted = Wanted {
-                    terms: Terms::ANY,
-                    service: "engine",
-                    domain: "a",
-                    map: one_region(),
-                    region: None,
-                    but: &[],
                     most_each: u32::MAX,
-                    shares: &[],
                     limit: Some(limit),
                     cold: ColdStarts::InTurn(&|_| true),
+                    ..wanted(&[])
                 };
                 if fleet.pick_plain(wanted, at(ms), &mut rng).is_some() {
                     fleet.start(&"t0".into(), limit, at(ms));
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -1,15 +1,16 @@
 //! What nodes know of evacuated failure domains, whoever tells them.
 
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
 use std::collections::BTreeSet;
 
-use decide::fleet::{ColdStarts, Evacuated, EvacuationChange, Fleet, Home, Terms, Wanted};
+use decide::fleet::{Evacuated, EvacuationChange, Fleet, Home, Terms};
 use decide::rng::Rng;
 use model::forward::{Evacuations, Target};
 use proptest::prelude::*;
-use support::{at, one_region, target};
+use support::{at, target, wanted};
 
 fn list(revision: u64, domains: &[&str]) -> Evacuations {
     Evacuations { at: revision, domains: domains.iter().map(|d| (*d).into()).collect() }
@@ -23,27 +24,12 @@
     fleet
 }
 
-fn wanted() -> Wanted<'static> {
-    Wanted {
-        terms: Terms::ANY,
-        service: "engine",
-        domain: "a",
-        map: one_region(),
-        region: None,
-        but: &[],
-        most_each: 100,
-        shares: &[],
-        limit: None,
-        cold: ColdStarts::Avoid,
-    }
-}
-
 /// Targets that a hundred requests with and without a prompt go to.
 fn chosen(fleet: &Fleet) -> BTreeSet<String> {
     let mut rng = Rng::new(1);
-    let plain = (0..100).filter_map(|_| fleet.pick_plain(wanted(), at(0), &mut rng));
+    let plain = (0..100).filter_map(|_| fleet.pick_plain(wanted(&[]), at(0), &mut rng));
     let plain: Vec<Target> = plain.collect();
-    let home = |key| fleet.pick_home(wanted(), Home { key, shared: 10 }, at(0));
+    let home = |key| fleet.pick_home(wanted(&[]), Home { key, shared: 10 }, at(0));
     plain.into_iter().chain((0..100).filter_map(home)).map(|t| t.id.to_string()).collect()
 }
 
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -1,16 +1,17 @@
 //! Beliefs about targets and the choice among them.
 
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use decide::fleet::{ColdStarts, Fleet, Home, Observation, Regions, Terms, Wanted, shares};
+use decide::fleet::{Fleet, Home, Observation, Regions, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::rng::Rng;
-use model::forward::{Allowed, PromptPart, Target, TargetId};
-use support::{at, one_region, target};
+use model::forward::{Allowed, PromptPart, Target};
+use support::{at, target, wanted};
 
 fn fleet(n: usize) -> Fleet {
     let mut fleet = Fleet::default();
@@ -20,21 +21,6 @@
     fleet
 }
 
-fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
-    Wanted {
-        service: "engine",
-        terms: Terms::ANY,
-        domain: "a",
-        map: one_region(),
-        region: None,
-        but,
-        most_each: 100,
-        shares: &[],
-        limit: None,
-        cold: ColdStarts::Avoid,
-    }
-}
-
 fn home(key: u64) -> Home {
     Home { key, shared: 100 }
 }
--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -4,12 +4,13 @@
 #[allow(dead_code, reason = "each test file uses its part")]
 mod batch;
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
 use std::time::Duration;
 
 use decide::batch::{Call, CallEnd, Coordinator, Event, MakerInfo};
-use decide::fleet::{ColdLimit, ColdStarts, Fleet, Observation, Terms, Wanted, still_true};
+use decide::fleet::{ColdLimit, Fleet, Observation, Terms, still_true};
 use decide::prefill::Scheduler;
 use decide::rng::Rng;
 use model::Name;
@@ -17,7 +18,7 @@
     Allowed, BatchOrder, PieceResult, Policy, PrefillAsk, Side, Target, TargetChange, TargetId,
 };
 use proptest::prelude::*;
-use support::{at, one_region, target};
+use support::{at, target, wanted};
 
 /// An entry of `t` as it was at a revision.
 fn entry(start: u64, revision: u64) -> Target {
@@ -28,21 +29,6 @@
     TargetId::new("t", start)
 }
 
-fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
-    Wanted {
-        service: "engine",
-        terms: Terms::ANY,
-        domain: "a",
-        map: one_region(),
-        region: None,
-        but,
-        most_each: 100,
-        shares: &[],
-        limit: None,
-        cold: ColdStarts::Avoid,
-    }
-}
-
 fn fleet(targets: Vec<Target>) -> Fleet {
     let mut fleet = Fleet::default();
     fleet.replace(targets, None, at(0));
--- a/crates/decide/tests/support/fleet.rs
+++ b/crates/decide/tests/support/fleet.rs
@@ -2,10 +2,10 @@
 
 use std::sync::LazyLock;
 
-use decide::fleet::Regions;
+use decide::fleet::{ColdStarts, Regions, Terms, Wanted};
 use decide::region::Map;
 use model::Time;
-use model::forward::Target;
+use model::forward::{Target, TargetId};
 
 /// A time after the start.
 pub fn at(ms: u64) -> Time {
@@ -32,3 +32,19 @@
     static MAP: LazyLock<Map> = LazyLock::new(|| Map::new("a".into(), Regions::default()));
     &MAP
 }
+
+/// What a request to a warm engine asks for; it was sent to these before.
+pub fn wanted<'a>(but: &'a [TargetId]) -> Wanted<'a> {
+    Wanted {
+        service: "engine",
+        terms: Terms::ANY,
+        domain: "a",
+        map: one_region(),
+        region: None,
+        but,
+        most_each: 100,
+        shares: &[],
+        limit: None,
+        cold: ColdStarts::Avoid,
+    }
+}
