One piece of code keeps the newest of a list that several sources tell of

Cause: evacuations and the orders of roll-outs each held the list with the same two revisions, and the same four functions over them. Ruled out: to share only the record; the rule that a slow source never brings an older list back is what must not stand twice. Change: `relay::Newest`; `Evacuated` and `Versions` hold one. A list that is like the known one changes nothing now before its entries are walked; nothing came of that walk. Figures: tests of decide pass, unchanged.

--- a/crates/decide/src/fleet/evacuation.rs
+++ b/crates/decide/src/fleet/evacuation.rs
@@ -11,6 +11,8 @@
 use model::forward::Evacuations;
 use model::{Name, Time};
 
+use crate::relay::Newest;
+
 /// What became of a failure domain.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EvacuationChange {
@@ -20,46 +22,36 @@
     Ended(Name),
 }
 
-#[derive(Debug)]
-struct Known {
-    /// Revision of the newest list that was heard of.
-    at: u64,
-    /// Revision of the first list with these domains.
-    since: u64,
-    domains: BTreeSet<Name>,
-}
-
 /// What a node knows of evacuations.
 #[derive(Debug, Default)]
 pub struct Evacuated {
-    /// Whether the store is to tell of them: nothing is sent before it has.
-    followed: bool,
-    known: Option<Known>,
+    /// If the store is to tell of them, nothing is sent before it has.
+    domains: Newest<BTreeSet<Name>>,
     ended: BTreeMap<Name, Time>,
 }
 
 impl Evacuated {
     /// Evacuations are followed from now on.
     pub fn follow(&mut self) {
-        self.followed = true;
+        self.domains.follow();
     }
 
     /// Whether the node may send: the list is known, or none is followed.
     pub fn is_known(&self) -> bool {
-        !self.followed || self.known.is_some()
+        self.domains.is_known()
     }
 
     /// Whether the targets of a failure domain get nothing new.
     pub fn contains(&self, domain: &str) -> bool {
-        match &self.known {
-            Some(known) => known.domains.contains(domain),
-            None => self.followed,
+        match self.domains.list() {
+            Some(domains) => domains.contains(domain),
+            None => self.domains.is_followed(),
         }
     }
 
     /// The failure domains that are evacuated, as far as is known.
     pub fn domains(&self) -> impl Iterator<Item = &Name> {
-        self.known.iter().flat_map(|k| &k.domains)
+        self.domains.list().into_iter().flatten()
     }
 
     /// When the evacuation of a failure domain was last taken back, if it was.
@@ -69,43 +61,31 @@
 
     /// Takes a list unless a newer one is known; returns what it changes.
     pub fn take(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
-        let domains: BTreeSet<Name> = list.domains.into_iter().collect();
-        let Some(known) = &mut self.known else {
-            let began = domains.iter().cloned().map(EvacuationChange::Began).collect();
-            self.known = Some(Known { at: list.at, since: list.at, domains });
-            return began;
-        };
-        if list.at < known.at {
+        let after: BTreeSet<Name> = list.domains.into_iter().collect();
+        let Some(before) = self.domains.take(list.at, after.clone()) else {
             return Vec::new();
-        }
-        known.at = list.at;
-        if domains == known.domains {
-            return Vec::new();
-        }
-        known.since = list.at;
-        let before = std::mem::replace(&mut known.domains, domains);
-        let after = &known.domains;
-        for domain in before.difference(after) {
+        };
+        for domain in before.difference(&after) {
             self.ended.insert(domain.clone(), now);
         }
-        let ended = before.difference(after).cloned().map(EvacuationChange::Ended);
+        let ended = before.difference(&after).cloned().map(EvacuationChange::Ended);
         let began = after.difference(&before).cloned().map(EvacuationChange::Began);
         ended.chain(began).collect()
     }
 
     /// Revision of the newest list; `None` if none is known.
     pub fn at(&self) -> Option<u64> {
-        self.known.as_ref().map(|k| k.at)
+        self.domains.at()
     }
 
     /// The list, for another node.
     pub fn list(&self) -> Option<Evacuations> {
-        let known = self.known.as_ref()?;
-        Some(Evacuations { at: known.at, domains: known.domains.iter().cloned().collect() })
+        let domains = self.domains.list()?.iter().cloned().collect();
+        Some(Evacuations { at: self.at()?, domains })
     }
 
     /// Whether a node that knows the list of a revision, if any, lacks a change.
     pub fn is_news_since(&self, at: Option<u64>) -> bool {
-        self.known.as_ref().is_some_and(|k| at.is_none_or(|at| at < k.since))
+        self.domains.is_news_since(at)
     }
 }
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -13,6 +13,7 @@
 
 mod history;
 mod list;
+mod newest;
 mod source;
 mod start;
 mod unreadable;
@@ -20,6 +21,7 @@
 
 pub use history::History;
 pub use list::{Entry, List};
+pub use newest::Newest;
 pub use source::{Chosen, Relays, Role, Source, Sources};
 pub use start::wait_for_state;
 pub use unreadable::{Place, Unreadable};
--- /dev/null
+++ b/crates/decide/src/relay/newest.rs
@@ -0,0 +1,75 @@
+//! The newest of the lists that a node hears of from several sources. The store's revisions
+//! order them, so that a slow source never brings an older one back.
+
+/// A list and its revisions.
+#[derive(Debug)]
+struct Known<T> {
+    /// Revision of the newest list that was heard of.
+    at: u64,
+    /// Revision of the first list that was like it.
+    since: u64,
+    list: T,
+}
+
+/// What a node knows of a list, if it is to follow it.
+#[derive(Debug)]
+pub struct Newest<T> {
+    followed: bool,
+    known: Option<Known<T>>,
+}
+
+impl<T> Default for Newest<T> {
+    fn default() -> Self {
+        Newest { followed: false, known: None }
+    }
+}
+
+impl<T: Default + PartialEq> Newest<T> {
+    /// The list is followed from now on.
+    pub fn follow(&mut self) {
+        self.followed = true;
+    }
+
+    /// Whether the list is followed.
+    pub fn is_followed(&self) -> bool {
+        self.followed
+    }
+
+    /// Whether the list is known, or is not followed.
+    pub fn is_known(&self) -> bool {
+        !self.followed || self.known.is_some()
+    }
+
+    /// The list, if one was heard of.
+    pub fn list(&self) -> Option<&T> {
+        self.known.as_ref().map(|k| &k.list)
+    }
+
+    /// Revision of the newest list; `None` if none is known.
+    pub fn at(&self) -> Option<u64> {
+        self.known.as_ref().map(|k| k.at)
+    }
+
+    /// Whether a node that knows the list of a revision, if any, lacks a change.
+    pub fn is_news_since(&self, at: Option<u64>) -> bool {
+        self.known.as_ref().is_some_and(|k| at.is_none_or(|at| at < k.since))
+    }
+
+    /// Takes the list of a revision unless a newer one is known; returns the one before if it
+    /// was another, an empty one if none was known.
+    pub fn take(&mut self, at: u64, list: T) -> Option<T> {
+        let Some(known) = &mut self.known else {
+            self.known = Some(Known { at, since: at, list });
+            return Some(T::default());
+        };
+        if at < known.at {
+            return None;
+        }
+        known.at = at;
+        if list == known.list {
+            return None;
+        }
+        known.since = at;
+        Some(std::mem::replace(&mut known.list, list))
+    }
+}
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -10,6 +10,8 @@
 use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side};
 use model::{Name, Time, hash};
 
+use crate::relay::Newest;
+
 /// What a newer list of orders tells of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RolloutChange {
@@ -37,15 +39,6 @@
 }
 
 /// The newest list of orders.
-#[derive(Debug)]
-struct KnownOrders {
-    /// Revision of the newest list that was heard of.
-    at: u64,
-    /// Revision of the first list with these orders.
-    since: u64,
-    orders: BTreeMap<Name, Rollout>,
-}
-
 /// What this node does for a running order.
 #[derive(Debug)]
 struct Trial {
@@ -66,9 +59,8 @@
 /// Versions of services as one node knows them.
 #[derive(Debug, Default)]
 pub struct Versions {
-    /// Whether the store is to tell of orders: nothing is sent before it has.
-    followed: bool,
-    known: Option<KnownOrders>,
+    /// Orders by service; if the store is to tell of them, nothing is sent before it has.
+    orders: Newest<BTreeMap<Name, Rollout>>,
     present: BTreeMap<Name, BTreeMap<Name, Present>>,
     trials: BTreeMap<Name, Trial>,
     /// Versions whose order was withdrawn or replaced before it was completed.
@@ -78,48 +70,36 @@
 impl Versions {
     /// Orders are followed from now on: no version is used before they are known.
     pub fn follow(&mut self) {
-        self.followed = true;
+        self.orders.follow();
     }
 
     /// Whether orders are known, or none are followed.
     pub fn is_known(&self) -> bool {
-        !self.followed || self.known.is_some()
+        self.orders.is_known()
     }
 
     /// Revision of the newest list; `None` if none is known.
     pub fn at(&self) -> Option<u64> {
-        self.known.as_ref().map(|k| k.at)
+        self.orders.at()
     }
 
     /// The list, for another node.
     pub fn list(&self) -> Option<Rollouts> {
-        let known = self.known.as_ref()?;
-        Some(Rollouts { at: known.at, orders: known.orders.values().cloned().collect() })
+        let orders = self.orders.list()?.values().cloned().collect();
+        Some(Rollouts { at: self.at()?, orders })
     }
 
     /// Whether a node that knows the list of a revision, if any, lacks a change.
     pub fn is_news_since(&self, at: Option<u64>) -> bool {
-        self.known.as_ref().is_some_and(|k| at.is_none_or(|at| at < k.since))
+        self.orders.is_news_since(at)
     }
 
     /// Takes a list unless a newer one is known; returns what it changes.
     pub fn take(&mut self, list: Rollouts, now: Time) -> Vec<RolloutChange> {
-        if self.known.as_ref().is_some_and(|known| list.at < known.at) {
-            return Vec::new();
-        }
         let orders: BTreeMap<Name, Rollout> =
             list.orders.into_iter().map(|order| (order.service.clone(), order)).collect();
-        let before = match self.known.take() {
-            Some(known) => {
-                let since = if known.orders == orders { known.since } else { list.at };
-                self.known = Some(KnownOrders { at: list.at, since, orders: orders.clone() });
-                known.orders
-            }
-            None => {
-                self.known =
-                    Some(KnownOrders { at: list.at, since: list.at, orders: orders.clone() });
-                BTreeMap::new()
-            }
+        let Some(before) = self.orders.take(list.at, orders.clone()) else {
+            return Vec::new();
         };
         let mut changes = Vec::new();
         for (service, order) in &before {
@@ -216,7 +196,7 @@
     /// Revision up to which orders have to be known before every version is settled; `None`
     /// if all are.
     pub fn unsettled(&self) -> Option<u64> {
-        if !self.followed {
+        if !self.orders.is_followed() {
             return None;
         }
         let at = self.at().unwrap_or(0);
@@ -242,7 +222,7 @@
     }
 
     fn order(&self, service: &str) -> Option<&Rollout> {
-        self.known.as_ref()?.orders.get(service)
+        self.orders.list()?.get(service)
     }
 
     fn count(&self, service: &str, version: &str) -> usize {
@@ -251,14 +231,14 @@
 
     /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
     pub fn side(&self, service: &str, version: &str) -> Option<Side> {
-        if !self.followed {
+        if !self.orders.is_followed() {
             return Some(Side::Serving);
         }
-        let known = self.known.as_ref()?;
-        if !self.is_settled(service, version, known.at) || self.is_dropped(service, version) {
+        let at = self.at()?;
+        if !self.is_settled(service, version, at) || self.is_dropped(service, version) {
             return None;
         }
-        let Some(order) = known.orders.get(service) else {
+        let Some(order) = self.order(service) else {
             return Some(Side::Serving);
         };
         let is_named = *order.version == *version;
@@ -331,7 +311,7 @@
 
     /// Orders that are under way.
     pub fn running(&self) -> impl Iterator<Item = &Rollout> {
-        let orders = self.known.iter().flat_map(|known| known.orders.values());
+        let orders = self.orders.list().into_iter().flat_map(BTreeMap::values);
         orders.filter(|order| !order.state.is_final())
     }
 
