A send that has begun is one type; its ends stand once each

Cause: five functions passed the same request, target and begin to each other, and noted what may have run before each of their ends. Ruled out: a closure in each, as two of them had. Change: `Attempt` with `answered`, `may_have_run` and `not_run`. What is noted, observed and logged is the same; of two notes in a row the order changed where one does not read the other.

--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -101,16 +101,14 @@
     made: Option<&Made>,
     resume_after: Option<u64>,
 ) -> Outcome {
-    let begun = exchange.node.now();
     let Choice { target, ticket } = choice;
     let target = &target;
+    let attempt = Attempt { exchange, target, begun: exchange.node.now() };
     exchange.progress(|p| p.goes_to(&target.id));
     let mut at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
-        Err(e) => {
-            return nothing(exchange, target, Observation::Unreachable, begun, e.to_string());
-        }
+        Err(e) => return attempt.nothing(Observation::Unreachable, e.to_string()),
     };
     if let Some(why) = exchange.barred(&target.id) {
         // Nothing of the request has gone there yet.
@@ -123,21 +121,17 @@
     let request = request_for(exchange, target, made, resume_after);
     let work = async {
         match upstream::send_over(socket, target.address, request).await {
-            Ok(answer) => take(exchange, target, answer, at_target, begun).await,
-            Err(e) => {
-                exchange.progress(|p| p.tries.note(Ran::Maybe));
-                nothing(exchange, target, Observation::Failed, begun, e.to_string())
-            }
+            Ok(answer) => attempt.take(answer, at_target).await,
+            Err(e) => attempt.may_have_run(e.to_string()),
         }
     };
     if let Some(outcome) = exchange.patiently(work).await {
         return outcome;
     }
-    exchange.progress(|p| p.tries.note(Ran::Maybe));
     if let Some(sent) = sent {
         sent.bad();
     }
-    nothing(exchange, target, Observation::Failed, begun, "silent for too long".into())
+    attempt.may_have_run("silent for too long".into())
 }
 
 fn request_for(
@@ -162,136 +156,123 @@
     request
 }
 
-/// Takes an answer, unless it is not the target's to this request.
-async fn take(
-    exchange: &Rc<Exchange>,
-    target: &Target,
-    answer: Answer,
-    at_target: AtTarget,
+/// A send that has begun.
+struct Attempt<'a> {
+    exchange: &'a Rc<Exchange>,
+    target: &'a Target,
     begun: Time,
-) -> Outcome {
-    let node = &exchange.node;
-    let Answer { response, connection } = answer;
-    let (head, body) = response.into_parts();
-    let said = node.dialect.answer(&head);
-    let failed = |ran, observed, why: String| {
-        exchange.progress(|p| p.tries.note(ran));
-        nothing(exchange, target, observed, begun, why)
-    };
-    if said.id.as_deref() != Some(exchange.head.id.as_str()) && !said.not_run && !said.misdirected {
-        return failed(Ran::Maybe, Observation::Failed, "answer to another request".into());
-    }
-    if said.misdirected {
-        return failed(Ran::No, Observation::Replaced, "another target has the address".into());
-    }
-    if said.not_run && said.input_gone {
-        exchange.progress(|p| p.tries.note(Ran::No));
-        return Outcome::InputGone;
-    }
-    if said.not_run {
-        let why = format!("turned away with {}", head.status);
-        return failed(Ran::No, Observation::Rejected, why);
-    }
-    if head.status.is_success() && !said.signed {
-        at_target.bad();
-        return failed(Ran::Maybe, Observation::Failed, "answer without signature".into());
-    }
-    let answer = Answer { response: Response::from_parts(head, body), connection };
-    if answer.response.status().is_success() && said.events {
-        return take_stream(exchange, target, answer, at_target, begun).await;
-    }
-    take_whole(exchange, target, answer, at_target, begun).await
 }
 
-/// Takes the first event of a stream.
-async fn take_stream(
-    exchange: &Rc<Exchange>,
-    target: &Target,
-    answer: Answer,
-    mut at_target: AtTarget,
-    begun: Time,
-) -> Outcome {
-    let node = &exchange.node;
-    let Answer { response, connection } = answer;
-    let (head, body) = response.into_parts();
-    let failed = |why: String| {
-        exchange.progress(|p| p.tries.note(Ran::Maybe));
-        nothing(exchange, target, Observation::Failed, begun, why)
-    };
-    let mut reader = EventReader::new(body, connection);
-    let first = match reader.next().await {
-        Ok(Some(first)) => first,
-        Ok(None) => {
+impl Attempt<'_> {
+    /// Takes an answer, unless it is not the target's to this request.
+    async fn take(&self, answer: Answer, at_target: AtTarget) -> Outcome {
+        let Answer { response, connection } = answer;
+        let (head, body) = response.into_parts();
+        let said = self.exchange.node.dialect.answer(&head);
+        let is_own = said.id.as_deref() == Some(self.exchange.head.id.as_str());
+        if !is_own && !said.not_run && !said.misdirected {
+            return self.may_have_run("answer to another request".into());
+        }
+        if said.misdirected {
+            return self.not_run(Observation::Replaced, "another target has the address".into());
+        }
+        if said.not_run && said.input_gone {
+            self.exchange.progress(|p| p.tries.note(Ran::No));
+            return Outcome::InputGone;
+        }
+        if said.not_run {
+            let why = format!("turned away with {}", head.status);
+            return self.not_run(Observation::Rejected, why);
+        }
+        if head.status.is_success() && !said.signed {
             at_target.bad();
-            return failed(StreamError::Empty.to_string());
+            return self.may_have_run("answer without signature".into());
         }
-        Err(e) => {
-            if e.is_of_target() {
+        let answer = Answer { response: Response::from_parts(head, body), connection };
+        if answer.response.status().is_success() && said.events {
+            return self.take_stream(answer, at_target).await;
+        }
+        self.take_whole(answer, at_target).await
+    }
+
+    /// Takes the first event of a stream.
+    async fn take_stream(&self, answer: Answer, mut at_target: AtTarget) -> Outcome {
+        let Answer { response, connection } = answer;
+        let (head, body) = response.into_parts();
+        let mut reader = EventReader::new(body, connection);
+        let first = match reader.next().await {
+            Ok(Some(first)) => first,
+            Ok(None) => {
                 at_target.bad();
+                return self.may_have_run(StreamError::Empty.to_string());
             }
-            return failed(e.to_string());
-        }
-    };
-    exchange.progress(|p| p.tries.note(Ran::Maybe));
-    let took = node.now().since(begun);
-    node.observe(&target.id, Observation::Answered(took), "");
-    at_target.good(took);
-    at_target.read();
-    let headers = node.dialect.back(&head.headers);
-    Outcome::Stream(Box::new(Begun { status: head.status, headers, reader, first, at_target }))
-}
+            Err(e) => {
+                if e.is_of_target() {
+                    at_target.bad();
+                }
+                return self.may_have_run(e.to_string());
+            }
+        };
+        self.answered(&at_target);
+        at_target.read();
+        let headers = self.exchange.node.dialect.back(&head.headers);
+        Outcome::Stream(Box::new(Begun { status: head.status, headers, reader, first, at_target }))
+    }
 
-/// Takes an answer that is no stream, a failure of the target's own too.
-async fn take_whole(
-    exchange: &Rc<Exchange>,
-    target: &Target,
-    answer: Answer,
-    at_target: AtTarget,
-    begun: Time,
-) -> Outcome {
-    let node = &exchange.node;
-    let Answer { response, connection } = answer;
-    let (head, body) = response.into_parts();
-    let body = match Limited::new(body, ANSWER_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            let why = format!("answer broke off: {e}");
-            exchange.progress(|p| p.tries.note(Ran::Maybe));
-            return nothing(exchange, target, Observation::Failed, begun, why);
+    /// Takes an answer that is no stream, a failure of the target's own too.
+    async fn take_whole(&self, answer: Answer, at_target: AtTarget) -> Outcome {
+        let Answer { response, connection } = answer;
+        let (head, body) = response.into_parts();
+        let body = match Limited::new(body, ANSWER_MAX).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return self.may_have_run(format!("answer broke off: {e}")),
+        };
+        drop(connection);
+        let headers = self.exchange.node.dialect.back(&head.headers);
+        let status = head.status;
+        if status.is_server_error() {
+            at_target.bad();
+            self.exchange.progress(|p| p.failure = Some(Failure { status, headers, body }));
+            return self.may_have_run(format!("status {status}"));
         }
-    };
-    drop(connection);
-    exchange.progress(|p| p.tries.note(Ran::Maybe));
-    let took = node.now().since(begun);
-    let headers = node.dialect.back(&head.headers);
-    let status = head.status;
-    if status.is_server_error() {
-        let why = format!("status {status}");
-        at_target.bad();
-        exchange.progress(|p| p.failure = Some(Failure { status, headers, body }));
-        return nothing(exchange, target, Observation::Failed, begun, why);
+        self.answered(&at_target);
+        Outcome::Whole { status, headers, body }
     }
-    node.observe(&target.id, Observation::Answered(took), "");
-    at_target.good(took);
-    Outcome::Whole { status, headers, body }
-}
 
-fn nothing(
-    exchange: &Exchange,
-    target: &Target,
-    observed: Observation,
-    begun: Time,
-    why: String,
-) -> Outcome {
-    let node = &exchange.node;
-    let after_ms = node.now().since(begun).as_millis() as u64;
-    let ran = match exchange.progress(|p| p.tries.ran) {
-        Ran::No => "no",
-        Ran::Maybe => "maybe",
-    };
-    Event::Attempt { id: &exchange.head.id, target: &target.id.name, ran, why: &why, after_ms }
-        .emit();
-    node.observe(&target.id, observed, &why);
-    exchange.progress(|p| p.why = why);
-    Outcome::Nothing
+    /// The target answered the request well.
+    fn answered(&self, at_target: &AtTarget) {
+        let node = &self.exchange.node;
+        self.exchange.progress(|p| p.tries.note(Ran::Maybe));
+        let took = node.now().since(self.begun);
+        node.observe(&self.target.id, Observation::Answered(took), "");
+        at_target.good(took);
+    }
+
+    /// The target failed the request, which may have run there.
+    fn may_have_run(&self, why: String) -> Outcome {
+        self.exchange.progress(|p| p.tries.note(Ran::Maybe));
+        self.nothing(Observation::Failed, why)
+    }
+
+    /// The request surely did not run there.
+    fn not_run(&self, observed: Observation, why: String) -> Outcome {
+        self.exchange.progress(|p| p.tries.note(Ran::No));
+        self.nothing(observed, why)
+    }
+
+    /// The send brought nothing to pass on.
+    fn nothing(&self, observed: Observation, why: String) -> Outcome {
+        let Attempt { exchange, target, begun } = self;
+        let node = &exchange.node;
+        let after_ms = node.now().since(*begun).as_millis() as u64;
+        let ran = match exchange.progress(|p| p.tries.ran) {
+            Ran::No => "no",
+            Ran::Maybe => "maybe",
+        };
+        Event::Attempt { id: &exchange.head.id, target: &target.id.name, ran, why: &why, after_ms }
+            .emit();
+        node.observe(&target.id, observed, &why);
+        exchange.progress(|p| p.why = why);
+        Outcome::Nothing
+    }
 }
