A deployment of one region asks no target for the region of an order

Cause: each stage of each request looked at all targets of its service for their regions, and then went by none of them where regions are not apart. Ruled out: keeping the regions that have makers (targets change all the time). Change: the map is asked first.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -216,13 +216,13 @@
         allowed: &Allowed,
         wanted: Option<Name>,
     ) -> Option<Name> {
-        let now = self.now();
-        self.peers.roster(|r| {
-            let map = r.map();
-            let region = |b: &Belief| map.region_of(&b.target.domain);
-            let able = self.fleet(|f| f.usable_in(service, allowed, now).map(region).collect());
-            map.place(wanted, &able)
-        })
+        let map = self.peers.roster(|r| r.map());
+        if !map.is_split() {
+            return None;
+        }
+        let region = |b: &Belief| map.region_of(&b.target.domain);
+        let able = self.fleet(|f| f.usable_in(service, allowed, self.now()).map(region).collect());
+        map.place(wanted, &able)
     }
 
     /// Uses the forecast for a moment.
