The gauge of unreadable entries has one writer

Cause: two writers of one gauge. A node that reads the store sets it to what it could not read there (9, those without a name included); the same node, when a peer's news reach it too, set it to the names that the fleet holds as unreadable (3). Which one came last was chance.

Ruled out: an order of the test's own steps (both counts are stable from the start on); load.

Change: `unreadable_entries` is set by the reader of the store alone; the names that get nothing new are a gauge of their own, `targets_unreadable`, read from the fleet when figures are asked for, the same at readers and followers.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -78,6 +78,7 @@
     unserved: Gauge,
     peers: Gauge,
     targets: Gauge,
+    unread: Gauge,
     evacuated: Gauge,
     cold: Gauge,
     ages: Family<Named, Gauge>,
@@ -99,6 +100,8 @@
     pub peers: usize,
     /// Targets known.
     pub targets: usize,
+    /// Targets whose entries cannot be read.
+    pub unread: usize,
     /// Failure domains that are evacuated.
     pub evacuated: usize,
     /// Targets whose entries say that they are cold.
@@ -131,6 +134,7 @@
             unserved: Gauge::default(),
             peers: Gauge::default(),
             targets: Gauge::default(),
+            unread: Gauge::default(),
             evacuated: Gauge::default(),
             cold: Gauge::default(),
             ages: Family::default(),
@@ -169,6 +173,8 @@
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
         registry.register("targets", "Targets known", self.targets.clone());
+        let help = "Names of targets whose entries cannot be read";
+        registry.register("targets_unreadable", help, self.unread.clone());
         registry.register("domains_evacuated", "Failure domains evacuated", self.evacuated.clone());
         registry.register("targets_cold", "Targets known as cold", self.cold.clone());
         let help = "Time since the store last confirmed what is known, in milliseconds";
@@ -206,7 +212,7 @@
         self.store_calls.get_or_create(&Named { name: what.to_string() }).inc();
     }
 
-    /// So many entries of a kind cannot be read now.
+    /// So many entries of a kind could not be read when this node last asked the store for it.
     pub fn unreadable(&self, kind: &str, count: usize) {
         self.unreadable.get_or_create(&Named { name: kind.to_string() }).set(count as i64);
     }
@@ -268,6 +274,7 @@
         self.unserved.set(now.unserved as i64);
         self.peers.set(now.peers as i64);
         self.targets.set(now.targets as i64);
+        self.unread.set(now.unread as i64);
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
         self.rollout_share.clear();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -318,6 +318,7 @@
             unserved: self.unserved().len(),
             peers: self.peers.roster(|r| r.count()),
             targets: self.fleet.borrow().len(),
+            unread: self.fleet.borrow().count_unreadable(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
             rollouts: &self.running_rollouts(),
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -191,8 +191,6 @@
         TargetNews::Whole(list) => take_whole(node, at, list, doubt),
         TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
     }
-    let unreadable = node.fleet(|f| f.count_unreadable());
-    node.metrics.unreadable(Kind::Targets.as_str(), unreadable);
     node.feed.confirm_all(confirmed, node.now());
 }
 
