A node's state, its phases and its run are files of their own

`forward/node.rs` held three jobs in 461 lines: state that tasks share, the start, the planned stop. Run and stop are `run.rs`. The three flags of a stop (stopping, closing, ending), each with a channel and a method to wait for it, are one ordered `Phase` and one `reached`; a phase that was reached is never left. node.rs: 396 lines; run.rs: 82.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,15 +14,17 @@
 mod metrics;
 mod node;
 mod peers;
+mod phase;
 mod prefill;
 mod reload;
 mod rollout;
 mod rules;
+mod run;
 mod serve;
 pub mod settings;
 mod stages;
 mod upstream;
 mod watch;
 
-pub use node::run;
+pub use run::run;
 pub use settings::Settings;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -1,12 +1,10 @@
-//! The node: its shared state, its start and its planned stop.
+//! The state that the tasks of a node share.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
 use decide::relay;
@@ -15,22 +13,20 @@
 use model::forward::{Allowed, PoolId, Rollout, Rules, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 use util::clock::Clock;
 use util::http::Client;
 
 use crate::border::{Dialect, Kind};
 use crate::events::Event;
-use crate::ingress;
 use crate::metrics::{Metrics, Now};
 use crate::peers::{self, Peers};
+use crate::phase::Phase;
 use crate::prefill::Schedulers;
-use crate::reload;
 use crate::rollout::{self, LocalRollouts};
 use crate::rules::Table;
 use crate::settings::Settings;
 use crate::stages::Pools;
-use crate::watch::{self as follow, Feed};
+use crate::watch::Feed;
 
 /// Names of routes, workspaces or regions in one log line, at most.
 const TOLD_MOST: usize = 16;
@@ -40,15 +36,8 @@
 const STATE_LOOK: Duration = Duration::from_millis(10);
 /// Time between looks at whether the store answers again.
 const STORE_LOOK: Duration = Duration::from_millis(50);
-/// Time during which the balancer may still bring callers to a stopping node.
-const BALANCER_LAG: Duration = Duration::from_millis(2500);
 /// Time in which entries that lapsed during an outage of the store are back after it.
 const LAPSED_BACK: Duration = Duration::from_secs(2);
-/// Part of the stop's time kept for the end of the process itself.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// Part of the stop's time before that in which requests that are still open are answered
-/// by this node, so that none of them ends without an answer.
-const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
 /// State that the tasks of a node share.
 pub struct Node {
@@ -80,14 +69,13 @@
     store_back: Cell<Option<Time>>,
     targets_known: Cell<bool>,
     version: watch::Sender<u64>,
-    stopping: watch::Sender<bool>,
-    closing: watch::Sender<bool>,
-    ending: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
     open: Cell<usize>,
 }
 
 impl Node {
-    fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
+    /// A node that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
         Node {
             dialect,
             clock: Clock::default(),
@@ -113,9 +101,7 @@
             store_back: Cell::new(None),
             targets_known: Cell::new(false),
             version: watch::Sender::new(0),
-            stopping: watch::Sender::new(false),
-            closing: watch::Sender::new(false),
-            ending: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Serving),
             open: Cell::new(0),
         }
     }
@@ -313,7 +299,7 @@
     /// The node's figures as text.
     pub fn figures(&self) -> String {
         self.metrics.text(Now {
-            open: self.open.get(),
+            open: self.open(),
             rules: self.table.borrow().rules.version,
             unserved: self.unserved().len(),
             peers: self.peers.roster(|r| r.count()),
@@ -370,21 +356,27 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.phase.borrow() >= Phase::Stopping
     }
 
-    /// Returns once a planned stop is so far on that the balancer brings no caller
-    /// any more: connections are closed from then on.
-    pub async fn closing(&self) {
-        let mut closing = self.closing.subscribe();
-        let _ = closing.wait_for(|c| *c).await;
+    /// Returns once the node's life has come this far.
+    pub async fn reached(&self, phase: Phase) {
+        let mut phases = self.phase.subscribe();
+        let _ = phases.wait_for(|p| *p >= phase).await;
     }
 
-    /// Returns once a planned stop is nearly over: what is not answered by then gets this
-    /// node's own answer.
-    pub async fn ending(&self) {
-        let mut ending = self.ending.subscribe();
-        let _ = ending.wait_for(|e| *e).await;
+    /// Goes on to a phase, if it was not reached before.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|p| {
+            let later = phase > *p;
+            *p = phase.max(*p);
+            later
+        });
+    }
+
+    /// Requests that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
     }
 
     /// Counts a request as open until the guard goes.
@@ -402,60 +394,3 @@
         self.0.open.set(self.0.open.get() - 1);
     }
 }
-
-/// Runs a node on this thread until SIGTERM; `path` is where its settings were read.
-pub fn run(settings: Settings, path: PathBuf, dialect: Box<dyn Dialect>) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context("could not start the runtime")?;
-    let node = Rc::new(Node::new(settings, dialect));
-    LocalSet::new().block_on(&runtime, serve(node, path))
-}
-
-async fn serve(node: Rc<Node>, path: PathBuf) -> anyhow::Result<()> {
-    let s = node.settings();
-    crate::events::install(s.name.clone(), node.clock)?;
-    Event::Start { domain: &s.domain, callers: &s.callers.to_string() }.emit();
-    reload::start(&node, path)?;
-    peers::start(&node).await?;
-    follow::start(&node);
-    let callers = ingress::listen(s.callers)?;
-    let readiness = ingress::listen(s.readiness)?;
-    tokio::task::spawn_local(ingress::serve_readiness(node.clone(), readiness));
-    if let Some(address) = s.metrics {
-        let figures = ingress::listen(address)?;
-        tokio::task::spawn_local(ingress::serve_readiness(node.clone(), figures));
-    }
-    tokio::task::spawn_local(ingress::serve_callers(node.clone(), callers));
-    util::stop::signal().await.context("could not wait for signals")?;
-    stop(&node).await;
-    Ok(())
-}
-
-/// Unready at once; goes on serving what still comes; ends when all is answered.
-async fn stop(node: &Rc<Node>) {
-    let begun = node.now();
-    Event::Stop { open: node.open.get() }.emit();
-    node.stopping.send_replace(true);
-    node.peers.roster(|r| r.stop());
-    // Peers turn to others at once; what they have placed here is still made.
-    node.peers.leave();
-    node.feed.wake();
-    node.pools.hand_over(node);
-    let most = Duration::from_millis(node.settings().stop_ms).saturating_sub(STOP_MARGIN);
-    loop {
-        let passed = node.now().since(begun);
-        if passed >= BALANCER_LAG {
-            node.closing.send_replace(true);
-        }
-        if passed + LAST_ANSWERS >= most {
-            node.ending.send_replace(true);
-        }
-        let answered = node.open.get() == 0 && node.pools.is_idle();
-        if passed >= most || (passed >= BALANCER_LAG && answered) {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
