Membership: gossip, manifests and packets are files of their own

`member/machine.rs` held the machine, what is believed of others, who hears of a manifest and how packets are filled, in 480 lines. Nothing but the places changed.

--- /dev/null
+++ b/crates/decide/src/member/gossip.rs
@@ -0,0 +1,110 @@
+//! News of other nodes: what is believed of it, and to whom it is passed on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::Time;
+use model::member::{Health, NodeId, Packet, Purpose, Rumor};
+
+use super::machine::Member;
+use super::peers::digest_of;
+use super::types::Action;
+
+/// Peers told at once of a refutation.
+const ACQUIT: usize = 5;
+/// Least time between two exchanges of whole member lists.
+const SYNC_EVERY: Duration = Duration::from_secs(2);
+/// Most that a node blames itself.
+pub(super) const SELF_MAX: u32 = 4;
+
+impl Member {
+    pub(super) fn declare(
+        &mut self,
+        now: Time,
+        id: &NodeId,
+        health: Health,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(peer) = self.peers.get(id) {
+            let rumor = Rumor { health, ..peer.rumor(now) };
+            self.learn(now, &rumor, out);
+        }
+    }
+
+    /// Takes news about another node and passes it on if it is new.
+    pub(super) fn learn(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
+        let was = self.peers.get(&rumor.node.id).map(|p| p.health);
+        if !self.peers.take(now, rumor) {
+            return;
+        }
+        if was == Some(Health::Suspect) && rumor.health == Health::Alive {
+            self.acquit(rumor, out);
+        }
+        self.outbox.push(rumor.clone());
+        out.push(Action::Changed(rumor.clone()));
+        match rumor.health {
+            Health::Suspect => self.warn(rumor, out),
+            Health::Alive => self.greet(now, rumor, out),
+            Health::Dead | Health::Left => {}
+        }
+    }
+
+    /// Tells a suspect directly, so that it can refute to whoever suspects it in
+    /// one round trip, long before rumors would have gone to it and back.
+    pub(super) fn warn(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
+        let start = rumor.node.id.start;
+        let mut packet = self.bare(Purpose::Ping { start });
+        packet.rumors.push(rumor.clone());
+        out.push(Action::Send(rumor.node.address, packet));
+    }
+
+    /// Digest of the nodes that are up, this one included.
+    pub(super) fn digest(&self) -> u32 {
+        self.peers.digest() ^ digest_of(&self.me.id)
+    }
+
+    /// Anti-entropy: rumors die out before they reach everybody, so two nodes
+    /// that hold different lists now and then exchange them whole.
+    pub(super) fn compare(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        p: &Packet,
+        out: &mut Vec<Action>,
+    ) {
+        let due = self.synced == Time::ZERO || now.since(self.synced) >= SYNC_EVERY;
+        if p.digest == self.digest() || !due || self.peers.get(&p.from).is_none() {
+            return;
+        }
+        self.synced = now;
+        self.tell_all(from, out);
+    }
+
+    pub(super) fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
+        if rumor.node.id != self.me.id {
+            return self.learn(now, rumor, out);
+        }
+        if rumor.health >= Health::Dead {
+            // Buried while paused or cut off: come back as a new member.
+            self.me.id.start = self.rng.draw().max(1);
+            self.incarnation = 0;
+            self.outbox.push(self.own_rumor());
+        } else if rumor.health == Health::Suspect && rumor.incarnation >= self.incarnation {
+            // Somebody doubts this node: refute, and take it as a hint of slowness.
+            self.incarnation = rumor.incarnation + 1;
+            self.blame = (self.blame + 1).min(SELF_MAX);
+            self.outbox.push(self.own_rumor());
+            let rumor = self.own_rumor();
+            self.acquit(&rumor, out);
+        }
+    }
+
+    /// Passes a refutation on at once: it races with the suspicion's end.
+    pub(super) fn acquit(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
+        for to in self.sample(ACQUIT, &rumor.node.id) {
+            let mut packet = self.bare(Purpose::News);
+            packet.rumors.push(rumor.clone());
+            out.push(Action::Send(to, packet));
+        }
+    }
+}
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -7,17 +7,11 @@
 use model::{Name, Time};
 
 use super::join::Joining;
-use super::peers::{Peer, Peers, digest_of};
+use super::peers::{Peer, Peers};
 use super::rumors::Outbox;
 use super::types::{Action, Event, Tuning};
 use crate::rng::Rng;
 
-/// Most rumors in one packet; keeps it under one Ethernet frame.
-const RUMORS: usize = 6;
-/// Most loads in one packet.
-const LOADS: usize = 20;
-/// Peers told at once about a new manifest.
-const PUSH: usize = 3;
 /// One period in this many tries a seed that nobody is known to be at.
 const SEED_EVERY: usize = 5;
 /// Time for which the addresses of peers that left or died are tried: most come back at
@@ -25,17 +19,9 @@
 const GONE_TRIED: Duration = Duration::from_secs(60);
 /// Such addresses tried in one period, in turn.
 const GONE_EACH: usize = 3;
-/// Least time between two exchanges of whole member lists.
-const SYNC_EVERY: Duration = Duration::from_secs(2);
-/// Times that the reporters are told again of a manifest; datagrams get lost.
-const RETELL: u8 = 2;
 /// Times the patience after which a probe has failed: the direct one, and the
 /// two hops of the helpers' one.
 const ROUNDS: u32 = 3;
-/// Peers told at once of a refutation.
-const ACQUIT: usize = 5;
-/// Most that a node blames itself.
-pub(super) const SELF_MAX: u32 = 4;
 
 #[derive(Debug)]
 pub(super) struct Probe {
@@ -222,17 +208,6 @@
         self.try_lost(now, out);
     }
 
-    fn tell_reporters(&mut self, out: &mut Vec<Action>) {
-        if self.retell == 0 {
-            return;
-        }
-        self.retell -= 1;
-        for to in self.reporters() {
-            let packet = self.bare(Purpose::News);
-            out.push(Action::Send(to, packet));
-        }
-    }
-
     /// Probes addresses where peers were lately, or now and then a seed, that nobody is
     /// known to be at: so nodes that restarted while their seeds were down, and the two
     /// sides of a healed partition, find each other.
@@ -255,46 +230,6 @@
         self.turn = self.turn.wrapping_add(GONE_EACH);
     }
 
-    pub(super) fn declare(
-        &mut self,
-        now: Time,
-        id: &NodeId,
-        health: Health,
-        out: &mut Vec<Action>,
-    ) {
-        if let Some(peer) = self.peers.get(id) {
-            let rumor = Rumor { health, ..peer.rumor(now) };
-            self.learn(now, &rumor, out);
-        }
-    }
-
-    /// Takes news about another node and passes it on if it is new.
-    pub(super) fn learn(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
-        let was = self.peers.get(&rumor.node.id).map(|p| p.health);
-        if !self.peers.take(now, rumor) {
-            return;
-        }
-        if was == Some(Health::Suspect) && rumor.health == Health::Alive {
-            self.acquit(rumor, out);
-        }
-        self.outbox.push(rumor.clone());
-        out.push(Action::Changed(rumor.clone()));
-        match rumor.health {
-            Health::Suspect => self.warn(rumor, out),
-            Health::Alive => self.greet(now, rumor, out),
-            Health::Dead | Health::Left => {}
-        }
-    }
-
-    /// Tells a suspect directly, so that it can refute to whoever suspects it in
-    /// one round trip, long before rumors would have gone to it and back.
-    fn warn(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
-        let start = rumor.node.id.start;
-        let mut packet = self.bare(Purpose::Ping { start });
-        packet.rumors.push(rumor.clone());
-        out.push(Action::Send(rumor.node.address, packet));
-    }
-
     fn packet(&mut self, now: Time, from: SocketAddr, p: Packet, out: &mut Vec<Action>) {
         if self.left || p.from == self.me.id {
             return;
@@ -321,100 +256,6 @@
         }
     }
 
-    /// Digest of the nodes that are up, this one included.
-    pub(super) fn digest(&self) -> u32 {
-        self.peers.digest() ^ digest_of(&self.me.id)
-    }
-
-    /// Anti-entropy: rumors die out before they reach everybody, so two nodes
-    /// that hold different lists now and then exchange them whole.
-    fn compare(&mut self, now: Time, from: SocketAddr, p: &Packet, out: &mut Vec<Action>) {
-        let due = self.synced == Time::ZERO || now.since(self.synced) >= SYNC_EVERY;
-        if p.digest == self.digest() || !due || self.peers.get(&p.from).is_none() {
-            return;
-        }
-        self.synced = now;
-        self.tell_all(from, out);
-    }
-
-    fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
-        if rumor.node.id != self.me.id {
-            return self.learn(now, rumor, out);
-        }
-        if rumor.health >= Health::Dead {
-            // Buried while paused or cut off: come back as a new member.
-            self.me.id.start = self.rng.draw().max(1);
-            self.incarnation = 0;
-            self.outbox.push(self.own_rumor());
-        } else if rumor.health == Health::Suspect && rumor.incarnation >= self.incarnation {
-            // Somebody doubts this node: refute, and take it as a hint of slowness.
-            self.incarnation = rumor.incarnation + 1;
-            self.blame = (self.blame + 1).min(SELF_MAX);
-            self.outbox.push(self.own_rumor());
-            let rumor = self.own_rumor();
-            self.acquit(&rumor, out);
-        }
-    }
-
-    /// Passes a refutation on at once: it races with the suspicion's end.
-    fn acquit(&mut self, rumor: &Rumor, out: &mut Vec<Action>) {
-        for to in self.sample(ACQUIT, &rumor.node.id) {
-            let mut packet = self.bare(Purpose::News);
-            packet.rumors.push(rumor.clone());
-            out.push(Action::Send(to, packet));
-        }
-    }
-
-    fn news(&mut self, from: SocketAddr, sender: &NodeId, number: u64, out: &mut Vec<Action>) {
-        let stranger = self.peers.get(sender).is_none();
-        if stranger && number < self.number {
-            let packet = self.bare(Purpose::News);
-            out.push(Action::Send(from, packet));
-        }
-    }
-
-    fn put_in_force(&mut self, number: u64, out: &mut Vec<Action>) {
-        if number <= self.number {
-            return;
-        }
-        self.number = number;
-        self.retell = RETELL;
-        let id = self.me.id.clone();
-        let mut told = self.sample(PUSH, &id);
-        told.extend(self.reporters());
-        told.sort_unstable();
-        told.dedup();
-        for to in told {
-            let packet = self.bare(Purpose::News);
-            out.push(Action::Send(to, packet));
-        }
-    }
-
-    /// Nodes that may hold the failure domain's lease and so report on it.
-    pub fn reporters(&self) -> Vec<SocketAddr> {
-        let ids = self.relays();
-        self.peers().filter(|p| ids.contains(&p.node.id.name)).map(|p| p.node.address).collect()
-    }
-
-    /// Names of the nodes that hold watches and may take leases, this one included.
-    pub fn relays(&self) -> Vec<model::Name> {
-        /// Three, so that two may fail at once.
-        const RELAYS: usize = 3;
-        let own = (!self.left).then_some(&self.me.id.name);
-        let names: std::collections::BTreeSet<&model::Name> =
-            self.peers().map(|p| &p.node.id.name).chain(own).collect();
-        model::hash::rendezvous("relay", names.into_iter(), RELAYS)
-    }
-
-    pub(super) fn tell_link(&mut self, out: &mut Vec<Action>) {
-        if self.links.is_empty() || !self.relays().contains(&self.me.id.name) {
-            return;
-        }
-        let to = self.links[self.rng.below(self.links.len())];
-        let packet = self.bare(Purpose::News);
-        out.push(Action::Send(to, packet));
-    }
-
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.incarnation += 1;
         let rumor = Rumor { health: Health::Left, ..self.own_rumor() };
@@ -426,55 +267,4 @@
         }
         self.left = true;
     }
-
-    pub(super) fn own_rumor(&self) -> Rumor {
-        Rumor {
-            node: self.me.clone(),
-            health: Health::Alive,
-            incarnation: self.incarnation,
-            number: self.number,
-            up_ms: self.now.since(Time::ZERO).as_millis() as u64,
-        }
-    }
-
-    pub(super) fn bare(&self, purpose: Purpose) -> Packet {
-        Packet {
-            from: self.me.id.clone(),
-            seq: 0,
-            purpose,
-            number: self.number,
-            digest: self.digest(),
-            rumors: Vec::new(),
-            loads: Vec::new(),
-        }
-    }
-
-    pub(super) fn packet_of(&mut self, purpose: Purpose, seq: u32) -> Packet {
-        let packet = self.join_packet(purpose, seq);
-        let loads = self.outbox.take_loads(LOADS, self.peers.up() + 1);
-        Packet { loads, ..packet }
-    }
-
-    /// A packet of those that go often between the same two nodes while one of them joins.
-    /// It carries no loads: unlike rumors, nothing makes up for loads that the others missed.
-    pub(super) fn join_packet(&mut self, purpose: Purpose, seq: u32) -> Packet {
-        let nodes = self.peers.up() + 1;
-        let mut rumors = self.outbox.take(RUMORS, nodes);
-        // The suspected hear of it first of all from whoever probes them.
-        if matches!(purpose, Purpose::Ping { .. })
-            && let Some(p) = self.probe.as_ref().and_then(|p| self.peers.get(&p.target))
-            && p.health == Health::Suspect
-        {
-            rumors.push(p.rumor(self.now));
-        }
-        Packet { seq, rumors, ..self.bare(purpose) }
-    }
-
-    pub(super) fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
-        let others = self.peers.iter_up().filter(|p| p.node.id != *but);
-        let mut all: Vec<SocketAddr> = others.map(|p| p.node.address).collect();
-        self.rng.shuffle(&mut all);
-        all.truncate(n);
-        all
-    }
 }
--- /dev/null
+++ b/crates/decide/src/member/manifests.rs
@@ -0,0 +1,82 @@
+//! Which manifest is in force, and who is told.
+
+use std::net::SocketAddr;
+
+use model::member::{NodeId, Purpose};
+
+use super::machine::Member;
+use super::types::Action;
+
+/// Peers told at once about a new manifest.
+const PUSH: usize = 3;
+/// Times that the reporters are told again of a manifest; datagrams get lost.
+const RETELL: u8 = 2;
+
+impl Member {
+    pub(super) fn news(
+        &mut self,
+        from: SocketAddr,
+        sender: &NodeId,
+        number: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let stranger = self.peers.get(sender).is_none();
+        if stranger && number < self.number {
+            let packet = self.bare(Purpose::News);
+            out.push(Action::Send(from, packet));
+        }
+    }
+
+    pub(super) fn put_in_force(&mut self, number: u64, out: &mut Vec<Action>) {
+        if number <= self.number {
+            return;
+        }
+        self.number = number;
+        self.retell = RETELL;
+        let id = self.me.id.clone();
+        let mut told = self.sample(PUSH, &id);
+        told.extend(self.reporters());
+        told.sort_unstable();
+        told.dedup();
+        for to in told {
+            let packet = self.bare(Purpose::News);
+            out.push(Action::Send(to, packet));
+        }
+    }
+
+    /// Nodes that may hold the failure domain's lease and so report on it.
+    pub fn reporters(&self) -> Vec<SocketAddr> {
+        let ids = self.relays();
+        self.peers().filter(|p| ids.contains(&p.node.id.name)).map(|p| p.node.address).collect()
+    }
+
+    /// Names of the nodes that hold watches and may take leases, this one included.
+    pub fn relays(&self) -> Vec<model::Name> {
+        /// Three, so that two may fail at once.
+        const RELAYS: usize = 3;
+        let own = (!self.left).then_some(&self.me.id.name);
+        let names: std::collections::BTreeSet<&model::Name> =
+            self.peers().map(|p| &p.node.id.name).chain(own).collect();
+        model::hash::rendezvous("relay", names.into_iter(), RELAYS)
+    }
+
+    pub(super) fn tell_link(&mut self, out: &mut Vec<Action>) {
+        if self.links.is_empty() || !self.relays().contains(&self.me.id.name) {
+            return;
+        }
+        let to = self.links[self.rng.below(self.links.len())];
+        let packet = self.bare(Purpose::News);
+        out.push(Action::Send(to, packet));
+    }
+
+    pub(super) fn tell_reporters(&mut self, out: &mut Vec<Action>) {
+        if self.retell == 0 {
+            return;
+        }
+        self.retell -= 1;
+        for to in self.reporters() {
+            let packet = self.bare(Purpose::News);
+            out.push(Action::Send(to, packet));
+        }
+    }
+}
--- a/crates/decide/src/member/mod.rs
+++ b/crates/decide/src/member/mod.rs
@@ -11,8 +11,11 @@
 //! The manifest number rides on every packet and is pushed to a few peers as
 //! soon as it is in force, so that news of it spreads in milliseconds.
 
+mod gossip;
 mod join;
 mod machine;
+mod manifests;
+mod packets;
 mod peers;
 mod probes;
 mod rumors;
--- a/crates/decide/src/member/probes.rs
+++ b/crates/decide/src/member/probes.rs
@@ -5,7 +5,8 @@
 use model::Time;
 use model::member::{Health, Node, NodeId, Packet, Purpose, Rumor};
 
-use super::machine::{Errand, Member, Probe, SELF_MAX};
+use super::gossip::SELF_MAX;
+use super::machine::{Errand, Member, Probe};
 use super::peers::Peer;
 use super::types::Action;
 
