--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -300,6 +300,7 @@
     pub fn figures(&self) -> String {
         self.metrics.text(Now {
             open: self.open(),
+            orders: self.pools.open(),
             rules: self.table.borrow().rules.version,
             unserved: self.unserved().len(),
             peers: self.peers.roster(|r| r.count()),
