Reports and answers of a roll-out name the order

Cause: they named service and version alone. The same version ordered again while a node, a judge or a message still worked by the end of the first was judged by that evidence or taken back at once.

Ruled out: the order's own revision (it changes with each state written); the revision of the first list (a node that starts late does not know it).

Change: `RolloutId` names service, version, the revisions between which whoever names it knows the order, and the store's mark of its object. Two whose revisions overlap are one order. `Rollout::is_anew` sees an order given again between two lists. Requests sent under an earlier order no longer count for a later one.

--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use model::Time;
-use model::forward::{Phase, Rollout, RolloutAnswer, RolloutReport, RolloutState};
+use model::forward::{Phase, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState};
 use model::member::NodeId;
 
 use super::plan::{Known, Plan};
@@ -89,6 +89,8 @@
     plan: Plan,
     begun: Time,
     order: Rollout,
+    /// First revision at which the order is known.
+    since: u64,
     /// How old the order was, and when it was so old.
     age: (Duration, Time),
     phase: Phase,
@@ -107,13 +109,14 @@
 }
 
 impl Judge {
-    /// Takes up an order of this age.
-    pub fn new(bounds: Bounds, order: Rollout, age: Duration, now: Time) -> Self {
+    /// Takes up an order of this age that is known since a revision.
+    pub fn new(bounds: Bounds, order: Rollout, since: u64, age: Duration, now: Time) -> Self {
         let mut judge = Judge {
             bounds,
             plan: Plan::new(bounds, Duration::from_millis(order.lasts_ms)),
             begun: now,
             order,
+            since,
             age: (age, now),
             phase: Phase::Share(0.0),
             step: None,
@@ -156,7 +159,13 @@
 
     /// What every report is answered with.
     pub fn answer(&self, now: Time) -> RolloutAnswer {
-        RolloutAnswer { phase: self.phase, age_ms: self.age(now).as_millis() as u64 }
+        let age_ms = self.age(now).as_millis() as u64;
+        RolloutAnswer { order: self.id(), phase: self.phase, age_ms }
+    }
+
+    /// The order that is judged.
+    pub fn id(&self) -> RolloutId {
+        self.order.id(self.since)
     }
 
     /// The phase in force.
@@ -174,9 +183,15 @@
     }
 
     fn report(&mut self, report: RolloutReport, now: Time, actions: &mut Vec<JudgeAction>) {
-        if report.service != self.order.service || report.version != self.order.version {
+        let own = self.id();
+        if !report.order.is_alike(&own) {
             return;
         }
+        // What was seen of an earlier order tells nothing of this one, but that the node uses
+        // the old version until it hears of this one.
+        if !report.order.is_same(&own) {
+            return self.nodes.behind(report.node, now);
+        }
         let age = Duration::from_millis(report.age_ms).max(self.age(now));
         self.age = (age, now);
         self.nodes.reported(&report, now);
@@ -189,11 +204,12 @@
     }
 
     fn take_order(&mut self, order: Rollout) {
-        if order.version != self.order.version || order.service != self.order.service {
-            self.ended = true;
+        if order.revision < self.order.revision {
             return;
         }
-        if order.revision < self.order.revision {
+        let is_same = order.version == self.order.version && order.service == self.order.service;
+        if !is_same || order.is_anew(&self.order) {
+            self.ended = true;
             return;
         }
         self.plan = Plan::new(self.bounds, Duration::from_millis(order.lasts_ms));
--- a/crates/decide/src/rollout/judge/nodes.rs
+++ b/crates/decide/src/rollout/judge/nodes.rs
@@ -61,6 +61,11 @@
         self.last.insert(report.node.clone(), Last { at: now, is_done });
     }
 
+    /// A node does not know the order as it is now.
+    pub fn behind(&mut self, node: NodeId, now: Time) {
+        self.last.insert(node, Last { at: now, is_done: false });
+    }
+
     /// Whether no node that answers uses the old version any more, all requests going to the
     /// new one `since`.
     pub fn are_done(&self, since: Time, now: Time) -> bool {
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side};
+use model::forward::{Phase, Rollout, RolloutId, RolloutState, Rollouts, Side};
 use model::{Name, Time, hash};
 
 use crate::relay::Newest;
@@ -38,10 +38,11 @@
     first: u64,
 }
 
-/// The newest list of orders.
 /// What this node does for a running order.
 #[derive(Debug)]
 struct Trial {
+    /// First revision at which the order is known here.
+    since: u64,
     phase: Phase,
     /// How old the order was, and when it was so old.
     age: (Duration, Time),
@@ -155,7 +156,8 @@
     fn begin(&mut self, order: &Rollout, now: Time) {
         // Nothing goes there before the judge has told a share: what a node that is out of
         // touch sends would not be counted against the cap.
-        let trial = Trial { phase: Phase::Share(0.0), age: (Duration::ZERO, now) };
+        let since = order.revision;
+        let trial = Trial { since, phase: Phase::Share(0.0), age: (Duration::ZERO, now) };
         self.trials.insert(order.service.clone(), trial);
     }
 
@@ -315,6 +317,18 @@
         orders.filter(|order| !order.state.is_final())
     }
 
+    /// What names a service's running order.
+    pub fn order_id(&self, service: &str) -> Option<RolloutId> {
+        let trial = self.trials.get(service)?;
+        Some(self.order(service)?.id(trial.since))
+    }
+
+    /// The running order that is meant.
+    pub fn meant(&self, id: &RolloutId) -> Option<&Rollout> {
+        let own = self.order_id(&id.service)?;
+        self.order(&id.service).filter(|_| own.is_same(id))
+    }
+
     /// Phase of a service's running order.
     pub fn phase(&self, service: &str) -> Option<Phase> {
         self.trials.get(service).map(|trial| trial.phase)
@@ -322,11 +336,11 @@
 
     /// Works by another phase of an order from now on; returns whether that is a change. What
     /// was taken back stays so, and what all requests were sent to does not go back to a share.
-    pub fn set_phase(&mut self, service: &str, version: &str, phase: Phase, now: Time) -> bool {
-        if self.order(service).is_none_or(|order| *order.version != *version) {
+    pub fn set_phase(&mut self, id: &RolloutId, phase: Phase, now: Time) -> bool {
+        if self.meant(id).is_none() {
             return false;
         }
-        let Some(trial) = self.trials.get_mut(service) else {
+        let Some(trial) = self.trials.get_mut(&id.service) else {
             return false;
         };
         let stays = match (trial.phase, phase) {
@@ -348,11 +362,11 @@
     }
 
     /// The order is at least so old: another node heard of it before.
-    pub fn set_age(&mut self, service: &str, at_least: Duration, now: Time) {
-        let Some(age) = self.age(service, now) else {
+    pub fn set_age(&mut self, id: &RolloutId, at_least: Duration, now: Time) {
+        let Some(age) = self.meant(id).and_then(|_| self.age(&id.service, now)) else {
             return;
         };
-        if let Some(trial) = self.trials.get_mut(service) {
+        if let Some(trial) = self.trials.get_mut(&id.service) {
             trial.age = (age.max(at_least), now);
         }
     }
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -7,7 +7,7 @@
 
 use decide::rollout::{Evidence, Judge, JudgeAction, JudgeEvent};
 use model::forward::RolloutState::{self, Active, Completed, Ordered, RolledBack};
-use model::forward::{Answers, Phase, Rollout, RolloutReport, RouteEvidence, Side};
+use model::forward::{Answers, Phase, Rollout, RolloutId, RolloutReport, RouteEvidence, Side};
 use model::member::NodeId;
 use model::{Name, Time};
 use proptest::prelude::*;
@@ -19,7 +19,19 @@
 const NODES: [usize; 3] = [4, 82, 300];
 
 fn order(state: RolloutState, revision: u64) -> Rollout {
-    Rollout { service: "s".into(), version: "v2".into(), lasts_ms: 10_000, state, revision }
+    Rollout {
+        service: "s".into(),
+        version: "v2".into(),
+        lasts_ms: 10_000,
+        state,
+        revision,
+        made: 0,
+    }
+}
+
+/// An order to this version that whoever names it has known all the time.
+fn id(version: &str) -> RolloutId {
+    RolloutId { service: "s".into(), version: version.into(), made: 0, since: 0, at: u64::MAX }
 }
 
 fn node(name: &str) -> NodeId {
@@ -31,8 +43,7 @@
         |sent, good| Answers { sent, bad: 0, times: vec![0, 0, 0, 0, 0, 0, 0, 0, 0, good] };
     JudgeEvent::Report(RolloutReport {
         node: node(name),
-        service: "s".into(),
-        version: "v2".into(),
+        order: id("v2"),
         age_ms: 0,
         phase,
         open,
@@ -53,7 +64,7 @@
 
 impl Bench {
     fn new(state: RolloutState) -> Self {
-        let judge = Judge::new(BOUNDS, order(state, 10), Duration::ZERO, Time::ZERO);
+        let judge = Judge::new(BOUNDS, order(state, 10), 10, Duration::ZERO, Time::ZERO);
         let mut bench = Bench { judge, now: 0, done: Vec::new() };
         bench.on(JudgeEvent::Targets { serving: 4, trial: 4 });
         bench.on(JudgeEvent::Nodes(vec![node("a"), node("b")]));
@@ -146,7 +157,7 @@
 
 #[test]
 fn a_judge_that_begins_late_takes_no_good_version_back() {
-    let judge = Judge::new(BOUNDS, order(Active, 10), Duration::from_millis(9_900), Time::ZERO);
+    let judge = Judge::new(BOUNDS, order(Active, 10), 10, Duration::from_millis(9_900), Time::ZERO);
     let mut bench = Bench { judge, now: 0, done: Vec::new() };
     bench.on(JudgeEvent::Nodes(vec![node("a"), node("b")]));
     bench.on(JudgeEvent::Targets { serving: 4, trial: 2 });
@@ -254,8 +265,7 @@
     let bad = |start: u64, bad: u32| {
         JudgeEvent::Report(RolloutReport {
             node: NodeId { name: "a".into(), start },
-            service: "s".into(),
-            version: "v2".into(),
+            order: id("v2"),
             age_ms: 0,
             phase: Phase::Share(0.1),
             open: 0,
@@ -277,6 +287,74 @@
     assert_eq!(bench.judge.phase(), Phase::Back, "six, of three starts");
 }
 
+#[test]
+fn a_report_on_an_earlier_order_of_the_version_tells_a_judge_nothing() {
+    let bad = |since, at| {
+        JudgeEvent::Report(RolloutReport {
+            node: node("a"),
+            order: RolloutId { since, at, ..id("v2") },
+            age_ms: 9_000,
+            phase: Phase::Back,
+            open: 0,
+            evidence: vec![RouteEvidence {
+                route: "r".into(),
+                serving: Answers { sent: 100, bad: 0, times: vec![100] },
+                trial: Answers { sent: 100, bad: 100, times: vec![] },
+            }],
+        })
+    };
+    // Revisions at which the reporter knows its order, and whether they are of this one, which
+    // the judge knows from 10 to 12.
+    for (since, at, is_same) in [
+        (4, 9, false),
+        (4, 4, false),
+        (13, 15, false),
+        (4, 10, true),
+        (10, 10, true),
+        (12, 12, true),
+    ] {
+        let mut bench = Bench::new(Ordered);
+        bench.on(JudgeEvent::Order(order(Active, 12)));
+        bench.on(bad(since, at));
+        let (is_back, age) =
+            (bench.judge.phase() == Phase::Back, bench.judge.answer(Time::ZERO).age_ms);
+        assert_eq!((is_back, age > 0), (is_same, is_same), "{since} to {at}");
+    }
+}
+
+#[test]
+fn a_node_that_works_by_an_earlier_order_yet_is_waited_for() {
+    let mut bench = Bench::new(Active);
+    bench.run(8_900, &[("a", 0), ("b", 0)]);
+    let behind = |phase| {
+        JudgeEvent::Report(RolloutReport {
+            node: node("b"),
+            order: RolloutId { since: 4, at: 9, ..id("v2") },
+            age_ms: 0,
+            phase,
+            open: 0,
+            evidence: Vec::new(),
+        })
+    };
+    while bench.now < 11_000 {
+        bench.on(behind(Phase::Share(0.0)));
+        bench.run(bench.now + 500, &[("a", 0)]);
+    }
+    assert_eq!((bench.judge.phase(), bench.writes()), (Phase::All, vec![]));
+    bench.run(11_500, &[("a", 0), ("b", 0)]);
+    assert_eq!(bench.writes(), [Completed]);
+}
+
+#[test]
+fn a_judge_ends_when_its_order_is_given_again() {
+    for state in [Ordered, Active] {
+        let mut bench = Bench::new(Active);
+        bench.on(JudgeEvent::Order(order(state, 20)));
+        bench.run(20_000, &[("a", 0), ("b", 0)]);
+        assert_eq!(bench.writes(), [], "{state:?}");
+    }
+}
+
 fn check(case: Case) -> Outcome {
     let outcome = Run::new(case).play();
     let is_bad = case.when != When::Never;
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -10,7 +10,7 @@
 use decide::rng::Rng;
 use decide::rollout::{RolloutChange, Versions};
 use model::Name;
-use model::forward::{Phase, Rollout, RolloutState, Rollouts, Side, Target};
+use model::forward::{Phase, Rollout, RolloutId, RolloutState, Rollouts, Side, Target};
 use proptest::prelude::*;
 use support::at;
 
@@ -19,7 +19,12 @@
 
 fn order(version: &str, state: RolloutState, revision: u64) -> Rollout {
     let (service, version) = ("engine".into(), version.into());
-    Rollout { service, version, lasts_ms: 60_000, state, revision }
+    Rollout { service, version, lasts_ms: 60_000, state, revision, made: 0 }
+}
+
+/// An order to this version that whoever names it has known all the time.
+fn id(version: &str) -> RolloutId {
+    RolloutId { service: "engine".into(), version: version.into(), made: 0, since: 0, at: u64::MAX }
 }
 
 fn list(at: u64, orders: &[Rollout]) -> Rollouts {
@@ -202,6 +207,55 @@
     assert_eq!((versions.at(), versions.running().count()), (Some(50), 0));
 }
 
+#[test]
+fn what_is_told_of_an_earlier_order_changes_nothing_of_a_later_one() {
+    use RolloutState::{Active, Ordered};
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(12, &[order("v2", Ordered, 12)]), at(0));
+    versions.take(list(14, &[order("v2", Active, 14)]), at(1));
+    let first = versions.order_id("engine").expect("it runs");
+    versions.take(list(20, &[order("v2", Ordered, 20)]), at(100));
+    let second = versions.order_id("engine").expect("it runs");
+    let ms = Duration::from_millis;
+    versions.set_age(&first, ms(5000), at(110));
+    for phase in [Phase::Share(0.5), Phase::All, Phase::Back] {
+        assert!(!versions.set_phase(&first, phase, at(110)), "{phase:?} of the first");
+    }
+    let told = (versions.phase("engine"), versions.age("engine", at(110)));
+    assert_eq!(told, (Some(Phase::Share(0.0)), Some(ms(10))));
+    assert!(versions.set_phase(&second, Phase::Share(0.1), at(120)));
+    versions.take(list(22, &[order("v2", Active, 22)]), at(130));
+    assert!(versions.set_phase(&second, Phase::All, at(140)), "the same, taken up by now");
+    let own = versions.order_id("engine").expect("it runs");
+    assert_eq!((own.since, own.at), (20, 22));
+}
+
+#[test]
+fn the_same_version_ordered_again_between_two_lists_is_a_new_order() {
+    use RolloutState::{Active, Ordered};
+    let made = |state, revision, made| Rollout { made, ..order("v2", state, revision) };
+    let longer = |state, revision| Rollout { lasts_ms: 90_000, ..order("v2", state, revision) };
+    // The order as it was known and as it is told next, and whether that is another one.
+    let cases = [
+        (order("v2", Ordered, 12), order("v2", Active, 14), false),
+        (order("v2", Ordered, 12), order("v2", Ordered, 20), true),
+        (order("v2", Active, 14), order("v2", Active, 20), true),
+        (order("v2", Active, 14), longer(Active, 20), false),
+        (made(Ordered, 12, 1), made(Active, 20, 2), true),
+        (made(Ordered, 12, 1), made(Active, 14, 1), false),
+    ];
+    for (was, is, anew) in cases {
+        let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+        versions.take(list(was.revision, std::slice::from_ref(&was)), at(0));
+        let known = versions.order_id("engine").expect("it runs");
+        versions.set_phase(&known, Phase::All, at(1));
+        versions.take(list(is.revision, std::slice::from_ref(&is)), at(2));
+        let phase = if anew { Phase::Share(0.0) } else { Phase::All };
+        assert_eq!(versions.phase("engine"), Some(phase), "{was:?} {is:?}");
+        assert_eq!(versions.meant(&known).is_none(), anew, "{was:?} {is:?}");
+    }
+}
+
 #[test]
 fn a_peer_lacks_what_changed_after_the_list_that_it_knows() {
     let mut versions = versions(&[]);
@@ -232,18 +286,18 @@
         (Phase::Share(0.5), false, 0.0),
     ];
     for (phase, changes, wanted) in cases {
-        assert_eq!(versions.set_phase("engine", "v2", phase, at(5)), changes, "{phase:?}");
+        assert_eq!(versions.set_phase(&id("v2"), phase, at(5)), changes, "{phase:?}");
         assert!((part(&versions) - wanted).abs() < 0.02, "{phase:?}: {}", part(&versions));
     }
     assert_eq!(sides(&versions), (SERVING, None));
-    assert!(!versions.set_phase("engine", "v3", Phase::All, at(6)), "of another order");
+    assert!(!versions.set_phase(&id("v3"), Phase::All, at(6)), "of another order");
 }
 
 #[test]
 fn the_old_version_serves_again_when_the_new_one_loses_all_targets() {
     let mut versions = versions(&[("v1", 5), ("v2", 11)]);
     versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(0));
-    versions.set_phase("engine", "v2", Phase::All, at(1));
+    versions.set_phase(&id("v2"), Phase::All, at(1));
     assert_eq!((sides(&versions), part(&versions)), ((None, TRIAL), 1.0));
     versions.gone(&"engine".into(), &"v2".into());
     assert_eq!((versions.side("engine", "v1"), part(&versions)), (SERVING, 0.0));
@@ -256,10 +310,10 @@
     versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(1000));
     let ms = Duration::from_millis;
     assert_eq!(versions.age("engine", at(1500)), Some(ms(500)));
-    versions.set_age("engine", ms(300), at(1500));
+    versions.set_age(&id("v2"), ms(300), at(1500));
     assert_eq!(versions.age("engine", at(1600)), Some(ms(600)), "it is older than that");
-    versions.set_age("engine", ms(5000), at(1600));
-    versions.set_phase("engine", "v2", Phase::Share(0.1), at(1700));
+    versions.set_age(&id("v2"), ms(5000), at(1600));
+    versions.set_phase(&id("v2"), Phase::Share(0.1), at(1700));
     assert_eq!(versions.age("engine", at(1800)), Some(ms(5200)));
 }
 
--- a/crates/decide/tests/support/rollout.rs
+++ b/crates/decide/tests/support/rollout.rs
@@ -11,6 +11,8 @@
 use model::member::NodeId;
 use model::{Name, Time};
 
+/// Revision of the first list of orders, after the order and the targets of its version came.
+const LISTED_AT: u64 = 12;
 /// Time between two steps.
 const STEP_MS: u64 = 20;
 /// Time between two reports of a node.
@@ -220,6 +222,19 @@
         lasts_ms: case.lasts_ms,
         state: RolloutState::Ordered,
         revision: 10,
+        made: 0,
+    }
+}
+
+fn list(at: u64, order: &Rollout) -> Rollouts {
+    Rollouts { at, orders: vec![order.clone()] }
+}
+
+impl Node {
+    fn take_back(&mut self, now_ms: u64) {
+        if let Some(order) = self.versions.order_id("s") {
+            self.versions.set_phase(&order, Phase::Back, Time::from_millis(now_ms));
+        }
     }
 }
 
@@ -229,7 +244,7 @@
     let (service, v1, v2): (Name, Name, Name) = ("s".into(), "v1".into(), "v2".into());
     versions.saw(&service, &v1, 5);
     versions.saw(&service, &v2, 11);
-    versions.take(Rollouts { at: 12.max(order.revision), orders: vec![order.clone()] }, now);
+    versions.take(list(LISTED_AT.max(order.revision), order), now);
     let id = NodeId { name: format!("n{name}").into(), start };
     let since_ms = now.0 / 1000;
     Node { id, versions, evidence: Evidence::default(), open: 0, since_ms, told_ms: since_ms }
@@ -273,7 +288,8 @@
         let age = Duration::from_millis(self.now);
         let known = self.known(WATCH_MS);
         self.heard[judge] = known.revision;
-        self.judges[judge] = Some(Judge::new(BOUNDS, known, age, self.at()));
+        let since = known.revision;
+        self.judges[judge] = Some(Judge::new(BOUNDS, known, since, age, self.at()));
     }
 
     fn is_cut(&self) -> bool {
@@ -360,7 +376,7 @@
         }
         let now = self.at();
         for node in &mut self.nodes {
-            let list = Rollouts { at: order.revision, orders: vec![order.clone()] };
+            let list = list(order.revision, &order);
             node.versions.take(list, now);
         }
         for judge in 0..2 {
@@ -376,7 +392,7 @@
                 let stands = write.revision == self.order.revision;
                 if stands {
                     self.order.state = write.state;
-                    self.order.revision += 1;
+                    self.order.revision = self.order.revision.max(LISTED_AT) + 1;
                     self.history.push((self.now, self.order.clone()));
                     self.ended(write.judge, write.sent_ms);
                 }
@@ -457,14 +473,15 @@
     fn report(&mut self, n: usize) {
         let now = self.at();
         let node = &self.nodes[n];
-        let (Some(phase), Some(age)) = (node.versions.phase("s"), node.versions.age("s", now))
+        let versions = &node.versions;
+        let (Some(id), Some(phase), Some(age)) =
+            (versions.order_id("s"), versions.phase("s"), versions.age("s", now))
         else {
             return;
         };
         let report = RolloutReport {
             node: node.id.clone(),
-            service: self.service.clone(),
-            version: "v2".into(),
+            order: id,
             age_ms: age.as_millis() as u64,
             phase,
             open: node.open,
@@ -479,14 +496,14 @@
         if self.rng.unit() < self.case.lost {
             return;
         }
-        let Some(RolloutAnswer { phase, age_ms }) =
+        let Some(RolloutAnswer { order, phase, age_ms }) =
             self.judges[judge].as_ref().map(|j| j.answer(now))
         else {
             return;
         };
         let versions = &mut self.nodes[n].versions;
-        versions.set_phase("s", "v2", phase, now);
-        versions.set_age("s", Duration::from_millis(age_ms), now);
+        versions.set_phase(&order, phase, now);
+        versions.set_age(&order, Duration::from_millis(age_ms), now);
     }
 
     fn is_bad(&self, route: usize) -> bool {
@@ -595,7 +612,7 @@
                     self.counts[count].take(answer.side, answer.fails || is_slow);
                 }
                 if self.counts.iter().any(Counts::is_bad) {
-                    node.versions.set_phase("s", "v2", Phase::Back, Time::from_millis(self.now));
+                    node.take_back(self.now);
                 }
                 let took = Duration::from_millis(40 * (1 + answer.route) as u64);
                 node.evidence.good(service, route, answer.side, took);
@@ -605,7 +622,7 @@
                 node.evidence.good(service, route, answer.side, answer.took);
             }
             if answer.side == Side::Trial && answer.bad && node.evidence.proves_bad("s").is_some() {
-                node.versions.set_phase("s", "v2", Phase::Back, Time::from_millis(self.now));
+                node.take_back(self.now);
             }
         }
     }
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -7,7 +7,9 @@
 use decide::fleet::{Belief, Terms};
 use decide::rollout::{Bounds, Judge, JudgeAction, JudgeEvent};
 use model::Time;
-use model::forward::{Allowed, Rollout, RolloutAnswer, RolloutReport, RolloutState, Side};
+use model::forward::{
+    Allowed, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState, Side,
+};
 
 use super::{report, running, take_phase, write};
 use crate::border::Kind;
@@ -32,6 +34,11 @@
 }
 
 impl Judging {
+    /// What names the order.
+    fn id(&self) -> RolloutId {
+        self.machine.borrow().id()
+    }
+
     /// Whether the order has come to its end, as the machine knows.
     fn is_over(&self) -> bool {
         self.machine.borrow().next_tick(Time::ZERO) == Time::NEVER
@@ -47,16 +54,18 @@
     }
 }
 
-/// Takes what a node saw; `None` if no such order runs as far as this one knows.
+/// Takes what a node saw; `None` if its order does not run as far as this one knows.
 pub fn judge(node: &Rc<Node>, report: RolloutReport) -> Option<RolloutAnswer> {
-    let order = running(node, &report.service, &report.version)?;
+    let own = node.fleet(|f| f.versions().order_id(&report.order.service))?;
+    let order = running(node, &own).filter(|_| own.is_alike(&report.order))?;
     let judging = judging(node, order)?;
     if report.node != node.peers.id {
         judging.heard.set(node.now());
     }
+    let asked = report.order.clone();
     feed(node, &judging, JudgeEvent::Report(report));
     let answer = judging.machine.borrow().answer(node.now());
-    Some(answer)
+    Some(answer).filter(|answer| answer.order.is_same(&asked))
 }
 
 /// The judging of an order, begun if there is none.
@@ -72,9 +81,12 @@
         back: Duration::from_millis(settings.back_ms),
     };
     let now = node.now();
-    let age = node.fleet(|f| f.versions().age(&order.service, now)).unwrap_or_default();
+    let (id, age) = node.fleet(|f| {
+        let versions = f.versions();
+        Some((versions.order_id(&order.service)?, versions.age(&order.service, now)?))
+    })?;
     let judging = Rc::new(Judging {
-        machine: RefCell::new(Judge::new(bounds, order.clone(), age, now)),
+        machine: RefCell::new(Judge::new(bounds, order.clone(), id.since, age, now)),
         order: RefCell::new(order.clone()),
         heard: Cell::new(now),
     });
@@ -112,7 +124,7 @@
     let key = report::key(&order.service);
     let is_wanted = node.peers.roster(|r| r.coordinates(key.as_str(), now))
         || now.since(judging.heard.get()) < REST;
-    let runs = || running(node, &order.service, &order.version).is_some_and(|o| judging.judges(&o));
+    let runs = || running(node, &judging.id()).is_some_and(|o| judging.judges(&o));
     is_wanted && is_held(node, judging) && runs()
 }
 
@@ -126,7 +138,7 @@
 fn tell_order(node: &Rc<Node>, judging: &Rc<Judging>) {
     let known = {
         let order = judging.order.borrow();
-        running(node, &order.service, &order.version).filter(|known| *known != *order)
+        running(node, &judging.id()).filter(|known| *known != *order)
     };
     if let Some(order) = known {
         judging.order.replace(order.clone());
@@ -171,7 +183,7 @@
         JudgeAction::Judged { verdict, age } => {
             Event::judged(&order.service, &order.version, "all nodes", &verdict, age).emit();
         }
-        JudgeAction::Phase(phase) => take_phase(node, &order, phase, "judging"),
+        JudgeAction::Phase(phase) => take_phase(node, &judging.id(), phase, "judging"),
     }
 }
 
@@ -195,7 +207,7 @@
     if stands {
         return;
     }
-    let known = running(&node, &order.service, &order.version);
+    let known = running(&node, &judging.id());
     if let Some(order) = known.filter(|known| judging.judges(known)) {
         judging.order.replace(order.clone());
         feed(&node, &judging, JudgeEvent::Order(order));
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 
 use decide::rollout::{Evidence, RolloutChange};
-use model::forward::{Phase, Rollout};
+use model::forward::{Phase, Rollout, RolloutId};
 use model::{Name, Time};
 use tokio::sync::Notify;
 
@@ -66,17 +66,24 @@
     }
 }
 
-/// The running order of a service to move to this version.
-fn running(node: &Node, service: &str, version: &str) -> Option<Rollout> {
-    let is_meant = |o: &&Rollout| *o.service == *service && *o.version == *version;
-    node.fleet(|f| f.versions().running().find(is_meant).cloned())
+/// The running order that is meant.
+fn running(node: &Node, id: &RolloutId) -> Option<Rollout> {
+    node.fleet(|f| f.versions().meant(id).cloned())
+}
+
+/// What names the running orders.
+fn running_ids(node: &Node) -> Vec<RolloutId> {
+    node.fleet(|f| {
+        let versions = f.versions();
+        versions.running().filter_map(|order| versions.order_id(&order.service)).collect()
+    })
 }
 
 /// Works by a phase from now on, unless that is taken back or would undo a later one.
-fn take_phase(node: &Node, order: &Rollout, phase: Phase, why: &str) {
+fn take_phase(node: &Node, id: &RolloutId, phase: Phase, why: &str) {
     let now = node.now();
-    let Rollout { service, version, .. } = order;
-    if !node.fleet(|f| f.versions_mut().set_phase(service, version, phase, now)) {
+    let RolloutId { service, version, .. } = id;
+    if !node.fleet(|f| f.versions_mut().set_phase(id, phase, now)) {
         return;
     }
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -5,10 +5,10 @@
 
 use futures_util::future::join_all;
 use model::Name;
-use model::forward::{Rollout, RolloutAnswer, RolloutReport};
+use model::forward::{RolloutAnswer, RolloutId, RolloutReport};
 use model::member::Node as PeerNode;
 
-use super::{judge, sent, take_phase};
+use super::{judge, running_ids, sent, take_phase};
 use crate::node::Node;
 use crate::peers::ROLLOUT;
 
@@ -25,7 +25,7 @@
 /// Reports until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
-        let orders: Vec<Rollout> = node.fleet(|f| f.versions().running().cloned().collect());
+        let orders = running_ids(&node);
         if orders.is_empty() {
             node.rollouts.changed.notified().await;
             continue;
@@ -40,7 +40,7 @@
     format!("rollout of {service}")
 }
 
-async fn report(node: &Rc<Node>, order: &Rollout) {
+async fn report(node: &Rc<Node>, order: &RolloutId) {
     sent::take_back_if_bad(node, order);
     let now = node.now();
     let first = node.peers.roster(|r| r.coordinators(key(&order.service).as_str(), now));
@@ -54,7 +54,7 @@
         };
         let age = node.fleet(|f| f.versions().age(&order.service, now)).unwrap_or_default();
         match answer {
-            Ok(answer) => return take_answer(node, order, answer),
+            Ok(answer) => return take_answer(node, &answer),
             // It hears of the order soon, and whoever comes next would judge beside it.
             Err(Silence::Unheard) if age < KNOWN_BY_ALL => return,
             Err(_) => {}
@@ -82,35 +82,37 @@
     })
 }
 
-fn take_answer(node: &Node, order: &Rollout, answer: RolloutAnswer) {
+/// Works by an answer, unless it is of another order than the one that runs here by now.
+fn take_answer(node: &Node, answer: &RolloutAnswer) {
+    let RolloutAnswer { order, phase, age_ms } = answer;
     let now = node.now();
-    let age = Duration::from_millis(answer.age_ms);
-    node.fleet(|f| f.versions_mut().set_age(&order.service, age, now));
-    take_phase(node, order, answer.phase, "judge");
+    let age = Duration::from_millis(*age_ms);
+    node.fleet(|f| f.versions_mut().set_age(order, age, now));
+    take_phase(node, order, *phase, "judge");
 }
 
 /// What this node saw; `None` if the order is over meanwhile.
-fn report_of(node: &Node, order: &Rollout) -> Option<RolloutReport> {
-    let Rollout { service, version, .. } = order;
+fn report_of(node: &Node, order: &RolloutId) -> Option<RolloutReport> {
+    let service = &order.service;
     let now = node.now();
-    let (phase, age) = node.fleet(|f| {
+    let (order, phase, age) = node.fleet(|f| {
         let versions = f.versions();
-        Some((versions.phase(service)?, versions.age(service, now)?))
+        versions.meant(order)?;
+        Some((versions.order_id(service)?, versions.phase(service)?, versions.age(service, now)?))
     })?;
     Some(RolloutReport {
         node: node.peers.id.clone(),
-        service: service.clone(),
-        version: version.clone(),
+        open: open_at_old(node, &order),
+        evidence: node.rollouts.evidence.borrow().report(service),
+        order,
         age_ms: age.as_millis() as u64,
         phase,
-        open: open_at_old(node, order),
-        evidence: node.rollouts.evidence.borrow().report(service),
     })
 }
 
 /// Requests and calls of this node at targets of other versions, and results there that its
 /// requests still need.
-fn open_at_old(node: &Node, order: &Rollout) -> u32 {
+fn open_at_old(node: &Node, order: &RolloutId) -> u32 {
     node.fleet(|f| {
         let old = f.of_service(&order.service).filter(|b| b.target.version != order.version);
         old.map(|b| b.outstanding + node.rollouts.held.at(&b.target.id)).sum()
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use decide::fleet::Fleet;
-use model::forward::{Phase, Rollout, Side, Target};
+use model::forward::{Phase, RolloutId, Side, Target};
 use model::{Name, Time};
 
 use super::{running, take_phase};
@@ -18,7 +18,7 @@
 
 struct Inner {
     node: Rc<Node>,
-    order: Rollout,
+    order: RolloutId,
     route: Name,
     version: Name,
     side: Side,
@@ -42,8 +42,7 @@
 ) -> Option<Sent> {
     node.settings().rollouts?;
     let Target { service, version, .. } = target;
-    let is_meant = |o: &&Rollout| o.service == *service;
-    let order = node.fleet(|f| f.versions().running().find(is_meant).cloned())?;
+    let order = node.fleet(|f| f.versions().order_id(service))?;
     let side = if order.version == *version { Side::Trial } else { Side::Serving };
     let limit = node.cold_limit(service);
     let now = node.now();
@@ -90,7 +89,7 @@
     fn counts(&self) -> bool {
         let Inner { node, order, begun, is_cold, .. } = self;
         let tells = !is_cold && !node.rollouts.stalls.since(*begun, node.now());
-        tells && running(node, &order.service, &order.version).is_some()
+        tells && running(node, order).is_some()
     }
 
     fn bad(&self) {
@@ -119,11 +118,14 @@
 }
 
 /// Takes the version back at this node if its own requests prove that it is bad.
-pub(super) fn take_back_if_bad(node: &Node, order: &Rollout) {
-    let Rollout { service, version, lasts_ms, .. } = order;
+pub(super) fn take_back_if_bad(node: &Node, id: &RolloutId) {
+    let Some(order) = running(node, id) else {
+        return;
+    };
+    let RolloutId { service, version, .. } = id;
     let now = node.now();
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
-    let is_over = age >= Duration::from_millis(*lasts_ms);
+    let is_over = age >= Duration::from_millis(order.lasts_ms);
     match node.fleet(|f| f.versions().phase(service)) {
         // It may have been completed, which a node out of touch has not heard: the old targets
         // are most likely gone.
@@ -135,7 +137,7 @@
         return;
     };
     Event::judged(service, version, "this node", &verdict, age).emit();
-    take_phase(node, order, Phase::Back, "own requests");
+    take_phase(node, id, Phase::Back, "own requests");
 }
 
 /// Versions to which calls of a stage service may go, each with the part of all pieces that it
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -24,8 +24,8 @@
 pub use rank::Rank;
 pub use region::Allowed;
 pub use rollout::{
-    Answers, Phase, Rollout, RolloutAnswer, RolloutReport, RolloutState, Rollouts, RouteEvidence,
-    Side,
+    Answers, Phase, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState, Rollouts,
+    RouteEvidence, Side,
 };
 pub use rules::{
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
--- a/crates/model/src/forward/rollout.rs
+++ b/crates/model/src/forward/rollout.rs
@@ -49,17 +49,64 @@
     pub state: RolloutState,
     /// Revision of the store at which the order or its state last changed.
     pub revision: u64,
+    /// Tells apart objects of the store that were made one after the other under one name.
+    pub made: u64,
 }
 
 impl Rollout {
-    /// Whether it was ordered anew since it was known like this: no state goes back.
+    /// Whether it was ordered anew since it was known like this: its object was made anew, its
+    /// state went back, or something changed but neither its state nor its time. A state is
+    /// written once, so that between two orders that are both under way lies an end.
     pub fn is_anew(&self, was: &Rollout) -> bool {
+        if self.revision <= was.revision || self.state.is_final() {
+            return false;
+        }
         let goes_back = match was.state {
             RolloutState::Ordered => false,
             RolloutState::Active => self.state == RolloutState::Ordered,
-            RolloutState::Completed | RolloutState::RolledBack => !self.state.is_final(),
+            RolloutState::Completed | RolloutState::RolledBack => true,
         };
-        goes_back && self.revision > was.revision
+        let is_repeated = self.state == was.state && self.lasts_ms == was.lasts_ms;
+        goes_back || is_repeated || self.made != was.made
+    }
+
+    /// Names the order to a node that knows it since a revision.
+    pub fn id(&self, since: u64) -> RolloutId {
+        RolloutId {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            made: self.made,
+            since,
+            at: self.revision,
+        }
+    }
+}
+
+/// Which order is meant: the same version may be ordered again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutId {
+    /// Service.
+    pub service: Name,
+    /// Version that it is to move to.
+    pub version: Name,
+    /// As the order has it.
+    pub made: u64,
+    /// First revision at which the order is known to whoever names it …
+    pub since: u64,
+    /// … and the newest one.
+    pub at: u64,
+}
+
+impl RolloutId {
+    /// Whether both name orders of one service to one version.
+    pub fn is_alike(&self, other: &RolloutId) -> bool {
+        self.service == other.service && self.version == other.version
+    }
+
+    /// Whether both name one order for sure: revisions of two orders never overlap.
+    pub fn is_same(&self, other: &RolloutId) -> bool {
+        let overlaps = self.since <= other.at && other.since <= self.at;
+        self.is_alike(other) && overlaps && self.made == other.made
     }
 }
 
@@ -124,10 +171,8 @@
 pub struct RolloutReport {
     /// Start of the node that reports.
     pub node: NodeId,
-    /// Service.
-    pub service: Name,
-    /// Version on trial.
-    pub version: Name,
+    /// The order.
+    pub order: RolloutId,
     /// Milliseconds since it first heard of the order.
     pub age_ms: u64,
     /// Phase that it works by.
@@ -139,8 +184,10 @@
 }
 
 /// What the node that decides answers.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RolloutAnswer {
+    /// The order.
+    pub order: RolloutId,
     /// Phase to work by from now on.
     pub phase: Phase,
     /// Milliseconds since any node first heard of the order.
