Unreadable and withdrawn orders, and old targets that write their entries anew

Cause: an order that could not be read when a node first read the list counted as none, and its unproven version served whole. A withdrawn order was known only to the nodes that saw it, without bound. An old target that wrote its entry anew after a completion counted as a release at a node that had just started.

Ruled out: stopping a service whose order cannot be read (blinds it); a finalizer on orders (the operator could not order anew under that name); a record of our own in the store; targets' entries as evidence of a withdrawal (they look like a release that nobody ordered); a wait before a release after a completion serves (no one tells the time).

Change: lists carry the names of orders that cannot be read and the withdrawn versions that their node remembers (8 a service at most). While an order cannot be read what was known of it holds on, and only versions that served before serve; a node that saw nothing before uses the oldest one. A node that starts asks three peers once; until one answers, 3 s at most, the oldest version of a service without an order serves alone. The starts that targets tell say which of two versions is older.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -420,7 +420,7 @@
 /// could go on with.
 fn count_in(versions: &mut Versions, target: &Target) {
     if !target.draining {
-        versions.saw(&target.service, &target.version, target.revision);
+        versions.saw(&target.service, &target.version, target.revision, target.id.start);
     }
 }
 
--- a/crates/decide/src/relay/list.rs
+++ b/crates/decide/src/relay/list.rs
@@ -1,7 +1,7 @@
 //! A list of objects that operators keep, as one reader of the store follows it from revision
 //! to revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::Name;
 
@@ -21,11 +21,13 @@
 pub struct List<T> {
     at: Option<u64>,
     objects: BTreeMap<Name, T>,
+    /// Those that are there and cannot be read, whether or not they were known before.
+    unreadable: BTreeSet<Name>,
 }
 
 impl<T> Default for List<T> {
     fn default() -> Self {
-        List { at: None, objects: BTreeMap::new() }
+        List { at: None, objects: BTreeMap::new(), unreadable: BTreeSet::new() }
     }
 }
 
@@ -48,15 +50,13 @@
     /// Takes the whole list, which is to be followed from `at` on by what changed since.
     pub fn whole(&mut self, at: u64, entries: impl IntoIterator<Item = (Name, Entry<T>)>) {
         let mut before = std::mem::take(&mut self.objects);
-        let kept = |(name, entry)| {
-            let object = match entry {
-                Entry::Now(object) => Some(object),
-                Entry::Unreadable => before.remove(&name),
-                Entry::Gone => None,
-            };
-            object.map(|o| (name, o))
-        };
-        self.objects = entries.into_iter().filter_map(kept).collect();
+        self.unreadable.clear();
+        for (name, entry) in entries {
+            if let (Entry::Unreadable, Some(object)) = (&entry, before.remove(&name)) {
+                self.objects.insert(name.clone(), object);
+            }
+            self.put(name, entry);
+        }
         self.at = Some(at);
     }
 
@@ -64,14 +64,29 @@
     pub fn change(&mut self, at: u64, entries: impl IntoIterator<Item = (Name, Entry<T>)>) {
         self.at = Some(at);
         for (name, entry) in entries {
-            match entry {
-                Entry::Now(object) => _ = self.objects.insert(name, object),
-                Entry::Unreadable => {}
-                Entry::Gone => _ = self.objects.remove(&name),
-            }
+            self.put(name, entry);
         }
     }
 
+    fn put(&mut self, name: Name, entry: Entry<T>) {
+        self.unreadable.remove(&name);
+        match entry {
+            Entry::Now(object) => _ = self.objects.insert(name, object),
+            Entry::Unreadable => _ = self.unreadable.insert(name),
+            Entry::Gone => _ = self.objects.remove(&name),
+        }
+    }
+
+    /// The objects by name.
+    pub fn objects(&self) -> &BTreeMap<Name, T> {
+        &self.objects
+    }
+
+    /// Names of objects that are there and cannot be read.
+    pub fn unreadable(&self) -> impl Iterator<Item = &Name> {
+        self.unreadable.iter()
+    }
+
     /// The objects by name, and the revision at which they are so; `None` if the whole list is
     /// to be read.
     pub fn known(&self) -> Option<(u64, &BTreeMap<Name, T>)> {
--- a/crates/decide/src/rollout/mod.rs
+++ b/crates/decide/src/rollout/mod.rs
@@ -10,10 +10,12 @@
 mod judge;
 mod plan;
 mod pool;
+mod present;
 mod sequential;
 mod times;
 mod verdict;
 mod versions;
+mod withdrawn;
 
 pub use evidence::Evidence;
 pub use judge::{Bounds, Judge, JudgeAction, JudgeEvent};
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -4,12 +4,14 @@
 //! tell whether the orders are known up to where a version was first seen. Until they are, a
 //! version that came beside another one gets nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Phase, Rollout, RolloutId, RolloutState, Rollouts, Side};
+use model::forward::{Phase, Rollout, RolloutId, RolloutState, Rollouts, Side, Withdrawn};
 use model::{Name, Time, hash};
 
+use super::present::{Present, Targets};
+use super::withdrawn::WithdrawnVersions;
 use crate::relay::Newest;
 
 /// What a newer list of orders tells of one service.
@@ -30,14 +32,6 @@
     Withdrawn(Rollout),
 }
 
-/// Targets of one version that are there now.
-#[derive(Debug)]
-struct Present {
-    count: usize,
-    /// Lowest revision of an entry that told of one since there were none before.
-    first: u64,
-}
-
 /// What this node does for a running order.
 #[derive(Debug)]
 struct Trial {
@@ -48,24 +42,28 @@
     age: (Duration, Time),
 }
 
-/// How the order of a version ended that was withdrawn or replaced.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Dropped {
-    /// It was taken back.
-    Bad,
-    /// Its end was not heard of: it may have been completed, and serve alone since.
-    Unended,
+/// Orders, by service.
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Orders {
+    known: BTreeMap<Name, Rollout>,
+    /// Services whose order cannot be read; an earlier one may be known.
+    unreadable: BTreeSet<Name>,
 }
 
 /// Versions of services as one node knows them.
 #[derive(Debug, Default)]
 pub struct Versions {
-    /// Orders by service; if the store is to tell of them, nothing is sent before it has.
-    orders: Newest<BTreeMap<Name, Rollout>>,
-    present: BTreeMap<Name, BTreeMap<Name, Present>>,
+    /// If the store is to tell of orders, nothing is sent before it has.
+    orders: Newest<Orders>,
+    /// Revision of the first list of orders that this node heard of.
+    began: Option<u64>,
+    present: Present,
     trials: BTreeMap<Name, Trial>,
-    /// Versions whose order was withdrawn or replaced before it was completed.
-    dropped: BTreeMap<Name, BTreeMap<Name, Dropped>>,
+    withdrawn: WithdrawnVersions,
+    /// Peers are being asked which orders were withdrawn before this node started.
+    asks_peers: bool,
+    /// Versions that served when the order of their service became unreadable.
+    served: BTreeMap<Name, BTreeSet<Name>>,
 }
 
 impl Versions {
@@ -74,6 +72,12 @@
         self.orders.follow();
     }
 
+    /// Whether peers are being asked which orders were withdrawn before this node started.
+    /// Until then one of a service's versions serves where no order tells which.
+    pub fn set_asks_peers(&mut self, asks: bool) {
+        self.asks_peers = asks;
+    }
+
     /// Whether orders are known, or none are followed.
     pub fn is_known(&self) -> bool {
         self.orders.is_known()
@@ -86,8 +90,13 @@
 
     /// The list, for another node.
     pub fn list(&self) -> Option<Rollouts> {
-        let orders = self.orders.list()?.values().cloned().collect();
-        Some(Rollouts { at: self.at()?, orders })
+        let orders = self.orders.list()?;
+        Some(Rollouts {
+            at: self.at()?,
+            orders: orders.known.values().cloned().collect(),
+            unreadable: orders.unreadable.iter().cloned().collect(),
+            withdrawn: self.withdrawn.all(),
+        })
     }
 
     /// Whether a node that knows the list of a revision, if any, lacks a change.
@@ -97,20 +106,31 @@
 
     /// Takes a list unless a newer one is known; returns what it changes.
     pub fn take(&mut self, list: Rollouts, now: Time) -> Vec<RolloutChange> {
-        let orders: BTreeMap<Name, Rollout> =
-            list.orders.into_iter().map(|order| (order.service.clone(), order)).collect();
-        let Some(before) = self.orders.take(list.at, orders.clone()) else {
+        let Rollouts { at, orders, unreadable, withdrawn } = list;
+        let known = orders.into_iter().map(|order| (order.service.clone(), order)).collect();
+        let mut orders = Orders { known, unreadable: unreadable.into_iter().collect() };
+        self.hold_on(&mut orders);
+        self.hear_of(withdrawn, at);
+        if self.at().is_none_or(|known| at >= known) {
+            self.note_served(&orders.unreadable);
+        }
+        let Some(before) = self.orders.take(at, orders.clone()) else {
             return Vec::new();
         };
         let mut changes = Vec::new();
-        for (service, order) in &before {
-            if !orders.contains_key(service) {
-                self.withdraw(order);
-                changes.push(RolloutChange::Withdrawn(order.clone()));
-            }
+        let is_gone = |service: &Name| {
+            !orders.known.contains_key(service) && !orders.unreadable.contains(service)
+        };
+        for order in before.known.values().filter(|order| is_gone(&order.service)) {
+            self.withdraw(order, at);
+            changes.push(RolloutChange::Withdrawn(order.clone()));
         }
-        for order in orders.into_values() {
-            let was = before.get(&order.service);
+        for service in before.unreadable.iter().filter(|service| is_gone(service)) {
+            self.withdraw_unread(service, at);
+        }
+        self.served.retain(|service, _| orders.unreadable.contains(service));
+        for order in orders.known.into_values() {
+            let was = before.known.get(&order.service);
             changes.extend(self.change(was, order, now));
         }
         changes
@@ -123,9 +143,7 @@
         now: Time,
     ) -> Option<RolloutChange> {
         let is_running = !order.state.is_final();
-        if let Some(dropped) = self.dropped.get_mut(&order.service) {
-            dropped.remove(&order.version);
-        }
+        self.withdrawn.remove(&order.service, &order.version);
         match was {
             None if is_running => {
                 self.begin(&order, now);
@@ -133,7 +151,7 @@
             }
             None => Some(RolloutChange::State(order)),
             Some(was) if was.version != order.version => {
-                self.withdraw(was);
+                self.withdraw(was, self.at().unwrap_or(order.revision));
                 if is_running {
                     self.begin(&order, now);
                 }
@@ -161,40 +179,74 @@
         self.trials.insert(order.service.clone(), trial);
     }
 
-    fn withdraw(&mut self, order: &Rollout) {
+    /// The order is gone from the list of a revision.
+    fn withdraw(&mut self, order: &Rollout, at: u64) {
         self.trials.remove(&order.service);
-        let why = match order.state {
+        let was_bad = match order.state {
             RolloutState::Completed => return,
-            RolloutState::RolledBack => Dropped::Bad,
-            RolloutState::Ordered | RolloutState::Active => Dropped::Unended,
+            RolloutState::RolledBack => true,
+            RolloutState::Ordered | RolloutState::Active => false,
         };
-        let dropped = self.dropped.entry(order.service.clone()).or_default();
-        dropped.insert(order.version.clone(), why);
+        let (service, version) = (order.service.clone(), order.version.clone());
+        self.withdrawn.add(Withdrawn { service, version, was_bad, at });
     }
 
-    /// A target of a version came, by an entry of this revision.
-    pub fn saw(&mut self, service: &Name, version: &Name, revision: u64) {
-        let versions = self.present.entry(service.clone()).or_default();
-        let targets =
-            versions.entry(version.clone()).or_insert(Present { count: 0, first: revision });
-        targets.count += 1;
-        targets.first = targets.first.min(revision);
+    /// An order that could not be read is gone: it may have been for any version that it kept
+    /// from serving.
+    fn withdraw_unread(&mut self, service: &Name, at: u64) {
+        let versions = self.present.of(service).map(|(version, _)| version);
+        let unproven = versions.filter(|version| self.is_unproven(service, version));
+        for version in unproven.cloned().collect::<Vec<_>>() {
+            let service = service.clone();
+            self.withdrawn.add(Withdrawn { service, version, was_bad: false, at });
+        }
     }
 
-    /// A target of a version is gone.
-    pub fn gone(&mut self, service: &Name, version: &Name) {
-        let Some(versions) = self.present.get_mut(service) else {
+    /// What was known of an order holds on while it cannot be read, whoever tells so.
+    fn hold_on(&self, orders: &mut Orders) {
+        for service in &orders.unreadable {
+            if let Some(known) = self.order(service) {
+                orders.known.entry(service.clone()).or_insert_with(|| known.clone());
+            }
+        }
+    }
+
+    /// Takes from another node which orders were gone before this one heard of any.
+    fn hear_of(&mut self, withdrawn: Vec<Withdrawn>, at: u64) {
+        let began = *self.began.get_or_insert(at);
+        if at < began {
             return;
-        };
-        if let Some(targets) = versions.get_mut(version) {
-            targets.count = targets.count.saturating_sub(1);
         }
-        versions.retain(|_, targets| targets.count > 0);
-        if versions.is_empty() {
-            self.present.remove(service);
+        for version in withdrawn.into_iter().filter(|version| version.at <= began) {
+            if self.withdrawn.get(&version.service, &version.version).is_none() {
+                self.withdrawn.add(version);
+            }
         }
     }
 
+    /// Notes what serves where an order becomes unreadable.
+    fn note_served(&mut self, unreadable: &BTreeSet<Name>) {
+        for service in unreadable {
+            if self.served.contains_key(service) {
+                continue;
+            }
+            let versions = self.present.of(service).map(|(version, _)| version);
+            let serves = |version: &&Name| self.serves_but_for_phase(service, version);
+            let served = versions.filter(serves).cloned().collect();
+            self.served.insert(service.clone(), served);
+        }
+    }
+
+    /// A target of a version came, by an entry of this revision, having started then.
+    pub fn saw(&mut self, service: &Name, version: &Name, revision: u64, start: u64) {
+        self.present.saw(service, version, revision, start);
+    }
+
+    /// A target of a version is gone.
+    pub fn gone(&mut self, service: &Name, version: &Name) {
+        self.present.gone(service, version);
+    }
+
     /// Revision up to which orders have to be known before every version is settled; `None`
     /// if all are.
     pub fn unsettled(&self) -> Option<u64> {
@@ -202,33 +254,24 @@
             return None;
         }
         let at = self.at().unwrap_or(0);
-        let newest = |versions: &BTreeMap<Name, Present>| {
-            let oldest = versions.values().map(|targets| targets.first).min()?;
-            let newer =
-                versions.values().map(|targets| targets.first).filter(|first| *first > oldest);
-            newer.max()
-        };
-        self.present.values().filter_map(newest).max().filter(|newest| *newest > at)
+        self.present.newest().filter(|newest| *newest > at)
     }
 
     /// Whether orders are known up to where the version was first seen, or none was seen
     /// before it.
     fn is_settled(&self, service: &str, version: &str, at: u64) -> bool {
-        let Some(versions) = self.present.get(service) else {
+        let Some(targets) = self.present.get(service, version) else {
             return false;
         };
-        let Some(targets) = versions.get(version) else {
-            return false;
-        };
-        targets.first <= at || versions.values().all(|other| targets.first <= other.first)
+        targets.first <= at || self.present.of(service).all(|(_, o)| targets.first <= o.first)
     }
 
     fn order(&self, service: &str) -> Option<&Rollout> {
-        self.orders.list()?.get(service)
+        self.orders.list()?.known.get(service)
     }
 
     fn count(&self, service: &str, version: &str) -> usize {
-        self.present.get(service).and_then(|v| v.get(version)).map_or(0, |targets| targets.count)
+        self.present.get(service, version).map_or(0, |targets| targets.count)
     }
 
     /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
@@ -237,11 +280,15 @@
             return Some(Side::Serving);
         }
         let at = self.at()?;
-        if !self.is_settled(service, version, at) || self.is_dropped(service, version) {
+        if !self.is_settled(service, version, at) || self.is_withdrawn(service, version) {
+            return None;
+        }
+        if self.is_unproven(service, version) {
             return None;
         }
         let Some(order) = self.order(service) else {
-            return Some(Side::Serving);
+            let serves = !self.asks_peers || self.is_oldest(service, version);
+            return serves.then_some(Side::Serving);
         };
         let is_named = *order.version == *version;
         match order.state {
@@ -249,8 +296,7 @@
             RolloutState::RolledBack => Some(Side::Serving),
             RolloutState::Completed if is_named => Some(Side::Serving),
             RolloutState::Completed => {
-                let first = self.present.get(service)?.get(version)?.first;
-                (first > order.revision).then_some(Side::Serving)
+                self.came_after(service, version, order).then_some(Side::Serving)
             }
             RolloutState::Ordered | RolloutState::Active => {
                 self.side_of_running(service, is_named, order)
@@ -258,6 +304,49 @@
         }
     }
 
+    /// Whether a version came after an order to another one was completed. An old target may
+    /// write its entry anew before it stops; what started before the completed version did is
+    /// none that came after it.
+    fn came_after(&self, service: &str, version: &str, order: &Rollout) -> bool {
+        let is_newer = |targets: &&Targets| targets.first > order.revision;
+        let Some(targets) = self.present.get(service, version).filter(is_newer) else {
+            return false;
+        };
+        let completed = self.present.get(service, &order.version);
+        completed.is_none_or(|completed| !targets.started_before(completed))
+    }
+
+    /// Whether a version serves by the orders, whatever requests go to one on trial now.
+    fn serves_but_for_phase(&self, service: &str, version: &str) -> bool {
+        let running = self.order(service).filter(|order| !order.state.is_final());
+        match running {
+            Some(order) if *order.version == *version => false,
+            Some(_) => self.at().is_some_and(|at| {
+                self.is_settled(service, version, at) && !self.is_withdrawn(service, version)
+            }),
+            None => self.side(service, version) == Some(Side::Serving),
+        }
+    }
+
+    /// Whether the order of its service cannot be read, and may be for this version: it did not
+    /// serve before. A node that saw nothing before lets the oldest one serve, since with none
+    /// the service would be away.
+    fn is_unproven(&self, service: &str, version: &str) -> bool {
+        let Some(served) = self.served.get(service) else {
+            return false;
+        };
+        let on_trial = self.order(service).filter(|order| !order.state.is_final());
+        if served.contains(version) || on_trial.is_some_and(|order| *order.version == *version) {
+            return false;
+        }
+        let mut versions = self.present.of(service);
+        versions.any(|(other, _)| served.contains(other)) || !self.is_oldest(service, version)
+    }
+
+    fn is_oldest(&self, service: &str, version: &str) -> bool {
+        self.present.oldest(service).is_some_and(|oldest| **oldest == *version)
+    }
+
     fn side_of_running(&self, service: &str, is_named: bool, order: &Rollout) -> Option<Side> {
         let phase = self.trials.get(service).map(|trial| trial.phase);
         match phase {
@@ -270,23 +359,25 @@
     }
 
     /// Whether its order was withdrawn or replaced, and another version can serve.
-    fn is_dropped(&self, service: &str, version: &str) -> bool {
-        let Some(dropped) = self.dropped.get(service) else {
+    fn is_withdrawn(&self, service: &str, version: &str) -> bool {
+        let Some(withdrawn) = self.withdrawn.get(service, version) else {
             return false;
         };
-        let (Some(why), Some(versions)) = (dropped.get(version), self.present.get(service)) else {
+        if self.order(service).is_some_and(|order| *order.version == *version) {
+            return false;
+        }
+        let Some(own) = self.present.get(service, version) else {
             return false;
         };
-        let mut others = versions.iter().filter(|(other, _)| ***other != *version);
-        if *why == Dropped::Bad {
+        let mut others = self.present.of(service).filter(|(other, _)| ***other != *version);
+        if withdrawn.was_bad {
             return others.next().is_some();
         }
-        let own = versions.get(version).map_or(u64::MAX, |targets| targets.first);
         let tried = self.order(service).filter(|o| o.state != RolloutState::Completed);
-        others.any(|(other, targets)| match dropped.get(other) {
+        others.any(|(other, targets)| match self.withdrawn.get(service, other) {
             _ if tried.is_some_and(|order| order.version == *other) => false,
-            Some(Dropped::Bad) => false,
-            Some(Dropped::Unended) => targets.first < own,
+            Some(other) if other.was_bad => false,
+            Some(_) => targets.first < own.first,
             None => true,
         })
     }
@@ -313,7 +404,7 @@
 
     /// Orders that are under way.
     pub fn running(&self) -> impl Iterator<Item = &Rollout> {
-        let orders = self.orders.list().into_iter().flat_map(BTreeMap::values);
+        let orders = self.orders.list().into_iter().flat_map(|orders| orders.known.values());
         orders.filter(|order| !order.state.is_final())
     }
 
--- a/crates/decide/tests/list.rs
+++ b/crates/decide/tests/list.rs
@@ -26,6 +26,22 @@
     assert_eq!(known(&list), Some((12, vec![("c", 4)])));
 }
 
+#[test]
+fn what_cannot_be_read_is_named_until_it_can_or_is_gone() {
+    let named =
+        |list: &List<u32>| list.unreadable().map(|name| name.to_string()).collect::<Vec<_>>();
+    let mut list = List::default();
+    list.whole(5, entries([("a", Entry::Now(1)), ("b", Entry::Unreadable)]));
+    assert_eq!(named(&list), ["b"]);
+    list.change(6, entries([("a", Entry::Unreadable), ("b", Entry::Now(2))]));
+    assert_eq!(named(&list), ["a"]);
+    list.change(7, entries([("b", Entry::Unreadable), ("a", Entry::Gone)]));
+    assert_eq!(named(&list), ["b"]);
+    list.restart();
+    list.whole(9, entries([("c", Entry::Unreadable)]));
+    assert_eq!((named(&list), known(&list)), (vec!["c".into()], Some((9, vec![]))));
+}
+
 #[test]
 fn what_is_known_of_an_object_holds_on_while_it_cannot_be_read() {
     let mut list = List::default();
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -28,7 +28,7 @@
 }
 
 fn list(at: u64, orders: &[Rollout]) -> Rollouts {
-    Rollouts { at, orders: orders.to_vec() }
+    Rollouts { at, orders: orders.to_vec(), ..Rollouts::default() }
 }
 
 /// Versions that were seen, each with one target and the revision of its entry.
@@ -36,7 +36,7 @@
     let mut versions = Versions::default();
     versions.follow();
     for (version, revision) in seen {
-        versions.saw(&"engine".into(), &(*version).into(), *revision);
+        versions.saw(&"engine".into(), &(*version).into(), *revision, 0);
     }
     versions
 }
@@ -54,8 +54,8 @@
 #[test]
 fn where_no_orders_are_followed_every_version_serves() {
     let mut versions = Versions::default();
-    versions.saw(&"engine".into(), &"v1".into(), 5);
-    versions.saw(&"engine".into(), &"v2".into(), 9);
+    versions.saw(&"engine".into(), &"v1".into(), 5, 0);
+    versions.saw(&"engine".into(), &"v2".into(), 9, 0);
     assert!(versions.is_known());
     assert_eq!(sides(&versions), (SERVING, SERVING));
     assert_eq!((versions.unsettled(), part(&versions)), (None, 0.0));
@@ -101,11 +101,11 @@
     let completed = order("v2", RolloutState::Completed, 20);
     let mut versions = versions(&[("v1", 5), ("v2", 11)]);
     versions.take(list(40, &[completed]), at(0));
-    versions.saw(&"engine".into(), &"v3".into(), 30);
+    versions.saw(&"engine".into(), &"v3".into(), 30, 0);
     assert_eq!(versions.side("engine", "v3"), SERVING);
     assert_eq!(sides(&versions), (None, SERVING));
     versions.gone(&"engine".into(), &"v1".into());
-    versions.saw(&"engine".into(), &"v1".into(), 35);
+    versions.saw(&"engine".into(), &"v1".into(), 35, 0);
     assert_eq!(versions.side("engine", "v1"), SERVING, "it was started anew");
 }
 
@@ -115,7 +115,7 @@
     // The completion of v2, after which v1 stopped, is missed between two lists.
     let mut versions = versions(&[("v1", 5), ("v2", 11)]);
     versions.take(list(20, &[order("v2", Active, 15)]), at(0));
-    versions.saw(&"engine".into(), &"v3".into(), 30);
+    versions.saw(&"engine".into(), &"v3".into(), 30, 0);
     versions.take(list(40, &[order("v3", Active, 31)]), at(10));
     assert_eq!(sides(&versions), (SERVING, None), "as long as the one before is there");
     versions.gone(&"engine".into(), &"v1".into());
@@ -128,7 +128,7 @@
     let mut versions = self::versions(&[("v2", 11), ("v3", 30)]);
     versions.take(list(35, &[order("v2", Active, 15)]), at(0));
     versions.take(list(40, &[order("v3", Active, 31)]), at(10));
-    versions.saw(&"engine".into(), &"v4".into(), 50);
+    versions.saw(&"engine".into(), &"v4".into(), 50, 0);
     versions.take(list(60, &[order("v4", Active, 51)]), at(20));
     assert_eq!(versions.side("engine", "v2"), SERVING);
     assert_eq!(versions.side("engine", "v3"), None, "the one before it can serve");
@@ -171,7 +171,7 @@
     assert_eq!(versions.phase("engine"), None);
     versions.gone(&"engine".into(), &"v1".into());
     assert_eq!(versions.side("engine", "v2"), SERVING, "nothing else is left");
-    versions.saw(&"engine".into(), &"v1".into(), 16);
+    versions.saw(&"engine".into(), &"v1".into(), 16, 0);
     versions.take(list(18, &[order("v2", RolloutState::Ordered, 18)]), at(2));
     assert_eq!(versions.side("engine", "v2"), TRIAL, "a new order names it");
 }
@@ -256,6 +256,132 @@
     }
 }
 
+/// A list in which the order of the service cannot be read.
+fn unreadable(at: u64) -> Rollouts {
+    Rollouts { unreadable: vec!["engine".into()], ..list(at, &[]) }
+}
+
+#[test]
+fn while_an_order_cannot_be_read_versions_that_did_not_serve_get_nothing() {
+    let mut versions = versions(&[("v1", 5)]);
+    versions.take(list(8, &[]), at(0));
+    versions.take(unreadable(10), at(1));
+    versions.saw(&"engine".into(), &"v2".into(), 11, 0);
+    versions.take(unreadable(12), at(2));
+    assert_eq!(sides(&versions), (SERVING, None), "it may be ordered");
+    versions.gone(&"engine".into(), &"v1".into());
+    assert_eq!(versions.side("engine", "v2"), SERVING, "nothing else is there");
+    versions.saw(&"engine".into(), &"v1".into(), 13, 0);
+    versions.take(unreadable(14), at(3));
+    assert_eq!(sides(&versions), (SERVING, None));
+    versions.take(list(16, &[order("v2", RolloutState::Active, 16)]), at(4));
+    assert_eq!(sides(&versions), (SERVING, TRIAL), "it can be read");
+}
+
+#[test]
+fn an_order_that_becomes_unreadable_goes_on_as_it_was_known() {
+    let active = order("v2", RolloutState::Active, 12);
+    let mut versions = versions(&[("v1", 5), ("v2", 11)]);
+    versions.take(list(12, std::slice::from_ref(&active)), at(0));
+    versions.set_phase(&id("v2"), Phase::All, at(1));
+    // Told by a peer that has read nothing else of it.
+    assert_eq!(versions.take(unreadable(20), at(2)), []);
+    versions.saw(&"engine".into(), &"v3".into(), 15, 0);
+    assert_eq!((sides(&versions), part(&versions)), ((None, TRIAL), 1.0));
+    assert_eq!(versions.side("engine", "v3"), None);
+    let told = versions.list().expect("known");
+    assert_eq!((told.orders, told.unreadable), (vec![active.clone()], vec!["engine".into()]));
+    assert_eq!(versions.take(list(30, &[]), at(3)), [RolloutChange::Withdrawn(active)]);
+    assert_eq!(sides(&versions), (SERVING, None));
+    assert_eq!(versions.side("engine", "v3"), None, "the order may have been for it");
+    versions.gone(&"engine".into(), &"v1".into());
+    assert_eq!(versions.side("engine", "v2"), SERVING, "the older one of the two");
+}
+
+#[test]
+fn a_node_that_starts_while_an_order_cannot_be_read_uses_the_oldest_version_alone() {
+    // Revisions and starts of both versions' targets; v1 is the older one.
+    for (v1, v2) in [((5, 0), (11, 0)), ((15, 100), (11, 200)), ((5, 100), (11, 0))] {
+        for is_list_first in [true, false] {
+            let mut versions = versions(&[]);
+            if is_list_first {
+                versions.take(unreadable(20), at(0));
+            }
+            versions.saw(&"engine".into(), &"v2".into(), v2.0, v2.1);
+            versions.saw(&"engine".into(), &"v1".into(), v1.0, v1.1);
+            versions.take(unreadable(20), at(0));
+            assert_eq!(sides(&versions), (SERVING, None), "{v1:?} {v2:?}");
+        }
+    }
+}
+
+#[test]
+fn a_node_that_starts_hears_from_others_which_orders_were_withdrawn() {
+    let active = |revision| [order("v2", RolloutState::Active, revision)];
+    let seen = [("v1", 5), ("v2", 11)];
+    let mut old = versions(&seen);
+    old.take(list(12, &active(12)), at(0));
+    old.take(list(15, &[]), at(1));
+    let told = Rollouts { at: 30, ..old.list().expect("known") };
+    // When the node that starts first heard of orders by itself, and whether it takes that.
+    for (began, is_taken) in [(None, true), (Some(20), true), (Some(14), false)] {
+        let mut new = versions(&seen);
+        if let Some(began) = began {
+            new.take(list(began, &[]), at(2));
+        }
+        new.take(told.clone(), at(3));
+        let wanted = if is_taken { None } else { SERVING };
+        assert_eq!(sides(&new), (SERVING, wanted), "{began:?}");
+        new.take(list(40, &active(40)), at(4));
+        new.take(Rollouts { at: 41, orders: active(40).to_vec(), ..told.clone() }, at(5));
+        assert_eq!(new.side("engine", "v2"), TRIAL, "ordered again since: {began:?}");
+    }
+}
+
+#[test]
+fn until_peers_have_told_of_withdrawn_orders_the_oldest_version_serves_alone() {
+    let mut versions = versions(&[("v2", 11), ("v1", 5)]);
+    versions.set_asks_peers(true);
+    versions.take(list(20, &[]), at(0));
+    assert_eq!(sides(&versions), (SERVING, None));
+    versions.take(list(21, &[order("v2", RolloutState::Active, 21)]), at(0));
+    assert_eq!(sides(&versions), (SERVING, TRIAL), "an order tells");
+    versions.take(list(22, &[order("v2", RolloutState::Completed, 22)]), at(0));
+    assert_eq!(sides(&versions), (None, SERVING));
+    let mut versions = self::versions(&[("v2", 11), ("v1", 5)]);
+    versions.take(list(20, &[]), at(0));
+    assert_eq!(sides(&versions), (SERVING, SERVING), "they have told of none");
+}
+
+#[test]
+fn no_more_withdrawn_orders_are_remembered_than_versions_may_be_there() {
+    let mut versions = versions(&[("v1", 5)]);
+    for n in 0..100 {
+        let ordered = order(&format!("w{n}"), RolloutState::Active, 10 + 2 * n);
+        versions.take(list(10 + 2 * n, &[ordered]), at(n));
+        versions.take(list(11 + 2 * n, &[]), at(n));
+    }
+    let withdrawn = versions.list().expect("known").withdrawn;
+    let names: Vec<&str> = withdrawn.iter().map(|w| &*w.version).collect();
+    assert_eq!(names, ["w92", "w93", "w94", "w95", "w96", "w97", "w98", "w99"]);
+}
+
+#[test]
+fn an_old_target_that_writes_its_entry_anew_after_a_completion_is_no_new_release() {
+    // Revision and start of a target of another version than the completed one, whose own
+    // started at 200, and its side at a node that starts now.
+    for (revision, start, wanted) in
+        [(5, 100, None), (25, 100, None), (25, 300, SERVING), (25, 0, SERVING), (25, 200, SERVING)]
+    {
+        let mut versions = versions(&[]);
+        versions.take(list(30, &[order("v2", RolloutState::Completed, 20)]), at(0));
+        versions.saw(&"engine".into(), &"v1".into(), revision, start);
+        versions.saw(&"engine".into(), &"v2".into(), 28, 400);
+        versions.saw(&"engine".into(), &"v2".into(), 11, 200);
+        assert_eq!(sides(&versions), (wanted, SERVING), "{revision} {start}");
+    }
+}
+
 #[test]
 fn a_peer_lacks_what_changed_after_the_list_that_it_knows() {
     let mut versions = versions(&[]);
@@ -375,7 +501,7 @@
             match item {
                 News::Target(version, revision) => {
                     has_old |= version == "v1";
-                    versions.saw(&"engine".into(), &version.into(), revision);
+                    versions.saw(&"engine".into(), &version.into(), revision, 0);
                 }
                 News::Orders(revision) => {
                     versions.take(orders_at(revision), at(0));
--- a/crates/decide/tests/support/rollout.rs
+++ b/crates/decide/tests/support/rollout.rs
@@ -227,7 +227,7 @@
 }
 
 fn list(at: u64, order: &Rollout) -> Rollouts {
-    Rollouts { at, orders: vec![order.clone()] }
+    Rollouts { at, orders: vec![order.clone()], ..Rollouts::default() }
 }
 
 impl Node {
@@ -242,8 +242,8 @@
     let mut versions = Versions::default();
     versions.follow();
     let (service, v1, v2): (Name, Name, Name) = ("s".into(), "v1".into(), "v2".into());
-    versions.saw(&service, &v1, 5);
-    versions.saw(&service, &v2, 11);
+    versions.saw(&service, &v1, 5, 0);
+    versions.saw(&service, &v2, 11, 0);
     versions.take(list(LISTED_AT.max(order.revision), order), now);
     let id = NodeId { name: format!("n{name}").into(), start };
     let since_ms = now.0 / 1000;
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use decide::fleet::EvacuationChange;
-use decide::relay::Entry;
+use decide::relay::{Entry, List};
 use model::Name;
 use model::forward::Evacuations;
 
@@ -29,8 +29,9 @@
         node.fleet(|f| f.evacuated().domains().map(|domain| (domain.clone(), ())).collect())
     }
 
-    fn take(node: &Node, at: u64, objects: &BTreeMap<Name, ()>) {
-        take(node, Evacuations { at, domains: objects.keys().cloned().collect() }, "store");
+    fn take(node: &Node, at: u64, list: &List<()>) {
+        let domains = list.objects().keys().cloned().collect();
+        take(node, Evacuations { at, domains }, "store");
     }
 
     fn needed(_node: &Node) -> Option<u64> {
--- a/crates/forward/src/watch/lists.rs
+++ b/crates/forward/src/watch/lists.rs
@@ -32,7 +32,7 @@
     fn known(node: &Node) -> BTreeMap<Name, Self::Object>;
 
     /// Puts the list as it is at a revision in force.
-    fn take(node: &Node, at: u64, objects: &BTreeMap<Name, Self::Object>);
+    fn take(node: &Node, at: u64, list: &List<Self::Object>);
 
     /// Revision up to which the list is to be known at once, if it is not to wait for news.
     fn needed(node: &Node) -> Option<u64>;
@@ -100,9 +100,7 @@
     } else {
         list.change(at, entries);
     }
-    if let Some((at, objects)) = list.known() {
-        L::take(node, at, objects);
-    }
+    L::take(node, at, list);
     let now = node.now();
     node.feed.confirm(L::KIND, now, now);
 }
--- a/crates/forward/src/watch/rollouts.rs
+++ b/crates/forward/src/watch/rollouts.rs
@@ -1,16 +1,31 @@
 //! Roll-outs: what a list of their orders changes.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
 
-use decide::relay::Entry;
+use decide::relay::{Entry, List};
 use decide::rollout::RolloutChange;
 use model::Name;
-use model::forward::{Rollout, Rollouts};
+use model::forward::{FollowAsk, Rollout, Rollouts};
+use util::http::Client;
 
 use super::lists::Listed;
+use super::relays;
 use crate::border::{Change, Kind};
 use crate::events::Event;
 use crate::node::Node;
+use crate::peers;
+
+/// Time for a peer that is asked at the start, over a new connection.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between looks at whether any peer is known yet.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+/// Time after which a node that found no peer goes on without one: most are found within a
+/// second, and until then one of a service's versions serves alone.
+const ASK_LONGEST: Duration = Duration::from_secs(3);
+/// Peers asked: one may have just started too.
+const ASKED: usize = 3;
 
 impl Listed for Rollouts {
     const KIND: Kind = Kind::Rollouts;
@@ -30,8 +45,10 @@
         orders.into_iter().map(|order| (order.service.clone(), order)).collect()
     }
 
-    fn take(node: &Node, at: u64, objects: &BTreeMap<Name, Rollout>) {
-        take(node, Rollouts { at, orders: objects.values().cloned().collect() }, "store");
+    fn take(node: &Node, at: u64, list: &List<Rollout>) {
+        let orders = list.objects().values().cloned().collect();
+        let unreadable = list.unreadable().cloned().collect();
+        take(node, Rollouts { at, orders, unreadable, withdrawn: Vec::new() }, "store");
     }
 
     /// A version that came beside another one gets nothing before orders are known up to then.
@@ -40,6 +57,44 @@
     }
 }
 
+/// Asks peers, at the start, which orders were withdrawn before: the store does not tell.
+pub(super) async fn ask_peers(node: Rc<Node>) {
+    let limit = node.now() + ASK_LONGEST;
+    while node.now() < limit && !ask_some(&node).await {
+        tokio::time::sleep(ASK_EVERY).await;
+    }
+    node.fleet(|f| f.versions_mut().set_asks_peers(false));
+}
+
+/// Takes what some peers know of orders; whether any answered.
+async fn ask_some(node: &Rc<Node>) -> bool {
+    let client = Client::new(peers::CONNECT);
+    // Of the targets, nothing.
+    let ask = FollowAsk {
+        at: u64::MAX,
+        rules: node.table().rules.version,
+        evacuations: node.fleet(|f| f.evacuated().at()),
+        rollouts: None,
+        wait_ms: 0,
+        patient: false,
+    };
+    let mut answered = false;
+    for peer in relays(node).peers.iter().take(ASKED) {
+        let answer = match peers::follow(&client, peer.entry, &ask, ASK_TIMEOUT).await {
+            Ok(answer) => answer,
+            Err(e) => {
+                log::debug!("orders: {e}");
+                continue;
+            }
+        };
+        if let Some(list) = answer.rollouts {
+            answered = true;
+            take(node, list, &peer.id.name);
+        }
+    }
+    answered
+}
+
 /// Puts a list in force unless a newer one is, and tells the peers that follow this node.
 pub(super) fn take(node: &Node, list: Rollouts, from: &str) {
     let now = node.now();
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -25,7 +25,7 @@
 pub use region::Allowed;
 pub use rollout::{
     Answers, Phase, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState, Rollouts,
-    RouteEvidence, Side,
+    RouteEvidence, Side, Withdrawn,
 };
 pub use rules::{
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
--- a/crates/model/src/forward/rollout.rs
+++ b/crates/model/src/forward/rollout.rs
@@ -117,6 +117,24 @@
     pub at: u64,
     /// One order a service.
     pub orders: Vec<Rollout>,
+    /// Services whose order is there but cannot be read.
+    pub unreadable: Vec<Name>,
+    /// Versions whose orders are gone, as the node that tells remembers them.
+    pub withdrawn: Vec<Withdrawn>,
+}
+
+/// A version whose order was withdrawn or replaced before it was completed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdrawn {
+    /// Service.
+    pub service: Name,
+    /// Version.
+    pub version: Name,
+    /// Whether it was taken back. If not, its end was not heard of: it may have been completed,
+    /// and serve alone since.
+    pub was_bad: bool,
+    /// Revision of the list from which the order was gone.
+    pub at: u64,
 }
 
 /// Which of a service's versions a request goes to while one is on trial.
--- a/crates/model/src/forward/target.rs
+++ b/crates/model/src/forward/target.rs
@@ -11,7 +11,8 @@
 /// Identity of one start of a target. A target that starts again may keep its name; it then
 /// holds and knows nothing of before, so nothing that is believed of an earlier start holds.
 ///
-/// Starts are compared for equality alone: the clock that they are told by may step.
+/// Starts are told by clocks that may step: they are compared for equality, and for order only
+/// where nothing else tells which of two targets is older.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TargetId {
     /// Name, found nowhere else at one time.
