A choice looks the versions of a service up once

Cause: `Fleet::usable` and `usable_in` asked `Versions::side` for each target, also on services without an order.

Ruled out: a cache by service (one more thing that changes with each list, target and phase); a memo of the last version (as many lookups as before where versions mix).

Change: `Versions::on_side` tells the versions of a service that are on a side; the targets are filtered by them. A property test holds that to what `Fleet::bars` says.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -141,7 +141,10 @@
         terms: Terms<'a>,
         now: Time,
     ) -> impl Iterator<Item = &'a Belief> {
-        self.of_service(service).filter(move |b| self.bars(b, terms, now).is_none())
+        // Looked up once: that takes as long as all else that is asked of a target.
+        let versions = self.versions.on_side(service, terms.side);
+        let may = move |b: &&Belief| self.bars_any_version(b, terms.allowed, now).is_none();
+        self.of_service(service).filter(move |b| versions.contain(&b.target.version)).filter(may)
     }
 
     /// Targets of a service that may get new work in these regions, whatever their version.
@@ -151,10 +154,9 @@
         allowed: &'a Allowed,
         now: Time,
     ) -> impl Iterator<Item = &'a Belief> {
-        let has_side =
-            move |b: &&Belief| self.versions.side(&b.target.service, &b.target.version).is_some();
+        let versions = self.versions.on_any_side(service);
         let may = move |b: &&Belief| self.bars_any_version(b, allowed, now).is_none();
-        self.of_service(service).filter(may).filter(has_side)
+        self.of_service(service).filter(move |b| versions.contain(&b.target.version)).filter(may)
     }
 
     /// Whether a target may get new work on these terms.
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -50,6 +50,25 @@
     unreadable: BTreeSet<Name>,
 }
 
+/// Some versions of a service.
+#[derive(Debug)]
+pub enum Chosen<'a> {
+    /// Whatever there is.
+    Every,
+    /// These.
+    These(Vec<&'a Name>),
+}
+
+impl Chosen<'_> {
+    /// Whether a version is one of them.
+    pub fn contain(&self, version: &Name) -> bool {
+        match self {
+            Chosen::Every => true,
+            Chosen::These(versions) => versions.contains(&version),
+        }
+    }
+}
+
 /// Versions of services as one node knows them.
 #[derive(Debug, Default)]
 pub struct Versions {
@@ -274,6 +293,26 @@
         self.present.get(service, version).map_or(0, |targets| targets.count)
     }
 
+    /// Versions of a service on one side.
+    pub fn on_side(&self, service: &str, side: Side) -> Chosen<'_> {
+        self.chosen(service, |is| is == Some(side))
+    }
+
+    /// Versions of a service that get anything.
+    pub fn on_any_side(&self, service: &str) -> Chosen<'_> {
+        self.chosen(service, |is| is.is_some())
+    }
+
+    fn chosen(&self, service: &str, is_wanted: impl Fn(Option<Side>) -> bool) -> Chosen<'_> {
+        if !self.orders.is_followed() {
+            let every = is_wanted(Some(Side::Serving));
+            return if every { Chosen::Every } else { Chosen::These(Vec::new()) };
+        }
+        let versions = self.present.of(service).map(|(version, _)| version);
+        let wanted = |version: &&Name| is_wanted(self.side(service, version));
+        Chosen::These(versions.filter(wanted).collect())
+    }
+
     /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
     pub fn side(&self, service: &str, version: &str) -> Option<Side> {
         if !self.orders.is_followed() {
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -484,6 +484,39 @@
 }
 
 proptest! {
+    /// The targets that are chosen from are those that nothing bars, whatever runs.
+    #[test]
+    fn targets_that_may_be_used_are_those_that_nothing_bars(
+        targets in proptest::collection::vec((0usize..4, 1u64..40, any::<bool>()), 0..12),
+        known in proptest::option::of((0usize..4, 0usize..4, 1u64..40)),
+        is_followed in any::<bool>(),
+    ) {
+        use RolloutState::{Active, Completed, Ordered, RolledBack};
+        let versions = ["v1", "v2", "v3", "v4"];
+        let mut fleet = Fleet::default();
+        if is_followed {
+            fleet.versions_mut().follow();
+        }
+        for (n, (version, revision, draining)) in targets.into_iter().enumerate() {
+            let version = versions[version].into();
+            let plain = support::target(&format!("t{n}"), "a");
+            fleet.upsert(Target { version, revision, draining, ..plain }, at(0));
+        }
+        if let Some((version, state, revision)) = known {
+            let state = [Ordered, Active, Completed, RolledBack][state];
+            let orders = [order(versions[version], state, revision)];
+            fleet.versions_mut().take(list(40, &orders), at(0));
+            fleet.versions_mut().set_phase(&id(versions[version]), Phase::All, at(0));
+        }
+        for side in [Side::Serving, Side::Trial] {
+            let terms = Terms { side, ..Terms::ANY };
+            let usable = fleet.usable("engine", terms, at(1)).map(|b| &b.target.id);
+            let all = fleet.of_service("engine");
+            let free = all.filter(|b| fleet.bars(b, terms, at(1)).is_none()).map(|b| &b.target.id);
+            prop_assert_eq!(usable.collect::<Vec<_>>(), free.collect::<Vec<_>>());
+        }
+    }
+
     /// In whatever order a node hears of targets and orders, the version that was ordered never
     /// serves and the old one always does once anything is known.
     #[test]
@@ -515,3 +548,30 @@
         }
     }
 }
+
+#[test]
+#[ignore = "a report of times: cargo test --release -p pumicevale-decide --test rollout_versions -- --ignored --nocapture"]
+fn time_of_a_choice_among_targets_of_a_service_without_an_order() {
+    const TARGETS: u32 = 80;
+    const CALLS: u32 = 20_000;
+    let mut fleet = Fleet::default();
+    fleet.versions_mut().follow();
+    for n in 0..TARGETS {
+        let plain = support::target(&format!("t{n}"), "a");
+        fleet.upsert(Target { version: "v1".into(), revision: 5, ..plain }, at(0));
+    }
+    fleet.versions_mut().take(list(10, &[]), at(0));
+    let each = || {
+        let all = fleet.of_service("engine");
+        all.filter(|b| fleet.bars(b, Terms::ANY, at(1)).is_none()).count()
+    };
+    let once = || fleet.usable("engine", Terms::ANY, at(1)).count();
+    let ways: [(&str, &dyn Fn() -> usize); 2] = [("each target", &each), ("once", &once)];
+    for (way, choice) in ways {
+        let begun = std::time::Instant::now();
+        for _ in 0..CALLS {
+            assert_eq!(std::hint::black_box(choice()), TARGETS as usize);
+        }
+        println!("version looked up for {way}: {:?} a choice", begun.elapsed() / CALLS);
+    }
+}
