Evidence of a call weighs it by its failed pieces

Cause: one failed piece marked its whole call bad on either side, so a version with large calls looked worse than one with small calls.

Change: `Evidence::partly` adds up the parts of calls that failed; each whole counts as one failed call. The counts in reports stay whole numbers. The harness of simulated time plays calls and is split by job (driver, what is played, traffic).

--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -15,6 +15,9 @@
 /// Nodes that judge by themselves beside each other; each has its chance of a false alarm.
 const NODES: usize = 100;
 
+/// What adding up parts of a call may lack of a whole.
+const ROUNDING: f64 = 1e-6;
+
 /// Answers on one route, and the tests of them against its baseline.
 #[derive(Debug)]
 struct RouteTests {
@@ -24,6 +27,9 @@
     slow: u64,
     failures_test: Test,
     slow_test: Test,
+    /// Parts of calls that failed and were not counted yet: of the version that serves, of the
+    /// one on trial.
+    owed: (f64, f64),
 }
 
 impl RouteTests {
@@ -36,6 +42,7 @@
             slow: 0,
             failures_test: Test::default(),
             slow_test: Test::default(),
+            owed: (0.0, 0.0),
         }
     }
 
@@ -46,6 +53,21 @@
         }
     }
 
+    /// Whether a call counts as a failure of which this part failed: one does for each whole
+    /// that the parts add up to.
+    fn owes(&mut self, side: Side, failed: f64) -> bool {
+        let owed = match side {
+            Side::Serving => &mut self.owed.0,
+            Side::Trial => &mut self.owed.1,
+        };
+        *owed += failed;
+        let is_whole = *owed >= 1.0 - ROUNDING;
+        if is_whole {
+            *owed -= 1.0;
+        }
+        is_whole
+    }
+
     fn add_serving(&mut self, failed: u32, good: &[u32]) {
         self.baseline.fade(KEEP);
         self.baseline.take(failed, good);
@@ -123,6 +145,25 @@
         }
     }
 
+    /// A call was answered after this time, this part of its pieces as failed. It is one answer,
+    /// since its pieces share much of its fate, and a large call with one piece failed is no
+    /// worse than a small one. Returns whether it counts as a failure.
+    pub fn partly(
+        &mut self,
+        service: &Name,
+        route: &Name,
+        side: Side,
+        failed: f64,
+        took: Duration,
+    ) -> bool {
+        let is_bad = self.route(service, route).owes(side, failed);
+        match is_bad {
+            true => self.bad(service, route, side),
+            false => self.good(service, route, side, took),
+        }
+        is_bad
+    }
+
     /// All of a service, for the judge.
     pub fn report(&self, service: &str) -> Vec<RouteEvidence> {
         let routes = self.services.get(service).into_iter().flat_map(|routes| routes.values());
--- a/crates/decide/tests/rollout_evidence.rs
+++ b/crates/decide/tests/rollout_evidence.rs
@@ -61,3 +61,21 @@
     evidence.forget("s");
     assert_eq!(evidence.report("s"), []);
 }
+
+#[test]
+fn a_call_is_a_failure_as_far_as_its_pieces_are() {
+    let (service, route): (Name, Name) = ("s".into(), "r".into());
+    // Part of each call that failed, calls, and how many of them count as failures.
+    for (part, calls, wanted) in [(0.0, 50, 0), (1.0, 7, 7), (1.0 / 12.0, 120, 10), (0.5, 9, 4)] {
+        let mut evidence = Evidence::default();
+        for _ in 0..calls {
+            evidence.sent(&service, &route, Side::Serving, 12);
+            evidence.partly(&service, &route, Side::Serving, part, Duration::from_millis(5));
+        }
+        let [seen] = &evidence.report("s")[..] else {
+            panic!("one route");
+        };
+        let good: u32 = seen.serving.times.iter().sum();
+        assert_eq!((seen.serving.bad, good), (wanted, calls - wanted), "{part}");
+    }
+}
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -1,6 +1,7 @@
 //! Roll-outs from order to end: what a judge decides, and what a bad version gets.
 
-#[path = "support/rollout.rs"]
+#[path = "support/rollout/mod.rs"]
+#[allow(dead_code, unused_imports, reason = "each test file uses its part")]
 mod support;
 
 use std::time::Duration;
--- a/crates/decide/tests/rollout_table.rs
+++ b/crates/decide/tests/rollout_table.rs
@@ -1,14 +1,15 @@
 //! How soon a bad version is seen, in simulated time: a part of it as a check, the whole as a
 //! report (`cargo test -p pumicevale-decide --test rollout_table -- --ignored --nocapture`).
 
-#[path = "support/rollout.rs"]
+#[path = "support/rollout/mod.rs"]
+#[allow(dead_code, unused_imports, reason = "each test file uses its part")]
 mod support;
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use model::forward::RolloutState;
-use support::{Case, Fault, Outcome, Run, Way, When};
+use support::{Calls, Case, Count, Fault, Outcome, Run, Way, When};
 
 const FAULTS: [Fault; 4] =
     [Fault::Fails(0.2), Fault::Fails(0.4), Fault::Slow(3.0), Fault::Slow(8.0)];
@@ -84,6 +85,64 @@
     }
 }
 
+/// Pieces of a call of either version: the share on trial fills its calls less.
+const PIECES: [(u32, u32); 2] = [(16, 2), (2, 16)];
+
+fn of_calls(seed: u64, calls: Calls, noise: f64, fault: Option<Fault>) -> Case {
+    let (when, fault) = match fault {
+        Some(fault) => (When::AtOnce, fault),
+        None => (When::Never, Fault::Fails(0.0)),
+    };
+    Case { noise, calls: Some(calls), ..Case::plain(seed, 100.0, 82, when, fault) }
+}
+
+fn backs(outcomes: &[Outcome]) -> usize {
+    outcomes.iter().filter(|o| o.state() == Some(RolloutState::RolledBack)).count()
+}
+
+#[test]
+fn calls_of_other_sizes_make_no_version_look_worse() {
+    for pieces in PIECES {
+        for shared in [0.0, 1.0] {
+            let calls = Calls { count: Count::Parts, pieces, shared };
+            let good: Vec<Case> = (0..24).map(|s| of_calls(s, calls, 0.02, None)).collect();
+            let most = 1;
+            assert!(backs(&play(&good)) <= most, "{calls:?}");
+            if pieces != PIECES[0] {
+                // The cap counts pieces: few calls as large as these come within it.
+                continue;
+            }
+            let fault = Some(Fault::Fails(0.4));
+            let bad: Vec<Case> = (0..12).map(|s| of_calls(s, calls, 0.02, fault)).collect();
+            assert_eq!(backs(&play(&bad)), bad.len(), "{calls:?}");
+        }
+    }
+}
+
+#[test]
+#[ignore = "a report"]
+fn ways_to_count_the_pieces_of_calls() {
+    for pieces in PIECES {
+        for shared in [0.0, 0.5, 1.0] {
+            for count in [Count::Whole, Count::Pieces, Count::Parts] {
+                let calls = Calls { count, pieces, shared };
+                let good: Vec<Case> = (0..100).map(|s| of_calls(s, calls, 0.02, None)).collect();
+                let mut row =
+                    format!("| {pieces:?} | {shared} | {count:?} | {}", backs(&play(&good)));
+                for fault in [Fault::Fails(0.2), Fault::Fails(0.4)] {
+                    let bad = (0..20).map(|s| of_calls(s, calls, 0.02, Some(fault)));
+                    let seen = seen(&play(&bad.collect::<Vec<_>>()));
+                    row += &format!(
+                        " | {:.0}, {:.1} s, {}",
+                        seen.requests.0, seen.seconds.0, seen.missed
+                    );
+                }
+                println!("{row} |");
+            }
+        }
+    }
+}
+
 #[test]
 #[ignore = "the whole table is a report of some minutes"]
 fn the_table_of_detection() {
--- a/crates/decide/tests/support/rollout/mod.rs
+++ b/crates/decide/tests/support/rollout/mod.rs
@@ -1,6 +1,9 @@
 //! Nodes, one order, its judges and the store's record of it, in simulated time, for the tests
 //! of roll-outs. Requests are drawn at random; nothing is queued and no target is simulated.
 
+mod case;
+mod traffic;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -11,6 +14,10 @@
 use model::member::NodeId;
 use model::{Name, Time};
 
+use case::Counts;
+pub use case::{BOUNDS, Calls, Case, Count, Fault, Outcome, Way, When};
+use traffic::Answer;
+
 /// Revision of the first list of orders, after the order and the targets of its version came.
 const LISTED_AT: u64 = 12;
 /// Time between two steps.
@@ -26,140 +33,6 @@
 /// Time without a report after which a node counts as out of touch.
 const SILENT_MS: u64 = 1000;
 
-/// When a version is bad.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum When {
-    /// Never.
-    Never,
-    /// From the start.
-    AtOnce,
-    /// From this part of the order's time on.
-    From(f64),
-    /// While it gets more than this part of the requests.
-    Above(f64),
-    /// On the first of the routes.
-    OneRoute,
-}
-
-/// What a bad version does.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Fault {
-    /// Fails this part of the answers.
-    Fails(f64),
-    /// Takes so many times as long for two answers of five.
-    Slow(f64),
-}
-
-/// What judges.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Way {
-    /// The sequential tests of the judge and the nodes.
-    Sequential,
-    /// Fixed counts over the whole time, for comparison: of fifty answers on trial, of a route
-    /// or of all, a tenth more are bad than of the version that serves. The judge sees no bad
-    /// answer then, and is told of the verdict by a report.
-    FixedCounts,
-}
-
-/// Bad answers and all, as `Way::FixedCounts` counts them; by route, then of all.
-#[derive(Debug, Clone, Copy, Default)]
-struct Counts {
-    serving: (f64, f64),
-    trial: (f64, f64),
-}
-
-impl Counts {
-    fn take(&mut self, side: Side, is_bad: bool) {
-        let of = if side == Side::Trial { &mut self.trial } else { &mut self.serving };
-        of.0 += f64::from(u8::from(is_bad));
-        of.1 += 1.0;
-    }
-
-    fn is_bad(&self) -> bool {
-        let share = |of: (f64, f64)| of.0 / of.1.max(1.0);
-        self.trial.1 >= 50.0 && share(self.trial) >= share(self.serving) + 0.1
-    }
-}
-
-/// One roll-out.
-#[derive(Debug, Clone, Copy)]
-pub struct Case {
-    pub way: Way,
-    pub seed: u64,
-    pub lasts_ms: u64,
-    pub rate: f64,
-    pub nodes: usize,
-    pub routes: usize,
-    pub when: When,
-    pub fault: Fault,
-    /// Part of the answers that fail whatever the version.
-    pub noise: f64,
-    /// Part of the reports and of their answers that is lost.
-    pub lost: f64,
-    /// Part of the writes whose answer is lost; half of them land later or never.
-    pub lost_writes: f64,
-    /// Nodes that restart in each second.
-    pub restarts: f64,
-    /// From when to when half of the nodes are cut off from the others, with a judge each.
-    pub cut_ms: Option<(u64, u64)>,
-}
-
-impl Case {
-    /// Undisturbed, four routes.
-    pub fn plain(seed: u64, rate: f64, nodes: usize, when: When, fault: Fault) -> Self {
-        Case {
-            way: Way::Sequential,
-            seed,
-            lasts_ms: 60_000,
-            rate,
-            nodes,
-            routes: 4,
-            when,
-            fault,
-            noise: 0.002,
-            lost: 0.0,
-            lost_writes: 0.0,
-            restarts: 0.0,
-            cut_ms: None,
-        }
-    }
-}
-
-/// Bounds of the tests.
-pub const BOUNDS: Bounds = Bounds { share: 0.1, slack: 50, back: Duration::from_millis(5000) };
-
-/// What came of it.
-#[derive(Debug, Clone, Default)]
-pub struct Outcome {
-    /// Requests from the order to the deadline, and those of them to the version on trial.
-    pub sent: u64,
-    pub tried: u64,
-    /// Final states that the store took, with the time and the requests that were open at the
-    /// old version then, of nodes in touch with the writer.
-    pub ends: Vec<(RolloutState, u64, u32)>,
-    /// When it turned bad, and the requests that it got from then on.
-    pub bad_from_ms: Option<u64>,
-    pub after: u64,
-    /// Requests to the version sent later than `back` after the fiftieth bad answer.
-    pub late: u64,
-    /// When the version got its last request.
-    pub last_tried_ms: u64,
-    /// Judgements: time and cause.
-    pub judged: Vec<(u64, &'static str)>,
-    /// Greatest chance that was in force.
-    pub most: f64,
-}
-
-impl Outcome {
-    pub fn state(&self) -> Option<RolloutState> {
-        self.ends.last().map(|(state, _, _)| *state)
-    }
-
-    pub fn cap(&self) -> f64 {
-        BOUNDS.share * self.sent as f64 + f64::from(BOUNDS.slack)
-    }
-}
-
 struct Node {
     id: NodeId,
     versions: Versions,
@@ -180,16 +53,6 @@
     lost: bool,
 }
 
-struct Answer {
-    node: usize,
-    start: u64,
-    route: usize,
-    side: Side,
-    took: Duration,
-    bad: bool,
-    fails: bool,
-}
-
 pub struct Run {
     case: Case,
     rng: Rng,
@@ -505,125 +368,4 @@
         versions.set_phase(&order, phase, now);
         versions.set_age(&order, Duration::from_millis(age_ms), now);
     }
-
-    fn is_bad(&self, route: usize) -> bool {
-        match self.case.when {
-            When::Never => false,
-            When::AtOnce => true,
-            When::From(part) => self.now as f64 >= part * self.case.lasts_ms as f64,
-            When::Above(part) => self.trial_part > part,
-            When::OneRoute => route == 0,
-        }
-    }
-
-    fn send(&mut self) {
-        self.owed += self.case.rate * STEP_MS as f64 / 1000.0;
-        let (mut sent, mut tried) = (0.0, 0.0);
-        // Arrivals at random: each of many callers sends with a small chance.
-        let lots = (self.owed * 2.0).ceil() as usize + 1;
-        let chance = self.owed / lots as f64;
-        self.owed = 0.0;
-        for _ in 0..lots {
-            if self.rng.unit() < chance {
-                sent += 1.0;
-                tried += f64::from(u8::from(self.request() == Side::Trial));
-            }
-        }
-        if sent > 0.0 {
-            self.trial_part += 0.2 * (tried / sent - self.trial_part);
-        }
-    }
-
-    fn request(&mut self) -> Side {
-        self.attempts += 1;
-        let n = self.rng.below(self.nodes.len());
-        let route = self.rng.below(self.routes.len());
-        let attempt = format!("{}-{}", self.case.seed, self.attempts);
-        let node = &mut self.nodes[n];
-        let side = node.versions.turn("s", &attempt);
-        let version = if side == Side::Trial { "v2" } else { "v1" };
-        let order_state = node.versions.running().next().is_some();
-        if order_state {
-            assert_eq!(node.versions.side("s", version), Some(side), "at {} ms", self.now);
-        }
-        node.evidence.sent(&self.service, &self.routes[route], side, 1);
-        let new = side == Side::Trial
-            || !order_state && node.versions.side("s", "v2") == Some(Side::Serving);
-        node.open += u32::from(!new);
-        let start = node.id.start;
-        if self.now < self.case.lasts_ms {
-            self.outcome.sent += 1;
-            // Nodes that are cut off are not bound.
-            self.outcome.tried += u64::from(new && self.judge_of(n) == 0);
-        }
-        if new {
-            let is_bad = self.case.when == When::OneRoute || self.is_bad(route);
-            if is_bad || self.outcome.bad_from_ms.is_some() {
-                self.outcome.bad_from_ms.get_or_insert(self.now);
-                self.outcome.after += u64::from(self.now < self.case.lasts_ms);
-            }
-            self.outcome.last_tried_ms = self.now;
-            let back = BOUNDS.back.as_millis() as u64;
-            self.outcome.late += u64::from(self.fiftieth.is_some_and(|at| self.now > at + back));
-        }
-        let spread: f64 = (0..6).map(|_| self.rng.unit()).sum::<f64>() - 3.0;
-        let usual = 40.0 * (1 + route) as f64 * (0.5 * spread).exp();
-        let hit = new && self.is_bad(route);
-        let (fails, times) = match self.case.fault {
-            Fault::Fails(part) => (hit && self.rng.unit() < part, 1.0),
-            Fault::Slow(by) => (false, if hit && self.rng.unit() < 0.4 { by } else { 1.0 }),
-        };
-        let bad = fails || times > 1.0;
-        let fails = fails || self.rng.unit() < self.case.noise;
-        let took = Duration::from_secs_f64(usual * times / 1000.0);
-        let due = self.now + took.as_millis() as u64;
-        self.pending.push(Reverse((due, self.answers.len())));
-        let side = if new { Side::Trial } else { Side::Serving };
-        self.answers.push(Answer { node: n, start, route, side, took, bad, fails });
-        side
-    }
-
-    fn hear(&mut self) {
-        while let Some(Reverse((due, _))) = self.pending.peek() {
-            if *due > self.now {
-                return;
-            }
-            let Some(Reverse((_, i))) = self.pending.pop() else {
-                return;
-            };
-            let answer = &self.answers[i];
-            if answer.bad {
-                self.bad += 1;
-                if self.bad == 50 {
-                    self.fiftieth = Some(self.now);
-                }
-            }
-            let node = &mut self.nodes[answer.node];
-            if node.id.start != answer.start {
-                continue;
-            }
-            if answer.side == Side::Serving {
-                node.open -= 1;
-            }
-            let (service, route) = (&self.service, &self.routes[answer.route]);
-            if self.case.way == Way::FixedCounts {
-                let is_slow = answer.took.as_secs_f64() > 0.1 * (1 + answer.route) as f64;
-                for count in [answer.route, self.case.routes] {
-                    self.counts[count].take(answer.side, answer.fails || is_slow);
-                }
-                if self.counts.iter().any(Counts::is_bad) {
-                    node.take_back(self.now);
-                }
-                let took = Duration::from_millis(40 * (1 + answer.route) as u64);
-                node.evidence.good(service, route, answer.side, took);
-            } else if answer.fails {
-                node.evidence.bad(service, route, answer.side);
-            } else {
-                node.evidence.good(service, route, answer.side, answer.took);
-            }
-            if answer.side == Side::Trial && answer.bad && node.evidence.proves_bad("s").is_some() {
-                node.take_back(self.now);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/decide/tests/support/rollout/traffic.rs
@@ -0,0 +1,194 @@
+//! Requests and their answers.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use decide::rollout::Evidence;
+use model::forward::{Phase, Side};
+use model::{Name, Time};
+
+use super::case::{BOUNDS, Calls, Count, Counts, Fault, Way, When};
+use super::{Run, STEP_MS};
+
+/// A request that was sent, and its answer.
+pub(super) struct Answer {
+    node: usize,
+    start: u64,
+    route: usize,
+    side: Side,
+    took: Duration,
+    bad: bool,
+    fails: bool,
+    /// Pieces of the call, and those of them that fail.
+    pieces: u32,
+    failed: u32,
+}
+
+impl Answer {
+    fn count_in(&self, count: Count, evidence: &mut Evidence, service: &Name, route: &Name) {
+        let Answer { side, took, pieces, failed, .. } = self;
+        match count {
+            Count::Parts => {
+                let part = f64::from(*failed) / f64::from(*pieces);
+                evidence.partly(service, route, *side, part, *took);
+            }
+            Count::Whole if *failed > 0 => evidence.bad(service, route, *side),
+            Count::Whole => evidence.good(service, route, *side, *took),
+            Count::Pieces => {
+                (0..*failed).for_each(|_| evidence.bad(service, route, *side));
+                (*failed..*pieces).for_each(|_| evidence.good(service, route, *side, *took));
+            }
+        }
+    }
+}
+
+impl Calls {
+    fn of(&self, side: Side) -> u32 {
+        match side {
+            Side::Serving => self.pieces.0,
+            Side::Trial => self.pieces.1,
+        }
+    }
+}
+
+impl Run {
+    /// Pieces of a call that fail.
+    fn failed_pieces(&mut self, pieces: u32, hit: bool) -> u32 {
+        let Some(calls) = self.case.calls else {
+            return 0;
+        };
+        let part = match self.case.fault {
+            Fault::Fails(part) if hit => self.case.noise + part,
+            _ => self.case.noise,
+        };
+        let is_shared = self.rng.unit() < calls.shared;
+        let fates = if is_shared { 1 } else { pieces };
+        let failed = (0..fates).filter(|_| self.rng.unit() < part).count() as u32;
+        failed * pieces / fates
+    }
+
+    fn is_bad(&self, route: usize) -> bool {
+        match self.case.when {
+            When::Never => false,
+            When::AtOnce => true,
+            When::From(part) => self.now as f64 >= part * self.case.lasts_ms as f64,
+            When::Above(part) => self.trial_part > part,
+            When::OneRoute => route == 0,
+        }
+    }
+
+    pub(super) fn send(&mut self) {
+        self.owed += self.case.rate * STEP_MS as f64 / 1000.0;
+        let (mut sent, mut tried) = (0.0, 0.0);
+        // Arrivals at random: each of many callers sends with a small chance.
+        let lots = (self.owed * 2.0).ceil() as usize + 1;
+        let chance = self.owed / lots as f64;
+        self.owed = 0.0;
+        for _ in 0..lots {
+            if self.rng.unit() < chance {
+                sent += 1.0;
+                tried += f64::from(u8::from(self.request() == Side::Trial));
+            }
+        }
+        if sent > 0.0 {
+            self.trial_part += 0.2 * (tried / sent - self.trial_part);
+        }
+    }
+
+    fn request(&mut self) -> Side {
+        self.attempts += 1;
+        let n = self.rng.below(self.nodes.len());
+        let route = self.rng.below(self.routes.len());
+        let attempt = format!("{}-{}", self.case.seed, self.attempts);
+        let node = &mut self.nodes[n];
+        let side = node.versions.turn("s", &attempt);
+        let version = if side == Side::Trial { "v2" } else { "v1" };
+        let order_state = node.versions.running().next().is_some();
+        if order_state {
+            assert_eq!(node.versions.side("s", version), Some(side), "at {} ms", self.now);
+        }
+        let pieces = self.case.calls.map_or(1, |calls| calls.of(side));
+        node.evidence.sent(&self.service, &self.routes[route], side, pieces);
+        let new = side == Side::Trial
+            || !order_state && node.versions.side("s", "v2") == Some(Side::Serving);
+        node.open += u32::from(!new);
+        let start = node.id.start;
+        if self.now < self.case.lasts_ms {
+            self.outcome.sent += 1;
+            // Nodes that are cut off are not bound.
+            self.outcome.tried += u64::from(new && self.judge_of(n) == 0);
+        }
+        if new {
+            let is_bad = self.case.when == When::OneRoute || self.is_bad(route);
+            if is_bad || self.outcome.bad_from_ms.is_some() {
+                self.outcome.bad_from_ms.get_or_insert(self.now);
+                self.outcome.after += u64::from(self.now < self.case.lasts_ms);
+            }
+            self.outcome.last_tried_ms = self.now;
+            let back = BOUNDS.back.as_millis() as u64;
+            self.outcome.late += u64::from(self.fiftieth.is_some_and(|at| self.now > at + back));
+        }
+        let spread: f64 = (0..6).map(|_| self.rng.unit()).sum::<f64>() - 3.0;
+        let usual = 40.0 * (1 + route) as f64 * (0.5 * spread).exp();
+        let hit = new && self.is_bad(route);
+        let (fails, times) = match self.case.fault {
+            Fault::Fails(part) => (hit && self.rng.unit() < part, 1.0),
+            Fault::Slow(by) => (false, if hit && self.rng.unit() < 0.4 { by } else { 1.0 }),
+        };
+        let bad = fails || times > 1.0;
+        let fails = fails || self.rng.unit() < self.case.noise;
+        let failed = self.failed_pieces(pieces, hit);
+        let took = Duration::from_secs_f64(usual * times / 1000.0);
+        let due = self.now + took.as_millis() as u64;
+        self.pending.push(Reverse((due, self.answers.len())));
+        let side = if new { Side::Trial } else { Side::Serving };
+        self.answers.push(Answer { node: n, start, route, side, took, bad, fails, pieces, failed });
+        side
+    }
+
+    pub(super) fn hear(&mut self) {
+        while let Some(Reverse((due, _))) = self.pending.peek() {
+            if *due > self.now {
+                return;
+            }
+            let Some(Reverse((_, i))) = self.pending.pop() else {
+                return;
+            };
+            let answer = &self.answers[i];
+            if answer.bad {
+                self.bad += 1;
+                if self.bad == 50 {
+                    self.fiftieth = Some(self.now);
+                }
+            }
+            let node = &mut self.nodes[answer.node];
+            if node.id.start != answer.start {
+                continue;
+            }
+            if answer.side == Side::Serving {
+                node.open -= 1;
+            }
+            let (service, route) = (&self.service, &self.routes[answer.route]);
+            if self.case.way == Way::FixedCounts {
+                let is_slow = answer.took.as_secs_f64() > 0.1 * (1 + answer.route) as f64;
+                for count in [answer.route, self.case.routes] {
+                    self.counts[count].take(answer.side, answer.fails || is_slow);
+                }
+                if self.counts.iter().any(Counts::is_bad) {
+                    node.take_back(self.now);
+                }
+                let took = Duration::from_millis(40 * (1 + answer.route) as u64);
+                node.evidence.good(service, route, answer.side, took);
+            } else if let Some(calls) = self.case.calls {
+                answer.count_in(calls.count, &mut node.evidence, service, route);
+            } else if answer.fails {
+                node.evidence.bad(service, route, answer.side);
+            } else {
+                node.evidence.good(service, route, answer.side, answer.took);
+            }
+            if answer.side == Side::Trial && answer.bad && node.evidence.proves_bad("s").is_some() {
+                node.take_back(self.now);
+            }
+        }
+    }
+}
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -77,6 +77,24 @@
         node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
     }
 
+    /// A call was answered after this time, so many of its pieces as failed.
+    pub fn answered(&self, failed: usize, took: Duration) {
+        let Inner { node, order, route, version, side, pieces, is_judged, .. } = &*self.0;
+        is_judged.set(true);
+        if !self.0.counts() {
+            return;
+        }
+        let part = failed as f64 / (*pieces).max(1) as f64;
+        let is_bad = {
+            let mut evidence = node.rollouts.evidence.borrow_mut();
+            evidence.partly(&order.service, route, *side, part, took)
+        };
+        node.metrics.rollout_bad(&order.service, version, failed);
+        if is_bad && *side == Side::Trial {
+            take_back_if_bad(node, order);
+        }
+    }
+
     /// Its answer was a failure of the version, or came too late to be of use.
     pub fn bad(&self) {
         self.0.bad();
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -376,11 +376,9 @@
 /// What a maker's answer shows of its version. Calls take time by what they carry, so their
 /// times are told as parts of what is expected, which counts as a second.
 fn note_answer(sent: &Sent, results: &[PieceResult], took: Duration, expected: Duration) {
-    if results.contains(&PieceResult::Failed) {
-        return sent.bad();
-    }
+    let failed = results.iter().filter(|r| **r == PieceResult::Failed).count();
     let part = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
-    sent.good(Duration::from_secs_f64(part.min(PART_MOST)));
+    sent.answered(failed, Duration::from_secs_f64(part.min(PART_MOST)));
 }
 
 async fn read_answer(
