--- a/crates/decide/src/rollout/plan.rs
+++ b/crates/decide/src/rollout/plan.rs
@@ -28,8 +28,9 @@
 const TRAFFIC_KNOWN: f64 = 1.0;
 /// Greatest share outside of the step.
 const SHARE_MOST: f64 = 0.4;
-/// Greatest share of the step: both versions get as much.
-const STEP_MOST: f64 = 0.5;
+/// Greatest share of the step: both versions get as much, so that each shows what the same load
+/// does to it; callers of a bad version are no more than half.
+const STEP_SHARE_MOST: f64 = 0.5;
 /// Two reports of every node and the answers to them: what a node does after the judge knows.
 const TOLD: f64 = 0.5;
 /// Longest time that is waited for the answers which show that a version is bad.
@@ -46,6 +47,21 @@
 /// Kept between the end of the old version's requests and that, for reports of it; at most,
 /// for some that are lost as well.
 const SETTLE: (f64, f64) = (0.5, 0.8);
+/// Time kept for reports as part of the order's time: an order of half a minute has the most.
+const SETTLE_PART: f64 = 1.0 / 40.0;
+/// Most that such times may take of an order whose time is short: the trial has to get the rest.
+const SHORT_PART: f64 = 0.1;
+/// Most of the order's time that is kept for requests of the old version to end. Longer ones hold
+/// the order up beyond its deadline, for the trial would show too little in less than the rest.
+const DRAIN_PART: f64 = 1.0 / 3.0;
+/// Most of the order's time that is kept for a write.
+const WRITE_PART_MOST: f64 = 0.2;
+/// Length of the step as part of the order's time: what only load shows is seen within seconds.
+const STEP_TIME_PART: f64 = 1.0 / 20.0;
+/// Most of the time before the step to all that the step at a greater share may take.
+const STEP_TIME_MOST: f64 = 0.5;
+/// Times of the middle answer within which enough answers are back to show that a version is bad.
+const ANSWERS_SHOWN: f64 = 2.0;
 /// Part of the cap that has to be left for the trial if the whole time after the step to all
 /// is to fit into the cap.
 const TRIAL_LEAST: f64 = 0.15;
@@ -92,8 +108,9 @@
 
     /// Time that the old version's requests need to end, and to be heard of.
     fn drain(&self, known: &Known) -> f64 {
-        let settle = (self.lasts / 40.0).clamp(SETTLE.0, SETTLE.1).min(self.lasts / 10.0);
-        let drain = known.longest.clamp(DRAIN_LEAST.min(self.lasts / 10.0), self.lasts / 3.0);
+        let short = self.lasts * SHORT_PART;
+        let settle = (self.lasts * SETTLE_PART).clamp(SETTLE.0, SETTLE.1).min(short);
+        let drain = known.longest.clamp(DRAIN_LEAST.min(short), self.lasts * DRAIN_PART);
         settle + drain
     }
 
@@ -101,7 +118,7 @@
     fn write(&self, known: &Known) -> f64 {
         let wanted = (self.lasts * WRITE_PART).clamp(WRITE_SHORT, WRITE.1);
         let allowed = (1.0 - TRIAL_LEAST) * self.cap(known) / Plan::most(known).max(RATE_LEAST);
-        (allowed - self.drain(known)).clamp(WRITE.0, wanted).min(self.lasts / 5.0)
+        (allowed - self.drain(known)).clamp(WRITE.0, wanted).min(self.lasts * WRITE_PART_MOST)
     }
 
     /// When the last write has to go out.
@@ -116,8 +133,8 @@
 
     /// How long the greater share is held.
     pub fn step(&self, known: &Known) -> f64 {
-        let wanted = (self.lasts / 20.0).clamp(STEP.0, STEP.1);
-        wanted.min(self.all_at(known) / 2.0)
+        let wanted = (self.lasts * STEP_TIME_PART).clamp(STEP.0, STEP.1);
+        wanted.min(self.all_at(known) * STEP_TIME_MOST)
     }
 
     /// When the greater share begins.
@@ -127,7 +144,7 @@
 
     /// Time from a version's turning bad until no node sends there any more.
     pub fn seen_after(&self, known: &Known) -> f64 {
-        TOLD + (2.0 * known.middle).min(SHOWN_MOST).min(self.lasts * SHOWN_PART)
+        TOLD + (ANSWERS_SHOWN * known.middle).min(SHOWN_MOST).min(self.lasts * SHOWN_PART)
     }
 
     /// Requests that a bad version may get, as far as can be planned with.
@@ -188,6 +205,6 @@
     pub fn greater(&self, known: &Known) -> f64 {
         let part = STEP_PART * (self.room(known) - self.spent(known));
         let chance = part / (Plan::most(known).max(RATE_LEAST) * (self.step(known) + TOLD));
-        chance.clamp(0.0, STEP_MOST.min(known.targets))
+        chance.clamp(0.0, STEP_SHARE_MOST.min(known.targets))
     }
 }
--- a/crates/decide/src/rollout/sequential.rs
+++ b/crates/decide/src/rollout/sequential.rs
@@ -9,8 +9,9 @@
 const FALSE_ALARM: f64 = 3e-3;
 /// Answers after which a sum may have started anew; that many more chances for a false alarm.
 const FRESH_START: f64 = 25.0;
-/// Part of the answers that a bad version spoils at least; smaller ones need more answers.
-const SPOILT: f64 = 0.15;
+/// Part of the answers that a bad version spoils at least. Fewer spoilt answers are seen late or
+/// not at all, and harm fewer callers; a smaller part here takes more answers to see any.
+const SPOILT_LEAST: f64 = 0.15;
 /// Lowest rate that is believed of the version that serves; a good one fails now and then too.
 const LOWEST: f64 = 0.01;
 /// Highest one: at 1, a bad answer would tell nothing and a good one would have no odds.
@@ -44,7 +45,7 @@
     /// Evidence that these answers add.
     pub fn weigh(bad: f64, good: f64, usual: Usual) -> f64 {
         let if_good = usual.0;
-        let if_bad = if_good + SPOILT * (1.0 - if_good);
+        let if_bad = if_good + SPOILT_LEAST * (1.0 - if_good);
         bad * (if_bad / if_good).ln() + good * ((1.0 - if_bad) / (1.0 - if_good)).ln()
     }
 
