Lists of several pages: a page without a name to go on after blinds no node

Cause: a list went on after the last name that could be read of a page; where another writer's entries filled a page and none had a readable name, or the last one bore a name that had been asked for, the list failed whole, was asked for again and failed again.

Change: such a list ends before its time (`Step::cut`). Targets read so far are used, those known before stay, watches go on from the revision that was known and tell every change wherever it lies, and the list is asked for again each 5 s. Followers get the whole once its end was read and the store's revision has moved on. Rules read so far come into force. Evacuations and orders are not known by half of a list, as what is missing may bind (docs/design/targets.md). A name that was asked for before ends the list too; two that take turns went round for ever.

With it, in the same reader: the gauge of unreadable entries counted rules as unreadable until the next whole list, since what heals an entry was known by name and rules tell none, and an entry that turned bad and good within one answer stayed counted.

Ruled out: guessing the next name, since entries may bear any; a shorter fade of all waits.

--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -55,6 +55,14 @@
         self.0.insert(service.clone(), Heard { waits, at: now });
     }
 
+    /// A maker of a service came, so that word that none works says nothing any more.
+    pub fn maker_came(&mut self, service: &Name) {
+        let nobody = |heard: &Heard| heard.waits.0.iter().any(|(_, wait)| *wait == u32::MAX);
+        if self.0.get(service).is_some_and(nobody) {
+            self.0.remove(service);
+        }
+    }
+
     /// Wait of a new order, as far as it is still known.
     fn wait(&self, service: &Name, rank: Rank, now: Time) -> Duration {
         let Some(heard) = self.0.get(service) else {
--- a/crates/decide/src/relay/unreadable.rs
+++ b/crates/decide/src/relay/unreadable.rs
@@ -60,6 +60,11 @@
         self.now.remove(&Place::Name(name.clone()));
     }
 
+    /// The only entry that a kind has can be read.
+    pub fn heal_named(&mut self) {
+        self.now.retain(|place, _| !matches!(place, Place::Name(_)));
+    }
+
     /// An entry cannot be read. Returns the count of changes that got no line since the last
     /// one if this is a change that gets one.
     pub fn note(&mut self, place: Place, why: &Name, now: Time) -> Option<u64> {
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -134,3 +134,20 @@
         }
     }
 }
+
+#[test]
+fn word_that_no_maker_works_ends_when_one_comes() {
+    let least = expected(&Forecast::default(), &[1, 1, 1], 1, 0);
+    let mut forecast = Forecast::default();
+    let service: Name = "first".into();
+    let tell = |wait| Waits(vec![(Rank::default(), wait)]);
+    forecast.hear(&service, tell(u32::MAX), Time::ZERO);
+    assert!(expected(&forecast, &[1, 1, 1], 1, 400) > ms(60_000));
+    forecast.maker_came(&"second".into());
+    assert!(expected(&forecast, &[1, 1, 1], 1, 400) > ms(60_000), "it is another service's");
+    forecast.maker_came(&service);
+    assert_eq!(expected(&forecast, &[1, 1, 1], 1, 400), least);
+    forecast.hear(&service, tell(900), Time::ZERO);
+    forecast.maker_came(&service);
+    assert!(expected(&forecast, &[1, 1, 1], 1, 0) > least, "a wait is as long as it was told");
+}
--- a/crates/decide/tests/unreadable.rs
+++ b/crates/decide/tests/unreadable.rs
@@ -28,6 +28,8 @@
     bad.heal(&"t1".into());
     assert_eq!(bad.count(), 1);
     assert_eq!(bad.note(named("t1"), &why("no state"), at(4)), Some(0), "bad again");
+    bad.heal_named();
+    assert_eq!(bad.count(), 1, "one without a name is held until the next list");
 }
 
 #[test]
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -173,6 +173,8 @@
     pub malformed: Vec<BadEntry>,
     /// Name to continue a list after, if it is not whole.
     pub more: Option<Name>,
+    /// More follows, but nothing tells after which name to continue.
+    pub cut: bool,
     /// Revision to watch from.
     pub at: u64,
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -155,15 +155,19 @@
     fn register(&self, registry: &mut Registry) {
         registry.register("requests", "Final answers", self.requests.clone());
         registry.register("milliseconds", "Times by quantile", self.quantiles.clone());
-        registry.register("batch_calls", "Calls that made pieces", self.batch_calls.clone());
-        registry.register("batch_pieces", "Pieces in those calls", self.batch_pieces.clone());
+        registry.register("batch_calls", "Calls of makers that ended", self.batch_calls.clone());
+        registry.register(
+            "batch_pieces",
+            "Pieces asked for in those calls",
+            self.batch_pieces.clone(),
+        );
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
-        let help = "Entries of the store that cannot be read";
+        let help = "Entries that could not be read when this node last read the store";
         registry.register("unreadable_entries", help, self.unreadable.clone());
         registry.register("repeats", "Sends to a further target", self.repeats.clone());
-        let help = "Requests to services that move to another version";
+        let help = "Requests or pieces sent to a version of a service that moves to another one";
         registry.register("rollout_requests", help, self.rollout_requests.clone());
-        let help = "Failures of a version in such a move";
+        let help = "Failures among them";
         registry.register("rollout_bad", help, self.rollout_bad.clone());
         let help = "Share of requests that the version on trial gets";
         registry.register("rollout_share", help, self.rollout_share.clone());
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// A target of a service came, or tells something new of itself.
+    pub fn maker_came(&self, service: &Name) {
+        self.forecast.borrow_mut().maker_came(service);
+    }
+
     /// The region whose makers are to make an order, of those that have any.
     pub fn region_for(
         &self,
--- a/crates/forward/src/watch/lists.rs
+++ b/crates/forward/src/watch/lists.rs
@@ -47,6 +47,8 @@
         tokio::time::sleep(waits::GATHER).await;
         node.feed.reads_store().await;
         match read::<L>(&node, &mut reader, list.at()).await {
+            // An object that is not known may bind: nothing is in force by half of a list.
+            Ok(step) if step.cut => backoff.failed(&node, RETRY_LONGEST).await,
             Ok(step) => {
                 backoff.answered();
                 take_step::<L>(&node, &mut list, step);
--- a/crates/forward/src/watch/rules.rs
+++ b/crates/forward/src/watch/rules.rs
@@ -27,6 +27,12 @@
         node.feed.reads_store().await;
         let own = relays(&node).role == Role::Relay;
         match reader.read(at, waits::SLOW_WATCH).await {
+            // The rules may be among what it did not bring.
+            Ok(step) if step.cut => {
+                adopt(&node, step);
+                at = None;
+                backoff.failed(&node, RETRY_LONGEST_FOLLOWER).await;
+            }
             Ok(step) => {
                 backoff.answered();
                 at = Some(step.at);
@@ -43,12 +49,15 @@
 }
 
 fn adopt(node: &Node, step: Step) {
+    let is_cut = step.cut;
     for change in step.changes {
         // Rules are never taken back, only replaced.
         if let Change::Rules(rules) = change {
             node.adopt(*rules, "store");
         }
     }
-    let now = node.now();
-    node.feed.confirm(Kind::Rules, now, now);
+    if !is_cut {
+        let now = node.now();
+        node.feed.confirm(Kind::Rules, now, now);
+    }
 }
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -1,10 +1,12 @@
 //! Reads lists and watches of the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use decide::relay::{Place, Unreadable, waits};
+use model::Name;
 use util::http::{CallError, CallKind, Client};
 
 use crate::border::{BadEntry, Change, Kind, Malformed, Page};
@@ -54,12 +56,35 @@
     pub at: u64,
     /// The changes are the whole state.
     pub whole: bool,
+    /// They are the begin of a list that could not be read to its end.
+    pub cut: bool,
     /// Changes, oldest first.
     pub changes: Vec<Change>,
     /// Entries that cannot be read.
     bad: Vec<BadEntry>,
 }
 
+impl Step {
+    /// What was read of a list that cannot be continued.
+    fn cut(mut self) -> Self {
+        (self.whole, self.cut) = (false, true);
+        self.bad.push(BadEntry::new(None, "list", "no name to continue after"));
+        self
+    }
+}
+
+/// Names whose entries can be read after all changes, or are gone.
+fn healed(changes: &[Change]) -> BTreeSet<&Name> {
+    let mut healed = BTreeSet::new();
+    for change in changes {
+        if let Change::Unreadable(name) = change {
+            healed.remove(name);
+        }
+        healed.extend(change.read_name());
+    }
+    healed
+}
+
 /// Reads one kind of object.
 pub struct Reader {
     node: Rc<Node>,
@@ -114,9 +139,6 @@
         if step.whole {
             self.unreadable.restart();
         }
-        for name in step.changes.iter().filter_map(Change::read_name) {
-            self.unreadable.heal(name);
-        }
         let now = self.node.now();
         for entry in &step.bad {
             let place = match &entry.name {
@@ -129,6 +151,12 @@
                 Event::Unreadable { kind, place, why, untold }.emit();
             }
         }
+        for name in healed(&step.changes) {
+            self.unreadable.heal(name);
+        }
+        if let Some(Change::Rules(_)) = step.changes.last() {
+            self.unreadable.heal_named();
+        }
         self.node.metrics.unreadable(self.kind.as_str(), self.unreadable.count());
     }
 
@@ -157,6 +185,7 @@
         let dialect = &self.node.dialect;
         let mut step = Step { whole: true, ..Step::default() };
         let mut after = None;
+        let mut asked = BTreeSet::new();
         loop {
             let path = dialect.list(self.kind, after.as_ref());
             let body = self.get_page(&path).await?;
@@ -168,12 +197,10 @@
             step.changes.extend(page.changes);
             step.bad.extend(page.malformed);
             match page.more {
-                // Where a page brings no name that can be read, the next would be the same.
-                more @ Some(_) if more == after => {
-                    return Err(Malformed::new("list", "no name to continue after").into());
-                }
-                Some(name) => after = Some(name),
-                None => return Ok(step),
+                Some(name) if asked.insert(name.clone()) => after = Some(name),
+                None if !page.cut => return Ok(step),
+                // An entry may bear any name: what comes after one that was asked for is known.
+                Some(_) | None => return Ok(step.cut()),
             }
         }
     }
@@ -195,6 +222,6 @@
         let body = self.get(&path, timeout).await?;
         let page = self.node.dialect.changes(self.kind, &body)?;
         let Page { changes, malformed: bad, .. } = page;
-        Ok(Step { at: page.at.max(at), whole: false, changes, bad })
+        Ok(Step { at: page.at.max(at), whole: false, cut: false, changes, bad })
     }
 }
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -1,14 +1,15 @@
 //! Follows the targets: the relay of each failure domain in the store, the others through
 //! it. News of newer rules comes the same way, and they are fetched from there.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use decide::fleet::still_true;
 use decide::relay::{Relays, Role, Source, Sources, waits};
-use model::Time;
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetList, TargetNews};
 use model::member::Node as PeerNode;
+use model::{Name, Time};
 use util::http::{CallKind, Client};
 
 use super::feed::Feed;
@@ -19,6 +20,10 @@
 use crate::node::Node;
 use crate::peers;
 
+/// Time after which a list that could not be read to its end is asked for again. Each change
+/// of what it did not bring is heard of meanwhile, and a try costs a call for each page.
+const LIST_AGAIN: Duration = Duration::from_secs(5);
+
 /// Follows until the process ends.
 pub async fn follow(node: Rc<Node>) {
     let mut follower = Follower::new(node);
@@ -35,6 +40,10 @@
     sources: Sources,
     /// The store's history does not reach back to this node's revision.
     history_gone: bool,
+    /// When a list was read that had no end.
+    cut: Option<Time>,
+    /// Its end was read at a revision that followers have too: at a later one they get it all.
+    owes: bool,
     source: Option<Source>,
 }
 
@@ -43,7 +52,16 @@
         let reader = Reader::new(node.clone(), Kind::Targets);
         let sources = Sources::default();
         let client = Client::new(peers::CONNECT);
-        Follower { node, reader, client, sources, history_gone: false, source: None }
+        Follower {
+            node,
+            reader,
+            client,
+            sources,
+            history_gone: false,
+            cut: None,
+            owes: false,
+            source: None,
+        }
     }
 
     async fn step(&mut self) {
@@ -78,13 +96,25 @@
 
     async fn ask_store(&mut self, relays: &Relays) {
         let node = self.node.clone();
-        let at = node.feed.at().filter(|_| !self.history_gone);
+        let is_due = self.cut.is_some_and(|at| node.now().since(at) >= LIST_AGAIN);
+        let known = node.feed.at().filter(|_| !self.history_gone);
+        let at = known.filter(|_| !is_due);
         match self.reader.read(at, waits::TARGETS_WATCH).await {
-            Ok(step) => {
+            Ok(mut step) => {
                 self.history_gone = false;
                 node.feed.set_out_of_touch(false);
                 self.sources.store_answered();
+                if at.is_none() {
+                    self.owes = self.cut.is_some() && step.whole;
+                    self.cut = step.cut.then(|| node.now());
+                }
+                // What a list does not bring may have changed since: watches go on from there.
+                step.at = known.filter(|_| step.cut).unwrap_or(step.at);
                 take_step(&node, step);
+                if self.owes && node.feed.at() > known {
+                    node.feed.restart(node.feed.at().unwrap_or(0));
+                    self.owes = false;
+                }
             }
             Err(e) if e.is_history_gone() => self.history_gone = true,
             Err(_) => {
@@ -164,14 +194,20 @@
 /// Takes what the store told.
 fn take_step(node: &Node, step: Step) {
     let now = node.now();
-    let Step { at, whole, changes, .. } = step;
+    let Step { at, whole, cut, changes, .. } = step;
     let changes: Vec<TargetChange> = changes.into_iter().filter_map(target_change).collect();
     let doubt = node.doubt();
+    let begins = cut && node.feed.at() != Some(at);
     if whole {
         take_whole(node, at, list_of(changes), doubt);
     } else {
         take_changes(node, at, changes, doubt);
     }
+    if begins {
+        // More may be there, but what is known can be used, and is all that followers can have.
+        node.feed.restart(at);
+        node.know_targets();
+    }
     node.feed.confirm(Kind::Targets, now, now);
 }
 
@@ -196,7 +232,9 @@
 
 fn take_whole(node: &Node, at: u64, list: TargetList, doubt: Option<Time>) {
     let now = node.now();
+    let services: BTreeSet<Name> = list.targets.iter().map(|t| t.service.clone()).collect();
     node.fleet(|f| f.replace(list, doubt, now));
+    services.iter().for_each(|service| node.maker_came(service));
     node.feed.restart(at);
     node.know_targets();
 }
@@ -213,6 +251,7 @@
                     _ => "ready",
                 };
                 if node.fleet(|f| f.upsert(target.clone(), now)) {
+                    node.maker_came(&target.service);
                     Event::Target { target: &target.id.name, service: &target.service, state }
                         .emit();
                 }
