Figures say what they count

Every gauge and counter of crates/forward/src/metrics.rs was read against its writers. Two writers: none left (`unreadable_entries` has one reader a kind; all gauges of the node's state are set where the figures are asked for; counters are only added to: requests by the exchange and the door, each once a request; `rollout_requests` and `rollout_bad` by what is sent and what ends; `spilled_orders` by the coordinator; `store_calls` by readers and the writer of states).

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -14,7 +14,8 @@
 use crate::border::Kind;
 use crate::watch::Age;
 
-/// Most series of one kind; further names are counted as one.
+/// Most names of routes, versions and regions that labels tell apart, further ones are counted
+/// as one; and most series of times, further ones are not told.
 const SERIES_MOST: usize = 64;
 /// Name of what is beyond that.
 const OTHERS: &str = "others";
@@ -199,7 +200,7 @@
         self.requests.get_or_create(&labels).inc();
     }
 
-    /// Something took this long: a request, its first event, a stage.
+    /// Something took this long: a request, its first event (its end if it had none), a stage.
     pub fn time(&self, kind: &'static str, name: &Name, ms: u64) {
         let mut times = self.times.borrow_mut();
         if times.len() >= SERIES_MOST && !times.contains_key(&(kind, name.clone())) {
@@ -210,7 +211,7 @@
         times.saturating_record(ms.min(LONGEST_MS));
     }
 
-    /// A batch call of a service ended.
+    /// A batch call of a service ended, whatever it brought.
     pub fn batch(&self, service: &Name, pieces: usize) {
         let labels = Named { name: service.to_string() };
         self.batch_calls.get_or_create(&labels).inc();
