--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -14,7 +14,8 @@
 use crate::border::Kind;
 use crate::watch::Age;
 
-/// Most series of one kind; further names are counted as one.
+/// Most names of routes, versions and regions that labels tell apart, further ones are counted
+/// as one; and most series of times, further ones are not told.
 const SERIES_MOST: usize = 64;
 /// Name of what is beyond that.
 const OTHERS: &str = "others";
@@ -155,15 +156,19 @@
     fn register(&self, registry: &mut Registry) {
         registry.register("requests", "Final answers", self.requests.clone());
         registry.register("milliseconds", "Times by quantile", self.quantiles.clone());
-        registry.register("batch_calls", "Calls that made pieces", self.batch_calls.clone());
-        registry.register("batch_pieces", "Pieces in those calls", self.batch_pieces.clone());
+        registry.register("batch_calls", "Calls of makers that ended", self.batch_calls.clone());
+        registry.register(
+            "batch_pieces",
+            "Pieces asked for in those calls",
+            self.batch_pieces.clone(),
+        );
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
-        let help = "Entries of the store that cannot be read";
+        let help = "Entries that could not be read when this node last read the store";
         registry.register("unreadable_entries", help, self.unreadable.clone());
         registry.register("repeats", "Sends to a further target", self.repeats.clone());
-        let help = "Requests to services that move to another version";
+        let help = "Requests or pieces sent to a version of a service that moves to another one";
         registry.register("rollout_requests", help, self.rollout_requests.clone());
-        let help = "Failures of a version in such a move";
+        let help = "Failures among them";
         registry.register("rollout_bad", help, self.rollout_bad.clone());
         let help = "Share of requests that the version on trial gets";
         registry.register("rollout_share", help, self.rollout_share.clone());
@@ -195,7 +200,7 @@
         self.requests.get_or_create(&labels).inc();
     }
 
-    /// Something took this long: a request, its first event, a stage.
+    /// Something took this long: a request, its first event (its end if it had none), a stage.
     pub fn time(&self, kind: &'static str, name: &Name, ms: u64) {
         let mut times = self.times.borrow_mut();
         if times.len() >= SERIES_MOST && !times.contains_key(&(kind, name.clone())) {
@@ -206,7 +211,7 @@
         times.saturating_record(ms.min(LONGEST_MS));
     }
 
-    /// A batch call of a service ended.
+    /// A batch call of a service ended, whatever it brought.
     pub fn batch(&self, service: &Name, pieces: usize) {
         let labels = Named { name: service.to_string() };
         self.batch_calls.get_or_create(&labels).inc();
