Connections that rested for two seconds are not used again, so that no order waits on one that fell silent

Kept connections of the client for peers were used again for up to 20 s of rest. A silence whose kernels still acknowledge ends none of them; an order that took one of those waited for its whole time, since the pings that watch over it went over a connection that had been opened after the silence and were answered. Ruled out: the coordinator being gone (pings answered; orders over new connections took 25 ms); asking the coordinator for each order that waits (a question every 50 ms for each waiting order, the more the busier it is); a client of their own for orders (pings then tell nothing of their connections). Change: a client's connection rests for 2 s at most, the time after which silence is to be noticed; nodes are held to it from 3 s on. Price: a node whose calls to a peer or maker are more than 2 s apart opens a connection for each; not measured. Still open: an order that was under way when the silence struck waits on if its peer's pings go over a newer connection.

--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -22,6 +22,10 @@
 /// Time after which unanswered bytes or probes end a connection. Nodes are held to what changed
 /// from 3 s after a disturbance of their connections on; this leaves one for the next question.
 pub const SILENCE: Duration = Duration::from_secs(2);
+/// Rest after which a connection is not used again. One that fell silent while it rested may never
+/// end, and the next call would wait on it for its whole time; none from before a silence is
+/// used once nodes are held to have noticed it. Calls that come more often keep theirs.
+const REST: Duration = SILENCE;
 /// Longest line of a streamed answer.
 const LINE_MAX: usize = 4 << 20;
 
@@ -86,7 +90,7 @@
         connector.set_tcp_user_timeout(Some(SILENCE));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
+            .pool_idle_timeout(REST)
             .build(connector);
         Client { inner }
     }
