Bytes between regions are counted by kind of message

Ruled out: counting below HTTP for messages between nodes. Kept connections carry all kinds by turns, and a client for each kind would open more of them. Counting at the receiver as well: each byte would stand twice.

Change: `crossed` holds the kinds and one counter a kind and pair of regions. One place a transport: connections to targets are metered as they are read and written, what nodes ask each other goes through `peers::ask` (bodies, and the usual size of a head), datagrams where they are sent. Nothing is counted, and nothing looked up but two names, where both ends are in one region.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -8,6 +8,7 @@
 mod contact;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -205,6 +206,12 @@
         self.up.iter().find(|p| p.node.id == *id).map(|p| p.node.domain.clone())
     }
 
+    /// Failure domain of the peer at an address, if it is up.
+    pub fn domain_at(&self, address: SocketAddr) -> Option<&Name> {
+        let is_at = |p: &&PeerView| p.node.entry == address || p.node.address == address;
+        self.up.iter().find(is_at).map(|p| &p.node.domain)
+    }
+
     /// A peer answered.
     pub fn answered(&mut self, id: &NodeId, now: Time) {
         let domain = self.domain_of(id);
--- /dev/null
+++ b/crates/forward/src/crossed.rs
@@ -0,0 +1,192 @@
+//! Bytes that cross between regions, by kind of message.
+//!
+//! Each byte is counted once, by the node that asks: what goes out, and what comes back in
+//! answer. Connections to targets are counted as they are read and written; messages between
+//! nodes, and calls on kept connections, by their bodies and what their heads usually take.
+
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use model::Name;
+use model::forward::TargetId;
+use prometheus_client::metrics::counter::Counter;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::node::Node;
+
+/// Bytes of the head of a request between nodes, or of its answer: method and path or status,
+/// host, media type, length and date.
+const HEAD: u64 = 112;
+
+/// What crosses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A request to a target, and its answer.
+    Request,
+    /// A stage call to a maker, and its answer.
+    Call,
+    /// Results to be freed.
+    Free,
+    /// A stage order to a coordinator, or a question for its waits.
+    Order,
+    /// Results that a maker or an engine fetches as inputs, by the sizes that rules tell.
+    Input,
+    /// A question to a scheduler of prompts, or the end of a prompt.
+    Prompt,
+    /// News of targets, evacuations and orders of roll-outs, and rules.
+    News,
+    /// A datagram of membership.
+    Member,
+    /// A sign of life that is asked of a peer.
+    Ping,
+    /// A report on a version on trial, or a state that a peer writes.
+    Rollout,
+}
+
+impl Kind {
+    /// Name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Request => "request",
+            Kind::Call => "call",
+            Kind::Free => "free",
+            Kind::Order => "order",
+            Kind::Input => "input",
+            Kind::Prompt => "prompt",
+            Kind::News => "news",
+            Kind::Member => "member",
+            Kind::Ping => "ping",
+            Kind::Rollout => "rollout",
+        }
+    }
+}
+
+/// Counters of one way to another region and back.
+#[derive(Debug, Clone)]
+pub struct Crossing {
+    there: Counter,
+    back: Counter,
+}
+
+impl Crossing {
+    /// To a failure domain; `None` if it is in this node's region, or of none that is known.
+    fn to_domain(node: &Node, kind: Kind, domain: &Name) -> Option<Crossing> {
+        let (own, there) = node.fleet(|f| {
+            let regions = f.regions();
+            Some((regions.of(&node.settings().domain)?.clone(), regions.of(domain)?.clone()))
+        })?;
+        let count = |from, to| node.metrics.crossed(kind.as_str(), from, to);
+        (own != there).then(|| Crossing { there: count(&own, &there), back: count(&there, &own) })
+    }
+
+    /// To a target.
+    pub fn to_target(node: &Node, kind: Kind, id: &TargetId) -> Option<Crossing> {
+        let domain = node.fleet(|f| f.domain_of(id).cloned())?;
+        Crossing::to_domain(node, kind, &domain)
+    }
+
+    /// To a peer that is up.
+    pub fn to_peer(node: &Node, kind: Kind, address: SocketAddr) -> Option<Crossing> {
+        let domain = node.peers.roster(|r| r.domain_at(address).cloned())?;
+        Crossing::to_domain(node, kind, &domain)
+    }
+
+    /// A message of this many bytes went there.
+    pub fn sent(&self, bytes: usize) {
+        self.there.inc_by(bytes as u64 + HEAD);
+    }
+
+    /// A message of this many bytes came back.
+    pub fn got(&self, bytes: usize) {
+        self.back.inc_by(bytes as u64 + HEAD);
+    }
+
+    /// A datagram went there.
+    pub fn sent_datagram(&self, bytes: usize) {
+        self.there.inc_by(bytes as u64);
+    }
+}
+
+/// Targets fetch results that rest at others.
+pub fn fetched(node: &Node, by: &TargetId, inputs: impl Iterator<Item = (TargetId, u64)>) {
+    let region =
+        |id: &TargetId| node.fleet(|f| f.domain_of(id).and_then(|d| f.regions().of(d).cloned()));
+    let Some(to) = region(by) else {
+        return;
+    };
+    for (maker, bytes) in inputs {
+        if let Some(from) = region(&maker).filter(|from| *from != to) {
+            node.metrics.crossed(Kind::Input.as_str(), &from, &to).inc_by(bytes);
+        }
+    }
+}
+
+/// A connection whose bytes are counted, if it crosses.
+#[derive(Debug)]
+pub struct Metered<T> {
+    io: T,
+    crossing: Option<Crossing>,
+}
+
+impl<T> Metered<T> {
+    /// Counts from now on.
+    pub fn new(io: T, crossing: Option<Crossing>) -> Self {
+        Metered { io, crossing }
+    }
+
+    fn wrote(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let (Some(crossing), Poll::Ready(Ok(bytes))) = (&self.crossing, &done) {
+            crossing.there.inc_by(*bytes as u64);
+        }
+        done
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Metered<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let done = Pin::new(&mut self.io).poll_read(cx, buffer);
+        if let Some(crossing) = &self.crossing {
+            crossing.back.inc_by((buffer.filled().len() - before) as u64);
+        }
+        done
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Metered<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.io).poll_write(cx, bytes);
+        self.wrote(done)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.io).poll_write_vectored(cx, parts);
+        self.wrote(done)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! or believed is decided by the machines in [`decide`].
 
 pub mod border;
+mod crossed;
 mod events;
 mod ingress;
 mod metrics;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -56,6 +56,13 @@
     to: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Crossed {
+    kind: &'static str,
+    from: String,
+    to: String,
+}
+
 type Times = RefCell<BTreeMap<(&'static str, Name), Histogram<u32>>>;
 
 /// Counters and times of one node.
@@ -73,6 +80,7 @@
     rollout_bad: Family<Version, Counter>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
     spilled: Family<Regions, Counter>,
+    crossed: Family<Crossed, Counter>,
     open: Gauge,
     rules: Gauge,
     unserved: Gauge,
@@ -129,6 +137,7 @@
             rollout_bad: Family::default(),
             rollout_share: Family::default(),
             spilled: Family::default(),
+            crossed: Family::default(),
             open: Gauge::default(),
             rules: Gauge::default(),
             unserved: Gauge::default(),
@@ -165,6 +174,8 @@
         registry.register("rollout_share", help, self.rollout_share.clone());
         let help = "Stage orders passed on to another region";
         registry.register("spilled_orders", help, self.spilled.clone());
+        let help = "Bytes between regions, counted by the node that asks";
+        registry.register("crossed_bytes", help, self.crossed.clone());
         registry.register("open_requests", "Requests without a final answer", self.open.clone());
         registry.register("rules_version", "Version of the rules in force", self.rules.clone());
         let help = "Refusals for want of a target in an allowed region";
@@ -249,6 +260,12 @@
         self.spilled.get_or_create(&labels).inc();
     }
 
+    /// Bytes of a kind of message from one region to another.
+    pub fn crossed(&self, kind: &'static str, from: &str, to: &str) -> Counter {
+        let labels = Crossed { kind, from: self.bounded(from), to: self.bounded(to) };
+        self.crossed.get_or_create_owned(&labels)
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
 use crate::node::Node;
 
@@ -104,6 +105,9 @@
     match action {
         Action::Send(to, packet) => {
             let bytes = rmp_serde::to_vec(&packet).expect("packets encode");
+            if let Some(crossing) = Crossing::to_peer(node, Kind::Member, to) {
+                crossing.sent_datagram(bytes.len());
+            }
             // A lost datagram is no news; probes are made for it.
             let _ = socket.send_to(&bytes, to).await;
         }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -18,10 +18,13 @@
 use model::forward::{FollowAnswer, FollowAsk, Rules};
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use util::http::{CallError, CallKind, Client};
 
+use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
 use crate::node::Node;
 
@@ -102,10 +105,58 @@
     }
 }
 
+/// Asks a peer over this node's kept connections.
+pub async fn ask<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    peer: SocketAddr,
+    path: &str,
+    question: &Q,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    ask_over(node, &node.client, peer, path, question, timeout).await
+}
+
+/// Asks a peer over a client's connections. All that nodes send to each other but datagrams
+/// goes through here, where it is counted.
+async fn ask_over<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    question: &Q,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    let crossing = Crossing::to_peer(node, kind_of(path), peer);
+    let bytes = rmp_serde::to_vec(question).expect("messages encode");
+    if let Some(crossing) = &crossing {
+        crossing.sent(bytes.len());
+    }
+    let peer = peer.to_string();
+    let answer = client.rmp_bytes(&peer, path, bytes, timeout).await?;
+    if let Some(crossing) = &crossing {
+        crossing.got(answer.len());
+    }
+    let malformed = |e: rmp_serde::decode::Error| CallKind::Decode(e.to_string());
+    rmp_serde::from_slice(&answer).map_err(|e| CallError { peer, kind: malformed(e) })
+}
+
+/// What a question to a peer counts as.
+fn kind_of(path: &str) -> Kind {
+    match path {
+        BATCH | WAITS => Kind::Order,
+        FREE => Kind::Free,
+        PREFILL | PREFILL_END => Kind::Prompt,
+        ROLLOUT | ROLLOUT_STATE => Kind::Rollout,
+        server::PING => Kind::Ping,
+        _ => Kind::News,
+    }
+}
+
 /// Takes a peer's rules if they are newer than this node's.
 pub async fn take_rules(node: &Node, client: &Client, peer: SocketAddr) {
     let from = peer.to_string();
-    match client.rmp::<_, Rules>(&from, server::RULES, &(), RULES_TIMEOUT).await {
+    let rules = ask_over::<_, Rules>(node, client, peer, server::RULES, &(), RULES_TIMEOUT);
+    match rules.await {
         Ok(rules) => _ = node.adopt(rules, &from),
         Err(e) => log::debug!("rules: {e}"),
     }
@@ -113,12 +164,13 @@
 
 /// What a peer knows of the targets.
 pub async fn follow(
+    node: &Node,
     client: &Client,
     peer: SocketAddr,
-    ask: &FollowAsk,
+    question: &FollowAsk,
     timeout: Duration,
 ) -> Result<FollowAnswer, CallError> {
-    client.rmp(&peer.to_string(), server::FOLLOW, ask, timeout).await
+    ask_over(node, client, peer, server::FOLLOW, question, timeout).await
 }
 
 /// Whether a peer answers, by what is known or else by a ping that all of this node's
@@ -128,7 +180,7 @@
         Contact::Answers => true,
         Contact::Silent => false,
         Contact::Unknown => {
-            let pong = ping(node, peer).await;
+            let pong = ping(node, peer.entry).await;
             let now = node.now();
             if pong == Pong::New {
                 node.peers.note_hung(&peer.id, now);
@@ -155,10 +207,9 @@
 }
 
 /// Pings a peer over a kept connection, and soon over a new one as well.
-async fn ping(node: &Node, peer: &PeerNode) -> Pong {
-    let address = peer.entry.to_string();
-    let new = tokio::task::spawn_local(ping_again(address.clone()));
-    let kept = node.client.rmp::<_, ()>(&address, server::PING, &(), PING_TIMEOUT).await;
+async fn ping(node: &Rc<Node>, peer: SocketAddr) -> Pong {
+    let new = tokio::task::spawn_local(ping_again(node.clone(), peer));
+    let kept = ask::<_, ()>(node, peer, server::PING, &(), PING_TIMEOUT).await;
     match kept {
         Ok(()) => {
             new.abort();
@@ -169,11 +220,11 @@
     }
 }
 
-async fn ping_again(address: String) -> bool {
+async fn ping_again(node: Rc<Node>, peer: SocketAddr) -> bool {
     tokio::time::sleep(PING_AGAIN).await;
     let left = PING_TIMEOUT - PING_AGAIN;
     let client = Client::new(left);
-    client.rmp::<_, ()>(&address, server::PING, &(), left).await.is_ok()
+    ask_over::<_, ()>(&node, &client, peer, server::PING, &(), left).await.is_ok()
 }
 
 /// Asks peers at once whether they are there, and waits for their answers.
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::{PREFILL, PREFILL_END};
+use crate::peers::{self, PREFILL, PREFILL_END};
 
 /// Prompt tokens from which on the scheduler is asked. Fewer are read in some milliseconds,
 /// but may wait hundreds of them behind others.
@@ -116,7 +116,7 @@
 }
 
 async fn tell(node: Rc<Node>, at: SocketAddr, end: PrefillEnd) {
-    let told = node.client.rmp::<_, ()>(&at.to_string(), PREFILL_END, &end, END_TIMEOUT).await;
+    let told = peers::ask::<_, ()>(&node, at, PREFILL_END, &end, END_TIMEOUT).await;
     if let Err(e) = told {
         log::debug!("scheduler: {e}");
     }
@@ -178,8 +178,7 @@
     if node.schedulers.rests(&peer.id, node.now()) {
         return None;
     }
-    let address = peer.entry.to_string();
-    match node.client.rmp(&address, PREFILL, ask, ASK_TIMEOUT).await {
+    match peers::ask(node, peer.entry, PREFILL, ask, ASK_TIMEOUT).await {
         Ok(answer) => Some(answer),
         Err(e) => {
             node.schedulers.did_not_answer(&peer.id, node.now());
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -10,7 +10,7 @@
 
 use super::{judge, sent, take_phase};
 use crate::node::Node;
-use crate::peers::ROLLOUT;
+use crate::peers::{self, ROLLOUT};
 
 /// Time between two reports. A version that proves bad is to get nothing after some seconds,
 /// and a report and its answer each wait for the next one.
@@ -75,8 +75,7 @@
     peer: &PeerNode,
     report: &RolloutReport,
 ) -> Result<RolloutAnswer, Silence> {
-    let address = peer.entry.to_string();
-    node.client.rmp(&address, ROLLOUT, report, TIMEOUT).await.map_err(|e| {
+    peers::ask(node, peer.entry, ROLLOUT, report, TIMEOUT).await.map_err(|e| {
         log::debug!("rollout: {e}");
         if e.status().is_some() { Silence::Unheard } else { Silence::Lost }
     })
--- a/crates/forward/src/rollout/write.rs
+++ b/crates/forward/src/rollout/write.rs
@@ -11,7 +11,7 @@
 use crate::border::Put;
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::{ROLLOUT_STATE, RemoteState};
+use crate::peers::{self, ROLLOUT_STATE, RemoteState};
 use crate::watch::STORE_CONNECT;
 
 /// Time for the store's answer. One that is slow by 60 times takes 240 ms; without an answer
@@ -98,9 +98,7 @@
     let first = node.peers.roster(|r| r.coordinators(key.as_str(), node.now()));
     let message = RemoteState { order: order.clone(), state };
     for peer in first.into_iter().flatten().take(PEERS) {
-        let address = peer.entry.to_string();
-        let answer = node.client.rmp(&address, ROLLOUT_STATE, &message, PEER_TIMEOUT).await;
-        match answer {
+        match peers::ask(node, peer.entry, ROLLOUT_STATE, &message, PEER_TIMEOUT).await {
             Ok(Some(stands)) => return stands,
             Ok(None) => {}
             Err(e) => log::debug!("rollout: {e}"),
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -15,6 +15,7 @@
 use super::exchange::{Exchange, Failure};
 use super::stream::{Begun, EventReader, StreamError};
 use crate::border::Onward;
+use crate::crossed::{self, Crossing, Kind};
 use crate::events::Event;
 use crate::node::Node;
 use crate::prefill::Ticket;
@@ -119,8 +120,12 @@
     let sent = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     at_target.sent.clone_from(&sent);
     let request = request_for(exchange, target, made, resume_after);
+    let crossing = Crossing::to_target(&exchange.node, Kind::Request, &target.id);
+    if let Some(made) = made {
+        crossed::fetched(&exchange.node, &target.id, made.fetched());
+    }
     let work = async {
-        match upstream::send_over(socket, target.address, request).await {
+        match upstream::send_over(socket, target.address, request, crossing).await {
             Ok(answer) => attempt.take(answer, at_target).await,
             Err(e) => attempt.may_have_run(e.to_string()),
         }
--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -11,8 +11,9 @@
 use model::forward::{Handle, PoolId, TargetId};
 
 use super::call;
+use crate::crossed::{Crossing, Kind};
 use crate::node::Node;
-use crate::peers::{FREE, RemoteFree};
+use crate::peers::{self, FREE, RemoteFree};
 
 /// Time during which results of one maker or coordinator are gathered into one call.
 const GATHER: Duration = Duration::from_millis(10);
@@ -69,9 +70,8 @@
             node.pools.freed(&node, &pool, handles);
         }
         Place::Coordinator(peer, pool) => {
-            let peer = peer.to_string();
             let message = RemoteFree { pool, handles };
-            if node.client.rmp::<_, ()>(&peer, FREE, &message, TIMEOUT).await.is_err() {
+            if peers::ask::<_, ()>(&node, peer, FREE, &message, TIMEOUT).await.is_err() {
                 node.pools.freer.at_makers(&node, &message.pool, message.handles);
             }
         }
@@ -83,6 +83,7 @@
         return;
     };
     let post = node.dialect.stage_free(handles);
+    let sent = post.body.len();
     let mut request = call::request(node, maker, address, post);
     let peer = address.to_string();
     let Ok(uri) = format!("http://{peer}{}", request.uri()).parse() else {
@@ -91,10 +92,18 @@
     *request.uri_mut() = uri;
     // On a kept connection, unlike all else that goes to a target: nobody looks at the
     // answer, so a late one can do no harm, and a new connection would take a maker's time.
+    let crossing = Crossing::to_target(node, Kind::Free, maker);
+    if let Some(crossing) = &crossing {
+        crossing.sent(sent);
+    }
     let freed = async {
-        if let Ok(answer) = node.client.send(&peer, request).await {
-            // Read to its end, so that the connection can be used again.
-            let _ = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        let Ok(answer) = node.client.send(&peer, request).await else {
+            return;
+        };
+        // Read to its end, so that the connection can be used again.
+        let read = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        if let (Some(crossing), Ok(body)) = (&crossing, read) {
+            crossing.got(body.to_bytes().len());
         }
     };
     // What is not freed runs out at its maker by itself.
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -8,6 +8,7 @@
 
 use super::order::Placed;
 use super::plan::StageError;
+use crate::crossed;
 use crate::node::Node;
 
 /// Results that a request's target takes as inputs; freed when this goes.
@@ -16,6 +17,8 @@
     /// Results by stage.
     pub(super) kept: Vec<Kept>,
     inputs: Vec<String>,
+    /// Who made the inputs, and their bytes.
+    fetched: Vec<(TargetId, u64)>,
     lies_at: Option<Name>,
 }
 
@@ -32,7 +35,7 @@
     /// Nothing made yet, of this many stages.
     pub(super) fn new(node: &Rc<Node>, stages: usize) -> Self {
         let kept = (0..stages).map(|_| Kept::default()).collect();
-        Made { node: node.clone(), kept, inputs: Vec::new(), lies_at: None }
+        Made { node: node.clone(), kept, inputs: Vec::new(), fetched: Vec::new(), lies_at: None }
     }
 
     /// Takes what came of a stage. If a piece of it was not made, what was made of the
@@ -65,8 +68,24 @@
         let largest = last.iter().max_by_key(bytes);
         let maker = largest.and_then(|i| self.kept[*i].handles.first()).map(|h| &h.maker);
         self.lies_at = maker.and_then(|m| self.node.fleet(|f| f.domain_of(m).cloned()));
-        let handles = last.iter().flat_map(|i| &self.kept[*i].handles);
-        self.inputs = handles.map(|h| h.text.clone()).collect();
+        let inputs = last.iter().flat_map(|i| {
+            let bytes = stages[*i].bytes;
+            self.kept[*i].handles.iter().map(move |handle| (handle, bytes))
+        });
+        let both = inputs.map(|(h, bytes)| (h.text.clone(), (h.maker.clone(), bytes)));
+        (self.inputs, self.fetched) = both.unzip();
+    }
+
+    /// Counts what the makers of a stage have fetched from other regions: each piece takes all
+    /// results of the stages before.
+    pub(super) fn count_fetched(&self, stage: usize, stages: &[Stage]) {
+        for piece in &self.kept[stage].handles {
+            let inputs = stages[stage].after.iter().flat_map(|j| {
+                let handles = self.kept[*j].handles.iter();
+                handles.map(|h| (h.maker.clone(), stages[*j].bytes))
+            });
+            crossed::fetched(&self.node, &piece.maker, inputs);
+        }
     }
 
     /// Whether the results of a stage rest where they may. Its coordinator sees to that, by
@@ -86,6 +105,11 @@
         &self.inputs
     }
 
+    /// Who made them, and their bytes.
+    pub fn fetched(&self) -> impl Iterator<Item = (TargetId, u64)> {
+        self.fetched.iter().cloned()
+    }
+
     /// Failure domain where most bytes of the inputs lie, as far as is known.
     pub fn lies_at(&self) -> Option<&Name> {
         self.lies_at.as_ref()
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -223,9 +223,8 @@
 async fn ask(node: &Rc<Node>, peer: &PeerNode, order: &BatchOrder) -> Result<BatchAnswer, String> {
     let begun = node.now();
     node.peers.roster(|r| r.begin_wait(&peer.id, begun));
-    let address = peer.entry.to_string();
     let timeout = Duration::from_millis(order.left_ms);
-    let call = node.client.rmp::<_, BatchAnswer>(&address, BATCH, order, timeout);
+    let call = peers::ask::<_, BatchAnswer>(node, peer.entry, BATCH, order, timeout);
     let answer = tokio::select! {
         answer = call => answer,
         why = lost(node, peer, begun) => return Err(why.into()),
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -62,7 +62,10 @@
         };
         match made.keep(i, placed) {
             Ok(()) if !made.is_inside(i, job.allowed) => return Err(StageError::Outside),
-            Ok(()) => made.release_all(&progress.made(i)),
+            Ok(()) => {
+                made.count_fetched(i, stages);
+                made.release_all(&progress.made(i));
+            }
             Err(StageError::InputGone) if node.settings().policy.recompute => {
                 let again = progress.input_gone(i).ok_or(StageError::InputGone)?;
                 Event::Remade { id: &job.head.id, stage: i, again: again.len() }.emit();
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -18,6 +18,7 @@
 
 use super::call;
 use super::free::Freer;
+use crate::crossed::{Crossing, Kind};
 use crate::events::Event as LogEvent;
 use crate::node::Node;
 use crate::rollout::{self, Sent};
@@ -303,8 +304,9 @@
     let targets_age_ms = node.targets_age_ms();
     let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
     let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
+    let crossing = Crossing::to_target(node, Kind::Call, &call.maker);
     let work = async {
-        match upstream::send(address, request).await {
+        match upstream::send(address, request, crossing).await {
             Ok(answer) => {
                 let took = node.now().since(begun);
                 read_answer(node, &call, answer, took, sent.as_ref()).await
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -12,7 +12,7 @@
 use super::runner::Runner;
 use crate::events::Event as LogEvent;
 use crate::node::Node;
-use crate::peers::WAITS;
+use crate::peers::{self, WAITS};
 
 /// Time for another coordinator to tell its waits: some crossings.
 const WAITS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -107,8 +107,7 @@
     let Some(peer) = order::coordinator_in(&node, &pool) else {
         return;
     };
-    let address = peer.entry.to_string();
-    match node.client.rmp::<_, Waits>(&address, WAITS, &pool, WAITS_TIMEOUT).await {
+    match peers::ask::<_, Waits>(&node, peer.entry, WAITS, &pool, WAITS_TIMEOUT).await {
         Ok(waits) => runner.spill.borrow_mut().hear(region, waits, node.now()),
         Err(e) => log::debug!("waits of {region}: {e}"),
     }
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -18,6 +18,8 @@
 use tokio::task::AbortHandle;
 use util::http::{PROBE, PROBES, SILENCE};
 
+use crate::crossed::{Crossing, Metered};
+
 /// Time to connect; a target that is up answers within a round trip.
 const CONNECT: Duration = Duration::from_millis(150);
 /// Largest head of a target's answer.
@@ -77,9 +79,13 @@
 }
 
 /// Connects, sends a request and waits for the answer's head.
-pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    crossing: Option<Crossing>,
+) -> Result<Answer, SendError> {
     let socket = connect(address).await?;
-    send_over(socket, address, request).await
+    send_over(socket, address, request, crossing).await
 }
 
 /// Sends a request over a new connection and waits for the answer's head.
@@ -88,12 +94,13 @@
     socket: TcpStream,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    crossing: Option<Crossing>,
 ) -> Result<Answer, SendError> {
     guard_socket(&socket);
     let broke = |e| SendError::Broke(address, e);
     let handshake = http1::Builder::new()
         .max_buf_size(HEAD_MAX)
-        .handshake::<_, Full<Bytes>>(TokioIo::new(socket));
+        .handshake::<_, Full<Bytes>>(TokioIo::new(Metered::new(socket, crossing)));
     let (mut sender, connection) = handshake.await.map_err(broke)?;
     let task = tokio::task::spawn_local(async move {
         // Its errors reach the sender or the body.
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -150,11 +150,15 @@
         ask: FollowAsk,
         wait: Duration,
     ) -> Option<FollowAnswer> {
-        match peers::follow(&self.client, peer.entry, &ask, wait + waits::PEER_SLACK).await {
+        match peers::follow(&self.node, &self.client, peer.entry, &ask, wait + waits::PEER_SLACK)
+            .await
+        {
             Err(e) if e.kind == CallKind::Timeout => {
                 self.client = Client::new(peers::CONNECT);
                 let ask = FollowAsk { wait_ms: 0, patient: false, ..ask };
-                peers::follow(&self.client, peer.entry, &ask, waits::ASK_AGAIN).await.ok()
+                peers::follow(&self.node, &self.client, peer.entry, &ask, waits::ASK_AGAIN)
+                    .await
+                    .ok()
             }
             answer => answer.ok(),
         }
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -157,10 +157,21 @@
         timeout: Duration,
     ) -> Result<A, CallError> {
         let bytes = rmp_serde::to_vec(body).expect("messages encode");
+        let answer = self.rmp_bytes(peer, path, bytes, timeout).await?;
+        rmp_serde::from_slice(&answer).map_err(|e| fail(peer, CallKind::Decode(e.to_string())))
+    }
+
+    /// Posts what is rmp-serde already, and returns such an answer as it is.
+    pub async fn rmp_bytes(
+        &self,
+        peer: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, CallError> {
         let call = async {
-            let response = self.post(peer, path, super::RMP, bytes).await?;
-            let bytes = collect(peer, response).await?;
-            rmp_serde::from_slice(&bytes).map_err(|e| fail(peer, CallKind::Decode(e.to_string())))
+            let response = self.post(peer, path, super::RMP, body).await?;
+            collect(peer, response).await
         };
         within(peer, timeout, call).await
     }
