The door asks for the waits of the regions that make a request's stages

Cause: a node kept one wait a service, that of its own region. A request that may be served in another region alone was refused for it while that region was idle, and entered while that one was overrun. The wait that a coordinator told was bounded by all regions, also for orders that may not go there, or that stay because their results are large.

Ruled out: own waits and those of each region in every answer, for the node to bound by itself. It would have to know what a coordinator knows of others, and answers of another form would part nodes of two releases.

Change: waits are kept by queue: the makers of one region, and what binds whether an order is passed on (regions allowed, size of results). The coordinator tells the wait of the order's own queue. Before the first stage a node reckons where each will be made, as orders are placed, and counts the crossings. Where all regions are one pool there is one queue, as before.

--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -2,14 +2,15 @@
 //! at the door for it.
 //!
 //! The coordinators of the stages tell in each answer how long a new order would
-//! wait. A request that would miss its objective by far is refused at once and
+//! wait: here, or where it would be passed on to. What counts for a request are the waits of
+//! the regions that will make its stages. A request that would miss its objective by far is refused at once and
 //! told when to come back: that costs it less than a late answer, and leaves its
 //! place to one that can still be in time.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::forward::{Rank, Route, Service, Stage, Waits};
+use model::forward::{Queue, Rank, Route, Service, Stage, Waits};
 use model::{Name, Time};
 
 use crate::stages;
@@ -45,47 +46,63 @@
     at: Time,
 }
 
+impl Heard {
+    /// Wait of a new order by now.
+    fn wait(&self, rank: Rank, now: Time) -> Duration {
+        let age = now.since(self.at).as_secs_f64() / FADES.as_secs_f64();
+        let wait = Duration::from_millis(u64::from(self.waits.of(rank)));
+        wait.mul_f64((1.0 - age).clamp(0.0, 1.0))
+    }
+}
+
 /// What this node heard of the stages' waits.
 #[derive(Debug, Default)]
-pub struct Forecast(HashMap<Name, Heard>);
+pub struct Forecast(HashMap<Queue, Heard>);
 
 impl Forecast {
-    /// A coordinator told the waits of its service.
-    pub fn hear(&mut self, service: &Name, waits: Waits, now: Time) {
-        self.0.insert(service.clone(), Heard { waits, at: now });
+    /// A coordinator told what the next orders in a queue wait.
+    pub fn hear(&mut self, queue: Queue, waits: Waits, now: Time) {
+        self.0.retain(|_, heard| now.since(heard.at) < FADES);
+        self.0.insert(queue, Heard { waits, at: now });
     }
 
-    /// Wait of a new order, as far as it is still known.
-    fn wait(&self, service: &Name, rank: Rank, now: Time) -> Duration {
-        let Some(heard) = self.0.get(service) else {
-            return Duration::ZERO;
-        };
-        let age = now.since(heard.at).as_secs_f64() / FADES.as_secs_f64();
-        let wait = Duration::from_millis(u64::from(heard.waits.of(rank)));
-        wait.mul_f64((1.0 - age).clamp(0.0, 1.0))
+    /// Wait of a new order, as far as it is still known: what was heard of its queue, or later
+    /// of one in which orders wait as long at most.
+    fn wait(&self, queue: &Queue, rank: Rank, now: Time) -> Duration {
+        let since = self.0.get(queue).map_or(Time::ZERO, |own| own.at);
+        let heard = self.0.iter().filter(|(q, heard)| q.bounds(queue) && heard.at >= since);
+        heard.map(|(_, heard)| heard.wait(rank, now)).max().unwrap_or_default()
     }
 
-    /// Expected time of each stage of a request, given its time without any wait.
+    /// Expected time of each stage of a request, given its time without any wait and what it
+    /// waits in.
     pub fn stage_times(
         &self,
-        route: &Route,
         least: &[Duration],
+        queues: &[Queue],
         rank: Rank,
         now: Time,
     ) -> Vec<Duration> {
-        let time = |(stage, least): (&Stage, &Duration)| match *least {
+        let time = |(least, queue): (&Duration, &Queue)| match *least {
             Duration::ZERO => Duration::ZERO,
-            least => least + self.wait(&stage.service, rank, now),
+            least => least + self.wait(queue, rank, now),
         };
-        route.stages.iter().zip(least).map(time).collect()
+        least.iter().zip(queues).map(time).collect()
     }
 
     /// Expected time to the first event of a request whose stages take `least` without
     /// any wait.
-    pub fn expected(&self, route: &Route, least: &[Duration], rank: Rank, now: Time) -> Expected {
+    pub fn expected(
+        &self,
+        route: &Route,
+        least: &[Duration],
+        queues: &[Queue],
+        rank: Rank,
+        now: Time,
+    ) -> Expected {
         let order = route.order();
         let without = stages::longest(&order, least);
-        let whole = stages::longest(&order, &self.stage_times(route, least, rank, now));
+        let whole = stages::longest(&order, &self.stage_times(least, queues, rank, now));
         Expected { least: without + FIRST_EVENT, waits: whole.saturating_sub(without) }
     }
 }
--- a/crates/decide/src/region/map.rs
+++ b/crates/decide/src/region/map.rs
@@ -114,4 +114,20 @@
         let nearest = able.iter().min_by_key(|r| (**r != own, self.to_region(r)));
         nearest.cloned()
     }
+
+    /// The regions whose makers are to make the stages of a chain, each where its inputs lie;
+    /// given the stages that come before each, and the regions that have makers for it. `None`
+    /// there is a stage that is left out.
+    pub fn places(
+        &self,
+        after: &[Vec<usize>],
+        able: &[Option<BTreeSet<Name>>],
+    ) -> Vec<Option<Name>> {
+        let mut places: Vec<Option<Name>> = Vec::new();
+        for (after, able) in after.iter().zip(able) {
+            let inputs = after.iter().find_map(|j| places.get(*j).cloned().flatten());
+            places.push(able.as_ref().and_then(|able| self.place(inputs, able)));
+        }
+        places
+    }
 }
--- a/crates/decide/src/region/spill.rs
+++ b/crates/decide/src/region/spill.rs
@@ -80,10 +80,18 @@
         self.told.values().any(|t| now.since(t.at) < TOLD_KEPT)
     }
 
-    /// Waits here, none longer than where the orders would be passed on to.
-    pub fn bound(&self, own: Waits, others: &[(Name, Duration)], now: Time) -> Waits {
+    /// Waits here, none longer than where the orders would be passed on to; large ones are
+    /// only if no maker works here.
+    pub fn bound(
+        &self,
+        own: Waits,
+        others: &[(Name, Duration)],
+        is_large: bool,
+        now: Time,
+    ) -> Waits {
         let bound = |(rank, wait): (Rank, u32)| {
-            let least = self.least(others, rank, wait == u32::MAX, now);
+            let is_dead = wait == u32::MAX;
+            let least = self.least(others, rank, is_dead, now).filter(|_| is_dead || !is_large);
             (rank, least.map_or(wait, |(_, there)| wait.min(there)))
         };
         Waits(own.0.into_iter().map(bound).collect())
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use decide::forecast::{Door, Expected, Forecast, at_the_door, least_times};
-use model::forward::{Allowed, Rank, Repeat, Route, Service, Stage, StagePool, Waits};
+use model::forward::{
+    Allowed, PoolId, Queue, Rank, Repeat, Route, Service, Stage, StagePool, Waits,
+};
 use model::{Name, Time};
 use proptest::prelude::*;
 
@@ -58,7 +60,14 @@
     let find = |name: &Name| services.iter().find(|s| s.name == *name);
     let rank = Rank::of(None, rank);
     let least = least_times(&route(), pieces, find);
-    forecast.expected(&route(), &least, rank, Time::from_millis(at)).whole()
+    let stages = route().stages.into_iter();
+    let queues: Vec<Queue> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
+    forecast.expected(&route(), &least, &queues, rank, Time::from_millis(at)).whole()
+}
+
+fn queue(service: &str, region: Option<&str>, allowed: &Allowed, bytes: u64) -> Queue {
+    let pool = PoolId { service: service.into(), region: region.map(Into::into) };
+    Queue::new(pool, allowed, bytes)
 }
 
 #[test]
@@ -76,7 +85,7 @@
     let mut forecast = Forecast::default();
     let before = expected(&forecast, &[0, 0, 1], 1, 0);
     forecast.hear(
-        &"second".into(),
+        queue("second", None, &Allowed::ANY, 0),
         Waits(vec![(Rank::of(None, 0), 100), (Rank::of(None, 1), 200), (Rank::of(None, 2), 400)]),
         Time::ZERO,
     );
@@ -88,6 +97,62 @@
     assert_eq!(expected(&forecast, &[0, 0, 1], 2, 60_000), before);
 }
 
+fn one(wait: u32) -> Waits {
+    Waits(vec![(Rank::default(), wait)])
+}
+
+#[test]
+fn a_request_waits_in_the_queues_of_the_regions_that_make_its_stages() {
+    const LARGE: u64 = 2 << 20;
+    let any = Allowed::ANY;
+    let north = Allowed::only(["north".into()]);
+    let south = Allowed::only(["south".into()]);
+    let encode = |region, allowed, bytes| queue("encode", Some(region), allowed, bytes);
+    let heard = [(encode("north", &any, 0), 90), (encode("north", &north, 0), 700)];
+    let cases = [
+        (encode("north", &any, 0), 90, "passed on where it is sooner"),
+        (encode("north", &north, 0), 700, "kept in its region, where all wait"),
+        (encode("north", &any, LARGE), 90, "not heard of large ones: as long as others at least"),
+        (encode("north", &south, 0), 90, "not heard of its kind: as long as any at least"),
+        (encode("south", &any, 0), 0, "another region's makers are not these"),
+        (encode("south", &south, 0), 0, "nor if no other is allowed"),
+        (queue("encode", None, &any, 0), 0, "nor all regions' together"),
+        (queue("draft", Some("north"), &any, 0), 0, "another service"),
+    ];
+    let mut forecast = Forecast::default();
+    for (queue, wait) in heard {
+        forecast.hear(queue, one(wait), Time::ZERO);
+    }
+    for (queue, wait, why) in cases {
+        let times = forecast.stage_times(&[ms(100)], &[queue], Rank::default(), Time::ZERO);
+        assert_eq!(times, [ms(100 + wait)], "{why}");
+    }
+}
+
+#[test]
+fn a_wait_heard_of_a_queue_holds_against_older_ones_of_wider_queues() {
+    let north = Allowed::only(["north".into()]);
+    let own = queue("encode", Some("north"), &north, 0);
+    let wider = queue("encode", Some("north"), &Allowed::ANY, 0);
+    let wait = |forecast: &Forecast| {
+        let now = Time::from_millis(100);
+        forecast.stage_times(&[ms(1)], std::slice::from_ref(&own), Rank::default(), now)[0]
+    };
+    let mut forecast = Forecast::default();
+    forecast.hear(wider.clone(), one(900), Time::ZERO);
+    forecast.hear(own.clone(), one(0), Time::from_millis(100));
+    assert_eq!(wait(&forecast), ms(1), "the queue has been worked off since");
+    forecast.hear(wider, one(900), Time::from_millis(100));
+    assert_eq!(wait(&forecast), ms(901), "both are as new: the wider one is a bound");
+}
+
+#[test]
+fn where_all_regions_are_one_pool_all_orders_wait_in_one_queue() {
+    let north = Allowed::only(["north".into()]);
+    let plain = queue("encode", None, &Allowed::ANY, 0);
+    assert_eq!(queue("encode", None, &north, 8 << 20), plain);
+}
+
 fn times(least: u64, waits: u64) -> Expected {
     Expected { least: ms(least), waits: ms(waits) }
 }
--- a/crates/decide/tests/regions.rs
+++ b/crates/decide/tests/regions.rs
@@ -94,6 +94,30 @@
     }
 }
 
+#[test]
+fn each_stage_of_a_chain_is_expected_where_its_inputs_are() {
+    let seen = map(&[("b1", 60), ("b2", 60), ("c1", 30), ("c2", 30)]);
+    /// Regions with makers for a stage.
+    type Able<'a> = Option<&'a [&'a str]>;
+    type Case<'a> = ([Able<'a>; 3], [Option<&'a str>; 3], &'a str);
+    let all: Able<'_> = Some(&["a", "b", "c"]);
+    let cases: [Case<'_>; 5] = [
+        ([all, all, all], [Some("a"); 3], "at home"),
+        ([Some(&["b"]), all, all], [Some("b"), Some("b"), Some("a")], "the second stays there"),
+        ([Some(&["b", "c"]), Some(&["a"]), all], [Some("c"), Some("a"), Some("a")], "nearest"),
+        ([None, all, all], [None, Some("a"), Some("a")], "a stage that is left out"),
+        ([Some(&["b"]), None, Some(&["b"])], [Some("b"), None, Some("b")], "in the allowed one"),
+    ];
+    let after = [vec![], vec![0], vec![]];
+    for (able, expected, why) in cases {
+        let able = able.map(|a| a.map(|a| a.iter().map(|r| (*r).into()).collect()));
+        let places = seen.places(&after, &able);
+        assert_eq!(places.iter().map(Option::as_deref).collect::<Vec<_>>(), expected, "{why}");
+    }
+    let near = map(&[("a2", 1), ("b1", 2), ("b2", 2), ("c1", 1), ("c2", 2)]);
+    assert_eq!(near.places(&after, &[const { None }; 3]), [None, None, None]);
+}
+
 /// The roster of a node among `each` nodes in each failure domain.
 fn roster(me: &str, each: usize) -> Roster {
     let domains = ["a1", "a2", "b1", "b2", "c1", "c2"];
@@ -467,7 +491,11 @@
         if let Some(there) = there {
             spill.hear("b".into(), waits(there), at(0));
         }
-        assert_eq!(spill.bound(waits(own), &others, at(10)).of(rank), told, "{why}");
+        assert_eq!(spill.bound(waits(own), &others, false, at(10)).of(rank), told, "{why}");
+        let large = if own == u32::MAX { told } else { own };
+        let bound = spill.bound(waits(own), &others, true, at(10));
+        assert_eq!(bound.of(rank), large, "large ones are passed on from dead makers alone: {why}");
+        assert_eq!(spill.bound(waits(own), &[], false, at(10)).of(rank), own, "none is allowed");
     }
 }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -9,10 +9,11 @@
 use anyhow::Context;
 use decide::fleet::{Belief, ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
+use decide::region::Map;
 use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Allowed, PoolId, Rollout, Rules, TargetId, Waits};
+use model::forward::{Allowed, PoolId, Queue, Rollout, Route, Rules, Stage, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -199,14 +200,46 @@
         f(&mut self.fleet.borrow_mut())
     }
 
-    /// A coordinator told what an order of its makers would wait. What holds for the makers of
-    /// other regions says nothing of this node's next orders.
-    pub fn heard_waits(&self, pool: &PoolId, waits: Waits) {
+    /// A coordinator told what the next orders in a queue would wait.
+    pub fn heard_waits(&self, queue: Queue, waits: Waits) {
         let now = self.now();
-        let own = self.peers.roster(|r| r.map().own());
-        if pool.region.as_ref().is_none_or(|r| *r == own) {
-            self.forecast.borrow_mut().hear(&pool.service, waits, now);
-        }
+        self.forecast.borrow_mut().hear(queue, waits, now);
+    }
+
+    /// What the stages of a request will wait in, by all that is known before the first begins,
+    /// and the time to the makers and back for each.
+    pub fn queues(
+        &self,
+        route: &Route,
+        pieces: &[u32],
+        allowed: &Allowed,
+    ) -> Vec<(Queue, Duration)> {
+        let map = self.peers.roster(|r| r.map());
+        let able = |(i, stage): (usize, &Stage)| {
+            let is_made = pieces.get(i).is_some_and(|n| *n > 0);
+            is_made.then(|| self.able_regions(&map, &stage.service, allowed))
+        };
+        let places = match map.is_split() {
+            true => {
+                let able: Vec<_> = route.stages.iter().enumerate().map(able).collect();
+                map.places(&route.order(), &able)
+            }
+            false => vec![None; route.stages.len()],
+        };
+        let queue = |(stage, region): (&Stage, Option<Name>)| {
+            let own = map.own();
+            let elsewhere = region.as_ref().filter(|r| **r != own);
+            let crossing = elsewhere.map_or(Duration::ZERO, |r| map.to_region(r));
+            let pool = PoolId { service: stage.service.clone(), region };
+            (Queue::new(pool, allowed, stage.bytes), crossing)
+        };
+        route.stages.iter().zip(places).map(queue).collect()
+    }
+
+    /// Regions with makers of a service that may be used.
+    fn able_regions(&self, map: &Map, service: &str, allowed: &Allowed) -> BTreeSet<Name> {
+        let region = |b: &Belief| map.region_of(&b.target.domain);
+        self.fleet(|f| f.usable_in(service, allowed, self.now()).map(region).collect())
     }
 
     /// The region whose makers are to make an order, of those that have any.
@@ -220,9 +253,7 @@
         if !map.is_split() {
             return None;
         }
-        let region = |b: &Belief| map.region_of(&b.target.domain);
-        let able = self.fleet(|f| f.usable_in(service, allowed, self.now()).map(region).collect());
-        map.place(wanted, &able)
+        map.place(wanted, &self.able_regions(&map, service, allowed))
     }
 
     /// Uses the forecast for a moment.
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{Allowed, CallerHead, Rank, Route};
+use model::forward::{Allowed, CallerHead, Queue, Rank, Route};
 
 use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
@@ -171,7 +171,14 @@
         return Ok(());
     }
     let least = forecast::least_times(route, &head.pieces, |name| table.service(name));
-    let expected = node.forecast(|f| f.expected(route, &least, found.rank, node.now()));
+    let queues = node.queues(route, &head.pieces, &found.allowed);
+    let crossed = |(least, (_, crossing)): (Duration, &(Queue, Duration))| match least {
+        Duration::ZERO => least,
+        least => least + *crossing,
+    };
+    let least: Vec<Duration> = least.into_iter().zip(&queues).map(crossed).collect();
+    let queues: Vec<Queue> = queues.into_iter().map(|(queue, _)| queue).collect();
+    let expected = node.forecast(|f| f.expected(route, &least, &queues, found.rank, node.now()));
     let objective = Duration::from_millis(route.objective_ms);
     let patience = Duration::from_millis(head.wait_ms.unwrap_or(route.timeout_ms));
     match forecast::at_the_door(expected, objective, patience) {
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -65,6 +65,7 @@
             return Ok(answer);
         }
         let begun = node.now();
+        let queue = order.queue();
         let results = match runner.order(node, order.clone(), pinned).await {
             Some(results) => results,
             // Its makers went while it waited, or it goes to another coordinator.
@@ -73,7 +74,7 @@
                 return spilled.ok_or(NotMade::Moved);
             }
         };
-        let (waits, region) = (runner.waits(node), runner.pool.region.clone());
+        let (waits, region) = (runner.waits(node, &queue), runner.pool.region.clone());
         Ok(BatchAnswer { results, waits, coordinator: None, region })
     }
 
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -6,7 +6,7 @@
 use decide::batch::Event;
 use decide::fleet::Belief;
 use model::Name;
-use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Rank, Waits};
+use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Queue, Rank, Waits};
 
 use super::order;
 use super::runner::Runner;
@@ -35,7 +35,8 @@
                 self.spill.borrow_mut().hear(region.clone(), answer.waits, node.now());
                 let from = self.pool.region.as_deref().unwrap_or_default();
                 node.metrics.spilled(from, &region);
-                (order, Some(BatchAnswer { waits: self.waits(node), ..answer }))
+                let waits = self.waits(node, &order.queue());
+                (order, Some(BatchAnswer { waits, ..answer }))
             }
             Err(why) => {
                 self.spill.borrow_mut().lost(&region);
@@ -74,15 +75,15 @@
         is_dead && self.spill.borrow().knows_any(now)
     }
 
-    /// What an order would wait now, here or where it would be passed on to.
-    pub(super) fn waits(&self, node: &Node) -> Waits {
+    /// What the next orders in a queue would wait now, here or where they would be passed on to.
+    pub(super) fn waits(&self, node: &Node, queue: &Queue) -> Waits {
         let now = node.now();
         let waits = self.machine.borrow().waits(now);
         let Some(own) = &self.pool.region else {
             return waits;
         };
-        let others = others(node, &self.pool.service, own, &Allowed::ANY);
-        self.spill.borrow().bound(waits, &others, now)
+        let others = others(node, &self.pool.service, own, &queue.allowed);
+        self.spill.borrow().bound(waits, &others, queue.is_large, now)
     }
 }
 
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -59,6 +59,35 @@
     pub region: Option<Name>,
 }
 
+/// What an order waits in: the queue of a pool, and what binds whether it is passed on to
+/// another region in place of waiting there.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Queue {
+    /// Makers.
+    pub pool: PoolId,
+    /// Regions that the order may be passed on to.
+    pub allowed: Allowed,
+    /// Whether its results are too large for that.
+    pub is_large: bool,
+}
+
+impl Queue {
+    /// That of an order with results of this size. Where all regions are one pool, nothing is
+    /// passed on.
+    pub fn new(pool: PoolId, allowed: &Allowed, result_bytes: u64) -> Self {
+        let is_split = pool.region.is_some();
+        let allowed = if is_split { allowed.clone() } else { Allowed::ANY };
+        Queue { pool, allowed, is_large: is_split && result_bytes >= LARGE_RESULT }
+    }
+
+    /// Whether orders in this queue wait as long as those in `other` at most: they may be
+    /// passed on wherever those may.
+    pub fn bounds(&self, other: &Queue) -> bool {
+        let may_more = self.allowed.is_any() || self.allowed == other.allowed;
+        self.pool == other.pool && may_more && (!self.is_large || other.is_large)
+    }
+}
+
 /// All pieces of one request's stage, ordered together. What they share is told once:
 /// orders cross the narrow link of a coordinator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +134,11 @@
         PoolId { service: self.service.clone(), region: self.region.clone() }
     }
 
+    /// What the order waits in.
+    pub fn queue(&self) -> Queue {
+        Queue::new(self.pool(), &self.allowed, self.result_bytes)
+    }
+
     /// The order once this time has passed.
     pub fn later(self, passed: Duration) -> Self {
         let passed_ms = passed.as_millis() as u64;
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -15,8 +15,8 @@
 mod target;
 
 pub use batch::{
-    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, PoolId, StageInput,
-    Waits,
+    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, PoolId, Queue,
+    StageInput, Waits,
 };
 pub use caller::{CallerHead, PromptPart};
 pub use policy::Policy;
--- a/crates/model/src/forward/region.rs
+++ b/crates/model/src/forward/region.rs
@@ -10,7 +10,7 @@
 ///
 /// Names that no failure domain has permit nothing, and so does an empty list: when in doubt,
 /// nothing leaves the regions that are surely meant.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Allowed(Option<BTreeSet<Name>>);
 
 impl Allowed {
