Two times to an engine's first event have names of their own

Cause: two constants named FIRST_EVENT, 150 ms at the door and 200 ms for stages, looked like one that had drifted.

Ruled out: one value. The door turns requests away by its time, so it takes about the median; stages hurry by theirs, so it lies between the median and the 90th percentile.

Change: USUAL_FIRST_EVENT and KEPT_FOR_ENGINE, each with its reason. No value and no behaviour changes.

--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -17,8 +17,9 @@
 
 /// Time over which what was heard of a wait fades to nothing.
 const FADES: Duration = Duration::from_millis(1500);
-/// Time that an engine is expected to take to its first event.
-const FIRST_EVENT: Duration = Duration::from_millis(150);
+/// Time that an engine usually takes to its first event, about the median (139 ms) of long
+/// prompts. The door turns away by it: more would refuse requests that are in time.
+const USUAL_FIRST_EVENT: Duration = Duration::from_millis(150);
 /// Part of a request's spare time, the objective less the time that it takes without any
 /// wait, from which on waits turn it away: what is expected of a wait is half a second old,
 /// and in a burst the true one is longer by the time that the request gets there.
@@ -103,7 +104,7 @@
         let order = route.order();
         let without = stages::longest(&order, least);
         let whole = stages::longest(&order, &self.stage_times(least, queues, rank, now));
-        Expected { least: without + FIRST_EVENT, waits: whole.saturating_sub(without) }
+        Expected { least: without + USUAL_FIRST_EVENT, waits: whole.saturating_sub(without) }
     }
 }
 
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -13,10 +13,10 @@
 use super::plan::StageError;
 use crate::node::Node;
 
-/// Time that an engine is expected to take to its first event: between the median and the
-/// 90th percentile (139 and 404 ms) of long prompts. Less would leave half of them late, more
-/// would have stages hurry for the sake of a few.
-const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Time that stages leave an engine for its first event: between the median and the 90th
+/// percentile (139 and 404 ms) of long prompts. Less would leave half of them late, more would
+/// have stages hurry for the sake of a few.
+const KEPT_FOR_ENGINE: Duration = Duration::from_millis(200);
 
 /// What the stages of one request are made for.
 pub struct Job<'a> {
@@ -51,7 +51,7 @@
     /// Least time from the end of each stage to the first event, given that of the stages.
     pub(super) fn least_after(&self, least: &[Duration]) -> Vec<Duration> {
         let tails = stages::tails(&self.route.order(), least);
-        tails.into_iter().map(|tail| tail + FIRST_EVENT).collect()
+        tails.into_iter().map(|tail| tail + KEPT_FOR_ENGINE).collect()
     }
 
     /// Stages whose results are large, and when they are due, the first due first: they
