A coordinator looks at its makers when that is due, not for each order

Cause: where regions are apart each order made the coordinator go through its makers, late orders and calls once more before it was weighed, though that is done at each event and each 40 ms while orders are open.

Ruled out: no look at all; a coordinator that has been idle would weigh orders against makers that are gone, and one that has seen none would take them for dead and pass its first order on.

Change: it looks if it has never done so or not for 40 ms. An order that comes within that time after the last maker left is taken in, and passed on at the next look. Tests: the process tests of regions and of allowed regions pass.

--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -10,10 +10,10 @@
 use decide::fleet::{Belief, Observation, Terms};
 use decide::region::Spill;
 use http_body_util::{BodyExt, Limited};
-use model::Name;
 use model::forward::{
     BatchAnswer, BatchOrder, Handle, PieceResult, Policy, PoolId, StagePool, TargetId, Waits,
 };
+use model::{Name, Time};
 use tokio::sync::oneshot;
 
 use super::call;
@@ -132,6 +132,8 @@
     waiting: RefCell<HashMap<OrderId, oneshot::Sender<Vec<PieceResult>>>>,
     next: Cell<OrderId>,
     ticking: Cell<bool>,
+    /// When the machine last looked at its makers.
+    looked: Cell<Option<Time>>,
 }
 
 /// Cancels an order that nobody waits for any more.
@@ -158,6 +160,7 @@
             waiting: RefCell::default(),
             next: Cell::new(1),
             ticking: Cell::new(false),
+            looked: Cell::new(None),
         }
     }
 
@@ -179,6 +182,7 @@
     /// Lets the machine take an event, with the makers as they are right now.
     pub(super) fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
         let now = node.now();
+        self.looked.set(Some(now));
         let mut machine = self.machine.borrow_mut();
         let mut actions = machine.on(now, Event::Makers(self.makers(node)));
         actions.extend(machine.on(now, event));
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Lets the machine look at late orders and its makers, if it has not done so for a while.
+    pub(super) fn look(self: &Rc<Self>, node: &Rc<Node>) {
+        let looked = self.looked.get();
+        if looked.is_none_or(|at| node.now().since(at) >= TICK) {
+            self.feed(node, Event::Tick);
+        }
+    }
+
     fn makers(&self, node: &Node) -> Vec<MakerInfo> {
         let now = node.now();
         let limit = node.cold_limit(&self.pool.service);
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::batch::Event;
 use decide::fleet::Belief;
 use model::Name;
 use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Queue, Rank, Waits};
@@ -57,7 +56,7 @@
     /// once there is a wait here.
     fn choose(self: &Rc<Self>, node: &Rc<Node>, order: &BatchOrder) -> Option<Name> {
         let own_region = self.pool.region.as_ref()?;
-        self.feed(node, Event::Tick);
+        self.look(node);
         let now = node.now();
         let own = self.machine.borrow().own(order, now);
         let others = others(node, &self.pool.service, own_region, &order.allowed);
