Regions of failure domains stand once in a node

Cause: the fleet and the map of distances each held a copy of the regions that settings name, made at two places from the settings.

Ruled out: the map asking the fleet, or the other way round; both are asked by themselves, in machines that know nothing of each other.

Change: made once when the node is, before anything starts; clones of `Regions` share one copy. No behaviour changes.

--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -1,6 +1,7 @@
 //! On which terms a target may get a request.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use model::Name;
 use model::forward::{Allowed, Side};
@@ -50,14 +51,14 @@
     }
 }
 
-/// Regions in which failure domains lie, as settings tell.
+/// Regions in which failure domains lie, as settings tell. Clones share one copy.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Regions(BTreeMap<Name, Name>);
+pub struct Regions(Arc<BTreeMap<Name, Name>>);
 
 impl Regions {
     /// The region of each failure domain.
     pub fn new(of_domain: BTreeMap<Name, Name>) -> Self {
-        Regions(of_domain)
+        Regions(Arc::new(of_domain))
     }
 
     /// Region of a failure domain, if it is known.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -89,6 +89,9 @@
 
 impl Node {
     fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
+        let regions = Regions::new(settings.regions.clone());
+        let mut fleet = Fleet::default();
+        fleet.set_regions(regions.clone());
         Node {
             dialect,
             clock: Clock::default(),
@@ -98,7 +101,7 @@
                 settings.name.clone(),
                 settings.domain.clone(),
                 settings.host.capacity(),
-                Regions::new(settings.regions.clone()),
+                regions,
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
@@ -106,7 +109,7 @@
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
-            fleet: RefCell::default(),
+            fleet: RefCell::new(fleet),
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::fleet::Regions;
 use decide::relay::{Relays, Role};
 use model::forward::{Evacuations, Rollouts};
 
@@ -32,8 +31,6 @@
 
 /// Starts following all kinds.
 pub fn start(node: &Rc<Node>) {
-    let regions = Regions::new(node.settings().regions.clone());
-    node.fleet(|f| f.set_regions(regions));
     if node.settings().evacuations {
         node.feed.follow(Kind::Evacuations);
         node.fleet(|f| f.follow_evacuations());
