--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -57,6 +57,13 @@
     to: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Crossed {
+    kind: &'static str,
+    from: String,
+    to: String,
+}
+
 type Times = RefCell<BTreeMap<(&'static str, Name), Histogram<u32>>>;
 
 /// Counters and times of one node.
@@ -74,6 +81,7 @@
     rollout_bad: Family<Version, Counter>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
     spilled: Family<Regions, Counter>,
+    crossed: Family<Crossed, Counter>,
     open: Gauge,
     orders: Gauge,
     rules: Gauge,
@@ -133,6 +141,7 @@
             rollout_bad: Family::default(),
             rollout_share: Family::default(),
             spilled: Family::default(),
+            crossed: Family::default(),
             open: Gauge::default(),
             orders: Gauge::default(),
             rules: Gauge::default(),
@@ -174,6 +183,8 @@
         registry.register("rollout_share", help, self.rollout_share.clone());
         let help = "Stage orders passed on to another region";
         registry.register("spilled_orders", help, self.spilled.clone());
+        let help = "Bytes between regions, counted by the node that asks";
+        registry.register("crossed_bytes", help, self.crossed.clone());
         registry.register("open_requests", "Requests without a final answer", self.open.clone());
         let help = "Stage orders without an answer at the coordinators of this node";
         registry.register("open_orders", help, self.orders.clone());
@@ -260,6 +271,12 @@
         self.spilled.get_or_create(&labels).inc();
     }
 
+    /// Bytes of a kind of message from one region to another.
+    pub fn crossed(&self, kind: &'static str, from: &str, to: &str) -> Counter {
+        let labels = Crossed { kind, from: self.bounded(from), to: self.bounded(to) };
+        self.crossed.get_or_create_owned(&labels)
+    }
+
     fn age(&self, kind: Kind, age: Option<Age>) {
         let Some(age) = age else {
             return;
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -10,14 +10,15 @@
 use decide::fleet::{Belief, Observation, Terms};
 use decide::region::Spill;
 use http_body_util::{BodyExt, Limited};
-use model::Name;
 use model::forward::{
     BatchAnswer, BatchOrder, Handle, PieceResult, Policy, PoolId, StagePool, TargetId, Waits,
 };
+use model::{Name, Time};
 use tokio::sync::oneshot;
 
 use super::call;
 use super::free::Freer;
+use crate::crossed::{Crossing, Kind};
 use crate::events::Event as LogEvent;
 use crate::node::Node;
 use crate::rollout::{self, Sent};
@@ -64,6 +65,7 @@
             return Ok(answer);
         }
         let begun = node.now();
+        let queue = order.queue();
         let results = match runner.order(node, order.clone(), pinned).await {
             Some(results) => results,
             // Its makers went while it waited, or it goes to another coordinator.
@@ -72,7 +74,7 @@
                 return spilled.ok_or(NotMade::Moved);
             }
         };
-        let (waits, region) = (runner.waits(node), runner.pool.region.clone());
+        let (waits, region) = (runner.waits(node, &queue), runner.pool.region.clone());
         Ok(BatchAnswer { results, waits, coordinator: None, region })
     }
 
@@ -130,6 +132,8 @@
     waiting: RefCell<HashMap<OrderId, oneshot::Sender<Vec<PieceResult>>>>,
     next: Cell<OrderId>,
     ticking: Cell<bool>,
+    /// When the machine last looked at its makers.
+    looked: Cell<Option<Time>>,
 }
 
 /// Cancels an order that nobody waits for any more.
@@ -156,6 +160,7 @@
             waiting: RefCell::default(),
             next: Cell::new(1),
             ticking: Cell::new(false),
+            looked: Cell::new(None),
         }
     }
 
@@ -177,6 +182,7 @@
     /// Lets the machine take an event, with the makers as they are right now.
     pub(super) fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
         let now = node.now();
+        self.looked.set(Some(now));
         let mut machine = self.machine.borrow_mut();
         let mut actions = machine.on(now, Event::Makers(self.makers(node)));
         actions.extend(machine.on(now, event));
@@ -186,6 +192,14 @@
         }
     }
 
+    /// Lets the machine look at late orders and its makers, if it has not done so for a while.
+    pub(super) fn look(self: &Rc<Self>, node: &Rc<Node>) {
+        let looked = self.looked.get();
+        if looked.is_none_or(|at| node.now().since(at) >= TICK) {
+            self.feed(node, Event::Tick);
+        }
+    }
+
     fn makers(&self, node: &Node) -> Vec<MakerInfo> {
         let now = node.now();
         let limit = node.cold_limit(&self.pool.service);
@@ -303,8 +317,9 @@
     let targets_age_ms = node.targets_age_ms();
     let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
     let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
+    let crossing = Crossing::to_target(node, Kind::Call, &call.maker);
     let work = async {
-        match upstream::send(address, request).await {
+        match upstream::send(address, request, crossing).await {
             Ok(answer) => {
                 let took = node.now().since(begun);
                 read_answer(node, &call, answer, took, sent.as_ref()).await
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -3,16 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::batch::Event;
 use decide::fleet::Belief;
 use model::Name;
-use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Rank, Waits};
+use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Queue, Rank, Waits};
 
 use super::order;
 use super::runner::Runner;
 use crate::events::Event as LogEvent;
 use crate::node::Node;
-use crate::peers::WAITS;
+use crate::peers::{self, WAITS};
 
 /// Time for another coordinator to tell its waits: some crossings.
 const WAITS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -35,7 +34,8 @@
                 self.spill.borrow_mut().hear(region.clone(), answer.waits, node.now());
                 let from = self.pool.region.as_deref().unwrap_or_default();
                 node.metrics.spilled(from, &region);
-                (order, Some(BatchAnswer { waits: self.waits(node), ..answer }))
+                let waits = self.waits(node, &order.queue());
+                (order, Some(BatchAnswer { waits, ..answer }))
             }
             Err(why) => {
                 self.spill.borrow_mut().lost(&region);
@@ -56,7 +56,7 @@
     /// once there is a wait here.
     fn choose(self: &Rc<Self>, node: &Rc<Node>, order: &BatchOrder) -> Option<Name> {
         let own_region = self.pool.region.as_ref()?;
-        self.feed(node, Event::Tick);
+        self.look(node);
         let now = node.now();
         let own = self.machine.borrow().own(order, now);
         let others = others(node, &self.pool.service, own_region, &order.allowed);
@@ -74,15 +74,15 @@
         is_dead && self.spill.borrow().knows_any(now)
     }
 
-    /// What an order would wait now, here or where it would be passed on to.
-    pub(super) fn waits(&self, node: &Node) -> Waits {
+    /// What the next orders in a queue would wait now, here or where they would be passed on to.
+    pub(super) fn waits(&self, node: &Node, queue: &Queue) -> Waits {
         let now = node.now();
         let waits = self.machine.borrow().waits(now);
         let Some(own) = &self.pool.region else {
             return waits;
         };
-        let others = others(node, &self.pool.service, own, &Allowed::ANY);
-        self.spill.borrow().bound(waits, &others, now)
+        let others = others(node, &self.pool.service, own, &queue.allowed);
+        self.spill.borrow().bound(waits, &others, queue.is_large, now)
     }
 }
 
@@ -107,8 +107,7 @@
     let Some(peer) = order::coordinator_in(&node, &pool) else {
         return;
     };
-    let address = peer.entry.to_string();
-    match node.client.rmp::<_, Waits>(&address, WAITS, &pool, WAITS_TIMEOUT).await {
+    match peers::ask::<_, Waits>(&node, peer.entry, WAITS, &pool, WAITS_TIMEOUT).await {
         Ok(waits) => runner.spill.borrow_mut().hear(region, waits, node.now()),
         Err(e) => log::debug!("waits of {region}: {e}"),
     }
--- a/crates/forward/src/watch/rollouts.rs
+++ b/crates/forward/src/watch/rollouts.rs
@@ -80,7 +80,7 @@
     };
     let mut answered = false;
     for peer in relays(node).peers.iter().take(ASKED) {
-        let answer = match peers::follow(&client, peer.entry, &ask, ASK_TIMEOUT).await {
+        let answer = match peers::follow(node, &client, peer.entry, &ask, ASK_TIMEOUT).await {
             Ok(answer) => answer,
             Err(e) => {
                 log::debug!("orders: {e}");
