What makes both versions late for a moment tells nothing of the new one

Cause: the judge of a roll-out held late answers of the version on trial against what is usual of the other one over the whole time and the last seconds. A pause of some tenths of a second, in which whatever is under way comes late on both sides, hardly shows in thousands of answers of the serving version, and weighs much in the few of the one on trial: a good version was taken back as slow. Seen beside load in rollouts.rs (9 of 11 runs had a failure, two of those by the doors; 2 of 3 runs without busy processes of its own, beside others' builds).

Change: late answers of a report are weighed by what is late of the serving version in the same report, if that is more.

Ruled out: a longer memory of the baseline, which hides such moments the more; a lower chance of false alarms, which would hold bad versions for longer.

Runs: the new test of rollout_judge.rs fails on the code before after the first such moment (trial 4 late of 40, serving 24 of 924) and passes now; rollout_judge, rollout_evidence, rollout_table, rollout_versions and batch_trial green. rollouts.rs beside six busy processes, load average 31 to 38: two of three runs whole; in the other a_good_version_of_a_stage_service_... and streams_that_are_open_... saw a good version judged slow (12 of 402, serving 41 of 4,025; 4 of 22, serving 0 of 38).

--- a/crates/decide/src/rollout/pool.rs
+++ b/crates/decide/src/rollout/pool.rs
@@ -98,7 +98,10 @@
         let count_slow = |counts: &[u32]| from.map_or(0, |from| times::count_from(counts, from));
         let slow = count_slow(&trial.times);
         if let Some(from) = from {
+            // What makes both versions late for a moment tells nothing of the new one.
+            let (late, all) = (count_slow(&serving.times), times::total(&serving.times));
             let usual = route.baseline.slow(from);
+            let usual = usual.or_more(Usual::seen(late as f64, all as f64, usual));
             let evidence = Test::weigh(slow as f64, good - slow as f64, usual);
             route.slow.add(evidence, good);
             self.slow.add(evidence, good);
--- a/crates/decide/src/rollout/sequential.rs
+++ b/crates/decide/src/rollout/sequential.rs
@@ -31,6 +31,11 @@
         let rate = (bad + PRIOR_WEIGHT * before.0) / (count + PRIOR_WEIGHT);
         Usual(rate.clamp(LOWEST, HIGHEST))
     }
+
+    /// The greater of both.
+    pub fn or_more(self, other: Usual) -> Usual {
+        Usual(self.0.max(other.0))
+    }
 }
 
 /// Evidence against a version, as a logarithm of odds that starts anew at 0.
--- a/crates/decide/tests/rollout_judge.rs
+++ b/crates/decide/tests/rollout_judge.rs
@@ -224,6 +224,35 @@
     assert_eq!((verdict.trial.sent, verdict.trial.bad), (256, 16));
 }
 
+#[test]
+fn moments_in_which_both_versions_are_late_take_no_good_version_back() {
+    const USUAL: usize = 9;
+    const LATE: usize = 16;
+    let mut bench = Bench::new(Active);
+    let (mut serving, mut trial) = (Answers::default(), Answers::default());
+    for n in 1..=90 {
+        // Each second all that is under way is held up: few answers come, all of them late.
+        let (bucket, count) = if n % 10 == 0 { (LATE, 12) } else { (USUAL, 50) };
+        for (answers, count) in [(&mut serving, count), (&mut trial, 2)] {
+            answers.times.resize(LATE + 1, 0);
+            answers.times[bucket] += count;
+            answers.sent += count;
+        }
+        bench.now += 100;
+        for name in ["a", "b"] {
+            let JudgeEvent::Report(report) = report(name, bench.judge.phase(), 0) else {
+                unreachable!("a report was made");
+            };
+            let evidence =
+                RouteEvidence { route: "r".into(), serving: serving.clone(), trial: trial.clone() };
+            let report = RolloutReport { evidence: vec![evidence], ..report };
+            bench.on(JudgeEvent::Report(report));
+        }
+        bench.on(JudgeEvent::Tick);
+        assert_ne!(bench.judge.phase(), Phase::Back, "after {n} reports: {:?}", bench.done);
+    }
+}
+
 #[test]
 fn an_order_that_was_replaced_ends_its_judge() {
     let mut bench = Bench::new(Active);
