Metrics tell the mean time of answers by version

Cause: an operator could not see by a node's figures that a version on trial is slower; only the verdict said so.

Ruled out: quantiles from the evidence (buckets of 1.4 times, gone with the order).

Change: counters `rollout_answers` and `rollout_answer_seconds` by service and version, while orders run; their ratio is the mean.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use model::Name;
@@ -71,6 +72,8 @@
     barred: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
+    rollout_answers: Family<Version, Counter>,
+    rollout_seconds: Family<Version, Counter<f64, std::sync::atomic::AtomicU64>>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
     spilled: Family<Regions, Counter>,
     open: Gauge,
@@ -127,6 +130,8 @@
             barred: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
+            rollout_answers: Family::default(),
+            rollout_seconds: Family::default(),
             rollout_share: Family::default(),
             spilled: Family::default(),
             open: Gauge::default(),
@@ -161,6 +166,10 @@
         registry.register("rollout_requests", help, self.rollout_requests.clone());
         let help = "Failures of a version in such a move";
         registry.register("rollout_bad", help, self.rollout_bad.clone());
+        let help = "Good answers of a version in such a move";
+        registry.register("rollout_answers", help, self.rollout_answers.clone());
+        let help = "Time until these answers began, in all";
+        registry.register("rollout_answer_seconds", help, self.rollout_seconds.clone());
         let help = "Share of requests that the version on trial gets";
         registry.register("rollout_share", help, self.rollout_share.clone());
         let help = "Stage orders passed on to another region";
@@ -239,6 +248,13 @@
         self.rollout_bad.get_or_create(&labels).inc_by(count as u64);
     }
 
+    /// A request, or a call, was answered well by the version after this time.
+    pub fn rollout_good(&self, service: &Name, version: &Name, took: Duration) {
+        let labels = self.version(service, version);
+        self.rollout_answers.get_or_create(&labels).inc();
+        self.rollout_seconds.get_or_create(&labels).inc_by(took.as_secs_f64());
+    }
+
     fn version(&self, service: &Name, version: &Name) -> Version {
         Version { service: self.bounded(service), version: self.bounded(version) }
     }
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -69,17 +69,19 @@
 impl Sent {
     /// It was answered well after this time.
     pub fn good(&self, took: Duration) {
-        let Inner { node, order, route, side, is_judged, .. } = &*self.0;
+        let Inner { node, order, route, version, side, is_judged, .. } = &*self.0;
         is_judged.set(true);
         if !self.0.counts() {
             return;
         }
         node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
+        node.metrics.rollout_good(&order.service, version, took);
     }
 
-    /// A call was answered after this time, so many of its pieces as failed.
+    /// A call was answered after this time as part of what is expected, so many of its pieces as
+    /// failed.
     pub fn answered(&self, failed: usize, took: Duration) {
-        let Inner { node, order, route, version, side, pieces, is_judged, .. } = &*self.0;
+        let Inner { node, order, route, version, side, pieces, begun, is_judged, .. } = &*self.0;
         is_judged.set(true);
         if !self.0.counts() {
             return;
@@ -90,6 +92,9 @@
             evidence.partly(&order.service, route, *side, part, took)
         };
         node.metrics.rollout_bad(&order.service, version, failed);
+        if failed < *pieces {
+            node.metrics.rollout_good(&order.service, version, node.now().since(*begun));
+        }
         if is_bad && *side == Side::Trial {
             take_back_if_bad(node, order);
         }
