Late answers that come together at a node count once in judging a version

All eight answers came within 1 ms at one node (02:09:13.098, 94 to 107 ms in place of 42); the other two nodes had none then. That process had stood still for some 60 ms, less than what counts as a stall, and all it had under way was at the version on trial, whose phase had just become `all`, so no answer of the serving version showed the moment.

Ruled out: a lower bound for stalls (its clock is looked at each 50 ms, too coarse for 60); judging by the slower of both sides alone, which knows nothing where one side has no answers.

A version that is slow by itself shows by 50 such answers a second.

--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::Name;
 use model::forward::{Answers, RouteEvidence, Side};
+use model::{Name, Time};
 
 use super::baseline::Baseline;
 use super::sequential::{Test, Usual};
@@ -15,6 +15,11 @@
 /// Nodes that judge by themselves beside each other; each has its chance of a false alarm.
 const NODES: usize = 100;
 
+/// Time within which late answers of one node come together: once a pause of its host or its link
+/// is over, all that it held up comes within milliseconds. A version that is slow by itself
+/// answers late all the time, and shows as slow by 50 answers a second.
+const TOGETHER: Duration = Duration::from_millis(20);
+
 /// What adding up parts of a call may lack of a whole.
 const ROUNDING: f64 = 1e-6;
 
@@ -30,6 +35,8 @@
     /// Parts of calls that failed and were not counted yet: of the version that serves, of the
     /// one on trial.
     owed: (f64, f64),
+    /// When a late answer of either version came last.
+    late: Option<Time>,
 }
 
 impl RouteTests {
@@ -43,6 +50,7 @@
             failures_test: Test::default(),
             slow_test: Test::default(),
             owed: (0.0, 0.0),
+            late: None,
         }
     }
 
@@ -116,6 +124,18 @@
         self.route(service, route).side(side).sent += count;
     }
 
+    /// Whether a good answer came late together with another one, of whichever version: one
+    /// thing held up both, and it is not to count twice.
+    pub fn is_held_up(&mut self, service: &Name, route: &Name, took: Duration, now: Time) -> bool {
+        let tests = self.route(service, route);
+        let from = tests.baseline.slow_from();
+        if from.is_none_or(|from| times::bucket(took) < from) {
+            return false;
+        }
+        let last = tests.late.replace(now);
+        last.is_some_and(|at| now.since(at) < TOGETHER)
+    }
+
     /// A good answer came after this time; from a target that was not cold.
     pub fn good(&mut self, service: &Name, route: &Name, side: Side, took: Duration) {
         let tests = self.route(service, route);
--- a/crates/decide/tests/rollout_evidence.rs
+++ b/crates/decide/tests/rollout_evidence.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use decide::rollout::{Cause, Evidence};
-use model::Name;
 use model::forward::Side;
+use model::{Name, Time};
 
 /// Answers of one side: failures, and good ones with their time.
 fn take(evidence: &mut Evidence, side: Side, bad: u32, good: u32, ms: u64) {
@@ -47,6 +47,30 @@
     }
 }
 
+#[test]
+fn late_answers_that_come_together_were_held_up_by_one_thing() {
+    let (service, route): (Name, Name) = ("s".into(), "r".into());
+    let (usual, late) = (Duration::from_millis(40), Duration::from_millis(150));
+    let mut evidence = Evidence::default();
+    let mut is_held_up = |took, ms| {
+        evidence.is_held_up(&service, &route, took, Time::ZERO + Duration::from_millis(ms))
+    };
+    assert!(![0, 1].map(|ms| is_held_up(late, ms))[1], "nobody knows what is late");
+    take(&mut evidence, Side::Serving, 0, 50, 40);
+    let cases = [
+        (usual, 100, false),
+        (late, 101, false),
+        (late, 102, true),
+        (usual, 102, false),
+        (late, 121, true),
+        (late, 141, false),
+    ];
+    for (took, ms, wanted) in cases {
+        let now = Time::ZERO + Duration::from_millis(ms);
+        assert_eq!(evidence.is_held_up(&service, &route, took, now), wanted, "{took:?} at {ms}");
+    }
+}
+
 #[test]
 fn a_report_holds_all_counts_until_the_order_is_over() {
     let mut evidence = Evidence::default();
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -74,8 +74,11 @@
         if !self.0.counts() {
             return;
         }
-        node.rollouts.evidence.borrow_mut().good(&order.service, route, *side, took);
         node.metrics.rollout_good(&order.service, version, took);
+        let mut evidence = node.rollouts.evidence.borrow_mut();
+        if !evidence.is_held_up(&order.service, route, took, node.now()) {
+            evidence.good(&order.service, route, *side, took);
+        }
     }
 
     /// A call was answered after this time as part of what is expected, so many of its pieces as
@@ -89,7 +92,8 @@
         let part = failed as f64 / (*pieces).max(1) as f64;
         let is_bad = {
             let mut evidence = node.rollouts.evidence.borrow_mut();
-            evidence.partly(&order.service, route, *side, part, took)
+            let is_held_up = evidence.is_held_up(&order.service, route, took, node.now());
+            !is_held_up && evidence.partly(&order.service, route, *side, part, took)
         };
         node.metrics.rollout_bad(&order.service, version, failed);
         if failed < *pieces {
