Orders that no call can take in time end at once

Cause: where calls are short, an order of a low rank waited until its time was over, behind all that are more urgent, and its caller was told then.

Change: at each order and tick the coordinator plays its queue forward as if all went well (calls take their time, makers have room, nobody more urgent comes). Who is too late even so is ended.

A request says why it was refused: log lines `door` (the stage that binds, its wait and the age of that) and `stage` (`why`; want of room told apart from want of time), metric `stage_refusals`.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -8,6 +8,7 @@
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency, usual_call};
+use super::outlook::Outlook;
 use super::pace::Pace;
 use super::quota::TrialQuota;
 use super::repeats::Repeats;
@@ -115,6 +116,7 @@
     /// Takes one event; returns what is to be done.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
+        let looks_ahead = matches!(event, Event::Order { .. } | Event::Tick);
         match event {
             Event::Order { id, order, pinned } => {
                 self.order(id, Order::new(order, pinned, now), &mut out);
@@ -131,6 +133,9 @@
         self.give_up_barred(&mut out);
         self.repeat_overdue(now, &mut out);
         self.fill(now, &mut out);
+        if looks_ahead && self.policy.outlook {
+            self.give_up_doomed(now, &mut out);
+        }
         out
     }
 
@@ -224,6 +229,7 @@
             return free(vec![Some(result)], out);
         }
         if result == PieceResult::NoRoom {
+            order.lacked_room = true;
             order.requeue(piece);
             return;
         }
@@ -274,9 +280,52 @@
         let is_late = |o: &Order| o.is_over(now) || (sheds && o.is_starved(&self.pool, now));
         let late: Vec<OrderId> =
             self.orders.iter().filter(|(_, o)| is_late(o)).map(|(id, _)| *id).collect();
+        self.give_up_all(late, out);
+    }
+
+    /// Ends orders for want of time, or of the room that took it.
+    fn give_up_all(&mut self, late: Vec<OrderId>, out: &mut Vec<Action>) {
         for id in late {
-            self.give_up(id, &PieceResult::Late, out);
+            let lacked_room = self.orders.get(&id).is_some_and(|o| o.lacked_room);
+            let why = if lacked_room { PieceResult::NoRoom } else { PieceResult::Late };
+            self.give_up(id, &why, out);
+        }
+    }
+
+    /// Ends orders that would starve even if all went well from now on: their callers can be
+    /// told at once, and what was made for them before is freed.
+    fn give_up_doomed(&mut self, now: Time, out: &mut Vec<Action>) {
+        let waiting = self.orders.iter().filter(|(_, o)| !o.waiting.is_empty());
+        let urgency = |o: &Order| o.urgency("", &self.pool, now);
+        let mut queue: Vec<_> = waiting.map(|(id, o)| (urgency(o), *id)).collect();
+        queue.sort_unstable();
+        let mut outlook = Outlook::new(&self.pool, self.full_call(), self.free_places(now));
+        let starves = |(_, id): &(Urgency, OrderId)| outlook.starves(&self.orders[id], now);
+        let doomed: Vec<OrderId> = queue.into_iter().filter(starves).map(|(_, id)| id).collect();
+        self.give_up_all(doomed, out);
+    }
+
+    /// Time that a full call takes, no more than the rules say: an outlook is the best case.
+    fn full_call(&self) -> Duration {
+        let by_rules = self.pool.call_time(self.pool.batch as u32);
+        self.pace.usual(by_rules).min(by_rules)
+    }
+
+    /// When each place for a call at a working maker is free, from now, if calls take no
+    /// longer than expected.
+    fn free_places(&self, now: Time) -> Vec<Duration> {
+        let mut free = Vec::new();
+        for maker in self.makers.working_ids(now) {
+            let here = self.flights.values().filter(|f| f.maker == *maker);
+            let left = |f: &Flight| {
+                let usual = self.pace.usual(f.expected).min(f.expected);
+                (f.started + usual).since(now)
+            };
+            let mut busy: Vec<Duration> = here.map(left).collect();
+            busy.resize(busy.len().max(self.pool.slots.max(1) as usize), Duration::ZERO);
+            free.extend(busy);
         }
+        free
     }
 
     /// Ends orders that no maker may take: all makers lie outside of the regions that are
@@ -363,7 +412,9 @@
             };
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
-            let most = (batch - pieces.len()).min(room as usize);
+            let free = batch - pieces.len();
+            order.lacked_room |= order.waiting.len().min(free) > room as usize;
+            let most = free.min(room as usize);
             let taken = order.take(most, &maker.place.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -141,6 +141,12 @@
         self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
     }
 
+    /// Makers that work, but for those of a version on trial.
+    pub(super) fn working_ids(&self, now: Time) -> impl Iterator<Item = &TargetId> {
+        let works = move |(_, m): &(&TargetId, &Maker)| m.works(now) && m.share.is_none();
+        self.0.iter().filter(works).map(|(id, _)| id)
+    }
+
     /// Whether a version is on trial.
     pub(super) fn has_trial(&self) -> bool {
         self.0.values().any(|m| m.present && m.share.is_some())
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -9,6 +9,7 @@
 mod coordinator;
 mod makers;
 mod orders;
+mod outlook;
 mod pace;
 mod quota;
 mod repeats;
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -36,6 +36,8 @@
     pub(super) pinned: bool,
     /// A call was overdue and its pieces were asked for again.
     was_repeated: bool,
+    /// A maker that could take a call had too little room for it.
+    pub(super) lacked_room: bool,
     arrived: Time,
     home: Option<Name>,
 }
@@ -51,6 +53,7 @@
             failures: 0,
             pinned,
             was_repeated: false,
+            lacked_room: false,
             arrived: now,
             home: None,
         }
@@ -76,11 +79,24 @@
     /// of it by the time at which it should have been made. One whose call failed is made
     /// again, late: it did not wait behind others.
     pub(super) fn is_starved(&self, pool: &StagePool, now: Time) -> bool {
+        self.may_starve(pool) && self.slack(now).is_zero()
+    }
+
+    /// Whether the order starves if no call takes any of it before `start` from now.
+    pub(super) fn would_starve(&self, pool: &StagePool, now: Time, start: Duration) -> bool {
+        self.may_starve(pool) && self.slack(now) <= start && !start.is_zero()
+    }
+
+    fn may_starve(&self, pool: &StagePool) -> bool {
         let had_call = self.failures > 0 || self.was_repeated;
-        let untouched = self.waiting.len() == self.results.len() && !had_call;
         let could_be_in_time =
             Duration::from_millis(self.order.slack_ms) >= pool.call_time(self.order.pieces);
-        untouched && could_be_in_time && self.slack(now).is_zero()
+        !self.is_begun() && !had_call && could_be_in_time
+    }
+
+    /// Whether a call has taken some of it.
+    pub(super) fn is_begun(&self) -> bool {
+        self.waiting.len() < self.results.len()
     }
 
     /// Whether the request will be late even if a call takes the order now.
@@ -97,7 +113,7 @@
     /// Begun orders first, then those that can still be in time, the higher ranks,
     /// those that this failure domain is meant for, the least slack.
     pub(super) fn urgency(&self, domain: &str, pool: &StagePool, now: Time) -> Urgency {
-        let begun = self.waiting.len() < self.results.len();
+        let begun = self.is_begun();
         let slack = self.slack(now);
         let hopeless = self.is_hopeless(pool, now);
         (!begun, hopeless, self.order.rank, !self.is_meant_for(domain), slack)
--- a/crates/decide/src/batch/pace.rs
+++ b/crates/decide/src/batch/pace.rs
@@ -49,9 +49,14 @@
         self.deviation += DEVIATION_NEWEST * (error.abs() - self.deviation);
     }
 
+    /// Time that a call usually takes.
+    pub(super) fn usual(&self, expected: Duration) -> Duration {
+        expected.mul_f64(self.mean)
+    }
+
     /// Time from which on a call is overdue.
     pub(super) fn overdue_after(&self, expected: Duration) -> Duration {
-        let usual = expected.mul_f64(self.mean);
+        let usual = self.usual(expected);
         let deviation = self.deviation.max(DEVIATION_LEAST);
         let late = expected.mul_f64(self.mean + DEVIATIONS * deviation);
         late.max(usual + MARGIN)
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -55,6 +55,11 @@
         self.0.insert(service.clone(), Heard { waits, at: now });
     }
 
+    /// How long ago a coordinator told the waits of a service, if one did.
+    pub fn age(&self, service: &Name, now: Time) -> Option<Duration> {
+        self.0.get(service).map(|heard| now.since(heard.at))
+    }
+
     /// Wait of a new order, as far as it is still known.
     fn wait(&self, service: &Name, rank: Rank, now: Time) -> Duration {
         let Some(heard) = self.0.get(service) else {
@@ -65,6 +70,23 @@
         wait.mul_f64((1.0 - age).clamp(0.0, 1.0))
     }
 
+    /// The stage service on a request's path at which it would wait longest, that wait, and how
+    /// long ago it was told; none if it would wait nowhere.
+    pub fn longest_wait<'a>(
+        &self,
+        route: &'a Route,
+        least: &[Duration],
+        rank: Rank,
+        now: Time,
+    ) -> Option<(&'a Name, Duration, Duration)> {
+        let with_pieces = route.stages.iter().zip(least).filter(|(_, least)| !least.is_zero());
+        let waits =
+            with_pieces.map(|(stage, _)| (&stage.service, self.wait(&stage.service, rank, now)));
+        let (service, wait) = waits.max_by_key(|(_, wait)| *wait)?;
+        let age = self.age(service, now)?;
+        Some((service, wait, age)).filter(|_| !wait.is_zero())
+    }
+
     /// Expected time of each stage of a request, given its time without any wait.
     pub fn stage_times(
         &self,
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -142,6 +142,24 @@
     assert!(again.is_some_and(|call| &*call.pieces[0].attempt == "heavy"), "it is tried again");
 }
 
+#[test]
+fn an_order_that_ends_for_want_of_room_says_so() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let heavy = BatchOrder { result_bytes: 30_000_000, slack_ms: 300, ..order("heavy", 2) };
+    let first = calls(&c.on(at(0), placed(1, heavy))).remove(0);
+    let full = CallEnd::Answered(vec![PieceResult::NoRoom; 2]);
+    c.on(at(2), Event::Ended(first.number, full));
+    let light = BatchOrder { slack_ms: 250, ..order("light", 10) };
+    let second = calls(&c.on(at(3), placed(2, light.clone()))).remove(0);
+    c.on(at(4), placed(3, light));
+    let ticks = [240, 260, 300].into_iter();
+    let told: BTreeMap<OrderId, Vec<PieceResult>> =
+        ticks.flat_map(|ms| answers(&c.on(at(ms), Event::Tick))).collect();
+    assert_eq!(second.pieces.len(), 10);
+    assert_eq!(told[&1], vec![PieceResult::NoRoom; 2]);
+    assert_eq!(told[&3], vec![PieceResult::Late; 10]);
+}
+
 #[test]
 fn results_that_nobody_frees_run_out() {
     let mut c = Coordinator::new(StagePool { room_mb: 5.0, ..pool() }, Policy::default());
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -88,6 +88,24 @@
     assert_eq!(expected(&forecast, &[0, 0, 1], 2, 60_000), before);
 }
 
+#[test]
+fn the_stage_that_binds_is_named_with_its_wait_and_age() {
+    let mut forecast = Forecast::default();
+    let services = services();
+    let find = |name: &Name| services.iter().find(|s| s.name == *name);
+    let (route, rank, now) = (route(), Rank::of(None, 1), Time::from_millis(300));
+    let least = |pieces: &[u32]| least_times(&route, pieces, find);
+    assert_eq!(forecast.longest_wait(&route, &least(&[1, 1, 1]), rank, now), None);
+    for (name, wait, at) in [("first", 100, 0), ("second", 500, 150)] {
+        let waits = Waits(vec![(Rank::default(), wait)]);
+        forecast.hear(&name.into(), waits, Time::from_millis(at));
+    }
+    let whole = forecast.longest_wait(&route, &least(&[1, 1, 1]), rank, now);
+    assert_eq!(whole, Some((&"second".into(), ms(450), ms(150))));
+    let short = forecast.longest_wait(&route, &least(&[1, 0, 0]), rank, now);
+    assert_eq!(short, Some((&"first".into(), ms(80), ms(300))), "only stages with pieces count");
+}
+
 fn times(least: u64, waits: u64) -> Expected {
     Expected { least: ms(least), waits: ms(waits) }
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -50,6 +50,12 @@
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Cause {
+    service: String,
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Regions {
     from: String,
@@ -69,6 +75,7 @@
     unreadable: Family<Named, Gauge>,
     repeats: Family<Named, Counter>,
     barred: Family<Named, Counter>,
+    stage_refused: Family<Cause, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
@@ -125,6 +132,7 @@
             unreadable: Family::default(),
             repeats: Family::default(),
             barred: Family::default(),
+            stage_refused: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_share: Family::default(),
@@ -169,6 +177,8 @@
         registry.register("rules_version", "Version of the rules in force", self.rules.clone());
         let help = "Refusals for want of a target in an allowed region";
         registry.register("refused_for_region", help, self.barred.clone());
+        let help = "Refusals for want of a stage's time or room, by its service and cause";
+        registry.register("stage_refusals", help, self.stage_refused.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
@@ -227,6 +237,12 @@
         self.barred.get_or_create(&Named { name: self.bounded(route) }).inc();
     }
 
+    /// A request was refused for a stage: at the door, or since it could not be made.
+    pub fn stage_refused(&self, service: &str, cause: &'static str) {
+        let labels = Cause { service: self.bounded(service), cause };
+        self.stage_refused.get_or_create(&labels).inc();
+    }
+
     /// Requests, or pieces of a call, went to a version of a service that moves to another one.
     pub fn rollout_sent(&self, service: &Name, version: &Name, count: usize) {
         let labels = self.version(service, version);
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -171,17 +171,25 @@
         return Ok(());
     }
     let least = forecast::least_times(route, &head.pieces, |name| table.service(name));
-    let expected = node.forecast(|f| f.expected(route, &least, found.rank, node.now()));
+    let now = node.now();
+    let expected = node.forecast(|f| f.expected(route, &least, found.rank, now));
     let objective = Duration::from_millis(route.objective_ms);
     let patience = Duration::from_millis(head.wait_ms.unwrap_or(route.timeout_ms));
     match forecast::at_the_door(expected, objective, patience) {
         Door::Enter => Ok(()),
         Door::Refuse(after) => {
+            let longest = node.forecast(|f| f.longest_wait(route, &least, found.rank, now));
+            let (longest_at, longest, told) =
+                longest.map_or(("", Duration::ZERO, Duration::ZERO), |(s, w, t)| (&**s, w, t));
+            node.metrics.stage_refused(longest_at, "door");
             Event::Door {
                 id: &head.id,
                 route: &route.name,
                 least_ms: expected.least.as_millis() as u64,
                 waits_ms: expected.waits.as_millis() as u64,
+                longest_at,
+                longest_ms: longest.as_millis() as u64,
+                told_ms: told.as_millis() as u64,
                 objective_ms: route.objective_ms,
                 come_back_ms: after.as_millis() as u64,
             }
--- a/crates/forward/src/stages/made.rs
+++ b/crates/forward/src/stages/made.rs
@@ -44,16 +44,12 @@
         kept.peer = placed.peer;
         let mut failed = None;
         for result in placed.results {
-            match result {
-                PieceResult::Made(handle) => {
-                    if follows_rollouts {
-                        self.node.rollouts.held.keep(&handle);
-                    }
-                    kept.handles.push(handle);
+            failed = StageError::of(&result).or(failed);
+            if let PieceResult::Made(handle) = result {
+                if follows_rollouts {
+                    self.node.rollouts.held.keep(&handle);
                 }
-                PieceResult::Late => failed = Some(StageError::Late),
-                PieceResult::InputGone => failed = Some(StageError::InputGone),
-                PieceResult::Failed | PieceResult::NoRoom => failed = Some(StageError::Failed),
+                kept.handles.push(handle);
             }
         }
         failed.map_or(Ok(()), Err)
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -19,6 +19,8 @@
 pub enum StageError {
     /// a stage's time was over
     Late,
+    /// no maker of a stage had room in time
+    NoRoom,
     /// no maker made a piece
     Failed,
     /// an input of a stage was gone
@@ -31,6 +33,32 @@
     Barred,
 }
 
+impl StageError {
+    /// One word for it, in logs and figures.
+    pub fn cause(self) -> &'static str {
+        match self {
+            StageError::Late => "late",
+            StageError::NoRoom => "no_room",
+            StageError::Failed => "failed",
+            StageError::InputGone => "input_gone",
+            StageError::NoKey => "no_key",
+            StageError::Outside => "outside",
+            StageError::Barred => "barred",
+        }
+    }
+
+    /// Why a piece was not made.
+    pub(super) fn of(result: &PieceResult) -> Option<StageError> {
+        match result {
+            PieceResult::Made(_) => None,
+            PieceResult::Late => Some(StageError::Late),
+            PieceResult::InputGone => Some(StageError::InputGone),
+            PieceResult::NoRoom => Some(StageError::NoRoom),
+            PieceResult::Failed => Some(StageError::Failed),
+        }
+    }
+}
+
 /// Makes all stages of a request that has any.
 pub async fn make(node: &Rc<Node>, job: Job<'_>) -> Result<Made, StageError> {
     let stages = &job.route.stages;
@@ -69,7 +97,10 @@
                 made.release(i);
                 made.release_all(&again);
             }
-            Err(e) => return Err(e),
+            Err(e) => {
+                node.metrics.stage_refused(&stages[i].service, e.cause());
+                return Err(e);
+            }
         }
     }
     made.set_inputs(&progress.last(), stages);
@@ -97,7 +128,7 @@
     let placed = order::place(node, order).await;
     let region = &placed.pool.region;
     let results = &placed.results;
-    let made = results.iter().all(|r| matches!(r, PieceResult::Made(_)));
+    let error = results.iter().filter_map(StageError::of).next_back();
     let took_ms = node.now().since(begun).as_millis() as u64;
     let pieces = results.len();
     let near = near.as_deref().unwrap_or_default();
@@ -115,7 +146,8 @@
         pieces,
         near,
         elsewhere,
-        made,
+        made: error.is_none(),
+        why: error.map_or("", StageError::cause),
         slack_ms,
         took_ms,
     }
