--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -73,12 +73,34 @@
         self.0.retain(|queue, heard| queue.pool.service != *service || !nobody(heard));
     }
 
-    /// Wait of a new order, as far as it is still known: what was heard of its queue, or later
-    /// of one in which orders wait as long at most.
-    fn wait(&self, queue: &Queue, rank: Rank, now: Time) -> Duration {
+    /// What tells how long a new order waits, as far as it is still known: what was heard of its
+    /// queue, or later of one in which orders wait as long at most.
+    fn binding(&self, queue: &Queue, rank: Rank, now: Time) -> Option<&Heard> {
         let since = self.0.get(queue).map_or(Time::ZERO, |own| own.at);
         let heard = self.0.iter().filter(|(q, heard)| q.bounds(queue) && heard.at >= since);
-        heard.map(|(_, heard)| heard.wait(rank, now)).max().unwrap_or_default()
+        heard.map(|(_, heard)| heard).max_by_key(|heard| heard.wait(rank, now))
+    }
+
+    fn wait(&self, queue: &Queue, rank: Rank, now: Time) -> Duration {
+        self.binding(queue, rank, now).map_or(Duration::ZERO, |heard| heard.wait(rank, now))
+    }
+
+    /// The queue on a request's path in which it would wait longest; none if it would wait
+    /// nowhere.
+    pub fn longest_wait<'a>(
+        &self,
+        least: &[Duration],
+        queues: &'a [Queue],
+        rank: Rank,
+        now: Time,
+    ) -> Option<LongestWait<'a>> {
+        let with_pieces = queues.iter().zip(least).filter(|(_, least)| !least.is_zero());
+        let waits = with_pieces.filter_map(|(queue, _)| {
+            let heard = self.binding(queue, rank, now)?;
+            let (wait, age) = (heard.wait(rank, now), now.since(heard.at));
+            Some(LongestWait { service: &queue.pool.service, wait, age })
+        });
+        waits.max_by_key(|longest| longest.wait).filter(|longest| !longest.wait.is_zero())
     }
 
     /// Expected time of each stage of a request, given its time without any wait and what it
@@ -114,6 +136,17 @@
     }
 }
 
+/// Where on its path a request would wait longest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LongestWait<'a> {
+    /// Stage service.
+    pub service: &'a Name,
+    /// Wait there.
+    pub wait: Duration,
+    /// How long ago its coordinator told it.
+    pub age: Duration,
+}
+
 /// What a request's time to its first event is made of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Expected {
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -153,6 +153,28 @@
     assert_eq!(queue("encode", None, &north, 8 << 20), plain);
 }
 
+#[test]
+fn the_stage_that_binds_is_named_with_its_wait_and_age() {
+    let mut forecast = Forecast::default();
+    let services = services();
+    let find = |name: &Name| services.iter().find(|s| s.name == *name);
+    let (route, rank, now) = (route(), Rank::of(None, 1), Time::from_millis(300));
+    let least = |pieces: &[u32]| least_times(&route, pieces, find);
+    let stages = route.stages.iter();
+    let queues: Vec<Queue> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
+    let longest = |forecast: &Forecast, pieces: &[u32]| {
+        let longest = forecast.longest_wait(&least(pieces), &queues, rank, now)?;
+        Some((longest.service.to_string(), longest.wait, longest.age))
+    };
+    assert_eq!(longest(&forecast, &[1, 1, 1]), None);
+    for (name, wait, at) in [("first", 100, 0), ("second", 500, 150)] {
+        forecast.hear(queue(name, None, &Allowed::ANY, 0), one(wait), Time::from_millis(at));
+    }
+    assert_eq!(longest(&forecast, &[1, 1, 1]), Some(("second".into(), ms(450), ms(150))));
+    let short = longest(&forecast, &[1, 0, 0]);
+    assert_eq!(short, Some(("first".into(), ms(80), ms(300))), "only stages with pieces count");
+}
+
 fn times(least: u64, waits: u64) -> Expected {
     Expected { least: ms(least), waits: ms(waits) }
 }
