--- /dev/null
+++ b/crates/decide/src/rollout/versions/side.rs
@@ -0,0 +1,174 @@
+//! Which versions of a service get anything, and on which side of a roll-out they are.
+
+use model::Name;
+use model::forward::{Phase, Rollout, RolloutState, Side};
+
+use super::Versions;
+use crate::rollout::present::Targets;
+
+/// Some versions of a service.
+#[derive(Debug)]
+pub enum Chosen<'a> {
+    /// Whatever there is.
+    Every,
+    /// These.
+    These(Vec<&'a Name>),
+}
+
+impl Chosen<'_> {
+    /// Whether a version is one of them.
+    pub fn contain(&self, version: &Name) -> bool {
+        match self {
+            Chosen::Every => true,
+            Chosen::These(versions) => versions.contains(&version),
+        }
+    }
+}
+
+impl Versions {
+    /// Whether orders are known up to where the version was first seen, or none was seen
+    /// before it.
+    pub(super) fn is_settled(&self, service: &str, version: &str, at: u64) -> bool {
+        let Some(targets) = self.present.get(service, version) else {
+            return false;
+        };
+        targets.first <= at || self.present.of(service).all(|(_, o)| targets.first <= o.first)
+    }
+
+    /// Versions of a service on one side.
+    pub fn on_side(&self, service: &str, side: Side) -> Chosen<'_> {
+        self.chosen(service, |is| is == Some(side))
+    }
+
+    /// Versions of a service that get anything.
+    pub fn on_any_side(&self, service: &str) -> Chosen<'_> {
+        self.chosen(service, |is| is.is_some())
+    }
+
+    pub(super) fn chosen(
+        &self,
+        service: &str,
+        is_wanted: impl Fn(Option<Side>) -> bool,
+    ) -> Chosen<'_> {
+        if !self.orders.is_followed() {
+            let every = is_wanted(Some(Side::Serving));
+            return if every { Chosen::Every } else { Chosen::These(Vec::new()) };
+        }
+        let versions = self.present.of(service).map(|(version, _)| version);
+        let wanted = |version: &&Name| is_wanted(self.side(service, version));
+        Chosen::These(versions.filter(wanted).collect())
+    }
+
+    /// The side of a roll-out that a version of a service is on; `None` if it gets nothing.
+    pub fn side(&self, service: &str, version: &str) -> Option<Side> {
+        if !self.orders.is_followed() {
+            return Some(Side::Serving);
+        }
+        let at = self.at()?;
+        if !self.is_settled(service, version, at) || self.is_withdrawn(service, version) {
+            return None;
+        }
+        if self.is_unproven(service, version) {
+            return None;
+        }
+        let Some(order) = self.order(service) else {
+            let serves = !self.asks_peers || self.is_oldest(service, version);
+            return serves.then_some(Side::Serving);
+        };
+        let is_named = *order.version == *version;
+        match order.state {
+            RolloutState::RolledBack if is_named => None,
+            RolloutState::RolledBack => Some(Side::Serving),
+            RolloutState::Completed if is_named => Some(Side::Serving),
+            RolloutState::Completed => {
+                self.came_after(service, version, order).then_some(Side::Serving)
+            }
+            RolloutState::Ordered | RolloutState::Active => {
+                self.side_of_running(service, is_named, order)
+            }
+        }
+    }
+
+    /// Whether a version came after an order to another one was completed. An old target may
+    /// write its entry anew before it stops; what started before the completed version did is
+    /// none that came after it.
+    pub(super) fn came_after(&self, service: &str, version: &str, order: &Rollout) -> bool {
+        let is_newer = |targets: &&Targets| targets.first > order.revision;
+        let Some(targets) = self.present.get(service, version).filter(is_newer) else {
+            return false;
+        };
+        let completed = self.present.get(service, &order.version);
+        completed.is_none_or(|completed| !targets.started_before(completed))
+    }
+
+    /// Whether a version serves by the orders, whatever requests go to one on trial now.
+    pub(super) fn serves_but_for_phase(&self, service: &str, version: &str) -> bool {
+        let running = self.order(service).filter(|order| !order.state.is_final());
+        match running {
+            Some(order) if *order.version == *version => false,
+            Some(_) => self.at().is_some_and(|at| {
+                self.is_settled(service, version, at) && !self.is_withdrawn(service, version)
+            }),
+            None => self.side(service, version) == Some(Side::Serving),
+        }
+    }
+
+    /// Whether the order of its service cannot be read, and may be for this version: it did not
+    /// serve before. A node that saw nothing before lets the oldest one serve, since with none
+    /// the service would be away.
+    pub(super) fn is_unproven(&self, service: &str, version: &str) -> bool {
+        let Some(served) = self.served.get(service) else {
+            return false;
+        };
+        let on_trial = self.order(service).filter(|order| !order.state.is_final());
+        if served.contains(version) || on_trial.is_some_and(|order| *order.version == *version) {
+            return false;
+        }
+        let mut versions = self.present.of(service);
+        versions.any(|(other, _)| served.contains(other)) || !self.is_oldest(service, version)
+    }
+
+    pub(super) fn is_oldest(&self, service: &str, version: &str) -> bool {
+        self.present.oldest(service).is_some_and(|oldest| **oldest == *version)
+    }
+
+    pub(super) fn side_of_running(
+        &self,
+        service: &str,
+        is_named: bool,
+        order: &Rollout,
+    ) -> Option<Side> {
+        let phase = self.trials.get(service).map(|trial| trial.phase);
+        match phase {
+            Some(Phase::Back) if is_named => None,
+            _ if is_named => Some(Side::Trial),
+            // As long as the new version can take all of them.
+            Some(Phase::All) if self.count(service, &order.version) > 0 => None,
+            _ => Some(Side::Serving),
+        }
+    }
+
+    /// Whether its order was withdrawn or replaced, and another version can serve.
+    pub(super) fn is_withdrawn(&self, service: &str, version: &str) -> bool {
+        let Some(withdrawn) = self.withdrawn.get(service, version) else {
+            return false;
+        };
+        if self.order(service).is_some_and(|order| *order.version == *version) {
+            return false;
+        }
+        let Some(own) = self.present.get(service, version) else {
+            return false;
+        };
+        let mut others = self.present.of(service).filter(|(other, _)| ***other != *version);
+        if withdrawn.was_bad {
+            return others.next().is_some();
+        }
+        let tried = self.order(service).filter(|o| o.state != RolloutState::Completed);
+        others.any(|(other, targets)| match self.withdrawn.get(service, other) {
+            _ if tried.is_some_and(|order| order.version == *other) => false,
+            Some(other) if other.was_bad => false,
+            Some(_) => targets.first < own.first,
+            None => true,
+        })
+    }
+}
