What a reader of the diff found: an outlook that erred, late calls that lost failures, words

Ruled out: not confirming targets of a list that is cut, since followers would leave the one relay that knows most; the reason stands there now.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -8,7 +8,6 @@
 
 use super::makers::{Free, Makers};
 use super::orders::{Order, Urgency, usual_call};
-use super::outlook::Outlook;
 use super::pace::Pace;
 use super::quota::TrialQuota;
 use super::repeats::Repeats;
@@ -76,7 +75,7 @@
     pub fn waits(&self, now: Time) -> Waits {
         // Makers that were late are back soon: doors that took them for gone would stay shut for
         // longer than they are left out.
-        let Some((makers, back)) = self.makers.soon(now) else {
+        let Some((makers, back)) = self.makers.working_or_back(now) else {
             return Waits(vec![(Rank::default(), u32::MAX)]);
         };
         let slots = makers * self.pool.slots.max(1) as usize;
@@ -119,7 +118,6 @@
     /// Takes one event; returns what is to be done.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        let looks_ahead = matches!(event, Event::Order { .. } | Event::Tick);
         match event {
             Event::Order { id, order, pinned } => {
                 self.order(id, Order::new(order, pinned, now), &mut out);
@@ -136,9 +134,6 @@
         self.give_up_barred(&mut out);
         self.repeat_overdue(now, &mut out);
         self.fill(now, &mut out);
-        if looks_ahead && self.policy.outlook {
-            self.give_up_doomed(now, &mut out);
-        }
         out
     }
 
@@ -295,42 +290,6 @@
         }
     }
 
-    /// Ends orders that would starve even if all went well from now on: their callers can be
-    /// told at once, and what was made for them before is freed.
-    fn give_up_doomed(&mut self, now: Time, out: &mut Vec<Action>) {
-        let waiting = self.orders.iter().filter(|(_, o)| !o.waiting.is_empty());
-        let urgency = |o: &Order| o.urgency("", &self.pool, now);
-        let mut queue: Vec<_> = waiting.map(|(id, o)| (urgency(o), *id)).collect();
-        queue.sort_unstable();
-        let mut outlook = Outlook::new(&self.pool, self.full_call(), self.free_places(now));
-        let starves = |(_, id): &(Urgency, OrderId)| outlook.starves(&self.orders[id], now);
-        let doomed: Vec<OrderId> = queue.into_iter().filter(starves).map(|(_, id)| id).collect();
-        self.give_up_all(doomed, out);
-    }
-
-    /// Time that a full call takes, no more than the rules say: an outlook is the best case.
-    fn full_call(&self) -> Duration {
-        let by_rules = self.pool.call_time(self.pool.batch as u32);
-        self.pace.usual(by_rules).min(by_rules)
-    }
-
-    /// When each place for a call at a working maker is free, from now, if calls take no
-    /// longer than expected.
-    fn free_places(&self, now: Time) -> Vec<Duration> {
-        let mut free = Vec::new();
-        for maker in self.makers.working_ids(now) {
-            let here = self.flights.values().filter(|f| f.maker == *maker);
-            let left = |f: &Flight| {
-                let usual = self.pace.usual(f.expected).min(f.expected);
-                (f.started + usual).since(now)
-            };
-            let mut busy: Vec<Duration> = here.map(left).collect();
-            busy.resize(busy.len().max(self.pool.slots.max(1) as usize), Duration::ZERO);
-            free.extend(busy);
-        }
-        free
-    }
-
     /// Ends orders that no maker may take: all makers lie outside of the regions that are
     /// allowed, and none inside is even busy. To wait for one would only make the refusal late.
     fn give_up_barred(&mut self, out: &mut Vec<Action>) {
@@ -416,7 +375,7 @@
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
             let free = batch - pieces.len();
-            order.lacked_room |= order.waiting.len().min(free) > room as usize;
+            order.lacked_room = order.waiting.len().min(batch) as u64 > maker.room / size;
             let most = free.min(room as usize);
             let taken = order.take(most, &maker.place.domain);
             bytes += size * taken.len() as u64;
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -44,8 +44,8 @@
     last_call: Time,
     ejected: Time,
     strikes: u32,
-    /// It is left out since it answered late, not since it failed.
-    is_slow: bool,
+    /// It answered last, late or that it is full: left out, it is asked again soon.
+    answers: bool,
     doubt: Doubt,
     /// Size of a result that had no room, and until when that is held for true.
     tight: Option<(u64, Time)>,
@@ -65,7 +65,7 @@
             last_call: Time::ZERO,
             ejected: Time::ZERO,
             strikes: 0,
-            is_slow: false,
+            answers: false,
             doubt: Doubt::None,
             tight: None,
             in_flight: 0,
@@ -74,8 +74,13 @@
     }
 
     fn works(&self, now: Time) -> bool {
-        let is_left_alone = self.cold_gap == Some(Duration::MAX);
-        self.present && self.ejected <= now && self.doubt == Doubt::None && !is_left_alone
+        let is_left_out = self.ejected > now || self.doubt != Doubt::None;
+        self.present && !is_left_out && !self.is_left_alone()
+    }
+
+    /// Whether it is cold and this coordinator is not to start calls there.
+    fn is_left_alone(&self) -> bool {
+        self.cold_gap == Some(Duration::MAX)
     }
 
     /// Whether it is cold and had a call too short a time ago.
@@ -84,8 +89,7 @@
         had_one && self.cold_gap.is_some_and(|gap| now.since(self.last_call) < gap)
     }
 
-    fn eject(&mut self, is_slow: bool, now: Time) {
-        self.is_slow = is_slow;
+    fn eject(&mut self, now: Time) {
         let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
         self.ejected = now + time.min(EJECT_LONGEST);
         self.strikes += 1;
@@ -145,24 +149,20 @@
         self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
     }
 
-    /// Count of makers that work, else of those that answered late and are soon asked again, and
-    /// the time until the first of them takes a call. `None` if none is known to answer.
-    pub(super) fn soon(&self, now: Time) -> Option<(usize, Duration)> {
+    /// Count of makers that work, else of those that answered late or were full and are asked
+    /// again soon, and the time until the first of them takes a call. `None` if none is known to
+    /// answer.
+    pub(super) fn working_or_back(&self, now: Time) -> Option<(usize, Duration)> {
         let working = self.working(now);
         if working > 0 {
             return Some((working, Duration::ZERO));
         }
-        let is_slow = |m: &&Maker| m.present && m.share.is_none() && m.is_slow;
-        let back = self.0.values().filter(is_slow).map(|m| m.ejected.since(now));
+        let is_back_soon =
+            |m: &&Maker| m.present && m.share.is_none() && m.answers && !m.is_left_alone();
+        let back = self.0.values().filter(is_back_soon).map(|m| m.ejected.since(now));
         Some((back.clone().count(), back.min()?))
     }
 
-    /// Makers that work, but for those of a version on trial.
-    pub(super) fn working_ids(&self, now: Time) -> impl Iterator<Item = &TargetId> {
-        let works = move |(_, m): &(&TargetId, &Maker)| m.works(now) && m.share.is_none();
-        self.0.iter().filter(works).map(|(id, _)| id)
-    }
-
     /// Whether a version is on trial.
     pub(super) fn has_trial(&self) -> bool {
         self.0.values().any(|m| m.present && m.share.is_some())
@@ -226,11 +226,12 @@
         if let Some(m) = self.0.get_mut(id) {
             m.calls = m.calls.saturating_sub(1);
             m.in_flight = m.in_flight.saturating_sub(bytes);
+            m.answers = !matches!(end, CallEnd::Failed);
             match end {
-                CallEnd::Answered(_) if was_slow => m.eject(true, now),
+                CallEnd::Answered(_) if was_slow => m.eject(now),
                 CallEnd::Answered(_) => m.strikes = 0,
                 CallEnd::Full => m.ejected = now + FULL,
-                CallEnd::Failed => m.eject(false, now),
+                CallEnd::Failed => m.eject(now),
             }
         }
         self.forget_idle();
@@ -260,7 +261,8 @@
         if alive {
             m.doubt = Doubt::None;
         } else {
-            m.eject(false, now);
+            m.answers = false;
+            m.eject(now);
         }
     }
 
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -9,7 +9,6 @@
 mod coordinator;
 mod makers;
 mod orders;
-mod outlook;
 mod pace;
 mod quota;
 mod repeats;
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -82,11 +82,6 @@
         self.may_starve(pool) && self.slack(now).is_zero()
     }
 
-    /// Whether the order starves if no call takes any of it before `start` from now.
-    pub(super) fn would_starve(&self, pool: &StagePool, now: Time, start: Duration) -> bool {
-        self.may_starve(pool) && self.slack(now) <= start && !start.is_zero()
-    }
-
     fn may_starve(&self, pool: &StagePool) -> bool {
         let had_call = self.failures > 0 || self.was_repeated;
         let could_be_in_time =
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::forward::{Queue, Rank, Route, Service, Stage, Waits};
+use model::forward::{QueueId, Rank, Route, Service, Stage, Waits};
 use model::{Name, Time};
 
 use crate::stages;
@@ -58,11 +58,11 @@
 
 /// What this node heard of the stages' waits.
 #[derive(Debug, Default)]
-pub struct Forecast(HashMap<Queue, Heard>);
+pub struct Forecast(HashMap<QueueId, Heard>);
 
 impl Forecast {
     /// A coordinator told what the next orders in a queue wait.
-    pub fn hear(&mut self, queue: Queue, waits: Waits, now: Time) {
+    pub fn hear(&mut self, queue: QueueId, waits: Waits, now: Time) {
         self.0.retain(|_, heard| now.since(heard.at) < FADES);
         self.0.insert(queue, Heard { waits, at: now });
     }
@@ -75,14 +75,14 @@
 
     /// What tells how long a new order waits, as far as it is still known: what was heard of its
     /// queue, or later of one in which orders wait as long at most.
-    fn binding(&self, queue: &Queue, rank: Rank, now: Time) -> Option<&Heard> {
+    fn newest_bound(&self, queue: &QueueId, rank: Rank, now: Time) -> Option<&Heard> {
         let since = self.0.get(queue).map_or(Time::ZERO, |own| own.at);
         let heard = self.0.iter().filter(|(q, heard)| q.bounds(queue) && heard.at >= since);
         heard.map(|(_, heard)| heard).max_by_key(|heard| heard.wait(rank, now))
     }
 
-    fn wait(&self, queue: &Queue, rank: Rank, now: Time) -> Duration {
-        self.binding(queue, rank, now).map_or(Duration::ZERO, |heard| heard.wait(rank, now))
+    fn wait(&self, queue: &QueueId, rank: Rank, now: Time) -> Duration {
+        self.newest_bound(queue, rank, now).map_or(Duration::ZERO, |heard| heard.wait(rank, now))
     }
 
     /// The queue on a request's path in which it would wait longest; none if it would wait
@@ -90,13 +90,13 @@
     pub fn longest_wait<'a>(
         &self,
         least: &[Duration],
-        queues: &'a [Queue],
+        queues: &'a [QueueId],
         rank: Rank,
         now: Time,
     ) -> Option<LongestWait<'a>> {
         let with_pieces = queues.iter().zip(least).filter(|(_, least)| !least.is_zero());
         let waits = with_pieces.filter_map(|(queue, _)| {
-            let heard = self.binding(queue, rank, now)?;
+            let heard = self.newest_bound(queue, rank, now)?;
             let (wait, age) = (heard.wait(rank, now), now.since(heard.at));
             Some(LongestWait { service: &queue.pool.service, wait, age })
         });
@@ -108,11 +108,11 @@
     pub fn stage_times(
         &self,
         least: &[Duration],
-        queues: &[Queue],
+        queues: &[QueueId],
         rank: Rank,
         now: Time,
     ) -> Vec<Duration> {
-        let time = |(least, queue): (&Duration, &Queue)| match *least {
+        let time = |(least, queue): (&Duration, &QueueId)| match *least {
             Duration::ZERO => Duration::ZERO,
             least => least + self.wait(queue, rank, now),
         };
@@ -125,7 +125,7 @@
         &self,
         route: &Route,
         least: &[Duration],
-        queues: &[Queue],
+        queues: &[QueueId],
         rank: Rank,
         now: Time,
     ) -> Expected {
--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -16,8 +16,8 @@
 const NODES: usize = 100;
 
 /// Time within which late answers of one node come together: once a pause of its host or its link
-/// is over, all that it held up comes within milliseconds. A version that is slow by itself
-/// answers late all the time, and shows as slow by 50 answers a second.
+/// is over, all that it held up comes within milliseconds. So one late answer in 20 ms counts at
+/// most, 50 a second for a node and route, which is enough to prove a slow version.
 const TOGETHER: Duration = Duration::from_millis(20);
 
 /// What adding up parts of a call may lack of a whole.
@@ -124,9 +124,9 @@
         self.route(service, route).side(side).sent += count;
     }
 
-    /// Whether a good answer came late together with another one, of whichever version: one
-    /// thing held up both, and it is not to count twice.
-    pub fn is_held_up(&mut self, service: &Name, route: &Name, took: Duration, now: Time) -> bool {
+    /// Notes a good answer that came late. Whether it came together with another one, of
+    /// whichever version: one thing held up both then, and it is not to count twice.
+    pub fn note_late(&mut self, service: &Name, route: &Name, took: Duration, now: Time) -> bool {
         let tests = self.route(service, route);
         let from = tests.baseline.slow_from();
         if from.is_none_or(|from| times::bucket(took) < from) {
--- a/crates/decide/tests/forecast.rs
+++ b/crates/decide/tests/forecast.rs
@@ -4,7 +4,7 @@
 
 use decide::forecast::{Door, Expected, Forecast, at_the_door, least_times};
 use model::forward::{
-    Allowed, PoolId, Queue, Rank, Repeat, Route, Service, Stage, StagePool, Waits,
+    Allowed, PoolId, QueueId, Rank, Repeat, Route, Service, Stage, StagePool, Waits,
 };
 use model::{Name, Time};
 use proptest::prelude::*;
@@ -61,13 +61,13 @@
     let rank = Rank::of(None, rank);
     let least = least_times(&route(), pieces, find);
     let stages = route().stages.into_iter();
-    let queues: Vec<Queue> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
+    let queues: Vec<QueueId> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
     forecast.expected(&route(), &least, &queues, rank, Time::from_millis(at)).whole()
 }
 
-fn queue(service: &str, region: Option<&str>, allowed: &Allowed, bytes: u64) -> Queue {
+fn queue(service: &str, region: Option<&str>, allowed: &Allowed, bytes: u64) -> QueueId {
     let pool = PoolId { service: service.into(), region: region.map(Into::into) };
-    Queue::new(pool, allowed, bytes)
+    QueueId::new(pool, allowed, bytes)
 }
 
 #[test]
@@ -161,7 +161,7 @@
     let (route, rank, now) = (route(), Rank::of(None, 1), Time::from_millis(300));
     let least = |pieces: &[u32]| least_times(&route, pieces, find);
     let stages = route.stages.iter();
-    let queues: Vec<Queue> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
+    let queues: Vec<QueueId> = stages.map(|s| queue(&s.service, None, &Allowed::ANY, 0)).collect();
     let longest = |forecast: &Forecast, pieces: &[u32]| {
         let longest = forecast.longest_wait(&least(pieces), &queues, rank, now)?;
         Some((longest.service.to_string(), longest.wait, longest.age))
--- a/crates/decide/tests/rollout_evidence.rs
+++ b/crates/decide/tests/rollout_evidence.rs
@@ -52,10 +52,10 @@
     let (service, route): (Name, Name) = ("s".into(), "r".into());
     let (usual, late) = (Duration::from_millis(40), Duration::from_millis(150));
     let mut evidence = Evidence::default();
-    let mut is_held_up = |took, ms| {
-        evidence.is_held_up(&service, &route, took, Time::ZERO + Duration::from_millis(ms))
+    let mut note_late = |took, ms| {
+        evidence.note_late(&service, &route, took, Time::ZERO + Duration::from_millis(ms))
     };
-    assert!(![0, 1].map(|ms| is_held_up(late, ms))[1], "nobody knows what is late");
+    assert!(![0, 1].map(|ms| note_late(late, ms))[1], "nobody knows what is late");
     take(&mut evidence, Side::Serving, 0, 50, 40);
     let cases = [
         (usual, 100, false),
@@ -67,7 +67,7 @@
     ];
     for (took, ms, wanted) in cases {
         let now = Time::ZERO + Duration::from_millis(ms);
-        assert_eq!(evidence.is_held_up(&service, &route, took, now), wanted, "{took:?} at {ms}");
+        assert_eq!(evidence.note_late(&service, &route, took, now), wanted, "{took:?} at {ms}");
     }
 }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -190,11 +190,11 @@
         registry.register("repeats", "Sends to a further target", self.repeats.clone());
         let help = "Requests or pieces sent to a version of a service that moves to another one";
         registry.register("rollout_requests", help, self.rollout_requests.clone());
-        let help = "Failures among them";
+        let help = "Failures among them, a call with some as so many pieces";
         registry.register("rollout_bad", help, self.rollout_bad.clone());
-        let help = "Good answers of a version in such a move";
+        let help = "Answers of a version in such a move, one for each call, those with failed pieces among them";
         registry.register("rollout_answers", help, self.rollout_answers.clone());
-        let help = "Time until these answers began, in all";
+        let help = "Time of these answers, in all";
         registry.register("rollout_answer_seconds", help, self.rollout_seconds.clone());
         let help = "Share of requests that the version on trial gets";
         registry.register("rollout_share", help, self.rollout_share.clone());
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -11,7 +11,7 @@
 use decide::relay;
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{Allowed, PoolId, Queue, Rollout, Route, Rules, Stage, TargetId, Waits};
+use model::forward::{Allowed, PoolId, QueueId, Rollout, Route, Rules, Stage, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use util::clock::Clock;
@@ -190,39 +190,56 @@
     }
 
     /// A coordinator told what the next orders in a queue would wait.
-    pub fn heard_waits(&self, queue: Queue, waits: Waits) {
+    pub fn heard_waits(&self, queue: QueueId, waits: Waits) {
         let now = self.now();
         self.forecast.borrow_mut().hear(queue, waits, now);
     }
 
-    /// What the stages of a request will wait in, by all that is known before the first begins,
-    /// and the time to the makers and back for each.
-    pub fn queues(
+    /// The time that each stage of a request takes without any wait, with the way to its makers
+    /// and back, and the queue that it will wait in, by all that is known before the first begins.
+    pub fn paths(
         &self,
         route: &Route,
         pieces: &[u32],
         allowed: &Allowed,
-    ) -> Vec<(Queue, Duration)> {
+        least: &[Duration],
+    ) -> (Vec<Duration>, Vec<QueueId>) {
         let map = self.peers.roster(|r| r.map());
-        let able = |(i, stage): (usize, &Stage)| {
-            let is_made = pieces.get(i).is_some_and(|n| *n > 0);
-            is_made.then(|| self.able_regions(&map, &stage.service, allowed))
+        let places = self.places(&map, route, pieces, allowed);
+        let own = map.own();
+        let crossing = |region: &Option<Name>| {
+            let elsewhere = region.as_ref().filter(|r| **r != own);
+            elsewhere.map_or(Duration::ZERO, |r| map.to_region(r))
         };
-        let places = match map.is_split() {
-            true => {
-                let able: Vec<_> = route.stages.iter().enumerate().map(able).collect();
-                map.places(&route.order(), &able)
-            }
-            false => vec![None; route.stages.len()],
+        let with_way = |(least, region): (&Duration, &Option<Name>)| match *least {
+            Duration::ZERO => Duration::ZERO,
+            least => least + crossing(region),
         };
+        let times = least.iter().zip(&places).map(with_way).collect();
         let queue = |(stage, region): (&Stage, Option<Name>)| {
-            let own = map.own();
-            let elsewhere = region.as_ref().filter(|r| **r != own);
-            let crossing = elsewhere.map_or(Duration::ZERO, |r| map.to_region(r));
             let pool = PoolId { service: stage.service.clone(), region };
-            (Queue::new(pool, allowed, stage.bytes), crossing)
+            QueueId::new(pool, allowed, stage.bytes)
+        };
+        (times, route.stages.iter().zip(places).map(queue).collect())
+    }
+
+    /// Region in which each stage of a request will be made; none where all are one pool.
+    fn places(
+        &self,
+        map: &Map,
+        route: &Route,
+        pieces: &[u32],
+        allowed: &Allowed,
+    ) -> Vec<Option<Name>> {
+        if !map.is_split() {
+            return vec![None; route.stages.len()];
+        }
+        let able = |(i, stage): (usize, &Stage)| {
+            let is_made = pieces.get(i).is_some_and(|n| *n > 0);
+            is_made.then(|| self.able_regions(map, &stage.service, allowed))
         };
-        route.stages.iter().zip(places).map(queue).collect()
+        let able: Vec<_> = route.stages.iter().enumerate().map(able).collect();
+        map.places(&route.order(), &able)
     }
 
     /// Regions with makers of a service that may be used.
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -76,7 +76,7 @@
         }
         node.metrics.rollout_good(&order.service, version, took);
         let mut evidence = node.rollouts.evidence.borrow_mut();
-        if !evidence.is_held_up(&order.service, route, took, node.now()) {
+        if !evidence.note_late(&order.service, route, took, node.now()) {
             evidence.good(&order.service, route, *side, took);
         }
     }
@@ -92,8 +92,9 @@
         let part = failed as f64 / (*pieces).max(1) as f64;
         let is_bad = {
             let mut evidence = node.rollouts.evidence.borrow_mut();
-            let is_held_up = evidence.is_held_up(&order.service, route, took, node.now());
-            !is_held_up && evidence.partly(&order.service, route, *side, part, took)
+            let is_late_again =
+                failed == 0 && evidence.note_late(&order.service, route, took, node.now());
+            !is_late_again && evidence.partly(&order.service, route, *side, part, took)
         };
         node.metrics.rollout_bad(&order.service, version, failed);
         if failed < *pieces {
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{Allowed, CallerHead, Queue, Rank, Route};
+use model::forward::{Allowed, CallerHead, Rank, Route};
 
 use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
@@ -171,13 +171,7 @@
         return Ok(());
     }
     let least = forecast::least_times(route, &head.pieces, |name| table.service(name));
-    let queues = node.queues(route, &head.pieces, &found.allowed);
-    let crossed = |(least, (_, crossing)): (Duration, &(Queue, Duration))| match least {
-        Duration::ZERO => least,
-        least => least + *crossing,
-    };
-    let least: Vec<Duration> = least.into_iter().zip(&queues).map(crossed).collect();
-    let queues: Vec<Queue> = queues.into_iter().map(|(queue, _)| queue).collect();
+    let (least, queues) = node.paths(route, &head.pieces, &found.allowed, &least);
     let now = node.now();
     let expected = node.forecast(|f| f.expected(route, &least, &queues, found.rank, now));
     let objective = Duration::from_millis(route.objective_ms);
@@ -186,17 +180,17 @@
         Door::Enter => Ok(()),
         Door::Refuse(after) => {
             let longest = node.forecast(|f| f.longest_wait(&least, &queues, found.rank, now));
-            let (longest_at, longest, told) = longest
+            let (longest_service, longest, longest_age) = longest
                 .map_or(("", Duration::ZERO, Duration::ZERO), |l| (&**l.service, l.wait, l.age));
-            node.metrics.stage_refused(longest_at, "door");
+            node.metrics.stage_refused(longest_service, "door");
             Event::Door {
                 id: &head.id,
                 route: &route.name,
                 least_ms: expected.least.as_millis() as u64,
                 waits_ms: expected.waits.as_millis() as u64,
-                longest_at,
+                longest_service,
                 longest_ms: longest.as_millis() as u64,
-                told_ms: told.as_millis() as u64,
+                longest_age_ms: longest_age.as_millis() as u64,
                 objective_ms: route.objective_ms,
                 come_back_ms: after.as_millis() as u64,
             }
--- a/crates/forward/src/stages/job.rs
+++ b/crates/forward/src/stages/job.rs
@@ -5,7 +5,7 @@
 
 use decide::{forecast, stages};
 use model::forward::{
-    Allowed, BatchOrder, CallerHead, LARGE_RESULT, Queue, Rank, Route, Stage, StageInput,
+    Allowed, BatchOrder, CallerHead, LARGE_RESULT, Rank, Route, Stage, StageInput,
 };
 use model::{Name, Time};
 
@@ -65,9 +65,8 @@
         if !node.settings().policy.late_starts {
             return VecDeque::new();
         }
-        let queues = node.queues(self.route, &self.head.pieces, self.allowed);
-        let queues: Vec<Queue> = queues.into_iter().map(|(queue, _)| queue).collect();
-        let times = node.forecast(|f| f.stage_times(least, &queues, self.rank, now));
+        let (least, queues) = node.paths(self.route, &self.head.pieces, self.allowed, least);
+        let times = node.forecast(|f| f.stage_times(&least, &queues, self.rank, now));
         let latest = stages::latest_starts(&self.route.order(), &times);
         let large = self.route.stages.iter().enumerate().filter(|(i, s)| {
             s.bytes >= LARGE_RESULT && s.after.is_empty() && self.pieces_of(*i) > 0
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -5,7 +5,7 @@
 
 use decide::fleet::Belief;
 use model::Name;
-use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, Queue, Rank, Waits};
+use model::forward::{Allowed, BatchAnswer, BatchOrder, PoolId, QueueId, Rank, Waits};
 
 use super::order;
 use super::runner::Runner;
@@ -75,7 +75,7 @@
     }
 
     /// What the next orders in a queue would wait now, here or where they would be passed on to.
-    pub(super) fn waits(&self, node: &Node, queue: &Queue) -> Waits {
+    pub(super) fn waits(&self, node: &Node, queue: &QueueId) -> Waits {
         let now = node.now();
         let waits = self.machine.borrow().waits(now);
         let Some(own) = &self.pool.region else {
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -212,6 +212,8 @@
         node.feed.restart(at);
         node.know_targets();
     }
+    // For a cut list too: what it brought is as the store has it, and followers that took this
+    // node for stale would find no other that knows more.
     node.feed.confirm(Kind::Targets, now, now);
 }
 
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -62,7 +62,7 @@
 /// What an order waits in: the queue of a pool, and what binds whether it is passed on to
 /// another region in place of waiting there.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Queue {
+pub struct QueueId {
     /// Makers.
     pub pool: PoolId,
     /// Regions that the order may be passed on to.
@@ -71,18 +71,18 @@
     pub is_large: bool,
 }
 
-impl Queue {
+impl QueueId {
     /// That of an order with results of this size. Where all regions are one pool, nothing is
     /// passed on.
     pub fn new(pool: PoolId, allowed: &Allowed, result_bytes: u64) -> Self {
         let is_split = pool.region.is_some();
         let allowed = if is_split { allowed.clone() } else { Allowed::ANY };
-        Queue { pool, allowed, is_large: is_split && result_bytes >= LARGE_RESULT }
+        QueueId { pool, allowed, is_large: is_split && result_bytes >= LARGE_RESULT }
     }
 
     /// Whether orders in this queue wait as long as those in `other` at most: they may be
     /// passed on wherever those may.
-    pub fn bounds(&self, other: &Queue) -> bool {
+    pub fn bounds(&self, other: &QueueId) -> bool {
         let may_more = self.allowed.is_any() || self.allowed == other.allowed;
         self.pool == other.pool && may_more && (!self.is_large || other.is_large)
     }
@@ -135,8 +135,8 @@
     }
 
     /// What the order waits in.
-    pub fn queue(&self) -> Queue {
-        Queue::new(self.pool(), &self.allowed, self.result_bytes)
+    pub fn queue(&self) -> QueueId {
+        QueueId::new(self.pool(), &self.allowed, self.result_bytes)
     }
 
     /// The order once this time has passed.
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -15,7 +15,7 @@
 mod target;
 
 pub use batch::{
-    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, PoolId, Queue,
+    BatchAnswer, BatchOrder, Handle, LARGE_RESULT, PieceOrder, PieceResult, PoolId, QueueId,
     StageInput, Waits,
 };
 pub use caller::{CallerHead, PromptPart};
--- a/crates/model/src/forward/policy.rs
+++ b/crates/model/src/forward/policy.rs
@@ -13,9 +13,6 @@
     pub admission: bool,
     /// Orders that no call took in time are ended; off: they wait until their caller leaves.
     pub shedding: bool,
-    /// Orders that no call can take in time, even at best, are ended at once; off: when their
-    /// time is over.
-    pub outlook: bool,
     /// What is wanted of an overdue call is asked for once more.
     pub overdue_calls: bool,
     /// Batches take the higher ranks first; off: the least slack alone decides.
@@ -48,7 +45,6 @@
             pooling: true,
             admission: true,
             shedding: true,
-            outlook: true,
             overdue_calls: true,
             ranks: true,
             affinity: true,
