--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -76,7 +76,7 @@
         // Makers that were late are back soon: doors that took them for gone would stay shut for
         // longer than they are left out.
         let Some((makers, back)) = self.makers.working_or_back(now) else {
-            return Waits(vec![(Rank::default(), u32::MAX)]);
+            return Waits(vec![(Rank::default(), Waits::NOBODY)]);
         };
         let slots = makers * self.pool.slots.max(1) as usize;
         let piece_ms = self.piece_ms();
--- a/crates/decide/src/forecast/mod.rs
+++ b/crates/decide/src/forecast/mod.rs
@@ -69,7 +69,7 @@
 
     /// A maker of a service came, so that word that none works says nothing any more.
     pub fn maker_came(&mut self, service: &Name) {
-        let nobody = |heard: &Heard| heard.waits.0.iter().any(|(_, wait)| *wait == u32::MAX);
+        let nobody = |heard: &Heard| heard.waits.0.iter().any(|(_, wait)| *wait == Waits::NOBODY);
         self.0.retain(|queue, heard| queue.pool.service != *service || !nobody(heard));
     }
 
--- a/crates/decide/src/region/spill.rs
+++ b/crates/decide/src/region/spill.rs
@@ -29,7 +29,7 @@
 /// What is so at the coordinator's own makers.
 #[derive(Debug, Clone, Copy)]
 pub struct Own {
-    /// Wait of the order here; [`u32::MAX`] if no maker works.
+    /// Wait of the order here; [`Waits::NOBODY`] if no maker works.
     pub wait: u32,
     /// Time of a call that takes the order.
     pub call: Duration,
@@ -90,7 +90,7 @@
         now: Time,
     ) -> Waits {
         let bound = |(rank, wait): (Rank, u32)| {
-            let is_dead = wait == u32::MAX;
+            let is_dead = wait == Waits::NOBODY;
             let least = self.least(others, rank, is_dead, now).filter(|_| is_dead || !is_large);
             (rank, least.map_or(wait, |(_, there)| wait.min(there)))
         };
@@ -131,7 +131,7 @@
         own: Own,
         now: Time,
     ) -> Option<Name> {
-        let is_dead = own.wait == u32::MAX;
+        let is_dead = own.wait == Waits::NOBODY;
         let is_movable = order.result_bytes < LARGE_RESULT && order.moved_bytes <= MOVED_MOST;
         if order.spilled || !(is_dead || is_movable) {
             return None;
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Semaphore;
 
 use crate::node::Node;
-use crate::phase::Phase;
+use crate::phase::LifePhase;
 use crate::serve;
 use crate::upstream::guard_socket;
 
@@ -28,7 +28,7 @@
         let permit = room.clone().acquire_owned().await;
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = node.reached(Phase::Closing) => return,
+            () = node.reached(LifePhase::Closing) => return,
         };
         let Ok((socket, _)) = accepted else {
             // Out of descriptors, most likely; let some close.
@@ -62,7 +62,7 @@
     let mut connection = std::pin::pin!(connection);
     let stopped = tokio::select! {
         _ = connection.as_mut() => false,
-        () = node.reached(Phase::Closing) => true,
+        () = node.reached(LifePhase::Closing) => true,
     };
     if stopped {
         connection.as_mut().graceful_shutdown();
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -53,13 +53,13 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Cause {
+struct RefusalLabels {
     service: String,
     cause: &'static str,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Regions {
+struct WayLabels {
     from: String,
     to: String,
 }
@@ -84,13 +84,13 @@
     unreadable: Family<Named, Gauge>,
     repeats: Family<Named, Counter>,
     barred: Family<Named, Counter>,
-    stage_refused: Family<Cause, Counter>,
+    stage_refused: Family<RefusalLabels, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_answers: Family<Version, Counter>,
     rollout_seconds: Family<Version, Counter<f64, std::sync::atomic::AtomicU64>>,
     rollout_share: Family<Version, Gauge<f64, std::sync::atomic::AtomicU64>>,
-    spilled: Family<Regions, Counter>,
+    spilled: Family<WayLabels, Counter>,
     crossed: Family<Crossed, Counter>,
     open: Gauge,
     orders: Gauge,
@@ -270,7 +270,7 @@
 
     /// A request was refused for a stage: at the door, or since it could not be made.
     pub fn stage_refused(&self, service: &str, cause: &'static str) {
-        let labels = Cause { service: self.bounded(service), cause };
+        let labels = RefusalLabels { service: self.bounded(service), cause };
         self.stage_refused.get_or_create(&labels).inc();
     }
 
@@ -299,7 +299,7 @@
 
     /// A stage order was passed on to another region.
     pub fn spilled(&self, from: &str, to: &str) {
-        let labels = Regions { from: self.bounded(from), to: self.bounded(to) };
+        let labels = WayLabels { from: self.bounded(from), to: self.bounded(to) };
         self.spilled.get_or_create(&labels).inc();
     }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -21,7 +21,7 @@
 use crate::events::Event;
 use crate::metrics::{Metrics, Now};
 use crate::peers::{self, Peers};
-use crate::phase::Phase;
+use crate::phase::LifePhase;
 use crate::prefill::Schedulers;
 use crate::rollout::{self, LocalRollouts};
 use crate::rules::Table;
@@ -70,7 +70,7 @@
     store_back: Cell<Option<Time>>,
     targets_known: Cell<bool>,
     version: watch::Sender<u64>,
-    phase: watch::Sender<Phase>,
+    phase: watch::Sender<LifePhase>,
     open: Cell<usize>,
 }
 
@@ -105,7 +105,7 @@
             store_back: Cell::new(None),
             targets_known: Cell::new(false),
             version: watch::Sender::new(0),
-            phase: watch::Sender::new(Phase::Serving),
+            phase: watch::Sender::new(LifePhase::Serving),
             open: Cell::new(0),
         }
     }
@@ -413,17 +413,17 @@
 
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        *self.phase.borrow() >= Phase::Stopping
+        *self.phase.borrow() >= LifePhase::Stopping
     }
 
     /// Returns once the node's life has come this far.
-    pub async fn reached(&self, phase: Phase) {
+    pub async fn reached(&self, phase: LifePhase) {
         let mut phases = self.phase.subscribe();
         let _ = phases.wait_for(|p| *p >= phase).await;
     }
 
     /// Goes on to a phase, if it was not reached before.
-    pub fn enter(&self, phase: Phase) {
+    pub fn enter(&self, phase: LifePhase) {
         self.phase.send_if_modified(|p| {
             let later = phase > *p;
             *p = phase.max(*p);
--- a/crates/forward/src/phase.rs
+++ b/crates/forward/src/phase.rs
@@ -2,7 +2,7 @@
 
 /// How far a node's life has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
+pub enum LifePhase {
     /// It wants callers.
     Serving,
     /// A planned stop has begun; callers may still come.
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -10,7 +10,7 @@
 use crate::border::Dialect;
 use crate::events::Event;
 use crate::node::Node;
-use crate::phase::Phase;
+use crate::phase::LifePhase;
 use crate::settings::Settings;
 use crate::{ingress, peers, reload, watch};
 
@@ -58,7 +58,7 @@
 async fn stop(node: &Rc<Node>) {
     let begun = node.now();
     Event::Stop { open: node.open() }.emit();
-    node.enter(Phase::Stopping);
+    node.enter(LifePhase::Stopping);
     node.peers.roster(|r| r.stop());
     // Peers turn to others at once; what they have placed here is still made.
     node.peers.leave();
@@ -68,10 +68,10 @@
     loop {
         let passed = node.now().since(begun);
         if passed >= BALANCER_LAG {
-            node.enter(Phase::Closing);
+            node.enter(LifePhase::Closing);
         }
         if passed + LAST_ANSWERS >= most {
-            node.enter(Phase::Ending);
+            node.enter(LifePhase::Ending);
         }
         let answered = node.open() == 0 && node.pools.open() == 0;
         if passed >= most || (passed >= BALANCER_LAG && answered) {
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -94,7 +94,7 @@
     node.state_known().await;
     let table = node.table();
     let found = find(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
-    at_the_door(node, &table, &found, &head).map_err(|r| r.into_response(node, &head))?;
+    refuse_at_door(node, &table, &found, &head).map_err(|r| r.into_response(node, &head))?;
     let wait_ms = head.wait_ms.unwrap_or(WAIT_MS).min(found.route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
@@ -160,7 +160,7 @@
 }
 
 /// Refuses a request that would miss its objective by far.
-fn at_the_door(
+fn refuse_at_door(
     node: &Node,
     table: &Table,
     found: &Found,
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -16,7 +16,7 @@
 use super::stream;
 use crate::events::Event;
 use crate::node::{Node, OpenGuard};
-use crate::phase::Phase;
+use crate::phase::LifePhase;
 use crate::stages::{self, Job, Made, StageError};
 
 /// Part of a deadline kept for the answer's way back.
@@ -185,7 +185,7 @@
         let end = tokio::select! {
             served = self.clone().serve() => return served.unwrap_or_else(|own| own),
             () = tokio::time::sleep_until(limit) => "time was over",
-            () = self.node.reached(Phase::Ending) => "this node stops",
+            () = self.node.reached(LifePhase::Ending) => "this node stops",
         };
         self.progress(|p| p.why = format!("{end}; before: {}", p.why));
         self.own_ending()
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -70,7 +70,7 @@
     /// Whether no maker works here, while another region's can take what waits.
     pub(super) fn is_abandoned(&self, node: &Node) -> bool {
         let now = node.now();
-        let is_dead = self.machine.borrow().waits(now).of(Rank::default()) == u32::MAX;
+        let is_dead = self.machine.borrow().waits(now).of(Rank::default()) == Waits::NOBODY;
         is_dead && self.spill.borrow().knows_any(now)
     }
 
--- a/crates/model/src/forward/batch.rs
+++ b/crates/model/src/forward/batch.rs
@@ -195,6 +195,9 @@
 pub struct Waits(pub Vec<(Rank, u32)>);
 
 impl Waits {
+    /// Told as the wait where no maker works.
+    pub const NOBODY: u32 = u32::MAX;
+
     /// Wait of an order of this rank.
     pub fn of(&self, rank: Rank) -> u32 {
         let named = self.0.iter().filter(|(r, _)| *r <= rank);
