An order's age is one type

The judge and each node's trial kept a time span and the moment at which it was so, and added them up in four places; a phase that changed also moved both along, which changes nothing. `rollout::age::Age` is that, and `set_phase` needs no time any more (its callers and tests follow; no expectation changed).

--- a/crates/decide/src/rollout/judge.rs
+++ b/crates/decide/src/rollout/judge.rs
@@ -14,6 +14,7 @@
 use model::forward::{Phase, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState};
 use model::member::NodeId;
 
+use super::age::Age;
 use super::plan::Plan;
 use super::pool::Pool;
 use super::{Cause, Verdict};
@@ -82,8 +83,7 @@
     order: Rollout,
     /// First revision at which the order is known.
     since: u64,
-    /// How old the order was, and when it was so old.
-    age: (Duration, Time),
+    age: Age,
     phase: Phase,
     /// Since when the greater share is in force.
     step: Option<Time>,
@@ -108,7 +108,7 @@
             begun: now,
             order,
             since,
-            age: (age, now),
+            age: Age::new(age, now),
             phase: Phase::Share(0.0),
             step: None,
             all: None,
@@ -170,7 +170,7 @@
     }
 
     fn age(&self, now: Time) -> Duration {
-        self.age.0 + now.since(self.age.1)
+        self.age.by(now)
     }
 
     fn report(&mut self, report: RolloutReport, now: Time, actions: &mut Vec<JudgeAction>) {
@@ -183,8 +183,7 @@
         if !report.order.is_same(&own) {
             return self.nodes.behind(report.node, now);
         }
-        let age = Duration::from_millis(report.age_ms).max(self.age(now));
-        self.age = (age, now);
+        self.age.raise(Duration::from_millis(report.age_ms), now);
         self.nodes.reported(&report, now);
         self.pool.take(&report.node, report.evidence, now);
         match report.phase {
--- a/crates/decide/src/rollout/mod.rs
+++ b/crates/decide/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 //! adds up the evidence of all and decides the phase and the state. Design and ways weighed:
 //! docs/design/rollouts.md.
 
+mod age;
 mod baseline;
 mod evidence;
 mod judge;
--- a/crates/decide/src/rollout/versions/list.rs
+++ b/crates/decide/src/rollout/versions/list.rs
@@ -7,6 +7,7 @@
 use model::{Name, Time};
 
 use super::{Orders, Trial, Versions};
+use crate::rollout::age::Age;
 
 /// What a newer list of orders tells of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -98,7 +99,7 @@
         // Nothing goes there before the judge has told a share: what a node that is out of
         // touch sends would not be counted against the cap.
         let since = order.revision;
-        let trial = Trial { since, phase: Phase::Share(0.0), age: (Duration::ZERO, now) };
+        let trial = Trial { since, phase: Phase::Share(0.0), age: Age::new(Duration::ZERO, now) };
         self.trials.insert(order.service.clone(), trial);
     }
 
--- a/crates/decide/src/rollout/versions/trial.rs
+++ b/crates/decide/src/rollout/versions/trial.rs
@@ -6,6 +6,7 @@
 use model::{Time, hash};
 
 use super::Versions;
+use crate::rollout::age::Age;
 
 /// What this node does for a running order.
 #[derive(Debug)]
@@ -13,8 +14,7 @@
     /// First revision at which the order is known here.
     pub(super) since: u64,
     pub(super) phase: Phase,
-    /// How old the order was, and when it was so old.
-    pub(super) age: (Duration, Time),
+    pub(super) age: Age,
 }
 
 impl Versions {
@@ -57,7 +57,7 @@
 
     /// Works by another phase of an order from now on; returns whether that is a change. What
     /// was taken back stays so, and what all requests were sent to does not go back to a share.
-    pub fn set_phase(&mut self, id: &RolloutId, phase: Phase, now: Time) -> bool {
+    pub fn set_phase(&mut self, id: &RolloutId, phase: Phase) -> bool {
         if self.meant(id).is_none() {
             return false;
         }
@@ -72,23 +72,19 @@
             return false;
         }
         trial.phase = phase;
-        trial.age = (trial.age.0 + now.since(trial.age.1), now);
         true
     }
 
     /// Time since any node first heard of a service's running order, as far as is known here.
     pub fn age(&self, service: &str, now: Time) -> Option<Duration> {
-        let (age, at) = self.trials.get(service)?.age;
-        Some(age + now.since(at))
+        Some(self.trials.get(service)?.age.by(now))
     }
 
     /// The order is at least so old: another node heard of it before.
     pub fn set_age(&mut self, id: &RolloutId, at_least: Duration, now: Time) {
-        let Some(age) = self.meant(id).and_then(|_| self.age(&id.service, now)) else {
-            return;
-        };
-        if let Some(trial) = self.trials.get_mut(&id.service) {
-            trial.age = (age.max(at_least), now);
+        let is_meant = self.meant(id).is_some();
+        if let Some(trial) = self.trials.get_mut(&id.service).filter(|_| is_meant) {
+            trial.age.raise(at_least, now);
         }
     }
 }
--- a/crates/decide/tests/rollout_versions.rs
+++ b/crates/decide/tests/rollout_versions.rs
@@ -219,13 +219,13 @@
     let ms = Duration::from_millis;
     versions.set_age(&first, ms(5000), at(110));
     for phase in [Phase::Share(0.5), Phase::All, Phase::Back] {
-        assert!(!versions.set_phase(&first, phase, at(110)), "{phase:?} of the first");
+        assert!(!versions.set_phase(&first, phase), "{phase:?} of the first");
     }
     let told = (versions.phase("engine"), versions.age("engine", at(110)));
     assert_eq!(told, (Some(Phase::Share(0.0)), Some(ms(10))));
-    assert!(versions.set_phase(&second, Phase::Share(0.1), at(120)));
+    assert!(versions.set_phase(&second, Phase::Share(0.1)));
     versions.take(list(22, &[order("v2", Active, 22)]), at(130));
-    assert!(versions.set_phase(&second, Phase::All, at(140)), "the same, taken up by now");
+    assert!(versions.set_phase(&second, Phase::All), "the same, taken up by now");
     let own = versions.order_id("engine").expect("it runs");
     assert_eq!((own.since, own.at), (20, 22));
 }
@@ -248,7 +248,7 @@
         let mut versions = versions(&[("v1", 5), ("v2", 11)]);
         versions.take(list(was.revision, std::slice::from_ref(&was)), at(0));
         let known = versions.order_id("engine").expect("it runs");
-        versions.set_phase(&known, Phase::All, at(1));
+        versions.set_phase(&known, Phase::All);
         versions.take(list(is.revision, std::slice::from_ref(&is)), at(2));
         let phase = if anew { Phase::Share(0.0) } else { Phase::All };
         assert_eq!(versions.phase("engine"), Some(phase), "{was:?} {is:?}");
@@ -283,7 +283,7 @@
     let active = order("v2", RolloutState::Active, 12);
     let mut versions = versions(&[("v1", 5), ("v2", 11)]);
     versions.take(list(12, std::slice::from_ref(&active)), at(0));
-    versions.set_phase(&id("v2"), Phase::All, at(1));
+    versions.set_phase(&id("v2"), Phase::All);
     // Told by a peer that has read nothing else of it.
     assert_eq!(versions.take(unreadable(20), at(2)), []);
     versions.saw(&"engine".into(), &"v3".into(), 15, 0);
@@ -412,18 +412,18 @@
         (Phase::Share(0.5), false, 0.0),
     ];
     for (phase, changes, wanted) in cases {
-        assert_eq!(versions.set_phase(&id("v2"), phase, at(5)), changes, "{phase:?}");
+        assert_eq!(versions.set_phase(&id("v2"), phase), changes, "{phase:?}");
         assert!((part(&versions) - wanted).abs() < 0.02, "{phase:?}: {}", part(&versions));
     }
     assert_eq!(sides(&versions), (SERVING, None));
-    assert!(!versions.set_phase(&id("v3"), Phase::All, at(6)), "of another order");
+    assert!(!versions.set_phase(&id("v3"), Phase::All), "of another order");
 }
 
 #[test]
 fn the_old_version_serves_again_when_the_new_one_loses_all_targets() {
     let mut versions = versions(&[("v1", 5), ("v2", 11)]);
     versions.take(list(12, &[order("v2", RolloutState::Active, 12)]), at(0));
-    versions.set_phase(&id("v2"), Phase::All, at(1));
+    versions.set_phase(&id("v2"), Phase::All);
     assert_eq!((sides(&versions), part(&versions)), ((None, TRIAL), 1.0));
     versions.gone(&"engine".into(), &"v2".into());
     assert_eq!((versions.side("engine", "v1"), part(&versions)), (SERVING, 0.0));
@@ -439,7 +439,7 @@
     versions.set_age(&id("v2"), ms(300), at(1500));
     assert_eq!(versions.age("engine", at(1600)), Some(ms(600)), "it is older than that");
     versions.set_age(&id("v2"), ms(5000), at(1600));
-    versions.set_phase(&id("v2"), Phase::Share(0.1), at(1700));
+    versions.set_phase(&id("v2"), Phase::Share(0.1));
     assert_eq!(versions.age("engine", at(1800)), Some(ms(5200)));
 }
 
@@ -506,7 +506,7 @@
             let state = [Ordered, Active, Completed, RolledBack][state];
             let orders = [order(versions[version], state, revision)];
             fleet.versions_mut().take(list(40, &orders), at(0));
-            fleet.versions_mut().set_phase(&id(versions[version]), Phase::All, at(0));
+            fleet.versions_mut().set_phase(&id(versions[version]), Phase::All);
         }
         for side in [Side::Serving, Side::Trial] {
             let terms = Terms { side, ..Terms::ANY };
--- a/crates/decide/tests/support/rollout/mod.rs
+++ b/crates/decide/tests/support/rollout/mod.rs
@@ -94,9 +94,9 @@
 }
 
 impl Node {
-    fn take_back(&mut self, now_ms: u64) {
+    fn take_back(&mut self) {
         if let Some(order) = self.versions.order_id("s") {
-            self.versions.set_phase(&order, Phase::Back, Time::from_millis(now_ms));
+            self.versions.set_phase(&order, Phase::Back);
         }
     }
 }
@@ -365,7 +365,7 @@
             return;
         };
         let versions = &mut self.nodes[n].versions;
-        versions.set_phase(&order, phase, now);
+        versions.set_phase(&order, phase);
         versions.set_age(&order, Duration::from_millis(age_ms), now);
     }
 }
--- a/crates/decide/tests/support/rollout/traffic.rs
+++ b/crates/decide/tests/support/rollout/traffic.rs
@@ -175,7 +175,7 @@
                     self.counts[count].take(answer.side, answer.fails || is_slow);
                 }
                 if self.counts.iter().any(Counts::is_bad) {
-                    node.take_back(self.now);
+                    node.take_back();
                 }
                 let took = Duration::from_millis(40 * (1 + answer.route) as u64);
                 node.evidence.good(service, route, answer.side, took);
@@ -187,7 +187,7 @@
                 node.evidence.good(service, route, answer.side, answer.took);
             }
             if answer.side == Side::Trial && answer.bad && node.evidence.proves_bad("s").is_some() {
-                node.take_back(self.now);
+                node.take_back();
             }
         }
     }
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -83,7 +83,7 @@
 fn take_phase(node: &Node, id: &RolloutId, phase: Phase, why: &str) {
     let now = node.now();
     let RolloutId { service, version, .. } = id;
-    if !node.fleet(|f| f.versions_mut().set_phase(id, phase, now)) {
+    if !node.fleet(|f| f.versions_mut().set_phase(id, phase)) {
         return;
     }
     let age = node.fleet(|f| f.versions().age(service, now)).unwrap_or_default();
