Sight: which requests are the same, and what ran at a target when it ended

Cause: logs could not tell whether one request ends target after target, or targets end for a reason of their own: no line says which requests are the same, and none says that a target ended. Ruled out: headers in the mark, since attempts of one request differ in them; a target that lost a connection as one that ended: it is connected to again, and discovery is looked at for 3 s. Change: a hash of method, host, path, caller and body in the lines of attempts and requests; a line and a figure when a target ended under requests of this node. Nothing is decided by it.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -33,6 +33,19 @@
     Replaced,
 }
 
+/// What discovery says of one start of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It is there.
+    Here,
+    /// It leaves as planned.
+    Leaving,
+    /// Another start has its name by now.
+    StartedAgain,
+    /// Its entry is gone.
+    Gone,
+}
+
 /// What is believed of one target.
 #[derive(Debug, Clone)]
 pub struct Belief {
@@ -124,6 +137,16 @@
         self.beliefs.get(&id.name).filter(|b| b.target.id == *id)
     }
 
+    /// What discovery says of one start of a target.
+    pub fn presence(&self, id: &TargetId) -> Presence {
+        match self.beliefs.get(&id.name) {
+            None => Presence::Gone,
+            Some(b) if b.target.id != *id => Presence::StartedAgain,
+            Some(b) if b.target.draining => Presence::Leaving,
+            Some(_) => Presence::Here,
+        }
+    }
+
     fn get_mut(&mut self, id: &TargetId) -> Option<&mut Belief> {
         self.beliefs.get_mut(&id.name).filter(|b| b.target.id == *id)
     }
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod pick;
 mod terms;
 
-pub use belief::{Belief, Fleet, Observation};
+pub use belief::{Belief, Fleet, Observation, Presence};
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange};
 pub use news::still_true;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod place;
 pub mod prefill;
+pub mod quarantine;
 pub mod region;
 pub mod relay;
 pub mod request;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -132,8 +132,25 @@
         left_ms: u64,
         targets_age_ms: u64,
     },
-    /// A send brought no answer to pass on.
-    Attempt { id: &'a str, target: &'a str, ran: &'a str, why: &'a str, after_ms: u64 },
+    /// A send brought no answer to pass on; `same` is alike for all requests that are the same.
+    Attempt {
+        id: &'a str,
+        same: &'a str,
+        target: &'a str,
+        ran: &'a str,
+        why: &'a str,
+        after_ms: u64,
+    },
+    /// A target ended, without having said so, under requests of this node: how that shows, and
+    /// the first of them by what makes them the same.
+    Ended {
+        target: &'a str,
+        service: &'a str,
+        how: &'a str,
+        running: usize,
+        same: &'a [String],
+        after_ms: u64,
+    },
     /// A batch call ended at its maker; the age is that of the targets when it was sent.
     Call {
         service: &'a str,
@@ -178,9 +195,10 @@
         slack_ms: u64,
         took_ms: u64,
     },
-    /// A request got its final answer.
+    /// A request got its final answer; `same` is empty if its body was not read.
     Request {
         id: &'a str,
+        same: &'a str,
         route: &'a str,
         version: u64,
         status: u16,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod phase;
 mod prefill;
+mod quarantine;
 mod reload;
 mod rollout;
 mod rules;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -85,6 +85,7 @@
     repeats: Family<Named, Counter>,
     barred: Family<Named, Counter>,
     stage_refused: Family<RefusalLabels, Counter>,
+    ended: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_answers: Family<Version, Counter>,
@@ -148,6 +149,7 @@
             repeats: Family::default(),
             barred: Family::default(),
             stage_refused: Family::default(),
+            ended: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_answers: Family::default(),
@@ -210,6 +212,8 @@
         registry.register("refused_for_region", help, self.barred.clone());
         let help = "Refusals for want of a stage's time or room, by its service and cause";
         registry.register("stage_refusals", help, self.stage_refused.clone());
+        let help = "Targets that ended under requests of this node, by their service";
+        registry.register("targets_ended", help, self.ended.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
@@ -274,6 +278,11 @@
         self.stage_refused.get_or_create(&labels).inc();
     }
 
+    /// A target of a service ended under requests of this node.
+    pub fn target_ended(&self, service: &str) {
+        self.ended.get_or_create(&Named { name: self.bounded(service) }).inc();
+    }
+
     /// Requests, or pieces of a call, went to a version of a service that moves to another one.
     pub fn rollout_sent(&self, service: &Name, version: &Name, count: usize) {
         let labels = self.version(service, version);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -22,6 +22,7 @@
 use crate::peers::{self, Peers};
 use crate::phase::LifePhase;
 use crate::prefill::Schedulers;
+use crate::quarantine::Ends;
 use crate::rollout::{self, LocalRollouts};
 use crate::rules::Table;
 use crate::settings::Settings;
@@ -55,6 +56,8 @@
     pub pools: Pools,
     /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
+    /// Targets that may have ended under requests of this node.
+    pub ends: Ends,
     /// Versions on trial: what was seen of them, and their judging.
     pub rollouts: LocalRollouts,
     /// The targets' state, for peers that follow it.
@@ -92,6 +95,7 @@
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
+            ends: Ends::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
--- /dev/null
+++ b/crates/forward/src/quarantine/ends.rs
@@ -0,0 +1,123 @@
+//! Finds out whether targets ended under requests whose connections broke.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::fleet::Presence;
+use decide::quarantine::{Contact, Verdict, judge};
+use model::Time;
+use model::forward::{Fingerprint, Target, TargetId};
+
+use crate::events::Event;
+use crate::node::Node;
+use crate::upstream::{self, SendError};
+
+/// Pauses before a target is connected to. The second finds one whose connections broke a
+/// moment before nobody listened any more.
+const CONNECTS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(100)];
+/// Time between looks at what discovery says after that.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time for which that is looked at: entries of targets that ended lapse within three of their
+/// beats, most within 2 s.
+const LOOKED_AT: Duration = Duration::from_secs(3);
+/// Requests named in one line, at most.
+const TOLD_MOST: usize = 8;
+
+/// Requests that broke off at a target, while it is found out whether that ended.
+struct Check {
+    since: Time,
+    requests: Vec<Fingerprint>,
+    /// How an end showed to another request.
+    seen: Option<&'static str>,
+}
+
+/// Checks under way.
+#[derive(Default)]
+pub struct Ends(RefCell<HashMap<TargetId, Check>>);
+
+impl Ends {
+    /// A request that a target may have begun broke off there without a whole answer.
+    pub fn broke_off(&self, node: &Rc<Node>, target: &Target, request: Fingerprint) {
+        let mut checks = self.0.borrow_mut();
+        if let Some(check) = checks.get_mut(&target.id) {
+            if !check.requests.contains(&request) {
+                check.requests.push(request);
+            }
+            return;
+        }
+        let presence = node.fleet(|f| f.presence(&target.id));
+        if matches!(presence, Presence::Leaving | Presence::Gone) {
+            // It was known to leave before the connection broke.
+            return;
+        }
+        let check = Check { since: node.now(), requests: vec![request], seen: None };
+        checks.insert(target.id.clone(), check);
+        tokio::task::spawn_local(run(node.clone(), target.clone()));
+    }
+
+    /// Another send showed that a target has ended.
+    pub fn seen(&self, target: &TargetId, how: &'static str) {
+        if let Some(check) = self.0.borrow_mut().get_mut(target) {
+            check.seen.get_or_insert(how);
+        }
+    }
+
+    fn verdict(&self, node: &Node, target: &TargetId, contact: Contact) -> Verdict {
+        let seen = self.0.borrow().get(target).and_then(|check| check.seen);
+        match judge(node.fleet(|f| f.presence(target)), contact) {
+            Verdict::Open => seen.map_or(Verdict::Open, Verdict::Ended),
+            verdict => verdict,
+        }
+    }
+}
+
+async fn run(node: Rc<Node>, target: Target) {
+    let verdict = find_out(&node, &target).await;
+    let Some(check) = node.ends.0.borrow_mut().remove(&target.id) else {
+        return;
+    };
+    if let Verdict::Ended(how) = verdict {
+        tell(&node, &target, how, &check);
+    }
+}
+
+async fn find_out(node: &Node, target: &Target) -> Verdict {
+    let mut contact = Contact::Silent;
+    for pause in CONNECTS {
+        tokio::time::sleep(pause).await;
+        contact = match upstream::connect(target.address).await {
+            Ok(_) => Contact::Taken,
+            Err(SendError::Connect(..)) => Contact::Refused,
+            Err(_) => Contact::Silent,
+        };
+        match node.ends.verdict(node, &target.id, contact) {
+            Verdict::Open => {}
+            verdict => return verdict,
+        }
+    }
+    let until = node.now() + LOOKED_AT;
+    while node.now() < until {
+        tokio::time::sleep(LOOK).await;
+        match node.ends.verdict(node, &target.id, contact) {
+            Verdict::Open => {}
+            verdict => return verdict,
+        }
+    }
+    Verdict::Open
+}
+
+fn tell(node: &Node, target: &Target, how: &str, check: &Check) {
+    let same: Vec<String> = check.requests.iter().take(TOLD_MOST).map(|r| r.to_string()).collect();
+    node.metrics.target_ended(&target.service);
+    Event::Ended {
+        target: &target.id.name,
+        service: &target.service,
+        how,
+        running: check.requests.len(),
+        same: &same,
+        after_ms: node.now().since(check.since).as_millis() as u64,
+    }
+    .emit();
+}
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -9,8 +9,9 @@
 use decide::retry::COME_BACK;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{Allowed, CallerHead, Rank, Route};
+use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route};
 
 use super::exchange::{Admitted, Exchange, Taken};
 use super::reply::{self, Body};
@@ -56,6 +57,7 @@
     fn into_response(self, node: &Node, head: &CallerHead) -> Response<Body> {
         Event::Request {
             id: &head.id,
+            same: "",
             route: "",
             version: node.table().rules.version,
             status: self.status.as_u16(),
@@ -105,12 +107,14 @@
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Found { route, service, workspace, rank, allowed } = found;
+    let fingerprint = fingerprint(&parts, &head, workspace.as_ref(), &body);
     let request = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
     let side = node.fleet(|f| f.versions().turn(&service, &head.id));
     let admitted = Admitted {
         request,
         head,
+        fingerprint,
         route,
         service,
         workspace,
@@ -124,6 +128,22 @@
     Ok(Rc::new(Exchange::new(node.clone(), admitted)))
 }
 
+/// What makes a request the same as another: what is asked, and who asks. Headers are left out:
+/// attempts of one request differ in them.
+fn fingerprint(
+    parts: &Parts,
+    head: &CallerHead,
+    workspace: Option<&model::Name>,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = workspace.map(|w| &**w).or(head.key.as_deref()).unwrap_or_default();
+    let asked = parts.uri.path_and_query().map_or("", |p| p.as_str());
+    let method = parts.method.as_str();
+    let texts = [method, &head.host, asked, caller].map(str::as_bytes);
+    let [method, host, asked, caller] = texts;
+    Fingerprint::of(&[method, host, asked, caller, body])
+}
+
 struct Found {
     route: Route,
     service: model::Name,
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use decide::resend::{Ending, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{Allowed, CallerHead, Rank, Route, Side, Target, TargetId};
+use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route, Side, Target, TargetId};
 use model::{Name, Time};
 
 use super::reply::{self, Body};
@@ -86,6 +86,8 @@
     pub request: Taken,
     /// What its head says.
     pub head: CallerHead,
+    /// What makes it the same as others.
+    pub fingerprint: Fingerprint,
     /// Route.
     pub route: Route,
     /// Service.
@@ -311,6 +313,11 @@
         Err(StageError::Barred)
     }
 
+    /// What a target had begun of the request broke off there.
+    pub(super) fn broke_off_at(&self, target: &Target) {
+        self.node.ends.broke_off(&self.node, target, self.fingerprint);
+    }
+
     /// The final answer of a request that no target answered.
     fn own_ending(&self) -> Response<Body> {
         let (ending, why) = self.progress(|p| (p.tries.ending(), p.why.clone()));
@@ -351,6 +358,7 @@
         self.node.metrics.time("first", &self.route.name, first_ms);
         Event::Request {
             id: &self.head.id,
+            same: &self.fingerprint.to_string(),
             route: &self.route.name,
             version: self.version,
             status,
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
 use model::Time;
-use model::forward::{Target, TargetId};
+use model::forward::Target;
 
 use super::choice::Choice;
 use super::exchange::{Exchange, Failure};
@@ -21,7 +21,7 @@
 use crate::prefill::Ticket;
 use crate::rollout::{self, Sent};
 use crate::stages::Made;
-use crate::upstream::{self, Answer};
+use crate::upstream::{self, Answer, SendError};
 
 /// Largest answer that is taken in whole.
 const ANSWER_MAX: usize = 16 << 20;
@@ -48,16 +48,18 @@
 /// Counts a request at a target until it goes.
 pub struct AtTarget {
     node: Rc<Node>,
-    id: TargetId,
+    /// The target.
+    pub(super) target: Target,
     unread: u64,
     ticket: Option<Ticket>,
     sent: Option<Sent>,
 }
 
 impl AtTarget {
-    fn new(node: &Rc<Node>, id: &TargetId, tokens: u64, ticket: Option<Ticket>) -> Self {
-        node.fleet(|f| f.sent(id, tokens));
-        AtTarget { node: node.clone(), id: id.clone(), unread: tokens, ticket, sent: None }
+    fn new(node: &Rc<Node>, target: &Target, tokens: u64, ticket: Option<Ticket>) -> Self {
+        node.fleet(|f| f.sent(&target.id, tokens));
+        let (node, target) = (node.clone(), target.clone());
+        AtTarget { node, target, unread: tokens, ticket, sent: None }
     }
 
     /// The target answered well after this time.
@@ -84,14 +86,14 @@
 
     fn forget_prompt(&mut self) {
         let tokens = std::mem::take(&mut self.unread);
-        self.node.fleet(|f| f.read(&self.id, tokens));
+        self.node.fleet(|f| f.read(&self.target.id, tokens));
     }
 }
 
 impl Drop for AtTarget {
     fn drop(&mut self) {
         self.forget_prompt();
-        self.node.fleet(|f| f.done(&self.id));
+        self.node.fleet(|f| f.done(&self.target.id));
     }
 }
 
@@ -106,10 +108,15 @@
     let target = &target;
     let attempt = Attempt { exchange, target, begun: exchange.node.now() };
     exchange.progress(|p| p.goes_to(&target.id));
-    let mut at_target = AtTarget::new(&exchange.node, &target.id, exchange.head.tokens_in, ticket);
+    let mut at_target = AtTarget::new(&exchange.node, target, exchange.head.tokens_in, ticket);
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
-        Err(e) => return attempt.nothing(Observation::Unreachable, e.to_string()),
+        Err(e) => {
+            if let SendError::Connect(..) = e {
+                exchange.node.ends.seen(&target.id, "refused");
+            }
+            return attempt.nothing(Observation::Unreachable, e.to_string());
+        }
     };
     if let Some(why) = exchange.barred(&target.id) {
         // Nothing of the request has gone there yet.
@@ -127,7 +134,7 @@
     let work = async {
         match upstream::send_over(socket, target.address, request, crossing).await {
             Ok(answer) => attempt.take(answer, at_target).await,
-            Err(e) => attempt.may_have_run(e.to_string()),
+            Err(e) => attempt.broke_off(e.to_string()),
         }
     };
     if let Some(outcome) = exchange.patiently(work).await {
@@ -136,7 +143,7 @@
     if let Some(sent) = sent {
         sent.bad();
     }
-    attempt.may_have_run("silent for too long".into())
+    attempt.broke_off("silent for too long".into())
 }
 
 fn request_for(
@@ -179,6 +186,7 @@
             return self.may_have_run("answer to another request".into());
         }
         if said.misdirected {
+            self.exchange.node.ends.seen(&self.target.id, "replaced");
             return self.not_run(Observation::Replaced, "another target has the address".into());
         }
         if said.not_run && said.input_gone {
@@ -209,13 +217,13 @@
             Ok(Some(first)) => first,
             Ok(None) => {
                 at_target.bad();
-                return self.may_have_run(StreamError::Empty.to_string());
+                return self.broke_off(StreamError::Empty.to_string());
             }
             Err(e) => {
                 if e.is_of_target() {
                     at_target.bad();
                 }
-                return self.may_have_run(e.to_string());
+                return self.broke_off(e.to_string());
             }
         };
         self.answered(&at_target);
@@ -230,7 +238,7 @@
         let (head, body) = response.into_parts();
         let body = match Limited::new(body, ANSWER_MAX).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(e) => return self.may_have_run(format!("answer broke off: {e}")),
+            Err(e) => return self.broke_off(format!("answer broke off: {e}")),
         };
         drop(connection);
         let headers = self.exchange.node.dialect.back(&head.headers);
@@ -259,6 +267,12 @@
         self.nothing(Observation::Failed, why)
     }
 
+    /// The connection ended, or was given up, before a whole answer.
+    fn broke_off(&self, why: String) -> Outcome {
+        self.exchange.broke_off_at(self.target);
+        self.may_have_run(why)
+    }
+
     /// The request surely did not run there.
     fn not_run(&self, observed: Observation, why: String) -> Outcome {
         self.exchange.progress(|p| p.tries.note(Ran::No));
@@ -274,8 +288,15 @@
             Ran::No => "no",
             Ran::Maybe => "maybe",
         };
-        Event::Attempt { id: &exchange.head.id, target: &target.id.name, ran, why: &why, after_ms }
-            .emit();
+        Event::Attempt {
+            id: &exchange.head.id,
+            same: &exchange.fingerprint.to_string(),
+            target: &target.id.name,
+            ran,
+            why: &why,
+            after_ms,
+        }
+        .emit();
         node.observe(&target.id, observed, &why);
         exchange.progress(|p| p.why = why);
         Outcome::Nothing
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -167,6 +167,7 @@
                 }
                 Err(e) => {
                     let why = e.to_string();
+                    self.exchange.broke_off_at(&self.at_target.target);
                     if e.is_of_target() {
                         self.at_target.bad();
                     }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod caller;
+mod fingerprint;
 mod policy;
 mod prefill;
 mod rank;
@@ -19,6 +20,7 @@
     StageInput, Waits,
 };
 pub use caller::{CallerHead, PromptPart};
+pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use rank::Rank;
