Requests that end the targets which run them are held back by all nodes

Cause: what a node knew of a request ended with its attempt, and no node heard what had ended at another. So a request that came again at changing nodes was new each time, and ended target after target with all that ran there. Ruled out: repeats of one attempt; targets that end for a reason of their own: all lines of ends name one request. Change: an end speaks against every request that ran there, by path, caller and body; three ends hold a request at all nodes. Ends go to three keepers of the request, a rendezvous choice, and what is held goes from these to all, until each has answered. A whole answer anywhere clears it, and so does another request that is held and ran at the same targets. It is let through after 1 min and 10 min, then only by an operator. The message has a path of its own, fields by name: a node of an older build answers 404 and is left alone.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -379,6 +379,11 @@
         self.up.iter().map(|p| p.node.id.clone()).collect()
     }
 
+    /// The same with their addresses.
+    pub fn peers(&self) -> Vec<Node> {
+        self.up.iter().map(|p| p.node.clone()).collect()
+    }
+
     /// Whether this node comes first among the coordinators of a duty.
     pub fn coordinates<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> bool {
         self.coordinators(duty, now).first().is_none_or(Option::is_none)
--- /dev/null
+++ b/crates/decide/tests/quarantine.rs
@@ -0,0 +1,155 @@
+//! Requests under which targets ended: who is held, for how long, and what clears them.
+
+use std::time::Duration;
+
+use decide::quarantine::{Change, Hold, Quarantine};
+use model::Time;
+use model::forward::{Fingerprint, TargetId};
+use model::member::NodeId;
+
+const fn at(seconds: u64) -> Time {
+    Time::from_millis(seconds * 1000)
+}
+
+fn request(n: u8) -> Fingerprint {
+    Fingerprint::of(&[&[n]])
+}
+
+fn target(n: u32) -> TargetId {
+    format!("i-{n}").as_str().into()
+}
+
+fn peer() -> NodeId {
+    NodeId { name: "peer".into(), start: 1 }
+}
+
+fn ends(q: &mut Quarantine, targets: std::ops::Range<u32>, requests: &[u8], now: Time) {
+    let requests: Vec<Fingerprint> = requests.iter().map(|n| request(*n)).collect();
+    for n in targets {
+        q.ended(&target(n), &"plain".into(), &requests, now);
+    }
+}
+
+fn is_held(q: &Quarantine, n: u8, now: Time) -> bool {
+    q.hold(request(n), now).is_some()
+}
+
+#[test]
+fn three_targets_ending_hold_a_request_and_one_seen_thrice_does_not() {
+    let mut q = Quarantine::default();
+    for _ in 0..3 {
+        ends(&mut q, 0..2, &[1], at(1));
+    }
+    assert!(!is_held(&q, 1, at(1)));
+    let changes = q.ended(&target(2), &"plain".into(), &[request(1)], at(2));
+    let hold = Hold { ends: 3, left: Some(Duration::from_secs(60)) };
+    assert_eq!(changes, [(request(1), Change::Held(hold))]);
+    assert_eq!(q.sends(request(1), at(3)).expect_err("held").ends, 3);
+    assert!(q.sends(request(2), at(3)).is_ok(), "others are not");
+}
+
+#[test]
+fn a_held_request_is_let_through_once_at_a_time_and_twice_in_all() {
+    let mut q = Quarantine::default();
+    ends(&mut q, 0..3, &[1], at(0));
+    assert!(q.sends(request(1), at(59)).is_err());
+    assert!(q.sends(request(1), at(60)).is_ok());
+    assert!(q.sends(request(1), at(60)).is_err(), "it is under way");
+    ends(&mut q, 3..4, &[1], at(61));
+    assert!(q.sends(request(1), at(660)).is_err());
+    assert!(q.sends(request(1), at(661)).is_ok());
+    ends(&mut q, 4..5, &[1], at(662));
+    assert_eq!(q.hold(request(1), at(4000)), Some(Hold { ends: 5, left: None }));
+    assert!(q.release(request(1)), "an operator may");
+    assert!(!is_held(&q, 1, at(4000)));
+}
+
+#[test]
+fn a_whole_answer_clears_before_and_after() {
+    let mut q = Quarantine::default();
+    q.answered(request(1), at(0));
+    ends(&mut q, 0..4, &[1], at(20));
+    assert!(!is_held(&q, 1, at(20)), "it was answered a moment before");
+    ends(&mut q, 0..3, &[2], at(20));
+    assert_eq!(q.answered(request(2), at(21)), Some(Change::Released("answered")));
+    assert!(!is_held(&q, 2, at(21)));
+    ends(&mut q, 4..7, &[1], at(100));
+    assert!(is_held(&q, 1, at(100)), "an answer of long ago says nothing");
+}
+
+#[test]
+fn what_ran_beside_a_held_request_is_cleared_and_what_is_held_is_not() {
+    let mut q = Quarantine::default();
+    ends(&mut q, 0..2, &[1, 2, 3], at(1));
+    ends(&mut q, 2..3, &[1], at(2));
+    assert!(is_held(&q, 1, at(2)));
+    ends(&mut q, 3..4, &[2], at(3));
+    assert!(!is_held(&q, 2, at(3)), "two of its three ends were another's");
+    ends(&mut q, 4..7, &[3], at(4));
+    assert!(is_held(&q, 3, at(4)), "three were its own");
+    assert!(is_held(&q, 1, at(4)));
+}
+
+#[test]
+fn nodes_come_to_know_the_same_whatever_they_hear_first_and_how_often() {
+    let mut a = Quarantine::default();
+    let mut b = Quarantine::default();
+    ends(&mut a, 0..2, &[1], at(1));
+    ends(&mut b, 1..3, &[1], at(1));
+    let of_a = a.beyond(&[empty(1)], at(1));
+    let of_b = b.beyond(&[empty(1)], at(1));
+    for _ in 0..2 {
+        a.hear(&peer(), &of_b, at(2));
+        b.hear(&peer(), &of_a, at(2));
+    }
+    assert!(is_held(&a, 1, at(2)) && is_held(&b, 1, at(2)));
+    assert!(a.beyond(&of_all(&b), at(2)).is_empty() && b.beyond(&of_all(&a), at(2)).is_empty());
+    let cleared = {
+        b.answered(request(1), at(3));
+        of_all(&b)
+    };
+    let changes = a.hear(&peer(), &cleared, at(3));
+    assert_eq!(changes, [(request(1), Change::Released("answered elsewhere"))]);
+    a.hear(&peer(), &of_a, at(4));
+    assert!(!is_held(&a, 1, at(4)), "old news does not hold it again");
+}
+
+#[test]
+fn a_node_that_answered_a_request_clears_what_others_tell_of_it() {
+    let mut a = Quarantine::default();
+    ends(&mut a, 0..3, &[1], at(1));
+    let mut b = Quarantine::default();
+    b.answered(request(1), at(1));
+    b.hear(&peer(), &of_all(&a), at(2));
+    assert!(!is_held(&b, 1, at(2)));
+    assert!(!b.beyond(&of_all(&a), at(2)).is_empty(), "and tells so");
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_the_held_stay() {
+    let mut q = Quarantine::default();
+    ends(&mut q, 0..3, &[1], at(1));
+    let many: Vec<Fingerprint> =
+        (0..10_000u32).map(|n| Fingerprint::of(&[&n.to_le_bytes()])).collect();
+    q.ended(&target(9), &"plain".into(), &many, at(2));
+    assert!(is_held(&q, 1, at(2)));
+    assert!(q.len() <= 4096, "{}", q.len());
+    q.expire(at(30 * 60));
+    assert_eq!(q.len(), 1, "what is not held is forgotten first");
+    q.expire(at(2 * 60 * 60));
+    assert!(q.is_empty());
+}
+
+fn empty(n: u8) -> model::forward::SuspectNews {
+    model::forward::SuspectNews {
+        request: request(n),
+        service: "plain".into(),
+        ends: Vec::new(),
+        tried_ms: None,
+        came_ms: 0,
+    }
+}
+
+fn of_all(q: &Quarantine) -> Vec<model::forward::SuspectNews> {
+    q.beyond(&[empty(1)], at(2))
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -151,6 +151,20 @@
         same: &'a [String],
         after_ms: u64,
     },
+    /// A request is held back from now on, or for longer: the targets that ran it ended, the
+    /// first of them by name. `left_ms` is missing if only an operator lets it go again.
+    Held {
+        same: &'a str,
+        from: &'a str,
+        ends: usize,
+        targets: &'a [Name],
+        #[serde(skip_serializing_if = "Option::is_none")]
+        left_ms: Option<u64>,
+    },
+    /// A request is held back no more, and why.
+    Released { same: &'a str, from: &'a str, why: &'a str },
+    /// A request that was held is sent once, and held on until that has ended well.
+    LetThrough { id: &'a str, same: &'a str },
     /// A batch call ended at its maker; the age is that of the targets when it was sent.
     Call {
         service: &'a str,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -86,6 +86,8 @@
     barred: Family<Named, Counter>,
     stage_refused: Family<RefusalLabels, Counter>,
     ended: Family<Named, Counter>,
+    held: Gauge,
+    held_back: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_answers: Family<Version, Counter>,
@@ -129,6 +131,8 @@
     pub evacuated: usize,
     /// Targets whose entries say that they are cold.
     pub cold: usize,
+    /// Requests that are held back.
+    pub held: usize,
     /// Services that move to another version, that version, and its share of the requests.
     pub rollouts: &'a [(Name, Name, f64)],
     /// Ages of what is known, by kind; `None` if nothing is.
@@ -150,6 +154,8 @@
             barred: Family::default(),
             stage_refused: Family::default(),
             ended: Family::default(),
+            held: Gauge::default(),
+            held_back: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_answers: Family::default(),
@@ -214,6 +220,10 @@
         registry.register("stage_refusals", help, self.stage_refused.clone());
         let help = "Targets that ended under requests of this node, by their service";
         registry.register("targets_ended", help, self.ended.clone());
+        let help = "Requests that are held back, since the targets that ran them ended";
+        registry.register("quarantined", help, self.held.clone());
+        let help = "Refusals and sends not made of such requests, by route";
+        registry.register("quarantine_refusals", help, self.held_back.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
@@ -283,6 +293,11 @@
         self.ended.get_or_create(&Named { name: self.bounded(service) }).inc();
     }
 
+    /// A request was held back.
+    pub fn held_back(&self, route: &str) {
+        self.held_back.get_or_create(&Named { name: self.bounded(route) }).inc();
+    }
+
     /// Requests, or pieces of a call, went to a version of a service that moves to another one.
     pub fn rollout_sent(&self, service: &Name, version: &Name, count: usize) {
         let labels = self.version(service, version);
@@ -347,6 +362,7 @@
         self.unread.set(now.unread as i64);
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
+        self.held.set(now.held as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
             let labels = self.version(service, version);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -22,7 +22,7 @@
 use crate::peers::{self, Peers};
 use crate::phase::LifePhase;
 use crate::prefill::Schedulers;
-use crate::quarantine::Ends;
+use crate::quarantine::LocalQuarantine;
 use crate::rollout::{self, LocalRollouts};
 use crate::rules::Table;
 use crate::settings::Settings;
@@ -56,8 +56,8 @@
     pub pools: Pools,
     /// Schedulers of prompts at this node.
     pub schedulers: Schedulers,
-    /// Targets that may have ended under requests of this node.
-    pub ends: Ends,
+    /// Requests under which targets ended.
+    pub quarantine: LocalQuarantine,
     /// Versions on trial: what was seen of them, and their judging.
     pub rollouts: LocalRollouts,
     /// The targets' state, for peers that follow it.
@@ -95,7 +95,7 @@
             ),
             pools: Pools::default(),
             schedulers: Schedulers::default(),
-            ends: Ends::default(),
+            quarantine: LocalQuarantine::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -300,6 +300,7 @@
             unread: self.fleet.borrow().count_unreadable(),
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
+            held: self.quarantine.count_held(self),
             rollouts: &self.running_rollouts(),
             ages: Kind::ALL.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -27,9 +27,11 @@
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
 use crate::node::Node;
+use crate::quarantine;
 
 pub use server::{
-    BATCH, FREE, PREFILL, PREFILL_END, ROLLOUT, ROLLOUT_STATE, RemoteFree, RemoteState, WAITS,
+    BATCH, FREE, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT, ROLLOUT_STATE, RemoteFree, RemoteState,
+    WAITS,
 };
 
 /// Time to connect to a peer.
@@ -126,8 +128,32 @@
     question: &Q,
     timeout: Duration,
 ) -> Result<A, CallError> {
-    let crossing = Crossing::to_peer(node, kind_of(path), peer);
     let bytes = rmp_serde::to_vec(question).expect("messages encode");
+    send(node, client, peer, path, bytes, timeout).await
+}
+
+/// Tells a peer, which may be of another build: fields go by their names.
+pub async fn tell<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    news: &Q,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    let bytes = rmp_serde::to_vec_named(news).expect("messages encode");
+    send(node, client, peer, path, bytes, timeout).await
+}
+
+async fn send<A: DeserializeOwned>(
+    node: &Node,
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    bytes: Vec<u8>,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    let crossing = Crossing::to_peer(node, kind_of(path), peer);
     if let Some(crossing) = &crossing {
         crossing.sent(bytes.len());
     }
@@ -243,6 +269,7 @@
     tokio::task::spawn_local(membership::run(node.clone(), socket, events));
     tokio::task::spawn_local(server::run(node.clone(), listener));
     tokio::task::spawn_local(tell_versions(node.clone()));
+    tokio::task::spawn_local(quarantine::run(node.clone()));
     Ok(())
 }
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use util::http::{Body, RMP, full, read_rmp, rmp, text};
+use util::http::{Body, RMP, full, read_rmp, rmp, rmp_named, text};
 
 use crate::ingress::small;
 use crate::node::Node;
@@ -34,6 +34,8 @@
 pub const ROLLOUT: &str = "/v1/rollout";
 /// Path of an order's state that is to be written.
 pub const ROLLOUT_STATE: &str = "/v1/rollout-state";
+/// Path of requests under which targets ended.
+pub const QUARANTINE: &str = "/v1/quarantine";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -75,6 +77,7 @@
         FREE => free(&node, request).await,
         ROLLOUT => rollout(&node, request).await,
         ROLLOUT_STATE => rollout_state(&node, request).await,
+        QUARANTINE => quarantine(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     answered.unwrap_or_else(|refusal| refusal)
@@ -127,6 +130,11 @@
     Ok(rmp(&()))
 }
 
+async fn quarantine(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let news = message(request, "not news of requests").await?;
+    Ok(rmp_named(&node.quarantine.hear(node, &news)))
+}
+
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let RemoteFree { pool, handles } = message(request, "not results to free").await?;
     node.pools.free(node, &pool, handles);
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -75,11 +75,12 @@
 
 async fn run(node: Rc<Node>, target: Target) {
     let verdict = find_out(&node, &target).await;
-    let Some(check) = node.ends.0.borrow_mut().remove(&target.id) else {
+    let Some(check) = node.quarantine.ends.0.borrow_mut().remove(&target.id) else {
         return;
     };
     if let Verdict::Ended(how) = verdict {
         tell(&node, &target, how, &check);
+        node.quarantine.ended(&node, &target, &check.requests);
     }
 }
 
@@ -92,7 +93,7 @@
             Err(SendError::Connect(..)) => Contact::Refused,
             Err(_) => Contact::Silent,
         };
-        match node.ends.verdict(node, &target.id, contact) {
+        match node.quarantine.ends.verdict(node, &target.id, contact) {
             Verdict::Open => {}
             verdict => return verdict,
         }
@@ -100,7 +101,7 @@
     let until = node.now() + LOOKED_AT;
     while node.now() < until {
         tokio::time::sleep(LOOK).await;
-        match node.ends.verdict(node, &target.id, contact) {
+        match node.quarantine.ends.verdict(node, &target.id, contact) {
             Verdict::Open => {}
             verdict => return verdict,
         }
--- /dev/null
+++ b/crates/forward/src/quarantine/spread.rs
@@ -0,0 +1,110 @@
+//! Tells peers of requests under which targets ended.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::quarantine::Unsent;
+use model::Time;
+use model::forward::QuarantineNews;
+use model::member::NodeId;
+use util::http::Client;
+
+use crate::node::Node;
+use crate::peers::{self, QUARANTINE};
+
+/// Time between looks at who is still to be told: peers come, or did not answer.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time for a peer's answer, the farthest region's included.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a peer that did not answer is told again.
+const AGAIN: Duration = Duration::from_millis(300);
+/// Messages under way at once.
+const AT_ONCE: usize = 32;
+/// Status by which a peer says that it does not know such messages.
+const NOT_FOUND: u16 = 404;
+
+/// Peers with a message under way, and those that did not answer.
+#[derive(Default)]
+pub(super) struct Pace {
+    busy: RefCell<HashSet<NodeId>>,
+    silent: RefCell<HashMap<NodeId, Time>>,
+}
+
+impl Pace {
+    fn may(&self, peer: &NodeId, now: Time) -> bool {
+        let is_silent = self.silent.borrow().get(peer).is_some_and(|at| now.since(*at) < AGAIN);
+        !is_silent && !self.busy.borrow().contains(peer)
+    }
+
+    fn has_failed(&self, peer: &NodeId) -> bool {
+        self.silent.borrow().contains_key(peer)
+    }
+
+    fn begin(&self, peer: &NodeId) {
+        self.busy.borrow_mut().insert(peer.clone());
+    }
+
+    fn end(&self, peer: &NodeId, answered: bool, now: Time) {
+        self.busy.borrow_mut().remove(peer);
+        let mut silent = self.silent.borrow_mut();
+        if answered {
+            silent.remove(peer);
+        } else {
+            silent.insert(peer.clone(), now);
+        }
+    }
+
+    fn free(&self) -> usize {
+        AT_ONCE.saturating_sub(self.busy.borrow().len())
+    }
+}
+
+/// Runs until the process ends.
+pub async fn run(node: Rc<Node>) {
+    let q = &node.quarantine;
+    loop {
+        if q.machine(|m| m.is_empty()) {
+            q.changed.notified().await;
+        } else {
+            let _ = tokio::time::timeout(LOOK, q.changed.notified()).await;
+        }
+        let now = node.now();
+        q.machine(|m| m.expire(now));
+        let peers = node.peers.roster(|r| r.peers());
+        let may = |id: &NodeId| q.pace.may(id, now);
+        let unsent = q.machine(|m| m.unsent(&node.peers.id.name, &peers, may, now));
+        for message in unsent.into_iter().take(q.pace.free()) {
+            q.pace.begin(&message.peer.id);
+            tokio::task::spawn_local(send(node.clone(), message));
+        }
+    }
+}
+
+async fn send(node: Rc<Node>, message: Unsent) {
+    let Unsent { peer, news, told } = message;
+    let q = &node.quarantine;
+    // A kept connection may have fallen silent.
+    let fresh = q.pace.has_failed(&peer.id).then(|| Client::new(peers::CONNECT));
+    let client = fresh.as_ref().unwrap_or(&node.client);
+    let question = QuarantineNews { from: node.peers.id.clone(), suspects: news };
+    let end = peers::tell(&node, client, peer.entry, QUARANTINE, &question, TIMEOUT).await;
+    let is_told = match end {
+        Ok(beyond) => {
+            q.hear(&node, &beyond);
+            true
+        }
+        // Its build does not know such messages.
+        Err(e) if e.status() == Some(NOT_FOUND) => true,
+        Err(e) => {
+            log::debug!("quarantine: {e}");
+            false
+        }
+    };
+    if is_told {
+        q.machine(|m| m.told(&peer.id, &told));
+    }
+    q.pace.end(&peer.id, is_told, node.now());
+    q.changed.notify_one();
+}
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -17,6 +17,7 @@
 use super::reply::{self, Body};
 use crate::events::Event;
 use crate::node::Node;
+use crate::quarantine::HELD;
 use crate::rules::{Table, choose_service};
 
 /// Silence of the store after which an unknown route or key may simply be new.
@@ -30,11 +31,12 @@
     why: &'static str,
     come_back: Option<Duration>,
     close: bool,
+    same: Option<Fingerprint>,
 }
 
 impl Refusal {
     fn new(status: StatusCode, why: &'static str) -> Self {
-        Refusal { status, why, come_back: None, close: false }
+        Refusal { status, why, come_back: None, close: false, same: None }
     }
 
     fn come_back(self, after: Duration) -> Self {
@@ -57,7 +59,7 @@
     fn into_response(self, node: &Node, head: &CallerHead) -> Response<Body> {
         Event::Request {
             id: &head.id,
-            same: "",
+            same: &self.same.map_or(String::new(), |same| same.to_string()),
             route: "",
             version: node.table().rules.version,
             status: self.status.as_u16(),
@@ -108,6 +110,15 @@
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Found { route, service, workspace, rank, allowed } = found;
     let fingerprint = fingerprint(&parts, &head, workspace.as_ref(), &body);
+    if let Some(hold) = node.quarantine.comes(node, fingerprint) {
+        node.metrics.held_back(&route.name);
+        let refusal = Refusal {
+            come_back: hold.left,
+            same: Some(fingerprint),
+            ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, HELD)
+        };
+        return Err(refusal.into_response(node, &head));
+    }
     let request = Taken { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
     let side = node.fleet(|f| f.versions().turn(&service, &head.id));
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -9,6 +9,7 @@
 use super::exchange::Exchange;
 use crate::events::Event;
 use crate::prefill::{self, Prompt, Ticket};
+use crate::quarantine::HELD;
 use crate::rollout;
 use crate::stages::Made;
 
@@ -219,6 +220,11 @@
 
     /// The next target; `None` if the request is not to be sent again.
     pub(super) async fn next_target(&self, chosen: Option<Target>) -> Option<Choice> {
+        if self.held().is_some() {
+            self.node.metrics.held_back(&self.route.name);
+            self.progress(|p| p.why = HELD.into());
+            return None;
+        }
         let tries = self.progress(|p| p.tries);
         let next = tries.next(self.left(), || self.node.take_repeat(&self.service));
         if next != Next::Resend {
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use decide::quarantine::Hold;
 use decide::resend::{Ending, Tries};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route, Side, Target, TargetId};
@@ -315,7 +316,17 @@
 
     /// What a target had begun of the request broke off there.
     pub(super) fn broke_off_at(&self, target: &Target) {
-        self.node.ends.broke_off(&self.node, target, self.fingerprint);
+        self.node.quarantine.broke_off(&self.node, target, self.fingerprint);
+    }
+
+    /// A target answered the request to its end.
+    pub(super) fn answered_whole(&self) {
+        self.node.quarantine.answered(&self.node, self.fingerprint);
+    }
+
+    /// Why the request is not to be sent any more, since the targets that ran it ended.
+    pub(super) fn held(&self) -> Option<Hold> {
+        self.node.quarantine.hold(&self.node, self.fingerprint)
     }
 
     /// The final answer of a request that no target answered.
@@ -333,7 +344,10 @@
                 if self.unserved().is_some() {
                     self.node.metrics.barred(&self.route.name);
                 }
-                let come_back = Some(COME_BACK).filter(|_| self.is_reachable());
+                let come_back = match self.held() {
+                    Some(hold) => hold.left,
+                    None => Some(COME_BACK).filter(|_| self.is_reachable()),
+                };
                 (StatusCode::SERVICE_UNAVAILABLE, come_back, "not_run")
             }
             Ending::Unknown | Ending::BreakOff if late => {
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -19,6 +19,7 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::prefill::Ticket;
+use crate::quarantine::HELD;
 use crate::rollout::{self, Sent};
 use crate::stages::Made;
 use crate::upstream::{self, Answer, SendError};
@@ -113,7 +114,7 @@
         Ok(socket) => socket,
         Err(e) => {
             if let SendError::Connect(..) = e {
-                exchange.node.ends.seen(&target.id, "refused");
+                exchange.node.quarantine.seen_ended(target, "refused");
             }
             return attempt.nothing(Observation::Unreachable, e.to_string());
         }
@@ -123,6 +124,10 @@
         exchange.progress(|p| p.why = format!("its target is barred by now: {why}"));
         return Outcome::Nothing;
     }
+    if !exchange.node.quarantine.sends(&exchange.node, &exchange.head.id, exchange.fingerprint) {
+        exchange.progress(|p| p.why = HELD.into());
+        return Outcome::Nothing;
+    }
     exchange.progress(|p| p.tries.connected());
     let sent = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     at_target.sent.clone_from(&sent);
@@ -186,7 +191,7 @@
             return self.may_have_run("answer to another request".into());
         }
         if said.misdirected {
-            self.exchange.node.ends.seen(&self.target.id, "replaced");
+            self.exchange.node.quarantine.seen_ended(self.target, "replaced");
             return self.not_run(Observation::Replaced, "another target has the address".into());
         }
         if said.not_run && said.input_gone {
@@ -249,6 +254,7 @@
             return self.may_have_run(format!("status {status}"));
         }
         self.answered(&at_target);
+        self.exchange.answered_whole();
         Outcome::Whole { status, headers, body }
     }
 
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -162,6 +162,7 @@
                 }
                 Ok(None) => {
                     self.over = true;
+                    self.exchange.answered_whole();
                     self.exchange.log_end(200, "streamed");
                     return None;
                 }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod fingerprint;
 mod policy;
 mod prefill;
+mod quarantine;
 mod rank;
 mod region;
 mod rollout;
@@ -23,6 +24,7 @@
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
+pub use quarantine::{EndNews, QuarantineNews, SuspectNews};
 pub use rank::Rank;
 pub use region::Allowed;
 pub use rollout::{
--- /dev/null
+++ b/crates/model/src/forward/quarantine.rs
@@ -0,0 +1,51 @@
+//! What nodes tell each other of requests under which targets ended.
+//!
+//! Written with the names of fields, and read with defaults for those that are missing, so that
+//! nodes of different builds understand each other. Ages are in milliseconds.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Fingerprint, TargetId};
+use crate::Name;
+use crate::member::NodeId;
+
+/// A target that ended under a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndNews {
+    /// The target.
+    pub target: TargetId,
+    /// How long ago it ended, as far as its first witness knows.
+    pub age_ms: u64,
+    /// The request is not to blame for it.
+    #[serde(default)]
+    pub cleared: bool,
+}
+
+/// All that a node knows of one request under which targets ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNews {
+    /// The request.
+    pub request: Fingerprint,
+    /// Its service.
+    #[serde(default)]
+    pub service: Name,
+    /// The targets.
+    #[serde(default)]
+    pub ends: Vec<EndNews>,
+    /// How long ago it was last let through although it had been held; `None` if it never was.
+    #[serde(default)]
+    pub tried_ms: Option<u64>,
+    /// How long ago it last came.
+    #[serde(default)]
+    pub came_ms: u64,
+}
+
+/// What a node tells a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNews {
+    /// Who tells it.
+    pub from: NodeId,
+    /// Requests.
+    #[serde(default)]
+    pub suspects: Vec<SuspectNews>,
+}
--- a/crates/util/src/http/mod.rs
+++ b/crates/util/src/http/mod.rs
@@ -5,7 +5,8 @@
 
 pub use client::{CallError, CallKind, Client, Lines, PROBE, PROBES, SILENCE, read_rmp_answer};
 pub use server::{
-    Body, Handler, Limits, Sender, Server, full, json, read_json, read_rmp, rmp, stream, text,
+    Body, Handler, Limits, Sender, Server, full, json, read_json, read_rmp, rmp, rmp_named, stream,
+    text,
 };
 
 /// Media type of rmp-serde bodies between our own processes.
--- a/crates/util/src/http/server.rs
+++ b/crates/util/src/http/server.rs
@@ -167,6 +167,12 @@
     full(StatusCode::OK, super::RMP, bytes)
 }
 
+/// The same with the names of fields, for messages between different builds.
+pub fn rmp_named<T: Serialize>(body: &T) -> Response<Body> {
+    let bytes = rmp_serde::to_vec_named(body).expect("messages encode");
+    full(StatusCode::OK, super::RMP, bytes)
+}
+
 /// A streamed answer of at most `depth` unsent pieces.
 pub fn stream(media: &str, depth: usize) -> (Sender, Response<Body>) {
     let (sender, channel) = Channel::new(depth);
