A node that has just started spends the slack of the repeats' budget only as it grows

Cause: a process that starts again knows nothing of what it spent before; nodes that were killed together while targets turned much away drew their parts of the slack twice in one window. Ruled out: the part that goes by requests, which both lives count; views of few peers after a start alone (a part of few is larger, but no more than what is held back covers, once the slack grows). Change: a process's part of the slack grows over one window from its start.

--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -53,12 +53,16 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Whether a repeat would be granted now.
+    /// Whether a repeat would be granted now. Time counts from the start of the process: one
+    /// that has just started does not know what it spent before, so its part of the slack
+    /// grows over one window. Nodes that were killed together spent it twice in one else.
     pub fn has(&mut self, now: Time, nodes: usize) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
-        let slack = self.tuning.slack / nodes.max(1) as f64;
+        let window = self.tuning.window.as_secs_f64();
+        let grown = (now.since(Time::ZERO).as_secs_f64() / window).min(1.0);
+        let slack = self.tuning.slack / nodes.max(1) as f64 * grown;
         let allowed = (f64::from(requests) * self.tuning.ratio + slack) * DRAWN;
         f64::from(repeats + 1) <= allowed
     }
--- a/crates/decide/tests/resend.rs
+++ b/crates/decide/tests/resend.rs
@@ -97,3 +97,38 @@
         assert!(repeats > 0.0, "the budget is there to be used");
     }
 }
+
+/// Nodes that start again know nothing of what they have spent. All were killed together while
+/// targets turned much away, and spent the slack once more within one window.
+#[test]
+fn nodes_that_start_again_spend_no_more_than_the_shared_budget() {
+    let (ratio, slack, nodes) = (0.2, 56.0, 8);
+    let window = Duration::from_secs(10);
+    let tuning = BudgetTuning { ratio, window, slack };
+    for killed_at in (2_000..16_000).step_by(500) {
+        let mut sent: Vec<(u64, bool)> = Vec::new();
+        for (from, to) in [(0, killed_at), (killed_at + 500, 40_000)] {
+            let mut budgets = vec![RepeatBudget::new(tuning); nodes];
+            for ms in (from..to).step_by(25) {
+                // Each process counts time from its own start.
+                let now = Time::from_millis(ms - from);
+                let node = (ms / 25) as usize % nodes;
+                budgets[node].request(now);
+                sent.push((ms, false));
+                for _ in 0..2 {
+                    if budgets[node].take(now, nodes) {
+                        sent.push((ms, true));
+                    }
+                }
+            }
+        }
+        for end in (10_000..30_000).step_by(250) {
+            let within: Vec<_> =
+                sent.iter().filter(|(t, _)| *t < end && *t + 10_000 >= end).collect();
+            let repeats = within.iter().filter(|(_, r)| *r).count() as f64;
+            let requests = within.len() as f64 - repeats;
+            let allowed = requests * ratio + slack;
+            assert!(repeats <= allowed, "{repeats} of {allowed}, killed at {killed_at} ms");
+        }
+    }
+}
