Held requests are kept in the store, where operators see and release them

Cause: what nodes know rests in memory: nodes that are killed together would have to learn it from three more ends, and nobody could see or lift a hold. Ruled out: every end in the store (a rack's loss would write thousands); a watch (a call of each relay every 1.5 s) in place of a list of the cheaper kind every 5 s, the first one fresh; the number of ends as what a hold's length goes by, since what was under way when it began made it ten minutes at once: it goes by the times that the request was let through. Change: the first keeper of a held request creates its object; nodes that read the store take what stands there, release what an operator deletes, and delete what was released. Keepers of a request that is not held do not tell each other what witnesses tell all of them.

--- a/crates/decide/src/quarantine/case.rs
+++ b/crates/decide/src/quarantine/case.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use model::forward::{EndNews, SuspectNews, TargetId};
+use model::forward::{EndNews, Fingerprint, HeldRecord, SuspectNews, TargetId};
 use model::{Name, Time};
 
+use super::HELD_FROM;
 use super::news::Tellings;
-use super::{HELD_FOR, HELD_FROM, SUSPECTED_FOR};
 
-/// Times for which a request is held before it is let through once more: what ended the targets
-/// may have been mended, or may not have been the request. After these it is held until an
-/// operator releases it or it has not come for an hour.
+/// Times for which a request is held before it is let through the first time and the second: what
+/// ended the targets may have been mended, or may not have been the request. After these it is
+/// held until an operator releases it or it has not come for an hour.
 const HOLDS: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
 /// Ends remembered of one request.
 const ENDS_MOST: usize = 16;
@@ -38,9 +38,12 @@
 pub(super) struct Case {
     service: Name,
     ends: Vec<End>,
-    tried: Option<Time>,
+    tries: u32,
+    tried: Time,
     came: Time,
     came_told: Time,
+    /// The store has it.
+    pub(super) is_stored: bool,
     pub(super) tellings: Tellings,
 }
 
@@ -49,9 +52,11 @@
         Case {
             service,
             ends: Vec::new(),
-            tried: None,
+            tries: 0,
+            tried: Time::ZERO,
             came: now,
             came_told: now,
+            is_stored: false,
             tellings: Tellings::default(),
         }
     }
@@ -73,12 +78,14 @@
 
     pub(super) fn hold(&self, now: Time) -> Option<Hold> {
         let ends = self.standing().count();
-        let further = ends.checked_sub(HELD_FROM)?;
-        let Some(time) = HOLDS.get(further) else {
+        if ends < HELD_FROM {
+            return None;
+        }
+        let Some(time) = HOLDS.get(self.tries as usize) else {
             return Some(Hold { ends, left: None });
         };
         let last = self.ends.iter().filter(|e| !e.cleared).map(|e| e.at).max();
-        let since = last.max(self.tried).unwrap_or_default();
+        let since = last.unwrap_or_default().max(self.tried);
         let left = time.saturating_sub(now.since(since));
         (!left.is_zero()).then_some(Hold { ends, left: Some(left) })
     }
@@ -89,11 +96,6 @@
         ends.max(self.came)
     }
 
-    /// Time for which it is remembered after that.
-    pub(super) fn kept(&self) -> Duration {
-        if self.is_held() { HELD_FOR } else { SUSPECTED_FOR }
-    }
-
     pub(super) fn comes(&mut self, now: Time) {
         self.came = now;
         if now.since(self.came_told) >= CAME_TOLD {
@@ -108,7 +110,8 @@
         self.came = now;
         let was_held = self.is_held();
         if was_held {
-            self.tried = Some(now);
+            self.tries += 1;
+            self.tried = now;
             self.tellings.changed();
         }
         was_held
@@ -147,16 +150,24 @@
             has_changed = true;
         }
         if has_changed {
+            self.is_stored &= self.is_held();
             self.tellings.changed();
         }
     }
 
     /// It is not to blame for any end so far.
     pub(super) fn clear_all(&mut self) {
+        self.tries = 0;
         let all: Vec<TargetId> = self.standing().cloned().collect();
         self.clear(&all);
     }
 
+    /// As the store is to keep it, held since so many milliseconds of Unix time.
+    pub(super) fn record(&self, request: Fingerprint, since: u64) -> HeldRecord {
+        let targets = self.standing().cloned().collect();
+        HeldRecord { request, service: self.service.clone(), targets, since }
+    }
+
     /// Takes what another node knows of it; returns whether anything was new.
     pub(super) fn hear(&mut self, news: &SuspectNews, now: Time) -> bool {
         let ago = |ms: u64| now - Duration::from_millis(ms);
@@ -164,11 +175,9 @@
         for end in &news.ends {
             is_new |= self.add(&end.target, ago(end.age_ms), end.cleared);
         }
-        let tried = news.tried_ms.map(ago);
-        // Ages lose a little on the way: only what is later by more than that is another try.
-        let is_later = tried.is_some_and(|at| self.tried.is_none_or(|own| at > own + TOLERANCE));
-        if is_later {
-            self.tried = tried;
+        if news.tries > self.tries {
+            self.tries = news.tries;
+            self.tried = ago(news.tried_ms);
             is_new = true;
         }
         self.came = self.came.max(ago(news.came_ms));
@@ -179,7 +188,7 @@
     }
 
     /// What this node knows of it.
-    pub(super) fn news(&self, request: model::forward::Fingerprint, now: Time) -> SuspectNews {
+    pub(super) fn news(&self, request: Fingerprint, now: Time) -> SuspectNews {
         let age = |at: Time| now.since(at).as_millis() as u64;
         let end =
             |e: &End| EndNews { target: e.target.clone(), age_ms: age(e.at), cleared: e.cleared };
@@ -187,7 +196,8 @@
             request,
             service: self.service.clone(),
             ends: self.ends.iter().map(end).collect(),
-            tried_ms: self.tried.map(age),
+            tries: self.tries,
+            tried_ms: age(self.tried),
             came_ms: age(self.came),
         }
     }
@@ -198,9 +208,6 @@
             let known = news.ends.iter().find(|n| n.target == e.target);
             known.is_none_or(|n| e.cleared && !n.cleared)
         };
-        self.ends.iter().any(lacks) || (self.tried.is_some() && news.tried_ms.is_none())
+        self.ends.iter().any(lacks) || self.tries > news.tries
     }
 }
-
-/// Time by which what two nodes know of one moment may differ.
-const TOLERANCE: Duration = Duration::from_secs(2);
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 mod case;
 mod ends;
 mod news;
+mod record;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -136,8 +137,8 @@
         self.weigh(grown, now)
     }
 
-    /// Takes what another node knows; returns what changed.
-    pub fn hear(&mut self, from: &NodeId, news: &[SuspectNews], now: Time) -> Changes {
+    /// Takes what another node knows, or the store if it is none; returns what changed.
+    pub fn hear(&mut self, from: Option<&NodeId>, news: &[SuspectNews], now: Time) -> Changes {
         let mut changes = Vec::new();
         let mut grown = Vec::new();
         for suspect in news {
@@ -150,7 +151,7 @@
             if case.hear(suspect, now) {
                 grown.push(request);
             }
-            if !case.knows_more(suspect) {
+            if let Some(from) = from.filter(|_| !case.knows_more(suspect)) {
                 case.tellings.knows(from);
             }
             if is_cleared {
@@ -174,9 +175,19 @@
         was_held
     }
 
-    /// Forgets what has not come for long.
-    pub fn expire(&mut self, now: Time) {
-        self.cases.retain(|_, c| now.since(c.last()) < c.kept());
+    /// Forgets what has not come for long. What was held is released first, so that it goes from
+    /// the store too.
+    pub fn expire(&mut self, now: Time) -> Changes {
+        let mut changes = Vec::new();
+        for (request, case) in &mut self.cases {
+            if case.is_held() && now.since(case.last()) >= HELD_FOR {
+                case.clear_all();
+                case.comes(now);
+                changes.push((*request, Change::Released("not asked for")));
+            }
+        }
+        self.cases.retain(|_, c| c.is_held() || now.since(c.last()) < SUSPECTED_FOR);
+        changes
     }
 
     /// Those whose ends grew may be held by now, which clears others that ran at the same targets.
--- a/crates/decide/src/quarantine/news.rs
+++ b/crates/decide/src/quarantine/news.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Tellings {
     state: u64,
+    /// The last state that this node brought about; 0 if it only heard of the request.
+    own: u64,
     told: HashMap<NodeId, u64>,
     /// The state that another node told of, and when.
     heard: Option<(u64, Time)>,
@@ -34,9 +36,10 @@
 }
 
 impl Tellings {
-    /// What is known has changed: all are to be told again.
+    /// This node knows something new: all are to be told.
     pub(super) fn changed(&mut self) {
         self.state += 1;
+        self.own = self.state;
     }
 
     /// The same, since another node told of it.
@@ -56,8 +59,19 @@
         self.heard.is_some_and(is_recent)
     }
 
-    fn is_told(&self, peer: &NodeId) -> bool {
-        self.told.get(peer).is_some_and(|state| *state >= self.state)
+    /// State that listeners are to know. Of a request that concerns its keepers alone each
+    /// witness tells them what it saw, and they need not tell each other.
+    fn wanted(&self, concerns_all: bool) -> u64 {
+        if concerns_all { self.state } else { self.own }
+    }
+
+    /// Whether there is nothing to tell, as of these peers.
+    fn is_settled(&self, concerns_all: bool, seen: u64) -> bool {
+        match self.settled {
+            Some(settled) if settled == (self.state, seen) => true,
+            Some((_, peers)) => !concerns_all && self.own == 0 && peers == seen,
+            None => !concerns_all && self.own == 0,
+        }
     }
 }
 
@@ -88,16 +102,19 @@
         let seen = digest(peers);
         let mut unsent: HashMap<NodeId, Unsent> = HashMap::new();
         for (request, case) in &mut self.cases {
-            if case.tellings.settled == Some((case.tellings.state, seen)) {
+            let concerns_all = case.concerns_all();
+            if case.tellings.is_settled(concerns_all, seen) {
+                case.tellings.settled = Some((case.tellings.state, seen));
                 continue;
             }
+            let wanted = case.tellings.wanted(concerns_all);
             case.tellings.told.retain(|id, _| peers.iter().any(|p| p.id == *id));
             let keepers = keepers(*request, me, peers);
             let is_keeper = keepers.iter().any(Option::is_none);
             if !is_keeper && case.tellings.is_left_to_keepers(now) {
                 continue;
             }
-            let to_all = is_keeper && case.concerns_all();
+            let to_all = is_keeper && concerns_all;
             let listeners: Vec<&Node> = if to_all {
                 peers.iter().collect()
             } else {
@@ -105,7 +122,7 @@
             };
             let mut is_settled = true;
             for peer in listeners {
-                if case.tellings.is_told(&peer.id) {
+                if case.tellings.told.get(&peer.id).is_some_and(|state| *state >= wanted) {
                     continue;
                 }
                 is_settled = false;
@@ -145,7 +162,11 @@
 }
 
 /// Keepers of a request; `None` is this node.
-fn keepers<'a>(request: Fingerprint, me: &Name, peers: &'a [Node]) -> Vec<Option<&'a Node>> {
+pub(super) fn keepers<'a>(
+    request: Fingerprint,
+    me: &Name,
+    peers: &'a [Node],
+) -> Vec<Option<&'a Node>> {
     let score = |name: &Name| hash::mix(request.low, hash::of(name.as_bytes()));
     let mut all: Vec<(u64, Option<&Node>)> =
         peers.iter().map(|p| (score(&p.id.name), Some(p))).collect();
--- /dev/null
+++ b/crates/decide/src/quarantine/record.rs
@@ -0,0 +1,53 @@
+//! What the store keeps of requests that are held, so that they stay so when all nodes start
+//! again. Operators see there what is held, and release it by deleting its object.
+
+use std::time::Duration;
+
+use model::forward::{EndNews, Fingerprint, HeldRecord, SuspectNews};
+use model::member::Node;
+use model::{Name, Time};
+
+use super::news::keepers;
+use super::{Changes, Quarantine};
+
+/// Longest age of a record that is believed: its writer's clock may be off.
+const AGE_MOST: Duration = Duration::from_secs(60 * 60);
+
+impl Quarantine {
+    /// Requests that this node is to write to the store: those held whose first keeper it is.
+    pub fn unwritten(&self, me: &Name, peers: &[Node], unix_ms: u64) -> Vec<HeldRecord> {
+        let unwritten = self.cases.iter().filter(|(_, c)| c.is_held() && !c.is_stored);
+        let is_own = |request| keepers(request, me, peers).first().is_some_and(Option::is_none);
+        let own = unwritten.filter(|(request, _)| is_own(**request));
+        own.map(|(request, case)| case.record(*request, unix_ms)).collect()
+    }
+
+    /// The store has a request.
+    pub fn stored(&mut self, request: Fingerprint) {
+        if let Some(case) = self.cases.get_mut(&request) {
+            case.is_stored = true;
+        }
+    }
+
+    /// Takes a record of the store; returns what changed, and whether the request has been
+    /// released since, so that the record is to go.
+    pub fn read(&mut self, record: &HeldRecord, unix_ms: u64, now: Time) -> (Changes, bool) {
+        if let Some(case) = self.cases.get_mut(&record.request) {
+            case.is_stored = case.is_held();
+            return (Vec::new(), !case.is_held());
+        }
+        let age_ms = unix_ms.saturating_sub(record.since).min(AGE_MOST.as_millis() as u64);
+        let end = |target: &_| EndNews { target: Clone::clone(target), age_ms, cleared: false };
+        let news = SuspectNews {
+            request: record.request,
+            service: record.service.clone(),
+            ends: record.targets.iter().map(end).collect(),
+            tries: 0,
+            tried_ms: 0,
+            came_ms: 0,
+        };
+        let changes = self.hear(None, &[news], now);
+        self.stored(record.request);
+        (changes, false)
+    }
+}
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -8,7 +8,8 @@
 use hyper::http::{request, response};
 use model::Name;
 use model::forward::{
-    CallerHead, Handle, PieceOrder, PieceResult, Rollout, RolloutState, Rules, Target, TargetId,
+    CallerHead, Fingerprint, Handle, HeldRecord, PieceOrder, PieceResult, Rollout, RolloutState,
+    Rules, Target, TargetId,
 };
 
 /// A message that could not be understood.
@@ -95,11 +96,16 @@
     Evacuations,
     /// Roll-outs that the operator ordered.
     Rollouts,
+    /// Requests that are held back.
+    Quarantine,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 4] = [Kind::Rules, Kind::Targets, Kind::Evacuations, Kind::Rollouts];
+    pub const ALL: [Kind; 5] =
+        [Kind::Rules, Kind::Targets, Kind::Evacuations, Kind::Rollouts, Kind::Quarantine];
+    /// Kinds on which choices rest, so that it is told how old what is known of them is.
+    pub const AGED: [Kind; 4] = [Kind::Rules, Kind::Targets, Kind::Evacuations, Kind::Rollouts];
 
     /// Name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
@@ -108,6 +114,7 @@
             Kind::Targets => "targets",
             Kind::Evacuations => "evacuations",
             Kind::Rollouts => "rollouts",
+            Kind::Quarantine => "quarantine",
         }
     }
 }
@@ -123,6 +130,8 @@
     Evacuated(Name),
     /// A roll-out as it is now.
     Rollout(Rollout),
+    /// A request is held back.
+    Held(HeldRecord),
     /// The entry of this name is there but cannot be read.
     Unreadable(Name),
     /// The entry of this name is gone.
@@ -136,7 +145,7 @@
             Change::Target(target) => Some(&target.id.name),
             Change::Evacuated(name) | Change::Gone(name) => Some(name),
             Change::Rollout(rollout) => Some(&rollout.service),
-            Change::Rules(_) | Change::Unreadable(_) => None,
+            Change::Rules(_) | Change::Held(_) | Change::Unreadable(_) => None,
         }
     }
 }
@@ -211,6 +220,12 @@
     fn stage_free(&self, handles: &[Handle]) -> Post;
     /// Path of a list of objects.
     fn list(&self, kind: Kind, after: Option<&Name>) -> String;
+    /// The same, cheaper, and possibly some seconds old.
+    fn old_list(&self, kind: Kind, after: Option<&Name>) -> String;
+    /// Creates the object of a request that is held.
+    fn hold(&self, record: &HeldRecord) -> Post;
+    /// Path of that object.
+    fn held(&self, request: Fingerprint) -> String;
     /// Path of a watch from a revision on.
     fn watch(&self, kind: Kind, at: u64, wait_ms: u64) -> String;
     /// Reads a list.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -163,6 +163,8 @@
     },
     /// A request is held back no more, and why.
     Released { same: &'a str, from: &'a str, why: &'a str },
+    /// The store was told that a request is held or released; `why` if it was not.
+    Recorded { same: &'a str, what: &'a str, why: &'a str },
     /// A request that was held is sent once, and held on until that has ended well.
     LetThrough { id: &'a str, same: &'a str },
     /// A batch call ended at its maker; the age is that of the targets when it was sent.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -136,7 +136,7 @@
     /// Services that move to another version, that version, and its share of the requests.
     pub rollouts: &'a [(Name, Name, f64)],
     /// Ages of what is known, by kind; `None` if nothing is.
-    pub ages: [(Kind, Option<Age>); Kind::ALL.len()],
+    pub ages: [(Kind, Option<Age>); Kind::AGED.len()],
 }
 
 impl Default for Metrics {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -302,7 +302,7 @@
             cold: self.fleet.borrow().count_cold(self.now()),
             held: self.quarantine.count_held(self),
             rollouts: &self.running_rollouts(),
-            ages: Kind::ALL.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
+            ages: Kind::AGED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
     }
 
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -269,7 +269,7 @@
     tokio::task::spawn_local(membership::run(node.clone(), socket, events));
     tokio::task::spawn_local(server::run(node.clone(), listener));
     tokio::task::spawn_local(tell_versions(node.clone()));
-    tokio::task::spawn_local(quarantine::run(node.clone()));
+    quarantine::start(node);
     Ok(())
 }
 
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -2,6 +2,7 @@
 //! tell each other of it.
 
 mod ends;
+mod record;
 mod spread;
 
 use std::cell::RefCell;
@@ -16,12 +17,19 @@
 use ends::Ends;
 use spread::Pace;
 
-pub use spread::run;
+/// Starts to tell peers, and to keep in the store what is held.
+pub fn start(node: &Rc<Node>) {
+    tokio::task::spawn_local(spread::run(node.clone()));
+    tokio::task::spawn_local(record::write(node.clone()));
+    tokio::task::spawn_local(record::read(node.clone()));
+}
 
 /// Why a request is refused that is held.
 pub const HELD: &str = "the targets that ran this request ended";
 /// Who tells of what this node saw itself.
 const OWN: &str = "own requests";
+/// The same of what stands in the store.
+const STORE: &str = "store";
 /// Targets named in one line, at most.
 const TOLD_MOST: usize = 8;
 
@@ -89,13 +97,20 @@
     /// Takes what a peer tells; returns what this node knows beyond that.
     pub fn hear(&self, node: &Node, news: &QuarantineNews) -> QuarantineNews {
         let now = node.now();
-        let changes = self.machine(|q| q.hear(&news.from, &news.suspects, now));
+        let changes = self.machine(|q| q.hear(Some(&news.from), &news.suspects, now));
         self.take(&news.from.name, changes);
         self.changed.notify_one();
         let suspects = self.machine(|q| q.beyond(&news.suspects, now));
         QuarantineNews { from: node.peers.id.clone(), suspects }
     }
 
+    /// An operator lets a request through again.
+    fn release(&self, from: &str, request: Fingerprint) {
+        if self.machine(|q| q.release(request)) {
+            self.take(from, vec![(request, Change::Released("operator"))]);
+        }
+    }
+
     /// Requests that are held.
     pub fn count_held(&self, node: &Node) -> usize {
         self.machine(|q| q.count_held(node.now()))
--- /dev/null
+++ b/crates/forward/src/quarantine/record.rs
@@ -0,0 +1,165 @@
+//! Keeps requests that are held in the store, and takes those that it has.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::forward::{Fingerprint, HeldRecord};
+use model::{Name, Time};
+use util::clock::unix_ms;
+use util::http::Client;
+
+use super::STORE;
+use crate::border::{Change, Kind, Page, Post};
+use crate::events::Event;
+use crate::node::Node;
+use crate::watch::STORE_CONNECT;
+
+/// Time between looks at what is to be written, and the least between two tries.
+const WRITE_EVERY: Duration = Duration::from_millis(500);
+/// Records written at one look: callers that end targets by the dozen fill no store.
+const WRITES_MOST: usize = 4;
+/// Time between two lists: an operator who releases a request waits that long. A list that may
+/// be old costs a tenth of another one.
+const READ_EVERY: Duration = Duration::from_secs(5);
+/// The same until the first list, which is to be new.
+const READ_FIRST: Duration = Duration::from_millis(500);
+/// Time for a call.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pages of one list at most.
+const PAGES_MOST: usize = 16;
+/// Status of an object that is there already.
+const CONFLICT: u16 = 409;
+/// Status of an object that is gone.
+const NOT_FOUND: u16 = 404;
+
+/// Writes until the process ends.
+pub async fn write(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(WRITE_EVERY).await;
+        if node.quarantine.count_held(&node) == 0 {
+            continue;
+        }
+        let peers = node.peers.roster(|r| r.peers());
+        let me = &node.peers.id.name;
+        let unwritten = node.quarantine.machine(|q| q.unwritten(me, &peers, unix_ms()));
+        for record in unwritten.iter().take(WRITES_MOST) {
+            create(&node, record).await;
+        }
+    }
+}
+
+async fn create(node: &Node, record: &HeldRecord) {
+    let Post { path, media, body } = node.dialect.hold(record);
+    let (store, client) = call(node);
+    let posting = async { client.post(&store, &path, media, body).await.map(drop) };
+    let end = match tokio::time::timeout(TIMEOUT, posting).await {
+        // It was there already, or the answer to an earlier try was lost.
+        Ok(Err(e)) if e.status() == Some(CONFLICT) => Ok(()),
+        Ok(end) => end.map_err(|e| e.to_string()),
+        Err(_) => Err("no answer in time".into()),
+    };
+    if end.is_ok() {
+        node.quarantine.machine(|q| q.stored(record.request));
+    }
+    tell("held", record.request, end);
+}
+
+async fn delete(node: &Node, request: Fingerprint) {
+    let (store, client) = call(node);
+    let end = match client.delete(&store, &node.dialect.held(request), TIMEOUT).await {
+        Err(e) if e.status() == Some(NOT_FOUND) => Ok(()),
+        end => end.map_err(|e| e.to_string()),
+    };
+    tell("released", request, end);
+}
+
+/// The store's address, and a connection of its own: one whose answer was lost says nothing
+/// further.
+fn call(node: &Node) -> (String, Client) {
+    node.metrics.store_call(Kind::Quarantine.as_str());
+    (node.settings().store.to_string(), Client::new(STORE_CONNECT))
+}
+
+fn tell(what: &str, request: Fingerprint, end: Result<(), String>) {
+    let why = end.err().unwrap_or_default();
+    Event::Recorded { same: &request.to_string(), what, why: &why }.emit();
+}
+
+/// Reads until the process ends, for as long as this node reads the store.
+pub async fn read(node: Rc<Node>) {
+    let mut seen = BTreeMap::new();
+    let mut is_known = false;
+    loop {
+        node.feed.reads_store().await;
+        match list(&node, is_known).await {
+            Ok(list) => {
+                is_known = true;
+                take(&node, &mut seen, list).await;
+            }
+            Err(e) => log::debug!("quarantine: {e}"),
+        }
+        // What was held before this node started is to be known soon.
+        tokio::time::sleep(if is_known { READ_EVERY } else { READ_FIRST }).await;
+    }
+}
+
+/// The records, and the revision at which they are so; `None` if they could not all be read.
+async fn list(node: &Node, may_be_old: bool) -> anyhow::Result<Option<(u64, Vec<HeldRecord>)>> {
+    let mut records = Vec::new();
+    let (mut at, mut after): (Option<u64>, Option<Name>) = (None, None);
+    for _ in 0..PAGES_MOST {
+        let path = match may_be_old {
+            true => node.dialect.old_list(Kind::Quarantine, after.as_ref()),
+            false => node.dialect.list(Kind::Quarantine, after.as_ref()),
+        };
+        let Page { changes, more, at: page_at, cut, .. } = page(node, &path).await?;
+        let at = *at.get_or_insert(page_at);
+        records.extend(changes.into_iter().filter_map(|change| match change {
+            Change::Held(record) => Some(record),
+            _ => None,
+        }));
+        if more.is_none() {
+            return Ok((!cut).then_some((at, records)));
+        }
+        after = more;
+    }
+    Ok(None)
+}
+
+async fn page(node: &Node, path: &str) -> anyhow::Result<Page> {
+    let (store, client) = call(node);
+    let body = client.bytes(&store, path, TIMEOUT).await?;
+    Ok(node.dialect.page(Kind::Quarantine, &body)?)
+}
+
+/// Takes a list; `seen` has the records that this node saw before, and at which revision.
+async fn take(
+    node: &Node,
+    seen: &mut BTreeMap<Fingerprint, u64>,
+    list: Option<(u64, Vec<HeldRecord>)>,
+) {
+    let Some((at, records)) = list else {
+        return;
+    };
+    let is_gone = |(request, seen_at): (&Fingerprint, &u64)| {
+        let is_there = records.iter().any(|r| r.request == *request);
+        (!is_there && at >= *seen_at).then_some(*request)
+    };
+    let gone: Vec<Fingerprint> = seen.iter().filter_map(is_gone).collect();
+    for request in gone {
+        seen.remove(&request);
+        node.quarantine.release(STORE, request);
+    }
+    for record in records {
+        let now: Time = node.now();
+        let (changes, is_over) = node.quarantine.machine(|q| q.read(&record, unix_ms(), now));
+        node.quarantine.take(STORE, changes);
+        if is_over {
+            delete(node, record.request).await;
+        } else {
+            seen.insert(record.request, at);
+        }
+    }
+    node.quarantine.changed.notify_one();
+}
--- a/crates/forward/src/quarantine/spread.rs
+++ b/crates/forward/src/quarantine/spread.rs
@@ -11,6 +11,7 @@
 use model::member::NodeId;
 use util::http::Client;
 
+use super::OWN;
 use crate::node::Node;
 use crate::peers::{self, QUARANTINE};
 
@@ -71,7 +72,8 @@
             let _ = tokio::time::timeout(LOOK, q.changed.notified()).await;
         }
         let now = node.now();
-        q.machine(|m| m.expire(now));
+        let changes = q.machine(|m| m.expire(now));
+        q.take(OWN, changes);
         let peers = node.peers.roster(|r| r.peers());
         let may = |id: &NodeId| q.pace.may(id, now);
         let unsent = q.machine(|m| m.unsent(&node.peers.id.name, &peers, may, now));
--- a/crates/forward/src/watch/ages.rs
+++ b/crates/forward/src/watch/ages.rs
@@ -27,7 +27,7 @@
 
 /// Ages of all kinds.
 #[derive(Debug, Default)]
-pub struct Ages([Known; Kind::ALL.len()]);
+pub struct Ages([Known; Kind::AGED.len()]);
 
 impl Ages {
     fn of(&self, kind: Kind) -> &Known {
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -21,7 +21,7 @@
             Change::Evacuated(domain) => Some((domain, Entry::Now(()))),
             Change::Unreadable(domain) => Some((domain, Entry::Unreadable)),
             Change::Gone(domain) => Some((domain, Entry::Gone)),
-            Change::Rules(_) | Change::Target(_) | Change::Rollout(_) => None,
+            Change::Rules(_) | Change::Target(_) | Change::Rollout(_) | Change::Held(_) => None,
         }
     }
 
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -77,7 +77,7 @@
 
     /// Tells of kinds that have become old, or are no longer.
     pub fn tell_old(&self, now: Time) {
-        for kind in Kind::ALL {
+        for kind in Kind::AGED {
             if let Some((old, age)) = self.ages.turn(kind, now) {
                 let (age_ms, longest_ms) = (millis(age.now), millis(age.longest));
                 Event::Known { kind: kind.as_str(), old, age_ms, longest_ms }.emit();
--- a/crates/forward/src/watch/rollouts.rs
+++ b/crates/forward/src/watch/rollouts.rs
@@ -36,7 +36,7 @@
             Change::Rollout(order) => Some((order.service.clone(), Entry::Now(order))),
             Change::Unreadable(service) => Some((service, Entry::Unreadable)),
             Change::Gone(service) => Some((service, Entry::Gone)),
-            Change::Rules(_) | Change::Target(_) | Change::Evacuated(_) => None,
+            Change::Rules(_) | Change::Target(_) | Change::Evacuated(_) | Change::Held(_) => None,
         }
     }
 
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -281,7 +281,7 @@
         Change::Target(target) => Some(TargetChange::Now(target)),
         Change::Gone(id) => Some(TargetChange::Gone(id)),
         Change::Unreadable(name) => Some(TargetChange::Unreadable(name)),
-        Change::Rules(_) | Change::Evacuated(_) | Change::Rollout(_) => None,
+        Change::Rules(_) | Change::Evacuated(_) | Change::Rollout(_) | Change::Held(_) => None,
     }
 }
 
--- a/crates/model/src/forward/quarantine.rs
+++ b/crates/model/src/forward/quarantine.rs
@@ -32,9 +32,12 @@
     /// The targets.
     #[serde(default)]
     pub ends: Vec<EndNews>,
-    /// How long ago it was last let through although it had been held; `None` if it never was.
+    /// Times that it was let through although it had been held.
     #[serde(default)]
-    pub tried_ms: Option<u64>,
+    pub tries: u32,
+    /// How long ago the last of them was.
+    #[serde(default)]
+    pub tried_ms: u64,
     /// How long ago it last came.
     #[serde(default)]
     pub came_ms: u64,
@@ -49,3 +52,16 @@
     #[serde(default)]
     pub suspects: Vec<SuspectNews>,
 }
+
+/// A request that is held, as it is kept in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldRecord {
+    /// The request.
+    pub request: Fingerprint,
+    /// Its service.
+    pub service: Name,
+    /// Targets that ended under it.
+    pub targets: Vec<TargetId>,
+    /// Unix time in milliseconds from which it has been held, by the clock of its writer.
+    pub since: u64,
+}
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -199,6 +199,18 @@
         within(peer, timeout, call).await
     }
 
+    /// Deletes; an answer outside 2xx is an error.
+    pub async fn delete(&self, peer: &str, path: &str, timeout: Duration) -> Result<(), CallError> {
+        let request = Request::delete(format!("http://{peer}{path}"))
+            .body(Full::default())
+            .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
+        let call = async {
+            let response = success(peer, self.send(peer, request).await?).await?;
+            collect(peer, response).await.map(drop)
+        };
+        within(peer, timeout, call).await
+    }
+
     /// Reads a text body; what is not UTF-8 in it is replaced.
     pub async fn text(
         &self,
