Time goes on while the machine is suspended

Cause: the steady clock stands still while a machine is suspended. Ages of rules and targets, windows of the budget, holds and deadlines of what is open all looked younger than they were by that time. Change: the clock counts by how much CLOCK_BOOTTIME went ahead, looked at each 10 ms at most; what waits for a time is woken when the clock is next read, 200 ms after the machine goes on at the latest; a line tells for how long it was suspended.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -120,11 +120,11 @@
 
     fn wake_at(&mut self, at: Time, me: &ActorRef<Self>) {
         self.tick = Some(at);
-        let (at, me) = (self.shared.clock.instant(at), me.clone());
+        let (clock, me) = (self.shared.clock, me.clone());
         tokio::spawn(async move {
             // A call in flight leaves the machine due; never spin on it.
             tokio::time::sleep(Duration::from_millis(20)).await;
-            tokio::time::sleep_until(at).await;
+            clock.sleep_until(at).await;
             let _ = me.tell(Happened(Event::Tick)).await;
         });
     }
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -132,9 +132,9 @@
             return;
         }
         self.tick = Some(at);
-        let (at, me) = (self.shared.clock.instant(at), me.clone());
+        let (clock, me) = (self.shared.clock, me.clone());
         tokio::spawn(async move {
-            tokio::time::sleep_until(at).await;
+            clock.sleep_until(at).await;
             let _ = me.tell(Happened(Event::Tick)).await;
         });
     }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -157,9 +157,9 @@
             return;
         }
         self.tick = Some(at);
-        let (at, me) = (self.clock.instant(at), me.clone());
+        let (clock, me) = (self.clock, me.clone());
         tokio::spawn(async move {
-            tokio::time::sleep_until(at).await;
+            clock.sleep_until(at).await;
             let _ = me.tell(Happened(Event::Tick)).await;
         });
     }
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -136,12 +136,12 @@
     d.feed(Event::Start).await;
     while !d.run.ended() {
         let wake = d.wakes.iter().min().copied().unwrap_or(Time::NEVER);
-        let at = d.core.clock.instant(wake);
+        let clock = d.core.clock;
         tokio::select! {
             biased;
             Some(told) = hear.recv() => d.hear(told).await,
             () = d.out.closed() => d.feed(Event::Gone).await,
-            () = tokio::time::sleep_until(at) => {
+            () = clock.sleep_until(wake) => {
                 let now = d.core.clock.now();
                 d.wakes.retain(|w| *w > now);
                 d.feed(Event::Tick).await;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -16,6 +16,8 @@
     Stop { open: usize },
     /// The settings were read again.
     Reload { accepted: bool, why: &'a str },
+    /// The machine was suspended for that long.
+    Resumed { suspended_ms: u64 },
     /// A set of rules came into force.
     Rules { version: u64, from: &'a str, routes: usize },
     /// Rules name regions that no failure domain lies in: `count` routes and workspaces
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -47,14 +47,13 @@
     let mut changes = Changes::default();
     let mut buffer = vec![0; DATAGRAM_MAX];
     loop {
-        let wake = node.clock.instant(machine.next_tick());
         let event = tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((n, from)) => read_packet(from, &buffer[..n]),
                 // An unreachable peer's ICMP answer shows up here.
                 Err(_) => None,
             },
-            () = tokio::time::sleep_until(wake) => Some(MemberEvent::Tick),
+            () = node.clock.sleep_until(machine.next_tick()) => Some(MemberEvent::Tick),
             command = commands.recv() => command,
         };
         let Some(event) = event else {
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -103,7 +103,7 @@
         // know what became of it.
         let now = node.now();
         let at = judging.machine.borrow().next_tick(now).min(now + REST);
-        tokio::time::sleep_until(node.clock.instant(at)).await;
+        node.clock.sleep_until(at).await;
         if !goes_on(&node, &judging) {
             break;
         }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -102,10 +102,9 @@
     let wait_ms = head.wait_ms.unwrap_or(WAIT_MS).min(found.route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
-    let reading = tokio::time::timeout_at(node.clock.instant(deadline), read(body, limit));
-    let body = match reading.await {
-        Ok(body) => body,
-        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close()),
+    let body = match node.clock.until(deadline, read(body, limit)).await {
+        Some(body) => body,
+        None => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close()),
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Found { route, service, workspace, rank, allowed } = found;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -172,7 +172,8 @@
         let mut work = std::pin::pin!(work);
         let patience = self.progress(|p| p.tries.patience(objective, pause));
         if let Some(patience) = patience.filter(|_| self.node.settings().policy.patience) {
-            if let Ok(done) = tokio::time::timeout(patience, work.as_mut()).await {
+            let until = self.node.now() + patience;
+            if let Some(done) = self.node.clock.until(until, work.as_mut()).await {
                 return Some(done);
             }
             if self.node.has_repeat(&self.service) {
@@ -184,10 +185,9 @@
 
     /// Serves the request to its end.
     pub async fn run(self: Rc<Self>) -> Response<Body> {
-        let limit = self.node.clock.instant(self.deadline);
         let end = tokio::select! {
             served = self.clone().serve() => return served.unwrap_or_else(|own| own),
-            () = tokio::time::sleep_until(limit) => "time was over",
+            () = self.node.clock.sleep_until(self.deadline) => "time was over",
             () = self.node.reached(LifePhase::Ending) => "this node stops",
         };
         self.progress(|p| p.why = format!("{end}; before: {}", p.why));
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -190,12 +190,12 @@
         let Some(reader) = &mut self.reader else {
             return Err(StreamError::Empty);
         };
-        let limit = self.exchange.node.clock.instant(self.exchange.deadline);
-        let reading = self.exchange.patiently(reader.next());
-        match tokio::time::timeout_at(limit, reading).await {
-            Ok(Some(read)) => read,
-            Ok(None) => Err(StreamError::Silent),
-            Err(_) => Err(StreamError::Late),
+        let exchange = &self.exchange;
+        let reading = exchange.patiently(reader.next());
+        match exchange.node.clock.until(exchange.deadline, reading).await {
+            Some(Some(read)) => read,
+            Some(None) => Err(StreamError::Silent),
+            None => Err(StreamError::Late),
         }
     }
 
@@ -203,20 +203,20 @@
     async fn resume(&mut self) -> bool {
         // The earlier run ends before another one goes on in its place.
         self.reader = None;
-        let limit = self.exchange.node.clock.instant(self.exchange.deadline);
-        match tokio::time::timeout_at(limit, self.taken_up()).await {
-            Ok(Ok(begun)) => {
+        let exchange = &self.exchange;
+        match exchange.node.clock.until(exchange.deadline, self.taken_up()).await {
+            Some(Ok(begun)) => {
                 let Begun { reader, first, at_target, .. } = *begun;
                 self.reader = Some(reader);
                 self.first = Some(first);
                 self.at_target = at_target;
                 true
             }
-            Ok(Err(NotResumed::Stages(e))) => {
+            Some(Err(NotResumed::Stages(e))) => {
                 self.exchange.progress(|p| p.why = format!("stages were not made again: {e}"));
                 false
             }
-            Ok(Err(NotResumed::Refused)) | Err(_) => false,
+            Some(Err(NotResumed::Refused)) | None => false,
         }
     }
 
--- a/crates/forward/src/stages/plan.rs
+++ b/crates/forward/src/stages/plan.rs
@@ -123,8 +123,7 @@
     let Some(due) = due else {
         return running.next().await;
     };
-    let due = node.clock.instant(due);
-    tokio::time::timeout_at(due, running.next()).await.ok().flatten()
+    node.clock.until(due, running.next()).await.flatten()
 }
 
 async fn make_stage(node: &Rc<Node>, stage: usize, order: BatchOrder) -> (usize, Placed) {
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -17,6 +17,7 @@
 use model::forward::{Evacuations, Rollouts};
 
 use crate::border::Kind;
+use crate::events::Event;
 use crate::node::Node;
 use crate::rollout;
 
@@ -50,11 +51,17 @@
     tokio::task::spawn_local(expire(node.clone()));
 }
 
-/// Forgets, in time, targets whose entries vanished, and tells what has become old.
+/// Forgets, in time, targets whose entries vanished, and tells what has become old, and that the
+/// machine was suspended. This look at the clock wakes whoever waits for a time then.
 async fn expire(node: Rc<Node>) {
+    let mut suspended = Duration::ZERO;
     loop {
         tokio::time::sleep(EXPIRE).await;
         let now = node.now();
+        let before = std::mem::replace(&mut suspended, node.clock.suspended());
+        if suspended > before {
+            Event::Resumed { suspended_ms: millis(suspended - before) }.emit();
+        }
         node.fleet(|f| f.expire(now));
         node.feed.tell_old(now);
     }
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -300,11 +300,11 @@
 /// Answers a peer that follows this node, as soon as there is news; `None` if this node
 /// stops.
 pub async fn answer(node: &Node, ask: FollowAsk) -> Option<FollowAnswer> {
-    let limit = node.clock.instant(node.now() + Duration::from_millis(ask.wait_ms));
+    let limit = node.now() + Duration::from_millis(ask.wait_ms);
     let mut news = node.feed.news();
     while has_no_news(node, &ask) {
-        let heard = tokio::time::timeout_at(limit, news.changed()).await;
-        if heard.is_err() {
+        let heard = node.clock.until(limit, news.changed()).await;
+        if heard.is_none() {
             break;
         }
     }
--- a/crates/util/src/clock.rs
+++ b/crates/util/src/clock.rs
@@ -1,35 +1,155 @@
-//! The process's monotonic clock, handed to decisions as [`Time`].
+//! The process's steady clock, handed to decisions as [`Time`].
+//!
+//! The operating system's steady clock stands still while the machine is suspended. Leases, ages,
+//! windows and deadlines do not, so that [`Clock`] counts that time too.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use model::Time;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Reads the monotonic clock; follows `tokio::time::pause` in tests.
+/// Least time that counts as a suspension: the two clocks are not read at one moment, and a
+/// process may be left without its processor in between for some tens of milliseconds.
+const LEAST: Duration = Duration::from_millis(200);
+/// Time between two looks at whether the machine was suspended, by the clock that stands still
+/// meanwhile. With one at each reading of the clock a node took a tenth more of its processor.
+const LOOK: Duration = Duration::from_millis(10);
+/// A century away is never; `Instant` would overflow.
+const CENTURY: u64 = 100 * 365 * 86_400 * 1_000_000;
+
+/// Time for which the machine was suspended.
+#[derive(Debug)]
+pub struct Suspensions {
+    /// Time by which the clock that counts suspension is ahead of the one that does not.
+    ahead: fn() -> Duration,
+    /// The same at the start.
+    base: Duration,
+    /// When that was.
+    start: Instant,
+    /// Time suspended since then, in microseconds.
+    total: AtomicU64,
+    /// When the clocks were last compared, in microseconds after the start.
+    looked: AtomicU64,
+    resumed: watch::Sender<()>,
+}
+
+impl Suspensions {
+    /// Counts from now on; `ahead` tells by how much the clock that counts suspension is ahead
+    /// of the steady one.
+    pub fn new(ahead: fn() -> Duration) -> Self {
+        let base = ahead().max(ahead());
+        Suspensions {
+            ahead,
+            base,
+            start: Instant::now(),
+            total: AtomicU64::new(0),
+            looked: AtomicU64::new(0),
+            resumed: watch::Sender::new(()),
+        }
+    }
+
+    fn of_machine() -> &'static Suspensions {
+        static MACHINE: OnceLock<Suspensions> = OnceLock::new();
+        MACHINE.get_or_init(|| Suspensions::new(boot_ahead))
+    }
+
+    fn total(&self, now: Instant) -> Duration {
+        let known = Duration::from_micros(self.total.load(Ordering::Relaxed));
+        let passed = now.saturating_duration_since(self.start).as_micros() as u64;
+        let looked = self.looked.load(Ordering::Relaxed);
+        if passed < looked + LOOK.as_micros() as u64 {
+            return known;
+        }
+        self.looked.store(passed, Ordering::Relaxed);
+        let seen = (self.ahead)().saturating_sub(self.base);
+        if seen < known + LEAST {
+            return known;
+        }
+        self.total.store(seen.as_micros() as u64, Ordering::Relaxed);
+        self.resumed.send_replace(());
+        seen
+    }
+}
+
+#[cfg(target_os = "linux")]
+fn boot_ahead() -> Duration {
+    use nix::time::{ClockId, clock_gettime};
+    let read = |clock| clock_gettime(clock).map_or(Duration::ZERO, Duration::from);
+    let boot = read(ClockId::CLOCK_BOOTTIME);
+    boot.saturating_sub(read(ClockId::CLOCK_MONOTONIC))
+}
+
+#[cfg(not(target_os = "linux"))]
+fn boot_ahead() -> Duration {
+    Duration::ZERO
+}
+
+/// Reads the steady clock and counts suspension; follows `tokio::time::pause` in tests.
 #[derive(Debug, Clone, Copy)]
-pub struct Clock(Instant);
+pub struct Clock {
+    start: Instant,
+    suspensions: &'static Suspensions,
+    /// Time suspended before the clock was made.
+    before: Duration,
+}
 
 impl Default for Clock {
     fn default() -> Self {
-        Clock(Instant::now())
+        Clock::counting(Suspensions::of_machine())
     }
 }
 
 impl Clock {
+    /// A clock that counts these suspensions.
+    pub fn counting(suspensions: &'static Suspensions) -> Self {
+        let start = Instant::now();
+        Clock { start, suspensions, before: suspensions.total(start) }
+    }
+
     /// Time since the clock was made.
     pub fn now(&self) -> Time {
-        Time(self.0.elapsed().as_micros() as u64)
+        let now = Instant::now();
+        let suspended = self.suspensions.total(now).saturating_sub(self.before);
+        Time((now - self.start + suspended).as_micros() as u64)
+    }
+
+    /// Time for which the machine was suspended since the clock was made.
+    pub fn suspended(&self) -> Duration {
+        self.suspensions.total(Instant::now()).saturating_sub(self.before)
+    }
+
+    /// The instant at which [`Clock::now`] reads `at`, unless the machine is suspended before.
+    fn instant(&self, at: Time) -> Instant {
+        let at = Duration::from_micros(at.0.min(CENTURY));
+        self.start + at.saturating_sub(self.suspended())
+    }
+
+    /// Returns once [`Clock::now`] reads `at`. Timers stand still with the machine: whoever waits
+    /// is woken when anybody reads the clock after a suspension.
+    pub async fn sleep_until(&self, at: Time) {
+        let mut resumed = self.suspensions.resumed.subscribe();
+        while self.now() < at {
+            tokio::select! {
+                () = tokio::time::sleep_until(self.instant(at)) => return,
+                _ = resumed.changed() => {}
+            }
+        }
     }
 
-    /// The instant at which [`Clock::now`] reads `at`.
-    pub fn instant(&self, at: Time) -> Instant {
-        // A century away is never; `Instant` would overflow.
-        const CENTURY: u64 = 100 * 365 * 86_400 * 1_000_000;
-        self.0 + std::time::Duration::from_micros(at.0.min(CENTURY))
+    /// What `work` brings, if that is before [`Clock::now`] reads `at`.
+    pub async fn until<T>(&self, at: Time, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = self.sleep_until(at) => None,
+        }
     }
 }
 
-/// Wall-clock milliseconds since 1970, for keys only.
+/// Wall-clock milliseconds since 1970, for keys and for what operators read.
 pub fn unix_ms() -> u64 {
     let d = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     d.as_millis() as u64
