Pieces that end their makers hold their request too

Cause: the same as with requests: a coordinator knows attempts only, and one bad piece takes all that ride in its calls with it, maker after maker, four times an attempt. Ruled out: a field in the orders, which nodes of older builds could not read; one piece a call after any failure, which makes a maker's crash cost eight calls for one (an order rides alone from its second failed call on). Change: a maker's end under a call is told to all nodes by the attempts in it, on the same path; the node that took an attempt knows its request. Connections that broke are told apart from answers that were failures.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -372,6 +372,9 @@
             let Some(order) = self.orders.get_mut(&n) else {
                 continue;
             };
+            if order.is_alone() && !pieces.is_empty() {
+                continue;
+            }
             let size = order.order.result_bytes.max(1);
             let room = maker.room.saturating_sub(bytes) / size;
             let free = batch - pieces.len();
@@ -380,6 +383,9 @@
             let taken = order.take(most, &maker.place.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
+            if order.is_alone() && !pieces.is_empty() {
+                break;
+            }
         }
         if pieces.is_empty() {
             return;
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -12,6 +12,8 @@
 /// Part of a call that is filled while orders wait. More, and an order that can still be in
 /// time goes behind others as a late one; less, and a late one takes the place of one in time.
 const USUAL_FILL: f64 = 0.75;
+/// Failed calls from which on an order goes alone.
+const ALONE_FROM: u32 = 2;
 /// Workspaces of ranks up to this one may be made elsewhere for want of time.
 const SPILL_RANK: u8 = 1;
 
@@ -89,6 +91,12 @@
         !self.is_begun() && !had_call && could_be_in_time
     }
 
+    /// Whether its calls carry nothing else: two have failed under it, and a piece that ends
+    /// whatever makes it would take the others' with it a third time.
+    pub(super) fn is_alone(&self) -> bool {
+        self.failures >= ALONE_FROM
+    }
+
     /// Whether a call has taken some of it.
     pub(super) fn is_begun(&self) -> bool {
         self.waiting.len() < self.results.len()
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -27,6 +27,8 @@
     Rejected,
     /// The target failed the request.
     Failed,
+    /// Its connection ended, or was given up, before a whole answer.
+    BrokeOff,
     /// The target could not be reached, or its connection broke.
     Unreachable,
     /// Another target has the address.
@@ -434,8 +436,8 @@
             }
             Observation::Rejected => {}
             Observation::Unreachable | Observation::Replaced => b.eject(now),
-            Observation::Failed if b.failing > FAILING => b.eject(now),
-            Observation::Failed => {}
+            Observation::Failed | Observation::BrokeOff if b.failing > FAILING => b.eject(now),
+            Observation::Failed | Observation::BrokeOff => {}
         }
         b.is_ejected(now)
     }
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -507,3 +507,27 @@
     assert_eq!(calls(&c.on(at(1), placed(1, order("r1", 10)))), [], "it is left alone");
     assert_eq!(calls(&c.on(at(900), cold(None))).len(), 1, "it is warm");
 }
+
+#[test]
+fn an_order_under_which_two_calls_failed_rides_alone() {
+    let mut c = coordinator(&[("m1", "a"), ("m2", "a"), ("m3", "a"), ("m4", "a")]);
+    let mut started = Vec::new();
+    for (id, name) in [(1, "bad"), (2, "good"), (3, "fine")] {
+        let order = BatchOrder { slack_ms: 20_000, left_ms: 30_000, ..order(name, 2) };
+        c.on(at(0), makers(&[]));
+        c.on(at(0), placed(id, order));
+    }
+    started.extend(calls(&c.on(at(1), makers(&[("m1", "a")]))));
+    assert_eq!(started[0].pieces.len(), 6, "they share a call");
+    let again = calls(&c.on(at(50), Event::Ended(started[0].number, CallEnd::Failed)));
+    assert!(again.is_empty(), "its only maker failed");
+    let again = calls(&c.on(at(51), makers(&[("m2", "a")])));
+    assert_eq!(again[0].pieces.len(), 6, "one failure is chance");
+    c.on(at(100), Event::Ended(again[0].number, CallEnd::Failed));
+    let alone = calls(&c.on(at(101), makers(&[("m3", "a"), ("m4", "a")])));
+    for call in &alone {
+        let attempts: BTreeSet<&str> = call.pieces.iter().map(|p| &*p.attempt).collect();
+        assert_eq!((attempts.len(), call.pieces.len()), (1, 2), "{call:?}");
+    }
+    assert_eq!(alone.len(), 2);
+}
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -7,8 +7,8 @@
 
 use decide::fleet::Presence;
 use decide::quarantine::{Contact, Verdict, judge};
-use model::Time;
 use model::forward::{Fingerprint, Target, TargetId};
+use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
@@ -25,26 +25,35 @@
 /// Requests named in one line, at most.
 const TOLD_MOST: usize = 8;
 
-/// Requests that broke off at a target, while it is found out whether that ended.
+/// What broke off at a target.
+#[derive(Clone, PartialEq, Eq)]
+pub(super) enum Work {
+    /// A request of this node.
+    Request(Fingerprint),
+    /// Pieces of an attempt that some node has taken.
+    Pieces(Name),
+}
+
+/// What broke off at a target, while it is found out whether that ended.
 struct Check {
     since: Time,
-    requests: Vec<Fingerprint>,
+    work: Vec<Work>,
     /// How an end showed to another request.
     seen: Option<&'static str>,
 }
 
 /// Checks under way.
 #[derive(Default)]
-pub struct Ends(RefCell<HashMap<TargetId, Check>>);
+pub(super) struct Ends(RefCell<HashMap<TargetId, Check>>);
 
 impl Ends {
-    /// A request that a target may have begun broke off there without a whole answer.
-    pub fn broke_off(&self, node: &Rc<Node>, target: &Target, request: Fingerprint) {
+    /// What a target may have begun broke off there without a whole answer.
+    pub fn broke_off(&self, node: &Rc<Node>, target: &Target, work: Vec<Work>) {
         let mut checks = self.0.borrow_mut();
         if let Some(check) = checks.get_mut(&target.id) {
-            if !check.requests.contains(&request) {
-                check.requests.push(request);
-            }
+            let new = work.into_iter().filter(|w| !check.work.contains(w));
+            let new: Vec<Work> = new.collect();
+            check.work.extend(new);
             return;
         }
         let presence = node.fleet(|f| f.presence(&target.id));
@@ -52,7 +61,7 @@
             // It was known to leave before the connection broke.
             return;
         }
-        let check = Check { since: node.now(), requests: vec![request], seen: None };
+        let check = Check { since: node.now(), work, seen: None };
         checks.insert(target.id.clone(), check);
         tokio::task::spawn_local(run(node.clone(), target.clone()));
     }
@@ -80,7 +89,7 @@
     };
     if let Verdict::Ended(how) = verdict {
         tell(&node, &target, how, &check);
-        node.quarantine.ended(&node, &target, &check.requests);
+        node.quarantine.ended(&node, &target, check.work);
     }
 }
 
@@ -110,13 +119,17 @@
 }
 
 fn tell(node: &Node, target: &Target, how: &str, check: &Check) {
-    let same: Vec<String> = check.requests.iter().take(TOLD_MOST).map(|r| r.to_string()).collect();
+    let same = check.work.iter().take(TOLD_MOST).map(|work| match work {
+        Work::Request(request) => request.to_string(),
+        Work::Pieces(attempt) => format!("pieces of {attempt}"),
+    });
+    let same: Vec<String> = same.collect();
     node.metrics.target_ended(&target.service);
     Event::Ended {
         target: &target.id.name,
         service: &target.service,
         how,
-        running: check.requests.len(),
+        running: check.work.len(),
         same: &same,
         after_ms: node.now().since(check.since).as_millis() as u64,
     }
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -6,15 +6,17 @@
 mod spread;
 
 use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use decide::quarantine::{Change, Changes, Hold, Quarantine};
-use model::forward::{Fingerprint, QuarantineNews, Target};
+use model::Name;
+use model::forward::{Fingerprint, MakerEnd, PieceOrder, QuarantineNews, Target, TargetId};
 use tokio::sync::Notify;
 
 use crate::events::Event;
 use crate::node::Node;
-use ends::Ends;
+use ends::{Ends, Work};
 use spread::Pace;
 
 /// Starts to tell peers, and to keep in the store what is held.
@@ -38,6 +40,8 @@
 pub struct LocalQuarantine {
     machine: RefCell<Quarantine>,
     ends: Ends,
+    /// Attempts that this node serves.
+    open: RefCell<HashMap<Name, Fingerprint>>,
     pace: Pace,
     changed: Notify,
 }
@@ -72,7 +76,24 @@
 
     /// A request that a target may have begun broke off there without a whole answer.
     pub fn broke_off(&self, node: &Rc<Node>, target: &Target, request: Fingerprint) {
-        self.ends.broke_off(node, target, request);
+        self.ends.broke_off(node, target, vec![Work::Request(request)]);
+    }
+
+    /// The same of a call for pieces of these attempts.
+    pub fn call_broke_off(&self, node: &Rc<Node>, target: &Target, pieces: &[PieceOrder]) {
+        let attempts: BTreeSet<&Name> = pieces.iter().map(|p| &p.attempt).collect();
+        let work = attempts.into_iter().map(|attempt| Work::Pieces(attempt.clone()));
+        self.ends.broke_off(node, target, work.collect());
+    }
+
+    /// This node serves an attempt from now on.
+    pub fn begins(&self, attempt: &str, request: Fingerprint) {
+        self.open.borrow_mut().insert(attempt.into(), request);
+    }
+
+    /// The attempt is over.
+    pub fn is_over(&self, attempt: &str) {
+        self.open.borrow_mut().remove(attempt);
     }
 
     /// A send showed that a target has ended.
@@ -86,22 +107,51 @@
         self.take(OWN, change.map(|c| (request, c)).into_iter().collect());
     }
 
-    /// A target ended under these requests of this node.
-    fn ended(&self, node: &Node, target: &Target, requests: &[Fingerprint]) {
+    /// A target ended under this work.
+    fn ended(&self, node: &Rc<Node>, target: &Target, work: Vec<Work>) {
+        let (mut requests, mut attempts) = (Vec::new(), Vec::new());
+        for work in work {
+            match work {
+                Work::Request(request) => requests.push(request),
+                Work::Pieces(attempt) => attempts.push(attempt),
+            }
+        }
+        self.ended_under(node, &target.id, &target.service, &requests);
+        if !attempts.is_empty() {
+            let (target, service) = (target.id.clone(), target.service.clone());
+            let end = MakerEnd { target, service, attempts };
+            self.maker_ended(node, &end);
+            spread::tell_all(node, end);
+        }
+    }
+
+    fn ended_under(&self, node: &Node, target: &TargetId, service: &Name, under: &[Fingerprint]) {
         let now = node.now();
-        let changes = self.machine(|q| q.ended(&target.id, &target.service, requests, now));
+        let changes = self.machine(|q| q.ended(target, service, under, now));
         self.take(OWN, changes);
         self.changed.notify_one();
     }
 
+    /// A maker ended under pieces, some of which may be of attempts that this node serves.
+    fn maker_ended(&self, node: &Node, end: &MakerEnd) {
+        let open = self.open.borrow();
+        let own: Vec<Fingerprint> =
+            end.attempts.iter().filter_map(|attempt| open.get(attempt).copied()).collect();
+        drop(open);
+        if !own.is_empty() {
+            self.ended_under(node, &end.target, &end.service, &own);
+        }
+    }
+
     /// Takes what a peer tells; returns what this node knows beyond that.
     pub fn hear(&self, node: &Node, news: &QuarantineNews) -> QuarantineNews {
+        news.makers.iter().for_each(|end| self.maker_ended(node, end));
         let now = node.now();
         let changes = self.machine(|q| q.hear(Some(&news.from), &news.suspects, now));
         self.take(&news.from.name, changes);
         self.changed.notify_one();
         let suspects = self.machine(|q| q.beyond(&news.suspects, now));
-        QuarantineNews { from: node.peers.id.clone(), suspects }
+        QuarantineNews { from: node.peers.id.clone(), suspects, makers: Vec::new() }
     }
 
     /// An operator lets a request through again.
--- a/crates/forward/src/quarantine/spread.rs
+++ b/crates/forward/src/quarantine/spread.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use decide::quarantine::Unsent;
+use futures_util::future::join_all;
 use model::Time;
-use model::forward::QuarantineNews;
-use model::member::NodeId;
+use model::forward::{MakerEnd, QuarantineNews, SuspectNews};
+use model::member::{Node as PeerNode, NodeId};
 use util::http::Client;
 
 use super::OWN;
@@ -84,13 +85,42 @@
     }
 }
 
+fn news_of(node: &Node, suspects: Vec<SuspectNews>, makers: Vec<MakerEnd>) -> QuarantineNews {
+    QuarantineNews { from: node.peers.id.clone(), suspects, makers }
+}
+
+/// Tells all peers of a maker's end, once: the node that took an attempt is not known. One that
+/// does not hear of it misses one end of those that hold a request.
+pub(super) fn tell_all(node: &Rc<Node>, end: MakerEnd) {
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let question = news_of(&node, Vec::new(), vec![end]);
+        let peers = node.peers.roster(|r| r.peers());
+        for some in peers.chunks(AT_ONCE) {
+            let tell = |peer: &PeerNode| {
+                let (node, question, to) = (&node, &question, peer.entry);
+                async move {
+                    let client = &node.client;
+                    peers::tell::<_, QuarantineNews>(
+                        node, client, to, QUARANTINE, question, TIMEOUT,
+                    )
+                    .await
+                    .inspect_err(|e| log::debug!("quarantine: {e}"))
+                    .is_ok()
+                }
+            };
+            join_all(some.iter().map(tell)).await;
+        }
+    });
+}
+
 async fn send(node: Rc<Node>, message: Unsent) {
     let Unsent { peer, news, told } = message;
     let q = &node.quarantine;
     // A kept connection may have fallen silent.
     let fresh = q.pace.has_failed(&peer.id).then(|| Client::new(peers::CONNECT));
     let client = fresh.as_ref().unwrap_or(&node.client);
-    let question = QuarantineNews { from: node.peers.id.clone(), suspects: news };
+    let question = news_of(&node, news, Vec::new());
     let end = peers::tell(&node, client, peer.entry, QUARANTINE, &question, TIMEOUT).await;
     let is_told = match end {
         Ok(beyond) => {
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -143,6 +143,7 @@
             ended: false,
         };
         let _open = node.opened();
+        node.quarantine.begins(&admitted.head.id, admitted.fingerprint);
         let deadline = admitted.deadline - ANSWER_MARGIN;
         let admitted = Admitted { deadline, ..admitted };
         Exchange { node, admitted, progress: RefCell::new(progress), _open }
@@ -391,5 +392,6 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.log_end(0, "caller_left");
+        self.node.quarantine.is_over(&self.head.id);
     }
 }
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -276,7 +276,8 @@
     /// The connection ended, or was given up, before a whole answer.
     fn broke_off(&self, why: String) -> Outcome {
         self.exchange.broke_off_at(self.target);
-        self.may_have_run(why)
+        self.exchange.progress(|p| p.tries.note(Ran::Maybe));
+        self.nothing(Observation::BrokeOff, why)
     }
 
     /// The request surely did not run there.
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -321,13 +321,18 @@
                 read_answer(node, &call, answer, took, sent.as_ref()).await
             }
             Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
-            Err(e) => (CallEnd::Failed, Observation::Failed, e.to_string()),
+            Err(e) => (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
         }
     };
     // The time holds for the whole answer: a maker may stall within it.
-    let too_long = || (CallEnd::Failed, Observation::Failed, "call took too long".to_string());
+    let too_long = || (CallEnd::Failed, Observation::BrokeOff, "call took too long".to_string());
     let ended = tokio::time::timeout(timeout, work).await;
     let (end, observed, why) = ended.unwrap_or_else(|_| too_long());
+    match observed {
+        Observation::BrokeOff => node.quarantine.call_broke_off(node, &target, &call.pieces),
+        Observation::Replaced => node.quarantine.seen_ended(&target, "replaced"),
+        _ => {}
+    }
     let results = match &end {
         CallEnd::Answered(results) => results.as_slice(),
         CallEnd::Full | CallEnd::Failed => &[],
@@ -413,7 +418,7 @@
     }
     let body = match Limited::new(body, ANSWER_MAX).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(e) => return (CallEnd::Failed, Observation::Failed, e.to_string()),
+        Err(e) => return (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
     };
     match node.dialect.stage_answer(&call.maker, &body) {
         Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -24,7 +24,7 @@
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
-pub use quarantine::{EndNews, HeldRecord, QuarantineNews, SuspectNews};
+pub use quarantine::{EndNews, HeldRecord, MakerEnd, QuarantineNews, SuspectNews};
 pub use rank::Rank;
 pub use region::Allowed;
 pub use rollout::{
--- a/crates/model/src/forward/quarantine.rs
+++ b/crates/model/src/forward/quarantine.rs
@@ -51,6 +51,21 @@
     /// Requests.
     #[serde(default)]
     pub suspects: Vec<SuspectNews>,
+    /// Makers that ended under pieces of attempts. Whoever coordinates pieces does not know of
+    /// which request they are; the node that took the attempt does.
+    #[serde(default)]
+    pub makers: Vec<MakerEnd>,
+}
+
+/// A target that ended under pieces of attempts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MakerEnd {
+    /// The target.
+    pub target: TargetId,
+    /// Its service.
+    pub service: Name,
+    /// The attempts.
+    pub attempts: Vec<Name>,
 }
 
 /// A request that is held, as it is kept in the store.
