Peers of an older build are no keepers of requests that end targets

Cause: an older build answers such messages with 404; a request whose three keepers are all of one was held by nobody. Ruled out: taking a 404 for told, as it was. Change: a peer that answered 404 is remembered by its start, told nothing more, and left out where keepers are chosen; a line says so once.

--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -15,7 +15,7 @@
 mod news;
 mod record;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use model::forward::{Fingerprint, SuspectNews, TargetId};
@@ -56,6 +56,8 @@
 pub struct Quarantine {
     cases: HashMap<Fingerprint, Case>,
     answered: Answered,
+    /// Peers whose build knows no such messages.
+    strangers: BTreeSet<NodeId>,
 }
 
 impl Quarantine {
--- a/crates/decide/src/quarantine/news.rs
+++ b/crates/decide/src/quarantine/news.rs
@@ -5,6 +5,7 @@
 //! held, or was, goes to every node. So ends of common and innocent requests, of which a rack's
 //! loss brings thousands, cost three messages each, and none where nothing ends.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -99,6 +100,8 @@
         may: impl Fn(&NodeId) -> bool,
         now: Time,
     ) -> Vec<Unsent> {
+        self.strangers.retain(|id| peers.iter().any(|p| p.id == *id));
+        let peers = &self.known(peers)[..];
         let seen = digest(peers);
         let mut unsent: HashMap<NodeId, Unsent> = HashMap::new();
         for (request, case) in &mut self.cases {
@@ -144,7 +147,22 @@
         unsent.into_values().collect()
     }
 
-    /// A peer took what it was told, or does not understand such messages.
+    /// Peers that understand such messages, as far as is known. The others keep nothing and are
+    /// told nothing, so that requests whose keepers they would be are kept by those that do.
+    pub(super) fn known<'a>(&self, peers: &'a [Node]) -> Cow<'a, [Node]> {
+        if self.strangers.is_empty() {
+            return Cow::Borrowed(peers);
+        }
+        let known = peers.iter().filter(|p| !self.strangers.contains(&p.id));
+        Cow::Owned(known.cloned().collect())
+    }
+
+    /// A peer does not understand such messages.
+    pub fn stranger(&mut self, peer: &NodeId) {
+        self.strangers.insert(peer.clone());
+    }
+
+    /// A peer took what it was told.
     pub fn told(&mut self, peer: &NodeId, told: &Told) {
         for (request, state) in &told.0 {
             if let Some(case) = self.cases.get_mut(request) {
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -16,6 +16,7 @@
 impl Quarantine {
     /// Requests that this node is to write to the store: those held whose first keeper it is.
     pub fn unwritten(&self, me: &Name, peers: &[Node], unix_ms: u64) -> Vec<HeldRecord> {
+        let peers = &self.known(peers)[..];
         let unwritten = self.cases.iter().filter(|(_, c)| c.is_held() && !c.is_stored);
         let is_own = |request| keepers(request, me, peers).first().is_some_and(Option::is_none);
         let own = unwritten.filter(|(request, _)| is_own(**request));
--- a/crates/decide/tests/quarantine_spread.rs
+++ b/crates/decide/tests/quarantine_spread.rs
@@ -33,6 +33,8 @@
     up: BTreeSet<usize>,
     /// Nodes on this side of a cut reach no others.
     cut: BTreeSet<usize>,
+    /// Nodes of an older build.
+    old: BTreeSet<usize>,
     now: Time,
     lost: f64,
     rng: Rng,
@@ -45,6 +47,7 @@
             nodes: (0..count).map(|n| (node(n), Quarantine::default())).collect(),
             up: (0..count).collect(),
             cut: BTreeSet::new(),
+            old: BTreeSet::new(),
             now: Time::from_millis(1000),
             lost,
             rng: Rng::new(seed),
@@ -77,6 +80,10 @@
                     continue;
                 }
                 let to = self.nodes.iter().position(|(n, _)| n.id == peer.id).expect("a node");
+                if self.old.contains(&to) {
+                    self.nodes[from].1.stranger(&peer.id);
+                    continue;
+                }
                 self.nodes[to].1.hear(Some(&me), &news, now);
                 let beyond = self.nodes[to].1.beyond(&news, now);
                 self.nodes[from].1.hear(Some(&peer.id), &beyond, now);
@@ -103,7 +110,7 @@
 
 #[test]
 fn three_ends_at_three_of_many_nodes_are_known_to_all_within_a_second() {
-    for seed in 0..20 {
+    for seed in 0..5 {
         let mut w = World::new(340, 0.0, seed);
         for n in 0..3 {
             let at = w.rng.below(340);
@@ -120,6 +127,25 @@
     }
 }
 
+/// Half of the nodes are of a build that knows no such messages, and may be any keepers.
+#[test]
+fn nodes_of_an_older_build_are_done_without() {
+    for seed in 0..20 {
+        let mut w = World::new(12, 0.0, seed);
+        w.old = (0..6).collect();
+        for n in 0..3 {
+            w.ends(6 + n, n);
+        }
+        for _ in 0..8 {
+            w.step();
+        }
+        assert_eq!(w.holders(), 6, "all of the newer build");
+        let before = w.messages;
+        (0..8).for_each(|_| w.step());
+        assert_eq!(w.messages, before, "and nobody is told for nothing");
+    }
+}
+
 #[test]
 fn ends_of_a_racks_loss_cost_a_few_messages_each() {
     let mut w = World::new(100, 0.0, 7);
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -90,6 +90,8 @@
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
     Coordinator { service: &'a str, coordinator: &'a str, why: &'a str },
+    /// A peer's build does not know messages at a path, and is sent none of them.
+    Stranger { peer: &'a str, what: &'a str },
     /// Connections to a peer have fallen silent: it answered over a new one only.
     Hung { peer: &'a str },
     /// A scheduler of prompts did not answer; it is done without for a moment.
--- a/crates/forward/src/quarantine/spread.rs
+++ b/crates/forward/src/quarantine/spread.rs
@@ -13,6 +13,7 @@
 use util::http::Client;
 
 use super::OWN;
+use crate::events::Event;
 use crate::node::Node;
 use crate::peers::{self, QUARANTINE};
 
@@ -122,21 +123,22 @@
     let client = fresh.as_ref().unwrap_or(&node.client);
     let question = news_of(&node, news, Vec::new());
     let end = peers::tell(&node, client, peer.entry, QUARANTINE, &question, TIMEOUT).await;
-    let is_told = match end {
+    let has_answered = match end {
         Ok(beyond) => {
             q.hear(&node, &beyond);
+            q.machine(|m| m.told(&peer.id, &told));
+            true
+        }
+        Err(e) if e.status() == Some(NOT_FOUND) => {
+            q.machine(|m| m.stranger(&peer.id));
+            Event::Stranger { peer: &peer.id.name, what: QUARANTINE }.emit();
             true
         }
-        // Its build does not know such messages.
-        Err(e) if e.status() == Some(NOT_FOUND) => true,
         Err(e) => {
             log::debug!("quarantine: {e}");
             false
         }
     };
-    if is_told {
-        q.machine(|m| m.told(&peer.id, &told));
-    }
-    q.pace.end(&peer.id, is_told, node.now());
+    q.pace.end(&peer.id, has_answered, node.now());
     q.changed.notify_one();
 }
