A node that stops leaves its thread to the requests that it still serves

Cause: a membership that has left ticked no further but told a time in the past as its next tick, so that its task never rested. The runtime's timer had given others their turn; a clock that returned at once for a time that is over did not, and a node that was told to stop answered nobody any more. Change: a membership that has left never ticks; a time that is over is left to the runtime's timer; and, found in the same reading, a record in the store holds what is not known as cleared, where a node that knew too few ends had deleted it.

--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -148,6 +148,9 @@
 
     /// When [`Event::Tick`] is wanted next.
     pub fn next_tick(&self) -> Time {
+        if self.left {
+            return Time::NEVER;
+        }
         let probe = match &self.probe {
             Some(p) if !p.asked => p.sent + self.patience(),
             Some(p) => p.sent + self.patience() * ROUNDS,
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -26,17 +26,13 @@
     /// The store has a request.
     pub fn stored(&mut self, request: Fingerprint) {
         if let Some(case) = self.cases.get_mut(&request) {
-            case.is_stored = true;
+            case.is_stored = case.is_held();
         }
     }
 
     /// Takes a record of the store; returns what changed, and whether the request has been
     /// released since, so that the record is to go.
     pub fn read(&mut self, record: &HeldRecord, unix_ms: u64, now: Time) -> (Changes, bool) {
-        if let Some(case) = self.cases.get_mut(&record.request) {
-            case.is_stored = case.is_held();
-            return (Vec::new(), !case.is_held());
-        }
         let age_ms = unix_ms.saturating_sub(record.since).min(AGE_MOST.as_millis() as u64);
         let end = |target: &_| EndNews { target: Clone::clone(target), age_ms, cleared: false };
         let news = SuspectNews {
@@ -47,8 +43,10 @@
             tried_ms: 0,
             came_ms: 0,
         };
+        // What is known as cleared stays so.
         let changes = self.hear(None, &[news], now);
         self.stored(record.request);
-        (changes, false)
+        let is_over = self.cases.get(&record.request).is_some_and(|c| !c.is_held());
+        (changes, is_over)
     }
 }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -280,6 +280,7 @@
     let mut net = Net::new(12, 0, 7);
     net.run(8_000);
     net.feed(3, Event::Leave);
+    assert_eq!(net.nodes[&3].next_tick(), Time::NEVER, "it has nothing more to do");
     net.nodes.remove(&3);
     net.run(50);
     assert!(net.nodes.keys().all(|i| !net.sees(*i, 3)));
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -158,3 +158,22 @@
 fn of_all(q: &Quarantine) -> Vec<model::forward::SuspectNews> {
     q.beyond(&[empty(1)], at(2))
 }
+
+#[test]
+fn a_record_of_the_store_holds_what_is_not_known_to_be_cleared() {
+    let mut a = Quarantine::default();
+    ends(&mut a, 0..3, &[1], at(1));
+    let me = "me".into();
+    let record = a.unwritten(&me, &[], 5_000).remove(0);
+    a.stored(request(1));
+    assert!(a.unwritten(&me, &[], 5_000).is_empty(), "once");
+    // Another node knows one end by now; it was too few for it.
+    let mut b = Quarantine::default();
+    ends(&mut b, 7..8, &[1], at(100));
+    let (changes, is_over) = b.read(&record, 65_000, at(100));
+    assert!(matches!(changes[..], [(_, Change::Held(_))]) && !is_over);
+    assert!(b.unwritten(&me, &[], 65_000).is_empty(), "the store has it");
+    b.answered(request(1), at(101));
+    let (changes, is_over) = b.read(&record, 66_000, at(102));
+    assert!(changes.is_empty() && is_over, "its record is to go");
+}
--- a/crates/util/src/clock.rs
+++ b/crates/util/src/clock.rs
@@ -128,10 +128,11 @@
     }
 
     /// Returns once [`Clock::now`] reads `at`. Timers stand still with the machine: whoever waits
-    /// is woken when anybody reads the clock after a suspension.
+    /// is woken when anybody reads the clock after a suspension. A time that is over is left to
+    /// the runtime's timer too, which gives other tasks their turn.
     pub async fn sleep_until(&self, at: Time) {
         let mut resumed = self.suspensions.resumed.subscribe();
-        while self.now() < at {
+        loop {
             tokio::select! {
                 () = tokio::time::sleep_until(self.instant(at)) => return,
                 _ = resumed.changed() => {}
--- a/crates/util/tests/suspension.rs
+++ b/crates/util/tests/suspension.rs
@@ -55,3 +55,16 @@
     let soon = clock.now() + Duration::from_secs(1);
     assert_eq!(clock.until(soon, async { 7 }).await, Some(7));
 }
+
+#[tokio::test]
+async fn times_that_are_over_leave_others_their_turn() {
+    let clock = Clock::default();
+    let other = tokio::spawn(async { 7 });
+    let spins = async {
+        while !other.is_finished() {
+            clock.sleep_until(Time::ZERO).await;
+        }
+    };
+    let limit = Duration::from_secs(5);
+    tokio::time::timeout(limit, spins).await.expect("the other task had its turn");
+}
