Doubt about entries that vanished goes with the state, not with whoever passes it on

Cause: a node that the store turned away took the targets from a peer that had read them, and told its own followers that what the list lacked may have lapsed: they kept targets that had left for two seconds more, at each node on the way anew, and sent them requests. Change: what is known of outages is one machine; state that came from a peer is doubted as long as that peer doubted it, and no longer.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -11,6 +11,7 @@
 //! then wait with a relay until it is in touch again, and ask the store themselves only now
 //! and then, the more seldom the more of them there are.
 
+mod doubt;
 mod history;
 mod list;
 mod newest;
@@ -19,6 +20,7 @@
 mod unreadable;
 pub mod waits;
 
+pub use doubt::Doubt;
 pub use history::History;
 pub use list::{Entry, List};
 pub use newest::Newest;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -7,7 +7,7 @@
 
 use decide::fleet::{ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
-use decide::relay;
+use decide::relay::{self, Doubt};
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
 use model::forward::{QueueId, Rollout, Rules, TargetId, Waits};
@@ -37,8 +37,6 @@
 const STATE_LOOK: Duration = Duration::from_millis(10);
 /// Time between looks at whether the store answers again.
 const STORE_LOOK: Duration = Duration::from_millis(50);
-/// Time in which entries that lapsed during an outage of the store are back after it.
-const LAPSED_BACK: Duration = Duration::from_secs(2);
 
 /// State that the tasks of a node share.
 pub struct Node {
@@ -68,8 +66,7 @@
     budgets: RefCell<HashMap<Name, RepeatBudget>>,
     forecast: RefCell<Forecast>,
     rng: RefCell<Rng>,
-    store_lost: Cell<bool>,
-    store_back: Cell<Option<Time>>,
+    doubt: RefCell<Doubt>,
     targets_known: Cell<bool>,
     version: watch::Sender<u64>,
     phase: watch::Sender<LifePhase>,
@@ -104,8 +101,7 @@
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
-            store_lost: Cell::new(false),
-            store_back: Cell::new(None),
+            doubt: RefCell::default(),
             targets_known: Cell::new(false),
             version: watch::Sender::new(0),
             phase: watch::Sender::new(LifePhase::Serving),
@@ -257,28 +253,25 @@
 
     /// The store answered.
     pub fn store_answered(&self) {
-        if self.store_lost.replace(false) {
-            self.store_back.set(Some(self.now()));
-        }
+        let now = self.now();
+        self.doubt(|d| d.answered(now));
     }
 
     /// Returns once the store answers this node, as far as the last call of any kind tells.
     pub async fn store_reached(&self) {
-        while self.store_lost.get() {
+        while self.doubt(|d| d.is_lost()) {
             tokio::time::sleep(STORE_LOOK).await;
         }
     }
 
     /// The store did not answer.
     pub fn store_lost(&self) {
-        self.store_lost.set(true);
+        self.doubt(Doubt::lost);
     }
 
-    /// Until when entries that vanish may have lapsed during an outage of the store.
-    pub fn doubt(&self) -> Option<Time> {
-        let now = self.now();
-        let back = if self.store_lost.get() { Some(now) } else { self.store_back.get() };
-        back.map(|at| at + LAPSED_BACK).filter(|until| now < *until)
+    /// Uses what is known of outages of the store for a moment.
+    pub fn doubt<T>(&self, f: impl FnOnce(&mut Doubt) -> T) -> T {
+        f(&mut self.doubt.borrow_mut())
     }
 
     /// Milliseconds since the store last confirmed the targets; since the start if it never did.
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -200,7 +200,7 @@
     let now = node.now();
     let Step { at, whole, cut, changes, .. } = step;
     let changes: Vec<TargetChange> = changes.into_iter().filter_map(target_change).collect();
-    let doubt = node.doubt();
+    let doubt = node.doubt(|d| d.read(now));
     let begins = cut && node.feed.at() != Some(at);
     if whole {
         take_whole(node, at, list_of(changes), doubt);
@@ -227,11 +227,12 @@
     if let Some(list) = rollouts {
         rollouts::take(node, list, from);
     }
-    let doubt = (doubt_ms > 0).then(|| node.now() + Duration::from_millis(doubt_ms));
+    let now = node.now();
+    let heard = || node.doubt(|d| d.heard(Duration::from_millis(doubt_ms), now));
     match news {
         TargetNews::Unknown => return,
-        TargetNews::Whole(list) => take_whole(node, at, list, doubt),
-        TargetNews::Changes(changes) => take_changes(node, at, changes, doubt),
+        TargetNews::Whole(list) => take_whole(node, at, list, heard()),
+        TargetNews::Changes(changes) => take_changes(node, at, changes, heard()),
     }
     node.feed.confirm_all(confirmed, node.now());
 }
@@ -324,11 +325,12 @@
         let is_newer = versions.at() > ask.rollouts;
         is_newer.then(|| versions.list()).flatten()
     });
+    let doubt = node.doubt(|d| d.until(now));
     Some(FollowAnswer {
         at: at.unwrap_or(0),
         age_ms: millis(node.feed.age(now)),
         out_of_touch: node.feed.is_out_of_touch(),
-        doubt_ms: node.doubt().map_or(0, |until| until.since(now).as_millis() as u64),
+        doubt_ms: doubt.map_or(0, |until| until.since(now).as_millis() as u64),
         rules: node.table().rules.version,
         rules_age_ms: millis(rules_age.map_or(Duration::MAX, |age| age.now)),
         evacuations: node.fleet(|f| f.evacuated().list()),
