--- a/crates/decide/src/quarantine/news.rs
+++ b/crates/decide/src/quarantine/news.rs
@@ -13,7 +13,7 @@
 use model::member::{Node, NodeId};
 use model::{Name, Time, hash};
 
-use super::Quarantine;
+use super::{Case, Quarantine};
 
 /// Keepers of a request. The first may be down without anybody knowing, and the second cut off.
 const KEEPERS: usize = 3;
@@ -66,6 +66,16 @@
         if concerns_all { self.state } else { self.own }
     }
 
+    /// Whether a peer was told of this state.
+    fn has(&self, peer: &NodeId, state: u64) -> bool {
+        self.told.get(peer).is_some_and(|told| *told >= state)
+    }
+
+    /// All of these peers know what they are to know.
+    fn settle(&mut self, seen: u64) {
+        self.settled = Some((self.state, seen));
+    }
+
     /// Whether there is nothing to tell, as of these peers.
     fn is_settled(&self, concerns_all: bool, seen: u64) -> bool {
         match self.settled {
@@ -87,6 +97,12 @@
     pub told: Told,
 }
 
+impl Unsent {
+    fn to(peer: &Node) -> Self {
+        Unsent { peer: peer.clone(), news: Vec::new(), told: Told(Vec::new()) }
+    }
+}
+
 /// Requests of which a peer was told, and their states.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Told(Vec<(Fingerprint, u64)>);
@@ -105,44 +121,21 @@
         let seen = digest(peers);
         let mut unsent: HashMap<NodeId, Unsent> = HashMap::new();
         for (request, case) in &mut self.cases {
-            let concerns_all = case.concerns_all();
-            if case.tellings.is_settled(concerns_all, seen) {
-                case.tellings.settled = Some((case.tellings.state, seen));
-                continue;
-            }
-            let wanted = case.tellings.wanted(concerns_all);
-            case.tellings.told.retain(|id, _| peers.iter().any(|p| p.id == *id));
-            let keepers = keepers(*request, me, peers);
-            let is_keeper = keepers.iter().any(Option::is_none);
-            if !is_keeper && case.tellings.is_left_to_keepers(now) {
+            let Some((listeners, wanted)) = listeners(*request, case, me, peers, seen, now) else {
                 continue;
-            }
-            let to_all = is_keeper && concerns_all;
-            let listeners: Vec<&Node> = if to_all {
-                peers.iter().collect()
-            } else {
-                keepers.into_iter().flatten().collect()
             };
-            let mut is_settled = true;
-            for peer in listeners {
-                if case.tellings.told.get(&peer.id).is_some_and(|state| *state >= wanted) {
-                    continue;
-                }
-                is_settled = false;
-                if !may(&peer.id) {
-                    continue;
-                }
-                let fresh =
-                    || Unsent { peer: peer.clone(), news: Vec::new(), told: Told(Vec::new()) };
-                let message = unsent.entry(peer.id.clone()).or_insert_with(fresh);
+            let is_told = |p: &&Node| case.tellings.has(&p.id, wanted);
+            let untold: Vec<&Node> = listeners.into_iter().filter(|p| !is_told(p)).collect();
+            if untold.is_empty() {
+                case.tellings.settle(seen);
+            }
+            for peer in untold.into_iter().filter(|p| may(&p.id)) {
+                let message = unsent.entry(peer.id.clone()).or_insert_with(|| Unsent::to(peer));
                 if message.news.len() < MESSAGE_MOST {
                     message.news.push(case.news(*request, now));
                     message.told.0.push((*request, case.tellings.state));
                 }
             }
-            if is_settled {
-                case.tellings.settled = Some((case.tellings.state, seen));
-            }
         }
         unsent.into_values().collect()
     }
@@ -179,6 +172,35 @@
     }
 }
 
+/// Peers that are to know of a request by now, and the state that they are to know; `None` if
+/// there is nothing to tell.
+fn listeners<'a>(
+    request: Fingerprint,
+    case: &mut Case,
+    me: &Name,
+    peers: &'a [Node],
+    seen: u64,
+    now: Time,
+) -> Option<(Vec<&'a Node>, u64)> {
+    let concerns_all = case.concerns_all();
+    let tellings = &mut case.tellings;
+    if tellings.is_settled(concerns_all, seen) {
+        tellings.settle(seen);
+        return None;
+    }
+    tellings.told.retain(|id, _| peers.iter().any(|p| p.id == *id));
+    let keepers = keepers(request, me, peers);
+    let is_keeper = keepers.iter().any(Option::is_none);
+    if !is_keeper && tellings.is_left_to_keepers(now) {
+        return None;
+    }
+    let wanted = tellings.wanted(concerns_all);
+    if is_keeper && concerns_all {
+        return Some((peers.iter().collect(), wanted));
+    }
+    Some((keepers.into_iter().flatten().collect(), wanted))
+}
+
 /// Keepers of a request; `None` is this node.
 pub(super) fn keepers<'a>(
     request: Fingerprint,
