A process draws a bounded part of the slack in its first window, and all of it at the first start of the system

Ruled out: a test that waits; more slack in the tests' settings; half of the slack at once (more than an earlier process leaves). Change: in its first window a process draws so much that it and an earlier one together stay within the slack (0.43 of its part); all of it where the settings say that the whole system starts for the first time, which the tests of two nodes that have just started now say.

--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -20,6 +20,10 @@
 /// Part of the allowance that is drawn; the rest covers windows that different
 /// nodes see shifted, and repeats that callers of a broken node bring along.
 const DRAWN: f64 = 0.7;
+/// Part of that which a process draws of the slack in its first window, unless the whole system
+/// starts for the first time: what an earlier one drew in the same window, and this, make the
+/// whole slack. Nodes that were killed together spent it twice in one window else.
+const DRAWN_ANEW: f64 = (1.0 - DRAWN) / DRAWN;
 /// Buckets in one window.
 const BUCKETS: u32 = 20;
 
@@ -34,13 +38,16 @@
 #[derive(Debug, Clone)]
 pub struct RepeatBudget {
     tuning: BudgetTuning,
+    /// Whether an earlier process may have spent some of it.
+    may_be_spent: bool,
     buckets: VecDeque<Bucket>,
 }
 
 impl RepeatBudget {
-    /// An unused budget.
-    pub fn new(tuning: BudgetTuning) -> Self {
-        RepeatBudget { tuning, buckets: VecDeque::new() }
+    /// A budget that an earlier process may have drawn from, unless this is the first start of
+    /// all. Time counts from the start of the process.
+    pub fn new(tuning: BudgetTuning, is_first: bool) -> Self {
+        RepeatBudget { tuning, may_be_spent: !is_first, buckets: VecDeque::new() }
     }
 
     /// Changes what the budget is drawn from.
@@ -53,16 +60,14 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Whether a repeat would be granted now. Time counts from the start of the process: one
-    /// that has just started does not know what it spent before, so its part of the slack
-    /// grows over one window. Nodes that were killed together spent it twice in one else.
+    /// Whether a repeat would be granted now.
     pub fn has(&mut self, now: Time, nodes: usize) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
-        let window = self.tuning.window.as_secs_f64();
-        let grown = (now.since(Time::ZERO).as_secs_f64() / window).min(1.0);
-        let slack = self.tuning.slack / nodes.max(1) as f64 * grown;
+        let is_new = self.may_be_spent && now.since(Time::ZERO) < self.tuning.window;
+        let part = if is_new { DRAWN_ANEW } else { 1.0 };
+        let slack = self.tuning.slack / nodes.max(1) as f64 * part;
         let allowed = (f64::from(requests) * self.tuning.ratio + slack) * DRAWN;
         f64::from(repeats + 1) <= allowed
     }
--- a/crates/decide/tests/resend.rs
+++ b/crates/decide/tests/resend.rs
@@ -74,7 +74,7 @@
     let (ratio, slack, nodes) = (0.2, 58.0, 9);
     let window = Duration::from_secs(10);
     let tuning = BudgetTuning { ratio, window, slack };
-    let mut budgets = vec![RepeatBudget::new(tuning); nodes];
+    let mut budgets = vec![RepeatBudget::new(tuning, true); nodes];
     let mut sent: Vec<(Time, bool)> = Vec::new();
     for ms in (0..40_000).step_by(20) {
         let now = Time::from_millis(ms);
@@ -108,7 +108,7 @@
     for killed_at in (2_000..16_000).step_by(500) {
         let mut sent: Vec<(u64, bool)> = Vec::new();
         for (from, to) in [(0, killed_at), (killed_at + 500, 40_000)] {
-            let mut budgets = vec![RepeatBudget::new(tuning); nodes];
+            let mut budgets = vec![RepeatBudget::new(tuning, false); nodes];
             for ms in (from..to).step_by(25) {
                 // Each process counts time from its own start.
                 let now = Time::from_millis(ms - from);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -247,7 +247,10 @@
 
     fn budget<T>(&self, service: &Name, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let fresh = || RepeatBudget::new(self.settings().repeats.tuning());
+        let fresh = || {
+            let settings = self.settings();
+            RepeatBudget::new(settings.repeats.tuning(), settings.first_start)
+        };
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
 
