Only a refused connection shows that a target has ended

Ruled out: counting others as silence alone would need no more; it does not. Change: the error's kind is asked.

--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -12,7 +12,7 @@
 
 use crate::events::Event;
 use crate::node::Node;
-use crate::upstream::{self, SendError};
+use crate::upstream;
 
 /// Pauses before a target is connected to. The second finds one whose connections broke a
 /// moment before nobody listened any more.
@@ -99,7 +99,7 @@
         tokio::time::sleep(pause).await;
         contact = match upstream::connect(target.address).await {
             Ok(_) => Contact::Taken,
-            Err(SendError::Connect(..)) => Contact::Refused,
+            Err(e) if e.is_refused() => Contact::Refused,
             Err(_) => Contact::Silent,
         };
         match node.quarantine.ends.verdict(node, &target.id, contact) {
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -22,7 +22,7 @@
 use crate::quarantine::HELD;
 use crate::rollout::{self, Sent};
 use crate::stages::Made;
-use crate::upstream::{self, Answer, SendError};
+use crate::upstream::{self, Answer};
 
 /// Largest answer that is taken in whole.
 const ANSWER_MAX: usize = 16 << 20;
@@ -113,7 +113,7 @@
     let socket = match upstream::connect(target.address).await {
         Ok(socket) => socket,
         Err(e) => {
-            if let SendError::Connect(..) = e {
+            if e.is_refused() {
                 exchange.node.quarantine.seen_ended(target, "refused");
             }
             return attempt.nothing(Observation::Unreachable, e.to_string());
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -37,6 +37,15 @@
 }
 
 impl SendError {
+    /// Whether nobody listens there. That a connection could not be made may as well be this
+    /// host's fault, which has used up its descriptors, or that of the way.
+    pub fn is_refused(&self) -> bool {
+        let SendError::Connect(_, e) = self else {
+            return false;
+        };
+        e.kind() == io::ErrorKind::ConnectionRefused
+    }
+
     /// Whether it is certain that no byte was sent.
     pub fn not_sent(&self) -> bool {
         !matches!(self, SendError::Broke(..))
