A record's longest believed age is the time for which a held request is kept

Cause: the last reading found one bound written as two constants, an hour each. Ruled out: other pairs that the search for duplicates shows: constants, derives and signatures of one shape. Change: one constant serves both; nothing behaves otherwise.

--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -1,17 +1,12 @@
 //! What the store keeps of requests that are held, so that they stay so when all nodes start
 //! again. Operators see there what is held, and release it by deleting its object.
 
-use std::time::Duration;
-
 use model::forward::{EndNews, Fingerprint, HeldRecord, SuspectNews};
 use model::member::Node;
 use model::{Name, Time};
 
 use super::news::keepers;
-use super::{Changes, Quarantine};
-
-/// Longest age of a record that is believed: its writer's clock may be off.
-const AGE_MOST: Duration = Duration::from_secs(60 * 60);
+use super::{Changes, HELD_FOR, Quarantine};
 
 impl Quarantine {
     /// Requests that this node is to write to the store: those held whose first keeper it is.
@@ -33,7 +28,8 @@
     /// Takes a record of the store; returns what changed, and whether the request has been
     /// released since, so that the record is to go.
     pub fn read(&mut self, record: &HeldRecord, unix_ms: u64, now: Time) -> (Changes, bool) {
-        let age_ms = unix_ms.saturating_sub(record.since).min(AGE_MOST.as_millis() as u64);
+        // No record is believed to be older than one is kept: its writer's clock may be off.
+        let age_ms = unix_ms.saturating_sub(record.since).min(HELD_FOR.as_millis() as u64);
         let end = |target: &_| EndNews { target: Clone::clone(target), age_ms, cleared: false };
         let news = SuspectNews {
             request: record.request,
