Sight: which targets name a limit, and what is sent there since

The lines of the incident could not tell whether nodes read a limit at all, keep it each by itself, or learn of it too late: no line said that an answer named one, nor which sends went to such a target.

Read now: the limit that an answer's head names (the least of several; one that is no finite number of zero or more is unreadable and changes nothing). Told: a line when a target names one, another one, none any more, or an unreadable one, once each; the limit in the line of a choice; gauges and counters of limited targets and of what is sent there. An answer that names none ends a limit only if its request was sent after the limit was last named, since answers overtake one another.

Ruled out as too much: a line for each answer.

Nothing is sent, refused or chosen by it yet.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -6,7 +6,7 @@
 use model::forward::{Allowed, Evacuations, Target, TargetId, TargetList};
 use model::{Name, Time};
 
-use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
+use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Limits, Regions, Terms};
 use crate::rollout::Versions;
 
 /// First time for which a failing target is left out.
@@ -131,6 +131,7 @@
     evacuated: Evacuated,
     versions: Versions,
     regions: Regions,
+    limits: Limits,
 }
 
 impl Fleet {
@@ -238,6 +239,16 @@
         &mut self.versions
     }
 
+    /// Limits that targets name.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The same, to be changed.
+    pub fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
     /// What is known of evacuations.
     pub fn evacuated(&self) -> &Evacuated {
         &self.evacuated
@@ -377,7 +388,8 @@
         }
     }
 
-    /// Forgets targets whose vanished entry did not come back in time.
+    /// Forgets targets whose vanished entry did not come back in time, and what was kept of others
+    /// that are gone.
     pub fn expire(&mut self, now: Time) {
         let over = |b: &Belief| b.missing.is_some_and(|until| now >= until);
         let names: Vec<Name> =
@@ -385,6 +397,9 @@
         for name in names {
             self.forget(&name);
         }
+        let beliefs = &self.beliefs;
+        let is_known = |id: &TargetId| beliefs.get(&id.name).is_some_and(|b| b.target.id == *id);
+        self.limits.expire(is_known, now);
     }
 
     fn forget(&mut self, name: &Name) {
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -8,8 +8,8 @@
 use hyper::http::{request, response};
 use model::Name;
 use model::forward::{
-    CallerHead, Fingerprint, Handle, HeldRecord, PieceOrder, PieceResult, Rollout, RolloutState,
-    Rules, Target, TargetId,
+    CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, PieceOrder, PieceResult, Rollout,
+    RolloutState, Rules, Target, TargetId,
 };
 
 /// A message that could not be understood.
@@ -47,7 +47,7 @@
 }
 
 /// What a target's answer head says.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct AnswerHead {
     /// Attempt that it answers.
     pub id: Option<String>,
@@ -61,6 +61,8 @@
     pub signed: bool,
     /// The body is a stream of events.
     pub events: bool,
+    /// Requests that the target takes.
+    pub limit: NamedLimit,
 }
 
 /// A call with a body.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -86,6 +86,15 @@
     },
     /// A target is left out for its failures.
     Ejected { target: &'a str, why: &'a str },
+    /// A target names a limit in its answers, another one, none any more, or one that cannot be
+    /// read: requests a second from all nodes together.
+    Limit {
+        target: &'a str,
+        service: &'a str,
+        what: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        per_s: Option<f64>,
+    },
     /// The budget for repeats of a service granted none.
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost, or stops.
@@ -118,7 +127,7 @@
     /// the `evacuated` failure domains were left out, and those outside of the regions that
     /// are `allowed`, if any are named. While its service moves to another version `side` tells
     /// which one it is for, or that it has left the one on trial, and `share` the part of
-    /// requests that goes to that.
+    /// requests that goes to that. `limit` is the one that the target names, if it does.
     Chosen {
         id: &'a str,
         target: &'a str,
@@ -132,6 +141,8 @@
         by: &'a str,
         ahead: u64,
         cold: bool,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit: Option<f64>,
         evacuated: &'a [Name],
         left_ms: u64,
         targets_age_ms: u64,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod crossed;
 mod events;
 mod ingress;
+mod limits;
 mod metrics;
 mod node;
 mod paths;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -88,6 +88,8 @@
     ended: Family<Named, Counter>,
     held: Gauge,
     held_back: Family<Named, Counter>,
+    limited: Gauge,
+    sent_at_limit: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_answers: Family<Version, Counter>,
@@ -133,6 +135,8 @@
     pub cold: usize,
     /// Requests that are held back.
     pub held: usize,
+    /// Targets that name a limit.
+    pub limited: usize,
     /// Services that move to another version, that version, and its share of the requests.
     pub rollouts: &'a [(Name, Name, f64)],
     /// Ages of what is known, by kind; `None` if nothing is.
@@ -156,6 +160,8 @@
             ended: Family::default(),
             held: Gauge::default(),
             held_back: Family::default(),
+            limited: Gauge::default(),
+            sent_at_limit: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_answers: Family::default(),
@@ -224,6 +230,10 @@
         registry.register("quarantined", help, self.held.clone());
         let help = "Refusals and sends not made of such requests, by route";
         registry.register("quarantine_refusals", help, self.held_back.clone());
+        let help = "Targets that name a limit";
+        registry.register("targets_limited", help, self.limited.clone());
+        let help = "Requests and calls to targets while they named a limit, by their service";
+        registry.register("sent_at_limit", help, self.sent_at_limit.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
@@ -293,6 +303,11 @@
         self.ended.get_or_create(&Named { name: self.bounded(service) }).inc();
     }
 
+    /// A request, or a call, went to a target of a service that names a limit.
+    pub fn sent_at_limit(&self, service: &str) {
+        self.sent_at_limit.get_or_create(&Named { name: self.bounded(service) }).inc();
+    }
+
     /// A request was held back.
     pub fn held_back(&self, route: &str) {
         self.held_back.get_or_create(&Named { name: self.bounded(route) }).inc();
@@ -363,6 +378,7 @@
         self.evacuated.set(now.evacuated as i64);
         self.cold.set(now.cold as i64);
         self.held.set(now.held as i64);
+        self.limited.set(now.limited as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
             let labels = self.version(service, version);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -297,6 +297,7 @@
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
             held: self.quarantine.count_held(self),
+            limited: self.fleet.borrow().limits().count(),
             rollouts: &self.running_rollouts(),
             ages: Kind::AGED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -325,6 +325,7 @@
             by,
             ahead,
             cold: self.is_cold(target),
+            limit: self.node.fleet(|f| f.limits().get(&target.id).map(|l| l.per_s)),
             evacuated: &self.evacuated(),
             left_ms: self.left().as_millis() as u64,
             targets_age_ms: self.node.targets_age_ms(),
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -12,7 +12,8 @@
 use http_body_util::{BodyExt, Limited};
 use model::Time;
 use model::forward::{
-    BatchAnswer, BatchOrder, Handle, PieceResult, Policy, PoolId, StagePool, TargetId, Waits,
+    BatchAnswer, BatchOrder, Handle, PieceResult, Policy, PoolId, StagePool, Target, TargetId,
+    Waits,
 };
 use tokio::sync::oneshot;
 
@@ -20,6 +21,7 @@
 use super::free::Freer;
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event as LogEvent;
+use crate::limits;
 use crate::node::Node;
 use crate::rollout::{self, Sent};
 use crate::upstream::{self, Answer};
@@ -314,11 +316,12 @@
     let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
     let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
     let crossing = Crossing::to_target(node, Kind::Call, &call.maker);
+    limits::count_sent(node, &target);
     let work = async {
         match upstream::send(address, request, crossing).await {
             Ok(answer) => {
-                let took = node.now().since(begun);
-                read_answer(node, &call, answer, took, sent.as_ref()).await
+                let from = Asked { target: &target, begun, took: node.now().since(begun) };
+                read_answer(node, from, answer, sent.as_ref()).await
             }
             Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
             Err(e) => (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
@@ -397,18 +400,26 @@
     sent.answered(failed, Duration::from_secs_f64(part.min(PART_MOST)));
 }
 
+/// A call that was answered.
+struct Asked<'a> {
+    target: &'a Target,
+    begun: Time,
+    took: Duration,
+}
+
 async fn read_answer(
     node: &Rc<Node>,
-    call: &Call,
+    asked: Asked<'_>,
     answer: Answer,
-    took: Duration,
     sent: Option<&Sent>,
 ) -> (CallEnd, Observation, String) {
+    let Asked { target, begun, took } = asked;
     let (head, body) = answer.response.into_parts();
     let said = node.dialect.answer(&head);
     if said.misdirected {
         return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
     }
+    limits::hear(node, target, said.limit, begun);
     if said.not_run {
         return (CallEnd::Full, Observation::Rejected, "full".into());
     }
@@ -420,7 +431,7 @@
         Ok(body) => body.to_bytes(),
         Err(e) => return (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
     };
-    match node.dialect.stage_answer(&call.maker, &body) {
+    match node.dialect.stage_answer(&target.id, &body) {
         Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
         Err(e) => {
             sent.inspect(|sent| sent.bad());
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod caller;
 mod fingerprint;
+mod limit;
 mod policy;
 mod prefill;
 mod quarantine;
@@ -22,6 +23,7 @@
 };
 pub use caller::{CallerHead, PromptPart};
 pub use fingerprint::{Fingerprint, NoFingerprint};
+pub use limit::NamedLimit;
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use quarantine::{EndNews, HeldRecord, MakerEnd, QuarantineNews, SuspectNews};
