Limits that targets name hold over all nodes: each send there has a permit

What callers saw: nothing of their own; targets that had named a limit of 1 request a second got 12 to 14 in 4 s (11 allowed) from nodes that knew.

Cause: the word in the answers' heads was read nowhere.

One node, the target's keeper (rendezvous, in the target's failure domain while one is up), gives out a permit for every send: requests, repeats, resumes, and calls for pieces. It gives out 0.7 of the limit and saves two, so that a second keeper that others ask for a moment, and requests that come 250 ms after their permits, stay within one and a half times the limit and 5; a permit that is older is not used. Whoever is asked must take itself for the keeper too. Without a permit the request goes to another target; where all are at their limits it is refused at once, with a time to come back that is spread as permits come. A limit ends by an answer whose request was sent after it was last named, in whichever order and at whichever node answers are heard; in doubt the tighter word holds. The keeper tells all nodes when a target begins or ends to name one. Builds that keep no limits answer 404, are told no more, and are passed over.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -367,7 +367,7 @@
     ) {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
         let allowed = maker.share.map_or(usize::MAX, |share| self.quota.most(share));
-        let batch = self.pool.batch.max(1).min(allowed);
+        let batch = self.pool.batch.max(1).min(allowed).min(maker.most.unwrap_or(usize::MAX));
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
                 continue;
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -39,7 +39,8 @@
     region: Option<Name>,
     calls: u32,
     present: bool,
-    cold_gap: Option<Duration>,
+    gap: Option<Duration>,
+    most: Option<usize>,
     share: Option<f64>,
     last_call: Time,
     ejected: Time,
@@ -60,7 +61,8 @@
             region: None,
             calls: 0,
             present: true,
-            cold_gap: None,
+            gap: None,
+            most: None,
             share: None,
             last_call: Time::ZERO,
             ejected: Time::ZERO,
@@ -78,15 +80,15 @@
         self.present && !is_left_out && !self.is_left_alone()
     }
 
-    /// Whether it is cold and this coordinator is not to start calls there.
+    /// Whether this coordinator is not to start calls there, since it is cold.
     fn is_left_alone(&self) -> bool {
-        self.cold_gap == Some(Duration::MAX)
+        self.gap == Some(Duration::MAX)
     }
 
-    /// Whether it is cold and had a call too short a time ago.
+    /// Whether it had a call too short a time ago.
     fn is_held_back(&self, now: Time) -> bool {
         let had_one = self.last_call > Time::ZERO;
-        had_one && self.cold_gap.is_some_and(|gap| now.since(self.last_call) < gap)
+        had_one && self.gap.is_some_and(|gap| now.since(self.last_call) < gap)
     }
 
     fn eject(&mut self, now: Time) {
@@ -116,6 +118,8 @@
     pub(super) place: Place,
     /// Bytes of results for which there is room.
     pub(super) room: u64,
+    /// Most pieces of its call.
+    pub(super) most: Option<usize>,
     /// Part of all pieces that makers of its version may get, if that is on trial.
     pub(super) share: Option<f64>,
 }
@@ -130,11 +134,12 @@
         for m in self.0.values_mut() {
             m.present = false;
         }
-        for MakerInfo { id, domain, region, cold_gap, share } in makers {
+        for MakerInfo { id, domain, region, gap, most, share } in makers {
             let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
             maker.present = true;
             maker.region = region;
-            maker.cold_gap = cold_gap;
+            maker.gap = gap;
+            maker.most = most;
             maker.share = share;
         }
         self.forget_idle();
@@ -199,7 +204,7 @@
             let seen = m.tight.filter(|(_, until)| now < *until);
             let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
             let place = Place { domain: m.domain.clone(), region: m.region.clone() };
-            free.push(Free { id: id.clone(), place, room, share: m.share });
+            free.push(Free { id: id.clone(), place, room, most: m.most, share: m.share });
         }
         free.sort_by_key(|f| (f.share.is_none(), std::cmp::Reverse(f.room)));
         free
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -17,8 +17,11 @@
     pub domain: Name,
     /// Region of that, if it is known.
     pub region: Option<Name>,
-    /// Least time between two calls, if it is cold; [`Duration::MAX`] if it gets none.
-    pub cold_gap: Option<Duration>,
+    /// Least time between two calls, if it is cold or names a limit; [`Duration::MAX`] if it gets
+    /// none.
+    pub gap: Option<Duration>,
+    /// Most pieces of a call, if it takes fewer than others.
+    pub most: Option<usize>,
     /// Part of all pieces that makers of its version may get, if that is on trial beside another
     /// one.
     pub share: Option<f64>,
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -6,7 +6,8 @@
 use model::forward::{Allowed, Evacuations, Target, TargetId, TargetList};
 use model::{Name, Time};
 
-use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Limits, Regions, Terms};
+use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
+use crate::permit::Limits;
 use crate::rollout::Versions;
 
 /// First time for which a failing target is left out.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -8,7 +8,6 @@
 mod belief;
 mod cold;
 mod evacuation;
-mod limits;
 mod news;
 mod pick;
 mod terms;
@@ -16,7 +15,6 @@
 pub use belief::{Belief, Fleet, Observation, Presence};
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange};
-pub use limits::{LimitChange, Limited, Limits};
 pub use news::still_true;
 pub use pick::{ColdStarts, Home, Wanted, shares};
 pub use terms::{Barred, Regions, Terms};
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -205,6 +205,7 @@
         let fresh = move |b: &&Belief| {
             !wanted.but.contains(&b.target.id)
                 && b.outstanding < wanted.most_each
+                && !self.limits().is_closed(&b.target.id, now)
                 && self.may_start(b, wanted, now)
         };
         let sound = self
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod permit;
 pub mod place;
 pub mod prefill;
 pub mod quarantine;
--- /dev/null
+++ b/crates/decide/src/permit/mod.rs
@@ -0,0 +1,16 @@
+//! Limits that targets name in their answers, and permits to send requests there.
+//!
+//! A limit is the requests a second that a target takes from all nodes together, for as long as
+//! its answers say so. One node, the target's keeper, keeps the sum: whoever sends a request
+//! there asks it for a permit first. Nodes that disagree on who that is for a moment ask two; what
+//! one gives out leaves room for another.
+
+mod book;
+mod limits;
+mod returns;
+mod word;
+
+pub use book::{Book, Grant, LIMITED_CALL, pace_of};
+pub use limits::{LimitChange, Limits};
+pub use returns::Returns;
+pub use word::Word;
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -374,6 +374,28 @@
         !self.stops && wanted.into_iter().all(|p| score(target, &p.node.id.name) < own)
     }
 
+    /// Who keeps the sum of what all nodes send to a target that names a limit: a node of the
+    /// target's failure domain if one is up, so that both go on together when it is cut off.
+    /// `Some(None)` is this node; `None` while nodes are still finding each other. Peers whose
+    /// build keeps no limits are passed over.
+    pub fn keeper(
+        &self,
+        target: &str,
+        domain: &str,
+        is_stranger: impl Fn(&NodeId) -> bool,
+        now: Time,
+    ) -> Option<Option<Node>> {
+        if self.is_forming(now) {
+            return None;
+        }
+        let mut order = self.coordinators(target, now);
+        order.retain(|n| n.as_ref().is_none_or(|n| !is_stranger(&n.id)));
+        let domain_of = |n: &Option<Node>| n.as_ref().map_or(&self.domain, |n| &n.domain).clone();
+        let is_near = |n: &Option<Node>| *domain_of(n) == *domain;
+        let near = order.iter().position(is_near).unwrap_or(0);
+        Some(order.swap_remove(near))
+    }
+
     /// Nodes that are up as far as is known, but for this one: suspected and stopping ones too.
     pub fn ids(&self) -> Vec<NodeId> {
         self.up.iter().map(|p| p.node.id.clone()).collect()
--- a/crates/decide/tests/allowed.rs
+++ b/crates/decide/tests/allowed.rs
@@ -261,7 +261,8 @@
             domain: domain.into(),
             region: regions.get(domain).map(|r| Name::from(*r)),
             share: None,
-            cold_gap: None,
+            gap: None,
+            most: None,
         }
     };
     present.iter().map(info).collect()
--- a/crates/decide/tests/batch.rs
+++ b/crates/decide/tests/batch.rs
@@ -488,7 +488,8 @@
             id: "m1".into(),
             domain: "a".into(),
             region: None,
-            cold_gap: gap,
+            gap,
+            most: None,
             share: None,
         }])
     };
--- a/crates/decide/tests/batch_trial.rs
+++ b/crates/decide/tests/batch_trial.rs
@@ -14,7 +14,8 @@
         id: id.as_str().into(),
         domain: "a".into(),
         region: None,
-        cold_gap: None,
+        gap: None,
+        most: None,
         share,
     };
     let serving = (0..serving).map(|n| info(format!("old-{n}"), None));
@@ -80,7 +81,8 @@
         id: "new-0".into(),
         domain: "a".into(),
         region: None,
-        cold_gap: None,
+        gap: None,
+        most: None,
         share: None,
     };
     c.on(at(2), Event::Makers(vec![new]));
--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -249,7 +249,8 @@
         id: id(*start),
         domain: domain.into(),
         region: None,
-        cold_gap: None,
+        gap: None,
+        most: None,
         share: None,
     };
     Event::Makers(starts.iter().map(info).collect())
--- a/crates/decide/tests/support/batch.rs
+++ b/crates/decide/tests/support/batch.rs
@@ -28,7 +28,8 @@
         id: (*id).into(),
         domain: (*domain).into(),
         region: None,
-        cold_gap: None,
+        gap: None,
+        most: None,
         share: None,
     };
     Event::Makers(of.iter().map(info).collect())
--- a/crates/forward/src/crossed.rs
+++ b/crates/forward/src/crossed.rs
@@ -43,6 +43,8 @@
     Ping,
     /// A report on a version on trial, or a state that a peer writes.
     Rollout,
+    /// Permits, and news of limits that targets name.
+    Limit,
 }
 
 impl Kind {
@@ -59,6 +61,7 @@
             Kind::Member => "member",
             Kind::Ping => "ping",
             Kind::Rollout => "rollout",
+            Kind::Limit => "limit",
         }
     }
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -94,6 +94,22 @@
         what: &'a str,
         #[serde(skip_serializing_if = "Option::is_none")]
         per_s: Option<f64>,
+        from: &'a str,
+    },
+    /// A permit was asked for, to send a request, or so many pieces of a call, to a target that
+    /// names a limit: of its keeper, of this node itself where that is empty. It may be asked for
+    /// again `after_ms` later if it was not granted.
+    Permit {
+        id: &'a str,
+        target: &'a str,
+        keeper: &'a str,
+        outcome: &'a str,
+        count: u32,
+        per_s: f64,
+        word_age_ms: u64,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        after_ms: Option<u64>,
+        took_ms: u64,
     },
     /// The budget for repeats of a service granted none.
     NoRepeat { service: &'a str, nodes: usize },
@@ -278,6 +294,7 @@
             Event::Request { outcome, .. } => !WELL.contains(outcome),
             Event::Stage { made, .. } => !made,
             Event::Call { pieces, made, .. } => made < pieces,
+            Event::Permit { after_ms, .. } => after_ms.is_some(),
             Event::Chosen { .. } => false,
             _ => true,
         }
--- /dev/null
+++ b/crates/forward/src/limits/spread.rs
@@ -0,0 +1,114 @@
+//! Tells peers that a target names a limit, or none any more: a node that hears of it at its
+//! keeper's is bound before it has passed such an answer on itself.
+//!
+//! Whoever misses the news learns it from its own answers, so each peer is told once.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::permit::Word;
+use futures_util::future::join_all;
+use model::Name;
+use model::forward::{LimitNews, Target, TargetId, TargetLimit};
+use model::member::Node as PeerNode;
+use tokio::sync::Notify;
+use util::http::CallError;
+
+use super::learn;
+use crate::node::Node;
+use crate::peers::{self, LIMITS};
+
+/// Time in which news is gathered, so that targets that begin together make one message.
+const GATHER: Duration = Duration::from_millis(50);
+/// Time for a peer's answer, the farthest region's included.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Messages under way at once.
+const AT_ONCE: usize = 32;
+
+/// Targets whose limits peers are to be told of, with their failure domains.
+#[derive(Default)]
+pub(super) struct Unsent {
+    targets: RefCell<BTreeMap<TargetId, Name>>,
+    added: Notify,
+}
+
+/// Runs until the process ends.
+pub(super) async fn run(node: Rc<Node>) {
+    loop {
+        node.limits.unsent.added.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let limits = gather(&node);
+        let peers = node.peers.roster(|r| r.peers());
+        let known: Vec<_> = peers.into_iter().filter(|p| !node.limits.is_stranger(&p.id)).collect();
+        let news = LimitNews { limits, spread: false };
+        for some in known.chunks(AT_ONCE) {
+            join_all(some.iter().map(|peer| send(&node, peer, &news))).await;
+        }
+    }
+}
+
+fn gather(node: &Node) -> Vec<TargetLimit> {
+    let targets = std::mem::take(&mut *node.limits.unsent.targets.borrow_mut());
+    let now = node.now();
+    let limit = |(target, domain): (TargetId, Name)| {
+        let word = node.limits.book(|b| b.word(&target))?.told(now);
+        Some(TargetLimit { target, domain, word })
+    };
+    targets.into_iter().filter_map(limit).collect()
+}
+
+async fn send(node: &Rc<Node>, peer: &PeerNode, news: &LimitNews) -> Result<(), CallError> {
+    let told = peers::tell::<_, ()>(node, &node.client, peer.entry, LIMITS, news, TIMEOUT).await;
+    match &told {
+        Ok(()) => {}
+        Err(e) if peers::is_unknown(e) => node.limits.note_stranger(peer, LIMITS),
+        Err(e) => log::debug!("limits: {e}"),
+    }
+    told
+}
+
+/// All peers are to be told of a target's limit.
+pub(super) fn tell_all(node: &Node, target: &TargetId, domain: &Name) {
+    let unsent = &node.limits.unsent;
+    unsent.targets.borrow_mut().insert(target.clone(), domain.clone());
+    unsent.added.notify_one();
+}
+
+/// Tells a target's keeper what an answer said.
+pub(super) fn tell_keeper(node: &Rc<Node>, target: &Target, word: Word) {
+    let (id, domain) = (target.id.clone(), target.domain.clone());
+    match node.limits.keeper(node, &id, &domain) {
+        None => {}
+        Some(None) => keep(node, &id, &domain, word),
+        Some(Some(peer)) => {
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                let limit = TargetLimit { target: id, domain, word: word.told(node.now()) };
+                // What does not arrive is told with the next ask.
+                let _ = send(&node, &peer, &LimitNews { limits: vec![limit], spread: true }).await;
+            });
+        }
+    }
+}
+
+/// Takes a word as a target's keeper.
+pub(super) fn keep(node: &Node, target: &TargetId, domain: &Name, word: Word) {
+    let now = node.now();
+    if node.limits.book(|b| b.learn(target, word, now)) {
+        tell_all(node, target, domain);
+    }
+}
+
+/// Takes a peer's news.
+pub(super) fn take(node: &Node, news: LimitNews) {
+    let now = node.now();
+    for TargetLimit { target, domain, word } in news.limits {
+        let word = Word::heard(&word, now);
+        if news.spread {
+            keep(node, &target, &domain, word);
+        }
+        learn(node, &target, word, "peer");
+    }
+}
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -90,6 +90,7 @@
     held_back: Family<Named, Counter>,
     limited: Gauge,
     sent_at_limit: Family<Named, Counter>,
+    refused_at_limit: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
     rollout_answers: Family<Version, Counter>,
@@ -162,6 +163,7 @@
             held_back: Family::default(),
             limited: Gauge::default(),
             sent_at_limit: Family::default(),
+            refused_at_limit: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
             rollout_answers: Family::default(),
@@ -234,6 +236,8 @@
         registry.register("targets_limited", help, self.limited.clone());
         let help = "Requests and calls to targets while they named a limit, by their service";
         registry.register("sent_at_limit", help, self.sent_at_limit.clone());
+        let help = "Refusals of requests all of whose targets were at their limits, by route";
+        registry.register("refused_at_limit", help, self.refused_at_limit.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
         registry.register("rules_unserved", help, self.unserved.clone());
         registry.register("nodes_up", "Nodes that are up", self.peers.clone());
@@ -308,6 +312,11 @@
         self.sent_at_limit.get_or_create(&Named { name: self.bounded(service) }).inc();
     }
 
+    /// A request was refused since all its targets were at the limits that they name.
+    pub fn refused_at_limit(&self, route: &str) {
+        self.refused_at_limit.get_or_create(&Named { name: self.bounded(route) }).inc();
+    }
+
     /// A request was held back.
     pub fn held_back(&self, route: &str) {
         self.held_back.get_or_create(&Named { name: self.bounded(route) }).inc();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::border::{Dialect, Kind};
 use crate::events::Event;
+use crate::limits::LocalLimits;
 use crate::metrics::{Metrics, Now};
 use crate::peers::{self, Peers};
 use crate::phase::LifePhase;
@@ -56,6 +57,8 @@
     pub schedulers: Schedulers,
     /// Requests under which targets ended.
     pub quarantine: LocalQuarantine,
+    /// Limits that targets name.
+    pub limits: LocalLimits,
     /// Versions on trial: what was seen of them, and their judging.
     pub rollouts: LocalRollouts,
     /// The targets' state, for peers that follow it.
@@ -93,6 +96,7 @@
             pools: Pools::default(),
             schedulers: Schedulers::default(),
             quarantine: LocalQuarantine::default(),
+            limits: LocalLimits::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -297,7 +301,7 @@
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
             held: self.quarantine.count_held(self),
-            limited: self.fleet.borrow().limits().count(),
+            limited: self.fleet.borrow().limits().named().count(),
             rollouts: &self.running_rollouts(),
             ages: Kind::AGED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
         })
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -26,12 +26,13 @@
 
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
+use crate::limits;
 use crate::node::Node;
 use crate::quarantine;
 
 pub use server::{
-    BATCH, FREE, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT, ROLLOUT_STATE, RemoteFree, RemoteState,
-    WAITS,
+    BATCH, FREE, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT, ROLLOUT_STATE,
+    RemoteFree, RemoteState, WAITS,
 };
 
 /// Time to connect to a peer.
@@ -107,6 +108,14 @@
     }
 }
 
+/// Status of a peer that does not know a path.
+const NOT_FOUND: u16 = 404;
+
+/// Whether a peer is of a build that does not know such messages.
+pub fn is_unknown(error: &CallError) -> bool {
+    error.status() == Some(NOT_FOUND)
+}
+
 /// Asks a peer over this node's kept connections.
 pub async fn ask<Q: Serialize, A: DeserializeOwned>(
     node: &Node,
@@ -172,6 +181,7 @@
         FREE => Kind::Free,
         PREFILL | PREFILL_END => Kind::Prompt,
         ROLLOUT | ROLLOUT_STATE => Kind::Rollout,
+        PERMIT | LIMITS => Kind::Limit,
         server::PING => Kind::Ping,
         _ => Kind::News,
     }
@@ -270,6 +280,7 @@
     tokio::task::spawn_local(server::run(node.clone(), listener));
     tokio::task::spawn_local(tell_versions(node.clone()));
     quarantine::start(node);
+    limits::start(node);
     Ok(())
 }
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -11,6 +11,7 @@
 use util::http::{Body, RMP, full, read_rmp, rmp, rmp_named, text};
 
 use crate::ingress::small;
+use crate::limits;
 use crate::node::Node;
 use crate::rollout::{self, Written};
 use crate::stages::{self, NotMade};
@@ -36,6 +37,10 @@
 pub const ROLLOUT_STATE: &str = "/v1/rollout-state";
 /// Path of requests under which targets ended.
 pub const QUARANTINE: &str = "/v1/quarantine";
+/// Path of permits to send requests to targets that name limits.
+pub const PERMIT: &str = "/v1/permit";
+/// Path of news of such limits.
+pub const LIMITS: &str = "/v1/limits";
 /// Path of the rules.
 pub const RULES: &str = "/v1/rules";
 /// Largest message of a peer.
@@ -78,6 +83,8 @@
         ROLLOUT => rollout(&node, request).await,
         ROLLOUT_STATE => rollout_state(&node, request).await,
         QUARANTINE => quarantine(&node, request).await,
+        PERMIT => permit(&node, request).await,
+        LIMITS => limit_news(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     answered.unwrap_or_else(|refusal| refusal)
@@ -135,6 +142,19 @@
     Ok(rmp_named(&node.quarantine.hear(node, &news)))
 }
 
+async fn permit(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let ask = message(request, "not an ask for a permit").await?;
+    let answer = limits::answer(node, &ask);
+    let answer = answer.ok_or_else(|| text(StatusCode::CONFLICT, "another node comes first"))?;
+    Ok(rmp_named(&answer))
+}
+
+async fn limit_news(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
+    let news = message(request, "not news of limits").await?;
+    limits::take(node, news);
+    Ok(rmp_named(&()))
+}
+
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
     let RemoteFree { pool, handles } = message(request, "not results to free").await?;
     node.pools.free(node, &pool, handles);
--- a/crates/forward/src/quarantine/spread.rs
+++ b/crates/forward/src/quarantine/spread.rs
@@ -25,8 +25,6 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Messages under way at once.
 const AT_ONCE: usize = 32;
-/// Status by which a peer says that it does not know such messages.
-const NOT_FOUND: u16 = 404;
 
 /// Peers with a message under way, and those that did not answer.
 #[derive(Default)]
@@ -129,7 +127,7 @@
             q.machine(|m| m.told(&peer.id, &told));
             true
         }
-        Err(e) if e.status() == Some(NOT_FOUND) => {
+        Err(e) if peers::is_unknown(&e) => {
             q.machine(|m| m.stranger(&peer.id));
             Event::Stranger { peer: &peer.id.name, what: QUARANTINE }.emit();
             true
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -1,5 +1,7 @@
 //! Which target a request goes to.
 
+use std::time::Duration;
+
 use decide::fleet::{Barred, ColdStarts, Home, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::resend::Next;
@@ -8,17 +10,32 @@
 
 use super::exchange::Exchange;
 use crate::events::Event;
+use crate::limits::{self, Permit};
 use crate::prefill::{self, Prompt, Ticket};
 use crate::quarantine::HELD;
 use crate::rollout;
 use crate::stages::Made;
 
+/// Asks for permits that may hold one request up.
+const PERMIT_ASKS: usize = 3;
+
 /// The target of one send.
 pub struct Choice {
     /// Target.
     pub target: Target,
     /// Held until the target has read the prompt, if a scheduler chose it.
     pub ticket: Option<Ticket>,
+    /// What allows the send.
+    pub permit: Permit,
+}
+
+/// A target that is chosen, before its permit is asked for.
+struct Pick {
+    target: Target,
+    ticket: Option<Ticket>,
+    by: &'static str,
+    /// Prompt tokens that it has to read before, as far as is known.
+    ahead: u64,
 }
 
 impl Exchange {
@@ -205,7 +222,9 @@
         self.node.fleet(|f| {
             let belief = f.get(&target.id);
             let is_sound = belief.is_some_and(|b| !b.is_ejected(now) && b.outstanding < most);
-            is_sound && f.is_usable(&target.id, terms, now)
+            is_sound
+                && f.is_usable(&target.id, terms, now)
+                && !f.limits().is_closed(&target.id, now)
         })
     }
 
@@ -233,23 +252,52 @@
         if self.progress(|p| !p.but.is_empty()) {
             self.leave_trial();
         }
+        self.permitted(chosen).await
+    }
+
+    /// A target that this request may be sent to now, `chosen` if it may. One whose keeper grants
+    /// no permit is closed to this node, so that another one is chosen.
+    async fn permitted(&self, mut chosen: Option<Target>) -> Option<Choice> {
+        for asks in 0.. {
+            if asks >= PERMIT_ASKS {
+                self.avoid_limited();
+            }
+            let Pick { target, ticket, by, ahead } = self.pick(chosen.take()).await?;
+            let permit = limits::permit(&self.node, &target, 1, &self.head.id).await;
+            if let Some(permit) = permit {
+                if ticket.is_none() {
+                    self.start(&target);
+                }
+                self.tell(&target, by, ahead);
+                return Some(Choice { target, ticket, permit });
+            }
+        }
+        None
+    }
+
+    /// Targets that name a limit are not chosen for this request any more: each ask for a permit
+    /// holds it up.
+    fn avoid_limited(&self) {
+        let limited: Vec<TargetId> =
+            self.node.fleet(|f| f.limits().named().map(|(id, _)| id.clone()).collect());
+        self.progress(|p| p.but.extend(limited));
+    }
+
+    async fn pick(&self, chosen: Option<Target>) -> Option<Pick> {
         let Some(first) = chosen.filter(|t| self.is_usable(t)).or_else(|| self.choose()) else {
             let why = self.no_target();
             self.progress(|p| p.why = format!("{why}; before: {}", p.why));
             return None;
         };
-        if let Some((choice, ahead)) = self.scheduled(&first).await {
-            self.tell(&choice.target, "scheduler", ahead);
-            return Some(choice);
+        if let Some(pick) = self.scheduled(&first).await {
+            return Some(pick);
         }
         let Some(target) = self.in_turn(first) else {
             self.progress(|p| p.why = "all targets are cold".into());
             return None;
         };
-        self.start(&target);
         let by = if self.head.prompt.is_empty() { "least_wait" } else { "home" };
-        self.tell(&target, by, 0);
-        Some(Choice { target, ticket: None })
+        Some(Pick { target, ticket: None, by, ahead: 0 })
     }
 
     /// The target itself, or another one if it is cold and not this node's to start a request
@@ -268,7 +316,7 @@
     }
 
     /// The engine that a scheduler chooses near the prompt's home.
-    async fn scheduled(&self, first: &Target) -> Option<(Choice, u64)> {
+    async fn scheduled(&self, first: &Target) -> Option<Pick> {
         let home = self.home().filter(|_| self.node.settings().policy.scheduling)?;
         let prompt = Prompt {
             attempt: self.head.id.as_str().into(),
@@ -277,15 +325,36 @@
             home,
             tokens: self.head.tokens_in,
             slack_ms: self.slack().as_millis() as u64,
-            but: self.progress(|p| p.but.clone()),
+            but: self.not_chosen(),
         };
         let scheduled = prefill::schedule(&self.node, first, prompt).await?;
         let target = self.node.fleet(|f| f.get(&scheduled.engine).map(|b| b.target.clone()))?;
         if !self.is_usable(&target) {
             return None;
         }
-        let choice = Choice { target, ticket: Some(scheduled.ticket) };
-        Some((choice, scheduled.ahead))
+        let (ticket, ahead) = (Some(scheduled.ticket), scheduled.ahead);
+        Some(Pick { target, ticket, by: "scheduler", ahead })
+    }
+
+    /// Targets that a scheduler is not to choose: it does not know which are closed to this node.
+    fn not_chosen(&self) -> Vec<TargetId> {
+        let now = self.node.now();
+        let mut but = self.progress(|p| p.but.clone());
+        self.node.fleet(|f| {
+            let limited = f.limits().named().map(|(id, _)| id);
+            but.extend(limited.filter(|id| f.limits().is_closed(id, now)).cloned());
+        });
+        but
+    }
+
+    /// Time after which to come back if all targets that may serve the request are at their limits.
+    pub(super) fn limit_wait(&self) -> Option<Duration> {
+        let now = self.node.now();
+        let allowed = self.allowed_now();
+        let targets: Vec<TargetId> = self.node.fleet(|f| {
+            f.usable_in(&self.service, &allowed, now).map(|b| b.target.id.clone()).collect()
+        });
+        self.node.limits.come_back(&self.node, &self.service, &targets)
     }
 
     /// Why no target is left.
@@ -325,7 +394,7 @@
             by,
             ahead,
             cold: self.is_cold(target),
-            limit: self.node.fleet(|f| f.limits().get(&target.id).map(|l| l.per_s)),
+            limit: self.node.fleet(|f| f.limits().get(&target.id)),
             evacuated: &self.evacuated(),
             left_ms: self.left().as_millis() as u64,
             targets_age_ms: self.node.targets_age_ms(),
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -16,6 +16,7 @@
 use super::send::{Outcome, send};
 use super::stream;
 use crate::events::Event;
+use crate::limits::AT_LIMIT;
 use crate::node::{Node, OpenGuard};
 use crate::phase::LifePhase;
 use crate::stages::{self, Job, Made, StageError};
@@ -332,7 +333,7 @@
 
     /// The final answer of a request that no target answered.
     fn own_ending(&self) -> Response<Body> {
-        let (ending, why) = self.progress(|p| (p.tries.ending(), p.why.clone()));
+        let ending = self.progress(|p| p.tries.ending());
         if ending == Ending::Unknown
             && let Some(Failure { status, headers, body }) = self.progress(|p| p.failure.take())
         {
@@ -347,7 +348,7 @@
                 }
                 let come_back = match self.held() {
                     Some(hold) => hold.left,
-                    None => Some(COME_BACK).filter(|_| self.is_reachable()),
+                    None => self.at_limit().or(Some(COME_BACK).filter(|_| self.is_reachable())),
                 };
                 (StatusCode::SERVICE_UNAVAILABLE, come_back, "not_run")
             }
@@ -357,9 +358,18 @@
             Ending::Unknown | Ending::BreakOff => (StatusCode::BAD_GATEWAY, None, "unknown"),
         };
         self.log_end(status.as_u16(), outcome);
+        let why = self.progress(|p| p.why.clone());
         reply::own(&self.node, status, Some(&self.head.id), come_back, &why)
     }
 
+    /// Time after which to come back if all targets are at their limits.
+    fn at_limit(&self) -> Option<Duration> {
+        let wait = self.limit_wait()?;
+        self.node.metrics.refused_at_limit(&self.route.name);
+        self.progress(|p| p.why = format!("{AT_LIMIT}; before: {}", p.why));
+        Some(wait)
+    }
+
     /// Writes the line of the final answer, once.
     pub fn log_end(&self, status: u16, outcome: &str) {
         let mut p = self.progress.borrow_mut();
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -106,7 +106,7 @@
     made: Option<&Made>,
     resume_after: Option<u64>,
 ) -> Outcome {
-    let Choice { target, ticket } = choice;
+    let Choice { target, ticket, permit } = choice;
     let target = &target;
     let attempt = Attempt { exchange, target, begun: exchange.node.now() };
     exchange.progress(|p| p.goes_to(&target.id));
@@ -125,6 +125,10 @@
         exchange.progress(|p| p.why = format!("its target is barred by now: {why}"));
         return Outcome::Nothing;
     }
+    if permit.is_over(exchange.node.now()) {
+        exchange.progress(|p| p.why = "its permit ran out on the way".into());
+        return Outcome::Nothing;
+    }
     if !exchange.node.quarantine.sends(&exchange.node, &exchange.head.id, exchange.fingerprint) {
         exchange.progress(|p| p.why = HELD.into());
         return Outcome::Nothing;
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -8,6 +8,7 @@
 
 use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerInfo, OrderId};
 use decide::fleet::{Belief, Observation, Terms};
+use decide::permit::{LIMITED_CALL, pace_of};
 use decide::region::Spill;
 use http_body_util::{BodyExt, Limited};
 use model::Time;
@@ -209,15 +210,23 @@
         let region = self.pool.region.as_ref();
         let is_here = |b: &&Belief| region.is_none_or(|r| map.region_of(&b.target.domain) == *r);
         node.fleet(|f| {
-            let gap_of = |b: &Belief| {
+            let cold_gap = |b: &Belief| {
                 let limit = limit.filter(|l| f.is_cold(b, *l, now))?;
                 Some(limit.gap.unwrap_or(Duration::MAX))
             };
+            let usual = |b: &Belief| f.limits().get(&b.target.id).is_none();
+            let others_bear = f.usable(&self.pool.service, Terms::ANY, now).any(usual);
+            let most = others_bear.then_some(LIMITED_CALL);
+            let limit_gap = |b: &Belief| {
+                let pace = pace_of(f.limits().get(&b.target.id)?);
+                Some(Duration::from_secs_f64(f64::from(most.unwrap_or(1)) / pace))
+            };
             let info = |b: &Belief| MakerInfo {
                 id: b.target.id.clone(),
                 domain: b.target.domain.clone(),
                 region: f.regions().of(&b.target.domain).cloned(),
-                cold_gap: gap_of(b),
+                gap: cold_gap(b).max(limit_gap(b)),
+                most: most.filter(|_| !usual(b)).map(|most| most as usize),
                 share: None,
             };
             let service = &self.pool.service;
@@ -311,19 +320,31 @@
     let _at_maker = AtMaker::new(node, &call.maker);
     let post = node.dialect.stage_call(&call.pieces);
     let request = call::request(node, &call.maker, address, post);
+    let Some(permit) = limits::permit(node, &target, counted(&call), &call_id(runner, &call)).await
+    else {
+        let why = limits::AT_LIMIT;
+        log_call(runner, &call, &[], 0, node.targets_age_ms(), why);
+        return CallEnd::Full;
+    };
     let begun = node.now();
     let targets_age_ms = node.targets_age_ms();
     let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
     let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
     let crossing = Crossing::to_target(node, Kind::Call, &call.maker);
-    limits::count_sent(node, &target);
     let work = async {
-        match upstream::send(address, request, crossing).await {
+        let socket = match upstream::connect(address).await {
+            Ok(_) if permit.is_over(node.now()) => {
+                return (CallEnd::Full, Observation::Rejected, "its permit ran out".into());
+            }
+            Ok(socket) => socket,
+            Err(e) => return (CallEnd::Failed, Observation::Unreachable, e.to_string()),
+        };
+        limits::count_sent(node, &target);
+        match upstream::send_over(socket, address, request, crossing).await {
             Ok(answer) => {
                 let from = Asked { target: &target, begun, took: node.now().since(begun) };
                 read_answer(node, from, answer, sent.as_ref()).await
             }
-            Err(e) if e.not_sent() => (CallEnd::Failed, Observation::Unreachable, e.to_string()),
             Err(e) => (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
         }
     };
@@ -350,6 +371,18 @@
     end
 }
 
+/// Requests that a call counts as at a maker that names a limit: each of its pieces, unless it was
+/// made large since all makers name one.
+fn counted(call: &Call) -> u32 {
+    let pieces = call.pieces.len() as u32;
+    if pieces <= LIMITED_CALL { pieces } else { 1 }
+}
+
+/// What names a call where attempts have their ids.
+fn call_id(runner: &Runner, call: &Call) -> String {
+    format!("{} {}", runner.pool.service, call.number)
+}
+
 fn log_call(
     runner: &Runner,
     call: &Call,
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -45,11 +45,6 @@
         };
         e.kind() == io::ErrorKind::ConnectionRefused
     }
-
-    /// Whether it is certain that no byte was sent.
-    pub fn not_sent(&self) -> bool {
-        !matches!(self, SendError::Broke(..))
-    }
 }
 
 /// Ends the connection when it goes.
@@ -87,16 +82,6 @@
     }
 }
 
-/// Connects, sends a request and waits for the answer's head.
-pub async fn send(
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    crossing: Option<Crossing>,
-) -> Result<Answer, SendError> {
-    let socket = connect(address).await?;
-    send_over(socket, address, request, crossing).await
-}
-
 /// Sends a request over a new connection and waits for the answer's head.
 /// Dropping the future ends the connection.
 pub async fn send_over(
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -63,6 +63,7 @@
             Event::Resumed { suspended_ms: millis(suspended - before) }.emit();
         }
         node.fleet(|f| f.expire(now));
+        node.limits.expire(&node);
         node.feed.tell_old(now);
     }
 }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -23,7 +23,7 @@
 };
 pub use caller::{CallerHead, PromptPart};
 pub use fingerprint::{Fingerprint, NoFingerprint};
-pub use limit::NamedLimit;
+pub use limit::{LimitNews, LimitWord, NamedLimit, PermitAnswer, PermitAsk, TargetLimit};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use quarantine::{EndNews, HeldRecord, MakerEnd, QuarantineNews, SuspectNews};
