A held request whose object another writer spoilt is held on

Cause: whoever reads the list of held requests took an object that it cannot read for one that an operator had deleted. The list was paged through by code of its own, which passed such entries over and told nobody.

Change: the list is read by the reader that all other kinds have, which tells unreadable entries; an unreadable name counts as there. What becomes of this call says nothing of the store to others, as before.

--- a/crates/forward/src/quarantine/record.rs
+++ b/crates/forward/src/quarantine/record.rs
@@ -1,19 +1,19 @@
 //! Keeps requests that are held in the store, and takes those that it has.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::Time;
 use model::forward::{Fingerprint, HeldRecord};
-use model::{Name, Time};
 use util::clock::unix_ms;
 use util::http::Client;
 
 use super::STORE;
-use crate::border::{Change, Kind, Page, Post};
+use crate::border::{Change, Kind, Post};
 use crate::events::Event;
 use crate::node::Node;
-use crate::watch::STORE_CONNECT;
+use crate::watch::{Reader, STORE_CONNECT, Step};
 
 /// Time between looks at what is to be written, and the least between two tries.
 const WRITE_EVERY: Duration = Duration::from_millis(500);
@@ -26,8 +26,6 @@
 const READ_FIRST: Duration = Duration::from_millis(500);
 /// Time for a call.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// Pages of one list at most.
-const PAGES_MOST: usize = 16;
 /// Status of an object that is there already.
 const CONFLICT: u16 = 409;
 /// Status of an object that is gone.
@@ -88,14 +86,18 @@
 
 /// Reads until the process ends, for as long as this node reads the store.
 pub async fn read(node: Rc<Node>) {
+    let mut reader = Reader::new(node.clone(), Kind::Quarantine);
     let mut seen = BTreeMap::new();
     let mut is_known = false;
     loop {
         node.feed.reads_store().await;
-        match list(&node, is_known).await {
-            Ok(list) => {
+        match reader.look(is_known).await {
+            Ok(step) => {
                 is_known = true;
-                take(&node, &mut seen, list).await;
+                // An object that is missing in half of a list is not gone.
+                if !step.cut {
+                    take(&node, &mut seen, step).await;
+                }
             }
             Err(e) => log::debug!("quarantine: {e}"),
         }
@@ -104,47 +106,23 @@
     }
 }
 
-/// The records, and the revision at which they are so; `None` if they could not all be read.
-async fn list(node: &Node, may_be_old: bool) -> anyhow::Result<Option<(u64, Vec<HeldRecord>)>> {
-    let mut records = Vec::new();
-    let (mut at, mut after): (Option<u64>, Option<Name>) = (None, None);
-    for _ in 0..PAGES_MOST {
-        let path = match may_be_old {
-            true => node.dialect.old_list(Kind::Quarantine, after.as_ref()),
-            false => node.dialect.list(Kind::Quarantine, after.as_ref()),
-        };
-        let Page { changes, more, at: page_at, cut, .. } = page(node, &path).await?;
-        let at = *at.get_or_insert(page_at);
-        records.extend(changes.into_iter().filter_map(|change| match change {
-            Change::Held(record) => Some(record),
-            _ => None,
-        }));
-        if more.is_none() {
-            return Ok((!cut).then_some((at, records)));
+/// Takes a list; `seen` has the records that this node saw before, and at which revision. One that
+/// cannot be read any more holds on: only an operator's deletion releases a request.
+async fn take(node: &Node, seen: &mut BTreeMap<Fingerprint, u64>, list: Step) {
+    let Step { at, changes, .. } = list;
+    let (mut records, mut there) = (Vec::new(), BTreeSet::new());
+    for change in changes {
+        match change {
+            Change::Held(record) => {
+                there.insert(record.request);
+                records.push(record);
+            }
+            Change::Unreadable(name) => there.extend(name.parse::<Fingerprint>()),
+            _ => {}
         }
-        after = more;
     }
-    Ok(None)
-}
-
-async fn page(node: &Node, path: &str) -> anyhow::Result<Page> {
-    let (store, client) = call(node);
-    let body = client.bytes(&store, path, TIMEOUT).await?;
-    Ok(node.dialect.page(Kind::Quarantine, &body)?)
-}
-
-/// Takes a list; `seen` has the records that this node saw before, and at which revision.
-async fn take(
-    node: &Node,
-    seen: &mut BTreeMap<Fingerprint, u64>,
-    list: Option<(u64, Vec<HeldRecord>)>,
-) {
-    let Some((at, records)) = list else {
-        return;
-    };
     let is_gone = |(request, seen_at): (&Fingerprint, &u64)| {
-        let is_there = records.iter().any(|r| r.request == *request);
-        (!is_there && at >= *seen_at).then_some(*request)
+        (!there.contains(request) && at >= *seen_at).then_some(*request)
     };
     let gone: Vec<Fingerprint> = seen.iter().filter_map(is_gone).collect();
     for request in gone {
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -24,7 +24,7 @@
 pub use ages::Age;
 pub use backoff::Backoff;
 pub use feed::Feed;
-pub use store::CONNECT as STORE_CONNECT;
+pub use store::{CONNECT as STORE_CONNECT, Reader, Step};
 pub use targets::answer;
 
 /// Time between looks at targets whose entries vanished, and at the age of what is known.
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -104,7 +104,7 @@
     /// Reads the whole state, or waits for changes since a revision.
     pub async fn read(&mut self, at: Option<u64>, wait: Duration) -> Result<Step, ReadError> {
         let read = match at {
-            None => self.list().await,
+            None => self.list(false).await,
             Some(at) => self.watch_surely(at, wait).await,
         };
         match &read {
@@ -118,6 +118,17 @@
         read
     }
 
+    /// Reads the whole state once, beside those that follow it: what becomes of this call says
+    /// nothing of the store to others. It may be some seconds old, and is cheaper then.
+    pub async fn look(&mut self, may_be_old: bool) -> Result<Step, ReadError> {
+        let list = self.list(may_be_old).await;
+        match &list {
+            Ok(step) => self.note(step),
+            Err(_) => self.client = Client::new(CONNECT),
+        }
+        list
+    }
+
     fn answered(&mut self) {
         if std::mem::take(&mut self.failed) {
             Event::Store { kind: self.kind.as_str(), reachable: true, why: "" }.emit();
@@ -181,13 +192,16 @@
         self.get(path, LIST_TIMEOUT).await
     }
 
-    async fn list(&self) -> Result<Step, ReadError> {
+    async fn list(&self, may_be_old: bool) -> Result<Step, ReadError> {
         let dialect = &self.node.dialect;
         let mut step = Step { whole: true, ..Step::default() };
         let mut after = None;
         let mut asked = BTreeSet::new();
         loop {
-            let path = dialect.list(self.kind, after.as_ref());
+            let path = match may_be_old {
+                true => dialect.old_list(self.kind, after.as_ref()),
+                false => dialect.list(self.kind, after.as_ref()),
+            };
             let body = self.get_page(&path).await?;
             let page = dialect.page(self.kind, &body)?;
             if after.is_none() {
