Nobody wakes up twice a second for held requests while none is held

Each node looked every 0.5 s whether a held request is to be written to the store, though nothing was held. It waits for the first one now. Read in the code, not measured: two wake-ups a second of each node. Test: the nine of platform/tests/quarantine, which write, release and read such requests.

--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -44,6 +44,8 @@
     open: RefCell<HashMap<Name, Fingerprint>>,
     pace: Pace,
     changed: Notify,
+    /// A request is held, and may have to be written.
+    held: Notify,
 }
 
 impl LocalQuarantine {
@@ -174,6 +176,7 @@
             let same = request.to_string();
             match change {
                 Change::Held(hold) => {
+                    self.held.notify_one();
                     let targets = self.machine(|q| q.ends_of(request, TOLD_MOST));
                     let left_ms = hold.left.map(|left| left.as_millis() as u64);
                     let (same, targets) = (&*same, &*targets);
--- a/crates/forward/src/quarantine/record.rs
+++ b/crates/forward/src/quarantine/record.rs
@@ -34,10 +34,10 @@
 /// Writes until the process ends.
 pub async fn write(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(WRITE_EVERY).await;
         if node.quarantine.count_held(&node) == 0 {
-            continue;
+            node.quarantine.held.notified().await;
         }
+        tokio::time::sleep(WRITE_EVERY).await;
         let peers = node.peers.roster(|r| r.peers());
         let me = &node.peers.id.name;
         let unwritten = node.quarantine.machine(|q| q.unwritten(me, &peers, unix_ms()));
