--- a/crates/forward/src/limits/spread.rs
+++ b/crates/forward/src/limits/spread.rs
@@ -22,6 +22,8 @@
 
 /// Time in which news is gathered, so that targets that begin together make one message.
 const GATHER: Duration = Duration::from_millis(50);
+/// Time between two rounds of news: a target may name a limit in every second answer.
+const APART: Duration = Duration::from_secs(1);
 /// Time for a peer's answer, the farthest region's included.
 const TIMEOUT: Duration = Duration::from_millis(800);
 /// Messages under way at once.
@@ -46,6 +48,7 @@
         for some in known.chunks(AT_ONCE) {
             join_all(some.iter().map(|peer| send(&node, peer, &news))).await;
         }
+        tokio::time::sleep(APART).await;
     }
 }
 
@@ -106,9 +109,10 @@
     let now = node.now();
     for TargetLimit { target, domain, word } in news.limits {
         let word = Word::heard(&word, now);
+        let from = if news.spread { "witness" } else { "peer" };
+        learn(node, &target, word, from);
         if news.spread {
             keep(node, &target, &domain, word);
         }
-        learn(node, &target, word, "peer");
     }
 }
