A target that names a limit is asked now and then, however slow it was

Cause, read in the permit lines of a failed run: each node asked once and was sent away, and never chose the target again. Plain targets are chosen by the least expected wait, and its first answer had been slow; others were free, so that nobody asked, and nobody heard that the limit was over. Ruled out: permits that ran out on their way (no line), news that was lost.

Change: once 2 s have passed without an ask, a node asks for such a target if it lies near, whatever its mean. One that is truly slow gets no more than that.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -165,13 +165,17 @@
 }
 
 impl Fleet {
-    /// The target with the least expected wait, for services without a cache.
+    /// The target with the least expected wait, for services without a cache; before it one
+    /// that names a limit, lies near and was not asked for long.
     pub fn pick_plain(&self, wanted: Wanted<'_>, now: Time, rng: &mut Rng) -> Option<Target> {
         let mut best: Option<(f64, &Belief)> = None;
         for b in self.candidates(wanted, now) {
+            let crossing = crossing_ms(wanted, &b.target.domain);
+            if crossing <= CROSSING_MS && self.limits().is_due(&b.target.id, now) {
+                return Some(b.target.clone());
+            }
             let mean = if b.mean_ms > 0.0 { b.mean_ms } else { UNKNOWN_MS };
             let load = f64::from(b.outstanding) / f64::from(b.target.slots.max(1));
-            let crossing = crossing_ms(wanted, &b.target.domain);
             let jitter = rng.below(100) as f64 / 100.0;
             let cost = mean * (1.0 + load) / (1.0 - b.failing).max(0.05) + crossing + jitter;
             if best.is_none_or(|(least, _)| cost < least) {
--- a/crates/decide/src/permit/limits.rs
+++ b/crates/decide/src/permit/limits.rs
@@ -12,6 +12,10 @@
 /// more: entries that lapse around an outage of the store come back, and peers may tell older words.
 const KEPT: Duration = Duration::from_secs(60);
 
+/// Time after which a target is due that this node asked nothing of: it may be faster by now than
+/// it was, and that its limit is over shows by its answers alone.
+const DUE: Duration = Duration::from_secs(2);
+
 /// What a word changes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitChange {
@@ -28,6 +32,8 @@
     word: Word,
     /// Until then this node sends nothing there.
     closed: Time,
+    /// When this node last asked for a permit.
+    asked: Time,
 }
 
 /// Limits of the targets that name one.
@@ -65,6 +71,19 @@
         self.closed(id).is_some_and(|until| now < until)
     }
 
+    /// Whether a target that names a limit is to be asked now, however slow it seemed.
+    pub fn is_due(&self, id: &TargetId, now: Time) -> bool {
+        let known = self.known.get(id).filter(|known| known.word.per_s.is_some());
+        known.is_some_and(|k| now >= k.closed && now.since(k.asked) >= DUE)
+    }
+
+    /// This node asks for a permit to send to a target.
+    pub fn asks(&mut self, id: &TargetId, now: Time) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.asked = now;
+        }
+    }
+
     /// Nothing is to be sent to a target before this.
     pub fn close(&mut self, id: &TargetId, until: Time) {
         if let Some(known) = self.known.get_mut(id) {
@@ -95,7 +114,7 @@
     pub fn learn(&mut self, id: &TargetId, word: Word) -> Option<LimitChange> {
         let Some(known) = self.known.get_mut(id) else {
             let per_s = word.per_s?;
-            self.known.insert(id.clone(), Known { word, closed: Time::ZERO });
+            self.known.insert(id.clone(), Known { word, closed: Time::ZERO, asked: word.came });
             return Some(LimitChange::Named(per_s));
         };
         let before = known.word.per_s;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -10,7 +10,7 @@
 use decide::fleet::{Fleet, Home, Observation, Regions, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::rng::Rng;
-use model::forward::{Allowed, PromptPart, Target};
+use model::forward::{Allowed, NamedLimit, PromptPart, Target, TargetId};
 use support::{at, target, wanted};
 
 fn fleet(n: usize) -> Fleet {
@@ -171,6 +171,28 @@
     assert_eq!(fleet.pick_home(wanted, home(1), at(0)).map(|t| t.id.name).as_deref(), Some("t1"));
 }
 
+/// A target that names a limit was chosen by its own answers alone: slow once, it got nothing while
+/// another one was free, and nobody heard that its limit was over.
+#[test]
+fn a_target_that_names_a_limit_is_asked_now_and_then_however_slow_it_was() {
+    let mut fleet = fleet(2);
+    let mut rng = Rng::new(1);
+    let id = TargetId::from("t0");
+    fleet.observe(&id, Observation::Answered(Duration::from_secs(1)), at(0));
+    let mut chosen = |fleet: &Fleet, ms| {
+        fleet.pick_plain(wanted(&[]), at(ms), &mut rng).map(|t| t.id.name.to_string())
+    };
+    assert_eq!(chosen(&fleet, 5_000).as_deref(), Some("t1"), "it names no limit");
+    fleet.limits_mut().hear(&id, NamedLimit::PerSecond(1.0), at(5_000), at(5_010));
+    assert_eq!(chosen(&fleet, 7_000).as_deref(), Some("t1"), "it has just answered");
+    assert_eq!(chosen(&fleet, 7_010).as_deref(), Some("t0"));
+    fleet.limits_mut().asks(&id, at(7_010));
+    assert_eq!(chosen(&fleet, 9_000).as_deref(), Some("t1"));
+    fleet.limits_mut().close(&id, at(9_500));
+    assert_eq!(chosen(&fleet, 9_400).as_deref(), Some("t1"), "its keeper said so");
+    assert_eq!(chosen(&fleet, 9_500).as_deref(), Some("t0"));
+}
+
 #[test]
 fn a_home_with_too_much_to_read_hands_on_in_the_same_order() {
     let mut fleet = fleet(6);
--- a/crates/forward/src/limits/ask.rs
+++ b/crates/forward/src/limits/ask.rs
@@ -45,6 +45,7 @@
     let Some(word) = node.fleet(|f| f.limits().word(&target.id)) else {
         return Some(Permit { until: Time::NEVER });
     };
+    node.fleet(|f| f.limits_mut().asks(&target.id, begun));
     let (keeper, grant) = ask_keeper(node, target, count, word).await;
     let now = node.now();
     let (outcome, after) = match grant {
