Permits are named only where one is asked for; a cold target's turn is taken before them

Each call for pieces made a text for the line of its permit, although its maker names no limit: the text is made where a line is written. A request that waits for a permit at a target that is cold as well let another request of its node start there meanwhile: its turn is taken first. No test makes a target cold and limited at once; the limits' eight over processes are green, twice.

--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -390,8 +390,10 @@
         }
         let mut order = self.coordinators(target, now);
         order.retain(|n| n.as_ref().is_none_or(|n| !is_stranger(&n.id)));
-        let domain_of = |n: &Option<Node>| n.as_ref().map_or(&self.domain, |n| &n.domain).clone();
-        let is_near = |n: &Option<Node>| *domain_of(n) == *domain;
+        let is_near = |n: &Option<Node>| {
+            let of_node = n.as_ref().map_or(&self.domain, |n| &n.domain);
+            **of_node == *domain
+        };
         let near = order.iter().position(is_near).unwrap_or(0);
         Some(order.swap_remove(near))
     }
--- a/crates/forward/src/limits/ask.rs
+++ b/crates/forward/src/limits/ask.rs
@@ -39,8 +39,14 @@
 }
 
 /// Asks for a permit to send so many requests to a target; none is needed unless it names a
-/// limit. `None` if they may not be sent; the target is closed to this node for a while then.
-pub async fn permit(node: &Rc<Node>, target: &Target, count: u32, id: &str) -> Option<Permit> {
+/// limit. `None` if they may not be sent; the target is closed to this node for a while then. `id`
+/// tells what is to be sent.
+pub async fn permit(
+    node: &Rc<Node>,
+    target: &Target,
+    count: u32,
+    id: impl FnOnce() -> String,
+) -> Option<Permit> {
     let begun = node.now();
     let Some(word) = node.fleet(|f| f.limits().word(&target.id)) else {
         return Some(Permit { until: Time::NEVER });
@@ -55,7 +61,7 @@
         Err(why) => (why, Some(UNSETTLED)),
     };
     Event::Permit {
-        id,
+        id: &id(),
         target: &target.id.name,
         keeper: keeper.as_ref().map_or("", |k| &k.id.name),
         outcome,
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -263,11 +263,12 @@
                 self.avoid_limited();
             }
             let Pick { target, ticket, by, ahead } = self.pick(chosen.take()).await?;
-            let permit = limits::permit(&self.node, &target, 1, &self.head.id).await;
-            if let Some(permit) = permit {
-                if ticket.is_none() {
-                    self.start(&target);
-                }
+            if ticket.is_none() {
+                // Before the permit: another request of this node would start there meanwhile.
+                self.start(&target);
+            }
+            let id = || self.head.id.clone();
+            if let Some(permit) = limits::permit(&self.node, &target, 1, id).await {
                 self.tell(&target, by, ahead);
                 return Some(Choice { target, ticket, permit });
             }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -320,8 +320,8 @@
     let _at_maker = AtMaker::new(node, &call.maker);
     let post = node.dialect.stage_call(&call.pieces);
     let request = call::request(node, &call.maker, address, post);
-    let Some(permit) = limits::permit(node, &target, counted(&call), &call_id(runner, &call)).await
-    else {
+    let id = || call_id(runner, &call);
+    let Some(permit) = limits::permit(node, &target, counted(&call), id).await else {
         let why = limits::AT_LIMIT;
         log_call(runner, &call, &[], 0, node.targets_age_ms(), why);
         return CallEnd::Full;
