Peers that rest, and news for many peers, are one piece each; no copy without a change

Read in the whole change once more; behaviour stays. Which peers did not answer was kept twice, by the schedulers of prompts and by permits: peers::Resting. News went out to many peers in the same loop twice (ends under pieces, limits), encoded anew for each: peers::tell_many, which encodes it once. Each word of a limit made a copy of its target before it was known whether it changes anything; the look that asks whether a target names a limit and the note that it is asked are one; the wrapper around what takes news is gone.

--- a/crates/decide/src/permit/limits.rs
+++ b/crates/decide/src/permit/limits.rs
@@ -49,12 +49,6 @@
         self.known.get(id)?.word.per_s
     }
 
-    /// The last word of a target that names a limit.
-    pub fn word(&self, id: &TargetId) -> Option<Word> {
-        let known = self.known.get(id)?;
-        known.word.per_s.map(|_| known.word)
-    }
-
     /// Targets that name a limit, with it.
     pub fn named(&self) -> impl Iterator<Item = (&TargetId, f64)> {
         self.known.iter().filter_map(|(id, known)| Some((id, known.word.per_s?)))
@@ -77,11 +71,12 @@
         known.is_some_and(|k| now >= k.closed && now.since(k.asked) >= DUE)
     }
 
-    /// This node asks for a permit to send to a target.
-    pub fn asks(&mut self, id: &TargetId, now: Time) {
-        if let Some(known) = self.known.get_mut(id) {
-            known.asked = now;
-        }
+    /// This node is to send to a target: the last word of it, if it names a limit, so that a
+    /// permit is asked for.
+    pub fn asks(&mut self, id: &TargetId, now: Time) -> Option<Word> {
+        let known = self.known.get_mut(id).filter(|known| known.word.per_s.is_some())?;
+        known.asked = now;
+        Some(known.word)
     }
 
     /// Nothing is to be sent to a target before this.
--- a/crates/forward/src/limits/ask.rs
+++ b/crates/forward/src/limits/ask.rs
@@ -17,6 +17,8 @@
 
 /// Time for a keeper's answer: a few times what it takes between regions.
 const TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a keeper that did not answer is not asked again.
+const REST: Duration = Duration::from_millis(300);
 /// Time for which nothing is sent to a target whose keeper is not known, or says that it is not.
 const UNSETTLED: Duration = Duration::from_millis(200);
 /// Time in which a permit must be used: requests that bunch up on their way would come in the span
@@ -48,10 +50,9 @@
     id: impl FnOnce() -> String,
 ) -> Option<Permit> {
     let begun = node.now();
-    let Some(word) = node.fleet(|f| f.limits().word(&target.id)) else {
+    let Some(word) = node.fleet(|f| f.limits_mut().asks(&target.id, begun)) else {
         return Some(Permit { until: Time::NEVER });
     };
-    node.fleet(|f| f.limits_mut().asks(&target.id, begun));
     let (keeper, grant) = ask_keeper(node, target, count, word).await;
     let now = node.now();
     let (outcome, after) = match grant {
@@ -98,7 +99,7 @@
         match node.limits.keeper(node, &target.id, &target.domain) {
             None => return (None, Err("unsettled")),
             Some(None) => return (None, Ok(grant(node, &ask).0)),
-            Some(Some(peer)) if node.limits.rests(&peer.id, node.now()) => {
+            Some(Some(peer)) if node.limits.resting.rests(&peer.id, node.now()) => {
                 return (Some(peer), Err("silent"));
             }
             Some(Some(peer)) => match ask_peer(node, &peer, &ask).await {
@@ -114,12 +115,15 @@
 
 async fn ask_peer(node: &Rc<Node>, peer: &PeerNode, ask: &PermitAsk) -> Result<Grant, CallError> {
     // A kept connection may have fallen silent.
-    let fresh = node.limits.has_rested(&peer.id).then(|| Client::new(TIMEOUT));
+    let resting = &node.limits.resting;
+    let fresh = resting.has_rested(&peer.id, node.now()).then(|| Client::new(TIMEOUT));
     let client = fresh.as_ref().unwrap_or(&node.client);
     let answer = peers::tell(node, client, peer.entry, PERMIT, ask, TIMEOUT).await;
     let now = node.now();
-    let is_silent = answer.as_ref().is_err_and(|e: &CallError| e.status().is_none());
-    node.limits.note_answer(&peer.id, is_silent, now);
+    match &answer {
+        Err(e) if e.status().is_none() => resting.did_not_answer(&peer.id, REST, now),
+        _ => resting.answered(&peer.id),
+    }
     let PermitAnswer { granted, after_ms, word } =
         answer.inspect_err(|e| log::debug!("permit: {e}"))?;
     learn(node, &ask.target, Word::heard(&word, now), &peer.id.name);
--- a/crates/forward/src/limits/mod.rs
+++ b/crates/forward/src/limits/mod.rs
@@ -10,31 +10,28 @@
 use std::time::Duration;
 
 use decide::permit::{Book, LimitChange, Returns, Word};
-use model::forward::{LimitNews, NamedLimit, Target, TargetId};
+use model::forward::{NamedLimit, Target, TargetId};
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
+use crate::peers::Resting;
 
 pub use ask::{Permit, answer, permit};
+pub use spread::take;
 
 /// Why a request is refused that no target may get.
 pub const AT_LIMIT: &str = "its targets are at the limits that they name";
 
-/// Time for which a keeper that did not answer is not asked again.
-const REST: Duration = Duration::from_millis(300);
-/// Time after that in which it is asked over a new connection.
-const RESTED_KEPT: Duration = Duration::from_secs(2);
-
 /// Limits that targets name, as this node keeps and follows them.
 #[derive(Default)]
 pub struct LocalLimits {
     book: RefCell<Book>,
     /// Peers whose build keeps no limits.
     strangers: RefCell<HashSet<NodeId>>,
-    /// Keepers that did not answer, and until when they are not asked.
-    resting: RefCell<HashMap<NodeId, Time>>,
+    /// Keepers that did not answer.
+    resting: Resting,
     returns: RefCell<HashMap<Name, Returns>>,
     unsent: spread::Unsent,
 }
@@ -68,24 +65,6 @@
         self.strangers.borrow_mut().extend(ids.iter().cloned());
     }
 
-    /// Whether a keeper that did not answer is not to be asked yet.
-    fn rests(&self, id: &NodeId, now: Time) -> bool {
-        self.resting.borrow().get(id).is_some_and(|until| now < *until)
-    }
-
-    /// Whether a keeper did not answer when it was last asked.
-    fn has_rested(&self, id: &NodeId) -> bool {
-        self.resting.borrow().contains_key(id)
-    }
-
-    fn note_answer(&self, id: &NodeId, is_silent: bool, now: Time) {
-        let mut resting = self.resting.borrow_mut();
-        resting.retain(|other, until| other != id && now < *until + RESTED_KEPT);
-        if is_silent {
-            resting.insert(id.clone(), now + REST);
-        }
-    }
-
     /// A peer's build keeps no limits.
     fn note_stranger(&self, peer: &PeerNode, what: &str) {
         if self.strangers.borrow_mut().insert(peer.id.clone()) {
@@ -123,31 +102,33 @@
 /// Takes what an answer says of its target's limit; the request was sent at `sent`.
 pub fn hear(node: &Rc<Node>, target: &Target, said: NamedLimit, sent: Time) {
     let now = node.now();
-    let change = node.fleet(|f| f.limits_mut().hear(&target.id, said, sent, now));
+    let Some(change) = node.fleet(|f| f.limits_mut().hear(&target.id, said, sent, now)) else {
+        return;
+    };
     tell(target, "answer", change);
     let per_s = match change {
-        Some(LimitChange::Named(per_s)) => Some(per_s),
-        Some(LimitChange::Ended) => None,
-        Some(LimitChange::Unreadable) | None => return,
+        LimitChange::Named(per_s) => Some(per_s),
+        LimitChange::Ended => None,
+        LimitChange::Unreadable => return,
     };
     spread::tell_keeper(node, target, Word { per_s, sent, came: now });
 }
 
 /// Takes what a peer tells of a limit.
 fn learn(node: &Node, target: &TargetId, word: Word, from: &str) {
-    let change = node.fleet(|f| f.limits_mut().learn(target, word));
-    let Some(known) = node.fleet(|f| f.get(target).map(|b| b.target.clone())) else {
+    let Some(change) = node.fleet(|f| f.limits_mut().learn(target, word)) else {
         return;
     };
-    tell(&known, from, change);
+    if let Some(known) = node.fleet(|f| f.get(target).map(|b| b.target.clone())) {
+        tell(&known, from, change);
+    }
 }
 
-fn tell(target: &Target, from: &str, change: Option<LimitChange>) {
+fn tell(target: &Target, from: &str, change: LimitChange) {
     let (what, per_s) = match change {
-        None => return,
-        Some(LimitChange::Named(per_s)) => ("named", Some(per_s)),
-        Some(LimitChange::Ended) => ("ended", None),
-        Some(LimitChange::Unreadable) => ("unreadable", None),
+        LimitChange::Named(per_s) => ("named", Some(per_s)),
+        LimitChange::Ended => ("ended", None),
+        LimitChange::Unreadable => ("unreadable", None),
     };
     Event::Limit { target: &target.id.name, service: &target.service, what, per_s, from }.emit();
 }
@@ -158,8 +139,3 @@
         node.metrics.sent_at_limit(&target.service);
     }
 }
-
-/// Takes a peer's news.
-pub fn take(node: &Rc<Node>, news: LimitNews) {
-    spread::take(node, news);
-}
--- a/crates/forward/src/limits/spread.rs
+++ b/crates/forward/src/limits/spread.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use decide::permit::{TRANSIT, Word};
-use futures_util::future::join_all;
 use model::Name;
 use model::forward::{LimitNews, Target, TargetId, TargetLimit};
 use model::member::Node as PeerNode;
@@ -24,8 +23,6 @@
 const GATHER: Duration = Duration::from_millis(50);
 /// Time between two rounds of news: a target may name a limit in every second answer.
 const APART: Duration = Duration::from_secs(1);
-/// Messages under way at once.
-const AT_ONCE: usize = 32;
 
 /// Targets whose limits peers are to be told of, with their failure domains.
 #[derive(Default)]
@@ -43,9 +40,8 @@
         let peers = node.peers.roster(|r| r.peers());
         let known: Vec<_> = peers.into_iter().filter(|p| !node.limits.is_stranger(&p.id)).collect();
         let news = LimitNews { limits, spread: false };
-        for some in known.chunks(AT_ONCE) {
-            join_all(some.iter().map(|peer| send(&node, peer, &news))).await;
-        }
+        let each = |peer: &PeerNode, told| note(&node, peer, told);
+        peers::tell_many::<_, ()>(&node, &known, LIMITS, &news, TRANSIT, each).await;
         tokio::time::sleep(APART).await;
     }
 }
@@ -60,14 +56,13 @@
     targets.into_iter().filter_map(limit).collect()
 }
 
-async fn send(node: &Rc<Node>, peer: &PeerNode, news: &LimitNews) -> Result<(), CallError> {
-    let told = peers::tell::<_, ()>(node, &node.client, peer.entry, LIMITS, news, TRANSIT).await;
-    match &told {
+/// What came of news for a peer.
+fn note(node: &Node, peer: &PeerNode, told: Result<(), CallError>) {
+    match told {
         Ok(()) => {}
-        Err(e) if peers::is_unknown(e) => node.limits.note_stranger(peer, LIMITS),
+        Err(e) if peers::is_unknown(&e) => node.limits.note_stranger(peer, LIMITS),
         Err(e) => log::debug!("limits: {e}"),
     }
-    told
 }
 
 /// All peers are to be told of a target's limit.
@@ -87,8 +82,11 @@
             let node = node.clone();
             tokio::task::spawn_local(async move {
                 let limit = TargetLimit { target: id, domain, word: word.told(node.now()) };
+                let news = LimitNews { limits: vec![limit], spread: true };
+                let client = &node.client;
                 // What does not arrive is told with the next ask.
-                let _ = send(&node, &peer, &LimitNews { limits: vec![limit], spread: true }).await;
+                let told = peers::tell(&node, client, peer.entry, LIMITS, &news, TRANSIT).await;
+                note(&node, &peer, told);
             });
         }
     }
@@ -103,7 +101,7 @@
 }
 
 /// Takes a peer's news.
-pub(super) fn take(node: &Node, news: LimitNews) {
+pub fn take(node: &Node, news: LimitNews) {
     let now = node.now();
     for TargetLimit { target, domain, word } in news.limits {
         let word = Word::heard(&word, now);
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! node believes of them.
 
 mod membership;
+mod resting;
 mod server;
 
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,7 @@
 use crate::node::Node;
 use crate::quarantine;
 
+pub use resting::Resting;
 pub use server::{
     BATCH, FREE, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT, ROLLOUT_STATE,
     RemoteFree, RemoteState, WAITS,
@@ -108,6 +110,8 @@
     }
 }
 
+/// Messages of one kind of news under way at once.
+pub const AT_ONCE: usize = 32;
 /// Status of a peer that does not know a path.
 const NOT_FOUND: u16 = 404;
 
@@ -154,6 +158,27 @@
     send(node, client, peer, path, bytes, timeout).await
 }
 
+/// Tells many peers the same; `each` takes what came of it.
+pub async fn tell_many<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    to: &[PeerNode],
+    path: &str,
+    news: &Q,
+    timeout: Duration,
+    each: impl Fn(&PeerNode, Result<A, CallError>),
+) {
+    let bytes = rmp_serde::to_vec_named(news).expect("messages encode");
+    for some in to.chunks(AT_ONCE) {
+        let telling = some.iter().map(|peer| {
+            let (bytes, each) = (bytes.clone(), &each);
+            async move {
+                each(peer, send(node, &node.client, peer.entry, path, bytes, timeout).await);
+            }
+        });
+        join_all(telling).await;
+    }
+}
+
 async fn send<A: DeserializeOwned>(
     node: &Node,
     client: &Client,
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -12,12 +12,12 @@
 use decide::fleet::{ColdStarts, Home, Terms, Wanted};
 use decide::prefill::Scheduler;
 use model::forward::{Allowed, PrefillAnswer, PrefillAsk, PrefillEnd, Side, Target, TargetId};
-use model::member::{Node as PeerNode, NodeId};
+use model::member::Node as PeerNode;
 use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::{self, PREFILL, PREFILL_END};
+use crate::peers::{self, PREFILL, PREFILL_END, Resting};
 
 /// Prompt tokens from which on the scheduler is asked. Fewer are read in some milliseconds,
 /// but may wait hundreds of them behind others.
@@ -36,7 +36,7 @@
 #[derive(Default)]
 pub struct Schedulers {
     own: RefCell<HashMap<Group, Scheduler>>,
-    resting: RefCell<HashMap<NodeId, Time>>,
+    resting: Resting,
 }
 
 impl Schedulers {
@@ -79,15 +79,6 @@
             }
         }
     }
-
-    fn rests(&self, id: &NodeId, now: Time) -> bool {
-        self.resting.borrow_mut().retain(|_, until| now < *until);
-        self.resting.borrow().contains_key(id)
-    }
-
-    fn did_not_answer(&self, id: &NodeId, now: Time) {
-        self.resting.borrow_mut().insert(id.clone(), now + REST);
-    }
 }
 
 /// Tells the scheduler, once it goes, that the prompt has been read or will not be.
@@ -175,13 +166,13 @@
 }
 
 async fn ask_peer(node: &Rc<Node>, peer: &PeerNode, ask: &PrefillAsk) -> Option<PrefillAnswer> {
-    if node.schedulers.rests(&peer.id, node.now()) {
+    if node.schedulers.resting.rests(&peer.id, node.now()) {
         return None;
     }
     match peers::ask(node, peer.entry, PREFILL, ask, ASK_TIMEOUT).await {
         Ok(answer) => Some(answer),
         Err(e) => {
-            node.schedulers.did_not_answer(&peer.id, node.now());
+            node.schedulers.resting.did_not_answer(&peer.id, REST, node.now());
             Event::Scheduler {
                 service: &ask.service,
                 domain: &ask.domain,
--- a/crates/forward/src/quarantine/spread.rs
+++ b/crates/forward/src/quarantine/spread.rs
@@ -6,16 +6,15 @@
 use std::time::Duration;
 
 use decide::quarantine::Unsent;
-use futures_util::future::join_all;
 use model::Time;
 use model::forward::{MakerEnd, QuarantineNews, SuspectNews};
 use model::member::{Node as PeerNode, NodeId};
-use util::http::Client;
+use util::http::{CallError, Client};
 
 use super::OWN;
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::{self, QUARANTINE};
+use crate::peers::{self, AT_ONCE, QUARANTINE};
 
 /// Time between looks at who is still to be told: peers come, or did not answer.
 const LOOK: Duration = Duration::from_millis(250);
@@ -23,8 +22,6 @@
 const TIMEOUT: Duration = Duration::from_millis(800);
 /// Time after which a peer that did not answer is told again.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Messages under way at once.
-const AT_ONCE: usize = 32;
 
 /// Peers with a message under way, and those that did not answer.
 #[derive(Default)]
@@ -95,21 +92,10 @@
     tokio::task::spawn_local(async move {
         let question = news_of(&node, Vec::new(), vec![end]);
         let peers = node.peers.roster(|r| r.peers());
-        for some in peers.chunks(AT_ONCE) {
-            let tell = |peer: &PeerNode| {
-                let (node, question, to) = (&node, &question, peer.entry);
-                async move {
-                    let client = &node.client;
-                    peers::tell::<_, QuarantineNews>(
-                        node, client, to, QUARANTINE, question, TIMEOUT,
-                    )
-                    .await
-                    .inspect_err(|e| log::debug!("quarantine: {e}"))
-                    .is_ok()
-                }
-            };
-            join_all(some.iter().map(tell)).await;
-        }
+        let each = |_: &PeerNode, told: Result<QuarantineNews, CallError>| {
+            let _ = told.inspect_err(|e| log::debug!("quarantine: {e}"));
+        };
+        peers::tell_many(&node, &peers, QUARANTINE, &question, TIMEOUT, each).await;
     });
 }
 
