--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -1,14 +1,33 @@
-//! A call to a maker as an HTTP request.
+//! One call to a maker: its request, its permit where the maker names a limit, and what came of it.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use decide::batch::{Call, CallEnd};
+use decide::fleet::Observation;
+use decide::permit::LIMITED_CALL;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header};
-use model::forward::TargetId;
+use model::Time;
+use model::forward::{PieceResult, Target, TargetId};
 
+use super::runner::Runner;
 use crate::border::Post;
+use crate::crossed::{Crossing, Kind};
+use crate::events::Event;
+use crate::limits;
 use crate::node::Node;
+use crate::rollout::{self, Sent};
+use crate::upstream::{self, Answer};
+
+/// Time beyond a call's expected one before it is given up.
+const CALL_SLACK: Duration = Duration::from_millis(1500);
+/// Most times what is expected that the time of a call counts as.
+const PART_MOST: f64 = 1000.0;
+/// Largest answer to a call.
+const ANSWER_MAX: usize = 1 << 20;
 
 /// The request of a call that only this start of a maker may take.
 pub fn request(
@@ -25,3 +44,179 @@
     request.headers_mut().extend(node.dialect.meant_for(maker));
     request
 }
+
+/// Makes a call of a coordinator; what came of it.
+pub(super) async fn make(runner: &Runner, node: &Rc<Node>, call: Call) -> CallEnd {
+    let Some(target) = node.fleet(|f| f.get(&call.maker).map(|b| b.target.clone())) else {
+        return CallEnd::Failed;
+    };
+    let address = target.address;
+    let _at_maker = AtMaker::new(node, &call.maker);
+    let post = node.dialect.stage_call(&call.pieces);
+    let request = request(node, &call.maker, address, post);
+    let id = || call_id(runner, &call);
+    let Some(permit) = limits::permit(node, &target, counted(&call), id).await else {
+        let why = limits::AT_LIMIT;
+        log_call(runner, &call, &[], 0, node.targets_age_ms(), why);
+        return CallEnd::Full;
+    };
+    let begun = node.now();
+    let targets_age_ms = node.targets_age_ms();
+    let (pieces, timeout) = (call.pieces.len(), runner.patience(node, call.pieces.len()));
+    let sent = rollout::sent(node, &target, &runner.pool.service, pieces, begun + timeout);
+    let crossing = Crossing::to_target(node, Kind::Call, &call.maker);
+    let work = async {
+        let socket = match upstream::connect(address).await {
+            Ok(_) if permit.is_over(node.now()) => {
+                return (CallEnd::Full, Observation::Rejected, "its permit ran out".into());
+            }
+            Ok(socket) => socket,
+            Err(e) => return (CallEnd::Failed, Observation::Unreachable, e.to_string()),
+        };
+        limits::count_sent(node, &target);
+        match upstream::send_over(socket, address, request, crossing).await {
+            Ok(answer) => {
+                let from = Asked { target: &target, begun, took: node.now().since(begun) };
+                read_answer(node, from, answer, sent.as_ref()).await
+            }
+            Err(e) => (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
+        }
+    };
+    // The time holds for the whole answer: a maker may stall within it.
+    let too_long = || (CallEnd::Failed, Observation::BrokeOff, "call took too long".to_string());
+    let ended = tokio::time::timeout(timeout, work).await;
+    let (end, observed, why) = ended.unwrap_or_else(|_| too_long());
+    match observed {
+        Observation::BrokeOff => node.quarantine.call_broke_off(node, &target, &call.pieces),
+        Observation::Replaced => node.quarantine.seen_ended(&target, "replaced"),
+        _ => {}
+    }
+    let results = match &end {
+        CallEnd::Answered(results) => results.as_slice(),
+        CallEnd::Full | CallEnd::Failed => &[],
+    };
+    node.metrics.batch(&runner.pool.service, pieces);
+    let took_ms = node.now().since(begun).as_millis() as u64;
+    log_call(runner, &call, results, took_ms, targets_age_ms, &why);
+    if let (Some(sent), Observation::Answered(took)) = (&sent, observed) {
+        note_answer(sent, results, took, runner.expected(node, pieces));
+    }
+    node.observe(&call.maker, observed, &why);
+    end
+}
+
+/// Requests that a call counts as at a maker that names a limit: each of its pieces, unless it was
+/// made large since all makers name one.
+fn counted(call: &Call) -> u32 {
+    let pieces = call.pieces.len() as u32;
+    if pieces <= LIMITED_CALL { pieces } else { 1 }
+}
+
+/// What names a call where attempts have their ids.
+fn call_id(runner: &Runner, call: &Call) -> String {
+    format!("{} {}", runner.pool.service, call.number)
+}
+
+fn log_call(
+    runner: &Runner,
+    call: &Call,
+    results: &[PieceResult],
+    took_ms: u64,
+    targets_age_ms: u64,
+    why: &str,
+) {
+    let count = |wanted: fn(&PieceResult) -> bool| results.iter().filter(|r| wanted(r)).count();
+    Event::Call {
+        service: &runner.pool.service,
+        number: call.number,
+        maker: &call.maker.name,
+        pieces: call.pieces.len(),
+        made: count(|r| matches!(r, PieceResult::Made(_))),
+        no_room: count(|r| *r == PieceResult::NoRoom),
+        took_ms,
+        targets_age_ms,
+        why,
+    }
+    .emit();
+}
+
+/// Counts a call at its maker until it goes.
+struct AtMaker {
+    node: Rc<Node>,
+    id: TargetId,
+}
+
+impl AtMaker {
+    fn new(node: &Rc<Node>, id: &TargetId) -> Self {
+        node.fleet(|f| f.sent(id, 0));
+        AtMaker { node: node.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for AtMaker {
+    fn drop(&mut self) {
+        self.node.fleet(|f| f.done(&self.id));
+    }
+}
+
+/// What a maker's answer shows of its version. Calls take time by what they carry, so their
+/// times are told as parts of what is expected, which counts as a second.
+fn note_answer(sent: &Sent, results: &[PieceResult], took: Duration, expected: Duration) {
+    let failed = results.iter().filter(|r| **r == PieceResult::Failed).count();
+    let part = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
+    sent.answered(failed, Duration::from_secs_f64(part.min(PART_MOST)));
+}
+
+/// A call that was answered.
+struct Asked<'a> {
+    target: &'a Target,
+    begun: Time,
+    took: Duration,
+}
+
+async fn read_answer(
+    node: &Rc<Node>,
+    asked: Asked<'_>,
+    answer: Answer,
+    sent: Option<&Sent>,
+) -> (CallEnd, Observation, String) {
+    let Asked { target, begun, took } = asked;
+    let (head, body) = answer.response.into_parts();
+    let said = node.dialect.answer(&head);
+    if said.misdirected {
+        return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
+    }
+    limits::hear(node, target, said.limit, begun);
+    if said.not_run {
+        return (CallEnd::Full, Observation::Rejected, "full".into());
+    }
+    if !head.status.is_success() {
+        sent.inspect(|sent| sent.bad());
+        return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
+    }
+    let body = match Limited::new(body, ANSWER_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return (CallEnd::Failed, Observation::BrokeOff, e.to_string()),
+    };
+    match node.dialect.stage_answer(&target.id, &body) {
+        Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
+        Err(e) => {
+            sent.inspect(|sent| sent.bad());
+            (CallEnd::Failed, Observation::Failed, e.to_string())
+        }
+    }
+}
+
+impl Runner {
+    /// Time after which a call is given up.
+    fn patience(&self, node: &Node, pieces: usize) -> Duration {
+        2 * self.expected(node, pieces) + CALL_SLACK
+    }
+
+    /// Time that a call takes by the rules.
+    fn expected(&self, node: &Node, pieces: usize) -> Duration {
+        let table = node.table();
+        let pool = table.service(&self.pool.service).and_then(|s| s.pool.as_ref());
+        pool.map_or(Duration::ZERO, |p| p.call_time(pieces as u32))
+    }
+}
