Means of a target's answers fade with time

Cause: the choice among plain targets takes the least expected time, and what was expected never aged. The share of failures had the same fault.

Change: both means fade to 1/e in 10 s without observations (`fleet::answers`), and the older a mean is, the less it counts beside a new answer. Failures fade to none, so that one failure after a long rest does not leave a target out. A target ten times slower than another is tried about each 20 s. `Limits::is_due` stays: a limit's end is to be heard within seconds.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -6,6 +6,7 @@
 use model::forward::{Allowed, Evacuations, Target, TargetId, TargetList};
 use model::{Name, Time};
 
+use super::answers::Answers;
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
 use crate::permit::Limits;
 use crate::rollout::Versions;
@@ -14,8 +15,6 @@
 const EJECT_FIRST: Duration = Duration::from_millis(400);
 /// Longest time for which a failing target is left out.
 const EJECT_LONGEST: Duration = Duration::from_millis(3200);
-/// Weight of the newest observation in running means.
-const NEWEST: f64 = 0.15;
 /// Share of failures from which on a target is left out now and then.
 const FAILING: f64 = 0.5;
 
@@ -64,10 +63,7 @@
     pub outstanding: u32,
     /// Prompt tokens of those that wait for their first event.
     pub prefill: u64,
-    /// Running mean of answer times, in milliseconds.
-    pub mean_ms: f64,
-    /// Running share of failures.
-    pub failing: f64,
+    answers: Answers,
     /// Left out until then.
     pub ejected: Time,
     strikes: u32,
@@ -82,13 +78,22 @@
             missing: None,
             outstanding: 0,
             prefill: 0,
-            mean_ms: 0.0,
-            failing: 0.0,
+            answers: Answers::default(),
             ejected: Time::ZERO,
             strikes: 0,
         }
     }
 
+    /// Expected time of an answer, in milliseconds; `None` if none has come yet.
+    pub fn answer_ms(&self, now: Time) -> Option<f64> {
+        self.answers.mean_ms(now)
+    }
+
+    /// Expected share of failures.
+    pub fn failing(&self, now: Time) -> f64 {
+        self.answers.failing(now)
+    }
+
     /// Whether it is left out for its failures.
     pub fn is_ejected(&self, now: Time) -> bool {
         now < self.ejected
@@ -441,18 +446,15 @@
             return false;
         };
         let failed = !matches!(what, Observation::Answered(_) | Observation::Rejected);
-        let share = if failed { 1.0 } else { 0.0 };
-        b.failing += NEWEST * (share - b.failing);
+        b.answers.count(failed, now);
         match what {
             Observation::Answered(took) => {
-                let ms = took.as_secs_f64() * 1000.0;
-                b.mean_ms =
-                    if b.mean_ms == 0.0 { ms } else { b.mean_ms + NEWEST * (ms - b.mean_ms) };
+                b.answers.took(took, now);
                 b.strikes = 0;
             }
             Observation::Rejected => {}
             Observation::Unreachable | Observation::Replaced => b.eject(now),
-            Observation::Failed | Observation::BrokeOff if b.failing > FAILING => b.eject(now),
+            Observation::Failed | Observation::BrokeOff if b.failing(now) > FAILING => b.eject(now),
             Observation::Failed | Observation::BrokeOff => {}
         }
         b.is_ejected(now)
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! store was out of reach is kept for a short while, since it most likely lives. Targets of
 //! an evacuated failure domain get nothing new, cold ones little.
 
+mod answers;
 mod belief;
 mod cold;
 mod evacuation;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -153,6 +153,50 @@
     assert_eq!(&*sound.id.name, "t1");
 }
 
+/// Requests one after the other, each as long as its target takes; those that went to `t0`, of
+/// all, within this time.
+fn in_turn(fleet: &mut Fleet, t0_ms: u64, t1_ms: u64, for_ms: u64) -> (usize, usize) {
+    let mut rng = Rng::new(1);
+    let (mut now, mut first, mut all) = (0, 0, 0);
+    while now < for_ms {
+        let chosen = fleet.pick_plain(wanted(&[]), at(now), &mut rng).expect("two are up").id;
+        let took = if &*chosen.name == "t0" { t0_ms } else { t1_ms };
+        now += took;
+        first += usize::from(&*chosen.name == "t0");
+        all += 1;
+        let answered = Observation::Answered(Duration::from_millis(took));
+        fleet.observe(&chosen, answered, at(now));
+    }
+    (first, all)
+}
+
+#[test]
+fn a_target_that_was_slow_once_is_tried_again_and_a_slow_one_gets_little() {
+    for once_ms in [34, 60, 200] {
+        let mut fleet = fleet(2);
+        fleet.observe(&"t0".into(), Observation::Answered(Duration::from_millis(once_ms)), at(0));
+        fleet.observe(&"t1".into(), Observation::Answered(Duration::from_millis(32)), at(0));
+        let (first, all) = in_turn(&mut fleet, 30, 32, 60_000);
+        assert!(first * 3 > all, "{first} of {all} after {once_ms} ms once");
+    }
+    let mut fleet = fleet(2);
+    let (first, all) = in_turn(&mut fleet, 300, 30, 60_000);
+    assert!((2..20).contains(&first), "{first} of {all} went to the slow one");
+}
+
+#[test]
+fn a_target_that_failed_is_tried_again() {
+    let mut fleet = fleet(2);
+    for id in ["t0", "t1"] {
+        fleet.observe(&id.into(), Observation::Answered(Duration::from_millis(30)), at(0));
+    }
+    for _ in 0..3 {
+        fleet.observe(&"t0".into(), Observation::Failed, at(0));
+    }
+    let (first, all) = in_turn(&mut fleet, 28, 30, 30_000);
+    assert!(first * 4 > all, "{first} of {all}");
+}
+
 #[test]
 fn a_target_gets_no_more_than_this_nodes_part_of_its_connections() {
     let mut fleet = fleet(2);
--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -55,7 +55,8 @@
         assert!(!b.is_ejected(at(40)) && !fleet.is_cold(b, limit, at(40)));
         let pace = (b.next_start, b.cold);
         assert_eq!(pace, (at(0), at(40)));
-        assert_eq!((b.outstanding, b.prefill, b.mean_ms, b.failing), (0, 0, 0.0, 0.0));
+        assert_eq!((b.outstanding, b.prefill), (0, 0));
+        assert_eq!((b.answer_ms(at(40)), b.failing(at(40))), (None, 0.0));
         assert!(fleet.get(&old).is_none(), "the start before is nobody's");
         assert!(!fleet.is_usable(&old, Terms::ANY, at(40)));
     }
@@ -77,7 +78,7 @@
             assert!(!fleet.observe(&id(before), end, at(50)), "{end:?}");
         }
         let b = fleet.get(&id(after)).expect("known");
-        assert_eq!((b.outstanding, b.prefill, b.failing), (1, 300, 0.0));
+        assert_eq!((b.outstanding, b.prefill, b.failing(at(40))), (1, 300, 0.0));
         assert!(!b.is_ejected(at(50)) && b.next_start == at(0));
     }
 }
