--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -6,12 +6,12 @@
 use model::Time;
 use model::forward::{BatchOrder, PieceResult, Policy, Rank, StagePool, TargetId, Waits};
 
-use super::makers::{Free, Makers};
+use super::makers::{Free, Group, Makers};
 use super::orders::{Order, Urgency, usual_call};
 use super::pace::Pace;
 use super::quota::TrialQuota;
 use super::repeats::Repeats;
-use super::types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
+use super::types::{Action, Call, CallEnd, Event, OrderId};
 use crate::region::Own;
 
 /// Calls that may fail under one order before it is given up.
@@ -49,9 +49,9 @@
     /// A coordinator with no makers yet.
     pub fn new(pool: StagePool, policy: Policy) -> Self {
         Coordinator {
+            makers: Makers::new(&pool),
             pool,
             policy,
-            makers: Makers::default(),
             orders: BTreeMap::new(),
             flights: BTreeMap::new(),
             next_call: 1,
@@ -71,8 +71,14 @@
         self.orders.values().map(|o| o.waiting.len()).sum()
     }
 
+    /// Makers looked at so far: what the machine's work grows with.
+    pub fn looked_at(&self) -> u64 {
+        self.makers.looked_at()
+    }
+
     /// What an order would wait now before a call takes it, by its rank.
-    pub fn waits(&self, now: Time) -> Waits {
+    pub fn waits(&mut self, now: Time) -> Waits {
+        self.makers.refresh(now);
         // Makers that were late are back soon: doors that took them for gone would stay shut for
         // longer than they are left out.
         let Some((makers, back)) = self.makers.working_or_back(now) else {
@@ -96,10 +102,11 @@
     }
 
     /// What an order would find at the makers now.
-    pub fn own(&self, order: &BatchOrder, now: Time) -> Own {
-        let slots = self.makers.working(now) * self.pool.slots.max(1) as usize;
+    pub fn own(&mut self, order: &BatchOrder, now: Time) -> Own {
+        let wait = self.waits(now).of(order.rank);
+        let slots = self.makers.working() * self.pool.slots.max(1) as usize;
         Own {
-            wait: self.waits(now).of(order.rank),
+            wait,
             call: usual_call(&self.pool, order.pieces),
             piece_ms: self.piece_ms() / slots.max(1) as f64,
         }
@@ -111,22 +118,32 @@
     }
 
     /// Sets what one maker bears, when rules change.
-    pub fn set_pool(&mut self, pool: StagePool) {
+    pub fn set_pool(&mut self, pool: StagePool, now: Time) {
+        self.makers.set_pool(&pool, now);
         self.pool = pool;
     }
 
     /// Takes one event; returns what is to be done.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
+        self.makers.refresh(now);
         match event {
             Event::Order { id, order, pinned } => {
                 self.order(id, Order::new(order, pinned, now), &mut out);
             }
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::Ended(call, end) => self.ended(now, call, end, &mut out),
-            Event::Makers(makers) => self.set_makers(makers),
+            Event::Makers(makers) => {
+                self.makers.set_all(makers, now);
+                self.end_trial();
+            }
+            Event::Changed { there, gone } => {
+                gone.iter().for_each(|id| self.makers.gone(id, now));
+                there.into_iter().for_each(|maker| self.makers.set(maker, now));
+                self.end_trial();
+            }
             Event::Probed(maker, alive) => self.makers.probed(&maker, alive, now),
-            Event::Freed(handles) => self.makers.freed(&handles),
+            Event::Freed(handles) => self.makers.freed(&handles, now),
             Event::HandOver => self.hand_over(&mut out),
             Event::Tick => {}
         }
@@ -137,8 +154,7 @@
         out
     }
 
-    fn set_makers(&mut self, makers: Vec<MakerInfo>) {
-        self.makers.set(makers);
+    fn end_trial(&mut self) {
         if !self.makers.has_trial() {
             self.quota.ended();
         }
@@ -338,36 +354,49 @@
 
     fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
         // Without this, makers all of whose work went elsewhere would never come back.
-        let is_dead = self.makers.working(now) == 0;
+        let is_dead = self.makers.working() == 0;
         if self.waiting() == 0 && !is_dead {
             return;
         }
         out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
-        let working = self.makers.working_places(now);
-        for maker in self.makers.free(&self.pool, now) {
-            let mut fits: Vec<(Urgency, OrderId)> = self
-                .orders
-                .iter()
-                .filter(|(_, o)| !o.waiting.is_empty())
-                .filter(|(_, o)| o.suits(&maker.place, &working, &self.pool, now))
-                .map(|(n, o)| (o.urgency(&maker.place.domain, &self.pool, now), *n))
-                .collect();
-            fits.sort_unstable();
-            self.start(now, maker, fits.into_iter().map(|(_, n)| n), out);
+        let mut groups = self.makers.free_groups();
+        while let Some(group) = self.makers.best_group(&groups).cloned() {
+            // Others of the group have less room for the same orders.
+            if !self.start_in(&group, now, out) {
+                groups.remove(&group);
+            }
         }
     }
 
-    /// Starts one call with pieces of these orders, in this order.
+    /// Starts a call at the first maker of a group; returns whether any order suits it.
+    fn start_in(&mut self, group: &Group, now: Time, out: &mut Vec<Action>) -> bool {
+        let working = self.makers.working_places();
+        let mut fits: Vec<(Urgency, OrderId)> = self
+            .orders
+            .iter()
+            .filter(|(_, o)| !o.waiting.is_empty())
+            .filter(|(_, o)| o.suits(&group.place, &working, &self.pool, now))
+            .map(|(n, o)| (o.urgency(&group.place.domain, &self.pool, now), *n))
+            .collect();
+        fits.sort_unstable();
+        let Some(mut maker) = self.makers.first_free(group).filter(|_| !fits.is_empty()) else {
+            return false;
+        };
+        maker.most = maker.most.min(self.pool.batch.max(1));
+        self.start(now, maker, fits.into_iter().map(|(_, n)| n), out)
+    }
+
+    /// Starts one call with pieces of these orders, in this order, if there is room for any.
     fn start(
         &mut self,
         now: Time,
         maker: Free,
         orders: impl Iterator<Item = OrderId>,
         out: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         let (mut pieces, mut bytes) = (Vec::new(), 0);
         let allowed = maker.share.map_or(usize::MAX, |share| self.quota.most(share));
-        let batch = self.pool.batch.max(1).min(allowed).min(maker.most.unwrap_or(usize::MAX));
+        let batch = maker.most.min(allowed);
         for n in orders {
             let Some(order) = self.orders.get_mut(&n) else {
                 continue;
@@ -380,7 +409,7 @@
             let free = batch - pieces.len();
             order.lacked_room = order.waiting.len().min(batch) as u64 > maker.room / size;
             let most = free.min(room as usize);
-            let taken = order.take(most, &maker.place.domain);
+            let taken = order.take(most, &maker.domain);
             bytes += size * taken.len() as u64;
             pieces.extend(taken.into_iter().map(|p| (n, p)));
             if order.is_alone() && !pieces.is_empty() {
@@ -388,7 +417,7 @@
             }
         }
         if pieces.is_empty() {
-            return;
+            return false;
         }
         let number = self.next_call;
         self.next_call += 1;
@@ -406,6 +435,7 @@
         let flight =
             Flight { maker: maker.id, bytes, pieces, started: now, expected, overdue_after: None };
         self.flights.insert(number, flight);
+        true
     }
 }
 
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -1,222 +1,269 @@
-//! Makers: their calls, their failures and their room for results.
+//! All makers that a coordinator was told of.
+//!
+//! Who can take a call, where makers work and what time alone changes stand in indexes that are
+//! changed with each maker, so that an event costs no pass over the pool.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use model::forward::{Allowed, Handle, StagePool, TargetId};
 use model::{Name, Time};
 
+use super::maker::{Bounds, Maker, Place, Standing};
 use super::types::{CallEnd, MakerInfo};
+use crate::tally::Tally;
 
-/// First time for which a failing maker is left out.
-const EJECT_FIRST: Duration = Duration::from_millis(300);
-/// Longest time for which a failing maker is left out.
-const EJECT_LONGEST: Duration = Duration::from_millis(2400);
-/// Time for which a maker that was full is left out.
-const FULL: Duration = Duration::from_millis(60);
-/// Time for which a maker's want of room is held for true.
-const NO_ROOM: Duration = Duration::from_millis(120);
-/// Part of a maker's room that is used; sizes are known only roughly.
-const ROOM_USED: f64 = 0.9;
+/// Makers that are as good as each other but for their room: of one place, on trial or not.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Group {
+    pub(super) place: Place,
+    is_trial: bool,
+}
 
-#[derive(Debug)]
-struct Kept {
-    bytes: u64,
-    made: Time,
+impl Group {
+    fn of(maker: &Maker) -> Self {
+        Group { place: maker.place.clone(), is_trial: maker.share.is_some() }
+    }
 }
 
-/// Whether a maker that failed has been asked for a sign of life since.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Doubt {
-    None,
-    Unasked,
-    Asked,
+/// A maker that can take a call now.
+#[derive(Debug, Clone)]
+pub(super) struct Free {
+    pub(super) id: TargetId,
+    pub(super) domain: Name,
+    /// Bytes of results for which there is room.
+    pub(super) room: u64,
+    /// Most pieces of its call.
+    pub(super) most: usize,
+    /// Part of all pieces that makers of its version may get, if that is on trial.
+    pub(super) share: Option<f64>,
 }
 
-#[derive(Debug)]
-struct Maker {
-    domain: Name,
-    region: Option<Name>,
-    calls: u32,
-    present: bool,
-    gap: Option<Duration>,
-    most: Option<usize>,
-    share: Option<f64>,
-    last_call: Time,
-    ejected: Time,
-    strikes: u32,
-    /// It answered last, late or that it is full: left out, it is asked again soon.
-    answers: bool,
-    doubt: Doubt,
-    /// Size of a result that had no room, and until when that is held for true.
-    tight: Option<(u64, Time)>,
-    in_flight: u64,
-    kept: BTreeMap<String, Kept>,
+/// What is looked up of makers without going through them.
+#[derive(Debug, Default)]
+struct Index {
+    /// Those that can take a call, those with most room first.
+    free: BTreeMap<Group, BTreeSet<(Reverse<u64>, TargetId)>>,
+    /// Count of those that work.
+    working: Tally<Place>,
+    /// Count of those that work, but for those on trial.
+    serving: usize,
+    /// Count of those that are there on trial.
+    trials: usize,
+    /// Count of those that are there.
+    regions: Tally<Option<Name>>,
+    back: BTreeSet<(Time, TargetId)>,
+    probes: BTreeSet<(Time, TargetId)>,
+    /// Those whose standing changes by time alone.
+    due: BTreeSet<(Time, TargetId)>,
 }
 
-impl Maker {
-    fn new(domain: Name) -> Self {
-        Maker {
-            domain,
-            region: None,
-            calls: 0,
-            present: true,
-            gap: None,
-            most: None,
-            share: None,
-            last_call: Time::ZERO,
-            ejected: Time::ZERO,
-            strikes: 0,
-            answers: false,
-            doubt: Doubt::None,
-            tight: None,
-            in_flight: 0,
-            kept: BTreeMap::new(),
+impl Index {
+    fn insert(&mut self, id: &TargetId, maker: &Maker, standing: &Standing) {
+        if let Some(room) = standing.room {
+            let group = self.free.entry(Group::of(maker)).or_default();
+            group.insert((Reverse(room), id.clone()));
+        }
+        if standing.works {
+            self.working.add(&maker.place);
+            self.serving += usize::from(maker.share.is_none());
+        }
+        if maker.present {
+            self.regions.add(&maker.place.region);
+            self.trials += usize::from(maker.share.is_some());
+        }
+        let times = [standing.back, standing.probe, standing.until];
+        for (at, times) in times.into_iter().zip(self.times()) {
+            times.extend(at.map(|at| (at, id.clone())));
         }
     }
 
-    fn works(&self, now: Time) -> bool {
-        let is_left_out = self.ejected > now || self.doubt != Doubt::None;
-        self.present && !is_left_out && !self.is_left_alone()
+    fn remove(&mut self, id: &TargetId, maker: &Maker, standing: &Standing) {
+        if let Some(room) = standing.room {
+            let group = Group::of(maker);
+            let free = self.free.entry(group.clone()).or_default();
+            free.remove(&(Reverse(room), id.clone()));
+            if free.is_empty() {
+                self.free.remove(&group);
+            }
+        }
+        if standing.works {
+            self.working.remove(&maker.place);
+            self.serving -= usize::from(maker.share.is_none());
+        }
+        if maker.present {
+            self.regions.remove(&maker.place.region);
+            self.trials -= usize::from(maker.share.is_some());
+        }
+        let times = [standing.back, standing.probe, standing.until];
+        for (at, times) in times.into_iter().zip(self.times()) {
+            at.map(|at| times.remove(&(at, id.clone())));
+        }
     }
 
-    /// Whether this coordinator is not to start calls there, since it is cold.
-    fn is_left_alone(&self) -> bool {
-        self.gap == Some(Duration::MAX)
+    fn times(&mut self) -> [&mut BTreeSet<(Time, TargetId)>; 3] {
+        [&mut self.back, &mut self.probes, &mut self.due]
     }
+}
 
-    /// Whether it had a call too short a time ago.
-    fn is_held_back(&self, now: Time) -> bool {
-        let had_one = self.last_call > Time::ZERO;
-        had_one && self.gap.is_some_and(|gap| now.since(self.last_call) < gap)
-    }
+#[derive(Debug)]
+pub(super) struct Makers {
+    all: BTreeMap<TargetId, (Maker, Standing)>,
+    bounds: Bounds,
+    index: Index,
+    looked_at: u64,
+}
 
-    fn eject(&mut self, now: Time) {
-        let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
-        self.ejected = now + time.min(EJECT_LONGEST);
-        self.strikes += 1;
-        self.doubt = Doubt::Unasked;
+impl Makers {
+    pub(super) fn new(pool: &StagePool) -> Self {
+        Makers { all: BTreeMap::new(), bounds: pool.into(), index: Index::default(), looked_at: 0 }
     }
 
-    fn kept_bytes(&self) -> u64 {
-        self.kept.values().map(|k| k.bytes).sum()
+    /// Makers looked at so far.
+    pub(super) fn looked_at(&self) -> u64 {
+        self.looked_at
     }
-}
 
-/// Where a maker is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Place {
-    pub(super) domain: Name,
-    /// Region of that, if it is known.
-    pub(super) region: Option<Name>,
-}
+    /// Takes what each maker bears.
+    pub(super) fn set_pool(&mut self, pool: &StagePool, now: Time) {
+        let bounds = pool.into();
+        if self.bounds == bounds {
+            return;
+        }
+        self.bounds = bounds;
+        let all: Vec<TargetId> = self.all.keys().cloned().collect();
+        for id in all {
+            self.change(&id, now, |_| ());
+        }
+    }
 
-/// A maker that can take a call now.
-#[derive(Debug, Clone)]
-pub(super) struct Free {
-    pub(super) id: TargetId,
-    pub(super) place: Place,
-    /// Bytes of results for which there is room.
-    pub(super) room: u64,
-    /// Most pieces of its call.
-    pub(super) most: Option<usize>,
-    /// Part of all pieces that makers of its version may get, if that is on trial.
-    pub(super) share: Option<f64>,
-}
+    /// Lets time pass.
+    pub(super) fn refresh(&mut self, now: Time) {
+        while let Some((_, id)) = self.index.due.first().filter(|(at, _)| *at <= now).cloned() {
+            self.change(&id, now, |_| ());
+        }
+    }
 
-/// All makers that the coordinator was told of.
-#[derive(Debug, Default)]
-pub(super) struct Makers(BTreeMap<TargetId, Maker>);
+    /// Changes a maker, if it is known, and what is looked up of it.
+    fn change(&mut self, id: &TargetId, now: Time, change: impl FnOnce(&mut Maker)) {
+        let Some((maker, standing)) = self.all.get_mut(id) else {
+            return;
+        };
+        self.looked_at += 1;
+        self.index.remove(id, maker, standing);
+        change(maker);
+        if !maker.present && maker.calls == 0 {
+            self.all.remove(id);
+            return;
+        }
+        maker.expire(self.bounds, now);
+        *standing = maker.standing(self.bounds, now);
+        self.index.insert(id, maker, standing);
+    }
 
-impl Makers {
     /// Takes the makers as they are; those gone stay while they have calls.
-    pub(super) fn set(&mut self, makers: Vec<MakerInfo>) {
-        for m in self.0.values_mut() {
-            m.present = false;
+    pub(super) fn set_all(&mut self, makers: Vec<MakerInfo>, now: Time) {
+        let there: BTreeSet<&TargetId> = makers.iter().map(|m| &m.id).collect();
+        let gone: Vec<TargetId> =
+            self.all.keys().filter(|id| !there.contains(id)).cloned().collect();
+        for id in gone {
+            self.gone(&id, now);
+        }
+        for info in makers {
+            self.set(info, now);
         }
-        for MakerInfo { id, domain, region, gap, most, share } in makers {
-            let maker = self.0.entry(id).or_insert_with(|| Maker::new(domain));
-            maker.present = true;
-            maker.region = region;
-            maker.gap = gap;
-            maker.most = most;
-            maker.share = share;
+    }
+
+    /// Takes one maker as it is.
+    pub(super) fn set(&mut self, info: MakerInfo, now: Time) {
+        let id = info.id.clone();
+        match self.all.get(&id) {
+            Some((maker, _)) if maker.is_as(&info) => self.looked_at += 1,
+            Some(_) => self.change(&id, now, |m| m.set(info)),
+            None => {
+                self.looked_at += 1;
+                let maker = Maker::new(info);
+                let standing = maker.standing(self.bounds, now);
+                self.index.insert(&id, &maker, &standing);
+                self.all.insert(id, (maker, standing));
+            }
         }
-        self.forget_idle();
     }
 
-    fn forget_idle(&mut self) {
-        self.0.retain(|_, m| m.present || m.calls > 0);
+    /// A maker is to get no calls any more.
+    pub(super) fn gone(&mut self, id: &TargetId, now: Time) {
+        self.change(id, now, |m| m.present = false);
     }
 
     /// Count of makers that work, but for those of a version on trial, which get few calls.
-    pub(super) fn working(&self, now: Time) -> usize {
-        self.0.values().filter(|m| m.works(now) && m.share.is_none()).count()
+    pub(super) fn working(&self) -> usize {
+        self.index.serving
     }
 
     /// Count of makers that work, else of those that answered late or were full and are asked
     /// again soon, and the time until the first of them takes a call. `None` if none is known to
     /// answer.
     pub(super) fn working_or_back(&self, now: Time) -> Option<(usize, Duration)> {
-        let working = self.working(now);
-        if working > 0 {
-            return Some((working, Duration::ZERO));
+        if self.index.serving > 0 {
+            return Some((self.index.serving, Duration::ZERO));
         }
-        let is_back_soon =
-            |m: &&Maker| m.present && m.share.is_none() && m.answers && !m.is_left_alone();
-        let back = self.0.values().filter(is_back_soon).map(|m| m.ejected.since(now));
-        Some((back.clone().count(), back.min()?))
+        let (first, _) = self.index.back.first()?;
+        Some((self.index.back.len(), first.since(now)))
     }
 
     /// Whether a version is on trial.
     pub(super) fn has_trial(&self) -> bool {
-        self.0.values().any(|m| m.present && m.share.is_some())
+        self.index.trials > 0
     }
 
-    /// Where working makers are, each place once if its makers stand side by side.
-    pub(super) fn working_places(&self, now: Time) -> Vec<Place> {
-        let working = self.0.values().filter(|m| m.works(now));
-        let place = |m: &Maker| Place { domain: m.domain.clone(), region: m.region.clone() };
-        let mut places: Vec<Place> = working.map(place).collect();
-        places.dedup();
-        places
+    /// Where working makers are.
+    pub(super) fn working_places(&self) -> Vec<Place> {
+        self.index.working.keys().cloned().collect()
     }
 
     /// Whether a maker is there in a region that is allowed, one that is busy or has just
     /// failed included: those come back.
     pub(super) fn has_any_in(&self, allowed: &Allowed) -> bool {
-        let is_inside = |m: &Maker| m.present && allowed.permits(m.region.as_deref());
-        self.0.values().any(is_inside)
+        self.index.regions.keys().any(|region| allowed.permits(region.as_deref()))
     }
 
-    /// Makers that can take a call now, those with most room first; before them those of a
-    /// version on trial, which get few pieces and are to be judged by them soon.
-    pub(super) fn free(&mut self, pool: &StagePool, now: Time) -> Vec<Free> {
-        let whole = (pool.room_mb * 1e6 * ROOM_USED) as u64;
-        let keep = Duration::from_millis(pool.keep_ms);
-        let mut free = Vec::new();
-        for (id, m) in &mut self.0 {
-            if !m.works(now) || m.calls >= pool.slots.max(1) || m.is_held_back(now) {
-                continue;
-            }
-            m.kept.retain(|_, k| now.since(k.made) < keep);
-            let reckoned = whole.saturating_sub(m.kept_bytes() + m.in_flight);
-            let seen = m.tight.filter(|(_, until)| now < *until);
-            let room = seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)));
-            let place = Place { domain: m.domain.clone(), region: m.region.clone() };
-            free.push(Free { id: id.clone(), place, room, most: m.most, share: m.share });
-        }
-        free.sort_by_key(|f| (f.share.is_none(), std::cmp::Reverse(f.room)));
-        free
+    /// Groups in which a maker can take a call now.
+    pub(super) fn free_groups(&self) -> BTreeSet<Group> {
+        self.index.free.keys().cloned().collect()
+    }
+
+    /// The group whose first maker is to get the next call: makers of a version on trial, which
+    /// get few pieces and are to be judged by them soon, then those with most room.
+    pub(super) fn best_group<'a>(
+        &self,
+        groups: impl IntoIterator<Item = &'a Group>,
+    ) -> Option<&'a Group> {
+        let first = |group: &'a Group| {
+            let (room, id) = self.index.free.get(group)?.first()?;
+            Some(((!group.is_trial, room, id), group))
+        };
+        let best = groups.into_iter().filter_map(first).min_by_key(|(key, _)| *key);
+        best.map(|(_, group)| group)
+    }
+
+    /// The maker of a group that gets its next call.
+    pub(super) fn first_free(&mut self, group: &Group) -> Option<Free> {
+        self.looked_at += 1;
+        let (Reverse(room), id) = self.index.free.get(group)?.first()?;
+        let (maker, _) = self.all.get(id)?;
+        Some(Free {
+            id: id.clone(),
+            domain: group.place.domain.clone(),
+            room: *room,
+            most: maker.most.unwrap_or(usize::MAX),
+            share: maker.share,
+        })
     }
 
     /// A call starts at a maker, whose results will take this many bytes.
     pub(super) fn started(&mut self, id: &TargetId, bytes: u64, now: Time) {
-        if let Some(m) = self.0.get_mut(id) {
-            m.calls += 1;
-            m.last_call = now;
-            m.in_flight += bytes;
-        }
+        self.change(id, now, |m| m.started(bytes, now));
     }
 
     /// A call ended at a maker.
@@ -228,70 +275,43 @@
         was_slow: bool,
         now: Time,
     ) {
-        if let Some(m) = self.0.get_mut(id) {
-            m.calls = m.calls.saturating_sub(1);
-            m.in_flight = m.in_flight.saturating_sub(bytes);
-            m.answers = !matches!(end, CallEnd::Failed);
-            match end {
-                CallEnd::Answered(_) if was_slow => m.eject(now),
-                CallEnd::Answered(_) => m.strikes = 0,
-                CallEnd::Full => m.ejected = now + FULL,
-                CallEnd::Failed => m.eject(now),
-            }
-        }
-        self.forget_idle();
+        self.change(id, now, |m| m.ended(bytes, end, was_slow, now));
     }
 
     /// Count of makers that are known.
     pub(super) fn count(&self) -> usize {
-        self.0.len()
+        self.all.len()
     }
 
     /// Makers that failed and are to be asked for a sign of life now.
     pub(super) fn take_probes_due(&mut self, now: Time) -> Vec<TargetId> {
-        let due = |m: &Maker| m.present && m.doubt == Doubt::Unasked && m.ejected <= now;
-        let mut due_now = Vec::new();
-        for (id, m) in self.0.iter_mut().filter(|(_, m)| due(m)) {
-            m.doubt = Doubt::Asked;
-            due_now.push(id.clone());
+        let due = self.index.probes.iter().take_while(|(at, _)| *at <= now);
+        let due: Vec<TargetId> = due.map(|(_, id)| id.clone()).collect();
+        for id in &due {
+            self.change(id, now, Maker::asked);
         }
-        due_now
+        due
     }
 
     /// A maker gave a sign of life, or none.
     pub(super) fn probed(&mut self, id: &TargetId, alive: bool, now: Time) {
-        let Some(m) = self.0.get_mut(id).filter(|m| m.doubt == Doubt::Asked) else {
-            return;
-        };
-        if alive {
-            m.doubt = Doubt::None;
-        } else {
-            m.answers = false;
-            m.eject(now);
-        }
+        self.change(id, now, |m| m.probed(alive, now));
     }
 
-    /// A maker had less room than was reckoned: results of this size or more are not
-    /// made there for a while, smaller ones are.
+    /// A maker had less room than was reckoned.
     pub(super) fn had_no_room(&mut self, id: &TargetId, size: u64, now: Time) {
-        if let Some(m) = self.0.get_mut(id) {
-            m.tight = Some((size, now + NO_ROOM));
-        }
+        self.change(id, now, |m| m.had_no_room(size, now));
     }
 
     /// A result rests at its maker from now on.
     pub(super) fn kept(&mut self, handle: &Handle, bytes: u64, now: Time) {
-        if let Some(m) = self.0.get_mut(&handle.maker) {
-            m.kept.insert(handle.text.clone(), Kept { bytes, made: now });
-        }
+        self.change(&handle.maker, now, |m| m.keep(&handle.text, bytes, now));
     }
 
     /// Results no longer take room.
-    pub(super) fn freed(&mut self, handles: &[Handle]) {
+    pub(super) fn freed(&mut self, handles: &[Handle], now: Time) {
         for handle in handles {
-            if let Some(m) = self.0.get_mut(&handle.maker) {
-                m.kept.remove(&handle.text);
-            }
+            self.change(&handle.maker, now, |m| m.freed(&handle.text));
         }
     }
 }
--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -7,6 +7,8 @@
 //! be made twice, and a maker turns away what it cannot take.
 
 mod coordinator;
+mod feed;
+mod maker;
 mod makers;
 mod orders;
 mod pace;
@@ -15,4 +17,5 @@
 mod types;
 
 pub use coordinator::Coordinator;
+pub use feed::MakerFeed;
 pub use types::{Action, Call, CallEnd, Event, MakerInfo, OrderId};
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -43,8 +43,15 @@
     Cancel(OrderId),
     /// A call came to an end.
     Ended(u64, CallEnd),
-    /// Makers that may get calls.
+    /// All makers that may get calls.
     Makers(Vec<MakerInfo>),
+    /// Makers that came or changed, and those that get no calls any more.
+    Changed {
+        /// Those that may get calls.
+        there: Vec<MakerInfo>,
+        /// Those that may not.
+        gone: Vec<TargetId>,
+    },
     /// A maker gave a sign of life, or none.
     Probed(TargetId, bool),
     /// Results are no longer wanted and are being freed.
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Allowed, Evacuations, Target, TargetId, TargetList};
+use model::forward::{Allowed, Evacuations, NamedLimit, Target, TargetId, TargetList};
 use model::{Name, Time};
 
 use super::answers::Answers;
-use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
-use crate::permit::Limits;
+use super::touched::TouchLog;
+use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms, Touched};
+use crate::permit::{LimitChange, Limits, Word};
 use crate::rollout::Versions;
 
 /// First time for which a failing target is left out.
@@ -138,9 +139,34 @@
     versions: Versions,
     regions: Regions,
     limits: Limits,
+    touched: TouchLog,
 }
 
 impl Fleet {
+    /// Mark for [`Fleet::touched_since`], of this moment.
+    pub fn mark(&self) -> u64 {
+        self.touched.next()
+    }
+
+    /// Targets that may be usable or not otherwise than at a mark, but for what time alone
+    /// changes: see [`Fleet::holds_until`].
+    pub fn touched_since(&self, mark: u64) -> Touched {
+        self.touched.since(mark)
+    }
+
+    /// Belief about the latest start of a target.
+    pub fn named(&self, name: &str) -> Option<&Belief> {
+        self.beliefs.get(name)
+    }
+
+    /// When a target becomes unusable, or warm, by time alone.
+    pub fn holds_until(&self, b: &Belief, limit: Option<ColdLimit>, now: Time) -> Option<Time> {
+        let ended = self.evacuated.ended(&b.target.domain);
+        let warm = limit.and_then(|l| Some(ended? + l.lasts));
+        let times = [b.missing, Some(b.cold), warm];
+        times.into_iter().flatten().filter(|at| *at > now).min()
+    }
+
     /// Belief about one start of a target; `None` if another one has its name by now.
     pub fn get(&self, id: &TargetId) -> Option<&Belief> {
         self.beliefs.get(&id.name).filter(|b| b.target.id == *id)
@@ -232,6 +258,7 @@
 
     /// Takes where failure domains lie.
     pub fn set_regions(&mut self, regions: Regions) {
+        self.touched.touch_all();
         self.regions = regions;
     }
 
@@ -242,6 +269,7 @@
 
     /// The same, to be changed.
     pub fn versions_mut(&mut self) -> &mut Versions {
+        self.touched.touch_all();
         &mut self.versions
     }
 
@@ -255,6 +283,26 @@
         &mut self.limits
     }
 
+    /// Takes what an answer of a target says of its limit, whose request was sent at `sent`.
+    pub fn hear_limit(
+        &mut self,
+        id: &TargetId,
+        said: NamedLimit,
+        sent: Time,
+        now: Time,
+    ) -> Option<LimitChange> {
+        let change = self.limits.hear(id, said, sent, now)?;
+        self.touched.touch(&id.name);
+        Some(change)
+    }
+
+    /// Takes a word of a target's limit from a peer.
+    pub fn learn_limit(&mut self, id: &TargetId, word: Word) -> Option<LimitChange> {
+        let change = self.limits.learn(id, word)?;
+        self.touched.touch(&id.name);
+        Some(change)
+    }
+
     /// What is known of evacuations.
     pub fn evacuated(&self) -> &Evacuated {
         &self.evacuated
@@ -262,12 +310,17 @@
 
     /// Evacuations are followed: nothing is usable before they are known.
     pub fn follow_evacuations(&mut self) {
+        self.touched.touch_all();
         self.evacuated.follow();
     }
 
     /// Takes a list of evacuations unless a newer one is known; returns what it changes.
     pub fn evacuate(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
-        self.evacuated.take(list, now)
+        let changes = self.evacuated.take(list, now);
+        if !changes.is_empty() {
+            self.touched.touch_all();
+        }
+        changes
     }
 
     /// Whether a target is cold: its entry says so, or the evacuation of its failure domain
@@ -331,6 +384,7 @@
 
     fn put(&mut self, target: Target, now: Time) -> bool {
         let name = target.id.name.clone();
+        self.touched.touch(&name);
         let was_unreadable = self.unreadable.remove(&name);
         let is_same = |b: &Belief| {
             let known = &b.target;
@@ -341,14 +395,18 @@
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            // In first: a version's only target does not make it a new one.
-            count_in(&mut self.versions, &target);
-            count_out(&mut self.versions, &b.target);
-            return b.set_target(target, now) || was_missing || was_unreadable;
+            let before = b.target.clone();
+            let has_changed = b.set_target(target.clone(), now);
+            self.recount(|versions| {
+                // In first: a version's only target does not make it a new one.
+                count_in(versions, &target);
+                count_out(versions, &before);
+            });
+            return has_changed || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
-        count_in(&mut self.versions, &target);
+        self.recount(|versions| count_in(versions, &target));
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -356,6 +414,7 @@
     /// An entry cannot be read: its target gets nothing new, and what it has goes on. Returns
     /// whether that is new.
     pub fn unreadable(&mut self, name: &Name) -> bool {
+        self.touched.touch(name);
         if let Some(b) = self.beliefs.get_mut(name) {
             b.missing = None;
         }
@@ -365,6 +424,7 @@
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
     pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
+        self.touched.touch(name);
         let was_unreadable = self.unreadable.remove(name);
         let Some(b) = self.beliefs.get_mut(name) else {
             return;
@@ -415,7 +475,17 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
-        count_out(&mut self.versions, &b.target);
+        self.touched.touch(name);
+        self.recount(|versions| count_out(versions, &b.target));
+    }
+
+    /// Counts targets of versions otherwise; which versions there are decides for all targets.
+    fn recount(&mut self, count: impl FnOnce(&mut Versions)) {
+        let before = self.versions.changes();
+        count(&mut self.versions);
+        if self.versions.changes() != before {
+            self.touched.touch_all();
+        }
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod news;
 mod pick;
 mod terms;
+mod touched;
 
 pub use belief::{Belief, Fleet, Observation, Presence};
 pub use cold::{ColdBounds, ColdLimit};
@@ -19,3 +20,4 @@
 pub use news::still_true;
 pub use pick::{ColdStarts, Home, Wanted, shares};
 pub use terms::{Barred, Regions, Terms};
+pub use touched::Touched;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod roster;
 pub mod route;
 pub mod stages;
+mod tally;
--- a/crates/decide/src/permit/limits.rs
+++ b/crates/decide/src/permit/limits.rs
@@ -44,6 +44,11 @@
 }
 
 impl Limits {
+    /// Whether no target names a limit.
+    pub fn is_empty(&self) -> bool {
+        self.named().next().is_none()
+    }
+
     /// The limit that a target names, in requests a second.
     pub fn get(&self, id: &TargetId) -> Option<f64> {
         self.known.get(id)?.word.per_s
--- a/crates/decide/src/rollout/present.rs
+++ b/crates/decide/src/rollout/present.rs
@@ -30,43 +30,56 @@
 
 /// By service and version.
 #[derive(Debug, Default)]
-pub struct Present(BTreeMap<Name, BTreeMap<Name, Targets>>);
+pub struct Present {
+    of: BTreeMap<Name, BTreeMap<Name, Targets>>,
+    /// Times that a version came or went, or began earlier than was known.
+    changes: u64,
+}
 
 impl Present {
     /// A target came, by an entry of this revision.
     pub fn saw(&mut self, service: &Name, version: &Name, revision: u64, start: u64) {
-        let versions = self.0.entry(service.clone()).or_default();
+        let versions = self.of.entry(service.clone()).or_default();
         let none = Targets { count: 0, first: revision, start };
         let targets = versions.entry(version.clone()).or_insert(none);
+        let is_earlier = start > 0 && (targets.start == 0 || start < targets.start);
+        self.changes += u64::from(targets.count == 0 || revision < targets.first || is_earlier);
         targets.count += 1;
         targets.first = targets.first.min(revision);
-        if targets.start == 0 || (start > 0 && start < targets.start) {
+        if is_earlier {
             targets.start = start;
         }
     }
 
+    /// Times that a version came or went, or began earlier than was known.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// A target is gone.
     pub fn gone(&mut self, service: &Name, version: &Name) {
-        let Some(versions) = self.0.get_mut(service) else {
+        let Some(versions) = self.of.get_mut(service) else {
             return;
         };
+        let before = versions.len();
         if let Some(targets) = versions.get_mut(version) {
             targets.count = targets.count.saturating_sub(1);
         }
         versions.retain(|_, targets| targets.count > 0);
+        self.changes += u64::from(versions.len() < before);
         if versions.is_empty() {
-            self.0.remove(service);
+            self.of.remove(service);
         }
     }
 
     /// Versions of a service.
     pub fn of(&self, service: &str) -> impl Iterator<Item = (&Name, &Targets)> {
-        self.0.get(service).into_iter().flatten()
+        self.of.get(service).into_iter().flatten()
     }
 
     /// Targets of one version.
     pub fn get(&self, service: &str, version: &str) -> Option<&Targets> {
-        self.0.get(service)?.get(version)
+        self.of.get(service)?.get(version)
     }
 
     /// The version of a service that was there before all others.
@@ -82,6 +95,6 @@
             let oldest = firsts().min()?;
             firsts().filter(|first| *first > oldest).max()
         };
-        self.0.values().filter_map(newest).max()
+        self.of.values().filter_map(newest).max()
     }
 }
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -92,6 +92,11 @@
         self.present.gone(service, version);
     }
 
+    /// Times that the versions that are there changed.
+    pub fn changes(&self) -> u64 {
+        self.present.changes()
+    }
+
     /// Revision up to which orders have to be known before every version is settled; `None`
     /// if all are.
     pub fn unsettled(&self) -> Option<u64> {
--- a/crates/decide/src/rollout/versions/side.rs
+++ b/crates/decide/src/rollout/versions/side.rs
@@ -40,6 +40,16 @@
         self.chosen(service, |is| is == Some(side))
     }
 
+    /// Sides to which calls of a stage service may go, each with the part of all pieces that it
+    /// may get if it is on trial.
+    pub fn maker_sides(&self, service: &str) -> Vec<(Side, Option<f64>)> {
+        match self.phase(service) {
+            Some(Phase::Share(share)) => vec![(Side::Serving, None), (Side::Trial, Some(share))],
+            Some(Phase::All) => vec![(Side::Serving, None), (Side::Trial, None)],
+            Some(Phase::Back) | None => vec![(Side::Serving, None)],
+        }
+    }
+
     /// Versions of a service that get anything.
     pub fn on_any_side(&self, service: &str) -> Chosen<'_> {
         self.chosen(service, |is| is.is_some())
--- a/crates/decide/tests/batch_overdue.rs
+++ b/crates/decide/tests/batch_overdue.rs
@@ -84,7 +84,7 @@
 
 #[test]
 fn a_wait_for_makers_that_were_all_late_is_until_they_are_back() {
-    let wait = |c: &Coordinator, ms| c.waits(at(ms)).of(Rank::default());
+    let wait = |c: &mut Coordinator, ms| c.waits(at(ms)).of(Rank::default());
     let mut c = coordinator(&[("m1", "a"), ("m2", "a")]);
     let late = calls(&c.on(at(0), placed(1, order("r1", 20))));
     c.on(at(450), Event::Tick);
@@ -92,11 +92,11 @@
         c.on(at(900), Event::Ended(call.number, made(call)));
     }
     // 300 ms without a call, and no word that nobody works.
-    assert_eq!([900, 1000, 1200].map(|ms| wait(&c, ms)), [300, 200, 0]);
+    assert_eq!([900, 1000, 1200].map(|ms| wait(&mut c, ms)), [300, 200, 0]);
     let mut c = coordinator(&[("m1", "a")]);
     let failed = calls(&c.on(at(0), placed(1, order("r1", 10)))).remove(0);
     c.on(at(10), Event::Ended(failed.number, CallEnd::Failed));
-    assert_eq!(wait(&c, 20), u32::MAX, "one that failed may be gone");
+    assert_eq!(wait(&mut c, 20), u32::MAX, "one that failed may be gone");
 }
 
 #[test]
--- /dev/null
+++ b/crates/decide/tests/batch_pool.rs
@@ -0,0 +1,173 @@
+//! What a coordinator is told of its makers, and what its work grows with.
+
+#[path = "support/batch.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod support;
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod targets;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use decide::batch::{Coordinator, Event, MakerFeed, MakerInfo};
+use decide::fleet::{ColdLimit, Fleet, Regions, Terms};
+use decide::region::Map;
+use model::Time;
+use model::forward::{Evacuations, NamedLimit, Policy, PoolId, Target, TargetId};
+use proptest::prelude::*;
+use support::{at, calls, made, order, placed, pool};
+use targets::target;
+
+const COLD: ColdLimit =
+    ColdLimit { lasts: Duration::from_secs(2), gap: Some(Duration::from_millis(700)) };
+
+fn engines() -> PoolId {
+    PoolId { service: "engine".into(), region: None }
+}
+
+/// Makers looked at for each order of two pieces, in a pool of this many.
+fn looked_at(makers: usize) -> f64 {
+    const ORDERS: u64 = 500;
+    let mut fleet = Fleet::default();
+    for i in 0..makers {
+        fleet.upsert(target(&format!("m{i}"), ["a", "b", "c"][i % 3]), at(0));
+    }
+    let mut feed = MakerFeed::default();
+    let mut c = Coordinator::new(pool(), Policy::default());
+    let mut tell = |c: &mut Coordinator, fleet: &Fleet, now: Time| {
+        let map = Map::new("a".into(), Regions::default());
+        feed.news(fleet, &engines(), &map, None, now).map(|news| c.on(now, news))
+    };
+    tell(&mut c, &fleet, at(0));
+    let before = c.looked_at();
+    for i in 0..ORDERS {
+        let now = at(10 + i * 4);
+        // A replica is replaced each 40 ms.
+        if i % 10 == 0 {
+            fleet.upsert(target(&format!("n{i}"), "a"), now);
+            fleet.vanish(&format!("m{}", i / 10).as_str().into(), None);
+        }
+        tell(&mut c, &fleet, now);
+        for call in calls(&c.on(now, placed(i, order("r", 2)))) {
+            tell(&mut c, &fleet, now);
+            c.on(now, Event::Ended(call.number, made(&call)));
+        }
+    }
+    (c.looked_at() - before) as f64 / ORDERS as f64
+}
+
+#[test]
+fn work_for_an_order_does_not_grow_with_the_pool() {
+    let (small, large) = (looked_at(300), looked_at(3000));
+    assert!(large <= small * 1.2, "{small} makers at 300, {large} at 3,000");
+    assert!(large < 20.0, "{large}");
+}
+
+/// What may change about five targets.
+#[derive(Debug, Clone)]
+enum Change {
+    Entry { which: usize, draining: bool, cold: bool, service: bool, version: bool, start: u64 },
+    Unreadable(usize),
+    Gone { which: usize, doubted: bool },
+    Evacuated(Vec<bool>),
+    Limit { which: usize, per_s: Option<f64> },
+    Expire,
+    Pass(u64),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    prop_oneof![
+        6 => (0usize..5, flags, 1u64..3).prop_map(|(which, (draining, cold, service, version), start)| {
+            Change::Entry { which, draining, cold, service, version, start }
+        }),
+        1 => (0usize..5).prop_map(Change::Unreadable),
+        2 => (0usize..5, any::<bool>()).prop_map(|(which, doubted)| Change::Gone { which, doubted }),
+        1 => prop::collection::vec(any::<bool>(), 3).prop_map(Change::Evacuated),
+        2 => (0usize..5, prop::option::of(1.0..20.0)).prop_map(|(which, per_s)| Change::Limit { which, per_s }),
+        1 => Just(Change::Expire),
+        4 => (1u64..1500).prop_map(Change::Pass),
+    ]
+}
+
+fn take(fleet: &mut Fleet, change: Change, revision: u64, now: u64) {
+    let name = |which: usize| format!("t{which}");
+    let id = |fleet: &Fleet, which: usize| {
+        fleet.named(&name(which)).map_or(TargetId::from("t9"), |b| b.target.id.clone())
+    };
+    match change {
+        Change::Entry { which, draining, cold, service, version, start } => {
+            let known = target(&name(which), ["a", "b", "c"][which % 3]);
+            let entry = Target {
+                id: TargetId { start, ..known.id.clone() },
+                service: if service { "engine" } else { "other" }.into(),
+                version: if version { "v1" } else { "v2" }.into(),
+                cold_ms: if cold { 900 } else { 0 },
+                draining,
+                revision,
+                ..known
+            };
+            fleet.upsert(entry, at(now));
+        }
+        Change::Unreadable(which) => _ = fleet.unreadable(&name(which).as_str().into()),
+        Change::Gone { which, doubted } => {
+            fleet.vanish(&name(which).as_str().into(), doubted.then(|| at(now + 800)));
+        }
+        Change::Evacuated(which) => {
+            let domains = ["a", "b", "c"].into_iter().zip(which);
+            let domains = domains.filter(|(_, is)| *is).map(|(d, _)| d.into()).collect();
+            fleet.evacuate(Evacuations { at: revision, domains }, at(now));
+        }
+        Change::Limit { which, per_s } => {
+            let said = per_s.map_or(NamedLimit::None, NamedLimit::PerSecond);
+            let id = id(fleet, which);
+            fleet.hear_limit(&id, said, at(now), at(now));
+        }
+        Change::Expire => fleet.expire(at(now)),
+        Change::Pass(_) => {}
+    }
+}
+
+fn all_of(event: Option<Event>) -> BTreeMap<TargetId, MakerInfo> {
+    let Some(Event::Makers(makers)) = event else {
+        panic!("a first look tells all: {event:?}");
+    };
+    makers.into_iter().map(|m| (m.id.clone(), m)).collect()
+}
+
+proptest! {
+    /// Whatever changes, and when, a feed that tells changes alone knows what one that has just
+    /// begun tells as a whole, and no maker that is unusable.
+    #[test]
+    fn changes_of_makers_come_to_the_same_as_whole_lists(
+        changes in prop::collection::vec(change(), 1..60),
+    ) {
+        let map = Map::new("a".into(), Regions::default());
+        let mut fleet = Fleet::default();
+        let mut feed = MakerFeed::default();
+        let mut known = BTreeMap::new();
+        let mut now = 0;
+        for (revision, change) in (1..).zip(changes) {
+            if let Change::Pass(ms) = change {
+                now += ms;
+            }
+            take(&mut fleet, change, revision, now);
+            match feed.news(&fleet, &engines(), &map, Some(COLD), at(now)) {
+                Some(Event::Changed { there, gone }) => {
+                    for id in gone {
+                        prop_assert!(known.remove(&id).is_some(), "{id} was never told of");
+                    }
+                    known.extend(there.into_iter().map(|m| (m.id.clone(), m)));
+                }
+                None => {}
+                whole => known = all_of(whole),
+            }
+            let fresh = MakerFeed::default().news(&fleet, &engines(), &map, Some(COLD), at(now));
+            prop_assert_eq!(&known, &all_of(fresh));
+            for id in known.keys() {
+                prop_assert!(fleet.is_usable(id, Terms::ANY, at(now)));
+            }
+        }
+    }
+}
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -227,7 +227,7 @@
         fleet.pick_plain(wanted(&[]), at(ms), &mut rng).map(|t| t.id.name.to_string())
     };
     assert_eq!(chosen(&fleet, 5_000).as_deref(), Some("t1"), "it names no limit");
-    fleet.limits_mut().hear(&id, NamedLimit::PerSecond(1.0), at(5_000), at(5_010));
+    fleet.hear_limit(&id, NamedLimit::PerSecond(1.0), at(5_000), at(5_010));
     assert_eq!(chosen(&fleet, 7_000).as_deref(), Some("t1"), "it has just answered");
     assert_eq!(chosen(&fleet, 7_010).as_deref(), Some("t0"));
     fleet.limits_mut().asks(&id, at(7_010));
--- a/crates/decide/tests/region_spill.rs
+++ b/crates/decide/tests/region_spill.rs
@@ -174,8 +174,8 @@
             .collect();
         let names: Vec<Name> = others.iter().map(|(r, _)| r.clone()).collect();
         for region in self.places[i].spill.take_due(&names, own.wait, now) {
-            let (to, place) = self.place(&region);
-            let waits = place.c.waits(now);
+            let to = self.place(&region);
+            let waits = self.places[to].c.waits(now);
             if self.is_cut(i, to) {
                 continue;
             }
@@ -183,7 +183,7 @@
             self.messages.push((self.now + 2 * CROSSING, i, told));
         }
         let region = self.places[i].spill.choose(&others, order, own, now)?;
-        Some(self.place(&region).0)
+        Some(self.place(&region))
     }
 
     /// Whether a question to a region, or its answer, is lost.
@@ -191,9 +191,8 @@
         self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from))
     }
 
-    fn place(&self, region: &str) -> (usize, &Place) {
-        let found = self.places.iter().enumerate().find(|(_, p)| *p.name == *region);
-        found.expect("one of the regions")
+    fn place(&self, region: &str) -> usize {
+        self.places.iter().position(|p| *p.name == *region).expect("one of the regions")
     }
 
     fn end_calls(&mut self, i: usize) {
@@ -208,7 +207,7 @@
 
     fn tick(&mut self, i: usize) {
         let now = at(self.now);
-        let place = &self.places[i];
+        let place = &mut self.places[i];
         let is_dead = place.c.waits(now).of(Rank::default()) == u32::MAX;
         let moves = is_dead && place.spill.knows_any(now);
         self.feed(i, if moves { Event::HandOver } else { Event::Tick });
--- a/crates/forward/src/limits/mod.rs
+++ b/crates/forward/src/limits/mod.rs
@@ -102,7 +102,7 @@
 /// Takes what an answer says of its target's limit; the request was sent at `sent`.
 pub fn hear(node: &Rc<Node>, target: &Target, said: NamedLimit, sent: Time) {
     let now = node.now();
-    let Some(change) = node.fleet(|f| f.limits_mut().hear(&target.id, said, sent, now)) else {
+    let Some(change) = node.fleet(|f| f.hear_limit(&target.id, said, sent, now)) else {
         return;
     };
     tell(target, "answer", change);
@@ -116,7 +116,7 @@
 
 /// Takes what a peer tells of a limit.
 fn learn(node: &Node, target: &TargetId, word: Word, from: &str) {
-    let Some(change) = node.fleet(|f| f.limits_mut().learn(target, word)) else {
+    let Some(change) = node.fleet(|f| f.learn_limit(target, word)) else {
         return;
     };
     if let Some(known) = node.fleet(|f| f.get(target).map(|b| b.target.clone())) {
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -25,7 +25,7 @@
 pub use held::Held;
 pub use judge::judge;
 pub use report::run;
-pub use sent::{Sent, maker_sides, sent};
+pub use sent::{Sent, sent};
 pub use stalls::watch as watch_stalls;
 pub use write::{Written, at_store};
 
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::fleet::Fleet;
 use model::forward::{Phase, RolloutId, Side, Target};
 use model::{Name, Time};
 
@@ -167,13 +166,3 @@
     Event::judged(service, version, "this node", &verdict, age).emit();
     take_phase(node, id, Phase::Back, "own requests");
 }
-
-/// Versions to which calls of a stage service may go, each with the part of all pieces that it
-/// may get if it is on trial.
-pub fn maker_sides(fleet: &Fleet, service: &str) -> Vec<(Side, Option<f64>)> {
-    match fleet.versions().phase(service) {
-        Some(Phase::Share(share)) => vec![(Side::Serving, None), (Side::Trial, Some(share))],
-        Some(Phase::All) => vec![(Side::Serving, None), (Side::Trial, None)],
-        Some(Phase::Back) | None => vec![(Side::Serving, None)],
-    }
-}
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::batch::{Action, Call, Coordinator, Event, MakerInfo, OrderId};
-use decide::fleet::{Belief, Terms};
-use decide::permit::{LIMITED_CALL, pace_of};
+use decide::batch::{Action, Call, Coordinator, Event, MakerFeed, OrderId};
 use decide::region::Spill;
 use model::Time;
 use model::forward::{
@@ -20,7 +18,6 @@
 use super::free::Freer;
 use crate::events::Event as LogEvent;
 use crate::node::Node;
-use crate::rollout;
 use crate::upstream;
 
 /// Time between looks at late orders and makers that are back.
@@ -75,7 +72,7 @@
     pub fn waits(&self, node: &Rc<Node>, pool: &PoolId) -> Option<Waits> {
         let runner = self.runner(node, pool)?;
         runner.feed(node, Event::Tick);
-        let waits = runner.machine.borrow().waits(node.now());
+        let waits = runner.machine.borrow_mut().waits(node.now());
         Some(waits)
     }
 
@@ -112,7 +109,7 @@
         let policy = node.settings().policy;
         let fresh = || Rc::new(Runner::new(id.clone(), pool.clone(), policy));
         let runner = runners.entry(id.clone()).or_insert_with(fresh).clone();
-        runner.machine.borrow_mut().set_pool(pool);
+        runner.machine.borrow_mut().set_pool(pool, node.now());
         Some(runner)
     }
 }
@@ -120,6 +117,7 @@
 pub(super) struct Runner {
     pub(super) pool: PoolId,
     pub(super) machine: RefCell<Coordinator>,
+    makers: RefCell<MakerFeed>,
     /// What is known of the makers of other regions.
     pub(super) spill: RefCell<Spill>,
     waiting: RefCell<HashMap<OrderId, oneshot::Sender<Vec<PieceResult>>>>,
@@ -149,6 +147,7 @@
         Runner {
             pool: id,
             machine: RefCell::new(Coordinator::new(pool, policy)),
+            makers: RefCell::default(),
             spill: RefCell::default(),
             waiting: RefCell::default(),
             next: Cell::new(1),
@@ -176,8 +175,13 @@
     pub(super) fn feed(self: &Rc<Self>, node: &Rc<Node>, event: Event) {
         let now = node.now();
         self.looked.set(Some(now));
+        let map = node.peers.roster(|r| r.map());
+        let cold = node.cold_limit(&self.pool.service);
+        let mut makers = self.makers.borrow_mut();
+        let news = node.fleet(|f| makers.news(f, &self.pool, &map, cold, now));
+        drop(makers);
         let mut machine = self.machine.borrow_mut();
-        let mut actions = machine.on(now, Event::Makers(self.makers(node)));
+        let mut actions = news.map(|news| machine.on(now, news)).unwrap_or_default();
         actions.extend(machine.on(now, event));
         drop(machine);
         for action in actions {
@@ -193,42 +197,6 @@
         }
     }
 
-    fn makers(&self, node: &Node) -> Vec<MakerInfo> {
-        let now = node.now();
-        let limit = node.cold_limit(&self.pool.service);
-        let map = node.peers.roster(|r| r.map());
-        let region = self.pool.region.as_ref();
-        let is_here = |b: &&Belief| region.is_none_or(|r| map.region_of(&b.target.domain) == *r);
-        node.fleet(|f| {
-            let cold_gap = |b: &Belief| {
-                let limit = limit.filter(|l| f.is_cold(b, *l, now))?;
-                Some(limit.gap.unwrap_or(Duration::MAX))
-            };
-            let usual = |b: &Belief| f.limits().get(&b.target.id).is_none();
-            let others_bear = f.usable(&self.pool.service, Terms::ANY, now).any(usual);
-            let most = others_bear.then_some(LIMITED_CALL);
-            let limit_gap = |b: &Belief| {
-                let pace = pace_of(f.limits().get(&b.target.id)?);
-                Some(Duration::from_secs_f64(f64::from(most.unwrap_or(1)) / pace))
-            };
-            let info = |b: &Belief| MakerInfo {
-                id: b.target.id.clone(),
-                domain: b.target.domain.clone(),
-                region: f.regions().of(&b.target.domain).cloned(),
-                gap: cold_gap(b).max(limit_gap(b)),
-                most: most.filter(|_| !usual(b)).map(|most| most as usize),
-                share: None,
-            };
-            let service = &self.pool.service;
-            let mut makers = Vec::new();
-            for (side, share) in rollout::maker_sides(f, service) {
-                let usable = f.usable(service, Terms { side, ..Terms::ANY }, now).filter(is_here);
-                makers.extend(usable.map(info).map(|m| MakerInfo { share, ..m }));
-            }
-            makers
-        })
-    }
-
     fn act(self: &Rc<Self>, node: &Rc<Node>, action: Action) {
         match action {
             Action::Start(call) => {
--- a/crates/forward/src/stages/spill.rs
+++ b/crates/forward/src/stages/spill.rs
@@ -57,7 +57,7 @@
         let own_region = self.pool.region.as_ref()?;
         self.look(node);
         let now = node.now();
-        let own = self.machine.borrow().own(order, now);
+        let own = self.machine.borrow_mut().own(order, now);
         let others = others(node, &self.pool.service, own_region, &order.allowed);
         let names: Vec<Name> = others.iter().map(|(r, _)| r.clone()).collect();
         for region in self.spill.borrow_mut().take_due(&names, own.wait, now) {
@@ -69,14 +69,14 @@
     /// Whether no maker works here, while another region's can take what waits.
     pub(super) fn is_abandoned(&self, node: &Node) -> bool {
         let now = node.now();
-        let is_dead = self.machine.borrow().waits(now).of(Rank::default()) == Waits::NOBODY;
+        let is_dead = self.machine.borrow_mut().waits(now).of(Rank::default()) == Waits::NOBODY;
         is_dead && self.spill.borrow().knows_any(now)
     }
 
     /// What the next orders in a queue would wait now, here or where they would be passed on to.
     pub(super) fn waits(&self, node: &Node, queue: &QueueId) -> Waits {
         let now = node.now();
-        let waits = self.machine.borrow().waits(now);
+        let waits = self.machine.borrow_mut().waits(now);
         let Some(own) = &self.pool.region else {
             return waits;
         };
