--- /dev/null
+++ b/crates/decide/src/member/draw.rs
@@ -0,0 +1,62 @@
+//! A set from which members are drawn at random without a pass over all.
+
+use std::collections::BTreeMap;
+
+use crate::rng::Rng;
+
+/// A set whose members have numbers.
+#[derive(Debug, Clone)]
+pub(super) struct DrawSet<T> {
+    members: Vec<T>,
+    numbers: BTreeMap<T, usize>,
+}
+
+impl<T> Default for DrawSet<T> {
+    fn default() -> Self {
+        DrawSet { members: Vec::new(), numbers: BTreeMap::new() }
+    }
+}
+
+impl<T: Ord + Clone> DrawSet<T> {
+    pub(super) fn insert(&mut self, member: T) {
+        if !self.numbers.contains_key(&member) {
+            self.numbers.insert(member.clone(), self.members.len());
+            self.members.push(member);
+        }
+    }
+
+    pub(super) fn remove(&mut self, member: &T) {
+        let Some(number) = self.numbers.remove(member) else {
+            return;
+        };
+        self.members.swap_remove(number);
+        if let Some(moved) = self.members.get(number) {
+            self.numbers.insert(moved.clone(), number);
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Up to `n` different members but one, in random order.
+    pub(super) fn draw(&self, n: usize, but: Option<&T>, rng: &mut Rng) -> Vec<&T> {
+        let but = but.and_then(|member| self.numbers.get(member).copied());
+        let most = n.min(self.len() - usize::from(but.is_some()));
+        // Robert Floyd's: as many draws as members are wanted.
+        let mut numbers: Vec<usize> = Vec::with_capacity(most);
+        let others = self.len() - usize::from(but.is_some());
+        for last in others - most..others {
+            let drawn = rng.below(last + 1);
+            numbers.push(if numbers.contains(&drawn) { last } else { drawn });
+        }
+        rng.shuffle(&mut numbers);
+        // The last one has the number of the one that is left out.
+        let number = |n: usize| if Some(n) == but { others } else { n };
+        numbers.into_iter().map(|n| &self.members[number(n)]).collect()
+    }
+}
--- a/crates/decide/src/member/join.rs
+++ b/crates/decide/src/member/join.rs
@@ -94,29 +94,31 @@
         }
         let pause = if self.joining.is_herd(now) { PULL_EVERY } else { PULL_LATER };
         self.joining.next_pull = now + pause;
-        let hubs: Vec<SocketAddr> = self.hubs().map(|p| p.node.address).collect();
-        if !hubs.is_empty() {
-            let hub = hubs[self.rng.below(hubs.len())];
+        let hub = self.draw_hubs(1).first().map(|p| p.node.address);
+        if let Some(hub) = hub {
             let mut packet = self.join_packet(Purpose::Ping { start: 0 }, 0);
             packet.rumors.push(self.own_rumor());
             out.push(Action::Send(hub, packet));
         }
     }
 
-    /// Peers whose hosts bear most.
-    fn hubs(&self) -> impl Iterator<Item = &Peer> {
-        let most = self.peers.iter_up().map(|p| p.node.capacity).max().unwrap_or(0);
-        self.peers.iter_up().filter(move |p| p.node.capacity == most)
+    /// Up to `n` of the peers whose hosts bear most.
+    fn draw_hubs(&mut self, n: usize) -> Vec<&Peer> {
+        let Some((_, hubs)) = self.peers.hubs() else {
+            return Vec::new();
+        };
+        let drawn = hubs.draw(n, None, &mut self.rng);
+        drawn.into_iter().filter_map(|id| self.peers.get(id)).collect()
     }
 
     /// Answers a newcomer: a hub with all that it knows, the others with the hubs.
     pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        if self.hubs().all(|p| p.node.capacity <= self.me.capacity) {
+        if self.peers.hubs().is_none_or(|(most, _)| most <= self.me.capacity) {
             return self.tell_all(to, out);
         }
-        let mut hubs: Vec<Rumor> = self.hubs().map(|p| p.rumor(self.now)).collect();
-        self.rng.shuffle(&mut hubs);
-        hubs.truncate(WELCOME - 1);
+        let now = self.now;
+        let mut hubs: Vec<Rumor> =
+            self.draw_hubs(WELCOME - 1).into_iter().map(|p| p.rumor(now)).collect();
         hubs.push(self.own_rumor());
         self.tell(to, hubs, out);
     }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -1,5 +1,6 @@
 //! The membership machine of one node.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -117,6 +118,17 @@
         self.peers.iter_up()
     }
 
+    /// A peer that is up.
+    pub fn peer(&self, id: &NodeId) -> Option<&Peer> {
+        self.peers.get(id).filter(|p| p.is_up())
+    }
+
+    /// Peers that came, went, are doubted or no longer, or started at another time than was
+    /// known, since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<NodeId> {
+        self.peers.take_changed()
+    }
+
     /// Time that direct probes took to nodes of these failure domains and back, since the
     /// last call.
     pub fn take_round_trips(&mut self) -> Vec<(Name, Duration)> {
@@ -215,7 +227,7 @@
     /// known to be at: so nodes that restarted while their seeds were down, and the two
     /// sides of a healed partition, find each other.
     fn try_lost(&mut self, now: Time, out: &mut Vec<Action>) {
-        let is_lost = |a: &SocketAddr| *a != self.me.address && self.peers.at(*a).is_none();
+        let is_lost = |a: &SocketAddr| *a != self.me.address && !self.peers.is_at(*a);
         let mut lost = self.peers.gone_since(now, GONE_TRIED);
         lost.retain(is_lost);
         if lost.is_empty() && self.rng.below(SEED_EVERY) == 0 {
--- a/crates/decide/src/member/mod.rs
+++ b/crates/decide/src/member/mod.rs
@@ -11,6 +11,7 @@
 //! The manifest number rides on every packet and is pushed to a few peers as
 //! soon as it is in force, so that news of it spreads in milliseconds.
 
+mod draw;
 mod gossip;
 mod join;
 mod machine;
--- a/crates/decide/src/member/packets.rs
+++ b/crates/decide/src/member/packets.rs
@@ -57,10 +57,7 @@
     }
 
     pub(super) fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
-        let others = self.peers.iter_up().filter(|p| p.node.id != *but);
-        let mut all: Vec<SocketAddr> = others.map(|p| p.node.address).collect();
-        self.rng.shuffle(&mut all);
-        all.truncate(n);
-        all
+        let drawn = self.peers.draw(n, but, &mut self.rng);
+        drawn.into_iter().map(|p| p.node.address).collect()
     }
 }
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -1,15 +1,21 @@
 //! What a node believes of its peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use model::member::{Health, Node, NodeId, Rumor};
 use model::{Time, hash};
 
+use super::draw::DrawSet;
+use crate::rng::Rng;
+
 /// How long the dead are remembered, so that old news cannot bring them back.
 const BURIED: Duration = Duration::from_secs(120);
 
+/// Least difference by which a known uptime is corrected: what news of it was under way.
+const UPTIME_NOISE: Duration = Duration::from_millis(50);
+
 /// One peer.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -57,7 +63,16 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     map: BTreeMap<NodeId, Peer>,
-    up: usize,
+    /// Those that are up.
+    all: DrawSet<NodeId>,
+    /// The same by what their hosts bear.
+    up: BTreeMap<u8, DrawSet<NodeId>>,
+    addresses: HashMap<SocketAddr, NodeId>,
+    suspects: BTreeSet<NodeId>,
+    /// Those that left or died, and when.
+    gone: BTreeSet<(Time, NodeId)>,
+    /// Those of which something changed that others look at.
+    changed: BTreeSet<NodeId>,
     digest: u32,
 }
 
@@ -69,7 +84,7 @@
 impl Peers {
     /// Count of peers that are up.
     pub fn up(&self) -> usize {
-        self.up
+        self.all.len()
     }
 
     /// Digest of the peers that are up; the same for all that agree.
@@ -87,15 +102,32 @@
         self.map.values().filter(|p| p.is_up())
     }
 
-    /// The peer that is up at an address.
-    pub fn at(&self, address: SocketAddr) -> Option<&Peer> {
-        self.iter_up().find(|p| p.node.address == address)
+    /// Peers whose hosts bear most, with how much that is.
+    pub fn hubs(&self) -> Option<(u8, &DrawSet<NodeId>)> {
+        self.up.last_key_value().map(|(capacity, hubs)| (*capacity, hubs))
+    }
+
+    /// Up to `n` peers that are up but one, at random.
+    pub fn draw(&self, n: usize, but: &NodeId, rng: &mut Rng) -> Vec<&Peer> {
+        let drawn = self.all.draw(n, Some(but), rng);
+        drawn.into_iter().filter_map(|id| self.map.get(id)).collect()
+    }
+
+    /// Whether a peer is up at an address.
+    pub fn is_at(&self, address: SocketAddr) -> bool {
+        self.addresses.contains_key(&address)
     }
 
     /// Addresses of peers that left or died within this time.
     pub fn gone_since(&self, now: Time, within: Duration) -> Vec<SocketAddr> {
-        let gone = self.map.values().filter(|p| !p.is_up() && now.since(p.since) < within);
-        gone.map(|p| p.node.address).collect()
+        let gone = self.gone.iter().rev().take_while(|(at, _)| now.since(*at) < within);
+        gone.filter_map(|(_, id)| self.map.get(id)).map(|p| p.node.address).collect()
+    }
+
+    /// Peers that came, went, are doubted or no longer, or started at another time than was
+    /// known, since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<NodeId> {
+        std::mem::take(&mut self.changed)
     }
 
     /// Notes the manifest in force on a peer.
@@ -114,32 +146,43 @@
 
     /// Takes news; returns whether it changed what is believed.
     pub fn take(&mut self, now: Time, r: &Rumor) -> bool {
-        if let Some(p) = self.map.get_mut(&r.node.id) {
-            p.number = p.number.max(r.number);
-            let up = Duration::from_millis(r.up_ms);
-            if up > p.uptime(now) {
-                (p.up, p.heard) = (up, now);
-            }
-            let final_state = p.health >= Health::Dead;
-            let newer = (r.incarnation, r.health) > (p.incarnation, p.health);
-            let buries = r.health >= Health::Dead && !final_state;
-            if (final_state || !newer) && !buries {
-                return false;
-            }
-            let was = p.is_up();
-            p.health = r.health;
-            p.incarnation = r.incarnation.max(p.incarnation);
-            p.since = now;
-            p.confirms = 0;
-            if was && !p.is_up() {
-                self.up -= 1;
-                self.digest ^= digest_of(&r.node.id);
-            }
-            return true;
+        let id = &r.node.id;
+        let Some(p) = self.map.get_mut(id) else {
+            return r.health < Health::Dead && self.meet(now, r);
+        };
+        p.number = p.number.max(r.number);
+        let up = Duration::from_millis(r.up_ms);
+        if up > p.uptime(now) + UPTIME_NOISE {
+            (p.up, p.heard) = (up, now);
+            self.changed.insert(id.clone());
         }
-        if r.health >= Health::Dead {
+        let final_state = p.health >= Health::Dead;
+        let newer = (r.incarnation, r.health) > (p.incarnation, p.health);
+        let buries = r.health >= Health::Dead && !final_state;
+        if (final_state || !newer) && !buries {
             return false;
         }
+        let was_up = p.is_up();
+        p.health = r.health;
+        p.incarnation = r.incarnation.max(p.incarnation);
+        p.since = now;
+        p.confirms = 0;
+        let is_up = p.is_up();
+        self.changed.insert(id.clone());
+        if r.health == Health::Suspect {
+            self.suspects.insert(id.clone());
+        } else {
+            self.suspects.remove(id);
+        }
+        if was_up && !is_up {
+            self.lose(now, id);
+        }
+        true
+    }
+
+    /// Takes a peer that was not known.
+    fn meet(&mut self, now: Time, r: &Rumor) -> bool {
+        let id = &r.node.id;
         let peer = Peer {
             node: r.node.clone(),
             health: r.health,
@@ -150,20 +193,51 @@
             since: now,
             confirms: 0,
         };
-        self.map.insert(r.node.id.clone(), peer);
-        self.up += 1;
-        self.digest ^= digest_of(&r.node.id);
+        self.map.insert(id.clone(), peer);
+        self.all.insert(id.clone());
+        self.up.entry(r.node.capacity).or_default().insert(id.clone());
+        self.addresses.insert(r.node.address, id.clone());
+        if r.health == Health::Suspect {
+            self.suspects.insert(id.clone());
+        }
+        self.changed.insert(id.clone());
+        self.digest ^= digest_of(id);
         true
     }
 
+    /// A known peer is not up any more.
+    fn lose(&mut self, now: Time, id: &NodeId) {
+        let Some(p) = self.map.get(id) else {
+            return;
+        };
+        self.digest ^= digest_of(id);
+        self.gone.insert((now, id.clone()));
+        self.all.remove(id);
+        if self.addresses.get(&p.node.address) == Some(id) {
+            self.addresses.remove(&p.node.address);
+        }
+        if let Some(alike) = self.up.get_mut(&p.node.capacity) {
+            alike.remove(id);
+            if alike.is_empty() {
+                self.up.remove(&p.node.capacity);
+            }
+        }
+    }
+
     /// Forgets those buried long ago.
     pub fn forget(&mut self, now: Time) {
-        self.map.retain(|_, p| p.is_up() || now.since(p.since) < BURIED);
+        while let Some((at, id)) = self.gone.first().cloned() {
+            if now.since(at) < BURIED {
+                break;
+            }
+            self.gone.remove(&(at, id.clone()));
+            self.map.remove(&id);
+        }
     }
 
     /// Suspects whose time to refute is over.
     pub fn expired(&self, now: Time, wait: impl Fn(&Peer) -> Duration) -> Vec<NodeId> {
-        let over = |p: &&Peer| p.health == Health::Suspect && now.since(p.since) >= wait(p);
-        self.map.values().filter(over).map(|p| p.node.id.clone()).collect()
+        let over = |id: &&NodeId| self.map.get(*id).is_some_and(|p| now.since(p.since) >= wait(p));
+        self.suspects.iter().filter(over).cloned().collect()
     }
 }
--- a/crates/decide/src/member/rumors.rs
+++ b/crates/decide/src/member/rumors.rs
@@ -1,7 +1,7 @@
 //! News waiting to ride on packets: the least repeated goes first, and each is
 //! dropped after a logarithm of the domain's size.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::member::{LoadRumor, NodeId, Rumor};
 
@@ -16,13 +16,19 @@
 #[derive(Debug, Default)]
 pub struct Outbox {
     rumors: BTreeMap<NodeId, (u32, Rumor)>,
+    /// The same by how often each was sent.
+    order: BTreeSet<(u32, NodeId)>,
     loads: BTreeMap<u32, (u32, LoadRumor)>,
 }
 
 impl Outbox {
     /// Queues news about a node in place of older news.
     pub fn push(&mut self, rumor: Rumor) {
-        self.rumors.insert(rumor.node.id.clone(), (0, rumor));
+        let id = rumor.node.id.clone();
+        if let Some((sent, _)) = self.rumors.insert(id.clone(), (0, rumor)) {
+            self.order.remove(&(sent, id.clone()));
+        }
+        self.order.insert((0, id));
     }
 
     /// Queues a changed load in place of an older one.
@@ -33,17 +39,21 @@
     /// Takes up to `n` rumors for one packet.
     pub fn take(&mut self, n: usize, nodes: usize) -> Vec<Rumor> {
         let most = REPEAT * (usize::BITS - nodes.leading_zeros()).max(1);
-        let mut order: Vec<(u32, NodeId)> =
-            self.rumors.iter().map(|(id, (sent, _))| (*sent, id.clone())).collect();
-        order.sort_unstable();
+        let first: Vec<(u32, NodeId)> = self.order.iter().take(n).cloned().collect();
         let mut out = Vec::new();
-        for (_, id) in order.into_iter().take(n) {
-            if let Some((sent, rumor)) = self.rumors.get_mut(&id) {
-                *sent += 1;
-                out.push(rumor.clone());
+        for (was_sent, id) in first {
+            self.order.remove(&(was_sent, id.clone()));
+            let Some((sent, rumor)) = self.rumors.get_mut(&id) else {
+                continue;
+            };
+            *sent += 1;
+            out.push(rumor.clone());
+            if *sent < most {
+                self.order.insert((*sent, id));
+            } else {
+                self.rumors.remove(&id);
             }
         }
-        self.rumors.retain(|_, (sent, _)| *sent < most);
         out
     }
 
--- a/crates/decide/src/member/types.rs
+++ b/crates/decide/src/member/types.rs
@@ -24,6 +24,20 @@
     pub seek: Duration,
 }
 
+impl Tuning {
+    /// Of the nodes that serve customers: a lost peer is known within two seconds.
+    pub fn of_nodes() -> Self {
+        Tuning {
+            period: Duration::from_millis(400),
+            timeout: Duration::from_millis(120),
+            suspect: Duration::from_millis(600),
+            suspect_most: Duration::from_millis(1200),
+            seek: Duration::from_millis(250),
+            ..Tuning::default()
+        }
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
--- a/crates/decide/src/roster/contact.rs
+++ b/crates/decide/src/roster/contact.rs
@@ -42,11 +42,11 @@
 }
 
 impl Contacts {
-    /// Forgets all peers but these.
-    pub(super) fn retain(&mut self, ids: &BTreeSet<&NodeId>) {
-        self.heard.retain(|id, _| ids.contains(id));
-        for silent in self.silent.values_mut() {
-            silent.retain(|id| ids.contains(id));
+    /// Forgets a peer of a failure domain.
+    pub(super) fn forget(&mut self, id: &NodeId, domain: &Name) {
+        self.heard.remove(id);
+        if let Some(silent) = self.silent.get_mut(domain) {
+            silent.remove(id);
         }
     }
 
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -6,8 +6,10 @@
 
 mod changes;
 mod contact;
+mod ranking;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,10 +21,12 @@
 use crate::fleet::Regions;
 use crate::region::Map;
 use crate::relay::{Relays, Role};
+use crate::tally::Tally;
 
 pub use changes::{Changes, ViewChange};
 pub use contact::Contact;
 use contact::Contacts;
+use ranking::{Rankings, score};
 
 /// Nodes of each failure domain that its followers ask: the relay, which reads the store,
 /// and its standby. If both fail others take their place.
@@ -54,11 +58,6 @@
 /// Time for which a peer that stopped is remembered.
 const STOPPED_KEPT: Duration = Duration::from_secs(60);
 
-/// Rendezvous score of a node for a service.
-fn score(service: &str, name: &Name) -> u64 {
-    hash::mix(hash::of(service.as_bytes()), hash::of(name.as_bytes()))
-}
-
 /// What nodes take their order for: a service, or its makers in one region.
 #[derive(Debug, Clone, Copy)]
 pub struct Duty<'a> {
@@ -66,17 +65,19 @@
     pub service: &'a str,
     /// Region whose nodes come first.
     pub region: Option<&'a str>,
+    /// Failure domain of which alone nodes are asked for.
+    domain: Option<&'a Name>,
 }
 
 impl<'a> From<&'a str> for Duty<'a> {
     fn from(service: &'a str) -> Self {
-        Duty { service, region: None }
+        Duty { service, region: None, domain: None }
     }
 }
 
 impl<'a> From<&'a PoolId> for Duty<'a> {
     fn from(pool: &'a PoolId) -> Self {
-        Duty { service: &pool.service, region: pool.region.as_deref() }
+        Duty { service: &pool.service, region: pool.region.as_deref(), domain: None }
     }
 }
 
@@ -106,6 +107,13 @@
     fn uptime(&self, now: Time) -> Duration {
         self.up + now.since(self.at)
     }
+
+    /// Start of its process in microseconds on this node's clock, on which it may lie before
+    /// this node's own.
+    fn born(&self) -> i64 {
+        let at = i64::try_from(self.at.0).unwrap_or(i64::MAX);
+        at.saturating_sub(i64::try_from(self.up.as_micros()).unwrap_or(i64::MAX))
+    }
 }
 
 /// Peers as one node sees them. Times count from the node's own start.
@@ -116,7 +124,16 @@
     map: Arc<Map>,
     capacity: u8,
     stops: bool,
-    up: Vec<PeerView>,
+    up: BTreeMap<NodeId, PeerView>,
+    addresses: HashMap<SocketAddr, NodeId>,
+    /// Peers of each failure domain.
+    domains: Tally<Name>,
+    /// Peers on hosts that bear this much.
+    capacities: Tally<u8>,
+    /// Starts of the peers' processes.
+    births: BTreeSet<(i64, NodeId)>,
+    rankings: RefCell<Rankings>,
+    looked_at: Cell<u64>,
     contacts: Contacts,
     stopping: BTreeMap<NodeId, Time>,
     most: usize,
@@ -133,7 +150,13 @@
             domain,
             capacity,
             stops: false,
-            up: Vec::new(),
+            up: BTreeMap::new(),
+            addresses: HashMap::new(),
+            domains: Tally::default(),
+            capacities: Tally::default(),
+            births: BTreeSet::new(),
+            rankings: RefCell::default(),
+            looked_at: Cell::new(0),
             contacts: Contacts::default(),
             stopping: BTreeMap::new(),
             most: 1,
@@ -158,21 +181,76 @@
 
     /// Takes the peers that are up, and forgets what concerns others.
     pub fn update(&mut self, up: Vec<PeerView>, now: Time) {
-        self.most = self.most.max(up.len() + 1);
-        if self.hubs(&up) > self.hubs(&self.up) {
+        let there: BTreeSet<&NodeId> = up.iter().map(|p| &p.node.id).collect();
+        let gone: Vec<NodeId> = self.up.keys().filter(|id| !there.contains(id)).cloned().collect();
+        for id in gone {
+            self.remove(&id);
+        }
+        for view in up {
+            self.put(view, now);
+        }
+        self.forget_stopped(now);
+    }
+
+    /// Takes one peer that is up, as it is now.
+    pub fn put(&mut self, view: PeerView, now: Time) {
+        let hubs = self.hubs();
+        let known = self.up.get(&view.node.id);
+        if known.is_some_and(|known| known.node != view.node) {
+            self.remove(&view.node.id);
+        } else if let Some(known) = known {
+            self.births.remove(&(known.born(), known.node.id.clone()));
+        }
+        let node = &view.node;
+        self.births.insert((view.born(), node.id.clone()));
+        if !self.up.contains_key(&node.id) {
+            self.rankings.get_mut().insert(node);
+            self.domains.add(&node.domain);
+            self.capacities.add(&node.capacity);
+        }
+        for address in [node.address, node.entry] {
+            self.addresses.insert(address, node.id.clone());
+        }
+        self.up.insert(node.id.clone(), view);
+        self.most = self.most.max(self.up.len() + 1);
+        if self.hubs() > hubs {
             self.grown = now;
         }
-        let ids: BTreeSet<&NodeId> = up.iter().map(|p| &p.node.id).collect();
-        self.contacts.retain(&ids);
+    }
+
+    /// A peer is not up any more.
+    pub fn remove(&mut self, id: &NodeId) {
+        let Some(view) = self.up.remove(id) else {
+            return;
+        };
+        let node = &view.node;
+        self.births.remove(&(view.born(), id.clone()));
+        self.rankings.get_mut().remove(node);
+        self.domains.remove(&node.domain);
+        self.capacities.remove(&node.capacity);
+        for address in [node.address, node.entry] {
+            if self.addresses.get(&address) == Some(id) {
+                self.addresses.remove(&address);
+            }
+        }
+        self.contacts.forget(id, &node.domain);
+    }
+
+    /// Forgets peers that stopped long ago.
+    pub fn forget_stopped(&mut self, now: Time) {
         self.stopping.retain(|_, since| now.since(*since) < STOPPED_KEPT);
-        self.up = up;
     }
 
     /// The most that a host bears, and how many hosts bear that.
-    fn hubs(&self, up: &[PeerView]) -> (u8, usize) {
-        let all = || up.iter().map(|p| p.node.capacity).chain([self.capacity]);
-        let most = all().max().unwrap_or_default();
-        (most, all().filter(|c| *c == most).count())
+    fn hubs(&self) -> (u8, usize) {
+        let known = self.capacities.keys().next_back().copied().unwrap_or(0);
+        let most = known.max(self.capacity);
+        (most, self.capacities.count(&most) + usize::from(most == self.capacity))
+    }
+
+    /// Peers looked at so far for questions of who does something.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at.get()
     }
 
     /// This node stops.
@@ -198,18 +276,18 @@
     /// Whether this start of a peer can be waited for: it is up and not suspected,
     /// or stops as planned and ends what it has begun.
     pub fn is_sound(&self, id: &NodeId) -> bool {
-        let sound = self.up.iter().any(|p| p.node.id == *id && !p.suspect);
+        let sound = self.up.get(id).is_some_and(|p| !p.suspect);
         sound || self.stopping.contains_key(id)
     }
 
     fn domain_of(&self, id: &NodeId) -> Option<Name> {
-        self.up.iter().find(|p| p.node.id == *id).map(|p| p.node.domain.clone())
+        self.up.get(id).map(|p| p.node.domain.clone())
     }
 
     /// Failure domain of the peer at an address, if it is up.
     pub fn domain_at(&self, address: SocketAddr) -> Option<&Name> {
-        let is_at = |p: &&PeerView| p.node.entry == address || p.node.address == address;
-        self.up.iter().find(is_at).map(|p| &p.node.domain)
+        let id = self.addresses.get(&address)?;
+        self.up.get(id).map(|p| &p.node.domain)
     }
 
     /// A peer answered.
@@ -254,46 +332,64 @@
         duty.region.is_none_or(|r| *self.map.region_of(domain) == *r)
     }
 
-    /// Place of a peer among nodes of which those up for `settled` count as settled.
-    fn place_of(&self, p: &PeerView, duty: Duty<'_>, settled: Duration, now: Time) -> Place {
-        Place {
-            is_there: self.is_there(&p.node.domain, duty),
-            is_settled: p.uptime(now) >= settled,
-            capacity: p.node.capacity,
-            score: score(duty.service, &p.node.id.name),
-        }
+    /// All peers in the order of a duty, the unwanted included, with their places.
+    fn ranked<'s>(
+        &'s self,
+        duty: Duty<'_>,
+        now: Time,
+    ) -> impl Iterator<Item = (Place, &'s PeerView)> + use<'s> {
+        let all = || self.up.values().map(|p| &p.node);
+        let walk = self.rankings.borrow_mut().get(duty.service, duty.domain, all);
+        let settled = self.settled_from(now);
+        let region: Option<Name> = duty.region.map(Into::into);
+        let has_region = region.is_some();
+        // Four passes over a standing order; mostly the first peers of the first one answer.
+        let pass = move |is_there: bool, is_settled: bool| {
+            let region = region.clone();
+            let is_in = move |p: &PeerView| {
+                let lies_in = |r: &Name| self.map.region_of(&p.node.domain) == *r;
+                region.as_ref().is_none_or(lies_in) == is_there
+                    && (p.uptime(now) >= settled) == is_settled
+            };
+            walk.clone().filter_map(move |ranked| {
+                self.looked_at.set(self.looked_at.get() + 1);
+                let peer = self.up.get(&ranked.id).filter(|p| is_in(p))?;
+                let (capacity, score) = (ranked.capacity.0, ranked.score.0);
+                Some((Place { is_there, is_settled, capacity, score }, peer))
+            })
+        };
+        let there = pass(true, true).chain(pass(true, false));
+        let elsewhere = has_region.then(|| pass(false, true).chain(pass(false, false)));
+        there.chain(elsewhere.into_iter().flatten())
     }
 
     /// All peers that come before this node for a duty, the unwanted included.
-    fn before_me(&self, duty: Duty<'_>, now: Time) -> Vec<&PeerView> {
+    fn before_me<'s>(
+        &'s self,
+        duty: Duty<'_>,
+        now: Time,
+    ) -> impl Iterator<Item = &'s PeerView> + use<'s> {
         let own = self.own_place(duty, now);
-        let settled = self.settled_from(now);
-        let place = |p: &PeerView| self.place_of(p, duty, settled, now);
-        let mut before: Vec<_> =
-            self.up.iter().map(|p| (place(p), p)).filter(|(place, _)| *place > own).collect();
-        before.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
-        before.into_iter().map(|(_, p)| p).collect()
+        self.ranked(duty, now).take_while(move |(place, _)| *place > own).map(|(_, p)| p)
     }
 
     /// Peers that would come first for a duty but are passed over; whoever is asked
     /// in their place learns from these why.
     pub fn skipped<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<NodeId> {
-        let before = self.before_me(duty.into(), now).into_iter();
-        let skipped = before.take_while(|p| !self.is_wanted(p));
+        let skipped = self.before_me(duty.into(), now).take_while(|p| !self.is_wanted(p));
         skipped.take(SKIPPED).map(|p| p.node.id.clone()).collect()
     }
 
     /// Peers with these identities that this node would still ask itself.
     pub fn doubted(&self, ids: &[NodeId]) -> Vec<Node> {
-        let named = self.up.iter().filter(|p| ids.contains(&p.node.id) && self.is_wanted(p));
+        let named = ids.iter().filter_map(|id| self.up.get(id)).filter(|p| self.is_wanted(p));
         named.map(|p| p.node.clone()).collect()
     }
 
     /// Silent peers that would come first for a duty, and are to be asked for a sign of
     /// life by now.
     pub fn checks_due<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Node> {
-        let before = self.before_me(duty.into(), now).into_iter();
-        let skipped = before.take_while(|p| !self.is_wanted(p));
+        let skipped = self.before_me(duty.into(), now).take_while(|p| !self.is_wanted(p));
         let due = skipped.filter(|p| self.contacts.is_check_due(&p.node.id, now));
         due.take(CHECKED).map(|p| p.node.clone()).collect()
     }
@@ -303,7 +399,7 @@
     pub fn survey<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Node> {
         let mut of_domain: BTreeMap<&Name, usize> = BTreeMap::new();
         let mut chosen = Vec::new();
-        for (i, p) in self.before_me(duty.into(), now).into_iter().enumerate() {
+        for (i, p) in self.before_me(duty.into(), now).enumerate() {
             let count = of_domain.entry(&p.node.domain).or_default();
             if self.is_wanted(p) && (i < SURVEYED || *count < SURVEYED) {
                 *count += 1;
@@ -313,10 +409,15 @@
         chosen
     }
 
+    /// Longest time that a peer has run.
+    fn longest_up(&self, now: Time) -> Option<Duration> {
+        let (_, id) = self.births.first()?;
+        self.up.get(id).map(|p| p.uptime(now))
+    }
+
     /// Uptime from which on a node counts as settled: it would take no work from others.
     fn settled_from(&self, now: Time) -> Duration {
-        let peers = self.up.iter().map(|p| p.uptime(now));
-        let oldest = peers.max().unwrap_or_default().max(now.since(Time::ZERO));
+        let oldest = self.longest_up(now).unwrap_or_default().max(now.since(Time::ZERO));
         SETTLED.min(oldest.saturating_sub(TOGETHER))
     }
 
@@ -341,25 +442,23 @@
     /// all. Nodes that have just come go behind those that have not, so that a restart moves
     /// the work once and not twice; one that stops goes last; silent ones, and those of a
     /// failure domain that seems cut off, are left out.
-    pub fn coordinators<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> Vec<Option<Node>> {
+    pub fn coordinators<'s, 'a>(
+        &'s self,
+        duty: impl Into<Duty<'a>>,
+        now: Time,
+    ) -> impl Iterator<Item = Option<Node>> + 's {
         let duty = duty.into();
-        let wanted = self.up.iter().filter(|p| self.is_wanted(p));
-        let settled = self.settled_from(now);
-        let place = |p: &PeerView| self.place_of(p, duty, settled, now);
-        let mut order: Vec<(Place, Option<Node>)> =
-            wanted.map(|p| (place(p), Some(p.node.clone()))).collect();
-        order.push((self.own_place(duty, now), None));
-        order.sort_by_key(|(place, _)| std::cmp::Reverse(*place));
-        order.into_iter().map(|(_, node)| node).collect()
+        let own = self.own_place(duty, now);
+        let wanted = self.ranked(duty, now).filter(|(_, p)| self.is_wanted(p));
+        let is_asked_for = duty.domain.is_none_or(|domain| *domain == self.domain);
+        merged(is_asked_for.then_some(own), wanted)
     }
 
     /// Who schedules the prompts of a service in a failure domain: a node there, so that
     /// both go on together when it is cut off. `Some(None)` is this node; `None` if no node
     /// there is known to answer.
     pub fn scheduler(&self, service: &str, domain: &str, now: Time) -> Option<Option<Node>> {
-        let order = self.coordinators(service, now).into_iter();
-        let own = *self.domain == *domain;
-        order.into_iter().find(|n| n.as_ref().map_or(own, |n| *n.domain == *domain))
+        self.coordinators(Duty { service, region: None, domain: Some(&domain.into()) }, now).next()
     }
 
     /// Whether this node is the one that starts requests at a target that bears few: the
@@ -369,9 +468,9 @@
         if self.is_forming(now) {
             return false;
         }
-        let wanted = self.up.iter().filter(|p| self.is_wanted(p));
         let own = score(target, &self.me);
-        !self.stops && wanted.into_iter().all(|p| score(target, &p.node.id.name) < own)
+        let is_before = |p: &PeerView| score(target, &p.node.id.name) >= own && self.is_wanted(p);
+        !self.stops && !self.up.values().any(is_before)
     }
 
     /// Who keeps the sum of what all nodes send to a target that names a limit: a node of the
@@ -388,29 +487,25 @@
         if self.is_forming(now) {
             return None;
         }
-        let mut order = self.coordinators(target, now);
-        order.retain(|n| n.as_ref().is_none_or(|n| !is_stranger(&n.id)));
-        let is_near = |n: &Option<Node>| {
-            let of_node = n.as_ref().map_or(&self.domain, |n| &n.domain);
-            **of_node == *domain
-        };
-        let near = order.iter().position(is_near).unwrap_or(0);
-        Some(order.swap_remove(near))
+        let is_known = |n: &Option<Node>| n.as_ref().is_none_or(|n| !is_stranger(&n.id));
+        let near = Duty { service: target, region: None, domain: Some(&domain.into()) };
+        let mut near = self.coordinators(near, now).filter(is_known);
+        near.next().or_else(|| self.coordinators(target, now).find(is_known))
     }
 
     /// Nodes that are up as far as is known, but for this one: suspected and stopping ones too.
     pub fn ids(&self) -> Vec<NodeId> {
-        self.up.iter().map(|p| p.node.id.clone()).collect()
+        self.up.keys().cloned().collect()
     }
 
     /// The same with their addresses.
     pub fn peers(&self) -> Vec<Node> {
-        self.up.iter().map(|p| p.node.clone()).collect()
+        self.up.values().map(|p| p.node.clone()).collect()
     }
 
     /// Whether this node comes first among the coordinators of a duty.
     pub fn coordinates<'a>(&self, duty: impl Into<Duty<'a>>, now: Time) -> bool {
-        self.coordinators(duty, now).first().is_none_or(Option::is_none)
+        self.coordinators(duty, now).next().is_none_or(|n| n.is_none())
     }
 
     /// Who relays the store's state to this node: the first of its failure domain, the second
@@ -420,34 +515,42 @@
     /// relay that it is not. Until it knows them all it asks those that read the store from
     /// their start on, as their names and hosts tell.
     pub fn relays(&self, now: Time) -> Relays {
-        let (near, far): (Vec<_>, Vec<_>) = self
-            .coordinators(RELAY_KEY, now)
-            .into_iter()
-            .partition(|n| n.as_ref().is_none_or(|n| n.domain == self.domain));
         if self.is_forming(now) {
-            return self.early_relays(&near, now);
+            return self.early_relays(now);
         }
-        let first = &near[..near.len().min(RELAYS)];
-        let mut peers: Vec<Node> = first.iter().flatten().cloned().collect();
-        let mut domains = BTreeSet::new();
-        peers.extend(far.into_iter().flatten().filter(|n| domains.insert(n.domain.clone())));
-        let role = match first.iter().position(Option::is_none) {
+        let in_domain = |domain| {
+            self.coordinators(Duty { service: RELAY_KEY, region: None, domain: Some(domain) }, now)
+        };
+        let near: Vec<Option<Node>> = in_domain(&self.domain).take(RELAYS).collect();
+        let others = self.domains.keys().filter(|domain| **domain != self.domain);
+        let mut far: Vec<Node> =
+            others.filter_map(|domain| in_domain(domain).next().flatten()).collect();
+        far.sort_by_key(|n| std::cmp::Reverse((n.capacity, score(RELAY_KEY, &n.id.name))));
+        let role = match near.iter().position(Option::is_none) {
             Some(0) => Role::Relay,
             Some(_) => Role::Standby,
             None => Role::Follower,
         };
-        Relays { role, followers: near.len().saturating_sub(1), peers }
+        let peers = near.into_iter().flatten().chain(far).collect();
+        Relays { role, followers: self.near_count(), peers }
+    }
+
+    /// Peers in this node's failure domain.
+    fn near_count(&self) -> usize {
+        self.domains.count(&self.domain)
     }
 
     /// Sources while this node does not know yet who the relays are.
-    fn early_relays(&self, near: &[Option<Node>], now: Time) -> Relays {
-        let early = near.iter().flatten().filter(|n| reads_early(&n.id.name, n.capacity));
-        let peers = self.in_turn(early.take(RELAYS).cloned().collect());
+    fn early_relays(&self, now: Time) -> Relays {
+        let near = Duty { service: RELAY_KEY, region: None, domain: Some(&self.domain) };
+        let near = self.coordinators(near, now).flatten();
+        let early = near.filter(|n| reads_early(&n.id.name, n.capacity));
+        let peers = self.in_turn(early.take(RELAYS).collect());
         let has_better = peers.first().is_some_and(|n| n.capacity > self.capacity);
         let waits = self.capacity == 0 && (has_better || now.since(Time::ZERO) < EARLY_WAIT);
         let reads = reads_early(&self.me, self.capacity) && !waits;
         let role = if reads { Role::Relay } else { Role::Unknown };
-        Relays { role, followers: near.len(), peers }
+        Relays { role, followers: self.near_count() + 1, peers }
     }
 
     /// Followers share the relays out among themselves.
@@ -468,10 +571,26 @@
     /// Whether the nodes that are up may still be finding each other: this one has just
     /// started, and knows none that has been up for longer.
     pub fn is_gathering(&self, now: Time) -> bool {
-        self.is_forming(now) && !self.up.iter().any(|p| p.uptime(now) >= SETTLED)
+        self.is_forming(now) && self.longest_up(now).is_none_or(|up| up < SETTLED)
     }
 }
 
+/// Peers in the order of their places, with this node, which is `None`, at its own if it has one.
+fn merged<'a>(
+    own: Option<Place>,
+    peers: impl Iterator<Item = (Place, &'a PeerView)>,
+) -> impl Iterator<Item = Option<Node>> {
+    let mut peers = peers.peekable();
+    let mut own = own;
+    std::iter::from_fn(move || {
+        if own.is_some_and(|own| peers.peek().is_none_or(|(place, _)| *place < own)) {
+            own = None;
+            return Some(None);
+        }
+        peers.next().map(|(_, p)| Some(p.node.clone()))
+    })
+}
+
 /// Whether a node reads the store before it knows its peers: hosts that bear more, and a few of
 /// the others.
 fn reads_early(name: &Name, capacity: u8) -> bool {
--- /dev/null
+++ b/crates/decide/src/roster/ranking.rs
@@ -0,0 +1,125 @@
+//! Rendezvous orders of peers, kept as peers come and go.
+//!
+//! Each question of who does something starts at the head of an order that stands, and mostly
+//! ends there. An order is made once for a service, or for a service in one failure domain, and
+//! costs a few comparisons a change of the peers then.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::rc::Rc;
+
+use model::member::{Node, NodeId};
+use model::{Name, hash};
+
+/// Orders that are kept: services, and schedulers and relays of each failure domain.
+const KEPT: usize = 64;
+
+/// Rendezvous score of a node for a service.
+pub(super) fn score(service: &str, name: &Name) -> u64 {
+    hash::mix(hash::of(service.as_bytes()), hash::of(name.as_bytes()))
+}
+
+/// A peer in an order: hosts that bear more come first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Ranked {
+    pub(super) capacity: Reverse<u8>,
+    pub(super) score: Reverse<u64>,
+    pub(super) id: NodeId,
+}
+
+impl Ranked {
+    fn new(service: &str, node: &Node) -> Self {
+        Ranked {
+            capacity: Reverse(node.capacity),
+            score: Reverse(score(service, &node.id.name)),
+            id: node.id.clone(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Ranking {
+    order: Rc<BTreeSet<Ranked>>,
+    used: u64,
+}
+
+/// Service, and failure domain if the order is that of its peers alone.
+type Key = (String, Option<Name>);
+
+/// Orders that were asked for last.
+#[derive(Debug, Default)]
+pub(super) struct Rankings {
+    of: BTreeMap<Key, Ranking>,
+    uses: u64,
+}
+
+impl Rankings {
+    /// The order for a service, of all peers or those of a failure domain; `all` gives the peers
+    /// if it is not kept.
+    pub(super) fn get<'a, I>(
+        &mut self,
+        service: &str,
+        domain: Option<&Name>,
+        all: impl FnOnce() -> I,
+    ) -> Walk
+    where
+        I: Iterator<Item = &'a Node>,
+    {
+        self.uses += 1;
+        let key = (service.to_string(), domain.cloned());
+        if !self.of.contains_key(&key) {
+            self.drop_oldest();
+            let its = all().filter(|node| is_of(&key, node));
+            let order = Rc::new(its.map(|node| Ranked::new(service, node)).collect());
+            self.of.insert(key.clone(), Ranking { order, used: 0 });
+        }
+        let ranking = self.of.get_mut(&key).expect("it is kept by now");
+        ranking.used = self.uses;
+        Walk { order: ranking.order.clone(), last: None }
+    }
+
+    fn drop_oldest(&mut self) {
+        if self.of.len() < KEPT {
+            return;
+        }
+        let oldest = self.of.iter().min_by_key(|(_, r)| r.used).map(|(key, _)| key.clone());
+        oldest.and_then(|key| self.of.remove(&key));
+    }
+
+    /// A peer came.
+    pub(super) fn insert(&mut self, node: &Node) {
+        for (key, ranking) in self.of.iter_mut().filter(|(key, _)| is_of(key, node)) {
+            Rc::make_mut(&mut ranking.order).insert(Ranked::new(&key.0, node));
+        }
+    }
+
+    /// A peer went.
+    pub(super) fn remove(&mut self, node: &Node) {
+        for (key, ranking) in self.of.iter_mut().filter(|(key, _)| is_of(key, node)) {
+            Rc::make_mut(&mut ranking.order).remove(&Ranked::new(&key.0, node));
+        }
+    }
+}
+
+fn is_of((_, domain): &Key, node: &Node) -> bool {
+    domain.as_ref().is_none_or(|domain| *domain == node.domain)
+}
+
+/// Peers in one order.
+#[derive(Debug, Clone)]
+pub(super) struct Walk {
+    order: Rc<BTreeSet<Ranked>>,
+    last: Option<Ranked>,
+}
+
+impl Iterator for Walk {
+    type Item = Ranked;
+
+    fn next(&mut self) -> Option<Ranked> {
+        let after = self.last.take().map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.order.range((after, Bound::Unbounded)).next()?;
+        self.last = Some(next.clone());
+        self.last.clone()
+    }
+}
--- a/crates/decide/src/tally.rs
+++ b/crates/decide/src/tally.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// How many there are of a key.
+    pub(crate) fn count(&self, key: &K) -> usize {
+        self.0.get(key).copied().unwrap_or(0)
+    }
+
     /// Keys of which there are any.
     pub(crate) fn keys(&self) -> impl DoubleEndedIterator<Item = &K> {
         self.0.keys()
--- a/crates/decide/tests/regions.rs
+++ b/crates/decide/tests/regions.rs
@@ -145,8 +145,8 @@
         for domain in ["a1", "a2", "b1", "b2", "c1", "c2"] {
             for i in 0..3 {
                 let me = format!("{domain}-{i}");
-                let order = roster(&me, 3).coordinators(&pool_of(region), now);
-                let first = order.into_iter().next().expect("somebody");
+                let roster = roster(&me, 3);
+                let first = roster.coordinators(&pool_of(region), now).next().expect("somebody");
                 found.insert(first.map_or(me, |n| n.id.name.to_string()));
             }
         }
@@ -162,14 +162,14 @@
     for id in ["b1-0", "b1-1", "b2-0", "b2-1"] {
         asker.silent(&NodeId { name: id.into(), start: 1 }, now);
     }
-    let order = asker.coordinators(&pool_of("b"), now);
+    let order = asker.coordinators(&pool_of("b"), now).collect::<Vec<_>>();
     let first = order[0].as_ref().map_or("a1-0", |n| &n.id.name);
     assert!(!first.starts_with('b'), "nobody there answers: {first}");
-    let own = asker.coordinators(&pool_of("a"), now);
+    let own = asker.coordinators(&pool_of("a"), now).collect::<Vec<_>>();
     let first = own[0].as_ref().map_or("a1-0", |n| &n.id.name);
     assert!(first.starts_with('a'), "the own region goes on: {first}");
     asker.answered(&NodeId { name: "b1-2".into(), start: 1 }, now);
-    let order = asker.coordinators(&pool_of("b"), now);
+    let order = asker.coordinators(&pool_of("b"), now).collect::<Vec<_>>();
     let first = order[0].as_ref().map_or("a1-0", |n| &n.id.name);
     assert!(first.starts_with('b'), "and is back once one there answers: {first}");
 }
@@ -178,7 +178,7 @@
 fn two_regions_that_see_each_other_and_not_the_third_agree_on_all_of_theirs() {
     let now = at(60_000);
     let first = |r: &Roster, me: &str, region: &str| {
-        let order = r.coordinators(&pool_of(region), now).into_iter().next();
+        let order = r.coordinators(&pool_of(region), now).next();
         order.flatten().map_or(me.to_string(), |n| n.id.name.to_string())
     };
     let lost = |me: &str, regions: &[&str]| {
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -1,8 +1,10 @@
 //! Who coordinates what, as nodes come, go, stop and fall silent.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use decide::relay::Role;
+use decide::rng::Rng;
 use decide::roster::{Changes, Contact, PeerView, Roster, ViewChange};
 use model::Time;
 use model::member::{Health, Node, NodeId};
@@ -33,7 +35,7 @@
 }
 
 fn first(roster: &Roster, me: usize, service: &str, now: u64) -> String {
-    let first = roster.coordinators(service, at(now)).into_iter().next().flatten();
+    let first = roster.coordinators(service, at(now)).next().flatten();
     first.map_or_else(|| name(me), |n| n.id.name.to_string())
 }
 
@@ -122,7 +124,7 @@
         stopping.stop();
         for service in SERVICES {
             let order = stopping.coordinators(service, at(up[0]));
-            assert_eq!(order.last(), Some(&None), "it goes last");
+            assert_eq!(order.last(), Some(None), "it goes last");
             assert!(!stopping.coordinates(service, at(up[0])));
         }
     }
@@ -332,12 +334,12 @@
     let mut roster = spread(me, n, &others[..1]);
     let of_domain = |r: &Roster| {
         let order = r.coordinators("a", now);
-        order.iter().flatten().filter(|p| *p.domain == *domain(1)).count()
+        order.flatten().filter(|p| *p.domain == *domain(1)).count()
     };
     assert_eq!(of_domain(&roster), 9, "one that is silent may have failed alone");
     roster.silent(&view(others[1], 0, 0).node.id, now);
     assert_eq!(of_domain(&roster), 0, "the whole domain is left out");
-    assert_eq!(roster.coordinators("a", now).len(), 20, "the others are not");
+    assert_eq!(roster.coordinators("a", now).count(), 20, "the others are not");
     roster.answered(&view(others[2], 0, 0).node.id, now);
     assert_eq!(of_domain(&roster), 8, "all but the silent are back");
 }
@@ -346,13 +348,13 @@
 fn nodes_that_know_different_things_agree_once_told_whom_the_other_skipped() {
     let (n, now) = (30, at(60_100));
     for service in SERVICES {
-        let order = spread(0, n, &[]).coordinators(service, now);
-        let Some(Some(lost)) = order.first() else {
+        let first = spread(0, n, &[]).coordinators(service, now).next();
+        let Some(Some(lost)) = &first else {
             continue;
         };
         let mut asker = spread(0, n, &[]);
         asker.silent(&lost.id, now);
-        let Some(Some(next)) = asker.coordinators(service, now).into_iter().next() else {
+        let Some(Some(next)) = asker.coordinators(service, now).next() else {
             continue;
         };
         let skipped = asker.skipped(service, now);
@@ -442,3 +444,47 @@
     assert!(!alone.owns("i-1", at(100)), "its peers are not known yet");
     assert!(alone.owns("i-1", at(900)), "there are none");
 }
+
+/// A peer in one of three failure domains, on a host that may bear more.
+fn placed(i: usize, up_ms: u64, now: u64) -> PeerView {
+    let view = view(i, up_ms, now);
+    let capacity = u8::from(i.is_multiple_of(7));
+    let node = Node { domain: domain(i % 3).into(), capacity, ..view.node };
+    PeerView { node, ..view }
+}
+
+/// Whatever came, went and came again at other times, a roster that was told each change by itself
+/// answers as one that was told the peers that are up now.
+#[test]
+fn changes_of_peers_come_to_the_same_as_whole_views() {
+    let mut rng = Rng::new(3);
+    for _ in 0..20 {
+        let mut told = Roster::new("node-0".into(), domain(0).into(), 0);
+        let mut up: BTreeMap<usize, u64> = BTreeMap::new();
+        // Orders are kept from the first question on.
+        told.coordinators("a", at(60_000)).count();
+        for ms in (60_000..64_000).step_by(50) {
+            let i = 1 + rng.below(30);
+            if rng.below(3) == 0 {
+                up.remove(&i);
+                told.remove(&placed(i, 0, 0).node.id);
+            } else {
+                let up_ms = [40, 5_000, 60_000][rng.below(3)];
+                up.insert(i, ms - up_ms.min(ms));
+                told.put(placed(i, up_ms, ms), at(ms));
+            }
+            let mut fresh = Roster::new("node-0".into(), domain(0).into(), 0);
+            fresh.update(up.iter().map(|(i, born)| placed(*i, ms - born, ms)).collect(), at(ms));
+            for service in SERVICES {
+                let order = |r: &Roster| r.coordinators(service, at(ms)).collect::<Vec<_>>();
+                assert_eq!(order(&told), order(&fresh), "{service} at {ms} ms");
+                for d in 0..3 {
+                    let scheduler = |r: &Roster| r.scheduler(service, &domain(d), at(ms));
+                    assert_eq!(scheduler(&told), scheduler(&fresh), "{service} in {d} at {ms} ms");
+                }
+            }
+            assert_eq!(told.relays(at(ms)).peers, fresh.relays(at(ms)).peers);
+            assert_eq!(told.count(), fresh.count());
+        }
+    }
+}
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -20,17 +20,6 @@
 /// bears more than that of any peer, and a follower asks it each 100 ms.
 const SOURCE_FIRST: Duration = Duration::from_millis(150);
 
-fn tuning() -> Tuning {
-    Tuning {
-        period: Duration::from_millis(400),
-        timeout: Duration::from_millis(120),
-        suspect: Duration::from_millis(600),
-        suspect_most: Duration::from_millis(1200),
-        seek: Duration::from_millis(250),
-        ..Tuning::default()
-    }
-}
-
 /// Runs until the process ends.
 pub async fn run(
     node: Rc<Node>,
@@ -42,7 +31,7 @@
     let address = s.peer_address();
     let capacity = s.host.capacity();
     let me = PeerNode { id, address, entry: address, domain: s.domain.clone(), capacity };
-    let mut machine = Member::new(me, tuning(), rand::random());
+    let mut machine = Member::new(me, Tuning::of_nodes(), rand::random());
     machine.on(node.now(), MemberEvent::Seeds(s.seed_addresses()));
     let mut changes = Changes::default();
     let mut buffer = vec![0; DATAGRAM_MAX];
@@ -59,18 +48,13 @@
         let Some(event) = event else {
             continue;
         };
-        let is_tick = event == MemberEvent::Tick;
-        let mut has_changed = false;
         for action in machine.on(node.now(), event) {
-            has_changed |= matches!(action, Action::Changed(_));
             act(&node, &socket, &mut changes, action).await;
         }
         for (domain, took) in machine.take_round_trips() {
             node.peers.roster(|r| r.measured(&domain, took));
         }
-        if is_tick || has_changed {
-            publish(&node, &machine);
-        }
+        publish(&node, &mut machine);
         if let Some(change) = changes.take_due(node.now()) {
             tell(machine.count(), &change);
         }
@@ -82,16 +66,25 @@
     Some(MemberEvent::Packet { from, packet })
 }
 
-fn publish(node: &Node, machine: &Member) {
+/// Tells the roster which peers have changed.
+fn publish(node: &Node, machine: &mut Member) {
     let now = node.now();
+    let changed = machine.take_changed();
     let view = |p: &decide::member::Peer| PeerView {
         node: p.node.clone(),
         suspect: p.health == Health::Suspect,
         up: p.uptime(now),
         at: now,
     };
-    let up = machine.peers().map(view).collect();
-    node.peers.roster(|r| r.update(up, now));
+    node.peers.roster(|r| {
+        for id in changed {
+            match machine.peer(&id) {
+                Some(p) => r.put(view(p), now),
+                None => r.remove(&id),
+            }
+        }
+        r.forget_stopped(now);
+    });
 }
 
 fn tell(up: usize, change: &ViewChange) {
--- a/crates/forward/src/rollout/report.rs
+++ b/crates/forward/src/rollout/report.rs
@@ -43,8 +43,10 @@
 async fn report(node: &Rc<Node>, order: &RolloutId) {
     sent::take_back_if_bad(node, order);
     let now = node.now();
-    let first = node.peers.roster(|r| r.coordinators(key(&order.service).as_str(), now));
-    for peer in first.into_iter().take(ASKED) {
+    let first: Vec<Option<PeerNode>> = node
+        .peers
+        .roster(|r| r.coordinators(key(&order.service).as_str(), now).take(ASKED).collect());
+    for peer in first {
         let Some(report) = report_of(node, order) else {
             return;
         };
--- a/crates/forward/src/rollout/write.rs
+++ b/crates/forward/src/rollout/write.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use model::forward::{Rollout, RolloutState};
+use model::member::Node as PeerNode;
 use util::http::{CallError, Client};
 
 use super::report;
@@ -95,9 +96,11 @@
 /// Has peers write, until one of them knows what became of it.
 async fn through_peers(node: &Rc<Node>, order: &Rollout, state: RolloutState) -> bool {
     let key = report::key(&order.service);
-    let first = node.peers.roster(|r| r.coordinators(key.as_str(), node.now()));
+    let first: Vec<PeerNode> = node
+        .peers
+        .roster(|r| r.coordinators(key.as_str(), node.now()).flatten().take(PEERS).collect());
     let message = RemoteState { order: order.clone(), state };
-    for peer in first.into_iter().flatten().take(PEERS) {
+    for peer in first {
         match peers::ask(node, peer.entry, ROLLOUT_STATE, &message, PEER_TIMEOUT).await {
             Ok(Some(stands)) => return stands,
             Ok(None) => {}
--- a/crates/forward/src/stages/order.rs
+++ b/crates/forward/src/stages/order.rs
@@ -80,9 +80,8 @@
     let mut hung: Vec<NodeId> = Vec::new();
     while asked.len() < ASKED {
         let now = node.now();
-        let order_of = node.peers.roster(|r| r.coordinators(&pool, now));
         let fresh = |c: &Option<PeerNode>| c.as_ref().is_none_or(|p| !asked.contains(&p.id));
-        let peer = order_of.into_iter().find(fresh)??;
+        let peer = node.peers.roster(|r| r.coordinators(&pool, now).find(fresh))??;
         if is_elsewhere(node, &pool) && !is_there(node, &pool, &peer) {
             return None;
         }
@@ -169,8 +168,8 @@
     let doubted = node.peers.roster(|r| r.doubted(&order.skipped));
     peers::ask_all(node, &doubted).await;
     spend(&mut order, node.now().since(begun));
-    let first = node.peers.roster(|r| r.coordinators(&order.pool(), node.now()));
-    let Some(Some(peer)) = first.into_iter().next() else {
+    let first = node.peers.roster(|r| r.coordinators(&order.pool(), node.now()).next());
+    let Some(Some(peer)) = first else {
         return node.pools.order(node, order, false).await;
     };
     let begun = node.now();
@@ -202,7 +201,7 @@
 
 /// The coordinator of a region's makers, if it is a peer there.
 pub(super) fn coordinator_in(node: &Node, pool: &PoolId) -> Option<PeerNode> {
-    let first = node.peers.roster(|r| r.coordinators(pool, node.now())).into_iter().next()??;
+    let first = node.peers.roster(|r| r.coordinators(pool, node.now()).next())??;
     Some(first).filter(|p| is_there(node, pool, p))
 }
 
