Lists of members are told in parts; counted figures of whole fleets

Cause: two nodes whose digests differ told each other their whole lists, each 2 s. A newcomer asked for the whole list some 15 times in its first 3 s. And an earlier start of a node that restarted, of whose end a node had not heard, stayed on its list until its turn to be probed, since whole lists name only who is up.

Ruled out: longer pauses alone (what is missed then stays missed for as long); digests by buckets over new messages (older builds do not know them and would be told whole lists all the same, at each first contact: each 2 s another peer); recent changes alone, without whole lists (what is older than they is never told).

Change: a peer whose digest differs is told the changes of the last 4 s, and the whole list once in 60 ms a peer, so that a node's part of whole lists does not grow with the fleet; the whole list at once where a quarter of it is late. A newcomer stops asking once an answer brings fewer than 4 peers and some are old: those that start together ask on as before. A later start of a name ends the earlier one, and an earlier one told late is no news. No message changed: older builds read and send the same.

Tests: `what_a_node_tells_while_others_restart_does_not_grow_with_the_fleet` (the bound is the logarithm's growth; all agree 10 s later, which failed before the last part: 301 of 300 at some). The net of the tests now counts each process's time from its own start, as nodes do.

--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -33,6 +33,8 @@
     Slopes {
         /// Only the counted figures, which repeat exactly
         counted: bool,
+        /// Only those of whole fleets, at 30 to 2,000 nodes
+        fleet: bool,
         /// Hours of the long run without a death
         #[bpaf(argument("HOURS"), fallback(8.0))]
         hours: f64,
--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -20,7 +20,7 @@
     match args {
         Args::Run { out, plan } => runtime.block_on(run::Run { out, plan }.run()),
         Args::Compare { a, b } => compare::Compare { a, b }.run(),
-        Args::Slopes { counted, hours } => slopes::Slopes { counted, hours }.run(),
+        Args::Slopes { counted, fleet, hours } => slopes::Slopes { counted, fleet, hours }.run(),
         Args::Overhead { requests } => runtime.block_on(overhead::Overhead { requests }.run()),
         Args::InForce { store, changes } => {
             runtime.block_on(in_force::InForce { store, changes }.run())
--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -1,6 +1,6 @@
 //! `pumicevale-bench slopes`: the figures behind docs/CAPACITY.md.
 
-use crate::slopes::{DOMAIN, Figure, deaths, measure};
+use crate::slopes::{DOMAIN, Figure, deaths, measure, measure_fleets};
 
 /// Loss and kills of the long run.
 const LOSS: f64 = 0.01;
@@ -10,6 +10,8 @@
 pub struct Slopes {
     /// Only the counted ones.
     pub counted: bool,
+    /// Only those of whole fleets.
+    pub fleet: bool,
     /// Hours of the long run without a death.
     pub hours: f64,
 }
@@ -17,7 +19,7 @@
 impl Slopes {
     /// Measures and prints.
     pub fn run(self) -> anyhow::Result<()> {
-        let figures = measure(self.counted);
+        let figures = if self.fleet { measure_fleets() } else { measure(self.counted) };
         let mut names: Vec<&str> = Vec::new();
         for f in &figures {
             if !names.contains(&f.name.as_str()) {
@@ -27,7 +29,7 @@
         for name in names {
             println!("{}", line(name, &figures));
         }
-        if !self.counted {
+        if !self.counted && !self.fleet {
             let d = deaths(DOMAIN, LOSS, self.hours, KILLS);
             println!(
                 "| {DOMAIN} nodes, {:.0} % loss, {} h: false deaths | {} |",
--- /dev/null
+++ b/crates/bench/src/slopes/fleet.rs
@@ -0,0 +1,161 @@
+//! Work of single decisions by the size of the fleet: what a coordinator looks at for an order
+//! and a node for the question of who does something.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use decide::batch::{Action, Call, CallEnd, Coordinator, Event, MakerFeed};
+use decide::fleet::{Fleet, Regions};
+use decide::region::Map;
+use decide::roster::{PeerView, Roster};
+use model::forward::{
+    Allowed, BatchOrder, Handle, PieceOrder, PieceResult, Policy, PoolId, Rank, StageInput,
+    StagePool, Target,
+};
+use model::member::{Node, NodeId};
+use model::{Name, Time};
+
+use super::{Figure, counted};
+
+/// Nodes of a fleet.
+pub const FLEETS: [usize; 4] = [30, 300, 1000, 2000];
+/// Makers of one stage service for each node.
+const MAKERS_EACH: f64 = 1.5;
+/// Failure domains.
+const DOMAINS: usize = 5;
+/// Of the hosts, one in this many bears more.
+const HUB_EVERY: usize = 20;
+/// Orders and questions that are counted.
+const TRIES: u64 = 500;
+/// Time between two orders.
+const ORDER_EVERY: u64 = 4;
+
+/// Every counted figure of one fleet.
+pub fn measure(nodes: usize) -> Vec<Figure> {
+    let makers = (nodes as f64 * MAKERS_EACH) as usize;
+    vec![
+        counted("makers looked at per order, by nodes", nodes, per_order(makers)),
+        counted("peers looked at per question, by nodes", nodes, per_question(nodes)),
+    ]
+}
+
+fn domain(i: usize) -> Name {
+    format!("d{}", i % DOMAINS).into()
+}
+
+fn maker(name: &str, i: usize) -> Target {
+    Target {
+        id: name.into(),
+        service: "encode".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: domain(i),
+        version: "v1".into(),
+        slots: 1,
+        draining: false,
+        cold_ms: 0,
+        revision: 0,
+    }
+}
+
+fn order() -> BatchOrder {
+    BatchOrder {
+        service: "encode".into(),
+        attempt: "r".into(),
+        stage: 0,
+        pieces: 2,
+        input: StageInput::Key("key".into()),
+        slack_ms: 2000,
+        left_ms: 8000,
+        rank: Rank::of(None, 1),
+        allowed: Allowed::ANY,
+        region: None,
+        spilled: false,
+        near: None,
+        moved_bytes: 0,
+        spread_bytes: 0,
+        result_bytes: 1000,
+        skipped: Vec::new(),
+        passed_on: false,
+    }
+}
+
+fn made(call: &Call) -> CallEnd {
+    let result = |p: &PieceOrder| {
+        let text = format!("{}/{}", p.piece, call.number);
+        PieceResult::Made(Handle { maker: call.maker.clone(), text })
+    };
+    CallEnd::Answered(call.pieces.iter().map(result).collect())
+}
+
+/// Makers that a coordinator looks at for an order while one maker in ten orders is replaced.
+fn per_order(makers: usize) -> f64 {
+    let pool = StagePool {
+        slots: 1,
+        batch: 8,
+        call_ms: 150.0,
+        item_ms: 16.0,
+        room_mb: 41.0,
+        keep_ms: 4000,
+    };
+    let map = Map::new(domain(0), Regions::default());
+    let id = PoolId { service: "encode".into(), region: None };
+    let mut fleet = Fleet::default();
+    for i in 0..makers {
+        fleet.upsert(maker(&format!("m{i}"), i), Time::ZERO);
+    }
+    let mut feed = MakerFeed::default();
+    let mut coordinator = Coordinator::new(pool, Policy::default());
+    let mut on = |coordinator: &mut Coordinator, fleet: &Fleet, event, now| {
+        let news = feed.news(fleet, &id, &map, None, now);
+        news.map(|news| coordinator.on(now, news));
+        coordinator.on(now, event)
+    };
+    on(&mut coordinator, &fleet, Event::Tick, Time::ZERO);
+    let before = coordinator.looked_at();
+    for i in 0..TRIES {
+        let now = Time::from_millis(1 + i * ORDER_EVERY);
+        if i % 10 == 0 {
+            fleet.vanish(&format!("m{}", i / 10).as_str().into(), None);
+            fleet.upsert(maker(&format!("n{i}"), i as usize), now);
+        }
+        let event = Event::Order { id: i, order: order(), pinned: false };
+        for action in on(&mut coordinator, &fleet, event, now) {
+            if let Action::Start(call) = action {
+                on(&mut coordinator, &fleet, Event::Ended(call.number, made(&call)), now);
+            }
+        }
+    }
+    (coordinator.looked_at() - before) as f64 / TRIES as f64
+}
+
+fn peer(i: usize, start: u64, at: Time) -> PeerView {
+    let address = SocketAddr::from(([10, 1, (i / 250) as u8, (i % 250) as u8], 7000));
+    let id = NodeId { name: format!("node-{i}").into(), start };
+    let capacity = u8::from((i / DOMAINS).is_multiple_of(HUB_EVERY));
+    let node = Node { id, address, entry: address, domain: domain(i), capacity };
+    PeerView { node, suspect: false, up: Duration::from_secs(60), at }
+}
+
+/// Peers that a node looks at to find a coordinator, the schedulers of all failure domains and
+/// its relays, each once, while one peer is replaced before each.
+fn per_question(nodes: usize) -> f64 {
+    const KINDS: u64 = 2 + DOMAINS as u64;
+    let mut roster = Roster::new("node-1".into(), domain(1), 0);
+    let began = Time::from_millis(60_000);
+    (0..nodes).filter(|i| *i != 1).for_each(|i| roster.put(peer(i, 1, began), began));
+    let now = Time::from_millis(70_000);
+    let before = roster.looked_at();
+    for try_ in 0..TRIES {
+        let i = 2 + try_ as usize % (nodes - 2);
+        roster.remove(&peer(i, 1, began).node.id);
+        roster.put(PeerView { up: Duration::from_millis(50), ..peer(i, 2 + try_, now) }, now);
+        roster.coordinates("encode", now);
+        for d in 0..DOMAINS {
+            roster.scheduler("engine", &domain(d), now);
+        }
+        roster.relays(now);
+        roster.remove(&peer(i, 2 + try_, now).node.id);
+        roster.put(peer(i, 1, began), now);
+    }
+    (roster.looked_at() - before) as f64 / (TRIES * KINDS) as f64
+}
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -3,9 +3,11 @@
 
 mod claims;
 mod config;
+mod fleet;
 mod leases;
 mod members;
 mod routes;
+mod starts;
 
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +49,8 @@
     let mut all = Vec::new();
     let sizes: &[usize] = if only_counted { &[DOMAIN] } else { &MEMBERS };
     all.extend(sizes.iter().flat_map(|n| members::measure(*n)));
+    // A start of 2,000 nodes takes too long for each run of the tests.
+    all.extend(fleets(if only_counted { &fleet::FLEETS[2..3] } else { &fleet::FLEETS }));
     all.extend(config::measure(only_counted));
     all.extend(claims::measure());
     all.extend(leases::measure());
@@ -56,3 +60,13 @@
     all.retain(|f| !only_counted || f.counted);
     all
 }
+
+/// Figures of whole fleets at every size.
+pub fn measure_fleets() -> Vec<Figure> {
+    fleets(&fleet::FLEETS)
+}
+
+fn fleets(started: &[usize]) -> Vec<Figure> {
+    let work = fleet::FLEETS.iter().flat_map(|n| fleet::measure(*n));
+    work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
+}
--- a/crates/decide/src/member/gossip.rs
+++ b/crates/decide/src/member/gossip.rs
@@ -12,8 +12,15 @@
 
 /// Peers told at once of a refutation.
 const ACQUIT: usize = 5;
-/// Least time between two exchanges of whole member lists.
+/// Least time between two answers to a digest that differs.
 const SYNC_EVERY: Duration = Duration::from_secs(2);
+/// Time for which changes count as late ones. Rumors reach nearly everybody sooner.
+const LATE: Duration = Duration::from_secs(4);
+/// Part of the list up to which the late changes are told in its place.
+const LATE_MOST: f64 = 0.25;
+/// Time between two exchanges of whole lists for each peer on them, so that a node's part of
+/// them does not grow with the fleet.
+const WHOLE_EACH: Duration = Duration::from_millis(60);
 /// Most that a node blames itself.
 pub(super) const SELF_MAX: u32 = 4;
 
@@ -44,7 +51,12 @@
         out.push(Action::Changed(rumor.clone()));
         match rumor.health {
             Health::Suspect => self.warn(rumor, out),
-            Health::Alive => self.greet(now, rumor, out),
+            Health::Alive => {
+                self.greet(now, rumor, out);
+                for id in self.peers.earlier_starts(&rumor.node.id, now) {
+                    self.declare(now, &id, Health::Dead, out);
+                }
+            }
             Health::Dead | Health::Left => {}
         }
     }
@@ -63,8 +75,11 @@
         self.peers.digest() ^ digest_of(&self.me.id)
     }
 
-    /// Anti-entropy: rumors die out before they reach everybody, so two nodes
-    /// that hold different lists now and then exchange them whole.
+    /// Anti-entropy: rumors die out before they reach everybody, so two nodes that hold different
+    /// lists now and then tell each other what changed lately, and more seldom all.
+    ///
+    /// Where somebody comes or goes all the time no two digests are alike, and whole lists after
+    /// each probe would cost each node as much as the fleet is large.
     pub(super) fn compare(
         &mut self,
         now: Time,
@@ -77,7 +92,15 @@
             return;
         }
         self.synced = now;
-        self.tell_all(from, out);
+        let most = (self.peers.up() as f64 * LATE_MOST) as usize;
+        let since = Time(now.0.saturating_sub(LATE.as_micros() as u64));
+        let late: Vec<Rumor> = self.peers.news_since(since, now).take(most + 1).collect();
+        let is_whole_due = now.since(self.told_all) >= WHOLE_EACH * self.peers.up() as u32;
+        if is_whole_due || late.len() > most {
+            self.told_all = now;
+            return self.tell_all(from, out);
+        }
+        self.tell_each(from, &late, out);
     }
 
     pub(super) fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
--- a/crates/decide/src/member/join.rs
+++ b/crates/decide/src/member/join.rs
@@ -17,6 +17,11 @@
 
 /// Rumors in one packet that answers a newcomer.
 const WELCOME: usize = 16;
+/// Peers that an answer has to bring for the whole list to be asked for once more: fewer come and
+/// go at any time, and rumors tell of them.
+const WORTH_A_PULL: usize = 4;
+/// Uptime from which on a peer did not start together with a new node.
+const OLD: Duration = Duration::from_secs(5);
 /// Time for which a node counts as new.
 const NEW: Duration = Duration::from_secs(3);
 /// Time between two questions for the whole list, in the time in which most others start
@@ -35,6 +40,10 @@
     began: Option<Time>,
     seeks: u32,
     next_pull: Time,
+    /// Peers known at the last question for the whole list.
+    known: Option<usize>,
+    /// The whole list is known.
+    is_over: bool,
 }
 
 impl Joining {
@@ -49,7 +58,7 @@
 
     /// When the whole list is asked for next.
     pub(super) fn next(&self, now: Time) -> Time {
-        if self.is_new(now) { self.next_pull } else { Time::NEVER }
+        if self.is_new(now) && !self.is_over { self.next_pull } else { Time::NEVER }
     }
 }
 
@@ -89,13 +98,21 @@
 
     /// Asks a hub for the whole list.
     pub(super) fn pull(&mut self, now: Time, out: &mut Vec<Action>) {
-        if !self.joining.is_new(now) || now < self.joining.next_pull {
+        if self.joining.is_over || !self.joining.is_new(now) || now < self.joining.next_pull {
+            return;
+        }
+        // Those that start together tell each other as long as any may still be coming.
+        let gained = self.joining.known.map(|known| self.peers.up().saturating_sub(known));
+        let is_told = gained.is_some_and(|n| n < WORTH_A_PULL);
+        if is_told && self.peers.has_older_than(OLD, now) {
+            self.joining.is_over = true;
             return;
         }
         let pause = if self.joining.is_herd(now) { PULL_EVERY } else { PULL_LATER };
         self.joining.next_pull = now + pause;
         let hub = self.draw_hubs(1).first().map(|p| p.node.address);
         if let Some(hub) = hub {
+            self.joining.known = Some(self.peers.up());
             let mut packet = self.join_packet(Purpose::Ping { start: 0 }, 0);
             packet.rumors.push(self.own_rumor());
             out.push(Action::Send(hub, packet));
@@ -123,11 +140,16 @@
         self.tell(to, hubs, out);
     }
 
-    /// Tells a peer about everybody, a few in each datagram.
-    pub(super) fn tell_all(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+    /// Tells a peer about everybody.
+    pub(super) fn tell_all(&self, to: SocketAddr, out: &mut Vec<Action>) {
         let others = self.peers.iter_up().map(|p| p.rumor(self.now));
         let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
-        for rumors in all.chunks(WELCOME) {
+        self.tell_each(to, &all, out);
+    }
+
+    /// Tells a peer this news, some in each datagram.
+    pub(super) fn tell_each(&self, to: SocketAddr, news: &[Rumor], out: &mut Vec<Action>) {
+        for rumors in news.chunks(WELCOME) {
             self.tell(to, rumors.to_vec(), out);
         }
     }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -58,6 +58,8 @@
     pub(super) blame: u32,
     pub(super) failed: bool,
     pub(super) synced: Time,
+    /// When a peer was last told the whole list since digests differed.
+    pub(super) told_all: Time,
     pub(super) retell: u8,
     /// Which of the lost addresses is tried next.
     pub(super) turn: usize,
@@ -96,6 +98,7 @@
             blame: 0,
             failed: false,
             synced: Time::ZERO,
+            told_all: Time::ZERO,
             retell: 0,
             turn: 0,
             seq: 0,
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -16,6 +16,9 @@
 /// Least difference by which a known uptime is corrected: what news of it was under way.
 const UPTIME_NOISE: Duration = Duration::from_millis(50);
 
+/// Peers looked at to tell whether any has run for long.
+const OLD_SAMPLE: usize = 32;
+
 /// One peer.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -69,6 +72,8 @@
     up: BTreeMap<u8, DrawSet<NodeId>>,
     addresses: HashMap<SocketAddr, NodeId>,
     suspects: BTreeSet<NodeId>,
+    /// Since when each has been as it is; the latest news of a fleet is at the end.
+    since: BTreeSet<(Time, NodeId)>,
     /// Those that left or died, and when.
     gone: BTreeSet<(Time, NodeId)>,
     /// Those of which something changed that others look at.
@@ -124,6 +129,18 @@
         gone.filter_map(|(_, id)| self.map.get(id)).map(|p| p.node.address).collect()
     }
 
+    /// News of the peers whose health changed since this time, the latest first.
+    pub fn news_since(&self, since: Time, now: Time) -> impl Iterator<Item = Rumor> {
+        let late = self.since.iter().rev().take_while(move |(at, _)| *at >= since);
+        late.filter_map(|(_, id)| self.map.get(id)).map(move |p| p.rumor(now))
+    }
+
+    /// Whether a peer that is up has run for longer than this, as far as is known.
+    pub fn has_older_than(&self, age: Duration, now: Time) -> bool {
+        // Where not all start together nearly everybody has.
+        self.iter_up().take(OLD_SAMPLE).any(|p| p.uptime(now) > age)
+    }
+
     /// Peers that came, went, are doubted or no longer, or started at another time than was
     /// known, since the last call.
     pub fn take_changed(&mut self) -> BTreeSet<NodeId> {
@@ -148,7 +165,8 @@
     pub fn take(&mut self, now: Time, r: &Rumor) -> bool {
         let id = &r.node.id;
         let Some(p) = self.map.get_mut(id) else {
-            return r.health < Health::Dead && self.meet(now, r);
+            let is_news = r.health < Health::Dead && !self.has_later_start(now, r);
+            return is_news && self.meet(now, r);
         };
         p.number = p.number.max(r.number);
         let up = Duration::from_millis(r.up_ms);
@@ -163,6 +181,8 @@
             return false;
         }
         let was_up = p.is_up();
+        self.since.remove(&(p.since, id.clone()));
+        self.since.insert((now, id.clone()));
         p.health = r.health;
         p.incarnation = r.incarnation.max(p.incarnation);
         p.since = now;
@@ -180,6 +200,28 @@
         true
     }
 
+    /// Other starts of a node's name that are up.
+    fn other_starts(&self, id: &NodeId) -> impl Iterator<Item = &Peer> {
+        let start = |start| NodeId { name: id.name.clone(), start };
+        let all = self.map.range(start(0)..=start(u64::MAX)).map(|(_, p)| p);
+        all.filter(move |p| p.is_up() && p.node.id.start != id.start)
+    }
+
+    /// Whether a later start of the node of which this tells is known.
+    fn has_later_start(&self, now: Time, r: &Rumor) -> bool {
+        let up = Duration::from_millis(r.up_ms);
+        self.other_starts(&r.node.id).any(|p| p.uptime(now) + UPTIME_NOISE < up)
+    }
+
+    /// Earlier starts of a peer, which are gone: a name runs once.
+    pub fn earlier_starts(&self, id: &NodeId, now: Time) -> Vec<NodeId> {
+        let Some(up) = self.map.get(id).map(|p| p.uptime(now)) else {
+            return Vec::new();
+        };
+        let earlier = self.other_starts(id).filter(|p| p.uptime(now) > up + UPTIME_NOISE);
+        earlier.map(|p| p.node.id.clone()).collect()
+    }
+
     /// Takes a peer that was not known.
     fn meet(&mut self, now: Time, r: &Rumor) -> bool {
         let id = &r.node.id;
@@ -194,6 +236,7 @@
             confirms: 0,
         };
         self.map.insert(id.clone(), peer);
+        self.since.insert((now, id.clone()));
         self.all.insert(id.clone());
         self.up.entry(r.node.capacity).or_default().insert(id.clone());
         self.addresses.insert(r.node.address, id.clone());
@@ -231,6 +274,7 @@
                 break;
             }
             self.gone.remove(&(at, id.clone()));
+            self.since.remove(&(at, id.clone()));
             self.map.remove(&id);
         }
     }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -23,6 +23,8 @@
 struct Net {
     rng: Rng,
     nodes: BTreeMap<usize, Member>,
+    /// When each process started: its time counts from there.
+    born: BTreeMap<usize, Time>,
     paused: BTreeMap<usize, Time>,
     wire: BTreeMap<(Time, u64), (SocketAddr, usize, Packet)>,
     seq: u64,
@@ -40,6 +42,7 @@
         let mut net = Net {
             rng: Rng::new(seed),
             nodes: BTreeMap::new(),
+            born: BTreeMap::new(),
             paused: BTreeMap::new(),
             wire: BTreeMap::new(),
             seq: 0,
@@ -65,15 +68,17 @@
         let start = self.rng.draw().max(1);
         let me = Node { capacity, ..node(i, start) };
         let mut m = Member::new(me, Tuning::default(), self.rng.draw());
-        m.on(self.now, Event::Seeds(vec![address(0), address(1), address(2)]));
+        self.born.insert(i, self.now);
+        m.on(Time::ZERO, Event::Seeds(vec![address(0), address(1), address(2)]));
         self.nodes.insert(i, m);
     }
 
     fn feed(&mut self, i: usize, event: Event) {
+        let now = self.own_time(i);
         let Some(m) = self.nodes.get_mut(&i) else {
             return;
         };
-        for action in m.on(self.now, event) {
+        for action in m.on(now, event) {
             match action {
                 Action::Send(to, packet) => self.send(i, to, packet),
                 Action::Heard(number, _) => {
@@ -90,6 +95,10 @@
         }
     }
 
+    fn own_time(&self, i: usize) -> Time {
+        Time::ZERO + self.born.get(&i).map_or(Duration::ZERO, |born| self.now.since(*born))
+    }
+
     fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         let std::net::IpAddr::V4(ip) = to.ip() else {
             return;
@@ -126,7 +135,7 @@
                 .nodes
                 .iter()
                 .filter(|(i, m)| {
-                    m.next_tick() <= self.now
+                    m.next_tick() <= self.own_time(**i)
                         && self.paused.get(i).is_none_or(|until| *until <= self.now)
                 })
                 .map(|(i, _)| *i)
@@ -199,6 +208,31 @@
     assert!(net.views().iter().all(|n| *n == 295), "{:?}", net.views());
 }
 
+/// Where somebody comes or goes all the time no two lists are alike, and after each probe a node
+/// told all that it knew: as much as the fleet is large.
+#[test]
+fn what_a_node_tells_while_others_restart_does_not_grow_with_the_fleet() {
+    let told = |n: usize| {
+        let mut net = herd(n, 5);
+        net.run(20_000);
+        let before: usize = net.sent.values().sum();
+        for i in 20..30 {
+            net.nodes.remove(&i);
+            net.run(300);
+            net.start_on(i, 0);
+            net.run(700);
+        }
+        let sent = net.sent.values().sum::<usize>() - before;
+        net.run(10_000);
+        assert!(net.views().iter().all(|known| *known == n), "{n}: {:?}", net.views());
+        sent as f64 / n as f64 / 10.0
+    };
+    let (small, large) = (told(60), told(300));
+    // Rumors are repeated as often as the logarithm of the fleet says.
+    let growth = 300_f64.ln() / 60_f64.ln();
+    assert!(large <= small * growth, "{small} datagrams a node and second at 60, {large} at 300");
+}
+
 #[test]
 fn a_dead_node_is_found_by_all_within_bound() {
     let mut net = Net::new(20, 1, 2);
