Nodes of a large fleet take turns with fractions of a repeat

Cause: the budget of repeats is divided into equal parts, and a repeat was granted only out of a whole one: 0.7 x (0.2 x own requests + 1,040 / nodes). From 728 nodes on a node without other requests had none, at 986 it lost 0.74 of one each 10 s, and the fleet with it 730 of its 1,040.

Ruled out: lending through a hub: a message and a wait before each repeat, and the lender's loss costs all; a draw for each repeat (a node that asks often gets nearly all it asks for); a new draw each window (a node that drew well in one and in the next has it twice within ten seconds).

Change: each node has the fraction for that part of the time, 200 s a round, from a phase that its identity gives.

Test: `a_fleet_whose_nodes_hold_less_than_one_repeat_each_still_has_its_budget`, at 300, 986 and 2,000 nodes: no window of ten seconds above 1,040 with all asking, anew or not; a tenth in trouble gets 0.85 of its part or more. Without the change, worked out, 986 nodes grant none. The two older tests of the sum pass as they were.

--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use model::Time;
+use model::{Time, hash};
 
 /// What the budget is drawn from.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,6 +24,11 @@
 /// starts for the first time: what an earlier one drew in the same window, and this, make the
 /// whole slack. Nodes that were killed together spent it twice in one window else.
 const DRAWN_ANEW: f64 = (1.0 - DRAWN) / DRAWN;
+/// Windows in which each node of a large fleet has its turn with every fraction of a repeat. The
+/// more there are, the fewer nodes have it by turns within one window.
+const TURN: u32 = 20;
+/// Standard deviations of the nodes' sum that the undrawn rest has to cover.
+const DEVIATIONS: f64 = 5.0;
 /// Buckets in one window.
 const BUCKETS: u32 = 20;
 
@@ -40,14 +45,17 @@
     tuning: BudgetTuning,
     /// Whether an earlier process may have spent some of it.
     may_be_spent: bool,
+    /// Place of this node in the turns, from 0 to 1.
+    phase: f64,
     buckets: VecDeque<Bucket>,
 }
 
 impl RepeatBudget {
     /// A budget that an earlier process may have drawn from, unless this is the first start of
-    /// all. Time counts from the start of the process.
-    pub fn new(tuning: BudgetTuning, is_first: bool) -> Self {
-        RepeatBudget { tuning, may_be_spent: !is_first, buckets: VecDeque::new() }
+    /// all. Time counts from the start of the process; `seed` is to differ between nodes.
+    pub fn new(tuning: BudgetTuning, is_first: bool, seed: u64) -> Self {
+        let phase = hash::mix(seed, 0) as f64 / u64::MAX as f64;
+        RepeatBudget { tuning, may_be_spent: !is_first, phase, buckets: VecDeque::new() }
     }
 
     /// Changes what the budget is drawn from.
@@ -69,7 +77,24 @@
         let part = if is_new { DRAWN_ANEW } else { 1.0 };
         let slack = self.tuning.slack / nodes.max(1) as f64 * part;
         let allowed = (f64::from(requests) * self.tuning.ratio + slack) * DRAWN;
-        f64::from(repeats + 1) <= allowed
+        let whole = allowed.floor();
+        let has_turn = self.takes_turns(nodes) && self.turn(now) < allowed - whole;
+        f64::from(repeats + 1) <= whole + f64::from(u8::from(has_turn))
+    }
+
+    /// Whether nodes take turns with the repeat that their part holds a fraction of: so many
+    /// nodes have it then as the fractions sum up to. A part that is less than one would be lost
+    /// whole otherwise, and with it all repeats of a large fleet.
+    fn takes_turns(&self, nodes: usize) -> bool {
+        let nodes = nodes.max(1) as f64;
+        let strays = nodes / f64::from(TURN) + DEVIATIONS * nodes.sqrt() / 2.0;
+        strays <= self.tuning.slack * (1.0 - DRAWN)
+    }
+
+    /// Where this node stands in the turns now, from 0 to 1.
+    fn turn(&self, now: Time) -> f64 {
+        let round = self.tuning.window * TURN;
+        (self.phase + now.since(Time::ZERO).as_secs_f64() / round.as_secs_f64()).fract()
     }
 
     /// Takes one repeat if this node's part, one of `nodes`, still holds one.
--- a/crates/decide/tests/resend.rs
+++ b/crates/decide/tests/resend.rs
@@ -68,13 +68,50 @@
     assert_eq!(first.next(LEFT, || false), Next::Resend, "a first send needs no budget");
 }
 
+fn budgets_of(tuning: BudgetTuning, is_first: bool, nodes: usize) -> Vec<RepeatBudget> {
+    (0..nodes as u64).map(|seed| RepeatBudget::new(tuning, is_first, seed)).collect()
+}
+
+/// Repeats granted of those asked for in a fleet whose nodes send no requests besides. Some of
+/// them ask, each once in `every_s`; no window of ten seconds may hold more than the budget.
+fn granted(nodes: usize, asking: usize, every_s: f64, is_first: bool) -> f64 {
+    let tuning = BudgetTuning { ratio: 0.2, window: Duration::from_secs(10), slack: 1040.0 };
+    let mut budgets = budgets_of(tuning, is_first, nodes);
+    let mut granted: Vec<u64> = Vec::new();
+    let step = every_s * 1000.0 / asking as f64;
+    let asks = (60_000.0 / step) as usize;
+    for i in 0..asks {
+        let ms = (i as f64 * step) as u64;
+        if budgets[i % asking].take(Time::from_millis(ms), nodes) {
+            granted.push(ms);
+        }
+    }
+    let within = |end: &u64| granted.iter().filter(|t| **t <= *end && **t + 10_000 > *end).count();
+    let worst = granted.iter().map(within).max().unwrap_or(0);
+    assert!(worst <= 1040, "{worst} repeats in one window, {nodes} nodes");
+    granted.len() as f64 / asks as f64
+}
+
+#[test]
+fn a_fleet_whose_nodes_hold_less_than_one_repeat_each_still_has_its_budget() {
+    for nodes in [300, 986, 2000] {
+        for is_first in [true, false] {
+            granted(nodes, nodes, 2.0, is_first);
+        }
+        // A tenth of the nodes is in trouble. Seven tenths of the slack are drawn.
+        let part: f64 = 0.7 * 1040.0 / nodes as f64;
+        let share = granted(nodes, nodes / 10, 12.0, true);
+        assert!(share > part.min(1.0) * 0.85, "{share} of {part} at {nodes} nodes");
+    }
+}
+
 /// Nine nodes whose every request fails and is repeated while the budget allows.
 #[test]
 fn summed_repeats_of_all_nodes_stay_within_the_shared_budget() {
     let (ratio, slack, nodes) = (0.2, 58.0, 9);
     let window = Duration::from_secs(10);
     let tuning = BudgetTuning { ratio, window, slack };
-    let mut budgets = vec![RepeatBudget::new(tuning, true); nodes];
+    let mut budgets = budgets_of(tuning, true, nodes);
     let mut sent: Vec<(Time, bool)> = Vec::new();
     for ms in (0..40_000).step_by(20) {
         let now = Time::from_millis(ms);
@@ -108,7 +145,7 @@
     for killed_at in (2_000..16_000).step_by(500) {
         let mut sent: Vec<(u64, bool)> = Vec::new();
         for (from, to) in [(0, killed_at), (killed_at + 500, 40_000)] {
-            let mut budgets = vec![RepeatBudget::new(tuning, false); nodes];
+            let mut budgets = budgets_of(tuning, false, nodes);
             for ms in (from..to).step_by(25) {
                 // Each process counts time from its own start.
                 let now = Time::from_millis(ms - from);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -253,7 +253,7 @@
         let mut budgets = self.budgets.borrow_mut();
         let fresh = || {
             let settings = self.settings();
-            RepeatBudget::new(settings.repeats.tuning(), settings.first_start)
+            RepeatBudget::new(settings.repeats.tuning(), settings.first_start, self.peers.id.start)
         };
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
