Calls of makers are short while makers idle

Cause: a coordinator put all that waited into one call, up to a full one, also where hundreds of makers stood free. A call's pieces are made one after the other: eight of ward-auth take 278 ms in one call, 198 ms in three.

Ruled out: one piece a call (three times the calls for a few ms less, and each call is a connection); short calls whatever the load (each costs its own 150 ms of a maker, so a pool near its limit would fall over); only a test of the queue (a burst that comes next would find no maker free).

Change: what waits is spread over the makers that are free beyond half of those that work, so far as a further call saves a fifth of a call's own time, and over three calls of one order at most, since each maker may fail. Calls of an order that were under way together and fail count as one failure: they fail for one reason.

Tests: `calls_are_short_while_makers_idle_and_full_while_they_work` plays two loads on twenty makers and checks what orders take: 135 ms or less where a full call takes 190, and at 0.95 of what full calls bear 300 ms or less and 8.5 pieces a call or more; `calls_of_an_order_that_fail_together_count_once`.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -19,6 +19,12 @@
 /// Times the time from which on it is overdue that a call may take before its maker counts as
 /// slow: one that was late by little, behind a link that has just healed, is as good as others.
 const SLOW: u32 = 2;
+/// Part of the makers that is kept idle for what comes next while calls are kept short.
+const KEPT_IDLE: f64 = 0.5;
+/// Part of a call's own time that its pieces may add before a further call is worth it.
+const SHORT_CALL: f64 = 0.2;
+/// Calls over which what waits of one order is spread at most: each is a maker that may fail.
+const SPLIT: usize = 3;
 
 #[derive(Debug)]
 struct Flight {
@@ -212,8 +218,8 @@
                     self.settle(now, id, piece, result, out);
                 }
             }
-            CallEnd::Answered(_) | CallEnd::Failed => self.requeue(flight, true, out),
-            CallEnd::Full => self.requeue(flight, false, out),
+            CallEnd::Answered(_) | CallEnd::Failed => self.requeue(now, flight, true, out),
+            CallEnd::Full => self.requeue(now, flight, false, out),
         }
     }
 
@@ -267,14 +273,14 @@
     }
 
     /// Puts a call's pieces back in the queue; `counts` if the call failed.
-    fn requeue(&mut self, flight: Flight, counts: bool, out: &mut Vec<Action>) {
+    fn requeue(&mut self, now: Time, flight: Flight, counts: bool, out: &mut Vec<Action>) {
         let mut counted = None;
         for (id, piece) in flight.pieces {
             let Some(order) = self.orders.get_mut(&id) else {
                 continue;
             };
             if counts && counted != Some(id) {
-                order.failures += 1;
+                order.call_failed(flight.started, now);
                 counted = Some(id);
             }
             if order.failures > FAILURES && order.results[piece].is_none() {
@@ -359,17 +365,34 @@
             return;
         }
         out.extend(self.makers.take_probes_due(now).into_iter().map(Action::Probe));
+        let most = self.call_size();
         let mut groups = self.makers.free_groups();
         while let Some(group) = self.makers.best_group(&groups).cloned() {
             // Others of the group have less room for the same orders.
-            if !self.start_in(&group, now, out) {
+            if !self.start_in(&group, most, now, out) {
                 groups.remove(&group);
             }
         }
     }
 
+    /// Most pieces of the next calls. While makers idle, short calls make what waits sooner; the
+    /// more of them work, the longer calls get, since each costs the same whatever it carries.
+    fn call_size(&self) -> usize {
+        let batch = self.pool.batch.max(1);
+        let kept = (self.makers.working() as f64 * KEPT_IDLE) as usize;
+        let spare = self.makers.count_free().saturating_sub(kept);
+        if spare == 0 {
+            return batch;
+        }
+        let waiting = self.orders.values().map(|o| o.waiting.len());
+        let (all, largest) = waiting.fold((0, 0), |(all, most), n| (all + n, most.max(n)));
+        let worth = self.pool.call_ms * SHORT_CALL / self.pool.item_ms.max(f64::MIN_POSITIVE);
+        let size = all.div_ceil(spare).max(largest.div_ceil(SPLIT)).max(worth as usize);
+        size.clamp(1, batch)
+    }
+
     /// Starts a call at the first maker of a group; returns whether any order suits it.
-    fn start_in(&mut self, group: &Group, now: Time, out: &mut Vec<Action>) -> bool {
+    fn start_in(&mut self, group: &Group, most: usize, now: Time, out: &mut Vec<Action>) -> bool {
         let working = self.makers.working_places();
         let mut fits: Vec<(Urgency, OrderId)> = self
             .orders
@@ -382,7 +405,7 @@
         let Some(mut maker) = self.makers.first_free(group).filter(|_| !fits.is_empty()) else {
             return false;
         };
-        maker.most = maker.most.min(self.pool.batch.max(1));
+        maker.most = most.min(maker.most);
         self.start(now, maker, fits.into_iter().map(|(_, n)| n), out)
     }
 
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -228,6 +228,12 @@
         self.index.regions.keys().any(|region| allowed.permits(region.as_deref()))
     }
 
+    /// Count of makers that can take a call now, but for those on trial.
+    pub(super) fn count_free(&self) -> usize {
+        let serving = self.index.free.iter().filter(|(group, _)| !group.is_trial);
+        serving.map(|(_, free)| free.len()).sum()
+    }
+
     /// Groups in which a maker can take a call now.
     pub(super) fn free_groups(&self) -> BTreeSet<Group> {
         self.index.free.keys().cloned().collect()
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -35,6 +35,8 @@
     /// Calls under way for each piece.
     calls: Vec<u8>,
     pub(super) failures: u32,
+    /// When the last of these was seen.
+    failed: Option<Time>,
     pub(super) pinned: bool,
     /// A call was overdue and its pieces were asked for again.
     was_repeated: bool,
@@ -53,6 +55,7 @@
             results: vec![None; n],
             calls: vec![0; n],
             failures: 0,
+            failed: None,
             pinned,
             was_repeated: false,
             lacked_room: false,
@@ -97,6 +100,15 @@
         self.failures >= ALONE_FROM
     }
 
+    /// A call that was begun then failed. Calls that were under way together count once: they
+    /// fail for one reason, such as a lost failure domain.
+    pub(super) fn call_failed(&mut self, begun: Time, now: Time) {
+        if self.failed.is_none_or(|seen| begun >= seen) {
+            self.failures += 1;
+            self.failed = Some(now);
+        }
+    }
+
     /// Whether a call has taken some of it.
     pub(super) fn is_begun(&self) -> bool {
         self.waiting.len() < self.results.len()
