Loads that targets tell are read and used for a moment

Cause: `Instance-Load` (requests running, waiting, places, and from now on how long work takes on the machine) was read by nothing. What a node knows of a target's load is its own requests there, and at one request in 3 s a node that is nothing.

Change: decoded once in the adapter into `TargetLoad` (running, waiting, slots, slowdown); a word that is not three or four sound figures costs itself alone, counted and told once a target. The choice among plain targets reckons with the requests of other nodes, which fade to 1/e in 500 ms, and with the pace of the machine, which fades in 200 ms as it changes many times a second. Prompts' homes, coordinators and admission do not use it; nothing is passed on to other nodes.

Ruled out: to take the told figures as they stand until the next word (a node that asks a target once in seconds would shun it for a load long past).

In all deployments at hand only stage services tell their load, whose makers are chosen by the coordinator; so its worth there is nothing by construction. Shown by tests alone.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Allowed, Evacuations, NamedLimit, Target, TargetId, TargetList};
+use model::forward::{Allowed, Evacuations, NamedLimit, Target, TargetId, TargetList, ToldLoad};
 use model::{Name, Time};
 
 use super::answers::Answers;
+use super::load::HeardLoad;
 use super::touched::TouchLog;
 use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms, Touched};
 use crate::permit::{LimitChange, Limits, Word};
@@ -65,6 +66,9 @@
     /// Prompt tokens of those that wait for their first event.
     pub prefill: u64,
     answers: Answers,
+    load: Option<HeardLoad>,
+    /// It told a load that cannot be read.
+    bad_load: bool,
     /// Left out until then.
     pub ejected: Time,
     strikes: u32,
@@ -80,6 +84,8 @@
             outstanding: 0,
             prefill: 0,
             answers: Answers::default(),
+            load: None,
+            bad_load: false,
             ejected: Time::ZERO,
             strikes: 0,
         }
@@ -90,6 +96,17 @@
         self.answers.mean_ms(now)
     }
 
+    /// Expected requests for each place: this node's, and those of others that it told of.
+    pub fn load(&self, now: Time) -> f64 {
+        let own = f64::from(self.outstanding) / f64::from(self.target.slots.max(1));
+        own + self.load.map_or(0.0, |heard| heard.others(now))
+    }
+
+    /// Times as long as usual that work is expected to take there.
+    pub fn slowdown(&self, now: Time) -> f64 {
+        self.load.map_or(1.0, |heard| heard.slowdown(now))
+    }
+
     /// Expected share of failures.
     pub fn failing(&self, now: Time) -> f64 {
         self.answers.failing(now)
@@ -303,6 +320,24 @@
         Some(change)
     }
 
+    /// Takes what an answer of a target says of its load; returns whether it cannot be read while
+    /// the word before could, or there was none.
+    pub fn hear_load(&mut self, id: &TargetId, said: ToldLoad, now: Time) -> bool {
+        let Some(b) = self.get_mut(id) else {
+            return false;
+        };
+        let was_bad = b.bad_load;
+        match said {
+            ToldLoad::None => {}
+            ToldLoad::Load(load) => {
+                b.bad_load = false;
+                b.load = Some(HeardLoad::new(load, b.outstanding.saturating_sub(1), now));
+            }
+            ToldLoad::Unreadable => b.bad_load = true,
+        }
+        b.bad_load && !was_bad
+    }
+
     /// What is known of evacuations.
     pub fn evacuated(&self) -> &Evacuated {
         &self.evacuated
--- /dev/null
+++ b/crates/decide/src/fleet/load.rs
@@ -0,0 +1,48 @@
+//! What is made of the load that a target tells with its answers.
+//!
+//! It is true for the moment of the answer only: other programs on the target's machine come and
+//! go many times a second, and so do the requests of other nodes. So both fade fast, each to what
+//! a target that tells nothing is taken for.
+
+use std::time::Duration;
+
+use model::Time;
+use model::forward::TargetLoad;
+
+/// Time in which what is known of other nodes' requests fades to 1/e: as long as most take.
+const REQUESTS_FADE: Duration = Duration::from_millis(500);
+/// Time in which what is known of the machine's pace fades to 1/e.
+const PACE_FADE: Duration = Duration::from_millis(200);
+
+/// The last word of a target on its load.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HeardLoad {
+    /// Requests of other nodes for each place.
+    others: f64,
+    slowdown: f64,
+    heard: Time,
+}
+
+impl HeardLoad {
+    /// A target told its load while this many requests of this node were there, the one whose
+    /// answer told it not counted.
+    pub(super) fn new(load: TargetLoad, own: u32, now: Time) -> Self {
+        let all = load.running.saturating_add(load.waiting);
+        let others = f64::from(all.saturating_sub(own)) / f64::from(load.slots.max(1));
+        HeardLoad { others, slowdown: load.slowdown, heard: now }
+    }
+
+    /// Expected requests of other nodes for each place.
+    pub(super) fn others(&self, now: Time) -> f64 {
+        self.others * self.left(REQUESTS_FADE, now)
+    }
+
+    /// Times as long as usual that work is expected to take.
+    pub(super) fn slowdown(&self, now: Time) -> f64 {
+        1.0 + (self.slowdown - 1.0) * self.left(PACE_FADE, now)
+    }
+
+    fn left(&self, fade: Duration, now: Time) -> f64 {
+        (-now.since(self.heard).as_secs_f64() / fade.as_secs_f64()).exp()
+    }
+}
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod belief;
 mod cold;
 mod evacuation;
+mod load;
 mod news;
 mod pick;
 mod terms;
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -174,10 +174,10 @@
             if crossing <= CROSSING_MS && self.limits().is_due(&b.target.id, now) {
                 return Some(b.target.clone());
             }
-            let mean = b.answer_ms(now).unwrap_or(UNKNOWN_MS);
-            let load = f64::from(b.outstanding) / f64::from(b.target.slots.max(1));
+            let mean = b.answer_ms(now).unwrap_or(UNKNOWN_MS) * b.slowdown(now);
             let jitter = rng.below(100) as f64 / 100.0;
-            let cost = mean * (1.0 + load) / (1.0 - b.failing(now)).max(0.05) + crossing + jitter;
+            let cost =
+                mean * (1.0 + b.load(now)) / (1.0 - b.failing(now)).max(0.05) + crossing + jitter;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, b));
             }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -10,7 +10,7 @@
 use decide::fleet::{Fleet, Home, Observation, Regions, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::rng::Rng;
-use model::forward::{Allowed, NamedLimit, PromptPart, Target, TargetId};
+use model::forward::{Allowed, NamedLimit, PromptPart, Target, TargetId, TargetLoad, ToldLoad};
 use support::{at, target, wanted};
 
 fn fleet(n: usize) -> Fleet {
@@ -184,6 +184,49 @@
     assert!((2..20).contains(&first), "{first} of {all} went to the slow one");
 }
 
+/// A target that told its load, and one of the same pace; which is chosen after this time.
+fn chosen_after(load: TargetLoad, ms: u64) -> String {
+    let mut fleet = fleet(2);
+    let mut rng = Rng::new(1);
+    for id in ["t0", "t1"] {
+        fleet.observe(&id.into(), Observation::Answered(Duration::from_millis(50)), at(0));
+    }
+    assert!(!fleet.hear_load(&"t0".into(), ToldLoad::Load(load), at(0)));
+    let chosen = fleet.pick_plain(wanted(&[]), at(ms), &mut rng).expect("two are up");
+    chosen.id.name.to_string()
+}
+
+#[test]
+fn a_target_that_told_much_load_gets_less_for_a_moment() {
+    let idle = TargetLoad { running: 0, waiting: 0, slots: 4, slowdown: 1.0 };
+    let others_use_it = TargetLoad { running: 4, waiting: 3, ..idle };
+    let others_slow_it = TargetLoad { slowdown: 2.5, ..idle };
+    assert_eq!(chosen_after(idle, 0), "t0", "its own failure domain first");
+    for load in [others_use_it, others_slow_it] {
+        assert_eq!(chosen_after(load, 0), "t1", "{load:?}");
+        assert_eq!(chosen_after(load, 5_000), "t0", "{load:?} is long past");
+    }
+}
+
+#[test]
+fn requests_of_this_node_are_not_counted_twice_and_bad_loads_change_nothing() {
+    let mut fleet = fleet(1);
+    let id = TargetId::from("t0");
+    let load = |fleet: &Fleet| fleet.get(&id).expect("it is known").load(at(0));
+    for _ in 0..3 {
+        fleet.sent(&id, 0);
+    }
+    // One of the three has just been answered with this.
+    let told = TargetLoad { running: 2, waiting: 0, slots: 4, slowdown: 1.0 };
+    fleet.hear_load(&id, ToldLoad::Load(told), at(0));
+    fleet.done(&id);
+    assert_eq!(load(&fleet), 0.5, "two of its four places");
+    assert!(fleet.hear_load(&id, ToldLoad::Unreadable, at(0)), "told once");
+    assert!(!fleet.hear_load(&id, ToldLoad::Unreadable, at(0)));
+    assert_eq!(load(&fleet), 0.5);
+    assert!(!fleet.hear_load(&"t9".into(), ToldLoad::Unreadable, at(0)), "it is not known");
+}
+
 #[test]
 fn a_target_that_failed_is_tried_again() {
     let mut fleet = fleet(2);
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -9,7 +9,7 @@
 use model::Name;
 use model::forward::{
     CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, PieceOrder, PieceResult, Rollout,
-    RolloutState, Rules, Target, TargetId,
+    RolloutState, Rules, Target, TargetId, ToldLoad,
 };
 
 /// A message that could not be understood.
@@ -63,6 +63,8 @@
     pub events: bool,
     /// Requests that the target takes.
     pub limit: NamedLimit,
+    /// Load of the target.
+    pub load: ToldLoad,
 }
 
 /// A call with a body.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -96,6 +96,8 @@
         per_s: Option<f64>,
         from: &'a str,
     },
+    /// A target tells a load that cannot be read, for the first time or again.
+    BadLoad { target: &'a str, service: &'a str },
     /// A permit was asked for, to send a request, or so many pieces of a call, to a target that
     /// names a limit: of its keeper, of this node itself where that is empty. It may be asked for
     /// again `after_ms` later if it was not granted.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use hdrhistogram::Histogram;
 use model::Name;
+use model::forward::ToldLoad;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -83,6 +84,8 @@
     store_calls: Family<Named, Counter>,
     unreadable: Family<Named, Gauge>,
     repeats: Family<Named, Counter>,
+    loads_told: Counter,
+    loads_unreadable: Counter,
     barred: Family<Named, Counter>,
     stage_refused: Family<RefusalLabels, Counter>,
     ended: Family<Named, Counter>,
@@ -156,6 +159,8 @@
             store_calls: Family::default(),
             unreadable: Family::default(),
             repeats: Family::default(),
+            loads_told: Counter::default(),
+            loads_unreadable: Counter::default(),
             barred: Family::default(),
             stage_refused: Family::default(),
             ended: Family::default(),
@@ -204,6 +209,16 @@
         let help = "Entries that could not be read when this node last read the store";
         registry.register("unreadable_entries", help, self.unreadable.clone());
         registry.register("repeats", "Sends to a further target", self.repeats.clone());
+        registry.register(
+            "loads_told",
+            "Answers that told their target's load",
+            self.loads_told.clone(),
+        );
+        registry.register(
+            "loads_unreadable",
+            "Answers that told a load that cannot be read",
+            self.loads_unreadable.clone(),
+        );
         let help = "Requests or pieces sent to a version of a service that moves to another one";
         registry.register("rollout_requests", help, self.rollout_requests.clone());
         let help = "Failures among them, a call with some as so many pieces";
@@ -286,6 +301,15 @@
         self.unreadable.get_or_create(&Named { name: kind.to_string() }).set(count as i64);
     }
 
+    /// An answer came that says this of its target's load.
+    pub fn load(&self, said: ToldLoad) {
+        match said {
+            ToldLoad::None => {}
+            ToldLoad::Load(_) => _ = self.loads_told.inc(),
+            ToldLoad::Unreadable => _ = self.loads_unreadable.inc(),
+        }
+    }
+
     /// A request was sent to a further target.
     pub fn repeat(&self, service: &Name) {
         self.repeats.get_or_create(&Named { name: service.to_string() }).inc();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,7 +10,7 @@
 use decide::relay::{self, Doubt};
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{QueueId, Rollout, Rules, TargetId, Waits};
+use model::forward::{QueueId, Rollout, Rules, Target, TargetId, ToldLoad, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use util::clock::Clock;
@@ -225,6 +225,15 @@
         }
     }
 
+    /// Takes what an answer says of its target's load.
+    pub fn hear_load(&self, target: &Target, said: ToldLoad) {
+        self.metrics.load(said);
+        let now = self.now();
+        if self.fleet(|f| f.hear_load(&target.id, said, now)) {
+            Event::BadLoad { target: &target.id.name, service: &target.service }.emit();
+        }
+    }
+
     /// Counts a first send to a service.
     pub fn count_request(&self, service: &Name) {
         let now = self.now();
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod fingerprint;
 mod limit;
+mod load;
 mod policy;
 mod prefill;
 mod quarantine;
@@ -24,6 +25,7 @@
 pub use caller::{CallerHead, PromptPart};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use limit::{LimitNews, LimitWord, NamedLimit, PermitAnswer, PermitAsk, TargetLimit};
+pub use load::{TargetLoad, ToldLoad};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use quarantine::{EndNews, HeldRecord, MakerEnd, QuarantineNews, SuspectNews};
