A whole list is encoded once for a moment, and waited for as long as it comes

Cause: a follower that knows nothing asked its relay for the whole list, gave the answer up after 1.05 s, asked again over a new connection with 0.3 s and left the relay for 3 s. 10,003 targets are some 1.2 MB: half a second of a 20 Mbit/s link for one, and 240 MB for 200 followers of a relay, so that after a start of all no answer of a slow relay could end, however often it was asked. And the relay made and encoded the list anew for each that asked.

Ruled out: a longer time-out alone (a relay that has fallen silent would be waited for as long); pages by new messages (older relays do not know them; what they save is what a broken transfer costs).

Change: a node that knows nothing yet takes the whole list for up to 10 s as long as parts of it come at most 350 ms apart (`rmp_bytes_paced`); all other waits are as they were. A relay keeps the encoded answer for 50 ms, as long as rules, evacuations and roll-outs are the same, and tells ages that much older.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -12,8 +12,10 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bytes::Bytes;
 use decide::fleet::Regions;
 use decide::member::Event as MemberEvent;
+use decide::relay::waits;
 use decide::roster::{Contact, Roster};
 use futures_util::future::join_all;
 use model::forward::{FollowAnswer, FollowAsk, Rules};
@@ -23,7 +25,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use util::http::{CallError, CallKind, Client, read_rmp_answer};
+use util::http::{CallError, CallKind, Client, Pace, read_rmp_answer};
 
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
@@ -187,16 +189,28 @@
     bytes: Vec<u8>,
     timeout: Duration,
 ) -> Result<A, CallError> {
+    let (name, sent) = (peer.to_string(), bytes.len());
+    let call = client.rmp_bytes(&name, path, bytes, timeout);
+    read_rmp_answer(&name, &counted(node, peer, path, sent, call).await?)
+}
+
+/// Counts what a call takes to a peer and back.
+async fn counted(
+    node: &Node,
+    peer: SocketAddr,
+    path: &str,
+    sent: usize,
+    call: impl Future<Output = Result<Bytes, CallError>>,
+) -> Result<Bytes, CallError> {
     let crossing = Crossing::to_peer(node, kind_of(path), peer);
     if let Some(crossing) = &crossing {
-        crossing.sent(bytes.len());
+        crossing.sent(sent);
     }
-    let peer = peer.to_string();
-    let answer = client.rmp_bytes(&peer, path, bytes, timeout).await?;
+    let answer = call.await?;
     if let Some(crossing) = &crossing {
         crossing.got(answer.len());
     }
-    read_rmp_answer(&peer, &answer)
+    Ok(answer)
 }
 
 /// What a question to a peer counts as.
@@ -222,7 +236,8 @@
     }
 }
 
-/// What a peer knows of the targets.
+/// What a peer knows of the targets, within this time; a whole list is waited for as long as it
+/// comes.
 pub async fn follow(
     node: &Node,
     client: &Client,
@@ -230,7 +245,14 @@
     question: &FollowAsk,
     timeout: Duration,
 ) -> Result<FollowAnswer, CallError> {
-    ask_over(node, client, peer, server::FOLLOW, question, timeout).await
+    if question.at > 0 {
+        return ask_over(node, client, peer, server::FOLLOW, question, timeout).await;
+    }
+    let bytes = rmp_serde::to_vec(question).expect("messages encode");
+    let pace = Pace { head: timeout, pause: waits::PEER_SLACK, whole: waits::LIST_LONGEST };
+    let (name, sent) = (peer.to_string(), bytes.len());
+    let call = client.rmp_bytes_paced(&name, server::FOLLOW, bytes, pace);
+    read_rmp_answer(&name, &counted(node, peer, server::FOLLOW, sent, call).await?)
 }
 
 /// Whether a peer answers, by what is known or else by a ping that all of this node's
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -106,7 +106,7 @@
     let ask: FollowAsk = message(request, "not a question for news").await?;
     let answer = watch::answer(node, ask).await;
     let answer = answer.ok_or_else(|| text(StatusCode::SERVICE_UNAVAILABLE, "stopping"))?;
-    Ok(rmp(&answer))
+    Ok(full(StatusCode::OK, RMP, answer))
 }
 
 async fn prefill(node: &Rc<Node>, request: Request<Incoming>) -> Answered {
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -13,6 +13,7 @@
 
 use super::ages::{Age, Ages};
 use super::millis;
+use super::whole::WholeList;
 use crate::border::Kind;
 use crate::events::Event;
 
@@ -31,6 +32,8 @@
     out_of_touch: Cell<bool>,
     news: watch::Sender<()>,
     reads_store: watch::Sender<bool>,
+    /// For those that know nothing yet.
+    pub whole: WholeList,
 }
 
 impl Default for Feed {
@@ -46,6 +49,7 @@
             out_of_touch: Cell::new(false),
             news: watch::Sender::new(()),
             reads_store: watch::Sender::new(false),
+            whole: WholeList::default(),
         }
     }
 }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -9,6 +9,7 @@
 mod rules;
 mod store;
 mod targets;
+mod whole;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use decide::fleet::still_true;
 use decide::relay::{Relays, Role, Source, Sources, waits};
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetList, TargetNews};
@@ -14,6 +15,7 @@
 
 use super::feed::Feed;
 use super::store::{Reader, Step};
+use super::whole::WHOLE_KEPT;
 use super::{evacuations, millis, relays, rollouts};
 use crate::border::{Change, Kind};
 use crate::events::Event;
@@ -298,9 +300,9 @@
     list
 }
 
-/// Answers a peer that follows this node, as soon as there is news; `None` if this node
-/// stops.
-pub async fn answer(node: &Node, ask: FollowAsk) -> Option<FollowAnswer> {
+/// Answers a peer that follows this node, as soon as there is news, with an encoded
+/// [`FollowAnswer`]; `None` if this node stops.
+pub async fn answer(node: &Node, ask: FollowAsk) -> Option<Bytes> {
     let limit = node.now() + Duration::from_millis(ask.wait_ms);
     let mut news = node.feed.news();
     while has_no_news(node, &ask) {
@@ -312,31 +314,56 @@
     if node.is_stopping() {
         return None;
     }
-    let now = node.now();
-    let at = node.feed.at();
     let news = match node.feed.since(ask.at) {
-        _ if at.is_none() => TargetNews::Unknown,
+        _ if node.feed.at().is_none() => TargetNews::Unknown,
         Some(changes) => TargetNews::Changes(changes),
-        None => TargetNews::Whole(node.fleet(|f| f.list(now))),
+        None => return Some(whole_answer(node)),
     };
+    Some(encoded(&answer_of(node, news, ask.rollouts, Duration::ZERO)))
+}
+
+/// The answer with the whole list. Many that have just started ask for it together, so that it
+/// is encoded once for all of a moment.
+fn whole_answer(node: &Node) -> Bytes {
+    let now = node.now();
+    let lists = node.fleet(|f| (f.evacuated().at(), f.versions().at()));
+    let key = (node.table().rules.version, lists, node.feed.is_out_of_touch());
+    node.feed.whole.get(key, now, || {
+        let news = TargetNews::Whole(node.fleet(|f| f.list(now)));
+        encoded(&answer_of(node, news, None, WHOLE_KEPT))
+    })
+}
+
+fn encoded(answer: &FollowAnswer) -> Bytes {
+    rmp_serde::to_vec(answer).expect("messages encode").into()
+}
+
+/// An answer that may be given for some time after now.
+fn answer_of(
+    node: &Node,
+    news: TargetNews,
+    known_rollouts: Option<u64>,
+    kept: Duration,
+) -> FollowAnswer {
+    let now = node.now();
     let rules_age = node.feed.age_of(Kind::Rules, now);
     let rollouts = node.fleet(|f| {
         let versions = f.versions();
-        let is_newer = versions.at() > ask.rollouts;
+        let is_newer = versions.at() > known_rollouts;
         is_newer.then(|| versions.list()).flatten()
     });
-    let doubt = node.doubt(|d| d.until(now));
-    Some(FollowAnswer {
-        at: at.unwrap_or(0),
-        age_ms: millis(node.feed.age(now)),
+    let doubt = node.doubt(|d| d.until(now)).map(|until| until.since(now).saturating_sub(kept));
+    FollowAnswer {
+        at: node.feed.at().unwrap_or(0),
+        age_ms: millis(node.feed.age(now).saturating_add(kept)),
         out_of_touch: node.feed.is_out_of_touch(),
-        doubt_ms: doubt.map_or(0, |until| until.since(now).as_millis() as u64),
+        doubt_ms: doubt.map_or(0, |left| left.as_millis() as u64),
         rules: node.table().rules.version,
-        rules_age_ms: millis(rules_age.map_or(Duration::MAX, |age| age.now)),
+        rules_age_ms: millis(rules_age.map_or(Duration::MAX, |age| age.now.saturating_add(kept))),
         evacuations: node.fleet(|f| f.evacuated().list()),
         rollouts,
         news,
-    })
+    }
 }
 
 fn has_no_news(node: &Node, ask: &FollowAsk) -> bool {
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
@@ -69,6 +69,17 @@
     }
 }
 
+/// How long a large answer may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Until its head is there.
+    pub head: Duration,
+    /// Between two of its parts.
+    pub pause: Duration,
+    /// In all.
+    pub whole: Duration,
+}
+
 /// A pooled client; clones share the pool. The operating system probes its connections, so that
 /// those that fall silent without an end are gone from the pool, and with them the calls that
 /// wait there, after [`SILENCE`]. It does not show a peer whose host answers and whose process
@@ -179,6 +190,21 @@
         within(peer, timeout, call).await
     }
 
+    /// The same for an answer that may be large: as long as it comes it is waited for.
+    pub async fn rmp_bytes_paced(
+        &self,
+        peer: &str,
+        path: &str,
+        body: Vec<u8>,
+        pace: Pace,
+    ) -> Result<Bytes, CallError> {
+        let call = async {
+            let head = within(peer, pace.head, self.post(peer, path, super::RMP, body)).await?;
+            collect_paced(peer, head, pace.pause).await
+        };
+        within(peer, pace.whole, call).await
+    }
+
     /// Puts a body; an answer outside 2xx is an error.
     pub async fn put(
         &self,
@@ -334,3 +360,23 @@
     let whole = body.collect().await.map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
     Ok(whole.to_bytes())
 }
+
+/// Reads a body whose parts are at most `pause` apart.
+async fn collect_paced(
+    peer: &str,
+    response: Response<Incoming>,
+    pause: Duration,
+) -> Result<Bytes, CallError> {
+    let mut body = Limited::new(response.into_body(), BODY_MAX);
+    let mut whole = BytesMut::new();
+    loop {
+        let next = async { Ok(body.frame().await) };
+        let Some(frame) = within(peer, pause, next).await? else {
+            return Ok(whole.freeze());
+        };
+        let frame = frame.map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+}
