--- a/crates/bench/src/slopes/fleet.rs
+++ b/crates/bench/src/slopes/fleet.rs
@@ -111,7 +111,7 @@
         coordinator.on(now, event)
     };
     on(&mut coordinator, &fleet, Event::Tick, Time::ZERO);
-    let before = coordinator.looked_at();
+    let before = coordinator.visited();
     for i in 0..TRIES {
         let now = Time::from_millis(1 + i * ORDER_EVERY);
         if i % 10 == 0 {
@@ -125,7 +125,7 @@
             }
         }
     }
-    (coordinator.looked_at() - before) as f64 / TRIES as f64
+    (coordinator.visited() - before) as f64 / TRIES as f64
 }
 
 fn peer(i: usize, start: u64, at: Time) -> PeerView {
@@ -144,7 +144,7 @@
     let began = Time::from_millis(60_000);
     (0..nodes).filter(|i| *i != 1).for_each(|i| roster.put(peer(i, 1, began), began));
     let now = Time::from_millis(70_000);
-    let before = roster.looked_at();
+    let before = roster.visited();
     for try_ in 0..TRIES {
         let i = 2 + try_ as usize % (nodes - 2);
         roster.remove(&peer(i, 1, began).node.id);
@@ -157,5 +157,5 @@
         roster.remove(&peer(i, 2 + try_, now).node.id);
         roster.put(peer(i, 1, began), now);
     }
-    (roster.looked_at() - before) as f64 / (TRIES * KINDS) as f64
+    (roster.visited() - before) as f64 / (TRIES * KINDS) as f64
 }
--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -78,8 +78,8 @@
     }
 
     /// Makers looked at so far: what the machine's work grows with.
-    pub fn looked_at(&self) -> u64 {
-        self.makers.looked_at()
+    pub fn visited(&self) -> u64 {
+        self.makers.visited()
     }
 
     /// What an order would wait now before a call takes it, by its rank.
--- a/crates/decide/src/batch/feed.rs
+++ b/crates/decide/src/batch/feed.rs
@@ -1,7 +1,7 @@
 //! Tells a coordinator which makers may get calls.
 //!
 //! The whole list is told once, and again when something changes that concerns all makers. Apart
-//! from that only what discovery touched, and what time alone changes, is looked at.
+//! from that only what discovery changed, and what time alone changes, is looked at.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,15 +10,15 @@
 use model::{Name, Time};
 
 use super::types::{Event, MakerInfo};
-use crate::fleet::{Belief, ColdLimit, Fleet, Terms, Touched};
+use crate::fleet::{Belief, ChangedTargets, ColdLimit, Fleet, Terms};
 use crate::permit::{LIMITED_CALL, pace_of};
 use crate::region::Map;
 
 /// Makers of one pool as its coordinator was told of them.
 #[derive(Debug, Default)]
 pub struct MakerFeed {
-    /// The fleet's mark up to which changes were looked at; `None` before the first look.
-    mark: Option<u64>,
+    /// Up to where changes of the fleet were looked at; `None` before the first look.
+    cursor: Option<u64>,
     cold: Option<ColdLimit>,
     /// Whether makers are there that name no limit, so that those that do get short calls.
     others_bear: bool,
@@ -48,7 +48,7 @@
         cold: Option<ColdLimit>,
         now: Time,
     ) -> Option<Event> {
-        let names = self.take_touched(fleet, now);
+        let names = self.take_changes(fleet, now);
         if cold == self.cold && names.as_ref().is_some_and(Vec::is_empty) {
             return None;
         }
@@ -64,9 +64,9 @@
     }
 
     /// Names that may have changed since the last look; `None` if any may.
-    fn take_touched(&mut self, fleet: &Fleet, now: Time) -> Option<Vec<Name>> {
-        let mark = self.mark.replace(fleet.mark());
-        let Touched::Names(mut names) = fleet.touched_since(mark?) else {
+    fn take_changes(&mut self, fleet: &Fleet, now: Time) -> Option<Vec<Name>> {
+        let cursor = self.cursor.replace(fleet.cursor());
+        let ChangedTargets::Names(mut names) = fleet.changes_since(cursor?) else {
             return None;
         };
         while let Some((at, name)) = self.due.pop_first() {
--- a/crates/decide/src/batch/maker.rs
+++ b/crates/decide/src/batch/maker.rs
@@ -49,10 +49,12 @@
 
 /// Whether a maker that failed has been asked for a sign of life since.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Doubt {
-    None,
-    Unasked,
-    Asked,
+enum Breaker {
+    Closed,
+    /// It failed; it is to be asked for a sign of life once its time is over.
+    Open,
+    /// It is being asked.
+    HalfOpen,
 }
 
 /// How a maker stands at one moment.
@@ -85,9 +87,9 @@
     strikes: u32,
     /// It answered last, late or that it is full: left out, it is asked again soon.
     answers: bool,
-    doubt: Doubt,
+    breaker: Breaker,
     /// Size of a result that had no room, and until when that is held for true.
-    tight: Option<(u64, Time)>,
+    capped: Option<(u64, Time)>,
     in_flight: u64,
     /// Bytes of each result that rests here.
     kept: BTreeMap<String, u64>,
@@ -110,8 +112,8 @@
             ejected: Time::ZERO,
             strikes: 0,
             answers: false,
-            doubt: Doubt::None,
-            tight: None,
+            breaker: Breaker::Closed,
+            capped: None,
             in_flight: 0,
             kept: BTreeMap::new(),
             kept_bytes: 0,
@@ -145,7 +147,7 @@
     }
 
     fn works(&self, now: Time) -> bool {
-        let is_left_out = self.ejected > now || self.doubt != Doubt::None;
+        let is_left_out = self.ejected > now || self.breaker != Breaker::Closed;
         self.present && !is_left_out && !self.is_left_alone()
     }
 
@@ -170,25 +172,25 @@
         let takes = works && self.calls < bounds.slots && !is_held;
         let is_serving = self.present && self.share.is_none();
         let is_back_soon = is_serving && self.answers && !self.is_left_alone();
-        let is_doubted = self.present && self.doubt == Doubt::Unasked;
+        let is_open = self.present && self.breaker == Breaker::Open;
         let changes = [
             Some(self.ejected),
             self.held_until(),
-            self.tight.map(|(_, until)| until),
+            self.capped.map(|(_, until)| until),
             self.made.front().map(|(at, _)| *at + bounds.keep),
         ];
         Standing {
             works,
             room: takes.then(|| self.room(bounds, now)),
             back: is_back_soon.then_some(self.ejected),
-            probe: is_doubted.then_some(self.ejected),
+            probe: is_open.then_some(self.ejected),
             until: changes.into_iter().flatten().filter(|at| *at > now).min(),
         }
     }
 
     fn room(&self, bounds: Bounds, now: Time) -> u64 {
         let reckoned = bounds.room.saturating_sub(self.kept_bytes + self.in_flight);
-        let seen = self.tight.filter(|(_, until)| now < *until);
+        let seen = self.capped.filter(|(_, until)| now < *until);
         seen.map_or(reckoned, |(size, _)| reckoned.min(size.saturating_sub(1)))
     }
 
@@ -196,7 +198,7 @@
         let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
         self.ejected = now + time.min(EJECT_LONGEST);
         self.strikes += 1;
-        self.doubt = Doubt::Unasked;
+        self.breaker = Breaker::Open;
     }
 
     /// A call starts, whose results will take this many bytes.
@@ -221,16 +223,16 @@
 
     /// It is being asked for a sign of life.
     pub(super) fn asked(&mut self) {
-        self.doubt = Doubt::Asked;
+        self.breaker = Breaker::HalfOpen;
     }
 
     /// It gave a sign of life, or none.
     pub(super) fn probed(&mut self, alive: bool, now: Time) {
-        if self.doubt != Doubt::Asked {
+        if self.breaker != Breaker::HalfOpen {
             return;
         }
         if alive {
-            self.doubt = Doubt::None;
+            self.breaker = Breaker::Closed;
         } else {
             self.answers = false;
             self.eject(now);
@@ -240,7 +242,7 @@
     /// It had less room than was reckoned: results of this size or more are not made there for a
     /// while, smaller ones are.
     pub(super) fn had_no_room(&mut self, size: u64, now: Time) {
-        self.tight = Some((size, now + NO_ROOM));
+        self.capped = Some((size, now + NO_ROOM));
     }
 
     /// A result rests here from now on.
--- a/crates/decide/src/batch/makers.rs
+++ b/crates/decide/src/batch/makers.rs
@@ -112,17 +112,17 @@
     all: BTreeMap<TargetId, (Maker, Standing)>,
     bounds: Bounds,
     index: Index,
-    looked_at: u64,
+    visited: u64,
 }
 
 impl Makers {
     pub(super) fn new(pool: &StagePool) -> Self {
-        Makers { all: BTreeMap::new(), bounds: pool.into(), index: Index::default(), looked_at: 0 }
+        Makers { all: BTreeMap::new(), bounds: pool.into(), index: Index::default(), visited: 0 }
     }
 
     /// Makers looked at so far.
-    pub(super) fn looked_at(&self) -> u64 {
-        self.looked_at
+    pub(super) fn visited(&self) -> u64 {
+        self.visited
     }
 
     /// Takes what each maker bears.
@@ -150,7 +150,7 @@
         let Some((maker, standing)) = self.all.get_mut(id) else {
             return;
         };
-        self.looked_at += 1;
+        self.visited += 1;
         self.index.remove(id, maker, standing);
         change(maker);
         if !maker.present && maker.calls == 0 {
@@ -179,10 +179,10 @@
     pub(super) fn set(&mut self, info: MakerInfo, now: Time) {
         let id = info.id.clone();
         match self.all.get(&id) {
-            Some((maker, _)) if maker.is_as(&info) => self.looked_at += 1,
+            Some((maker, _)) if maker.is_as(&info) => self.visited += 1,
             Some(_) => self.change(&id, now, |m| m.set(info)),
             None => {
-                self.looked_at += 1;
+                self.visited += 1;
                 let maker = Maker::new(info);
                 let standing = maker.standing(self.bounds, now);
                 self.index.insert(&id, &maker, &standing);
@@ -255,7 +255,7 @@
 
     /// The maker of a group that gets its next call.
     pub(super) fn first_free(&mut self, group: &Group) -> Option<Free> {
-        self.looked_at += 1;
+        self.visited += 1;
         let (Reverse(room), id) = self.index.free.get(group)?.first()?;
         let (maker, _) = self.all.get(id)?;
         Some(Free {
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::forward::{Allowed, Evacuations, NamedLimit, Target, TargetId, TargetList, ToldLoad};
+use model::forward::{
+    Allowed, Evacuations, NamedLimit, ReportedLoad, Target, TargetId, TargetList,
+};
 use model::{Name, Time};
 
 use super::answers::Answers;
-use super::load::HeardLoad;
-use super::touched::TouchLog;
-use super::{Barred, ColdLimit, Evacuated, EvacuationChange, Regions, Terms, Touched};
+use super::changed::ChangeLog;
+use super::load::LoadReport;
+use super::{Barred, ChangedTargets, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
 use crate::permit::{LimitChange, Limits, Word};
 use crate::rollout::Versions;
 
@@ -66,7 +68,7 @@
     /// Prompt tokens of those that wait for their first event.
     pub prefill: u64,
     answers: Answers,
-    load: Option<HeardLoad>,
+    load: Option<LoadReport>,
     /// It told a load that cannot be read.
     bad_load: bool,
     /// Left out until then.
@@ -156,19 +158,19 @@
     versions: Versions,
     regions: Regions,
     limits: Limits,
-    touched: TouchLog,
+    changed: ChangeLog,
 }
 
 impl Fleet {
-    /// Mark for [`Fleet::touched_since`], of this moment.
-    pub fn mark(&self) -> u64 {
-        self.touched.next()
+    /// Cursor for [`Fleet::changes_since`], of this moment.
+    pub fn cursor(&self) -> u64 {
+        self.changed.next()
     }
 
-    /// Targets that may be usable or not otherwise than at a mark, but for what time alone
+    /// Targets that may be usable or not otherwise than at a cursor, but for what time alone
     /// changes: see [`Fleet::holds_until`].
-    pub fn touched_since(&self, mark: u64) -> Touched {
-        self.touched.since(mark)
+    pub fn changes_since(&self, cursor: u64) -> ChangedTargets {
+        self.changed.since(cursor)
     }
 
     /// Belief about the latest start of a target.
@@ -275,7 +277,7 @@
 
     /// Takes where failure domains lie.
     pub fn set_regions(&mut self, regions: Regions) {
-        self.touched.touch_all();
+        self.changed.note_all();
         self.regions = regions;
     }
 
@@ -286,7 +288,7 @@
 
     /// The same, to be changed.
     pub fn versions_mut(&mut self) -> &mut Versions {
-        self.touched.touch_all();
+        self.changed.note_all();
         &mut self.versions
     }
 
@@ -309,31 +311,31 @@
         now: Time,
     ) -> Option<LimitChange> {
         let change = self.limits.hear(id, said, sent, now)?;
-        self.touched.touch(&id.name);
+        self.changed.note(&id.name);
         Some(change)
     }
 
     /// Takes a word of a target's limit from a peer.
     pub fn learn_limit(&mut self, id: &TargetId, word: Word) -> Option<LimitChange> {
         let change = self.limits.learn(id, word)?;
-        self.touched.touch(&id.name);
+        self.changed.note(&id.name);
         Some(change)
     }
 
     /// Takes what an answer of a target says of its load; returns whether it cannot be read while
     /// the word before could, or there was none.
-    pub fn hear_load(&mut self, id: &TargetId, said: ToldLoad, now: Time) -> bool {
+    pub fn note_load(&mut self, id: &TargetId, said: ReportedLoad, now: Time) -> bool {
         let Some(b) = self.get_mut(id) else {
             return false;
         };
         let was_bad = b.bad_load;
         match said {
-            ToldLoad::None => {}
-            ToldLoad::Load(load) => {
+            ReportedLoad::None => {}
+            ReportedLoad::Load(load) => {
                 b.bad_load = false;
-                b.load = Some(HeardLoad::new(load, b.outstanding.saturating_sub(1), now));
+                b.load = Some(LoadReport::new(load, b.outstanding.saturating_sub(1), now));
             }
-            ToldLoad::Unreadable => b.bad_load = true,
+            ReportedLoad::Unreadable => b.bad_load = true,
         }
         b.bad_load && !was_bad
     }
@@ -345,7 +347,7 @@
 
     /// Evacuations are followed: nothing is usable before they are known.
     pub fn follow_evacuations(&mut self) {
-        self.touched.touch_all();
+        self.changed.note_all();
         self.evacuated.follow();
     }
 
@@ -353,7 +355,7 @@
     pub fn evacuate(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
         let changes = self.evacuated.take(list, now);
         if !changes.is_empty() {
-            self.touched.touch_all();
+            self.changed.note_all();
         }
         changes
     }
@@ -419,7 +421,7 @@
 
     fn put(&mut self, target: Target, now: Time) -> bool {
         let name = target.id.name.clone();
-        self.touched.touch(&name);
+        self.changed.note(&name);
         let was_unreadable = self.unreadable.remove(&name);
         let is_same = |b: &Belief| {
             let known = &b.target;
@@ -449,7 +451,7 @@
     /// An entry cannot be read: its target gets nothing new, and what it has goes on. Returns
     /// whether that is new.
     pub fn unreadable(&mut self, name: &Name) -> bool {
-        self.touched.touch(name);
+        self.changed.note(name);
         if let Some(b) = self.beliefs.get_mut(name) {
             b.missing = None;
         }
@@ -459,7 +461,7 @@
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
     pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
-        self.touched.touch(name);
+        self.changed.note(name);
         let was_unreadable = self.unreadable.remove(name);
         let Some(b) = self.beliefs.get_mut(name) else {
             return;
@@ -510,7 +512,7 @@
         if let Some(names) = self.services.get_mut(&b.target.service) {
             names.retain(|n| n != name);
         }
-        self.touched.touch(name);
+        self.changed.note(name);
         self.recount(|versions| count_out(versions, &b.target));
     }
 
@@ -519,7 +521,7 @@
         let before = self.versions.changes();
         count(&mut self.versions);
         if self.versions.changes() != before {
-            self.touched.touch_all();
+            self.changed.note_all();
         }
     }
 
--- a/crates/decide/src/fleet/touched.rs
+++ b/crates/decide/src/fleet/changed.rs
@@ -1,34 +1,34 @@
 //! Which targets may have changed since somebody last looked.
 //!
-//! Whoever keeps an index of targets asks for the names that were touched since, and looks only
+//! Whoever keeps an index of targets asks for the names that changed since, and looks only
 //! at those. What concerns all targets alike, or lies too far back, makes them look at all.
 
 use std::collections::VecDeque;
 
 use model::Name;
 
-/// Touched names remembered: more than change while one who looks often is busy.
+/// ChangedTargets names remembered: more than change while one who looks often is busy.
 const REMEMBERED: usize = 4096;
 
 /// What may have changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Touched {
+pub enum ChangedTargets {
     /// These names, the same one several times perhaps.
     Names(Vec<Name>),
     /// Any target.
     Any,
 }
 
-/// Names in the order in which they were touched.
+/// Names in the order in which they changed.
 #[derive(Debug, Default)]
-pub(super) struct TouchLog {
+pub(super) struct ChangeLog {
     names: VecDeque<Name>,
     /// Number of the first one; names before it are not known any more.
     first: u64,
 }
 
-impl TouchLog {
-    pub(super) fn touch(&mut self, name: &Name) {
+impl ChangeLog {
+    pub(super) fn note(&mut self, name: &Name) {
         self.names.push_back(name.clone());
         if self.names.len() > REMEMBERED {
             self.names.pop_front();
@@ -37,7 +37,7 @@
     }
 
     /// Any target may have changed.
-    pub(super) fn touch_all(&mut self) {
+    pub(super) fn note_all(&mut self) {
         self.first = self.next() + 1;
         self.names.clear();
     }
@@ -47,11 +47,11 @@
         self.first + self.names.len() as u64
     }
 
-    /// What was touched since the next one had this number.
-    pub(super) fn since(&self, number: u64) -> Touched {
+    /// What changed since the next one had this number.
+    pub(super) fn since(&self, number: u64) -> ChangedTargets {
         let Some(known) = number.checked_sub(self.first) else {
-            return Touched::Any;
+            return ChangedTargets::Any;
         };
-        Touched::Names(self.names.iter().skip(known as usize).cloned().collect())
+        ChangedTargets::Names(self.names.iter().skip(known as usize).cloned().collect())
     }
 }
--- a/crates/decide/src/fleet/load.rs
+++ b/crates/decide/src/fleet/load.rs
@@ -16,20 +16,20 @@
 
 /// The last word of a target on its load.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct HeardLoad {
+pub(super) struct LoadReport {
     /// Requests of other nodes for each place.
     others: f64,
     slowdown: f64,
     heard: Time,
 }
 
-impl HeardLoad {
+impl LoadReport {
     /// A target told its load while this many requests of this node were there, the one whose
     /// answer told it not counted.
     pub(super) fn new(load: TargetLoad, own: u32, now: Time) -> Self {
         let all = load.running.saturating_add(load.waiting);
         let others = f64::from(all.saturating_sub(own)) / f64::from(load.slots.max(1));
-        HeardLoad { others, slowdown: load.slowdown, heard: now }
+        LoadReport { others, slowdown: load.slowdown, heard: now }
     }
 
     /// Expected requests of other nodes for each place.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -7,18 +7,18 @@
 
 mod answers;
 mod belief;
+mod changed;
 mod cold;
 mod evacuation;
 mod load;
 mod news;
 mod pick;
 mod terms;
-mod touched;
 
 pub use belief::{Belief, Fleet, Observation, Presence};
+pub use changed::ChangedTargets;
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange};
 pub use news::still_true;
 pub use pick::{ColdStarts, Home, Wanted, shares};
 pub use terms::{Barred, Regions, Terms};
-pub use touched::Touched;
--- a/crates/decide/src/member/gossip.rs
+++ b/crates/decide/src/member/gossip.rs
@@ -14,13 +14,13 @@
 const ACQUIT: usize = 5;
 /// Least time between two answers to a digest that differs.
 const SYNC_EVERY: Duration = Duration::from_secs(2);
-/// Time for which changes count as late ones. Rumors reach nearly everybody sooner.
-const LATE: Duration = Duration::from_secs(4);
-/// Part of the list up to which the late changes are told in its place.
-const LATE_MOST: f64 = 0.25;
+/// Time for which changes count as recent. Rumors reach nearly everybody sooner.
+const RECENT: Duration = Duration::from_secs(4);
+/// Part of the list up to which the recent changes are told in its place.
+const RECENT_MOST: f64 = 0.25;
 /// Time between two exchanges of whole lists for each peer on them, so that a node's part of
 /// them does not grow with the fleet.
-const WHOLE_EACH: Duration = Duration::from_millis(60);
+const FULL_SYNC_EACH: Duration = Duration::from_millis(60);
 /// Most that a node blames itself.
 pub(super) const SELF_MAX: u32 = 4;
 
@@ -80,27 +80,27 @@
     ///
     /// Where somebody comes or goes all the time no two digests are alike, and whole lists after
     /// each probe would cost each node as much as the fleet is large.
-    pub(super) fn compare(
+    pub(super) fn anti_entropy(
         &mut self,
         now: Time,
         from: SocketAddr,
         p: &Packet,
         out: &mut Vec<Action>,
     ) {
-        let due = self.synced == Time::ZERO || now.since(self.synced) >= SYNC_EVERY;
+        let due = self.last_sync == Time::ZERO || now.since(self.last_sync) >= SYNC_EVERY;
         if p.digest == self.digest() || !due || self.peers.get(&p.from).is_none() {
             return;
         }
-        self.synced = now;
-        let most = (self.peers.up() as f64 * LATE_MOST) as usize;
-        let since = Time(now.0.saturating_sub(LATE.as_micros() as u64));
-        let late: Vec<Rumor> = self.peers.news_since(since, now).take(most + 1).collect();
-        let is_whole_due = now.since(self.told_all) >= WHOLE_EACH * self.peers.up() as u32;
-        if is_whole_due || late.len() > most {
-            self.told_all = now;
-            return self.tell_all(from, out);
+        self.last_sync = now;
+        let most = (self.peers.up() as f64 * RECENT_MOST) as usize;
+        let since = Time(now.0.saturating_sub(RECENT.as_micros() as u64));
+        let recent: Vec<Rumor> = self.peers.news_since(since, now).take(most + 1).collect();
+        let is_full_due = now.since(self.full_sync) >= FULL_SYNC_EACH * self.peers.up() as u32;
+        if is_full_due || recent.len() > most {
+            self.full_sync = now;
+            return self.push_all(from, out);
         }
-        self.tell_each(from, &late, out);
+        self.push_each(from, &recent, out);
     }
 
     pub(super) fn hear(&mut self, now: Time, rumor: &Rumor, out: &mut Vec<Action>) {
--- a/crates/decide/src/member/join.rs
+++ b/crates/decide/src/member/join.rs
@@ -16,10 +16,10 @@
 use super::types::Action;
 
 /// Rumors in one packet that answers a newcomer.
-const WELCOME: usize = 16;
+const PUSHED: usize = 16;
 /// Peers that an answer has to bring for the whole list to be asked for once more: fewer come and
 /// go at any time, and rumors tell of them.
-const WORTH_A_PULL: usize = 4;
+const PULL_WORTH: usize = 4;
 /// Uptime from which on a peer did not start together with a new node.
 const OLD: Duration = Duration::from_secs(5);
 /// Time for which a node counts as new.
@@ -103,14 +103,14 @@
         }
         // Those that start together tell each other as long as any may still be coming.
         let gained = self.joining.known.map(|known| self.peers.up().saturating_sub(known));
-        let is_told = gained.is_some_and(|n| n < WORTH_A_PULL);
+        let is_told = gained.is_some_and(|n| n < PULL_WORTH);
         if is_told && self.peers.has_older_than(OLD, now) {
             self.joining.is_over = true;
             return;
         }
         let pause = if self.joining.is_herd(now) { PULL_EVERY } else { PULL_LATER };
         self.joining.next_pull = now + pause;
-        let hub = self.draw_hubs(1).first().map(|p| p.node.address);
+        let hub = self.sample_hubs(1).first().map(|p| p.node.address);
         if let Some(hub) = hub {
             self.joining.known = Some(self.peers.up());
             let mut packet = self.join_packet(Purpose::Ping { start: 0 }, 0);
@@ -120,36 +120,36 @@
     }
 
     /// Up to `n` of the peers whose hosts bear most.
-    fn draw_hubs(&mut self, n: usize) -> Vec<&Peer> {
+    fn sample_hubs(&mut self, n: usize) -> Vec<&Peer> {
         let Some((_, hubs)) = self.peers.hubs() else {
             return Vec::new();
         };
-        let drawn = hubs.draw(n, None, &mut self.rng);
+        let drawn = hubs.sample(n, None, &mut self.rng);
         drawn.into_iter().filter_map(|id| self.peers.get(id)).collect()
     }
 
     /// Answers a newcomer: a hub with all that it knows, the others with the hubs.
-    pub(super) fn welcome(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+    pub(super) fn push_members(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
         if self.peers.hubs().is_none_or(|(most, _)| most <= self.me.capacity) {
-            return self.tell_all(to, out);
+            return self.push_all(to, out);
         }
         let now = self.now;
         let mut hubs: Vec<Rumor> =
-            self.draw_hubs(WELCOME - 1).into_iter().map(|p| p.rumor(now)).collect();
+            self.sample_hubs(PUSHED - 1).into_iter().map(|p| p.rumor(now)).collect();
         hubs.push(self.own_rumor());
         self.tell(to, hubs, out);
     }
 
     /// Tells a peer about everybody.
-    pub(super) fn tell_all(&self, to: SocketAddr, out: &mut Vec<Action>) {
+    pub(super) fn push_all(&self, to: SocketAddr, out: &mut Vec<Action>) {
         let others = self.peers.iter_up().map(|p| p.rumor(self.now));
         let all: Vec<Rumor> = others.chain([self.own_rumor()]).collect();
-        self.tell_each(to, &all, out);
+        self.push_each(to, &all, out);
     }
 
     /// Tells a peer this news, some in each datagram.
-    pub(super) fn tell_each(&self, to: SocketAddr, news: &[Rumor], out: &mut Vec<Action>) {
-        for rumors in news.chunks(WELCOME) {
+    pub(super) fn push_each(&self, to: SocketAddr, news: &[Rumor], out: &mut Vec<Action>) {
+        for rumors in news.chunks(PUSHED) {
             self.tell(to, rumors.to_vec(), out);
         }
     }
--- a/crates/decide/src/member/machine.rs
+++ b/crates/decide/src/member/machine.rs
@@ -57,9 +57,9 @@
     pub(super) links: Vec<SocketAddr>,
     pub(super) blame: u32,
     pub(super) failed: bool,
-    pub(super) synced: Time,
+    pub(super) last_sync: Time,
     /// When a peer was last told the whole list since digests differed.
-    pub(super) told_all: Time,
+    pub(super) full_sync: Time,
     pub(super) retell: u8,
     /// Which of the lost addresses is tried next.
     pub(super) turn: usize,
@@ -97,8 +97,8 @@
             links: Vec::new(),
             blame: 0,
             failed: false,
-            synced: Time::ZERO,
-            told_all: Time::ZERO,
+            last_sync: Time::ZERO,
+            full_sync: Time::ZERO,
             retell: 0,
             turn: 0,
             seq: 0,
@@ -263,7 +263,7 @@
             out.push(Action::Heard(p.number, from));
         }
         if matches!(p.purpose, Purpose::Ping { .. } | Purpose::Ack) {
-            self.compare(now, from, &p, out);
+            self.anti_entropy(now, from, &p, out);
         }
         match p.purpose {
             Purpose::Ping { start } => self.ping(from, start, &p, out),
--- a/crates/decide/src/member/mod.rs
+++ b/crates/decide/src/member/mod.rs
@@ -11,7 +11,6 @@
 //! The manifest number rides on every packet and is pushed to a few peers as
 //! soon as it is in force, so that news of it spreads in milliseconds.
 
-mod draw;
 mod gossip;
 mod join;
 mod machine;
@@ -20,6 +19,7 @@
 mod peers;
 mod probes;
 mod rumors;
+mod sample;
 mod types;
 
 pub use machine::Member;
--- a/crates/decide/src/member/packets.rs
+++ b/crates/decide/src/member/packets.rs
@@ -57,7 +57,7 @@
     }
 
     pub(super) fn sample(&mut self, n: usize, but: &NodeId) -> Vec<SocketAddr> {
-        let drawn = self.peers.draw(n, but, &mut self.rng);
+        let drawn = self.peers.sample(n, but, &mut self.rng);
         drawn.into_iter().map(|p| p.node.address).collect()
     }
 }
--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -7,7 +7,7 @@
 use model::member::{Health, Node, NodeId, Rumor};
 use model::{Time, hash};
 
-use super::draw::DrawSet;
+use super::sample::SampleSet;
 use crate::rng::Rng;
 
 /// How long the dead are remembered, so that old news cannot bring them back.
@@ -67,9 +67,9 @@
 pub struct Peers {
     map: BTreeMap<NodeId, Peer>,
     /// Those that are up.
-    all: DrawSet<NodeId>,
+    all: SampleSet<NodeId>,
     /// The same by what their hosts bear.
-    up: BTreeMap<u8, DrawSet<NodeId>>,
+    up: BTreeMap<u8, SampleSet<NodeId>>,
     addresses: HashMap<SocketAddr, NodeId>,
     suspects: BTreeSet<NodeId>,
     /// Since when each has been as it is; the latest news of a fleet is at the end.
@@ -108,13 +108,13 @@
     }
 
     /// Peers whose hosts bear most, with how much that is.
-    pub fn hubs(&self) -> Option<(u8, &DrawSet<NodeId>)> {
+    pub fn hubs(&self) -> Option<(u8, &SampleSet<NodeId>)> {
         self.up.last_key_value().map(|(capacity, hubs)| (*capacity, hubs))
     }
 
     /// Up to `n` peers that are up but one, at random.
-    pub fn draw(&self, n: usize, but: &NodeId, rng: &mut Rng) -> Vec<&Peer> {
-        let drawn = self.all.draw(n, Some(but), rng);
+    pub fn sample(&self, n: usize, but: &NodeId, rng: &mut Rng) -> Vec<&Peer> {
+        let drawn = self.all.sample(n, Some(but), rng);
         drawn.into_iter().filter_map(|id| self.map.get(id)).collect()
     }
 
@@ -131,8 +131,8 @@
 
     /// News of the peers whose health changed since this time, the latest first.
     pub fn news_since(&self, since: Time, now: Time) -> impl Iterator<Item = Rumor> {
-        let late = self.since.iter().rev().take_while(move |(at, _)| *at >= since);
-        late.filter_map(|(_, id)| self.map.get(id)).map(move |p| p.rumor(now))
+        let recent = self.since.iter().rev().take_while(move |(at, _)| *at >= since);
+        recent.filter_map(|(_, id)| self.map.get(id)).map(move |p| p.rumor(now))
     }
 
     /// Whether a peer that is up has run for longer than this, as far as is known.
--- a/crates/decide/src/member/probes.rs
+++ b/crates/decide/src/member/probes.rs
@@ -122,7 +122,7 @@
         packet.rumors.extend(doubted.map(|p| p.rumor(self.now)));
         out.push(Action::Send(from, packet));
         if newcomer {
-            self.welcome(from, out);
+            self.push_members(from, out);
         }
     }
 
--- a/crates/decide/src/member/draw.rs
+++ b/crates/decide/src/member/sample.rs
@@ -1,4 +1,4 @@
-//! A set from which members are drawn at random without a pass over all.
+//! A set from which members are sampled at random without a pass over all.
 
 use std::collections::BTreeMap;
 
@@ -6,18 +6,18 @@
 
 /// A set whose members have numbers.
 #[derive(Debug, Clone)]
-pub(super) struct DrawSet<T> {
+pub(super) struct SampleSet<T> {
     members: Vec<T>,
     numbers: BTreeMap<T, usize>,
 }
 
-impl<T> Default for DrawSet<T> {
+impl<T> Default for SampleSet<T> {
     fn default() -> Self {
-        DrawSet { members: Vec::new(), numbers: BTreeMap::new() }
+        SampleSet { members: Vec::new(), numbers: BTreeMap::new() }
     }
 }
 
-impl<T: Ord + Clone> DrawSet<T> {
+impl<T: Ord + Clone> SampleSet<T> {
     pub(super) fn insert(&mut self, member: T) {
         if !self.numbers.contains_key(&member) {
             self.numbers.insert(member.clone(), self.members.len());
@@ -44,7 +44,7 @@
     }
 
     /// Up to `n` different members but one, in random order.
-    pub(super) fn draw(&self, n: usize, but: Option<&T>, rng: &mut Rng) -> Vec<&T> {
+    pub(super) fn sample(&self, n: usize, but: Option<&T>, rng: &mut Rng) -> Vec<&T> {
         let but = but.and_then(|member| self.numbers.get(member).copied());
         let most = n.min(self.len() - usize::from(but.is_some()));
         // Robert Floyd's: as many draws as members are wanted.
--- a/crates/decide/src/relay/waits.rs
+++ b/crates/decide/src/relay/waits.rs
@@ -31,7 +31,7 @@
 /// Time in which a node that knows nothing yet takes the whole list from a relay, as long as parts
 /// of it come: the list of a large fleet takes a small host's link half a second, and a relay's
 /// longer where many start together. Whoever asked anew would get the same from its beginning.
-pub const LIST_LONGEST: Duration = Duration::from_secs(10);
+pub const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for an answer that is not to wait for news, asked for over a new connection after one
 /// that had no answer in time.
 pub const ASK_AGAIN: Duration = Duration::from_millis(300);
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -133,7 +133,7 @@
     /// Starts of the peers' processes.
     births: BTreeSet<(i64, NodeId)>,
     rankings: RefCell<Rankings>,
-    looked_at: Cell<u64>,
+    visited: Cell<u64>,
     contacts: Contacts,
     stopping: BTreeMap<NodeId, Time>,
     most: usize,
@@ -156,7 +156,7 @@
             capacities: Tally::default(),
             births: BTreeSet::new(),
             rankings: RefCell::default(),
-            looked_at: Cell::new(0),
+            visited: Cell::new(0),
             contacts: Contacts::default(),
             stopping: BTreeMap::new(),
             most: 1,
@@ -249,8 +249,8 @@
     }
 
     /// Peers looked at so far for questions of who does something.
-    pub fn looked_at(&self) -> u64 {
-        self.looked_at.get()
+    pub fn visited(&self) -> u64 {
+        self.visited.get()
     }
 
     /// This node stops.
@@ -352,7 +352,7 @@
                     && (p.uptime(now) >= settled) == is_settled
             };
             walk.clone().filter_map(move |ranked| {
-                self.looked_at.set(self.looked_at.get() + 1);
+                self.visited.set(self.visited.get() + 1);
                 let peer = self.up.get(&ranked.id).filter(|p| is_in(p))?;
                 let (capacity, score) = (ranked.capacity.0, ranked.score.0);
                 Some((Place { is_there, is_settled, capacity, score }, peer))
--- a/crates/decide/tests/batch_pool.rs
+++ b/crates/decide/tests/batch_pool.rs
@@ -27,7 +27,7 @@
 }
 
 /// Makers looked at for each order of two pieces, in a pool of this many.
-fn looked_at(makers: usize) -> f64 {
+fn visited(makers: usize) -> f64 {
     const ORDERS: u64 = 500;
     let mut fleet = Fleet::default();
     for i in 0..makers {
@@ -40,7 +40,7 @@
         feed.news(fleet, &engines(), &map, None, now).map(|news| c.on(now, news))
     };
     tell(&mut c, &fleet, at(0));
-    let before = c.looked_at();
+    let before = c.visited();
     for i in 0..ORDERS {
         let now = at(10 + i * 4);
         // A replica is replaced each 40 ms.
@@ -54,12 +54,12 @@
             c.on(now, Event::Ended(call.number, made(&call)));
         }
     }
-    (c.looked_at() - before) as f64 / ORDERS as f64
+    (c.visited() - before) as f64 / ORDERS as f64
 }
 
 #[test]
 fn work_for_an_order_does_not_grow_with_the_pool() {
-    let (small, large) = (looked_at(300), looked_at(3000));
+    let (small, large) = (visited(300), visited(3000));
     assert!(large <= small * 1.2, "{small} makers at 300, {large} at 3,000");
     assert!(large < 20.0, "{large}");
 }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -10,7 +10,7 @@
 use decide::fleet::{Fleet, Home, Observation, Regions, Terms, Wanted, shares};
 use decide::region::Map;
 use decide::rng::Rng;
-use model::forward::{Allowed, NamedLimit, PromptPart, Target, TargetId, TargetLoad, ToldLoad};
+use model::forward::{Allowed, NamedLimit, PromptPart, ReportedLoad, Target, TargetId, TargetLoad};
 use support::{at, target, wanted};
 
 fn fleet(n: usize) -> Fleet {
@@ -191,7 +191,7 @@
     for id in ["t0", "t1"] {
         fleet.observe(&id.into(), Observation::Answered(Duration::from_millis(50)), at(0));
     }
-    assert!(!fleet.hear_load(&"t0".into(), ToldLoad::Load(load), at(0)));
+    assert!(!fleet.note_load(&"t0".into(), ReportedLoad::Load(load), at(0)));
     let chosen = fleet.pick_plain(wanted(&[]), at(ms), &mut rng).expect("two are up");
     chosen.id.name.to_string()
 }
@@ -218,13 +218,13 @@
     }
     // One of the three has just been answered with this.
     let told = TargetLoad { running: 2, waiting: 0, slots: 4, slowdown: 1.0 };
-    fleet.hear_load(&id, ToldLoad::Load(told), at(0));
+    fleet.note_load(&id, ReportedLoad::Load(told), at(0));
     fleet.done(&id);
     assert_eq!(load(&fleet), 0.5, "two of its four places");
-    assert!(fleet.hear_load(&id, ToldLoad::Unreadable, at(0)), "told once");
-    assert!(!fleet.hear_load(&id, ToldLoad::Unreadable, at(0)));
+    assert!(fleet.note_load(&id, ReportedLoad::Unreadable, at(0)), "told once");
+    assert!(!fleet.note_load(&id, ReportedLoad::Unreadable, at(0)));
     assert_eq!(load(&fleet), 0.5);
-    assert!(!fleet.hear_load(&"t9".into(), ToldLoad::Unreadable, at(0)), "it is not known");
+    assert!(!fleet.note_load(&"t9".into(), ReportedLoad::Unreadable, at(0)), "it is not known");
 }
 
 #[test]
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -8,8 +8,8 @@
 use hyper::http::{request, response};
 use model::Name;
 use model::forward::{
-    CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, PieceOrder, PieceResult, Rollout,
-    RolloutState, Rules, Target, TargetId, ToldLoad,
+    CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, PieceOrder, PieceResult, ReportedLoad,
+    Rollout, RolloutState, Rules, Target, TargetId,
 };
 
 /// A message that could not be understood.
@@ -64,7 +64,7 @@
     /// Requests that the target takes.
     pub limit: NamedLimit,
     /// Load of the target.
-    pub load: ToldLoad,
+    pub load: ReportedLoad,
 }
 
 /// A call with a body.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use hdrhistogram::Histogram;
 use model::Name;
-use model::forward::ToldLoad;
+use model::forward::ReportedLoad;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -302,11 +302,11 @@
     }
 
     /// An answer came that says this of its target's load.
-    pub fn load(&self, said: ToldLoad) {
+    pub fn load(&self, said: ReportedLoad) {
         match said {
-            ToldLoad::None => {}
-            ToldLoad::Load(_) => _ = self.loads_told.inc(),
-            ToldLoad::Unreadable => _ = self.loads_unreadable.inc(),
+            ReportedLoad::None => {}
+            ReportedLoad::Load(_) => _ = self.loads_told.inc(),
+            ReportedLoad::Unreadable => _ = self.loads_unreadable.inc(),
         }
     }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,7 +10,7 @@
 use decide::relay::{self, Doubt};
 use decide::resend::RepeatBudget;
 use decide::rng::Rng;
-use model::forward::{QueueId, Rollout, Rules, Target, TargetId, ToldLoad, Waits};
+use model::forward::{QueueId, ReportedLoad, Rollout, Rules, Target, TargetId, Waits};
 use model::{Name, Time};
 use tokio::sync::watch;
 use util::clock::Clock;
@@ -226,10 +226,10 @@
     }
 
     /// Takes what an answer says of its target's load.
-    pub fn hear_load(&self, target: &Target, said: ToldLoad) {
+    pub fn note_load(&self, target: &Target, said: ReportedLoad) {
         self.metrics.load(said);
         let now = self.now();
-        if self.fleet(|f| f.hear_load(&target.id, said, now)) {
+        if self.fleet(|f| f.note_load(&target.id, said, now)) {
             Event::BadLoad { target: &target.id.name, service: &target.service }.emit();
         }
     }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use util::http::{CallError, CallKind, Client, Pace, read_rmp_answer};
+use util::http::{CallError, CallKind, Client, Timeouts, read_rmp_answer};
 
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
@@ -249,9 +249,10 @@
         return ask_over(node, client, peer, server::FOLLOW, question, timeout).await;
     }
     let bytes = rmp_serde::to_vec(question).expect("messages encode");
-    let pace = Pace { head: timeout, pause: waits::PEER_SLACK, whole: waits::LIST_LONGEST };
+    let timeouts =
+        Timeouts { head: timeout, idle: waits::PEER_SLACK, total: waits::SNAPSHOT_TIMEOUT };
     let (name, sent) = (peer.to_string(), bytes.len());
-    let call = client.rmp_bytes_paced(&name, server::FOLLOW, bytes, pace);
+    let call = client.rmp_bytes_streamed(&name, server::FOLLOW, bytes, timeouts);
     read_rmp_answer(&name, &counted(node, peer, server::FOLLOW, sent, call).await?)
 }
 
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -201,7 +201,7 @@
             return self.not_run(Observation::Replaced, "another target has the address".into());
         }
         limits::hear(&self.exchange.node, self.target, said.limit, self.begun);
-        self.exchange.node.hear_load(self.target, said.load);
+        self.exchange.node.note_load(self.target, said.load);
         if said.not_run && said.input_gone {
             self.exchange.progress(|p| p.tries.note(Ran::No));
             return Outcome::InputGone;
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -187,7 +187,7 @@
         return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
     }
     limits::hear(node, target, said.limit, begun);
-    node.hear_load(target, said.load);
+    node.note_load(target, said.load);
     if said.not_run {
         return (CallEnd::Full, Observation::Rejected, "full".into());
     }
--- a/crates/forward/src/watch/feed.rs
+++ b/crates/forward/src/watch/feed.rs
@@ -13,7 +13,7 @@
 
 use super::ages::{Age, Ages};
 use super::millis;
-use super::whole::WholeList;
+use super::snapshot::SnapshotCache;
 use crate::border::Kind;
 use crate::events::Event;
 
@@ -33,7 +33,7 @@
     news: watch::Sender<()>,
     reads_store: watch::Sender<bool>,
     /// For those that know nothing yet.
-    pub whole: WholeList,
+    pub snapshot: SnapshotCache,
 }
 
 impl Default for Feed {
@@ -49,7 +49,7 @@
             out_of_touch: Cell::new(false),
             news: watch::Sender::new(()),
             reads_store: watch::Sender::new(false),
-            whole: WholeList::default(),
+            snapshot: SnapshotCache::default(),
         }
     }
 }
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -7,9 +7,9 @@
 mod lists;
 mod rollouts;
 mod rules;
+mod snapshot;
 mod store;
 mod targets;
-mod whole;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -14,8 +14,8 @@
 use util::http::{CallKind, Client};
 
 use super::feed::Feed;
+use super::snapshot::SNAPSHOT_TTL;
 use super::store::{Reader, Step};
-use super::whole::WHOLE_KEPT;
 use super::{evacuations, millis, relays, rollouts};
 use crate::border::{Change, Kind};
 use crate::events::Event;
@@ -317,20 +317,20 @@
     let news = match node.feed.since(ask.at) {
         _ if node.feed.at().is_none() => TargetNews::Unknown,
         Some(changes) => TargetNews::Changes(changes),
-        None => return Some(whole_answer(node)),
+        None => return Some(snapshot_answer(node)),
     };
     Some(encoded(&answer_of(node, news, ask.rollouts, Duration::ZERO)))
 }
 
 /// The answer with the whole list. Many that have just started ask for it together, so that it
 /// is encoded once for all of a moment.
-fn whole_answer(node: &Node) -> Bytes {
+fn snapshot_answer(node: &Node) -> Bytes {
     let now = node.now();
     let lists = node.fleet(|f| (f.evacuated().at(), f.versions().at()));
     let key = (node.table().rules.version, lists, node.feed.is_out_of_touch());
-    node.feed.whole.get(key, now, || {
+    node.feed.snapshot.get(key, now, || {
         let news = TargetNews::Whole(node.fleet(|f| f.list(now)));
-        encoded(&answer_of(node, news, None, WHOLE_KEPT))
+        encoded(&answer_of(node, news, None, SNAPSHOT_TTL))
     })
 }
 
--- a/crates/model/src/forward/load.rs
+++ b/crates/model/src/forward/load.rs
@@ -15,7 +15,7 @@
 
 /// What an answer says of its target's load.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum ToldLoad {
+pub enum ReportedLoad {
     /// Nothing.
     #[default]
     None,
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -25,7 +25,7 @@
 pub use caller::{CallerHead, PromptPart};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use limit::{LimitNews, LimitWord, NamedLimit, PermitAnswer, PermitAsk, TargetLimit};
-pub use load::{TargetLoad, ToldLoad};
+pub use load::{ReportedLoad, TargetLoad};
 pub use policy::Policy;
 pub use prefill::{PrefillAnswer, PrefillAsk, PrefillEnd};
 pub use quarantine::{EndNews, HeldRecord, MakerEnd, QuarantineNews, SuspectNews};
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -71,13 +71,13 @@
 
 /// How long a large answer may take.
 #[derive(Debug, Clone, Copy)]
-pub struct Pace {
+pub struct Timeouts {
     /// Until its head is there.
     pub head: Duration,
     /// Between two of its parts.
-    pub pause: Duration,
+    pub idle: Duration,
     /// In all.
-    pub whole: Duration,
+    pub total: Duration,
 }
 
 /// A pooled client; clones share the pool. The operating system probes its connections, so that
@@ -191,18 +191,18 @@
     }
 
     /// The same for an answer that may be large: as long as it comes it is waited for.
-    pub async fn rmp_bytes_paced(
+    pub async fn rmp_bytes_streamed(
         &self,
         peer: &str,
         path: &str,
         body: Vec<u8>,
-        pace: Pace,
+        timeouts: Timeouts,
     ) -> Result<Bytes, CallError> {
         let call = async {
-            let head = within(peer, pace.head, self.post(peer, path, super::RMP, body)).await?;
-            collect_paced(peer, head, pace.pause).await
+            let head = within(peer, timeouts.head, self.post(peer, path, super::RMP, body)).await?;
+            collect_streamed(peer, head, timeouts.idle).await
         };
-        within(peer, pace.whole, call).await
+        within(peer, timeouts.total, call).await
     }
 
     /// Puts a body; an answer outside 2xx is an error.
@@ -361,17 +361,17 @@
     Ok(whole.to_bytes())
 }
 
-/// Reads a body whose parts are at most `pause` apart.
-async fn collect_paced(
+/// Reads a body whose parts are at most `idle` apart.
+async fn collect_streamed(
     peer: &str,
     response: Response<Incoming>,
-    pause: Duration,
+    idle: Duration,
 ) -> Result<Bytes, CallError> {
     let mut body = Limited::new(response.into_body(), BODY_MAX);
     let mut whole = BytesMut::new();
     loop {
         let next = async { Ok(body.frame().await) };
-        let Some(frame) = within(peer, pause, next).await? else {
+        let Some(frame) = within(peer, idle, next).await? else {
             return Ok(whole.freeze());
         };
         let frame = frame.map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
--- a/crates/util/tests/paced.rs
+++ b/crates/util/tests/streamed.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
-use util::http::{CallKind, Client, Pace};
+use util::http::{CallKind, Client, Timeouts};
 
 const MS: Duration = Duration::from_millis(1);
 const PART: usize = 1000;
@@ -34,10 +34,10 @@
 /// What comes of an answer, and after how long.
 async fn asked(before: Duration, pause: Duration, parts: usize) -> (Option<CallKind>, Duration) {
     let peer = peer(before, pause, parts).await;
-    let pace = Pace { head: 300 * MS, pause: 300 * MS, whole: 2000 * MS };
+    let timeouts = Timeouts { head: 300 * MS, idle: 300 * MS, total: 2000 * MS };
     let begun = Instant::now();
     let client = Client::new(1000 * MS);
-    let answer = client.rmp_bytes_paced(&peer, "/list", Vec::new(), pace).await;
+    let answer = client.rmp_bytes_streamed(&peer, "/list", Vec::new(), timeouts).await;
     if let Ok(bytes) = &answer {
         assert_eq!(bytes.len(), 10 * PART);
     }
