--- a/crates/decide/src/fleet/changed.rs
+++ b/crates/decide/src/fleet/changed.rs
@@ -7,7 +7,7 @@
 
 use model::Name;
 
-/// ChangedTargets names remembered: more than change while one who looks often is busy.
+/// Changed names remembered: more than change while one who looks often is busy.
 const REMEMBERED: usize = 4096;
 
 /// What may have changed.
