Two starts of a name are told apart from 2 s of uptime on; nothing stays of peers that are gone

Cause, found by reading the diff: a node that was taken for dead goes on under a new start with the uptime of its one process, which others know only to within the time that news of it took. With 50 ms between two uptimes late news of the earlier start could end the later one (at nodes that never knew the earlier), or keep the later one off a list. And what was heard of peers after they had gone was kept for good, since the roster no longer goes through all at each tick.

Ruled out: to compare by the order of arrival (rumors overtake each other).

Change: `RESTARTED`, 2 s; what restarts sooner is told apart by probes, as before. `forget_gone` drops what was heard of peers that are not up as soon as there is more of it than peers.

--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -16,6 +16,11 @@
 /// Least difference by which a known uptime is corrected: what news of it was under way.
 const UPTIME_NOISE: Duration = Duration::from_millis(50);
 
+/// Least difference of uptimes from which two starts of a name are two processes. A process that
+/// was taken for dead goes on under a new start with the same uptime, which others know to within
+/// the time that news of it took.
+const RESTARTED: Duration = Duration::from_secs(2);
+
 /// Peers looked at to tell whether any has run for long.
 const OLD_SAMPLE: usize = 32;
 
@@ -210,7 +215,7 @@
     /// Whether a later start of the node of which this tells is known.
     fn has_later_start(&self, now: Time, r: &Rumor) -> bool {
         let up = Duration::from_millis(r.up_ms);
-        self.other_starts(&r.node.id).any(|p| p.uptime(now) + UPTIME_NOISE < up)
+        self.other_starts(&r.node.id).any(|p| p.uptime(now) + RESTARTED < up)
     }
 
     /// Earlier starts of a peer, which are gone: a name runs once.
@@ -218,7 +223,7 @@
         let Some(up) = self.map.get(id).map(|p| p.uptime(now)) else {
             return Vec::new();
         };
-        let earlier = self.other_starts(id).filter(|p| p.uptime(now) > up + UPTIME_NOISE);
+        let earlier = self.other_starts(id).filter(|p| p.uptime(now) > up + RESTARTED);
         earlier.map(|p| p.node.id.clone()).collect()
     }
 
--- a/crates/decide/src/roster/contact.rs
+++ b/crates/decide/src/roster/contact.rs
@@ -50,6 +50,19 @@
         }
     }
 
+    /// Count of peers of which something is known.
+    pub(super) fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// Forgets all peers but these.
+    pub(super) fn retain(&mut self, is_kept: impl Fn(&NodeId) -> bool) {
+        self.heard.retain(|id, _| is_kept(id));
+        for silent in self.silent.values_mut() {
+            silent.retain(&is_kept);
+        }
+    }
+
     pub(super) fn answered(&mut self, id: &NodeId, domain: Option<&Name>, now: Time) {
         let heard = Heard { answered: now, silent: false, asked: now, asking: false };
         self.heard.insert(id.clone(), heard);
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -189,7 +189,7 @@
         for view in up {
             self.put(view, now);
         }
-        self.forget_stopped(now);
+        self.forget_gone(now);
     }
 
     /// Takes one peer that is up, as it is now.
@@ -236,9 +236,12 @@
         self.contacts.forget(id, &node.domain);
     }
 
-    /// Forgets peers that stopped long ago.
-    pub fn forget_stopped(&mut self, now: Time) {
+    /// Forgets peers that stopped long ago, and what was heard of peers after they were gone.
+    pub fn forget_gone(&mut self, now: Time) {
         self.stopping.retain(|_, since| now.since(*since) < STOPPED_KEPT);
+        if self.contacts.len() > self.up.len() {
+            self.contacts.retain(|id| self.up.contains_key(id));
+        }
     }
 
     /// The most that a host bears, and how many hosts bear that.
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -8,7 +8,7 @@
 use decide::member::{Action, Event, Member, Tuning};
 use decide::rng::Rng;
 use model::Time;
-use model::member::{LoadRumor, Node, NodeId, Packet};
+use model::member::{Health, LoadRumor, Node, NodeId, Packet, Purpose, Rumor};
 
 fn address(i: usize) -> SocketAddr {
     let [.., high, low] = (i as u32).to_be_bytes();
@@ -208,6 +208,37 @@
     assert!(net.views().iter().all(|n| *n == 295), "{:?}", net.views());
 }
 
+/// A node that knows one start of a peer and hears of another, each of a process that ran for
+/// this long; the starts that it takes for up.
+fn known_after(first_up_ms: u64, second_up_ms: u64) -> Vec<u64> {
+    let mut m = Member::new(node(1, 1), Tuning::default(), 1);
+    for (start, up_ms) in [(10, first_up_ms), (20, second_up_ms)] {
+        let rumor =
+            Rumor { node: node(2, start), health: Health::Alive, incarnation: 0, number: 0, up_ms };
+        let from = node(3, 3);
+        let packet = Packet {
+            from: from.id,
+            seq: 0,
+            purpose: Purpose::News,
+            number: 0,
+            digest: 0,
+            rumors: vec![rumor],
+            loads: Vec::new(),
+        };
+        m.on(Time::from_millis(100), Event::Packet { from: from.address, packet });
+    }
+    m.peers().map(|p| p.node.id.start).collect()
+}
+
+#[test]
+fn a_restart_ends_the_start_before_and_a_new_identity_of_one_process_does_not() {
+    assert_eq!(known_after(60_000, 300), [20], "the name was started again");
+    assert_eq!(known_after(300, 60_000), [10], "old news of the start before");
+    // Taken for dead, a process goes on under a new start; news of either may be late.
+    assert_eq!(known_after(60_000, 60_400), [10, 20]);
+    assert_eq!(known_after(60_400, 60_000), [10, 20]);
+}
+
 /// Where somebody comes or goes all the time no two lists are alike, and after each probe a node
 /// told all that it knew: as much as the fleet is large.
 #[test]
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -244,6 +244,10 @@
     roster.update(Vec::new(), at(130_000));
     assert!(!roster.is_sound(&id));
     assert_eq!(roster.most_seen(), 2, "the budget stays shared by as many as there were");
+    roster.silent(&id, at(130_000));
+    assert!(roster.is_silent(&id), "an answer that is waited for may still fail");
+    roster.forget_gone(at(130_000));
+    assert!(!roster.is_silent(&id));
 }
 
 /// The roster of node `me` among `n` nodes of which every third is in the same domain.
--- a/crates/forward/src/peers/membership.rs
+++ b/crates/forward/src/peers/membership.rs
@@ -83,7 +83,7 @@
                 None => r.remove(&id),
             }
         }
-        r.forget_stopped(now);
+        r.forget_gone(now);
     });
 }
 
