--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -13,12 +13,14 @@
 mod load;
 mod news;
 mod pick;
+mod targets;
 mod terms;
 
-pub use belief::{Belief, Fleet, Observation, Presence};
+pub use belief::{Belief, Observation, Presence};
 pub use changed::ChangedTargets;
 pub use cold::{ColdBounds, ColdLimit};
 pub use evacuation::{Evacuated, EvacuationChange};
 pub use news::still_true;
 pub use pick::{ColdStarts, Home, Wanted, shares};
+pub use targets::Fleet;
 pub use terms::{Barred, Regions, Terms};
