A first list without evacuations brings the makers to their coordinators

Cause: a node that follows evacuations takes every failure domain for evacuated until the first list. `Fleet::evacuate` noted a change for those that look at changes alone only where the list changed a domain, and an empty first list changes none while it makes all targets usable. A coordinator whose targets came before it had no makers then, for good.

Change: the first list is a change whatever it says.

Tests: `a_first_list_without_evacuations_brings_the_makers`; the property test of the feed follows evacuations and roll-outs in half of its cases, and lists of both come at any moment. It did neither, which is why it did not find this.

--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -210,8 +210,10 @@
 
     /// Takes a list of evacuations unless a newer one is known; returns what it changes.
     pub fn evacuate(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
+        // With the first list all domains but those on it may be used, also where it is empty.
+        let was_known = self.evacuated.is_known();
         let changes = self.evacuated.take(list, now);
-        if !changes.is_empty() {
+        if !was_known || !changes.is_empty() {
             self.changed.note_all();
         }
         changes
--- a/crates/decide/tests/batch_pool.rs
+++ b/crates/decide/tests/batch_pool.rs
@@ -14,7 +14,7 @@
 use decide::fleet::{ColdLimit, Fleet, Regions, Terms};
 use decide::region::Map;
 use model::Time;
-use model::forward::{Evacuations, NamedLimit, Policy, PoolId, Target, TargetId};
+use model::forward::{Evacuations, NamedLimit, Policy, PoolId, Rollouts, Target, TargetId};
 use proptest::prelude::*;
 use support::{at, calls, made, order, placed, pool};
 use targets::target;
@@ -64,6 +64,20 @@
     assert!(large < 20.0, "{large}");
 }
 
+/// Nodes that follow evacuations use nothing before the first list, which is empty as a rule.
+#[test]
+fn a_first_list_without_evacuations_brings_the_makers() {
+    let map = Map::new("a".into(), Regions::default());
+    let mut fleet = Fleet::default();
+    fleet.follow_evacuations();
+    fleet.upsert(target("t0", "a"), at(0));
+    let mut feed = MakerFeed::default();
+    assert_eq!(feed.news(&fleet, &engines(), &map, None, at(0)), Some(Event::Makers(Vec::new())));
+    fleet.evacuate(Evacuations { at: 1, domains: Vec::new() }, at(10));
+    let told = all_of(feed.news(&fleet, &engines(), &map, None, at(10)));
+    assert_eq!(told.len(), 1, "{told:?}");
+}
+
 /// What may change about five targets.
 #[derive(Debug, Clone)]
 enum Change {
@@ -71,6 +85,7 @@
     Unreadable(usize),
     Gone { which: usize, doubted: bool },
     Evacuated(Vec<bool>),
+    Orders,
     Limit { which: usize, per_s: Option<f64> },
     Expire,
     Pass(u64),
@@ -85,6 +100,7 @@
         1 => (0usize..5).prop_map(Change::Unreadable),
         2 => (0usize..5, any::<bool>()).prop_map(|(which, doubted)| Change::Gone { which, doubted }),
         1 => prop::collection::vec(any::<bool>(), 3).prop_map(Change::Evacuated),
+        1 => Just(Change::Orders),
         2 => (0usize..5, prop::option::of(1.0..20.0)).prop_map(|(which, per_s)| Change::Limit { which, per_s }),
         1 => Just(Change::Expire),
         4 => (1u64..1500).prop_map(Change::Pass),
@@ -119,6 +135,10 @@
             let domains = domains.filter(|(_, is)| *is).map(|(d, _)| d.into()).collect();
             fleet.evacuate(Evacuations { at: revision, domains }, at(now));
         }
+        Change::Orders => {
+            let list = Rollouts { at: revision, ..Rollouts::default() };
+            fleet.versions_mut().take(list, at(now));
+        }
         Change::Limit { which, per_s } => {
             let said = per_s.map_or(NamedLimit::None, NamedLimit::PerSecond);
             let id = id(fleet, which);
@@ -142,9 +162,14 @@
     #[test]
     fn changes_of_makers_come_to_the_same_as_whole_lists(
         changes in prop::collection::vec(change(), 1..60),
+        follows in any::<bool>(),
     ) {
         let map = Map::new("a".into(), Regions::default());
         let mut fleet = Fleet::default();
+        if follows {
+            fleet.follow_evacuations();
+            fleet.versions_mut().follow();
+        }
         let mut feed = MakerFeed::default();
         let mut known = BTreeMap::new();
         let mut now = 0;
