A list of targets is taken without two copies of each entry

Change: `recount` takes the two parts of the fleet that it needs. A name is noted where its target is forgotten or begins to be missed, not before both. Ruled out: a cursor by the lists' revisions in place of notes: they rise with any write to the store, and each rise would make coordinators look at all makers.

Behaviour is as it was.

--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -191,10 +191,7 @@
     /// Takes what an answer of a target says of its load; returns whether it cannot be read while
     /// the word before could, or there was none.
     pub fn note_load(&mut self, id: &TargetId, said: ReportedLoad, now: Time) -> bool {
-        let Some(b) = self.get_mut(id) else {
-            return false;
-        };
-        b.note_load(said, now)
+        self.get_mut(id).is_some_and(|b| b.note_load(said, now))
     }
 
     /// What is known of evacuations.
@@ -291,18 +288,16 @@
         };
         if let Some(b) = self.beliefs.get_mut(&name).filter(|b| is_same(b)) {
             let was_missing = b.missing.take().is_some();
-            let before = b.target.clone();
-            let has_changed = b.set_target(target.clone(), now);
-            self.recount(|versions| {
+            recount(&mut self.versions, &mut self.changed, |versions| {
                 // In first: a version's only target does not make it a new one.
                 count_in(versions, &target);
-                count_out(versions, &before);
+                count_out(versions, &b.target);
             });
-            return has_changed || was_missing || was_unreadable;
+            return b.set_target(target, now) || was_missing || was_unreadable;
         }
         self.forget(&name);
         self.services.entry(target.service.clone()).or_default().push(name.clone());
-        self.recount(|versions| count_in(versions, &target));
+        recount(&mut self.versions, &mut self.changed, |versions| count_in(versions, &target));
         self.beliefs.insert(name, Belief::new(target, now));
         true
     }
@@ -320,13 +315,15 @@
     /// An entry is gone. After an outage of the store it may have lapsed although its
     /// target lives: until `doubt` the target is kept then.
     pub fn vanish(&mut self, name: &Name, doubt: Option<Time>) {
-        self.changed.note(name);
         let was_unreadable = self.unreadable.remove(name);
         let Some(b) = self.beliefs.get_mut(name) else {
             return;
         };
         match doubt {
-            Some(until) if !b.target.draining && !was_unreadable => b.missing = Some(until),
+            Some(until) if !b.target.draining && !was_unreadable => {
+                b.missing = Some(until);
+                self.changed.note(name);
+            }
             _ => self.forget(name),
         }
     }
@@ -372,16 +369,7 @@
             names.retain(|n| n != name);
         }
         self.changed.note(name);
-        self.recount(|versions| count_out(versions, &b.target));
-    }
-
-    /// Counts targets of versions otherwise; which versions there are decides for all targets.
-    fn recount(&mut self, count: impl FnOnce(&mut Versions)) {
-        let before = self.versions.changes();
-        count(&mut self.versions);
-        if self.versions.changes() != before {
-            self.changed.note_all();
-        }
+        recount(&mut self.versions, &mut self.changed, |versions| count_out(versions, &b.target));
     }
 
     /// A request goes to the target, with this many prompt tokens to read.
@@ -416,6 +404,15 @@
     }
 }
 
+/// Counts targets of versions otherwise; which versions there are decides for all targets.
+fn recount(versions: &mut Versions, changed: &mut ChangeLog, count: impl FnOnce(&mut Versions)) {
+    let before = versions.changes();
+    count(versions);
+    if versions.changes() != before {
+        changed.note_all();
+    }
+}
+
 /// Counts a target of a version, unless it leaves: such a one is no other that its service
 /// could go on with.
 fn count_in(versions: &mut Versions, target: &Target) {
