What changed of a peer is forgotten with the peer

Cause: the membership notes whose state changed for a program that looks at changes alone. The control program and the experiment tool do not take these notes, and kept an identity for each start of a node for good.

Change: the note goes when the peer is forgotten, two minutes after its end; who takes the notes has taken it by then. Ruled out: notes only on demand, a switch for one line.

--- a/crates/decide/src/member/peers.rs
+++ b/crates/decide/src/member/peers.rs
@@ -280,6 +280,8 @@
             }
             self.gone.remove(&(at, id.clone()));
             self.since.remove(&(at, id.clone()));
+            // Not every program takes what changed.
+            self.changed.remove(&id);
             self.map.remove(&id);
         }
     }
