The experiment tool's two simulated networks share one wire

Cause: the slopes of a failure domain and of a start of all each had the queue of datagrams and timers, the clock, the addresses, the loss and delay of datagrams.

Change: `slopes::wire`. The rest of the two is their own: what is measured, and what else happens. Ruled out: one harness for both, with a switch for loads, restarts and each process's own time.

--- a/crates/bench/src/slopes/members.rs
+++ b/crates/bench/src/slopes/members.rs
@@ -6,14 +6,12 @@
 use std::time::{Duration, Instant};
 
 use decide::member::{Action, Event, Member, Tuning};
-use decide::rng::Rng;
 use model::Time;
 use model::member::{Health, LoadRumor, Node, NodeId, Packet};
 
+use super::wire::{Todo, Wire, address, length};
 use super::{Figure, counted, timed};
 
-/// Bytes of IPv4 and UDP headers.
-const HEADERS: usize = 28;
 /// Targets for each node: 217 before 57 nodes in one failure domain.
 const TARGETS: f64 = 217.0 / 57.0;
 /// Seconds between two changes worth telling of one target's load.
@@ -23,48 +21,29 @@
 /// Seconds until a domain has found itself.
 const SETTLE: u64 = 150;
 
-fn address(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 7000))
-}
+/// The load of a target changes.
+struct Change(u32);
 
 /// A failure domain over a network that loses datagrams, by events.
 struct Domain {
-    rng: Rng,
+    wire: Wire<Change>,
     nodes: Vec<Option<Member>>,
-    wire: BTreeMap<(Time, u64), Todo>,
-    seq: u64,
-    now: Time,
-    loss: f64,
-    packets: u64,
-    bytes: u64,
     spent: Duration,
     loads: Vec<BTreeMap<u32, u16>>,
     dead: Vec<(usize, usize, Time)>,
 }
 
-enum Todo {
-    Packet(SocketAddr, usize, Box<Packet>),
-    Tick(usize),
-    Change(u32),
-}
-
 impl Domain {
     fn new(n: usize, loss: f64, seed: u64) -> Self {
         let mut d = Domain {
-            rng: Rng::new(seed),
+            wire: Wire::new(loss, seed),
             nodes: Vec::new(),
-            wire: BTreeMap::new(),
-            seq: 0,
-            now: Time::ZERO,
-            loss,
-            packets: 0,
-            bytes: 0,
             spent: Duration::ZERO,
             loads: vec![BTreeMap::new(); n],
             dead: Vec::new(),
         };
         for i in 0..n {
-            let start = d.rng.draw().max(1);
+            let start = d.wire.rng.draw().max(1);
             let id = NodeId { name: format!("hall-a-{i}").into(), start };
             let node = Node {
                 id,
@@ -73,11 +52,11 @@
                 domain: "a".into(),
                 capacity: 0,
             };
-            let mut m = Member::new(node, Tuning::default(), d.rng.draw());
+            let mut m = Member::new(node, Tuning::default(), d.wire.rng.draw());
             m.on(Time::ZERO, Event::Seeds((0..3.min(n)).map(address).collect()));
             d.nodes.push(Some(m));
-            let at = Time(d.rng.below(1_000_000) as u64);
-            d.todo(at, Todo::Tick(i));
+            let at = Time(d.wire.rng.below(1_000_000) as u64);
+            d.wire.at(at, Todo::Tick(i));
         }
         d
     }
@@ -86,51 +65,43 @@
     fn with_loads(mut self) -> Self {
         let targets = (self.nodes.len() as f64 * TARGETS) as u32;
         for t in 0..targets {
-            let at = Time((self.rng.unit() * CHANGE_EVERY * 1e6) as u64);
-            self.todo(at, Todo::Change(t));
+            let at = Time((self.wire.rng.unit() * CHANGE_EVERY * 1e6) as u64);
+            self.wire.at(at, Todo::Own(Change(t)));
         }
         self
     }
 
-    fn todo(&mut self, at: Time, what: Todo) {
-        self.seq += 1;
-        self.wire.insert((at, self.seq), what);
-    }
-
     fn run(&mut self, seconds: u64) {
-        let end = self.now + Duration::from_secs(seconds);
-        while let Some(entry) = self.wire.first_entry() {
-            if entry.key().0 >= end {
-                break;
-            }
-            let ((at, _), what) = entry.remove_entry();
-            self.now = at;
+        let end = self.wire.now + Duration::from_secs(seconds);
+        while let Some(what) = self.wire.next_before(end) {
             match what {
                 Todo::Packet(from, to, packet) => {
                     self.feed(to, Event::Packet { from, packet: *packet });
                 }
-                Todo::Tick(i) => {
-                    self.feed(i, Event::Tick);
-                    if let Some(m) = &self.nodes[i] {
-                        let next = m.next_tick().max(at + Duration::from_millis(1));
-                        self.todo(next, Todo::Tick(i));
-                    }
-                }
-                Todo::Change(t) => self.change(t),
+                Todo::Tick(i) => self.tick(i),
+                Todo::Own(Change(t)) => self.change(t),
             }
         }
-        self.now = end;
+    }
+
+    fn tick(&mut self, i: usize) {
+        self.feed(i, Event::Tick);
+        if let Some(m) = &self.nodes[i] {
+            let next = m.next_tick().max(self.wire.now + Duration::from_millis(1));
+            self.wire.at(next, Todo::Tick(i));
+        }
     }
 
     fn change(&mut self, t: u32) {
         let poller = t as usize % self.nodes.len();
-        let seq = (self.now.0 / 100_000) as u16;
-        let wait = self.rng.below(500) as u16;
+        let seq = (self.wire.now.0 / 100_000) as u16;
+        let wait = self.wire.rng.below(500) as u16;
         let load = LoadRumor { target: t, wait, seq, flags: 1 };
         self.loads[poller].insert(t, seq);
         self.feed(poller, Event::Load(load));
-        let next = self.now + Duration::from_secs_f64(CHANGE_EVERY * (0.5 + self.rng.unit()));
-        self.todo(next, Todo::Change(t));
+        let next =
+            self.wire.now + Duration::from_secs_f64(CHANGE_EVERY * (0.5 + self.wire.rng.unit()));
+        self.wire.at(next, Todo::Own(Change(t)));
     }
 
     fn feed(&mut self, i: usize, event: Event) {
@@ -138,7 +109,7 @@
             return;
         };
         let begun = Instant::now();
-        let actions = m.on(self.now, event);
+        let actions = m.on(self.wire.now, event);
         self.spent += begun.elapsed();
         for action in actions {
             match action {
@@ -153,7 +124,7 @@
                 }
                 Action::Changed(r) if r.health == Health::Dead => {
                     let who = (0..self.nodes.len()).find(|n| address(*n) == r.node.address);
-                    self.dead.extend(who.map(|w| (i, w, self.now)));
+                    self.dead.extend(who.map(|w| (i, w, self.wire.now)));
                 }
                 Action::Changed(_) | Action::Heard(..) => {}
             }
@@ -162,20 +133,9 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
         let begun = Instant::now();
-        let bytes = rmp_serde::to_vec(&packet).map_or(0, |b| b.len());
+        let bytes = length(&packet);
         self.spent += begun.elapsed();
-        self.packets += 1;
-        self.bytes += (bytes + HEADERS) as u64;
-        if self.rng.unit() < self.loss {
-            return;
-        }
-        let SocketAddr::V4(v4) = to else {
-            return;
-        };
-        let [_, _, a, b] = v4.ip().octets();
-        let to = usize::from(a) * 250 + usize::from(b);
-        let at = self.now + Duration::from_micros(400 + self.rng.below(1500) as u64);
-        self.todo(at, Todo::Packet(address(from), to, Box::new(packet)));
+        self.wire.send(from, to, packet, bytes);
     }
 }
 
@@ -183,23 +143,31 @@
 pub fn measure(n: usize) -> Vec<Figure> {
     let mut quiet = Domain::new(n, 0.01, 7);
     quiet.run(SETTLE);
-    let (packets, bytes) = (quiet.packets, quiet.bytes);
+    let (packets, bytes) = (quiet.wire.packets, quiet.wire.bytes);
     quiet.run(SECONDS);
     let per = |total: u64| total as f64 / n as f64 / SECONDS as f64;
     let mut out = vec![
-        counted("membership packets sent per node and second", n, per(quiet.packets - packets)),
-        counted("membership bytes sent per node and second", n, per(quiet.bytes - bytes)),
+        counted(
+            "membership packets sent per node and second",
+            n,
+            per(quiet.wire.packets - packets),
+        ),
+        counted("membership bytes sent per node and second", n, per(quiet.wire.bytes - bytes)),
     ];
     let mut busy = Domain::new(n, 0.01, 7).with_loads();
     busy.run(SETTLE);
-    let (bytes, spent) = (busy.bytes, busy.spent);
+    let (bytes, spent) = (busy.wire.bytes, busy.spent);
     busy.run(SECONDS);
     let micros = (busy.spent - spent).as_secs_f64() * 1e6;
-    out.push(counted("with load news: bytes sent per node and second", n, per(busy.bytes - bytes)));
+    out.push(counted(
+        "with load news: bytes sent per node and second",
+        n,
+        per(busy.wire.bytes - bytes),
+    ));
     let share = micros / n as f64 / SECONDS as f64 / 1e4;
     out.push(timed("with load news: per cent of a core per node", n, share));
     let targets = (n as f64 * TARGETS) as usize;
-    let now = (busy.now.0 / 100_000) as u16;
+    let now = (busy.wire.now.0 / 100_000) as u16;
     let ages = busy.loads.iter().flat_map(|l| l.values()).map(|s| f64::from(now.wrapping_sub(*s)));
     let known = busy.loads.iter().map(|l| l.len()).sum::<usize>();
     out.push(counted(
@@ -243,7 +211,7 @@
     let mut first: f64 = 0.0;
     for k in 0..kills {
         d.dead.clear();
-        let killed = d.now;
+        let killed = d.wire.now;
         let victim = 3 + k;
         d.nodes[victim] = None;
         d.run(20);
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -8,6 +8,7 @@
 mod members;
 mod routes;
 mod starts;
+mod wire;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/bench/src/slopes/starts.rs
+++ b/crates/bench/src/slopes/starts.rs
@@ -1,19 +1,15 @@
 //! A start of all nodes: how long until each knows all others, and what that takes; and what is
 //! told while one node a second is restarted.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use decide::member::{Action, Event, Member, Tuning};
-use decide::rng::Rng;
 use model::Time;
-use model::member::{Node, NodeId, Packet};
+use model::member::{Node, NodeId};
 
+use super::wire::{Todo, Wire, address, length};
 use super::{Figure, counted};
 
-/// Bytes of IPv4 and UDP headers.
-const HEADERS: usize = 28;
 /// Of the hosts, one in this many bears more.
 const HUB_EVERY: usize = 20;
 /// Failure domains.
@@ -25,54 +21,29 @@
 /// Seconds in each of which a node is restarted, after the start of all.
 const RESTARTS: u64 = 10;
 
-enum Todo {
-    Start(usize),
-    Packet(SocketAddr, usize, Box<Packet>),
-    Tick(usize),
-}
+/// A node is started.
+struct Start(usize);
 
 struct Herd {
-    rng: Rng,
+    wire: Wire<Start>,
     nodes: Vec<Option<Member>>,
     /// When each process started: its time counts from there.
     born: Vec<Time>,
-    wire: BTreeMap<(Time, u64), Todo>,
-    seq: u64,
-    now: Time,
-    packets: u64,
-    bytes: u64,
-}
-
-fn address(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 2, (i / 250) as u8, (i % 250) as u8], 7000))
 }
 
 impl Herd {
     fn new(n: usize) -> Self {
-        let mut herd = Herd {
-            rng: Rng::new(5),
-            nodes: (0..n).map(|_| None).collect(),
-            born: vec![Time::ZERO; n],
-            wire: BTreeMap::new(),
-            seq: 0,
-            now: Time::ZERO,
-            packets: 0,
-            bytes: 0,
-        };
+        let nodes = (0..n).map(|_| None).collect();
+        let mut herd = Herd { wire: Wire::new(0.0, 5), nodes, born: vec![Time::ZERO; n] };
         for i in 0..n {
-            let at = Time::ZERO + herd.rng.jitter(SPREAD);
-            herd.todo(at, Todo::Start(i));
+            let at = Time::ZERO + herd.wire.rng.jitter(SPREAD);
+            herd.wire.at(at, Todo::Own(Start(i)));
         }
         herd
     }
 
-    fn todo(&mut self, at: Time, what: Todo) {
-        self.seq += 1;
-        self.wire.insert((at, self.seq), what);
-    }
-
     fn start(&mut self, i: usize) {
-        let start = self.rng.draw().max(1);
+        let start = self.wire.rng.draw().max(1);
         let node = Node {
             id: NodeId { name: format!("node-{i}").into(), start },
             address: address(i),
@@ -80,66 +51,46 @@
             domain: format!("d{}", i % DOMAINS).into(),
             capacity: u8::from((i / DOMAINS).is_multiple_of(HUB_EVERY)),
         };
-        let mut member = Member::new(node, Tuning::of_nodes(), self.rng.draw());
-        self.born[i] = self.now;
+        let mut member = Member::new(node, Tuning::of_nodes(), self.wire.rng.draw());
+        self.born[i] = self.wire.now;
         member.on(Time::ZERO, Event::Seeds((1..4).map(address).collect()));
         self.nodes[i] = Some(member);
-        self.todo(self.now, Todo::Tick(i));
+        self.wire.at(self.wire.now, Todo::Tick(i));
     }
 
     fn feed(&mut self, i: usize, event: Event) {
         let Some(member) = &mut self.nodes[i] else {
             return;
         };
-        let now = Time::ZERO + self.now.since(self.born[i]);
+        let now = Time::ZERO + self.wire.now.since(self.born[i]);
         for action in member.on(now, event) {
             if let Action::Send(to, packet) = action {
-                self.send(i, to, packet);
+                let bytes = length(&packet);
+                self.wire.send(i, to, packet, bytes);
             }
         }
     }
 
-    fn send(&mut self, from: usize, to: SocketAddr, packet: Packet) {
-        let bytes = rmp_serde::to_vec(&packet).map_or(0, |b| b.len());
-        self.packets += 1;
-        self.bytes += (bytes + HEADERS) as u64;
-        let SocketAddr::V4(v4) = to else {
-            return;
-        };
-        let [_, _, a, b] = v4.ip().octets();
-        let to = usize::from(a) * 250 + usize::from(b);
-        let at = self.now + Duration::from_micros(400 + self.rng.below(1500) as u64);
-        self.todo(at, Todo::Packet(address(from), to, Box::new(packet)));
-    }
-
-    fn step(&mut self) {
-        let Some(entry) = self.wire.first_entry() else {
-            return;
-        };
-        let ((at, _), what) = entry.remove_entry();
-        self.now = at;
-        match what {
-            Todo::Start(i) => self.start(i),
-            Todo::Packet(from, to, packet) => {
-                self.feed(to, Event::Packet { from, packet: *packet });
-            }
-            Todo::Tick(i) => {
-                self.feed(i, Event::Tick);
-                if let Some(member) = &self.nodes[i] {
-                    let next = self.born[i] + member.next_tick().since(Time::ZERO);
-                    let next = next.max(at + Duration::from_millis(1));
-                    self.todo(next, Todo::Tick(i));
+    fn run(&mut self, time: Duration) {
+        let end = self.wire.now + time;
+        while let Some(what) = self.wire.next_before(end) {
+            match what {
+                Todo::Own(Start(i)) => self.start(i),
+                Todo::Packet(from, to, packet) => {
+                    self.feed(to, Event::Packet { from, packet: *packet });
                 }
+                Todo::Tick(i) => self.tick(i),
             }
         }
     }
 
-    fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.wire.first_key_value().is_some_and(|((at, _), _)| *at < end) {
-            self.step();
+    fn tick(&mut self, i: usize) {
+        self.feed(i, Event::Tick);
+        if let Some(member) = &self.nodes[i] {
+            let next = self.born[i] + member.next_tick().since(Time::ZERO);
+            let next = next.max(self.wire.now + Duration::from_millis(1));
+            self.wire.at(next, Todo::Tick(i));
         }
-        self.now = end;
     }
 
     fn all_know_all(&self) -> bool {
@@ -152,21 +103,25 @@
 pub fn measure(n: usize) -> Vec<Figure> {
     const LOOK: Duration = Duration::from_millis(50);
     let mut herd = Herd::new(n);
-    while !herd.all_know_all() && herd.now.since(Time::ZERO) < LONGEST {
+    while !herd.all_know_all() && herd.wire.now.since(Time::ZERO) < LONGEST {
         herd.run(LOOK);
     }
     let per = |total: u64| total as f64 / n as f64;
     let mut figures = vec![
-        counted("start of all: seconds until all know all, by nodes", n, herd.now.0 as f64 / 1e6),
-        counted("start of all: datagrams per node, by nodes", n, per(herd.packets)),
-        counted("start of all: KB per node, by nodes", n, per(herd.bytes) / 1e3),
+        counted(
+            "start of all: seconds until all know all, by nodes",
+            n,
+            herd.wire.now.0 as f64 / 1e6,
+        ),
+        counted("start of all: datagrams per node, by nodes", n, per(herd.wire.packets)),
+        counted("start of all: KB per node, by nodes", n, per(herd.wire.bytes) / 1e3),
     ];
     herd.run(LONGEST);
-    let (packets, bytes) = (herd.packets, herd.bytes);
+    let (packets, bytes) = (herd.wire.packets, herd.wire.bytes);
     for restarted in 0..RESTARTS {
         let i = 7 + restarted as usize;
         herd.nodes[i] = None;
-        herd.todo(herd.now + Duration::from_millis(300), Todo::Start(i));
+        herd.wire.at(herd.wire.now + Duration::from_millis(300), Todo::Own(Start(i)));
         herd.run(Duration::from_secs(1));
     }
     let each = |total: u64| per(total) / RESTARTS as f64;
@@ -174,12 +129,12 @@
         counted(
             "a restart a second: datagrams per node and second, by nodes",
             n,
-            each(herd.packets - packets),
+            each(herd.wire.packets - packets),
         ),
         counted(
             "a restart a second: KB per node and second, by nodes",
             n,
-            each(herd.bytes - bytes) / 1e3,
+            each(herd.wire.bytes - bytes) / 1e3,
         ),
     ]);
     figures
