--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -8,6 +8,7 @@
 
 mod coordinator;
 mod feed;
+mod fill;
 mod maker;
 mod makers;
 mod orders;
