Sight: what answers say of leaving and of rest is decoded, logged and counted

Cause looked for: requests reach targets that said that they leave, or asked for rest. The lines could not tell whether a node had heard the word it acted against. Now: one place (`heard`) takes what the head of each answer says (limit, load, notice); a line `notice`, `notice` in `chosen`, `sent_against_notice`. Choices are as they were. Ruled out: that schedulers are the cause (nodes that choose alone do the same); choices made before the word.

--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use model::forward::{
-    Allowed, Evacuations, NamedLimit, ReportedLoad, Target, TargetId, TargetList,
+    Allowed, Evacuations, NamedLimit, Notice, ReportedLoad, Target, TargetId, TargetList,
 };
 use model::{Name, Time};
 
 use super::belief::{Belief, Observation, Presence};
 use super::changed::ChangeLog;
+use super::notice::{NoticeChange, Notices};
 use super::{Barred, ChangedTargets, ColdLimit, Evacuated, EvacuationChange, Regions, Terms};
 use crate::permit::{LimitChange, Limits, Word};
 use crate::rollout::Versions;
@@ -24,6 +25,7 @@
     versions: Versions,
     regions: Regions,
     limits: Limits,
+    notices: Notices,
     changed: ChangeLog,
 }
 
@@ -188,6 +190,16 @@
         Some(change)
     }
 
+    /// What targets said of further requests to them.
+    pub fn notices(&self) -> &Notices {
+        &self.notices
+    }
+
+    /// Takes what an answer of a target says of further requests; returns what is new.
+    pub fn hear_notice(&mut self, id: &TargetId, said: Notice, now: Time) -> Vec<NoticeChange> {
+        self.notices.hear(id, said, now)
+    }
+
     /// Takes what an answer of a target says of its load; returns whether it cannot be read while
     /// the word before could, or there was none.
     pub fn note_load(&mut self, id: &TargetId, said: ReportedLoad, now: Time) -> bool {
@@ -359,6 +371,7 @@
         let beliefs = &self.beliefs;
         let is_known = |id: &TargetId| beliefs.get(&id.name).is_some_and(|b| b.target.id == *id);
         self.limits.expire(is_known, now);
+        self.notices.expire(is_known, now);
     }
 
     fn forget(&mut self, name: &Name) {
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -8,8 +8,8 @@
 use hyper::http::{request, response};
 use model::Name;
 use model::forward::{
-    CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, PieceOrder, PieceResult, ReportedLoad,
-    Rollout, RolloutState, Rules, Target, TargetId,
+    CallerHead, Fingerprint, Handle, HeldRecord, NamedLimit, Notice, PieceOrder, PieceResult,
+    ReportedLoad, Rollout, RolloutState, Rules, Target, TargetId,
 };
 
 /// A message that could not be understood.
@@ -65,6 +65,8 @@
     pub limit: NamedLimit,
     /// Load of the target.
     pub load: ReportedLoad,
+    /// What it says of further requests.
+    pub notice: Notice,
 }
 
 /// A call with a body.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -96,6 +96,15 @@
         per_s: Option<f64>,
         from: &'a str,
     },
+    /// A target says that it leaves, wants nothing of this node for a while, or for a time that
+    /// cannot be read.
+    Notice {
+        target: &'a str,
+        service: &'a str,
+        what: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        for_ms: Option<u64>,
+    },
     /// A target tells a load that cannot be read, for the first time or again.
     BadLoad { target: &'a str, service: &'a str },
     /// A permit was asked for, to send a request, or so many pieces of a call, to a target that
@@ -145,7 +154,8 @@
     /// the `evacuated` failure domains were left out, and those outside of the regions that
     /// are `allowed`, if any are named. While its service moves to another version `side` tells
     /// which one it is for, or that it has left the one on trial, and `share` the part of
-    /// requests that goes to that. `limit` is the one that the target names, if it does.
+    /// requests that goes to that. `limit` is the one that the target names, if it
+    /// does; `notice` is what it said of further requests that still holds.
     Chosen {
         id: &'a str,
         target: &'a str,
@@ -161,6 +171,8 @@
         cold: bool,
         #[serde(skip_serializing_if = "Option::is_none")]
         limit: Option<f64>,
+        #[serde(skip_serializing_if = "str::is_empty")]
+        notice: &'a str,
         evacuated: &'a [Name],
         left_ms: u64,
         targets_age_ms: u64,
--- /dev/null
+++ b/crates/forward/src/heard.rs
@@ -0,0 +1,51 @@
+//! What answers tell of their targets, besides what they answer: every path that reads the head of
+//! a target's own answer brings it here.
+
+use std::rc::Rc;
+
+use decide::fleet::NoticeChange;
+use model::Time;
+use model::forward::Target;
+
+use crate::border::AnswerHead;
+use crate::events::Event;
+use crate::limits;
+use crate::node::Node;
+
+/// Takes what the head of a target's answer says, whose request was sent at `sent`.
+pub fn take(node: &Rc<Node>, target: &Target, said: &AnswerHead, sent: Time) {
+    limits::hear(node, target, said.limit, sent);
+    node.note_load(target, said.load);
+    let now = node.now();
+    for change in node.fleet(|f| f.hear_notice(&target.id, said.notice, now)) {
+        tell(target, change);
+    }
+}
+
+fn tell(target: &Target, change: NoticeChange) {
+    let (what, for_ms) = match change {
+        NoticeChange::Leaves => ("leaving", None),
+        NoticeChange::Rests(time) => ("retry_after", Some(time.as_millis() as u64)),
+        NoticeChange::Unreadable => ("unreadable", None),
+    };
+    Event::Notice { target: &target.id.name, service: &target.service, what, for_ms }.emit();
+}
+
+/// A request, or a call, goes to a target.
+pub fn count_sent(node: &Node, target: &Target) {
+    let (now, id) = (node.now(), &target.id);
+    let (limited, leaves, rests) = node.fleet(|f| {
+        let notices = f.notices();
+        let rests = notices.rests_until(id, now).is_some();
+        (f.limits().get(id).is_some(), notices.leaves(id), rests)
+    });
+    if limited {
+        node.metrics.sent_at_limit(&target.service);
+    }
+    if leaves {
+        node.metrics.sent_against_notice(&target.service, "leaving");
+    }
+    if rests {
+        node.metrics.sent_against_notice(&target.service, "retry_after");
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod border;
 mod crossed;
 mod events;
+mod heard;
 mod ingress;
 mod limits;
 mod metrics;
--- a/crates/forward/src/limits/mod.rs
+++ b/crates/forward/src/limits/mod.rs
@@ -132,10 +132,3 @@
     };
     Event::Limit { target: &target.id.name, service: &target.service, what, per_s, from }.emit();
 }
-
-/// A request, or a call, goes to a target.
-pub fn count_sent(node: &Node, target: &Target) {
-    if node.fleet(|f| f.limits().get(&target.id).is_some()) {
-        node.metrics.sent_at_limit(&target.service);
-    }
-}
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -59,6 +59,12 @@
     cause: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabels {
+    service: String,
+    notice: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WayLabels {
     from: String,
@@ -93,6 +99,7 @@
     held_back: Family<Named, Counter>,
     limited: Gauge,
     sent_at_limit: Family<Named, Counter>,
+    sent_against_notice: Family<NoticeLabels, Counter>,
     refused_at_limit: Family<Named, Counter>,
     rollout_requests: Family<Version, Counter>,
     rollout_bad: Family<Version, Counter>,
@@ -168,6 +175,7 @@
             held_back: Family::default(),
             limited: Gauge::default(),
             sent_at_limit: Family::default(),
+            sent_against_notice: Family::default(),
             refused_at_limit: Family::default(),
             rollout_requests: Family::default(),
             rollout_bad: Family::default(),
@@ -251,6 +259,8 @@
         registry.register("targets_limited", help, self.limited.clone());
         let help = "Requests and calls to targets while they named a limit, by their service";
         registry.register("sent_at_limit", help, self.sent_at_limit.clone());
+        let help = "Requests and calls to targets that had said that they leave, or want none";
+        registry.register("sent_against_notice", help, self.sent_against_notice.clone());
         let help = "Refusals of requests all of whose targets were at their limits, by route";
         registry.register("refused_at_limit", help, self.refused_at_limit.clone());
         let help = "Routes and workspaces that no region with a failure domain is allowed to";
@@ -336,6 +346,12 @@
         self.sent_at_limit.get_or_create(&Named { name: self.bounded(service) }).inc();
     }
 
+    /// A request, or a call, went to a target of a service although it had said not to.
+    pub fn sent_against_notice(&self, service: &str, notice: &'static str) {
+        let labels = NoticeLabels { service: self.bounded(service), notice };
+        self.sent_against_notice.get_or_create(&labels).inc();
+    }
+
     /// A request was refused since all its targets were at the limits that they name.
     pub fn refused_at_limit(&self, route: &str) {
         self.refused_at_limit.get_or_create(&Named { name: self.bounded(route) }).inc();
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -384,6 +384,12 @@
             Side::Serving if self.side == Side::Trial => "left_trial",
             Side::Serving => "serving",
         };
+        let now = self.node.now();
+        let notice = self.node.fleet(|f| match f.notices() {
+            notices if notices.leaves(&target.id) => "leaving",
+            notices if notices.rests_until(&target.id, now).is_some() => "retry_after",
+            _ => "",
+        });
         Event::Chosen {
             id: &self.head.id,
             target: &target.id.name,
@@ -396,6 +402,7 @@
             ahead,
             cold: self.is_cold(target),
             limit: self.node.fleet(|f| f.limits().get(&target.id)),
+            notice,
             evacuated: &self.evacuated(),
             left_ms: self.left().as_millis() as u64,
             targets_age_ms: self.node.targets_age_ms(),
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -17,7 +17,7 @@
 use crate::border::Onward;
 use crate::crossed::{self, Crossing, Kind};
 use crate::events::Event;
-use crate::limits;
+use crate::heard;
 use crate::node::Node;
 use crate::prefill::Ticket;
 use crate::quarantine::HELD;
@@ -134,7 +134,7 @@
         return Outcome::Nothing;
     }
     exchange.progress(|p| p.tries.connected());
-    limits::count_sent(&exchange.node, target);
+    heard::count_sent(&exchange.node, target);
     let sent = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     at_target.sent.clone_from(&sent);
     let request = request_for(exchange, target, made, resume_after);
@@ -200,8 +200,7 @@
             self.exchange.node.quarantine.seen_ended(self.target, "replaced");
             return self.not_run(Observation::Replaced, "another target has the address".into());
         }
-        limits::hear(&self.exchange.node, self.target, said.limit, self.begun);
-        self.exchange.node.note_load(self.target, said.load);
+        heard::take(&self.exchange.node, self.target, &said, self.begun);
         if said.not_run && said.input_gone {
             self.exchange.progress(|p| p.tries.note(Ran::No));
             return Outcome::InputGone;
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -17,6 +17,7 @@
 use crate::border::Post;
 use crate::crossed::{Crossing, Kind};
 use crate::events::Event;
+use crate::heard;
 use crate::limits;
 use crate::node::Node;
 use crate::rollout::{self, Sent};
@@ -73,7 +74,7 @@
             Ok(socket) => socket,
             Err(e) => return (CallEnd::Failed, Observation::Unreachable, e.to_string()),
         };
-        limits::count_sent(node, &target);
+        heard::count_sent(node, &target);
         match upstream::send_over(socket, address, request, crossing).await {
             Ok(answer) => {
                 let from = Asked { target: &target, begun, took: node.now().since(begun) };
@@ -186,8 +187,7 @@
     if said.misdirected {
         return (CallEnd::Failed, Observation::Replaced, "another target answered".into());
     }
-    limits::hear(node, target, said.limit, begun);
-    node.note_load(target, said.load);
+    heard::take(node, target, &said, begun);
     if said.not_run {
         return (CallEnd::Full, Observation::Rejected, "full".into());
     }
