A target that says in its answers that it leaves gets nothing more

Cause: no path read the word; the entry alone said that a target leaves. Now the word stands beside the entry, by start of the target: it holds whatever entries, lists, and lapses say, and ends with another start. All that follows from a draining entry follows from it (choice, check before the send, makers, versions, what ends mean). Calls of coordinators ask before the send, too, whether their maker is barred; a scheduler is told which engines not to choose; answers to frees are heard. Ruled out: `heard` in the entry's place (a newer `ready` of the same start would end it); telling it to all through the feed (its revision would not be the store's). Whoever starts hears of it in whole lists. The rest that targets ask for is open.

--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -30,6 +30,8 @@
     Unreachable,
     /// Another target has the address.
     Replaced,
+    /// Nothing was sent after all, for a reason that is not the target's.
+    NotSent,
 }
 
 /// What discovery says of one start of a target.
@@ -141,6 +143,9 @@
 
     /// Takes what a send brought.
     pub(super) fn observe(&mut self, what: Observation, now: Time) {
+        if what == Observation::NotSent {
+            return;
+        }
         let failed = !matches!(what, Observation::Answered(_) | Observation::Rejected);
         self.answers.count(failed, now);
         match what {
@@ -148,7 +153,7 @@
                 self.answers.took(took, now);
                 self.strikes = 0;
             }
-            Observation::Rejected => {}
+            Observation::Rejected | Observation::NotSent => {}
             Observation::Unreachable | Observation::Replaced => self.eject(now),
             Observation::Failed | Observation::BrokeOff if self.failing(now) > FAILING => {
                 self.eject(now)
--- a/crates/decide/src/fleet/notice.rs
+++ b/crates/decide/src/fleet/notice.rs
@@ -65,6 +65,11 @@
         self.leaving.contains_key(id)
     }
 
+    /// Targets that have said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &TargetId> {
+        self.leaving.keys()
+    }
+
     /// Until when a target wants nothing, if it does now.
     pub fn rests_until(&self, id: &TargetId, now: Time) -> Option<Time> {
         self.rests.get(id).copied().filter(|until| now < *until)
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -59,6 +59,11 @@
         self.beliefs.get(&id.name).filter(|b| b.target.id == *id)
     }
 
+    /// Whether a target is known, and of this service.
+    pub fn is_of(&self, id: &TargetId, service: &str) -> bool {
+        self.get(id).is_some_and(|b| *b.target.service == *service)
+    }
+
     /// What discovery says of one start of a target.
     pub fn presence(&self, id: &TargetId) -> Presence {
         match self.beliefs.get(&id.name) {
@@ -119,6 +124,14 @@
         (side != Some(terms.side)).then_some(Barred::Version)
     }
 
+    /// Why a target may not get work that was begun before, whichever version it is for.
+    pub fn bars_begun(&self, id: &TargetId, now: Time) -> Option<Barred> {
+        match self.get(id) {
+            Some(b) => self.bars_any_version(b, &Allowed::ANY, now),
+            None => Some(Barred::Missing),
+        }
+    }
+
     /// The same whichever version the work is for.
     fn bars_any_version(&self, b: &Belief, allowed: &Allowed, now: Time) -> Option<Barred> {
         let target = &b.target;
@@ -197,7 +210,21 @@
 
     /// Takes what an answer of a target says of further requests; returns what is new.
     pub fn hear_notice(&mut self, id: &TargetId, said: Notice, now: Time) -> Vec<NoticeChange> {
-        self.notices.hear(id, said, now)
+        let changes = self.notices.hear(id, said, now);
+        if changes.contains(&NoticeChange::Leaves) {
+            self.set_leaving(id);
+        }
+        changes
+    }
+
+    /// A target leaves, whatever its entry says.
+    fn set_leaving(&mut self, id: &TargetId) {
+        let Some(b) = self.beliefs.get_mut(&id.name).filter(|b| b.target.id == *id) else {
+            return;
+        };
+        recount(&mut self.versions, &mut self.changed, |versions| count_out(versions, &b.target));
+        b.target.draining = true;
+        self.changed.note(&id.name);
     }
 
     /// Takes what an answer of a target says of its load; returns whether it cannot be read while
@@ -287,8 +314,10 @@
         !is_older && self.put(target, now)
     }
 
-    fn put(&mut self, target: Target, now: Time) -> bool {
+    fn put(&mut self, mut target: Target, now: Time) -> bool {
         let name = target.id.name.clone();
+        // The target's own word comes before its entry, which may be older or come later.
+        target.draining |= self.notices.leaves(&target.id);
         self.changed.note(&name);
         let was_unreadable = self.unreadable.remove(&name);
         let is_same = |b: &Belief| {
--- /dev/null
+++ b/crates/decide/tests/notice.rs
@@ -0,0 +1,98 @@
+//! What targets say of further requests to them.
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod support;
+
+use decide::fleet::{Barred, Fleet, NoticeChange, Presence, Terms};
+use model::forward::{Notice, Side, Target, TargetId};
+use model::{Name, Time};
+use support::{at, target};
+
+const LEAVES: Notice = Notice { leaving: true, retry_after: model::forward::RetryAfter::None };
+
+/// What happens to a fleet.
+type Step<'a> = &'a dyn Fn(&mut Fleet);
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    for name in ["t0", "t1"] {
+        fleet.upsert(Target { revision: 5, ..target(name, "a") }, at(0));
+    }
+    fleet
+}
+
+fn barred(fleet: &Fleet, name: &str, now: Time) -> Option<Barred> {
+    let belief = fleet.named(name).expect("a target that is known");
+    fleet.bars(belief, Terms::ANY, now)
+}
+
+#[test]
+fn a_target_that_said_it_leaves_is_barred_whatever_its_entry_says() {
+    let id: TargetId = "t0".into();
+    let ready = |revision| Target { revision, ..target("t0", "a") };
+    let mut fleet = fleet();
+    assert_eq!(fleet.hear_notice(&id, LEAVES, at(10)), [NoticeChange::Leaves]);
+    assert_eq!(fleet.hear_notice(&id, LEAVES, at(11)), [], "told once");
+    fleet.hear_notice(&id, Notice::default(), at(12));
+    let steps: [(&str, Step<'_>); 6] = [
+        ("as it was", &|_| ()),
+        ("an older entry", &|f| _ = f.upsert(ready(4), at(20))),
+        ("a newer entry", &|f| _ = f.upsert(ready(9), at(20))),
+        ("a whole list", &|f| f.replace(vec![ready(7)], None, at(20))),
+        ("an entry that vanished and came back", &|f| {
+            f.vanish(&"t0".into(), None);
+            f.upsert(ready(12), at(20));
+        }),
+        ("a long time", &|f| f.expire(at(3_600_000))),
+    ];
+    for (what, step) in steps {
+        step(&mut fleet);
+        assert_eq!(barred(&fleet, "t0", at(30)), Some(Barred::Leaving), "{what}");
+        assert_eq!(fleet.presence(&id), Presence::Leaving, "{what}");
+        assert_eq!(fleet.bars_begun(&id, at(30)), Some(Barred::Leaving), "{what}");
+    }
+    assert!(fleet.targets(at(30)).iter().all(|t| t.draining), "whoever starts hears of it");
+}
+
+#[test]
+fn another_start_of_a_target_that_left_gets_work() {
+    let mut fleet = fleet();
+    let start = |start| Target { id: TargetId::new("t0", start), ..target("t0", "a") };
+    fleet.upsert(start(1), at(0));
+    fleet.hear_notice(&TargetId::new("t0", 1), LEAVES, at(10));
+    assert_eq!(barred(&fleet, "t0", at(20)), Some(Barred::Leaving));
+    fleet.upsert(start(2), at(20));
+    assert_eq!(barred(&fleet, "t0", at(20)), None);
+    fleet.hear_notice(&TargetId::new("t0", 1), LEAVES, at(30));
+    assert_eq!(barred(&fleet, "t0", at(30)), None, "an answer of the earlier start, come late");
+}
+
+#[test]
+fn a_leaving_target_is_remembered_beyond_its_entry_but_not_for_ever() {
+    let minutes = |n: u64| at(n * 60_000);
+    let mut fleet = fleet();
+    fleet.hear_notice(&"t0".into(), LEAVES, at(0));
+    fleet.vanish(&"t0".into(), None);
+    fleet.expire(minutes(5));
+    assert!(fleet.notices().leaves(&"t0".into()));
+    fleet.expire(minutes(11));
+    assert!(!fleet.notices().leaves(&"t0".into()));
+}
+
+#[test]
+fn a_version_whose_only_target_said_it_leaves_is_none_to_go_on_with() {
+    let mut fleet = Fleet::default();
+    let of = |name: &str, version: &str| Target { version: version.into(), ..target(name, "a") };
+    fleet.upsert(of("t0", "v1"), at(0));
+    fleet.upsert(of("t1", "v2"), at(0));
+    let mut by_entry = Fleet::default();
+    by_entry.upsert(Target { draining: true, ..of("t0", "v1") }, at(0));
+    by_entry.upsert(of("t1", "v2"), at(0));
+    fleet.hear_notice(&"t0".into(), LEAVES, at(10));
+    let usable = |f: &Fleet| -> Vec<Name> {
+        let terms = Terms { side: Side::Serving, ..Terms::ANY };
+        f.usable("engine", terms, at(20)).map(|b| b.target.id.name.clone()).collect()
+    };
+    assert_eq!(usable(&fleet), usable(&by_entry), "as if its entry had said so");
+}
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -5,7 +5,7 @@
 
 use decide::fleet::NoticeChange;
 use model::Time;
-use model::forward::Target;
+use model::forward::{Notice, Target};
 
 use crate::border::AnswerHead;
 use crate::events::Event;
@@ -16,8 +16,13 @@
 pub fn take(node: &Rc<Node>, target: &Target, said: &AnswerHead, sent: Time) {
     limits::hear(node, target, said.limit, sent);
     node.note_load(target, said.load);
+    take_notice(node, target, said.notice);
+}
+
+/// Takes what a target's answer says of further requests.
+pub fn take_notice(node: &Node, target: &Target, said: Notice) {
     let now = node.now();
-    for change in node.fleet(|f| f.hear_notice(&target.id, said.notice, now)) {
+    for change in node.fleet(|f| f.hear_notice(&target.id, said, now)) {
         tell(target, change);
     }
 }
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -337,13 +337,16 @@
         Some(Pick { target, ticket, by: "scheduler", ahead })
     }
 
-    /// Targets that a scheduler is not to choose: it does not know which are closed to this node.
+    /// Targets that a scheduler is not to choose: it does not know which are closed to this node,
+    /// nor what they told it.
     fn not_chosen(&self) -> Vec<TargetId> {
         let now = self.node.now();
         let mut but = self.progress(|p| p.but.clone());
         self.node.fleet(|f| {
             let limited = f.limits().named().map(|(id, _)| id);
             but.extend(limited.filter(|id| f.limits().is_closed(id, now)).cloned());
+            let told = f.notices().leaving().filter(|id| f.is_of(id, &self.service));
+            but.extend(told.cloned());
         });
         but
     }
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -69,11 +69,15 @@
     let work = async {
         let socket = match upstream::connect(address).await {
             Ok(_) if permit.is_over(node.now()) => {
-                return (CallEnd::Full, Observation::Rejected, "its permit ran out".into());
+                return (CallEnd::Full, Observation::NotSent, "its permit ran out".into());
             }
             Ok(socket) => socket,
             Err(e) => return (CallEnd::Failed, Observation::Unreachable, e.to_string()),
         };
+        if let Some(barred) = node.fleet(|f| f.bars_begun(&call.maker, node.now())) {
+            let why = format!("its maker is barred by now: {}", barred.as_str());
+            return (CallEnd::Full, Observation::NotSent, why);
+        }
         heard::count_sent(node, &target);
         match upstream::send_over(socket, address, request, crossing).await {
             Ok(answer) => {
--- a/crates/forward/src/stages/free.rs
+++ b/crates/forward/src/stages/free.rs
@@ -12,6 +12,7 @@
 
 use super::call;
 use crate::crossed::{Crossing, Kind};
+use crate::heard;
 use crate::node::Node;
 use crate::peers::{self, FREE, RemoteFree};
 
@@ -79,9 +80,10 @@
 }
 
 async fn free_at_maker(node: &Rc<Node>, maker: &TargetId, handles: &[Handle]) {
-    let Some(address) = node.fleet(|f| f.get(maker).map(|b| b.target.address)) else {
+    let Some(target) = node.fleet(|f| f.get(maker).map(|b| b.target.clone())) else {
         return;
     };
+    let address = target.address;
     let post = node.dialect.stage_free(handles);
     let sent = post.body.len();
     let mut request = call::request(node, maker, address, post);
@@ -100,8 +102,13 @@
         let Ok(answer) = node.client.send(&peer, request).await else {
             return;
         };
+        let (head, body) = answer.into_parts();
+        let said = node.dialect.answer(&head);
+        if !said.misdirected {
+            heard::take_notice(node, &target, said.notice);
+        }
         // Read to its end, so that the connection can be used again.
-        let read = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        let read = Limited::new(body, ANSWER_MAX).collect().await;
         if let (Some(crossing), Ok(body)) = (&crossing, read) {
             crossing.got(body.to_bytes().len());
         }
