A target that turns a request away until a time gets its rest

Cause: no path read the word; the target, with nothing outstanding, was the best choice each time. Now a rest stands with the target's notices, by its start: nobody who chooses may choose it (one predicate, `bars`), it is asked for again right before the send, after the connection is up, for requests and calls alike; frees wait. The longest of overlapping ones holds. Once it is over one request at a time goes there until one was answered. Where all targets rest, callers are refused at once and told when the first ends. Ruled out: telling others (the word is for this node alone); moving homes for it (rests are short, parts would be read anew); an end at an answer to a request sent before. Left, a fault of its own: a target that turns away without naming a time goes on drawing requests.

--- a/crates/decide/src/fleet/notice.rs
+++ b/crates/decide/src/fleet/notice.rs
@@ -13,6 +13,12 @@
 /// Time for which a notice is remembered of a target that discovery does not know any more.
 const KEPT: Duration = Duration::from_secs(600);
 
+/// Time for which a request is waited for that shows whether a rest is over, before another one is
+/// sent there.
+const PROBES_APART: Duration = Duration::from_millis(500);
+/// Time for which a rest is remembered that no answer has ended.
+const REST_KEPT: Duration = Duration::from_secs(60);
+
 /// What an answer changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoticeChange {
@@ -24,13 +30,28 @@
     Unreadable,
 }
 
+/// A target that wants nothing for a while. Once that is over it gets one request at a time, until
+/// one was answered: it may be as full as before.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rest {
+    until: Time,
+    /// When it last got a request since.
+    probed: Option<Time>,
+}
+
+impl Rest {
+    /// Until when it gets nothing.
+    fn ends(&self) -> Time {
+        self.probed.map_or(self.until, |at| self.until.max(at + PROBES_APART))
+    }
+}
+
 /// Notices of all targets.
 #[derive(Debug, Default)]
 pub struct Notices {
     /// When each was last known.
     leaving: BTreeMap<TargetId, Time>,
-    /// Until when each wants nothing.
-    rests: BTreeMap<TargetId, Time>,
+    rests: BTreeMap<TargetId, Rest>,
     unreadable: BTreeSet<TargetId>,
 }
 
@@ -45,9 +66,9 @@
             RetryAfter::None => {}
             RetryAfter::After(time) => {
                 self.unreadable.remove(id);
-                let until = self.rests.entry(id.clone()).or_default();
-                let begins = *until <= now;
-                *until = (*until).max(now + time);
+                let rest = self.rests.entry(id.clone()).or_default();
+                let begins = rest.until <= now;
+                *rest = Rest { until: rest.until.max(now + time), probed: None };
                 if begins {
                     changes.push(NoticeChange::Rests(time));
                 }
@@ -70,9 +91,29 @@
         self.leaving.keys()
     }
 
-    /// Until when a target wants nothing, if it does now.
+    /// Until when a target gets nothing, if it does not now.
     pub fn rests_until(&self, id: &TargetId, now: Time) -> Option<Time> {
-        self.rests.get(id).copied().filter(|until| now < *until)
+        self.rests.get(id).map(Rest::ends).filter(|ends| now < *ends)
+    }
+
+    /// Targets that get nothing now, since they want rest.
+    pub fn resting(&self, now: Time) -> impl Iterator<Item = &TargetId> {
+        self.rests.iter().filter(move |(_, rest)| now < rest.ends()).map(|(id, _)| id)
+    }
+
+    /// A request goes to a target; returns whether it is to show that a rest is over.
+    pub fn sent(&mut self, id: &TargetId, now: Time) -> bool {
+        let Some(rest) = self.rests.get_mut(id) else {
+            return false;
+        };
+        rest.probed = Some(now);
+        true
+    }
+
+    /// A target took a request that was sent at `sent`; returns whether that ends a rest.
+    pub fn took(&mut self, id: &TargetId, sent: Time) -> bool {
+        let is_over = self.rests.get(id).is_some_and(|rest| sent >= rest.until);
+        is_over && self.rests.remove(id).is_some()
     }
 
     /// Forgets what is over, and targets that are known no longer.
@@ -83,7 +124,7 @@
             }
             now.since(*known) < KEPT
         });
-        self.rests.retain(|_, until| now < *until);
+        self.rests.retain(|_, rest| now.since(rest.until) < REST_KEPT);
         self.unreadable.retain(is_known);
     }
 }
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -132,7 +132,8 @@
     let terms = Terms { allowed, side: Side::Serving };
     let count = |service: &str| {
         let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
-        for b in fleet.usable(service, terms, now) {
+        // A rest is over in a moment, and homes that moved meanwhile are read anew.
+        for b in fleet.on_terms(service, terms, now) {
             *by_domain.entry(b.target.domain.clone()).or_default() += 1;
         }
         by_domain
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -1,9 +1,11 @@
 //! All targets that a node knows, and which of them may get anything.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use model::forward::{
-    Allowed, Evacuations, NamedLimit, Notice, ReportedLoad, Target, TargetId, TargetList,
+    Allowed, Evacuations, NamedLimit, Notice, ReportedLoad, RetryAfter, Target, TargetId,
+    TargetList,
 };
 use model::{Name, Time};
 
@@ -50,7 +52,7 @@
     pub fn holds_until(&self, b: &Belief, limit: Option<ColdLimit>, now: Time) -> Option<Time> {
         let ended = self.evacuated.ended(&b.target.domain);
         let warm = limit.and_then(|l| Some(ended? + l.lasts));
-        let times = [b.missing, Some(b.cold), warm];
+        let times = [b.missing, Some(b.cold), warm, self.notices.rests_until(&b.target.id, now)];
         times.into_iter().flatten().filter(|at| *at > now).min()
     }
 
@@ -90,14 +92,25 @@
         service: &str,
         terms: Terms<'a>,
         now: Time,
+    ) -> impl Iterator<Item = &'a Belief> {
+        self.on_terms(service, terms, now).filter(move |b| !self.rests(b, now))
+    }
+
+    /// The same with those that want nothing for a while.
+    pub fn on_terms<'a>(
+        &'a self,
+        service: &str,
+        terms: Terms<'a>,
+        now: Time,
     ) -> impl Iterator<Item = &'a Belief> {
         // Looked up once: that takes as long as all else that is asked of a target.
         let versions = self.versions.on_side(service, terms.side);
-        let may = move |b: &&Belief| self.bars_any_version(b, terms.allowed, now).is_none();
+        let may = move |b: &&Belief| self.bars_lasting(b, terms.allowed, now).is_none();
         self.of_service(service).filter(move |b| versions.contain(&b.target.version)).filter(may)
     }
 
-    /// Targets of a service that may get new work in these regions, whatever their version.
+    /// Targets of a service that may get new work in these regions, whatever their version; those
+    /// that want nothing for a while included.
     pub fn usable_in<'a>(
         &'a self,
         service: &str,
@@ -105,7 +118,7 @@
         now: Time,
     ) -> impl Iterator<Item = &'a Belief> {
         let versions = self.versions.on_any_side(service);
-        let may = move |b: &&Belief| self.bars_any_version(b, allowed, now).is_none();
+        let may = move |b: &&Belief| self.bars_lasting(b, allowed, now).is_none();
         self.of_service(service).filter(move |b| versions.contain(&b.target.version)).filter(may)
     }
 
@@ -132,8 +145,18 @@
         }
     }
 
+    fn rests(&self, b: &Belief, now: Time) -> bool {
+        self.notices.rests_until(&b.target.id, now).is_some()
+    }
+
     /// The same whichever version the work is for.
     fn bars_any_version(&self, b: &Belief, allowed: &Allowed, now: Time) -> Option<Barred> {
+        let lasting = self.bars_lasting(b, allowed, now);
+        lasting.or_else(|| self.rests(b, now).then_some(Barred::Resting))
+    }
+
+    /// The same, but for what is over in a moment.
+    fn bars_lasting(&self, b: &Belief, allowed: &Allowed, now: Time) -> Option<Barred> {
         let target = &b.target;
         if self.unreadable.contains(&target.id.name) {
             return Some(Barred::Unreadable);
@@ -214,9 +237,36 @@
         if changes.contains(&NoticeChange::Leaves) {
             self.set_leaving(id);
         }
+        if said.retry_after != RetryAfter::None {
+            self.changed.note(&id.name);
+        }
         changes
     }
 
+    /// A request, or a call, goes to a target.
+    pub fn goes_to(&mut self, id: &TargetId, now: Time) {
+        if self.notices.sent(id, now) {
+            self.changed.note(&id.name);
+        }
+    }
+
+    /// A target took a request that was sent at `sent`, whatever it answers.
+    pub fn took(&mut self, id: &TargetId, sent: Time) {
+        if self.notices.took(id, sent) {
+            self.changed.note(&id.name);
+        }
+    }
+
+    /// Time until the first target of a service gets something again where all that may get it in
+    /// these regions want nothing for a while; `None` if there are others, or none at all.
+    pub fn rest_left(&self, service: &str, allowed: &Allowed, now: Time) -> Option<Duration> {
+        let may = |b: &&Belief| self.bars_lasting(b, allowed, now).is_none();
+        let open = self.of_service(service).filter(may);
+        let ends = open.filter(|b| !self.limits.is_closed(&b.target.id, now));
+        let ends = ends.map(|b| self.notices.rests_until(&b.target.id, now));
+        Some(ends.collect::<Option<Vec<Time>>>()?.into_iter().min()?.since(now))
+    }
+
     /// A target leaves, whatever its entry says.
     fn set_leaving(&mut self, id: &TargetId) {
         let Some(b) = self.beliefs.get_mut(&id.name).filter(|b| b.target.id == *id) else {
--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -35,6 +35,8 @@
     Region,
     /// The request does not go to its version.
     Version,
+    /// It wants nothing of this node for a while.
+    Resting,
 }
 
 impl Barred {
@@ -47,6 +49,7 @@
             Barred::Evacuated => "evacuated",
             Barred::Region => "region",
             Barred::Version => "version",
+            Barred::Resting => "resting",
         }
     }
 }
--- a/crates/decide/tests/notice.rs
+++ b/crates/decide/tests/notice.rs
@@ -4,12 +4,14 @@
 #[allow(dead_code, reason = "each test file uses its part")]
 mod support;
 
+use std::time::Duration;
+
 use decide::fleet::{Barred, Fleet, NoticeChange, Presence, Terms};
-use model::forward::{Notice, Side, Target, TargetId};
+use model::forward::{Allowed, Notice, RetryAfter, Target, TargetId};
 use model::{Name, Time};
 use support::{at, target};
 
-const LEAVES: Notice = Notice { leaving: true, retry_after: model::forward::RetryAfter::None };
+const LEAVES: Notice = Notice { leaving: true, retry_after: RetryAfter::None };
 
 /// What happens to a fleet.
 type Step<'a> = &'a dyn Fn(&mut Fleet);
@@ -91,8 +93,72 @@
     by_entry.upsert(of("t1", "v2"), at(0));
     fleet.hear_notice(&"t0".into(), LEAVES, at(10));
     let usable = |f: &Fleet| -> Vec<Name> {
-        let terms = Terms { side: Side::Serving, ..Terms::ANY };
-        f.usable("engine", terms, at(20)).map(|b| b.target.id.name.clone()).collect()
+        f.usable("engine", Terms::ANY, at(20)).map(|b| b.target.id.name.clone()).collect()
     };
     assert_eq!(usable(&fleet), usable(&by_entry), "as if its entry had said so");
 }
+
+/// A target that turned a request away, which was to come again after so many milliseconds.
+fn rests(ms: u64) -> Notice {
+    Notice { leaving: false, retry_after: RetryAfter::After(Duration::from_millis(ms)) }
+}
+
+#[test]
+fn a_target_that_wants_rest_gets_it_and_then_one_request_until_that_is_answered() {
+    let id: TargetId = "t0".into();
+    let mut fleet = fleet();
+    assert_eq!(fleet.hear_notice(&id, rests(3000), at(0)).len(), 1);
+    assert_eq!(barred(&fleet, "t0", at(2999)), Some(Barred::Resting));
+    assert_eq!(barred(&fleet, "t1", at(2999)), None, "the others are as they were");
+    assert_eq!(barred(&fleet, "t0", at(3000)), None);
+    fleet.goes_to(&id, at(3000));
+    assert_eq!(barred(&fleet, "t0", at(3001)), Some(Barred::Resting), "one shows whether it works");
+    fleet.took(&id, at(100));
+    assert_eq!(barred(&fleet, "t0", at(3002)), Some(Barred::Resting), "that was sent before");
+    assert_eq!(barred(&fleet, "t0", at(3500)), None, "another one if it is silent");
+    fleet.goes_to(&id, at(3500));
+    fleet.took(&id, at(3000));
+    fleet.goes_to(&id, at(3510));
+    assert_eq!(barred(&fleet, "t0", at(3511)), None, "it takes requests again");
+}
+
+#[test]
+fn the_longest_of_overlapping_rests_holds() {
+    let id: TargetId = "t0".into();
+    let mut fleet = fleet();
+    let said = [(0, 3000), (100, 500), (200, 0)];
+    for (ms, time) in said {
+        fleet.hear_notice(&id, rests(time), at(ms));
+    }
+    fleet.hear_notice(&id, Notice::default(), at(300));
+    let unreadable = Notice { retry_after: RetryAfter::Unreadable, ..Notice::default() };
+    assert_eq!(fleet.hear_notice(&id, unreadable, at(400)), [NoticeChange::Unreadable]);
+    assert_eq!(fleet.hear_notice(&id, unreadable, at(500)), [], "told once");
+    assert_eq!(fleet.notices().rests_until(&id, at(2999)), Some(at(3000)));
+    fleet.hear_notice(&id, rests(2000), at(2500));
+    assert_eq!(fleet.notices().rests_until(&id, at(3000)), Some(at(4500)));
+}
+
+#[test]
+fn callers_are_told_the_end_of_the_first_rest_only_where_all_targets_rest() {
+    let mut fleet = fleet();
+    let left = |f: &Fleet, ms| f.rest_left("engine", &Allowed::ANY, at(ms));
+    assert_eq!(left(&fleet, 0), None);
+    fleet.hear_notice(&"t0".into(), rests(3000), at(0));
+    assert_eq!(left(&fleet, 0), None, "the other one works");
+    fleet.hear_notice(&"t1".into(), rests(1000), at(0));
+    assert_eq!(left(&fleet, 250), Some(Duration::from_millis(750)));
+    fleet.upsert(Target { draining: true, revision: 6, ..target("t1", "a") }, at(300));
+    assert_eq!(left(&fleet, 300), Some(Duration::from_millis(2700)), "that one leaves");
+    assert_eq!(fleet.rest_left("plain", &Allowed::ANY, at(0)), None, "no target at all");
+}
+
+#[test]
+fn a_rest_holds_through_a_lapse_of_the_targets_entry() {
+    let mut fleet = fleet();
+    fleet.hear_notice(&"t0".into(), rests(3000), at(0));
+    fleet.vanish(&"t0".into(), None);
+    fleet.expire(at(100));
+    fleet.upsert(Target { revision: 9, ..target("t0", "a") }, at(200));
+    assert_eq!(barred(&fleet, "t0", at(300)), Some(Barred::Resting));
+}
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -17,6 +17,9 @@
     limits::hear(node, target, said.limit, sent);
     node.note_load(target, said.load);
     take_notice(node, target, said.notice);
+    if !said.not_run {
+        node.fleet(|f| f.took(&target.id, sent));
+    }
 }
 
 /// Takes what a target's answer says of further requests.
@@ -37,12 +40,14 @@
 }
 
 /// A request, or a call, goes to a target.
-pub fn count_sent(node: &Node, target: &Target) {
+pub fn sent(node: &Node, target: &Target) {
     let (now, id) = (node.now(), &target.id);
     let (limited, leaves, rests) = node.fleet(|f| {
         let notices = f.notices();
         let rests = notices.rests_until(id, now).is_some();
-        (f.limits().get(id).is_some(), notices.leaves(id), rests)
+        let told = (f.limits().get(id).is_some(), notices.leaves(id), rests);
+        f.goes_to(id, now);
+        told
     });
     if limited {
         node.metrics.sent_at_limit(&target.service);
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -8,7 +8,7 @@
 use model::forward::{Allowed, LARGE_RESULT, Phase, Side, Target, TargetId};
 use model::{Name, Time};
 
-use super::exchange::Exchange;
+use super::exchange::{COME_BACK, Exchange};
 use crate::events::Event;
 use crate::limits::{self, Permit};
 use crate::prefill::{self, Prompt, Ticket};
@@ -345,8 +345,8 @@
         self.node.fleet(|f| {
             let limited = f.limits().named().map(|(id, _)| id);
             but.extend(limited.filter(|id| f.limits().is_closed(id, now)).cloned());
-            let told = f.notices().leaving().filter(|id| f.is_of(id, &self.service));
-            but.extend(told.cloned());
+            let told = f.notices().leaving().chain(f.notices().resting(now));
+            but.extend(told.filter(|id| f.is_of(id, &self.service)).cloned());
         });
         but
     }
@@ -356,11 +356,22 @@
         let now = self.node.now();
         let allowed = self.allowed_now();
         let targets: Vec<TargetId> = self.node.fleet(|f| {
-            f.usable_in(&self.service, &allowed, now).map(|b| b.target.id.clone()).collect()
+            let rests = |id: &TargetId| f.notices().rests_until(id, now).is_some();
+            let ids = f.usable_in(&self.service, &allowed, now).map(|b| &b.target.id);
+            ids.filter(|id| !rests(id)).cloned().collect()
         });
         self.node.limits.come_back(&self.node, &self.service, &targets)
     }
 
+    /// Time after which to come back if all targets that may serve the request want nothing for a
+    /// while. Callers are told somewhat different ones: each node tries one request first.
+    pub(super) fn rest_wait(&self) -> Option<Duration> {
+        let now = self.node.now();
+        let allowed = self.allowed_now();
+        let left = self.node.fleet(|f| f.rest_left(&self.service, &allowed, now))?;
+        Some(left + self.node.rng(|r| r.jitter(COME_BACK)))
+    }
+
     /// Why no target is left.
     pub(super) fn no_target(&self) -> String {
         let lacking = self.unserved().map_or(String::new(), |s| format!(" of {s}"));
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -24,7 +24,9 @@
 /// Part of a deadline kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// When a caller is told to come back to a service that has no free target.
-const COME_BACK: Duration = Duration::from_millis(300);
+pub(super) const COME_BACK: Duration = Duration::from_millis(300);
+/// Why a request is refused whose targets all want nothing.
+const ALL_REST: &str = "its targets want no requests before a time that they named";
 /// Times that stages are made for results that turn out to rest where they may not: a
 /// coordinator may know another place of a target than this node, but for a moment only.
 const ROUNDS: usize = 2;
@@ -348,7 +350,7 @@
                 }
                 let come_back = match self.held() {
                     Some(hold) => hold.left,
-                    None => self.at_limit().or(Some(COME_BACK).filter(|_| self.is_reachable())),
+                    None => self.soonest().or(Some(COME_BACK).filter(|_| self.is_reachable())),
                 };
                 (StatusCode::SERVICE_UNAVAILABLE, come_back, "not_run")
             }
@@ -362,6 +364,15 @@
         reply::own(&self.node, status, Some(&self.head.id), come_back, &why)
     }
 
+    /// Time after which the first target takes a request, as the targets themselves told.
+    fn soonest(&self) -> Option<Duration> {
+        let rests = self.rest_wait();
+        if rests.is_some() {
+            self.progress(|p| p.why = format!("{ALL_REST}; before: {}", p.why));
+        }
+        rests.into_iter().chain(self.at_limit()).min()
+    }
+
     /// Time after which to come back if all targets are at their limits.
     fn at_limit(&self) -> Option<Duration> {
         let wait = self.limit_wait()?;
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -134,7 +134,7 @@
         return Outcome::Nothing;
     }
     exchange.progress(|p| p.tries.connected());
-    heard::count_sent(&exchange.node, target);
+    heard::sent(&exchange.node, target);
     let sent = rollout::sent(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     at_target.sent.clone_from(&sent);
     let request = request_for(exchange, target, made, resume_after);
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -78,7 +78,7 @@
             let why = format!("its maker is barred by now: {}", barred.as_str());
             return (CallEnd::Full, Observation::NotSent, why);
         }
-        heard::count_sent(node, &target);
+        heard::sent(node, &target);
         match upstream::send_over(socket, address, request, crossing).await {
             Ok(answer) => {
                 let from = Asked { target: &target, begun, took: node.now().since(begun) };
