Sight: the epoch of the store's history, and peers that are behind, are told

Cause looked for: two followers of relays never heard that an entry went after the store had come back from an older copy. The lines hold no revisions. Now: `Store-Era` is read from the store's answers (its name stands in platform/; one that cannot be read costs itself alone), a line `epoch` when it rises, a line `behind` when a peer that is followed knows the targets up to an earlier revision than this node. Nothing else is done with either.

--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -224,6 +224,9 @@
     fn stage_answer(&self, maker: &TargetId, body: &[u8]) -> Result<Vec<PieceResult>, Malformed>;
     /// A call that frees results at their maker.
     fn stage_free(&self, handles: &[Handle]) -> Post;
+    /// How often the store has come back from an older copy, as the head of each of its answers
+    /// tells; `None` if this one does not, or it cannot be read.
+    fn epoch(&self, head: &HeaderMap) -> Option<u64>;
     /// Path of a list of objects.
     fn list(&self, kind: Kind, after: Option<&Name>) -> String;
     /// The same, cheaper, and possibly some seconds old.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -71,6 +71,8 @@
     rng: RefCell<Rng>,
     doubt: RefCell<Doubt>,
     targets_known: Cell<bool>,
+    /// Epoch of the store's history.
+    epoch: Cell<u64>,
     version: watch::Sender<u64>,
     phase: watch::Sender<LifePhase>,
     open: Cell<usize>,
@@ -107,6 +109,7 @@
             rng: RefCell::new(Rng::new(rand::random())),
             doubt: RefCell::default(),
             targets_known: Cell::new(false),
+            epoch: Cell::new(0),
             version: watch::Sender::new(0),
             phase: watch::Sender::new(LifePhase::Serving),
             open: Cell::new(0),
@@ -267,6 +270,15 @@
         f(budgets.entry(service.clone()).or_insert_with(fresh))
     }
 
+    /// The store, or a peer, told an epoch of the store's history.
+    pub fn saw_epoch(&self, epoch: u64, from: &str) {
+        let before = self.epoch.get();
+        if epoch > before {
+            self.epoch.set(epoch);
+            Event::Epoch { epoch, before, from, at: self.feed.at().unwrap_or(0) }.emit();
+        }
+    }
+
     /// The store answered.
     pub fn store_answered(&self) {
         let now = self.now();
--- a/crates/forward/src/watch/store.rs
+++ b/crates/forward/src/watch/store.rs
@@ -23,6 +23,8 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(600);
 /// Wait of a watch that is to be answered at once.
 pub(super) const AT_ONCE: Duration = Duration::from_millis(1);
+/// Whom an epoch was heard of that the store itself told.
+const STORE: &str = "store";
 /// Status of a call beyond the store's rate.
 const BUSY: u16 = 429;
 /// Status of a watch whose history is gone.
@@ -174,7 +176,11 @@
     async fn get(&self, path: &str, timeout: Duration) -> Result<Bytes, CallError> {
         self.node.metrics.store_call(self.kind.as_str());
         let store = self.node.settings().store.to_string();
-        self.client.bytes(&store, path, timeout).await
+        let answer = self.client.get(&store, path, timeout).await?;
+        if let Some(epoch) = self.node.dialect.epoch(answer.headers()) {
+            self.node.saw_epoch(epoch, STORE);
+        }
+        Ok(answer.into_body())
     }
 
     /// Reads a page, again while the store is busy: after a restart of all nodes their
--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -9,7 +9,7 @@
 use decide::fleet::still_true;
 use decide::relay::{Relays, Role, Source, Sources, waits};
 use model::forward::{FollowAnswer, FollowAsk, Target, TargetChange, TargetList, TargetNews};
-use model::member::Node as PeerNode;
+use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
 use util::http::{CallKind, Client};
 
@@ -47,6 +47,8 @@
     /// Its end was read at a revision that followers have too: at a later one they get it all.
     owes: bool,
     source: Option<Source>,
+    /// The peer that was told to be behind.
+    behind: Option<NodeId>,
 }
 
 impl Follower {
@@ -63,6 +65,7 @@
             cut: None,
             owes: false,
             source: None,
+            behind: None,
         }
     }
 
@@ -161,6 +164,7 @@
         } else {
             self.sources.relay_fresh(&peer.id);
         }
+        self.note_behind(peer, answer.at);
         let (rules, confirmed) = (answer.rules, now - age);
         take_answer(&node, &peer.id.name, answer, confirmed);
         // A relay asks peers only while the store fails it. Its standby is to go on in its
@@ -174,6 +178,17 @@
         }
     }
 
+    /// Tells, once for a peer, that it is behind this node.
+    fn note_behind(&mut self, peer: &PeerNode, at: u64) {
+        let known_at = self.node.feed.at().unwrap_or(0);
+        if at >= known_at {
+            self.behind = None;
+        } else if self.behind.as_ref() != Some(&peer.id) {
+            self.behind = Some(peer.id.clone());
+            Event::Behind { peer: &peer.id.name, at, known_at }.emit();
+        }
+    }
+
     /// Asks a peer, and where no answer comes in time once more over a new connection: the old
     /// one may have fallen silent, and whoever takes the peer for lost leaves it for seconds.
     async fn follow(
--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -157,7 +157,7 @@
             .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
         let call = async {
             let response = success(peer, self.send(peer, request).await?).await?;
-            let bytes = collect(peer, response).await?;
+            let bytes = collect(peer, response.into_body()).await?;
             serde_json::from_slice(&bytes).map_err(|e| fail(peer, CallKind::Decode(e.to_string())))
         };
         within(peer, timeout, call).await
@@ -185,7 +185,7 @@
     ) -> Result<Bytes, CallError> {
         let call = async {
             let response = self.post(peer, path, super::RMP, body).await?;
-            collect(peer, response).await
+            collect(peer, response.into_body()).await
         };
         within(peer, timeout, call).await
     }
@@ -220,7 +220,7 @@
             .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
         let call = async {
             let response = success(peer, self.send(peer, request).await?).await?;
-            collect(peer, response).await.map(drop)
+            collect(peer, response.into_body()).await.map(drop)
         };
         within(peer, timeout, call).await
     }
@@ -232,7 +232,7 @@
             .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
         let call = async {
             let response = success(peer, self.send(peer, request).await?).await?;
-            collect(peer, response).await.map(drop)
+            collect(peer, response.into_body()).await.map(drop)
         };
         within(peer, timeout, call).await
     }
@@ -255,12 +255,23 @@
         path: &str,
         timeout: Duration,
     ) -> Result<Bytes, CallError> {
+        Ok(self.get(peer, path, timeout).await?.into_body())
+    }
+
+    /// Reads an answer, head and body.
+    pub async fn get(
+        &self,
+        peer: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
         let request = Request::get(format!("http://{peer}{path}"))
             .body(Full::default())
             .map_err(|e| fail(peer, CallKind::NotSent(e.to_string())))?;
         let call = async {
             let response = success(peer, self.send(peer, request).await?).await?;
-            collect(peer, response).await
+            let (head, body) = response.into_parts();
+            Ok(Response::from_parts(head, collect(peer, body).await?))
         };
         within(peer, timeout, call).await
     }
@@ -347,7 +358,7 @@
     if status.is_success() {
         return Ok(response);
     }
-    let body = collect(peer, response).await.unwrap_or_default();
+    let body = collect(peer, response.into_body()).await.unwrap_or_default();
     let why = String::from_utf8_lossy(&body).into_owned();
     if status == StatusCode::GATEWAY_TIMEOUT {
         return Err(fail(peer, CallKind::Lost(why)));
@@ -355,8 +366,8 @@
     Err(fail(peer, CallKind::Status(status.as_u16(), why)))
 }
 
-async fn collect(peer: &str, response: Response<Incoming>) -> Result<Bytes, CallError> {
-    let body = Limited::new(response.into_body(), BODY_MAX);
+async fn collect(peer: &str, body: Incoming) -> Result<Bytes, CallError> {
+    let body = Limited::new(body, BODY_MAX);
     let whole = body.collect().await.map_err(|e| fail(peer, CallKind::Lost(e.to_string())))?;
     Ok(whole.to_bytes())
 }
