A held request that an older copy of the store lacks is written there again

A copy that lacks the record would have let the request go that ends its targets. Now a new epoch of the store makes all that is held unwritten, so that its keeper writes it again, and forgets which records were seen before. Test over processes: without the change the record never comes back (run); with it it is there again, nobody releases the request.

--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// The store came back from an older copy: what was written there since is gone.
+    pub fn restored(&mut self) {
+        self.cases.values_mut().for_each(|case| case.is_stored = false);
+    }
+
     /// Takes a record of the store; returns what changed, and whether the request has been
     /// released since, so that the record is to go.
     pub fn read(&mut self, record: &HeldRecord, unix_ms: u64, now: Time) -> (Changes, bool) {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -283,6 +283,7 @@
             let now = self.now();
             self.doubt(|d| d.restored(now));
             self.fleet(|f| f.begin_epoch(now));
+            self.quarantine.restored();
         }
     }
 
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -54,6 +54,12 @@
         f(&mut self.machine.borrow_mut())
     }
 
+    /// The store came back from an older copy: what is held is written there again.
+    pub fn restored(&self) {
+        self.machine(Quarantine::restored);
+        self.held.notify_one();
+    }
+
     /// Why a request is not to be sent; `None` if it may be.
     pub fn hold(&self, node: &Node, request: Fingerprint) -> Option<Hold> {
         self.machine(|q| q.hold(request, node.now()))
--- a/crates/forward/src/quarantine/record.rs
+++ b/crates/forward/src/quarantine/record.rs
@@ -89,11 +89,16 @@
     let mut reader = Reader::new(node.clone(), Kind::Quarantine);
     let mut seen = BTreeMap::new();
     let mut is_known = false;
+    let mut epoch = None;
     loop {
         node.feed.reads_store().await;
         match reader.look(is_known).await {
             Ok(step) => {
                 is_known = true;
+                if std::mem::replace(&mut epoch, step.epoch) != step.epoch {
+                    // What an older copy of the store lacks was not deleted by an operator.
+                    seen.clear();
+                }
                 // An object that is missing in half of a list is not gone.
                 if !step.cut {
                     take(&node, &mut seen, step).await;
