A target that refuses or fails all at once is left out, and has its part again soon after

A target that turned all away in a millisecond drew the work to itself: 577 requests in 10 s, 163 callers served of some 650, while two others idled. Cause: a rejection counted as a success, and a target with nothing outstanding was the best choice each time; second sends were denied by the repeats' budget, which has to count them (the platform counts arrivals that a target rejects). Now a rejection counts as a failure for the choice; two in a row, or one right after it was left out, leave the target out as failures do, 0.4 s to 2 s (3.2 before). A target that was left out gets one request at a time, 150 ms apart, that may be sent again (any where nothing ran), and each answer halves its share of failures until it is well. A rest for each rejection: a busy target would be throttled, all of them refused. Ruled out: second sends outside of the budget.

--- a/crates/decide/src/fleet/answers.rs
+++ b/crates/decide/src/fleet/answers.rs
@@ -34,6 +34,16 @@
         self.failing * left_of(self.observed, now)
     }
 
+    /// When the last observation was made.
+    pub(super) fn observed(&self) -> Time {
+        self.observed
+    }
+
+    /// The share of failures is taken to be half of what it was.
+    pub(super) fn halve_failing(&mut self) {
+        self.failing /= 2.0;
+    }
+
     /// Counts one observation.
     pub(super) fn count(&mut self, failed: bool, now: Time) {
         let share = if failed { 1.0 } else { 0.0 };
--- a/crates/decide/src/fleet/belief.rs
+++ b/crates/decide/src/fleet/belief.rs
@@ -10,17 +10,25 @@
 
 /// First time for which a failing target is left out.
 const EJECT_FIRST: Duration = Duration::from_millis(400);
-/// Longest time for which a failing target is left out.
-const EJECT_LONGEST: Duration = Duration::from_millis(3200);
+/// Longest time for which a failing target is left out: it is to have its part again soon after it
+/// is well.
+const EJECT_LONGEST: Duration = Duration::from_millis(2000);
 /// Share of failures from which on a target is left out now and then.
 const FAILING: f64 = 0.5;
+/// Requests that a target turns away one after the other before it is left out: one that is busy
+/// takes some between.
+const REJECTIONS: u32 = 2;
+/// Share of failures below which a target that was left out counts as well again.
+const RECOVERED: f64 = 0.05;
+/// Least time between two requests that show whether a target is well again.
+const PROBES_APART: Duration = Duration::from_millis(150);
 
 /// What one send to a target brought.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Observation {
     /// An answer after this time.
     Answered(Duration),
-    /// The target turned the request away as full.
+    /// The target turned the request away, which did not run.
     Rejected,
     /// The target failed the request.
     Failed,
@@ -68,7 +76,16 @@
     bad_load: bool,
     /// Left out until then.
     pub ejected: Time,
+    /// Times that it was left out since it last answered.
     strikes: u32,
+    /// Requests that it turned away since it last took one.
+    rejections: u32,
+    /// It was left out, and is not known to be well again.
+    recovers: bool,
+    /// It was left out for what did not run there.
+    unrun: bool,
+    /// When it was last chosen for a request that shows whether it is well again.
+    probed: Time,
 }
 
 impl Belief {
@@ -85,6 +102,10 @@
             bad_load: false,
             ejected: Time::ZERO,
             strikes: 0,
+            rejections: 0,
+            recovers: false,
+            unrun: false,
+            probed: Time::ZERO,
         }
     }
 
@@ -114,6 +135,21 @@
         now < self.ejected
     }
 
+    /// Whether it is to get one request that shows whether it is well again. One that may not be
+    /// repeated goes only where nothing ran before.
+    pub fn wants_probe(&self, may_repeat: bool, now: Time) -> bool {
+        let is_due = now.since(self.answers.observed().max(self.probed)) >= PROBES_APART;
+        let is_free = self.recovers && !self.is_ejected(now) && self.outstanding == 0;
+        is_free && is_due && (may_repeat || self.unrun)
+    }
+
+    /// It was chosen for a request.
+    pub(super) fn chosen(&mut self, now: Time) {
+        if self.recovers {
+            self.probed = now;
+        }
+    }
+
     /// Takes its entry, which counts how long it is cold from now on.
     /// Returns whether what it says has changed.
     pub(super) fn set_target(&mut self, target: Target, now: Time) -> bool {
@@ -135,10 +171,13 @@
         Target { cold_ms, ..self.target.clone() }
     }
 
-    fn eject(&mut self, now: Time) {
+    /// Leaves it out for a while, longer each time.
+    fn strike(&mut self, unrun: bool, now: Time) {
         let time = EJECT_FIRST * 2u32.pow(self.strikes.min(3));
         self.ejected = now + time.min(EJECT_LONGEST);
         self.strikes += 1;
+        self.recovers = true;
+        self.unrun = unrun;
     }
 
     /// Takes what a send brought.
@@ -146,19 +185,28 @@
         if what == Observation::NotSent {
             return;
         }
-        let failed = !matches!(what, Observation::Answered(_) | Observation::Rejected);
-        self.answers.count(failed, now);
+        let answered = matches!(what, Observation::Answered(_));
+        self.answers.count(!answered, now);
+        self.rejections = if what == Observation::Rejected { self.rejections + 1 } else { 0 };
+        let again = self.strikes > 0 || self.failing(now) > FAILING;
         match what {
-            Observation::Answered(took) => {
-                self.answers.took(took, now);
-                self.strikes = 0;
+            Observation::Answered(took) => self.answered(took, now),
+            Observation::Unreachable | Observation::Replaced => self.strike(true, now),
+            Observation::Rejected if again || self.rejections >= REJECTIONS => {
+                self.strike(true, now);
             }
-            Observation::Rejected | Observation::NotSent => {}
-            Observation::Unreachable | Observation::Replaced => self.eject(now),
-            Observation::Failed | Observation::BrokeOff if self.failing(now) > FAILING => {
-                self.eject(now)
-            }
-            Observation::Failed | Observation::BrokeOff => {}
+            Observation::Failed | Observation::BrokeOff if again => self.strike(false, now),
+            Observation::Rejected | Observation::Failed | Observation::BrokeOff => {}
+            Observation::NotSent => {}
+        }
+    }
+
+    fn answered(&mut self, took: Duration, now: Time) {
+        self.answers.took(took, now);
+        self.strikes = 0;
+        if self.recovers {
+            self.answers.halve_failing();
+            self.recovers = self.failing(now) > RECOVERED;
         }
     }
 
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -51,6 +51,8 @@
     pub limit: Option<ColdLimit>,
     /// Which of them may be chosen.
     pub cold: ColdStarts<'a>,
+    /// Whether the request may be sent again after a target ran it.
+    pub may_repeat: bool,
 }
 
 impl Wanted<'_> {
@@ -167,7 +169,8 @@
 
 impl Fleet {
     /// The target with the least expected wait, for services without a cache; before it one
-    /// that names a limit, lies near and was not asked for long.
+    /// that names a limit, lies near and was not asked for long, or one that was left out and may
+    /// be well again. The latter is no place for a second send.
     pub fn pick_plain(&self, wanted: Wanted<'_>, now: Time, rng: &mut Rng) -> Option<Target> {
         let mut best: Option<(f64, &Belief)> = None;
         for b in self.candidates(wanted, now) {
@@ -175,6 +178,9 @@
             if crossing <= CROSSING_MS && self.limits().is_due(&b.target.id, now) {
                 return Some(b.target.clone());
             }
+            if wanted.but.is_empty() && b.wants_probe(wanted.may_repeat, now) {
+                return Some(b.target.clone());
+            }
             let mean = b.answer_ms(now).unwrap_or(UNKNOWN_MS) * b.slowdown(now);
             let jitter = rng.below(100) as f64 / 100.0;
             let cost =
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -501,6 +501,13 @@
         recount(&mut self.versions, &mut self.changed, |versions| count_out(versions, &b.target));
     }
 
+    /// A target was chosen for a request.
+    pub fn chosen(&mut self, id: &TargetId, now: Time) {
+        if let Some(b) = self.get_mut(id) {
+            b.chosen(now);
+        }
+    }
+
     /// A request goes to the target, with this many prompt tokens to read.
     pub fn sent(&mut self, id: &TargetId, tokens: u64) {
         if let Some(b) = self.get_mut(id) {
--- a/crates/decide/tests/allowed.rs
+++ b/crates/decide/tests/allowed.rs
@@ -177,6 +177,7 @@
             shares: &shares,
             limit: None,
             cold: ColdStarts::Avoid,
+            may_repeat: true,
         };
         let home = Home { key, shared: 100 };
         let plain = fleet.pick_plain(wanted, at(10), &mut Rng::new(seed));
--- a/crates/decide/tests/support/fleet.rs
+++ b/crates/decide/tests/support/fleet.rs
@@ -45,6 +45,7 @@
         most_each: 100,
         shares: &[],
         limit: None,
+        may_repeat: true,
         cold: ColdStarts::Avoid,
     }
 }
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -56,6 +56,7 @@
             limit: node.cold_limit(&ask.service),
             // Cold engines are left to the nodes that own them.
             cold: ColdStarts::Avoid,
+            may_repeat: true,
         };
         let home = Home { key: ask.home, shared: ask.shared };
         let order = node.fleet(|f| f.near_homes(wanted, home, now));
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -69,11 +69,14 @@
             shares: &shares,
             limit: self.node.cold_limit(&self.service),
             cold: ColdStarts::InTurn(&owns),
+            may_repeat: self.route.repeat.may_repeat() && self.route.max_attempts > 1,
         };
-        match self.home() {
+        let chosen = match self.home() {
             Some(home) => self.node.fleet(|f| f.pick_home(wanted, home, now)),
             None => self.node.fleet(|f| self.node.rng(|r| f.pick_plain(wanted, now, r))),
-        }
+        }?;
+        self.node.fleet(|f| f.chosen(&chosen.id, now));
+        Some(chosen)
     }
 
     /// Regions in which what has not begun yet may be served: those allowed when the request
