--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -144,14 +144,6 @@
         (side != Some(terms.side)).then_some(Barred::Version)
     }
 
-    /// Why a target may not get work that was begun before, whichever version it is for.
-    pub fn bars_begun(&self, id: &TargetId, now: Time) -> Option<Barred> {
-        match self.get(id) {
-            Some(b) => self.bars_any_version(b, &Allowed::ANY, now),
-            None => Some(Barred::Missing),
-        }
-    }
-
     fn rests(&self, b: &Belief, now: Time) -> bool {
         self.notices.rests_until(&b.target.id, now).is_some()
     }
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -74,10 +74,6 @@
             Ok(socket) => socket,
             Err(e) => return (CallEnd::Failed, Observation::Unreachable, e.to_string()),
         };
-        if let Some(barred) = node.fleet(|f| f.bars_begun(&call.maker, node.now())) {
-            let why = format!("its maker is barred by now: {}", barred.as_str());
-            return (CallEnd::Full, Observation::NotSent, why);
-        }
         heard::sent(node, &target);
         match upstream::send_over(socket, address, request, crossing).await {
             Ok(answer) => {
