Let the nodes of a failure domain agree on targets that serve nothing

What callers saw: one of three targets rejects all requests at once. With eight nodes it got 61 requests in 10 s where 50 may come; with sixteen, 30 of 653 callers were refused while two idle targets stood beside.

Cause: each node found out by itself, with two rejections and then a probe after each ejection, so the work of finding out grew with the nodes, while a node's share of the repeat budget is a fifth of its own requests. Where the share was empty, the rejection became the caller's response.

Evidence, sixteen nodes on: 29 of 29 refused request lines follow a no_repeat line of their node, all in the first 6 s; 75 of 105 attempts at the target come after their node's first ejection.

Change: a node reports two failures in a row to the target's keeper in its failure domain. The keeper asks the other nodes; if a second one saw the target fail and it served none since, all eject it and take turns with probes, three a second together. Whoever finds it healthy reports that, and the others return spread over a moment. The messages use a path of their own, which older builds answer 404; such peers are left out.

Why it works: what one node has paid for is known to all, so the number of rejections no longer depends on the number of nodes. A busy target is not ejected, since some node is served by it or has a request accepted there.

Trial: longer ejections with more nodes, without messages: 41 of 216 after recovery with sixteen nodes, where a fifth is wanted. Counted at 30, 300, 1,000, 2,000 nodes with a request in 3 s each: 0.1, 1.5, 2.5, 3.6 requests a second at the target; at most 21 bytes per node and second.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -3,6 +3,7 @@
 
 mod claims;
 mod config;
+mod ejections;
 mod fleet;
 mod leases;
 mod members;
@@ -73,6 +74,10 @@
 
 /// Figures of whole fleets; starts are simulated only at the sizes `started`.
 fn fleet_figures(started: &[usize]) -> Vec<Figure> {
-    let work = fleet::FLEET_SIZES.iter().flat_map(|n| fleet::measure(*n));
+    let work = fleet::FLEET_SIZES.iter().flat_map(|n| {
+        let mut figures = fleet::measure(*n);
+        figures.extend(ejections::measure(*n));
+        figures
+    });
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
 }
--- a/crates/decide/src/fleet/answers.rs
+++ b/crates/decide/src/fleet/answers.rs
@@ -45,6 +45,17 @@
         self.failure_rate /= 2.0;
     }
 
+    /// Raises the failure rate to at least `rate`.
+    pub(super) fn raise_failure_rate(&mut self, rate: f64, now: Time) {
+        self.failure_rate = self.failure_rate(now).max(rate);
+        self.observed_at = now;
+    }
+
+    /// Lowers the failure rate to at most `rate`.
+    pub(super) fn lower_failure_rate(&mut self, rate: f64) {
+        self.failure_rate = self.failure_rate.min(rate);
+    }
+
     /// Records whether one request failed.
     pub(super) fn record_outcome(&mut self, failed: bool, now: Time) {
         let outcome = if failed { 1.0 } else { 0.0 };
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::Time;
-use model::forward::{ReportedLoad, Target};
+use model::forward::{Evidence, FailureKind, FailureReport, ReportedLoad, Target};
 
 use super::answers::AnswerStats;
 use super::load::LoadReport;
@@ -20,6 +20,16 @@
 const RECOVERED_FAILURE_RATE: f64 = 0.05;
 /// Minimum time between two probes of a recovering target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// Failure rate assumed of a target that other nodes ejected: it takes two answers to count as
+/// recovered, since one that rejects only some requests may answer the first.
+const SHARED_FAILURE_RATE: f64 = 0.25;
+/// Consecutive failures from which other nodes are asked about a target.
+const MIN_REPORTED_FAILURES: u32 = 2;
+/// Time after which a request in flight counts as accepted: rejections and lost connections show
+/// sooner.
+const ACCEPTED_AFTER: Duration = Duration::from_millis(50);
+/// Time for which the last failure of a target is evidence for the report of another node.
+const EVIDENCE_TTL: Duration = Duration::from_secs(5);
 
 /// Outcome of one request to a target.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -82,6 +92,16 @@
     recovering: bool,
     /// Was ejected for a request that did not run.
     not_run: bool,
+    /// The nodes of the failure domain have agreed on the ejection and take turns with probes.
+    shared: bool,
+    /// Failures since the last answer, and when the first of them was.
+    failures: u32,
+    failing_since: Option<Time>,
+    failed_at: Option<Time>,
+    /// When the latest request that was answered was sent.
+    served_at: Option<Time>,
+    /// When the latest request was sent.
+    sent_at: Time,
     /// Time of the last probe.
     probed_at: Time,
 }
@@ -103,6 +123,12 @@
             rejections: 0,
             recovering: false,
             not_run: false,
+            shared: false,
+            failures: 0,
+            failing_since: None,
+            failed_at: None,
+            served_at: None,
+            sent_at: Time::ZERO,
             probed_at: Time::ZERO,
         }
     }
@@ -141,6 +167,11 @@
         is_free && is_due && (may_repeat || self.not_run)
     }
 
+    /// Records that a request is sent to the target.
+    pub(super) fn record_send(&mut self, now: Time) {
+        self.sent_at = now;
+    }
+
     /// Records that the target was picked for a request.
     pub(super) fn record_choice(&mut self, now: Time) {
         if self.recovering {
@@ -184,6 +215,11 @@
         }
         let answered = matches!(observation, Observation::Answered(_));
         self.stats.record_outcome(!answered, now);
+        if !answered {
+            self.failures += 1;
+            self.failing_since.get_or_insert(now);
+            self.failed_at = Some(now);
+        }
         self.rejections =
             if observation == Observation::Rejected { self.rejections + 1 } else { 0 };
         let is_repeated = self.ejections > 0 || self.failure_rate(now) > EJECT_FAILURE_RATE;
@@ -201,13 +237,72 @@
 
     fn record_answer(&mut self, latency: Duration, now: Time) {
         self.stats.record_latency(latency, now);
+        (self.failures, self.failing_since) = (0, None);
+        self.served_at = self.served_at.max(Some(now - latency));
         self.ejections = 0;
         if self.recovering {
             self.stats.halve_failure_rate();
             self.recovering = self.failure_rate(now) > RECOVERED_FAILURE_RATE;
+            self.shared &= self.recovering;
         }
     }
 
+    /// Whether it was ejected and has not been shown to be healthy since.
+    pub fn is_recovering(&self) -> bool {
+        self.recovering
+    }
+
+    /// Whether the nodes of the failure domain have agreed on its ejection.
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    /// Its failures since the last answer, if they are worth a query to other nodes.
+    pub fn failure_report(&self, now: Time) -> Option<FailureReport> {
+        if self.failures < MIN_REPORTED_FAILURES {
+            return None;
+        }
+        let kind = if self.not_run { FailureKind::NotRun } else { FailureKind::Failed };
+        let since_ms = now.since(self.failing_since?).as_millis() as u64;
+        Some(FailureReport { target: self.target.id.clone(), kind, since_ms })
+    }
+
+    /// What this node saw of it since the first failure in a report.
+    pub(super) fn evidence(&self, since: Time, now: Time) -> Evidence {
+        let has_accepted = self.outstanding > 0 && now.since(self.sent_at) > ACCEPTED_AFTER;
+        if has_accepted || self.served_at.is_some_and(|at| at >= since) {
+            return Evidence::Served;
+        }
+        let has_failed = self.failing_since.is_some()
+            && self.failed_at.is_some_and(|at| now.since(at) < EVIDENCE_TTL);
+        if has_failed { Evidence::Failed } else { Evidence::Unknown }
+    }
+
+    /// Ejects the target on the evidence of other nodes, until this node's turn to probe it.
+    pub(super) fn eject_shared(&mut self, kind: FailureKind, turn: Time, now: Time) {
+        self.stats.raise_failure_rate(SHARED_FAILURE_RATE, now);
+        self.ejections = self.ejections.max(1);
+        self.recovering = true;
+        self.shared = true;
+        self.not_run = kind == FailureKind::NotRun;
+        self.defer_probe(turn);
+    }
+
+    /// Delays the next probe until this node's turn.
+    pub(super) fn defer_probe(&mut self, turn: Time) {
+        self.ejected_until = self.ejected_until.max(turn);
+    }
+
+    /// Brings the next probe forward, since another node has shown that the target is healthy.
+    pub(super) fn end_shared_ejection(&mut self, turn: Time) {
+        self.stats.lower_failure_rate(SHARED_FAILURE_RATE);
+        self.ejected_until = self.ejected_until.min(turn);
+        self.ejections = 0;
+        self.rejections = 0;
+        self.shared = false;
+        (self.failures, self.failing_since) = (0, None);
+    }
+
     /// Records the load report in an answer; returns whether it cannot be parsed although the one
     /// before it could, or there was none.
     pub(super) fn record_load(&mut self, report: ReportedLoad, now: Time) -> bool {
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
+    pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
         self.states.get_mut(&id.name).filter(|t| t.target.id == *id)
     }
 
@@ -293,6 +293,9 @@
 
     /// Records that a request or call is sent to a target.
     pub fn record_attempt(&mut self, id: &TargetId, now: Time) {
+        if let Some(t) = self.get_mut(id) {
+            t.record_send(now);
+        }
         if self.notices.record_attempt(id, now) {
             self.changes.push(&id.name);
         }
--- /dev/null
+++ b/crates/decide/tests/ejection.rs
@@ -0,0 +1,154 @@
+//! Ejections that nodes agree on.
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod support;
+
+use std::time::Duration;
+
+use decide::ejection::{EjectionKeeper, KeeperAction};
+use decide::fleet::{Fleet, Observation};
+use decide::rng::Rng;
+use model::Name;
+use model::Time;
+use model::forward::{Evidence, FailureKind, FailureReport, TargetId};
+use support::{at, criteria, target};
+
+fn report(since_ms: u64) -> FailureReport {
+    FailureReport { target: "t0".into(), kind: FailureKind::NotRun, since_ms }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    for name in ["t0", "t1"] {
+        fleet.upsert(target(name, "a"), at(0));
+    }
+    fleet
+}
+
+fn answered(ms: u64) -> Observation {
+    Observation::Answered(Duration::from_millis(ms))
+}
+
+#[test]
+fn target_is_ejected_only_if_a_second_node_saw_it_fail_and_it_served_none() {
+    use Evidence::{Failed, Served, Unknown};
+    let cases: [(&[(&str, Evidence)], bool); 6] = [
+        (&[("n1", Failed)], false),
+        (&[("n1", Failed), ("n2", Unknown)], false),
+        (&[("n1", Failed), ("n2", Failed)], true),
+        (&[("n1", Unknown), ("n2", Failed), ("n3", Unknown)], true),
+        (&[("n1", Failed), ("n2", Failed), ("n3", Served)], false),
+        (&[], false),
+    ];
+    for (evidence, eject) in cases {
+        let mut keeper = EjectionKeeper::default();
+        assert_eq!(keeper.report(&"n1".into(), &report(300), at(1000)), KeeperAction::Query);
+        let named: Vec<(Name, Evidence)> =
+            evidence.iter().map(|(name, found)| ((*name).into(), *found)).collect();
+        assert_eq!(keeper.decide(&"t0".into(), &named).eject, eject, "{evidence:?}");
+    }
+}
+
+#[test]
+fn nodes_are_asked_ever_more_rarely_about_a_target_that_keeps_failing() {
+    let mut keeper = EjectionKeeper::default();
+    let (mut queries, mut confirmed) = (0, 0);
+    for ms in (0..60_000).step_by(50) {
+        let reporter = if ms % 100 == 0 { "n1" } else { "n2" };
+        match keeper.report(&reporter.into(), &report(300), at(ms)) {
+            KeeperAction::Query => queries += 1,
+            KeeperAction::Confirm => confirmed += 1,
+            KeeperAction::Wait => {}
+        }
+        keeper.decide(&"t0".into(), &[]);
+    }
+    assert!(queries <= 10, "{queries}");
+    assert!(confirmed > 1000, "{confirmed}");
+    assert!(keeper.recovered(&"t0".into()), "the others are told");
+    assert!(!keeper.recovered(&"t0".into()), "once");
+}
+
+#[test]
+fn a_burst_of_rejections_leaves_time_for_contrary_evidence() {
+    let mut keeper = EjectionKeeper::default();
+    keeper.report(&"n1".into(), &report(1), at(1000));
+    let since_ms = keeper.current(&"t0".into(), at(1000)).map(|r| r.since_ms);
+    assert!(since_ms >= Some(250), "{since_ms:?}");
+}
+
+#[test]
+fn evidence_is_what_happened_since_the_first_failure() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    assert_eq!(fleet.evidence(&id, at(0), at(10)), Evidence::Unknown);
+    fleet.observe(&id, answered(20), at(100));
+    assert_eq!(fleet.evidence(&id, at(80), at(110)), Evidence::Served, "sent at 80");
+    assert_eq!(fleet.evidence(&id, at(81), at(110)), Evidence::Unknown);
+    fleet.observe(&id, Observation::Rejected, at(200));
+    assert_eq!(fleet.evidence(&id, at(81), at(210)), Evidence::Failed);
+    assert_eq!(fleet.evidence(&id, at(81), at(9_000)), Evidence::Unknown, "long ago");
+    fleet.record_attempt(&id, at(220));
+    fleet.request_sent(&id, 0);
+    assert_eq!(fleet.evidence(&id, at(190), at(230)), Evidence::Failed);
+    assert_eq!(fleet.evidence(&id, at(190), at(400)), Evidence::Served, "it has accepted one");
+}
+
+#[test]
+fn one_failure_is_not_reported_and_a_lost_connection_to_all_is() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    fleet.observe(&id, Observation::Rejected, at(0));
+    assert_eq!(fleet.failure_report(&id, at(5)), None);
+    fleet.observe(&id, Observation::Interrupted, at(10));
+    assert_eq!(fleet.failure_report(&id, at(25)).map(|r| r.since_ms), Some(25));
+    fleet.observe(&id, answered(5), at(30));
+    assert_eq!(fleet.failure_report(&id, at(40)), None);
+}
+
+/// Names of the targets picked for ten requests at a time, none of which is answered.
+fn picked(fleet: &Fleet, now: Time) -> Vec<String> {
+    let mut rng = Rng::new(1);
+    let mut pick = || fleet.pick_by_wait(criteria(&[]), now, &mut rng).expect("targets are up");
+    let mut names: Vec<String> = (0..10).map(|_| pick().id.name.to_string()).collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+#[test]
+fn shared_ejection_lasts_until_the_turn_of_the_node() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    assert!(fleet.eject_shared(&id, FailureKind::NotRun, at(0), at(5_000), at(1_000)));
+    assert_eq!(picked(&fleet, at(4_900)), ["t1"]);
+    assert!(fleet.eject_shared(&id, FailureKind::NotRun, at(0), at(9_000), at(2_000)));
+    assert_eq!(picked(&fleet, at(5_000)), ["t0"], "its turn stays");
+    fleet.observe(&id, Observation::Rejected, at(5_010));
+    fleet.defer_probe(&id, at(12_000));
+    assert_eq!(picked(&fleet, at(11_900)), ["t1"], "the next turn");
+}
+
+#[test]
+fn node_that_was_served_since_ignores_the_announcement() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    fleet.observe(&id, answered(20), at(900));
+    assert!(!fleet.eject_shared(&id, FailureKind::NotRun, at(800), at(5_000), at(1_000)));
+    assert!(fleet.eject_shared(&id, FailureKind::NotRun, at(890), at(5_000), at(1_000)));
+}
+
+#[test]
+fn recovery_shown_by_another_node_brings_the_probe_forward() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    assert!(!fleet.end_shared_ejection(&id, at(10)), "was not ejected");
+    fleet.eject_shared(&id, FailureKind::Failed, at(0), at(60_000), at(1_000));
+    assert!(fleet.end_shared_ejection(&id, at(2_000)));
+    assert_eq!(picked(&fleet, at(1_990)), ["t1"]);
+    assert_eq!(picked(&fleet, at(2_000)), ["t0"]);
+    fleet.observe(&id, answered(20), at(2_020));
+    assert!(fleet.is_recovering(&id), "one answer is not enough");
+    fleet.observe(&id, answered(20), at(2_200));
+    assert!(!fleet.is_recovering(&id));
+}
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -99,6 +99,20 @@
     },
     /// A target was ejected for its failures.
     Ejected { target: &'a str, why: &'a str },
+    /// The nodes of this failure domain were asked whether a target serves any of them: `failed` saw
+    /// it fail, `served` were served since its first failure.
+    EjectionQuery {
+        target: &'a str,
+        kind: &'a str,
+        since_ms: u64,
+        asked: usize,
+        failed: usize,
+        served: usize,
+        eject: bool,
+    },
+    /// The nodes of this failure domain have agreed that a target serves nothing, or serves again;
+    /// `what` is what that changed here.
+    SharedEjection { target: &'a str, what: &'a str, from: &'a str },
     /// The limit stated in a target's answers appeared, changed, disappeared or became unreadable:
     /// requests per second from all nodes together.
     Limit {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -17,6 +17,7 @@
 use util::http::Client;
 
 use crate::border::{Dialect, ObjectKind};
+use crate::ejections::LocalEjections;
 use crate::events::Event;
 use crate::limits::LocalLimits;
 use crate::metrics::{Gauges, Metrics};
@@ -59,6 +60,8 @@
     pub quarantine: LocalQuarantine,
     /// Limits that targets name.
     pub limits: LocalLimits,
+    /// Ejections that nodes share.
+    pub ejections: LocalEjections,
     /// Observations and judgements of trial versions.
     pub rollouts: LocalRollouts,
     /// Target state, relayed to peers that follow this node.
@@ -99,6 +102,7 @@
             schedulers: Schedulers::default(),
             quarantine: LocalQuarantine::default(),
             limits: LocalLimits::default(),
+            ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -219,16 +223,19 @@
         f(&mut self.rng.borrow_mut())
     }
 
-    /// Records the outcome of a send; failures only if ejection is enabled.
-    pub fn observe(&self, target: &TargetId, observation: Observation, why: &str) {
+    /// Records the outcome of a send; failures only if ejection is enabled. Returns whether the
+    /// target is ejected now.
+    pub fn observe(&self, target: &TargetId, observation: Observation, why: &str) -> bool {
         let now = self.now();
         let answered = matches!(observation, Observation::Answered(_));
         if !answered && !self.settings().policy.ejection {
-            return;
+            return false;
         }
-        if self.fleet(|f| f.observe(target, observation, now)) {
+        let is_ejected = self.fleet(|f| f.observe(target, observation, now));
+        if is_ejected {
             Event::Ejected { target: &target.name, why }.emit();
         }
+        is_ejected
     }
 
     /// Records the load that a target reported in an answer.
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -38,7 +38,7 @@
 
 pub use resting::PeerBackoff;
 pub use server::{
-    BATCH, FREE, FreeRequest, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT,
+    BATCH, EJECTIONS, FREE, FreeRequest, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT,
     ROLLOUT_STATE, StateWrite, WAITS,
 };
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -12,6 +12,7 @@
 use util::http::{Body, RMP, full, read_rmp, rmp, rmp_named, text};
 
 use super::{EPOCH, read_epoch};
+use crate::ejections;
 use crate::ingress::small;
 use crate::limits;
 use crate::node::Node;
@@ -43,6 +44,8 @@
 pub const PERMIT: &str = "/v1/permit";
 /// Path for reports of such limits.
 pub const LIMITS: &str = "/v1/limits";
+/// Path for reports, queries and announcements of ejected targets.
+pub const EJECTIONS: &str = "/v1/ejections";
 /// Path for the rules.
 pub const RULES: &str = "/v1/rules";
 /// Maximum size of a peer's message in bytes.
@@ -87,6 +90,7 @@
         QUARANTINE => quarantine(&node, request).await,
         PERMIT => permit(&node, request).await,
         LIMITS => limit_report(&node, request).await,
+        EJECTIONS => ejections(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     result.unwrap_or_else(|refusal| refusal)
@@ -161,6 +165,11 @@
     Ok(rmp_named(&()))
 }
 
+async fn ejections(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let message = read_message(request, "not a message about ejections").await?;
+    Ok(rmp_named(&ejections::handle_message(node, message)))
+}
+
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
     let FreeRequest { pool, handles } = read_message(request, "not results to free").await?;
     node.pools.free(node, &pool, handles);
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -16,6 +16,7 @@
 use super::stream::{EventReader, StartedStream, StreamError};
 use crate::border::ForwardContext;
 use crate::crossed::{self, MessageKind, RegionTraffic};
+use crate::ejections;
 use crate::events::Event;
 use crate::heard;
 use crate::node::Node;
@@ -276,7 +277,7 @@
         let node = &self.exchange.node;
         self.exchange.progress(|p| p.attempts.record(Execution::Possible));
         let took = node.now().since(self.started_at);
-        node.observe(&self.target.id, Observation::Answered(took), "");
+        ejections::observe(node, self.target, Observation::Answered(took), "");
         in_flight.report_success(took);
     }
 
@@ -317,7 +318,7 @@
             after_ms,
         }
         .emit();
-        node.observe(&target.id, observed, &reason);
+        ejections::observe(node, target, observed, &reason);
         exchange.progress(|p| p.reason = reason);
         Outcome::NoResponse
     }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod caller;
+mod ejection;
 mod fingerprint;
 mod limit;
 mod load;
@@ -24,6 +25,9 @@
     StageInput, Waits,
 };
 pub use caller::{CallerHead, PromptPart};
+pub use ejection::{
+    EjectionAnswer, EjectionMessage, EjectionStep, Evidence, FailureKind, FailureReport,
+};
 pub use fingerprint::{Fingerprint, FingerprintError};
 pub use limit::{
     LimitReport, LimitUpdate, PermitAnswer, PermitRequest, ReportedLimit, TargetLimit,
