Keep rollouts going while the store comes back from an older copy

Cause: an order's identity is the range of store revisions in which a node knows it, and revisions restart with the copy. A node that knew the order from revision 26 on held it as "26 to 4" afterwards, which overlaps nothing, so the judge took its reports for another order's, and a repeated order at a lower revision was no news to the judge. A final state that the copy lacked was never written again, and the order was tried again without any target of the old version.

Evidence: four nodes on, order lost and repeated by the operator: all log "state" at revision 4, no "withdrawn", and no rollout_phase line follows; the rollout never completes.

Change: at a new epoch everything known counts as older than what comes, in its own order: first revisions of versions become ranks, orders and trials start at revision 0, judges start anew from the reports. An order that the copy lacks stays in force until it is repeated, or for 10 s; a lost final state stays in force and is written again; an older order, or an ended or withdrawn one that only the copy has, waits for that time. Followers still get the store's list, so messages are unchanged.

Why it works: identities hold no revision of an earlier epoch any more, so all nodes agree whichever lists they read.

--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -208,7 +208,7 @@
     pub fn begin_epoch(&mut self, now: Time) {
         self.restored_at = Some(now);
         self.evacuated.begin_epoch();
-        self.versions.begin_epoch();
+        self.versions.begin_epoch(now);
         for t in self.states.values_mut() {
             t.target.revision = 0;
             if t.target.draining {
--- a/crates/decide/src/rollout/mod.rs
+++ b/crates/decide/src/rollout/mod.rs
@@ -21,4 +21,4 @@
 pub use evidence::Evidence;
 pub use judge::{Bounds, Judge, JudgeAction, JudgeEvent};
 pub use verdict::{Cause, Verdict, VersionCounts};
-pub use versions::{RolloutChange, Versions};
+pub use versions::{LostState, RolloutChange, Versions};
--- a/crates/decide/src/rollout/present.rs
+++ b/crates/decide/src/rollout/present.rs
@@ -74,6 +74,35 @@
         }
     }
 
+    /// Replaces the revisions of the epoch before a restore of the store by ranks, which are lower
+    /// than all that come and keep their order. Returns the ranks of `marks`, one revision for each
+    /// service. The first revision of a version that appeared after `known_up_to` is forgotten
+    /// instead.
+    pub fn begin_epoch(
+        &mut self,
+        marks: BTreeMap<Name, u64>,
+        known_up_to: u64,
+    ) -> BTreeMap<Name, u64> {
+        self.changes += 1;
+        let mut ranks = BTreeMap::new();
+        for (service, versions) in &mut self.services {
+            let oldest = versions.values().map(|t| t.first_revision).min().unwrap_or(0);
+            let mark = marks.get(service).copied();
+            let mut order: Vec<u64> = versions.values().map(|t| t.first_revision).collect();
+            order.extend(mark);
+            order.sort_unstable();
+            order.dedup();
+            let rank = |revision: u64| order.partition_point(|r| *r < revision) as u64;
+            for targets in versions.values_mut() {
+                let first = targets.first_revision;
+                let is_settled = first <= known_up_to || first == oldest;
+                targets.first_revision = if is_settled { rank(first) } else { u64::MAX };
+            }
+            ranks.extend(mark.map(|mark| (service.clone(), rank(mark))));
+        }
+        ranks
+    }
+
     /// Live versions of a service.
     pub fn versions(&self, service: &str) -> impl Iterator<Item = (&Name, &VersionTargets)> {
         self.services.get(service).into_iter().flatten()
--- a/crates/decide/src/rollout/versions.rs
+++ b/crates/decide/src/rollout/versions.rs
@@ -5,6 +5,7 @@
 //! are, a version that joined an existing one gets no requests.
 
 mod list;
+mod restore;
 mod side;
 mod trial;
 
@@ -18,6 +19,8 @@
 use crate::relay::LatestList;
 
 pub use list::RolloutChange;
+pub use restore::LostState;
+use restore::Restore;
 use trial::Trial;
 
 /// Orders by service.
@@ -31,8 +34,12 @@
 /// Versions of services, as known to one node.
 #[derive(Debug, Default)]
 pub struct Versions {
-    /// Once orders are followed, no version is used before the first list arrives.
+    /// Orders as the store has them. Once they are followed, no version is used before the first
+    /// list arrives.
     orders: LatestList<Orders>,
+    /// Orders in force: those of the store, and what it lost when it was restored.
+    in_force: Orders,
+    restore: Restore,
     /// Revision of the first list of orders that this node received.
     first_list: Option<u64>,
     live: LiveVersions,
@@ -82,11 +89,6 @@
         self.orders.is_current()
     }
 
-    /// Begins a new epoch, after the store was restored from an older copy.
-    pub fn begin_epoch(&mut self) {
-        self.orders.begin_epoch();
-    }
-
     /// Whether a node that holds the list of revision `at`, if any, lacks a change.
     pub fn has_changed_since(&self, at: Option<u64>) -> bool {
         self.orders.has_changed_since(at)
@@ -118,7 +120,7 @@
     }
 
     fn order(&self, service: &str) -> Option<&Rollout> {
-        self.orders.list()?.known.get(service)
+        self.in_force.known.get(service)
     }
 
     fn count(&self, service: &str, version: &str) -> usize {
@@ -127,7 +129,6 @@
 
     /// Orders whose state is not final.
     pub fn running(&self) -> impl Iterator<Item = &Rollout> {
-        let orders = self.orders.list().into_iter().flat_map(|orders| orders.known.values());
-        orders.filter(|order| !order.state.is_final())
+        self.in_force.known.values().filter(|order| !order.state.is_final())
     }
 }
--- a/crates/decide/src/rollout/versions/list.rs
+++ b/crates/decide/src/rollout/versions/list.rs
@@ -35,12 +35,27 @@
         let mut orders = Orders { known, unreadable: unreadable.into_iter().collect() };
         self.retain_unreadable(&mut orders);
         self.merge_withdrawn(withdrawn, at);
-        if !self.is_current() || self.revision().is_none_or(|known| at >= known) {
-            self.record_served(&orders.unreadable);
+        if self.is_current() && self.revision().is_some_and(|known| at < known) {
+            return Vec::new();
+        }
+        self.record_served(&orders.unreadable);
+        if !self.is_current() {
+            self.restore.first_list(at);
         }
-        let Some(before) = self.orders.update(at, orders.clone()) else {
+        self.orders.update(at, orders);
+        self.update_in_force(now)
+    }
+
+    /// Puts the latest list in force, as far as a restore of the store does not stand against it;
+    /// returns the changes.
+    pub(super) fn update_in_force(&mut self, now: Time) -> Vec<RolloutChange> {
+        let mut orders = self.orders.list().cloned().unwrap_or_default();
+        self.restore.complete(&mut orders, &self.withdrawn, now);
+        let at = self.revision().unwrap_or(0);
+        let before = std::mem::replace(&mut self.in_force, orders.clone());
+        if before == orders {
             return Vec::new();
-        };
+        }
         let mut changes = Vec::new();
         let is_removed = |service: &Name| {
             !orders.known.contains_key(service) && !orders.unreadable.contains(service)
--- a/crates/decide/src/rollout/versions/side.rs
+++ b/crates/decide/src/rollout/versions/side.rs
@@ -104,7 +104,8 @@
     /// version. An old target may rewrite its entry before it stops, so a version that started
     /// before the completed one does not count as later.
     pub(super) fn is_later_release(&self, service: &str, version: &str, order: &Rollout) -> bool {
-        let is_newer = |targets: &&VersionTargets| targets.first_revision > order.revision;
+        let completed_at = self.restore.completed_at(order);
+        let is_newer = |targets: &&VersionTargets| targets.first_revision > completed_at;
         let Some(targets) = self.live.get(service, version).filter(is_newer) else {
             return false;
         };
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -294,6 +294,7 @@
             self.outage_grace(|d| d.store_restored(now));
             self.fleet(|f| f.begin_epoch(now));
             self.quarantine.store_restored();
+            self.rollouts.store_restored();
         }
     }
 
--- a/crates/forward/src/rollout/mod.rs
+++ b/crates/forward/src/rollout/mod.rs
@@ -3,6 +3,7 @@
 
 mod held;
 mod judge;
+mod lost;
 mod report;
 mod sent;
 mod stalls;
@@ -24,6 +25,7 @@
 
 pub use held::NeededResults;
 pub use judge::handle_report;
+pub use lost::write_lost_states;
 pub use report::run_reports;
 pub use sent::{TrackedSend, track_send};
 pub use stalls::watch as watch_stalls;
@@ -57,6 +59,14 @@
     }
 }
 
+impl LocalRollouts {
+    /// Drops the judges after the store was restored from an older copy: they would compare
+    /// revisions from before. New ones rebuild their state from the reports.
+    pub fn store_restored(&self) {
+        self.judges.borrow_mut().clear();
+    }
+}
+
 fn service_of(change: &RolloutChange) -> &Name {
     match change {
         RolloutChange::Began(order)
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -46,6 +46,7 @@
         tokio::task::spawn_local(rollouts::ask_peers(node.clone()));
         tokio::task::spawn_local(rollout::run_reports(node.clone()));
         tokio::task::spawn_local(rollout::watch_stalls(node.clone()));
+        tokio::task::spawn_local(rollout::write_lost_states(node.clone()));
     }
     tokio::task::spawn_local(rules::follow(node.clone()));
     tokio::task::spawn_local(targets::follow(node.clone()));
@@ -67,6 +68,7 @@
         node.fleet(|f| f.expire(now));
         node.limits.expire(&node);
         node.ejections.expire(&node);
+        rollouts::settle(&node);
         node.feed.log_stale_kinds(now);
     }
 }
--- a/crates/forward/src/watch/rollouts.rs
+++ b/crates/forward/src/watch/rollouts.rs
@@ -108,16 +108,34 @@
     let (was_known, was_unsettled) =
         node.fleet(|f| (f.versions().is_known(), f.versions().unsettled().is_some()));
     let changes = node.fleet(|f| f.versions_mut().apply(list, now));
-    for change in &changes {
-        log_change(node, change, from);
-        node.rollouts.handle_change(change, now);
-    }
+    handle_changes(node, &changes, from);
     let is_settled = node.fleet(|f| f.versions().unsettled().is_none());
     if !changes.is_empty() || !was_known || (was_unsettled && is_settled) {
         node.feed.notify();
     }
 }
 
+/// Applies what has become certain since the store was restored from an older copy.
+pub(super) fn settle(node: &Node) {
+    let now = node.now();
+    if !node.fleet(|f| f.versions().is_settle_due(now)) {
+        return;
+    }
+    let changes = node.fleet(|f| f.versions_mut().settle(now));
+    handle_changes(node, &changes, "settled");
+    if !changes.is_empty() {
+        node.feed.notify();
+    }
+}
+
+fn handle_changes(node: &Node, changes: &[RolloutChange], from: &str) {
+    let now = node.now();
+    for change in changes {
+        log_change(node, change, from);
+        node.rollouts.handle_change(change, now);
+    }
+}
+
 fn log_change(node: &Node, change: &RolloutChange, from: &str) {
     let (order, what) = match change {
         RolloutChange::Began(order) => (order, "ordered"),
--- a/crates/model/src/forward/rollout.rs
+++ b/crates/model/src/forward/rollout.rs
@@ -56,9 +56,10 @@
 impl Rollout {
     /// Whether this is a new order since `previous`: the object was recreated, the state was
     /// reverted, or the revision changed but neither state nor duration did. Each state is written
-    /// once, so an order that became active twice was ended in between.
+    /// once, so an order that became active twice was ended in between. An order whose revision is
+    /// 0 was known before the store was restored; its operator repeats it as it was.
     pub fn is_new_order(&self, previous: &Rollout) -> bool {
-        if self.revision <= previous.revision || self.state.is_final() {
+        if previous.revision == 0 || self.revision <= previous.revision || self.state.is_final() {
             return false;
         }
         let is_reverted = match previous.state {
