Keep evacuations in force that a restored store lacks

What callers would see: the store comes back from a copy older than an evacuation; until the operator's order is written again, requests go to the targets of the evacuated domain, which may stop any moment.

The first list of the new epoch was taken whole, so that what the copy lacks counted as ended.

Change: domains known before the restore and not listed since stay evacuated until they are listed again, or for 10 s. One constant says for how long writes may be repeated, for targets, rollouts and evacuations alike.

--- a/crates/decide/src/fleet/evacuation.rs
+++ b/crates/decide/src/fleet/evacuation.rs
@@ -10,7 +10,7 @@
 use model::forward::Evacuations;
 use model::{Name, Time};
 
-use crate::relay::LatestList;
+use crate::relay::{LatestList, RESTORE_SETTLE_TIME};
 
 /// Change of one failure domain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,33 +24,36 @@
 /// Evacuations known to this node.
 #[derive(Debug, Default)]
 pub struct Evacuated {
-    /// If followed, nothing is sent before the first list has arrived.
-    domains: LatestList<BTreeSet<Name>>,
+    /// Domains in the store's list. If it is followed, nothing is sent before the first one arrived.
+    listed: LatestList<BTreeSet<Name>>,
+    /// Domains that are evacuated: those listed, and those that the store lost.
+    in_force: BTreeSet<Name>,
+    /// Domains known before the store was restored from an older copy that it has not listed since.
+    lost: BTreeSet<Name>,
+    /// When the lost domains count as ended.
+    settled_at: Option<Time>,
     ended_at: BTreeMap<Name, Time>,
 }
 
 impl Evacuated {
     /// Follows evacuations from now on.
     pub fn follow(&mut self) {
-        self.domains.follow();
+        self.listed.follow();
     }
 
     /// Whether the node may send: a list is known, or none is followed.
     pub fn is_known(&self) -> bool {
-        self.domains.is_known()
+        self.listed.is_known()
     }
 
     /// Whether the targets of a failure domain get no new requests.
     pub fn contains(&self, domain: &str) -> bool {
-        match self.domains.list() {
-            Some(domains) => domains.contains(domain),
-            None => self.domains.is_followed(),
-        }
+        if self.is_known() { self.in_force.contains(domain) } else { true }
     }
 
     /// Failure domains known to be evacuated.
     pub fn domains(&self) -> impl Iterator<Item = &Name> {
-        self.domains.list().into_iter().flatten()
+        self.in_force.iter()
     }
 
     /// When the evacuation of a failure domain last ended, if it did.
@@ -60,10 +63,19 @@
 
     /// Applies a list unless a newer one is known; returns the resulting changes.
     pub fn update(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
-        let after: BTreeSet<Name> = list.domains.into_iter().collect();
-        let Some(before) = self.domains.update(list.at, after.clone()) else {
+        if self.is_current() && self.revision().is_some_and(|known| list.at < known) {
             return Vec::new();
-        };
+        }
+        self.listed.update(list.at, list.domains.into_iter().collect());
+        self.update_in_force(now)
+    }
+
+    /// Puts the store's list in force, with what it lost; returns the changes.
+    fn update_in_force(&mut self, now: Time) -> Vec<EvacuationChange> {
+        let mut after = self.listed.list().cloned().unwrap_or_default();
+        self.lost.retain(|domain| !after.contains(domain));
+        after.extend(self.lost.iter().cloned());
+        let before = std::mem::replace(&mut self.in_force, after.clone());
         for domain in before.difference(&after) {
             self.ended_at.insert(domain.clone(), now);
         }
@@ -72,29 +84,45 @@
         ended.chain(began).collect()
     }
 
+    /// Whether lost domains still count as evacuated although the time in which operators repeat
+    /// lost writes is over.
+    pub fn is_settle_due(&self, now: Time) -> bool {
+        self.settled_at.is_some_and(|at| now >= at) && self.is_current()
+    }
+
+    /// Ends the evacuations that the store lost and that were not repeated.
+    pub fn settle(&mut self, now: Time) -> Vec<EvacuationChange> {
+        self.settled_at = None;
+        self.lost.clear();
+        self.update_in_force(now)
+    }
+
     /// Revision of the newest list; `None` if none is known.
     pub fn revision(&self) -> Option<u64> {
-        self.domains.revision()
+        self.listed.revision()
     }
 
     /// The list, to be sent to another node.
     pub fn list(&self) -> Option<Evacuations> {
-        let domains = self.domains.list()?.iter().cloned().collect();
+        let domains = self.listed.list()?.iter().cloned().collect();
         Some(Evacuations { at: self.revision()?, domains })
     }
 
     /// Whether the list belongs to the current epoch of the store.
     pub fn is_current(&self) -> bool {
-        self.domains.is_current()
+        self.listed.is_current()
     }
 
-    /// Handles a restore of the store from an older copy.
-    pub fn begin_epoch(&mut self) {
-        self.domains.begin_epoch();
+    /// Handles a restore of the store from an older copy, which may lack evacuations: they stay in
+    /// force until the operator repeats them.
+    pub fn begin_epoch(&mut self, now: Time) {
+        self.listed.begin_epoch();
+        self.lost = self.in_force.clone();
+        self.settled_at = Some(now + RESTORE_SETTLE_TIME);
     }
 
     /// Whether a node with the list of this revision, if any, lacks a change.
     pub fn has_changed_since(&self, at: Option<u64>) -> bool {
-        self.domains.has_changed_since(at)
+        self.listed.has_changed_since(at)
     }
 }
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -14,6 +14,7 @@
 use super::state::{Observation, Presence, TargetState};
 use super::{ChangedTargets, ColdLimit, Evacuated, EvacuationChange, Exclusion, Regions, Terms};
 use crate::permit::{LimitChange, LimitObservation, Limits};
+use crate::relay::RESTORE_SETTLE_TIME;
 use crate::rollout::Versions;
 
 /// All targets known to a node; only the latest start of each name.
@@ -33,10 +34,6 @@
     changes: ChangeLog,
 }
 
-/// Time after a restore from which a listed entry is taken to be its target's own: a stale entry
-/// would have expired by then, and everything written since the copy has been written again.
-const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(10);
-
 impl Fleet {
     /// Current cursor for [`Fleet::changes_since`].
     pub fn cursor(&self) -> u64 {
@@ -207,7 +204,7 @@
     /// and draining marks written since may be lost.
     pub fn begin_epoch(&mut self, now: Time) {
         self.restored_at = Some(now);
-        self.evacuated.begin_epoch();
+        self.evacuated.begin_epoch(now);
         self.versions.begin_epoch(now);
         for t in self.states.values_mut() {
             t.target.revision = 0;
@@ -358,6 +355,13 @@
         changes
     }
 
+    /// Ends the evacuations that the store lost in a restore and that were not repeated; returns the
+    /// resulting changes.
+    pub fn settle_evacuations(&mut self, now: Time) -> Vec<EvacuationChange> {
+        self.changes.invalidate();
+        self.evacuated.settle(now)
+    }
+
     /// Whether a target is cold: according to its entry, or because the evacuation of its failure
     /// domain has just ended, which the entry reflects only a moment later.
     pub fn is_cold(&self, t: &TargetState, limit: ColdLimit, now: Time) -> bool {
--- a/crates/decide/src/relay/latest.rs
+++ b/crates/decide/src/relay/latest.rs
@@ -3,6 +3,12 @@
 //! store is restored from an older copy: the known list then stays in force until the next one,
 //! whatever its revision.
 
+use std::time::Duration;
+
+/// Time after a restore of the store from an older copy in which lost writes are repeated. What is
+/// in the copy alone may be obsolete until then, and what it lacks may still be valid.
+pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// A list and its revisions.
 #[derive(Debug)]
 struct Known<T> {
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -21,7 +21,7 @@
 pub mod waits;
 
 pub use history::History;
-pub use latest::LatestList;
+pub use latest::{LatestList, RESTORE_SETTLE_TIME};
 pub use list::{Entry, List};
 pub use outage::OutageGrace;
 pub use source::{Choice, Relays, Role, Source, Sources};
--- a/crates/decide/src/rollout/versions/restore.rs
+++ b/crates/decide/src/rollout/versions/restore.rs
@@ -6,17 +6,14 @@
 //! after the restore are not comparable, so everything known before counts as older than what comes.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use model::forward::{Rollout, RolloutState};
 use model::{Name, Time};
 
 use super::{Orders, RolloutChange, Versions};
+use crate::relay::RESTORE_SETTLE_TIME;
 use crate::rollout::withdrawn::WithdrawnVersions;
 
-/// Time after a restore in which operators repeat lost writes.
-const SETTLE_TIME: Duration = Duration::from_secs(10);
-
 /// Final state of an order that the store has lost.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostState {
@@ -134,7 +131,8 @@
             (service.clone(), known)
         };
         let known = self.in_force.known.iter_mut().map(known).collect();
-        self.restore = Restore { known, settled_at: Some(now + SETTLE_TIME), first_list: None };
+        self.restore =
+            Restore { known, settled_at: Some(now + RESTORE_SETTLE_TIME), first_list: None };
     }
 
     /// Whether the time in which lost writes are repeated has ended since the last call of
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -128,3 +128,24 @@
         }
     }
 }
+
+#[test]
+fn evacuation_lost_in_a_restore_holds_until_it_is_ended_or_not_repeated() {
+    let ended = vec![EvacuationChange::Ended("b".into())];
+    let restored = || {
+        let mut fleet = fleet();
+        fleet.follow_evacuations();
+        fleet.set_evacuations(list(30, &["b"]), at(0));
+        fleet.begin_epoch(at(1_000));
+        assert_eq!(fleet.set_evacuations(list(3, &[]), at(1_100)), [], "the copy lacks it");
+        fleet
+    };
+    let mut repeated = restored();
+    assert_eq!(repeated.set_evacuations(list(4, &["b"]), at(1_200)), []);
+    assert_eq!(repeated.set_evacuations(list(5, &[]), at(1_300)), ended);
+    let mut forgotten = restored();
+    assert!(!forgotten.evacuated().is_settle_due(at(10_900)));
+    assert!(forgotten.evacuated().is_settle_due(at(11_000)));
+    assert_eq!(forgotten.settle_evacuations(at(11_000)), ended);
+    assert!(!forgotten.evacuated().is_settle_due(at(12_000)));
+}
--- a/crates/forward/src/watch/evacuations.rs
+++ b/crates/forward/src/watch/evacuations.rs
@@ -49,7 +49,29 @@
     let revision = list.at;
     let was_known = node.fleet(|f| f.evacuated().is_known());
     let changes = node.fleet(|f| f.set_evacuations(list, now));
-    for change in &changes {
+    log_changes(node, &changes, revision, from);
+    if !changes.is_empty() || !was_known {
+        node.feed.notify();
+    }
+}
+
+/// Ends evacuations that the store lost and that were not repeated in time.
+pub(super) fn settle(node: &Node) {
+    let now = node.now();
+    if !node.fleet(|f| f.evacuated().is_settle_due(now)) {
+        return;
+    }
+    let changes = node.fleet(|f| f.settle_evacuations(now));
+    let revision = node.fleet(|f| f.evacuated().revision()).unwrap_or(0);
+    log_changes(node, &changes, revision, "settled");
+    if !changes.is_empty() {
+        node.feed.notify();
+    }
+}
+
+fn log_changes(node: &Node, changes: &[EvacuationChange], revision: u64, from: &str) {
+    let now = node.now();
+    for change in changes {
         let (domain, state) = match change {
             EvacuationChange::Began(domain) => (domain, "began"),
             EvacuationChange::Ended(domain) => (domain, "ended"),
@@ -57,7 +79,4 @@
         let age_ms = super::millis(node.feed.age(now));
         Event::Evacuation { domain, state, revision, from, age_ms }.emit();
     }
-    if !changes.is_empty() || !was_known {
-        node.feed.notify();
-    }
 }
