Tell all nodes of a recovery even after contrary evidence, and bound witnesses in time

Cause, found reading the diff: a query answered by a node that the target served cleared the keeper's note that an ejection had been announced, so the recovery that followed was told to nobody and the other nodes waited for their turns; and two reports a minute apart counted as two witnesses.

Change: the keeper keeps "was announced" apart from "is ejected", and counts reporters of the last 5 s.

--- a/crates/decide/src/ejection/mod.rs
+++ b/crates/decide/src/ejection/mod.rs
@@ -1,6 +1,6 @@
 //! Agreement of the nodes of a failure domain that a target serves nothing.
 //!
-//! A node that ejects a target reports it to the target's keeper, a node of its own failure domain.
+//! A node that a target fails repeatedly reports that to the target's keeper, a node of its own failure domain.
 //! The keeper asks the others what they saw. If a second node saw the target fail and none was
 //! served since the first failure, all are told to eject it: a target that is merely busy serves
 //! some node, and one that a single node cannot reach serves the others. The first node that has
@@ -21,18 +21,22 @@
 const MAX_QUERY_INTERVAL: Duration = Duration::from_secs(32);
 /// Time without reports after which a target is forgotten.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Nodes that must have seen a target fail.
+/// Nodes that must have seen a target fail, and the time within which they must have.
 const MIN_WITNESSES: usize = 2;
+const WITNESS_TIME: Duration = Duration::from_secs(5);
 
 /// Evidence on one target.
 #[derive(Debug)]
 struct Case {
     kind: FailureKind,
-    /// First failure that was reported.
+    /// First of the failures that were reported last.
     since: Time,
-    reporters: BTreeSet<Name>,
-    /// Whether all nodes were told to eject it.
-    announced: bool,
+    /// When each node last reported it.
+    reporters: BTreeMap<Name, Time>,
+    /// Whether the latest evidence shows that it serves nothing.
+    is_ejected: bool,
+    /// Whether nodes were told to eject it.
+    was_announced: bool,
     next_query: Time,
     query_interval: Duration,
     reported_at: Time,
@@ -73,8 +77,9 @@
         let case = self.cases.entry(report.target.clone()).or_insert_with(|| Case {
             kind: report.kind,
             since,
-            reporters: BTreeSet::new(),
-            announced: false,
+            reporters: BTreeMap::new(),
+            is_ejected: false,
+            was_announced: false,
             next_query: now,
             query_interval: MIN_QUERY_INTERVAL,
             reported_at: now,
@@ -82,14 +87,15 @@
         // The latest run of failures counts: before it, the target may have served others.
         case.since = case.since.max(since);
         case.kind = report.kind;
-        case.reporters.insert(from.clone());
+        case.reporters.retain(|_, at| now.since(*at) < WITNESS_TIME);
+        case.reporters.insert(from.clone(), now);
         case.reported_at = now;
         if now >= case.next_query {
             case.next_query = now + case.query_interval;
             case.query_interval = (case.query_interval * 2).min(MAX_QUERY_INTERVAL);
             return KeeperAction::Query;
         }
-        if case.announced { KeeperAction::Confirm } else { KeeperAction::Wait }
+        if case.is_ejected { KeeperAction::Confirm } else { KeeperAction::Wait }
     }
 
     /// The report to query and announce, with its age as of now.
@@ -106,17 +112,18 @@
         };
         let served = evidence.iter().filter(|(_, e)| *e == Evidence::Served).count();
         let failed = evidence.iter().filter(|(_, e)| *e == Evidence::Failed).map(|(name, _)| name);
-        let failed = case.reporters.iter().chain(failed).collect::<BTreeSet<_>>().len();
-        case.announced = served == 0 && failed >= MIN_WITNESSES;
+        let failed = case.reporters.keys().chain(failed).collect::<BTreeSet<_>>().len();
+        case.is_ejected = served == 0 && failed >= MIN_WITNESSES;
+        case.was_announced |= case.is_ejected;
         if served > 0 {
             case.reporters.clear();
         }
-        Decision { eject: case.announced, failed, served }
+        Decision { eject: case.is_ejected, failed, served }
     }
 
     /// Records that a node was served again; returns whether the others must be told.
     pub fn recovered(&mut self, target: &TargetId) -> bool {
-        self.cases.remove(target).is_some_and(|case| case.announced)
+        self.cases.remove(target).is_some_and(|case| case.was_announced)
     }
 
     /// Forgets targets without recent reports.
--- a/crates/decide/tests/ejection.rs
+++ b/crates/decide/tests/ejection.rs
@@ -61,7 +61,7 @@
             KeeperAction::Confirm => confirmed += 1,
             KeeperAction::Wait => {}
         }
-        keeper.decide(&"t0".into(), &[]);
+        keeper.decide(&"t0".into(), &[("n3".into(), Evidence::Failed)]);
     }
     assert!(queries <= 10, "{queries}");
     assert!(confirmed > 1000, "{confirmed}");
@@ -69,6 +69,27 @@
     assert!(!keeper.recovered(&"t0".into()), "once");
 }
 
+#[test]
+fn recovery_is_told_even_if_the_target_served_some_nodes_before() {
+    let mut keeper = EjectionKeeper::default();
+    let id = TargetId::from("t0");
+    keeper.report(&"n1".into(), &report(300), at(1000));
+    let evidence = [("n2".into(), Evidence::Failed)];
+    assert!(keeper.decide(&id, &evidence).eject);
+    keeper.report(&"n1".into(), &report(300), at(2000));
+    assert!(!keeper.decide(&id, &[("n2".into(), Evidence::Served)]).eject);
+    assert_eq!(keeper.report(&"n1".into(), &report(300), at(2001)), KeeperAction::Wait);
+    assert!(keeper.recovered(&id));
+}
+
+#[test]
+fn failures_at_different_times_do_not_add_up() {
+    let mut keeper = EjectionKeeper::default();
+    keeper.report(&"n1".into(), &report(300), at(1_000));
+    keeper.report(&"n2".into(), &report(300), at(20_000));
+    assert!(!keeper.decide(&"t0".into(), &[]).eject);
+}
+
 #[test]
 fn a_burst_of_rejections_leaves_time_for_contrary_evidence() {
     let mut keeper = EjectionKeeper::default();
--- a/crates/forward/src/ejections/mod.rs
+++ b/crates/forward/src/ejections/mod.rs
@@ -1,4 +1,4 @@
-//! Ejections that the nodes of a failure domain agree on: each node reports what it ejects to the
+//! Ejections that the nodes of a failure domain agree on: each node reports repeated failures to the
 //! target's keeper, which asks the others and tells all (see [`decide::ejection`]). A node that no
 //! keeper answers ejects and probes by itself.
 
--- a/crates/model/src/forward/ejection.rs
+++ b/crates/model/src/forward/ejection.rs
@@ -8,12 +8,12 @@
 use super::TargetId;
 use crate::Name;
 
-/// How a target fails requests.
+/// How a target fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FailureKind {
-    /// They do not run: it rejects them or cannot be reached.
+    /// Requests do not run: it rejects them or cannot be reached.
     NotRun,
-    /// They may run: it answers with errors, or its connections break.
+    /// Requests may run: it answers with errors, or its connections break.
     Failed,
 }
 
