Back off longer from a stage worker that rejects every call

What was seen: a_worker_that_rejects_all_calls_does_not_attract_them failed once, 59 calls in 10 s where 50 may come, while a release build ran beside it. Callers lost nothing (636 of 636).

Cause: a worker that rejects a call as full was called again after 60 ms each time, however often it had done so, as soon as the other workers were busy; on a slow machine they are more often.

Evidence: all 68 calls of that run are one coordinator's, 4 to 9 a second, 60 to 150 ms apart, each line with "full". Not an effect of the shared ejections: no line of theirs, and calls do not report there.

Change: the backoff doubles with each rejection in a row, from 60 to 240 ms. A worker that is merely full accepts a call in between, which resets it.

Failed before: 163 calls in 10 s in the new test of batch_calls.rs, where 50 may come; after: within the bound.

--- a/crates/decide/src/batch/worker.rs
+++ b/crates/decide/src/batch/worker.rs
@@ -12,8 +12,10 @@
 const EJECTION_BASE: Duration = Duration::from_millis(300);
 /// Maximum ejection time.
 const EJECTION_MAX: Duration = Duration::from_millis(2400);
-/// Backoff after a worker refused a call because it was full.
+/// First backoff after a worker refused a call because it was full; doubles with each further one.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
+/// Maximum backoff of a full worker, which may have a free place any moment.
+const FULL_BACKOFF_MAX: Duration = Duration::from_millis(240);
 /// Time for which a reported lack of room stays valid.
 const NO_ROOM_TTL: Duration = Duration::from_millis(120);
 /// Fraction of a worker's room that is used, since result sizes are estimates.
@@ -85,6 +87,7 @@
     last_call: Option<Time>,
     ejected_until: Time,
     failed_in_a_row: u32,
+    full_in_a_row: u32,
     /// Whether it answered its last call, late or with a refusal: it is retried soon after an
     /// ejection.
     is_responsive: bool,
@@ -112,6 +115,7 @@
             last_call: None,
             ejected_until: Time::ZERO,
             failed_in_a_row: 0,
+            full_in_a_row: 0,
             is_responsive: false,
             breaker: Breaker::Closed,
             result_cap: None,
@@ -203,6 +207,11 @@
         self.breaker = Breaker::Open;
     }
 
+    fn full_backoff(&self) -> Duration {
+        let doublings = self.full_in_a_row.saturating_sub(1).min(8);
+        (FULL_BACKOFF * 2u32.pow(doublings)).min(FULL_BACKOFF_MAX)
+    }
+
     /// Records the start of a call whose results will take `bytes`.
     pub(super) fn call_started(&mut self, bytes: u64, now: Time) {
         self.calls += 1;
@@ -215,10 +224,11 @@
         self.calls = self.calls.saturating_sub(1);
         self.in_flight_bytes = self.in_flight_bytes.saturating_sub(bytes);
         self.is_responsive = !matches!(end, CallEnd::Failed);
+        self.full_in_a_row = if *end == CallEnd::Full { self.full_in_a_row + 1 } else { 0 };
         match end {
             CallEnd::Answered(_) if was_slow => self.eject(now),
             CallEnd::Answered(_) => self.failed_in_a_row = 0,
-            CallEnd::Full => self.ejected_until = now + FULL_BACKOFF,
+            CallEnd::Full => self.ejected_until = now + self.full_backoff(),
             CallEnd::Failed => self.eject(now),
         }
     }
--- a/crates/decide/tests/batch_calls.rs
+++ b/crates/decide/tests/batch_calls.rs
@@ -77,3 +77,37 @@
     });
     assert_eq!(ended.count(), 1, "it fails after the fourth failure");
 }
+
+/// Guards against a worker that rejects every call and gets one whenever the others are busy.
+#[test]
+fn a_worker_that_rejects_all_calls_gets_few_of_them() {
+    /// Calls per second that such a worker may get.
+    const MAX_PER_S: usize = 5;
+    const SECONDS: u64 = 10;
+    let mut c = coordinator(&[("full", "a"), ("busy", "a")]);
+    let mut in_flight: Vec<(u64, Call)> = Vec::new();
+    let mut rejected = 0;
+    for ms in 1..SECONDS * 1000 {
+        let (ended, open): (Vec<_>, Vec<_>) = in_flight.into_iter().partition(|(at, _)| *at <= ms);
+        in_flight = open;
+        let end = |call: Call| match &*call.worker.name {
+            "full" => Event::CallEnded(call.number, CallEnd::Full),
+            _ => Event::CallEnded(call.number, made(&call)),
+        };
+        let mut events: Vec<Event> = ended.into_iter().map(|(_, call)| end(call)).collect();
+        events.push(Event::Tick);
+        if ms % 30 == 0 {
+            let order = BatchOrder { slack_ms: 20_000, left_ms: 30_000, ..order("r", 3) };
+            events.push(order_event(ms, order));
+        }
+        for event in events {
+            for call in calls(&c.handle_event(at(ms), event)) {
+                let is_rejected = &*call.worker.name == "full";
+                rejected += usize::from(is_rejected);
+                let length = pool().call_time(call.pieces.len() as u32).as_millis() as u64;
+                in_flight.push((ms + if is_rejected { 1 } else { length }, call));
+            }
+        }
+    }
+    assert!(rejected <= MAX_PER_S * SECONDS as usize, "{rejected} calls in {SECONDS} s");
+}
