Share no ejections of unreachable targets, and count running work as evidence

Reading on: a node with a request running at a full target did not say so, since a rejected request sent a moment ago hid it, and an answer to an old request was no evidence.

--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -98,10 +98,10 @@
     failures: u32,
     failing_since: Option<Time>,
     failed_at: Option<Time>,
-    /// When the latest request that was answered was sent.
+    /// When the latest answer arrived.
     served_at: Option<Time>,
-    /// When the latest request was sent.
-    sent_at: Time,
+    /// Since when requests have been in flight without a gap.
+    busy_since: Time,
     /// Time of the last probe.
     probed_at: Time,
 }
@@ -128,7 +128,7 @@
             failing_since: None,
             failed_at: None,
             served_at: None,
-            sent_at: Time::ZERO,
+            busy_since: Time::ZERO,
             probed_at: Time::ZERO,
         }
     }
@@ -167,9 +167,11 @@
         is_free && is_due && (may_repeat || self.not_run)
     }
 
-    /// Records that a request is sent to the target.
+    /// Records that a request, which is counted as in flight, is sent to the target.
     pub(super) fn record_send(&mut self, now: Time) {
-        self.sent_at = now;
+        if self.outstanding <= 1 {
+            self.busy_since = now;
+        }
     }
 
     /// Records that the target was picked for a request.
@@ -215,10 +217,15 @@
         }
         let answered = matches!(observation, Observation::Answered(_));
         self.stats.record_outcome(!answered, now);
-        if !answered {
-            self.failures += 1;
-            self.failing_since.get_or_insert(now);
-            self.failed_at = Some(now);
+        match observation {
+            Observation::Rejected | Observation::Failed | Observation::Interrupted => {
+                self.failures += 1;
+                self.failing_since.get_or_insert(now);
+                self.failed_at = Some(now);
+            }
+            // Trying again costs callers nothing, and it may be back any moment.
+            Observation::Unreachable | Observation::Replaced => self.forget_failures(),
+            Observation::Answered(_) | Observation::NotSent => {}
         }
         self.rejections =
             if observation == Observation::Rejected { self.rejections + 1 } else { 0 };
@@ -238,7 +245,7 @@
     fn record_answer(&mut self, latency: Duration, now: Time) {
         self.stats.record_latency(latency, now);
         (self.failures, self.failing_since) = (0, None);
-        self.served_at = self.served_at.max(Some(now - latency));
+        self.served_at = Some(now);
         self.ejections = 0;
         if self.recovering {
             self.stats.halve_failure_rate();
@@ -269,7 +276,7 @@
 
     /// What this node saw of it since the first failure in a report.
     pub(super) fn evidence(&self, since: Time, now: Time) -> Evidence {
-        let has_accepted = self.outstanding > 0 && now.since(self.sent_at) > ACCEPTED_AFTER;
+        let has_accepted = self.outstanding > 0 && now.since(self.busy_since) > ACCEPTED_AFTER;
         if has_accepted || self.served_at.is_some_and(|at| at >= since) {
             return Evidence::Served;
         }
@@ -299,6 +306,11 @@
         self.ejected_until = self.ejected_until.min(turn);
         self.ejections = 0;
         self.rejections = 0;
+        self.forget_failures();
+    }
+
+    /// Forgets what other nodes are asked or told about.
+    fn forget_failures(&mut self) {
         self.shared = false;
         (self.failures, self.failing_since) = (0, None);
     }
--- a/crates/model/src/forward/ejection.rs
+++ b/crates/model/src/forward/ejection.rs
@@ -11,7 +11,7 @@
 /// How a target fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FailureKind {
-    /// Requests do not run: it rejects them or cannot be reached.
+    /// Requests do not run: it rejects them.
     NotRun,
     /// Requests may run: it answers with errors, or its connections break.
     Failed,
