Take the others' mean latency for a target that another node found healthy

The logs show it: three of four nodes sent it three requests each in the same 20 ms, which took 30 to 34 ms on the busy machine; the mean from before had decayed to a quarter, so this one sample was three quarters of the new one, and these nodes gave it 6, 9 and 11 requests; the fourth, which had probed it before, 33.

Change: when a shared ejection ends, the mean latency becomes that of the other targets of the service, so a first sample weighs 0.15 of it.

--- a/crates/decide/src/fleet/answers.rs
+++ b/crates/decide/src/fleet/answers.rs
@@ -45,6 +45,11 @@
         self.failure_rate /= 2.0;
     }
 
+    /// Replaces the mean latency, of which an answer after a long time would leave little.
+    pub(super) fn set_mean_ms(&mut self, mean_ms: f64, now: Time) {
+        (self.mean_ms, self.answered_at) = (mean_ms, now);
+    }
+
     /// Raises the failure rate to at least `rate`.
     pub(super) fn raise_failure_rate(&mut self, rate: f64, now: Time) {
         self.failure_rate = self.failure_rate(now).max(rate);
--- a/crates/decide/src/fleet/shared.rs
+++ b/crates/decide/src/fleet/shared.rs
@@ -73,11 +73,20 @@
 
     /// Brings this node's probe of a target forward, since another node has shown it to be healthy.
     /// Returns whether its ejection was shared.
-    pub fn end_shared_ejection(&mut self, id: &TargetId, turn: Time) -> bool {
+    pub fn end_shared_ejection(&mut self, id: &TargetId, turn: Time, now: Time) -> bool {
+        let mean_ms = self.mean_of_others(id, now);
         let Some(t) = self.get_mut(id).filter(|t| t.is_shared()) else {
             return false;
         };
-        t.end_shared_ejection(turn);
+        t.end_shared_ejection(turn, mean_ms, now);
         true
     }
+
+    /// Mean latency of the other targets of a target's service, in milliseconds.
+    fn mean_of_others(&self, id: &TargetId, now: Time) -> Option<f64> {
+        let service = &self.get(id)?.target.service;
+        let others = self.service_targets(service).filter(|t| t.target.id != *id);
+        let means: Vec<f64> = others.filter_map(|t| t.answer_ms(now)).collect();
+        (!means.is_empty()).then(|| means.iter().sum::<f64>() / means.len() as f64)
+    }
 }
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -301,8 +301,12 @@
     }
 
     /// Brings the next probe forward, since another node has shown that the target is healthy.
-    pub(super) fn end_shared_ejection(&mut self, turn: Time) {
+    /// Until its answers show otherwise, its mean latency is taken to be `mean_ms`.
+    pub(super) fn end_shared_ejection(&mut self, turn: Time, mean_ms: Option<f64>, now: Time) {
         self.stats.lower_failure_rate(SHARED_FAILURE_RATE);
+        if let Some(mean_ms) = mean_ms {
+            self.stats.set_mean_ms(mean_ms, now);
+        }
         self.ejected_until = self.ejected_until.min(turn);
         self.ejections = 0;
         self.rejections = 0;
--- a/crates/decide/tests/ejection.rs
+++ b/crates/decide/tests/ejection.rs
@@ -170,9 +170,11 @@
 fn recovery_shown_by_another_node_brings_the_probe_forward() {
     let id = TargetId::from("t0");
     let mut fleet = fleet();
-    assert!(!fleet.end_shared_ejection(&id, at(10)), "was not ejected");
+    assert!(!fleet.end_shared_ejection(&id, at(10), at(5)), "was not ejected");
     fleet.eject_shared(&id, FailureKind::Failed, at(0), at(60_000), at(1_000));
-    assert!(fleet.end_shared_ejection(&id, at(2_000)));
+    fleet.observe(&"t1".into(), answered(20), at(1_500));
+    assert!(fleet.end_shared_ejection(&id, at(2_000), at(1_500)));
+    assert_eq!(fleet.get(&id).and_then(|t| t.answer_ms(at(1_500))), Some(20.0), "as the others");
     assert_eq!(picked(&fleet, at(1_990)), ["t1"]);
     assert_eq!(picked(&fleet, at(2_000)), ["t0"]);
     fleet.observe(&id, answered(20), at(2_020));
--- a/crates/forward/src/ejections/mod.rs
+++ b/crates/forward/src/ejections/mod.rs
@@ -98,5 +98,5 @@
 fn end_shared_ejection(node: &Node, target: &TargetId) -> bool {
     let now = node.now();
     let turn = now + node.rng(|r| r.jitter(return_time(node_count(node))));
-    node.fleet(|f| f.end_shared_ejection(target, turn))
+    node.fleet(|f| f.end_shared_ejection(target, turn, now))
 }
