Keep unsupported peers in one type, for limits and ejections

The shared ejections had copied the set of peers that do not know a message, with its check, its log line and its clean-up, from the limits. Both use peers::UnsupportedPeers now. No behaviour changes.

--- a/crates/forward/src/ejections/mod.rs
+++ b/crates/forward/src/ejections/mod.rs
@@ -5,7 +5,6 @@
 mod spread;
 
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,11 +12,9 @@
 use decide::fleet::{Observation, mean_probe_interval, return_time};
 use model::Time;
 use model::forward::{FailureReport, Target, TargetId};
-use model::member::{Node as PeerNode, NodeId};
 
-use crate::events::Event;
 use crate::node::Node;
-use crate::peers::EJECTIONS;
+use crate::peers::UnsupportedPeers;
 
 pub use spread::handle_message;
 
@@ -26,7 +23,7 @@
 pub struct LocalEjections {
     keeper: RefCell<EjectionKeeper>,
     /// Peers whose build does not support shared ejections.
-    unsupported_peers: RefCell<HashSet<NodeId>>,
+    unsupported_peers: UnsupportedPeers,
 }
 
 impl LocalEjections {
@@ -38,21 +35,7 @@
     /// Drops targets without recent reports, and peers that are no longer up.
     pub fn expire(&self, node: &Node) {
         self.keeper(|k| k.expire(node.now()));
-        let mut unsupported = self.unsupported_peers.borrow_mut();
-        if !unsupported.is_empty() {
-            let up = node.peers.roster(|r| r.ids());
-            unsupported.retain(|id| up.contains(id));
-        }
-    }
-
-    fn is_unsupported(&self, id: &NodeId) -> bool {
-        self.unsupported_peers.borrow().contains(id)
-    }
-
-    fn record_unsupported(&self, peer: &PeerNode) {
-        if self.unsupported_peers.borrow_mut().insert(peer.id.clone()) {
-            Event::Stranger { peer: &peer.id.name, what: EJECTIONS }.emit();
-        }
+        self.unsupported_peers.expire(node);
     }
 }
 
--- a/crates/forward/src/ejections/spread.rs
+++ b/crates/forward/src/ejections/spread.rs
@@ -46,7 +46,7 @@
 
 fn report(node: &Rc<Node>, target: &TargetId, message: EjectionMessage) {
     let (domain, now) = (node.settings().domain.clone(), node.now());
-    let is_unsupported = |id: &_| node.ejections.is_unsupported(id);
+    let is_unsupported = |id: &_| node.ejections.unsupported_peers.contains(id);
     let keeper = node.peers.roster(|r| r.keeper(&target.name, &domain, is_unsupported, now));
     match keeper {
         None => {}
@@ -77,7 +77,7 @@
         Ok(answer) => Some(answer),
         Err(e) => {
             if peers::is_unsupported(&e) {
-                node.ejections.record_unsupported(peer);
+                node.ejections.unsupported_peers.record(peer, EJECTIONS);
             } else {
                 log::debug!("ejections: {e}");
             }
@@ -129,7 +129,8 @@
 fn domain_peers(node: &Node) -> Vec<PeerNode> {
     let domain = node.settings().domain.clone();
     let peers = node.peers.roster(|r| r.peers());
-    let is_meant = |p: &PeerNode| p.domain == domain && !node.ejections.is_unsupported(&p.id);
+    let is_meant =
+        |p: &PeerNode| p.domain == domain && !node.ejections.unsupported_peers.contains(&p.id);
     peers.into_iter().filter(is_meant).collect()
 }
 
--- a/crates/forward/src/limits/ask.rs
+++ b/crates/forward/src/limits/ask.rs
@@ -96,7 +96,7 @@
             domain: target.domain.clone(),
             count,
             limit: observation.to_peer(node.now()),
-            unsupported: node.limits.unsupported_peers(MAX_UNSUPPORTED_PEERS),
+            unsupported: node.limits.unsupported_peers.first(MAX_UNSUPPORTED_PEERS),
         };
         match node.limits.keeper(node, &target.id, &target.domain) {
             None => return (None, Err("unsettled")),
@@ -108,7 +108,7 @@
                 Ok(grant) => return (Some(peer), Ok(grant)),
                 // The next node in the order is the keeper then.
                 Err(e) if peers::is_unsupported(&e) => {
-                    node.limits.record_unsupported_peer(&peer, PERMIT)
+                    node.limits.unsupported_peers.record(&peer, PERMIT)
                 }
                 Err(e) if e.status().is_some() => return (Some(peer), Err("not_keeper")),
                 Err(_) => return (Some(peer), Err("silent")),
@@ -164,7 +164,7 @@
 
 /// Handles a peer's request for a permit; `None` if this node is not the target's keeper.
 pub fn handle_permit_request(node: &Rc<Node>, ask: &PermitRequest) -> Option<PermitAnswer> {
-    node.limits.record_unsupported(&ask.unsupported);
+    node.limits.unsupported_peers.extend(&ask.unsupported);
     if node.is_stopping() || node.limits.keeper(node, &ask.target, &ask.domain) != Some(None) {
         return None;
     }
--- a/crates/forward/src/limits/mod.rs
+++ b/crates/forward/src/limits/mod.rs
@@ -5,18 +5,18 @@
 mod spread;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use decide::permit::{LimitChange, LimitObservation, PermitIssuer, RetryPacer};
 use model::forward::{ReportedLimit, Target, TargetId};
-use model::member::{Node as PeerNode, NodeId};
+use model::member::Node as PeerNode;
 use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
-use crate::peers::PeerBackoff;
+use crate::peers::{PeerBackoff, UnsupportedPeers};
 
 pub use ask::{Permit, handle_permit_request, request_permit};
 pub use spread::handle_update;
@@ -29,7 +29,7 @@
 pub struct LocalLimits {
     issuer: RefCell<PermitIssuer>,
     /// Peers whose build does not support limits.
-    unsupported_peers: RefCell<HashSet<NodeId>>,
+    unsupported_peers: UnsupportedPeers,
     /// Keepers that did not respond.
     unresponsive: PeerBackoff,
     retry_pacers: RefCell<HashMap<Name, RetryPacer>>,
@@ -45,37 +45,13 @@
     /// Drops targets without recent permit requests, and peers that are no longer up.
     pub fn expire(&self, node: &Node) {
         self.issuer(|i| i.expire(node.now()));
-        let mut unsupported = self.unsupported_peers.borrow_mut();
-        if !unsupported.is_empty() {
-            let up = node.peers.roster(|r| r.ids());
-            unsupported.retain(|id| up.contains(id));
-        }
-    }
-
-    fn is_unsupported(&self, id: &NodeId) -> bool {
-        self.unsupported_peers.borrow().contains(id)
-    }
-
-    /// Up to `max` peers whose build does not support limits.
-    fn unsupported_peers(&self, max: usize) -> Vec<NodeId> {
-        self.unsupported_peers.borrow().iter().take(max).cloned().collect()
-    }
-
-    fn record_unsupported(&self, ids: &[NodeId]) {
-        self.unsupported_peers.borrow_mut().extend(ids.iter().cloned());
-    }
-
-    /// Records that a peer's build does not support limits: it does not know the message `what`.
-    fn record_unsupported_peer(&self, peer: &PeerNode, what: &str) {
-        if self.unsupported_peers.borrow_mut().insert(peer.id.clone()) {
-            Event::Stranger { peer: &peer.id.name, what }.emit();
-        }
+        self.unsupported_peers.expire(node);
     }
 
     /// The keeper of a target: `Some(None)` is this node, `None` if it is not known yet.
     fn keeper(&self, node: &Node, target: &TargetId, domain: &str) -> Option<Option<PeerNode>> {
         let (name, now) = (&target.name, node.now());
-        node.peers.roster(|r| r.keeper(name, domain, |id| self.is_unsupported(id), now))
+        node.peers.roster(|r| r.keeper(name, domain, |id| self.unsupported_peers.contains(id), now))
     }
 
     /// Retry delay for a caller of a service whose targets are all at their limits; `None` if
--- a/crates/forward/src/limits/spread.rs
+++ b/crates/forward/src/limits/spread.rs
@@ -42,7 +42,7 @@
         let limits = drain_pending(&node);
         let peers = node.peers.roster(|r| r.peers());
         let known: Vec<_> =
-            peers.into_iter().filter(|p| !node.limits.is_unsupported(&p.id)).collect();
+            peers.into_iter().filter(|p| !node.limits.unsupported_peers.contains(&p.id)).collect();
         let update = LimitUpdate { limits, spread: false };
         let on_result = |peer: &PeerNode, result| record_send_result(&node, peer, result);
         peers::broadcast::<_, ()>(&node, &known, LIMITS, &update, MAX_TRANSIT, on_result).await;
@@ -64,7 +64,7 @@
 fn record_send_result(node: &Node, peer: &PeerNode, result: Result<(), CallError>) {
     match result {
         Ok(()) => {}
-        Err(e) if peers::is_unsupported(&e) => node.limits.record_unsupported_peer(peer, LIMITS),
+        Err(e) if peers::is_unsupported(&e) => node.limits.unsupported_peers.record(peer, LIMITS),
         Err(e) => log::debug!("limits: {e}"),
     }
 }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod membership;
 mod resting;
 mod server;
+mod unsupported;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -41,6 +42,7 @@
     BATCH, EJECTIONS, FREE, FreeRequest, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT,
     ROLLOUT_STATE, StateWrite, WAITS,
 };
+pub use unsupported::UnsupportedPeers;
 
 /// Header that carries the epoch of the store from which a node's state was read.
 pub const EPOCH: HeaderName = HeaderName::from_static("pumicevale-epoch");
