Let the latest list know what is older and how long a restore settles

Evacuations and rollouts had each kept the end of the time in which lost writes are repeated, and each repeated the list's own check for an older revision beside it. Both are the list's now, which begins the epoch for both. Its update no longer returns the list before, which nobody read any more. No behaviour changes; tests as before.

--- a/crates/decide/src/fleet/evacuation.rs
+++ b/crates/decide/src/fleet/evacuation.rs
@@ -10,7 +10,7 @@
 use model::forward::Evacuations;
 use model::{Name, Time};
 
-use crate::relay::{LatestList, RESTORE_SETTLE_TIME};
+use crate::relay::LatestList;
 
 /// Change of one failure domain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,8 +30,6 @@
     in_force: BTreeSet<Name>,
     /// Domains known before the store was restored from an older copy that it has not listed since.
     lost: BTreeSet<Name>,
-    /// When the lost domains count as ended.
-    settled_at: Option<Time>,
     ended_at: BTreeMap<Name, Time>,
 }
 
@@ -63,7 +61,7 @@
 
     /// Applies a list unless a newer one is known; returns the resulting changes.
     pub fn update(&mut self, list: Evacuations, now: Time) -> Vec<EvacuationChange> {
-        if self.is_current() && self.revision().is_some_and(|known| list.at < known) {
+        if self.listed.is_older(list.at) {
             return Vec::new();
         }
         self.listed.update(list.at, list.domains.into_iter().collect());
@@ -87,12 +85,12 @@
     /// Whether lost domains still count as evacuated although the time in which operators repeat
     /// lost writes is over.
     pub fn is_settle_due(&self, now: Time) -> bool {
-        self.settled_at.is_some_and(|at| now >= at) && self.is_current()
+        self.listed.is_settle_due(now)
     }
 
     /// Ends the evacuations that the store lost and that were not repeated.
     pub fn settle(&mut self, now: Time) -> Vec<EvacuationChange> {
-        self.settled_at = None;
+        self.listed.settle();
         self.lost.clear();
         self.update_in_force(now)
     }
@@ -116,9 +114,8 @@
     /// Handles a restore of the store from an older copy, which may lack evacuations: they stay in
     /// force until the operator repeats them.
     pub fn begin_epoch(&mut self, now: Time) {
-        self.listed.begin_epoch();
+        self.listed.begin_epoch(now);
         self.lost = self.in_force.clone();
-        self.settled_at = Some(now + RESTORE_SETTLE_TIME);
     }
 
     /// Whether a node with the list of this revision, if any, lacks a change.
--- a/crates/decide/src/relay/latest.rs
+++ b/crates/decide/src/relay/latest.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use model::Time;
+
 /// Time after a restore of the store from an older copy in which lost writes are repeated. What is
 /// in the copy alone may be obsolete until then, and what it lacks may still be valid.
 pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(10);
@@ -26,15 +28,17 @@
     known: Option<Known<T>>,
     /// The known list belongs to an earlier epoch of the store.
     outdated: bool,
+    /// When the writes that the store lost in a restore have been repeated.
+    settled_at: Option<Time>,
 }
 
 impl<T> Default for LatestList<T> {
     fn default() -> Self {
-        LatestList { followed: false, known: None, outdated: false }
+        LatestList { followed: false, known: None, outdated: false, settled_at: None }
     }
 }
 
-impl<T: Default + PartialEq> LatestList<T> {
+impl<T: PartialEq> LatestList<T> {
     /// Follows the list from now on.
     pub fn follow(&mut self) {
         self.followed = true;
@@ -72,29 +76,39 @@
     }
 
     /// Handles a restore of the store from an older copy.
-    pub fn begin_epoch(&mut self) {
+    pub fn begin_epoch(&mut self, now: Time) {
         self.outdated = self.known.is_some();
+        self.settled_at = Some(now + RESTORE_SETTLE_TIME);
     }
 
-    /// Applies a list unless a newer one is known. Returns the previous list if its value differs,
-    /// or an empty list for the first one.
-    pub fn update(&mut self, at: u64, list: T) -> Option<T> {
-        let Some(known) = &mut self.known else {
-            self.known = Some(Known { at, since: at, list });
-            return Some(T::default());
-        };
-        let is_new_epoch = std::mem::take(&mut self.outdated);
-        if at < known.at && !is_new_epoch {
-            return None;
-        }
-        if is_new_epoch {
-            known.since = at;
-        }
-        known.at = at;
-        if list == known.list {
-            return None;
+    /// Whether writes that the store lost in a restore may still be repeated.
+    pub fn is_settling(&self, now: Time) -> bool {
+        self.settled_at.is_some_and(|at| now < at)
+    }
+
+    /// Whether the time in which lost writes are repeated has ended since the last call of
+    /// [`LatestList::settle`].
+    pub fn is_settle_due(&self, now: Time) -> bool {
+        self.settled_at.is_some_and(|at| now >= at) && self.is_current()
+    }
+
+    /// Takes the list as complete: what has not been repeated by now was removed.
+    pub fn settle(&mut self) {
+        self.settled_at = None;
+    }
+
+    /// Whether a newer list than that of revision `at` is known.
+    pub fn is_older(&self, at: u64) -> bool {
+        self.is_current() && self.revision().is_some_and(|known| at < known)
+    }
+
+    /// Applies a list unless a newer one is known.
+    pub fn update(&mut self, at: u64, list: T) {
+        if self.is_older(at) {
+            return;
         }
-        known.since = at;
-        Some(std::mem::replace(&mut known.list, list))
+        let is_new_epoch = std::mem::take(&mut self.outdated);
+        let before = self.known.take().filter(|known| known.list == list && !is_new_epoch);
+        self.known = Some(Known { at, since: before.map_or(at, |known| known.since), list });
     }
 }
--- a/crates/decide/src/rollout/versions/list.rs
+++ b/crates/decide/src/rollout/versions/list.rs
@@ -35,7 +35,7 @@
         let mut orders = Orders { known, unreadable: unreadable.into_iter().collect() };
         self.retain_unreadable(&mut orders);
         self.merge_withdrawn(withdrawn, at);
-        if self.is_current() && self.revision().is_some_and(|known| at < known) {
+        if self.orders.is_older(at) {
             return Vec::new();
         }
         self.record_served(&orders.unreadable);
@@ -50,7 +50,8 @@
     /// returns the changes.
     pub(super) fn update_in_force(&mut self, now: Time) -> Vec<RolloutChange> {
         let mut orders = self.orders.list().cloned().unwrap_or_default();
-        self.restore.complete(&mut orders, &self.withdrawn, now);
+        let is_settling = self.orders.is_settling(now);
+        self.restore.complete(&mut orders, &self.withdrawn, is_settling);
         let at = self.revision().unwrap_or(0);
         let before = std::mem::replace(&mut self.in_force, orders.clone());
         if before == orders {
--- a/crates/decide/src/rollout/versions/restore.rs
+++ b/crates/decide/src/rollout/versions/restore.rs
@@ -11,7 +11,6 @@
 use model::{Name, Time};
 
 use super::{Orders, RolloutChange, Versions};
-use crate::relay::RESTORE_SETTLE_TIME;
 use crate::rollout::withdrawn::WithdrawnVersions;
 
 /// Final state of an order that the store has lost.
@@ -39,8 +38,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Restore {
     known: BTreeMap<Name, KnownOrder>,
-    /// End of the time in which lost writes are repeated.
-    settled_at: Option<Time>,
     /// Revision of the first list since; later ones belong to writes since.
     first_list: Option<u64>,
 }
@@ -58,14 +55,13 @@
         known.filter(|k| k.order.version == order.version).map_or(order.revision, |k| k.rank)
     }
 
-    /// Adds to a list what the store has lost.
+    /// Adds to a list what the store has lost; `is_settling` while lost writes may be repeated.
     pub(super) fn complete(
         &mut self,
         orders: &mut Orders,
         withdrawn: &WithdrawnVersions,
-        now: Time,
+        is_settling: bool,
     ) {
-        let is_settling = self.settled_at.is_some_and(|at| now < at);
         let first_list = self.first_list.unwrap_or(0);
         let is_from_copy = |order: &Rollout| is_settling && order.revision <= first_list;
         // A final state, or an order that was withdrawn, that no node knew of before.
@@ -118,7 +114,7 @@
     /// Begins a new epoch, after the store was restored from an older copy.
     pub fn begin_epoch(&mut self, now: Time) {
         let known_up_to = self.revision().unwrap_or(0);
-        self.orders.begin_epoch();
+        self.orders.begin_epoch(now);
         let marks = self.in_force.known.values();
         let marks = marks.map(|o| (o.service.clone(), self.restore.completed_at(o))).collect();
         let ranks = self.live.begin_epoch(marks, known_up_to);
@@ -131,19 +127,18 @@
             (service.clone(), known)
         };
         let known = self.in_force.known.iter_mut().map(known).collect();
-        self.restore =
-            Restore { known, settled_at: Some(now + RESTORE_SETTLE_TIME), first_list: None };
+        self.restore = Restore { known, first_list: None };
     }
 
     /// Whether the time in which lost writes are repeated has ended since the last call of
     /// [`Versions::settle`].
     pub fn is_settle_due(&self, now: Time) -> bool {
-        self.restore.settled_at.is_some_and(|at| now >= at) && self.is_current()
+        self.orders.is_settle_due(now)
     }
 
     /// Puts the store's list in force: what has not been repeated by now was removed.
     pub fn settle(&mut self, now: Time) -> Vec<RolloutChange> {
-        self.restore.settled_at = None;
+        self.orders.settle();
         self.update_in_force(now)
     }
 
