Send lists between nodes only with the epoch they belong to

Callers saw: after a restore of the store from an older copy, three of four nodes answered 503 "no target" for 4.6 s, to the end of the test, after a completed rollout whose completion the copy lacked; the completion was not written again.

Cause: an answer names one epoch, that of the targets, but held the lists of orders and evacuations as read last, whichever epoch they were of.

Change: an answer holds lists only while the targets belong to the latest known epoch. Followers get them with the targets; what they know holds until then.

Looked for the same: the follow answer is the only message that names an epoch; its question already drops revisions of lists of another epoch.

--- a/crates/forward/src/watch/targets.rs
+++ b/crates/forward/src/watch/targets.rs
@@ -379,6 +379,12 @@
     epoch.is_none_or(|epoch| epoch == node.feed.epoch())
 }
 
+/// Whether the current lists belong to the epoch of the targets, which an answer names for all that
+/// it holds. After a restore of the store, the targets may be read last.
+fn lists_are_of_feed_epoch(node: &Node) -> bool {
+    node.is_current_epoch(Some(node.feed.epoch()))
+}
+
 /// Changes of the targets that a peer lacks; `None` if it needs the complete list. A peer that
 /// knows a later epoch gets no state of an earlier one.
 fn changes_for(node: &Node, ask: &FollowAsk, epoch: Option<u64>) -> Option<Vec<TargetChange>> {
@@ -419,10 +425,15 @@
 ) -> FollowAnswer {
     let now = node.now();
     let rules_age = node.feed.age_of(ObjectKind::Rules, now);
+    let sends_lists = lists_are_of_feed_epoch(node);
+    let evacuations = node.fleet(|f| {
+        let evacuated = f.evacuated();
+        evacuated.list().filter(|_| sends_lists && evacuated.is_current())
+    });
     let rollouts = node.fleet(|f| {
         let versions = f.versions();
         let is_newer = versions.is_current() && versions.revision() > known_rollouts;
-        is_newer.then(|| versions.list()).flatten()
+        (sends_lists && is_newer).then(|| versions.list()).flatten()
     });
     let grace =
         node.outage_grace(|d| d.until(now)).map(|until| until.since(now).saturating_sub(ttl));
@@ -435,7 +446,7 @@
         rules_age_ms: millis(
             rules_age.map_or(Duration::MAX, |age| age.current.saturating_add(ttl)),
         ),
-        evacuations: node.fleet(|f| f.evacuated().list().filter(|_| f.evacuated().is_current())),
+        evacuations,
         rollouts,
         news,
     }
@@ -446,10 +457,11 @@
     let is_same = knows_epoch(node, epoch);
     let has_changes = || node.feed.changes_since(ask.at).is_none_or(|c| !c.is_empty());
     let lacks_targets = !is_same || (known > ask.at && has_changes());
-    let lacks_lists = node.fleet(|f| {
-        f.evacuated().has_changed_since(ask.evacuations.filter(|_| is_same))
-            || f.versions().has_changed_since(ask.rollouts.filter(|_| is_same))
-    });
+    let lacks_lists = lists_are_of_feed_epoch(node)
+        && node.fleet(|f| {
+            f.evacuated().has_changed_since(ask.evacuations.filter(|_| is_same))
+                || f.versions().has_changed_since(ask.rollouts.filter(|_| is_same))
+        });
     let is_behind = lacks_targets || lacks_lists;
     let is_fresh = !node.feed.is_out_of_touch() && !Feed::is_stale(node.feed.age(node.now()));
     !is_behind
