Take an order written since a restore for new, whichever list has it first

Cause: an order of the restored store at or below the revision of the first list that a node reads counted as one of the older copy, and so as older than another order that the node knew. It was ignored until the 10 s of the restore had passed. The first list may be late and hold orders written since. The node reports nothing on the order, counts as silent, and the order completes without it.

Evidence, at will on: two nodes, one cut off from before the order until the operator has repeated it. Its lines: "rolled_back" of the order before at 1,183 ms, epoch 1 at 2,293 ms, then nothing until "replaced", "completed" at 11,639 ms.

Change: objects of the copy have revisions of the epoch before, in which the node knew all up to its last list. An order of a later revision, or of a later one than that of the known order of its service, is in force at once; the others wait as before.

Looked for the same: evacuations of the copy are in force at once and only lost ones are kept, so nothing there depends on the first list; an ended order that no node knew waits by the same rule and is mended with it.

--- a/crates/decide/src/rollout/versions/restore.rs
+++ b/crates/decide/src/rollout/versions/restore.rs
@@ -4,6 +4,8 @@
 //! as a new write at any revision; the nodes repeat a final state. Until then, what was known stays
 //! in force, and an order that only the copy has is ignored. Revisions of the epochs before and
 //! after the restore are not comparable, so everything known before counts as older than what comes.
+//! The exception are objects of the copy: their revisions are of the epoch before, in which this
+//! node knew all up to some revision, so an object of a later one is not older than what it knew.
 
 use std::collections::BTreeMap;
 
@@ -26,6 +28,8 @@
 #[derive(Debug)]
 struct KnownOrder {
     order: Rollout,
+    /// Its revision before the restore; `None` if the order was not in the list then.
+    revision: Option<u64>,
     /// Place of its last change among those of the versions of its service.
     rank: u64,
     /// Whether the store has it again.
@@ -38,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Restore {
     known: BTreeMap<Name, KnownOrder>,
+    /// Revision up to which the epoch before was known.
+    known_up_to: u64,
     /// Revision of the first list since; later ones belong to writes since.
     first_list: Option<u64>,
 }
@@ -63,12 +69,15 @@
         is_settling: bool,
     ) {
         let first_list = self.first_list.unwrap_or(0);
-        let is_from_copy = |order: &Rollout| is_settling && order.revision <= first_list;
+        let known_up_to = self.known_up_to;
+        let may_be_from_copy = |order: &Rollout| {
+            is_settling && order.revision <= first_list && order.revision <= known_up_to
+        };
         // A final state, or an order that was withdrawn, that no node knew of before.
         orders.known.retain(|service, order| {
             let is_obsolete =
                 order.state.is_final() || withdrawn.get(service, &order.version).is_some();
-            self.known.contains_key(service) || !is_from_copy(order) || !is_obsolete
+            self.known.contains_key(service) || !may_be_from_copy(order) || !is_obsolete
         });
         self.known.retain(|service, known| {
             let Some(listed) = orders.known.get_mut(service) else {
@@ -81,7 +90,7 @@
             if listed.version == known.order.version {
                 return known.restore_state(listed, is_settling);
             }
-            let is_older = is_from_copy(listed) && !known.is_listed;
+            let is_older = may_be_from_copy(listed) && !known.is_listed && known.may_follow(listed);
             if is_older {
                 *listed = known.order.clone();
             }
@@ -91,6 +100,11 @@
 }
 
 impl KnownOrder {
+    /// Whether this order may have replaced one of the copy.
+    fn may_follow(&self, copied: &Rollout) -> bool {
+        self.revision.is_none_or(|revision| copied.revision < revision)
+    }
+
     /// Restores the final state of the order that the store has again; returns whether it is the
     /// same order.
     fn restore_state(&mut self, listed: &mut Rollout, is_settling: bool) -> bool {
@@ -120,14 +134,14 @@
         let ranks = self.live.begin_epoch(marks, known_up_to);
         self.trials.values_mut().for_each(|trial| trial.since = 0);
         let known = |(service, order): (&Name, &mut Rollout)| {
-            order.revision = 0;
+            let revision = Some(std::mem::take(&mut order.revision)).filter(|at| *at > 0);
             let rank = ranks.get(service).copied().unwrap_or(0);
             let order = order.clone();
-            let known = KnownOrder { order, rank, is_listed: false, without_state: None };
+            let known = KnownOrder { order, revision, rank, is_listed: false, without_state: None };
             (service.clone(), known)
         };
         let known = self.in_force.known.iter_mut().map(known).collect();
-        self.restore = Restore { known, first_list: None };
+        self.restore = Restore { known, known_up_to, first_list: None };
     }
 
     /// Whether the time in which lost writes are repeated has ended since the last call of
--- a/crates/decide/tests/rollout_restore.rs
+++ b/crates/decide/tests/rollout_restore.rs
@@ -132,6 +132,31 @@
     assert!(matches!(changes[..], [RolloutChange::Replaced { .. }]), "{changes:?}");
 }
 
+/// Guards against a node that missed an order and its loss, and takes the repeated one for older
+/// than the ended order it knows: it would keep to the old version until that stops.
+#[test]
+fn order_written_before_the_first_list_replaces_an_ended_one() {
+    for repeated_at in [32, 40] {
+        let mut versions = restored(RolledBack);
+        let repeated = order("v3", Active, repeated_at);
+        let changes = versions.apply(list(45, &[repeated]), at(1_500));
+        assert!(matches!(changes[..], [RolloutChange::Replaced { .. }]), "{changes:?}");
+    }
+}
+
+#[test]
+fn order_completed_before_the_first_list_is_in_force() {
+    let mut versions = Versions::default();
+    versions.follow();
+    for (version, revision) in [("v1", 5), ("v2", 25)] {
+        versions.add_target(&"engine".into(), &version.into(), revision, 0);
+    }
+    versions.apply(list(30, &[]), at(0));
+    versions.begin_epoch(RESTORED);
+    versions.apply(list(45, &[order("v2", Completed, 40)]), at(1_500));
+    assert_eq!(sides(&versions), (None, SERVING));
+}
+
 #[test]
 fn order_removed_before_the_restore_does_not_return_with_the_copy() {
     let mut versions = restored(Active);
