--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -74,10 +74,8 @@
 
 /// Figures of whole fleets; starts are simulated only at the sizes `started`.
 fn fleet_figures(started: &[usize]) -> Vec<Figure> {
-    let work = fleet::FLEET_SIZES.iter().flat_map(|n| {
-        let mut figures = fleet::measure(*n);
-        figures.extend(ejections::measure(*n));
-        figures
-    });
+    let work = fleet::FLEET_SIZES
+        .iter()
+        .flat_map(|n| fleet::measure(*n).into_iter().chain(ejections::measure(*n)));
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
 }
--- a/crates/decide/src/ejection/mod.rs
+++ b/crates/decide/src/ejection/mod.rs
@@ -1,10 +1,10 @@
 //! Agreement of the nodes of a failure domain that a target serves nothing.
 //!
-//! A node that a target fails repeatedly reports that to the target's keeper, a node of its own failure domain.
-//! The keeper asks the others what they saw. If a second node saw the target fail and none was
-//! served since the first failure, all are told to eject it: a target that is merely busy serves
-//! some node, and one that a single node cannot reach serves the others. The first node that has
-//! shown it to be healthy again reports that too.
+//! A node that a target fails repeatedly reports that to the target's keeper, a node of its own
+//! failure domain. The keeper asks the others what they saw. If a second node saw the target fail
+//! and none was served since the first failure, all are told to eject it: a target that is merely
+//! busy serves some node, and one that a single node cannot reach serves the others. The first node
+//! that has shown it to be healthy again reports that too.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
