Tell lost links of a node from failing targets, and log it

A node at which two targets fail without an answer in between now probes three others over new connections; if none answers, it logs that its links are lost, and that they are back once one does. Connections to targets come from the address in `bind`, if set, so that tests can partition off one node of several.

--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod changed;
 mod cold;
 mod evacuation;
+mod links;
 mod load;
 mod notice;
 mod pick;
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -285,6 +285,12 @@
         if has_failed { Evidence::Failed } else { Evidence::Unknown }
     }
 
+    /// Whether requests have been in flight since before `since` without an answer to any.
+    pub(super) fn is_silent_since(&self, since: Time) -> bool {
+        let is_busy = self.outstanding > 0 && self.busy_since < since;
+        is_busy && self.served_at.is_none_or(|at| at < since)
+    }
+
     /// Ejects the target on the evidence of other nodes, until this node's turn to probe it.
     pub(super) fn eject_shared(&mut self, kind: FailureKind, turn: Time, now: Time) {
         self.stats.raise_failure_rate(SHARED_FAILURE_RATE, now);
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -167,7 +167,7 @@
     }
 
     /// Same as [`Fleet::exclusion_any_version`] without backoffs, which are short.
-    fn lasting_exclusion(
+    pub(super) fn lasting_exclusion(
         &self,
         t: &TargetState,
         allowed: &Allowed,
@@ -402,6 +402,10 @@
         self.states.values().filter(|t| now < t.cold_until).count()
     }
 
+    pub(super) fn all_targets(&self) -> impl Iterator<Item = &TargetState> {
+        self.states.values()
+    }
+
     /// Number of known targets.
     pub fn len(&self) -> usize {
         self.states.len()
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forecast;
 pub mod lease;
 pub mod limit;
+pub mod links;
 pub mod load;
 pub mod member;
 pub mod permit;
--- /dev/null
+++ b/crates/decide/src/links/mod.rs
@@ -0,0 +1,210 @@
+//! Whether this node has lost its links to the targets.
+//!
+//! Failures at several targets without an answer in between may be the targets' fault or that of
+//! the node's own links. Probes of further targets tell: if none of them can be reached either, the
+//! links are lost. While they are, probes go on, and once one gets through, requests return to the
+//! links by a growing share. Only connections opened after the first failure count, since old ones
+//! can outlive a partition.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use model::{Name, Time};
+
+/// Targets that must fail without an answer in between before the links are probed.
+const MIN_FAILING: usize = 2;
+/// Minimum time between two rounds of probes.
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without any answer after which silence of the targets counts as a failure of the links; a
+/// sound target may pause for a second.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time in which the share of requests sent over links that are back grows to all.
+const RETURN_TIME: Duration = Duration::from_millis(1500);
+/// Time for which an answer proves that the links work.
+const ANSWER_TTL: Duration = Duration::from_secs(1);
+
+/// Result of probing one target over a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It answered, whatever the answer.
+    Answered,
+    /// It accepted the connection and did not answer in time.
+    Silent,
+    /// It accepted no connection.
+    Unreachable,
+}
+
+/// State of the links to the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// They work, as far as known.
+    Up,
+    /// No target can be reached.
+    Lost,
+    /// They have worked again since this time.
+    Returning(Time),
+}
+
+impl LinkState {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LinkState::Up => "up",
+            LinkState::Lost => "lost",
+            LinkState::Returning(_) => "returning",
+        }
+    }
+}
+
+/// Links of this node to all targets.
+#[derive(Debug)]
+pub struct Links {
+    state: LinkState,
+    /// Targets that failed since the last answer.
+    failing: BTreeSet<Name>,
+    failing_since: Option<Time>,
+    answered_at: Option<Time>,
+    lost_at: Option<Time>,
+    is_probing: bool,
+    next_round: Time,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links {
+            state: LinkState::Up,
+            failing: BTreeSet::new(),
+            failing_since: None,
+            answered_at: None,
+            lost_at: None,
+            is_probing: false,
+            next_round: Time::ZERO,
+        }
+    }
+}
+
+impl Links {
+    /// Current state.
+    pub fn state(&self) -> LinkState {
+        self.state
+    }
+
+    /// Whether no target can be reached.
+    pub fn is_lost(&self) -> bool {
+        self.state == LinkState::Lost
+    }
+
+    /// Whether recent failures may be due to the links.
+    pub fn is_suspect(&self) -> bool {
+        self.state != LinkState::Up || self.is_probing || self.failing.len() >= MIN_FAILING
+    }
+
+    /// Whether a round of probes is in progress.
+    pub fn is_probing(&self) -> bool {
+        self.is_probing
+    }
+
+    /// Whether the links were lost at any time since `since`, or may be now.
+    pub fn was_lost_since(&self, since: Time) -> bool {
+        self.is_suspect() || self.lost_at.is_some_and(|at| at >= since)
+    }
+
+    /// Whether a target answered recently.
+    pub fn is_proven(&self, now: Time) -> bool {
+        self.state == LinkState::Up
+            && !self.is_suspect()
+            && self.answered_at.is_some_and(|at| now.since(at) < ANSWER_TTL)
+    }
+
+    /// Time since the last answer; `None` before the first.
+    pub fn answer_age(&self, now: Time) -> Option<Duration> {
+        self.answered_at.map(|at| now.since(at))
+    }
+
+    /// Targets that failed since the last answer.
+    pub fn failing(&self) -> &BTreeSet<Name> {
+        &self.failing
+    }
+
+    /// Records an answer over a connection opened at `opened`.
+    pub fn record_answer(&mut self, opened: Time, now: Time) {
+        if self.failing_since.is_some_and(|since| opened < since) {
+            return;
+        }
+        self.answered_at = Some(now);
+        self.clear_failing();
+    }
+
+    /// Records that a target could not be reached, or that its connection broke or fell silent.
+    pub fn record_failure(&mut self, target: &Name, now: Time) {
+        self.failing_since.get_or_insert(now);
+        self.failing.insert(target.clone());
+    }
+
+    fn clear_failing(&mut self) {
+        self.failing.clear();
+        self.failing_since = None;
+    }
+
+    /// Whether to begin a round of probes now, which the caller must then do and report to
+    /// [`Links::end_round`]. `count_silent` counts the targets with a request in flight that have
+    /// been silent since a time.
+    pub fn begin_round(&mut self, count_silent: impl FnOnce(Time) -> usize, now: Time) -> bool {
+        if self.is_probing || now < self.next_round {
+            return false;
+        }
+        let has_cause = self.is_lost() || self.failing.len() >= MIN_FAILING;
+        let since = now - SILENCE_TIMEOUT;
+        self.is_probing = has_cause || (self.is_silent(now) && count_silent(since) >= MIN_FAILING);
+        self.is_probing
+    }
+
+    fn is_silent(&self, now: Time) -> bool {
+        self.answered_at.is_none_or(|at| now.since(at) >= SILENCE_TIMEOUT)
+    }
+
+    /// Ends a round of probes, which began at `begun`; returns whether the state has changed.
+    pub fn end_round(&mut self, contacts: &[Contact], begun: Time, now: Time) -> bool {
+        self.is_probing = false;
+        self.next_round = now + ROUND_INTERVAL;
+        let before = self.state;
+        if contacts.contains(&Contact::Answered) {
+            self.record_answer(begun.max(self.failing_since.unwrap_or(begun)), now);
+            if self.is_lost() {
+                self.state = LinkState::Returning(now);
+            }
+        } else if !contacts.is_empty() && self.confirms_loss(contacts, now) {
+            self.state = LinkState::Lost;
+            self.lost_at = Some(now);
+        }
+        self.state != before
+    }
+
+    fn confirms_loss(&self, contacts: &[Contact], now: Time) -> bool {
+        let is_unreachable = contacts.iter().all(|c| *c == Contact::Unreachable);
+        is_unreachable || self.is_lost() || self.is_silent(now)
+    }
+
+    /// Ends the return of the links once its time is over; returns whether the state has changed.
+    pub fn end_return(&mut self, now: Time) -> bool {
+        let LinkState::Returning(since) = self.state else {
+            return false;
+        };
+        let is_over = now.since(since) >= RETURN_TIME;
+        if is_over {
+            self.state = LinkState::Up;
+        }
+        is_over
+    }
+
+    /// Share of the requests to send over the links.
+    pub fn share(&self, now: Time) -> f64 {
+        match self.state {
+            LinkState::Up => 1.0,
+            LinkState::Lost => 0.0,
+            LinkState::Returning(since) => {
+                (now.since(since).as_secs_f64() / RETURN_TIME.as_secs_f64()).min(1.0)
+            }
+        }
+    }
+}
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -249,6 +249,8 @@
     fn read_changes(&self, kind: ObjectKind, body: &[u8]) -> Result<Page, Malformed>;
     /// Call that sets the state of a rollout, unless its revision has changed since `order`.
     fn set_rollout(&self, order: &Rollout, state: RolloutState) -> Put;
+    /// Path at which a target tells its health.
+    fn health_path(&self) -> &str;
     /// Path at which a load balancer asks for readiness.
     fn ready_path(&self) -> &str;
 }
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -97,6 +97,19 @@
         why: &'a str,
         took_ms: u64,
     },
+    /// The links to the targets were lost, or are back: `failing` targets failed since the last
+    /// answer, and of `probed` others some were unreachable or silent, while `peers` are up.
+    Links {
+        state: &'a str,
+        failing: usize,
+        probed: usize,
+        unreachable: usize,
+        silent: usize,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        answer_age_ms: Option<u64>,
+        peers: usize,
+        took_ms: u64,
+    },
     /// A target was ejected for its failures.
     Ejected { target: &'a str, why: &'a str },
     /// The nodes of this failure domain were asked whether a target serves any of them: `failed` saw
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -14,6 +14,7 @@
 
 /// Records the head of a target's answer to a request sent at `sent`.
 pub fn record_answer(node: &Rc<Node>, target: &Target, head: &AnswerHead, sent: Time) {
+    node.links.record_answer(sent, node.now());
     limits::observe_limit(node, target, head.limit, sent);
     node.record_load(target, head.load);
     record_notice(node, target, head.notice);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod heard;
 mod ingress;
 mod limits;
+mod links;
 mod metrics;
 mod node;
 mod paths;
--- /dev/null
+++ b/crates/forward/src/links/probe.rs
@@ -0,0 +1,53 @@
+//! Probes of targets over new connections.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decide::links::Contact;
+use futures_util::future::join_all;
+use http_body_util::Full;
+use hyper::{Request, header};
+use model::Name;
+use model::forward::Target;
+
+use crate::node::Node;
+use crate::upstream;
+
+/// Targets probed per round.
+const MAX_PROBES: usize = 3;
+/// Time for a target to answer a probe; connecting has a timeout of its own.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Probes some targets, of different services if there are any, preferably not the failing ones.
+pub(super) async fn contact_targets(node: &Rc<Node>, failing: &BTreeSet<Name>) -> Vec<Contact> {
+    let (domain, now) = (node.settings().domain.clone(), node.now());
+    let map = node.peers.roster(|r| r.map());
+    let targets =
+        node.fleet(|f| node.rng(|rng| f.link_probes(failing, &domain, &map, MAX_PROBES, now, rng)));
+    join_all(targets.iter().map(|target| contact(node, target))).await
+}
+
+/// Probes one target: an answer of any kind shows that it can be reached.
+async fn contact(node: &Node, target: &Target) -> Contact {
+    let Ok(socket) = upstream::connect(node.settings().bind, target.address).await else {
+        return Contact::Unreachable;
+    };
+    let request = health_request(node, target);
+    let answer = upstream::send_over(socket, target.address, request, None);
+    match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+        Ok(Ok(_)) => Contact::Answered,
+        Ok(Err(_)) => Contact::Unreachable,
+        Err(_) => Contact::Silent,
+    }
+}
+
+fn health_request(node: &Node, target: &Target) -> Request<Full<Bytes>> {
+    let mut request = Request::get(node.dialect.health_path())
+        .header(header::HOST, target.address.to_string())
+        .body(Full::default())
+        .expect("the path is valid");
+    request.headers_mut().extend(node.dialect.instance_headers(&target.id));
+    request
+}
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -97,6 +97,7 @@
     targets_ended: Family<NameLabel, Counter>,
     quarantined: Gauge,
     quarantine_refusals: Family<NameLabel, Counter>,
+    links_lost: Gauge,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
     sent_against_notice: Family<NoticeLabels, Counter>,
@@ -173,6 +174,7 @@
             targets_ended: Family::default(),
             quarantined: Gauge::default(),
             quarantine_refusals: Family::default(),
+            links_lost: Gauge::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
             sent_against_notice: Family::default(),
@@ -263,6 +265,8 @@
         registry.register("quarantined", help, self.quarantined.clone());
         let help = "Refusals and sends not made of such requests, by route";
         registry.register("quarantine_refusals", help, self.quarantine_refusals.clone());
+        let help = "1 while this node reaches no target";
+        registry.register("links_lost", help, self.links_lost.clone());
         let help = "Targets that name a limit";
         registry.register("targets_limited", help, self.targets_limited.clone());
         let help = "Requests and calls to targets while they named a limit, by their service";
@@ -360,6 +364,11 @@
         self.targets_ended.get_or_create(&NameLabel { name: self.bounded_label(service) }).inc();
     }
 
+    /// Sets whether this node reaches no target.
+    pub fn set_links_lost(&self, is_lost: bool) {
+        self.links_lost.set(is_lost.into());
+    }
+
     /// Counts a request or call to a target that has named a limit.
     pub fn count_sent_at_limit(&self, service: &str) {
         self.sent_at_limit.get_or_create(&NameLabel { name: self.bounded_label(service) }).inc();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,6 +20,7 @@
 use crate::ejections::LocalEjections;
 use crate::events::Event;
 use crate::limits::LocalLimits;
+use crate::links::LocalLinks;
 use crate::metrics::{Gauges, Metrics};
 use crate::peers::{self, Peers};
 use crate::phase::LifePhase;
@@ -60,6 +61,8 @@
     pub quarantine: LocalQuarantine,
     /// Limits that targets name.
     pub limits: LocalLimits,
+    /// Links to the targets.
+    pub links: LocalLinks,
     /// Ejections that nodes share.
     pub ejections: LocalEjections,
     /// Observations and judgements of trial versions.
@@ -102,6 +105,7 @@
             schedulers: Schedulers::default(),
             quarantine: LocalQuarantine::default(),
             limits: LocalLimits::default(),
+            links: LocalLinks::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
@@ -227,6 +231,9 @@
     /// target is ejected now.
     pub fn observe(&self, target: &TargetId, observation: Observation, why: &str) -> bool {
         let now = self.now();
+        if matches!(observation, Observation::Unreachable | Observation::Interrupted) {
+            self.links.record_failure(&target.name, now);
+        }
         let answered = matches!(observation, Observation::Answered(_));
         if !answered && !self.settings().policy.ejection {
             return false;
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -34,6 +34,7 @@
 use crate::crossed::{MessageKind, RegionTraffic};
 use crate::events::Event;
 use crate::limits;
+use crate::links;
 use crate::node::Node;
 use crate::quarantine;
 
@@ -361,6 +362,7 @@
     tokio::task::spawn_local(announce_versions(node.clone()));
     quarantine::start(node);
     limits::start(node);
+    links::start(node);
     Ok(())
 }
 
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -98,7 +98,7 @@
     let mut outcome = ConnectOutcome::NoResponse;
     for delay in CONNECT_DELAYS {
         tokio::time::sleep(delay).await;
-        outcome = match upstream::connect(target.address).await {
+        outcome = match upstream::connect(node.settings().bind, target.address).await {
             Ok(_) => ConnectOutcome::Accepted,
             Err(e) if e.is_refused() => ConnectOutcome::Refused,
             Err(_) => ConnectOutcome::NoResponse,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -26,8 +26,8 @@
     pub domain: Name,
     /// Address at which peers reach the host.
     pub address: IpAddr,
-    /// Address on which the node listens for peers, if traffic to `address` is forwarded to it;
-    /// default `address`.
+    /// Address on which the node listens for peers and from which it connects to targets, if traffic
+    /// to `address` is forwarded to it or the host has several; default `address`, and any.
     #[serde(default)]
     pub bind: Option<IpAddr>,
     /// Address on which the node listens for callers.
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -4,7 +4,7 @@
 //! earlier answer can be mistaken for this one.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,8 +13,9 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use nix::sys::socket::{setsockopt, sockopt};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use util::http::{KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT};
 
@@ -76,15 +77,26 @@
     let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
 }
 
-/// Connects to a target.
-pub async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+/// Connects to a target, from a given address of this host if it has several.
+pub async fn connect(from: Option<IpAddr>, address: SocketAddr) -> Result<TcpStream, SendError> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect_from(from, address)).await {
         Ok(Ok(socket)) => Ok(socket),
         Ok(Err(e)) => Err(SendError::Connect(address, e)),
         Err(_) => Err(SendError::ConnectTimeout(address)),
     }
 }
 
+async fn connect_from(from: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(from) = from else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if from.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Chooses the port at the connect, so that sockets to different targets can share it.
+    setsockopt(&socket, sockopt::IpBindAddressNoPort, &true)?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(address).await
+}
+
 /// Sends a request over a new connection and returns when the answer's head has arrived. Dropping
 /// the future closes the connection.
 pub async fn send_over(
