Send requests through a peer while a node reaches no target

Callers saw 503 for every first try at nodes that had lost their links to the targets while the others served theirs. Cause: no request ever left a node for another node, and a node took its own failing links for failing targets. Class: one node's lost link taken for the state of what lies behind it.

A node whose links are lost asks a few peers whether they reach targets and how much they have open, and sends its callers' requests through one of them, once, never on to a third; with none in reach it refuses at once. It coordinates no stages, gives no evidence on ejections or versions, and takes no refused connection for a crash. After the heal requests return by a growing share.

--- a/crates/decide/src/fleet/links.rs
+++ b/crates/decide/src/fleet/links.rs
@@ -15,6 +15,11 @@
         self.all_targets().filter(|t| t.is_silent_since(since)).count()
     }
 
+    /// Forgets failures of the targets that the loss of this node's links has caused.
+    pub fn forgive_failures(&mut self) {
+        self.all_targets_mut().for_each(TargetState::forgive);
+    }
+
     /// Targets to probe in order to tell whether the links work: at most `max`, of different
     /// services if there are any, near ones and those that are not failing first.
     pub fn link_probes(
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -319,6 +319,19 @@
         self.forget_failures();
     }
 
+    /// Forgets failures that were not the target's. An ejection that other nodes agreed on stays.
+    pub(super) fn forgive(&mut self) {
+        if self.shared {
+            return;
+        }
+        self.stats.lower_failure_rate(0.0);
+        self.ejected_until = Time::ZERO;
+        self.ejections = 0;
+        self.rejections = 0;
+        self.recovering = false;
+        self.forget_failures();
+    }
+
     /// Forgets what other nodes are asked or told about.
     fn forget_failures(&mut self) {
         self.shared = false;
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -406,6 +406,10 @@
         self.states.values()
     }
 
+    pub(super) fn all_targets_mut(&mut self) -> impl Iterator<Item = &mut TargetState> {
+        self.states.values_mut()
+    }
+
     /// Number of known targets.
     pub fn len(&self) -> usize {
         self.states.len()
--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -6,11 +6,15 @@
 //! links by a growing share. Only connections opened after the first failure count, since old ones
 //! can outlive a partition.
 
+mod peers;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use model::{Name, Time};
 
+pub use peers::{LinkPeer, LinkPeers, MAX_ASKED};
+
 /// Targets that must fail without an answer in between before the links are probed.
 const MIN_FAILING: usize = 2;
 /// Minimum time between two rounds of probes.
@@ -159,6 +163,13 @@
         self.is_probing
     }
 
+    /// Whether to begin a round of probes in order to answer a peer, as [`Links::begin_round`].
+    pub fn begin_check(&mut self, now: Time) -> bool {
+        let begins = !self.is_probing && now >= self.next_round;
+        self.is_probing |= begins;
+        begins
+    }
+
     fn is_silent(&self, now: Time) -> bool {
         self.answered_at.is_none_or(|at| now.since(at) >= SILENCE_TIMEOUT)
     }
@@ -197,7 +208,7 @@
         is_over
     }
 
-    /// Share of the requests to send over the links.
+    /// Share of the requests to send over the links, not through peers.
     pub fn share(&self, now: Time) -> f64 {
         match self.state {
             LinkState::Up => 1.0,
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -76,6 +76,8 @@
     map: Arc<Map>,
     capacity: u8,
     is_stopping: bool,
+    /// This node reaches no target.
+    links_lost: bool,
     up: BTreeMap<NodeId, PeerView>,
     addresses: HashMap<SocketAddr, NodeId>,
     /// Number of peers in each failure domain.
@@ -103,6 +105,7 @@
             domain,
             capacity,
             is_stopping: false,
+            links_lost: false,
             up: BTreeMap::new(),
             addresses: HashMap::new(),
             domains: Tally::default(),
@@ -218,6 +221,11 @@
         self.is_stopping = true;
     }
 
+    /// Records whether this node reaches no target. It then ranks last for roles that call targets.
+    pub fn set_links_lost(&mut self, is_lost: bool) {
+        self.links_lost = is_lost;
+    }
+
     /// Number of nodes that are up, this one included.
     pub fn count(&self) -> usize {
         self.up.len() + 1
--- a/crates/decide/src/roster/role_key.rs
+++ b/crates/decide/src/roster/role_key.rs
@@ -30,24 +30,27 @@
     pub region: Option<&'a str>,
     /// Failure domain to which the ranking is restricted.
     domain: Option<&'a Name>,
+    /// Whether the node that holds the role calls targets.
+    calls_targets: bool,
 }
 
 impl<'a> RoleKey<'a> {
     /// The role of a service in one failure domain.
     pub(super) fn within(domain: &'a Name, service: &'a str) -> Self {
-        RoleKey { service, region: None, domain: Some(domain) }
+        RoleKey { service, region: None, domain: Some(domain), calls_targets: false }
     }
 }
 
 impl<'a> From<&'a str> for RoleKey<'a> {
     fn from(service: &'a str) -> Self {
-        RoleKey { service, region: None, domain: None }
+        RoleKey { service, region: None, domain: None, calls_targets: false }
     }
 }
 
 impl<'a> From<&'a PoolId> for RoleKey<'a> {
     fn from(pool: &'a PoolId) -> Self {
-        RoleKey { service: &pool.service, region: pool.region.as_deref(), domain: None }
+        let region = pool.region.as_deref();
+        RoleKey { service: &pool.service, region, domain: None, calls_targets: true }
     }
 }
 
@@ -143,7 +146,7 @@
     }
 
     fn own_rank(&self, key: RoleKey<'_>, now: Time) -> Rank {
-        if self.is_stopping {
+        if self.is_stopping || (self.links_lost && key.calls_targets) {
             return Rank::default();
         }
         Rank {
--- a/crates/decide/tests/links.rs
+++ b/crates/decide/tests/links.rs
@@ -1,9 +1,14 @@
-//! Detection of a node's lost links.
+//! Detection of a node's lost links, and the choice of a peer in their place.
 
 use std::time::Duration;
 
-use decide::links::{Contact, LinkState, Links};
+use decide::fleet::Regions;
+use decide::links::{Contact, LinkPeers, LinkState, Links, MAX_ASKED};
+use decide::region::Map;
+use decide::rng::Rng;
 use model::Time;
+use model::forward::{Allowed, LinkStatus};
+use model::member::{Node, NodeId};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -85,3 +90,91 @@
     assert_eq!(links.state(), LinkState::Up);
     assert!(links.was_lost_since(at(900)) && !links.was_lost_since(at(1900)));
 }
+
+/// A peer of a failure domain.
+fn peer(n: usize, domain: &str) -> Node {
+    let address = format!("127.0.0.1:{}", 1000 + n).parse().expect("an address");
+    let id = NodeId { name: format!("n-{n}").as_str().into(), start: 1 };
+    Node { id, address, entry: address, domain: domain.into(), capacity: 0 }
+}
+
+fn map() -> Map {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    Map::new("a".into(), Regions::new(regions.map(|(d, r)| (d.into(), r.into())).into()))
+}
+
+/// The domain of the peer that most of many requests are sent through, given each peer's domain,
+/// whether it reaches the targets, and its open requests.
+fn most_used(peers: &[(&str, bool, u32)]) -> Option<String> {
+    let mut rng = Rng::new(7);
+    let mut counts = std::collections::BTreeMap::<String, usize>::new();
+    for _ in 0..200 {
+        let mut known = LinkPeers::default();
+        for (n, (domain, reaches, open)) in peers.iter().enumerate() {
+            let status = LinkStatus { reaches: *reaches, open: *open };
+            known.record(&peer(n, domain), status, at(0));
+        }
+        let chosen = known.choose(&map(), &"a".into(), &Allowed::ANY, &[], at(100), &mut rng);
+        if let Some(chosen) = chosen {
+            *counts.entry(chosen.node.domain.to_string()).or_default() += 1;
+        }
+    }
+    counts.into_iter().max_by_key(|(_, n)| *n).map(|(domain, _)| domain)
+}
+
+#[test]
+fn requests_go_through_the_nearest_peer_that_is_not_loaded() {
+    let cases = [
+        (&[("a", true, 2), ("b", true, 2), ("c", true, 2)][..], Some("a")),
+        (&[("a", true, 9), ("b", true, 2), ("c", true, 2)], Some("b")),
+        (&[("a", false, 0), ("b", false, 0), ("c", true, 2)], Some("c")),
+        (&[("a", false, 0), ("b", false, 0), ("c", false, 0)], None),
+    ];
+    for (peers, expected) in cases {
+        assert_eq!(most_used(peers).as_deref(), expected, "{peers:?}");
+    }
+}
+
+#[test]
+fn what_a_peer_said_is_used_for_a_moment_only() {
+    let mut rng = Rng::new(1);
+    let mut known = LinkPeers::default();
+    known.record(&peer(1, "a"), LinkStatus { reaches: true, open: 0 }, at(0));
+    assert!(known.has_candidate(at(1000)));
+    assert!(!known.has_candidate(at(1300)));
+    let mut choose = |tried: &[NodeId], now| {
+        known.choose(&map(), &"a".into(), &Allowed::ANY, tried, now, &mut rng).is_some()
+    };
+    assert!(choose(&[], at(1000)));
+    assert!(!choose(&[peer(1, "a").id], at(1000)), "it was tried");
+    assert!(!choose(&[], at(1300)));
+}
+
+#[test]
+fn the_load_spreads_over_peers_while_nothing_new_is_heard() {
+    let mut rng = Rng::new(3);
+    let mut known = LinkPeers::default();
+    for n in 0..4 {
+        known.record(&peer(n, "a"), LinkStatus { reaches: true, open: 5 }, at(0));
+    }
+    let mut counts = [0; 4];
+    for _ in 0..400 {
+        let chosen = known.choose(&map(), &"a".into(), &Allowed::ANY, &[], at(500), &mut rng);
+        let name = chosen.expect("four candidates").node.id.name;
+        counts[name[2..].parse::<usize>().expect("a number")] += 1;
+    }
+    assert!(counts.iter().all(|n| (80..=120).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn few_peers_are_asked_whatever_the_number_of_nodes() {
+    let mut rng = Rng::new(5);
+    for (local, remote, expected) in [(0, 0, 0), (3, 0, 3), (0, 3, 3), (1, 9, 4), (300, 1700, 4)] {
+        let of_a = (0..local).map(|n| peer(n, "a"));
+        let of_b = (0..remote).map(|n| peer(local + n, "b"));
+        let peers: Vec<Node> = of_a.chain(of_b).collect();
+        let asked = LinkPeers::default().to_ask(&peers, &"a".into(), at(0), &mut rng);
+        assert_eq!(asked.len(), expected, "{local} and {remote}");
+        assert!(asked.len() <= MAX_ASKED);
+    }
+}
--- a/crates/forward/src/ejections/spread.rs
+++ b/crates/forward/src/ejections/spread.rs
@@ -23,6 +23,9 @@
 /// Reports an ejected target to its keeper.
 pub(super) fn report_failing(node: &Rc<Node>, target: &TargetId) {
     let now = node.now();
+    if node.links.is_suspect() {
+        return;
+    }
     if let Some(failing) = node.fleet(|f| f.failure_report(target, now)) {
         let message = message(node, EjectionStep::Report, vec![failing], Vec::new());
         report(node, target, message);
@@ -180,6 +183,9 @@
 fn own_evidence(node: &Node, report: &FailureReport) -> Evidence {
     let now = node.now();
     let since = now - Duration::from_millis(report.since_ms);
+    if node.links.was_lost_since(since) {
+        return Evidence::Unknown;
+    }
     node.fleet(|f| f.evidence(&report.target, since, now))
 }
 
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -110,6 +110,18 @@
         peers: usize,
         took_ms: u64,
     },
+    /// A request was sent through a peer that had `open` requests `age_ms` ago, because the links
+    /// were lost: the peer's `status`, or why there is none.
+    Proxied {
+        id: &'a str,
+        peer: &'a str,
+        outcome: &'a str,
+        status: u16,
+        why: &'a str,
+        open: u32,
+        age_ms: u64,
+        took_ms: u64,
+    },
     /// A target was ejected for its failures.
     Ejected { target: &'a str, why: &'a str },
     /// The nodes of this failure domain were asked whether a target serves any of them: `failed` saw
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -2,15 +2,16 @@
 //! limit.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use util::http::Body;
 
 use crate::upstream::configure_socket;
 
@@ -20,10 +21,11 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves requests with `handler` until the process ends.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
-    F: Future<Output = Response<Body>> + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
 {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -1,26 +1,35 @@
-//! Links of this node to the targets: probes them when several targets fail, and keeps their state
-//! (see [`decide::links`]).
+//! Links of this node to the targets: probes them when several targets fail, and finds peers to
+//! send requests through while they are lost (see [`decide::links`]).
 
+mod ask;
 mod probe;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::links::{Contact, LinkState, Links};
+use decide::links::{Contact, LinkPeer, LinkPeers, LinkState, Links};
+use model::forward::{Allowed, Target};
+use model::member::NodeId;
 use model::{Name, Time};
 use tokio::sync::{Notify, watch};
 
 use crate::events::Event;
 use crate::node::Node;
+use crate::peers::UnsupportedPeers;
+
+pub use ask::answer_query;
 
 /// Interval at which links that are lost or silent are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// State of this node's links.
+/// State of this node's links, and what peers said of theirs.
 #[derive(Default)]
 pub struct LocalLinks {
     machine: RefCell<Links>,
+    peers: RefCell<LinkPeers>,
+    /// Peers whose build does not send requests on behalf of others.
+    unsupported_peers: UnsupportedPeers,
     /// Wakes the task that probes, after failures.
     failed: Notify,
     /// Counts the rounds of probes that have ended.
@@ -33,6 +42,26 @@
         f(&mut self.machine.borrow_mut())
     }
 
+    /// Whether no target can be reached.
+    pub fn is_lost(&self) -> bool {
+        self.machine(|m| m.is_lost())
+    }
+
+    /// Whether recent failures of targets may be due to the links.
+    pub fn is_suspect(&self) -> bool {
+        self.machine(|m| m.is_suspect())
+    }
+
+    /// Whether the links were lost at any time since `since`, or may be now.
+    pub fn was_lost_since(&self, since: Time) -> bool {
+        self.machine(|m| m.was_lost_since(since))
+    }
+
+    /// Share of the requests to send over the links, not through peers.
+    pub fn share(&self, now: Time) -> f64 {
+        self.machine(|m| m.share(now))
+    }
+
     /// Records an answer to a request whose connection was opened after `opened`.
     pub fn record_answer(&self, opened: Time, now: Time) {
         self.machine(|m| m.record_answer(opened, now));
@@ -41,10 +70,46 @@
     /// Records that a target could not be reached, or that its connection broke or fell silent.
     pub fn record_failure(&self, target: &Name, now: Time) {
         self.machine(|m| m.record_failure(target, now));
-        if self.machine(|m| m.is_suspect()) {
+        if self.is_suspect() {
             self.failed.notify_one();
         }
     }
+
+    /// Waits for the end of a round of probes that is due or in progress.
+    pub async fn wait_for_round(&self) {
+        let mut rounds = self.rounds.subscribe();
+        if self.is_suspect() {
+            let _ = tokio::time::timeout(CHECK_INTERVAL * 2, rounds.changed()).await;
+        }
+    }
+
+    /// The peer to send a request through; `tried` are left out.
+    pub fn choose_peer(
+        &self,
+        node: &Node,
+        allowed: &Allowed,
+        tried: &[NodeId],
+    ) -> Option<LinkPeer> {
+        let settings = node.settings();
+        if !settings.policy.proxying {
+            return None;
+        }
+        let (domain, now) = (settings.domain.clone(), node.now());
+        let map = node.peers.roster(|r| r.map());
+        let mut peers = self.peers.borrow_mut();
+        node.rng(|rng| peers.choose(&map, &domain, allowed, tried, now, rng))
+    }
+
+    /// Records that a peer did not serve a request.
+    pub fn record_peer_failure(&self, id: &NodeId, now: Time) {
+        self.peers.borrow_mut().record_failure(id, now);
+    }
+}
+
+/// Whether this node reaches any target other than this one; true if there is none.
+pub async fn reaches_others(node: &Node, target: &Target) -> bool {
+    let contacts = probe::contact_others(node, target).await;
+    contacts.is_empty() || contacts.iter().any(|c| *c != Contact::Unreachable)
 }
 
 /// Starts the task that probes the links.
@@ -60,24 +125,38 @@
         }
         let count_silent = |since| node.fleet(|f| f.count_silent(since));
         if node.links.machine(|m| m.begin_round(count_silent, node.now())) {
-            run_round(&node).await;
+            // Peers are asked meanwhile, so that requests can go through them at once.
+            tokio::join!(run_probes(&node), ask::ask_peers(&node));
+            end_round(&node);
         }
     }
 }
 
 /// Probes some targets and applies the result.
-async fn run_round(node: &Rc<Node>) {
+async fn run_probes(node: &Node) {
     let begun = node.now();
     let failing = node.links.machine(|m| m.failing().clone());
     let contacts = probe::contact_targets(node, &failing).await;
     let now = node.now();
-    let changed = node.links.machine(|m| m.end_round(&contacts, begun, now));
-    if changed {
+    if node.links.machine(|m| m.end_round(&contacts, begun, now)) {
+        apply_state(node);
         log_state(node, &contacts, now.since(begun));
     }
+}
+
+fn end_round(node: &Node) {
     node.links.rounds.send_modify(|rounds| *rounds += 1);
 }
 
+/// Applies a change of the state to what depends on it.
+fn apply_state(node: &Node) {
+    let is_lost = node.links.is_lost();
+    node.peers.roster(|r| r.set_links_lost(is_lost));
+    if !is_lost {
+        node.fleet(|f| f.forgive_failures());
+    }
+}
+
 fn log_state(node: &Node, contacts: &[Contact], took: Duration) {
     let now = node.now();
     let (state, failing, age) =
--- a/crates/forward/src/links/probe.rs
+++ b/crates/forward/src/links/probe.rs
@@ -1,7 +1,6 @@
 //! Probes of targets over new connections.
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,11 +20,26 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Probes some targets, of different services if there are any, preferably not the failing ones.
-pub(super) async fn contact_targets(node: &Rc<Node>, failing: &BTreeSet<Name>) -> Vec<Contact> {
+pub(super) async fn contact_targets(node: &Node, failing: &BTreeSet<Name>) -> Vec<Contact> {
+    contact_all(node, &choose(node, failing)).await
+}
+
+/// Probes some targets other than this one.
+pub(super) async fn contact_others(node: &Node, target: &Target) -> Vec<Contact> {
+    let mut targets = choose(node, &BTreeSet::from([target.id.name.clone()]));
+    targets.retain(|t| t.id.name != target.id.name);
+    contact_all(node, &targets).await
+}
+
+fn choose(node: &Node, failing: &BTreeSet<Name>) -> Vec<Target> {
     let (domain, now) = (node.settings().domain.clone(), node.now());
     let map = node.peers.roster(|r| r.map());
-    let targets =
-        node.fleet(|f| node.rng(|rng| f.link_probes(failing, &domain, &map, MAX_PROBES, now, rng)));
+    let probes =
+        |rng: &mut _| node.fleet(|f| f.link_probes(failing, &domain, &map, MAX_PROBES, now, rng));
+    node.rng(probes)
+}
+
+async fn contact_all(node: &Node, targets: &[Target]) -> Vec<Contact> {
     join_all(targets.iter().map(|target| contact(node, target))).await
 }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -98,6 +98,7 @@
     quarantined: Gauge,
     quarantine_refusals: Family<NameLabel, Counter>,
     links_lost: Gauge,
+    proxied: Family<NameLabel, Counter>,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
     sent_against_notice: Family<NoticeLabels, Counter>,
@@ -175,6 +176,7 @@
             quarantined: Gauge::default(),
             quarantine_refusals: Family::default(),
             links_lost: Gauge::default(),
+            proxied: Family::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
             sent_against_notice: Family::default(),
@@ -267,6 +269,8 @@
         registry.register("quarantine_refusals", help, self.quarantine_refusals.clone());
         let help = "1 while this node reaches no target";
         registry.register("links_lost", help, self.links_lost.clone());
+        let help = "Requests sent through other nodes while no target was reached, by outcome";
+        registry.register("proxied", help, self.proxied.clone());
         let help = "Targets that name a limit";
         registry.register("targets_limited", help, self.targets_limited.clone());
         let help = "Requests and calls to targets while they named a limit, by their service";
@@ -369,6 +373,11 @@
         self.links_lost.set(is_lost.into());
     }
 
+    /// Counts a request that was sent through a peer.
+    pub fn count_proxied(&self, outcome: &'static str) {
+        self.proxied.get_or_create(&NameLabel { name: outcome.to_string() }).inc();
+    }
+
     /// Counts a request or call to a target that has named a limit.
     pub fn count_sent_at_limit(&self, service: &str) {
         self.sent_at_limit.get_or_create(&NameLabel { name: self.bounded_label(service) }).inc();
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -40,8 +40,8 @@
 
 pub use resting::PeerBackoff;
 pub use server::{
-    BATCH, EJECTIONS, FREE, FreeRequest, LIMITS, PERMIT, PREFILL, PREFILL_END, QUARANTINE, ROLLOUT,
-    ROLLOUT_STATE, StateWrite, WAITS,
+    BATCH, EJECTIONS, FREE, FreeRequest, LIMITS, LINKS, PERMIT, PREFILL, PREFILL_END, PROXY,
+    QUARANTINE, ROLLOUT, ROLLOUT_STATE, StateWrite, WAITS,
 };
 pub use unsupported::UnsupportedPeers;
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -1,8 +1,9 @@
 //! HTTP server for the other nodes: batch orders, results to free, rules, targets, permits,
-//! reports and pings.
+//! reports, pings, and requests of callers at nodes that reach no target.
 
 use std::rc::Rc;
 
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use model::forward::{BatchOrder, FollowAsk, Handle, PoolId, Rollout, RolloutState};
@@ -15,8 +16,10 @@
 use crate::ejections;
 use crate::ingress::small;
 use crate::limits;
+use crate::links;
 use crate::node::Node;
 use crate::rollout::{self, WriteOutcome};
+use crate::serve;
 use crate::stages::{self, OrderError};
 use crate::watch;
 
@@ -46,6 +49,10 @@
 pub const LIMITS: &str = "/v1/limits";
 /// Path for reports, queries and announcements of ejected targets.
 pub const EJECTIONS: &str = "/v1/ejections";
+/// Path for the state of a node's links to the targets.
+pub const LINKS: &str = "/v1/links";
+/// Path for callers' requests of nodes that reach no target.
+pub const PROXY: &str = "/v1/proxy";
 /// Path for the rules.
 pub const RULES: &str = "/v1/rules";
 /// Maximum size of a peer's message in bytes.
@@ -75,7 +82,17 @@
     small::serve(listener, move |request| answer(node.clone(), request)).await;
 }
 
-async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<serve::Body> {
+    if request.uri().path() == PROXY {
+        return serve::handle_proxied(node, request).await;
+    }
+    answer_message(node, request).await.map(|body| {
+        let body: serve::Body = Box::pin(body.map_err(|never| match never {}));
+        body
+    })
+}
+
+async fn answer_message(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let result = match request.uri().path() {
         RULES => Ok(full(StatusCode::OK, RMP, node.table().encoded())),
         PING => Ok(rmp(&())),
@@ -91,6 +108,7 @@
         PERMIT => permit(&node, request).await,
         LIMITS => limit_report(&node, request).await,
         EJECTIONS => ejections(&node, request).await,
+        LINKS => links(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     result.unwrap_or_else(|refusal| refusal)
@@ -170,6 +188,11 @@
     Ok(rmp_named(&ejections::handle_message(node, message)))
 }
 
+async fn links(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let query = read_message(request, "not a question about links").await?;
+    Ok(rmp_named(&links::answer_query(node, &query).await))
+}
+
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
     let FreeRequest { pool, handles } = read_message(request, "not results to free").await?;
     node.pools.free(node, &pool, handles);
@@ -192,6 +215,9 @@
     if node.is_stopping() {
         return Err(stopping());
     }
+    if node.links.is_lost() {
+        return Err(text(StatusCode::CONFLICT, "targets are out of reach"));
+    }
     match stages::handle_order(node, order).await {
         Ok(answer) => Ok(rmp(&answer)),
         Err(OrderError::HandedOver) if node.is_stopping() => Err(stopping()),
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -11,6 +11,7 @@
 use model::{Name, Time};
 
 use crate::events::Event;
+use crate::links;
 use crate::node::Node;
 use crate::upstream;
 
@@ -67,6 +68,11 @@
         tokio::task::spawn_local(run_check(node.clone(), target.clone()));
     }
 
+    /// Whether a check of this target is in progress.
+    pub fn is_checking(&self, target: &TargetId) -> bool {
+        self.0.borrow().contains_key(target)
+    }
+
     /// Records evidence from another send that the target has crashed.
     pub fn record_evidence(&self, target: &TargetId, how: &'static str) {
         if let Some(check) = self.0.borrow_mut().get_mut(target) {
@@ -94,13 +100,16 @@
     }
 }
 
-async fn await_verdict(node: &Node, target: &Target) -> Verdict {
+async fn await_verdict(node: &Rc<Node>, target: &Target) -> Verdict {
     let mut outcome = ConnectOutcome::NoResponse;
     for delay in CONNECT_DELAYS {
         tokio::time::sleep(delay).await;
         outcome = match upstream::connect(node.settings().bind, target.address).await {
             Ok(_) => ConnectOutcome::Accepted,
-            Err(e) if e.is_refused() => ConnectOutcome::Refused,
+            // At a node that reaches no target, a refusal proves nothing.
+            Err(e) if e.is_refused() && links::reaches_others(node, target).await => {
+                ConnectOutcome::Refused
+            }
             Err(_) => ConnectOutcome::NoResponse,
         };
         match node.quarantine.crash_checks.verdict(node, &target.id, outcome) {
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::events::Event;
+use crate::links;
 use crate::node::Node;
 use ends::{CrashChecks, Work};
 use spread::PeerSends;
@@ -107,6 +108,19 @@
         self.open_attempts.borrow_mut().remove(attempt);
     }
 
+    /// Records that a target refused a connection, which is evidence of a crash if this node reaches
+    /// others.
+    pub fn refusal_observed(&self, node: &Rc<Node>, target: &Target) {
+        if self.crash_checks.is_checking(&target.id) {
+            let (node, target) = (node.clone(), target.clone());
+            tokio::task::spawn_local(async move {
+                if links::reaches_others(&node, &target).await {
+                    node.quarantine.crash_observed(&target, "refused");
+                }
+            });
+        }
+    }
+
     /// Records evidence from a send that a target has crashed.
     pub fn crash_observed(&self, target: &Target, how: &'static str) {
         self.crash_checks.record_evidence(&target.id, how);
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -114,11 +114,13 @@
 }
 
 impl Inner {
-    /// Whether the outcome is evidence on the version: the target was warm, this process did not
-    /// stall meanwhile, and the order is still running.
+    /// Whether the outcome is evidence on the version: the target was warm, neither this process nor
+    /// its links to the targets failed meanwhile, and the order is still running.
     fn is_evidence(&self) -> bool {
         let Inner { node, order, started, is_cold, .. } = self;
-        let is_valid = !is_cold && !node.rollouts.stalls.stalled_since(*started, node.now());
+        let is_disturbed = node.rollouts.stalls.stalled_since(*started, node.now())
+            || node.links.was_lost_since(*started);
+        let is_valid = !is_cold && !is_disturbed;
         is_valid && running_order(node, order).is_some()
     }
 
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -85,12 +85,14 @@
     }
 }
 
-/// Admits a request; `Err` holds the response that refuses it.
+/// Admits a request, which reached another node first if `proxied_after` names the time since then;
+/// `Err` holds the response that refuses it.
 pub async fn admit(
     node: &Rc<Node>,
     request: Request<Incoming>,
+    proxied_after: Option<Duration>,
 ) -> Result<Rc<Exchange>, Response<Body>> {
-    let arrived = node.now();
+    let arrived = node.now() - proxied_after.unwrap_or_default();
     let (parts, body) = request.into_parts();
     let head = node.dialect.read_caller(&parts).map_err(|e| {
         let refusal = Refusal::new(StatusCode::BAD_REQUEST, "malformed request").close();
@@ -136,6 +138,7 @@
         allowed,
         side,
         rules_version: version,
+        is_proxied: proxied_after.is_some(),
         arrived,
         deadline,
     };
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -12,6 +12,7 @@
 use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route, Side, Target, TargetId};
 use model::{Name, Time};
 
+use super::proxy;
 use super::reply::{self, Body};
 use super::send::{Outcome, send};
 use super::stream;
@@ -95,6 +96,8 @@
     pub side: Side,
     /// Version of the rules at admission.
     pub rules_version: u64,
+    /// Whether another node received the request and sent it through this one.
+    pub is_proxied: bool,
     pub arrived: Time,
     /// When the request is abandoned.
     pub deadline: Time,
@@ -187,6 +190,14 @@
 
     /// Returns a target's response; `Err` holds one for a request that no target answered.
     async fn serve(self: Rc<Self>) -> Result<Response<Body>, Response<Body>> {
+        if self.avoids_links() {
+            if let Some(response) = proxy::send(&self).await {
+                return Ok(response);
+            }
+            if self.node.links.is_lost() {
+                return Err(self.end_unanswered());
+            }
+        }
         self.node.count_request(&self.service);
         let chosen = self.choose();
         if chosen.is_none() || self.unserved_service().is_some() {
@@ -210,8 +221,11 @@
     ) -> Result<Response<Body>, Response<Body>> {
         loop {
             let first = chosen.take().filter(|t| self.is_near_inputs(t));
+            if self.node.links.is_lost() && self.may_use_peer() {
+                return proxy::send(&self).await.ok_or_else(|| self.end_unanswered());
+            }
             let Some(choice) = self.next_target(first).await else {
-                return Err(self.end_unanswered());
+                return Err(self.end_without_target().await?);
             };
             let target = choice.target.clone();
             if results.take_if(|m| !self.is_result_allowed(m)).is_some() {
@@ -241,6 +255,20 @@
         }
     }
 
+    /// Ends a request that no further target may get. If the links prove to be lost, a peer serves
+    /// it, whose response is `Err`.
+    async fn end_without_target(self: &Rc<Self>) -> Result<Response<Body>, Response<Body>> {
+        if self.may_use_peer() {
+            self.node.links.wait_for_round().await;
+            if self.node.links.is_lost()
+                && let Some(response) = proxy::send(self).await
+            {
+                return Err(response);
+            }
+        }
+        Ok(self.end_unanswered())
+    }
+
     async fn run_stages(&self, chosen: Option<&Target>) -> Result<RequestResults, Response<Body>> {
         self.run_stages_within(self.slack(), chosen).await.map_err(|_| self.end_unanswered())
     }
@@ -327,7 +355,7 @@
     }
 
     /// Final response to a request that no target answered successfully.
-    fn end_unanswered(&self) -> Response<Body> {
+    pub(super) fn end_unanswered(&self) -> Response<Body> {
         let ending = self.progress(|p| p.attempts.ending());
         if ending == Ending::Unknown
             && let Some(ErrorResponse { status, headers, body }) =
@@ -357,7 +385,12 @@
         };
         self.log_end(status.as_u16(), outcome);
         let reason = self.progress(|p| p.reason.clone());
-        reply::local(&self.node, status, Some(&self.head.id), retry_after, &reason)
+        let mut response =
+            reply::local(&self.node, status, Some(&self.head.id), retry_after, &reason);
+        if self.is_proxied && ending == Ending::NotRun && self.node.links.is_lost() {
+            proxy::mark_unserved(&mut response);
+        }
+        response
     }
 
     /// Shortest retry delay according to the backoffs and limits of the targets.
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -114,7 +114,7 @@
         Ok(socket) => socket,
         Err(e) => {
             if e.is_refused() {
-                exchange.node.quarantine.crash_observed(target, "refused");
+                exchange.node.quarantine.refusal_observed(&exchange.node, target);
             }
             return attempt.no_response(Observation::Unreachable, e.to_string());
         }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod ejection;
 mod fingerprint;
 mod limit;
+mod links;
 mod load;
 mod notice;
 mod policy;
@@ -32,6 +33,7 @@
 pub use limit::{
     LimitReport, LimitUpdate, PermitAnswer, PermitRequest, ReportedLimit, TargetLimit,
 };
+pub use links::{LinkQuery, LinkStatus};
 pub use load::{ReportedLoad, TargetLoad};
 pub use notice::{Notice, RetryAfter};
 pub use policy::Policy;
--- a/crates/model/src/forward/policy.rs
+++ b/crates/model/src/forward/policy.rs
@@ -38,6 +38,8 @@
     pub ejection: bool,
     /// Requests to targets that are silent for too long are moved to another target.
     pub patience: bool,
+    /// Requests go through a peer while this node reaches no target; if off, they are refused.
+    pub proxying: bool,
 }
 
 impl Default for Policy {
@@ -58,6 +60,7 @@
             weighted_homes: true,
             ejection: true,
             patience: true,
+            proxying: true,
         }
     }
 }
