End silent connections at the second keep-alive probe, not the third

A TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count, and the kernel checks it when a probe is due. At exactly the time of the second probe (2 s) a probe that comes a tick early does not end the connection, which then lasts until the third, 3 s: as long as a node may take until it counts as in touch again. 1.9 s leaves no doubt.

The new test of the relation between the two fails before (2 s is not below the last probe) and passes now.

--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -21,7 +21,8 @@
 pub const KEEPALIVE_RETRIES: u32 = 1;
 /// Time after which unacknowledged bytes or probes close a connection. Nodes must have caught up
 /// with changes 3 s after a disturbance of their connections; this leaves 1 s for the next request.
-pub const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The kernel checks it at a keep-alive probe, so it ends just before the last one.
+pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1900);
 /// Idle time after which a connection is not reused. One that went dead while idle may never be
 /// closed, and the next call would wait on it for its whole timeout. With this limit no connection
 /// from before an outage is used once nodes must have noticed the outage. More frequent calls keep
--- a/crates/util/tests/keepalive.rs
+++ b/crates/util/tests/keepalive.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use util::http::{Client, KEEPALIVE_INTERVAL};
+use util::http::{Client, KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT};
 
 /// Columns of the peer's address and of the timer in the kernel's table.
 const PEER: usize = 2;
@@ -30,6 +30,13 @@
     })
 }
 
+#[test]
+fn the_user_timeout_ends_a_connection_at_the_last_probe() {
+    let last_probe = KEEPALIVE_INTERVAL * (KEEPALIVE_RETRIES + 1);
+    assert!(TCP_USER_TIMEOUT > KEEPALIVE_INTERVAL, "it would end idle connections unprobed");
+    assert!(TCP_USER_TIMEOUT < last_probe, "it would take one more probe");
+}
+
 #[tokio::test]
 async fn connection_waiting_for_a_response_is_probed() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has ports");
