--- a/crates/forward/src/links/ask.rs
+++ b/crates/forward/src/links/ask.rs
@@ -23,7 +23,9 @@
     let peers: Vec<PeerNode> = peers.into_iter().filter(is_supported).collect();
     let now = node.now();
     let asked = node.rng(|rng| node.links.peers.borrow().to_ask(&peers, &domain, now, rng));
+    node.links.is_asking.send_replace(true);
     join_all(asked.iter().map(|peer| ask(node, peer))).await;
+    node.links.is_asking.send_replace(false);
 }
 
 async fn ask(node: &Node, peer: &PeerNode) {
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -30,6 +30,8 @@
     peers: RefCell<LinkPeers>,
     /// Peers whose build does not send requests on behalf of others.
     unsupported_peers: UnsupportedPeers,
+    /// Whether peers are being asked.
+    is_asking: watch::Sender<bool>,
     /// Wakes the task that probes, after failures.
     failed: Notify,
     /// Counts the rounds of probes that have ended.
@@ -83,8 +85,24 @@
         }
     }
 
-    /// The peer to send a request through; `tried` are left out.
-    pub fn choose_peer(
+    /// The peer to send a request through; `tried` are left out. Waits for the answers of peers that
+    /// are being asked if none is known to reach the targets.
+    pub async fn choose_peer(
+        &self,
+        node: &Node,
+        allowed: &Allowed,
+        tried: &[NodeId],
+    ) -> Option<LinkPeer> {
+        let known = self.choose_known_peer(node, allowed, tried);
+        if known.is_some() {
+            return known;
+        }
+        // An error means that the node ends.
+        let _ = self.is_asking.subscribe().wait_for(|is_asking| !is_asking).await;
+        self.choose_known_peer(node, allowed, tried)
+    }
+
+    fn choose_known_peer(
         &self,
         node: &Node,
         allowed: &Allowed,
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -90,7 +90,7 @@
     let mut tried = Vec::new();
     while tried.len() < MAX_PEERS {
         let allowed = exchange.allowed_regions();
-        let Some(peer) = node.links.choose_peer(node, &allowed, &tried) else {
+        let Some(peer) = node.links.choose_peer(node, &allowed, &tried).await else {
             break;
         };
         let started = node.now();
