End a proxied response at its deadline

The log shows it proxied; the connection to the peer had fallen silent, its far end still acknowledged, so neither keep-alive nor the user timeout ended it, and unlike a target's stream a peer's was read without a limit. The body now ends with an error at the request's deadline.

--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -195,8 +195,10 @@
     let (head, body) = response.into_parts();
     let mut headers = exchange.node.dialect.return_headers(&head.headers);
     remove_reserved(&mut headers);
+    let timer = exchange.clone();
     let body = ProxiedBody {
         body,
+        deadline: Box::pin(async move { timer.node.clock.sleep_until(timer.deadline).await }),
         exchange: exchange.clone(),
         status: head.status,
         _connection: connection,
@@ -208,9 +210,11 @@
     response
 }
 
-/// Body of a peer's response, forwarded as it arrives.
+/// Body of a peer's response, forwarded as it arrives. Ends with an error at the deadline, since the
+/// connection to the peer may have fallen silent.
 struct ProxiedBody {
     body: Incoming,
+    deadline: Pin<Box<dyn Future<Output = ()>>>,
     exchange: Rc<Exchange>,
     status: StatusCode,
     _connection: Connection,
@@ -224,7 +228,14 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let frame = match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                std::task::ready!(self.deadline.as_mut().poll(cx));
+                self.exchange.log_end(self.status.as_u16(), "broken_off");
+                return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+            }
+        };
         match &frame {
             Some(Ok(_)) => {}
             Some(Err(_)) => self.exchange.log_end(self.status.as_u16(), "broken_off"),
