--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 mod ejections;
 mod fleet;
 mod leases;
+mod links;
 mod members;
 mod routes;
 mod starts;
@@ -76,6 +77,7 @@
 fn fleet_figures(started: &[usize]) -> Vec<Figure> {
     let work = fleet::FLEET_SIZES
         .iter()
-        .flat_map(|n| fleet::measure(*n).into_iter().chain(ejections::measure(*n)));
+        .flat_map(|n| fleet::measure(*n).into_iter().chain(ejections::measure(*n)))
+        .chain(fleet::FLEET_SIZES.iter().flat_map(|n| links::measure(*n)));
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
 }
--- a/crates/decide/src/links/peers.rs
+++ b/crates/decide/src/links/peers.rs
@@ -77,14 +77,14 @@
     /// Peers to ask now: some that reach the targets, and others drawn at random, of the own
     /// failure domain as many as of the others.
     pub fn to_ask(&self, peers: &[Node], domain: &Name, now: Time, rng: &mut Rng) -> Vec<Node> {
-        let mut candidates: Vec<Node> = Vec::new();
+        let mut candidates: Vec<&Node> = Vec::new();
         let (mut local, mut remote) = (Vec::new(), Vec::new());
         for peer in peers {
             match self.known.get(&peer.id).filter(|k| now.since(k.at) < STATUS_TTL) {
-                Some(known) if known.status.reaches => candidates.push(peer.clone()),
+                Some(known) if known.status.reaches => candidates.push(peer),
                 Some(_) => {}
-                None if peer.domain == *domain => local.push(peer.clone()),
-                None => remote.push(peer.clone()),
+                None if peer.domain == *domain => local.push(peer),
+                None => remote.push(peer),
             }
         }
         for group in [&mut candidates, &mut local, &mut remote] {
@@ -96,7 +96,7 @@
         candidates.extend(local.into_iter().take(of_local));
         let of_remote = MAX_ASKED - candidates.len();
         candidates.extend(remote.into_iter().take(of_remote));
-        candidates
+        candidates.into_iter().cloned().collect()
     }
 
     /// The peer to send a request through, among those in allowed regions that reach the targets;
