--- a/crates/bench/src/slopes/links.rs
+++ b/crates/bench/src/slopes/links.rs
@@ -43,7 +43,7 @@
             for peer in known.to_ask(&peers, &domain, now, &mut rng) {
                 let number = number(&peer);
                 asked[number] += 1;
-                let reaches = number % DOMAINS != 0;
+                let reaches = !number.is_multiple_of(DOMAINS);
                 known.record(&peer, LinkStatus { reaches, open: open[number] as u32 }, now);
             }
             let requests = (REQUESTS_PER_S * ROUND.as_secs_f64()).round() as usize;
