--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -225,7 +225,7 @@
                 return proxy::send(&self).await.ok_or_else(|| self.end_unanswered());
             }
             let Some(choice) = self.next_target(first).await else {
-                return Err(self.end_without_target().await?);
+                return Err(self.end_without_target().await);
             };
             let target = choice.target.clone();
             if results.take_if(|m| !self.is_result_allowed(m)).is_some() {
@@ -255,18 +255,18 @@
         }
     }
 
-    /// Ends a request that no further target may get. If the links prove to be lost, a peer serves
-    /// it, whose response is `Err`.
-    async fn end_without_target(self: &Rc<Self>) -> Result<Response<Body>, Response<Body>> {
+    /// Final response to a request that no further target may get: that of a peer if the links prove
+    /// to be lost and one serves it.
+    async fn end_without_target(self: &Rc<Self>) -> Response<Body> {
         if self.may_use_peer() {
             self.node.links.wait_for_round().await;
             if self.node.links.is_lost()
                 && let Some(response) = proxy::send(self).await
             {
-                return Err(response);
+                return response;
             }
         }
-        Ok(self.end_unanswered())
+        self.end_unanswered()
     }
 
     async fn run_stages(&self, chosen: Option<&Target>) -> Result<RequestResults, Response<Body>> {
