Refuse at once where only the targets of one service fail

Two failing targets put the links in doubt, and a request that no target was left for waited for the probes even if targets of other services had just answered: up to 404 ms until its 503 (new test, before). It waits only if no target has answered for a second.

--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -115,9 +115,12 @@
 
     /// Whether a target answered recently.
     pub fn is_proven(&self, now: Time) -> bool {
-        self.state == LinkState::Up
-            && !self.is_suspect()
-            && self.answered_at.is_some_and(|at| now.since(at) < ANSWER_TTL)
+        self.state == LinkState::Up && !self.is_suspect() && self.was_answered(now)
+    }
+
+    /// Whether a target answered recently, whatever has failed since.
+    pub fn was_answered(&self, now: Time) -> bool {
+        self.answered_at.is_some_and(|at| now.since(at) < ANSWER_TTL)
     }
 
     /// Time since the last answer; `None` before the first.
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -77,8 +77,15 @@
         }
     }
 
+    /// Waits until it is known whether the links are lost, unless a target answered recently.
+    pub async fn wait_for_verdict(&self, now: Time) {
+        if !self.machine(|m| m.was_answered(now)) {
+            self.wait_for_round().await;
+        }
+    }
+
     /// Waits for the end of a round of probes that is due or in progress.
-    pub async fn wait_for_round(&self) {
+    async fn wait_for_round(&self) {
         let mut rounds = self.rounds.subscribe();
         if self.is_suspect() {
             let _ = tokio::time::timeout(CHECK_INTERVAL * 2, rounds.changed()).await;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -259,7 +259,7 @@
     /// to be lost and one serves it.
     async fn end_without_target(self: &Rc<Self>) -> Response<Body> {
         if self.may_use_peer() {
-            self.node.links.wait_for_round().await;
+            self.node.links.wait_for_verdict(self.node.now()).await;
             if self.node.links.is_lost()
                 && let Some(response) = proxy::send(self).await
             {
