Give the overlong response of the streamed test time between its parts

Its third case sends a part every 250 ms under an idle limit of 300 ms: 50 ms for two processes' timers.

The case is about the total limit, so its idle limit is 1 s now. The assertions are as they were, and say more: without a total limit the response would end after 3.5 s by the idle one, beyond the 3 s allowed, where 2.8 s passed before.

--- a/crates/util/tests/streamed.rs
+++ b/crates/util/tests/streamed.rs
@@ -34,9 +34,14 @@
 }
 
 /// Requests a response; returns the failure, if any, and the elapsed time.
-async fn fetch(before: Duration, pause: Duration, parts: usize) -> (Option<CallKind>, Duration) {
+async fn fetch(
+    before: Duration,
+    pause: Duration,
+    parts: usize,
+    idle: Duration,
+) -> (Option<CallKind>, Duration) {
     let peer = peer(before, pause, parts).await;
-    let timeouts = Timeouts { head: 300 * MS, idle: 300 * MS, total: 2000 * MS };
+    let timeouts = Timeouts { head: 300 * MS, idle, total: 2000 * MS };
     let started = Instant::now();
     let client = Client::new(1000 * MS);
     let request = Request::get(format!("http://{peer}/list")).body(Full::default());
@@ -49,19 +54,19 @@
 
 #[tokio::test]
 async fn client_waits_while_parts_of_the_response_arrive() {
-    let (failed, took) = fetch(Duration::ZERO, 60 * MS, 10).await;
+    let (failed, took) = fetch(Duration::ZERO, 60 * MS, 10, 300 * MS).await;
     assert_eq!(failed, None, "600 ms in total exceed the head and idle timeouts");
     assert!(took >= 600 * MS, "{took:?}");
 }
 
 #[tokio::test]
 async fn stalled_or_overlong_response_times_out() {
-    for (before, pause, parts, minimum) in [
-        (1500 * MS, Duration::ZERO, 10, 300 * MS),
-        (Duration::ZERO, 10 * MS, 5, 350 * MS),
-        (Duration::ZERO, 250 * MS, 10, 2000 * MS),
+    for (before, pause, parts, idle, minimum) in [
+        (1500 * MS, Duration::ZERO, 10, 300 * MS, 300 * MS),
+        (Duration::ZERO, 10 * MS, 5, 300 * MS, 350 * MS),
+        (Duration::ZERO, 250 * MS, 10, 1000 * MS, 2000 * MS),
     ] {
-        let (failed, took) = fetch(before, pause, parts).await;
+        let (failed, took) = fetch(before, pause, parts, idle).await;
         assert_eq!(failed, Some(CallKind::Timeout));
         assert!(
             took >= minimum && took < minimum + 1000 * MS,
