Simplify the links' machine and share what proxied requests had twice

Links derives its default, is_proven no longer asks twice for the same state, an unused method and the start of a round that changed nothing are gone. Whether a request may go through a peer is what Attempts::ending already says. One function answers requests of callers and of peers. The links_lost gauge is set at the scrape like the others, not in the function that logs.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -77,7 +77,7 @@
 fn fleet_figures(started: &[usize]) -> Vec<Figure> {
     let work = fleet::FLEET_SIZES
         .iter()
-        .flat_map(|n| fleet::measure(*n).into_iter().chain(ejections::measure(*n)))
-        .chain(fleet::FLEET_SIZES.iter().flat_map(|n| links::measure(*n)));
+        .flat_map(|n| [fleet::measure(*n), ejections::measure(*n), links::measure(*n)])
+        .flatten();
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
 }
--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -39,9 +39,10 @@
 }
 
 /// State of the links to the targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LinkState {
     /// They work, as far as known.
+    #[default]
     Up,
     /// No target can be reached.
     Lost,
@@ -61,7 +62,7 @@
 }
 
 /// Links of this node to all targets.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Links {
     state: LinkState,
     /// Targets that failed since the last answer.
@@ -73,20 +74,6 @@
     next_round: Time,
 }
 
-impl Default for Links {
-    fn default() -> Self {
-        Links {
-            state: LinkState::Up,
-            failing: BTreeSet::new(),
-            failing_since: None,
-            answered_at: None,
-            lost_at: None,
-            is_probing: false,
-            next_round: Time::ZERO,
-        }
-    }
-}
-
 impl Links {
     /// Current state.
     pub fn state(&self) -> LinkState {
@@ -103,19 +90,14 @@
         self.state != LinkState::Up || self.is_probing || self.failing.len() >= MIN_FAILING
     }
 
-    /// Whether a round of probes is in progress.
-    pub fn is_probing(&self) -> bool {
-        self.is_probing
-    }
-
     /// Whether the links were lost at any time since `since`, or may be now.
     pub fn was_lost_since(&self, since: Time) -> bool {
         self.is_suspect() || self.lost_at.is_some_and(|at| at >= since)
     }
 
-    /// Whether a target answered recently.
+    /// Whether a target answered recently and nothing puts the links in doubt.
     pub fn is_proven(&self, now: Time) -> bool {
-        self.state == LinkState::Up && !self.is_suspect() && self.was_answered(now)
+        !self.is_suspect() && self.was_answered(now)
     }
 
     /// Whether a target answered recently, whatever has failed since.
@@ -138,8 +120,14 @@
         if self.failing_since.is_some_and(|since| opened < since) {
             return;
         }
+        self.confirm(now);
+    }
+
+    /// Records that the links work.
+    fn confirm(&mut self, now: Time) {
         self.answered_at = Some(now);
-        self.clear_failing();
+        self.failing.clear();
+        self.failing_since = None;
     }
 
     /// Records that a target could not be reached, or that its connection broke or fell silent.
@@ -148,11 +136,6 @@
         self.failing.insert(target.clone());
     }
 
-    fn clear_failing(&mut self) {
-        self.failing.clear();
-        self.failing_since = None;
-    }
-
     /// Whether to begin a round of probes now, which the caller must then do and report to
     /// [`Links::end_round`]. `count_silent` counts the targets with a request in flight that have
     /// been silent since a time.
@@ -177,13 +160,13 @@
         self.answered_at.is_none_or(|at| now.since(at) >= SILENCE_TIMEOUT)
     }
 
-    /// Ends a round of probes, which began at `begun`; returns whether the state has changed.
-    pub fn end_round(&mut self, contacts: &[Contact], begun: Time, now: Time) -> bool {
+    /// Ends a round of probes; returns whether the state has changed.
+    pub fn end_round(&mut self, contacts: &[Contact], now: Time) -> bool {
         self.is_probing = false;
         self.next_round = now + ROUND_INTERVAL;
         let before = self.state;
         if contacts.contains(&Contact::Answered) {
-            self.record_answer(begun.max(self.failing_since.unwrap_or(begun)), now);
+            self.confirm(now);
             if self.is_lost() {
                 self.state = LinkState::Returning(now);
             }
--- a/crates/decide/tests/links.rs
+++ b/crates/decide/tests/links.rs
@@ -29,7 +29,7 @@
 /// Ends a round of probes that begins at once.
 fn probe(links: &mut Links, contacts: &[Contact], now: Time) -> bool {
     assert!(links.begin_round(|_| 0, now), "a round is due");
-    links.end_round(contacts, now, now + MS)
+    links.end_round(contacts, now + MS)
 }
 
 #[test]
@@ -63,7 +63,7 @@
     assert!(!links.begin_round(|_| 3, at(2300)), "1.4 s after the last answer");
     assert!(!links.begin_round(|_| 1, at(2500)), "a single silent target");
     assert!(links.begin_round(|_| 3, at(2500)));
-    assert!(links.end_round(&[Contact::Silent; 3], at(2500), at(2750)));
+    assert!(links.end_round(&[Contact::Silent; 3], at(2750)));
     assert!(links.is_lost());
 }
 
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::links::{Contact, LinkPeer, LinkPeers, LinkState, Links};
+use decide::links::{Contact, LinkPeer, LinkPeers, Links};
 use model::forward::{Allowed, Target};
 use model::member::NodeId;
 use model::{Name, Time};
@@ -163,7 +163,7 @@
     let failing = node.links.machine(|m| m.failing().clone());
     let contacts = probe::contact_targets(node, &failing).await;
     let now = node.now();
-    if node.links.machine(|m| m.end_round(&contacts, begun, now)) {
+    if node.links.machine(|m| m.end_round(&contacts, now)) {
         apply_state(node);
         log_state(node, &contacts, now.since(begun));
     }
@@ -198,5 +198,4 @@
         took_ms: took.as_millis() as u64,
     }
     .emit();
-    node.metrics.set_links_lost(state == LinkState::Lost);
 }
--- a/crates/forward/src/links/probe.rs
+++ b/crates/forward/src/links/probe.rs
@@ -45,7 +45,7 @@
 
 /// Probes one target: an answer of any kind shows that it can be reached.
 async fn contact(node: &Node, target: &Target) -> Contact {
-    let Ok(socket) = upstream::connect(node.settings().bind, target.address).await else {
+    let Ok(socket) = upstream::connect_target(node, target.address).await else {
         return Contact::Unreachable;
     };
     let request = health_request(node, target);
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -148,6 +148,8 @@
     pub cold: usize,
     /// Held requests.
     pub quarantined: usize,
+    /// Whether this node reaches no target.
+    pub links_lost: bool,
     /// Targets that name a limit.
     pub limited: usize,
     /// Running rollouts: service, trial version and its share of the requests.
@@ -368,11 +370,6 @@
         self.targets_ended.get_or_create(&NameLabel { name: self.bounded_label(service) }).inc();
     }
 
-    /// Sets whether this node reaches no target.
-    pub fn set_links_lost(&self, is_lost: bool) {
-        self.links_lost.set(is_lost.into());
-    }
-
     /// Counts a request that was sent through a peer.
     pub fn count_proxied(&self, outcome: &'static str) {
         self.proxied.get_or_create(&NameLabel { name: outcome.to_string() }).inc();
@@ -468,6 +465,7 @@
         self.domains_evacuated.set(now.evacuated as i64);
         self.targets_cold.set(now.cold as i64);
         self.quarantined.set(now.quarantined as i64);
+        self.links_lost.set(now.links_lost.into());
         self.targets_limited.set(now.limited as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -353,6 +353,7 @@
             evacuated: self.fleet.borrow().evacuated().domains().count(),
             cold: self.fleet.borrow().count_cold(self.now()),
             quarantined: self.quarantine.count_held(self),
+            links_lost: self.links.is_lost(),
             limited: self.fleet.borrow().limits().limited().count(),
             rollouts: &self.running_rollouts(),
             ages: ObjectKind::AGE_TRACKED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod stream;
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -20,13 +21,22 @@
 
 /// Serves one request; during a stop its connection is closed after the response.
 pub async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let stopping = node.clone();
-    let mut response = match admit::admit(&node, request, None).await {
-        Ok(exchange) => exchange.run().await,
-        Err(refusal) => refusal,
-    };
-    if stopping.is_stopping() {
+    let mut response = answer(&node, request, None).await;
+    if node.is_stopping() {
         reply::set_connection_close(&mut response);
     }
     response
 }
+
+/// Final response to a request, which reached another node first if `proxied_after` names the time
+/// since then.
+async fn answer(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    proxied_after: Option<Duration>,
+) -> Response<Body> {
+    match admit::admit(node, request, proxied_after).await {
+        Ok(exchange) => exchange.run().await,
+        Err(refusal) => refusal,
+    }
+}
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use decide::links::LinkPeer;
-use decide::resend::Execution;
+use decide::resend::{Ending, Execution};
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -22,7 +22,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use model::Time;
 
-use super::admit::admit;
 use super::exchange::Exchange;
 use super::reply::{self, Body};
 use crate::crossed::{MessageKind, RegionTraffic};
@@ -71,9 +70,7 @@
 impl Exchange {
     /// Whether the request may go through a peer: no target may have run it.
     pub(super) fn may_use_peer(&self) -> bool {
-        let attempts = self.progress(|p| p.attempts);
-        let is_unsent = attempts.execution == Execution::Excluded && !attempts.in_flight;
-        is_unsent && !attempts.response_begun && !self.is_proxied
+        !self.is_proxied && self.progress(|p| p.attempts.ending()) == Ending::NotRun
     }
 
     /// Whether the request is to go through a peer from the start. Links that have just returned
@@ -278,10 +275,7 @@
     remove_reserved(&mut parts.headers);
     (parts.method, parts.uri) = (head.method, head.uri);
     let request = Request::from_parts(parts, body);
-    match admit(&node, request, Some(head.elapsed)).await {
-        Ok(exchange) => exchange.run().await,
-        Err(refusal) => refusal,
-    }
+    super::answer(&node, request, Some(head.elapsed)).await
 }
 
 /// Why this node does not serve requests of peers; `None` if it does.
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -110,7 +110,7 @@
     exchange.progress(|p| p.record_target(&target.id));
     let mut in_flight =
         InFlightGuard::new(&exchange.node, target, exchange.head.tokens_in, prompt_guard);
-    let socket = match upstream::connect(exchange.node.settings().bind, target.address).await {
+    let socket = match upstream::connect_target(&exchange.node, target.address).await {
         Ok(socket) => socket,
         Err(e) => {
             if e.is_refused() {
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -261,7 +261,7 @@
 async fn probe(runner: Rc<Runner>, node: Rc<Node>, worker: TargetId) {
     let address = node.fleet(|f| f.get(&worker).map(|b| b.target.address));
     let alive = match address {
-        Some(address) => upstream::connect(node.settings().bind, address).await.is_ok(),
+        Some(address) => upstream::connect_target(&node, address).await.is_ok(),
         None => false,
     };
     runner.handle_event(&node, Event::Probed(worker, alive));
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -20,6 +20,7 @@
 use util::http::{KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT};
 
 use crate::crossed::{Metered, RegionTraffic};
+use crate::node::Node;
 
 /// Timeout of a connection attempt; a target that is up accepts within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -77,7 +78,12 @@
     let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
 }
 
-/// Connects to a target, from a given address of this host if it has several.
+/// Connects to a target, from the address in `bind` if the host has several.
+pub async fn connect_target(node: &Node, address: SocketAddr) -> Result<TcpStream, SendError> {
+    connect(node.settings().bind, address).await
+}
+
+/// Connects to a target or a peer, from a given address of this host.
 pub async fn connect(from: Option<IpAddr>, address: SocketAddr) -> Result<TcpStream, SendError> {
     match tokio::time::timeout(CONNECT_TIMEOUT, connect_from(from, address)).await {
         Ok(Ok(socket)) => Ok(socket),
