Count crashes of workers against attempts that have ended

Callers saw workers crash again and again under one request that was never held.

Cause: a worker's crash was counted only against attempts that were open when the crash was confirmed. Confirming takes a connection attempt, up to 3 s if only discovery shows the crash; the attempt often ends first.

Attempts are now remembered for 5 s after their end.

--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -1,12 +1,13 @@
 //! Quarantine of requests that crash the targets that run them: detects crashes, exchanges reports
 //! with the other nodes, and keeps held requests in the store.
 
+mod attempts;
 mod ends;
 mod record;
 mod spread;
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use decide::quarantine::{Change, Changes, Hold, Quarantine};
@@ -17,6 +18,7 @@
 use crate::events::Event;
 use crate::links;
 use crate::node::Node;
+use attempts::Attempts;
 use ends::{CrashChecks, Work};
 use spread::PeerSends;
 
@@ -41,8 +43,7 @@
 pub struct LocalQuarantine {
     machine: RefCell<Quarantine>,
     crash_checks: CrashChecks,
-    /// Attempts that this node is serving.
-    open_attempts: RefCell<HashMap<Name, Fingerprint>>,
+    attempts: RefCell<Attempts>,
     peer_sends: PeerSends,
     changed: Notify,
     /// Signals that a held request may have to be written to the store.
@@ -100,12 +101,12 @@
 
     /// Registers an attempt that this node serves.
     pub fn attempt_started(&self, attempt: &str, request: Fingerprint) {
-        self.open_attempts.borrow_mut().insert(attempt.into(), request);
+        self.attempts.borrow_mut().start(attempt.into(), request);
     }
 
-    /// Removes an attempt that has finished.
-    pub fn attempt_ended(&self, attempt: &str) {
-        self.open_attempts.borrow_mut().remove(attempt);
+    /// Records that an attempt has finished.
+    pub fn attempt_ended(&self, node: &Node, attempt: &str) {
+        self.attempts.borrow_mut().end(&attempt.into(), node.now());
     }
 
     /// Records that a target refused a connection, which is evidence of a crash if this node reaches
@@ -169,8 +170,8 @@
     /// Records a worker's crash under pieces, some of which may belong to attempts of this node.
     fn worker_crashed(&self, node: &Node, crash: &WorkerCrash) {
         let requests: Vec<Fingerprint> = {
-            let open = self.open_attempts.borrow();
-            crash.attempts.iter().filter_map(|attempt| open.get(attempt).copied()).collect()
+            let known = self.attempts.borrow();
+            crash.attempts.iter().filter_map(|attempt| known.request(attempt)).collect()
         };
         if !requests.is_empty() {
             self.record_crash(node, &crash.target, &crash.service, &requests);
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -443,6 +443,6 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.log_end(0, "caller_left");
-        self.node.quarantine.attempt_ended(&self.head.id);
+        self.node.quarantine.attempt_ended(&self.node, &self.head.id);
     }
 }
