Open connections only, without probes, to tell a crash from lost links

A refused connection counts as a crash if the node reaches other targets. Whether any other target accepts a connection suffices: a link that is cut refuses all, or opens connections that carry nothing, and then the target in question is not refused either.

--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use decide::links::{Contact, LinkPeer, LinkPeers, Links};
-use model::forward::{Allowed, Target};
+use model::forward::Allowed;
 use model::member::NodeId;
 use model::{Name, Time};
 use tokio::sync::{Notify, watch};
@@ -19,6 +19,7 @@
 use crate::peers::UnsupportedPeers;
 
 pub use ask::answer_query;
+pub use probe::reaches_others;
 
 /// Interval at which links that are lost or silent are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -131,12 +132,6 @@
     }
 }
 
-/// Whether this node reaches any target other than this one; true if there is none.
-pub async fn reaches_others(node: &Node, target: &Target) -> bool {
-    let contacts = probe::contact_others(node, target).await;
-    contacts.is_empty() || contacts.iter().any(|c| *c != Contact::Unreachable)
-}
-
 /// Starts the task that probes the links.
 pub fn start(node: &Rc<Node>) {
     tokio::task::spawn_local(run(node.clone()));
--- a/crates/forward/src/links/probe.rs
+++ b/crates/forward/src/links/probe.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use decide::links::Contact;
-use futures_util::future::join_all;
+use futures_util::future::{join_all, select_ok};
 use http_body_util::Full;
 use hyper::{Request, header};
 use model::Name;
@@ -21,14 +21,19 @@
 
 /// Probes some targets, of different services if there are any, preferably not the failing ones.
 pub(super) async fn contact_targets(node: &Node, failing: &BTreeSet<Name>) -> Vec<Contact> {
-    contact_all(node, &choose(node, failing)).await
+    let targets = choose(node, failing);
+    join_all(targets.iter().map(|target| contact(node, target))).await
 }
 
-/// Probes some targets other than this one.
-pub(super) async fn contact_others(node: &Node, target: &Target) -> Vec<Contact> {
+/// Whether any of some other targets accepts a connection; true if there is no other.
+pub async fn reaches_others(node: &Node, target: &Target) -> bool {
     let mut targets = choose(node, &BTreeSet::from([target.id.name.clone()]));
     targets.retain(|t| t.id.name != target.id.name);
-    contact_all(node, &targets).await
+    if targets.is_empty() {
+        return true;
+    }
+    let connects = targets.iter().map(|t| Box::pin(upstream::connect_target(node, t.address)));
+    select_ok(connects).await.is_ok()
 }
 
 fn choose(node: &Node, failing: &BTreeSet<Name>) -> Vec<Target> {
@@ -39,10 +44,6 @@
     node.rng(probes)
 }
 
-async fn contact_all(node: &Node, targets: &[Target]) -> Vec<Contact> {
-    join_all(targets.iter().map(|target| contact(node, target))).await
-}
-
 /// Probes one target: an answer of any kind shows that it can be reached.
 async fn contact(node: &Node, target: &Target) -> Contact {
     let Ok(socket) = upstream::connect_target(node, target.address).await else {
