Lease the slots of brittle targets from one node

Cause: nothing read the header, and each of the nodes sent by its own count of requests in flight, so that together they sent more than a target takes. The same class as a limit that each node keeps by itself.

A node now needs a slot of such a target for each request. The target's keeper, the node that also issues permits, leases at most as many as the target names in its entry, a few at first, and half as many after a rejection; none for a while once half of the bearable rejections came in a second. Requests wait at the keeper, in a queue as long as there are slots and for a second at most; without a place there they are refused at once, with times to come back paced by the rate of the slots. Nodes that have had no answer of a brittle target are told by the announcer of its service, once in 12 s.

Builds without these messages answer 404 and are asked no more.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -9,6 +9,7 @@
 mod links;
 mod members;
 mod routes;
+mod slots;
 mod starts;
 mod wire;
 
@@ -77,7 +78,9 @@
 fn fleet_figures(started: &[usize]) -> Vec<Figure> {
     let work = fleet::FLEET_SIZES
         .iter()
-        .flat_map(|n| [fleet::measure(*n), ejections::measure(*n), links::measure(*n)])
+        .flat_map(|n| {
+            [fleet::measure(*n), ejections::measure(*n), links::measure(*n), slots::measure(*n)]
+        })
         .flatten();
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
 }
--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -230,6 +230,7 @@
             !criteria.exclude.contains(&t.target.id)
                 && t.outstanding < criteria.max_per_target
                 && !self.limits().is_closed(&t.target.id, now)
+                && !self.brittle().is_closed(&t.target.id, now)
                 && self.may_start(t, criteria, now)
         };
         let any_healthy = self
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -16,6 +16,7 @@
 use crate::permit::{LimitChange, LimitObservation, Limits};
 use crate::relay::RESTORE_SETTLE_TIME;
 use crate::rollout::Versions;
+use crate::slots::BrittleTargets;
 
 /// All targets known to a node; only the latest start of each name.
 #[derive(Debug, Default)]
@@ -28,6 +29,7 @@
     versions: Versions,
     regions: Regions,
     limits: Limits,
+    brittle: BrittleTargets,
     notices: Notices,
     /// When the store was last restored from an older copy.
     restored_at: Option<Time>,
@@ -247,6 +249,16 @@
         &mut self.limits
     }
 
+    /// Targets that said that they are brittle.
+    pub fn brittle(&self) -> &BrittleTargets {
+        &self.brittle
+    }
+
+    /// Mutable access to the brittle targets.
+    pub fn brittle_mut(&mut self) -> &mut BrittleTargets {
+        &mut self.brittle
+    }
+
     /// Records the limit in an answer to a request that was sent at `sent_at`.
     pub fn record_limit(
         &mut self,
@@ -527,6 +539,7 @@
         let states = &self.states;
         let is_known = |id: &TargetId| states.get(&id.name).is_some_and(|t| t.target.id == *id);
         self.limits.expire(is_known, now);
+        self.brittle.expire(is_known, now);
         self.notices.expire(is_known, now);
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod slots;
 pub mod stages;
 mod tally;
--- a/crates/forward/src/border.rs
+++ b/crates/forward/src/border.rs
@@ -62,6 +62,8 @@
     pub is_event_stream: bool,
     /// Requests per second that the target accepts from all nodes together.
     pub limit: ReportedLimit,
+    /// Rejections in a second that the target bears, if it is brittle.
+    pub max_rejected: Option<u32>,
     /// Load that the target reports.
     pub load: ReportedLoad,
     /// Whether, and when, the target accepts further requests.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -174,6 +174,26 @@
         after_ms: Option<u64>,
         took_ms: u64,
     },
+    /// A slot of a brittle target was requested for an attempt. `keeper` is the node that leases
+    /// them, empty for this node itself. If refused, it may be requested again after `after_ms`.
+    Slot {
+        id: &'a str,
+        target: &'a str,
+        keeper: &'a str,
+        outcome: &'a str,
+        max_rejected: u32,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        after_ms: Option<u64>,
+        took_ms: u64,
+    },
+    /// A target said how many rejections in a second it bears, or no longer does.
+    Brittle {
+        target: &'a str,
+        service: &'a str,
+        what: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        max_rejected: Option<u32>,
+    },
     /// The repeat budget of a service was exhausted.
     NoRepeat { service: &'a str, nodes: usize },
     /// A service's batch coordinator was lost or is stopping.
@@ -359,7 +379,7 @@
             Event::Request { outcome, .. } => !SUCCESSFUL.contains(outcome),
             Event::Stage { made, .. } => !made,
             Event::Call { pieces, made, .. } => made < pieces,
-            Event::Permit { after_ms, .. } => after_ms.is_some(),
+            Event::Permit { after_ms, .. } | Event::Slot { after_ms, .. } => after_ms.is_some(),
             Event::Chosen { .. } => false,
             _ => true,
         }
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -1,4 +1,5 @@
-//! Records what the head of an answer says about its target: limit, load, notices and acceptance.
+//! Records what the head of an answer says about its target: limit, brittleness, load,
+//! notices and acceptance.
 //! Every path that reads the head of a target's answer calls this module.
 
 use std::rc::Rc;
@@ -11,11 +12,13 @@
 use crate::events::Event;
 use crate::limits;
 use crate::node::Node;
+use crate::slots;
 
 /// Records the head of a target's answer to a request sent at `sent`.
 pub fn record_answer(node: &Rc<Node>, target: &Target, head: &AnswerHead, sent: Time) {
     node.links.record_answer(sent, node.now());
     limits::observe_limit(node, target, head.limit, sent);
+    slots::observe_brittle(node, target, head.max_rejected, sent);
     node.record_load(target, head.load);
     record_notice(node, target, head.notice);
     if !head.not_run {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod run;
 mod serve;
 pub mod settings;
+mod slots;
 mod stages;
 mod upstream;
 mod watch;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -29,6 +29,7 @@
 use crate::rollout::{self, LocalRollouts};
 use crate::rules::RuleTable;
 use crate::settings::Settings;
+use crate::slots::LocalSlots;
 use crate::stages::LocalCoordinators;
 use crate::watch::Feed;
 
@@ -61,6 +62,8 @@
     pub quarantine: LocalQuarantine,
     /// Limits that targets name.
     pub limits: LocalLimits,
+    /// Slots of brittle targets.
+    pub slots: LocalSlots,
     /// Links to the targets.
     pub links: LocalLinks,
     /// Ejections that nodes share.
@@ -105,6 +108,7 @@
             schedulers: Schedulers::default(),
             quarantine: LocalQuarantine::default(),
             limits: LocalLimits::default(),
+            slots: LocalSlots::default(),
             links: LocalLinks::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -40,8 +40,8 @@
 
 pub use resting::PeerBackoff;
 pub use server::{
-    BATCH, EJECTIONS, FREE, FreeRequest, LIMITS, LINKS, PERMIT, PREFILL, PREFILL_END, PROXY,
-    QUARANTINE, ROLLOUT, ROLLOUT_STATE, StateWrite, WAITS,
+    BATCH, BRITTLE, EJECTIONS, FREE, FreeRequest, LIMITS, LINKS, PERMIT, PREFILL, PREFILL_END,
+    PROXY, QUARANTINE, ROLLOUT, ROLLOUT_STATE, SLOT, SLOT_RELEASE, StateWrite, WAITS,
 };
 pub use unsupported::UnsupportedPeers;
 
@@ -228,7 +228,7 @@
         FREE => MessageKind::Free,
         PREFILL | PREFILL_END => MessageKind::Prompt,
         ROLLOUT | ROLLOUT_STATE => MessageKind::Rollout,
-        PERMIT | LIMITS => MessageKind::Limit,
+        PERMIT | LIMITS | SLOT | SLOT_RELEASE | BRITTLE => MessageKind::Limit,
         server::PING => MessageKind::Ping,
         _ => MessageKind::Updates,
     }
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::rollout::{self, WriteOutcome};
 use crate::serve;
+use crate::slots;
 use crate::stages::{self, OrderError};
 use crate::watch;
 
@@ -47,6 +48,12 @@
 pub const PERMIT: &str = "/v1/permit";
 /// Path for reports of such limits.
 pub const LIMITS: &str = "/v1/limits";
+/// Path for leases of slots of brittle targets.
+pub const SLOT: &str = "/v1/slot";
+/// Path for notices of services whose targets are brittle.
+pub const BRITTLE: &str = "/v1/brittle";
+/// Path for the release of such slots.
+pub const SLOT_RELEASE: &str = "/v1/slot-release";
 /// Path for reports, queries and announcements of ejected targets.
 pub const EJECTIONS: &str = "/v1/ejections";
 /// Path for the state of a node's links to the targets.
@@ -107,6 +114,9 @@
         QUARANTINE => quarantine(&node, request).await,
         PERMIT => permit(&node, request).await,
         LIMITS => limit_report(&node, request).await,
+        SLOT => slot(&node, request).await,
+        BRITTLE => brittle(&node, request).await,
+        SLOT_RELEASE => slot_release(&node, request).await,
         EJECTIONS => ejections(&node, request).await,
         LINKS => links(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
@@ -183,6 +193,25 @@
     Ok(rmp_named(&()))
 }
 
+async fn slot(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let ask = read_message(request, "not a request for a slot").await?;
+    let answer = slots::handle_request(node, &ask).await;
+    let answer = answer.ok_or_else(|| text(StatusCode::CONFLICT, "another node comes first"))?;
+    Ok(rmp_named(&answer))
+}
+
+async fn brittle(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let notice = read_message(request, "not a notice of brittle targets").await?;
+    slots::handle_notice(node, notice);
+    Ok(rmp_named(&()))
+}
+
+async fn slot_release(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let release = read_message(request, "not the release of a slot").await?;
+    slots::handle_release(node, &release);
+    Ok(rmp_named(&()))
+}
+
 async fn ejections(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
     let message = read_message(request, "not a message about ejections").await?;
     Ok(rmp_named(&ejections::handle_message(node, message)))
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -14,10 +14,11 @@
 use crate::prefill::{self, Prompt, PromptGuard};
 use crate::quarantine::HELD_REASON;
 use crate::rollout;
+use crate::slots::{self, SlotGuard};
 use crate::stages::RequestResults;
 
-/// Maximum number of permit requests that may delay one request; after that, targets with a limit
-/// are excluded.
+/// Maximum number of requests for permits and slots that may delay one request; after that, targets
+/// that need one are excluded.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
 /// The target of one attempt.
@@ -26,6 +27,8 @@
     /// Held until the target has read the prompt, if a scheduler chose the target.
     pub prompt_guard: Option<PromptGuard>,
     pub permit: Permit,
+    /// Slot that the request holds if the target is brittle.
+    pub slot: Option<SlotGuard>,
 }
 
 /// A target whose permit has not been requested yet.
@@ -228,6 +231,7 @@
             is_available
                 && f.is_usable(&target.id, terms, now)
                 && !f.limits().is_closed(&target.id, now)
+                && !f.brittle().is_closed(&target.id, now)
         })
     }
 
@@ -258,7 +262,7 @@
     }
 
     /// A target that the request may be sent to now, preferably `chosen`. A target whose keeper
-    /// grants no permit becomes closed to this node, so that another one is chosen.
+    /// grants no permit or slot becomes closed to this node, so that another one is chosen.
     async fn choose_permitted(&self, mut chosen: Option<Target>) -> Option<Choice> {
         for requests in 0.. {
             if requests >= MAX_PERMIT_REQUESTS {
@@ -271,20 +275,30 @@
                 // otherwise start there meanwhile.
                 self.record_cold_start(&target);
             }
+            let (wait, time_left) = (self.slack(), self.time_left());
+            let slot = slots::request_slot(&self.node, &target, &self.head.id, wait, time_left);
+            let Ok(slot) = slot.await else {
+                continue;
+            };
             let id = || self.head.id.clone();
             if let Some(permit) = limits::request_permit(&self.node, &target, 1, id).await {
                 self.log_choice(&target, chosen_by, tokens_ahead);
-                return Some(Choice { target, prompt_guard, permit });
+                return Some(Choice { target, prompt_guard, permit, slot });
             }
         }
         None
     }
 
-    /// Excludes targets that name a limit from now on, since each permit request delays the
-    /// request.
+    /// Excludes targets that name a limit or are brittle from now on, since each request for a
+    /// permit or a slot delays the request.
     fn exclude_limited(&self) {
-        let limited: Vec<TargetId> =
-            self.node.fleet(|f| f.limits().limited().map(|(id, _)| id.clone()).collect());
+        let (now, allowed) = (self.node.now(), self.allowed_regions());
+        let limited: Vec<TargetId> = self.node.fleet(|f| {
+            let limited = f.limits().limited().map(|(id, _)| id);
+            let targets = f.eligible_in(&self.service, &allowed, now).map(|t| &t.target);
+            let brittle = targets.filter(|t| f.brittle().max_rejected(t, now).is_some());
+            limited.chain(brittle.map(|t| &t.id)).cloned().collect()
+        });
         self.progress(|p| p.excluded.extend(limited));
     }
 
@@ -349,6 +363,8 @@
         self.node.fleet(|f| {
             let limited = f.limits().limited().map(|(id, _)| id);
             excluded.extend(limited.filter(|id| f.limits().is_closed(id, now)).cloned());
+            let brittle = f.brittle().closed(now);
+            excluded.extend(brittle.filter(|id| f.belongs_to(id, &self.service)).cloned());
             let unwilling = f.notices().draining().chain(f.notices().backed_off(now));
             excluded.extend(unwilling.filter(|id| f.belongs_to(id, &self.service)).cloned());
         });
@@ -357,14 +373,23 @@
 
     /// Retry delay if all targets that may serve the request are at their limits.
     pub(super) fn limit_retry_after(&self) -> Option<Duration> {
+        self.node.limits.retry_after(&self.node, &self.service, &self.willing_targets())
+    }
+
+    /// Retry delay if no target that may serve the request has a free slot.
+    pub(super) fn slot_retry_after(&self) -> Option<Duration> {
+        self.node.slots.retry_after(&self.node, &self.service, &self.willing_targets())
+    }
+
+    /// Targets that may serve the request and did not ask for a backoff.
+    fn willing_targets(&self) -> Vec<TargetId> {
         let now = self.node.now();
         let allowed = self.allowed_regions();
-        let targets: Vec<TargetId> = self.node.fleet(|f| {
+        self.node.fleet(|f| {
             let is_backed_off = |id: &TargetId| f.notices().backoff_until(id, now).is_some();
             let ids = f.eligible_in(&self.service, &allowed, now).map(|b| &b.target.id);
             ids.filter(|id| !is_backed_off(id)).cloned().collect()
-        });
-        self.node.limits.retry_after(&self.node, &self.service, &targets)
+        })
     }
 
     /// Retry delay if all targets that may serve the request are backed off. Callers get different
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -20,6 +20,7 @@
 use crate::limits::AT_LIMIT;
 use crate::node::{Node, OpenGuard};
 use crate::phase::LifePhase;
+use crate::slots::NO_SLOT;
 use crate::stages::{self, Job, RequestResults, StageError};
 
 /// Part of the caller's deadline that is reserved for returning the response.
@@ -399,7 +400,7 @@
         if backoff.is_some() {
             self.progress(|p| p.reason = format!("{ALL_BACKED_OFF}; before: {}", p.reason));
         }
-        backoff.into_iter().chain(self.refuse_at_limit()).min()
+        backoff.into_iter().chain(self.refuse_at_limit()).chain(self.refuse_without_slot()).min()
     }
 
     /// Retry delay if all targets are at their limits, which is counted and noted as the reason.
@@ -410,6 +411,13 @@
         Some(wait)
     }
 
+    /// Retry delay if no target has a free slot, which is noted as the reason.
+    fn refuse_without_slot(&self) -> Option<Duration> {
+        let wait = self.slot_retry_after()?;
+        self.progress(|p| p.reason = format!("{NO_SLOT}; before: {}", p.reason));
+        Some(wait)
+    }
+
     /// Logs the final response, once.
     pub fn log_end(&self, status: u16, outcome: &str) {
         let mut p = self.progress.borrow_mut();
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -23,6 +23,7 @@
 use crate::prefill::PromptGuard;
 use crate::quarantine::HELD_REASON;
 use crate::rollout::{self, TrackedSend};
+use crate::slots::SlotGuard;
 use crate::stages::RequestResults;
 use crate::upstream::{self, Answer};
 
@@ -48,6 +49,7 @@
     unread_tokens: u64,
     prompt_guard: Option<PromptGuard>,
     sent: Option<TrackedSend>,
+    slot: Option<SlotGuard>,
 }
 
 impl InFlightGuard {
@@ -59,7 +61,7 @@
     ) -> Self {
         node.fleet(|f| f.request_sent(&target.id, tokens));
         let (node, target) = (node.clone(), target.clone());
-        InFlightGuard { node, target, unread_tokens: tokens, prompt_guard, sent: None }
+        InFlightGuard { node, target, unread_tokens: tokens, prompt_guard, sent: None, slot: None }
     }
 
     /// Reports a good response, after this time, as evidence of the target's version.
@@ -76,6 +78,13 @@
         }
     }
 
+    /// Records that the target rejected the request.
+    fn record_rejection(&mut self) {
+        if let Some(slot) = &mut self.slot {
+            slot.record_rejection();
+        }
+    }
+
     /// Records that the target has read the prompt.
     fn record_prompt_read(&mut self) {
         if let Some(prompt_guard) = self.prompt_guard.take() {
@@ -104,12 +113,13 @@
     results: Option<&RequestResults>,
     resume_after: Option<u64>,
 ) -> Outcome {
-    let Choice { target, prompt_guard, permit } = choice;
+    let Choice { target, prompt_guard, permit, slot } = choice;
     let target = &target;
     let attempt = Attempt { exchange, target, started_at: exchange.node.now() };
     exchange.progress(|p| p.record_target(&target.id));
     let mut in_flight =
         InFlightGuard::new(&exchange.node, target, exchange.head.tokens_in, prompt_guard);
+    in_flight.slot = slot;
     let socket = match upstream::connect_target(&exchange.node, target.address).await {
         Ok(socket) => socket,
         Err(e) => {
@@ -188,7 +198,7 @@
 
 impl Attempt<'_> {
     /// Handles a response, unless it is not the target's own to this request.
-    async fn handle_response(&self, answer: Answer, in_flight: InFlightGuard) -> Outcome {
+    async fn handle_response(&self, answer: Answer, mut in_flight: InFlightGuard) -> Outcome {
         let Answer { response, connection } = answer;
         let (head, body) = response.into_parts();
         let answer_head = self.exchange.node.dialect.read_answer(&head);
@@ -206,6 +216,7 @@
             return Outcome::InputLost;
         }
         if answer_head.not_run {
+            in_flight.record_rejection();
             let reason = format!("turned away with {}", head.status);
             return self.not_run(Observation::Rejected, reason);
         }
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod region;
 mod rollout;
 mod rules;
+mod slot;
 mod target;
 
 pub use batch::{
@@ -48,6 +49,7 @@
 pub use rules::{
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
+pub use slot::{BrittleNotice, SlotAnswer, SlotRelease, SlotRequest};
 pub use target::{
     Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetList, TargetNews,
 };
