Count a target as busy from the first send of a burst

Nodes that had been idle probed their links at the beginning of each burst of requests: in a run of the tests of brittle targets twelve probes of four nodes reached three targets at once. Their number is small, but the same reading could count a target as silent, or as one that serves this node.

Cause: requests are counted as in flight before they are sent, and the time since when a target is busy was only set by a send with no other in flight. In a burst three were counted before the first was sent, so the target looked busy since long before, and silent.

The first send after a gap now sets the time, and a target to which nothing has been sent is not busy. The new table test fails without (1 silent target where there is none).

--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -102,6 +102,8 @@
     served_at: Option<Time>,
     /// Since when requests have been in flight without a gap.
     busy_since: Time,
+    /// Whether none of the requests in flight has been sent yet.
+    is_unsent: bool,
     /// Time of the last probe.
     probed_at: Time,
 }
@@ -129,6 +131,7 @@
             failed_at: None,
             served_at: None,
             busy_since: Time::ZERO,
+            is_unsent: false,
             probed_at: Time::ZERO,
         }
     }
@@ -169,11 +172,24 @@
 
     /// Records that a request, which is counted as in flight, is sent to the target.
     pub(super) fn record_send(&mut self, now: Time) {
-        if self.outstanding <= 1 {
+        if self.outstanding <= 1 || self.is_unsent {
             self.busy_since = now;
+            self.is_unsent = false;
         }
     }
 
+    /// Counts a request as in flight that is about to be sent.
+    pub(super) fn count_request(&mut self, tokens: u64) {
+        self.is_unsent |= self.outstanding == 0;
+        self.outstanding += 1;
+        self.prefill_tokens += tokens;
+    }
+
+    /// Whether a request has been in flight since before `time`.
+    fn is_busy_since(&self, time: Time) -> bool {
+        self.outstanding > 0 && !self.is_unsent && self.busy_since < time
+    }
+
     /// Records that the target was picked for a request.
     pub(super) fn record_choice(&mut self, now: Time) {
         if self.recovering {
@@ -276,7 +292,7 @@
 
     /// What this node saw of it since the first failure in a report.
     pub(super) fn evidence(&self, since: Time, now: Time) -> Evidence {
-        let has_accepted = self.outstanding > 0 && now.since(self.busy_since) > ACCEPTED_AFTER;
+        let has_accepted = self.is_busy_since(now - ACCEPTED_AFTER);
         if has_accepted || self.served_at.is_some_and(|at| at >= since) {
             return Evidence::Served;
         }
@@ -287,8 +303,7 @@
 
     /// Whether requests have been in flight since before `since` without an answer to any.
     pub(super) fn is_silent_since(&self, since: Time) -> bool {
-        let is_busy = self.outstanding > 0 && self.busy_since < since;
-        is_busy && self.served_at.is_none_or(|at| at < since)
+        self.is_busy_since(since) && self.served_at.is_none_or(|at| at < since)
     }
 
     /// Ejects the target on the evidence of other nodes, until this node's turn to probe it.
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -566,8 +566,7 @@
     /// Records a request in flight at a target, with this many prompt tokens to process.
     pub fn request_sent(&mut self, id: &TargetId, tokens: u64) {
         if let Some(t) = self.get_mut(id) {
-            t.outstanding += 1;
-            t.prefill_tokens += tokens;
+            t.count_request(tokens);
         }
     }
 
--- a/crates/decide/tests/ejection.rs
+++ b/crates/decide/tests/ejection.rs
@@ -182,3 +182,20 @@
     fleet.observe(&id, answered(20), at(2_200));
     assert!(!fleet.is_recovering(&id));
 }
+
+/// Guards against targets that count as busy, and so as silent, since long before a burst.
+#[test]
+fn a_burst_of_requests_does_not_make_its_target_silent() {
+    let id = TargetId::from("t0");
+    let mut fleet = fleet();
+    fleet.observe(&id, Observation::Rejected, at(9_990));
+    (0..3).for_each(|_| fleet.request_sent(&id, 0));
+    assert_eq!(fleet.count_silent(at(9_000)), 0, "none is sent yet");
+    assert_eq!(fleet.evidence(&id, at(9_000), at(10_000)), Evidence::Failed);
+    for ms in [10_000, 10_001, 10_002] {
+        fleet.record_attempt(&id, at(ms));
+    }
+    assert_eq!(fleet.count_silent(at(9_000)), 0);
+    assert_eq!(fleet.count_silent(at(10_001)), 1, "in flight since the first was sent");
+    assert_eq!(fleet.evidence(&id, at(9_000), at(10_010)), Evidence::Failed);
+}
