Release only slots that may have been leased

A node that was denied a slot sent a release all the same: one message more for each denial, while a brittle target is overloaded. Now only a request whose answer is missing is released, besides those granted. A keeper that answers a release with an error is not asked again.

--- a/crates/decide/src/slots/brittle.rs
+++ b/crates/decide/src/slots/brittle.rs
@@ -6,11 +6,11 @@
 use model::forward::{Target, TargetId};
 use model::{Name, Time};
 
-/// Time for which one target's word counts for those targets of its service that said nothing yet.
+/// Time for which one target's report counts for those targets of its service that said nothing yet.
 const SERVICE_TTL: Duration = Duration::from_secs(30);
 /// Interval at which all nodes are told of a service whose targets are brittle.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(12);
-/// Time for which the word of a target is kept that is no longer known.
+/// Time for which the report of a target that is no longer known is kept.
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// Effect of an answer.
@@ -23,14 +23,14 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Word {
+struct Report {
     max_rejected: Option<u32>,
     sent_at: Time,
 }
 
-/// Last word of any target of a service.
+/// Last report of any target of a service.
 #[derive(Debug, Clone, Copy)]
-struct ServiceWord {
+struct ServiceReport {
     max_rejected: u32,
     at: Time,
     /// When this node last told others, or was told.
@@ -46,8 +46,8 @@
 /// Targets that said that they are brittle.
 #[derive(Debug, Default)]
 pub struct BrittleTargets {
-    words: BTreeMap<TargetId, Word>,
-    services: BTreeMap<Name, ServiceWord>,
+    reports: BTreeMap<TargetId, Report>,
+    services: BTreeMap<Name, ServiceReport>,
     /// Targets without a free slot for this node.
     closed: BTreeMap<TargetId, Closure>,
 }
@@ -65,15 +65,15 @@
         if let Some(max) = max_rejected {
             self.record_service(&target.service, max, now);
         }
-        let known = self.words.get(&target.id);
-        if known.is_some_and(|word| sent_at < word.sent_at) {
+        let known = self.reports.get(&target.id);
+        if known.is_some_and(|report| sent_at < report.sent_at) {
             return None;
         }
         if known.is_none() && !self.services.contains_key(&target.service) {
             return None;
         }
-        let before = known.and_then(|word| word.max_rejected);
-        self.words.insert(target.id.clone(), Word { max_rejected, sent_at });
+        let before = known.and_then(|report| report.max_rejected);
+        self.reports.insert(target.id.clone(), Report { max_rejected, sent_at });
         match max_rejected {
             after if after == before => None,
             Some(max) => Some(BrittleChange::Named(max)),
@@ -87,28 +87,28 @@
     /// Rejections in a second that a target bears; `None` if it is not brittle. A target that has
     /// said nothing yet is taken to be like others of its service.
     pub fn max_rejected(&self, target: &Target, now: Time) -> Option<u32> {
-        if let Some(word) = self.words.get(&target.id) {
-            return word.max_rejected;
+        if let Some(report) = self.reports.get(&target.id) {
+            return report.max_rejected;
         }
-        let word = self.services.get(&target.service)?;
-        (now.since(word.at) < SERVICE_TTL).then_some(word.max_rejected)
+        let report = self.services.get(&target.service)?;
+        (now.since(report.at) < SERVICE_TTL).then_some(report.max_rejected)
     }
 
-    /// Records that targets of a service are brittle, in words of one of them or of a peer.
+    /// Records that targets of a service are brittle, as reported by one of them or by a peer.
     pub fn record_service(&mut self, service: &Name, max_rejected: u32, now: Time) {
-        let announced_at = self.services.get(service).and_then(|word| word.announced_at);
-        let word = ServiceWord { max_rejected, at: now, announced_at };
-        self.services.insert(service.clone(), word);
+        let announced_at = self.services.get(service).and_then(|report| report.announced_at);
+        let report = ServiceReport { max_rejected, at: now, announced_at };
+        self.services.insert(service.clone(), report);
     }
 
     /// Whether to tell others now that targets of a service are brittle; they count as told then.
     pub fn begin_announcement(&mut self, service: &Name, now: Time) -> bool {
-        let Some(word) = self.services.get_mut(service) else {
+        let Some(report) = self.services.get_mut(service) else {
             return false;
         };
-        let is_due = word.announced_at.is_none_or(|at| now.since(at) >= ANNOUNCE_INTERVAL);
+        let is_due = report.announced_at.is_none_or(|at| now.since(at) >= ANNOUNCE_INTERVAL);
         if is_due {
-            word.announced_at = Some(now);
+            report.announced_at = Some(now);
         }
         is_due
     }
@@ -139,11 +139,11 @@
 
     /// Drops what no longer counts.
     pub fn expire(&mut self, is_known: impl Fn(&TargetId) -> bool, now: Time) {
-        self.services.retain(|_, word| now.since(word.at) < SERVICE_TTL);
+        self.services.retain(|_, report| now.since(report.at) < SERVICE_TTL);
         self.closed.retain(|_, closure| now < closure.until);
-        let is_kept = |id: &TargetId, word: &Word| {
-            word.max_rejected.is_some() && is_known(id) || now.since(word.sent_at) < RETENTION
+        let is_kept = |id: &TargetId, report: &Report| {
+            report.max_rejected.is_some() && is_known(id) || now.since(report.sent_at) < RETENTION
         };
-        self.words.retain(|id, word| is_kept(id, word));
+        self.reports.retain(|id, report| is_kept(id, report));
     }
 }
--- a/crates/forward/src/slots/ask.rs
+++ b/crates/forward/src/slots/ask.rs
@@ -44,10 +44,17 @@
     attempt: Name,
     /// Keeper that was asked; `None` if this node is.
     keeper: Option<PeerNode>,
+    /// Whether the keeper may have leased it.
+    is_leased: bool,
     rejected: bool,
 }
 
 impl SlotGuard {
+    /// Ends the guard of a slot that was not leased.
+    fn discard(mut self) {
+        self.is_leased = false;
+    }
+
     /// Records that the target rejected the request for want of room.
     pub fn record_rejection(&mut self) {
         self.rejected = true;
@@ -56,6 +63,9 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        if !self.is_leased {
+            return;
+        }
         let release = SlotRelease {
             from: self.node.peers.id.name.clone(),
             target: self.target.clone(),
@@ -82,10 +92,10 @@
             ANSWER_TIMEOUT,
         )
         .await;
-        let Err(e) = sent else {
-            return;
-        };
-        log::debug!("slot: {e}");
+        match sent {
+            Err(e) if e.status().is_none() => log::debug!("slot: {e}"),
+            _ => return,
+        }
         tokio::time::sleep(RELEASE_INTERVAL).await;
     }
 }
@@ -170,6 +180,7 @@
             target: request.target.clone(),
             attempt: request.attempt.clone(),
             keeper: keeper.clone(),
+            is_leased: true,
             rejected: false,
         };
         let answer = match &keeper {
@@ -181,14 +192,17 @@
                 return Outcome { keeper, what: "granted", denial: None, guard: Some(guard) };
             }
             Ok(SlotAnswer { after_ms, per_s, .. }) => {
+                guard.discard();
                 let denial = Some((Duration::from_millis(after_ms), per_s));
                 return Outcome { keeper, what: "later", denial, guard: None };
             }
             // The next node in the order is the keeper then.
             Err(e) if peers::is_unsupported(&e) => {
-                keeper.iter().for_each(|peer| node.slots.unsupported_peers.record(peer, SLOT))
+                guard.discard();
+                keeper.iter().for_each(|peer| node.slots.unsupported_peers.record(peer, SLOT));
             }
             Err(e) if e.status().is_some() => {
+                guard.discard();
                 return Outcome::without_keeper(keeper, "not_keeper");
             }
             Err(_) => return Outcome::without_keeper(keeper, "silent"),
