Free the slots of nodes that are gone, and heed a service's later word

A node that crashed held its slots at the keeper until its requests' deadlines; they are free once the node is no longer up. A target that had once said nothing, because its service was not brittle then, counted as not brittle for up to a minute, also after others of its service had said so again; what others said later counts now, until it answers itself.

--- a/crates/decide/src/slots/brittle.rs
+++ b/crates/decide/src/slots/brittle.rs
@@ -85,13 +85,15 @@
     }
 
     /// Rejections in a second that a target bears; `None` if it is not brittle. A target that has
-    /// said nothing yet is taken to be like others of its service.
+    /// said nothing since others of its service did is taken to be like them.
     pub fn max_rejected(&self, target: &Target, now: Time) -> Option<u32> {
-        if let Some(report) = self.reports.get(&target.id) {
-            return report.max_rejected;
+        let service = self.services.get(&target.service);
+        let service = service.filter(|s| now.since(s.at) < SERVICE_TTL);
+        match self.reports.get(&target.id) {
+            Some(Report { max_rejected: Some(max), .. }) => Some(*max),
+            Some(report) if service.is_none_or(|s| report.sent_at >= s.at) => None,
+            _ => service.map(|s| s.max_rejected),
         }
-        let report = self.services.get(&target.service)?;
-        (now.since(report.at) < SERVICE_TTL).then_some(report.max_rejected)
     }
 
     /// Records that targets of a service are brittle, as reported by one of them or by a peer.
--- a/crates/decide/src/slots/issuer.rs
+++ b/crates/decide/src/slots/issuer.rs
@@ -62,8 +62,15 @@
         self.0.get(target).map_or((0, 0), Room::usage)
     }
 
-    /// Drops targets for which no node has requested a slot for a long time.
-    pub fn expire(&mut self, now: Time) {
+    /// Whether no slot was requested lately.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Releases the slots of nodes that are not up, and drops targets for which no node has
+    /// requested a slot for a long time.
+    pub fn expire(&mut self, is_up: impl Fn(&Name) -> bool, now: Time) {
+        self.0.values_mut().for_each(|room| room.retain_nodes(&is_up, now));
         self.0.retain(|_, room| now.since(room.used_at()) < RETENTION);
     }
 }
--- a/crates/decide/src/slots/room.rs
+++ b/crates/decide/src/slots/room.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use model::Time;
+use model::{Name, Time};
 
 use super::LeaseId;
 
@@ -143,6 +143,13 @@
         self.update(now);
     }
 
+    /// Releases the slots of nodes that are not up.
+    pub fn retain_nodes(&mut self, is_up: impl Fn(&Name) -> bool, now: Time) {
+        self.leases.retain(|id, _| is_up(&id.node));
+        self.waiting.retain(|w| is_up(&w.id.node));
+        self.update(now);
+    }
+
     /// Requests per second that the leased slots serve.
     pub fn rate(&self) -> f64 {
         f64::from(self.limit) / self.hold_time.max(Duration::from_millis(1)).as_secs_f64()
--- a/crates/decide/tests/slots.rs
+++ b/crates/decide/tests/slots.rs
@@ -143,6 +143,17 @@
     assert_eq!(keeper.fill(at(5_001)).len(), 2);
 }
 
+#[test]
+fn slots_of_a_node_that_is_gone_become_free() {
+    let mut keeper = Keeper::default();
+    keeper.fill(at(0));
+    let (waiting, _) = keeper.request(WAIT, 5, at(10));
+    keeper.issuer.expire(|node| **node == *"n-1", at(20));
+    assert_eq!(keeper.poll(&waiting, at(20)), SlotGrant::Waiting);
+    keeper.issuer.expire(|_| false, at(30));
+    assert_eq!(keeper.issuer.usage(&TargetId::new("i-1", 7)), (0, 0));
+}
+
 #[test]
 fn a_rejection_halves_the_leased_slots() {
     let mut keeper = Keeper::default();
@@ -212,6 +223,9 @@
     assert_eq!(brittle.record(&two, None, at(30), at(40)), None);
     assert_eq!(needs(&brittle, at(50)), [Some(4), None, None], "it said that it is not");
     assert_eq!(brittle.record(&one, None, at(5), at(60)), None, "an older answer");
+    brittle.record_service(&"a".into(), 4, at(55));
+    assert_eq!(needs(&brittle, at(58)), [Some(4), Some(4), None], "a later word of another");
+    assert_eq!(brittle.record(&two, None, at(56), at(59)), None);
     assert_eq!(brittle.record(&one, None, at(60), at(70)), Some(BrittleChange::Ended));
     assert_eq!(needs(&brittle, at(80)), [None, None, None]);
     let late = target("i-4", "a");
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -1,6 +1,5 @@
-//! Records what the head of an answer says about its target: limit, brittleness, load,
-//! notices and acceptance.
-//! Every path that reads the head of a target's answer calls this module.
+//! Records what the head of an answer says about its target: limit, brittleness, load, notices and
+//! acceptance. Every path that reads the head of a target's answer calls this module.
 
 use std::rc::Rc;
 
--- a/crates/forward/src/slots/announce.rs
+++ b/crates/forward/src/slots/announce.rs
@@ -18,7 +18,7 @@
 /// Timeout of a notice.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Reports an answer's word to the announcer of its service, unless all were told lately.
+/// Reports what an answer says to the announcer of its service, unless all were told lately.
 pub(super) fn report(node: &Rc<Node>, service: &Name, max_rejected: u32) {
     let now = node.now();
     if !node.fleet(|f| f.brittle_mut().begin_announcement(service, now)) {
--- a/crates/forward/src/slots/mod.rs
+++ b/crates/forward/src/slots/mod.rs
@@ -5,7 +5,7 @@
 mod ask;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,10 +44,16 @@
         f(&mut self.issuer.borrow_mut())
     }
 
-    /// Drops targets without recent requests, and peers that are no longer up.
+    /// Drops targets without recent requests, and what belongs to peers that are no longer up.
     pub fn expire(&self, node: &Node) {
-        self.issuer(|i| i.expire(node.now()));
         self.unsupported_peers.expire(node);
+        if self.issuer(|i| i.is_empty()) {
+            return;
+        }
+        let mut up: BTreeSet<Name> =
+            node.peers.roster(|r| r.ids()).into_iter().map(|id| id.name).collect();
+        up.insert(node.peers.id.name.clone());
+        self.issuer(|i| i.expire(|name| up.contains(name), node.now()));
     }
 
     /// Retry delay for a caller of a service whose targets all have no free slot; `None` if requests
