Call keepers of limits and of slots through one function

Requests for slots repeated what requests for permits did around a call to a keeper: a fresh connection after a timeout, and the backoff of a keeper that does not respond, with a constant of its own each. Both call peers::call_keeper now. Behaviour is unchanged.

--- a/crates/forward/src/limits/ask.rs
+++ b/crates/forward/src/limits/ask.rs
@@ -8,7 +8,7 @@
 use model::Time;
 use model::forward::{PermitAnswer, PermitRequest, Target};
 use model::member::Node as PeerNode;
-use util::http::{CallError, Client};
+use util::http::CallError;
 
 use super::{merge_from_peer, spread};
 use crate::events::Event;
@@ -17,8 +17,6 @@
 
 /// Timeout of a permit request, a few times a round trip between regions.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a keeper that did not respond is not asked again.
-const KEEPER_BACKOFF: Duration = Duration::from_millis(300);
 /// Time for which nothing is sent to a target if its keeper is not known, did not respond, or says
 /// that it is not the keeper.
 const NO_KEEPER_BACKOFF: Duration = Duration::from_millis(200);
@@ -122,19 +120,9 @@
     peer: &PeerNode,
     ask: &PermitRequest,
 ) -> Result<Grant, CallError> {
-    // A pooled connection may be dead after a timeout.
     let unresponsive = &node.limits.unresponsive;
-    let fresh =
-        unresponsive.failed_recently(&peer.id, node.now()).then(|| Client::new(PERMIT_TIMEOUT));
-    let client = fresh.as_ref().unwrap_or(&node.client);
-    let answer = peers::call_named(node, client, peer.entry, PERMIT, ask, PERMIT_TIMEOUT).await;
+    let answer = peers::call_keeper(node, unresponsive, peer, PERMIT, ask, PERMIT_TIMEOUT).await;
     let now = node.now();
-    match &answer {
-        Err(e) if e.status().is_none() => {
-            unresponsive.record_failure(&peer.id, KEEPER_BACKOFF, now)
-        }
-        _ => unresponsive.record_answer(&peer.id),
-    }
     let PermitAnswer { granted, after_ms, limit: observation } =
         answer.inspect_err(|e| log::debug!("permit: {e}"))?;
     merge_from_peer(
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -49,6 +49,8 @@
 pub const EPOCH: HeaderName = HeaderName::from_static("pumicevale-epoch");
 /// Timeout for connecting to a peer.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a keeper that did not respond is not asked again.
+const KEEPER_BACKOFF: Duration = Duration::from_millis(300);
 /// Timeout for fetching a peer's rules: the largest take a second over a small host's link.
 const RULES_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Timeout for a ping's answer: a host that has used up its CPU share can be throttled for up to
@@ -167,6 +169,28 @@
     send(node, client, peer, path, bytes, timeout).await
 }
 
+/// Calls the keeper of a target; one that does not respond is backed off.
+pub async fn call_keeper<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    unresponsive: &PeerBackoff,
+    keeper: &PeerNode,
+    path: &str,
+    message: &Q,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    // A pooled connection may be dead after a timeout.
+    let fresh = unresponsive.failed_recently(&keeper.id, node.now()).then(|| Client::new(timeout));
+    let client = fresh.as_ref().unwrap_or(&node.client);
+    let answer = call_named(node, client, keeper.entry, path, message, timeout).await;
+    match &answer {
+        Err(e) if e.status().is_none() => {
+            unresponsive.record_failure(&keeper.id, KEEPER_BACKOFF, node.now())
+        }
+        _ => unresponsive.record_answer(&keeper.id),
+    }
+    answer
+}
+
 /// Sends the same message to many peers, with fields encoded by name; `each` receives each result.
 pub async fn broadcast<Q: Serialize, A: DeserializeOwned>(
     node: &Node,
--- a/crates/forward/src/slots/ask.rs
+++ b/crates/forward/src/slots/ask.rs
@@ -7,7 +7,7 @@
 use model::Name;
 use model::forward::{SlotAnswer, SlotRelease, SlotRequest, Target, TargetId};
 use model::member::Node as PeerNode;
-use util::http::{CallError, Client};
+use util::http::CallError;
 
 use crate::events::Event;
 use crate::node::Node;
@@ -18,8 +18,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum time for which a request waits for a slot.
 const MAX_WAIT: Duration = Duration::from_secs(3);
-/// Time for which a keeper that did not respond is not asked again.
-const KEEPER_BACKOFF: Duration = Duration::from_millis(300);
 /// Time for which nothing is sent to a target if its keeper is not known, did not respond, or says
 /// that it is not the keeper.
 const NO_KEEPER_BACKOFF: Duration = Duration::from_millis(200);
@@ -218,24 +216,14 @@
 }
 
 async fn request_from_peer(
-    node: &Rc<Node>,
+    node: &Node,
     peer: &PeerNode,
     request: &SlotRequest,
 ) -> Result<SlotAnswer, CallError> {
     let timeout = Duration::from_millis(request.wait_ms) + ANSWER_TIMEOUT;
-    // A pooled connection may be dead after a timeout.
     let unresponsive = &node.slots.unresponsive;
-    let fresh = unresponsive.failed_recently(&peer.id, node.now()).then(|| Client::new(timeout));
-    let client = fresh.as_ref().unwrap_or(&node.client);
-    let answer = peers::call_named(node, client, peer.entry, SLOT, request, timeout).await;
-    match &answer {
-        Err(e) if e.status().is_none() => {
-            log::debug!("slot: {e}");
-            unresponsive.record_failure(&peer.id, KEEPER_BACKOFF, node.now());
-        }
-        _ => unresponsive.record_answer(&peer.id),
-    }
-    answer
+    let answer = peers::call_keeper(node, unresponsive, peer, SLOT, request, timeout).await;
+    answer.inspect_err(|e| log::debug!("slot: {e}"))
 }
 
 /// Leases a slot as the target's keeper; waits for one if there is a place in the queue.
