Log where a stream goes on, and which attempt began it

`Resumes` is read now, and each request to a target that asks for the rest of a stream writes `stream_resumed`: the first attempt, the version that began it if this node knows, the last event, target and version. No decision changes.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -310,6 +310,17 @@
     Moved { id: &'a str, version: u64 },
     /// An interrupted stream resumes on another target; its stages were rerun.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
+    /// A stream that began in the attempt `first`, at the version `begun_at` if that is known, is
+    /// requested from a target from the event after `after` on.
+    StreamResumed {
+        id: &'a str,
+        first: &'a str,
+        #[serde(skip_serializing_if = "str::is_empty")]
+        begun_at: &'a str,
+        after: u64,
+        target: &'a str,
+        version: &'a str,
+    },
     /// A stage of a request ended: run in `region`, or in any region if empty; `spilled` if it was
     /// ordered in another one.
     Stage {
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -55,6 +55,8 @@
     pub excluded: Vec<TargetId>,
     /// Target of the last attempt.
     pub target: Option<TargetId>,
+    /// Version of the target that sent the first event.
+    pub begun_at: Option<Name>,
     /// When the first event arrived.
     pub first_event_at: Option<Time>,
     /// Total time that stages took.
@@ -128,6 +130,7 @@
             attempts: Attempts::new(route.repeat, route.max_attempts),
             excluded: Vec::new(),
             target: None,
+            begun_at: None,
             first_event_at: None,
             stage_time: Duration::ZERO,
             input_region: None,
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -147,6 +147,10 @@
     let sent =
         rollout::track_send(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     in_flight.sent.clone_from(&sent);
+    let resume_after = resume_after.or(exchange.head.last_event);
+    if let Some(after) = resume_after {
+        log_resumption(exchange, target, after);
+    }
     let request = build_request(exchange, target, results, resume_after);
     let crossing = RegionTraffic::to_target(&exchange.node, MessageKind::Request, &target.id);
     if let Some(results) = results {
@@ -167,6 +171,20 @@
     attempt.interrupted("silent for too long".into())
 }
 
+fn log_resumption(exchange: &Exchange, target: &Target, after: u64) {
+    let begun_at = exchange.progress(|p| p.begun_at.clone());
+    let head = &exchange.head;
+    Event::StreamResumed {
+        id: &head.id,
+        first: head.resumes.as_deref().unwrap_or(&head.id),
+        begun_at: begun_at.as_deref().unwrap_or_default(),
+        after,
+        target: &target.id.name,
+        version: &target.version,
+    }
+    .emit();
+}
+
 fn build_request(
     exchange: &Exchange,
     target: &Target,
@@ -179,7 +197,7 @@
         workspace: exchange.workspace.as_ref(),
         rank: (!exchange.head.prompt.is_empty()).then_some(exchange.rank.level()),
         inputs: results.map_or(&[], RequestResults::inputs),
-        resume_after: resume_after.or(exchange.head.last_event),
+        resume_after,
     };
     let received = &exchange.request;
     let mut request = hyper::Request::new(Full::new(received.body.clone()));
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -119,6 +119,7 @@
     let now = exchange.node.now();
     exchange.progress(|p| {
         p.attempts.response_begun = true;
+        p.begun_at.get_or_insert_with(|| in_flight.target.version.clone());
         p.first_event_at = Some(now);
     });
     let last_event = exchange.head.last_event;
--- a/crates/model/src/forward/caller.rs
+++ b/crates/model/src/forward/caller.rs
@@ -34,4 +34,6 @@
     pub piece_key: Option<String>,
     /// Id of the event after which a stream is to resume.
     pub last_event: Option<u64>,
+    /// Attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
