Continue streams only at the service and version that began them

Cause: what belongs together was joined by its position (the last event) instead of its origin. A node that resumed a stream within one answer chose any target, and a caller that came back was served like a new request; nobody read `Resumes`. The class includes routes that are split over two services, where the new attempt's id chose the service.

Now the version that sent the first event is a condition of every later choice, as regions are, and the last check before a send. Nodes record the origin of each resumable stream that begins there, copy it to three backups of their failure domain and one in each other domain of the region, several in one message, and a node that gets a stream it does not know asks all nodes of its domain and a few elsewhere, in one bounded round. Without a certain origin the stream is refused at once and has not run; so is one whose version has no target. Records that contradict each other count as unknown. Peers of older builds are neither told nor asked.

--- a/crates/decide/src/fleet/pick.rs
+++ b/crates/decide/src/fleet/pick.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::forward::{Allowed, PromptPart, Side, Target, TargetId};
+use model::forward::{Allowed, PromptPart, Target, TargetId};
 use model::{Name, Time, hash};
 
 use super::{ColdLimit, Fleet, TargetState, Terms};
@@ -131,7 +131,7 @@
     allowed: &Allowed,
     now: Time,
 ) -> Vec<(Name, f64)> {
-    let terms = Terms { allowed, side: Side::Serving };
+    let terms = Terms { allowed, ..Terms::ANY };
     let count = |service: &str| {
         let mut by_domain: BTreeMap<Name, u32> = BTreeMap::new();
         // Backed-off targets count: a backoff is short, and moving homes would invalidate their
--- a/crates/decide/src/fleet/targets.rs
+++ b/crates/decide/src/fleet/targets.rs
@@ -120,6 +120,7 @@
             move |t: &&TargetState| self.lasting_exclusion(t, terms.allowed, now).is_none();
         self.service_targets(service)
             .filter(move |t| versions.contains(&t.target.version))
+            .filter(move |t| terms.permits_version(&t.target.version))
             .filter(is_eligible)
     }
 
@@ -149,8 +150,10 @@
         if let Some(exclusion) = self.exclusion_any_version(t, terms.allowed, now) {
             return Some(exclusion);
         }
-        let side = self.versions.side(&t.target.service, &t.target.version);
-        (side != Some(terms.side)).then_some(Exclusion::Version)
+        let version = &t.target.version;
+        let side = self.versions.side(&t.target.service, version);
+        let is_permitted = side == Some(terms.side) && terms.permits_version(version);
+        (!is_permitted).then_some(Exclusion::Version)
     }
 
     fn is_backed_off(&self, t: &TargetState, now: Time) -> bool {
--- a/crates/decide/src/fleet/terms.rs
+++ b/crates/decide/src/fleet/terms.rs
@@ -13,11 +13,21 @@
     pub allowed: &'a Allowed,
     /// Side of a rollout whose versions serve it.
     pub side: Side,
+    /// The only version that may serve it, if it is the rest of a stream.
+    pub version: Option<&'a Name>,
 }
 
 impl Terms<'static> {
     /// Any region, serving version.
-    pub const ANY: Terms<'static> = Terms { allowed: &Allowed::ANY, side: Side::Serving };
+    pub const ANY: Terms<'static> =
+        Terms { allowed: &Allowed::ANY, side: Side::Serving, version: None };
+}
+
+impl Terms<'_> {
+    /// Whether a version may serve the request as far as the stream that it continues is concerned.
+    pub(super) fn permits_version(&self, version: &Name) -> bool {
+        self.version.is_none_or(|only| only == version)
+    }
 }
 
 /// Why a target is excluded for a request.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod route;
 pub mod slots;
 pub mod stages;
+pub mod streams;
 mod tally;
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -4,6 +4,7 @@
 //! This view determines which node holds which role (`role_key`) and which peers are asked for the
 //! store's state (`sources`).
 
+mod backups;
 mod changes;
 mod contact;
 mod ranking;
--- a/crates/decide/tests/allowed.rs
+++ b/crates/decide/tests/allowed.rs
@@ -17,7 +17,7 @@
 };
 use decide::rng::Rng;
 use model::Name;
-use model::forward::{Allowed, BatchOrder, Evacuations, PieceResult, Side, Target, TargetId};
+use model::forward::{Allowed, BatchOrder, Evacuations, PieceResult, Target, TargetId};
 use proptest::prelude::*;
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -85,7 +85,7 @@
     let mut fleet = Fleet::default();
     fleet.upsert(fleet::target("t0", "a"), at(0));
     let north = allowed(&Some(["north"].into()));
-    let terms = Terms { allowed: &north, side: Side::Serving };
+    let terms = Terms { allowed: &north, ..Terms::ANY };
     let state = fleet.get(&"t0".into()).expect("known target");
     assert_eq!(fleet.exclusion(state, terms, at(0)), Some(Exclusion::Region));
     assert_eq!(fleet.exclusion(state, Terms::ANY, at(0)), None);
@@ -177,7 +177,7 @@
             domain,
             map: fleet::one_region(),
             home_region: None,
-            terms: Terms { allowed: &allowed, side: Side::Serving },
+            terms: Terms { allowed: &allowed, ..Terms::ANY },
             exclude: &exclude,
             max_per_target: 40,
             home_weights: &weights,
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -310,6 +310,19 @@
     Moved { id: &'a str, version: u64 },
     /// An interrupted stream resumes on another target; its stages were rerun.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
+    /// The origin of a stream that a caller resumes was looked up: known to this node, to one of the
+    /// `asked` peers, or to `nobody`, so that it cannot continue.
+    StreamOrigin {
+        id: &'a str,
+        first: &'a str,
+        from: &'a str,
+        #[serde(skip_serializing_if = "str::is_empty")]
+        version: &'a str,
+        asked: usize,
+        took_ms: u64,
+    },
+    /// The origins of some streams could not be told to a peer.
+    StreamsUntold { peer: &'a str, records: usize, why: &'a str },
     /// A stream that began in the attempt `first`, at the version `begun_at` if that is known, is
     /// requested from a target from the event after `after` on.
     StreamResumed {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod settings;
 mod slots;
 mod stages;
+mod streams;
 mod upstream;
 mod watch;
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -31,6 +31,7 @@
 use crate::settings::Settings;
 use crate::slots::LocalSlots;
 use crate::stages::LocalCoordinators;
+use crate::streams::LocalStreams;
 use crate::watch::Feed;
 
 /// Maximum number of route, workspace or region names in one log line.
@@ -66,6 +67,8 @@
     pub slots: LocalSlots,
     /// Links to the targets.
     pub links: LocalLinks,
+    /// Origins of resumable streams.
+    pub streams: LocalStreams,
     /// Ejections that nodes share.
     pub ejections: LocalEjections,
     /// Observations and judgements of trial versions.
@@ -110,6 +113,7 @@
             limits: LocalLimits::default(),
             slots: LocalSlots::default(),
             links: LocalLinks::default(),
+            streams: LocalStreams::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
             feed: Feed::default(),
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -41,7 +41,8 @@
 pub use resting::PeerBackoff;
 pub use server::{
     BATCH, BRITTLE, EJECTIONS, FREE, FreeRequest, LIMITS, LINKS, PERMIT, PREFILL, PREFILL_END,
-    PROXY, QUARANTINE, ROLLOUT, ROLLOUT_STATE, SLOT, SLOT_RELEASE, StateWrite, WAITS,
+    PROXY, QUARANTINE, ROLLOUT, ROLLOUT_STATE, SLOT, SLOT_RELEASE, STREAM_ORIGIN, STREAM_RECORDS,
+    StateWrite, WAITS,
 };
 pub use unsupported::UnsupportedPeers;
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{BatchOrder, FollowAsk, Handle, PoolId, Rollout, RolloutState};
+use model::forward::{BatchOrder, FollowAsk, Handle, PoolId, Rollout, RolloutState, StreamRecords};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -60,6 +60,10 @@
 pub const LINKS: &str = "/v1/links";
 /// Path for callers' requests of nodes that reach no target.
 pub const PROXY: &str = "/v1/proxy";
+/// Path for records of the origins of streams.
+pub const STREAM_RECORDS: &str = "/v1/stream-records";
+/// Path for questions about the origin of a stream.
+pub const STREAM_ORIGIN: &str = "/v1/stream-origin";
 /// Path for the rules.
 pub const RULES: &str = "/v1/rules";
 /// Maximum size of a peer's message in bytes.
@@ -119,6 +123,8 @@
         SLOT_RELEASE => slot_release(&node, request).await,
         EJECTIONS => ejections(&node, request).await,
         LINKS => links(&node, request).await,
+        STREAM_RECORDS => stream_records(&node, request).await,
+        STREAM_ORIGIN => stream_origin(&node, request).await,
         _ => Err(text(StatusCode::NOT_FOUND, "no such path")),
     };
     result.unwrap_or_else(|refusal| refusal)
@@ -222,6 +228,17 @@
     Ok(rmp_named(&links::answer_query(node, &query).await))
 }
 
+async fn stream_records(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let records: Vec<StreamRecords> = read_message(request, "not records of streams").await?;
+    node.streams.handle_records(node, &records);
+    Ok(rmp_named(&()))
+}
+
+async fn stream_origin(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
+    let query = read_message(request, "not a question about a stream").await?;
+    Ok(rmp_named(&node.streams.answer_query(node, &query)))
+}
+
 async fn free(node: &Rc<Node>, request: Request<Incoming>) -> HandlerResult {
     let FreeRequest { pool, handles } = read_message(request, "not results to free").await?;
     node.pools.free(node, &pool, handles);
--- a/crates/forward/src/prefill/mod.rs
+++ b/crates/forward/src/prefill/mod.rs
@@ -49,7 +49,7 @@
             domain: &ask.domain,
             map: &map,
             home_region: None,
-            terms: Terms { allowed: &ask.allowed, side: ask.side },
+            terms: Terms { allowed: &ask.allowed, side: ask.side, version: None },
             exclude: &ask.but,
             max_per_target: u32::MAX,
             home_weights: &[],
--- a/crates/forward/src/rollout/judge.rs
+++ b/crates/forward/src/rollout/judge.rs
@@ -7,9 +7,7 @@
 use decide::fleet::{TargetState, Terms};
 use decide::rollout::{Bounds, Judge, JudgeAction, JudgeEvent};
 use model::Time;
-use model::forward::{
-    Allowed, Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState, Side,
-};
+use model::forward::{Rollout, RolloutAnswer, RolloutId, RolloutReport, RolloutState, Side};
 
 use super::{apply_phase, report, running_order, write};
 use crate::border::ObjectKind;
@@ -155,7 +153,7 @@
     let count = |side| {
         node.fleet(|f| {
             let is_warm = |b: &&TargetState| limit.is_none_or(|l| !f.is_cold(b, l, now));
-            let terms = Terms { allowed: &Allowed::ANY, side };
+            let terms = Terms { side, ..Terms::ANY };
             let healthy = f.usable(&service, terms, now).filter(|b| !b.is_ejected(now));
             healthy.filter(is_warm).count()
         })
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route};
+use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Repeat, Route, StreamOrigin};
 
 use super::exchange::{Admitted, Exchange, ReceivedRequest};
 use super::reply::{self, Body};
@@ -19,6 +19,7 @@
 use crate::node::Node;
 use crate::quarantine::HELD_REASON;
 use crate::rules::{RuleTable, choose_service};
+use crate::streams;
 
 /// Time without confirmation of the rules by the store after which an unknown route or key may be
 /// one that this node has not received yet.
@@ -104,7 +105,9 @@
     let table = node.table();
     let resolved = resolve(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
     check_admission(node, &table, &resolved, &head).map_err(|r| r.into_response(node, &head))?;
-    let wait_ms = head.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(resolved.route.timeout_ms.max(1));
+    let wait_ms = head.wait_ms.unwrap_or(DEFAULT_WAIT_MS);
+    let caller_deadline = arrived + Duration::from_millis(wait_ms);
+    let wait_ms = wait_ms.min(resolved.route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
     let body = match node.clock.timeout_at(deadline, read_body(body, limit)).await {
@@ -123,6 +126,21 @@
         };
         return Err(refusal.into_response(node, &head));
     }
+    let origin = match route.repeat {
+        Repeat::StreamResumable => streams::find_origin(node, &head, workspace.as_ref()).await,
+        _ => Ok(None),
+    };
+    let is_served = |o: &StreamOrigin| route.split.iter().any(|share| share.service == o.service);
+    let origin = match origin {
+        Err(e) => Err(e.as_str()),
+        Ok(Some(o)) if !is_served(&o) => Err("the service that began the stream left its route"),
+        Ok(origin) => Ok(origin),
+    };
+    let origin = origin.map_err(|reason| {
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason);
+        refusal.retry_after(DEFAULT_RETRY_AFTER).into_response(node, &head)
+    })?;
+    let service = origin.as_ref().map_or(service, |o| o.service.clone());
     let request =
         ReceivedRequest { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
@@ -137,10 +155,12 @@
         rank,
         allowed,
         side,
+        origin,
         rules_version: version,
         is_proxied: proxied_after.is_some(),
         arrived,
         deadline,
+        caller_deadline,
     };
     Ok(Rc::new(Exchange::new(node.clone(), admitted)))
 }
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -57,6 +57,7 @@
         let excluded = self.progress(|p| p.excluded.clone());
         let settings = self.node.settings();
         let allowed = self.allowed_regions();
+        let version = self.stream_version();
         let weights = self.home_weights(&allowed, now);
         let map = self.node.peers.roster(|r| r.map());
         let region = self.home_region(&map);
@@ -65,7 +66,7 @@
             domain: &settings.domain,
             map: &map,
             home_region: region.as_ref(),
-            terms: self.terms(&allowed),
+            terms: self.terms(&allowed, version.as_ref()),
             exclude: &excluded,
             max_per_target: self.max_connections(),
             home_weights: &weights,
@@ -101,9 +102,14 @@
         }
     }
 
+    /// The only version that may serve the request, if it is the rest of a stream.
+    fn stream_version(&self) -> Option<Name> {
+        self.progress(|p| p.begun_at.clone())
+    }
+
     /// Constraints that every target of the request must meet.
-    fn terms<'a>(&self, allowed: &'a Allowed) -> Terms<'a> {
-        Terms { allowed, side: self.current_side() }
+    fn terms<'a>(&self, allowed: &'a Allowed, version: Option<&'a Name>) -> Terms<'a> {
+        Terms { allowed, side: self.current_side(), version }
     }
 
     /// Whether a target is in an allowed region.
@@ -116,8 +122,8 @@
     /// computed or its connection was open; `None` if it still may.
     pub(super) fn exclusion_reason(&self, target: &TargetId) -> Option<&'static str> {
         let now = self.node.now();
-        let allowed = self.allowed_regions();
-        let terms = self.terms(&allowed);
+        let (allowed, version) = (self.allowed_regions(), self.stream_version());
+        let terms = self.terms(&allowed, version.as_ref());
         self.node.fleet(|f| match f.get(target) {
             Some(state) => f.exclusion(state, terms, now).map(Exclusion::as_str),
             None => Some("gone"),
@@ -155,8 +161,13 @@
     }
 
     /// Side of the rollout that the request uses now. During a trial a request is sent to the trial
-    /// version at most once; once all requests go to one version, those in progress do so too.
+    /// version at most once; once all requests go to one version, those in progress do so too. The
+    /// rest of a stream stays with its version.
     fn current_side(&self) -> Side {
+        if let Some(version) = self.stream_version() {
+            let side = self.node.fleet(|f| f.versions().side(&self.service, &version));
+            return side.unwrap_or(Side::Serving);
+        }
         let is_trial = self.side == Side::Trial && !self.progress(|p| p.left_trial);
         self.node.fleet(|f| match f.versions().phase(&self.service) {
             Some(Phase::Share(_)) if is_trial => Side::Trial,
@@ -222,8 +233,8 @@
     fn is_usable(&self, target: &Target) -> bool {
         let now = self.node.now();
         let max_connections = self.max_connections();
-        let allowed = self.allowed_regions();
-        let terms = self.terms(&allowed);
+        let (allowed, version) = (self.allowed_regions(), self.stream_version());
+        let terms = self.terms(&allowed, version.as_ref());
         self.node.fleet(|f| {
             let state = f.get(&target.id);
             let is_available =
@@ -385,10 +396,12 @@
     fn willing_targets(&self) -> Vec<TargetId> {
         let now = self.node.now();
         let allowed = self.allowed_regions();
+        let version = self.stream_version();
         self.node.fleet(|f| {
             let is_backed_off = |id: &TargetId| f.notices().backoff_until(id, now).is_some();
-            let ids = f.eligible_in(&self.service, &allowed, now).map(|b| &b.target.id);
-            ids.filter(|id| !is_backed_off(id)).cloned().collect()
+            let targets = f.eligible_in(&self.service, &allowed, now).map(|b| &b.target);
+            let targets = targets.filter(|t| version.as_ref().is_none_or(|v| *v == t.version));
+            targets.map(|t| &t.id).filter(|id| !is_backed_off(id)).cloned().collect()
         })
     }
 
@@ -404,15 +417,12 @@
     /// Why no target is left.
     pub(super) fn no_target_reason(&self) -> String {
         let of_service = self.unserved_service().map_or(String::new(), |s| format!(" of {s}"));
+        let of_version = self.stream_version().map_or(String::new(), |v| format!(" at {v}"));
         let in_regions = describe_allowed(&self.allowed_regions());
+        let reason = format!("no target{of_service}{of_version}{in_regions}");
         match self.evacuated_domains().as_slice() {
-            [] => format!("no target{of_service}{in_regions}"),
-            domains => {
-                format!(
-                    "no target{of_service}{in_regions} outside of evacuated {}",
-                    domains.join(", ")
-                )
-            }
+            [] => reason,
+            domains => format!("{reason} outside of evacuated {}", domains.join(", ")),
         }
     }
 
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -9,7 +9,9 @@
 use decide::quarantine::Hold;
 use decide::resend::{Attempts, Ending};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Route, Side, Target, TargetId};
+use model::forward::{
+    Allowed, CallerHead, Fingerprint, Rank, Route, Side, StreamOrigin, Target, TargetId,
+};
 use model::{Name, Time};
 
 use super::proxy;
@@ -55,7 +57,8 @@
     pub excluded: Vec<TargetId>,
     /// Target of the last attempt.
     pub target: Option<TargetId>,
-    /// Version of the target that sent the first event.
+    /// Version of the target that sent the first event of the stream, in this or an earlier attempt;
+    /// no other version may continue it.
     pub begun_at: Option<Name>,
     /// When the first event arrived.
     pub first_event_at: Option<Time>,
@@ -97,6 +100,8 @@
     pub allowed: Allowed,
     /// Side of the rollout that it was assigned to at admission.
     pub side: Side,
+    /// Origin of the stream that it resumes.
+    pub origin: Option<StreamOrigin>,
     /// Version of the rules at admission.
     pub rules_version: u64,
     /// Whether another node received the request and sent it through this one.
@@ -104,6 +109,8 @@
     pub arrived: Time,
     /// When the request is abandoned.
     pub deadline: Time,
+    /// Until when its caller waits, whatever the route's timeout.
+    pub caller_deadline: Time,
 }
 
 /// One request in progress.
@@ -130,7 +137,7 @@
             attempts: Attempts::new(route.repeat, route.max_attempts),
             excluded: Vec::new(),
             target: None,
-            begun_at: None,
+            begun_at: admitted.origin.as_ref().map(|o| o.version.clone()),
             first_event_at: None,
             stage_time: Duration::ZERO,
             input_region: None,
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -10,11 +10,13 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
+use model::forward::{Repeat, StreamOrigin, Target};
 
 use super::exchange::Exchange;
 use super::reply::Body;
 use super::send::{InFlightGuard, Outcome, send};
 use crate::stages::{RequestResults, StageError};
+use crate::streams;
 use crate::upstream::Connection;
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -119,9 +121,11 @@
     let now = exchange.node.now();
     exchange.progress(|p| {
         p.attempts.response_begun = true;
-        p.begun_at.get_or_insert_with(|| in_flight.target.version.clone());
         p.first_event_at = Some(now);
     });
+    if exchange.route.repeat == Repeat::StreamResumable && exchange.origin.is_none() {
+        record_origin(&exchange, &in_flight.target);
+    }
     let last_event = exchange.head.last_event;
     let forwarder = StreamForwarder {
         exchange,
@@ -143,6 +147,16 @@
     response
 }
 
+/// Records that a stream begins at this target.
+fn record_origin(exchange: &Exchange, target: &Target) {
+    let version = target.version.clone();
+    exchange.progress(|p| p.begun_at = Some(version.clone()));
+    let origin = StreamOrigin { service: target.service.clone(), version };
+    let workspace = exchange.workspace.as_ref();
+    let time_left = exchange.caller_deadline.since(exchange.node.now());
+    streams::record_origin(&exchange.node, &exchange.head, workspace, origin, time_left);
+}
+
 impl StreamForwarder {
     /// The next event for the caller; an error closes the connection.
     async fn forward_next(&mut self) -> Option<io::Result<Bytes>> {
--- a/crates/forward/src/watch/mod.rs
+++ b/crates/forward/src/watch/mod.rs
@@ -68,6 +68,7 @@
         node.fleet(|f| f.expire(now));
         node.limits.expire(&node);
         node.slots.expire(&node);
+        node.streams.expire(&node);
         node.ejections.expire(&node);
         evacuations::settle(&node);
         rollouts::settle(&node);
--- a/crates/model/src/forward/mod.rs
+++ b/crates/model/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod rollout;
 mod rules;
 mod slot;
+mod stream;
 mod target;
 
 pub use batch::{
@@ -50,6 +51,7 @@
     ColdTargets, Engine, Limits, Repeat, Route, Rules, Service, Share, Stage, StagePool, Workspace,
 };
 pub use slot::{BrittleNotice, SlotAnswer, SlotRelease, SlotRequest};
+pub use stream::{StreamAnswer, StreamKey, StreamOrigin, StreamQuery, StreamRecords};
 pub use target::{
     Evacuations, FollowAnswer, FollowAsk, Target, TargetChange, TargetId, TargetList, TargetNews,
 };
