--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -258,13 +258,14 @@
         after_ms: u64,
     },
     /// A target crashed under requests of this node: `how` it was detected, and the fingerprints of
-    /// the first of those requests.
+    /// the first of those requests and of the first shared parts of their prompts.
     Ended {
         target: &'a str,
         service: &'a str,
         how: &'a str,
         running: usize,
         same: &'a [String],
+        parts: &'a [String],
         after_ms: u64,
     },
     /// A request is held from now on, or for longer, because targets that ran it crashed; `targets`
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -1,7 +1,7 @@
 //! Determines whether a target crashed under requests whose connections broke.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use model::forward::{Fingerprint, Target, TargetId};
 use model::{Name, Time};
 
+use super::RequestKeys;
 use crate::events::Event;
 use crate::links;
 use crate::node::Node;
@@ -23,14 +24,14 @@
 /// Time for which its presence is checked: the entry of a crashed target expires within three
 /// heartbeats, usually within 2 s.
 const PRESENCE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum number of requests named in one log line.
-const MAX_LOGGED_REQUESTS: usize = 8;
+/// Maximum number of requests, and of prompt parts, named in one log line.
+const MAX_LOGGED: usize = 8;
 
 /// Work that was interrupted at a target.
 #[derive(Clone, PartialEq, Eq)]
 pub(super) enum Work {
     /// A request of this node.
-    Request(Fingerprint),
+    Request(RequestKeys),
     /// Pieces of an attempt, which any node may be serving.
     Pieces(Name),
 }
@@ -43,6 +44,17 @@
     evidence: Option<&'static str>,
 }
 
+impl CrashCheck {
+    /// Shared prompt parts of the requests.
+    fn parts(&self) -> impl Iterator<Item = Fingerprint> {
+        let requests = self.work.iter().filter_map(|work| match work {
+            Work::Request(keys) => Some(keys),
+            Work::Pieces(_) => None,
+        });
+        requests.flat_map(|keys| keys.parts.iter().copied())
+    }
+}
+
 /// Checks in progress, by target.
 #[derive(Default)]
 pub(super) struct CrashChecks(RefCell<HashMap<TargetId, CrashCheck>>);
@@ -129,11 +141,13 @@
 }
 
 fn log_crash(node: &Node, target: &Target, how: &str, check: &CrashCheck) {
-    let same = check.work.iter().take(MAX_LOGGED_REQUESTS).map(|work| match work {
-        Work::Request(request) => request.to_string(),
+    let same = check.work.iter().take(MAX_LOGGED).map(|work| match work {
+        Work::Request(keys) => keys.request.to_string(),
         Work::Pieces(attempt) => format!("pieces of {attempt}"),
     });
     let same: Vec<String> = same.collect();
+    let parts: BTreeSet<Fingerprint> = check.parts().collect();
+    let parts: Vec<String> = parts.iter().take(MAX_LOGGED).map(Fingerprint::to_string).collect();
     node.metrics.count_crash(&target.service);
     Event::Ended {
         target: &target.id.name,
@@ -141,6 +155,7 @@
         how,
         running: check.work.len(),
         same: &same,
+        parts: &parts,
         after_ms: node.now().since(check.started_at).as_millis() as u64,
     }
     .emit();
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod ends;
+mod keys;
 mod record;
 mod spread;
 
@@ -20,6 +21,7 @@
 use crate::node::Node;
 use attempts::Attempts;
 use ends::{CrashChecks, Work};
+pub use keys::RequestKeys;
 use spread::PeerSends;
 
 /// Starts the tasks that report to peers and that write and read held requests in the store.
@@ -87,8 +89,8 @@
     }
 
     /// Checks a target that may have begun a request and did not answer it completely.
-    pub fn request_interrupted(&self, node: &Rc<Node>, target: &Target, request: Fingerprint) {
-        self.crash_checks.start_check(node, target, vec![Work::Request(request)]);
+    pub fn request_interrupted(&self, node: &Rc<Node>, target: &Target, keys: &RequestKeys) {
+        self.crash_checks.start_check(node, target, vec![Work::Request(keys.clone())]);
     }
 
     /// Checks a target that may have begun a call for these pieces and did not answer it
@@ -141,7 +143,7 @@
         let (mut requests, mut attempts) = (Vec::new(), Vec::new());
         for work in work {
             match work {
-                Work::Request(request) => requests.push(request),
+                Work::Request(keys) => requests.push(keys.request),
                 Work::Pieces(attempt) => attempts.push(attempt),
             }
         }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -17,7 +17,7 @@
 use super::reply::{self, Body};
 use crate::events::Event;
 use crate::node::Node;
-use crate::quarantine::HELD_REASON;
+use crate::quarantine::{HELD_REASON, RequestKeys};
 use crate::rules::{RuleTable, choose_service};
 use crate::streams;
 
@@ -147,8 +147,8 @@
     let side = node.fleet(|f| f.versions().side_for_attempt(&service, &head.id));
     let admitted = Admitted {
         request,
+        keys: RequestKeys::new(fingerprint, &service, &head),
         head,
-        fingerprint,
         route,
         service,
         workspace,
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -9,9 +9,7 @@
 use decide::quarantine::Hold;
 use decide::resend::{Attempts, Ending};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use model::forward::{
-    Allowed, CallerHead, Fingerprint, Rank, Route, Side, StreamOrigin, Target, TargetId,
-};
+use model::forward::{Allowed, CallerHead, Rank, Route, Side, StreamOrigin, Target, TargetId};
 use model::{Name, Time};
 
 use super::proxy;
@@ -22,6 +20,7 @@
 use crate::limits::AT_LIMIT;
 use crate::node::{Node, OpenGuard};
 use crate::phase::LifePhase;
+use crate::quarantine::RequestKeys;
 use crate::slots::NO_SLOT;
 use crate::stages::{self, Job, RequestResults, StageError};
 
@@ -89,8 +88,8 @@
     pub request: ReceivedRequest,
     /// Parsed head of the request.
     pub head: CallerHead,
-    /// Identifies repeated requests.
-    pub fingerprint: Fingerprint,
+    /// Identify repeated requests, and the shared parts of prompts.
+    pub keys: RequestKeys,
     pub route: Route,
     pub service: Name,
     /// Workspace of the caller's key.
@@ -147,7 +146,7 @@
             is_logged: false,
         };
         let _open = node.track_request();
-        node.quarantine.attempt_started(&admitted.head.id, admitted.fingerprint);
+        node.quarantine.attempt_started(&admitted.head.id, admitted.keys.request);
         let deadline = admitted.deadline - RESPONSE_MARGIN;
         let admitted = Admitted { deadline, ..admitted };
         Exchange { node, admitted, progress: RefCell::new(progress), _open }
@@ -352,17 +351,17 @@
 
     /// Records that the request was interrupted at a target that may have started it.
     pub(super) fn record_interruption(&self, target: &Target) {
-        self.node.quarantine.request_interrupted(&self.node, target, self.fingerprint);
+        self.node.quarantine.request_interrupted(&self.node, target, &self.keys);
     }
 
     /// Records that a target answered the request completely.
     pub(super) fn record_completion(&self) {
-        self.node.quarantine.request_answered(&self.node, self.fingerprint);
+        self.node.quarantine.request_answered(&self.node, self.keys.request);
     }
 
     /// The hold on the request if targets crashed while they ran it; it must not be sent then.
     pub(super) fn quarantine_hold(&self) -> Option<Hold> {
-        self.node.quarantine.hold(&self.node, self.fingerprint)
+        self.node.quarantine.hold(&self.node, self.keys.request)
     }
 
     /// Final response to a request that no target answered successfully.
@@ -442,7 +441,7 @@
         self.node.metrics.record_time("first", &self.route.name, first_ms);
         Event::Request {
             id: &self.head.id,
-            same: &self.fingerprint.to_string(),
+            same: &self.keys.request.to_string(),
             route: &self.route.name,
             version: self.rules_version,
             status,
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -138,7 +138,8 @@
         exchange.progress(|p| p.reason = "its permit ran out on the way".into());
         return Outcome::NoResponse;
     }
-    if !exchange.node.quarantine.try_send(&exchange.node, &exchange.head.id, exchange.fingerprint) {
+    if !exchange.node.quarantine.try_send(&exchange.node, &exchange.head.id, exchange.keys.request)
+    {
         exchange.progress(|p| p.reason = HELD_REASON.into());
         return Outcome::NoResponse;
     }
@@ -340,7 +341,7 @@
         };
         Event::Attempt {
             id: &exchange.head.id,
-            same: &exchange.fingerprint.to_string(),
+            same: &exchange.keys.request.to_string(),
             target: &target.id.name,
             ran,
             why: &reason,
