Hold prompt parts under which targets crash

Cause: the quarantine knows a request by one hash of the whole; requests of which no two are alike had one crash each and were never held. The class: blame put on a whole where a part of it is at fault.

Shared parts (all but the last of a prompt, at one service) are suspects of the same machine now: crashes of them are combined at their replicas, told to all nodes once held, kept in the store and released by operators. Since a held part refuses all requests with it, it takes four crashes, of which at most two under the same request count, and none if a request with the part was answered within the last 30 to 60 s; a complete answer anywhere clears it. A held part explains the crashes of what shared a target with it: those are cleared, also of a hold if the part explains more. Its trial after a minute is sent by its first replica only. Messages of requests keep their bytes (new fields are left out), so older builds see suspects that no request matches.

--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -6,9 +6,16 @@
 //! that only grows and whose entries are cleared one by one, so nodes may merge reports in any
 //! order and any number of times.
 //!
+//! The same goes for the parts of prompts that requests share, since requests of which no two are
+//! alike may have the part in common that crashes their targets. A part is held after more crashes
+//! than a request, since that holds back all requests with it, and only if they came under several
+//! requests.
+//!
 //! A complete answer on any node clears a request of all its crashes, because a request that
-//! crashes its targets never gets one. A held request also clears all requests that are not held
-//! of the crashes that they share with it.
+//! crashes its targets never gets one; so it does with its parts. A held request also clears all
+//! requests that are not held of the crashes that they share with it. A held part clears requests
+//! and parts, also of a hold if the part explains more crashes than they do: of all that a crashed
+//! target was running, the fewest suspects that explain the crashes are the likely cause.
 
 mod answered;
 mod gossip;
@@ -20,10 +27,11 @@
 use std::time::Duration;
 
 use model::forward::{Fingerprint, SuspectReport, TargetId};
-use model::member::NodeId;
+use model::member::{Node, NodeId};
 use model::{Name, Time};
 
 use answered::Answered;
+use gossip::replicas;
 use suspect::Suspect;
 
 pub use gossip::{Outgoing, SentVersions};
@@ -33,7 +41,13 @@
 /// Number of crashes from which a request is held. One may be a coincidence, and so may two if
 /// targets crash for unrelated reasons.
 pub const HOLD_THRESHOLD: usize = 3;
-/// Maximum requests remembered, at about 300 B each.
+/// Number of crashes from which a part of prompts is held.
+pub const PART_HOLD_THRESHOLD: usize = 4;
+/// Maximum parts named by one node for one crash.
+const MAX_PARTS: usize = 64;
+/// Time after which a part whose trial is due may be asked for again at a node that does not send it.
+const TRIAL_RETRY_TIME: Duration = Duration::from_secs(1);
+/// Maximum requests and parts remembered, at about 300 B each.
 const MAX_SUSPECTS: usize = 4096;
 /// Time for which a request that is not held is remembered after its last activity.
 const SUSPECT_TTL: Duration = Duration::from_secs(10 * 60);
@@ -82,6 +96,26 @@
         self.suspects.get(&request)?.hold(now)
     }
 
+    /// Why a part must not be sent by the node `me`; `None` if it may be. Trials of a part, which many
+    /// requests share, are sent by its first replica only.
+    pub fn part_hold(
+        &self,
+        part: Fingerprint,
+        me: &Name,
+        peers: impl FnOnce() -> Vec<Node>,
+        now: Time,
+    ) -> Option<Hold> {
+        let suspect = self.suspects.get(&part).filter(|suspect| suspect.is_held())?;
+        if let Some(hold) = suspect.hold(now) {
+            return Some(hold);
+        }
+        let peers = peers();
+        let peers = self.supporting(&peers);
+        let sends_trials = replicas(part, me, &peers).first().is_some_and(Option::is_none);
+        let crashes = suspect.active_crashes().count();
+        (!sends_trials).then_some(Hold { crashes, remaining: Some(TRIAL_RETRY_TIME) })
+    }
+
     /// Records the arrival of a request; returns why it is refused if it is held.
     pub fn record_arrival(&mut self, request: Fingerprint, now: Time) -> Option<Hold> {
         let suspect = self.suspects.get_mut(&request)?;
@@ -102,6 +136,11 @@
         }
     }
 
+    /// Whether a fingerprint is known to be that of a part of prompts.
+    pub fn is_part(&self, key: Fingerprint) -> bool {
+        self.suspects.get(&key).is_some_and(Suspect::is_part)
+    }
+
     /// Up to `limit` targets whose crashes count against a request.
     pub fn crashed_targets(&self, request: Fingerprint, limit: usize) -> Vec<Name> {
         let suspect = self.suspects.get(&request);
@@ -134,13 +173,38 @@
             let Some(suspect) = self.suspect_mut(*request, service, now) else {
                 continue;
             };
-            if suspect.record_crash(target, now) {
+            if suspect.record_crash(target, None, now) {
                 updated.push(*request);
             }
         }
         self.update_holds(updated, now)
     }
 
+    /// Records that a target crashed while running requests with these parts, each with one of those
+    /// requests.
+    pub fn record_part_crash(
+        &mut self,
+        target: &TargetId,
+        service: &Name,
+        parts: &[(Fingerprint, Fingerprint)],
+        now: Time,
+    ) -> Changes {
+        let mut updated = Vec::new();
+        for (part, request) in parts.iter().take(MAX_PARTS) {
+            if self.answered.has(*part, now) {
+                continue;
+            }
+            let Some(suspect) = self.suspect_mut(*part, service, now) else {
+                continue;
+            };
+            suspect.mark_part();
+            if suspect.record_crash(target, Some(*request), now) {
+                updated.push(*part);
+            }
+        }
+        self.update_holds(updated, now)
+    }
+
     /// Merges reports of another node, or of the store if `from` is `None`; returns what changed.
     pub fn merge(
         &mut self,
@@ -199,20 +263,42 @@
         changes
     }
 
-    /// Reports which requests with new crashes are now held, and clears requests that are not held
-    /// of the crashes that these account for.
-    fn update_holds(&mut self, updated: Vec<Fingerprint>, now: Time) -> Changes {
+    /// Reports which requests and parts with new crashes are now held, and clears others of the
+    /// crashes that these account for.
+    fn update_holds(&mut self, mut updated: Vec<Fingerprint>, now: Time) -> Changes {
         let mut changes = Vec::new();
-        for request in updated {
-            let Some(hold) = self.hold(request, now) else {
+        let crashes = |of: &Fingerprint| self.suspects.get(of).map_or(0, Suspect::count_crashes);
+        updated.sort_by_cached_key(|key| std::cmp::Reverse(crashes(key)));
+        for key in updated {
+            // A part that was reported before may account for its crashes by now.
+            let Some(hold) = self.hold(key, now) else {
                 continue;
             };
-            changes.push((request, Change::Held(hold)));
-            let crashed: Vec<TargetId> =
-                self.suspects[&request].active_crashes().cloned().collect();
-            for suspect in self.suspects.values_mut().filter(|c| !c.is_held()) {
+            changes.push((key, Change::Held(hold)));
+            changes.extend(self.clear_explained(key));
+        }
+        changes
+    }
+
+    /// Clears suspects of the crashes that a held request or part accounts for; returns those that
+    /// are no longer held.
+    fn clear_explained(&mut self, cause: Fingerprint) -> Changes {
+        let mut changes = Vec::new();
+        let is_part = self.suspects[&cause].is_part();
+        let crashed: Vec<TargetId> = self.suspects[&cause].active_crashes().cloned().collect();
+        for (key, suspect) in self.suspects.iter_mut().filter(|(key, _)| **key != cause) {
+            let was_held = suspect.is_held();
+            let is_explained = if is_part {
+                !was_held || suspect.is_explained_by(&crashed)
+            } else {
+                !was_held && !suspect.is_part()
+            };
+            if is_explained {
                 suspect.clear(&crashed);
             }
+            if was_held && !suspect.is_held() {
+                changes.push((*key, Change::Released("a part of prompts explains it")));
+            }
         }
         changes
     }
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -1,7 +1,7 @@
 //! Records of held requests in the store, which preserve the holds when all nodes restart.
 //! Operators can see there which requests are held, and release one by deleting its object.
 
-use model::forward::{CrashReport, Fingerprint, HeldRecord, SuspectReport};
+use model::forward::{CrashReport, Fingerprint, HeldRecord, SuspectReport, TargetId};
 use model::member::Node;
 use model::{Name, Time};
 
@@ -42,9 +42,13 @@
     ) -> (Changes, bool) {
         // The writer's clock may be off, so the age is capped at the time a held request is kept.
         let age_ms = unix_ms.saturating_sub(record.since).min(HELD_TTL.as_millis() as u64);
-        let end = |target: &_| CrashReport { target: Clone::clone(target), age_ms, cleared: false };
+        let end = |target: &TargetId| {
+            let target = target.clone();
+            CrashReport { target, age_ms, cleared: false, under: None }
+        };
         let report = SuspectReport {
             request: record.request,
+            is_part: record.is_part,
             service: record.service.clone(),
             crashes: record.targets.iter().map(end).collect(),
             tries: 0,
--- a/crates/decide/src/quarantine/suspect.rs
+++ b/crates/decide/src/quarantine/suspect.rs
@@ -1,12 +1,13 @@
 //! State of one suspected request.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::forward::{CrashReport, Fingerprint, HeldRecord, SuspectReport, TargetId};
 use model::{Name, Time};
 
-use super::HOLD_THRESHOLD;
 use super::gossip::GossipState;
+use super::{HOLD_THRESHOLD, PART_HOLD_THRESHOLD};
 
 /// How long a request is held before its first and its second trial. The cause of the crashes may
 /// have been fixed, or may not have been the request. After both trials it is held until an
@@ -14,6 +15,9 @@
 const HOLD_DURATIONS: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
 /// Maximum crashes remembered per request.
 const MAX_CRASHES: usize = 16;
+/// Crashes under the same request that count against a part of its prompt: a single request that
+/// crashes its targets must not hold back all others that share its parts.
+const MAX_CRASHES_PER_REQUEST: usize = 2;
 /// Interval at which peers are reminded that a held request still arrives.
 const REANNOUNCE_INTERVAL: Duration = Duration::from_secs(10 * 60);
 
@@ -33,12 +37,15 @@
     at: Time,
     /// The request is not the cause.
     cleared: bool,
+    /// For a part, a request with it that the target was running.
+    under: Option<Fingerprint>,
 }
 
-/// A request under which targets crashed.
+/// A request, or a part of prompts, under which targets crashed.
 #[derive(Debug)]
 pub(super) struct Suspect {
     service: Name,
+    is_part: bool,
     crashes: Vec<Crash>,
     trials: u32,
     last_trial: Time,
@@ -53,6 +60,7 @@
     pub(super) fn new(service: Name, now: Time) -> Self {
         Suspect {
             service,
+            is_part: false,
             crashes: Vec::new(),
             trials: 0,
             last_trial: Time::ZERO,
@@ -68,21 +76,50 @@
         self.crashes.iter().filter(|e| !e.cleared).map(|e| &e.target)
     }
 
+    /// Whether it is a part of prompts.
+    pub(super) fn is_part(&self) -> bool {
+        self.is_part
+    }
+
+    /// Records that it is a part of prompts.
+    pub(super) fn mark_part(&mut self) {
+        self.is_part = true;
+    }
+
+    fn threshold(&self) -> usize {
+        if self.is_part { PART_HOLD_THRESHOLD } else { HOLD_THRESHOLD }
+    }
+
+    /// Number of crashes that count against it.
+    pub(super) fn count_crashes(&self) -> usize {
+        let active = || self.crashes.iter().filter(|e| !e.cleared);
+        if !self.is_part {
+            return active().count();
+        }
+        let mut by_request: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+        for request in active().filter_map(|e| e.under) {
+            *by_request.entry(request).or_default() += 1;
+        }
+        let of_unknown = active().filter(|e| e.under.is_none()).count();
+        let of_known = by_request.into_values().map(|n| n.min(MAX_CRASHES_PER_REQUEST));
+        of_unknown + of_known.sum::<usize>()
+    }
+
     /// Whether enough crashes count against it to hold it, even if its next trial is due.
     pub(super) fn is_held(&self) -> bool {
-        self.active_crashes().count() >= HOLD_THRESHOLD
+        self.count_crashes() >= self.threshold()
     }
 
     /// Whether all nodes must know of it: it is held, or was and some nodes may still hold it.
     pub(super) fn is_global(&self) -> bool {
-        self.crashes.len() >= HOLD_THRESHOLD
+        self.crashes.len() >= self.threshold()
     }
 
     pub(super) fn hold(&self, now: Time) -> Option<Hold> {
-        let crashes = self.active_crashes().count();
-        if crashes < HOLD_THRESHOLD {
+        if !self.is_held() {
             return None;
         }
+        let crashes = self.active_crashes().count();
         let Some(duration) = HOLD_DURATIONS.get(self.trials as usize) else {
             return Some(Hold { crashes, remaining: None });
         };
@@ -119,19 +156,25 @@
         was_held
     }
 
-    /// Records that a target crashed while running it; returns whether that is new.
-    pub(super) fn record_crash(&mut self, target: &TargetId, now: Time) -> bool {
-        let is_new = self.add(target, now, false);
+    /// Records that a target crashed while running it, as a part in the request `under`; returns
+    /// whether that is new.
+    pub(super) fn record_crash(
+        &mut self,
+        target: &TargetId,
+        under: Option<Fingerprint>,
+        now: Time,
+    ) -> bool {
+        let is_new = self.add(Crash { target: target.clone(), at: now, cleared: false, under });
         if is_new {
             self.gossip.mark_changed();
         }
         is_new
     }
 
-    fn add(&mut self, target: &TargetId, at: Time, cleared: bool) -> bool {
-        if let Some(end) = self.crashes.iter_mut().find(|e| e.target == *target) {
-            let is_new = cleared && !end.cleared;
-            end.cleared |= cleared;
+    fn add(&mut self, crash: Crash) -> bool {
+        if let Some(end) = self.crashes.iter_mut().find(|e| e.target == crash.target) {
+            let is_new = crash.cleared && !end.cleared;
+            end.cleared |= crash.cleared;
             return is_new;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -140,10 +183,16 @@
             };
             self.crashes.remove(old);
         }
-        self.crashes.push(Crash { target: target.clone(), at, cleared });
+        self.crashes.push(crash);
         true
     }
 
+    /// Whether all crashes that count against it, and more, are among these.
+    pub(super) fn is_explained_by(&self, crashed: &[TargetId]) -> bool {
+        let mut own = self.active_crashes();
+        own.all(|target| crashed.contains(target)) && self.active_crashes().count() < crashed.len()
+    }
+
     /// Clears it of the crashes of these targets.
     pub(super) fn clear(&mut self, targets: &[TargetId]) {
         let mut has_changed = false;
@@ -167,15 +216,17 @@
     /// Its record for the store; `since` is the Unix time in milliseconds from which it is held.
     pub(super) fn to_record(&self, request: Fingerprint, since: u64) -> HeldRecord {
         let targets = self.active_crashes().cloned().collect();
-        HeldRecord { request, service: self.service.clone(), targets, since }
+        let service = self.service.clone();
+        HeldRecord { request, is_part: self.is_part, service, targets, since }
     }
 
     /// Merges the report of another node; returns whether anything was new.
     pub(super) fn merge(&mut self, report: &SuspectReport, now: Time) -> bool {
         let ago = |ms: u64| now - Duration::from_millis(ms);
         let mut is_new = false;
-        for end in &report.crashes {
-            is_new |= self.add(&end.target, ago(end.age_ms), end.cleared);
+        self.is_part |= report.is_part;
+        for CrashReport { target, age_ms, cleared, under } in report.crashes.clone() {
+            is_new |= self.add(Crash { target, at: ago(age_ms), cleared, under });
         }
         if report.tries > self.trials {
             self.trials = report.tries;
@@ -196,9 +247,11 @@
             target: e.target.clone(),
             age_ms: age(e.at),
             cleared: e.cleared,
+            under: e.under,
         };
         SuspectReport {
             request,
+            is_part: self.is_part,
             service: self.service.clone(),
             crashes: self.crashes.iter().map(end).collect(),
             tries: self.trials,
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -149,6 +149,7 @@
 
 fn empty_report(n: u8) -> model::forward::SuspectReport {
     model::forward::SuspectReport {
+        is_part: false,
         request: request(n),
         service: "plain".into(),
         crashes: Vec::new(),
--- a/crates/decide/tests/quarantine_spread.rs
+++ b/crates/decide/tests/quarantine_spread.rs
@@ -160,6 +160,26 @@
     assert!(cluster.messages <= 500 * 3, "{} messages", cluster.messages);
 }
 
+#[test]
+fn crashes_of_a_rack_failure_with_prompts_cost_a_few_messages_each_and_hold_nothing() {
+    let mut cluster = Cluster::new(100, 0.0, 7);
+    let key = |kind: &str, n: usize| Fingerprint::of(&[kind.as_bytes(), &n.to_le_bytes()]);
+    for n in 0..500 {
+        let (now, request) = (cluster.now, key("request", n));
+        let common = [key("route", 0), key("tenant", n % 10)];
+        let own = [key("session", n), key("page", n)];
+        let q = &mut cluster.nodes[n % 100].1;
+        common.iter().for_each(|part| _ = q.record_answer(*part, now));
+        q.record_crash(&target(n % 10), &"s".into(), &[request], now);
+        let parts: Vec<_> = common.into_iter().chain(own).map(|part| (part, request)).collect();
+        q.record_part_crash(&target(n % 10), &"s".into(), &parts, now);
+    }
+    (0..8).for_each(|_| cluster.step());
+    assert!(cluster.messages <= 1500 * 3, "{} messages", cluster.messages);
+    let held: usize = cluster.nodes.iter().map(|(_, q)| q.count_held(cluster.now)).sum();
+    assert_eq!(held, 0);
+}
+
 proptest! {
     #[test]
     fn all_connected_nodes_hold_the_request_despite_loss_and_churn(
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -268,17 +268,19 @@
         parts: &'a [String],
         after_ms: u64,
     },
-    /// A request is held from now on, or for longer, because targets that ran it crashed; `targets`
-    /// names the first of them. `left_ms` is missing if only an operator can release it.
+    /// A request, or a part of prompts, is held from now on, or for longer, because targets that ran
+    /// it crashed; `targets` names the first of them. `left_ms` is missing if only an operator can
+    /// release it.
     Held {
         same: &'a str,
+        part: bool,
         from: &'a str,
         ends: usize,
         targets: &'a [Name],
         #[serde(skip_serializing_if = "Option::is_none")]
         left_ms: Option<u64>,
     },
-    /// A held request was released.
+    /// A held request or part was released.
     Released { same: &'a str, from: &'a str, why: &'a str },
     /// A hold or release was written to the store; `why` is the error if that failed.
     Recorded { same: &'a str, what: &'a str, why: &'a str },
--- a/crates/forward/src/quarantine/keys.rs
+++ b/crates/forward/src/quarantine/keys.rs
@@ -20,4 +20,9 @@
             |id: u64| Fingerprint::of(&[b"prompt part", service.as_bytes(), &id.to_le_bytes()]);
         RequestKeys { request, parts: shared.iter().map(|part| key(part.id)).collect() }
     }
+
+    /// The request's key and those of the parts.
+    pub fn all(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
 }
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash the targets that run them: detects crashes, exchanges reports
+//! Quarantine of requests, and parts of prompts, that crash the targets that run them: detects crashes, exchanges reports
 //! with the other nodes, and keeps held requests in the store.
 
 mod attempts;
@@ -8,8 +8,9 @@
 mod spread;
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use decide::quarantine::{Change, Changes, Hold, Quarantine};
 use model::Name;
@@ -32,7 +33,9 @@
 }
 
 /// Reason given to callers whose request is held.
-pub const HELD_REASON: &str = "the targets that ran this request ended";
+const HELD_REASON: &str = "the targets that ran this request ended";
+/// Reason given to callers whose prompt has a part that is held.
+const HELD_PART_REASON: &str = "the targets that ran a part of this prompt ended";
 /// Source in log lines: requests of this node.
 const OWN_REQUESTS: &str = "own requests";
 /// Source in log lines: records in the store.
@@ -40,6 +43,15 @@
 /// Maximum number of targets named in one log line.
 const MAX_LOGGED_TARGETS: usize = 8;
 
+/// Why a request must not be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason given to its caller.
+    pub reason: &'static str,
+    /// Time until its next trial; `None` if only an operator can release it.
+    pub retry_after: Option<Duration>,
+}
+
 /// This node's view of the requests under which targets crashed.
 #[derive(Default)]
 pub struct LocalQuarantine {
@@ -65,27 +77,48 @@
         self.record_due.notify_one();
     }
 
-    /// Returns the hold on a request; `None` if it may be sent.
-    pub fn hold(&self, node: &Node, request: Fingerprint) -> Option<Hold> {
-        self.machine(|q| q.hold(request, node.now()))
+    /// Why a request must not be sent; `None` if it may be.
+    pub fn refusal(&self, node: &Node, keys: &RequestKeys) -> Option<Refusal> {
+        let hold = self.machine(|q| q.hold(keys.request, node.now()));
+        self.refusal_for(node, keys, hold)
     }
 
-    /// Records that a request arrived. It must be refused if a hold is returned.
-    pub fn record_arrival(&self, node: &Node, request: Fingerprint) -> Option<Hold> {
-        self.machine(|q| q.record_arrival(request, node.now()))
+    /// Records that a request arrived; returns why it must be refused.
+    pub fn record_arrival(&self, node: &Node, keys: &RequestKeys) -> Option<Refusal> {
+        let now = node.now();
+        let hold = self.machine(|q| {
+            keys.parts.iter().for_each(|part| _ = q.record_arrival(*part, now));
+            q.record_arrival(keys.request, now)
+        });
+        self.refusal_for(node, keys, hold)
     }
 
-    /// Returns whether a request may be sent now. Logs the send if it is the single trial of a
-    /// held request.
-    pub fn try_send(&self, node: &Node, id: &str, request: Fingerprint) -> bool {
-        let Ok(is_trial) = self.machine(|q| q.try_send(request, node.now())) else {
-            return false;
-        };
-        if is_trial {
-            Event::LetThrough { id, same: &request.to_string() }.emit();
-            self.changed.notify_one();
+    fn refusal_for(&self, node: &Node, keys: &RequestKeys, hold: Option<Hold>) -> Option<Refusal> {
+        if let Some(Hold { remaining: retry_after, .. }) = hold {
+            return Some(Refusal { reason: HELD_REASON, retry_after });
         }
-        true
+        let now = node.now();
+        let peers = || node.peers.roster(|r| r.peers());
+        let mut parts = keys.parts.iter();
+        let hold = parts.find_map(|part| {
+            self.machine(|q| q.part_hold(*part, &node.peers.id.name, peers, now))
+        })?;
+        Some(Refusal { reason: HELD_PART_REASON, retry_after: hold.remaining })
+    }
+
+    /// Records that a request is about to be sent, unless it must not be. Logs the send if it is the
+    /// single trial of a held request or part.
+    pub fn try_send(&self, node: &Node, id: &str, keys: &RequestKeys) -> Result<(), Refusal> {
+        if let Some(refusal) = self.refusal(node, keys) {
+            return Err(refusal);
+        }
+        for key in keys.all() {
+            if self.machine(|q| q.try_send(key, node.now())) == Ok(true) {
+                Event::LetThrough { id, same: &key.to_string() }.emit();
+                self.changed.notify_one();
+            }
+        }
+        Ok(())
     }
 
     /// Checks a target that may have begun a request and did not answer it completely.
@@ -130,24 +163,30 @@
     }
 
     /// Records that a target answered a request completely.
-    pub fn request_answered(&self, node: &Node, request: Fingerprint) {
-        if let Some(change) = self.machine(|q| q.record_answer(request, node.now())) {
-            self.handle_changes(OWN_REQUESTS, vec![(request, change)]);
-            self.changed.notify_one();
+    pub fn request_answered(&self, node: &Node, keys: &RequestKeys) {
+        for key in keys.all() {
+            if let Some(change) = self.machine(|q| q.record_answer(key, node.now())) {
+                self.handle_changes(OWN_REQUESTS, vec![(key, change)]);
+                self.changed.notify_one();
+            }
         }
     }
 
     /// Records that a target crashed under this work. A crash under pieces is also reported to the
     /// peers.
     fn target_crashed(&self, node: &Rc<Node>, target: &Target, work: Vec<Work>) {
-        let (mut requests, mut attempts) = (Vec::new(), Vec::new());
+        let (mut requests, mut parts, mut attempts) = (Vec::new(), BTreeMap::new(), Vec::new());
         for work in work {
             match work {
-                Work::Request(keys) => requests.push(keys.request),
+                Work::Request(keys) => {
+                    requests.push(keys.request);
+                    parts.extend(keys.parts.into_iter().map(|part| (part, keys.request)));
+                }
                 Work::Pieces(attempt) => attempts.push(attempt),
             }
         }
         self.record_crash(node, &target.id, &target.service, &requests);
+        self.record_part_crash(node, &target.id, &target.service, parts);
         if !attempts.is_empty() {
             let (target, service) = (target.id.clone(), target.service.clone());
             let crash = WorkerCrash { target, service, attempts };
@@ -169,6 +208,19 @@
         self.changed.notify_one();
     }
 
+    fn record_part_crash(
+        &self,
+        node: &Node,
+        target: &TargetId,
+        service: &Name,
+        parts: BTreeMap<Fingerprint, Fingerprint>,
+    ) {
+        let (now, parts) = (node.now(), Vec::from_iter(parts));
+        let changes = self.machine(|q| q.record_part_crash(target, service, &parts, now));
+        self.handle_changes(OWN_REQUESTS, changes);
+        self.changed.notify_one();
+    }
+
     /// Records a worker's crash under pieces, some of which may belong to attempts of this node.
     fn worker_crashed(&self, node: &Node, crash: &WorkerCrash) {
         let requests: Vec<Fingerprint> = {
@@ -212,8 +264,9 @@
                     self.record_due.notify_one();
                     let targets = self.machine(|q| q.crashed_targets(request, MAX_LOGGED_TARGETS));
                     let left_ms = hold.remaining.map(|left| left.as_millis() as u64);
+                    let part = self.machine(|q| q.is_part(request));
                     let (same, targets) = (&*same, &*targets);
-                    Event::Held { same, from, ends: hold.crashes, targets, left_ms }.emit();
+                    Event::Held { same, part, from, ends: hold.crashes, targets, left_ms }.emit();
                 }
                 Change::Released(why) => Event::Released { same: &same, from, why }.emit(),
             }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -11,13 +11,14 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use model::Name;
 use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Repeat, Route, StreamOrigin};
 
 use super::exchange::{Admitted, Exchange, ReceivedRequest};
 use super::reply::{self, Body};
 use crate::events::Event;
 use crate::node::Node;
-use crate::quarantine::{HELD_REASON, RequestKeys};
+use crate::quarantine::RequestKeys;
 use crate::rules::{RuleTable, choose_service};
 use crate::streams;
 
@@ -116,39 +117,28 @@
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Resolved { route, service, workspace, rank, allowed } = resolved;
+    let origin = find_origin(node, &head, &route, workspace.as_ref()).await;
+    let origin = origin.map_err(|r| r.into_response(node, &head))?;
+    let service = origin.as_ref().map_or(service, |o| o.service.clone());
     let fingerprint = fingerprint(&parts, &head, workspace.as_ref(), &body);
-    if let Some(hold) = node.quarantine.record_arrival(node, fingerprint) {
+    let keys = RequestKeys::new(fingerprint, &service, &head);
+    if let Some(held) = node.quarantine.record_arrival(node, &keys) {
         node.metrics.count_quarantine_refusal(&route.name);
         let refusal = Refusal {
-            retry_after: hold.remaining,
+            retry_after: held.retry_after,
             fingerprint: Some(fingerprint),
-            ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, HELD_REASON)
+            ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, held.reason)
         };
         return Err(refusal.into_response(node, &head));
     }
-    let origin = match route.repeat {
-        Repeat::StreamResumable => streams::find_origin(node, &head, workspace.as_ref()).await,
-        _ => Ok(None),
-    };
-    let is_served = |o: &StreamOrigin| route.split.iter().any(|share| share.service == o.service);
-    let origin = match origin {
-        Err(e) => Err(e.as_str()),
-        Ok(Some(o)) if !is_served(&o) => Err("the service that began the stream left its route"),
-        Ok(origin) => Ok(origin),
-    };
-    let origin = origin.map_err(|reason| {
-        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason);
-        refusal.retry_after(DEFAULT_RETRY_AFTER).into_response(node, &head)
-    })?;
-    let service = origin.as_ref().map_or(service, |o| o.service.clone());
     let request =
         ReceivedRequest { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let version = table.rules.version;
     let side = node.fleet(|f| f.versions().side_for_attempt(&service, &head.id));
     let admitted = Admitted {
         request,
-        keys: RequestKeys::new(fingerprint, &service, &head),
         head,
+        keys,
         route,
         service,
         workspace,
@@ -165,12 +155,36 @@
     Ok(Rc::new(Exchange::new(node.clone(), admitted)))
 }
 
+/// Origin of the stream that a request resumes; `None` if it does not resume any. A stream whose
+/// origin is not certain, or no longer serves its route, is refused.
+async fn find_origin(
+    node: &Rc<Node>,
+    head: &CallerHead,
+    route: &Route,
+    workspace: Option<&Name>,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    if route.repeat != Repeat::StreamResumable {
+        return Ok(None);
+    }
+    let refusal = |reason| {
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason);
+        refusal.retry_after(DEFAULT_RETRY_AFTER)
+    };
+    let origin = streams::find_origin(node, head, workspace).await;
+    let origin = origin.map_err(|e| refusal(e.as_str()))?;
+    let serves_route = |o: &StreamOrigin| route.split.iter().any(|s| s.service == o.service);
+    if origin.as_ref().is_some_and(|o| !serves_route(o)) {
+        return Err(refusal("the service that began the stream left its route"));
+    }
+    Ok(origin)
+}
+
 /// Fingerprint that is equal for the same request from the same caller. Headers are left out, since
 /// attempts of one request differ in them.
 fn fingerprint(
     parts: &Parts,
     head: &CallerHead,
-    workspace: Option<&model::Name>,
+    workspace: Option<&Name>,
     body: &[u8],
 ) -> Fingerprint {
     let caller = workspace.map(|w| &**w).or(head.key.as_deref()).unwrap_or_default();
@@ -183,8 +197,8 @@
 
 struct Resolved {
     route: Route,
-    service: model::Name,
-    workspace: Option<model::Name>,
+    service: Name,
+    workspace: Option<Name>,
     rank: Rank,
     allowed: Allowed,
 }
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -12,7 +12,6 @@
 use crate::events::Event;
 use crate::limits::{self, Permit};
 use crate::prefill::{self, Prompt, PromptGuard};
-use crate::quarantine::HELD_REASON;
 use crate::rollout;
 use crate::slots::{self, SlotGuard};
 use crate::stages::RequestResults;
@@ -256,9 +255,9 @@
 
     /// The next target; `None` if the request may not be sent again or no target may get it.
     pub(super) async fn next_target(&self, chosen: Option<Target>) -> Option<Choice> {
-        if self.quarantine_hold().is_some() {
+        if let Some(held) = self.quarantine_refusal() {
             self.node.metrics.count_quarantine_refusal(&self.route.name);
-            self.progress(|p| p.reason = HELD_REASON.into());
+            self.progress(|p| p.reason = held.reason.into());
             return None;
         }
         let attempts = self.progress(|p| p.attempts);
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::quarantine::Hold;
 use decide::resend::{Attempts, Ending};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use model::forward::{Allowed, CallerHead, Rank, Route, Side, StreamOrigin, Target, TargetId};
@@ -20,7 +19,7 @@
 use crate::limits::AT_LIMIT;
 use crate::node::{Node, OpenGuard};
 use crate::phase::LifePhase;
-use crate::quarantine::RequestKeys;
+use crate::quarantine::{self, RequestKeys};
 use crate::slots::NO_SLOT;
 use crate::stages::{self, Job, RequestResults, StageError};
 
@@ -356,12 +355,12 @@
 
     /// Records that a target answered the request completely.
     pub(super) fn record_completion(&self) {
-        self.node.quarantine.request_answered(&self.node, self.keys.request);
+        self.node.quarantine.request_answered(&self.node, &self.keys);
     }
 
-    /// The hold on the request if targets crashed while they ran it; it must not be sent then.
-    pub(super) fn quarantine_hold(&self) -> Option<Hold> {
-        self.node.quarantine.hold(&self.node, self.keys.request)
+    /// Why the request must not be sent: targets crashed while they ran it or a part of its prompt.
+    pub(super) fn quarantine_refusal(&self) -> Option<quarantine::Refusal> {
+        self.node.quarantine.refusal(&self.node, &self.keys)
     }
 
     /// Final response to a request that no target answered successfully.
@@ -380,8 +379,8 @@
                 if self.unserved_service().is_some() {
                     self.node.metrics.count_region_refusal(&self.route.name);
                 }
-                let retry_after = match self.quarantine_hold() {
-                    Some(hold) => hold.remaining,
+                let retry_after = match self.quarantine_refusal() {
+                    Some(held) => held.retry_after,
                     None => self
                         .earliest_retry()
                         .or(Some(NO_TARGET_RETRY_AFTER).filter(|_| self.has_allowed_domain())),
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -21,7 +21,6 @@
 use crate::heard;
 use crate::node::Node;
 use crate::prefill::PromptGuard;
-use crate::quarantine::HELD_REASON;
 use crate::rollout::{self, TrackedSend};
 use crate::slots::SlotGuard;
 use crate::stages::RequestResults;
@@ -138,9 +137,9 @@
         exchange.progress(|p| p.reason = "its permit ran out on the way".into());
         return Outcome::NoResponse;
     }
-    if !exchange.node.quarantine.try_send(&exchange.node, &exchange.head.id, exchange.keys.request)
-    {
-        exchange.progress(|p| p.reason = HELD_REASON.into());
+    let quarantine = &exchange.node.quarantine;
+    if let Err(held) = quarantine.try_send(&exchange.node, &exchange.head.id, &exchange.keys) {
+        exchange.progress(|p| p.reason = held.reason.into());
         return Outcome::NoResponse;
     }
     exchange.progress(|p| p.attempts.connected());
--- a/crates/model/src/forward/quarantine.rs
+++ b/crates/model/src/forward/quarantine.rs
@@ -19,13 +19,19 @@
     /// Whether the request is cleared of having caused it.
     #[serde(default)]
     pub cleared: bool,
+    /// For a part of prompts, a request with it that the target was running.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub under: Option<Fingerprint>,
 }
 
-/// All that a node knows about one request under which targets crashed.
+/// All that a node knows about one request, or part of prompts, under which targets crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// The request.
+    /// The request, or the part.
     pub request: Fingerprint,
+    /// Whether it is a part of prompts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_part: bool,
     /// Its service.
     #[serde(default)]
     pub service: Name,
@@ -43,6 +49,10 @@
     pub received_ms: u64,
 }
 
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// Quarantine state that a node reports to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineReport {
@@ -68,11 +78,13 @@
     pub attempts: Vec<Name>,
 }
 
-/// Held request as recorded in the store.
+/// Held request, or part of prompts, as recorded in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldRecord {
-    /// The request.
+    /// The request, or the part.
     pub request: Fingerprint,
+    /// Whether it is a part of prompts.
+    pub is_part: bool,
     /// Its service.
     pub service: Name,
     /// Targets that crashed while they ran it.
