Bound the bytes that copies of stream origins cost

A message named a time for each stream; now one time, the longest, for all streams of an origin, and a node with many new streams sends one each 750 ms instead of 500.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -11,6 +11,7 @@
 mod routes;
 mod slots;
 mod starts;
+mod streams;
 mod wire;
 
 use serde::{Deserialize, Serialize};
@@ -79,7 +80,13 @@
     let work = fleet::FLEET_SIZES
         .iter()
         .flat_map(|n| {
-            [fleet::measure(*n), ejections::measure(*n), links::measure(*n), slots::measure(*n)]
+            [
+                fleet::measure(*n),
+                ejections::measure(*n),
+                links::measure(*n),
+                slots::measure(*n),
+                streams::measure(*n),
+            ]
         })
         .flatten();
     work.chain(started.iter().flat_map(|n| starts::measure(*n))).collect()
--- a/crates/decide/src/streams/mod.rs
+++ b/crates/decide/src/streams/mod.rs
@@ -38,8 +38,8 @@
 impl StreamOrigins {
     /// Adds records of a peer.
     pub fn merge(&mut self, records: &StreamRecords, now: Time) {
-        for (stream, ttl_ms) in &records.streams {
-            let ttl = Duration::from_millis(u64::from(*ttl_ms));
+        let ttl = Duration::from_millis(records.ttl_ms);
+        for stream in &records.streams {
             self.record(*stream, records.origin.clone(), ttl, now);
         }
     }
--- a/crates/forward/src/streams/spread.rs
+++ b/crates/forward/src/streams/spread.rs
@@ -22,14 +22,21 @@
 /// Time in which streams that begin together are collected.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
 /// Minimum interval between two messages to a backup, which bounds their cost at a busy node.
-const MESSAGE_INTERVAL: Duration = Duration::from_millis(500);
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(750);
 /// Time that a record outlives its caller's deadline: a retry may have been on its way for a while.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
+/// Streams of one origin.
+#[derive(Default)]
+struct Batch {
+    streams: Vec<StreamKey>,
+    max_ttl: Duration,
+}
+
 /// Records that are not sent yet.
 #[derive(Default)]
 pub(super) struct Outbox {
-    queued: RefCell<BTreeMap<StreamOrigin, Vec<(StreamKey, u32)>>>,
+    queued: RefCell<BTreeMap<StreamOrigin, Batch>>,
     /// Whether a task will send them.
     is_due: Cell<bool>,
     /// Earliest time of the next message.
@@ -40,13 +47,19 @@
 
 impl Outbox {
     fn push(&self, stream: StreamKey, origin: StreamOrigin, ttl: Duration) {
-        let ttl_ms = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
-        self.queued.borrow_mut().entry(origin).or_default().push((stream, ttl_ms));
+        let mut queued = self.queued.borrow_mut();
+        let batch = queued.entry(origin).or_default();
+        batch.streams.push(stream);
+        batch.max_ttl = batch.max_ttl.max(ttl);
     }
 
     fn take(&self) -> Vec<StreamRecords> {
-        let queued = self.queued.take().into_iter();
-        queued.map(|(origin, streams)| StreamRecords { origin, streams }).collect()
+        let records = |(origin, batch): (StreamOrigin, Batch)| StreamRecords {
+            origin,
+            ttl_ms: batch.max_ttl.as_millis() as u64,
+            streams: batch.streams,
+        };
+        self.queued.take().into_iter().map(records).collect()
     }
 
     /// Time until the next message.
