--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -187,7 +187,9 @@
                         self.in_flight.report_failure();
                     }
                     self.exchange.progress(|p| p.reason = reason);
-                    if !self.resume().await {
+                    // Without a number, another target would start from the first event.
+                    let is_numbered = self.last_event.is_some();
+                    if !is_numbered || !self.resume().await {
                         self.is_finished = true;
                         self.exchange.log_end(200, "broken_off");
                         return Some(Err(io::Error::other(e)));
