Record crashes under requests and parts by one loop

The quarantine's machine walked requests and prompt parts by two copies of one loop, and the node had a second method around each. One private function takes both now, a part being what comes with a request; a doc line that was too long is wrapped. Nothing behaves otherwise.

--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -165,19 +165,8 @@
         requests: &[Fingerprint],
         now: Time,
     ) -> Changes {
-        let mut updated = Vec::new();
-        for request in requests {
-            if self.answered.has(*request, now) {
-                continue;
-            }
-            let Some(suspect) = self.suspect_mut(*request, service, now) else {
-                continue;
-            };
-            if suspect.record_crash(target, None, now) {
-                updated.push(*request);
-            }
-        }
-        self.update_holds(updated, now)
+        let crashes = requests.iter().map(|request| (*request, None));
+        self.record_crashes(target, service, crashes, now)
     }
 
     /// Records that a target crashed while running requests with these parts, each with one of those
@@ -188,18 +177,29 @@
         service: &Name,
         parts: &[(Fingerprint, Fingerprint)],
         now: Time,
+    ) -> Changes {
+        let crashes = parts.iter().take(MAX_PARTS).map(|(part, request)| (*part, Some(*request)));
+        self.record_crashes(target, service, crashes, now)
+    }
+
+    /// Records the crash of a target against requests and parts; each part comes with a request.
+    fn record_crashes(
+        &mut self,
+        target: &TargetId,
+        service: &Name,
+        crashes: impl Iterator<Item = (Fingerprint, Option<Fingerprint>)>,
+        now: Time,
     ) -> Changes {
         let mut updated = Vec::new();
-        for (part, request) in parts.iter().take(MAX_PARTS) {
-            if self.answered.has(*part, now) {
+        for (key, under) in crashes {
+            if self.answered.has(key, now) {
                 continue;
             }
-            let Some(suspect) = self.suspect_mut(*part, service, now) else {
+            let Some(suspect) = self.suspect_mut(key, service, now) else {
                 continue;
             };
-            suspect.mark_part();
-            if suspect.record_crash(target, Some(*request), now) {
-                updated.push(*part);
+            if suspect.record_crash(target, under, now) {
+                updated.push(key);
             }
         }
         self.update_holds(updated, now)
--- a/crates/decide/src/quarantine/suspect.rs
+++ b/crates/decide/src/quarantine/suspect.rs
@@ -81,11 +81,6 @@
         self.is_part
     }
 
-    /// Records that it is a part of prompts.
-    pub(super) fn mark_part(&mut self) {
-        self.is_part = true;
-    }
-
     fn threshold(&self) -> usize {
         if self.is_part { PART_HOLD_THRESHOLD } else { HOLD_THRESHOLD }
     }
@@ -164,6 +159,7 @@
         under: Option<Fingerprint>,
         now: Time,
     ) -> bool {
+        self.is_part |= under.is_some();
         let is_new = self.add(Crash { target: target.clone(), at: now, cleared: false, under });
         if is_new {
             self.gossip.mark_changed();
--- a/crates/forward/src/quarantine/mod.rs
+++ b/crates/forward/src/quarantine/mod.rs
@@ -1,5 +1,5 @@
-//! Quarantine of requests, and parts of prompts, that crash the targets that run them: detects crashes, exchanges reports
-//! with the other nodes, and keeps held requests in the store.
+//! Quarantine of requests, and parts of prompts, that crash the targets that run them: detects
+//! crashes, exchanges reports with the other nodes, and keeps what is held in the store.
 
 mod attempts;
 mod ends;
@@ -185,8 +185,8 @@
                 Work::Pieces(attempt) => attempts.push(attempt),
             }
         }
-        self.record_crash(node, &target.id, &target.service, &requests);
-        self.record_part_crash(node, &target.id, &target.service, parts);
+        let parts = Vec::from_iter(parts);
+        self.record_crash(node, &target.id, &target.service, &requests, &parts);
         if !attempts.is_empty() {
             let (target, service) = (target.id.clone(), target.service.clone());
             let crash = WorkerCrash { target, service, attempts };
@@ -195,28 +195,18 @@
         }
     }
 
+    /// Records a crash under requests and parts of prompts, each part with one of those requests.
     fn record_crash(
         &self,
         node: &Node,
         target: &TargetId,
         service: &Name,
         requests: &[Fingerprint],
+        parts: &[(Fingerprint, Fingerprint)],
     ) {
         let now = node.now();
-        let changes = self.machine(|q| q.record_crash(target, service, requests, now));
-        self.handle_changes(OWN_REQUESTS, changes);
-        self.changed.notify_one();
-    }
-
-    fn record_part_crash(
-        &self,
-        node: &Node,
-        target: &TargetId,
-        service: &Name,
-        parts: BTreeMap<Fingerprint, Fingerprint>,
-    ) {
-        let (now, parts) = (node.now(), Vec::from_iter(parts));
-        let changes = self.machine(|q| q.record_part_crash(target, service, &parts, now));
+        let mut changes = self.machine(|q| q.record_crash(target, service, requests, now));
+        changes.extend(self.machine(|q| q.record_part_crash(target, service, parts, now)));
         self.handle_changes(OWN_REQUESTS, changes);
         self.changed.notify_one();
     }
@@ -228,7 +218,7 @@
             crash.attempts.iter().filter_map(|attempt| known.request(attempt)).collect()
         };
         if !requests.is_empty() {
-            self.record_crash(node, &crash.target, &crash.service, &requests);
+            self.record_crash(node, &crash.target, &crash.service, &requests, &[]);
         }
     }
 
