Name a request's caller in one place

The keys of streams repeated how the fingerprint of a request tells its caller: the workspace of its key if known, else the key. `CallerHead::caller` serves both.

--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -187,7 +187,7 @@
     workspace: Option<&Name>,
     body: &[u8],
 ) -> Fingerprint {
-    let caller = workspace.map(|w| &**w).or(head.key.as_deref()).unwrap_or_default();
+    let caller = head.caller(workspace);
     let path_and_query = parts.uri.path_and_query().map_or("", |p| p.as_str());
     let method = parts.method.as_str();
     let texts = [method, &head.host, path_and_query, caller].map(str::as_bytes);
--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -58,7 +58,7 @@
 
 /// Identifies a stream by its caller and the attempt that brought its first event.
 fn stream_key(head: &CallerHead, workspace: Option<&Name>, first: &str) -> StreamKey {
-    let caller = workspace.map(|w| &**w).or(head.key.as_deref()).unwrap_or_default();
-    let parts = [caller, &head.host, first].map(|part| hash::hash64(part.as_bytes()));
+    let parts =
+        [head.caller(workspace), &head.host, first].map(|part| hash::hash64(part.as_bytes()));
     StreamKey(parts.into_iter().fold(0, hash::mix))
 }
--- a/crates/model/src/forward/caller.rs
+++ b/crates/model/src/forward/caller.rs
@@ -1,5 +1,7 @@
 //! Parsed heads of callers' requests.
 
+use crate::Name;
+
 /// Part of a prompt; requests with the same leading parts share the engine's cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -37,3 +39,10 @@
     /// Attempt that brought the first event of that stream.
     pub resumes: Option<String>,
 }
+
+impl CallerHead {
+    /// Who sends the request: the workspace of its key if known, else the key.
+    pub fn caller<'a>(&'a self, workspace: Option<&'a Name>) -> &'a str {
+        workspace.map(|w| &**w).or(self.key.as_deref()).unwrap_or_default()
+    }
+}
