--- a/crates/bench/src/slopes/links.rs
+++ b/crates/bench/src/slopes/links.rs
@@ -12,7 +12,7 @@
 use model::member::{Node, NodeId};
 use model::{Name, Time};
 
-use super::{Figure, counted};
+use super::{Figure, HEAD_BYTES, counted};
 
 /// Number of failure domains; the nodes of the first reach no target.
 const DOMAINS: usize = 5;
@@ -24,8 +24,6 @@
 const REQUEST_TIME: Duration = Duration::from_millis(200);
 /// Simulated rounds.
 const ROUNDS: usize = 20;
-/// Bytes of the heads of a question and its answer.
-const HEAD_BYTES: usize = 2 * 112;
 
 /// All figures of a fleet with this many nodes.
 pub fn measure(nodes: usize) -> Vec<Figure> {
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -26,6 +26,9 @@
 /// Nodes of one failure domain at the design size of 340 nodes in 6 failure domains.
 pub const DOMAIN_SIZE: usize = 57;
 
+/// Bytes of the heads of a message between nodes and its answer.
+const HEAD_BYTES: usize = 2 * 112;
+
 /// Value measured at one size.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Figure {
--- a/crates/bench/src/slopes/slots.rs
+++ b/crates/bench/src/slopes/slots.rs
@@ -6,14 +6,12 @@
 use model::forward::BrittleNotice;
 use model::{Name, Time};
 
-use super::{Figure, counted};
+use super::{Figure, HEAD_BYTES, counted};
 
 /// Interval between two answers at one node.
 const ANSWERS: Duration = Duration::from_millis(100);
 /// Answers at one node.
 const ROUNDS: u32 = 600;
-/// Bytes of the heads of a notice and its answer.
-const HEAD_BYTES: usize = 2 * 112;
 
 /// All figures of a fleet with this many nodes, the first of which is the announcer.
 pub fn measure(nodes: usize) -> Vec<Figure> {
--- a/crates/bench/src/slopes/streams.rs
+++ b/crates/bench/src/slopes/streams.rs
@@ -4,22 +4,19 @@
 
 use decide::fleet::Regions;
 use decide::roster::{PeerView, Roster};
+use decide::streams::MESSAGE_INTERVAL;
 use model::forward::{StreamKey, StreamOrigin, StreamRecords};
 use model::member::{Node, NodeId};
 use model::{Name, Time};
 
-use super::{Figure, counted};
+use super::{Figure, HEAD_BYTES, counted};
 
 /// Failure domains, half of them in each of two regions.
 const DOMAINS: usize = 6;
 /// Resumable streams that begin at a node per second, a fifth of its requests.
 const STREAMS_PER_S: f64 = 5.0;
-/// Interval between two messages to a backup while streams begin all the time.
-const MESSAGE_INTERVAL: Duration = Duration::from_millis(750);
 /// Versions at which the streams of one message began.
 const VERSIONS: u64 = 2;
-/// Bytes of the heads of a message and its answer.
-const HEAD_BYTES: usize = 2 * 112;
 
 /// All figures of a fleet with this many nodes.
 pub fn measure(nodes: usize) -> Vec<Figure> {
--- a/crates/decide/src/streams/mod.rs
+++ b/crates/decide/src/streams/mod.rs
@@ -15,6 +15,8 @@
 use model::Time;
 use model::forward::{StreamKey, StreamOrigin, StreamRecords};
 
+/// Minimum interval between two messages to a backup, which bounds their cost at a busy node.
+pub const MESSAGE_INTERVAL: Duration = Duration::from_millis(750);
 /// Maximum number of records, the streams of some minutes at many nodes; the ones that expire first
 /// are dropped.
 const MAX_RECORDS: usize = 65_536;
--- a/crates/forward/src/streams/spread.rs
+++ b/crates/forward/src/streams/spread.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use decide::streams::MESSAGE_INTERVAL;
 use model::forward::{CallerHead, StreamKey, StreamOrigin, StreamRecords};
 use model::member::{Node as PeerNode, NodeId};
 use model::{Name, Time};
@@ -21,8 +22,6 @@
 const ATTEMPTS: usize = 2;
 /// Time in which streams that begin together are collected.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
-/// Minimum interval between two messages to a backup, which bounds their cost at a busy node.
-const MESSAGE_INTERVAL: Duration = Duration::from_millis(750);
 /// Time that a record outlives its caller's deadline: a retry may have been on its way for a while.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
