Pace callers of limited and of brittle targets by one type

Limits and slots each kept a pacer for each service and looked it up by the same lines. `RetryPacers` keeps them for both.

--- a/crates/decide/src/permit/mod.rs
+++ b/crates/decide/src/permit/mod.rs
@@ -13,4 +13,4 @@
 pub use issuer::{Grant, MAX_LIMITED_PIECES, PermitIssuer, issue_rate};
 pub use limits::{LimitChange, Limits};
 pub use observation::{LimitObservation, MAX_TRANSIT};
-pub use pacer::RetryPacer;
+pub use pacer::{RetryPacer, RetryPacers};
--- a/crates/decide/src/permit/pacer.rs
+++ b/crates/decide/src/permit/pacer.rs
@@ -1,8 +1,9 @@
 //! Retry times for callers of a service whose targets are all at their limits.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use model::Time;
+use model::{Name, Time};
 
 /// Maximum retry delay beyond the time when a target accepts the next request. Few callers wait
 /// longer than this; those with later times are assumed to have given up, and the delays restart
@@ -28,3 +29,21 @@
         self.last.since(now)
     }
 }
+
+/// Retry times for the callers of each service.
+#[derive(Debug, Default)]
+pub struct RetryPacers(HashMap<Name, RetryPacer>);
+
+impl RetryPacers {
+    /// Delay after which the next caller of a service should retry; see [`RetryPacer::next`].
+    pub fn next(
+        &mut self,
+        service: &Name,
+        min_wait: Duration,
+        rate: f64,
+        nodes: usize,
+        now: Time,
+    ) -> Duration {
+        self.0.entry(service.clone()).or_default().next(min_wait, rate, nodes, now)
+    }
+}
--- a/crates/forward/src/limits/mod.rs
+++ b/crates/forward/src/limits/mod.rs
@@ -5,11 +5,10 @@
 mod spread;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::permit::{LimitChange, LimitObservation, PermitIssuer, RetryPacer};
+use decide::permit::{LimitChange, LimitObservation, PermitIssuer, RetryPacers};
 use model::forward::{ReportedLimit, Target, TargetId};
 use model::member::Node as PeerNode;
 use model::{Name, Time};
@@ -32,7 +31,7 @@
     unsupported_peers: UnsupportedPeers,
     /// Keepers that did not respond.
     unresponsive: PeerBackoff,
-    retry_pacers: RefCell<HashMap<Name, RetryPacer>>,
+    retry_pacers: RefCell<RetryPacers>,
     pending_updates: spread::PendingUpdates,
 }
 
@@ -70,8 +69,7 @@
             Some((earliest.since(now), limits.map(decide::permit::issue_rate).sum::<f64>()))
         })?;
         let nodes = node.peers.roster(|r| r.count());
-        let mut pacers = self.retry_pacers.borrow_mut();
-        Some(pacers.entry(service.clone()).or_default().next(earliest, rate, nodes, now))
+        Some(self.retry_pacers.borrow_mut().next(service, earliest, rate, nodes, now))
     }
 }
 
--- a/crates/forward/src/slots/mod.rs
+++ b/crates/forward/src/slots/mod.rs
@@ -5,11 +5,11 @@
 mod ask;
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::permit::RetryPacer;
+use decide::permit::RetryPacers;
 use decide::slots::{BrittleChange, SlotIssuer};
 use model::forward::{Target, TargetId};
 use model::{Name, Time};
@@ -35,7 +35,7 @@
     unsupported_peers: UnsupportedPeers,
     /// Keepers that did not respond.
     unresponsive: PeerBackoff,
-    retry_pacers: RefCell<HashMap<Name, RetryPacer>>,
+    retry_pacers: RefCell<RetryPacers>,
 }
 
 impl LocalSlots {
@@ -70,8 +70,7 @@
             return None;
         }
         let nodes = node.peers.roster(|r| r.count());
-        let mut pacers = self.retry_pacers.borrow_mut();
-        Some(pacers.entry(service.clone()).or_default().next(earliest, rate, nodes, now))
+        Some(self.retry_pacers.borrow_mut().next(service, earliest, rate, nodes, now))
     }
 }
 
