--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -1,13 +1,13 @@
-//! A sound replica. The last part of a request's path is the size of its answer or, below
+//! A replica, sound unless it was told to fail. The last part of a request's path is the size of its answer or, below
 //! [`STREAM`], the number of its events.
 
 use std::io::{Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::http;
+use crate::http::{self, Message};
 use crate::record::Record;
 use crate::store::Store;
 use crate::world::STREAM;
@@ -22,16 +22,30 @@
 #[derive(Clone)]
 pub struct Run {
     pub attempt: String,
+    /// Body of the request.
+    pub body: String,
     /// Whether the whole answer was handed to the connection.
     pub answered: bool,
 }
 
+/// How a replica fails while its health check is good: each request does its work, and a part of
+/// them then ends with this status, without `Not-Executed`.
+struct Failing {
+    status: u16,
+    until: Instant,
+    requests: usize,
+}
+
 pub struct Replica {
     id: String,
     record: Arc<Record>,
     runs: Mutex<Vec<Run>>,
+    failing: Mutex<Option<Failing>>,
 }
 
+/// Of how many requests in a row of a failing replica how many fail: a share of 0.45.
+const FAILED_OF: (usize, usize) = (9, 20);
+
 /// The byte at a position of an answer.
 pub fn byte_at(position: usize) -> u8 {
     b'a' + (position % 23) as u8
@@ -63,8 +77,12 @@
     ) -> Arc<Replica> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback has ports");
         let address: SocketAddr = listener.local_addr().expect("bound");
-        let replica =
-            Arc::new(Replica { id: id.into(), record: record.clone(), runs: Mutex::default() });
+        let replica = Arc::new(Replica {
+            id: id.into(),
+            record: record.clone(),
+            runs: Mutex::default(),
+            failing: Mutex::default(),
+        });
         let serving = replica.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -78,6 +96,22 @@
         replica
     }
 
+    /// Fails a part of the requests from now on with this status.
+    pub fn fail_for(&self, status: u16, time: Duration) {
+        let failing = Failing { status, until: Instant::now() + time, requests: 0 };
+        *self.failing.lock().expect("no panic") = Some(failing);
+    }
+
+    /// Status with which the request that has just done its work fails.
+    fn failure(&self) -> Option<u16> {
+        let mut failing = self.failing.lock().expect("no panic");
+        let failing = failing.as_mut().filter(|f| Instant::now() < f.until)?;
+        let (failed, of) = FAILED_OF;
+        let number = failing.requests % of;
+        failing.requests += 1;
+        ((number + 1) * failed / of > number * failed / of).then_some(failing.status)
+    }
+
     /// The runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("no panic").clone()
@@ -99,7 +133,7 @@
                 (_, None, _) => stream.write_all(
                     b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
                 ),
-                (path, Some(attempt), true) => self.run(&mut stream, path, attempt),
+                (path, Some(attempt), true) => self.run(&mut stream, &request, path, attempt),
             };
             if answered.is_err() {
                 return;
@@ -107,11 +141,25 @@
         }
     }
 
-    fn run(&self, stream: &mut TcpStream, path: &str, attempt: &str) -> Result<()> {
+    fn run(
+        &self,
+        stream: &mut TcpStream,
+        request: &Message,
+        path: &str,
+        attempt: &str,
+    ) -> Result<()> {
         let size = path.rsplit('/').next().and_then(|s| s.parse().ok()).unwrap_or(0);
-        let run = Run { attempt: attempt.into(), answered: false };
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let run = Run { attempt: attempt.into(), body, answered: false };
         self.runs.lock().expect("no panic").push(run);
         thread::sleep(WORK);
+        if let Some(status) = self.failure() {
+            self.record
+                .line(&format!("replica {}: ran {attempt}, then fails it with {status}", self.id));
+            return stream.write_all(
+                format!("HTTP/1.1 {status} Failed\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {}\r\nContent-Length: 0\r\n\r\n", self.id).as_bytes(),
+            );
+        }
         let sent = if path.starts_with(STREAM) {
             self.write_stream(stream, attempt, size)
         } else {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -12,6 +12,8 @@
 
 const ZONES: [&str; 3] = ["dar-a", "dar-b", "dar-c"];
 const SERVICE: &str = "wuno96b";
+/// Replicas of the service.
+const REPLICAS: usize = 7;
 /// Prefix of the route whose requests run at most once.
 pub const ONCE: &str = "/post/";
 /// Prefix of a route of streams that may not be resumed.
@@ -66,7 +68,7 @@
 pub struct World {
     pub record: Arc<Record>,
     pub nodes: Registry,
-    replicas: Vec<Arc<Replica>>,
+    pub replicas: Vec<Arc<Replica>>,
 }
 
 impl World {
@@ -79,10 +81,9 @@
         std::fs::create_dir_all(&temporary).map_err(|e| e.to_string())?;
         let store = Store::start();
         store.put("config", "main", &config());
-        let replicas = ZONES
-            .iter()
-            .enumerate()
-            .map(|(i, zone)| Replica::start(&format!("i-{i}"), SERVICE, zone, &store, &record));
+        let replicas = (0..REPLICAS).map(|i| {
+            Replica::start(&format!("i-{i}"), SERVICE, ZONES[i % ZONES.len()], &store, &record)
+        });
         let replicas = replicas.collect();
         let nodes = node::start(&ZONES, &store, &temporary);
         let mut running = registry.lock().expect("no panic");
@@ -100,8 +101,12 @@
 
     /// The runs of an attempt at all replicas.
     pub fn runs_of(&self, attempt: &str) -> Vec<Run> {
-        let runs = self.replicas.iter().flat_map(|r| r.runs());
-        runs.filter(|run| run.attempt == attempt).collect()
+        self.runs().into_iter().filter(|run| run.attempt == attempt).collect()
+    }
+
+    /// Runs of all attempts at all replicas.
+    pub fn runs(&self) -> Vec<Run> {
+        self.replicas.iter().flat_map(|r| r.runs()).collect()
     }
 
     /// Nodes that have ended, which none may unless it was told to.
