--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -40,20 +40,6 @@
 }
 
 impl Outcome {
-    /// Outcome of a request that could not be sent.
-    pub fn failed(why: &str) -> Outcome {
-        let end = Some(why.to_string());
-        Outcome {
-            status: 0,
-            stamped: false,
-            length: 0,
-            got: 0,
-            right: true,
-            end,
-            took: Duration::ZERO,
-        }
-    }
-
     /// Whether the client has the whole answer of a replica.
     pub fn is_whole(&self) -> bool {
         let has_all = self.got == self.length && self.got > 0;
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -62,8 +62,14 @@
     let Some(mut message) = read_head(stream)? else {
         return Ok(None);
     };
+    read_body(stream, &mut message)?;
+    Ok(Some(message))
+}
+
+/// Reads the body that a head announces.
+pub fn read_body(stream: &mut TcpStream, message: &mut Message) -> io::Result<()> {
     let mut body = vec![0; message.length()];
     stream.read_exact(&mut body)?;
     message.body = body;
-    Ok(Some(message))
+    Ok(())
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,7 +2,7 @@
 //! the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
-mod failing_replica;
+mod early_answers;
 mod http;
 mod node;
 mod planned_stop;
@@ -32,7 +32,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let run = match case.as_str() {
         "slow-readers" => slow_readers::run,
-        "failing-replica" => failing_replica::run,
+        "early-answers" => early_answers::run,
         "planned-stop" => planned_stop::run,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -1,20 +1,28 @@
-//! A replica, sound unless it was told to fail. The last part of a request's path is the size of its answer or, below
+//! A sound replica. The last part of a request's path is the size of its answer or, below
 //! [`STREAM`], the number of its events.
 
-use std::io::{Result, Write};
+use std::io::{Read, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::http::{self, Message};
 use crate::record::Record;
 use crate::store::Store;
+use crate::sys::{self, Receiving};
 use crate::world::STREAM;
 
 /// Time that a request takes.
 const WORK: Duration = Duration::from_millis(20);
 
+/// Size from which a body is long.
+const LONG_BYTES: usize = 100_000;
+/// Time after an early answer in which nothing is read.
+const READS_AFTER: Duration = Duration::from_millis(500);
+/// How a replica's host receives: small windows, and segments of an Ethernet link.
+const RECEIVING: Receiving = Receiving { buffer: 16_384, segment: 1460 };
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -28,24 +36,13 @@
     pub answered: bool,
 }
 
-/// How a replica fails while its health check is good: each request does its work, and a part of
-/// them then ends with this status, without `Not-Executed`.
-struct Failing {
-    status: u16,
-    until: Instant,
-    requests: usize,
-}
-
 pub struct Replica {
     id: String,
     record: Arc<Record>,
     runs: Mutex<Vec<Run>>,
-    failing: Mutex<Option<Failing>>,
+    is_early: AtomicBool,
 }
 
-/// Of how many requests in a row of a failing replica how many fail: a share of 0.45.
-const FAILED_OF: (usize, usize) = (9, 20);
-
 /// The byte at a position of an answer.
 pub fn byte_at(position: usize) -> u8 {
     b'a' + (position % 23) as u8
@@ -76,12 +73,13 @@
         record: &Arc<Record>,
     ) -> Arc<Replica> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback has ports");
+        sys::set_receiving(&listener, RECEIVING).expect("a socket takes options");
         let address: SocketAddr = listener.local_addr().expect("bound");
         let replica = Arc::new(Replica {
             id: id.into(),
             record: record.clone(),
             runs: Mutex::default(),
-            failing: Mutex::default(),
+            is_early: AtomicBool::new(false),
         });
         let serving = replica.clone();
         thread::spawn(move || {
@@ -96,20 +94,10 @@
         replica
     }
 
-    /// Fails a part of the requests from now on with this status.
-    pub fn fail_for(&self, status: u16, time: Duration) {
-        let failing = Failing { status, until: Instant::now() + time, requests: 0 };
-        *self.failing.lock().expect("no panic") = Some(failing);
-    }
-
-    /// Status with which the request that has just done its work fails.
-    fn failure(&self) -> Option<u16> {
-        let mut failing = self.failing.lock().expect("no panic");
-        let failing = failing.as_mut().filter(|f| Instant::now() < f.until)?;
-        let (failed, of) = FAILED_OF;
-        let number = failing.requests % of;
-        failing.requests += 1;
-        ((number + 1) * failed / of > number * failed / of).then_some(failing.status)
+    /// From now on, answers requests with long bodies before it has read them, holds the connection
+    /// open and reads on later.
+    pub fn answer_early(&self) {
+        self.is_early.store(true, Ordering::Relaxed);
     }
 
     /// The runs so far.
@@ -118,7 +106,13 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        while let Ok(Some(request)) = http::read(&mut stream) {
+        while let Ok(Some(mut request)) = http::read_head(&mut stream) {
+            if request.length() >= LONG_BYTES && self.is_early.load(Ordering::Relaxed) {
+                return self.run_early(&mut stream, &request);
+            }
+            if http::read_body(&mut stream, &mut request).is_err() {
+                return;
+            }
             let is_expected = request.header("expect-instance").is_none_or(|id| id == self.id);
             let answered = match (request.path(), request.header("attempt-id"), is_expected) {
                 ("/healthz", ..) => stream.write_all(
@@ -153,13 +147,6 @@
         let run = Run { attempt: attempt.into(), body, answered: false };
         self.runs.lock().expect("no panic").push(run);
         thread::sleep(WORK);
-        if let Some(status) = self.failure() {
-            self.record
-                .line(&format!("replica {}: ran {attempt}, then fails it with {status}", self.id));
-            return stream.write_all(
-                format!("HTTP/1.1 {status} Failed\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {}\r\nContent-Length: 0\r\n\r\n", self.id).as_bytes(),
-            );
-        }
         let sent = if path.starts_with(STREAM) {
             self.write_stream(stream, attempt, size)
         } else {
@@ -177,6 +164,37 @@
         sent
     }
 
+    /// Answers a request after its head, and reads its body later, until it is whole or the
+    /// connection ends.
+    fn run_early(&self, stream: &mut TcpStream, request: &Message) {
+        let attempt = request.header("attempt-id").unwrap_or("").to_string();
+        let size = request.path().rsplit('/').next().and_then(|s| s.parse().ok()).unwrap_or(0);
+        let answered = self.write_answer(stream, &attempt, size).is_ok();
+        thread::sleep(READS_AFTER);
+        let mut body = Vec::new();
+        let mut buffer = [0; 4096];
+        let mut end = "whole".to_string();
+        while body.len() < request.length() {
+            match stream.read(&mut buffer) {
+                Ok(0) => end = "the connection was closed".into(),
+                Ok(n) => {
+                    body.extend_from_slice(&buffer[..n]);
+                    continue;
+                }
+                Err(e) => end = e.to_string(),
+            }
+            break;
+        }
+        self.record.line(&format!(
+            "replica {}: ran {attempt}, answered early, read {} of {} bytes of its body: {end}",
+            self.id,
+            body.len(),
+            request.length()
+        ));
+        let body = String::from_utf8_lossy(&body).into_owned();
+        self.runs.lock().expect("no panic").push(Run { attempt, body, answered });
+    }
+
     fn head(&self, attempt: &str, more: &str) -> String {
         format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {}\r\n{more}\r\n\r\n",
--- a/review/standin/sys.rs
+++ b/review/standin/sys.rs
@@ -2,8 +2,8 @@
 
 use std::ffi::{c_int, c_void};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
-use std::os::fd::FromRawFd;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::fd::{AsRawFd, FromRawFd};
 
 pub const SIGHUP: c_int = 1;
 pub const SIGTERM: c_int = 15;
@@ -45,12 +45,32 @@
     pub segment: c_int,
 }
 
-/// Connects with options that must be set before the connection is made.
-pub fn connect_with(address: SocketAddrV4, receiving: Receiving) -> io::Result<TcpStream> {
-    let check = |result: c_int| match result {
+/// Sets how connections that a listener accepts from now on receive.
+pub fn set_receiving(listener: &TcpListener, receiving: Receiving) -> io::Result<()> {
+    set_options(listener.as_raw_fd(), receiving)
+}
+
+fn set_options(fd: c_int, receiving: Receiving) -> io::Result<()> {
+    let options =
+        [(SOL_SOCKET, SO_RCVBUF, receiving.buffer), (IPPROTO_TCP, TCP_MAXSEG, receiving.segment)];
+    for (level, name, value) in options {
+        if value > 0 {
+            let value: *const c_int = &value;
+            check(unsafe { setsockopt(fd, level, name, value.cast(), 4) })?;
+        }
+    }
+    Ok(())
+}
+
+fn check(result: c_int) -> io::Result<c_int> {
+    match result {
         -1 => Err(io::Error::last_os_error()),
         n => Ok(n),
-    };
+    }
+}
+
+/// Connects with options that must be set before the connection is made.
+pub fn connect_with(address: SocketAddrV4, receiving: Receiving) -> io::Result<TcpStream> {
     let ip: Ipv4Addr = *address.ip();
     let to = SockAddrIn {
         family: AF_INET as u16,
@@ -61,16 +81,7 @@
     unsafe {
         let fd = check(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))?;
         let stream = TcpStream::from_raw_fd(fd);
-        let options = [
-            (SOL_SOCKET, SO_RCVBUF, receiving.buffer),
-            (IPPROTO_TCP, TCP_MAXSEG, receiving.segment),
-        ];
-        for (level, name, value) in options {
-            if value > 0 {
-                let value: *const c_int = &value;
-                check(setsockopt(fd, level, name, value.cast(), 4))?;
-            }
-        }
+        set_options(fd, receiving)?;
         check(connect(fd, &to, size_of::<SockAddrIn>() as u32))?;
         Ok(stream)
     }
