--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -109,6 +109,11 @@
         self.replicas.iter().flat_map(|r| r.runs()).collect()
     }
 
+    /// Whether a replica has answered a request early.
+    pub fn has_early_runs(&self) -> bool {
+        self.replicas.iter().any(|r| r.has_early_runs())
+    }
+
     /// Nodes that have ended, which none may unless it was told to.
     pub fn ended(&self) -> Vec<(String, String)> {
         let mut running = self.nodes.lock().expect("no panic");
