Log how late a node's own connections are

The logs of the hot nodes could not tell a target that takes no connection from a link that is full: each line says that something took too long, none how long anything takes there now. The shortest connect time of the last 100 ms, less that at rest, is a delay of the host itself: `delay` lines at the changes, and `pumicevale_local_delay_ms`. No decision uses it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod config;
 pub mod deadline;
+pub mod delay;
 pub mod ejection;
 pub mod fleet;
 pub mod forecast;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -110,6 +110,9 @@
         peers: usize,
         took_ms: u64,
     },
+    /// Connections of this node take `delay_ms` longer than at rest (`base_ms`), whoever is on the
+    /// other side, or no longer do; it has `open` requests.
+    Delay { state: &'a str, delay_ms: u64, base_ms: u64, open: usize },
     /// A request was sent through a peer that had `open` requests `age_ms` ago, because the links
     /// were lost: the peer's `status`, or why there is none.
     Proxied {
--- a/crates/forward/src/links/probe.rs
+++ b/crates/forward/src/links/probe.rs
@@ -32,7 +32,7 @@
     if targets.is_empty() {
         return true;
     }
-    let connects = targets.iter().map(|t| Box::pin(upstream::connect_target(node, t.address)));
+    let connects = targets.iter().map(|t| Box::pin(upstream::connect_target(node, t)));
     select_ok(connects).await.is_ok()
 }
 
@@ -46,7 +46,7 @@
 
 /// Probes one target: an answer of any kind shows that it can be reached.
 async fn contact(node: &Node, target: &Target) -> Contact {
-    let Ok(socket) = upstream::connect_target(node, target.address).await else {
+    let Ok(socket) = upstream::connect_target(node, target).await else {
         return Contact::Unreachable;
     };
     let request = health_request(node, target);
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -98,6 +98,7 @@
     quarantined: Gauge,
     quarantine_refusals: Family<NameLabel, Counter>,
     links_lost: Gauge,
+    local_delay_ms: Gauge,
     proxied: Family<NameLabel, Counter>,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
@@ -150,6 +151,8 @@
     pub quarantined: usize,
     /// Whether this node reaches no target.
     pub links_lost: bool,
+    /// Delay that this node adds to its own connections.
+    pub delay: Duration,
     /// Targets that name a limit.
     pub limited: usize,
     /// Running rollouts: service, trial version and its share of the requests.
@@ -178,6 +181,7 @@
             quarantined: Gauge::default(),
             quarantine_refusals: Family::default(),
             links_lost: Gauge::default(),
+            local_delay_ms: Gauge::default(),
             proxied: Family::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
@@ -271,6 +275,8 @@
         registry.register("quarantine_refusals", help, self.quarantine_refusals.clone());
         let help = "1 while this node reaches no target";
         registry.register("links_lost", help, self.links_lost.clone());
+        let help = "Delay that this node adds to its own connections, in milliseconds";
+        registry.register("local_delay_ms", help, self.local_delay_ms.clone());
         let help = "Requests sent through other nodes while no target was reached, by outcome";
         registry.register("proxied", help, self.proxied.clone());
         let help = "Targets that name a limit";
@@ -466,6 +472,7 @@
         self.targets_cold.set(now.cold as i64);
         self.quarantined.set(now.quarantined as i64);
         self.links_lost.set(now.links_lost.into());
+        self.local_delay_ms.set(now.delay.as_millis() as i64);
         self.targets_limited.set(now.limited as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
--- a/crates/forward/src/quarantine/ends.rs
+++ b/crates/forward/src/quarantine/ends.rs
@@ -116,7 +116,7 @@
     let mut outcome = ConnectOutcome::NoResponse;
     for delay in CONNECT_DELAYS {
         tokio::time::sleep(delay).await;
-        outcome = match upstream::connect_target(node, target.address).await {
+        outcome = match upstream::connect_target(node, target).await {
             Ok(_) => ConnectOutcome::Accepted,
             // At a node that reaches no target, a refusal proves nothing.
             Err(e) if e.is_refused() && links::reaches_others(node, target).await => {
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -139,7 +139,7 @@
 async fn send_to_peer(exchange: &Rc<Exchange>, peer: &LinkPeer) -> Outcome {
     let node = &exchange.node;
     let address = peer.node.entry;
-    let socket = match upstream::connect(None, address).await {
+    let socket = match upstream::connect_peer(node, &peer.node).await {
         Ok(socket) => socket,
         Err(e) => return Outcome::NotRun(e.to_string()),
     };
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -119,7 +119,7 @@
     let mut in_flight =
         InFlightGuard::new(&exchange.node, target, exchange.head.tokens_in, prompt_guard);
     in_flight.slot = slot;
-    let socket = match upstream::connect_target(&exchange.node, target.address).await {
+    let socket = match upstream::connect_target(&exchange.node, target).await {
         Ok(socket) => socket,
         Err(e) => {
             if e.is_refused() {
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -67,7 +67,7 @@
     let sent = rollout::track_send(node, &target, &runner.pool.service, pieces, started + timeout);
     let crossing = RegionTraffic::to_target(node, MessageKind::Call, &call.worker);
     let work = async {
-        let socket = match upstream::connect_target(node, address).await {
+        let socket = match upstream::connect_target(node, &target).await {
             Ok(_) if permit.is_expired(node.now()) => {
                 return (CallEnd::Full, Observation::NotSent, "its permit ran out".into());
             }
--- a/crates/forward/src/stages/runner.rs
+++ b/crates/forward/src/stages/runner.rs
@@ -259,9 +259,9 @@
 
 /// Probes a worker by opening a connection to it.
 async fn probe(runner: Rc<Runner>, node: Rc<Node>, worker: TargetId) {
-    let address = node.fleet(|f| f.get(&worker).map(|b| b.target.address));
-    let alive = match address {
-        Some(address) => upstream::connect_target(&node, address).await.is_ok(),
+    let target = node.fleet(|f| f.get(&worker).map(|b| b.target.clone()));
+    let alive = match target {
+        Some(target) => upstream::connect_target(&node, &target).await.is_ok(),
         None => false,
     };
     runner.handle_event(&node, Event::Probed(worker, alive));
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -8,11 +8,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use decide::delay::{Connect, Party};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use model::Name;
+use model::forward::Target;
+use model::member::Node as PeerNode;
 use nix::sys::socket::{setsockopt, sockopt};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
@@ -79,17 +83,41 @@
 }
 
 /// Connects to a target, from the address in `bind` if the host has several.
-pub async fn connect_target(node: &Node, address: SocketAddr) -> Result<TcpStream, SendError> {
-    connect(node.settings().bind, address).await
+pub async fn connect_target(node: &Node, target: &Target) -> Result<TcpStream, SendError> {
+    let from = node.settings().bind;
+    connect(node, from, target.address, Party::Target, &target.domain).await
 }
 
-/// Connects to a target or a peer, from a given address of this host.
-pub async fn connect(from: Option<IpAddr>, address: SocketAddr) -> Result<TcpStream, SendError> {
-    match tokio::time::timeout(CONNECT_TIMEOUT, connect_from(from, address)).await {
+/// Connects to a peer, from any address of this host.
+pub async fn connect_peer(node: &Node, peer: &PeerNode) -> Result<TcpStream, SendError> {
+    connect(node, None, peer.entry, Party::Peer, &peer.domain).await
+}
+
+async fn connect(
+    node: &Node,
+    from: Option<IpAddr>,
+    address: SocketAddr,
+    party: Party,
+    domain: &Name,
+) -> Result<TcpStream, SendError> {
+    let begun = node.now();
+    let ended = tokio::time::timeout(CONNECT_TIMEOUT, connect_from(from, address)).await;
+    let took = node.now().since(begun);
+    let result = match ended {
         Ok(Ok(socket)) => Ok(socket),
         Ok(Err(e)) => Err(SendError::Connect(address, e)),
         Err(_) => Err(SendError::ConnectTimeout(address)),
+    };
+    let end = match &result {
+        Ok(_) => Some(Connect::Completed(took)),
+        Err(e) if e.is_refused() => Some(Connect::Completed(took)),
+        Err(SendError::ConnectTimeout(_)) => Some(Connect::TimedOut(took)),
+        Err(_) => None,
+    };
+    if let Some(end) = end {
+        node.record_connect(party, domain, end);
     }
+    result
 }
 
 async fn connect_from(from: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
