Do not take a late host for lost links or failing targets

Callers of a node whose link was full got "no target and no peer in reach" for seconds, from a node whose targets all worked. Cause: its connections took longer than its own time-outs of 150 and 250 ms, and it took that for the state of what lies behind: targets were ejected, links lost, coordinators held for gone, 200 ms after a target had answered.

Now a node knows how late it is itself: even the fastest of its recent connections was slow, or none of several was completed. While it is late, a connection that times out is no evidence against a target; missing answers of probes are no loss of the links, if connections to peers are slow too; a ping without an answer does not make a peer silent; and these time-outs are longer by twice the delay. Where peers answer promptly the links are held for lost as before (the 20 tests of platform/tests/links pass).

--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -160,8 +160,9 @@
         self.answered_at.is_none_or(|at| now.since(at) >= SILENCE_TIMEOUT)
     }
 
-    /// Ends a round of probes; returns whether the state has changed.
-    pub fn end_round(&mut self, contacts: &[Contact], now: Time) -> bool {
+    /// Ends a round of probes; returns whether the state has changed. While connections of this
+    /// node `is_late` whoever is on the other side, missing answers prove no loss.
+    pub fn end_round(&mut self, contacts: &[Contact], is_late: bool, now: Time) -> bool {
         self.is_probing = false;
         self.next_round = now + ROUND_INTERVAL;
         let before = self.state;
@@ -170,7 +171,7 @@
             if self.is_lost() {
                 self.state = LinkState::Returning(now);
             }
-        } else if !contacts.is_empty() && self.confirms_loss(contacts, now) {
+        } else if !contacts.is_empty() && !is_late && self.confirms_loss(contacts, now) {
             self.state = LinkState::Lost;
             self.lost_at = Some(now);
         }
--- a/crates/decide/src/roster/contact.rs
+++ b/crates/decide/src/roster/contact.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    pub(super) fn excuse_silence(&mut self, id: &NodeId, now: Time) {
+        if let Some(state) = self.peers.get_mut(id) {
+            state.checking = false;
+            state.last_answer = now;
+        }
+    }
+
     pub(super) fn is_silent(&self, id: &NodeId) -> bool {
         self.peers.get(id).is_some_and(|h| h.is_silent)
     }
--- a/crates/decide/src/roster/mod.rs
+++ b/crates/decide/src/roster/mod.rs
@@ -271,6 +271,11 @@
         self.liveness.mark_silent(id, domain.as_ref(), now);
     }
 
+    /// Records that a peer did not answer while this node itself was late, which proves nothing.
+    pub fn excuse_silence(&mut self, id: &NodeId, now: Time) {
+        self.liveness.excuse_silence(id, now);
+    }
+
     /// Records that an order begins to wait at a peer, whose reachability may not be known yet.
     pub fn begin_wait(&mut self, id: &NodeId, now: Time) {
         self.liveness.begin_wait(id, now);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod border;
 mod crossed;
+mod delay;
 mod ejections;
 mod events;
 mod heard;
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -156,9 +156,10 @@
 async fn run_probes(node: &Node) {
     let begun = node.now();
     let failing = node.links.machine(|m| m.failing().clone());
-    let contacts = probe::contact_targets(node, &failing).await;
+    let (contacts, ()) =
+        tokio::join!(probe::contact_targets(node, &failing), probe::connect_any_peer(node));
     let now = node.now();
-    if node.links.machine(|m| m.end_round(&contacts, now)) {
+    if node.links.machine(|m| m.end_round(&contacts, node.is_host_late(), now)) {
         apply_state(node);
         log_state(node, &contacts, now.since(begun));
     }
--- a/crates/forward/src/links/probe.rs
+++ b/crates/forward/src/links/probe.rs
@@ -36,6 +36,19 @@
     select_ok(connects).await.is_ok()
 }
 
+/// Connects to some peers until one accepts, to tell a delay of this node from lost links.
+pub(super) async fn connect_any_peer(node: &Node) {
+    let mut peers = node.peers.roster(|r| r.peers());
+    node.rng(|rng| rng.shuffle(&mut peers));
+    peers.truncate(MAX_PROBES);
+    let connects = peers.iter().map(|p| Box::pin(upstream::connect_peer(node, p)));
+    let connects: Vec<_> = connects.collect();
+    if !connects.is_empty() {
+        // Each outcome is recorded.
+        let _ = select_ok(connects).await;
+    }
+}
+
 fn choose(node: &Node, failing: &BTreeSet<Name>) -> Vec<Target> {
     let (domain, now) = (node.settings().domain.clone(), node.now());
     let map = node.peers.roster(|r| r.map());
@@ -51,7 +64,7 @@
     };
     let request = health_request(node, target);
     let answer = upstream::send_over(socket, target.address, request, None);
-    match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+    match tokio::time::timeout(node.stretched(ANSWER_TIMEOUT), answer).await {
         Ok(Ok(_)) => Contact::Answered,
         Ok(Err(_)) => Contact::Unreachable,
         Err(_) => Contact::Silent,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::delay::{Connect, LocalDelay, Party};
+use decide::delay::LocalDelay;
 use decide::fleet::{ColdLimit, Fleet, Observation, Regions};
 use decide::forecast::Forecast;
 use decide::relay::{self, OutageGrace};
@@ -68,6 +68,8 @@
     pub slots: LocalSlots,
     /// Links to the targets.
     pub links: LocalLinks,
+    /// Delay that this node adds to its own connections.
+    pub(crate) delay: RefCell<LocalDelay>,
     /// Origins of resumable streams.
     pub streams: LocalStreams,
     /// Ejections that nodes share.
@@ -83,7 +85,6 @@
     forecast: RefCell<Forecast>,
     rng: RefCell<Rng>,
     outage_grace: RefCell<OutageGrace>,
-    delay: RefCell<LocalDelay>,
     targets_known: Cell<bool>,
     /// Latest known epoch of the store.
     epoch: Cell<Option<u64>>,
@@ -115,6 +116,7 @@
             limits: LocalLimits::default(),
             slots: LocalSlots::default(),
             links: LocalLinks::default(),
+            delay: RefCell::default(),
             streams: LocalStreams::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
@@ -126,7 +128,6 @@
             forecast: RefCell::default(),
             rng: RefCell::new(Rng::new(rand::random())),
             outage_grace: RefCell::default(),
-            delay: RefCell::default(),
             targets_known: Cell::new(false),
             epoch: Cell::new(None),
             version: watch::Sender::new(0),
@@ -246,6 +247,9 @@
             self.links.record_failure(&target.name, now);
         }
         let answered = matches!(observation, Observation::Answered(_));
+        if observation == Observation::Unreachable && self.is_late() {
+            return false;
+        }
         if !answered && !self.settings().policy.ejection {
             return false;
         }
@@ -351,28 +355,6 @@
         age.unwrap_or(now.since(Time::ZERO)).as_millis() as u64
     }
 
-    /// Records the end of a connection attempt to a failure domain, by which the node knows how late
-    /// it is itself. Those to far domains take long at all times.
-    pub fn record_connect(&self, party: Party, domain: &Name, connect: Connect) {
-        if !self.peers.roster(|r| r.map().is_near(domain)) {
-            return;
-        }
-        let now = self.now();
-        let mut delay = self.delay.borrow_mut();
-        if !delay.record(party, connect, now) {
-            return;
-        }
-        let state = if delay.is_late(now) { "late" } else { "prompt" };
-        let [delay_ms, base_ms] =
-            [delay.current(now), delay.base()].map(|time| time.as_millis() as u64);
-        Event::Delay { state, delay_ms, base_ms, open: self.open_requests() }.emit();
-    }
-
-    /// Delay that this node adds to its own connections.
-    pub fn local_delay(&self) -> Duration {
-        self.delay.borrow().current(self.now())
-    }
-
     /// Current metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.render(Gauges {
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -327,11 +327,13 @@
                 node.peers.record_hung(&peer.id, now);
                 Event::Hung { peer: &peer.id.name }.emit();
             }
-            match pong {
-                Pong::None => node.peers.roster(|r| r.mark_silent(&peer.id, now)),
-                Pong::Kept | Pong::New => node.peers.roster(|r| r.mark_answered(&peer.id, now)),
-            }
-            pong != Pong::None
+            let is_responsive = pong != Pong::None || node.is_late();
+            node.peers.roster(|r| match pong {
+                Pong::None if is_responsive => r.excuse_silence(&peer.id, now),
+                Pong::None => r.mark_silent(&peer.id, now),
+                Pong::Kept | Pong::New => r.mark_answered(&peer.id, now),
+            });
+            is_responsive
         }
     }
 }
@@ -350,7 +352,7 @@
 /// Pings a peer over a pooled connection, and after `PING_RETRY_DELAY` over a new one as well.
 async fn ping(node: &Rc<Node>, peer: SocketAddr) -> Pong {
     let new = tokio::task::spawn_local(ping_new_connection(node.clone(), peer));
-    let kept = call::<_, ()>(node, peer, server::PING, &(), PING_TIMEOUT).await;
+    let kept = call::<_, ()>(node, peer, server::PING, &(), node.stretched(PING_TIMEOUT)).await;
     match kept {
         Ok(()) => {
             new.abort();
@@ -362,8 +364,8 @@
 }
 
 async fn ping_new_connection(node: Rc<Node>, peer: SocketAddr) -> bool {
-    tokio::time::sleep(PING_RETRY_DELAY).await;
     let remaining = PING_TIMEOUT - PING_RETRY_DELAY;
+    tokio::time::sleep(node.stretched(PING_RETRY_DELAY)).await;
     let client = Client::new(remaining);
     call_with::<_, ()>(&node, &client, peer, server::PING, &(), remaining).await.is_ok()
 }
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -8,13 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::delay::{Connect, Party};
+use decide::delay::Connect;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use model::Name;
 use model::forward::Target;
 use model::member::Node as PeerNode;
 use nix::sys::socket::{setsockopt, sockopt};
@@ -84,40 +83,40 @@
 
 /// Connects to a target, from the address in `bind` if the host has several.
 pub async fn connect_target(node: &Node, target: &Target) -> Result<TcpStream, SendError> {
-    let from = node.settings().bind;
-    connect(node, from, target.address, Party::Target, &target.domain).await
+    let attempt = node.begin_connect(&target.domain);
+    let (result, end) = connect(node, node.settings().bind, target.address).await;
+    attempt.end(end);
+    result
 }
 
 /// Connects to a peer, from any address of this host.
 pub async fn connect_peer(node: &Node, peer: &PeerNode) -> Result<TcpStream, SendError> {
-    connect(node, None, peer.entry, Party::Peer, &peer.domain).await
+    let (result, end) = connect(node, None, peer.entry).await;
+    if let Some(end) = end {
+        node.record_peer_connect(&peer.domain, end);
+    }
+    result
 }
 
+/// Connects, and tells what the end says of this node's own delay, if anything.
 async fn connect(
     node: &Node,
     from: Option<IpAddr>,
     address: SocketAddr,
-    party: Party,
-    domain: &Name,
-) -> Result<TcpStream, SendError> {
+) -> (Result<TcpStream, SendError>, Option<Connect>) {
     let begun = node.now();
-    let ended = tokio::time::timeout(CONNECT_TIMEOUT, connect_from(from, address)).await;
-    let took = node.now().since(begun);
-    let result = match ended {
-        Ok(Ok(socket)) => Ok(socket),
-        Ok(Err(e)) => Err(SendError::Connect(address, e)),
-        Err(_) => Err(SendError::ConnectTimeout(address)),
-    };
-    let end = match &result {
-        Ok(_) => Some(Connect::Completed(took)),
-        Err(e) if e.is_refused() => Some(Connect::Completed(took)),
-        Err(SendError::ConnectTimeout(_)) => Some(Connect::TimedOut(took)),
-        Err(_) => None,
-    };
-    if let Some(end) = end {
-        node.record_connect(party, domain, end);
+    let timeout = node.stretched(CONNECT_TIMEOUT);
+    let ended = tokio::time::timeout(timeout, connect_from(from, address)).await;
+    let completed = Some(Connect::Completed(node.now().since(begun)));
+    match ended {
+        Ok(Ok(socket)) => (Ok(socket), completed),
+        Ok(Err(e)) => {
+            let e = SendError::Connect(address, e);
+            let end = completed.filter(|_| e.is_refused());
+            (Err(e), end)
+        }
+        Err(_) => (Err(SendError::ConnectTimeout(address)), Some(Connect::TimedOut)),
     }
-    result
 }
 
 async fn connect_from(from: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
