--- a/crates/decide/src/delay/mod.rs
+++ b/crates/decide/src/delay/mod.rs
@@ -1,7 +1,7 @@
 //! How long new connections of this node take, whoever is on the other side.
 //!
 //! Connections to many targets share this host's link and processor. If even the fastest of the
-//! recent ones was slow, the cause is this host, not the targets. If none of several was completed,
+//! recent ones was slow, the cause is this host, not the targets. If most were not completed at all,
 //! the cause is open: lost links look the same, until a connection to a peer tells.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -148,14 +148,15 @@
         shortest.unwrap_or_default().saturating_sub(self.base.get())
     }
 
-    /// Whether several connections were attempted and none was completed lately.
+    /// Whether several connections were attempted and none was completed promptly of late.
     fn is_stuck(&self, now: Time) -> bool {
-        if self.recent(now).any(|b| b.completed > 0) {
+        let is_slow = |took: Duration| took.saturating_sub(self.base.get()) >= LATE_DELAY;
+        if self.recent(now).filter_map(|b| b.shortest).any(|took| !is_slow(took)) {
             return false;
         }
-        let timed_out: usize = self.recent(now).map(|b| b.timed_out).sum();
-        let is_slow = |since: &&Time| now.since(**since) >= LATE_DELAY;
-        timed_out + self.pending.values().filter(is_slow).count() >= MIN_SAMPLES
+        let ended: usize = self.recent(now).map(|b| b.completed + b.timed_out).sum();
+        let pending = self.pending.values().filter(|since| is_slow(now.since(**since)));
+        ended + pending.count() >= MIN_SAMPLES
     }
 
     /// Whether recent connections were late, so that a timeout is no evidence against a target.
--- a/crates/decide/tests/delay.rs
+++ b/crates/decide/tests/delay.rs
@@ -49,13 +49,15 @@
 }
 
 #[test]
-fn a_node_is_late_while_none_of_several_connections_is_completed() {
+fn a_node_is_late_while_none_of_several_connections_is_completed_promptly() {
     let (mut delay, now) = prompt_node();
     let attempts: Vec<u64> = (0..3).map(|_| delay.begin(now)).collect();
     assert!(!delay.is_late(now + ms(20)));
     assert!(delay.is_late(now + ms(40)));
     delay.end(attempts[0], Some(Connect::Completed(ms(41))), now + ms(41));
-    assert!(!delay.is_late(now + ms(41)), "one of them was completed");
+    assert!(delay.is_late(now + ms(41)), "it was completed late");
+    connect(&mut delay, Connect::Completed(ms(3)), now + ms(42));
+    assert!(!delay.is_late(now + ms(42)), "another was completed promptly");
 }
 
 #[test]
