Take on no more requests than the node can carry

Callers of the node that got most new connections were served 0 to a third, for as long as others called, while the other nodes were idle. Cause: nothing bounded what a node reads. Beyond what its link or processor carries every request is late, and one that is refused after it was read costs as much as one that is served, so the overload held itself up.

A node that is ready takes a connection at least every 2 s.

--- a/crates/forward/src/delay.rs
+++ b/crates/forward/src/delay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::delay::Connect;
+use decide::delay::{Connect, Pace};
 use model::Name;
 
 use crate::events::Event;
@@ -72,6 +72,11 @@
         self.delay.borrow().is_late(self.now())
     }
 
+    /// How late this node's own connections are.
+    pub fn pace(&self) -> Pace {
+        self.delay.borrow().pace(self.now())
+    }
+
     /// Whether this host is known to be the cause of late connections, rather than lost links.
     pub fn is_host_late(&self) -> bool {
         self.delay.borrow().is_host_late(self.now())
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -113,6 +113,14 @@
     /// Connections of this node take `delay_ms` longer than at rest (`base_ms`), whoever is on the
     /// other side, or no longer do; it has `open` requests.
     Delay { state: &'a str, delay_ms: u64, base_ms: u64, open: usize },
+    /// The node begins to take on only so many requests at a time, or again any number, since its
+    /// own connections are late by `delay_ms`, or no longer are; it has `open` ones.
+    Intake {
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit: Option<usize>,
+        open: usize,
+        delay_ms: u64,
+    },
     /// A request was sent through a peer that had `open` requests `age_ms` ago, because the links
     /// were lost: the peer's `status`, or why there is none.
     Proxied {
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -1,6 +1,8 @@
 //! Accepts callers' connections.
 
+use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,8 +10,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::intake::ReadingGuard;
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::serve;
@@ -20,39 +23,91 @@
 /// Minimum head size that the buffer allows for, even if the settings permit less.
 const MIN_HEAD_BYTES: usize = 16 << 10;
 
-/// Accepts connections until this node's closing phase; from then on new ones are refused.
+/// Delay after a failed accept or listen; most likely the process is out of descriptors.
+const RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Time for which a connection without a request counts as one that is being read.
+const READING_TIME: Duration = Duration::from_secs(1);
+
+/// Accepts connections until this node's closing phase; from then on new ones are refused. So they
+/// are while the node is full: their callers can go to another node at once.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    tokio::select! {
+        () = accept_all(&node, listener) => {}
+        () = node.wait_for_phase(LifePhase::Closing) => {}
+    }
+}
+
+async fn accept_all(node: &Rc<Node>, first: TcpListener) {
     let max_connections = (node.settings().descriptors as f64 * CONNECTIONS_SHARE) as usize;
     let slots = std::sync::Arc::new(Semaphore::new(max_connections.max(1)));
+    let mut listener = Some(first);
+    let mut has_room = true;
     loop {
         // At the maximum, callers wait to be accepted.
-        let permit = slots.clone().acquire_owned().await;
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = node.wait_for_phase(LifePhase::Closing) => return,
-        };
-        let Ok((socket, _)) = accepted else {
-            // Most likely out of descriptors; wait until some are closed.
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        let permit = slots.clone().acquire_owned().await.expect("never closed");
+        let Some(open) = listener.take().or_else(|| listen_again(node)) else {
+            tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        configure_socket(&socket);
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
-            serve_connection(node, socket).await;
+        if has_room && node.intake.is_full(node) {
             drop(permit);
-        });
+            for socket in accept_waiting(open) {
+                if let Ok(permit) = slots.clone().try_acquire_owned() {
+                    serve_socket(node, socket, permit);
+                }
+            }
+            has_room = node.intake.wait_for_room(node).await;
+            continue;
+        }
+        let accepted = open.accept().await;
+        listener = Some(open);
+        has_room = true;
+        match accepted {
+            Ok((socket, _)) => serve_socket(node, socket, permit),
+            Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+        }
     }
 }
 
+/// Closes a listener; returns the connections that wait to be accepted, whose requests may be on the
+/// way already.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let to_stream = |(socket, _): (std::net::TcpStream, SocketAddr)| {
+        socket.set_nonblocking(true).ok()?;
+        TcpStream::from_std(socket).ok()
+    };
+    accepted.filter_map(to_stream).collect()
+}
+
+fn serve_socket(node: &Rc<Node>, socket: TcpStream, permit: OwnedSemaphorePermit) {
+    configure_socket(&socket);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        serve_connection(node, socket).await;
+        drop(permit);
+    });
+}
+
+fn listen_again(node: &Node) -> Option<TcpListener> {
+    let listener = super::listen(node.settings().callers);
+    listener.inspect_err(|e| log::warn!("callers: {e:#}")).ok()
+}
+
 async fn serve_connection(node: Rc<Node>, socket: TcpStream) {
+    let reading = Rc::new(Cell::new(Some(ReadingGuard::new(&node))));
+    let first = reading.clone();
     let limits = node.table().rules.limits.clone();
     // The timer for a head also runs while a keep-alive connection is idle.
     let idle_timeout = Duration::from_millis(limits.idle_ms.max(limits.head_ms));
     let handler = node.clone();
     let service = service_fn(move |request| {
         let node = handler.clone();
-        async move { Ok::<_, Infallible>(serve::handle_request(node, request).await) }
+        let reading = first.take().unwrap_or_else(|| ReadingGuard::new(&node));
+        async move { Ok::<_, Infallible>(serve::handle_request(node, request, reading).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -61,8 +116,14 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
+    let expire = async {
+        tokio::time::sleep(READING_TIME).await;
+        drop(reading.take());
+        std::future::pending().await
+    };
     let is_closing = tokio::select! {
         _ = connection.as_mut() => false,
+        () = expire => false,
         () = node.wait_for_phase(LifePhase::Closing) => true,
     };
     if is_closing {
--- /dev/null
+++ b/crates/forward/src/ingress/intake.rs
@@ -0,0 +1,72 @@
+//! Requests that this node takes on (see [`decide::intake`]).
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use decide::intake::Intake;
+
+use crate::events::Event;
+use crate::node::Node;
+
+/// Interval at which a full node checks whether it has room again.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum time for which a node takes no new connection.
+const MAX_CLOSED_TIME: Duration = Duration::from_secs(2);
+
+/// Limit on the requests in progress, and those that are being read.
+#[derive(Default)]
+pub struct LocalIntake {
+    machine: RefCell<Intake>,
+    reading: Cell<usize>,
+}
+
+impl LocalIntake {
+    /// Whether no further request is to be taken on.
+    pub fn is_full(&self, node: &Node) -> bool {
+        let open = node.open_requests() + self.reading.get();
+        let mut machine = self.machine.borrow_mut();
+        if machine.adjust(open, node.pace(), node.now()) {
+            let limit = machine.limit();
+            Event::Intake { limit, open, delay_ms: node.local_delay().as_millis() as u64 }.emit();
+        }
+        machine.is_full()
+    }
+
+    /// Waits until a request can be taken on, but not longer than a node that is ready may be closed
+    /// to callers; returns whether it can.
+    pub async fn wait_for_room(&self, node: &Node) -> bool {
+        let until = node.now() + MAX_CLOSED_TIME;
+        while self.is_full(node) {
+            if node.now() >= until {
+                return false;
+            }
+            tokio::time::sleep(ROOM_POLL_INTERVAL).await;
+        }
+        true
+    }
+
+    /// The limit; `None` if there is none.
+    pub fn limit(&self) -> Option<usize> {
+        self.machine.borrow().limit()
+    }
+}
+
+/// Counts a request as being read until dropped.
+pub struct ReadingGuard(Rc<Node>);
+
+impl ReadingGuard {
+    /// Begins to count a request.
+    pub fn new(node: &Rc<Node>) -> Self {
+        let reading = &node.intake.reading;
+        reading.set(reading.get() + 1);
+        ReadingGuard(node.clone())
+    }
+}
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        let reading = &self.0.intake.reading;
+        reading.set(reading.get() - 1);
+    }
+}
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers and for the balancer's readiness checks.
 
 mod callers;
+mod intake;
 mod readiness;
 pub mod small;
 
@@ -10,6 +11,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 pub use callers::serve as serve_callers;
+pub use intake::{LocalIntake, ReadingGuard};
 pub use readiness::serve as serve_readiness;
 
 /// Maximum number of connections waiting to be accepted.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -99,6 +99,7 @@
     quarantine_refusals: Family<NameLabel, Counter>,
     links_lost: Gauge,
     local_delay_ms: Gauge,
+    intake_limit: Gauge,
     proxied: Family<NameLabel, Counter>,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
@@ -153,6 +154,8 @@
     pub links_lost: bool,
     /// Delay that this node adds to its own connections.
     pub delay: Duration,
+    /// Limit on the requests in progress, if there is one.
+    pub intake_limit: Option<usize>,
     /// Targets that name a limit.
     pub limited: usize,
     /// Running rollouts: service, trial version and its share of the requests.
@@ -182,6 +185,7 @@
             quarantine_refusals: Family::default(),
             links_lost: Gauge::default(),
             local_delay_ms: Gauge::default(),
+            intake_limit: Gauge::default(),
             proxied: Family::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
@@ -277,6 +281,9 @@
         registry.register("links_lost", help, self.links_lost.clone());
         let help = "Delay that this node adds to its own connections, in milliseconds";
         registry.register("local_delay_ms", help, self.local_delay_ms.clone());
+        let help =
+            "Requests that this node takes on at a time while it is overloaded; 0 if any number";
+        registry.register("intake_limit", help, self.intake_limit.clone());
         let help = "Requests sent through other nodes while no target was reached, by outcome";
         registry.register("proxied", help, self.proxied.clone());
         let help = "Targets that name a limit";
@@ -473,6 +480,7 @@
         self.quarantined.set(now.quarantined as i64);
         self.links_lost.set(now.links_lost.into());
         self.local_delay_ms.set(now.delay.as_millis() as i64);
+        self.intake_limit.set(now.intake_limit.unwrap_or(0) as i64);
         self.targets_limited.set(now.limited as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,6 +20,7 @@
 use crate::border::{Dialect, ObjectKind};
 use crate::ejections::LocalEjections;
 use crate::events::Event;
+use crate::ingress::LocalIntake;
 use crate::limits::LocalLimits;
 use crate::links::LocalLinks;
 use crate::metrics::{Gauges, Metrics};
@@ -70,6 +71,8 @@
     pub links: LocalLinks,
     /// Delay that this node adds to its own connections.
     pub(crate) delay: RefCell<LocalDelay>,
+    /// Requests that this node takes on.
+    pub intake: LocalIntake,
     /// Origins of resumable streams.
     pub streams: LocalStreams,
     /// Ejections that nodes share.
@@ -117,6 +120,7 @@
             slots: LocalSlots::default(),
             links: LocalLinks::default(),
             delay: RefCell::default(),
+            intake: LocalIntake::default(),
             streams: LocalStreams::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
@@ -370,6 +374,7 @@
             quarantined: self.quarantine.count_held(self),
             links_lost: self.links.is_lost(),
             delay: self.local_delay(),
+            intake_limit: self.intake.limit(),
             limited: self.fleet.borrow().limits().limited().count(),
             rollouts: &self.running_rollouts(),
             ages: ObjectKind::AGE_TRACKED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -14,14 +14,19 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
+use crate::ingress::ReadingGuard;
 use crate::node::Node;
 
 pub use proxy::handle_proxied;
 pub use reply::Body;
 
 /// Serves one request; during a stop its connection is closed after the response.
-pub async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let mut response = answer(&node, request, None).await;
+pub async fn handle_request(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    reading: ReadingGuard,
+) -> Response<Body> {
+    let mut response = answer(&node, request, reading, None).await;
     if node.is_stopping() {
         reply::set_connection_close(&mut response);
     }
@@ -33,9 +38,12 @@
 async fn answer(
     node: &Rc<Node>,
     request: Request<Incoming>,
+    reading: ReadingGuard,
     proxied_after: Option<Duration>,
 ) -> Response<Body> {
-    match admit::admit(node, request, proxied_after).await {
+    let admitted = admit::admit(node, request, proxied_after).await;
+    drop(reading);
+    match admitted {
         Ok(exchange) => exchange.run().await,
         Err(refusal) => refusal,
     }
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -26,6 +26,7 @@
 use super::reply::{self, Body};
 use crate::crossed::{MessageKind, RegionTraffic};
 use crate::events::Event;
+use crate::ingress::ReadingGuard;
 use crate::node::Node;
 use crate::peers::PROXY;
 use crate::upstream::{self, Answer, Connection};
@@ -275,7 +276,7 @@
     remove_reserved(&mut parts.headers);
     (parts.method, parts.uri) = (head.method, head.uri);
     let request = Request::from_parts(parts, body);
-    super::answer(&node, request, Some(head.elapsed)).await
+    super::answer(&node, request, ReadingGuard::new(&node), Some(head.elapsed)).await
 }
 
 /// Why this node does not serve requests of peers; `None` if it does.
