--- a/crates/forward/src/links/ask.rs
+++ b/crates/forward/src/links/ask.rs
@@ -54,5 +54,6 @@
         }
     }
     let open = u32::try_from(node.open_requests()).unwrap_or(u32::MAX);
-    LinkStatus { reaches: is_proven() && !node.is_stopping(), open }
+    let takes_requests = !node.is_stopping() && node.intake.limit().is_none();
+    LinkStatus { reaches: is_proven() && takes_requests, open }
 }
