Say not ready while callers are turned away and a peer has room

A node with a limit turns most new connections away, and the balancer, whose readiness checks it answers at once, goes on sending them: with one node left in a failure domain nobody took them, though 56 others were idle.

Now a node that has had a limit for a second and reached it within the last half, and that heard from a peer that it takes requests, says that it is not ready; it does again as soon as one of these ends. Where all are full it stays ready. The question is the one that nodes without links ask, four peers a quarter of a second.

--- a/crates/decide/src/intake/mod.rs
+++ b/crates/decide/src/intake/mod.rs
@@ -22,12 +22,17 @@
 const ROOM_SHARE: f64 = 0.9;
 /// Time after which a limit that is not reached ends.
 const UNREACHED_TTL: Duration = Duration::from_secs(3);
+/// Time for which a node must have had a limit before it counts as overrun.
+const OVERRUN_TIME: Duration = Duration::from_secs(1);
+/// Time for which a limit that was reached shows that callers are turned away.
+const REACHED_TTL: Duration = Duration::from_millis(500);
 
 /// Limit on the requests in progress.
 #[derive(Debug, Default)]
 pub struct Intake {
     limit: Option<f64>,
     is_full: bool,
+    limited_since: Option<Time>,
     stepped_at: Time,
     reached_at: Time,
 }
@@ -43,6 +48,13 @@
         self.is_full
     }
 
+    /// Whether the node has turned callers away again and again for a while, so that others had
+    /// better take them.
+    pub fn is_overrun(&self, now: Time) -> bool {
+        let has_been_full = self.limited_since.is_some_and(|at| now.since(at) >= OVERRUN_TIME);
+        has_been_full && now.since(self.reached_at) < REACHED_TTL
+    }
+
     /// Adapts the limit to the requests in progress and to how late the node's connections are;
     /// returns whether a limit has begun or ended.
     pub fn adjust(&mut self, open: usize, pace: Pace, now: Time) -> bool {
@@ -57,7 +69,9 @@
         if self.is_full {
             self.reached_at = now;
         }
-        self.limit.is_some() != had_limit
+        let has_limit = self.limit.is_some();
+        self.limited_since = self.limited_since.or(Some(now)).filter(|_| has_limit);
+        has_limit != had_limit
     }
 
     fn step(&mut self, open: f64, pace: Pace, now: Time) {
--- a/crates/decide/src/links/peers.rs
+++ b/crates/decide/src/links/peers.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Whether any peer is known to reach the targets.
+    /// Whether any peer is known to reach the targets, and to take requests of others.
     pub fn has_candidate(&self, now: Time) -> bool {
         self.known.values().any(|k| is_candidate(k, now))
     }
--- a/crates/decide/tests/intake.rs
+++ b/crates/decide/tests/intake.rs
@@ -74,6 +74,21 @@
     }
 }
 
+#[test]
+fn a_node_is_overrun_while_its_limit_is_reached_again_and_again() {
+    let mut intake = Intake::default();
+    intake.adjust(100, Pace::Late, begin());
+    assert!(!intake.is_overrun(begin()), "it may be a burst");
+    let mut now = begin();
+    for _ in 0..15 {
+        now = now + STEP;
+        let limit = intake.limit().expect("it is reached");
+        intake.adjust(limit + 1, Pace::Slowed, now);
+    }
+    assert!(intake.is_overrun(now));
+    assert!(!intake.is_overrun(now + STEP * 6), "nobody was turned away lately");
+}
+
 #[test]
 fn the_limit_ends_when_it_is_no_longer_reached() {
     let mut intake = Intake::default();
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -121,6 +121,9 @@
         open: usize,
         delay_ms: u64,
     },
+    /// The node begins or ends to say that it is not ready, since it turns callers away again and
+    /// again while a peer has room.
+    Yielding { is_yielding: bool, open: usize },
     /// A request was sent through a peer that had `open` requests `age_ms` ago, because the links
     /// were lost: the peer's `status`, or why there is none.
     Proxied {
--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -19,6 +19,8 @@
 pub struct LocalIntake {
     machine: RefCell<Intake>,
     reading: Cell<usize>,
+    /// Whether the balancer is told to send callers to other nodes.
+    is_yielding: Cell<bool>,
 }
 
 impl LocalIntake {
@@ -46,6 +48,25 @@
         true
     }
 
+    /// Whether callers are turned away again and again.
+    pub fn is_overrun(&self, node: &Node) -> bool {
+        self.machine.borrow().is_overrun(node.now())
+    }
+
+    /// Tells the balancer to send callers to other nodes while this one is overrun and a peer has
+    /// room.
+    pub fn set_yielding(&self, node: &Node, has_peer: bool) {
+        let is_yielding = has_peer && self.is_overrun(node);
+        if self.is_yielding.replace(is_yielding) != is_yielding {
+            Event::Yielding { is_yielding, open: node.open_requests() }.emit();
+        }
+    }
+
+    /// Whether the balancer is to send callers to other nodes.
+    pub fn is_yielding(&self) -> bool {
+        self.is_yielding.get()
+    }
+
     /// The limit; `None` if there is none.
     pub fn limit(&self) -> Option<usize> {
         self.machine.borrow().limit()
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -143,6 +143,11 @@
         if node.links.machine(|m| m.end_return(node.now())) {
             log_state(&node, &[], Duration::ZERO);
         }
+        if node.intake.is_overrun(&node) {
+            ask::ask_peers(&node).await;
+        }
+        let has_candidate = node.links.peers.borrow().has_candidate(node.now());
+        node.intake.set_yielding(&node, has_candidate);
         let count_silent = |since| node.fleet(|f| f.count_silent(since));
         if node.links.machine(|m| m.begin_round(count_silent, node.now())) {
             // Peers are asked meanwhile, so that requests can go through them at once.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -420,7 +420,7 @@
     pub fn is_ready(&self) -> bool {
         let knows_peers = self.peers.roster(|r| r.count()) > 1
             || self.now().since(Time::ZERO) >= PEER_WAIT_TIMEOUT;
-        self.knows_state() && knows_peers && !self.is_stopping()
+        self.knows_state() && knows_peers && !self.is_stopping() && !self.intake.is_yielding()
     }
 
     /// Whether a graceful stop has begun.
