Keep a node without links open, and end a limit that nobody reaches

A node whose links are lost connects to targets by its probes alone, and these time out: it would have passed for late, and refused the callers whom it serves through peers. Once the links are lost, only connections to peers tell whether the host is late. And a limit was adapted when callers came: at a node that got none it would have stayed, and peers without links would have been told that it takes no requests.

--- a/crates/decide/src/delay/mod.rs
+++ b/crates/decide/src/delay/mod.rs
@@ -164,10 +164,12 @@
         self.current(now) >= LATE_DELAY || self.is_stuck(now)
     }
 
-    /// How late recent connections were.
-    pub fn pace(&self, now: Time) -> Pace {
+    /// How late recent connections were. While the links are known to be lost, targets that take no
+    /// connection say nothing of this node.
+    pub fn pace(&self, are_links_lost: bool, now: Time) -> Pace {
+        let is_late = if are_links_lost { self.is_host_late(now) } else { self.is_late(now) };
         match self.current(now) {
-            _ if self.is_late(now) => Pace::Late,
+            _ if is_late => Pace::Late,
             delay if delay * 2 >= LATE_DELAY => Pace::Slowed,
             _ => Pace::Prompt,
         }
--- a/crates/decide/tests/delay.rs
+++ b/crates/decide/tests/delay.rs
@@ -42,7 +42,7 @@
         for t in took {
             connect(&mut delay, Connect::Completed(ms(*t)), now);
         }
-        assert_eq!(delay.pace(now), pace, "{took:?}");
+        assert_eq!(delay.pace(false, now), pace, "{took:?}");
         assert_eq!(delay.is_host_late(now), pace == Pace::Late, "{took:?}");
         assert!(!delay.is_late(now + ms(150)), "{took:?} are old");
     }
@@ -77,6 +77,8 @@
             delay.record_peer(to_peer, now);
         }
         assert!(delay.is_late(now));
+        assert_eq!(delay.pace(false, now), Pace::Late);
+        assert_eq!(delay.pace(true, now) == Pace::Late, is_host_late, "{to_peer:?}");
         assert_eq!(delay.is_host_late(now), is_host_late, "{to_peer:?}");
     }
 }
--- a/crates/forward/src/delay.rs
+++ b/crates/forward/src/delay.rs
@@ -74,7 +74,7 @@
 
     /// How late this node's own connections are.
     pub fn pace(&self) -> Pace {
-        self.delay.borrow().pace(self.now())
+        self.delay.borrow().pace(self.links.is_lost(), self.now())
     }
 
     /// Whether this host is known to be the cause of late connections, rather than lost links.
--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -56,6 +56,10 @@
     /// Tells the balancer to send callers to other nodes while this one is overrun and a peer has
     /// room.
     pub fn set_yielding(&self, node: &Node, has_peer: bool) {
+        if self.limit().is_some() {
+            // The limit also ends if no caller comes.
+            self.is_full(node);
+        }
         let is_yielding = has_peer && self.is_overrun(node);
         if self.is_yielding.replace(is_yielding) != is_yielding {
             Event::Yielding { is_yielding, open: node.open_requests() }.emit();
