Share the delay after a failed accept, and name the adaption of the intake

Read in the diff; no behaviour changes. Two listeners had the same constant under two names. `is_full` was called for its side effect where the limit is to end at a node without callers: that is `adjust` now, which `is_full` calls. LATE_DELAY is used in its own module alone.

--- a/crates/decide/src/delay/mod.rs
+++ b/crates/decide/src/delay/mod.rs
@@ -20,7 +20,7 @@
 /// Time after which the shortest connect time is replaced as the base by a more recent one.
 const BASE_TTL: Duration = Duration::from_secs(30);
 /// Delay from which this node counts as late.
-pub const LATE_DELAY: Duration = Duration::from_millis(30);
+const LATE_DELAY: Duration = Duration::from_millis(30);
 
 /// How late this node's connections are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::RETRY_DELAY;
 use super::intake::ReadingGuard;
 use crate::node::Node;
 use crate::phase::LifePhase;
@@ -23,8 +24,6 @@
 /// Minimum head size that the buffer allows for, even if the settings permit less.
 const MIN_HEAD_BYTES: usize = 16 << 10;
 
-/// Delay after a failed accept or listen; most likely the process is out of descriptors.
-const RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Time for which a connection without a request counts as one that is being read.
 const READING_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -26,13 +26,18 @@
 impl LocalIntake {
     /// Whether no further request is to be taken on.
     pub fn is_full(&self, node: &Node) -> bool {
+        self.adjust(node);
+        self.machine.borrow().is_full()
+    }
+
+    /// Adapts the limit to the present load.
+    fn adjust(&self, node: &Node) {
         let open = node.open_requests() + self.reading.get();
         let mut machine = self.machine.borrow_mut();
         if machine.adjust(open, node.pace(), node.now()) {
             let limit = machine.limit();
             Event::Intake { limit, open, delay_ms: node.local_delay().as_millis() as u64 }.emit();
         }
-        machine.is_full()
     }
 
     /// Waits until a request can be taken on, but not longer than a node that is ready may be closed
@@ -58,7 +63,7 @@
     pub fn set_yielding(&self, node: &Node, has_peer: bool) {
         if self.limit().is_some() {
             // The limit also ends if no caller comes.
-            self.is_full(node);
+            self.adjust(node);
         }
         let is_yielding = has_peer && self.is_overrun(node);
         if self.is_yielding.replace(is_yielding) != is_yielding {
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -6,6 +6,7 @@
 pub mod small;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
 use tokio::net::{TcpListener, TcpSocket};
@@ -17,6 +18,9 @@
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
 
+/// Delay after a failed accept or listen; most likely the process is out of descriptors.
+const RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Listens on an address that an earlier process may have used until just now.
 pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let open = || -> std::io::Result<TcpListener> {
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -13,10 +13,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use super::RETRY_DELAY;
 use crate::upstream::configure_socket;
 
-/// Delay after a failed accept; most likely the process is out of descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -29,7 +28,7 @@
 {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         configure_socket(&socket);
