Count requests until their answers have left, and log what a stop leaves behind

The node's process may end while answers are written, the HTTP library may end connections at the closing phase, a timeout of the socket may end them, or unread input may reset them. A `request` line says "answered" 31 ms after the request whatever becomes of the answer, and `stop` says `open` 0 while callers read.

Work is counted by stage now: receiving the body, running, sending the answer, and answers to messages of peers. An answer has left when the socket is flushed after its body was dropped. A `stopped` line says what a stop left behind and how many bytes the kernel still held, an `undelivered` line that a connection ended before. `pumicevale_open_work` and `pumicevale_undelivered_total` show the same. What a stop waits for is as before: requests that run.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -14,6 +14,21 @@
     Start { domain: &'a str, callers: &'a str },
     /// The process was asked to stop, with `open` requests in progress.
     Stop { open: usize },
+    /// The stop of the process ends after this time: requests whose bodies were still on the way, that
+    /// still ran, and whose answers had not left, answers to messages, open orders, and bytes that the
+    /// other sides had not acknowledged.
+    Stopped {
+        took_ms: u64,
+        receiving: usize,
+        running: usize,
+        sending: usize,
+        messages: usize,
+        orders: usize,
+        unacknowledged: usize,
+    },
+    /// A connection ended before an answer had left: of the request with this id, if it is known, or
+    /// to a message.
+    Undelivered { id: &'a str, stage: &'a str, why: &'a str },
     /// The settings were reloaded.
     Reload { accepted: bool, why: &'a str },
     /// The machine resumed after being suspended.
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -13,19 +13,21 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::RETRY_DELAY;
-use super::intake::ReadingGuard;
+use super::intake::AwaitingGuard;
+use super::outbox::{Outbox, TrackedSocket};
+use super::socket::ServerSocket;
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::serve;
-use crate::upstream::configure_socket;
+use crate::work::{OpenWork, WorkStage};
 
 /// Maximum fraction of the file descriptors for callers' connections.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// Minimum head size that the buffer allows for, even if the settings permit less.
 const MIN_HEAD_BYTES: usize = 16 << 10;
 
-/// Time for which a connection without a request counts as one that is being read.
-const READING_TIME: Duration = Duration::from_secs(1);
+/// Time for which the first request of a connection counts as on its way.
+const AWAITING_TIME: Duration = Duration::from_secs(1);
 
 /// Accepts connections until this node's closing phase; from then on new ones are refused. So they
 /// are while the node is full: their callers can go to another node at once.
@@ -83,8 +85,8 @@
 }
 
 fn serve_socket(node: &Rc<Node>, socket: TcpStream, permit: OwnedSemaphorePermit) {
-    configure_socket(&socket);
     let node = node.clone();
+    let socket = ServerSocket::new(&node, socket);
     tokio::task::spawn_local(async move {
         serve_connection(node, socket).await;
         drop(permit);
@@ -96,38 +98,45 @@
     listener.inspect_err(|e| log::warn!("callers: {e:#}")).ok()
 }
 
-async fn serve_connection(node: Rc<Node>, socket: TcpStream) {
-    let reading = Rc::new(Cell::new(Some(ReadingGuard::new(&node))));
-    let first = reading.clone();
+async fn serve_connection(node: Rc<Node>, socket: ServerSocket) {
+    let outbox = Rc::new(Outbox::default());
+    let awaiting = Rc::new(Cell::new(Some(AwaitingGuard::new(&node))));
     let limits = node.table().rules.limits.clone();
     // The timer for a head also runs while a keep-alive connection is idle.
     let idle_timeout = Duration::from_millis(limits.idle_ms.max(limits.head_ms));
-    let handler = node.clone();
+    let (handler, owing, first) = (node.clone(), outbox.clone(), awaiting.clone());
     let service = service_fn(move |request| {
         let node = handler.clone();
-        let reading = first.take().unwrap_or_else(|| ReadingGuard::new(&node));
-        async move { Ok::<_, Infallible>(serve::handle_request(node, request, reading).await) }
+        let work = OpenWork::new(&node, WorkStage::Receiving);
+        let pending = owing.begin(work.clone());
+        first.take();
+        async move {
+            let response = serve::handle_request(node, request, work).await;
+            Ok::<_, Infallible>(pending.respond(response))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(MIN_HEAD_BYTES.max(limits.head_bytes) * 2)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let expire = async {
-        tokio::time::sleep(READING_TIME).await;
-        drop(reading.take());
+        tokio::time::sleep(AWAITING_TIME).await;
+        drop(awaiting.take());
         std::future::pending().await
     };
-    let is_closing = tokio::select! {
-        _ = connection.as_mut() => false,
-        () = expire => false,
-        () = node.wait_for_phase(LifePhase::Closing) => true,
+    let mut ended = tokio::select! {
+        end = connection.as_mut() => Some(end),
+        end = expire => end,
+        () = node.wait_for_phase(LifePhase::Closing) => None,
     };
-    if is_closing {
+    if ended.is_none() {
         connection.as_mut().graceful_shutdown();
-        // An error means that the caller closed the connection, which ends its request.
-        let _ = connection.await;
+        ended = Some(connection.await);
     }
+    // An error mostly means that the caller closed the connection, which ends its request.
+    let why = ended.and_then(Result::err).map_or(String::new(), |e| e.to_string());
+    outbox.log_end(&node, &why);
 }
--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -14,11 +14,11 @@
 /// Maximum time for which a node takes no new connection.
 const MAX_CLOSED_TIME: Duration = Duration::from_secs(2);
 
-/// Limit on the requests in progress, and those that are being read.
+/// Limit on the requests in progress, and on the connections that have just been accepted.
 #[derive(Default)]
 pub struct LocalIntake {
     machine: RefCell<Intake>,
-    reading: Cell<usize>,
+    awaiting: Cell<usize>,
     /// Whether the balancer is told to send callers to other nodes.
     is_yielding: Cell<bool>,
 }
@@ -32,7 +32,7 @@
 
     /// Adapts the limit to the present load.
     fn adjust(&self, node: &Node) {
-        let open = node.open_requests() + self.reading.get();
+        let open = node.open_requests() + node.work().receiving + self.awaiting.get();
         let mut machine = self.machine.borrow_mut();
         if machine.adjust(open, node.pace(), node.now()) {
             let limit = machine.limit();
@@ -82,21 +82,21 @@
     }
 }
 
-/// Counts a request as being read until dropped.
-pub struct ReadingGuard(Rc<Node>);
+/// Counts a connection as one whose first request is on the way until dropped.
+pub struct AwaitingGuard(Rc<Node>);
 
-impl ReadingGuard {
-    /// Begins to count a request.
+impl AwaitingGuard {
+    /// Begins to count a connection.
     pub fn new(node: &Rc<Node>) -> Self {
-        let reading = &node.intake.reading;
-        reading.set(reading.get() + 1);
-        ReadingGuard(node.clone())
+        let awaiting = &node.intake.awaiting;
+        awaiting.set(awaiting.get() + 1);
+        AwaitingGuard(node.clone())
     }
 }
 
-impl Drop for ReadingGuard {
+impl Drop for AwaitingGuard {
     fn drop(&mut self) {
-        let reading = &self.0.intake.reading;
-        reading.set(reading.get() - 1);
+        let awaiting = &self.0.intake.awaiting;
+        awaiting.set(awaiting.get() - 1);
     }
 }
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -2,8 +2,10 @@
 
 mod callers;
 mod intake;
+mod outbox;
 mod readiness;
 pub mod small;
+mod socket;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,8 +14,9 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 pub use callers::serve as serve_callers;
-pub use intake::{LocalIntake, ReadingGuard};
+pub use intake::LocalIntake;
 pub use readiness::serve as serve_readiness;
+pub use socket::OpenSockets;
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
--- /dev/null
+++ b/crates/forward/src/ingress/outbox.rs
@@ -0,0 +1,171 @@
+//! The answers that one connection of this node's servers owes the other side.
+//!
+//! The HTTP library drops the body of a response once it has buffered it, and flushes the socket
+//! when its buffer is empty. So an answer has left when the socket is flushed after the body was
+//! dropped.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use super::socket::ServerSocket;
+use crate::events::Event;
+use crate::node::Node;
+use crate::work::{OpenWork, WorkStage};
+
+/// How far a response has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// It has not begun.
+    Awaited,
+    /// The library takes its body.
+    Begun,
+    /// The library has buffered it to its end.
+    Buffered,
+}
+
+/// A request or message that was read.
+pub struct Pending {
+    work: Rc<OpenWork>,
+    progress: Cell<Progress>,
+}
+
+impl Pending {
+    /// Takes note of the end of the response.
+    pub fn respond<B>(self: Rc<Self>, response: Response<B>) -> Response<TrackedBody<B>> {
+        match self.work.stage() {
+            WorkStage::Waiting => self.work.enter(WorkStage::Message),
+            WorkStage::Receiving => self.work.enter(WorkStage::Sending),
+            _ => {}
+        }
+        self.progress.set(Progress::Begun);
+        response.map(|body| TrackedBody { body, pending: self })
+    }
+}
+
+/// What a connection owes the other side.
+#[derive(Default)]
+pub struct Outbox(RefCell<Vec<Rc<Pending>>>);
+
+impl Outbox {
+    /// Begins to owe an answer.
+    pub fn begin(&self, work: Rc<OpenWork>) -> Rc<Pending> {
+        let pending = Rc::new(Pending { work, progress: Cell::new(Progress::Awaited) });
+        self.0.borrow_mut().push(pending.clone());
+        pending
+    }
+
+    fn flushed(&self) {
+        self.0.borrow_mut().retain(|p| p.progress.get() != Progress::Buffered);
+    }
+
+    /// Logs the answers that are still owed at the end of the connection.
+    pub fn log_end(&self, node: &Node, why: &str) {
+        for pending in self.0.take() {
+            let stage = pending.work.stage();
+            let is_received = stage != WorkStage::Receiving;
+            if is_received && pending.progress.get() == Progress::Awaited {
+                // The caller left while its request ran, which has a line of its own.
+                continue;
+            }
+            node.metrics.count_undelivered(stage.as_str());
+            Event::Undelivered { id: &pending.work.take_id(), stage: stage.as_str(), why }.emit();
+        }
+    }
+}
+
+/// Body whose drop ends the response.
+pub struct TrackedBody<B> {
+    body: B,
+    pending: Rc<Pending>,
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        self.pending.progress.set(Progress::Buffered);
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Socket that notes when an answer has left.
+pub struct TrackedSocket {
+    socket: ServerSocket,
+    outbox: Rc<Outbox>,
+}
+
+impl TrackedSocket {
+    /// Socket of the connection with this outbox.
+    pub fn new(socket: ServerSocket, outbox: Rc<Outbox>) -> Self {
+        TrackedSocket { socket, outbox }
+    }
+}
+
+impl AsyncRead for TrackedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for TrackedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket.stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.socket.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.outbox.flushed();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/forward/src/ingress/readiness.rs
+++ b/crates/forward/src/ingress/readiness.rs
@@ -16,8 +16,10 @@
 
 /// Serves until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    let handler = move |request: Request<Incoming>| std::future::ready(respond(&node, &request));
-    small::serve(listener, handler).await;
+    let state = node.clone();
+    let handler =
+        move |request: Request<Incoming>, _| std::future::ready(respond(&state, &request));
+    small::serve(node, listener, handler).await;
 }
 
 fn respond(node: &Node, request: &Request<Incoming>) -> Response<Body> {
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 use std::error::Error;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,36 +15,50 @@
 use tokio::net::TcpListener;
 
 use super::RETRY_DELAY;
-use crate::upstream::configure_socket;
+use super::outbox::{Outbox, TrackedSocket};
+use super::socket::ServerSocket;
+use crate::node::Node;
+use crate::work::{OpenWork, WorkStage};
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves requests with `handler` until the process ends.
-pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
+pub async fn serve<H, F, B>(node: Rc<Node>, listener: TcpListener, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, Rc<OpenWork>) -> F + Clone + 'static,
     F: Future<Output = Response<B>> + 'static,
-    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin + 'static,
 {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        configure_socket(&socket);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        tokio::task::spawn_local(async move {
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(socket), service);
-            // A peer that disconnects sends its request again, or the failure detector notices it.
-            let _ = connection.await;
-        });
+        let socket = ServerSocket::new(&node, socket);
+        tokio::task::spawn_local(serve_connection(node.clone(), socket, handler.clone()));
     }
 }
+
+async fn serve_connection<H, F, B>(node: Rc<Node>, socket: ServerSocket, handler: H)
+where
+    H: Fn(Request<Incoming>, Rc<OpenWork>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin + 'static,
+{
+    let outbox = Rc::new(Outbox::default());
+    let (counting, owing) = (node.clone(), outbox.clone());
+    let service = service_fn(move |request| {
+        let work = OpenWork::new(&counting, WorkStage::Waiting);
+        let pending = owing.begin(work.clone());
+        let answer = handler(request, work);
+        async move { Ok::<_, Infallible>(pending.respond(answer.await)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
+    // A peer that disconnects sends its request again, or the failure detector notices it.
+    let why = connection.await.err().map_or(String::new(), |e| e.to_string());
+    outbox.log_end(&node, &why);
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -36,6 +36,7 @@
 mod streams;
 mod upstream;
 mod watch;
+mod work;
 
 pub use run::run;
 pub use settings::Settings;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::border::ObjectKind;
 use crate::watch::Age;
+use crate::work::WorkCounts;
 
 /// Maximum number of distinct label values (routes, services, versions, regions), beyond which all
 /// share [`OVERFLOW_LABEL`], and of time series, beyond which times are not recorded.
@@ -113,6 +114,8 @@
     spilled_orders: Family<RegionLabels, Counter>,
     crossed_bytes: Family<TrafficLabels, Counter>,
     open_requests: Gauge,
+    open_work: Family<NameLabel, Gauge>,
+    undelivered: Family<NameLabel, Counter>,
     open_orders: Gauge,
     rules_version: Gauge,
     rules_unserved: Gauge,
@@ -130,8 +133,8 @@
 /// Values of gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy)]
 pub struct Gauges<'a> {
-    /// Open requests.
-    pub open: usize,
+    /// Open requests and messages by stage.
+    pub work: WorkCounts,
     /// Open stage orders at the batch coordinators of this node.
     pub orders: usize,
     /// Version of the rules in force.
@@ -199,6 +202,8 @@
             spilled_orders: Family::default(),
             crossed_bytes: Family::default(),
             open_requests: Gauge::default(),
+            open_work: Family::default(),
+            undelivered: Family::default(),
             open_orders: Gauge::default(),
             rules_version: Gauge::default(),
             rules_unserved: Gauge::default(),
@@ -260,6 +265,11 @@
             "Requests without a final answer",
             self.open_requests.clone(),
         );
+        let help = "Requests and messages of peers whose answers have not left, by stage";
+        registry.register("open_work", help, self.open_work.clone());
+        let help =
+            "Requests and messages whose connections ended before their answers had left, by stage";
+        registry.register("undelivered", help, self.undelivered.clone());
         let help = "Stage orders without an answer at the coordinators of this node";
         registry.register("open_orders", help, self.open_orders.clone());
         registry.register(
@@ -448,6 +458,11 @@
         self.crossed_bytes.get_or_create_owned(&labels)
     }
 
+    /// Counts a request or message whose connection ended before its answer had left.
+    pub fn count_undelivered(&self, stage: &'static str) {
+        self.undelivered.get_or_create_owned(&NameLabel { name: stage.to_string() }).inc();
+    }
+
     fn set_age(&self, kind: ObjectKind, age: Option<Age>) {
         let Some(age) = age else {
             return;
@@ -468,7 +483,11 @@
 
     /// All metrics as text, with the given values of the gauges.
     pub fn render(&self, now: Gauges<'_>) -> String {
-        self.open_requests.set(now.open as i64);
+        self.open_requests.set(now.work.running as i64);
+        for (stage, count) in now.work.by_stage() {
+            let labels = NameLabel { name: stage.as_str().to_string() };
+            self.open_work.get_or_create(&labels).set(count as i64);
+        }
         self.open_orders.set(now.orders as i64);
         self.rules_version.set(now.rules as i64);
         self.rules_unserved.set(now.unserved as i64);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,7 +20,7 @@
 use crate::border::{Dialect, ObjectKind};
 use crate::ejections::LocalEjections;
 use crate::events::Event;
-use crate::ingress::LocalIntake;
+use crate::ingress::{LocalIntake, OpenSockets};
 use crate::limits::LocalLimits;
 use crate::links::LocalLinks;
 use crate::metrics::{Gauges, Metrics};
@@ -35,6 +35,7 @@
 use crate::stages::LocalCoordinators;
 use crate::streams::LocalStreams;
 use crate::watch::Feed;
+use crate::work::WorkCounts;
 
 /// Maximum number of route, workspace or region names in one log line.
 const MAX_LOGGED_NAMES: usize = 16;
@@ -73,6 +74,8 @@
     pub(crate) delay: RefCell<LocalDelay>,
     /// Requests that this node takes on.
     pub intake: LocalIntake,
+    /// Sockets of callers and of peers that call this node.
+    pub sockets: OpenSockets,
     /// Origins of resumable streams.
     pub streams: LocalStreams,
     /// Ejections that nodes share.
@@ -93,7 +96,7 @@
     epoch: Cell<Option<u64>>,
     version: watch::Sender<u64>,
     phase: watch::Sender<LifePhase>,
-    open: Cell<usize>,
+    work: Cell<WorkCounts>,
 }
 
 impl Node {
@@ -121,6 +124,7 @@
             links: LocalLinks::default(),
             delay: RefCell::default(),
             intake: LocalIntake::default(),
+            sockets: OpenSockets::default(),
             streams: LocalStreams::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
@@ -136,7 +140,7 @@
             epoch: Cell::new(None),
             version: watch::Sender::new(0),
             phase: watch::Sender::new(LifePhase::Serving),
-            open: Cell::new(0),
+            work: Cell::default(),
         }
     }
 
@@ -362,7 +366,7 @@
     /// Current metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.render(Gauges {
-            open: self.open_requests(),
+            work: self.work(),
             orders: self.pools.open_orders(),
             rules: self.table.borrow().rules.version,
             unserved: self.unserved_names().len(),
@@ -445,21 +449,18 @@
 
     /// Number of requests without a complete answer.
     pub fn open_requests(&self) -> usize {
-        self.open.get()
+        self.work().running
     }
 
-    /// Counts a request as open until the guard is dropped.
-    pub fn track_request(self: &Rc<Self>) -> OpenGuard {
-        self.open.set(self.open.get() + 1);
-        OpenGuard(self.clone())
+    /// Open requests and messages by stage.
+    pub fn work(&self) -> WorkCounts {
+        self.work.get()
     }
-}
-
-/// Counts one open request while it lives.
-pub struct OpenGuard(Rc<Node>);
 
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+    /// Changes the count of open requests and messages.
+    pub fn count_work(&self, change: impl FnOnce(&mut WorkCounts)) {
+        let mut counts = self.work.get();
+        change(&mut counts);
+        self.work.set(counts);
     }
 }
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -23,6 +23,7 @@
 use crate::slots;
 use crate::stages::{self, OrderError};
 use crate::watch;
+use crate::work::{OpenWork, WorkStage};
 
 /// Path for batch orders.
 pub const BATCH: &str = "/v1/batch";
@@ -90,12 +91,21 @@
 
 /// Serves peers until the process ends.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
-    small::serve(listener, move |request| answer(node.clone(), request)).await;
+    let handler = {
+        let node = node.clone();
+        move |request, work| answer(node.clone(), request, work)
+    };
+    small::serve(node, listener, handler).await;
 }
 
-async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<serve::Body> {
+async fn answer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    work: Rc<OpenWork>,
+) -> Response<serve::Body> {
     if request.uri().path() == PROXY {
-        return serve::handle_proxied(node, request).await;
+        work.enter(WorkStage::Receiving);
+        return serve::handle_proxied(node, request, work).await;
     }
     answer_message(node, request).await.map(|body| {
         let body: serve::Body = Box::pin(body.map_err(|never| match never {}));
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -58,7 +58,7 @@
 /// answered or the stop time is over.
 async fn stop(node: &Rc<Node>) {
     let started = node.now();
-    Event::Stop { open: node.open_requests() }.emit();
+    Event::Stop { open: node.work().requests() }.emit();
     node.enter_phase(LifePhase::Stopping);
     node.peers.roster(|r| r.stop());
     // Peers choose other nodes from now on; orders that they have placed here still run.
@@ -80,4 +80,19 @@
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    log_stopped(node, node.now().since(started));
+}
+
+fn log_stopped(node: &Node, took: Duration) {
+    let work = node.work();
+    Event::Stopped {
+        took_ms: took.as_millis() as u64,
+        receiving: work.receiving,
+        running: work.running,
+        sending: work.sending,
+        messages: work.messages,
+        orders: node.pools.open_orders(),
+        unacknowledged: node.sockets.unacknowledged(),
+    }
+    .emit();
 }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -21,6 +21,7 @@
 use crate::quarantine::RequestKeys;
 use crate::rules::{RuleTable, choose_service};
 use crate::streams;
+use crate::work::OpenWork;
 
 /// Time without confirmation of the rules by the store after which an unknown route or key may be
 /// one that this node has not received yet.
@@ -92,6 +93,7 @@
 pub async fn admit(
     node: &Rc<Node>,
     request: Request<Incoming>,
+    work: Rc<OpenWork>,
     proxied_after: Option<Duration>,
 ) -> Result<Rc<Exchange>, Response<Body>> {
     let arrived = node.now() - proxied_after.unwrap_or_default();
@@ -152,7 +154,7 @@
         deadline,
         caller_deadline,
     };
-    Ok(Rc::new(Exchange::new(node.clone(), admitted)))
+    Ok(Rc::new(Exchange::new(node.clone(), admitted, work)))
 }
 
 /// Origin of the stream that a request resumes; `None` if it does not resume any. A stream whose
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -17,11 +17,12 @@
 use super::stream;
 use crate::events::Event;
 use crate::limits::AT_LIMIT;
-use crate::node::{Node, OpenGuard};
+use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::quarantine::{self, RequestKeys};
 use crate::slots::NO_SLOT;
 use crate::stages::{self, Job, RequestResults, StageError};
+use crate::work::{OpenWork, WorkStage};
 
 /// Part of the caller's deadline that is reserved for returning the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
@@ -116,7 +117,7 @@
     pub node: Rc<Node>,
     admitted: Admitted,
     progress: RefCell<Progress>,
-    _open: OpenGuard,
+    work: Rc<OpenWork>,
 }
 
 impl Deref for Exchange {
@@ -129,7 +130,7 @@
 
 impl Exchange {
     /// Starts to serve a request; its deadline is reduced by the margin for the response.
-    pub fn new(node: Rc<Node>, admitted: Admitted) -> Self {
+    pub fn new(node: Rc<Node>, admitted: Admitted, work: Rc<OpenWork>) -> Self {
         let route = &admitted.route;
         let progress = Progress {
             attempts: Attempts::new(route.repeat, route.max_attempts),
@@ -144,11 +145,11 @@
             left_trial: false,
             is_logged: false,
         };
-        let _open = node.track_request();
+        work.enter(WorkStage::Running);
         node.quarantine.attempt_started(&admitted.head.id, admitted.keys.request);
         let deadline = admitted.deadline - RESPONSE_MARGIN;
         let admitted = Admitted { deadline, ..admitted };
-        Exchange { node, admitted, progress: RefCell::new(progress), _open }
+        Exchange { node, admitted, progress: RefCell::new(progress), work }
     }
 
     /// Accesses the progress, which must not be borrowed already.
@@ -460,5 +461,6 @@
     fn drop(&mut self) {
         self.log_end(0, "caller_left");
         self.node.quarantine.attempt_ended(&self.node, &self.head.id);
+        self.work.enter_sending(std::mem::take(&mut self.admitted.head.id));
     }
 }
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -14,8 +14,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use crate::ingress::ReadingGuard;
 use crate::node::Node;
+use crate::work::OpenWork;
 
 pub use proxy::handle_proxied;
 pub use reply::Body;
@@ -24,9 +24,9 @@
 pub async fn handle_request(
     node: Rc<Node>,
     request: Request<Incoming>,
-    reading: ReadingGuard,
+    work: Rc<OpenWork>,
 ) -> Response<Body> {
-    let mut response = answer(&node, request, reading, None).await;
+    let mut response = answer(&node, request, work, None).await;
     if node.is_stopping() {
         reply::set_connection_close(&mut response);
     }
@@ -38,11 +38,10 @@
 async fn answer(
     node: &Rc<Node>,
     request: Request<Incoming>,
-    reading: ReadingGuard,
+    work: Rc<OpenWork>,
     proxied_after: Option<Duration>,
 ) -> Response<Body> {
-    let admitted = admit::admit(node, request, proxied_after).await;
-    drop(reading);
+    let admitted = admit::admit(node, request, work, proxied_after).await;
     match admitted {
         Ok(exchange) => exchange.run().await,
         Err(refusal) => refusal,
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -26,10 +26,10 @@
 use super::reply::{self, Body};
 use crate::crossed::{MessageKind, RegionTraffic};
 use crate::events::Event;
-use crate::ingress::ReadingGuard;
 use crate::node::Node;
 use crate::peers::PROXY;
 use crate::upstream::{self, Answer, Connection};
+use crate::work::OpenWork;
 
 /// Peers that a request is sent to before it is refused.
 const MAX_PEERS: usize = 3;
@@ -261,7 +261,11 @@
 }
 
 /// Serves a request that a caller sent to a peer.
-pub async fn handle_proxied(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_proxied(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    work: Rc<OpenWork>,
+) -> Response<Body> {
     let (mut parts, body) = request.into_parts();
     let Some(head) = ProxiedHead::read(&parts.headers) else {
         let body = Bytes::from_static(b"not a request of a peer\n");
@@ -276,7 +280,7 @@
     remove_reserved(&mut parts.headers);
     (parts.method, parts.uri) = (head.method, head.uri);
     let request = Request::from_parts(parts, body);
-    super::answer(&node, request, ReadingGuard::new(&node), Some(head.elapsed)).await
+    super::answer(&node, request, work, Some(head.elapsed)).await
 }
 
 /// Why this node does not serve requests of peers; `None` if it does.
