Write the last log lines before the process ends

The writer is a thread of its own, and the process ended before it took the last lines. The end waits for the queue to be written, 100 ms at most, so that a log that nobody reads holds up nothing.

--- a/crates/forward/src/events/mod.rs
+++ b/crates/forward/src/events/mod.rs
@@ -9,4 +9,4 @@
 mod writer;
 
 pub use kinds::Event;
-pub use writer::install;
+pub use writer::{close, install};
--- a/crates/forward/src/events/writer.rs
+++ b/crates/forward/src/events/writer.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::Duration;
 
 use anyhow::Context;
 use model::Name;
@@ -13,6 +14,8 @@
 
 /// Capacity of the queue.
 const QUEUE_LINES: usize = 2048;
+/// Time for which the end of the process waits until the last lines are written.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Stack size of the writer thread.
 const STACK_BYTES: usize = 128 << 10;
 
@@ -29,6 +32,8 @@
     clock: Clock,
     limiter: RateLimiter,
     lines: SyncSender<String>,
+    /// Disconnected once the writer thread has ended.
+    written: Receiver<()>,
     dropped: u64,
 }
 
@@ -39,22 +44,32 @@
 /// Starts the writer thread and sends it the events that are emitted on the calling thread.
 pub fn install(node: Name, clock: Clock) -> anyhow::Result<()> {
     let (lines, receiver) = sync_channel(QUEUE_LINES);
+    let (is_writing, written) = sync_channel(0);
     std::thread::Builder::new()
         .name("log".into())
         .stack_size(STACK_BYTES)
-        .spawn(move || write(receiver))
+        .spawn(move || write(receiver, is_writing))
         .context("could not start the log writer thread")?;
-    let sink = Sink { node, clock, limiter: RateLimiter::default(), lines, dropped: 0 };
+    let sink = Sink { node, clock, limiter: RateLimiter::default(), lines, written, dropped: 0 };
     SINK.with_borrow_mut(|s| *s = Some(sink));
     Ok(())
 }
 
-fn write(lines: Receiver<String>) {
+fn write(lines: Receiver<String>, _is_writing: SyncSender<()>) {
     for line in lines {
         log::info!("{line}");
     }
 }
 
+/// Waits until the queued lines are written, unless nobody reads them; later events are not logged.
+pub fn close() {
+    let Some(Sink { lines, written, .. }) = SINK.take() else {
+        return;
+    };
+    drop(lines);
+    let _ = written.recv_timeout(CLOSE_TIMEOUT);
+}
+
 impl Event<'_> {
     /// Queues a line; counts it as dropped if a rate limit or the queue is exceeded. Does nothing
     /// before [`install`].
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -137,6 +137,5 @@
         ended = Some(connection.await);
     }
     // An error mostly means that the caller closed the connection, which ends its request.
-    let why = ended.and_then(Result::err).map_or(String::new(), |e| e.to_string());
-    outbox.log_end(&node, &why);
+    outbox.log_end(&node, ended.and_then(Result::err));
 }
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -67,16 +67,21 @@
     }
 
     /// Logs the answers that are still owed at the end of the connection.
-    pub fn log_end(&self, node: &Node, why: &str) {
+    pub fn log_end(&self, node: &Node, error: Option<hyper::Error>) {
+        if error.as_ref().is_some_and(hyper::Error::is_user) {
+            // The answer was broken off, which has a line of its own.
+            return;
+        }
+        let why = error.map_or(String::new(), |e| e.to_string());
         for pending in self.0.take() {
             let stage = pending.work.stage();
-            let is_received = stage != WorkStage::Receiving;
-            if is_received && pending.progress.get() == Progress::Awaited {
-                // The caller left while its request ran, which has a line of its own.
+            if matches!(stage, WorkStage::Waiting | WorkStage::Running) {
+                // The caller left, which has a line of its own.
                 continue;
             }
             node.metrics.count_undelivered(stage.as_str());
-            Event::Undelivered { id: &pending.work.take_id(), stage: stage.as_str(), why }.emit();
+            let id = pending.work.take_id();
+            Event::Undelivered { id: &id, stage: stage.as_str(), why: &why }.emit();
         }
     }
 }
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -59,6 +59,5 @@
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
     // A peer that disconnects sends its request again, or the failure detector notices it.
-    let why = connection.await.err().map_or(String::new(), |e| e.to_string());
-    outbox.log_end(&node, &why);
+    outbox.log_end(&node, connection.await.err());
 }
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -31,7 +31,9 @@
         .build()
         .context("could not start the runtime")?;
     let node = Rc::new(Node::new(settings, dialect));
-    LocalSet::new().block_on(&runtime, serve(node, path))
+    let end = LocalSet::new().block_on(&runtime, serve(node, path));
+    crate::events::close();
+    end
 }
 
 async fn serve(node: Rc<Node>, path: PathBuf) -> anyhow::Result<()> {
