--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -366,6 +366,7 @@
     /// Current metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.render(Gauges {
+            open: self.open_requests(),
             work: self.work(),
             orders: self.pools.open_orders(),
             rules: self.table.borrow().rules.version,
@@ -447,9 +448,10 @@
         });
     }
 
-    /// Number of requests without a complete answer.
+    /// Number of requests whose answers have not left.
     pub fn open_requests(&self) -> usize {
-        self.work().running
+        let work = self.work();
+        work.running + work.sending
     }
 
     /// Open requests and messages by stage.
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -56,8 +56,8 @@
     Ok(())
 }
 
-/// Reports unready at once, keeps serving requests that still arrive, and returns when all are
-/// answered or the stop time is over.
+/// Reports unready at once, keeps serving requests that still arrive, and returns when the other
+/// sides have all answers or the stop time is over.
 async fn stop(node: &Rc<Node>) {
     let started = node.now();
     Event::Stop { open: node.work().requests() }.emit();
@@ -76,8 +76,7 @@
         if elapsed + ENDING_PERIOD >= stop_time {
             node.enter_phase(LifePhase::Ending);
         }
-        let all_answered = node.open_requests() == 0 && node.pools.open_orders() == 0;
-        if elapsed >= stop_time || (elapsed >= BALANCER_LAG && all_answered) {
+        if elapsed >= stop_time || (elapsed >= BALANCER_LAG && is_all_delivered(node)) {
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
@@ -85,6 +84,15 @@
     log_stopped(node, node.now().since(started));
 }
 
+/// Whether nothing is open, and the other sides have acknowledged all that was sent: after the end of
+/// the process the kernel may drop the rest.
+fn is_all_delivered(node: &Node) -> bool {
+    let work = node.work();
+    let is_answered = node.open_requests() == 0 && work.messages == 0;
+    let is_idle = is_answered && node.pools.open_orders() == 0;
+    is_idle && node.sockets.unacknowledged() == 0
+}
+
 fn log_stopped(node: &Node, took: Duration) {
     let work = node.work();
     Event::Stopped {
