Wait at a planned stop for bodies that are on their way in

What callers saw: a body of 1 MB sent at 250 kB a second ends in a broken pipe after 3.1 s, with no status, although 4 s of the grace are left. Its caller may not send it again unless the request is idempotent, where a refusal would have let it.

Cause: a request began to count once its body had been read, so a stop saw nothing open and ended the process after 2.5 s (`stopped` with `receiving` 1).

Change: a request is open from its head on, for readiness, the intake and peers as well. A body that is not whole when the stop is nearly over is refused with 503 and `Retry-After`; it has been sent nowhere, so that the promise holds.

Tests, red before: `planned_stop_waits_for_bodies_on_their_way_in` (broken pipe) and `body_that_outlasts_a_planned_stop_is_refused_with_a_status` (no answer).

--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -32,7 +32,7 @@
 
     /// Adapts the limit to the present load.
     fn adjust(&self, node: &Node) {
-        let open = node.open_requests() + node.work().receiving + self.awaiting.get();
+        let open = node.open_requests() + self.awaiting.get();
         let mut machine = self.machine.borrow_mut();
         if machine.adjust(open, node.pace(), node.now()) {
             let limit = machine.limit();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -450,8 +450,7 @@
 
     /// Number of requests whose answers have not left.
     pub fn open_requests(&self) -> usize {
-        let work = self.work();
-        work.running + work.sending
+        self.work().requests()
     }
 
     /// Open requests and messages by stage.
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -60,7 +60,7 @@
 /// sides have all answers or the stop time is over.
 async fn stop(node: &Rc<Node>) {
     let started = node.now();
-    Event::Stop { open: node.work().requests() }.emit();
+    Event::Stop { open: node.open_requests() }.emit();
     node.enter_phase(LifePhase::Stopping);
     node.peers.roster(|r| r.stop());
     // Peers choose other nodes from now on; orders that they have placed here still run.
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -18,6 +18,7 @@
 use super::reply::{self, Body};
 use crate::events::Event;
 use crate::node::Node;
+use crate::phase::LifePhase;
 use crate::quarantine::RequestKeys;
 use crate::rules::{RuleTable, choose_service};
 use crate::streams;
@@ -113,9 +114,15 @@
     let wait_ms = wait_ms.min(resolved.route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
-    let body = match node.clock.timeout_at(deadline, read_body(body, limit)).await {
-        Some(body) => body,
-        None => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close()),
+    let body = tokio::select! {
+        body = read_body(body, limit) => body,
+        () = node.clock.sleep_until(deadline) => {
+            Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close())
+        }
+        () = node.wait_for_phase(LifePhase::Ending) => {
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "this node stops");
+            Err(refusal.retry_after(DEFAULT_RETRY_AFTER).close())
+        }
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
     let Resolved { route, service, workspace, rank, allowed } = resolved;
