Read what still comes in while a connection closes

What callers saw: an answer of 4 MB to a request with `Connection: close` is cut if the caller has sent more bytes meanwhile, without a planned stop as well.

Cause: the kernel resets a connection that is closed with unread input, and throws away what it still has to send, here some 800 kB. The same holds for a refusal to a caller who is still sending its body, and for every kept connection at a stop whose caller has sent its next request.

Change: at the end of a connection this node ends its sending side, reads on until the caller has acknowledged everything and nothing has come for 200 ms, and closes then; after 30 s at most. A caller that closed first and has everything costs one call of the kernel. Sockets that close count for a stop.

Test, red before: `input_that_comes_while_a_connection_closes_does_not_cost_its_answer`. Shown not to fail, before as after: the idle timeout (1 s) and `Connection: close` while an answer is read for 4 s, a next request on a kept connection, and a refusal to a caller that is still sending (lost only by timing).

--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -121,7 +121,7 @@
         .max_buf_size(MIN_HEAD_BYTES.max(limits.head_bytes) * 2)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = Box::pin(connection);
     let expire = async {
         tokio::time::sleep(AWAITING_TIME).await;
         drop(awaiting.take());
@@ -134,8 +134,9 @@
     };
     if ended.is_none() {
         connection.as_mut().graceful_shutdown();
-        ended = Some(connection.await);
+        ended = Some(connection.as_mut().await);
     }
+    drop(connection);
     // An error mostly means that the caller closed the connection, which ends its request.
-    outbox.log_end(&node, ended.and_then(Result::err));
+    outbox.close(&node, ended.and_then(Result::err)).await;
 }
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod intake;
+mod linger;
 mod outbox;
 mod readiness;
 pub mod small;
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -8,13 +8,15 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
+use super::linger;
 use super::socket::ServerSocket;
 use crate::events::Event;
 use crate::node::Node;
@@ -52,28 +54,42 @@
 
 /// What a connection owes the other side.
 #[derive(Default)]
-pub struct Outbox(RefCell<Vec<Rc<Pending>>>);
+pub struct Outbox {
+    pending: RefCell<Vec<Rc<Pending>>>,
+    /// Whether the other side has ended its sending side, or reset the connection.
+    has_ended: Cell<bool>,
+    /// The socket, once the library has dropped it.
+    socket: Cell<Option<ServerSocket>>,
+}
 
 impl Outbox {
     /// Begins to owe an answer.
     pub fn begin(&self, work: Rc<OpenWork>) -> Rc<Pending> {
         let pending = Rc::new(Pending { work, progress: Cell::new(Progress::Awaited) });
-        self.0.borrow_mut().push(pending.clone());
+        self.pending.borrow_mut().push(pending.clone());
         pending
     }
 
     fn flushed(&self) {
-        self.0.borrow_mut().retain(|p| p.progress.get() != Progress::Buffered);
+        self.pending.borrow_mut().retain(|p| p.progress.get() != Progress::Buffered);
+    }
+
+    /// Ends the connection, which the library has dropped.
+    pub async fn close(&self, node: &Node, error: Option<hyper::Error>) {
+        self.log_end(node, error);
+        if let Some(socket) = self.socket.take() {
+            linger::close(node, socket, self.has_ended.get()).await;
+        }
     }
 
     /// Logs the answers that are still owed at the end of the connection.
-    pub fn log_end(&self, node: &Node, error: Option<hyper::Error>) {
+    fn log_end(&self, node: &Node, error: Option<hyper::Error>) {
         if error.as_ref().is_some_and(hyper::Error::is_user) {
             // The answer was broken off, which has a line of its own.
             return;
         }
         let why = error.map_or(String::new(), |e| e.to_string());
-        for pending in self.0.take() {
+        for pending in self.pending.take() {
             let stage = pending.work.stage();
             if matches!(stage, WorkStage::Waiting | WorkStage::Running) {
                 // The caller left, which has a line of its own.
@@ -120,14 +136,25 @@
 
 /// Socket that notes when an answer has left.
 pub struct TrackedSocket {
-    socket: ServerSocket,
+    /// Present until the drop.
+    socket: Option<ServerSocket>,
     outbox: Rc<Outbox>,
 }
 
 impl TrackedSocket {
     /// Socket of the connection with this outbox.
     pub fn new(socket: ServerSocket, outbox: Rc<Outbox>) -> Self {
-        TrackedSocket { socket, outbox }
+        TrackedSocket { socket: Some(socket), outbox }
+    }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(&mut self.socket.as_mut().expect("present until the drop").stream)
+    }
+}
+
+impl Drop for TrackedSocket {
+    fn drop(&mut self) {
+        self.outbox.socket.set(self.socket.take());
     }
 }
 
@@ -137,7 +164,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = ready!(self.stream().poll_read(cx, buf));
+        if read.is_err() || buf.filled().len() == before {
+            self.outbox.has_ended.set(true);
+        }
+        Poll::Ready(read)
     }
 }
 
@@ -147,7 +179,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket.stream).poll_write(cx, bytes)
+        self.stream().poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -155,15 +187,15 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket.stream).poll_write_vectored(cx, bytes)
+        self.stream().poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.stream.is_write_vectored()
+        self.socket.as_ref().is_some_and(|s| s.stream.is_write_vectored())
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.socket.stream).poll_flush(cx);
+        let flushed = self.stream().poll_flush(cx);
         if let Poll::Ready(Ok(())) = flushed {
             self.outbox.flushed();
         }
@@ -171,6 +203,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket.stream).poll_shutdown(cx)
+        self.stream().poll_shutdown(cx)
     }
 }
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -59,5 +59,6 @@
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
     // A peer that disconnects sends its request again, or the failure detector notices it.
-    outbox.log_end(&node, connection.await.err());
+    let error = connection.await.err();
+    outbox.close(&node, error).await;
 }
--- a/crates/forward/src/ingress/socket.rs
+++ b/crates/forward/src/ingress/socket.rs
@@ -45,6 +45,11 @@
         node.sockets.0.borrow_mut().insert(stream.as_raw_fd());
         ServerSocket { stream, node: node.clone() }
     }
+
+    /// Bytes sent that the other side has not acknowledged.
+    pub fn unacknowledged(&self) -> usize {
+        unacknowledged(self.stream.as_raw_fd())
+    }
 }
 
 impl Drop for ServerSocket {
