Let callers that send no more have the rest of their answers

What callers saw: one that ends its sending side after its request and reads 4 MB slowly gets what the kernel held at that moment (`undelivered`, stage `sending`, "connection closed before message completed").

Cause: once an answer is buffered, the HTTP library reads for the next request, takes the end of the input for that of the connection, and drops the buffer.

Change: nothing is read while a complete answer has not left. A caller that ends its sending side while its request runs counts as one that left, as before; a connection that is gone is noticed by the write.

Test, red before: `caller_that_ends_sending_gets_the_rest_of_its_answer`.

--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use bytes::Bytes;
 use hyper::Response;
@@ -56,6 +56,8 @@
 #[derive(Default)]
 pub struct Outbox {
     pending: RefCell<Vec<Rc<Pending>>>,
+    /// Task that waits to read until the answers have left.
+    reader: Cell<Option<Waker>>,
     /// Whether the other side has ended its sending side, or reset the connection.
     has_ended: Cell<bool>,
     /// The socket, once the library has dropped it.
@@ -72,6 +74,14 @@
 
     fn flushed(&self) {
         self.pending.borrow_mut().retain(|p| p.progress.get() != Progress::Buffered);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Whether an answer is complete but has not left.
+    fn is_flushing(&self) -> bool {
+        self.pending.borrow().iter().any(|p| p.progress.get() == Progress::Buffered)
     }
 
     /// Ends the connection, which the library has dropped.
@@ -134,7 +144,8 @@
     }
 }
 
-/// Socket that notes when an answer has left.
+/// Socket that notes when an answer has left. Until then it reads nothing, since the library would
+/// take the end of the input for that of the connection.
 pub struct TrackedSocket {
     /// Present until the drop.
     socket: Option<ServerSocket>,
@@ -164,6 +175,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.outbox.is_flushing() {
+            self.outbox.reader.set(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = ready!(self.stream().poll_read(cx, buf));
         if read.is_err() || buf.filled().len() == before {
