--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -1,8 +1,4 @@
 //! The answers that one connection of this node's servers owes the other side.
-//!
-//! The HTTP library drops the body of a response once it has buffered it, and flushes the socket
-//! when its buffer is empty. So an answer has left when the socket is flushed after the body was
-//! dropped.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -10,45 +6,32 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 
-use bytes::Bytes;
 use hyper::Response;
-use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::linger;
 use super::socket::ServerSocket;
+use crate::delivery::{Delivery, TrackedBody};
 use crate::events::Event;
 use crate::node::Node;
 use crate::work::{OpenWork, WorkStage};
 
-/// How far a response has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Progress {
-    /// It has not begun.
-    Awaited,
-    /// The library takes its body.
-    Begun,
-    /// The library has buffered it to its end.
-    Buffered,
-}
-
 /// A request or message that was read.
 pub struct Pending {
     work: Rc<OpenWork>,
-    progress: Cell<Progress>,
+    delivery: Rc<Delivery>,
 }
 
 impl Pending {
     /// Takes note of the end of the response.
-    pub fn respond<B>(self: Rc<Self>, response: Response<B>) -> Response<TrackedBody<B>> {
+    pub fn respond<B>(&self, response: Response<B>) -> Response<TrackedBody<B>> {
         match self.work.stage() {
             WorkStage::Waiting => self.work.enter(WorkStage::Message),
             WorkStage::Receiving => self.work.enter(WorkStage::Sending),
             _ => {}
         }
-        self.progress.set(Progress::Begun);
-        response.map(|body| TrackedBody { body, pending: self })
+        response.map(|body| self.delivery.track(body))
     }
 }
 
@@ -67,13 +50,15 @@
 impl Outbox {
     /// Begins to owe an answer.
     pub fn begin(&self, work: Rc<OpenWork>) -> Rc<Pending> {
-        let pending = Rc::new(Pending { work, progress: Cell::new(Progress::Awaited) });
+        let pending = Rc::new(Pending { work, delivery: Delivery::new() });
         self.pending.borrow_mut().push(pending.clone());
         pending
     }
 
     fn flushed(&self) {
-        self.pending.borrow_mut().retain(|p| p.progress.get() != Progress::Buffered);
+        let mut pending = self.pending.borrow_mut();
+        pending.iter().for_each(|p| p.delivery.flushed());
+        pending.retain(|p| !p.delivery.is_sent());
         if let Some(reader) = self.reader.take() {
             reader.wake();
         }
@@ -81,7 +66,7 @@
 
     /// Whether an answer is complete but has not left.
     fn is_flushing(&self) -> bool {
-        self.pending.borrow().iter().any(|p| p.progress.get() == Progress::Buffered)
+        self.pending.borrow().iter().any(|p| p.delivery.is_flushing())
     }
 
     /// Ends the connection, which the library has dropped.
@@ -112,38 +97,6 @@
     }
 }
 
-/// Body whose drop ends the response.
-pub struct TrackedBody<B> {
-    body: B,
-    pending: Rc<Pending>,
-}
-
-impl<B> Drop for TrackedBody<B> {
-    fn drop(&mut self) {
-        self.pending.progress.set(Progress::Buffered);
-    }
-}
-
-impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
-    type Data = Bytes;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Socket that notes when an answer has left. Until then it reads nothing, since the library would
 /// take the end of the input for that of the connection.
 pub struct TrackedSocket {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod border;
 mod crossed;
 mod delay;
+mod delivery;
 mod ejections;
 mod events;
 mod heard;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -152,6 +152,11 @@
         Exchange { node, admitted, progress: RefCell::new(progress), work }
     }
 
+    /// This request as open work of the node.
+    pub(super) fn work(&self) -> &Rc<OpenWork> {
+        &self.work
+    }
+
     /// Accesses the progress, which must not be borrowed already.
     pub fn progress<T>(&self, f: impl FnOnce(&mut Progress) -> T) -> T {
         f(&mut self.progress.borrow_mut())
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -287,7 +287,10 @@
             Ok(body) => body.to_bytes(),
             Err(e) => return self.interrupted(format!("answer broke off: {e}")),
         };
-        drop(connection);
+        if head.status.is_success() && !connection.wait_sent().await {
+            return self.interrupted("the target closed before it had read the request".into());
+        }
+        connection.finish(&self.exchange.node, self.exchange.work(), self.exchange.deadline);
         let headers = self.exchange.node.dialect.return_headers(&head.headers);
         let status = head.status;
         if status.is_server_error() {
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -35,6 +35,8 @@
     TooLarge,
     /// target was silent for too long
     Silent,
+    /// target closed before it had read the request
+    Unread,
     /// no event came in time
     DeadlineExceeded,
 }
@@ -51,13 +53,13 @@
 pub struct EventReader {
     body: Incoming,
     buffer: BytesMut,
-    _connection: Connection,
+    connection: Connection,
 }
 
 impl EventReader {
     /// Creates a reader for a target's response.
     pub fn new(body: Incoming, connection: Connection) -> Self {
-        EventReader { body, buffer: BytesMut::new(), _connection: connection }
+        EventReader { body, buffer: BytesMut::new(), connection }
     }
 
     /// The next event with its terminator; `None` once the stream has ended properly.
@@ -70,7 +72,10 @@
                 return Err(StreamError::TooLarge);
             }
             match self.body.frame().await {
-                None if self.buffer.is_empty() => return Ok(None),
+                None if self.buffer.is_empty() && self.connection.wait_sent().await => {
+                    return Ok(None);
+                }
+                None if self.buffer.is_empty() => return Err(StreamError::Unread),
                 None => return Err(StreamError::Truncated),
                 Some(Err(e)) => return Err(StreamError::Interrupted(e)),
                 Some(Ok(frame)) => {
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -201,6 +201,10 @@
         Ok(body) => body.to_bytes(),
         Err(e) => return (CallEnd::Failed, Observation::Interrupted, e.to_string()),
     };
+    if !answer.connection.wait_sent().await {
+        let why = "it closed before it had read the call".to_string();
+        return (CallEnd::Failed, Observation::Interrupted, why);
+    }
     match node.dialect.stage_answer(&target.id, &body) {
         Ok(results) => (CallEnd::Answered(results), Observation::Answered(took), String::new()),
         Err(e) => {
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use model::Time;
 use model::forward::Target;
 use model::member::Node as PeerNode;
 use nix::sys::socket::{setsockopt, sockopt};
@@ -23,7 +25,9 @@
 use util::http::{KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT};
 
 use crate::crossed::{Metered, RegionTraffic};
+use crate::delivery::{Delivery, TrackedIo};
 use crate::node::Node;
+use crate::work::OpenWork;
 
 /// Timeout of a connection attempt; a target that is up accepts within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -52,12 +56,35 @@
     }
 }
 
-/// Aborts the connection when dropped.
-pub struct Connection(AbortHandle);
+/// Connection that carries one request; aborted when dropped.
+pub struct Connection {
+    task: AbortHandle,
+    request: Rc<Delivery>,
+}
+
+impl Connection {
+    /// Waits until the request has left or the connection has ended; returns whether it has left. A
+    /// target may answer before it has read a long body.
+    pub async fn wait_sent(&self) -> bool {
+        self.request.wait().await
+    }
+
+    /// Sends the rest of the request, until `deadline`; `work` stays open meanwhile.
+    pub fn finish(self, node: &Rc<Node>, work: &Rc<OpenWork>, deadline: Time) {
+        if self.request.is_sent() {
+            return;
+        }
+        let (node, work) = (node.clone(), work.clone());
+        tokio::task::spawn_local(async move {
+            node.clock.timeout_at(deadline, self.wait_sent()).await;
+            drop(work);
+        });
+    }
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -140,15 +167,18 @@
 ) -> Result<Answer, SendError> {
     configure_socket(&socket);
     let lost = |e| SendError::ConnectionLost(address, e);
-    let handshake = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake::<_, Full<Bytes>>(TokioIo::new(Metered::new(socket, traffic)));
+    let delivery = Delivery::new();
+    let request = request.map(|body| delivery.track(body));
+    let io = TrackedIo::new(Metered::new(socket, traffic), delivery.clone());
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(io));
     let (mut sender, connection) = handshake.await.map_err(lost)?;
+    let sending = delivery.clone();
     let task = tokio::task::spawn_local(async move {
         // Errors are reported by the sender or the body.
         let _ = connection.await;
+        sending.closed();
     });
-    let connection = Connection(task.abort_handle());
+    let connection = Connection { task: task.abort_handle(), request: delivery };
     let response = sender.send_request(request).await.map_err(lost)?;
     Ok(Answer { response, connection })
 }
