--- a/crates/forward/src/ingress/socket.rs
+++ b/crates/forward/src/ingress/socket.rs
@@ -29,7 +29,10 @@
     let mut bytes: c_int = 0;
     // SAFETY: the ioctl writes one `c_int`, to a variable that outlives the call.
     let result = unsafe { read_unacknowledged(fd, &raw mut bytes) };
-    result.map_or(0, |_| usize::try_from(bytes).unwrap_or(0))
+    if let Err(e) = result {
+        log::debug!("send queue of a socket: {e}");
+    }
+    usize::try_from(bytes).unwrap_or(0)
 }
 
 /// Connection that a server has accepted.
