Derive the gauge of open requests from the counts by stage

The metrics were handed the number of open requests beside the counts by stage whose sum it is, and the stop asked the node for the same counts twice. One value serves both now.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -133,8 +133,6 @@
 /// Values of gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy)]
 pub struct Gauges<'a> {
-    /// Requests whose answers have not left.
-    pub open: usize,
     /// Open requests and messages by stage.
     pub work: WorkCounts,
     /// Open stage orders at the batch coordinators of this node.
@@ -485,7 +483,7 @@
 
     /// All metrics as text, with the given values of the gauges.
     pub fn render(&self, now: Gauges<'_>) -> String {
-        self.open_requests.set(now.open as i64);
+        self.open_requests.set(now.work.requests() as i64);
         for (stage, count) in now.work.by_stage() {
             let labels = NameLabel { name: stage.as_str().to_string() };
             self.open_work.get_or_create(&labels).set(count as i64);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -366,7 +366,6 @@
     /// Current metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.render(Gauges {
-            open: self.open_requests(),
             work: self.work(),
             orders: self.pools.open_orders(),
             rules: self.table.borrow().rules.version,
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -88,9 +88,8 @@
 /// the process the kernel may drop the rest.
 fn is_all_delivered(node: &Node) -> bool {
     let work = node.work();
-    let is_answered = node.open_requests() == 0 && work.messages == 0;
-    let is_idle = is_answered && node.pools.open_orders() == 0;
-    is_idle && node.sockets.unacknowledged() == 0
+    let is_answered = work.requests() == 0 && work.messages == 0;
+    is_answered && node.pools.open_orders() == 0 && node.sockets.unacknowledged() == 0
 }
 
 fn log_stopped(node: &Node, took: Duration) {
