Log a run that is given up for its target's silence

Which of a stream's runs this node ended, when and after how long a silence no line told: broken_off names why the second run failed. No change of behaviour.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -340,6 +340,8 @@
     Remade { id: &'a str, stage: usize, again: usize },
     /// Stages are rerun because the allowed regions have changed.
     Moved { id: &'a str, version: u64 },
+    /// A target was silent for too long while it ran a request; `outcome` is what became of the run.
+    Silent { id: &'a str, target: &'a str, silent_ms: u64, left_ms: u64, outcome: &'a str },
     /// An interrupted stream resumes on another target; its stages were rerun.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
     /// The origin of a stream that a caller resumes was looked up: known to this node, to one of the
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -186,12 +186,25 @@
                 return Some(done);
             }
             if self.node.permits_repeat(&self.service) {
+                self.log_silence(timeout);
                 return None;
             }
         }
         Some(work.await)
     }
 
+    fn log_silence(&self, silent: Duration) {
+        let target = self.progress(|p| p.target.clone());
+        Event::Silent {
+            id: &self.head.id,
+            target: target.as_ref().map_or("", |t| &t.name),
+            silent_ms: silent.as_millis() as u64,
+            left_ms: self.time_left().as_millis() as u64,
+            outcome: "ended",
+        }
+        .emit();
+    }
+
     /// Serves the request until its final response, its deadline, or the end of this node.
     pub async fn run(self: Rc<Self>) -> Response<Body> {
         let cause = tokio::select! {
