--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod notice;
 mod pick;
 mod shared;
+mod silence;
 mod state;
 mod supersede;
 mod targets;
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -100,6 +100,8 @@
     failed_at: Option<Time>,
     /// When the latest answer arrived.
     served_at: Option<Time>,
+    /// When the latest event of a stream arrived.
+    event_at: Option<Time>,
     /// Since when requests have been in flight without a gap.
     busy_since: Time,
     /// Whether none of the requests in flight has been sent yet.
@@ -130,6 +132,7 @@
             failing_since: None,
             failed_at: None,
             served_at: None,
+            event_at: None,
             busy_since: Time::ZERO,
             is_unsent: false,
             probed_at: Time::ZERO,
@@ -303,7 +306,17 @@
 
     /// Whether requests have been in flight since before `since` without an answer to any.
     pub(super) fn is_silent_since(&self, since: Time) -> bool {
-        self.is_busy_since(since) && self.served_at.is_none_or(|at| at < since)
+        self.is_busy_since(since) && !self.is_heard_since(since)
+    }
+
+    /// Whether an answer or an event has arrived since `since`.
+    pub(super) fn is_heard_since(&self, since: Time) -> bool {
+        self.served_at.max(self.event_at).is_some_and(|at| at >= since)
+    }
+
+    /// Records an event of a stream.
+    pub(super) fn record_event(&mut self, now: Time) {
+        self.event_at = Some(now);
     }
 
     /// Ejects the target on the evidence of other nodes, until this node's turn to probe it.
--- a/crates/decide/src/resend/budget.rs
+++ b/crates/decide/src/resend/budget.rs
@@ -107,6 +107,13 @@
         granted
     }
 
+    /// Returns a repeat that was withdrawn and not sent.
+    pub fn give_back(&mut self) {
+        if let Some(latest) = self.buckets.iter_mut().rev().find(|b| b.repeats > 0) {
+            latest.repeats -= 1;
+        }
+    }
+
     fn bucket(&mut self, now: Time) -> &mut Bucket {
         let window = self.tuning.window;
         while self.buckets.front().is_some_and(|b| now.since(b.start) > window) {
--- a/crates/decide/src/resend/verdict.rs
+++ b/crates/decide/src/resend/verdict.rs
@@ -32,8 +32,8 @@
     pub reached: u32,
     /// Whether any of its attempts may have run.
     pub execution: Execution,
-    /// Whether an attempt is in flight, so that bytes may be at a target.
-    pub in_flight: bool,
+    /// Attempts in flight, whose bytes may be at a target.
+    pub in_flight: u32,
     /// Whether the caller already has part of the response.
     pub response_begun: bool,
 }
@@ -66,7 +66,7 @@
             max_targets: max_targets.max(1),
             reached: 0,
             execution: Execution::Excluded,
-            in_flight: false,
+            in_flight: 0,
             response_begun: false,
         }
     }
@@ -74,31 +74,35 @@
     /// Records a connection to a target, which gets bytes from now on.
     pub fn connected(&mut self) {
         self.reached += 1;
-        self.in_flight = true;
+        self.in_flight += 1;
     }
 
     /// Records whether the target that was reached may have run the request.
     pub fn record(&mut self, execution: Execution) {
-        self.in_flight = false;
+        self.in_flight = self.in_flight.saturating_sub(1);
         self.execution = self.execution.max(execution);
     }
 
     /// Outcome of the request if it ends now.
     pub fn ending(&self) -> Ending {
-        match (self.response_begun, self.execution, self.in_flight) {
-            (true, _, _) => Ending::BreakOff,
-            (false, Execution::Excluded, false) => Ending::NotRun,
-            (false, _, _) => Ending::Unknown,
+        match (self.response_begun, self.may_have_run()) {
+            (true, _) => Ending::BreakOff,
+            (false, false) => Ending::NotRun,
+            (false, true) => Ending::Unknown,
         }
     }
 
+    fn may_have_run(&self) -> bool {
+        self.execution == Execution::Possible || self.in_flight > 0
+    }
+
     /// Whether the retry rules allow a further attempt with this time left; the budget is asked
     /// only then.
     pub fn may_resend(&self, left: Duration) -> bool {
         if left < MIN_TIME_LEFT {
             return false;
         }
-        if self.execution == Execution::Excluded {
+        if !self.may_have_run() {
             return self.reached < self.max_targets.max(MAX_REJECTIONS);
         }
         let resumable = !self.response_begun || self.repeat == Repeat::StreamResumable;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -340,7 +340,7 @@
     Remade { id: &'a str, stage: usize, again: usize },
     /// Stages are rerun because the allowed regions have changed.
     Moved { id: &'a str, version: u64 },
-    /// A target was silent for too long while it ran a request; `outcome` is what became of the run.
+    /// A target was silent for too long while it ran a request: `outcome` tells what became of its run.
     Silent { id: &'a str, target: &'a str, silent_ms: u64, left_ms: u64, outcome: &'a str },
     /// An interrupted stream resumes on another target; its stages were rerun.
     Resuming { id: &'a str, stages: usize, made: bool, left_ms: u64 },
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,6 +27,7 @@
 mod prefill;
 mod quarantine;
 mod reload;
+mod repeat;
 mod rollout;
 mod rules;
 mod run;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -293,14 +293,23 @@
     pub fn take_repeat(&self, service: &Name) -> bool {
         let (now, nodes) = (self.now(), self.peers.roster(|r| r.max_seen()));
         let granted = self.budget(service, |b| b.withdraw(now, nodes));
-        if granted {
-            self.metrics.count_repeat(service);
-        } else {
+        if !granted {
             Event::NoRepeat { service, nodes }.emit();
         }
         granted
     }
 
+    /// Returns a repeat that was taken and not sent.
+    pub fn return_repeat(&self, service: &Name) {
+        self.budget(service, RepeatBudget::give_back);
+    }
+
+    /// Records an event of a stream as a sign of life of its target.
+    pub fn record_event(&self, target: &TargetId) {
+        let now = self.now();
+        self.fleet(|f| f.record_event(target, now));
+    }
+
     fn budget<T>(&self, service: &Name, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let new_budget = || {
--- a/crates/forward/src/serve/choice.rs
+++ b/crates/forward/src/serve/choice.rs
@@ -12,6 +12,7 @@
 use crate::events::Event;
 use crate::limits::{self, Permit};
 use crate::prefill::{self, Prompt, PromptGuard};
+use crate::repeat::RepeatGuard;
 use crate::rollout;
 use crate::slots::{self, SlotGuard};
 use crate::stages::RequestResults;
@@ -26,6 +27,8 @@
     /// Held until the target has read the prompt, if a scheduler chose the target.
     pub prompt_guard: Option<PromptGuard>,
     pub permit: Permit,
+    /// The repeat taken from the budget, unless this is the first attempt.
+    pub repeat: Option<RepeatGuard>,
     /// Slot that the request holds if the target is brittle.
     pub slot: Option<SlotGuard>,
 }
@@ -53,7 +56,7 @@
     fn try_choose(&self) -> Option<Target> {
         let now = self.node.now();
         let owns = |id: &TargetId| self.node.peers.roster(|r| r.owns(&id.name, now));
-        let excluded = self.progress(|p| p.excluded.clone());
+        let excluded = self.excluded_targets(now);
         let settings = self.node.settings();
         let allowed = self.allowed_regions();
         let version = self.stream_version();
@@ -81,6 +84,16 @@
         Some(chosen)
     }
 
+    /// Targets that must not be chosen: those already tried and, for a replacement, silent ones.
+    fn excluded_targets(&self, now: Time) -> Vec<TargetId> {
+        let (mut excluded, quiet_time) = self.progress(|p| (p.excluded.clone(), p.quiet_time));
+        if let Some(quiet_time) = quiet_time {
+            let since = now - quiet_time;
+            self.node.fleet(|f| excluded.extend(f.silent_targets(&self.service, since).cloned()));
+        }
+        excluded
+    }
+
     /// Regions in which the remaining work may be done: those allowed at admission, as far as the
     /// rules in force still allow them.
     pub(super) fn allowed_regions(&self) -> Allowed {
@@ -261,19 +274,27 @@
             return None;
         }
         let attempts = self.progress(|p| p.attempts);
-        let next = attempts.next(self.time_left(), || self.node.take_repeat(&self.service));
+        let mut repeat = None;
+        let next = attempts.next(self.time_left(), || {
+            repeat = RepeatGuard::take(&self.node, &self.service);
+            repeat.is_some()
+        });
         if next != Next::Resend {
             return None;
         }
         if self.progress(|p| !p.excluded.is_empty()) {
             self.leave_trial();
         }
-        self.choose_permitted(chosen).await
+        self.choose_permitted(chosen, repeat).await
     }
 
     /// A target that the request may be sent to now, preferably `chosen`. A target whose keeper
     /// grants no permit or slot becomes closed to this node, so that another one is chosen.
-    async fn choose_permitted(&self, mut chosen: Option<Target>) -> Option<Choice> {
+    async fn choose_permitted(
+        &self,
+        mut chosen: Option<Target>,
+        mut repeat: Option<RepeatGuard>,
+    ) -> Option<Choice> {
         for requests in 0.. {
             if requests >= MAX_PERMIT_REQUESTS {
                 self.exclude_limited();
@@ -293,7 +314,8 @@
             let id = || self.head.id.clone();
             if let Some(permit) = limits::request_permit(&self.node, &target, 1, id).await {
                 self.log_choice(&target, chosen_by, tokens_ahead);
-                return Some(Choice { target, prompt_guard, permit, slot });
+                let repeat = repeat.take();
+                return Some(Choice { target, prompt_guard, permit, repeat, slot });
             }
         }
         None
@@ -369,7 +391,7 @@
     /// nor which notices they sent to it.
     fn scheduler_exclusions(&self) -> Vec<TargetId> {
         let now = self.node.now();
-        let mut excluded = self.progress(|p| p.excluded.clone());
+        let mut excluded = self.excluded_targets(now);
         self.node.fleet(|f| {
             let limited = f.limits().limited().map(|(id, _)| id);
             excluded.extend(limited.filter(|id| f.limits().is_closed(id, now)).cloned());
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -13,7 +13,7 @@
 
 use super::proxy;
 use super::reply::{self, Body};
-use super::send::{Outcome, send};
+use super::send::{Outcome, send_or_replace};
 use super::stream;
 use crate::events::Event;
 use crate::limits::AT_LIMIT;
@@ -54,6 +54,9 @@
     pub attempts: Attempts,
     /// Targets that must not be chosen again.
     pub excluded: Vec<TargetId>,
+    /// Time for which another target must not have been silent in order to replace a silent one;
+    /// `None` while no replacement is sought.
+    pub quiet_time: Option<Duration>,
     /// Target of the last attempt.
     pub target: Option<TargetId>,
     /// Version of the target that sent the first event of the stream, in this or an earlier attempt;
@@ -135,6 +138,7 @@
         let progress = Progress {
             attempts: Attempts::new(route.repeat, route.max_attempts),
             excluded: Vec::new(),
+            quiet_time: None,
             target: None,
             begun_at: admitted.origin.as_ref().map(|o| o.version.clone()),
             first_event_at: None,
@@ -173,38 +177,6 @@
         (self.arrived + objective).since(self.node.now())
     }
 
-    /// Runs `work`; returns `None` if it exceeds the silence timeout and the request may be sent to
-    /// another target instead.
-    pub async fn with_silence_timeout<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        let objective = Duration::from_millis(self.route.objective_ms);
-        let pause = self.route.pause_ms.map(Duration::from_millis);
-        let mut work = std::pin::pin!(work);
-        let timeout = self.progress(|p| p.attempts.silence_timeout(objective, pause));
-        if let Some(timeout) = timeout.filter(|_| self.node.settings().policy.patience) {
-            let until = self.node.now() + timeout;
-            if let Some(done) = self.node.clock.timeout_at(until, work.as_mut()).await {
-                return Some(done);
-            }
-            if self.node.permits_repeat(&self.service) {
-                self.log_silence(timeout);
-                return None;
-            }
-        }
-        Some(work.await)
-    }
-
-    fn log_silence(&self, silent: Duration) {
-        let target = self.progress(|p| p.target.clone());
-        Event::Silent {
-            id: &self.head.id,
-            target: target.as_ref().map_or("", |t| &t.name),
-            silent_ms: silent.as_millis() as u64,
-            left_ms: self.time_left().as_millis() as u64,
-            outcome: "ended",
-        }
-        .emit();
-    }
-
     /// Serves the request until its final response, its deadline, or the end of this node.
     pub async fn run(self: Rc<Self>) -> Response<Body> {
         let cause = tokio::select! {
@@ -259,7 +231,7 @@
             if results.take_if(|m| !self.is_result_allowed(m)).is_some() {
                 results = Some(self.run_stages(Some(&target)).await?);
             }
-            match send(&self, choice, results.as_ref(), None).await {
+            match send_or_replace(&self, choice, results.as_ref(), None).await {
                 Outcome::Complete { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
                     return Ok(reply::build(status, headers, body));
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod exchange;
 mod proxy;
+mod replace;
 mod reply;
 mod send;
 mod stream;
--- /dev/null
+++ b/crates/forward/src/serve/replace.rs
@@ -0,0 +1,134 @@
+//! Replacement of a run whose target is silent.
+//!
+//! A target that is silent may be sound and go on, so its run ends only once another target has
+//! begun to answer in its place. Until then the run is read as before, and its answer ends the
+//! search for a replacement. While most targets are silent, a second run would only add to their
+//! work, so none is started.
+
+use std::time::Duration;
+
+use model::forward::TargetId;
+
+use super::exchange::Exchange;
+use crate::events::Event;
+
+/// Part of the silence timeout after which another target counts as silent too.
+const QUIET_PART: u32 = 2;
+
+/// What a request got first.
+pub(super) enum First<T, R> {
+    /// The outcome of its run.
+    Run(T),
+    /// A replacement, and the outcome of the run if that failed before.
+    Replacement(R, Option<T>),
+}
+
+/// Outcome of the search for a replacement.
+enum Search<T, R> {
+    Ended(First<T, R>),
+    NotFound,
+}
+
+impl Exchange {
+    /// Waits for the outcome of `run`. Whenever its target has been silent for too long, `replace`
+    /// looks for another target meanwhile. The run is dropped once there is a replacement.
+    pub(super) async fn run_or_replace<T, R>(
+        &self,
+        target: &TargetId,
+        run: impl Future<Output = T>,
+        is_answer: impl Fn(&T) -> bool,
+        replace: impl AsyncFn() -> Option<R>,
+    ) -> First<T, R> {
+        let mut run = std::pin::pin!(run);
+        let mut silent = Duration::ZERO;
+        while let Some(timeout) = self.silence_timeout() {
+            let until = self.node.now() + timeout;
+            if let Some(outcome) = self.node.clock.timeout_at(until, run.as_mut()).await {
+                return First::Run(outcome);
+            }
+            silent += timeout;
+            if let Some(reason) = self.no_replacement_reason(timeout) {
+                self.log_silence(target, silent, reason);
+                continue;
+            }
+            let before = self.progress(|p| p.quiet_time.replace(timeout / QUIET_PART));
+            let search = race(run.as_mut(), &is_answer, replace()).await;
+            self.progress(|p| p.quiet_time = before);
+            match search {
+                Search::Ended(first) => {
+                    self.end_search(target, silent, &first);
+                    return first;
+                }
+                Search::NotFound => self.log_silence(target, silent, "not_replaced"),
+            }
+        }
+        First::Run(run.await)
+    }
+
+    fn end_search<T, R>(&self, target: &TargetId, silent: Duration, first: &First<T, R>) {
+        let outcome = match first {
+            First::Run(_) => {
+                self.progress(|p| p.target = Some(target.clone()));
+                "answered"
+            }
+            First::Replacement(_, None) => "replaced",
+            First::Replacement(_, Some(_)) => "failed",
+        };
+        self.log_silence(target, silent, outcome);
+    }
+
+    /// Time for which a target may be silent before a replacement is sought.
+    fn silence_timeout(&self) -> Option<Duration> {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let pause = self.route.pause_ms.map(Duration::from_millis);
+        let timeout = self.progress(|p| p.attempts.silence_timeout(objective, pause));
+        timeout.filter(|_| self.node.settings().policy.patience)
+    }
+
+    /// Why no replacement is sought now.
+    fn no_replacement_reason(&self, timeout: Duration) -> Option<&'static str> {
+        let since = self.node.now() - timeout / QUIET_PART;
+        if self.node.fleet(|f| f.is_service_silent(&self.service, since)) {
+            return Some("all_silent");
+        }
+        (!self.node.permits_repeat(&self.service)).then_some("no_repeat")
+    }
+
+    fn log_silence(&self, target: &TargetId, silent: Duration, outcome: &str) {
+        Event::Silent {
+            id: &self.head.id,
+            target: &target.name,
+            silent_ms: silent.as_millis() as u64,
+            left_ms: self.time_left().as_millis() as u64,
+            outcome,
+        }
+        .emit();
+    }
+}
+
+/// Waits for an answer of `run` or the end of `search`, whichever is first; a run that fails does
+/// not end the search.
+async fn race<T, R>(
+    mut run: impl Future<Output = T> + Unpin,
+    is_answer: impl Fn(&T) -> bool,
+    search: impl Future<Output = Option<R>>,
+) -> Search<T, R> {
+    let mut search = std::pin::pin!(search);
+    let outcome = tokio::select! {
+        biased;
+        outcome = &mut run => outcome,
+        found = &mut search => {
+            return match found {
+                Some(replacement) => Search::Ended(First::Replacement(replacement, None)),
+                None => Search::NotFound,
+            };
+        }
+    };
+    if is_answer(&outcome) {
+        return Search::Ended(First::Run(outcome));
+    }
+    match search.await {
+        Some(replacement) => Search::Ended(First::Replacement(replacement, Some(outcome))),
+        None => Search::Ended(First::Run(outcome)),
+    }
+}
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -1,11 +1,13 @@
 //! One attempt: sends a request to one target and reads the outcome.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use decide::fleet::Observation;
 use decide::resend::Execution;
+use futures_util::future::LocalBoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
 use model::Time;
@@ -13,6 +15,7 @@
 
 use super::choice::Choice;
 use super::exchange::{ErrorResponse, Exchange};
+use super::replace::First;
 use super::stream::{EventReader, StartedStream, StreamError};
 use crate::border::ForwardContext;
 use crate::crossed::{self, MessageKind, RegionTraffic};
@@ -41,6 +44,13 @@
     NoResponse,
 }
 
+impl Outcome {
+    /// Whether there is a response to forward.
+    fn is_answer(&self) -> bool {
+        matches!(self, Outcome::Complete { .. } | Outcome::Stream(_))
+    }
+}
+
 /// Counts a request as in flight at a target until dropped.
 pub struct InFlightGuard {
     node: Rc<Node>,
@@ -105,16 +115,60 @@
     }
 }
 
-/// Sends the request; `resume_after` is the last event that the caller received.
-pub async fn send(
+/// Sends the request, and to another target as well once this one has been silent for too long;
+/// `resume_after` is the last event that the caller received.
+pub fn send_or_replace<'a>(
+    exchange: &'a Rc<Exchange>,
+    choice: Choice,
+    results: Option<&'a RequestResults>,
+    resume_after: Option<u64>,
+) -> LocalBoxFuture<'a, Outcome> {
+    Box::pin(async move {
+        let target = choice.target.clone();
+        let (started_at, sent) = (exchange.node.now(), OnceCell::new());
+        let attempt = Attempt { exchange, target: &target, started_at, sent };
+        let run = send(&attempt, choice, results, resume_after);
+        let replace = async || send_elsewhere(exchange, results, resume_after).await;
+        match exchange.run_or_replace(&target.id, run, Outcome::is_answer, replace).await {
+            First::Run(outcome) => outcome,
+            First::Replacement(outcome, failed) => {
+                if failed.is_none() {
+                    attempt.superseded();
+                }
+                outcome
+            }
+        }
+    })
+}
+
+/// Sends the request to one further target after another until one answers; `None` if none does.
+async fn send_elsewhere(
     exchange: &Rc<Exchange>,
+    results: Option<&RequestResults>,
+    resume_after: Option<u64>,
+) -> Option<Outcome> {
+    while results.is_none_or(|r| exchange.is_result_allowed(r)) {
+        let choice = exchange.next_target(None).await?;
+        match send_or_replace(exchange, choice, results, resume_after).await {
+            Outcome::NoResponse => {}
+            Outcome::InputLost => return None,
+            outcome => return Some(outcome),
+        }
+    }
+    None
+}
+
+async fn send(
+    attempt: &Attempt<'_>,
     choice: Choice,
     results: Option<&RequestResults>,
     resume_after: Option<u64>,
 ) -> Outcome {
-    let Choice { target, prompt_guard, permit, slot } = choice;
-    let target = &target;
-    let attempt = Attempt { exchange, target, started_at: exchange.node.now() };
+    let Choice { target, prompt_guard, permit, repeat, slot } = choice;
+    let (target, exchange) = (&target, attempt.exchange);
+    if let Some(repeat) = repeat {
+        repeat.spend();
+    }
     exchange.progress(|p| p.record_target(&target.id));
     let mut in_flight =
         InFlightGuard::new(&exchange.node, target, exchange.head.tokens_in, prompt_guard);
@@ -147,6 +201,9 @@
     let sent =
         rollout::track_send(&exchange.node, target, &exchange.route.name, 1, exchange.deadline);
     in_flight.sent.clone_from(&sent);
+    if let Some(sent) = sent {
+        let _ = attempt.sent.set(sent);
+    }
     let resume_after = resume_after.or(exchange.head.last_event);
     if let Some(after) = resume_after {
         log_resumption(exchange, target, after);
@@ -156,19 +213,10 @@
     if let Some(results) = results {
         crossed::count_inputs(&exchange.node, &target.id, results.input_sources());
     }
-    let work = async {
-        match upstream::send_over(socket, target.address, request, crossing).await {
-            Ok(answer) => attempt.handle_response(answer, in_flight).await,
-            Err(e) => attempt.interrupted(e.to_string()),
-        }
-    };
-    if let Some(outcome) = exchange.with_silence_timeout(work).await {
-        return outcome;
-    }
-    if let Some(sent) = sent {
-        sent.record_failure();
+    match upstream::send_over(socket, target.address, request, crossing).await {
+        Ok(answer) => attempt.handle_response(answer, in_flight).await,
+        Err(e) => attempt.interrupted(e.to_string()),
     }
-    attempt.interrupted("silent for too long".into())
 }
 
 fn log_resumption(exchange: &Exchange, target: &Target, after: u64) {
@@ -212,6 +260,8 @@
     exchange: &'a Rc<Exchange>,
     target: &'a Target,
     started_at: Time,
+    /// Evidence on the target's version, once the request is sent.
+    sent: OnceCell<TrackedSend>,
 }
 
 impl Attempt<'_> {
@@ -304,6 +354,14 @@
         Outcome::Complete { status, headers, body }
     }
 
+    /// Records that another target answered while this one was silent.
+    fn superseded(&self) {
+        if let Some(sent) = self.sent.get() {
+            sent.record_failure();
+        }
+        self.interrupted("silent for too long".into());
+    }
+
     /// Records a successful response.
     fn record_success(&self, in_flight: &InFlightGuard) {
         let node = &self.exchange.node;
@@ -334,7 +392,7 @@
 
     /// Logs and observes an attempt without a response to forward.
     fn no_response(&self, observed: Observation, reason: String) -> Outcome {
-        let Attempt { exchange, target, started_at } = self;
+        let Attempt { exchange, target, started_at, .. } = self;
         let node = &exchange.node;
         let after_ms = node.now().since(*started_at).as_millis() as u64;
         let ran = match exchange.progress(|p| p.attempts.execution) {
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -13,8 +13,9 @@
 use model::forward::{Repeat, StreamOrigin, Target};
 
 use super::exchange::Exchange;
+use super::replace::First;
 use super::reply::Body;
-use super::send::{InFlightGuard, Outcome, send};
+use super::send::{InFlightGuard, Outcome, send_or_replace};
 use crate::stages::{RequestResults, StageError};
 use crate::streams;
 use crate::upstream::Connection;
@@ -33,8 +34,6 @@
     Empty,
     /// an event is too large
     TooLarge,
-    /// target was silent for too long
-    Silent,
     /// target closed before it had read the request
     Unread,
     /// no event came in time
@@ -211,21 +210,45 @@
         let Some(reader) = &mut self.reader else {
             return Err(StreamError::Empty);
         };
-        let exchange = &self.exchange;
-        let reading = exchange.with_silence_timeout(reader.next());
+        let (exchange, last_event) = (&self.exchange, self.last_event);
+        let target = &self.in_flight.target.id;
+        let replace = async || match last_event {
+            Some(_) => resume_elsewhere(exchange, last_event).await.ok(),
+            None => None,
+        };
+        let reading = exchange.run_or_replace(target, reader.next(), Result::is_ok, replace);
         match exchange.node.clock.timeout_at(exchange.deadline, reading).await {
-            Some(Some(read)) => read,
-            Some(None) => Err(StreamError::Silent),
+            Some(First::Run(read)) => {
+                exchange.node.record_event(target);
+                read
+            }
+            Some(First::Replacement(started, failed)) => {
+                let is_fault = !matches!(failed, Some(Err(StreamError::Interrupted(_))));
+                Ok(Some(self.replace_run(*started, is_fault)))
+            }
             None => Err(StreamError::DeadlineExceeded),
         }
     }
 
+    /// Goes on with another target's run; returns its first event.
+    fn replace_run(&mut self, started: StartedStream, is_fault: bool) -> Bytes {
+        self.exchange.record_interruption(&self.in_flight.target);
+        if is_fault {
+            self.in_flight.report_failure();
+        }
+        let StartedStream { reader, first_event, in_flight, .. } = started;
+        self.reader = Some(reader);
+        self.in_flight = in_flight;
+        first_event
+    }
+
     /// Resumes the stream at another target after the last event; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
         // The earlier run must end before another one replaces it.
         self.reader = None;
         let exchange = &self.exchange;
-        match exchange.node.clock.timeout_at(exchange.deadline, self.resume_elsewhere()).await {
+        let resuming = resume_elsewhere(exchange, self.last_event);
+        match exchange.node.clock.timeout_at(exchange.deadline, resuming).await {
             Some(Ok(started)) => {
                 let StartedStream { reader, first_event, in_flight, .. } = *started;
                 self.reader = Some(reader);
@@ -240,26 +263,28 @@
             Some(Err(ResumeError::Refused)) | None => false,
         }
     }
+}
 
-    /// Starts the stream at another target, after the last event. Its stages are rerun once, near
-    /// the first target that is tried: their results were freed at the first event.
-    async fn resume_elsewhere(&self) -> Result<Box<StartedStream>, ResumeError> {
-        let exchange = &self.exchange;
-        let mut results = None;
-        while let Some(choice) = exchange.next_target(None).await {
-            results.take_if(|m| !exchange.is_result_allowed(m));
-            if results.is_none() && !exchange.route.stages.is_empty() {
-                let rerun = exchange.rerun_stages(&choice.target).await;
-                results = Some(rerun.map_err(ResumeError::Stages)?);
-            }
-            match send(exchange, choice, results.as_ref(), self.last_event).await {
-                Outcome::Stream(started) => return Ok(started),
-                Outcome::NoResponse => {}
-                Outcome::Complete { .. } | Outcome::InputLost => return Err(ResumeError::Refused),
-            }
+/// Starts a stream at another target, after the last event. Its stages are rerun once, near the
+/// first target that is tried: their results were freed at the first event.
+async fn resume_elsewhere(
+    exchange: &Rc<Exchange>,
+    last_event: Option<u64>,
+) -> Result<Box<StartedStream>, ResumeError> {
+    let mut results = None;
+    while let Some(choice) = exchange.next_target(None).await {
+        results.take_if(|m| !exchange.is_result_allowed(m));
+        if results.is_none() && !exchange.route.stages.is_empty() {
+            let rerun = exchange.rerun_stages(&choice.target).await;
+            results = Some(rerun.map_err(ResumeError::Stages)?);
+        }
+        match send_or_replace(exchange, choice, results.as_ref(), last_event).await {
+            Outcome::Stream(started) => return Ok(started),
+            Outcome::NoResponse => {}
+            Outcome::Complete { .. } | Outcome::InputLost => return Err(ResumeError::Refused),
         }
-        Err(ResumeError::Refused)
     }
+    Err(ResumeError::Refused)
 }
 
 /// Why a stream was not resumed at another target.
