--- a/crates/decide/src/fleet/silence.rs
+++ b/crates/decide/src/fleet/silence.rs
@@ -9,10 +9,10 @@
 const MIN_SILENT: usize = 2;
 
 impl Fleet {
-    /// Records an event of a stream that a target runs.
-    pub fn record_event(&mut self, id: &TargetId, now: Time) {
+    /// Records a sign of life of a target: the head of an answer, or an event of a stream.
+    pub fn record_sign(&mut self, id: &TargetId, now: Time) {
         if let Some(t) = self.get_mut(id) {
-            t.record_event(now);
+            t.record_sign(now);
         }
     }
 
--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -100,8 +100,8 @@
     failed_at: Option<Time>,
     /// When the latest answer arrived.
     served_at: Option<Time>,
-    /// When the latest event of a stream arrived.
-    event_at: Option<Time>,
+    /// When the latest head of an answer or event of a stream arrived.
+    heard_at: Option<Time>,
     /// Since when requests have been in flight without a gap.
     busy_since: Time,
     /// Whether none of the requests in flight has been sent yet.
@@ -132,7 +132,7 @@
             failing_since: None,
             failed_at: None,
             served_at: None,
-            event_at: None,
+            heard_at: None,
             busy_since: Time::ZERO,
             is_unsent: false,
             probed_at: Time::ZERO,
@@ -309,14 +309,14 @@
         self.is_busy_since(since) && !self.is_heard_since(since)
     }
 
-    /// Whether an answer or an event has arrived since `since`.
+    /// Whether anything has arrived since `since`.
     pub(super) fn is_heard_since(&self, since: Time) -> bool {
-        self.served_at.max(self.event_at).is_some_and(|at| at >= since)
+        self.served_at.max(self.heard_at).is_some_and(|at| at >= since)
     }
 
-    /// Records an event of a stream.
-    pub(super) fn record_event(&mut self, now: Time) {
-        self.event_at = Some(now);
+    /// Records a sign of life.
+    pub(super) fn record_sign(&mut self, now: Time) {
+        self.heard_at = Some(now);
     }
 
     /// Ejects the target on the evidence of other nodes, until this node's turn to probe it.
--- a/crates/decide/tests/silence.rs
+++ b/crates/decide/tests/silence.rs
@@ -37,7 +37,7 @@
 fn a_target_with_a_request_and_without_a_sign_of_life_is_silent() {
     let mut fleet = fleet(&["t0", "t1"]);
     let service = target("t0", "a").service;
-    fleet.record_event(&id("t1"), at(600));
+    fleet.record_sign(&id("t1"), at(600));
     let silent = |fleet: &Fleet, since| {
         fleet.silent_targets(&service, at(since)).map(|id| id.name.to_string()).collect::<Vec<_>>()
     };
@@ -51,7 +51,7 @@
     assert!(!is_service_silent(&fleet(&["t0"]), at(500)), "a single target is silent");
     let mut several = fleet(&["t0", "t1"]);
     assert!(is_service_silent(&several, at(500)));
-    several.record_event(&id("t2"), at(600));
+    several.record_sign(&id("t2"), at(600));
     assert!(!is_service_silent(&several, at(500)), "another one is heard");
     assert!(is_service_silent(&several, at(700)), "it was heard earlier");
 }
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -16,6 +16,7 @@
 /// Records the head of a target's answer to a request sent at `sent`.
 pub fn record_answer(node: &Rc<Node>, target: &Target, head: &AnswerHead, sent: Time) {
     node.links.record_answer(sent, node.now());
+    node.record_sign(&target.id);
     limits::observe_limit(node, target, head.limit, sent);
     slots::observe_brittle(node, target, head.max_rejected, sent);
     node.record_load(target, head.load);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -304,10 +304,10 @@
         self.budget(service, RepeatBudget::give_back);
     }
 
-    /// Records an event of a stream as a sign of life of its target.
-    pub fn record_event(&self, target: &TargetId) {
+    /// Records a sign of life of a target: the head of an answer, or an event of a stream.
+    pub fn record_sign(&self, target: &TargetId) {
         let now = self.now();
-        self.fleet(|f| f.record_event(target, now));
+        self.fleet(|f| f.record_sign(target, now));
     }
 
     fn budget<T>(&self, service: &Name, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
