Count the stage calls of a replacement as a repeat even if it is not sent

A repeat that is taken from the budget and not sent is returned since. The stages of a stream are made again before it is sent, and their calls count as repeats at their services (BUDGET), so these could be ordered without bound while a target was silent. The repeat is now spent when its stages are ordered. Found by reading; no test shows it.

--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -16,6 +16,7 @@
 use super::replace::First;
 use super::reply::Body;
 use super::send::{InFlightGuard, Outcome, send_or_replace};
+use crate::repeat::RepeatGuard;
 use crate::stages::{RequestResults, StageError};
 use crate::streams;
 use crate::upstream::Connection;
@@ -219,7 +220,9 @@
         let reading = exchange.run_or_replace(target, reader.next(), Result::is_ok, replace);
         match exchange.node.clock.timeout_at(exchange.deadline, reading).await {
             Some(First::Run(read)) => {
-                exchange.node.record_event(target);
+                if matches!(read, Ok(Some(_))) {
+                    exchange.node.record_sign(target);
+                }
                 read
             }
             Some(First::Replacement(started, failed)) => {
@@ -272,9 +275,11 @@
     last_event: Option<u64>,
 ) -> Result<Box<StartedStream>, ResumeError> {
     let mut results = None;
-    while let Some(choice) = exchange.next_target(None).await {
+    while let Some(mut choice) = exchange.next_target(None).await {
         results.take_if(|m| !exchange.is_result_allowed(m));
         if results.is_none() && !exchange.route.stages.is_empty() {
+            // The calls of the stages count as repeats even if the stream is not sent.
+            choice.repeat.take().into_iter().for_each(RepeatGuard::spend);
             let rerun = exchange.rerun_stages(&choice.target).await;
             results = Some(rerun.map_err(ResumeError::Stages)?);
         }
