--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -29,6 +29,8 @@
     pub(super) expected: Duration,
     /// Threshold that applied when the call was found overdue; `None` if it was not.
     pub(super) overdue_after: Option<Duration>,
+    /// Whether its worker counts as failed; its answer is still taken.
+    pub(super) is_silent: bool,
 }
 
 /// Batches the pieces of one stage service into calls.
@@ -86,7 +88,7 @@
         };
         let slots = workers * self.pool.slots.max(1) as usize;
         let piece_ms = self.piece_ms();
-        let busy = self.in_flight.len() >= slots;
+        let busy = self.in_flight.values().filter(|f| !f.is_silent).count() >= slots;
         let call_ms = if busy { self.pool.call_ms / slots as f64 } else { 0.0 };
         let next_ms = retry_in.as_secs_f64() * 1000.0 + call_ms;
         let mut pieces: BTreeMap<Rank, usize> = BTreeMap::from([(Rank::default(), 0)]);
@@ -133,6 +135,7 @@
             }
             Event::Cancel(id) => self.cancel(id, &mut out),
             Event::CallEnded(call, end) => self.call_ended(now, call, end, &mut out),
+            Event::CallSilent(call) => self.call_silent(now, call, &mut out),
             Event::Workers(workers) => {
                 self.workers.set_all(workers, now);
                 self.end_trial();
@@ -192,6 +195,9 @@
         let Some(flight) = self.in_flight.remove(&call) else {
             return;
         };
+        if flight.is_silent {
+            return self.silent_call_ended(now, flight, end, out);
+        }
         let took = now.since(flight.started);
         let was_slow = flight.overdue_after.is_some_and(|limit| took >= limit * SLOW_FACTOR);
         self.workers.call_ended(&flight.worker, flight.bytes, &end, was_slow, now);
@@ -206,14 +212,62 @@
         if let Some(size) = self.min_refused_bytes(&flight, &end) {
             self.workers.record_no_room(&flight.worker, size, now);
         }
+        let failed_since = (end != CallEnd::Full).then_some(flight.started);
+        self.record_end(now, flight, end, failed_since, out);
+    }
+
+    /// Counts a call as failed, so that its pieces go to other workers, and awaits its answer: the
+    /// worker may only have paused, and a repeat may find no other.
+    fn call_silent(&mut self, now: Time, call: u64, out: &mut Vec<Action>) {
+        let Some(flight) = self.in_flight.get_mut(&call).filter(|f| !f.is_silent) else {
+            return;
+        };
+        flight.is_silent = true;
+        let (pieces, started) = (flight.pieces.clone(), flight.started);
+        self.workers.call_silent(&flight.worker, flight.bytes, now);
+        for (id, piece) in &pieces {
+            if let Some(order) = self.orders.get_mut(id) {
+                order.call_silent(*piece);
+            }
+        }
+        self.requeue(now, pieces, Some(started), out);
+    }
+
+    /// Handles the end of a call that was counted as failed when its worker fell silent.
+    fn silent_call_ended(
+        &mut self,
+        now: Time,
+        flight: InFlightCall,
+        end: CallEnd,
+        out: &mut Vec<Action>,
+    ) {
+        if matches!(end, CallEnd::Answered(_)) {
+            self.workers.silent_call_answered(&flight.worker, now);
+        }
+        for (id, piece) in &flight.pieces {
+            if let Some(order) = self.orders.get_mut(id) {
+                order.silent_call_ended(*piece);
+            }
+        }
+        self.record_end(now, flight, end, None, out);
+    }
+
+    /// Records the results of a call, or requeues its pieces.
+    fn record_end(
+        &mut self,
+        now: Time,
+        flight: InFlightCall,
+        end: CallEnd,
+        failed_since: Option<Time>,
+        out: &mut Vec<Action>,
+    ) {
         match end {
             CallEnd::Answered(results) if results.len() == flight.pieces.len() => {
                 for ((id, piece), result) in flight.pieces.into_iter().zip(results) {
                     self.record_result(now, id, piece, result, out);
                 }
             }
-            CallEnd::Answered(_) | CallEnd::Failed => self.requeue(now, flight, true, out),
-            CallEnd::Full => self.requeue(now, flight, false, out),
+            _ => self.requeue(now, flight.pieces, failed_since, out),
         }
     }
 
@@ -267,23 +321,27 @@
         }
     }
 
-    /// Requeues the pieces of a call; `is_failure` counts a failure for each of its orders.
+    /// Requeues the pieces of a call; one that failed, and began at `failed_since`, counts as a
+    /// failure for each of its orders.
     fn requeue(
         &mut self,
         now: Time,
-        flight: InFlightCall,
-        is_failure: bool,
+        pieces: Vec<(OrderId, usize)>,
+        failed_since: Option<Time>,
         out: &mut Vec<Action>,
     ) {
         let mut counted = None;
-        for (id, piece) in flight.pieces {
+        for (id, piece) in pieces {
             let Some(order) = self.orders.get_mut(&id) else {
                 continue;
             };
-            if is_failure && counted != Some(id) {
-                order.call_failed(flight.started, now);
+            if let Some(since) = failed_since.filter(|_| counted != Some(id)) {
+                order.call_failed(since, now);
                 counted = Some(id);
             }
+            if order.failures > MAX_FAILURES && order.is_awaited(piece) {
+                continue;
+            }
             if order.failures > MAX_FAILURES && order.results[piece].is_none() {
                 order.set_result(piece, PieceResult::Failed);
                 self.answer_if_complete(id, out);
@@ -348,7 +406,8 @@
         let all = self.workers.count() * self.pool.slots.max(1) as usize * self.pool.batch;
         self.repeat_budget.cap(all, self.pool.batch);
         let Coordinator { in_flight, orders, latency, repeat_budget, .. } = self;
-        for (number, flight) in in_flight.iter_mut().filter(|(_, f)| f.overdue_after.is_none()) {
+        let is_new = |f: &InFlightCall| f.overdue_after.is_none() && !f.is_silent;
+        for (number, flight) in in_flight.iter_mut().filter(|(_, f)| is_new(f)) {
             let age = now.since(flight.started);
             let limit = latency.overdue_after(flight.expected);
             if age < limit {
--- a/crates/decide/src/batch/fill.rs
+++ b/crates/decide/src/batch/fill.rs
@@ -132,6 +132,7 @@
             started: now,
             expected,
             overdue_after: None,
+            is_silent: false,
         };
         self.in_flight.insert(number, flight);
         true
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -35,6 +35,8 @@
     pub(super) results: Vec<Option<PieceResult>>,
     /// Calls in flight for each piece.
     in_flight_calls: Vec<u8>,
+    /// Calls for each piece whose workers are silent.
+    silent_calls: Vec<u8>,
     pub(super) failures: u32,
     /// When the last failure was counted.
     last_failure: Option<Time>,
@@ -55,6 +57,7 @@
             queued: (0..n).collect(),
             results: vec![None; n],
             in_flight_calls: vec![0; n],
+            silent_calls: vec![0; n],
             failures: 0,
             last_failure: None,
             pinned,
@@ -187,6 +190,22 @@
         self.in_flight_calls[piece] = self.in_flight_calls[piece].saturating_sub(1);
     }
 
+    /// Records that the worker of a call for a piece is silent.
+    pub(super) fn call_silent(&mut self, piece: usize) {
+        self.call_ended(piece);
+        self.silent_calls[piece] += 1;
+    }
+
+    /// Records the end of a call for a piece whose worker had been silent.
+    pub(super) fn silent_call_ended(&mut self, piece: usize) {
+        self.silent_calls[piece] = self.silent_calls[piece].saturating_sub(1);
+    }
+
+    /// Whether the answer of a silent worker may still bring the piece.
+    pub(super) fn is_awaited(&self, piece: usize) -> bool {
+        self.silent_calls[piece] > 0
+    }
+
     /// Requeues a piece unless it has a result or another call in flight.
     pub(super) fn requeue(&mut self, piece: usize) {
         if self.in_flight_calls[piece] == 0 {
--- a/crates/decide/src/batch/types.rs
+++ b/crates/decide/src/batch/types.rs
@@ -42,6 +42,8 @@
     Cancel(OrderId),
     /// A call ended.
     CallEnded(u64, CallEnd),
+    /// The worker of a call has been silent for too long; its answer is still awaited.
+    CallSilent(u64),
     /// Snapshot of all workers that may get calls.
     Workers(Vec<WorkerInfo>),
     /// Difference from the last announced workers.
--- a/crates/decide/src/batch/worker.rs
+++ b/crates/decide/src/batch/worker.rs
@@ -233,6 +233,19 @@
         }
     }
 
+    /// Records that a call has had no answer for too long: the worker may be paused or lost.
+    pub(super) fn call_silent(&mut self, bytes: u64, now: Time) {
+        self.calls = self.calls.saturating_sub(1);
+        self.in_flight_bytes = self.in_flight_bytes.saturating_sub(bytes);
+        self.eject(now);
+    }
+
+    /// Records an answer to a call after the worker had been silent.
+    pub(super) fn silent_call_answered(&mut self) {
+        self.is_responsive = true;
+        self.failed_in_a_row = 0;
+    }
+
     /// Records that a probe was sent.
     pub(super) fn probe_sent(&mut self) {
         self.breaker = Breaker::HalfOpen;
--- a/crates/decide/src/batch/workers.rs
+++ b/crates/decide/src/batch/workers.rs
@@ -283,6 +283,16 @@
         self.update(id, now, |m| m.call_ended(bytes, end, was_slow, now));
     }
 
+    /// Records that a call has had no answer for too long.
+    pub(super) fn call_silent(&mut self, id: &TargetId, bytes: u64, now: Time) {
+        self.update(id, now, |m| m.call_silent(bytes, now));
+    }
+
+    /// Records an answer to a call after its worker had been silent.
+    pub(super) fn silent_call_answered(&mut self, id: &TargetId, now: Time) {
+        self.update(id, now, Worker::silent_call_answered);
+    }
+
     /// Number of known workers.
     pub(super) fn count(&self) -> usize {
         self.all.len()
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -336,6 +336,9 @@
         age_ms: u64,
         limit_ms: u64,
     },
+    /// A stage worker has not answered a call in time: its pieces are made elsewhere if possible, and
+    /// its answer is awaited for `left_ms` more.
+    SilentCall { service: &'a str, number: u64, maker: &'a str, silent_ms: u64, left_ms: u64 },
     /// An input of a stage was no longer stored; the `again` stages that it came from are rerun.
     Remade { id: &'a str, stage: usize, again: usize },
     /// Stages are rerun because the allowed regions have changed.
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use decide::batch::{Call, CallEnd};
+use decide::batch::{Call, CallEnd, Event as BatchEvent};
 use decide::fleet::Observation;
 use decide::permit::MAX_LIMITED_PIECES;
 use http_body_util::{BodyExt, Full, Limited};
@@ -25,6 +25,8 @@
 
 /// Fixed part of a call's timeout, on top of twice its expected time.
 const CALL_SLACK: Duration = Duration::from_millis(1500);
+/// Maximum time for which the answer of a silent worker is awaited.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(10);
 /// Cap on the recorded ratio of a call's time to its expected time.
 const MAX_TIME_RATIO: f64 = 1000.0;
 /// Maximum size of the body of an answer.
@@ -47,7 +49,7 @@
 }
 
 /// Executes a coordinator's call.
-pub(super) async fn execute(runner: &Runner, node: &Rc<Node>, call: Call) -> CallEnd {
+pub(super) async fn execute(runner: &Rc<Runner>, node: &Rc<Node>, call: Call) -> CallEnd {
     let Some(target) = node.fleet(|f| f.get(&call.worker).map(|b| b.target.clone())) else {
         return CallEnd::Failed;
     };
@@ -86,8 +88,14 @@
     };
     // The timeout covers the whole body: a worker may stall in the middle of an answer.
     let too_long = || (CallEnd::Failed, Observation::Interrupted, "call took too long".to_string());
-    let ended = tokio::time::timeout(timeout, work).await;
-    let (end, observed, why) = ended.unwrap_or_else(|_| too_long());
+    let mut work = std::pin::pin!(work);
+    let mut ended = tokio::time::timeout(timeout, work.as_mut()).await.ok();
+    let answer_time = answer_time(&call);
+    if ended.is_none() && answer_time > timeout {
+        runner.record_silence(node, &call, node.now().since(started), answer_time);
+        ended = node.clock.timeout_at(started + answer_time, work).await;
+    }
+    let (end, observed, why) = ended.unwrap_or_else(too_long);
     match observed {
         Observation::Interrupted => node.quarantine.call_interrupted(node, &target, &call.pieces),
         Observation::Replaced => node.quarantine.crash_observed(&target, "replaced"),
@@ -107,6 +115,12 @@
     end
 }
 
+/// Time for which the answer of a call is worth waiting for: that left to the requests of its pieces.
+fn answer_time(call: &Call) -> Duration {
+    let left_ms = call.pieces.iter().filter_map(|p| p.left_ms).max();
+    Duration::from_millis(left_ms.unwrap_or_default()).min(MAX_ANSWER_TIME)
+}
+
 /// Number of requests that a call counts as towards a worker's limit: one per piece. A call of more
 /// than [`MAX_LIMITED_PIECES`] is built only where all workers have limits, and counts as one.
 fn permit_count(call: &Call) -> u32 {
@@ -215,6 +229,26 @@
 }
 
 impl Runner {
+    /// Records that a worker has not answered a call in time; its answer is awaited until
+    /// `answer_time` after the start of the call.
+    fn record_silence(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        call: &Call,
+        silent: Duration,
+        answer_time: Duration,
+    ) {
+        Event::SilentCall {
+            service: &self.pool.service,
+            number: call.number,
+            maker: &call.worker.name,
+            silent_ms: silent.as_millis() as u64,
+            left_ms: answer_time.saturating_sub(silent).as_millis() as u64,
+        }
+        .emit();
+        self.handle_event(node, BatchEvent::CallSilent(call.number));
+    }
+
     fn call_timeout(&self, node: &Node, pieces: usize) -> Duration {
         2 * self.expected_time(node, pieces) + CALL_SLACK
     }
