Hold links for lost only with a witness or for a peer's sake (REFUSED)

Callers of the last node saw "no target and no peer in reach" for as long as they went on, though its targets worked: its link was full, probes timed out, the verdict refused all at once, callers came again at once, and their requests kept the link full.

Cause: whether a missing answer is this host's own fault is asked of connections to peers. A node without a peer has none to ask, and took what it could not tell for a loss.

Now a round of probes in vain proves a loss only if another connection (to a peer, or one that a target accepted or refused) was prompt since the round began. Without such a witness it counts only if a peer is known that could serve. A loss that the latest round does not uphold ends, and an answer to a request ends it as one to a probe does. So requests are refused only while the host is known to be prompt, and then the probes get through as soon as a target does.

--- a/crates/decide/src/delay/mod.rs
+++ b/crates/decide/src/delay/mod.rs
@@ -42,6 +42,28 @@
     TimedOut,
 }
 
+/// What recent connections show of missing answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Witness {
+    /// Another connection was prompt: this host is not the cause.
+    Prompt,
+    /// This host is the cause.
+    Late,
+    /// No connection tells.
+    Missing,
+}
+
+impl Witness {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Witness::Prompt => "prompt",
+            Witness::Late => "late",
+            Witness::Missing => "missing",
+        }
+    }
+}
+
 /// Attempts of a short time.
 #[derive(Debug)]
 struct Bucket {
@@ -99,6 +121,8 @@
     next_attempt: u64,
     /// When the latest attempt at a peer ended, and whether it was slow.
     peer: Option<(Time, bool)>,
+    /// When the latest prompt attempt ended, whoever was on the other side.
+    prompt_at: Option<Time>,
     was_late: bool,
 }
 
@@ -124,15 +148,26 @@
         if let Connect::Completed(took) = connect {
             self.base.record(took, now);
         }
+        self.record_prompt(connect, now);
     }
 
-    /// Records the end of an attempt at a peer.
-    pub fn record_peer(&mut self, connect: Connect, now: Time) {
-        let is_slow = match connect {
+    fn record_prompt(&mut self, connect: Connect, now: Time) {
+        if !self.is_slow(connect) {
+            self.prompt_at = Some(now);
+        }
+    }
+
+    fn is_slow(&self, connect: Connect) -> bool {
+        match connect {
             Connect::Completed(took) => took.saturating_sub(self.base.get()) >= LATE_DELAY,
             Connect::TimedOut => true,
-        };
-        self.peer = Some((now, is_slow));
+        }
+    }
+
+    /// Records the end of an attempt at a peer.
+    pub fn record_peer(&mut self, connect: Connect, now: Time) {
+        self.peer = Some((now, self.is_slow(connect)));
+        self.record_prompt(connect, now);
     }
 
     fn recent(&self, now: Time) -> impl Iterator<Item = &Bucket> {
@@ -181,6 +216,15 @@
         self.current(now) >= LATE_DELAY || (self.is_stuck(now) && is_peer_slow)
     }
 
+    /// What the connections since `since` show of answers that are missing now.
+    pub fn witness(&self, since: Time, now: Time) -> Witness {
+        match self.prompt_at {
+            _ if self.is_host_late(now) => Witness::Late,
+            Some(at) if at >= since => Witness::Prompt,
+            _ => Witness::Missing,
+        }
+    }
+
     /// Whether the node has become late, or no longer is, since the last call.
     pub fn take_change(&mut self, now: Time) -> Option<bool> {
         let is_late = self.is_late(now);
--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -5,6 +5,10 @@
 //! links are lost. While they are, probes go on, and once one gets through, requests return to the
 //! links by a growing share. Only connections opened after the first failure count, since old ones
 //! can outlive a partition.
+//!
+//! Probes that fail show a loss only if another connection of this node was prompt meanwhile, since
+//! a full link or processor fails them too. Without such a witness the links count as lost only if a
+//! peer could serve; otherwise requests are tried, and their answers are what the verdict needs.
 
 mod peers;
 
@@ -13,6 +17,8 @@
 
 use model::{Name, Time};
 
+use crate::delay::Witness;
+
 pub use peers::{LinkPeer, LinkPeers, MAX_ASKED};
 
 /// Targets that must fail without an answer in between before the links are probed.
@@ -61,6 +67,16 @@
     }
 }
 
+/// Whether missing answers prove no loss of the links. Without a witness they do only where the
+/// verdict is of use, as a peer could serve; a late host disproves a loss that is not known yet.
+pub fn is_unproven(witness: Witness, is_lost: bool, has_peer: bool) -> bool {
+    match witness {
+        Witness::Prompt => false,
+        Witness::Late => !(is_lost && has_peer),
+        Witness::Missing => !has_peer,
+    }
+}
+
 /// Links of this node to all targets.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -115,19 +131,25 @@
         &self.failing
     }
 
-    /// Records an answer over a connection opened at `opened`.
-    pub fn record_answer(&mut self, opened: Time, now: Time) {
+    /// Records an answer over a connection opened at `opened`; returns whether the state has
+    /// changed.
+    pub fn record_answer(&mut self, opened: Time, now: Time) -> bool {
         if self.failing_since.is_some_and(|since| opened < since) {
-            return;
+            return false;
         }
-        self.confirm(now);
+        self.confirm(now)
     }
 
-    /// Records that the links work.
-    fn confirm(&mut self, now: Time) {
+    /// Records that the links work; returns whether the state has changed.
+    fn confirm(&mut self, now: Time) -> bool {
         self.answered_at = Some(now);
         self.failing.clear();
         self.failing_since = None;
+        let was_lost = self.is_lost();
+        if was_lost {
+            self.state = LinkState::Returning(now);
+        }
+        was_lost
     }
 
     /// Records that a target could not be reached, or that its connection broke or fell silent.
@@ -160,18 +182,17 @@
         self.answered_at.is_none_or(|at| now.since(at) >= SILENCE_TIMEOUT)
     }
 
-    /// Ends a round of probes; returns whether the state has changed. While connections of this
-    /// node `is_late` whoever is on the other side, missing answers prove no loss.
-    pub fn end_round(&mut self, contacts: &[Contact], is_late: bool, now: Time) -> bool {
+    /// Ends a round of probes; returns whether the state has changed. Missing answers prove no loss,
+    /// and do not uphold one, while this host may be the cause ([`is_unproven`]).
+    pub fn end_round(&mut self, contacts: &[Contact], is_unproven: bool, now: Time) -> bool {
         self.is_probing = false;
         self.next_round = now + ROUND_INTERVAL;
         let before = self.state;
         if contacts.contains(&Contact::Answered) {
             self.confirm(now);
-            if self.is_lost() {
-                self.state = LinkState::Returning(now);
-            }
-        } else if !contacts.is_empty() && !is_late && self.confirms_loss(contacts, now) {
+        } else if is_unproven && self.is_lost() {
+            self.state = LinkState::Up;
+        } else if !contacts.is_empty() && !is_unproven && self.confirms_loss(contacts, now) {
             self.state = LinkState::Lost;
             self.lost_at = Some(now);
         }
--- a/crates/decide/tests/delay.rs
+++ b/crates/decide/tests/delay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::delay::{Connect, LocalDelay, Pace};
+use decide::delay::{Connect, LocalDelay, Pace, Witness};
 use model::Time;
 
 fn ms(n: u64) -> Duration {
@@ -83,6 +83,28 @@
     }
 }
 
+#[test]
+fn only_a_prompt_connection_since_the_probes_began_speaks_against_the_host() {
+    let cases = [
+        (&[][..], None, Witness::Missing),
+        (&[], Some(Connect::Completed(ms(3))), Witness::Prompt),
+        (&[], Some(Connect::TimedOut), Witness::Late),
+        // A target refuses promptly.
+        (&[Connect::Completed(ms(3))], Some(Connect::TimedOut), Witness::Prompt),
+        (&[Connect::Completed(ms(80))], None, Witness::Missing),
+    ];
+    for (to_targets, to_peer, expected) in cases {
+        let (mut delay, now) = prompt_node();
+        for end in [Connect::TimedOut; 3].iter().chain(to_targets) {
+            connect(&mut delay, *end, now);
+        }
+        if let Some(to_peer) = to_peer {
+            delay.record_peer(to_peer, now);
+        }
+        assert_eq!(delay.witness(now, now), expected, "{to_targets:?}, {to_peer:?}");
+    }
+}
+
 #[test]
 fn connections_that_always_take_long_are_no_delay() {
     let mut delay = LocalDelay::default();
--- a/crates/decide/tests/links.rs
+++ b/crates/decide/tests/links.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use decide::delay::Witness;
 use decide::fleet::Regions;
-use decide::links::{Contact, LinkPeers, LinkState, Links, MAX_ASKED};
+use decide::links::{Contact, LinkPeers, LinkState, Links, MAX_ASKED, is_unproven};
 use decide::region::Map;
 use decide::rng::Rng;
 use model::Time;
@@ -100,6 +101,40 @@
     assert!(links.was_lost_since(at(900)) && !links.was_lost_since(at(1900)));
 }
 
+#[test]
+fn a_loss_is_upheld_only_by_a_witness_or_for_a_peer_that_could_serve() {
+    use Witness::{Late, Missing, Prompt};
+    let cases = [
+        // The witness, whether a peer could serve, and whether links that were up and those that
+        // were lost count as lost after a round without answers.
+        (Prompt, false, true, true),
+        (Prompt, true, true, true),
+        (Missing, false, false, false),
+        (Missing, true, true, true),
+        (Late, false, false, false),
+        (Late, true, false, true),
+    ];
+    for (witness, has_peer, is_found, is_upheld) in cases {
+        let mut links = failing(&["t-1", "t-2"]);
+        for (expected, now) in [(is_found, 1001), (is_upheld, 2000)] {
+            assert!(links.begin_round(|_| 0, at(now)));
+            let unproven = is_unproven(witness, links.is_lost(), has_peer);
+            links.end_round(&[Contact::Unreachable; 3], unproven, at(now + 150));
+            assert_eq!(links.is_lost(), expected, "{witness:?}, {has_peer} at {now}");
+            probe(&mut links, &[Contact::Unreachable; 3], at(now + 500));
+        }
+    }
+}
+
+#[test]
+fn an_answer_to_a_request_ends_a_loss() {
+    let mut links = failing(&["t-1", "t-2"]);
+    probe(&mut links, &[Contact::Unreachable; 3], at(1001));
+    assert!(!links.record_answer(at(990), at(1050)), "its connection outlives a partition");
+    assert!(links.record_answer(at(1010), at(1060)));
+    assert_eq!(links.state(), LinkState::Returning(at(1060)));
+}
+
 /// A peer of a failure domain.
 fn peer(n: usize, domain: &str) -> Node {
     let address = format!("127.0.0.1:{}", 1000 + n).parse().expect("an address");
--- a/crates/forward/src/delay.rs
+++ b/crates/forward/src/delay.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use decide::delay::{Connect, Pace};
-use model::Name;
+use decide::delay::{Connect, Pace, Witness};
+use model::{Name, Time};
 
 use crate::events::Event;
 use crate::node::Node;
@@ -77,9 +77,9 @@
         self.delay.borrow().pace(self.links.is_lost(), self.now())
     }
 
-    /// Whether this host is known to be the cause of late connections, rather than lost links.
-    pub fn is_host_late(&self) -> bool {
-        self.delay.borrow().is_host_late(self.now())
+    /// What this node's connections since `since` show of answers that are missing now.
+    pub fn delay_witness(&self, since: Time) -> Witness {
+        self.delay.borrow().witness(since, self.now())
     }
 
     /// Delay that this node adds to its own connections, as far as known.
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -113,7 +113,8 @@
         took_ms: u64,
     },
     /// The links to the targets were lost, or are back: `failing` targets failed since the last
-    /// answer, and of `probed` others some were unreachable or silent, while `peers` are up.
+    /// answer, and of `probed` others some were unreachable or silent, while `peers` are up and the
+    /// `witness` told whether this host is the cause.
     Links {
         state: &'a str,
         failing: usize,
@@ -122,6 +123,8 @@
         silent: usize,
         #[serde(skip_serializing_if = "Option::is_none")]
         answer_age_ms: Option<u64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        witness: Option<&'a str>,
         peers: usize,
         took_ms: u64,
     },
--- a/crates/forward/src/heard.rs
+++ b/crates/forward/src/heard.rs
@@ -10,12 +10,13 @@
 use crate::border::AnswerHead;
 use crate::events::Event;
 use crate::limits;
+use crate::links;
 use crate::node::Node;
 use crate::slots;
 
 /// Records the head of a target's answer to a request sent at `sent`.
 pub fn record_answer(node: &Rc<Node>, target: &Target, head: &AnswerHead, sent: Time) {
-    node.links.record_answer(sent, node.now());
+    links::record_answer(node, sent);
     node.record_sign(&target.id);
     limits::observe_limit(node, target, head.limit, sent);
     slots::observe_brittle(node, target, head.max_rejected, sent);
--- a/crates/forward/src/links/mod.rs
+++ b/crates/forward/src/links/mod.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use decide::links::{Contact, LinkPeer, LinkPeers, Links};
+use decide::delay::Witness;
+use decide::links::{Contact, LinkPeer, LinkPeers, Links, is_unproven};
 use model::forward::Allowed;
 use model::member::NodeId;
 use model::{Name, Time};
@@ -65,11 +66,6 @@
         self.machine(|m| m.share(now))
     }
 
-    /// Records an answer to a request whose connection was opened after `opened`.
-    pub fn record_answer(&self, opened: Time, now: Time) {
-        self.machine(|m| m.record_answer(opened, now));
-    }
-
     /// Records that a target could not be reached, or that its connection broke or fell silent.
     pub fn record_failure(&self, target: &Name, now: Time) {
         self.machine(|m| m.record_failure(target, now));
@@ -141,7 +137,7 @@
     loop {
         let _ = tokio::time::timeout(CHECK_INTERVAL, node.links.failed.notified()).await;
         if node.links.machine(|m| m.end_return(node.now())) {
-            log_state(&node, &[], Duration::ZERO);
+            log_state(&node, &[], None, Duration::ZERO);
         }
         if node.intake.is_overrun(&node) {
             ask::ask_peers(&node).await;
@@ -164,9 +160,20 @@
     let (contacts, ()) =
         tokio::join!(probe::contact_targets(node, &failing), probe::connect_any_peer(node));
     let now = node.now();
-    if node.links.machine(|m| m.end_round(&contacts, node.is_host_late(), now)) {
+    let witness = node.delay_witness(begun);
+    let has_peer = node.links.peers.borrow().has_candidate(now);
+    let is_unproven = is_unproven(witness, node.links.is_lost(), has_peer);
+    if node.links.machine(|m| m.end_round(&contacts, is_unproven, now)) {
+        apply_state(node);
+        log_state(node, &contacts, Some(witness), now.since(begun));
+    }
+}
+
+/// Records an answer to a request whose connection was opened after `opened`.
+pub fn record_answer(node: &Node, opened: Time) {
+    if node.links.machine(|m| m.record_answer(opened, node.now())) {
         apply_state(node);
-        log_state(node, &contacts, now.since(begun));
+        log_state(node, &[], None, Duration::ZERO);
     }
 }
 
@@ -183,7 +190,7 @@
     }
 }
 
-fn log_state(node: &Node, contacts: &[Contact], took: Duration) {
+fn log_state(node: &Node, contacts: &[Contact], witness: Option<Witness>, took: Duration) {
     let now = node.now();
     let (state, failing, age) =
         node.links.machine(|m| (m.state(), m.failing().len(), m.answer_age(now)));
@@ -195,6 +202,7 @@
         unreachable: count(Contact::Unreachable),
         silent: count(Contact::Silent),
         answer_age_ms: age.map(|age| age.as_millis() as u64),
+        witness: witness.map(Witness::as_str),
         peers: node.peers.roster(|r| r.count()) - 1,
         took_ms: took.as_millis() as u64,
     }
