Tell slow readers from those that are gone (LOST)

What callers saw: a node reset the connection of a caller that had read nothing for some 2 s, and an answer that its target had made once was thrown away. A target that read nothing of a long request for 3 s lost its connection in the same way.

Cause: TCP_USER_TIMEOUT of 1.9 s on all connections of the node. The kernel also counts the time in which a live side has no room, although it acknowledges each probe of its window.

Why it works: the option is gone. From a write until all is acknowledged, each connection is judged every 250 ms by what the kernel tells of it: gone is who owes an acknowledgement, for data or for two probes in a row, and has sent nothing for 1.9 s. Windows are probed at least each second. What then ends a reader that takes nothing is its deadline and a second more, or 30 s without one.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod limit;
 pub mod links;
+pub mod liveness;
 pub mod load;
 pub mod member;
 pub mod permit;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -29,6 +29,9 @@
     /// A connection ended before an answer had left: of the request with this id, if it is known, or
     /// to a message.
     Undelivered { id: &'a str, stage: &'a str, why: &'a str },
+    /// The other side of a connection, at this address, is gone without a word: nothing has come from
+    /// it for this time, and these bytes stand in the kernel.
+    PeerGone { peer: &'a str, silent_ms: u64, queued: usize },
     /// The settings were reloaded.
     Reload { accepted: bool, why: &'a str },
     /// The machine resumed after being suspended.
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -111,8 +111,8 @@
         let pending = owing.begin(work.clone());
         first.take();
         async move {
-            let response = serve::handle_request(node, request, work).await;
-            Ok::<_, Infallible>(pending.respond(response))
+            let response = serve::handle_request(node.clone(), request, work).await;
+            Ok::<_, Infallible>(pending.respond(node.now(), response))
         }
     });
     let connection = http1::Builder::new()
@@ -127,16 +127,20 @@
         drop(awaiting.take());
         std::future::pending().await
     };
-    let mut ended = tokio::select! {
-        end = connection.as_mut() => Some(end),
-        end = expire => end,
-        () = node.wait_for_phase(LifePhase::Closing) => None,
-    };
-    if ended.is_none() {
+    let serving = async {
+        let ended = tokio::select! {
+            end = connection.as_mut() => Some(end),
+            end = expire => end,
+            () = node.wait_for_phase(LifePhase::Closing) => None,
+        };
+        if let Some(end) = ended {
+            return end;
+        }
         connection.as_mut().graceful_shutdown();
-        ended = Some(connection.as_mut().await);
-    }
+        connection.as_mut().await
+    };
+    let end = outbox.run(&node, serving).await;
     drop(connection);
     // An error mostly means that the caller closed the connection, which ends its request.
-    outbox.close(&node, ended.and_then(Result::err)).await;
+    outbox.close(&node, end).await;
 }
--- a/crates/forward/src/ingress/mod.rs
+++ b/crates/forward/src/ingress/mod.rs
@@ -17,7 +17,7 @@
 pub use callers::serve as serve_callers;
 pub use intake::LocalIntake;
 pub use readiness::serve as serve_readiness;
-pub use socket::OpenSockets;
+pub use socket::{OpenSockets, unacknowledged};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -3,29 +3,48 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use hyper::Response;
+use model::Time;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::linger;
 use super::socket::ServerSocket;
 use crate::delivery::{Delivery, TrackedBody};
 use crate::events::Event;
+use crate::liveness::WatchedStream;
 use crate::node::Node;
 use crate::work::{OpenWork, WorkStage};
 
+/// Time after the caller's deadline in which it may still read, since its clock or this node may be
+/// late.
+const READ_GRACE: Duration = Duration::from_secs(1);
+/// Time to read an answer to a request or message that names no deadline.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Why an answer was not delivered to a reader that took too long.
+const OVERDUE: &str = "not read in time";
+
 /// A request or message that was read.
 pub struct Pending {
     work: Rc<OpenWork>,
     delivery: Rc<Delivery>,
+    outbox: Weak<Outbox>,
+    /// Until when the answer must be read, once it has begun.
+    read_by: Cell<Option<Time>>,
 }
 
 impl Pending {
     /// Takes note of the end of the response.
-    pub fn respond<B>(&self, response: Response<B>) -> Response<TrackedBody<B>> {
+    pub fn respond<B>(&self, now: Time, response: Response<B>) -> Response<TrackedBody<B>> {
+        let deadline = self.work.deadline().map(|at| at + READ_GRACE);
+        self.read_by.set(Some(deadline.unwrap_or(now + READ_TIMEOUT)));
+        if let Some(outbox) = self.outbox.upgrade() {
+            outbox.begun.notify_one();
+        }
         match self.work.stage() {
             WorkStage::Waiting => self.work.enter(WorkStage::Message),
             WorkStage::Receiving => self.work.enter(WorkStage::Sending),
@@ -35,12 +54,25 @@
     }
 }
 
+/// How the library ended a connection.
+type Served = Result<(), hyper::Error>;
+
+/// End of a connection.
+pub enum End {
+    /// The library ended it, with an error if it failed.
+    Closed(Option<hyper::Error>),
+    /// An answer was not read in time.
+    Overdue,
+}
+
 /// What a connection owes the other side.
 #[derive(Default)]
 pub struct Outbox {
     pending: RefCell<Vec<Rc<Pending>>>,
     /// Task that waits to read until the answers have left.
     reader: Cell<Option<Waker>>,
+    /// Notified when an answer begins.
+    begun: Notify,
     /// Whether the other side has ended its sending side, or reset the connection.
     has_ended: Cell<bool>,
     /// The socket, once the library has dropped it.
@@ -49,8 +81,9 @@
 
 impl Outbox {
     /// Begins to owe an answer.
-    pub fn begin(&self, work: Rc<OpenWork>) -> Rc<Pending> {
-        let pending = Rc::new(Pending { work, delivery: Delivery::new() });
+    pub fn begin(self: &Rc<Self>, work: Rc<OpenWork>) -> Rc<Pending> {
+        let (delivery, outbox) = (Delivery::new(), Rc::downgrade(self));
+        let pending = Rc::new(Pending { work, delivery, outbox, read_by: Cell::default() });
         self.pending.borrow_mut().push(pending.clone());
         pending
     }
@@ -69,21 +102,48 @@
         self.pending.borrow().iter().any(|p| p.delivery.is_flushing())
     }
 
+    /// Runs a connection, unless an answer on it is not read in time.
+    pub async fn run(&self, node: &Node, connection: impl Future<Output = Served>) -> End {
+        tokio::select! {
+            served = connection => End::Closed(served.err()),
+            () = self.wait_overdue(node) => End::Overdue,
+        }
+    }
+
+    /// Waits until an answer has not been read in time.
+    async fn wait_overdue(&self, node: &Node) {
+        loop {
+            let begun = self.begun.notified();
+            let read_by = self.pending.borrow().iter().filter_map(|p| p.read_by.get()).min();
+            match read_by {
+                Some(at) if at <= node.now() => return,
+                Some(at) => {
+                    node.clock.timeout_at(at, begun).await;
+                }
+                None => begun.await,
+            }
+        }
+    }
+
     /// Ends the connection, which the library has dropped.
-    pub async fn close(&self, node: &Node, error: Option<hyper::Error>) {
-        self.log_end(node, error);
-        if let Some(socket) = self.socket.take() {
-            linger::close(node, socket, self.has_ended.get()).await;
+    pub async fn close(&self, node: &Node, end: End) {
+        let is_overdue = matches!(end, End::Overdue);
+        self.log_end(node, end);
+        match self.socket.take() {
+            Some(socket) if is_overdue => socket.reset(),
+            Some(socket) => linger::close(node, socket, self.has_ended.get()).await,
+            None => {}
         }
     }
 
     /// Logs the answers that are still owed at the end of the connection.
-    fn log_end(&self, node: &Node, error: Option<hyper::Error>) {
-        if error.as_ref().is_some_and(hyper::Error::is_user) {
+    fn log_end(&self, node: &Node, end: End) {
+        let why = match end {
             // The answer was broken off, which has a line of its own.
-            return;
-        }
-        let why = error.map_or(String::new(), |e| e.to_string());
+            End::Closed(Some(e)) if e.is_user() => return,
+            End::Closed(error) => error.map_or(String::new(), |e| e.to_string()),
+            End::Overdue => OVERDUE.into(),
+        };
         for pending in self.pending.take() {
             let stage = pending.work.stage();
             if matches!(stage, WorkStage::Waiting | WorkStage::Running) {
@@ -111,7 +171,7 @@
         TrackedSocket { socket: Some(socket), outbox }
     }
 
-    fn stream(&mut self) -> Pin<&mut TcpStream> {
+    fn stream(&mut self) -> Pin<&mut WatchedStream> {
         Pin::new(&mut self.socket.as_mut().expect("present until the drop").stream)
     }
 }
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -52,13 +52,17 @@
         let work = OpenWork::new(&counting, WorkStage::Waiting);
         let pending = owing.begin(work.clone());
         let answer = handler(request, work);
-        async move { Ok::<_, Infallible>(pending.respond(answer.await)) }
+        let node = counting.clone();
+        async move {
+            let response = answer.await;
+            Ok::<_, Infallible>(pending.respond(node.now(), response))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
     // A peer that disconnects sends its request again, or the failure detector notices it.
-    let error = connection.await.err();
-    outbox.close(&node, error).await;
+    let end = outbox.run(&node, connection).await;
+    outbox.close(&node, end).await;
 }
--- a/crates/forward/src/ingress/socket.rs
+++ b/crates/forward/src/ingress/socket.rs
@@ -10,6 +10,7 @@
 use nix::libc::{TIOCOUTQ, c_int};
 use tokio::net::TcpStream;
 
+use crate::liveness::WatchedStream;
 use crate::node::Node;
 
 nix::ioctl_read_bad!(read_unacknowledged, TIOCOUTQ, c_int);
@@ -25,7 +26,8 @@
     }
 }
 
-fn unacknowledged(fd: RawFd) -> usize {
+/// Bytes of a socket's send queue that the other side has not acknowledged.
+pub fn unacknowledged(fd: RawFd) -> usize {
     let mut bytes: c_int = 0;
     // SAFETY: the ioctl writes one `c_int`, to a variable that outlives the call.
     let result = unsafe { read_unacknowledged(fd, &raw mut bytes) };
@@ -37,26 +39,30 @@
 
 /// Connection that a server has accepted.
 pub struct ServerSocket {
-    pub stream: TcpStream,
+    pub stream: WatchedStream,
     node: Rc<Node>,
 }
 
 impl ServerSocket {
     /// Takes over an accepted connection.
     pub fn new(node: &Rc<Node>, stream: TcpStream) -> Self {
-        crate::upstream::configure_socket(&stream);
         node.sockets.0.borrow_mut().insert(stream.as_raw_fd());
-        ServerSocket { stream, node: node.clone() }
+        ServerSocket { stream: WatchedStream::new(stream, node.clock), node: node.clone() }
+    }
+
+    /// Closes the connection at once; the kernel drops what it still holds.
+    pub fn reset(self) {
+        self.stream.drop_unsent();
     }
 
     /// Bytes sent that the other side has not acknowledged.
     pub fn unacknowledged(&self) -> usize {
-        unacknowledged(self.stream.as_raw_fd())
+        unacknowledged(self.stream.stream().as_raw_fd())
     }
 }
 
 impl Drop for ServerSocket {
     fn drop(&mut self) {
-        self.node.sockets.0.borrow_mut().remove(&self.stream.as_raw_fd());
+        self.node.sockets.0.borrow_mut().remove(&self.stream.stream().as_raw_fd());
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod ingress;
 mod limits;
 mod links;
+mod liveness;
 mod metrics;
 mod node;
 mod paths;
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -150,6 +150,7 @@
             is_logged: false,
         };
         work.enter(WorkStage::Running);
+        work.set_deadline(admitted.caller_deadline);
         node.quarantine.attempt_started(&admitted.head.id, admitted.keys.request);
         let deadline = admitted.deadline - RESPONSE_MARGIN;
         let admitted = Admitted { deadline, ..admitted };
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -19,13 +19,12 @@
 use model::forward::Target;
 use model::member::Node as PeerNode;
 use nix::sys::socket::{setsockopt, sockopt};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
-use util::http::{KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT};
 
 use crate::crossed::{Metered, RegionTraffic};
 use crate::delivery::{Delivery, TrackedIo};
+use crate::liveness::WatchedStream;
 use crate::node::Node;
 use crate::work::OpenWork;
 
@@ -96,20 +95,8 @@
     pub connection: Connection,
 }
 
-/// Sets keepalive and user timeout, so that a dead or unreachable peer is detected within seconds.
-pub fn configure_socket(socket: &TcpStream) {
-    let _ = socket.set_nodelay(true);
-    let socket = SockRef::from(socket);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-}
-
 /// Connects to a target, from the address in `bind` if the host has several.
-pub async fn connect_target(node: &Node, target: &Target) -> Result<TcpStream, SendError> {
+pub async fn connect_target(node: &Node, target: &Target) -> Result<WatchedStream, SendError> {
     let attempt = node.begin_connect(&target.domain);
     let (result, end) = connect(node, node.settings().bind, target.address).await;
     attempt.end(end);
@@ -117,7 +104,7 @@
 }
 
 /// Connects to a peer, from any address of this host.
-pub async fn connect_peer(node: &Node, peer: &PeerNode) -> Result<TcpStream, SendError> {
+pub async fn connect_peer(node: &Node, peer: &PeerNode) -> Result<WatchedStream, SendError> {
     let (result, end) = connect(node, None, peer.entry).await;
     if let Some(end) = end {
         node.record_peer_connect(&peer.domain, end);
@@ -130,13 +117,13 @@
     node: &Node,
     from: Option<IpAddr>,
     address: SocketAddr,
-) -> (Result<TcpStream, SendError>, Option<Connect>) {
+) -> (Result<WatchedStream, SendError>, Option<Connect>) {
     let begun = node.now();
     let timeout = node.stretched(CONNECT_TIMEOUT);
     let ended = tokio::time::timeout(timeout, connect_from(from, address)).await;
     let completed = Some(Connect::Completed(node.now().since(begun)));
     match ended {
-        Ok(Ok(socket)) => (Ok(socket), completed),
+        Ok(Ok(socket)) => (Ok(WatchedStream::new(socket, node.clock)), completed),
         Ok(Err(e)) => {
             let e = SendError::Connect(address, e);
             let end = completed.filter(|_| e.is_refused());
@@ -160,12 +147,11 @@
 /// Sends a request over a new connection and returns when the answer's head has arrived. Dropping
 /// the future closes the connection.
 pub async fn send_over(
-    socket: TcpStream,
+    socket: WatchedStream,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     traffic: Option<RegionTraffic>,
 ) -> Result<Answer, SendError> {
-    configure_socket(&socket);
     let lost = |e| SendError::ConnectionLost(address, e);
     let delivery = Delivery::new();
     let request = request.map(|body| delivery.track(body));
--- a/crates/forward/src/work.rs
+++ b/crates/forward/src/work.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use model::Time;
+
 use crate::node::Node;
 
 /// What open work waits for.
@@ -81,13 +83,15 @@
     node: Rc<Node>,
     stage: Cell<WorkStage>,
     id: Cell<String>,
+    deadline: Cell<Option<Time>>,
 }
 
 impl OpenWork {
     /// Begins to count.
     pub fn new(node: &Rc<Node>, stage: WorkStage) -> Rc<Self> {
         node.count_work(|counts| *counts.of(stage) += 1);
-        Rc::new(OpenWork { node: node.clone(), stage: Cell::new(stage), id: Cell::default() })
+        let (node, stage) = (node.clone(), Cell::new(stage));
+        Rc::new(OpenWork { node, stage, id: Cell::default(), deadline: Cell::default() })
     }
 
     /// Current stage.
@@ -110,6 +114,16 @@
         self.enter(WorkStage::Sending);
     }
 
+    /// Until when the caller waits, if that is known.
+    pub fn deadline(&self) -> Option<Time> {
+        self.deadline.get()
+    }
+
+    /// Sets until when the caller waits.
+    pub fn set_deadline(&self, at: Time) {
+        self.deadline.set(Some(at));
+    }
+
     /// Id of the request, if it is known; can be taken once.
     pub fn take_id(&self) -> String {
         self.id.take()
