Return no repeat to the budget that was not granted (BUDGET)

Cause: the guard of a repeat was built before the budget had granted it, and its drop gave one back each time. Class: a resource is released by an owner who never had it. Looked for elsewhere: the only guard built by then_some.

--- a/crates/forward/src/repeat.rs
+++ b/crates/forward/src/repeat.rs
@@ -16,8 +16,10 @@
 impl RepeatGuard {
     /// Takes one repeat from this node's share, if permitted.
     pub fn take(node: &Rc<Node>, service: &Name) -> Option<Self> {
-        let (node, service) = (node.clone(), service.clone());
-        node.take_repeat(&service).then_some(RepeatGuard { node, service, is_spent: false })
+        if !node.take_repeat(service) {
+            return None;
+        }
+        Some(RepeatGuard { node: node.clone(), service: service.clone(), is_spent: false })
     }
 
     /// Records that the repeat is sent.
