Keep orders whose overdue call is at work

What callers would see (by the code, no run with processes): a stage made twice and late when its coordinator stops, loses its rank or its links while a call is overdue.

Cause: the pieces of an overdue call are queued again, so an order all of whose pieces were in such calls passed for one that had not started. It was handed over, and the results of its calls were freed. When all workers are silent at once all calls are overdue, and that silence may also move the coordinator.

Change: an order is handed over only if no call has any of its pieces. Calls whose workers already count as silent do not keep it: another region may have workers.

--- a/crates/decide/src/batch/coordinator.rs
+++ b/crates/decide/src/batch/coordinator.rs
@@ -182,7 +182,7 @@
         let unstarted: Vec<OrderId> = self
             .orders
             .iter()
-            .filter(|(_, o)| !o.pinned && o.queued.len() == o.results.len())
+            .filter(|(_, o)| !o.pinned && !o.is_started() && !o.has_calls())
             .map(|(id, _)| *id)
             .collect();
         for id in unstarted {
--- a/crates/decide/src/batch/orders.rs
+++ b/crates/decide/src/batch/orders.rs
@@ -206,6 +206,11 @@
         self.silent_calls[piece] > 0
     }
 
+    /// Whether a call has any of its pieces, apart from those of silent workers.
+    pub(super) fn has_calls(&self) -> bool {
+        self.in_flight_calls.iter().any(|calls| *calls > 0)
+    }
+
     /// Requeues a piece unless it has a result or another call in flight.
     pub(super) fn requeue(&mut self, piece: usize) {
         if self.in_flight_calls[piece] == 0 {
--- a/crates/decide/tests/batch_silent.rs
+++ b/crates/decide/tests/batch_silent.rs
@@ -79,3 +79,15 @@
     let wait = c.waits(at(2300)).for_rank(Rank::default());
     assert_ne!(wait, Waits::NOBODY);
 }
+
+#[test]
+fn order_with_an_overdue_call_in_flight_is_not_handed_over() {
+    let mut c = coordinator(&[("m1", "a")]);
+    let call = calls(&c.handle_event(at(0), order_event(1, patient(10)))).remove(0);
+    c.handle_event(at(450), Event::Tick);
+    assert_eq!(c.queued_pieces(), 10, "its pieces wait for a second worker");
+    let handed_over = c.handle_event(at(500), Event::HandOver);
+    assert!(!handed_over.contains(&Action::HandOver(1)), "its first call is at work");
+    let ended = c.handle_event(at(600), Event::CallEnded(call.number, made(&call)));
+    assert_eq!(answers(&ended).len(), 1);
+}
