Count silence of targets from the first question, not the last answer

What callers would see (by the code; shown on the machine, no run with processes): refusals at a node whose targets pause for less than a second, if it had asked nothing for 1.5 s before: after two failures, or when a peer asks about its links.

Cause: probes that are accepted and not answered prove lost links once 1.5 s have passed without an answer. A node that asks nothing has no answers either, so one probe of 250 ms was enough. Class: a verdict made by silence takes the rest away.

Change: the silence is counted from the first failure, question or silent request since the last answer. A round that was begun for a peer and got no answer is followed by others, as failures are, until a target answers or 1.5 s are over. Refused probes, and silence of requests in flight, lose the links as before.

Evidence: pause_of_all_targets_does_not_lose_the_links_of_an_idle_node failed before (lost 0.5 s after the question) and passes; silence_of_all_targets_loses_the_links_of_a_node_asked_by_a_peer shows that lasting silence still counts, 1.5 s after the question (0.5 s before). The 21 tests of platform/tests/links passed.

--- a/crates/decide/src/links/mod.rs
+++ b/crates/decide/src/links/mod.rs
@@ -84,6 +84,8 @@
     /// Targets that failed since the last answer.
     failing: BTreeSet<Name>,
     failing_since: Option<Time>,
+    /// Since when targets have been asked without any answer.
+    doubted_since: Option<Time>,
     answered_at: Option<Time>,
     lost_at: Option<Time>,
     is_probing: bool,
@@ -145,6 +147,7 @@
         self.answered_at = Some(now);
         self.failing.clear();
         self.failing_since = None;
+        self.doubted_since = None;
         let was_lost = self.is_lost();
         if was_lost {
             self.state = LinkState::Returning(now);
@@ -165,9 +168,15 @@
         if self.is_probing || now < self.next_round {
             return false;
         }
-        let has_cause = self.is_lost() || self.failing.len() >= MIN_FAILING;
-        let since = now - SILENCE_TIMEOUT;
-        self.is_probing = has_cause || (self.is_silent(now) && count_silent(since) >= MIN_FAILING);
+        let is_failing = self.failing.len() >= MIN_FAILING;
+        let has_cause = self.is_lost() || is_failing || self.doubted_since.is_some();
+        let silent_since = now - SILENCE_TIMEOUT;
+        self.is_probing =
+            has_cause || (self.is_silent(now) && count_silent(silent_since) >= MIN_FAILING);
+        if self.is_probing {
+            let since = if has_cause { self.failing_since.unwrap_or(now) } else { silent_since };
+            self.doubted_since.get_or_insert(since);
+        }
         self.is_probing
     }
 
@@ -175,6 +184,9 @@
     pub fn begin_check(&mut self, now: Time) -> bool {
         let begins = !self.is_probing && now >= self.next_round;
         self.is_probing |= begins;
+        if begins {
+            self.doubted_since.get_or_insert(self.failing_since.unwrap_or(now));
+        }
         begins
     }
 
@@ -196,12 +208,17 @@
             self.state = LinkState::Lost;
             self.lost_at = Some(now);
         }
+        if contacts.is_empty() {
+            self.doubted_since = None;
+        }
         self.state != before
     }
 
     fn confirms_loss(&self, contacts: &[Contact], now: Time) -> bool {
         let is_unreachable = contacts.iter().all(|c| *c == Contact::Unreachable);
-        is_unreachable || self.is_lost() || self.is_silent(now)
+        // A node that asked nothing has no answers either, and a sound target may pause.
+        let was_asked = self.doubted_since.is_some_and(|at| now.since(at) >= SILENCE_TIMEOUT);
+        is_unreachable || self.is_lost() || (was_asked && self.is_silent(now))
     }
 
     /// Ends the return of the links once its time is over; returns whether the state has changed.
