Count runs replaced in one silence once against their version

What operators would see (shown on the machine, no run with processes): a sound version on trial rolled back by one node's own requests after one pause of its targets.

Cause: each run that another target replaced counted as a failure of its version, and six failures in a row prove a version bad. Runs in flight together share one pause, as late answers and the pieces of a call do, which already count once.

Change: a replaced run counts if it began after the last one that was counted, by route and side. A version that never answers fails once in each silence timeout.

Evidence: one_pause_of_the_targets_of_a_good_version_does_not_prove_it_bad, with the rule as it was (each counted), gave "Failures, trial 40 bad of 50"; it passes now. version_whose_targets_never_answer_is_proven_bad passes with both rules.

--- a/crates/decide/src/rollout/evidence.rs
+++ b/crates/decide/src/rollout/evidence.rs
@@ -37,6 +37,8 @@
     partial_failures: (f64, f64),
     /// Time of the last late answer of either version.
     last_late: Option<Time>,
+    /// Time of the last silence that was counted: serving version, trial version.
+    last_silence: (Option<Time>, Option<Time>),
 }
 
 impl RouteTests {
@@ -51,9 +53,23 @@
             slow_test: SequentialTest::default(),
             partial_failures: (0.0, 0.0),
             last_late: None,
+            last_silence: (None, None),
         }
     }
 
+    /// Whether a run that began at `begun` and was replaced for its target's silence is to be counted.
+    fn counts_silence(&mut self, side: Side, begun: Time, now: Time) -> bool {
+        let last = match side {
+            Side::Serving => &mut self.last_silence.0,
+            Side::Trial => &mut self.last_silence.1,
+        };
+        let is_new = last.is_none_or(|at| begun >= at);
+        if is_new {
+            *last = Some(now);
+        }
+        is_new
+    }
+
     fn side(&mut self, side: Side) -> &mut Answers {
         match side {
             Side::Serving => &mut self.counts.serving,
@@ -167,6 +183,23 @@
         }
     }
 
+    /// Records that a run was replaced because its target was silent. Runs that were in flight
+    /// together count once, since one pause delays them all. Returns whether it counts as a failure.
+    pub fn record_silence(
+        &mut self,
+        service: &Name,
+        route: &Name,
+        side: Side,
+        begun: Time,
+        now: Time,
+    ) -> bool {
+        let is_bad = self.route(service, route).counts_silence(side, begun, now);
+        if is_bad {
+            self.record_bad(service, route, side);
+        }
+        is_bad
+    }
+
     /// Records the answer to a call after this time, with the part of its pieces that failed. It
     /// counts as one answer, since its pieces largely share one fate, and a large call with one
     /// failed piece is no worse than a small one. Returns whether it counts as a failure.
--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -107,6 +107,27 @@
         }
     }
 
+    /// Records that another target answered while this one was silent.
+    pub fn record_silence(&self) {
+        let Inner { node, order, route, version, side, pieces, started, is_recorded, .. } =
+            &*self.0;
+        is_recorded.set(true);
+        if !self.0.is_evidence() {
+            return;
+        }
+        let (service, now) = (&order.service, node.now());
+        let mut evidence = node.rollouts.evidence.borrow_mut();
+        let is_bad = evidence.record_silence(service, route, *side, *started, now);
+        drop(evidence);
+        if !is_bad {
+            return;
+        }
+        node.metrics.count_rollout_bad(service, version, *pieces);
+        if *side == Side::Trial {
+            roll_back_if_bad(node, order);
+        }
+    }
+
     /// Records an answer that was a failure of the version or came too late.
     pub fn record_failure(&self) {
         self.0.record_failure();
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Reports a silent target, which another one has replaced, as evidence on its version.
+    pub(super) fn report_silence(&self) {
+        if let Some(sent) = &self.sent {
+            sent.record_silence();
+        }
+    }
+
     /// Records that the target rejected the request.
     fn record_rejection(&mut self) {
         if let Some(slot) = &mut self.slot {
@@ -357,7 +364,7 @@
     /// Records that another target answered while this one was silent.
     fn superseded(&self) {
         if let Some(sent) = self.sent.get() {
-            sent.record_failure();
+            sent.record_silence();
         }
         self.interrupted("silent for too long".into());
     }
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -226,18 +226,19 @@
                 read
             }
             Some(First::Replacement(started, failed)) => {
-                let is_fault = !matches!(failed, Some(Err(StreamError::Interrupted(_))));
-                Ok(Some(self.replace_run(*started, is_fault)))
+                Ok(Some(self.replace_run(*started, failed.and_then(Result::err))))
             }
             None => Err(StreamError::DeadlineExceeded),
         }
     }
 
     /// Goes on with another target's run; returns its first event.
-    fn replace_run(&mut self, started: StartedStream, is_fault: bool) -> Bytes {
+    fn replace_run(&mut self, started: StartedStream, failed: Option<StreamError>) -> Bytes {
         self.exchange.record_interruption(&self.in_flight.target);
-        if is_fault {
-            self.in_flight.report_failure();
+        match failed {
+            None => self.in_flight.report_silence(),
+            Some(e) if e.is_target_fault() => self.in_flight.report_failure(),
+            Some(_) => {}
         }
         let StartedStream { reader, first_event, in_flight, .. } = started;
         self.reader = Some(reader);
