Do not prolong an ejection for runs that fail during it

What was seen in a trial (three nodes, four targets, three of them paused for a second, 600 requests, all served): two nodes wrote 37 `ejected` lines, and the three targets got no request in the 1.5 s after the pause. The lack of requests is not this fault alone: with targets that take 20 ms one returned after 1.4 s with few ejections, since the fourth was not loaded.

Cause: each run that failed at an ejected target doubled its ejection, up to 2 s, though all had begun before it and shared one cause, such as a pause.

--- a/crates/decide/src/fleet/state.rs
+++ b/crates/decide/src/fleet/state.rs
@@ -220,8 +220,12 @@
         Target { cold_ms, ..self.target.clone() }
     }
 
-    /// Ejects the target, for longer each time.
+    /// Ejects the target, for longer each time. While it is ejected, runs that began before fail for
+    /// the same reason and do not prolong that.
     fn eject(&mut self, not_run: bool, now: Time) {
+        if self.is_ejected(now) {
+            return;
+        }
         let time = MIN_EJECTION * 2u32.pow(self.ejections.min(3));
         self.ejected_until = now + time.min(MAX_EJECTION);
         self.ejections += 1;
