Bound what targets and stage workers send without end

What callers saw: beside a target that sends interim answers, or the digits of one chunk size, without end, requests to it ended with 504, up to 6.2 s after their begin where the timeout was 2 s, and others waited; eight bodies to the close of the connection took 126 MB of a host that may have 160.

Cause: interim answers and the framing of chunks have no bound in the HTTP library, which reads on as long as bytes are there, in the node's only thread; whole answers had a bound each, and none together. An event that does not end was searched from its begin with each chunk.

Change: a connection reads 16 kB a turn; it fails after 256 kB before a head, or of framing beyond 16 bytes a byte of data (util::http::inflow). Whole answers and begun events share 32 MB (forward::memory); reading pauses until there is room, and an answer grows only if all others can still end (decide::hold), so paused ones never wait for each other. A body is kept in parts, and passed on in them, until its caller has it. `answers_paused` tells when answers wait.

Evidence: of endless_bytes, interim_answers_are_bounded, chunk_size_is_bounded, bodies_to_the_close_are_bounded_together and event_without_end_is_bounded failed before and pass.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ejection;
 pub mod fleet;
 pub mod forecast;
+pub mod hold;
 pub mod intake;
 pub mod lease;
 pub mod limit;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -347,6 +347,8 @@
     SilentCall { service: &'a str, number: u64, maker: &'a str, silent_ms: u64, left_ms: u64 },
     /// An input of a stage was no longer stored; the `again` stages that it came from are rerun.
     Remade { id: &'a str, stage: usize, again: usize },
+    /// Answers wait for memory that others hold, or none does any more.
+    AnswersPaused { is_paused: bool, held_bytes: usize },
     /// Stages are rerun because the allowed regions have changed.
     Moved { id: &'a str, version: u64 },
     /// A target was silent for too long while it ran a request: `outcome` tells what became of its run.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod links;
 mod liveness;
+mod memory;
 mod metrics;
 mod node;
 mod paths;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -23,6 +23,7 @@
 use crate::ingress::{LocalIntake, OpenSockets};
 use crate::limits::LocalLimits;
 use crate::links::LocalLinks;
+use crate::memory::AnswerMemory;
 use crate::metrics::{Gauges, Metrics};
 use crate::peers::{self, Peers};
 use crate::phase::LifePhase;
@@ -76,6 +77,8 @@
     pub intake: LocalIntake,
     /// Sockets of callers and of peers that call this node.
     pub sockets: OpenSockets,
+    /// Memory for answers.
+    pub answer_memory: AnswerMemory,
     /// Origins of resumable streams.
     pub streams: LocalStreams,
     /// Ejections that nodes share.
@@ -125,6 +128,7 @@
             delay: RefCell::default(),
             intake: LocalIntake::default(),
             sockets: OpenSockets::default(),
+            answer_memory: AnswerMemory::default(),
             streams: LocalStreams::default(),
             ejections: LocalEjections::default(),
             rollouts: LocalRollouts::default(),
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -17,6 +17,7 @@
 use super::stream;
 use crate::events::Event;
 use crate::limits::AT_LIMIT;
+use crate::memory::HeldBody;
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::quarantine::{self, RequestKeys};
@@ -46,7 +47,7 @@
 pub struct ErrorResponse {
     pub status: StatusCode,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 /// State of a request in progress.
@@ -235,7 +236,7 @@
             match send_or_replace(&self, choice, results.as_ref(), None).await {
                 Outcome::Complete { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
-                    return Ok(reply::build(status, headers, body));
+                    return Ok(reply::forward(status, headers, Box::pin(body)));
                 }
                 // By its first event the target has fetched its inputs, so they are freed. They
                 // are recomputed for a second target: resumes are rare, and the space for results
@@ -363,7 +364,7 @@
                 self.progress(|p| p.error_response.take())
         {
             self.log_end(status.as_u16(), "failed");
-            return reply::build(status, headers, body);
+            return reply::forward(status, headers, Box::pin(body));
         }
         let is_late = self.time_left().is_zero();
         let (status, retry_after, outcome) = match ending {
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -28,7 +28,7 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::peers::PROXY;
-use crate::upstream::{self, Answer, Connection};
+use crate::upstream::{self, Answer, AnswerBody, Connection};
 use crate::work::OpenWork;
 
 /// Peers that a request is sent to before it is refused.
@@ -211,7 +211,7 @@
 /// Body of a peer's response, forwarded as it arrives. Ends with an error at the deadline, since the
 /// connection to the peer may have fallen silent.
 struct ProxiedBody {
-    body: Incoming,
+    body: AnswerBody,
     deadline: Pin<Box<dyn Future<Output = ()>>>,
     exchange: Rc<Exchange>,
     status: StatusCode,
--- a/crates/forward/src/serve/reply.rs
+++ b/crates/forward/src/serve/reply.rs
@@ -20,7 +20,12 @@
 
 /// Builds a response whose body is complete.
 pub fn build(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<Body> {
-    let mut response = Response::new(full(body));
+    forward(status, headers, full(body))
+}
+
+/// Builds a response with this body.
+pub fn forward(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -8,7 +8,7 @@
 use decide::fleet::Observation;
 use decide::resend::Execution;
 use futures_util::future::LocalBoxFuture;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{HeaderMap, Response, StatusCode};
 use model::Time;
 use model::forward::Target;
@@ -22,6 +22,7 @@
 use crate::ejections;
 use crate::events::Event;
 use crate::heard;
+use crate::memory::{self, HeldBody};
 use crate::node::Node;
 use crate::prefill::PromptGuard;
 use crate::rollout::{self, TrackedSend};
@@ -29,13 +30,10 @@
 use crate::stages::RequestResults;
 use crate::upstream::{self, Answer};
 
-/// Maximum size of a response that is read completely before it is forwarded.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// Outcome of an attempt.
 pub enum Outcome {
     /// A complete response to forward.
-    Complete { status: StatusCode, headers: HeaderMap, body: Bytes },
+    Complete { status: StatusCode, headers: HeaderMap, body: HeldBody },
     /// A stream whose first event has arrived.
     Stream(Box<StartedStream>),
     /// The target did not run the request, since an input is no longer stored.
@@ -310,7 +308,8 @@
     async fn handle_stream(&self, answer: Answer, mut in_flight: InFlightGuard) -> Outcome {
         let Answer { response, connection } = answer;
         let (head, body) = response.into_parts();
-        let mut reader = EventReader::new(body, connection);
+        let memory = &self.exchange.node.answer_memory;
+        let mut reader = EventReader::new(memory, body, connection);
         let first = match reader.next().await {
             Ok(Some(first)) => first,
             Ok(None) => {
@@ -340,8 +339,9 @@
     async fn handle_complete(&self, answer: Answer, in_flight: InFlightGuard) -> Outcome {
         let Answer { response, connection } = answer;
         let (head, body) = response.into_parts();
-        let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
+        let memory = &self.exchange.node.answer_memory;
+        let body = match memory::read_body(memory, body, memory::MAX_RESPONSE_BYTES).await {
+            Ok(body) => body,
             Err(e) => return self.interrupted(format!("answer broke off: {e}")),
         };
         if head.status.is_success() && !connection.wait_sent().await {
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::{HeaderMap, Response, StatusCode};
 use model::forward::{Repeat, StreamOrigin, Target};
 
@@ -16,10 +16,11 @@
 use super::replace::First;
 use super::reply::Body;
 use super::send::{InFlightGuard, Outcome, send_or_replace};
+use crate::memory::{AnswerMemory, HeldMemory};
 use crate::repeat::RepeatGuard;
 use crate::stages::{RequestResults, StageError};
 use crate::streams;
-use crate::upstream::Connection;
+use crate::upstream::{AnswerBody, AnswerError, Connection};
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
@@ -28,7 +29,7 @@
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum StreamError {
     /// stream broke: {0}
-    Interrupted(hyper::Error),
+    Interrupted(AnswerError),
     /// stream ended within an event
     Truncated,
     /// stream ended before its first event
@@ -45,32 +46,49 @@
     /// Whether the target's software failed or took too long, which counts against its version. A
     /// broken connection only says something about the target itself.
     pub fn is_target_fault(&self) -> bool {
-        !matches!(self, StreamError::Interrupted(_))
+        !matches!(self, StreamError::Interrupted(AnswerError::Broken(_)))
     }
 }
 
 /// Reads complete events.
 pub struct EventReader {
-    body: Incoming,
+    body: AnswerBody,
     buffer: BytesMut,
+    /// Length of the begin of the buffer in which no event ends.
+    searched: usize,
+    held: HeldMemory,
     connection: Connection,
 }
 
 impl EventReader {
     /// Creates a reader for a target's response.
-    pub fn new(body: Incoming, connection: Connection) -> Self {
-        EventReader { body, buffer: BytesMut::new(), connection }
+    pub fn new(memory: &AnswerMemory, body: AnswerBody, connection: Connection) -> Self {
+        let held = memory.open(MAX_EVENT_BYTES);
+        EventReader { body, buffer: BytesMut::new(), searched: 0, held, connection }
+    }
+
+    /// Takes the first complete event out of the buffer.
+    fn take_event(&mut self) -> Option<Bytes> {
+        let Some(end) = find_end(&self.buffer, self.searched) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let event = self.buffer.split_to(end).freeze();
+        self.held.shrink(self.buffer.len());
+        Some(event)
     }
 
     /// The next event with its terminator; `None` once the stream has ended properly.
     pub async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
-            if let Some(n) = find_end(&self.buffer) {
-                return Ok(Some(self.buffer.split_to(n).freeze()));
+            if let Some(event) = self.take_event() {
+                return Ok(Some(event));
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(StreamError::TooLarge);
             }
+            self.held.grow(self.buffer.len()).await;
             match self.body.frame().await {
                 None if self.buffer.is_empty() && self.connection.wait_sent().await => {
                     return Ok(None);
@@ -88,10 +106,11 @@
     }
 }
 
-/// Length of the first complete event, including its terminator.
-fn find_end(buffer: &[u8]) -> Option<usize> {
-    let at = buffer.windows(EVENT_TERMINATOR.len()).position(|w| w == EVENT_TERMINATOR)?;
-    Some(at + EVENT_TERMINATOR.len())
+/// Length of the first complete event, including its terminator, which ends after `searched`.
+fn find_end(buffer: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(EVENT_TERMINATOR.len() - 1);
+    let mut ends = buffer[from..].windows(EVENT_TERMINATOR.len());
+    Some(from + ends.position(|w| w == EVENT_TERMINATOR)? + EVENT_TERMINATOR.len())
 }
 
 /// A stream whose head and first event have arrived.
--- a/crates/forward/src/stages/call.rs
+++ b/crates/forward/src/stages/call.rs
@@ -8,7 +8,7 @@
 use decide::batch::{Call, CallEnd, Event as BatchEvent};
 use decide::fleet::Observation;
 use decide::permit::MAX_LIMITED_PIECES;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, header};
 use model::Time;
 use model::forward::{PieceResult, Target, TargetId};
@@ -19,6 +19,7 @@
 use crate::events::Event;
 use crate::heard;
 use crate::limits;
+use crate::memory;
 use crate::node::Node;
 use crate::rollout::{self, TrackedSend};
 use crate::upstream::{self, Answer};
@@ -211,8 +212,8 @@
         sent.inspect(|sent| sent.record_failure());
         return (CallEnd::Failed, Observation::Failed, format!("status {}", head.status));
     }
-    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match memory::read_body(&node.answer_memory, body, MAX_ANSWER_BYTES).await {
+        Ok(body) => body.into_bytes(),
         Err(e) => return (CallEnd::Failed, Observation::Interrupted, e.to_string()),
     };
     if !answer.connection.wait_sent().await {
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -5,13 +5,15 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use decide::delay::Connect;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -21,6 +23,7 @@
 use nix::sys::socket::{setsockopt, sockopt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
+use util::http::{BoundedIo, Excess, Inflow};
 
 use crate::crossed::{Metered, RegionTraffic};
 use crate::delivery::{Delivery, TrackedIo};
@@ -42,6 +45,8 @@
     ConnectTimeout(SocketAddr),
     /// connection to {0} broke: {1}
     ConnectionLost(SocketAddr, hyper::Error),
+    /// {0} sent {1}
+    Flooded(SocketAddr, Excess),
 }
 
 impl SendError {
@@ -87,10 +92,51 @@
     }
 }
 
+/// Why the body of an answer was not received to its end.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum AnswerError {
+    /// {0}
+    Broken(hyper::Error),
+    /// {0}
+    Flooded(Excess),
+}
+
+/// Body of an answer, as it arrives.
+pub struct AnswerBody {
+    body: Incoming,
+    inflow: Inflow,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.inflow.data_received(frame.data_ref().map_or(0, Bytes::len));
+        }
+        let excess = self.inflow.excess();
+        let error = |e| excess.map_or(AnswerError::Broken(e), AnswerError::Flooded);
+        Poll::Ready(frame.map(|f| f.map_err(error)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A target's answer; dropping it ends its connection.
 pub struct Answer {
     /// Head, and body as it arrives.
-    pub response: Response<Incoming>,
+    pub response: Response<AnswerBody>,
     /// Keeps the connection open.
     pub connection: Connection,
 }
@@ -152,10 +198,15 @@
     request: Request<Full<Bytes>>,
     traffic: Option<RegionTraffic>,
 ) -> Result<Answer, SendError> {
-    let lost = |e| SendError::ConnectionLost(address, e);
     let delivery = Delivery::new();
     let request = request.map(|body| delivery.track(body));
-    let io = TrackedIo::new(Metered::new(socket, traffic), delivery.clone());
+    let io = BoundedIo::new(Metered::new(socket, traffic));
+    let inflow = io.inflow();
+    let lost = |e| match inflow.excess() {
+        Some(excess) => SendError::Flooded(address, excess),
+        None => SendError::ConnectionLost(address, e),
+    };
+    let io = TrackedIo::new(io, delivery.clone());
     let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(io));
     let (mut sender, connection) = handshake.await.map_err(lost)?;
     let sending = delivery.clone();
@@ -166,5 +217,7 @@
     });
     let connection = Connection { task: task.abort_handle(), request: delivery };
     let response = sender.send_request(request).await.map_err(lost)?;
+    inflow.head_received();
+    let response = response.map(|body| AnswerBody { body, inflow });
     Ok(Answer { response, connection })
 }
--- a/crates/util/src/http/mod.rs
+++ b/crates/util/src/http/mod.rs
@@ -1,12 +1,16 @@
 //! HTTP/1.1 client and server based on hyper.
 
 mod client;
+mod inflow;
+mod parts;
 mod server;
 
 pub use client::{
     CallError, CallKind, Client, KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, Lines, TCP_USER_TIMEOUT,
     Timeouts, read_rmp_answer,
 };
+pub use inflow::{BoundedIo, Excess, Inflow};
+pub use parts::BodyParts;
 pub use server::{
     Body, Handler, Limits, Sender, Server, full, json, read_json, read_rmp, rmp, rmp_named, stream,
     text,
