Bound what the store and peers send without end

What callers saw: a node whose store sent the digits of a chunk size without end answered its readiness probe after 16.5 s; interim answers, after 1.3 s; bodies without end took 338 MB.

Cause: a connection used its whole budget of the runtime in one turn, 128 reads of up to 400 kB; each of four watches read up to 64 MB, which were copied as they grew.

Change: the tasks of pooled connections have eight reads of 16 kB a turn (util::http::turns). A body may have 16 MB, and of those above 256 kB the process reads two at a time; others wait, within their calls' timeouts.

--- a/crates/util/src/http/client.rs
+++ b/crates/util/src/http/client.rs
@@ -3,17 +3,27 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::Semaphore;
 
-/// Maximum size of a body that is read completely, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 20;
+use super::parts::BodyParts;
+use super::turns::BoundedExecutor;
+
+/// Maximum size of a body that is read completely, in bytes: far above that of all messages between
+/// nodes, and of a list of the store.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Size above which a body counts as large, in bytes.
+const LARGE_BODY_BYTES: usize = 256 << 10;
+/// Maximum number of large bodies that the process reads at a time; others wait. Together they stay
+/// under a quarter of the memory of a host with 160 MB.
+const MAX_LARGE_BODIES: usize = 2;
 /// Idle time after which a connection is probed, and time between probes: the minimum that the
 /// operating system accepts.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -28,6 +38,8 @@
 /// from before an outage is used once nodes must have noticed the outage. More frequent calls keep
 /// their connection.
 const POOL_IDLE_TIMEOUT: Duration = TCP_USER_TIMEOUT;
+/// Size of the buffer of a connection, and maximum size of an answer's head, in bytes.
+const READ_BYTES: usize = 16 << 10;
 /// Maximum size of a line of a streamed body, in bytes.
 const MAX_LINE_BYTES: usize = 4 << 20;
 
@@ -102,7 +114,8 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-        let inner = legacy::Client::builder(TokioExecutor::new())
+        let inner = legacy::Client::builder(BoundedExecutor)
+            .http1_read_buf_exact_size(READ_BYTES)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .build(connector);
@@ -207,7 +220,7 @@
         let call = async {
             let head = async { require_success(peer, self.send(peer, request).await?).await };
             let (head, body) = with_timeout(peer, timeouts.head, head).await?.into_parts();
-            let collected = collect_streamed(peer, body, timeouts.idle).await?;
+            let collected = collect(peer, body, Some(timeouts.idle)).await?;
             Ok(Response::from_parts(head, collected))
         };
         with_timeout(peer, timeouts.total, call).await
@@ -376,25 +389,35 @@
     Err(call_error(peer, CallKind::Status(status.as_u16(), why)))
 }
 
+/// Permits to read large bodies.
+static LARGE_BODIES: Semaphore = Semaphore::const_new(MAX_LARGE_BODIES);
+
+/// Reads a complete body.
 async fn collect_body(peer: &str, body: Incoming) -> Result<Bytes, CallError> {
-    let body = Limited::new(body, MAX_BODY_BYTES);
-    let collected =
-        body.collect().await.map_err(|e| call_error(peer, CallKind::Lost(e.to_string())))?;
-    Ok(collected.to_bytes())
+    collect(peer, body, None).await
 }
 
-/// Reads a complete body whose parts arrive at most `idle` apart.
-async fn collect_streamed(peer: &str, body: Incoming, idle: Duration) -> Result<Bytes, CallError> {
+/// Reads a complete body whose parts arrive at most `idle` apart. Time in which this node waits for
+/// other large bodies does not count.
+async fn collect(peer: &str, body: Incoming, idle: Option<Duration>) -> Result<Bytes, CallError> {
     let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut collected = BytesMut::new();
+    let mut collected = BodyParts::default();
+    let mut permit = None;
     loop {
-        let next = async { Ok(body.frame().await) };
-        let Some(frame) = with_timeout(peer, idle, next).await? else {
-            return Ok(collected.freeze());
+        let frame = match idle {
+            Some(idle) => with_timeout(peer, idle, async { Ok(body.frame().await) }).await?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Ok(collected.into_bytes());
         };
         let frame = frame.map_err(|e| call_error(peer, CallKind::Lost(e.to_string())))?;
-        if let Ok(data) = frame.into_data() {
-            collected.extend_from_slice(&data);
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > LARGE_BODY_BYTES && permit.is_none() {
+            permit = Some(LARGE_BODIES.acquire().await.expect("it is never closed"));
         }
+        collected.push(&data);
     }
 }
--- a/crates/util/src/http/mod.rs
+++ b/crates/util/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod inflow;
 mod parts;
 mod server;
+mod turns;
 
 pub use client::{
     CallError, CallKind, Client, KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, Lines, TCP_USER_TIMEOUT,
