Draw the turns of shared ejections anew when fewer nodes are left

A target that the nodes of a failure domain had ejected got no request from those left after most had gone, as long as another target of its service worked: a turn is drawn among all nodes that are up at that moment, up to 57 s ahead with 86, and stayed when those who would have come first left.

Turns further away than the longest one among the nodes that are up are now drawn again, once a second with the other expiries. Others keep theirs, so the probes stay spread.

Evidence: the new table test with `redraw_turns` left empty fails ("two are left, 57000 ms": still the other target); with it 12 of 12 tests of `ejection` pass.

--- a/crates/bench/src/slopes/ejections.rs
+++ b/crates/bench/src/slopes/ejections.rs
@@ -6,7 +6,7 @@
 
 use decide::ejection::{EjectionKeeper, KeeperAction};
 use decide::fleet::{
-    ColdStarts, Fleet, Observation, PickCriteria, Regions, Terms, mean_probe_interval,
+    ColdStarts, Fleet, Observation, PickCriteria, Regions, Terms, max_probe_interval,
 };
 use decide::region::Map;
 use decide::rng::Rng;
@@ -142,7 +142,7 @@
     }
 
     fn turn(&mut self, now: Time) -> Time {
-        now + self.rng.jitter(mean_probe_interval(self.fleets.len()) * 2)
+        now + self.rng.jitter(max_probe_interval(self.fleets.len()))
     }
 
     /// Sends a message and its answer `count` times.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -25,7 +25,7 @@
 pub use evacuation::{Evacuated, EvacuationChange};
 pub use notice::{NoticeChange, Notices};
 pub use pick::{ColdStarts, Home, PickCriteria, home_weights};
-pub use shared::{mean_probe_interval, return_time};
+pub use shared::{max_probe_interval, return_time};
 pub use state::{Observation, Presence, TargetState};
 pub use supersede::drop_superseded;
 pub use targets::Fleet;
--- a/crates/decide/src/fleet/shared.rs
+++ b/crates/decide/src/fleet/shared.rs
@@ -7,6 +7,8 @@
 use model::forward::{Evidence, FailureKind, FailureReport, TargetId};
 
 use super::Fleet;
+use super::state::TargetState;
+use crate::rng::Rng;
 
 /// Probes per second that a target with a shared ejection gets from all nodes together.
 const PROBES_PER_S: f64 = 3.0;
@@ -16,10 +18,15 @@
 const RETURNS_PER_S: f64 = 40.0;
 
 /// Mean time between two probes of one node, if this many take turns.
-pub fn mean_probe_interval(nodes: usize) -> Duration {
+fn mean_probe_interval(nodes: usize) -> Duration {
     Duration::from_secs_f64(nodes.max(1) as f64 / PROBES_PER_S)
 }
 
+/// Maximum time to a node's turn, if this many take turns.
+pub fn max_probe_interval(nodes: usize) -> Duration {
+    mean_probe_interval(nodes) * 2
+}
+
 /// Time in which this many nodes return to a target that has recovered.
 pub fn return_time(nodes: usize) -> Duration {
     Duration::from_secs_f64(nodes.max(1) as f64 / RETURNS_PER_S)
@@ -71,6 +78,15 @@
         }
     }
 
+    /// Draws turns anew that lie further away than `max`: fewer nodes take turns than before, and
+    /// some of those who left would have come first.
+    pub fn redraw_turns(&mut self, max: Duration, now: Time, rng: &mut Rng) {
+        let is_far = |t: &&mut TargetState| t.is_shared() && t.ejected_until > now + max;
+        for t in self.all_targets_mut().filter(is_far) {
+            t.ejected_until = now + rng.jitter(max);
+        }
+    }
+
     /// Brings this node's probe of a target forward, since another node has shown it to be healthy.
     /// Returns whether its ejection was shared.
     pub fn end_shared_ejection(&mut self, id: &TargetId, turn: Time, now: Time) -> bool {
--- a/crates/decide/tests/ejection.rs
+++ b/crates/decide/tests/ejection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use decide::ejection::{EjectionKeeper, KeeperAction};
-use decide::fleet::{Fleet, Observation};
+use decide::fleet::{Fleet, Observation, max_probe_interval};
 use decide::rng::Rng;
 use model::Name;
 use model::Time;
@@ -157,6 +157,20 @@
     assert_eq!(picked(&fleet, at(11_900)), ["t1"], "the next turn");
 }
 
+#[test]
+fn few_nodes_that_are_left_soon_probe_a_target_that_many_ejected() {
+    let id = TargetId::from("t0");
+    let mut rng = Rng::new(1);
+    for turn in [500, 57_000] {
+        let mut fleet = fleet();
+        fleet.eject_shared(&id, FailureKind::NotRun, at(0), at(turn), at(100));
+        fleet.redraw_turns(max_probe_interval(86), at(200), &mut rng);
+        assert_eq!(picked(&fleet, at(turn - 1)), ["t1"], "all are up, {turn} ms");
+        fleet.redraw_turns(max_probe_interval(2), at(200), &mut rng);
+        assert_eq!(picked(&fleet, at(1_600)), ["t0"], "two are left, {turn} ms");
+    }
+}
+
 #[test]
 fn node_that_was_served_since_ignores_the_announcement() {
     let id = TargetId::from("t0");
--- a/crates/forward/src/ejections/mod.rs
+++ b/crates/forward/src/ejections/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use decide::ejection::EjectionKeeper;
-use decide::fleet::{Observation, mean_probe_interval, return_time};
+use decide::fleet::{Observation, max_probe_interval, return_time};
 use model::Time;
 use model::forward::{FailureReport, Target, TargetId};
 
@@ -32,9 +32,12 @@
         f(&mut self.keeper.borrow_mut())
     }
 
-    /// Drops targets without recent reports, and peers that are no longer up.
+    /// Drops targets without recent reports, and peers that are no longer up, whose turns to probe
+    /// others take.
     pub fn expire(&self, node: &Node) {
-        self.keeper(|k| k.expire(node.now()));
+        let (now, max) = (node.now(), max_probe_interval(node_count(node)));
+        self.keeper(|k| k.expire(now));
+        node.rng(|rng| node.fleet(|f| f.redraw_turns(max, now, rng)));
         self.unsupported_peers.expire(node);
     }
 }
@@ -63,8 +66,8 @@
 
 /// When this node may probe a target whose ejection is shared.
 fn next_turn(node: &Node) -> Time {
-    let interval = mean_probe_interval(node_count(node));
-    node.now() + node.rng(|r| r.jitter(interval * 2))
+    let max = max_probe_interval(node_count(node));
+    node.now() + node.rng(|r| r.jitter(max))
 }
 
 /// Ejects a target that serves no node; returns whether it is ejected.
