Tell failed searches for a replacement apart in the log, and name their parts

Review: a run that failed while no replacement was found was logged as answered; after a search that failed the request line named the target that rejected it. Names and comments of the module are plainer. No other change of behaviour.

--- a/crates/decide/src/fleet/silence.rs
+++ b/crates/decide/src/fleet/silence.rs
@@ -5,7 +5,7 @@
 
 use super::{Fleet, TargetState};
 
-/// Silent targets from which on the silence is not that of a single one.
+/// Minimum number of silent targets for a silence of the whole service.
 const MIN_SILENT: usize = 2;
 
 impl Fleet {
--- a/crates/forward/src/repeat.rs
+++ b/crates/forward/src/repeat.rs
@@ -1,4 +1,4 @@
-//! Repeats taken from the budget of a service before it is certain that they are sent.
+//! Repeats taken from the budget of a service before it is certain that they are used.
 
 use std::rc::Rc;
 
@@ -22,7 +22,7 @@
         Some(RepeatGuard { node: node.clone(), service: service.clone(), is_spent: false })
     }
 
-    /// Records that the repeat is sent.
+    /// Records that the repeat is used: a connection is opened, or stages are ordered, for it.
     pub fn spend(mut self) {
         self.is_spent = true;
         self.node.metrics.count_repeat(&self.service);
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -55,8 +55,8 @@
     pub attempts: Attempts,
     /// Targets that must not be chosen again.
     pub excluded: Vec<TargetId>,
-    /// Time for which another target must not have been silent in order to replace a silent one;
-    /// `None` while no replacement is sought.
+    /// Silence that bars another target from replacing a silent one; `None` while no replacement is
+    /// sought.
     pub quiet_time: Option<Duration>,
     /// Target of the last attempt.
     pub target: Option<TargetId>,
--- a/crates/forward/src/serve/replace.rs
+++ b/crates/forward/src/serve/replace.rs
@@ -2,8 +2,8 @@
 //!
 //! A target that is silent may be sound and go on, so its run ends only once another target has
 //! begun to answer in its place. Until then the run is read as before, and its answer ends the
-//! search for a replacement. While most targets are silent, a second run would only add to their
-//! work, so none is started.
+//! search for a replacement. While several targets are silent and none is heard, a second run would
+//! only add to their work, so none is started.
 
 use std::time::Duration;
 
@@ -12,20 +12,20 @@
 use super::exchange::Exchange;
 use crate::events::Event;
 
-/// Part of the silence timeout after which another target counts as silent too.
-const QUIET_PART: u32 = 2;
+/// Divisor of the silence timeout; other targets count as silent after the quotient.
+const QUIET_DIVISOR: u32 = 2;
 
-/// What a request got first.
-pub(super) enum First<T, R> {
-    /// The outcome of its run.
-    Run(T),
-    /// A replacement, and the outcome of the run if that failed before.
-    Replacement(R, Option<T>),
+/// End of a run.
+pub(super) enum RunEnd<T, R> {
+    /// Its outcome.
+    Outcome(T),
+    /// Another run took its place; the outcome is that of this one if it failed before.
+    Replaced(R, Option<T>),
 }
 
 /// Outcome of the search for a replacement.
 enum Search<T, R> {
-    Ended(First<T, R>),
+    Ended(RunEnd<T, R>),
     NotFound,
 }
 
@@ -38,41 +38,50 @@
         run: impl Future<Output = T>,
         is_answer: impl Fn(&T) -> bool,
         replace: impl AsyncFn() -> Option<R>,
-    ) -> First<T, R> {
+    ) -> RunEnd<T, R> {
         let mut run = std::pin::pin!(run);
         let mut silent = Duration::ZERO;
         while let Some(timeout) = self.silence_timeout() {
             let until = self.node.now() + timeout;
             if let Some(outcome) = self.node.clock.timeout_at(until, run.as_mut()).await {
-                return First::Run(outcome);
+                return RunEnd::Outcome(outcome);
             }
             silent += timeout;
             if let Some(reason) = self.no_replacement_reason(timeout) {
                 self.log_silence(target, silent, reason);
                 continue;
             }
-            let before = self.progress(|p| p.quiet_time.replace(timeout / QUIET_PART));
+            let before = self.progress(|p| p.quiet_time.replace(timeout / QUIET_DIVISOR));
             let search = race(run.as_mut(), &is_answer, replace()).await;
             self.progress(|p| p.quiet_time = before);
             match search {
-                Search::Ended(first) => {
-                    self.end_search(target, silent, &first);
-                    return first;
+                Search::Ended(end) => {
+                    self.log_end_of_search(target, silent, &end, &is_answer);
+                    return end;
+                }
+                Search::NotFound => {
+                    self.progress(|p| p.target = Some(target.clone()));
+                    self.log_silence(target, silent, "not_replaced");
                 }
-                Search::NotFound => self.log_silence(target, silent, "not_replaced"),
             }
         }
-        First::Run(run.await)
+        RunEnd::Outcome(run.await)
     }
 
-    fn end_search<T, R>(&self, target: &TargetId, silent: Duration, first: &First<T, R>) {
-        let outcome = match first {
-            First::Run(_) => {
-                self.progress(|p| p.target = Some(target.clone()));
-                "answered"
-            }
-            First::Replacement(_, None) => "replaced",
-            First::Replacement(_, Some(_)) => "failed",
+    fn log_end_of_search<T, R>(
+        &self,
+        target: &TargetId,
+        silent: Duration,
+        end: &RunEnd<T, R>,
+        is_answer: impl Fn(&T) -> bool,
+    ) {
+        if matches!(end, RunEnd::Outcome(_)) {
+            self.progress(|p| p.target = Some(target.clone()));
+        }
+        let outcome = match end {
+            RunEnd::Outcome(outcome) if is_answer(outcome) => "answered",
+            RunEnd::Replaced(_, None) => "replaced",
+            RunEnd::Outcome(_) | RunEnd::Replaced(_, Some(_)) => "failed",
         };
         self.log_silence(target, silent, outcome);
     }
@@ -87,7 +96,7 @@
 
     /// Why no replacement is sought now.
     fn no_replacement_reason(&self, timeout: Duration) -> Option<&'static str> {
-        let since = self.node.now() - timeout / QUIET_PART;
+        let since = self.node.now() - timeout / QUIET_DIVISOR;
         if self.node.fleet(|f| f.is_service_silent(&self.service, since)) {
             return Some("all_silent");
         }
@@ -119,16 +128,16 @@
         outcome = &mut run => outcome,
         found = &mut search => {
             return match found {
-                Some(replacement) => Search::Ended(First::Replacement(replacement, None)),
+                Some(replacement) => Search::Ended(RunEnd::Replaced(replacement, None)),
                 None => Search::NotFound,
             };
         }
     };
     if is_answer(&outcome) {
-        return Search::Ended(First::Run(outcome));
+        return Search::Ended(RunEnd::Outcome(outcome));
     }
     match search.await {
-        Some(replacement) => Search::Ended(First::Replacement(replacement, Some(outcome))),
-        None => Search::Ended(First::Run(outcome)),
+        Some(replacement) => Search::Ended(RunEnd::Replaced(replacement, Some(outcome))),
+        None => Search::Ended(RunEnd::Outcome(outcome)),
     }
 }
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -15,7 +15,7 @@
 
 use super::choice::Choice;
 use super::exchange::{ErrorResponse, Exchange};
-use super::replace::First;
+use super::replace::RunEnd;
 use super::stream::{EventReader, StartedStream, StreamError};
 use crate::border::ForwardContext;
 use crate::crossed::{self, MessageKind, RegionTraffic};
@@ -135,8 +135,8 @@
         let run = send(&attempt, choice, results, resume_after);
         let replace = async || send_elsewhere(exchange, results, resume_after).await;
         match exchange.run_or_replace(&target.id, run, Outcome::is_answer, replace).await {
-            First::Run(outcome) => outcome,
-            First::Replacement(outcome, failed) => {
+            RunEnd::Outcome(outcome) => outcome,
+            RunEnd::Replaced(outcome, failed) => {
                 if failed.is_none() {
                     attempt.superseded();
                 }
--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -13,7 +13,7 @@
 use model::forward::{Repeat, StreamOrigin, Target};
 
 use super::exchange::Exchange;
-use super::replace::First;
+use super::replace::RunEnd;
 use super::reply::Body;
 use super::send::{InFlightGuard, Outcome, send_or_replace};
 use crate::memory::{AnswerMemory, HeldMemory};
@@ -238,13 +238,13 @@
         };
         let reading = exchange.run_or_replace(target, reader.next(), Result::is_ok, replace);
         match exchange.node.clock.timeout_at(exchange.deadline, reading).await {
-            Some(First::Run(read)) => {
+            Some(RunEnd::Outcome(read)) => {
                 if matches!(read, Ok(Some(_))) {
                     exchange.node.record_sign(target);
                 }
                 read
             }
-            Some(First::Replacement(started, failed)) => {
+            Some(RunEnd::Replaced(started, failed)) => {
                 Ok(Some(self.replace_run(*started, failed.and_then(Result::err))))
             }
             None => Err(StreamError::DeadlineExceeded),
