Count evidence against a version in one place

A replaced run and a failed one set the same flags, asked the same questions and rolled back alike in two copies. Both call record_bad now, which takes what is to be recorded. No change of behaviour; clippy and the tests rollouts (28), rollout_silence (2) and silent_targets (10) pass.

--- a/crates/forward/src/rollout/sent.rs
+++ b/crates/forward/src/rollout/sent.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use decide::rollout::Evidence;
 use model::forward::{Phase, RolloutId, Side, Target};
 use model::{Name, Time};
 
@@ -109,23 +110,10 @@
 
     /// Records that another target answered while this one was silent.
     pub fn record_silence(&self) {
-        let Inner { node, order, route, version, side, pieces, started, is_recorded, .. } =
-            &*self.0;
-        is_recorded.set(true);
-        if !self.0.is_evidence() {
-            return;
-        }
-        let (service, now) = (&order.service, node.now());
-        let mut evidence = node.rollouts.evidence.borrow_mut();
-        let is_bad = evidence.record_silence(service, route, *side, *started, now);
-        drop(evidence);
-        if !is_bad {
-            return;
-        }
-        node.metrics.count_rollout_bad(service, version, *pieces);
-        if *side == Side::Trial {
-            roll_back_if_bad(node, order);
-        }
+        let Inner { node, order, route, side, started, .. } = &*self.0;
+        self.0.record_bad(|evidence| {
+            evidence.record_silence(&order.service, route, *side, *started, node.now())
+        });
     }
 
     /// Records an answer that was a failure of the version or came too late.
@@ -146,14 +134,22 @@
     }
 
     fn record_failure(&self) {
-        let Inner { node, order, route, version, side, pieces, is_recorded, .. } = self;
+        let Inner { order, route, side, .. } = self;
+        self.record_bad(|evidence| {
+            // Counted once for all pieces of a call, as successes are. The pieces share one outcome,
+            // so counting each would let a single late call roll back a good version.
+            evidence.record_bad(&order.service, route, *side);
+            true
+        });
+    }
+
+    /// Applies evidence against the version; `record` returns whether it counts.
+    fn record_bad(&self, record: impl FnOnce(&mut Evidence) -> bool) {
+        let Inner { node, order, version, side, pieces, is_recorded, .. } = self;
         is_recorded.set(true);
-        if !self.is_evidence() {
+        if !self.is_evidence() || !record(&mut node.rollouts.evidence.borrow_mut()) {
             return;
         }
-        // Counted once for all pieces of a call, as successes are. The pieces share one outcome, so
-        // counting each would let a single late call roll back a good version.
-        node.rollouts.evidence.borrow_mut().record_bad(&order.service, route, *side);
         node.metrics.count_rollout_bad(&order.service, version, *pieces);
         if *side == Side::Trial {
             roll_back_if_bad(node, order);
