Drop a type of two cases that an option says as well

A search that ends or finds nothing was a type of its own beside RunEnd; whether the run's target is named and which word is logged were decided in two places.

--- a/crates/forward/src/serve/replace.rs
+++ b/crates/forward/src/serve/replace.rs
@@ -23,12 +23,6 @@
     Replaced(R, Option<T>),
 }
 
-/// Outcome of the search for a replacement.
-enum Search<T, R> {
-    Ended(RunEnd<T, R>),
-    NotFound,
-}
-
 impl Exchange {
     /// Waits for the outcome of `run`. Whenever its target has been silent for too long, `replace`
     /// looks for another target meanwhile. The run is dropped once there is a replacement.
@@ -52,40 +46,19 @@
                 continue;
             }
             let before = self.progress(|p| p.quiet_time.replace(timeout / QUIET_DIVISOR));
-            let search = race(run.as_mut(), &is_answer, replace()).await;
+            let end = race(run.as_mut(), &is_answer, replace()).await;
             self.progress(|p| p.quiet_time = before);
-            match search {
-                Search::Ended(end) => {
-                    self.log_end_of_search(target, silent, &end, &is_answer);
-                    return end;
-                }
-                Search::NotFound => {
-                    self.progress(|p| p.target = Some(target.clone()));
-                    self.log_silence(target, silent, "not_replaced");
-                }
+            if !matches!(end, Some(RunEnd::Replaced(..))) {
+                self.progress(|p| p.target = Some(target.clone()));
+            }
+            self.log_silence(target, silent, outcome_name(end.as_ref(), &is_answer));
+            if let Some(end) = end {
+                return end;
             }
         }
         RunEnd::Outcome(run.await)
     }
 
-    fn log_end_of_search<T, R>(
-        &self,
-        target: &TargetId,
-        silent: Duration,
-        end: &RunEnd<T, R>,
-        is_answer: impl Fn(&T) -> bool,
-    ) {
-        if matches!(end, RunEnd::Outcome(_)) {
-            self.progress(|p| p.target = Some(target.clone()));
-        }
-        let outcome = match end {
-            RunEnd::Outcome(outcome) if is_answer(outcome) => "answered",
-            RunEnd::Replaced(_, None) => "replaced",
-            RunEnd::Outcome(_) | RunEnd::Replaced(_, Some(_)) => "failed",
-        };
-        self.log_silence(target, silent, outcome);
-    }
-
     /// Time for which a target may be silent before a replacement is sought.
     fn silence_timeout(&self) -> Option<Duration> {
         let objective = Duration::from_millis(self.route.objective_ms);
@@ -115,29 +88,36 @@
     }
 }
 
+/// Name in log lines of what became of a run; `None` if it goes on.
+fn outcome_name<T, R>(end: Option<&RunEnd<T, R>>, is_answer: impl Fn(&T) -> bool) -> &'static str {
+    match end {
+        None => "not_replaced",
+        Some(RunEnd::Outcome(outcome)) if is_answer(outcome) => "answered",
+        Some(RunEnd::Replaced(_, None)) => "replaced",
+        Some(RunEnd::Outcome(_) | RunEnd::Replaced(_, Some(_))) => "failed",
+    }
+}
+
 /// Waits for an answer of `run` or the end of `search`, whichever is first; a run that fails does
-/// not end the search.
+/// not end the search. `None` if the search has found nothing and the run goes on.
 async fn race<T, R>(
     mut run: impl Future<Output = T> + Unpin,
     is_answer: impl Fn(&T) -> bool,
     search: impl Future<Output = Option<R>>,
-) -> Search<T, R> {
+) -> Option<RunEnd<T, R>> {
     let mut search = std::pin::pin!(search);
     let outcome = tokio::select! {
         biased;
         outcome = &mut run => outcome,
         found = &mut search => {
-            return match found {
-                Some(replacement) => Search::Ended(RunEnd::Replaced(replacement, None)),
-                None => Search::NotFound,
-            };
+            return found.map(|replacement| RunEnd::Replaced(replacement, None));
         }
     };
     if is_answer(&outcome) {
-        return Search::Ended(RunEnd::Outcome(outcome));
-    }
-    match search.await {
-        Some(replacement) => Search::Ended(RunEnd::Replaced(replacement, Some(outcome))),
-        None => Search::Ended(RunEnd::Outcome(outcome)),
+        return Some(RunEnd::Outcome(outcome));
     }
+    Some(match search.await {
+        Some(replacement) => RunEnd::Replaced(replacement, Some(outcome)),
+        None => RunEnd::Outcome(outcome),
+    })
 }
