Count held and read bytes without locks and atomics

A node has one thread and keeps its shared state in Rc and Cell; the memory for answers and the counts of what is read brought Arc, Mutex and atomics along. No change of behaviour; clippy, endless_bytes (14), hold (3), silent_targets (10), versions (10) and links (22) pass.

--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -3,10 +3,10 @@
 //! All answers share one limit. Reading an answer pauses until there is room, so that its sender
 //! waits; what is paused always gets room once others have been passed on.
 
+use std::cell::{Cell, RefCell, RefMut};
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -39,23 +39,19 @@
 
 /// Memory that the answers of this node hold.
 #[derive(Debug, Clone)]
-pub struct AnswerMemory(Arc<Shared>);
+pub struct AnswerMemory(Rc<Shared>);
 
 #[derive(Debug)]
 struct Shared {
-    holds: Mutex<Holds>,
+    holds: RefCell<Holds>,
     released: Notify,
-    paused: AtomicUsize,
+    paused: Cell<usize>,
 }
 
 impl Default for AnswerMemory {
     fn default() -> Self {
-        let holds = Mutex::new(Holds::new(MAX_HELD_BYTES));
-        AnswerMemory(Arc::new(Shared {
-            holds,
-            released: Notify::new(),
-            paused: AtomicUsize::new(0),
-        }))
+        let holds = RefCell::new(Holds::new(MAX_HELD_BYTES));
+        AnswerMemory(Rc::new(Shared { holds, released: Notify::new(), paused: Cell::new(0) }))
     }
 }
 
@@ -65,8 +61,8 @@
         HeldMemory { memory: self.clone(), max_bytes, hold: None }
     }
 
-    fn holds(&self) -> MutexGuard<'_, Holds> {
-        self.0.holds.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    fn holds(&self) -> RefMut<'_, Holds> {
+        self.0.holds.borrow_mut()
     }
 }
 
@@ -75,7 +71,8 @@
 
 impl<'a> Paused<'a> {
     fn new(memory: &'a AnswerMemory) -> Self {
-        if memory.0.paused.fetch_add(1, Ordering::Relaxed) == 0 {
+        let paused = &memory.0.paused;
+        if paused.replace(paused.get() + 1) == 0 {
             log(memory, true);
         }
         Paused(memory)
@@ -84,7 +81,8 @@
 
 impl Drop for Paused<'_> {
     fn drop(&mut self) {
-        if self.0.0.paused.fetch_sub(1, Ordering::Relaxed) == 1 {
+        let paused = &self.0.0.paused;
+        if paused.replace(paused.get() - 1) == 1 {
             log(self.0, false);
         }
     }
--- a/crates/util/src/http/inflow.rs
+++ b/crates/util/src/http/inflow.rs
@@ -3,10 +3,10 @@
 //! The HTTP library bounds a head, a chunk's extension and trailers, but not interim answers nor the
 //! digits of a chunk's size, and reads on for as long as bytes arrive.
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
@@ -30,13 +30,13 @@
 
 /// What was read of an answer. Its clones share the counts.
 #[derive(Debug, Clone, Default)]
-pub struct Inflow(Arc<Counts>);
+pub struct Inflow(Rc<Counts>);
 
 #[derive(Debug, Default)]
 struct Counts {
-    is_body: AtomicBool,
-    read: AtomicU64,
-    data: AtomicU64,
+    is_body: Cell<bool>,
+    read: Cell<u64>,
+    data: Cell<u64>,
 }
 
 impl Inflow {
@@ -53,24 +53,24 @@
     }
 
     fn restart(&self, is_body: bool) {
-        self.0.is_body.store(is_body, Ordering::Relaxed);
-        self.0.read.store(0, Ordering::Relaxed);
-        self.0.data.store(0, Ordering::Relaxed);
+        self.0.is_body.set(is_body);
+        self.0.read.set(0);
+        self.0.data.set(0);
     }
 
     /// Records data of the body.
     pub fn data_received(&self, bytes: usize) {
-        self.0.data.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.0.data.update(|data| data + bytes as u64);
     }
 
     /// Kind of the bytes of which too many came.
     pub fn excess(&self) -> Option<Excess> {
-        let data = self.0.data.load(Ordering::Relaxed);
-        let allowed = MAX_OVERHEAD_BYTES.saturating_add(data.saturating_mul(1 + FRAMING_RATIO));
-        if self.0.read.load(Ordering::Relaxed) <= allowed {
+        let allowed =
+            MAX_OVERHEAD_BYTES.saturating_add(self.0.data.get().saturating_mul(1 + FRAMING_RATIO));
+        if self.0.read.get() <= allowed {
             return None;
         }
-        Some(if self.0.is_body.load(Ordering::Relaxed) { Excess::Framing } else { Excess::Head })
+        Some(if self.0.is_body.get() { Excess::Framing } else { Excess::Head })
     }
 }
 
@@ -110,7 +110,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(cx, buffer))?;
         let read = (buffer.filled().len() - before) as u64;
-        self.inflow.0.read.fetch_add(read, Ordering::Relaxed);
+        self.inflow.0.read.update(|before| before + read);
         Poll::Ready(Ok(()))
     }
 }
