Go on with another run of a stream in one place

A stream that breaks off and one whose target is silent took over the reader, the guard and the first event of the next run in two copies. No change of behaviour; silent_targets (10) and versions (10) pass.

--- a/crates/forward/src/serve/stream.rs
+++ b/crates/forward/src/serve/stream.rs
@@ -259,10 +259,14 @@
             Some(e) if e.is_target_fault() => self.in_flight.report_failure(),
             Some(_) => {}
         }
-        let StartedStream { reader, first_event, in_flight, .. } = started;
-        self.reader = Some(reader);
-        self.in_flight = in_flight;
-        first_event
+        self.adopt(started)
+    }
+
+    /// Reads from another run from now on; returns its first event.
+    fn adopt(&mut self, run: StartedStream) -> Bytes {
+        self.reader = Some(run.reader);
+        self.in_flight = run.in_flight;
+        run.first_event
     }
 
     /// Resumes the stream at another target after the last event; returns whether that succeeded.
@@ -273,10 +277,7 @@
         let resuming = resume_elsewhere(exchange, self.last_event);
         match exchange.node.clock.timeout_at(exchange.deadline, resuming).await {
             Some(Ok(started)) => {
-                let StartedStream { reader, first_event, in_flight, .. } = *started;
-                self.reader = Some(reader);
-                self.first_event = Some(first_event);
-                self.in_flight = in_flight;
+                self.first_event = Some(self.adopt(*started));
                 true
             }
             Some(Err(ResumeError::Stages(e))) => {
