Ask in one place whether a connection took long

The comparison with the time at rest stood in a closure and, with the witness, in a second form. No change of behaviour; delay (6) and links (22) pass.

--- a/crates/decide/src/delay/mod.rs
+++ b/crates/decide/src/delay/mod.rs
@@ -159,11 +159,16 @@
 
     fn is_slow(&self, connect: Connect) -> bool {
         match connect {
-            Connect::Completed(took) => took.saturating_sub(self.base.get()) >= LATE_DELAY,
+            Connect::Completed(took) => self.takes_long(took),
             Connect::TimedOut => true,
         }
     }
 
+    /// Whether this is far longer than connections take at rest.
+    fn takes_long(&self, took: Duration) -> bool {
+        took.saturating_sub(self.base.get()) >= LATE_DELAY
+    }
+
     /// Records the end of an attempt at a peer.
     pub fn record_peer(&mut self, connect: Connect, now: Time) {
         self.peer = Some((now, self.is_slow(connect)));
@@ -185,12 +190,11 @@
 
     /// Whether several connections were attempted and none was completed promptly of late.
     fn is_stuck(&self, now: Time) -> bool {
-        let is_slow = |took: Duration| took.saturating_sub(self.base.get()) >= LATE_DELAY;
-        if self.recent(now).filter_map(|b| b.shortest).any(|took| !is_slow(took)) {
+        if self.recent(now).filter_map(|b| b.shortest).any(|took| !self.takes_long(took)) {
             return false;
         }
         let ended: usize = self.recent(now).map(|b| b.completed + b.timed_out).sum();
-        let pending = self.pending.values().filter(|since| is_slow(now.since(**since)));
+        let pending = self.pending.values().filter(|since| self.takes_long(now.since(**since)));
         ended + pending.count() >= MIN_SAMPLES
     }
 
