--- a/crates/decide/src/batch/mod.rs
+++ b/crates/decide/src/batch/mod.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod quota;
 mod repeats;
+mod silent;
 mod types;
 mod worker;
 mod workers;
