Hold a caller's body in parts that grow with what arrives

Seen: one legal request of 4 MiB in chunks of one byte took a node to 169,316 kB (whole_body_in_chunks_of_one_byte_is_served), eight of them stopping short to 124,090 kB, 2,000 connections with a byte of a body each to 124,852 kB.

Cause: a body was collected frame by frame. Each frame is a slice of the HTTP library's read buffer with a record of its own, so a byte kept 32 more and, through its slice, a buffer of 8 kB; the whole was then joined in a second copy.

Change: bytes are copied into parts of 8 to 64 kB that grow with what has arrived (util::http::BodyParts, as answers do; a size that is announced is no longer reserved), and the parts themselves are sent to targets and peers. The fingerprint runs over the parts and stays equal to that of the joined body, as quarantine between landings needs.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,6 +28,7 @@
 mod phase;
 mod prefill;
 mod quarantine;
+mod received;
 mod reload;
 mod repeat;
 mod rollout;
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -4,15 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use decide::forecast::{self, Admission};
 use decide::retry::DEFAULT_RETRY_AFTER;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use model::Name;
 use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Repeat, Route, StreamOrigin};
+use util::http::BodyParts;
 
 use super::exchange::{Admitted, Exchange, ReceivedRequest};
 use super::reply::{self, Body};
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::quarantine::RequestKeys;
+use crate::received::ReceivedBody;
 use crate::rules::{RuleTable, choose_service};
 use crate::streams;
 use crate::work::OpenWork;
@@ -194,14 +195,13 @@
     parts: &Parts,
     head: &CallerHead,
     workspace: Option<&Name>,
-    body: &[u8],
+    body: &ReceivedBody,
 ) -> Fingerprint {
     let caller = head.caller(workspace);
     let path_and_query = parts.uri.path_and_query().map_or("", |p| p.as_str());
     let method = parts.method.as_str();
     let texts = [method, &head.host, path_and_query, caller].map(str::as_bytes);
-    let [method, host, path_and_query, caller] = texts;
-    Fingerprint::of(&[method, host, path_and_query, caller, body])
+    body.fingerprint(&texts)
 }
 
 struct Resolved {
@@ -285,12 +285,20 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
-            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close())
+/// Reads a body to its end, unless it is larger than `limit` bytes.
+async fn read_body(mut body: Incoming, limit: usize) -> Result<ReceivedBody, Refusal> {
+    let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close();
+    let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    let mut read = BodyParts::new(announced);
+    while let Some(frame) = body.frame().await {
+        let malformed = |_| Refusal::new(StatusCode::BAD_REQUEST, "body is malformed").close();
+        let Ok(data) = frame.map_err(malformed)?.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > limit {
+            return Err(too_large());
         }
-        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body is malformed").close()),
+        read.push(&data);
     }
+    Ok(ReceivedBody::new(read))
 }
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use decide::resend::{Attempts, Ending};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use model::forward::{Allowed, CallerHead, Rank, Route, Side, StreamOrigin, Target, TargetId};
@@ -21,6 +20,7 @@
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::quarantine::{self, RequestKeys};
+use crate::received::ReceivedBody;
 use crate::slots::NO_SLOT;
 use crate::stages::{self, Job, RequestResults, StageError};
 use crate::work::{OpenWork, WorkStage};
@@ -40,7 +40,7 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: ReceivedBody,
 }
 
 /// A target's response with an error status.
--- a/crates/forward/src/serve/proxy.rs
+++ b/crates/forward/src/serve/proxy.rs
@@ -15,7 +15,6 @@
 use bytes::Bytes;
 use decide::links::LinkPeer;
 use decide::resend::{Ending, Execution};
-use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::InvalidUri;
@@ -28,6 +27,7 @@
 use crate::events::Event;
 use crate::node::Node;
 use crate::peers::PROXY;
+use crate::received::SentBody;
 use crate::upstream::{self, Answer, AnswerBody, Connection};
 use crate::work::OpenWork;
 
@@ -159,7 +159,7 @@
     }
 }
 
-fn build_request(exchange: &Exchange) -> Request<Full<Bytes>> {
+fn build_request(exchange: &Exchange) -> Request<SentBody> {
     let received = &exchange.request;
     let mut headers = exchange.node.dialect.return_headers(&received.headers);
     remove_reserved(&mut headers);
@@ -168,7 +168,7 @@
     headers.insert(URI, value(&received.uri.to_string()));
     headers.insert(ELAPSED, elapsed.into());
     headers.insert(RULES, exchange.rules_version.into());
-    let mut request = Request::new(Full::new(received.body.clone()));
+    let mut request = Request::new(received.body.send());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(PROXY);
     *request.headers_mut() = headers;
--- a/crates/forward/src/serve/send.rs
+++ b/crates/forward/src/serve/send.rs
@@ -4,11 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use decide::fleet::Observation;
 use decide::resend::Execution;
 use futures_util::future::LocalBoxFuture;
-use http_body_util::Full;
 use hyper::{HeaderMap, Response, StatusCode};
 use model::Time;
 use model::forward::Target;
@@ -25,6 +23,7 @@
 use crate::memory::{self, HeldBody};
 use crate::node::Node;
 use crate::prefill::PromptGuard;
+use crate::received::SentBody;
 use crate::rollout::{self, TrackedSend};
 use crate::slots::SlotGuard;
 use crate::stages::RequestResults;
@@ -243,7 +242,7 @@
     target: &Target,
     results: Option<&RequestResults>,
     resume_after: Option<u64>,
-) -> hyper::Request<Full<Bytes>> {
+) -> hyper::Request<SentBody> {
     let onward = ForwardContext {
         left_ms: exchange.time_left().as_millis() as u64,
         target: &target.id,
@@ -253,7 +252,7 @@
         resume_after,
     };
     let received = &exchange.request;
-    let mut request = hyper::Request::new(Full::new(received.body.clone()));
+    let mut request = hyper::Request::new(received.body.send());
     *request.method_mut() = received.method.clone();
     *request.uri_mut() = received.uri.clone();
     *request.headers_mut() = exchange.node.dialect.forward_headers(&received.headers, &onward);
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -3,6 +3,7 @@
 //! With a new connection, a failure to connect proves that nothing was sent, and no byte of an
 //! earlier answer can be mistaken for this one.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -12,7 +13,6 @@
 
 use bytes::Bytes;
 use decide::delay::Connect;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -192,12 +192,15 @@
 
 /// Sends a request over a new connection and returns when the answer's head has arrived. Dropping
 /// the future closes the connection.
-pub async fn send_over(
+pub async fn send_over<B>(
     socket: WatchedStream,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<B>,
     traffic: Option<RegionTraffic>,
-) -> Result<Answer, SendError> {
+) -> Result<Answer, SendError>
+where
+    B: Body<Data = Bytes, Error = Infallible> + Unpin + 'static,
+{
     let delivery = Delivery::new();
     let request = request.map(|body| delivery.track(body));
     let io = BoundedIo::new(Metered::new(socket, traffic));
--- a/crates/model/src/forward/fingerprint.rs
+++ b/crates/model/src/forward/fingerprint.rs
@@ -18,11 +18,17 @@
 impl Fingerprint {
     /// Fingerprint of the parts of a request, in order.
     pub fn of(parts: &[&[u8]]) -> Self {
+        Self::of_pieces(parts.iter().map(std::slice::from_ref))
+    }
+
+    /// Fingerprint of parts that lie in pieces; the same as that of the joined parts.
+    pub fn of_pieces<'a>(parts: impl IntoIterator<Item = &'a [&'a [u8]]>) -> Self {
         let mut hasher = Xxh3Default::new();
-        for part in parts {
+        for pieces in parts {
+            let len: usize = pieces.iter().map(|p| p.len()).sum();
             // The lengths keep the end of one part distinct from the start of the next.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            hasher.update(&(len as u64).to_le_bytes());
+            pieces.iter().for_each(|piece| hasher.update(piece));
         }
         let hash = hasher.digest128();
         Fingerprint { high: (hash >> 64) as u64, low: hash as u64 }
--- a/crates/model/tests/fingerprint.rs
+++ b/crates/model/tests/fingerprint.rs
@@ -22,6 +22,12 @@
     }
 }
 
+#[test]
+fn pieces_of_a_part_count_as_one() {
+    let pieces: [&[&[u8]]; 2] = [&[b"POST"], &[b"bo", b"", b"dy"]];
+    assert_eq!(Fingerprint::of_pieces(pieces), Fingerprint::of(&[b"POST", b"body"]));
+}
+
 #[test]
 fn text_form_round_trips() {
     let fingerprint = Fingerprint::of(&[b"x"]);
