Refuse a body whose announced size is over the limit at once

Seen: 60 callers that announced 64 MB took a node to 143,906 kB before they got 413. Cause: the limit was applied to bytes that had arrived, so up to 4 MiB of each body were read first. Now a Content-Length above maxBodyBytes is answered before a byte of the body is read, as for answers of targets.

--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -289,6 +289,9 @@
 async fn read_body(mut body: Incoming, limit: usize) -> Result<ReceivedBody, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close();
     let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    if announced.is_some_and(|n| n > limit) {
+        return Err(too_large());
+    }
     let mut read = BodyParts::new(announced);
     while let Some(frame) = body.frame().await {
         let malformed = |_| Refusal::new(StatusCode::BAD_REQUEST, "body is malformed").close();
