Keep the state of a request out of idle connections

Seen: 2,000 connections took 23 to 57 kB each beyond 8 MB at rest. Cause: the HTTP library reserves the memory of a connection's handler when the connection begins, and the handler's future was 21,496 bytes (admission 1,808, run 9,496, each counted twice by the nesting), measured with size_of_val on a release build; a body on its way touched all of it.

Change: the handler is boxed for each request, at callers' connections and at peers', and the run of a request is boxed apart from its admission.

--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -111,7 +111,9 @@
         let pending = owing.begin(work.clone());
         first.take();
         async move {
-            let response = serve::handle_request(node.clone(), request, work).await;
+            // The library reserves the memory of this future for idle connections as well.
+            let handling = Box::pin(serve::handle_request(node.clone(), request, work));
+            let response = handling.await;
             Ok::<_, Infallible>(pending.respond(node.now(), response))
         }
     });
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -51,7 +51,8 @@
     let service = service_fn(move |request| {
         let work = OpenWork::new(&counting, WorkStage::Waiting);
         let pending = owing.begin(work.clone());
-        let answer = handler(request, work);
+        // The library reserves the memory of this future for idle connections as well.
+        let answer = Box::pin(handler(request, work));
         let node = counting.clone();
         async move {
             let response = answer.await;
--- a/crates/forward/src/serve/mod.rs
+++ b/crates/forward/src/serve/mod.rs
@@ -44,7 +44,8 @@
 ) -> Response<Body> {
     let admitted = admit::admit(node, request, work, proxied_after).await;
     match admitted {
-        Ok(exchange) => exchange.run().await,
+        // Apart, so that a request takes the memory of its run only from then on.
+        Ok(exchange) => Box::pin(exchange.run()).await,
         Err(refusal) => refusal,
     }
 }
