Bound what callers hold together, and let those that stand still yield

Cause: nothing counted bodies together, and a connection had its place for as long as it liked.

Change: connections (20 kB), requests (48 kB) and their bodies share a third of the host's memory, which the settings now tell (host.memory_mb, 120 by default, checked, reloaded), and connections half of the descriptors as before. decide::callers keeps the account. A quarter is for requests and bodies up to 64 kB; a larger body grows only if all bodies on the way can still arrive one after the other (decide::hold). What does not fit waits for 1.5 s and is refused with 503 and Retry-After, not run. Meanwhile connections without a request and bodies on the way yield that brought less than 1 kB in a second, first those with most bytes for longest; nothing that moves, has arrived or waits itself. While there is room nobody meets any of it. A newcomer is accepted first and then waits for its place, so that connections yield only to somebody. Log lines callers_wait, caller_yields; metrics caller_connections, caller_bytes, caller_yields.

--- a/crates/decide/src/hold/mod.rs
+++ b/crates/decide/src/hold/mod.rs
@@ -36,6 +36,11 @@
         Holds { limit, holds: BTreeMap::new(), next: 0 }
     }
 
+    /// Changes the limit for what begins or grows from now on.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// Begins to hold an answer that will have at most `max_bytes`.
     pub fn open(&mut self, max_bytes: usize) -> HoldId {
         let id = HoldId(self.next);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod batch;
+pub mod callers;
 pub mod claim;
 pub mod config;
 pub mod deadline;
--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -349,6 +349,11 @@
     Remade { id: &'a str, stage: usize, again: usize },
     /// Answers wait for memory that others hold, or none does any more.
     AnswersPaused { is_paused: bool, held_bytes: usize },
+    /// Connections or requests of callers wait for room, or none does any more.
+    CallersWait { is_waiting: bool, held_bytes: usize, connections: usize },
+    /// A connection without a request, or a request with its body on the way, stood still and is
+    /// ended, so that others have room.
+    CallerYields { what: &'a str, bytes: usize, still_ms: u64, held_bytes: usize },
     /// Stages are rerun because the allowed regions have changed.
     Moved { id: &'a str, version: u64 },
     /// A target was silent for too long while it ran a request: `outcome` tells what became of its run.
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -10,19 +10,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::RETRY_DELAY;
 use super::intake::AwaitingGuard;
 use super::outbox::{Outbox, TrackedSocket};
 use super::socket::ServerSocket;
+use crate::capacity::Held;
 use crate::node::Node;
 use crate::phase::LifePhase;
 use crate::serve;
 use crate::work::{OpenWork, WorkStage};
 
-/// Maximum fraction of the file descriptors for callers' connections.
-const CONNECTIONS_SHARE: f64 = 0.5;
 /// Minimum head size that the buffer allows for, even if the settings permit less.
 const MIN_HEAD_BYTES: usize = 16 << 10;
 
@@ -39,22 +37,17 @@
 }
 
 async fn accept_all(node: &Rc<Node>, first: TcpListener) {
-    let max_connections = (node.settings().descriptors as f64 * CONNECTIONS_SHARE) as usize;
-    let slots = std::sync::Arc::new(Semaphore::new(max_connections.max(1)));
     let mut listener = Some(first);
     let mut has_room = true;
     loop {
-        // At the maximum, callers wait to be accepted.
-        let permit = slots.clone().acquire_owned().await.expect("never closed");
         let Some(open) = listener.take().or_else(|| listen_again(node)) else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         if has_room && node.intake.is_full(node) {
-            drop(permit);
             for socket in accept_waiting(open) {
-                if let Ok(permit) = slots.clone().try_acquire_owned() {
-                    serve_socket(node, socket, permit);
+                if let Some(held) = node.capacity.try_connection() {
+                    serve_socket(node, socket, held);
                 }
             }
             has_room = node.intake.wait_for_room(node).await;
@@ -64,7 +57,8 @@
         listener = Some(open);
         has_room = true;
         match accepted {
-            Ok((socket, _)) => serve_socket(node, socket, permit),
+            // Further callers wait to be accepted.
+            Ok((socket, _)) => serve_socket(node, socket, node.capacity.connection().await),
             Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
@@ -84,13 +78,9 @@
     accepted.filter_map(to_stream).collect()
 }
 
-fn serve_socket(node: &Rc<Node>, socket: TcpStream, permit: OwnedSemaphorePermit) {
-    let node = node.clone();
-    let socket = ServerSocket::new(&node, socket);
-    tokio::task::spawn_local(async move {
-        serve_connection(node, socket).await;
-        drop(permit);
-    });
+fn serve_socket(node: &Rc<Node>, socket: TcpStream, held: Held) {
+    let socket = ServerSocket::new(node, socket);
+    tokio::task::spawn_local(serve_connection(node.clone(), socket, held));
 }
 
 fn listen_again(node: &Node) -> Option<TcpListener> {
@@ -98,10 +88,10 @@
     listener.inspect_err(|e| log::warn!("callers: {e:#}")).ok()
 }
 
-async fn serve_connection(node: Rc<Node>, socket: ServerSocket) {
-    let outbox = Rc::new(Outbox::default());
+async fn serve_connection(node: Rc<Node>, socket: ServerSocket, held: Held) {
     let awaiting = Rc::new(Cell::new(Some(AwaitingGuard::new(&node))));
     let limits = node.table().rules.limits.clone();
+    let outbox = Rc::new(Outbox::for_caller(held));
     // The timer for a head also runs while a keep-alive connection is idle.
     let idle_timeout = Duration::from_millis(limits.idle_ms.max(limits.head_ms));
     let (handler, owing, first) = (node.clone(), outbox.clone(), awaiting.clone());
--- a/crates/forward/src/ingress/linger.rs
+++ b/crates/forward/src/ingress/linger.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
+use super::outbox::Outbox;
 use super::socket::ServerSocket;
 use crate::node::Node;
 
@@ -19,27 +20,32 @@
 const BUFFER_BYTES: usize = 4 << 10;
 
 /// Ends the sending side, and closes the connection once the other side has acknowledged all that was
-/// sent and sends nothing more; `has_ended` tells whether it has ended its sending side.
-pub async fn close(node: &Node, mut socket: ServerSocket, mut has_ended: bool) {
+/// sent and sends nothing more. It yields to others from when it has acknowledged all.
+pub async fn close(node: &Node, mut socket: ServerSocket, outbox: &Outbox) {
     // A request that crosses the end of an idle connection is left unread, so that its caller knows.
     if socket.unacknowledged() == 0 || socket.stream.shutdown().await.is_err() {
         return;
     }
     let until = node.now() + MAX_TIME;
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut has_ended = outbox.has_ended();
     while node.now() < until {
+        let mut has_input = false;
         if has_ended {
             tokio::time::sleep(QUIET_TIME).await;
         } else {
             match timeout(QUIET_TIME, socket.stream.read(&mut buffer)).await {
                 Ok(Err(_)) => return,
                 Ok(Ok(0)) => has_ended = true,
-                Ok(Ok(_)) => continue,
+                Ok(Ok(_)) => has_input = true,
                 Err(_) => {}
             }
         }
         if socket.unacknowledged() == 0 {
-            return;
+            if !has_input {
+                return;
+            }
+            outbox.rest();
         }
     }
 }
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
+use decide::callers::Stage;
 use hyper::Response;
 use model::Time;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -14,6 +15,7 @@
 
 use super::linger;
 use super::socket::ServerSocket;
+use crate::capacity::Held;
 use crate::delivery::{Delivery, TrackedBody};
 use crate::events::Event;
 use crate::liveness::WatchedStream;
@@ -25,6 +27,8 @@
 const READ_GRACE: Duration = Duration::from_secs(1);
 /// Time to read an answer to a request or message that names no deadline.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Memory that the library takes for a byte of a head, since its buffer grows twofold.
+const BUFFER_FACTOR: usize = 2;
 /// Why an answer was not delivered to a reader that took too long.
 const OVERDUE: &str = "not read in time";
 
@@ -63,6 +67,8 @@
     Closed(Option<hyper::Error>),
     /// An answer was not read in time.
     Overdue,
+    /// It had no request, and others needed its room.
+    Yielded,
 }
 
 /// What a connection owes the other side.
@@ -77,11 +83,26 @@
     has_ended: Cell<bool>,
     /// The socket, once the library has dropped it.
     socket: Cell<Option<ServerSocket>>,
+    /// What a caller's connection holds.
+    held: Option<Held>,
+    /// Bytes that have arrived since the last request.
+    head_bytes: Cell<usize>,
 }
 
 impl Outbox {
+    /// Outbox of a caller's connection, which yields to others while it has no request.
+    pub fn for_caller(held: Held) -> Self {
+        held.enter(Stage::Resting);
+        Outbox { held: Some(held), ..Outbox::default() }
+    }
+
     /// Begins to owe an answer.
     pub fn begin(self: &Rc<Self>, work: Rc<OpenWork>) -> Rc<Pending> {
+        self.head_bytes.set(0);
+        if let Some(held) = &self.held {
+            held.set_head(0);
+            held.enter(Stage::Busy);
+        }
         let (delivery, outbox) = (Delivery::new(), Rc::downgrade(self));
         let pending = Rc::new(Pending { work, delivery, outbox, read_by: Cell::default() });
         self.pending.borrow_mut().push(pending.clone());
@@ -91,22 +112,59 @@
     fn flushed(&self) {
         let mut pending = self.pending.borrow_mut();
         pending.iter().for_each(|p| p.delivery.flushed());
+        let owed = pending.len();
         pending.retain(|p| !p.delivery.is_sent());
+        if owed > 0 && pending.is_empty() {
+            self.rest();
+        }
         if let Some(reader) = self.reader.take() {
             reader.wake();
         }
     }
 
+    /// Whether the other side has ended its sending side.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
     /// Whether an answer is complete but has not left.
     fn is_flushing(&self) -> bool {
         self.pending.borrow().iter().any(|p| p.delivery.is_flushing())
     }
 
-    /// Runs a connection, unless an answer on it is not read in time.
+    /// Records that nothing is owed any more.
+    pub fn rest(&self) {
+        if let Some(held) = &self.held {
+            held.enter(Stage::Resting);
+        }
+    }
+
+    /// Takes note of bytes that have arrived.
+    fn received(&self, bytes: usize) {
+        let Some(held) = self.held.as_ref().filter(|_| self.pending.borrow().is_empty()) else {
+            return;
+        };
+        let head_bytes = self.head_bytes.get() + bytes;
+        self.head_bytes.set(head_bytes);
+        held.set_head(head_bytes * BUFFER_FACTOR);
+        held.moved(bytes);
+    }
+
+    /// Waits until the connection must yield to others.
+    pub async fn must_yield(&self) {
+        match &self.held {
+            Some(held) => held.must_yield().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Runs a connection, unless an answer on it is not read in time or it must yield.
     pub async fn run(&self, node: &Node, connection: impl Future<Output = Served>) -> End {
         tokio::select! {
+            biased;
             served = connection => End::Closed(served.err()),
             () = self.wait_overdue(node) => End::Overdue,
+            () = self.must_yield() => End::Yielded,
         }
     }
 
@@ -131,7 +189,10 @@
         self.log_end(node, end);
         match self.socket.take() {
             Some(socket) if is_overdue => socket.reset(),
-            Some(socket) => linger::close(node, socket, self.has_ended.get()).await,
+            Some(socket) => tokio::select! {
+                () = linger::close(node, socket, self) => {}
+                () = self.must_yield() => {}
+            },
             None => {}
         }
     }
@@ -143,6 +204,7 @@
             End::Closed(Some(e)) if e.is_user() => return,
             End::Closed(error) => error.map_or(String::new(), |e| e.to_string()),
             End::Overdue => OVERDUE.into(),
+            End::Yielded => String::new(),
         };
         for pending in self.pending.take() {
             let stage = pending.work.stage();
@@ -194,9 +256,11 @@
         }
         let before = buf.filled().len();
         let read = ready!(self.stream().poll_read(cx, buf));
-        if read.is_err() || buf.filled().len() == before {
+        let bytes = buf.filled().len() - before;
+        if read.is_err() || bytes == 0 {
             self.outbox.has_ended.set(true);
         }
+        self.outbox.received(bytes);
         Poll::Ready(read)
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 //! batched or trusted.
 
 pub mod border;
+mod capacity;
 mod crossed;
 mod delay;
 mod delivery;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -101,6 +101,9 @@
     links_lost: Gauge,
     local_delay_ms: Gauge,
     intake_limit: Gauge,
+    caller_connections: Gauge,
+    caller_bytes: Gauge,
+    caller_yields: Family<NameLabel, Counter>,
     proxied: Family<NameLabel, Counter>,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
@@ -159,6 +162,10 @@
     pub delay: Duration,
     /// Limit on the requests in progress, if there is one.
     pub intake_limit: Option<usize>,
+    /// Open connections of callers.
+    pub connections: usize,
+    /// Bytes that callers hold.
+    pub held: usize,
     /// Targets that name a limit.
     pub limited: usize,
     /// Running rollouts: service, trial version and its share of the requests.
@@ -189,6 +196,9 @@
             links_lost: Gauge::default(),
             local_delay_ms: Gauge::default(),
             intake_limit: Gauge::default(),
+            caller_connections: Gauge::default(),
+            caller_bytes: Gauge::default(),
+            caller_yields: Family::default(),
             proxied: Family::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
@@ -294,6 +304,12 @@
         let help =
             "Requests that this node takes on at a time while it is overloaded; 0 if any number";
         registry.register("intake_limit", help, self.intake_limit.clone());
+        let help = "Open connections of callers";
+        registry.register("caller_connections", help, self.caller_connections.clone());
+        let help = "Memory that connections, requests and bodies of callers take, in bytes";
+        registry.register("caller_bytes", help, self.caller_bytes.clone());
+        let help = "Connections and bodies of callers that stood still and were ended for others";
+        registry.register("caller_yields", help, self.caller_yields.clone());
         let help = "Requests sent through other nodes while no target was reached, by outcome";
         registry.register("proxied", help, self.proxied.clone());
         let help = "Targets that name a limit";
@@ -463,6 +479,11 @@
         self.undelivered.get_or_create_owned(&NameLabel { name: stage.to_string() }).inc();
     }
 
+    /// Counter of the connections or bodies of callers that were ended for others.
+    pub fn yielded(&self, what: &str) -> Counter {
+        self.caller_yields.get_or_create_owned(&NameLabel { name: what.to_string() })
+    }
+
     fn set_age(&self, kind: ObjectKind, age: Option<Age>) {
         let Some(age) = age else {
             return;
@@ -500,6 +521,8 @@
         self.links_lost.set(now.links_lost.into());
         self.local_delay_ms.set(now.delay.as_millis() as i64);
         self.intake_limit.set(now.intake_limit.unwrap_or(0) as i64);
+        self.caller_connections.set(now.connections as i64);
+        self.caller_bytes.set(now.held as i64);
         self.targets_limited.set(now.limited as i64);
         self.rollout_share.clear();
         for (service, version, share) in now.rollouts {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -18,6 +18,7 @@
 use util::http::Client;
 
 use crate::border::{Dialect, ObjectKind};
+use crate::capacity::CallerCapacity;
 use crate::ejections::LocalEjections;
 use crate::events::Event;
 use crate::ingress::{LocalIntake, OpenSockets};
@@ -77,6 +78,8 @@
     pub intake: LocalIntake,
     /// Sockets of callers and of peers that call this node.
     pub sockets: OpenSockets,
+    /// Memory and connections for callers.
+    pub capacity: CallerCapacity,
     /// Memory for answers.
     pub answer_memory: AnswerMemory,
     /// Origins of resumable streams.
@@ -108,11 +111,14 @@
         let regions = Regions::new(settings.regions.clone());
         let mut fleet = Fleet::default();
         fleet.set_regions(regions.clone());
+        let (clock, metrics) = (Clock::default(), Metrics::default());
+        let capacity = CallerCapacity::new(&settings, clock, &metrics);
         Node {
             dialect,
-            clock: Clock::default(),
+            clock,
             client: Client::new(peers::CONNECT_TIMEOUT),
-            metrics: Metrics::default(),
+            metrics,
+            capacity,
             peers: Peers::new(
                 settings.name.clone(),
                 settings.domain.clone(),
@@ -163,6 +169,7 @@
         let tuning = settings.repeats.tuning();
         self.budgets.borrow_mut().values_mut().for_each(|b| b.set_tuning(tuning));
         self.peers.set_seeds(settings.seed_addresses());
+        self.capacity.set_limits(&settings);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -392,6 +399,8 @@
             links_lost: self.links.is_lost(),
             delay: self.local_delay(),
             intake_limit: self.intake.limit(),
+            connections: self.capacity.connections(),
+            held: self.capacity.held(),
             limited: self.fleet.borrow().limits().limited().count(),
             rollouts: &self.running_rollouts(),
             ages: ObjectKind::AGE_TRACKED.map(|kind| (kind, self.feed.age_of(kind, self.now()))),
--- a/crates/forward/src/received.rs
+++ b/crates/forward/src/received.rs
@@ -6,10 +6,13 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use decide::callers::Stage;
 use hyper::body::{Body, Frame, SizeHint};
 use model::forward::Fingerprint;
 use util::http::BodyParts;
 
+use crate::capacity::Held;
+
 /// A whole body, whose memory its clones share.
 #[derive(Debug, Clone)]
 pub struct ReceivedBody(Rc<Whole>);
@@ -18,13 +21,15 @@
 struct Whole {
     parts: Vec<Bytes>,
     len: usize,
+    _held: Held,
 }
 
 impl ReceivedBody {
-    /// A body that has arrived.
-    pub fn new(body: BodyParts) -> Self {
+    /// A body that has arrived, with the memory that is held for its request.
+    pub fn new(body: BodyParts, held: Held) -> Self {
+        held.enter(Stage::Busy);
         let len = body.len();
-        ReceivedBody(Rc::new(Whole { parts: body.into_parts(), len }))
+        ReceivedBody(Rc::new(Whole { parts: body.into_parts(), len, _held: held }))
     }
 
     /// Fingerprint of these texts and the body.
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -16,6 +16,7 @@
 
 use super::exchange::{Admitted, Exchange, ReceivedRequest};
 use super::reply::{self, Body};
+use crate::capacity::{Held, NoMemory};
 use crate::events::Event;
 use crate::node::Node;
 use crate::phase::LifePhase;
@@ -53,6 +54,16 @@
         Refusal { close: true, ..self }
     }
 
+    fn too_large() -> Self {
+        Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close()
+    }
+
+    /// Refuses a request that there is no memory for; others will have made room by the retry.
+    fn no_memory(why: NoMemory) -> Self {
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, why.as_str());
+        refusal.retry_after(DEFAULT_RETRY_AFTER).close()
+    }
+
     /// Refuses an unknown route or key. Unless the rules are certainly current, the caller is asked
     /// to retry.
     fn unknown(node: &Node, status: StatusCode, reason: &'static str) -> Self {
@@ -116,7 +127,7 @@
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
     let body = tokio::select! {
-        body = read_body(body, limit) => body,
+        body = receive(node, body, limit) => body,
         () = node.clock.sleep_until(deadline) => {
             Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close())
         }
@@ -285,23 +296,42 @@
     }
 }
 
-/// Reads a body to its end, unless it is larger than `limit` bytes.
-async fn read_body(mut body: Incoming, limit: usize) -> Result<ReceivedBody, Refusal> {
-    let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too large").close();
+/// Receives the body of a request, unless it is larger than `limit` bytes or there is no memory.
+async fn receive(node: &Node, body: Incoming, limit: usize) -> Result<ReceivedBody, Refusal> {
     let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
     if announced.is_some_and(|n| n > limit) {
-        return Err(too_large());
+        return Err(Refusal::too_large());
     }
-    let mut read = BodyParts::new(announced);
+    let held = node.capacity.request(announced, limit).await.map_err(Refusal::no_memory)?;
+    let read = tokio::select! {
+        biased;
+        read = read_body(body, BodyParts::new(announced), limit, &held) => read?,
+        () = held.must_yield() => return Err(Refusal::no_memory(NoMemory::Yielded)),
+    };
+    Ok(ReceivedBody::new(read, held))
+}
+
+/// Reads a body to its end as fast as there is memory for it.
+async fn read_body(
+    mut body: Incoming,
+    mut read: BodyParts,
+    limit: usize,
+    held: &Held,
+) -> Result<BodyParts, Refusal> {
     while let Some(frame) = body.frame().await {
         let malformed = |_| Refusal::new(StatusCode::BAD_REQUEST, "body is malformed").close();
         let Ok(data) = frame.map_err(malformed)?.into_data() else {
             continue;
         };
         if read.len() + data.len() > limit {
-            return Err(too_large());
+            return Err(Refusal::too_large());
+        }
+        held.moved(data.len());
+        let bytes = read.held_with(data.len());
+        if bytes > read.held() {
+            held.grow(bytes).await.map_err(Refusal::no_memory)?;
         }
         read.push(&data);
     }
-    Ok(ReceivedBody::new(read))
+    Ok(read)
 }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -16,6 +16,11 @@
 /// Bandwidth of the smallest hosts, in Mbit/s.
 const MIN_LINK_MBPS: f64 = 10.0;
 
+/// Memory of the smallest hosts, in MB.
+const MIN_MEMORY_MB: u32 = 120;
+/// Memory in MB below which a node cannot hold a large body beside its own state.
+const LEAST_MEMORY_MB: u32 = 64;
+
 /// Settings file of `pumicevale-node`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -89,11 +94,18 @@
     pub cpu_share: f64,
     /// Bandwidth of the link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory, in MB; limits what callers may hold.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u32,
+}
+
+fn memory_mb() -> u32 {
+    MIN_MEMORY_MB
 }
 
 impl Default for Host {
     fn default() -> Self {
-        Host { cpu_share: MIN_CPU_SHARE, link_mbps: MIN_LINK_MBPS }
+        Host { cpu_share: MIN_CPU_SHARE, link_mbps: MIN_LINK_MBPS, memory_mb: MIN_MEMORY_MB }
     }
 }
 
@@ -105,6 +117,11 @@
         let link = self.link_mbps / MIN_LINK_MBPS;
         cpu.min(link).max(1.0).log2() as u8
     }
+
+    /// Memory, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb as usize * 1_000_000
+    }
 }
 
 /// Repeat budget of one service, shared by all nodes.
@@ -239,6 +256,10 @@
         if !self.host.link_mbps.is_finite() || self.host.link_mbps <= 0.0 {
             return Err(BadValue::new("host.link_mbps", "is not above 0"));
         }
+        if self.host.memory_mb < LEAST_MEMORY_MB {
+            let reason = "is below 64; large bodies need room beside the node's own state";
+            return Err(BadValue::new("host.memory_mb", reason));
+        }
         if let Some(rollouts) = &self.rollouts {
             if !(0.0..=1.0).contains(&rollouts.share) {
                 return Err(BadValue::new("rollouts.share", "is not within 0 to 1"));
--- a/crates/forward/tests/settings.rs
+++ b/crates/forward/tests/settings.rs
@@ -4,6 +4,7 @@
 
 use forward::settings::Settings;
 use model::forward::Policy;
+use util::settings::Check;
 
 const NODE: &str = "
 name: n1
@@ -35,3 +36,19 @@
     let error = policy("policy: { poling: false }").expect_err("no such mechanism");
     assert!(error.contains("poling") && error.contains("11"), "{error}");
 }
+
+fn memory_mb(host: &str) -> Result<u32, String> {
+    let text = format!("{NODE}host: {{ cpu_share: 0.5, link_mbps: 200{host} }}\n");
+    let parsed = util::settings::parse::<Settings>(Path::new("node.yaml"), &text);
+    let settings = parsed.map_err(|e| e.to_string())?;
+    settings.check().map_err(|e| format!("{e:?}"))?;
+    Ok(settings.host.memory_mb)
+}
+
+#[test]
+fn memory_of_a_host_is_that_of_the_smallest_unless_told() {
+    assert_eq!(memory_mb(""), Ok(120));
+    assert_eq!(memory_mb(", memory_mb: 512"), Ok(512));
+    let error = memory_mb(", memory_mb: 20").expect_err("too little");
+    assert!(error.contains("host.memory_mb"), "{error}");
+}
