Say not ready while newcomers have to wait for a place or memory

Seen: a node whose connections were all held said 200 to the balancer, which went on sending callers there. Cause: readiness knew only of requests that the node turns away for being late. Now a node where a connection or request had to wait for room in the last second asks its peers and says 503 while one of them has room, as an overrun one does. node_whose_connections_are_all_held_says_so_while_a_peer_has_room (200 places held by running requests, a second node idle): before, no 503 in 20 s; now it passes in 2 s and the node is ready again after the crowd.

--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -103,6 +103,12 @@
         self.machine().connections()
     }
 
+    /// Whether connections or requests have lately had to wait.
+    pub fn is_full(&self) -> bool {
+        let now = self.now();
+        self.machine().is_full(now)
+    }
+
     /// A further connection, if there is room for one.
     pub fn try_connection(&self) -> Option<Held> {
         self.open(|machine, now| machine.open_connection(now)).ok()
--- a/crates/forward/src/ingress/intake.rs
+++ b/crates/forward/src/ingress/intake.rs
@@ -53,9 +53,9 @@
         true
     }
 
-    /// Whether callers are turned away again and again.
+    /// Whether callers are turned away again and again, or others hold all there is for them.
     pub fn is_overrun(&self, node: &Node) -> bool {
-        self.machine.borrow().is_overrun(node.now())
+        self.machine.borrow().is_overrun(node.now()) || node.capacity.is_full()
     }
 
     /// Tells the balancer to send callers to other nodes while this one is overrun and a peer has
