Give a head that has begun the time for heads

Seen: a connection with a begun head was open after 20 s, where the configuration allows 3 s for a head. Cause: the library has one timer for heads and idle connections, so it ran for the longer of both times. Now the connection takes note of when the first byte after an answer came, and is closed headerTimeoutMs later unless a request has begun; what has arrived by then counts first. Idle connections keep their time.

--- a/crates/forward/src/events/kinds.rs
+++ b/crates/forward/src/events/kinds.rs
@@ -354,6 +354,8 @@
     /// A connection without a request, or a request with its body on the way, stood still and is
     /// ended, so that others have room.
     CallerYields { what: &'a str, bytes: usize, still_ms: u64, held_bytes: usize },
+    /// The head of a request had begun and did not end in time; its connection is closed.
+    LateHead { bytes: usize },
     /// Stages are rerun because the allowed regions have changed.
     Moved { id: &'a str, version: u64 },
     /// A target was silent for too long while it ran a request: `outcome` tells what became of its run.
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -92,8 +92,9 @@
     let awaiting = Rc::new(Cell::new(Some(AwaitingGuard::new(&node))));
     let limits = node.table().rules.limits.clone();
     let outbox = Rc::new(Outbox::for_caller(held));
-    // The timer for a head also runs while a keep-alive connection is idle.
-    let idle_timeout = Duration::from_millis(limits.idle_ms.max(limits.head_ms));
+    let head_timeout = Duration::from_millis(limits.head_ms);
+    // The library's timer for a head also runs while a connection is idle.
+    let idle_timeout = Duration::from_millis(limits.idle_ms).max(head_timeout);
     let (handler, owing, first) = (node.clone(), outbox.clone(), awaiting.clone());
     let service = service_fn(move |request| {
         let node = handler.clone();
@@ -131,7 +132,7 @@
         connection.as_mut().graceful_shutdown();
         connection.as_mut().await
     };
-    let end = outbox.run(&node, serving).await;
+    let end = outbox.run(&node, head_timeout, serving).await;
     drop(connection);
     // An error mostly means that the caller closed the connection, which ends its request.
     outbox.close(&node, end).await;
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -69,6 +69,8 @@
     Overdue,
     /// It had no request, and others needed its room.
     Yielded,
+    /// The head of a request did not end in time.
+    LateHead,
 }
 
 /// What a connection owes the other side.
@@ -87,6 +89,10 @@
     held: Option<Held>,
     /// Bytes that have arrived since the last request.
     head_bytes: Cell<usize>,
+    /// When the first of them arrived.
+    head_began: Cell<Option<Time>>,
+    /// Notified when one has begun.
+    head_notify: Notify,
 }
 
 impl Outbox {
@@ -99,6 +105,7 @@
     /// Begins to owe an answer.
     pub fn begin(self: &Rc<Self>, work: Rc<OpenWork>) -> Rc<Pending> {
         self.head_bytes.set(0);
+        self.head_began.set(None);
         if let Some(held) = &self.held {
             held.set_head(0);
             held.enter(Stage::Busy);
@@ -140,12 +147,16 @@
     }
 
     /// Takes note of bytes that have arrived.
-    fn received(&self, bytes: usize) {
+    fn received(&self, bytes: usize, now: Time) {
         let Some(held) = self.held.as_ref().filter(|_| self.pending.borrow().is_empty()) else {
             return;
         };
         let head_bytes = self.head_bytes.get() + bytes;
         self.head_bytes.set(head_bytes);
+        if head_bytes > 0 && self.head_began.get().is_none() {
+            self.head_began.set(Some(now));
+            self.head_notify.notify_one();
+        }
         held.set_head(head_bytes * BUFFER_FACTOR);
         held.moved(bytes);
     }
@@ -158,16 +169,38 @@
         }
     }
 
-    /// Runs a connection, unless an answer on it is not read in time or it must yield.
-    pub async fn run(&self, node: &Node, connection: impl Future<Output = Served>) -> End {
+    /// Runs a connection, unless an answer on it is not read in time, a head takes longer than
+    /// `head_timeout`, or it must yield.
+    pub async fn run(
+        &self,
+        node: &Node,
+        head_timeout: Duration,
+        connection: impl Future<Output = Served>,
+    ) -> End {
         tokio::select! {
+            // What has arrived counts before the time that is over by now.
             biased;
             served = connection => End::Closed(served.err()),
             () = self.wait_overdue(node) => End::Overdue,
+            () = self.wait_late_head(node, head_timeout) => End::LateHead,
             () = self.must_yield() => End::Yielded,
         }
     }
 
+    /// Waits until the head of a request has taken too long.
+    async fn wait_late_head(&self, node: &Node, timeout: Duration) {
+        loop {
+            let Some(began) = self.head_began.get() else {
+                self.head_notify.notified().await;
+                continue;
+            };
+            node.clock.sleep_until(began + timeout).await;
+            if self.head_began.get() == Some(began) {
+                return;
+            }
+        }
+    }
+
     /// Waits until an answer has not been read in time.
     async fn wait_overdue(&self, node: &Node) {
         loop {
@@ -205,6 +238,11 @@
             End::Closed(error) => error.map_or(String::new(), |e| e.to_string()),
             End::Overdue => OVERDUE.into(),
             End::Yielded => String::new(),
+            End::LateHead => {
+                node.metrics.count_late_head();
+                Event::LateHead { bytes: self.head_bytes.get() }.emit();
+                return;
+            }
         };
         for pending in self.pending.take() {
             let stage = pending.work.stage();
@@ -260,7 +298,8 @@
         if read.is_err() || bytes == 0 {
             self.outbox.has_ended.set(true);
         }
-        self.outbox.received(bytes);
+        let now = self.stream().now();
+        self.outbox.received(bytes, now);
         Poll::Ready(read)
     }
 }
--- a/crates/forward/src/ingress/small.rs
+++ b/crates/forward/src/ingress/small.rs
@@ -64,6 +64,6 @@
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(TrackedSocket::new(socket, outbox.clone())), service);
     // A peer that disconnects sends its request again, or the failure detector notices it.
-    let end = outbox.run(&node, connection).await;
+    let end = outbox.run(&node, IDLE_TIMEOUT, connection).await;
     outbox.close(&node, end).await;
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -104,6 +104,7 @@
     caller_connections: Gauge,
     caller_bytes: Gauge,
     caller_yields: Family<NameLabel, Counter>,
+    late_heads: Counter,
     proxied: Family<NameLabel, Counter>,
     targets_limited: Gauge,
     sent_at_limit: Family<NameLabel, Counter>,
@@ -199,6 +200,7 @@
             caller_connections: Gauge::default(),
             caller_bytes: Gauge::default(),
             caller_yields: Family::default(),
+            late_heads: Counter::default(),
             proxied: Family::default(),
             targets_limited: Gauge::default(),
             sent_at_limit: Family::default(),
@@ -310,6 +312,8 @@
         registry.register("caller_bytes", help, self.caller_bytes.clone());
         let help = "Connections and bodies of callers that stood still and were ended for others";
         registry.register("caller_yields", help, self.caller_yields.clone());
+        let help = "Connections closed since the head of a request had begun and did not end";
+        registry.register("late_heads", help, self.late_heads.clone());
         let help = "Requests sent through other nodes while no target was reached, by outcome";
         registry.register("proxied", help, self.proxied.clone());
         let help = "Targets that name a limit";
@@ -484,6 +488,11 @@
         self.caller_yields.get_or_create_owned(&NameLabel { name: what.to_string() })
     }
 
+    /// Counts a connection that was closed since a head on it did not end in time.
+    pub fn count_late_head(&self) {
+        self.late_heads.inc();
+    }
+
     fn set_age(&self, kind: ObjectKind, age: Option<Age>) {
         let Some(age) = age else {
             return;
