Bound what the kernel holds of callers' bodies that wait for memory

Seen: 60 callers that were asked for 4 MiB (Expect: 100-continue) took 91,715 kB, resident memory and unread bytes together, where those that sent at once took 46,349 kB. Cause: bodies that wait are not read, and the kernel's receive buffers, which grow with the pace of a sender, held up to a megabyte of each.

--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -84,7 +84,7 @@
 }
 
 fn listen_again(node: &Node) -> Option<TcpListener> {
-    let listener = super::listen(node.settings().callers);
+    let listener = super::listen_for_callers(node.settings().callers);
     listener.inspect_err(|e| log::warn!("callers: {e:#}")).ok()
 }
 
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -43,7 +43,7 @@
     reload::start(&node, path)?;
     peers::start(&node).await?;
     watch::start(&node);
-    let callers = ingress::listen(s.callers)?;
+    let callers = ingress::listen_for_callers(s.callers)?;
     let readiness = ingress::listen(s.readiness)?;
     tokio::task::spawn_local(ingress::serve_readiness(node.clone(), readiness));
     if let Some(address) = s.metrics {
