Read nothing of a caller while all of its answer is in memory

Cause: a connection reads nothing while an answer is complete but has not left, since the library takes the end of the input for that of the connection. Now an answer that is whole in this node's memory counts as complete from its begin; streams and answers of peers as before.

--- a/crates/forward/src/delivery.rs
+++ b/crates/forward/src/delivery.rs
@@ -19,6 +19,8 @@
 enum Progress {
     /// It has not begun, or the library takes its body.
     Open,
+    /// All of it is in this node's memory, and the library takes its body part by part.
+    Whole,
     /// The library has buffered it to its end.
     Buffered,
     /// It has left.
@@ -44,9 +46,14 @@
         TrackedBody { body, delivery: self.clone() }
     }
 
+    /// Records that all of the message is in this node's memory.
+    pub fn set_whole(&self) {
+        self.progress.set(Progress::Whole);
+    }
+
     /// Whether the message is complete but has not left.
     pub fn is_flushing(&self) -> bool {
-        self.progress.get() == Progress::Buffered
+        matches!(self.progress.get(), Progress::Whole | Progress::Buffered)
     }
 
     /// Whether the message has left.
@@ -56,7 +63,7 @@
 
     /// Records that the library's buffer is empty.
     pub fn flushed(&self) {
-        if self.is_flushing() {
+        if self.progress.get() == Progress::Buffered {
             self.end(Progress::Sent);
         }
     }
@@ -90,7 +97,7 @@
 
 impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
-        if self.delivery.progress.get() == Progress::Open {
+        if matches!(self.delivery.progress.get(), Progress::Open | Progress::Whole) {
             self.delivery.progress.set(Progress::Buffered);
         }
     }
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -54,6 +54,9 @@
             WorkStage::Receiving => self.work.enter(WorkStage::Sending),
             _ => {}
         }
+        if self.work.is_answer_whole() {
+            self.delivery.set_whole();
+        }
         response.map(|body| self.delivery.track(body))
     }
 }
--- a/crates/forward/src/serve/exchange.rs
+++ b/crates/forward/src/serve/exchange.rs
@@ -236,6 +236,7 @@
             match send_or_replace(&self, choice, results.as_ref(), None).await {
                 Outcome::Complete { status, headers, body } => {
                     self.log_end(status.as_u16(), "answered");
+                    self.work.set_answer_whole();
                     return Ok(reply::forward(status, headers, Box::pin(body)));
                 }
                 // By its first event the target has fetched its inputs, so they are freed. They
@@ -364,6 +365,7 @@
                 self.progress(|p| p.error_response.take())
         {
             self.log_end(status.as_u16(), "failed");
+            self.work.set_answer_whole();
             return reply::forward(status, headers, Box::pin(body));
         }
         let is_late = self.time_left().is_zero();
--- a/crates/forward/src/work.rs
+++ b/crates/forward/src/work.rs
@@ -84,6 +84,10 @@
     stage: Cell<WorkStage>,
     id: Cell<String>,
     deadline: Cell<Option<Time>>,
+    /// Whether its body was read to its end.
+    is_read: Cell<bool>,
+    /// Whether all of its answer is in this node's memory.
+    is_answer_whole: Cell<bool>,
 }
 
 impl OpenWork {
@@ -91,7 +95,14 @@
     pub fn new(node: &Rc<Node>, stage: WorkStage) -> Rc<Self> {
         node.count_work(|counts| *counts.of(stage) += 1);
         let (node, stage) = (node.clone(), Cell::new(stage));
-        Rc::new(OpenWork { node, stage, id: Cell::default(), deadline: Cell::default() })
+        Rc::new(OpenWork {
+            node,
+            stage,
+            id: Cell::default(),
+            deadline: Cell::default(),
+            is_read: Cell::default(),
+            is_answer_whole: Cell::default(),
+        })
     }
 
     /// Current stage.
@@ -124,6 +135,26 @@
         self.deadline.set(Some(at));
     }
 
+    /// Whether its body was read to its end.
+    pub fn is_read(&self) -> bool {
+        self.is_read.get()
+    }
+
+    /// Records that its body was read to its end.
+    pub fn set_read(&self) {
+        self.is_read.set(true);
+    }
+
+    /// Whether all of its answer is in this node's memory.
+    pub fn is_answer_whole(&self) -> bool {
+        self.is_answer_whole.get()
+    }
+
+    /// Records that all of its answer is in this node's memory.
+    pub fn set_answer_whole(&self) {
+        self.is_answer_whole.set(true);
+    }
+
     /// Id of the request, if it is known; can be taken once.
     pub fn take_id(&self) -> String {
         self.id.take()
