Do not take the body of a refused request for a head

Causes: a request that is refused at its head leaves its body to the library, which skips it; those bytes counted as a head that does not end, and the idle connection was closed 3 s later. And each newcomer counted as waiting before it was tried whether there is room. Now the time of a head runs only after a request whose body was read, and only what does not fit waits.

--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -116,6 +116,9 @@
 
     /// Waits until there is room for a further connection.
     pub async fn connection(&self) -> Held {
+        if let Some(held) = self.try_connection() {
+            return held;
+        }
         let _waiting = Waiting::new(self, None);
         loop {
             let released = self.0.released.notified();
--- a/crates/forward/src/ingress/callers.rs
+++ b/crates/forward/src/ingress/callers.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -96,9 +98,12 @@
     // The library's timer for a head also runs while a connection is idle.
     let idle_timeout = Duration::from_millis(limits.idle_ms).max(head_timeout);
     let (handler, owing, first) = (node.clone(), outbox.clone(), awaiting.clone());
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let node = handler.clone();
         let work = OpenWork::new(&node, WorkStage::Receiving);
+        if request.body().is_end_stream() {
+            work.set_read();
+        }
         let pending = owing.begin(work.clone());
         first.take();
         async move {
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -92,8 +92,10 @@
     held: Option<Held>,
     /// Bytes that have arrived since the last request.
     head_bytes: Cell<usize>,
-    /// When the first of them arrived.
+    /// When the first of them arrived, if they are of a head.
     head_began: Cell<Option<Time>>,
+    /// Whether the body of the last request was not read, so that the library skips it.
+    skips_body: Cell<bool>,
     /// Notified when one has begun.
     head_notify: Notify,
 }
@@ -122,9 +124,10 @@
     fn flushed(&self) {
         let mut pending = self.pending.borrow_mut();
         pending.iter().for_each(|p| p.delivery.flushed());
-        let owed = pending.len();
+        let last_read = pending.last().map(|p| p.work.is_read());
         pending.retain(|p| !p.delivery.is_sent());
-        if owed > 0 && pending.is_empty() {
+        if let Some(is_read) = last_read.filter(|_| pending.is_empty()) {
+            self.skips_body.set(!is_read);
             self.rest();
         }
         if let Some(reader) = self.reader.take() {
@@ -156,7 +159,8 @@
         };
         let head_bytes = self.head_bytes.get() + bytes;
         self.head_bytes.set(head_bytes);
-        if head_bytes > 0 && self.head_began.get().is_none() {
+        let is_head = head_bytes > 0 && !self.skips_body.get();
+        if is_head && self.head_began.get().is_none() {
             self.head_began.set(Some(now));
             self.head_notify.notify_one();
         }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -144,6 +144,7 @@
     let fingerprint = fingerprint(&parts, &head, workspace.as_ref(), &body);
     let keys = RequestKeys::new(fingerprint, &service, &head);
     if let Some(held) = node.quarantine.record_arrival(node, &keys) {
+    work.set_read();
         node.metrics.count_quarantine_refusal(&route.name);
         let refusal = Refusal {
             retry_after: held.retry_after,
