Bound the pieces that a request may ask for, and count them

Now a request asks for 16,384 pieces at most, in all its stages, or gets 400; and each piece counts with 256 bytes in the account of callers, where requests that take more than 64 kB leave the reserve to others. A body on its way waits for memory even while nobody can yield, since running requests end; a new request is refused then.

--- a/crates/decide/src/callers/holder.rs
+++ b/crates/decide/src/callers/holder.rs
@@ -4,7 +4,9 @@
 
 use model::Time;
 
-use super::{CONNECTION_BYTES, MIN_MOVED_BYTES, REQUEST_BYTES, STILL_TIME, Stage, YIELD_TIME};
+use super::{
+    CONNECTION_BYTES, MIN_MOVED_BYTES, PIECE_BYTES, REQUEST_BYTES, STILL_TIME, Stage, YIELD_TIME,
+};
 use crate::hold::HoldId;
 
 /// What one holder holds, and how it moves.
@@ -51,8 +53,9 @@
         Holder { is_connection: true, ..Holder::new(CONNECTION_BYTES, Stage::Busy, now) }
     }
 
-    pub fn request(max_bytes: usize, now: Time) -> Self {
-        Holder { max_bytes, ..Holder::new(REQUEST_BYTES, Stage::Receiving, now) }
+    pub fn request(pieces: usize, max_bytes: usize, now: Time) -> Self {
+        let fixed = REQUEST_BYTES + pieces * PIECE_BYTES;
+        Holder { max_bytes, ..Holder::new(fixed, Stage::Receiving, now) }
     }
 
     pub fn bytes(&self) -> usize {
--- a/crates/decide/src/callers/mod.rs
+++ b/crates/decide/src/callers/mod.rs
@@ -22,6 +22,8 @@
 pub const CONNECTION_BYTES: usize = 20 << 10;
 /// Memory of a request and its connection to a target, in bytes, without its body.
 pub const REQUEST_BYTES: usize = 48 << 10;
+/// Memory of a piece of a stage that a request asks for, in bytes.
+pub const PIECE_BYTES: usize = 256;
 /// Size up to which a body is small, in bytes.
 pub const SMALL_BYTES: usize = 64 << 10;
 /// Time without movement after which a connection or body stands still.
@@ -138,11 +140,21 @@
         Ok(self.insert(Holder::connection(now)))
     }
 
-    /// Begins to count a request whose body will have at most `max_bytes`.
-    pub fn open_request(&mut self, max_bytes: usize, now: Time) -> Result<HolderId, Shortage> {
-        let fits = self.check(REQUEST_BYTES, self.limits.bytes);
+    /// Begins to count a request with this many pieces whose body will have at most `max_bytes`.
+    pub fn open_request(
+        &mut self,
+        pieces: usize,
+        max_bytes: usize,
+        now: Time,
+    ) -> Result<HolderId, Shortage> {
+        let holder = Holder::request(pieces, max_bytes, now);
+        let limit = match holder.bytes() > REQUEST_BYTES + SMALL_BYTES {
+            true => unreserved(self.limits.bytes),
+            false => self.limits.bytes,
+        };
+        let fits = self.check(holder.bytes(), limit);
         self.note(fits, now)?;
-        Ok(self.insert(Holder::request(max_bytes, now)))
+        Ok(self.insert(holder))
     }
 
     /// Whether a body of this size can be held at all.
--- a/crates/decide/tests/callers.rs
+++ b/crates/decide/tests/callers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use decide::callers::{
-    CONNECTION_BYTES, CallerLimits, Callers, HolderId, MIN_MOVED_BYTES, REQUEST_BYTES, SMALL_BYTES,
-    STILL_TIME, Shortage, Stage,
+    CONNECTION_BYTES, CallerLimits, Callers, HolderId, MIN_MOVED_BYTES, PIECE_BYTES, REQUEST_BYTES,
+    SMALL_BYTES, STILL_TIME, Shortage, Stage,
 };
 use model::Time;
 use proptest::prelude::*;
@@ -30,7 +30,7 @@
 
 /// A body of which so much has arrived.
 fn body(callers: &mut Callers, bytes: usize, now: Time) -> HolderId {
-    let id = callers.open_request(MAX_BODY, now).expect("there is room");
+    let id = callers.open_request(0, MAX_BODY, now).expect("there is room");
     callers.grow(id, bytes).expect("there is memory");
     id
 }
@@ -122,7 +122,7 @@
 fn large_bodies_leave_memory_to_small_ones_and_to_one_of_them_at_least() {
     let mut callers = callers(1_000);
     let large: Vec<_> =
-        (0..60).map(|_| callers.open_request(MAX_BODY, ms(0)).expect("there is room")).collect();
+        (0..60).map(|_| callers.open_request(0, MAX_BODY, ms(0)).expect("there is room")).collect();
     let filled = fill(&mut callers, &large);
     assert!(filled >= 6 * MAX_BODY, "{filled}");
     for _ in 0..50 {
@@ -131,6 +131,15 @@
     assert!(callers.held() <= BYTES);
 }
 
+#[test]
+fn requests_for_many_pieces_leave_memory_to_others() {
+    let mut callers = callers(10);
+    let pieces = SMALL_BYTES / PIECE_BYTES + 1;
+    while callers.open_request(pieces, 0, ms(0)).is_ok() {}
+    assert!(callers.held() <= BYTES * 3 / 4);
+    assert!(callers.open_request(0, 0, ms(0)).is_ok());
+}
+
 #[test]
 fn body_larger_than_all_memory_is_known_at_once() {
     let callers = callers(10);
@@ -193,7 +202,7 @@
             let nth = |n: usize| open.get(n % open.len().max(1)).copied();
             match step {
                 Step::Connect => open.extend(callers.open_connection(now).ok()),
-                Step::Request(max) => open.extend(callers.open_request(max, now).ok()),
+                Step::Request(max) => open.extend(callers.open_request(0, max, now).ok()),
                 Step::Grow(n, bytes) => _ = nth(n).map(|id| callers.grow(id, bytes)),
                 Step::Move(n, bytes) => _ = nth(n).map(|id| callers.moved(id, bytes, now)),
                 Step::Enter(n, stage) => _ = nth(n).map(|id| callers.enter(id, stage, now)),
--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -130,10 +130,11 @@
         }
     }
 
-    /// Waits for the memory of a request whose body will have at most `max_bytes`; `announced` is its
-    /// size if that is known.
+    /// Waits for the memory of a request with this many pieces whose body will have at most
+    /// `max_bytes`; `announced` is its size if that is known.
     pub async fn request(
         &self,
+        pieces: usize,
         announced: Option<usize>,
         max_bytes: usize,
     ) -> Result<Held, NoMemory> {
@@ -141,18 +142,20 @@
             return Err(NoMemory::Full);
         }
         let max_bytes = announced.unwrap_or(max_bytes);
-        let open = || self.open(|machine, now| machine.open_request(max_bytes, now));
+        let open = || self.open(|machine, now| machine.open_request(pieces, max_bytes, now));
         if let Ok(held) = open() {
             return Ok(held);
         }
         let _waiting = Waiting::new(self, None);
-        self.wait_for(open).await
+        // A caller that nobody yields to had better go to another node at once.
+        self.wait_for(open, || !self.machine().can_yield()).await
     }
 
-    /// Waits until this succeeds, but no longer than others may stand still.
+    /// Waits until this succeeds, but no longer than others may stand still, or until it is `vain`.
     async fn wait_for<T>(
         &self,
         mut take: impl FnMut() -> Result<T, Shortage>,
+        vain: impl Fn() -> bool,
     ) -> Result<T, NoMemory> {
         let until = self.now() + MAX_WAIT;
         loop {
@@ -161,7 +164,7 @@
                 Ok(taken) => return Ok(taken),
                 Err(shortage) => self.look_for_yields(shortage),
             }
-            if self.now() >= until || !self.machine().can_yield() {
+            if self.now() >= until || vain() {
                 return Err(NoMemory::Full);
             }
             let _ = tokio::time::timeout(POLL_INTERVAL, released).await;
@@ -272,7 +275,7 @@
             return Ok(());
         }
         let _waiting = Waiting::new(&self.capacity, Some(self.id));
-        self.capacity.wait_for(grow).await
+        self.capacity.wait_for(grow, || false).await
     }
 
     /// Records bytes that have arrived.
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -29,6 +29,8 @@
 /// Time without confirmation of the rules by the store after which an unknown route or key may be
 /// one that this node has not received yet.
 const RULES_STALE_AFTER: Duration = Duration::from_secs(8);
+/// Maximum number of pieces of all stages that a request may ask for.
+const MAX_PIECES: usize = 16_384;
 /// Maximum wait in milliseconds of a caller that names none; the route's timeout caps it.
 const DEFAULT_WAIT_MS: u64 = 30_000;
 
@@ -117,6 +119,11 @@
         log::info!("malformed request: {}", e.place);
         refusal.into_response(node, &CallerHead::default())
     })?;
+    let pieces = head.pieces.iter().map(|n| *n as usize).sum::<usize>();
+    if pieces > MAX_PIECES {
+        let refusal = Refusal::new(StatusCode::BAD_REQUEST, "too many pieces");
+        return Err(refusal.into_response(node, &head));
+    }
     node.wait_for_state().await;
     let table = node.table();
     let resolved = resolve(node, &table, &head).map_err(|r| r.into_response(node, &head))?;
@@ -127,7 +134,7 @@
     let deadline = arrived + Duration::from_millis(wait_ms);
     let limit = table.rules.limits.body_bytes;
     let body = tokio::select! {
-        body = receive(node, body, limit) => body,
+        body = receive(node, body, pieces, limit) => body,
         () = node.clock.sleep_until(deadline) => {
             Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body was late").close())
         }
@@ -137,6 +144,7 @@
         }
     };
     let body = body.map_err(|r| r.into_response(node, &head))?;
+    work.set_read();
     let Resolved { route, service, workspace, rank, allowed } = resolved;
     let origin = find_origin(node, &head, &route, workspace.as_ref()).await;
     let origin = origin.map_err(|r| r.into_response(node, &head))?;
@@ -144,7 +152,6 @@
     let fingerprint = fingerprint(&parts, &head, workspace.as_ref(), &body);
     let keys = RequestKeys::new(fingerprint, &service, &head);
     if let Some(held) = node.quarantine.record_arrival(node, &keys) {
-    work.set_read();
         node.metrics.count_quarantine_refusal(&route.name);
         let refusal = Refusal {
             retry_after: held.retry_after,
@@ -298,12 +305,18 @@
 }
 
 /// Receives the body of a request, unless it is larger than `limit` bytes or there is no memory.
-async fn receive(node: &Node, body: Incoming, limit: usize) -> Result<ReceivedBody, Refusal> {
+async fn receive(
+    node: &Node,
+    body: Incoming,
+    pieces: usize,
+    limit: usize,
+) -> Result<ReceivedBody, Refusal> {
     let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
     if announced.is_some_and(|n| n > limit) {
         return Err(Refusal::too_large());
     }
-    let held = node.capacity.request(announced, limit).await.map_err(Refusal::no_memory)?;
+    let held = node.capacity.request(pieces, announced, limit).await;
+    let held = held.map_err(Refusal::no_memory)?;
     let read = tokio::select! {
         biased;
         read = read_body(body, BodyParts::new(announced), limit, &held) => read?,
