Let connections and small requests have memory before large bodies

Found by a trial on the account (scratch test of decide::callers, 2,600 members that come back at once on a host of 160 MB, 750 ordinary callers with 2 s each, 15 s): beside large bodies or a mix of all kinds no ordinary caller was served. Causes: large bodies and connections shared one bound, so bodies kept connections out; and bodies that waited for memory kept their connections for 1.5 s each without yielding to anybody.

Change: large bodies find the memory full at a half, connections at three quarters, small requests at the end; and a large body that waits yields to connections and small requests at once, which could not have been served then anyway. It still yields to no other large body.

--- a/crates/decide/src/callers/holder.rs
+++ b/crates/decide/src/callers/holder.rs
@@ -90,13 +90,14 @@
 
     /// Whether it would yield if it stood still.
     pub fn can_yield(&self) -> bool {
-        self.stage != Stage::Busy && !self.is_waiting
+        self.stage != Stage::Busy
     }
 
-    /// Time for which it has stood still; `None` if it does not yield.
-    pub fn still_time(&self, now: Time) -> Option<Duration> {
+    /// Time for which it has stood still, or has waited if `is_urgent`; `None` if it does not yield.
+    pub fn still_time(&self, is_urgent: bool, now: Time) -> Option<Duration> {
         let still = now.since(self.moved_at);
-        (self.can_yield() && still >= STILL_TIME).then_some(still)
+        let yields = if self.is_waiting { is_urgent } else { still >= STILL_TIME };
+        (self.can_yield() && yields).then_some(still)
     }
 
     /// Whether it is expected to be gone soon.
--- a/crates/decide/src/callers/mod.rs
+++ b/crates/decide/src/callers/mod.rs
@@ -1,12 +1,12 @@
 //! What callers hold of a node's memory and connections, and who yields when they run out.
 //!
-//! Connections, requests and bodies share one limit, each counted by the memory that it takes. A part
-//! of it is kept for requests and small bodies. A large body may only grow if, after that, all bodies
+//! Connections, requests and bodies share one limit, each counted by the memory that it takes. Large
+//! bodies find it full first, then connections, and requests with small bodies last. A large body may only grow if, after that, all bodies
 //! on the way can still arrive one after the other (see [`crate::hold`]).
 //!
 //! What does not fit waits until others yield: connections without a request and bodies on the way
-//! that stand still, those first that have held most for longest. What moves or has arrived never
-//! yields, nor what waits for memory itself.
+//! that stand still, those first that have held most for longest. A large body that waits for memory
+//! itself yields to connections and small requests only. What moves or has arrived never yields.
 
 mod holder;
 
@@ -30,8 +30,10 @@
 pub const STILL_TIME: Duration = Duration::from_secs(1);
 /// Bytes that must arrive in this time to count as movement.
 pub const MIN_MOVED_BYTES: usize = 1 << 10;
-/// Part of the memory that large bodies and connections leave to requests and small bodies.
-const RESERVE_SHARE: f64 = 0.25;
+/// Part of the memory that is full for connections: the rest is for requests and small bodies.
+const CONNECTIONS_SHARE: f64 = 0.75;
+/// Part of the memory that is full for large bodies.
+const LARGE_SHARE: f64 = 0.5;
 /// Time in which one that was told to yield is expected to have done so.
 const YIELD_TIME: Duration = Duration::from_millis(200);
 /// Time after a connection or request had to wait in which the node counts as full.
@@ -77,14 +79,30 @@
 /// What there is too little of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
-    /// So many bytes.
+    /// So many bytes for a connection, or for a request with a small body.
     Memory(usize),
+    /// So many bytes for a large body.
+    LargeMemory(usize),
     /// Connections.
     Connections,
     /// Memory with which the bodies on the way could all arrive.
     Bodies,
 }
 
+impl Shortage {
+    fn for_large(self) -> Self {
+        match self {
+            Shortage::Memory(bytes) => Shortage::LargeMemory(bytes),
+            other => other,
+        }
+    }
+
+    /// Whether bodies that wait for memory yield as well: they could not arrive now anyway.
+    fn is_urgent(self) -> bool {
+        matches!(self, Shortage::Memory(_) | Shortage::Connections)
+    }
+}
+
 /// What all callers hold.
 #[derive(Debug)]
 pub struct Callers {
@@ -104,7 +122,7 @@
         Callers {
             limits,
             holders: BTreeMap::new(),
-            large: Holds::new(unreserved(limits.bytes)),
+            large: Holds::new(share(limits.bytes, LARGE_SHARE)),
             held: 0,
             connections: 0,
             next: 0,
@@ -115,7 +133,7 @@
     /// Changes the limits for what begins or grows from now on.
     pub fn set_limits(&mut self, limits: CallerLimits) {
         self.limits = limits;
-        self.large.set_limit(unreserved(limits.bytes));
+        self.large.set_limit(share(limits.bytes, LARGE_SHARE));
     }
 
     /// Bytes held in all.
@@ -130,7 +148,7 @@
 
     /// Begins to count a connection, which is busy at first.
     pub fn open_connection(&mut self, now: Time) -> Result<HolderId, Shortage> {
-        let fits = self.check(CONNECTION_BYTES, unreserved(self.limits.bytes));
+        let fits = self.check(CONNECTION_BYTES, share(self.limits.bytes, CONNECTIONS_SHARE));
         let fits = match self.connections < self.limits.connections {
             true => fits,
             false => Err(Shortage::Connections),
@@ -149,7 +167,7 @@
     ) -> Result<HolderId, Shortage> {
         let holder = Holder::request(pieces, max_bytes, now);
         let limit = match holder.bytes() > REQUEST_BYTES + SMALL_BYTES {
-            true => unreserved(self.limits.bytes),
+            true => share(self.limits.bytes, LARGE_SHARE),
             false => self.limits.bytes,
         };
         let fits = self.check(holder.bytes(), limit);
@@ -159,7 +177,7 @@
 
     /// Whether a body of this size can be held at all.
     pub fn can_hold(&self, bytes: usize) -> bool {
-        bytes <= unreserved(self.limits.bytes)
+        bytes <= share(self.limits.bytes, LARGE_SHARE)
     }
 
     /// Lets a request's body have this size, if there is memory by now. Bodies do not shrink.
@@ -174,7 +192,8 @@
         if bytes <= SMALL_BYTES {
             self.check(more, self.limits.bytes)?;
         } else {
-            self.check(more, unreserved(self.limits.bytes))?;
+            let fits = self.check(more, share(self.limits.bytes, LARGE_SHARE));
+            fits.map_err(Shortage::for_large)?;
             self.grow_large(id, bytes)?;
         }
         self.holders.get_mut(&id).expect("found above").body = bytes;
@@ -243,7 +262,7 @@
     /// Tells holders to yield until enough do; returns those that were not told before.
     pub fn tell_to_yield(&mut self, shortage: Shortage, now: Time) -> Vec<Yield> {
         let missing = match shortage {
-            Shortage::Memory(bytes) => bytes,
+            Shortage::Memory(bytes) | Shortage::LargeMemory(bytes) => bytes,
             Shortage::Connections | Shortage::Bodies => 1,
         };
         let leaving = self.holders.values().filter(|h| h.is_leaving(now));
@@ -274,7 +293,7 @@
         let helps = |h: &Holder| shortage != Shortage::Bodies || h.hold.is_some();
         let candidates = self.holders.iter().filter(|(_, h)| h.told_at.is_none() && helps(h));
         let still = candidates.filter_map(|(id, h)| {
-            let still = h.still_time(now)?;
+            let still = h.still_time(shortage.is_urgent(), now)?;
             Some(Yield { id: *id, stage: h.stage, bytes: h.bytes(), still })
         });
         still.max_by_key(|y| y.bytes as u128 * y.still.as_millis())
@@ -300,7 +319,6 @@
     }
 }
 
-/// Part of the memory that large bodies and connections may take.
-fn unreserved(bytes: usize) -> usize {
-    (bytes as f64 * (1.0 - RESERVE_SHARE)) as usize
+fn share(bytes: usize, share: f64) -> usize {
+    (bytes as f64 * share) as usize
 }
--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -28,21 +28,23 @@
 /// Minimum time between two searches for such, since each looks at all holders.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// There is no memory for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+/// Why there is no memory for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoMemory {
-    /// callers hold all memory for requests
+    /// Nobody yields any.
     Full,
-    /// the request was too slow while others needed its memory
+    /// It had to yield.
     Yielded,
 }
 
 impl NoMemory {
-    /// The same as a fixed text.
+    /// Reason in the answer and in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
             NoMemory::Full => "callers hold all memory for requests",
-            NoMemory::Yielded => "the request was too slow while others needed its memory",
+            NoMemory::Yielded => {
+                "others needed the memory that the request held while its body did not move"
+            }
         }
     }
 }
