Deliver an answer before its connection yields to others

Seen, on reading the change again: a caller that had not yet read its answer of 60,000 bytes lost half of it (30,297) beside a crowd of connections. Cause: a connection counts as without a request once the kernel has its answer, and could then be told to yield. Its close ended at once, since it raced with the same notice, so the socket was dropped while the other side had not acknowledged the answer; what that side sent next reset it.

Change: the close of a connection that yields waits, as any other, until all that was sent is acknowledged, and only then heeds the notice, instead of waiting for the other side to be quiet. The race and the second place that marks a closing connection as resting are gone. answer_that_its_caller_has_not_read_yet_does_not_yield fails before and passes now (one run each), with the other crowds of connections, bodies_sent_over_the_limit and the twelve of delivery.rs.

--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -263,9 +263,14 @@
 }
 
 impl Held {
+    /// Whether it has been told to yield.
+    pub fn is_told(&self) -> bool {
+        self.capacity.machine().must_yield(self.id)
+    }
+
     /// Waits until it must yield.
     pub async fn must_yield(&self) {
-        while !self.capacity.machine().must_yield(self.id) {
+        while !self.is_told() {
             self.told.notified().await;
         }
     }
--- a/crates/forward/src/ingress/linger.rs
+++ b/crates/forward/src/ingress/linger.rs
@@ -20,7 +20,7 @@
 const BUFFER_BYTES: usize = 4 << 10;
 
 /// Ends the sending side, and closes the connection once the other side has acknowledged all that was
-/// sent and sends nothing more. It yields to others from when it has acknowledged all.
+/// sent, and sends nothing more or must yield to others.
 pub async fn close(node: &Node, mut socket: ServerSocket, outbox: &Outbox) {
     // A request that crosses the end of an idle connection is left unread, so that its caller knows.
     if socket.unacknowledged() == 0 || socket.stream.shutdown().await.is_err() {
@@ -41,11 +41,8 @@
                 Err(_) => {}
             }
         }
-        if socket.unacknowledged() == 0 {
-            if !has_input {
-                return;
-            }
-            outbox.rest();
+        if socket.unacknowledged() == 0 && (!has_input || outbox.is_told()) {
+            return;
         }
     }
 }
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -146,7 +146,7 @@
     }
 
     /// Records that nothing is owed any more.
-    pub fn rest(&self) {
+    fn rest(&self) {
         if let Some(held) = &self.held {
             held.enter(Stage::Resting);
         }
@@ -168,8 +168,13 @@
         held.moved(bytes);
     }
 
+    /// Whether the connection has been told to yield to others.
+    pub fn is_told(&self) -> bool {
+        self.held.as_ref().is_some_and(Held::is_told)
+    }
+
     /// Waits until the connection must yield to others.
-    pub async fn must_yield(&self) {
+    async fn must_yield(&self) {
         match &self.held {
             Some(held) => held.must_yield().await,
             None => std::future::pending().await,
@@ -227,12 +232,10 @@
     pub async fn close(&self, node: &Node, end: End) {
         let is_overdue = matches!(end, End::Overdue);
         self.log_end(node, end);
+        self.rest();
         match self.socket.take() {
             Some(socket) if is_overdue => socket.reset(),
-            Some(socket) => tokio::select! {
-                () = linger::close(node, socket, self) => {}
-                () = self.must_yield() => {}
-            },
+            Some(socket) => linger::close(node, socket, self).await,
             None => {}
         }
     }
