Treat requests for many pieces as large in every respect

Found on reading: the account kept such requests to the part of the memory for large bodies, but reported their shortage as that of a small request. So they made large bodies that wait yield, which only connections and small requests may, and the node said that it is not ready though ordinary callers found room. Now one check says whether memory suffices, and names the shortage by the same size; only shortages of connections and small requests count as a full node. The mapping of one shortage to another is gone. The assertions added to requests_for_many_pieces_leave_memory_to_others fail before.

--- a/crates/decide/src/callers/mod.rs
+++ b/crates/decide/src/callers/mod.rs
@@ -1,8 +1,9 @@
 //! What callers hold of a node's memory and connections, and who yields when they run out.
 //!
 //! Connections, requests and bodies share one limit, each counted by the memory that it takes. Large
-//! bodies find it full first, then connections, and requests with small bodies last. A large body may only grow if, after that, all bodies
-//! on the way can still arrive one after the other (see [`crate::hold`]).
+//! bodies find it full first, then connections, and requests with small bodies last. A large body may
+//! only grow if, after that, all bodies on the way can still arrive one after the other (see
+//! [`crate::hold`]).
 //!
 //! What does not fit waits until others yield: connections without a request and bodies on the way
 //! that stand still, those first that have held most for longest. A large body that waits for memory
@@ -30,9 +31,9 @@
 pub const STILL_TIME: Duration = Duration::from_secs(1);
 /// Bytes that must arrive in this time to count as movement.
 pub const MIN_MOVED_BYTES: usize = 1 << 10;
-/// Part of the memory that is full for connections: the rest is for requests and small bodies.
+/// Part of the memory that connections may fill; the rest is for requests with small bodies.
 const CONNECTIONS_SHARE: f64 = 0.75;
-/// Part of the memory that is full for large bodies.
+/// Part of the memory that large requests and bodies may fill.
 const LARGE_SHARE: f64 = 0.5;
 /// Time in which one that was told to yield is expected to have done so.
 const YIELD_TIME: Duration = Duration::from_millis(200);
@@ -79,9 +80,9 @@
 /// What there is too little of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
-    /// So many bytes for a connection, or for a request with a small body.
+    /// Memory for a connection or a small request, in bytes.
     Memory(usize),
-    /// So many bytes for a large body.
+    /// Memory for a large request or body, in bytes.
     LargeMemory(usize),
     /// Connections.
     Connections,
@@ -90,13 +91,6 @@
 }
 
 impl Shortage {
-    fn for_large(self) -> Self {
-        match self {
-            Shortage::Memory(bytes) => Shortage::LargeMemory(bytes),
-            other => other,
-        }
-    }
-
     /// Whether bodies that wait for memory yield as well: they could not arrive now anyway.
     fn is_urgent(self) -> bool {
         matches!(self, Shortage::Memory(_) | Shortage::Connections)
@@ -148,10 +142,11 @@
 
     /// Begins to count a connection, which is busy at first.
     pub fn open_connection(&mut self, now: Time) -> Result<HolderId, Shortage> {
-        let fits = self.check(CONNECTION_BYTES, share(self.limits.bytes, CONNECTIONS_SHARE));
-        let fits = match self.connections < self.limits.connections {
-            true => fits,
-            false => Err(Shortage::Connections),
+        let fits = if self.connections < self.limits.connections {
+            let limit = share(self.limits.bytes, CONNECTIONS_SHARE);
+            self.check(CONNECTION_BYTES, limit, Shortage::Memory)
+        } else {
+            Err(Shortage::Connections)
         };
         self.note(fits, now)?;
         self.connections += 1;
@@ -166,11 +161,8 @@
         now: Time,
     ) -> Result<HolderId, Shortage> {
         let holder = Holder::request(pieces, max_bytes, now);
-        let limit = match holder.bytes() > REQUEST_BYTES + SMALL_BYTES {
-            true => share(self.limits.bytes, LARGE_SHARE),
-            false => self.limits.bytes,
-        };
-        let fits = self.check(holder.bytes(), limit);
+        let is_large = holder.bytes() > REQUEST_BYTES + SMALL_BYTES;
+        let fits = self.check_memory(holder.bytes(), is_large);
         self.note(fits, now)?;
         Ok(self.insert(holder))
     }
@@ -189,11 +181,9 @@
         if more == 0 {
             return Ok(());
         }
-        if bytes <= SMALL_BYTES {
-            self.check(more, self.limits.bytes)?;
-        } else {
-            let fits = self.check(more, share(self.limits.bytes, LARGE_SHARE));
-            fits.map_err(Shortage::for_large)?;
+        let is_large = bytes > SMALL_BYTES;
+        self.check_memory(more, is_large)?;
+        if is_large {
             self.grow_large(id, bytes)?;
         }
         self.holders.get_mut(&id).expect("found above").body = bytes;
@@ -204,10 +194,7 @@
     fn grow_large(&mut self, id: HolderId, bytes: usize) -> Result<(), Shortage> {
         let holder = self.holders.get_mut(&id).expect("the caller has found it");
         let hold = *holder.hold.get_or_insert_with(|| self.large.open(holder.max_bytes));
-        match self.large.resize(hold, bytes) {
-            true => Ok(()),
-            false => Err(Shortage::Bodies),
-        }
+        if self.large.resize(hold, bytes) { Ok(()) } else { Err(Shortage::Bodies) }
     }
 
     /// Sets what the head of a connection's next request takes, which has arrived already.
@@ -299,15 +286,33 @@
         still.max_by_key(|y| y.bytes as u128 * y.still.as_millis())
     }
 
-    fn check(&self, more: usize, limit: usize) -> Result<(), Shortage> {
+    /// Whether a request or its body may take this much more.
+    fn check_memory(&self, more: usize, is_large: bool) -> Result<(), Shortage> {
+        if is_large {
+            self.check(more, share(self.limits.bytes, LARGE_SHARE), Shortage::LargeMemory)
+        } else {
+            self.check(more, self.limits.bytes, Shortage::Memory)
+        }
+    }
+
+    fn check(
+        &self,
+        more: usize,
+        limit: usize,
+        shortage: fn(usize) -> Shortage,
+    ) -> Result<(), Shortage> {
         match (self.held + more).saturating_sub(limit) {
             0 => Ok(()),
-            missing => Err(Shortage::Memory(missing)),
+            missing => Err(shortage(missing)),
         }
     }
 
-    fn note<T>(&mut self, fits: Result<T, Shortage>, now: Time) -> Result<T, Shortage> {
-        fits.inspect_err(|_| self.short_at = Some(now))
+    /// Records a shortage of what ordinary callers need.
+    fn note(&mut self, fits: Result<(), Shortage>, now: Time) -> Result<(), Shortage> {
+        if fits.is_err_and(Shortage::is_urgent) {
+            self.short_at = Some(now);
+        }
+        fits
     }
 
     fn insert(&mut self, holder: Holder) -> HolderId {
--- a/crates/decide/tests/callers.rs
+++ b/crates/decide/tests/callers.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 
 /// Memory of callers on a host with 160 MB.
-const BYTES: usize = 160_000_000 / 3;
+const MEMORY_BYTES: usize = 160_000_000 / 3;
 /// Maximum size of a body.
 const MAX_BODY: usize = 4 << 20;
 
@@ -19,7 +19,7 @@
 }
 
 fn callers(connections: usize) -> Callers {
-    Callers::new(CallerLimits { bytes: BYTES, connections })
+    Callers::new(CallerLimits { bytes: MEMORY_BYTES, connections })
 }
 
 fn resting(callers: &mut Callers, now: Time) -> HolderId {
@@ -130,22 +130,30 @@
     for _ in 0..50 {
         body(&mut callers, SMALL_BYTES, ms(1));
     }
-    assert!(callers.held() <= BYTES);
+    assert!(callers.held() <= MEMORY_BYTES);
 }
 
 #[test]
 fn requests_for_many_pieces_leave_memory_to_others() {
     let mut callers = callers(10);
     let pieces = SMALL_BYTES / PIECE_BYTES + 1;
-    while callers.open_request(pieces, 0, ms(0)).is_ok() {}
-    assert!(callers.held() <= BYTES / 2);
+    let waiting = body(&mut callers, SMALL_BYTES, ms(0));
+    callers.set_waiting(waiting, true, ms(0));
+    let shortage = loop {
+        if let Err(shortage) = callers.open_request(pieces, 0, ms(0)) {
+            break shortage;
+        }
+    };
+    assert_eq!(told(&mut callers, shortage, ms(0)), [], "a large body waits as well");
+    assert!(!callers.is_full(ms(1)), "ordinary callers find room");
+    assert!(callers.held() <= MEMORY_BYTES / 2);
     assert!(callers.open_request(0, 0, ms(0)).is_ok());
 }
 
 #[test]
 fn body_larger_than_all_memory_is_known_at_once() {
     let callers = callers(10);
-    assert!(callers.can_hold(MAX_BODY) && !callers.can_hold(BYTES));
+    assert!(callers.can_hold(MAX_BODY) && !callers.can_hold(MEMORY_BYTES));
 }
 
 #[test]
@@ -161,7 +169,7 @@
 fn smaller_limits_hold_for_what_comes() {
     let mut callers = callers(10);
     let id = resting(&mut callers, ms(0));
-    callers.set_limits(CallerLimits { bytes: BYTES, connections: 1 });
+    callers.set_limits(CallerLimits { bytes: MEMORY_BYTES, connections: 1 });
     assert_eq!(callers.open_connection(ms(1)), Err(Shortage::Connections));
     callers.close(id);
     assert!(callers.open_connection(ms(2)).is_ok());
