Wait for callers' memory in one place

No change of behaviour. The loop that waits for a connection was a twin of the one for requests and bodies, and each of the three tried first by itself; one function does both now, and its callers say when to give up. Counters of what yields have names instead of places in an array. The size that a head announces is computed in util::http for answers and requests.

--- a/crates/forward/src/capacity.rs
+++ b/crates/forward/src/capacity.rs
@@ -19,14 +19,15 @@
 const MEMORY_SHARE: f64 = 1.0 / 3.0;
 /// Part of the descriptors for callers' connections.
 const CONNECTIONS_SHARE: f64 = 0.5;
-/// Maximum time for which a request or body waits for memory, a little more than others may stand
-/// still for.
+/// Maximum time for which a request or body waits for memory; what stands still has yielded by then.
 const MAX_WAIT: Duration = Duration::from_millis(1500);
 /// Interval at which what waits looks for others that stand still by now.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Minimum time between two searches for such, since each looks at all holders.
+/// Minimum time after a search that found nobody, since each looks at all holders.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// Names of what yields, in log lines and metrics.
+const CONNECTION: &str = "connection";
+const BODY: &str = "body";
 
 /// Why there is no memory for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +65,8 @@
     waiting: Cell<usize>,
     /// When nobody was found who stood still.
     looked_at: Cell<Option<Time>>,
-    yielded: [Counter; 2],
+    connections_yielded: Counter,
+    bodies_yielded: Counter,
 }
 
 /// Limits for the host in the settings.
@@ -85,7 +87,8 @@
             released: Notify::new(),
             waiting: Cell::new(0),
             looked_at: Cell::new(None),
-            yielded: ["connection", "body"].map(|what| metrics.yielded(what)),
+            connections_yielded: metrics.yielded(CONNECTION),
+            bodies_yielded: metrics.yielded(BODY),
         }))
     }
 
@@ -118,18 +121,8 @@
 
     /// Waits until there is room for a further connection.
     pub async fn connection(&self) -> Held {
-        if let Some(held) = self.try_connection() {
-            return held;
-        }
-        let _waiting = Waiting::new(self, None);
-        loop {
-            let released = self.0.released.notified();
-            match self.open(|machine, now| machine.open_connection(now)) {
-                Ok(held) => return held,
-                Err(shortage) => self.look_for_yields(shortage),
-            }
-            let _ = tokio::time::timeout(POLL_INTERVAL, released).await;
-        }
+        let open = || self.open(|machine, now| machine.open_connection(now));
+        self.wait_for(None, open, || false).await.expect("it does not give up")
     }
 
     /// Waits for the memory of a request with this many pieces whose body will have at most
@@ -145,29 +138,32 @@
         }
         let max_bytes = announced.unwrap_or(max_bytes);
         let open = || self.open(|machine, now| machine.open_request(pieces, max_bytes, now));
-        if let Ok(held) = open() {
-            return Ok(held);
-        }
-        let _waiting = Waiting::new(self, None);
+        let until = self.now() + MAX_WAIT;
         // A caller that nobody yields to had better go to another node at once.
-        self.wait_for(open, || !self.machine().can_yield()).await
+        let gives_up = || self.now() >= until || !self.machine().can_yield();
+        self.wait_for(None, open, gives_up).await.ok_or(NoMemory::Full)
     }
 
-    /// Waits until this succeeds, but no longer than others may stand still, or until it is `vain`.
+    /// Waits until `take` succeeds, while others are told to yield; `None` if it gives up. `id` is the
+    /// holder that waits, if it is one.
     async fn wait_for<T>(
         &self,
+        id: Option<HolderId>,
         mut take: impl FnMut() -> Result<T, Shortage>,
-        vain: impl Fn() -> bool,
-    ) -> Result<T, NoMemory> {
-        let until = self.now() + MAX_WAIT;
+        gives_up: impl Fn() -> bool,
+    ) -> Option<T> {
+        if let Ok(taken) = take() {
+            return Some(taken);
+        }
+        let _waiting = Waiting::new(self, id);
         loop {
             let released = self.0.released.notified();
             match take() {
-                Ok(taken) => return Ok(taken),
+                Ok(taken) => return Some(taken),
                 Err(shortage) => self.look_for_yields(shortage),
             }
-            if self.now() >= until || vain() {
-                return Err(NoMemory::Full);
+            if gives_up() {
+                return None;
             }
             let _ = tokio::time::timeout(POLL_INTERVAL, released).await;
         }
@@ -187,8 +183,8 @@
 
     fn tell(&self, yielding: &Yield) {
         let (what, counter) = match yielding.stage {
-            Stage::Receiving => ("body", &self.0.yielded[1]),
-            Stage::Resting | Stage::Busy => ("connection", &self.0.yielded[0]),
+            Stage::Receiving => (BODY, &self.0.bodies_yielded),
+            Stage::Resting | Stage::Busy => (CONNECTION, &self.0.connections_yielded),
         };
         counter.inc();
         let still_ms = yielding.still.as_millis() as u64;
@@ -277,12 +273,11 @@
 
     /// Waits until the request's body may have this size.
     pub async fn grow(&self, bytes: usize) -> Result<(), NoMemory> {
-        let grow = || self.capacity.machine().grow(self.id, bytes);
-        if grow().is_ok() {
-            return Ok(());
-        }
-        let _waiting = Waiting::new(&self.capacity, Some(self.id));
-        self.capacity.wait_for(grow, || false).await
+        let capacity = &self.capacity;
+        let grow = || capacity.machine().grow(self.id, bytes);
+        let until = capacity.now() + MAX_WAIT;
+        let grown = capacity.wait_for(Some(self.id), grow, || capacity.now() >= until).await;
+        grown.ok_or(NoMemory::Full)
     }
 
     /// Records bytes that have arrived.
@@ -296,6 +291,11 @@
         self.capacity.machine().set_head(self.id, bytes);
     }
 
+    /// Current time by the clock of the account.
+    pub fn now(&self) -> Time {
+        self.capacity.now()
+    }
+
     /// Moves on to another stage.
     pub fn enter(&self, stage: Stage) {
         let now = self.capacity.now();
--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -153,7 +153,7 @@
     }
 
     /// Takes note of bytes that have arrived.
-    fn received(&self, bytes: usize, now: Time) {
+    fn received(&self, bytes: usize) {
         let Some(held) = self.held.as_ref().filter(|_| self.pending.borrow().is_empty()) else {
             return;
         };
@@ -161,7 +161,7 @@
         self.head_bytes.set(head_bytes);
         let is_head = head_bytes > 0 && !self.skips_body.get();
         if is_head && self.head_began.get().is_none() {
-            self.head_began.set(Some(now));
+            self.head_began.set(Some(held.now()));
             self.head_notify.notify_one();
         }
         held.set_head(head_bytes * BUFFER_FACTOR);
@@ -308,8 +308,7 @@
         if read.is_err() || bytes == 0 {
             self.outbox.has_ended.set(true);
         }
-        let now = self.stream().now();
-        self.outbox.received(bytes, now);
+        self.outbox.received(bytes);
         Poll::Ready(read)
     }
 }
--- a/crates/forward/src/liveness.rs
+++ b/crates/forward/src/liveness.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use decide::liveness::{Liveness, SAMPLE_INTERVAL, Sample, Verdict};
-use model::Time;
 use nix::libc::{self, IPPROTO_TCP, TCP_INFO, c_int};
 use nix::sys::socket::{getsockopt, setsockopt};
 use nix::{getsockopt_impl, setsockopt_impl, sockopt_impl};
@@ -86,11 +85,6 @@
         &self.stream
     }
 
-    /// Current time by the clock of the connection.
-    pub fn now(&self) -> Time {
-        self.clock.now()
-    }
-
     fn inner(&mut self) -> Pin<&mut TcpStream> {
         Pin::new(&mut self.stream)
     }
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
-use util::http::BodyParts;
+use util::http::{BodyParts, announced_size};
 
 use crate::events::Event;
 use crate::upstream::{AnswerBody, AnswerError};
@@ -192,7 +192,7 @@
     mut body: AnswerBody,
     max_bytes: usize,
 ) -> Result<HeldBody, ReadError> {
-    let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    let announced = announced_size(&body);
     if announced.is_some_and(|n| n > max_bytes) {
         return Err(ReadError::TooLarge(max_bytes));
     }
--- a/crates/forward/src/serve/admit.rs
+++ b/crates/forward/src/serve/admit.rs
@@ -7,12 +7,12 @@
 use decide::forecast::{self, Admission};
 use decide::retry::DEFAULT_RETRY_AFTER;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use model::Name;
 use model::forward::{Allowed, CallerHead, Fingerprint, Rank, Repeat, Route, StreamOrigin};
-use util::http::BodyParts;
+use util::http::{BodyParts, announced_size};
 
 use super::exchange::{Admitted, Exchange, ReceivedRequest};
 use super::reply::{self, Body};
@@ -311,7 +311,7 @@
     pieces: usize,
     limit: usize,
 ) -> Result<ReceivedBody, Refusal> {
-    let announced = body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    let announced = announced_size(&body);
     if announced.is_some_and(|n| n > limit) {
         return Err(Refusal::too_large());
     }
--- a/crates/util/src/http/mod.rs
+++ b/crates/util/src/http/mod.rs
@@ -11,7 +11,7 @@
     Timeouts, read_rmp_answer,
 };
 pub use inflow::{BoundedIo, Excess, Inflow};
-pub use parts::BodyParts;
+pub use parts::{BodyParts, announced_size};
 pub use server::{
     Body, Handler, Limits, Sender, Server, full, json, read_json, read_rmp, rmp, rmp_named, stream,
     text,
--- a/crates/util/src/http/parts.rs
+++ b/crates/util/src/http/parts.rs
@@ -3,12 +3,18 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use hyper::body::Body;
 
 /// Minimum size of a part, in bytes, unless the body is smaller.
 const MIN_PART_BYTES: usize = 8 << 10;
 /// Maximum size of a part, in bytes.
 const MAX_PART_BYTES: usize = 64 << 10;
 
+/// Size of a body in bytes, if its head names one.
+pub fn announced_size(body: &impl Body) -> Option<usize> {
+    body.size_hint().exact().map(|n| usize::try_from(n).unwrap_or(usize::MAX))
+}
+
 /// A body of which a part has arrived. Its bytes are copied, since a frame may keep a far larger
 /// buffer, and not moved, since that takes the memory twice. Parts grow with what has arrived: an
 /// announced size may never come.
