--- a/crates/forward/src/ingress/outbox.rs
+++ b/crates/forward/src/ingress/outbox.rs
@@ -190,7 +190,7 @@
         connection: impl Future<Output = Served>,
     ) -> End {
         tokio::select! {
-            // What has arrived counts before the time that is over by now.
+            // Input that has already arrived is read before any timeout is checked.
             biased;
             served = connection => End::Closed(served.err()),
             () = self.wait_overdue(node) => End::Overdue,
