--- a/review/stand-2.rs
+++ b/review/stand-2.rs
@@ -129,7 +129,7 @@
 impl Node {
     fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+            let _ = Command::new("sh").arg("-c").arg(format!("kill {signal} {}", child.id())).status();
         }
     }
 
